--- /dev/null
+++ b/policy/policy.go
@@ -0,0 +1,909 @@
+// This file holds every decision. Its interface, the settings, events, actions
+// and states, is in policy/types.go.
+
+package policy
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+)
+
+const (
+	// capFactor is c: how far above its even share of the agent's attempts a
+	// server may go before a key's request moves on to the next in hash order.
+	capFactor = 3.0
+	// crowdShare is the part of the aim that a server's mean answer time may take.
+	crowdShare = 0.5
+	// crowdFactor is how many times the fleet's calm answer time a calm server's may be.
+	crowdFactor = 1.5
+	firstWindow = 2.0 // attempts an unmeasured server may hold
+	// learnFor is the number of answers that make the first measure of calm; until
+	// then no window grows, so that a start does not crowd what it measures.
+	learnFor = 50
+	// leastWindow is left to the most crowded server: enough to see when it is not.
+	leastWindow, tipFactor = 0.1, 2.5
+	// keyWait is the part of its aim that a request may wait for one of the keyServers
+	// nearest its key: going on at once would lose the warm key just when time is short.
+	keyWait, keyServers = 0.25, 2
+	// hopeless is the least part of its expected time that a hinted request needs.
+	hopeless = 0.7
+	// ownZone is how much more a server of the agent's own zone weighs in a key's order at
+	// the least, ownPrice the most for the whole worth as the price of crossing; leastKind
+	// what a slow kind of machine keeps; weighStep is how fast weights follow.
+	ownZone, ownPrice, leastKind, weighStep = 1.5, 100.0, 0.25, 0.05
+	// keyMemory is over how many requests keys are counted, keySpread into how many parts
+	// a key is split that alone would be a server's even share: it is not alone there.
+	keyMemory, keySpread = 128, 4.0
+	maxStrikes           = 5 // bounds the doubling of a bad server's hold
+	// smooth is the weight of an answer in a server's mean, slowSmooth in a fleet-wide one;
+	// fade lets requests count less for shares with age, over about 500.
+	smooth, slowSmooth, fade = 0.2, 0.005, 0.998
+	// tryFactor is how many attempts may end for each that earned its worth before the
+	// agent sends less; tryFree of them are free, and trySpan is for how many aims they count.
+	tryFactor, tryFree, trySpan = 1.5, 3.0, 10.0
+	// leastServers is the smallest subset of the fleet an agent sends to.
+	leastServers = 16
+	// maxHeld bounds the requests held for room, and so the work of a decision.
+	maxHeld = 512
+	// coldBurst bounds what a cold server's credit saves up: all may spend it at once.
+	coldBurst = 1.0
+	// coldMargin is what an even share may cost a cold server, in its present capacity:
+	// warm ones may be crowded by half and save three quarters by their warm keys.
+	coldMargin = 8.0
+	// probeCap bounds the validations under way at once.
+	probeCap = 2
+
+	tickToken, followToken = 1, 2
+)
+
+// New returns the balancer of one agent, or an error that names the setting
+// that makes no sense. All its randomness comes from the seed.
+func New(set Settings, seed uint64) (*Balancer, error) {
+	if err := set.validate(); err != nil {
+		return nil, err
+	}
+	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, mix(seed))), byAddr: map[Addr]*server{},
+		requests: map[RequestID]*request{}, usage: make([]float64, len(set.Tenants)),
+		home: ownZone, aimMin: math.Inf(1), lookedAt: math.Inf(-1),
+		recentKeys: keyCounter{count: map[uint64]int{}}}
+	for i := range b.kinds {
+		b.kinds[i].weight = 1
+	}
+	for _, c := range set.Classes {
+		b.expect = append(b.expect, c.AimMs*crowdShare/2)
+		b.aimMin = min(b.aimMin, c.AimMs)
+		b.asked, b.won = append(b.asked, 1), append(b.won, 1)
+	}
+	return b, nil
+}
+
+// Start gives the first actions of a new agent and appends them to out.
+func (b *Balancer) Start(now float64, out []Action) []Action {
+	b.now, b.out, b.began, b.triedAt, b.recentAt, b.flowAt = now, out, now, now, now, now
+	if b.set.Membership == "on_request" {
+		// Spread over a part of the contract's time: agents that start together
+		// must not all call at once.
+		b.do(Action{Kind: ActTimer, Ms: b.rng.Float64() * b.set.Contract.AskWithinMs / 8, Token: followToken})
+	}
+	return b.out
+}
+
+// Handle takes one event and appends the actions it calls for to out. Events
+// for what is finished or unknown are ignored.
+func (b *Balancer) Handle(now float64, ev *Event, out []Action) []Action {
+	b.now, b.out = now, out
+	switch ev.Kind {
+	case EvRequest:
+		b.onRequest(ev)
+	case EvOutcome:
+		b.onOutcome(ev)
+	case EvStarted:
+		if r := b.requests[ev.Request]; r != nil && !r.closed {
+			r.started = true
+			if ev.Attempt >= 0 && ev.Attempt < len(r.attempts) {
+				r.attempts[ev.Attempt].s.heard = now
+			}
+		}
+	case EvDropped:
+		if r := b.requests[ev.Request]; r != nil && !r.closed {
+			b.remember(r)
+			b.close(r)
+		}
+	case EvList:
+		b.onList(ev)
+	case EvProbed:
+		b.onProbed(ev)
+	case EvTimer:
+		b.onTimer(ev.Token)
+	}
+	b.dispatch()
+	b.arm()
+	return b.out
+}
+
+func (b *Balancer) do(a Action) { b.out = append(b.out, a) }
+
+// arm keeps one timer running while there is something to watch.
+func (b *Balancer) arm() {
+	if !b.ticking && (len(b.held) > 0 || b.inflight > 0) {
+		b.ticking = true
+		b.do(Action{Kind: ActTimer, Ms: max(2*b.set.RoundMs, 5), Token: tickToken})
+	}
+}
+
+func (b *Balancer) onTimer(token uint32) {
+	switch token {
+	case followToken:
+		b.do(Action{Kind: ActFollow})
+	case tickToken:
+		b.ticking = false
+		b.watchSilence()
+		b.expire()
+	}
+}
+
+// ---- requests ----
+
+func (b *Balancer) onRequest(ev *Event) {
+	if b.requests[ev.Request] != nil {
+		return
+	}
+	if ev.Class < 0 || ev.Class >= len(b.set.Classes) {
+		b.end(&request{id: ev.Request}) // still owed an answer; nothing of it ran
+		return
+	}
+	c := &b.set.Classes[ev.Class]
+	r := &request{id: ev.Request, class: ev.Class, tenant: ev.Tenant, key: ev.Key,
+		arrived: b.now, first: b.now}
+	if r.hint = finite(ev.HintMs); !ev.HasHint {
+		r.hint = 0
+	} else if r.hint > 0 {
+		b.meanHint = mean(b.meanHint, r.hint, slowSmooth)
+	}
+	left := finite(ev.LeftMs)
+	r.deadline = b.now + left - min(b.set.RoundMs, left/4)
+	if ev.Retry {
+		r.first = b.recall(r)
+	}
+	r.aimAt = min(r.first+c.AimMs+c.AimStretch*r.hint, r.deadline)
+	r.hash = b.split(r.key)
+	b.requests[r.id] = r
+	b.seen++
+	b.recent = b.recent*math.Exp((b.recentAt-b.now)/max(b.set.Limits.KeepaliveMs, 1)) + 1
+	b.recentAt = b.now
+	b.count(r.tenant)
+	b.tally(r.class)
+	b.revalidate()
+	b.held = append(b.held, r)
+	// A request whose hinted work cannot fit the aim anywhere would only keep
+	// others waiting: the costly few of a heavy tail.
+	if r.hint > 0 && c.LateShare == 0 && hopeless*b.hintedTime(r) > r.aimAt-b.now {
+		b.end(r)
+	}
+}
+
+// value is the worth that a unit of server time spent on the request earns, by
+// the objective: a part of the whole, and all of the worst class if it is of it.
+func (b *Balancer) value(r *request) float64 {
+	c := &b.set.Classes[r.class]
+	o := &b.set.Objective
+	v := c.Credit * (o.Whole + o.WorstWindow)
+	if r.class == b.worst {
+		v += o.WorstClass * b.credit / b.asked[r.class]
+	}
+	if b.now+b.expected(r) > r.aimAt {
+		v *= c.LateShare + b.set.Prices.LateFail
+	}
+	if b.overShare(r.tenant) {
+		v *= b.set.OverShareWorth
+	}
+	if b.set.WorthBy != "work" {
+		v /= b.expect[r.class]
+	}
+	return v
+}
+
+// dispatch sends what is held as far as there is room: the most valuable first,
+// of equals the newest, as under overload the oldest would only end late.
+func (b *Balancer) dispatch() {
+	for _, r := range b.held {
+		r.value = b.value(r)
+	}
+	slices.SortFunc(b.held, func(x, y *request) int {
+		return cmp.Or(cmp.Compare(y.value, x.value), cmp.Compare(y.arrived, x.arrived),
+			cmp.Compare(x.id, y.id))
+	})
+	// One that waits for its key's servers is passed over; of others a few failures tell.
+	b.scarce = false
+	for i, failures := 0, 0; i < len(b.held) && failures < 4 && b.mayTry(); {
+		r := b.held[i]
+		if near := r.near; b.waits(r) && near[0] != nil && r.epoch == b.epoch &&
+			!b.takes(near[0], r) && !b.takes(near[1], r) {
+			i++
+			continue
+		}
+		if s := b.pick(r); s != nil && b.send(r, s) {
+			b.held = slices.Delete(b.held, i, i+1)
+			continue
+		}
+		i++
+		if !b.waits(r) {
+			failures++
+		}
+		b.scarce = failures > 0
+	}
+	for len(b.held) > maxHeld {
+		b.end(b.held[len(b.held)-1])
+	}
+}
+
+// mayTry is the agent's own throttle (adaptive throttling, with a retry budget in it):
+// attempts that fail or come late leave less to send. With a request or two out at each
+// of a thousand agents no server's window holds back the crowd they are together; each
+// full answer went on to the next server, until requests went out nine times (i86bcad).
+func (b *Balancer) mayTry() bool {
+	return b.failing*math.Exp((b.triedAt-b.now)/(trySpan*b.aimMin)) < tryFree
+}
+
+// expire ends held requests that can no longer earn anything, before they cost work.
+func (b *Balancer) expire() {
+	for i := 0; i < len(b.held); {
+		r := b.held[i]
+		last := r.aimAt
+		if b.set.Classes[r.class].LateShare > 0 {
+			last = r.deadline
+		}
+		if b.now+b.expected(r) > last || b.now >= r.deadline {
+			b.end(r)
+			continue
+		}
+		i++
+	}
+}
+
+// expected is how long an answer to the request takes, on the mean.
+func (b *Balancer) expected(r *request) float64 {
+	e := b.expect[r.class]
+	if t := b.hintedTime(r); t > 0 {
+		e = max(t, e/4)
+	}
+	return e
+}
+
+// ---- the pick: tiers, then the capped key hash ----
+
+// rank is the server's tier for the request.
+func (b *Balancer) rank(s *server, r *request) int {
+	switch s.state {
+	case Unhealthy:
+		return 2
+	case UnhealthyPending:
+		// What must not run twice does not check a server while others are healthy.
+		once := b.set.Classes[r.class].Effect == SingleShot
+		if once || b.set.Limits.Probing && b.now-s.since < b.aimMin {
+			return 1
+		}
+	}
+	return 0
+}
+
+// pick walks the best tier that has anyone in the order of the key's hash and takes the
+// first server that is under its cap and has room. Only those that matter are scored.
+func (b *Balancer) pick(r *request) *server {
+	waits, subset := b.waits(r), b.subset()
+	for rank := range 3 {
+		tier, n := b.tier[:0], 0
+		r.tierWeight = 0
+		var near [keyServers]*server
+		for _, s := range b.servers {
+			if b.rank(s, r) != rank || !b.maySend(r, s) {
+				continue
+			}
+			if n++; n > subset && len(tier) > 0 {
+				break
+			}
+			r.tierWeight += s.weight * b.ramp(s)
+			if !waits && !b.hasRoom(s, r) {
+				continue
+			}
+			s.score = b.score(r, s)
+			tier = append(tier, s)
+			for i, at := 0, s; i < keyServers && at != nil; i++ {
+				if near[i] == nil || at.score < near[i].score {
+					near[i], at = at, near[i]
+				}
+			}
+		}
+		b.tier = tier
+		if r.tierWeight == 0 {
+			continue // an empty tier passes down
+		}
+		if waits && len(tier) > keyServers {
+			r.near, r.epoch = near, b.epoch
+			tier = near[:]
+		}
+		var best *server
+		for _, s := range tier {
+			if (best == nil || s.score < best.score) && b.takes(s, r) {
+				best = s
+			}
+		}
+		return best
+	}
+	return nil
+}
+
+// subset is how many servers of a tier, in an order of its own, an agent sends to: those
+// it can meet every few seconds. A quiet agent met each server of the fleet once a minute:
+// it opened a connection for each request and could not learn which were slow or hung
+// (id753de). Orders differ, so each server keeps its share; keys find theirs within. Where
+// connections have no price, more servers keep more keys warm.
+func (b *Balancer) subset() int {
+	n := b.recent
+	if b.set.Limits.KeepaliveMs <= 0 {
+		n = math.Inf(1)
+	} else if b.set.Prices.Handshake > 0 {
+		n /= 4
+	}
+	return int(min(max(n, leastServers), float64(len(b.servers))))
+}
+
+// waits tells whether the request still waits for the servers nearest its key.
+func (b *Balancer) waits(r *request) bool {
+	return r.key != 0 && len(r.attempts) == 0 && b.now-r.arrived < keyWait*(r.aimAt-r.arrived)
+}
+
+// split gives a key the hash that orders the servers for it. A popular key is split into
+// parts, each with its own order: one was twenty times what its server can do (id753de),
+// and with one request out the cap sees nothing of that. The fewer agents share a server,
+// the more each sees, and is left to the cap.
+func (b *Balancer) split(key uint64) uint64 {
+	if key == 0 {
+		return b.rng.Uint64()
+	}
+	share := b.recentKeys.add(key) - 1.0/keyMemory
+	servers := float64(b.subset())
+	blind := min(float64(b.set.Replicas)/max(capFactor*servers, 1), 1)
+	parts := max(share*keySpread*servers*blind, 1)
+	return key + uint64(parts*b.rng.Float64())*0x9e3779b97f4a7c15 // part 0 keeps the key's own order
+}
+
+// score orders servers by weighted rendezvous hashing: every agent of a zone
+// finds the same order for a key, and a server's share of keys is that of its weight.
+func (b *Balancer) score(r *request, s *server) float64 {
+	x := mix(r.hash ^ s.hash)
+	u := float64(x>>11) / (1 << 53)
+	w := s.weight * b.kinds[s.kind&255].weight * min(4*b.coldShare(s), 1) // its credit limits it
+	if s.zone == b.set.Zone {
+		w *= b.home
+	}
+	return -math.Log(u+1e-18) / w
+}
+
+// takes tells whether the server is under its cap in the tier of the request's
+// last pick and has room.
+func (b *Balancer) takes(s *server, r *request) bool {
+	share := s.weight * b.ramp(s) / r.tierWeight
+	return float64(len(s.out)) < math.Ceil(capFactor*float64(b.inflight+1)*share) && b.hasRoom(s, r)
+}
+
+// hasRoom bounds what a server holds of this agent: its window, one at a time
+// until it is validated, and a cold server's credit.
+func (b *Balancer) hasRoom(s *server, r *request) bool {
+	if s.state >= UnhealthyPending {
+		return len(s.out) == 0
+	}
+	// A window under one is kept by pausing: with many agents even one attempt of
+	// each can be too much, and a server that tipped needs rest to recover.
+	if len(s.out) >= max(int(s.window), 1) || s.window < 1 && b.now-s.sentAt < s.rtt/s.window {
+		return false
+	}
+	return b.ramp(s) == 1 || s.credit >= b.cost(r) ||
+		b.warmWeight() == 0 && (b.now-s.sentAt)*b.flow*s.weight*b.coldShare(s) >=
+			b.cost(r)*b.set.Contract.ColdMs
+}
+
+// ramp is the part of its capacity that a started server has by the contract.
+func (b *Balancer) ramp(s *server) float64 {
+	c := &b.set.Contract
+	age := b.now - s.startedAt
+	if s.startedAt <= 0 || age >= c.ColdMs || s.startedAt != s.listedAt && age > c.AskWithinMs {
+		return 1 // long past, or assumed and not borne out by the list in its time
+	}
+	return c.ColdFrom + (1-c.ColdFrom)*max(age, 0)/c.ColdMs
+}
+
+// coldShare is the part of an even share that a server may be sent: of a cold one what
+// keeps the contract, so that its keys move to it as it warms up.
+func (b *Balancer) coldShare(s *server) float64 {
+	if k := b.ramp(s); k < 1 {
+		return k * b.set.Contract.FallMultiple / coldMargin
+	}
+	return 1
+}
+
+// cost is the work of a request in units of the mean one, and never less: hints are
+// rough, and a cold server would be sent the small ones that are not (i299663).
+func (b *Balancer) cost(r *request) float64 {
+	if r.hint > b.meanHint {
+		return r.hint / b.meanHint
+	}
+	return 1
+}
+
+// ---- the two guards ----
+
+// maySend is the guard of all attempts: rules 2, 3 and the limits. Rule 4 is in
+// hasRoom, whose credit every attempt is charged in send.
+func (b *Balancer) maySend(r *request, s *server) bool {
+	if !s.usable || r.closed || r.started || r.open > 0 || b.now >= r.deadline ||
+		len(r.attempts) >= b.set.Limits.MaxAttempts {
+		return false
+	}
+	for _, a := range r.attempts {
+		if a.s == s && len(b.servers) > len(r.attempts) {
+			return false // further attempts go elsewhere
+		}
+	}
+	if r.risky == 0 {
+		return true
+	}
+	c := &b.set.Classes[r.class]
+	switch c.Effect {
+	case Free:
+		return true
+	case Guarded:
+		if b.now-r.ranAt > c.KeyTTLMs-2*b.set.RoundMs {
+			return false
+		}
+		return c.Group == GroupAll || c.Group == GroupZone && s.zone == r.ranOn.zone ||
+			c.Group == GroupCell && s.cell == r.ranOn.cell
+	}
+	return false
+}
+
+func (b *Balancer) send(r *request, s *server) bool {
+	if !b.maySend(r, s) {
+		return false
+	}
+	a := &attempt{r: r, s: s, index: len(r.attempts), alone: len(s.out) == 0, sentAt: b.now, cost: b.cost(r)}
+	r.attempts = append(r.attempts, a)
+	r.open++
+	if r.risky == 0 {
+		r.ranAt, r.ranOn = b.now, s
+	}
+	r.risky++
+	s.out = append(s.out, a)
+	if s.sentAt > 0 {
+		s.gap = mean(s.gap, b.now-s.sentAt, smooth)
+	}
+	s.sentAt = b.now
+	b.inflight++
+	if b.ramp(s) < 1 {
+		s.credit -= a.cost
+	}
+	b.do(Action{Kind: ActSend, Request: r.id, Server: s.id, Ms: r.deadline - b.now})
+	return true
+}
+
+// earn keeps each cold server's credit: for all that warm servers have served it
+// may get its share by weight and ramp. Then the servers' shares of all agents
+// together stay in proportion to what they can do, without any agreement. What was
+// turned away earns nothing: in a storm it made cold servers' shares ninefold (i86bcad).
+func (b *Balancer) earn(s *server, cost float64) {
+	if b.ramp(s) < 1 {
+		return
+	}
+	warm := b.warmWeight() * float64(b.subset()) / float64(len(b.servers)) // of its subset
+	if warm > 0 {
+		b.flow = b.flow*math.Exp((b.flowAt-b.now)/b.set.Contract.ColdMs) + cost/warm
+		b.flowAt = b.now
+	}
+	for _, o := range b.servers {
+		if b.ramp(o) < 1 && warm > 0 {
+			o.credit = min(o.credit+cost*b.coldShare(o)*o.weight/warm, coldBurst)
+		}
+	}
+}
+
+// end is the guard of all final answers but served ones: a refusal where the class
+// allows the claim that a retry is harmless, else a failure.
+func (b *Balancer) end(r *request) {
+	if r.closed || r.started {
+		return
+	}
+	b.remember(r)
+	c := &b.set.Classes[r.class]
+	harmless := r.risky == 0 || c.Effect == Free || c.Effect == Guarded && c.Group == GroupAll
+	b.close(r)
+	if harmless {
+		b.do(Action{Kind: ActRefuse, Request: r.id, Ms: b.set.Limits.MaxRetryAfterMs})
+	} else {
+		b.do(Action{Kind: ActFail, Request: r.id})
+	}
+}
+
+// close forgets a finished request as soon as no attempt of it is out.
+func (b *Balancer) close(r *request) {
+	r.closed = true
+	if i := slices.Index(b.held, r); i >= 0 {
+		b.held = slices.Delete(b.held, i, i+1)
+	}
+	for _, a := range r.attempts {
+		if !a.done && b.set.Limits.Cancelling {
+			b.do(Action{Kind: ActCancel, Request: r.id, Attempt: a.index})
+		}
+	}
+	if r.open == 0 {
+		delete(b.requests, r.id)
+	}
+}
+
+// ---- outcomes and health ----
+
+func (b *Balancer) onOutcome(ev *Event) {
+	r := b.requests[ev.Request]
+	if r == nil || ev.Attempt < 0 || ev.Attempt >= len(r.attempts) || r.attempts[ev.Attempt].done {
+		return
+	}
+	a := r.attempts[ev.Attempt]
+	s := a.s
+	a.done = true
+	r.open--
+	b.inflight--
+	if i := slices.Index(s.out, a); i >= 0 {
+		s.out = slices.Delete(s.out, i, i+1)
+	}
+	if ev.Status.NeverRan() {
+		r.risky--
+	}
+	b.hangUp(s)
+	worth := 0.0
+	if ev.Status == OK && b.now <= r.aimAt {
+		worth = 1
+	} else if ev.Status == OK {
+		worth = b.set.Classes[r.class].LateShare
+	}
+	old := math.Exp((b.triedAt - b.now) / (trySpan * b.aimMin))
+	b.failing, b.triedAt = b.failing*old+1-tryFactor*worth, b.now
+	b.judge(a, ev.Status, finite(ev.LatencyMs))
+	if r.closed || r.started || ev.Final || ev.Status == OK {
+		b.close(r)
+	} else {
+		b.further(r, ev.Status)
+	}
+}
+
+// hangUp closes a server's idle connections where keeping them costs more than opening
+// one again, when this agent comes back to the server as seldom as its last sends say.
+// All agents' requests are taken for this one's times their number. A thousand agents
+// that each met every server kept 400 connections a server open (i5db14f).
+func (b *Balancer) hangUp(s *server) {
+	p := &b.set.Prices
+	all := b.seen / max(b.now-b.began, 1) * float64(b.set.Replicas) // requests a ms
+	if p.Connection > 0 && len(s.out) == 0 &&
+		(s.gap == 0 || s.gap*all*p.Connection > 100*float64(len(b.servers))*p.Handshake) {
+		b.do(Action{Kind: ActClose, Server: s.id})
+	}
+}
+
+// further holds an unanswered request for another server where class and time allow, or
+// ends it. It competes with first tries, so that trouble does not multiply the load.
+func (b *Balancer) further(r *request, why Status) {
+	c := &b.set.Classes[r.class]
+	able := r.risky == 0 || c.Effect == Free || c.Effect == Guarded
+	if !able || len(r.attempts) >= b.set.Limits.MaxAttempts || why == Moot || b.now >= r.deadline {
+		b.end(r)
+		return
+	}
+	b.held = append(b.held, r)
+}
+
+// judge takes what an attempt's end says about its server.
+func (b *Balancer) judge(a *attempt, st Status, rtt float64) {
+	s := a.s
+	switch st {
+	case OK:
+		b.earn(s, a.cost)
+		b.served(a, rtt)
+	case Error, Reset:
+		s.heard = b.now
+		b.demote(s, false)
+	case ConnectFailed:
+		b.demote(s, true)
+		if s.lostAt == 0 {
+			s.lostAt = b.now
+		}
+	case Timeout:
+		// A server that answered others meanwhile is not to blame for a costly
+		// request; it counts as slow.
+		if s.heard > a.sentAt {
+			b.learnHint(a.r, rtt)
+			b.learn(s, b.partOfAim(a.r, rtt))
+		} else {
+			b.demote(s, true)
+		}
+	case Full:
+		s.heard = b.now
+		b.cut(s, 0.7, 1)
+	}
+}
+
+func (b *Balancer) served(a *attempt, rtt float64) {
+	s, r := a.s, a.r
+	b.learnHint(r, rtt)
+	b.heardFrom(s)
+	s.rtt = mean(s.rtt, rtt, smooth)
+	c := &b.set.Classes[r.class]
+	b.expect[r.class] = mean(b.expect[r.class], min(rtt, 2*c.AimMs), 4*slowSmooth)
+	if b.now <= r.aimAt {
+		b.won[r.class] += 1 - fade
+	}
+	x := b.partOfAim(r, rtt)
+	b.answers++
+	b.fleetLat = mean(b.fleetLat, x, max(slowSmooth, 1/b.answers))
+	switch {
+	case b.answers <= learnFor:
+		// One quick answer must not set the measure, nor a crowd at the start (id08146).
+		b.calmLat = min(b.fleetLat, crowdShare/2)
+	case b.fleetLat < b.calmLat:
+		b.calmLat = mean(b.calmLat, b.fleetLat, slowSmooth)
+	default:
+		b.calmLat = mean(b.calmLat, b.fleetLat, b.calmRise(a))
+	}
+	b.learn(s, x)
+	limit := b.limit(s)
+	if s.state == Unhealthy && a.sentAt < s.since && !s.silent {
+		return // sent before the failure: says nothing about what came after
+	}
+	if s.state != Connected {
+		b.enter(s, Connected)
+	}
+	if s.silent {
+		s.silent, s.strikes = false, max(s.strikes-1, 0)
+	}
+	if s.good++; s.good >= 16*s.strikes {
+		s.good, s.strikes = 0, max(s.strikes-1, 0)
+	}
+	switch {
+	case s.lat > limit && b.now-s.cutAt > rtt:
+		least := 1.0
+		if s.lat > tipFactor*limit {
+			least = leastWindow
+		}
+		b.cut(s, 0.85, least)
+	case s.lat < limit && float64(len(s.out)+2) > s.window && b.answers > learnFor:
+		s.window += min(1/s.window, s.window)
+	}
+}
+
+// weigh lets answer times set the weights that the list does not tell. Where crossing has
+// a price the own zone gets more in proportion, as long as it answers no slower than the
+// rest: what has more traffic than it can carry gets slower. A kind of machine that
+// answers later than all gets less: equal shares choke the small ones (i5db14f).
+func (b *Balancer) weigh(s *server, x float64) {
+	lat := &b.awayLat
+	if s.zone == b.set.Zone {
+		lat = &b.homeLat
+	}
+	*lat = mean(*lat, x, weighStep)
+	most := max(ownPrice*b.set.Prices.CrossZone, ownZone)
+	b.home = nudge(b.home, b.homeLat > b.awayLat*(1+b.set.Prices.CrossZone), ownZone, most)
+	if b.set.Weights != "off" {
+		return
+	}
+	b.allLat = mean(b.allLat, x, weighStep)
+	k := &b.kinds[s.kind&255]
+	k.lat = mean(k.lat, x, weighStep)
+	k.weight = nudge(k.weight, k.lat > b.allLat, leastKind, 1)
+}
+
+// limit is the mean answer time, as a part of the aim, from which a server counts as
+// crowded. A few agents see most of the load and need not fear to crowd a server that
+// answers well within the aim. A cold one is slow before it is crowded (i5d0607).
+func (b *Balancer) limit(s *server) float64 {
+	least := 2 * crowdShare / (2 + float64(b.set.Replicas))
+	return min(crowdShare, max(crowdFactor*b.calmLat, least)) / b.ramp(s)
+}
+
+// calmRise is how fast calm follows longer answer times: hardly, or a crowd would become
+// the measure. An attempt that was alone of its agent tells more the fewer agents there
+// are: a lone one that took quick first answers for calm would leave its servers idle.
+func (b *Balancer) calmRise(a *attempt) float64 {
+	if a.alone {
+		return slowSmooth / min(2*math.Pow(float64(max(b.set.Replicas, 1)), 3), 250)
+	}
+	return slowSmooth / 250
+}
+
+// heardFrom notes an answer. A server that no connect reached for long may be a new
+// process, cold and not yet listed: it is ramped as if it had started now. Time-outs
+// alone don't tell: crowded servers would be left to idle (i228a10).
+func (b *Balancer) heardFrom(s *server) {
+	if s.lostAt > 0 && b.now-s.lostAt > b.set.Contract.TipAfterMs {
+		s.startedAt, s.window, s.credit = b.now, 1, b.rng.Float64()
+	}
+	s.heard, s.lostAt = b.now, 0
+}
+
+// hintedTime is what the line says for the request; 0 while little is known.
+func (b *Balancer) hintedTime(r *request) float64 {
+	if r.hint <= 0 || b.hints < 1/(4*slowSmooth) || b.hintVar <= 0 {
+		return 0
+	}
+	return max(b.hintTime+b.hintCov/b.hintVar*(r.hint-b.hintMean), 0)
+}
+
+// partOfAim is an answer time as a part of the aim. Where hints tell the work a costly
+// request counts as one of mean work; a small one's time is mostly the network's.
+func (b *Balancer) partOfAim(r *request, rtt float64) float64 {
+	x := rtt / b.set.Classes[r.class].AimMs
+	if r.hint > 0 {
+		x *= min(b.meanHint/r.hint, 1)
+	}
+	return min(x, 2)
+}
+
+func (b *Balancer) learn(s *server, x float64) {
+	s.samples++
+	s.lat = mean(s.lat, x, max(smooth, 1/float64(s.samples)))
+	b.weigh(s, x)
+}
+
+func (b *Balancer) cut(s *server, by, least float64) {
+	s.window, s.cutAt = min(s.window, max(s.window*by, least)), b.now
+}
+
+// demote makes a server Unhealthy; failures of one moment count as one strike.
+func (b *Balancer) demote(s *server, silent bool) {
+	if s.state != Unhealthy {
+		s.strikes = min(s.strikes+1, maxStrikes)
+		b.enter(s, Unhealthy)
+		s.silent = silent
+		s.good, s.lat, s.samples = 0, 0, 0
+		s.window = max(s.window/2, 1)
+	}
+	b.refetch()
+}
+
+// holdFor is how long a server stays Unhealthy before it is validated again: one aim for
+// a stray failure, or the time in which the agent comes by each server if that is longer
+// and a check costs a request (quiet agents lost a third of theirs in checking slow
+// servers again and again, id753de), doubled with each further strike. While the others have
+// no room there is none: a server that fails some requests is better than refusing
+// them all. One that answers nothing is not.
+func (b *Balancer) holdFor(s *server) float64 {
+	if b.scarce && !s.silent {
+		return 0
+	}
+	hold := b.aimMin
+	if !b.set.Limits.Probing {
+		hold = max(hold, b.set.Limits.KeepaliveMs*float64(b.subset())/max(b.recent, 1))
+	}
+	return hold * float64(int(1)<<max(s.strikes-1, 0))
+}
+
+// watchSilence demotes servers that took attempts and have answered nothing for
+// several answer times: hung or gone silent, they would stay Connected.
+func (b *Balancer) watchSilence() {
+	for _, s := range b.servers {
+		if len(s.out) == 0 || s.state == Unhealthy {
+			continue
+		}
+		a := s.out[0]
+		if b.now-max(s.heard, a.sentAt) >= b.expected(a.r)*8/float64(min(len(s.out), 3)) {
+			b.demote(s, true)
+		}
+	}
+}
+
+// revalidate, on each request, refreshes servers that were Unhealthy long enough to
+// pending, to be validated in the background.
+func (b *Balancer) revalidate() {
+	for _, s := range b.servers {
+		if s.state == Unhealthy && s.usable && len(s.out) == 0 && b.now-s.since >= b.holdFor(s) {
+			b.enter(s, UnhealthyPending)
+			b.refetch()
+		}
+		pending := s.state == UnhealthyPending && s.usable
+		if pending && b.set.Limits.Probing && !s.probing && b.probes < probeCap {
+			s.probing = true
+			b.probes++
+			b.do(Action{Kind: ActProbe, Server: s.id})
+		}
+	}
+}
+
+func (b *Balancer) onProbed(ev *Event) {
+	s := b.byAddr[ev.Server]
+	if s == nil || !s.probing {
+		return
+	}
+	s.probing = false
+	b.probes--
+	switch {
+	case s.state != UnhealthyPending:
+	case ev.Status == OK:
+		b.heardFrom(s)
+		b.enter(s, Connected)
+	case ev.Status != Full:
+		b.demote(s, true)
+	}
+}
+
+// ---- the list ----
+
+// refetch asks for the whole list, seldom: every call loads discovery.
+func (b *Balancer) refetch() {
+	if b.now-b.lookedAt >= max(b.set.Contract.AskWithinMs, 1000) {
+		b.lookedAt = b.now
+		b.do(Action{Kind: ActFetch})
+	}
+}
+
+func (b *Balancer) onList(ev *Event) {
+	if ev.List == ListFailed {
+		b.follows++
+		if b.set.Membership == "on_request" {
+			wait := min(500*math.Pow(2, float64(b.follows)), b.set.Contract.AskWithinMs)
+			b.do(Action{Kind: ActTimer, Ms: wait * (0.5 + 0.5*b.rng.Float64()), Token: followToken})
+		}
+		return
+	}
+	b.follows = 0
+	b.epoch++
+	named := map[Addr]bool{}
+	for i := range ev.Entries {
+		named[ev.Entries[i].Server] = true
+		b.update(&ev.Entries[i])
+	}
+	if ev.List != ListDelta {
+		for _, s := range b.servers {
+			s.usable = s.usable && named[s.id]
+		}
+	}
+	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool {
+		forget := !s.usable && len(s.out) == 0 && !s.probing
+		if forget {
+			delete(b.byAddr, s.id)
+		}
+		return forget
+	})
+}
+
+func (b *Balancer) update(e *Entry) {
+	s, since := b.byAddr[e.Server], finite(e.SinceMs)
+	if s == nil {
+		s = &server{id: e.Server, hash: mix(hashAddr(e.Server)), state: Unknown, since: b.now,
+			window: firstWindow, startedAt: since, listedAt: since, credit: b.rng.Float64()}
+		b.byAddr[s.id] = s
+		own := mix(uint64(b.set.Index) + 1)
+		i, _ := slices.BinarySearchFunc(b.servers, s, func(x, y *server) int {
+			return cmp.Compare(mix(x.hash^own), mix(y.hash^own))
+		})
+		b.servers = slices.Insert(b.servers, i, s)
+	}
+	if since > s.listedAt {
+		// A new process: nothing known of the old one holds, and it is cold. Its credit
+		// starts at random: of many agents that each earn it a part of one request, as
+		// many send one as the parts add up to; from 0 none would before it is warm.
+		s.listedAt = since
+		s.startedAt, s.state, s.since, s.silent = since, Unknown, b.now, false
+		s.strikes, s.good, s.lat, s.samples, s.window, s.credit = 0, 0, 0, 0, 1, b.rng.Float64()
+	}
+	s.zone, s.cell, s.kind, s.usable = e.Zone, e.Cell, e.Kind, e.Health == Ready
+	s.weight = 1
+	if w := finite(e.Weight); w > 0 {
+		s.weight = w
+	}
+}
+
+// overShare tells whether a tenant sends more than its portion of what comes.
+func (b *Balancer) overShare(tenant int) bool {
+	if tenant < 0 || tenant >= len(b.usage) {
+		return false
+	}
+	return b.usage[tenant] > 1.1*b.set.Tenants[tenant].Portion
+}
--- /dev/null
+++ b/policy/state.go
@@ -0,0 +1,291 @@
+package policy
+
+import (
+	"math/rand/v2"
+	"slices"
+)
+
+// This file holds what a Balancer remembers and plain arithmetic on it; the
+// decisions are in policy.go.
+
+// server is what the agent knows of one listed server.
+type server struct {
+	id        Addr
+	hash      uint64
+	zone      int
+	cell      int
+	kind      int
+	weight    float64
+	listedAt  float64 // start of its process by the list
+	startedAt float64 // the same, or later where a restart is assumed
+	usable    bool    // listed as ready
+	state     State
+	since     float64 // when the state was entered
+	silent    bool    // demoted for silence, not for an answer
+	lostAt    float64 // first failed connect since it last answered; 0: none
+	strikes   int     // how often it failed of late; sets the hold
+	good      int     // served since the last change of strikes
+	probing   bool
+	out       []*attempt // attempts out, oldest first
+	heard     float64    // when it last answered anything
+	lat       float64    // mean answer time as a part of the aim
+	samples   int
+	window    float64 // attempts it may hold of this agent
+	cutAt     float64
+	sentAt    float64 // last attempt
+	gap       float64 // mean time between attempts; 0: unknown
+	rtt       float64 // mean answer time
+	credit    float64 // work a cold server may still be sent
+	score     float64 // place in a request's order; lower is nearer
+}
+
+// attempt is one send of a request.
+type attempt struct {
+	r      *request
+	s      *server
+	index  int
+	sentAt float64
+	alone  bool // no other of this agent was out on its server
+	cost   float64
+	done   bool
+}
+
+// request is one try of a client, kept until it is answered and no attempt is out.
+type request struct {
+	id         RequestID
+	class      int
+	tenant     int
+	key        uint64
+	hash       uint64 // what orders the servers for it
+	hint       float64
+	first      float64 // when the client's first try came, as far as known
+	arrived    float64
+	aimAt      float64
+	deadline   float64 // margin already taken off
+	attempts   []*attempt
+	open       int // attempts out
+	risky      int // attempts that may have run
+	ranAt      float64
+	ranOn      *server
+	near       [keyServers]*server // nearest its key, as of epoch
+	epoch      uint64
+	tierWeight float64 // of the tier at its last pick
+	value      float64
+	closed     bool
+	started    bool // a streamed answer belongs to the client now
+}
+
+// keyCounter counts how often each key came among the last keyMemory requests.
+type keyCounter struct {
+	last  [keyMemory]uint64
+	next  int
+	total int
+	count map[uint64]int
+}
+
+// add counts one more request for the key and returns the key's share.
+func (k *keyCounter) add(key uint64) float64 {
+	if k.total == keyMemory {
+		old := k.last[k.next]
+		if k.count[old]--; k.count[old] == 0 {
+			delete(k.count, old)
+		}
+	} else {
+		k.total++
+	}
+	k.last[k.next] = key
+	k.next = (k.next + 1) % keyMemory
+	k.count[key]++
+	return float64(k.count[key]) / float64(k.total)
+}
+
+// past is what is remembered of an unserved request, to know its retry.
+type past struct {
+	class int
+	key   uint64
+	first float64
+}
+
+// Balancer makes the decisions of one agent. It is not safe for concurrent use.
+type Balancer struct {
+	set        Settings
+	rng        *rand.Rand
+	now        float64
+	out        []Action
+	servers    []*server // by address
+	byAddr     map[Addr]*server
+	requests   map[RequestID]*request
+	held       []*request
+	tier       []*server // scratch of pick
+	pasts      []past
+	recentKeys keyCounter
+	warm       float64 // weight of warm servers, at warmAt and warmEpoch
+	warmAt     float64
+	warmEpoch  uint64
+	epoch      uint64 // counts changes of tiers and list
+	inflight   int
+	probes     int
+	expect     []float64 // per class: mean answer time
+	meanHint   float64
+	hints      float64 // answers to hinted requests, and their means and spread
+	hintMean   float64
+	hintTime   float64
+	hintVar    float64
+	hintCov    float64
+	answers    float64   // served so far
+	fleetLat   float64   // mean answer time as a part of the aim, all servers
+	calmLat    float64   // the same when nothing is crowded
+	usage      []float64 // tenants' shares of requests
+	asked      []float64 // classes' shares of requests
+	won        []float64 // and of those served in time
+	worst      int       // the class served worst
+	credit     float64   // mean worth of a request
+	aimMin     float64
+	lookedAt   float64 // last fetch of the list
+	follows    int     // failed calls in a row
+	flow       float64 // work sent to a warm server of weight one, fading over the cold time
+	flowAt     float64
+	failing    float64 // attempts that ended of late, less what the earned ones allow; as of triedAt
+	recent     float64 // requests of late, over the keepalive time, as of recentAt
+	recentAt   float64
+	home       float64 // weight of the own zone's servers, and mean answer times there and elsewhere
+	homeLat    float64
+	awayLat    float64
+	allLat     float64
+	kinds      [256]struct{ lat, weight float64 } // mean answer time and weight of each kind of machine
+	triedAt    float64
+	began      float64
+	seen       float64 // requests since
+	ticking    bool
+	scarce     bool // requests that would take any server find no room
+}
+
+// tally keeps the classes' shares of requests and of those served in time.
+func (b *Balancer) tally(class int) {
+	b.credit = 0
+	for i, c := range b.set.Classes {
+		b.asked[i] *= fade
+		b.won[i] *= fade
+		if i == class {
+			b.asked[i] += 1 - fade
+		}
+		b.credit += b.asked[i] * c.Credit
+		if b.won[i]*b.asked[b.worst] < b.won[b.worst]*b.asked[i] {
+			b.worst = i
+		}
+	}
+}
+
+// count keeps the tenants' shares of this agent's requests.
+func (b *Balancer) count(tenant int) {
+	if tenant < 0 || tenant >= len(b.usage) {
+		return
+	}
+	for i := range b.usage {
+		b.usage[i] *= fade
+	}
+	b.usage[tenant] += 1 - fade
+}
+
+// enter notes a server's new state and its time; tiers have changed.
+func (b *Balancer) enter(s *server, to State) {
+	if s.state > Unknown || to > Unknown {
+		b.epoch++
+	}
+	s.state, s.since = to, b.now
+}
+
+// learnHint keeps the straight line of answer time over hinted work: the network's
+// share does not grow with the work.
+func (b *Balancer) learnHint(r *request, rtt float64) {
+	if r.hint <= 0 {
+		return
+	}
+	b.hints++
+	w := max(slowSmooth, 1/b.hints)
+	dh, dt := r.hint-b.hintMean, rtt-b.hintTime
+	b.hintMean += w * dh
+	b.hintTime += w * dt
+	b.hintVar += w * (dh*dh*(1-w) - b.hintVar)
+	b.hintCov += w * (dh*dt*(1-w) - b.hintCov)
+}
+
+// remember keeps when an unserved request first came, so that its retry is
+// judged by the time that has passed for the client.
+func (b *Balancer) remember(r *request) {
+	if !b.set.Clients.MarksRetry {
+		return
+	}
+	b.pasts = slices.DeleteFunc(b.pasts, func(p past) bool {
+		return b.now-p.first > b.set.Classes[p.class].GiveUpMs
+	})
+	if len(b.pasts) < maxHeld {
+		b.pasts = append(b.pasts, past{r.class, r.key, r.first})
+	}
+}
+
+func (b *Balancer) recall(r *request) float64 {
+	i := slices.IndexFunc(b.pasts, func(p past) bool { return p.class == r.class && p.key == r.key })
+	if i < 0 {
+		return r.arrived
+	}
+	first := b.pasts[i].first
+	b.pasts = slices.Delete(b.pasts, i, i+1)
+	return first
+}
+
+// warmWeight is the weight of the servers of the top tier that are not cold, counted
+// once for all decisions of a moment.
+func (b *Balancer) warmWeight() float64 {
+	if b.warmAt == b.now && b.warmEpoch == b.epoch {
+		return b.warm
+	}
+	b.warm, b.warmAt, b.warmEpoch = 0, b.now, b.epoch
+	for _, s := range b.servers {
+		if s.usable && s.state <= Unknown && b.ramp(s) == 1 {
+			b.warm += s.weight
+		}
+	}
+	return b.warm
+}
+
+// nudge moves a weight a step down or up within its bounds.
+func nudge(w float64, down bool, least, most float64) float64 {
+	if down {
+		return max(w/(1+weighStep), least)
+	}
+	return min(w*(1+weighStep), most)
+}
+
+// finite makes what came from outside safe to calculate with: not a number and negative
+// become 0, infinite and huge the largest number that leaves room for sums and squares.
+func finite(x float64) float64 {
+	if !(x > 0) {
+		return 0
+	}
+	return min(x, 1e15)
+}
+
+// mean moves a running mean towards x; the first value is taken whole.
+func mean(old, x, weight float64) float64 {
+	if old == 0 {
+		return x
+	}
+	return old + weight*(x-old)
+}
+
+func hashAddr(a Addr) uint64 {
+	h := uint64(0)
+	for _, x := range a {
+		h = h<<8 | uint64(x)
+	}
+	return h
+}
+
+// mix is the finalizer of splitmix64.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
