--- /dev/null
+++ b/cmd/molepaddle/main.go
@@ -0,0 +1,55 @@
+// Command molepaddle is one load-balancing agent on real sockets. Its file of
+// settings is named by EDGE_CONFIG.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"kitetide.example/kitetide/internal/agent"
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "molepaddle:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	conf, err := agent.LoadConfig(os.Getenv("EDGE_CONFIG"))
+	if err != nil {
+		return err
+	}
+	// The machine may have more cores than the agent may use; more threads than cores
+	// would only wait for each other. The live heap is a few MB, so it may grow well
+	// past the usual twice, which saves collections, but not near the limit.
+	runtime.GOMAXPROCS(max(int(math.Ceil(conf.Limits.Cores)), 1))
+	debug.SetGCPercent(400)
+	debug.SetMemoryLimit(int64(conf.Limits.MemoryMB * 0.6 * (1 << 20)))
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("agent", conf.Name)
+	a, err := agent.New(conf, log)
+	if err != nil {
+		return err
+	}
+	ln, err := net.Listen("tcp", conf.Listen)
+	if err != nil {
+		return fmt.Errorf("config: listen: %w", err)
+	}
+	log.Info("started", "listen", conf.Listen, "backends", len(conf.Known.Hosts))
+	if err := a.Serve(ctx, ln); err != nil {
+		return err
+	}
+	log.Info("ended")
+	return nil
+}
--- /dev/null
+++ b/internal/agent/config.go
@@ -0,0 +1,146 @@
+// Package agent is the real agent round the decision module: it turns what
+// happens on sockets into the module's events and carries out its actions. It
+// decides nothing about where, when or whether a request is sent.
+package agent
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+
+	"kitetide.example/kitetide/internal/wire"
+	"kitetide.example/kitetide/policy"
+)
+
+// Limits is what the machine allows the process.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB float64 `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// Config is all that an agent is told at its start.
+type Config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Seed      uint64
+	Limits    Limits
+	Settings  policy.Settings
+	Names     names
+	Known     List
+}
+
+// names maps the words of discovery and of clients to the module's numbers.
+type names struct {
+	sites, kinds, classes, tenants map[string]int
+}
+
+// LoadConfig reads and validates the file at path. Its error names the key
+// that makes no sense.
+func LoadConfig(path string) (*Config, error) {
+	if path == "" {
+		return nil, errors.New("EDGE_CONFIG: not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("EDGE_CONFIG: %w", err)
+	}
+	return ParseConfig(text)
+}
+
+// ParseConfig reads and validates the text of a configuration.
+func ParseConfig(text []byte) (*Config, error) {
+	var raw struct {
+		Name      string          `json:"name"`
+		Listen    string          `json:"listen"`
+		Discovery string          `json:"discovery"`
+		Seed      string          `json:"seed"`
+		Limits    Limits          `json:"limits"`
+		Known     json.RawMessage `json:"known"`
+		Settings  json.RawMessage `json:"settings"`
+	}
+	if err := json.Unmarshal(text, &raw); err != nil {
+		var bad *json.UnmarshalTypeError
+		if errors.As(err, &bad) {
+			return nil, fmt.Errorf("config: %s: cannot be a %s", bad.Field, bad.Value)
+		}
+		return nil, fmt.Errorf("config: no JSON: %w", err)
+	}
+	c := &Config{Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery, Limits: raw.Limits}
+	if err := checkAddress(raw.Listen); err != nil {
+		return nil, fmt.Errorf("config: listen: %w", err)
+	}
+	if err := checkAddress(raw.Discovery); err != nil {
+		return nil, fmt.Errorf("config: discovery: %w", err)
+	}
+	var err error
+	if c.Seed, err = strconv.ParseUint(raw.Seed, 16, 64); err != nil {
+		return nil, fmt.Errorf("config: seed: not 64 bits in hexadecimal: %q", raw.Seed)
+	}
+	switch l := raw.Limits; {
+	case raw.Name == "":
+		return nil, errors.New("config: name: missing")
+	case !(l.Cores > 0) || l.Cores > 1024:
+		return nil, fmt.Errorf("config: limits.cores: must be above 0 and at most 1024, is %v", l.Cores)
+	case !(l.MemoryMB >= 16) || l.MemoryMB > 1<<24:
+		return nil, fmt.Errorf("config: limits.memory_mb: must be 16 or above, is %v", l.MemoryMB)
+	case l.Sockets < minSockets:
+		return nil, fmt.Errorf("config: limits.sockets: must be %d or above, is %d", minSockets, l.Sockets)
+	case len(raw.Settings) == 0:
+		return nil, errors.New("config: settings: missing")
+	}
+	if c.Settings, err = wire.ParseSettings(raw.Settings); err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	var words struct {
+		Sites []string `json:"failureDomains"`
+		Kinds []string `json:"shapes"`
+	}
+	if err := json.Unmarshal(raw.Settings, &words); err != nil {
+		return nil, fmt.Errorf("config: settings: failureDomains or shapes: %w", err)
+	}
+	// The module validates its settings itself; one made here tells at once.
+	if _, err := policy.New(c.Settings, c.Seed); err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	c.Names = names{sites: index(words.Sites), kinds: index(words.Kinds),
+		classes: map[string]int{}, tenants: map[string]int{}}
+	for i, class := range c.Settings.Classes {
+		if class.Name == "" {
+			return nil, fmt.Errorf("config: settings: classes[%d].name: missing", i)
+		}
+		c.Names.classes[class.Name] = i
+	}
+	for i, tenant := range c.Settings.Tenants {
+		c.Names.tenants[tenant.Name] = i
+	}
+	if len(raw.Known) > 0 {
+		if c.Known, err = parseList(raw.Known); err != nil {
+			return nil, fmt.Errorf("config: known: %w", err)
+		}
+	}
+	return c, nil
+}
+
+func checkAddress(addr string) error {
+	_, port, err := net.SplitHostPort(addr)
+	if err != nil {
+		return fmt.Errorf("no address with a port: %q", addr)
+	}
+	if _, err := strconv.ParseUint(port, 10, 16); err != nil {
+		return fmt.Errorf("no port number: %q", addr)
+	}
+	return nil
+}
+
+func index(words []string) map[string]int {
+	m := make(map[string]int, len(words))
+	for i, w := range words {
+		m[w] = i
+	}
+	return m
+}
