--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -8,8 +8,8 @@
 	"io"
 	"os"
 
-	"kitetide.example/kitetide/internal/wire"
-	"kitetide.example/kitetide/policy"
+	"molepaddle/internal/wire"
+	"molepaddle/policy"
 )
 
 func main() {
--- a/cmd/molepaddle/main.go
+++ b/cmd/molepaddle/main.go
@@ -14,7 +14,7 @@
 	"runtime/debug"
 	"syscall"
 
-	"kitetide.example/kitetide/internal/agent"
+	"molepaddle/internal/agent"
 )
 
 func main() {
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -15,7 +15,7 @@
 	"sync/atomic"
 	"time"
 
-	"kitetide.example/kitetide/policy"
+	"molepaddle/policy"
 )
 
 const maxBody = 64 << 10 // of a request and of an answer
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -11,8 +11,8 @@
 	"os"
 	"strconv"
 
-	"kitetide.example/kitetide/internal/wire"
-	"kitetide.example/kitetide/policy"
+	"molepaddle/internal/wire"
+	"molepaddle/policy"
 )
 
 // Limits is what the machine allows the process.
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -13,7 +13,7 @@
 	"strconv"
 	"time"
 
-	"kitetide.example/kitetide/policy"
+	"molepaddle/policy"
 )
 
 const (
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -8,7 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"kitetide.example/kitetide/policy"
+	"molepaddle/policy"
 )
 
 // inKind tells what happened.
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -15,7 +15,7 @@
 	"sync/atomic"
 	"time"
 
-	"kitetide.example/kitetide/policy"
+	"molepaddle/policy"
 )
 
 const (
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -10,7 +10,7 @@
 	"io"
 	"math"
 
-	"kitetide.example/kitetide/policy"
+	"molepaddle/policy"
 )
 
 // Record sizes of the wire.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"kitetide.example/kitetide/policy"
+	"molepaddle/policy"
 )
 
 // frame builds a batch from hex text; blanks and newlines are for the reader.
