--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -40,6 +40,7 @@
 
 // dialer opens connections to backends within the process's share of descriptors.
 type dialer struct {
+	connect func(ctx context.Context, network, addr string) (net.Conn, error)
 	timeout time.Duration
 	idle    time.Duration
 	perHost int
@@ -70,8 +71,9 @@
 		d.open.Add(-1)
 		return nil, errSockets
 	}
-	nd := net.Dialer{Timeout: d.timeout, KeepAlive: -1}
-	c, err := nd.DialContext(a.ctx, network, addr)
+	ctx, cancel := context.WithTimeout(a.ctx, d.timeout)
+	defer cancel()
+	c, err := d.connect(ctx, network, addr)
 	if err != nil {
 		d.open.Add(-1)
 		return nil, err
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -95,13 +95,14 @@
 // discovery asks the service that lists the backends. Its methods block; the loop
 // runs each in a goroutine of its own, and hears of the result by post.
 type discovery struct {
-	base   string
-	client *http.Client
-	post   func(input)
+	base    string
+	client  *http.Client
+	post    func(input)
+	silence time.Duration
 }
 
 func newDiscovery(addr string, post func(input)) *discovery {
-	return &discovery{base: "http://" + addr + "/v1/endpoints", post: post,
+	return &discovery{base: "http://" + addr + "/v1/endpoints", post: post, silence: watchSilence,
 		// A connection a call: a kept one could break under the next call, which the
 		// transport would then send twice, and each call is work for discovery.
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}}
@@ -131,7 +132,7 @@
 func (d *discovery) watch(ctx context.Context, since int64) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	dead := time.AfterFunc(watchSilence, cancel)
+	dead := time.AfterFunc(d.silence, cancel)
 	defer dead.Stop()
 	err := func() error {
 		body, err := d.get(ctx, d.base+"?follow=1&since="+strconv.FormatInt(since, 10))
@@ -142,7 +143,7 @@
 		lines := bufio.NewScanner(body)
 		lines.Buffer(make([]byte, 0, 4096), maxList)
 		for lines.Scan() {
-			dead.Reset(watchSilence)
+			dead.Reset(d.silence)
 			text := bytes.TrimSpace(lines.Bytes())
 			if len(text) == 0 {
 				continue
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"net/url"
 	"runtime/debug"
 	"sync/atomic"
@@ -105,8 +106,8 @@
 	l := &loop{bal: bal, set: &c.Settings, names: &c.Names, log: log, ctx: ctx,
 		in: make(chan input, 1024), base: base, baseMs: float64(base.UnixMicro()) / 1000,
 		requests: map[policy.RequestID]*request{}, backends: map[policy.Addr]*backend{},
-		dialer: &dialer{timeout: ms(c.Settings.Limits.ConnectTimeoutMs),
-			idle: ms(c.Settings.Limits.KeepaliveMs / 2), most: int64(budget), perHost: max(budget/16, 2)}}
+		dialer: &dialer{connect: (&net.Dialer{KeepAlive: -1}).DialContext, timeout: ms(c.Settings.Limits.ConnectTimeoutMs),
+			idle: ms(c.Settings.Limits.KeepaliveMs / 2), most: int64(budget), perHost: max(budget/32, 2)}}
 	if l.dialer.timeout <= 0 {
 		l.dialer.timeout = time.Second
 	}
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -27,7 +27,7 @@
 	guardMargin = 2 * time.Millisecond
 	// acceptFor is how long connections are taken after SIGTERM: they go on coming for
 	// up to 0.4 s.
-	acceptFor = 550 * time.Millisecond
+	acceptFor = 450 * time.Millisecond
 	// maxTimeout is the longest deadline there is, with room to spare.
 	maxTimeout = time.Minute
 )
@@ -62,15 +62,9 @@
 		Handler:           a,
 		ReadHeaderTimeout: 30 * time.Second,
 		IdleTimeout:       5 * time.Minute,
-		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return context.WithValue(ctx, connKey{}, c)
-		},
-		ConnState: func(c net.Conn, state http.ConnState) {
-			if cc, ok := c.(*clientConn); ok && state == http.StateActive {
-				cc.active.Store(time.Since(l.base).Nanoseconds())
-			}
-		},
-		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn),
+		MaxHeaderBytes:    maxBody,
+		WriteTimeout:      maxTimeout + 5*time.Second, // a client that never reads
+		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelWarn),
 	}
 	return a, nil
 }
@@ -100,21 +94,25 @@
 	for _, c := range a.conf.Settings.Classes {
 		longest = max(longest, c.GiveUpMs)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), ms(longest)+50*time.Millisecond)
-	defer cancel()
-	if err := a.server.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
-		return fmt.Errorf("shutdown: %w", err)
+	// Shutdown looks ever less often, up to every half second; begun anew it notices
+	// at once when the last answer is out.
+	for end := time.Now().Add(ms(longest) + 50*time.Millisecond); time.Now().Before(end); {
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+		err := a.server.Shutdown(ctx)
+		cancel()
+		if err == nil {
+			return nil
+		}
+		if !errors.Is(err, context.DeadlineExceeded) {
+			return fmt.Errorf("shutdown: %w", err)
+		}
 	}
-	return nil
+	return a.server.Close() // what is left is over its deadline, or never sent a request
 }
 
-type connKey struct{}
-
-// clientConn is a client's connection. It notes when the request at hand began to
-// come in and gives its place back once.
+// clientConn is a client's connection. It gives its place back once.
 type clientConn struct {
 	net.Conn
-	active atomic.Int64 // since the loop's base, ns
 	places chan struct{}
 	closed atomic.Bool
 }
@@ -152,14 +150,6 @@
 // ServeHTTP takes one request and gives it one answer.
 func (a *Agent) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	came := time.Now()
-	if c, ok := hr.Context().Value(connKey{}).(*clientConn); ok {
-		if t := a.loop.base.Add(time.Duration(c.active.Load())); t.Before(came) {
-			came = t
-		}
-	}
-	if a.leaving.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	if hr.URL.Path == "/ready" {
 		a.serveReady(w)
 		return
@@ -174,14 +164,14 @@
 				a.loop.post(input{kind: inDropped, req: r})
 			}
 			if !answered {
-				write(w, http.StatusInternalServerError, "", nil)
+				a.write(w, http.StatusInternalServerError, "", nil)
 			}
 		}
 	}()
 	r, bad := a.read(w, hr, came)
 	if bad != nil {
 		answered = true
-		http.Error(w, bad.text, bad.status)
+		a.write(w, bad.status, "text/plain", []byte(bad.text+"\n"))
 		return
 	}
 	guard := time.NewTimer(time.Until(r.deadline) - guardMargin)
@@ -196,7 +186,7 @@
 		a.loop.post(input{kind: inDropped, req: r})
 	case <-guard.C:
 		answered = true
-		write(w, http.StatusGatewayTimeout, "", nil)
+		a.write(w, http.StatusGatewayTimeout, "", nil)
 		a.loop.post(input{kind: inDropped, req: r})
 	}
 }
@@ -248,8 +238,8 @@
 	if hint, err := strconv.ParseFloat(hr.Header.Get("Work-Hint"), 64); err == nil {
 		r.hintMs, r.hasHint = hint/1000, true
 	}
-	control := http.NewResponseController(w)
 	// A body that stops coming must not hold its connection for ever.
+	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(r.deadline)
 	r.body, err = io.ReadAll(http.MaxBytesReader(w, hr.Body, maxBody))
 	if err != nil {
@@ -266,19 +256,24 @@
 func (a *Agent) answer(w http.ResponseWriter, r *request, ans answer) {
 	switch ans.status {
 	case policy.OK:
-		write(w, http.StatusOK, ans.kind, ans.body)
+		a.write(w, http.StatusOK, ans.kind, ans.body)
 	case policy.Full:
 		if ans.retryAfter > 0 {
 			w.Header().Set("Retry-After", strconv.FormatFloat(ans.retryAfter.Seconds(), 'f', -1, 64))
 		}
-		write(w, http.StatusServiceUnavailable, "", nil)
+		a.write(w, http.StatusServiceUnavailable, "", nil)
 	default:
-		write(w, http.StatusBadGateway, "", nil)
+		a.write(w, http.StatusBadGateway, "", nil)
 	}
 }
 
-func write(w http.ResponseWriter, status int, kind string, body []byte) {
+// write sends an answer. Connections are closed after it while the agent leaves, and
+// while few places are left, so that idle ones don't keep others waiting.
+func (a *Agent) write(w http.ResponseWriter, status int, kind string, body []byte) {
 	h := w.Header()
+	if a.leaving.Load() || len(a.clients) > cap(a.clients)*7/8 {
+		h.Set("Connection", "close")
+	}
 	h["Date"] = nil
 	if kind == "" {
 		h["Content-Type"] = nil // not to be guessed
