Close the gaps that changed copies of the code showed in the tests

The idle-connection test had passed by the 15 s idle limit alone, and now rules it out; a Connection: close that http.Server sets by itself while leaving is no longer set twice; closing when few places are left has a test now.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -292,6 +292,40 @@
 	}
 }
 
+// With few places left for clients' connections each is closed after its answer:
+// idle ones must not keep out a client whose time runs.
+func TestFewPlacesLeft(t *testing.T) {
+	addr, _ := counted(t, 200, false)
+	conf := config(nowhere, addr)
+	conf["limits"].(map[string]any)["sockets"] = minSockets
+	a, base, _, _ := start(t, conf)
+	ask := func() *http.Response {
+		resp, err := new(http.Transport).RoundTrip(call(base, "order"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		return resp
+	}
+	if ask().Close {
+		t.Fatal("closed though there is room")
+	}
+	for len(a.clients) <= cap(a.clients)*7/8 {
+		n := len(a.clients)
+		c, err := net.Dial("tcp", strings.TrimPrefix(base, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		for len(a.clients) == n {
+			time.Sleep(time.Millisecond) // until it is accepted
+		}
+	}
+	if !ask().Close {
+		t.Fatal("kept open with few places left")
+	}
+}
+
 // An attempt of a client that has gone is given up.
 func TestClientGone(t *testing.T) {
 	got, ended := make(chan struct{}), make(chan struct{})
@@ -463,6 +497,7 @@
 	})
 	l := quietLoop(t, addr)
 	b := l.backends[addrOf("s-0")]
+	b.transport.IdleConnTimeout = never
 	a := newAttempt(b.transport, addr, http.MethodPost, never)
 	a.backend = b
 	if res := a.run(); res.status != policy.OK {
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -267,11 +267,11 @@
 	}
 }
 
-// write sends an answer. Connections are closed after it while the agent leaves, and
-// while few places are left, so that idle ones don't keep others waiting.
+// write sends an answer. While few places are left connections are closed after it,
+// so that idle ones don't keep others waiting; while the agent leaves, the server does so.
 func (a *Agent) write(w http.ResponseWriter, status int, kind string, body []byte) {
 	h := w.Header()
-	if a.leaving.Load() || len(a.clients) > cap(a.clients)*7/8 {
+	if len(a.clients) > cap(a.clients)*7/8 {
 		h.Set("Connection", "close")
 	}
 	h["Date"] = nil
