--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -474,6 +474,8 @@
 	if b.transport != before {
 		t.Fatal("connections thrown away though nothing changed")
 	}
+	waits := newAttempt(before, "127.0.0.1:1", http.MethodPost, never)
+	b.attempts[waits] = struct{}{}
 	for i, change := range []func(){func() { h.Dial = "127.0.0.1:2" }, func() { h.BornMs = 7 }} {
 		change()
 		l.handle(input{kind: inWatched, list: list(int64(3+i), false, h)})
@@ -482,6 +484,9 @@
 		}
 		before = b.transport
 	}
+	if context.Cause(waits.ctx) != errDrained || waits.begin(waits.conn.Load()) {
+		t.Fatal("an attempt that had not begun may still go to the old address")
+	}
 }
 
 // A machine that vanished is silent on all its connections: after a time-out none
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -104,7 +104,9 @@
 	base := time.Now()
 	budget := backendSockets(c.Limits.Sockets)
 	l := &loop{bal: bal, set: &c.Settings, names: &c.Names, log: log, ctx: ctx,
-		in: make(chan input, 1024), base: base, baseMs: float64(base.UnixMicro()) / 1000,
+		// Room for all that can be under way at once: a handler must not wait here
+		// while its guard is not yet set.
+		in: make(chan input, 4*c.Limits.Sockets), base: base, baseMs: float64(base.UnixMicro()) / 1000,
 		requests: map[policy.RequestID]*request{}, backends: map[policy.Addr]*backend{},
 		dialer: &dialer{connect: (&net.Dialer{KeepAlive: -1}).DialContext, timeout: ms(c.Settings.Limits.ConnectTimeoutMs),
 			idle: ms(c.Settings.Limits.KeepaliveMs / 2), most: int64(budget), perHost: max(budget/32, 2)}}
@@ -340,9 +342,10 @@
 			l.backends[addr] = b
 		}
 		if entries[i].Health != policy.Gone && (b.transport == nil || b.dial != h.Dial || b.bornMs != h.BornMs) {
-			// Connections to another address or to the process before are of no use.
+			// Connections to another address or to the process before are of no use, and
+			// what has not begun there must not.
 			if b.transport != nil {
-				b.transport.CloseIdleConnections()
+				b.withdraw()
 			}
 			b.dial, b.bornMs, b.transport = h.Dial, h.BornMs, l.dialer.newTransport()
 		}
@@ -353,13 +356,7 @@
 			b.usable = false
 		}
 		if !b.usable {
-			// What has not begun must not: the drain may be told only once.
-			for a := range b.attempts {
-				if a.withdraw() {
-					a.cancel(errDrained)
-				}
-			}
-			b.transport.CloseIdleConnections()
+			b.withdraw()
 		}
 		l.drop(b)
 	}
@@ -371,6 +368,17 @@
 	l.ready.Store(usable)
 }
 
+// withdraw stops the attempts of which no byte has gone out, and closes the connections
+// that stand idle: a backend that drains, is gone or is another now gets nothing more.
+func (b *backend) withdraw() {
+	for a := range b.attempts {
+		if a.withdraw() {
+			a.cancel(errDrained)
+		}
+	}
+	b.transport.CloseIdleConnections()
+}
+
 // drop forgets a backend that is not to be sent to and has no attempt out.
 func (l *loop) drop(b *backend) {
 	if !b.usable && len(b.attempts) == 0 {
