Refuse at once what finds no place, instead of losing it

The module is now told how many requests may be open (OpenCap, from the descriptors) and refuses the least valuable past it; the places left take the next clients. Fewer descriptors are set aside for other uses (16 for 32). Tests: the module alone, and more requests than places over loopback.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -326,6 +327,57 @@
 	}
 }
 
+// With more requests than places for clients those over it are refused at once; left
+// to wait for a place they would be lost.
+func TestMoreRequestsThanPlaces(t *testing.T) {
+	release := make(chan struct{})
+	open := sync.OnceFunc(func() { close(release) })
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		fmt.Fprint(w, "done")
+	}))
+	t.Cleanup(s.Close)
+	t.Cleanup(open) // before the backend closes, also when the test fails
+	conf := config(nowhere, s.Listener.Addr().String())
+	conf["limits"].(map[string]any)["sockets"] = minSockets
+	_, base, _, _ := start(t, conf)
+	const over = 20
+	asked := openRequests(minSockets) + over
+	if asked <= clientSockets(minSockets) {
+		t.Fatal("these fit into the places")
+	}
+	answers := make(chan int, asked)
+	for range asked {
+		go func() {
+			resp, err := new(http.Transport).RoundTrip(call(base, "order"))
+			if err != nil {
+				t.Error(err)
+				answers <- 0
+				return
+			}
+			resp.Body.Close()
+			answers <- resp.StatusCode
+		}()
+	}
+	soon := time.After(10 * time.Second) // the module's own patience is 15 s here
+	for range over {
+		select {
+		case status := <-answers:
+			if status != http.StatusServiceUnavailable {
+				t.Errorf("answered %d while the backend holds all, want 503", status)
+			}
+		case <-soon:
+			t.Fatal("not refused at once")
+		}
+	}
+	open()
+	for range asked - over {
+		if status := <-answers; status != 200 {
+			t.Errorf("answered %d, want 200", status)
+		}
+	}
+}
+
 // An attempt of a client that has gone is given up.
 func TestClientGone(t *testing.T) {
 	got, ended := make(chan struct{}), make(chan struct{})
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -95,7 +95,11 @@
 }
 
 func newLoop(ctx context.Context, c *Config, log *slog.Logger) (*loop, error) {
-	bal, err := policy.New(c.Settings, c.Seed)
+	set := c.Settings
+	if most := openRequests(c.Limits.Sockets); set.Limits.OpenCap <= 0 || set.Limits.OpenCap > most {
+		set.Limits.OpenCap = most
+	}
+	bal, err := policy.New(set, c.Seed)
 	if err != nil {
 		return nil, err
 	}
@@ -103,7 +107,7 @@
 	// no translation, and steps of the system's clock don't show.
 	base := time.Now()
 	budget := backendSockets(c.Limits.Sockets)
-	l := &loop{bal: bal, set: &c.Settings, names: &c.Names, log: log, ctx: ctx,
+	l := &loop{bal: bal, set: &set, names: &c.Names, log: log, ctx: ctx,
 		// Room for all that can be under way at once: a handler must not wait here
 		// while its guard is not yet set.
 		in: make(chan input, 4*c.Limits.Sockets), base: base, baseMs: float64(base.UnixMicro()) / 1000,
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -21,7 +21,7 @@
 const (
 	// minSockets is the least that an agent can work with; otherSockets are kept for
 	// discovery, the listener and the runtime.
-	minSockets, otherSockets = 64, 32
+	minSockets, otherSockets = 64, 16
 	// guardMargin is how long before the client's time is up the last guard answers:
 	// later than the module's own last word.
 	guardMargin = 2 * time.Millisecond
@@ -37,6 +37,14 @@
 func backendSockets(all int) int { return (all - otherSockets) / 2 }
 func clientSockets(all int) int  { return all - otherSockets - backendSockets(all) }
 
+// openRequests is how many requests may be held at once, told to the module, which
+// refuses what is over it. The places left take the next clients: one that finds none
+// waits in the kernel's queue, where its request counts as taken and nobody answers.
+func openRequests(all int) int {
+	places := clientSockets(all)
+	return places - max(places/8, 8)
+}
+
 // Agent is one agent: the loop with the decisions and the server for the clients.
 type Agent struct {
 	loop    *loop
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -234,7 +234,7 @@
 		}
 		b.scarce = failures > 0
 	}
-	for len(b.held) > maxHeld {
+	for b.tooMany() {
 		b.end(b.held[len(b.held)-1])
 	}
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1038,3 +1038,28 @@
 		}
 	}
 }
+
+// An agent that may have few requests open refuses what it can't hold at once, the
+// least valuable first, and never what is already out.
+func TestOpenCapRefusesAtOnce(t *testing.T) {
+	s := testSettings()
+	s.Limits.OpenCap = 4
+	r := newRig(t, s, 1)
+	sent, refused := 0, 0
+	for range 10 {
+		_, actions := r.ask(0, 0)
+		for _, a := range actions {
+			switch a.Kind {
+			case ActSend:
+				sent++
+			case ActRefuse:
+				refused++
+			case ActFail:
+				t.Error("failed what never ran")
+			}
+		}
+	}
+	if sent == 0 || sent >= 4 || refused != 6 {
+		t.Errorf("sent %d and refused %d of 10, want some sent and 6 refused", sent, refused)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -210,6 +210,13 @@
 	b.hintCov += w * (dh*dt*(1-w) - b.hintCov)
 }
 
+// tooMany tells whether more requests are held than the agent can bear: past the
+// requests it may have open, clients would wait for a connection with nobody to answer.
+func (b *Balancer) tooMany() bool {
+	most := b.set.Limits.OpenCap
+	return len(b.held) > maxHeld || len(b.held) > 0 && most > 0 && len(b.held)+b.inflight > most
+}
+
 // remember keeps when an unserved request first came, so that its retry is
 // judged by the time that has passed for the client.
 func (b *Balancer) remember(r *request) {
