--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"molepaddle/internal/cluster"
 	"molepaddle/policy"
 )
 
@@ -35,7 +36,7 @@
 // backend is one listed server. The loop owns it; the group of its connections is
 // shared with the attempts.
 type backend struct {
-	addr     policy.Addr
+	addr     cluster.Addr
 	bornMs   float64
 	usable   bool
 	group    *group
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -11,6 +11,7 @@
 	"os"
 	"strconv"
 
+	"molepaddle/internal/settings"
 	"molepaddle/internal/wire"
 	"molepaddle/policy"
 )
@@ -29,7 +30,7 @@
 	Discovery string
 	Seed      uint64
 	Limits    Limits
-	Settings  policy.Settings
+	Settings  settings.Settings
 	Names     names
 	Known     List
 }
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -13,7 +13,7 @@
 	"strconv"
 	"time"
 
-	"molepaddle/policy"
+	"molepaddle/internal/cluster"
 )
 
 const (
@@ -46,8 +46,8 @@
 	BornMs float64 `json:"born_ms"`
 }
 
-var healths = map[string]policy.Health{
-	"ready": policy.Ready, "draining": policy.Draining, "gone": policy.Gone,
+var healths = map[string]cluster.Health{
+	"ready": cluster.Ready, "draining": cluster.Draining, "gone": cluster.Gone,
 }
 
 // parseList reads one list and reports the first entry that makes no sense.
@@ -63,7 +63,7 @@
 			return l, fmt.Errorf("hosts[%d].host: missing", i)
 		case !known:
 			return l, fmt.Errorf("hosts[%d].health: unknown word %q", i, h.Health)
-		case health != policy.Gone && checkAddress(h.Dial) != nil:
+		case health != cluster.Gone && checkAddress(h.Dial) != nil:
 			return l, fmt.Errorf("hosts[%d].dial: no address with a port: %q", i, h.Dial)
 		}
 	}
@@ -72,27 +72,27 @@
 
 // entry translates a host for the module. A site or class that the settings don't
 // name is nobody's own: it gets a number that no settings give.
-func (n *names) entry(h *Host) policy.Entry {
+func (n *names) entry(h *Host) cluster.Entry {
 	at := func(m map[string]int, word string) int {
 		if i, ok := m[word]; ok {
 			return i
 		}
 		return -1
 	}
-	return policy.Entry{Server: addrOf(h.Host), Zone: at(n.sites, h.Site), Cell: h.Block,
+	return cluster.Entry{Server: addrOf(h.Host), Zone: at(n.sites, h.Site), Cell: h.Block,
 		Kind: at(n.kinds, h.Class), SinceMs: h.BornMs, Health: healths[h.Health], Weight: h.Share}
 }
 
 // addrOf gives a backend its address in the module: from its name alone, so that
 // it is the same at every agent and stays when the address to dial changes.
-func addrOf(host string) policy.Addr {
+func addrOf(host string) cluster.Addr {
 	h := fnv.New64a()
 	io.WriteString(h, host)
 	sum := h.Sum(nil)
 	for i := range 2 {
 		sum[i+2] ^= sum[i] // fold all 64 bits into 48
 	}
-	return policy.Addr(sum[2:])
+	return cluster.Addr(sum[2:])
 }
 
 // discovery asks the service that lists the backends. Its methods block; the loop
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"molepaddle/internal/cluster"
+	"molepaddle/internal/settings"
 	"molepaddle/policy"
 )
 
@@ -79,7 +81,7 @@
 // carries out what it decides. Nothing in it blocks.
 type loop struct {
 	bal      *policy.Balancer
-	set      *policy.Settings
+	set      *settings.Settings
 	names    *names
 	log      *slog.Logger
 	in       chan input
@@ -89,7 +91,7 @@
 	pool     *pool
 	disc     *discovery
 	requests map[policy.RequestID]*request
-	backends map[policy.Addr]*backend
+	backends map[cluster.Addr]*backend
 	nextID   policy.RequestID
 	ids      *idMemory
 	seq      int64 // version of the list at hand; 0 after a change of discovery
@@ -120,7 +122,7 @@
 		// Room for all that can be under way at once: a handler must not wait here
 		// while its guard is not yet set.
 		in: make(chan input, 4*c.Limits.Sockets), base: base, baseMs: float64(base.UnixMicro()) / 1000,
-		requests: map[policy.RequestID]*request{}, backends: map[policy.Addr]*backend{},
+		requests: map[policy.RequestID]*request{}, backends: map[cluster.Addr]*backend{},
 		pool: newPool((&net.Dialer{KeepAlive: -1}).DialContext, connect,
 			ms(c.Settings.Limits.KeepaliveMs/2), backendSockets(c.Limits.Sockets))}
 	longest := 0.0
@@ -131,7 +133,7 @@
 	l.disc = newDiscovery(ctx, c.Discovery, 0, l.post)
 	l.actions = l.bal.Start(l.clock(), l.actions[:0])
 	l.act()
-	l.learn(policy.ListCached, &c.Known)
+	l.learn(cluster.ListCached, &c.Known)
 	return l, nil
 }
 
@@ -203,21 +205,21 @@
 		switch {
 		case in.err != nil:
 			l.log.Warn("discovery: fetch failed", "err", in.err)
-			l.tell(&policy.Event{Kind: policy.EvList, List: policy.ListFailed})
+			l.tell(&policy.Event{Kind: policy.EvList, List: cluster.ListFailed})
 		case in.list.Seq >= l.seq: // the watch may have told more meanwhile
-			l.learn(policy.ListFull, &in.list)
+			l.learn(cluster.ListFull, &in.list)
 		}
 	case inWatched:
 		switch {
 		case in.list.Whole:
-			l.learn(policy.ListFull, &in.list)
+			l.learn(cluster.ListFull, &in.list)
 		case in.list.Seq > l.seq:
-			l.learn(policy.ListDelta, &in.list)
+			l.learn(cluster.ListDelta, &in.list)
 		}
 	case inWatchEnded:
 		l.watching = false
 		l.log.Warn("discovery: watch ended", "err", in.err)
-		l.tell(&policy.Event{Kind: policy.EvList, List: policy.ListFailed})
+		l.tell(&policy.Event{Kind: policy.EvList, List: cluster.ListFailed})
 	}
 }
 
@@ -368,10 +370,10 @@
 }
 
 // learn applies a list: to the connections first, then the module is told.
-func (l *loop) learn(kind policy.ListKind, list *List) {
+func (l *loop) learn(kind cluster.ListKind, list *List) {
 	l.seq = list.Seq
-	entries := make([]policy.Entry, len(list.Hosts))
-	named := map[policy.Addr]bool{}
+	entries := make([]cluster.Entry, len(list.Hosts))
+	named := map[cluster.Addr]bool{}
 	for i := range list.Hosts {
 		h := &list.Hosts[i]
 		entries[i] = l.names.entry(h)
@@ -379,13 +381,13 @@
 		named[addr] = true
 		b := l.backends[addr]
 		if b == nil {
-			if entries[i].Health == policy.Gone {
+			if entries[i].Health == cluster.Gone {
 				continue
 			}
 			b = &backend{addr: addr, attempts: map[*attempt]struct{}{}}
 			l.backends[addr] = b
 		}
-		if entries[i].Health != policy.Gone && (b.group == nil || b.group.dial != h.Dial || b.bornMs != h.BornMs) {
+		if entries[i].Health != cluster.Gone && (b.group == nil || b.group.dial != h.Dial || b.bornMs != h.BornMs) {
 			// Connections to another address or to the process before are of no use, and
 			// what has not begun there must not.
 			if b.group != nil {
@@ -394,10 +396,10 @@
 			}
 			b.bornMs, b.group = h.BornMs, l.pool.group(h.Dial)
 		}
-		b.usable = entries[i].Health == policy.Ready
+		b.usable = entries[i].Health == cluster.Ready
 	}
 	for addr, b := range l.backends {
-		if kind != policy.ListDelta && !named[addr] {
+		if kind != cluster.ListDelta && !named[addr] {
 			b.usable = false
 		}
 		if !b.usable {
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"molepaddle/internal/settings"
 	"molepaddle/policy"
 )
 
@@ -266,7 +267,7 @@
 	}
 	set := &a.conf.Settings.Classes[class]
 	want := http.MethodPost
-	if set.Effect == policy.Free {
+	if set.Effect == settings.Free {
 		want = http.MethodGet
 	}
 	left, err := parseTimeout(timeout)
@@ -279,7 +280,7 @@
 		return nil, &problem{http.StatusBadRequest, "Host: missing or no plain word"}
 	case !plain(r.wireID):
 		return nil, &problem{http.StatusBadRequest, "Request-Id: missing or no plain word"}
-	case set.Effect == policy.Guarded && r.idempotency == "":
+	case set.Effect == settings.Guarded && r.idempotency == "":
 		return nil, &problem{http.StatusBadRequest, "Idempotency-Key: missing"}
 	case err != nil:
 		return nil, &problem{http.StatusBadRequest, "Request-Timeout: " + err.Error()}
--- /dev/null
+++ b/internal/cluster/cluster.go
@@ -0,0 +1,49 @@
+// Package cluster holds the terms in which the list of servers is told, shared by those
+// who bring a list (the roster's client, the simulator's wire) and the decisions made
+// on it. It is values only: nothing here has an owner or a lock.
+package cluster
+
+// Addr names a server: four bytes of address and a port. It has no meaning
+// beyond equality and is sent back exactly as it came.
+type Addr [6]byte
+
+// Hash is the address as a number, the same everywhere.
+func (a Addr) Hash() uint64 {
+	h := uint64(0)
+	for _, x := range a {
+		h = h<<8 | uint64(x)
+	}
+	return h
+}
+
+// Health is what the list says of a server.
+type Health uint8
+
+// The list's words.
+const (
+	Draining Health = iota
+	Ready
+	Gone
+)
+
+// Entry is one line of the list of servers.
+type Entry struct {
+	Server  Addr
+	Zone    int
+	Cell    int
+	Kind    int
+	SinceMs float64 // clock time of the latest start; 0: long past
+	Health  Health
+	Weight  float64
+}
+
+// ListKind tells how a list event changes the list at hand.
+type ListKind uint8
+
+// The kinds of list events.
+const (
+	ListDelta ListKind = iota
+	ListFull
+	ListCached
+	ListFailed
+)
--- a/policy/settings.go
+++ b/internal/settings/validate.go
@@ -1,12 +1,12 @@
-package policy
+package settings
 
 import (
 	"fmt"
 	"math"
 )
 
-// validate reports the first setting that makes no sense, by its key.
-func (s *Settings) validate() error {
+// Validate reports the first setting that makes no sense, by its key.
+func (s *Settings) Validate() error {
 	if len(s.Classes) == 0 {
 		return fmt.Errorf("settings: classes: none given")
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -10,6 +10,8 @@
 	"io"
 	"math"
 
+	"molepaddle/internal/cluster"
+	"molepaddle/internal/settings"
 	"molepaddle/policy"
 )
 
@@ -75,7 +77,7 @@
 type Decoder struct {
 	r     io.Reader
 	buf   []byte
-	pools [16][]policy.Entry
+	pools [16][]cluster.Entry
 }
 
 // NewDecoder returns a Decoder that reads from r.
@@ -168,11 +170,11 @@
 		rec.Kind = 0
 		return d.pool(raw, tail)
 	case codeTargets:
-		ev.Kind, ev.List = policy.EvList, policy.ListKind(raw[5])
-		if raw[5] > uint8(policy.ListFailed) {
+		ev.Kind, ev.List = policy.EvList, cluster.ListKind(raw[5])
+		if raw[5] > uint8(cluster.ListFailed) {
 			return fmt.Errorf("targets: mode: unknown value %d", raw[5])
 		}
-		if ev.List != policy.ListFailed {
+		if ev.List != cluster.ListFailed {
 			table := be.Uint32(raw[10:])
 			if int64(table) >= int64(len(d.pools)) {
 				return fmt.Errorf("targets: table: %d is out of range", table)
@@ -186,7 +188,7 @@
 		ev.HasHint, ev.Retry = raw[39]&1 != 0, raw[39]&2 != 0
 	case codeVerdict:
 		ev.Kind, ev.Request = policy.EvOutcome, policy.RequestID(be.Uint32(raw[5:]))
-		ev.Attempt, ev.Server = int(be.Uint16(raw[9:])), policy.Addr(raw[11:17])
+		ev.Attempt, ev.Server = int(be.Uint16(raw[9:])), cluster.Addr(raw[11:17])
 		ev.Status, ev.LatencyMs = policy.Status(be.Uint16(raw[17:])), getF64(raw[19:])
 		ev.Final = raw[27] != 0
 		ev.Report, err = report("verdict: report", raw[28:])
@@ -195,11 +197,11 @@
 		}
 	case codeFlowing:
 		ev.Kind, ev.Request = policy.EvStarted, policy.RequestID(be.Uint32(raw[5:]))
-		ev.Server, ev.LatencyMs, ev.Attempt = policy.Addr(raw[9:15]), getF64(raw[15:]), int(be.Uint16(raw[23:]))
+		ev.Server, ev.LatencyMs, ev.Attempt = cluster.Addr(raw[9:15]), getF64(raw[15:]), int(be.Uint16(raw[23:]))
 	case codeDropped:
 		ev.Kind, ev.Request = policy.EvDropped, policy.RequestID(be.Uint32(raw[5:]))
 	case codeHealth:
-		ev.Kind, ev.Server = policy.EvProbed, policy.Addr(raw[5:11])
+		ev.Kind, ev.Server = policy.EvProbed, cluster.Addr(raw[5:11])
 		ev.Status, ev.LatencyMs = policy.Status(be.Uint16(raw[11:])), getF64(raw[13:])
 		ev.Report, err = report("health: report", raw[21:])
 	case codeFired:
@@ -223,16 +225,16 @@
 	if err != nil {
 		return err
 	}
-	entries := make([]policy.Entry, 0, len(lines)/entrySize)
+	entries := make([]cluster.Entry, 0, len(lines)/entrySize)
 	for ; len(lines) > 0; lines = lines[entrySize:] {
-		if lines[10] > uint8(policy.Gone) {
+		if lines[10] > uint8(cluster.Gone) {
 			return fmt.Errorf("pool: health: unknown value %d", lines[10])
 		}
-		entries = append(entries, policy.Entry{
+		entries = append(entries, cluster.Entry{
 			Zone:    int(be.Uint16(lines)),
 			SinceMs: getF64(lines[2:]),
-			Health:  policy.Health(lines[10]),
-			Server:  policy.Addr(lines[11:17]),
+			Health:  cluster.Health(lines[10]),
+			Server:  cluster.Addr(lines[11:17]),
 			Weight:  float64(math.Float32frombits(be.Uint32(lines[17:]))),
 			Cell:    int(be.Uint16(lines[21:])),
 			Kind:    int(lines[23]),
@@ -257,8 +259,8 @@
 }
 
 // ParseSettings reads the JSON text of a boot record. Unknown keys are skipped.
-func ParseSettings(text []byte) (policy.Settings, error) {
-	var s policy.Settings
+func ParseSettings(text []byte) (settings.Settings, error) {
+	var s settings.Settings
 	if err := json.Unmarshal(text, &s); err != nil {
 		var bad *json.UnmarshalTypeError
 		if errors.As(err, &bad) {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 
+	"molepaddle/internal/cluster"
 	"molepaddle/policy"
 )
 
@@ -72,7 +73,7 @@
 		t.Fatal(err)
 	}
 	v := recs[0].Event
-	if v.Kind != policy.EvOutcome || v.Attempt != 2 || v.Server != (policy.Addr{0x0a, 0x12, 0x4a, 0x07, 0x13, 0x8b}) ||
+	if v.Kind != policy.EvOutcome || v.Attempt != 2 || v.Server != (cluster.Addr{0x0a, 0x12, 0x4a, 0x07, 0x13, 0x8b}) ||
 		v.Status != policy.OK || v.LatencyMs != 18.5 || !v.Final || len(v.Report) != 2 || v.Report[1] != 2 {
 		t.Errorf("verdict: %+v", v)
 	}
@@ -96,11 +97,11 @@
 		t.Fatal(err)
 	}
 	a, b := recs[0].Event, recs[1].Event
-	if a.List != policy.ListCached || b.List != policy.ListFull || a.Entries[0].Server[5] != 0xb4 || b.Entries[0].Server[5] != 0xb5 {
+	if a.List != cluster.ListCached || b.List != cluster.ListFull || a.Entries[0].Server[5] != 0xb4 || b.Entries[0].Server[5] != 0xb5 {
 		t.Errorf("lists: %+v then %+v", a, b)
 	}
 	e := a.Entries[0]
-	if e.Zone != 1 || e.SinceMs != 6100 || e.Health != policy.Ready || e.Weight != 1.5 || e.Cell != 2 || e.Kind != 1 {
+	if e.Zone != 1 || e.SinceMs != 6100 || e.Health != cluster.Ready || e.Weight != 1.5 || e.Cell != 2 || e.Kind != 1 {
 		t.Errorf("entry: %+v", e)
 	}
 }
@@ -120,7 +121,7 @@
 
 func TestReplyAgainstWorkedOutBytes(t *testing.T) {
 	var e Encoder
-	s := policy.Addr{0x0a, 0x12, 0x4a, 0x07, 0x13, 0x8b}
+	s := cluster.Addr{0x0a, 0x12, 0x4a, 0x07, 0x13, 0x8b}
 	for _, a := range []policy.Action{
 		{Kind: policy.ActSend, Request: 0x5d3a91c4, Server: s, Ms: 80},
 		{Kind: policy.ActTimer, Ms: 500, Token: 0x4d},
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,6 +1,3 @@
-// This file holds every decision. Its interface, the settings, events, actions
-// and states, is in policy/types.go.
-
 package policy
 
 import (
@@ -8,6 +5,11 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+
+	"molepaddle/internal/arith"
+	"molepaddle/internal/cluster"
+	"molepaddle/internal/settings"
+	"molepaddle/internal/unserved"
 )
 
 const (
@@ -63,14 +65,15 @@
 
 // New returns the balancer of one agent, or an error that names the setting
 // that makes no sense. All its randomness comes from the seed.
-func New(set Settings, seed uint64) (*Balancer, error) {
-	if err := set.validate(); err != nil {
+func New(set settings.Settings, seed uint64) (*Balancer, error) {
+	if err := set.Validate(); err != nil {
 		return nil, err
 	}
-	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, mix(seed))), byAddr: map[Addr]*server{},
+	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, arith.Mix(seed))),
+		byAddr: map[cluster.Addr]*server{},
 		requests: map[RequestID]*request{}, usage: make([]float64, len(set.Tenants)),
-		home: ownZone, aimMin: math.Inf(1), lookedAt: math.Inf(-1),
-		recentKeys: keyCounter{count: map[uint64]int{}}}
+		unserved: unserved.New(&set, maxHeld), home: ownZone, aimMin: math.Inf(1), lookedAt: math.Inf(-1),
+		recentKeys: arith.NewRecent(keyMemory)}
 	for i := range b.kinds {
 		b.kinds[i].weight = 1
 	}
@@ -111,7 +114,7 @@
 		}
 	case EvDropped:
 		if r := b.requests[ev.Request]; r != nil && !r.closed {
-			b.remember(r)
+			b.unserved.Add(r.class, r.key, r.first, b.now)
 			b.close(r)
 		}
 	case EvList:
@@ -160,15 +163,15 @@
 	c := &b.set.Classes[ev.Class]
 	r := &request{id: ev.Request, class: ev.Class, tenant: ev.Tenant, key: ev.Key,
 		arrived: b.now, first: b.now}
-	if r.hint = finite(ev.HintMs); !ev.HasHint {
+	if r.hint = arith.Finite(ev.HintMs); !ev.HasHint {
 		r.hint = 0
 	} else if r.hint > 0 {
-		b.meanHint = mean(b.meanHint, r.hint, slowSmooth)
+		b.meanHint = arith.Mean(b.meanHint, r.hint, slowSmooth)
 	}
-	left := finite(ev.LeftMs)
+	left := arith.Finite(ev.LeftMs)
 	r.deadline = b.now + left - min(b.set.RoundMs, left/4)
 	if ev.Retry {
-		r.first = b.recall(r)
+		r.first = b.unserved.Recall(r.class, r.key, r.arrived)
 	}
 	r.aimAt = min(r.first+c.AimMs+c.AimStretch*r.hint, r.deadline)
 	r.hash = b.split(r.key)
@@ -176,7 +179,7 @@
 	b.seen++
 	b.recent = b.recent*math.Exp((b.recentAt-b.now)/max(b.set.Limits.KeepaliveMs, 1)) + 1
 	b.recentAt = b.now
-	b.count(r.tenant)
+	b.usage.Add(r.tenant, fade)
 	b.tally(r.class)
 	b.revalidate()
 	b.held = append(b.held, r)
@@ -284,7 +287,7 @@
 		return 2
 	case UnhealthyPending:
 		// What must not run twice does not check a server while others are healthy.
-		once := b.set.Classes[r.class].Effect == SingleShot
+		once := b.set.Classes[r.class].Effect == settings.SingleShot
 		if once || b.set.Limits.Probing && b.now-s.since < b.aimMin {
 			return 1
 		}
@@ -366,7 +369,7 @@
 	if key == 0 {
 		return b.rng.Uint64()
 	}
-	share := b.recentKeys.add(key) - 1.0/keyMemory
+	share := b.recentKeys.Add(key) - 1.0/keyMemory
 	servers := float64(b.subset())
 	blind := min(float64(b.set.Replicas)/max(capFactor*servers, 1), 1)
 	parts := max(share*keySpread*servers*blind, 1)
@@ -376,7 +379,7 @@
 // score orders servers by weighted rendezvous hashing: every agent of a zone
 // finds the same order for a key, and a server's share of keys is that of its weight.
 func (b *Balancer) score(r *request, s *server) float64 {
-	x := mix(r.hash ^ s.hash)
+	x := arith.Mix(r.hash ^ s.hash)
 	u := float64(x>>11) / (1 << 53)
 	w := s.weight * b.kinds[s.kind&255].weight * min(4*b.coldShare(s), 1) // its credit limits it
 	if s.zone == b.set.Zone {
@@ -455,14 +458,14 @@
 	}
 	c := &b.set.Classes[r.class]
 	switch c.Effect {
-	case Free:
+	case settings.Free:
 		return true
-	case Guarded:
+	case settings.Guarded:
 		if b.now-r.ranAt > c.KeyTTLMs-2*b.set.RoundMs {
 			return false
 		}
-		return c.Group == GroupAll || c.Group == GroupZone && s.zone == r.ranOn.zone ||
-			c.Group == GroupCell && s.cell == r.ranOn.cell
+		return c.Group == settings.GroupAll || c.Group == settings.GroupZone && s.zone == r.ranOn.zone ||
+			c.Group == settings.GroupCell && s.cell == r.ranOn.cell
 	}
 	return false
 }
@@ -480,7 +483,7 @@
 	r.risky++
 	s.out = append(s.out, a)
 	if s.sentAt > 0 {
-		s.gap = mean(s.gap, b.now-s.sentAt, smooth)
+		s.gap = arith.Mean(s.gap, b.now-s.sentAt, smooth)
 	}
 	s.sentAt = b.now
 	b.inflight++
@@ -517,9 +520,10 @@
 	if r.closed || r.started {
 		return
 	}
-	b.remember(r)
+	b.unserved.Add(r.class, r.key, r.first, b.now)
 	c := &b.set.Classes[r.class]
-	harmless := r.risky == 0 || c.Effect == Free || c.Effect == Guarded && c.Group == GroupAll
+	harmless := r.risky == 0 || c.Effect == settings.Free ||
+		c.Effect == settings.Guarded && c.Group == settings.GroupAll
 	b.close(r)
 	if harmless {
 		b.do(Action{Kind: ActRefuse, Request: r.id, Ms: b.set.Limits.MaxRetryAfterMs})
@@ -571,7 +575,7 @@
 	}
 	old := math.Exp((b.triedAt - b.now) / (trySpan * b.aimMin))
 	b.failing, b.triedAt = b.failing*old+1-tryFactor*worth, b.now
-	b.judge(a, ev.Status, finite(ev.LatencyMs))
+	b.judge(a, ev.Status, arith.Finite(ev.LatencyMs))
 	if r.closed || r.started || ev.Final || ev.Status == OK {
 		b.close(r)
 	} else {
@@ -596,7 +600,7 @@
 // ends it. It competes with first tries, so that trouble does not multiply the load.
 func (b *Balancer) further(r *request, why Status) {
 	c := &b.set.Classes[r.class]
-	able := r.risky == 0 || c.Effect == Free || c.Effect == Guarded
+	able := r.risky == 0 || c.Effect == settings.Free || c.Effect == settings.Guarded
 	if !able || len(r.attempts) >= b.set.Limits.MaxAttempts || why == Moot || b.now >= r.deadline {
 		b.end(r)
 		return
@@ -644,23 +648,23 @@
 	s.fails -= failWeight * s.fails
 	b.learnHint(r, rtt)
 	b.heardFrom(s)
-	s.rtt = mean(s.rtt, rtt, smooth)
+	s.rtt = arith.Mean(s.rtt, rtt, smooth)
 	c := &b.set.Classes[r.class]
-	b.expect[r.class] = mean(b.expect[r.class], min(rtt, 2*c.AimMs), 4*slowSmooth)
+	b.expect[r.class] = arith.Mean(b.expect[r.class], min(rtt, 2*c.AimMs), 4*slowSmooth)
 	if b.now <= r.aimAt {
 		b.won[r.class] += 1 - fade
 	}
 	x := b.partOfAim(r, rtt)
 	b.answers++
-	b.fleetLat = mean(b.fleetLat, x, max(slowSmooth, 1/b.answers))
+	b.fleetLat = arith.Mean(b.fleetLat, x, max(slowSmooth, 1/b.answers))
 	switch {
 	case b.answers <= learnFor:
 		// One quick answer must not set the measure, nor a crowd at the start (id08146).
 		b.calmLat = min(b.fleetLat, crowdShare/2)
 	case b.fleetLat < b.calmLat:
-		b.calmLat = mean(b.calmLat, b.fleetLat, slowSmooth)
+		b.calmLat = arith.Mean(b.calmLat, b.fleetLat, slowSmooth)
 	default:
-		b.calmLat = mean(b.calmLat, b.fleetLat, b.calmRise(a))
+		b.calmLat = arith.Mean(b.calmLat, b.fleetLat, b.calmRise(a))
 	}
 	b.learn(s, x)
 	limit := b.limit(s)
@@ -697,16 +701,16 @@
 	if s.zone == b.set.Zone {
 		lat = &b.homeLat
 	}
-	*lat = mean(*lat, x, weighStep)
+	*lat = arith.Mean(*lat, x, weighStep)
 	most := max(ownPrice*b.set.Prices.CrossZone, ownZone)
-	b.home = nudge(b.home, b.homeLat > b.awayLat*(1+b.set.Prices.CrossZone), ownZone, most)
+	b.home = arith.Nudge(b.home, weighStep, b.homeLat > b.awayLat*(1+b.set.Prices.CrossZone), ownZone, most)
 	if b.set.Weights != "off" {
 		return
 	}
-	b.allLat = mean(b.allLat, x, weighStep)
+	b.allLat = arith.Mean(b.allLat, x, weighStep)
 	k := &b.kinds[s.kind&255]
-	k.lat = mean(k.lat, x, weighStep)
-	k.weight = nudge(k.weight, k.lat > b.allLat, leastKind, 1)
+	k.lat = arith.Mean(k.lat, x, weighStep)
+	k.weight = arith.Nudge(k.weight, weighStep, k.lat > b.allLat, leastKind, 1)
 }
 
 // limit is the mean answer time, as a part of the aim, from which a server counts as
@@ -737,12 +741,19 @@
 	s.heard, s.lostAt = b.now, 0
 }
 
+// learnHint keeps how answer times grow with the work that is hinted.
+func (b *Balancer) learnHint(r *request, rtt float64) {
+	if r.hint > 0 {
+		b.hinted.Add(r.hint, rtt, slowSmooth)
+	}
+}
+
 // hintedTime is what the line says for the request; 0 while little is known.
 func (b *Balancer) hintedTime(r *request) float64 {
-	if r.hint <= 0 || b.hints < 1/(4*slowSmooth) || b.hintVar <= 0 {
+	if r.hint <= 0 {
 		return 0
 	}
-	return max(b.hintTime+b.hintCov/b.hintVar*(r.hint-b.hintMean), 0)
+	return b.hinted.At(r.hint, 1/(4*slowSmooth))
 }
 
 // partOfAim is an answer time as a part of the aim. Where hints tell the work a costly
@@ -757,7 +768,7 @@
 
 func (b *Balancer) learn(s *server, x float64) {
 	s.samples++
-	s.lat = mean(s.lat, x, max(smooth, 1/float64(s.samples)))
+	s.lat = arith.Mean(s.lat, x, max(smooth, 1/float64(s.samples)))
 	b.weigh(s, x)
 }
 
@@ -871,7 +882,7 @@
 }
 
 func (b *Balancer) onList(ev *Event) {
-	if ev.List == ListFailed {
+	if ev.List == cluster.ListFailed {
 		b.follows++
 		if b.set.Membership == "on_request" {
 			wait := min(500*math.Pow(2, float64(b.follows)), b.set.Contract.AskWithinMs)
@@ -881,12 +892,12 @@
 	}
 	b.follows = 0
 	b.epoch++
-	named := map[Addr]bool{}
+	named := map[cluster.Addr]bool{}
 	for i := range ev.Entries {
 		named[ev.Entries[i].Server] = true
 		b.update(&ev.Entries[i])
 	}
-	if ev.List != ListDelta {
+	if ev.List != cluster.ListDelta {
 		for _, s := range b.servers {
 			s.usable = s.usable && named[s.id]
 		}
@@ -900,15 +911,15 @@
 	})
 }
 
-func (b *Balancer) update(e *Entry) {
-	s, since := b.byAddr[e.Server], finite(e.SinceMs)
+func (b *Balancer) update(e *cluster.Entry) {
+	s, since := b.byAddr[e.Server], arith.Finite(e.SinceMs)
 	if s == nil {
-		s = &server{id: e.Server, hash: mix(hashAddr(e.Server)), state: Unknown, since: b.now,
+		s = &server{id: e.Server, hash: arith.Mix(e.Server.Hash()), state: Unknown, since: b.now,
 			window: firstWindow, startedAt: since, listedAt: since, credit: b.rng.Float64()}
 		b.byAddr[s.id] = s
-		own := mix(uint64(b.set.Index) + 1)
+		own := arith.Mix(uint64(b.set.Index) + 1)
 		i, _ := slices.BinarySearchFunc(b.servers, s, func(x, y *server) int {
-			return cmp.Compare(mix(x.hash^own), mix(y.hash^own))
+			return cmp.Compare(arith.Mix(x.hash^own), arith.Mix(y.hash^own))
 		})
 		b.servers = slices.Insert(b.servers, i, s)
 	}
@@ -921,9 +932,9 @@
 		s.strikes, s.good, s.lat, s.samples, s.window, s.credit = 0, 0, 0, 0, 1, b.rng.Float64()
 		s.fails = 0
 	}
-	s.zone, s.cell, s.kind, s.usable = e.Zone, e.Cell, e.Kind, e.Health == Ready
+	s.zone, s.cell, s.kind, s.usable = e.Zone, e.Cell, e.Kind, e.Health == cluster.Ready
 	s.weight = 1
-	if w := finite(e.Weight); w > 0 {
+	if w := arith.Finite(e.Weight); w > 0 {
 		s.weight = w
 	}
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -4,6 +4,10 @@
 	"fmt"
 	"math"
 	"testing"
+
+	"molepaddle/internal/arith"
+	"molepaddle/internal/cluster"
+	"molepaddle/internal/settings"
 )
 
 // rig drives one Balancer by hand.
@@ -14,18 +18,18 @@
 	id  RequestID
 }
 
-func addr(i int) Addr { return Addr{10, 0, byte(i >> 8), byte(i), 0x13, 0x8b} }
+func addr(i int) cluster.Addr { return cluster.Addr{10, 0, byte(i >> 8), byte(i), 0x13, 0x8b} }
 
-func testSettings() Settings {
-	s := Settings{
-		Classes: []Class{
-			{Name: "free", AimMs: 300, GiveUpMs: 1000, Effect: Free, Credit: 1},
-			{Name: "once", AimMs: 300, GiveUpMs: 1000, Effect: SingleShot, Credit: 4},
-			{Name: "keyed", AimMs: 300, GiveUpMs: 1000, Effect: Guarded, Group: GroupCell, KeyTTLMs: 500, Credit: 2},
+func testSettings() settings.Settings {
+	s := settings.Settings{
+		Classes: []settings.Class{
+			{Name: "free", AimMs: 300, GiveUpMs: 1000, Effect: settings.Free, Credit: 1},
+			{Name: "once", AimMs: 300, GiveUpMs: 1000, Effect: settings.SingleShot, Credit: 4},
+			{Name: "keyed", AimMs: 300, GiveUpMs: 1000, Effect: settings.Guarded, Group: settings.GroupCell, KeyTTLMs: 500, Credit: 2},
 		},
-		Limits: Limits{Cancelling: true, MaxAttempts: 3, MaxRetryAfterMs: 500, ParallelTries: true,
+		Limits: settings.Limits{Cancelling: true, MaxAttempts: 3, MaxRetryAfterMs: 500, ParallelTries: true,
 			ConnectTimeoutMs: 100},
-		Contract: Contract{AnswerSlackMs: 20, AskWithinMs: 8000, ColdFrom: 0.2, ColdMs: 10000, DrainGraceMs: 500,
+		Contract: settings.Contract{AnswerSlackMs: 20, AskWithinMs: 8000, ColdFrom: 0.2, ColdMs: 10000, DrainGraceMs: 500,
 			FallMultiple: 3, TipAfterMs: 1000},
 		Membership: "pushed", Replicas: 3, RoundMs: 5, WorthBy: "request", Weights: "nominal",
 	}
@@ -33,7 +37,7 @@
 	return s
 }
 
-func newRig(t *testing.T, s Settings, servers int) *rig {
+func newRig(t *testing.T, s settings.Settings, servers int) *rig {
 	t.Helper()
 	b, err := New(s, 1)
 	if err != nil {
@@ -41,17 +45,17 @@
 	}
 	r := &rig{t: t, b: b, now: 1e6}
 	b.Start(r.now, nil)
-	entries := make([]Entry, servers)
+	entries := make([]cluster.Entry, servers)
 	for i := range entries {
-		entries[i] = Entry{Server: addr(i), Health: Ready, Weight: 1, Cell: i % 2, Zone: i % 2}
+		entries[i] = cluster.Entry{Server: addr(i), Health: cluster.Ready, Weight: 1, Cell: i % 2, Zone: i % 2}
 	}
-	r.list(ListCached, entries...)
+	r.list(cluster.ListCached, entries...)
 	return r
 }
 
 func (r *rig) do(ev Event) []Action { return r.b.Handle(r.now, &ev, nil) }
 
-func (r *rig) list(kind ListKind, entries ...Entry) []Action {
+func (r *rig) list(kind cluster.ListKind, entries ...cluster.Entry) []Action {
 	return r.do(Event{Kind: EvList, List: kind, Entries: entries})
 }
 
@@ -60,7 +64,7 @@
 	return r.id, r.do(Event{Kind: EvRequest, Request: r.id, Class: class, Key: key, LeftMs: 600})
 }
 
-func (r *rig) outcome(id RequestID, try int, s Addr, st Status, rtt float64) []Action {
+func (r *rig) outcome(id RequestID, try int, s cluster.Addr, st Status, rtt float64) []Action {
 	return r.do(Event{Kind: EvOutcome, Request: id, Attempt: try, Server: s, Status: st, LatencyMs: rtt, Final: st == OK})
 }
 
@@ -74,7 +78,7 @@
 }
 
 // sent asks once and returns where the request went.
-func (r *rig) sent(class int, key uint64) (RequestID, Addr) {
+func (r *rig) sent(class int, key uint64) (RequestID, cluster.Addr) {
 	r.t.Helper()
 	id, actions := r.ask(class, key)
 	a := find(actions, ActSend)
@@ -179,7 +183,7 @@
 		id, s := r.sent(1, 3)
 		r.outcome(id, 0, s, Error, 5)
 	}
-	if _, s := r.sent(0, 3); s == (Addr{}) {
+	if _, s := r.sent(0, 3); s == (cluster.Addr{}) {
 		t.Error("nothing was sent though Unhealthy servers are the only ones")
 	}
 }
@@ -217,7 +221,7 @@
 
 func TestDrainingAndGoneGetNothing(t *testing.T) {
 	r := newRig(t, testSettings(), 2)
-	r.list(ListDelta, Entry{Server: addr(0), Health: Draining, Weight: 1})
+	r.list(cluster.ListDelta, cluster.Entry{Server: addr(0), Health: cluster.Draining, Weight: 1})
 	for key := range uint64(20) {
 		id, s := r.sent(0, key+1)
 		if s == addr(0) {
@@ -225,7 +229,7 @@
 		}
 		r.outcome(id, 0, s, OK, 20)
 	}
-	r.list(ListFull, Entry{Server: addr(0), Health: Ready, Weight: 1})
+	r.list(cluster.ListFull, cluster.Entry{Server: addr(0), Health: cluster.Ready, Weight: 1})
 	for key := range uint64(20) {
 		id, s := r.sent(0, key+1)
 		if s == addr(1) {
@@ -253,7 +257,7 @@
 // A cold server gets no more than its share by ramp, even after a quiet time.
 func TestColdServerBudget(t *testing.T) {
 	r := newRig(t, testSettings(), 5)
-	r.list(ListDelta, Entry{Server: addr(4), Health: Ready, Weight: 1, SinceMs: r.now - 10})
+	r.list(cluster.ListDelta, cluster.Entry{Server: addr(4), Health: cluster.Ready, Weight: 1, SinceMs: r.now - 10})
 	got, all := 0, 2000
 	for range all {
 		r.now++
@@ -273,7 +277,7 @@
 // a storm of them let the agents push cold servers over.
 func TestTurnedAwayAttemptsEarnNoColdCredit(t *testing.T) {
 	r := newRig(t, testSettings(), 4)
-	r.list(ListDelta, Entry{Server: addr(4), Health: Ready, Weight: 1, SinceMs: r.now})
+	r.list(cluster.ListDelta, cluster.Entry{Server: addr(4), Health: cluster.Ready, Weight: 1, SinceMs: r.now})
 	cold := r.b.byAddr[addr(4)]
 	for _, st := range []Status{Full, OK} {
 		cold.credit = -1
@@ -307,12 +311,12 @@
 			t.Fatal(err)
 		}
 		r := &rig{t: t, b: b, now: 1e6}
-		entries := make([]Entry, 10)
+		entries := make([]cluster.Entry, 10)
 		for i := range entries {
-			entries[i] = Entry{Server: addr(i), Health: Ready, Weight: 1}
+			entries[i] = cluster.Entry{Server: addr(i), Health: cluster.Ready, Weight: 1}
 		}
 		entries[0].SinceMs = r.now
-		r.list(ListFull, entries...)
+		r.list(cluster.ListFull, entries...)
 		for range each {
 			id, s := r.sent(0, b.rng.Uint64())
 			if s == addr(0) {
@@ -367,7 +371,7 @@
 		t.Errorf("limit %.2f with a high calm, want %.2f", l, crowdShare)
 	}
 	r := newRig(t, testSettings(), 1)
-	r.list(ListDelta, Entry{Server: addr(1), Health: Ready, Weight: 1, SinceMs: r.now})
+	r.list(cluster.ListDelta, cluster.Entry{Server: addr(1), Health: cluster.Ready, Weight: 1, SinceMs: r.now})
 	r.b.calmLat = 0.2
 	if cold, warm := r.b.limit(r.b.byAddr[addr(1)]), r.b.limit(r.b.byAddr[addr(0)]); cold < 2*warm {
 		t.Errorf("limit %.2f of a cold server, %.2f of a warm one", cold, warm)
@@ -395,7 +399,7 @@
 		id, s := r.sent(0, uint64(r.b.rng.Int64()))
 		r.outcome(id, 0, s, OK, 20)
 	}
-	r.list(ListDelta, Entry{Server: addr(2), Health: Ready, Weight: 1, SinceMs: r.now})
+	r.list(cluster.ListDelta, cluster.Entry{Server: addr(2), Health: cluster.Ready, Weight: 1, SinceMs: r.now})
 	r.b.byAddr[addr(2)].sentAt = 0
 	for i := range 2 {
 		r.b.demote(r.b.byAddr[addr(i)], true)
@@ -471,11 +475,11 @@
 // them a strike, its window or its hold; one that fails more than the others is demoted.
 func TestFailuresOfTheWholeFleetCostNoStrike(t *testing.T) {
 	r := newRig(t, testSettings(), 6)
-	end := func(id RequestID, s Addr, st Status) {
+	end := func(id RequestID, s cluster.Addr, st Status) {
 		r.now += 20
 		r.outcome(id, 0, s, st, 20)
 	}
-	failed := map[Addr]int{}
+	failed := map[cluster.Addr]int{}
 	for i := range 600 {
 		id, s := r.sent(1, 0)
 		if i%12 == 0 {
@@ -603,7 +607,7 @@
 		t.Fatal("the timer did not subscribe")
 	}
 	for range 8 {
-		again := find(b.Handle(first.Ms, &Event{Kind: EvList, List: ListFailed}, nil), ActTimer)
+		again := find(b.Handle(first.Ms, &Event{Kind: EvList, List: cluster.ListFailed}, nil), ActTimer)
 		if again == nil || again.Ms > set.Contract.AskWithinMs {
 			t.Fatalf("a failed call was not repeated in the contract's time: %+v", again)
 		}
@@ -611,16 +615,16 @@
 }
 
 func TestSettingsThatMakeNoSense(t *testing.T) {
-	for key, spoil := range map[string]func(*Settings){
-		"classes":             func(s *Settings) { s.Classes = nil },
-		"classes[0].aimMs":    func(s *Settings) { s.Classes[0].AimMs = math.NaN() },
-		"classes[1].giveUpMs": func(s *Settings) { s.Classes[1].GiveUpMs = -1 },
-		"classes[0].effect":   func(s *Settings) { s.Classes[0].Effect = "maybe" },
-		"classes[2].group":    func(s *Settings) { s.Classes[2].Group = "moon" },
-		"contract.coldMs":     func(s *Settings) { s.Contract.ColdMs = -5 },
-		"prices.handshake":    func(s *Settings) { s.Prices.Handshake = math.NaN() },
-		"limits.keepaliveMs":  func(s *Settings) { s.Limits.KeepaliveMs = math.Inf(1) },
-		"membershipMode":      func(s *Settings) { s.Membership = "" },
+	for key, spoil := range map[string]func(*settings.Settings){
+		"classes":             func(s *settings.Settings) { s.Classes = nil },
+		"classes[0].aimMs":    func(s *settings.Settings) { s.Classes[0].AimMs = math.NaN() },
+		"classes[1].giveUpMs": func(s *settings.Settings) { s.Classes[1].GiveUpMs = -1 },
+		"classes[0].effect":   func(s *settings.Settings) { s.Classes[0].Effect = "maybe" },
+		"classes[2].group":    func(s *settings.Settings) { s.Classes[2].Group = "moon" },
+		"contract.coldMs":     func(s *settings.Settings) { s.Contract.ColdMs = -5 },
+		"prices.handshake":    func(s *settings.Settings) { s.Prices.Handshake = math.NaN() },
+		"limits.keepaliveMs":  func(s *settings.Settings) { s.Limits.KeepaliveMs = math.Inf(1) },
+		"membershipMode":      func(s *settings.Settings) { s.Membership = "" },
 	} {
 		s := testSettings()
 		spoil(&s)
@@ -640,9 +644,9 @@
 }
 
 func ExampleBalancer() {
-	settings := Settings{
-		Classes:    []Class{{Name: "read", AimMs: 200, GiveUpMs: 800, Effect: Free, Credit: 1}},
-		Limits:     Limits{MaxAttempts: 3},
+	settings := settings.Settings{
+		Classes:    []settings.Class{{Name: "read", AimMs: 200, GiveUpMs: 800, Effect: settings.Free, Credit: 1}},
+		Limits:     settings.Limits{MaxAttempts: 3},
 		Membership: "pushed",
 		RoundMs:    5,
 	}
@@ -653,8 +657,8 @@
 	}
 	now := 1000.0
 	b.Start(now, nil)
-	list := []Entry{{Server: Addr{10, 0, 0, 1, 0x1f, 0x90}, Health: Ready, Weight: 1}}
-	b.Handle(now, &Event{Kind: EvList, List: ListFull, Entries: list}, nil)
+	list := []cluster.Entry{{Server: cluster.Addr{10, 0, 0, 1, 0x1f, 0x90}, Health: cluster.Ready, Weight: 1}}
+	b.Handle(now, &Event{Kind: EvList, List: cluster.ListFull, Entries: list}, nil)
 	for _, a := range b.Handle(now, &Event{Kind: EvRequest, Request: 1, Key: 7, LeftMs: 800}, nil) {
 		if a.Kind == ActSend {
 			fmt.Println("send request", a.Request, "to", a.Server)
@@ -676,7 +680,7 @@
 		}
 	}
 	var ids []RequestID
-	var tos []Addr
+	var tos []cluster.Addr
 	for range 40 {
 		ids, tos = ids[:0], tos[:0]
 		for range 3 {
@@ -697,7 +701,7 @@
 // i7e1314: the class of least worth was starved though the worst class counts.
 func TestWorstClassCountsAmongHeld(t *testing.T) {
 	set := testSettings()
-	set.Objective = Objective{Whole: 0.5, WorstClass: 0.5}
+	set.Objective = settings.Objective{Whole: 0.5, WorstClass: 0.5}
 	r := newRig(t, set, 2)
 	once, free := &request{class: 1, aimAt: r.now + 500}, &request{class: 0, aimAt: r.now + 500}
 	for range 500 { // of class 1 all are served, of class 0 none
@@ -716,9 +720,9 @@
 // than its servers' part, and still most other servers are used.
 func TestOwnZoneIsPreferredByKey(t *testing.T) {
 	r := newRig(t, testSettings(), 6) // zones 0 and 1 in turn; this agent is in 0
-	own, used, all := 0, map[Addr]bool{}, 600
+	own, used, all := 0, map[cluster.Addr]bool{}, 600
 	for key := range uint64(all) {
-		id, s := r.sent(0, mix(key+1))
+		id, s := r.sent(0, arith.Mix(key+1))
 		r.outcome(id, 0, s, OK, 20)
 		used[s] = true
 		if r.b.byAddr[s].zone == 0 {
@@ -765,7 +769,7 @@
 		set := testSettings()
 		set.Replicas = c.agents
 		r := newRig(t, set, 40)
-		used := map[Addr]bool{}
+		used := map[cluster.Addr]bool{}
 		for i := range 1200 {
 			r.now += 20
 			key := uint64(1000 + i)
@@ -844,14 +848,14 @@
 		gap         float64 // ms between requests
 		least, most int
 	}{{400, leastServers, 16}, {4, 50, 60}} {
-		all := map[Addr]int{}
+		all := map[cluster.Addr]int{}
 		for index := range 30 {
 			set := testSettings()
 			set.Limits.KeepaliveMs, set.Replicas, set.Index = 10000, 1000, index
 			set.Prices.Handshake = 0.1
 			r := newRig(t, set, 60)
 			r.b.demote(r.b.servers[0], true)
-			used := map[Addr]bool{}
+			used := map[cluster.Addr]bool{}
 			for range 300 {
 				r.now += c.gap
 				r.b.servers[0].since = r.now // stays Unhealthy
@@ -880,7 +884,7 @@
 		set := testSettings()
 		set.Limits.KeepaliveMs, set.Limits.Probing = 10000, probing
 		r := newRig(t, set, 20)
-		var s Addr
+		var s cluster.Addr
 		for range 60 {
 			r.now += 500
 			var id RequestID
@@ -931,11 +935,11 @@
 		set := testSettings()
 		set.Weights = weights
 		r := newRig(t, set, 0)
-		var entries []Entry
+		var entries []cluster.Entry
 		for i := range 8 {
-			entries = append(entries, Entry{Server: addr(i), Health: Ready, Weight: 1, Kind: i % 2})
+			entries = append(entries, cluster.Entry{Server: addr(i), Health: cluster.Ready, Weight: 1, Kind: i % 2})
 		}
-		r.list(ListFull, entries...)
+		r.list(cluster.ListFull, entries...)
 		slow := 0
 		for i := range 1200 {
 			r.now += 50
@@ -959,7 +963,7 @@
 func TestOddValuesAreSurvived(t *testing.T) {
 	odd := []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1, 0, 1e300}
 	r := newRig(t, testSettings(), 3)
-	r.list(ListDelta, Entry{Server: addr(9), Health: Gone}, Entry{Server: addr(1), Health: Draining})
+	r.list(cluster.ListDelta, cluster.Entry{Server: addr(9), Health: cluster.Gone}, cluster.Entry{Server: addr(1), Health: cluster.Draining})
 	final := map[RequestID]int{}
 	count := func(actions []Action) {
 		for _, a := range actions {
@@ -969,7 +973,7 @@
 		}
 	}
 	for i, x := range odd {
-		r.list(ListDelta, Entry{Server: addr(2), Health: Ready, Weight: x, SinceMs: x})
+		r.list(cluster.ListDelta, cluster.Entry{Server: addr(2), Health: cluster.Ready, Weight: x, SinceMs: x})
 		for _, class := range []int{-1, 0, 1, 2, 3, 1 << 16} {
 			r.id++
 			actions := r.do(Event{Kind: EvRequest, Request: r.id, Class: class, Tenant: -i, Key: 5, LeftMs: x, HintMs: x, HasHint: true})
@@ -999,7 +1003,7 @@
 			t.Errorf("request %d has %d final answers", id, final[id])
 		}
 	}
-	if x := r.b.fleetLat + r.b.meanHint + r.b.hintMean + r.b.calmLat + r.b.expect[0]; math.IsNaN(x) || math.IsInf(x, 0) {
+	if x := r.b.fleetLat + r.b.meanHint + r.b.hinted.At(5, 0) + r.b.calmLat + r.b.expect[0]; math.IsNaN(x) || math.IsInf(x, 0) {
 		t.Errorf("odd values poisoned the means: %v", x)
 	}
 }
@@ -1013,8 +1017,8 @@
 	b.Start(0, nil)
 	b.Handle(1, &Event{Kind: EvRequest, Request: 1, Class: 0, Key: 5, LeftMs: 600}, nil)
 	b.Handle(2, &Event{Kind: EvTimer, Token: tickToken}, nil)
-	list := []Entry{{Server: addr(1), Health: Ready, Weight: 1}}
-	if a := find(b.Handle(3, &Event{Kind: EvList, List: ListFull, Entries: list}, nil), ActSend); a == nil || a.Request != 1 {
+	list := []cluster.Entry{{Server: addr(1), Health: cluster.Ready, Weight: 1}}
+	if a := find(b.Handle(3, &Event{Kind: EvList, List: cluster.ListFull, Entries: list}, nil), ActSend); a == nil || a.Request != 1 {
 		t.Error("the request was not sent once there was a list")
 	}
 }
@@ -1026,7 +1030,7 @@
 		set := testSettings()
 		set.Limits.KeepaliveMs, set.Prices.Handshake = keepalive, 0.1
 		r := newRig(t, set, 64)
-		r.list(ListDelta, Entry{Server: addr(99), Health: Ready, Weight: 1, SinceMs: r.now})
+		r.list(cluster.ListDelta, cluster.Entry{Server: addr(99), Health: cluster.Ready, Weight: 1, SinceMs: r.now})
 		cold := r.b.byAddr[addr(99)]
 		cold.credit = 0
 		r.b.earn(r.b.byAddr[addr(0)], 1)
@@ -1047,7 +1051,7 @@
 		}
 		r := &rig{t: t, b: b, now: start}
 		b.Start(start, nil)
-		r.list(ListCached, Entry{Server: addr(0), Health: Ready, Weight: 1}, Entry{Server: addr(1), Health: Ready, Weight: 1})
+		r.list(cluster.ListCached, cluster.Entry{Server: addr(0), Health: cluster.Ready, Weight: 1}, cluster.Entry{Server: addr(1), Health: cluster.Ready, Weight: 1})
 		for _, left := range []float64{0, -5, 600} {
 			r.id++
 			finals, actions := 0, r.do(Event{Kind: EvRequest, Request: r.id, Class: 0, Key: 3, LeftMs: left})
--- a/policy/property_test.go
+++ b/policy/property_test.go
@@ -6,6 +6,9 @@
 	"reflect"
 	"slices"
 	"testing"
+
+	"molepaddle/internal/cluster"
+	"molepaddle/internal/settings"
 )
 
 // world plays random clients, servers and lists against one Balancer and
@@ -13,19 +16,19 @@
 type world struct {
 	t        *testing.T
 	rng      *rand.Rand
-	set      Settings
+	set      settings.Settings
 	b        *Balancer
 	now      float64
 	next     RequestID
 	reqs     map[RequestID]*worldReq
 	timers   []worldTimer
-	list     map[Addr]Entry
-	badSince map[Addr]float64 // told that it drains or is gone
+	list     map[cluster.Addr]cluster.Entry
+	badSince map[cluster.Addr]float64 // told that it drains or is gone
 	history  []Action
 }
 
 type worldTry struct {
-	server Addr
+	server cluster.Addr
 	sentAt float64
 	endsAt float64
 	status Status
@@ -44,13 +47,13 @@
 	token uint32
 }
 
-func randomSettings(rng *rand.Rand) Settings {
+func randomSettings(rng *rand.Rand) settings.Settings {
 	s := testSettings()
 	s.Limits.ParallelTries = rng.IntN(2) == 0
 	s.Limits.Cancelling = rng.IntN(2) == 0
 	s.Limits.Probing = rng.IntN(2) == 0
 	s.Limits.MaxAttempts = 1 + rng.IntN(5)
-	s.Classes[2].Group = []Group{GroupAll, GroupZone, GroupCell}[rng.IntN(3)]
+	s.Classes[2].Group = []settings.Group{settings.GroupAll, settings.GroupZone, settings.GroupCell}[rng.IntN(3)]
 	s.Classes[2].KeyTTLMs = 100 + 900*rng.Float64()
 	for i := range s.Classes {
 		s.Classes[i].AimMs = 50 + 400*rng.Float64()
@@ -60,7 +63,7 @@
 		s.Membership = "on_request"
 	}
 	if rng.IntN(2) == 0 {
-		s.Tenants = []Tenant{{Name: "a", Portion: 0.7}, {Name: "b", Portion: 0.3}}
+		s.Tenants = []settings.Tenant{{Name: "a", Portion: 0.7}, {Name: "b", Portion: 0.3}}
 		s.OverShareWorth = 0.1
 	}
 	s.Clients.MarksRetry = rng.IntN(2) == 0
@@ -88,7 +91,7 @@
 				w.t.Fatalf("request %d answered %.1f ms after its deadline", a.Request, w.now-r.deadline)
 			}
 			c := w.set.Classes[r.class]
-			if a.Kind == ActRefuse && r.mayHaveRun() && (c.Effect == SingleShot || c.Effect == Guarded && c.Group != GroupAll) {
+			if a.Kind == ActRefuse && r.mayHaveRun() && (c.Effect == settings.SingleShot || c.Effect == settings.Guarded && c.Group != settings.GroupAll) {
 				w.t.Fatalf("request %d of effect %s refused though it may have run", a.Request, c.Effect)
 			}
 		case ActCancel:
@@ -132,11 +135,11 @@
 		}
 		x, y := w.list[t.server], w.list[a.Server]
 		switch {
-		case c.Effect == SingleShot:
+		case c.Effect == settings.SingleShot:
 			w.t.Fatalf("request %d sent again though it may have run", a.Request)
-		case c.Effect == Guarded && w.now-t.sentAt > c.KeyTTLMs:
+		case c.Effect == settings.Guarded && w.now-t.sentAt > c.KeyTTLMs:
 			w.t.Fatalf("request %d sent again %.0f ms after it may have run", a.Request, w.now-t.sentAt)
-		case c.Effect == Guarded && (c.Group == GroupZone && x.Zone != y.Zone || c.Group == GroupCell && x.Cell != y.Cell):
+		case c.Effect == settings.Guarded && (c.Group == settings.GroupZone && x.Zone != y.Zone || c.Group == settings.GroupCell && x.Cell != y.Cell):
 			w.t.Fatalf("request %d sent again outside its group", a.Request)
 		}
 	}
@@ -186,24 +189,24 @@
 
 func (w *world) changeList() {
 	s := addr(w.rng.IntN(8))
-	e := Entry{Server: s, Zone: int(s[3]) % 2, Cell: int(s[3]) % 3, Weight: 1 + w.rng.Float64(),
-		Health: []Health{Ready, Ready, Draining, Gone}[w.rng.IntN(4)]}
+	e := cluster.Entry{Server: s, Zone: int(s[3]) % 2, Cell: int(s[3]) % 3, Weight: 1 + w.rng.Float64(),
+		Health: []cluster.Health{cluster.Ready, cluster.Ready, cluster.Draining, cluster.Gone}[w.rng.IntN(4)]}
 	if w.rng.IntN(3) == 0 {
 		e.SinceMs = w.now - 100*w.rng.Float64()
 	}
 	w.list[s] = e
-	if e.Health == Ready {
+	if e.Health == cluster.Ready {
 		delete(w.badSince, s)
 	} else if _, told := w.badSince[s]; !told {
 		w.badSince[s] = w.now
 	}
-	w.handle(Event{Kind: EvList, List: ListDelta, Entries: []Entry{e}})
+	w.handle(Event{Kind: EvList, List: cluster.ListDelta, Entries: []cluster.Entry{e}})
 }
 
 func play(t *testing.T, seed uint64) []Action {
 	rng := rand.New(rand.NewPCG(seed, 7))
 	w := &world{t: t, rng: rng, set: randomSettings(rng), now: 5000, reqs: map[RequestID]*worldReq{},
-		list: map[Addr]Entry{}, badSince: map[Addr]float64{}}
+		list: map[cluster.Addr]cluster.Entry{}, badSince: map[cluster.Addr]float64{}}
 	var err error
 	if w.b, err = New(w.set, seed); err != nil {
 		t.Fatal(err)
@@ -234,7 +237,7 @@
 			w.handle(Event{Kind: EvOutcome, Request: 1 << 30, Server: addr(1), Status: OK})
 			w.handle(Event{Kind: EvDropped, Request: 1 << 30})
 			w.handle(Event{Kind: EvTimer, Token: 99})
-			w.handle(Event{Kind: EvList, List: ListFailed})
+			w.handle(Event{Kind: EvList, List: cluster.ListFailed})
 		}
 	}
 	if n := len(w.b.requests); n != 0 || len(w.b.held) != 0 || w.b.inflight != 0 {
@@ -245,8 +248,8 @@
 			t.Errorf("seed %d: server %v keeps %d attempts", seed, s.id, len(s.out))
 		}
 	}
-	if len(w.b.pasts) > maxHeld {
-		t.Errorf("seed %d: %d past requests remembered", seed, len(w.b.pasts))
+	if w.b.unserved.Len() > maxHeld {
+		t.Errorf("seed %d: %d past requests remembered", seed, w.b.unserved.Len())
 	}
 	return w.history
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -2,15 +2,18 @@
 
 import (
 	"math/rand/v2"
-	"slices"
+
+	"molepaddle/internal/arith"
+	"molepaddle/internal/cluster"
+	"molepaddle/internal/settings"
+	"molepaddle/internal/unserved"
 )
 
-// This file holds what a Balancer remembers and plain arithmetic on it; the
-// decisions are in policy.go.
+// This file holds what a Balancer remembers; the decisions are in policy.go.
 
 // server is what the agent knows of one listed server.
 type server struct {
-	id        Addr
+	id        cluster.Addr
 	hash      uint64
 	zone      int
 	cell      int
@@ -76,51 +79,20 @@
 	started    bool // a streamed answer belongs to the client now
 }
 
-// keyCounter counts how often each key came among the last keyMemory requests.
-type keyCounter struct {
-	last  [keyMemory]uint64
-	next  int
-	total int
-	count map[uint64]int
-}
-
-// add counts one more request for the key and returns the key's share.
-func (k *keyCounter) add(key uint64) float64 {
-	if k.total == keyMemory {
-		old := k.last[k.next]
-		if k.count[old]--; k.count[old] == 0 {
-			delete(k.count, old)
-		}
-	} else {
-		k.total++
-	}
-	k.last[k.next] = key
-	k.next = (k.next + 1) % keyMemory
-	k.count[key]++
-	return float64(k.count[key]) / float64(k.total)
-}
-
-// past is what is remembered of an unserved request, to know its retry.
-type past struct {
-	class int
-	key   uint64
-	first float64
-}
-
 // Balancer makes the decisions of one agent. It is not safe for concurrent use.
 type Balancer struct {
-	set        Settings
+	set        settings.Settings
 	rng        *rand.Rand
 	now        float64
 	out        []Action
 	servers    []*server // by address
-	byAddr     map[Addr]*server
+	byAddr     map[cluster.Addr]*server
 	requests   map[RequestID]*request
 	held       []*request
 	tier       []*server // scratch of pick
 	shares     []float64 // scratch of common
-	pasts      []past
-	recentKeys keyCounter
+	unserved   unserved.Memory
+	recentKeys *arith.Recent
 	warm       float64 // weight of warm servers, at warmAt and warmEpoch
 	warmAt     float64
 	warmEpoch  uint64
@@ -129,19 +101,15 @@
 	probes     int
 	expect     []float64 // per class: mean answer time
 	meanHint   float64
-	hints      float64 // answers to hinted requests, and their means and spread
-	hintMean   float64
-	hintTime   float64
-	hintVar    float64
-	hintCov    float64
-	answers    float64   // served so far
-	fleetLat   float64   // mean answer time as a part of the aim, all servers
-	calmLat    float64   // the same when nothing is crowded
-	usage      []float64 // tenants' shares of requests
-	asked      []float64 // classes' shares of requests
-	won        []float64 // and of those served in time
-	worst      int       // the class served worst
-	credit     float64   // mean worth of a request
+	hinted     arith.Line   // answer time over hinted work: the network's share does not grow with it
+	answers    float64      // served so far
+	fleetLat   float64      // mean answer time as a part of the aim, all servers
+	calmLat    float64      // the same when nothing is crowded
+	usage      arith.Shares // tenants' shares of requests
+	asked      []float64    // classes' shares of requests
+	won        []float64    // and of those served in time
+	worst      int          // the class served worst
+	credit     float64      // mean worth of a request
 	aimMin     float64
 	lookedAt   float64 // last fetch of the list
 	follows    int     // failed calls in a row
@@ -178,17 +146,6 @@
 	}
 }
 
-// count keeps the tenants' shares of this agent's requests.
-func (b *Balancer) count(tenant int) {
-	if tenant < 0 || tenant >= len(b.usage) {
-		return
-	}
-	for i := range b.usage {
-		b.usage[i] *= fade
-	}
-	b.usage[tenant] += 1 - fade
-}
-
 // enter notes a server's new state and its time; tiers have changed.
 func (b *Balancer) enter(s *server, to State) {
 	if s.state > Unknown || to > Unknown {
@@ -197,21 +154,6 @@
 	s.state, s.since = to, b.now
 }
 
-// learnHint keeps the straight line of answer time over hinted work: the network's
-// share does not grow with the work.
-func (b *Balancer) learnHint(r *request, rtt float64) {
-	if r.hint <= 0 {
-		return
-	}
-	b.hints++
-	w := max(slowSmooth, 1/b.hints)
-	dh, dt := r.hint-b.hintMean, rtt-b.hintTime
-	b.hintMean += w * dh
-	b.hintTime += w * dt
-	b.hintVar += w * (dh*dh*(1-w) - b.hintVar)
-	b.hintCov += w * (dh*dt*(1-w) - b.hintCov)
-}
-
 // tooMany tells whether more requests are held than the agent can bear: past the
 // requests it may have open, clients would wait for a connection with nobody to answer.
 func (b *Balancer) tooMany() bool {
@@ -219,30 +161,6 @@
 	return len(b.held) > maxHeld || len(b.held) > 0 && most > 0 && len(b.held)+b.inflight > most
 }
 
-// remember keeps when an unserved request first came, so that its retry is
-// judged by the time that has passed for the client.
-func (b *Balancer) remember(r *request) {
-	if !b.set.Clients.MarksRetry {
-		return
-	}
-	b.pasts = slices.DeleteFunc(b.pasts, func(p past) bool {
-		return b.now-p.first > b.set.Classes[p.class].GiveUpMs
-	})
-	if len(b.pasts) < maxHeld {
-		b.pasts = append(b.pasts, past{r.class, r.key, r.first})
-	}
-}
-
-func (b *Balancer) recall(r *request) float64 {
-	i := slices.IndexFunc(b.pasts, func(p past) bool { return p.class == r.class && p.key == r.key })
-	if i < 0 {
-		return r.arrived
-	}
-	first := b.pasts[i].first
-	b.pasts = slices.Delete(b.pasts, i, i+1)
-	return first
-}
-
 // warmWeight is the weight of the servers of the top tier that are not cold, counted
 // once for all decisions of a moment.
 func (b *Balancer) warmWeight() float64 {
@@ -267,50 +185,5 @@
 			b.shares = append(b.shares, s.fails)
 		}
 	}
-	if len(b.shares) < 3 {
-		return 0
-	}
-	slices.Sort(b.shares)
-	return b.shares[len(b.shares)/2]
-}
-
-// nudge moves a weight a step down or up within its bounds.
-func nudge(w float64, down bool, least, most float64) float64 {
-	if down {
-		return max(w/(1+weighStep), least)
-	}
-	return min(w*(1+weighStep), most)
-}
-
-// finite makes what came from outside safe to calculate with: not a number and negative
-// become 0, infinite and huge the largest number that leaves room for sums and squares.
-func finite(x float64) float64 {
-	if !(x > 0) {
-		return 0
-	}
-	return min(x, 1e15)
-}
-
-// mean moves a running mean towards x; the first value is taken whole.
-func mean(old, x, weight float64) float64 {
-	if old == 0 {
-		return x
-	}
-	return old + weight*(x-old)
-}
-
-func hashAddr(a Addr) uint64 {
-	h := uint64(0)
-	for _, x := range a {
-		h = h<<8 | uint64(x)
-	}
-	return h
-}
-
-// mix is the finalizer of splitmix64.
-func mix(x uint64) uint64 {
-	x += 0x9e3779b97f4a7c15
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
+	return arith.Median(b.shares)
 }
