--- a/policy/policy.go
+++ b/policy/policy.go
@@ -70,7 +70,7 @@
 		return nil, err
 	}
 	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, arith.Mix(seed))),
-		byAddr: map[cluster.Addr]*server{},
+		byAddr:   map[cluster.Addr]*server{},
 		requests: map[RequestID]*request{}, usage: make([]float64, len(set.Tenants)),
 		unserved: unserved.New(&set, maxHeld), home: ownZone, aimMin: math.Inf(1), lookedAt: math.Inf(-1),
 		recentKeys: arith.NewRecent(keyMemory)}
