--- a/cmd/molepaddle/main.go
+++ b/cmd/molepaddle/main.go
@@ -15,6 +15,7 @@
 	"syscall"
 
 	"molepaddle/internal/agent"
+	"molepaddle/internal/config"
 )
 
 func main() {
@@ -30,7 +31,7 @@
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	path := os.Getenv("EDGE_CONFIG")
-	conf, err := agent.LoadConfig(path)
+	conf, err := config.Load(path)
 	if err != nil {
 		return err
 	}
@@ -41,7 +42,7 @@
 	debug.SetGCPercent(400)
 	debug.SetMemoryLimit(int64(conf.Limits.MemoryMB * 0.6 * (1 << 20)))
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("agent", conf.Name)
-	a, err := agent.New(conf, log)
+	a, err := agent.New(conf, agent.Network{}, log)
 	if err != nil {
 		return err
 	}
@@ -51,7 +52,7 @@
 	}
 	go func() {
 		for range reload {
-			next, err := agent.LoadConfig(path)
+			next, err := config.Load(path)
 			if err != nil {
 				log.Error("reload: the configuration at hand is kept", "err", err)
 				continue
@@ -59,7 +60,7 @@
 			a.Reload(next)
 		}
 	}()
-	log.Info("started", "listen", conf.Listen, "backends", len(conf.Known.Hosts))
+	log.Info("started", "listen", conf.Listen, "backends", len(conf.Known.Servers))
 	if err := a.Serve(ctx, ln); err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,103 @@
+// Package agent puts one agent together: the core, its HTTP front end and transport, the
+// roster's client. It shares out the descriptors and the memory among them, and decides
+// nothing else.
+//
+// Serve runs the core in a goroutine that outlives the front end, which ends first; what
+// Serve and Reload touch is theirs to share.
+package agent
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"time"
+
+	"molepaddle/internal/config"
+	"molepaddle/internal/core"
+	"molepaddle/internal/httpfront"
+	"molepaddle/internal/httptransport"
+	"molepaddle/internal/roster"
+)
+
+// otherSockets are kept for the roster, the listener and the runtime.
+const otherSockets = 16
+
+// backendSockets is the part of the descriptors for connections to servers;
+// clientSockets that for clients', who hold a third of all at most for requests.
+func backendSockets(all int) int { return (all - otherSockets) * 2 / 5 }
+func clientSockets(all int) int  { return all - otherSockets - backendSockets(all) }
+
+// keptSockets is how many of the clients' connections are kept between requests: half of
+// what the clients hold.
+func keptSockets(all int) int { return all / 6 }
+
+// openRequests is how many requests may be held at once, told to the module, which
+// refuses what is over it. The places left are for those that are told so.
+func openRequests(all int) int {
+	places := clientSockets(all)
+	return places - max(places/8, 8)
+}
+
+// Network opens the agent's own connections; the zero Network is the machine's.
+type Network struct {
+	// Dial opens one as net.Dialer.DialContext does.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+}
+
+// Agent is one agent.
+type Agent struct {
+	core  *core.Core
+	front *httpfront.Front
+	stop  context.CancelFunc
+}
+
+// New makes an agent, which is told the list of its configuration.
+func New(c *config.Config, network Network, log *slog.Logger) (*Agent, error) {
+	if network.Dial == nil {
+		network.Dial = (&net.Dialer{KeepAlive: -1}).DialContext
+	}
+	connect := ms(c.Settings.Limits.ConnectTimeoutMs)
+	if connect <= 0 {
+		connect = time.Second
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	k, err := core.New(ctx, core.Options{
+		Settings: c.Settings, Seed: c.Seed, Known: c.Known, MaxOpen: openRequests(c.Limits.Sockets),
+		// Room for all that can be under way at once: a front end must not wait there.
+		Queue: 4 * c.Limits.Sockets,
+		Transport: httptransport.New(httptransport.Options{Dial: network.Dial, Timeout: connect,
+			Idle: ms(c.Settings.Limits.KeepaliveMs / 2), Most: backendSockets(c.Limits.Sockets)}),
+		RosterAddr: c.Discovery,
+		NewRoster: func(addr string, tell func(core.News)) core.Roster {
+			return roster.New(ctx, addr, c.Words, network.Dial, tell)
+		},
+		Log: log,
+	})
+	if err != nil {
+		stop()
+		return nil, err
+	}
+	return &Agent{core: k, stop: stop, front: httpfront.New(k, httpfront.Options{
+		Settings: &c.Settings, Classes: c.Classes, Tenants: c.Tenants,
+		Places: clientSockets(c.Limits.Sockets), Kept: keptSockets(c.Limits.Sockets),
+		BodyBytes: int64(c.Limits.MemoryMB * (1 << 20) / 8), Log: log})}, nil
+}
+
+func ms(x float64) time.Duration { return time.Duration(x * float64(time.Millisecond)) }
+
+// Reload takes what may change while the agent runs from a new configuration: the
+// address of the roster.
+func (a *Agent) Reload(c *config.Config) { a.core.TurnTo(c.Discovery) }
+
+// Serve answers on the listener until the context ends, then finishes what it holds.
+func (a *Agent) Serve(ctx context.Context, ln net.Listener) error {
+	defer a.stop()
+	go a.core.Run()
+	return a.front.Serve(ctx, ln)
+}
+
+// Close ends the agent at once, with all that it holds.
+func (a *Agent) Close() error {
+	a.stop()
+	return a.front.Close()
+}
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -47,3 +47,17 @@
 	ListCached
 	ListFailed
 )
+
+// Server is one line of a list with the address at which the agent reaches it, which may
+// differ from one agent to the next.
+type Server struct {
+	Entry
+	Dial string // host:port, or what else the transport takes
+}
+
+// List is a list of servers, or a change of one.
+type List struct {
+	Seq     int64 // its version; later ones are higher, but for another roster's
+	Whole   bool
+	Servers []Server
+}
--- a/internal/agent/config.go
+++ b/internal/config/config.go
@@ -1,21 +1,24 @@
-// Package agent is the real agent round the decision module: it turns what
-// happens on sockets into the module's events and carries out its actions. It
-// decides nothing about where, when or whether a request is sent.
-package agent
+// Package config reads what the platform tells an agent at its start. Values only: a
+// Config is not changed once it is read.
+package config
 
 import (
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"strconv"
 
+	"molepaddle/internal/cluster"
+	"molepaddle/internal/roster"
 	"molepaddle/internal/settings"
 	"molepaddle/internal/wire"
 	"molepaddle/policy"
 )
 
+// MinSockets is the least number of descriptors that an agent can work with.
+const MinSockets = 64
+
 // Limits is what the machine allows the process.
 type Limits struct {
 	Cores    float64 `json:"cores"`
@@ -31,18 +34,15 @@
 	Seed      uint64
 	Limits    Limits
 	Settings  settings.Settings
-	Names     names
-	Known     List
-}
-
-// names maps the words of discovery and of clients to the module's numbers.
-type names struct {
-	sites, kinds, classes, tenants map[string]int
+	Words     roster.Words   // of lists
+	Classes   map[string]int // numbers of the classes names
+	Tenants   map[string]int
+	Known     cluster.List
 }
 
-// LoadConfig reads and validates the file at path. Its error names the key
+// Load reads and validates the file at path. Its error names the key
 // that makes no sense.
-func LoadConfig(path string) (*Config, error) {
+func Load(path string) (*Config, error) {
 	if path == "" {
 		return nil, errors.New("EDGE_CONFIG: not set")
 	}
@@ -50,11 +50,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("EDGE_CONFIG: %w", err)
 	}
-	return ParseConfig(text)
+	return Parse(text)
 }
 
-// ParseConfig reads and validates the text of a configuration.
-func ParseConfig(text []byte) (*Config, error) {
+// Parse reads and validates the text of a configuration.
+func Parse(text []byte) (*Config, error) {
 	var raw struct {
 		Name      string          `json:"name"`
 		Listen    string          `json:"listen"`
@@ -72,10 +72,10 @@
 		return nil, fmt.Errorf("config: no JSON: %w", err)
 	}
 	c := &Config{Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery, Limits: raw.Limits}
-	if err := checkAddress(raw.Listen); err != nil {
+	if err := roster.CheckAddress(raw.Listen); err != nil {
 		return nil, fmt.Errorf("config: listen: %w", err)
 	}
-	if err := checkAddress(raw.Discovery); err != nil {
+	if err := roster.CheckAddress(raw.Discovery); err != nil {
 		return nil, fmt.Errorf("config: discovery: %w", err)
 	}
 	var err error
@@ -89,8 +89,8 @@
 		return nil, fmt.Errorf("config: limits.cores: must be above 0 and at most 1024, is %v", l.Cores)
 	case !(l.MemoryMB >= 16) || l.MemoryMB > 1<<24:
 		return nil, fmt.Errorf("config: limits.memory_mb: must be 16 or above, is %v", l.MemoryMB)
-	case l.Sockets < minSockets:
-		return nil, fmt.Errorf("config: limits.sockets: must be %d or above, is %d", minSockets, l.Sockets)
+	case l.Sockets < MinSockets:
+		return nil, fmt.Errorf("config: limits.sockets: must be %d or above, is %d", MinSockets, l.Sockets)
 	case len(raw.Settings) == 0:
 		return nil, errors.New("config: settings: missing")
 	}
@@ -108,36 +108,25 @@
 	if _, err := policy.New(c.Settings, c.Seed); err != nil {
 		return nil, fmt.Errorf("config: %w", err)
 	}
-	c.Names = names{sites: index(words.Sites), kinds: index(words.Kinds),
-		classes: map[string]int{}, tenants: map[string]int{}}
+	c.Words = roster.Words{Sites: index(words.Sites), Kinds: index(words.Kinds)}
+	c.Classes, c.Tenants = map[string]int{}, map[string]int{}
 	for i, class := range c.Settings.Classes {
 		if class.Name == "" {
 			return nil, fmt.Errorf("config: settings: classes[%d].name: missing", i)
 		}
-		c.Names.classes[class.Name] = i
+		c.Classes[class.Name] = i
 	}
 	for i, tenant := range c.Settings.Tenants {
-		c.Names.tenants[tenant.Name] = i
+		c.Tenants[tenant.Name] = i
 	}
 	if len(raw.Known) > 0 {
-		if c.Known, err = parseList(raw.Known); err != nil {
+		if c.Known, err = c.Words.Parse(raw.Known); err != nil {
 			return nil, fmt.Errorf("config: known: %w", err)
 		}
 	}
 	return c, nil
 }
 
-func checkAddress(addr string) error {
-	_, port, err := net.SplitHostPort(addr)
-	if err != nil {
-		return fmt.Errorf("no address with a port: %q", addr)
-	}
-	if _, err := strconv.ParseUint(port, 10, 16); err != nil {
-		return fmt.Errorf("no port number: %q", addr)
-	}
-	return nil
-}
-
 func index(words []string) map[string]int {
 	m := make(map[string]int, len(words))
 	for i, w := range words {
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,361 @@
+// Package core is the agent between a front end, which brings clients' requests, and a
+// transport, which carries attempts to servers; it knows neither one's protocol. It owns
+// the Balancer and does what that decides; it decides nothing about where, when or
+// whether a request is sent.
+//
+// Each request that Do takes gets exactly one final answer. Run is the one goroutine that
+// owns the Balancer, the requests taken, the servers, their attempts and the memory of
+// ids; what happens elsewhere reaches it as inputs through one queue, handled one by one
+// in their order, and nothing in it blocks. Do runs in its caller's goroutine and shares
+// with Run the queue and one channel for the answer. An attempt's stage is the only
+// other thing that both sides change: it settles whether a byte may still go out.
+//
+// All time comes from the standard library's clock.
+package core
+
+import (
+	"context"
+	"log/slog"
+	"runtime/debug"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"molepaddle/internal/cluster"
+	"molepaddle/internal/settings"
+	"molepaddle/policy"
+)
+
+// guardMargin is how long before the client's time is up the last guard answers: later
+// than the module's own last word.
+const guardMargin = 2 * time.Millisecond
+
+// Options is what a Core is made of.
+type Options struct {
+	Settings   settings.Settings
+	Seed       uint64
+	Known      cluster.List // as last had, perhaps old
+	MaxOpen    int          // requests that may be held at once; the module refuses what is over it
+	Queue      int          // room for what may happen at once, a few times the descriptors
+	Transport  Transport
+	RosterAddr string
+	// NewRoster makes the client of the roster at an address.
+	NewRoster func(addr string, tell func(News)) Roster
+	Log       *slog.Logger
+}
+
+// inKind tells what happened.
+type inKind uint8
+
+// What may come in.
+const (
+	inRequest inKind = iota // req
+	inDropped               // req: nobody waits for its answer any more
+	inOutcome               // att, res
+	inTimer                 // token
+	inNews                  // news, gen
+	inTurn                  // addr: another roster's
+)
+
+// input is one thing that happened, on its way to Run.
+type input struct {
+	kind  inKind
+	req   *Request
+	att   *Attempt
+	res   Result
+	token uint32
+	news  News
+	gen   int // of the roster that was asked
+	addr  string
+}
+
+// Core is the requests, servers and decisions of one agent.
+type Core struct {
+	ctx       context.Context
+	set       settings.Settings
+	log       *slog.Logger
+	transport Transport
+	newRoster func(addr string, tell func(News)) Roster
+	in        chan input
+	ready     atomic.Bool // a server can be sent to
+
+	// What stands below belongs to Run.
+	bal        *policy.Balancer
+	todo       []input // what Run itself gave rise to, to be handled next
+	base       time.Time
+	baseMs     float64
+	requests   map[policy.RequestID]*Request
+	nextID     policy.RequestID
+	ids        *idMemory
+	backends   []*backend // in the order in which they came to be listed
+	byAddr     map[cluster.Addr]*backend
+	roster     Roster
+	rosterAddr string
+	rosterGen  int
+	seq        int64 // version of the list at hand; 0 after a change of roster
+	watching   bool
+	fetching   bool
+	actions    []policy.Action
+}
+
+// New makes a core that ends with the context; its settings are validated. It is told
+// the list in the options before it returns.
+func New(ctx context.Context, o Options) (*Core, error) {
+	set := o.Settings
+	if set.Limits.OpenCap <= 0 || set.Limits.OpenCap > o.MaxOpen {
+		set.Limits.OpenCap = o.MaxOpen
+	}
+	bal, err := policy.New(set, o.Seed)
+	if err != nil {
+		return nil, err
+	}
+	// The module's clock is the Unix time of the start, then monotonic: starts of servers
+	// need no translation, and steps of the system's clock don't show.
+	base := time.Now()
+	c := &Core{ctx: ctx, set: set, log: o.Log, transport: o.Transport, newRoster: o.NewRoster,
+		in: make(chan input, o.Queue), bal: bal, base: base, baseMs: float64(base.UnixMicro()) / 1000,
+		requests: map[policy.RequestID]*Request{}, byAddr: map[cluster.Addr]*backend{},
+		ids: newIDMemory(Longest(&set) + time.Second)} // longer than any request is open
+	c.openRoster(o.RosterAddr)
+	c.actions = c.bal.Start(c.clock(), c.actions[:0])
+	c.act()
+	c.learn(cluster.ListCached, &o.Known)
+	return c, nil
+}
+
+// Longest is how long a request of any class may be open.
+func Longest(set *settings.Settings) time.Duration {
+	longest := 0.0
+	for _, class := range set.Classes {
+		longest = max(longest, class.GiveUpMs)
+	}
+	return ms(longest)
+}
+
+func ms(x float64) time.Duration { return time.Duration(x * float64(time.Millisecond)) }
+
+func (c *Core) clock() float64 {
+	return c.baseMs + float64(time.Since(c.base))/float64(time.Millisecond)
+}
+
+// Ready tells whether there is a server to send to.
+func (c *Core) Ready() bool { return c.ready.Load() }
+
+// TurnTo turns to the roster at another address.
+func (c *Core) TurnTo(addr string) { c.post(input{kind: inTurn, addr: addr}) }
+
+// Do takes a request and returns its final answer. It returns at the latest shortly
+// before the request's deadline, and at once when ctx ends: then the client has gone, and
+// work on its behalf is given up as far as the settings allow.
+func (c *Core) Do(ctx context.Context, r *Request) Answer {
+	r.answers = make(chan Answer, 1)
+	guard := time.NewTimer(time.Until(r.Deadline) - guardMargin)
+	defer guard.Stop()
+	c.post(input{kind: inRequest, req: r})
+	end := Answer{Outcome: Overdue}
+	select {
+	case ans := <-r.answers:
+		return ans
+	case <-ctx.Done():
+		end.Outcome = Gone
+	case <-guard.C:
+	}
+	// The guard is for a loop that is stuck, perhaps with its queue full.
+	select {
+	case c.in <- input{kind: inDropped, req: r}:
+	default:
+		go c.post(input{kind: inDropped, req: r})
+	}
+	return end
+}
+
+// post hands Run something that happened. It waits while the queue is full and returns
+// at once when the core has ended.
+func (c *Core) post(in input) {
+	select {
+	case c.in <- in:
+	case <-c.ctx.Done():
+	}
+}
+
+// Run handles what comes in until the context ends.
+func (c *Core) Run() {
+	for {
+		select {
+		case in := <-c.in:
+			c.handle(in)
+		case <-c.ctx.Done():
+			return
+		}
+	}
+}
+
+// handle takes one input and all that it gives rise to.
+func (c *Core) handle(in input) {
+	c.one(in)
+	for len(c.todo) > 0 {
+		in, c.todo = c.todo[0], c.todo[1:]
+		c.one(in)
+	}
+}
+
+// one takes one input. A panic costs the request at hand its decision, and its guard
+// answers it: one bad event must not take down all that the agent holds.
+func (c *Core) one(in input) {
+	defer func() {
+		if p := recover(); p != nil {
+			c.log.Error("panic in the core", "input", in.kind, "panic", p, "stack", string(debug.Stack()))
+		}
+	}()
+	switch in.kind {
+	case inRequest:
+		c.onRequest(in.req)
+	case inDropped:
+		if r := in.req; r.id != 0 && !r.answered {
+			r.answered = true
+			c.tell(&policy.Event{Kind: policy.EvDropped, Request: r.id})
+			c.forget(r)
+		}
+	case inOutcome:
+		c.onOutcome(in.att, &in.res)
+	case inTimer:
+		c.tell(&policy.Event{Kind: policy.EvTimer, Token: in.token})
+	case inTurn:
+		c.turnTo(in.addr)
+	case inNews:
+		if in.gen == c.rosterGen { // else of a roster that is asked no more
+			c.onNews(&in.news)
+		}
+	}
+}
+
+// tell hands the module one event and carries out what it decides.
+func (c *Core) tell(ev *policy.Event) {
+	c.actions = c.bal.Handle(c.clock(), ev, c.actions[:0])
+	c.act()
+}
+
+func (c *Core) onRequest(r *Request) {
+	if !c.ids.add(r.ID, time.Now()) {
+		c.answer(r, Answer{Outcome: Repeated})
+		return
+	}
+	c.nextID++
+	if c.nextID == 0 {
+		c.nextID++
+	}
+	r.id = c.nextID
+	c.requests[r.id] = r
+	c.tell(&policy.Event{Kind: policy.EvRequest, Request: r.id, Class: r.Class, Tenant: r.Tenant,
+		Key: r.Key, LeftMs: float64(time.Until(r.Deadline)) / float64(time.Millisecond),
+		HintMs: r.HintMs, HasHint: r.HasHint, Retry: r.Retry})
+}
+
+func (c *Core) onOutcome(a *Attempt, res *Result) {
+	if a.ended {
+		return // stopped before its first byte, which its transport tells only now
+	}
+	a.ended = true
+	r, b := a.Request, a.backend
+	b.attempts = slices.DeleteFunc(b.attempts, func(o *Attempt) bool { return o == a })
+	c.drop(b)
+	r.open--
+	if res.panicked != nil {
+		c.log.Error("attempt ended", "err", res.panicked)
+	}
+	if res.Status == policy.OK {
+		c.answer(r, Answer{Outcome: Served, Body: res.Body, ContentType: res.ContentType})
+	}
+	if res.Status == policy.Timeout {
+		// The machine may have vanished; its other connections would be as silent.
+		b.endpoint.CloseIdle()
+	}
+	c.tell(&policy.Event{Kind: policy.EvOutcome, Request: r.id, Attempt: a.index, Server: b.addr,
+		Status: res.Status, LatencyMs: float64(res.took) / float64(time.Millisecond),
+		Final: r.answered, Report: report(res.Load, c.set.Report.Names)})
+	c.forget(r)
+}
+
+// answer gives a request its final answer, unless it has one.
+func (c *Core) answer(r *Request, a Answer) {
+	if !r.answered {
+		r.answered = true
+		r.answers <- a
+	}
+}
+
+// forget drops a request that is answered and has no attempt out.
+func (c *Core) forget(r *Request) {
+	if r.answered && r.open == 0 {
+		delete(c.requests, r.id)
+	}
+}
+
+// act carries out the module's actions in their order.
+func (c *Core) act() {
+	for i := range c.actions {
+		act := &c.actions[i]
+		r := c.requests[act.Request]
+		switch act.Kind {
+		case policy.ActSend:
+			if r != nil {
+				c.send(r, act)
+			}
+		case policy.ActCancel:
+			if r != nil && act.Attempt >= 0 && act.Attempt < len(r.attempts) {
+				if a := r.attempts[act.Attempt]; !c.stop(a, ErrCancelled, policy.Cancelled) {
+					a.Cancel(ErrCancelled)
+				}
+			}
+		case policy.ActRefuse:
+			if r != nil {
+				c.answer(r, Answer{Outcome: Refused, RetryAfter: ms(act.Ms)})
+				c.forget(r)
+			}
+		case policy.ActFail:
+			if r != nil {
+				c.answer(r, Answer{Outcome: Failed})
+				c.forget(r)
+			}
+		case policy.ActTimer:
+			token := act.Token
+			time.AfterFunc(ms(act.Ms), func() { c.post(input{kind: inTimer, token: token}) })
+		case policy.ActFollow:
+			if !c.watching {
+				c.watching = true
+				c.roster.Watch(c.seq, false)
+			}
+		case policy.ActFetch:
+			if !c.fetching {
+				c.fetching = true
+				c.roster.Fetch(false)
+			}
+		case policy.ActClose:
+			if b := c.byAddr[act.Server]; b != nil {
+				b.endpoint.CloseIdle()
+			}
+		case policy.ActLog:
+			c.log.Info(act.Text)
+		}
+	}
+}
+
+// send starts an attempt.
+func (c *Core) send(r *Request, act *policy.Action) {
+	b := c.byAddr[act.Server]
+	if b == nil {
+		b = &backend{addr: act.Server, endpoint: c.transport.Endpoint("")}
+	}
+	var a *Attempt
+	a = NewAttempt(c.ctx, r, ms(act.Ms), func(res Result) { c.post(input{kind: inOutcome, att: a, res: res}) })
+	a.index, a.backend = len(r.attempts), b
+	r.attempts = append(r.attempts, a)
+	r.open++
+	if !b.usable || r.answered {
+		// The module sends to what is listed as ready only; should it not, nothing goes out.
+		c.stop(a, nil, policy.Moot)
+		return
+	}
+	b.attempts = append(b.attempts, a)
+	b.endpoint.Start(a)
+}
--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,390 @@
+package core
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"os/exec"
+	"testing"
+	"time"
+
+	"molepaddle/internal/cluster"
+	"molepaddle/internal/settings"
+	"molepaddle/policy"
+)
+
+// fakeTransport holds what it was told to carry.
+type fakeTransport struct{ started []*Attempt }
+
+type fakeEndpoint struct {
+	t                *fakeTransport
+	dial             string
+	idleShut, retire int
+}
+
+func (f *fakeTransport) Endpoint(dial string) Endpoint { return &fakeEndpoint{t: f, dial: dial} }
+func (e *fakeEndpoint) Start(a *Attempt)               { e.t.started = append(e.t.started, a) }
+func (e *fakeEndpoint) CloseIdle()                     { e.idleShut++ }
+func (e *fakeEndpoint) Retire()                        { e.retire++ }
+
+// fakeRoster notes what it is asked.
+type fakeRoster struct {
+	addr   string
+	tell   func(News)
+	asked  []string
+	closed bool
+}
+
+func (f *fakeRoster) Fetch(bool)        { f.asked = append(f.asked, "fetch") }
+func (f *fakeRoster) Watch(int64, bool) { f.asked = append(f.asked, "watch") }
+func (f *fakeRoster) Close()            { f.closed = true }
+
+// rig is a core that a test drives by hand; Run does not run.
+type rig struct {
+	*Core
+	transport *fakeTransport
+	rosters   []*fakeRoster
+}
+
+func addr(i int) cluster.Addr { return cluster.Addr{byte(i)} }
+
+func server(i int, dial string, health cluster.Health, born float64) cluster.Server {
+	return cluster.Server{Dial: dial, Entry: cluster.Entry{Server: addr(i), Health: health, SinceMs: born, Weight: 1}}
+}
+
+func listOf(seq int64, whole bool, servers ...cluster.Server) cluster.List {
+	return cluster.List{Seq: seq, Whole: whole, Servers: servers}
+}
+
+func newRig(t *testing.T, servers ...cluster.Server) *rig {
+	t.Helper()
+	class := func(name string, effect settings.Effect) settings.Class {
+		return settings.Class{Name: name, AimMs: 20000, GiveUpMs: 30000, Credit: 1, Effect: effect, Group: settings.GroupAll, KeyTTLMs: 20000}
+	}
+	set := settings.Settings{Membership: "pushed", Replicas: 1, RoundMs: 5, Weights: "nominal",
+		Classes: []settings.Class{class("look", settings.Free), class("send", settings.Guarded), class("order", settings.SingleShot)},
+		Limits:  settings.Limits{Cancelling: true, MaxAttempts: 3, MaxRetryAfterMs: 600, KeepaliveMs: 30000},
+		Contract: settings.Contract{AskWithinMs: 10000, ColdFrom: 0.3, ColdMs: 8000, DrainGraceMs: 250,
+			FallMultiple: 2.5, TipAfterMs: 1000}}
+	r := &rig{transport: &fakeTransport{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	var err error
+	r.Core, err = New(ctx, Options{Settings: set, Seed: 1, Known: listOf(1, true, servers...), MaxOpen: 100, Queue: 16,
+		Transport: r.transport, RosterAddr: "first", Log: slog.New(slog.DiscardHandler),
+		NewRoster: func(addr string, tell func(News)) Roster {
+			f := &fakeRoster{addr: addr, tell: tell}
+			r.rosters = append(r.rosters, f)
+			return f
+		}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// ask takes a request as Do does.
+func (r *rig) ask(class int, id string) *Request {
+	q := &Request{ID: id, Class: class, Deadline: time.Now().Add(time.Hour), answers: make(chan Answer, 1)}
+	r.handle(input{kind: inRequest, req: q})
+	return q
+}
+
+// told is the answer that a request has; there must be one.
+func told(t *testing.T, q *Request) Answer {
+	t.Helper()
+	select {
+	case a := <-q.answers:
+		return a
+	default:
+		t.Fatal("no answer")
+		return Answer{}
+	}
+}
+
+// end lets an attempt end as its transport would, and the core hear of it.
+func (r *rig) end(a *Attempt, res Result) {
+	a.End(res)
+	r.handle(<-r.in)
+}
+
+func (r *rig) news(n News) { r.handle(input{kind: inNews, news: n, gen: r.rosterGen}) }
+
+// The core speaks no protocol.
+func TestImportsNoHTTP(t *testing.T) {
+	out, err := exec.Command("go", "list", "-deps", ".").Output()
+	if err != nil {
+		t.Skip("no go command: ", err)
+	}
+	if bytes.Contains(out, []byte("net/http\n")) {
+		t.Fatal("the core depends on net/http")
+	}
+}
+
+// An attempt goes out once, and what began is not withdrawn.
+func TestAttemptBeginsOnce(t *testing.T) {
+	a := NewAttempt(t.Context(), &Request{}, time.Hour, func(Result) {})
+	defer a.Cancel(nil)
+	if !a.Begin() || a.Begin() || a.Withdraw(nil) {
+		t.Fatal("an attempt began twice or was withdrawn after it began")
+	}
+}
+
+// What an attempt that got no answer says of itself, by its stage and the cause.
+func TestBroken(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		begun bool
+		cause error
+		err   error
+		cut   bool
+		want  policy.Status
+	}{
+		{"not begun", false, nil, io.EOF, false, policy.ConnectFailed},
+		{"no socket", false, nil, ErrNoSocket, false, policy.Full},
+		{"drained before it began", false, ErrDrained, io.EOF, false, policy.Full},
+		{"drained after it began", true, ErrDrained, io.EOF, false, policy.Timeout},
+		{"cancelled", true, ErrCancelled, io.EOF, false, policy.Cancelled},
+		{"cut", true, nil, io.EOF, true, policy.ConnectFailed},
+		{"timed out", true, context.DeadlineExceeded, io.EOF, false, policy.Timeout},
+		{"broken", true, nil, io.EOF, false, policy.Reset},
+	} {
+		a := NewAttempt(t.Context(), &Request{}, time.Hour, func(Result) {})
+		if c.begun {
+			a.Begin()
+		}
+		if c.cause != nil {
+			a.Cancel(c.cause)
+		}
+		if got := a.Broken(c.err, c.cut).Status; got != c.want {
+			t.Errorf("%s: ended %d, want %d", c.name, got, c.want)
+		}
+		if a.Begin() {
+			t.Errorf("%s: a byte may still go out after the end", c.name)
+		}
+		a.Cancel(nil)
+	}
+}
+
+// The last guard answers should Run never do, and its request is given up; a full queue
+// does not hold the answer back.
+func TestGuard(t *testing.T) {
+	r := newRig(t)
+	for len(r.in) < cap(r.in)-1 {
+		r.in <- input{kind: inTimer}
+	}
+	if got := r.Do(t.Context(), &Request{ID: "a", Deadline: time.Now().Add(20 * time.Millisecond)}); got.Outcome != Overdue {
+		t.Fatalf("answered %+v", got)
+	}
+	for n := cap(r.in) - 1; n > 0; n-- {
+		<-r.in
+	}
+	if first, second := <-r.in, <-r.in; first.kind != inRequest || second.kind != inDropped {
+		t.Fatalf("the core was told %d, %d", first.kind, second.kind)
+	}
+}
+
+// Do returns at once when the client leaves, and the attempt is given up.
+func TestClientLeaves(t *testing.T) {
+	r := newRig(t, server(1, "a", cluster.Ready, 0))
+	ctx, leave := context.WithCancel(t.Context())
+	done := make(chan Answer)
+	go func() { done <- r.Do(ctx, &Request{ID: "a", Class: 2, Deadline: time.Now().Add(time.Hour)}) }()
+	r.handle(<-r.in)
+	a := r.transport.started[0]
+	a.Begin()
+	leave()
+	if got := <-done; got.Outcome != Gone {
+		t.Fatalf("answered %+v", got)
+	}
+	r.handle(<-r.in)
+	if context.Cause(a.Context()) != ErrCancelled {
+		t.Fatal("its attempt goes on")
+	}
+	r.end(a, a.Broken(io.EOF, false))
+	if len(r.requests) != 0 || len(r.byAddr[addr(1)].attempts) != 0 {
+		t.Fatal("something of the request is left")
+	}
+}
+
+// A panic costs its one input.
+func TestPanic(t *testing.T) {
+	r := newRig(t, server(1, "a", cluster.Ready, 0))
+	r.handle(input{kind: inRequest, req: nil})
+	r.ask(0, "a")
+	if len(r.transport.started) != 1 {
+		t.Fatal("nothing goes on after a panic")
+	}
+}
+
+// One final answer each, also where the outcome comes after it.
+func TestOneAnswer(t *testing.T) {
+	r := newRig(t, server(1, "a", cluster.Ready, 0))
+	q := r.ask(2, "a")
+	a := r.transport.started[0]
+	a.Begin()
+	r.end(a, Result{Status: policy.OK, Body: []byte("done"), ContentType: "x"})
+	if got := told(t, q); got.Outcome != Served || string(got.Body) != "done" || got.ContentType != "x" {
+		t.Fatalf("answered %+v", got)
+	}
+	if again := r.ask(2, "a"); told(t, again).Outcome != Repeated || len(r.transport.started) != 1 {
+		t.Fatal("an id that came before was sent again")
+	}
+	late := r.ask(2, "b")
+	r.handle(input{kind: inDropped, req: late})
+	r.end(r.transport.started[1], Result{Status: policy.OK})
+	if len(late.answers) != 0 || len(r.requests) != 0 {
+		t.Fatal("an answer after its client had left")
+	}
+	lost := r.ask(2, "c")
+	a = r.transport.started[2]
+	a.Begin()
+	r.end(a, a.Broken(io.EOF, false))
+	if got := told(t, lost); got.Outcome != Failed {
+		t.Fatalf("what may have run was answered %+v", got)
+	}
+}
+
+// A drained server is sent nothing that had not begun: those attempts end at once, in
+// their order, and go elsewhere; what their transport tells later changes nothing.
+func TestDrainEndsWhatHasNotBegun(t *testing.T) {
+	r := newRig(t, server(1, "a", cluster.Ready, 0))
+	q := r.ask(2, "a")
+	first := r.transport.started[0]
+	r.news(News{Kind: Changed, List: listOf(2, false, server(1, "a", cluster.Draining, 0), server(2, "b", cluster.Ready, 0))})
+	if first.Begin() || !errors.Is(context.Cause(first.Context()), ErrDrained) {
+		t.Fatal("the attempt may still go to the drained server")
+	}
+	if len(r.transport.started) != 2 || r.transport.started[1].backend.addr != addr(2) {
+		t.Fatal("it did not go on to the other server")
+	}
+	r.end(first, first.Broken(io.EOF, false))
+	second := r.transport.started[1]
+	second.Begin()
+	r.end(second, Result{Status: policy.OK})
+	if told(t, q).Outcome != Served || len(r.backends) != 1 || len(r.requests) != 0 {
+		t.Fatal("not served by the other, or something is left of the first")
+	}
+}
+
+// Lists apply in the order of their versions, whichever way they come.
+func TestListOrder(t *testing.T) {
+	r := newRig(t, server(0, "a", cluster.Ready, 0), server(1, "b", cluster.Ready, 0))
+	usable := func(i int) bool { b := r.byAddr[addr(i)]; return b != nil && b.usable }
+	r.news(News{Kind: Changed, List: listOf(5, false, server(0, "a", cluster.Draining, 0))})
+	if usable(0) || !usable(1) {
+		t.Fatal("the change of version 5 was not applied")
+	}
+	ready := server(0, "a", cluster.Ready, 0)
+	r.news(News{Kind: Changed, List: listOf(4, false, ready)})
+	r.news(News{Kind: Fetched, List: listOf(3, true, ready)})
+	if usable(0) || !usable(1) {
+		t.Fatal("an older version was applied")
+	}
+	r.news(News{Kind: Fetched, List: listOf(6, true, ready)})
+	if !usable(0) || usable(1) || r.seq != 6 {
+		t.Fatal("the whole list of version 6 was not applied")
+	}
+	if len(r.backends) != 1 || len(r.byAddr) != 1 {
+		t.Fatalf("%d servers kept, one is listed", len(r.backends))
+	}
+	r.news(News{Kind: Changed, List: listOf(7, false, server(0, "", cluster.Gone, 0))})
+	if len(r.backends) != 0 || r.Ready() {
+		t.Fatal("the server that is gone was kept")
+	}
+}
+
+// A new process or address gets new connections; the server stays the same.
+func TestNewProcessNewConnections(t *testing.T) {
+	r := newRig(t, server(0, "a", cluster.Ready, 0))
+	b := r.byAddr[addr(0)]
+	before := b.endpoint.(*fakeEndpoint)
+	r.news(News{Kind: Changed, List: listOf(2, false, server(0, "a", cluster.Ready, 0))})
+	if b.endpoint != before {
+		t.Fatal("connections thrown away though nothing changed")
+	}
+	r.ask(2, "a")
+	waits := r.transport.started[0]
+	for i, s := range []cluster.Server{server(0, "b", cluster.Ready, 0), server(0, "b", cluster.Ready, 7)} {
+		r.news(News{Kind: Changed, List: listOf(int64(3+i), false, s)})
+		now := b.endpoint.(*fakeEndpoint)
+		if r.byAddr[addr(0)] != b || now == before || now.dial != s.Dial || before.retire != 1 {
+			t.Fatal("the old connections were kept")
+		}
+		before = now
+	}
+	if !errors.Is(context.Cause(waits.Context()), ErrDrained) || waits.Begin() {
+		t.Fatal("an attempt that had not begun may still go to the old address")
+	}
+}
+
+// A machine that vanished is silent on all its connections: after a time-out none that
+// stands idle is used again.
+func TestTimeoutDropsIdle(t *testing.T) {
+	r := newRig(t, server(0, "a", cluster.Ready, 0))
+	r.ask(2, "a")
+	a := r.transport.started[0]
+	a.Begin()
+	r.end(a, Result{Status: policy.Timeout})
+	if n := r.byAddr[addr(0)].endpoint.(*fakeEndpoint).idleShut; n != 1 {
+		t.Fatalf("idle connections closed %d times", n)
+	}
+}
+
+// A new roster is watched and asked at once, late words of the old one change nothing,
+// and its versions may start lower. Servers stay known meanwhile.
+func TestTurnTo(t *testing.T) {
+	r := newRig(t, server(0, "a", cluster.Ready, 0), server(1, "b", cluster.Ready, 0))
+	r.seq = 41
+	before := r.byAddr[addr(0)].endpoint
+	r.handle(input{kind: inTurn, addr: "second"})
+	old, next := r.rosters[0], r.rosters[1]
+	if !old.closed || next.addr != "second" || len(next.asked) != 2 {
+		t.Fatalf("asked %v", next.asked)
+	}
+	drains := server(0, "a", cluster.Draining, 0)
+	old.tell(News{Kind: Changed, List: listOf(42, false, drains)})
+	old.tell(News{Kind: WatchEnded, Err: io.EOF})
+	old.tell(News{Kind: Fetched, List: listOf(42, true, drains)})
+	for range 3 {
+		r.handle(<-r.in)
+	}
+	if !r.watching || !r.fetching || !r.byAddr[addr(0)].usable || r.byAddr[addr(0)].endpoint != before {
+		t.Fatal("a late word of the old roster counted")
+	}
+	next.tell(News{Kind: Changed, List: listOf(3, false, drains)})
+	r.handle(<-r.in)
+	if r.byAddr[addr(0)] != nil || r.seq != 3 {
+		t.Fatal("the new roster was not heard")
+	}
+	if r.handle(input{kind: inTurn, addr: "second"}); len(r.rosters) != 2 {
+		t.Fatal("the same roster was taken for a new one")
+	}
+}
+
+// A load report is believed whole or not at all.
+func TestReport(t *testing.T) {
+	got := report("TEXT util=0.61, qps=7, eps=0, other=x", []string{"qps", "util", "eps"})
+	if len(got) != 3 || got[0] != 7 || got[1] != 0.61 || got[2] != 0 {
+		t.Fatalf("got %v", got)
+	}
+	for _, bad := range []string{"", "JSON {}", "TEXT qps=much, util=1", "TEXT qps=1", "TEXT qps=NaN, util=1",
+		"TEXT qps=+Inf, util=1", "TEXT qps=-1, util=1", "TEXT qps=1, qps=2, util=1", "TEXT qps, util=1"} {
+		if got := report(bad, []string{"qps", "util"}); got != nil {
+			t.Fatalf("%q gave %v", bad, got)
+		}
+	}
+}
+
+// Ids are forgotten in time, but not before.
+func TestIDMemory(t *testing.T) {
+	m, now := newIDMemory(time.Second), time.Now()
+	if !m.add("a", now) || m.add("a", now.Add(900*time.Millisecond)) || m.add("a", now.Add(1500*time.Millisecond)) {
+		t.Fatal("an id that is known was taken for new")
+	}
+	if !m.add("b", now.Add(2*time.Second)) || !m.add("a", now.Add(4*time.Second)) || len(m.now)+len(m.before) > 2 {
+		t.Fatal("an old id was kept")
+	}
+}
--- a/internal/agent/ids.go
+++ b/internal/core/ids.go
@@ -1,4 +1,4 @@
-package agent
+package core
 
 import (
 	"hash/maphash"
--- /dev/null
+++ b/internal/core/servers.go
@@ -0,0 +1,94 @@
+package core
+
+import (
+	"slices"
+	"time"
+
+	"molepaddle/internal/cluster"
+	"molepaddle/policy"
+)
+
+// backend is one listed server. The core's goroutine owns it.
+type backend struct {
+	addr     cluster.Addr
+	dial     string
+	bornMs   float64
+	usable   bool // listed as ready
+	endpoint Endpoint
+	attempts []*Attempt // out now, in the order of their start
+}
+
+// learn applies a list: to the connections first, then the module is told.
+func (c *Core) learn(kind cluster.ListKind, list *cluster.List) {
+	c.seq = list.Seq
+	entries := make([]cluster.Entry, len(list.Servers))
+	named := map[cluster.Addr]bool{}
+	for i := range list.Servers {
+		s := &list.Servers[i]
+		entries[i] = s.Entry
+		addr := s.Entry.Server
+		named[addr] = true
+		b := c.byAddr[addr]
+		if b == nil {
+			if s.Health == cluster.Gone {
+				continue
+			}
+			b = &backend{addr: addr}
+			c.byAddr[addr] = b
+			c.backends = append(c.backends, b)
+		}
+		if s.Health != cluster.Gone && (b.endpoint == nil || b.dial != s.Dial || b.bornMs != s.SinceMs) {
+			// Connections to another address or to the process before are of no use, and
+			// what has not begun there must not.
+			if b.endpoint != nil {
+				c.withdraw(b)
+				b.endpoint.Retire()
+			}
+			b.dial, b.bornMs, b.endpoint = s.Dial, s.SinceMs, c.transport.Endpoint(s.Dial)
+		}
+		b.usable = s.Health == cluster.Ready
+	}
+	usable := false
+	for _, b := range slices.Clone(c.backends) { // drop takes out of it
+		if kind != cluster.ListDelta && !named[b.addr] {
+			b.usable = false
+		}
+		if !b.usable {
+			c.withdraw(b)
+		}
+		usable = usable || b.usable
+		c.drop(b)
+	}
+	c.tell(&policy.Event{Kind: policy.EvList, List: kind, Entries: entries})
+	c.ready.Store(usable)
+}
+
+// withdraw stops the attempts of which no byte has gone out, and closes the connections
+// that stand idle: a server that drains, is gone or is another now gets nothing more.
+func (c *Core) withdraw(b *backend) {
+	for _, a := range b.attempts {
+		c.stop(a, ErrDrained, policy.Full)
+	}
+	b.endpoint.CloseIdle()
+}
+
+// stop gives an attempt up if no byte of it went out; then it has ended, in the order in
+// which attempts are stopped, whenever its transport comes to know.
+func (c *Core) stop(a *Attempt, cause error, as policy.Status) bool {
+	if !a.Withdraw(cause) {
+		return false
+	}
+	c.todo = append(c.todo, input{kind: inOutcome, att: a, res: Result{Status: as, took: time.Since(a.started)}})
+	return true
+}
+
+// drop forgets a server that is not to be sent to and has no attempt out.
+func (c *Core) drop(b *backend) {
+	if !b.usable && len(b.attempts) == 0 {
+		b.endpoint.Retire()
+		if c.byAddr[b.addr] == b {
+			delete(c.byAddr, b.addr)
+			c.backends = slices.DeleteFunc(c.backends, func(o *backend) bool { return o == b })
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/transport.go
@@ -0,0 +1,172 @@
+package core
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"molepaddle/policy"
+)
+
+// Transport carries attempts to servers. It is used by the core's goroutine only.
+type Transport interface {
+	// Endpoint is one process of a server, reached at an address as the list gives it.
+	// It opens nothing yet. The core has one at a time for a server, and retires it when
+	// the server is gone, has another address or is a new process.
+	Endpoint(dial string) Endpoint
+}
+
+// Endpoint is the way to one process of a server, with the connections that are kept to
+// it. The core's goroutine calls its methods, and none of them may block: what waits goes
+// into goroutines of the transport, such as Attempt.Go starts.
+type Endpoint interface {
+	// Start carries the attempt, and ends it by Attempt.End or Go exactly once. What of
+	// its connections an attempt uses is settled before Start returns, so that attempts
+	// started one after the other find them in that order.
+	Start(a *Attempt)
+	// CloseIdle closes the connections that carry no attempt.
+	CloseIdle()
+	// Retire does the same, and closes the others when their attempts end.
+	Retire()
+}
+
+// The stages of an attempt.
+const (
+	waiting int32 = iota // no byte was written
+	sending              // a byte may have been written
+	over                 // withdrawn before a byte was written: none will be
+)
+
+// Attempt is one send of a request to a server. The core makes it; the transport carries
+// it, and may use it until it has ended it.
+//
+// What a transport owes: it writes nothing of the request before Begin has said true, and
+// nothing at all if it says false. It stops when the Context ends, and before it ends the
+// attempt the connection is closed or otherwise such that no byte of the attempt follows:
+// the core may start another at once.
+//
+// When it may say that an attempt never ran (Status.NeverRan): where Begin was not asked
+// or said false, where the last byte of the request was not written and can't be any
+// more, or where the server has said so. In doubt it may have run. Broken tells the first
+// two apart from the rest.
+type Attempt struct {
+	Request *Request // not to be changed
+
+	end     func(Result)
+	started time.Time
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	stage   atomic.Int32
+
+	// What stands below belongs to the core's goroutine.
+	index   int
+	backend *backend
+	ended   bool // its outcome was taken
+}
+
+// NewAttempt makes an attempt that ends with the context or, at the latest, after the
+// time-out; end is told how, once. The core makes its attempts so, and so may whoever
+// drives a transport without a core, as its tests do.
+func NewAttempt(ctx context.Context, r *Request, timeout time.Duration, end func(Result)) *Attempt {
+	a := &Attempt{Request: r, end: end, started: time.Now()}
+	ctx, cancel := context.WithCancelCause(ctx)
+	var stop context.CancelFunc
+	a.ctx, stop = context.WithTimeout(ctx, timeout)
+	a.cancel = func(cause error) {
+		cancel(cause)
+		stop()
+	}
+	return a
+}
+
+// ErrNoSocket is why an attempt never ran for want of a descriptor: its server is not to
+// blame. Transports wrap it in what they hand to Broken.
+var ErrNoSocket = errors.New("no socket left for a new connection")
+
+// Why attempts are given up, as the cause of their contexts' end.
+var (
+	ErrCancelled = errors.New("attempt cancelled")
+	ErrDrained   = errors.New("server drains or is gone")
+)
+
+// Context ends when the attempt is over: at its time-out, when it is cancelled or when
+// the agent ends.
+func (a *Attempt) Context() context.Context { return a.ctx }
+
+// Deadline is when the agent stops waiting for the attempt.
+func (a *Attempt) Deadline() time.Time {
+	t, _ := a.ctx.Deadline()
+	return t
+}
+
+// Begin is asked before the first byte is written; false means that none may be.
+func (a *Attempt) Begin() bool { return a.stage.CompareAndSwap(waiting, sending) }
+
+// Withdraw stops an attempt of which no byte went out, for the cause given, and reports
+// whether it did: one that had begun or was stopped before it leaves alone.
+func (a *Attempt) Withdraw(cause error) bool {
+	if !a.stage.CompareAndSwap(waiting, over) {
+		return false
+	}
+	a.cancel(cause)
+	return true
+}
+
+// Cancel ends the attempt's context for the cause given, whatever has gone out.
+func (a *Attempt) Cancel(cause error) { a.cancel(cause) }
+
+// Go carries the attempt in a goroutine of its own and ends it with what it returns. A
+// panic must not end the process with all that it holds: what had begun may have run.
+func (a *Attempt) Go(carry func() Result) {
+	go func() {
+		var res Result
+		defer func() {
+			if p := recover(); p != nil {
+				res = a.Broken(nil, false)
+				res.panicked = fmt.Errorf("panic in an attempt: %v\n%s", p, debug.Stack())
+			}
+			a.End(res)
+		}()
+		res = carry()
+	}()
+}
+
+// End tells the core how the attempt ended. It is called once.
+func (a *Attempt) End(res Result) {
+	a.cancel(nil)
+	res.took = time.Since(a.started)
+	a.end(res)
+}
+
+// Broken is the result of an attempt that got no whole answer, because of err. cut says
+// that a part of the request was not written and can't be any more.
+func (a *Attempt) Broken(err error, cut bool) Result {
+	never := a.stage.CompareAndSwap(waiting, over) || a.stage.Load() == over
+	cause := context.Cause(a.ctx)
+	status := policy.Reset
+	switch {
+	case never && (errors.Is(err, ErrNoSocket) || errors.Is(cause, ErrDrained)):
+		status = policy.Full
+	case errors.Is(cause, ErrCancelled):
+		status = policy.Cancelled
+	case never || cut:
+		status = policy.ConnectFailed
+	case cause != nil:
+		status = policy.Timeout
+	}
+	return Result{Status: status}
+}
+
+// Result is how an attempt ended.
+type Result struct {
+	Status      policy.Status
+	Body        []byte // of a served one, whole
+	ContentType string
+	Load        string // the server's load report, as it came; empty: none
+
+	took     time.Duration
+	panicked error
+}
--- a/internal/agent/server.go
+++ b/internal/httpfront/front.go
@@ -1,4 +1,10 @@
-package agent
+// Package httpfront takes clients' requests over HTTP/1.1 and gives each its answer.
+//
+// A request is handled in the goroutine of its connection, as net/http's server does; it
+// shares nothing with others but the counters in Front. places guards by a lock which
+// connections there are and what each is at; its listener and the goroutine that tidies
+// up close those that need their place least.
+package httpfront
 
 import (
 	"context"
@@ -15,17 +21,11 @@
 	"sync/atomic"
 	"time"
 
+	"molepaddle/internal/core"
 	"molepaddle/internal/settings"
-	"molepaddle/policy"
 )
 
 const (
-	// minSockets is the least that an agent can work with; otherSockets are kept for
-	// discovery, the listener and the runtime.
-	minSockets, otherSockets = 64, 16
-	// guardMargin is how long before the client's time is up the last guard answers:
-	// later than the module's own last word.
-	guardMargin = 2 * time.Millisecond
 	// acceptFor is how long connections are taken after SIGTERM: they go on coming for
 	// up to 0.4 s. settleFor is left to what was accepted last to be read.
 	acceptFor, settleFor = 450 * time.Millisecond, 50 * time.Millisecond
@@ -39,72 +39,60 @@
 	maxHead    = 16 << 10
 	maxTimeout = time.Minute
 	maxWord    = 256 // bytes of a Request-Id or a Host
+	maxBody    = core.MaxBody
 )
 
-// backendSockets is the part of the descriptors for connections to backends;
-// clientSockets that for clients', who hold a third of all at most for requests.
-func backendSockets(all int) int { return (all - otherSockets) * 2 / 5 }
-func clientSockets(all int) int  { return all - otherSockets - backendSockets(all) }
-
-// keptSockets is how many of the clients' connections are kept between requests: half of
-// what the clients hold.
-func keptSockets(all int) int { return all / 6 }
+// Handler gives a request its one final answer; a core.Core is one.
+type Handler interface {
+	Do(ctx context.Context, r *core.Request) core.Answer
+	Ready() bool
+}
 
-// openRequests is how many requests may be held at once, told to the module, which
-// refuses what is over it. The places left are for those that are told so.
-func openRequests(all int) int {
-	places := clientSockets(all)
-	return places - max(places/8, 8)
+// Options is what a front end is told.
+type Options struct {
+	Settings  *settings.Settings
+	Classes   map[string]int // numbers of the classes' names
+	Tenants   map[string]int // numbers of the tenants' names
+	Places    int            // connections of clients at the most
+	Kept      int            // those that are kept between requests
+	BodyBytes int64          // bodies held together
+	Log       *slog.Logger
 }
 
-// Agent is one agent: the loop with the decisions and the server for the clients.
-type Agent struct {
-	loop    *loop
+// Front is the front end.
+type Front struct {
+	core    Handler
+	opt     Options
 	server  *http.Server
-	conf    *Config
-	log     *slog.Logger
 	leaving atomic.Bool
 	working atomic.Int64 // requests taken and not yet answered
 	bodies  atomic.Int64 // bytes of the bodies held
 	places  *places
-	stop    context.CancelFunc
 }
 
-// New makes an agent, which is told the list of its configuration.
-func New(c *Config, log *slog.Logger) (*Agent, error) {
-	ctx, stop := context.WithCancel(context.Background())
-	l, err := newLoop(ctx, c, log)
-	if err != nil {
-		stop()
-		return nil, err
-	}
-	a := &Agent{loop: l, conf: c, log: log, stop: stop}
-	a.places = newPlaces(clientSockets(c.Limits.Sockets), keptSockets(c.Limits.Sockets))
+// New makes a front end that hands requests to h.
+func New(h Handler, o Options) *Front {
+	a := &Front{core: h, opt: o, places: newPlaces(o.Places, o.Kept)}
 	a.server = &http.Server{
 		Handler:           a,
 		ReadHeaderTimeout: headFor,
 		IdleTimeout:       keepIdle,
 		MaxHeaderBytes:    maxHead,
 		WriteTimeout:      maxTimeout + 5*time.Second, // a client that never reads
-		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelWarn),
+		ErrorLog:          slog.NewLogLogger(o.Log.Handler(), slog.LevelWarn),
 		ConnState:         a.places.track,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, c)
 		},
 	}
-	return a, nil
+	return a
 }
 
 type connKey struct{}
 
-// Reload takes what may change while the agent runs from a new configuration: the
-// address of discovery.
-func (a *Agent) Reload(c *Config) { a.loop.post(input{kind: inReload, text: c.Discovery}) }
-
-// Serve answers on the listener until the context ends, then finishes what it holds.
-func (a *Agent) Serve(ctx context.Context, ln net.Listener) error {
-	defer a.stop()
-	go a.loop.run()
+// Serve answers on the listener until the context ends, then finishes what it holds. It
+// may be called once.
+func (a *Front) Serve(ctx context.Context, ln net.Listener) error {
 	go a.tidy(ctx)
 	failed := make(chan error, 1)
 	go func() { failed <- a.server.Serve(&listener{Listener: ln, places: a.places}) }()
@@ -116,8 +104,11 @@
 	return a.leave(ln)
 }
 
+// Close ends all connections at once.
+func (a *Front) Close() error { return a.server.Close() }
+
 // tidy looks after the clients' idle connections until the context ends.
-func (a *Agent) tidy(ctx context.Context) {
+func (a *Front) tidy(ctx context.Context) {
 	tick := time.NewTicker(tidyEvery)
 	defer tick.Stop()
 	for {
@@ -134,17 +125,14 @@
 // so idle connections are closed first, while what crosses that can still come on a
 // new one; then the listener; then all that is held is answered. Connections that are
 // silent or hold half a request are not waited for.
-func (a *Agent) leave(ln net.Listener) error {
+func (a *Front) leave(ln net.Listener) error {
 	a.leaving.Store(true)
 	a.server.SetKeepAlivesEnabled(false)
 	time.Sleep(acceptFor)
 	ln.Close()
-	longest := 0.0
-	for _, c := range a.conf.Settings.Classes {
-		longest = max(longest, c.GiveUpMs)
-	}
+	longest := core.Longest(a.opt.Settings)
 	settled := time.Now().Add(settleFor)
-	for end := time.Now().Add(ms(longest) + settleFor); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+	for end := time.Now().Add(longest + settleFor); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 		a.places.closeWaiting()
 		if a.places.count() == 0 || a.working.Load() == 0 && time.Now().After(settled) {
 			break
@@ -160,21 +148,17 @@
 }
 
 // ServeHTTP takes one request and gives it one answer.
-func (a *Agent) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
+func (a *Front) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	came := time.Now()
 	if hr.Method == http.MethodGet && hr.RequestURI == "/ready" {
 		a.serveReady(w)
 		return
 	}
-	var r *request
 	answered := false
-	// A panic must not leave the request without an answer, nor the module with it.
+	// A panic must not leave the request without an answer.
 	defer func() {
 		if p := recover(); p != nil {
-			a.log.Error("panic in a handler", "panic", p, "stack", string(debug.Stack()))
-			if r != nil {
-				a.loop.post(input{kind: inDropped, req: r})
-			}
+			a.opt.Log.Error("panic in a handler", "panic", p, "stack", string(debug.Stack()))
 			if !answered {
 				a.write(w, http.StatusInternalServerError, "", nil)
 			}
@@ -188,30 +172,22 @@
 	}
 	a.working.Add(1)
 	defer a.working.Add(-1)
-	defer a.bodies.Add(-int64(len(r.body)))
-	guard := time.NewTimer(time.Until(r.deadline) - guardMargin)
-	defer guard.Stop()
-	a.loop.post(input{kind: inRequest, req: r})
-	select {
-	case ans := <-r.answers:
-		answered = true
-		if ans.status == duplicate {
-			a.reject(w, hr, &problem{http.StatusConflict, "Request-Id: came before"})
-			return
-		}
-		a.answer(w, ans)
-	case <-hr.Context().Done(): // the client has gone
-		answered = true
-		a.loop.post(input{kind: inDropped, req: r})
-	case <-guard.C:
-		answered = true
+	defer a.bodies.Add(-int64(len(r.Message.Body)))
+	ans := a.core.Do(hr.Context(), r)
+	answered = true
+	switch ans.Outcome {
+	case core.Repeated:
+		a.reject(w, hr, &problem{http.StatusConflict, "Request-Id: came before"})
+	case core.Gone:
+	case core.Overdue:
 		a.write(w, http.StatusGatewayTimeout, "", nil)
-		a.loop.post(input{kind: inDropped, req: r})
+	default:
+		a.answer(w, ans)
 	}
 }
 
-func (a *Agent) serveReady(w http.ResponseWriter) {
-	if a.leaving.Load() || !a.loop.ready.Load() {
+func (a *Front) serveReady(w http.ResponseWriter) {
+	if a.leaving.Load() || !a.core.Ready() {
 		http.Error(w, "no backend to send to", http.StatusServiceUnavailable)
 		return
 	}
@@ -232,9 +208,9 @@
 }
 
 // read makes a request of what the client sent, its body included.
-func (a *Agent) read(w http.ResponseWriter, hr *http.Request, came time.Time) (*request, *problem) {
-	r := &request{method: hr.Method, target: hr.RequestURI, host: hr.Host,
-		retry: hr.Header.Get("Client-Retry") == "1", answers: make(chan answer, 1)}
+func (a *Front) read(w http.ResponseWriter, hr *http.Request, came time.Time) (*core.Request, *problem) {
+	r := &core.Request{Retry: hr.Header.Get("Client-Retry") == "1",
+		Message: core.Message{Method: hr.Method, Target: hr.RequestURI, Host: hr.Host}}
 	// The server ignores a length beside a Transfer-Encoding, so a request could hide in
 	// the body for whoever reads it the other way; clients send lengths.
 	if len(hr.TransferEncoding) > 0 || hr.ContentLength < 0 {
@@ -247,16 +223,16 @@
 		return nil, &problem{http.StatusBadRequest, "no path: an agent is no proxy"}
 	}
 	parts := strings.Split(hr.URL.Path[1:], "/")
-	class, known := a.conf.Names.classes[parts[0]]
+	class, known := a.opt.Classes[parts[0]]
 	if !known {
 		return nil, &problem{http.StatusNotFound, "unknown class of request"}
 	}
-	r.class = class
+	r.Class = class
 	var timeout string
 	for _, field := range []struct {
 		key   string
 		value *string
-	}{{"Request-Id", &r.wireID}, {"Idempotency-Key", &r.idempotency}, {"Content-Type", &r.kind}, {"Request-Timeout", &timeout}} {
+	}{{"Request-Id", &r.ID}, {"Idempotency-Key", &r.Message.IdempotencyKey}, {"Content-Type", &r.Message.ContentType}, {"Request-Timeout", &timeout}} {
 		values := hr.Header[field.key]
 		if len(values) > 1 {
 			return nil, &problem{http.StatusBadRequest, field.key + ": more than one"}
@@ -265,7 +241,7 @@
 			*field.value = values[0]
 		}
 	}
-	set := &a.conf.Settings.Classes[class]
+	set := &a.opt.Settings.Classes[class]
 	want := http.MethodPost
 	if set.Effect == settings.Free {
 		want = http.MethodGet
@@ -276,44 +252,44 @@
 		return nil, &problem{http.StatusMethodNotAllowed, "this class is asked with " + want}
 	case want == http.MethodGet && hr.ContentLength > 0:
 		return nil, &problem{http.StatusBadRequest, "body: none belongs to GET"}
-	case !plain(r.host):
+	case !plain(r.Message.Host):
 		return nil, &problem{http.StatusBadRequest, "Host: missing or no plain word"}
-	case !plain(r.wireID):
+	case !plain(r.ID):
 		return nil, &problem{http.StatusBadRequest, "Request-Id: missing or no plain word"}
-	case set.Effect == settings.Guarded && r.idempotency == "":
+	case set.Effect == settings.Guarded && r.Message.IdempotencyKey == "":
 		return nil, &problem{http.StatusBadRequest, "Idempotency-Key: missing"}
 	case err != nil:
 		return nil, &problem{http.StatusBadRequest, "Request-Timeout: " + err.Error()}
 	}
 	// A client may wait for longer than its class is worth anything, the agent does not.
-	r.deadline = came.Add(min(left, ms(set.GiveUpMs)))
+	r.Deadline = came.Add(min(left, time.Duration(set.GiveUpMs*float64(time.Millisecond))))
 	if len(parts) > 1 {
-		r.key = keyOf(parts[len(parts)-1])
+		r.Key = keyOf(parts[len(parts)-1])
 	}
-	if name := hr.Header.Get("Tenant"); len(a.conf.Names.tenants) > 0 {
-		if r.tenant, known = a.conf.Names.tenants[name]; !known {
-			r.tenant = -1
+	if name := hr.Header.Get("Tenant"); len(a.opt.Tenants) > 0 {
+		if r.Tenant, known = a.opt.Tenants[name]; !known {
+			r.Tenant = -1
 		}
 	}
 	if hint, err := strconv.ParseFloat(hr.Header.Get("Work-Hint"), 64); err == nil {
-		r.hintMs, r.hasHint = hint/1000, true
+		r.HintMs, r.HasHint = hint/1000, true
 	}
 	return r, a.readBody(w, hr, r)
 }
 
 // readBody reads the body of the length that the head tells. The bodies held together
-// may take an eighth of the memory.
-func (a *Agent) readBody(w http.ResponseWriter, hr *http.Request, r *request) *problem {
+// are bounded.
+func (a *Front) readBody(w http.ResponseWriter, hr *http.Request, r *core.Request) *problem {
 	if hr.ContentLength == 0 {
 		return nil
 	}
 	held := a.bodies.Add(hr.ContentLength)
 	defer func() {
-		if r.body == nil {
+		if r.Message.Body == nil {
 			a.bodies.Add(-hr.ContentLength)
 		}
 	}()
-	if held > int64(a.conf.Limits.MemoryMB*(1<<20)/8) {
+	if held > a.opt.BodyBytes {
 		return &problem{http.StatusServiceUnavailable, "body: no memory left"}
 	}
 	// A body that stops coming must not hold its connection for ever.
@@ -324,13 +300,13 @@
 		return &problem{http.StatusRequestTimeout, "body: did not come whole"}
 	}
 	_ = control.SetReadDeadline(time.Time{})
-	r.body = body
+	r.Message.Body = body
 	return nil
 }
 
 // reject tells a client that its request is not taken, and ends its connection: what
 // follows there can't be trusted to be a request.
-func (a *Agent) reject(w http.ResponseWriter, hr *http.Request, bad *problem) {
+func (a *Front) reject(w http.ResponseWriter, hr *http.Request, bad *problem) {
 	if c, ok := hr.Context().Value(connKey{}).(*clientConn); ok {
 		a.places.enter(c, rejected)
 	}
@@ -339,16 +315,16 @@
 }
 
 // answer words a final answer.
-func (a *Agent) answer(w http.ResponseWriter, ans answer) {
+func (a *Front) answer(w http.ResponseWriter, ans core.Answer) {
 	if !a.places.keep() {
 		w.Header().Set("Connection", "close")
 	}
-	switch ans.status {
-	case policy.OK:
-		a.write(w, http.StatusOK, ans.kind, ans.body)
-	case policy.Full:
-		if ans.retryAfter > 0 {
-			w.Header().Set("Retry-After", strconv.FormatFloat(ans.retryAfter.Seconds(), 'f', -1, 64))
+	switch ans.Outcome {
+	case core.Served:
+		a.write(w, http.StatusOK, ans.ContentType, ans.Body)
+	case core.Refused:
+		if ans.RetryAfter > 0 {
+			w.Header().Set("Retry-After", strconv.FormatFloat(ans.RetryAfter.Seconds(), 'f', -1, 64))
 		}
 		a.write(w, http.StatusServiceUnavailable, "", nil)
 	default:
@@ -358,7 +334,7 @@
 
 // write sends an answer. While the agent leaves, the server closes the connection after
 // it, and it must be out before it counts as answered.
-func (a *Agent) write(w http.ResponseWriter, status int, kind string, body []byte) {
+func (a *Front) write(w http.ResponseWriter, status int, kind string, body []byte) {
 	h := w.Header()
 	h["Date"] = nil
 	if kind == "" {
--- a/internal/agent/places_test.go
+++ b/internal/httpfront/front_test.go
@@ -1,17 +1,223 @@
-package agent
+package httpfront
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
+
+	"molepaddle/internal/core"
+	"molepaddle/internal/settings"
 )
 
+// fakeCore answers each request by its answer function and notes what came.
+type fakeCore struct {
+	came   chan *core.Request
+	answer func(ctx context.Context, r *core.Request) core.Answer
+}
+
+func (f *fakeCore) Ready() bool { return true }
+func (f *fakeCore) Do(ctx context.Context, r *core.Request) core.Answer {
+	f.came <- r
+	return f.answer(ctx, r)
+}
+
+func served(context.Context, *core.Request) core.Answer {
+	return core.Answer{Outcome: core.Served, Body: []byte("done")}
+}
+
+// start serves a front end with so many places until the test ends; stop is its SIGTERM.
+func start(t *testing.T, places int, answer func(context.Context, *core.Request) core.Answer) (a *Front, f *fakeCore, base string, stop func(), ended chan error) {
+	t.Helper()
+	class := func(name string, effect settings.Effect) settings.Class {
+		return settings.Class{Name: name, AimMs: 20000, GiveUpMs: 30000, Effect: effect}
+	}
+	f = &fakeCore{came: make(chan *core.Request, 1000), answer: answer}
+	a = New(f, Options{Places: places, Kept: places, BodyBytes: 1 << 20, Log: slog.New(slog.DiscardHandler),
+		Classes: map[string]int{"look": 0, "send": 1, "order": 2},
+		Settings: &settings.Settings{Classes: []settings.Class{class("look", settings.Free),
+			class("send", settings.Guarded), class("order", settings.SingleShot)}}})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ended = make(chan error, 1)
+	go func() { ended <- a.Serve(ctx, ln) }()
+	t.Cleanup(func() {
+		stop()
+		a.Close()
+	})
+	return a, f, "http://" + ln.Addr().String(), stop, ended
+}
+
+// lastID makes every request's id a new one.
+var lastID atomic.Int64
+
+// call is a request of the class, well-formed until it is changed.
+func call(base, class string) *http.Request {
+	method := http.MethodPost
+	if class == "look" {
+		method = http.MethodGet
+	}
+	req, err := http.NewRequest(method, base+"/"+class+"/u1", strings.NewReader("body"))
+	if err != nil {
+		panic(err)
+	}
+	if class == "look" {
+		req.Body, req.ContentLength = nil, 0
+	}
+	req.Header.Set("Request-Id", fmt.Sprint("id", lastID.Add(1)))
+	req.Header.Set("Request-Timeout", "30000m")
+	if class == "send" {
+		req.Header.Set("Idempotency-Key", "k1")
+	}
+	return req
+}
+
+func do(t *testing.T, req *http.Request) (int, string, http.Header) {
+	t.Helper()
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatalf("no whole answer: %v", err)
+	}
+	return resp.StatusCode, string(body), resp.Header
+}
+
+// Bad input gets a 4xx that promises nothing of a retry, and reaches no backend.
+func TestBadInput(t *testing.T) {
+	_, f, base, _, _ := start(t, 100, served)
+	for name, change := range map[string]func(r *http.Request){
+		"unknown class":    func(r *http.Request) { r.URL.Path = "/nothing/u1" },
+		"root":             func(r *http.Request) { r.URL.Path = "/" },
+		"method":           func(r *http.Request) { r.Method = http.MethodPut },
+		"no Request-Id":    func(r *http.Request) { r.Header.Del("Request-Id") },
+		"no timeout":       func(r *http.Request) { r.Header.Del("Request-Timeout") },
+		"unit":             func(r *http.Request) { r.Header.Set("Request-Timeout", "480") },
+		"negative timeout": func(r *http.Request) { r.Header.Set("Request-Timeout", "-1m") },
+		"huge timeout":     func(r *http.Request) { r.Header.Set("Request-Timeout", "99999999999999m") },
+		"no key":           func(r *http.Request) { r.Header.Del("Idempotency-Key") },
+		"long body": func(r *http.Request) {
+			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", maxBody+1))), maxBody+1
+		},
+	} {
+		req := call(base, "send")
+		change(req)
+		if status, _, _ := do(t, req); status < 400 || status > 499 || status == 429 {
+			t.Errorf("%s: answered %d", name, status)
+		}
+	}
+	longest := call(base, "send")
+	longest.Body, longest.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", maxBody))), maxBody
+	longest.Header.Set("Request-Id", "longest")
+	if status, _, _ := do(t, longest); status != 200 {
+		t.Errorf("a body of 64 KiB: answered %d", status)
+	}
+	if r := <-f.came; r.ID != "longest" || len(f.came) > 0 {
+		t.Errorf("bad input reached the backend")
+	}
+}
+
+// explodes panics when the handler reads it.
+type explodes struct{}
+
+func (explodes) Read([]byte) (int, error) { panic("boom") }
+func (explodes) Close() error             { return nil }
+
+// A panic in one handler must not leave its request without an answer.
+func TestHandlerPanic(t *testing.T) {
+	a, _, _, _, _ := start(t, 10, served)
+	req := call("http://b", "order")
+	req.RequestURI = "/order/u1"
+	req.Body = explodes{}
+	rec := httptest.NewRecorder()
+	a.ServeHTTP(rec, req)
+	if rec.Code != http.StatusInternalServerError {
+		t.Fatalf("answered %d", rec.Code)
+	}
+}
+
+// How outcomes are worded.
+func TestOutcomes(t *testing.T) {
+	for outcome, want := range map[core.Outcome]int{core.Served: 200, core.Failed: 502, core.Refused: 503,
+		core.Overdue: 504, core.Repeated: 409} {
+		_, _, base, _, _ := start(t, 10, func(context.Context, *core.Request) core.Answer {
+			return core.Answer{Outcome: outcome, RetryAfter: 600 * time.Millisecond}
+		})
+		status, _, head := do(t, call(base, "order"))
+		if status != want || (head.Get("Retry-After") == "0.6") != (want == 503) {
+			t.Errorf("outcome %d: answered %d, Retry-After %q", outcome, status, head.Get("Retry-After"))
+		}
+	}
+}
+
+// What the core is handed is what the client sent.
+func TestRequestIsRead(t *testing.T) {
+	_, f, base, _, _ := start(t, 10, served)
+	req := call(base, "send")
+	req.Header.Set("Client-Retry", "1")
+	req.Header.Set("Work-Hint", "2500")
+	before := time.Now()
+	do(t, req)
+	r := <-f.came
+	if r.Class != 1 || !r.Retry || !r.HasHint || r.HintMs != 2.5 || r.Key == 0 || r.Message.Target != "/send/u1" ||
+		r.Message.IdempotencyKey != "k1" || string(r.Message.Body) != "body" || r.ID != req.Header.Get("Request-Id") {
+		t.Errorf("the core got %+v", r)
+	}
+	if left := r.Deadline.Sub(before); left < 30*time.Second || left > 45*time.Second {
+		t.Errorf("%v left of 30 s", left)
+	}
+	if keyOf("u1") == keyOf("u2") || keyOf("") == 0 {
+		t.Error("keys must differ, and none be 0")
+	}
+}
+
+// After SIGTERM new connections are still answered, what is held is finished, and the
+// front end ends without an error.
+func TestLeave(t *testing.T) {
+	release := make(chan struct{})
+	a, f, base, stop, ended := start(t, 10, func(context.Context, *core.Request) core.Answer {
+		<-release
+		return core.Answer{Outcome: core.Served}
+	})
+	answers := make(chan *http.Response, 2)
+	ask := func() {
+		resp, err := http.DefaultTransport.RoundTrip(call(base, "look"))
+		if err != nil {
+			t.Error(err)
+		}
+		answers <- resp
+	}
+	go ask()
+	<-f.came
+	stop()
+	eventually(t, "leaving", a.leaving.Load)
+	go ask() // on a new connection: the first is busy
+	<-f.came
+	close(release)
+	for range 2 {
+		if resp := <-answers; resp == nil || resp.StatusCode != 200 || !resp.Close {
+			t.Errorf("answered %v, want 200 with Connection: close", resp)
+		}
+	}
+	if err := <-ended; err != nil {
+		t.Fatal(err)
+	}
+}
+
 // dial opens a client's connection by hand.
 func dial(t *testing.T, base string) net.Conn {
 	t.Helper()
@@ -47,16 +253,14 @@
 // Connections that say nothing, or asked once and are kept for good, must not keep out
 // a client whose time runs: a place is made for it.
 func TestPlacesAreMade(t *testing.T) {
-	addr, _ := counted(t, 200, false)
-	conf := config(nowhere, addr)
-	conf["limits"].(map[string]any)["sockets"] = minSockets
+	const most = 28
 	for _, kind := range []string{"silent", "idle"} {
 		t.Run(kind, func(t *testing.T) {
-			a, base, _, _ := start(t, conf)
+			a, _, base, _, _ := start(t, most, served)
 			a.places.mu.Lock()
-			a.places.many = clientSockets(minSockets) // all are kept
+			a.places.many = most // all are kept
 			a.places.mu.Unlock()
-			for i := range clientSockets(minSockets) {
+			for i := range most {
 				c := dial(t, base)
 				if kind == "idle" {
 					fmt.Fprintf(c, "POST /order/u1 HTTP/1.1\r\nHost: b\r\nRequest-Id: %s%d\r\nRequest-Timeout: 30000m\r\nContent-Length: 0\r\n\r\n", kind, i)
@@ -112,8 +316,7 @@
 // Clients that ask once and keep their connections for good must not use up all that
 // clients may hold: past a number connections end with their answer, and idle ones go.
 func TestKeptConnectionsAreBounded(t *testing.T) {
-	addr, _ := counted(t, 200, false)
-	a, base, _, _ := start(t, config(nowhere, addr))
+	a, _, base, _, _ := start(t, 100, served)
 	a.places.mu.Lock()
 	a.places.many = 3
 	a.places.mu.Unlock()
@@ -149,8 +352,7 @@
 // What can't be read or trusted gets an error or a close soon, and no backend hears of
 // it, nor of what follows on the connection.
 func TestBadClients(t *testing.T) {
-	addr, came := counted(t, 200, false)
-	_, base, _, _ := start(t, config(nowhere, addr))
+	_, f, base, _, _ := start(t, 100, served)
 	head := func(extra ...string) string {
 		return "POST /order/u1 HTTP/1.1\r\nHost: b\r\nRequest-Id: bad1\r\nRequest-Timeout: 30000m\r\n" +
 			strings.Join(extra, "\r\n") + "\r\n"
@@ -192,8 +394,8 @@
 		})
 	}
 	t.Cleanup(func() {
-		if len(came) > 0 {
-			t.Errorf("a backend got %q", <-came)
+		if len(f.came) > 0 {
+			t.Errorf("the core got %+v", <-f.came)
 		}
 	})
 }
@@ -203,59 +405,15 @@
 	if headFor+bodyFor > 2700*time.Millisecond {
 		t.Fatal("a bad client is owed an end within 3 s")
 	}
-	addr, _ := counted(t, 200, false)
-	_, base, _, _ := start(t, config(nowhere, addr))
+	_, _, base, _, _ := start(t, 100, served)
 	if said := answered(t, dial(t, base)); said != "" {
 		t.Fatalf("said %q to a client that said nothing", said)
 	}
 }
 
-// An id that is open is refused to whoever else sends it, and goes out once.
-func TestIDOfAnOpenRequest(t *testing.T) {
-	got, release := make(chan string, 10), make(chan struct{})
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		got <- r.Header.Get("Request-Id")
-		<-release
-	}))
-	t.Cleanup(s.Close)
-	_, base, _, _ := start(t, config(nowhere, s.Listener.Addr().String()))
-	first, again := call(base, "order"), call(base, "order")
-	again.Header.Set("Request-Id", first.Header.Get("Request-Id"))
-	served := make(chan int, 1)
-	go func() {
-		resp, err := new(http.Transport).RoundTrip(first)
-		if err != nil {
-			t.Error(err)
-			close(served)
-			return
-		}
-		served <- resp.StatusCode
-	}()
-	<-got
-	if status, _, _ := do(t, again); status != http.StatusConflict {
-		t.Errorf("answered %d", status)
-	}
-	close(release)
-	if status := <-served; status != 200 || len(got) > 0 {
-		t.Errorf("the first was answered %d; %d more attempts", status, len(got))
-	}
-}
-
-// Ids are forgotten in time, but not before.
-func TestIDMemory(t *testing.T) {
-	m, now := newIDMemory(time.Second), time.Now()
-	if !m.add("a", now) || m.add("a", now.Add(900*time.Millisecond)) || m.add("a", now.Add(1500*time.Millisecond)) {
-		t.Fatal("an id that is known was taken for new")
-	}
-	if !m.add("b", now.Add(2*time.Second)) || !m.add("a", now.Add(4*time.Second)) || len(m.now)+len(m.before) > 2 {
-		t.Fatal("an old id was kept")
-	}
-}
-
 // After SIGTERM half requests and silent connections are not waited for.
 func TestLeaveAmongBadClients(t *testing.T) {
-	addr, _ := counted(t, 200, false)
-	a, base, stop, ended := start(t, config(nowhere, addr)) // give-up is 30 s here
+	a, _, base, stop, ended := start(t, 100, served) // give-up is 30 s here
 	dial(t, base)
 	half := dial(t, base)
 	io.WriteString(half, "POST /order/u1 HTTP/1.1\r\nHost: b\r\nRequest-Id: h\r\nRequest-Timeout: 30000m\r\nContent-Length: 9\r\n\r\nhalf")
@@ -270,61 +428,3 @@
 		t.Fatal("waits for bad clients")
 	}
 }
-
-// A new discovery is watched and asked at once, late words of the old one change
-// nothing, and its versions may start lower. Backends stay known meanwhile.
-func TestReload(t *testing.T) {
-	asked := make(chan string, 10)
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		asked <- r.URL.RawQuery
-		<-r.Context().Done()
-	}))
-	t.Cleanup(s.Close)
-	l := quietLoop(t, "127.0.0.1:1", "127.0.0.1:2")
-	l.seq = 41
-	before := l.backends[addrOf("s-0")].group
-	l.fetching, l.watching = true, true
-	l.handle(input{kind: inReload, text: s.Listener.Addr().String()})
-	t.Cleanup(l.disc.close)
-	if got := map[string]bool{<-asked: true, <-asked: true}; !got[""] || !got["follow=1&since=0"] {
-		t.Fatalf("asked %v", got)
-	}
-	h := Host{Host: "s-0", Dial: "127.0.0.1:1", Health: "draining"}
-	l.handle(input{kind: inWatched, list: listOf(42, false, h)})
-	l.handle(input{kind: inWatchEnded, err: io.EOF})
-	l.handle(input{kind: inFetched, list: listOf(42, true, h)})
-	if !l.watching || !l.fetching || !l.backends[addrOf("s-0")].usable || l.backends[addrOf("s-0")].group != before {
-		t.Fatal("a late word of the old discovery counted")
-	}
-	l.handle(input{kind: inWatched, list: listOf(3, false, h), gen: 1})
-	if b := l.backends[addrOf("s-0")]; b != nil && b.usable || l.seq != 3 {
-		t.Fatal("the new discovery was not heard")
-	}
-	disc := l.disc
-	if l.handle(input{kind: inReload, text: disc.addr}); l.disc != disc {
-		t.Fatal("the same discovery was taken for a new one")
-	}
-}
-
-// The first calls to a new discovery are tried again without the module's back-off.
-func TestReloadTriesAgain(t *testing.T) {
-	tries := make(chan struct{}, 100)
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		tries <- struct{}{}
-		if len(tries) < 3 {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		fmt.Fprintln(w, change)
-	}))
-	t.Cleanup(s.Close)
-	told := make(chan input, 10)
-	d := newDiscovery(t.Context(), s.Listener.Addr().String(), 1, func(in input) { told <- in })
-	d.watch(0, true)
-	if in := <-told; in.kind != inWatched || in.list.Seq != 2 || in.gen != 1 {
-		t.Fatalf("told %+v", in)
-	}
-	if in := <-told; in.kind != inWatchEnded {
-		t.Fatalf("told %+v", in)
-	}
-}
--- a/internal/agent/places.go
+++ b/internal/httpfront/places.go
@@ -1,12 +1,13 @@
-package agent
+package httpfront
 
 import (
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
+
+	"molepaddle/internal/sockets"
 )
 
 const (
@@ -65,35 +66,7 @@
 
 // silent tells whether nothing has come on the connection, not even unread.
 func (c *clientConn) silent() bool {
-	return !c.got.Load() && pending(c.Conn) == 0
-}
-
-// pending looks what waits unread on a connection: -1 its end, 0 nothing, 1 bytes.
-func pending(c net.Conn) int {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return 0
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return -1
-	}
-	found := -1
-	// Control, as Read would wait for the one that reads from the connection.
-	err = raw.Control(func(fd uintptr) {
-		var one [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		switch {
-		case err == syscall.EAGAIN || err == syscall.EINTR:
-			found = 0
-		case err == nil && n > 0:
-			found = 1
-		}
-	})
-	if err != nil {
-		return -1
-	}
-	return found
+	return !c.got.Load() && sockets.Pending(c.Conn) == 0
 }
 
 // places holds the clients' connections, at most as many as there are places.
@@ -177,7 +150,7 @@
 		}
 		// What has just come and is not yet read is somebody's request.
 		if kind < kinds && (found[kind] == nil || c.since.Before(found[kind].since)) &&
-			(kind == 2 || kind == 3 || pending(c.Conn) <= 0) {
+			(kind == 2 || kind == 3 || sockets.Pending(c.Conn) <= 0) {
 			found[kind] = c
 		}
 	}
@@ -245,7 +218,7 @@
 		return
 	}
 	for c := range p.conns {
-		if c.stage == idle && now.Sub(c.since) >= idleFor && pending(c.Conn) <= 0 {
+		if c.stage == idle && now.Sub(c.since) >= idleFor && sockets.Pending(c.Conn) <= 0 {
 			delete(p.conns, c)
 			c.Conn.Close()
 		}
@@ -257,7 +230,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
-		if c.stage == idle && pending(c.Conn) == 0 || c.stage == fresh && c.silent() {
+		if c.stage == idle && sockets.Pending(c.Conn) == 0 || c.stage == fresh && c.silent() {
 			delete(p.conns, c)
 			c.Conn.Close()
 		}
--- a/internal/agent/ages.go
+++ b/internal/httptransport/ages.go
@@ -1,4 +1,4 @@
-package agent
+package httptransport
 
 import (
 	"math"
--- a/internal/agent/ages_test.go
+++ b/internal/httptransport/ages_test.go
@@ -1,4 +1,4 @@
-package agent
+package httptransport
 
 import (
 	"bufio"
@@ -47,14 +47,14 @@
 		readRequest(r) // and ends it when the next one comes
 	})
 	p := testPool()
-	g := p.group(addr)
+	g := p.endpoint(addr)
 	for range 40 {
 		p.ages.learn(time.Millisecond, false, time.Now())
 	}
 	broken := 0
 	for range 20 {
-		res := newAttempt(g, http.MethodPost, never).run()
-		if res.status != policy.OK {
+		res := newTry(g, http.MethodPost, never).run()
+		if res.Status != policy.OK {
 			broken++
 		}
 		p.mu.Lock()
--- a/internal/agent/attempt_test.go
+++ b/internal/httptransport/attempt_test.go
@@ -1,4 +1,4 @@
-package agent
+package httptransport
 
 import (
 	"bufio"
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"molepaddle/internal/core"
 	"molepaddle/policy"
 )
 
@@ -53,20 +54,42 @@
 
 const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
 
-func testPool() *pool { return newPool((&net.Dialer{}).DialContext, never, never, 100) }
+func testPool() *Transport {
+	return New(Options{Dial: (&net.Dialer{}).DialContext, Timeout: never, Idle: never, Most: 100})
+}
+
+// try is an attempt of a test, and how it ended.
+type try struct {
+	*core.Attempt
+	e    *endpoint
+	done chan core.Result
+}
 
-// newAttempt makes an attempt as the loop does.
-func newAttempt(g *group, method string, timeout time.Duration) *attempt {
-	r := &request{method: method, target: "/order/u1", host: "backend.local", wireID: "id1"}
+func newTry(e *endpoint, method string, timeout time.Duration) *try {
+	r := &core.Request{ID: "id1", Message: core.Message{Method: method, Target: "/order/u1", Host: "backend.local"}}
 	if method == http.MethodPost {
-		r.body = []byte("body")
+		r.Message.Body = []byte("body")
 	}
-	a := &attempt{req: r, group: g, started: time.Now()}
-	ctx, cancel := context.WithCancelCause(context.Background())
-	var stop context.CancelFunc
-	a.ctx, stop = context.WithTimeout(ctx, timeout)
-	a.cancel = func(cause error) { cancel(cause); stop() }
-	return a
+	t := &try{e: e, done: make(chan core.Result, 2)}
+	t.Attempt = core.NewAttempt(context.Background(), r, timeout, func(res core.Result) { t.done <- res })
+	return t
+}
+
+func (t *try) run() core.Result {
+	t.e.Start(t.Attempt)
+	return <-t.done
+}
+
+// counted is a server that answers all it gets.
+func counted(t *testing.T) string {
+	return rawBackend(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			if _, err := readRequest(r); err != nil {
+				return
+			}
+			io.WriteString(c, okAnswer)
+		}
+	})
 }
 
 // A library must not send a request again by itself when a kept connection breaks:
@@ -88,12 +111,12 @@
 					io.WriteString(conn, okAnswer)
 				}
 			})
-			g := testPool().group(addr)
-			defer g.closeIdle()
+			g := testPool().endpoint(addr)
+			defer g.CloseIdle()
 			for i, want := range []policy.Status{policy.OK, policy.Reset} {
-				a := newAttempt(g, c.method, never)
-				a.req.idempotency = c.key
-				if got := a.run().status; got != want {
+				a := newTry(g, c.method, never)
+				a.Request.Message.IdempotencyKey = c.key
+				if got := a.run().Status; got != want {
 					t.Fatalf("attempt %d ended %d, want %d", i, got, want)
 				}
 			}
@@ -104,15 +127,6 @@
 	}
 }
 
-// An attempt goes out once, and what began is not withdrawn.
-func TestAttemptBeginsOnce(t *testing.T) {
-	a := newAttempt(nil, http.MethodPost, never)
-	defer a.cancel(nil)
-	if !a.begin() || a.begin() || a.withdraw() {
-		t.Fatal("an attempt began twice or was withdrawn after it began")
-	}
-}
-
 // How an attempt ended tells whether it has run; in doubt it may have.
 func TestEndings(t *testing.T) {
 	answer := func(text string) func(net.Conn, *bufio.Reader) {
@@ -150,14 +164,14 @@
 		{"500 that says it was not started", answer("HTTP/1.1 500 No\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n"), policy.Error},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			g := testPool().group(rawBackend(t, c.serve))
-			defer g.closeIdle()
-			res := newAttempt(g, http.MethodPost, never).run()
-			if res.status != c.want {
-				t.Fatalf("ended %d, want %d", res.status, c.want)
+			g := testPool().endpoint(rawBackend(t, c.serve))
+			defer g.CloseIdle()
+			res := newTry(g, http.MethodPost, never).run()
+			if res.Status != c.want {
+				t.Fatalf("ended %d, want %d", res.Status, c.want)
 			}
-			if want := c.want == policy.OK; (string(res.body) == "done") != want {
-				t.Fatalf("body %q", res.body)
+			if want := c.want == policy.OK; (string(res.Body) == "done") != want {
+				t.Fatalf("body %q", res.Body)
 			}
 		})
 	}
@@ -171,7 +185,7 @@
 	addr := ln.Addr().String()
 	ln.Close()
 	p := testPool()
-	if got := newAttempt(p.group(addr), http.MethodPost, never).run().status; got != policy.ConnectFailed {
+	if got := newTry(p.endpoint(addr), http.MethodPost, never).run().Status; got != policy.ConnectFailed {
 		t.Fatalf("ended %d, want could-not-connect", got)
 	}
 	if n := p.open; n != 0 {
@@ -188,12 +202,12 @@
 func TestCutWrite(t *testing.T) {
 	addr := rawBackend(t, func(c net.Conn, r *bufio.Reader) { io.Copy(io.Discard, r) })
 	p := testPool()
-	plain := p.connect
-	p.connect = func(ctx context.Context, network, addr string) (net.Conn, error) {
+	plain := p.opt.Dial
+	p.opt.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
 		c, err := plain(ctx, network, addr)
 		return brokenConn{c}, err
 	}
-	if got := newAttempt(p.group(addr), http.MethodPost, never).run().status; got != policy.ConnectFailed {
+	if got := newTry(p.endpoint(addr), http.MethodPost, never).run().Status; got != policy.ConnectFailed {
 		t.Fatalf("ended %d, want could-not-connect", got)
 	}
 }
@@ -212,13 +226,13 @@
 		closed <- err
 	})
 	p := testPool()
-	a := newAttempt(p.group(addr), http.MethodPost, never)
-	done := make(chan result)
+	a := newTry(p.endpoint(addr), http.MethodPost, never)
+	done := make(chan core.Result)
 	go func() { done <- a.run() }()
 	<-got
-	a.cancel(context.DeadlineExceeded) // the time-out, without waiting for it
-	if res := <-done; res.status != policy.Timeout {
-		t.Fatalf("ended %d, want timed out", res.status)
+	a.Cancel(context.DeadlineExceeded) // the time-out, without waiting for it
+	if res := <-done; res.Status != policy.Timeout {
+		t.Fatalf("ended %d, want timed out", res.Status)
 	}
 	if n := p.open; n != 0 {
 		t.Fatalf("%d connections open at the outcome", n)
@@ -237,24 +251,24 @@
 		want  policy.Status
 	}{
 		{"time-out", context.DeadlineExceeded, policy.ConnectFailed},
-		{"drain", errDrained, policy.Full},
+		{"drain", core.ErrDrained, policy.Full},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			dialling, ended := make(chan struct{}), make(chan struct{})
 			p := testPool()
-			p.connect = func(ctx context.Context, _, _ string) (net.Conn, error) {
+			p.opt.Dial = func(ctx context.Context, _, _ string) (net.Conn, error) {
 				close(dialling)
 				<-ctx.Done()
 				close(ended)
 				return nil, ctx.Err()
 			}
-			a := newAttempt(p.group("127.0.0.1:1"), http.MethodPost, never)
-			done := make(chan result)
+			a := newTry(p.endpoint("127.0.0.1:1"), http.MethodPost, never)
+			done := make(chan core.Result)
 			go func() { done <- a.run() }()
 			<-dialling
-			a.cancel(c.cause)
-			if res := <-done; res.status != c.want {
-				t.Fatalf("ended %d, want %d", res.status, c.want)
+			a.Cancel(c.cause)
+			if res := <-done; res.Status != c.want {
+				t.Fatalf("ended %d, want %d", res.Status, c.want)
 			}
 			<-ended
 		})
@@ -269,17 +283,17 @@
 		read <- n
 	})
 	p := testPool()
-	var a *attempt
-	plain := p.connect
-	p.connect = func(ctx context.Context, network, addr string) (net.Conn, error) {
+	var a *try
+	plain := p.opt.Dial
+	p.opt.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
 		c, err := plain(ctx, network, addr)
-		if !a.withdraw() {
+		if !a.Withdraw(core.ErrDrained) {
 			t.Error("could not be withdrawn before its first byte")
 		}
 		return c, err
 	}
-	a = newAttempt(p.group(addr), http.MethodPost, never)
-	if got := a.run().status; !got.NeverRan() {
+	a = newTry(p.endpoint(addr), http.MethodPost, never)
+	if got := a.run().Status; !got.NeverRan() {
 		t.Fatalf("ended %d, which may have run", got)
 	}
 	if n := <-read; n != 0 {
@@ -290,8 +304,8 @@
 // Without a socket left the attempt never ran, and its backend is not to blame.
 func TestNoSocketLeft(t *testing.T) {
 	p := testPool()
-	p.most = 0
-	if got := newAttempt(p.group("127.0.0.1:1"), http.MethodPost, never).run().status; got != policy.Full {
+	p.opt.Most = 0
+	if got := newTry(p.endpoint("127.0.0.1:1"), http.MethodPost, never).run().Status; got != policy.Full {
 		t.Fatalf("ended %d, want turned away", got)
 	}
 }
@@ -309,11 +323,11 @@
 		got <- req
 		io.WriteString(c, okAnswer)
 	})
-	a := newAttempt(testPool().group(addr), http.MethodPost, never)
-	a.req.target = "/order/a%2Fb%20c?x=1&y=%2f"
-	a.req.idempotency = "k1"
-	if res := a.run(); res.status != policy.OK {
-		t.Fatalf("ended %d", res.status)
+	a := newTry(testPool().endpoint(addr), http.MethodPost, never)
+	a.Request.Message.Target = "/order/a%2Fb%20c?x=1&y=%2f"
+	a.Request.Message.IdempotencyKey = "k1"
+	if res := a.run(); res.Status != policy.OK {
+		t.Fatalf("ended %d", res.Status)
 	}
 	req := <-got
 	body, _ := io.ReadAll(req.Body)
@@ -326,20 +340,6 @@
 	}
 }
 
-// A load report is believed whole or not at all.
-func TestReport(t *testing.T) {
-	got := report("TEXT util=0.61, qps=7, eps=0, other=x", []string{"qps", "util", "eps"})
-	if len(got) != 3 || got[0] != 7 || got[1] != 0.61 || got[2] != 0 {
-		t.Fatalf("got %v", got)
-	}
-	for _, bad := range []string{"", "JSON {}", "TEXT qps=much, util=1", "TEXT qps=1", "TEXT qps=NaN, util=1",
-		"TEXT qps=+Inf, util=1", "TEXT qps=-1, util=1", "TEXT qps=1, qps=2, util=1", "TEXT qps, util=1"} {
-		if got := report(bad, []string{"qps", "util"}); got != nil {
-			t.Fatalf("%q gave %v", bad, got)
-		}
-	}
-}
-
 // What a backend sends beyond an answer must not answer the next request: whether it
 // comes with the answer or behind it, the connection is not used again.
 func TestSurplusAnswersNothing(t *testing.T) {
@@ -363,8 +363,8 @@
 						sent <- struct{}{}
 					}
 				})
-				g := testPool().group(addr)
-				defer g.closeIdle()
+				g := testPool().endpoint(addr)
+				defer g.CloseIdle()
 				var wg sync.WaitGroup
 				side := 8 // attempts that wait for each other's connections
 				if apart {
@@ -375,9 +375,9 @@
 					go func() {
 						defer wg.Done()
 						for range 50 {
-							res := newAttempt(g, http.MethodPost, never).run()
-							if res.status != policy.OK || string(res.body) != "done" {
-								t.Errorf("ended %d %q", res.status, res.body)
+							res := newTry(g, http.MethodPost, never).run()
+							if res.Status != policy.OK || string(res.Body) != "done" {
+								t.Errorf("ended %d %q", res.Status, res.Body)
 							}
 							<-sent // written whole, and so seen
 						}
@@ -401,10 +401,10 @@
 			closed <- struct{}{}
 		}
 	})
-	g := testPool().group(addr)
+	g := testPool().endpoint(addr)
 	for i := range 20 {
-		if res := newAttempt(g, http.MethodPost, never).run(); res.status != policy.OK {
-			t.Fatalf("attempt %d ended %d", i, res.status)
+		if res := newTry(g, http.MethodPost, never).run(); res.Status != policy.OK {
+			t.Fatalf("attempt %d ended %d", i, res.Status)
 		}
 		<-closed
 	}
@@ -413,37 +413,36 @@
 // The connections share one bound: at the limit the longest idle is closed for a new one.
 func TestLongestIdleMakesRoom(t *testing.T) {
 	p := testPool()
-	p.most = 2
-	var groups []*group
+	p.opt.Most = 2
+	var groups []*endpoint
 	for range 3 {
-		addr, _ := counted(t, 200, false)
-		groups = append(groups, p.group(addr))
+		addr := counted(t)
+		groups = append(groups, p.endpoint(addr))
 	}
 	for _, g := range groups {
-		if res := newAttempt(g, http.MethodPost, never).run(); res.status != policy.OK {
-			t.Fatalf("ended %d", res.status)
+		if res := newTry(g, http.MethodPost, never).run(); res.Status != policy.OK {
+			t.Fatalf("ended %d", res.Status)
 		}
 	}
 	if p.open != 2 || len(groups[0].spare) != 0 || len(groups[1].spare) != 1 || len(groups[2].spare) != 1 {
 		t.Fatalf("%d open, idle %d %d %d", p.open, len(groups[0].spare), len(groups[1].spare), len(groups[2].spare))
 	}
-	groups[1].retire()
+	groups[1].Retire()
 	if p.open != 1 || p.spare.Len() != 1 {
 		t.Fatalf("%d open after a backend has gone", p.open)
 	}
-	p.idle = 0
+	p.opt.Idle = 0
 	p.sweep()
 	if p.open != 0 || p.spare.Len() != 0 || p.sweeping {
 		t.Fatalf("%d open after all were idle too long", p.open)
 	}
 }
 
-// A panic in an attempt is an outcome: it may have run.
+// A panic in an attempt is an outcome: what had not begun never ran.
 func TestAttemptPanic(t *testing.T) {
 	p := testPool()
-	p.connect = func(context.Context, string, string) (net.Conn, error) { panic("boom") }
-	a := newAttempt(p.group("127.0.0.1:1"), http.MethodPost, never)
-	if res := a.run(); res.status != policy.Reset || res.broken == nil {
-		t.Fatalf("ended %d, %v", res.status, res.broken)
+	p.opt.Dial = func(context.Context, string, string) (net.Conn, error) { panic("boom") }
+	if res := newTry(p.endpoint("127.0.0.1:1"), http.MethodPost, never).run(); res.Status != policy.ConnectFailed {
+		t.Fatalf("ended %d", res.Status)
 	}
 }
--- /dev/null
+++ b/internal/httptransport/pool.go
@@ -0,0 +1,270 @@
+// Package httptransport carries attempts to servers over HTTP/1.1, one at a time on a
+// connection, and keeps connections for the next.
+//
+// A Transport's lock guards what it counts and which connections stand idle. A connection
+// in use belongs to its attempt's goroutine; one that stands idle to the Transport.
+// Connections are chosen by whoever starts the attempt, in the order of the starts;
+// dialling, writing and reading are the attempt's goroutine's.
+package httptransport
+
+import (
+	"bufio"
+	"container/list"
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"molepaddle/internal/core"
+	"molepaddle/internal/sockets"
+)
+
+// settle is how long a connection rests before it is used again: what a server sends
+// beyond its answer comes right behind it, and is seen by then.
+const settle = time.Millisecond
+
+// Options bound a Transport.
+type Options struct {
+	Dial    func(ctx context.Context, network, addr string) (net.Conn, error)
+	Timeout time.Duration // of a connect
+	Idle    time.Duration // how long a connection is kept without use, at the most
+	Most    int           // connections to all servers that are up or coming up
+}
+
+// Transport opens connections to servers within its share of descriptors and keeps those
+// that stand idle. It has a pool of its own since http.Transport may hand a connection to
+// the next request before it sees that bytes of the last are left over.
+type Transport struct {
+	opt Options
+
+	mu       sync.Mutex
+	open     int        // connections that are up or coming up
+	spare    *list.List // of *conn: all that stand idle, the longest first
+	sweeping bool
+	ages     ages
+}
+
+// New makes a transport without connections.
+func New(o Options) *Transport { return &Transport{opt: o, spare: list.New()} }
+
+// Endpoint gives the connections to one process of a server at one address.
+func (p *Transport) Endpoint(dial string) core.Endpoint { return p.endpoint(dial) }
+
+func (p *Transport) endpoint(dial string) *endpoint { return &endpoint{pool: p, dial: dial} }
+
+// endpoint is the connections to one process of a server at one address.
+type endpoint struct {
+	pool    *Transport
+	dial    string
+	spare   []*conn // idle, the longest first
+	retired bool    // what comes back is closed
+}
+
+// conn is a connection to a server, for one attempt at a time.
+type conn struct {
+	net.Conn
+	end   *endpoint
+	left  int           // bytes that may still be read for the attempt
+	idle  *list.Element // its place among all that stand idle
+	since time.Time     // when it came to stand idle
+	age   time.Duration // how long it had stood idle; 0: new
+	once  sync.Once
+}
+
+var errTooLong = errors.New("answer: longer than any may be")
+
+// Read bounds what one answer may bring.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.left <= 0 {
+		return 0, errTooLong
+	}
+	n, err := c.Conn.Read(p[:min(len(p), c.left)])
+	c.left -= n
+	return n, err
+}
+
+// readers are kept apart from the connections: only attempts that are out need one.
+var readers = sync.Pool{New: func() any { return bufio.NewReader(nil) }}
+
+// Start carries an attempt on an idle connection on which nothing waits, else on a new
+// one. Which it is, is settled before it returns.
+func (e *endpoint) Start(a *core.Attempt) {
+	c, err := e.take()
+	a.Go(func() core.Result { return e.carry(a, c, err) })
+}
+
+// take gives an idle connection that nothing waits on, or none and a place for a new one.
+// One that has not rested long enough is given only where there is no place left.
+func (e *endpoint) take() (*conn, error) {
+	var old []*conn // closed once the lock is free
+	defer func() {
+		for _, c := range old {
+			c.Close()
+		}
+	}()
+	p := e.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	limit := p.ages.limit(p.opt.Idle)
+	for c := e.pick(now); c != nil; c = e.pick(now) {
+		c.unlist()
+		if c.age = now.Sub(c.since); c.age < settle || c.age <= limit && sockets.Pending(c.Conn) == 0 {
+			return c, nil
+		}
+		old = append(old, c) // it has ended or may have, or brings what nobody asked for
+	}
+	for p.open-len(old) >= p.opt.Most {
+		longest := p.spare.Front()
+		if longest == nil {
+			return nil, core.ErrNoSocket
+		}
+		c := longest.Value.(*conn)
+		c.unlist()
+		old = append(old, c)
+	}
+	p.open++
+	return nil, nil
+}
+
+// pick finds the idle connection used last among those that have settled, else the one
+// idle longest. The pool is locked.
+func (e *endpoint) pick(now time.Time) *conn {
+	for i := len(e.spare) - 1; i >= 0; i-- {
+		if c := e.spare[i]; i == 0 || now.Sub(c.since) >= settle {
+			return c
+		}
+	}
+	return nil
+}
+
+// ready gives what was taken, or opens what there is a place for. The wait for a
+// connection to settle ends with the context.
+func (e *endpoint) ready(ctx context.Context, c *conn) (*conn, error) {
+	if c != nil && c.age < settle {
+		rest := time.NewTimer(settle - c.age)
+		select {
+		case <-rest.C:
+		case <-ctx.Done():
+			rest.Stop()
+			c.Close()
+			return nil, ctx.Err()
+		}
+		c.age = time.Since(c.since)
+		if sockets.Pending(c.Conn) != 0 {
+			c.Close()
+			var err error
+			if c, err = e.take(); err != nil {
+				return nil, err
+			}
+			return e.ready(ctx, c)
+		}
+	}
+	if c != nil {
+		return c, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, e.pool.opt.Timeout)
+	defer cancel()
+	up, err := e.pool.opt.Dial(ctx, "tcp", e.dial)
+	if err != nil {
+		e.pool.shut()
+		return nil, err
+	}
+	return &conn{Conn: up, end: e}, nil
+}
+
+// unlist takes a connection from those that stand idle. The pool is locked.
+func (c *conn) unlist() {
+	c.end.pool.spare.Remove(c.idle)
+	c.idle = nil
+	for i, o := range c.end.spare {
+		if o == c {
+			c.end.spare = append(c.end.spare[:i], c.end.spare[i+1:]...)
+			return
+		}
+	}
+}
+
+// put gives a connection back for the next attempt.
+func (e *endpoint) put(c *conn) {
+	p := e.pool
+	p.mu.Lock()
+	if e.retired {
+		p.mu.Unlock()
+		c.Close()
+		return
+	}
+	c.since, c.idle = time.Now(), p.spare.PushBack(c)
+	e.spare = append(e.spare, c)
+	if !p.sweeping {
+		p.sweeping = true
+		time.AfterFunc(p.ages.limit(p.opt.Idle), p.sweep)
+	}
+	p.mu.Unlock()
+}
+
+// used notes how the use of a connection went; broke is that it ended before a byte of
+// the answer came.
+func (p *Transport) used(c *conn, broke bool) {
+	if c.age > 0 {
+		p.mu.Lock()
+		p.ages.learn(c.age, broke, time.Now())
+		p.mu.Unlock()
+	}
+}
+
+// sweep closes what has stood idle for too long, and comes back while anything is left.
+func (p *Transport) sweep() {
+	var old []*conn
+	p.mu.Lock()
+	now, limit := time.Now(), p.ages.limit(p.opt.Idle)
+	for e := p.spare.Front(); e != nil; e = p.spare.Front() {
+		c := e.Value.(*conn)
+		if left := limit - now.Sub(c.since); left > 0 {
+			time.AfterFunc(left, p.sweep)
+			break
+		}
+		c.unlist()
+		old = append(old, c)
+	}
+	p.sweeping = p.spare.Len() > 0
+	p.mu.Unlock()
+	for _, c := range old {
+		c.Close()
+	}
+}
+
+// CloseIdle closes the connections that stand idle.
+func (e *endpoint) CloseIdle() { e.close(false) }
+
+// Retire closes the connections for good: those in use when they come back.
+func (e *endpoint) Retire() { e.close(true) }
+
+func (e *endpoint) close(retire bool) {
+	e.pool.mu.Lock()
+	e.retired = e.retired || retire
+	old := e.spare
+	e.spare = nil
+	for _, c := range old {
+		e.pool.spare.Remove(c.idle)
+	}
+	e.pool.mu.Unlock()
+	for _, c := range old {
+		c.Close()
+	}
+}
+
+// shut counts a connection as closed.
+func (p *Transport) shut() {
+	p.mu.Lock()
+	p.open--
+	p.mu.Unlock()
+}
+
+// Close closes the connection and frees its descriptor in the pool.
+func (c *conn) Close() error {
+	err := c.Conn.Close()
+	c.once.Do(c.end.pool.shut)
+	return err
+}
--- /dev/null
+++ b/internal/roster/roster.go
@@ -0,0 +1,257 @@
+// Package roster is the client of the service that lists the servers: it asks for the
+// whole list or follows its changes, over HTTP, and translates what it is told.
+//
+// A Client has no state that changes but for the calls that are out: each is a goroutine
+// of its own, which tells its news by the function given to New and ends with Close.
+package roster
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"molepaddle/internal/cluster"
+	"molepaddle/internal/core"
+)
+
+const (
+	// watchSilence ends a watch on which no line came: discovery writes one every 2 s,
+	// and what it has to tell counts as told after 6 s, asking again included.
+	watchSilence = 3500 * time.Millisecond
+	fetchTimeout = 3 * time.Second
+	maxList      = 4 << 20 // bytes of one list
+	// What a new discovery tells counts as told after 4 s: the first calls are tried
+	// again for eagerFor, eagerEvery after one that failed or took over eagerTry.
+	eagerFor, eagerEvery, eagerTry = 4 * time.Second, 200 * time.Millisecond, 1300 * time.Millisecond
+)
+
+// wireList is a list of servers, or a change of it, as the service words it.
+type wireList struct {
+	Seq   int64      `json:"seq"`
+	Whole bool       `json:"whole"`
+	Hosts []wireHost `json:"hosts"`
+}
+
+// wireHost is one server of a list.
+type wireHost struct {
+	Host   string  `json:"host"`
+	Dial   string  `json:"dial"`
+	Site   string  `json:"site"`
+	Class  string  `json:"class"`
+	Block  int     `json:"block"`
+	Health string  `json:"health"`
+	Share  float64 `json:"share"`
+	BornMs float64 `json:"born_ms"`
+}
+
+var healths = map[string]cluster.Health{
+	"ready": cluster.Ready, "draining": cluster.Draining, "gone": cluster.Gone,
+}
+
+// Words numbers the names of sites and of kinds of machines as the settings do.
+type Words struct{ Sites, Kinds map[string]int }
+
+// Parse reads one list and reports the first entry that makes no sense. A site or kind
+// that the settings don't name is nobody's own: it gets a number that no settings give.
+func (w *Words) Parse(text []byte) (cluster.List, error) {
+	var l wireList
+	if err := json.Unmarshal(text, &l); err != nil {
+		return cluster.List{}, err
+	}
+	at := func(m map[string]int, word string) int {
+		if i, ok := m[word]; ok {
+			return i
+		}
+		return -1
+	}
+	out := cluster.List{Seq: l.Seq, Whole: l.Whole, Servers: make([]cluster.Server, len(l.Hosts))}
+	for i, h := range l.Hosts {
+		health, known := healths[h.Health]
+		switch {
+		case h.Host == "":
+			return cluster.List{}, fmt.Errorf("hosts[%d].host: missing", i)
+		case !known:
+			return cluster.List{}, fmt.Errorf("hosts[%d].health: unknown word %q", i, h.Health)
+		}
+		if health != cluster.Gone {
+			if err := CheckAddress(h.Dial); err != nil {
+				return cluster.List{}, fmt.Errorf("hosts[%d].dial: %w", i, err)
+			}
+		}
+		out.Servers[i] = cluster.Server{Dial: h.Dial, Entry: cluster.Entry{Server: AddrOf(h.Host),
+			Zone: at(w.Sites, h.Site), Cell: h.Block, Kind: at(w.Kinds, h.Class), SinceMs: h.BornMs,
+			Health: health, Weight: h.Share}}
+	}
+	return out, nil
+}
+
+// CheckAddress tells what is wrong with an address that is to have a host and a port.
+func CheckAddress(addr string) error {
+	_, port, err := net.SplitHostPort(addr)
+	if err != nil {
+		return fmt.Errorf("no address with a port: %q", addr)
+	}
+	if _, err := strconv.ParseUint(port, 10, 16); err != nil {
+		return fmt.Errorf("no port number: %q", addr)
+	}
+	return nil
+}
+
+// AddrOf gives a server its address in the module: from its name alone, so that it is the
+// same at every agent and stays when the address to dial changes.
+func AddrOf(host string) cluster.Addr {
+	h := fnv.New64a()
+	io.WriteString(h, host)
+	sum := h.Sum(nil)
+	for i := range 2 {
+		sum[i+2] ^= sum[i] // fold all 64 bits into 48
+	}
+	return cluster.Addr(sum[2:])
+}
+
+// Client asks one service.
+type Client struct {
+	base    string
+	words   Words
+	client  *http.Client
+	tell    func(core.News)
+	silence time.Duration
+	ctx     context.Context
+	cancel  context.CancelFunc
+}
+
+// DialFunc opens a connection, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// New makes the client of the service at addr; its calls end with the context.
+func New(ctx context.Context, addr string, words Words, dial DialFunc, tell func(core.News)) *Client {
+	d := &Client{base: "http://" + addr + "/v1/endpoints", words: words, tell: tell, silence: watchSilence,
+		// A connection a call: a kept one could break under the next call, which the
+		// transport would then send twice, and each call is work for the service.
+		client: &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}}}
+	d.ctx, d.cancel = context.WithCancel(ctx)
+	return d
+}
+
+// Close ends all calls.
+func (d *Client) Close() { d.cancel() }
+
+// Fetch asks for the whole list once, eagerly if so wanted, and tells Fetched.
+func (d *Client) Fetch(eager bool) { go d.fetch(eager) }
+
+// Watch follows the changes after version since until the connection ends, falls silent
+// or holds a line that makes no sense; then it tells WatchEnded.
+func (d *Client) Watch(since int64, eager bool) { go d.watch(since, eager) }
+
+// eagerly tries a call until it goes through, for a while if the discovery is new.
+func (d *Client) eagerly(eager bool, try func() error) error {
+	end := time.Now().Add(eagerFor)
+	for {
+		err := try()
+		if err == nil || !eager || time.Now().After(end) {
+			return err
+		}
+		select {
+		case <-time.After(eagerEvery):
+		case <-d.ctx.Done():
+			return err
+		}
+	}
+}
+
+func (d *Client) fetch(eager bool) {
+	var l cluster.List
+	timeout := fetchTimeout
+	if eager {
+		timeout = eagerTry
+	}
+	err := d.eagerly(eager, func() error {
+		ctx, cancel := context.WithTimeout(d.ctx, timeout)
+		defer cancel()
+		body, err := d.get(ctx, d.base)
+		if err != nil {
+			return err
+		}
+		defer body.Close()
+		text, err := io.ReadAll(io.LimitReader(body, maxList))
+		if err != nil {
+			return err
+		}
+		l, err = d.words.Parse(text)
+		return err
+	})
+	d.tell(core.News{Kind: core.Fetched, List: l, Err: err})
+}
+
+func (d *Client) watch(since int64, eager bool) {
+	var err error
+	_ = d.eagerly(eager, func() error {
+		var told bool
+		if told, err = d.follow(since, eager); told {
+			return nil
+		}
+		return err
+	})
+	d.tell(core.News{Kind: core.WatchEnded, Err: err})
+}
+
+// follow is one watch; it reports whether a list came and why it ended.
+func (d *Client) follow(since int64, eager bool) (told bool, err error) {
+	ctx, cancel := context.WithCancel(d.ctx)
+	defer cancel()
+	first := d.silence
+	if eager {
+		first = min(first, eagerTry)
+	}
+	dead := time.AfterFunc(first, cancel)
+	defer dead.Stop()
+	body, err := d.get(ctx, d.base+"?follow=1&since="+strconv.FormatInt(since, 10))
+	if err != nil {
+		return false, err
+	}
+	defer body.Close()
+	lines := bufio.NewScanner(body)
+	lines.Buffer(make([]byte, 0, 4096), maxList)
+	for lines.Scan() {
+		dead.Reset(d.silence)
+		text := bytes.TrimSpace(lines.Bytes())
+		if len(text) == 0 {
+			continue
+		}
+		l, err := d.words.Parse(text)
+		if err != nil {
+			return told, fmt.Errorf("line: %w", err)
+		}
+		told = true
+		d.tell(core.News{Kind: core.Changed, List: l})
+	}
+	if err := lines.Err(); err != nil {
+		return told, err
+	}
+	return told, io.EOF
+}
+
+func (d *Client) get(ctx context.Context, url string) (io.ReadCloser, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		resp.Body.Close()
+		return nil, errors.New(resp.Status)
+	}
+	return resp.Body, nil
+}
--- /dev/null
+++ b/internal/sockets/sockets.go
@@ -0,0 +1,43 @@
+// Package sockets asks of connections what the standard library does not tell.
+package sockets
+
+import (
+	"net"
+	"syscall"
+)
+
+// Peeker is a connection that can tell itself what waits unread on it, such as one that
+// is no socket. Pending is -1 at its end, 0 where nothing waits, 1 where bytes do.
+type Peeker interface{ Pending() int }
+
+// Pending looks what waits unread on a connection, without waiting: -1 its end, 0 nothing,
+// 1 bytes. Of a connection that is neither a socket nor a Peeker it knows nothing: 0.
+func Pending(c net.Conn) int {
+	if p, ok := c.(Peeker); ok {
+		return p.Pending()
+	}
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return -1
+	}
+	found := -1
+	// Control, as Read would wait for the one that reads from the connection.
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case err == syscall.EAGAIN || err == syscall.EINTR:
+			found = 0
+		case err == nil && n > 0:
+			found = 1
+		}
+	})
+	if err != nil {
+		return -1
+	}
+	return found
+}
