End an attempt that can't be carried in Start; note what connections are opened for

Attempts without a socket ended in goroutines of their own, in no order; the core now ends them where they start. A dial's context says for which request, or call to the roster, it is, so that whoever dials can tell connections apart.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -15,6 +15,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"runtime/debug"
 	"slices"
@@ -357,5 +358,11 @@
 		return
 	}
 	b.attempts = append(b.attempts, a)
-	b.endpoint.Start(a)
+	if err := b.endpoint.Start(a); err != nil {
+		never := policy.ConnectFailed
+		if errors.Is(err, ErrNoSocket) {
+			never = policy.Full // its server is not to blame
+		}
+		c.stop(a, err, never)
+	}
 }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -16,7 +16,10 @@
 )
 
 // fakeTransport holds what it was told to carry.
-type fakeTransport struct{ started []*Attempt }
+type fakeTransport struct {
+	started []*Attempt
+	err     error // why nothing can be carried
+}
 
 type fakeEndpoint struct {
 	t                *fakeTransport
@@ -25,9 +28,12 @@
 }
 
 func (f *fakeTransport) Endpoint(dial string) Endpoint { return &fakeEndpoint{t: f, dial: dial} }
-func (e *fakeEndpoint) Start(a *Attempt)               { e.t.started = append(e.t.started, a) }
-func (e *fakeEndpoint) CloseIdle()                     { e.idleShut++ }
-func (e *fakeEndpoint) Retire()                        { e.retire++ }
+func (e *fakeEndpoint) Start(a *Attempt) error {
+	e.t.started = append(e.t.started, a)
+	return e.t.err
+}
+func (e *fakeEndpoint) CloseIdle() { e.idleShut++ }
+func (e *fakeEndpoint) Retire()    { e.retire++ }
 
 // fakeRoster notes what it is asked.
 type fakeRoster struct {
@@ -269,6 +275,27 @@
 	}
 }
 
+// What can't be carried has ended before anything else happens, and never ran.
+func TestNotCarried(t *testing.T) {
+	r := newRig(t, server(1, "a", cluster.Ready, 0))
+	r.transport.err = ErrNoSocket
+	q := r.ask(2, "a")
+	for range 1000 {
+		if len(q.answers) > 0 {
+			break
+		}
+		r.handle(input{kind: inTimer, token: 1})
+	}
+	if got := len(r.transport.started); got < 1 || got > 3 {
+		t.Fatalf("%d attempts", got)
+	}
+	for _, a := range r.transport.started {
+		if a.Begin() || a.Context().Err() == nil || !a.ended {
+			t.Fatal("an attempt goes on")
+		}
+	}
+}
+
 // Lists apply in the order of their versions, whichever way they come.
 func TestListOrder(t *testing.T) {
 	r := newRig(t, server(0, "a", cluster.Ready, 0), server(1, "b", cluster.Ready, 0))
--- a/internal/core/transport.go
+++ b/internal/core/transport.go
@@ -25,8 +25,9 @@
 type Endpoint interface {
 	// Start carries the attempt, and ends it by Attempt.End or Go exactly once. What of
 	// its connections an attempt uses is settled before Start returns, so that attempts
-	// started one after the other find them in that order.
-	Start(a *Attempt)
+	// started one after the other find them in that order. An error means that it can't
+	// be carried: nothing of it goes out, and the transport is done with it.
+	Start(a *Attempt) error
 	// CloseIdle closes the connections that carry no attempt.
 	CloseIdle()
 	// Retire does the same, and closes the others when their attempts end.
--- a/internal/httptransport/attempt.go
+++ b/internal/httptransport/attempt.go
@@ -27,13 +27,11 @@
 // carry sends an attempt on the connection that was taken for it, or a new one, and waits
 // for its end. When it returns, the connection is closed or free for the next, and no
 // further byte of the attempt goes out.
-func (e *endpoint) carry(a *core.Attempt, c *conn, err error) core.Result {
+func (e *endpoint) carry(a *core.Attempt, c *conn) core.Result {
+	c, err := e.ready(a.Context(), a.Request.ID, c)
 	if err != nil {
 		return a.Broken(err, false)
 	}
-	if c, err = e.ready(a.Context(), c); err != nil {
-		return a.Broken(err, false)
-	}
 	x := exchange{a: a, c: c, e: e}
 	res, err := x.roundTrip()
 	if err != nil {
--- a/internal/httptransport/attempt_test.go
+++ b/internal/httptransport/attempt_test.go
@@ -76,7 +76,9 @@
 }
 
 func (t *try) run() core.Result {
-	t.e.Start(t.Attempt)
+	if err := t.e.Start(t.Attempt); err != nil {
+		return t.Broken(err, false)
+	}
 	return <-t.done
 }
 
--- a/internal/httptransport/pool.go
+++ b/internal/httptransport/pool.go
@@ -89,9 +89,12 @@
 
 // Start carries an attempt on an idle connection on which nothing waits, else on a new
 // one. Which it is, is settled before it returns.
-func (e *endpoint) Start(a *core.Attempt) {
+func (e *endpoint) Start(a *core.Attempt) error {
 	c, err := e.take()
-	a.Go(func() core.Result { return e.carry(a, c, err) })
+	if err == nil {
+		a.Go(func() core.Result { return e.carry(a, c) })
+	}
+	return err
 }
 
 // take gives an idle connection that nothing waits on, or none and a place for a new one.
@@ -139,9 +142,9 @@
 	return nil
 }
 
-// ready gives what was taken, or opens what there is a place for. The wait for a
+// ready gives what was taken, or opens what there is a place for, for the request id. The wait for a
 // connection to settle ends with the context.
-func (e *endpoint) ready(ctx context.Context, c *conn) (*conn, error) {
+func (e *endpoint) ready(ctx context.Context, id string, c *conn) (*conn, error) {
 	if c != nil && c.age < settle {
 		rest := time.NewTimer(settle - c.age)
 		select {
@@ -158,13 +161,13 @@
 			if c, err = e.take(); err != nil {
 				return nil, err
 			}
-			return e.ready(ctx, c)
+			return e.ready(ctx, id, c)
 		}
 	}
 	if c != nil {
 		return c, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, e.pool.opt.Timeout)
+	ctx, cancel := context.WithTimeout(sockets.For(ctx, id), e.pool.opt.Timeout)
 	defer cancel()
 	up, err := e.pool.opt.Dial(ctx, "tcp", e.dial)
 	if err != nil {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -21,6 +21,7 @@
 
 	"molepaddle/internal/cluster"
 	"molepaddle/internal/core"
+	"molepaddle/internal/sockets"
 )
 
 const (
@@ -177,7 +178,7 @@
 	err := d.eagerly(eager, func() error {
 		ctx, cancel := context.WithTimeout(d.ctx, timeout)
 		defer cancel()
-		body, err := d.get(ctx, d.base)
+		body, err := d.get(sockets.For(ctx, "fetch"), d.base)
 		if err != nil {
 			return err
 		}
@@ -214,7 +215,7 @@
 	}
 	dead := time.AfterFunc(first, cancel)
 	defer dead.Stop()
-	body, err := d.get(ctx, d.base+"?follow=1&since="+strconv.FormatInt(since, 10))
+	body, err := d.get(sockets.For(ctx, "watch"), d.base+"?follow=1&since="+strconv.FormatInt(since, 10))
 	if err != nil {
 		return false, err
 	}
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -2,10 +2,25 @@
 package sockets
 
 import (
+	"context"
 	"net"
 	"syscall"
 )
 
+type purposeKey struct{}
+
+// For notes in the context of a dial what the connection is opened for, such as a
+// request's id; whoever dials may log or trace it.
+func For(ctx context.Context, what string) context.Context {
+	return context.WithValue(ctx, purposeKey{}, what)
+}
+
+// Purpose is what For has noted; empty: nothing.
+func Purpose(ctx context.Context) string {
+	what, _ := ctx.Value(purposeKey{}).(string)
+	return what
+}
+
 // Peeker is a connection that can tell itself what waits unread on it, such as one that
 // is no socket. Pending is -1 at its end, 0 where nothing waits, 1 where bytes do.
 type Peeker interface{ Pending() int }
