--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -387,6 +387,9 @@
 	var a *Attempt
 	a = NewAttempt(c.ctx, r, ms(act.Ms), func(res Result) { c.post(input{kind: inOutcome, att: a, res: res}) })
 	a.index, a.backend = len(r.attempts), b
+	if act.BeginMs > 0 {
+		a.lapses = a.started.Add(ms(act.BeginMs))
+	}
 	r.attempts = append(r.attempts, a)
 	r.open++
 	if !b.usable || r.answered {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -174,6 +174,21 @@
 	}
 }
 
+// A repeat that may begin for a while only does not begin after it, never ran, and is of
+// no use for a further try.
+func TestLapsed(t *testing.T) {
+	a := NewAttempt(t.Context(), &Request{}, time.Hour, func(Result) {})
+	a.lapses = time.Now().Add(time.Hour)
+	if !a.Begin() {
+		t.Fatal("may not begin in time")
+	}
+	late := NewAttempt(t.Context(), &Request{}, time.Hour, func(Result) {})
+	late.lapses = time.Now()
+	if late.Begin() || late.Broken(io.EOF, false).Status != policy.Moot {
+		t.Fatal("began after its time")
+	}
+}
+
 // The last guard answers should Run never do, and its request is given up; a full queue
 // does not hold the answer back.
 func TestGuard(t *testing.T) {
--- a/internal/core/transport.go
+++ b/internal/core/transport.go
@@ -61,6 +61,7 @@
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
 	stage   atomic.Int32
+	lapses  time.Time // when it may no longer begin; zero: while the context lasts
 
 	// What stands below belongs to the core's goroutine.
 	index   int
@@ -91,6 +92,8 @@
 var (
 	ErrCancelled = errors.New("attempt cancelled")
 	ErrDrained   = errors.New("server drains or is gone")
+
+	errLapsed = errors.New("the time to begin in is over")
 )
 
 // Context ends when the attempt is over: at its time-out, when it is cancelled or when
@@ -103,8 +106,15 @@
 	return t
 }
 
-// Begin is asked before the first byte is written; false means that none may be.
-func (a *Attempt) Begin() bool { return a.stage.CompareAndSwap(waiting, sending) }
+// Begin is asked before the first byte is written; false means that none may be. A keyed
+// repeat may begin within the window of its key only, however long connecting took.
+func (a *Attempt) Begin() bool {
+	if !a.lapses.IsZero() && !time.Now().Before(a.lapses) {
+		a.Withdraw(errLapsed)
+		return false
+	}
+	return a.stage.CompareAndSwap(waiting, sending)
+}
 
 // Withdraw stops an attempt of which no byte went out, for the cause given, and reports
 // whether it did: one that had begun or was stopped before it leaves alone.
@@ -149,6 +159,8 @@
 	cause := context.Cause(a.ctx)
 	status := policy.Reset
 	switch {
+	case never && errors.Is(cause, errLapsed):
+		status = policy.Moot
 	case never && (errors.Is(err, ErrNoSocket) || errors.Is(cause, ErrDrained)):
 		status = policy.Full
 	case errors.Is(cause, ErrCancelled):
--- a/internal/world/check.go
+++ b/internal/world/check.go
@@ -48,6 +48,7 @@
 	taken    time.Duration
 	left     time.Duration // when its client went; 0: it waits
 	final    string        // the answer's kind, once there was one
+	finalAt  time.Duration
 	attempts []*attempt
 	cancel   bool // its client leaves in the instant of the last byte
 	client   *client
@@ -59,6 +60,7 @@
 	rec   *record
 	id    string
 	s     *server
+	as    *server       // which its agent was told to be at the address
 	first time.Duration // its first byte
 	whole bool          // its last byte was written
 	came  bool          // and has come
@@ -134,6 +136,7 @@
 	if r.final != "" {
 		k.breach("two final answers", "%s", r.id)
 	}
+	r.finalAt = k.w.now()
 	run := false
 	var ran *attempt
 	for _, a := range r.attempts {
@@ -195,6 +198,15 @@
 	}
 }
 
+// fate is what is planned for a request that a run of an agent has taken.
+func (k *checker) fate(p *process, id string) (string, *record) {
+	r := k.records[recordKey{p, id}]
+	if r == nil {
+		return "", nil
+	}
+	return r.ask.op.Fate, r
+}
+
 // clientEnd finds the connection on which the request was asked.
 func (r *record) clientEnd() (*client, bool) {
 	for _, c := range r.p.conns {
@@ -212,15 +224,17 @@
 // begins notes the first byte of an attempt: drains count from it.
 func (k *checker) begins(p *process, l *link) {
 	now, s := k.w.now(), l.s
-	l.attempt = &attempt{s: s, first: now}
+	l.attempt = &attempt{s: s, as: s, first: now}
 	k.sent++
 	var worst time.Duration = -1
 	known := false
-	for _, t := range k.tolds[p].at {
-		if t.c.dial != l.c.remote {
+	for num, s := range k.w.servers {
+		t, listed := k.tolds[p].at[num]
+		if !listed || t.c.dial != l.c.remote {
 			continue
 		}
 		known = true
+		l.attempt.as = s
 		if t.c.health == "ready" {
 			worst = -1
 			break
@@ -252,7 +266,7 @@
 	if n := len(r.attempts) + 1; n > k.w.day.maxAttempts() {
 		k.breach("too many attempts", "%s: %d", id, n)
 	}
-	if r.final != "" && r.final != "untaken" {
+	if r.final != "" && r.final != "untaken" && a.first > r.finalAt {
 		k.breach("sent after the final answer", "%s to %s, it was %s", id, a.s.host, r.final)
 	}
 	if r.left != 0 && a.first > r.left+grace {
@@ -270,7 +284,7 @@
 				k.breach("a keyed repeat after its window", "%s at %s, %v after it went to %s, the window is %v", id, a.s.host, late, o.s.host, k.w.day.ttl)
 			}
 			g := k.w.day.grouped
-			if g == "zone" && a.s.zone != o.s.zone || g == "cell" && a.s.cell != o.s.cell {
+			if g == "zone" && a.as.zone != o.as.zone || g == "cell" && a.as.cell != o.as.cell {
 				k.breach("a keyed repeat outside its group", "%s at %s after %s", id, a.s.host, o.s.host)
 			}
 			break // the window and the group are those of the first that may have run
@@ -331,7 +345,7 @@
 		}
 	}
 	capacity := float64(k.w.day.Slots) / (k.w.day.WorkMs / 1000) * s.ramp(now) * window.Seconds()
-	slack := 3 + 2*float64(len(k.w.agents)) // chance: each agent may begin with one, and costs vary
+	slack := 2 + float64(len(k.w.agents)) // chance: each agent may begin with one
 	if float64(n) > k.w.day.contract("fallMultiple")*capacity+slack && 3*knew >= 2*n {
 		k.breach("a cold server is pushed over", "%s got %d in %v, its capacity is %.1f", s.host, n, window, capacity)
 	}
--- a/internal/world/day.go
+++ b/internal/world/day.go
@@ -88,6 +88,12 @@
 	if rng.IntN(5) == 0 {
 		d.Agents = 4 + rng.IntN(2)
 	}
+	// A rush: few servers with much to do, one of which comes back cold.
+	rush := rng.IntN(6) == 0
+	if rush {
+		d.Agents, d.Servers, d.Slots, d.WorkMs, d.TripUs = 1+rng.IntN(2), 2+rng.IntN(2), 1, between(12, 30), between(80, 500)
+		d.NoticeMs = between(5, 100)
+	}
 	giveUp := between(150, 700)
 	ttl := logBetween(40, 1500)
 	d.Settings = map[string]any{
@@ -113,6 +119,11 @@
 			"credit": 1 + float64(i), "lateShare": []float64{0, 0.2}[rng.IntN(2)], "effect": effect, "group": group, "keyTtlMs": ttl})
 	}
 	d.Settings["classes"] = classes
+	if rush {
+		contract := d.Settings["contract"].(map[string]any)
+		contract["coldFrom"], contract["coldMs"] = between(0.15, 0.25), between(2000, 4000)
+		contract["fallMultiple"], contract["tipAfterMs"] = between(1.2, 2), between(400, 1000)
+	}
 	d.prepare()
 
 	length := time.Duration(between(700, 1800)) * ms
@@ -122,6 +133,11 @@
 		o.ID = len(d.Ops) + 1
 		d.Ops = append(d.Ops, o)
 	}
+	if rush {
+		length = time.Duration(between(1500, 2500)) * ms
+		requests = min(int(between(0.7, 1.2)*float64(d.Servers)/(d.WorkMs/1000)*length.Seconds()), 250)
+		add(Op{At: length / 6, Kind: []string{"crash", "move", "add"}[rng.IntN(3)], Host: rng.IntN(d.Servers), For: 20 * ms})
+	}
 	keys := 1 + rng.IntN(40)
 	burst := rng.IntN(4) == 0
 	odd := between(0, 0.25) // share of requests with a fate of their own
@@ -140,6 +156,9 @@
 			o.Fate = fates[rng.IntN(len(fates))]
 			o.For = time.Duration(logBetween(0.05, giveUp)*float64(ms)) + 1
 		}
+		if o.Class == send && o.Fate == "" && rng.Float64() < odd/2 {
+			o.Fate = "key-window"
+		}
 		add(o)
 	}
 	faults := []string{"fail-fast", "turn-away", "hang", "reset-request", "reset-answer", "spoil", "surplus", "interim",
--- /dev/null
+++ b/internal/world/mutants_test.go
@@ -0,0 +1,142 @@
+package world
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+var mutate = flag.String("world.mutants", "", "let the world find these deliberate faults, separated by commas, or all")
+
+// mutant is a deliberate fault in the real code: one text for another. The tests alone
+// switch it on, by building the world with the changed file laid over the real one.
+type mutant struct{ name, file, old, new string }
+
+var mutants = []mutant{
+	{"unsafe work is retried after a reset", "internal/core/transport.go",
+		"status := policy.Reset", "status := policy.ConnectFailed"},
+	{"every ending is taken for one that never ran", "policy/policy.go",
+		"if ev.Status.NeverRan() {", "if true {"},
+	{"drains are heard 400 ms late", "internal/roster/roster.go",
+		"		d.tell(core.News{Kind: core.Changed, List: l})", "		time.AfterFunc(400*time.Millisecond, func() { d.tell(core.News{Kind: core.Changed, List: l}) })"},
+	{"what waits for a connection is not withdrawn at a drain", "internal/core/servers.go",
+		"	for _, a := range b.attempts {\n		c.stop(a, ErrDrained, policy.Full)\n	}\n", ""},
+	{"withdrawn attempts are sent all the same", "internal/httptransport/attempt.go",
+		"if !a.Begin() {", "if !a.Begin() && x.cut {"},
+	{"answers are sent twice", "internal/httpfront/places.go",
+		"func (c *clientConn) Close() error {", "func (c *clientConn) Write(p []byte) (int, error) {\n	c.Conn.Write(p)\n	return c.Conn.Write(p)\n}\n\nfunc (c *clientConn) Close() error {"},
+	{"a cold server is taken for warm", "policy/policy.go",
+		"	age := b.now - s.startedAt\n", "	age := b.now - s.startedAt\n	if age >= 0 {\n		return 1\n	}\n"},
+	{"an attempt is leaked", "internal/core/core.go",
+		"	r.open--\n", ""},
+	{"a connection is leaked where it can't be kept", "internal/httptransport/attempt.go",
+		"		} else {\n			c.Close()\n		}", "		}"},
+	{"what waits on a kept connection is not looked for", "internal/httptransport/pool.go",
+		"c.age <= limit && sockets.Pending(c.Conn) == 0", "c.age <= limit"},
+	{"bytes behind an answer are not looked for", "internal/httptransport/attempt.go",
+		" && r.Buffered() == 0", ""},
+	{"a short body passes", "internal/httptransport/attempt.go",
+		"	if err != nil {\n		return res, false, fmt.Errorf(\"answer: %w\", err)\n	}\n	res.Load", "	res.Load"},
+	{"any 503 is taken for turned away", "internal/httptransport/attempt.go",
+		" &&\n		resp.Header.Get(\"Not-Started\") == \"1\"", ""},
+	{"one attempt more than allowed", "internal/core/core.go",
+		"	bal, err := policy.New(set, o.Seed)", "	set.Limits.MaxAttempts++\n	bal, err := policy.New(set, o.Seed)"},
+	{"keyed repeats go anywhere", "policy/policy.go",
+		"return c.Group == settings.GroupAll ||", "return true || c.Group == settings.GroupAll ||"},
+	{"the window of a key is not looked at", "policy/policy.go",
+		"if b.now-r.ranAt > c.KeyTTLMs-2*b.set.RoundMs {", "if b.now < 0 {"},
+	{"a repeat begins after the window of its key", "internal/core/core.go",
+		"if act.BeginMs > 0 {", "if act.BeginMs < 0 {"},
+	{"what may have run is refused", "policy/policy.go",
+		"harmless := r.risky == 0 ||", "harmless := true ||"},
+	{"deadlines are counted 200 ms too long", "internal/httpfront/front.go",
+		"r.Deadline = came.Add(", "r.Deadline = came.Add(200*time.Millisecond + "},
+	{"ids that came before are taken", "internal/core/core.go",
+		"if !c.ids.add(r.ID, time.Now()) {", "if c.ids.add(r.ID, time.Now()); false {"},
+	{"a client that leaves is not noticed", "internal/core/core.go",
+		"	case <-ctx.Done():\n		end.Outcome = Gone", "	case <-make(chan int):\n		end.Outcome = Gone"},
+	{"a broken attempt is sent again by the transport", "internal/httptransport/attempt.go",
+		"	res, err := x.roundTrip()\n", "	res, err := x.roundTrip()\n	if err != nil && !x.cut {\n		if up, bad := e.pool.opt.Dial(a.Context(), \"tcp\", e.dial); bad == nil {\n			e.pool.mu.Lock()\n			e.pool.open++\n			e.pool.mu.Unlock()\n			y := exchange{a: core.NewAttempt(a.Context(), a.Request, time.Second, func(core.Result) {}), c: &conn{Conn: up, end: e}, e: e}\n			res, err = y.roundTrip()\n		}\n	}\n"},
+	{"an older whole list is applied", "internal/core/roster.go",
+		"case n.List.Seq >= c.seq:", "case true:"},
+	{"a half-closed client gets an empty 200", "internal/httpfront/front.go",
+		"		w.Header().Set(\"Connection\", \"close\")\n		a.write(w, http.StatusBadGateway, \"\", nil)\n	case core.Overdue:", "	case core.Overdue:"},
+	{"what has not begun goes on when its request is over", "internal/core/core.go",
+		"	for _, a := range r.attempts {\n		c.stop(a, ErrCancelled, policy.Cancelled)\n	}\n", ""},
+	{"dials to the roster outlive it", "internal/roster/roster.go",
+		"		defer context.AfterFunc(d.ctx, cancel)()\n", ""},
+	{"idle connections outlive the agent", "internal/agent/agent.go",
+		"	defer a.transport.Close()\n", ""},
+	{"a failed request gets no answer of its own", "internal/core/core.go",
+		"				c.answer(r, Answer{Outcome: Failed})\n", "				r.Deadline = r.Deadline.Add(time.Hour)\n"},
+}
+
+// root is the module's folder.
+const root = "../.."
+
+// source reads the real file that a mutant changes, and the changed text.
+func (m *mutant) source(t *testing.T) (path, text string) {
+	path, err := filepath.Abs(filepath.Join(root, m.file))
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n := strings.Count(string(raw), m.old); n != 1 {
+		t.Fatalf("%s: what it changes stands %d times in %s", m.name, n, m.file)
+	}
+	return path, strings.Replace(string(raw), m.old, m.new, 1)
+}
+
+// The faults can be made: what they change is there.
+func TestMutantsApply(t *testing.T) {
+	for _, m := range mutants {
+		m.source(t)
+	}
+}
+
+// TestMutants lets the world look for deliberate faults, and prints a table of the seeds
+// until each was found. It builds the world once for each.
+func TestMutants(t *testing.T) {
+	if *mutate == "" {
+		t.Skip("no faults are asked for")
+	}
+	breach := regexp.MustCompile(`seed (\d+): ([^:]*):`)
+	for _, m := range mutants {
+		if *mutate != "all" && !strings.Contains(*mutate, m.name) {
+			continue
+		}
+		dir := t.TempDir()
+		path, text := m.source(t)
+		changed := filepath.Join(dir, "changed.go")
+		overlay, _ := json.Marshal(map[string]any{"Replace": map[string]string{path: changed}})
+		for name, content := range map[string][]byte{changed: []byte(text), filepath.Join(dir, "overlay.json"): overlay} {
+			if err := os.WriteFile(name, content, 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		bin := filepath.Join(dir, "world.test")
+		build := exec.Command("go", "test", "-c", "-vet=off", "-overlay", filepath.Join(dir, "overlay.json"), "-o", bin, ".")
+		if out, err := build.CombinedOutput(); err != nil {
+			t.Errorf("%s: %v\n%s", m.name, err, out)
+			continue
+		}
+		out, _ := exec.Command(bin, "-test.run", "^TestSeeds$", "-world.stop", fmt.Sprintf("-world.from=%d", *from),
+			fmt.Sprintf("-world.count=%d", *count), "-test.timeout=10m").CombinedOutput()
+		if found := breach.FindSubmatch(out); found != nil {
+			fmt.Printf("| %s | %s | %s |\n", m.name, found[1], found[2])
+		} else {
+			tail := out[max(0, len(out)-300):]
+			t.Errorf("%s: not found in %d seeds\n%s", m.name, *count, tail)
+			fmt.Printf("| %s | not found in %d | |\n", m.name, *count)
+		}
+	}
+}
--- a/internal/world/server.go
+++ b/internal/world/server.go
@@ -90,6 +90,11 @@
 	case s.has("slow-dial", uint64(c.id)):
 		wait += time.Duration(w.day.draw("slow", uint64(c.id)) * float64(300*ms))
 	}
+	if fate, r := w.check.fate(p, c.purpose); fate == "key-window" && len(r.attempts) > 0 {
+		// The window of its key ends while the connection comes up.
+		w.check.count("key window ends in a dial")
+		wait = max(wait, r.attempts[0].first+w.day.ttl-w.now()+time.Duration(2*w.day.draw("just", uint64(c.id))*float64(ms)))
+	}
 	w.after(wait, func() {
 		if s.silent {
 			return
@@ -228,13 +233,16 @@
 	case s.has("reset-request", c, n-1):
 		l.reset(0)
 		return
+	case w.firstOfWindow(l, id):
+		l.reset(0)
+		return
 	case s.has("hang", c, n):
 		return
 	case s.has("turn-away", c, n) || s.working > w.day.Slots+w.day.Queue:
 		l.reply("never", 503, "Not-Started: 1\r\n", "", 0)
 		return
 	case s.has("fail-fast", c, n):
-		l.reply("error", 500, "", "no", 0)
+		l.reply("error", []int{500, 503, 504}[int(3*w.day.draw("status", c, n))], "", "no", 0)
 		return
 	}
 	x := w.day.draw("work", c, n)
@@ -249,6 +257,13 @@
 	})
 }
 
+// firstOfWindow tells whether this is the first attempt of a request that is to find the
+// window of its key ended.
+func (w *World) firstOfWindow(l *link, id string) bool {
+	fate, r := w.check.fate(l.p, id)
+	return fate == "key-window" && len(r.attempts) == 1
+}
+
 // serve answers a request with its body, or with what the faults make of it.
 func (l *link) serve(body string) {
 	s, w, c, n := l.s, l.s.w, uint64(l.c.id), uint64(l.count)
@@ -272,9 +287,13 @@
 	case s.has("surplus", c, n):
 		more := []string{"\x00noise", strings.Replace(whole, "made for", "copy for", 1)}[int(2*x)]
 		w.check.made(l.job.id, body)
-		if x*10-float64(int(x*10)) < 0.5 {
+		switch how := x*10 - float64(int(x*10)); {
+		case how < 0.35:
 			l.say("served", [][]byte{[]byte(whole + more)}, 0)
-		} else {
+		case how < 0.7: // the start with the answer, and a whole one when the next may wait
+			l.say("served", [][]byte{[]byte(whole + "\x00noise")}, 0)
+			w.push(l.ahead(time.Duration(1+4*x)*ms), func() { l.c.deliver([]byte(strings.Replace(whole, "made for", "copy for", 1))) })
+		default:
 			l.say("served", [][]byte{[]byte(whole)}, 0)
 			w.push(l.ahead(0), func() { l.c.deliver([]byte(more)) })
 		}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -477,8 +477,11 @@
 	a := &attempt{r: r, s: s, index: len(r.attempts), alone: len(s.out) == 0, sentAt: b.now, cost: b.cost(r)}
 	r.attempts = append(r.attempts, a)
 	r.open++
+	begin := 0.0
 	if r.risky == 0 {
 		r.ranAt, r.ranOn = b.now, s
+	} else if c := &b.set.Classes[r.class]; c.Effect == settings.Guarded {
+		begin = r.ranAt + c.KeyTTLMs - 2*b.set.RoundMs - b.now // connecting may outlast the window
 	}
 	r.risky++
 	s.out = append(s.out, a)
@@ -490,7 +493,7 @@
 	if b.ramp(s) < 1 {
 		s.credit -= a.cost
 	}
-	b.do(Action{Kind: ActSend, Request: r.id, Server: s.id, Ms: r.deadline - b.now})
+	b.do(Action{Kind: ActSend, Request: r.id, Server: s.id, Ms: r.deadline - b.now, BeginMs: begin})
 	return true
 }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1103,3 +1103,27 @@
 		t.Errorf("sent %d and refused %d of 10, want some sent and 6 refused", sent, refused)
 	}
 }
+
+// A keyed repeat must go out within its window, and whoever sends it is told so: coming to
+// a connection may take longer. First attempts and those of other classes have no such end.
+func TestRepeatsHaveALastMoment(t *testing.T) {
+	for class, want := range []bool{false, false, true} {
+		r := newRig(t, testSettings(), 4)
+		id, first := r.sent(class, 5)
+		r.now += 100
+		a := find(r.outcome(id, 0, first, Reset, 100), ActSend)
+		if class == 1 {
+			if a != nil {
+				t.Fatal("an unsafe request was sent again")
+			}
+			continue
+		}
+		if a == nil {
+			t.Fatalf("class %d: not sent again", class)
+		}
+		set := &r.b.set
+		if left := set.Classes[2].KeyTTLMs - 100 - 2*set.RoundMs; (a.BeginMs == left) != want || !want && a.BeginMs != 0 {
+			t.Errorf("class %d: to begin within %v ms, %v are left of the window", class, a.BeginMs, left)
+		}
+	}
+}
--- a/policy/types.go
+++ b/policy/types.go
@@ -83,7 +83,7 @@
 
 // The actions.
 const (
-	ActSend   ActionKind = iota + 1 // Request, Server, Ms: time-out
+	ActSend   ActionKind = iota + 1 // Request, Server, Ms: time-out, BeginMs
 	ActCancel                       // Request, Attempt
 	ActRefuse                       // Request, Ms: advice
 	ActFail                         // Request
@@ -102,6 +102,7 @@
 	Server  cluster.Addr
 	Attempt int
 	Ms      float64
+	BeginMs float64 // of a send: within which its first byte goes out, or none; 0: Ms alone
 	Token   uint32
 	Text    string
 }
