--- a/internal/world/mutants_test.go
+++ b/internal/world/mutants_test.go
@@ -33,6 +33,8 @@
 		"func (c *clientConn) Close() error {", "func (c *clientConn) Write(p []byte) (int, error) {\n	c.Conn.Write(p)\n	return c.Conn.Write(p)\n}\n\nfunc (c *clientConn) Close() error {"},
 	{"a cold server is taken for warm", "policy/policy.go",
 		"	age := b.now - s.startedAt\n", "	age := b.now - s.startedAt\n	if age >= 0 {\n		return 1\n	}\n"},
+	{"checks of a failing server don't count against its cold credit", "policy/policy.go",
+		"	if s.state >= UnhealthyPending {\n		if len(s.out) > 0 {\n			return false\n		}\n	} else", "	if s.state >= UnhealthyPending {\n		return len(s.out) == 0\n	} else"},
 	{"an attempt is leaked", "internal/core/core.go",
 		"	r.open--\n", ""},
 	{"a connection is leaked where it can't be kept", "internal/httptransport/attempt.go",
@@ -77,6 +79,21 @@
 		"				c.answer(r, Answer{Outcome: Failed})\n", "				r.Deadline = r.Deadline.Add(time.Hour)\n"},
 }
 
+// keep cuts the day down on which a fault was found, and writes it to the days that are
+// played ever after.
+func (m *mutant) keep(t *testing.T, bin, seed string) {
+	out, _ := exec.Command(bin, "-test.run", "^TestDay$", "-world.shrink", "-world.seed="+seed, "-test.timeout=10m").Output()
+	text, _, ok := strings.Cut(string(out), "\n}\n")
+	if !ok {
+		t.Errorf("%s: seed %s can't be cut down", m.name, seed)
+		return
+	}
+	name := strings.ReplaceAll(strings.ReplaceAll(m.name, " ", "-"), "'", "")
+	if err := os.WriteFile(filepath.Join("testdata", "days", name+".json"), []byte(text+"\n}\n"), 0o644); err != nil {
+		t.Error(err)
+	}
+}
+
 // root is the module's folder.
 const root = "../.."
 
@@ -133,6 +150,9 @@
 			fmt.Sprintf("-world.count=%d", *count), "-test.timeout=10m").CombinedOutput()
 		if found := breach.FindSubmatch(out); found != nil {
 			fmt.Printf("| %s | %s | %s |\n", m.name, found[1], found[2])
+			if *shrink {
+				m.keep(t, bin, string(found[1]))
+			}
 		} else {
 			tail := out[max(0, len(out)-300):]
 			t.Errorf("%s: not found in %d seeds\n%s", m.name, *count, tail)
--- a/internal/world/world_test.go
+++ b/internal/world/world_test.go
@@ -6,6 +6,7 @@
 	"hash/fnv"
 	"io"
 	"os"
+	"path/filepath"
 	"runtime"
 	"strings"
 	"sync"
@@ -136,6 +137,31 @@
 	}
 }
 
+// Days on which a rule was broken once, cut down to what it took, break none any more.
+func TestKeptDays(t *testing.T) {
+	files, err := filepath.Glob("testdata/days/*.json")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no days: %v", err)
+	}
+	for _, name := range files {
+		text, err := os.ReadFile(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		day, err := ReadDay(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		res := play(t, day, nil)
+		if res.Steps == 0 {
+			t.Errorf("%s: nothing happens", name)
+		}
+		for _, b := range res.Breaches {
+			t.Errorf("%s: %v\n\treplay: go test ./internal/world -run TestDay -v -world.day=%s", name, b, name)
+		}
+	}
+}
+
 // The same seed gives the same trace, whatever runs it.
 func TestSameTrace(t *testing.T) {
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(0))
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -399,11 +399,12 @@
 // until it is validated, and a cold server's credit.
 func (b *Balancer) hasRoom(s *server, r *request) bool {
 	if s.state >= UnhealthyPending {
-		return len(s.out) == 0
-	}
-	// A window under one is kept by pausing: with many agents even one attempt of
-	// each can be too much, and a server that tipped needs rest to recover.
-	if len(s.out) >= max(int(s.window), 1) || s.window < 1 && b.now-s.sentAt < s.rtt/s.window {
+		if len(s.out) > 0 {
+			return false
+		}
+	} else if len(s.out) >= max(int(s.window), 1) || s.window < 1 && b.now-s.sentAt < s.rtt/s.window {
+		// A window under one is kept by pausing: with many agents even one attempt of
+		// each can be too much, and a server that tipped needs rest to recover.
 		return false
 	}
 	return b.ramp(s) == 1 || s.credit >= b.cost(r) ||
