--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -167,6 +167,9 @@
 			}
 		}
 	}()
+	// Whether the connection is kept is settled as its request comes: of many that are
+	// answered in one moment it would hang on which is first.
+	keep := a.places.keep()
 	r, bad := a.read(w, hr, came)
 	if bad != nil {
 		answered = true
@@ -189,7 +192,7 @@
 	case core.Overdue:
 		a.write(w, http.StatusGatewayTimeout, "", nil)
 	default:
-		a.answer(w, ans)
+		a.answer(w, ans, keep)
 	}
 }
 
@@ -322,8 +325,8 @@
 }
 
 // answer words a final answer.
-func (a *Front) answer(w http.ResponseWriter, ans core.Answer) {
-	if !a.places.keep() {
+func (a *Front) answer(w http.ResponseWriter, ans core.Answer, keep bool) {
+	if !keep {
 		w.Header().Set("Connection", "close")
 	}
 	switch ans.Outcome {
--- a/internal/httpfront/places.go
+++ b/internal/httpfront/places.go
@@ -18,7 +18,7 @@
 	// silentFor is how long a new connection may say nothing while others want its place,
 	// roomFor how long a new one waits for a place, looked for every roomEvery.
 	silentFor          = 30 * time.Millisecond
-	roomFor, roomEvery = 150 * time.Millisecond, 2 * time.Millisecond
+	roomFor, roomEvery = 150 * time.Millisecond, 1999 * time.Microsecond // in step with nothing else
 	// tidyEvery is how often idle connections are looked through.
 	tidyEvery = 250 * time.Millisecond
 )
@@ -40,6 +40,7 @@
 	got    atomic.Bool // something was read from it
 	stage  stage
 	since  time.Time // when the stage began
+	number int       // counts the connections in the order in which they came
 }
 
 func (c *clientConn) Read(p []byte) (int, error) {
@@ -75,6 +76,7 @@
 	many  int // connections that ask or have asked, past which they are not kept
 	mu    sync.Mutex
 	conns map[*clientConn]struct{}
+	came  int // connections so far
 }
 
 func newPlaces(most, many int) *places {
@@ -123,6 +125,8 @@
 		delete(p.conns, least)
 		least.Conn.Close()
 	}
+	p.came++
+	c.number = p.came
 	p.conns[c] = struct{}{}
 	return true
 }
@@ -149,7 +153,7 @@
 			kind = 4 // may cross a request, which the client then sends again
 		}
 		// What has just come and is not yet read is somebody's request.
-		if kind < kinds && (found[kind] == nil || c.since.Before(found[kind].since)) &&
+		if kind < kinds && (found[kind] == nil || c.longer(found[kind])) &&
 			(kind == 2 || kind == 3 || sockets.Pending(c.Conn) <= 0) {
 			found[kind] = c
 		}
@@ -162,6 +166,12 @@
 	return nil
 }
 
+// longer tells whether a connection has been in its stage for longer than another; of
+// those that entered it in one moment, the one that came first has.
+func (c *clientConn) longer(than *clientConn) bool {
+	return c.since.Before(than.since) || c.since.Equal(than.since) && c.number < than.number
+}
+
 func (p *places) drop(c *clientConn) {
 	p.mu.Lock()
 	delete(p.conns, c)
