Open another connection rather than wait until one has settled; write requests ourselves

A client that asks one request after the other over one backend waited about 1.1 ms for each, in the rest that guards against a surplus answer taken for the next one. The rest stays; what is new is that an attempt opens another connection while fewer than 64 to the endpoint rest. Requests are written without net/http's, an attempt has one context and one timer, a body sets no deadline that it mostly does not need.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -50,7 +50,7 @@
 		"block": 1, "health": health, "share": 1.0, "born_ms": 0}
 }
 
-func parse(t *testing.T, c map[string]any) *config.Config {
+func parse(t testing.TB, c map[string]any) *config.Config {
 	t.Helper()
 	text, err := json.Marshal(c)
 	if err != nil {
--- a/internal/core/transport.go
+++ b/internal/core/transport.go
@@ -56,12 +56,13 @@
 type Attempt struct {
 	Request *Request // not to be changed
 
-	end     func(Result)
-	started time.Time
-	ctx     context.Context
-	cancel  context.CancelCauseFunc
-	stage   atomic.Int32
-	lapses  time.Time // when it may no longer begin; zero: while the context lasts
+	end      func(Result)
+	started  time.Time
+	deadline time.Time
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	stage    atomic.Int32
+	lapses   time.Time // when it may no longer begin; zero: while the context lasts
 
 	// What stands below belongs to the core's goroutine.
 	index   int
@@ -74,12 +75,13 @@
 // drives a transport without a core, as its tests do.
 func NewAttempt(ctx context.Context, r *Request, timeout time.Duration, end func(Result)) *Attempt {
 	a := &Attempt{Request: r, end: end, started: time.Now()}
-	ctx, cancel := context.WithCancelCause(ctx)
-	var stop context.CancelFunc
-	a.ctx, stop = context.WithTimeout(ctx, timeout)
+	a.deadline = a.started.Add(timeout)
+	var cancel context.CancelCauseFunc
+	a.ctx, cancel = context.WithCancelCause(ctx)
+	timer := time.AfterFunc(timeout, func() { cancel(context.DeadlineExceeded) })
 	a.cancel = func(cause error) {
+		timer.Stop()
 		cancel(cause)
-		stop()
 	}
 	return a
 }
@@ -97,14 +99,11 @@
 )
 
 // Context ends when the attempt is over: at its time-out, when it is cancelled or when
-// the agent ends.
+// the agent ends. Its cause tells which; it carries no deadline of its own.
 func (a *Attempt) Context() context.Context { return a.ctx }
 
 // Deadline is when the agent stops waiting for the attempt.
-func (a *Attempt) Deadline() time.Time {
-	t, _ := a.ctx.Deadline()
-	return t
-}
+func (a *Attempt) Deadline() time.Time { return a.deadline }
 
 // Begin is asked before the first byte is written; false means that none may be. A keyed
 // repeat may begin within the window of its key only, however long connecting took.
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -302,14 +302,15 @@
 	if held > a.opt.BodyBytes {
 		return &problem{http.StatusServiceUnavailable, "body: no memory left"}
 	}
-	// A body that stops coming must not hold its connection for ever.
+	// A body that stops coming must not hold its connection for ever. Most have come with
+	// their head; a timer is cheaper for them than to set a deadline and take it back.
 	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(bodyFor))
+	slow := time.AfterFunc(bodyFor, func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
 	body := make([]byte, hr.ContentLength)
-	if _, err := io.ReadFull(hr.Body, body); err != nil {
+	_, err := io.ReadFull(hr.Body, body)
+	if !slow.Stop() || err != nil {
 		return &problem{http.StatusRequestTimeout, "body: did not come whole"}
 	}
-	_ = control.SetReadDeadline(time.Time{})
 	r.Message.Body = body
 	return nil
 }
--- a/internal/httptransport/attempt.go
+++ b/internal/httptransport/attempt.go
@@ -2,14 +2,13 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
-	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"molepaddle/internal/core"
@@ -22,7 +21,16 @@
 	maxInterim    = 8        // 1xx answers ahead of an answer
 )
 
-var errWithdrawn = errors.New("attempt withdrawn before its first byte")
+var (
+	errWithdrawn  = errors.New("attempt withdrawn before its first byte")
+	errUnsendable = errors.New("request: it can't be sent over HTTP as it is")
+)
+
+// buffers hold requests on their way out; one that a large body made larger than maxKept
+// bytes is not kept.
+var buffers = sync.Pool{New: func() any { return new([]byte) }}
+
+const maxKept = 8 << 10
 
 // carry sends an attempt on the connection that was taken for it, or a new one, and waits
 // for its end. When it returns, the connection is closed or free for the next, and no
@@ -65,17 +73,22 @@
 			keep = false // its deadline is set, or is about to be
 		}
 	}()
-	var out bytes.Buffer
-	if err := outgoing(a).Write(&out); err != nil {
+	buf := buffers.Get().(*[]byte)
+	defer buffers.Put(buf)
+	out, err := outgoing((*buf)[:0], a)
+	if err != nil {
 		return res, err
 	}
+	if cap(out) <= maxKept {
+		*buf = out
+	}
 	if !a.Begin() {
 		return res, errWithdrawn
 	}
 	c.left = maxAnswerHead
-	if n, err := c.Write(out.Bytes()); err != nil {
+	if n, err := c.Write(out); err != nil {
 		x.e.pool.used(c, ctx.Err() == nil)
-		x.cut = n < out.Len() // the last byte can no longer follow
+		x.cut = n < len(out) // the last byte can no longer follow
 		return res, err
 	}
 	r := readers.Get().(*bufio.Reader)
@@ -97,9 +110,10 @@
 // answer that is spoilt in any way nothing is believed: it may have run.
 func (x *exchange) answer(r *bufio.Reader) (res core.Result, keep bool, err error) {
 	c := x.c
+	asked := http.Request{Method: x.a.Request.Message.Method}
 	var resp *http.Response
 	for i := 0; ; i++ {
-		if resp, err = http.ReadResponse(r, &http.Request{Method: x.a.Request.Message.Method}); err != nil {
+		if resp, err = http.ReadResponse(r, &asked); err != nil {
 			return res, false, fmt.Errorf("answer: %w", err)
 		}
 		if resp.StatusCode == http.StatusSwitchingProtocols || i > maxInterim || resp.ProtoMajor != 1 {
@@ -150,25 +164,48 @@
 	return body, err
 }
 
-// outgoing is the request as the server gets it.
-func outgoing(a *core.Attempt) *http.Request {
+// outgoing appends the request as the server gets it. It is an error if a part of it can't
+// be sent as it is: a front end of another protocol may take what HTTP has no room for.
+func outgoing(out []byte, a *core.Attempt) ([]byte, error) {
 	m := &a.Request.Message
-	left := max(time.Until(a.Deadline()).Milliseconds(), 1)
-	h := http.Header{
-		"Request-Id":      {a.Request.ID},
-		"Request-Timeout": {strconv.FormatInt(left, 10) + "m"},
-		"User-Agent":      {""},
+	for _, part := range []string{m.Method, m.Target} {
+		if part == "" || !printable(part, ' ') {
+			return nil, errUnsendable
+		}
 	}
-	if m.IdempotencyKey != "" {
-		h["Idempotency-Key"] = []string{m.IdempotencyKey}
+	out = append(out, m.Method...)
+	out = append(out, ' ')
+	out = append(out, m.Target...)
+	out = append(out, " HTTP/1.1\r\n"...)
+	left := max(time.Until(a.Deadline()).Milliseconds(), 1)
+	for _, field := range [...]struct{ key, value string }{{"Host", m.Host}, {"Request-Id", a.Request.ID},
+		{"Idempotency-Key", m.IdempotencyKey}, {"Content-Type", m.ContentType}} {
+		if !printable(field.value, ' '-1) {
+			return nil, errUnsendable
+		}
+		if field.value != "" {
+			out = append(append(append(append(out, field.key...), ": "...), field.value...), "\r\n"...)
+		}
 	}
-	if m.ContentType != "" {
-		h["Content-Type"] = []string{m.ContentType}
+	out = append(out, "Request-Timeout: "...)
+	out = strconv.AppendInt(out, left, 10)
+	out = append(out, "m\r\n"...)
+	if len(m.Body) > 0 || m.Method != http.MethodGet {
+		out = append(out, "Content-Length: "...)
+		out = strconv.AppendInt(out, int64(len(m.Body)), 10)
+		out = append(out, "\r\n"...)
 	}
-	out := &http.Request{Method: m.Method, URL: &url.URL{Opaque: m.Target}, Host: m.Host, Header: h,
-		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(len(m.Body))}
-	if len(m.Body) > 0 {
-		out.Body = io.NopCloser(bytes.NewReader(m.Body))
+	out = append(out, "\r\n"...)
+	return append(out, m.Body...), nil
+}
+
+// printable tells whether a text holds no control characters but tabs, and nothing up to
+// and including least.
+func printable(text string, least byte) bool {
+	for i := range len(text) {
+		if c := text[i]; c <= least && c != '\t' || c == '\t' && least == ' ' || c == 0x7f {
+			return false
+		}
 	}
-	return out
+	return true
 }
--- a/internal/httptransport/attempt_test.go
+++ b/internal/httptransport/attempt_test.go
@@ -342,6 +342,32 @@
 	}
 }
 
+// What HTTP has no room for is not sent, and never ran.
+func TestUnsendable(t *testing.T) {
+	for name, spoil := range map[string]func(m *core.Message){
+		"method": func(m *core.Message) { m.Method = "" },
+		"target": func(m *core.Message) { m.Target = "/order/u1 HTTP/1.1\r\nX: y" },
+		"space":  func(m *core.Message) { m.Target = "/order /u1" },
+		"host":   func(m *core.Message) { m.Host = "a\r\nb" },
+		"key":    func(m *core.Message) { m.IdempotencyKey = "k\nRequest-Id: id2" },
+		"type":   func(m *core.Message) { m.ContentType = "a\x00b" },
+	} {
+		read := make(chan int64, 1)
+		addr := rawBackend(t, func(c net.Conn, r *bufio.Reader) {
+			n, _ := io.Copy(io.Discard, r)
+			read <- n
+		})
+		a := newTry(testPool().endpoint(addr), http.MethodPost, never)
+		spoil(&a.Request.Message)
+		if res := a.run(); !res.Status.NeverRan() {
+			t.Errorf("%s: ended %d", name, res.Status)
+		}
+		if n := <-read; n != 0 {
+			t.Errorf("%s: %d bytes went out", name, n)
+		}
+	}
+}
+
 // What a backend sends beyond an answer must not answer the next request: whether it
 // comes with the answer or behind it, the connection is not used again.
 func TestSurplusAnswersNothing(t *testing.T) {
--- a/internal/httptransport/pool.go
+++ b/internal/httptransport/pool.go
@@ -20,9 +20,15 @@
 	"molepaddle/internal/sockets"
 )
 
-// settle is how long a connection rests before it is used again: what a server sends
-// beyond its answer comes right behind it, and is seen by then.
-const settle = time.Millisecond
+const (
+	// settle is how long a connection rests before it is used again: what a server sends
+	// beyond its answer comes right behind it, and is seen by then.
+	settle = time.Millisecond
+	// resting is how many connections to one endpoint may rest before an attempt waits for
+	// one of them rather than open another: a client that asks one request after the other
+	// goes round as many as its answers come in that time.
+	resting = 64
+)
 
 // Options bound a Transport.
 type Options struct {
@@ -129,8 +135,11 @@
 	now := time.Now()
 	limit := p.ages.limit(p.opt.Idle)
 	for c := e.pick(now); c != nil; c = e.pick(now) {
+		if c.age = now.Sub(c.since); c.age < settle && len(e.spare) < resting && p.open-len(old) < p.opt.Most {
+			break // all of them rest, and there is room for another
+		}
 		c.unlist()
-		if c.age = now.Sub(c.since); c.age < settle || c.age <= limit && sockets.Pending(c.Conn) == 0 {
+		if c.age < settle || c.age <= limit && sockets.Pending(c.Conn) == 0 {
 			return c, nil
 		}
 		old = append(old, c) // it has ended or may have, or brings what nobody asked for
