Read an operator's file; add check, version and demo

It sets what the HTTP front end and transport had as constants, and more places to listen; all off by default.

--- a/cmd/molepaddle/main_test.go
+++ b/cmd/molepaddle/main_test.go
@@ -187,3 +187,43 @@
 		t.Fatalf("said %q, want one line that names listen", got)
 	}
 }
+
+// The command line: what is on is told, and what is wrong ends with one line.
+func TestCommands(t *testing.T) {
+	dir := t.TempDir()
+	conf, good, bad := filepath.Join(dir, "c.json"), filepath.Join(dir, "good.toml"), filepath.Join(dir, "bad.toml")
+	write(t, conf, wholeConfig("127.0.0.1:1", "127.0.0.1:1", "127.0.0.1:1"))
+	write(t, good, "[transport.http]\nresting = 3\n")
+	write(t, bad, "[transport.http]\nrestless = 3\n")
+	for _, c := range []struct {
+		args []string
+		path string
+		want string // of the output, or of the error
+	}{
+		{[]string{"check"}, conf, "on: nothing beyond the defaults"},
+		{[]string{"check", "--operator", good}, conf, "on: transport.http.resting = 3 (else 64)"},
+		{[]string{"check", "--operator", bad}, conf, "bad.toml:2: transport.http.restless: not known"},
+		{[]string{"check", "--operator", filepath.Join(dir, "none")}, conf, "operator: open"},
+		{[]string{"check"}, "", "EDGE_CONFIG: not set"},
+		{[]string{"--operator", bad}, conf, "bad.toml:2"},
+		{[]string{"version"}, "", "molepaddle"},
+		{[]string{"version", "--operator", good}, "", "flag provided but not defined"},
+		{[]string{"--help"}, "", "molepaddle check"},
+		{[]string{"demonstrate"}, "", "no command"},
+		{[]string{"check", "this"}, conf, "not understood"},
+	} {
+		t.Setenv("EDGE_CONFIG", c.path)
+		var out strings.Builder
+		err := run(c.args, &out)
+		said := out.String()
+		if err != nil {
+			said = err.Error()
+			if strings.Contains(said, "\n") {
+				t.Errorf("%q: more than a line: %q", c.args, said)
+			}
+		}
+		if !strings.Contains(said, c.want) {
+			t.Errorf("%q: said %q, want %q", c.args, said, c.want)
+		}
+	}
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -16,6 +16,7 @@
 	"molepaddle/internal/core"
 	"molepaddle/internal/httpfront"
 	"molepaddle/internal/httptransport"
+	"molepaddle/internal/operator"
 	"molepaddle/internal/roster"
 )
 
@@ -52,8 +53,9 @@
 	stop      context.CancelFunc
 }
 
-// New makes an agent, which is told the list of its configuration.
-func New(c *config.Config, network Network, log *slog.Logger) (*Agent, error) {
+// New makes an agent, which is told the list of its configuration, and what the operator
+// switches on.
+func New(c *config.Config, o *operator.Settings, network Network, log *slog.Logger) (*Agent, error) {
 	if network.Dial == nil {
 		network.Dial = (&net.Dialer{KeepAlive: -1}).DialContext
 	}
@@ -63,7 +65,8 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	transport := httptransport.New(httptransport.Options{Dial: network.Dial, Timeout: connect,
-		Idle: ms(c.Settings.Limits.KeepaliveMs / 2), Most: backendSockets(c.Limits.Sockets)})
+		Idle: ms(c.Settings.Limits.KeepaliveMs / 2), Most: backendSockets(c.Limits.Sockets),
+		Settle: time.Duration(o.Transport.HTTP.Settle), Resting: o.Transport.HTTP.Resting})
 	k, err := core.New(ctx, core.Options{
 		Settings: c.Settings, Seed: c.Seed, Known: c.Known, MaxOpen: openRequests(c.Limits.Sockets),
 		// Room for all that can be under way at once: a front end must not wait there.
@@ -82,7 +85,9 @@
 	return &Agent{core: k, stop: stop, transport: transport, front: httpfront.New(k, httpfront.Options{
 		Settings: &c.Settings, Classes: c.Classes, Tenants: c.Tenants,
 		Places: clientSockets(c.Limits.Sockets), Kept: keptSockets(c.Limits.Sockets),
-		BodyBytes: int64(c.Limits.MemoryMB * (1 << 20) / 8), Log: log})}, nil
+		BodyBytes: int64(c.Limits.MemoryMB * (1 << 20) / 8), Log: log,
+		HeadWithin: time.Duration(o.Front.HTTP.HeadWithin), BodyWithin: time.Duration(o.Front.HTTP.BodyWithin),
+		KeepIdle: time.Duration(o.Front.HTTP.KeepIdle)})}, nil
 }
 
 func ms(x float64) time.Duration { return time.Duration(x * float64(time.Millisecond)) }
@@ -91,12 +96,12 @@
 // address of the roster.
 func (a *Agent) Reload(c *config.Config) { a.core.TurnTo(c.Discovery) }
 
-// Serve answers on the listener until the context ends, then finishes what it holds.
-func (a *Agent) Serve(ctx context.Context, ln net.Listener) error {
+// Serve answers on the listeners until the context ends, then finishes what it holds.
+func (a *Agent) Serve(ctx context.Context, listeners ...net.Listener) error {
 	defer a.transport.Close()
 	defer a.stop()
 	go a.core.Run()
-	return a.front.Serve(ctx, ln)
+	return a.front.Serve(ctx, listeners...)
 }
 
 // Load is what an agent holds.
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,244 @@
+// Package demo plays a short scene on loopback for a person to watch: a roster, three
+// order servers and a portal as stand-ins, the agent between them. One server fails and
+// recovers, one drains; what came of it is counted and printed, and a broken rule is an
+// error.
+//
+// Run's goroutine directs the scene; each request of the portal is a goroutine that hands
+// its result back through a channel.
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"molepaddle/internal/agent"
+	"molepaddle/internal/config"
+	"molepaddle/internal/operator"
+	"molepaddle/internal/standin"
+)
+
+const (
+	act       = 1200 * time.Millisecond // how long each part of the scene takes
+	every     = 5 * time.Millisecond    // one request of the portal after the other
+	patience  = 400 * time.Millisecond
+	drainGone = 300 * time.Millisecond // nothing new may come after that
+)
+
+// result is what became of a request.
+type result struct {
+	id     string
+	class  string
+	status int // 0: no answer
+	body   string
+}
+
+// settings are those of a small deployment: what is safe to repeat, and what must not run
+// twice.
+const settings = `{"classes":[
+ {"name":"status","aimMs":150,"giveUpMs":400,"credit":1,"effect":"free"},
+ {"name":"order","aimMs":200,"giveUpMs":400,"credit":3,"effect":"single_shot"}],
+ "membershipMode":"on_request",
+ "limits":{"cancelling":true,"maxAttempts":3,"connectTimeoutMs":150,"keepaliveMs":30000,"maxRetryAfterMs":600,"retryAfter":true},
+ "contract":{"answerSlackMs":20,"askWithinMs":400,"coldFrom":0.3,"coldMs":2000,"drainGraceMs":250,"fallMultiple":2.5,"tipAfterMs":1000},
+ "replicasOfMe":1,"roundMs":2,"weights":"nominal","failureDomains":["here"],"shapes":["plain"]}`
+
+// Run plays the scene and prints it to out.
+func Run(ctx context.Context, out io.Writer) error {
+	roster, err := standin.NewRoster()
+	if err != nil {
+		return err
+	}
+	defer roster.Close()
+	var servers []*standin.Server
+	host := func(s *standin.Server, health string) standin.Host {
+		return standin.Host{Host: s.Name, Dial: s.Addr, Site: "here", Class: "plain", Health: health, Share: 1}
+	}
+	for i := range 3 {
+		s, err := standin.NewServer(fmt.Sprint("server-", i+1), 4*time.Millisecond)
+		if err != nil {
+			return err
+		}
+		defer s.Close()
+		servers = append(servers, s)
+		roster.Set(host(s, "ready"))
+	}
+	base, stop, err := start(ctx, roster)
+	if err != nil {
+		return err
+	}
+	defer stop()
+	fmt.Fprintf(out, "a roster, three order servers and the agent are up on loopback; a portal asks every %v\n", every)
+
+	p := &portal{base: base, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	defer p.client.CloseIdleConnections()
+	seen := make([]int, len(servers))
+	report := func(what string, results []result) {
+		var share []string
+		for i, s := range servers {
+			n := len(s.Came())
+			share = append(share, fmt.Sprintf("%s %d", s.Name, n-seen[i]))
+			seen[i] = n
+		}
+		served, refused, failed, _ := count(results)
+		fmt.Fprintf(out, "%-34s %3d served, %d refused, %d failed; came to %s\n", what, served, refused, failed, strings.Join(share, ", "))
+	}
+	var all []result
+	scene := func(what string) {
+		results := p.ask(ctx, act)
+		all = append(all, results...)
+		report(what, results)
+	}
+	scene("all is well:")
+	servers[1].Fail(true)
+	scene("server-2 answers only errors:")
+	servers[1].Fail(false)
+	scene("server-2 is well again:")
+	told := time.Now()
+	roster.Set(host(servers[2], "draining"))
+	scene("server-3 drains:")
+	last := time.Duration(0)
+	for _, a := range servers[2].Came() {
+		last = max(last, a.At.Sub(told))
+	}
+	fmt.Fprintf(out, "the last request came to server-3 %v after its notice\n", last.Round(time.Millisecond))
+	return judge(out, servers, all, last)
+}
+
+// judge counts the whole and says which rule was broken, if any was.
+func judge(out io.Writer, servers []*standin.Server, all []result, last time.Duration) error {
+	served, refused, failed, lost := count(all)
+	runs := map[string]int{}
+	for _, s := range servers {
+		for _, a := range s.Came() {
+			runs[a.ID]++
+		}
+	}
+	twice := 0
+	for _, r := range all {
+		if r.class == "order" && runs[r.id] > 1 {
+			twice++
+		}
+	}
+	wrong := 0
+	for _, r := range all {
+		if r.status == http.StatusOK && !strings.HasPrefix(r.body, r.id+" by ") {
+			wrong++
+		}
+	}
+	fmt.Fprintf(out, "together: %d asked, %d served, %d refused, %d failed, %d lost, %d wrong answers, %d orders run twice\n",
+		len(all), served, refused, failed, lost, wrong, twice)
+	switch {
+	case lost > 0 || wrong > 0:
+		return fmt.Errorf("demo: %d requests lost, %d wrong answers", lost, wrong)
+	case twice > 0:
+		return fmt.Errorf("demo: %d orders ran twice", twice)
+	case last > drainGone:
+		return fmt.Errorf("demo: a drained server was sent to after %v", last)
+	case served == 0:
+		return fmt.Errorf("demo: nothing was served")
+	}
+	return nil
+}
+
+func count(results []result) (served, refused, failed, lost int) {
+	for _, r := range results {
+		switch {
+		case r.status == http.StatusOK:
+			served++
+		case r.status == http.StatusServiceUnavailable || r.status == http.StatusTooManyRequests:
+			refused++
+		case r.status == 0:
+			lost++
+		default:
+			failed++
+		}
+	}
+	return served, refused, failed, lost
+}
+
+// start runs an agent that is told of the roster, and gives its address.
+func start(ctx context.Context, roster *standin.Roster) (base string, stop func(), err error) {
+	text, err := json.Marshal(map[string]any{"name": "demo", "listen": "127.0.0.1:0", "discovery": roster.Addr, "seed": "1",
+		"limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": 512}, "known": roster.List(),
+		"settings": json.RawMessage(settings)})
+	if err != nil {
+		return "", nil, err
+	}
+	conf, err := config.Parse(text)
+	if err != nil {
+		return "", nil, err
+	}
+	a, err := agent.New(conf, operator.Default(), agent.Network{}, slog.New(slog.DiscardHandler))
+	if err != nil {
+		return "", nil, err
+	}
+	ln, err := net.Listen("tcp", conf.Listen)
+	if err != nil {
+		return "", nil, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	ended := make(chan error, 1)
+	go func() { ended <- a.Serve(ctx, ln) }()
+	return "http://" + ln.Addr().String(), func() {
+		cancel()
+		<-ended
+	}, nil
+}
+
+// portal is the application beside the agent.
+type portal struct {
+	base   string
+	client *http.Client
+	asked  int
+}
+
+// ask sends requests for a while, half of them orders, and waits for all answers.
+func (p *portal) ask(ctx context.Context, for_ time.Duration) []result {
+	tick := time.NewTicker(every)
+	defer tick.Stop()
+	results := make(chan result)
+	n := 0
+	for end := time.Now().Add(for_); time.Now().Before(end) && ctx.Err() == nil; <-tick.C {
+		p.asked++
+		n++
+		r := result{id: fmt.Sprintf("demo-%04d", p.asked), class: []string{"status", "order"}[p.asked%2]}
+		go func() { results <- p.one(r) }()
+	}
+	all := make([]result, 0, n)
+	for range n {
+		all = append(all, <-results)
+	}
+	return all
+}
+
+// one asks one request.
+func (p *portal) one(r result) result {
+	method := http.MethodGet
+	if r.class == "order" {
+		method = http.MethodPost
+	}
+	req, err := http.NewRequest(method, p.base+"/"+r.class+"/"+r.id, nil)
+	if err != nil {
+		return r
+	}
+	req.Header.Set("Request-Id", r.id)
+	req.Header.Set("Request-Timeout", fmt.Sprintf("%dm", patience.Milliseconds()))
+	resp, err := p.client.Do(req)
+	if err != nil {
+		return r
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, 1<<16))
+	if err != nil {
+		return r
+	}
+	r.status, r.body = resp.StatusCode, string(body)
+	return r
+}
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -29,12 +29,6 @@
 	// acceptFor is how long connections are taken after SIGTERM: they go on coming for
 	// up to 0.4 s. settleFor is left to what was accepted last to be read.
 	acceptFor, settleFor = 450 * time.Millisecond, 50 * time.Millisecond
-	// headFor and bodyFor are how long a request's head and body may take to come: bad
-	// clients are owed an error or a close within 3 s of connecting.
-	headFor, bodyFor = 1500 * time.Millisecond, time.Second
-	// keepIdle is how long a client's connection stays open between requests when its
-	// place is not needed.
-	keepIdle = 15 * time.Second
 	// maxHead bounds a request's head, maxTimeout is the longest deadline there is.
 	maxHead    = 16 << 10
 	maxTimeout = time.Minute
@@ -57,6 +51,10 @@
 	Kept      int            // those that are kept between requests
 	BodyBytes int64          // bodies held together
 	Log       *slog.Logger
+	// HeadWithin and BodyWithin are how long a request's head and body may take to come,
+	// KeepIdle how long a connection stays open between requests when its place is not
+	// needed.
+	HeadWithin, BodyWithin, KeepIdle time.Duration
 }
 
 // Front is the front end.
@@ -75,8 +73,8 @@
 	a := &Front{core: h, opt: o, places: newPlaces(o.Places, o.Kept)}
 	a.server = &http.Server{
 		Handler:           a,
-		ReadHeaderTimeout: headFor,
-		IdleTimeout:       keepIdle,
+		ReadHeaderTimeout: o.HeadWithin,
+		IdleTimeout:       o.KeepIdle,
 		MaxHeaderBytes:    maxHead,
 		WriteTimeout:      maxTimeout + 5*time.Second, // a client that never reads
 		ErrorLog:          slog.NewLogLogger(o.Log.Handler(), slog.LevelWarn),
@@ -90,18 +88,20 @@
 
 type connKey struct{}
 
-// Serve answers on the listener until the context ends, then finishes what it holds. It
+// Serve answers on the listeners until the context ends, then finishes what it holds. It
 // may be called once.
-func (a *Front) Serve(ctx context.Context, ln net.Listener) error {
+func (a *Front) Serve(ctx context.Context, listeners ...net.Listener) error {
 	go a.tidy(ctx)
-	failed := make(chan error, 1)
-	go func() { failed <- a.server.Serve(&listener{Listener: ln, places: a.places}) }()
+	failed := make(chan error, len(listeners))
+	for _, ln := range listeners {
+		go func() { failed <- a.server.Serve(&listener{Listener: ln, places: a.places}) }()
+	}
 	select {
 	case err := <-failed:
 		return fmt.Errorf("serve: %w", err)
 	case <-ctx.Done():
 	}
-	return a.leave(ln)
+	return a.leave(listeners)
 }
 
 // Load is how many requests are taken and not yet answered, and the bytes of their bodies.
@@ -128,11 +128,13 @@
 // so idle connections are closed first, while what crosses that can still come on a
 // new one; then the listener; then all that is held is answered. Connections that are
 // silent or hold half a request are not waited for.
-func (a *Front) leave(ln net.Listener) error {
+func (a *Front) leave(listeners []net.Listener) error {
 	a.leaving.Store(true)
 	a.server.SetKeepAlivesEnabled(false)
 	time.Sleep(acceptFor)
-	ln.Close()
+	for _, ln := range listeners {
+		ln.Close()
+	}
 	longest := core.Longest(a.opt.Settings)
 	settled := time.Now().Add(settleFor)
 	for end := time.Now().Add(longest + settleFor); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
@@ -305,7 +307,7 @@
 	// A body that stops coming must not hold its connection for ever. Most have come with
 	// their head; a timer is cheaper for them than to set a deadline and take it back.
 	control := http.NewResponseController(w)
-	slow := time.AfterFunc(bodyFor, func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
+	slow := time.AfterFunc(a.opt.BodyWithin, func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
 	body := make([]byte, hr.ContentLength)
 	_, err := io.ReadFull(hr.Body, body)
 	if !slow.Stop() || err != nil {
--- a/internal/httptransport/pool.go
+++ b/internal/httptransport/pool.go
@@ -20,22 +20,20 @@
 	"molepaddle/internal/sockets"
 )
 
-const (
-	// settle is how long a connection rests before it is used again: what a server sends
-	// beyond its answer comes right behind it, and is seen by then.
-	settle = time.Millisecond
-	// resting is how many connections to one endpoint may rest before an attempt waits for
-	// one of them rather than open another: a client that asks one request after the other
-	// goes round as many as its answers come in that time.
-	resting = 64
-)
-
 // Options bound a Transport.
 type Options struct {
 	Dial    func(ctx context.Context, network, addr string) (net.Conn, error)
 	Timeout time.Duration // of a connect
 	Idle    time.Duration // how long a connection is kept without use, at the most
 	Most    int           // connections to all servers that are up or coming up
+
+	// Settle is how long a connection rests before it is used again: what a server sends
+	// beyond its answer comes right behind it, and is seen by then.
+	Settle time.Duration
+	// Resting is how many connections to one endpoint may rest before an attempt waits for
+	// one of them rather than open another: a client that asks one request after the other
+	// goes round as many as its answers come in that time.
+	Resting int
 }
 
 // Transport opens connections to servers within its share of descriptors and keeps those
@@ -135,11 +133,11 @@
 	now := time.Now()
 	limit := p.ages.limit(p.opt.Idle)
 	for c := e.pick(now); c != nil; c = e.pick(now) {
-		if c.age = now.Sub(c.since); c.age < settle && len(e.spare) < resting && p.open-len(old) < p.opt.Most {
+		if c.age = now.Sub(c.since); c.age < p.opt.Settle && len(e.spare) < p.opt.Resting && p.open-len(old) < p.opt.Most {
 			break // all of them rest, and there is room for another
 		}
 		c.unlist()
-		if c.age < settle || c.age <= limit && sockets.Pending(c.Conn) == 0 {
+		if c.age < p.opt.Settle || c.age <= limit && sockets.Pending(c.Conn) == 0 {
 			return c, nil
 		}
 		old = append(old, c) // it has ended or may have, or brings what nobody asked for
@@ -161,7 +159,7 @@
 // idle longest. The pool is locked.
 func (e *endpoint) pick(now time.Time) *conn {
 	for i := len(e.spare) - 1; i >= 0; i-- {
-		if c := e.spare[i]; i == 0 || now.Sub(c.since) >= settle {
+		if c := e.spare[i]; i == 0 || now.Sub(c.since) >= e.pool.opt.Settle {
 			return c
 		}
 	}
@@ -171,8 +169,8 @@
 // ready gives what was taken, or opens what there is a place for, for the request id. The wait for a
 // connection to settle ends with the context.
 func (e *endpoint) ready(ctx context.Context, id string, c *conn) (*conn, error) {
-	if c != nil && c.age < settle {
-		rest := time.NewTimer(settle - c.age)
+	if c != nil && c.age < e.pool.opt.Settle {
+		rest := time.NewTimer(e.pool.opt.Settle - c.age)
 		select {
 		case <-rest.C:
 		case <-ctx.Done():
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,262 @@
+// Package operator reads the operator's file: what an installation switches on beyond
+// what the platform tells an agent. All of it is off, or at its default, where the file
+// or a key is missing. Values only; a Settings is not changed once it is read.
+//
+// The file is TOML 1.0 and read strictly: a key that is not known, a value of another
+// type or without its unit, one out of its bounds, or two that exclude each other are an
+// error of one line that names the file, the line and the key.
+package operator
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// maxFile bounds the file, in bytes.
+const maxFile = 1 << 20
+
+// Duration is a time with its unit, such as "250ms".
+type Duration time.Duration
+
+// UnmarshalText reads a number with a unit that time.ParseDuration knows.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("%q is no time with a unit, such as \"250ms\"", text)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// Listen is one more place where clients connect: an address or a Unix socket.
+type Listen struct {
+	Address string `toml:"address"`
+	Unix    string `toml:"unix"`
+}
+
+// Settings is the file.
+type Settings struct {
+	Front struct {
+		HTTP struct {
+			HeadWithin Duration `toml:"head_within"` // for a request's head to come
+			BodyWithin Duration `toml:"body_within"` // and its body
+			KeepIdle   Duration `toml:"keep_idle"`   // a client's connection between requests
+			Listen     []Listen `toml:"listen"`
+		} `toml:"http"`
+	} `toml:"front"`
+	Transport struct {
+		HTTP struct {
+			Settle  Duration `toml:"settle"`  // a connection's rest before its next use
+			Resting int      `toml:"resting"` // connections that may rest before one is waited for
+		} `toml:"http"`
+	} `toml:"transport"`
+}
+
+// Default is the settings of an empty file.
+func Default() *Settings {
+	s := &Settings{}
+	s.Front.HTTP.HeadWithin = Duration(1500 * time.Millisecond)
+	s.Front.HTTP.BodyWithin = Duration(time.Second)
+	s.Front.HTTP.KeepIdle = Duration(15 * time.Second)
+	s.Transport.HTTP.Settle = Duration(time.Millisecond)
+	s.Transport.HTTP.Resting = 64
+	return s
+}
+
+// Load reads the file at path; with no path, the defaults.
+func Load(path string) (*Settings, error) {
+	if path == "" {
+		return Default(), nil
+	}
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, fmt.Errorf("operator: %w", err)
+	}
+	defer f.Close()
+	text := make([]byte, maxFile+1)
+	n := 0
+	for n < len(text) {
+		k, err := f.Read(text[n:])
+		n += k
+		if err != nil {
+			if k == 0 && err.Error() == "EOF" {
+				break
+			}
+			return nil, fmt.Errorf("operator: %w", err)
+		}
+	}
+	if n > maxFile {
+		return nil, fmt.Errorf("operator: %s: longer than %d bytes", path, maxFile)
+	}
+	return Parse(filepath.Base(path), text[:n])
+}
+
+// Parse reads the text of a file; name is for its errors.
+func Parse(name string, text []byte) (*Settings, error) {
+	s := Default()
+	dec := toml.NewDecoder(strings.NewReader(string(text)))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(s); err != nil {
+		var unknown *toml.StrictMissingError
+		if errors.As(err, &unknown) && len(unknown.Errors) > 0 {
+			row, _ := unknown.Errors[0].Position()
+			return nil, fmt.Errorf("%s:%d: %s: not known", name, row, strings.Join(unknown.Errors[0].Key(), "."))
+		}
+		var bad *toml.DecodeError
+		if errors.As(err, &bad) {
+			row, _ := bad.Position()
+			key := keyAt(text, row)
+			if key != "" {
+				key += ": "
+			}
+			said := oneLine(strings.TrimPrefix(bad.Error(), "toml: "))
+			if before, _, ok := strings.Cut(said, " into struct field "); ok {
+				said = before // the rest names the program's own types
+			}
+			return nil, fmt.Errorf("%s:%d: %s%s", name, row, key, said)
+		}
+		return nil, fmt.Errorf("%s: %s", name, oneLine(err.Error()))
+	}
+	if key, err := s.validate(); err != nil {
+		return nil, fmt.Errorf("%s:%d: %s: %w", name, lineOf(text, key), key, err)
+	}
+	return s, nil
+}
+
+func oneLine(text string) string { return strings.Join(strings.Fields(text), " ") }
+
+// validate reports the first key that makes no sense.
+func (s *Settings) validate() (key string, err error) {
+	h, t := &s.Front.HTTP, &s.Transport.HTTP
+	for _, d := range []struct {
+		key         string
+		value       Duration
+		least, most time.Duration
+	}{
+		{"front.http.head_within", h.HeadWithin, 50 * time.Millisecond, time.Minute},
+		{"front.http.body_within", h.BodyWithin, 50 * time.Millisecond, time.Minute},
+		{"front.http.keep_idle", h.KeepIdle, 10 * time.Millisecond, time.Hour},
+		{"transport.http.settle", t.Settle, 0, 100 * time.Millisecond},
+	} {
+		if v := time.Duration(d.value); v < d.least || v > d.most {
+			return d.key, fmt.Errorf("must be from %v to %v, is %v", d.least, d.most, v)
+		}
+	}
+	if t.Resting < 1 || t.Resting > 4096 {
+		return "transport.http.resting", fmt.Errorf("must be from 1 to 4096, is %d", t.Resting)
+	}
+	if len(h.Listen) > 16 {
+		return "front.http.listen", fmt.Errorf("at most 16, are %d", len(h.Listen))
+	}
+	for i, l := range h.Listen {
+		key := "front.http.listen[" + strconv.Itoa(i) + "]"
+		switch {
+		case l.Address != "" && l.Unix != "":
+			return key + ".unix", errors.New("excludes address in the same entry")
+		case l.Address == "" && l.Unix == "":
+			return key, errors.New("needs address or unix")
+		case l.Unix != "" && len(l.Unix) > 100:
+			return key + ".unix", errors.New("longer than 100 bytes")
+		case l.Address != "":
+			if _, port, err := net.SplitHostPort(l.Address); err != nil {
+				return key + ".address", fmt.Errorf("no address with a port: %q", l.Address)
+			} else if _, err := strconv.ParseUint(port, 10, 16); err != nil {
+				return key + ".address", fmt.Errorf("no port number: %q", l.Address)
+			}
+		}
+	}
+	return "", nil
+}
+
+// walk tells of each key of a text its path, entries of arrays counted in brackets, and
+// its line.
+func walk(text []byte, each func(path string, line int)) {
+	p := unstable.Parser{}
+	p.Reset(text)
+	table, count := "", map[string]int{}
+	for p.NextExpression() {
+		e := p.Expression()
+		var parts []string
+		line := 0
+		for it := e.Key(); it.Next(); {
+			n := it.Node()
+			if line == 0 {
+				line = p.Shape(n.Raw).Start.Line
+			}
+			parts = append(parts, string(n.Data))
+		}
+		path := strings.Join(parts, ".")
+		switch e.Kind {
+		case unstable.Table:
+			table = path
+		case unstable.ArrayTable:
+			table = path + "[" + strconv.Itoa(count[path]) + "]"
+			count[path]++
+			path = table
+		case unstable.KeyValue:
+			if table != "" {
+				path = table + "." + path
+			}
+		}
+		each(path, line)
+	}
+}
+
+// lineOf finds the line on which a key stands; of one that is not there, the line of the
+// nearest table round it.
+func lineOf(text []byte, key string) int {
+	best, at := 0, 1
+	walk(text, func(path string, line int) {
+		if (key == path || strings.HasPrefix(key, path+".") || strings.HasPrefix(key, path+"[")) && len(path) > best {
+			best, at = len(path), line
+		}
+	})
+	return at
+}
+
+// keyAt is the key that stands on a line; empty: none.
+func keyAt(text []byte, row int) (key string) {
+	walk(text, func(path string, line int) {
+		if line == row {
+			key = path
+		}
+	})
+	return key
+}
+
+// On tells, line by line, what the settings switch on or change.
+func (s *Settings) On() []string {
+	var on []string
+	d, h, t := Default(), s.Front.HTTP, s.Transport.HTTP
+	for _, l := range h.Listen {
+		if l.Unix != "" {
+			on = append(on, "clients also at the Unix socket "+l.Unix)
+		} else {
+			on = append(on, "clients also at "+l.Address)
+		}
+	}
+	for _, v := range []struct {
+		what     string
+		now, was any
+	}{
+		{"front.http.head_within", time.Duration(h.HeadWithin), time.Duration(d.Front.HTTP.HeadWithin)},
+		{"front.http.body_within", time.Duration(h.BodyWithin), time.Duration(d.Front.HTTP.BodyWithin)},
+		{"front.http.keep_idle", time.Duration(h.KeepIdle), time.Duration(d.Front.HTTP.KeepIdle)},
+		{"transport.http.settle", time.Duration(t.Settle), time.Duration(d.Transport.HTTP.Settle)},
+		{"transport.http.resting", t.Resting, d.Transport.HTTP.Resting},
+	} {
+		if v.now != v.was {
+			on = append(on, fmt.Sprintf("%s = %v (else %v)", v.what, v.now, v.was))
+		}
+	}
+	return on
+}
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,119 @@
+package operator
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestNoFileAndAnEmptyOneAreTheDefaults(t *testing.T) {
+	s, err := Load("")
+	if err != nil || len(s.On()) != 0 {
+		t.Fatalf("%v, %v", s, err)
+	}
+	if s, err = Parse("f", nil); err != nil || len(s.On()) != 0 {
+		t.Fatalf("%v, %v", s, err)
+	}
+}
+
+// A bad client is owed an end within 3 s.
+func TestDefaultsEndBadClientsSoon(t *testing.T) {
+	if h := Default().Front.HTTP; time.Duration(h.HeadWithin+h.BodyWithin) > 2700*time.Millisecond {
+		t.Fatal("head and body may take too long")
+	}
+}
+
+func TestShippedFile(t *testing.T) {
+	s, err := Load("../../deploy/operator.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if on := s.On(); len(on) != 0 {
+		t.Fatalf("the shipped file switches on %q", on)
+	}
+}
+
+func TestValues(t *testing.T) {
+	s, err := Parse("f", []byte(`
+[front.http]
+head_within = "2s"
+[[front.http.listen]]
+address = "127.0.0.1:9000"
+[[front.http.listen]]
+unix = "/run/x.sock"
+[transport.http]
+resting = 7
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if time.Duration(s.Front.HTTP.HeadWithin) != 2*time.Second || len(s.Front.HTTP.Listen) != 2 || s.Transport.HTTP.Resting != 7 ||
+		time.Duration(s.Front.HTTP.BodyWithin) != time.Second {
+		t.Fatalf("%+v", s)
+	}
+	if on := s.On(); len(on) != 4 {
+		t.Fatalf("on: %q", on)
+	}
+}
+
+// Errors are one line that names the file, the line and the key.
+func TestErrors(t *testing.T) {
+	for _, c := range []struct{ text, want string }{
+		{"[front.http]\nhead_witin = \"1s\"\n", "f.toml:2: front.http.head_witin: not known"},
+		{"\n\n[gatway]\nx = 1\n", "f.toml:3: gatway"},
+		{"[front.http]\n\nhead_within = 1500\n", "f.toml:3: front.http.head_within"},
+		{"[front.http]\nhead_within = \"1500\"\n", "f.toml:2: front.http.head_within"},
+		{"[front.http]\nbody_within = \"10h\"\n", "f.toml:2: front.http.body_within: must be from 50ms to 1m0s"},
+		{"[transport.http]\nsettle = \"1ms\"\nresting = 0\n", "f.toml:3: transport.http.resting"},
+		{"[transport.http]\nresting = \"many\"\n", "f.toml:2: transport.http.resting"},
+		{"[[front.http.listen]]\naddress = \"127.0.0.1:1\"\n[[front.http.listen]]\naddress = \"127.0.0.1:2\"\nunix = \"/x\"\n",
+			"f.toml:5: front.http.listen[1].unix: excludes address"},
+		{"[[front.http.listen]]\n", "f.toml:1: front.http.listen[0]: needs address or unix"},
+		{"[[front.http.listen]]\naddress = \"127.0.0.1:http\"\n", "f.toml:2: front.http.listen[0].address"},
+		{"[front.http\n", "f.toml:1:"},
+		{"[front.http]\nhead_within = \"1s\"\nhead_within = \"1s\"\n", "f.toml"},
+	} {
+		_, err := Parse("f.toml", []byte(c.text))
+		if err == nil || !strings.HasPrefix(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q: said %v, want %s", c.text, err, c.want)
+		}
+	}
+}
+
+func TestFilesThatCantBeRead(t *testing.T) {
+	dir := t.TempDir()
+	if _, err := Load(filepath.Join(dir, "none")); err == nil {
+		t.Error("a file that is not there was read")
+	}
+	if _, err := Load(dir); err == nil {
+		t.Error("a folder was read")
+	}
+	long := filepath.Join(dir, "long")
+	if err := os.WriteFile(long, []byte(strings.Repeat("#\n", maxFile)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Load(long); err == nil || !strings.Contains(err.Error(), "longer") {
+		t.Errorf("said %v", err)
+	}
+}
+
+// Whatever the file holds, reading it ends with settings within their bounds or one line.
+func FuzzParse(f *testing.F) {
+	for _, text := range []string{"", "[front.http]\nhead_within = \"1s\"", "[[front.http.listen]]\nunix=\"\"", "a=1\na=2", "\x00", "x.y.z = [1, {a=2}]"} {
+		f.Add([]byte(text))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		s, err := Parse("f", text)
+		if err != nil {
+			if strings.Contains(err.Error(), "\n") {
+				t.Errorf("more than a line: %q", err)
+			}
+			return
+		}
+		if key, err := s.validate(); err != nil {
+			t.Errorf("%s: %v", key, err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/standin/standin.go
@@ -0,0 +1,199 @@
+// Package standin plays the systems round an agent on loopback: order servers and the
+// service that lists them, as the platform's protocol words them. They are for the demo
+// and for tests; they make no claim to speed.
+//
+// Each stand-in is an HTTP server of its own with its handlers' goroutines; a lock guards
+// what it has been told to do and what it has seen.
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// serve starts an HTTP server on a free port of loopback.
+func serve(h http.Handler) (*http.Server, string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, "", err
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	go s.Serve(ln)
+	return s, ln.Addr().String(), nil
+}
+
+// Server is an order server. It notes the id of each request that came whole.
+type Server struct {
+	Name string
+	Addr string
+	work time.Duration
+	http *http.Server
+
+	mu      sync.Mutex
+	failing bool
+	came    []Arrival
+}
+
+// Arrival is a request that came to a server.
+type Arrival struct {
+	ID string
+	At time.Time
+}
+
+// NewServer starts one that works for so long on each request.
+func NewServer(name string, work time.Duration) (*Server, error) {
+	s := &Server{Name: name, work: work}
+	var err error
+	s.http, s.Addr, err = serve(s)
+	return s, err
+}
+
+// Close ends the server and its connections.
+func (s *Server) Close() error { return s.http.Close() }
+
+// Fail lets the server answer 500 from now on, or not.
+func (s *Server) Fail(failing bool) {
+	s.mu.Lock()
+	s.failing = failing
+	s.mu.Unlock()
+}
+
+// Came is what has come so far.
+func (s *Server) Came() []Arrival {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Arrival{}, s.came...)
+}
+
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return // it never came whole
+	}
+	id := r.Header.Get("Request-Id")
+	s.mu.Lock()
+	s.came = append(s.came, Arrival{id, time.Now()})
+	failing := s.failing
+	s.mu.Unlock()
+	if failing {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	time.Sleep(s.work)
+	fmt.Fprintf(w, "%s by %s", id, s.Name)
+}
+
+// Roster lists servers, to whoever asks once or watches.
+type Roster struct {
+	Addr string
+	http *http.Server
+
+	mu      sync.Mutex
+	seq     int64
+	hosts   map[string]Host
+	order   []string
+	changed chan struct{} // closed at the next change
+}
+
+// Host is one line of the list, as it goes over the wire.
+type Host struct {
+	Host   string  `json:"host"`
+	Dial   string  `json:"dial"`
+	Site   string  `json:"site"`
+	Class  string  `json:"class"`
+	Block  int     `json:"block"`
+	Health string  `json:"health"`
+	Share  float64 `json:"share"`
+	BornMs float64 `json:"born_ms"`
+	seq    int64
+}
+
+// NewRoster starts one with an empty list.
+func NewRoster() (*Roster, error) {
+	r := &Roster{hosts: map[string]Host{}, changed: make(chan struct{})}
+	var err error
+	r.http, r.Addr, err = serve(r)
+	return r, err
+}
+
+// Close ends the service and all watches.
+func (r *Roster) Close() error { return r.http.Close() }
+
+// Set lists a host, or what is new of it; watches are told at once.
+func (r *Roster) Set(h Host) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.seq++
+	h.seq = r.seq
+	if _, known := r.hosts[h.Host]; !known {
+		r.order = append(r.order, h.Host)
+	}
+	r.hosts[h.Host] = h
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// List is the whole list as it goes over the wire.
+func (r *Roster) List() json.RawMessage {
+	text, _, _ := r.since(0)
+	return text
+}
+
+// since words what changed after a version, the whole list for 0, and gives the version
+// and what tells of the next change.
+func (r *Roster) since(version int64) (text []byte, seq int64, next <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	hosts := []Host{}
+	for _, name := range r.order {
+		if h := r.hosts[name]; h.seq > version && (version > 0 || h.Health != "gone") {
+			hosts = append(hosts, h)
+		}
+	}
+	text, _ = json.Marshal(map[string]any{"seq": r.seq, "whole": version == 0, "hosts": hosts}) // plain values: no error
+	return text, r.seq, r.changed
+}
+
+func (r *Roster) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	if req.URL.Path != "/v1/endpoints" {
+		http.NotFound(w, req)
+		return
+	}
+	if req.URL.Query().Get("follow") != "1" {
+		text, _, _ := r.since(0)
+		w.Write(text)
+		return
+	}
+	version, _ := strconv.ParseInt(req.URL.Query().Get("since"), 10, 64)
+	if version < 0 {
+		version = 0
+	}
+	control := http.NewResponseController(w)
+	beat := time.NewTicker(2 * time.Second)
+	defer beat.Stop()
+	for first := true; ; first = false {
+		text, seq, next := r.since(version)
+		if first || seq > version {
+			if _, err := fmt.Fprintf(w, "%s\n", text); err != nil {
+				return
+			}
+		} else if _, err := io.WriteString(w, "\n"); err != nil {
+			return
+		}
+		version = seq
+		if control.Flush() != nil {
+			return
+		}
+		select {
+		case <-next:
+		case <-beat.C:
+		case <-req.Context().Done():
+			return
+		}
+	}
+}
--- a/internal/world/sim.go
+++ b/internal/world/sim.go
@@ -28,6 +28,7 @@
 
 	"molepaddle/internal/agent"
 	"molepaddle/internal/config"
+	"molepaddle/internal/operator"
 )
 
 // event is something that the world will do.
@@ -345,7 +346,7 @@
 	if w.trace != nil && w.day.Logs {
 		log = slog.New(slog.NewTextHandler(w.trace, nil)).With("agent", index)
 	}
-	a, err := agent.New(conf, agent.Network{Dial: p.net.Dial}, log)
+	a, err := agent.New(conf, operator.Default(), agent.Network{Dial: p.net.Dial}, log)
 	if err != nil {
 		panic(fmt.Sprintf("seed %d: %v", w.day.Seed, err))
 	}
