Serve where all servers are cold: two out at a time for all agents together

Now all agents together keep about two out at each until one is warm. TestAllServersCold fails without the change (0 sent).

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -407,9 +407,21 @@
 		// each can be too much, and a server that tipped needs rest to recover.
 		return false
 	}
-	return b.ramp(s) == 1 || s.credit >= b.cost(r) ||
-		b.warmWeight() == 0 && (b.now-s.sentAt)*b.flow*s.weight*b.coldShare(s) >=
-			b.cost(r)*b.set.Contract.ColdMs
+	switch {
+	case b.ramp(s) == 1 || s.credit >= b.cost(r):
+		return true
+	case b.warmWeight() > 0:
+		return false
+	case b.flow == 0:
+		// None was ever seen warm, so nothing tells a share: all agents together keep about
+		// two out. A server that has no more than it can answer is not pushed over.
+		gap := b.expect[r.class] * max(float64(b.set.Replicas)/2, 1)
+		if s.sentAt == 0 {
+			return b.now-s.since >= s.credit*gap
+		}
+		return len(s.out) == 0 && b.now-s.sentAt >= gap
+	}
+	return (b.now-s.sentAt)*b.flow*s.weight*b.coldShare(s) >= b.cost(r)*b.set.Contract.ColdMs
 }
 
 // ramp is the part of its capacity that a started server has by the contract.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"testing"
 
 	"molepaddle/internal/arith"
@@ -1127,3 +1128,42 @@
 		}
 	}
 }
+
+// Where all servers are cold, none has a warm one to go by. Requests are served all the
+// same, by all agents together at no more than about two at a time and server.
+func TestAllServersCold(t *testing.T) {
+	for _, agents := range []int{1, 4, 40} {
+		const servers = 3
+		sent := 0
+		for i := range agents {
+			set := testSettings()
+			set.Replicas, set.Index = agents, i
+			r := newRig(t, set, 0)
+			r.b.rng = rand.New(rand.NewPCG(uint64(i), 1))
+			var all []cluster.Entry
+			for j := range servers {
+				all = append(all, cluster.Entry{Server: addr(j), Health: cluster.Ready, Weight: 1, SinceMs: r.now - 10})
+			}
+			r.list(cluster.ListFull, all...)
+			var out []Action
+			for range 1000 / 5 { // for a second, asked all the time, answered after 20 ms
+				_, actions := r.ask(0, 0)
+				actions = append(actions, r.tick(5)...)
+				if len(out) > 0 {
+					actions = append(actions, r.outcome(out[0].Request, 0, out[0].Server, OK, 20)...)
+					out = out[1:]
+				}
+				for _, a := range actions {
+					if a.Kind == ActSend {
+						sent++
+						out = append(out, a)
+					}
+				}
+			}
+		}
+		expect := 300 * crowdShare / 2 // the mean answer time that is taken for granted at first
+		if most := 3 * servers * 1000 / expect * 2; sent == 0 || float64(sent) > most {
+			t.Errorf("%d agents: %d sent in a second, want some and at most %.0f", agents, sent, most)
+		}
+	}
+}
