Handle an input where it is brought, if that is free

Each request changed goroutines four times on its way through the core; two of these were to get an input to it. Whoever brings one now handles it under the core's lock where nothing is ahead of it; else Run does, in order.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -3,12 +3,16 @@
 // the Balancer and does what that decides; it decides nothing about where, when or
 // whether a request is sent.
 //
-// Each request that Do takes gets exactly one final answer. Run is the one goroutine that
-// owns the Balancer, the requests taken, the servers, their attempts and the memory of
-// ids; what happens elsewhere reaches it as inputs through one queue, handled one by one
-// in their order, and nothing in it blocks. Do runs in its caller's goroutine and shares
-// with Run the queue and one channel for the answer. An attempt's stage is the only
-// other thing that both sides change: it settles whether a byte may still go out.
+// Each request that Do takes gets exactly one final answer. What happens reaches the core
+// as inputs, which are handled one by one, and nothing in their handling blocks. One lock
+// guards the Balancer, the requests taken, the servers, their attempts and the memory of
+// ids: whoever brings an input while nobody holds the lock and no input waits handles it
+// there and then; else it goes into a queue, which Run works through in its order. So an
+// input that comes after another, for whoever saw both, is handled after it. Do runs in
+// its caller's goroutine and shares with the rest one channel for the answer. An attempt's
+// stage is the only other thing that both sides change: it settles whether a byte may
+// still go out. What is said elsewhere to belong to the core's goroutine belongs to the
+// one that handles an input.
 //
 // All time comes from the standard library's clock.
 package core
@@ -19,6 +23,7 @@
 	"log/slog"
 	"runtime/debug"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -87,9 +92,12 @@
 	transport Transport
 	newRoster func(addr string, tell func(News)) Roster
 	in        chan input
-	ready     atomic.Bool // a server can be sent to
+	waiting   atomic.Int64 // inputs that are queued or taken from the queue, and not handled
+	running   atomic.Bool  // Run works
+	ready     atomic.Bool  // a server can be sent to
 
-	// What stands below belongs to Run.
+	// The lock guards what stands below.
+	mu         sync.Mutex
 	bal        *policy.Balancer
 	todo       []input // what Run itself gave rise to, to be handled next
 	base       time.Time
@@ -182,30 +190,65 @@
 		end.Outcome = Gone
 	case <-guard.C:
 	}
-	// The guard is for a loop that is stuck, perhaps with its queue full.
-	select {
-	case c.in <- input{kind: inDropped, req: r}:
-	default:
-		go c.post(input{kind: inDropped, req: r})
+	// The guard is for a core that is stuck, perhaps with its queue full.
+	if drop := (input{kind: inDropped, req: r}); !c.offer(drop) {
+		go c.post(drop)
 	}
 	return end
 }
 
-// post hands Run something that happened. It waits while the queue is full and returns
-// at once when the core has ended.
+// here handles an input in its bringer's goroutine, if that is free to do: it saves two
+// changes of goroutine a request each.
+func (c *Core) here(in input) bool {
+	if !c.running.Load() || !c.mu.TryLock() {
+		return false
+	}
+	defer c.mu.Unlock()
+	if c.waiting.Load() != 0 || c.ctx.Err() != nil {
+		return false
+	}
+	c.handle(in)
+	return true
+}
+
+// post brings something that happened. It waits while the queue is full and returns at
+// once when the core has ended.
 func (c *Core) post(in input) {
+	if c.here(in) {
+		return
+	}
+	c.waiting.Add(1)
 	select {
 	case c.in <- in:
 	case <-c.ctx.Done():
 	}
 }
 
-// Run handles what comes in until the context ends.
+// offer is post, but that it does not wait; it reports whether there was room.
+func (c *Core) offer(in input) bool {
+	if c.here(in) {
+		return true
+	}
+	c.waiting.Add(1)
+	select {
+	case c.in <- in:
+		return true
+	default:
+		c.waiting.Add(-1)
+		return false
+	}
+}
+
+// Run handles what is queued until the context ends. Before it runs all is queued.
 func (c *Core) Run() {
+	c.running.Store(true)
 	for {
 		select {
 		case in := <-c.in:
+			c.mu.Lock()
 			c.handle(in)
+			c.waiting.Add(-1)
+			c.mu.Unlock()
 		case <-c.ctx.Done():
 			return
 		}
