--- a/internal/world/check.go
+++ b/internal/world/check.go
@@ -65,6 +65,7 @@
 	whole bool          // its last byte was written
 	came  bool          // and has come
 	end   string        // how it ended for the agent; empty: it is out
+	endAt time.Duration
 }
 
 // mayHaveRun is what an agent must hold for possible.
@@ -161,6 +162,11 @@
 	default:
 		r.final = "failed"
 	}
+	if r.class == order && run && r.final != "served" && ran.end != "" && r.ask.op.Fate != "slow-reader" {
+		if late := r.finalAt - ran.endAt; late > grace {
+			k.breach("an answer is held back", "%s: its only attempt ended %v before it was %s", r.id, late, r.final)
+		}
+	}
 	k.count(r.final)
 }
 
@@ -309,7 +315,7 @@
 
 func (k *checker) endedAs(a *attempt, how string) {
 	if a.end == "" {
-		a.end = how
+		a.end, a.endAt = how, k.w.now()
 		k.count("attempts " + how)
 	}
 }
--- a/internal/world/day.go
+++ b/internal/world/day.go
@@ -22,6 +22,7 @@
 	Queue    int     // and that wait there
 	Settings map[string]any
 	Sockets  int
+	Cold     bool    `json:",omitempty"` // all servers have just started
 	NoticeMs float64 // mean time until the roster has told a change
 	Ops      []Op
 	Logs     bool `json:",omitempty"` // the agents' logs go into the trace
@@ -96,10 +97,14 @@
 	}
 	giveUp := between(150, 700)
 	ttl := logBetween(40, 1500)
+	connect := between(30, 250)
+	if rng.IntN(4) == 0 {
+		connect = between(300, 700)
+	}
 	d.Settings = map[string]any{
 		"failureDomains": []string{"x", "y"}, "shapes": []string{"k"},
 		"membershipMode": []string{"pushed", "on_request", "on_request"}[rng.IntN(3)],
-		"limits": map[string]any{"cancelling": rng.IntN(4) > 0, "connectTimeoutMs": between(30, 250),
+		"limits": map[string]any{"cancelling": rng.IntN(4) > 0, "connectTimeoutMs": connect,
 			"keepaliveMs": logBetween(300, 30000), "maxAttempts": 1 + rng.IntN(3), "maxRetryAfterMs": 600,
 			"retryAfter": true},
 		"contract": map[string]any{"answerSlackMs": 20, "askWithinMs": logBetween(800, 10000), "coldFrom": between(0.15, 0.5),
@@ -124,6 +129,7 @@
 		contract["coldFrom"], contract["coldMs"] = between(0.15, 0.25), between(2000, 4000)
 		contract["fallMultiple"], contract["tipAfterMs"] = between(1.2, 2), between(400, 1000)
 	}
+	d.Cold = rng.IntN(12) == 0
 	d.prepare()
 
 	length := time.Duration(between(700, 1800)) * ms
@@ -137,6 +143,9 @@
 		length = time.Duration(between(1500, 2500)) * ms
 		requests = min(int(between(0.7, 1.2)*float64(d.Servers)/(d.WorkMs/1000)*length.Seconds()), 250)
 		add(Op{At: length / 6, Kind: []string{"crash", "move", "add"}[rng.IntN(3)], Host: rng.IntN(d.Servers), For: 20 * ms})
+		if back := &d.Ops[0]; back.Kind != "add" && rng.IntN(2) == 0 { // and fails fast when it is back
+			add(Op{At: back.At + back.For, Kind: "fail-fast", Host: back.Host, For: time.Duration(between(400, 1000)) * ms, Share: 1})
+		}
 	}
 	keys := 1 + rng.IntN(40)
 	burst := rng.IntN(4) == 0
@@ -168,7 +177,7 @@
 			For: time.Duration(between(50, 900)) * ms, Share: []float64{1, between(0.05, 1)}[rng.IntN(2)]})
 	}
 	changes := []string{"drain", "drain", "drain-at-reply", "drain-at-reply", "vanish", "vanish", "replace", "crash", "crash-listed",
-		"add", "roster-down", "roster-silent", "roster-late", "reload", "term", "kill", "move"}
+		"add", "slow-drain", "roster-down", "roster-silent", "roster-late", "reload", "term", "kill", "move"}
 	for range rng.IntN(5) {
 		add(Op{At: time.Duration(rng.Float64() * float64(length)), Kind: changes[rng.IntN(len(changes))], Agent: rng.IntN(d.Agents),
 			Host: rng.IntN(d.Servers), For: time.Duration(between(50, 900)) * ms})
--- a/internal/world/play.go
+++ b/internal/world/play.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -9,10 +10,14 @@
 func (w *World) setUp() {
 	d := w.day
 	for i := range d.Servers {
-		w.newServer(fmt.Sprintf("10.1.0.%d:80", i+1), -1)
+		born := time.Duration(-1)
+		if d.Cold {
+			born = 0
+		}
+		w.newServer(fmt.Sprintf("10.1.0.%d:80", i+1), born)
 	}
 	for _, s := range w.servers {
-		w.truth = append(w.truth, change{s.num, "ready", s.dial, 0})
+		w.truth = append(w.truth, change{s.num, "ready", s.dial, s.bornMs()})
 	}
 	for i := range 4 {
 		w.rosters[rosterAddr(i)] = &roster{w: w, addr: rosterAddr(i), up: true, base: int64(40 - 10*i)}
@@ -71,6 +76,12 @@
 		w.publish(s, "draining")
 		w.after(o.For+300*ms, func() { w.publish(s, "gone") })
 		w.after(o.For+400*ms+late, s.crash)
+	case "slow-drain": // while connections to it are long in coming up
+		s.modes = append(s.modes, &mode{"slow-dial", 1, w.now() + o.For})
+		for _, l := range slices.Clone(s.links) {
+			l.reset(0)
+		}
+		w.after(o.For/3, func() { w.drainNow(s) })
 	case "drain-at-reply":
 		s.atReply = true
 	case "vanish":
--- a/internal/world/server.go
+++ b/internal/world/server.go
@@ -88,7 +88,7 @@
 		w.after(wait, func() { p.fail(d, errRefused) })
 		return
 	case s.has("slow-dial", uint64(c.id)):
-		wait += time.Duration(w.day.draw("slow", uint64(c.id)) * float64(300*ms))
+		wait += time.Duration(w.day.draw("slow", uint64(c.id)) * float64(700*ms))
 	}
 	if fate, r := w.check.fate(p, c.purpose); fate == "key-window" && len(r.attempts) > 0 {
 		// The window of its key ends while the connection comes up.
@@ -280,7 +280,8 @@
 			fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\nContent-Length: %d\r\n\r\n%s", len(body), len(body)-3, body),
 			"HTTP/1.1 200 OK\r\n" + strings.Repeat("X: "+strings.Repeat("x", 900)+"\r\n", 30),
 			"HTTP/1.1 200 OK\r\n\r\n" + body}[int(x*7)]
-		l.say("spoilt", [][]byte{[]byte(bad)}, 0)
+		w.check.count("attempts spoilt")
+		l.say("", [][]byte{[]byte(bad)}, 0) // it is out until the agent closes
 	case s.has("reset-answer", c, n):
 		l.say("", [][]byte{[]byte(whole[:int(x*float64(len(whole)))])}, 0)
 		l.reset(0)
