Carry out probes where the settings allow them

The module asked for probes that the core ignored: with probing on, two servers were waited for for ever and the others returned by lapse alone. A probe is an attempt of a request without an id; it is given up when its server drains. The world draws them on and off.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -62,6 +62,7 @@
 	inNews                  // news, gen
 	inTurn                  // addr: another roster's
 	inLoad                  // load
+	inProbed                // att, res
 )
 
 // input is one thing that happened, on its way to Run.
@@ -288,6 +289,8 @@
 		c.tell(&policy.Event{Kind: policy.EvTimer, Token: in.token})
 	case inTurn:
 		c.turnTo(in.addr)
+	case inProbed:
+		c.onProbed(in.att, &in.res)
 	case inLoad:
 		l := Load{Requests: len(c.requests), Servers: len(c.backends)}
 		for _, r := range c.requests {
@@ -398,6 +401,8 @@
 				c.answer(r, Answer{Outcome: Failed})
 				c.forget(r)
 			}
+		case policy.ActProbe:
+			c.probe(act.Server)
 		case policy.ActTimer:
 			token := act.Token
 			time.AfterFunc(ms(act.Ms), func() { c.post(input{kind: inTimer, token: token}) })
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -311,6 +311,33 @@
 	}
 }
 
+// A probe goes out once as a request without an id, the module hears how it ended, and a
+// drained server's is given up.
+func TestProbes(t *testing.T) {
+	r := newRig(t, server(1, "a", cluster.Ready, 0))
+	r.probe(addr(1))
+	r.probe(addr(2)) // not listed: told at once
+	r.handle(input{kind: inTimer})
+	if len(r.transport.started) != 1 {
+		t.Fatalf("%d probes sent", len(r.transport.started))
+	}
+	a := r.transport.started[0]
+	if a.Request.ID != "" || a.Request.Message.Target != probeTarget || a.Deadline().IsZero() {
+		t.Fatalf("sent %+v", a.Request)
+	}
+	a.Begin()
+	r.end(a, Result{Status: policy.OK})
+	b := r.byAddr[addr(1)]
+	if len(b.probes) != 0 || len(b.attempts) != 0 {
+		t.Fatal("a probe is left")
+	}
+	r.probe(addr(1))
+	r.news(News{Kind: Changed, List: listOf(2, false, server(1, "a", cluster.Draining, 0))})
+	if second := r.transport.started[1]; second.Begin() || !errors.Is(context.Cause(second.Context()), ErrDrained) {
+		t.Fatal("a drained server is probed")
+	}
+}
+
 // Lists apply in the order of their versions, whichever way they come.
 func TestListOrder(t *testing.T) {
 	r := newRig(t, server(0, "a", cluster.Ready, 0), server(1, "b", cluster.Ready, 0))
--- a/internal/core/servers.go
+++ b/internal/core/servers.go
@@ -16,6 +16,7 @@
 	usable   bool // listed as ready
 	endpoint Endpoint
 	attempts []*Attempt // out now, in the order of their start
+	probes   []*Attempt // the same of probes
 }
 
 // learn applies a list: to the connections first, then the module is told.
@@ -69,6 +70,7 @@
 	for _, a := range b.attempts {
 		c.stop(a, ErrDrained, policy.Full)
 	}
+	b.unprobe()
 	b.endpoint.CloseIdle()
 }
 
--- a/internal/world/day.go
+++ b/internal/world/day.go
@@ -106,7 +106,7 @@
 		"membershipMode": []string{"pushed", "on_request", "on_request"}[rng.IntN(3)],
 		"limits": map[string]any{"cancelling": rng.IntN(4) > 0, "connectTimeoutMs": connect,
 			"keepaliveMs": logBetween(300, 30000), "maxAttempts": 1 + rng.IntN(3), "maxRetryAfterMs": 600,
-			"retryAfter": true},
+			"retryAfter": true, "probing": rng.IntN(3) == 0},
 		"contract": map[string]any{"answerSlackMs": 20, "askWithinMs": logBetween(800, 10000), "coldFrom": between(0.15, 0.5),
 			"coldMs": between(800, 4000), "drainGraceMs": 250, "fallMultiple": between(1.5, 3), "tipAfterMs": between(300, 1000)},
 		"replicasOfMe": d.Agents, "roundMs": between(1, 5), "weights": []string{"nominal", "off"}[rng.IntN(2)],
--- a/internal/world/mutants_test.go
+++ b/internal/world/mutants_test.go
@@ -27,6 +27,8 @@
 		"		d.tell(core.News{Kind: core.Changed, List: l})", "		time.AfterFunc(400*time.Millisecond, func() { d.tell(core.News{Kind: core.Changed, List: l}) })"},
 	{"what waits for a connection is not withdrawn at a drain", "internal/core/servers.go",
 		"	for _, a := range b.attempts {\n		c.stop(a, ErrDrained, policy.Full)\n	}\n", ""},
+	{"probes of a drained server go on", "internal/core/servers.go",
+		"	b.unprobe()\n", ""},
 	{"withdrawn attempts are sent all the same", "internal/httptransport/attempt.go",
 		"if !a.Begin() {", "if !a.Begin() && x.cut {"},
 	{"answers are sent twice", "internal/httpfront/places.go",
--- a/internal/world/server.go
+++ b/internal/world/server.go
@@ -205,6 +205,10 @@
 	}
 	l.buf = l.buf[head+4+length:]
 	l.count++
+	if strings.HasPrefix(text, "GET /health ") {
+		l.probed()
+		return
+	}
 	l.begin(headerOf(text, "Request-Id"))
 }
 
@@ -257,6 +261,21 @@
 	})
 }
 
+// probed answers a probe: well, unless it fails, or not at all.
+func (l *link) probed() {
+	s, w, c, n := l.s, l.s.w, uint64(l.c.id), uint64(l.count)
+	w.check.count("probes")
+	switch {
+	case s.has("hang", c, n):
+	case s.has("reset-answer", c, n):
+		l.reset(0)
+	case s.has("fail-fast", c, n):
+		l.reply("error", 503, "", "", 0)
+	default:
+		l.reply("served", 200, "", "well", time.Duration(w.day.draw("probe", c, n)*float64(2*ms)))
+	}
+}
+
 // firstOfWindow tells whether this is the first attempt of a request that is to find the
 // window of its key ended.
 func (w *World) firstOfWindow(l *link, id string) bool {
--- a/internal/world/world_test.go
+++ b/internal/world/world_test.go
@@ -90,7 +90,7 @@
 	// What the world is for must have been in it.
 	if *count >= 200 && failed == 0 {
 		for _, what := range []string{"fault drain-at-reply", "fault crash-listed", "cancel at the last byte", "key window ends in a dial",
-			"retries", "served", "refused", "failed", "attempts reset", "attempts never", "attempts spoilt", "attempts given up"} {
+			"retries", "probes", "served", "refused", "failed", "attempts reset", "attempts never", "attempts spoilt", "attempts given up"} {
 			if seen[what] == 0 {
 				t.Errorf("no day had: %s", what)
 			}
