--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"math"
 	"os/exec"
 	"testing"
 	"time"
@@ -457,3 +458,22 @@
 		t.Fatal("an old id was kept")
 	}
 }
+
+// Whatever a server says of its load is all of the values that were asked for, each finite
+// and not negative, or nothing.
+func FuzzReport(f *testing.F) {
+	for _, text := range []string{"TEXT qps=1, util=0.5", "TEXT qps=1e39, util=1", "TEXT util=-0,qps=0x1p4", "TEXT ,=,qps", "qps=1"} {
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		got := report(text, []string{"qps", "util"})
+		if got != nil && len(got) != 2 {
+			t.Fatalf("%d values", len(got))
+		}
+		for _, x := range got {
+			if !(x >= 0) || math.IsInf(float64(x), 0) {
+				t.Fatalf("%q gave %v", text, got)
+			}
+		}
+	})
+}
