--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -143,7 +143,12 @@
 			break
 		}
 	}
-	return a.server.Close() // what is left is over its deadline, or never sent a request
+	// What is left is over its deadline, or never sent a request. The server may not yet
+	// know that its listeners are closed, which is no failure.
+	if err := a.server.Close(); !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
 }
 
 // problem is why a request is not taken.
