--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -10,47 +10,15 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"molepaddle/internal/config"
 	"molepaddle/internal/operator"
+	"molepaddle/internal/testkit"
 )
 
-// conf is a whole configuration; backends are listed as s-0, s-1, ...
-func conf(discovery string, backends ...string) map[string]any {
-	hosts := []any{}
-	for i, dial := range backends {
-		hosts = append(hosts, host(i, dial, "ready"))
-	}
-	class := func(name, effect string) map[string]any {
-		return map[string]any{"name": name, "aimMs": 20000, "giveUpMs": 30000, "credit": 1,
-			"effect": effect, "group": "all", "keyTtlMs": 20000}
-	}
-	return map[string]any{
-		"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f30d27a5be964",
-		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
-		"known":  map[string]any{"seq": 1, "whole": true, "hosts": hosts},
-		"settings": map[string]any{
-			"classes":        []any{class("look", "free"), class("send", "guarded"), class("order", "single_shot")},
-			"failureDomains": []any{"a", "b"}, "shapes": []any{"k"}, "membershipMode": "pushed",
-			"limits": map[string]any{"cancelling": true, "maxAttempts": 3, "connectTimeoutMs": 20000,
-				"keepaliveMs": 30000, "maxRetryAfterMs": 600},
-			"contract": map[string]any{"askWithinMs": 10000, "coldFrom": 0.3, "coldMs": 8000,
-				"drainGraceMs": 250, "fallMultiple": 2.5, "tipAfterMs": 1000},
-			"replicasOfMe": 1, "roundMs": 5, "weights": "nominal",
-		},
-	}
-}
-
-func host(i int, dial, health string) map[string]any {
-	return map[string]any{"host": fmt.Sprint("s-", i), "dial": dial, "site": "a", "class": "k",
-		"block": 1, "health": health, "share": 1.0, "born_ms": 0}
-}
-
 func parse(t testing.TB, c map[string]any) *config.Config {
 	t.Helper()
 	text, err := json.Marshal(c)
@@ -90,44 +58,6 @@
 	return a, "http://" + ln.Addr().String(), stop, ended
 }
 
-// lastID makes every request's id a new one.
-var lastID atomic.Int64
-
-// call is a request of the class, well-formed until it is changed.
-func call(base, class string) *http.Request {
-	method := http.MethodPost
-	if class == "look" {
-		method = http.MethodGet
-	}
-	req, err := http.NewRequest(method, base+"/"+class+"/u1", strings.NewReader("body"))
-	if err != nil {
-		panic(err)
-	}
-	if class == "look" {
-		req.Body, req.ContentLength = nil, 0
-	}
-	req.Header.Set("Request-Id", fmt.Sprint("id", lastID.Add(1)))
-	req.Header.Set("Request-Timeout", "30000m")
-	if class == "send" {
-		req.Header.Set("Idempotency-Key", "k1")
-	}
-	return req
-}
-
-func do(t *testing.T, req *http.Request) (int, string, http.Header) {
-	t.Helper()
-	resp, err := http.DefaultTransport.RoundTrip(req)
-	if err != nil {
-		t.Fatalf("no answer: %v", err)
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	if err != nil {
-		t.Fatalf("no whole answer: %v", err)
-	}
-	return resp.StatusCode, string(body), resp.Header
-}
-
 // counted is a backend that answers all it gets with status and counts it.
 func counted(t *testing.T, status int, notStarted bool) (addr string, came chan string) {
 	came = make(chan string, 100)
@@ -148,14 +78,14 @@
 
 func TestServed(t *testing.T) {
 	addr, _ := counted(t, 200, false)
-	_, base, _, _ := start(t, conf(nowhere, addr))
+	_, base, _, _ := start(t, testkit.Config(nowhere, addr))
 	for _, class := range []string{"look", "send", "order"} {
-		if status, body, _ := do(t, call(base, class)); status != 200 || body != "done" {
+		if status, body, _ := testkit.Do(t, testkit.Call(base, class)); status != 200 || body != "done" {
 			t.Fatalf("%s: got %d %q", class, status, body)
 		}
 	}
 	ready, _ := http.NewRequest(http.MethodGet, base+"/ready", nil)
-	if status, _, _ := do(t, ready); status != 200 {
+	if status, _, _ := testkit.Do(t, ready); status != 200 {
 		t.Fatalf("/ready: %d", status)
 	}
 }
@@ -183,8 +113,8 @@
 				addr, ids := counted(t, c.status, c.notStarted)
 				addrs, came = append(addrs, addr), append(came, ids)
 			}
-			_, base, _, _ := start(t, conf(nowhere, addrs...))
-			status, _, head := do(t, call(base, c.class))
+			_, base, _, _ := start(t, testkit.Config(nowhere, addrs...))
+			status, _, head := testkit.Do(t, testkit.Call(base, c.class))
 			if status != c.answer {
 				t.Errorf("answered %d, want %d", status, c.answer)
 			}
@@ -204,13 +134,13 @@
 
 // A backend's answer that breaks off is not passed on, whole or in part.
 func TestBrokenAnswerFails(t *testing.T) {
-	addr := rawBackend(t, func(c net.Conn, r *bufio.Reader) {
-		if _, err := readRequest(r); err == nil {
+	addr := testkit.Raw(t, func(c net.Conn, r *bufio.Reader) {
+		if _, err := testkit.ReadRequest(r); err == nil {
 			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ndone")
 		}
 	})
-	_, base, _, _ := start(t, conf(nowhere, addr))
-	if status, body, _ := do(t, call(base, "order")); status != http.StatusBadGateway || body != "" {
+	_, base, _, _ := start(t, testkit.Config(nowhere, addr))
+	if status, body, _ := testkit.Do(t, testkit.Call(base, "order")); status != http.StatusBadGateway || body != "" {
 		t.Fatalf("got %d %q", status, body)
 	}
 }
@@ -226,7 +156,7 @@
 	}))
 	t.Cleanup(s.Close)
 	t.Cleanup(open) // before the backend closes, also when the test fails
-	c := conf(nowhere, s.Listener.Addr().String())
+	c := testkit.Config(nowhere, s.Listener.Addr().String())
 	c["limits"].(map[string]any)["sockets"] = config.MinSockets
 	_, base, _, _ := start(t, c)
 	const over = 20
@@ -237,7 +167,7 @@
 	answers := make(chan int, asked)
 	for range asked {
 		go func() {
-			resp, err := new(http.Transport).RoundTrip(call(base, "order"))
+			resp, err := new(http.Transport).RoundTrip(testkit.Call(base, "order"))
 			if err != nil {
 				t.Error(err)
 				answers <- 0
@@ -269,17 +199,17 @@
 // An attempt of a client that has gone is given up.
 func TestClientGone(t *testing.T) {
 	got, ended := make(chan struct{}), make(chan struct{})
-	addr := rawBackend(t, func(c net.Conn, r *bufio.Reader) {
-		if _, err := readRequest(r); err != nil {
+	addr := testkit.Raw(t, func(c net.Conn, r *bufio.Reader) {
+		if _, err := testkit.ReadRequest(r); err != nil {
 			return
 		}
 		close(got)
 		r.ReadByte()
 		close(ended)
 	})
-	_, base, _, _ := start(t, conf(nowhere, addr))
+	_, base, _, _ := start(t, testkit.Config(nowhere, addr))
 	ctx, cancel := context.WithCancel(context.Background())
-	go http.DefaultTransport.RoundTrip(call(base, "order").WithContext(ctx))
+	go http.DefaultTransport.RoundTrip(testkit.Call(base, "order").WithContext(ctx))
 	<-got
 	cancel()
 	<-ended
@@ -295,7 +225,7 @@
 		fmt.Fprintln(w, change)
 	}))
 	t.Cleanup(s.Close)
-	c := conf(s.Listener.Addr().String(), "127.0.0.1:1")
+	c := testkit.Config(s.Listener.Addr().String(), "127.0.0.1:1")
 	set := c["settings"].(map[string]any)
 	set["membershipMode"] = "on_request"
 	set["contract"].(map[string]any)["askWithinMs"] = 10
@@ -326,7 +256,7 @@
 	}))
 	t.Cleanup(list.Close)
 	t.Cleanup(func() { close(release) })
-	c := conf(list.Listener.Addr().String(), "127.0.0.1:1")
+	c := testkit.Config(list.Listener.Addr().String(), "127.0.0.1:1")
 	set := c["settings"].(map[string]any)
 	set["membershipMode"] = "on_request"
 	set["contract"].(map[string]any)["askWithinMs"] = 10
@@ -341,7 +271,7 @@
 	}})
 	answered := make(chan int, 1)
 	go func() {
-		resp, err := http.DefaultTransport.RoundTrip(call(base, "order"))
+		resp, err := http.DefaultTransport.RoundTrip(testkit.Call(base, "order"))
 		if err != nil {
 			t.Error(err)
 			close(answered)
@@ -350,7 +280,7 @@
 		answered <- resp.StatusCode
 	}()
 	<-dialling
-	text, _ := json.Marshal(map[string]any{"seq": 2, "hosts": []any{host(0, "127.0.0.1:1", "draining"), host(1, good, "ready")}})
+	text, _ := json.Marshal(map[string]any{"seq": 2, "hosts": []any{testkit.Host(0, "127.0.0.1:1", "draining"), testkit.Host(1, good, "ready")}})
 	lines <- string(text)
 	if status := <-answered; status != 200 {
 		t.Fatalf("answered %d", status)
@@ -366,8 +296,8 @@
 		<-release
 	}))
 	t.Cleanup(s.Close)
-	_, base, _, _ := start(t, conf(nowhere, s.Listener.Addr().String()))
-	first, again := call(base, "order"), call(base, "order")
+	_, base, _, _ := start(t, testkit.Config(nowhere, s.Listener.Addr().String()))
+	first, again := testkit.Call(base, "order"), testkit.Call(base, "order")
 	again.Header.Set("Request-Id", first.Header.Get("Request-Id"))
 	served := make(chan int, 1)
 	go func() {
@@ -380,7 +310,7 @@
 		served <- resp.StatusCode
 	}()
 	<-got
-	if status, _, _ := do(t, again); status != http.StatusConflict {
+	if status, _, _ := testkit.Do(t, again); status != http.StatusConflict {
 		t.Errorf("answered %d", status)
 	}
 	close(release)
@@ -389,42 +319,10 @@
 	}
 }
 
-// rawBackend hands each connection to serve; it ends with the test.
-func rawBackend(t *testing.T, serve func(c net.Conn, r *bufio.Reader)) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				serve(c, bufio.NewReader(c))
-			}()
-		}
-	}()
-	return ln.Addr().String()
-}
-
-// readRequest reads one whole request.
-func readRequest(r *bufio.Reader) (*http.Request, error) {
-	req, err := http.ReadRequest(r)
-	if err == nil {
-		_, err = io.Copy(io.Discard, req.Body)
-	}
-	return req, err
-}
-
 // Clients are served at all places where the agent listens, and all end with it.
 func TestMoreListeners(t *testing.T) {
 	addr, _ := counted(t, 200, false)
-	a, err := New(parse(t, conf(nowhere, addr)), operator.Default(), Network{}, slog.New(slog.DiscardHandler))
+	a, err := New(parse(t, testkit.Config(nowhere, addr)), operator.Default(), Network{}, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -444,7 +342,7 @@
 		client := &http.Transport{DisableKeepAlives: true, DialContext: func(context.Context, string, string) (net.Conn, error) {
 			return net.Dial(ln.Addr().Network(), ln.Addr().String())
 		}}
-		resp, err := client.RoundTrip(call("http://agent", "order"))
+		resp, err := client.RoundTrip(testkit.Call("http://agent", "order"))
 		if err != nil || resp.StatusCode != 200 {
 			t.Errorf("%s: %v, %v", ln.Addr(), resp, err)
 			continue
--- a/internal/agent/relay_bench_test.go
+++ b/internal/agent/relay_bench_test.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"molepaddle/internal/operator"
+	"molepaddle/internal/testkit"
 )
 
 // BenchmarkRelay compares over loopback, in one run, a server asked directly, through
@@ -44,7 +45,7 @@
 	proxy := httputil.NewSingleHostReverseProxy(target)
 	proxy.Transport = &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}
 	proxied := listen(&http.Server{Handler: proxy})
-	c := conf(nowhere, direct)
+	c := testkit.Config(nowhere, direct)
 	set := c["settings"].(map[string]any)
 	set["roundMs"] = 1
 	c["limits"].(map[string]any)["memory_mb"] = 512
--- a/internal/httpfront/front_test.go
+++ b/internal/httpfront/front_test.go
@@ -10,12 +10,12 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"molepaddle/internal/core"
 	"molepaddle/internal/settings"
+	"molepaddle/internal/testkit"
 )
 
 const headFor, bodyFor = 1500 * time.Millisecond, time.Second
@@ -62,44 +62,6 @@
 	return a, f, "http://" + ln.Addr().String(), stop, ended
 }
 
-// lastID makes every request's id a new one.
-var lastID atomic.Int64
-
-// call is a request of the class, well-formed until it is changed.
-func call(base, class string) *http.Request {
-	method := http.MethodPost
-	if class == "look" {
-		method = http.MethodGet
-	}
-	req, err := http.NewRequest(method, base+"/"+class+"/u1", strings.NewReader("body"))
-	if err != nil {
-		panic(err)
-	}
-	if class == "look" {
-		req.Body, req.ContentLength = nil, 0
-	}
-	req.Header.Set("Request-Id", fmt.Sprint("id", lastID.Add(1)))
-	req.Header.Set("Request-Timeout", "30000m")
-	if class == "send" {
-		req.Header.Set("Idempotency-Key", "k1")
-	}
-	return req
-}
-
-func do(t *testing.T, req *http.Request) (int, string, http.Header) {
-	t.Helper()
-	resp, err := http.DefaultTransport.RoundTrip(req)
-	if err != nil {
-		t.Fatalf("no answer: %v", err)
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	if err != nil {
-		t.Fatalf("no whole answer: %v", err)
-	}
-	return resp.StatusCode, string(body), resp.Header
-}
-
 // Bad input gets a 4xx that promises nothing of a retry, and reaches no backend.
 func TestBadInput(t *testing.T) {
 	_, f, base, _, _ := start(t, 100, served)
@@ -117,16 +79,16 @@
 			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", maxBody+1))), maxBody+1
 		},
 	} {
-		req := call(base, "send")
+		req := testkit.Call(base, "send")
 		change(req)
-		if status, _, _ := do(t, req); status < 400 || status > 499 || status == 429 {
+		if status, _, _ := testkit.Do(t, req); status < 400 || status > 499 || status == 429 {
 			t.Errorf("%s: answered %d", name, status)
 		}
 	}
-	longest := call(base, "send")
+	longest := testkit.Call(base, "send")
 	longest.Body, longest.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", maxBody))), maxBody
 	longest.Header.Set("Request-Id", "longest")
-	if status, _, _ := do(t, longest); status != 200 {
+	if status, _, _ := testkit.Do(t, longest); status != 200 {
 		t.Errorf("a body of 64 KiB: answered %d", status)
 	}
 	if r := <-f.came; r.ID != "longest" || len(f.came) > 0 {
@@ -143,7 +105,7 @@
 // A panic in one handler must not leave its request without an answer.
 func TestHandlerPanic(t *testing.T) {
 	a, _, _, _, _ := start(t, 10, served)
-	req := call("http://b", "order")
+	req := testkit.Call("http://b", "order")
 	req.RequestURI = "/order/u1"
 	req.Body = explodes{}
 	rec := httptest.NewRecorder()
@@ -160,7 +122,7 @@
 		_, _, base, _, _ := start(t, 10, func(context.Context, *core.Request) core.Answer {
 			return core.Answer{Outcome: outcome, RetryAfter: 600 * time.Millisecond}
 		})
-		status, _, head := do(t, call(base, "order"))
+		status, _, head := testkit.Do(t, testkit.Call(base, "order"))
 		if status != want || (head.Get("Retry-After") == "0.6") != (want == 503) {
 			t.Errorf("outcome %d: answered %d, Retry-After %q", outcome, status, head.Get("Retry-After"))
 		}
@@ -186,11 +148,11 @@
 // What the core is handed is what the client sent.
 func TestRequestIsRead(t *testing.T) {
 	_, f, base, _, _ := start(t, 10, served)
-	req := call(base, "send")
+	req := testkit.Call(base, "send")
 	req.Header.Set("Client-Retry", "1")
 	req.Header.Set("Work-Hint", "2500")
 	before := time.Now()
-	do(t, req)
+	testkit.Do(t, req)
 	r := <-f.came
 	if r.Class != 1 || !r.Retry || !r.HasHint || r.HintMs != 2.5 || r.Key == 0 || r.Message.Target != "/send/u1" ||
 		r.Message.IdempotencyKey != "k1" || string(r.Message.Body) != "body" || r.ID != req.Header.Get("Request-Id") {
@@ -214,7 +176,7 @@
 	})
 	answers := make(chan *http.Response, 2)
 	ask := func() {
-		resp, err := http.DefaultTransport.RoundTrip(call(base, "look"))
+		resp, err := http.DefaultTransport.RoundTrip(testkit.Call(base, "look"))
 		if err != nil {
 			t.Error(err)
 		}
@@ -303,7 +265,7 @@
 					return true
 				})
 			}
-			if status, _, _ := do(t, call(base, "order")); status != 200 {
+			if status, _, _ := testkit.Do(t, testkit.Call(base, "order")); status != 200 {
 				t.Fatalf("answered %d", status)
 			}
 		})
--- a/internal/httptransport/ages_test.go
+++ b/internal/httptransport/ages_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"molepaddle/internal/testkit"
 	"molepaddle/policy"
 )
 
@@ -39,12 +40,12 @@
 // A backend that drops what stands idle without a word is met with new connections
 // after a few requests that ended so.
 func TestDroppedUnseen(t *testing.T) {
-	addr := rawBackend(t, func(conn net.Conn, r *bufio.Reader) {
-		if _, err := readRequest(r); err != nil {
+	addr := testkit.Raw(t, func(conn net.Conn, r *bufio.Reader) {
+		if _, err := testkit.ReadRequest(r); err != nil {
 			return
 		}
 		io.WriteString(conn, okAnswer)
-		readRequest(r) // and ends it when the next one comes
+		testkit.ReadRequest(r) // and ends it when the next one comes
 	})
 	p := testPool()
 	g := p.endpoint(addr)
--- a/internal/httptransport/attempt_test.go
+++ b/internal/httptransport/attempt_test.go
@@ -15,43 +15,12 @@
 	"time"
 
 	"molepaddle/internal/core"
+	"molepaddle/internal/testkit"
 	"molepaddle/policy"
 )
 
 const never = time.Hour // for what a test does not let run out
 
-// rawBackend hands each connection to serve; it ends with the test.
-func rawBackend(t *testing.T, serve func(c net.Conn, r *bufio.Reader)) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				serve(c, bufio.NewReader(c))
-			}()
-		}
-	}()
-	return ln.Addr().String()
-}
-
-// readRequest reads one whole request.
-func readRequest(r *bufio.Reader) (*http.Request, error) {
-	req, err := http.ReadRequest(r)
-	if err == nil {
-		_, err = io.Copy(io.Discard, req.Body)
-	}
-	return req, err
-}
-
 const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
 
 func testPool() *Transport {
@@ -85,9 +54,9 @@
 
 // counted is a server that answers all it gets.
 func counted(t *testing.T) string {
-	return rawBackend(t, func(c net.Conn, r *bufio.Reader) {
+	return testkit.Raw(t, func(c net.Conn, r *bufio.Reader) {
 		for {
-			if _, err := readRequest(r); err != nil {
+			if _, err := testkit.ReadRequest(r); err != nil {
 				return
 			}
 			io.WriteString(c, okAnswer)
@@ -103,9 +72,9 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var came atomic.Int32
-			addr := rawBackend(t, func(conn net.Conn, r *bufio.Reader) {
+			addr := testkit.Raw(t, func(conn net.Conn, r *bufio.Reader) {
 				for {
-					if _, err := readRequest(r); err != nil {
+					if _, err := testkit.ReadRequest(r); err != nil {
 						return
 					}
 					if came.Add(1) > 1 {
@@ -134,7 +103,7 @@
 func TestEndings(t *testing.T) {
 	answer := func(text string) func(net.Conn, *bufio.Reader) {
 		return func(c net.Conn, r *bufio.Reader) {
-			if _, err := readRequest(r); err == nil {
+			if _, err := testkit.ReadRequest(r); err == nil {
 				io.WriteString(c, text)
 			}
 		}
@@ -167,7 +136,7 @@
 		{"500 that says it was not started", answer("HTTP/1.1 500 No\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n"), policy.Error},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			g := testPool().endpoint(rawBackend(t, c.serve))
+			g := testPool().endpoint(testkit.Raw(t, c.serve))
 			defer g.CloseIdle()
 			res := newTry(g, http.MethodPost, never).run()
 			if res.Status != c.want {
@@ -203,7 +172,7 @@
 
 // What breaks before the last byte was written never ran.
 func TestCutWrite(t *testing.T) {
-	addr := rawBackend(t, func(c net.Conn, r *bufio.Reader) { io.Copy(io.Discard, r) })
+	addr := testkit.Raw(t, func(c net.Conn, r *bufio.Reader) { io.Copy(io.Discard, r) })
 	p := testPool()
 	plain := p.opt.Dial
 	p.opt.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -220,8 +189,8 @@
 func TestTimeoutClosesConnection(t *testing.T) {
 	closed := make(chan error, 1)
 	got := make(chan struct{})
-	addr := rawBackend(t, func(c net.Conn, r *bufio.Reader) {
-		if _, err := readRequest(r); err != nil {
+	addr := testkit.Raw(t, func(c net.Conn, r *bufio.Reader) {
+		if _, err := testkit.ReadRequest(r); err != nil {
 			return
 		}
 		close(got)
@@ -281,7 +250,7 @@
 // An attempt withdrawn while its connection comes up sends nothing on it.
 func TestWithdrawnSendsNothing(t *testing.T) {
 	read := make(chan int64, 1)
-	addr := rawBackend(t, func(c net.Conn, r *bufio.Reader) {
+	addr := testkit.Raw(t, func(c net.Conn, r *bufio.Reader) {
 		n, _ := io.Copy(io.Discard, r)
 		read <- n
 	})
@@ -316,7 +285,7 @@
 // The request goes on unchanged.
 func TestOutgoing(t *testing.T) {
 	got := make(chan *http.Request, 1)
-	addr := rawBackend(t, func(c net.Conn, r *bufio.Reader) {
+	addr := testkit.Raw(t, func(c net.Conn, r *bufio.Reader) {
 		req, err := http.ReadRequest(r)
 		if err != nil {
 			return
@@ -354,7 +323,7 @@
 		"type":   func(m *core.Message) { m.ContentType = "a\x00b" },
 	} {
 		read := make(chan int64, 1)
-		addr := rawBackend(t, func(c net.Conn, r *bufio.Reader) {
+		addr := testkit.Raw(t, func(c net.Conn, r *bufio.Reader) {
 			n, _ := io.Copy(io.Discard, r)
 			read <- n
 		})
@@ -378,9 +347,9 @@
 		for _, apart := range []bool{false, true} {
 			t.Run(fmt.Sprint(c.name, apart), func(t *testing.T) {
 				sent := make(chan struct{}, 100)
-				addr := rawBackend(t, func(conn net.Conn, r *bufio.Reader) {
+				addr := testkit.Raw(t, func(conn net.Conn, r *bufio.Reader) {
 					for {
-						if _, err := readRequest(r); err != nil {
+						if _, err := testkit.ReadRequest(r); err != nil {
 							return
 						}
 						if apart {
@@ -422,8 +391,8 @@
 func TestStaleConnections(t *testing.T) {
 	var came atomic.Int32
 	closed := make(chan struct{}, 10)
-	addr := rawBackend(t, func(conn net.Conn, r *bufio.Reader) {
-		if _, err := readRequest(r); err == nil {
+	addr := testkit.Raw(t, func(conn net.Conn, r *bufio.Reader) {
+		if _, err := testkit.ReadRequest(r); err == nil {
 			came.Add(1)
 			io.WriteString(conn, okAnswer)
 			conn.Close()
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -8,8 +8,10 @@
 package operator
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"path/filepath"
@@ -82,28 +84,20 @@
 		return nil, fmt.Errorf("operator: %w", err)
 	}
 	defer f.Close()
-	text := make([]byte, maxFile+1)
-	n := 0
-	for n < len(text) {
-		k, err := f.Read(text[n:])
-		n += k
-		if err != nil {
-			if k == 0 && err.Error() == "EOF" {
-				break
-			}
-			return nil, fmt.Errorf("operator: %w", err)
-		}
+	text, err := io.ReadAll(io.LimitReader(f, maxFile+1))
+	if err != nil {
+		return nil, fmt.Errorf("operator: %w", err)
 	}
-	if n > maxFile {
+	if len(text) > maxFile {
 		return nil, fmt.Errorf("operator: %s: longer than %d bytes", path, maxFile)
 	}
-	return Parse(filepath.Base(path), text[:n])
+	return Parse(filepath.Base(path), text)
 }
 
 // Parse reads the text of a file; name is for its errors.
 func Parse(name string, text []byte) (*Settings, error) {
 	s := Default()
-	dec := toml.NewDecoder(strings.NewReader(string(text)))
+	dec := toml.NewDecoder(bytes.NewReader(text))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(s); err != nil {
 		var unknown *toml.StrictMissingError
--- a/internal/world/check.go
+++ b/internal/world/check.go
@@ -51,7 +51,6 @@
 	finalAt  time.Duration
 	attempts []*attempt
 	cancel   bool // its client leaves in the instant of the last byte
-	client   *client
 	ask      *ask
 }
 
@@ -63,7 +62,6 @@
 	as    *server       // which its agent was told to be at the address
 	first time.Duration // its first byte
 	whole bool          // its last byte was written
-	came  bool          // and has come
 	end   string        // how it ended for the agent; empty: it is out
 	endAt time.Duration
 }
@@ -321,7 +319,7 @@
 }
 
 // made notes an answer that a server made, whole and unspoilt.
-func (k *checker) made(_, body string) { k.bodies[body] = true }
+func (k *checker) made(body string) { k.bodies[body] = true }
 
 // arrival is work that came to a cold server.
 type arrival struct {
@@ -330,11 +328,8 @@
 }
 
 // arrived notes a request that has come to a server whole, and holds the rule on cold ones.
-func (k *checker) arrived(l *link, id string) {
+func (k *checker) arrived(l *link) {
 	s, now := l.s, k.w.now()
-	if a := l.attempt; a != nil && a.id == id {
-		a.came = true
-	}
 	if s.ramp(now) == 1 {
 		return
 	}
@@ -356,6 +351,3 @@
 		k.breach("a cold server is pushed over", "%s got %d in %v, its capacity is %.1f", s.host, n, window, capacity)
 	}
 }
-
-// step is held after each step, where nothing is in motion.
-func (k *checker) step() {}
--- a/internal/world/net.go
+++ b/internal/world/net.go
@@ -302,36 +302,22 @@
 	l.timer = timer
 }
 
-func (c *conn) SetDeadline(t time.Time) error {
+// until changes deadlines of the connection.
+func (c *conn) until(t time.Time, limits ...*limit) error {
 	c.n.mu.Lock()
 	defer c.n.mu.Unlock()
 	if c.closed {
 		return net.ErrClosed
 	}
-	c.set(&c.rd, t)
-	c.set(&c.wd, t)
-	return nil
-}
-
-func (c *conn) SetReadDeadline(t time.Time) error {
-	c.n.mu.Lock()
-	defer c.n.mu.Unlock()
-	if c.closed {
-		return net.ErrClosed
+	for _, l := range limits {
+		c.set(l, t)
 	}
-	c.set(&c.rd, t)
 	return nil
 }
 
-func (c *conn) SetWriteDeadline(t time.Time) error {
-	c.n.mu.Lock()
-	defer c.n.mu.Unlock()
-	if c.closed {
-		return net.ErrClosed
-	}
-	c.set(&c.wd, t)
-	return nil
-}
+func (c *conn) SetDeadline(t time.Time) error      { return c.until(t, &c.rd, &c.wd) }
+func (c *conn) SetReadDeadline(t time.Time) error  { return c.until(t, &c.rd) }
+func (c *conn) SetWriteDeadline(t time.Time) error { return c.until(t, &c.wd) }
 
 // ---- the world's side; its goroutine calls these ----
 
@@ -379,10 +365,3 @@
 	defer c.n.mu.Unlock()
 	return c.closed || c.broken || c.n.dead
 }
-
-// unread is how much of what was delivered the agent has not read.
-func (c *conn) unread() int {
-	c.n.mu.Lock()
-	defer c.n.mu.Unlock()
-	return len(c.in)
-}
--- a/internal/world/server.go
+++ b/internal/world/server.go
@@ -225,7 +225,7 @@
 func (l *link) begin(id string) {
 	s, w := l.s, l.s.w
 	w.note("%s gets %s on c%d", s.host, id, l.c.id)
-	w.check.arrived(l, id)
+	w.check.arrived(l)
 	if l.job != nil {
 		w.check.breach("two requests on one connection", "%s on c%d", id, l.c.id)
 		return
@@ -306,7 +306,7 @@
 		l.reset(0)
 	case s.has("surplus", c, n):
 		more := []string{"\x00noise", strings.Replace(whole, "made for", "copy for", 1)}[int(2*x)]
-		w.check.made(l.job.id, body)
+		w.check.made(body)
 		switch how := x*10 - float64(int(x*10)); {
 		case how < 0.35:
 			l.say("served", [][]byte{[]byte(whole + more)}, 0)
@@ -318,10 +318,10 @@
 			w.push(l.ahead(0), func() { l.c.deliver([]byte(more)) })
 		}
 	case s.has("interim", c, n):
-		w.check.made(l.job.id, body)
+		w.check.made(body)
 		l.say("served", [][]byte{[]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nLink: x\r\n\r\n"), []byte(whole)}, 500*time.Microsecond)
 	case s.has("dribble", c, n):
-		w.check.made(l.job.id, body)
+		w.check.made(body)
 		var pieces [][]byte
 		for rest := whole; rest != ""; {
 			k := min(len(rest), 1+int(x*40))
@@ -330,12 +330,12 @@
 		}
 		l.say("served", pieces, time.Duration(x*float64(6*ms)))
 	case s.has("close-after", c, n):
-		w.check.made(l.job.id, body)
+		w.check.made(body)
 		l.say("served", [][]byte{[]byte(whole)}, 0)
 		l.closedByAgent()
 		w.push(l.ahead(0), l.c.finish)
 	default:
-		w.check.made(l.job.id, body)
+		w.check.made(body)
 		l.say("served", [][]byte{[]byte(whole)}, 0)
 	}
 }
--- a/internal/world/sim.go
+++ b/internal/world/sim.go
@@ -158,7 +158,6 @@
 		if w.collect() {
 			continue
 		}
-		w.check.step()
 		if len(w.events) == 0 || len(w.check.breaches) > 20 {
 			break
 		}
