Bound what is out to a far gateway by a window that its answers move, by class and bytes

Package limit decides it without I/O: a window moved by a gradient of calm and present answer times within each class (or AIMD, or fixed), a part of window and bytes for each class that others can't take, never more than the far end takes. The gateway asks it before each offer. Operators set law, least and each class's part; 'molepaddle link' shows the window and who found no room.

A thousand crossings under way while the routes change are each answered once.

--- a/internal/agent/gate.go
+++ b/internal/agent/gate.go
@@ -62,8 +62,16 @@
 	}
 	times := gateway.Times{Beat: time.Duration(o.Beat), StallAfter: time.Duration(o.StallAfter), DeadAfter: time.Duration(o.DeadAfter),
 		RedialMin: time.Duration(o.RedialMin), RedialMax: time.Duration(o.RedialMax)}
+	var names []string
+	for i := range c.Settings.Classes {
+		names = append(names, c.Settings.Classes[i].Name)
+	}
+	limits, err := o.Limits(names)
+	if err != nil {
+		return nil, fmt.Errorf("operator: gateway.%w", err)
+	}
 	for i, s := range o.Sites {
-		so := gateway.SiteOptions{Name: o.Name, Site: s.Name, Conns: o.Links, Most: o.Crossings, Window: o.Window, Times: times, Settings: &c.Settings,
+		so := gateway.SiteOptions{Name: o.Name, Site: s.Name, Conns: o.Links, Limits: limits, Times: times, Settings: &c.Settings,
 			Dial: network.Dial, Seed: c.Seed + uint64(i) + 1, Log: log}
 		for _, p := range s.Peers {
 			so.Peers = append(so.Peers, gateway.Peer(p))
@@ -71,7 +79,10 @@
 		if g.keys != nil {
 			so.TLS = g.keys.Client
 		}
-		site := gateway.NewSite(ctx, so)
+		site, err := gateway.NewSite(ctx, so)
+		if err != nil {
+			return nil, err
+		}
 		k, err := core.New(ctx, core.Options{Settings: site.Settings(), Seed: c.Seed ^ uint64(i+1), Known: site.Known(),
 			MaxOpen: openRequests(c.Limits.Sockets), Queue: 4 * c.Limits.Sockets, Transport: site, RosterAddr: s.Name,
 			NewRoster: site.NewRoster, Log: log.With("site", s.Name), IDs: ids})
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -449,3 +449,85 @@
 		sites.Eventually(t, "nothing is left over", func() bool { l := s.Agent.Load(); return l.Requests == 0 && l.Attempts == 0 && l.Taken == 0 })
 	}
 }
+
+// The routes change while a thousand crossings are under way: each of them is answered by the
+// site that has it, once, and what comes after the change goes the new way.
+func TestRoutesChangeUnderWay(t *testing.T) {
+	patient := func(settings map[string]any) {
+		for _, c := range settings["classes"].([]any) {
+			c.(map[string]any)["aimMs"], c.(map[string]any)["giveUpMs"] = 30000, 30000
+		}
+	}
+	const fars, each = 3, 340
+	const times = "\nstall_after = \"15s\"\ndead_after = \"20s\"\n" // a machine under this load may be late
+	text := "[gateway]\nname = \"gw-a\"\nplain = true\nwindow = 2000\ncrossings = 4000\nlaw = \"fixed\"" + times + "[[gateway.site]]\nname = \"b\"\n"
+	var far []*sites.Site
+	for i := range fars {
+		ln := sites.Loopback(t)
+		o := sites.Operator(t, `[gateway]
+name = "gw-b%d"
+plain = true
+peers = ["gw-a"]
+listen = "%s"
+%s`, i, ln.Addr(), times)
+		s := sites.Start(t, sites.Options{Servers: 2, Links: ln, Operator: o, Config: patient, Sockets: 16384})
+		for _, server := range s.Servers {
+			server.Hold(true)
+		}
+		far = append(far, s)
+		text += fmt.Sprintf("[[gateway.site.peer]]\nname = \"gw-b%d\"\naddress = \"%s\"\n", i, ln.Addr())
+	}
+	near := sites.Start(t, sites.Options{Servers: 1, Operator: sites.Operator(t, "%s", text+"[[gateway.route]]\nto = [\"b\"]\n"), Config: patient, Sockets: 16384})
+	near.Ready(t)
+	sites.Eventually(t, "all far gateways are up", func() bool {
+		up := 0
+		for _, p := range near.Agent.LinkStatus().To {
+			if p.Reachable {
+				up++
+			}
+		}
+		return up == fars
+	})
+	var wg sync.WaitGroup
+	answers := make([]sites.Answer, fars*each)
+	for i := range answers {
+		wg.Go(func() {
+			answers[i] = sites.Ask(context.Background(), near.Base, []string{"order", "send", "look"}[i%3], 30*time.Second, []byte("body"))
+		})
+	}
+	sites.Eventually(t, "a thousand are under way", func() bool {
+		n := 0
+		for _, p := range near.Agent.LinkStatus().To {
+			n += p.Crossings["offered"]
+		}
+		return n >= 1000
+	})
+	next := sites.Operator(t, "%s", text+"[[gateway.route]]\nto = [\"own\"]\n")
+	if err := near.Agent.Reload(near.Conf, next); err != nil {
+		t.Fatal(err)
+	}
+	if a := sites.Ask(context.Background(), near.Base, "order", 10*time.Second, nil); a.Status != 200 || near.Came()[a.ID] != 1 {
+		t.Errorf("after the change it got %d, and came %d times to the near site's own server", a.Status, near.Came()[a.ID])
+	}
+	for _, s := range far {
+		for _, server := range s.Servers {
+			server.Hold(false)
+		}
+	}
+	wg.Wait()
+	came := map[string]int{}
+	for _, s := range far {
+		for id, n := range s.Came() {
+			came[id] += n
+		}
+	}
+	crossed := len(came)
+	for id, n := range near.Came() { // the few that came after the change
+		came[id] += n
+	}
+	served, refused, failed, broken := judge(t, came, answers...)
+	unanswered(t, came, answers)
+	if served < 1000 || crossed < 1000 || failed+broken > 0 {
+		t.Errorf("%d served, %d refused, %d failed, %d without an answer", served, refused, failed, broken)
+	}
+}
--- a/internal/gateway/measure_test.go
+++ b/internal/gateway/measure_test.go
@@ -13,9 +13,9 @@
 	"testing"
 	"time"
 
-	"molepaddle/internal/cluster"
 	"molepaddle/internal/core"
 	"molepaddle/internal/gateway"
+	"molepaddle/internal/limit"
 	"molepaddle/internal/testkit/sites"
 	"molepaddle/internal/wan"
 )
@@ -134,12 +134,14 @@
 	}
 }
 
-// TestMeasureWaiting tells what 10,000 crossings that wait on a stalled link cost.
+// TestMeasureWaiting tells what 10,000 crossings that wait on a stalled link cost the near end.
+// They are brought to the transport as attempts: a core would hold some of them itself.
 func TestMeasureWaiting(t *testing.T) {
 	if !*measure {
 		t.Skip("no measure is asked for")
 	}
-	far := startFar(t, 1, 0, "crossings = 10000\n")
+	const n = 10000
+	far := startFar(t, 1, 0, "crossings = 20000\n")
 	far.Ready(t)
 	net1, err := wan.New(far.Links.Addr().String(), 1)
 	if err != nil {
@@ -151,17 +153,14 @@
 	times := gateway.DefaultTimes()
 	times.StallAfter, times.DeadAfter = 20*time.Second, 30*time.Second
 	set := far.Conf.Settings
-	site := gateway.NewSite(ctx, gateway.SiteOptions{Name: "gw-a", Site: "b", Peers: []gateway.Peer{{Name: "gw-b", Address: net1.Addr}}, Conns: 2, Most: 10000,
-		Window: 20000, Times: times, Settings: &set, Dial: (&net.Dialer{}).DialContext, Seed: 1, Log: slog.New(slog.DiscardHandler)})
-	k, err := core.New(ctx, core.Options{Settings: site.Settings(), Seed: 1, Known: cluster.List(site.Known()), MaxOpen: 20000, Queue: 4096, Transport: site,
-		NewRoster: site.NewRoster, Log: slog.New(slog.DiscardHandler)})
+	site, err := gateway.NewSite(ctx, gateway.SiteOptions{Name: "gw-a", Site: "b", Peers: []gateway.Peer{{Name: "gw-b", Address: net1.Addr}}, Conns: 2,
+		Limits: limit.Options{Law: limit.Fixed, Most: 2 * n}, Times: times, Settings: &set, Dial: (&net.Dialer{}).DialContext, Seed: 1, Log: slog.New(slog.DiscardHandler)})
 	if err != nil {
 		t.Fatal(err)
 	}
-	go k.Run()
 	site.Run()
 	defer site.Close()
-	sites.Eventually(t, "ready", k.Ready)
+	sites.Eventually(t, "reachable", func() bool { return site.Status()[0].Reachable })
 	net1.Stall(wan.There, wan.Back)
 	heap := func() uint64 {
 		var m runtime.MemStats
@@ -169,24 +168,131 @@
 		runtime.ReadMemStats(&m)
 		return m.HeapAlloc + m.StackInuse
 	}
-	const n = 10000
 	body := make([]byte, 200)
 	before := heap()
-	answers := make(chan core.Answer, n)
+	ends := make(chan core.Result, n)
+	way := site.Endpoint("gw-b")
 	for i := range n {
-		k.Take(&core.Request{ID: fmt.Sprint("m", i), Class: 2, Key: uint64(i + 1), Deadline: time.Now().Add(2500 * time.Millisecond),
-			Message: core.Message{Method: "POST", Target: "/order/u1", Host: "h", Body: body}}, func(a core.Answer) { answers <- a })
-	}
-	var open int
-	for _, s := range site.Status() {
-		for _, m := range s.Crossings {
-			open += m
+		r := &core.Request{ID: fmt.Sprint("m", i), Class: 2, Key: uint64(i + 1), Deadline: time.Now().Add(5 * time.Second),
+			Message: core.Message{Method: "POST", Target: "/order/u1", Host: "h", Body: body}}
+		if err := way.Start(core.NewAttempt(ctx, r, 5*time.Second, func(res core.Result) { ends <- res })); err != nil {
+			t.Fatal(i, err)
 		}
 	}
+	open := 0
+	for _, m := range site.Status()[0].Crossings {
+		open += m
+	}
 	after := heap()
-	fmt.Printf("%d requests of 200 bytes brought, %d crossings wait: %d bytes each of those\n", n, open, (after-before)/uint64(max(open, 1)))
+	fmt.Printf("%d crossings of 200 bytes wait on a stalled link: %d bytes each\n", open, (after-before)/uint64(max(open, 1)))
 	for range n {
-		<-answers
+		<-ends
+	}
+}
+
+// TestMeasureSlow compares the laws of a link's window while the far end slows to a tenth,
+// with all of both sites at work: 400 requests a second of which each server does a part.
+func TestMeasureSlow(t *testing.T) {
+	if !*measure {
+		t.Skip("no measure is asked for")
+	}
+	const before, slow, after = 4 * time.Second, 8 * time.Second, 6 * time.Second
+	fmt.Println("| far end | law | before: in time | slow: in time, late, refused, failed | 99 % | after: in time | back after |")
+	for _, how := range []struct {
+		name  string
+		work  time.Duration
+		slots int
+	}{{"work takes ten times as long", 320 * time.Millisecond, 4}, {"one slot of ten is left", 32 * time.Millisecond, 1}} {
+		for _, law := range []string{limit.Fixed, limit.AIMD, limit.Gradient} {
+			p := startPairOf(t, 4, 32*time.Millisecond, fmt.Sprintf("law = %q\n", law), false)
+			for _, w := range []wan.Way{wan.There, wan.Back} {
+				p.net.Set(w, wan.Path{Delay: 8 * time.Millisecond})
+			}
+			servers := p.far.Servers
+			for _, s := range servers {
+				s.Slots(4)
+			}
+			change := func(work time.Duration, slots int) {
+				for i, s := range servers {
+					s.Work(work)
+					s.Slots(slots)
+					if how.slots == 1 && slots == 1 && i > 1 { // two slots of sixteen, a little more than a tenth
+						s.Slots(1)
+						s.Work(time.Hour)
+					}
+				}
+			}
+			type one struct {
+				at     time.Duration
+				answer sites.Answer
+			}
+			var mu sync.Mutex
+			var all []one
+			var wg sync.WaitGroup
+			start := time.Now()
+			slowed, eased := time.AfterFunc(before, func() { change(how.work, how.slots) }), time.AfterFunc(before+slow, func() { change(32*time.Millisecond, 4) })
+			for i := 0; ; i++ {
+				at := time.Duration(i) * 2500 * time.Microsecond
+				if at > before+slow+after {
+					break
+				}
+				time.Sleep(time.Until(start.Add(at)))
+				wg.Go(func() {
+					a := sites.Ask(context.Background(), p.near.Base, "order", 1200*time.Millisecond, []byte("body"))
+					mu.Lock()
+					all = append(all, one{at, a})
+					mu.Unlock()
+				})
+			}
+			wg.Wait()
+			slowed.Stop()
+			eased.Stop()
+			var n, in, late, refused, failed [3]float64
+			var took []time.Duration
+			perHalf := map[int][2]float64{}
+			for _, o := range all {
+				k := 0
+				if o.at >= before+slow {
+					k = 2
+				} else if o.at >= before {
+					k = 1
+				}
+				n[k]++
+				h := perHalf[int(o.at/(500*time.Millisecond))]
+				h[0]++
+				switch {
+				case o.answer.Status == 200 && o.answer.Took <= 300*time.Millisecond:
+					in[k]++
+					h[1]++
+				case o.answer.Status == 200:
+					late[k]++
+				case o.answer.Status == 503:
+					refused[k]++
+				default:
+					failed[k]++
+				}
+				perHalf[int(o.at/(500*time.Millisecond))] = h
+				if k == 1 && o.answer.Status == 200 {
+					took = append(took, o.answer.Took)
+				}
+			}
+			slices.Sort(took)
+			back := after
+			for h := int((before + slow) / (500 * time.Millisecond)); perHalf[h][0] > 100; h++ {
+				if perHalf[h][1] >= perHalf[h][0]*(in[0]/n[0]-0.02) {
+					back = time.Duration(h)*500*time.Millisecond - before - slow
+					break
+				}
+			}
+			p99 := time.Duration(0)
+			if len(took) > 0 {
+				p99 = quantile(took, 0.99)
+			}
+			fmt.Printf("| %s | %s | %.0f %% | %.1f, %.1f, %.1f, %.1f %% | %v | %.0f %% | %v |\n", how.name, law, 100*in[0]/n[0], 100*in[1]/n[1], 100*late[1]/n[1],
+				100*refused[1]/n[1], 100*failed[1]/n[1], p99.Round(time.Millisecond), 100*in[2]/n[2], back)
+			p.near.Kill()
+			p.far.Kill()
+		}
 	}
 }
 
--- a/internal/gateway/near.go
+++ b/internal/gateway/near.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -15,6 +16,7 @@
 	"molepaddle/internal/cluster"
 	"molepaddle/internal/core"
 	"molepaddle/internal/crossing"
+	"molepaddle/internal/limit"
 	"molepaddle/internal/link"
 	"molepaddle/internal/linkwire"
 	"molepaddle/internal/roster"
@@ -48,9 +50,8 @@
 	Name     string // this gateway's
 	Site     string // the far site's
 	Peers    []Peer
-	Conns    int // to each peer
-	Most     int // crossings that may be out to each peer
-	Window   int // and before anything is known of it
+	Conns    int           // to each peer
+	Limits   limit.Options // what may be out to each peer; its classes are those of Settings
 	Times    Times
 	Settings *settings.Settings
 	Dial     func(ctx context.Context, network, addr string) (net.Conn, error)
@@ -68,6 +69,7 @@
 	stop   context.CancelFunc
 	clock  link.Clock
 	inc    uint64
+	began  time.Time
 	wg     sync.WaitGroup
 	peers  []*peer
 	byName map[string]*peer
@@ -77,18 +79,29 @@
 	watches map[*listing]bool
 }
 
-// NewSite makes the near end; Run opens its links.
-func NewSite(ctx context.Context, o SiteOptions) *Site {
-	s := &Site{opt: o, clock: link.NewClock(), byName: map[string]*peer{}, watches: map[*listing]bool{}, seq: 1}
+// NewSite makes the near end; Run opens its links. An error names a limit that makes no
+// sense.
+func NewSite(ctx context.Context, o SiteOptions) (*Site, error) {
+	s := &Site{opt: o, began: time.Now(), clock: link.NewClock(), byName: map[string]*peer{}, watches: map[*listing]bool{}, seq: 1}
 	s.ctx, s.stop = context.WithCancel(ctx)
 	rng := rand.New(rand.NewPCG(o.Seed, 0x6c696e6b))
 	s.inc = incarnation(o.Seed)
+	if len(o.Limits.Classes) == 0 {
+		for range o.Settings.Classes {
+			o.Limits.Classes = append(o.Limits.Classes, limit.Class{Part: 1 / float64(len(o.Settings.Classes))})
+		}
+	}
 	for _, p := range o.Peers {
-		q := &peer{Peer: p, site: s, conns: map[crossing.Conn]*nearConn{}, open: map[uint64]*nearCrossing{}, rng: rand.New(rand.NewPCG(rng.Uint64(), 1))}
+		lim, err := limit.New(o.Limits)
+		if err != nil {
+			s.stop()
+			return nil, err
+		}
+		q := &peer{Peer: p, site: s, limits: lim, conns: map[crossing.Conn]*nearConn{}, open: map[uint64]*nearCrossing{}, rng: rand.New(rand.NewPCG(rng.Uint64(), 1))}
 		s.peers = append(s.peers, q)
 		s.byName[p.Name] = q
 	}
-	return s
+	return s, nil
 }
 
 // Run opens the links in goroutines of their own and returns.
@@ -167,7 +180,7 @@
 		}
 		l.Servers = append(l.Servers, cluster.Server{Dial: p.Name, Entry: cluster.Entry{Server: roster.AddrOf(p.Name),
 			Zone: s.opt.Settings.Zone, Cell: i, Health: health, Weight: 1, SinceMs: p.since,
-			Window: float64(s.opt.Window)}})
+			Window: float64(s.opt.Limits.Start)}})
 	}
 	return l
 }
@@ -239,6 +252,7 @@
 	inc     uint64 // the far process that was met last
 	number  uint64
 	open    map[uint64]*nearCrossing
+	limits  *limit.Limits
 	acks    []uint64
 	lostFor string // why the last connection was lost
 }
@@ -261,7 +275,8 @@
 	conn   *nearConn // it is queued at, or was offered on
 	inc    uint64
 	lease  linkwire.Lease
-	sent   int // bytes of its body
+	began  time.Time // when its offer was written
+	sent   int       // bytes of its body
 	over   bool
 	detach func() bool
 	timer  *time.Timer
@@ -361,6 +376,7 @@
 	c.id = p.last
 	p.conns[c.id] = c
 	p.inc = c.inc
+	p.limits.Agree(int(min(c.link.Peer.Crossings, math.MaxInt32)), int64(min(c.link.Peer.Bytes, math.MaxInt64)))
 	for _, x := range p.sorted() {
 		switch {
 		case x.inc == c.inc:
@@ -448,7 +464,7 @@
 	case *linkwire.Ended:
 		switch x := p.of(f.Number, c); {
 		case uint64(len(f.Body)) < f.Size:
-			if len(c.partial) >= p.site.opt.Most {
+			if len(c.partial) >= p.site.opt.Limits.Most {
 				err = errors.New("more answers at once than crossings")
 				break
 			}
@@ -502,6 +518,8 @@
 	x.over = true
 	delete(p.open, x.num)
 	x.conn.out--
+	now := time.Now()
+	p.limits.Done(x.a.Request.Class, size(x.a), now.Sub(p.site.began), now.Sub(x.began), x.told(v, word, why, now))
 	if word != nil {
 		if p.acks = append(p.acks, x.num); len(p.acks) >= ackAt {
 			p.ack()
@@ -538,6 +556,29 @@
 	}
 }
 
+// size is how many bytes of body an attempt has.
+func size(a *core.Attempt) int64 { return int64(len(a.Request.Message.Body)) }
+
+// told is what a crossing's end tells of how much the far end bears.
+func (x *nearCrossing) told(v crossing.Verdict, word linkwire.Frame, why error, now time.Time) limit.Result {
+	switch f := word.(type) {
+	case *linkwire.Ended:
+		return limit.Answered
+	case *linkwire.Never:
+		if f.Why == linkwire.WhyFull {
+			return limit.Turned
+		}
+		return limit.Silent // what its Balancer refuses, this end's Balancer hears of
+	}
+	late := v == crossing.Lost && errors.Is(why, context.DeadlineExceeded) && x.m.On != 0
+	if c := x.p.conns[x.conn.id]; late && c != nil {
+		if st := c.link.State(); !st.Stalled(now, x.p.site.opt.Times.StallAfter) {
+			return limit.Overdue
+		}
+	}
+	return limit.Silent // of a link that stalls or is lost the far end is not to blame
+}
+
 // look settles whether the gateway can be sent to.
 func (p *peer) look() {
 	p.mu.Lock()
@@ -616,7 +657,7 @@
 	case c == nil:
 		p.mu.Unlock()
 		return errUnreachable
-	case len(p.open) >= min(p.site.opt.Most, int(c.link.Peer.Crossings)):
+	case !p.limits.Take(a.Request.Class, size(a)):
 		p.mu.Unlock()
 		return errNoRoom
 	}
@@ -701,17 +742,18 @@
 		return buf, from+k < len(body)
 	}
 	c := x.conn
-	lease, time := leaseOf(x.a, c.link.State(), c.inc)
+	now := time.Now()
+	lease, timely := leaseOf(x.a, c.link.State(), c.inc)
 	f := x.offer(lease)
 	out, err := linkwire.Append(buf, f)
-	if err != nil || !time || !x.a.Begin() || !x.m.Write(c.id) {
+	if err != nil || !timely || !x.a.Begin() || !x.m.Write(c.id) {
 		// Too late, withdrawn, or such that it can't cross: nothing went out.
 		end := p.end(x, x.m.Expire(), nil, err)
 		p.mu.Unlock()
 		end()
 		return buf, false
 	}
-	x.inc, x.lease, x.sent = c.inc, lease, len(f.Body)
+	x.inc, x.lease, x.began, x.sent = c.inc, lease, now, len(f.Body)
 	p.mu.Unlock()
 	return out, x.sent < len(body)
 }
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -29,6 +29,14 @@
 	Links       []LinkStatus   `json:"links"`
 	Crossings   map[string]int `json:"crossings"` // by state
 	Window      int            `json:"window"`    // most that may be out
+	Classes     []ClassStatus  `json:"classes,omitempty"`
+}
+
+// ClassStatus is what a class has of the window to a far gateway.
+type ClassStatus struct {
+	Name   string `json:"name"`
+	Out    int    `json:"out"`
+	Turned int    `json:"no_room"` // crossings that found none, since the start
 }
 
 func statusOf(c *link.Conn, after time.Duration, now time.Time) LinkStatus {
@@ -43,13 +51,17 @@
 	for _, p := range s.peers {
 		p.mu.Lock()
 		q := PeerStatus{Name: p.Name, Address: p.Address, Site: s.opt.Site, Incarnation: p.inc, Reachable: p.pick(now) != nil,
-			Lost: p.lostFor, Links: []LinkStatus{}, Crossings: map[string]int{}, Window: s.opt.Most}
+			Lost: p.lostFor, Links: []LinkStatus{}, Crossings: map[string]int{}, Window: p.limits.Window()}
 		for _, c := range p.conns {
 			q.Links = append(q.Links, statusOf(c.link, s.opt.Times.StallAfter, now))
 		}
 		for _, x := range p.open {
 			q.Crossings[[...]string{"queued", "offered", "asking", "closed"}[x.m.State]]++
 		}
+		for i, c := range s.opt.Settings.Classes {
+			out, turned := p.limits.OutOf(i)
+			q.Classes = append(q.Classes, ClassStatus{c.Name, out, turned})
+		}
 		p.mu.Unlock()
 		all = append(all, q)
 	}
--- a/internal/operator/gateway.go
+++ b/internal/operator/gateway.go
@@ -4,9 +4,11 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"time"
 
+	"molepaddle/internal/limit"
 	"molepaddle/internal/routes"
 )
 
@@ -25,6 +27,8 @@
 	Links      int      `toml:"links"`          // connections to each far gateway
 	Crossings  int      `toml:"crossings"`      // out to one far gateway, and taken of one near one
 	Window     int      `toml:"window"`         // out to one of which nothing is known yet
+	Law        string   `toml:"law"`            // that moves the window: see package limit
+	Least      int      `toml:"least"`          // crossings that the law leaves
 	BytesMB    int      `toml:"bytes_mb"`       // of bodies held by the far end
 	Conns      int      `toml:"connections"`    // that the far end takes at once
 	Greetings  float64  `toml:"greetings"`      // a second, that the far end takes
@@ -35,6 +39,13 @@
 	RedialMax  Duration `toml:"redial_max"`     // at the most
 	Sites      []Site   `toml:"site,omitempty"` // far sites
 	Routes     []Route  `toml:"route,omitempty"`
+	Classes    []Class  `toml:"class,omitempty"`
+}
+
+// Class is what a class may count on of a link's window.
+type Class struct {
+	Name string  `toml:"name"`
+	Part float64 `toml:"part"`
 }
 
 // Site is a far site: the gateways that stand there.
@@ -60,7 +71,7 @@
 }
 
 func defaultGateway() Gateway {
-	return Gateway{Links: 2, Crossings: 1024, Window: 64, BytesMB: 16, Conns: 256, Greetings: 50, Beat: Duration(50 * time.Millisecond),
+	return Gateway{Links: 2, Crossings: 1024, Window: 64, Law: limit.Gradient, Least: 16, BytesMB: 16, Conns: 256, Greetings: 50, Beat: Duration(50 * time.Millisecond),
 		StallAfter: Duration(250 * time.Millisecond), DeadAfter: Duration(5 * time.Second),
 		RedialMin: Duration(100 * time.Millisecond), RedialMax: Duration(5 * time.Second)}
 }
@@ -81,6 +92,40 @@
 	return routes.New(list, sites, classes)
 }
 
+// Limits are those of the window of one far gateway; classes are the deployment's, in its
+// order. Classes that the file does not name share evenly what the named ones leave.
+func (g *Gateway) Limits(classes []string) (limit.Options, error) {
+	o := limit.Options{Law: g.Law, Start: g.Window, Least: g.Least, Most: g.Crossings}
+	named, left := map[string]float64{}, 1.0
+	for i, c := range g.Classes {
+		if _, twice := named[c.Name]; twice || c.Name == "" {
+			return o, fmt.Errorf("class[%d].name: missing or twice", i)
+		}
+		if classes != nil && !slices.Contains(classes, c.Name) {
+			return o, fmt.Errorf("class[%d].name: no class %q", i, c.Name)
+		}
+		if !(c.Part >= 0 && c.Part <= 1) {
+			return o, fmt.Errorf("class[%d].part: must be from 0 to 1, is %v", i, c.Part)
+		}
+		named[c.Name] = c.Part
+		if left -= c.Part; left < -1e-9 {
+			return o, fmt.Errorf("class[%d].part: the parts add up to more than 1", i)
+		}
+	}
+	for _, name := range classes {
+		part, ok := named[name]
+		if !ok {
+			part = max(left, 0) / float64(len(classes)-len(named))
+		}
+		o.Classes = append(o.Classes, limit.Class{Part: part})
+	}
+	_, err := limit.New(o)
+	if err != nil {
+		err = fmt.Errorf("law: %w", err)
+	}
+	return o, err
+}
+
 // loopback tells whether an address can be reached from this machine only.
 func loopback(addr string) bool {
 	host, _, err := net.SplitHostPort(addr)
@@ -97,7 +142,7 @@
 		key               string
 		value, least, top float64
 	}{
-		{"links", float64(g.Links), 1, 16}, {"crossings", float64(g.Crossings), 1, 65536}, {"window", float64(g.Window), 1, 65536}, {"bytes_mb", float64(g.BytesMB), 1, 4096},
+		{"links", float64(g.Links), 1, 16}, {"crossings", float64(g.Crossings), 1, 65536}, {"window", float64(g.Window), 1, 65536}, {"least", float64(g.Least), 1, 65536}, {"bytes_mb", float64(g.BytesMB), 1, 4096},
 		{"connections", float64(g.Conns), 1, 65536}, {"greetings", g.Greetings, 0.1, 1e5},
 	} {
 		if !(v.value >= v.least && v.value <= v.top) {
@@ -119,8 +164,11 @@
 		}
 	}
 	if !g.On() {
-		if len(g.Routes) > 0 {
+		switch {
+		case len(g.Routes) > 0:
 			return "gateway.route", errors.New("needs a site")
+		case len(g.Classes) > 0:
+			return "gateway.class", errors.New("needs a site")
 		}
 		return "", nil
 	}
@@ -169,7 +217,11 @@
 			names[p.Name] = true
 		}
 	}
-	if _, err := g.Table(nil); err != nil {
+	_, err = g.Table(nil)
+	if err == nil {
+		_, err = g.Limits(nil)
+	}
+	if err != nil {
 		key, why, _ := strings.Cut(err.Error(), ": ")
 		return "gateway." + key, errors.New(why)
 	}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -7,11 +7,13 @@
 package standin
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -45,6 +47,9 @@
 	failing bool
 	held    chan struct{} // closed when answers go on; nil: they do
 	came    []Arrival
+	slots   int // requests that are worked on at once; 0: any number
+	busy    int
+	line    []chan struct{} // of those that wait for a slot, each closed when it has one
 }
 
 // Arrival is a request that came to a server.
@@ -88,6 +93,55 @@
 	s.mu.Unlock()
 }
 
+// Slots bounds how many requests are worked on at once from now on; the others wait in line.
+// 0: any number.
+func (s *Server) Slots(n int) {
+	s.mu.Lock()
+	s.slots = n
+	s.admit()
+	s.mu.Unlock()
+}
+
+// admit gives free slots to those that wait. The lock is held.
+func (s *Server) admit() {
+	for len(s.line) > 0 && (s.slots == 0 || s.busy < s.slots) {
+		s.busy++
+		close(s.line[0])
+		s.line = s.line[1:]
+	}
+}
+
+// enter waits for a slot, and reports whether there came one before the request was given up;
+// leave gives it back.
+func (s *Server) enter(ctx context.Context) bool {
+	turn := make(chan struct{})
+	s.mu.Lock()
+	s.line = append(s.line, turn)
+	s.admit()
+	s.mu.Unlock()
+	select {
+	case <-turn:
+		return true
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if i := slices.Index(s.line, turn); i >= 0 {
+		s.line = slices.Delete(s.line, i, i+1)
+		return false
+	}
+	s.busy-- // it came at the same time
+	s.admit()
+	return false
+}
+
+func (s *Server) leave() {
+	s.mu.Lock()
+	s.busy--
+	s.admit()
+	s.mu.Unlock()
+}
+
 // Hold keeps back all answers until it is called with false.
 func (s *Server) Hold(on bool) {
 	s.mu.Lock()
@@ -115,7 +169,14 @@
 	id := r.Header.Get("Request-Id")
 	s.mu.Lock()
 	s.came = append(s.came, Arrival{id, time.Now()})
-	failing, held, work := s.failing, s.held, s.work
+	failing, held := s.failing, s.held
+	s.mu.Unlock()
+	if !s.enter(r.Context()) {
+		return
+	}
+	defer s.leave()
+	s.mu.Lock()
+	work := s.work
 	s.mu.Unlock()
 	if held != nil {
 		select {
--- a/internal/testkit/sites/sites.go
+++ b/internal/testkit/sites/sites.go
@@ -12,6 +12,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -30,6 +31,7 @@
 	Operator *operator.Settings            // nil: none
 	Links    net.Listener                  // where its links come in; nil: nowhere
 	Config   func(settings map[string]any) // changes the settings
+	Sockets  int                           // 0: as testkit has it
 }
 
 // Site is a site that is up.
@@ -81,6 +83,9 @@
 	}
 	raw := testkit.Config(s.Roster.Addr)
 	raw["known"] = s.Roster.List()
+	if o.Sockets > 0 {
+		raw["limits"].(map[string]any)["sockets"] = o.Sockets
+	}
 	for _, c := range raw["settings"].(map[string]any)["classes"].([]any) {
 		class := c.(map[string]any)
 		class["aimMs"], class["giveUpMs"], class["lateShare"] = 300, 3000, 0.2
@@ -134,6 +139,14 @@
 // Ready waits until the agent can serve.
 func (s *Site) Ready(t testing.TB) {
 	t.Helper()
+	t.Cleanup(func() {
+		if t.Failed() {
+			var text strings.Builder
+			links := s.Agent.LinkStatus()
+			links.Print(&text)
+			t.Log(text.String())
+		}
+	})
 	Eventually(t, "the agent is ready", func() bool {
 		resp, err := http.Get(s.Base + "/ready")
 		if err != nil {
