Keep one of very many agents to a bounded share of connections and questions

Package subset places servers on a ring and starts agent i at the golden ratio's multiple of i, so arcs cover servers evenly whatever the number of agents. Package fleet makes of it one agent's part: the list in its own order, its turn at a process that has just started, when it may ask. The core hands policy/ the ranked list and the number to keep to; policy/ goes through it as it did through an order of its own. A connect that fails while the server answers others means 'full', and idle connections there are given back sooner. All of it is off without a [fleet] table.

For many agents on one machine an idle agent is smaller: the core's queue holds pointers (it held a quarter megabyte), watches need no transport, tidying needs no goroutine.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -67,8 +67,12 @@
 		connect = time.Second
 	}
 	ctx, stop := context.WithCancel(context.Background())
+	idle := ms(c.Settings.Limits.KeepaliveMs / 2)
+	if o.Fleet.On {
+		idle = min(idle, time.Duration(o.Fleet.KeepIdle))
+	}
 	transport := httptransport.New(httptransport.Options{Dial: network.Dial, Timeout: connect,
-		Idle: ms(c.Settings.Limits.KeepaliveMs / 2), Most: backendSockets(c.Limits.Sockets),
+		Idle: idle, Most: backendSockets(c.Limits.Sockets),
 		Settle: time.Duration(o.Transport.HTTP.Settle), Resting: o.Transport.HTTP.Resting})
 	var ids *core.IDs
 	if o.Gateway.On() {
@@ -76,6 +80,7 @@
 	}
 	k, err := core.New(ctx, core.Options{
 		IDs:      ids,
+		Fleet:    o.Fleet.Options(),
 		Settings: c.Settings, Seed: c.Seed, Known: c.Known, MaxOpen: openRequests(c.Limits.Sockets),
 		// Room for all that can be under way at once: a front end must not wait there.
 		Queue:      4 * c.Limits.Sockets,
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -36,6 +36,7 @@
 	Health  Health
 	Weight  float64
 	Window  float64 // attempts that it may hold of one agent before any is answered; 0: not told
+	Rank    float64 // its place in this agent's order, lower is first; 0: not ranked
 }
 
 // ListKind tells how a list event changes the list at hand.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -27,6 +27,7 @@
 	"time"
 
 	"molepaddle/internal/cluster"
+	"molepaddle/internal/fleet"
 	"molepaddle/internal/settings"
 	"molepaddle/policy"
 )
@@ -49,6 +50,8 @@
 	Log       *slog.Logger
 	// IDs is shared with other cores; nil: the core has its own.
 	IDs *IDs
+	// Fleet is what the operator has set for very many agents; nil: there are few.
+	Fleet *fleet.Options
 }
 
 // inKind tells what happened.
@@ -66,6 +69,10 @@
 	inLoad                    // load
 	inProbed                  // att, res
 	inFollow                  // a pushed list is to be followed again
+	inWatch                   // gen: what was put off
+	inFetch                   // gen
+	inProbe                   // server
+	inPlan                    // the agent's part in the fleet is to be settled anew
 )
 
 // input is one thing that happened, on its way to Run.
@@ -79,6 +86,8 @@
 	gen   int // of the roster that was asked
 	addr  string
 	load  chan<- Load
+
+	server cluster.Addr
 }
 
 // Load is what a core holds.
@@ -95,7 +104,7 @@
 	log       *slog.Logger
 	transport Transport
 	newRoster func(addr string, tell func(News)) Roster
-	in        chan input
+	in        chan *input  // an agent that is idle holds none, so they are not kept by value
 	waiting   atomic.Int64 // inputs that are queued or taken from the queue, and not handled
 	running   atomic.Bool  // Run works
 	ready     atomic.Bool  // a server can be sent to
@@ -118,6 +127,7 @@
 	watching   bool
 	fetching   bool
 	actions    []policy.Action
+	part       *part // in a fleet; nil: in none
 }
 
 // New makes a core that ends with the context; its settings are validated. It is told
@@ -135,12 +145,17 @@
 	// need no translation, and steps of the system's clock don't show.
 	base := time.Now()
 	c := &Core{ctx: ctx, set: set, log: o.Log, transport: o.Transport, newRoster: o.NewRoster,
-		in: make(chan input, o.Queue), bal: bal, base: base, baseMs: float64(base.UnixMicro()) / 1000,
+		in: make(chan *input, o.Queue), bal: bal, base: base, baseMs: float64(base.UnixMicro()) / 1000,
 		requests: map[policy.RequestID]*Request{}, byAddr: map[cluster.Addr]*backend{},
 		ids: o.IDs}
 	if c.ids == nil {
 		c.ids = NewIDs(&set)
 	}
+	if o.Fleet != nil {
+		if c.part, err = newPart(*o.Fleet, &c.set, o.Seed, c.baseMs); err != nil {
+			return nil, err
+		}
+	}
 	c.openRoster(o.RosterAddr)
 	c.actions = c.bal.Start(c.clock(), c.actions[:0])
 	c.act()
@@ -240,8 +255,10 @@
 		return
 	}
 	c.waiting.Add(1)
+	queued := new(input)
+	*queued = in
 	select {
-	case c.in <- in:
+	case c.in <- queued:
 	case <-c.ctx.Done():
 	}
 }
@@ -252,8 +269,10 @@
 		return true
 	}
 	c.waiting.Add(1)
+	queued := new(input)
+	*queued = in
 	select {
-	case c.in <- in:
+	case c.in <- queued:
 		return true
 	default:
 		c.waiting.Add(-1)
@@ -268,7 +287,7 @@
 		select {
 		case in := <-c.in:
 			c.mu.Lock()
-			c.handle(in)
+			c.handle(*in)
 			c.waiting.Add(-1)
 			c.mu.Unlock()
 		case <-c.ctx.Done():
@@ -312,6 +331,18 @@
 		c.turnTo(in.addr)
 	case inFollow:
 		c.follow()
+	case inWatch:
+		if in.gen == c.rosterGen {
+			c.roster.Watch(c.seq, false)
+		}
+	case inFetch:
+		if in.gen == c.rosterGen {
+			c.roster.Fetch(false)
+		}
+	case inProbe:
+		c.probe(in.server)
+	case inPlan:
+		c.replan()
 	case inProbed:
 		c.onProbed(in.att, &in.res)
 	case inLoad:
@@ -361,6 +392,7 @@
 	if res.panicked != nil {
 		c.log.Error("attempt ended", "err", res.panicked)
 	}
+	c.crowded(a, res)
 	r.ran = r.ran || !res.Status.NeverRan()
 	r.spent += res.Spent
 	if res.Status == policy.OK {
@@ -425,6 +457,7 @@
 			if r != nil {
 				c.answer(r, Answer{Outcome: Refused, RetryAfter: ms(act.Ms)})
 				c.forget(r)
+				c.refused()
 			}
 		case policy.ActFail:
 			if r != nil {
@@ -432,7 +465,8 @@
 				c.forget(r)
 			}
 		case policy.ActProbe:
-			c.probe(act.Server)
+			server := act.Server
+			c.later(c.part.probe(), input{kind: inProbe, server: server}, func() { c.probe(server) })
 		case policy.ActTimer:
 			token := act.Token
 			time.AfterFunc(ms(act.Ms), func() { c.post(input{kind: inTimer, token: token}) })
@@ -441,7 +475,7 @@
 		case policy.ActFetch:
 			if !c.fetching {
 				c.fetching = true
-				c.roster.Fetch(false)
+				c.later(c.part.question(c.clock()), input{kind: inFetch, gen: c.rosterGen}, func() { c.roster.Fetch(false) })
 			}
 		case policy.ActClose:
 			if b := c.byAddr[act.Server]; b != nil {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -126,7 +126,7 @@
 // end lets an attempt end as its transport would, and the core hear of it.
 func (r *rig) end(a *Attempt, res Result) {
 	a.End(res)
-	r.handle(<-r.in)
+	r.handle(*<-r.in)
 }
 
 func (r *rig) news(n News) { r.handle(input{kind: inNews, news: n, gen: r.rosterGen}) }
@@ -207,7 +207,7 @@
 func TestGuard(t *testing.T) {
 	r := newRig(t)
 	for len(r.in) < cap(r.in)-1 {
-		r.in <- input{kind: inTimer}
+		r.in <- &input{kind: inTimer}
 	}
 	if got := r.Do(t.Context(), &Request{ID: "a", Deadline: time.Now().Add(20 * time.Millisecond)}); got.Outcome != Overdue {
 		t.Fatalf("answered %+v", got)
@@ -226,14 +226,14 @@
 	ctx, leave := context.WithCancel(t.Context())
 	done := make(chan Answer)
 	go func() { done <- r.Do(ctx, &Request{ID: "a", Class: 2, Deadline: time.Now().Add(time.Hour)}) }()
-	r.handle(<-r.in)
+	r.handle(*<-r.in)
 	a := r.transport.started[0]
 	a.Begin()
 	leave()
 	if got := <-done; got.Outcome != Gone {
 		t.Fatalf("answered %+v", got)
 	}
-	r.handle(<-r.in)
+	r.handle(*<-r.in)
 	if context.Cause(a.Context()) != ErrCancelled {
 		t.Fatal("its attempt goes on")
 	}
@@ -431,13 +431,13 @@
 	old.tell(News{Kind: WatchEnded, Err: io.EOF})
 	old.tell(News{Kind: Fetched, List: listOf(42, true, drains)})
 	for range 3 {
-		r.handle(<-r.in)
+		r.handle(*<-r.in)
 	}
 	if !r.watching || !r.fetching || !r.byAddr[addr(0)].usable || r.byAddr[addr(0)].endpoint != before {
 		t.Fatal("a late word of the old roster counted")
 	}
 	next.tell(News{Kind: Changed, List: listOf(3, false, drains)})
-	r.handle(<-r.in)
+	r.handle(*<-r.in)
 	if r.byAddr[addr(0)] != nil || r.seq != 3 {
 		t.Fatal("the new roster was not heard")
 	}
@@ -499,8 +499,8 @@
 	take := func(id string, tries int) (*Request, func()) {
 		q := &Request{ID: id, Class: 2, Deadline: time.Now().Add(time.Hour), Tries: tries, Crossed: true, Gate: func() bool { return open }}
 		drop := r.Take(q, func(a Answer) { told = append(told, a) })
-		r.handle(<-r.in)
-		return q, func() { drop(); r.handle(<-r.in) }
+		r.handle(*<-r.in)
+		return q, func() { drop(); r.handle(*<-r.in) }
 	}
 	_, drop := take("a", 0)
 	a := r.transport.started[0]
--- a/internal/core/roster.go
+++ b/internal/core/roster.go
@@ -39,6 +39,7 @@
 
 // onNews applies what a roster tells, in the order of the lists' versions.
 func (c *Core) onNews(n *News) {
+	c.part.told(c.clock())
 	switch n.Kind {
 	case Fetched:
 		c.fetching = false
@@ -77,10 +78,15 @@
 
 // follow watches the list from the version at hand on.
 func (c *Core) follow() {
-	if !c.watching {
-		c.watching = true
-		c.roster.Watch(c.seq, false)
+	if c.watching {
+		return
+	}
+	c.watching = true
+	wait := time.Duration(0)
+	if !c.pushed() {
+		wait = c.part.follow(c.clock())
 	}
+	c.later(wait, input{kind: inWatch, gen: c.rosterGen}, func() { c.roster.Watch(c.seq, false) })
 }
 
 // turnTo turns to another roster: the old one's calls end and what they tell no longer
--- a/internal/core/servers.go
+++ b/internal/core/servers.go
@@ -15,13 +15,24 @@
 	bornMs   float64
 	usable   bool // listed as ready
 	endpoint Endpoint
+	heard    time.Time  // when it answered anything last, known in a fleet only
 	attempts []*Attempt // out now, in the order of their start
 	probes   []*Attempt // the same of probes
 }
 
-// learn applies a list: to the connections first, then the module is told.
+// learn takes a list, and applies what of it is this agent's.
 func (c *Core) learn(kind cluster.ListKind, list *cluster.List) {
 	c.seq = list.Seq
+	if c.part != nil {
+		c.part.merge(kind, list)
+		c.replan()
+		return
+	}
+	c.apply(kind, list, 0)
+}
+
+// apply applies a list: to the connections first, then the module is told.
+func (c *Core) apply(kind cluster.ListKind, list *cluster.List, least int) {
 	entries := make([]cluster.Entry, len(list.Servers))
 	named := map[cluster.Addr]bool{}
 	for i := range list.Servers {
@@ -60,7 +71,7 @@
 		usable = usable || b.usable
 		c.drop(b)
 	}
-	c.tell(&policy.Event{Kind: policy.EvList, List: kind, Entries: entries})
+	c.tell(&policy.Event{Kind: policy.EvList, List: kind, Entries: entries, Least: least})
 	c.ready.Store(usable)
 }
 
--- a/internal/core/transport.go
+++ b/internal/core/transport.go
@@ -34,6 +34,12 @@
 	Retire()
 }
 
+// Crowder is an Endpoint that can be told that its server has more connections than it takes:
+// for so long, those that stand idle are given back sooner.
+type Crowder interface {
+	Crowded(until time.Time)
+}
+
 // The stages of an attempt.
 const (
 	waiting int32 = iota // no byte was written
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -92,7 +92,7 @@
 // Serve answers on the listeners until the context ends, then finishes what it holds. It
 // may be called once.
 func (a *Front) Serve(ctx context.Context, listeners ...net.Listener) error {
-	go a.tidy(ctx)
+	context.AfterFunc(ctx, a.places.rest)
 	failed := make(chan error, len(listeners))
 	for _, ln := range listeners {
 		go func() { failed <- a.server.Serve(&listener{Listener: ln, places: a.places}) }()
@@ -111,20 +111,6 @@
 // Close ends all connections at once.
 func (a *Front) Close() error { return a.server.Close() }
 
-// tidy looks after the clients' idle connections until the context ends.
-func (a *Front) tidy(ctx context.Context) {
-	tick := time.NewTicker(tidyEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case now := <-tick.C:
-			a.places.tidy(now)
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // leave ends the agent in order: clients go on coming for a while after the signal,
 // so idle connections are closed first, while what crosses that can still come on a
 // new one; then the listener; then all that is held is answered. Connections that are
--- a/internal/httpfront/places.go
+++ b/internal/httpfront/places.go
@@ -101,7 +101,9 @@
 	many  int // connections that ask or have asked, past which they are not kept
 	mu    sync.Mutex
 	conns map[*clientConn]struct{}
-	came  int // connections so far
+	came  int         // connections so far
+	again *time.Timer // looks through them; nil: there are none, or the agent leaves
+	over  bool        // the agent leaves
 }
 
 func newPlaces(most, many int) *places {
@@ -159,9 +161,31 @@
 	p.came++
 	c.number = p.came
 	p.conns[c] = struct{}{}
+	if p.again == nil && !p.over {
+		p.again = time.AfterFunc(tidyEvery, p.look)
+	}
 	return true
 }
 
+// look tidies, and comes back as long as there are connections.
+func (p *places) look() {
+	p.tidy(time.Now())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.again = nil; len(p.conns) > 0 && !p.over {
+		p.again = time.AfterFunc(tidyEvery, p.look)
+	}
+}
+
+// rest ends the tidying.
+func (p *places) rest() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.over = true; p.again != nil {
+		p.again.Stop()
+	}
+}
+
 // least finds the connection to close for a new one: the one idle longest, else the
 // oldest that has said nothing, else one that was turned away, else the oldest whose
 // first request does not come to its end, and of the others one between requests. One
--- a/internal/httptransport/attempt_test.go
+++ b/internal/httptransport/attempt_test.go
@@ -444,3 +444,31 @@
 		t.Fatalf("ended %d", res.Status)
 	}
 }
+
+// A crowded server has its idle connections back sooner; one that is in use again stays.
+func TestCrowdedServerGetsConnectionsBack(t *testing.T) {
+	p := testPool()
+	p.opt.Idle = 10 * time.Millisecond * soonPart
+	p.sweeping = true // not by the sweep, which would close it later
+	e := p.endpoint(counted(t))
+	open := func() int { p.mu.Lock(); defer p.mu.Unlock(); return p.open }
+	e.Crowded(time.Now().Add(time.Hour))
+	if res := newTry(e, http.MethodGet, never).run(); res.Status != policy.OK || open() != 1 {
+		t.Fatalf("%+v, %d open", res, open())
+	}
+	for end := time.Now().Add(20 * time.Second); open() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("it is kept")
+		}
+	}
+	// One that was used since is not closed for an earlier rest.
+	p.opt.Idle = time.Hour
+	newTry(e, http.MethodGet, never).run()
+	p.mu.Lock()
+	c := e.spare[0]
+	earlier := c.since.Add(-time.Second)
+	p.mu.Unlock()
+	if e.giveBack(c, earlier); open() != 1 {
+		t.Error("it was used since")
+	}
+}
--- a/internal/httptransport/pool.go
+++ b/internal/httptransport/pool.go
@@ -78,8 +78,9 @@
 type endpoint struct {
 	pool    *Transport
 	dial    string
-	spare   []*conn // idle, the longest first
-	retired bool    // what comes back is closed
+	spare   []*conn   // idle, the longest first
+	retired bool      // what comes back is closed
+	crowded time.Time // until when its server has more connections than it takes
 }
 
 // conn is a connection to a server, for one attempt at a time.
@@ -224,6 +225,9 @@
 	}
 	c.since, c.idle = time.Now(), p.spare.PushBack(c)
 	e.spare = append(e.spare, c)
+	if since := c.since; since.Before(e.crowded) {
+		time.AfterFunc(p.ages.limit(p.opt.Idle)/soonPart, func() { e.giveBack(c, since) })
+	}
 	if !p.sweeping {
 		p.sweeping = true
 		time.AfterFunc(p.ages.limit(p.opt.Idle), p.sweep)
@@ -231,6 +235,29 @@
 	p.mu.Unlock()
 }
 
+// soonPart is the part of the usual time for which a connection to a crowded server stands idle.
+const soonPart = 10
+
+// Crowded has idle connections given back sooner until the time given.
+func (e *endpoint) Crowded(until time.Time) {
+	e.pool.mu.Lock()
+	e.crowded = until
+	e.pool.mu.Unlock()
+}
+
+// giveBack closes a connection if it has stood idle since the time given.
+func (e *endpoint) giveBack(c *conn, since time.Time) {
+	e.pool.mu.Lock()
+	idle := c.idle != nil && c.since.Equal(since)
+	if idle {
+		c.unlist()
+	}
+	e.pool.mu.Unlock()
+	if idle {
+		c.Close()
+	}
+}
+
 // used notes how the use of a connection went; broke is that it ended before a byte of
 // the answer came.
 func (p *Transport) used(c *conn, broke bool) {
--- /dev/null
+++ b/internal/many/many_test.go
@@ -0,0 +1,497 @@
+// Package many plays very many agents on one machine against stand-ins: one process with all
+// the agents, each whole and sharing nothing with another but the runtime, and one with the
+// servers and the roster. Agents in one process are fair to measure by: none knows another, and
+// what they share (collector, scheduler, poller) costs each less, not more, than its own would.
+package many
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"molepaddle/internal/agent"
+	"molepaddle/internal/config"
+	"molepaddle/internal/operator"
+	"molepaddle/internal/standin"
+	"molepaddle/internal/testkit"
+	"molepaddle/internal/testkit/sites"
+)
+
+var (
+	agents  = flag.Int("many.agents", 0, "measure with so many agents, for some minutes")
+	servers = flag.Int("many.servers", 12, "and so many servers")
+	rate    = flag.Float64("many.rate", 1000, "requests a second of all agents")
+	off     = flag.Bool("many.off", false, "without the operator's fleet table")
+	what    = flag.String("many.what", "day,cold,down,memory", "which parts")
+)
+
+const (
+	asksWithin = 10 * time.Second
+	coldMs     = 8000
+	coldFrom   = 0.3
+	multiple   = 2.5
+)
+
+// TestMain is also the process of the stand-ins.
+func TestMain(m *testing.M) {
+	if os.Getenv("MANY_STANDINS") != "" {
+		standIns(os.Stdin, os.Stdout)
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// count is what the stand-ins have seen since the last.
+type count struct {
+	Came, Connects, Open []int // by server
+	Questions, Watches   int
+}
+
+// standIns plays servers and a roster until its input ends: a line of it is a command, and each
+// is answered with a line.
+func standIns(in io.Reader, out io.Writer) {
+	var list []*standin.Server
+	roster, err := standin.NewRoster()
+	if err != nil {
+		fmt.Fprintln(out, err)
+		return
+	}
+	addr := roster.Addr
+	lines := bufio.NewScanner(in)
+	for lines.Scan() {
+		var cmd string
+		var n int
+		fmt.Sscan(lines.Text(), &cmd, &n)
+		switch cmd {
+		case "servers":
+			for i := range n {
+				s, err := standin.NewServer(fmt.Sprint("s-", i), 5*time.Millisecond)
+				if err != nil {
+					fmt.Fprintln(out, err)
+					return
+				}
+				list = append(list, s)
+				roster.Set(s.Host([]string{"a", "b"}[i%2], "k", "ready"))
+			}
+			fmt.Fprintln(out, addr)
+		case "list":
+			fmt.Fprintln(out, string(roster.List()))
+		case "count":
+			var c count
+			for _, s := range list {
+				came, connects, open := s.Counts()
+				c.Came, c.Connects, c.Open = append(c.Came, came), append(c.Connects, connects), append(c.Open, open)
+			}
+			c.Questions, c.Watches = roster.Counts()
+			text, _ := json.Marshal(c) // plain values: no error
+			fmt.Fprintln(out, string(text))
+		case "lose": // a server's process ends, and the roster knows
+			list[n].Close()
+			h := list[n].Host([]string{"a", "b"}[n%2], "k", "gone")
+			roster.Set(h)
+			fmt.Fprintln(out, "lost")
+		case "back": // another one starts under the same name
+			at := list[n].Addr
+			s, err := standin.NewServerAt(at, list[n].Name, 5*time.Millisecond)
+			if err != nil {
+				fmt.Fprintln(out, err)
+				return
+			}
+			list[n] = s
+			h := s.Host([]string{"a", "b"}[n%2], "k", "ready")
+			h.BornMs = float64(time.Now().UnixMilli())
+			roster.Set(h)
+			fmt.Fprintln(out, "back")
+		case "down":
+			roster.Close()
+			fmt.Fprintln(out, "down")
+		case "up":
+			next, err := standin.NewRosterAt(addr)
+			if err != nil {
+				fmt.Fprintln(out, err)
+				return
+			}
+			next.Take(roster)
+			roster = next
+			fmt.Fprintln(out, "up")
+		}
+	}
+}
+
+// others is the process of the stand-ins.
+type others struct {
+	t     testing.TB
+	in    io.Writer
+	lines *bufio.Scanner
+}
+
+func start(t testing.TB, servers int) (o *others, roster string) {
+	t.Helper()
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), "MANY_STANDINS=1")
+	in, err := cmd.StdinPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { in.Close(); cmd.Wait() })
+	o = &others{t: t, in: in, lines: bufio.NewScanner(out)}
+	o.lines.Buffer(nil, 4<<20)
+	return o, o.say("servers %d", servers)
+}
+
+func (o *others) say(format string, args ...any) string {
+	o.t.Helper()
+	fmt.Fprintf(o.in, format+"\n", args...)
+	if !o.lines.Scan() {
+		o.t.Fatal("the stand-ins have ended")
+	}
+	return o.lines.Text()
+}
+
+func (o *others) count() (c count) {
+	if err := json.Unmarshal([]byte(o.say("count")), &c); err != nil {
+		o.t.Fatal(err)
+	}
+	return c
+}
+
+// crowd is the agents.
+type crowd struct {
+	bases []string
+	end   []func()
+}
+
+func (c *crowd) stop() {
+	var wg sync.WaitGroup
+	for _, f := range c.end {
+		wg.Go(f)
+	}
+	wg.Wait()
+}
+
+// gather starts n agents at once. known says that they are told the list from the start.
+func gather(t testing.TB, n int, roster string, known json.RawMessage, fleetOn bool) *crowd {
+	t.Helper()
+	c := &crowd{bases: make([]string, n), end: make([]func(), n)}
+	file := sites.Operator(t, "[fleet]\non = %v\n", fleetOn)
+	var wg sync.WaitGroup
+	for part := range 4 {
+		wg.Go(func() {
+			for i := part; i < n; i += 4 {
+				c.bases[i], c.end[i] = one(t, i, n, roster, known, file)
+			}
+		})
+	}
+	wg.Wait()
+	return c
+}
+
+func one(t testing.TB, index, n int, roster string, known json.RawMessage, file *operator.Settings) (base string, end func()) {
+	raw := testkit.Config(roster)
+	raw["known"] = known
+	raw["seed"] = fmt.Sprintf("%x", 1000+index)
+	raw["limits"] = map[string]any{"cores": 1, "memory_mb": 64, "sockets": 256}
+	s := raw["settings"].(map[string]any)
+	s["index"], s["replicasOfMe"], s["membershipMode"], s["zone"] = index, n, "on_request", index%2
+	s["contract"] = map[string]any{"askWithinMs": asksWithin.Milliseconds(), "coldFrom": coldFrom, "coldMs": coldMs,
+		"drainGraceMs": 250, "fallMultiple": multiple, "tipAfterMs": 1000}
+	for _, x := range s["classes"].([]any) {
+		class := x.(map[string]any)
+		class["aimMs"], class["giveUpMs"], class["lateShare"] = 300, 3000, 0.2
+	}
+	text, err := json.Marshal(raw)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	conf, err := config.Parse(text)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	a, err := agent.New(conf, file, agent.Network{}, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	ln := sites.Loopback(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { defer close(ended); a.Serve(ctx, ln) }()
+	return "http://" + ln.Addr().String(), func() { a.Close(); cancel(); <-ended }
+}
+
+// client keeps few connections: most agents are asked seldom.
+var client = &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{MaxIdleConns: 256, MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Second,
+	DialContext: (&net.Dialer{}).DialContext}}
+
+var lastID atomic.Int64
+
+// ask sends one order and reports its status; 0: none.
+func ask(base string) int {
+	id := lastID.Add(1)
+	req, err := http.NewRequest("POST", fmt.Sprintf("%s/order/u%d", base, id), strings.NewReader("body"))
+	if err != nil {
+		return 0
+	}
+	req.Header.Set("Request-Id", fmt.Sprint("m", id))
+	req.Header.Set("Request-Timeout", "3000m")
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode
+}
+
+// load asks at a rate, ten agents half of it, until the context ends; it counts the statuses.
+func (c *crowd) load(ctx context.Context, perSecond float64) map[int]int {
+	var mu sync.Mutex
+	statuses := map[int]int{}
+	rng := rand.New(rand.NewPCG(5, 5))
+	var wg sync.WaitGroup
+	begin, due := time.Now(), 0.0
+	for ctx.Err() == nil {
+		due += rng.ExpFloat64() / perSecond
+		select {
+		case <-time.After(time.Until(begin.Add(time.Duration(due * float64(time.Second))))):
+		case <-ctx.Done():
+		}
+		i := rng.IntN(len(c.bases))
+		if rng.IntN(2) == 0 {
+			i = rng.IntN(min(10, len(c.bases))) * len(c.bases) / min(10, len(c.bases))
+		}
+		wg.Go(func() {
+			s := ask(c.bases[i])
+			mu.Lock()
+			statuses[s]++
+			mu.Unlock()
+		})
+	}
+	wg.Wait()
+	return statuses
+}
+
+// seconds counts what the stand-ins see, second by second.
+func (o *others) seconds(n int) (all []count) {
+	o.count()
+	for range n {
+		time.Sleep(time.Second) // a second is what is counted by
+		all = append(all, o.count())
+	}
+	return all
+}
+
+// sum is what came in several seconds; Open and Watches are the last.
+func sum(all []count) (s count, mostConnects, mostQuestions int) {
+	for _, c := range all {
+		if s.Came == nil {
+			s.Came, s.Connects, s.Open = make([]int, len(c.Came)), make([]int, len(c.Came)), make([]int, len(c.Came))
+		}
+		for i := range c.Came {
+			s.Came[i] += c.Came[i]
+			s.Connects[i] += c.Connects[i]
+			s.Open[i] = c.Open[i]
+		}
+		s.Questions += c.Questions
+		s.Watches = c.Watches
+		mostConnects, mostQuestions = max(mostConnects, slices.Max(c.Connects)), max(mostQuestions, c.Questions)
+	}
+	return s, mostConnects, mostQuestions
+}
+
+func mean(x []int) float64 {
+	n := 0
+	for _, v := range x {
+		n += v
+	}
+	return float64(n) / float64(len(x))
+}
+
+// worst is the most work that came to a server in a second, as a part of its budget while it
+// warms: capacity is what it does a second when warm.
+func worst(all []count, server int, capacity float64) (share float64) {
+	for s, c := range all {
+		budget := multiple * capacity * min(coldFrom+(1-coldFrom)*float64(s)*1000/coldMs, 1)
+		share = max(share, float64(c.Came[server])/budget)
+	}
+	return share
+}
+
+// The figures of a row.
+func row(name string, all []count) {
+	s, connects, questions := sum(all)
+	fmt.Printf("| %s | %.3f | %d, %.0f | %.1f, %d | %.1f, %d | %d |\n", name, float64(slices.Max(s.Came))/max(mean(s.Came), 1), slices.Max(s.Open), mean(s.Open),
+		mean(s.Connects)/float64(len(all)), connects, float64(s.Questions)/float64(len(all)), questions, s.Watches)
+}
+
+func head() {
+	fmt.Println("| | most loaded over the mean | open at the server with most, mean | connects a second at a server, most in one | questions a second, most in one | watches |")
+	fmt.Println("|---|---|---|---|---|---|")
+}
+
+// TestMeasure is the long measurement.
+func TestMeasure(t *testing.T) {
+	if *agents == 0 {
+		t.Skip("no measure is asked for")
+	}
+	fmt.Printf("\n%d agents, %d servers, %.0f requests a second of which ten agents have half; the fleet table is on: %v\n\n", *agents, *servers, *rate, !*off)
+	for _, part := range strings.Split(*what, ",") {
+		switch part {
+		case "day":
+			day(t)
+		case "cold":
+			cold(t)
+		case "down":
+			down(t)
+		case "memory":
+			memory(t)
+		}
+	}
+}
+
+func day(t *testing.T) {
+	o, roster := start(t, *servers)
+	known := json.RawMessage(o.say("list"))
+	counted := make(chan []count)
+	go func() { counted <- o.seconds(20) }()
+	c := gather(t, *agents, roster, known, !*off)
+	defer c.stop()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan map[int]int)
+	go func() { done <- c.load(ctx, *rate) }()
+	head()
+	row("start, 20 s", <-counted)
+	row("steady, 30 s", o.seconds(30))
+	o.say("lose 1")
+	row("a server is lost, 10 s", o.seconds(10))
+	o.say("back 1")
+	back := o.seconds(12)
+	row("and comes back cold, 12 s", back)
+	cancel()
+	fmt.Printf("statuses %v; the cold server had at the most %.2f of its budget in a second\n", <-done, worst(back, 1, 2**rate/float64(*servers)))
+}
+
+// cold is a thousand agents, or as many as asked for, that start in one instant and have one
+// server, which has just started.
+func cold(t *testing.T) {
+	o, roster := start(t, 1)
+	o.say("lose 0")
+	o.say("back 0")
+	known := json.RawMessage(o.say("list"))
+	counted := make(chan []count)
+	go func() { counted <- o.seconds(12) }()
+	c := gather(t, min(*agents, 1000), roster, known, !*off)
+	defer c.stop()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan map[int]int)
+	go func() { done <- c.load(ctx, *rate/5) }()
+	all := <-counted
+	cancel()
+	head()
+	row(fmt.Sprintf("%d agents, one cold server", len(c.bases)), all)
+	fmt.Printf("statuses %v; at the most %.2f of its budget in a second\n", <-done, worst(all, 0, *rate/10))
+}
+
+// down is the roster down for 30 s and back.
+func down(t *testing.T) {
+	o, roster := start(t, *servers)
+	c := gather(t, *agents, roster, json.RawMessage(o.say("list")), !*off)
+	defer c.stop()
+	o.seconds(15)
+	o.say("down")
+	head()
+	o.seconds(30)
+	o.say("up")
+	row("the roster is back, 15 s", o.seconds(15))
+}
+
+func memory(t *testing.T) {
+	o, roster := start(t, *servers)
+	known := json.RawMessage(o.say("list"))
+	held := func() (heap uint64, goroutines int) {
+		runtime.GC()
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc + m.StackInuse, runtime.NumGoroutine()
+	}
+	h0, g0 := held()
+	n := min(*agents, 500)
+	c := gather(t, n, roster, known, !*off)
+	defer c.stop()
+	o.seconds(12) // all watch
+	h1, g1 := held()
+	fmt.Printf("an idle agent: %.1f kB of heap and stacks, %.1f goroutines (%d agents, %d watches)\n", float64(h1-h0)/1024/float64(n), float64(g1-g0)/float64(n), n, o.count().Watches)
+	for i := range c.bases {
+		ask(c.bases[i])
+	}
+	client.CloseIdleConnections()
+	o.seconds(8)
+	h2, g2 := held()
+	fmt.Printf("one that has served a request some seconds ago: %.1f kB, %.1f goroutines\n", float64(h2-h0)/1024/float64(n), float64(g2-g0)/float64(n))
+}
+
+// Fifty agents of which ten carry half the traffic keep within their bounds when a server is
+// lost and comes back cold, and when the roster goes and comes back.
+func TestFifty(t *testing.T) {
+	const n, servers = 50, 6
+	o, roster := start(t, servers)
+	c := gather(t, n, roster, json.RawMessage(o.say("list")), true)
+	defer c.stop()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan map[int]int)
+	go func() { done <- c.load(ctx, 300) }()
+	steady, _, _ := sum(o.seconds(4))
+	if x := float64(slices.Max(steady.Came)) / mean(steady.Came); x > 1.6 || math.IsNaN(x) {
+		t.Errorf("the most loaded server has %.2f of the mean: %v", x, steady.Came)
+	}
+	for i, open := range steady.Open {
+		if open > 2*n {
+			t.Errorf("server %d has %d connections", i, open)
+		}
+	}
+	if steady.Watches != n || steady.Questions > n {
+		t.Errorf("%d watches, %d questions", steady.Watches, steady.Questions)
+	}
+	o.say("lose 1")
+	o.say("down")
+	o.say("back 1")
+	o.say("up")
+	back := o.seconds(3)
+	if x := worst(back, 1, 100); x > 1 {
+		t.Errorf("the cold server had %.2f of its budget in a second", x)
+	}
+	sites.Eventually(t, "all watch again", func() bool { return o.count().Watches == n })
+	sites.Eventually(t, "the new process is used", func() bool { return o.count().Came[1] > 0 })
+	cancel()
+	statuses := <-done
+	if statuses[200] == 0 || statuses[0] > 0 || statuses[502]+statuses[504] > 5 {
+		t.Errorf("statuses %v", statuses)
+	}
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -21,6 +21,8 @@
 
 	"github.com/pelletier/go-toml/v2"
 	"github.com/pelletier/go-toml/v2/unstable"
+
+	"molepaddle/internal/fleet"
 )
 
 // maxFile bounds the file, in bytes.
@@ -62,6 +64,48 @@
 		} `toml:"http"`
 	} `toml:"transport"`
 	Gateway Gateway `toml:"gateway"`
+	Fleet   Fleet   `toml:"fleet"`
+}
+
+// Fleet is the table for a deployment with very many agents; see package fleet. Rates are of all
+// agents together, in a second.
+type Fleet struct {
+	On          bool     `toml:"on"`
+	Agents      int      `toml:"agents"`      // how many there are; 0: as the platform tells
+	Connections float64  `toml:"connections"` // to one server, that agents hold whether busy or not
+	Least       int      `toml:"least"`       // servers that each agent keeps to
+	Most        int      `toml:"most"`        // and at the most while nothing is wrong
+	Connects    float64  `toml:"connects"`    // to one process that has just started
+	Questions   float64  `toml:"questions"`   // to the roster
+	Probes      float64  `toml:"probes"`      // to one server
+	KeepIdle    Duration `toml:"keep_idle"`   // a connection to a server without use
+}
+
+// Options are those of an agent's part; nil: the table is off.
+func (f *Fleet) Options() *fleet.Options {
+	if !f.On {
+		return nil
+	}
+	return &fleet.Options{Agents: f.Agents, Connections: f.Connections, Least: f.Least, Most: f.Most, Connects: f.Connects, Questions: f.Questions, Probes: f.Probes}
+}
+
+func defaultFleet() Fleet {
+	o := fleet.Default()
+	return Fleet{Agents: o.Agents, Connections: o.Connections, Least: o.Least, Most: o.Most, Connects: o.Connects, Questions: o.Questions, Probes: o.Probes,
+		KeepIdle: Duration(5 * time.Second)}
+}
+
+// validate reports the first key that makes no sense, also where the table is off.
+func (f *Fleet) validate() (key string, err error) {
+	if v := time.Duration(f.KeepIdle); v < 10*time.Millisecond || v > time.Hour {
+		return "fleet.keep_idle", fmt.Errorf("must be from %v to %v, is %v", 10*time.Millisecond, time.Hour, v)
+	}
+	on := *f
+	on.On = true
+	if key, err := on.Options().Validate(); err != nil {
+		return "fleet." + key, err
+	}
+	return "", nil
 }
 
 // Default is the settings of an empty file.
@@ -73,6 +117,7 @@
 	s.Transport.HTTP.Settle = Duration(time.Millisecond)
 	s.Transport.HTTP.Resting = 64
 	s.Gateway = defaultGateway()
+	s.Fleet = defaultFleet()
 	return s
 }
 
@@ -170,6 +215,9 @@
 			}
 		}
 	}
+	if key, err := s.Fleet.validate(); err != nil {
+		return key, err
+	}
 	return s.Gateway.validate()
 }
 
@@ -241,6 +289,9 @@
 		}
 	}
 	on = append(on, s.Gateway.on()...)
+	if f := s.Fleet; f.On {
+		on = append(on, fmt.Sprintf("one of very many agents: %v connections to a server, %d to %d servers each, %v connects and %v questions a second", f.Connections, f.Least, f.Most, f.Connects, f.Questions))
+	}
 	for _, v := range []struct {
 		what     string
 		now, was any
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -1,11 +1,15 @@
 package operator
 
 import (
+	"fmt"
+	"math"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 	"time"
+
+	"molepaddle/internal/limit"
 )
 
 func TestNoFileAndAnEmptyOneAreTheDefaults(t *testing.T) {
@@ -72,6 +76,9 @@
 			"f.toml:5: front.http.listen[1].unix: excludes address"},
 		{"[[front.http.listen]]\n", "f.toml:1: front.http.listen[0]: needs address or unix"},
 		{"[[front.http.listen]]\naddress = \"127.0.0.1:http\"\n", "f.toml:2: front.http.listen[0].address"},
+		{"[fleet]\nleast = 20\n", "f.toml:1: fleet.most: must be from 20"},
+		{"[fleet]\non = true\nquestions = 0.0\n", "f.toml:3: fleet.questions: must be"},
+		{"[fleet]\nkeep_idle = \"1ms\"\n", "f.toml:2: fleet.keep_idle: must be"},
 		{"[front.http\n", "f.toml:1:"},
 		{"[front.http]\nhead_within = \"1s\"\nhead_within = \"1s\"\n", "f.toml"},
 	} {
@@ -82,6 +89,37 @@
 	}
 }
 
+const near = "[gateway]\nname = \"a\"\nplain = true\n%s[[gateway.site]]\nname = \"b\"\n[[gateway.site.peer]]\nname = \"b\"\naddress = \"127.0.0.1:1\"\n%s"
+
+func TestGatewayLimits(t *testing.T) {
+	s, err := Parse("f", fmt.Appendf(nil, near, "least = 20\n", "[[gateway.class]]\nname = \"order\"\npart = 0.6\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	o, err := s.Gateway.Limits([]string{"look", "order", "send"})
+	if err != nil || o.Law != limit.Gradient || o.Least != 20 || len(o.Classes) != 3 ||
+		math.Abs(o.Classes[0].Part-0.2) > 1e-9 || o.Classes[1].Part != 0.6 || math.Abs(o.Classes[2].Part-0.2) > 1e-9 {
+		t.Errorf("%+v, %v", o, err)
+	}
+	if _, err := s.Gateway.Limits([]string{"look"}); err == nil || err.Error() != `class[0].name: no class "order"` {
+		t.Errorf("said %v", err)
+	}
+	for _, c := range []struct{ more, classes, want string }{
+		{"law = \"vegas\"\n", "", "f.toml:4: gateway.law: no law"},
+		{"least = 0\n", "", "f.toml:4: gateway.least: must be"},
+		{"", "[[gateway.class]]\nname = \"x\"\npart = 1.5\n", "f.toml:11: gateway.class[0].part"},
+		{"", "[[gateway.class]]\nname = \"x\"\n[[gateway.class]]\nname = \"x\"\n", "f.toml:12: gateway.class[1].name"},
+		{"", "[[gateway.class]]\nname = \"x\"\npart = 0.7\n[[gateway.class]]\nname = \"y\"\npart = 0.4\n", "f.toml:14: gateway.class[1].part"},
+	} {
+		if _, err := Parse("f.toml", fmt.Appendf(nil, near, c.more, c.classes)); err == nil || !strings.HasPrefix(err.Error(), c.want) {
+			t.Errorf("%q: said %v, want %s", c.more+c.classes, err, c.want)
+		}
+	}
+	if _, err := Parse("f.toml", []byte("[[gateway.class]]\nname = \"x\"\n")); err == nil || !strings.Contains(err.Error(), "gateway.class: needs a site") {
+		t.Errorf("said %v", err)
+	}
+}
+
 func TestFilesThatCantBeRead(t *testing.T) {
 	dir := t.TempDir()
 	if _, err := Load(filepath.Join(dir, "none")); err == nil {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"hash/fnv"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -30,6 +31,7 @@
 	watchSilence = 3500 * time.Millisecond
 	fetchTimeout = 3 * time.Second
 	maxList      = 4 << 20 // bytes of one list
+	endpoints    = "/v1/endpoints"
 	// What a new discovery tells counts as told after 4 s: the first calls are tried
 	// again for eagerFor, eagerEvery after one that failed or took over eagerTry.
 	eagerFor, eagerEvery, eagerTry = 4 * time.Second, 200 * time.Millisecond, 1300 * time.Millisecond
@@ -121,9 +123,9 @@
 
 // Client asks one service.
 type Client struct {
-	base    string
+	addr    string
 	words   Words
-	client  *http.Client
+	dial    DialFunc
 	tell    func(core.News)
 	silence time.Duration
 	ctx     context.Context
@@ -135,19 +137,8 @@
 
 // New makes the client of the service at addr; its calls end with the context.
 func New(ctx context.Context, addr string, words Words, dial DialFunc, tell func(core.News)) *Client {
-	d := &Client{base: "http://" + addr + "/v1/endpoints", words: words, tell: tell, silence: watchSilence}
+	d := &Client{addr: addr, words: words, dial: dial, tell: tell, silence: watchSilence}
 	d.ctx, d.cancel = context.WithCancel(ctx)
-	// A dial goes on when its call has ended: of a service that is silent each would hold
-	// a socket for minutes.
-	bounded := func(ctx context.Context, network, addr string) (net.Conn, error) {
-		ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-		defer cancel()
-		defer context.AfterFunc(d.ctx, cancel)()
-		return dial(ctx, network, addr)
-	}
-	// A connection a call: a kept one could break under the next call, which the
-	// transport would then send twice, and each call is work for the service.
-	d.client = &http.Client{Transport: &http.Transport{DialContext: bounded, DisableKeepAlives: true, DisableCompression: true}}
 	return d
 }
 
@@ -186,7 +177,7 @@
 	err := d.eagerly(eager, func() error {
 		ctx, cancel := context.WithTimeout(d.ctx, timeout)
 		defer cancel()
-		body, err := d.get(sockets.For(ctx, "fetch"), d.base)
+		body, err := d.get(sockets.For(ctx, "fetch"), endpoints)
 		if err != nil {
 			return err
 		}
@@ -223,13 +214,13 @@
 	}
 	dead := time.AfterFunc(first, cancel)
 	defer dead.Stop()
-	body, err := d.get(sockets.For(ctx, "watch"), d.base+"?follow=1&since="+strconv.FormatInt(since, 10))
+	body, err := d.get(sockets.For(ctx, "watch"), endpoints+"?follow=1&since="+strconv.FormatInt(since, 10))
 	if err != nil {
 		return false, err
 	}
 	defer body.Close()
 	lines := bufio.NewScanner(body)
-	lines.Buffer(make([]byte, 0, 4096), maxList)
+	lines.Buffer(make([]byte, 0, 512), maxList)
 	for lines.Scan() {
 		dead.Reset(d.silence)
 		text := bytes.TrimSpace(lines.Bytes())
@@ -249,18 +240,50 @@
 	return told, io.EOF
 }
 
-func (d *Client) get(ctx context.Context, url string) (io.ReadCloser, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+// maxHead bounds the head of an answer, in bytes.
+const maxHead = 64 << 10
+
+// answer is the body of an answer with its connection.
+type answer struct {
+	io.Reader
+	conn net.Conn
+	stop func() bool
+}
+
+func (a *answer) Close() error {
+	a.stop()
+	return a.conn.Close()
+}
+
+// get asks on a connection of its own: a kept one could break under the next call, and each
+// call is work for the service. The answer's body ends with the context. A watch lies idle for
+// hours; without a transport's goroutines and buffers it costs its reader and no more.
+func (d *Client) get(ctx context.Context, path string) (io.ReadCloser, error) {
+	dialing, cancel := context.WithTimeout(ctx, fetchTimeout)
+	conn, err := d.dial(dialing, "tcp", d.addr)
+	cancel()
 	if err != nil {
 		return nil, err
 	}
-	resp, err := d.client.Do(req)
-	if err != nil {
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	a := &answer{conn: conn, stop: stop}
+	if _, err := io.WriteString(conn, "GET "+path+" HTTP/1.1\r\nHost: "+d.addr+"\r\nConnection: close\r\n\r\n"); err != nil {
+		a.Close()
 		return nil, err
 	}
-	if resp.StatusCode != http.StatusOK {
-		resp.Body.Close()
-		return nil, errors.New(resp.Status)
+	head := &io.LimitedReader{R: conn, N: maxHead}
+	resp, err := http.ReadResponse(bufio.NewReaderSize(head, 2048), &http.Request{Method: http.MethodGet})
+	switch {
+	case err != nil:
+		err = fmt.Errorf("answer: %w", err)
+	case resp.StatusCode != http.StatusOK:
+		err = errors.New(resp.Status)
+	}
+	if err != nil {
+		a.Close()
+		return nil, err
 	}
-	return resp.Body, nil
+	head.N = math.MaxInt64 // who reads the body bounds it
+	a.Reader = resp.Body
+	return a, nil
 }
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -32,6 +32,11 @@
 		return nil, "", err
 	}
 	s := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	if c, ok := h.(interface {
+		count(net.Conn, http.ConnState)
+	}); ok {
+		s.ConnState = c.count
+	}
 	go s.Serve(ln)
 	return s, ln.Addr().String(), nil
 }
@@ -50,6 +55,32 @@
 	slots   int // requests that are worked on at once; 0: any number
 	busy    int
 	line    []chan struct{} // of those that wait for a slot, each closed when it has one
+
+	// Since the last Counts, but for open.
+	asked, connects, open int
+}
+
+// Counts is how many requests and connections came since it was called last, and how many
+// connections are open. Once it is called, Came holds nothing any more.
+func (s *Server) Counts() (came, connects, open int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	came, connects, open = s.asked, s.connects, s.open
+	s.asked, s.connects, s.came = 0, 0, nil
+	return came, connects, open
+}
+
+// count is the server's ConnState hook.
+func (s *Server) count(_ net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		s.connects++
+		s.open++
+	case http.StateClosed, http.StateHijacked:
+		s.open--
+	}
 }
 
 // Arrival is a request that came to a server.
@@ -169,6 +200,7 @@
 	id := r.Header.Get("Request-Id")
 	s.mu.Lock()
 	s.came = append(s.came, Arrival{id, time.Now()})
+	s.asked++
 	failing, held := s.failing, s.held
 	s.mu.Unlock()
 	if !s.enter(r.Context()) {
@@ -208,6 +240,29 @@
 	hosts   map[string]Host
 	order   []string
 	changed chan struct{} // closed at the next change
+	asked   int           // since the last Counts
+	watches int
+}
+
+// Counts is how many questions came since it was called last, watches among them, and how many
+// watches there are.
+func (r *Roster) Counts() (questions, watches int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	questions, r.asked = r.asked, 0
+	return questions, r.watches
+}
+
+// Take takes over another roster's list and version.
+func (r *Roster) Take(from *Roster) {
+	from.mu.Lock()
+	seq, hosts, order := from.seq, from.hosts, from.order
+	from.mu.Unlock()
+	r.mu.Lock()
+	r.seq, r.hosts, r.order = seq, hosts, order
+	close(r.changed)
+	r.changed = make(chan struct{})
+	r.mu.Unlock()
 }
 
 // Host is one line of the list, as it goes over the wire.
@@ -277,7 +332,15 @@
 		http.NotFound(w, req)
 		return
 	}
-	if req.URL.Query().Get("follow") != "1" {
+	watch := req.URL.Query().Get("follow") == "1"
+	r.mu.Lock()
+	r.asked++
+	if watch {
+		r.watches++
+		defer func() { r.mu.Lock(); r.watches--; r.mu.Unlock() }()
+	}
+	r.mu.Unlock()
+	if !watch {
 		text, _, _ := r.since(0)
 		w.Write(text)
 		return
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -353,10 +353,11 @@
 	n := b.recent
 	if b.set.Limits.KeepaliveMs <= 0 {
 		n = math.Inf(1)
-	} else if b.set.Prices.Handshake > 0 {
+	} else if b.set.Prices.Handshake > 0 || b.least > 0 {
 		n /= 4
 	}
-	return int(min(max(n, leastServers), float64(len(b.servers))))
+	least := cmp.Or(b.least, leastServers)
+	return int(min(max(n, float64(least)), float64(len(b.servers))))
 }
 
 // waits tells whether the request still waits for the servers nearest its key.
@@ -912,6 +913,7 @@
 	}
 	b.follows = 0
 	b.epoch++
+	b.least = max(ev.Least, 0)
 	named := map[cluster.Addr]bool{}
 	for i := range ev.Entries {
 		named[ev.Entries[i].Server] = true
@@ -922,6 +924,9 @@
 			s.usable = s.usable && named[s.id]
 		}
 	}
+	slices.SortFunc(b.servers, func(x, y *server) int {
+		return cmp.Or(cmp.Compare(x.rank, y.rank), cmp.Compare(x.order, y.order))
+	})
 	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool {
 		forget := !s.usable && len(s.out) == 0 && !s.probing
 		if forget {
@@ -936,12 +941,9 @@
 	if s == nil {
 		s = &server{id: e.Server, hash: arith.Mix(e.Server.Hash()), state: Unknown, since: b.now,
 			window: max(firstWindow, e.Window), startedAt: since, listedAt: since, credit: b.rng.Float64()}
+		s.order = arith.Mix(s.hash ^ arith.Mix(uint64(b.set.Index)+1))
 		b.byAddr[s.id] = s
-		own := arith.Mix(uint64(b.set.Index) + 1)
-		i, _ := slices.BinarySearchFunc(b.servers, s, func(x, y *server) int {
-			return cmp.Compare(arith.Mix(x.hash^own), arith.Mix(y.hash^own))
-		})
-		b.servers = slices.Insert(b.servers, i, s)
+		b.servers = append(b.servers, s)
 	}
 	if since > s.listedAt {
 		// A new process: nothing known of the old one holds, and it is cold. Its credit
@@ -953,7 +955,7 @@
 		s.window, s.credit = max(1, e.Window), b.rng.Float64()
 		s.fails = 0
 	}
-	s.zone, s.cell, s.kind, s.usable = e.Zone, e.Cell, e.Kind, e.Health == cluster.Ready
+	s.zone, s.cell, s.kind, s.usable, s.rank = e.Zone, e.Cell, e.Kind, e.Health == cluster.Ready, e.Rank
 	s.weight = 1
 	if w := arith.Finite(e.Weight); w > 0 {
 		s.weight = w
--- a/policy/state.go
+++ b/policy/state.go
@@ -15,6 +15,8 @@
 type server struct {
 	id        cluster.Addr
 	hash      uint64
+	rank      float64 // its place by the list; equal: by order
+	order     uint64  // its place in an order of this agent's own
 	zone      int
 	cell      int
 	kind      int
@@ -86,7 +88,8 @@
 	rng        *rand.Rand
 	now        float64
 	out        []Action
-	servers    []*server // by address
+	servers    []*server // by rank and order
+	least      int       // servers to keep to at the least, by the list; 0: leastServers
 	byAddr     map[cluster.Addr]*server
 	requests   map[RequestID]*request
 	held       []*request
--- a/policy/types.go
+++ b/policy/types.go
@@ -50,7 +50,7 @@
 	EvOutcome                      // Request, Attempt, Server, Status, LatencyMs, Final, Report, Tries
 	EvStarted                      // Request, Attempt, Server, LatencyMs: a streamed answer began
 	EvDropped                      // Request: the client left
-	EvList                         // List, Entries
+	EvList                         // List, Entries, Least
 	EvProbed                       // Server, Status, LatencyMs, Report
 	EvTimer                        // Token
 	EvPeer                         // a message of another agent; carries nothing that is used
@@ -76,6 +76,7 @@
 	Report    []float32
 	List      cluster.ListKind
 	Entries   []cluster.Entry // not changed and not kept by the Balancer
+	Least     int             // servers to keep to while nothing is wrong; 0: the Balancer's own figure
 	Token     uint32
 }
 
