--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -242,6 +242,7 @@
 	changed chan struct{} // closed at the next change
 	asked   int           // since the last Counts
 	watches int
+	down    bool
 }
 
 // Counts is how many questions came since it was called last, watches among them, and how many
@@ -253,16 +254,20 @@
 	return questions, r.watches
 }
 
-// Take takes over another roster's list and version.
-func (r *Roster) Take(from *Roster) {
-	from.mu.Lock()
-	seq, hosts, order := from.seq, from.hosts, from.order
-	from.mu.Unlock()
+// Down lets the service answer nothing but 503 and end its watches, or answer again.
+func (r *Roster) Down(on bool) {
 	r.mu.Lock()
-	r.seq, r.hosts, r.order = seq, hosts, order
+	defer r.mu.Unlock()
+	r.down = on
 	close(r.changed)
 	r.changed = make(chan struct{})
-	r.mu.Unlock()
+}
+
+// isDown tells whether it is down.
+func (r *Roster) isDown() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.down
 }
 
 // Host is one line of the list, as it goes over the wire.
@@ -335,6 +340,11 @@
 	watch := req.URL.Query().Get("follow") == "1"
 	r.mu.Lock()
 	r.asked++
+	if r.down {
+		r.mu.Unlock()
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if watch {
 		r.watches++
 		defer func() { r.mu.Lock(); r.watches--; r.mu.Unlock() }()
@@ -353,6 +363,9 @@
 	beat := time.NewTicker(2 * time.Second)
 	defer beat.Stop()
 	for first := true; ; first = false {
+		if r.isDown() {
+			return
+		}
 		text, seq, next := r.since(version)
 		if first || seq > version {
 			if _, err := fmt.Fprintf(w, "%s\n", text); err != nil {
--- a/internal/world/day.go
+++ b/internal/world/day.go
@@ -23,6 +23,7 @@
 	Settings map[string]any
 	Sockets  int
 	Cold     bool    `json:",omitempty"` // all servers have just started
+	Fleet    int     `json:",omitempty"` // agents that the operator's file tells of; 0: no fleet table
 	NoticeMs float64 // mean time until the roster has told a change
 	Ops      []Op
 	Logs     bool `json:",omitempty"` // the agents' logs go into the trace
@@ -133,6 +134,9 @@
 		contract["fallMultiple"], contract["tipAfterMs"] = between(1.2, 2), between(400, 1000)
 	}
 	d.Cold = rng.IntN(12) == 0
+	if d.draw("fleet") < 0.3 {
+		d.Fleet = []int{d.Agents, 50, 500}[int(3*d.draw("fleet-agents"))]
+	}
 	d.prepare()
 
 	length := time.Duration(between(700, 1800)) * ms
--- a/internal/world/sites.go
+++ b/internal/world/sites.go
@@ -51,6 +51,9 @@
 // file is the operator's file of a process.
 func (p *process) file() *operator.Settings {
 	o, d := operator.Default(), p.w.day
+	if o.Fleet.On = d.Fleet > 0; d.Fleet > 0 {
+		o.Fleet.Agents = d.Fleet
+	}
 	if d.Near == 0 {
 		return o
 	}
