Play whole estates in virtual time: scenarios, baselines, an oracle, recorded rules

Whoever changes the agent wants to know what happens if a zone is lost or the load doubles, and had only fixed scenes. What the operator's file and scenarios share of strict TOML moves to package strict.

--- /dev/null
+++ b/internal/lab/model/model.go
@@ -0,0 +1,909 @@
+// Package model plays a scenario by discrete events in virtual time, with the real decisions:
+// policy.Balancer, and package fleet where the operator's file has that table. What the core,
+// the transport and the pool do round them on sockets is modelled: connections, their cost and
+// their idle times, attempts that may not begin any more, cancels, the last guard of a request,
+// lists and what an agent was told when. One goroutine plays all of it, and a seed decides
+// everything: the same scenario, chooser and seed give the same bytes.
+//
+// What it leaves out: the time that the agents themselves and their clients' connections take,
+// and the bytes of messages. Times are in milliseconds since the start.
+package model
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"time"
+
+	"molepaddle/internal/cluster"
+	"molepaddle/internal/fleet"
+	"molepaddle/internal/lab/choose"
+	"molepaddle/internal/lab/law"
+	"molepaddle/internal/lab/measure"
+	"molepaddle/internal/lab/station"
+	"molepaddle/internal/scenario"
+	"molepaddle/policy"
+)
+
+// kind tells what an event is.
+type kind uint8
+
+const (
+	evAsk       kind = iota // n: of the plan
+	evConnected             // att
+	evArrive                // att
+	evEnd                   // att: its job's time is up
+	evAnswer                // att, n: status
+	evTimeout               // att
+	evCancel                // att: the server learns that nobody waits
+	evDo                    // do
+)
+
+// clockBase is the Balancers' clock at the start, so that no start of a server is at 0.
+const clockBase = 1e9
+
+// guard is how long before its deadline a request is answered at the latest, as core does it.
+const guard = 2.0
+
+// Options is what a play may be told.
+type Options struct {
+	Chooser string         // empty: the scenario's
+	Seed    uint64         // decides everything
+	Fleet   *fleet.Options // of the operator's file; nil: no such table
+	// Tick is called now and then with the part that is played; false ends the play.
+	Tick func(part float64) bool
+	// NewDecider replaces the chooser: a planted fault, say.
+	NewDecider func(index, zone int, seed uint64, truth choose.Truth) (choose.Decider, error)
+}
+
+// ErrStopped is told where Tick ended the play.
+var ErrStopped = errors.New("stopped")
+
+// server is one identity in the list: a process at a time.
+type server struct {
+	num     int
+	name    string
+	kind    int
+	zone    int
+	addr    cluster.Addr
+	st      *station.Station
+	gen     int // counts processes and deaths: connections of another one are of no use
+	up      bool
+	silent  bool
+	health  cluster.Health // the truth
+	conns   int
+	most    int
+	coming  int // attempts on their way to it
+	live    []*attempt
+	late    float64 // added to its reports' age
+	busy    []float64
+	worked  float64 // by processes before
+	peak    float64
+	fell    bool
+	removed bool
+}
+
+// change is one version of the list.
+type change struct {
+	at    float64
+	entry cluster.Entry
+}
+
+// try is one sending of a request by its client.
+type try struct {
+	measure.Try
+	agent    *agent
+	n        policy.RequestID
+	number   int // of the client's tries, from 0
+	attempts []*attempt
+	deadline float64
+	answered bool
+}
+
+type stage uint8
+
+const (
+	waiting stage = iota // no byte has gone out
+	sending
+	over
+)
+
+// attempt is one attempt.
+type attempt struct {
+	t       *try
+	agent   *agent
+	s       *server
+	gen     int
+	index   int
+	sent    float64
+	until   float64
+	beginBy float64
+	arrives float64
+	stage   stage
+	arrived bool
+	live    int // place in the server's list, -1: not there
+	st      *station.Station
+	job     station.Job
+	probe   bool
+	took    bool // holds a connection
+}
+
+// pool is an agent's connections to a server.
+type pool struct {
+	gen  int
+	idle []float64 // since when, oldest first
+	open int
+}
+
+// agent is one process.
+type agent struct {
+	index, zone int
+	dec         choose.Decider
+	tries       map[policy.RequestID]*try
+	next        policy.RequestID
+	pools       map[int]*pool
+	seq         int // version of the list at hand
+	watching    bool
+	fetching    bool
+	gone        bool
+	told        []float64 // by server: since when it wants nothing new; -1: it does
+	part        *fleet.Machine
+	list        map[int]cluster.Entry // whole, in a fleet only
+	heard       float64
+	planGen     int
+	probes      int
+}
+
+// world is a play.
+type world struct {
+	s       *scenario.Scenario
+	o       Options
+	q       queue
+	now     float64
+	plan    []law.Ask
+	paths   *law.Paths
+	rng     *rand.Rand
+	zones   []int
+	agents  []*agent
+	servers []*server
+	byAddr  map[cluster.Addr]*server
+	changes []change
+	down    float64 // until then the roster answers nothing
+	stalls  []stall
+	rec     *measure.Recorder
+	res     struct{ connects, questions int }
+	actions [][]policy.Action // scratch, by depth
+	depth   int
+	means   float64
+	events  int64
+	err     error
+}
+
+type stall struct {
+	a, b  int
+	until float64
+}
+
+// Play plays a scenario.
+func Play(s *scenario.Scenario, o Options) (*measure.Result, error) {
+	if o.Chooser == "" {
+		o.Chooser = s.Agent.Chooser
+	}
+	w := &world{s: s, o: o, plan: law.Plan(s, o.Seed), paths: law.NewPaths(s), rng: law.Source(o.Seed, "network"),
+		zones: law.Zones(s), byAddr: map[cluster.Addr]*server{}, means: s.MeanWork()}
+	w.rec = measure.New(s, w.plan)
+	w.setUp()
+	begun := time.Now()
+	err := w.run()
+	if err != nil {
+		return nil, err
+	}
+	for _, v := range w.servers {
+		w.rec.Worked(v.worked + v.st.Worked)
+	}
+	return w.rec.Result(func(r *measure.Result) {
+		r.Connects, r.Questions, r.Events = w.res.connects, w.res.questions, w.events
+		r.EventsPerS = float64(w.events) / time.Since(begun).Seconds()
+		span := s.Length.Ms()
+		for _, v := range w.servers {
+			r.OpenMost = max(r.OpenMost, v.most)
+			k := &s.Servers[v.kind]
+			r.Servers = append(r.Servers, measure.Server{Name: v.name, Kind: k.Kind, Zone: s.Zones[v.zone], Busy: v.busy,
+				Work: (v.worked + v.st.Worked) / (span * float64(k.Slots) * k.Speed),
+				Peak: max(v.peak, v.st.Peak) / s.Rules.FallMultiple, Fell: v.fell})
+		}
+	}), nil
+}
+
+func (w *world) after(d float64, do func()) { w.q.push(event{at: w.now + d, kind: evDo, do: do}) }
+
+func (w *world) at(t float64, e event) {
+	e.at = max(t, w.now)
+	w.q.push(e)
+}
+
+func (w *world) newServer(kind, zone int, name string, born float64) *server {
+	n := len(w.servers)
+	v := &server{num: n, name: name, kind: kind, zone: zone, up: true, health: cluster.Ready,
+		addr: cluster.Addr{10, byte(n >> 16), byte(n >> 8), byte(n), 0x1f, 0x90}}
+	v.st = station.New(&w.s.Servers[kind], &w.s.Rules, law.Seed(w.o.Seed, name), born)
+	w.servers = append(w.servers, v)
+	w.byAddr[v.addr] = v
+	return v
+}
+
+func (w *world) entry(v *server) cluster.Entry {
+	e := cluster.Entry{Server: v.addr, Zone: v.zone, Cell: v.num / 4, Kind: v.kind, Health: v.health, Weight: 1}
+	if w.s.Agent.Weights == "nominal" {
+		e.Weight = float64(w.s.Servers[v.kind].Slots)
+	}
+	if b := v.st.Born(); b >= 0 {
+		e.SinceMs = clockBase + b
+	}
+	return e
+}
+
+func (w *world) setUp() {
+	for k := range w.s.Servers {
+		kind := &w.s.Servers[k]
+		for i := range kind.Count {
+			born := -1.0
+			if kind.Cold {
+				born = 0
+			}
+			w.newServer(k, slices.Index(w.s.Zones, kind.Zones[i%len(kind.Zones)]), fmt.Sprint(kind.Kind, "-", i+1), born)
+		}
+	}
+	for _, v := range w.servers {
+		w.changes = append(w.changes, change{entry: w.entry(v)})
+	}
+	if len(w.plan) > 0 {
+		w.at(w.plan[0].At, event{kind: evAsk})
+	}
+	for i := range w.s.Events {
+		e := &w.s.Events[i]
+		w.at(e.At.Ms(), event{kind: evDo, do: func() { w.happen(e, i) }})
+	}
+	w.at(w.rec.Bucket(), event{kind: evDo, do: w.sample})
+	for i, z := range w.zones {
+		w.agents = append(w.agents, nil)
+		w.start(i, z, 0)
+	}
+}
+
+// start starts an agent, which is told the list as the roster has it.
+func (w *world) start(index, zone, run int) {
+	seed := law.Seed(w.o.Seed, fmt.Sprint("agent", index, ".", run))
+	a := &agent{index: index, zone: zone, tries: map[policy.RequestID]*try{}, pools: map[int]*pool{}}
+	var err error
+	if w.o.NewDecider != nil {
+		a.dec, err = w.o.NewDecider(index, zone, seed, w)
+	} else {
+		a.dec, err = choose.New(w.o.Chooser, w.s.Settings(index, zone), seed, w)
+	}
+	if err == nil && w.o.Fleet != nil {
+		set := w.s.Settings(index, zone)
+		a.part, err = fleet.New(*w.o.Fleet, &set, seed, clockBase+w.now)
+		a.list = map[int]cluster.Entry{}
+	}
+	if err != nil {
+		w.err = err
+		return
+	}
+	w.agents[index] = a
+	a.heard = w.now
+	w.act(a, a.dec.Start(clockBase+w.now, w.scratch()))
+	w.depth--
+	w.learn(a, cluster.ListCached, w.known(0))
+	if w.s.Roster.Pushed {
+		w.follow(a)
+	}
+}
+
+// run plays until the last client has its answer or gave up.
+func (w *world) run() error {
+	end := w.s.Length.Ms()
+	for _, c := range w.s.Classes {
+		end = max(end, w.s.Length.Ms()+c.GiveUp.Ms())
+	}
+	for w.q.Len() > 0 && w.err == nil {
+		e := w.q.pop()
+		if e.at > end {
+			break
+		}
+		w.now = e.at
+		w.events++
+		if w.events&0xffff == 0 && w.o.Tick != nil && !w.o.Tick(w.now/end) {
+			return ErrStopped
+		}
+		w.one(&e)
+	}
+	return w.err
+}
+
+func (w *world) one(e *event) {
+	switch e.kind {
+	case evAsk:
+		if next := int(e.n) + 1; next < len(w.plan) {
+			w.at(w.plan[next].At, event{kind: evAsk, n: int32(next)})
+		}
+		w.ask(int(e.n), 0)
+	case evConnected:
+		w.connected(e.att)
+	case evArrive:
+		w.arrive(e.att)
+	case evEnd:
+		w.ended(e.att)
+	case evAnswer:
+		w.outcome(e.att, policy.Status(e.n))
+	case evTimeout:
+		if e.att.stage != over {
+			w.giveUp(e.att, policy.Timeout)
+		}
+	case evCancel:
+		w.cancelled(e.att)
+	case evDo:
+		e.do()
+	}
+}
+
+// trip is the time of a message between an agent and a server, with what stalls it.
+func (w *world) trip(a *agent, s *server) float64 {
+	t := w.paths.Draw(a.zone, s.zone, w.rng)
+	for i := range w.stalls {
+		if st := &w.stalls[i]; (st.a == a.zone && st.b == s.zone || st.a == s.zone && st.b == a.zone) && w.now+t < st.until {
+			t = st.until - w.now
+		}
+	}
+	return t
+}
+
+// ---- clients ----
+
+func (w *world) ask(n, number int) {
+	p := &w.plan[n]
+	a := w.agents[p.Agent]
+	deadline := p.At + float64(p.Patience)
+	t := &try{agent: a, number: number, deadline: deadline}
+	t.Try = measure.Try{ID: fmt.Sprint("r", n, ".", number), Ask: n, Class: int(p.Class), At: w.now, Deadline: deadline}
+	w.rec.Start(&t.Try)
+	a.next++
+	t.n = a.next
+	a.tries[t.n] = t
+	w.at(deadline-guard, event{kind: evDo, do: func() {
+		if !t.answered {
+			w.final(t, measure.Failed, 0)
+			w.tell(a, &policy.Event{Kind: policy.EvDropped, Request: t.n})
+			w.unsend(t)
+			w.forget(t)
+		}
+	}})
+	if p.Leaves > 0 && number == 0 {
+		w.at(p.At+float64(p.Leaves), event{kind: evDo, do: func() {
+			if !t.answered {
+				t.answered = true
+				w.rec.End(&t.Try, w.now, measure.Gone, false)
+				w.tell(a, &policy.Event{Kind: policy.EvDropped, Request: t.n})
+				w.unsend(t)
+				w.forget(t)
+			}
+		}})
+	}
+	w.tell(a, &policy.Event{Kind: policy.EvRequest, Request: t.n, Class: int(p.Class), Tenant: -1, Key: uint64(p.Key),
+		LeftMs: deadline - w.now, Retry: number > 0})
+}
+
+// final gives a try its answer; the client may ask again.
+func (w *world) final(t *try, o measure.Outcome, retryAfter float64) {
+	t.answered = true
+	needless := o != measure.Served && w.needless(t)
+	w.rec.End(&t.Try, w.now, o, needless)
+	if o == measure.Served {
+		return
+	}
+	p := &w.plan[t.Ask]
+	portal := &w.s.Portals[p.Portal]
+	if t.number >= portal.Retries || o == measure.Failed && w.s.Classes[t.Class].Effect == "unsafe" {
+		return
+	}
+	wait := portal.Backoff.Ms() * float64(int(1)<<t.number)
+	if retryAfter > 0 && law.Unit(w.o.Seed, uint64(t.Ask), uint64(t.number), 7) < portal.Heeds {
+		wait = max(wait, retryAfter)
+	}
+	if w.now+wait+guard < t.deadline {
+		n, number := t.Ask, t.number+1
+		w.after(wait, func() { w.ask(n, number) })
+	}
+}
+
+// needless tells whether a warm server that is well stands idle and could still answer in time.
+func (w *world) needless(t *try) bool {
+	work := float64(w.plan[t.Ask].Work)
+	n := len(w.servers)
+	from := w.rng.IntN(n)
+	for i := range min(n, 64) {
+		v := w.servers[(from+i)%n]
+		if v.up && !v.silent && v.health == cluster.Ready && v.st.Idle() > v.coming && v.st.Ramp(w.now) == 1 && v.st.Failing(w.now) < 0.05 &&
+			2*w.paths.Mean(t.agent.zone, v.zone)+work/v.st.Rate(w.now) < t.deadline-guard-w.now {
+			return true
+		}
+	}
+	return false
+}
+
+// ---- what an agent does ----
+
+func (w *world) scratch() []policy.Action {
+	if w.depth == len(w.actions) {
+		w.actions = append(w.actions, nil)
+	}
+	w.depth++
+	return w.actions[w.depth-1][:0]
+}
+
+// tell hands an agent's decider an event and does what it says.
+func (w *world) tell(a *agent, ev *policy.Event) {
+	acts := a.dec.Handle(clockBase+w.now, ev, w.scratch())
+	w.act(a, acts)
+	w.depth--
+	w.actions[w.depth] = acts[:0]
+}
+
+func (w *world) act(a *agent, acts []policy.Action) {
+	for i := range acts {
+		act := acts[i]
+		t := a.tries[act.Request]
+		switch act.Kind {
+		case policy.ActSend:
+			if t != nil {
+				w.send(t, &act)
+			}
+		case policy.ActCancel:
+			if t != nil && act.Attempt >= 0 && act.Attempt < len(t.attempts) {
+				w.giveUp(t.attempts[act.Attempt], policy.Cancelled)
+			}
+		case policy.ActRefuse, policy.ActFail:
+			if t != nil && !t.answered {
+				o := measure.Refused
+				if act.Kind == policy.ActFail {
+					o = measure.Failed
+				}
+				w.final(t, o, act.Ms)
+				w.unsend(t)
+				w.forget(t)
+				if a.part != nil && o == measure.Refused && a.part.Refused(clockBase+w.now) {
+					w.after(0, func() { w.replan(a) })
+				}
+			}
+		case policy.ActProbe:
+			w.later(a, a.part, func() float64 { return a.part.Probe() }, func() { w.probe(a, act.Server) })
+		case policy.ActTimer:
+			w.after(act.Ms, func() {
+				if !a.gone || len(a.tries) > 0 {
+					w.tell(a, &policy.Event{Kind: policy.EvTimer, Token: act.Token})
+				}
+			})
+		case policy.ActFollow:
+			w.follow(a)
+		case policy.ActFetch:
+			if !a.fetching {
+				a.fetching = true
+				w.later(a, a.part, func() float64 { return a.part.Question(clockBase + w.now) }, func() { w.fetch(a) })
+			}
+		case policy.ActClose:
+			if v := w.byAddr[act.Server]; v != nil {
+				w.closeIdle(a, v)
+			}
+		}
+	}
+}
+
+func (w *world) later(a *agent, part *fleet.Machine, wait func() float64, do func()) {
+	if part == nil {
+		do()
+		return
+	}
+	w.after(wait(), do)
+}
+
+// pool gives an agent's connections to a server, without those of a process that has ended.
+func (w *world) pool(a *agent, v *server) *pool {
+	p := a.pools[v.num]
+	if p == nil {
+		p = &pool{gen: v.gen}
+		a.pools[v.num] = p
+	}
+	if p.gen != v.gen {
+		*p = pool{gen: v.gen}
+	}
+	return p
+}
+
+// fresh drops the connections that have idled too long.
+func (w *world) fresh(v *server, p *pool) {
+	keep := min(w.s.Limits.KeepIdle.Ms()/2, w.s.Servers[v.kind].IdleClose.Ms())
+	n := 0
+	for n < len(p.idle) && w.now-p.idle[n] >= keep {
+		n++
+	}
+	p.idle = p.idle[n:]
+	p.open -= n
+	v.conns -= n
+}
+
+func (w *world) closeIdle(a *agent, v *server) {
+	p := w.pool(a, v)
+	p.open -= len(p.idle)
+	v.conns -= len(p.idle)
+	p.idle = p.idle[:0]
+}
+
+func (w *world) send(t *try, act *policy.Action) {
+	a, v := t.agent, w.byAddr[act.Server]
+	att := &attempt{t: t, agent: a, s: v, gen: v.gen, index: len(t.attempts), sent: w.now, until: w.now + act.Ms, live: -1}
+	if act.BeginMs > 0 {
+		att.beginBy = w.now + act.BeginMs
+	}
+	t.attempts = append(t.attempts, att)
+	w.rec.Sent(&t.Try, w.now, a.toldOf(v.num), v.name, a.zone != v.zone)
+	w.at(att.until, event{kind: evTimeout, att: att})
+	w.connect(att)
+}
+
+func (a *agent) toldOf(num int) float64 {
+	if num >= len(a.told) {
+		return -1
+	}
+	return a.told[num]
+}
+
+// connect takes a connection that idles, or opens one.
+func (w *world) connect(att *attempt) {
+	a, v := att.agent, att.s
+	p := w.pool(a, v)
+	w.fresh(v, p)
+	v.live = append(v.live, att)
+	att.live = len(v.live) - 1
+	if n := len(p.idle); n > 0 {
+		p.idle = p.idle[:n-1]
+		att.took = true
+		w.begin(att)
+		return
+	}
+	kind := &w.s.Servers[v.kind]
+	limit := w.s.Limits.Connect.Ms()
+	took := w.trip(a, v) + w.trip(a, v)
+	switch {
+	case v.silent || took > limit:
+		w.at(w.now+limit, event{kind: evAnswer, att: att, n: int32(policy.ConnectFailed)})
+	case !v.up || kind.Connections > 0 && v.conns >= kind.Connections:
+		w.at(w.now+took, event{kind: evAnswer, att: att, n: int32(policy.ConnectFailed)})
+	default:
+		w.res.connects++
+		p.open++
+		v.conns++
+		v.most = max(v.most, v.conns)
+		att.took = true
+		w.at(w.now+took+kind.Connect.Ms(), event{kind: evConnected, att: att})
+	}
+}
+
+func (w *world) connected(att *attempt) {
+	if att.stage == over {
+		w.rest(att) // it was withdrawn: the connection is there for another
+		return
+	}
+	if att.gen != att.s.gen || att.s.silent {
+		return // its process has gone meanwhile, or says nothing
+	}
+	if att.beginBy > 0 && w.now >= att.beginBy {
+		w.outcome(att, policy.Moot)
+		w.rest(att)
+		return
+	}
+	w.begin(att)
+}
+
+// begin writes the request; from here on it may run.
+func (w *world) begin(att *attempt) {
+	att.stage = sending
+	att.s.coming++
+	att.arrives = w.now + w.trip(att.agent, att.s)
+	w.at(att.arrives, event{kind: evArrive, att: att})
+}
+
+// rest gives a connection back to those that idle.
+func (w *world) rest(att *attempt) {
+	if !att.took || att.gen != att.s.gen {
+		return
+	}
+	att.took = false
+	p := w.pool(att.agent, att.s)
+	p.idle = append(p.idle, w.now)
+}
+
+// hangUp closes the attempt's connection.
+func (w *world) hangUp(att *attempt) {
+	if !att.took || att.gen != att.s.gen {
+		return
+	}
+	att.took = false
+	p := w.pool(att.agent, att.s)
+	p.open--
+	att.s.conns--
+}
+
+func (w *world) unsend(t *try) {
+	for _, att := range t.attempts {
+		if att.stage == waiting {
+			w.giveUp(att, policy.Cancelled)
+		}
+	}
+}
+
+// giveUp ends an attempt at the agent's side. Of one that has not begun nothing goes out any more.
+func (w *world) giveUp(att *attempt, why policy.Status) {
+	if att.stage == over {
+		return
+	}
+	if att.stage == waiting {
+		if why == policy.Timeout {
+			why = policy.ConnectFailed
+		}
+		w.leave(att)
+		// The connection comes up all the same, and rests then.
+		w.settle(att, why)
+		return
+	}
+	w.hangUp(att)
+	if why == policy.Timeout {
+		w.closeIdle(att.agent, att.s)
+	}
+	if att.gen == att.s.gen && !att.s.silent {
+		w.at(max(w.now+w.trip(att.agent, att.s), att.arrives), event{kind: evCancel, att: att})
+	} else {
+		w.leave(att)
+	}
+	w.settle(att, why)
+}
+
+// leave takes an attempt from its server's list.
+func (w *world) leave(att *attempt) {
+	if att.live < 0 {
+		return
+	}
+	v := att.s
+	last := v.live[len(v.live)-1]
+	v.live[att.live] = last
+	last.live = att.live
+	v.live = v.live[:len(v.live)-1]
+	att.live = -1
+}
+
+// outcome brings the end of an attempt to its agent.
+func (w *world) outcome(att *attempt, st policy.Status) {
+	if att.stage == over {
+		return
+	}
+	w.leave(att)
+	switch st {
+	case policy.OK, policy.Error, policy.Full:
+		w.rest(att)
+	case policy.ConnectFailed:
+	case policy.Moot:
+	default:
+		w.hangUp(att)
+	}
+	w.settle(att, st)
+}
+
+// settle tells the decider how an attempt ended.
+func (w *world) settle(att *attempt, st policy.Status) {
+	att.stage = over
+	a, t := att.agent, att.t
+	if att.probe {
+		a.probes--
+		w.tell(a, &policy.Event{Kind: policy.EvProbed, Server: att.s.addr, Status: st, LatencyMs: w.now - att.sent})
+		return
+	}
+	w.rec.Over(&t.Try)
+	if st != policy.OK {
+		t.Note(w.now, statusName(st), att.s.name)
+	}
+	if st == policy.OK && !t.answered {
+		w.final(t, measure.Served, 0)
+	}
+	ev := policy.Event{Kind: policy.EvOutcome, Request: t.n, Attempt: att.index, Server: att.s.addr, Status: st,
+		LatencyMs: w.now - att.sent, Final: t.answered}
+	if st == policy.OK || st == policy.Error || st == policy.Full {
+		if r, ok := att.s.st.Load(w.now, att.s.late); ok {
+			ev.Report = []float32{float32(r.QPS), float32(r.Util), float32(r.EPS)}
+		}
+	}
+	w.tell(a, &ev)
+	w.forget(t)
+}
+
+func statusName(st policy.Status) string {
+	switch st {
+	case policy.Error:
+		return "error of"
+	case policy.Full:
+		return "turned away by"
+	case policy.Timeout:
+		return "nothing came from"
+	case policy.ConnectFailed:
+		return "no connection to"
+	case policy.Reset:
+		return "reset by"
+	case policy.Cancelled:
+		return "cancelled at"
+	}
+	return "not begun at"
+}
+
+func (w *world) forget(t *try) {
+	if !t.answered {
+		return
+	}
+	for _, att := range t.attempts {
+		if att.stage != over {
+			return
+		}
+	}
+	delete(t.agent.tries, t.n)
+}
+
+func (w *world) probe(a *agent, addr cluster.Addr) {
+	v := w.byAddr[addr]
+	if v == nil {
+		return
+	}
+	a.probes++
+	att := &attempt{agent: a, s: v, gen: v.gen, sent: w.now, probe: true, live: -1, until: w.now + max(2*w.s.Limits.Connect.Ms(), 250)}
+	w.at(att.until, event{kind: evTimeout, att: att})
+	w.connect(att)
+}
+
+// ---- servers ----
+
+func (w *world) arrive(att *attempt) {
+	v := att.s
+	if att.gen != v.gen {
+		return // its connection has ended
+	}
+	v.coming--
+	if v.silent {
+		return
+	}
+	att.arrived = true
+	if att.probe {
+		st := policy.OK
+		if law.Unit(w.o.Seed, uint64(w.events)) < v.st.Failing(w.now) {
+			st = policy.Error
+		}
+		w.at(w.now+w.trip(att.agent, v), event{kind: evAnswer, att: att, n: int32(st)})
+		return
+	}
+	p := &w.plan[att.t.Ask]
+	att.st = v.st
+	att.job = station.Job{ID: uint64(att.t.Ask)<<8 | uint64(att.t.number), Work: float64(p.Work), Key: p.Key, Tag: att}
+	fell := v.st.Fell()
+	verdict := v.st.Arrive(w.now, &att.job)
+	if !fell && v.st.Fell() {
+		v.fell = true
+		w.rec.Fell(w.now, v.name)
+	}
+	switch verdict {
+	case station.Started:
+		w.begun(&att.job)
+	case station.Full:
+		w.reply(att, policy.Full)
+	case station.Failed:
+		w.rec.Begun(&att.t.Try, w.now, v.name)
+		w.reply(att, policy.Error)
+	}
+}
+
+func (w *world) begun(j *station.Job) {
+	att := j.Tag.(*attempt)
+	w.rec.Begun(&att.t.Try, w.now, att.s.name)
+	w.at(j.Until, event{kind: evEnd, att: att})
+}
+
+func (w *world) reply(att *attempt, st policy.Status) {
+	w.at(w.now+w.trip(att.agent, att.s), event{kind: evAnswer, att: att, n: int32(st)})
+}
+
+func (w *world) ended(att *attempt) {
+	if !att.job.Serving() || att.job.Until > w.now+1e-9 {
+		return // given up, or its process has ended
+	}
+	next := att.st.End(w.now, &att.job)
+	if att.gen == att.s.gen {
+		w.reply(att, policy.OK)
+	}
+	if next != nil {
+		w.begun(next)
+	}
+}
+
+// cancelled is when a server sees that its client has closed.
+func (w *world) cancelled(att *attempt) {
+	w.leave(att)
+	if att.gen != att.s.gen {
+		return
+	}
+	if att.st == nil {
+		return
+	}
+	if next, _ := att.st.Cancel(w.now, &att.job); next != nil {
+		w.begun(next)
+	}
+}
+
+// die ends a server's process: what it had is lost. Connections break where it is not silent.
+func (w *world) die(v *server, silent bool) {
+	v.st.Kill(w.now)
+	v.worked += v.st.Worked
+	v.st.Worked = 0
+	v.peak = max(v.peak, v.st.Peak)
+	v.up, v.silent = false, silent
+	if !silent {
+		w.breakAll(v)
+	}
+}
+
+// breakAll breaks all connections to a server.
+func (w *world) breakAll(v *server) {
+	v.gen++
+	v.conns, v.coming = 0, 0
+	live := v.live
+	v.live = nil
+	for _, att := range live {
+		att.live = -1
+		st := policy.Reset
+		if att.stage == waiting {
+			st = policy.ConnectFailed
+		}
+		if att.stage != over {
+			w.reply(att, st)
+		}
+	}
+}
+
+// back starts a new process on a server's machine, cold.
+func (w *world) back(v *server) {
+	if v.removed || v.up {
+		return
+	}
+	if v.silent {
+		w.breakAll(v) // what was sent to the old one is answered with resets
+	}
+	v.up, v.silent = true, false
+	v.gen++
+	v.st = station.New(&w.s.Servers[v.kind], &w.s.Rules, law.Seed(w.o.Seed, fmt.Sprint(v.name, w.now)), w.now)
+	v.health = cluster.Ready
+	w.list(v, w.s.Roster.Notice.Ms())
+}
+
+// sample notes how busy the servers are, once a bucket.
+func (w *world) sample() {
+	span := w.rec.Bucket()
+	for _, v := range w.servers {
+		v.busy = append(v.busy, math.Round(1000*v.st.BusyTime(w.now)/(span*float64(w.s.Servers[v.kind].Slots)))/1000)
+	}
+	if w.now+span <= w.s.Length.Ms() {
+		w.after(span, w.sample)
+	}
+}
+
+// Memory is what the process holds now, in MB.
+func Memory() float64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc) / (1 << 20)
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -8,38 +8,19 @@
 package operator
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
-	"io"
 	"net"
-	"os"
 	"path/filepath"
 	"strconv"
-	"strings"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
-	"github.com/pelletier/go-toml/v2/unstable"
-
 	"molepaddle/internal/fleet"
+	"molepaddle/internal/strict"
 )
 
-// maxFile bounds the file, in bytes.
-const maxFile = 1 << 20
-
 // Duration is a time with its unit, such as "250ms".
-type Duration time.Duration
-
-// UnmarshalText reads a number with a unit that time.ParseDuration knows.
-func (d *Duration) UnmarshalText(text []byte) error {
-	v, err := time.ParseDuration(string(text))
-	if err != nil {
-		return fmt.Errorf("%q is no time with a unit, such as \"250ms\"", text)
-	}
-	*d = Duration(v)
-	return nil
-}
+type Duration = strict.Duration
 
 // Listen is one more place where clients connect: an address or a Unix socket.
 type Listen struct {
@@ -126,55 +107,22 @@
 	if path == "" {
 		return Default(), nil
 	}
-	f, err := os.Open(path)
+	text, err := strict.Read(path)
 	if err != nil {
 		return nil, fmt.Errorf("operator: %w", err)
 	}
-	defer f.Close()
-	text, err := io.ReadAll(io.LimitReader(f, maxFile+1))
-	if err != nil {
-		return nil, fmt.Errorf("operator: %w", err)
-	}
-	if len(text) > maxFile {
-		return nil, fmt.Errorf("operator: %s: longer than %d bytes", path, maxFile)
-	}
 	return Parse(filepath.Base(path), text)
 }
 
 // Parse reads the text of a file; name is for its errors.
 func Parse(name string, text []byte) (*Settings, error) {
 	s := Default()
-	dec := toml.NewDecoder(bytes.NewReader(text))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(s); err != nil {
-		var unknown *toml.StrictMissingError
-		if errors.As(err, &unknown) && len(unknown.Errors) > 0 {
-			row, _ := unknown.Errors[0].Position()
-			return nil, fmt.Errorf("%s:%d: %s: not known", name, row, strings.Join(unknown.Errors[0].Key(), "."))
-		}
-		var bad *toml.DecodeError
-		if errors.As(err, &bad) {
-			row, _ := bad.Position()
-			key := keyAt(text, row)
-			if key != "" {
-				key += ": "
-			}
-			said := oneLine(strings.TrimPrefix(bad.Error(), "toml: "))
-			if before, _, ok := strings.Cut(said, " into struct field "); ok {
-				said = before // the rest names the program's own types
-			}
-			return nil, fmt.Errorf("%s:%d: %s%s", name, row, key, said)
-		}
-		return nil, fmt.Errorf("%s: %s", name, oneLine(err.Error()))
-	}
-	if key, err := s.validate(); err != nil {
-		return nil, fmt.Errorf("%s:%d: %s: %w", name, lineOf(text, key), key, err)
+	if err := strict.Decode(name, text, s, s.validate); err != nil {
+		return nil, err
 	}
 	return s, nil
 }
 
-func oneLine(text string) string { return strings.Join(strings.Fields(text), " ") }
-
 // validate reports the first key that makes no sense.
 func (s *Settings) validate() (key string, err error) {
 	h, t := &s.Front.HTTP, &s.Transport.HTTP
@@ -221,62 +169,6 @@
 	return s.Gateway.validate()
 }
 
-// walk tells of each key of a text its path, entries of arrays counted in brackets, and
-// its line.
-func walk(text []byte, each func(path string, line int)) {
-	p := unstable.Parser{}
-	p.Reset(text)
-	table, count := "", map[string]int{}
-	for p.NextExpression() {
-		e := p.Expression()
-		var parts []string
-		line := 0
-		for it := e.Key(); it.Next(); {
-			n := it.Node()
-			if line == 0 {
-				line = p.Shape(n.Raw).Start.Line
-			}
-			parts = append(parts, string(n.Data))
-		}
-		path := strings.Join(parts, ".")
-		switch e.Kind {
-		case unstable.Table:
-			table = path
-		case unstable.ArrayTable:
-			table = path + "[" + strconv.Itoa(count[path]) + "]"
-			count[path]++
-			path = table
-		case unstable.KeyValue:
-			if table != "" {
-				path = table + "." + path
-			}
-		}
-		each(path, line)
-	}
-}
-
-// lineOf finds the line on which a key stands; of one that is not there, the line of the
-// nearest table round it.
-func lineOf(text []byte, key string) int {
-	best, at := 0, 1
-	walk(text, func(path string, line int) {
-		if (key == path || strings.HasPrefix(key, path+".") || strings.HasPrefix(key, path+"[")) && len(path) > best {
-			best, at = len(path), line
-		}
-	})
-	return at
-}
-
-// keyAt is the key that stands on a line; empty: none.
-func keyAt(text []byte, row int) (key string) {
-	walk(text, func(path string, line int) {
-		if line == row {
-			key = path
-		}
-	})
-	return key
-}
-
 // On tells, line by line, what the settings switch on or change.
 func (s *Settings) On() []string {
 	var on []string
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"molepaddle/internal/limit"
+	"molepaddle/internal/strict"
 )
 
 func TestNoFileAndAnEmptyOneAreTheDefaults(t *testing.T) {
@@ -129,7 +130,7 @@
 		t.Error("a folder was read")
 	}
 	long := filepath.Join(dir, "long")
-	if err := os.WriteFile(long, []byte(strings.Repeat("#\n", maxFile)), 0o600); err != nil {
+	if err := os.WriteFile(long, []byte(strings.Repeat("#\n", strict.MaxFile)), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := Load(long); err == nil || !strings.Contains(err.Error(), "longer") {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -417,13 +417,16 @@
 	case b.warmWeight() > 0:
 		return false
 	case b.flow == 0:
-		// None was ever seen warm, so nothing tells a share: all agents together keep about
-		// two out. A server that has no more than it can answer is not pushed over.
+		// None was ever seen warm, so nothing tells a share: all agents together keep about two
+		// out, times what quick answers let the server's window grow to. A server that has no
+		// more than it can answer is not pushed over.
 		gap := b.expect[r.class] * max(float64(b.set.Replicas)/2, 1)
 		if s.sentAt == 0 {
 			return b.now-s.since >= s.credit*gap
 		}
-		return len(s.out) == 0 && b.now-s.sentAt >= gap
+		grown := max(s.window, 1)
+		most := 2 * grown / float64(max(b.set.Replicas, 1))
+		return float64(len(s.out)) < max(most, 1) && b.now-s.sentAt >= gap/grown
 	}
 	return (b.now-s.sentAt)*b.flow*s.weight*b.coldShare(s) >= b.cost(r)*b.set.Contract.ColdMs
 }
