--- a/cmd/molepaddle/main.go
+++ b/cmd/molepaddle/main.go
@@ -6,12 +6,9 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"flag"
 	"fmt"
 	"io"
-	"log/slog"
 	"math"
-	"molepaddle/internal/keys"
 	"net"
 	"os"
 	"os/signal"
@@ -21,79 +18,132 @@
 	"syscall"
 	"time"
 
+	"github.com/spf13/cobra"
+
 	"molepaddle/internal/agent"
 	"molepaddle/internal/config"
 	"molepaddle/internal/demo"
+	"molepaddle/internal/keys"
+	"molepaddle/internal/logging"
 	"molepaddle/internal/operator"
 )
 
-const usage = `usage:
-  molepaddle [--operator FILE]         the agent, told by the file that EDGE_CONFIG names
-  molepaddle check [--operator FILE]   reads both files and says what is on
-  molepaddle demo                      scenes on loopback with stand-ins
-  molepaddle link --operator FILE [--json]   what a running gateway holds of links
-  molepaddle keys make DIR NAME...     an authority and certificates for a trial set-up
-  molepaddle keys show FILE...         what certificates a file holds, and when they end
-  molepaddle standin ROSTER SERVER...  a roster and order servers on loopback, for trials
-  molepaddle version
-`
+// Exit codes. docs/operators/commands.md tells them.
+const (
+	exitFailed      = 1
+	exitUsage       = 2   // the command line makes no sense
+	exitBroken      = 3   // the lab saw a broken rule, or a play that does not count
+	exitInterrupted = 130 // as a shell says of SIGINT
+)
+
+// usageError is one of the command line.
+type usageError struct{ error }
+
+func (e usageError) Unwrap() error { return e.error }
+
+// errBroken ends a command of the lab that has said why.
+var errBroken = errors.New("a rule was broken, or a play does not count")
 
 func main() {
-	if err := run(os.Args[1:], os.Stdout); err != nil {
-		fmt.Fprintln(os.Stderr, "molepaddle:", err)
-		os.Exit(1)
+	err := run(os.Args[1:], os.Stdout)
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "molepaddle:", err)
+	var usage usageError
+	switch {
+	case errors.As(err, &usage):
+		os.Exit(exitUsage)
+	case errors.Is(err, errBroken):
+		os.Exit(exitBroken)
+	case errors.Is(err, context.Canceled):
+		os.Exit(exitInterrupted)
 	}
+	os.Exit(exitFailed)
 }
 
 // run does what the command line asks for.
 func run(args []string, out io.Writer) error {
-	command := ""
-	if len(args) > 0 && args[0] != "" && args[0][0] != '-' {
-		command, args = args[0], args[1:]
+	root := command(out)
+	root.SetArgs(args)
+	return root.ExecuteContext(context.Background())
+}
+
+// taking words what is wrong with a command's arguments in one line.
+func taking(check cobra.PositionalArgs) cobra.PositionalArgs {
+	return func(cmd *cobra.Command, args []string) error {
+		if err := check(cmd, args); err != nil {
+			return usageError{fmt.Errorf("%s: %w; --help tells the usage", cmd.CommandPath(), err)}
+		}
+		return nil
 	}
-	flags := flag.NewFlagSet("molepaddle", flag.ContinueOnError)
-	flags.SetOutput(io.Discard)
-	file, asJSON, days := "", false, 365
-	switch command {
-	case "", "check":
-		flags.StringVar(&file, "operator", "", "")
-	case "link":
-		flags.StringVar(&file, "operator", "", "")
-		flags.BoolVar(&asJSON, "json", false, "")
-	case "keys":
-		flags.IntVar(&days, "days", days, "")
-	}
-	switch err := flags.Parse(args); {
-	case errors.Is(err, flag.ErrHelp):
-		fmt.Fprint(out, usage)
+}
+
+// noArgs takes none.
+func noArgs(cmd *cobra.Command, args []string) error {
+	switch {
+	case len(args) == 0:
 		return nil
-	case err != nil:
-		return fmt.Errorf("%w; --help tells the usage", err)
-	case flags.NArg() > 0 && command != "keys" && command != "standin":
-		return fmt.Errorf("%q is not understood; --help tells the usage", flags.Arg(0))
-	}
-	switch command {
-	case "":
-		return serve(file)
-	case "check":
-		return check(file, out)
-	case "demo":
-		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-		defer stop()
-		return demo.Run(ctx, out)
-	case "link":
-		return showLink(file, asJSON, out)
-	case "standin":
+	case cmd.HasSubCommands():
+		return fmt.Errorf("%q is no command", args[0])
+	}
+	return fmt.Errorf("%q is not understood", args[0])
+}
+
+// untilSignal ends a command's context at SIGTERM and SIGINT.
+func untilSignal(do func(ctx context.Context, args []string) error) func(*cobra.Command, []string) error {
+	return func(_ *cobra.Command, args []string) error {
 		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 		defer stop()
-		return standIn(ctx, flags.Args(), os.Stdin, out)
-	case "keys":
-		return keysCommand(flags.Args(), days, out)
-	case "version":
-		fmt.Fprintln(out, version())
-		return nil
+		return do(ctx, args)
 	}
-	return fmt.Errorf("%q is no command; --help tells the usage", command)
+}
+
+// command is the whole command line.
+func command(out io.Writer) *cobra.Command {
+	file, asJSON, days := "", false, 365
+	root := &cobra.Command{
+		Use:           "molepaddle",
+		Short:         "A load-balancing agent, told by the file that EDGE_CONFIG names",
+		Long:          "Without a command it is the agent, told by the file that EDGE_CONFIG names. SIGTERM ends it when\nall that it holds is answered, SIGHUP reads its files anew.",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		Args:          taking(noArgs),
+		RunE:          func(*cobra.Command, []string) error { return serve(file) },
+	}
+	root.SetOut(out)
+	root.SetErr(out)
+	root.SetFlagErrorFunc(func(cmd *cobra.Command, err error) error {
+		return usageError{fmt.Errorf("%s: %w; --help tells the usage", cmd.CommandPath(), err)}
+	})
+	operatorFlag := func(cmd *cobra.Command) {
+		cmd.Flags().StringVar(&file, "operator", "", "the operator's file")
+	}
+	operatorFlag(root)
+	check := &cobra.Command{Use: "check", Short: "Read both files and say what is on", Args: taking(noArgs),
+		RunE: func(*cobra.Command, []string) error { return check(file, out) }}
+	operatorFlag(check)
+	link := &cobra.Command{Use: "link", Short: "Say what a running gateway holds of links", Args: taking(noArgs),
+		RunE: func(*cobra.Command, []string) error { return showLink(file, asJSON, out) }}
+	operatorFlag(link)
+	link.Flags().BoolVar(&asJSON, "json", false, "as JSON")
+	keysCmd := &cobra.Command{Use: "keys", Short: "Make or show certificates of links", Args: taking(noArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error { return cmd.Help() }}
+	make_ := &cobra.Command{Use: "make DIR NAME...", Short: "An authority and certificates for a trial set-up", Args: taking(cobra.MinimumNArgs(2)),
+		RunE: func(_ *cobra.Command, args []string) error { return makeKeys(args, days, out) }}
+	make_.Flags().IntVar(&days, "days", days, "that they last")
+	show := &cobra.Command{Use: "show FILE...", Short: "What certificates a file holds, and when they end", Args: taking(cobra.MinimumNArgs(1)),
+		RunE: func(_ *cobra.Command, args []string) error { return showKeys(args, out) }}
+	keysCmd.AddCommand(make_, show)
+	root.AddCommand(check, link, keysCmd, labCommand(out),
+		&cobra.Command{Use: "demo", Short: "Play scenes on loopback with stand-ins", Args: taking(noArgs),
+			RunE: untilSignal(func(ctx context.Context, _ []string) error { return demo.Run(ctx, out) })},
+		&cobra.Command{Use: "standin ROSTER SERVER...", Short: "A roster and order servers on loopback, for trials", Args: taking(cobra.MinimumNArgs(2)),
+			Long: "Each is named by its address on loopback. Lines on standard input change the list:\n'drain ADDRESS', 'ready ADDRESS'.",
+			RunE: untilSignal(func(ctx context.Context, args []string) error { return standIn(ctx, args, os.Stdin, out) })},
+		&cobra.Command{Use: "version", Short: "Tell the version and what it was built from", Args: taking(noArgs),
+			RunE: func(*cobra.Command, []string) error { fmt.Fprintln(out, version()); return nil }})
+	return root
 }
 
 // listenUnix listens on a Unix socket. A file that a killed process has left there is
@@ -136,28 +186,30 @@
 	return nil
 }
 
-// keysCommand makes or shows certificates.
-func keysCommand(args []string, days int, out io.Writer) error {
-	switch {
-	case len(args) >= 3 && args[0] == "make" && days > 0:
-		if err := keys.Make(args[1], args[2:], time.Duration(days)*24*time.Hour); err != nil {
+// makeKeys makes an authority and certificates.
+func makeKeys(args []string, days int, out io.Writer) error {
+	if days <= 0 {
+		return usageError{fmt.Errorf("keys make: --days must be above 0, is %d", days)}
+	}
+	if err := keys.Make(args[0], args[1:], time.Duration(days)*24*time.Hour); err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "ca.pem, and for each of %s a .pem and a .key, in %s; %d days\n", strings.Join(args[1:], ", "), args[0], days)
+	return nil
+}
+
+// showKeys tells what certificates files hold.
+func showKeys(files []string, out io.Writer) error {
+	for _, file := range files {
+		lines, err := keys.Show(file)
+		if err != nil {
 			return err
 		}
-		fmt.Fprintf(out, "ca.pem, and for each of %s a .pem and a .key, in %s; %d days\n", strings.Join(args[2:], ", "), args[1], days)
-		return nil
-	case len(args) >= 2 && args[0] == "show":
-		for _, file := range args[1:] {
-			lines, err := keys.Show(file)
-			if err != nil {
-				return err
-			}
-			for _, line := range lines {
-				fmt.Fprintf(out, "%s: %s\n", file, line)
-			}
+		for _, line := range lines {
+			fmt.Fprintf(out, "%s: %s\n", file, line)
 		}
-		return nil
 	}
-	return errors.New("keys: make DIR NAME... or show FILE...; --help tells the usage")
+	return nil
 }
 
 // read reads both files.
@@ -247,7 +299,7 @@
 	runtime.GOMAXPROCS(max(int(math.Ceil(conf.Limits.Cores)), 1))
 	debug.SetGCPercent(400)
 	debug.SetMemoryLimit(int64(conf.Limits.MemoryMB * 0.6 * (1 << 20)))
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("agent", conf.Name)
+	log := logging.New(os.Stderr, oper.Log).With("agent", conf.Name)
 	listeners, err := listen(conf, oper)
 	if err != nil {
 		return err
--- a/cmd/molepaddle/main_test.go
+++ b/cmd/molepaddle/main_test.go
@@ -207,10 +207,17 @@
 		{[]string{"check"}, "", "EDGE_CONFIG: not set"},
 		{[]string{"--operator", bad}, conf, "bad.toml:2"},
 		{[]string{"version"}, "", "molepaddle"},
-		{[]string{"version", "--operator", good}, "", "flag provided but not defined"},
-		{[]string{"--help"}, "", "molepaddle check"},
+		{[]string{"version", "--operator", good}, "", "unknown flag: --operator"},
+		{[]string{"--help"}, "", "check       Read both files"},
 		{[]string{"demonstrate"}, "", "no command"},
 		{[]string{"check", "this"}, conf, "not understood"},
+		{[]string{"lab", "play"}, "", "no command"},
+		{[]string{"lab", "run", "nowhere"}, "", "shipped are agents-restarted"},
+		{[]string{"lab", "run", "calm", "-v", "chooser=best"}, "", "is no chooser"},
+		{[]string{"lab", "run", "calm", "--set", "speed=2"}, "", "is no knob"},
+		{[]string{"lab", "sweep", "calm", "--over", "load=3:1:1"}, "", "want values"},
+		{[]string{"lab", "list"}, "", "What if a zone is lost at noon?"},
+		{[]string{"completion", "bash"}, "", "bash completion"},
 	} {
 		t.Setenv("EDGE_CONFIG", c.path)
 		var out strings.Builder
--- a/cmd/molepaddle/standin.go
+++ b/cmd/molepaddle/standin.go
@@ -17,7 +17,7 @@
 // Lines of in change the list: 'drain ADDRESS', 'ready ADDRESS'.
 func standIn(ctx context.Context, args []string, in io.Reader, out io.Writer) error {
 	if len(args) < 2 {
-		return errors.New("standin: the address of the roster, then those of the servers; --help tells the usage")
+		return usageError{errors.New("standin: the address of the roster, then those of the servers")}
 	}
 	roster, err := standin.NewRosterAt(args[0])
 	if err != nil {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -18,6 +18,7 @@
 	"molepaddle/internal/httptransport"
 	"molepaddle/internal/operator"
 	"molepaddle/internal/roster"
+	"molepaddle/internal/settings"
 )
 
 // otherSockets are kept for the roster, the listener and the runtime.
@@ -47,6 +48,9 @@
 	Links net.Listener
 }
 
+// Decide makes what decides for an agent in the place of policy.New.
+type Decide func(set settings.Settings, seed uint64) (core.Decider, error)
+
 // Agent is one agent.
 type Agent struct {
 	core      *core.Core
@@ -59,6 +63,11 @@
 // New makes an agent, which is told the list of its configuration, and what the operator
 // switches on.
 func New(c *config.Config, o *operator.Settings, network Network, log *slog.Logger) (*Agent, error) {
+	return NewWith(c, o, network, nil, log)
+}
+
+// NewWith makes an agent with other decisions than its own, as the lab does; nil: its own.
+func NewWith(c *config.Config, o *operator.Settings, network Network, decide Decide, log *slog.Logger) (*Agent, error) {
 	if network.Dial == nil {
 		network.Dial = (&net.Dialer{KeepAlive: -1}).DialContext
 	}
@@ -79,9 +88,10 @@
 		ids = core.NewIDs(&c.Settings)
 	}
 	k, err := core.New(ctx, core.Options{
-		IDs:      ids,
-		Fleet:    o.Fleet.Options(),
-		Settings: c.Settings, Seed: c.Seed, Known: c.Known, MaxOpen: openRequests(c.Limits.Sockets),
+		IDs:        ids,
+		NewDecider: decide,
+		Fleet:      o.Fleet.Options(),
+		Settings:   c.Settings, Seed: c.Seed, Known: c.Known, MaxOpen: openRequests(c.Limits.Sockets),
 		// Room for all that can be under way at once: a front end must not wait there.
 		Queue:      4 * c.Limits.Sockets,
 		Transport:  transport,
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -48,12 +48,20 @@
 	// NewRoster makes the client of the roster at an address.
 	NewRoster func(addr string, tell func(News)) Roster
 	Log       *slog.Logger
+	// NewDecider makes what decides; nil: policy.New. The lab puts baselines there.
+	NewDecider func(set settings.Settings, seed uint64) (Decider, error)
 	// IDs is shared with other cores; nil: the core has its own.
 	IDs *IDs
 	// Fleet is what the operator has set for very many agents; nil: there are few.
 	Fleet *fleet.Options
 }
 
+// Decider is what decides for a core; policy.Balancer is the one in service.
+type Decider interface {
+	Start(now float64, out []policy.Action) []policy.Action
+	Handle(now float64, ev *policy.Event, out []policy.Action) []policy.Action
+}
+
 // inKind tells what happened.
 type inKind uint8
 
@@ -111,7 +119,7 @@
 
 	// The lock guards what stands below.
 	mu         sync.Mutex
-	bal        *policy.Balancer
+	bal        Decider
 	todo       []input // what Run itself gave rise to, to be handled next
 	base       time.Time
 	baseMs     float64
@@ -137,7 +145,13 @@
 	if set.Limits.OpenCap <= 0 || set.Limits.OpenCap > o.MaxOpen {
 		set.Limits.OpenCap = o.MaxOpen
 	}
-	bal, err := policy.New(set, o.Seed)
+	var bal Decider
+	var err error
+	if o.NewDecider != nil {
+		bal, err = o.NewDecider(set, o.Seed)
+	} else {
+		bal, err = policy.New(set, o.Seed)
+	}
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/lab/live/agents.go
@@ -0,0 +1,261 @@
+package live
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"molepaddle/internal/agent"
+	"molepaddle/internal/config"
+	"molepaddle/internal/core"
+	"molepaddle/internal/lab/choose"
+	"molepaddle/internal/lab/measure"
+	"molepaddle/internal/scenario"
+	"molepaddle/internal/settings"
+)
+
+// agentRun is one agent, a process or in this one.
+type agentRun struct {
+	listen string
+	base   string
+	client *http.Client
+	since  float64
+	said   tail
+	cmd    *exec.Cmd
+	gone   chan struct{} // closed when it has ended
+	end    func(planned bool)
+	once   sync.Once
+
+	mu     sync.Mutex
+	killed float64 // when it was killed, in ms; 0: it was not
+	last   measure.Agent
+	spent  bool
+}
+
+// tail keeps the end of what a process says.
+type tail struct {
+	mu   sync.Mutex
+	text []byte
+}
+
+const tailBytes = 4096
+
+func (t *tail) Write(p []byte) (int, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.text = append(t.text, p...)
+	if over := len(t.text) - tailBytes; over > 0 {
+		t.text = append(t.text[:0], t.text[over:]...)
+	}
+	return len(p), nil
+}
+
+// last is the last line that was said.
+func (t *tail) last() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	lines := strings.Split(strings.TrimSpace(string(t.text)), "\n")
+	return lines[len(lines)-1]
+}
+
+func newClient(s *scenario.Scenario) *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: s.Limits.Sockets / 3, MaxConnsPerHost: s.Limits.Sockets,
+		IdleConnTimeout: 5 * time.Second, DisableCompression: true}}
+}
+
+// ended tells whether the agent was killed after a request came.
+func (a *agentRun) ended(at float64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.killed > 0 && at <= a.killed+50
+}
+
+// spawn starts a process.
+func (a *agentRun) spawn(binary, config, operator string, log io.Writer) error {
+	var args []string
+	if operator != "" {
+		args = []string{"--operator", operator}
+	}
+	a.cmd = exec.Command(binary, args...)
+	a.cmd.Env = append(os.Environ(), "EDGE_CONFIG="+config)
+	a.cmd.Stderr, a.cmd.Stdout = log, log
+	a.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := a.cmd.Start(); err != nil {
+		return err
+	}
+	a.gone = make(chan struct{})
+	go func() { a.cmd.Wait(); close(a.gone) }()
+	a.end = func(planned bool) {
+		a.read()
+		if planned {
+			a.cmd.Process.Signal(syscall.SIGTERM)
+			select {
+			case <-a.gone:
+				return
+			case <-time.After(5 * time.Second):
+			}
+		}
+		a.cmd.Process.Kill()
+		<-a.gone
+	}
+	return nil
+}
+
+// inside starts an agent in this process, with a chooser of its own.
+func (a *agentRun) inside(w *world, index int, text []byte) error {
+	conf, err := config.Parse(text)
+	if err != nil {
+		return err
+	}
+	decide := func(set settings.Settings, seed uint64) (core.Decider, error) {
+		return choose.New(w.o.Chooser, set, seed, truth{w})
+	}
+	log := slog.New(slog.NewTextHandler(&a.said, &slog.HandlerOptions{Level: slog.LevelError}))
+	g, err := agent.NewWith(conf, w.oper, agent.Network{Dial: w.dial}, decide, log)
+	if err != nil {
+		return err
+	}
+	ln, err := net.Listen("tcp", conf.Listen)
+	if err != nil {
+		g.Close()
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	a.gone = make(chan struct{})
+	go func() { defer close(a.gone); g.Serve(ctx, ln) }()
+	a.end = func(planned bool) {
+		if planned {
+			cancel()
+			select {
+			case <-a.gone:
+				return
+			case <-time.After(5 * time.Second):
+			}
+		}
+		g.Close()
+		cancel()
+		ln.Close()
+		<-a.gone
+	}
+	return nil
+}
+
+// ready waits until the agent says so.
+func (a *agentRun) ready(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyWithin)
+	defer cancel()
+	said := "nothing"
+	for {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, a.base+"/ready", nil)
+		if err != nil {
+			return err
+		}
+		if resp, err := a.client.Do(req); err == nil {
+			io.Copy(io.Discard, io.LimitReader(resp.Body, 1<<16))
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+			said = resp.Status
+		} else if !errors.Is(err, syscall.ECONNREFUSED) && ctx.Err() == nil {
+			said = err.Error()
+		}
+		select {
+		case <-a.gone:
+			return fmt.Errorf("ended before it was ready: %q", a.said.last())
+		case <-ctx.Done():
+			return fmt.Errorf("not ready after %v, said %q: %w", readyWithin, said, context.Cause(ctx))
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
+
+// stop ends the agent as planned, kill at once.
+func (a *agentRun) stop() { a.finish(true) }
+func (a *agentRun) kill() { a.finish(false) }
+
+func (a *agentRun) finish(planned bool) {
+	a.once.Do(func() {
+		if a.end != nil {
+			a.end(planned)
+		}
+		a.client.CloseIdleConnections()
+	})
+}
+
+// read notes what a process has used.
+func (a *agentRun) read() {
+	if a.cmd == nil || a.cmd.Process == nil {
+		return
+	}
+	u, ok := processUsage(a.cmd.Process.Pid)
+	if !ok {
+		return
+	}
+	a.mu.Lock()
+	a.last, a.spent = u, true
+	a.mu.Unlock()
+}
+
+func (a *agentRun) usage() (measure.Agent, bool) {
+	select {
+	case <-a.gone:
+	default:
+		a.read()
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.last, a.spent
+}
+
+// processUsage reads what a process has used so far: memory at the most, and cores on the mean
+// of its life.
+func processUsage(pid int) (u measure.Agent, ok bool) {
+	status, err := os.ReadFile(fmt.Sprint("/proc/", pid, "/status"))
+	if err != nil {
+		return u, false
+	}
+	for line := range bytes.Lines(status) {
+		if rest, found := bytes.CutPrefix(line, []byte("VmHWM:")); found {
+			kb, _ := strconv.ParseFloat(string(bytes.Fields(rest)[0]), 64)
+			u.MemoryMB = kb / 1024
+		}
+	}
+	stat, err := os.ReadFile(fmt.Sprint("/proc/", pid, "/stat"))
+	uptime, err2 := os.ReadFile("/proc/uptime")
+	_, rest, found := strings.Cut(string(stat), ") ") // the name may hold anything
+	fields := strings.Fields(rest)
+	if err != nil || err2 != nil || !found || len(fields) < 20 {
+		return u, false
+	}
+	const ticks = 100 // a second, on Linux
+	user, _ := strconv.ParseFloat(fields[11], 64)
+	system, _ := strconv.ParseFloat(fields[12], 64)
+	began, _ := strconv.ParseFloat(fields[19], 64)
+	up, _ := strconv.ParseFloat(strings.Fields(string(uptime))[0], 64)
+	if age := up - began/ticks; age > 0 {
+		u.CPU = (user + system) / ticks / age
+	}
+	return u, true
+}
+
+// cpu is what this process has used so far, in seconds of a core.
+func (w *world) cpu() float64 {
+	var r syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &r) != nil {
+		return 0
+	}
+	return float64(r.Utime.Nano()+r.Stime.Nano()) / 1e9
+}
--- /dev/null
+++ b/internal/lab/live/live.go
@@ -0,0 +1,562 @@
+// Package live plays a scenario over loopback sockets: real agents, as processes of any build or
+// in this process with any chooser, stand-ins that behave as the scenario says, and an open-loop
+// generator that holds to arrival times fixed ahead. Servers, requests, timeline and recorder are
+// those of the model.
+//
+// One lock guards the stations, the recorder and all that the timeline changes. Each stand-in
+// server is a net/http server with a goroutine for each connection; a request of the generator
+// is a goroutine; the generator itself is Play's.
+//
+// What the network does is played by the stand-ins: a request and its answer wait there for as
+// long as they would be under way, and the first request on a connection for a connect. A
+// machine that says nothing accepts connections all the same where agents are processes, as the
+// kernel does that for it; in-process agents' connects to it hang.
+package live
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"molepaddle/internal/cluster"
+	"molepaddle/internal/lab/choose"
+	"molepaddle/internal/lab/law"
+	"molepaddle/internal/lab/measure"
+	"molepaddle/internal/lab/station"
+	"molepaddle/internal/lab/timeline"
+	"molepaddle/internal/operator"
+	"molepaddle/internal/scenario"
+	"molepaddle/internal/standin"
+	"molepaddle/policy"
+)
+
+// Bounds of what is played on one machine.
+const (
+	MaxAgents  = 64
+	MaxServers = 256
+	MaxRate    = 5000.0 // requests a second
+	MaxLength  = 30 * time.Minute
+	// slack is how long after its time is up an answer still counts: it was under way.
+	slack = 50.0
+	// lateAllowed is how late the generator, or a stand-in, may be at the 99th percentile, as a part
+	// of the least aim; a run in which they were later does not count.
+	lateAllowed = 0.02
+	lateLeast   = 2.0 // ms, however short the aim
+	readyWithin = 15 * time.Second
+)
+
+// Options is what a play may be told.
+type Options struct {
+	Chooser  string // empty: the scenario's; of in-process agents only
+	Seed     uint64
+	Binary   string // the agents' program; empty: agents in this process
+	Operator string // path of the operator's file; empty: none
+	Tick     func(part float64)
+	Log      io.Writer // what agents say; nil: nowhere
+}
+
+type server struct {
+	num      int
+	name     string
+	kind     int
+	zone     int
+	addr     cluster.Addr
+	dial     string
+	st       *station.Station
+	http     *http.Server
+	conns    map[net.Conn]bool
+	up       bool
+	silent   bool
+	health   cluster.Health
+	removed  bool
+	hush     chan struct{} // closed when its process ends or its machine is back
+	most     int
+	connects int
+	coming   int
+	late     float64
+	busy     []float64
+	worked   float64
+	peak     float64
+	fell     bool
+}
+
+// try is one sending of a request.
+type try struct {
+	measure.Try
+	id     string
+	agent  int
+	number int
+	first  bool
+	final  bool
+	out    map[*server]int
+}
+
+type world struct {
+	s      *scenario.Scenario
+	o      Options
+	plan   []law.Ask
+	paths  *law.Paths
+	zones  []int
+	start  time.Time
+	roster *standin.Roster
+	oper   *operator.Settings
+	ctx    context.Context
+	dir    string
+	wg     sync.WaitGroup
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	servers []*server
+	byAddr  map[cluster.Addr]*server
+	byDial  map[string]*server
+	agents  []*agentRun
+	tries   map[string]*try
+	stalls  []stall
+	rec     *measure.Recorder
+	timers  map[*time.Timer]bool
+	ended   bool
+	late    *hdrhistogram.Histogram // of the generator, us
+	slow    *hdrhistogram.Histogram // of the stand-ins' timers, us
+	means   float64
+	asked   int
+}
+
+type stall struct {
+	a, b  int
+	until float64
+}
+
+// Play plays a scenario until its end or the context's: then what came of it so far is told
+// with the context's error. Nothing is left running.
+func Play(ctx context.Context, s *scenario.Scenario, o Options) (*measure.Result, error) {
+	if err := check(s); err != nil {
+		return nil, err
+	}
+	if o.Chooser == "" {
+		o.Chooser = s.Agent.Chooser
+	}
+	if o.Binary != "" && o.Chooser != "molepaddle" {
+		return nil, fmt.Errorf("live: %s plays in this process only, not in %s", o.Chooser, o.Binary)
+	}
+	w := &world{s: s, o: o, plan: law.Plan(s, o.Seed), paths: law.NewPaths(s), zones: law.Zones(s), rng: law.Source(o.Seed, "network"),
+		byAddr: map[cluster.Addr]*server{}, byDial: map[string]*server{}, tries: map[string]*try{}, timers: map[*time.Timer]bool{},
+		late: hdrhistogram.New(1, 60e6, 3), slow: hdrhistogram.New(1, 60e6, 3), means: s.MeanWork(), oper: operator.Default()}
+	w.rec = measure.New(s, w.plan)
+	if o.Operator != "" {
+		var err error
+		if w.oper, err = operator.Load(o.Operator); err != nil {
+			return nil, err
+		}
+	}
+	var err error
+	if w.dir, err = os.MkdirTemp("", "molepaddle-lab"); err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(w.dir)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	w.ctx = ctx
+	defer w.close()
+	w.start = time.Now()
+	if err := w.setUp(); err != nil {
+		return nil, err
+	}
+	if err := w.startAgents(); err != nil {
+		return nil, err
+	}
+	w.start = time.Now() // ramps of servers that start cold begin now
+	begun := w.cpu()
+	w.begin()
+	err = w.generate(ctx)
+	w.wait(ctx)
+	return w.result(begun), err
+}
+
+func check(s *scenario.Scenario) error {
+	rate := s.Load() * s.Capacity()
+	for i := range s.Events {
+		if e := &s.Events[i]; e.Kind == "load" {
+			rate *= max(e.Factor, 1)
+		}
+	}
+	switch {
+	case s.Agents() > MaxAgents:
+		return fmt.Errorf("live: at most %d agents, are %d: play the model", MaxAgents, s.Agents())
+	case s.Count() > MaxServers:
+		return fmt.Errorf("live: at most %d servers, are %d: play the model", MaxServers, s.Count())
+	case rate > MaxRate:
+		return fmt.Errorf("live: at most %v requests a second, are %.0f: play the model", MaxRate, rate)
+	case time.Duration(s.Length) > MaxLength:
+		return fmt.Errorf("live: at most %v, is %v: play the model", MaxLength, time.Duration(s.Length))
+	}
+	return nil
+}
+
+// now is the time since the start, in ms.
+func (w *world) now() float64 { return float64(time.Since(w.start)) / float64(time.Millisecond) }
+
+// after does something later, under the lock, unless the play has ended.
+func (w *world) after(wait float64, do func()) {
+	var t *time.Timer
+	t = time.AfterFunc(law.Ms(max(wait, 0)), func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		delete(w.timers, t)
+		if !w.ended {
+			do()
+		}
+	})
+	w.timers[t] = true
+}
+
+func (w *world) setUp() error {
+	var err error
+	if w.roster, err = standin.NewRoster(); err != nil {
+		return err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for k := range w.s.Servers {
+		kind := &w.s.Servers[k]
+		for i := range kind.Count {
+			born := -1.0
+			if kind.Cold {
+				born = 0
+			}
+			v, err := w.newServer(k, slices.Index(w.s.Zones, kind.Zones[i%len(kind.Zones)]), fmt.Sprint(kind.Kind, "-", i+1), born)
+			if err != nil {
+				return err
+			}
+			w.roster.Set(w.host(v))
+		}
+	}
+	return nil
+}
+
+// begin sets the timeline going.
+func (w *world) begin() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i := range w.s.Events {
+		w.after(w.s.Events[i].At.Ms(), func() { timeline.Run(host{w}, w.s, i, w.o.Seed) })
+	}
+	w.after(w.rec.Bucket(), w.sample)
+}
+
+func (w *world) sample() {
+	span := w.rec.Bucket()
+	now := w.now()
+	for _, v := range w.servers {
+		v.busy = append(v.busy, float64(int(1000*v.st.BusyTime(now)/(span*float64(w.s.Servers[v.kind].Slots))))/1000)
+	}
+	if next := float64(len(w.servers[0].busy)+1) * span; next <= w.s.Length.Ms() {
+		w.after(next-now, w.sample)
+	}
+}
+
+// generate asks what the plan says, at the times that it says, whatever becomes of it.
+func (w *world) generate(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for i := range w.plan {
+		due := w.start.Add(law.Ms(w.plan[i].At))
+		if wait := time.Until(due); wait > 0 {
+			timer.Reset(wait)
+			select {
+			case <-timer.C:
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		} else if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		late := time.Since(due)
+		w.mu.Lock()
+		_ = w.late.RecordValue(min(max(late.Microseconds(), 1), 60e6))
+		w.asked = i + 1
+		w.mu.Unlock()
+		w.wg.Add(1)
+		go w.ask(ctx, i, 0)
+		if w.o.Tick != nil && i%64 == 0 {
+			w.o.Tick(w.plan[i].At / w.s.Length.Ms())
+		}
+	}
+	return nil
+}
+
+// wait waits for the requests that are out; each ends by itself.
+func (w *world) wait(ctx context.Context) {
+	done := make(chan struct{})
+	go func() { w.wg.Wait(); close(done) }()
+	select {
+	case <-done:
+	case <-ctx.Done():
+		<-done // their contexts end with it
+	}
+}
+
+// ask sends one request and tells what became of it.
+func (w *world) ask(ctx context.Context, i, number int) {
+	defer w.wg.Done()
+	p := &w.plan[i]
+	class := &w.s.Classes[p.Class]
+	now := w.now()
+	deadline := p.At + float64(p.Patience)
+	t := &try{agent: int(p.Agent), number: number, out: map[*server]int{}}
+	t.Try = measure.Try{ID: fmt.Sprint("r", i, ".", number), Ask: i, Class: int(p.Class), At: now, Deadline: deadline}
+	w.mu.Lock()
+	w.rec.Start(&t.Try)
+	w.tries[t.ID] = t
+	a := w.agents[p.Agent]
+	w.mu.Unlock()
+	limit := deadline + slack
+	if p.Leaves > 0 && number == 0 {
+		limit = p.At + float64(p.Leaves)
+	}
+	at, cancel := context.WithDeadline(ctx, w.start.Add(law.Ms(limit)))
+	defer cancel()
+	method := http.MethodPost
+	if class.Effect == "safe" {
+		method = http.MethodGet
+	}
+	outcome, retryAfter := measure.Lost, 0.0
+	req, err := http.NewRequestWithContext(at, method, fmt.Sprintf("%s/%s/k%d", a.base, class.Name, p.Key), nil)
+	if err == nil {
+		req.Header.Set("Request-Id", t.ID)
+		req.Header.Set("Request-Timeout", fmt.Sprint(int64((deadline-now)*1000), "u"))
+		if class.Effect == "keyed" {
+			req.Header.Set("Idempotency-Key", fmt.Sprint("i", i))
+		}
+		if number > 0 {
+			req.Header.Set("Client-Retry", "1")
+		}
+		var resp *http.Response
+		if resp, err = a.client.Do(req); err == nil {
+			var body []byte
+			body, err = io.ReadAll(io.LimitReader(resp.Body, 1<<16))
+			resp.Body.Close()
+			switch {
+			case err != nil:
+			case resp.StatusCode == http.StatusOK:
+				outcome = measure.Served
+				if by, of, _ := strings.Cut(string(body), " "); by != t.ID {
+					w.mu.Lock()
+					w.rec.Breach(w.now(), "an answer made for another request: "+by+" of "+of, &t.Try)
+					w.mu.Unlock()
+				}
+			case resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests:
+				outcome = measure.Refused
+				fmt.Sscan(resp.Header.Get("Retry-After"), &retryAfter)
+			default:
+				outcome = measure.Failed
+			}
+		}
+	}
+	now = w.now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err != nil && (ctx.Err() != nil || p.Leaves > 0 && number == 0 || a.ended(t.At)) {
+		outcome = measure.Gone // the play ended, the client left, or its agent was killed
+	}
+	w.rec.End(&t.Try, now, outcome, outcome != measure.Served && outcome != measure.Gone && w.needless(t, now))
+	portal := &w.s.Portals[p.Portal]
+	if outcome == measure.Served || ctx.Err() != nil || number >= portal.Retries || p.Leaves > 0 || outcome != measure.Refused && class.Effect == "unsafe" {
+		return
+	}
+	wait := portal.Backoff.Ms() * float64(int(1)<<number)
+	if retryAfter > 0 && law.Unit(w.o.Seed, uint64(i), uint64(number), 7) < portal.Heeds {
+		wait = max(wait, 1000*retryAfter)
+	}
+	if now+wait+2 < deadline && !w.ended {
+		w.wg.Add(1)
+		time.AfterFunc(law.Ms(wait), func() { w.ask(ctx, i, number+1) })
+	}
+}
+
+func (w *world) needless(t *try, now float64) bool {
+	work := float64(w.plan[t.Ask].Work)
+	for _, v := range w.servers {
+		if v.up && !v.silent && v.health == cluster.Ready && v.st.Idle() > v.coming && v.st.Ramp(now) == 1 && v.st.Failing(now) < 0.05 &&
+			2*w.paths.Mean(w.zones[t.agent], v.zone)+work/v.st.Rate(now) < t.Deadline-now {
+			return true
+		}
+	}
+	return false
+}
+
+func (w *world) result(begun float64) *measure.Result {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ended = true
+	now := min(w.now(), w.s.Length.Ms())
+	for _, v := range w.servers {
+		w.rec.Worked(v.worked + v.st.Worked)
+	}
+	return w.rec.Result(func(r *measure.Result) {
+		for _, v := range w.servers {
+			r.OpenMost = max(r.OpenMost, v.most)
+			r.Connects += v.connects
+			k := &w.s.Servers[v.kind]
+			r.Servers = append(r.Servers, measure.Server{Name: v.name, Kind: k.Kind, Zone: w.s.Zones[v.zone], Busy: v.busy,
+				Work: (v.worked + v.st.Worked) / (now * float64(k.Slots) * k.Speed), Peak: max(v.peak, v.st.Peak) / w.s.Rules.FallMultiple, Fell: v.fell})
+		}
+		r.Questions, _ = w.roster.Counts()
+		for _, a := range w.agents {
+			if u, ok := a.usage(); ok {
+				r.Agents = append(r.Agents, u)
+			}
+		}
+		aim := w.s.Classes[0].Aim.Ms()
+		for _, c := range w.s.Classes {
+			aim = min(aim, c.Aim.Ms())
+		}
+		most := max(aim*lateAllowed, lateLeast)
+		r.LateP99 = float64(w.late.ValueAtQuantile(99)) / 1000
+		standIns := float64(w.slow.ValueAtQuantile(99)) / 1000
+		r.GeneratorCPU = (w.cpu() - begun) / max(now/1000, 0.001)
+		switch {
+		case r.LateP99 > most:
+			r.Void = fmt.Sprintf("the generator was late by %.1f ms at the 99th percentile, %.1f at the most", r.LateP99, most)
+		case standIns > most:
+			r.Void = fmt.Sprintf("a stand-in was late by %.1f ms at the 99th percentile, %.1f at the most", standIns, most)
+		}
+	})
+}
+
+// close ends all that was started.
+func (w *world) close() {
+	w.mu.Lock()
+	w.ended = true
+	for t := range w.timers {
+		t.Stop()
+	}
+	agents, servers := slices.Clone(w.agents), slices.Clone(w.servers)
+	w.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, a := range agents {
+		if a != nil {
+			wg.Go(func() { a.kill() })
+		}
+	}
+	wg.Wait()
+	for _, v := range servers {
+		v.http.Close()
+	}
+	if w.roster != nil {
+		w.roster.Close()
+	}
+}
+
+// ---- agents ----
+
+// startAgents starts all agents and waits until each is ready.
+func (w *world) startAgents() error {
+	n := w.s.Agents()
+	w.agents = make([]*agentRun, n)
+	errs := make(chan error, n)
+	for i := range n {
+		go func() { errs <- w.startAgent(i) }()
+	}
+	var all []error
+	for range n {
+		all = append(all, <-errs)
+	}
+	return errors.Join(all...)
+}
+
+// startAgent starts one, at the address that it had before if it had one.
+func (w *world) startAgent(i int) error {
+	listen := "127.0.0.1:0"
+	w.mu.Lock()
+	if old := w.agents[i]; old != nil {
+		listen = old.listen
+	}
+	seed := law.Seed(w.o.Seed, fmt.Sprint("agent", i, w.asked))
+	w.mu.Unlock()
+	if listen == "127.0.0.1:0" {
+		ln, err := net.Listen("tcp", listen)
+		if err != nil {
+			return err
+		}
+		listen = ln.Addr().String()
+		ln.Close()
+	}
+	text, err := w.s.Config(fmt.Sprint("agent-", i), listen, w.roster.Addr, fmt.Sprintf("%016x", seed), i, w.zones[i], w.roster.List())
+	if err != nil {
+		return err
+	}
+	a := &agentRun{listen: listen, base: "http://" + listen, client: newClient(w.s), since: w.now()}
+	if w.o.Binary == "" {
+		err = a.inside(w, i, text)
+	} else {
+		var log io.Writer = &a.said
+		path := filepath.Join(w.dir, fmt.Sprint("agent-", i, ".json"))
+		if err = os.WriteFile(path, text, 0o600); err == nil {
+			err = a.spawn(w.o.Binary, path, w.o.Operator, log)
+		}
+	}
+	if err == nil {
+		err = a.ready(w.ctx)
+	}
+	if err != nil {
+		a.kill()
+		return fmt.Errorf("live: agent %d: %w", i, err)
+	}
+	w.mu.Lock()
+	w.agents[i] = a
+	w.mu.Unlock()
+	return nil
+}
+
+// truth is what the oracle sees; it takes the lock.
+type truth struct{ w *world }
+
+func (t truth) Finish(addr cluster.Addr, zone int, work float64, key uint64) (after, wait float64, ok bool) {
+	w := t.w
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	v := w.byAddr[addr]
+	if v == nil || !v.up || v.silent || v.st.Fell() {
+		return 0, 0, false
+	}
+	now := w.now()
+	fail := v.st.Failing(now)
+	if fail > 0.5 {
+		return 0, 0, false
+	}
+	kind, rate := &w.s.Servers[v.kind], v.st.Rate(now)
+	if v.st.Knows(now, uint32(key)) {
+		work *= 1 - kind.KeySaves
+	}
+	if v.st.Idle() <= v.coming {
+		wait = (v.st.Backlog(now) + float64(v.coming)*w.means/rate) / float64(kind.Slots)
+		if v.st.Holds()-kind.Slots >= kind.Queue {
+			return 0, 0, false
+		}
+	}
+	return (2*w.paths.Mean(zone, v.zone) + wait + work/rate) / (1 - fail), wait, true
+}
+
+func (t truth) Work(int, policy.RequestID) float64 { return t.w.means }
+func (t truth) MeanWork(class int) float64         { return t.w.s.Classes[class].Work.Ms() }
+
+func (t truth) Bears(addr cluster.Addr, work float64) bool {
+	t.w.mu.Lock()
+	defer t.w.mu.Unlock()
+	v := t.w.byAddr[addr]
+	return v != nil && v.st.Bears(t.w.now(), work+float64(v.coming)*t.w.means, 0.7)
+}
+
+var _ choose.Truth = truth{}
--- /dev/null
+++ b/internal/lab/live/servers.go
@@ -0,0 +1,393 @@
+package live
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"molepaddle/internal/cluster"
+	"molepaddle/internal/lab/law"
+	"molepaddle/internal/lab/station"
+	"molepaddle/internal/lab/timeline"
+	"molepaddle/internal/standin"
+)
+
+// first marks a connection of which no request has come.
+type first struct{ unused bool }
+
+type firstKey struct{}
+
+func (w *world) newServer(kind, zone int, name string, born float64) (*server, error) {
+	v := &server{num: len(w.servers), name: name, kind: kind, zone: zone, health: cluster.Ready}
+	v.st = station.New(&w.s.Servers[kind], &w.s.Rules, law.Seed(w.o.Seed, name), born)
+	if err := w.open(v, "127.0.0.1:0"); err != nil {
+		return nil, err
+	}
+	w.servers = append(w.servers, v)
+	w.byDial[v.dial] = v
+	return v, nil
+}
+
+// open lets a server's process listen.
+func (w *world) open(v *server, at string) error {
+	ln, err := net.Listen("tcp", at)
+	if err != nil {
+		return err
+	}
+	v.dial = ln.Addr().String()
+	v.addr = cluster.Addr{}
+	v.up, v.silent, v.conns, v.hush = true, false, map[net.Conn]bool{}, make(chan struct{})
+	v.http = &http.Server{
+		Handler:           http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) { w.serve(v, rw, r) }),
+		ReadHeaderTimeout: time.Minute,
+		IdleTimeout:       time.Duration(w.s.Servers[v.kind].IdleClose),
+		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+			return context.WithValue(ctx, firstKey{}, &first{true})
+		},
+	}
+	conns := v.conns
+	v.http.ConnState = func(c net.Conn, state http.ConnState) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		switch state {
+		case http.StateNew:
+			v.connects++
+			conns[c] = true
+			v.most = max(v.most, len(conns))
+			if most := w.s.Servers[v.kind].Connections; most > 0 && len(conns) > most {
+				c.Close()
+			}
+		case http.StateClosed:
+			delete(conns, c)
+		}
+	}
+	go v.http.Serve(ln)
+	return nil
+}
+
+func (w *world) host(v *server) standin.Host {
+	h := standin.Host{Host: v.name, Dial: v.dial, Site: w.s.Zones[v.zone], Class: w.s.Servers[v.kind].Kind, Block: v.num / 4, Share: 1,
+		Health: map[cluster.Health]string{cluster.Ready: "ready", cluster.Draining: "draining", cluster.Gone: "gone"}[v.health]}
+	if w.s.Agent.Weights == "nominal" {
+		h.Share = float64(w.s.Servers[v.kind].Slots)
+	}
+	if b := v.st.Born(); b >= 0 {
+		h.BornMs = float64(w.start.Add(law.Ms(b)).UnixMicro()) / 1000
+	}
+	return h
+}
+
+// trip is the time of a message between an agent and a server; the lock is held.
+func (w *world) trip(zone int, v *server) float64 {
+	t := w.paths.Draw(zone, v.zone, w.rng)
+	now := w.now()
+	for _, s := range w.stalls {
+		if (s.a == zone && s.b == v.zone || s.a == v.zone && s.b == zone) && now+t < s.until {
+			t = s.until - now
+		}
+	}
+	return t
+}
+
+// rest waits, and reports whether the request is still wanted.
+func rest(ctx context.Context, ms float64) bool {
+	if ms <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(law.Ms(ms))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// serve is a request at a server.
+func (w *world) serve(v *server, rw http.ResponseWriter, r *http.Request) {
+	if _, err := io.Copy(io.Discard, io.LimitReader(r.Body, 1<<20)); err != nil {
+		return // it never came whole
+	}
+	id := r.Header.Get("Request-Id")
+	w.mu.Lock()
+	t := w.tries[id]
+	if t == nil {
+		w.mu.Unlock()
+		rw.WriteHeader(http.StatusNotFound) // nobody has asked that
+		return
+	}
+	zone := w.zones[t.agent]
+	now := w.now()
+	wait := w.trip(zone, v)
+	if f, _ := r.Context().Value(firstKey{}).(*first); f != nil && f.unused {
+		f.unused = false
+		wait += w.trip(zone, v) + w.trip(zone, v) + w.s.Servers[v.kind].Connect.Ms()
+	}
+	w.rec.Sent(&t.Try, now, -1, v.name, zone != v.zone)
+	v.coming++
+	hush := v.hush
+	w.mu.Unlock()
+	over := func() { w.rec.Over(&t.Try) }
+	rest(r.Context(), wait) // also what was given up under way comes
+	w.mu.Lock()
+	v.coming--
+	if v.silent || hush != v.hush {
+		w.mu.Unlock()
+		w.hushed(r, hush)
+		w.mu.Lock()
+		over()
+		w.mu.Unlock()
+		return
+	}
+	status, job, done := w.arrive(v, t)
+	w.mu.Unlock()
+	if done != nil {
+		select {
+		case <-done:
+		case <-hush:
+		case <-r.Context().Done():
+			w.mu.Lock()
+			if next, _ := job.st.Cancel(w.now(), &job.Job); next != nil {
+				w.work(next)
+			}
+			over()
+			w.mu.Unlock()
+			return
+		}
+	}
+	w.mu.Lock()
+	if v.silent || hush != v.hush {
+		w.mu.Unlock()
+		w.hushed(r, hush)
+		w.mu.Lock()
+		over()
+		w.mu.Unlock()
+		return
+	}
+	wait = w.trip(zone, v)
+	report, told := v.st.Load(w.now(), v.late)
+	w.mu.Unlock()
+	alive := rest(r.Context(), wait)
+	w.mu.Lock()
+	over()
+	silent := v.silent || hush != v.hush
+	w.mu.Unlock()
+	if silent {
+		w.hushed(r, hush)
+		return
+	}
+	if !alive {
+		return
+	}
+	if told {
+		rw.Header().Set("Server-Load", fmt.Sprintf("TEXT qps=%.2f, util=%.3f, eps=%.2f", report.QPS, report.Util, report.EPS))
+	}
+	switch status {
+	case station.Full:
+		rw.Header().Set("Not-Started", "1")
+		rw.WriteHeader(http.StatusServiceUnavailable)
+	case station.Failed:
+		rw.WriteHeader(http.StatusInternalServerError)
+	default:
+		fmt.Fprintf(rw, "%s %s", id, v.name)
+	}
+}
+
+// hushed holds a request of which nothing is heard any more, until its client gives up or the
+// machine is back; then its connection breaks.
+func (w *world) hushed(r *http.Request, hush chan struct{}) {
+	select {
+	case <-hush:
+	case <-r.Context().Done():
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// job is one at a station.
+type job struct {
+	station.Job
+	st   *station.Station
+	t    *try
+	v    *server
+	done chan struct{}
+}
+
+// arrive brings a request to its station; done is closed when it is done, nil: it is over.
+func (w *world) arrive(v *server, t *try) (station.Verdict, *job, chan struct{}) {
+	now := w.now()
+	p := &w.plan[t.Ask]
+	j := &job{st: v.st, t: t, v: v, done: make(chan struct{})}
+	j.Job = station.Job{ID: uint64(t.Ask)<<8 | uint64(t.number), Work: float64(p.Work), Key: p.Key, Tag: j}
+	fell := v.st.Fell()
+	verdict := v.st.Arrive(now, &j.Job)
+	if !fell && v.st.Fell() {
+		v.fell = true
+		w.rec.Fell(now, v.name)
+	}
+	switch verdict {
+	case station.Started:
+		w.work(&j.Job)
+	case station.Failed:
+		w.rec.Begun(&t.Try, now, v.name)
+		return verdict, j, nil
+	case station.Full:
+		return verdict, j, nil
+	}
+	return verdict, j, j.done
+}
+
+// work has a station work on a job that it has begun.
+func (w *world) work(sj *station.Job) {
+	j := sj.Tag.(*job)
+	now := w.now()
+	w.rec.Begun(&j.t.Try, now, j.v.name)
+	w.after(j.Until-now, func() {
+		if !j.Serving() {
+			return
+		}
+		now := w.now()
+		_ = w.slow.RecordValue(min(max(int64(1000*(now-j.Until)), 1), 60e6))
+		next := j.st.End(now, &j.Job)
+		close(j.done)
+		if next != nil {
+			w.work(next)
+		}
+	})
+}
+
+// dial connects as an in-process agent does: to a machine that says nothing none comes up.
+func (w *world) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	w.mu.Lock()
+	v := w.byDial[addr]
+	hangs := v != nil && v.silent
+	w.mu.Unlock()
+	if hangs {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return (&net.Dialer{KeepAlive: -1}).DialContext(ctx, network, addr)
+}
+
+// ---- what the timeline does ----
+
+// host is the estate as the timeline sees it; the lock is held.
+type host struct{ *world }
+
+func (h host) Now() float64               { return h.now() }
+func (h host) After(d float64, do func()) { h.after(d, do) }
+func (h host) Agents() int                { return len(h.agents) }
+
+func (h host) Servers() []timeline.Server {
+	all := make([]timeline.Server, len(h.servers))
+	for i, v := range h.servers {
+		all[i] = timeline.Server{Name: v.name, Kind: h.s.Servers[v.kind].Kind, Zone: h.s.Zones[v.zone], Up: v.up, Gone: v.removed,
+			Busy: v.st.Holds() > 0 || v.coming > 0}
+	}
+	return all
+}
+
+func (h host) Die(n int, silent bool) {
+	v := h.servers[n]
+	v.st.Kill(h.now())
+	v.worked += v.st.Worked
+	v.st.Worked = 0
+	v.peak = max(v.peak, v.st.Peak)
+	v.up, v.silent = false, silent
+	if !silent {
+		h.breakAll(v)
+	}
+}
+
+// breakAll closes a server's listener and connections.
+func (w *world) breakAll(v *server) {
+	close(v.hush)
+	v.hush = make(chan struct{})
+	for c := range v.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			tcp.SetLinger(0) // a reset, as of a process that dies
+		}
+	}
+	go v.http.Close()
+}
+
+func (h host) Back(n int) {
+	v := h.servers[n]
+	if v.silent {
+		h.breakAll(v)
+	}
+	v.st = station.New(&h.s.Servers[v.kind], &h.s.Rules, law.Seed(h.o.Seed, fmt.Sprint(v.name, n)), h.now())
+	h.reopen(v, 0)
+}
+
+// reopen listens at the old address again, as soon as that is free.
+func (w *world) reopen(v *server, tries int) {
+	if err := w.open(v, v.dial); err != nil && tries < 200 {
+		w.after(5, func() { w.reopen(v, tries+1) })
+	}
+}
+
+func (h host) List(n int, health cluster.Health, after float64) {
+	v := h.servers[n]
+	v.health = health
+	entry := h.host(v)
+	h.after(after, func() { h.roster.Set(entry) })
+}
+
+func (h host) Follow(n int, notice float64) {
+	v := h.servers[n]
+	if v.up {
+		h.Die(n, false)
+	}
+	v.removed = true
+	h.List(n, cluster.Gone, 0)
+	next, err := h.newServer(v.kind, v.zone, v.name+"'", h.now())
+	if err != nil {
+		return // no port: the estate stays without it
+	}
+	next.busy = make([]float64, len(v.busy))
+	h.List(next.num, cluster.Ready, notice)
+}
+
+func (h host) Fault(n int, f station.Fault) { h.servers[n].st.Add(f) }
+func (h host) Late(n int, ms float64)       { h.servers[n].late = ms }
+
+func (h host) Stall(a, b int, until float64) {
+	h.stalls = append(h.stalls, stall{a, b, until})
+	h.after(until-h.now(), func() {
+		h.stalls = slices.DeleteFunc(h.stalls, func(s stall) bool { return s.until <= h.now() })
+	})
+}
+
+func (h host) RosterDown(until float64) {
+	h.roster.Down(true)
+	h.after(until-h.now(), func() { h.roster.Down(false) })
+}
+
+// Restart ends an agent and starts it again at its address.
+func (h host) Restart(i int, killed bool) {
+	a := h.agents[i]
+	now := h.now()
+	h.wg.Add(1)
+	go func() {
+		defer h.wg.Done()
+		if killed {
+			a.mu.Lock()
+			a.killed = now
+			a.mu.Unlock()
+			a.kill()
+		} else {
+			a.stop()
+		}
+		if err := h.startAgent(i); err != nil && h.ctx.Err() == nil {
+			h.mu.Lock()
+			h.rec.Breach(h.now(), "an agent did not start again: "+strings.TrimSpace(err.Error()), nil)
+			h.mu.Unlock()
+		}
+	}()
+}
--- a/internal/lab/measure/measure.go
+++ b/internal/lab/measure/measure.go
@@ -143,35 +143,36 @@
 
 // Result is what a play came to.
 type Result struct {
-	Worth      float64    `json:"worth"` // share of what was asked
-	Asked      int        `json:"asked"`
-	Served     int        `json:"served"`
-	Refused    int        `json:"refused"`
-	Failed     int        `json:"failed"`
-	Lost       int        `json:"lost"`
-	Gone       int        `json:"gone"`
-	Tries      int        `json:"tries"`
-	Attempts   int        `json:"attempts"`
-	Needless   int        `json:"needless"`  // refused or failed though a warm server stood idle that could do it
-	Retries    float64    `json:"retries"`   // attempts beyond the first, as a share of tries
-	Waste      float64    `json:"waste"`     // share of the work done that served nobody in time
-	Cross      float64    `json:"cross"`     // share of attempts that crossed zones
-	Imbalance  float64    `json:"imbalance"` // the most loaded server's share of its capacity over the mean
-	Connects   int        `json:"connects"`
-	OpenMost   int        `json:"open_most"` // connections to the server with the most
-	Questions  int        `json:"questions"` // to the roster
-	Classes    []Class    `json:"classes"`
-	Servers    []Server   `json:"servers"`
-	Agents     []Agent    `json:"agents,omitempty"`
-	Recovered  []Recovery `json:"recovered,omitempty"`
-	Breaches   int        `json:"breaches"`
-	Broken     []Breach   `json:"broken,omitempty"`
-	BucketMs   float64    `json:"bucket_ms"`
-	Series     []float64  `json:"series"`           // worth by bucket of when it was asked
-	Events     int64      `json:"events,omitempty"` // of the model
-	EventsPerS float64    `json:"events_per_s,omitempty"`
-	LateP99    float64    `json:"late_p99_ms,omitempty"` // of the generator
-	Void       string     `json:"void,omitempty"`        // why the run does not count
+	Worth        float64    `json:"worth"` // share of what was asked
+	Asked        int        `json:"asked"`
+	Served       int        `json:"served"`
+	Refused      int        `json:"refused"`
+	Failed       int        `json:"failed"`
+	Lost         int        `json:"lost"`
+	Gone         int        `json:"gone"`
+	Tries        int        `json:"tries"`
+	Attempts     int        `json:"attempts"`
+	Needless     int        `json:"needless"`  // refused or failed though a warm server stood idle that could do it
+	Retries      float64    `json:"retries"`   // attempts beyond the first, as a share of tries
+	Waste        float64    `json:"waste"`     // share of the work done that served nobody in time
+	Cross        float64    `json:"cross"`     // share of attempts that crossed zones
+	Imbalance    float64    `json:"imbalance"` // the most loaded server's share of its capacity over the mean
+	Connects     int        `json:"connects"`
+	OpenMost     int        `json:"open_most"` // connections to the server with the most
+	Questions    int        `json:"questions"` // to the roster
+	Classes      []Class    `json:"classes"`
+	Servers      []Server   `json:"servers"`
+	Agents       []Agent    `json:"agents,omitempty"`
+	Recovered    []Recovery `json:"recovered,omitempty"`
+	Breaches     int        `json:"breaches"`
+	Broken       []Breach   `json:"broken,omitempty"`
+	BucketMs     float64    `json:"bucket_ms"`
+	Series       []float64  `json:"series"`           // worth by bucket of when it was asked
+	Events       int64      `json:"events,omitempty"` // of the model
+	EventsPerS   float64    `json:"events_per_s,omitempty"`
+	LateP99      float64    `json:"late_p99_ms,omitempty"`   // of the generator
+	GeneratorCPU float64    `json:"generator_cpu,omitempty"` // cores of the lab process
+	Void         string     `json:"void,omitempty"`          // why the run does not count
 }
 
 // Recorder gathers what happens.
@@ -473,3 +474,12 @@
 	})
 	return all
 }
+
+// WorstP99 is the 99th percentile of the latency of the class in which it is longest: the most
+// of all classes, in milliseconds.
+func (r *Result) WorstP99() (most float64) {
+	for _, c := range r.Classes {
+		most = max(most, c.Latency.P99)
+	}
+	return most
+}
--- a/internal/lab/model/estate.go
+++ b/internal/lab/model/estate.go
@@ -2,15 +2,12 @@
 
 import (
 	"cmp"
-	"fmt"
-	"math"
 	"slices"
 
 	"molepaddle/internal/cluster"
-	"molepaddle/internal/lab/law"
 	"molepaddle/internal/lab/measure"
 	"molepaddle/internal/lab/station"
-	"molepaddle/internal/scenario"
+	"molepaddle/internal/lab/timeline"
 	"molepaddle/policy"
 )
 
@@ -170,137 +167,62 @@
 
 // ---- the timeline ----
 
-// named are the servers that an event is about; a share of them follows from a draw.
-func (w *world) named(e *scenario.Event, i int) []*server {
-	var all []*server
-	for _, v := range w.servers {
-		if !v.removed && (e.Server == "" || v.name == e.Server) && (e.Of == "" || w.s.Servers[v.kind].Kind == e.Of) &&
-			(e.Zone == "" || w.s.Zones[v.zone] == e.Zone) {
-			all = append(all, v)
-		}
+// host is the estate as the timeline sees it.
+type host struct{ *world }
+
+func (h host) Now() float64                 { return h.now }
+func (h host) After(d float64, do func())   { h.after(d, do) }
+func (h host) Agents() int                  { return len(h.agents) }
+func (h host) Die(n int, silent bool)       { h.die(h.servers[n], silent) }
+func (h host) Back(n int)                   { h.back(h.servers[n]) }
+func (h host) Late(n int, ms float64)       { h.servers[n].late = ms }
+func (h host) Restart(n int, killed bool)   { h.restart(n, killed) }
+func (h host) Fault(n int, f station.Fault) { h.servers[n].st.Add(f) }
+
+func (h host) Servers() []timeline.Server {
+	all := make([]timeline.Server, len(h.servers))
+	for i, v := range h.servers {
+		all[i] = timeline.Server{Name: v.name, Kind: h.s.Servers[v.kind].Kind, Zone: h.s.Zones[v.zone], Up: v.up, Gone: v.removed,
+			Busy: v.st.Holds() > 0 || v.coming > 0}
 	}
-	return Draw(all, e, w.o.Seed, i)
+	return all
 }
 
-// Draw takes the share of an event out of what it names, by draw.
-func Draw[T any](all []T, e *scenario.Event, seed uint64, i int) []T {
-	if e.Share == 0 || e.Kind == "fail" || len(all) == 0 {
-		return all
-	}
-	rng := law.Source(seed, fmt.Sprint("event", i))
-	rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	return all[:min(max(int(math.Round(e.Share*float64(len(all)))), 1), len(all))]
+func (h host) List(n int, health cluster.Health, after float64) {
+	h.servers[n].health = health
+	h.list(h.servers[n], after)
 }
 
-func (w *world) happen(e *scenario.Event, i int) {
-	until := w.now + e.For.Ms()
-	if e.For == 0 {
-		until = math.Inf(1)
-	}
-	notice, silent := w.s.Roster.Notice.Ms(), w.s.Roster.Silent.Ms()
-	switch e.Kind {
-	case "crash", "vanish", "zone-lost":
-		hushed := e.Kind != "crash"
-		for _, v := range w.named(e, i) {
-			if !v.up {
-				continue
-			}
-			w.die(v, hushed)
-			v.health = cluster.Gone
-			w.list(v, map[bool]float64{false: notice, true: silent}[hushed])
-			if e.For > 0 {
-				w.after(e.For.Ms(), func() { w.back(v) })
-			}
-		}
-	case "replace":
-		for _, v := range w.named(e, i) {
-			v.health = cluster.Draining
-			w.list(v, notice)
-			w.drained(v, w.now+2*notice+w.longest(), func() {
-				v.removed, v.health = true, cluster.Gone
-				w.list(v, 0)
-				n := w.newServer(v.kind, v.zone, fmt.Sprint(v.name, "'"), w.now)
-				n.busy = make([]float64, len(v.busy))
-				w.list(n, notice)
-			})
-		}
-	case "drain":
-		for _, v := range w.named(e, i) {
-			v.health = cluster.Draining
-			w.list(v, notice)
-			if e.For > 0 {
-				w.after(e.For.Ms(), func() {
-					if v.up {
-						v.health = cluster.Ready
-						w.list(v, notice)
-					}
-				})
-			}
-		}
-	case "slow":
-		for _, v := range w.named(e, i) {
-			v.st.Add(station.Fault{Slow: e.Factor, Until: until})
-		}
-	case "fail":
-		for _, v := range w.named(e, i) {
-			v.st.Add(station.Fault{Fail: e.Share, Until: until})
-		}
-	case "link-stalled":
-		a, b := slices.Index(w.s.Zones, e.Zone), slices.Index(w.s.Zones, e.With)
-		w.stalls = append(w.stalls, stall{a, b, until})
-		w.after(e.For.Ms(), func() {
-			w.stalls = slices.DeleteFunc(w.stalls, func(s stall) bool { return s.until <= w.now })
-		})
-	case "roster-down":
-		w.down = max(w.down, until)
-		for _, a := range w.agents {
-			if a.watching {
-				a.watching = false
-				w.tell(a, &policy.Event{Kind: policy.EvList, List: cluster.ListFailed})
-				if w.s.Roster.Pushed {
-					w.after(250, func() { w.follow(a) })
-				}
-			}
-		}
-	case "reports-late":
-		for _, v := range w.named(e, i) {
-			v.late = e.For.Ms()
-		}
-	case "restart-agents":
-		for i := range w.agents {
-			w.after(float64(i)/e.Rate*1000, func() { w.restart(i, false) })
-		}
-	case "kill-agents":
-		which := make([]int, len(w.agents))
-		for i := range which {
-			which[i] = i
-		}
-		for _, i := range Draw(which, e, w.o.Seed, i) {
-			w.restart(i, true)
-		}
+func (h host) Follow(n int, notice float64) {
+	v := h.servers[n]
+	if v.up {
+		h.die(v, false)
 	}
+	v.removed, v.health = true, cluster.Gone
+	h.list(v, 0)
+	next := h.newServer(v.kind, v.zone, v.name+"'", h.now)
+	next.busy = make([]float64, len(v.busy))
+	h.list(next, notice)
 }
 
-// longest is how long a request of any class may be open.
-func (w *world) longest() (most float64) {
-	for _, c := range w.s.Classes {
-		most = max(most, c.GiveUp.Ms())
-	}
-	return most
+func (h host) Stall(a, b int, until float64) {
+	h.stalls = append(h.stalls, stall{a, b, until})
+	h.after(until-h.now, func() {
+		h.stalls = slices.DeleteFunc(h.stalls, func(s stall) bool { return s.until <= h.now })
+	})
 }
 
-// drained does something once a server has nothing more to do, at the latest at a time.
-func (w *world) drained(v *server, latest float64, do func()) {
-	w.after(100, func() {
-		if v.up && (v.st.Holds() > 0 || v.coming > 0 || w.now < latest-w.longest()) && w.now < latest {
-			w.drained(v, latest, do)
-			return
-		}
-		if v.up {
-			w.die(v, false)
+func (h host) RosterDown(until float64) {
+	h.down = max(h.down, until)
+	for _, a := range h.agents {
+		if a.watching {
+			a.watching = false
+			h.tell(a, &policy.Event{Kind: policy.EvList, List: cluster.ListFailed})
+			if h.s.Roster.Pushed {
+				h.after(250, func() { h.follow(a) })
+			}
 		}
-		do()
-	})
+	}
 }
 
 // restart ends an agent and starts it again. One that ends as planned answers what it has; of
--- a/internal/lab/model/model.go
+++ b/internal/lab/model/model.go
@@ -24,6 +24,7 @@
 	"molepaddle/internal/lab/law"
 	"molepaddle/internal/lab/measure"
 	"molepaddle/internal/lab/station"
+	"molepaddle/internal/lab/timeline"
 	"molepaddle/internal/scenario"
 	"molepaddle/policy"
 )
@@ -265,7 +266,7 @@
 	}
 	for i := range w.s.Events {
 		e := &w.s.Events[i]
-		w.at(e.At.Ms(), event{kind: evDo, do: func() { w.happen(e, i) }})
+		w.at(e.At.Ms(), event{kind: evDo, do: func() { timeline.Run(host{w}, w.s, i, w.o.Seed) }})
 	}
 	w.at(w.rec.Bucket(), event{kind: evDo, do: w.sample})
 	for i, z := range w.zones {
@@ -886,8 +887,6 @@
 	v.up, v.silent = true, false
 	v.gen++
 	v.st = station.New(&w.s.Servers[v.kind], &w.s.Rules, law.Seed(w.o.Seed, fmt.Sprint(v.name, w.now)), w.now)
-	v.health = cluster.Ready
-	w.list(v, w.s.Roster.Notice.Ms())
 }
 
 // sample notes how busy the servers are, once a bucket.
--- /dev/null
+++ b/internal/logging/logging.go
@@ -0,0 +1,46 @@
+// Package logging makes the program's structured log: log/slog with one set of keys, at a level
+// and in a form that the operator's file sets. Values only; a Logger may be used by any number of
+// goroutines.
+//
+// The keys are agent (its name), addr, listen, server, site, class, err, from and to (of what
+// changes), count, and for a panic panic, stack and input. A key that is new belongs into this
+// list and into docs/operators/operator-file.md.
+package logging
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+)
+
+// Options are what the operator's file says of the log.
+type Options struct {
+	Level  string `toml:"level"`  // debug, info, warn or error
+	Format string `toml:"format"` // text or json
+}
+
+// Default is what a file need not say.
+func Default() Options { return Options{Level: "info", Format: "text"} }
+
+// Validate reports the first key that makes no sense.
+func (o Options) Validate() (key string, err error) {
+	var l slog.Level
+	if err := l.UnmarshalText([]byte(o.Level)); err != nil {
+		return "level", fmt.Errorf("must be debug, info, warn or error, is %q", o.Level)
+	}
+	if o.Format != "text" && o.Format != "json" {
+		return "format", fmt.Errorf("must be text or json, is %q", o.Format)
+	}
+	return "", nil
+}
+
+// New makes a logger; the options are valid.
+func New(w io.Writer, o Options) *slog.Logger {
+	var l slog.Level
+	_ = l.UnmarshalText([]byte(o.Level)) // validated
+	opts := &slog.HandlerOptions{Level: l}
+	if o.Format == "json" {
+		return slog.New(slog.NewJSONHandler(w, opts))
+	}
+	return slog.New(slog.NewTextHandler(w, opts))
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"molepaddle/internal/fleet"
+	"molepaddle/internal/logging"
 	"molepaddle/internal/strict"
 )
 
@@ -44,8 +45,9 @@
 			Resting int      `toml:"resting"` // connections that may rest before one is waited for
 		} `toml:"http"`
 	} `toml:"transport"`
-	Gateway Gateway `toml:"gateway"`
-	Fleet   Fleet   `toml:"fleet"`
+	Gateway Gateway         `toml:"gateway"`
+	Fleet   Fleet           `toml:"fleet"`
+	Log     logging.Options `toml:"log"`
 }
 
 // Fleet is the table for a deployment with very many agents; see package fleet. Rates are of all
@@ -99,6 +101,7 @@
 	s.Transport.HTTP.Resting = 64
 	s.Gateway = defaultGateway()
 	s.Fleet = defaultFleet()
+	s.Log = logging.Default()
 	return s
 }
 
@@ -166,6 +169,9 @@
 	if key, err := s.Fleet.validate(); err != nil {
 		return key, err
 	}
+	if key, err := s.Log.Validate(); err != nil {
+		return "log." + key, err
+	}
 	return s.Gateway.validate()
 }
 
@@ -193,6 +199,8 @@
 		{"front.http.keep_idle", time.Duration(h.KeepIdle), time.Duration(d.Front.HTTP.KeepIdle)},
 		{"transport.http.settle", time.Duration(t.Settle), time.Duration(d.Transport.HTTP.Settle)},
 		{"transport.http.resting", t.Resting, d.Transport.HTTP.Resting},
+		{"log.level", s.Log.Level, d.Log.Level},
+		{"log.format", s.Log.Format, d.Log.Format},
 	} {
 		if v.now != v.was {
 			on = append(on, fmt.Sprintf("%s = %v (else %v)", v.what, v.now, v.was))
