--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -1,10 +1,10 @@
-// Package demo plays a short scene on loopback for a person to watch: a roster, three
-// order servers and a portal as stand-ins, the agent between them. One server fails and
-// recovers, one drains; what came of it is counted and printed, and a broken rule is an
-// error.
+// Package demo plays two short scenes on loopback for a person to watch. The first is a scenario of
+// the lab: one of three servers fails and recovers, one drains. The second is played here: two
+// sites with gateways and a slow network between. What came of each is counted and printed, and a
+// broken rule is an error.
 //
-// Run's goroutine directs the scene; each request of the portal is a goroutine that hands
-// its result back through a channel.
+// Run's goroutine directs the scenes; each request of the second one's portal is a goroutine that
+// hands its result back through a channel.
 package demo
 
 import (
@@ -22,7 +22,11 @@
 
 	"molepaddle/internal/agent"
 	"molepaddle/internal/config"
+	"molepaddle/internal/lab/live"
+	"molepaddle/internal/lab/report"
+	"molepaddle/internal/lab/trial"
 	"molepaddle/internal/operator"
+	"molepaddle/internal/scenario"
 	"molepaddle/internal/standin"
 )
 
@@ -59,44 +63,26 @@
 	return sites(ctx, out)
 }
 
-// oneSite plays the first scene.
+// oneSite plays the first scene, a scenario of the lab: a roster, three order servers and a portal
+// with an agent between.
 func oneSite(ctx context.Context, out io.Writer) error {
-	roster, err := standin.NewRoster()
+	s, err := scenario.Load("demo")
 	if err != nil {
 		return err
 	}
-	defer roster.Close()
-	var servers []*standin.Server
-	for i := range 3 {
-		s, err := standin.NewServer(fmt.Sprint("server-", i+1), 4*time.Millisecond)
-		if err != nil {
-			return err
-		}
-		defer s.Close()
-		servers = append(servers, s)
-		roster.Set(s.Host("here", "plain", "ready"))
-	}
-	base, stop, err := start(ctx, roster, operator.Default(), nil)
+	fmt.Fprintf(out, "a roster, three order servers and the agent on loopback for %v; a portal asks %.0f times a second\n", time.Duration(s.Length), s.Portals[0].Rate)
+	r, err := live.Play(ctx, s, live.Options{Seed: 1})
 	if err != nil {
 		return err
 	}
-	defer stop()
-	fmt.Fprintf(out, "a roster, three order servers and the agent are up on loopback; a portal asks every %v\n", every)
-
-	p := newPortal(base, "demo")
-	defer p.client.CloseIdleConnections()
-	t := newTally(out, servers)
-	t.scene("all is well:", p.ask(ctx, act))
-	servers[1].Fail(true)
-	t.scene("server-2 answers only errors:", p.ask(ctx, act))
-	servers[1].Fail(false)
-	t.scene("server-2 is well again:", p.ask(ctx, act))
-	told := time.Now()
-	roster.Set(servers[2].Host("here", "plain", "draining"))
-	t.scene("server-3 drains:", p.ask(ctx, act))
-	last := t.lastAfter(servers[2], told)
-	fmt.Fprintf(out, "the last request came to server-3 %v after its notice\n", last.Round(time.Millisecond))
-	return t.judge(last)
+	row := &trial.Row{Scenario: s.Name, Variant: "default", Chooser: s.Agent.Chooser, Mode: "live", Seed: 1, Result: r}
+	if err := report.Text(out, []*trial.Row{row}); err != nil {
+		return err
+	}
+	if r.Breaches > 0 || r.Served == 0 {
+		return fmt.Errorf("demo: %d rules broken, %d served", r.Breaches, r.Served)
+	}
+	return nil
 }
 
 // judge counts the whole and says which rule was broken, if any was.
--- a/internal/lab/live/agents.go
+++ b/internal/lab/live/agents.go
@@ -31,15 +31,16 @@
 	listen string
 	base   string
 	client *http.Client
-	since  float64
-	said   tail
-	cmd    *exec.Cmd
-	gone   chan struct{} // closed when it has ended
-	end    func(planned bool)
-	once   sync.Once
+	since  float64 // when it started, in ms of the play
+
+	said tail
+	cmd  *exec.Cmd
+	gone chan struct{} // closed when it has ended
+	end  func(planned bool)
+	once sync.Once
 
 	mu     sync.Mutex
-	killed float64 // when it was killed, in ms; 0: it was not
+	killed bool // by the timeline
 	last   measure.Agent
 	spent  bool
 }
@@ -75,22 +76,22 @@
 		IdleConnTimeout: 5 * time.Second, DisableCompression: true}}
 }
 
-// ended tells whether the agent was killed after a request came.
-func (a *agentRun) ended(at float64) bool {
+// wasKilled tells whether the agent was killed: what it held then is its clients' to ask again.
+func (a *agentRun) wasKilled() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.killed > 0 && at <= a.killed+50
+	return a.killed
 }
 
 // spawn starts a process.
-func (a *agentRun) spawn(binary, config, operator string, log io.Writer) error {
+func (a *agentRun) spawn(binary, config, operator string) error {
 	var args []string
 	if operator != "" {
 		args = []string{"--operator", operator}
 	}
 	a.cmd = exec.Command(binary, args...)
 	a.cmd.Env = append(os.Environ(), "EDGE_CONFIG="+config)
-	a.cmd.Stderr, a.cmd.Stdout = log, log
+	a.cmd.Stderr, a.cmd.Stdout = &a.said, &a.said
 	a.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := a.cmd.Start(); err != nil {
 		return err
@@ -153,8 +154,8 @@
 }
 
 // ready waits until the agent says so.
-func (a *agentRun) ready(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, readyWithin)
+func (a *agentRun) ready(ctx context.Context, within time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	said := "nothing"
 	for {
@@ -176,7 +177,7 @@
 		case <-a.gone:
 			return fmt.Errorf("ended before it was ready: %q", a.said.last())
 		case <-ctx.Done():
-			return fmt.Errorf("not ready after %v, said %q: %w", readyWithin, said, context.Cause(ctx))
+			return fmt.Errorf("not ready after %v, said %q: %w", within, said, context.Cause(ctx))
 		case <-time.After(10 * time.Millisecond):
 		}
 	}
--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -54,7 +54,6 @@
 	// of the least aim; a run in which they were later does not count.
 	lateAllowed = 0.02
 	lateLeast   = 2.0 // ms, however short the aim
-	readyWithin = 15 * time.Second
 )
 
 // Options is what a play may be told.
@@ -64,7 +63,9 @@
 	Binary   string // the agents' program; empty: agents in this process
 	Operator string // path of the operator's file; empty: none
 	Tick     func(part float64)
-	Log      io.Writer // what agents say; nil: nowhere
+
+	begun func(*world) // of tests: the generator is about to begin
+	ready time.Duration
 }
 
 type server struct {
@@ -72,7 +73,6 @@
 	name     string
 	kind     int
 	zone     int
-	addr     cluster.Addr
 	dial     string
 	st       *station.Station
 	http     *http.Server
@@ -86,6 +86,7 @@
 	connects int
 	coming   int
 	late     float64
+	told     float64 // since when the roster tells that it wants nothing new; -1: it does
 	busy     []float64
 	worked   float64
 	peak     float64
@@ -115,6 +116,7 @@
 	ctx    context.Context
 	dir    string
 	wg     sync.WaitGroup
+	turns  []sync.Mutex // by agent: of its restarts
 
 	mu      sync.Mutex
 	rng     *rand.Rand
@@ -124,6 +126,7 @@
 	agents  []*agentRun
 	tries   map[string]*try
 	stalls  []stall
+	down    float64 // until then the roster answers nothing
 	rec     *measure.Recorder
 	timers  map[*time.Timer]bool
 	ended   bool
@@ -147,6 +150,9 @@
 	if o.Chooser == "" {
 		o.Chooser = s.Agent.Chooser
 	}
+	if o.ready == 0 {
+		o.ready = 15 * time.Second
+	}
 	if o.Binary != "" && o.Chooser != "molepaddle" {
 		return nil, fmt.Errorf("live: %s plays in this process only, not in %s", o.Chooser, o.Binary)
 	}
@@ -178,6 +184,9 @@
 	}
 	w.start = time.Now() // ramps of servers that start cold begin now
 	begun := w.cpu()
+	if o.begun != nil {
+		o.begun(w)
+	}
 	w.begin()
 	err = w.generate(ctx)
 	w.wait(ctx)
@@ -334,6 +343,9 @@
 	outcome, retryAfter := measure.Lost, 0.0
 	req, err := http.NewRequestWithContext(at, method, fmt.Sprintf("%s/%s/k%d", a.base, class.Name, p.Key), nil)
 	if err == nil {
+		if p.Key == 0 { // about nothing: what the path ends in is new each time
+			req.URL.Path = fmt.Sprintf("/%s/u%d.%d", class.Name, i, number)
+		}
 		req.Header.Set("Request-Id", t.ID)
 		req.Header.Set("Request-Timeout", fmt.Sprint(int64((deadline-now)*1000), "u"))
 		if class.Effect == "keyed" {
@@ -367,12 +379,15 @@
 	now = w.now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if err != nil && (ctx.Err() != nil || p.Leaves > 0 && number == 0 || a.ended(t.At)) {
+	var dial *net.OpError
+	untaken := errors.As(err, &dial) && dial.Op == "dial" // its agent is being restarted
+	if err != nil && (ctx.Err() != nil || p.Leaves > 0 && number == 0 || a.wasKilled() || untaken) {
 		outcome = measure.Gone // the play ended, the client left, or its agent was killed
 	}
 	w.rec.End(&t.Try, now, outcome, outcome != measure.Served && outcome != measure.Gone && w.needless(t, now))
 	portal := &w.s.Portals[p.Portal]
-	if outcome == measure.Served || ctx.Err() != nil || number >= portal.Retries || p.Leaves > 0 || outcome != measure.Refused && class.Effect == "unsafe" {
+	if outcome == measure.Served || ctx.Err() != nil || number >= portal.Retries || p.Leaves > 0 ||
+		outcome != measure.Refused && !untaken && class.Effect == "unsafe" {
 		return
 	}
 	wait := portal.Backoff.Ms() * float64(int(1)<<number)
@@ -422,19 +437,25 @@
 		for _, c := range w.s.Classes {
 			aim = min(aim, c.Aim.Ms())
 		}
-		most := max(aim*lateAllowed, lateLeast)
 		r.LateP99 = float64(w.late.ValueAtQuantile(99)) / 1000
-		standIns := float64(w.slow.ValueAtQuantile(99)) / 1000
 		r.GeneratorCPU = (w.cpu() - begun) / max(now/1000, 0.001)
-		switch {
-		case r.LateP99 > most:
-			r.Void = fmt.Sprintf("the generator was late by %.1f ms at the 99th percentile, %.1f at the most", r.LateP99, most)
-		case standIns > most:
-			r.Void = fmt.Sprintf("a stand-in was late by %.1f ms at the 99th percentile, %.1f at the most", standIns, most)
-		}
+		r.Void = void(r.LateP99, float64(w.slow.ValueAtQuantile(99))/1000, aim)
 	})
 }
 
+// void says why a run does not count, in which generator and stand-ins were so late at the 99th
+// percentile; empty: it does. All in ms.
+func void(generator, standIns, aim float64) string {
+	most := max(aim*lateAllowed, lateLeast)
+	switch {
+	case generator > most:
+		return fmt.Sprintf("the generator was late by %.1f ms at the 99th percentile, %.1f at the most", generator, most)
+	case standIns > most:
+		return fmt.Sprintf("a stand-in was late by %.1f ms at the 99th percentile, %.1f at the most", standIns, most)
+	}
+	return ""
+}
+
 // close ends all that was started.
 func (w *world) close() {
 	w.mu.Lock()
@@ -464,7 +485,7 @@
 // startAgents starts all agents and waits until each is ready.
 func (w *world) startAgents() error {
 	n := w.s.Agents()
-	w.agents = make([]*agentRun, n)
+	w.agents, w.turns = make([]*agentRun, n), make([]sync.Mutex, n)
 	errs := make(chan error, n)
 	for i := range n {
 		go func() { errs <- w.startAgent(i) }()
@@ -501,14 +522,13 @@
 	if w.o.Binary == "" {
 		err = a.inside(w, i, text)
 	} else {
-		var log io.Writer = &a.said
 		path := filepath.Join(w.dir, fmt.Sprint("agent-", i, ".json"))
 		if err = os.WriteFile(path, text, 0o600); err == nil {
-			err = a.spawn(w.o.Binary, path, w.o.Operator, log)
+			err = a.spawn(w.o.Binary, path, w.o.Operator)
 		}
 	}
 	if err == nil {
-		err = a.ready(w.ctx)
+		err = a.ready(w.ctx, w.o.ready)
 	}
 	if err != nil {
 		a.kill()
--- a/internal/lab/live/live_test.go
+++ b/internal/lab/live/live_test.go
@@ -1,33 +1,241 @@
 package live
 
 import (
+	"bufio"
 	"context"
-	"fmt"
+	"encoding/json"
+	"errors"
+	"math"
+	"net"
+	"net/http"
+	"os"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
 	"molepaddle/internal/lab/model"
 	"molepaddle/internal/scenario"
-	"testing"
 )
 
-func TestTry(t *testing.T) {
-	for _, n := range []string{"calm", "zone-lost", "fast-errors"} {
-		s, err := scenario.Load(n)
+// TestMain makes the test binary a bad agent when it is started as one.
+func TestMain(m *testing.M) {
+	switch os.Getenv("LAB_AGENT") {
+	case "dies":
+		os.Stderr.WriteString("what a pity\n")
+		os.Exit(7)
+	case "hangs":
+		time.Sleep(time.Minute)
+	case "garbage":
+		garbage()
+	default:
+		os.Exit(m.Run())
+	}
+}
+
+// garbage is an agent that says it is ready, and nothing else that can be read.
+func garbage() {
+	text, _ := os.ReadFile(os.Getenv("EDGE_CONFIG"))
+	var c struct{ Listen string }
+	json.Unmarshal(text, &c)
+	ln, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		os.Exit(1)
+	}
+	for {
+		conn, err := ln.Accept()
 		if err != nil {
-			t.Fatal(err)
+			return
 		}
-		for _, c := range []string{"molepaddle", "p2c-least"} {
-			r, err := Play(context.Background(), s, Options{Chooser: c, Seed: 1})
-			if err != nil {
-				t.Fatal(err)
-			}
-			m, _ := model.Play(s, model.Options{Chooser: c, Seed: 1})
-			for i, r := range []any{r, m} {
-				_ = i
-				_ = r
-			}
-			fmt.Printf("%s %s live %.4f model %.4f; p99 %.0f/%.0f vs %.0f/%.0f; p50 %.1f vs %.1f; con %d %d; served %d %d refused %d %d failed %d %d lost %d br %d late %.2f void %q cpu %.2f\n", n, c, r.Worth, m.Worth, r.Classes[0].Latency.P99, r.Classes[1].Latency.P99, m.Classes[0].Latency.P99, m.Classes[1].Latency.P99, r.Classes[0].Latency.P50, m.Classes[0].Latency.P50, r.Connects, m.Connects, r.Served, m.Served, r.Refused, m.Refused, r.Failed, m.Failed, r.Lost, r.Breaches, r.LateP99, r.Void, r.GeneratorCPU)
-			for _, b := range r.Broken[:min(3, len(r.Broken))] {
-				fmt.Println(b.Rule, b.Story)
+		go func() {
+			defer conn.Close()
+			req, err := http.ReadRequest(bufio.NewReader(conn))
+			if err == nil && req.URL.Path == "/ready" {
+				conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"))
+				return
 			}
+			conn.Write([]byte("\x00\x01what?\r\n\r\n"))
+		}()
+	}
+}
+
+// small is a scenario of a few seconds.
+func small(t *testing.T, rate string, events string) *scenario.Scenario {
+	t.Helper()
+	s, err := scenario.Parse("small.toml", []byte(`version = 1
+length = "2500ms"
+zones = ["a", "b"]
+limits = {sockets = 512}
+roster = {notice = "100ms", silent = "300ms"}
+rules = {cold = "1s"}
+[[server]]
+kind = "s"
+count = 4
+slots = 4
+queue = 20
+[[class]]
+name = "look"
+work = "8ms"
+aim = "200ms"
+effect = "safe"
+[[class]]
+name = "order"
+work = "12ms"
+aim = "300ms"
+effect = "unsafe"
+[[portal]]
+agents = 2
+retries = 1
+backoff = "20ms"
+rate = `+rate+"\n"+events))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// Every kind of event passes over real sockets without a broken rule, and worth is near that of
+// the model.
+func TestEventsLive(t *testing.T) {
+	s := small(t, "200.0", `
+[[event]]
+at = "400ms"
+kind = "crash"
+server = "s-1"
+for = "300ms"
+[[event]]
+at = "400ms"
+kind = "fail"
+server = "s-2"
+share = 0.5
+for = "500ms"
+[[event]]
+at = "600ms"
+kind = "vanish"
+server = "s-3"
+for = "500ms"
+[[event]]
+at = "700ms"
+kind = "replace"
+server = "s-4"
+[[event]]
+at = "900ms"
+kind = "restart-agents"
+rate = 4.0
+[[event]]
+at = "1500ms"
+kind = "kill-agents"
+share = 0.5
+[[event]]
+at = "1600ms"
+kind = "link-stalled"
+zone = "a"
+with = "b"
+for = "200ms"
+[[event]]
+at = "1700ms"
+kind = "roster-down"
+for = "200ms"
+[[event]]
+at = "1800ms"
+kind = "slow"
+server = "s-1"
+factor = 3.0
+[[event]]
+at = "1900ms"
+kind = "drain"
+server = "s-2"
+for = "200ms"
+`)
+	r, err := Play(t.Context(), s, Options{Seed: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	m, err := model.Play(s, model.Options{Seed: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("worth %.3f live, %.3f in the model", r.Worth, m.Worth)
+	if r.Breaches > 0 || math.Abs(r.Worth-m.Worth) > 0.15 || r.Served == 0 || len(r.Servers) != 5 {
+		t.Errorf("%d breaches: %+v", r.Breaches, r.Broken)
+	}
+}
+
+// An agent that dies, never becomes ready or answers garbage is told, and nothing is left.
+func TestBadAgents(t *testing.T) {
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for how, want := range map[string]string{"dies": `ended before it was ready: "what a pity"`, "hangs": "not ready after"} {
+		t.Setenv("LAB_AGENT", how)
+		if _, err := Play(t.Context(), small(t, "20.0", ""), Options{Seed: 1, Binary: self, ready: 400 * time.Millisecond}); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", how, err)
+		}
+	}
+	t.Setenv("LAB_AGENT", "garbage")
+	r, err := Play(t.Context(), small(t, "20.0", ""), Options{Seed: 1, Binary: self})
+	if err != nil || r.Served != 0 || r.Lost == 0 || r.Breaches < r.Lost {
+		t.Errorf("garbage: %+v, %v", r, err)
+	}
+	if _, err := Play(t.Context(), small(t, "20.0", ""), Options{Chooser: "random", Binary: self}); err == nil {
+		t.Error("a chooser was put into a process")
+	}
+	if _, err := Play(t.Context(), small(t, "20.0", ""), Options{Binary: "/nowhere"}); err == nil {
+		t.Error("a binary that is not there was played")
+	}
+}
+
+// A run that is cut gives what it has, and leaves no goroutine and no port.
+func TestCutRun(t *testing.T) {
+	before := runtime.NumGoroutine()
+	ctx, cancel := context.WithCancel(t.Context())
+	var dial string
+	r, err := Play(ctx, small(t, "200.0", ""), Options{Seed: 1, begun: func(w *world) {
+		dial = w.servers[0].dial
+		time.AfterFunc(500*time.Millisecond, cancel)
+	}})
+	if !errors.Is(err, context.Canceled) || r == nil || r.Served == 0 {
+		t.Fatalf("%+v, %v", r, err)
+	}
+	if c, err := net.Dial("tcp", dial); err == nil {
+		c.Close()
+		t.Error("a server still listens")
+	}
+	for end := time.Now().Add(10 * time.Second); runtime.NumGoroutine() > before+2; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d goroutines, %d before", runtime.NumGoroutine(), before)
+		}
+	}
+}
+
+// A run whose generator or stand-ins were late does not count, by its own word.
+func TestLateRunsAreVoid(t *testing.T) {
+	s := small(t, "200.0", "")
+	r, err := Play(t.Context(), s, Options{Seed: 1, Tick: func(float64) { time.Sleep(100 * time.Millisecond) }})
+	if err != nil || !strings.Contains(r.Void, "the generator was late") {
+		t.Errorf("%q, %v", r.Void, err)
+	}
+	if got := void(0.5, 30, 200); !strings.Contains(got, "a stand-in was late") {
+		t.Errorf("said %q", got)
+	}
+	if got := void(3.9, 3.9, 200); got != "" {
+		t.Errorf("said %q", got)
+	}
+	if _, err := Play(t.Context(), small(t, "9000.0", ""), Options{}); err == nil {
+		t.Error("more was begun than one machine plays")
+	}
+}
+
+// Any chooser plays over sockets.
+func TestChoosersLive(t *testing.T) {
+	for _, c := range []string{"peak-ewma", "oracle"} {
+		s := small(t, "100.0", "")
+		if err := s.Set("length", 1); err != nil {
+			t.Fatal(err)
+		}
+		if r, err := Play(t.Context(), s, Options{Seed: 1, Chooser: c}); err != nil || r.Breaches > 0 || r.Worth < 0.9 {
+			t.Errorf("%s: %+v, %v", c, r, err)
 		}
 	}
 }
--- a/internal/lab/live/servers.go
+++ b/internal/lab/live/servers.go
@@ -14,6 +14,7 @@
 	"molepaddle/internal/lab/law"
 	"molepaddle/internal/lab/station"
 	"molepaddle/internal/lab/timeline"
+	"molepaddle/internal/roster"
 	"molepaddle/internal/standin"
 )
 
@@ -23,13 +24,13 @@
 type firstKey struct{}
 
 func (w *world) newServer(kind, zone int, name string, born float64) (*server, error) {
-	v := &server{num: len(w.servers), name: name, kind: kind, zone: zone, health: cluster.Ready}
+	v := &server{num: len(w.servers), name: name, kind: kind, zone: zone, health: cluster.Ready, told: -1}
 	v.st = station.New(&w.s.Servers[kind], &w.s.Rules, law.Seed(w.o.Seed, name), born)
 	if err := w.open(v, "127.0.0.1:0"); err != nil {
 		return nil, err
 	}
 	w.servers = append(w.servers, v)
-	w.byDial[v.dial] = v
+	w.byDial[v.dial], w.byAddr[roster.AddrOf(name)] = v, v
 	return v, nil
 }
 
@@ -40,7 +41,6 @@
 		return err
 	}
 	v.dial = ln.Addr().String()
-	v.addr = cluster.Addr{}
 	v.up, v.silent, v.conns, v.hush = true, false, map[net.Conn]bool{}, make(chan struct{})
 	v.http = &http.Server{
 		Handler:           http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) { w.serve(v, rw, r) }),
@@ -129,7 +129,7 @@
 		f.unused = false
 		wait += w.trip(zone, v) + w.trip(zone, v) + w.s.Servers[v.kind].Connect.Ms()
 	}
-	w.rec.Sent(&t.Try, now, -1, v.name, zone != v.zone)
+	w.rec.Sent(&t.Try, now, w.told(v, t, now), v.name, zone != v.zone)
 	v.coming++
 	hush := v.hush
 	w.mu.Unlock()
@@ -199,6 +199,16 @@
 	}
 }
 
+// told is since when the agent of a request must have known that a server wants nothing new; below
+// 0: it need not. The roster has told at once whoever watches it; an agent that has just started
+// may not watch yet. On sockets the limit is longer by the slack.
+func (w *world) told(v *server, t *try, now float64) float64 {
+	if v.told < 0 || w.agents[t.agent] == nil || now-w.agents[t.agent].since < w.s.Rules.AskWithin.Ms()/8+1000 {
+		return -1
+	}
+	return v.told + slack
+}
+
 // hushed holds a request of which nothing is heard any more, until its client gives up or the
 // machine is back; then its connection breaks.
 func (w *world) hushed(r *http.Request, hush chan struct{}) {
@@ -336,7 +346,15 @@
 	v := h.servers[n]
 	v.health = health
 	entry := h.host(v)
-	h.after(after, func() { h.roster.Set(entry) })
+	h.after(after, func() {
+		h.roster.Set(entry)
+		switch {
+		case health == cluster.Ready:
+			v.told = -1
+		case v.told < 0 && h.now() >= h.down: // else it is told when the roster is back, nobody knows when
+			v.told = h.now()
+		}
+	})
 }
 
 func (h host) Follow(n int, notice float64) {
@@ -366,19 +384,24 @@
 
 func (h host) RosterDown(until float64) {
 	h.roster.Down(true)
+	h.down = max(h.down, until)
 	h.after(until-h.now(), func() { h.roster.Down(false) })
 }
 
-// Restart ends an agent and starts it again at its address.
+// Restart ends an agent and starts it again at its address. Two restarts of one agent come one
+// after the other.
 func (h host) Restart(i int, killed bool) {
-	a := h.agents[i]
-	now := h.now()
 	h.wg.Add(1)
 	go func() {
 		defer h.wg.Done()
+		h.turns[i].Lock()
+		defer h.turns[i].Unlock()
+		h.mu.Lock()
+		a := h.agents[i]
+		h.mu.Unlock()
 		if killed {
 			a.mu.Lock()
-			a.killed = now
+			a.killed = true
 			a.mu.Unlock()
 			a.kill()
 		} else {
--- a/internal/lab/measure/measure.go
+++ b/internal/lab/measure/measure.go
@@ -443,10 +443,10 @@
 			continue
 		}
 		rec := Recovery{At: e.At.Ms(), Kind: e.Kind, Before: won / of, Lowest: 1, After: -1}
-		good, last := 0, len(series)-1 // the last bucket is not whole
+		good, last, felt := 0, len(series)-1, false // the last bucket is not whole
 		for j := at; j < last; j++ {
 			x := smooth(j)
-			if j >= at+per {
+			if j >= at+per-1 {
 				rec.Lowest = min(rec.Lowest, x)
 			}
 			if x >= rec.Before-within {
@@ -455,9 +455,12 @@
 					break
 				}
 			} else {
-				good = 0
+				good, felt = 0, true
 			}
 		}
+		if !felt {
+			rec.After = 0
+		}
 		all = append(all, rec)
 	}
 	return all
--- /dev/null
+++ b/internal/lab/model/cost_test.go
@@ -0,0 +1,60 @@
+package model
+
+import (
+	"fmt"
+	"testing"
+
+	"molepaddle/internal/cluster"
+	"molepaddle/internal/settings"
+	"molepaddle/policy"
+)
+
+// BenchmarkDecide is the time of the decisions on one request and its outcome, at so many
+// servers and with so many other requests open. `molepaddle lab report --bench` draws it.
+func BenchmarkDecide(b *testing.B) {
+	for _, servers := range []int{3, 30, 300, 3000} {
+		for _, open := range []int{1, 100, 10000} {
+			b.Run(fmt.Sprintf("servers=%d/open=%d", servers, open), func(b *testing.B) { decide(b, servers, open) })
+		}
+	}
+}
+
+func decide(b *testing.B, servers, open int) {
+	var set settings.Settings
+	set.Classes = []settings.Class{{Name: "x", AimMs: 1e9, GiveUpMs: 2e9, Effect: settings.Free, Credit: 1}}
+	set.Membership, set.Weights, set.WorthBy, set.RoundMs = "pushed", "nominal", "request", 5
+	set.Limits = settings.Limits{MaxAttempts: 3, ConnectTimeoutMs: 150, KeepaliveMs: 30000, Cancelling: true}
+	set.Contract = settings.Contract{AskWithinMs: 10000, ColdFrom: 0.3, ColdMs: 8000, DrainGraceMs: 250, FallMultiple: 2.5, TipAfterMs: 1000}
+	set.Replicas = 1
+	bal, err := policy.New(set, 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	entries := make([]cluster.Entry, servers)
+	for i := range entries {
+		entries[i] = cluster.Entry{Server: cluster.Addr{10, 0, byte(i >> 8), byte(i), 0, 1}, Health: cluster.Ready, Weight: 1, Window: 1e6}
+	}
+	now := clockBase
+	acts := bal.Handle(now, &policy.Event{Kind: policy.EvList, List: cluster.ListFull, Entries: entries}, nil)
+	id := policy.RequestID(0)
+	begin := func() (at cluster.Addr, sent bool) {
+		id++
+		acts = bal.Handle(now, &policy.Event{Kind: policy.EvRequest, Request: id, Key: uint64(id) * 7919, LeftMs: 2e9}, acts[:0])
+		for i := range acts {
+			if acts[i].Kind == policy.ActSend && acts[i].Request == id {
+				return acts[i].Server, true
+			}
+		}
+		return at, false
+	}
+	for range open - 1 {
+		begin()
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		now += 0.01
+		if at, sent := begin(); sent {
+			acts = bal.Handle(now, &policy.Event{Kind: policy.EvOutcome, Request: id, Server: at, Status: policy.OK, LatencyMs: 20}, acts[:0])
+		}
+	}
+}
--- a/internal/lab/page/page.go
+++ b/internal/lab/page/page.go
@@ -61,7 +61,7 @@
 		if err != nil {
 			return err
 		}
-		for _, g := range s.Groups {
+		for _, g := range report.ByName(s.Groups) {
 			r := g.Rows[0]
 			for _, b := range r.Result.Broken {
 				sec.Broken = append(sec.Broken, fmt.Sprintf("%s, seed %d, at %.0f ms: %s: %s", g.Name, r.Seed, b.At, b.Rule, b.Story))
@@ -90,11 +90,11 @@
 var pageTemplate = template.Must(template.New("page").Parse(`<!DOCTYPE html>
 <html lang="en"><head><meta charset="utf-8"><title>molepaddle lab</title>
 <style>
-body{font:15px/1.45 system-ui,sans-serif;max-width:1080px;margin:2em auto;padding:0 1em;color:#222}
+body{font:15px/1.45 system-ui,sans-serif;max-width:1240px;margin:2em auto;padding:0 1em;color:#222}
 h1{font-size:1.5em}h2{margin-top:2.2em;border-bottom:1px solid #ccc;font-size:1.2em}
 table{border-collapse:collapse;font-size:13px}th,td{padding:3px 9px;text-align:right;border-bottom:1px solid #eee}
 th:first-child,td:first-child{text-align:left}tr:hover{background:#f6f6f6}.bad{color:#b00020;font-weight:600}
-figure{margin:1.2em 0}figcaption{font-size:13px;color:#555;margin-bottom:.3em}svg{max-width:100%;height:auto}
+figure{margin:1.2em 0}figcaption{font-size:13px;color:#555;margin-bottom:.3em}svg{width:100%;height:auto}
 ul{font-size:13px}
 </style></head><body>
 <h1>molepaddle lab</h1>
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -160,7 +160,7 @@
 		if err := t.Flush(); err != nil {
 			return err
 		}
-		for _, g := range s.Groups {
+		for _, g := range ByName(s.Groups) {
 			for _, r := range g.Rows[:1] {
 				for _, e := range r.Result.Recovered {
 					fmt.Fprintf(w, "  %s, seed %d: %s at %.0f s: worth %.3f before, %.3f at the least, %s\n", g.Name, r.Seed, e.Kind, e.At/1000, e.Before, e.Lowest, Recovery(e.After))
--- a/internal/lab/station/station.go
+++ b/internal/lab/station/station.go
@@ -54,6 +54,9 @@
 	Until float64
 }
 
+// arrival is work that came.
+type arrival struct{ at, work float64 }
+
 // Station is one process of an order server.
 type Station struct {
 	Kind  *scenario.Server
@@ -66,11 +69,11 @@
 	head  int
 	fault []Fault
 	fell  bool
-	// Work that came while it was cold, as of at: it fades over the time after which it falls.
-	sent, sentAt float64
-	overAt       float64 // since when more came than it bears; 0: it does not
-	known        map[uint32]float64
-	order        []uint32
+	// Work that came while it was cold, within the time after which it falls.
+	came  []arrival
+	sent  float64
+	known map[uint32]float64
+	order []uint32
 	// Reports.
 	served, errors   int
 	busyTime, lookAt float64
@@ -190,29 +193,39 @@
 	return Queued
 }
 
-// push notes the work that comes, and whether a cold server falls over: sent more than a
-// multiple of what it can do, all the time for as long as the rules say.
+// recent is the work that came within the time after which a server falls, as of now.
+func (s *Station) recent(now float64) float64 {
+	n := 0
+	for n < len(s.came) && now-s.came[n].at >= s.rules.FallAfter.Ms() {
+		s.sent -= s.came[n].work
+		n++
+	}
+	s.came = s.came[n:]
+	if len(s.came) == 0 {
+		s.sent = 0 // and no rest of what was rounded
+	}
+	return s.sent
+}
+
+// bears is the work that a cold server can do in the time after which it falls.
+func (s *Station) bears(now float64) float64 {
+	return float64(len(s.slots)) * s.Kind.Speed * s.Ramp(now) * s.rules.FallAfter.Ms()
+}
+
+// push notes the work that comes, and whether a cold server falls over: it was sent more than a
+// multiple of what it can do, over the time that the rules say. One request may be more than a
+// small server does in that time: it takes three to push it over.
 func (s *Station) push(now, work float64) {
-	ramp := s.Ramp(now)
-	if ramp == 1 {
-		s.overAt = 0
+	if s.Ramp(now) == 1 {
+		s.came, s.sent = nil, 0
 		return
 	}
-	span := s.rules.FallAfter.Ms()
-	s.sent = s.sent*math.Exp((s.sentAt-now)/span) + work
-	s.sentAt = now
-	bears := float64(len(s.slots)) * s.Kind.Speed * ramp * span
-	// A single request may be worth more than a small server does in the time: two at least.
-	over := s.sent / bears
+	s.recent(now)
+	s.came = append(s.came, arrival{now, work})
+	s.sent += work
+	over := s.sent / s.bears(now)
 	s.Peak = max(s.Peak, over)
-	if over <= s.rules.FallMultiple || s.sent <= 2*work {
-		s.overAt = 0
-		return
-	}
-	if s.overAt == 0 {
-		s.overAt = now
-	}
-	if now-s.overAt >= span {
+	if over > s.rules.FallMultiple && len(s.came) > 2 {
 		s.fell = true
 	}
 }
@@ -345,12 +358,7 @@
 // Bears tells whether work that comes now leaves a server that is cold within a part of what
 // pushes it over; a warm one bears any.
 func (s *Station) Bears(now, work, part float64) bool {
-	ramp, span := s.Ramp(now), s.rules.FallAfter.Ms()
-	if ramp == 1 {
-		return true
-	}
-	sent := s.sent*math.Exp((s.sentAt-now)/span) + work
-	return sent <= part*s.rules.FallMultiple*float64(len(s.slots))*s.Kind.Speed*ramp*span
+	return s.Ramp(now) == 1 || s.recent(now)+work <= part*s.rules.FallMultiple*s.bears(now)
 }
 
 // BusyTime adds up the time of slots that were busy since it was asked last, in milliseconds.
