--- a/cmd/molepaddle/lab.go
+++ b/cmd/molepaddle/lab.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"runtime/debug"
 	"slices"
 	"strconv"
 	"strings"
@@ -17,6 +18,7 @@
 
 	"github.com/schollz/progressbar/v3"
 	"github.com/spf13/cobra"
+	"golang.org/x/term"
 
 	"molepaddle/internal/lab/choose"
 	"molepaddle/internal/lab/report"
@@ -79,8 +81,13 @@
 	return v, nil
 }
 
+// softMemory is what the lab keeps to before it collects more often, in bytes: a thousand agents
+// that know three thousand servers each take most of it.
+const softMemory = 900 << 20
+
 // lab opens the file of rows; close says what was cut off.
 func (f *labFlags) lab(out io.Writer) (l *trial.Lab, end func(), err error) {
+	debug.SetMemoryLimit(softMemory)
 	store, err := trial.Open(f.file)
 	if err != nil {
 		return nil, nil, err
@@ -102,7 +109,7 @@
 func newProgress(out io.Writer) *progress {
 	p := &progress{out: out}
 	if f, ok := out.(*os.File); ok {
-		if info, err := f.Stat(); err == nil && info.Mode()&os.ModeCharDevice != 0 {
+		if term.IsTerminal(int(f.Fd())) {
 			p.bar = progressbar.NewOptions(1000, progressbar.OptionSetWriter(os.Stderr), progressbar.OptionClearOnFinish(),
 				progressbar.OptionThrottle(100*time.Millisecond), progressbar.OptionSetDescription("this play"), progressbar.OptionSetWidth(40))
 		}
--- /dev/null
+++ b/cmd/molepaddle/lab_test.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// The lab plays processes of this program, keeps the row, and plays it no second time.
+func TestLabProcesses(t *testing.T) {
+	t.Setenv("MOLEPADDLE_CHILD", "1") // the agents are this test's binary
+	rows := filepath.Join(t.TempDir(), "rows.jsonl")
+	args := []string{"lab", "run", "demo", "--processes", "--set", "length=4", "-o", rows}
+	var out strings.Builder
+	if err := run(args, &out); err != nil && !strings.Contains(out.String(), "was late") {
+		t.Fatalf("%v\n%s", err, &out)
+	}
+	if !strings.Contains(out.String(), "demo default, seed 1: worth") || !strings.Contains(out.String(), "molepaddle, live") {
+		t.Error(out.String())
+	}
+	text, err := os.ReadFile(rows)
+	if err != nil || strings.Count(string(text), "\n") != 1 || !strings.Contains(string(text), `"memory_mb":`) {
+		t.Fatalf("%.200s, %v", text, err)
+	}
+	if err := run([]string{"lab", "report", rows}, &out); err != nil {
+		t.Error(err)
+	}
+	if err := run([]string{"lab", "report", rows + "x"}, &out); err == nil {
+		t.Error("a file that is not there is reported")
+	}
+}
+
+// A broken rule ends with a code of its own, and the request's story.
+func TestLabSaysWhatBroke(t *testing.T) {
+	var out strings.Builder
+	err := run([]string{"lab", "run", "cold-start", "-v", "round-robin", "--set", "load=2", "--set", "length=5"}, &out)
+	if err == nil || !strings.Contains(err.Error(), errBroken.Error()) || !strings.Contains(out.String(), "BROKEN at") {
+		t.Errorf("%v\n%s", err, &out)
+	}
+}
--- /dev/null
+++ b/internal/lab/page/page_test.go
@@ -0,0 +1,103 @@
+package page
+
+import (
+	"bytes"
+	"encoding/xml"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+
+	"molepaddle/internal/lab/report"
+	"molepaddle/internal/lab/trial"
+	"molepaddle/internal/scenario"
+)
+
+func rows(t *testing.T) (plain, swept []*trial.Row) {
+	t.Helper()
+	store, err := trial.Open("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &trial.Lab{Store: store, Jobs: 4}
+	s, err := scenario.Load("demo")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var vs []trial.Variant
+	for _, c := range []string{"molepaddle", "random", "oracle"} {
+		vs = append(vs, trial.Variant{Name: "chooser=" + c, Chooser: c})
+	}
+	if plain, err = l.Play(t.Context(), []*scenario.Scenario{s}, vs, 2, 1); err != nil {
+		t.Fatal(err)
+	}
+	points, err := l.Sweep(t.Context(), s, []string{"molepaddle"}, []trial.Axis{{Knob: "load", Values: []float64{0.2, 0.8, 1.5, 3}}}, 1, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, p := range points {
+		swept = append(swept, p.Rows...)
+	}
+	return plain, swept
+}
+
+// The page is whole by itself: well-formed plots of all kinds, labelled with units, no word of
+// another place; plays that do not count are told and left out.
+func TestPage(t *testing.T) {
+	plain, swept := rows(t)
+	bad := *plain[0]
+	r := *bad.Result
+	r.Void = "late"
+	bad.Result = &r
+	bench := []byte("BenchmarkDecide/servers=3/open=1-4 \t 300\t 1907 ns/op\nBenchmarkDecide/servers=300/open=1-4 \t 300\t 12969 ns/op\n")
+	for _, c := range []struct {
+		rows []*trial.Row
+		want []string
+	}{
+		{append([]*trial.Row{&bad}, plain...), []string{"Worth over time", "1 plays do not count", "latency of served requests, ms", "How busy", "1: fail", "one of", "servers in the list"}},
+		{swept, []string{"Worth over load; the knee", "99th percentile, ms", "load=0.8"}},
+	} {
+		var b bytes.Buffer
+		if err := HTML(&b, c.rows, bench, func(string) string { return "one of three?" }); err != nil {
+			t.Fatal(err)
+		}
+		text := b.String()
+		for _, w := range c.want {
+			if !strings.Contains(text, w) {
+				t.Errorf("the page says nothing of %q", w)
+			}
+		}
+		if strings.Contains(text, "src=") || strings.Contains(text, "href=\"http") {
+			t.Error("the page needs other places")
+		}
+		for _, part := range strings.Split(text, "<svg")[1:] {
+			svg := "<svg" + part[:strings.Index(part, "</svg>")+6]
+			d := xml.NewDecoder(strings.NewReader(svg))
+			var err error
+			for err == nil {
+				_, err = d.Token()
+			}
+			if !errors.Is(err, io.EOF) {
+				t.Errorf("a plot that is no SVG: %v", err)
+			}
+		}
+	}
+	if err := HTML(io.Discard, plain, []byte("nothing"), func(string) string { return "" }); err == nil {
+		t.Error("benchmarks that say nothing are taken")
+	}
+}
+
+// The table has each variant, its way from random to the oracle, and broken rules.
+func TestText(t *testing.T) {
+	plain, _ := rows(t)
+	plain[0].Result.Breaches++
+	var b strings.Builder
+	if err := report.Text(&b, plain); err != nil {
+		t.Fatal(err)
+	}
+	for _, w := range []string{"chooser=random", "chooser=oracle", "way", "fail at 2 s"} {
+		if !strings.Contains(b.String(), w) {
+			t.Errorf("the table says nothing of %q:\n%s", w, &b)
+		}
+	}
+}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -2,9 +2,10 @@
 // and in a form that the operator's file sets. Values only; a Logger may be used by any number of
 // goroutines.
 //
-// The keys are agent (its name), addr, listen, server, site, class, err, from and to (of what
-// changes), count, and for a panic panic, stack and input. A key that is new belongs into this
-// list and into docs/operators/operator-file.md.
+// The keys are agent (its name, in each record), listen and backends (at the start), err, from and
+// to (of what changes), days (that a certificate lasts), and of a fault of the program itself
+// input, panic and stack. A key that is new belongs into this list and into
+// docs/operators/commands.md.
 package logging
 
 import (
