--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -85,6 +85,7 @@
 	most     int
 	connects int
 	coming   int
+	out      []*out
 	late     float64
 	told     float64 // since when the roster tells that it wants nothing new; -1: it does
 	busy     []float64
@@ -99,9 +100,13 @@
 	id     string
 	agent  int
 	number int
-	first  bool
-	final  bool
-	out    map[*server]int
+	out    []*out
+}
+
+// out is an attempt of a try at a server.
+type out struct {
+	v    *server
+	over bool // its answer has gone, its client has closed, or its server has died
 }
 
 type world struct {
@@ -323,7 +328,7 @@
 	class := &w.s.Classes[p.Class]
 	now := w.now()
 	deadline := p.At + float64(p.Patience)
-	t := &try{agent: int(p.Agent), number: number, out: map[*server]int{}}
+	t := &try{agent: int(p.Agent), number: number}
 	t.Try = measure.Try{ID: fmt.Sprint("r", i, ".", number), Ask: i, Class: int(p.Class), At: now, Deadline: deadline}
 	w.mu.Lock()
 	w.rec.Start(&t.Try)
