Settle what a server would answer in one place; drop a stand-in's unused fault

Model and live plays each worked out a server's next finish and whether it stands free; the station does now. standin.Server.Fail has no user since the demo's first scene is a scenario.

--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -408,7 +408,7 @@
 func (w *world) needless(t *try, now float64) bool {
 	work := float64(w.plan[t.Ask].Work)
 	for _, v := range w.servers {
-		if v.up && !v.silent && v.health == cluster.Ready && v.st.Idle() > v.coming && v.st.Ramp(now) == 1 && v.st.Failing(now) < 0.05 &&
+		if v.up && !v.silent && v.health == cluster.Ready && v.st.Free(now, v.coming) &&
 			2*w.paths.Mean(w.zones[t.agent], v.zone)+work/v.st.Rate(now) < t.Deadline-now {
 			return true
 		}
@@ -553,25 +553,11 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	v := w.byAddr[addr]
-	if v == nil || !v.up || v.silent || v.st.Fell() {
+	if v == nil || !v.up || v.silent {
 		return 0, 0, false
 	}
-	now := w.now()
-	fail := v.st.Failing(now)
-	if fail > 0.5 {
-		return 0, 0, false
-	}
-	kind, rate := &w.s.Servers[v.kind], v.st.Rate(now)
-	if v.st.Knows(now, uint32(key)) {
-		work *= 1 - kind.KeySaves
-	}
-	if v.st.Idle() <= v.coming {
-		wait = (v.st.Backlog(now) + float64(v.coming)*w.means/rate) / float64(kind.Slots)
-		if v.st.Holds()-kind.Slots >= kind.Queue {
-			return 0, 0, false
-		}
-	}
-	return (2*w.paths.Mean(zone, v.zone) + wait + work/rate) / (1 - fail), wait, true
+	after, wait, ok = v.st.Finish(w.now(), work, uint32(key), v.coming, w.means)
+	return after + 2*w.paths.Mean(zone, v.zone), wait, ok
 }
 
 func (t truth) Work(int, policy.RequestID) float64 { return t.w.means }
--- a/internal/lab/model/estate.go
+++ b/internal/lab/model/estate.go
@@ -278,24 +278,11 @@
 // Finish is how long from now an answer would come, about, and how long it would wait in line.
 func (w *world) Finish(addr cluster.Addr, zone int, work float64, key uint64) (after, wait float64, ok bool) {
 	v := w.byAddr[addr]
-	if v == nil || !v.up || v.silent || v.st.Fell() {
+	if v == nil || !v.up || v.silent {
 		return 0, 0, false
 	}
-	fail := v.st.Failing(w.now)
-	if fail > 0.5 {
-		return 0, 0, false
-	}
-	rate := v.st.Rate(w.now)
-	if v.st.Knows(w.now, uint32(key)) {
-		work *= 1 - w.s.Servers[v.kind].KeySaves
-	}
-	if v.st.Idle() <= v.coming {
-		wait = (v.st.Backlog(w.now) + float64(v.coming)*w.means/rate) / float64(w.s.Servers[v.kind].Slots)
-		if v.st.Holds()-w.s.Servers[v.kind].Slots >= w.s.Servers[v.kind].Queue {
-			return 0, 0, false
-		}
-	}
-	return (2*w.paths.Mean(zone, v.zone) + wait + work/rate) / (1 - fail), wait, true
+	after, wait, ok = v.st.Finish(w.now, work, uint32(key), v.coming, w.means)
+	return after + 2*w.paths.Mean(zone, v.zone), wait, ok
 }
 
 // Work is that of a request.
--- a/internal/lab/model/model.go
+++ b/internal/lab/model/model.go
@@ -14,7 +14,6 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"runtime"
 	"slices"
 	"time"
 
@@ -427,7 +426,7 @@
 	from := w.rng.IntN(n)
 	for i := range min(n, 64) {
 		v := w.servers[(from+i)%n]
-		if v.up && !v.silent && v.health == cluster.Ready && v.st.Idle() > v.coming && v.st.Ramp(w.now) == 1 && v.st.Failing(w.now) < 0.05 &&
+		if v.up && !v.silent && v.health == cluster.Ready && v.st.Free(w.now, v.coming) &&
 			2*w.paths.Mean(t.agent.zone, v.zone)+work/v.st.Rate(w.now) < t.deadline-guard-w.now {
 			return true
 		}
@@ -899,10 +898,3 @@
 		w.after(span, w.sample)
 	}
 }
-
-// Memory is what the process holds now, in MB.
-func Memory() float64 {
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return float64(m.HeapAlloc) / (1 << 20)
-}
--- a/internal/lab/station/station.go
+++ b/internal/lab/station/station.go
@@ -153,12 +153,30 @@
 // Holds is how many jobs it has.
 func (s *Station) Holds() int { return s.busy + len(s.queue) - s.head }
 
-// Wait is about how long a job that arrives would wait, for a mean work.
-func (s *Station) Wait(now, mean float64) float64 {
-	if s.Idle() > 0 {
-		return 0
+// Finish is about how long from now a job that comes would be done, and how long of that it would
+// wait in line, when so many others of a mean work are on their way; ok is false where it would
+// be turned away, or more likely fail than not.
+func (s *Station) Finish(now, work float64, key uint32, coming int, mean float64) (after, wait float64, ok bool) {
+	fail := s.Failing(now)
+	if s.fell || fail > 0.5 {
+		return 0, 0, false
+	}
+	rate := s.Rate(now)
+	if s.Knows(now, key) {
+		work *= 1 - s.Kind.KeySaves
 	}
-	return float64(len(s.queue)-s.head+1) * mean / (s.Rate(now) * float64(len(s.slots)))
+	if s.Idle() <= coming {
+		wait = (s.Backlog(now) + float64(coming)*mean/rate) / float64(len(s.slots))
+		if len(s.queue)-s.head >= s.Kind.Queue {
+			return 0, 0, false
+		}
+	}
+	return (wait + work/rate) / (1 - fail), wait, true
+}
+
+// Free tells whether it is warm and well and has a slot for one more job than are on their way.
+func (s *Station) Free(now float64, coming int) bool {
+	return s.Idle() > coming && s.Ramp(now) == 1 && s.Failing(now) < 0.05
 }
 
 // Knows tells whether it would save work for a key.
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -48,13 +48,12 @@
 	work time.Duration
 	http *http.Server
 
-	mu      sync.Mutex
-	failing bool
-	held    chan struct{} // closed when answers go on; nil: they do
-	came    []Arrival
-	slots   int // requests that are worked on at once; 0: any number
-	busy    int
-	line    []chan struct{} // of those that wait for a slot, each closed when it has one
+	mu    sync.Mutex
+	held  chan struct{} // closed when answers go on; nil: they do
+	came  []Arrival
+	slots int // requests that are worked on at once; 0: any number
+	busy  int
+	line  []chan struct{} // of those that wait for a slot, each closed when it has one
 
 	// Since the last Counts, but for open.
 	asked, connects, open int
@@ -110,13 +109,6 @@
 	return Host{Host: s.Name, Dial: s.Addr, Site: site, Class: class, Health: health, Share: 1}
 }
 
-// Fail lets the server answer 500 from now on, or not.
-func (s *Server) Fail(failing bool) {
-	s.mu.Lock()
-	s.failing = failing
-	s.mu.Unlock()
-}
-
 // Work changes how long the server works on each request from now on.
 func (s *Server) Work(for_ time.Duration) {
 	s.mu.Lock()
@@ -201,7 +193,7 @@
 	s.mu.Lock()
 	s.came = append(s.came, Arrival{id, time.Now()})
 	s.asked++
-	failing, held := s.failing, s.held
+	held := s.held
 	s.mu.Unlock()
 	if !s.enter(r.Context()) {
 		return
@@ -217,10 +209,6 @@
 			return
 		}
 	}
-	if failing {
-		w.WriteHeader(http.StatusInternalServerError)
-		return
-	}
 	rest := time.NewTimer(work)
 	defer rest.Stop()
 	select {
