--- a/cmd/molepaddle/main.go
+++ b/cmd/molepaddle/main.go
@@ -49,6 +49,10 @@
 	if err == nil {
 		return
 	}
+	if errors.Is(err, context.Canceled) {
+		fmt.Fprintln(os.Stderr, "molepaddle: interrupted")
+		os.Exit(exitInterrupted)
+	}
 	fmt.Fprintln(os.Stderr, "molepaddle:", err)
 	var usage usageError
 	switch {
@@ -56,8 +60,6 @@
 		os.Exit(exitUsage)
 	case errors.Is(err, errBroken):
 		os.Exit(exitBroken)
-	case errors.Is(err, context.Canceled):
-		os.Exit(exitInterrupted)
 	}
 	os.Exit(exitFailed)
 }
--- a/internal/lab/measure/measure.go
+++ b/internal/lab/measure/measure.go
@@ -88,6 +88,9 @@
 	Story string  `json:"story"`
 }
 
+// endSlack is how long after a try's end work on it may still begin, in ms: the end was on its way.
+const endSlack = 50.0
+
 // maxBreaches bounds the stories that are kept; all are counted.
 const maxBreaches = 20
 
@@ -143,18 +146,23 @@
 
 // Result is what a play came to.
 type Result struct {
-	Worth        float64    `json:"worth"` // share of what was asked
-	Asked        int        `json:"asked"`
-	Served       int        `json:"served"`
-	Refused      int        `json:"refused"`
-	Failed       int        `json:"failed"`
-	Lost         int        `json:"lost"`
-	Gone         int        `json:"gone"`
-	Tries        int        `json:"tries"`
-	Attempts     int        `json:"attempts"`
-	Needless     int        `json:"needless"`  // refused or failed though a warm server stood idle that could do it
-	Retries      float64    `json:"retries"`   // attempts beyond the first, as a share of tries
-	Waste        float64    `json:"waste"`     // share of the work done that served nobody in time
+	Worth    float64 `json:"worth"` // share of what was asked
+	Asked    int     `json:"asked"`
+	Served   int     `json:"served"`
+	Refused  int     `json:"refused"`
+	Failed   int     `json:"failed"`
+	Lost     int     `json:"lost"`
+	Gone     int     `json:"gone"`
+	Tries    int     `json:"tries"`
+	Attempts int     `json:"attempts"`
+	Needless int     `json:"needless"` // refused or failed though a warm server stood idle that could do it
+	Retries  float64 `json:"retries"`  // attempts beyond the first, as a share of tries
+	Waste    float64 `json:"waste"`    // share of the work done that served nobody in time
+	Begun    int     `json:"begun"`    // pieces of work that servers began
+	Repeated int     `json:"repeated"` // of them, those of a try that one had begun before
+	// AfterEnd is those of a try that had ended for its client more than 50 ms before: it had left,
+	// or had its answer.
+	AfterEnd     int        `json:"after_end"`
 	Cross        float64    `json:"cross"`     // share of attempts that crossed zones
 	Imbalance    float64    `json:"imbalance"` // the most loaded server's share of its capacity over the mean
 	Connects     int        `json:"connects"`
@@ -257,7 +265,12 @@
 func (r *Recorder) Begun(t *Try, now float64, server string) {
 	c := &r.s.Classes[t.Class]
 	t.Note(now, "begun by", server)
+	r.res.Begun++
+	if t.Outcome != Open && now-t.Ended > endSlack {
+		r.res.AfterEnd++
+	}
 	if len(t.Runs) > 0 {
+		r.res.Repeated++
 		switch {
 		case c.Effect == "unsafe":
 			r.Breach(now, "an effect twice", t)
--- a/internal/lab/page/page.go
+++ b/internal/lab/page/page.go
@@ -90,7 +90,7 @@
 var pageTemplate = template.Must(template.New("page").Parse(`<!DOCTYPE html>
 <html lang="en"><head><meta charset="utf-8"><title>molepaddle lab</title>
 <style>
-body{font:15px/1.45 system-ui,sans-serif;max-width:1240px;margin:2em auto;padding:0 1em;color:#222}
+body{font:15px/1.45 system-ui,sans-serif;max-width:1380px;margin:2em auto;padding:0 1em;color:#222}
 h1{font-size:1.5em}h2{margin-top:2.2em;border-bottom:1px solid #ccc;font-size:1.2em}
 table{border-collapse:collapse;font-size:13px}th,td{padding:3px 9px;text-align:right;border-bottom:1px solid #eee}
 th:first-child,td:first-child{text-align:left}tr:hover{background:#f6f6f6}.bad{color:#b00020;font-weight:600}
@@ -102,8 +102,8 @@
 {{if .Void}}<span class="bad">{{.Void}} plays do not count and are left out.</span>{{end}}
 Worth is the share of what was asked that was served in time; the way is from random choice (0) to an oracle that sees every server (1).</p>
 {{range .Sections}}<h2>{{.Name}}</h2>{{if .Question}}<p>{{.Question}}</p>{{end}}
-<table><tr><th>variant</th><th>plays</th><th>worth</th><th>way</th><th>served</th><th>refused</th><th>failed</th><th>needless, &permil;</th><th>waste</th><th>p99, ms</th><th>imbalance</th><th>connects</th><th>retries</th><th>breaches</th><th>MB</th><th>cores</th></tr>
-{{range .Lines}}<tr><td>{{.Name}}</td><td>{{.Plays}}</td><td>{{printf "%.4f" .Worth}}</td><td>{{.Way}}</td><td>{{printf "%.4f" .Served}}</td><td>{{printf "%.4f" .Refused}}</td><td>{{printf "%.4f" .Failed}}</td><td>{{printf "%.2f" .Needless}}</td><td>{{printf "%.4f" .Waste}}</td><td>{{printf "%.0f" .P99}}</td><td>{{printf "%.2f" .Imbalance}}</td><td>{{printf "%.0f" .Connects}}</td><td>{{printf "%.4f" .Retry}}</td><td{{if .Breaches}} class="bad"{{end}}>{{.Breaches}}</td><td>{{.Memory}}</td><td>{{.CPU}}</td></tr>
+<table><tr><th>variant</th><th>plays</th><th>worth</th><th>way</th><th>served</th><th>refused</th><th>failed</th><th>needless, &permil;</th><th>waste</th><th>repeated, &permil;</th><th>for nobody, &permil;</th><th>p99, ms</th><th>imbalance</th><th>connects</th><th>retries</th><th>breaches</th><th>MB</th><th>cores</th></tr>
+{{range .Lines}}<tr><td>{{.Name}}</td><td>{{.Plays}}</td><td>{{printf "%.4f" .Worth}}</td><td>{{.Way}}</td><td>{{printf "%.4f" .Served}}</td><td>{{printf "%.4f" .Refused}}</td><td>{{printf "%.4f" .Failed}}</td><td>{{printf "%.2f" .Needless}}</td><td>{{printf "%.4f" .Waste}}</td><td>{{printf "%.2f" .Repeated}}</td><td>{{printf "%.2f" .Nobody}}</td><td>{{printf "%.0f" .P99}}</td><td>{{printf "%.2f" .Imbalance}}</td><td>{{printf "%.0f" .Connects}}</td><td>{{printf "%.4f" .Retry}}</td><td{{if .Breaches}} class="bad"{{end}}>{{.Breaches}}</td><td>{{.Memory}}</td><td>{{.CPU}}</td></tr>
 {{end}}</table>
 {{range .Plots}}<figure><figcaption>{{.Title}}</figcaption>{{.SVG}}</figure>{{end}}
 {{if .Recovered}}<ul>{{range .Recovered}}<li>{{.}}</li>{{end}}</ul>{{end}}
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -94,6 +94,7 @@
 	Served, Refused, Failed    float64
 	Needless, Waste, P50, P99  float64
 	Imbalance, Connects, Retry float64
+	Repeated, Nobody           float64 // pieces of work, in a thousand begun
 	Breaches                   int
 	Memory, CPU                string
 }
@@ -126,6 +127,8 @@
 			Imbalance: g.Mean(func(r *measure.Result) float64 { return r.Imbalance }),
 			Connects:  g.Mean(func(r *measure.Result) float64 { return float64(r.Connects) }),
 			Retry:     g.Mean(func(r *measure.Result) float64 { return r.Retries }),
+			Repeated:  perBegun(g, func(r *measure.Result) int { return r.Repeated }),
+			Nobody:    perBegun(g, func(r *measure.Result) int { return r.AfterEnd }),
 			Memory:    "-", CPU: "-"}
 		if oracle-random > 0.005 {
 			l.Way = fmt.Sprintf("%.2f", (l.Worth-random)/(oracle-random))
@@ -146,16 +149,21 @@
 	return all
 }
 
+// perBegun is a count of pieces of work, in a thousand that were begun.
+func perBegun(g *Group, of func(r *measure.Result) int) float64 {
+	return g.Mean(func(r *measure.Result) float64 { return 1000 * float64(of(r)) / float64(max(r.Begun, 1)) })
+}
+
 // Text writes a table for a terminal.
 func Text(w io.Writer, rows []*trial.Row) error {
 	all, void := Scenes(rows)
 	for _, s := range all {
 		fmt.Fprintf(w, "%s\n", s.Name)
 		t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-		fmt.Fprintln(t, "\tplays\tworth\tway\tserved\trefused\tfailed\tneedless ‰\twaste\tp99 ms\timbalance\tconnects\tretries\tbreaches\tMB\tcores\t")
+		fmt.Fprintln(t, "\tplays\tworth\tway\tserved\trefused\tfailed\tneedless ‰\twaste\trepeated ‰\tfor nobody ‰\tp99 ms\timbalance\tconnects\tretries\tbreaches\tMB\tcores\t")
 		for _, l := range s.Lines() {
-			fmt.Fprintf(t, "%s\t%d\t%.4f\t%s\t%.4f\t%.4f\t%.4f\t%.2f\t%.4f\t%.0f\t%.2f\t%.0f\t%.4f\t%d\t%s\t%s\t\n", l.Name, l.Plays, l.Worth, l.Way, l.Served,
-				l.Refused, l.Failed, l.Needless, l.Waste, l.P99, l.Imbalance, l.Connects, l.Retry, l.Breaches, l.Memory, l.CPU)
+			fmt.Fprintf(t, "%s\t%d\t%.4f\t%s\t%.4f\t%.4f\t%.4f\t%.2f\t%.4f\t%.2f\t%.2f\t%.0f\t%.2f\t%.0f\t%.4f\t%d\t%s\t%s\t\n", l.Name, l.Plays, l.Worth, l.Way, l.Served,
+				l.Refused, l.Failed, l.Needless, l.Waste, l.Repeated, l.Nobody, l.P99, l.Imbalance, l.Connects, l.Retry, l.Breaches, l.Memory, l.CPU)
 		}
 		if err := t.Flush(); err != nil {
 			return err
