--- a/internal/lab/station/station_test.go
+++ b/internal/lab/station/station_test.go
@@ -100,3 +100,39 @@
 		t.Error("faults last otherwise")
 	}
 }
+
+// What the oracle is told of a server: the wait for a free slot, what is under way, warm keys, faults.
+func TestFinish(t *testing.T) {
+	s := New(&scenario.Server{Slots: 2, Speed: 1, Queue: 1, Keys: 9, KeysFor: scenario.Duration(1e9), KeySaves: 0.5}, &rules, 1, -1)
+	finish := func(key uint32, coming int) (after, wait float64) {
+		after, wait, ok := s.Finish(0, 10, key, coming, 8)
+		if !ok {
+			return -1, -1
+		}
+		return after, wait
+	}
+	if a, w := finish(0, 1); a != 10 || w != 0 || !s.Free(0, 1) || s.Free(0, 2) {
+		t.Errorf("idle: %v %v", a, w)
+	}
+	if a, w := finish(0, 2); a != 18 || w != 8 {
+		t.Errorf("two under way: %v %v", a, w)
+	}
+	s.Arrive(0, &Job{Work: 20, Key: 7})
+	s.Arrive(0, &Job{Work: 40})
+	if a, w := finish(7, 0); a != 35 || w != 30 {
+		t.Errorf("busy, a known key: %v %v", a, w)
+	}
+	s.Arrive(0, &Job{Work: 2})
+	if a, _ := finish(0, 0); a != -1 {
+		t.Errorf("full: %v", a)
+	}
+	s = New(&scenario.Server{Slots: 1, Speed: 1, Queue: 9}, &rules, 1, -1)
+	s.Add(Fault{Fail: 0.5, Until: 100})
+	if a, _ := finish(0, 0); a != 20 || s.Free(0, 0) {
+		t.Errorf("half fail: %v", a)
+	}
+	s.Add(Fault{Fail: 0.6, Until: 100})
+	if a, _ := finish(0, 0); a != -1 {
+		t.Errorf("most fail: %v", a)
+	}
+}
