End an attempt in one place where its server says nothing, in the live lab

hushed breaks its connection by a panic, so the lines behind it that marked the attempt as over were never reached: an agent that gave up on a silent server and sent elsewhere would have been said to have two attempts out at once. The mark is set where the request's handler ends now, and three copies of it are gone. A test has a client give up on a silent server. The live package passes under the race detector; the agent is unchanged.

--- a/internal/lab/live/live_test.go
+++ b/internal/lab/live/live_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"molepaddle/internal/lab/measure"
 	"molepaddle/internal/lab/model"
 	"molepaddle/internal/scenario"
 )
@@ -248,3 +249,30 @@
 		}
 	}
 }
+
+// An attempt at a server that says nothing is over when its client gives up: the next one is no
+// second at once.
+func TestSilentAttemptEnds(t *testing.T) {
+	ended := make(chan bool, 1)
+	_, err := Play(t.Context(), small(t, "20.0", ""), Options{Seed: 1, begun: func(w *world) {
+		k := &try{Try: measure.Try{ID: "x", Deadline: 1e6}}
+		w.mu.Lock()
+		w.tries["x"] = k
+		host{w}.Die(0, true)
+		dial := w.servers[0].dial
+		w.mu.Unlock()
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		req, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+dial+"/look/u1", nil)
+		req.Header.Set("Request-Id", "x")
+		http.DefaultClient.Do(req)
+		over := func() bool { w.mu.Lock(); defer w.mu.Unlock(); return len(k.out) == 1 && k.out[0].over }
+		for end := time.Now().Add(5 * time.Second); !over() && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		ended <- over()
+	}})
+	if err != nil || !<-ended {
+		t.Errorf("it is out for good, %v", err)
+	}
+}
--- a/internal/lab/live/servers.go
+++ b/internal/lab/live/servers.go
@@ -147,17 +147,17 @@
 	v.coming++
 	hush := v.hush
 	w.mu.Unlock()
-	over := func() { o.over = true }
+	defer func() { // also where hushed breaks the connection
+		w.mu.Lock()
+		o.over = true
+		w.mu.Unlock()
+	}()
 	rest(r.Context(), wait) // also what was given up under way comes
 	w.mu.Lock()
 	v.coming--
 	if v.silent || hush != v.hush {
 		w.mu.Unlock()
 		w.hushed(r, hush)
-		w.mu.Lock()
-		over()
-		w.mu.Unlock()
-		return
 	}
 	status, job, done := w.arrive(v, t)
 	w.mu.Unlock()
@@ -170,7 +170,6 @@
 			if next, _ := job.st.Cancel(w.now(), &job.Job); next != nil {
 				w.work(next)
 			}
-			over()
 			w.mu.Unlock()
 			return
 		}
@@ -179,22 +178,16 @@
 	if v.silent || hush != v.hush {
 		w.mu.Unlock()
 		w.hushed(r, hush)
-		w.mu.Lock()
-		over()
-		w.mu.Unlock()
-		return
 	}
 	wait = w.trip(zone, v)
 	report, told := v.st.Load(w.now(), v.late)
 	w.mu.Unlock()
 	alive := rest(r.Context(), wait)
 	w.mu.Lock()
-	over()
 	silent := v.silent || hush != v.hush
 	w.mu.Unlock()
 	if silent {
 		w.hushed(r, hush)
-		return
 	}
 	if !alive {
 		return
@@ -224,7 +217,7 @@
 }
 
 // hushed holds a request of which nothing is heard any more, until its client gives up or the
-// machine is back; then its connection breaks.
+// machine is back; then its connection breaks. It does not return.
 func (w *world) hushed(r *http.Request, hush chan struct{}) {
 	select {
 	case <-hush:
