--- /dev/null
+++ b/internal/lab/trial/sweep.go
@@ -0,0 +1,176 @@
+package trial
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"slices"
+	"sort"
+	"strconv"
+	"strings"
+
+	"gonum.org/v1/gonum/floats/scalar"
+
+	"molepaddle/internal/scenario"
+)
+
+// maxValues bounds an axis.
+const maxValues = 1000
+
+// Axis is a knob and the values that it takes.
+type Axis struct {
+	Knob   string
+	Values []float64
+}
+
+// ParseAxis reads KNOB=1,2,3, KNOB=FROM:TO:STEP or KNOB=FROM:TO:xFACTOR; TO is reached where the
+// steps meet it.
+func ParseAxis(text string) (Axis, error) {
+	knob, values, ok := strings.Cut(text, "=")
+	bad := func(why string) (Axis, error) {
+		return Axis{}, fmt.Errorf("axis %q: want values such as load=1,2,3 or load=0.3:3:0.3 or servers=3:300:x10: %s", text, why)
+	}
+	if !ok {
+		return bad("there is no =")
+	}
+	if scenario.Knobs[knob] == "" {
+		return bad(fmt.Sprintf("%q is no knob", knob))
+	}
+	a := Axis{Knob: knob}
+	number := func(s string) (float64, bool) {
+		x, err := strconv.ParseFloat(s, 64)
+		return x, err == nil && !math.IsNaN(x) && !math.IsInf(x, 0)
+	}
+	parts := strings.Split(values, ":")
+	if len(parts) == 1 {
+		for s := range strings.SplitSeq(values, ",") {
+			x, ok := number(s)
+			if !ok {
+				return bad(fmt.Sprintf("%q is no number", s))
+			}
+			if slices.Contains(a.Values, x) {
+				return bad(fmt.Sprintf("%v stands there twice", x))
+			}
+			a.Values = append(a.Values, x)
+		}
+	} else {
+		if len(parts) != 3 {
+			return bad("a range has three parts")
+		}
+		step, times := strings.CutPrefix(parts[2], "x")
+		from, ok1 := number(parts[0])
+		to, ok2 := number(parts[1])
+		by, ok3 := number(step)
+		if !ok1 || !ok2 || !ok3 || to < from || times && (by <= 1 || from <= 0) || !times && by <= 0 {
+			return bad("a range goes up")
+		}
+		for i := range maxValues + 1 {
+			x := from + float64(i)*by
+			if times {
+				x = from * math.Pow(by, float64(i))
+			}
+			if x = scalar.Round(x, 9); x > to+1e-9 {
+				break
+			}
+			a.Values = append(a.Values, x)
+		}
+	}
+	if len(a.Values) > maxValues {
+		return bad(fmt.Sprintf("more than %d", maxValues))
+	}
+	return a, nil
+}
+
+// Point is one place of a sweep, by one chooser.
+type Point struct {
+	Set     map[string]float64
+	Chooser string
+	Worth   float64 // means of the plays that count; NaN: none does
+	P99     float64 // of the class in which it is longest, in milliseconds
+	Rows    []*Row
+}
+
+// Sweep plays each place of a grid by each chooser, with seeds from 'from' on. The grid is checked
+// whole before the first play.
+func (l *Lab) Sweep(ctx context.Context, s *scenario.Scenario, choosers []string, axes []Axis, seeds int, from uint64) ([]Point, error) {
+	places := []map[string]float64{{}}
+	for i, a := range axes {
+		if slices.ContainsFunc(axes[:i], func(o Axis) bool { return o.Knob == a.Knob }) {
+			return nil, fmt.Errorf("axis %s stands there twice", a.Knob)
+		}
+		var more []map[string]float64
+		for _, p := range places {
+			for _, x := range a.Values {
+				q := map[string]float64{a.Knob: x}
+				for k, y := range p {
+					q[k] = y
+				}
+				more = append(more, q)
+			}
+		}
+		if places = more; len(places)*len(choosers)*seeds > maxPlays {
+			return nil, fmt.Errorf("a sweep of more than %d plays", maxPlays)
+		}
+	}
+	var points []Point
+	var vs []Variant
+	for _, c := range choosers {
+		for _, p := range places {
+			v := Variant{Name: "chooser=" + c, Chooser: c, Set: p}
+			for _, a := range axes {
+				v.Name += fmt.Sprintf(",%s=%v", a.Knob, p[a.Knob])
+			}
+			vs = append(vs, v)
+			points = append(points, Point{Set: p, Chooser: c})
+		}
+	}
+	rows, err := l.Play(ctx, []*scenario.Scenario{s}, vs, seeds, from)
+	if err != nil {
+		return nil, err
+	}
+	for i := range points {
+		p := &points[i]
+		p.Rows = rows[i*seeds : (i+1)*seeds]
+		n := 0.0
+		for _, r := range p.Rows {
+			if r.Result.Void == "" {
+				p.Worth, p.P99, n = p.Worth+r.Result.Worth, p.P99+r.Result.WorstP99(), n+1
+			}
+		}
+		p.Worth, p.P99 = p.Worth/n, p.P99/n
+	}
+	return points, nil
+}
+
+// The least fall of a curve, and the least distance from its chord, at which it has a knee.
+const (
+	kneeFall = 0.02
+	kneeBend = 0.05
+)
+
+// Knee is the x from which a falling curve falls: where it lies furthest above the line between its
+// ends, with both axes scaled to 1 (Satopää et al., "Finding a Kneedle in a Haystack", 2011). Points
+// may come in any order. There is none in fewer than three, in a curve that falls by less than 0.02,
+// or in one that bends little.
+func Knee(xs, ys []float64) (at float64, ok bool) {
+	order := make([]int, len(xs))
+	for i := range order {
+		order[i] = i
+	}
+	sort.Slice(order, func(i, j int) bool { return xs[order[i]] < xs[order[j]] })
+	if len(order) < 3 {
+		return 0, false
+	}
+	first, last := order[0], order[len(order)-1]
+	wide, fall := xs[last]-xs[first], ys[first]-ys[last]
+	if !(wide > 0) || !(fall >= kneeFall) {
+		return 0, false
+	}
+	most := kneeBend
+	for _, i := range order {
+		if above := (ys[i]-ys[last])/fall + (xs[i]-xs[first])/wide - 1; above > most {
+			at, ok, most = xs[i], true, above
+		}
+	}
+	return at, ok
+}
--- /dev/null
+++ b/internal/lab/trial/trial.go
@@ -0,0 +1,139 @@
+package trial
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"runtime"
+	"sync"
+	"time"
+
+	"molepaddle/internal/lab/live"
+	"molepaddle/internal/lab/measure"
+	"molepaddle/internal/lab/model"
+	"molepaddle/internal/scenario"
+)
+
+// maxPlays bounds what one call plays.
+const maxPlays = 100_000
+
+// Lab plays.
+type Lab struct {
+	Store *Store
+	Live  bool      // over sockets, one play at a time
+	Jobs  int       // plays of the model at once; below 1: one
+	Out   io.Writer // a line of each play; nil: none
+	// Tick is told the part of a play that is over; several plays call it at once. It may be nil.
+	Tick func(part float64)
+
+	sums map[string]string
+}
+
+func machine() string {
+	return fmt.Sprintf("%s/%s, %d cores", runtime.GOOS, runtime.GOARCH, runtime.NumCPU())
+}
+
+// Play plays scenarios by variants, each with seeds from 'from' on, and returns a row of each play
+// that ended, in that order. What stands in the store is not played again. Where ctx ends it returns
+// what there is, with ctx's error.
+func (l *Lab) Play(ctx context.Context, scenes []*scenario.Scenario, vs []Variant, seeds int, from uint64) ([]*Row, error) {
+	if n := len(scenes) * len(vs) * seeds; seeds < 1 || n > maxPlays {
+		return nil, fmt.Errorf("%d plays are wanted; from 1 to %d are played", n, maxPlays)
+	}
+	var jobs []*job
+	for _, s := range scenes {
+		for _, v := range vs {
+			for i := range seeds {
+				j, err := l.plan(s, v, from+uint64(i))
+				if err != nil {
+					return nil, err
+				}
+				jobs = append(jobs, j)
+			}
+		}
+	}
+	return l.all(ctx, jobs)
+}
+
+// all plays jobs and returns the rows of those that ended, in their order. The first error ends it.
+func (l *Lab) all(ctx context.Context, jobs []*job) ([]*Row, error) {
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	rows := make([]*Row, len(jobs))
+	places := max(l.Jobs, 1)
+	if l.Live {
+		places = 1
+	}
+	next, wait := make(chan int), sync.WaitGroup{}
+	for range min(places, len(jobs)) {
+		wait.Go(func() {
+			for i := range next {
+				r, err := l.one(ctx, jobs[i])
+				if err != nil {
+					stop(err)
+				}
+				rows[i] = r
+			}
+		})
+	}
+	for i := range jobs {
+		if ctx.Err() != nil {
+			break
+		}
+		next <- i
+	}
+	close(next)
+	wait.Wait()
+	var done []*Row
+	for _, r := range rows {
+		if r != nil {
+			done = append(done, r)
+		}
+	}
+	return done, context.Cause(ctx)
+}
+
+// one plays a job, unless its row is there. A play that was broken off has none.
+func (l *Lab) one(ctx context.Context, j *job) (*Row, error) {
+	row := j.row
+	if had := l.Store.find(row.key()); had != nil {
+		return had, nil
+	}
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	tick := l.Tick
+	if tick == nil {
+		tick = func(float64) {}
+	}
+	start := time.Now()
+	var r *measure.Result
+	var err error
+	if l.Live {
+		r, err = live.Play(ctx, j.s, live.Options{Chooser: row.Chooser, Seed: j.seed, Binary: j.v.Binary, Operator: j.v.Operator, Tick: tick})
+	} else {
+		r, err = model.Play(j.s, model.Options{Chooser: row.Chooser, Seed: j.seed, Fleet: j.fleet, Tick: func(part float64) bool {
+			tick(part)
+			return ctx.Err() == nil
+		}})
+	}
+	if errors.Is(err, model.ErrStopped) || err != nil && ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%s, variant %s, seed %d: %w", row.Scenario, row.Variant, j.seed, err)
+	}
+	row.Result, row.TookS = r, time.Since(start).Seconds()
+	if err := l.Store.add(&row); err != nil {
+		return nil, err
+	}
+	if l.Out != nil {
+		text := fmt.Sprintf("%s %s, seed %d: worth %.4f, p99 %.0f ms, %d breaches, %.1f s", row.Scenario, row.Variant, row.Seed, r.Worth, r.WorstP99(), r.Breaches, row.TookS)
+		if r.Void != "" {
+			text += "; it does not count: " + r.Void
+		}
+		fmt.Fprintln(l.Out, text)
+	}
+	return &row, nil
+}
