Begin nothing that can't end in time; a budget of retries; one time budget at every hop

A request's time counted from when its handler began, a server was told time that its answer needed to come back, and with a moment left an attempt still went out. Package budget holds what is pure: the time budget and the margin of the way back (RFC 6298, from handshakes and a link's beats), answer times of classes, a budget of retries for each class and the throttle. policy/ gives up at once what no server can end in time by half its mean answer, tells each attempt until when it may begin, and spreads the advised waits. The front end counts from the last byte, also behind another request.

--- /dev/null
+++ b/internal/budget/needs.go
@@ -0,0 +1,60 @@
+package budget
+
+import "molepaddle/internal/arith"
+
+const (
+	classWeight = 0.02  // of an answer in its class's mean
+	hintWeight  = 0.005 // of an answer in the line over hints, of a hint in their mean
+	hintsLeast  = 50    // answers before the line says anything
+)
+
+// Needs is how long answers to requests of each class take, and how that grows with the work that
+// their clients hint at. Times are in milliseconds, hints in whatever the clients count in.
+type Needs struct {
+	MeanHint float64 // 0: none came
+
+	mean []float64
+	line arith.Line // answer time over hinted work: the network's share does not grow with it
+}
+
+// NewNeeds takes for granted a mean for each class, until answers say better.
+func NewNeeds(first []float64) *Needs { return &Needs{mean: first} }
+
+// Asked takes the hint of a request that has come; 0 is none.
+func (n *Needs) Asked(hint float64) {
+	if hint > 0 {
+		n.MeanHint = arith.Mean(n.MeanHint, hint, hintWeight)
+	}
+}
+
+// Served takes the answer time of a request that was served, counted up to most.
+func (n *Needs) Served(class int, took, most float64) {
+	n.mean[class] = arith.Mean(n.mean[class], min(took, most), classWeight)
+}
+
+// Took takes how long a hinted request took, served or given up.
+func (n *Needs) Took(hint, took float64) {
+	if hint > 0 {
+		n.line.Add(hint, took, hintWeight)
+	}
+}
+
+// Mean is a class's mean answer time.
+func (n *Needs) Mean(class int) float64 { return n.mean[class] }
+
+// Hinted is what the line says for a hint; 0 while little is known, or without one.
+func (n *Needs) Hinted(hint float64) float64 {
+	if hint <= 0 {
+		return 0
+	}
+	return n.line.At(hint, hintsLeast)
+}
+
+// Of is how long an answer to a request takes, on the mean: by its hint where that tells, but no
+// less than a quarter of its class's.
+func (n *Needs) Of(class int, hint float64) float64 {
+	if t := n.Hinted(hint); t > 0 {
+		return max(t, n.mean[class]/4)
+	}
+	return n.mean[class]
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -230,6 +230,11 @@
 		end.Outcome = Gone
 	case <-guard.C:
 	}
+	select {
+	case ans := <-answers: // both in one moment: what is known is told
+		return ans
+	default:
+	}
 	// The guard is for a core that is stuck, perhaps with its queue full.
 	if drop := (input{kind: inDropped, req: r}); !c.offer(drop) {
 		go c.post(drop)
--- a/internal/core/transport.go
+++ b/internal/core/transport.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"molepaddle/internal/budget"
 	"molepaddle/policy"
 )
 
@@ -145,6 +146,17 @@
 	return true
 }
 
+// Tell is what the server is to be told of the time that is left, where its answer takes so long
+// back. False means that it is too little for anything: then the attempt is withdrawn, unless it had
+// begun, and nothing may be written.
+func (a *Attempt) Tell(back time.Duration) (time.Duration, bool) {
+	left, ok := budget.Hop(time.Until(a.deadline), back)
+	if !ok {
+		a.Withdraw(errLapsed)
+	}
+	return left, ok
+}
+
 // BeginBy is the last moment for Begin; zero: while the context lasts.
 func (a *Attempt) BeginBy() time.Time { return a.lapses }
 
--- a/internal/gateway/near.go
+++ b/internal/gateway/near.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"molepaddle/internal/budget"
 	"molepaddle/internal/cluster"
 	"molepaddle/internal/core"
 	"molepaddle/internal/crossing"
@@ -708,13 +709,15 @@
 }
 
 // The lease ends before the near end's time does, by the far end's clock and the far end's
-// rate: leaseMargin and a thousandth are left to the difference.
+// rate: leaseMargin and a thousandth are left to the difference, and the way back to the answer.
 const leaseMargin = 2 * time.Millisecond
 
 // leaseOf is the lease of an attempt that is offered on a connection now; false: no time is
 // left for it.
 func leaseOf(a *core.Attempt, st link.State, inc uint64) (linkwire.Lease, bool) {
-	life := a.Deadline().Sub(st.QuoteAt)
+	left := time.Until(a.Deadline())
+	told, _ := budget.Hop(left, st.Back)
+	life := a.Deadline().Sub(st.QuoteAt) - (left - told)
 	life -= life/1000 + leaseMargin
 	begin := life
 	if by := a.BeginBy(); !by.IsZero() {
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -21,6 +21,7 @@
 	"sync/atomic"
 	"time"
 
+	"molepaddle/internal/budget"
 	"molepaddle/internal/core"
 	"molepaddle/internal/settings"
 )
@@ -149,7 +150,6 @@
 
 // ServeHTTP takes one request and gives it one answer.
 func (a *Front) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
-	came := time.Now()
 	if hr.Method == http.MethodGet && hr.RequestURI == "/ready" {
 		a.serveReady(w)
 		return
@@ -167,12 +167,16 @@
 	// Whether the connection is kept is settled as its request comes: of many that are
 	// answered in one moment it would hang on which is first.
 	keep := a.places.keep()
-	r, bad := a.read(w, hr, came)
+	r, bad := a.read(w, hr)
 	if bad != nil {
 		answered = true
 		a.reject(w, hr, bad)
 		return
 	}
+	if c, ok := hr.Context().Value(connKey{}).(*clientConn); ok {
+		c.whole.Store(true)
+		defer c.whole.Store(false)
+	}
 	a.working.Add(1)
 	defer a.working.Add(-1)
 	defer a.bodies.Add(-int64(len(r.Message.Body)))
@@ -218,8 +222,9 @@
 	return true
 }
 
-// read makes a request of what the client sent, its body included.
-func (a *Front) read(w http.ResponseWriter, hr *http.Request, came time.Time) (*core.Request, *problem) {
+// read makes a request of what the client sent, its body included. Its time counts from its last
+// byte, also where that waited behind the request before.
+func (a *Front) read(w http.ResponseWriter, hr *http.Request) (*core.Request, *problem) {
 	r := &core.Request{Retry: hr.Header.Get("Client-Retry") == "1",
 		Message: core.Message{Method: hr.Method, Target: hr.RequestURI, Host: hr.Host}}
 	// The server ignores a length beside a Transfer-Encoding, so a request could hide in
@@ -272,8 +277,6 @@
 	case err != nil:
 		return nil, &problem{http.StatusBadRequest, "Request-Timeout: " + err.Error()}
 	}
-	// A client may wait for longer than its class is worth anything, the agent does not.
-	r.Deadline = came.Add(min(left, time.Duration(set.GiveUpMs*float64(time.Millisecond))))
 	if len(parts) > 1 {
 		r.Key = keyOf(parts[len(parts)-1])
 	}
@@ -285,7 +288,16 @@
 	if hint, err := strconv.ParseFloat(hr.Header.Get("Work-Hint"), 64); err == nil {
 		r.HintMs, r.HasHint = hint/1000, true
 	}
-	return r, a.readBody(w, hr, r)
+	if bad := a.readBody(w, hr, r); bad != nil {
+		return nil, bad
+	}
+	came := time.Now()
+	if c, ok := hr.Context().Value(connKey{}).(*clientConn); ok {
+		came = c.came()
+	}
+	// A client may wait for longer than its class is worth anything, the agent does not.
+	r.Deadline = budget.From(came, left, time.Duration(set.GiveUpMs*float64(time.Millisecond))).Deadline
+	return r, nil
 }
 
 // readBody reads the body of the length that the head tells. The bodies held together
--- a/internal/httpfront/places.go
+++ b/internal/httpfront/places.go
@@ -43,11 +43,31 @@
 	stage  stage
 	since  time.Time // when the stage began
 	number int       // counts the connections in the order in which they came
+
+	// When bytes came, in nanoseconds since the places were made.
+	last  atomic.Int64 // the latest
+	ahead atomic.Int64 // the first while a request is answered; 0: none
+	whole atomic.Bool  // a request has been read whole and is being answered
+}
+
+// came is when the last byte of the request that is read now came, as far as can be known: of one
+// sent behind another before that was answered its first, as the rest waited unread.
+func (c *clientConn) came() time.Time {
+	at := c.ahead.Swap(0)
+	if at == 0 {
+		at = c.last.Load()
+	}
+	return c.places.made.Add(time.Duration(at))
 }
 
 func (c *clientConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
+		at := int64(time.Since(c.places.made))
+		c.last.Store(at)
+		if c.whole.Load() {
+			c.ahead.CompareAndSwap(0, at)
+		}
 		if !c.got.Load() {
 			c.got.Store(true)
 		}
@@ -97,6 +117,7 @@
 
 // places holds the clients' connections, at most as many as there are places.
 type places struct {
+	made  time.Time
 	most  int
 	many  int // connections that ask or have asked, past which they are not kept
 	mu    sync.Mutex
@@ -107,7 +128,7 @@
 }
 
 func newPlaces(most, many int) *places {
-	return &places{most: most, many: many, conns: map[*clientConn]struct{}{}}
+	return &places{made: time.Now(), most: most, many: many, conns: map[*clientConn]struct{}{}}
 }
 
 // listener gives each connection that it accepts a place.
--- a/internal/httptransport/attempt.go
+++ b/internal/httptransport/attempt.go
@@ -75,7 +75,12 @@
 	}()
 	buf := buffers.Get().(*[]byte)
 	defer buffers.Put(buf)
-	out, err := outgoing((*buf)[:0], a)
+	left, timely := a.Tell(x.e.back())
+	if !timely {
+		keep = true // nothing was written
+		return res, errWithdrawn
+	}
+	out, err := outgoing((*buf)[:0], a, left)
 	if err != nil {
 		return res, err
 	}
@@ -165,8 +170,9 @@
 }
 
 // outgoing appends the request as the server gets it. It is an error if a part of it can't
-// be sent as it is: a front end of another protocol may take what HTTP has no room for.
-func outgoing(out []byte, a *core.Attempt) ([]byte, error) {
+// be sent as it is: a front end of another protocol may take what HTTP has no room for. left is what
+// the server is told that the agent waits.
+func outgoing(out []byte, a *core.Attempt, left time.Duration) ([]byte, error) {
 	m := &a.Request.Message
 	for _, part := range []string{m.Method, m.Target} {
 		if part == "" || !printable(part, ' ') {
@@ -177,7 +183,6 @@
 	out = append(out, ' ')
 	out = append(out, m.Target...)
 	out = append(out, " HTTP/1.1\r\n"...)
-	left := max(time.Until(a.Deadline()).Milliseconds(), 1)
 	for _, field := range [...]struct{ key, value string }{{"Host", m.Host}, {"Request-Id", a.Request.ID},
 		{"Idempotency-Key", m.IdempotencyKey}, {"Content-Type", m.ContentType}} {
 		if !printable(field.value, ' '-1) {
@@ -188,7 +193,7 @@
 		}
 	}
 	out = append(out, "Request-Timeout: "...)
-	out = strconv.AppendInt(out, left, 10)
+	out = strconv.AppendInt(out, left.Milliseconds(), 10)
 	out = append(out, "m\r\n"...)
 	if len(m.Body) > 0 || m.Method != http.MethodGet {
 		out = append(out, "Content-Length: "...)
--- a/internal/httptransport/pool.go
+++ b/internal/httptransport/pool.go
@@ -16,6 +16,7 @@
 	"sync"
 	"time"
 
+	"molepaddle/internal/budget"
 	"molepaddle/internal/core"
 	"molepaddle/internal/sockets"
 )
@@ -81,6 +82,14 @@
 	spare   []*conn   // idle, the longest first
 	retired bool      // what comes back is closed
 	crowded time.Time // until when its server has more connections than it takes
+	way     budget.Margin
+}
+
+// back is how long an answer takes from the server, at the least.
+func (e *endpoint) back() time.Duration {
+	e.pool.mu.Lock()
+	defer e.pool.mu.Unlock()
+	return e.way.Back()
 }
 
 // conn is a connection to a server, for one attempt at a time.
@@ -194,11 +203,15 @@
 	}
 	ctx, cancel := context.WithTimeout(sockets.For(ctx, id), e.pool.opt.Timeout)
 	defer cancel()
+	start := time.Now()
 	up, err := e.pool.opt.Dial(ctx, "tcp", e.dial)
 	if err != nil {
 		e.pool.shut()
 		return nil, err
 	}
+	e.pool.mu.Lock()
+	e.way.Learn(time.Since(start)) // a handshake is a round trip
+	e.pool.mu.Unlock()
 	return &conn{Conn: up, end: e}, nil
 }
 
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -16,6 +16,7 @@
 	"sync"
 	"time"
 
+	"molepaddle/internal/budget"
 	"molepaddle/internal/linkwire"
 )
 
@@ -51,7 +52,8 @@
 	Heard    time.Time // when the last frame came
 	Echoed   time.Time // when the latest beat was sent that the other end says it has heard
 	RTT      time.Duration
-	Open     uint64 // crossings that the other end holds
+	Back     time.Duration // how long what the other end sends takes to come, seldom more
+	Open     uint64        // crossings that the other end holds
 	Draining bool
 }
 
@@ -67,6 +69,7 @@
 	urgent []Item
 	bulk   []Item
 	state  State
+	way    budget.Margin
 	wake   chan struct{} // room for one
 	done   chan struct{} // closed by Close
 	once   sync.Once
@@ -265,6 +268,8 @@
 		}
 		if trip := int64(mine-f.Echo) - int64(f.Held); trip >= 0 {
 			s.RTT = time.Duration(trip) * time.Microsecond
+			c.way.Learn(s.RTT)
+			s.Back = c.way.Back()
 		}
 	}
 }
--- a/internal/world/sim.go
+++ b/internal/world/sim.go
@@ -66,6 +66,7 @@
 	truth    []change // what the roster knows, in order
 	rosters  map[string]*roster
 	spans    []*span
+	troubled time.Duration // until when a cancel may not get across a link
 	check    *checker
 	nextConn int
 	steps    int
--- a/internal/world/sites.go
+++ b/internal/world/sites.go
@@ -199,6 +199,9 @@
 	}
 }
 
+// noticedIn is how long both ends of a link may take to know of a cut, or the link to be back from it.
+const noticedIn = 1500 * ms
+
 // linkFault plays what happens to links of one gateway; it reports whether it is one.
 func (w *World) linkFault(o Op) bool {
 	for _, s := range w.spans {
@@ -206,6 +209,7 @@
 			continue
 		}
 		until := w.now() + o.For
+		w.troubled = max(w.troubled, until+noticedIn)
 		switch o.Kind {
 		case "link-stall-there":
 			s.stall[0] = until
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"molepaddle/internal/arith"
+	"molepaddle/internal/budget"
 	"molepaddle/internal/cluster"
 	"molepaddle/internal/settings"
 	"molepaddle/internal/unserved"
@@ -45,9 +46,10 @@
 	// failWeight is the weight of an attempt in its server's share of failures, failShare
 	// the least median of these shares with which failures are the fleet's, not a server's.
 	failWeight, failShare = 0.05, 0.01
-	// tryFactor is how many attempts may end for each that earned its worth before the
-	// agent sends less; tryFree of them are free, and trySpan is for how many aims they count.
-	tryFactor, tryFree, trySpan = 1.5, 3.0, 10.0
+	// trySpan is for how many aims attempts count that earned nothing, mostSlow how many times
+	// as long as elsewhere an answer may take to count in full, adviceSpread the part of the
+	// advised wait that is left to chance.
+	trySpan, mostSlow, adviceSpread = 10.0, 8.0, 0.5
 	// leastServers is the smallest subset of the fleet an agent sends to.
 	leastServers = 16
 	// maxHeld bounds the requests held for room, and so the work of a decision.
@@ -77,17 +79,20 @@
 	for i := range b.kinds {
 		b.kinds[i].weight = 1
 	}
+	var first []float64
 	for _, c := range set.Classes {
-		b.expect = append(b.expect, c.AimMs*crowdShare/2)
+		first = append(first, c.AimMs*crowdShare/2)
 		b.aimMin = min(b.aimMin, c.AimMs)
 		b.asked, b.won = append(b.asked, 1), append(b.won, 1)
 	}
+	b.needs, b.retries = budget.NewNeeds(first), budget.NewRetries(len(first))
+	b.throttle = budget.NewThrottle(trySpan * b.aimMin)
 	return b, nil
 }
 
 // Start gives the first actions of a new agent and appends them to out.
 func (b *Balancer) Start(now float64, out []Action) []Action {
-	b.now, b.out, b.began, b.triedAt, b.recentAt, b.flowAt = now, out, now, now, now, now
+	b.now, b.out, b.began, b.recentAt, b.flowAt = now, out, now, now, now
 	if b.set.Membership == "on_request" {
 		// Spread over a part of the contract's time: agents that start together
 		// must not all call at once.
@@ -168,9 +173,8 @@
 	}
 	if r.hint = arith.Finite(ev.HintMs); !ev.HasHint {
 		r.hint = 0
-	} else if r.hint > 0 {
-		b.meanHint = arith.Mean(b.meanHint, r.hint, slowSmooth)
 	}
+	b.needs.Asked(r.hint)
 	left := arith.Finite(ev.LeftMs)
 	r.deadline = b.now + left - min(b.set.RoundMs, left/4)
 	if ev.Retry {
@@ -184,11 +188,12 @@
 	b.recentAt = b.now
 	b.usage.Add(r.tenant, fade)
 	b.tally(r.class)
+	b.retries.Asked(r.class, b.now)
 	b.revalidate()
 	b.held = append(b.held, r)
 	// A request whose hinted work cannot fit the aim anywhere would only keep
 	// others waiting: the costly few of a heavy tail.
-	if r.hint > 0 && c.LateShare == 0 && hopeless*b.hintedTime(r) > r.aimAt-b.now {
+	if b.late(r) || r.hint > 0 && c.LateShare == 0 && hopeless*b.needs.Hinted(r.hint) > r.aimAt-b.now {
 		b.end(r)
 	}
 }
@@ -209,7 +214,7 @@
 		v *= b.set.OverShareWorth
 	}
 	if b.set.WorthBy != "work" {
-		v /= b.expect[r.class]
+		v /= b.needs.Mean(r.class)
 	}
 	return v
 }
@@ -226,7 +231,7 @@
 	})
 	// One that waits for its key's servers is passed over; of others a few failures tell.
 	b.scarce = false
-	for i, failures := 0, 0; i < len(b.held) && failures < 4 && b.mayTry(); {
+	for i, failures := 0, 0; i < len(b.held) && failures < 4 && b.throttle.Open(b.now); {
 		r := b.held[i]
 		if near := r.near; b.waits(r) && near[0] != nil && r.epoch == b.epoch &&
 			!b.takes(near[0], r) && !b.takes(near[1], r) {
@@ -248,23 +253,11 @@
 	}
 }
 
-// mayTry is the agent's own throttle (adaptive throttling, with a retry budget in it):
-// attempts that fail or come late leave less to send. With a request or two out at each
-// of a thousand agents no server's window holds back the crowd they are together; each
-// full answer went on to the next server, until requests went out nine times (i86bcad).
-func (b *Balancer) mayTry() bool {
-	return b.failing*math.Exp((b.triedAt-b.now)/(trySpan*b.aimMin)) < tryFree
-}
-
 // expire ends held requests that can no longer earn anything, before they cost work.
 func (b *Balancer) expire() {
 	for i := 0; i < len(b.held); {
 		r := b.held[i]
-		last := r.aimAt
-		if b.set.Classes[r.class].LateShare > 0 {
-			last = r.deadline
-		}
-		if b.now+b.expected(r) > last || b.now >= r.deadline {
+		if b.now+b.expected(r) > b.last(r) || b.now >= r.deadline {
 			b.end(r)
 			continue
 		}
@@ -272,13 +265,31 @@
 	}
 }
 
+// last is until when an answer to the request earns something.
+func (b *Balancer) last(r *request) float64 {
+	if b.set.Classes[r.class].LateShare > 0 {
+		return r.deadline
+	}
+	return r.aimAt
+}
+
+// late tells whether no server can end the request in time, as need has it.
+func (b *Balancer) late(r *request) bool { return b.now+b.expected(r)/2 > b.last(r) }
+
+// need is the least time with which the request is begun at the server: half of what an
+// answer there takes on the mean. Work varies; at the whole mean as much was given up that
+// would have been in time as was saved.
+func (b *Balancer) need(s *server, r *request) float64 {
+	slow := 1.0
+	if s.lat > b.fleetLat && b.fleetLat > 0 {
+		slow = min(s.lat/b.fleetLat, mostSlow)
+	}
+	return slow * b.expected(r) / 2
+}
+
 // expected is how long an answer to the request takes, on the mean.
 func (b *Balancer) expected(r *request) float64 {
-	e := b.expect[r.class]
-	if t := b.hintedTime(r); t > 0 {
-		e = max(t, e/4)
-	}
-	return e
+	return b.needs.Of(r.class, r.hint)
 }
 
 // ---- the pick: tiers, then the capped key hash ----
@@ -314,7 +325,7 @@
 				break
 			}
 			r.tierWeight += s.weight * b.ramp(s)
-			if !waits && !b.hasRoom(s, r) {
+			if !waits && !b.hasRoom(s, r) || b.now+b.need(s, r) > b.last(r) {
 				continue
 			}
 			s.score = b.score(r, s)
@@ -420,7 +431,7 @@
 		// None was ever seen warm, so nothing tells a share: all agents together keep about two
 		// out, times what quick answers let the server's window grow to. A server that has no
 		// more than it can answer is not pushed over.
-		gap := b.expect[r.class] * max(float64(b.set.Replicas)/2, 1)
+		gap := b.needs.Mean(r.class) * max(float64(b.set.Replicas)/2, 1)
 		if s.sentAt == 0 {
 			return b.now-s.since >= s.credit*gap
 		}
@@ -453,8 +464,8 @@
 // cost is the work of a request in units of the mean one, and never less: hints are
 // rough, and a cold server would be sent the small ones that are not (i299663).
 func (b *Balancer) cost(r *request) float64 {
-	if r.hint > b.meanHint {
-		return r.hint / b.meanHint
+	if r.hint > b.needs.MeanHint {
+		return r.hint / b.needs.MeanHint
 	}
 	return 1
 }
@@ -497,12 +508,13 @@
 	a := &attempt{r: r, s: s, index: len(r.attempts), alone: len(s.out) == 0, sentAt: b.now, cost: b.cost(r)}
 	r.attempts = append(r.attempts, a)
 	r.open++
-	begin := 0.0
+	begin := b.last(r) - b.need(s, r) // connecting may take all that is left
 	if r.risky == 0 {
 		r.ranAt, r.ranOn = b.now, s
 	} else if c := &b.set.Classes[r.class]; c.Effect == settings.Guarded {
-		begin = r.ranAt + c.KeyTTLMs - 2*b.set.RoundMs - b.now // connecting may outlast the window
+		begin = min(begin, r.ranAt+c.KeyTTLMs-2*b.set.RoundMs) // and outlast the window
 	}
+	begin = max(begin-b.now, math.SmallestNonzeroFloat64)
 	r.risky++
 	s.out = append(s.out, a)
 	if s.sentAt > 0 {
@@ -549,7 +561,9 @@
 		c.Effect == settings.Guarded && c.Group == settings.GroupAll
 	b.close(r)
 	if harmless {
-		b.do(Action{Kind: ActRefuse, Request: r.id, Ms: b.set.Limits.MaxRetryAfterMs})
+		// Who is refused in one moment must not all come back in one.
+		again := b.set.Limits.MaxRetryAfterMs * (1 - adviceSpread*b.rng.Float64())
+		b.do(Action{Kind: ActRefuse, Request: r.id, Ms: again})
 	} else {
 		b.do(Action{Kind: ActFail, Request: r.id})
 	}
@@ -598,8 +612,10 @@
 		worth = b.set.Classes[r.class].LateShare
 	}
 	if ev.Status != NoWay { // else nothing was tried
-		old := math.Exp((b.triedAt - b.now) / (trySpan * b.aimMin))
-		b.failing, b.triedAt = b.failing*old+1-tryFactor*worth, b.now
+		// The agent's own throttle: with a request or two out at each of a thousand agents no
+		// server's window holds back the crowd they are together; each full answer went on to
+		// the next server, until requests went out nine times (i86bcad).
+		b.throttle.Ended(b.now, worth)
 	}
 	b.judge(a, ev.Status, arith.Finite(ev.LatencyMs))
 	if r.closed || r.started || ev.Final || ev.Status == OK {
@@ -627,10 +643,14 @@
 func (b *Balancer) further(r *request, why Status) {
 	c := &b.set.Classes[r.class]
 	able := r.risky == 0 || c.Effect == settings.Free || c.Effect == settings.Guarded
-	if !able || len(r.attempts) >= r.tries || why == Moot || b.now >= r.deadline {
+	if !able || len(r.attempts) >= r.tries || why == Moot || b.late(r) {
 		b.end(r)
 		return
 	}
+	if why != ConnectFailed && why != NoWay && !b.retries.Take(r.class, b.now, b.rng.Float64()) {
+		b.end(r) // where none could be reached no server had any of it
+		return
+	}
 	b.held = append(b.held, r)
 }
 
@@ -658,7 +678,7 @@
 		// A server that answered others meanwhile is not to blame for a costly
 		// request; it counts as slow.
 		if s.heard > a.sentAt {
-			b.learnHint(a.r, rtt)
+			b.needs.Took(a.r.hint, rtt)
 			b.learn(s, b.partOfAim(a.r, rtt))
 		} else {
 			b.demote(s, true)
@@ -672,11 +692,11 @@
 func (b *Balancer) served(a *attempt, rtt float64) {
 	s, r := a.s, a.r
 	s.fails -= failWeight * s.fails
-	b.learnHint(r, rtt)
+	b.needs.Took(r.hint, rtt)
 	b.heardFrom(s)
 	s.rtt = arith.Mean(s.rtt, rtt, smooth)
 	c := &b.set.Classes[r.class]
-	b.expect[r.class] = arith.Mean(b.expect[r.class], min(rtt, 2*c.AimMs), 4*slowSmooth)
+	b.needs.Served(r.class, rtt, 2*c.AimMs)
 	if b.now <= r.aimAt {
 		b.won[r.class] += 1 - fade
 	}
@@ -767,27 +787,12 @@
 	s.heard, s.lostAt = b.now, 0
 }
 
-// learnHint keeps how answer times grow with the work that is hinted.
-func (b *Balancer) learnHint(r *request, rtt float64) {
-	if r.hint > 0 {
-		b.hinted.Add(r.hint, rtt, slowSmooth)
-	}
-}
-
-// hintedTime is what the line says for the request; 0 while little is known.
-func (b *Balancer) hintedTime(r *request) float64 {
-	if r.hint <= 0 {
-		return 0
-	}
-	return b.hinted.At(r.hint, 1/(4*slowSmooth))
-}
-
 // partOfAim is an answer time as a part of the aim. Where hints tell the work a costly
 // request counts as one of mean work; a small one's time is mostly the network's.
 func (b *Balancer) partOfAim(r *request, rtt float64) float64 {
 	x := rtt / b.set.Classes[r.class].AimMs
 	if r.hint > 0 {
-		x *= min(b.meanHint/r.hint, 1)
+		x *= min(b.needs.MeanHint/r.hint, 1)
 	}
 	return min(x, 2)
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 
 	"molepaddle/internal/arith"
+	"molepaddle/internal/budget"
 	"molepaddle/internal/cluster"
 	"molepaddle/internal/settings"
 	"molepaddle/internal/unserved"
@@ -103,9 +104,9 @@
 	epoch      uint64 // counts changes of tiers and list
 	inflight   int
 	probes     int
-	expect     []float64 // per class: mean answer time
-	meanHint   float64
-	hinted     arith.Line   // answer time over hinted work: the network's share does not grow with it
+	needs      *budget.Needs // answer times
+	retries    *budget.Retries
+	throttle   *budget.Throttle
 	answers    float64      // served so far
 	fleetLat   float64      // mean answer time as a part of the aim, all servers
 	calmLat    float64      // the same when nothing is crowded
@@ -119,7 +120,6 @@
 	follows    int     // failed calls in a row
 	flow       float64 // work sent to a warm server of weight one, fading over the cold time
 	flowAt     float64
-	failing    float64 // attempts that ended of late, less what the earned ones allow; as of triedAt
 	recent     float64 // requests of late, over the keepalive time, as of recentAt
 	recentAt   float64
 	home       float64 // weight of the own zone's servers, and mean answer times there and elsewhere
@@ -127,7 +127,6 @@
 	awayLat    float64
 	allLat     float64
 	kinds      [256]struct{ lat, weight float64 } // mean answer time and weight of each kind of machine
-	triedAt    float64
 	began      float64
 	seen       float64 // requests since
 	ticking    bool
--- a/policy/types.go
+++ b/policy/types.go
@@ -107,7 +107,7 @@
 	Server  cluster.Addr
 	Attempt int
 	Ms      float64
-	BeginMs float64 // of a send: within which its first byte goes out, or none; 0: Ms alone
+	BeginMs float64 // of a send: within which its first byte goes out, or none; above 0
 	Token   uint32
 	Text    string
 }
