--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -437,11 +437,13 @@
 	}
 }
 
-// unsend stops what of a request that is over has not begun, whether or not the settings
-// allow to cancel what has: it would be work that nobody waits for.
+// unsend stops what of a request that is over has not begun, here or behind a gateway, whether
+// or not the settings allow to cancel what has: it would be work that nobody waits for.
 func (c *Core) unsend(r *Request) {
 	for _, a := range r.attempts {
-		c.stop(a, ErrCancelled, policy.Cancelled)
+		if !c.stop(a, ErrCancelled, policy.Cancelled) && !a.ended && a.Unwanted != nil && a.ctx.Err() == nil {
+			go a.Unwanted()
+		}
 	}
 }
 
--- a/internal/core/transport.go
+++ b/internal/core/transport.go
@@ -63,6 +63,10 @@
 type Attempt struct {
 	Request *Request // not to be changed
 	Left    int      // attempts that the request may still have, this one included
+	// Unwanted is called, in a goroutine of its own, when nobody waits for the answer any more and
+	// the attempt, which has begun, is let run: what the transport has handed on may not have begun
+	// there. Start may set it; nil: there is no such place.
+	Unwanted func()
 
 	end      func(Result)
 	started  time.Time
--- a/internal/crossing/crossing.go
+++ b/internal/crossing/crossing.go
@@ -63,6 +63,7 @@
 type Near struct {
 	State     NearState
 	Cancelled bool // nobody waits for it
+	keep      bool // but what has begun of it is let run
 	On        Conn // where the last word of it went out; 0: that is lost, or there is none
 }
 
@@ -92,15 +93,21 @@
 		return None
 	}
 	n.On = on
-	if n.Cancelled {
+	return n.word()
+}
+
+// word is what the far end is asked.
+func (n *Near) word() Msg {
+	if n.Cancelled && !n.keep {
 		return Cancel
 	}
 	return Fence
 }
 
 // Cancel tells that nobody waits any more; on is a connection that is up, or 0. What was
-// not written is over at once; of the rest the far end has the word.
-func (n *Near) Cancel(on Conn) (Msg, Verdict) {
+// not written is over at once; of the rest the far end has the word: it bars what has not
+// begun there, and ends what has, unless that is to be kept.
+func (n *Near) Cancel(on Conn, keep bool) (Msg, Verdict) {
 	switch {
 	case n.State == Queued:
 		n.State = Closed
@@ -108,13 +115,13 @@
 	case n.State == Closed || n.Cancelled:
 		return None, Open
 	}
-	n.Cancelled = true
+	n.Cancelled, n.keep = true, keep
 	if on == 0 {
 		n.State, n.On = Asking, 0
 		return None, Open
 	}
 	n.State, n.On = Asking, on
-	return Cancel, Open
+	return n.word(), Open
 }
 
 // Got takes the far end's word.
--- a/internal/crossing/search_test.go
+++ b/internal/crossing/search_test.go
@@ -247,11 +247,14 @@
 			s.add(to, "near refuses the request instead of offering it again")
 		}
 		if n.used && n.verdict == Open && !n.broken {
-			if st.left.cancels > 0 && !n.m.Cancelled {
+			for _, keep := range []bool{false, true} {
+				if st.left.cancels == 0 || n.m.Cancelled {
+					break
+				}
 				to := st
 				to.left.cancels--
 				on := to.other(0)
-				m, v := to.near[slot].m.Cancel(on)
+				m, v := to.near[slot].m.Cancel(on, keep)
 				s.verdict(&to, slot, v)
 				if m == None || to.toFar(on, m, slot) {
 					s.add(to, "the client of %d leaves: near writes %v on %d", slot, m, on)
--- a/internal/gateway/near.go
+++ b/internal/gateway/near.go
@@ -667,6 +667,7 @@
 	p.open[x.num] = x
 	c.out++
 	x.detach = context.AfterFunc(a.Context(), x.given)
+	a.Unwanted = x.unwanted
 	p.mu.Unlock()
 	c.link.Bulk(x.write)
 	return nil
@@ -685,13 +686,7 @@
 		end = p.end(x, x.m.Expire(), nil, cause)
 	} else {
 		// Until the far end has the word, or its lease is over, something may be under way.
-		c := p.connOf(x.inc, nil)
-		id := crossing.Conn(0)
-		if c != nil {
-			id = c.id
-		}
-		m, _ := x.m.Cancel(id)
-		p.say(x, m, c)
+		x.tell(false)
 		x.timer = time.AfterFunc(time.Until(x.a.Deadline()), x.expire)
 	}
 	p.mu.Unlock()
@@ -700,6 +695,27 @@
 	}
 }
 
+// tell tells the far end that nobody waits. The peer is locked.
+func (x *nearCrossing) tell(keep bool) {
+	c := x.p.connOf(x.inc, nil)
+	id := crossing.Conn(0)
+	if c != nil {
+		id = c.id
+	}
+	m, _ := x.m.Cancel(id, keep)
+	x.p.say(x, m, c)
+}
+
+// unwanted takes that nobody waits for the answer, where what has begun is let run: what still
+// waits at the far end is not to begin.
+func (x *nearCrossing) unwanted() {
+	x.p.mu.Lock()
+	if !x.over && x.m.State != crossing.Queued {
+		x.tell(true)
+	}
+	x.p.mu.Unlock()
+}
+
 // expire takes that the attempt's time is up, and its lease with it.
 func (x *nearCrossing) expire() {
 	x.p.mu.Lock()
--- a/internal/world/check.go
+++ b/internal/world/check.go
@@ -51,7 +51,6 @@
 	final    string        // the answer's kind, once there was one
 	finalAt  time.Duration
 	attempts []*attempt
-	cancel   bool // its client leaves in the instant of the last byte
 	ask      *ask
 }
 
@@ -141,7 +140,7 @@
 // taken notes a request whose last byte an agent has been handed.
 func (k *checker) taken(p *process, a *ask) *record {
 	key := recordKey{p, a.id}
-	r := &record{p: p, id: a.id, class: a.op.Class, taken: k.w.now(), ask: a, cancel: a.op.Fate == "cancel-at-last-byte"}
+	r := &record{p: p, id: a.id, class: a.op.Class, taken: k.w.now(), ask: a}
 	k.records[key] = r
 	k.latest[a.id] = r
 	k.asked++
@@ -238,7 +237,8 @@
 
 // wrote takes up what an agent wrote to a server.
 func (k *checker) wrote(p *process, l *link, text []byte) {
-	if len(l.text) == 0 {
+	first := len(l.text) == 0
+	if first {
 		k.begins(p, l)
 	}
 	l.text = append(l.text, text...)
@@ -250,6 +250,7 @@
 		}
 	}
 	if head < 0 {
+		k.cancelled(l, first, false)
 		return
 	}
 	length := 0
@@ -261,13 +262,8 @@
 	case rest == 0:
 		a.whole = true
 		l.text = l.text[:0]
-		if r := a.rec; r != nil && r.cancel {
-			if c, ok := r.clientEnd(); ok {
-				k.count("cancel at the last byte")
-				k.w.push(k.w.now(), func() { c.leave(r.ask, true) })
-			}
-		}
 	}
+	k.cancelled(l, first, a.whole)
 }
 
 // fate is what is planned for a request that a run of an agent has taken.
--- a/internal/world/mutants_test.go
+++ b/internal/world/mutants_test.go
@@ -52,6 +52,8 @@
 		"Tries: int(o.Tries), Crossed: true,", "Tries: int(o.Tries),"},
 	{"a crossing is leaked", "internal/gateway/near.go",
 		"	delete(p.open, x.num)\n	x.conn.out--\n", "	x.conn.out--\n"},
+	{"what waits at the far end is not barred when its client leaves", "internal/gateway/near.go",
+		"	a.Unwanted = x.unwanted\n", ""},
 	{"the far end's answer may never have run", "internal/gateway/far.go",
 		"ran := x.m.State == crossing.Running && (a.Ran || a.Outcome == core.Served)", "ran := a.Outcome == core.Served"},
 }
@@ -110,7 +112,7 @@
 	{"a half-closed client gets an empty 200", "internal/httpfront/front.go",
 		"		w.Header().Set(\"Connection\", \"close\")\n		a.write(w, http.StatusBadGateway, \"\", nil)\n	case core.Overdue:", "	case core.Overdue:"},
 	{"what has not begun goes on when its request is over", "internal/core/core.go",
-		"	for _, a := range r.attempts {\n		c.stop(a, ErrCancelled, policy.Cancelled)\n	}\n", ""},
+		"if !c.stop(a, ErrCancelled, policy.Cancelled) && !a.ended", "if !a.ended"},
 	{"dials to the roster outlive it", "internal/roster/roster.go",
 		"dialing, cancel := context.WithTimeout(ctx, fetchTimeout)", "dialing, cancel := context.WithTimeout(context.Background(), time.Hour)"},
 	{"idle connections outlive the agent", "internal/agent/agent.go",
--- a/internal/world/play.go
+++ b/internal/world/play.go
@@ -148,6 +148,8 @@
 		w.after(o.For, func() { r.up, r.silent = true, false })
 	case "roster-late":
 		w.rosters[p.roster].late = w.now() + o.For
+	case "crowd-leaves":
+		w.crowdLeaves()
 	case "reload":
 		old := w.rosters[p.roster]
 		next := rosterAddr((o.ID + 1) % 4)
--- a/internal/world/server.go
+++ b/internal/world/server.go
@@ -59,6 +59,7 @@
 	l    *link
 	id   string
 	over bool
+	deaf bool // it was given up, and is worked on all the same
 }
 
 func (s *server) has(kind string, of ...uint64) bool {
@@ -157,7 +158,11 @@
 	l.ended = true
 	if l.job != nil {
 		l.job.over = true
-		l.s.working--
+		if l.s.has("ignores-cancels") {
+			l.job.deaf = true // it works on, for nobody
+		} else {
+			l.s.working--
+		}
 		l.job = nil
 	}
 	l.s.links = slices.DeleteFunc(l.s.links, func(o *link) bool { return o == l })
@@ -253,8 +258,11 @@
 	}
 	x := w.day.draw("work", c, n)
 	work := w.day.WorkMs * (0.3 + 1.4*x) / s.ramp(w.now()) * max(1, float64(s.working)/float64(w.day.Slots))
-	j := l.job
+	j, born := l.job, s.born
 	w.after(time.Duration(work*float64(ms)), func() {
+		if j.deaf && s.up && s.born == born {
+			s.working--
+		}
 		if j.over || s.silent || !s.up {
 			return
 		}
@@ -371,6 +379,17 @@
 				l.lost = true
 				return
 			}
+			if a != nil && a.rec != nil && last && a.rec.ask.op.Fate == "cancel-at-answer" && a.rec.left == 0 {
+				if k, ok := a.rec.clientEnd(); ok { // it goes as its answer comes
+					w.check.count("cancel-at-answer")
+					leave := func() { k.leave(a.rec.ask, true) }
+					if w.day.draw("order", uint64(l.c.id), uint64(l.count)) < 0.5 {
+						leave()
+					} else {
+						w.push(w.now(), leave)
+					}
+				}
+			}
 			w.note("c%d brings %d bytes %.50q %s", l.c.id, len(piece), piece, end)
 			if last && end != "" && a != nil && !l.c.gone() {
 				w.check.endedAs(a, end)
--- a/internal/world/sim.go
+++ b/internal/world/sim.go
@@ -225,13 +225,16 @@
 			continue
 		}
 		slices.SortFunc(acts, func(x, y act) int {
-			if x.closed != y.closed {
-				if x.closed {
-					return -1
+			late := func(a act) int { // what was closed, what was written and closed, what was written
+				switch {
+				case !a.closed:
+					return 2
+				case len(a.out) > 0:
+					return 1
 				}
-				return 1
+				return 0
 			}
-			return cmp.Compare(x.c.id, y.c.id)
+			return cmp.Or(cmp.Compare(late(x), late(y)), cmp.Compare(x.c.id, y.c.id))
 		})
 		for _, a := range acts {
 			any = true
--- a/internal/world/world_test.go
+++ b/internal/world/world_test.go
@@ -24,11 +24,15 @@
 	logs   = flag.Bool("world.logs", false, "with a trace: the agents' logs as well")
 	shrink = flag.Bool("world.shrink", false, "with a seed or a day: cut it down, and print what is left")
 	sites  = flag.Bool("world.sites", false, "days of two sites")
+	surge  = flag.Bool("world.surge", false, "days on which clients give up")
 	times  = flag.Int("world.times", 2, "how often each seed is played to compare its traces")
 )
 
 // day is the day that a seed draws.
 func day(seed uint64) *Day {
+	if *surge {
+		return NewSurgeDay(seed)
+	}
 	if *sites {
 		return NewSitesDay(seed)
 	}
@@ -82,7 +86,7 @@
 						passed++
 					} else {
 						failed++
-						t.Errorf("seed %d: %v\n\treplay: go test ./internal/world -run TestDay -v -world.seed=%d%s", seed, res.Breaches[0], seed, map[bool]string{true: " -world.sites"}[*sites])
+						t.Errorf("seed %d: %v\n\treplay: go test ./internal/world -run TestDay -v -world.seed=%d%s", seed, res.Breaches[0], seed, map[bool]string{true: " -world.sites"}[*sites]+map[bool]string{true: " -world.surge"}[*surge])
 					}
 					mu.Unlock()
 				}
@@ -102,8 +106,8 @@
 		}
 	}
 	// What the world is for must have been in it.
-	if *count >= 200 && failed == 0 && !*sites {
-		for _, what := range []string{"fault drain-at-reply", "fault crash-listed", "cancel at the last byte", "key window ends in a dial",
+	if *count >= 200 && failed == 0 && !*sites && !*surge {
+		for _, what := range []string{"fault drain-at-reply", "fault crash-listed", "cancel-at-last-byte", "key window ends in a dial",
 			"retries", "probes", "served", "refused", "failed", "attempts reset", "attempts never", "attempts spoilt", "attempts cut without a length", "fault old-delta", "attempts given up"} {
 			if seen[what] == 0 {
 				t.Errorf("no day had: %s", what)
