--- a/internal/world/check.go
+++ b/internal/world/check.go
@@ -22,6 +22,33 @@
 // grace is what real time may take beyond the settings' figures.
 const grace = 50 * ms
 
+// leastLeft is with how much of its client's time left an attempt may begin.
+const leastLeft = ms
+
+// noticed is how long after a client left work for it may still begin: a cancel takes its time, and
+// crosses a link.
+func (w *World) noticed() time.Duration {
+	return grace + time.Duration(1.5*w.day.LinkUs*float64(time.Microsecond))
+}
+
+// leaves notes that the client of a request goes. What is out for it ends, where that is allowed.
+func (k *checker) leaves(r *record) {
+	r.left = k.w.now()
+	if !k.w.day.Settings["limits"].(map[string]any)["cancelling"].(bool) {
+		return
+	}
+	k.w.after(k.w.noticed()+ms, func() {
+		if k.w.day.Near > 0 && r.left < k.w.troubled {
+			return
+		}
+		for _, a := range r.attempts {
+			if a.end == "" && a.s.up && !a.s.silent {
+				k.breach("work goes on for a client that left", "%s at %s", r.id, a.s.host)
+			}
+		}
+	})
+}
+
 // checker holds the rules against what passes on the wires.
 type checker struct {
 	w        *World
@@ -345,15 +372,11 @@
 	if r.final != "" && r.final != "untaken" && a.first > r.finalAt && !(p.far() && r.left != 0) {
 		k.breach("sent after the final answer", "%s to %s, it was %s", id, a.s.host, r.final)
 	}
-	noticed := grace // a cancel takes its time, and may be held up
-	if p.far() {
-		noticed += 2 * time.Duration(k.w.day.LinkUs*float64(time.Microsecond)) // one way, at the most
-	}
-	if r.left != 0 && a.first > r.left+noticed && !(p.far() && r.left < k.w.troubled) {
+	if r.left != 0 && a.first > r.left+k.w.noticed() && !(p.far() && r.left < k.w.troubled) {
 		k.breach("begun after its client had left", "%s to %s, %v later", id, a.s.host, a.first-r.left)
 	}
-	if late := a.first - r.taken - r.ask.op.Timeout; late > 0 {
-		k.breach("begun after its time was up", "%s to %s, %v later", id, a.s.host, late)
+	if left := r.taken + r.ask.op.Timeout - a.first; left < leastLeft {
+		k.breach("begun with no time left", "%s to %s, %v were left", id, a.s.host, left)
 	}
 	for _, o := range r.attempts {
 		if !o.mayHaveRun() {
--- a/internal/world/client.go
+++ b/internal/world/client.go
@@ -238,7 +238,7 @@
 	k.closes = true
 	for _, o := range k.asks {
 		if o.rec != nil {
-			o.rec.left = k.w.now()
+			k.w.check.leaves(o.rec)
 		}
 	}
 	if abruptly {
--- a/internal/world/mutants_test.go
+++ b/internal/world/mutants_test.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -52,12 +53,36 @@
 		"Tries: int(o.Tries), Crossed: true,", "Tries: int(o.Tries),"},
 	{"a crossing is leaked", "internal/gateway/near.go",
 		"	delete(p.open, x.num)\n	x.conn.out--\n", "	x.conn.out--\n"},
-	{"what waits at the far end is not barred when its client leaves", "internal/gateway/near.go",
-		"	a.Unwanted = x.unwanted\n", ""},
 	{"the far end's answer may never have run", "internal/gateway/far.go",
 		"ran := x.m.State == crossing.Running && (a.Ran || a.Outcome == core.Served)", "ran := a.Outcome == core.Served"},
 }
 
+// surgeMutants are for days on which clients give up.
+var surgeMutants = []mutant{
+	{"what waits at the far end is not barred when its client leaves", "internal/gateway/near.go",
+		"	a.Unwanted = x.unwanted\n", ""},
+	{"a cancel is not passed over the link", "internal/gateway/near.go",
+		"		x.tell(false)\n", ""},
+	{"a hop is told of time that is not there", "internal/budget/time.go",
+		"return max(told, 0), told >= Least", "return max(told, Least), true"},
+	{"what can't end in time is tried", "policy/policy.go",
+		"return b.now+b.expected(r)/2 > b.last(r)", "return b.now+b.expected(r)/2 > b.last(r)+1e9"},
+	{"a dial may take what time there is", "policy/policy.go",
+		"begin := b.last(r) - b.need(s, r)", "begin := b.last(r) + 1e9 + 0*b.need(s, r)"},
+	{"a time counts 20 ms too long", "internal/budget/time.go",
+		"came.Add(max(", "came.Add(20*time.Millisecond + max("},
+	{"a time counts from the handler's start", "internal/httpfront/places.go",
+		"return c.places.made.Add(time.Duration(at))", "return time.Now()"},
+	{"the far end has a time of its own", "internal/gateway/far.go",
+		"r.Deadline = sooner(r.Deadline, x.lease)", "r.Deadline = r.Deadline.Add(0)"},
+	{"what waits in the queue is not dropped", "internal/core/core.go",
+		"			c.tell(&policy.Event{Kind: policy.EvDropped, Request: r.id})\n", ""},
+	{"an attempt that is to end goes on", "internal/core/core.go",
+		"					a.Cancel(ErrCancelled)\n", ""},
+	{"nothing expires in the queue", "policy/policy.go",
+		"		b.expire()\n", ""},
+}
+
 var mutants = []mutant{
 	{"unsafe work is retried after a reset", "internal/core/transport.go",
 		"status := policy.Reset", "status := policy.ConnectFailed"},
@@ -138,7 +163,7 @@
 // keep cuts the day down on which a fault was found, and writes it to the days that are
 // played ever after.
 func (m *mutant) keep(t *testing.T, bin, seed string) {
-	out, _ := exec.Command(bin, "-test.run", "^TestDay$", "-world.shrink", "-world.seed="+seed, fmt.Sprintf("-world.sites=%v", *sites), "-test.timeout=10m").Output()
+	out, _ := exec.Command(bin, "-test.run", "^TestDay$", "-world.shrink", "-world.seed="+seed, fmt.Sprintf("-world.sites=%v", *sites), fmt.Sprintf("-world.surge=%v", *surge), "-test.timeout=10m").Output()
 	text, _, ok := strings.Cut(string(out), "\n}\n")
 	if !ok {
 		t.Errorf("%s: seed %s can't be cut down", m.name, seed)
@@ -171,7 +196,7 @@
 
 // The faults can be made: what they change is there.
 func TestMutantsApply(t *testing.T) {
-	for _, m := range append(siteMutants, mutants...) {
+	for _, m := range slices.Concat(siteMutants, surgeMutants, mutants) {
 		m.source(t)
 	}
 }
@@ -184,7 +209,10 @@
 	}
 	breach := regexp.MustCompile(`seed (\d+): ([^:]*):`)
 	list := mutants
-	if *sites {
+	switch {
+	case *surge:
+		list = surgeMutants
+	case *sites:
 		list = siteMutants
 	}
 	for _, m := range list {
@@ -207,7 +235,7 @@
 			continue
 		}
 		out, _ := exec.Command(bin, "-test.run", "^TestSeeds$", "-world.stop", fmt.Sprintf("-world.from=%d", *from),
-			fmt.Sprintf("-world.count=%d", *count), fmt.Sprintf("-world.sites=%v", *sites), "-test.timeout=10m").CombinedOutput()
+			fmt.Sprintf("-world.count=%d", *count), fmt.Sprintf("-world.sites=%v", *sites), fmt.Sprintf("-world.surge=%v", *surge), "-test.timeout=10m").CombinedOutput()
 		if found := breach.FindSubmatch(out); found != nil {
 			fmt.Printf("| %s | %s | %s |\n", m.name, found[1], found[2])
 			if *shrink {
--- a/internal/world/sites.go
+++ b/internal/world/sites.go
@@ -199,7 +199,7 @@
 	}
 }
 
-// noticedIn is how long both ends of a link may take to know of a cut, or the link to be back from it.
+// noticedIn is how long both ends of a link may take to know of a cut and to be back from it.
 const noticedIn = 1500 * ms
 
 // linkFault plays what happens to links of one gateway; it reports whether it is one.
@@ -209,7 +209,10 @@
 			continue
 		}
 		until := w.now() + o.For
-		w.troubled = max(w.troubled, until+noticedIn)
+		w.troubled = max(w.troubled, until+w.noticed())
+		if o.Kind == "link-cut" {
+			w.troubled = max(w.troubled, w.now()+noticedIn)
+		}
 		switch o.Kind {
 		case "link-stall-there":
 			s.stall[0] = until
--- a/internal/world/surge.go
+++ b/internal/world/surge.go
@@ -31,7 +31,9 @@
 	faults := slices.DeleteFunc(slices.Clone(d.Ops), func(o Op) bool { return o.Kind == "ask" || rng.IntN(2) == 0 })
 	length := time.Second
 	// Up to three times what the servers can do, with few strange clients.
-	want := min(int(between(1, 3)*float64(d.Servers*d.Slots)/(d.WorkMs/1000)*length.Seconds()), 400)
+	load := func() int {
+		return min(int(between(1, 3)*float64(d.Servers*d.Slots)/(d.WorkMs/1000)*length.Seconds()), 400)
+	}
 	ops := faults
 	add := func(o Op) {
 		o.ID = len(ops) + 1
@@ -49,7 +51,7 @@
 			add(Op{Kind: kind, Host: host, For: 2 * length, Share: share})
 		}
 	}
-	fate, part := name, 0.5
+	fate, part, want := name, 0.5, 0
 	switch name {
 	case "cancel-at-first-byte", "cancel-between":
 		always("deaf", between(0.3, 1))
@@ -83,10 +85,17 @@
 		want = len(asks)
 	case "ignores-cancels", "cancel-over-two-hops":
 		fate = "leave"
+		if two { // what crosses waits there
+			d.WorkMs, d.Slots = between(40, 120), 1
+			d.Settings["limits"].(map[string]any)["cancelling"] = rng.IntN(2) == 0
+		}
 		if name == "ignores-cancels" {
 			always("ignores-cancels", 1)
 		}
 	}
+	if want == 0 {
+		want = load()
+	}
 	for i := range want {
 		o := asks[i%len(asks)]
 		if i >= len(asks) || o.At > length {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -280,10 +280,7 @@
 // answer there takes on the mean. Work varies; at the whole mean as much was given up that
 // would have been in time as was saved.
 func (b *Balancer) need(s *server, r *request) float64 {
-	slow := 1.0
-	if s.lat > b.fleetLat && b.fleetLat > 0 {
-		slow = min(s.lat/b.fleetLat, mostSlow)
-	}
+	slow := max(s.lat/max(b.fleetLat, s.lat/mostSlow, 1e-9), 1)
 	return slow * b.expected(r) / 2
 }
 
@@ -435,7 +432,10 @@
 		if s.sentAt == 0 {
 			return b.now-s.since >= s.credit*gap
 		}
-		grown := max(s.window, 1)
+		grown := 1.0
+		if s.heard > 0 { // the window that it begins with says nothing
+			grown = max(s.window, 1)
+		}
 		most := 2 * grown / float64(max(b.set.Replicas, 1))
 		return float64(len(s.out)) < max(most, 1) && b.now-s.sentAt >= gap/grown
 	}
