A crowd that leaves in time closes no throttle; tests of little time and leaving

A test in which 300 clients go at once behind a link found that the next request was refused for as long as ten aims: what was cancelled for a client that left in time counted as attempts that earned nothing, and what the far end had barred for its sake as an end without room. Neither counts now; who leaves after the aim still does.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -8,6 +8,8 @@
 	"log/slog"
 	"math"
 	"os/exec"
+	"runtime"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -534,3 +536,70 @@
 		t.Fatalf("told %+v after as many attempts as there may be", told)
 	}
 }
+
+// What is known when the time is up or the client leaves in the same moment is told: no request that
+// was answered counts as overdue or gone.
+func TestKnownAnswersAreTold(t *testing.T) {
+	r := newRig(t)
+	go r.Run()
+	for !r.running.Load() {
+		runtime.Gosched()
+	}
+	gone, leave := context.WithCancel(t.Context())
+	leave()
+	for i := range 200 {
+		ctx, left := t.Context(), time.Duration(0) // the guard is due at once
+		if i%2 == 1 {
+			ctx, left = gone, time.Hour
+		}
+		q := &Request{ID: strconv.Itoa(i), Deadline: time.Now().Add(left)}
+		r.mu.Lock()
+		r.ids.add(q.ID, time.Now()) // it came before: answered as it comes
+		r.mu.Unlock()
+		if got := r.Do(ctx, q); got.Outcome != Repeated {
+			t.Fatalf("try %d: %+v", i, got)
+		}
+	}
+}
+
+// A server is told less than the attempt's time by the way back; with less than a millisecond for it
+// the attempt is withdrawn, and never ran.
+func TestTell(t *testing.T) {
+	a := NewAttempt(t.Context(), &Request{}, time.Hour, func(Result) {})
+	if left, ok := a.Tell(10 * time.Minute); !ok || left > 50*time.Minute || left < 49*time.Minute || !a.Begin() {
+		t.Errorf("told %v, %v", left, ok)
+	}
+	late := NewAttempt(t.Context(), &Request{}, time.Hour, func(Result) {})
+	late.deadline = time.Now().Add(900 * time.Microsecond)
+	if _, ok := late.Tell(0); ok || late.Begin() || late.Broken(io.EOF, false).Status != policy.Moot {
+		t.Error("something may be written with no time left")
+	}
+}
+
+// Where cancels are not allowed, what has begun goes on, and its transport is told once that nobody
+// waits; what it was cancelled for or has ended is not.
+func TestUnwanted(t *testing.T) {
+	r := newRig(t, server(1, "a", cluster.Ready, 0))
+	told := make(chan int, 9)
+	for i, c := range []struct{ begun, cancelled bool }{{true, false}, {false, false}, {true, true}} {
+		q := r.ask(2, strconv.Itoa(i))
+		a := r.transport.started[len(r.transport.started)-1]
+		a.Unwanted = func() { told <- i }
+		if c.begun {
+			a.Begin()
+		}
+		if c.cancelled {
+			a.Cancel(ErrCancelled)
+		}
+		q.answered = true
+		r.unsend(q)
+		q.answered = false
+		r.todo = nil
+	}
+	if got := <-told; got != 0 {
+		t.Errorf("attempt %d is told that nobody waits", got)
+	}
+	if len(told) != 0 {
+		t.Errorf("attempt %d too", <-told)
+	}
+}
--- a/internal/gateway/near.go
+++ b/internal/gateway/near.go
@@ -538,6 +538,9 @@
 	case crossing.NeverIn:
 		if f, ok := word.(*linkwire.Never); ok {
 			res = core.Result{Status: policy.Full, Spent: spent(f.Tries)}
+			if x.m.Cancelled {
+				res.Status = policy.Cancelled // barred for its client's sake: the far end has room
+			}
 		} else {
 			res = x.a.Broken(why, true)
 		}
--- a/internal/httpfront/front_test.go
+++ b/internal/httpfront/front_test.go
@@ -10,7 +10,9 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"molepaddle/internal/core"
@@ -39,15 +41,7 @@
 // start serves a front end with so many places until the test ends; stop is its SIGTERM.
 func start(t *testing.T, places int, answer func(context.Context, *core.Request) core.Answer) (a *Front, f *fakeCore, base string, stop func(), ended chan error) {
 	t.Helper()
-	class := func(name string, effect settings.Effect) settings.Class {
-		return settings.Class{Name: name, AimMs: 20000, GiveUpMs: 30000, Effect: effect}
-	}
-	f = &fakeCore{came: make(chan *core.Request, 1000), answer: answer}
-	a = New(f, Options{Places: places, Kept: places, BodyBytes: 1 << 20, Log: slog.New(slog.DiscardHandler),
-		HeadWithin: headFor, BodyWithin: bodyFor, KeepIdle: 15 * time.Second,
-		Classes: map[string]int{"look": 0, "send": 1, "order": 2},
-		Settings: &settings.Settings{Classes: []settings.Class{class("look", settings.Free),
-			class("send", settings.Guarded), class("order", settings.SingleShot)}}})
+	a, f = newFront(places, answer)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -62,6 +56,18 @@
 	return a, f, "http://" + ln.Addr().String(), stop, ended
 }
 
+func newFront(places int, answer func(context.Context, *core.Request) core.Answer) (*Front, *fakeCore) {
+	class := func(name string, effect settings.Effect) settings.Class {
+		return settings.Class{Name: name, AimMs: 20000, GiveUpMs: 30000, Effect: effect}
+	}
+	f := &fakeCore{came: make(chan *core.Request, 1000), answer: answer}
+	return New(f, Options{Places: places, Kept: places, BodyBytes: 1 << 20, Log: slog.New(slog.DiscardHandler),
+		HeadWithin: headFor, BodyWithin: bodyFor, KeepIdle: 15 * time.Second,
+		Classes: map[string]int{"look": 0, "send": 1, "order": 2},
+		Settings: &settings.Settings{Classes: []settings.Class{class("look", settings.Free),
+			class("send", settings.Guarded), class("order", settings.SingleShot)}}}), f
+}
+
 // Bad input gets a 4xx that promises nothing of a retry, and reaches no backend.
 func TestBadInput(t *testing.T) {
 	_, f, base, _, _ := start(t, 100, served)
@@ -406,3 +412,76 @@
 		t.Fatal("waits for bad clients")
 	}
 }
+
+// pipeListener gives connections in memory.
+type pipeListener struct {
+	conns chan net.Conn
+	done  chan struct{}
+	once  sync.Once
+}
+
+type pipeConn struct{ net.Conn }
+
+func (pipeConn) Pending() int { return 0 }
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return pipeConn{c}, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.done) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// A request's time counts from its last byte: not from its head, and of one that comes behind another
+// on its connection from before that one's end. What a client's clock says has no part in it.
+func TestTimeCountsFromTheLastByte(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, f := newFront(10, func(_ context.Context, r *core.Request) core.Answer {
+			if r.ID != "later" {
+				time.Sleep(3 * time.Second)
+			}
+			return core.Answer{Outcome: core.Served}
+		})
+		ln := &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- a.Serve(ctx, ln) }()
+		c, there := net.Pipe()
+		ln.conns <- there
+		go io.Copy(io.Discard, c)
+		ask := func(id, date string, body ...string) time.Duration {
+			text := fmt.Sprintf("POST /order/u1 HTTP/1.1\r\nHost: b\r\nRequest-Id: %s\r\nDate: %s\r\nRequest-Timeout: 20000m\r\nContent-Length: %d\r\n\r\n", id, date, len(strings.Join(body, "")))
+			for _, part := range append([]string{text}, body...) {
+				time.Sleep(100 * time.Millisecond)
+				io.WriteString(c, part)
+			}
+			sent := time.Now()
+			return (<-f.came).Deadline.Sub(sent)
+		}
+		if left := ask("first", "Thu, 01 Jan 1970 00:00:00 GMT", "bo", "dy"); left != 20*time.Second {
+			t.Errorf("the first has %v", left)
+		}
+		time.Sleep(time.Second)
+		io.WriteString(c, "P") // the rest waits unread
+		time.Sleep(5 * time.Second)
+		go io.WriteString(c, "OST /order/u1 HTTP/1.1\r\nHost: b\r\nRequest-Id: behind\r\nRequest-Timeout: 20000m\r\nContent-Length: 0\r\n\r\n")
+		if left := time.Until((<-f.came).Deadline); left != 15*time.Second {
+			t.Errorf("one behind another has %v left five seconds after it came", left)
+		}
+		time.Sleep(10 * time.Second)
+		if left := ask("later", "Fri, 01 Jan 2100 00:00:00 GMT"); left != 20*time.Second {
+			t.Errorf("the last has %v", left)
+		}
+		stop()
+		c.Close()
+		<-ended
+	})
+}
--- a/internal/httptransport/attempt_test.go
+++ b/internal/httptransport/attempt_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -472,3 +473,44 @@
 		t.Error("it was used since")
 	}
 }
+
+// The server is told the time that is left less the way back, as handshakes have shown it, and nothing
+// is sent that has no millisecond for it: then the connection stays for the next.
+func TestServersAreToldTheTimeLeft(t *testing.T) {
+	got := make(chan string, 4)
+	addr := testkit.Raw(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			req, err := testkit.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			got <- req.Header.Get("Request-Timeout")
+			io.WriteString(c, okAnswer)
+		}
+	})
+	p := testPool()
+	e := p.endpoint(addr)
+	if res := newTry(e, http.MethodGet, time.Hour).run(); res.Status != policy.OK {
+		t.Fatal(res.Status)
+	}
+	if e.way.Back() >= time.Minute || <-got < "3590000m" {
+		t.Error("a handshake teaches", e.way.Back())
+	}
+	for range 50 {
+		e.way.Learn(100 * time.Millisecond)
+	}
+	if res := newTry(e, http.MethodGet, 10*time.Second).run(); res.Status != policy.OK {
+		t.Fatal(res.Status)
+	}
+	text := <-got
+	left, err := strconv.Atoi(strings.TrimSuffix(text, "m"))
+	if err != nil || left > 9950 || left < 5000 {
+		t.Errorf("told %q of 10 s with a way back of %v", text, e.way.Back())
+	}
+	if res := newTry(e, http.MethodGet, 900*time.Microsecond).run(); !res.Status.NeverRan() {
+		t.Errorf("ended %d, which may have run", res.Status)
+	}
+	if len(got) != 0 {
+		t.Error("sent with no time left")
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -611,7 +611,8 @@
 	} else if ev.Status == OK {
 		worth = b.set.Classes[r.class].LateShare
 	}
-	if ev.Status != NoWay { // else nothing was tried
+	// Not where nothing was tried, or a client went in time: a crowd closed it for seconds.
+	if ev.Status != NoWay && (!r.closed || b.now > r.aimAt) {
 		// The agent's own throttle: with a request or two out at each of a thousand agents no
 		// server's window holds back the crowd they are together; each full answer went on to
 		// the next server, until requests went out nine times (i86bcad).
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"molepaddle/internal/arith"
+	"molepaddle/internal/budget"
 	"molepaddle/internal/cluster"
 	"molepaddle/internal/settings"
 )
@@ -1170,3 +1171,155 @@
 		}
 	}
 }
+
+// What no server can end in time is answered at once and never sent: with no time left, with some
+// that is too little for the class, and as a retry that comes too late.
+func TestTooLittleTimeLeft(t *testing.T) {
+	for _, left := range []float64{0, 0.001, 1, 30, math.NaN(), -5} {
+		r := newRig(t, testSettings(), 4)
+		r.id++
+		acts := r.do(Event{Kind: EvRequest, Request: r.id, Class: 1, LeftMs: left})
+		if find(acts, ActSend) != nil || find(acts, ActRefuse) == nil {
+			t.Errorf("%v ms left: %+v", left, acts)
+		}
+	}
+	r := newRig(t, testSettings(), 4)
+	id, s := r.sent(0, 5)
+	r.now = r.b.requests[id].aimAt - 0.4*r.b.needs.Mean(0)
+	if acts := r.outcome(id, 0, s, Error, 100); find(acts, ActSend) != nil || find(acts, ActRefuse) == nil {
+		t.Errorf("a retry without time: %+v", acts)
+	}
+}
+
+// A server that answers later than the others is not begun on with the time that is enough for them,
+// and each send tells until when it may begin.
+func TestASlowServerNeedsMoreTime(t *testing.T) {
+	set := testSettings()
+	r := newRig(t, set, 2)
+	a, b := r.b.byAddr[addr(0)], r.b.byAddr[addr(1)]
+	r.b.fleetLat, a.lat, b.lat = 0.1, 0.1, 0.9
+	b.window, a.window = 9, 9
+	need := r.b.needs.Mean(0) / 2
+	for range 20 {
+		r.id++
+		acts := r.do(Event{Kind: EvRequest, Request: r.id, Class: 0, Key: uint64(r.id), LeftMs: 4 * need})
+		send := find(acts, ActSend)
+		if send == nil {
+			t.Fatalf("not sent: %+v", acts)
+		}
+		if send.Server != a.id {
+			t.Fatal("sent where it can't end in time")
+		}
+		if want := 4*need - set.RoundMs - need; math.Abs(send.BeginMs-want) > 1e-6 {
+			t.Fatalf("may begin within %v ms, want %v", send.BeginMs, want)
+		}
+		r.outcome(r.id, 0, a.id, OK, need)
+		a.lat, b.lat, r.b.fleetLat = 0.1, 0.9, 0.1
+		need = r.b.needs.Mean(0) / 2
+	}
+}
+
+// In an outage in which all is answered by errors, retries are a part of what comes, not its double,
+// and those without budget are answered at once.
+func TestRetriesHaveABudget(t *testing.T) {
+	set := testSettings()
+	set.Replicas = 1
+	r := newRig(t, set, 40)
+	sends, asked := 0, 0
+	for range 1500 {
+		r.now += 2
+		r.id++
+		asked++
+		r.b.throttle = budget.NewThrottle(1) // left out here: it would hold all back
+		acts := r.do(Event{Kind: EvRequest, Request: r.id, Class: 0, Key: uint64(r.id), LeftMs: 600})
+		for try := 0; ; try++ {
+			send := find(acts, ActSend)
+			if send == nil {
+				break
+			}
+			sends++
+			r.now += 0.1
+			r.b.throttle = budget.NewThrottle(1)
+			for _, s := range r.b.servers { // none is held for its failures
+				s.state, s.strikes = Connected, 0
+			}
+			acts = r.outcome(send.Request, try, send.Server, Error, 5)
+			if find(acts, ActSend) == nil && find(acts, ActRefuse) == nil && find(acts, ActFail) == nil && r.b.requests[send.Request] != nil && len(r.b.held) == 0 {
+				t.Fatalf("neither sent again nor answered: %+v", acts)
+			}
+		}
+	}
+	if again := float64(sends-asked) / float64(asked); again < 0.1 || again > 0.35 {
+		t.Errorf("%d attempts for %d requests", sends, asked)
+	}
+}
+
+// Those that are refused in one moment are not all told to come back in one.
+func TestAdviceIsSpread(t *testing.T) {
+	r := newRig(t, testSettings(), 0)
+	least, most := math.Inf(1), 0.0
+	for range 100 {
+		r.id++
+		acts := r.do(Event{Kind: EvRequest, Request: r.id, LeftMs: 1})
+		refuse := find(acts, ActRefuse)
+		if refuse == nil {
+			t.Fatalf("%+v", acts)
+		}
+		least, most = min(least, refuse.Ms), max(most, refuse.Ms)
+	}
+	if least < 250 || least > 300 || most > 500 || most < 450 {
+		t.Errorf("advised from %v to %v ms of 500", least, most)
+	}
+}
+
+// A cold server that has answered nothing gets one request at a time, whatever its first window.
+func TestAColdServerThatSaysNothing(t *testing.T) {
+	r := newRig(t, testSettings(), 0)
+	r.list(cluster.ListCached, cluster.Entry{Server: addr(1), Health: cluster.Ready, Weight: 1, SinceMs: r.now})
+	s := r.b.byAddr[addr(1)]
+	sent := 0
+	for range 50 {
+		r.now += r.b.needs.Mean(0) / 4
+		if _, acts := r.ask(0, 0); find(acts, ActSend) != nil {
+			sent++
+		}
+		if len(s.out) > 1 {
+			t.Fatalf("%d out on a cold server that never answered", len(s.out))
+		}
+	}
+	if sent != 1 {
+		t.Errorf("%d sent", sent)
+	}
+}
+
+// A crowd of clients that leave in time says nothing of the servers: the next is sent at once. Those
+// that leave after their aim have waited too long, and hold the agent back as failures do.
+func TestACrowdThatLeavesBlamesNobody(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		r := newRig(t, testSettings(), 16)
+		type out struct {
+			id RequestID
+			s  cluster.Addr
+		}
+		var all []out
+		for i := range 24 {
+			id, acts := r.ask(1, uint64(i))
+			if a := find(acts, ActSend); a != nil {
+				all = append(all, out{id, a.Server})
+			}
+		}
+		if r.now += 20; late {
+			r.now += 400
+		}
+		for _, o := range all {
+			r.do(Event{Kind: EvDropped, Request: o.id})
+		}
+		for _, o := range all {
+			r.outcome(o.id, 0, o.s, Cancelled, 20)
+		}
+		_, acts := r.ask(1, 99)
+		if len(all) < 10 || (find(acts, ActSend) == nil) != late {
+			t.Errorf("late %v: %d had been sent, then %+v", late, len(all), acts)
+		}
+	}
+}
