--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -173,10 +173,6 @@
 		a.reject(w, hr, bad)
 		return
 	}
-	if c, ok := hr.Context().Value(connKey{}).(*clientConn); ok {
-		c.whole.Store(true)
-		defer c.whole.Store(false)
-	}
 	a.working.Add(1)
 	defer a.working.Add(-1)
 	defer a.bodies.Add(-int64(len(r.Message.Body)))
@@ -222,8 +218,8 @@
 	return true
 }
 
-// read makes a request of what the client sent, its body included. Its time counts from its last
-// byte, also where that waited behind the request before.
+// read makes a request of what the client sent, its body included. Its time counts from when its last
+// byte was read, also where it waits behind the request before.
 func (a *Front) read(w http.ResponseWriter, hr *http.Request) (*core.Request, *problem) {
 	r := &core.Request{Retry: hr.Header.Get("Client-Retry") == "1",
 		Message: core.Message{Method: hr.Method, Target: hr.RequestURI, Host: hr.Host}}
--- a/internal/httpfront/places.go
+++ b/internal/httpfront/places.go
@@ -44,30 +44,16 @@
 	since  time.Time // when the stage began
 	number int       // counts the connections in the order in which they came
 
-	// When bytes came, in nanoseconds since the places were made.
-	last  atomic.Int64 // the latest
-	ahead atomic.Int64 // the first while a request is answered; 0: none
-	whole atomic.Bool  // a request has been read whole and is being answered
+	last atomic.Int64 // when bytes were last read, in nanoseconds since the places were made
 }
 
-// came is when the last byte of the request that is read now came, as far as can be known: of one
-// sent behind another before that was answered its first, as the rest waited unread.
-func (c *clientConn) came() time.Time {
-	at := c.ahead.Swap(0)
-	if at == 0 {
-		at = c.last.Load()
-	}
-	return c.places.made.Add(time.Duration(at))
-}
+// came is when the last byte was read of the request that has been read now.
+func (c *clientConn) came() time.Time { return c.places.made.Add(time.Duration(c.last.Load())) }
 
 func (c *clientConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		at := int64(time.Since(c.places.made))
-		c.last.Store(at)
-		if c.whole.Load() {
-			c.ahead.CompareAndSwap(0, at)
-		}
+		c.last.Store(int64(time.Since(c.places.made)))
 		if !c.got.Load() {
 			c.got.Store(true)
 		}
