Pace cold servers by their own answers, so that cancels make no room on them

A server that has answered nothing gets one for each aim now, and one that has is paced by its own mean answer time where that is longer.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -432,9 +432,9 @@
 		if s.sentAt == 0 {
 			return b.now-s.since >= s.credit*gap
 		}
-		grown := 1.0
-		if s.heard > 0 { // the window that it begins with says nothing
-			grown = max(s.window, 1)
+		grown := max(s.window, 1)
+		if gap = max(gap, s.rtt); s.rtt == 0 { // it has answered nothing, and the mean is a guess
+			grown, gap = 1, max(gap, b.set.Classes[r.class].AimMs)
 		}
 		most := 2 * grown / float64(max(b.set.Replicas, 1))
 		return float64(len(s.out)) < max(most, 1) && b.now-s.sentAt >= gap/grown
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -1292,6 +1293,36 @@
 	}
 }
 
+// Nor do cancels make room on it: whether it has answered nothing or slowly, requests that are
+// cancelled at once come no faster than an aim, or twice its own answer time, allows.
+func TestCancelsMakeNoRoomOnAColdServer(t *testing.T) {
+	for _, rtt := range []float64{0, 200} {
+		set := testSettings()
+		set.Replicas = 1
+		r := newRig(t, set, 0)
+		r.list(cluster.ListCached, cluster.Entry{Server: addr(1), Health: cluster.Ready, Weight: 1, SinceMs: r.now})
+		s := r.b.byAddr[addr(1)]
+		if s.rtt = rtt; rtt > 0 {
+			s.state, s.heard, s.sentAt = Connected, r.now, r.now
+		}
+		sent, began := 0, r.now
+		for r.now < began+3000 {
+			r.now += 5
+			id, acts := r.ask(0, 0)
+			if find(acts, ActSend) == nil {
+				r.do(Event{Kind: EvDropped, Request: id})
+				continue
+			}
+			sent++
+			r.do(Event{Kind: EvDropped, Request: id})
+			r.outcome(id, 0, addr(1), Cancelled, 1)
+		}
+		if most := int(3000/cmp.Or(rtt/2, set.Classes[0].AimMs)) + 1; sent > most || sent < most/3 {
+			t.Errorf("answer time %v: %d sent in 3 s, at most %d", rtt, sent, most)
+		}
+	}
+}
+
 // A crowd of clients that leave in time says nothing of the servers: the next is sent at once. Those
 // that leave after their aim have waited too long, and hold the agent back as failures do.
 func TestACrowdThatLeavesBlamesNobody(t *testing.T) {
