--- a/internal/httptransport/attempt.go
+++ b/internal/httptransport/attempt.go
@@ -67,6 +67,11 @@
 			c.Close()
 		}
 	}()
+	left, timely := a.Tell(x.e.back())
+	if !timely {
+		keep = true // nothing was written
+		return res, errWithdrawn
+	}
 	end := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	defer func() {
 		if !end() {
@@ -75,11 +80,6 @@
 	}()
 	buf := buffers.Get().(*[]byte)
 	defer buffers.Put(buf)
-	left, timely := a.Tell(x.e.back())
-	if !timely {
-		keep = true // nothing was written
-		return res, errWithdrawn
-	}
 	out, err := outgoing((*buf)[:0], a, left)
 	if err != nil {
 		return res, err
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1255,6 +1255,20 @@
 	}
 }
 
+// An attempt that reached no server takes nothing from the budget of retries.
+func TestUnreachedServersCostNoRetry(t *testing.T) {
+	for _, st := range []Status{ConnectFailed, NoWay, Full} {
+		r := newRig(t, testSettings(), 4)
+		for r.b.retries.Take(0, r.now, 0) {
+		}
+		id, s := r.sent(0, 5)
+		acts := r.outcome(id, 0, s, st, 1)
+		if again := find(acts, ActSend) != nil; again != (st != Full) {
+			t.Errorf("status %d with no budget left: sent again %v", st, again)
+		}
+	}
+}
+
 // Those that are refused in one moment are not all told to come back in one.
 func TestAdviceIsSpread(t *testing.T) {
 	r := newRig(t, testSettings(), 0)
