Open a closed throttle after a third of its span, however many failures closed it

Counters printed by each agent a second showed 70 % of the agents with a closed throttle from 15 to 21 s, holding 9 requests each until they expired, while all 60 servers were listed, Connected or Unknown, and the fleet of agents sent 335 attempts a second where 1,600 came. Excluded: the list (all followed it to its last version by 14 s), demotion (2 of 60 unhealthy on the mean), windows (110 free places an agent). Cause: budget.Throttle.Ended added one for each failed attempt without a bound, also for those that were out as it closed. An agent that lost twenty at once was closed for two spans (6 s). Harmless in one agent; here eight in ten did so at once, long after the servers were back.

Change: what is remembered beyond the bound is one attempt, so it asks again after 0.29 spans.

--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -171,3 +171,20 @@
 		}
 	}
 }
+
+// However many attempts were out as the servers failed, the throttle asks again after a third of
+// its span: shut for as long as the agent was busy, a whole fleet idles before servers that are back.
+func TestThrottleForgetsACrowdOfFailures(t *testing.T) {
+	for _, out := range []int{5, 20, 1000} {
+		th := NewThrottle(3000)
+		for range out {
+			th.Ended(100, 0)
+		}
+		if th.Open(101) {
+			t.Errorf("%d failures leave it open", out)
+		}
+		if !th.Open(100 + 1000) {
+			t.Errorf("%d failures keep it closed for a third of its span and more", out)
+		}
+	}
+}
--- a/internal/budget/retries.go
+++ b/internal/budget/retries.go
@@ -7,8 +7,11 @@
 	// retrySpan ms, beyond retryFree. The chance of one falls from 1 at half of that to 0.
 	retryShare, retryFree, retrySpan = 0.25, 8.0, 5000.0
 	// tryFactor is how many attempts may end for each that earned its worth before less is
-	// sent; tryFree of them are free.
-	tryFactor, tryFree = 1.5, 3.0
+	// sent; tryFree of them are free. Beyond tryMost nothing is remembered: what ends while
+	// the throttle is closed was sent before, and says again what closed it. An agent with
+	// twenty attempts out that all failed in one moment sent nothing for two spans, long after
+	// the servers were back; and so did eight in ten agents, at once.
+	tryFactor, tryFree, tryMost = 1.5, 3.0, 4.0
 )
 
 // Retries is the budget of retries of each class, as a share of its requests of the last seconds
@@ -66,9 +69,10 @@
 	return t.unpaid * math.Exp((t.at-now)/t.span)
 }
 
-// Ended counts an attempt that has ended and earned a part of its worth, from 0 to 1.
+// Ended counts an attempt that has ended and earned a part of its worth, from 0 to 1. However many
+// end in one moment, the throttle is open again after ln(tryMost/tryFree) spans at the latest.
 func (t *Throttle) Ended(now, earned float64) {
-	t.unpaid, t.at = t.left(now)+1-tryFactor*earned, now
+	t.unpaid, t.at = min(t.left(now)+1-tryFactor*earned, tryMost), now
 }
 
 // Open tells whether another attempt may be sent.
