--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -61,7 +61,7 @@
 	rng    *rand.Rand
 	began  float64
 	held   map[cluster.Addr]hold
-	listed int     // servers that the last plan named as ready
+	listed int // servers that the last plan named as ready
 }
 
 // hold is a process that waits for this agent's turn.
