Learn cold servers' share from their own answers; spread starts at the roster wider

In the seconds 12 to 16, with 36 of 60 servers new, 18 % of the answers were late and 8 % of the requests refused; 350 of 1,800 sends a second went to the 36 cold ones, which could do about half of what the others did. Cause: earn() gave cold servers 2.5/8 of their part for good, reckoned for a fleet that is crowded and saves three quarters by warm keys. Credit is earned by what warm servers have served, so crowding is in it already: four is the worst. And their answers say how far from that they are. An agent meets each cold server once in seconds, but all of them often. At the roster: 80 starts within an eighth of the contract's 10 s were four times what it takes.

Change: internal/cold begins at 4, goes to 2 while cold answers are no later than an idle server's would be and towards 8 while they are. internal/asking spreads starts over half the contract's time and doubles waits from 2 s.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -7,24 +7,22 @@
 	"slices"
 
 	"molepaddle/internal/arith"
+	"molepaddle/internal/asking"
 	"molepaddle/internal/budget"
+	"molepaddle/internal/calm"
 	"molepaddle/internal/cluster"
+	"molepaddle/internal/cold"
 	"molepaddle/internal/settings"
 	"molepaddle/internal/unserved"
+	"molepaddle/internal/weights"
+	"molepaddle/internal/worth"
 )
 
 const (
 	// capFactor is c: how far above its even share of the agent's attempts a
 	// server may go before a key's request moves on to the next in hash order.
-	capFactor = 3.0
-	// crowdShare is the part of the aim that a server's mean answer time may take.
-	crowdShare = 0.5
-	// crowdFactor is how many times the fleet's calm answer time a calm server's may be.
-	crowdFactor = 1.5
+	capFactor   = 3.0
 	firstWindow = 2.0 // attempts an unmeasured server may hold
-	// learnFor is the number of answers that make the first measure of calm; until
-	// then no window grows, so that a start does not crowd what it measures.
-	learnFor = 50
 	// leastWindow is left to the most crowded server: enough to see when it is not.
 	leastWindow, tipFactor = 0.1, 2.5
 	// keyWait is the part of its aim that a request may wait for one of the keyServers
@@ -32,17 +30,13 @@
 	keyWait, keyServers = 0.25, 2
 	// hopeless is the least part of its expected time that a hinted request needs.
 	hopeless = 0.7
-	// ownZone is how much more a server of the agent's own zone weighs in a key's order at
-	// the least, ownPrice the most for the whole worth as the price of crossing; leastKind
-	// what a slow kind of machine keeps; weighStep is how fast weights follow.
-	ownZone, ownPrice, leastKind, weighStep = 1.5, 100.0, 0.25, 0.05
 	// keyMemory is over how many requests keys are counted, keySpread into how many parts
 	// a key is split that alone would be a server's even share: it is not alone there.
 	keyMemory, keySpread = 128, 4.0
 	maxStrikes           = 5 // bounds the doubling of a bad server's hold
-	// smooth is the weight of an answer in a server's mean, slowSmooth in a fleet-wide one;
-	// fade lets requests count less for shares with age, over about 500.
-	smooth, slowSmooth, fade = 0.2, 0.005, 0.998
+	// smooth is the weight of an answer in a server's mean; fade lets requests count less for
+	// shares with age, over about 500.
+	smooth, fade = 0.2, 0.998
 	// failWeight is the weight of an attempt in its server's share of failures, failShare
 	// the least median of these shares with which failures are the fleet's, not a server's.
 	failWeight, failShare = 0.05, 0.01
@@ -56,9 +50,6 @@
 	maxHeld = 512
 	// coldBurst bounds what a cold server's credit saves up: all may spend it at once.
 	coldBurst = 1.0
-	// coldMargin is what an even share may cost a cold server, in its present capacity:
-	// warm ones may be crowded by half and save three quarters by their warm keys.
-	coldMargin = 8.0
 	// probeCap bounds the validations under way at once.
 	probeCap = 2
 
@@ -74,29 +65,26 @@
 	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, arith.Mix(seed))),
 		byAddr:   map[cluster.Addr]*server{},
 		requests: map[RequestID]*request{}, usage: make([]float64, len(set.Tenants)),
-		unserved: unserved.New(&set, maxHeld), home: ownZone, aimMin: math.Inf(1), lookedAt: math.Inf(-1),
+		unserved: unserved.New(&set, maxHeld), aimMin: math.Inf(1), lookedAt: math.Inf(-1),
 		recentKeys: arith.NewRecent(keyMemory)}
-	for i := range b.kinds {
-		b.kinds[i].weight = 1
-	}
 	var first []float64
 	for _, c := range set.Classes {
-		first = append(first, c.AimMs*crowdShare/2)
+		first = append(first, c.AimMs*calm.CrowdShare/2)
 		b.aimMin = min(b.aimMin, c.AimMs)
-		b.asked, b.won = append(b.asked, 1), append(b.won, 1)
 	}
 	b.needs, b.retries = budget.NewNeeds(first), budget.NewRetries(len(first))
 	b.throttle = budget.NewThrottle(trySpan * b.aimMin)
+	b.calm, b.cold = calm.New(set.Replicas), cold.New(&b.set.Contract)
+	b.worth, b.asking = worth.New(&b.set), asking.New(set.Contract.AskWithinMs)
+	b.weights = weights.New(set.Zone, set.Prices.CrossZone, set.Weights == "off")
 	return b, nil
 }
 
 // Start gives the first actions of a new agent and appends them to out.
 func (b *Balancer) Start(now float64, out []Action) []Action {
-	b.now, b.out, b.began, b.recentAt, b.flowAt = now, out, now, now, now
+	b.now, b.out, b.began, b.recentAt = now, out, now, now
 	if b.set.Membership == "on_request" {
-		// Spread over a part of the contract's time: agents that start together
-		// must not all call at once.
-		b.do(Action{Kind: ActTimer, Ms: b.rng.Float64() * b.set.Contract.AskWithinMs / 8, Token: followToken})
+		b.do(Action{Kind: ActTimer, Ms: b.asking.First(b.rng.Float64()), Token: followToken})
 	}
 	return b.out
 }
@@ -187,7 +175,7 @@
 	b.recent = b.recent*math.Exp((b.recentAt-b.now)/max(b.set.Limits.KeepaliveMs, 1)) + 1
 	b.recentAt = b.now
 	b.usage.Add(r.tenant, fade)
-	b.tally(r.class)
+	b.worth.Asked(r.class)
 	b.retries.Asked(r.class, b.now)
 	b.revalidate()
 	b.held = append(b.held, r)
@@ -198,15 +186,10 @@
 	}
 }
 
-// value is the worth that a unit of server time spent on the request earns, by
-// the objective: a part of the whole, and all of the worst class if it is of it.
+// value is the worth that a unit of server time spent on the request earns.
 func (b *Balancer) value(r *request) float64 {
 	c := &b.set.Classes[r.class]
-	o := &b.set.Objective
-	v := c.Credit * (o.Whole + o.WorstWindow)
-	if r.class == b.worst {
-		v += o.WorstClass * b.credit / b.asked[r.class]
-	}
+	v := b.worth.Of(r.class)
 	if b.now+b.expected(r) > r.aimAt {
 		v *= c.LateShare + b.set.Prices.LateFail
 	}
@@ -280,7 +263,7 @@
 // answer there takes on the mean. Work varies; at the whole mean as much was given up that
 // would have been in time as was saved.
 func (b *Balancer) need(s *server, r *request) float64 {
-	slow := max(s.lat/max(b.fleetLat, s.lat/mostSlow, 1e-9), 1)
+	slow := max(s.lat/max(b.calm.Fleet, s.lat/mostSlow, 1e-9), 1)
 	return slow * b.expected(r) / 2
 }
 
@@ -393,10 +376,7 @@
 func (b *Balancer) score(r *request, s *server) float64 {
 	x := arith.Mix(r.hash ^ s.hash)
 	u := float64(x>>11) / (1 << 53)
-	w := s.weight * b.kinds[s.kind&255].weight * min(4*b.coldShare(s), 1) // its credit limits it
-	if s.zone == b.set.Zone {
-		w *= b.home
-	}
+	w := s.weight * b.weights.Of(s.zone, s.kind) * min(4*b.cold.Of(b.ramp(s)), 1) // its credit limits it
 	return -math.Log(u+1e-18) / w
 }
 
@@ -424,7 +404,7 @@
 		return true
 	case b.warmWeight() > 0:
 		return false
-	case b.flow == 0:
+	case !b.cold.Known():
 		// None was ever seen warm, so nothing tells a share: all agents together keep about two
 		// out, times what quick answers let the server's window grow to. A server that has no
 		// more than it can answer is not pushed over.
@@ -439,7 +419,7 @@
 		most := 2 * grown / float64(max(b.set.Replicas, 1))
 		return float64(len(s.out)) < max(most, 1) && b.now-s.sentAt >= gap/grown
 	}
-	return (b.now-s.sentAt)*b.flow*s.weight*b.coldShare(s) >= b.cost(r)*b.set.Contract.ColdMs
+	return b.cold.Earned(b.now-s.sentAt, s.weight, b.ramp(s)) >= b.cost(r)
 }
 
 // ramp is the part of its capacity that a started server has by the contract.
@@ -452,15 +432,6 @@
 	return c.ColdFrom + (1-c.ColdFrom)*max(age, 0)/c.ColdMs
 }
 
-// coldShare is the part of an even share that a server may be sent: of a cold one what
-// keeps the contract, so that its keys move to it as it warms up.
-func (b *Balancer) coldShare(s *server) float64 {
-	if k := b.ramp(s); k < 1 {
-		return k * b.set.Contract.FallMultiple / coldMargin
-	}
-	return 1
-}
-
 // cost is the work of a request in units of the mean one, and never less: hints are
 // rough, and a cold server would be sent the small ones that are not (i299663).
 func (b *Balancer) cost(r *request) float64 {
@@ -538,13 +509,10 @@
 		return
 	}
 	warm := b.warmWeight() * float64(b.subset()) / float64(len(b.servers)) // of its subset
-	if warm > 0 {
-		b.flow = b.flow*math.Exp((b.flowAt-b.now)/b.set.Contract.ColdMs) + cost/warm
-		b.flowAt = b.now
-	}
+	b.cold.Served(b.now, cost, warm)
 	for _, o := range b.servers {
-		if b.ramp(o) < 1 && warm > 0 {
-			o.credit = min(o.credit+cost*b.coldShare(o)*o.weight/warm, coldBurst)
+		if k := b.ramp(o); k < 1 && warm > 0 {
+			o.credit = min(o.credit+cost*b.cold.Of(k)*o.weight/warm, coldBurst)
 		}
 	}
 }
@@ -699,22 +667,15 @@
 	c := &b.set.Classes[r.class]
 	b.needs.Served(r.class, rtt, 2*c.AimMs)
 	if b.now <= r.aimAt {
-		b.won[r.class] += 1 - fade
+		b.worth.Won(r.class)
 	}
 	x := b.partOfAim(r, rtt)
-	b.answers++
-	b.fleetLat = arith.Mean(b.fleetLat, x, max(slowSmooth, 1/b.answers))
-	switch {
-	case b.answers <= learnFor:
-		// One quick answer must not set the measure, nor a crowd at the start (id08146).
-		b.calmLat = min(b.fleetLat, crowdShare/2)
-	case b.fleetLat < b.calmLat:
-		b.calmLat = arith.Mean(b.calmLat, b.fleetLat, slowSmooth)
-	default:
-		b.calmLat = arith.Mean(b.calmLat, b.fleetLat, b.calmRise(a))
-	}
+	b.calm.Answered(x, a.alone)
 	b.learn(s, x)
-	limit := b.limit(s)
+	limit := b.calm.Limit(b.ramp(s))
+	if b.ramp(s) < 1 {
+		b.cold.Answered(x < limit)
+	}
 	if s.state == Unhealthy && a.sentAt < s.since && !s.silent {
 		return // sent before the failure: says nothing about what came after
 	}
@@ -734,50 +695,11 @@
 			least = leastWindow
 		}
 		b.cut(s, 0.85, least)
-	case s.lat < limit && float64(len(s.out)+2) > s.window && b.answers > learnFor:
+	case s.lat < limit && float64(len(s.out)+2) > s.window && b.calm.Learnt():
 		s.window += min(1/s.window, s.window)
 	}
 }
 
-// weigh lets answer times set the weights that the list does not tell. Where crossing has
-// a price the own zone gets more in proportion, as long as it answers no slower than the
-// rest: what has more traffic than it can carry gets slower. A kind of machine that
-// answers later than all gets less: equal shares choke the small ones (i5db14f).
-func (b *Balancer) weigh(s *server, x float64) {
-	lat := &b.awayLat
-	if s.zone == b.set.Zone {
-		lat = &b.homeLat
-	}
-	*lat = arith.Mean(*lat, x, weighStep)
-	most := max(ownPrice*b.set.Prices.CrossZone, ownZone)
-	b.home = arith.Nudge(b.home, weighStep, b.homeLat > b.awayLat*(1+b.set.Prices.CrossZone), ownZone, most)
-	if b.set.Weights != "off" {
-		return
-	}
-	b.allLat = arith.Mean(b.allLat, x, weighStep)
-	k := &b.kinds[s.kind&255]
-	k.lat = arith.Mean(k.lat, x, weighStep)
-	k.weight = arith.Nudge(k.weight, weighStep, k.lat > b.allLat, leastKind, 1)
-}
-
-// limit is the mean answer time, as a part of the aim, from which a server counts as
-// crowded. A few agents see most of the load and need not fear to crowd a server that
-// answers well within the aim. A cold one is slow before it is crowded (i5d0607).
-func (b *Balancer) limit(s *server) float64 {
-	least := 2 * crowdShare / (2 + float64(b.set.Replicas))
-	return min(crowdShare, max(crowdFactor*b.calmLat, least)) / b.ramp(s)
-}
-
-// calmRise is how fast calm follows longer answer times: hardly, or a crowd would become
-// the measure. An attempt that was alone of its agent tells more the fewer agents there
-// are: a lone one that took quick first answers for calm would leave its servers idle.
-func (b *Balancer) calmRise(a *attempt) float64 {
-	if a.alone {
-		return slowSmooth / min(2*math.Pow(float64(max(b.set.Replicas, 1)), 3), 250)
-	}
-	return slowSmooth / 250
-}
-
 // heardFrom notes an answer. A server that no connect reached for long may be a new
 // process, cold and not yet listed: it is ramped as if it had started now. Time-outs
 // alone don't tell: crowded servers would be left to idle (i228a10).
@@ -801,7 +723,7 @@
 func (b *Balancer) learn(s *server, x float64) {
 	s.samples++
 	s.lat = arith.Mean(s.lat, x, max(smooth, 1/float64(s.samples)))
-	b.weigh(s, x)
+	b.weights.Answered(s.zone, s.kind, x)
 }
 
 func (b *Balancer) cut(s *server, by, least float64) {
@@ -915,14 +837,12 @@
 
 func (b *Balancer) onList(ev *Event) {
 	if ev.List == cluster.ListFailed {
-		b.follows++
 		if b.set.Membership == "on_request" {
-			wait := min(500*math.Pow(2, float64(b.follows)), b.set.Contract.AskWithinMs)
-			b.do(Action{Kind: ActTimer, Ms: wait * (0.5 + 0.5*b.rng.Float64()), Token: followToken})
+			b.do(Action{Kind: ActTimer, Ms: b.asking.Failed(b.rng.Float64()), Token: followToken})
 		}
 		return
 	}
-	b.follows = 0
+	b.asking.Told()
 	b.epoch++
 	b.least = max(ev.Least, 0)
 	named := map[cluster.Addr]bool{}
--- a/policy/state.go
+++ b/policy/state.go
@@ -4,10 +4,15 @@
 	"math/rand/v2"
 
 	"molepaddle/internal/arith"
+	"molepaddle/internal/asking"
 	"molepaddle/internal/budget"
+	"molepaddle/internal/calm"
 	"molepaddle/internal/cluster"
+	"molepaddle/internal/cold"
 	"molepaddle/internal/settings"
 	"molepaddle/internal/unserved"
+	"molepaddle/internal/weights"
+	"molepaddle/internal/worth"
 )
 
 // This file holds what a Balancer remembers; the decisions are in policy.go.
@@ -107,48 +112,22 @@
 	needs      *budget.Needs // answer times
 	retries    *budget.Retries
 	throttle   *budget.Throttle
-	answers    float64      // served so far
-	fleetLat   float64      // mean answer time as a part of the aim, all servers
-	calmLat    float64      // the same when nothing is crowded
+	calm       *calm.Calm // answer times as parts of the aim
+	cold       *cold.Share
+	weights    *weights.Weights
 	usage      arith.Shares // tenants' shares of requests
-	asked      []float64    // classes' shares of requests
-	won        []float64    // and of those served in time
-	worst      int          // the class served worst
-	credit     float64      // mean worth of a request
+	worth      *worth.Tally
+	asking     asking.Asking
 	aimMin     float64
 	lookedAt   float64 // last fetch of the list
-	follows    int     // failed calls in a row
-	flow       float64 // work sent to a warm server of weight one, fading over the cold time
-	flowAt     float64
 	recent     float64 // requests of late, over the keepalive time, as of recentAt
 	recentAt   float64
-	home       float64 // weight of the own zone's servers, and mean answer times there and elsewhere
-	homeLat    float64
-	awayLat    float64
-	allLat     float64
-	kinds      [256]struct{ lat, weight float64 } // mean answer time and weight of each kind of machine
 	began      float64
 	seen       float64 // requests since
 	ticking    bool
 	scarce     bool // requests that would take any server find no room
 }
 
-// tally keeps the classes' shares of requests and of those served in time.
-func (b *Balancer) tally(class int) {
-	b.credit = 0
-	for i, c := range b.set.Classes {
-		b.asked[i] *= fade
-		b.won[i] *= fade
-		if i == class {
-			b.asked[i] += 1 - fade
-		}
-		b.credit += b.asked[i] * c.Credit
-		if b.won[i]*b.asked[b.worst] < b.won[b.worst]*b.asked[i] {
-			b.worst = i
-		}
-	}
-}
-
 // enter notes a server's new state and its time; tiers have changed.
 func (b *Balancer) enter(s *server, to State) {
 	if s.state > Unknown || to > Unknown {
