--- a/cmd/molepaddle/main.go
+++ b/cmd/molepaddle/main.go
@@ -296,8 +296,7 @@
 		return err
 	}
 	// The machine may have more cores than the agent may use; more threads than cores
-	// would only wait for each other. The live heap is a few MB, so it may grow well
-	// past the usual twice, which saves collections, but not near the limit.
+	// would only wait for each other.
 	runtime.GOMAXPROCS(max(int(math.Ceil(conf.Limits.Cores)), 1))
 	bound(conf.Limits.MemoryMB)
 	log := logging.New(os.Stderr, oper.Log).With("agent", conf.Name)
@@ -349,8 +348,8 @@
 
 // bound sets when garbage is collected. An agent holds a MB or two and most have little traffic: at
 // the four times that it used to let pass, the first collection came at 16 MB, which a quiet agent
-// fills in minutes, and each of a fleet's agents grew all that time. At once as much as is held it
-// has its size within seconds, and a collection still costs a busy one under 1 % of its time.
+// fills in minutes, and each of a fleet's agents grew all that time. At once as much as is held, 4 MB
+// at the least, it has its size in a part of that, and answers are passed on as soon as before.
 func bound(memoryMB float64) {
 	debug.SetGCPercent(100)
 	debug.SetMemoryLimit(int64(memoryMB * 0.6 * (1 << 20)))
