--- a/internal/many/many_test.go
+++ b/internal/many/many_test.go
@@ -195,6 +195,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan map[int]int)
 	go func() { done <- c.load(ctx, 300) }()
+	// Starts at the roster are spread over half the contract's time.
+	sites.Eventually(t, "all watch", func() bool { return o.count().Watches == n })
 	steady, _, _ := sum(o.seconds(4))
 	if x := float64(slices.Max(steady.Came)) / mean(steady.Came); x > 1.6 || math.IsNaN(x) {
 		t.Errorf("the most loaded server has %.2f of the mean: %v", x, steady.Came)
