--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -539,6 +539,9 @@
 	c.crowded(a, res)
 	r.ran = r.ran || !res.Status.NeverRan()
 	r.spent += res.Spent
+	if res.Status == policy.NoWay && r.most < policy.MostTries {
+		r.most++ // as the module counts
+	}
 	if res.Status == policy.OK {
 		c.answer(r, Answer{Outcome: Served, Body: res.Body, Length: res.Length, ContentType: res.ContentType})
 	}
@@ -627,8 +630,6 @@
 			if b := c.byAddr[act.Server]; b != nil {
 				b.endpoint.CloseIdle()
 			}
-		case policy.ActLog:
-			c.log.Info(act.Text)
 		}
 	}
 }
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -248,7 +248,11 @@
 	}()
 	// Whether the connection is kept is settled as its request comes: of many that are
 	// answered in one moment it would hang on which is first.
-	keep := a.places.keep()
+	conn, _ := hr.Context().Value(connKey{}).(*clientConn)
+	keep, placed := a.places.keep(conn)
+	if !placed {
+		panic(http.ErrAbortHandler)
+	}
 	r, bad := a.read(w, hr)
 	if bad != nil {
 		answered = true
--- a/internal/httpfront/places.go
+++ b/internal/httpfront/places.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -36,13 +37,19 @@
 	rejected              // it was told that its request is bad, and closes
 )
 
+// What has become of a connection since it was idle last, or came.
+const (
+	quiet int32 = iota // nothing was read
+	fed                // something was: it is not closed as idle
+	shut               // it is closed as idle: what is read now is not taken
+)
+
 // clientConn is a client's connection. Its stage belongs to its places.
 type clientConn struct {
 	net.Conn
 	places *places
-	got    atomic.Bool // something was read from it
-	fed    atomic.Bool // the same, since it was idle last
-	shut   atomic.Bool // it is closed unless it was fed
+	got    atomic.Bool  // something was read from it
+	whose  atomic.Int32 // quiet, fed or shut: whoever changes it first from quiet has the connection
 	stage  stage
 	since  time.Time // when the stage began
 	number int       // counts the connections in the order in which they came
@@ -73,11 +80,8 @@
 		}
 		// Whether it is closed as idle or its next request read is settled here: what came to
 		// a connection that is closed was never read, and its client sends it again on another.
-		if !c.fed.Load() {
-			c.fed.Store(true)
-		}
-		if c.shut.Load() {
-			return 0, net.ErrClosed
+		if !c.whose.CompareAndSwap(quiet, fed) && c.whose.Load() == shut {
+			return 0, io.EOF // to any other error the server would answer 400, if the close takes a moment
 		}
 	}
 	return n, err
@@ -103,9 +107,7 @@
 // end closes a connection between two requests, unless the next one has begun to be read, and
 // reports whether it did. The places are locked.
 func (c *clientConn) end() bool {
-	c.shut.Store(true)
-	if c.fed.Load() {
-		c.shut.Store(false)
+	if !c.whose.CompareAndSwap(quiet, shut) {
 		return false
 	}
 	delete(c.places.conns, c)
@@ -215,11 +217,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.conns) >= p.most {
-		least := p.least(now)
+		least, unasked := p.least(now)
 		if least == nil {
 			return false
 		}
-		if least.stage == idle || !least.got.Load() {
+		if unasked { // as it was when looked at: what has come since stays
 			if !least.end() {
 				return false
 			}
@@ -259,8 +261,9 @@
 // least finds the connection to close for a new one: the one idle longest, else the
 // oldest that has said nothing, else one that was turned away, else the oldest whose
 // first request does not come to its end, and of the others one between requests. One
-// with a request open is never closed.
-func (p *places) least(now time.Time) *clientConn {
+// with a request open is never closed. unasked says that
+// nothing of a request had come.
+func (p *places) least(now time.Time) (least *clientConn, unasked bool) {
 	const kinds = 5
 	var found [kinds]*clientConn
 	for c := range p.conns {
@@ -283,12 +286,12 @@
 			found[kind] = c
 		}
 	}
-	for _, c := range found {
+	for kind, c := range found {
 		if c != nil {
-			return c
+			return c, kind != 2 && kind != 3
 		}
 	}
-	return nil
+	return nil, false
 }
 
 // longer tells whether a connection has been in its stage for longer than another; of
@@ -323,7 +326,7 @@
 		p.enter(cc, busy)
 	case http.StateIdle:
 		cc.forget()
-		cc.fed.Store(false)
+		cc.whose.CompareAndSwap(fed, quiet)
 		p.enter(cc, idle)
 	}
 }
@@ -340,11 +343,13 @@
 	return n > p.many
 }
 
-// keep tells whether a connection may stay open after an answer.
-func (p *places) keep() bool {
+// keep tells whether a connection may stay open after the answer to the request whose head has just come,
+// and whether it has its place still: one that came to its end as its place went to another is not taken.
+func (p *places) keep(c *clientConn) (stays, placed bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !p.crowded()
+	_, placed = p.conns[c]
+	return !p.crowded(), placed || c == nil
 }
 
 // tidy closes those that have been idle for a while, as long as there are too many.
--- a/internal/httpfront/places_test.go
+++ b/internal/httpfront/places_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"runtime"
 	"testing"
 	"time"
 )
@@ -92,3 +93,63 @@
 		}
 	}
 }
+
+// seen is a connection whose first request is read as soon as somebody has looked whether any has come.
+type seen struct {
+	hooked
+	conn *clientConn
+}
+
+func (s *seen) Pending() int {
+	buf := make([]byte, 8)
+	go s.conn.Read(buf)
+	for s.conn.whose.Load() != fed {
+		runtime.Gosched()
+	}
+	return 0
+}
+
+// A silent connection whose request is read between the look and the close keeps its place; one whose
+// request came to its end as it was closed for being late has none, and the request is not taken.
+func TestPlaceIsNotTakenFromWhoHasJustAsked(t *testing.T) {
+	p := newPlaces(1, 1)
+	s := &seen{}
+	s.before, s.after = func() {}, func() {}
+	s.conn = &clientConn{Conn: s, places: p, since: time.Now()}
+	p.take(s.conn, time.Now())
+	if p.take(&clientConn{Conn: &hooked{}, places: p}, time.Now().Add(100*time.Millisecond)) || s.closed {
+		t.Fatal("closed with its request read")
+	}
+	if _, placed := p.keep(s.conn); !placed {
+		t.Fatal("its place is gone")
+	}
+	if !p.take(&clientConn{Conn: &hooked{}, places: p}, time.Now().Add(time.Second)) || !s.closed {
+		t.Fatal("a late one keeps its place")
+	}
+	p.track(s.conn, http.StateActive)
+	if _, placed := p.keep(s.conn); placed {
+		t.Fatal("its request would be taken")
+	}
+}
+
+// Whoever reads from a connection and whoever closes it as idle in one moment don't both give way: then
+// what was read would be dropped, and the connection answered 400 for it.
+func TestReadOrClosedNeverNeither(t *testing.T) {
+	for range 2000 {
+		p := newPlaces(1, 1)
+		h := &hooked{before: func() {}, after: func() {}}
+		c := &clientConn{Conn: h, places: p, since: time.Now()}
+		p.take(c, time.Now())
+		read := make(chan error, 1)
+		go func() {
+			_, err := c.Read(make([]byte, 8))
+			read <- err
+		}()
+		p.mu.Lock()
+		closed := c.end()
+		p.mu.Unlock()
+		if err := <-read; closed != (err != nil) {
+			t.Fatalf("closed: %v, read: %v", closed, err)
+		}
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -50,7 +50,6 @@
 	codeNotifyMe    = 88
 	codeRetract     = 89
 	codeFinishError = 90
-	codeTrace       = 91
 )
 
 // Kind tells what a record of a batch is about.
@@ -332,8 +331,6 @@
 		e.record(codeReadList, instance)
 	case policy.ActClose:
 		copy(e.record(codeHangUp, instance)[5:11], a.Server[:])
-	case policy.ActLog:
-		e.text(codeTrace, instance, a.Text)
 	}
 }
 
--- a/policy/bodies_test.go
+++ b/policy/bodies_test.go
@@ -156,3 +156,77 @@
 		t.Errorf("a third attempt of two: %+v", got)
 	}
 }
+
+// Long answers that come at once from a server that nobody has met open its window as they begin: which of
+// them have ended says nothing of it.
+func TestBegunAnswersOpenTheWindow(t *testing.T) {
+	r := newRig(t, testSettings(), 1)
+	var out []RequestID
+	begun, most := 0, 0
+	for range 150 {
+		r.id++
+		r.do(Event{Kind: EvRequest, Request: r.id, Class: 0, LeftMs: 600})
+		out = append(out, r.id)
+	}
+	for range 50 { // far fewer turns than a window of two would need
+		r.now += 3
+		r.tick(0)
+		n := len(r.b.servers[0].out)
+		most = max(most, n)
+		for _, a := range append([]*attempt(nil), r.b.servers[0].out...) {
+			r.do(Event{Kind: EvStarted, Request: a.r.id, Attempt: a.index})
+			begun++
+		}
+	}
+	if begun != len(out) || most <= firstWindow {
+		t.Errorf("%d of %d have begun, %d at once at the most", begun, len(out), most)
+	}
+}
+
+// However slow its server has become, a body that has not come whole may begin: its time has not.
+func TestSlowServersTakeBodies(t *testing.T) {
+	r := newRig(t, testSettings(), 1)
+	for range 60 {
+		id, s := r.sent(0, 0)
+		r.now += 2
+		r.outcome(id, 0, s, OK, 2)
+	}
+	for range 3 { // a moment in which it is slow
+		id, s := r.sent(0, 0)
+		r.now += 250
+		r.outcome(id, 0, s, OK, 250)
+	}
+	r.now += 1000
+	if _, a := r.coming(1); a.BeginMs < testSettings().Classes[1].AimMs {
+		t.Errorf("it has to begin within %v ms", a.BeginMs)
+	}
+}
+
+// A request that finds no way goes on to the others at once, then asks again as long as its aim lasts,
+// less and less often; it is refused once there is no time left, and never before.
+func TestNoWayIsAskedForAgain(t *testing.T) {
+	for _, servers := range []int{1, 3} {
+		r := newRig(t, testSettings(), servers)
+		id, s := r.sent(0, 0)
+		came, asked, refused := r.now, 1, 0.0
+		acts := r.outcome(id, 0, s, NoWay, 0)
+		for refused == 0 {
+			if a := find(acts, ActSend); a != nil {
+				asked++
+				if at := r.now - came; (asked <= servers) != (at == 0) {
+					t.Fatalf("%d servers: asked for the %d. time after %v ms", servers, asked, at)
+				}
+				acts = r.outcome(id, asked-1, a.Server, NoWay, 0)
+				continue
+			}
+			if find(acts, ActRefuse) != nil {
+				refused = r.now - came
+				break
+			}
+			acts = r.tick(5)
+		}
+		if aim := testSettings().Classes[0].AimMs; refused < aim/2 || refused > aim || asked < 4 || asked > MostTries {
+			t.Errorf("%d servers: asked %d times, refused after %v ms of %v", servers, asked, refused, aim)
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -118,6 +118,7 @@
 			r.started, a.s.heard = true, now
 			r.aimAt = arith.Met(now, r.aimAt) // an answer counts from its first byte
 			b.leave(a)                        // how slowly the rest is read says nothing of its server
+			b.served(a, now-a.sentAt)
 		} else if r.coming {
 			r.coming, a.sentAt = false, now
 			b.count(r, ev.LeftMs, false)
@@ -172,10 +173,7 @@
 	}
 	c := &b.set.Classes[ev.Class]
 	r := &request{id: ev.Request, class: ev.Class, tenant: ev.Tenant, key: ev.Key, coming: ev.Coming,
-		tries: b.set.Limits.MaxAttempts}
-	if ev.Tries > 0 {
-		r.tries = min(r.tries, ev.Tries)
-	}
+		tries: cmp.Or(min(max(ev.Tries, 0), b.set.Limits.MaxAttempts), b.set.Limits.MaxAttempts)}
 	if r.hint = arith.Finite(ev.HintMs); !ev.HasHint {
 		r.hint = 0
 	}
@@ -202,7 +200,7 @@
 func (b *Balancer) count(r *request, left float64, retry bool) {
 	c := &b.set.Classes[r.class]
 	left = arith.Finite(left)
-	r.arrived, r.first, r.deadline = b.now, b.now, b.now+left-min(b.set.RoundMs, left/4)
+	r.arrived, r.first, r.again, r.deadline = b.now, b.now, b.now, b.now+left-min(b.set.RoundMs, left/4)
 	if retry {
 		r.first = b.unserved.Recall(r.class, r.key, r.arrived)
 	}
@@ -263,7 +261,7 @@
 			continue
 		}
 		i++
-		if !b.waits(r) {
+		if !b.waits(r) && b.now >= r.again {
 			failures++
 		}
 		b.scarce = failures > 0
@@ -297,6 +295,9 @@
 // answer there takes on the mean. Work varies; at the whole mean as much was given up that
 // would have been in time as was saved.
 func (b *Balancer) need(s *server, r *request) float64 {
+	if r.coming {
+		return 0 // its time begins when all of it has come
+	}
 	slow := max(s.lat/max(b.calm.Fleet, s.lat/mostSlow, 1e-9), 1)
 	return slow * b.expected(r) / 2
 }
@@ -466,7 +467,7 @@
 // maySend is the guard of all attempts: rules 2, 3 and the limits. Rule 4 is in
 // hasRoom, whose credit every attempt is charged in send.
 func (b *Balancer) maySend(r *request, s *server) bool {
-	if !s.usable || r.closed || r.started || r.open > 0 || b.now >= r.deadline ||
+	if !s.usable || r.closed || r.started || r.open > 0 || b.now >= r.deadline || b.now < r.again ||
 		len(r.attempts) >= r.tries {
 		return false
 	}
@@ -585,6 +586,10 @@
 	s := a.s
 	a.done = true
 	r.tries -= ev.Tries // a gateway that it went through made more of it
+	if ev.Status == NoWay && r.tries < MostTries {
+		rounds := len(r.attempts) / max(len(b.servers), 1) // it went nowhere: to the others at once
+		r.tries, r.again = r.tries+1, b.now+b.set.Classes[r.class].AimMs/MostTries*float64(rounds)
+	}
 	r.open--
 	b.leave(a)
 	if ev.Status.NeverRan() {
@@ -630,14 +635,12 @@
 func (b *Balancer) further(r *request, why Status) {
 	c := &b.set.Classes[r.class]
 	able := r.risky == 0 || c.Effect == settings.Free || c.Effect == settings.Guarded
-	if !able || len(r.attempts) >= r.tries || why == Moot || b.late(r) {
+	reached := why != ConnectFailed && why != NoWay // else no server had any of it
+	if !able || len(r.attempts) >= r.tries || why == Moot || b.late(r) ||
+		reached && !b.retries.Take(r.class, b.now, b.rng.Float64()) {
 		b.end(r)
 		return
 	}
-	if why != ConnectFailed && why != NoWay && !b.retries.Take(r.class, b.now, b.rng.Float64()) {
-		b.end(r) // where none could be reached no server had any of it
-		return
-	}
 	b.held = append(b.held, r)
 }
 
@@ -646,8 +649,9 @@
 	s := a.s
 	switch st {
 	case OK:
-		b.earn(s, a.cost)
-		b.served(a, rtt)
+		if b.earn(s, a.cost); !a.r.started {
+			b.served(a, rtt)
+		}
 	case Error, Reset:
 		s.heard = b.now
 		if b.common(s) {
@@ -771,8 +775,7 @@
 	if s.state != Unhealthy {
 		s.strikes = min(s.strikes+1, maxStrikes)
 		b.enter(s, Unhealthy)
-		s.silent = silent
-		s.good, s.lat, s.samples = 0, 0, 0
+		s.silent, s.good, s.lat, s.samples = silent, 0, 0, 0
 		s.window = max(s.window/2, 1)
 	}
 	b.refetch()
@@ -898,15 +901,10 @@
 		// A new process: nothing known of the old one holds, and it is cold. Its credit
 		// starts at random: of many agents that each earn it a part of one request, as
 		// many send one as the parts add up to; from 0 none would before it is warm.
-		s.listedAt = since
-		s.startedAt, s.state, s.since, s.silent = since, Unknown, b.now, false
-		s.strikes, s.good, s.lat, s.samples = 0, 0, 0, 0
+		s.listedAt, s.startedAt, s.state, s.since, s.silent = since, since, Unknown, b.now, false
+		s.strikes, s.good, s.lat, s.samples, s.fails = 0, 0, 0, 0, 0
 		s.window, s.credit = max(1, e.Window), b.rng.Float64()
-		s.fails = 0
 	}
 	s.zone, s.cell, s.kind, s.usable, s.rank = e.Zone, e.Cell, e.Kind, e.Health == cluster.Ready, e.Rank
-	s.weight = 1
-	if w := arith.Finite(e.Weight); w > 0 {
-		s.weight = w
-	}
+	s.weight = cmp.Or(max(arith.Finite(e.Weight), 0), 1)
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -76,9 +76,10 @@
 	aimAt      float64
 	deadline   float64 // margin already taken off
 	attempts   []*attempt
-	tries      int // attempts it may have
-	open       int // attempts out
-	risky      int // attempts that may have run
+	tries      int     // attempts it may have
+	again      float64 // when it looks for a way again, having found none
+	open       int     // attempts out
+	risky      int     // attempts that may have run
 	ranAt      float64
 	ranOn      *server
 	near       [keyServers]*server // nearest its key, as of epoch
--- a/policy/types.go
+++ b/policy/types.go
@@ -39,6 +39,9 @@
 	NoWay         Status = 308 // the way to the server had no room: says nothing of the server
 )
 
+// MostTries bounds a request's attempts, spread over its aim, that found no way and are not its tries.
+const MostTries = 32
+
 // NeverRan tells whether the ending proves that the attempt did not run.
 func (s Status) NeverRan() bool {
 	return s == Full || s == ConnectFailed || s == Moot || s == NoWay
@@ -98,7 +101,6 @@
 	ActTimer                        // Ms, Token
 	ActFollow                       // subscribe to the list
 	ActFetch                        // ask for the whole list once
-	ActLog                          // Text
 	ActClose                        // Server: close idle connections to it
 )
 
@@ -111,5 +113,4 @@
 	Ms      float64
 	BeginMs float64 // of a send: within which its first byte goes out, or none; above 0
 	Token   uint32
-	Text    string
 }
