--- a/cmd/molepaddle-plots/main.go
+++ b/cmd/molepaddle-plots/main.go
@@ -8,9 +8,9 @@
 
 	"github.com/spf13/cobra"
 
-	"molepaddle/internal/lab/page"
-	"molepaddle/internal/lab/trial"
-	"molepaddle/internal/scenario"
+	"molepaddle/internal/rig/lab/page"
+	"molepaddle/internal/rig/lab/trial"
+	"molepaddle/internal/rig/scenario"
 )
 
 func main() {
--- a/cmd/molepaddle/lab.go
+++ b/cmd/molepaddle/lab.go
@@ -20,10 +20,10 @@
 	"github.com/spf13/cobra"
 	"golang.org/x/term"
 
-	"molepaddle/internal/lab/choose"
-	"molepaddle/internal/lab/report"
-	"molepaddle/internal/lab/trial"
-	"molepaddle/internal/scenario"
+	"molepaddle/internal/rig/lab/choose"
+	"molepaddle/internal/rig/lab/report"
+	"molepaddle/internal/rig/lab/trial"
+	"molepaddle/internal/rig/scenario"
 )
 
 // labFlags are those that the playing commands share.
@@ -351,7 +351,7 @@
 			return plots(args, html, bench, out)
 		}}
 	cmd.Flags().StringVar(&html, "html", "", "write one file with all plots there")
-	cmd.Flags().StringVar(&bench, "bench", "", "what `go test -bench Decide ./internal/lab/model` said, for a plot of what decisions cost")
+	cmd.Flags().StringVar(&bench, "bench", "", "what `go test -bench Decide ./internal/rig/lab/model` said, for a plot of what decisions cost")
 	return cmd
 }
 
--- a/cmd/molepaddle/main.go
+++ b/cmd/molepaddle/main.go
@@ -21,15 +21,15 @@
 
 	"github.com/spf13/cobra"
 
-	"molepaddle/internal/agent"
-	"molepaddle/internal/config"
-	"molepaddle/internal/demo"
-	"molepaddle/internal/handover"
-	"molepaddle/internal/keys"
-	"molepaddle/internal/logging"
-	"molepaddle/internal/management"
-	"molepaddle/internal/operator"
-	"molepaddle/internal/sockets"
+	"molepaddle/internal/process/agent"
+	"molepaddle/internal/process/config"
+	"molepaddle/internal/process/handover"
+	"molepaddle/internal/process/keys"
+	"molepaddle/internal/process/logging"
+	"molepaddle/internal/process/management"
+	"molepaddle/internal/process/operator"
+	"molepaddle/internal/protocol/sockets"
+	"molepaddle/internal/rig/demo"
 )
 
 // Exit codes. docs/operators/commands.md tells them.
--- a/cmd/molepaddle/replace_test.go
+++ b/cmd/molepaddle/replace_test.go
@@ -12,8 +12,8 @@
 	"testing"
 	"time"
 
-	"molepaddle/internal/handover"
-	"molepaddle/internal/testkit/crowd"
+	"molepaddle/internal/process/handover"
+	"molepaddle/internal/rig/testkit/crowd"
 )
 
 const serviceSettings = `{"classes":[
--- a/cmd/molepaddle/sites_test.go
+++ b/cmd/molepaddle/sites_test.go
@@ -12,10 +12,10 @@
 	"testing"
 	"time"
 
-	"molepaddle/internal/agent"
-	"molepaddle/internal/standin"
-	"molepaddle/internal/testkit/sites"
-	"molepaddle/internal/wan"
+	"molepaddle/internal/process/agent"
+	"molepaddle/internal/rig/standin"
+	"molepaddle/internal/rig/testkit/sites"
+	"molepaddle/internal/rig/wan"
 )
 
 // Two sites of processes under TLS, with a slow network between: the link stalls, gateways
--- a/cmd/molepaddle/standin.go
+++ b/cmd/molepaddle/standin.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"molepaddle/internal/standin"
+	"molepaddle/internal/rig/standin"
 )
 
 // standIn plays a roster and order servers on loopback for a trial set-up, until the context
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -27,9 +27,9 @@
 	"sync/atomic"
 	"time"
 
-	"molepaddle/internal/cluster"
-	"molepaddle/internal/fleet"
-	"molepaddle/internal/settings"
+	"molepaddle/internal/decide/cluster"
+	"molepaddle/internal/decide/fleet"
+	"molepaddle/internal/decide/settings"
 	"molepaddle/policy"
 )
 
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -15,8 +15,8 @@
 	"testing/synctest"
 	"time"
 
-	"molepaddle/internal/cluster"
-	"molepaddle/internal/settings"
+	"molepaddle/internal/decide/cluster"
+	"molepaddle/internal/decide/settings"
 	"molepaddle/policy"
 )
 
--- a/internal/core/ids.go
+++ b/internal/core/ids.go
@@ -8,8 +8,8 @@
 	"sync"
 	"time"
 
-	"molepaddle/internal/arith"
-	"molepaddle/internal/settings"
+	"molepaddle/internal/decide/arith"
+	"molepaddle/internal/decide/settings"
 )
 
 // IDs is the memory of ids that several cores share, where one front end brings requests to
--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -4,9 +4,9 @@
 	"slices"
 	"time"
 
-	"molepaddle/internal/cluster"
-	"molepaddle/internal/fleet"
-	"molepaddle/internal/settings"
+	"molepaddle/internal/decide/cluster"
+	"molepaddle/internal/decide/fleet"
+	"molepaddle/internal/decide/settings"
 	"molepaddle/policy"
 )
 
--- a/internal/core/part_test.go
+++ b/internal/core/part_test.go
@@ -5,8 +5,8 @@
 	"testing"
 	"time"
 
-	"molepaddle/internal/cluster"
-	"molepaddle/internal/fleet"
+	"molepaddle/internal/decide/cluster"
+	"molepaddle/internal/decide/fleet"
 	"molepaddle/policy"
 )
 
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"molepaddle/internal/settings"
-	"molepaddle/internal/window"
+	"molepaddle/internal/decide/settings"
+	"molepaddle/internal/protocol/window"
 	"molepaddle/policy"
 )
 
--- a/internal/core/roster.go
+++ b/internal/core/roster.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"molepaddle/internal/cluster"
+	"molepaddle/internal/decide/cluster"
 	"molepaddle/policy"
 )
 
--- a/internal/core/servers.go
+++ b/internal/core/servers.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"molepaddle/internal/cluster"
+	"molepaddle/internal/decide/cluster"
 	"molepaddle/policy"
 )
 
--- a/internal/core/transport.go
+++ b/internal/core/transport.go
@@ -8,8 +8,8 @@
 	"sync/atomic"
 	"time"
 
-	"molepaddle/internal/budget"
-	"molepaddle/internal/window"
+	"molepaddle/internal/decide/budget"
+	"molepaddle/internal/protocol/window"
 	"molepaddle/policy"
 )
 
--- a/internal/budget/needs.go
+++ b/internal/decide/budget/needs.go
@@ -1,6 +1,6 @@
 package budget
 
-import "molepaddle/internal/arith"
+import "molepaddle/internal/decide/arith"
 
 const (
 	classWeight = 0.02  // of an answer in its class's mean
--- a/internal/calm/calm.go
+++ b/internal/decide/calm/calm.go
@@ -6,7 +6,7 @@
 import (
 	"math"
 
-	"molepaddle/internal/arith"
+	"molepaddle/internal/decide/arith"
 )
 
 const (
--- a/internal/cold/cold.go
+++ b/internal/decide/cold/cold.go
@@ -7,7 +7,7 @@
 import (
 	"math"
 
-	"molepaddle/internal/settings"
+	"molepaddle/internal/decide/settings"
 )
 
 const (
--- a/internal/cold/cold_test.go
+++ b/internal/decide/cold/cold_test.go
@@ -4,7 +4,7 @@
 	"math"
 	"testing"
 
-	"molepaddle/internal/settings"
+	"molepaddle/internal/decide/settings"
 )
 
 var contract = settings.Contract{ColdFrom: 0.3, ColdMs: 8000, FallMultiple: 2.5}
--- a/internal/fleet/fleet.go
+++ b/internal/decide/fleet/fleet.go
@@ -14,9 +14,9 @@
 	"math"
 	"math/rand/v2"
 
-	"molepaddle/internal/cluster"
-	"molepaddle/internal/settings"
-	"molepaddle/internal/subset"
+	"molepaddle/internal/decide/cluster"
+	"molepaddle/internal/decide/settings"
+	"molepaddle/internal/decide/subset"
 )
 
 // Options is what the operator sets for a fleet. Rates are of all agents together, in a second.
--- a/internal/fleet/fleet_test.go
+++ b/internal/decide/fleet/fleet_test.go
@@ -6,8 +6,8 @@
 	"strings"
 	"testing"
 
-	"molepaddle/internal/cluster"
-	"molepaddle/internal/settings"
+	"molepaddle/internal/decide/cluster"
+	"molepaddle/internal/decide/settings"
 )
 
 func set(index, agents int) *settings.Settings {
--- a/internal/hotkeys/hotkeys.go
+++ b/internal/decide/hotkeys/hotkeys.go
@@ -2,7 +2,7 @@
 // Keys belongs to whoever holds it.
 package hotkeys
 
-import "molepaddle/internal/arith"
+import "molepaddle/internal/decide/arith"
 
 // memory is over how many requests keys are counted, spread into how many parts a key is split
 // that alone would be a server's even share: it is not alone there.
--- a/internal/subset/subset.go
+++ b/internal/decide/subset/subset.go
@@ -21,7 +21,7 @@
 	"math"
 	"slices"
 
-	"molepaddle/internal/arith"
+	"molepaddle/internal/decide/arith"
 )
 
 // Server is one listed server.
--- a/internal/subset/subset_test.go
+++ b/internal/decide/subset/subset_test.go
@@ -9,7 +9,7 @@
 	"slices"
 	"testing"
 
-	"molepaddle/internal/arith"
+	"molepaddle/internal/decide/arith"
 )
 
 var measure = flag.Bool("subset.measure", false, "print how even the load is and what a change costs, for several ways to choose")
--- a/internal/unserved/unserved.go
+++ b/internal/decide/unserved/unserved.go
@@ -6,7 +6,7 @@
 import (
 	"slices"
 
-	"molepaddle/internal/settings"
+	"molepaddle/internal/decide/settings"
 )
 
 // Memory is the unserved requests of late. The zero Memory keeps none.
--- a/internal/unserved/unserved_test.go
+++ b/internal/decide/unserved/unserved_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"molepaddle/internal/settings"
+	"molepaddle/internal/decide/settings"
 )
 
 func TestRetryCountsFromTheFirstTry(t *testing.T) {
--- a/internal/weights/weights.go
+++ b/internal/decide/weights/weights.go
@@ -2,7 +2,7 @@
 // agent's own zone and of each kind of machine. No I/O, no time; Weights belong to whoever holds them.
 package weights
 
-import "molepaddle/internal/arith"
+import "molepaddle/internal/decide/arith"
 
 const (
 	// ownZone is how much more a server of the own zone weighs at the least, ownPrice the most for
--- a/internal/worth/worth.go
+++ b/internal/decide/worth/worth.go
@@ -5,8 +5,8 @@
 import (
 	"slices"
 
-	"molepaddle/internal/budget"
-	"molepaddle/internal/settings"
+	"molepaddle/internal/decide/budget"
+	"molepaddle/internal/decide/settings"
 )
 
 // fade lets requests count less with age, over about 500.
--- a/internal/worth/worth_test.go
+++ b/internal/decide/worth/worth_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"molepaddle/internal/settings"
+	"molepaddle/internal/decide/settings"
 )
 
 // The class that is served worst is worth more by its part of the objective, the less of it comes
--- a/internal/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -15,16 +15,16 @@
 	"reflect"
 	"time"
 
-	"molepaddle/internal/config"
 	"molepaddle/internal/core"
-	"molepaddle/internal/httpfront"
-	"molepaddle/internal/httptransport"
-	"molepaddle/internal/lifecycle"
-	"molepaddle/internal/management"
-	"molepaddle/internal/operator"
-	"molepaddle/internal/roster"
-	"molepaddle/internal/settings"
-	"molepaddle/internal/window"
+	"molepaddle/internal/decide/lifecycle"
+	"molepaddle/internal/decide/settings"
+	"molepaddle/internal/process/config"
+	"molepaddle/internal/process/management"
+	"molepaddle/internal/process/operator"
+	"molepaddle/internal/protocol/httpfront"
+	"molepaddle/internal/protocol/httptransport"
+	"molepaddle/internal/protocol/roster"
+	"molepaddle/internal/protocol/window"
 )
 
 // otherSockets are kept for the roster, the listener and the runtime.
--- a/internal/agent/agent_test.go
+++ b/internal/process/agent/agent_test.go
@@ -15,9 +15,9 @@
 	"testing"
 	"time"
 
-	"molepaddle/internal/config"
-	"molepaddle/internal/operator"
-	"molepaddle/internal/testkit"
+	"molepaddle/internal/process/config"
+	"molepaddle/internal/process/operator"
+	"molepaddle/internal/rig/testkit"
 )
 
 func parse(t testing.TB, c map[string]any) *config.Config {
--- a/internal/agent/gate.go
+++ b/internal/process/agent/gate.go
@@ -9,12 +9,12 @@
 	"sync/atomic"
 	"time"
 
-	"molepaddle/internal/config"
 	"molepaddle/internal/core"
-	"molepaddle/internal/gateway"
-	"molepaddle/internal/keys"
-	"molepaddle/internal/operator"
-	"molepaddle/internal/routes"
+	"molepaddle/internal/decide/routes"
+	"molepaddle/internal/process/config"
+	"molepaddle/internal/process/keys"
+	"molepaddle/internal/process/operator"
+	"molepaddle/internal/protocol/gateway"
 )
 
 // gate is what makes an agent an end of links: a core for each far site, the far end's
--- a/internal/agent/relay_bench_test.go
+++ b/internal/process/agent/relay_bench_test.go
@@ -17,8 +17,8 @@
 	"testing"
 	"time"
 
-	"molepaddle/internal/operator"
-	"molepaddle/internal/testkit"
+	"molepaddle/internal/process/operator"
+	"molepaddle/internal/rig/testkit"
 )
 
 // BenchmarkRelay compares over loopback, in one run, a server asked directly, through
--- a/internal/agent/replace.go
+++ b/internal/process/agent/replace.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"molepaddle/internal/config"
 	"molepaddle/internal/core"
-	"molepaddle/internal/handover"
+	"molepaddle/internal/process/config"
+	"molepaddle/internal/process/handover"
 )
 
 // What follows is the agent as handover.Source has it, and what a second process makes of it.
--- a/internal/agent/service_test.go
+++ b/internal/process/agent/service_test.go
@@ -14,10 +14,10 @@
 	"testing"
 	"time"
 
-	"molepaddle/internal/config"
-	"molepaddle/internal/operator"
-	"molepaddle/internal/testkit"
-	"molepaddle/internal/testkit/crowd"
+	"molepaddle/internal/process/config"
+	"molepaddle/internal/process/operator"
+	"molepaddle/internal/rig/testkit"
+	"molepaddle/internal/rig/testkit/crowd"
 )
 
 func server(t *testing.T, work time.Duration) *crowd.Server {
--- a/internal/agent/status.go
+++ b/internal/process/agent/status.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"molepaddle/internal/gateway"
+	"molepaddle/internal/protocol/gateway"
 )
 
 // LinkStatus is what a gateway holds of links, as its status socket tells it.
--- a/internal/config/config.go
+++ b/internal/process/config/config.go
@@ -11,9 +11,9 @@
 	"slices"
 	"strconv"
 
-	"molepaddle/internal/cluster"
-	"molepaddle/internal/roster"
-	"molepaddle/internal/settings"
+	"molepaddle/internal/decide/cluster"
+	"molepaddle/internal/decide/settings"
+	"molepaddle/internal/protocol/roster"
 	"molepaddle/internal/wire"
 	"molepaddle/policy"
 )
--- a/internal/config/config_test.go
+++ b/internal/process/config/config_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"molepaddle/internal/testkit"
+	"molepaddle/internal/rig/testkit"
 )
 
 const nowhere = "127.0.0.1:1"
--- a/internal/handover/handover_test.go
+++ b/internal/process/handover/handover_test.go
@@ -14,8 +14,8 @@
 	"testing"
 	"time"
 
-	"molepaddle/internal/cluster"
 	"molepaddle/internal/core"
+	"molepaddle/internal/decide/cluster"
 )
 
 // first is a first process that notes what it is told.
--- a/internal/management/management.go
+++ b/internal/process/management/management.go
@@ -14,7 +14,7 @@
 	"sync"
 	"time"
 
-	"molepaddle/internal/lifecycle"
+	"molepaddle/internal/decide/lifecycle"
 )
 
 // Connections is how many the door holds at the most, and so how many descriptors are to be kept
--- a/internal/management/management_test.go
+++ b/internal/process/management/management_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"molepaddle/internal/lifecycle"
+	"molepaddle/internal/decide/lifecycle"
 )
 
 // door opens one, and returns its machine and address.
--- a/internal/operator/gateway.go
+++ b/internal/process/operator/gateway.go
@@ -8,8 +8,8 @@
 	"strings"
 	"time"
 
-	"molepaddle/internal/limit"
-	"molepaddle/internal/routes"
+	"molepaddle/internal/decide/limit"
+	"molepaddle/internal/decide/routes"
 )
 
 // Gateway is the table that makes the program one end, or both, of links between sites.
--- a/internal/operator/operator.go
+++ b/internal/process/operator/operator.go
@@ -15,9 +15,9 @@
 	"strconv"
 	"time"
 
-	"molepaddle/internal/fleet"
-	"molepaddle/internal/logging"
-	"molepaddle/internal/strict"
+	"molepaddle/internal/decide/fleet"
+	"molepaddle/internal/process/logging"
+	"molepaddle/internal/process/strict"
 )
 
 // Duration is a time with its unit, such as "250ms".
--- a/internal/operator/operator_test.go
+++ b/internal/process/operator/operator_test.go
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
-	"molepaddle/internal/limit"
-	"molepaddle/internal/strict"
+	"molepaddle/internal/decide/limit"
+	"molepaddle/internal/process/strict"
 )
 
 func TestNoFileAndAnEmptyOneAreTheDefaults(t *testing.T) {
@@ -32,7 +32,7 @@
 }
 
 func TestShippedFile(t *testing.T) {
-	s, err := Load("../../deploy/operator.toml")
+	s, err := Load("../../../deploy/operator.toml")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/gateway/far.go
+++ b/internal/protocol/gateway/far.go
@@ -16,10 +16,10 @@
 	"golang.org/x/time/rate"
 
 	"molepaddle/internal/core"
-	"molepaddle/internal/crossing"
-	"molepaddle/internal/link"
-	"molepaddle/internal/linkwire"
-	"molepaddle/internal/settings"
+	"molepaddle/internal/decide/crossing"
+	"molepaddle/internal/decide/settings"
+	"molepaddle/internal/protocol/link"
+	"molepaddle/internal/protocol/linkwire"
 )
 
 // Taker gives a request its final answer; a core.Core is one.
--- a/internal/gateway/gateway_test.go
+++ b/internal/protocol/gateway/gateway_test.go
@@ -9,10 +9,10 @@
 	"testing"
 	"time"
 
-	"molepaddle/internal/gateway"
-	"molepaddle/internal/operator"
-	"molepaddle/internal/testkit/sites"
-	"molepaddle/internal/wan"
+	"molepaddle/internal/process/operator"
+	"molepaddle/internal/protocol/gateway"
+	"molepaddle/internal/rig/testkit/sites"
+	"molepaddle/internal/rig/wan"
 )
 
 // pair is two sites with a network between them: what clients ask at the near one, the
--- a/internal/gateway/lease_test.go
+++ b/internal/protocol/gateway/lease_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"molepaddle/internal/core"
-	"molepaddle/internal/link"
+	"molepaddle/internal/protocol/link"
 )
 
 // A lease ends so long before the attempt's time that the answer can come back.
--- a/internal/gateway/leave_test.go
+++ b/internal/protocol/gateway/leave_test.go
@@ -7,9 +7,9 @@
 	"testing"
 	"time"
 
-	"molepaddle/internal/operator"
-	"molepaddle/internal/testkit/sites"
-	"molepaddle/internal/wan"
+	"molepaddle/internal/process/operator"
+	"molepaddle/internal/rig/testkit/sites"
+	"molepaddle/internal/rig/wan"
 )
 
 // crowd asks many times at once; leave has all of the clients go in one instant and waits for them.
--- a/internal/gateway/measure_test.go
+++ b/internal/protocol/gateway/measure_test.go
@@ -14,10 +14,10 @@
 	"time"
 
 	"molepaddle/internal/core"
-	"molepaddle/internal/gateway"
-	"molepaddle/internal/limit"
-	"molepaddle/internal/testkit/sites"
-	"molepaddle/internal/wan"
+	"molepaddle/internal/decide/limit"
+	"molepaddle/internal/protocol/gateway"
+	"molepaddle/internal/rig/testkit/sites"
+	"molepaddle/internal/rig/wan"
 )
 
 var measure = flag.Bool("gateway.measure", false, "measure a gateway, for some minutes, and print a table")
--- a/internal/gateway/near.go
+++ b/internal/protocol/gateway/near.go
@@ -13,15 +13,15 @@
 	"sync"
 	"time"
 
-	"molepaddle/internal/budget"
-	"molepaddle/internal/cluster"
 	"molepaddle/internal/core"
-	"molepaddle/internal/crossing"
-	"molepaddle/internal/limit"
-	"molepaddle/internal/link"
-	"molepaddle/internal/linkwire"
-	"molepaddle/internal/roster"
-	"molepaddle/internal/settings"
+	"molepaddle/internal/decide/budget"
+	"molepaddle/internal/decide/cluster"
+	"molepaddle/internal/decide/crossing"
+	"molepaddle/internal/decide/limit"
+	"molepaddle/internal/decide/settings"
+	"molepaddle/internal/protocol/link"
+	"molepaddle/internal/protocol/linkwire"
+	"molepaddle/internal/protocol/roster"
 	"molepaddle/policy"
 )
 
--- a/internal/gateway/peers_test.go
+++ b/internal/protocol/gateway/peers_test.go
@@ -14,9 +14,9 @@
 	"testing"
 	"time"
 
-	"molepaddle/internal/keys"
-	"molepaddle/internal/linkwire"
-	"molepaddle/internal/testkit/sites"
+	"molepaddle/internal/process/keys"
+	"molepaddle/internal/protocol/linkwire"
+	"molepaddle/internal/rig/testkit/sites"
 )
 
 // liar is a near end that a test scripts frame by frame.
--- a/internal/gateway/status.go
+++ b/internal/protocol/gateway/status.go
@@ -5,8 +5,8 @@
 	"strings"
 	"time"
 
-	"molepaddle/internal/crossing"
-	"molepaddle/internal/link"
+	"molepaddle/internal/decide/crossing"
+	"molepaddle/internal/protocol/link"
 )
 
 // LinkStatus is one connection of a link.
--- a/internal/httpfront/bodies.go
+++ b/internal/protocol/httpfront/bodies.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"molepaddle/internal/core"
-	"molepaddle/internal/window"
+	"molepaddle/internal/protocol/window"
 )
 
 const (
--- a/internal/httpfront/bodies_test.go
+++ b/internal/protocol/httpfront/bodies_test.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"molepaddle/internal/core"
-	"molepaddle/internal/window"
+	"molepaddle/internal/protocol/window"
 )
 
 // whole reads all that a request brings, as a transport does.
--- a/internal/httpfront/front.go
+++ b/internal/protocol/httpfront/front.go
@@ -21,11 +21,11 @@
 	"sync/atomic"
 	"time"
 
-	"molepaddle/internal/budget"
 	"molepaddle/internal/core"
-	"molepaddle/internal/lifecycle"
-	"molepaddle/internal/settings"
-	"molepaddle/internal/window"
+	"molepaddle/internal/decide/budget"
+	"molepaddle/internal/decide/lifecycle"
+	"molepaddle/internal/decide/settings"
+	"molepaddle/internal/protocol/window"
 )
 
 const (
--- a/internal/httpfront/front_test.go
+++ b/internal/protocol/httpfront/front_test.go
@@ -19,9 +19,9 @@
 	"time"
 
 	"molepaddle/internal/core"
-	"molepaddle/internal/settings"
-	"molepaddle/internal/testkit"
-	"molepaddle/internal/window"
+	"molepaddle/internal/decide/settings"
+	"molepaddle/internal/protocol/window"
+	"molepaddle/internal/rig/testkit"
 )
 
 const headFor, bodyFor = 1500 * time.Millisecond, time.Second
--- a/internal/httpfront/places.go
+++ b/internal/protocol/httpfront/places.go
@@ -10,8 +10,8 @@
 	"sync/atomic"
 	"time"
 
-	"molepaddle/internal/lifecycle"
-	"molepaddle/internal/sockets"
+	"molepaddle/internal/decide/lifecycle"
+	"molepaddle/internal/protocol/sockets"
 )
 
 const (
--- a/internal/httptransport/ages_test.go
+++ b/internal/protocol/httptransport/ages_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"molepaddle/internal/testkit"
+	"molepaddle/internal/rig/testkit"
 	"molepaddle/policy"
 )
 
--- a/internal/httptransport/attempt.go
+++ b/internal/protocol/httptransport/attempt.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"molepaddle/internal/core"
-	"molepaddle/internal/window"
+	"molepaddle/internal/protocol/window"
 	"molepaddle/policy"
 )
 
--- a/internal/httptransport/attempt_test.go
+++ b/internal/protocol/httptransport/attempt_test.go
@@ -15,9 +15,9 @@
 	"testing"
 	"time"
 
-	"molepaddle/internal/budget"
 	"molepaddle/internal/core"
-	"molepaddle/internal/testkit"
+	"molepaddle/internal/decide/budget"
+	"molepaddle/internal/rig/testkit"
 	"molepaddle/policy"
 )
 
--- a/internal/httptransport/pool.go
+++ b/internal/protocol/httptransport/pool.go
@@ -16,10 +16,10 @@
 	"sync"
 	"time"
 
-	"molepaddle/internal/budget"
 	"molepaddle/internal/core"
-	"molepaddle/internal/sockets"
-	"molepaddle/internal/window"
+	"molepaddle/internal/decide/budget"
+	"molepaddle/internal/protocol/sockets"
+	"molepaddle/internal/protocol/window"
 )
 
 // Options bound a Transport.
--- a/internal/link/link.go
+++ b/internal/protocol/link/link.go
@@ -16,8 +16,8 @@
 	"sync"
 	"time"
 
-	"molepaddle/internal/budget"
-	"molepaddle/internal/linkwire"
+	"molepaddle/internal/decide/budget"
+	"molepaddle/internal/protocol/linkwire"
 )
 
 // Clock is the clock of a process: microseconds since its start, and never 0.
--- a/internal/roster/roster.go
+++ b/internal/protocol/roster/roster.go
@@ -20,9 +20,9 @@
 	"strconv"
 	"time"
 
-	"molepaddle/internal/cluster"
 	"molepaddle/internal/core"
-	"molepaddle/internal/sockets"
+	"molepaddle/internal/decide/cluster"
+	"molepaddle/internal/protocol/sockets"
 )
 
 const (
--- a/internal/roster/roster_test.go
+++ b/internal/protocol/roster/roster_test.go
@@ -10,8 +10,8 @@
 	"testing"
 	"time"
 
-	"molepaddle/internal/cluster"
 	"molepaddle/internal/core"
+	"molepaddle/internal/decide/cluster"
 )
 
 const never = time.Hour // for what a test does not let run out
--- a/internal/demo/demo.go
+++ b/internal/rig/demo/demo.go
@@ -20,14 +20,14 @@
 	"sync"
 	"time"
 
-	"molepaddle/internal/agent"
-	"molepaddle/internal/config"
-	"molepaddle/internal/lab/live"
-	"molepaddle/internal/lab/report"
-	"molepaddle/internal/lab/trial"
-	"molepaddle/internal/operator"
-	"molepaddle/internal/scenario"
-	"molepaddle/internal/standin"
+	"molepaddle/internal/process/agent"
+	"molepaddle/internal/process/config"
+	"molepaddle/internal/process/operator"
+	"molepaddle/internal/rig/lab/live"
+	"molepaddle/internal/rig/lab/report"
+	"molepaddle/internal/rig/lab/trial"
+	"molepaddle/internal/rig/scenario"
+	"molepaddle/internal/rig/standin"
 )
 
 const (
--- a/internal/demo/demo_test.go
+++ b/internal/rig/demo/demo_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"molepaddle/internal/standin"
+	"molepaddle/internal/rig/standin"
 )
 
 // The scene ends well, and says so.
--- a/internal/demo/sites.go
+++ b/internal/rig/demo/sites.go
@@ -8,9 +8,9 @@
 	"strings"
 	"time"
 
-	"molepaddle/internal/operator"
-	"molepaddle/internal/standin"
-	"molepaddle/internal/wan"
+	"molepaddle/internal/process/operator"
+	"molepaddle/internal/rig/standin"
+	"molepaddle/internal/rig/wan"
 )
 
 // farGateway is a gateway of the far site, with the network that leads to it.
--- a/internal/lab/choose/choose.go
+++ b/internal/rig/lab/choose/choose.go
@@ -14,9 +14,9 @@
 	"math/rand/v2"
 	"slices"
 
-	"molepaddle/internal/arith"
-	"molepaddle/internal/cluster"
-	"molepaddle/internal/settings"
+	"molepaddle/internal/decide/arith"
+	"molepaddle/internal/decide/cluster"
+	"molepaddle/internal/decide/settings"
 	"molepaddle/policy"
 )
 
--- a/internal/lab/choose/choose_test.go
+++ b/internal/rig/lab/choose/choose_test.go
@@ -3,8 +3,8 @@
 import (
 	"testing"
 
-	"molepaddle/internal/cluster"
-	"molepaddle/internal/settings"
+	"molepaddle/internal/decide/cluster"
+	"molepaddle/internal/decide/settings"
 	"molepaddle/policy"
 )
 
--- a/internal/lab/law/law.go
+++ b/internal/rig/lab/law/law.go
@@ -13,8 +13,8 @@
 
 	"gonum.org/v1/gonum/stat/distuv"
 
-	"molepaddle/internal/arith"
-	"molepaddle/internal/scenario"
+	"molepaddle/internal/decide/arith"
+	"molepaddle/internal/rig/scenario"
 )
 
 // Seed is one for a part of what a seed decides.
--- a/internal/lab/law/law_test.go
+++ b/internal/rig/lab/law/law_test.go
@@ -5,7 +5,7 @@
 	"slices"
 	"testing"
 
-	"molepaddle/internal/scenario"
+	"molepaddle/internal/rig/scenario"
 )
 
 // The arrivals of a portal are a Poisson process by the test of Kolmogorov and Smirnov, at one
--- a/internal/lab/live/agents.go
+++ b/internal/rig/lab/live/agents.go
@@ -17,13 +17,13 @@
 	"syscall"
 	"time"
 
-	"molepaddle/internal/agent"
-	"molepaddle/internal/config"
 	"molepaddle/internal/core"
-	"molepaddle/internal/lab/choose"
-	"molepaddle/internal/lab/measure"
-	"molepaddle/internal/scenario"
-	"molepaddle/internal/settings"
+	"molepaddle/internal/decide/settings"
+	"molepaddle/internal/process/agent"
+	"molepaddle/internal/process/config"
+	"molepaddle/internal/rig/lab/choose"
+	"molepaddle/internal/rig/lab/measure"
+	"molepaddle/internal/rig/scenario"
 )
 
 // agentRun is one agent, a process or in this one.
--- a/internal/lab/live/live.go
+++ b/internal/rig/lab/live/live.go
@@ -30,15 +30,15 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"molepaddle/internal/cluster"
-	"molepaddle/internal/lab/choose"
-	"molepaddle/internal/lab/law"
-	"molepaddle/internal/lab/measure"
-	"molepaddle/internal/lab/station"
-	"molepaddle/internal/lab/timeline"
-	"molepaddle/internal/operator"
-	"molepaddle/internal/scenario"
-	"molepaddle/internal/standin"
+	"molepaddle/internal/decide/cluster"
+	"molepaddle/internal/process/operator"
+	"molepaddle/internal/rig/lab/choose"
+	"molepaddle/internal/rig/lab/law"
+	"molepaddle/internal/rig/lab/measure"
+	"molepaddle/internal/rig/lab/station"
+	"molepaddle/internal/rig/lab/timeline"
+	"molepaddle/internal/rig/scenario"
+	"molepaddle/internal/rig/standin"
 	"molepaddle/policy"
 )
 
--- a/internal/lab/live/live_test.go
+++ b/internal/rig/lab/live/live_test.go
@@ -14,9 +14,9 @@
 	"testing"
 	"time"
 
-	"molepaddle/internal/lab/measure"
-	"molepaddle/internal/lab/model"
-	"molepaddle/internal/scenario"
+	"molepaddle/internal/rig/lab/measure"
+	"molepaddle/internal/rig/lab/model"
+	"molepaddle/internal/rig/scenario"
 )
 
 // TestMain makes the test binary a bad agent when it is started as one.
--- a/internal/lab/live/servers.go
+++ b/internal/rig/lab/live/servers.go
@@ -10,12 +10,12 @@
 	"strings"
 	"time"
 
-	"molepaddle/internal/cluster"
-	"molepaddle/internal/lab/law"
-	"molepaddle/internal/lab/station"
-	"molepaddle/internal/lab/timeline"
-	"molepaddle/internal/roster"
-	"molepaddle/internal/standin"
+	"molepaddle/internal/decide/cluster"
+	"molepaddle/internal/protocol/roster"
+	"molepaddle/internal/rig/lab/law"
+	"molepaddle/internal/rig/lab/station"
+	"molepaddle/internal/rig/lab/timeline"
+	"molepaddle/internal/rig/standin"
 )
 
 // first marks a connection of which no request has come.
--- a/internal/lab/measure/measure.go
+++ b/internal/rig/lab/measure/measure.go
@@ -12,8 +12,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"molepaddle/internal/lab/law"
-	"molepaddle/internal/scenario"
+	"molepaddle/internal/rig/lab/law"
+	"molepaddle/internal/rig/scenario"
 )
 
 // Outcome is what became of one try of a client.
--- a/internal/lab/measure/measure_test.go
+++ b/internal/rig/lab/measure/measure_test.go
@@ -5,8 +5,8 @@
 	"strings"
 	"testing"
 
-	"molepaddle/internal/lab/law"
-	"molepaddle/internal/scenario"
+	"molepaddle/internal/rig/lab/law"
+	"molepaddle/internal/rig/scenario"
 )
 
 func recorder(t *testing.T, events ...scenario.Event) (*Recorder, []law.Ask) {
--- a/internal/lab/model/cost_test.go
+++ b/internal/rig/lab/model/cost_test.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"testing"
 
-	"molepaddle/internal/cluster"
-	"molepaddle/internal/settings"
+	"molepaddle/internal/decide/cluster"
+	"molepaddle/internal/decide/settings"
 	"molepaddle/policy"
 )
 
--- a/internal/lab/model/estate.go
+++ b/internal/rig/lab/model/estate.go
@@ -4,10 +4,10 @@
 	"cmp"
 	"slices"
 
-	"molepaddle/internal/cluster"
-	"molepaddle/internal/lab/measure"
-	"molepaddle/internal/lab/station"
-	"molepaddle/internal/lab/timeline"
+	"molepaddle/internal/decide/cluster"
+	"molepaddle/internal/rig/lab/measure"
+	"molepaddle/internal/rig/lab/station"
+	"molepaddle/internal/rig/lab/timeline"
 	"molepaddle/policy"
 )
 
--- a/internal/lab/model/model.go
+++ b/internal/rig/lab/model/model.go
@@ -17,14 +17,14 @@
 	"slices"
 	"time"
 
-	"molepaddle/internal/cluster"
-	"molepaddle/internal/fleet"
-	"molepaddle/internal/lab/choose"
-	"molepaddle/internal/lab/law"
-	"molepaddle/internal/lab/measure"
-	"molepaddle/internal/lab/station"
-	"molepaddle/internal/lab/timeline"
-	"molepaddle/internal/scenario"
+	"molepaddle/internal/decide/cluster"
+	"molepaddle/internal/decide/fleet"
+	"molepaddle/internal/rig/lab/choose"
+	"molepaddle/internal/rig/lab/law"
+	"molepaddle/internal/rig/lab/measure"
+	"molepaddle/internal/rig/lab/station"
+	"molepaddle/internal/rig/lab/timeline"
+	"molepaddle/internal/rig/scenario"
 	"molepaddle/policy"
 )
 
--- a/internal/lab/model/model_test.go
+++ b/internal/rig/lab/model/model_test.go
@@ -8,11 +8,11 @@
 	"strings"
 	"testing"
 
-	"molepaddle/internal/arith"
-	"molepaddle/internal/cluster"
-	"molepaddle/internal/lab/choose"
-	"molepaddle/internal/lab/measure"
-	"molepaddle/internal/scenario"
+	"molepaddle/internal/decide/arith"
+	"molepaddle/internal/decide/cluster"
+	"molepaddle/internal/rig/lab/choose"
+	"molepaddle/internal/rig/lab/measure"
+	"molepaddle/internal/rig/scenario"
 	"molepaddle/policy"
 )
 
--- a/internal/lab/model/network_test.go
+++ b/internal/rig/lab/model/network_test.go
@@ -4,9 +4,9 @@
 	"fmt"
 	"testing"
 
-	"molepaddle/internal/cluster"
-	"molepaddle/internal/lab/choose"
-	"molepaddle/internal/lab/measure"
+	"molepaddle/internal/decide/cluster"
+	"molepaddle/internal/rig/lab/choose"
+	"molepaddle/internal/rig/lab/measure"
 	"molepaddle/policy"
 )
 
--- a/internal/lab/page/page.go
+++ b/internal/rig/lab/page/page.go
@@ -10,8 +10,8 @@
 	"io"
 	"slices"
 
-	"molepaddle/internal/lab/report"
-	"molepaddle/internal/lab/trial"
+	"molepaddle/internal/rig/lab/report"
+	"molepaddle/internal/rig/lab/trial"
 )
 
 // section is a scenario on the page.
--- a/internal/lab/page/page_test.go
+++ b/internal/rig/lab/page/page_test.go
@@ -8,9 +8,9 @@
 	"strings"
 	"testing"
 
-	"molepaddle/internal/lab/report"
-	"molepaddle/internal/lab/trial"
-	"molepaddle/internal/scenario"
+	"molepaddle/internal/rig/lab/report"
+	"molepaddle/internal/rig/lab/trial"
+	"molepaddle/internal/rig/scenario"
 )
 
 func rows(t *testing.T) (plain, swept []*trial.Row) {
--- a/internal/lab/page/plots.go
+++ b/internal/rig/lab/page/plots.go
@@ -20,9 +20,9 @@
 	"gonum.org/v1/plot/vg/draw"
 	"gonum.org/v1/plot/vg/vgsvg"
 
-	"molepaddle/internal/lab/measure"
-	"molepaddle/internal/lab/report"
-	"molepaddle/internal/lab/trial"
+	"molepaddle/internal/rig/lab/measure"
+	"molepaddle/internal/rig/lab/report"
+	"molepaddle/internal/rig/lab/trial"
 )
 
 const (
--- a/internal/lab/report/report.go
+++ b/internal/rig/lab/report/report.go
@@ -12,8 +12,8 @@
 	"strings"
 	"text/tabwriter"
 
-	"molepaddle/internal/lab/measure"
-	"molepaddle/internal/lab/trial"
+	"molepaddle/internal/rig/lab/measure"
+	"molepaddle/internal/rig/lab/trial"
 )
 
 // Group is the plays of one variant of a scenario.
--- a/internal/lab/station/station.go
+++ b/internal/rig/lab/station/station.go
@@ -9,8 +9,8 @@
 	"math"
 	"slices"
 
-	"molepaddle/internal/lab/law"
-	"molepaddle/internal/scenario"
+	"molepaddle/internal/rig/lab/law"
+	"molepaddle/internal/rig/scenario"
 )
 
 // Verdict is what becomes of a job that arrives.
--- a/internal/lab/station/station_test.go
+++ b/internal/rig/lab/station/station_test.go
@@ -4,7 +4,7 @@
 	"math"
 	"testing"
 
-	"molepaddle/internal/scenario"
+	"molepaddle/internal/rig/scenario"
 )
 
 var rules = scenario.Rules{Cold: scenario.Duration(8e9), ColdFrom: 0.25, FallMultiple: 2, FallAfter: scenario.Duration(1e9)}
--- a/internal/lab/timeline/timeline.go
+++ b/internal/rig/lab/timeline/timeline.go
@@ -8,10 +8,10 @@
 	"math"
 	"slices"
 
-	"molepaddle/internal/cluster"
-	"molepaddle/internal/lab/law"
-	"molepaddle/internal/lab/station"
-	"molepaddle/internal/scenario"
+	"molepaddle/internal/decide/cluster"
+	"molepaddle/internal/rig/lab/law"
+	"molepaddle/internal/rig/lab/station"
+	"molepaddle/internal/rig/scenario"
 )
 
 // Server is what a Host tells of one of its servers.
--- a/internal/lab/trial/compare.go
+++ b/internal/rig/lab/trial/compare.go
@@ -12,8 +12,8 @@
 	"gonum.org/v1/gonum/stat"
 	"gonum.org/v1/gonum/stat/distuv"
 
-	"molepaddle/internal/lab/measure"
-	"molepaddle/internal/scenario"
+	"molepaddle/internal/rig/lab/measure"
+	"molepaddle/internal/rig/scenario"
 )
 
 // Metric is a figure of a play by which variants are compared.
--- a/internal/lab/trial/row.go
+++ b/internal/rig/lab/trial/row.go
@@ -16,7 +16,7 @@
 	"sync"
 	"syscall"
 
-	"molepaddle/internal/lab/measure"
+	"molepaddle/internal/rig/lab/measure"
 )
 
 // Version is the one that rows carry.
--- a/internal/lab/trial/sweep.go
+++ b/internal/rig/lab/trial/sweep.go
@@ -11,7 +11,7 @@
 
 	"gonum.org/v1/gonum/floats/scalar"
 
-	"molepaddle/internal/scenario"
+	"molepaddle/internal/rig/scenario"
 )
 
 // maxValues bounds an axis.
--- a/internal/lab/trial/trial.go
+++ b/internal/rig/lab/trial/trial.go
@@ -9,10 +9,10 @@
 	"sync"
 	"time"
 
-	"molepaddle/internal/lab/live"
-	"molepaddle/internal/lab/measure"
-	"molepaddle/internal/lab/model"
-	"molepaddle/internal/scenario"
+	"molepaddle/internal/rig/lab/live"
+	"molepaddle/internal/rig/lab/measure"
+	"molepaddle/internal/rig/lab/model"
+	"molepaddle/internal/rig/scenario"
 )
 
 // maxPlays bounds what one call plays.
--- a/internal/lab/trial/trial_test.go
+++ b/internal/rig/lab/trial/trial_test.go
@@ -13,8 +13,8 @@
 	"testing"
 	"time"
 
-	"molepaddle/internal/lab/measure"
-	"molepaddle/internal/scenario"
+	"molepaddle/internal/rig/lab/measure"
+	"molepaddle/internal/rig/scenario"
 )
 
 func scene(t *testing.T, name string, seconds float64) *scenario.Scenario {
--- a/internal/lab/trial/variant.go
+++ b/internal/rig/lab/trial/variant.go
@@ -15,10 +15,10 @@
 	"strconv"
 	"strings"
 
-	"molepaddle/internal/fleet"
-	"molepaddle/internal/lab/choose"
-	"molepaddle/internal/operator"
-	"molepaddle/internal/scenario"
+	"molepaddle/internal/decide/fleet"
+	"molepaddle/internal/process/operator"
+	"molepaddle/internal/rig/lab/choose"
+	"molepaddle/internal/rig/scenario"
 )
 
 // Variant is a way to play a scenario. What is empty is as the scenario has it.
--- a/internal/many/many.go
+++ b/internal/rig/many/many.go
@@ -23,12 +23,12 @@
 	"testing"
 	"time"
 
-	"molepaddle/internal/agent"
-	"molepaddle/internal/config"
-	"molepaddle/internal/operator"
-	"molepaddle/internal/standin"
-	"molepaddle/internal/testkit"
-	"molepaddle/internal/testkit/sites"
+	"molepaddle/internal/process/agent"
+	"molepaddle/internal/process/config"
+	"molepaddle/internal/process/operator"
+	"molepaddle/internal/rig/standin"
+	"molepaddle/internal/rig/testkit"
+	"molepaddle/internal/rig/testkit/sites"
 )
 
 const (
--- a/internal/many/many_test.go
+++ b/internal/rig/many/many_test.go
@@ -13,8 +13,8 @@
 	"testing"
 	"time"
 
-	"molepaddle/internal/operator"
-	"molepaddle/internal/testkit/sites"
+	"molepaddle/internal/process/operator"
+	"molepaddle/internal/rig/testkit/sites"
 )
 
 var (
--- a/internal/scenario/scenario.go
+++ b/internal/rig/scenario/scenario.go
@@ -17,7 +17,7 @@
 
 	"github.com/pelletier/go-toml/v2"
 
-	"molepaddle/internal/strict"
+	"molepaddle/internal/process/strict"
 )
 
 // Version is the one that files of this form carry.
--- a/internal/scenario/scenario_test.go
+++ b/internal/rig/scenario/scenario_test.go
@@ -6,7 +6,7 @@
 	"strings"
 	"testing"
 
-	"molepaddle/internal/config"
+	"molepaddle/internal/process/config"
 )
 
 const least = `version = 1
--- a/internal/scenario/settings.go
+++ b/internal/rig/scenario/settings.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/json"
 
-	"molepaddle/internal/settings"
+	"molepaddle/internal/decide/settings"
 )
 
 // ReportNames are the figures of the load reports, in their order.
--- a/internal/testkit/sites/sites.go
+++ b/internal/rig/testkit/sites/sites.go
@@ -17,11 +17,11 @@
 	"testing"
 	"time"
 
-	"molepaddle/internal/agent"
-	"molepaddle/internal/config"
-	"molepaddle/internal/operator"
-	"molepaddle/internal/standin"
-	"molepaddle/internal/testkit"
+	"molepaddle/internal/process/agent"
+	"molepaddle/internal/process/config"
+	"molepaddle/internal/process/operator"
+	"molepaddle/internal/rig/standin"
+	"molepaddle/internal/rig/testkit"
 )
 
 // Options is what a site is made of.
--- a/internal/world/net.go
+++ b/internal/rig/world/net.go
@@ -10,7 +10,7 @@
 	"syscall"
 	"time"
 
-	"molepaddle/internal/sockets"
+	"molepaddle/internal/protocol/sockets"
 )
 
 // addr is an address of the in-memory network.
--- a/internal/world/sim.go
+++ b/internal/rig/world/sim.go
@@ -27,8 +27,8 @@
 	"testing/synctest"
 	"time"
 
-	"molepaddle/internal/agent"
-	"molepaddle/internal/config"
+	"molepaddle/internal/process/agent"
+	"molepaddle/internal/process/config"
 )
 
 // event is something that the world will do.
--- a/internal/world/sites.go
+++ b/internal/rig/world/sites.go
@@ -6,7 +6,7 @@
 	"sort"
 	"time"
 
-	"molepaddle/internal/operator"
+	"molepaddle/internal/process/operator"
 )
 
 // This file is what days of two sites have beyond others: near gateways, which clients ask,
--- a/internal/world/world_test.go
+++ b/internal/rig/world/world_test.go
@@ -86,7 +86,7 @@
 						passed++
 					} else {
 						failed++
-						t.Errorf("seed %d: %v\n\treplay: go test ./internal/world -run TestDay -v -world.seed=%d%s", seed, res.Breaches[0], seed, map[bool]string{true: " -world.sites"}[*sites]+map[bool]string{true: " -world.surge"}[*surge])
+						t.Errorf("seed %d: %v\n\treplay: go test ./internal/rig/world -run TestDay -v -world.seed=%d%s", seed, res.Breaches[0], seed, map[bool]string{true: " -world.sites"}[*sites]+map[bool]string{true: " -world.surge"}[*surge])
 					}
 					mu.Unlock()
 				}
@@ -175,7 +175,7 @@
 			t.Errorf("%s: nothing happens", name)
 		}
 		for _, b := range res.Breaches {
-			t.Errorf("%s: %v\n\treplay: go test ./internal/world -run TestDay -v -world.day=%s", name, b, name)
+			t.Errorf("%s: %v\n\treplay: go test ./internal/rig/world -run TestDay -v -world.day=%s", name, b, name)
 		}
 	}
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -10,8 +10,8 @@
 	"io"
 	"math"
 
-	"molepaddle/internal/cluster"
-	"molepaddle/internal/settings"
+	"molepaddle/internal/decide/cluster"
+	"molepaddle/internal/decide/settings"
 	"molepaddle/policy"
 )
 
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"molepaddle/internal/cluster"
+	"molepaddle/internal/decide/cluster"
 	"molepaddle/policy"
 )
 
--- a/policy/bodies_test.go
+++ b/policy/bodies_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"molepaddle/internal/settings"
+	"molepaddle/internal/decide/settings"
 )
 
 func (r *rig) coming(class int) (RequestID, Action) {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -6,17 +6,17 @@
 	"math/rand/v2"
 	"slices"
 
-	"molepaddle/internal/arith"
-	"molepaddle/internal/asking"
-	"molepaddle/internal/budget"
-	"molepaddle/internal/calm"
-	"molepaddle/internal/cluster"
-	"molepaddle/internal/cold"
-	"molepaddle/internal/hotkeys"
-	"molepaddle/internal/settings"
-	"molepaddle/internal/unserved"
-	"molepaddle/internal/weights"
-	"molepaddle/internal/worth"
+	"molepaddle/internal/decide/arith"
+	"molepaddle/internal/decide/asking"
+	"molepaddle/internal/decide/budget"
+	"molepaddle/internal/decide/calm"
+	"molepaddle/internal/decide/cluster"
+	"molepaddle/internal/decide/cold"
+	"molepaddle/internal/decide/hotkeys"
+	"molepaddle/internal/decide/settings"
+	"molepaddle/internal/decide/unserved"
+	"molepaddle/internal/decide/weights"
+	"molepaddle/internal/decide/worth"
 )
 
 const (
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -7,11 +7,11 @@
 	"math/rand/v2"
 	"testing"
 
-	"molepaddle/internal/arith"
-	"molepaddle/internal/budget"
-	"molepaddle/internal/calm"
-	"molepaddle/internal/cluster"
-	"molepaddle/internal/settings"
+	"molepaddle/internal/decide/arith"
+	"molepaddle/internal/decide/budget"
+	"molepaddle/internal/decide/calm"
+	"molepaddle/internal/decide/cluster"
+	"molepaddle/internal/decide/settings"
 )
 
 // rig drives one Balancer by hand.
--- a/policy/property_test.go
+++ b/policy/property_test.go
@@ -7,8 +7,8 @@
 	"slices"
 	"testing"
 
-	"molepaddle/internal/cluster"
-	"molepaddle/internal/settings"
+	"molepaddle/internal/decide/cluster"
+	"molepaddle/internal/decide/settings"
 )
 
 // world plays random clients, servers and lists against one Balancer and
--- a/policy/types.go
+++ b/policy/types.go
@@ -7,7 +7,7 @@
 // interface. A Balancer belongs to one goroutine at a time.
 package policy
 
-import "molepaddle/internal/cluster"
+import "molepaddle/internal/decide/cluster"
 
 // RequestID names one try of a client; an id is never used twice.
 type RequestID uint32
