Keep answers to long bodies whole: the end of an upload cut one now and then

Cause: `upload.end` sets the connection's read deadline into the past unless the upload is done, and done was closed after the pipe's end, so an answer to all of the body could come in between. The server's background read then failed, took it for the client's going, and `pass` cut the answer.

Change: done is closed before the pipe ends. Where an answer comes before its body is whole the deadline is still set; that answer is passed on whatever the server's reading says.

--- a/internal/protocol/httpfront/bodies.go
+++ b/internal/protocol/httpfront/bodies.go
@@ -173,6 +173,7 @@
 	rest    *window.Pipe
 	stop    context.CancelFunc
 	done    chan struct{}
+	cut     bool     // end did not wait for the rest
 	whole   bool     // all has come; set before done is closed
 	bad     *problem // or why not
 }
@@ -181,13 +182,13 @@
 	ctx, stop := context.WithCancel(context.Background())
 	u := &upload{control: http.NewResponseController(w), rest: r.Message.Rest, stop: stop, done: make(chan struct{})}
 	go func() {
-		defer close(u.done)
+		var why error
 		if u.bad = u.pump(ctx, a.pace(), hr, int64(len(r.Message.Body))); u.bad != nil {
-			u.rest.End(errors.New(u.bad.text))
-			return
+			why = errors.New(u.bad.text)
 		}
-		u.whole = true
-		u.rest.End(nil)
+		u.whole = u.bad == nil
+		close(u.done) // before the answer to all of it can come
+		u.rest.End(why)
 	}()
 	return u
 }
@@ -227,6 +228,7 @@
 	select {
 	case <-u.done:
 	default:
+		u.cut = true
 		_ = u.control.SetReadDeadline(time.Unix(1, 0))
 		<-u.done
 	}
--- a/internal/protocol/httpfront/front.go
+++ b/internal/protocol/httpfront/front.go
@@ -276,6 +276,9 @@
 		if !up.whole {
 			keep = false // what follows on the connection is the rest of the body
 		}
+		if up.cut { // the server may take the end of its reading for the client's
+			hr = hr.WithContext(context.WithoutCancel(hr.Context()))
+		}
 	}
 	answered = true
 	switch ans.Outcome {
