Carry attempts over FastCGI: codec, one pool for both transports, one intake for fronts

A server's protocol is the operator's to say, its connections, bounds and outcomes are the agent's.

Found on the way: an error that bufio hands out once was forgotten by the reader of the CGI head, and the answer believed; it is sticky now.

--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -22,8 +22,9 @@
 	"molepaddle/internal/process/management"
 	"molepaddle/internal/process/operator"
 	"molepaddle/internal/protocol/httpfront"
-	"molepaddle/internal/protocol/httptransport"
+	"molepaddle/internal/protocol/intake"
 	"molepaddle/internal/protocol/roster"
+	"molepaddle/internal/protocol/transport"
 	"molepaddle/internal/protocol/window"
 )
 
@@ -69,7 +70,7 @@
 type Agent struct {
 	core      *core.Core
 	front     *httpfront.Front
-	transport *httptransport.Transport
+	transport *transport.Transport
 	stop      context.CancelFunc
 	gate      *gate // nil: it is no end of links
 	sockets   int   // that clients and servers share
@@ -120,7 +121,7 @@
 	if o.Fleet.On {
 		idle = min(idle, time.Duration(o.Fleet.KeepIdle))
 	}
-	transport := httptransport.New(httptransport.Options{Dial: network.Dial, Timeout: connect,
+	servers := transport.New(transport.Options{Dial: network.Dial, Timeout: connect,
 		Idle: idle, Most: backendSockets(sockets),
 		Budget: bodies,
 		Settle: time.Duration(o.Transport.HTTP.Settle), Resting: o.Transport.HTTP.Resting})
@@ -136,7 +137,7 @@
 		Settings:   table.Settings, Seed: c.Seed, Known: c.Known, MaxOpen: openRequests(sockets),
 		// Room for all that can be under way at once: a front end must not wait there.
 		Queue:      4 * sockets,
-		Transport:  transport,
+		Transport:  servers,
 		RosterAddr: c.Discovery,
 		NewRoster: func(addr string, tell func(core.News)) core.Roster {
 			return roster.New(ctx, addr, c.Words, network.Dial, tell)
@@ -147,7 +148,7 @@
 		stop()
 		return nil, err
 	}
-	a := &Agent{sockets: sockets, bodyBytes: bodyBytes, bodies: bodies, core: k, stop: stop, transport: transport, table: table, latest: c.Settings, log: log, life: lifecycle.New(), gateway: o.Gateway.On()}
+	a := &Agent{sockets: sockets, bodyBytes: bodyBytes, bodies: bodies, core: k, stop: stop, transport: servers, table: table, latest: c.Settings, log: log, life: lifecycle.New(), gateway: o.Gateway.On()}
 	var handler httpfront.Handler = k
 	if o.Gateway.On() {
 		if a.gate, err = newGate(ctx, c, &o.Gateway, network, k, ids, log); err != nil {
@@ -157,7 +158,7 @@
 		handler = a.gate
 	}
 	a.front = httpfront.New(handler, httpfront.Options{
-		View: view(a.table), Life: a.life,
+		View: intake.Of(a.table), Life: a.life,
 		Places: clientSockets(sockets), Kept: keptSockets(sockets),
 		Budget: bodies, Streams: !o.Gateway.On(), Log: log,
 		HeadWithin: time.Duration(o.Front.HTTP.HeadWithin), BodyWithin: time.Duration(o.Front.HTTP.BodyWithin),
@@ -182,7 +183,7 @@
 		if err := a.core.Turn(next); err != nil {
 			return fmt.Errorf("config: settings: %w", err)
 		}
-		a.front.Turn(view(next))
+		a.front.Turn(intake.Of(next))
 		a.table, a.latest = next, c.Settings
 		a.log.Info("settings: changed", "version", next.Version, "classes", len(next.Classes))
 	}
--- a/internal/protocol/httpfront/bodies.go
+++ b/internal/protocol/httpfront/bodies.go
@@ -55,11 +55,11 @@
 	case len(hr.TransferEncoding) == 0 && hr.ContentLength <= maxBody:
 		return nil
 	case !a.opt.Streams && len(hr.TransferEncoding) > 0:
-		return &problem{http.StatusLengthRequired, "Transfer-Encoding: not taken"}
+		return &problem{Status: http.StatusLengthRequired, Text: "Transfer-Encoding: not taken"}
 	case !a.opt.Streams:
-		return &problem{http.StatusRequestEntityTooLarge, "body: above 64 KiB"}
+		return &problem{Status: http.StatusRequestEntityTooLarge, Text: "body: above 64 KiB"}
 	case hr.ContentLength > window.Most:
-		return &problem{http.StatusRequestEntityTooLarge, "body: above 32 MiB"}
+		return &problem{Status: http.StatusRequestEntityTooLarge, Text: "body: above 32 MiB"}
 	case len(hr.TransferEncoding) == 0:
 		return nil
 	}
@@ -67,7 +67,7 @@
 	// the body for whoever reads it the other way.
 	c, ok := hr.Context().Value(connKey{}).(*clientConn)
 	if !ok || len(hr.TransferEncoding) != 1 || hr.TransferEncoding[0] != "chunked" || !hr.ProtoAtLeast(1, 1) || !c.chunkedOnly(hr) {
-		return &problem{http.StatusLengthRequired, "Transfer-Encoding: not taken beside a length, or where the head was not seen apart"}
+		return &problem{Status: http.StatusLengthRequired, Text: "Transfer-Encoding: not taken beside a length, or where the head was not seen apart"}
 	}
 	return nil
 }
@@ -119,7 +119,7 @@
 	}
 	defer func() { a.opt.Budget.Give(room - int64(len(r.Message.Body))) }()
 	if !taken {
-		return &problem{http.StatusServiceUnavailable, "body: no memory left"}
+		return &problem{Status: http.StatusServiceUnavailable, Text: "body: no memory left"}
 	}
 	body := make([]byte, room)
 	n, whole, bad := a.readPart(w, hr, body)
@@ -144,7 +144,7 @@
 		m, err := hr.Body.Read(part[n:])
 		n += m
 		if !slow.Stop() {
-			return n, false, &problem{http.StatusRequestTimeout, "body: did not come whole"}
+			return n, false, &problem{Status: http.StatusRequestTimeout, Text: "body: did not come whole"}
 		}
 		last = time.Now()
 		switch {
@@ -162,9 +162,9 @@
 func broken(err error) *problem {
 	var timeout net.Error
 	if errors.As(err, &timeout) && timeout.Timeout() {
-		return &problem{http.StatusRequestTimeout, "body: did not come whole"}
+		return &problem{Status: http.StatusRequestTimeout, Text: "body: did not come whole"}
 	}
-	return &problem{http.StatusBadRequest, "body: can't be read"}
+	return &problem{Status: http.StatusBadRequest, Text: "body: can't be read"}
 }
 
 // upload passes on what comes of a long body, in a goroutine of its own until end.
@@ -184,7 +184,7 @@
 	go func() {
 		var why error
 		if u.bad = u.pump(ctx, a.pace(), hr, int64(len(r.Message.Body))); u.bad != nil {
-			why = errors.New(u.bad.text)
+			why = errors.New(u.bad.Text)
 		}
 		u.whole = u.bad == nil
 		close(u.done) // before the answer to all of it can come
@@ -201,15 +201,15 @@
 		// What it waits for a server is not its client's time.
 		_ = u.control.SetReadDeadline(pace.Until(began.Add(waited), last, came))
 		if ctx.Err() != nil {
-			return &problem{http.StatusRequestTimeout, "body: not waited for"}
+			return &problem{Status: http.StatusRequestTimeout, Text: "body: not waited for"}
 		}
 		n, err := hr.Body.Read(*buf)
 		if came += int64(n); came > window.Most {
-			return &problem{http.StatusRequestEntityTooLarge, "body: above 32 MiB"}
+			return &problem{Status: http.StatusRequestEntityTooLarge, Text: "body: above 32 MiB"}
 		}
 		now := time.Now()
 		if n > 0 && u.rest.Write(ctx, (*buf)[:n]) != nil {
-			return &problem{http.StatusServiceUnavailable, "body: not taken"}
+			return &problem{Status: http.StatusServiceUnavailable, Text: "body: not taken"}
 		}
 		last = time.Now()
 		waited += last.Sub(now)
@@ -233,7 +233,7 @@
 		<-u.done
 	}
 	u.rest.Leave()
-	if !u.whole && u.bad.status != http.StatusServiceUnavailable && u.bad.text != "body: not waited for" {
+	if !u.whole && u.bad.Status != http.StatusServiceUnavailable && u.bad.Text != "body: not waited for" {
 		return u.bad
 	}
 	return nil
--- a/internal/protocol/httpfront/front.go
+++ b/internal/protocol/httpfront/front.go
@@ -10,21 +10,17 @@
 	"context"
 	"errors"
 	"fmt"
-	"hash/fnv"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"runtime/debug"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
 	"molepaddle/internal/core"
-	"molepaddle/internal/decide/budget"
 	"molepaddle/internal/decide/lifecycle"
-	"molepaddle/internal/decide/settings"
+	"molepaddle/internal/protocol/intake"
 	"molepaddle/internal/protocol/window"
 )
 
@@ -33,11 +29,9 @@
 	// up to 0.4 s. settleFor is left to what was accepted last to be read.
 	acceptFor, settleFor = 450 * time.Millisecond, 50 * time.Millisecond
 	leaveEvery           = 5 * time.Millisecond
-	// maxHead bounds a request's head, maxTimeout is the longest deadline there is.
-	maxHead    = 16 << 10
-	maxTimeout = time.Minute
-	maxWord    = 256 // bytes of a Request-Id or a Host
-	maxBody    = core.MaxBody
+	// maxHead bounds a request's head.
+	maxHead = 16 << 10
+	maxBody = core.MaxBody
 )
 
 // Handler gives a request its one final answer; a core.Core is one.
@@ -61,12 +55,8 @@
 	HeadWithin, BodyWithin, KeepIdle time.Duration
 }
 
-// View is one version of the settings, as requests are read by. It is not changed.
-type View struct {
-	Settings *settings.Settings
-	Classes  map[string]int // numbers of the classes' names
-	Tenants  map[string]int // numbers of the tenants' names
-}
+// View is one version of the settings, as requests are read by.
+type View = intake.View
 
 // Front is the front end.
 type Front struct {
@@ -94,7 +84,7 @@
 		ReadHeaderTimeout: o.HeadWithin,
 		IdleTimeout:       o.KeepIdle,
 		MaxHeaderBytes:    maxHead,
-		WriteTimeout:      maxTimeout + 5*time.Second, // a client that never reads
+		WriteTimeout:      intake.MaxTimeout + 5*time.Second, // a client that never reads
 		ErrorLog:          slog.NewLogLogger(o.Log.Handler(), slog.LevelWarn),
 		ConnState:         a.places.track,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
@@ -222,11 +212,7 @@
 	}
 }
 
-// problem is why a request is not taken.
-type problem struct {
-	status int
-	text   string
-}
+type problem = intake.Problem
 
 // ServeHTTP takes one request and gives it one answer.
 func (a *Front) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
@@ -283,7 +269,7 @@
 	answered = true
 	switch ans.Outcome {
 	case core.Repeated:
-		a.reject(w, hr, &problem{http.StatusConflict, "Request-Id: came before"})
+		a.reject(w, hr, &problem{Status: http.StatusConflict, Text: "Request-Id: came before"})
 	case core.Gone:
 		// Nothing written would go out as 200 with no body, and a client that has only
 		// ended its sending still reads.
@@ -307,80 +293,29 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// plain tells whether an id or a name can be sent on as it is.
-func plain(id string) bool {
-	if id == "" || len(id) > maxWord {
-		return false
-	}
-	for _, c := range []byte(id) {
-		if c <= ' ' || c > '~' {
-			return false
-		}
-	}
-	return true
-}
-
 // read makes a request of what the client sent, its body included. Its time counts from when its last
 // byte was read, also where it waits behind the request before.
 func (a *Front) read(w http.ResponseWriter, hr *http.Request) (*core.Request, *problem) {
-	view := a.view.Load()
-	r := &core.Request{Tries: view.Settings.Limits.MaxAttempts, Retry: hr.Header.Get("Client-Retry") == "1",
-		Message: core.Message{Method: hr.Method, Target: target(hr.RequestURI), Host: hr.Host}}
 	if bad := a.checkLength(hr); bad != nil {
 		return nil, bad
 	}
-	if !strings.HasPrefix(r.Message.Target, "/") {
-		return nil, &problem{http.StatusBadRequest, "no path: an agent is no proxy"}
-	}
-	parts := strings.Split(hr.URL.Path[1:], "/")
-	class, known := view.Classes[parts[0]]
-	if !known {
-		return nil, &problem{http.StatusNotFound, "unknown class of request"}
-	}
-	r.Class = class
-	var timeout string
+	f := intake.Fields{Method: hr.Method, Target: target(hr.RequestURI), Path: hr.URL.Path, Host: hr.Host, Tenant: hr.Header.Get("Tenant"),
+		Hint: hr.Header.Get("Work-Hint"), Retry: hr.Header.Get("Client-Retry"), Length: hr.ContentLength}
 	for _, field := range []struct {
 		key   string
 		value *string
-	}{{"Request-Id", &r.ID}, {"Idempotency-Key", &r.Message.IdempotencyKey}, {"Content-Type", &r.Message.ContentType}, {"Request-Timeout", &timeout}} {
+	}{{"Request-Id", &f.ID}, {"Idempotency-Key", &f.IdempotencyKey}, {"Content-Type", &f.ContentType}, {"Request-Timeout", &f.Timeout}} {
 		values := hr.Header[field.key]
 		if len(values) > 1 {
-			return nil, &problem{http.StatusBadRequest, field.key + ": more than one"}
+			return nil, &problem{Status: http.StatusBadRequest, Text: field.key + ": more than one"}
 		}
 		if len(values) == 1 {
 			*field.value = values[0]
 		}
 	}
-	set := &view.Settings.Classes[class]
-	want := http.MethodPost
-	if set.Effect == settings.Free {
-		want = http.MethodGet
-	}
-	left, err := parseTimeout(timeout)
-	switch {
-	case hr.Method != want && (hr.Method != http.MethodHead || want != http.MethodGet):
-		return nil, &problem{http.StatusMethodNotAllowed, "this class is asked with " + want}
-	case want == http.MethodGet && hr.ContentLength != 0:
-		return nil, &problem{http.StatusBadRequest, "body: none belongs to GET"}
-	case !plain(r.Message.Host):
-		return nil, &problem{http.StatusBadRequest, "Host: missing or no plain word"}
-	case !plain(r.ID):
-		return nil, &problem{http.StatusBadRequest, "Request-Id: missing or no plain word"}
-	case set.Effect == settings.Guarded && r.Message.IdempotencyKey == "":
-		return nil, &problem{http.StatusBadRequest, "Idempotency-Key: missing"}
-	case err != nil:
-		return nil, &problem{http.StatusBadRequest, "Request-Timeout: " + err.Error()}
-	}
-	if len(parts) > 1 {
-		r.Key = keyOf(parts[len(parts)-1])
-	}
-	if name := hr.Header.Get("Tenant"); len(view.Tenants) > 0 {
-		if r.Tenant, known = view.Tenants[name]; !known {
-			r.Tenant = -1
-		}
-	}
-	if hint, err := strconv.ParseFloat(hr.Header.Get("Work-Hint"), 64); err == nil {
-		r.HintMs, r.HasHint = hint/1000, true
+	r, patience, bad := intake.Read(a.view.Load(), &f, false)
+	if bad != nil {
+		return nil, bad
 	}
 	if bad := a.readBody(w, hr, r); bad != nil {
 		return nil, bad
@@ -389,17 +324,7 @@
 	if c, ok := hr.Context().Value(connKey{}).(*clientConn); ok {
 		came = c.came()
 	}
-	// A client may wait for longer than its class is worth anything, the agent does not.
-	giveUp := time.Duration(set.GiveUpMs * float64(time.Millisecond))
-	r.Deadline = budget.From(came, left, giveUp).Deadline
-	if r.Message.Rest != nil { // its time begins when all of it has come
-		r.Left = min(left, giveUp)
-		most := r.Message.Length
-		if most < 0 {
-			most = window.Most
-		}
-		r.Deadline = time.Now().Add(a.pace().Longest(most) + r.Left)
-	}
+	patience.Count(r, came, a.pace())
 	return r, nil
 }
 
@@ -410,7 +335,7 @@
 		a.places.enter(c, rejected)
 	}
 	w.Header().Set("Connection", "close")
-	a.write(w, bad.status, "text/plain", []byte(bad.text+"\n"))
+	a.write(w, bad.Status, "text/plain", []byte(bad.Text+"\n"))
 }
 
 // answer words a final answer.
@@ -466,28 +391,3 @@
 		_ = http.NewResponseController(w).Flush()
 	}
 }
-
-// parseTimeout reads a number and a unit, m for milliseconds or u for microseconds.
-func parseTimeout(text string) (time.Duration, error) {
-	unit := time.Duration(0)
-	switch {
-	case strings.HasSuffix(text, "m"):
-		unit = time.Millisecond
-	case strings.HasSuffix(text, "u"):
-		unit = time.Microsecond
-	default:
-		return 0, errors.New("no number with the unit m or u")
-	}
-	n, err := strconv.ParseUint(text[:len(text)-1], 10, 63)
-	if err != nil || n == 0 || n > uint64(maxTimeout/unit) {
-		return 0, errors.New("no number above 0 and within a minute")
-	}
-	return time.Duration(n) * unit, nil
-}
-
-// keyOf gives what a request is about its number, the same at every agent; 0 is none.
-func keyOf(text string) uint64 {
-	h := fnv.New64a()
-	io.WriteString(h, text)
-	return max(h.Sum64(), 1)
-}
--- a/internal/protocol/httpfront/front_test.go
+++ b/internal/protocol/httpfront/front_test.go
@@ -20,6 +20,7 @@
 
 	"molepaddle/internal/core"
 	"molepaddle/internal/decide/settings"
+	"molepaddle/internal/protocol/intake"
 	"molepaddle/internal/protocol/window"
 	"molepaddle/internal/rig/testkit"
 )
@@ -176,7 +177,7 @@
 	if left := r.Deadline.Sub(before); left < 30*time.Second || left > 45*time.Second {
 		t.Errorf("%v left of 30 s", left)
 	}
-	if keyOf("u1") == keyOf("u2") || keyOf("") == 0 {
+	if intake.KeyOf("u1") == intake.KeyOf("u2") || intake.KeyOf("") == 0 {
 		t.Error("keys must differ, and none be 0")
 	}
 }
--- /dev/null
+++ b/internal/protocol/intake/intake.go
@@ -0,0 +1,172 @@
+// Package intake reads requests as every front end takes them, whatever protocol brought them: which class,
+// key, tenant and id they have, how long their clients wait, and what is wrong with them. It does no I/O;
+// all of it are values.
+package intake
+
+import (
+	"errors"
+	"hash/fnv"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"molepaddle/internal/core"
+	"molepaddle/internal/decide/budget"
+	"molepaddle/internal/decide/settings"
+	"molepaddle/internal/protocol/window"
+)
+
+const (
+	// MaxTimeout is the longest deadline there is.
+	MaxTimeout = time.Minute
+	maxWord    = 256 // bytes of an id or a host
+)
+
+// View is one version of the settings, as requests are read by. It is not changed.
+type View struct {
+	Settings *settings.Settings
+	Classes  map[string]int // numbers of the classes' names
+	Tenants  map[string]int // numbers of the tenants' names
+}
+
+// Of is the view of a version of the settings.
+func Of(t *settings.Table) View {
+	return View{Settings: &t.Settings, Classes: t.Classes, Tenants: t.Tenants}
+}
+
+// Problem is why a request is not taken: an HTTP status of 4xx or 503, and a word on it.
+type Problem struct {
+	Status int
+	Text   string
+}
+
+// Fields are what a front end has read of a request; empty ones were not sent.
+type Fields struct {
+	Method, Target string // Target: path and query
+	Path           string // of Target, unescaped
+	Host           string
+	ID             string
+	IdempotencyKey string
+	ContentType    string
+	Timeout        string // a number and a unit; see ParseTimeout
+	Tenant         string
+	Hint           string // the work, in microseconds
+	Retry          string // "1": the client has asked for the same before
+	Length         int64  // of the body; -1: not known
+}
+
+// Patience is how long a client waits for its answer.
+type Patience struct {
+	Told   time.Duration // as it says
+	GiveUp time.Duration // as its class allows
+}
+
+// Read makes a request of what was read, but for its body and its deadline. patient says that a client which
+// does not say how long it waits waits for as long as its class allows; else it is told to say so.
+func Read(v *View, f *Fields, patient bool) (*core.Request, Patience, *Problem) {
+	r := &core.Request{ID: f.ID, Tries: v.Settings.Limits.MaxAttempts, Retry: f.Retry == "1",
+		Message: core.Message{Method: f.Method, Target: f.Target, Host: f.Host, ContentType: f.ContentType, IdempotencyKey: f.IdempotencyKey}}
+	var p Patience
+	if !strings.HasPrefix(f.Target, "/") || !strings.HasPrefix(f.Path, "/") {
+		return nil, p, &Problem{http.StatusBadRequest, "no path: an agent is no proxy"}
+	}
+	parts := strings.Split(f.Path[1:], "/")
+	class, known := v.Classes[parts[0]]
+	if !known {
+		return nil, p, &Problem{http.StatusNotFound, "unknown class of request"}
+	}
+	r.Class = class
+	set := &v.Settings.Classes[class]
+	want := http.MethodPost
+	if set.Effect == settings.Free {
+		want = http.MethodGet
+	}
+	// A client may wait for longer than its class is worth anything, the agent does not.
+	p.GiveUp = time.Duration(set.GiveUpMs * float64(time.Millisecond))
+	var err error
+	if p.Told = p.GiveUp; f.Timeout != "" || !patient {
+		p.Told, err = ParseTimeout(f.Timeout)
+	}
+	switch {
+	case f.Method != want && (f.Method != http.MethodHead || want != http.MethodGet):
+		return nil, p, &Problem{http.StatusMethodNotAllowed, "this class is asked with " + want}
+	case want == http.MethodGet && f.Length != 0:
+		return nil, p, &Problem{http.StatusBadRequest, "body: none belongs to GET"}
+	case !Plain(f.Host):
+		return nil, p, &Problem{http.StatusBadRequest, "Host: missing or no plain word"}
+	case !Plain(f.ID):
+		return nil, p, &Problem{http.StatusBadRequest, "Request-Id: missing or no plain word"}
+	case set.Effect == settings.Guarded && f.IdempotencyKey == "":
+		return nil, p, &Problem{http.StatusBadRequest, "Idempotency-Key: missing"}
+	case err != nil:
+		return nil, p, &Problem{http.StatusBadRequest, "Request-Timeout: " + err.Error()}
+	}
+	if len(parts) > 1 {
+		r.Key = KeyOf(parts[len(parts)-1])
+	}
+	if len(v.Tenants) > 0 {
+		if r.Tenant, known = v.Tenants[f.Tenant]; !known {
+			r.Tenant = -1
+		}
+	}
+	if hint, err := strconv.ParseFloat(f.Hint, 64); err == nil {
+		r.HintMs, r.HasHint = hint/1000, true
+	}
+	return r, p, nil
+}
+
+// Count has a request's time begin when its last byte came; of one whose body is not whole, it reckons with
+// the longest that the rest may take to come, and its time begins when all of it has.
+func (p Patience) Count(r *core.Request, came time.Time, pace window.Pace) {
+	r.Deadline = budget.From(came, p.Told, p.GiveUp).Deadline
+	if r.Message.Rest == nil {
+		return
+	}
+	r.Left = min(p.Told, p.GiveUp)
+	most := r.Message.Length
+	if most < 0 {
+		most = window.Most
+	}
+	r.Deadline = time.Now().Add(pace.Longest(most) + r.Left)
+}
+
+// Plain tells whether an id or a name can be sent on as it is.
+func Plain(id string) bool {
+	if id == "" || len(id) > maxWord {
+		return false
+	}
+	for _, c := range []byte(id) {
+		if c <= ' ' || c > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+// ParseTimeout reads a number and a unit, m for milliseconds or u for microseconds, above 0 and up to
+// MaxTimeout.
+func ParseTimeout(text string) (time.Duration, error) {
+	unit := time.Duration(0)
+	switch {
+	case strings.HasSuffix(text, "m"):
+		unit = time.Millisecond
+	case strings.HasSuffix(text, "u"):
+		unit = time.Microsecond
+	default:
+		return 0, errors.New("no number with the unit m or u")
+	}
+	n, err := strconv.ParseUint(text[:len(text)-1], 10, 63)
+	if err != nil || n == 0 || n > uint64(MaxTimeout/unit) {
+		return 0, errors.New("no number above 0 and within a minute")
+	}
+	return time.Duration(n) * unit, nil
+}
+
+// KeyOf gives what a request is about its number, the same at every agent; 0 is none.
+func KeyOf(text string) uint64 {
+	h := fnv.New64a()
+	io.WriteString(h, text)
+	return max(h.Sum64(), 1)
+}
--- a/internal/protocol/httptransport/attempt.go
+++ b/internal/protocol/transport/attempt.go
@@ -1,4 +1,4 @@
-package httptransport
+package transport
 
 import (
 	"bufio"
@@ -86,7 +86,7 @@
 	if a.Request.Message.Rest != nil {
 		left = min(left, a.Request.Left) // it is told of what follows its begin
 	}
-	out, err := outgoing((*buf)[:0], a, left)
+	out, begins, err := x.e.wire.request((*buf)[:0], a, left)
 	if err != nil {
 		return res, err
 	}
@@ -99,11 +99,14 @@
 	c.left = maxAnswerHead
 	if n, err := c.Write(out); err != nil {
 		x.e.pool.used(c, ctx.Err() == nil)
-		x.cut = n < len(out) || a.Request.Message.Rest != nil // the last byte can no longer follow
+		x.cut = a.Request.Message.Rest != nil || n < len(out) // the last byte can no longer follow
+		if begins >= 0 {
+			x.cut = n < begins
+		}
 		return res, err
 	}
 	if a.Request.Message.Rest != nil {
-		x.cut = true // until the last byte has been written
+		x.cut = begins < 0 // until the last byte has been written
 		if left, err := x.sendRest(); err != nil {
 			if left {
 				return core.Result{Status: policy.Moot}, nil // its client broke off: no server is to blame
@@ -119,7 +122,7 @@
 		r.Reset(nil)
 		readers.Put(r)
 	}()
-	res, keep, err = x.answer(r)
+	res, keep, err = x.e.wire.answer(x, r)
 	if ctx.Err() == nil { // else it was given up, which says nothing of its age
 		x.e.pool.used(c, err != nil && c.left == maxAnswerHead)
 	}
@@ -131,34 +134,45 @@
 	return res, err
 }
 
+// wire is a protocol, as an exchange has it.
+type wire interface {
+	// request appends the request with what is at hand of its body: all of it, unless there is a Rest. left is
+	// what the server is told that the agent waits. begins is how many bytes of it have to go out for the server
+	// to begin; below 0: the last of the whole request. An error: a part of it can't be sent as it is, as a front
+	// end of another protocol may take what this one has no room for.
+	request(out []byte, a *core.Attempt, left time.Duration) (all []byte, begins int, err error)
+	// piece frames n bytes of the Rest that stand in buf behind before bytes, with after behind them.
+	piece(m *core.Message, buf []byte, n int) []byte
+	// last is what follows the Rest.
+	last(m *core.Message) []byte
+	// answer reads the answer, and reports whether the connection can be used again. Of an answer that is
+	// spoilt in any way nothing is believed: it may have run.
+	answer(x *exchange, r *bufio.Reader) (res core.Result, keep bool, err error)
+}
+
+// before and after are the room for the frame of a piece.
+const before, after = 16, 8
+
 // sendRest sends what comes of a body after its first part; left says that it was the client that
 // did not send all of it.
 func (x *exchange) sendRest() (left bool, err error) {
 	m, ctx := &x.a.Request.Message, x.a.Context()
 	buf := windows.Get().(*[]byte)
 	defer windows.Put(buf)
-	const room = 16 // for the frame of a chunk
 	for sent := int64(len(m.Body)); ; {
-		part := (*buf)[room : len(*buf)-2]
-		n, err := m.Rest.Read(ctx, part)
+		n, err := m.Rest.Read(ctx, (*buf)[before:len(*buf)-after])
 		if n > 0 {
 			sent += int64(n)
-			out := part[:n]
-			if m.Length < 0 {
-				head := strconv.AppendInt((*buf)[:0:room], int64(n), 16)
-				head = append(head, "\r\n"...)
-				copy((*buf)[room-len(head):], head)
-				out = append((*buf)[room-len(head):room+n], "\r\n"...)
-			}
-			if _, err := x.c.Write(out); err != nil {
+			if _, err := x.c.Write(x.e.wire.piece(m, *buf, n)); err != nil {
 				return false, err
 			}
 		}
 		switch {
-		case err == io.EOF && m.Length < 0:
-			_, err = io.WriteString(x.c, "0\r\n\r\n")
-			return false, err
-		case err == io.EOF && sent == m.Length:
+		case err == io.EOF && (m.Length < 0 || sent == m.Length):
+			if last := x.e.wire.last(m); last != nil {
+				_, err = x.c.Write(last)
+				return false, err
+			}
 			return false, nil
 		case err != nil:
 			return ctx.Err() == nil, fmt.Errorf("body: %w", err)
@@ -166,12 +180,27 @@
 	}
 }
 
-// windows are what goes through at once of a long body or answer.
-var windows = sync.Pool{New: func() any { b := make([]byte, window.Size/2); return &b }}
+// overHTTP is HTTP/1.1.
+type overHTTP struct{}
 
-// answer reads the answer, and reports whether the connection can be used again. Of an
-// answer that is spoilt in any way nothing is believed: it may have run.
-func (x *exchange) answer(r *bufio.Reader) (res core.Result, keep bool, err error) {
+func (overHTTP) piece(m *core.Message, buf []byte, n int) []byte {
+	part := buf[before : before+n]
+	if m.Length >= 0 {
+		return part
+	}
+	head := append(strconv.AppendInt(buf[:0:before], int64(n), 16), "\r\n"...)
+	copy(buf[before-len(head):], head)
+	return append(buf[before-len(head):before+n], "\r\n"...)
+}
+
+func (overHTTP) last(m *core.Message) []byte {
+	if m.Length < 0 {
+		return []byte("0\r\n\r\n")
+	}
+	return nil
+}
+
+func (overHTTP) answer(x *exchange, r *bufio.Reader) (res core.Result, keep bool, err error) {
 	c := x.c
 	asked := http.Request{Method: x.a.Request.Message.Method}
 	var resp *http.Response
@@ -205,7 +234,10 @@
 	case asked.Method == http.MethodHead: // the length is of what is not sent
 	case resp.StatusCode == http.StatusOK:
 		var passed bool
-		if body, passed, err = x.receive(resp); passed {
+		in := arriving{a: x.a, c: c, body: resp.Body, length: length, kind: resp.Header.Get("Content-Type"), budget: x.e.pool.opt.Budget}
+		body, passed, err = in.receive()
+		x.timed = in.timed
+		if passed {
 			return core.Result{Status: policy.OK, Load: resp.Header.Get("Server-Load")}, err == nil && !resp.Close, err
 		}
 	default:
@@ -227,114 +259,11 @@
 	return res, !resp.Close, nil
 }
 
-// silentFor is how long a server may send nothing of an answer that is passed on.
-const silentFor = 5 * time.Second
-
-// receive reads the body of an answer: a short one whole; any other is passed on as it comes, from the
-// moment on that window.Hold gives it up, and passed is true.
-func (x *exchange) receive(resp *http.Response) (body []byte, passed bool, err error) {
-	length := resp.ContentLength
-	if !x.a.Passes() && length > maxBody {
-		return nil, false, errTooLong
-	}
-	if !x.a.Passes() || length >= 0 && window.Hold(length, 0, 0) {
-		body, err = readBody(resp.Body, length)
-		return body, false, err
-	}
-	var mu sync.Mutex // guards what follows, up to the moment it is passed on
-	var held []byte
-	var pipe *window.Pipe
-	ended := false
-	begin := func() { // with mu held
-		if pipe == nil {
-			pipe = window.New(x.e.pool.opt.Budget)
-			x.a.Begun(core.Result{Body: held, Rest: pipe, Length: length, ContentType: resp.Header.Get("Content-Type")})
-		}
-	}
-	timer := time.AfterFunc(window.HoldFor, func() {
-		mu.Lock()
-		defer mu.Unlock()
-		if !ended && len(held) > 0 {
-			begin()
-		}
-	})
-	defer timer.Stop()
-	came := time.Now()
-	buf := windows.Get().(*[]byte)
-	defer windows.Put(buf)
-	ctx, total := x.a.Context(), 0
-	for {
-		x.timed = true
-		n, err := x.c.within(ctx, time.Now().Add(silentFor), resp.Body, *buf)
-		total += n
-		if total > window.Most {
-			err = errTooLong
-		}
-		mu.Lock()
-		if pipe == nil {
-			if held = append(held, (*buf)[:n]...); err == nil && !window.Hold(length, len(held), time.Since(came)) {
-				begin()
-			}
-			ended, n = err != nil, 0
-		}
-		now := pipe
-		mu.Unlock()
-		switch {
-		case now == nil && err == io.EOF:
-			return held, false, nil
-		case now == nil && err != nil:
-			return nil, false, err
-		case now == nil:
-			continue
-		}
-		if n > 0 {
-			if left := now.Write(ctx, (*buf)[:n]); left != nil {
-				x.a.Cancel(core.ErrCancelled) // its client has gone
-				now.End(left)
-				return nil, true, left
-			}
-		}
-		if err == io.EOF {
-			now.End(nil)
-			return nil, true, nil
-		} else if err != nil {
-			now.End(err)
-			return nil, true, fmt.Errorf("answer: %w", err)
-		}
-	}
-}
-
-// within reads what comes until the time given, or the context ends.
-func (c *conn) within(ctx context.Context, until time.Time, r io.Reader, buf []byte) (int, error) {
-	_ = c.SetReadDeadline(until)
-	if ctx.Err() != nil { // its end has set the deadline, perhaps before this
-		return 0, context.Cause(ctx)
-	}
-	return r.Read(buf)
-}
-
-// readBody reads a body whole; a length below 0 is not known.
-func readBody(r io.Reader, length int64) ([]byte, error) {
-	if length >= 0 {
-		body := make([]byte, length)
-		_, err := io.ReadFull(r, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(r, maxBody+1))
-	if err == nil && len(body) > maxBody {
-		err = errTooLong
-	}
-	return body, err
-}
-
-// outgoing appends the request as the server gets it. It is an error if a part of it can't
-// be sent as it is: a front end of another protocol may take what HTTP has no room for. left is what
-// the server is told that the agent waits.
-func outgoing(out []byte, a *core.Attempt, left time.Duration) ([]byte, error) {
+func (overHTTP) request(out []byte, a *core.Attempt, left time.Duration) ([]byte, int, error) {
 	m := &a.Request.Message
 	for _, part := range []string{m.Method, m.Target} {
 		if part == "" || !printable(part, ' ') {
-			return nil, errUnsendable
+			return nil, 0, errUnsendable
 		}
 	}
 	out = append(out, m.Method...)
@@ -344,7 +273,7 @@
 	for _, field := range [...]struct{ key, value string }{{"Host", m.Host}, {"Request-Id", a.Request.ID},
 		{"Idempotency-Key", m.IdempotencyKey}, {"Content-Type", m.ContentType}} {
 		if !printable(field.value, ' '-1) {
-			return nil, errUnsendable
+			return nil, 0, errUnsendable
 		}
 		if field.value != "" {
 			out = append(append(append(append(out, field.key...), ": "...), field.value...), "\r\n"...)
@@ -364,14 +293,14 @@
 			out = strconv.AppendInt(out, int64(len(m.Body)), 16)
 			out = append(append(append(out, "\r\n"...), m.Body...), "\r\n"...)
 		}
-		return out, nil
+		return out, -1, nil
 	case length > 0 || m.Method != http.MethodGet && m.Method != http.MethodHead:
 		out = append(out, "Content-Length: "...)
 		out = strconv.AppendInt(out, length, 10)
 		out = append(out, "\r\n"...)
 	}
 	out = append(out, "\r\n"...)
-	return append(out, m.Body...), nil
+	return append(out, m.Body...), -1, nil
 }
 
 // printable tells whether a text holds no control characters but tabs, and nothing up to
--- a/internal/protocol/httptransport/attempt_test.go
+++ b/internal/protocol/transport/attempt_test.go
@@ -1,4 +1,4 @@
-package httptransport
+package transport
 
 import (
 	"bufio"
--- /dev/null
+++ b/internal/protocol/transport/fastcgi.go
@@ -0,0 +1,322 @@
+package transport
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/textproto"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"molepaddle/internal/core"
+	"molepaddle/internal/protocol/fcgi"
+	"molepaddle/internal/protocol/window"
+	"molepaddle/policy"
+)
+
+// FastCGI is how servers are spoken to that speak it.
+type FastCGI struct {
+	// Serves tells whether the server at an address, as the list gives it, speaks FastCGI.
+	Serves func(dial string) bool
+	// Params go to each request beside those that it has, and before them.
+	Params [][2]string
+	// Early says that servers begin at the end of PARAMS and read the body as they go: a request that broke
+	// after that may have run. Else they begin when all of it has come.
+	Early bool
+	// Log is told what servers write to STDERR, at the level of debugging; nil: nobody is.
+	Log *slog.Logger
+}
+
+const (
+	// theID is the one request's on a connection.
+	theID = 1
+	// maxStderr is how much is kept of what a server writes to STDERR for one request, in bytes.
+	maxStderr = 512
+)
+
+var (
+	errRejected = errors.New("answer: rejected")
+	errFailed   = errors.New("answer: the application ended with a failure")
+	errRecord   = errors.New("answer: a record that belongs to no request")
+	errLength   = errors.New("answer: not as long as it says")
+)
+
+// overFastCGI is FastCGI 1.0, one request at a time on a connection.
+type overFastCGI struct{ opt *FastCGI }
+
+// request words the CGI variables by RFC 3875.
+func (f *overFastCGI) request(out []byte, a *core.Attempt, left time.Duration) ([]byte, int, error) {
+	m := &a.Request.Message
+	for _, part := range []string{m.Method, m.Target} {
+		if part == "" || !printable(part, ' ') {
+			return nil, 0, errUnsendable
+		}
+	}
+	path, query, _ := strings.Cut(m.Target, "?")
+	plain, err := url.PathUnescape(path)
+	if err != nil {
+		return nil, 0, errUnsendable
+	}
+	host, port, err := net.SplitHostPort(m.Host)
+	if err != nil {
+		host, port = m.Host, "80"
+	}
+	length := int64(len(m.Body))
+	if m.Rest != nil {
+		length = m.Length
+	}
+	out = fcgi.AppendBegin(out, theID, fcgi.Begin{Role: fcgi.Responder, Keep: true})
+	params := buffers.Get().(*[]byte)
+	defer buffers.Put(params)
+	p := (*params)[:0]
+	for _, pair := range f.opt.Params {
+		p = fcgi.AppendPair(p, pair[0], pair[1])
+	}
+	told := ""
+	if length > 0 || length == 0 && m.Method != http.MethodGet && m.Method != http.MethodHead {
+		told = strconv.FormatInt(length, 10)
+	}
+	for _, pair := range [...][2]string{{"GATEWAY_INTERFACE", "CGI/1.1"}, {"SERVER_SOFTWARE", "molepaddle"}, {"SERVER_PROTOCOL", "HTTP/1.1"},
+		{"SERVER_NAME", host}, {"SERVER_PORT", port}, {"REQUEST_METHOD", m.Method}, {"REQUEST_URI", m.Target}, {"SCRIPT_NAME", ""},
+		{"PATH_INFO", plain}, {"QUERY_STRING", query}, {"CONTENT_LENGTH", told}, {"CONTENT_TYPE", m.ContentType}, {"HTTP_HOST", m.Host},
+		{"HTTP_REQUEST_ID", a.Request.ID}, {"HTTP_IDEMPOTENCY_KEY", m.IdempotencyKey},
+		{"HTTP_REQUEST_TIMEOUT", strconv.FormatInt(left.Milliseconds(), 10) + "m"}} {
+		if !printable(pair[1], ' '-1) {
+			return nil, 0, errUnsendable
+		}
+		if pair[1] != "" || pair[0] == "SCRIPT_NAME" || pair[0] == "QUERY_STRING" {
+			p = fcgi.AppendPair(p, pair[0], pair[1])
+		}
+	}
+	if cap(p) <= maxKept {
+		*params = p
+	}
+	out = fcgi.Append(fcgi.AppendStream(out, fcgi.Params, theID, p), fcgi.Params, theID, nil)
+	begins := -1
+	if f.opt.Early {
+		begins = len(out)
+	}
+	out = fcgi.AppendStream(out, fcgi.Stdin, theID, m.Body)
+	if m.Rest == nil {
+		out = fcgi.Append(out, fcgi.Stdin, theID, nil)
+	}
+	return out, begins, nil
+}
+
+func (f *overFastCGI) piece(_ *core.Message, buf []byte, n int) []byte {
+	pad := -n & 7
+	fcgi.AppendHeader(buf[before-fcgi.HeaderLen:before-fcgi.HeaderLen], fcgi.Header{Type: fcgi.Stdin, ID: theID, Length: n, Padding: pad})
+	return buf[before-fcgi.HeaderLen : before+n+pad]
+}
+
+func (f *overFastCGI) last(*core.Message) []byte {
+	return fcgi.Append(nil, fcgi.Stdin, theID, nil)
+}
+
+// output is what a server writes for one request. Read gives its STDOUT; the error is io.EOF only where the
+// request has ended well.
+type output struct {
+	r      *fcgi.Reader
+	some   bool // it has written anything
+	stdout bool // a STDOUT record is being read
+	ended  bool // END_REQUEST has come
+	end    fcgi.End
+	err    error // why no more is read: whoever reads it first may forget it
+	stderr []byte
+}
+
+func (o *output) Read(p []byte) (n int, err error) {
+	if o.err == nil {
+		n, o.err = o.read(p)
+	}
+	return n, o.err
+}
+
+func (o *output) read(p []byte) (int, error) {
+	for {
+		if o.stdout {
+			if n, err := o.r.Read(p); err != io.EOF {
+				return n, err
+			}
+			o.stdout = false
+		}
+		if o.ended {
+			return 0, o.verdict()
+		}
+		h, err := o.r.Next()
+		switch {
+		case err == io.EOF:
+			return 0, io.ErrUnexpectedEOF
+		case err != nil:
+			return 0, err
+		case h.Management():
+			// Nothing was asked of the connection; what is said of it changes nothing.
+		case h.ID != theID:
+			return 0, errRecord
+		case h.Type == fcgi.Stdout:
+			o.some = o.some || h.Length > 0
+			o.stdout = h.Length > 0
+		case h.Type == fcgi.Stderr:
+			o.some = o.some || h.Length > 0
+			var part [maxStderr]byte
+			n, err := io.ReadFull(o.r, part[:min(h.Length, maxStderr-len(o.stderr))])
+			o.stderr = append(o.stderr, part[:n]...)
+			if err != nil {
+				return 0, err
+			}
+		case h.Type == fcgi.EndRequest:
+			var content [fcgi.HeaderLen]byte
+			raw, err := o.r.Content(content[:])
+			if err == nil {
+				o.end, err = fcgi.ParseEnd(raw)
+			}
+			if err != nil {
+				return 0, err
+			}
+			o.ended = true
+		default:
+			return 0, errRecord
+		}
+	}
+}
+
+// verdict is what the request's end says.
+func (o *output) verdict() error {
+	switch {
+	case o.end.Status != fcgi.Complete:
+		return errRejected
+	case o.end.App != 0:
+		return errFailed
+	}
+	return io.EOF
+}
+
+// never tells whether the end proves that the request did not run.
+func (o *output) never() bool {
+	return o.ended && !o.some && (o.end.Status == fcgi.Overloaded || o.end.Status == fcgi.CantMux)
+}
+
+// exact is a body that has to have the length it was said to have.
+type exact struct {
+	r    io.Reader
+	left int64
+}
+
+func (e *exact) Read(p []byte) (int, error) {
+	n, err := e.r.Read(p)
+	if e.left -= int64(n); e.left < 0 || err == io.EOF && e.left > 0 {
+		return 0, errLength
+	}
+	return n, err
+}
+
+func (f *overFastCGI) answer(x *exchange, r *bufio.Reader) (res core.Result, keep bool, err error) {
+	c := x.c
+	o := &output{r: fcgi.NewReader(r)}
+	defer func() {
+		if len(o.stderr) > 0 && f.opt.Log != nil {
+			f.opt.Log.Debug("fastcgi: a server's STDERR", "server", x.e.dial, "request", x.a.Request.ID, "text", string(o.stderr))
+		}
+	}()
+	// What a server has said with END_REQUEST is believed before what it has written.
+	ended := func(err error) (core.Result, bool, error) {
+		switch {
+		case o.never():
+			return core.Result{Status: policy.Full}, true, nil
+		case o.ended && o.verdict() != io.EOF:
+			return core.Result{Status: policy.Error}, true, nil
+		}
+		return core.Result{}, false, fmt.Errorf("answer: %w", err)
+	}
+	in := readers.Get().(*bufio.Reader)
+	in.Reset(o)
+	defer func() {
+		in.Reset(nil)
+		readers.Put(in)
+	}()
+	head, err := textproto.NewReader(in).ReadMIMEHeader()
+	if err != nil {
+		return ended(err)
+	}
+	status, length, err := meaning(head)
+	if err != nil {
+		return ended(err)
+	}
+	c.left += 2 * window.Most // with the frames of the records
+	passing := arriving{a: x.a, c: c, length: length, kind: head.Get("Content-Type"), budget: x.e.pool.opt.Budget}
+	passing.body = in
+	if length >= 0 {
+		passing.body = &exact{in, length}
+	}
+	var body []byte
+	passed, tail := false, io.Reader(in)
+	switch {
+	case x.a.Request.Message.Method == http.MethodHead: // the length is of what is not to be sent
+		_, err = io.Copy(io.Discard, io.LimitReader(in, maxBody))
+		res.Length = length
+	case status != http.StatusOK || length > window.Most:
+		_, err = readBody(in, -1)
+	default:
+		body, passed, err = passing.receive()
+		tail = passing.body
+	}
+	x.timed = passing.timed
+	if passed {
+		return core.Result{Status: policy.OK, Load: head.Get("Server-Load")}, err == nil, err
+	}
+	if err == nil {
+		var more [1]byte // its end has to follow, and nothing else
+		n, last := tail.Read(more[:])
+		if n > 0 {
+			last = errLength
+		}
+		if last != io.EOF {
+			err = last
+		}
+	}
+	if err != nil {
+		return ended(err)
+	}
+	if length > window.Most {
+		return res, false, errTooLong
+	}
+	res.Load = head.Get("Server-Load")
+	switch {
+	case status == http.StatusOK:
+		res.Status, res.Body, res.ContentType = policy.OK, body, passing.kind
+	case (status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout) && head.Get("Not-Started") == "1":
+		res.Status = policy.Full
+	default:
+		res.Status = policy.Error // it may have run
+	}
+	return res, true, nil
+}
+
+// meaning is the status and the length that a CGI head tells; the length is -1 where it tells none.
+func meaning(head textproto.MIMEHeader) (status int, length int64, err error) {
+	status, length = http.StatusOK, -1
+	if told := head.Values("Status"); len(told) > 1 {
+		return 0, 0, errors.New("more than one Status")
+	} else if len(told) == 1 {
+		code, _, _ := strings.Cut(told[0], " ")
+		if status, err = strconv.Atoi(code); err != nil || status < 200 || status > 599 {
+			return 0, 0, errors.New("a Status that is none")
+		}
+	} else if head.Get("Location") != "" {
+		status = http.StatusFound
+	}
+	if told := head.Values("Content-Length"); len(told) > 1 {
+		return 0, 0, errors.New("more than one Content-Length")
+	} else if len(told) == 1 {
+		if length, err = strconv.ParseInt(told[0], 10, 64); err != nil || length < 0 {
+			return 0, 0, errors.New("a Content-Length that is none")
+		}
+	}
+	return status, length, nil
+}
--- a/internal/protocol/httptransport/pool.go
+++ b/internal/protocol/transport/pool.go
@@ -1,11 +1,11 @@
-// Package httptransport carries attempts to servers over HTTP/1.1, one at a time on a
-// connection, and keeps connections for the next.
+// Package transport carries attempts to servers over HTTP/1.1 or FastCGI, one at a time on a connection, and
+// keeps connections for the next: one pool, with one bound, whatever its servers speak.
 //
 // A Transport's lock guards what it counts and which connections stand idle. A connection
 // in use belongs to its attempt's goroutine; one that stands idle to the Transport.
 // Connections are chosen by whoever starts the attempt, in the order of the starts;
 // dialling, writing and reading are the attempt's goroutine's.
-package httptransport
+package transport
 
 import (
 	"bufio"
@@ -13,6 +13,7 @@
 	"context"
 	"errors"
 	"net"
+	"strings"
 	"sync"
 	"time"
 
@@ -36,6 +37,8 @@
 	// one of them rather than open another: a client that asks one request after the other
 	// goes round as many as its answers come in that time.
 	Resting int
+	// FastCGI says which servers speak it, and how; nil: all speak HTTP.
+	FastCGI *FastCGI
 	// Budget is what long answers take their windows from; nil: one of none, at which each is small.
 	Budget *window.Budget
 }
@@ -97,12 +100,19 @@
 // Endpoint gives the connections to one process of a server at one address.
 func (p *Transport) Endpoint(dial string) core.Endpoint { return p.endpoint(dial) }
 
-func (p *Transport) endpoint(dial string) *endpoint { return &endpoint{pool: p, dial: dial} }
+func (p *Transport) endpoint(dial string) *endpoint {
+	e := &endpoint{pool: p, dial: dial, wire: overHTTP{}}
+	if f := p.opt.FastCGI; f != nil && f.Serves(dial) {
+		e.wire = &overFastCGI{opt: f}
+	}
+	return e
+}
 
 // endpoint is the connections to one process of a server at one address.
 type endpoint struct {
 	pool    *Transport
 	dial    string
+	wire    wire      // what its server speaks
 	spare   []*conn   // idle, the longest first
 	retired bool      // what comes back is closed
 	crowded time.Time // until when its server has more connections than it takes
@@ -228,7 +238,11 @@
 	ctx, cancel := context.WithTimeout(sockets.For(ctx, id), e.pool.opt.Timeout)
 	defer cancel()
 	start := time.Now()
-	up, err := e.pool.opt.Dial(ctx, "tcp", e.dial)
+	network, addr := "tcp", e.dial
+	if path, local := strings.CutPrefix(e.dial, "unix:"); local {
+		network, addr = "unix", path
+	}
+	up, err := e.pool.opt.Dial(ctx, network, addr)
 	if err != nil {
 		e.pool.shut()
 		return nil, err
