--- a/internal/decide/sharing/sharing.go
+++ b/internal/decide/sharing/sharing.go
@@ -3,6 +3,8 @@
 // and when the connection ends. No I/O, no clock; a Conn belongs to whoever calls it.
 package sharing
 
+import "time"
+
 // Limits bound one connection.
 type Limits struct {
 	Requests int // open at once, at least 1
@@ -160,8 +162,13 @@
 // Ending tells whether the connection is to end now.
 func (c *Conn) Ending() bool { return c.last && len(c.open) == 0 }
 
-// HoldMost is how much of one body is held beside its window while others share the connection, in bytes.
-const HoldMost = 256 << 10
+const (
+	// HoldMost is how much of one body is held beside its window, in bytes.
+	HoldMost = 256 << 10
+	// WaitFor is how long in all one body may keep its connection from being read while others share it, and
+	// WaitRate, in bytes a second, what its server has to take of it for more: what is slower gives way.
+	WaitFor, WaitRate = 500 * time.Millisecond, 4 << 20
+)
 
 // Hold is what becomes of a piece of a body that its window has no room for.
 type Hold uint8
@@ -173,14 +180,27 @@
 	GiveWay             // end this request, for the others' sake
 )
 
-// HoldOf says what becomes of a piece of n bytes, where so many are held of its body already, others of so
-// many requests share the connection, and room says whether the budget of all bodies has room for it.
-func HoldOf(n, held, others int, room bool) Hold {
+// Body is what HoldOf is told of a body.
+type Body struct {
+	Held   int           // bytes beside its window
+	Came   int64         // bytes of it, what is held included
+	Waited time.Duration // with nothing read from the connection, for its sake
+	Others int           // requests that share the connection
+	Room   bool          // the budget of all bodies has room for the piece
+}
+
+// HoldOf says what becomes of a piece of n bytes, and for how long it may be waited with at the most; 0: as
+// long as it takes.
+func HoldOf(n int, b Body) (Hold, time.Duration) {
 	switch {
-	case held+n <= HoldMost && room:
-		return Keep
-	case others == 0:
-		return Wait
+	case b.Held+n <= HoldMost && b.Room:
+		return Keep, 0
+	case b.Others == 0:
+		return Wait, 0
+	}
+	passed := max(b.Came-int64(b.Held), 0)
+	if left := WaitFor + time.Duration(float64(passed)/WaitRate*float64(time.Second)) - b.Waited; left > 0 {
+		return Wait, left
 	}
-	return GiveWay
+	return GiveWay, 0
 }
--- a/internal/protocol/httpfront/front.go
+++ b/internal/protocol/httpfront/front.go
@@ -21,6 +21,7 @@
 	"molepaddle/internal/core"
 	"molepaddle/internal/decide/lifecycle"
 	"molepaddle/internal/protocol/intake"
+	"molepaddle/internal/protocol/sockets"
 	"molepaddle/internal/protocol/window"
 )
 
@@ -115,7 +116,7 @@
 		}()
 	}
 	go a.tend(ctx)
-	go a.wake(ctx, listeners)
+	go sockets.Wake(ctx, a.life, listeners)
 	select {
 	case err := <-failed:
 		if ctx.Err() == nil {
@@ -171,23 +172,6 @@
 	sendEvery, quietFor = 10 * time.Millisecond, time.Second
 )
 
-// wake has the listeners look whether they are to accept, when that has changed.
-func (a *Front) wake(ctx context.Context, listeners []net.Listener) {
-	for {
-		changed := a.life.Changed()
-		for _, ln := range listeners {
-			if t, able := ln.(timed); able && !a.life.Accepts() {
-				_ = t.SetDeadline(time.Unix(1, 0))
-			}
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // tend closes what clients leave idle while they are sent away.
 func (a *Front) tend(ctx context.Context) {
 	for {
--- a/internal/protocol/httpfront/places.go
+++ b/internal/protocol/httpfront/places.go
@@ -1,11 +1,9 @@
 package httpfront
 
 import (
-	"errors"
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -165,35 +163,12 @@
 	end    <-chan struct{} // closed when the agent is to end
 }
 
-// timed is a listener that can be woken from its Accept.
-type timed interface{ SetDeadline(time.Time) error }
-
-// next accepts a connection while that is for this process to do.
-func (l *listener) next() (net.Conn, error) {
-	for {
-		changed := l.life.Changed()
-		if !l.life.Accepts() {
-			select {
-			case <-changed:
-				continue
-			case <-l.end:
-				return nil, net.ErrClosed
-			}
-		}
-		c, err := l.Listener.Accept()
-		if !errors.Is(err, os.ErrDeadlineExceeded) {
-			return c, err
-		}
-		_ = l.Listener.(timed).SetDeadline(time.Time{}) // woken, and waits above if that still holds
-	}
-}
-
 // Accept always takes the next connection: left in the kernel's queue its request would
 // count as taken with nobody to answer. Without a place for it one is made, or where
 // all are in use the new connection is closed.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
-		c, err := l.next()
+		c, err := sockets.Accept(l.Listener, l.life, l.end)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/protocol/sockets/sockets.go
+++ b/internal/protocol/sockets/sockets.go
@@ -5,7 +5,9 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -67,3 +69,51 @@
 	}
 	return found
 }
+
+// Life tells whether a process is to accept connections; a lifecycle.Machine is one.
+type Life interface {
+	Accepts() bool
+	Changed() <-chan struct{}
+}
+
+// timed is a listener that can be woken from its Accept.
+type timed interface{ SetDeadline(time.Time) error }
+
+// Accept accepts a connection while that is for this process to do, and returns net.ErrClosed once end is
+// closed while it is not.
+func Accept(ln net.Listener, life Life, end <-chan struct{}) (net.Conn, error) {
+	for {
+		changed := life.Changed()
+		if !life.Accepts() {
+			select {
+			case <-changed:
+				continue
+			case <-end:
+				return nil, net.ErrClosed
+			}
+		}
+		c, err := ln.Accept()
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return c, err
+		}
+		_ = ln.(timed).SetDeadline(time.Time{}) // woken, and waits above if that still holds
+	}
+}
+
+// Wake has those who wait in Accept look whether they are to accept, whenever that has changed, until the
+// context ends.
+func Wake(ctx context.Context, life Life, listeners []net.Listener) {
+	for {
+		changed := life.Changed()
+		for _, ln := range listeners {
+			if t, able := ln.(timed); able && !life.Accepts() {
+				_ = t.SetDeadline(time.Unix(1, 0))
+			}
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
