Front ends and transports as rows of a table; FastCGI by the operator's file

Change: an agent's front ends are rows with their listeners, bounds at a hand-over, settings and end. [front.fastcgi] says where web servers connect, who may and how many, [transport.fastcgi] which servers speak it, by prefix, address, Unix socket or all, and when they begin. Listeners are passed at a hand-over as HTTP's are. check says what is on; a bad value is one line with file, line and key.

Measured: one table of 13 faults for three classes against all four pairs of HTTP and FastCGI: the same final answers, attempts and bodies, and no order sent twice; an abort ends its attempt at either kind of server.

--- a/cmd/molepaddle/main.go
+++ b/cmd/molepaddle/main.go
@@ -271,7 +271,7 @@
 	return text
 }
 
-// listen opens all places where clients connect.
+// listen opens all places where clients connect: HTTP's, then FastCGI's.
 // Those that another process has passed are used as they are.
 func listen(conf *config.Config, oper *operator.Settings, prior *handover.Successor) (all []net.Listener, err error) {
 	defer func() {
@@ -298,16 +298,17 @@
 		return nil, fmt.Errorf("config: listen: %w", err)
 	}
 	all = append(all, ln)
-	for i, l := range oper.Front.HTTP.Listen {
-		network, address := "tcp", l.Address
-		if l.Unix != "" {
-			network, address = "unix", l.Unix
-		}
-		ln, err := one(network, address)
-		if err != nil {
-			return all, fmt.Errorf("operator: front.http.listen[%d]: %w", i, err)
+	for _, front := range []struct {
+		table string
+		at    []operator.Listen
+	}{{"http", oper.Front.HTTP.Listen}, {"fastcgi", oper.Front.FastCGI.Listen}} {
+		for i, l := range front.at {
+			ln, err := one(l.Where())
+			if err != nil {
+				return all, fmt.Errorf("operator: front.%s.listen[%d]: %w", front.table, i, err)
+			}
+			all = append(all, ln)
 		}
-		all = append(all, ln)
 	}
 	return all, nil
 }
@@ -343,7 +344,8 @@
 		}
 		defer status.Close()
 	}
-	var network agent.Network
+	clients := listeners[:1+len(oper.Front.HTTP.Listen)]
+	network := agent.Network{FastCGI: listeners[len(clients):]}
 	if at := oper.Gateway.Listen; at != "" {
 		if network.Links, err = net.Listen("tcp", at); err != nil {
 			return fmt.Errorf("operator: gateway.listen: %w", err)
@@ -394,7 +396,7 @@
 	for _, line := range oper.On() {
 		log.Info("on: " + line)
 	}
-	if err := a.Serve(ctx, listeners...); err != nil {
+	if err := a.Serve(ctx, clients...); err != nil {
 		return err
 	}
 	log.Info("ended")
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -21,6 +21,7 @@
 	"molepaddle/internal/process/config"
 	"molepaddle/internal/process/management"
 	"molepaddle/internal/process/operator"
+	"molepaddle/internal/protocol/fcgifront"
 	"molepaddle/internal/protocol/httpfront"
 	"molepaddle/internal/protocol/intake"
 	"molepaddle/internal/protocol/roster"
@@ -61,6 +62,26 @@
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	// Links is where links of near gateways come in; nil: nowhere.
 	Links net.Listener
+	// FastCGI is where web servers connect, as the operator's file says.
+	FastCGI []net.Listener
+}
+
+// frontEnd is what an agent needs of one, whatever it speaks.
+type frontEnd interface {
+	// Serve answers on the listeners until the context ends, then finishes what it holds.
+	Serve(ctx context.Context, listeners ...net.Listener) error
+	// Turn has requests that are read from now on read by another version of the settings.
+	Turn(v intake.View)
+	// Taken is how many requests are taken and not yet answered.
+	Taken() int64
+	Close() error
+}
+
+// row is a front end with its part of what the agent has.
+type row struct {
+	frontEnd
+	share     func(part int) // keeps to one of so many parts of the agent's bounds
+	listeners []net.Listener // nil: those that Serve is given
 }
 
 // Decide makes what decides for an agent in the place of policy.New.
@@ -69,7 +90,7 @@
 // Agent is one agent.
 type Agent struct {
 	core      *core.Core
-	front     *httpfront.Front
+	fronts    []row // HTTP's first
 	transport *transport.Transport
 	stop      context.CancelFunc
 	gate      *gate // nil: it is no end of links
@@ -113,7 +134,15 @@
 	if connect <= 0 {
 		connect = time.Second
 	}
-	sockets := spare(c)
+	sockets, web := spare(c), &o.Front.FastCGI
+	more := 0 // requests that come over connections of several
+	if web.On() {
+		sockets -= web.Connections
+		more = web.Connections * web.Requests
+	}
+	if sockets < config.MinSockets {
+		return nil, fmt.Errorf("operator: front.fastcgi.connections: %d of the platform's %d descriptors leave less than %d", web.Connections, c.Limits.Sockets, config.MinSockets)
+	}
 	bodyBytes := int64(c.Limits.MemoryMB * (1 << 20) / 8)
 	bodies := window.NewBudget(bodyBytes)
 	ctx, stop := context.WithCancel(context.Background())
@@ -121,9 +150,13 @@
 	if o.Fleet.On {
 		idle = min(idle, time.Duration(o.Fleet.KeepIdle))
 	}
+	spoken := o.Transport.FastCGI.Options()
+	if spoken != nil {
+		spoken.Log = log
+	}
 	servers := transport.New(transport.Options{Dial: network.Dial, Timeout: connect,
 		Idle: idle, Most: backendSockets(sockets),
-		Budget: bodies,
+		Budget: bodies, FastCGI: spoken,
 		Settle: time.Duration(o.Transport.HTTP.Settle), Resting: o.Transport.HTTP.Resting})
 	var ids *core.IDs
 	if o.Gateway.On() {
@@ -134,9 +167,9 @@
 		IDs:        ids,
 		NewDecider: decide,
 		Fleet:      o.Fleet.Options(),
-		Settings:   table.Settings, Seed: c.Seed, Known: c.Known, MaxOpen: openRequests(sockets),
+		Settings:   table.Settings, Seed: c.Seed, Known: c.Known, MaxOpen: openRequests(sockets) + more,
 		// Room for all that can be under way at once: a front end must not wait there.
-		Queue:      4 * sockets,
+		Queue:      4 * (sockets + more),
 		Transport:  servers,
 		RosterAddr: c.Discovery,
 		NewRoster: func(addr string, tell func(core.News)) core.Roster {
@@ -157,12 +190,21 @@
 		}
 		handler = a.gate
 	}
-	a.front = httpfront.New(handler, httpfront.Options{
+	front := httpfront.New(handler, httpfront.Options{
 		View: intake.Of(a.table), Life: a.life,
 		Places: clientSockets(sockets), Kept: keptSockets(sockets),
 		Budget: bodies, Streams: !o.Gateway.On(), Log: log,
 		HeadWithin: time.Duration(o.Front.HTTP.HeadWithin), BodyWithin: time.Duration(o.Front.HTTP.BodyWithin),
 		KeepIdle: time.Duration(o.Front.HTTP.KeepIdle)})
+	a.fronts = append(a.fronts, row{frontEnd: front, share: func(part int) {
+		front.Bound(clientSockets(sockets/part), keptSockets(sockets/part))
+	}})
+	if web.On() {
+		fast := fcgifront.New(handler, fcgifront.Options{View: intake.Of(a.table), Life: a.life, Connections: web.Connections, Requests: web.Requests,
+			Allowed: web.Allowed(), Budget: bodies, Short: o.Gateway.On(), Log: log, HeadWithin: time.Duration(web.HeadWithin),
+			BodyWithin: time.Duration(web.BodyWithin), KeepIdle: time.Duration(web.KeepIdle)})
+		a.fronts = append(a.fronts, row{frontEnd: fast, share: func(part int) { fast.Bound(max(web.Connections/part, 1)) }, listeners: network.FastCGI})
+	}
 	return a, nil
 }
 
@@ -183,7 +225,9 @@
 		if err := a.core.Turn(next); err != nil {
 			return fmt.Errorf("config: settings: %w", err)
 		}
-		a.front.Turn(intake.Of(next))
+		for _, f := range a.fronts {
+			f.Turn(intake.Of(next))
+		}
 		a.table, a.latest = next, c.Settings
 		a.log.Info("settings: changed", "version", next.Version, "classes", len(next.Classes))
 	}
@@ -199,11 +243,29 @@
 	defer a.transport.Close()
 	defer a.stop()
 	go a.core.Run()
-	if a.gate == nil {
-		return a.front.Serve(ctx, listeners...)
+	if a.gate != nil {
+		defer a.gate.run(ctx)()
+	}
+	ctx, end := context.WithCancel(ctx) // one that fails ends the others
+	defer end()
+	ended := make(chan error, len(a.fronts))
+	for i, f := range a.fronts {
+		if i > 0 {
+			go func() {
+				err := f.Serve(ctx, f.listeners...)
+				if err != nil {
+					end()
+				}
+				ended <- err
+			}()
+		}
 	}
-	defer a.gate.run(ctx)()
-	return a.front.Serve(ctx, listeners...)
+	err := a.fronts[0].Serve(ctx, listeners...)
+	end()
+	for range a.fronts[1:] {
+		err = errors.Join(err, <-ended)
+	}
+	return err
 }
 
 // Load is what an agent holds.
@@ -217,8 +279,10 @@
 
 // Load tells what the agent holds now.
 func (a *Agent) Load() Load {
-	taken, bodies := a.front.Load()
-	l := Load{Load: a.core.Load(), Taken: taken, Bodies: bodies}
+	l := Load{Load: a.core.Load(), Bodies: a.bodies.Used()}
+	for _, f := range a.fronts {
+		l.Taken += f.Taken()
+	}
 	if a.gate != nil {
 		l.Crossings = a.gate.crossings()
 	}
@@ -232,5 +296,9 @@
 	if a.gate != nil {
 		a.gate.close()
 	}
-	return a.front.Close()
+	var err error
+	for _, f := range a.fronts {
+		err = errors.Join(err, f.Close())
+	}
+	return err
 }
--- /dev/null
+++ b/internal/process/agent/pairs_test.go
@@ -0,0 +1,279 @@
+package agent
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"molepaddle/internal/process/operator"
+	"molepaddle/internal/protocol/fcgi"
+	"molepaddle/internal/rig/testkit"
+)
+
+// fault is what a server does with a request that has come whole.
+type fault struct {
+	name   string
+	status int    // what it answers; 0: nothing
+	more   string // a header
+	cut    int    // the answer's last bytes that it leaves out before it closes
+	silent bool   // it closes with no answer
+}
+
+// speak answers one request after the other over a protocol, and notes the ids.
+func speak(conn net.Conn, r *bufio.Reader, fast bool, do func(id string) fault) {
+	for {
+		id, out := "", []byte(nil)
+		if fast {
+			params, err := fastRequest(r)
+			if err != nil {
+				return
+			}
+			id = params["HTTP_REQUEST_ID"]
+		} else {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			if _, err := io.Copy(io.Discard, req.Body); err != nil {
+				return
+			}
+			id = req.Header.Get("Request-Id")
+		}
+		f := do(id)
+		if f.silent {
+			return
+		}
+		head := fmt.Sprintf("%d %s\r\n%sContent-Length: 4\r\n\r\ndone", f.status, http.StatusText(f.status), f.more)
+		if fast {
+			out = fcgi.AppendStream(nil, fcgi.Stdout, 1, []byte("Status: "+head))
+			out = fcgi.AppendEnd(fcgi.Append(out, fcgi.Stdout, 1, nil), 1, fcgi.End{})
+		} else {
+			out = []byte("HTTP/1.1 " + head)
+		}
+		if _, err := conn.Write(out[:len(out)-f.cut]); err != nil || f.cut > 0 {
+			return
+		}
+	}
+}
+
+// fastRequest reads one request over FastCGI.
+func fastRequest(r *bufio.Reader) (map[string]string, error) {
+	in, raw, params := fcgi.NewReader(r), []byte(nil), map[string]string{}
+	for {
+		h, err := in.Next()
+		if err != nil {
+			return nil, err
+		}
+		part, err := io.ReadAll(in)
+		if err != nil {
+			return nil, err
+		}
+		switch {
+		case h.Type == fcgi.Params:
+			raw = append(raw, part...)
+		case h.Type == fcgi.Stdin && h.Length == 0:
+			for len(raw) > 0 {
+				var name, value []byte
+				if name, value, raw, err = fcgi.NextPair(raw); err != nil {
+					return nil, err
+				}
+				params[string(name)] = string(value)
+			}
+			return params, nil
+		}
+	}
+}
+
+// fastCall asks over FastCGI on a connection of its own and gives the answer as HTTP has it.
+func fastCall(addr, class, id string, body []byte) (status int, text string, err error) {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		return 0, "", err
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+	method := map[bool]string{true: "GET", false: "POST"}[class == "look"]
+	var params []byte
+	for _, p := range [][2]string{{"REQUEST_METHOD", method}, {"REQUEST_URI", "/" + class + "/u1"}, {"HTTP_HOST", "b"}, {"HTTP_REQUEST_ID", id},
+		{"CONTENT_LENGTH", strconv.Itoa(len(body))}, {"HTTP_IDEMPOTENCY_KEY", "k" + id}} {
+		params = fcgi.AppendPair(params, p[0], p[1])
+	}
+	out := fcgi.AppendBegin(nil, 1, fcgi.Begin{Role: fcgi.Responder})
+	out = fcgi.Append(fcgi.Append(out, fcgi.Params, 1, params), fcgi.Params, 1, nil)
+	out = fcgi.Append(fcgi.AppendStream(out, fcgi.Stdin, 1, body), fcgi.Stdin, 1, nil)
+	if _, err := c.Write(out); err != nil {
+		return 0, "", err
+	}
+	in, stdout := fcgi.NewReader(bufio.NewReader(c)), new(bytes.Buffer)
+	for {
+		h, err := in.Next()
+		if err != nil {
+			return 0, "", err
+		}
+		part, err := io.ReadAll(in)
+		if err != nil {
+			return 0, "", err
+		}
+		if h.Type == fcgi.Stdout {
+			stdout.Write(part)
+		}
+		if h.Type == fcgi.EndRequest {
+			break
+		}
+	}
+	r := bufio.NewReader(stdout)
+	head, err := textproto.NewReader(r).ReadMIMEHeader()
+	if err != nil {
+		return 0, "", err
+	}
+	status, err = strconv.Atoi(strings.Fields(head.Get("Status"))[0])
+	rest, _ := io.ReadAll(r)
+	return status, string(rest), err
+}
+
+// One table of faults, played against all four pairs of protocols: the same final answers, and no order is
+// ever sent twice.
+func TestFaultsOverAllPairs(t *testing.T) {
+	faults := []fault{{name: "served", status: 200}, {name: "error", status: 500}, {name: "may have run", status: 503},
+		{name: "turned away", status: 503, more: "Not-Started: 1\r\n"}, {name: "closes", silent: true}}
+	for cut := 1; cut < 40; cut += 5 {
+		faults = append(faults, fault{name: fmt.Sprint("cut by ", cut), status: 200, cut: cut})
+	}
+	type end struct {
+		status   int
+		text     string
+		attempts int
+	}
+	ends := map[string]end{} // by fault and class, as HTTP to HTTP has it
+	for _, pair := range []struct{ in, out bool }{{false, false}, {false, true}, {true, false}, {true, true}} {
+		for i := range 3 * len(faults) { // what one class meets is not to tell for the next
+			f, class := faults[i/3], []string{"look", "send", "order"}[i%3]
+			var mu sync.Mutex
+			came := map[string]int{}
+			var addrs []string
+			for range 5 {
+				addrs = append(addrs, testkit.Raw(t, func(conn net.Conn, r *bufio.Reader) {
+					speak(conn, r, pair.out, func(id string) fault {
+						mu.Lock()
+						defer mu.Unlock()
+						came[id]++
+						return f
+					})
+				}))
+			}
+			oper := operator.Default()
+			if pair.out {
+				oper.Transport.FastCGI.Servers = []string{"127.0.0.0/8"}
+			}
+			var network Network
+			if pair.in {
+				ln, err := net.Listen("tcp", "127.0.0.1:0")
+				if err != nil {
+					t.Fatal(err)
+				}
+				oper.Front.FastCGI.Listen = []operator.Listen{{Address: ln.Addr().String()}}
+				network.FastCGI = []net.Listener{ln}
+			}
+			a, err := New(parse(t, testkit.Config(nowhere, addrs...)), oper, network, slog.New(slog.DiscardHandler))
+			if err != nil {
+				t.Fatal(err)
+			}
+			base, _, _ := serveOn(t, a)
+			call := testkit.Call(base, class)
+			id := call.Header.Get("Request-Id")
+			var got end
+			if pair.in {
+				var body []byte
+				if class != "look" {
+					body = []byte("body")
+				}
+				if got.status, got.text, err = fastCall(network.FastCGI[0].Addr().String(), class, id, body); err != nil {
+					t.Fatalf("%s, %s: %v", f.name, class, err)
+				}
+			} else {
+				got.status, got.text, _ = testkit.Do(t, call)
+			}
+			mu.Lock()
+			got.attempts = came[id]
+			mu.Unlock()
+			name := f.name + ", " + class
+			if class == "order" && got.attempts > 1 && f.more == "" {
+				t.Errorf("%s: sent %d times", name, got.attempts)
+			}
+			if want, known := ends[name]; !known {
+				ends[name] = got
+			} else if got != want {
+				t.Errorf("%s over %+v: %+v, over HTTP %+v", name, pair, got, want)
+			}
+			a.Close()
+		}
+	}
+	if len(ends) != 3*len(faults) || ends["served, order"].status != 200 || ends["closes, order"].status != 502 || ends["turned away, order"].attempts != 3 {
+		t.Errorf("%+v", ends)
+	}
+}
+
+// A client that aborts over FastCGI is a client that left: its attempt ends at its server, whatever that speaks.
+func TestAbortReachesTheServer(t *testing.T) {
+	for _, fast := range []bool{false, true} {
+		got, ended := make(chan struct{}), make(chan struct{})
+		addr := testkit.Raw(t, func(c net.Conn, r *bufio.Reader) {
+			if fast {
+				if _, err := fastRequest(r); err != nil {
+					return
+				}
+			} else if _, err := testkit.ReadRequest(r); err != nil {
+				return
+			}
+			close(got)
+			for { // padding may still come
+				if _, err := r.ReadByte(); err != nil {
+					break
+				}
+			}
+			close(ended)
+		})
+		ln, err := net.Listen("unix", t.TempDir()+"/s")
+		if err != nil {
+			t.Fatal(err)
+		}
+		oper := operator.Default()
+		oper.Front.FastCGI.Listen = []operator.Listen{{Unix: ln.Addr().String()}}
+		if fast {
+			oper.Transport.FastCGI.Servers = []string{"all"}
+		}
+		a, err := New(parse(t, testkit.Config(nowhere, addr)), oper, Network{FastCGI: []net.Listener{ln}}, slog.New(slog.DiscardHandler))
+		if err != nil {
+			t.Fatal(err)
+		}
+		serveOn(t, a)
+		c, err := net.Dial("unix", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		var params []byte
+		for _, p := range [][2]string{{"REQUEST_METHOD", "POST"}, {"REQUEST_URI", "/order/u1"}, {"SERVER_NAME", "b"}} {
+			params = fcgi.AppendPair(params, p[0], p[1])
+		}
+		out := fcgi.AppendBegin(nil, 1, fcgi.Begin{Role: fcgi.Responder, Keep: true})
+		out = fcgi.Append(fcgi.Append(fcgi.Append(out, fcgi.Params, 1, params), fcgi.Params, 1, nil), fcgi.Stdin, 1, nil)
+		c.Write(out)
+		<-got
+		c.Write(fcgi.Append(nil, fcgi.AbortRequest, 1, nil))
+		<-ended
+		if h, err := fcgi.NewReader(bufio.NewReader(c)).Next(); err != nil || h.Type != fcgi.EndRequest || h.ID != 1 {
+			t.Errorf("%+v, %v", h, err)
+		}
+	}
+}
--- a/internal/process/agent/replace.go
+++ b/internal/process/agent/replace.go
@@ -21,7 +21,9 @@
 	}
 	sockets := a.sockets / part
 	a.transport.Bound(backendSockets(sockets))
-	a.front.Bound(clientSockets(sockets), keptSockets(sockets))
+	for _, f := range a.fronts {
+		f.share(part)
+	}
 	a.bodies.Bound(a.bodyBytes / int64(part))
 	a.log.Info("handover: bounds", "sockets", sockets)
 }
--- a/internal/process/agent/service_test.go
+++ b/internal/process/agent/service_test.go
@@ -16,6 +16,7 @@
 
 	"molepaddle/internal/process/config"
 	"molepaddle/internal/process/operator"
+	"molepaddle/internal/protocol/httpfront"
 	"molepaddle/internal/rig/testkit"
 	"molepaddle/internal/rig/testkit/crowd"
 )
@@ -82,7 +83,7 @@
 			t.Fatalf("/ready answers %d in a drain", got)
 		}
 		if i%10 == 0 {
-			awaits(t, "all connections closed", func() bool { return a.front.Connections() == 0 })
+			awaits(t, "all connections closed", func() bool { return a.fronts[0].frontEnd.(*httpfront.Front).Connections() == 0 })
 			c.Hold(false)
 		}
 		if err := a.Life().Rejoin(); err != nil {
--- /dev/null
+++ b/internal/process/operator/fastcgi.go
@@ -0,0 +1,170 @@
+package operator
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"molepaddle/internal/protocol/transport"
+)
+
+// FrontFastCGI is where web servers connect over FastCGI, and how many of them; without an entry in Listen
+// it is off.
+type FrontFastCGI struct {
+	Listen      []Listen `toml:"listen"`
+	Peers       []string `toml:"peers"`       // who may connect over TCP: addresses or prefixes; none: anybody
+	Connections int      `toml:"connections"` // of web servers, taken from the descriptors
+	Requests    int      `toml:"requests"`    // open at once on one of them
+	HeadWithin  Duration `toml:"head_within"` // for a request's params to come
+	BodyWithin  Duration `toml:"body_within"` // and its body
+	KeepIdle    Duration `toml:"keep_idle"`   // a connection between requests
+}
+
+// TransportFastCGI says which servers speak FastCGI; none of them: it is off.
+type TransportFastCGI struct {
+	Servers []string          `toml:"servers"` // "all", "unix", prefixes, addresses with or without a port
+	Begins  string            `toml:"begins"`  // when servers begin a request: "whole" or "params"
+	Params  map[string]string `toml:"params"`  // that go to each request beside its own
+}
+
+// On tells whether web servers may connect.
+func (f *FrontFastCGI) On() bool { return len(f.Listen) > 0 }
+
+// Allowed tells who may connect over TCP; nil: anybody.
+func (f *FrontFastCGI) Allowed() func(net.IP) bool {
+	if len(f.Peers) == 0 {
+		return nil
+	}
+	var all []netip.Prefix
+	for _, p := range f.Peers {
+		prefix, _ := prefixOf(p)
+		all = append(all, prefix)
+	}
+	return func(ip net.IP) bool {
+		addr, ok := netip.AddrFromSlice(ip)
+		return ok && slices.ContainsFunc(all, func(p netip.Prefix) bool { return p.Contains(addr.Unmap()) })
+	}
+}
+
+// prefixOf reads an address or a prefix.
+func prefixOf(text string) (netip.Prefix, error) {
+	if strings.Contains(text, "/") {
+		p, err := netip.ParsePrefix(text)
+		return p.Masked(), err
+	}
+	addr, err := netip.ParseAddr(text)
+	if err != nil {
+		return netip.Prefix{}, err
+	}
+	return addr.Prefix(addr.BitLen())
+}
+
+// Options are those of the transport; nil: no server speaks FastCGI.
+func (t *TransportFastCGI) Options() *transport.FastCGI {
+	if len(t.Servers) == 0 {
+		return nil
+	}
+	var prefixes []netip.Prefix
+	all, unix, exact := false, false, map[string]bool{}
+	for _, s := range t.Servers {
+		if p, err := prefixOf(s); err == nil {
+			prefixes = append(prefixes, p)
+			continue
+		}
+		all, unix, exact[s] = all || s == "all", unix || s == "unix", true
+	}
+	o := &transport.FastCGI{Early: t.Begins == "params", Serves: func(dial string) bool {
+		if all || exact[dial] || unix && strings.HasPrefix(dial, "unix:") {
+			return true
+		}
+		at, err := netip.ParseAddrPort(dial)
+		return err == nil && slices.ContainsFunc(prefixes, func(p netip.Prefix) bool { return p.Contains(at.Addr().Unmap()) })
+	}}
+	for name, value := range t.Params {
+		o.Params = append(o.Params, [2]string{name, value})
+	}
+	slices.SortFunc(o.Params, func(a, b [2]string) int { return strings.Compare(a[0], b[0]) })
+	return o
+}
+
+func (s *Settings) defaultFastCGI() {
+	f := &s.Front.FastCGI
+	f.Connections, f.Requests = 32, 16
+	f.HeadWithin, f.BodyWithin, f.KeepIdle = Duration(2500*time.Millisecond), Duration(2*time.Second), Duration(time.Minute)
+	s.Transport.FastCGI.Begins = "whole"
+}
+
+// validate reports the first key that makes no sense.
+func (f *FrontFastCGI) validate() (key string, err error) {
+	for _, d := range []struct {
+		key         string
+		value       Duration
+		least, most time.Duration
+	}{
+		{"head_within", f.HeadWithin, 50 * time.Millisecond, time.Minute}, {"body_within", f.BodyWithin, 50 * time.Millisecond, time.Minute},
+		{"keep_idle", f.KeepIdle, 10 * time.Millisecond, time.Hour},
+	} {
+		if v := time.Duration(d.value); v < d.least || v > d.most {
+			return d.key, fmt.Errorf("must be from %v to %v, is %v", d.least, d.most, v)
+		}
+	}
+	for _, n := range []struct {
+		key   string
+		value int
+		most  int
+	}{{"connections", f.Connections, 4096}, {"requests", f.Requests, 1024}} {
+		if n.value < 1 || n.value > n.most {
+			return n.key, fmt.Errorf("must be from 1 to %d, is %d", n.most, n.value)
+		}
+	}
+	for i, p := range f.Peers {
+		if _, err := prefixOf(p); err != nil {
+			return "peers[" + strconv.Itoa(i) + "]", fmt.Errorf("no address and no prefix: %q", p)
+		}
+	}
+	return validateListen("listen", f.Listen)
+}
+
+// validate reports the first key that makes no sense.
+func (t *TransportFastCGI) validate() (key string, err error) {
+	if t.Begins != "whole" && t.Begins != "params" {
+		return "begins", fmt.Errorf("must be \"whole\" or \"params\", is %q", t.Begins)
+	}
+	for i, s := range t.Servers {
+		_, bad := prefixOf(s)
+		if _, port, err := net.SplitHostPort(s); err == nil && port != "" {
+			bad = nil
+		}
+		if bad != nil && s != "all" && s != "unix" && !strings.HasPrefix(s, "unix:/") {
+			return "servers[" + strconv.Itoa(i) + "]", fmt.Errorf("neither \"all\", \"unix\", a prefix nor an address: %q", s)
+		}
+	}
+	total := 0
+	for name, value := range t.Params {
+		if total += len(name) + len(value); name == "" || total > 8<<10 || strings.ContainsAny(name+value, "\x00\r\n") {
+			return "params." + name, errors.New("no name, a control character, or above 8 KiB together")
+		}
+	}
+	return "", nil
+}
+
+// on tells what is on.
+func (s *Settings) onFastCGI() (on []string) {
+	f, t := &s.Front.FastCGI, &s.Transport.FastCGI
+	for _, l := range f.Listen {
+		on = append(on, "web servers over FastCGI at "+l.String()+fmt.Sprintf(", %d connections of %d requests", f.Connections, f.Requests))
+	}
+	if len(f.Peers) > 0 && f.On() {
+		on = append(on, "FastCGI only from "+strings.Join(f.Peers, ", "))
+	}
+	if len(t.Servers) > 0 {
+		on = append(on, "servers that speak FastCGI: "+strings.Join(t.Servers, ", ")+"; they begin a request when "+
+			map[string]string{"whole": "it is whole", "params": "its params are, and it may have run from then on"}[t.Begins])
+	}
+	return on
+}
--- a/internal/process/operator/operator.go
+++ b/internal/process/operator/operator.go
@@ -29,6 +29,22 @@
 	Unix    string `toml:"unix"`
 }
 
+// Where is the network and the address to listen at.
+func (l Listen) Where() (network, address string) {
+	if l.Unix != "" {
+		return "unix", l.Unix
+	}
+	return "tcp", l.Address
+}
+
+// String words it for a person.
+func (l Listen) String() string {
+	if l.Unix != "" {
+		return "the Unix socket " + l.Unix
+	}
+	return l.Address
+}
+
 // Settings is the file.
 type Settings struct {
 	Front struct {
@@ -38,12 +54,14 @@
 			KeepIdle   Duration `toml:"keep_idle"`   // a client's connection between requests
 			Listen     []Listen `toml:"listen"`
 		} `toml:"http"`
+		FastCGI FrontFastCGI `toml:"fastcgi"`
 	} `toml:"front"`
 	Transport struct {
 		HTTP struct {
 			Settle  Duration `toml:"settle"`  // a connection's rest before its next use
 			Resting int      `toml:"resting"` // connections that may rest before one is waited for
 		} `toml:"http"`
+		FastCGI TransportFastCGI `toml:"fastcgi"`
 	} `toml:"transport"`
 	Gateway Gateway         `toml:"gateway"`
 	Fleet   Fleet           `toml:"fleet"`
@@ -99,6 +117,7 @@
 	s.Front.HTTP.KeepIdle = Duration(15 * time.Second)
 	s.Transport.HTTP.Settle = Duration(time.Millisecond)
 	s.Transport.HTTP.Resting = 64
+	s.defaultFastCGI()
 	s.Gateway = defaultGateway()
 	s.Fleet = defaultFleet()
 	s.Log = logging.Default()
@@ -146,11 +165,31 @@
 	if t.Resting < 1 || t.Resting > 4096 {
 		return "transport.http.resting", fmt.Errorf("must be from 1 to 4096, is %d", t.Resting)
 	}
-	if len(h.Listen) > 16 {
-		return "front.http.listen", fmt.Errorf("at most 16, are %d", len(h.Listen))
+	if key, err := validateListen("front.http.listen", h.Listen); err != nil {
+		return key, err
+	}
+	if key, err := s.Front.FastCGI.validate(); err != nil {
+		return "front.fastcgi." + key, err
+	}
+	if key, err := s.Transport.FastCGI.validate(); err != nil {
+		return "transport.fastcgi." + key, err
+	}
+	if key, err := s.Fleet.validate(); err != nil {
+		return key, err
+	}
+	if key, err := s.Log.Validate(); err != nil {
+		return "log." + key, err
+	}
+	return s.Gateway.validate()
+}
+
+// validateListen reports the first entry that makes no sense.
+func validateListen(table string, all []Listen) (key string, err error) {
+	if len(all) > 16 {
+		return table, fmt.Errorf("at most 16, are %d", len(all))
 	}
-	for i, l := range h.Listen {
-		key := "front.http.listen[" + strconv.Itoa(i) + "]"
+	for i, l := range all {
+		key := table + "[" + strconv.Itoa(i) + "]"
 		switch {
 		case l.Address != "" && l.Unix != "":
 			return key + ".unix", errors.New("excludes address in the same entry")
@@ -166,13 +205,7 @@
 			}
 		}
 	}
-	if key, err := s.Fleet.validate(); err != nil {
-		return key, err
-	}
-	if key, err := s.Log.Validate(); err != nil {
-		return "log." + key, err
-	}
-	return s.Gateway.validate()
+	return "", nil
 }
 
 // On tells, line by line, what the settings switch on or change.
@@ -180,12 +213,9 @@
 	var on []string
 	d, h, t := Default(), s.Front.HTTP, s.Transport.HTTP
 	for _, l := range h.Listen {
-		if l.Unix != "" {
-			on = append(on, "clients also at the Unix socket "+l.Unix)
-		} else {
-			on = append(on, "clients also at "+l.Address)
-		}
+		on = append(on, "clients also at "+l.String())
 	}
+	on = append(on, s.onFastCGI()...)
 	on = append(on, s.Gateway.on()...)
 	if f := s.Fleet; f.On {
 		on = append(on, fmt.Sprintf("one of very many agents: %v connections to a server, %d to %d servers each, %v connects and %v questions a second", f.Connections, f.Least, f.Most, f.Connects, f.Questions))
--- a/internal/protocol/fcgifront/conn.go
+++ b/internal/protocol/fcgifront/conn.go
@@ -473,7 +473,11 @@
 		}
 	}
 	// It is long, or there is no memory to hold it.
-	if q.req == nil || len(q.body) == 0 && q.told >= 0 && q.told <= core.MaxBody {
+	if q.c.f.opt.Short && q.came > core.MaxBody {
+		q.refuse(&intake.Problem{Status: http.StatusRequestEntityTooLarge, Text: "body: above 64 KiB"})
+		return
+	}
+	if q.req == nil || q.c.f.opt.Short || len(q.body) == 0 && q.told >= 0 && q.told <= core.MaxBody {
 		q.refuse(&errNoMemory)
 		return
 	}
--- a/internal/protocol/fcgifront/front.go
+++ b/internal/protocol/fcgifront/front.go
@@ -57,6 +57,7 @@
 	Requests                         int                  // open at once on one of them
 	Allowed                          func(ip net.IP) bool // who may connect over TCP; nil: anybody
 	Budget                           *window.Budget       // of the bodies held together
+	Short                            bool                 // bodies of more than core.MaxBody are not taken
 	Log                              *slog.Logger
 	HeadWithin, BodyWithin, KeepIdle time.Duration // as over HTTP; a request's params are its head
 }
@@ -98,8 +99,8 @@
 	f.mu.Unlock()
 }
 
-// Load is how many requests are taken and not yet answered.
-func (f *Front) Load() int64 { return f.working.Load() }
+// Taken is how many requests are taken and not yet answered.
+func (f *Front) Taken() int64 { return f.working.Load() }
 
 // Connections is how many clients' connections are open.
 func (f *Front) Connections() int {
@@ -131,8 +132,7 @@
 		case now := <-look.C:
 			f.each(func(c *conn) { c.look(now) })
 		case <-ctx.Done():
-			f.leave(listeners)
-			return nil
+			return f.leave(listeners)
 		}
 	}
 }
@@ -207,7 +207,7 @@
 }
 
 // leave ends in order, as over HTTP: connections between requests, then the listeners, then what is held.
-func (f *Front) leave(listeners []net.Listener) {
+func (f *Front) leave(listeners []net.Listener) error {
 	f.life.End()
 	for until := time.Now().Add(acceptFor); f.life.Accepts() && time.Now().Before(until); time.Sleep(leaveEvery) {
 		f.each(func(c *conn) { c.look(time.Now()) })
@@ -223,7 +223,7 @@
 			break
 		}
 	}
-	f.Close()
+	return f.Close()
 }
 
 // coming tells whether a request is coming in on any connection.
@@ -236,8 +236,9 @@
 }
 
 // Close ends all connections at once.
-func (f *Front) Close() {
+func (f *Front) Close() error {
 	f.each(func(c *conn) { c.Close() })
+	return nil
 }
 
 // word is a status line of an answer in CGI form.
--- a/internal/protocol/fcgifront/front_test.go
+++ b/internal/protocol/fcgifront/front_test.go
@@ -591,10 +591,10 @@
 			near.Close()
 		}()
 		c.read()
-		for end := time.Now().Add(5 * time.Second); (budget.Used() != 0 || front.Load() != 0) && time.Now().Before(end); time.Sleep(time.Millisecond) {
+		for end := time.Now().Add(5 * time.Second); (budget.Used() != 0 || front.Taken() != 0) && time.Now().Before(end); time.Sleep(time.Millisecond) {
 		}
-		if budget.Used() != 0 || front.Load() != 0 || front.Connections() != 0 {
-			t.Fatalf("%d bytes, %d requests, %d connections are left", budget.Used(), front.Load(), front.Connections())
+		if budget.Used() != 0 || front.Taken() != 0 || front.Connections() != 0 {
+			t.Fatalf("%d bytes, %d requests, %d connections are left", budget.Used(), front.Taken(), front.Connections())
 		}
 	})
 }
--- a/internal/protocol/httpfront/front.go
+++ b/internal/protocol/httpfront/front.go
@@ -127,8 +127,8 @@
 	return a.leave(listeners)
 }
 
-// Load is how many requests are taken and not yet answered, and the bytes of their bodies.
-func (a *Front) Load() (taken, bodies int64) { return a.working.Load(), a.opt.Budget.Used() }
+// Taken is how many requests are taken and not yet answered.
+func (a *Front) Taken() int64 { return a.working.Load() }
 
 // Connections is how many clients' connections are open.
 func (a *Front) Connections() int { return a.places.count() }
