--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -638,7 +638,7 @@
 func (c *Core) send(r *Request, act *policy.Action) {
 	b := c.byAddr[act.Server]
 	if b == nil {
-		b = &backend{addr: act.Server, endpoint: c.transport.Endpoint("")}
+		b = &backend{addr: act.Server, endpoint: c.transport.Endpoint(&cluster.Server{})}
 	}
 	var a *Attempt
 	a = NewAttempt(c.ctx, r, ms(act.Ms), func(res Result) { c.post(input{kind: inOutcome, att: a, res: res}) })
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -32,7 +32,9 @@
 	idleShut, retire int
 }
 
-func (f *fakeTransport) Endpoint(dial string) Endpoint { return &fakeEndpoint{t: f, dial: dial} }
+func (f *fakeTransport) Endpoint(s *cluster.Server) Endpoint {
+	return &fakeEndpoint{t: f, dial: s.Dial}
+}
 func (e *fakeEndpoint) Start(a *Attempt) error {
 	e.t.started = append(e.t.started, a)
 	return e.t.err
--- a/internal/core/servers.go
+++ b/internal/core/servers.go
@@ -56,7 +56,7 @@
 				c.withdraw(b)
 				b.endpoint.Retire()
 			}
-			b.dial, b.bornMs, b.endpoint = s.Dial, s.SinceMs, c.transport.Endpoint(s.Dial)
+			b.dial, b.bornMs, b.endpoint = s.Dial, s.SinceMs, c.transport.Endpoint(s)
 		}
 		b.usable = s.Health == cluster.Ready
 	}
--- a/internal/core/transport.go
+++ b/internal/core/transport.go
@@ -9,16 +9,17 @@
 	"time"
 
 	"molepaddle/internal/decide/budget"
+	"molepaddle/internal/decide/cluster"
 	"molepaddle/internal/protocol/window"
 	"molepaddle/policy"
 )
 
 // Transport carries attempts to servers. It is used by the core's goroutine only.
 type Transport interface {
-	// Endpoint is one process of a server, reached at an address as the list gives it.
+	// Endpoint is one process of a server, as the list has it; with no address, it is of none.
 	// It opens nothing yet. The core has one at a time for a server, and retires it when
 	// the server is gone, has another address or is a new process.
-	Endpoint(dial string) Endpoint
+	Endpoint(s *cluster.Server) Endpoint
 }
 
 // Endpoint is the way to one process of a server, with the connections that are kept to
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -150,7 +150,11 @@
 	if o.Fleet.On {
 		idle = min(idle, time.Duration(o.Fleet.KeepIdle))
 	}
-	spoken := o.Transport.FastCGI.Options()
+	spoken, err := o.Transport.FastCGI.Options(c.Words.Sites, c.Words.Kinds)
+	if err != nil {
+		stop()
+		return nil, err
+	}
 	if spoken != nil {
 		spoken.Log = log
 	}
--- a/internal/process/agent/pairs_test.go
+++ b/internal/process/agent/pairs_test.go
@@ -128,6 +128,9 @@
 			stdout.Write(part)
 		}
 		if h.Type == fcgi.EndRequest {
+			if end, err := fcgi.ParseEnd(part); err != nil || end != (fcgi.End{}) {
+				return 0, "", fmt.Errorf("ended with %+v, %v", end, err)
+			}
 			break
 		}
 	}
@@ -223,6 +226,35 @@
 	}
 }
 
+// A long answer that is not as long as it says is told as broken to whoever has been passed its start.
+func TestLongAnswerOfAnotherLength(t *testing.T) {
+	for _, sent := range []int{90_000, 100_000, 110_000} {
+		addr := testkit.Raw(t, func(conn net.Conn, r *bufio.Reader) {
+			if _, err := fastRequest(r); err != nil {
+				return
+			}
+			out := fcgi.AppendStream(nil, fcgi.Stdout, 1, []byte("Content-Length: 100000\r\n\r\n"+strings.Repeat("x", sent)))
+			conn.Write(fcgi.AppendEnd(out, 1, fcgi.End{}))
+			r.ReadByte()
+		})
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		oper := operator.Default()
+		oper.Front.FastCGI.Listen = []operator.Listen{{Address: ln.Addr().String()}}
+		oper.Transport.FastCGI.Servers = []string{"all"}
+		a, err := New(parse(t, testkit.Config(nowhere, addr)), oper, Network{FastCGI: []net.Listener{ln}}, slog.New(slog.DiscardHandler))
+		if err != nil {
+			t.Fatal(err)
+		}
+		serveOn(t, a)
+		if status, text, err := fastCall(ln.Addr().String(), "order", "id1", nil); (err == nil) != (sent == 100_000) || err == nil && (status != 200 || len(text) != sent) {
+			t.Errorf("%d sent: %d, %d bytes, %v", sent, status, len(text), err)
+		}
+	}
+}
+
 // A client that aborts over FastCGI is a client that left: its attempt ends at its server, whatever that speaks.
 func TestAbortReachesTheServer(t *testing.T) {
 	for _, fast := range []bool{false, true} {
--- a/internal/process/handover/handover.go
+++ b/internal/process/handover/handover.go
@@ -238,7 +238,11 @@
 	if o.source.HandOver() != nil {
 		return false
 	}
-	defer o.source.TakeBack()
+	leave(o.listeners, true) // to the other process
+	defer func() {
+		leave(o.listeners, false)
+		o.source.TakeBack()
+	}()
 	state = o.source.State()
 	_ = c.SetDeadline(time.Now().Add(findWithin))
 	if send(c, &message{Say: "yours", State: &state}, nil) != nil {
@@ -295,6 +299,7 @@
 	State     State
 	conn      *net.UnixConn
 	listeners map[string]net.Listener
+	used      []net.Listener // of those, what Listener gave
 }
 
 // Find takes what the process at the path tells. ErrNobody: there is none, and a socket that it may
@@ -407,12 +412,27 @@
 	name := network + " " + address
 	ln := s.listeners[name]
 	delete(s.listeners, name)
+	if ln != nil {
+		s.used = append(s.used, ln)
+		leave(s.used, true) // until they are this process's alone
+	}
 	return ln
 }
 
+// leave has the files of Unix sockets stay, or go, when their listeners are closed: they are whose process
+// goes on.
+func leave(listeners []net.Listener, stay bool) {
+	for _, ln := range listeners {
+		if u, ok := ln.(*net.UnixListener); ok {
+			u.SetUnlinkOnClose(!stay)
+		}
+	}
+}
+
 // Take asks the first process to stop accepting, and returns what it knows by then. After an error
 // it goes on, or has gone.
 func (s *Successor) Take() (State, error) {
+	leave(s.used, false) // also where the first has gone
 	_ = s.conn.SetDeadline(time.Now().Add(findWithin))
 	if err := send(s.conn, &message{Say: "take"}, nil); err != nil {
 		return State{}, fmt.Errorf("handover: %w", err)
--- a/internal/process/operator/fastcgi.go
+++ b/internal/process/operator/fastcgi.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"molepaddle/internal/decide/cluster"
 	"molepaddle/internal/protocol/transport"
 )
 
@@ -27,7 +28,7 @@
 
 // TransportFastCGI says which servers speak FastCGI; none of them: it is off.
 type TransportFastCGI struct {
-	Servers []string          `toml:"servers"` // "all", "unix", prefixes, addresses with or without a port
+	Servers []string          `toml:"servers"` // "all", "unix", "zone:NAME", "kind:NAME", prefixes, addresses with or without a port
 	Begins  string            `toml:"begins"`  // when servers begin a request: "whole" or "params"
 	Params  map[string]string `toml:"params"`  // that go to each request beside its own
 }
@@ -64,32 +65,52 @@
 	return addr.Prefix(addr.BitLen())
 }
 
-// Options are those of the transport; nil: no server speaks FastCGI.
-func (t *TransportFastCGI) Options() *transport.FastCGI {
+// named is an entry of Servers that names a zone or a kind of servers.
+func named(entry string) (what, name string, ok bool) {
+	what, name, ok = strings.Cut(entry, ":")
+	return what, name, ok && (what == "zone" || what == "kind") && name != ""
+}
+
+// Options are those of the transport, with the numbers of the deployment's zones and kinds; nil: no server
+// speaks FastCGI. The error names the entry of a zone or a kind that there is none of.
+func (t *TransportFastCGI) Options(zones, kindsOf map[string]int) (*transport.FastCGI, error) {
 	if len(t.Servers) == 0 {
-		return nil
+		return nil, nil
 	}
+	inZone, ofKind := map[int]bool{}, map[int]bool{}
 	var prefixes []netip.Prefix
 	all, unix, exact := false, false, map[string]bool{}
-	for _, s := range t.Servers {
+	for i, s := range t.Servers {
+		if what, name, ok := named(s); ok {
+			numbers, into := zones, inZone
+			if what == "kind" {
+				numbers, into = kindsOf, ofKind
+			}
+			n, known := numbers[name]
+			if !known {
+				return nil, fmt.Errorf("operator: transport.fastcgi.servers[%d]: the deployment has no %s %q", i, what, name)
+			}
+			into[n] = true
+			continue
+		}
 		if p, err := prefixOf(s); err == nil {
 			prefixes = append(prefixes, p)
 			continue
 		}
 		all, unix, exact[s] = all || s == "all", unix || s == "unix", true
 	}
-	o := &transport.FastCGI{Early: t.Begins == "params", Serves: func(dial string) bool {
-		if all || exact[dial] || unix && strings.HasPrefix(dial, "unix:") {
+	o := &transport.FastCGI{Early: t.Begins == "params", Serves: func(s *cluster.Server) bool {
+		if all || exact[s.Dial] || unix && strings.HasPrefix(s.Dial, "unix:") || inZone[s.Entry.Zone] || ofKind[s.Entry.Kind] {
 			return true
 		}
-		at, err := netip.ParseAddrPort(dial)
+		at, err := netip.ParseAddrPort(s.Dial)
 		return err == nil && slices.ContainsFunc(prefixes, func(p netip.Prefix) bool { return p.Contains(at.Addr().Unmap()) })
 	}}
 	for name, value := range t.Params {
 		o.Params = append(o.Params, [2]string{name, value})
 	}
 	slices.SortFunc(o.Params, func(a, b [2]string) int { return strings.Compare(a[0], b[0]) })
-	return o
+	return o, nil
 }
 
 func (s *Settings) defaultFastCGI() {
@@ -140,8 +161,11 @@
 		if _, port, err := net.SplitHostPort(s); err == nil && port != "" {
 			bad = nil
 		}
+		if _, _, ok := named(s); ok {
+			bad = nil
+		}
 		if bad != nil && s != "all" && s != "unix" && !strings.HasPrefix(s, "unix:/") {
-			return "servers[" + strconv.Itoa(i) + "]", fmt.Errorf("neither \"all\", \"unix\", a prefix nor an address: %q", s)
+			return "servers[" + strconv.Itoa(i) + "]", fmt.Errorf("neither \"all\", \"unix\", a zone, a kind, a prefix nor an address: %q", s)
 		}
 	}
 	total := 0
--- a/internal/process/operator/fastcgi_test.go
+++ b/internal/process/operator/fastcgi_test.go
@@ -4,6 +4,8 @@
 	"net"
 	"strings"
 	"testing"
+
+	"molepaddle/internal/decide/cluster"
 )
 
 // Which servers speak FastCGI is told by their addresses; who may connect too.
@@ -16,7 +18,7 @@
 [[front.fastcgi.listen]]
 unix = "/run/m.sock"
 [transport.fastcgi]
-servers = ["10.1.0.0/16", "10.2.0.3", "[fd00::1]:9000", "10.2.0.4:9001", "unix"]
+servers = ["10.1.0.0/16", "10.2.0.3", "[fd00::1]:9000", "10.2.0.4:9001", "unix", "zone:b", "kind:k2"]
 begins = "params"
 [transport.fastcgi.params]
 SCRIPT_FILENAME = "/srv/orders.php"
@@ -25,13 +27,24 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	o := s.Transport.FastCGI.Options()
+	o, err := s.Transport.FastCGI.Options(map[string]int{"a": 0, "b": 1}, map[string]int{"k1": 0, "k2": 1})
+	if err != nil {
+		t.Fatal(err)
+	}
 	for dial, want := range map[string]bool{"10.1.2.3:80": true, "10.2.0.3:1": true, "10.2.0.4:9001": true, "10.2.0.4:9000": false, "10.3.0.1:80": false,
 		"[fd00::1]:9000": true, "unix:/run/a": true, "somewhere": false, "": false} {
-		if o.Serves(dial) != want {
+		if o.Serves(&cluster.Server{Dial: dial}) != want {
 			t.Errorf("%q: %v", dial, !want)
 		}
 	}
+	for _, e := range []cluster.Entry{{Zone: 1}, {Kind: 1}} {
+		if !o.Serves(&cluster.Server{Dial: "10.9.9.9:80", Entry: e}) {
+			t.Errorf("%+v", e)
+		}
+	}
+	if _, err := s.Transport.FastCGI.Options(map[string]int{"a": 0}, nil); err == nil || err.Error() != `operator: transport.fastcgi.servers[5]: the deployment has no zone "b"` {
+		t.Error(err)
+	}
 	if !o.Early || len(o.Params) != 2 || o.Params[0][0] != "DOCUMENT_ROOT" {
 		t.Errorf("%+v", o)
 	}
@@ -47,7 +60,7 @@
 			t.Errorf("%q is not said:\n%s", want, on)
 		}
 	}
-	if d := Default(); d.Front.FastCGI.On() || d.Transport.FastCGI.Options() != nil || d.Front.FastCGI.Allowed() != nil || len(d.On()) > 0 {
+	if d := Default(); d.Front.FastCGI.On() || len(d.Transport.FastCGI.Servers) > 0 || d.Front.FastCGI.Allowed() != nil || len(d.On()) > 0 {
 		t.Error("on without a word")
 	}
 	for text, want := range map[string]string{
--- a/internal/protocol/gateway/measure_test.go
+++ b/internal/protocol/gateway/measure_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"molepaddle/internal/core"
+	"molepaddle/internal/decide/cluster"
 	"molepaddle/internal/decide/limit"
 	"molepaddle/internal/protocol/gateway"
 	"molepaddle/internal/rig/testkit/sites"
@@ -171,7 +172,7 @@
 	body := make([]byte, 200)
 	before := heap()
 	ends := make(chan core.Result, n)
-	way := site.Endpoint("gw-b")
+	way := site.Endpoint(&cluster.Server{Dial: "gw-b"})
 	for i := range n {
 		r := &core.Request{ID: fmt.Sprint("m", i), Class: 2, Key: uint64(i + 1), Deadline: time.Now().Add(5 * time.Second),
 			Message: core.Message{Method: "POST", Target: "/order/u1", Host: "h", Body: body}}
--- a/internal/protocol/gateway/near.go
+++ b/internal/protocol/gateway/near.go
@@ -639,7 +639,7 @@
 // ---- the transport ----
 
 // Endpoint is the way to the far gateway with the name.
-func (s *Site) Endpoint(name string) core.Endpoint { return &endpoint{s.byName[name]} }
+func (s *Site) Endpoint(of *cluster.Server) core.Endpoint { return &endpoint{s.byName[of.Dial]} }
 
 type endpoint struct{ p *peer }
 
--- a/internal/protocol/transport/attempt_test.go
+++ b/internal/protocol/transport/attempt_test.go
@@ -17,6 +17,7 @@
 
 	"molepaddle/internal/core"
 	"molepaddle/internal/decide/budget"
+	"molepaddle/internal/decide/cluster"
 	"molepaddle/internal/rig/testkit"
 	"molepaddle/policy"
 )
@@ -30,6 +31,10 @@
 		Settle: time.Millisecond, Resting: 64})
 }
 
+func (p *Transport) endpoint(dial string) *endpoint {
+	return p.Endpoint(&cluster.Server{Dial: dial}).(*endpoint)
+}
+
 // try is an attempt of a test, and how it ended.
 type try struct {
 	*core.Attempt
--- a/internal/protocol/transport/fastcgi.go
+++ b/internal/protocol/transport/fastcgi.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"molepaddle/internal/core"
+	"molepaddle/internal/decide/cluster"
 	"molepaddle/internal/protocol/fcgi"
 	"molepaddle/internal/protocol/window"
 	"molepaddle/policy"
@@ -22,8 +23,8 @@
 
 // FastCGI is how servers are spoken to that speak it.
 type FastCGI struct {
-	// Serves tells whether the server at an address, as the list gives it, speaks FastCGI.
-	Serves func(dial string) bool
+	// Serves tells whether a server, as the list has it, speaks FastCGI.
+	Serves func(s *cluster.Server) bool
 	// Params go to each request beside those that it has, and before them.
 	Params [][2]string
 	// Early says that servers begin at the end of PARAMS and read the body as they go: a request that broke
--- a/internal/protocol/transport/fastcgi_test.go
+++ b/internal/protocol/transport/fastcgi_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"molepaddle/internal/core"
+	"molepaddle/internal/decide/cluster"
 	rec "molepaddle/internal/protocol/fcgi"
 	"molepaddle/internal/protocol/window"
 	"molepaddle/internal/rig/testkit"
@@ -23,7 +24,7 @@
 
 func fastPool(early bool) *Transport {
 	p := testPool()
-	p.opt.FastCGI = &FastCGI{Serves: func(string) bool { return true }, Early: early, Params: [][2]string{{"SCRIPT_FILENAME", "/srv/orders.php"}}}
+	p.opt.FastCGI = &FastCGI{Serves: func(*cluster.Server) bool { return true }, Early: early, Params: [][2]string{{"SCRIPT_FILENAME", "/srv/orders.php"}}}
 	return p
 }
 
--- a/internal/protocol/transport/pool.go
+++ b/internal/protocol/transport/pool.go
@@ -19,6 +19,7 @@
 
 	"molepaddle/internal/core"
 	"molepaddle/internal/decide/budget"
+	"molepaddle/internal/decide/cluster"
 	"molepaddle/internal/protocol/sockets"
 	"molepaddle/internal/protocol/window"
 )
@@ -97,12 +98,11 @@
 	}
 }
 
-// Endpoint gives the connections to one process of a server at one address.
-func (p *Transport) Endpoint(dial string) core.Endpoint { return p.endpoint(dial) }
-
-func (p *Transport) endpoint(dial string) *endpoint {
-	e := &endpoint{pool: p, dial: dial, wire: overHTTP{}}
-	if f := p.opt.FastCGI; f != nil && f.Serves(dial) {
+// Endpoint gives the connections to one process of a server at one address: a host and port, or "unix:" and
+// a path.
+func (p *Transport) Endpoint(s *cluster.Server) core.Endpoint {
+	e := &endpoint{pool: p, dial: s.Dial, wire: overHTTP{}}
+	if f := p.opt.FastCGI; f != nil && f.Serves(s) {
 		e.wire = &overFastCGI{opt: f}
 	}
 	return e
--- a/internal/rig/world/check.go
+++ b/internal/rig/world/check.go
@@ -280,10 +280,11 @@
 		k.begins(p, l)
 	}
 	l.text = append(l.text, text...)
-	head := bytes.Index(l.text, []byte("\r\n\r\n"))
+	said := l.said(l.text)
+	head := bytes.Index(said, []byte("\r\n\r\n"))
 	a := l.attempt
 	if a.id == "" {
-		if id := headerOf(string(l.text), "Request-Id"); id != "" && (head >= 0 || strings.Contains(string(l.text), id+"\r\n")) {
+		if id := headerOf(string(said), "Request-Id"); id != "" && (head >= 0 || strings.Contains(string(said), id+"\r\n")) {
 			k.identify(p, a, id)
 		}
 	}
@@ -292,8 +293,8 @@
 		return
 	}
 	length := 0
-	fmt.Sscan(headerOf(string(l.text[:head]), "Content-Length"), &length)
-	switch rest := len(l.text) - head - 4 - length; {
+	fmt.Sscan(headerOf(string(said[:head]), "Content-Length"), &length)
+	switch rest := len(said) - head - 4 - length; {
 	case rest > 0:
 		k.breach("more is sent than the request", "%s on c%d", a.id, l.c.id)
 		fallthrough
--- a/internal/rig/world/day.go
+++ b/internal/rig/world/day.go
@@ -30,6 +30,7 @@
 	// Of days of two sites:
 	Near   int     `json:",omitempty"` // agents that clients ask; the others are far gateways
 	LinkUs float64 `json:",omitempty"` // mean one-way time between the sites
+	Fast   bool    `json:",omitempty"` // servers speak FastCGI
 
 	grouped string
 	ttl     time.Duration
--- a/internal/rig/world/server.go
+++ b/internal/rig/world/server.go
@@ -201,16 +201,17 @@
 		return
 	}
 	l.buf = append(l.buf, p...)
-	head := bytes.Index(l.buf, []byte("\r\n\r\n"))
+	said := l.said(l.buf)
+	head := bytes.Index(said, []byte("\r\n\r\n"))
 	if head < 0 {
 		return
 	}
-	text := string(l.buf[:head])
+	text := string(said[:head])
 	length, _ := strconv.Atoi(headerOf(text, "Content-Length"))
-	if len(l.buf) < head+4+length {
+	if len(said) < head+4+length {
 		return
 	}
-	l.buf = l.buf[head+4+length:]
+	l.buf = said[head+4+length:] // what is behind a request is the next one's, as it came
 	l.count++
 	if strings.HasPrefix(text, "GET /health ") {
 		l.probed()
@@ -219,6 +220,14 @@
 	l.begin(headerOf(text, "Request-Id"))
 }
 
+// said is what came, or was written, as HTTP has it.
+func (l *link) said(raw []byte) []byte {
+	if l.s.w.day.Fast {
+		return fastRequest(raw)
+	}
+	return raw
+}
+
 func headerOf(head, name string) string {
 	for _, line := range strings.Split(head, "\r\n") {
 		if key, value, ok := strings.Cut(line, ":"); ok && strings.EqualFold(key, name) {
@@ -331,10 +340,10 @@
 			l.say("served", [][]byte{[]byte(whole + more)}, 0)
 		case how < 0.7: // the start with the answer, and a whole one when the next may wait
 			l.say("served", [][]byte{[]byte(whole + "\x00noise")}, 0)
-			w.push(l.ahead(time.Duration(1+4*x)*ms), func() { l.bring([]byte(strings.Replace(whole, "made for", "copy for", 1))) })
+			w.push(l.ahead(time.Duration(1+4*x)*ms), func() { l.bring(fastIf(w.day.Fast, strings.Replace(whole, "made for", "copy for", 1))) })
 		default:
 			l.say("served", [][]byte{[]byte(whole)}, 0)
-			w.push(l.ahead(0), func() { l.bring([]byte(more)) })
+			w.push(l.ahead(0), func() { l.bring(fastIf(w.day.Fast, more)) })
 		}
 	case s.has("no-length", c, n):
 		// Its end is its connection's: a reset, where it comes too early.
@@ -386,6 +395,9 @@
 		s.working--
 		l.job = nil
 	}
+	if s.w.day.Fast {
+		pieces = fastPieces(pieces, end != "")
+	}
 	for i, piece := range pieces {
 		t := l.ahead(time.Duration(i) * apart)
 		last := i == len(pieces)-1
--- a/internal/rig/world/sites.go
+++ b/internal/rig/world/sites.go
@@ -54,6 +54,9 @@
 	if o.Fleet.On = d.Fleet > 0; d.Fleet > 0 {
 		o.Fleet.Agents = d.Fleet
 	}
+	if d.Fast {
+		o.Transport.FastCGI.Servers = []string{"all"}
+	}
 	if d.Near == 0 {
 		return o
 	}
--- a/internal/rig/world/world_test.go
+++ b/internal/rig/world/world_test.go
@@ -24,12 +24,14 @@
 	logs   = flag.Bool("world.logs", false, "with a trace: the agents' logs as well")
 	shrink = flag.Bool("world.shrink", false, "with a seed or a day: cut it down, and print what is left")
 	sites  = flag.Bool("world.sites", false, "days of two sites")
+	fast   = flag.Bool("world.fcgi", false, "servers speak FastCGI")
 	surge  = flag.Bool("world.surge", false, "days on which clients give up")
 	times  = flag.Int("world.times", 2, "how often each seed is played to compare its traces")
 )
 
 // day is the day that a seed draws.
-func day(seed uint64) *Day {
+func day(seed uint64) (d *Day) {
+	defer func() { d.Fast = *fast }()
 	if *surge {
 		return NewSurgeDay(seed)
 	}
@@ -86,7 +88,7 @@
 						passed++
 					} else {
 						failed++
-						t.Errorf("seed %d: %v\n\treplay: go test ./internal/rig/world -run TestDay -v -world.seed=%d%s", seed, res.Breaches[0], seed, map[bool]string{true: " -world.sites"}[*sites]+map[bool]string{true: " -world.surge"}[*surge])
+						t.Errorf("seed %d: %v\n\treplay: go test ./internal/rig/world -run TestDay -v -world.seed=%d%s", seed, res.Breaches[0], seed, map[bool]string{true: " -world.sites"}[*sites]+map[bool]string{true: " -world.surge"}[*surge]+map[bool]string{true: " -world.fcgi"}[*fast])
 					}
 					mu.Unlock()
 				}
