Hear servers that answer before they have all of a long body; demote nobody for it

Change: while a long body is sent a goroutine waits for the answer, past 1xx and STDERR. An early answer ends the sending: 200 is served, Not-Started and OVERLOADED never ran, any other may have run and says nothing of the server's health; without any, all is as before. The Balancer learns no answer time from it. One way for both protocols: `wire.begun`.

--- a/internal/protocol/transport/attempt.go
+++ b/internal/protocol/transport/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -56,7 +57,9 @@
 	e   *endpoint
 	cut bool // a write failed: the request did not go out whole
 
-	timed bool // the connection has a deadline for reads
+	timed  bool // the connection has a deadline for reads
+	noted  bool // the server has written what is no part of its answer
+	passed int  // bytes of that
 }
 
 // roundTrip returns an error where no whole answer came; then the connection is closed.
@@ -105,24 +108,39 @@
 		}
 		return res, err
 	}
-	if a.Request.Message.Rest != nil {
-		x.cut = begins < 0 // until the last byte has been written
-		if left, err := x.sendRest(); err != nil {
-			if left {
-				return core.Result{Status: policy.Moot}, nil // its client broke off: no server is to blame
-			}
-			return res, err
-		}
-		x.cut = false
-		a.Whole()
-	}
 	r := readers.Get().(*bufio.Reader)
 	r.Reset(c)
 	defer func() {
 		r.Reset(nil)
 		readers.Put(r)
 	}()
+	early := false
+	if a.Request.Message.Rest != nil {
+		x.cut = begins < 0 // until the last byte has been written
+		l := x.listen(r)
+		left, err := x.sendRest(l.ctx)
+		switch {
+		case err == nil:
+			x.cut = false
+			a.Whole()
+			l.wait()
+		case left:
+			_ = c.SetReadDeadline(time.Unix(1, 0))
+			l.wait()
+			return core.Result{Status: policy.Moot}, nil // its client broke off: no server is to blame
+		case !l.wait():
+			return res, err
+		default:
+			early, x.cut = true, false // whoever has answered may have begun
+		}
+	}
 	res, keep, err = x.e.wire.answer(x, r)
+	if early {
+		keep = false // the rest of the body is still owed
+		if err == nil && res.Status == policy.Error {
+			res.Status = policy.Cancelled // it wants no such body, which says nothing of its health
+		}
+	}
 	if ctx.Err() == nil { // else it was given up, which says nothing of its age
 		x.e.pool.used(c, err != nil && c.left == maxAnswerHead)
 	}
@@ -145,18 +163,48 @@
 	piece(m *core.Message, buf []byte, n int) []byte
 	// last is what follows the Rest.
 	last(m *core.Message) []byte
+	// begun waits until an answer has begun to come, past what is none yet; false: none can come any more.
+	begun(x *exchange, r *bufio.Reader) bool
 	// answer reads the answer, and reports whether the connection can be used again. Of an answer that is
 	// spoilt in any way nothing is believed: it may have run.
 	answer(x *exchange, r *bufio.Reader) (res core.Result, keep bool, err error)
 }
 
+// listener hears a server that answers before it has all of a body.
+type listener struct {
+	ctx   context.Context // ends when the answer begins, or can't any more
+	spoke bool            // it has begun; set before done is closed
+	done  chan struct{}
+}
+
+// listen waits for the answer in a goroutine that has the reader until wait returns.
+func (x *exchange) listen(r *bufio.Reader) *listener {
+	l := &listener{done: make(chan struct{})}
+	ctx, stop := context.WithCancel(x.a.Context())
+	l.ctx = ctx
+	go func() {
+		defer close(l.done)
+		defer stop()
+		if l.spoke = x.e.wire.begun(x, r); l.spoke {
+			_ = x.c.SetWriteDeadline(time.Unix(1, 0)) // a server that has answered may read no more
+		}
+	}()
+	return l
+}
+
+// wait returns when the answer begins, or can't any more, and tells which.
+func (l *listener) wait() bool {
+	<-l.done
+	return l.spoke
+}
+
 // before and after are the room for the frame of a piece.
 const before, after = 16, 8
 
-// sendRest sends what comes of a body after its first part; left says that it was the client that
-// did not send all of it.
-func (x *exchange) sendRest() (left bool, err error) {
-	m, ctx := &x.a.Request.Message, x.a.Context()
+// sendRest sends what comes of a body after its first part, until the context ends; left says that it was the
+// client that did not send all of it.
+func (x *exchange) sendRest(ctx context.Context) (left bool, err error) {
+	m := &x.a.Request.Message
 	buf := windows.Get().(*[]byte)
 	defer windows.Put(buf)
 	for sent := int64(len(m.Body)); ; {
@@ -193,6 +241,20 @@
 	return append(buf[before-len(head):before+n], "\r\n"...)
 }
 
+func (overHTTP) begun(x *exchange, r *bufio.Reader) bool {
+	const status = len("HTTP/1.1 1") // an interim answer's first bytes
+	for range maxInterim {
+		head, err := r.Peek(status)
+		if err != nil || !bytes.HasPrefix(head, []byte("HTTP/1.")) || head[status-1] != '1' {
+			return err == nil || len(head) > 0
+		}
+		if _, err := http.ReadResponse(r, &http.Request{Method: x.a.Request.Message.Method}); err != nil {
+			return false
+		}
+	}
+	return true
+}
+
 func (overHTTP) last(m *core.Message) []byte {
 	if m.Length < 0 {
 		return []byte("0\r\n\r\n")
--- /dev/null
+++ b/internal/protocol/transport/early_test.go
@@ -0,0 +1,114 @@
+package transport
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"molepaddle/internal/core"
+	rec "molepaddle/internal/protocol/fcgi"
+	"molepaddle/internal/protocol/window"
+	"molepaddle/internal/rig/testkit"
+	"molepaddle/policy"
+)
+
+// A server that answers before it has a long body is heard: its answer counts, whether or not it reads on,
+// and the rest of the body is not waited for. What comes before an answer is none.
+func TestAnswersBeforeTheBody(t *testing.T) {
+	fast := func(text string) []byte { return said(text, rec.End{}) }
+	for name, c := range map[string]struct {
+		fast  bool
+		early []byte // said while the body comes
+		whole bool   // and the rest only once all of it has come
+		then  []byte
+		want  policy.Status
+	}{
+		"served":                 {false, []byte(okAnswer), false, nil, policy.OK},
+		"turned away":            {false, []byte("HTTP/1.1 503 No\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n"), false, nil, policy.Full},
+		"not wanted":             {false, []byte("HTTP/1.1 413 Large\r\nContent-Length: 0\r\n\r\n"), false, nil, policy.Cancelled},
+		"interim":                {false, []byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nLink: x\r\n\r\n"), true, []byte(okAnswer), policy.OK},
+		"cut":                    {false, []byte(okAnswer[:30]), false, nil, policy.Reset},
+		"nothing":                {false, nil, false, nil, policy.ConnectFailed},
+		"FastCGI, served":        {true, fast("Content-Length: 4\r\n\r\ndone"), false, nil, policy.OK},
+		"FastCGI, overloaded":    {true, rec.AppendEnd(nil, 1, rec.End{Status: rec.Overloaded}), false, nil, policy.Full},
+		"FastCGI, not wanted":    {true, fast("Status: 413 Large\r\n\r\n"), false, nil, policy.Cancelled},
+		"FastCGI, failed":        {true, rec.AppendEnd(nil, 1, rec.End{App: 1}), false, nil, policy.Cancelled},
+		"FastCGI, STDERR":        {true, rec.Append(nil, rec.Stderr, 1, bytes.Repeat([]byte("w"), 40_000)), true, fast("Content-Length: 4\r\n\r\ndone"), policy.OK},
+		"FastCGI, STDERR, full":  {true, rec.Append(nil, rec.Stderr, 1, []byte("w")), true, rec.AppendEnd(nil, 1, rec.End{Status: rec.Overloaded}), policy.Error},
+		"FastCGI, empty, served": {true, rec.Append(nil, rec.Stdout, 1, nil), true, fast("Content-Length: 4\r\n\r\ndone"), policy.OK},
+		"FastCGI, cut":           {true, fast("Content-Length: 4\r\n\r\ndone")[:20], false, nil, policy.Reset},
+	} {
+		t.Run(name, func(t *testing.T) {
+			const size = 1 << 20
+			told := make(chan struct{})
+			p := testPool()
+			if c.fast {
+				p = fastPool(false)
+			}
+			p.opt.Budget = window.NewBudget(1 << 20)
+			e := p.endpoint(testkit.Raw(t, func(conn net.Conn, r *bufio.Reader) {
+				in := rec.NewReader(r)
+				next := func() (h rec.Header) { h, _ = in.Next(); return h }
+				if c.fast {
+					for next().Type != rec.Stdin {
+					}
+				} else {
+					io.CopyN(io.Discard, r, 1000)
+				}
+				conn.Write(c.early)
+				close(told)
+				if !c.whole {
+					return // and closes, with the body unread
+				}
+				if c.fast {
+					for h := next(); h.Type == rec.Stdin && h.Length > 0; h = next() {
+					}
+				} else {
+					for n := 1000; n < size; {
+						m, err := r.Read(make([]byte, 64<<10))
+						if n += m; err != nil {
+							break
+						}
+					}
+				}
+				conn.Write(c.then)
+				r.ReadByte()
+			}))
+			a := newTry(e, http.MethodPost, never)
+			rest := window.New(p.opt.Budget)
+			a.Request.Message = core.Message{Method: http.MethodPost, Target: "/order/u1", Host: "b", Body: make([]byte, 2000), Length: size, Rest: rest}
+			a.Request.Left = never
+			go func() { // the client sends on only where it is all read
+				<-told
+				if c.whole {
+					_ = rest.Write(t.Context(), make([]byte, size-len(a.Request.Message.Body)))
+					rest.End(nil)
+				}
+			}()
+			if res := a.run(); res.Status != c.want || res.Status == policy.OK && string(res.Body) != "done" {
+				t.Errorf("ended %d %q", res.Status, res.Body)
+			}
+			if n := p.spare.Len(); n > 0 && !c.whole {
+				t.Error("a connection on which a body is owed is kept")
+			}
+			rest.Leave()
+		})
+	}
+}
+
+// A client that breaks off while its server is silent is a client that broke off.
+func TestClientBreaksOffABody(t *testing.T) {
+	p := testPool()
+	e := p.endpoint(testkit.Raw(t, func(conn net.Conn, r *bufio.Reader) { io.Copy(io.Discard, r) }))
+	a := newTry(e, http.MethodPost, never)
+	rest := window.New(window.NewBudget(1 << 20))
+	a.Request.Message = core.Message{Method: http.MethodPost, Target: "/order/u1", Host: "b", Body: []byte("some"), Length: 1 << 20, Rest: rest}
+	rest.End(fmt.Errorf("broke off"))
+	if res := a.run(); res.Status != policy.Moot {
+		t.Errorf("ended %d", res.Status)
+	}
+}
--- a/internal/protocol/transport/fastcgi.go
+++ b/internal/protocol/transport/fastcgi.go
@@ -120,6 +120,28 @@
 	return fcgi.Append(nil, fcgi.Stdin, theID, nil)
 }
 
+// begun passes over what a server writes to STDERR while it reads, and says of the connection.
+func (f *overFastCGI) begun(x *exchange, r *bufio.Reader) bool {
+	for {
+		raw, err := r.Peek(fcgi.HeaderLen)
+		if err != nil {
+			return len(raw) > 0
+		}
+		h, err := fcgi.ParseHeader([fcgi.HeaderLen]byte(raw))
+		if err != nil || !h.Management() && h.Type != fcgi.Stderr && (h.Type != fcgi.Stdout || h.Length > 0) {
+			return true
+		}
+		x.noted = x.noted || h.Type == fcgi.Stderr && h.Length > 0
+		x.c.left += fcgi.HeaderLen + h.Length + h.Padding // it is not the answer's
+		if x.passed += h.Length; x.passed > maxAnswerHead*maxInterim {
+			return true // it never ends
+		}
+		if _, err := r.Discard(fcgi.HeaderLen + h.Length + h.Padding); err != nil {
+			return false
+		}
+	}
+}
+
 // output is what a server writes for one request. Read gives its STDOUT; the error is io.EOF only where the
 // request has ended well.
 type output struct {
@@ -219,7 +241,7 @@
 
 func (f *overFastCGI) answer(x *exchange, r *bufio.Reader) (res core.Result, keep bool, err error) {
 	c := x.c
-	o := &output{r: fcgi.NewReader(r)}
+	o := &output{r: fcgi.NewReader(r), some: x.noted}
 	defer func() {
 		if len(o.stderr) > 0 && f.opt.Log != nil {
 			f.opt.Log.Debug("fastcgi: a server's STDERR", "server", x.e.dial, "request", x.a.Request.ID, "text", string(o.stderr))
--- a/policy/bodies_test.go
+++ b/policy/bodies_test.go
@@ -230,3 +230,23 @@
 		}
 	}
 }
+
+// An answer that comes before its request has come whole says nothing of how long its server takes.
+func TestAnswersBeforeTheBody(t *testing.T) {
+	for _, started := range []bool{false, true} {
+		r := newRig(t, testSettings(), 1)
+		id, s := r.sent(0, 0)
+		r.now += 20
+		r.outcome(id, 0, s, OK, 20)
+		lat, calm := r.b.servers[0].lat, *r.b.calm
+		slow, _ := r.coming(1)
+		r.now += 60_000
+		if started {
+			r.do(Event{Kind: EvStarted, Request: slow, Attempt: 0})
+		}
+		r.outcome(slow, 0, s, OK, 60_000)
+		if r.b.servers[0].lat != lat || *r.b.calm != calm || r.b.requests[slow] != nil {
+			t.Errorf("begun %v: %v, was %v", started, r.b.servers[0].lat, lat)
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -118,7 +118,9 @@
 			r.started, a.s.heard = true, now
 			r.aimAt = arith.Met(now, r.aimAt) // an answer counts from its first byte
 			b.leave(a)                        // how slowly the rest is read says nothing of its server
-			b.served(a, now-a.sentAt)
+			if !r.coming {
+				b.served(a, now-a.sentAt) // else nothing says how long it took
+			}
 		} else if r.coming {
 			r.coming, a.sentAt = false, now
 			b.count(r, ev.LeftMs, false)
@@ -649,7 +651,7 @@
 	s := a.s
 	switch st {
 	case OK:
-		if b.earn(s, a.cost); !a.r.started {
+		if b.earn(s, a.cost); !a.r.started && !a.r.coming {
 			b.served(a, rtt)
 		}
 	case Error, Reset:
@@ -830,19 +832,15 @@
 }
 
 func (b *Balancer) onProbed(ev *Event) {
-	s := b.byAddr[ev.Server]
-	if s == nil || !s.probing {
-		return
-	}
-	s.probing = false
-	b.probes--
-	switch {
-	case s.state != UnhealthyPending:
-	case ev.Status == OK:
-		b.heardFrom(s)
-		b.enter(s, Connected)
-	case ev.Status != Full:
-		b.demote(s, true)
+	if s := b.byAddr[ev.Server]; s != nil && s.probing {
+		s.probing = false
+		b.probes--
+		if s.state == UnhealthyPending && ev.Status == OK {
+			b.heardFrom(s)
+			b.enter(s, Connected)
+		} else if s.state == UnhealthyPending && ev.Status != Full {
+			b.demote(s, true)
+		}
 	}
 }
 
