--- a/internal/protocol/transport/attempt.go
+++ b/internal/protocol/transport/attempt.go
@@ -123,7 +123,9 @@
 		case err == nil:
 			x.cut = false
 			a.Whole()
-			l.wait()
+			if l.wait() && ctx.Err() == nil {
+				_ = c.SetWriteDeadline(time.Time{}) // the next request's
+			}
 		case left:
 			_ = c.SetReadDeadline(time.Unix(1, 0))
 			l.wait()
--- a/internal/protocol/transport/early_test.go
+++ b/internal/protocol/transport/early_test.go
@@ -49,15 +49,22 @@
 			if c.fast {
 				p = fastPool(false)
 			}
-			p.opt.Budget = window.NewBudget(1 << 20)
+			p.opt.Budget, p.opt.Settle = window.NewBudget(1<<20), 0
 			e := p.endpoint(testkit.Raw(t, func(conn net.Conn, r *bufio.Reader) {
 				in := rec.NewReader(r)
 				next := func() (h rec.Header) { h, _ = in.Next(); return h }
 				if c.fast {
 					for next().Type != rec.Stdin {
 					}
-				} else {
-					io.CopyN(io.Discard, r, 1000)
+				}
+				var body io.Reader
+				if !c.fast {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					body = req.Body
+					io.CopyN(io.Discard, body, 1000)
 				}
 				conn.Write(c.early)
 				close(told)
@@ -68,14 +75,17 @@
 					for h := next(); h.Type == rec.Stdin && h.Length > 0; h = next() {
 					}
 				} else {
-					for n := 1000; n < size; {
-						m, err := r.Read(make([]byte, 64<<10))
-						if n += m; err != nil {
-							break
-						}
-					}
+					io.Copy(io.Discard, body)
 				}
 				conn.Write(c.then)
+				if c.want == policy.OK { // the next one on the connection
+					if c.fast {
+						asked(r)
+					} else if _, err := testkit.ReadRequest(r); err != nil {
+						return
+					}
+					conn.Write(c.then)
+				}
 				r.ReadByte()
 			}))
 			a := newTry(e, http.MethodPost, never)
@@ -96,6 +106,11 @@
 				t.Error("a connection on which a body is owed is kept")
 			}
 			rest.Leave()
+			if c.whole && c.want == policy.OK {
+				if res := newTry(e, http.MethodPost, never).run(); res.Status != policy.OK || p.open != 1 {
+					t.Errorf("the next on its connection ended %d, %d open", res.Status, p.open)
+				}
+			}
 		})
 	}
 }
