One FastCGI peer for all tests, in testkit

Change: testkit has both; a part of the abort's test that could not fail now does: a connection that ends takes along what is open on it.

--- a/cmd/molepaddle/fastcgi_test.go
+++ b/cmd/molepaddle/fastcgi_test.go
@@ -1,25 +1,20 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
-	"io"
 	"net"
 	"os"
 	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
-	"time"
 
 	"molepaddle/internal/protocol/fcgi"
+	"molepaddle/internal/rig/testkit"
 )
 
 // shared is a web server's connection with several requests on it.
-type shared struct {
-	net.Conn
-	in *fcgi.Reader
-}
+type shared struct{ *testkit.Web }
 
 func webServer(t *testing.T, socket string) *shared {
 	t.Helper()
@@ -28,35 +23,24 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { c.Close() })
-	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
-	return &shared{c, fcgi.NewReader(bufio.NewReader(c))}
+	return &shared{testkit.NewWeb(c)}
 }
 
 // begin begins a request and leaves its body open; whole ends it.
 func (s *shared) begin(id uint16, class string) {
-	var params []byte
-	for _, p := range [][2]string{{"REQUEST_METHOD", "POST"}, {"REQUEST_URI", "/" + class + "/u1"}, {"SERVER_NAME", "portal"}, {"HTTP_IDEMPOTENCY_KEY", fmt.Sprint("k", id)}} {
-		params = fcgi.AppendPair(params, p[0], p[1])
-	}
-	out := fcgi.AppendBegin(nil, id, fcgi.Begin{Role: fcgi.Responder, Keep: true})
-	s.Write(fcgi.Append(fcgi.Append(out, fcgi.Params, id, params), fcgi.Params, id, nil))
+	s.Write(testkit.FastBegun(id, map[string]string{"REQUEST_METHOD": "POST", "REQUEST_URI": "/" + class + "/u1", "SERVER_NAME": "portal",
+		"HTTP_IDEMPOTENCY_KEY": fmt.Sprint("k", id)}, ""))
 }
 
 func (s *shared) whole(id uint16) { s.Write(fcgi.Append(nil, fcgi.Stdin, id, nil)) }
 
 // next is the next request that ends; 0: the connection has.
 func (s *shared) next() (id uint16, text string) {
-	for {
-		h, err := s.in.Next()
-		if err != nil {
-			return 0, err.Error()
-		}
-		part, _ := io.ReadAll(s.in)
-		if h.Type == fcgi.EndRequest {
-			return h.ID, text
-		}
-		text += string(part)
+	id, text, _, err := s.Next()
+	if err != nil {
+		text = err.Error()
 	}
+	return id, text
 }
 
 func (s *shared) served(t *testing.T, id uint16) {
--- a/internal/process/agent/fastcgi_bench_test.go
+++ b/internal/process/agent/fastcgi_bench_test.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"log/slog"
@@ -17,7 +16,6 @@
 	"time"
 
 	"molepaddle/internal/process/operator"
-	"molepaddle/internal/protocol/fcgi"
 	"molepaddle/internal/rig/testkit"
 )
 
@@ -134,11 +132,11 @@
 	return took
 }
 
-// web is a web server's connection with several requests on it.
+// web is a web server's connection whose requests wait for their own answers.
 type web struct {
-	net.Conn
+	*testkit.Web
 	mu   sync.Mutex
-	wait map[uint16]chan int
+	wait [256]chan int // by id
 }
 
 func newWeb(b *testing.B, addr string) *web {
@@ -147,45 +145,25 @@
 		b.Fatal(err)
 	}
 	b.Cleanup(func() { c.Close() })
-	w := &web{Conn: c, wait: map[uint16]chan int{}}
+	w := &web{Web: testkit.NewWeb(c)}
+	_ = c.SetDeadline(time.Time{})
+	for i := range w.wait {
+		w.wait[i] = make(chan int, 1)
+	}
 	go func() {
-		in, came, buf := fcgi.NewReader(bufio.NewReaderSize(c, 64<<10)), map[uint16]int{}, make([]byte, 64<<10)
 		for {
-			h, err := in.Next()
+			id, text, _, err := w.Next()
 			if err != nil {
 				return
 			}
-			if h.Type == fcgi.Stdout && h.Length > 0 {
-				if _, headed := came[h.ID]; !headed { // the head stands in the first record
-					n, _ := io.ReadFull(in, buf[:h.Length])
-					head := strings.Index(string(buf[:n]), "\r\n\r\n")
-					came[h.ID] = n - head - 4
-				} else {
-					came[h.ID] += h.Length
-				}
-			} else if h.Type == fcgi.EndRequest {
-				w.mu.Lock()
-				done := w.wait[h.ID]
-				w.mu.Unlock()
-				done <- came[h.ID]
-				delete(came, h.ID)
-			}
+			w.wait[id] <- len(text) - strings.Index(text, "\r\n\r\n") - 4
 		}
 	}()
 	return w
 }
 
 func (w *web) get(id uint16, size int) error {
-	done := make(chan int, 1)
-	w.mu.Lock()
-	w.wait[id] = done
-	w.mu.Unlock()
-	var params []byte
-	for _, p := range [][2]string{{"REQUEST_METHOD", "GET"}, {"REQUEST_URI", "/look/u1"}, {"HTTP_HOST", "b"}, {"SERVER_PROTOCOL", "HTTP/1.1"}} {
-		params = fcgi.AppendPair(params, p[0], p[1])
-	}
-	out := fcgi.AppendBegin(nil, id, fcgi.Begin{Role: fcgi.Responder, Keep: true})
-	out = fcgi.Append(fcgi.Append(fcgi.Append(out, fcgi.Params, id, params), fcgi.Params, id, nil), fcgi.Stdin, id, nil)
+	out := testkit.FastWhole(id, map[string]string{"REQUEST_METHOD": "GET", "REQUEST_URI": "/look/u1", "HTTP_HOST": "b", "SERVER_PROTOCOL": "HTTP/1.1"}, "")
 	w.mu.Lock()
 	_, err := w.Write(out)
 	w.mu.Unlock()
@@ -193,7 +171,7 @@
 		return err
 	}
 	select {
-	case n := <-done:
+	case n := <-w.wait[id]:
 		if n != size {
 			return fmt.Errorf("%d bytes of %d", n, size)
 		}
--- a/internal/process/agent/pairs_test.go
+++ b/internal/process/agent/pairs_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"fmt"
 	"io"
 	"log/slog"
@@ -13,7 +12,6 @@
 	"strings"
 	"sync"
 	"testing"
-	"time"
 
 	"molepaddle/internal/process/operator"
 	"molepaddle/internal/protocol/fcgi"
@@ -34,7 +32,7 @@
 	for {
 		id, out := "", []byte(nil)
 		if fast {
-			params, err := fastRequest(r)
+			params, _, err := testkit.FastRequest(r)
 			if err != nil {
 				return
 			}
@@ -55,8 +53,7 @@
 		}
 		head := fmt.Sprintf("%d %s\r\n%sContent-Length: 4\r\n\r\ndone", f.status, http.StatusText(f.status), f.more)
 		if fast {
-			out = fcgi.AppendStream(nil, fcgi.Stdout, 1, []byte("Status: "+head))
-			out = fcgi.AppendEnd(fcgi.Append(out, fcgi.Stdout, 1, nil), 1, fcgi.End{})
+			out = testkit.FastAnswer("Status: "+head, fcgi.End{})
 		} else {
 			out = []byte("HTTP/1.1 " + head)
 		}
@@ -66,34 +63,6 @@
 	}
 }
 
-// fastRequest reads one request over FastCGI.
-func fastRequest(r *bufio.Reader) (map[string]string, error) {
-	in, raw, params := fcgi.NewReader(r), []byte(nil), map[string]string{}
-	for {
-		h, err := in.Next()
-		if err != nil {
-			return nil, err
-		}
-		part, err := io.ReadAll(in)
-		if err != nil {
-			return nil, err
-		}
-		switch {
-		case h.Type == fcgi.Params:
-			raw = append(raw, part...)
-		case h.Type == fcgi.Stdin && h.Length == 0:
-			for len(raw) > 0 {
-				var name, value []byte
-				if name, value, raw, err = fcgi.NextPair(raw); err != nil {
-					return nil, err
-				}
-				params[string(name)] = string(value)
-			}
-			return params, nil
-		}
-	}
-}
-
 // fastCall asks over FastCGI on a connection of its own and gives the answer as HTTP has it.
 func fastCall(addr, class, id string, body []byte) (status int, text string, err error) {
 	c, err := net.Dial("tcp", addr)
@@ -101,40 +70,14 @@
 		return 0, "", err
 	}
 	defer c.Close()
-	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
-	method := map[bool]string{true: "GET", false: "POST"}[class == "look"]
-	var params []byte
-	for _, p := range [][2]string{{"REQUEST_METHOD", method}, {"REQUEST_URI", "/" + class + "/u1"}, {"HTTP_HOST", "b"}, {"HTTP_REQUEST_ID", id},
-		{"CONTENT_LENGTH", strconv.Itoa(len(body))}, {"HTTP_IDEMPOTENCY_KEY", "k" + id}} {
-		params = fcgi.AppendPair(params, p[0], p[1])
+	web, method := testkit.NewWeb(c), map[bool]string{true: "GET", false: "POST"}[class == "look"]
+	web.Write(testkit.FastWhole(1, map[string]string{"REQUEST_METHOD": method, "REQUEST_URI": "/" + class + "/u1", "HTTP_HOST": "b", "HTTP_REQUEST_ID": id,
+		"CONTENT_LENGTH": strconv.Itoa(len(body)), "HTTP_IDEMPOTENCY_KEY": "k" + id}, string(body)))
+	_, stdout, end, err := web.Next()
+	if err != nil || end != (fcgi.End{}) {
+		return 0, "", fmt.Errorf("ended with %+v, %v", end, err)
 	}
-	out := fcgi.AppendBegin(nil, 1, fcgi.Begin{Role: fcgi.Responder})
-	out = fcgi.Append(fcgi.Append(out, fcgi.Params, 1, params), fcgi.Params, 1, nil)
-	out = fcgi.Append(fcgi.AppendStream(out, fcgi.Stdin, 1, body), fcgi.Stdin, 1, nil)
-	if _, err := c.Write(out); err != nil {
-		return 0, "", err
-	}
-	in, stdout := fcgi.NewReader(bufio.NewReader(c)), new(bytes.Buffer)
-	for {
-		h, err := in.Next()
-		if err != nil {
-			return 0, "", err
-		}
-		part, err := io.ReadAll(in)
-		if err != nil {
-			return 0, "", err
-		}
-		if h.Type == fcgi.Stdout {
-			stdout.Write(part)
-		}
-		if h.Type == fcgi.EndRequest {
-			if end, err := fcgi.ParseEnd(part); err != nil || end != (fcgi.End{}) {
-				return 0, "", fmt.Errorf("ended with %+v, %v", end, err)
-			}
-			break
-		}
-	}
-	r := bufio.NewReader(stdout)
+	r := bufio.NewReader(strings.NewReader(stdout))
 	head, err := textproto.NewReader(r).ReadMIMEHeader()
 	if err != nil {
 		return 0, "", err
@@ -230,7 +173,7 @@
 func TestLongAnswerOfAnotherLength(t *testing.T) {
 	for _, sent := range []int{90_000, 100_000, 110_000} {
 		addr := testkit.Raw(t, func(conn net.Conn, r *bufio.Reader) {
-			if _, err := fastRequest(r); err != nil {
+			if _, _, err := testkit.FastRequest(r); err != nil {
 				return
 			}
 			out := fcgi.AppendStream(nil, fcgi.Stdout, 1, []byte("Content-Length: 100000\r\n\r\n"+strings.Repeat("x", sent)))
@@ -261,7 +204,7 @@
 		got, ended := make(chan struct{}), make(chan struct{})
 		addr := testkit.Raw(t, func(c net.Conn, r *bufio.Reader) {
 			if fast {
-				if _, err := fastRequest(r); err != nil {
+				if _, _, err := testkit.FastRequest(r); err != nil {
 					return
 				}
 			} else if _, err := testkit.ReadRequest(r); err != nil {
@@ -294,12 +237,7 @@
 			t.Fatal(err)
 		}
 		defer c.Close()
-		var params []byte
-		for _, p := range [][2]string{{"REQUEST_METHOD", "POST"}, {"REQUEST_URI", "/order/u1"}, {"SERVER_NAME", "b"}} {
-			params = fcgi.AppendPair(params, p[0], p[1])
-		}
-		out := fcgi.AppendBegin(nil, 1, fcgi.Begin{Role: fcgi.Responder, Keep: true})
-		out = fcgi.Append(fcgi.Append(fcgi.Append(out, fcgi.Params, 1, params), fcgi.Params, 1, nil), fcgi.Stdin, 1, nil)
+		out := testkit.FastWhole(1, map[string]string{"REQUEST_METHOD": "POST", "REQUEST_URI": "/order/u1", "SERVER_NAME": "b"}, "")
 		c.Write(out)
 		<-got
 		c.Write(fcgi.Append(nil, fcgi.AbortRequest, 1, nil))
--- a/internal/protocol/fcgifront/front_test.go
+++ b/internal/protocol/fcgifront/front_test.go
@@ -1,7 +1,6 @@
 package fcgifront
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -19,6 +18,7 @@
 	"molepaddle/internal/protocol/fcgi"
 	"molepaddle/internal/protocol/intake"
 	"molepaddle/internal/protocol/window"
+	"molepaddle/internal/rig/testkit"
 )
 
 // fake answers in a core's place.
@@ -74,13 +74,10 @@
 	return f, h, ln.Addr().String(), end
 }
 
-// client is a web server's connection: it gathers what comes by id.
+// client is a web server's connection.
 type client struct {
 	t *testing.T
-	net.Conn
-	in  *fcgi.Reader
-	out map[uint16]string
-	err map[uint16]string
+	*testkit.Web
 }
 
 func dial(t *testing.T, addr string) *client {
@@ -90,11 +87,12 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { c.Close() })
-	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
-	return &client{t, c, fcgi.NewReader(bufio.NewReader(c)), map[uint16]string{}, map[uint16]string{}}
+	return &client{t, testkit.NewWeb(c)}
 }
 
-type vars map[string]string
+type vars = map[string]string
+
+var begun, whole = testkit.FastBegun, testkit.FastWhole
 
 // order is what a plain web server sends of a POST, and more.
 func order(length int, more vars) vars {
@@ -112,17 +110,6 @@
 	return out
 }
 
-// request is the records of one, without the end of its body.
-func begun(id uint16, v vars, body string) []byte {
-	out := fcgi.AppendBegin(nil, id, fcgi.Begin{Role: fcgi.Responder, Keep: true})
-	out = fcgi.Append(fcgi.AppendStream(out, fcgi.Params, id, params(v)), fcgi.Params, id, nil)
-	return fcgi.AppendStream(out, fcgi.Stdin, id, []byte(body))
-}
-
-func whole(id uint16, v vars, body string) []byte {
-	return fcgi.Append(begun(id, v, body), fcgi.Stdin, id, nil)
-}
-
 func (c *client) send(parts ...[]byte) {
 	c.t.Helper()
 	if _, err := c.Write(bytes.Join(parts, nil)); err != nil {
@@ -132,30 +119,11 @@
 
 // next reads to the next END_REQUEST; the end of the connection is id 0.
 func (c *client) next() (id uint16, text string, end fcgi.End) {
-	for {
-		h, err := c.in.Next()
-		if err != nil {
-			return 0, err.Error(), end
-		}
-		part, err := io.ReadAll(c.in)
-		if err != nil {
-			return 0, err.Error(), end
-		}
-		switch h.Type {
-		case fcgi.Stdout:
-			c.out[h.ID] += string(part)
-		case fcgi.Stderr:
-			c.err[h.ID] += string(part)
-		case fcgi.EndRequest:
-			if end, err = fcgi.ParseEnd(part); err != nil {
-				c.t.Error(err)
-			}
-			text, c.out[h.ID] = c.out[h.ID], ""
-			return h.ID, text, end
-		default:
-			return h.ID, fmt.Sprint(h.Type, string(part)), end
-		}
+	id, text, end, err := c.Next()
+	if err != nil {
+		text = err.Error()
 	}
+	return id, text, end
 }
 
 func (c *client) expect(id uint16, prefix, suffix string) {
@@ -262,11 +230,11 @@
 		t.Errorf("%d %+v", id, end)
 	}
 	c.send(fcgi.Append(nil, 42, 0, nil))
-	if id, text, _ := c.next(); id != 0 || text != fmt.Sprint(fcgi.UnknownType, "*\x00\x00\x00\x00\x00\x00\x00") {
+	if id, text, _ := c.next(); id != 0 || text != "*\x00\x00\x00\x00\x00\x00\x00" {
 		t.Errorf("%d %q", id, text)
 	}
 	c.send(fcgi.Append(nil, fcgi.GetValues, 0, fcgi.AppendPair(fcgi.AppendPair(nil, fcgi.MpxsConn, ""), "OTHER", "")))
-	if _, text, _ := c.next(); text != fmt.Sprint(fcgi.GetValuesResult, "\x0f\x01FCGI_MPXS_CONNS1") {
+	if _, text, _ := c.next(); text != "\x0f\x01FCGI_MPXS_CONNS1" {
 		t.Errorf("%q", text)
 	}
 	c.send(whole(1, order(2, nil), "ok"))
@@ -284,10 +252,14 @@
 // Of many requests on a connection the aborted one ends, at once and for whoever works for it; the others get
 // their own answers, in whatever order they come; an abort that crosses an end changes nothing.
 func TestAbortOneOfMany(t *testing.T) {
-	release, gone := make(chan struct{}), make(chan string, 100)
+	release, gone, hold := make(chan struct{}), make(chan string, 100), make(chan struct{}, 1)
 	_, h, addr, _ := start(t, func(ctx context.Context, r *core.Request) core.Answer {
+		open := release
+		if len(hold) > 0 {
+			open = nil
+		}
 		select {
-		case <-release:
+		case <-open:
 			return served(ctx, r)
 		case <-ctx.Done():
 			gone <- r.ID
@@ -326,10 +298,15 @@
 	if len(gone) > 0 {
 		t.Errorf("%s was ended as well", <-gone)
 	}
-	// A connection that ends takes all that is open on it along.
+	// A connection that ends takes along what is open on it.
+	hold <- struct{}{}
 	d := dial(t, addr)
-	release = nil
-	d.send(whole(1, order(4, vars{"HTTP_REQUEST_ID": "lost"}), "body"))
+	d.send(whole(1, order(4, vars{"HTTP_REQUEST_ID": "left"}), "body"))
+	<-h.came
+	d.Close()
+	if id := <-gone; id != "left" {
+		t.Error(id)
+	}
 }
 
 // More than may be open are rejected as overloaded; the others are not touched.
@@ -500,7 +477,7 @@
 	})
 	c := dial(t, addr)
 	c.send(whole(1, order(0, nil), ""))
-	if id, text, end := c.next(); id != 1 || !strings.HasSuffix(text, "begun") || end.App != 1 || c.err[1] == "" {
+	if id, text, end := c.next(); id != 1 || !strings.HasSuffix(text, "begun") || end.App != 1 || c.Stderr[1] == "" {
 		t.Errorf("%d %q %+v", id, text, end)
 	}
 	c.send(whole(1, order(0, vars{"HTTP_REQUEST_ID": "untold"}), ""))
--- a/internal/protocol/transport/early_test.go
+++ b/internal/protocol/transport/early_test.go
@@ -19,7 +19,7 @@
 // A server that answers before it has a long body is heard: its answer counts, whether or not it reads on,
 // and the rest of the body is not waited for. What comes before an answer is none.
 func TestAnswersBeforeTheBody(t *testing.T) {
-	fast := func(text string) []byte { return said(text, rec.End{}) }
+	fast := func(text string) []byte { return testkit.FastAnswer(text, rec.End{}) }
 	for name, c := range map[string]struct {
 		fast  bool
 		early []byte // said while the body comes
@@ -80,7 +80,7 @@
 				conn.Write(c.then)
 				if c.want == policy.OK { // the next one on the connection
 					if c.fast {
-						asked(r)
+						testkit.FastRequest(r)
 					} else if _, err := testkit.ReadRequest(r); err != nil {
 						return
 					}
--- a/internal/protocol/transport/fastcgi_test.go
+++ b/internal/protocol/transport/fastcgi_test.go
@@ -28,43 +28,6 @@
 	return p
 }
 
-// asked reads one request as a server does: its params, its body and what it was begun with.
-func asked(r *bufio.Reader) (params map[string]string, body string, err error) {
-	in, raw, params := rec.NewReader(r), []byte(nil), map[string]string{}
-	for {
-		h, err := in.Next()
-		if err != nil {
-			return nil, "", err
-		}
-		part, err := io.ReadAll(in)
-		switch {
-		case err != nil:
-			return nil, "", err
-		case h.Type == rec.Params:
-			raw = append(raw, part...)
-		case h.Type == rec.Stdin && h.Length > 0:
-			body += string(part)
-		case h.Type == rec.Stdin:
-			if _, err = r.Discard(h.Padding); err != nil {
-				return nil, "", err
-			}
-			for len(raw) > 0 {
-				var name, value []byte
-				if name, value, raw, err = rec.NextPair(raw); err != nil {
-					return nil, "", err
-				}
-				params[string(name)] = string(value)
-			}
-			return params, body, nil
-		}
-	}
-}
-
-func said(stdout string, end rec.End) []byte {
-	out := rec.AppendStream(nil, rec.Stdout, 1, []byte(stdout))
-	return rec.AppendEnd(rec.Append(out, rec.Stdout, 1, nil), 1, end)
-}
-
 // Each ending proves what the design note's table says, and no more; what ended well leaves its connection
 // for the next.
 func TestFastCGIEndings(t *testing.T) {
@@ -76,11 +39,11 @@
 		want   policy.Status
 		kept   bool
 	}{
-		"served":                   {said(ok, rec.End{}), policy.OK, true},
-		"served, with a Status":    {said("Status: 200 fine\n\ndone", rec.End{}), policy.OK, true},
-		"no length":                {said("A: b\r\n\r\ndone", rec.End{}), policy.OK, true},
-		"STDERR beside it":         {join(record(rec.Stderr, 1, "warning"), said(ok, rec.End{})), policy.OK, true},
-		"of the connection, first": {join(record(rec.UnknownType, 0, "12345678"), said(ok, rec.End{})), policy.OK, true},
+		"served":                   {testkit.FastAnswer(ok, rec.End{}), policy.OK, true},
+		"served, with a Status":    {testkit.FastAnswer("Status: 200 fine\n\ndone", rec.End{}), policy.OK, true},
+		"no length":                {testkit.FastAnswer("A: b\r\n\r\ndone", rec.End{}), policy.OK, true},
+		"STDERR beside it":         {join(record(rec.Stderr, 1, "warning"), testkit.FastAnswer(ok, rec.End{})), policy.OK, true},
+		"of the connection, first": {join(record(rec.UnknownType, 0, "12345678"), testkit.FastAnswer(ok, rec.End{})), policy.OK, true},
 		"byte for byte": {func() (out []byte) {
 			for i := range len(ok) {
 				out = append(out, record(rec.Stdout, 1, ok[i:i+1])...)
@@ -89,38 +52,38 @@
 		}(), policy.OK, true},
 		"overloaded":                   {rec.AppendEnd(nil, 1, rec.End{Status: rec.Overloaded}), policy.Full, true},
 		"one at a time":                {rec.AppendEnd(nil, 1, rec.End{Status: rec.CantMux}), policy.Full, true},
-		"turned away":                  {said("Status: 503 full\r\nNot-Started: 1\r\n\r\n", rec.End{}), policy.Full, true},
+		"turned away":                  {testkit.FastAnswer("Status: 503 full\r\nNot-Started: 1\r\n\r\n", rec.End{}), policy.Full, true},
 		"another role":                 {rec.AppendEnd(nil, 1, rec.End{Status: rec.UnknownRole}), policy.Error, true},
-		"overloaded, with output":      {said("A: b\r\n", rec.End{Status: rec.Overloaded}), policy.Error, true},
+		"overloaded, with output":      {testkit.FastAnswer("A: b\r\n", rec.End{Status: rec.Overloaded}), policy.Error, true},
 		"overloaded, with STDERR":      {join(record(rec.Stderr, 1, "x"), rec.AppendEnd(nil, 1, rec.End{Status: rec.Overloaded})), policy.Error, true},
-		"application failed":           {said(ok, rec.End{App: 1}), policy.Error, true},
+		"application failed":           {testkit.FastAnswer(ok, rec.End{App: 1}), policy.Error, true},
 		"failed with no output":        {rec.AppendEnd(nil, 1, rec.End{App: 255}), policy.Error, true},
-		"an error":                     {said("Status: 500 oh\r\n\r\ntext", rec.End{}), policy.Error, true},
-		"503 that may have run":        {said("Status: 503 full\r\n\r\n", rec.End{}), policy.Error, true},
-		"turned away, then failed":     {said("Status: 503 full\r\nNot-Started: 1\r\n\r\n", rec.End{App: 1}), policy.Error, true},
-		"a redirect":                   {said("Location: /x\r\n\r\n", rec.End{}), policy.Error, true},
+		"an error":                     {testkit.FastAnswer("Status: 500 oh\r\n\r\ntext", rec.End{}), policy.Error, true},
+		"503 that may have run":        {testkit.FastAnswer("Status: 503 full\r\n\r\n", rec.End{}), policy.Error, true},
+		"turned away, then failed":     {testkit.FastAnswer("Status: 503 full\r\nNot-Started: 1\r\n\r\n", rec.End{App: 1}), policy.Error, true},
+		"a redirect":                   {testkit.FastAnswer("Location: /x\r\n\r\n", rec.End{}), policy.Error, true},
 		"no output":                    {rec.AppendEnd(nil, 1, rec.End{}), policy.Reset, false},
-		"no end of the head":           {said("Status: 200", rec.End{}), policy.Reset, false},
-		"a malformed head":             {said("no head\r\n\r\nx", rec.End{}), policy.Reset, false},
-		"two Statuses":                 {said("Status: 200\r\nStatus: 503\r\nNot-Started: 1\r\n\r\n", rec.End{}), policy.Reset, false},
-		"a Status that is none":        {said("Status: 99\r\n\r\n", rec.End{}), policy.Reset, false},
-		"two lengths":                  {said("Content-Length: 4\r\nContent-Length: 4\r\n\r\ndone", rec.End{}), policy.Reset, false},
-		"shorter than told":            {said("Content-Length: 5\r\n\r\ndone", rec.End{}), policy.Reset, false},
-		"longer than told":             {said("Content-Length: 3\r\n\r\ndone", rec.End{}), policy.Reset, false},
-		"of another id":                {join(record(rec.Stdout, 2, ok), said(ok, rec.End{})), policy.Reset, false},
-		"what only clients send":       {join(record(rec.Stdin, 1, ""), said(ok, rec.End{})), policy.Reset, false},
+		"no end of the head":           {testkit.FastAnswer("Status: 200", rec.End{}), policy.Reset, false},
+		"a malformed head":             {testkit.FastAnswer("no head\r\n\r\nx", rec.End{}), policy.Reset, false},
+		"two Statuses":                 {testkit.FastAnswer("Status: 200\r\nStatus: 503\r\nNot-Started: 1\r\n\r\n", rec.End{}), policy.Reset, false},
+		"a Status that is none":        {testkit.FastAnswer("Status: 99\r\n\r\n", rec.End{}), policy.Reset, false},
+		"two lengths":                  {testkit.FastAnswer("Content-Length: 4\r\nContent-Length: 4\r\n\r\ndone", rec.End{}), policy.Reset, false},
+		"shorter than told":            {testkit.FastAnswer("Content-Length: 5\r\n\r\ndone", rec.End{}), policy.Reset, false},
+		"longer than told":             {testkit.FastAnswer("Content-Length: 3\r\n\r\ndone", rec.End{}), policy.Reset, false},
+		"of another id":                {join(record(rec.Stdout, 2, ok), testkit.FastAnswer(ok, rec.End{})), policy.Reset, false},
+		"what only clients send":       {join(record(rec.Stdin, 1, ""), testkit.FastAnswer(ok, rec.End{})), policy.Reset, false},
 		"an END_REQUEST of seven":      {record(rec.EndRequest, 1, "1234567"), policy.Reset, false},
 		"HTTP":                         {[]byte(okAnswer), policy.Reset, false},
 		"a head without end":           {rec.AppendStream(nil, rec.Stdout, 1, []byte("A: "+strings.Repeat("x", 70_000))), policy.Reset, false},
-		"an answer longer than any":    {said("Content-Length: 33554433\r\n\r\n", rec.End{}), policy.Reset, false},
+		"an answer longer than any":    {testkit.FastAnswer("Content-Length: 33554433\r\n\r\n", rec.End{}), policy.Reset, false},
 		"END_REQUEST before the body":  {join(record(rec.Stdout, 1, "Content-Length: 4\r\n\r\n"), rec.AppendEnd(nil, 1, rec.End{})), policy.Reset, false},
-		"more behind its END_REQUEST":  {join(said(ok, rec.End{}), record(rec.Stdout, 1, "late")), policy.OK, false},
-		"END_REQUEST and another's id": {join(said(ok, rec.End{}), rec.AppendEnd(nil, 9, rec.End{})), policy.OK, false},
+		"more behind its END_REQUEST":  {join(testkit.FastAnswer(ok, rec.End{}), record(rec.Stdout, 1, "late")), policy.OK, false},
+		"END_REQUEST and another's id": {join(testkit.FastAnswer(ok, rec.End{}), rec.AppendEnd(nil, 9, rec.End{})), policy.OK, false},
 	} {
 		p := fastPool(false)
 		e := p.endpoint(testkit.Raw(t, func(conn net.Conn, r *bufio.Reader) {
 			for {
-				if _, _, err := asked(r); err != nil {
+				if _, _, err := testkit.FastRequest(r); err != nil {
 					return
 				}
 				if _, err := conn.Write(c.answer); err != nil || !c.kept {
@@ -143,11 +106,11 @@
 // whole of it is needed to be believed.
 func TestFastCGICutAtEveryByte(t *testing.T) {
 	whole := rec.Append(nil, rec.Stderr, 1, []byte("note"))
-	whole = append(whole, said("Status: 200 OK\r\nContent-Length: 4\r\n\r\ndone", rec.End{})...)
+	whole = append(whole, testkit.FastAnswer("Status: 200 OK\r\nContent-Length: 4\r\n\r\ndone", rec.End{})...)
 	var cut atomic.Int64
 	p := fastPool(false)
 	e := p.endpoint(testkit.Raw(t, func(conn net.Conn, r *bufio.Reader) {
-		if _, _, err := asked(r); err == nil {
+		if _, _, err := testkit.FastRequest(r); err == nil {
 			conn.Write(whole[:cut.Load()])
 		}
 	}))
--- a/internal/rig/world/fast.go
+++ b/internal/rig/world/fast.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"molepaddle/internal/protocol/fcgi"
+	"molepaddle/internal/rig/testkit"
 )
 
 // Servers that speak FastCGI do all that the others do. What they read and say is worded as HTTP for the rest
@@ -45,14 +46,7 @@
 }
 
 func fastHead(params []byte) []byte {
-	v := map[string]string{}
-	for len(params) > 0 {
-		name, value, rest, err := fcgi.NextPair(params)
-		if err != nil {
-			break
-		}
-		v[string(name)], params = string(value), rest
-	}
+	v := testkit.FastParams(params)
 	return fmt.Appendf(nil, "%s %s HTTP/1.1\r\nRequest-Id: %s\r\n", v["REQUEST_METHOD"], v["REQUEST_URI"], v["HTTP_REQUEST_ID"])
 }
 
