FastCGI: a stuck client keeps nobody else waiting; an aborted answer just ends

Seen in a last read: the goroutine that looks through all connections worded the 408 of late requests itself, so a client that reads nothing could hold it, and the end after SIGTERM, for a minute. And an answer that its client aborted half way ended like one that its server broke: STDERR, a status of 1, where it had no length the connection's end.

Change: late requests are ended in a goroutine each; an abort ends the passing on with a plain END_REQUEST.

Measured: TestAbortAnAnswer; the front's tests six times under the race detector.

--- a/internal/protocol/fcgifront/conn.go
+++ b/internal/protocol/fcgifront/conn.go
@@ -115,7 +115,7 @@
 	over := len(c.open) == 0 && !c.ending && (leaving || now.Sub(c.since) > c.f.opt.KeepIdle)
 	c.mu.Unlock()
 	for _, q := range late {
-		q.fail()
+		go q.fail() // its client may read nothing for a while, and others wait to be looked at
 	}
 	if over && c.end() {
 		c.Close()
@@ -661,6 +661,9 @@
 		case err == io.EOF:
 			q.finish(fcgi.Append(out, fcgi.Stdout, q.id, nil), 0)
 			return
+		case q.ctx.Err() != nil:
+			q.finish(nil, 0) // its client has aborted it
+			return
 		case err != nil:
 			c.mu.Lock()
 			alone := len(c.open) == 1
--- a/internal/protocol/fcgifront/front_test.go
+++ b/internal/protocol/fcgifront/front_test.go
@@ -309,6 +309,31 @@
 	}
 }
 
+// An answer that its client aborts half way ends there; its connection serves the next.
+func TestAbortAnAnswer(t *testing.T) {
+	budget := window.NewBudget(1 << 20)
+	_, _, addr, _ := start(t, func(ctx context.Context, r *core.Request) core.Answer {
+		if string(r.Message.Body) == "short" {
+			return served(ctx, r)
+		}
+		return core.Answer{Outcome: core.Served, Body: []byte("begun"), Rest: window.New(budget), Length: -1}
+	})
+	c := dial(t, addr)
+	c.send(whole(1, order(0, nil), ""), fcgi.Append(nil, fcgi.AbortRequest, 1, nil), whole(2, order(5, nil), "short"))
+	ends := map[uint16]bool{}
+	for range 2 {
+		id, text, end := c.next()
+		if ends[id] = true; end != (fcgi.End{}) || id == 2 && !strings.HasSuffix(text, " short") {
+			t.Errorf("%d %q %+v", id, text, end)
+		}
+	}
+	for until := time.Now().Add(10 * time.Second); budget.Used() != 0 && time.Now().Before(until); time.Sleep(time.Millisecond) {
+	}
+	if !ends[1] || !ends[2] || budget.Used() != 0 || c.Stderr[1] != "" {
+		t.Errorf("%v, %d held, %q", ends, budget.Used(), c.Stderr[1])
+	}
+}
+
 // More than may be open are rejected as overloaded; the others are not touched.
 func TestTooMany(t *testing.T) {
 	release := make(chan struct{})
