--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -1,4 +1,4 @@
-// Package agent puts one agent together: the core, its HTTP front end and transport, the
+// Package agent puts one agent together: the core, its front ends (a row each) and transport, the
 // roster's client. It shares out the descriptors and the memory among them, and decides
 // nothing else.
 //
