One pace, one handler and one set of leaving times for both front ends

Need: a last read of the change: the FastCGI front had written again what the HTTP front has: how slowly a body may come, how long connections are taken after SIGTERM, how long a client may take nothing, what a handler is.

Change: intake has them, both fronts use them.

--- a/internal/protocol/fcgifront/conn.go
+++ b/internal/protocol/fcgifront/conn.go
@@ -229,7 +229,7 @@
 // write writes whole records. A connection on which no more can be written is closed.
 func (c *conn) write(out []byte) error {
 	c.mu.Lock()
-	patience := readFor
+	patience := intake.ReadFor
 	if len(c.open) > 1 {
 		patience = stuckFor
 	}
--- a/internal/protocol/fcgifront/front.go
+++ b/internal/protocol/fcgifront/front.go
@@ -27,28 +27,17 @@
 )
 
 const (
-	// acceptFor is how long connections are taken after SIGTERM, as over HTTP; settleFor is left to what was
-	// accepted last to be read.
-	acceptFor, settleFor = 450 * time.Millisecond, 50 * time.Millisecond
-	// lookEvery is how often connections are looked through, leaveEvery the same while the agent leaves.
-	lookEvery, leaveEvery = 50 * time.Millisecond, 5 * time.Millisecond
+	// lookEvery is how often connections are looked through.
+	lookEvery = 50 * time.Millisecond
 	// maxParams bounds one request's params, maxValues a GET_VALUES, in bytes.
 	maxParams, maxValues = 32 << 10, 1 << 10
-	// bodyRate is how many bytes a second a body has to bring on the mean, bodyPause how long nothing may come.
-	bodyRate, bodyPause = 32 << 10, 2 * time.Second
-	// stuckFor is how long a client may take nothing of what is written while others share its connection,
-	// readFor while nobody does.
-	stuckFor, readFor = 5 * time.Second, time.Minute
+	// stuckFor is how long a client may take nothing of what is written while others share its connection;
+	// while nobody does, as over HTTP.
+	stuckFor = 5 * time.Second
 	// lingerFor is how long what still comes is read and dropped before a connection is closed.
 	lingerFor = time.Second
 )
 
-// Handler gives a request its one final answer; a core.Core is one.
-type Handler interface {
-	Do(ctx context.Context, r *core.Request) core.Answer
-	Ready() bool
-}
-
 // Options is what a front end is told.
 type Options struct {
 	intake.View
@@ -64,7 +53,7 @@
 
 // Front is the front end.
 type Front struct {
-	core    Handler
+	core    intake.Handler
 	opt     Options
 	view    atomic.Pointer[intake.View]
 	life    *lifecycle.Machine
@@ -77,7 +66,7 @@
 }
 
 // New makes a front end that hands requests to h.
-func New(h Handler, o Options) *Front {
+func New(h intake.Handler, o Options) *Front {
 	if o.Budget == nil {
 		o.Budget = window.NewBudget(1 << 20)
 	}
@@ -110,7 +99,7 @@
 }
 
 func (f *Front) pace() window.Pace {
-	return window.Pace{Allowance: f.opt.BodyWithin, Pause: bodyPause, Rate: bodyRate}
+	return intake.Pace(f.opt.BodyWithin)
 }
 
 // Serve answers on the listeners until the context ends, then finishes what it holds. It may be called once.
@@ -209,15 +198,15 @@
 // leave ends in order, as over HTTP: connections between requests, then the listeners, then what is held.
 func (f *Front) leave(listeners []net.Listener) error {
 	f.life.End()
-	for until := time.Now().Add(acceptFor); f.life.Accepts() && time.Now().Before(until); time.Sleep(leaveEvery) {
+	for until := time.Now().Add(intake.AcceptFor); f.life.Accepts() && time.Now().Before(until); time.Sleep(intake.LeaveEvery) {
 		f.each(func(c *conn) { c.look(time.Now()) })
 	}
 	for _, ln := range listeners {
 		ln.Close()
 	}
-	settled := time.Now().Add(settleFor)
-	end := time.Now().Add(core.Longest(f.view.Load().Settings) + settleFor)
-	for ; time.Now().Before(end); time.Sleep(leaveEvery) {
+	settled := time.Now().Add(intake.SettleFor)
+	end := time.Now().Add(core.Longest(f.view.Load().Settings) + intake.SettleFor)
+	for ; time.Now().Before(end); time.Sleep(intake.LeaveEvery) {
 		f.each(func(c *conn) { c.look(time.Now()) })
 		if f.Connections() == 0 || f.working.Load() == 0 && time.Now().After(settled) && !f.coming() {
 			break
--- a/internal/protocol/httpfront/bodies.go
+++ b/internal/protocol/httpfront/bodies.go
@@ -13,20 +13,13 @@
 	"time"
 
 	"molepaddle/internal/core"
+	"molepaddle/internal/protocol/intake"
 	"molepaddle/internal/protocol/window"
 )
 
-const (
-	// bodyRate is how many bytes a second a body has to bring on the mean, bodyPause how long nothing
-	// may come of it: clients that are slow send twice as much.
-	bodyRate, bodyPause = 32 << 10, 2 * time.Second
-	// readFor is how long a client may take nothing of an answer that is passed on.
-	readFor = time.Minute
-)
-
 // pace is how slowly a body may come.
 func (a *Front) pace() window.Pace {
-	return window.Pace{Allowance: a.opt.BodyWithin, Pause: bodyPause, Rate: bodyRate}
+	return intake.Pace(a.opt.BodyWithin)
 }
 
 // target is a request's target with its path first: absolute forms name a host before it.
@@ -268,7 +261,7 @@
 		h.Set("Content-Length", strconv.FormatInt(ans.Length, 10))
 	}
 	w.WriteHeader(http.StatusOK)
-	_ = control.SetWriteDeadline(time.Now().Add(readFor))
+	_ = control.SetWriteDeadline(time.Now().Add(intake.ReadFor))
 	if _, err := w.Write(ans.Body); err != nil {
 		abort()
 	}
@@ -282,7 +275,7 @@
 		}
 		n, err := rest.Read(hr.Context(), *buf)
 		if n > 0 {
-			_ = control.SetWriteDeadline(time.Now().Add(readFor))
+			_ = control.SetWriteDeadline(time.Now().Add(intake.ReadFor))
 			if _, err := w.Write((*buf)[:n]); err != nil {
 				abort()
 			}
--- a/internal/protocol/httpfront/front.go
+++ b/internal/protocol/httpfront/front.go
@@ -26,20 +26,13 @@
 )
 
 const (
-	// acceptFor is how long connections are taken after SIGTERM: they go on coming for
-	// up to 0.4 s. settleFor is left to what was accepted last to be read.
-	acceptFor, settleFor = 450 * time.Millisecond, 50 * time.Millisecond
-	leaveEvery           = 5 * time.Millisecond
 	// maxHead bounds a request's head.
 	maxHead = 16 << 10
 	maxBody = core.MaxBody
 )
 
-// Handler gives a request its one final answer; a core.Core is one.
-type Handler interface {
-	Do(ctx context.Context, r *core.Request) core.Answer
-	Ready() bool
-}
+// Handler gives a request its one final answer.
+type Handler = intake.Handler
 
 // Options is what a front end is told.
 type Options struct {
@@ -144,16 +137,16 @@
 	a.life.End()
 	// From now on each answer ends its connection; the server's own way to that closes idle
 	// connections without a look at what is just being read from them.
-	for until := time.Now().Add(acceptFor); a.life.Accepts() && time.Now().Before(until); time.Sleep(leaveEvery) {
+	for until := time.Now().Add(intake.AcceptFor); a.life.Accepts() && time.Now().Before(until); time.Sleep(intake.LeaveEvery) {
 		a.places.closeIdle()
 	}
 	for _, ln := range listeners {
 		ln.Close()
 	}
 	longest := core.Longest(a.view.Load().Settings)
-	settled := time.Now().Add(settleFor)
-	for end := time.Now().Add(longest + settleFor); time.Now().Before(end); time.Sleep(leaveEvery) {
-		coming := a.places.closeWaiting(time.Now().Add(-settleFor))
+	settled := time.Now().Add(intake.SettleFor)
+	for end := time.Now().Add(longest + intake.SettleFor); time.Now().Before(end); time.Sleep(intake.LeaveEvery) {
+		coming := a.places.closeWaiting(time.Now().Add(-intake.SettleFor))
 		if a.places.count() == 0 || coming == 0 && a.working.Load() == 0 && time.Now().After(settled) {
 			break
 		}
--- a/internal/protocol/httpfront/places_test.go
+++ b/internal/protocol/httpfront/places_test.go
@@ -6,6 +6,8 @@
 	"runtime"
 	"testing"
 	"time"
+
+	"molepaddle/internal/protocol/intake"
 )
 
 // hooked is a connection that has bytes to read, and does something before and after its
@@ -88,7 +90,7 @@
 		p := newPlaces(5, 5)
 		c.conn.Conn, c.conn.places = &hooked{}, p
 		p.conns[c.conn] = struct{}{}
-		if got := p.closeWaiting(now.Add(-settleFor)); got != c.want {
+		if got := p.closeWaiting(now.Add(-intake.SettleFor)); got != c.want {
 			t.Errorf("%s: %d", c.name, got)
 		}
 	}
--- a/internal/protocol/intake/intake.go
+++ b/internal/protocol/intake/intake.go
@@ -4,6 +4,7 @@
 package intake
 
 import (
+	"context"
 	"errors"
 	"hash/fnv"
 	"io"
@@ -22,8 +23,27 @@
 	// MaxTimeout is the longest deadline there is.
 	MaxTimeout = time.Minute
 	maxWord    = 256 // bytes of an id or a host
+	// AcceptFor is how long connections are taken after SIGTERM: they go on coming for up to 0.4 s. SettleFor is
+	// left to what was accepted last to be read; LeaveEvery is how often connections are looked through meanwhile.
+	AcceptFor, SettleFor, LeaveEvery = 450 * time.Millisecond, 50 * time.Millisecond, 5 * time.Millisecond
+	// ReadFor is how long a client may take nothing of an answer that is passed on.
+	ReadFor = time.Minute
+	// bodyRate is how many bytes a second a body has to bring on the mean, bodyPause how long nothing may come
+	// of it: clients that are slow send twice as much.
+	bodyRate, bodyPause = 32 << 10, 2 * time.Second
 )
 
+// Pace is how slowly a body may come, with an allowance at its start.
+func Pace(allowance time.Duration) window.Pace {
+	return window.Pace{Allowance: allowance, Pause: bodyPause, Rate: bodyRate}
+}
+
+// Handler gives a request its one final answer; a core.Core is one.
+type Handler interface {
+	Do(ctx context.Context, r *core.Request) core.Answer
+	Ready() bool
+}
+
 // View is one version of the settings, as requests are read by. It is not changed.
 type View struct {
 	Settings *settings.Settings
