Take the path of the hand-over anew before the old socket closes; remove no live one

Cause, by reading: after a successor has died the offer closed its old socket before it listened anew; a process that starts in between is refused, and Find takes the path away, by then the new socket: nobody could take over any more.

Change: the new socket takes the path first, and Find removes only the file that it was refused at.

--- a/internal/process/handover/handover.go
+++ b/internal/process/handover/handover.go
@@ -206,8 +206,9 @@
 		}
 		if o.hand(c) {
 			// The successor had taken the path, and has gone.
+			err := o.listen() // before the old one is closed: who is refused takes the path away
 			ln.Close()
-			if o.listen() != nil {
+			if err != nil {
 				return
 			}
 		}
@@ -308,10 +309,13 @@
 	if path == "" {
 		return nil, ErrNobody
 	}
+	before, _ := os.Lstat(path)
 	c, err := net.DialTimeout("unix", path, findWithin)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
-		_ = os.Remove(path)
+		if now, err := os.Lstat(path); err == nil && before != nil && os.SameFile(before, now) {
+			_ = os.Remove(path)
+		}
 		return nil, ErrNobody
 	case errors.Is(err, os.ErrNotExist):
 		return nil, ErrNobody
