--- a/internal/protocol/sockets/sockets.go
+++ b/internal/protocol/sockets/sockets.go
@@ -117,3 +117,15 @@
 		}
 	}
 }
+
+// UserTimeout is a net.Dialer's Control: a connection on which bytes sent go unanswered by the other machine for
+// the time given breaks, where it would hang for minutes at a machine that says nothing.
+func UserTimeout(after time.Duration) func(string, string, syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var bad error
+		err := raw.Control(func(fd uintptr) {
+			bad = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(after.Milliseconds()))
+		})
+		return errors.Join(err, bad)
+	}
+}
--- /dev/null
+++ b/internal/protocol/transport/lend.go
@@ -0,0 +1,97 @@
+package transport
+
+import (
+	"bufio"
+	"context"
+	"math"
+	"net"
+	"time"
+
+	"molepaddle/internal/core"
+)
+
+// Way is the connections to one process at one address, lent to callers that speak HTTP on them themselves,
+// as the proxy of the fleet does with its streams. They come from the same pool, under the same bound.
+type Way struct{ e *endpoint }
+
+// Way gives the connections to the process that listens at host and port.
+func (p *Transport) Way(dial string) *Way {
+	return &Way{e: &endpoint{pool: p, dial: dial, wire: overHTTP{}}}
+}
+
+// Lent is a connection that belongs to its caller until it is given back.
+type Lent struct {
+	net.Conn
+	R      *bufio.Reader
+	c      *conn
+	Reused bool // it has carried a request before
+}
+
+// Lend gives an idle connection on which nothing waits, else a new one; purpose names what it is for. Errors:
+// core.ErrNoSocket where no descriptor is left, the context's, and those of the dial: nothing has been written.
+func (w *Way) Lend(ctx context.Context, purpose string) (*Lent, error) {
+	c, err := w.e.take()
+	if err != nil {
+		return nil, err
+	}
+	reused := c != nil
+	if c, err = w.e.ready(ctx, purpose, c); err != nil {
+		return nil, err
+	}
+	c.left = math.MaxInt
+	r := readers.Get().(*bufio.Reader)
+	r.Reset(c)
+	return &Lent{Conn: c, R: r, c: c, Reused: reused}, nil
+}
+
+// Fresh opens a new connection whatever stands idle.
+func (w *Way) Fresh(ctx context.Context, purpose string) (*Lent, error) {
+	p := w.e.pool
+	p.mu.Lock()
+	if p.open >= p.opt.Most {
+		p.mu.Unlock()
+		return nil, core.ErrNoSocket
+	}
+	p.open++
+	p.mu.Unlock()
+	c, err := w.e.ready(ctx, purpose, nil)
+	if err != nil {
+		return nil, err
+	}
+	c.left = math.MaxInt
+	r := readers.Get().(*bufio.Reader)
+	r.Reset(c)
+	return &Lent{Conn: c, R: r, c: c}, nil
+}
+
+// Return gives a connection back for the next, whose last answer was read whole; one that holds unread bytes
+// is closed.
+func (l *Lent) Return() {
+	dirty := l.R.Buffered() > 0
+	l.freeReader()
+	l.c.end.pool.used(l.c, false)
+	if dirty || l.c.SetDeadline(time.Time{}) != nil {
+		l.c.Close()
+		return
+	}
+	l.c.end.put(l.c)
+}
+
+// Drop closes a connection; broke says that it ended before a byte of the answer came.
+func (l *Lent) Drop(broke bool) {
+	l.freeReader()
+	l.c.end.pool.used(l.c, broke)
+	l.c.Close()
+}
+
+func (l *Lent) freeReader() {
+	l.R.Reset(nil)
+	readers.Put(l.R)
+	l.R = nil
+}
+
+// CloseIdle closes the connections that stand idle.
+func (w *Way) CloseIdle() { w.e.CloseIdle() }
+
+// Retire closes the connections for good: those in use when they come back.
+func (w *Way) Retire() { w.e.Retire() }
--- /dev/null
+++ b/internal/system/almanac/index_test.go
@@ -0,0 +1,168 @@
+package almanac_test
+
+import (
+	"encoding/json"
+	"math"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"molepaddle/internal/system/almanac"
+)
+
+func TestLookup(t *testing.T) {
+	r := func(name, host, pfx string) string {
+		return `{"name":"` + name + `","hostname":"` + host + `","pfx":"` + pfx + `","kind":"stream","deadline_ms":1,"svc":"a"}`
+	}
+	d := decode(t, whole(strings.Join([]string{r("root", "h.example", "/"), r("a", "h.example", "/a/"), r("abc", "h.example", "/a/b/c/"),
+		r("empty", "h.example", "/a//"), r("case", "G.Example", "/A/"), r("v6", "[::1]", "/")}, ","), service("a")))
+	x := almanac.NewIndex(d)
+	for _, test := range []struct{ host, path, want string }{
+		{"h.example", "/", "root"},
+		{"H.EXAMPLE", "/", "root"},
+		{"h.example:8080", "/", "root"},
+		{"h.example", "/a", "root"},
+		{"h.example", "/a/", "a"},
+		{"h.example", "/ab/", "root"},
+		{"h.example", "/A/", "root"},
+		{"h.example", "/a/b/c", "a"},
+		{"h.example", "/a/b/d/c/", "a"},
+		{"h.example", "/a/b/c/", "abc"},
+		{"h.example", "/a/b/c/d/e", "abc"},
+		{"h.example", "/a//x", "empty"},
+		{"h.example", "//a/", "root"},
+		{"h.example", "", ""},
+		{"h.example", "a/", ""},
+		{"h.example", "*", ""},
+		{"g.example", "/A/", "case"},
+		{"g.example", "/a/", ""},
+		{"g.example", "/", ""},
+		{"[::1]", "/", "v6"},
+		{"[::1]:80", "/", "v6"},
+		{"", "/", ""},
+		{"other.example", "/a/", ""},
+		{strings.Repeat("h", 256), "/", ""},
+	} {
+		t.Run(test.host+test.path, func(t *testing.T) {
+			c := qt.New(t)
+			got, ok := x.Lookup(test.host, test.path)
+			c.Assert(ok, qt.Equals, test.want != "")
+			if ok {
+				c.Assert(got.Name, qt.Equals, test.want)
+			}
+			c.Assert(testing.AllocsPerRun(10, func() { x.Lookup(test.host, test.path) }), qt.Equals, 0.0)
+		})
+	}
+}
+
+// TestLookupReference compares the table with a search through all routes.
+func TestLookupReference(t *testing.T) {
+	segments := rapid.SampledFrom([]string{"", "a", "b", "ab", "A", "%61"})
+	rapid.Check(t, func(r *rapid.T) {
+		t, c := r, qt.New(property{t, r})
+		path := func(label string) string {
+			return "/" + strings.Join(rapid.SliceOfN(segments, 0, 5).Draw(t, label), "/")
+		}
+		hosts := rapid.SampledFrom([]string{"h", "H", "g.x", "G.x"})
+		type key struct{ host, pfx string }
+		seen := map[key]bool{}
+		routes := []item{}
+		for range rapid.IntRange(0, 12).Draw(t, "routes") {
+			host, pfx := hosts.Draw(t, "host"), path("prefix")
+			if !strings.HasSuffix(pfx, "/") {
+				pfx += "/"
+			}
+			if k := (key{strings.ToLower(host), pfx}); !seen[k] {
+				seen[k] = true
+				routes = append(routes, item{"name": host + pfx, "hostname": host, "pfx": pfx, "kind": "readonly", "deadline_ms": 1, "svc": "a"})
+			}
+		}
+		body, err := json.Marshal(item{"ver": 1, "routing": routes, "svcs": []item{{"name": "a"}}})
+		c.Assert(err, qt.IsNil)
+		d, found := almanac.Decode(body)
+		c.Assert(found, qt.HasLen, 0)
+		x := almanac.NewIndex(d)
+		for range 20 {
+			host, at := hosts.Draw(t, "asked host"), path("asked path")
+			want := ""
+			for _, r := range routes {
+				pfx := r["pfx"].(string)
+				if strings.EqualFold(r["hostname"].(string), host) && strings.HasPrefix(at, pfx) && len(pfx) > len(want) {
+					want = pfx
+				}
+			}
+			got, ok := x.Lookup(host, at)
+			c.Assert(ok, qt.Equals, want != "")
+			if ok {
+				c.Assert(got.Prefix, qt.Equals, want)
+				c.Assert(strings.EqualFold(got.Hostname, host), qt.IsTrue)
+			}
+		}
+	})
+}
+
+func TestPick(t *testing.T) {
+	c := qt.New(t)
+	x := almanac.NewIndex(decode(t, whole(strings.Join([]string{
+		route("one", `,"svc":"a"`),
+		route("split", `,"shares":[{"svc":"z","wt":0},{"svc":"a","wt":1},{"svc":"z","wt":0},{"svc":"b","wt":3},{"svc":"z","wt":0}]`),
+		route("tiny", `,"shares":[{"svc":"a","wt":1e300},{"svc":"b","wt":1e-300}]`),
+		route("both", `,"svc":"z","shares":[{"svc":"b","wt":1}]`),
+	}, ","), service("a")+","+service("b")+","+service("z"))))
+	get := func(name string) *almanac.Route {
+		r, ok := x.Lookup("h.example", "/"+name+"/")
+		c.Assert(ok, qt.IsTrue)
+		return r
+	}
+	a, ok := x.Service("a")
+	c.Assert(ok, qt.IsTrue)
+	_, ok = x.Service("q")
+	c.Assert(ok, qt.IsFalse)
+	c.Assert(get("one").Pick(77), qt.Equals, a)
+	c.Assert(get("both").Pick(77).Name, qt.Equals, "b")
+	c.Assert(get("tiny").Pick(0).Name, qt.Equals, "a")
+
+	split := get("split")
+	c.Assert(split.Shares, qt.HasLen, 2)
+	c.Assert(split.Pick(0).Name, qt.Equals, "a")
+	c.Assert(split.Pick(1<<62-1).Name, qt.Equals, "a")
+	c.Assert(split.Pick(1<<62).Name, qt.Equals, "b")
+	c.Assert(split.Pick(math.MaxUint64).Name, qt.Equals, "b")
+}
+
+// TestPickShares counts over evenly spread numbers: each share gets its part, one of weight 0 nothing.
+func TestPickShares(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		t, c := r, qt.New(property{t, r})
+		weights := rapid.SliceOfN(rapid.IntRange(0, 100), 1, 6).Draw(t, "weights")
+		total := 0
+		shares, services := []item{}, []item{}
+		for i, w := range weights {
+			name := string(rune('a' + i))
+			total += w
+			shares = append(shares, item{"svc": name, "wt": w})
+			services = append(services, item{"name": name})
+		}
+		if total == 0 {
+			t.Skip("the weights add up to 0")
+		}
+		body, err := json.Marshal(item{"ver": 1, "svcs": services, "routing": []item{
+			{"name": "r", "hostname": "h", "pfx": "/", "kind": "readonly", "deadline_ms": 1, "shares": shares}}})
+		c.Assert(err, qt.IsNil)
+		d, found := almanac.Decode(body)
+		c.Assert(found, qt.HasLen, 0)
+		split, _ := almanac.NewIndex(d).Lookup("h", "/")
+		const draws = 1 << 12
+		got := map[string]int{}
+		for i := range uint64(draws) {
+			got[split.Pick(i<<52).Name]++
+		}
+		for i, w := range weights {
+			want := float64(w) / float64(total) * draws
+			c.Assert(math.Abs(float64(got[string(rune('a'+i))])-want) <= 1, qt.IsTrue)
+			c.Assert(w > 0 || got[string(rune('a'+i))] == 0, qt.IsTrue)
+		}
+	})
+}
--- /dev/null
+++ b/internal/system/almanac/update_test.go
@@ -0,0 +1,262 @@
+package almanac_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"molepaddle/internal/system/almanac"
+)
+
+func TestUpdateKeepsOrderAndUnknownFields(t *testing.T) {
+	c := qt.New(t)
+	r := func(name, extra string) string { return route(name, `,"svc":"a","x-`+name+`":[1, {"y":null}]`+extra) }
+	d := decode(t, `{"ver":3,"zz":{"q": 1},"routing":[`+r("r1", "")+`,`+r("r2", "")+`,`+r("r3", "")+`,`+r("r4", "")+
+		`],"svcs":[`+service("a")+`,{"name":"b","new":[true]},`+service("c")+`],"caps":{"hdr_max_bytes":5,"later":7}}`)
+	before := string(d.Show())
+	body := []byte(`{"ver":8,"upsert":{"routing":[` + r("new", "") + `,` + r("r3", `,"prio":2`) + `,` + r("r4", `,"prio":3`) +
+		`],"svcs":[` + service("d") + `,{"name":"a","z":0}]},"remove":{"routing":["r2","gone","r4","r2"],"svcs":["c","gone"]},"later":1}`)
+	next := update(t, d, string(body))
+	want := `{"ver":8,"routing":[` + r("r1", "") + `,` + r("r3", `,"prio":2`) + `,` + r("r4", `,"prio":3`) + `,` + r("new", "") +
+		`],"svcs":[{"name":"a","z":0},{"name":"b","new":[true]},` + service("d") + `],"caps":{"hdr_max_bytes":5,"later":7},"zz":{"q": 1}}`
+	c.Assert(string(next.Show()), qt.Equals, want)
+	c.Assert(string(d.Show()), qt.Equals, before)
+	c.Assert(next.Config().Routes[1].Priority, qt.Equals, 2)
+	c.Assert(next.Limits().HeaderBytes, qt.Equals, int64(5))
+	c.Assert(next.Services()[1], qt.Equals, d.Services()[1]) // not touched, so the same
+
+	capped := update(t, next, `{"ver":9,"upsert":{"caps":{"hdr_max_bytes":6}}}`)
+	c.Assert(capped.Limits().HeaderBytes, qt.Equals, int64(6))
+	c.Assert(string(capped.Show()), qt.Equals,
+		strings.Replace(strings.Replace(want, `{"hdr_max_bytes":5,"later":7}`, `{"hdr_max_bytes":6}`, 1), `"ver":8`, `"ver":9`, 1))
+	c.Assert(capped.Equal(next), qt.IsFalse)
+
+	null := update(t, next, `{"ver":9,"upsert":{"routing":null,"svcs":null,"caps":null},"remove":null}`)
+	c.Assert(string(null.Show()), qt.Equals, strings.Replace(want, `"ver":8`, `"ver":9`, 1))
+}
+
+// TestUpdateKeepsNoneOfTheBody writes over the body once it has been taken.
+func TestUpdateKeepsNoneOfTheBody(t *testing.T) {
+	d := decode(t, wholeExample)
+	body := []byte(`{"ver":8,"upsert":{"routing":[` + route("q", `,"svc":"huvo11a"`) + `],"svcs":[` + service("s") + `],"caps":{"n":1}}}`)
+	next, found := almanac.Update(d, body)
+	qt.Assert(t, found, qt.HasLen, 0)
+	shown := string(next.Show())
+	for i := range body {
+		body[i] = '#'
+	}
+	qt.Assert(t, string(next.Show()), qt.Equals, shown)
+}
+
+func TestUpdateInvalid(t *testing.T) {
+	d := decode(t, whole(route("r", `,"svc":"a"`)+","+route("q", `,"shares":[{"svc":"a","wt":1},{"svc":"b","wt":0}]`), service("a")+","+service("b")))
+	for name, test := range map[string]struct{ body, want string }{
+		"cut off":            {`{"ver":4,`, "byte .*: not JSON: .*"},
+		"key twice":          {`{"ver":4,"remove":{},"remove":{}}`, "remove: the key is given twice"},
+		"no version":         {`{}`, "ver: must be given"},
+		"not above":          {`{"ver":3}`, "ver: 3 is not above the current version, 3"},
+		"upsert a list":      {`{"ver":4,"upsert":[]}`, "upsert: must be an object"},
+		"remove a list":      {`{"ver":4,"remove":[]}`, "remove: must be an object"},
+		"routes an object":   {`{"ver":4,"upsert":{"routing":{}}}`, "upsert.routing: must be a list"},
+		"names a text":       {`{"ver":4,"remove":{"svcs":"a"}}`, "remove.svcs: must be a list"},
+		"name an item":       {`{"ver":4,"remove":{"routing":["x",{"name":"r"}]}}`, `remove.routing\[1\]: must be a string`},
+		"caps text":          {`{"ver":4,"upsert":{"caps":{"idle_timeout_ms":""}}}`, "upsert.caps.idle_timeout_ms: must be a number"},
+		"item wrong":         {`{"ver":4,"upsert":{"routing":[` + strings.Replace(route("n", `,"svc":"a"`), `:100`, `:0`, 1) + `]}}`, `upsert.routing\[0\].deadline_ms: must be above 0`},
+		"item twice":         {`{"ver":4,"upsert":{"svcs":[` + service("n") + `,` + service("n") + `]}}`, `upsert.svcs\[1\].name: "n" is the name of upsert.svcs\[0\] too`},
+		"unknown service":    {`{"ver":4,"upsert":{"routing":[` + route("n", `,"svc":"z"`) + `]}}`, `upsert.routing\[0\].svc: the service "z" is not known`},
+		"service removed":    {`{"ver":4,"remove":{"svcs":["b"]}}`, `route "q".shares\[1\].svc: the service "b" is not known`},
+		"both removed":       {`{"ver":4,"remove":{"svcs":["a"],"routing":["q"]}}`, `route "r".svc: the service "a" is not known`},
+		"address of old":     {`{"ver":4,"upsert":{"routing":[` + strings.Replace(route("r", `,"svc":"a"`), `"name":"r"`, `"name":"n"`, 1) + `]}}`, `upsert.routing\[0\]: has the hostname and pfx of the route "r"`},
+		"address of new":     {`{"ver":4,"upsert":{"routing":[` + route("n", `,"svc":"a"`) + `,` + strings.Replace(route("n", `,"svc":"a"`), `"name":"n"`, `"name":"m"`, 1) + `]}}`, `upsert.routing\[1\]: has the same hostname and pfx as upsert.routing\[0\]`},
+		"moved onto another": {`{"ver":4,"upsert":{"routing":[` + strings.Replace(route("q", `,"svc":"a"`), `"name":"q"`, `"name":"r"`, 1) + `]}}`, `upsert.routing\[0\]: has the hostname and pfx of the route "q"`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			next, found := almanac.Update(d, []byte(test.body))
+			qt.Assert(t, next, qt.IsNil)
+			qt.Assert(t, found.Err(), qt.ErrorMatches, test.want)
+		})
+	}
+	// Two routes change places: each is free for the other once both have moved.
+	swap := func(name, pfx string) string {
+		return strings.Replace(route(name, `,"svc":"a"`), `"pfx":"/`+name, `"pfx":"/`+pfx, 1)
+	}
+	next := update(t, d, `{"ver":4,"upsert":{"routing":[`+swap("r", "q")+`,`+swap("q", "r")+`]},"remove":{"svcs":["b"]}}`)
+	got, ok := almanac.NewIndex(next).Lookup("h.example", "/q/x")
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, got.Name, qt.Equals, "r")
+}
+
+// item is any item, with unknown fields, drawn from few names so that they meet.
+type item = map[string]any
+
+func drawRoute(t *rapid.T) item {
+	r := item{
+		"name":        rapid.SampledFrom([]string{"r1", "r2", "r3", "r4", "r5"}).Draw(t, "name"),
+		"hostname":    rapid.SampledFrom([]string{"h", "H", "g"}).Draw(t, "host"),
+		"pfx":         rapid.SampledFrom([]string{"/", "/a/", "/b/", "/a/b/", "/c/"}).Draw(t, "prefix"),
+		"kind":        "stream",
+		"deadline_ms": 5,
+		"note":        rapid.Int().Draw(t, "note"),
+	}
+	services := rapid.SampledFrom([]string{"a", "b", "c"})
+	if rapid.Bool().Draw(t, "split") {
+		r["shares"] = []any{item{"svc": services.Draw(t, "share"), "wt": rapid.IntRange(0, 2).Draw(t, "wt")},
+			item{"svc": services.Draw(t, "share"), "wt": rapid.IntRange(0, 2).Draw(t, "wt")}}
+	} else {
+		r["svc"] = services.Draw(t, "svc")
+	}
+	return r
+}
+
+func drawService(t *rapid.T) item {
+	return item{"name": rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name"), "note": rapid.Int().Draw(t, "note")}
+}
+
+func distinctNames(i item) string { return i["name"].(string) }
+
+// apply is what an update means, written the plain way.
+func apply(old, put []item, gone []string) []item {
+	out := []item{}
+	for _, have := range old {
+		keep := have
+		for _, name := range gone {
+			if have["name"] == name {
+				keep = nil
+			}
+		}
+		for _, p := range put {
+			if p["name"] == have["name"] {
+				keep = p
+			}
+		}
+		if keep != nil {
+			out = append(out, keep)
+		}
+	}
+	for _, p := range put {
+		isNew := true
+		for _, have := range old {
+			isNew = isNew && have["name"] != p["name"]
+		}
+		if isNew {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// TestUpdateIsReplaceOfTheWhole compares each update with the whole configuration it leads to: both are taken, and show the
+// same, or neither.
+func TestUpdateIsReplaceOfTheWhole(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		t, c := r, qt.New(property{t, r})
+		marshal := func(v any) []byte {
+			b, err := json.Marshal(v)
+			c.Assert(err, qt.IsNil)
+			return b
+		}
+		var doc *almanac.Document
+		routes, services := []item{}, []item{}
+		for ver := 1; ver <= rapid.IntRange(2, 12).Draw(t, "steps"); ver++ {
+			putR := rapid.SliceOfNDistinct(rapid.Custom(drawRoute), 0, 3, distinctNames).Draw(t, "routes")
+			putS := rapid.SliceOfNDistinct(rapid.Custom(drawService), 0, 3, distinctNames).Draw(t, "services")
+			goneR := rapid.SliceOfN(rapid.SampledFrom([]string{"r1", "r2", "r3", "zz"}), 0, 2).Draw(t, "gone routes")
+			goneS := rapid.SliceOfN(rapid.SampledFrom([]string{"a", "b", "zz"}), 0, 1).Draw(t, "gone services")
+			newR, newS := apply(routes, putR, goneR), apply(services, putS, goneS)
+
+			before := doc.Show()
+			next, found := almanac.Update(doc, marshal(item{"ver": ver,
+				"upsert": item{"routing": putR, "svcs": putS}, "remove": item{"routing": goneR, "svcs": goneS}}))
+			body := marshal(item{"ver": ver, "routing": newR, "svcs": newS})
+			want, wantFound := almanac.Replace(doc, body)
+			c.Assert(doc.Show(), qt.DeepEquals, before)
+			c.Assert(len(found) == 0, qt.Equals, len(wantFound) == 0, qt.Commentf("%v\n%v", found, wantFound))
+			if next == nil {
+				continue
+			}
+			c.Assert(next.Equal(want), qt.IsTrue)
+			c.Assert(next.Config(), qt.DeepEquals, want.Config())
+			var shown, sent any
+			c.Assert(json.Unmarshal(next.Show(), &shown), qt.IsNil)
+			c.Assert(json.Unmarshal(body, &sent), qt.IsNil)
+			c.Assert(shown, qt.DeepEquals, sent)
+			doc, routes, services = next, newR, newS
+		}
+	})
+}
+
+// many is a configuration of n routes.
+func many(n int) string {
+	var b strings.Builder
+	b.WriteString(`{"ver":1,"svcs":[{"name":"a"},{"name":"b"}],"routing":[`)
+	for i := range n {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		fmt.Fprintf(&b, `{"name":"r-%d","hostname":"host%d.example","pfx":"/p%d/","kind":"stream","deadline_ms":2000,"target_ms":150,"prio":1,"shares":[{"svc":"a","wt":90},{"svc":"b","wt":10}],"tries":2,"pin":true,"resumable":true,"gap_aim_ms":150}`, i, i%7, i)
+	}
+	b.WriteString("]}")
+	return b.String()
+}
+
+// TestManyRoutes changes one route and all routes of 100,000. The bound for one is far above what it takes, so that a busy
+// machine doesn't fail it.
+func TestManyRoutes(t *testing.T) {
+	c := qt.New(t)
+	const n = 100_000
+	body := many(n)
+	began := time.Now()
+	d := decode(t, body)
+	t.Logf("decode: %v", time.Since(began))
+
+	began = time.Now()
+	one := update(t, d, `{"ver":2,"upsert":{"routing":[`+route("new", `,"svc":"a"`)+`]},"remove":{"routing":["r-5"],"svcs":["zz"]}}`)
+	t.Logf("update of one: %v", time.Since(began))
+	c.Assert(time.Since(began) < time.Second, qt.IsTrue)
+	c.Assert(one.NumRoutes(), qt.Equals, n)
+
+	change := strings.Replace(body, `"ver":1,`, `"ver":2,"upsert":{`, 1) + "}"
+	change = strings.ReplaceAll(change, `"tries":2`, `"tries":3`)
+	began = time.Now()
+	all := update(t, d, change)
+	t.Logf("update of all: %v", time.Since(began))
+	c.Assert(all.Config().Routes[n-1].Tries, qt.Equals, 3)
+	c.Assert(all.NumRoutes(), qt.Equals, n)
+
+	began = time.Now()
+	x := almanac.NewIndex(d)
+	t.Logf("index: %v", time.Since(began))
+	r, ok := x.Lookup("host4.example", "/p99999/x")
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(r.Name, qt.Equals, "r-99999")
+
+	began = time.Now()
+	c.Assert(len(d.Show()), qt.Equals, len(body))
+	t.Logf("show: %v", time.Since(began))
+}
+
+func BenchmarkDecode(b *testing.B) {
+	body := []byte(many(1000))
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, found := almanac.Decode(body); len(found) > 0 {
+			b.Fatal(found)
+		}
+	}
+}
+
+func BenchmarkUpdateOne(b *testing.B) {
+	d, _ := almanac.Decode([]byte(many(1000)))
+	body := []byte(`{"ver":2,"upsert":{"routing":[` + route("new", `,"svc":"a"`) + `]}}`)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, found := almanac.Update(d, body); len(found) > 0 {
+			b.Fatal(found)
+		}
+	}
+}
--- /dev/null
+++ b/internal/system/archive/archive_test.go
@@ -0,0 +1,269 @@
+package archive
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"molepaddle/internal/system/barograph"
+)
+
+// fill saves a first start, a snapshot at 2 and two changes, and returns what must be loaded.
+func fill(c *qt.C, a *Archive) barograph.State {
+	st := barograph.State{
+		Identity: barograph.Identity{ID: "a1", Addr: "10.0.0.1:7000", Joined: true},
+		View: barograph.View{
+			Epoch: 3, Members: []barograph.Member{{ID: "a1", Addr: "10.0.0.1:7000", Zone: "z", Region: "r"}},
+			Primary: "a1",
+		},
+		Vote:     barograph.Vote{Promised: barograph.Ballot{N: 4, ID: "a1"}},
+		Standing: barograph.Standing{RecordEpoch: 3, StepEpoch: 3, Committed: 2},
+	}
+	c.Assert(a.Save(&barograph.Write{
+		Reset: true, Identity: &st.Identity, View: &st.View, Vote: &st.Vote, Standing: &st.Standing,
+	}), qt.IsNil)
+	var all []barograph.Change
+	var digest uint64
+	for seq := uint64(1); seq <= 4; seq++ {
+		body := bytes.Repeat([]byte{byte(seq)}, 100)
+		digest = barograph.Chain(digest, seq, body)
+		all = append(all, barograph.Change{Seq: seq, Digest: digest, Body: body})
+	}
+	st.Snapshot = &barograph.Snapshot{Seq: 2, Digest: all[1].Digest, Body: []byte("two")}
+	st.Changes = all[2:]
+	c.Assert(a.Save(&barograph.Write{Changes: all[:2]}), qt.IsNil)
+	c.Assert(a.Save(&barograph.Write{Snapshot: st.Snapshot, Changes: all[2:3]}), qt.IsNil)
+	c.Assert(a.Save(&barograph.Write{Changes: all[3:]}), qt.IsNil)
+	return st
+}
+
+func open2(c *qt.C, dir string) (*Archive, barograph.State) {
+	a, st, err := Open(dir)
+	c.Assert(err, qt.IsNil)
+	return a, st
+}
+
+func TestRoundTrip(t *testing.T) {
+	c := qt.New(t)
+	dir := filepath.Join(c.TempDir(), "data # 1%")
+	a, st := open2(c, dir)
+	c.Assert(st, qt.DeepEquals, barograph.State{})
+	want := fill(c, a)
+	c.Assert(a.Close(), qt.IsNil)
+	a, st = open2(c, dir)
+	c.Assert(a.Broken(), qt.IsNil)
+	c.Assert(st, qt.DeepEquals, want)
+
+	// The same write again equals once; a reset drops all.
+	again := &barograph.Write{Changes: want.Changes[1:], Standing: &barograph.Standing{RecordEpoch: 9}}
+	c.Assert(a.Save(again), qt.IsNil)
+	c.Assert(a.Save(again), qt.IsNil)
+	again = &barograph.Write{Snapshot: want.Snapshot, Changes: want.Changes}
+	c.Assert(a.Save(again), qt.IsNil)
+	c.Assert(a.Save(again), qt.IsNil)
+	c.Assert(a.Save(nil), qt.IsNil)
+	c.Assert(a.Close(), qt.IsNil)
+	want.Standing = barograph.Standing{RecordEpoch: 9}
+	a, st = open2(c, dir)
+	c.Assert(st, qt.DeepEquals, want)
+	id := barograph.Identity{ID: "a2", Addr: "10.0.0.1:7000"}
+	c.Assert(a.Save(&barograph.Write{
+		Reset: true, Identity: &id, View: &want.View, Vote: &barograph.Vote{}, Standing: &barograph.Standing{},
+	}), qt.IsNil)
+	c.Assert(a.Close(), qt.IsNil)
+	a, st = open2(c, dir)
+	c.Assert(st, qt.DeepEquals, barograph.State{Identity: id, View: want.View})
+	c.Assert(a.Close(), qt.IsNil)
+}
+
+// TestKilled: what was saved is there when the process dies without closing; no shared memory file is used.
+func TestKilled(t *testing.T) {
+	c := qt.New(t)
+	dir, copied := c.TempDir(), c.TempDir()
+	a, _ := open2(c, dir)
+	want := fill(c, a)
+	files, err := os.ReadDir(dir)
+	c.Assert(err, qt.IsNil)
+	for _, f := range files {
+		c.Assert(f.Name(), qt.Not(qt.Matches), ".*-shm")
+		body, err := os.ReadFile(filepath.Join(dir, f.Name()))
+		c.Assert(err, qt.IsNil)
+		c.Assert(os.WriteFile(filepath.Join(copied, f.Name()), body, 0o644), qt.IsNil)
+	}
+	b, st := open2(c, copied)
+	c.Assert(st, qt.DeepEquals, want)
+	c.Assert(b.Close(), qt.IsNil)
+	c.Assert(a.Close(), qt.IsNil)
+}
+
+// TestBrokenRow: a row that was changed, one that is missing and one that nobody knows are reported by name, and the disk
+// counts as lost until something is saved.
+func TestBrokenRow(t *testing.T) {
+	for query, report := range map[string]string{
+		"UPDATE change SET body = zeroblob(100) WHERE seq = 4":  ".*control.db: row change 4: checksum differs",
+		"UPDATE part SET body = x'80' WHERE name = 'vote'":      ".*control.db: row part vote: checksum differs",
+		"UPDATE part SET sum = sum + 1 WHERE name = 'snapshot'": ".*control.db: row part snapshot: checksum differs",
+		"DELETE FROM change WHERE seq = 3":                      ".*control.db: row change 4: doesn't follow 2",
+		"DELETE FROM change WHERE seq = 4":                      ".*control.db: the record ends at 3 instead of 4",
+		"DELETE FROM part WHERE name = 'vote'":                  ".*control.db: row part vote: missing",
+		"INSERT INTO part VALUES ('other', x'', 0)":             ".*control.db: row part other: .*",
+		"PRAGMA user_version = 0":                               ".*control.db: schema 0 with 2 tables",
+	} {
+		c := qt.New(t)
+		dir := c.TempDir()
+		a, _ := open2(c, dir)
+		fill(c, a)
+		_, err := a.conn.ExecContext(context.Background(), query)
+		c.Assert(err, qt.IsNil)
+		c.Assert(a.Close(), qt.IsNil)
+		a, st := open2(c, dir)
+		c.Assert(st, qt.DeepEquals, barograph.State{Lost: true}, qt.Commentf(query))
+		c.Assert(a.Broken(), qt.ErrorMatches, report)
+		c.Assert(a.Close(), qt.IsNil)
+		a, st = open2(c, dir)
+		c.Assert(st, qt.DeepEquals, barograph.State{Lost: true})
+		c.Assert(a.Broken(), qt.IsNil)
+		want := fill(c, a)
+		c.Assert(a.Close(), qt.IsNil)
+		a, st = open2(c, dir)
+		c.Assert(st, qt.DeepEquals, want)
+		c.Assert(a.Close(), qt.IsNil)
+	}
+}
+
+// TestTornFile: a file that is cut or overwritten counts as lost; one broken file is kept at most.
+func TestTornFile(t *testing.T) {
+	c := qt.New(t)
+	dir := c.TempDir()
+	path := filepath.Join(dir, fileName)
+	for i, tear := range []func([]byte) []byte{
+		func(b []byte) []byte { return b[:len(b)/2+100] },
+		func(b []byte) []byte { return append(bytes.Repeat([]byte{7}, 200), b[200:]...) },
+		func(b []byte) []byte {
+			copy(b[len(b)-4096:], bytes.Repeat([]byte{0xff}, 4096))
+			return b
+		},
+		func([]byte) []byte { return []byte("no database") },
+	} {
+		a, _ := open2(c, dir)
+		fill(c, a)
+		c.Assert(a.Close(), qt.IsNil)
+		body, err := os.ReadFile(path)
+		c.Assert(err, qt.IsNil)
+		c.Assert(os.WriteFile(path, tear(body), 0o644), qt.IsNil)
+		a, st := open2(c, dir)
+		c.Assert(st, qt.DeepEquals, barograph.State{Lost: true}, qt.Commentf("tear %d", i))
+		c.Assert(a.Broken(), qt.ErrorMatches, "(?s).*control.db: .*")
+		c.Assert(a.Close(), qt.IsNil)
+		files, err := filepath.Glob(filepath.Join(dir, "*"+".broken*"))
+		c.Assert(err, qt.IsNil)
+		c.Assert(files, qt.HasLen, 1)
+	}
+}
+
+// TestFullDisk: a full disk shows as an error, nothing of the write is there, and the same write succeeds later.
+func TestFullDisk(t *testing.T) {
+	c := qt.New(t)
+	dir := c.TempDir()
+	a, _ := open2(c, dir)
+	want := fill(c, a)
+	_, err := a.conn.ExecContext(context.Background(), "PRAGMA max_page_count=20")
+	c.Assert(err, qt.IsNil)
+	w := &barograph.Write{
+		Standing: &barograph.Standing{RecordEpoch: 8},
+		Snapshot: &barograph.Snapshot{Seq: 9, Digest: 9, Body: bytes.Repeat([]byte{1}, 300_000)},
+	}
+	c.Assert(a.Save(w), qt.ErrorMatches, "archive: save: .*full.*")
+	c.Assert(a.Save(w), qt.ErrorMatches, "archive: save: .*full.*")
+	_, err = a.conn.ExecContext(context.Background(), "PRAGMA max_page_count=100000")
+	c.Assert(err, qt.IsNil)
+	st, err := a.load(context.Background(), fileName)
+	c.Assert(err, qt.IsNil)
+	c.Assert(st, qt.DeepEquals, want)
+	c.Assert(a.Save(w), qt.IsNil)
+	c.Assert(a.Close(), qt.IsNil)
+	a, st = open2(c, dir)
+	c.Assert(st.Snapshot, qt.DeepEquals, w.Snapshot)
+	c.Assert(st.Standing, qt.Equals, *w.Standing)
+	c.Assert(st.Changes, qt.HasLen, 0)
+	c.Assert(a.Close(), qt.IsNil)
+}
+
+// TestSize: many snapshots of one size don't grow the files beyond some times that size.
+func TestSize(t *testing.T) {
+	c := qt.New(t)
+	dir := c.TempDir()
+	a, _ := open2(c, dir)
+	fill(c, a)
+	const size = 2 << 20
+	for i := range 20 {
+		c.Assert(a.Save(&barograph.Write{
+			Snapshot: &barograph.Snapshot{Seq: uint64(i), Body: bytes.Repeat([]byte{byte(i)}, size)},
+		}), qt.IsNil)
+	}
+	total := int64(0)
+	files, err := os.ReadDir(dir)
+	c.Assert(err, qt.IsNil)
+	for _, f := range files {
+		info, err := f.Info()
+		c.Assert(err, qt.IsNil)
+		total += info.Size()
+	}
+	c.Assert(total < 4*size+1<<20, qt.IsTrue, qt.Commentf("%d bytes", total))
+	c.Assert(a.Close(), qt.IsNil)
+}
+
+// TestNewerSchema: a file of a newer program isn't taken for broken.
+func TestNewerSchema(t *testing.T) {
+	c := qt.New(t)
+	dir := c.TempDir()
+	a, _ := open2(c, dir)
+	_, err := a.conn.ExecContext(context.Background(), "PRAGMA user_version = 2")
+	c.Assert(err, qt.IsNil)
+	c.Assert(a.Close(), qt.IsNil)
+	_, _, err = Open(dir)
+	c.Assert(err, qt.ErrorMatches, ".*newer.*")
+}
+
+// TestMachine: a barograph.Machine goes on from what was saved of it.
+func TestMachine(t *testing.T) {
+	c := qt.New(t)
+	dir := c.TempDir()
+	a, st := open2(c, dir)
+	n := uint64(0)
+	opt := barograph.Options{
+		Self: barograph.Member{Addr: "10.0.0.1:7000"}, Seeds: []string{"10.0.0.1:7000"}, Bootstrap: true,
+		BeatEvery: 1, SuspectAfter: 5, StaggerEach: 1, WriteWithin: 9, ForgetAfter: 50,
+		Rand: func() uint64 { n++; return n },
+	}
+	app := &text{}
+	m, err := barograph.New(opt, st, app)
+	c.Assert(err, qt.IsNil)
+	c.Assert(a.Save(m.Tick(0).Write), qt.IsNil)
+	c.Assert(a.Save(m.Tick(m.Next()).Write), qt.IsNil)
+	c.Assert(m.Status().Ready, qt.IsTrue)
+	out := m.Propose(1, 77, []byte("x"))
+	c.Assert(a.Save(out.Write), qt.IsNil)
+	c.Assert(out.Answer, qt.DeepEquals, []barograph.Answer{{Token: 77, Result: barograph.Committed, Seq: 1}})
+	c.Assert(a.Close(), qt.IsNil)
+	a, st = open2(c, dir)
+	app = &text{}
+	opt.Bootstrap = false
+	m, err = barograph.New(opt, st, app)
+	c.Assert(err, qt.IsNil)
+	c.Assert(app.all, qt.Equals, "x")
+	c.Assert(a.Save(m.Tick(0).Write), qt.IsNil)
+	c.Assert(m.Status().Ready, qt.IsTrue)
+	c.Assert(m.Status().Epoch, qt.Equals, uint64(2))
+	c.Assert(a.Close(), qt.IsNil)
+}
+
+type text struct{ all string }
+
+func (t *text) Apply(_ uint64, body []byte)         { t.all += string(body) }
+func (t *text) Snapshot() []byte                    { return []byte(t.all) }
+func (t *text) Restore(_ uint64, body []byte) error { t.all = string(body); return nil }
--- /dev/null
+++ b/internal/system/barograph/machine_test.go
@@ -0,0 +1,385 @@
+package barograph
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var (
+	oneSeed = flag.Uint64("seed", 0, "play this seed only, with a trace")
+	oneCase = flag.String("case", "", "with -seed: the case")
+	nSeeds  = flag.Int("seeds", 300, "seeds for each case of the storm")
+)
+
+func (s *sim) fault() {
+	l := s.live()
+	if len(l) == 0 {
+		return
+	}
+	b := l[s.rng.IntN(len(l))]
+	restart := func(b *box) {
+		d := 100*ms + s.upTo(1500*ms)
+		s.after(d, func() { s.start(b) })
+	}
+	if s.well() != nil {
+		s.wiped = 0
+	}
+	wipe := func(b *box) bool {
+		if s.wiped >= s.survive.Nodes || s.now < s.bootUntil {
+			return false
+		}
+		s.wiped++
+		s.kill(b)
+		b.disk = State{}
+		s.note("wiped %s", b.addr)
+		return true
+	}
+	for_ := 200*ms + s.upTo(4*time.Second)
+	switch s.rng.IntN(11) {
+	case 0, 1:
+		s.kill(b)
+		restart(b)
+	case 2: // all, with wipes at the same moment at times
+		for _, o := range s.rng.Perm(len(s.boxes)) {
+			o := s.boxes[o]
+			if o.gone {
+				continue
+			}
+			s.kill(o)
+			if s.rng.IntN(3) == 0 {
+				wipe(o)
+			}
+			restart(o)
+		}
+	case 3, 4:
+		if wipe(b) {
+			restart(b)
+		}
+	case 5:
+		s.note("freeze %s for %v", b.addr, for_)
+		b.frozen = s.now + for_
+	case 6: // one way, one pair
+		o := s.boxes[s.rng.IntN(len(s.boxes))]
+		s.note("cut %s to %s for %v", b.addr, o.addr, for_)
+		s.cuts[[2]string{b.addr, o.addr}] = s.now + for_
+	case 7, 8: // one machine or a half, both ways or one
+		side := map[string]bool{b.addr: true}
+		if s.rng.IntN(2) == 0 {
+			for _, o := range s.boxes {
+				side[o.addr] = side[o.addr] || s.rng.IntN(2) == 0
+			}
+		}
+		way := s.rng.IntN(3)
+		s.note("cut off %v way %d for %v", side, way, for_)
+		for _, x := range s.boxes {
+			for _, y := range s.boxes {
+				if side[x.addr] != side[y.addr] && (way == 0 || side[x.addr] == (way == 1)) {
+					s.cuts[[2]string{x.addr, y.addr}] = s.now + for_
+				}
+			}
+		}
+	case 9:
+		s.note("slow disk %s for %v", b.addr, for_)
+		b.slow = s.now + for_
+	case 10: // replaced at a new address
+		if wipe(b) {
+			b.gone = true
+			n := s.add(fmt.Sprintf("10.0.%d.2:7000", len(s.boxes)), b.zone)
+			s.note("replaced by %s", n.addr)
+			restart(n)
+		}
+	}
+}
+
+// storm plays a day of faults and then calm.
+func storm(seed uint64, n, seeds int, sv Survive, trace bool) error {
+	s := newSim(seed, n, seeds, sv)
+	s.trace = trace
+	s.small = seed%2 == 0
+	s.loss, s.dup = 0.03*float64(seed%3), 0.02*float64(seed%2)
+	for _, b := range s.boxes {
+		s.after(s.upTo(300*ms), func() { s.start(b) })
+	}
+	const end = 40 * time.Second
+	var clients, faults func()
+	clients = func() {
+		if s.rng.IntN(2) == 0 {
+			s.write()
+		} else {
+			s.read()
+		}
+		s.after(s.upTo(150*ms), clients)
+	}
+	faults = func() {
+		if s.now < end {
+			s.fault()
+			s.after(100*ms+s.upTo(3*time.Second), faults)
+		}
+	}
+	s.after(300*ms, clients)
+	s.after(300*ms+s.upTo(8*time.Second), faults)
+	s.runUntil(end, nil)
+	// Calm.
+	s.note("calm")
+	s.loss, s.dup = 0, 0
+	clear(s.cuts)
+	for _, b := range s.boxes {
+		b.slow, b.frozen = 0, min(b.frozen, s.now)
+		if b.m == nil {
+			s.start(b)
+		}
+	}
+	if !s.runUntil(end+20*time.Second, s.settled) && s.err == nil {
+		for _, b := range s.boxes {
+			if b.m != nil {
+				s.note("%s %+v cand %+v standing %+v", b.addr, b.m.Status(), b.m.cand, b.m.stand)
+			}
+		}
+		s.fail("not settled after calm")
+	}
+	acked, confirms := s.ackedMax, s.confirms
+	if s.err == nil && !s.runUntil(s.now+5*time.Second, func() bool { return s.ackedMax > acked && s.confirms > confirms }) {
+		s.fail("nothing is acknowledged or read after calm")
+	}
+	// What was acknowledged is there.
+	if s.err == nil {
+		p := s.well()
+		if p == nil {
+			p = s.target()
+		}
+		for body, seq := range s.acked {
+			if p.app.log[seq-1] != body {
+				s.fail("%q was acknowledged as %d and is lost", body, seq)
+			}
+		}
+	}
+	return s.err
+}
+
+// TestStorm plays many seeds of faults: nothing acknowledged is lost, nobody but one primary commits in an epoch, records
+// never part, reads are never stale, and after calm all work again.
+func TestStorm(t *testing.T) {
+	cases := []struct{ n, seeds, nodes int }{
+		{1, 1, 0}, {2, 2, 0}, {3, 3, 0}, {3, 3, 1}, {4, 3, 1}, {5, 3, 1}, {5, 3, 2}, {8, 3, 2}, {9, 3, 1},
+	}
+	for _, c := range cases {
+		name := fmt.Sprintf("%d-%d-%d", c.n, c.seeds, c.nodes)
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			sv := Survive{Nodes: c.nodes}
+			if *oneSeed != 0 {
+				if *oneCase == name {
+					qt.Assert(t, storm(*oneSeed, c.n, c.seeds, sv, true), qt.IsNil)
+				}
+				return
+			}
+			for seed := uint64(1); seed <= uint64(*nSeeds); seed++ {
+				if err := storm(seed, c.n, c.seeds, sv, false); err != nil {
+					t.Fatalf("seed %d (-seed %d -case %s): %v", seed, seed, name, err)
+				}
+			}
+		})
+	}
+}
+
+// calm starts machines and waits until all are members.
+func calm(t *testing.T, s *sim, order []int, gap time.Duration) {
+	t.Helper()
+	for i, j := range order {
+		s.after(time.Duration(i)*gap, func() { s.start(s.boxes[j]) })
+	}
+	ok := s.runUntil(s.now+time.Duration(len(order))*gap+10*time.Second, s.settled)
+	qt.Assert(t, s.err, qt.IsNil)
+	qt.Assert(t, ok, qt.IsTrue, qt.Commentf("not settled"))
+}
+
+func TestStartInAnyOrder(t *testing.T) {
+	for seed := uint64(1); seed <= 60; seed++ {
+		for _, n := range []int{1, 2, 3, 4, 5, 8, 9} {
+			s := newSim(seed, n, 3, Survive{Nodes: min(1, (n-1)/2)})
+			calm(t, s, s.rng.Perm(n), s.upTo(200*ms))
+		}
+	}
+}
+
+// TestStartOneSystem: seeds that are restarted while the first start goes on, and one that comes up much later, form one
+// system; a machine that says bootstrap and isn't a seed joins.
+func TestStartOneSystem(t *testing.T) {
+	c := qt.New(t)
+	s := newSim(7, 4, 3, Survive{Nodes: 1})
+	s.bootUntil = time.Hour
+	s.start(s.boxes[3])
+	s.start(s.boxes[0])
+	s.runUntil(2*time.Second, nil)
+	c.Assert(s.boxes[0].m.Status().Epoch, qt.Equals, uint64(0))
+	c.Assert(s.boxes[3].m.Status().Role, qt.Equals, Outside)
+	s.kill(s.boxes[0])
+	s.start(s.boxes[1])
+	s.runUntil(4*time.Second, nil)
+	s.start(s.boxes[0])
+	c.Assert(s.runUntil(8*time.Second, func() bool { return s.leader() != nil }), qt.IsTrue)
+	// The last seed comes with bootstrap still set; what was decided without it stands.
+	s.writeTo(s.leader())
+	s.runUntil(9*time.Second, nil)
+	c.Assert(s.ackedMax, qt.Equals, uint64(1))
+	s.start(s.boxes[2])
+	c.Assert(s.runUntil(20*time.Second, s.settled), qt.IsTrue)
+	c.Assert(s.err, qt.IsNil)
+	c.Assert(len(s.well().m.view.Members), qt.Equals, 4)
+	c.Assert(s.well().app.log, qt.HasLen, 1)
+}
+
+// TestWipedWitnessHasNoVote: with the primary lost, one of the two left wiped, the wiped one neither votes nor forms
+// anything.
+func TestWipedWitnessHasNoVote(t *testing.T) {
+	c := qt.New(t)
+	s := newSim(3, 3, 3, Survive{Nodes: 1})
+	calm(t, s, []int{0, 1, 2}, 0)
+	s.bootUntil = 0
+	p := s.well()
+	view := p.m.Status().View
+	var witness *box
+	for _, b := range s.boxes {
+		if b.m.Status().Role == Witness {
+			witness = b
+		}
+	}
+	c.Assert(witness, qt.IsNotNil)
+	s.kill(p)
+	s.kill(witness)
+	witness.disk = State{}
+	s.start(witness)
+	s.runUntil(s.now+20*time.Second, nil)
+	c.Assert(s.err, qt.IsNil)
+	for _, b := range s.live() {
+		st := b.m.Status()
+		c.Assert(st.Epoch, qt.Equals, view.Epoch)
+		c.Assert(st.Role, qt.Not(qt.Equals), Primary)
+	}
+	c.Assert(witness.m.Status().Role, qt.Equals, Outside)
+	c.Assert(witness.disk.Vote.Promised, qt.Equals, Ballot{})
+	// The primary's disk comes back: all is well again.
+	s.start(p)
+	c.Assert(s.runUntil(s.now+10*time.Second, s.settled), qt.IsTrue)
+}
+
+// TestReplaced: a machine goes for good, another comes at a new address; then the others may lose one more.
+func TestReplaced(t *testing.T) {
+	for i := range 3 {
+		c := qt.New(t)
+		s := newSim(uint64(i), 3, 3, Survive{Nodes: 1})
+		calm(t, s, []int{0, 1, 2}, 0)
+		s.bootUntil = 0
+		s.writeTo(s.well())
+		s.runUntil(s.now+time.Second, nil)
+		c.Assert(s.ackedMax, qt.Equals, uint64(1))
+		old := s.boxes[i]
+		s.kill(old)
+		old.gone = true
+		s.start(s.add("10.0.9.2:7000", "z0"))
+		c.Assert(s.runUntil(s.now+10*time.Second, s.settled), qt.IsTrue)
+		c.Assert(s.well().m.view.Members, qt.HasLen, 3)
+		s.writeTo(s.well())
+		s.runUntil(s.now+time.Second, nil)
+		c.Assert(s.ackedMax, qt.Equals, uint64(2))
+		p := s.well()
+		s.kill(p)
+		p.disk = State{}
+		c.Assert(s.runUntil(s.now+3*time.Second, func() bool {
+			return slices.ContainsFunc(s.live(), func(b *box) bool { return b.m.Status().Role == Primary && b.m.Status().Ready })
+		}), qt.IsTrue)
+		s.start(p)
+		c.Assert(s.runUntil(s.now+10*time.Second, s.settled), qt.IsTrue)
+		c.Assert(s.well().app.log, qt.HasLen, 2)
+		c.Assert(s.err, qt.IsNil)
+	}
+}
+
+// TestFinalFault: right after an acknowledgement all lose power and as many as survive allows their disks.
+func TestFinalFault(t *testing.T) {
+	for seed := uint64(1); seed <= 100; seed++ {
+		c := qt.New(t)
+		n, k := 3, 1
+		if seed%2 == 0 {
+			n, k = 5, 2
+		}
+		s := newSim(seed, n, 3, Survive{Nodes: k})
+		calm(t, s, s.rng.Perm(n), 0)
+		s.bootUntil = 0
+		s.writeTo(s.well())
+		c.Assert(s.runUntil(s.now+2*time.Second, func() bool { return s.ackedMax == 1 }), qt.IsTrue, qt.Commentf("seed %d", seed))
+		lost := s.rng.Perm(n)[:k]
+		for i, b := range s.boxes {
+			s.kill(b)
+			if slices.Contains(lost, i) {
+				b.disk = State{}
+			}
+			s.after(s.upTo(time.Second), func() { s.start(b) })
+		}
+		c.Assert(s.runUntil(s.now+10*time.Second, s.settled), qt.IsTrue, qt.Commentf("seed %d", seed))
+		c.Assert(s.well().app.log, qt.DeepEquals, []string{"w1"})
+		c.Assert(s.err, qt.IsNil)
+	}
+}
+
+// TestZones: the holders are spread, also again after a zone was away.
+func TestZones(t *testing.T) {
+	c := qt.New(t)
+	s := newSim(5, 6, 6, Survive{Zones: 1})
+	calm(t, s, []int{0, 1, 2, 3, 4, 5}, 0)
+	spreadOver := func() int {
+		p := s.well()
+		if p == nil {
+			return 0
+		}
+		zones := map[string]bool{p.zone: true}
+		for _, id := range p.m.view.Backups {
+			o, _ := p.m.view.member(id)
+			zones[o.Zone] = true
+		}
+		return len(zones)
+	}
+	c.Assert(s.runUntil(s.now+5*time.Second, func() bool { return spreadOver() == 2 }), qt.IsTrue)
+	zone := s.well().zone
+	for _, b := range s.boxes {
+		if b.zone == zone {
+			s.kill(b)
+		}
+	}
+	c.Assert(s.runUntil(s.now+5*time.Second, func() bool { return spreadOver() == 2 }), qt.IsTrue)
+	c.Assert(s.err, qt.IsNil)
+}
+
+func TestSettings(t *testing.T) {
+	c := qt.New(t)
+	s := newSim(1, 1, 1, Survive{})
+	o := s.options(s.boxes[0])
+	var err error
+	app := &logApp{err: &err}
+	for _, change := range []func(*Options){
+		func(o *Options) { o.BeatEvery = 0 },
+		func(o *Options) { o.Rand = nil },
+		func(o *Options) { o.Self.Addr = "" },
+		func(o *Options) { o.Survive.Nodes = -1 },
+	} {
+		bad := o
+		change(&bad)
+		_, err := New(bad, State{}, app)
+		c.Assert(err, qt.IsNotNil)
+	}
+	_, err = New(o, State{Identity: Identity{ID: "x", Addr: "elsewhere"}}, app)
+	c.Assert(err, qt.ErrorMatches, ".*belongs to elsewhere.*")
+	_, err = New(o, State{Identity: Identity{ID: "x", Addr: o.Self.Addr}, Changes: []Change{{Seq: 2}}}, app)
+	c.Assert(err, qt.ErrorMatches, ".*doesn't follow.*")
+	// A lost disk never starts a system.
+	m, err := New(o, State{Lost: true}, app)
+	c.Assert(err, qt.IsNil)
+	m.Tick(0)
+	m.Tick(time.Minute)
+	c.Assert(m.Status().Role, qt.Equals, Outside)
+}
--- /dev/null
+++ b/internal/system/barograph/sim_test.go
@@ -0,0 +1,500 @@
+package barograph
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// logApp is a record that keeps every change.
+type logApp struct {
+	log []string
+	err *error
+}
+
+func (a *logApp) Apply(seq uint64, body []byte) {
+	if seq != uint64(len(a.log))+1 && *a.err == nil {
+		*a.err = fmt.Errorf("applied %d after %d", seq, len(a.log))
+	}
+	a.log = append(a.log, string(body))
+}
+
+func (a *logApp) Snapshot() []byte { return []byte(strings.Join(a.log, "\n")) }
+
+func (a *logApp) Restore(seq uint64, body []byte) error {
+	a.log = nil
+	if len(body) > 0 {
+		a.log = strings.Split(string(body), "\n")
+	}
+	if uint64(len(a.log)) != seq {
+		return fmt.Errorf("snapshot of %d at %d", len(a.log), seq)
+	}
+	return nil
+}
+
+// save carries a Write out on a disk in memory.
+func save(d *State, w *Write) {
+	if w == nil {
+		return
+	}
+	if w.Reset {
+		*d = State{}
+	}
+	if w.Identity != nil {
+		d.Identity = *w.Identity
+	}
+	if w.View != nil {
+		d.View = *w.View
+	}
+	if w.Vote != nil {
+		d.Vote = *w.Vote
+	}
+	if w.Standing != nil {
+		d.Standing = *w.Standing
+	}
+	if w.Snapshot != nil {
+		d.Snapshot, d.Changes = w.Snapshot, nil
+	}
+	d.Changes = append(slices.Clone(d.Changes), w.Changes...)
+}
+
+// carry is an output under way to the disk.
+type carry struct {
+	out    Output
+	epoch  uint64
+	status Status
+	log    []string
+}
+
+// box is one machine of the simulated core.
+type box struct {
+	addr, zone string
+	disk       State
+	m          *Machine
+	app        *logApp
+	life       int
+	started    time.Duration
+	frozen     time.Duration // until
+	slow       time.Duration // until: syncs take long
+	gone       bool          // for good
+	diskFree   time.Duration
+	carries    []carry
+	ticking    time.Duration // earliest tick that is scheduled
+	checked    uint64
+}
+
+type event struct {
+	at  time.Duration
+	n   int
+	run func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].n < e[j].n
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any     { o := *e; x := o[len(o)-1]; *e = o[:len(o)-1]; return x }
+
+// sim is a core in virtual time.
+type sim struct {
+	rng       *rand.Rand
+	now       time.Duration
+	q         events
+	n         int
+	boxes     []*box
+	seeds     []string
+	survive   Survive
+	bootUntil time.Duration
+	zones     int
+	loss, dup float64
+	delay     time.Duration
+	cuts      map[[2]string]time.Duration // until, by direction
+	err       error
+	trace     bool
+	small     bool // snapshots often
+
+	// What clients saw.
+	acked     map[string]uint64
+	ackedMax  uint64
+	committed []string // by seq-1
+	leaders   map[uint64]string
+	floors    map[uint64]uint64 // reads under way
+	bodies    map[uint64]string // writes under way
+	token     uint64
+	confirms  int
+	wiped     int // since all was well
+	votes     []string
+}
+
+func newSim(seed uint64, n, seeds int, s Survive) *sim {
+	r := &sim{
+		rng: rand.New(rand.NewPCG(seed, 1)), survive: s, zones: 3, delay: 10 * ms,
+		cuts: map[[2]string]time.Duration{}, acked: map[string]uint64{}, leaders: map[uint64]string{},
+		floors: map[uint64]uint64{}, bodies: map[uint64]string{}, bootUntil: 5 * time.Second,
+	}
+	for i := range n {
+		r.add(fmt.Sprintf("10.0.%d.1:7000", i), fmt.Sprint("z", i%r.zones))
+	}
+	for _, b := range r.boxes[:min(seeds, n)] {
+		r.seeds = append(r.seeds, b.addr)
+	}
+	return r
+}
+
+func (s *sim) add(addr, zone string) *box {
+	b := &box{addr: addr, zone: zone}
+	s.boxes = append(s.boxes, b)
+	return b
+}
+
+func (s *sim) after(d time.Duration, run func()) {
+	s.n++
+	heap.Push(&s.q, event{at: s.now + d, n: s.n, run: run})
+}
+
+func (s *sim) upTo(d time.Duration) time.Duration { return time.Duration(s.rng.Int64N(int64(d) + 1)) }
+
+func (s *sim) fail(format string, args ...any) {
+	if s.err == nil {
+		s.err = fmt.Errorf("at %v: %s", s.now, fmt.Sprintf(format, args...))
+	}
+}
+
+func (s *sim) note(format string, args ...any) {
+	if s.trace {
+		fmt.Printf("%10v %s\n", s.now, fmt.Sprintf(format, args...))
+	}
+}
+
+// runUntil plays events up to a time, or until stop says so.
+func (s *sim) runUntil(end time.Duration, stop func() bool) bool {
+	for s.err == nil && len(s.q) > 0 && s.q[0].at <= end {
+		e := heap.Pop(&s.q).(event)
+		s.now = e.at
+		e.run()
+		if stop != nil && stop() {
+			return true
+		}
+	}
+	if s.now < end {
+		s.now = end
+	}
+	return false
+}
+
+func (s *sim) options(b *box) Options {
+	seeds := s.seeds
+	if s.now >= s.bootUntil { // the operator's list of now, or an older one
+		var there []string
+		for _, b := range s.boxes {
+			if !b.gone {
+				there = append(there, b.addr)
+			}
+		}
+		s.rng.Shuffle(len(there), func(i, j int) { there[i], there[j] = there[j], there[i] })
+		seeds = there[:min(3, len(there))]
+	}
+	o := Options{
+		Self: Member{Addr: b.addr, Zone: b.zone, Region: "r"}, Survive: s.survive, Seeds: seeds,
+		Bootstrap: s.now < s.bootUntil, BeatEvery: 100 * ms, SuspectAfter: 500 * ms, StaggerEach: 150 * ms,
+		WriteWithin: 600 * ms, ForgetAfter: 3 * time.Second, Rand: s.rng.Uint64,
+	}
+	if s.small {
+		o.SnapshotBytes = 20
+	}
+	return o
+}
+
+func (s *sim) start(b *box) {
+	if b.m != nil || b.gone {
+		return
+	}
+	b.app = &logApp{err: &s.err}
+	m, err := New(s.options(b), b.disk, b.app)
+	if err != nil {
+		s.fail("new %s: %v", b.addr, err)
+		return
+	}
+	b.m, b.started, b.ticking, b.frozen, b.checked = m, s.now, -1, 0, 0
+	s.note("start %s", b.addr)
+	s.tick(b, b.life)
+}
+
+// kill ends the process. What is on its way to the disk may get there or not, what follows doesn't.
+func (s *sim) kill(b *box) {
+	if b.m == nil {
+		return
+	}
+	s.note("kill %s", b.addr)
+	if len(b.carries) > 0 && s.rng.IntN(2) == 0 {
+		save(&b.disk, b.carries[0].out.Write)
+	}
+	b.m, b.carries, b.diskFree = nil, nil, s.now
+	b.life++
+}
+
+func (s *sim) clock(b *box) time.Duration { return s.now - b.started }
+
+func (s *sim) tick(b *box, life int) {
+	if b.m == nil || b.life != life {
+		return
+	}
+	if b.frozen > s.now {
+		s.after(b.frozen-s.now, func() { s.tick(b, life) })
+		return
+	}
+	b.ticking = -1
+	s.input(b, b.m.Tick(s.clock(b)))
+}
+
+// input takes what an input led to and plans the next tick.
+func (s *sim) input(b *box, out Output) {
+	st := b.m.Status()
+	c := carry{out: out, epoch: st.Epoch, status: st, log: b.app.log}
+	b.carries = append(b.carries, c)
+	life := b.life
+	var d time.Duration
+	if !out.Write.Empty() {
+		d = 1*ms + s.upTo(4*ms)
+		if b.slow > s.now {
+			d = 100*ms + s.upTo(2*time.Second)
+		}
+		if b.diskFree > s.now+time.Second {
+			d = ms // what waits is written together
+		}
+	}
+	b.diskFree = max(b.diskFree, s.now) + d
+	s.after(b.diskFree-s.now, func() { s.carryOut(b, life) })
+	next := max(b.m.Next()+b.started, s.now+ms)
+	if b.ticking < 0 || next < b.ticking {
+		b.ticking = next
+		s.after(next-s.now, func() {
+			if b.ticking == next {
+				s.tick(b, life)
+			}
+		})
+	}
+}
+
+func (s *sim) carryOut(b *box, life int) {
+	if b.m == nil || b.life != life || len(b.carries) == 0 {
+		return
+	}
+	c := b.carries[0]
+	b.carries = b.carries[1:]
+	save(&b.disk, c.out.Write)
+	for seq := b.checked + 1; seq <= c.out.Committed; seq++ {
+		if seq > uint64(len(c.log)) {
+			s.fail("%s: %d committed, %d in the record", b.addr, seq, len(c.log))
+			return
+		}
+		switch n := uint64(len(s.committed)); {
+		case seq == n+1:
+			s.committed = append(s.committed, c.log[seq-1])
+		case seq > n+1:
+			s.fail("%s: %d committed after %d", b.addr, seq, n)
+			return
+		case s.committed[seq-1] != c.log[seq-1]:
+			s.fail("%s: change %d is %q and %q", b.addr, seq, s.committed[seq-1], c.log[seq-1])
+			return
+		}
+	}
+	b.checked = c.out.Committed
+	for _, a := range c.out.Answer {
+		s.answered(b, c, a)
+	}
+	for _, e := range c.out.Send {
+		s.send(b.addr, e)
+	}
+}
+
+func (s *sim) answered(b *box, c carry, a Answer) {
+	switch a.Result {
+	case Committed:
+		who := fmt.Sprint(b.addr, " life ", b.life)
+		if l, ok := s.leaders[c.epoch]; ok && l != who {
+			s.fail("epoch %d: %s and %s commit", c.epoch, l, who)
+		}
+		s.leaders[c.epoch] = who
+		body := s.bodies[a.Token]
+		if uint64(len(s.committed)) < a.Seq || s.committed[a.Seq-1] != body {
+			s.fail("%s: %q acknowledged as %d, which is another", b.addr, body, a.Seq)
+		}
+		s.acked[body] = a.Seq
+		s.ackedMax = max(s.ackedMax, a.Seq)
+	case Confirmed:
+		s.confirms++
+		if a.Seq < s.floors[a.Token] {
+			s.fail("%s: read shows %d, %d was acknowledged before it began", b.addr, a.Seq, s.floors[a.Token])
+		}
+		if a.Seq > uint64(len(c.log)) {
+			s.fail("%s: read of %d, %d in the record", b.addr, a.Seq, len(c.log))
+		}
+	}
+	delete(s.floors, a.Token)
+	delete(s.bodies, a.Token)
+}
+
+func (s *sim) send(from string, e Envelope) {
+	body, err := e.Msg.MarshalMsg(nil)
+	if err != nil {
+		s.fail("encode: %v", err)
+		return
+	}
+	times := 1
+	if s.rng.Float64() < s.loss {
+		times = 0
+	}
+	if s.rng.Float64() < s.dup {
+		times++
+	}
+	for range times {
+		d := 500*time.Microsecond + s.upTo(s.delay)
+		if s.loss > 0 && s.rng.IntN(50) == 0 {
+			d += s.upTo(3 * time.Second) // a straggler
+		}
+		s.after(d, func() { s.deliver(from, e.To, body) })
+	}
+}
+
+func (s *sim) deliver(from, to string, body []byte) {
+	if s.cuts[[2]string{from, to}] > s.now {
+		return
+	}
+	i := slices.IndexFunc(s.boxes, func(b *box) bool { return b.addr == to })
+	if i < 0 || s.boxes[i].m == nil {
+		return
+	}
+	b := s.boxes[i]
+	if b.frozen > s.now {
+		life := b.life
+		s.after(b.frozen-s.now+s.upTo(ms), func() {
+			if b.life == life {
+				s.deliver(from, to, body)
+			}
+		})
+		return
+	}
+	var msg Message
+	if _, err := msg.UnmarshalMsg(body); err != nil {
+		s.fail("decode: %v", err)
+		return
+	}
+	s.input(b, b.m.Receive(s.clock(b), from, &msg))
+}
+
+func (s *sim) live() []*box {
+	var l []*box
+	for _, b := range s.boxes {
+		if b.m != nil && b.frozen <= s.now {
+			l = append(l, b)
+		}
+	}
+	return l
+}
+
+// write has some machine take a change: mostly one that leads.
+func (s *sim) write() {
+	if b := s.target(); b != nil {
+		s.writeTo(b)
+	}
+}
+
+func (s *sim) writeTo(b *box) {
+	s.token++
+	t := s.token
+	s.bodies[t] = fmt.Sprint("w", t)
+	s.input(b, b.m.Propose(s.clock(b), t, []byte(s.bodies[t])))
+}
+
+func (s *sim) read() {
+	b := s.target()
+	if b == nil {
+		return
+	}
+	s.token++
+	s.floors[s.token] = s.ackedMax
+	s.input(b, b.m.Read(s.clock(b), s.token))
+}
+
+func (s *sim) target() *box {
+	l := s.live()
+	if len(l) == 0 {
+		return nil
+	}
+	lead := slices.DeleteFunc(slices.Clone(l), func(b *box) bool { return b.m.Status().Role != Primary })
+	if len(lead) > 0 && s.rng.IntN(10) > 0 {
+		l = lead
+	}
+	return l[s.rng.IntN(len(l))]
+}
+
+// leader is the ready primary with the highest epoch, nil if there is none.
+func (s *sim) leader() *box {
+	var l *box
+	for _, b := range s.live() {
+		if st := b.m.Status(); st.Role == Primary && st.Ready && (l == nil || st.Epoch > l.m.Status().Epoch) {
+			l = b
+		}
+	}
+	return l
+}
+
+// well finds a ready primary of a view in which as many hold the record as must, and that keeps a majority when as many
+// of the members still there by their identity are lost as may be.
+func (s *sim) well() *box {
+	ids := map[ID]bool{}
+	for _, b := range s.boxes {
+		if !b.gone {
+			ids[b.disk.Identity.ID] = true
+		}
+	}
+	for _, b := range s.live() {
+		st := b.m.Status()
+		if st.Role != Primary || !st.Ready || len(st.View.Backups) < min(s.survive.Copies(), len(s.boxes))-1 {
+			continue
+		}
+		if len(st.View.Members) < 2*s.survive.Copies()-1 {
+			continue
+		}
+		there := 0
+		for _, o := range st.View.Members {
+			if ids[o.ID] {
+				there++
+			}
+		}
+		if there-s.survive.Nodes >= st.View.majority() && !slices.ContainsFunc(st.View.Backups, func(id ID) bool { return !ids[id] }) {
+			return b
+		}
+	}
+	return nil
+}
+
+// settled reports whether all machines are members, one leads, and all know it.
+func (s *sim) settled() bool {
+	p := s.well()
+	if p == nil {
+		return false
+	}
+	st := p.m.Status()
+	n := 0
+	for _, b := range s.boxes {
+		if b.gone {
+			continue
+		}
+		n++
+		if b.m == nil || !b.m.Status().Ready || b.m.Status().Epoch != st.Epoch || !st.View.has(b.disk.Identity.ID) {
+			return false
+		}
+	}
+	return n/2 == len(st.View.Members)/2 // one lost for good may stay where it costs no majority
+}
--- /dev/null
+++ b/internal/system/barograph/view.go
@@ -0,0 +1,160 @@
+package barograph
+
+import (
+	"slices"
+	"strings"
+)
+
+const maxMembers = 64
+
+// seedID is the identity in view 0 of the machine at addr.
+func seedID(addr string) ID { return ID("seed:" + addr) }
+
+// firstView is view 0 among the seeds.
+func firstView(seeds []string) View {
+	addrs := slices.Clone(seeds)
+	slices.Sort(addrs)
+	addrs = slices.Compact(addrs)
+	v := View{}
+	for _, a := range addrs {
+		v.Members = append(v.Members, Member{ID: seedID(a), Addr: a})
+	}
+	return v
+}
+
+func (v *View) member(id ID) (Member, bool) {
+	i := slices.IndexFunc(v.Members, func(m Member) bool { return m.ID == id })
+	if i < 0 {
+		return Member{}, false
+	}
+	return v.Members[i], true
+}
+
+func (v *View) has(id ID) bool { _, ok := v.member(id); return ok }
+
+func (v *View) majority() int { return len(v.Members)/2 + 1 }
+
+// rank is 0 for the primary, from 1 on for the backups, -1 for others.
+func (v *View) rank(id ID) int {
+	if id == "" {
+		return -1
+	}
+	if id == v.Primary {
+		return 0
+	}
+	if i := slices.Index(v.Backups, id); i >= 0 {
+		return i + 1
+	}
+	return -1
+}
+
+// valid reports whether v may be a decided view: every member has an identity and an address of its own, and those
+// who hold the record are members, each once.
+func (v *View) valid() bool {
+	if v.Epoch == 0 || len(v.Members) == 0 || len(v.Members) > maxMembers || !v.has(v.Primary) {
+		return false
+	}
+	for i, m := range v.Members {
+		if m.ID == "" || m.Addr == "" {
+			return false
+		}
+		for _, o := range v.Members[:i] {
+			if o.ID == m.ID || o.Addr == m.Addr {
+				return false
+			}
+		}
+	}
+	for i, b := range v.Backups {
+		if b == v.Primary || !v.has(b) || slices.Contains(v.Backups[:i], b) {
+			return false
+		}
+	}
+	return true
+}
+
+// less orders ballots.
+func (b Ballot) less(o Ballot) bool {
+	if b.N != o.N {
+		return b.N < o.N
+	}
+	return b.ID < o.ID
+}
+
+func sortMembers(ms []Member) {
+	slices.SortFunc(ms, func(a, b Member) int { return strings.Compare(a.Addr, b.Addr) })
+}
+
+// Copies is how many machines must hold the record so that one remains: one more than may be lost at once.
+func (s Survive) Copies() int { return max(s.Nodes, s.Zones, s.Regions, 0) + 1 }
+
+// candidate is a machine that may become a backup.
+type candidate struct {
+	Member
+	holder bool // holds the record already
+	slow   bool // was left out lately
+}
+
+// spread counts the zones and regions of some machines.
+func spread(ms []Member) (zones, regions int) {
+	z, r := map[[2]string]bool{}, map[string]bool{}
+	for _, m := range ms {
+		z[[2]string{m.Region, m.Zone}], r[m.Region] = true, true
+	}
+	return len(z), len(r)
+}
+
+// choice is the outcome of choose.
+type choice struct {
+	backups        []ID
+	enough         bool // as many as must be
+	full           bool // and spread as well as the members allow, none of them slow
+	zones, regions int  // of the holders, up to what is wanted
+}
+
+// choose picks the backups beside self among the candidates, for a view with these members. Each step takes who
+// brings a new region or zone where one is still wanted, then who isn't slow, then who holds the record, then
+// the lowest address.
+func choose(s Survive, self Member, members []Member, from []candidate) choice {
+	need := min(s.Copies(), len(members)) - 1
+	wantZ, wantR := max(s.Zones, 0)+1, max(s.Regions, 0)+1
+	holders := []Member{self}
+	rest := slices.Clone(from)
+	slices.SortFunc(rest, func(a, b candidate) int { return strings.Compare(a.Addr, b.Addr) })
+	var c choice
+	c.full = true
+	for len(c.backups) < need && len(rest) > 0 {
+		z, r := spread(holders)
+		best, bestScore := -1, -1
+		for i, cand := range rest {
+			z2, r2 := spread(append(holders[:len(holders):len(holders)], cand.Member))
+			score := 0
+			if r2 > r && r < wantR {
+				score += 8
+			}
+			if z2 > z && z < wantZ {
+				score += 4
+			}
+			if !cand.slow {
+				score += 2
+			}
+			if cand.holder {
+				score++
+			}
+			if score > bestScore {
+				best, bestScore = i, score
+			}
+		}
+		if rest[best].slow {
+			c.full = false
+		}
+		holders = append(holders, rest[best].Member)
+		c.backups = append(c.backups, rest[best].ID)
+		rest = slices.Delete(rest, best, best+1)
+	}
+	c.enough = len(c.backups) == need
+	z, r := spread(holders)
+	c.zones, c.regions = min(z, wantZ), min(r, wantR)
+	allZ, allR := spread(members)
+	c.full = c.full && c.enough && c.zones >= min(wantZ, allZ, need+1) && c.regions >= min(wantR, allR, need+1)
+	return c
+}
--- /dev/null
+++ b/internal/system/observatory/observatory.go
@@ -0,0 +1,240 @@
+// Package observatory is the control plane's program: the core machines that keep the record, poll the platform's
+// list for all, and answer pulls and the operator. What is decided stands in barograph; this is its driver.
+package observatory
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"molepaddle/internal/system/almanac"
+	"molepaddle/internal/system/archive"
+	"molepaddle/internal/system/barograph"
+	"molepaddle/internal/system/siting"
+	"molepaddle/internal/system/synop"
+)
+
+// Observatory is one core machine's program.
+type Observatory struct {
+	set     siting.Settings
+	log     *zap.Logger
+	start   time.Time
+	store   *synop.Store
+	archive *archive.Archive
+	machine *barograph.Machine
+	record  *record
+	peers   *peers
+	inputs  chan func(now time.Duration) barograph.Output
+	status  atomic.Pointer[barograph.Status]
+	settled atomic.Pointer[applied] // newest committed state
+
+	// What follows belongs to the driver's goroutine.
+	waiting map[uint64]chan<- barograph.Answer
+	token   uint64
+	writing chan struct{} // one change at a time; holds one value
+}
+
+const (
+	beatEvery    = 150 * time.Millisecond
+	suspectAfter = 700 * time.Millisecond
+	staggerEach  = 250 * time.Millisecond
+	writeWithin  = 600 * time.Millisecond
+)
+
+// New opens the disk and makes the program. A disk whose content can't be trusted counts as lost.
+func New(set siting.Settings, log *zap.Logger, random func() uint64) (*Observatory, error) {
+	if set.DataDir == "" {
+		return nil, errors.New("datadir: a core machine needs a disk")
+	}
+	a, state, err := archive.Open(set.DataDir)
+	if err != nil {
+		return nil, errors.Wrap(err, "open archive")
+	}
+	if state.Lost {
+		log.Warn("the disk's content can't be trusted and counts as lost")
+	}
+	o := &Observatory{set: set, log: log, start: time.Now(), store: synop.NewStore(), archive: a, record: &record{},
+		inputs: make(chan func(time.Duration) barograph.Output, 1024), waiting: map[uint64]chan<- barograph.Answer{}, writing: make(chan struct{}, 1)}
+	var seeds []string
+	for _, s := range set.Seeds {
+		if host, _, err := net.SplitHostPort(s); err == nil {
+			seeds = append(seeds, synop.CoreAddr(host, set.Ports))
+		}
+	}
+	self := barograph.Member{Addr: synop.CoreAddr(set.IP, set.Ports), Zone: set.Zone, Region: set.Region}
+	o.machine, err = barograph.New(barograph.Options{Self: self,
+		Survive: barograph.Survive{Nodes: set.Survive.Nodes, Zones: set.Survive.Zones, Regions: set.Survive.Regions},
+		Seeds:   seeds, Bootstrap: set.Bootstrap,
+		BeatEvery: beatEvery, SuspectAfter: suspectAfter, StaggerEach: staggerEach, WriteWithin: writeWithin,
+		ForgetAfter: set.Bounds.Sync, Rand: random}, state, o.record)
+	if err != nil {
+		return nil, errors.Wrap(err, "record")
+	}
+	o.peers = newPeers(self.Addr, log)
+	st := o.machine.Status()
+	o.status.Store(&st)
+	return o, nil
+}
+
+// Run serves until ctx ends.
+func (o *Observatory) Run(ctx context.Context) error {
+	core, err := net.Listen("tcp", synop.CoreAddr(o.set.IP, o.set.Ports))
+	if err != nil {
+		return errors.Wrap(err, "listen for the core")
+	}
+	pulls, err := net.Listen("tcp", synop.PullAddr(o.set.IP, o.set.Ports))
+	if err != nil {
+		return errors.Wrap(err, "listen for pulls")
+	}
+	control, err := net.Listen("tcp", o.set.Bind.Control)
+	if err != nil {
+		return errors.Wrap(err, "listen for the operator")
+	}
+	server := &http.Server{Handler: o.handler(), ReadHeaderTimeout: 3 * time.Second, IdleTimeout: 10 * time.Second, ErrorLog: zap.NewStdLog(o.log)}
+	go func() { _ = server.Serve(control) }()
+	go o.peers.serve(ctx, core, func(from string, m *barograph.Message) {
+		select {
+		case o.inputs <- func(now time.Duration) barograph.Output { return o.machine.Receive(now, from, m) }:
+		default: // messages may be lost
+		}
+	})
+	go o.servePulls(ctx, pulls)
+	go o.relay(ctx)
+	go o.poll(ctx)
+	stop := context.AfterFunc(ctx, func() {
+		core.Close()
+		pulls.Close()
+	})
+	defer stop()
+	o.drive(ctx)
+	end, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_ = server.Shutdown(end)
+	if err := o.archive.Close(); err != nil {
+		return errors.Wrap(err, "close archive")
+	}
+	return nil
+}
+
+// drive handles inputs one by one: what is to be on disk is there before anything is sent or answered.
+func (o *Observatory) drive(ctx context.Context) {
+	next := time.NewTimer(0)
+	defer next.Stop()
+	for {
+		var out barograph.Output
+		select {
+		case <-ctx.Done():
+			return
+		case in := <-o.inputs:
+			out = in(time.Since(o.start))
+		case <-next.C:
+			out = o.machine.Tick(time.Since(o.start))
+		}
+		o.carryOut(ctx, &out)
+		next.Reset(max(o.machine.Next()-time.Since(o.start), 0))
+	}
+}
+
+func (o *Observatory) carryOut(ctx context.Context, out *barograph.Output) {
+	for pause := 50 * time.Millisecond; !out.Write.Empty(); {
+		err := o.archive.Save(out.Write)
+		if err == nil {
+			break
+		}
+		o.log.Error("the disk takes no write; tried again", zap.Error(err))
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+		pause = min(2*pause, time.Second)
+	}
+	for _, e := range out.Send {
+		o.peers.send(e.To, e.Msg)
+	}
+	o.settle(out.Committed)
+	for _, a := range out.Answer {
+		if c := o.waiting[a.Token]; c != nil {
+			delete(o.waiting, a.Token)
+			c <- a
+		}
+	}
+	if out.Changed {
+		st := o.machine.Status()
+		was := o.status.Swap(&st)
+		if was.Epoch != st.Epoch || was.Role != st.Role || was.Ready != st.Ready {
+			o.log.Info("view", zap.Uint64("epoch", st.Epoch), zap.Uint8("role", uint8(st.Role)), zap.Bool("ready", st.Ready), zap.String("primary", st.PrimaryAddr),
+				zap.Int("members", len(st.View.Members)), zap.Int("backups", len(st.View.Backups)))
+		}
+	}
+}
+
+// settle makes committed state known: to readers, and at the primary to those that pull.
+func (o *Observatory) settle(committed uint64) {
+	done := o.record.settle(committed)
+	if len(done) == 0 {
+		return
+	}
+	last := &done[len(done)-1]
+	was := o.settled.Load()
+	if was != nil && was.seq >= last.seq {
+		return
+	}
+	for i := range done {
+		d := &done[i]
+		if was != nil && d.seq <= was.seq || d.doc == nil {
+			continue
+		}
+		at := synop.Version{Count: d.seq}
+		if was != nil && d.call != nil && o.store.Append(synop.SourceConfig, synop.Version{Count: was.seq}, at, synop.Change{At: at, Replace: d.call.Replace, Body: d.call.Body}) {
+			was = d
+			continue
+		}
+		was = d
+		if i == len(done)-1 {
+			o.store.Set(synop.SourceConfig, at, d.doc.Show())
+		}
+	}
+	o.settled.Store(last)
+	o.log.Info("configuration settled", zap.Uint64("seq", last.seq), zap.Int64("version", versionOf(last.doc)))
+}
+
+func versionOf(d *almanac.Document) int64 {
+	if d == nil {
+		return 0
+	}
+	return d.Version()
+}
+
+// ask hands the machine an input with a token and waits for its answer.
+func (o *Observatory) ask(ctx context.Context, do func(now time.Duration, token uint64) barograph.Output) (barograph.Answer, error) {
+	c := make(chan barograph.Answer, 1)
+	in := func(now time.Duration) barograph.Output {
+		o.token++
+		token := o.token
+		o.waiting[token] = c
+		context.AfterFunc(ctx, func() {
+			select {
+			case o.inputs <- func(now time.Duration) barograph.Output { delete(o.waiting, token); return o.machine.Tick(now) }:
+			default:
+			}
+		})
+		return do(now, token)
+	}
+	select {
+	case o.inputs <- in:
+	case <-ctx.Done():
+		return barograph.Answer{}, ctx.Err()
+	}
+	select {
+	case a := <-c:
+		return a, nil
+	case <-ctx.Done():
+		return barograph.Answer{}, ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/system/observatory/operator.go
@@ -0,0 +1,192 @@
+package observatory
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"molepaddle/internal/system/almanac"
+	"molepaddle/internal/system/barograph"
+	"molepaddle/internal/system/sonde"
+)
+
+const (
+	// maxConfig bounds a configuration, in bytes.
+	maxConfig = 16 << 20
+	// answerWithin is how long a call of the operator waits for the record; callers turn elsewhere after a second.
+	answerWithin = 3 * time.Second
+)
+
+func (o *Observatory) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(sonde.Replace.Method+" "+sonde.Replace.Path, func(w http.ResponseWriter, r *http.Request) { o.change(w, r, true) })
+	mux.HandleFunc(sonde.Update.Method+" "+sonde.Update.Path, func(w http.ResponseWriter, r *http.Request) { o.change(w, r, false) })
+	mux.HandleFunc(sonde.Show.Method+" "+sonde.Show.Path, o.show)
+	return mux
+}
+
+// elsewhere sends a caller to the primary, where that is another machine; false: this is the primary.
+func (o *Observatory) elsewhere(w http.ResponseWriter, r *http.Request) bool {
+	st := o.status.Load()
+	if st.Role == barograph.Primary {
+		return false
+	}
+	host, _, err := net.SplitHostPort(st.PrimaryAddr)
+	_, port, err2 := net.SplitHostPort(o.set.Bind.Control)
+	if err != nil || err2 != nil || !st.Ready {
+		o.later(w, "no primary is known")
+		return true
+	}
+	w.Header().Set("Location", "http://"+net.JoinHostPort(host, port)+r.URL.Path)
+	w.WriteHeader(http.StatusTemporaryRedirect)
+	return true
+}
+
+// later tells a caller to ask again, here or elsewhere.
+func (o *Observatory) later(w http.ResponseWriter, why string) {
+	w.Header().Set(sonde.RetryAfter, "0.2")
+	o.fail(w, http.StatusServiceUnavailable, why, nil)
+}
+
+func (o *Observatory) fail(w http.ResponseWriter, status int, why string, found almanac.Findings) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	type finding struct {
+		Place string `json:"place"`
+		Text  string `json:"text"`
+	}
+	body := struct {
+		Error    string    `json:"err"`
+		Findings []finding `json:"findings,omitempty"`
+	}{Error: why}
+	for _, f := range found {
+		body.Findings = append(body.Findings, finding{f.Place, f.Text})
+	}
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func (o *Observatory) change(w http.ResponseWriter, r *http.Request, replace bool) {
+	base, err := strconv.ParseInt(r.Header.Get(sonde.BaseVersion), 10, 64)
+	if err != nil || base < 0 {
+		_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxConfig))
+		o.fail(w, http.StatusBadRequest, sonde.BaseVersion+": no whole number", nil)
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxConfig))
+	if err != nil {
+		if tooLong, ok := err.(*http.MaxBytesError); ok {
+			o.fail(w, http.StatusRequestEntityTooLarge, tooLong.Error(), nil)
+			return
+		}
+		o.fail(w, http.StatusBadRequest, "the body is not whole", nil)
+		return
+	}
+	if o.elsewhere(w, r) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), answerWithin)
+	defer cancel()
+	select {
+	case o.writing <- struct{}{}:
+	case <-ctx.Done():
+		o.later(w, "another change is under way")
+		return
+	}
+	call := &Call{Replace: replace, Base: base, Body: body}
+	type verdict struct {
+		status int
+		why    string
+		found  almanac.Findings
+	}
+	// What is checked and what is proposed belong together: both happen in the driver's goroutine.
+	checked := make(chan verdict, 1)
+	done := make(chan struct{})
+	var ans barograph.Answer
+	go func() {
+		defer func() { <-o.writing; close(done) }()
+		// The change goes on when its caller has left: the next one waits for its end.
+		wait, cancel := context.WithTimeout(context.Background(), 4*answerWithin)
+		defer cancel()
+		ans, err = o.ask(wait, func(now time.Duration, token uint64) barograph.Output {
+			if o.machine.Status().Role != barograph.Primary {
+				return o.machine.Propose(now, token, nil) // says who may be
+			}
+			rec := o.record
+			digest, current := call.digest(), versionOf(rec.doc)
+			for _, t := range rec.taken {
+				if t.Digest == digest {
+					checked <- verdict{status: http.StatusOK}
+					return o.machine.Read(now, token)
+				}
+			}
+			if base != current {
+				checked <- verdict{status: http.StatusPreconditionFailed, why: "version " + strconv.FormatInt(current, 10) + " is in place"}
+				return o.machine.Read(now, token)
+			}
+			if _, found := call.change(rec.doc); found.Err() != nil {
+				checked <- verdict{status: http.StatusBadRequest, why: "the configuration is invalid", found: found}
+				return o.machine.Read(now, token)
+			}
+			b, _ := call.MarshalMsg(nil)
+			return o.machine.Propose(now, token, b)
+		})
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+		o.later(w, "not settled yet")
+		return
+	}
+	select {
+	case v := <-checked:
+		// The verdict is about the newest configuration only if the view still stands.
+		if err != nil || ans.Result != barograph.Confirmed {
+			o.later(w, "not settled")
+			return
+		}
+		if v.status == http.StatusOK {
+			w.WriteHeader(http.StatusOK)
+			return
+		}
+		o.log.Info("change refused", zap.Int("status", v.status), zap.String("why", v.why), zap.Stringer("findings", v.found))
+		o.fail(w, v.status, v.why, v.found)
+		return
+	default:
+	}
+	switch {
+	case err == nil && ans.Result == barograph.Committed:
+		w.WriteHeader(http.StatusOK)
+	default:
+		o.later(w, "not settled")
+	}
+}
+
+func (o *Observatory) show(w http.ResponseWriter, r *http.Request) {
+	if o.elsewhere(w, r) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), answerWithin)
+	defer cancel()
+	ans, err := o.ask(ctx, func(now time.Duration, token uint64) barograph.Output { return o.machine.Read(now, token) })
+	if err != nil || ans.Result != barograph.Confirmed {
+		o.later(w, "the view is not confirmed")
+		return
+	}
+	d := o.settled.Load()
+	if d == nil || d.doc == nil || d.seq < ans.Seq {
+		if ans.Seq > 0 {
+			o.later(w, "not settled")
+			return
+		}
+		o.fail(w, http.StatusNotFound, "no configuration yet", nil)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(d.doc.Show())
+}
--- /dev/null
+++ b/internal/system/observatory/pulls.go
@@ -0,0 +1,104 @@
+package observatory
+
+import (
+	"context"
+	"net"
+	"reflect"
+	"time"
+
+	"go.uber.org/zap"
+
+	"molepaddle/internal/system/barograph"
+	"molepaddle/internal/system/sonde"
+	"molepaddle/internal/system/synop"
+)
+
+// servePulls answers telemeters and, at the primary, the other observatories.
+func (o *Observatory) servePulls(ctx context.Context, ln net.Listener) {
+	synop.Serve(ctx, ln, o.set.Nodename, o.store, 3*o.set.Heartbeat+time.Second, func() (time.Time, string) {
+		st := o.status.Load()
+		if st.Role == barograph.Primary && st.Ready {
+			o.store.Heard(st.PrimaryAddr, time.Now())
+		}
+		return o.store.Fresh()
+	})
+}
+
+// relay keeps an observatory that isn't the primary up to date by the primary's pulls, as telemeters are.
+func (o *Observatory) relay(ctx context.Context) {
+	for ctx.Err() == nil {
+		st := o.status.Load()
+		host, _, err := net.SplitHostPort(st.PrimaryAddr)
+		if st.Role == barograph.Primary || err != nil {
+			sleep(ctx, 100*time.Millisecond)
+			continue
+		}
+		_ = synop.Follow(ctx, synop.PullAddr(host, o.set.Ports), &synop.Follower{Name: o.set.Nodename, Wait: o.set.Heartbeat,
+			Members: func() []synop.Member { return o.store.Members(time.Now(), 3*o.set.Heartbeat) },
+			Have:    o.store.Have,
+			Take:    func(n *synop.News) []string { return o.store.Take(n, time.Now()) },
+			Goes: func() bool {
+				now := o.status.Load()
+				return now.PrimaryAddr == st.PrimaryAddr && now.Role != barograph.Primary
+			},
+		})
+		sleep(ctx, 50*time.Millisecond)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// pollEvery is the least time between two polls of the platform's list: it lags by Provider.Delay anyway.
+const pollEvery = 500 * time.Millisecond
+
+// poll asks for the platform's list for all, while this is the primary, and publishes what changes.
+func (o *Observatory) poll(ctx context.Context) {
+	client := sonde.NewPlatformClient(o.set.Provider.Address, time.Second)
+	var last *synop.List
+	var lastCrowd *synop.Crowd
+	epoch, count := uint64(0), uint64(0)
+	every := pollEvery
+	for ctx.Err() == nil {
+		st := o.status.Load()
+		if st.Role != barograph.Primary || !st.Ready || o.set.Provider.Address == "" {
+			sleep(ctx, 50*time.Millisecond)
+			continue
+		}
+		if st.Epoch != epoch {
+			epoch, count, last, lastCrowd = st.Epoch, 0, nil, nil
+		}
+		list, calls, err := client.List(ctx)
+		if err != nil {
+			o.log.Debug("platform's list", zap.Error(err))
+		} else {
+			sonde.Sort(&list)
+			if last == nil || !reflect.DeepEqual(*last, list) {
+				count++
+				b, _ := list.MarshalMsg(nil)
+				o.store.Set(synop.SourceList, synop.Version{Epoch: epoch, Count: count}, b)
+				last = &list
+			}
+			// At most half of what the platform takes a second.
+			every = max(pollEvery, time.Duration(2*float64(calls)/max(o.set.Provider.Rate, 0.1)*float64(time.Second)))
+		}
+		crowd := synop.Crowd{Zones: map[string]int{}}
+		for _, m := range o.store.Members(time.Now(), 3*o.set.Heartbeat+time.Second) {
+			crowd.Proxies++
+			crowd.Zones[m.Zone]++
+		}
+		if crowd.Proxies > 0 && (lastCrowd == nil || !reflect.DeepEqual(*lastCrowd, crowd)) {
+			count++
+			b, _ := crowd.MarshalMsg(nil)
+			o.store.Set(synop.SourceCrowd, synop.Version{Epoch: epoch, Count: count}, b)
+			lastCrowd = &crowd
+		}
+		sleep(ctx, every)
+	}
+}
--- /dev/null
+++ b/internal/system/screen/platform.go
@@ -0,0 +1,229 @@
+package screen
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// PlatformSettings say how the list is given.
+type PlatformSettings struct {
+	Page  int              // entries on a page; 50 when 0
+	Rate  float64          // rate_s: calls taken from all in a second, at least 1; 0 for no bound
+	Delay time.Duration    // delay_ms: how far the list is behind
+	Now   func() time.Time // time.Now when nil
+}
+
+// Backend is one entry of the platform's list.
+type Backend struct {
+	ID         string  `json:"id"`
+	Service    string  `json:"svc"`
+	Address    string  `json:"address"`
+	Zone       string  `json:"az"`
+	Version    string  `json:"ver"`
+	Capacity   int     `json:"capacity"`
+	State      string  `json:"state"`
+	WarmLeftMs int     `json:"warm_left_ms"`
+	Phase      Phase   `json:"phase,omitempty"`
+	Models     []Model `json:"model_list,omitempty"`
+}
+
+type listed struct {
+	e     *Engine
+	state string
+}
+
+type version struct {
+	at   time.Time
+	list []Backend
+}
+
+// Platform gives the list of backends over HTTP: GET /backends with az and marker. It is safe for concurrent use.
+type Platform struct {
+	s        PlatformSettings
+	listener net.Listener
+
+	mu      sync.Mutex
+	engines []listed
+	history []version
+	calls   []time.Time // taken in the last second
+	all     int
+	refused int
+	down    bool
+}
+
+// StartPlatform starts a Platform, which ends with the test, with engines listed as up.
+func StartPlatform(tb testing.TB, s PlatformSettings, engines ...*Engine) *Platform {
+	tb.Helper()
+	if s.Page == 0 {
+		s.Page = 50
+	}
+	if s.Now == nil {
+		s.Now = time.Now
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		tb.Fatalf("screen: platform: %v", err)
+	}
+	p := &Platform{s: s, listener: ln}
+	// What is there at the start was always there: the lag begins with the first change.
+	p.history = []version{{}}
+	for _, e := range engines {
+		p.engines = append(p.engines, listed{e, StateUp})
+	}
+	p.history[0].list = p.snapshot()
+	srv := &http.Server{Handler: p}
+	go srv.Serve(ln)
+	tb.Cleanup(func() { srv.Close() })
+	for _, e := range engines {
+		e.watch(p.note)
+	}
+	return p
+}
+
+// snapshot returns the list as it is now. Apart from the start, p.mu is held.
+func (p *Platform) snapshot() []Backend {
+	out := []Backend{}
+	for _, l := range p.engines {
+		s := l.e.Settings()
+		out = append(out, Backend{
+			ID: l.e.ID(), Service: s.Service, Address: s.Address, Zone: s.Zone, Version: s.Version,
+			Capacity: s.Capacity, State: l.state, Phase: l.e.Phase(), Models: l.e.Models(),
+		})
+	}
+	return out
+}
+
+// note records the list as it is now.
+func (p *Platform) note() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.history = append(p.history, version{p.s.Now(), p.snapshot()})
+}
+
+// Address returns its IP:PORT, for provider.address.
+func (p *Platform) Address() string { return p.listener.Addr().String() }
+
+// Add lists engines as up.
+func (p *Platform) Add(engines ...*Engine) {
+	p.mu.Lock()
+	for _, e := range engines {
+		p.engines = append(p.engines, listed{e, StateUp})
+	}
+	p.mu.Unlock()
+	p.note()
+	for _, e := range engines {
+		e.watch(p.note)
+	}
+}
+
+// Drain shows engines as draining and sets their Draining fault; they go on serving.
+func (p *Platform) Drain(engines ...*Engine) {
+	p.mu.Lock()
+	for i, l := range p.engines {
+		if slices.Contains(engines, l.e) {
+			p.engines[i].state = StateDraining
+		}
+	}
+	p.mu.Unlock()
+	p.note()
+	for _, e := range engines {
+		f := e.Faults()
+		f.Draining = true
+		e.SetFaults(f)
+	}
+}
+
+// Remove takes engines off the list. Until then, those that crashed stay on it.
+func (p *Platform) Remove(engines ...*Engine) {
+	p.mu.Lock()
+	p.engines = slices.DeleteFunc(p.engines, func(l listed) bool { return slices.Contains(engines, l.e) })
+	p.mu.Unlock()
+	p.note()
+}
+
+// SetDown makes the platform close each call without an answer, or serve again.
+func (p *Platform) SetDown(down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = down
+}
+
+// Calls returns how many calls came and how many of them got 429.
+func (p *Platform) Calls() (all, refused int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.all, p.refused
+}
+
+// seen returns the list as it stood Delay ago.
+func (p *Platform) seen(now time.Time) []Backend {
+	at := now.Add(-p.s.Delay)
+	i := len(p.history) - 1
+	for i > 0 && p.history[i].at.After(at) {
+		i--
+	}
+	return p.history[i].list
+}
+
+// take counts a call and tells whether the rate allows it.
+func (p *Platform) take(now time.Time) bool {
+	p.all++
+	p.calls = slices.DeleteFunc(p.calls, func(t time.Time) bool { return now.Sub(t) >= time.Second })
+	if p.s.Rate > 0 && float64(len(p.calls)+1) > max(p.s.Rate, 1) {
+		p.refused++
+		return false
+	}
+	p.calls = append(p.calls, now)
+	return true
+}
+
+// ServeHTTP answers a call.
+func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	now := p.s.Now()
+	ok, down := p.take(now), p.down
+	list := p.seen(now)
+	p.mu.Unlock()
+	from, bad := 0, r.Method != http.MethodGet
+	if m := r.URL.Query().Get("marker"); m != "" {
+		n, err := strconv.Atoi(strings.TrimPrefix(m, "p-"))
+		from, bad = n, bad || err != nil || n < 0
+	}
+	switch {
+	case down:
+		panic(http.ErrAbortHandler)
+	case !ok:
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
+	case r.URL.Path != "/backends":
+		w.WriteHeader(http.StatusNotFound)
+		return
+	case bad:
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if az := r.URL.Query().Get("az"); az != "" {
+		list = slices.DeleteFunc(slices.Clone(list), func(b Backend) bool { return b.Zone != az })
+	}
+	page := struct {
+		Backends   []Backend `json:"backends"`
+		NextMarker *string   `json:"next_marker"`
+	}{Backends: []Backend{}}
+	from = min(from, len(list))
+	to := min(from+p.s.Page, len(list))
+	page.Backends = append(page.Backends, list[from:to]...)
+	if to < len(list) {
+		m := fmt.Sprintf("p-%d", to)
+		page.NextMarker = &m
+	}
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(page)
+}
--- /dev/null
+++ b/internal/system/screen/request.go
@@ -0,0 +1,82 @@
+package screen
+
+import (
+	"net/http"
+	"time"
+)
+
+// Kind is a route's kind.
+type Kind string
+
+// The kinds of routes.
+const (
+	ReadOnly Kind = "readonly"
+	Mutating Kind = "mutating"
+	Stream   Kind = "stream"
+)
+
+// Request is one try of a client. Attempt is drawn when empty.
+type Request struct {
+	Attempt   string
+	Kind      Kind   // ReadOnly when empty
+	Resumable bool   // streams: the route has resumable
+	Method    string // POST when empty
+	Host      string
+	Path      string // with the query
+	Body      []byte
+	Chunked   bool          // send the body in chunks
+	Deadline  time.Duration // X-Molepaddle-Deadline-Ms, and the bound of the whole try; 10 s and no header when 0
+	Model     string
+	Tokens    [2]int // prompt, most to come out; no header when both are 0
+	Parts     []Part // X-Molepaddle-Prompt-Prefix
+	LastEvent int    // Last-Event-Id; no header when 0
+	Header    http.Header
+	// Services are those to which any configuration that may be in force lets the request go. Nil: not judged. Empty,
+	// not nil: no service may run it.
+	Services []string
+	// Regions are those in which it may run, be read and be kept. Nil: anywhere.
+	Regions []string
+}
+
+// Idempotent tells whether r may run more than once.
+func (r Request) Idempotent() bool {
+	return r.Kind == ReadOnly || r.Kind == "" || r.Kind == Stream && r.Resumable
+}
+
+// Event is one event of a stream as the client got it.
+type Event struct {
+	ID       int
+	Seal     string // of the run that made it
+	Tokens   int
+	Versions string // the event's versions line; "" when it had none
+	At       time.Time
+}
+
+// Result is what a client saw of one request.
+type Result struct {
+	Request
+	BodyHash uint64 // xxhash of Request.Body
+	Edge     string
+	SentAt   time.Time
+	EndedAt  time.Time
+
+	Status     int // 0 when no answer came
+	Header     http.Header
+	Seal       string
+	Answered   string // attempt id carried back
+	AnswerBody []byte
+	AnswerHash uint64
+	Events     []Event
+	Complete   bool // the answer came to what a client takes for its proper end
+	Extra      bool // bytes came after the answer although no request was waiting
+	Malformed  bool // the bytes were no answer in the protocol
+	RetryAfter time.Duration
+	Closing    bool  // the answer told that the connection closes after it
+	Reused     bool  // it went over a connection that had carried a request before
+	Err        error // what ended it; nil when Complete
+}
+
+// OK tells whether the request got a whole success: 2xx, with a seal, its own id and all bytes.
+func (r Result) OK() bool {
+	return r.Status/100 == 2 && r.Seal != "" && r.Answered == r.Attempt && r.Complete && !r.Malformed
+}
--- /dev/null
+++ b/internal/system/synop/frame.go
@@ -0,0 +1,62 @@
+package synop
+
+import (
+	"bufio"
+	"encoding/binary"
+	"io"
+	"net"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/tinylib/msgp/msgp"
+
+	"molepaddle/internal/protocol/sockets"
+)
+
+// MaxFrame bounds a message between own processes, in bytes.
+const MaxFrame = 32 << 20
+
+// WriteFrame writes one message. The caller sets the deadline.
+func WriteFrame(w io.Writer, m msgp.Marshaler) error {
+	b, err := m.MarshalMsg(make([]byte, 4, 512))
+	if err != nil {
+		return errors.Wrap(err, "encode")
+	}
+	if len(b)-4 > MaxFrame {
+		return errors.Errorf("message of %d bytes is over the bound of %d", len(b)-4, MaxFrame)
+	}
+	binary.BigEndian.PutUint32(b, uint32(len(b)-4))
+	_, err = w.Write(b)
+	return err
+}
+
+// ReadFrame reads one message into m. A frame over MaxFrame is an error before anything is kept; memory grows
+// with what has come, not with what a length claims.
+func ReadFrame(r *bufio.Reader, m msgp.Unmarshaler) error {
+	var head [4]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return err
+	}
+	n := int(binary.BigEndian.Uint32(head[:]))
+	if n > MaxFrame {
+		return errors.Errorf("frame of %d bytes is over the bound of %d", n, MaxFrame)
+	}
+	b := make([]byte, 0, min(n, 64<<10))
+	for len(b) < n {
+		part := min(n-len(b), 64<<10)
+		at := len(b)
+		b = append(b, make([]byte, part)...)
+		if _, err := io.ReadFull(r, b[at:]); err != nil {
+			return errors.Wrap(err, "frame cut short")
+		}
+	}
+	if _, err := m.UnmarshalMsg(b); err != nil {
+		return errors.Wrap(err, "decode")
+	}
+	return nil
+}
+
+// Dial connects to an own process; one whose machine is silent for the bound given breaks.
+func Dial(addr string, within time.Duration) (net.Conn, error) {
+	return (&net.Dialer{Timeout: within, KeepAlive: -1, Control: sockets.UserTimeout(within)}).Dial("tcp", addr)
+}
--- /dev/null
+++ b/internal/system/synop/messages.go
@@ -0,0 +1,87 @@
+// Package synop is what the system's own processes say to each other about the fleet: named after the code in
+// which weather stations report. Messages are msgp, in frames of four bytes of length. A reader pulls what it
+// lacks, by a vector of versions, one a source; an unanswered pull waits at the source until something is new.
+package synop
+
+//go:generate msgp -tests=false
+
+// Version is how far a source has come: its epoch, and a count within it. Higher epochs come later.
+type Version struct {
+	Epoch uint64 `msg:"e"`
+	Count uint64 `msg:"n"`
+}
+
+// Before tells whether v is older than w.
+func (v Version) Before(w Version) bool {
+	return v.Epoch < w.Epoch || v.Epoch == w.Epoch && v.Count < w.Count
+}
+
+// Member is a process that renews its lease: which machine, and how many milliseconds ago it last did.
+type Member struct {
+	Name string `msg:"n"`
+	Zone string `msg:"z"`
+	AgeM int64  `msg:"a"` // milliseconds since its last renewal, as whoever sends this knows
+}
+
+// Pull asks for what the sender lacks and renews the leases of those it stands for.
+type Pull struct {
+	From    string             `msg:"f"`
+	WaitMs  int64              `msg:"w"` // how long an answer may wait for news
+	Have    map[string]Version `msg:"h"`
+	Members []Member           `msg:"m"`
+}
+
+// Change is one acknowledged change of the configuration, as the operator sent it.
+type Change struct {
+	At      Version `msg:"v"` // that it leads to
+	Replace bool    `msg:"r"`
+	Body    []byte  `msg:"b"`
+}
+
+// Piece is the news of one source: its whole at a version, unless that was had, and the changes from there.
+type Piece struct {
+	Source  string   `msg:"s"`
+	At      Version  `msg:"v"`
+	Whole   []byte   `msg:"w"` // at Since; nil: Since was had
+	Since   Version  `msg:"o"`
+	Changes []Change `msg:"c"`
+}
+
+// News answers a Pull.
+type News struct {
+	From    string  `msg:"f"`
+	Primary string  `msg:"p"` // internal address of the primary, where known
+	FreshMs int64   `msg:"a"` // how long ago the primary was heard by this chain of sources
+	Pieces  []Piece `msg:"x"`
+}
+
+// Backend is one entry of the platform's list, in the words that the proxies use.
+type Backend struct {
+	ID       string `msg:"i"`
+	Service  string `msg:"s"`
+	Address  string `msg:"a"`
+	Zone     string `msg:"z"`
+	Version  string `msg:"v"`
+	Capacity int    `msg:"c"`
+	Draining bool   `msg:"d"`
+	Phase    string `msg:"p"`
+	Weights  int64  `msg:"w"` // version of its model's weights
+}
+
+// List is the platform's list as last seen.
+type List struct {
+	Backends []Backend `msg:"b"`
+}
+
+// Crowd is how many proxies there are, in all and by zone.
+type Crowd struct {
+	Proxies int            `msg:"n"`
+	Zones   map[string]int `msg:"z"`
+}
+
+// The sources.
+const (
+	SourceConfig = "config"
+	SourceList   = "list"
+	SourceCrowd  = "crowd"
+)
--- /dev/null
+++ b/internal/system/synop/ports.go
@@ -0,0 +1,26 @@
+package synop
+
+import (
+	"net"
+	"strconv"
+)
+
+// Own programs use the ports of the settings' range from the first on.
+const (
+	portCore      = 0 // core machines among themselves
+	portPulls     = 1 // telemeters at an observatory
+	portTelemeter = 2 // the proxy at its telemeter, on loopback
+)
+
+func at(host string, ports [2]int, offset int) string {
+	return net.JoinHostPort(host, strconv.Itoa(ports[0]+offset))
+}
+
+// CoreAddr is where a core machine hears the others of the core.
+func CoreAddr(host string, ports [2]int) string { return at(host, ports, portCore) }
+
+// PullAddr is where an observatory answers pulls.
+func PullAddr(host string, ports [2]int) string { return at(host, ports, portPulls) }
+
+// TelemeterAddr is where the telemeter of a machine feeds its proxy.
+func TelemeterAddr(ports [2]int) string { return at("127.0.0.1", ports, portTelemeter) }
--- /dev/null
+++ b/internal/system/telemeter/telemeter.go
@@ -0,0 +1,151 @@
+// Package telemeter is the node agent beside a proxy: it holds the link to the control plane and feeds the proxy over
+// loopback. Named after the instrument that sends readings to a station and takes its word back.
+package telemeter
+
+import (
+	"bytes"
+	"context"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"molepaddle/internal/system/siting"
+	"molepaddle/internal/system/sonde"
+	"molepaddle/internal/system/synop"
+)
+
+// Telemeter is one machine's link to the control plane.
+type Telemeter struct {
+	set   siting.Settings
+	log   *zap.Logger
+	store *synop.Store // what the proxy is fed from
+
+	// What follows belongs to the goroutine of Run that follows an observatory.
+	have  map[string]synop.Version // as the observatories count
+	list  synop.Version            // as this process counts: it may have to poll itself
+	known []string                 // pull addresses, seeds first
+	// For when no observatory is to be had.
+	platform *sonde.PlatformClient
+	pollNext time.Time
+	polled   []byte
+	proxies  int
+}
+
+// New makes a telemeter.
+func New(set siting.Settings, log *zap.Logger) *Telemeter {
+	t := &Telemeter{set: set, log: log, store: synop.NewStore(), have: map[string]synop.Version{},
+		list: synop.Version{Epoch: uint64(time.Now().UnixNano())}}
+	for _, s := range set.Seeds {
+		if host, _, err := net.SplitHostPort(s); err == nil {
+			t.known = append(t.known, synop.PullAddr(host, set.Ports))
+		}
+	}
+	if set.Provider.Address != "" {
+		t.platform = sonde.NewPlatformClient(set.Provider.Address, time.Second)
+	}
+	return t
+}
+
+// Run feeds the proxy until ctx ends.
+func (t *Telemeter) Run(ctx context.Context) error {
+	ln, err := net.Listen("tcp", synop.TelemeterAddr(t.set.Ports))
+	if err != nil {
+		return errors.Wrap(err, "listen for the proxy")
+	}
+	stop := context.AfterFunc(ctx, func() { ln.Close() })
+	defer stop()
+	go synop.Serve(ctx, ln, t.set.Nodename, t.store, 3*t.set.Heartbeat+time.Second, t.store.Fresh)
+	began := time.Now()
+	for i := rand.IntN(max(len(t.known), 1)); ctx.Err() == nil; i++ {
+		if len(t.known) == 0 {
+			return errors.New("peers: none to ask")
+		}
+		addr := t.known[i%len(t.known)]
+		err := synop.Follow(ctx, addr, &synop.Follower{Name: t.set.Nodename, Wait: t.set.Heartbeat,
+			Members: func() []synop.Member { return t.store.Members(time.Now(), 3*t.set.Heartbeat) },
+			Have:    t.vector, Take: func(n *synop.News) []string { return t.take(n) },
+			Goes: func() bool {
+				// One that has not heard of the primary for long is left for another.
+				heard, _ := t.store.Fresh()
+				return time.Since(heard) < 2*t.set.Heartbeat || time.Since(began) < 2*t.set.Heartbeat
+			}})
+		began = time.Now()
+		if ctx.Err() == nil {
+			t.log.Debug("observatory left", zap.String("addr", addr), zap.Error(err))
+		}
+		t.pollAlone(ctx)
+		pause := time.NewTimer(50*time.Millisecond + rand.N(50*time.Millisecond))
+		select {
+		case <-ctx.Done():
+		case <-pause.C:
+		}
+		pause.Stop()
+	}
+	return nil
+}
+
+func (t *Telemeter) vector() map[string]synop.Version {
+	have := make(map[string]synop.Version, len(t.have))
+	for source, at := range t.have {
+		have[source] = at
+	}
+	return have
+}
+
+// take passes news on. The list is counted anew here, since this process may have to ask for it itself.
+func (t *Telemeter) take(n *synop.News) (lacking []string) {
+	pass := *n
+	pass.Pieces = nil
+	for _, p := range n.Pieces {
+		t.have[p.Source] = p.At
+		if p.Source == synop.SourceList || p.Source == synop.SourceCrowd {
+			t.list.Count++
+			t.store.Set(p.Source, t.list, p.Whole)
+			if p.Source == synop.SourceCrowd {
+				var crowd synop.Crowd
+				if _, err := crowd.UnmarshalMsg(p.Whole); err == nil {
+					t.proxies = crowd.Proxies
+				}
+			}
+			continue
+		}
+		pass.Pieces = append(pass.Pieces, p)
+	}
+	lacking = t.store.Take(&pass, time.Now())
+	for _, source := range lacking {
+		delete(t.have, source)
+	}
+	return lacking
+}
+
+// pollAlone asks the platform itself where the control plane has not been heard for half as long as a draining backend
+// may still be sent to; all others may do the same, so each takes its part of half of the platform's rate.
+func (t *Telemeter) pollAlone(ctx context.Context) {
+	heard, _ := t.store.Fresh()
+	if t.platform == nil || time.Since(heard) < t.set.Bounds.Drain/2 || time.Now().Before(t.pollNext) {
+		return
+	}
+	list, calls, err := t.platform.List(ctx)
+	every := time.Duration(2 * float64(max(t.proxies, assumedProxies)*max(calls, 1)) / max(t.set.Provider.Rate, 0.1) * float64(time.Second))
+	t.pollNext = time.Now().Add(max(every, time.Second))
+	if err != nil {
+		t.log.Debug("platform's list", zap.Error(err))
+		return
+	}
+	sonde.Sort(&list)
+	b, err := list.MarshalMsg(nil)
+	if err != nil || bytes.Equal(b, t.polled) {
+		return
+	}
+	t.log.Info("the control plane is silent: the platform's list is asked for here", zap.Int("backends", len(list.Backends)))
+	t.polled = b
+	delete(t.have, synop.SourceList) // what comes from there again is news
+	t.list.Count++
+	t.store.Set(synop.SourceList, t.list, b)
+}
+
+// assumedProxies stands for how many others may ask as well, until that is known.
+const assumedProxies = 16
--- /dev/null
+++ b/internal/system/vane/exchange.go
@@ -0,0 +1,206 @@
+package vane
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"molepaddle/internal/protocol/transport"
+	"molepaddle/internal/system/sonde"
+)
+
+// message is a client's request as every backend gets it.
+type message struct {
+	id     string
+	method string
+	target string // as it came
+	host   string
+	header http.Header // of the client, without what concerns one connection
+	body   []byte
+}
+
+// Hop is the header fields that concern one connection only (RFC 9110, 7.6.1).
+var hop = []string{"Connection", "Proxy-Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Proxy-Authenticate", "Proxy-Authorization", "Content-Length"}
+
+// dropHop takes out what concerns one connection only.
+func dropHop(h http.Header) {
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hop {
+		delete(h, name)
+	}
+}
+
+// extra is what one send adds to a message.
+type extra struct {
+	target   string // id of the backend
+	left     time.Duration
+	stage    string
+	kvFrom   string
+	lastID   string
+	priority int // -1: none
+}
+
+// head words the request for a backend.
+func (m *message) head(x *extra) []byte {
+	b := make([]byte, 0, 768+len(m.body))
+	b = append(b, m.method...)
+	b = append(b, ' ')
+	b = append(b, m.target...)
+	b = append(b, " HTTP/1.1\r\nHost: "...)
+	b = append(b, m.host...)
+	b = append(b, "\r\n"...)
+	line := func(key, value string) {
+		b = append(b, key...)
+		b = append(b, ": "...)
+		b = append(b, value...)
+		b = append(b, "\r\n"...)
+	}
+	for key, values := range m.header {
+		switch key {
+		case sonde.DeadlineMs, sonde.Target, sonde.Stage, sonde.KvFrom, sonde.Priority, "Host":
+			continue
+		case sonde.LastEventID:
+			if x.lastID != "" {
+				continue
+			}
+		}
+		for _, v := range values {
+			line(key, v)
+		}
+	}
+	line(sonde.DeadlineMs, strconv.FormatInt(max(x.left.Milliseconds(), 1), 10))
+	line(sonde.Target, x.target)
+	if x.stage != "" {
+		line(sonde.Stage, x.stage)
+	}
+	if x.kvFrom != "" {
+		line(sonde.KvFrom, x.kvFrom)
+	}
+	if x.lastID != "" {
+		line(sonde.LastEventID, x.lastID)
+	}
+	if x.priority >= 0 {
+		line(sonde.Priority, strconv.Itoa(min(x.priority, 9)))
+	}
+	if len(m.body) > 0 || m.method != http.MethodGet && m.method != http.MethodHead {
+		line("Content-Length", strconv.Itoa(len(m.body)))
+	}
+	b = append(b, "\r\n"...)
+	return append(b, m.body...)
+}
+
+// exchange is one send to one backend, and its answer.
+type exchange struct {
+	lent *transport.Lent
+	resp *http.Response
+	stop func() bool
+	sent time.Time
+}
+
+var (
+	errNotOurs  = errors.New("the answer belongs to no request of ours")
+	errSilent   = errors.New("no answer in time")
+	errConnect  = errors.New("no connection")
+	errNotWhole = errors.New("the answer is not whole")
+)
+
+// maxStale bounds the surplus answers that are read past on a connection.
+const maxStale = 4
+
+// begin sends the message and reads the head of its answer. wrote tells whether a byte may have gone out: else
+// the backend has not run it. When ctx ends the connection is closed under whoever reads from it.
+func begin(ctx context.Context, way *transport.Way, m *message, x *extra, connectBy, headBy time.Time) (e *exchange, wrote bool, err error) {
+	dial, cancel := context.WithDeadline(ctx, connectBy)
+	lent, err := way.Lend(dial, m.id)
+	cancel()
+	if err != nil {
+		if ctx.Err() != nil {
+			return nil, false, ctx.Err()
+		}
+		return nil, false, errors.Wrap(errors.Join(errConnect, err), "connect")
+	}
+	e = &exchange{lent: lent, sent: time.Now()}
+	e.stop = context.AfterFunc(ctx, func() { _ = lent.Conn.SetDeadline(time.Unix(1, 0)) })
+	fail := func(wrote bool, err error) (*exchange, bool, error) {
+		e.stop()
+		lent.Drop(true)
+		if ctx.Err() != nil {
+			err = ctx.Err()
+		}
+		return nil, wrote, err
+	}
+	if err := lent.SetDeadline(headBy); err != nil {
+		return fail(false, err)
+	}
+	if ctx.Err() != nil {
+		return fail(false, ctx.Err())
+	}
+	out := m.head(x)
+	if n, err := lent.Write(out); err != nil {
+		// A request that is not whole at the backend can't have begun there.
+		return fail(n == len(out), errors.Wrap(err, "send"))
+	}
+	for range maxStale {
+		req := &http.Request{Method: m.method}
+		resp, err := http.ReadResponse(lent.R, req)
+		if err != nil {
+			var ne net.Error
+			if errors.As(err, &ne) && ne.Timeout() && ctx.Err() == nil {
+				err = errSilent
+			}
+			return fail(true, errors.Wrap(err, "answer"))
+		}
+		if resp.StatusCode < 200 {
+			continue
+		}
+		if id := resp.Header.Get(sonde.AttemptID); id != "" && id != m.id {
+			// A surplus answer to an earlier request of this connection.
+			if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, 1<<20)); err != nil {
+				return fail(true, errNotOurs)
+			}
+			continue
+		} else if id == "" && resp.StatusCode < 300 {
+			return fail(true, errNotOurs)
+		}
+		e.resp = resp
+		return e, true, nil
+	}
+	return fail(true, errNotOurs)
+}
+
+// end gives the connection back if the answer was read whole, else closes it.
+func (e *exchange) end(whole bool) {
+	if e.lent == nil {
+		return
+	}
+	stopped := e.stop()
+	if whole && stopped && !e.resp.Close {
+		e.lent.Return()
+	} else {
+		e.lent.Drop(false)
+	}
+	e.lent = nil
+}
+
+// body reads an answer whole, bounded; the connection is given back.
+func (e *exchange) body(most int64) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(e.resp.Body, most+1))
+	if err == nil && int64(len(b)) > most {
+		err = errors.Errorf("answer over %d bytes", most)
+	}
+	e.end(err == nil)
+	if err != nil {
+		return nil, errors.Wrap(errors.Join(errNotWhole, err), "answer")
+	}
+	return b, nil
+}
--- /dev/null
+++ b/internal/system/vane/feed.go
@@ -0,0 +1,125 @@
+package vane
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"molepaddle/internal/system/almanac"
+	"molepaddle/internal/system/synop"
+)
+
+// feed pulls from the telemeter for as long as the process lives.
+func (v *Vane) feed(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := synop.Follow(ctx, synop.TelemeterAddr(v.set.Ports), &synop.Follower{Name: v.set.Nodename, Wait: v.set.Heartbeat,
+			Members: func() []synop.Member { return []synop.Member{{Name: v.set.Nodename, Zone: v.set.Zone}} },
+			Have:    func() map[string]synop.Version { return maps.Clone(v.have) },
+			Take:    func(n *synop.News) []string { v.take(n); return nil }})
+		if ctx.Err() != nil {
+			return
+		}
+		v.log.Debug("telemeter lost", zap.Error(err))
+		select {
+		case <-ctx.Done():
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
+
+// take takes news; what can't be used is asked for anew, whole.
+func (v *Vane) take(n *synop.News) {
+	news := false
+	for i := range n.Pieces {
+		p := &n.Pieces[i]
+		if err := v.takePiece(p); err != nil {
+			v.log.Warn("news not understood", zap.String("source", p.Source), zap.Error(err))
+			delete(v.have, p.Source)
+			continue
+		}
+		v.have[p.Source] = p.At
+		news = true
+	}
+	if news {
+		v.turn()
+	}
+}
+
+func (v *Vane) takePiece(p *synop.Piece) error {
+	switch p.Source {
+	case synop.SourceConfig:
+		doc := v.doc
+		if p.Whole != nil {
+			d, found := almanac.Decode(p.Whole)
+			if err := found.Err(); err != nil {
+				return err
+			}
+			doc = d
+		} else if v.have[p.Source] != p.Since {
+			return errors.New("changes of a version that is not had")
+		}
+		for _, c := range p.Changes {
+			change := almanac.Update
+			if c.Replace {
+				change = almanac.Replace
+			}
+			d, found := change(doc, c.Body)
+			if err := found.Err(); err != nil {
+				return err
+			}
+			doc = d
+		}
+		if doc.Version() > v.doc.Version() { // never back to an older one, whoever offers it
+			v.doc = doc
+			v.log.Info("configuration in force", zap.Int64("version", doc.Version()), zap.Int("routes", doc.NumRoutes()))
+		}
+	case synop.SourceList:
+		var list synop.List
+		if _, err := list.UnmarshalMsg(p.Whole); err != nil {
+			return err
+		}
+		v.list, v.listed = list, true
+	case synop.SourceCrowd:
+		var crowd synop.Crowd
+		if _, err := crowd.UnmarshalMsg(p.Whole); err != nil {
+			return err
+		}
+		v.proxies = max(crowd.Proxies, 1)
+	}
+	return nil
+}
+
+// turn has requests served by what is known now.
+func (v *Vane) turn() {
+	if v.doc == nil {
+		return
+	}
+	w := &world{index: almanac.NewIndex(v.doc), limits: v.doc.Limits(), services: map[string]*service{}, version: v.doc.Version()}
+	parts := map[string][]synop.Backend{}
+	for _, b := range v.list.Backends {
+		parts[b.Service] = append(parts[b.Service], b)
+	}
+	for _, c := range v.doc.Services() {
+		s := v.services[c.Name]
+		if s == nil {
+			s = newService(c.Name, v.pool, v.set.Bounds.Contact)
+			v.services[c.Name] = s
+		}
+		s.configure(c)
+		s.list(parts[c.Name])
+		s.mu.Lock()
+		s.spent.bound(v.set.Bounds.RetryRatio, v.set.Bounds.RetryExtra, v.set.Bounds.RetryWindow, v.proxies)
+		s.mu.Unlock()
+		w.services[c.Name] = s
+	}
+	for name := range v.services {
+		if w.services[name] == nil {
+			delete(v.services, name)
+		}
+	}
+	v.world.Store(w)
+	v.ready.Store(v.listed)
+}
--- /dev/null
+++ b/internal/system/vane/serve.go
@@ -0,0 +1,480 @@
+package vane
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
+
+	"molepaddle/internal/system/almanac"
+	"molepaddle/internal/system/isobar"
+	"molepaddle/internal/system/sonde"
+	"molepaddle/policy"
+)
+
+const (
+	// maxAnswer bounds an answer that is held whole, in bytes.
+	maxAnswer = 8 << 20
+	// connectWithin bounds a connect: round trips are some milliseconds anywhere.
+	connectWithin = 400 * time.Millisecond
+	// soonAgain is when a client whose request was not run is told to come back.
+	soonAgain = 50 * time.Millisecond
+	// silentAims is how many times its aim an idempotent request waits for a first byte before it goes elsewhere.
+	silentAims = 3
+	// margin is what is kept of the time for the way back to the client.
+	margin = 10 * time.Millisecond
+)
+
+// try is one request of a client under way.
+type try struct {
+	v        *Vane
+	w        http.ResponseWriter
+	m        message
+	route    *almanac.Route
+	svc      *service
+	came     time.Time
+	deadline time.Time
+	ran      bool // it may have run at a backend
+	tried    map[string]bool
+	sends    int
+	refused  time.Duration // advice, once nothing ran
+}
+
+func (v *Vane) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	came := time.Now()
+	v.working.Add(1)
+	defer v.working.Add(-1)
+	if v.life.Leaving() {
+		w.Header().Set("Connection", "close")
+	}
+	world := v.world.Load()
+	if id := r.Header.Get(sonde.AttemptID); id != "" {
+		w.Header()[sonde.AttemptID] = []string{id}
+	}
+	if world == nil || world.index == nil {
+		v.refuse(w, http.StatusServiceUnavailable, 200*time.Millisecond, "no configuration yet")
+		return
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	if !strings.HasPrefix(path, "/") {
+		v.refuse(w, http.StatusBadRequest, 0, "no path: a proxy of this fleet takes paths only")
+		return
+	}
+	route, ok := world.index.Lookup(r.Host, path)
+	if !ok {
+		v.refuse(w, http.StatusNotFound, 0, "no route")
+		return
+	}
+	id := r.Header.Get(sonde.AttemptID)
+	if !plain(id) {
+		v.refuse(w, http.StatusBadRequest, 0, sonde.AttemptID+": missing or no plain word")
+		return
+	}
+	wait := route.Deadline()
+	if text := r.Header.Get(sonde.DeadlineMs); text != "" {
+		ms, err := strconv.ParseFloat(text, 64)
+		if err != nil || ms <= 0 {
+			v.refuse(w, http.StatusBadRequest, 0, sonde.DeadlineMs+": no number above 0")
+			return
+		}
+		if told := time.Duration(ms * float64(time.Millisecond)); told < wait || wait <= 0 {
+			wait = told
+		}
+	}
+	most := int64(4 << 20)
+	if l := world.limits; l != nil && l.BodyBytes > 0 {
+		most = l.BodyBytes
+	}
+	if r.ContentLength > most {
+		w.Header().Set("Connection", "close")
+		v.refuse(w, http.StatusRequestEntityTooLarge, 0, "body too large")
+		return
+	}
+	body, err := readBody(r, most)
+	if err != nil {
+		w.Header().Set("Connection", "close")
+		if errors.Is(err, errTooLarge) {
+			v.refuse(w, http.StatusRequestEntityTooLarge, 0, "body too large")
+			return
+		}
+		v.refuse(w, http.StatusBadRequest, 0, "body not whole")
+		return
+	}
+	dropHop(r.Header)
+	t := &try{v: v, w: w, route: route, came: came, deadline: came.Add(wait - min(margin, wait/10)), tried: map[string]bool{},
+		m: message{id: id, method: r.Method, target: r.RequestURI, host: r.Host, header: r.Header, body: body}}
+	t.svc = world.services[route.Pick(xxhash.Sum64String(id)).Name]
+	if t.svc == nil {
+		v.refuse(w, http.StatusServiceUnavailable, soonAgain, "no backend known")
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), t.deadline)
+	defer cancel()
+	t.svc.mu.Lock()
+	t.svc.spent.asked()
+	model := t.svc.engines != nil
+	t.svc.mu.Unlock()
+	if model {
+		if p, ok := isobar.ParsePrompt(r.Header.Get(sonde.Model), r.Header.Get(sonde.TokenCount), r.Header.Get(sonde.Prefix)); ok {
+			t.generate(ctx, &p)
+			return
+		}
+	}
+	t.plain(ctx)
+}
+
+var errTooLarge = errors.New("body too large")
+
+func readBody(r *http.Request, most int64) ([]byte, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	if r.ContentLength > 0 {
+		// What is held grows with what comes, in steps, not with what a length claims.
+		b := make([]byte, 0, min(r.ContentLength, 64<<10))
+		for int64(len(b)) < r.ContentLength {
+			if len(b) == cap(b) {
+				b = append(b, make([]byte, min(r.ContentLength-int64(len(b)), int64(len(b))))...)[:len(b)]
+			}
+			n, err := r.Body.Read(b[len(b):min(int64(cap(b)), r.ContentLength)])
+			b = b[:len(b)+n]
+			if err != nil && int64(len(b)) < r.ContentLength {
+				return nil, err
+			}
+		}
+		return b, nil
+	}
+	b, err := io.ReadAll(io.LimitReader(r.Body, most+1))
+	if err == nil && int64(len(b)) > most {
+		err = errTooLarge
+	}
+	return b, err
+}
+
+// plain tells whether an id can be sent on as it is.
+func plain(id string) bool {
+	if id == "" || len(id) > 256 {
+		return false
+	}
+	for _, c := range []byte(id) {
+		if c <= ' ' || c > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+// refuse gives an answer of this proxy's own.
+func (v *Vane) refuse(w http.ResponseWriter, status int, again time.Duration, text string) {
+	if again > 0 {
+		w.Header().Set(sonde.RetryAfter, strconv.FormatFloat(again.Seconds(), 'f', 3, 64))
+	}
+	v.count(status)
+	http.Error(w, text, status)
+}
+
+// giveUp ends a request that no backend has answered: with a promise where it has not run and never will.
+func (t *try) giveUp(ctx context.Context, why string) {
+	switch {
+	case t.ran && time.Until(t.deadline) <= 0:
+		t.v.refuse(t.w, http.StatusGatewayTimeout, 0, why)
+	case t.ran:
+		t.v.refuse(t.w, http.StatusBadGateway, 0, why)
+	default:
+		again := max(t.refused, soonAgain)
+		t.v.refuse(t.w, http.StatusServiceUnavailable, again, why)
+	}
+}
+
+// judge tells the design how an attempt ended.
+func judge(wrote bool, err error) policy.Status {
+	switch {
+	case err == nil:
+		return policy.OK
+	case errors.Is(err, context.Canceled):
+		return policy.Cancelled
+	case errors.Is(err, errSilent) || errors.Is(err, context.DeadlineExceeded):
+		return policy.Timeout
+	case !wrote:
+		return policy.ConnectFailed
+	}
+	return policy.Reset
+}
+
+// mayAgain tells whether the request may be sent to another backend now.
+func (t *try) mayAgain() bool {
+	if t.ran && !t.route.Idempotent() || t.sends >= max(t.route.Tries, 1) || time.Until(t.deadline) < 5*time.Millisecond {
+		return false
+	}
+	t.svc.mu.Lock()
+	defer t.svc.mu.Unlock()
+	return t.svc.spent.take()
+}
+
+// notRun reads from an answer's head that the backend did not run the request.
+func notRun(resp *http.Response) bool {
+	return resp.StatusCode == http.StatusMisdirectedRequest || resp.Header.Get(sonde.NotRun) != ""
+}
+
+// plain serves a request whose answer comes whole.
+func (t *try) plain(ctx context.Context) {
+	key := xxhash.Sum64String(t.m.id)
+	for {
+		b := t.svc.pick(key, t.tried)
+		if b == nil {
+			t.giveUp(ctx, "no backend")
+			return
+		}
+		t.tried[b.ID] = true
+		t.sends++
+		done, err := t.plainAt(ctx, b)
+		if done {
+			return
+		}
+		if ctx.Err() != nil && time.Until(t.deadline) > 0 {
+			return // the client has left
+		}
+		if !t.mayAgain() {
+			t.giveUp(ctx, errText(err))
+			return
+		}
+	}
+}
+
+func errText(err error) string {
+	if err == nil {
+		return "backends are full"
+	}
+	return "backend: " + err.Error()
+}
+
+// headBy is until when an attempt waits for the head of its answer.
+func (t *try) headBy() time.Time {
+	if aim := t.route.Target(); t.route.Idempotent() && aim > 0 && t.sends < t.route.Tries {
+		if by := time.Now().Add(max(silentAims*aim, 200*time.Millisecond)); by.Before(t.deadline) {
+			return by
+		}
+	}
+	return t.deadline
+}
+
+// plainAt sends to one backend; done: the client has its answer.
+func (t *try) plainAt(ctx context.Context, b *backend) (done bool, err error) {
+	x := extra{target: b.ID, left: time.Until(t.deadline), priority: -1}
+	e, wrote, err := begin(ctx, b.way, &t.m, &x, time.Now().Add(connectWithin), t.headBy())
+	if err != nil {
+		t.ran = t.ran || wrote
+		t.svc.ended(b.ID, judge(wrote, err))
+		return false, err
+	}
+	if e.resp.Header.Get("Content-Encoding") != "" || e.resp.StatusCode < 300 && e.resp.Header.Get(sonde.Seal) == "" {
+		e.end(false)
+		t.ran = true
+		t.svc.ended(b.ID, policy.Error)
+		return false, errNotOurs
+	}
+	_ = e.lent.SetDeadline(t.deadline)
+	resp := e.resp
+	t.svc.told(b.ID, resp.Header.Get(sonde.Load))
+	body, err := e.body(maxAnswer)
+	switch {
+	case err != nil:
+		t.ran = true
+		t.svc.ended(b.ID, judge(true, err))
+		return false, err
+	case notRun(resp):
+		t.svc.ended(b.ID, policy.Full)
+		t.refused = max(t.refused, retryAfter(resp))
+		return false, nil
+	case resp.StatusCode >= 500:
+		t.ran = true
+		t.svc.ended(b.ID, policy.Error)
+		if t.mayAgainPeek() {
+			return false, errors.Errorf("status %d", resp.StatusCode)
+		}
+	default:
+		t.svc.ended(b.ID, policy.OK)
+	}
+	t.answer(resp, body)
+	return true, nil
+}
+
+// mayAgainPeek is mayAgain without taking from the allowance.
+func (t *try) mayAgainPeek() bool {
+	if !t.route.Idempotent() || t.sends >= max(t.route.Tries, 1) || time.Until(t.deadline) < 5*time.Millisecond {
+		return false
+	}
+	t.svc.mu.Lock()
+	defer t.svc.mu.Unlock()
+	t.svc.spent.fill()
+	return t.svc.spent.saved >= 1
+}
+
+func retryAfter(resp *http.Response) time.Duration {
+	s, err := strconv.ParseFloat(resp.Header.Get(sonde.RetryAfter), 64)
+	if err != nil || s < 0 || s > 60 {
+		return 0
+	}
+	return time.Duration(s * float64(time.Second))
+}
+
+// head copies the head of a backend's answer.
+func (t *try) head(resp *http.Response) {
+	dropHop(resp.Header)
+	h := t.w.Header()
+	for key, values := range resp.Header {
+		h[key] = values
+	}
+	if _, dated := resp.Header["Date"]; !dated {
+		h["Date"] = nil
+	}
+}
+
+// answer gives the client a backend's whole answer.
+func (t *try) answer(resp *http.Response, body []byte) {
+	status := resp.StatusCode
+	t.head(resp)
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		// These promise that the request has not run; the backend did not say so.
+		if t.ran {
+			status = http.StatusBadGateway
+		}
+	}
+	t.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	t.v.count(status)
+	t.w.WriteHeader(status)
+	_, _ = t.w.Write(body)
+}
+
+// handle is where a prompt's memory lies.
+type handle struct {
+	ref    string
+	from   *backend
+	tokens int
+}
+
+// maxHandleAnswer bounds the answer that names a handle.
+const maxHandleAnswer = 64 << 10
+
+// prefill has a backend read the prompt and keep its memory for the taker.
+func (t *try) prefill(ctx context.Context, b *backend, p *isobar.Prompt, by time.Time) (*handle, error) {
+	t.svc.mu.Lock()
+	tokens := t.svc.engines.Sent(b.ID, p)
+	t.svc.ranker.Sent(b.ID)
+	t.svc.mu.Unlock()
+	start := time.Now()
+	took := 0.0
+	status := policy.OK
+	defer func() {
+		t.svc.mu.Lock()
+		t.svc.engines.Read(b.ID, tokens, took)
+		t.svc.engines.Ended(b.ID)
+		if took == 0 {
+			t.svc.engines.Forget(b.ID, p)
+		}
+		t.svc.ranker.Ended(t.svc.now(), b.ID, status)
+		t.svc.mu.Unlock()
+	}()
+	x := extra{target: b.ID, left: time.Until(t.deadline), stage: sonde.PhasePrefill, priority: t.route.Priority}
+	e, wrote, err := begin(ctx, b.way, &t.m, &x, time.Now().Add(connectWithin), by)
+	if err != nil {
+		status = judge(wrote, err)
+		return nil, err
+	}
+	resp := e.resp
+	t.svc.told(b.ID, resp.Header.Get(sonde.Load))
+	body, err := e.body(maxHandleAnswer)
+	var ans struct {
+		Ref    string `json:"kv_ref"`
+		Tokens int    `json:"ntok"`
+	}
+	switch {
+	case err != nil:
+		status = judge(true, err)
+		return nil, err
+	case notRun(resp):
+		status = policy.Full
+		return nil, errors.Errorf("prefill: status %d", resp.StatusCode)
+	case resp.StatusCode != http.StatusOK || json.Unmarshal(body, &ans) != nil || !plain(ans.Ref):
+		status = policy.Error
+		return nil, errors.Errorf("prefill: status %d", resp.StatusCode)
+	}
+	took = float64(time.Since(start).Microseconds()) / 1000
+	return &handle{ref: ans.Ref, from: b, tokens: ans.Tokens}, nil
+}
+
+// free gives memory back that nobody will take.
+func (t *try) free(h *handle) {
+	v := t.v
+	v.background.Go(func() {
+		ctx, cancel := context.WithTimeout(v.ctx, time.Second)
+		defer cancel()
+		m := message{id: t.m.id, method: sonde.Free.Method, target: sonde.Free.Path + h.ref, host: h.from.Address}
+		x := extra{target: h.from.ID, left: time.Second, priority: -1}
+		e, _, err := begin(ctx, h.from.way, &m, &x, time.Now().Add(connectWithin), time.Now().Add(time.Second))
+		if err == nil {
+			_, _ = e.body(maxHandleAnswer)
+		}
+	})
+}
+
+// generate serves a request whose tokens come as a stream.
+func (t *try) generate(ctx context.Context, p *isobar.Prompt) {
+	split := true
+	for {
+		pl, ok := t.svc.placeFor(p, t.route.Target(), t.tried, split)
+		if !ok {
+			t.giveUp(ctx, "no backend")
+			return
+		}
+		var h *handle
+		if pl.from != nil {
+			var err error
+			if h, err = t.prefill(ctx, pl.from, p, t.headBy()); err != nil {
+				if ctx.Err() != nil {
+					t.unsent(pl, p)
+					if time.Until(t.deadline) <= 0 {
+						t.giveUp(ctx, errText(err))
+					}
+					return
+				}
+				// The prompt goes without: a decode backend reads it itself.
+				split = false
+				t.unsent(pl, p)
+				continue
+			}
+		}
+		t.tried[pl.at.ID] = true
+		t.sends++
+		done, err := t.stream(ctx, pl, p, h)
+		if done {
+			return
+		}
+		if ctx.Err() != nil && time.Until(t.deadline) > 0 {
+			return
+		}
+		if h != nil {
+			split = false
+		}
+		if !t.mayAgain() {
+			t.giveUp(ctx, errText(err))
+			return
+		}
+	}
+}
+
+// unsent takes back a place that was not used.
+func (t *try) unsent(pl place, p *isobar.Prompt) {
+	t.svc.mu.Lock()
+	t.svc.engines.Read(pl.at.ID, pl.tokens, 0)
+	t.svc.engines.Ended(pl.at.ID)
+	t.svc.ranker.Ended(t.svc.now(), pl.at.ID, policy.Moot)
+	t.svc.mu.Unlock()
+}
--- /dev/null
+++ b/internal/system/vane/service.go
@@ -0,0 +1,212 @@
+package vane
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"molepaddle/internal/protocol/transport"
+	"molepaddle/internal/system/almanac"
+	"molepaddle/internal/system/isobar"
+	"molepaddle/internal/system/sonde"
+	"molepaddle/internal/system/synop"
+	"molepaddle/policy"
+)
+
+// backend is a listed backend with the connections to it.
+type backend struct {
+	synop.Backend
+	way *transport.Way
+}
+
+// service is one service's backends as this proxy sees them. Its lock guards all below it.
+type service struct {
+	name  string
+	pool  *transport.Transport
+	start time.Time
+
+	mu       sync.Mutex
+	byID     map[string]*backend
+	ranker   *policy.Ranker
+	engines  *isobar.Engines // nil: no model backends
+	order    []string        // scratch
+	spent    allowance
+	capacity int
+}
+
+// capFactor is c of the design's bounded-load hash, at least 1: how far above its share a backend may be loaded
+// before a key goes on to the next. A proxy has few requests out, so that c near 1 would scatter keys.
+const capFactor = 3
+
+func newService(name string, pool *transport.Transport, lapse time.Duration) *service {
+	return &service{name: name, pool: pool, start: time.Now(), byID: map[string]*backend{},
+		ranker: policy.NewRanker(policy.RankerSettings{LapseMs: float64(lapse.Milliseconds()), RefetchMs: float64(lapse.Milliseconds())})}
+}
+
+func (s *service) now() float64 { return float64(time.Since(s.start).Microseconds()) / 1000 }
+
+// configure takes what the configuration says of the service.
+func (s *service) configure(c *almanac.Service) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.Runtime == nil {
+		s.engines = nil
+		return
+	}
+	set := isobar.Engine{Capacity: c.Runtime.Capacity, KVTokens: int(c.Runtime.KVTokens), KVBytes: c.Runtime.KVTokenBytes, LinkMbps: c.Runtime.LinkMbps}
+	if s.engines == nil {
+		s.engines = isobar.New(set)
+		s.relist()
+	} else {
+		s.engines.Turn(set)
+	}
+}
+
+// list takes the service's part of the platform's list.
+func (s *service) list(all []synop.Backend) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	listed := make(map[string]bool, len(all))
+	ranked := make([]policy.Listed, 0, len(all))
+	for _, b := range all {
+		if listed[b.ID] {
+			continue
+		}
+		listed[b.ID] = true
+		old := s.byID[b.ID]
+		switch {
+		case old == nil:
+			s.byID[b.ID] = &backend{Backend: b, way: s.pool.Way(b.Address)}
+		case old.Address != b.Address:
+			old.way.Retire()
+			s.byID[b.ID] = &backend{Backend: b, way: s.pool.Way(b.Address)}
+		default:
+			s.byID[b.ID] = &backend{Backend: b, way: old.way}
+		}
+		ranked = append(ranked, policy.Listed{ID: b.ID, Usable: !b.Draining})
+	}
+	for id, b := range s.byID {
+		if !listed[id] {
+			b.way.Retire()
+			delete(s.byID, id)
+		} else if b.Draining {
+			b.way.CloseIdle()
+		}
+	}
+	s.ranker.List(s.now(), ranked)
+	s.relist()
+}
+
+func (s *service) relist() {
+	if s.engines == nil {
+		return
+	}
+	all := make([]isobar.Backend, 0, len(s.byID))
+	for id, b := range s.byID {
+		all = append(all, isobar.Backend{ID: id, Zone: b.Zone, Prefill: b.Phase == sonde.PhasePrefill})
+	}
+	s.engines.List(all)
+}
+
+// sent and ended count an attempt.
+func (s *service) sent(id string) {
+	s.mu.Lock()
+	s.ranker.Sent(id)
+	s.mu.Unlock()
+}
+
+func (s *service) ended(id string, how policy.Status) {
+	s.mu.Lock()
+	s.ranker.Ended(s.now(), id, how)
+	s.mu.Unlock()
+}
+
+// told notes the load that an answer tells.
+func (s *service) told(id, load string) {
+	a, rest, ok := strings.Cut(load, ",")
+	w, _, _ := strings.Cut(rest, ",")
+	active, err1 := strconv.Atoi(strings.TrimSpace(a))
+	waiting, err2 := strconv.Atoi(strings.TrimSpace(w))
+	if !ok || err1 != nil || err2 != nil {
+		return
+	}
+	s.mu.Lock()
+	if s.engines != nil {
+		s.engines.Told(s.now(), id, active, waiting)
+	}
+	s.mu.Unlock()
+}
+
+// pick chooses a backend for a plain request, none of those tried before; nil: there is none.
+func (s *service) pick(key uint64, tried map[string]bool) *backend {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.order = s.ranker.Rank(s.now(), key, func(id string) bool { return !tried[id] }, capFactor, func(id string) float64 {
+		return float64(s.ranker.Outstanding(id))
+	}, s.order[:0])
+	if len(s.order) == 0 {
+		return nil
+	}
+	b := s.byID[s.order[0]]
+	s.ranker.Sent(b.ID)
+	return b
+}
+
+// place is where a generation goes: from is where its prompt is read first; nil: at the decode backend itself.
+type place struct {
+	from   *backend
+	at     *backend
+	tokens int // that at is to read, as the engines count them
+	readMs float64
+}
+
+// readAim is the part of a request's aim within which reading at a decode backend is soon enough: a move has a
+// price, so it is made only where this is not.
+const readAim = 0.4
+
+// placeFor chooses where a prompt is read and its tokens are made.
+func (s *service) placeFor(p *isobar.Prompt, aim time.Duration, tried map[string]bool, split bool) (pl place, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now, e := s.now(), s.engines
+	key := p.Key()
+	if key == 0 && len(p.Parts) > 0 {
+		key = p.Parts[0].Chain
+	}
+	decode := func(id string) bool { return !tried[id] && s.byID[id].Phase != sonde.PhasePrefill && !e.Full(now, id) }
+	cost := func(id string) float64 { return e.ReadMs(now, id, p) }
+	s.order = s.ranker.Rank(now, key, decode, capFactor, cost, s.order[:0])
+	if len(s.order) == 0 {
+		// None has a place, as far as is known; the nearest says so itself.
+		s.order = s.ranker.Rank(now, key, func(id string) bool { return !tried[id] && s.byID[id].Phase != sonde.PhasePrefill }, capFactor, cost, s.order[:0])
+		if len(s.order) == 0 {
+			return pl, false
+		}
+	}
+	at := s.order[0]
+	pl.readMs = cost(at)
+	if split && pl.readMs > readAim*float64(aim.Milliseconds()) {
+		s.order = s.ranker.Rank(now, key, func(id string) bool { return !tried[id] && s.byID[id].Phase == sonde.PhasePrefill }, capFactor, cost, s.order[:0])
+		if len(s.order) > 0 {
+			if from := s.order[0]; cost(from)+e.MoveMs(from, at, p) < pl.readMs {
+				pl.from = s.byID[from]
+			}
+		}
+	}
+	pl.at = s.byID[at]
+	if pl.from == nil {
+		pl.tokens = e.Sent(at, p)
+	} else {
+		e.Began(at)
+	}
+	s.ranker.Sent(at)
+	return pl, true
+}
+
+// lookAround refetches or validates in the background what the design asks for.
+func (s *service) lookAround(ctx context.Context) {}
+
+var _ net.Conn
--- /dev/null
+++ b/internal/system/vane/stream.go
@@ -0,0 +1,257 @@
+package vane
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"molepaddle/internal/system/isobar"
+	"molepaddle/internal/system/sonde"
+	"molepaddle/policy"
+)
+
+// maxEvent bounds one event of a stream, in bytes.
+const maxEvent = 1 << 20
+
+// stream sends a generation to the decode backend of its place and passes its events on; done: the client has its
+// answer, whole or cut off.
+func (t *try) stream(ctx context.Context, pl place, p *isobar.Prompt, h *handle) (done bool, err error) {
+	b := pl.at
+	start := time.Now()
+	status, read, kept := policy.OK, 0.0, false
+	defer func() {
+		t.svc.mu.Lock()
+		t.svc.engines.Read(b.ID, pl.tokens, read)
+		t.svc.engines.Ended(b.ID)
+		switch {
+		case kept && h != nil:
+			t.svc.engines.Moved(b.ID, p)
+		case !kept && h == nil:
+			t.svc.engines.Forget(b.ID, p)
+		}
+		t.svc.ranker.Ended(t.svc.now(), b.ID, status)
+		t.svc.mu.Unlock()
+	}()
+	x := extra{target: b.ID, left: time.Until(t.deadline), priority: t.route.Priority}
+	if h != nil {
+		x.kvFrom = h.from.Address + "/" + h.ref
+	}
+	e, wrote, err := begin(ctx, b.way, &t.m, &x, time.Now().Add(connectWithin), t.headBy())
+	if err != nil {
+		t.ran = t.ran || wrote
+		status = judge(wrote, err)
+		if h != nil {
+			t.free(h)
+		}
+		return false, err
+	}
+	resp := e.resp
+	t.svc.told(b.ID, resp.Header.Get(sonde.Load))
+	if resp.StatusCode >= 300 || resp.Header.Get("Content-Encoding") != "" || resp.Header.Get(sonde.Seal) == "" {
+		_ = e.lent.SetDeadline(time.Now().Add(time.Second))
+		body, err := e.body(maxAnswer)
+		switch {
+		case err != nil:
+			t.ran = true
+			status = judge(true, err)
+			return false, err
+		case notRun(resp):
+			status = policy.Full
+			t.refused = max(t.refused, retryAfter(resp))
+			if h != nil {
+				t.svc.mu.Lock()
+				t.svc.ranker.Handover(t.svc.now(), h.from.ID, false)
+				t.svc.mu.Unlock()
+				t.free(h)
+			}
+			return false, nil
+		}
+		t.ran = true
+		status = policy.Error
+		if resp.StatusCode < 300 || t.mayAgainPeek() {
+			return false, errors.Errorf("status %d", resp.StatusCode)
+		}
+		t.answer(resp, body)
+		return true, nil
+	}
+	if h != nil {
+		t.svc.mu.Lock()
+		t.svc.ranker.Handover(t.svc.now(), h.from.ID, true)
+		t.svc.mu.Unlock()
+	}
+	r := &relay{t: t}
+	err = r.pass(ctx, e, func() {
+		kept = true
+		if pl.tokens > 0 {
+			read = float64(time.Since(start).Microseconds()) / 1000
+		}
+	})
+	if err == nil {
+		t.v.count(http.StatusOK)
+		return true, nil
+	}
+	t.ran = true
+	status = judge(true, err)
+	if r.begun {
+		if ctx.Err() == nil && t.route.Resumable {
+			if t.resume(ctx, r, p) {
+				return true, nil
+			}
+		}
+		t.v.count(0)
+		panic(http.ErrAbortHandler) // an answer that ends early must not look complete
+	}
+	return false, err
+}
+
+// relay passes a stream on, whole events only, so that it can be taken up elsewhere after the last one.
+type relay struct {
+	t      *try
+	begun  bool // the client has the head
+	lastID string
+}
+
+// pass passes events on until the stream's end; first is called at the first event. An error: the stream broke off.
+func (r *relay) pass(ctx context.Context, e *exchange, first func()) error {
+	t := r.t
+	resp := e.resp
+	events := strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
+	flush := http.NewResponseController(t.w)
+	buf := make([]byte, 0, 4<<10)
+	some := false
+	for {
+		if len(buf) == cap(buf) {
+			if cap(buf) >= maxEvent {
+				e.end(false)
+				return errors.Errorf("an event over %d bytes", maxEvent)
+			}
+			buf = append(buf, make([]byte, cap(buf))...)[:len(buf)]
+		}
+		// A first event has its time; between events only the client's patience bounds the wait.
+		by := t.deadline
+		if !some && !r.begun {
+			by = t.headBy()
+		}
+		_ = e.lent.SetReadDeadline(by)
+		n, err := resp.Body.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+n]
+		whole := len(buf)
+		if events && err != io.EOF {
+			whole = 0
+			if i := bytes.LastIndex(buf, []byte("\n\n")); i >= 0 {
+				whole = i + 2
+			}
+		}
+		if whole > 0 {
+			if !some {
+				some = true
+				first()
+			}
+			if !r.begun {
+				r.begun = true
+				t.head(resp)
+				t.w.WriteHeader(resp.StatusCode)
+			}
+			if events {
+				r.note(buf[:whole])
+			}
+			if _, werr := t.w.Write(buf[:whole]); werr != nil {
+				e.end(false)
+				return context.Canceled
+			}
+			if err == nil {
+				_ = flush.Flush()
+			}
+			buf = append(buf[:0], buf[whole:]...)
+		}
+		if err == io.EOF {
+			if !r.begun {
+				r.begun = true
+				t.head(resp)
+				t.w.WriteHeader(resp.StatusCode)
+			}
+			if !some {
+				first()
+			}
+			e.end(true)
+			return nil
+		}
+		if err != nil {
+			e.end(false)
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			if errors.Is(err, contextDeadline) || isTimeout(err) {
+				return errSilent
+			}
+			return errors.Wrap(err, "stream")
+		}
+	}
+}
+
+var contextDeadline = context.DeadlineExceeded
+
+func isTimeout(err error) bool {
+	var t interface{ Timeout() bool }
+	return errors.As(err, &t) && t.Timeout()
+}
+
+// note keeps the id of the last event.
+func (r *relay) note(events []byte) {
+	for line := range bytes.Lines(events) {
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			r.lastID = string(bytes.TrimSpace(id))
+		}
+	}
+}
+
+// resume takes a stream up at another backend after its last event, inside the same answer; false: it could not.
+func (t *try) resume(ctx context.Context, r *relay, p *isobar.Prompt) bool {
+	for ctx.Err() == nil && r.lastID != "" {
+		if !t.mayAgain() {
+			return false
+		}
+		pl, ok := t.svc.placeFor(p, t.route.Target(), t.tried, false)
+		if !ok {
+			return false
+		}
+		t.tried[pl.at.ID] = true
+		t.sends++
+		status, kept := policy.OK, false
+		x := extra{target: pl.at.ID, left: time.Until(t.deadline), priority: t.route.Priority, lastID: r.lastID}
+		e, wrote, err := begin(ctx, pl.at.way, &t.m, &x, time.Now().Add(connectWithin), t.headBy())
+		done := false
+		if err != nil {
+			status = judge(wrote, err)
+		} else if resp := e.resp; resp.StatusCode != http.StatusOK || resp.Header.Get(sonde.Seal) == "" || resp.Header.Get("Content-Encoding") != "" {
+			status = policy.Error
+			if notRun(resp) {
+				status = policy.Full
+			}
+			_ = e.lent.SetDeadline(time.Now().Add(time.Second))
+			_, _ = e.body(maxAnswer)
+		} else if err = r.pass(ctx, e, func() { kept = true }); err == nil {
+			done = true
+		} else {
+			status = judge(true, err)
+		}
+		t.svc.mu.Lock()
+		t.svc.engines.Read(pl.at.ID, pl.tokens, 0)
+		t.svc.engines.Ended(pl.at.ID)
+		if !kept {
+			t.svc.engines.Forget(pl.at.ID, p)
+		}
+		t.svc.ranker.Ended(t.svc.now(), pl.at.ID, status)
+		t.svc.mu.Unlock()
+		if done {
+			t.v.count(http.StatusOK)
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/system/vane/vane.go
@@ -0,0 +1,165 @@
+// Package vane is the fleet's proxy, the data plane: named after the vane that turns to where the wind goes. It takes
+// clients' requests, finds their route, and has `policy` and `isobar` choose the backend. What it knows of the fleet
+// comes from the telemeter beside it, over loopback; it serves on with what it has when nothing comes.
+package vane
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/puzpuzpuz/xsync/v4"
+	"go.uber.org/zap"
+
+	"molepaddle/internal/decide/lifecycle"
+	"molepaddle/internal/protocol/sockets"
+	"molepaddle/internal/protocol/transport"
+	"molepaddle/internal/system/almanac"
+	"molepaddle/internal/system/siting"
+	"molepaddle/internal/system/synop"
+)
+
+// Vane is one proxy.
+type Vane struct {
+	ctx        context.Context
+	set        siting.Settings
+	log        *zap.Logger
+	pool       *transport.Transport
+	ready      atomic.Bool // a configuration and a list are there
+	world      atomic.Pointer[world]
+	life       *lifecycle.Machine
+	working    atomic.Int64
+	background sync.WaitGroup
+	statuses   *xsync.Map[int, *xsync.Counter]
+
+	// What follows belongs to the feed's goroutine.
+	have     map[string]synop.Version
+	services map[string]*service
+	doc      *almanac.Document
+	list     synop.List
+	listed   bool
+	proxies  int
+}
+
+// world is what requests are served by, replaced whole.
+type world struct {
+	index    *almanac.Index
+	limits   *almanac.Limits
+	services map[string]*service
+	version  int64
+}
+
+// reserved is how many descriptors are kept for what is no connection to a backend or client (DEPLOY: 200 for files).
+const reserved = 260
+
+// New makes a proxy that knows nothing yet.
+func New(ctx context.Context, set siting.Settings, log *zap.Logger) *Vane {
+	files := set.Limits.Files
+	if files <= 0 {
+		files = 1024
+	}
+	room := max(files-reserved, 64)
+	v := &Vane{ctx: ctx, set: set, log: log, life: lifecycle.New(), have: map[string]synop.Version{}, services: map[string]*service{}, proxies: 1,
+		statuses: xsync.NewMap[int, *xsync.Counter]()}
+	dialer := &net.Dialer{KeepAlive: -1, Control: sockets.UserTimeout(set.Bounds.Contact)}
+	v.pool = transport.New(transport.Options{Dial: dialer.DialContext, Timeout: connectWithin, Idle: 10 * time.Second, Most: room / 2,
+		Settle: time.Millisecond, Resting: 4})
+	return v
+}
+
+// count counts a final answer by its status; 0: broken off.
+func (v *Vane) count(status int) {
+	c, _ := v.statuses.LoadOrCompute(status, func() (*xsync.Counter, bool) { return xsync.NewCounter(), false })
+	c.Inc()
+}
+
+// Ready tells whether requests can be served: a configuration and a list are there.
+func (v *Vane) Ready() bool {
+	return v.ready.Load() && !v.life.Leaving()
+}
+
+// Run serves until ctx ends, then finishes what it holds within the platform's grace.
+func (v *Vane) Run(ctx context.Context) error {
+	edge, err := net.Listen("tcp", v.set.Bind.Edge)
+	if err != nil {
+		return errors.Wrap(err, "listen for clients")
+	}
+	ready, err := net.Listen("tcp", v.set.Bind.Ready)
+	if err != nil {
+		return errors.Wrap(err, "listen for readiness")
+	}
+	readiness := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !v.life.AnswerReady(v.Ready()) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}), ReadHeaderTimeout: 2 * time.Second}
+	go func() { _ = readiness.Serve(ready) }()
+	server := &http.Server{Handler: v, ReadHeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second, MaxHeaderBytes: 32 << 10,
+		ErrorLog: zap.NewStdLog(v.log)}
+	v.life.Open()
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(edge) }()
+	go v.feed(ctx)
+	go v.report(ctx)
+	select {
+	case err := <-failed:
+		return errors.Wrap(err, "serve")
+	case <-ctx.Done():
+	}
+	v.leave(server)
+	_ = readiness.Close()
+	return nil
+}
+
+// leave ends in order: not ready any more, so that the platform sends nobody; answers close their connections; what
+// is held is finished; idle connections are closed last.
+func (v *Vane) leave(server *http.Server) {
+	v.life.End()
+	began := time.Now()
+	grace := v.set.Bounds.Grace
+	// The platform asks every second and turns away after two misses.
+	away := min(3*time.Second, grace/2)
+	tick := time.NewTicker(20 * time.Millisecond)
+	defer tick.Stop()
+	for range tick.C {
+		if since := time.Since(began); since >= away && v.working.Load() == 0 || since >= grace-500*time.Millisecond {
+			break
+		}
+	}
+	end, cancel := context.WithDeadline(context.Background(), began.Add(grace-300*time.Millisecond))
+	defer cancel()
+	if server.Shutdown(end) != nil {
+		_ = server.Close()
+	}
+	v.pool.Close()
+}
+
+// report writes counters now and then.
+func (v *Vane) report(ctx context.Context) {
+	tick := time.NewTicker(10 * time.Second)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		fields := []zap.Field{zap.Int64("open", v.working.Load())}
+		v.statuses.Range(func(status int, c *xsync.Counter) bool {
+			fields = append(fields, zap.Int64("answers_"+statusName(status), c.Value()))
+			return true
+		})
+		v.log.Info("counters", fields...)
+	}
+}
+
+func statusName(status int) string {
+	if status == 0 {
+		return "cut"
+	}
+	return http.StatusText(status)
+}
--- /dev/null
+++ b/policy/ranker.go
@@ -0,0 +1,216 @@
+package policy
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"molepaddle/internal/decide/arith"
+	"molepaddle/internal/decide/order"
+)
+
+// handoverLimit is how many hand-overs in a row must fail to demote their source. Some handles lapse, and
+// a reader may be the one cut off; three in a row are seldom of either.
+const handoverLimit = 3
+
+// RankerSettings bound a Ranker. Times are in ms. Zero values stand for what is said of each.
+type RankerSettings struct {
+	ProbeCap      int     // validations under way at once; 0: none; a first attempt validates
+	LapseMs       float64 // in UnhealthyPending until it ranks healthy again; 0: 60,000, below 0: at once
+	RefetchMs     float64 // in Unhealthy until the next request refreshes; 0: 60,000, below 0: at once
+	LeastMs       float64 // least time between two fetches of the list that are asked for; 0: 1,000
+	CostTolerance float64 // costs this near to a lowest are equal to it; in the unit of the costs
+}
+
+// Listed is one entry of the platform's list.
+type Listed struct {
+	ID     string // of one incarnation of the backend
+	Usable bool   // may be sent to; the others keep their standing and are not ranked
+}
+
+// Ranker holds one proxy's own view of the listed backends and orders them for a request, by the design.
+// It does no I/O and reads no clock: now is in ms and does not go back. An unknown id is ignored.
+type Ranker struct {
+	set     RankerSettings
+	byID    map[string]*backend
+	all     []*backend // listed, or not yet forgotten, in the order they came
+	probing int
+	stale   bool          // a failure calls for the list
+	askedAt float64       // last call for it
+	order   []order.Place // scratch of Rank
+}
+
+// backend is what a Ranker knows of one.
+type backend struct {
+	Standing
+	id             string
+	hash           uint64
+	listed, usable bool
+	due, probing   bool // due: it has not been probed since it entered UnhealthyPending
+	out            int  // attempts in flight
+	unhanded       int  // hand-overs of its memory that failed since one succeeded
+}
+
+// NewRanker returns a Ranker of an empty list.
+func NewRanker(set RankerSettings) *Ranker {
+	set.LapseMs, set.RefetchMs = cmp.Or(set.LapseMs, 60000), cmp.Or(set.RefetchMs, 60000)
+	set.LeastMs = cmp.Or(set.LeastMs, 1000)
+	return &Ranker{set: set, byID: map[string]*backend{}, askedAt: math.Inf(-1)}
+}
+
+// List takes the whole list. What is new on it is Unknown, what is gone is ranked no more and forgotten
+// when no attempt or probe of it is out. Of an id that is named twice the last entry counts.
+func (r *Ranker) List(now float64, list []Listed) {
+	for _, b := range r.all {
+		b.listed, b.usable = false, false
+	}
+	for _, l := range list {
+		b := r.byID[l.ID]
+		if b == nil {
+			b = &backend{Standing: NewStanding(now), id: l.ID, hash: arith.Mix(xxhash.Sum64String(l.ID))}
+			r.byID[l.ID] = b
+			r.all = append(r.all, b)
+		}
+		b.listed, b.usable = true, l.Usable
+	}
+	r.all = slices.DeleteFunc(r.all, func(b *backend) bool {
+		forget := !b.listed && b.out == 0 && !b.probing
+		if forget {
+			delete(r.byID, b.id)
+		}
+		return forget
+	})
+}
+
+// Sent counts an attempt at a backend; Ended takes how it ended, once for each.
+func (r *Ranker) Sent(id string) {
+	if b := r.byID[id]; b != nil {
+		b.out++
+	}
+}
+
+// Ended takes how an attempt that Sent counted ended. OK has the backend Connected. Error, Timeout,
+// ConnectFailed and Reset demote it, and against one held to be Connected they force a refresh: all that
+// are Unhealthy await validation at once, and Refetch calls for the list. Other endings tell nothing of
+// the backend. A 503 of one that could not fetch a prompt's memory is Full here, and told to Handover.
+func (r *Ranker) Ended(now float64, id string, how Status) {
+	b := r.byID[id]
+	if b == nil {
+		return
+	}
+	b.out = max(b.out-1, 0)
+	switch how {
+	case OK:
+		b.Served(now)
+	case Error, Timeout, ConnectFailed, Reset:
+		r.fail(now, b)
+	}
+}
+
+// Handover takes whether memory kept at a backend (the source: it has read the prompt) could be fetched
+// by another. It ends no attempt. A failure demotes neither side: it counts against the source, which
+// is demoted as by a failed attempt from handoverLimit in a row on, until one succeeds.
+func (r *Ranker) Handover(now float64, source string, ok bool) {
+	if b := r.byID[source]; b != nil && ok {
+		b.unhanded = 0
+	} else if b != nil {
+		if b.unhanded++; b.unhanded >= handoverLimit {
+			r.fail(now, b)
+		}
+	}
+}
+
+// fail demotes a backend, and refreshes all if it was Connected.
+func (r *Ranker) fail(now float64, b *backend) {
+	forced := b.state == Connected
+	if b.Demote(now); forced {
+		r.refresh(now, 0)
+	}
+}
+
+// refresh has all that are Unhealthy await validation, if one has been so for hold ms.
+func (r *Ranker) refresh(now, hold float64) {
+	due := slices.ContainsFunc(r.all, func(b *backend) bool {
+		return b.state == Unhealthy && now-b.since >= hold
+	})
+	r.stale = r.stale || due
+	for _, b := range r.all {
+		b.due = due && b.Refresh(now, 0) || b.due
+	}
+}
+
+// Refetch tells, after each request, whether to fetch the list now, in the background, with LeastMs between
+// two: after a forced refresh, or one of Rank. None waits for the list: a backend comes back without it.
+func (r *Ranker) Refetch(now float64) bool {
+	if !r.stale || now-r.askedAt < r.set.LeastMs {
+		return false
+	}
+	r.stale, r.askedAt = false, now
+	return true
+}
+
+// Probes appends to out the backends to validate now, in the background, and takes them to be under way:
+// each once for every time it has become UnhealthyPending, ProbeCap at once at the most. The caller asks
+// after Rank, Ended, Handover and Probed, and tells the end of each to Probed.
+func (r *Ranker) Probes(out []string) []string {
+	for _, b := range r.all {
+		if b.due && b.usable && b.state == UnhealthyPending && !b.probing && r.probing < r.set.ProbeCap {
+			b.due, b.probing = false, true
+			r.probing++
+			out = append(out, b.id)
+		}
+	}
+	return out
+}
+
+// Probed takes the end of a validation: Connected or Unhealthy, if the backend still awaits it.
+func (r *Ranker) Probed(now float64, id string, ok bool) {
+	if b := r.byID[id]; b != nil && b.probing {
+		b.probing = false
+		r.probing--
+		b.Probed(now, ok)
+	}
+}
+
+// Outstanding is the number of attempts in flight at a backend.
+func (r *Ranker) Outstanding(id string) int {
+	if b := r.byID[id]; b != nil {
+		return b.out
+	}
+	return 0
+}
+
+// Rank appends to out the usable backends that among accepts (nil: all), in the order in which a request
+// of this key (random if it has none) is to try them: by tier; in a tier, where cost is given, by cost (0
+// or more, lower first, in any one unit; those within CostTolerance of a lowest are equal); then those
+// under Cap(c, in flight at all the candidates, 1/size of the tier) before the others; then by Rendezvous.
+// It waits for nothing: empty tiers pass down. It takes O(n log n) and, once grown, allocates nothing.
+func (r *Ranker) Rank(now float64, key uint64, among func(id string) bool, c float64,
+	cost func(id string) float64, out []string) []string {
+	r.refresh(now, r.set.RefetchMs)
+	r.order = r.order[:0]
+	inflight, sizes := 0, [3]int{}
+	for i, b := range r.all {
+		if !b.usable || among != nil && !among(b.id) {
+			continue
+		}
+		p := order.Place{Index: i, Tier: b.Tier(now, r.set.LapseMs), Score: Rendezvous(key, b.hash, 1)}
+		if cost != nil {
+			p.Cost = arith.Finite(cost(b.id))
+		}
+		inflight += b.out
+		sizes[p.Tier]++
+		r.order = append(r.order, p)
+	}
+	for i := range r.order {
+		p := &r.order[i]
+		p.Over = float64(r.all[p.Index].out) >= Cap(c, inflight, 1/float64(sizes[p.Tier]))
+	}
+	order.Sort(r.order, r.set.CostTolerance)
+	for _, p := range r.order {
+		out = append(out, r.all[p.Index].id)
+	}
+	return out
+}
