policy split by concern; standing, cap and hash shared with the fleet's ranker

Cause: one file of 886 lines held all decisions, and the fleet's proxy is to decide by the same design. Ruled out: a second health model in the proxy. Change: standing.go holds the four states, pick.go the cap and the hash, ranker.go orders backends for the proxy; event, order and pace moved to internal/decide.

--- a/internal/decide/budget/needs.go
+++ b/internal/decide/budget/needs.go
@@ -54,6 +54,15 @@
 	}
 }
 
+// Part is an answer time, as a part of the aim, to judge servers by: by hints a costly request counts as
+// one of mean work, and none for more than 2.
+func (n *Needs) Part(hint, x float64) float64 {
+	if hint > 0 {
+		x *= min(n.MeanHint/hint, 1)
+	}
+	return min(x, 2)
+}
+
 // Mean is a class's mean answer time.
 func (n *Needs) Mean(class int) float64 { return n.mean[class] }
 
--- a/internal/decide/cold/cold.go
+++ b/internal/decide/cold/cold.go
@@ -24,6 +24,15 @@
 	step, lateStep = 0.05, 0.1
 )
 
+// Ramp is the part of its capacity that a server has by contract which started age ago, at a time that the
+// list gives as listed; 0: long ago.
+func Ramp(c *settings.Contract, age, started, listed float64) float64 {
+	if started <= 0 || age >= c.ColdMs || started != listed && age > c.AskWithinMs {
+		return 1 // long past, or assumed and not borne out by the list in its time
+	}
+	return c.ColdFrom + (1-c.ColdFrom)*max(age, 0)/c.ColdMs
+}
+
 // Share is one agent's.
 type Share struct {
 	contract *settings.Contract
--- a/internal/decide/settings/settings.go
+++ b/internal/decide/settings/settings.go
@@ -39,6 +39,17 @@
 	Retired bool `json:"-"`
 }
 
+// Earned is the part of its worth that an ended attempt has earned.
+func (c *Class) Earned(ok, inTime bool) float64 {
+	switch {
+	case !ok:
+		return 0
+	case inTime:
+		return 1
+	}
+	return c.LateShare
+}
+
 // Tenant is a customer with a share of what the servers can do.
 type Tenant struct {
 	Name      string  `json:"name"`
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -14,6 +14,7 @@
 	"molepaddle/internal/decide/cold"
 	"molepaddle/internal/decide/doubt"
 	"molepaddle/internal/decide/hotkeys"
+	"molepaddle/internal/decide/pace"
 	"molepaddle/internal/decide/settings"
 	"molepaddle/internal/decide/unserved"
 	"molepaddle/internal/decide/weights"
@@ -21,16 +22,14 @@
 )
 
 const (
-	// capFactor is c: how far above its even share of the attempts a server may go.
-	capFactor   = 3.0
+	capFactor   = 3.0 // c: how far above its even share of the attempts a server may go
 	firstWindow = 2.0 // attempts an unmeasured server may hold
 	// leastWindow is left to the most crowded server: enough to see when it is not.
 	leastWindow, tipFactor = 0.1, 2.5
 	// keyWait is the part of its aim that a request may wait for the keyServers nearest its key.
 	keyWait, keyServers = 0.25, 2
-	// hopeless is the least part of its expected time that a hinted request needs.
-	hopeless   = 0.7
-	maxStrikes = 5 // bounds the doubling of a bad server's hold
+	hopeless            = 0.7 // least part of its expected time that a hinted request needs
+	maxStrikes          = 5   // bounds the doubling of a bad server's hold
 	// smooth is the weight of an answer in a server's mean; fade is over about 500 requests.
 	smooth, fade = 0.2, 0.998
 	// failWeight is an attempt's weight in its server's share of failures, failShare the least
@@ -39,18 +38,51 @@
 	// trySpan is for how many aims attempts count that earned nothing, mostSlow how many times
 	// as long as elsewhere an answer may take, adviceSpread the part of advice left to chance.
 	trySpan, mostSlow, adviceSpread = 10.0, 8.0, 0.5
-	// leastServers is the smallest subset of the fleet an agent sends to.
-	leastServers = 16
-	// maxHeld bounds the requests held for room, and so the work of a decision.
-	maxHeld = 512
-	// coldBurst bounds what a cold server's credit saves up: all may spend it at once.
-	coldBurst = 1.0
-	// probeCap bounds the validations under way at once.
-	probeCap = 2
+
+	leastServers = pace.LeastServers
+	maxHeld      = 512 // bounds the requests held for room, and so the work of a decision
+	coldBurst    = 1.0 // what a cold server's credit saves up at the most: all may spend it at once
+	probeCap     = 2   // bounds the validations under way at once
 
 	tickToken, followToken = 1, 2
 )
 
+// Balancer makes the decisions of one agent. It is not safe for concurrent use.
+type Balancer struct {
+	set              settings.Settings
+	rng              *rand.Rand
+	now              float64
+	out              []Action
+	servers          []*server // by rank and order
+	least            int       // fewest servers to keep to, by the list; 0: none told
+	byAddr           map[cluster.Addr]*server
+	requests         map[RequestID]*request
+	held             []*request
+	tier             []*server // scratch of pick
+	shares           []float64 // scratch of common
+	unserved         unserved.Memory
+	keys             hotkeys.Keys
+	doubt            *doubt.Groups // zones out of reach
+	warm, warmAt     float64       // weight of warm servers, and of when: at warmAt and warmEpoch
+	warmEpoch        uint64
+	epoch            uint64 // counts changes of tiers and list
+	inflight, probes int
+	needs            *budget.Needs // answer times
+	retries          *budget.Retries
+	throttle         *budget.Throttle
+	calm             *calm.Calm // answer times as parts of the aim
+	cold             *cold.Share
+	weights          *weights.Weights
+	usage            arith.Shares // tenants' shares of requests
+	worth            *worth.Tally
+	asking           asking.Asking
+	aimMin           float64
+	lookedAt         float64 // last fetch of the list
+	pace             pace.Pace
+	ticking          bool
+	scarce           bool // requests that would take any server find no room
+}
+
 // New returns the balancer of one agent, or an error that names a setting. Its randomness is the seed's.
 func New(set settings.Settings, seed uint64) (*Balancer, error) {
 	if err := set.Validate(); err != nil {
@@ -89,7 +121,7 @@
 
 // Start gives the first actions of a new agent and appends them to out.
 func (b *Balancer) Start(now float64, out []Action) []Action {
-	b.now, b.out, b.began, b.recentAt = now, out, now, now
+	b.now, b.out, b.pace = now, out, pace.New(now)
 	if b.set.Membership == "on_request" {
 		b.do(Action{Kind: ActTimer, Ms: b.asking.First(b.rng.Float64()), Token: followToken})
 	}
@@ -158,6 +190,43 @@
 	}
 }
 
+// Reach is what the Balancer believes of the way to whole zones; to read only.
+func (b *Balancer) Reach() *doubt.Groups { return b.doubt }
+
+// attempt is one send of a request.
+type attempt struct {
+	r            *request
+	s            *server
+	index        int
+	sentAt, cost float64
+	alone, done  bool // alone: no other of this agent was out on its server
+}
+
+// request is one try of a client, kept until it is answered and no attempt is out.
+type request struct {
+	id             RequestID
+	class, tenant  int
+	key            uint64
+	hash           uint64 // what orders the servers for it
+	hint           float64
+	first          float64 // when the client's first try came, as far as known
+	arrived, aimAt float64
+	deadline       float64 // margin already taken off
+	attempts       []*attempt
+	tries          int     // attempts it may have
+	again          float64 // when it looks for a way again, having found none
+	open, risky    int     // attempts out, attempts that may have run
+	ranAt          float64
+	ranOn          *server
+	near           [keyServers]*server // nearest its key, as of epoch
+	epoch          uint64
+	tierWeight     float64 // of the tier at its last pick
+	value          float64
+	closed         bool
+	started        bool // a streamed answer belongs to the client now
+	coming         bool // its body has not come whole: its time has not begun
+}
+
 func (b *Balancer) onRequest(ev *Event) {
 	if b.requests[ev.Request] != nil {
 		return
@@ -176,9 +245,7 @@
 	b.count(r, ev.LeftMs, ev.Retry)
 	r.hash = b.split(r.key)
 	b.requests[r.id] = r
-	b.seen++
-	b.recent = b.recent*math.Exp((b.recentAt-b.now)/max(b.set.Limits.KeepaliveMs, 1)) + 1
-	b.recentAt = b.now
+	b.pace.Asked(b.now, b.set.Limits.KeepaliveMs)
 	b.usage.Add(r.tenant, fade)
 	b.worth.Asked(r.class)
 	b.retries.Asked(r.class, b.now)
@@ -192,8 +259,7 @@
 
 // count has a request's time begin now.
 func (b *Balancer) count(r *request, left float64, retry bool) {
-	c := &b.set.Classes[r.class]
-	left = arith.Finite(left)
+	c, left := &b.set.Classes[r.class], arith.Finite(left)
 	r.arrived, r.first, r.again, r.deadline = b.now, b.now, b.now, b.now+left-min(b.set.RoundMs, left/4)
 	if retry {
 		r.first = b.unserved.Recall(r.class, r.key, r.arrived)
@@ -259,7 +325,8 @@
 		}
 		b.scarce = failures > 0
 	}
-	for b.tooMany() {
+	for most := b.set.Limits.OpenCap; len(b.held) > maxHeld || // more than the agent can bear
+		len(b.held) > 0 && most > 0 && len(b.held)+b.inflight > most; {
 		b.end(b.held[len(b.held)-1])
 	}
 }
@@ -295,110 +362,14 @@
 }
 
 // expected is how long an answer to the request takes, on the mean.
-func (b *Balancer) expected(r *request) float64 {
-	return b.needs.Of(r.class, r.hint)
-}
-
-// rank is the server's tier for the request.
-func (b *Balancer) rank(s *server, r *request) int {
-	// What must not run twice does not check a server, or a zone, while others are healthy.
-	once := b.set.Classes[r.class].Effect == settings.SingleShot
-	switch {
-	case s.state == Unhealthy:
-		return 2
-	case s.state == UnhealthyPending && (once || b.set.Limits.Probing && b.now-s.since < b.aimMin),
-		b.doubt.Of(s.zone) && (once || !b.doubt.Due(s.zone, b.now)):
-		return 1
-	}
-	return 0
-}
-
-// pick takes the first by the key's hash, of the best tier that has anyone, under its cap with room.
-func (b *Balancer) pick(r *request) *server {
-	waits, subset := b.waits(r), b.subset()
-	for rank := range 3 {
-		tier, n := b.tier[:0], 0
-		r.tierWeight = 0
-		var near [keyServers]*server
-		for _, s := range b.servers {
-			if b.rank(s, r) != rank || !b.maySend(r, s) {
-				continue
-			}
-			if n++; n > subset && len(tier) > 0 {
-				break
-			}
-			r.tierWeight += s.weight * b.ramp(s)
-			if !waits && !b.hasRoom(s, r) || b.now+b.need(s, r) > b.last(r) {
-				continue
-			}
-			s.score = b.score(r, s)
-			tier = append(tier, s)
-			for i, at := 0, s; i < keyServers && at != nil; i++ {
-				if near[i] == nil || at.score < near[i].score {
-					near[i], at = at, near[i]
-				}
-			}
-		}
-		b.tier = tier
-		if r.tierWeight == 0 {
-			continue // an empty tier passes down
-		}
-		if waits && len(tier) > keyServers {
-			r.near, r.epoch = near, b.epoch
-			tier = near[:]
-		}
-		var best *server
-		for _, s := range tier {
-			if (best == nil || s.score < best.score) && b.takes(s, r) {
-				best = s
-			}
-		}
-		return best
-	}
-	return nil
-}
-
-// subset is how many servers of a tier, in an order of its own, an agent sends to: those it can
-// meet every few seconds, to know which are slow or hung (id753de). Orders differ, so each server
-// keeps its share. Where connections have no price, more servers keep more keys warm.
-func (b *Balancer) subset() int {
-	n := b.recent
-	if b.set.Limits.KeepaliveMs <= 0 {
-		n = math.Inf(1)
-	} else if b.set.Prices.Handshake > 0 || b.least > 0 {
-		n /= 4
-	}
-	least := cmp.Or(b.least, leastServers)
-	return int(min(max(n, float64(least)), float64(len(b.servers))))
-}
+func (b *Balancer) expected(r *request) float64 { return b.needs.Of(r.class, r.hint) }
 
-// waits tells whether the request still waits for its key's servers.
-func (b *Balancer) waits(r *request) bool {
-	return r.key != 0 && len(r.attempts) == 0 && b.now-r.arrived < keyWait*(r.aimAt-r.arrived)
-}
-
-// split gives a key the hash that orders the servers for it.
-func (b *Balancer) split(key uint64) uint64 {
-	if key == 0 {
-		return b.rng.Uint64()
+// cost is the work of a request in units of the mean one, and never less: hints are rough (i299663).
+func (b *Balancer) cost(r *request) float64 {
+	if r.hint > b.needs.MeanHint {
+		return r.hint / b.needs.MeanHint
 	}
-	servers := float64(b.subset())
-	blind := min(float64(b.set.Replicas)/max(capFactor*servers, 1), 1)
-	return b.keys.Split(key, servers, blind, b.rng.Float64())
-}
-
-// score orders servers by weighted rendezvous hashing: every agent of a zone finds the same order.
-func (b *Balancer) score(r *request, s *server) float64 {
-	x := arith.Mix(r.hash ^ s.hash)
-	u := float64(x>>11) / (1 << 53)
-	w := s.weight * b.weights.Of(s.zone, s.kind) * min(4*b.cold.Of(b.ramp(s)), 1) // its credit limits it
-	return -math.Log(u+1e-18) / w
-}
-
-// takes tells whether the server is under its cap in the tier of the last pick and has room.
-func (b *Balancer) takes(s *server, r *request) bool {
-	share := s.weight * b.ramp(s) / r.tierWeight
-	return float64(len(s.out)) < math.Ceil(capFactor*float64(b.inflight+1)*share) && b.hasRoom(s, r)
+	return 1
 }
 
 // hasRoom bounds what a server holds: its window, one until it is validated, a cold one's credit.
@@ -427,20 +398,8 @@
 
 // ramp is the part of its capacity that a started server has by contract.
 func (b *Balancer) ramp(s *server) float64 {
-	c := &b.set.Contract
 	age := b.now - s.startedAt
-	if s.startedAt <= 0 || age >= c.ColdMs || s.startedAt != s.listedAt && age > c.AskWithinMs {
-		return 1 // long past, or assumed and not borne out by the list in its time
-	}
-	return c.ColdFrom + (1-c.ColdFrom)*max(age, 0)/c.ColdMs
-}
-
-// cost is the work of a request in units of the mean one, and never less: hints are rough (i299663).
-func (b *Balancer) cost(r *request) float64 {
-	if r.hint > b.needs.MeanHint {
-		return r.hint / b.needs.MeanHint
-	}
-	return 1
+	return cold.Ramp(&b.set.Contract, age, s.startedAt, s.listedAt)
 }
 
 // maySend is the guard of all attempts: rules 2, 3 and the limits. Rule 4 is in hasRoom.
@@ -501,22 +460,6 @@
 	return true
 }
 
-// earn keeps each cold server's credit: for all that warm servers have served it may get its
-// share by weight and ramp, so that all agents together keep to what it can do. What was turned
-// away earns nothing: in a storm it made cold servers' shares ninefold (i86bcad).
-func (b *Balancer) earn(s *server, cost float64) {
-	if b.ramp(s) < 1 {
-		return
-	}
-	warm := b.warmWeight() * float64(b.subset()) / float64(len(b.servers)) // of its subset
-	b.cold.Served(b.now, cost, warm)
-	for _, o := range b.servers {
-		if k := b.ramp(o); k < 1 && warm > 0 {
-			o.credit = min(o.credit+cost*b.cold.Of(k)*o.weight/warm, coldBurst)
-		}
-	}
-}
-
 // end is the guard of final answers but served ones: a refusal where a retry is harmless, else a failure.
 func (b *Balancer) end(r *request) {
 	if r.closed || r.started {
@@ -570,18 +513,14 @@
 	if ev.Status.NeverRan() {
 		r.risky--
 	}
-	b.hangUp(s)
-	worth := 0.0
-	if ev.Status == OK && b.now <= r.aimAt {
-		worth = 1
-	} else if ev.Status == OK {
-		worth = b.set.Classes[r.class].LateShare
+	if len(s.out) == 0 && b.pace.HangsUp(&b.set, b.now, s.gap, len(b.servers)) {
+		b.do(Action{Kind: ActClose, Server: s.id})
 	}
 	// Not where nothing was tried, or a client went in time: a crowd closed it for seconds.
 	if ev.Status != NoWay && (!r.closed || b.now > r.aimAt) {
 		// With a request or two out at each of a thousand agents no server's window holds back
 		// the crowd: each full answer went on to the next, until requests went out nine times.
-		b.throttle.Ended(b.now, worth)
+		b.throttle.Ended(b.now, b.set.Classes[r.class].Earned(ev.Status == OK, b.now <= r.aimAt))
 	}
 	b.judge(a, ev.Status, arith.Finite(ev.LatencyMs))
 	if r.closed || r.started || ev.Final || ev.Status == OK {
@@ -591,18 +530,6 @@
 	}
 }
 
-// hangUp closes a server's idle connections where keeping them costs more than opening one
-// again, at the pace of the last sends. All agents' requests are taken for this one's times
-// their number: a thousand agents kept 400 connections a server open (i5db14f).
-func (b *Balancer) hangUp(s *server) {
-	p := &b.set.Prices
-	all := b.seen / max(b.now-b.began, 1) * float64(b.set.Replicas) // requests a ms
-	if p.Connection > 0 && len(s.out) == 0 &&
-		(s.gap == 0 || s.gap*all*p.Connection > 100*float64(len(b.servers))*p.Handshake) {
-		b.do(Action{Kind: ActClose, Server: s.id})
-	}
-}
-
 // further holds an unanswered request for another server where class and time allow, or ends it.
 func (b *Balancer) further(r *request, why Status) {
 	c := &b.set.Classes[r.class]
@@ -615,272 +542,3 @@
 	}
 	b.held = append(b.held, r)
 }
-
-// judge takes what an attempt's end says about its server.
-func (b *Balancer) judge(a *attempt, st Status, rtt float64) {
-	s := a.s
-	if st == OK || st == Error || st == Full {
-		b.lift(s.zone)
-	}
-	switch st {
-	case OK:
-		if b.earn(s, a.cost); !a.r.started && !a.r.coming {
-			b.served(a, rtt)
-		}
-	case Error, Reset:
-		s.heard = b.now
-		if b.common(s) {
-			b.recheck(s)
-		} else {
-			b.demote(s, false)
-		}
-		s.fails += failWeight * (1 - s.fails)
-	case ConnectFailed:
-		b.demote(s, true)
-		if s.lostAt == 0 {
-			s.lostAt = b.now
-		}
-	case Timeout:
-		// One that answered others meanwhile is not to blame; it counts as slow.
-		if s.heard > a.sentAt {
-			b.needs.Took(a.r.hint, rtt)
-			b.learn(s, b.partOfAim(a.r, rtt))
-		} else {
-			b.demote(s, true)
-		}
-	case Full:
-		s.heard = b.now
-		b.cut(s, 0.7, 1)
-	}
-}
-
-func (b *Balancer) served(a *attempt, rtt float64) {
-	s, r := a.s, a.r
-	s.fails -= failWeight * s.fails
-	b.needs.Took(r.hint, rtt)
-	b.heardFrom(s)
-	s.rtt = arith.Mean(s.rtt, rtt, smooth)
-	c := &b.set.Classes[r.class]
-	b.needs.Served(r.class, rtt, 2*c.AimMs)
-	if b.now <= r.aimAt {
-		b.worth.Won(r.class)
-	}
-	x := b.partOfAim(r, rtt)
-	b.calm.Answered(x, a.alone)
-	b.learn(s, x)
-	limit := b.calm.Limit(b.ramp(s))
-	if b.ramp(s) < 1 {
-		b.cold.Answered(x < limit)
-	}
-	if s.state == Unhealthy && a.sentAt < s.since && !s.silent {
-		return // sent before the failure: says nothing about what came after
-	}
-	if s.state != Connected {
-		b.enter(s, Connected)
-	}
-	if s.silent {
-		s.silent, s.strikes = false, max(s.strikes-1, 0)
-	}
-	if s.good++; s.good >= 16*s.strikes {
-		s.good, s.strikes = 0, max(s.strikes-1, 0)
-	}
-	switch {
-	case s.lat > limit && b.now-s.cutAt > rtt:
-		least := 1.0
-		if s.lat > tipFactor*limit {
-			least = leastWindow
-		}
-		b.cut(s, 0.85, least)
-	case s.lat < limit && float64(len(s.out)+2) > s.window && b.calm.Learnt():
-		s.window += min(1/s.window, s.window)
-	}
-}
-
-// heardFrom notes an answer. A server that no connect reached for long may be a new process, cold
-// and not yet listed: it is ramped as if it had started now. Time-outs alone don't tell (i228a10).
-func (b *Balancer) heardFrom(s *server) {
-	if s.lostAt > 0 && b.now-s.lostAt > b.set.Contract.TipAfterMs {
-		s.startedAt, s.window, s.credit = b.now, 1, b.rng.Float64()
-	}
-	s.heard, s.lostAt = b.now, 0
-}
-
-// partOfAim is an answer time as a part of the aim; by hints a costly one counts as one of mean work.
-func (b *Balancer) partOfAim(r *request, rtt float64) float64 {
-	x := rtt / b.set.Classes[r.class].AimMs
-	if r.hint > 0 {
-		x *= min(b.needs.MeanHint/r.hint, 1)
-	}
-	return min(x, 2)
-}
-
-func (b *Balancer) learn(s *server, x float64) {
-	s.samples++
-	s.lat = arith.Mean(s.lat, x, max(smooth, 1/float64(s.samples)))
-	b.weights.Answered(s.zone, s.kind, x)
-}
-
-func (b *Balancer) cut(s *server, by, least float64) {
-	s.window, s.cutAt = min(s.window, max(s.window*by, least)), b.now
-}
-
-// common tells whether the server fails no more than the fleet does, as when a network breaks
-// connections at random: held to a strike each all servers were out at once.
-func (b *Balancer) common(s *server) bool {
-	median := b.medianFails()
-	return median >= failShare && s.fails <= 3*median
-}
-
-// recheck demotes a server and has it validated at once, without a strike.
-func (b *Balancer) recheck(s *server) {
-	if s.state != Unhealthy {
-		b.enter(s, Unhealthy)
-		s.silent, s.good = false, 0
-		b.enter(s, UnhealthyPending)
-	}
-	b.refetch()
-}
-
-// demote makes a server Unhealthy; failures of one moment count as one strike.
-func (b *Balancer) demote(s *server, silent bool) {
-	if s.state != Unhealthy {
-		s.strikes = min(s.strikes+1, maxStrikes)
-		b.enter(s, Unhealthy)
-		s.silent, s.good, s.lat, s.samples = silent, 0, 0, 0
-		s.window = max(s.window/2, 1)
-	}
-	b.refetch()
-}
-
-// holdFor is how long a server stays Unhealthy before it is validated again: one aim, or the
-// time in which the agent comes by each server if that is longer and a check costs a request
-// (id753de), doubled with each further strike. While the others have no room there is none,
-// but for one that answers nothing.
-func (b *Balancer) holdFor(s *server) float64 {
-	if b.scarce && !s.silent {
-		return 0
-	}
-	hold := b.aimMin
-	if !b.set.Limits.Probing {
-		hold = max(hold, b.set.Limits.KeepaliveMs*float64(b.subset())/max(b.recent, 1))
-	}
-	return hold * float64(int(1)<<max(s.strikes-1, 0))
-}
-
-// watchSilence demotes servers that took attempts and have answered nothing for several answer
-// times: hung or gone silent, they would stay Connected. Zones of them are doubted as one.
-func (b *Balancer) watchSilence() {
-	for _, s := range b.servers {
-		if len(s.out) == 0 {
-			continue
-		}
-		a, mean := s.out[0], b.expected(s.out[0].r)
-		b.doubt.Waits(s.zone, a.sentAt, (b.now-a.sentAt)/mean)
-		if s.state != Unhealthy && b.now-max(s.heard, a.sentAt) >= mean*8/float64(min(len(s.out), 3)) {
-			b.demote(s, true)
-		}
-	}
-	if b.doubt.Judge(b.now, b.aimMin) {
-		b.epoch++
-	}
-}
-
-// lift takes that a zone has answered: silence of its servers while it was doubted was the way's.
-func (b *Balancer) lift(zone int) {
-	if since, lifted := b.doubt.Answered(zone, b.now); lifted {
-		for _, s := range b.servers {
-			if s.zone == zone && s.silent && s.state == Unhealthy && s.since >= since-b.aimMin {
-				b.enter(s, UnhealthyPending)
-			}
-		}
-	}
-}
-
-// revalidate, on each request, refreshes servers that were Unhealthy long enough to pending.
-func (b *Balancer) revalidate() {
-	for _, s := range b.servers {
-		if s.state == Unhealthy && s.usable && len(s.out) == 0 && b.now-s.since >= b.holdFor(s) {
-			b.enter(s, UnhealthyPending)
-			b.refetch()
-		}
-		pending := s.state == UnhealthyPending && s.usable
-		if pending && b.set.Limits.Probing && !s.probing && b.probes < probeCap {
-			s.probing = true
-			b.probes++
-			b.do(Action{Kind: ActProbe, Server: s.id})
-		}
-	}
-}
-
-func (b *Balancer) onProbed(ev *Event) {
-	if s := b.byAddr[ev.Server]; s != nil && s.probing {
-		s.probing = false
-		b.probes--
-		if s.state == UnhealthyPending && ev.Status == OK {
-			b.heardFrom(s)
-			b.enter(s, Connected)
-		} else if s.state == UnhealthyPending && ev.Status != Full {
-			b.demote(s, true)
-		}
-	}
-}
-
-// refetch asks for the whole list, seldom: every call loads discovery.
-func (b *Balancer) refetch() {
-	if b.now-b.lookedAt >= max(b.set.Contract.AskWithinMs, 1000) {
-		b.lookedAt = b.now
-		b.do(Action{Kind: ActFetch})
-	}
-}
-
-func (b *Balancer) onList(ev *Event) {
-	if ev.List == cluster.ListFailed {
-		if b.set.Membership == "on_request" {
-			b.do(Action{Kind: ActTimer, Ms: b.asking.Failed(b.rng.Float64()), Token: followToken})
-		}
-		return
-	}
-	b.asking.Told()
-	b.epoch++
-	b.least = max(ev.Least, 0)
-	named := map[cluster.Addr]bool{}
-	for i := range ev.Entries {
-		named[ev.Entries[i].Server] = true
-		b.update(&ev.Entries[i])
-	}
-	if ev.List != cluster.ListDelta {
-		for _, s := range b.servers {
-			s.usable = s.usable && named[s.id]
-		}
-	}
-	slices.SortFunc(b.servers, func(x, y *server) int {
-		return cmp.Or(cmp.Compare(x.rank, y.rank), cmp.Compare(x.order, y.order))
-	})
-	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool {
-		forget := !s.usable && len(s.out) == 0 && !s.probing
-		if forget {
-			delete(b.byAddr, s.id)
-		}
-		return forget
-	})
-}
-
-func (b *Balancer) update(e *cluster.Entry) {
-	s, since := b.byAddr[e.Server], arith.Finite(e.SinceMs)
-	if s == nil {
-		s = &server{id: e.Server, hash: arith.Mix(e.Server.Hash()), state: Unknown, since: b.now,
-			window: max(firstWindow, e.Window), startedAt: since, listedAt: since, credit: b.rng.Float64()}
-		s.order = arith.Mix(s.hash ^ arith.Mix(uint64(b.set.Index)+1))
-		b.byAddr[s.id] = s
-		b.servers = append(b.servers, s)
-	}
-	if since > s.listedAt {
-		// A new process: nothing known of the old one holds, and it is cold. Its credit starts
-		// at random: as many agents send it one as the parts that each earns it add up to.
-		s.listedAt, s.startedAt, s.state, s.since, s.silent = since, since, Unknown, b.now, false
-		s.strikes, s.good, s.lat, s.samples, s.fails = 0, 0, 0, 0, 0
-		s.window, s.credit = max(1, e.Window), b.rng.Float64()
-	}
-	s.zone, s.cell, s.kind, s.usable, s.rank = e.Zone, e.Cell, e.Kind, e.Health == cluster.Ready, e.Rank
-	s.weight = cmp.Or(max(arith.Finite(e.Weight), 0), 1)
-}
--- /dev/null
+++ b/policy/standing_test.go
@@ -0,0 +1,93 @@
+package policy
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+// The design's way through the four states: demoted, refreshed, validated, and the entry times with them.
+func TestStanding(t *testing.T) {
+	c := qt.New(t)
+	s := NewStanding(5)
+	c.Assert(s, qt.Equals, Standing{Unknown, 5})
+	c.Assert(s.Served(10), qt.IsFalse) // Connected is of the same tier
+	c.Assert(s, qt.Equals, Standing{Connected, 10})
+	c.Assert(s.Served(11), qt.IsFalse)
+	c.Assert(s.since, qt.Equals, 10.0)
+
+	c.Assert(s.Demote(20), qt.IsTrue)
+	c.Assert(s.Demote(25), qt.IsFalse)
+	c.Assert(s, qt.Equals, Standing{Unhealthy, 20})
+	c.Assert(s.Probed(26, true), qt.IsFalse) // nobody awaits it
+	c.Assert(s.Refresh(29, 10), qt.IsFalse)
+	c.Assert(s, qt.Equals, Standing{Unhealthy, 20})
+	c.Assert(s.Refresh(30, 10), qt.IsTrue)
+	c.Assert(s, qt.Equals, Standing{UnhealthyPending, 30})
+	c.Assert(s.Refresh(31, 0), qt.IsFalse)
+
+	failed := s
+	c.Assert(failed.Probed(40, false), qt.IsTrue)
+	c.Assert(failed, qt.Equals, Standing{Unhealthy, 40})
+	c.Assert(s.Probed(40, true), qt.IsTrue)
+	c.Assert(s, qt.Equals, Standing{Connected, 40})
+}
+
+func TestStandingTier(t *testing.T) {
+	c := qt.New(t)
+	for _, x := range []struct {
+		state State
+		age   float64
+		lapse float64
+		tier  int
+	}{
+		{Connected, 0, 100, 0}, {Unknown, 0, 100, 0}, {UnhealthyPending, 0, 100, 1}, {UnhealthyPending, 99, 100, 1},
+		{UnhealthyPending, 100, 100, 0}, {UnhealthyPending, 0, 0, 0}, {UnhealthyPending, 0, -1, 0},
+		{Unhealthy, 0, 100, 2}, {Unhealthy, 1e9, 100, 2}, {Unhealthy, 0, 0, 2},
+	} {
+		s := Standing{x.state, 7}
+		c.Check(s.Tier(7+x.age, x.lapse), qt.Equals, x.tier, qt.Commentf("%+v", x))
+	}
+}
+
+// Whatever happens: a transition that says the tier stays keeps it, a failed attempt leaves the last tier,
+// and from any state a refresh with a validation or a lapse leads back to the first.
+func TestStandingProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now, lapse := 0.0, rapid.Float64Range(0, 100).Draw(t, "lapse")
+		s := NewStanding(now)
+		for range rapid.IntRange(0, 30).Draw(t, "steps") {
+			now += float64(rapid.IntRange(0, 50).Draw(t, "ms"))
+			was, tier := s, s.Tier(now, lapse)
+			var moved bool
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				if moved = s.Demote(now); s.Tier(now, lapse) != 2 {
+					t.Fatalf("demoted: %+v", s)
+				}
+			case 1:
+				if moved = s.Served(now); s.state != Connected {
+					t.Fatalf("served: %+v", s)
+				}
+			case 2:
+				moved = s.Refresh(now, rapid.Float64Range(0, 60).Draw(t, "hold"))
+			case 3:
+				moved = s.Probed(now, rapid.Bool().Draw(t, "ok"))
+			}
+			if !moved && s.Tier(now, lapse) != tier {
+				t.Fatalf("%+v became %+v and says its tier is the same", was, s)
+			}
+			if s.state == was.state && s.since != was.since || s.state != was.state && s.since != now {
+				t.Fatalf("%+v became %+v at %v", was, s, now)
+			}
+		}
+		validated := s
+		validated.Refresh(now, 0)
+		validated.Probed(now, true)
+		s.Refresh(now, 0)
+		if validated.Tier(now, lapse) != 0 || s.Tier(now+lapse+1, lapse) != 0 {
+			t.Fatalf("does not come back: %+v, %+v", validated, s)
+		}
+	})
+}
--- a/policy/types.go
+++ b/policy/types.go
@@ -1,112 +1,31 @@
 // Package policy decides, for one agent, where each request goes: which server, when, for how long,
 // whether again, and when to give up. It is a state machine without I/O: events with a clock go in,
-// actions come back, in order. A Balancer belongs to one goroutine at a time.
+// actions come back, in order. A Balancer, or a Ranker, belongs to one goroutine at a time.
 package policy
 
-import "molepaddle/internal/decide/cluster"
+import "molepaddle/internal/decide/event"
 
-// RequestID names one try of a client; an id is never used twice.
-type RequestID uint32
-
-// State is what an agent holds a listed server to be.
-type State uint8
-
-// The four states, best first.
-const (
-	Connected State = iota
-	Unknown
-	UnhealthyPending
-	Unhealthy
-)
-
-// Status is how an attempt or a probe ended.
-type Status uint16
-
-// The endings.
-const (
-	OK            Status = 100
-	Error         Status = 301
-	Full          Status = 302
-	Timeout       Status = 303
-	ConnectFailed Status = 304
-	Reset         Status = 305
-	Cancelled     Status = 306
-	Moot          Status = 307
-	NoWay         Status = 308 // the way to the server had no room: says nothing of the server
+// What goes in and comes out; package event tells which fields of each count.
+type (
+	RequestID  = event.RequestID
+	Status     = event.Status
+	EventKind  = event.EventKind
+	Event      = event.Event
+	ActionKind = event.ActionKind
+	Action     = event.Action
 )
 
-// MostTries bounds a request's attempts, spread over its aim, that found no way and are not its tries.
-const MostTries = 32
-
-// NeverRan tells whether the ending proves that the attempt did not run.
-func (s Status) NeverRan() bool {
-	return s == Full || s == ConnectFailed || s == Moot || s == NoWay
-}
-
-// EventKind tells which fields of an Event count.
-type EventKind uint8
-
-// The events.
+// The endings, the events and the actions, as in package event.
 const (
-	EvRequest EventKind = iota + 1 // all from Class to Tries
-	EvOutcome                      // Request, Attempt, Server, Status, LatencyMs, Final, Report, Tries
-	EvStarted                      // Request, Attempt, Server, LatencyMs: a streamed answer began
-	EvDropped                      // Request: the client left
-	EvList                         // List, Entries, Least
-	EvProbed                       // Server, Status, LatencyMs, Report
-	EvTimer                        // Token
-	EvPeer                         // a message of another agent; carries nothing that is used
-	EvWhole                        // Request, Attempt, LeftMs: a body that was Coming is whole
-)
+	OK, Error, Full, Timeout        = event.OK, event.Error, event.Full, event.Timeout
+	ConnectFailed, Reset, Cancelled = event.ConnectFailed, event.Reset, event.Cancelled
+	Moot, NoWay, MostTries          = event.Moot, event.NoWay, event.MostTries
 
-// Event is something that happened to one agent.
-type Event struct {
-	Kind      EventKind
-	Request   RequestID
-	Class     int
-	Tenant    int
-	Key       uint64 // 0: none
-	LeftMs    float64
-	HintMs    float64
-	HasHint   bool
-	Retry     bool
-	Coming    bool // a part of the body has not come; LeftMs reckons with that
-	Tries     int  // of a request: those it may have, 0: as set; of an outcome: spent beyond the one
-	Attempt   int
-	Server    cluster.Addr
-	Status    Status
-	LatencyMs float64
-	Final     bool // the request is finished
-	Report    []float32
-	List      cluster.ListKind
-	Entries   []cluster.Entry // not changed and not kept by the Balancer
-	Least     int             // servers to keep to while nothing is wrong; 0: the Balancer's own figure
-	Token     uint32
-}
+	EvRequest, EvOutcome, EvStarted = event.EvRequest, event.EvOutcome, event.EvStarted
+	EvDropped, EvList, EvProbed     = event.EvDropped, event.EvList, event.EvProbed
+	EvTimer, EvPeer, EvWhole        = event.EvTimer, event.EvPeer, event.EvWhole
 
-// ActionKind tells which fields of an Action count.
-type ActionKind uint8
-
-// The actions.
-const (
-	ActSend   ActionKind = iota + 1 // Request, Server, Ms: time-out, BeginMs
-	ActCancel                       // Request, Attempt
-	ActRefuse                       // Request, Ms: advice
-	ActFail                         // Request
-	ActProbe                        // Server
-	ActTimer                        // Ms, Token
-	ActFollow                       // subscribe to the list
-	ActFetch                        // ask for the whole list once
-	ActClose                        // Server: close idle connections to it
+	ActSend, ActCancel, ActRefuse = event.ActSend, event.ActCancel, event.ActRefuse
+	ActFail, ActProbe, ActTimer   = event.ActFail, event.ActProbe, event.ActTimer
+	ActFollow, ActFetch, ActClose = event.ActFollow, event.ActFetch, event.ActClose
 )
-
-// Action is something the agent is to do, in the order given.
-type Action struct {
-	Kind    ActionKind
-	Request RequestID
-	Server  cluster.Addr
-	Attempt int
-	Ms      float64
-	BeginMs float64 // of a send: within which its first byte goes out, or none; above 0
-	Token   uint32
-}
