Stale sources are left in a part of apply_ms; every send beyond the first is counted

Change: waits and silences of pulls follow from apply_ms; a relay's pull ends when the primary changes; one backend that makes tokens is kept to spare.

--- a/internal/system/isobar/phases.go
+++ b/internal/system/isobar/phases.go
@@ -9,7 +9,7 @@
 // Phases decides how many of a service's backends read prompts and how many make tokens: a state machine without I/O or
 // clock, for whoever holds the duty of giving orders. Times are in ms on a clock that doesn't go back.
 //
-// Those that make tokens are as many as what runs there needs, and some to spare; all others read. More are made so at
+// Those that make tokens are as many as what runs there needs, one to spare, and half of all at the most; all others read. More are made so at
 // once, as their batches have no other place; fewer slowly, as a backend that changes first lets run out what it has.
 type Phases struct {
 	moving map[string]moving // by id
@@ -42,7 +42,10 @@
 
 const (
 	// fillDecode is how full the batches of those that make tokens may be, the rest is for bursts and crashes.
-	fillDecode = 0.7
+	fillDecode = 0.9
+	// leastDecode is how many make tokens at the least, where there are twice as many: one may be lost while no order
+	// can be given.
+	leastDecode = 3
 	// spareFor is how long too many have to make tokens before one reads instead, ms.
 	spareFor = 3000
 	// announceFor is how long a change is announced before its order is sent, ms.
@@ -116,8 +119,8 @@
 	if p.peak < 1 || total < 3 {
 		return moves // without work nothing is known; with two each has its part
 	}
-	need := min(int(math.Ceil(p.peak/(fillDecode*float64(capacity))))+1, total-1)
-	need = max(need, 2)
+	need := max(int(math.Ceil(p.peak/(fillDecode*float64(capacity))))+1, leastDecode)
+	need = min(need, (total+1)/2)
 	start := func(e *EngineState, toPrefill bool) {
 		p.moving[e.ID] = moving{prefill: toPrefill, at: now}
 		moves = append(moves, Move{ID: e.ID, Prefill: toPrefill})
--- a/internal/system/observatory/observatory.go
+++ b/internal/system/observatory/observatory.go
@@ -31,7 +31,8 @@
 	peers   *peers
 	inputs  chan func(now time.Duration) barograph.Output
 	status  atomic.Pointer[barograph.Status]
-	settled atomic.Pointer[applied] // newest committed state
+	changed atomic.Pointer[chan struct{}] // closed when the status next changes
+	settled atomic.Pointer[applied]       // newest committed state
 
 	// What follows belongs to the driver's goroutine.
 	waiting map[uint64]chan<- barograph.Answer
@@ -78,9 +79,17 @@
 	o.peers = newPeers(self.Addr, log)
 	st := o.machine.Status()
 	o.status.Store(&st)
+	changed := make(chan struct{})
+	o.changed.Store(&changed)
 	return o, nil
 }
 
+// watch gives the status, and what is closed when it next changes.
+func (o *Observatory) watch() (*barograph.Status, <-chan struct{}) {
+	changed := o.changed.Load()
+	return o.status.Load(), *changed
+}
+
 // Run serves until ctx ends.
 func (o *Observatory) Run(ctx context.Context) error {
 	core, err := net.Listen("tcp", synop.CoreAddr(o.set.IP, o.set.Ports))
@@ -167,6 +176,8 @@
 	if out.Changed {
 		st := o.machine.Status()
 		was := o.status.Swap(&st)
+		next := make(chan struct{})
+		close(*o.changed.Swap(&next))
 		if was.Epoch != st.Epoch || was.Role != st.Role || was.Ready != st.Ready {
 			o.log.Info("view", zap.Uint64("epoch", st.Epoch), zap.Uint8("role", uint8(st.Role)), zap.Bool("ready", st.Ready), zap.String("primary", st.PrimaryAddr),
 				zap.Int("members", len(st.View.Members)), zap.Int("backups", len(st.View.Backups)))
--- a/internal/system/observatory/pulls.go
+++ b/internal/system/observatory/pulls.go
@@ -27,22 +27,38 @@
 
 // relay keeps an observatory that isn't the primary up to date by the primary's pulls, as telemeters are.
 func (o *Observatory) relay(ctx context.Context) {
+	wait, silence := synop.Pace(o.set.Bounds.Apply, o.set.Heartbeat)
 	for ctx.Err() == nil {
-		st := o.status.Load()
+		st, changed := o.watch()
 		host, _, err := net.SplitHostPort(st.PrimaryAddr)
 		if st.Role == barograph.Primary || err != nil {
-			sleep(ctx, 100*time.Millisecond)
+			select {
+			case <-changed:
+			case <-ctx.Done():
+			}
 			continue
 		}
-		_ = synop.Follow(ctx, synop.PullAddr(host, o.set.Ports), &synop.Follower{Name: o.set.Nodename, Wait: o.set.Heartbeat,
+		// With another primary, or as one, what is under way is of no use.
+		term, cancel := context.WithCancel(ctx)
+		go func() {
+			for {
+				now, changed := o.watch()
+				if now.Role == barograph.Primary || now.PrimaryAddr != st.PrimaryAddr {
+					cancel()
+				}
+				select {
+				case <-changed:
+				case <-term.Done():
+					return
+				}
+			}
+		}()
+		_ = synop.Follow(term, synop.PullAddr(host, o.set.Ports), &synop.Follower{Name: o.set.Nodename, Wait: wait, Silence: silence,
 			Members: func() []synop.Member { return o.store.Members(time.Now(), 3*o.set.Heartbeat) },
 			Have:    o.store.Have,
 			Take:    func(n *synop.News) []string { return o.store.Take(n, time.Now()) },
-			Goes: func() bool {
-				now := o.status.Load()
-				return now.PrimaryAddr == st.PrimaryAddr && now.Role != barograph.Primary
-			},
 		})
+		cancel()
 		sleep(ctx, 50*time.Millisecond)
 	}
 }
--- a/internal/system/synop/link.go
+++ b/internal/system/synop/link.go
@@ -7,9 +7,6 @@
 	"time"
 )
 
-// silence is how much longer than it may wait an answer to a pull may take.
-const silence = 1500 * time.Millisecond
-
 // Serve answers pulls from the store on a listener until ctx ends. Connections that ask for nothing for the time
 // given are closed; fresh tells when the primary was last heard of, before each answer.
 func Serve(ctx context.Context, ln net.Listener, name string, s *Store, idle time.Duration, fresh func() (time.Time, string)) {
@@ -54,10 +51,17 @@
 	}
 }
 
+// Pace is how long a pull may wait, and how much longer its answer may take, for a change to be in force everywhere in
+// the time given although one source on its way was lost: a wait, a silence, and as much for the next source.
+func Pace(apply, heartbeat time.Duration) (wait, silence time.Duration) {
+	return min(heartbeat, apply/5), max(apply/4, 200*time.Millisecond)
+}
+
 // Follower is who pulls.
 type Follower struct {
 	Name    string
 	Wait    time.Duration // for which a pull may wait for news
+	Silence time.Duration // how much longer than that an answer may take
 	Members func() []Member
 	Have    func() map[string]Version
 	Take    func(n *News) (lacking []string) // sources that are to be sent whole
@@ -66,7 +70,7 @@
 
 // Follow pulls from an address until the connection breaks, ctx ends or Goes says so.
 func Follow(ctx context.Context, addr string, f *Follower) error {
-	c, err := Dial(addr, time.Second)
+	c, err := Dial(addr, f.Silence)
 	if err != nil {
 		return err
 	}
@@ -80,7 +84,7 @@
 		for _, source := range lacking {
 			delete(p.Have, source)
 		}
-		_ = c.SetDeadline(time.Now().Add(f.Wait + silence))
+		_ = c.SetDeadline(time.Now().Add(f.Wait + f.Silence))
 		if err := WriteFrame(c, &p); err != nil {
 			return err
 		}
--- a/internal/system/telemeter/telemeter.go
+++ b/internal/system/telemeter/telemeter.go
@@ -58,21 +58,22 @@
 	stop := context.AfterFunc(ctx, func() { ln.Close() })
 	defer stop()
 	go synop.Serve(ctx, ln, t.set.Nodename, t.store, 3*t.set.Heartbeat+time.Second, t.store.Fresh)
-	began := time.Now()
+	var began time.Time
+	wait, silence := synop.Pace(t.set.Bounds.Apply, t.set.Heartbeat)
 	for i := rand.IntN(max(len(t.known), 1)); ctx.Err() == nil; i++ {
 		if len(t.known) == 0 {
 			return errors.New("peers: none to ask")
 		}
 		addr := t.known[i%len(t.known)]
-		err := synop.Follow(ctx, addr, &synop.Follower{Name: t.set.Nodename, Wait: t.set.Heartbeat,
+		began = time.Now()
+		err := synop.Follow(ctx, addr, &synop.Follower{Name: t.set.Nodename, Wait: wait, Silence: silence,
 			Members: func() []synop.Member { return t.store.Members(time.Now(), 3*t.set.Heartbeat) },
 			Have:    t.vector, Take: func(n *synop.News) []string { return t.take(n) },
 			Goes: func() bool {
 				// One that has not heard of the primary for long is left for another.
 				heard, _ := t.store.Fresh()
-				return time.Since(heard) < 2*t.set.Heartbeat || time.Since(began) < 2*t.set.Heartbeat
+				return time.Since(heard) < wait+silence/2 || time.Since(began) < wait
 			}})
-		began = time.Now()
 		if ctx.Err() == nil {
 			t.log.Debug("observatory left", zap.String("addr", addr), zap.Error(err))
 		}
--- a/internal/system/vane/feed.go
+++ b/internal/system/vane/feed.go
@@ -15,7 +15,7 @@
 // feed pulls from the telemeter for as long as the process lives.
 func (v *Vane) feed(ctx context.Context) {
 	for ctx.Err() == nil {
-		err := synop.Follow(ctx, synop.TelemeterAddr(v.set.Ports), &synop.Follower{Name: v.set.Nodename, Wait: v.set.Heartbeat,
+		err := synop.Follow(ctx, synop.TelemeterAddr(v.set.Ports), &synop.Follower{Name: v.set.Nodename, Wait: v.set.Heartbeat, Silence: time.Second,
 			Members: func() []synop.Member { return []synop.Member{{Name: v.set.Nodename, Zone: v.set.Zone}} },
 			Have:    func() map[string]synop.Version { return maps.Clone(v.have) },
 			Take:    func(n *synop.News) []string { v.take(n); return nil }})
--- a/internal/system/vane/serve.go
+++ b/internal/system/vane/serve.go
@@ -212,6 +212,11 @@
 	if t.ran && !t.route.Idempotent() || t.sends >= max(t.route.Tries, 1) || time.Until(t.deadline) < 5*time.Millisecond {
 		return false
 	}
+	return t.allowed()
+}
+
+// allowed takes one send beyond a request's first from what this proxy may make of them.
+func (t *try) allowed() bool {
 	t.svc.mu.Lock()
 	defer t.svc.mu.Unlock()
 	return t.svc.spent.take()
@@ -427,7 +432,7 @@
 
 // generate serves a request whose tokens come as a stream.
 func (t *try) generate(ctx context.Context, p *isobar.Prompt) {
-	split := true
+	split, apart := true, 0
 	for {
 		pl, ok := t.svc.placeFor(t.route.Name, p, t.route.Target(), t.tried, split)
 		if !ok {
@@ -445,9 +450,16 @@
 					}
 					return
 				}
-				// The prompt goes without: a decode backend reads it itself.
-				split = false
+				// Another backend reads it, once more at a prefill backend; a call that came to nothing is one beyond the
+				// first, and counts as such.
 				t.unsent(pl, p)
+				t.tried[pl.from.ID] = true
+				apart++
+				split = apart < 2
+				if !t.allowed() {
+					t.giveUp(ctx, errText(err))
+					return
+				}
 				continue
 			}
 		}
--- a/internal/system/vane/service.go
+++ b/internal/system/vane/service.go
@@ -168,6 +168,9 @@
 	// that long before another backend, which keeps none of it, is asked; and a move, which has a price, is made only
 	// where reading at a decode backend takes longer.
 	readAim = 0.4
+	// homePatience is how many times as long as that a prompt waits at its home: elsewhere all of it is read again, which
+	// under load makes more of what it flees from.
+	homePatience = 1
 	// engineCap is c of the design's bounded-load hash at engines: a batch holds many, and a prompt read away from its
 	// home costs more than a longer batch.
 	engineCap = 8
@@ -216,11 +219,11 @@
 		// reading slows no tokens down; only where those are much behind, or none is there, one that decodes.
 		s.order = s.ranker.Rank(now, key, func(id string) bool { return !tried[id] && (split && prefill(id) || decode(id)) }, engineCap, func(id string) float64 {
 			c := e.AheadMs(now, id)
-			if c < patience {
+			if c < homePatience*patience {
 				c = 0
 			}
 			if !prefill(id) {
-				c += 3 * patience
+				c += 10 * patience
 				if s.apart[id] {
 					c += 10 * patience
 				}
--- a/internal/system/vane/vane.go
+++ b/internal/system/vane/vane.go
@@ -53,6 +53,9 @@
 	version  int64
 }
 
+// assumedProxies stands for how many proxies there are until that is known.
+const assumedProxies = 16
+
 // reserved is how many descriptors are kept for what is no connection to a backend or client (DEPLOY: 200 for files).
 const reserved = 260
 
@@ -63,7 +66,7 @@
 		files = 1024
 	}
 	room := max(files-reserved, 64)
-	v := &Vane{ctx: ctx, set: set, log: log, life: lifecycle.New(), have: map[string]synop.Version{}, services: map[string]*service{}, proxies: 1,
+	v := &Vane{ctx: ctx, set: set, log: log, life: lifecycle.New(), have: map[string]synop.Version{}, services: map[string]*service{}, proxies: assumedProxies,
 		statuses: xsync.NewMap[int, *xsync.Counter]()}
 	dialer := &net.Dialer{KeepAlive: -1, Control: sockets.UserTimeout(set.Bounds.Contact)}
 	v.pool = transport.New(transport.Options{Dial: dialer.DialContext, Timeout: connectWithin, Idle: 10 * time.Second, Most: room / 2,
