--- a/internal/system/isobar/engines.go
+++ b/internal/system/isobar/engines.go
@@ -1,5 +1,7 @@
 package isobar
 
+import "math"
+
 // Engine is what the operator's configuration tells of a service's backends.
 type Engine struct {
 	Capacity int     // requests at once
@@ -10,13 +12,14 @@
 
 // Engines is one proxy's reckoning of one service's backends. It belongs to one goroutine at a time.
 type Engines struct {
-	set     Engine
-	byID    map[string]*engine
-	perTok  float64 // ms a prefill backend takes for a token; learned
-	usual   float64 // tokens that a prompt sent to be read has unkept, of late
-	kinds   map[string]kind
-	apart   int
-	apartAt float64
+	set       Engine
+	byID      map[string]*engine
+	perTok    float64 // ms a prefill backend takes for a token; learned
+	usual     float64 // tokens that a prompt sent to be read has unkept, of late
+	kinds     map[string]kind
+	apart     int
+	moveLeast float64 // ms
+	apartAt   float64
 }
 
 type engine struct {
@@ -26,6 +29,8 @@
 	kept    *kept
 	reading float64 // tokens under way there that this proxy sent, not yet read
 	running int     // requests under way there that this proxy sent
+	outward late    // how much longer than usual moves from it took
+	inward  late    // and moves to it
 	// As the backend last told of itself with an answer.
 	told        float64 // ms
 	toldActive  int
@@ -53,6 +58,10 @@
 	// fillLeast; not sooner than so many ms after the last change.
 	fillLeast, fillMost   = 0.5, 0.75
 	moreAfter, fewerAfter = 500, 8000
+	// What is known of slow moves halves in so many ms, and each move has that part in it.
+	lateHalf, latePart = 2000, 0.3
+	// moveLeastRise is how fast the least time to a first token after a move is believed to rise, a move.
+	moveLeastRise = 0.002
 	// maxKinds bounds the kinds of requests that are told apart.
 	maxKinds = 4096
 )
@@ -250,11 +259,52 @@
 	}
 }
 
-// Moved notes that the reader took over the memory of a prompt.
-func (e *Engines) Moved(to string, p *Prompt) {
-	if g := e.byID[to]; g != nil {
-		g.kept.use(p)
+// Moved notes that a backend took over the memory of a prompt from another, and how long it took to its first token, ms;
+// 0: it came to nothing in that time.
+func (e *Engines) Moved(now float64, from, to string, p *Prompt, ms float64, ok bool) {
+	a, b := e.byID[from], e.byID[to]
+	if b != nil && ok {
+		b.kept.use(p)
+	}
+	if a == nil || b == nil {
+		return
+	}
+	// What usually is so short that the least of it is known soon.
+	if e.moveLeast == 0 || ms < e.moveLeast {
+		e.moveLeast = ms
+	}
+	e.moveLeast += e.moveLeast * moveLeastRise
+	// What one of them is known for is not the other's.
+	over := max(ms-e.moveLeast-e.MoveMs(from, to, p), 0)
+	ofA, ofB := a.outward.now(now), b.inward.now(now)
+	a.outward.learn(now, max(over-ofB, 0))
+	b.inward.learn(now, max(over-ofA, 0))
+}
+
+// OutwardMs and InwardMs are how much longer than usual moves from a backend, and to it, took of late.
+func (e *Engines) OutwardMs(now float64, id string) float64 {
+	if g := e.byID[id]; g != nil {
+		return g.outward.now(now)
+	}
+	return 0
+}
+
+// InwardMs is the same for moves to a backend.
+func (e *Engines) InwardMs(now float64, id string) float64 {
+	if g := e.byID[id]; g != nil {
+		return g.inward.now(now)
 	}
+	return 0
+}
+
+// late is a mean that is forgotten with time, so that what was slow is tried again.
+type late struct{ ms, at float64 }
+
+func (l *late) now(now float64) float64 { return l.ms * math.Exp2(-(now-l.at)/lateHalf) }
+
+func (l *late) learn(now, ms float64) {
+	was := l.now(now)
+	l.ms, l.at = was+(ms-was)*latePart, now
 }
 
 // Began notes a request that is to make tokens there, without a prompt to be read.
--- a/internal/system/vane/serve.go
+++ b/internal/system/vane/serve.go
@@ -22,7 +22,9 @@
 	// maxAnswer bounds an answer that is held whole, in bytes.
 	maxAnswer = 8 << 20
 	// connectWithin bounds a connect: round trips are some milliseconds anywhere.
-	connectWithin = 400 * time.Millisecond
+	connectWithin = 200 * time.Millisecond
+	// maxWays bounds the backends to which a way is looked for.
+	maxWays = 4
 	// soonAgain is when a client whose request was not run is told to come back.
 	soonAgain = 50 * time.Millisecond
 	// silentAims is how many times its aim an idempotent request waits for a first byte before it goes elsewhere.
@@ -237,7 +239,7 @@
 			return
 		}
 		t.tried[b.ID] = true
-		t.sends++
+		sends := t.sends
 		done, err := t.plainAt(ctx, b)
 		if done {
 			return
@@ -245,6 +247,9 @@
 		if ctx.Err() != nil && time.Until(t.deadline) > 0 {
 			return // the client has left
 		}
+		if t.sends == sends && len(t.tried) < maxWays && time.Until(t.deadline) > connectWithin {
+			continue // none has seen it: there was no way to that backend
+		}
 		if !t.mayAgain() {
 			t.giveUp(ctx, errText(err))
 			return
@@ -261,7 +266,7 @@
 
 // headBy is until when an attempt waits for the head of its answer.
 func (t *try) headBy() time.Time {
-	if aim := t.route.Target(); t.route.Idempotent() && aim > 0 && t.sends < t.route.Tries {
+	if aim := t.route.Target(); t.route.Idempotent() && aim > 0 && t.sends+1 < t.route.Tries {
 		if by := time.Now().Add(max(silentAims*aim, 200*time.Millisecond)); by.Before(t.deadline) {
 			return by
 		}
@@ -273,6 +278,9 @@
 func (t *try) plainAt(ctx context.Context, b *backend) (done bool, err error) {
 	x := extra{target: b.ID, left: time.Until(t.deadline), priority: -1}
 	e, wrote, err := begin(ctx, b.way, &t.m, &x, time.Now().Add(connectWithin), t.headBy())
+	if wrote {
+		t.sends++
+	}
 	if err != nil {
 		t.ran = t.ran || wrote
 		t.svc.ended(b.ID, judge(wrote, err))
@@ -368,8 +376,8 @@
 // maxHandleAnswer bounds the answer that names a handle.
 const maxHandleAnswer = 64 << 10
 
-// prefill has a backend read the prompt and keep its memory for the taker.
-func (t *try) prefill(ctx context.Context, b *backend, p *isobar.Prompt, by time.Time) (*handle, error) {
+// prefill has a backend read the prompt and keep its memory for the taker; reached: the call may have come there.
+func (t *try) prefill(ctx context.Context, b *backend, p *isobar.Prompt, by time.Time) (h *handle, reached bool, err error) {
 	t.svc.mu.Lock()
 	tokens := t.svc.engines.Sent(b.ID, p)
 	t.svc.ranker.Sent(b.ID)
@@ -391,7 +399,7 @@
 	e, wrote, err := begin(ctx, b.way, &t.m, &x, time.Now().Add(connectWithin), by)
 	if err != nil {
 		status = judge(wrote, err)
-		return nil, err
+		return nil, wrote, err
 	}
 	resp := e.resp
 	t.svc.told(b.ID, resp.Header.Get(sonde.Load))
@@ -403,16 +411,16 @@
 	switch {
 	case err != nil:
 		status = judge(true, err)
-		return nil, err
+		return nil, true, err
 	case notRun(resp):
 		status = policy.Full
-		return nil, errors.Errorf("prefill: status %d", resp.StatusCode)
+		return nil, true, errors.Errorf("prefill: status %d", resp.StatusCode)
 	case resp.StatusCode != http.StatusOK || json.Unmarshal(body, &ans) != nil || !plain(ans.Ref):
 		status = policy.Error
-		return nil, errors.Errorf("prefill: status %d", resp.StatusCode)
+		return nil, true, errors.Errorf("prefill: status %d", resp.StatusCode)
 	}
 	took = float64(time.Since(start).Microseconds()) / 1000
-	return &handle{ref: ans.Ref, from: b, tokens: ans.Tokens}, nil
+	return &handle{ref: ans.Ref, from: b, tokens: ans.Tokens}, true, nil
 }
 
 // free gives memory back that nobody will take.
@@ -432,31 +440,43 @@
 
 // generate serves a request whose tokens come as a stream.
 func (t *try) generate(ctx context.Context, p *isobar.Prompt) {
-	split, apart := true, 0
+	split, reads := true, 0
+	var h *handle // memory of the prompt that waits for its taker
+	defer func() {
+		if h != nil {
+			t.free(h)
+		}
+	}()
 	for {
-		pl, ok := t.svc.placeFor(t.route.Name, p, t.route.Target(), t.tried, split)
+		var pl place
+		ok := false
+		if h != nil {
+			pl, ok = t.svc.takerFor(h.from, p, t.route.Target(), t.tried)
+		} else {
+			pl, ok = t.svc.placeFor(t.route.Name, p, t.route.Target(), t.tried, split)
+		}
 		if !ok {
 			t.giveUp(ctx, "no backend")
 			return
 		}
-		var h *handle
-		if pl.from != nil {
+		if pl.from != nil && h == nil {
 			var err error
-			if h, err = t.prefill(ctx, pl.from, p, t.headBy()); err != nil {
+			reached := false
+			if h, reached, err = t.prefill(ctx, pl.from, p, t.headBy()); err != nil {
+				t.unsent(pl, p)
 				if ctx.Err() != nil {
-					t.unsent(pl, p)
 					if time.Until(t.deadline) <= 0 {
 						t.giveUp(ctx, errText(err))
 					}
 					return
 				}
-				// Another backend reads it, once more at a prefill backend; a call that came to nothing is one beyond the
-				// first, and counts as such.
-				t.unsent(pl, p)
+				// Another backend reads it; a call that came to nothing is one beyond the first, and counts as such.
 				t.tried[pl.from.ID] = true
-				apart++
-				split = apart < 2
-				if !t.allowed() {
+				if reached {
+					reads++
+				}
+				split = reads < 2
+				if reached && !t.allowed() || len(t.tried) > maxWays {
 					t.giveUp(ctx, errText(err))
 					return
 				}
@@ -464,16 +484,25 @@
 			}
 		}
 		t.tried[pl.at.ID] = true
-		t.sends++
+		sends := t.sends
 		done, err := t.stream(ctx, pl, p, h)
 		if done {
+			h = nil // taken
 			return
 		}
 		if ctx.Err() != nil && time.Until(t.deadline) > 0 {
 			return
 		}
+		if t.sends == sends && len(t.tried) < maxWays && time.Until(t.deadline) > connectWithin {
+			continue // none has seen it: there was no way to that backend
+		}
 		if h != nil {
-			split = false
+			// What was sent with it has spoilt it, whether or not that came to anything.
+			t.tried[h.from.ID] = true
+			t.free(h)
+			h = nil
+			reads++
+			split = reads < 2 && t.allowed()
 		}
 		if !t.mayAgain() {
 			t.giveUp(ctx, errText(err))
--- a/internal/system/vane/service.go
+++ b/internal/system/vane/service.go
@@ -218,7 +218,7 @@
 		// The key's home, which keeps what the prompt shares, unless too much waits there: a prefill backend, whose
 		// reading slows no tokens down; only where those are much behind, or none is there, one that decodes.
 		s.order = s.ranker.Rank(now, key, func(id string) bool { return !tried[id] && (split && prefill(id) || decode(id)) }, engineCap, func(id string) float64 {
-			c := e.AheadMs(now, id)
+			c := e.AheadMs(now, id) + e.OutwardMs(now, id)
 			if c < homePatience*patience {
 				c = 0
 			}
@@ -239,24 +239,10 @@
 		pl.at = s.byID[s.order[0]]
 		pl.readMs = e.AheadMs(now, pl.at.ID) + e.ReadMs(pl.at.ID, p)
 		if !decode(pl.at.ID) {
-			pl.from, pl.at = pl.at, nil
-			s.order = s.ranker.Rank(now, key, fresh, math.Inf(1), func(id string) float64 {
-				c := e.Busy(id)
-				if s.byID[id].Zone != pl.from.Zone {
-					c += 0.5
-				}
-				if !s.apart[id] {
-					c += 0.25
-				}
-				if e.Full(now, id) {
-					c += 10
-				}
-				return c
-			}, s.order[:0])
-			if len(s.order) == 0 {
+			pl.from = pl.at
+			if pl.at = s.taker(now, key, pl.from, p, patience, tried); pl.at == nil {
 				return pl, false
 			}
-			pl.at = s.byID[s.order[0]]
 		}
 	}
 	at := pl.at.ID
@@ -268,3 +254,39 @@
 	s.ranker.Sent(at)
 	return pl, true
 }
+
+// takerFor chooses another decode backend for memory that lies at from.
+func (s *service) takerFor(from *backend, p *isobar.Prompt, aim time.Duration, tried map[string]bool) (pl place, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	pl.from = from
+	if pl.at = s.taker(s.now(), p.Key(), from, p, readAim*float64(aim.Milliseconds()), tried); pl.at == nil {
+		return pl, false
+	}
+	s.engines.Began(pl.at.ID)
+	s.ranker.Sent(pl.at.ID)
+	return pl, true
+}
+
+// taker is the decode backend that makes the tokens of a prompt read elsewhere: one whose batch is the least full, in the
+// same zone if that is no matter, and to which moves have not been slow of late; nil: none is left. The lock is held.
+func (s *service) taker(now float64, key uint64, from *backend, p *isobar.Prompt, patience float64, tried map[string]bool) *backend {
+	e := s.engines
+	s.order = s.ranker.Rank(now, key, func(id string) bool { return !tried[id] && s.byID[id].Phase == sonde.PhaseDecode }, math.Inf(1), func(id string) float64 {
+		c := e.Busy(id) + e.InwardMs(now, id)/patience
+		if s.byID[id].Zone != from.Zone {
+			c += 0.5
+		}
+		if !s.apart[id] {
+			c += 0.25
+		}
+		if e.Full(now, id) {
+			c += 10
+		}
+		return c
+	}, s.order[:0])
+	if len(s.order) == 0 {
+		return nil
+	}
+	return s.byID[s.order[0]]
+}
--- a/internal/system/vane/stream.go
+++ b/internal/system/vane/stream.go
@@ -25,13 +25,16 @@
 	start := time.Now()
 	status, read, kept := policy.OK, 0.0, false
 	var began time.Time // when the first event came
+	sent := false
 	defer func() {
 		t.svc.mu.Lock()
 		t.svc.engines.Read(b.ID, pl.tokens, read)
 		t.svc.engines.Ended(b.ID)
 		switch {
-		case kept && h != nil:
-			t.svc.engines.Moved(b.ID, p)
+		case h != nil && kept:
+			t.svc.engines.Moved(t.svc.now(), h.from.ID, b.ID, p, float64(began.Sub(start).Microseconds())/1000, true)
+		case h != nil && sent:
+			t.svc.engines.Moved(t.svc.now(), h.from.ID, b.ID, p, float64(time.Since(start).Microseconds())/1000, false)
 		case !kept && h == nil:
 			t.svc.engines.Forget(b.ID, p)
 		}
@@ -43,12 +46,13 @@
 		x.kvFrom = h.from.Address + "/" + h.ref
 	}
 	e, wrote, err := begin(ctx, b.way, &t.m, &x, time.Now().Add(connectWithin), t.headBy())
+	sent = wrote
+	if wrote {
+		t.sends++
+	}
 	if err != nil {
 		t.ran = t.ran || wrote
 		status = judge(wrote, err)
-		if h != nil {
-			t.free(h)
-		}
 		return false, err
 	}
 	resp := e.resp
@@ -68,7 +72,6 @@
 				t.svc.mu.Lock()
 				t.svc.ranker.Handover(t.svc.now(), h.from.ID, false)
 				t.svc.mu.Unlock()
-				t.free(h)
 			}
 			return false, nil
 		}
@@ -225,10 +228,12 @@
 			return false
 		}
 		t.tried[pl.at.ID] = true
-		t.sends++
 		status, kept := policy.OK, false
 		x := extra{target: pl.at.ID, left: time.Until(t.deadline), priority: t.route.Priority, lastID: r.lastID}
 		e, wrote, err := begin(ctx, pl.at.way, &t.m, &x, time.Now().Add(connectWithin), t.headBy())
+		if wrote {
+			t.sends++
+		}
 		done := false
 		if err != nil {
 			status = judge(wrote, err)
