--- a/internal/system/barograph/primary.go
+++ b/internal/system/barograph/primary.go
@@ -1,12 +1,14 @@
 package barograph
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
 
 // Propose asks for a change. It is answered at once with NotPrimary or Busy, or later with Committed or LostPrimacy.
-// body must not be changed afterwards.
+// body must not be changed afterwards. While too few machines are there it waits without a bound: the caller may give up
+// on its token, its place is taken until the answer.
 func (m *Machine) Propose(now time.Duration, token uint64, body []byte) Output {
 	before := m.Status()
 	m.begin(now)
@@ -319,7 +321,7 @@
 }
 
 // nextMembers are the members that the next view should have: with the machines that joined, without the older
-// identities of their addresses, and without silent ones where that lowers the majority.
+// identities of their addresses, and without those silent for longest where that lowers the majority.
 func (m *Machine) nextMembers() (next []Member, changed bool) {
 	next = slices.Clone(m.view.Members)
 	if !m.led {
@@ -331,13 +333,19 @@
 			next, changed = append(next, j), true
 		}
 	}
-	silent := func(o Member) bool {
+	// Never below what the loss of all that may be lost leaves a majority of: who comes back may be needed.
+	least := max(3, 2*m.opt.Survive.Copies()-1)
+	var silent []Member
+	for _, o := range next {
 		at, ok := m.heard[o.ID]
-		return o.ID != m.id.ID && m.view.has(o.ID) && (!ok || m.now-at >= m.opt.ForgetAfter)
+		if o.ID != m.id.ID && m.view.has(o.ID) && (!ok || m.now-at >= m.opt.ForgetAfter) {
+			silent = append(silent, o)
+		}
 	}
-	rest := slices.DeleteFunc(slices.Clone(next), silent)
-	if len(rest)/2 < len(next)/2 {
-		next, changed = rest, true
+	slices.SortStableFunc(silent, func(a, b Member) int { return cmp.Compare(m.heard[a.ID], m.heard[b.ID]) })
+	silent = silent[:max(0, min(len(silent), len(next)-least))]
+	if (len(next)-len(silent))/2 < len(next)/2 {
+		next, changed = slices.DeleteFunc(next, func(o Member) bool { return slices.Contains(silent, o) }), true
 	}
 	sortMembers(next)
 	return next, changed
