Homes are left only for what is less behind; staged prompts go first

Cause: under load prompts left their homes, were given up after 450 ms and read again elsewhere, or at backends that make tokens, whose batches then filled; speed was learned from what had waited; bulletins waited behind full batches with their memory staged.

--- a/internal/system/isobar/engines.go
+++ b/internal/system/isobar/engines.go
@@ -238,24 +238,21 @@
 	return tokens
 }
 
-// Read notes that it was read: tokens as Sent gave them, took in ms; 0: it wasn't, or nothing is to be learned.
+// Read notes that it was read: tokens as Sent gave them, took in ms; 0: it wasn't. Speed is learned only from what was read
+// alone, as far as this proxy and the backend know.
 func (e *Engines) Read(id string, tokens int, took float64) {
 	g := e.byID[id]
 	if g == nil {
 		return
 	}
+	alone := g.running <= 1 && g.toldActive+g.toldWait <= 1
 	g.reading = max(g.reading-float64(tokens), 0)
-	if took > 0 && tokens >= 512 {
+	if took > 0 && tokens >= 512 && alone {
 		per := took / float64(tokens)
 		if !g.prefill {
 			per /= directSlower
 		}
-		// One that waited tells too much; the least of what is seen counts more.
-		if part := learnPart; per < e.perTok {
-			e.perTok += (per - e.perTok) * part * 4
-		} else {
-			e.perTok += (min(per, e.perTok*2) - e.perTok) * part
-		}
+		e.perTok += (min(per, 2*e.perTok) - e.perTok) * learnPart
 	}
 }
 
--- a/internal/system/isobar/phases.go
+++ b/internal/system/isobar/phases.go
@@ -116,8 +116,8 @@
 		}
 	}
 	total := len(decode) + len(prefill)
-	if p.peak < 1 || total < 3 {
-		return moves // without work nothing is known; with two each has its part
+	if total < 3 {
+		return moves // each has its part
 	}
 	need := max(int(math.Ceil(p.peak/(fillDecode*float64(capacity))))+1, leastDecode)
 	need = min(need, (total+1)/2)
@@ -144,11 +144,17 @@
 		if p.spare == 0 {
 			p.spare = now
 		}
-		if now-p.spare >= spareFor {
-			p.spare = now
-			if es := steady(decode); len(es) > 0 {
-				start(es[0], true)
+		// Before there is any work all changes cost nothing; and one that reads comes back at once, where one that makes
+		// tokens takes long to run out.
+		wait := now-p.spare < spareFor && p.peak >= 1
+		for _, e := range steady(decode) {
+			if wait || len(decode) <= need {
+				break
 			}
+			start(e, true)
+			need++
+			wait = p.peak >= 1
+			p.spare = now
 		}
 	default:
 		p.spare = 0
--- a/internal/system/vane/serve.go
+++ b/internal/system/vane/serve.go
@@ -274,6 +274,10 @@
 	return t.deadline
 }
 
+// readBy is until when a prompt that is read elsewhere is waited for: half of what is left, since one given up is read again
+// from its beginning.
+func (t *try) readBy() time.Time { return time.Now().Add(time.Until(t.deadline) / 2) }
+
 // plainAt sends to one backend; done: the client has its answer.
 func (t *try) plainAt(ctx context.Context, b *backend) (done bool, err error) {
 	x := extra{target: b.ID, left: time.Until(t.deadline), priority: -1}
@@ -395,7 +399,7 @@
 		t.svc.ranker.Ended(t.svc.now(), b.ID, status)
 		t.svc.mu.Unlock()
 	}()
-	x := extra{target: b.ID, left: time.Until(t.deadline), stage: sonde.PhasePrefill, priority: t.route.Priority}
+	x := extra{target: b.ID, left: time.Until(t.deadline), stage: sonde.PhasePrefill, priority: t.priority(false)}
 	e, wrote, err := begin(ctx, b.way, &t.m, &x, time.Now().Add(connectWithin), by)
 	if err != nil {
 		status = judge(wrote, err)
@@ -462,7 +466,7 @@
 		if pl.from != nil && h == nil {
 			var err error
 			reached := false
-			if h, reached, err = t.prefill(ctx, pl.from, p, t.headBy()); err != nil {
+			if h, reached, err = t.prefill(ctx, pl.from, p, t.readBy()); err != nil {
 				t.unsent(pl, p)
 				if ctx.Err() != nil {
 					if time.Until(t.deadline) <= 0 {
--- a/internal/system/vane/service.go
+++ b/internal/system/vane/service.go
@@ -171,6 +171,8 @@
 	// homePatience is how many times as long as that a prompt waits at its home: elsewhere all of it is read again, which
 	// under load makes more of what it flees from.
 	homePatience = 1
+	// shortRead is the part of that which a prompt's reading may take at a decode backend.
+	shortRead = 0.25
 	// engineCap is c of the design's bounded-load hash at engines: a batch holds many, and a prompt read away from its
 	// home costs more than a longer batch.
 	engineCap = 8
@@ -217,13 +219,26 @@
 	} else {
 		// The key's home, which keeps what the prompt shares, unless too much waits there: a prefill backend, whose
 		// reading slows no tokens down; only where those are much behind, or none is there, one that decodes.
+		least := math.Inf(1) // where all are behind, nothing is won elsewhere
+		for id := range s.byID {
+			if prefill(id) && !tried[id] {
+				least = min(least, e.AheadMs(now, id)+e.OutwardMs(now, id))
+			}
+		}
+		if math.IsInf(least, 1) {
+			least = 0
+		}
 		s.order = s.ranker.Rank(now, key, func(id string) bool { return !tried[id] && (split && prefill(id) || decode(id)) }, engineCap, func(id string) float64 {
-			c := e.AheadMs(now, id) + e.OutwardMs(now, id)
+			c := e.AheadMs(now, id) + e.OutwardMs(now, id) - least
 			if c < homePatience*patience {
 				c = 0
 			}
 			if !prefill(id) {
-				c += 10 * patience
+				// Reading there slows the tokens of all that run, and so fills the batches: only what is short, or
+				// where nobody else reads.
+				if c = max(c, 0) + 10*patience; e.ReadMs(id, p) > shortRead*patience {
+					c += 1000 * patience
+				}
 				if s.apart[id] {
 					c += 10 * patience
 				}
--- a/internal/system/vane/stream.go
+++ b/internal/system/vane/stream.go
@@ -15,6 +15,15 @@
 	"molepaddle/policy"
 )
 
+// priority is what a backend is told of a request's urgency. Whoever comes with memory that waits elsewhere for its taker
+// goes first: that memory is lost to others for so long, lapses, and its reading was paid for; then the operator's rank.
+func (t *try) priority(staged bool) int {
+	if staged {
+		return 0
+	}
+	return min(t.route.Priority+1, 9)
+}
+
 // maxEvent bounds one event of a stream, in bytes.
 const maxEvent = 1 << 20
 
@@ -41,7 +50,7 @@
 		t.svc.ranker.Ended(t.svc.now(), b.ID, status)
 		t.svc.mu.Unlock()
 	}()
-	x := extra{target: b.ID, left: time.Until(t.deadline), priority: t.route.Priority}
+	x := extra{target: b.ID, left: time.Until(t.deadline), priority: t.priority(h != nil)}
 	if h != nil {
 		x.kvFrom = h.from.Address + "/" + h.ref
 	}
@@ -229,7 +238,7 @@
 		}
 		t.tried[pl.at.ID] = true
 		status, kept := policy.OK, false
-		x := extra{target: pl.at.ID, left: time.Until(t.deadline), priority: t.route.Priority, lastID: r.lastID}
+		x := extra{target: pl.at.ID, left: time.Until(t.deadline), priority: t.priority(false), lastID: r.lastID}
 		e, wrote, err := begin(ctx, pl.at.way, &t.m, &x, time.Now().Add(connectWithin), t.headBy())
 		if wrote {
 			t.sends++
