A third of the backends makes tokens before there is work; full batches call more

Cause: on the grown deployments three of 44 backends made tokens at the start, and full batches hid the need.

--- a/internal/system/isobar/phases.go
+++ b/internal/system/isobar/phases.go
@@ -46,6 +46,8 @@
 	// leastDecode is how many make tokens at the least, where there are twice as many: one may be lost while no order
 	// can be given.
 	leastDecode = 3
+	// startDecode is one in how many makes tokens before there is any work.
+	startDecode = 3
 	// spareFor is how long too many have to make tokens before one reads instead, ms.
 	spareFor = 3000
 	// announceFor is how long a change is announced before its order is sent, ms.
@@ -120,6 +122,12 @@
 		return moves // each has its part
 	}
 	need := max(int(math.Ceil(p.peak/(fillDecode*float64(capacity))))+1, leastDecode)
+	if p.peak < 1 {
+		need = max(need, total/startDecode)
+	}
+	if fill := active / float64(max(len(decode), 1)*capacity); fill > fillDecode && len(decode) > 0 {
+		need = max(need, len(decode)+(len(decode)+3)/4) // full batches hide how much more would come
+	}
 	need = min(need, (total+1)/2)
 	start := func(e *EngineState, toPrefill bool) {
 		p.moving[e.ID] = moving{prefill: toPrefill, at: now}
