--- /dev/null
+++ b/cmd/station/control_test.go
@@ -0,0 +1,359 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"runtime/debug"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"molepaddle/internal/system/almanac"
+	"molepaddle/internal/system/sonde"
+)
+
+// control stands in for the control plane: one agent that takes configurations as PROTOCOL.md says.
+type control struct {
+	addr string
+
+	mu    sync.Mutex
+	doc   *almanac.Document
+	calls []string // method, path and base version of each call
+}
+
+// newControl starts one, ended with the test.
+func newControl(tb testing.TB) *control {
+	s := &control{}
+	server := httptest.NewServer(s)
+	tb.Cleanup(server.Close)
+	s.addr = server.Listener.Addr().String()
+	return s
+}
+
+func (s *control) seen() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.calls...)
+}
+
+func (s *control) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls = append(s.calls, strings.TrimSpace(r.Method+" "+r.URL.Path+" "+r.Header.Get(sonde.BaseVersion)))
+	change := almanac.Replace
+	switch r.Method + " " + r.URL.Path {
+	case sonde.Show.Method + " " + sonde.Show.Path:
+		if s.doc == nil {
+			no(w, http.StatusNotFound, "no configuration yet", nil)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write(s.doc.Show())
+		return
+	case sonde.Replace.Method + " " + sonde.Replace.Path:
+	case sonde.Update.Method + " " + sonde.Update.Path:
+		change = almanac.Update
+	default:
+		no(w, http.StatusNotFound, "no such call", nil)
+		return
+	}
+	base, err := strconv.ParseInt(r.Header.Get(sonde.BaseVersion), 10, 64)
+	if err != nil || base != s.doc.Version() {
+		no(w, http.StatusPreconditionFailed, "version "+strconv.FormatInt(s.doc.Version(), 10)+" is in place", nil)
+		return
+	}
+	next, found := change(s.doc, body)
+	if len(found) > 0 {
+		no(w, http.StatusBadRequest, "the configuration is invalid", found)
+		return
+	}
+	s.doc = next
+}
+
+// no answers as an observatory refuses.
+func no(w http.ResponseWriter, status int, why string, in almanac.Findings) {
+	w.WriteHeader(status)
+	list := []map[string]string{}
+	for _, f := range in {
+		list = append(list, map[string]string{"place": f.Place, "text": f.Text})
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{"err": why, "findings": list})
+}
+
+// build is what the program is told of its build.
+func build() (*debug.BuildInfo, bool) {
+	return &debug.BuildInfo{GoVersion: "go1.26.8", Main: debug.Module{Version: "v1.2.0"}, Settings: []debug.BuildSetting{
+		{Key: "GOOS", Value: "linux"}, {Key: "GOARCH", Value: "amd64"}, {Key: "vcs.revision", Value: "a923778"},
+		{Key: "vcs.time", Value: "2026-12-02T04:06:00Z"}, {Key: "vcs.modified", Value: "true"}}}, true
+}
+
+// station runs a command line, with no settings file but those that it names.
+func station(tb testing.TB, args ...string) (code int, out, errOut string) {
+	tb.Setenv("MOLEPADDLE_CONFIG", "")
+	var o, e bytes.Buffer
+	code = run(context.Background(), args, &o, &e, build)
+	return code, o.String(), e.String()
+}
+
+func data(name string) string { return filepath.Join("testdata", name) }
+
+// deadAddr is an address where nobody listens.
+func deadAddr(c *qt.C) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+func TestCheckCodes(t *testing.T) {
+	c := qt.New(t)
+	for _, one := range []struct {
+		files []string
+		code  int
+	}{
+		{[]string{"boot.toml", "fleet.json"}, exitDone},
+		{[]string{"boot.toml", "bad.json"}, exitNo},
+		{[]string{"lacking.toml"}, exitNo},
+		{[]string{"wrong.toml"}, exitNo},
+		{[]string{"cut.json"}, exitNo},
+		{[]string{"reading.json"}, exitNo},
+		{[]string{"absent.toml", "bad.json"}, exitUsage},
+		{[]string{"bad.json", "absent.toml"}, exitUsage},
+	} {
+		args := []string{"check"}
+		for _, f := range one.files {
+			args = append(args, data(f))
+		}
+		code, _, _ := station(t, args...)
+		c.Check(code, qt.Equals, one.code, qt.Commentf("%v", one.files))
+	}
+}
+
+func TestCheckTellsAll(t *testing.T) {
+	c := qt.New(t)
+	code, out, errOut := station(t, "check", "--json", data("wrong.toml"), data("bad.json"), data("absent.toml"))
+	c.Assert(code, qt.Equals, exitUsage)
+	c.Assert(errOut, qt.Equals, "")
+	var all []checked
+	c.Assert(json.Unmarshal([]byte(out), &all), qt.IsNil)
+	c.Assert(all, qt.HasLen, 3)
+	c.Check(all[0].Kind, qt.Equals, kindSettings)
+	c.Check(all[0].Findings, qt.DeepEquals, []finding{
+		{"ip", "must be an IPv4 address"},
+		{"port_range", "the first port must not be above the last"},
+		{"bnds.ack_ms", "must be above 0"},
+	})
+	c.Check(all[1].Kind, qt.Equals, kindConfiguration)
+	c.Check(all[1].Findings, qt.DeepEquals, []finding{
+		{"routing[1].deadline_ms", "must be above 0"},
+		{"routing[1].shares[1].svc", `the service "obs-lookpu" is not known`},
+	})
+	c.Check(all[2].Error, qt.Contains, "no such file")
+}
+
+func TestCheckHidesNoOrderToTheTerminal(t *testing.T) {
+	c := qt.New(t)
+	name := filepath.Join(t.TempDir(), "x.json")
+	c.Assert(os.WriteFile(name, []byte("{\"ver\":1,\"routing\":[],\"svcs\":[],\"caps\":{\"a\\u001b[2Jb\":1,\"a\\u001b[2Jb\":2}}"), 0o600), qt.IsNil)
+	code, out, _ := station(t, "check", name)
+	c.Assert(code, qt.Equals, exitNo)
+	c.Assert(out, qt.Contains, "given twice")
+	c.Assert(strings.ContainsRune(out, 0x1b), qt.IsFalse)
+}
+
+func TestProposeTakesTheCurrentVersion(t *testing.T) {
+	c := qt.New(t)
+	s := newControl(c)
+	// While there is none, the third no is the answer.
+	show := "GET /molepaddle/cfg/show"
+	code, out, _ := station(t, "propose", data("fleet.json"), "--control", s.addr)
+	c.Assert(code, qt.Equals, exitDone)
+	c.Assert(out, qt.Contains, "version 5 on top of 0")
+	c.Assert(s.seen(), qt.DeepEquals, []string{show, show, show, "POST /molepaddle/cfg/replace 0"})
+	code, out, _ = station(t, "propose", data("next.json"), "--control", s.addr)
+	c.Assert(code, qt.Equals, exitDone)
+	c.Assert(out, qt.Contains, "version 7 on top of 5")
+	c.Assert(s.seen()[4:], qt.DeepEquals, []string{show, "POST /molepaddle/cfg/replace 5"})
+	// What is in force already is not sent.
+	code, out, _ = station(t, "propose", data("next.json"), "--control", s.addr)
+	c.Assert(code, qt.Equals, exitDone)
+	c.Assert(out, qt.Contains, "in force already")
+	c.Assert(s.seen(), qt.HasLen, 7)
+	// With a base nothing is asked.
+	code, _, errOut := station(t, "propose", data("back.json"), "--control", s.addr, "--base", "5")
+	c.Assert(code, qt.Equals, exitStale)
+	c.Assert(errOut, qt.Contains, "(412): version 7 is in place")
+	c.Assert(s.seen()[7:], qt.DeepEquals, []string{"POST /molepaddle/cfg/replace 5"})
+}
+
+func TestProposeTellsFindings(t *testing.T) {
+	c := qt.New(t)
+	s := newControl(c)
+	code, out, errOut := station(t, "propose", data("bad.json"), "--control", s.addr)
+	c.Assert(code, qt.Equals, exitNo)
+	c.Assert(out, qt.Contains, data("bad.json")+": routing[1].deadline_ms: must be above 0\n")
+	c.Assert(out, qt.Contains, `routing[1].shares[1].svc: the service "obs-lookpu" is not known`)
+	c.Assert(errOut, qt.Contains, "refused by "+s.addr+" (400): the configuration is invalid")
+
+	code, out, errOut = station(t, "propose", "--json", data("bad.json"), "--control", s.addr)
+	c.Assert(code, qt.Equals, exitNo)
+	c.Assert(errOut, qt.Equals, "")
+	var got sent
+	c.Assert(json.Unmarshal([]byte(out), &got), qt.IsNil)
+	c.Assert(got.Status, qt.Equals, 400)
+	c.Assert(got.Version, qt.Equals, int64(12))
+	c.Assert(got.Findings, qt.HasLen, 2)
+}
+
+func TestChangesAreNotMixedUp(t *testing.T) {
+	c := qt.New(t)
+	s := newControl(c)
+	code, _, errOut := station(t, "update", data("fleet.json"), "--control", s.addr)
+	c.Assert(code, qt.Equals, exitNo)
+	c.Assert(errOut, qt.Contains, "station propose")
+	code, _, errOut = station(t, "propose", data("reading.json"), "--control", s.addr)
+	c.Assert(code, qt.Equals, exitNo)
+	c.Assert(errOut, qt.Contains, "station update")
+	c.Assert(s.seen(), qt.HasLen, 0)
+}
+
+func TestUpdate(t *testing.T) {
+	c := qt.New(t)
+	s := newControl(c)
+	code, _, _ := station(t, "propose", data("next.json"), "--control", s.addr)
+	c.Assert(code, qt.Equals, exitDone)
+	code, out, errOut := station(t, "update", data("reading.json"), "--control", s.addr)
+	c.Assert(code, qt.Equals, exitDone, qt.Commentf("%s", errOut))
+	c.Assert(out, qt.Contains, "version 9 on top of 7")
+	code, out, _ = station(t, "show", "--json", "--control", s.addr)
+	c.Assert(code, qt.Equals, exitDone)
+	d, found := almanac.Decode([]byte(out))
+	c.Assert(found, qt.HasLen, 0)
+	c.Assert(d.NumRoutes(), qt.Equals, 3)
+}
+
+func TestUnclear(t *testing.T) {
+	c := qt.New(t)
+	nobody := deadAddr(c)
+	for _, args := range [][]string{
+		{"show"}, {"diff", data("fleet.json")}, {"propose", data("fleet.json")}, {"propose", "--base", "0", data("fleet.json")},
+		{"update", "--base", "7", data("reading.json")}, {"route", "a", "/b"},
+	} {
+		code, _, errOut := station(t, append(args, "--control", nobody, "--within", "150ms")...)
+		c.Check(code, qt.Equals, exitUnclear, qt.Commentf("%v", args))
+		c.Check(errOut, qt.Contains, "no clear answer: "+nobody, qt.Commentf("%v", args))
+		if len(args) > 2 && args[1] == "--base" {
+			c.Check(errOut, qt.Contains, "Send it again with --base "+args[2])
+		}
+	}
+}
+
+func TestDiffTellsWhatWouldBeRefused(t *testing.T) {
+	c := qt.New(t)
+	s := newControl(c)
+	code, _, _ := station(t, "propose", data("next.json"), "--control", s.addr, "--base", "0")
+	c.Assert(code, qt.Equals, exitDone)
+	code, out, _ := station(t, "diff", "--json", data("fleet.json"), "--control", s.addr)
+	c.Assert(code, qt.Equals, exitNo)
+	var o outcome
+	c.Assert(json.Unmarshal([]byte(out), &o), qt.IsNil)
+	c.Check(o.From, qt.Equals, int64(7))
+	c.Check(o.To, qt.Equals, int64(5))
+	c.Check(o.Findings, qt.DeepEquals, []finding{{"ver", "5 is not above the current version, 7"}})
+	c.Check(len(o.Changes) > 0, qt.IsTrue)
+	// What is in force is no change, and would not be refused.
+	code, out, _ = station(t, "diff", data("next.json"), "--control", s.addr)
+	c.Assert(code, qt.Equals, exitDone)
+	c.Assert(out, qt.Equals, "version 7 -> 7: 0 changes\n")
+	// An update is laid over what is in force.
+	code, out, _ = station(t, "diff", data("reading.json"), "--control", s.addr)
+	c.Assert(code, qt.Equals, exitDone)
+	c.Assert(out, qt.Contains, "+ route r-reading")
+	c.Assert(s.seen()[1:], qt.DeepEquals, []string{"GET /molepaddle/cfg/show", "GET /molepaddle/cfg/show", "GET /molepaddle/cfg/show"})
+}
+
+func TestControlFromSettings(t *testing.T) {
+	c := qt.New(t)
+	s := newControl(c)
+	name := filepath.Join(t.TempDir(), "boot.toml")
+	c.Assert(os.WriteFile(name, []byte("nodename = \"n\"\nip = \"127.0.0.1\"\nport_range = [1, 9]\npeers = [\""+s.addr+"\"]\n"), 0o600), qt.IsNil)
+	code, _, errOut := station(t, "propose", data("fleet.json"), "--settings", name)
+	c.Assert(code, qt.Equals, exitDone, qt.Commentf("%s", errOut))
+	code, out, _ := station(t, "show", "--settings", name)
+	c.Assert(code, qt.Equals, exitDone)
+	c.Assert(out, qt.Contains, "version 5: 3 routes, 2 services, from "+s.addr)
+}
+
+func TestUsage(t *testing.T) {
+	c := qt.New(t)
+	for _, args := range [][]string{
+		{}, {"bogus"}, {"check"}, {"show"}, {"show", "--control", "here"}, {"show", "--control", "127.0.0.1:0"},
+		{"show", "--control", "127.0.0.1:1", "--within", "0s"}, {"show", "--settings", data("absent.toml")},
+		{"propose", data("absent.json"), "--control", "127.0.0.1:1"}, {"diff", data("absent.json"), "--control", "127.0.0.1:1"},
+		{"route", "a", "b", "--file", data("fleet.json")}, {"route", "a", "/b", "--file", data("absent.json")},
+	} {
+		code, out, errOut := station(t, args...)
+		c.Check(code, qt.Equals, exitUsage, qt.Commentf("%v: %s", args, errOut))
+		c.Check(out, qt.Equals, "")
+		c.Check(errOut, qt.Matches, "(?s)station: .+\n")
+	}
+	for _, program := range []string{"vane", "telemeter", "observatory"} {
+		code, _, errOut := station(t, program)
+		c.Check(code, qt.Equals, exitNo)
+		c.Check(errOut, qt.Equals, "station: no settings file: MOLEPADDLE_CONFIG or --settings gives its path\n")
+		code, _, errOut = station(t, program, "--settings", data("wrong.toml"))
+		c.Check(code, qt.Equals, exitNo)
+		c.Check(strings.Count(errOut, "\n"), qt.Equals, 3, qt.Commentf("all findings: %s", errOut))
+	}
+}
+
+func TestRoute(t *testing.T) {
+	c := qt.New(t)
+	code, out, _ := station(t, "route", "Forecast.Example:8161", "/hazard/7?q=1", "--file", data("next.json"))
+	c.Assert(code, qt.Equals, exitDone)
+	c.Assert(out, qt.Contains, "route r-hazard of version 7")
+	c.Assert(out, qt.Contains, "100% to service sora-llm")
+	code, _, errOut := station(t, "route", "forecast.example", "/old/1", "--file", data("next.json"))
+	c.Assert(code, qt.Equals, exitNo)
+	c.Assert(errOut, qt.Contains, "no route for forecast.example/old/1: the answer is 404")
+	code, out, _ = station(t, "route", "forecast.example", "/old/1", "--file", data("bad.json"))
+	c.Assert(code, qt.Equals, exitNo)
+	c.Assert(out, qt.Contains, "routing[1].deadline_ms")
+	s := newControl(c)
+	_, _, _ = station(t, "propose", data("fleet.json"), "--control", s.addr)
+	code, out, _ = station(t, "route", "forecast.example", "/old/1", "--control", s.addr)
+	c.Assert(code, qt.Equals, exitDone)
+	c.Assert(out, qt.Contains, "route r-old of version 5")
+}
+
+func TestVersion(t *testing.T) {
+	c := qt.New(t)
+	code, out, _ := station(t, "--version")
+	c.Assert(code, qt.Equals, exitDone)
+	code2, out2, _ := station(t, "version")
+	c.Assert(code2, qt.Equals, exitDone)
+	c.Assert(out, qt.Equals, out2)
+	var b, e bytes.Buffer
+	c.Assert(run(context.Background(), []string{"version"}, &b, &e, func() (*debug.BuildInfo, bool) { return nil, false }), qt.Equals, exitDone)
+	c.Assert(b.String(), qt.Equals, "station, of a build that says nothing of itself\n")
+	c.Assert(run(context.Background(), []string{"version"}, &b, &e, debug.ReadBuildInfo), qt.Equals, exitDone)
+}
+
+func TestCompletion(t *testing.T) {
+	c := qt.New(t)
+	t.Setenv("COMP_LINE", "station pro")
+	code, out, _ := station(t)
+	c.Assert(code, qt.Equals, exitDone)
+	c.Assert(strings.TrimSpace(out), qt.Equals, "propose")
+}
--- /dev/null
+++ b/cmd/station/diff.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"molepaddle/internal/system/almanac"
+	"molepaddle/internal/system/logbook"
+)
+
+type diffCmd struct {
+	controlFlags
+	File string `arg:"" predictor:"file" help:"A whole configuration, or a change of named items (JSON)."`
+	JSON bool   `name:"json" help:"Print the outcome for programs."`
+}
+
+// outcome is what a file would do.
+type outcome struct {
+	From     int64            `json:"from"` // the version in force; 0 for none
+	To       int64            `json:"to"`   // the file's; 0 where it can't be read
+	Changes  []logbook.Change `json:"changes"`
+	Findings []finding        `json:"findings"` // why it would be refused
+}
+
+// Run tells what a file would change.
+func (c *diffCmd) Run(a *app) error {
+	body, err := readFile(c.File)
+	if err != nil {
+		return err
+	}
+	client, err := c.client(a)
+	if err != nil {
+		return err
+	}
+	now, _, err := current(a, client)
+	if err != nil {
+		return err
+	}
+	o := outcome{From: now.Version(), Changes: []logbook.Change{}, Findings: []finding{}}
+	var next *almanac.Document
+	var in almanac.Findings
+	if kindOf(c.File, body) == kindUpdate {
+		next, in = almanac.Update(now, body)
+	} else if next, in = almanac.Decode(body); next != nil && !next.Equal(now) { // what is in force may come again
+		_, in = almanac.Replace(now, body) // its version has to rise
+	}
+	o.Findings = found(in, body)
+	if next != nil {
+		o.To = next.Version()
+		o.Changes = append(o.Changes, logbook.Diff(now, next)...)
+	}
+	if c.JSON {
+		err = writeJSON(a.out, o)
+	} else {
+		o.write(a.out, c.File)
+	}
+	if err == nil && len(o.Findings) > 0 {
+		return codeOnly(exitNo)
+	}
+	return err
+}
+
+func (o *outcome) write(w io.Writer, file string) {
+	if o.To > 0 {
+		fmt.Fprintf(w, "version %d -> %d: %s\n", o.From, o.To, many(len(o.Changes), "change"))
+	}
+	for _, c := range o.Changes {
+		what := c.Of
+		if c.Name != "" {
+			what += " " + word(c.Name)
+		}
+		switch {
+		case c.Field != "" || c.Of == logbook.Caps:
+			if c.Field != "" {
+				what += ": " + c.Field
+			}
+			what += " " + either(c.Old) + " -> " + either(c.New)
+		case c.Added():
+			what = "+ " + what + " " + string(c.New)
+		default:
+			what = "- " + what
+		}
+		fmt.Fprintln(w, lines(what))
+	}
+	if len(o.Findings) > 0 {
+		fmt.Fprintln(w, "would be refused:")
+		writeFindings(w, file, o.Findings)
+	}
+}
+
+func either(raw json.RawMessage) string {
+	if raw == nil {
+		return "(none)"
+	}
+	return string(raw)
+}
--- /dev/null
+++ b/cmd/station/fleet_test.go
@@ -0,0 +1,562 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"molepaddle/internal/system/screen"
+	"molepaddle/internal/system/siting"
+)
+
+// TestMain is the station itself where it is started with a settings file: the programs under test are this binary, so
+// that they run with the race detector where the tests do.
+func TestMain(m *testing.M) {
+	if _, ok := os.LookupEnv(siting.EnvFile); ok {
+		// The race detector would hold each end up for a second.
+		if _, ok := os.LookupEnv("GORACE"); !ok {
+			self, err := os.Executable()
+			if err == nil {
+				err = syscall.Exec(self, os.Args, append(os.Environ(), "GORACE=atexit_sleep_ms=0"))
+			}
+			fmt.Fprintln(os.Stderr, "start anew:", err)
+			os.Exit(1)
+		}
+		main()
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+// Names that the operator's configuration uses.
+const (
+	host    = "ficu95.example"
+	model   = "huvo11a" // service of the model backends
+	lookups = "wuno96b" // plain service
+)
+
+// patient bounds each wait of a test; nothing here takes that long.
+const patient = 20 * time.Second
+
+// plan is what differs between the fleets of the tests.
+type plan struct {
+	bounds  map[string]any // over the example's bnds
+	prefill int            // backends of each kind; 1, 2 and 2 when 0
+	decode  int
+	plain   int
+}
+
+// machine is one machine of the fleet, with the programs that run there.
+type machine struct {
+	f        *fleet
+	settings screen.BootSettings
+	boot     screen.BootFile
+	roles    []string
+	programs map[string]*screen.Program
+}
+
+// fleet is a whole system on loopback: 3 core machines, 2 edge machines, the backends, the platform and the operator.
+type fleet struct {
+	*qt.C
+	ctx      context.Context
+	bounds   screen.Bounds
+	settings map[string]any // bnds
+
+	prefill, decode, plain, others []*screen.Engine
+	platform                       *screen.Platform
+	delay                          time.Duration // of the platform's list
+
+	core, edge []*machine
+	operator   *screen.Operator
+
+	mu       sync.Mutex
+	programs []*screen.Program
+	running  map[*screen.Program]string
+	clients  []*screen.Client
+	version  uint64 // of the newest configuration that was acknowledged
+}
+
+// newFleet starts a fleet, gives it its first configuration and waits until both proxies are ready.
+func newFleet(t *testing.T, p plan) *fleet {
+	c := qt.New(t)
+	f := &fleet{C: c, running: map[*screen.Program]string{}, delay: 50 * time.Millisecond, settings: map[string]any{
+		"retry_ratio": 0.2, "retry_window_s": 10, "retry_extra": 54, "drain_ms": 3000, "apply_ms": 2000, "grace_s": 8,
+		"skew_ms": 5000, "sync_s": 4, "loss_slack_ms": 200, "contact_ms": 3000,
+	}}
+	ctx, cancel := context.WithTimeout(c.Context(), 2*time.Minute)
+	c.Cleanup(cancel)
+	f.ctx = ctx
+	for k, v := range p.bounds {
+		f.settings[k] = v
+	}
+	f.bounds = screen.Bounds{
+		RetryRatio: f.settings["retry_ratio"].(float64), RetryWindow: time.Duration(f.settings["retry_window_s"].(int)) * time.Second,
+		RetryExtra: float64(f.settings["retry_extra"].(int)),
+	}
+	zones := []string{"koto-hall", "shinagawa-hall", "kawasaki-hall"}
+	start := func(n, usual int, s screen.EngineSettings) (es []*screen.Engine) {
+		if n == 0 {
+			n = usual
+		}
+		for i := range n {
+			s.Zone, s.Region = zones[i%len(zones)], "kanto"
+			es = append(es, screen.StartEngine(c, s))
+		}
+		return es
+	}
+	// A token takes 4 us to be read at a prefill backend: 250 are read in a ms.
+	engine := screen.EngineSettings{Service: model, Phase: screen.PhasePrefill, Capacity: 16, Step: 2 * time.Millisecond,
+		TokenRead: 4 * time.Microsecond, Fencing: true}
+	f.prefill = start(p.prefill, 1, engine)
+	engine.Phase = screen.PhaseDecode
+	f.decode = start(p.decode, 2, engine)
+	f.plain = start(p.plain, 2, plainEngine)
+	f.platform = screen.StartPlatform(c, screen.PlatformSettings{Rate: 42, Delay: f.delay}, f.engines()...)
+
+	coreIPs, edgeIPs := []string{"127.0.1.1", "127.0.1.2", "127.0.1.3"}, []string{"127.0.2.1", "127.0.2.2"}
+	all := append(append([]string{"127.0.0.1"}, coreIPs...), edgeIPs...)
+	ports := screen.ChoosePorts(c, 4, all...)
+	f.operator = &screen.Operator{}
+	for _, ip := range coreIPs {
+		f.operator.Ctl = append(f.operator.Ctl, net.JoinHostPort(ip, strconv.Itoa(ports.Ctl)))
+	}
+	settings := screen.BootSettings{Ports: ports, Peers: f.operator.Ctl, Provider: f.platform.Address(), Rate: 42, Delay: f.delay,
+		Nodes: 1, Bounds: f.settings}
+	for i, ip := range coreIPs {
+		s := settings
+		s.Tier, s.Node, s.IP, s.Zone, s.Bootstrap, s.Voting = "core", fmt.Sprintf("core-%d", i+1), ip, zones[i], true, true
+		f.core = append(f.core, &machine{f: f, settings: s, roles: []string{"observatory"}})
+	}
+	for i, ip := range edgeIPs {
+		s := settings
+		s.Tier, s.Node, s.IP, s.Zone = "edge", fmt.Sprintf("edge-%d", i+1), ip, zones[i]
+		if i > 0 {
+			// Telemeters feed their proxies at a port of 127.0.0.1, which machines don't share and these here do. This
+			// one gets ports of its own, and finds the observatories there by way of relays.
+			s.Ports = screen.ChoosePorts(c, 4, all...)
+			for _, core := range coreIPs {
+				passOn(c, net.JoinHostPort(core, strconv.Itoa(s.Ports.First+1)), net.JoinHostPort(core, strconv.Itoa(ports.First+1)))
+			}
+		}
+		f.edge = append(f.edge, &machine{f: f, settings: s, roles: []string{"telemeter", "vane"}})
+	}
+	for _, m := range append(slices.Clone(f.core), f.edge...) {
+		for _, role := range m.roles {
+			m.start(role)
+		}
+	}
+	began := time.Now()
+	rep := f.put(f.ctx, f.configuration(1))
+	for _, m := range f.edge {
+		f.ready(m)
+		f.clients = append(f.clients, &screen.Client{Edge: m.boot.Edge, Keep: true})
+	}
+	c.Logf("first configuration taken after %v, at the try %d; proxies ready after %v", rep.At.Sub(began), rep.Tries, time.Since(began))
+	return f
+}
+
+var plainEngine = screen.EngineSettings{Service: lookups, Capacity: 4, Step: 5 * time.Millisecond, Zone: "koto-hall", Region: "kanto"}
+
+// startPlain starts one more backend of the plain service, which is not listed yet.
+func (f *fleet) startPlain() *screen.Engine {
+	e := screen.StartEngine(f, plainEngine)
+	f.plain = append(f.plain, e)
+	return e
+}
+
+// passOn carries connections from one address to another until the test ends, as if what listens at to listened at from.
+func passOn(c *qt.C, from, to string) {
+	ln, err := net.Listen("tcp", from)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			a, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer a.Close()
+				b, err := net.DialTimeout("tcp", to, time.Second)
+				if err != nil {
+					return
+				}
+				defer b.Close()
+				go func() {
+					defer a.Close()
+					defer b.Close()
+					io.Copy(b, a)
+				}()
+				io.Copy(a, b)
+			}()
+		}
+	}()
+}
+
+func (f *fleet) engines() []*screen.Engine {
+	return slices.Concat(f.prefill, f.decode, f.plain, f.others)
+}
+
+// start runs one of the machine's roles with the settings of this moment.
+func (m *machine) start(role string) {
+	f, s := m.f, m.settings
+	if role == "telemeter" {
+		s.Roles = []string{}
+	}
+	s.Role = role
+	boot := screen.Boot(f, s)
+	if role != "telemeter" {
+		m.boot = boot
+		m.settings.DataDir = boot.DataDir
+	}
+	m.settings.Bootstrap = false // only at the very first start
+	self, err := os.Executable()
+	f.Assert(err, qt.IsNil)
+	p := screen.Exec(f, boot, self, role)
+	if m.programs == nil {
+		m.programs = map[string]*screen.Program{}
+	}
+	m.programs[role] = p
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.programs = append(f.programs, p)
+	f.running[p] = m.settings.Node + " " + role
+}
+
+// kill ends a role with SIGKILL.
+func (m *machine) kill(role string) {
+	p := m.programs[role]
+	m.f.ends(p)
+	p.Kill()
+}
+
+// ends says that a program ends because the test wants it to.
+func (f *fleet) ends(p *screen.Program) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.running, p)
+}
+
+func (f *fleet) within(d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(f.ctx, d)
+	f.Cleanup(cancel)
+	return ctx
+}
+
+func (f *fleet) ready(m *machine) {
+	f.Helper()
+	f.Assert(screen.AwaitReady(f.within(patient), m.boot.Readyz), qt.IsNil, qt.Commentf("%s", m.settings.Node))
+}
+
+// until waits until ok holds, for as long as given.
+func (f *fleet) until(d time.Duration, what string, ok func() bool) {
+	f.Helper()
+	tick := time.NewTicker(5 * time.Millisecond)
+	defer tick.Stop()
+	ctx := f.within(d)
+	for !ok() {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			f.Fatalf("not within %v: %s", d, what)
+		}
+	}
+}
+
+// bound is a figure of the settings' bnds, which counts units of unit.
+func (f *fleet) bound(name string, unit time.Duration) time.Duration {
+	return time.Duration(f.settings[name].(int)) * unit
+}
+
+// Routes and services, as the operator words them.
+type (
+	object = map[string]any
+	list   = []any
+)
+
+func route(name, prefix, kind, svc string, deadlineMs, aimMs, tries int, resumable bool) object {
+	r := object{"name": name, "hostname": host, "pfx": prefix, "kind": kind, "deadline_ms": deadlineMs, "target_ms": aimMs,
+		"prio": 0, "svc": svc, "tries": tries}
+	if kind == "stream" {
+		r["pin"], r["resumable"], r["gap_aim_ms"] = true, resumable, 150
+	}
+	return r
+}
+
+// configuration is a whole one.
+func (f *fleet) configuration(version uint64) object {
+	return object{
+		"ver": version,
+		"routing": list{
+			route("r-lookup", "/lookup/", "readonly", lookups, 4000, 200, 3, false),
+			route("r-report", "/report/", "mutating", lookups, 4000, 200, 2, false),
+			route("r-bulletin", "/bulletin/", "stream", model, 8000, 200, 3, true),
+			route("r-hazard", "/hazard/", "stream", model, 8000, 200, 2, false),
+		},
+		"svcs": list{
+			object{"name": model, "probe": "/healthz", "maxconn": 370, "proto": "h1", "ssl": false, "runtime": object{
+				"capacity": 16, "kv_ntok": 1_000_000, "kv_tok_bytes": 163_840, "bw_mbps": 5_900_000.0, "stride": 1, "kv_ref_s": 5.0,
+				"swap_s": 0.5, "model_list": list{object{"name": "m"}},
+			}},
+			object{"name": lookups, "probe": "/healthz", "maxconn": 110, "proto": "h1", "ssl": false},
+		},
+		"caps": object{"hdr_max_bytes": 16_384, "body_max_bytes": 4_194_304, "hdr_timeout_ms": 3000, "idle_timeout_ms": 15_000},
+	}
+}
+
+// put has a whole configuration acknowledged on top of the newest.
+func (f *fleet) put(ctx context.Context, doc object) screen.Reply {
+	f.Helper()
+	rep, err := f.operator.Replace(ctx, f.version, doc)
+	f.Assert(err, qt.IsNil)
+	f.Assert(rep.Status, qt.Equals, http.StatusOK, qt.Commentf("%s", rep.Body))
+	f.version = rep.Version
+	return rep
+}
+
+func added(version uint64) string { return fmt.Sprintf("added-%d", version) }
+
+// addRoute is a change that brings a readonly route named by the version.
+func addRoute(version uint64) object {
+	name := added(version)
+	return object{"ver": version, "upsert": object{"routing": list{route(name, "/"+name+"/", "readonly", lookups, 4000, 200, 3, false)}}}
+}
+
+// add has such a change acknowledged on top of the newest.
+func (f *fleet) add(version uint64) screen.Reply {
+	f.Helper()
+	rep, err := f.operator.Update(f.within(patient), f.version, addRoute(version))
+	f.Assert(err, qt.IsNil)
+	f.Assert(rep.Status, qt.Equals, http.StatusOK, qt.Commentf("%s", rep.Body))
+	f.version = version
+	return rep
+}
+
+// shown is what the operator reads back: the version and the names of the routes; from tells which core machine said it.
+func (f *fleet) shown(o *screen.Operator) (version uint64, routes []string, from *machine) {
+	f.Helper()
+	rep, err := o.Show(f.within(patient))
+	f.Assert(err, qt.IsNil)
+	f.Assert(rep.Status, qt.Equals, http.StatusOK, qt.Commentf("%s", rep.Body))
+	var doc struct{ Routing []struct{ Name string } }
+	f.Assert(json.Unmarshal(rep.Body, &doc), qt.IsNil)
+	for _, r := range doc.Routing {
+		routes = append(routes, r.Name)
+	}
+	u, err := url.Parse(rep.From)
+	f.Assert(err, qt.IsNil)
+	i := slices.IndexFunc(f.core, func(m *machine) bool { return m.boot.Ctl == u.Host })
+	f.Assert(i >= 0, qt.IsTrue, qt.Commentf("%s", rep.From))
+	return rep.Version, routes, f.core[i]
+}
+
+// primary is the core machine that answers the operator.
+func (f *fleet) primary() *machine {
+	f.Helper()
+	_, _, m := f.shown(f.operator)
+	return m
+}
+
+// holds asks that the newest acknowledged configuration is shown, with a route for each version added.
+func (f *fleet) holds(versions ...uint64) {
+	f.Helper()
+	version, routes, _ := f.shown(f.operator)
+	f.Assert(version, qt.Equals, f.version)
+	for _, v := range versions {
+		f.Assert(slices.Contains(routes, added(v)), qt.IsTrue, qt.Commentf("route of version %d is not in %v", v, routes))
+	}
+}
+
+// inForce waits until the proxy of an edge machine serves the route of a version, at most until the time given.
+func (f *fleet) inForce(edge int, version uint64, by time.Time) {
+	f.Helper()
+	r := onAdded(version)
+	f.until(max(time.Until(by), time.Millisecond), fmt.Sprintf("version %d in force at edge %d", version, edge+1), func() bool {
+		return f.clients[edge].Do(f.ctx, r).Status == http.StatusOK
+	})
+}
+
+var number atomic.Int64
+
+// lookup, report, bulletin and hazard are requests of the configuration's routes.
+func lookup() screen.Request {
+	return screen.Request{Kind: screen.ReadOnly, Method: http.MethodPost, Host: host, Path: "/lookup/2f?at=1", Body: []byte("station"),
+		Deadline: 4 * time.Second, Services: []string{lookups}}
+}
+
+// onAdded is a request of the route that addRoute brings.
+func onAdded(version uint64) screen.Request {
+	r := lookup()
+	r.Path = "/" + added(version) + "/x"
+	return r
+}
+
+func report() screen.Request {
+	r := lookup()
+	r.Kind, r.Path, r.Chunked = screen.Mutating, "/report/2f", true
+	return r
+}
+
+// bulletin has a long prompt, three quarters of which are shared, and a short answer; it may be resumed.
+func bulletin(tokens, out int) screen.Request {
+	shared := tokens * 3 / 4
+	return screen.Request{Kind: screen.Stream, Resumable: true, Host: host, Path: "/bulletin/2f", Body: []byte("archive"),
+		Deadline: 8 * time.Second, Model: "m", Tokens: [2]int{tokens, out}, Services: []string{model},
+		Parts: []screen.Part{{ID: fmt.Sprintf("%x", 0xa000+number.Add(1)%3), Tokens: shared},
+			{ID: fmt.Sprintf("%x", 0xb00000+number.Add(1)), Tokens: tokens - shared}}}
+}
+
+// hazard has a short prompt and a long answer; it may run once.
+func hazard() screen.Request {
+	r := bulletin(220, 24)
+	r.Path, r.Resumable = "/hazard/2f", false
+	return r
+}
+
+// traffic sends requests of all kinds, and those given besides, to some of the proxies, to each one after the other,
+// until stop is called, which asks that all were served.
+type traffic struct {
+	f    *fleet
+	end  context.CancelFunc
+	all  sync.WaitGroup
+	mu   sync.Mutex
+	seen [][]screen.Result // by edge machine
+}
+
+func (f *fleet) traffic(edges []int, also ...screen.Request) *traffic {
+	ctx, cancel := context.WithCancel(f.ctx)
+	f.Cleanup(cancel)
+	t := &traffic{f: f, end: cancel, seen: make([][]screen.Result, len(f.clients))}
+	for _, i := range edges {
+		t.all.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				kinds := append([]screen.Request{lookup(), hazard(), report(), bulletin(2000, 2)}, also...)
+				r := kinds[n%len(kinds)]
+				res := f.clients[i].Do(f.ctx, r)
+				t.mu.Lock()
+				t.seen[i] = append(t.seen[i], res)
+				t.mu.Unlock()
+			}
+		})
+	}
+	return t
+}
+
+// since counts what was sent to an edge machine after a time and ended.
+func (t *traffic) since(edge int, at time.Time) (n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.seen[edge] {
+		if r.SentAt.After(at) {
+			n++
+		}
+	}
+	return n
+}
+
+// goesOn waits until so many more requests have been sent to each edge machine given, and answered.
+func (t *traffic) goesOn(n int, edges ...int) {
+	t.f.Helper()
+	at := time.Now()
+	for _, i := range edges {
+		t.f.until(patient, fmt.Sprintf("%d more requests at edge %d", n, i+1), func() bool { return t.since(i, at) >= n })
+	}
+}
+
+// stop ends the traffic; all of it must have been served.
+func (t *traffic) stop() {
+	t.f.Helper()
+	t.end()
+	t.all.Wait()
+	for i, rs := range t.seen {
+		for _, r := range rs {
+			t.f.served(r, fmt.Sprintf("edge %d", i+1))
+		}
+	}
+}
+
+// served asks that a request got a whole success, a stream to its last event.
+func (f *fleet) served(r screen.Result, where string) {
+	f.Helper()
+	if !r.OK() {
+		f.Errorf("%s: %s %s: status %d, %v, %q, %v after %v", where, r.Path, r.Attempt, r.Status, r.Err,
+			r.AnswerBody[:min(len(r.AnswerBody), 100)], f.ways(r.Attempt), r.EndedAt.Sub(r.SentAt))
+	}
+	if r.Kind == screen.Stream && r.OK() {
+		f.Check(r.Events, qt.HasLen, r.Tokens[1])
+	}
+}
+
+// ways tells where an attempt came, for the log of a failure.
+func (f *fleet) ways(attempt string) (out []string) {
+	for _, e := range f.engines() {
+		for _, en := range e.Log.Entries() {
+			if en.Attempt == attempt {
+				out = append(out, fmt.Sprintf("%s at %s %s: status %d ran %v", en.Kind, en.Phase, en.Engine, en.Status, en.Ran))
+			}
+		}
+	}
+	return out
+}
+
+// goDo sends a request in the background.
+func (f *fleet) goDo(edge int, r screen.Request) <-chan screen.Result {
+	ch := make(chan screen.Result, 1)
+	go func() { ch <- f.clients[edge].Do(f.ctx, r) }()
+	return ch
+}
+
+// began counts the runs that began at some backends.
+func began(es []*screen.Engine) (n int) {
+	for _, e := range es {
+		for _, en := range e.Log.Entries() {
+			if en.Kind == screen.KindRequest && en.Ran {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// judge asks that no rule was broken, no program ended by itself and none had a race or a panic.
+func (f *fleet) judge() {
+	f.Helper()
+	for _, c := range f.clients {
+		c.Close()
+	}
+	j := screen.Judge{Bounds: f.bounds, Engines: f.engines(), Clients: f.clients}
+	for _, finding := range j.Findings() {
+		f.Errorf("%+v", finding)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for p, name := range f.running {
+		ctx, cancel := context.WithTimeout(f.ctx, time.Millisecond)
+		if code, err := p.Wait(ctx); err == nil {
+			f.Errorf("%s ended by itself with code %d", name, code)
+		}
+		cancel()
+	}
+	for _, p := range f.programs {
+		for _, sign := range []string{"DATA RACE", "panic:", "fatal error:"} {
+			if out := p.Output(); strings.Contains(out, sign) {
+				f.Errorf("%s in a program's output:\n%s", sign, out)
+			}
+		}
+	}
+}
--- a/cmd/station/main.go
+++ b/cmd/station/main.go
@@ -1,90 +1,111 @@
 // Command station is the programs of the router fleet: the proxy (vane), the agent beside it (telemeter) and the
-// control plane (observatory). The platform names their settings file in MOLEPADDLE_CONFIG.
+// control plane (observatory). The platform names their settings file in MOLEPADDLE_CONFIG. The other commands are the
+// operator's: they check files, and show and change the configuration.
 package main
 
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
+	"io"
 	"os"
-	"os/signal"
-	"syscall"
+	"runtime/debug"
 
 	"github.com/alecthomas/kong"
 	"github.com/go-faster/errors"
-	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
+	"github.com/posener/complete"
+	"github.com/willabides/kongplete"
+)
 
-	"molepaddle/internal/system/observatory"
-	"molepaddle/internal/system/siting"
-	"molepaddle/internal/system/telemeter"
-	"molepaddle/internal/system/vane"
+// Exit codes. docs/operators/station.md tells them.
+const (
+	exitDone    = 0
+	exitNo      = 1 // findings, a refusal, no route; a program failed
+	exitUsage   = 2 // the command line makes no sense, or a file can't be read
+	exitStale   = 3 // another version is current than the one built on
+	exitUnclear = 4 // the control plane gave no clear answer
 )
 
 type cli struct {
-	Settings string `help:"Settings file of the process." env:"MOLEPADDLE_CONFIG" type:"path" placeholder:"FILE"`
-	LogLevel string `help:"Least level of log lines: debug, info, warn or error." default:"info" enum:"debug,info,warn,error"`
-
-	Vane        vaneCmd        `cmd:"" help:"Run the proxy that takes clients' requests."`
-	Telemeter   telemeterCmd   `cmd:"" help:"Run the agent that links a proxy to the control plane."`
-	Observatory observatoryCmd `cmd:"" help:"Run a machine of the control plane."`
-}
+	Settings    string      `help:"Settings file of the process." env:"MOLEPADDLE_CONFIG" placeholder:"FILE" predictor:"file"`
+	LogLevel    string      `help:"Least level of log lines: debug, info, warn or error." default:"info" enum:"debug,info,warn,error"`
+	ShowVersion versionFlag `name:"version" help:"Tell the build and end."`
 
-type (
-	vaneCmd        struct{}
-	telemeterCmd   struct{}
-	observatoryCmd struct{}
-)
+	Vane        vaneCmd        `cmd:"" group:"Programs" help:"Run the proxy that takes clients' requests."`
+	Telemeter   telemeterCmd   `cmd:"" group:"Programs" help:"Run the agent that links a proxy to the control plane."`
+	Observatory observatoryCmd `cmd:"" group:"Programs" help:"Run a machine of the control plane."`
 
-// process is what every program is given.
-type process struct {
-	ctx context.Context
-	set siting.Settings
-	log *zap.Logger
+	Check      checkCmd                     `cmd:"" group:"For operators" help:"Check settings files and configurations."`
+	Show       showCmd                      `cmd:"" group:"For operators" help:"Show the configuration in force."`
+	Diff       diffCmd                      `cmd:"" group:"For operators" help:"Tell what a file would change, and whether it would be taken."`
+	Propose    proposeCmd                   `cmd:"" group:"For operators" help:"Send a whole configuration."`
+	Update     updateCmd                    `cmd:"" group:"For operators" help:"Send a change of named items."`
+	Route      routeCmd                     `cmd:"" group:"For operators" help:"Tell which route and services a request would take."`
+	Version    versionCmd                   `cmd:"" group:"For operators" help:"Tell the build."`
+	Completion kongplete.InstallCompletions `cmd:"" group:"For operators" help:"Print what completes commands and flags in your shell (bash, zsh, fish)."`
 }
 
-func (vaneCmd) Run(p *process) error { return vane.New(p.ctx, p.set, p.log).Run(p.ctx) }
-
-func (telemeterCmd) Run(p *process) error { return telemeter.New(p.set, p.log).Run(p.ctx) }
+// app is what every command is given.
+type app struct {
+	ctx      context.Context
+	out      io.Writer // what was asked for
+	settings string    // path of the settings file; may be empty
+	logLevel string
+	build    func() (*debug.BuildInfo, bool)
+}
 
-func (observatoryCmd) Run(p *process) error {
-	o, err := observatory.New(p.set, p.log, rand.Uint64)
-	if err != nil {
-		return err
-	}
-	return o.Run(p.ctx)
+// coded is an error with its exit code. With no error in it, all has been said.
+type coded struct {
+	error
+	code int
 }
 
+func (c coded) Unwrap() error { return c.error }
+
 func main() {
-	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "station:", err)
-		os.Exit(1)
-	}
+	os.Exit(run(context.Background(), os.Args[1:], os.Stdout, os.Stderr, debug.ReadBuildInfo))
 }
 
-func run() error {
+// ended is how kong's own ends (help, version, completion) come back.
+type ended int
+
+// run does what the command line asks for and gives the exit code.
+func run(ctx context.Context, args []string, out, errOut io.Writer, build func() (*debug.BuildInfo, bool)) (code int) {
+	defer func() {
+		switch e := recover().(type) {
+		case nil:
+		case ended:
+			code = int(e)
+		default:
+			panic(e)
+		}
+	}()
 	var c cli
-	k := kong.Parse(&c, kong.Name("station"), kong.Description("Programs of the molepaddle router fleet."), kong.UsageOnError())
-	set, err := siting.Load(c.Settings)
+	a := &app{ctx: ctx, out: out, build: build}
+	k, err := kong.New(&c, kong.Name("station"), kong.Description("Programs of the molepaddle router fleet, and commands for its operators."),
+		kong.Writers(out, errOut), kong.Exit(func(code int) { panic(ended(code)) }), kong.Bind(a))
 	if err != nil {
-		return errors.Wrap(err, "settings")
+		panic(err) // the declarations above
 	}
-	level, err := zapcore.ParseLevel(c.LogLevel)
-	if err != nil {
-		return errors.Wrap(err, "log level")
+	if os.Getenv("COMP_LINE") != "" { // a shell asks what may come next
+		kongplete.Complete(k, kongplete.WithPredictor("file", complete.PredictFiles("*")))
 	}
-	cfg := zap.NewProductionConfig()
-	cfg.Level = zap.NewAtomicLevelAt(level)
-	cfg.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
-	cfg.DisableCaller, cfg.DisableStacktrace = true, true
-	log, err := cfg.Build()
+	parsed, err := k.Parse(args)
 	if err != nil {
-		return errors.Wrap(err, "log")
+		fmt.Fprintf(errOut, "station: %v; --help tells the usage\n", err)
+		return exitUsage
+	}
+	a.settings, a.logLevel = c.Settings, c.LogLevel
+	if err = parsed.Run(); err == nil {
+		return exitDone
+	}
+	code = exitNo
+	var with coded
+	if errors.As(err, &with) {
+		code = with.code
+		if with.error == nil {
+			return code
+		}
 	}
-	defer func() { _ = log.Sync() }()
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP) // the settings that may change are read at the next start
-	return k.Run(&process{ctx: ctx, set: set, log: log.With(zap.String("node", set.Nodename))})
+	fmt.Fprintf(errOut, "station: %s\n", lines(err.Error()))
+	return code
 }
--- /dev/null
+++ b/cmd/station/programs.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"context"
+	"math/rand/v2"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"molepaddle/internal/system/observatory"
+	"molepaddle/internal/system/siting"
+	"molepaddle/internal/system/telemeter"
+	"molepaddle/internal/system/vane"
+)
+
+type (
+	vaneCmd        struct{}
+	telemeterCmd   struct{}
+	observatoryCmd struct{}
+)
+
+func (vaneCmd) Run(a *app) error {
+	return a.program(func(ctx context.Context, set siting.Settings, log *zap.Logger) error {
+		return vane.New(ctx, set, log).Run(ctx)
+	})
+}
+
+func (telemeterCmd) Run(a *app) error {
+	return a.program(func(ctx context.Context, set siting.Settings, log *zap.Logger) error {
+		return telemeter.New(set, log).Run(ctx)
+	})
+}
+
+func (observatoryCmd) Run(a *app) error {
+	return a.program(func(ctx context.Context, set siting.Settings, log *zap.Logger) error {
+		o, err := observatory.New(set, log, rand.Uint64)
+		if err != nil {
+			return err
+		}
+		return o.Run(ctx)
+	})
+}
+
+// program runs one of the fleet's programs until SIGTERM or SIGINT.
+func (a *app) program(do func(ctx context.Context, set siting.Settings, log *zap.Logger) error) error {
+	if a.settings == "" {
+		return errors.Errorf("no settings file: %s or --settings gives its path", siting.EnvFile)
+	}
+	set, err := siting.Load(a.settings)
+	if err != nil {
+		return errors.Wrap(err, "settings")
+	}
+	level, err := zapcore.ParseLevel(a.logLevel)
+	if err != nil {
+		return errors.Wrap(err, "log level")
+	}
+	cfg := zap.NewProductionConfig()
+	cfg.Level = zap.NewAtomicLevelAt(level)
+	cfg.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
+	cfg.DisableCaller, cfg.DisableStacktrace = true, true
+	log, err := cfg.Build()
+	if err != nil {
+		return errors.Wrap(err, "log")
+	}
+	defer func() { _ = log.Sync() }()
+	ctx, stop := signal.NotifyContext(a.ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP) // the settings that may change are read at the next start
+	return do(ctx, set, log.With(zap.String("node", set.Nodename)))
+}
--- /dev/null
+++ b/cmd/station/propose.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/go-faster/errors"
+
+	"molepaddle/internal/system/almanac"
+	"molepaddle/internal/system/heliograph"
+	"molepaddle/internal/system/sonde"
+)
+
+// changeFlags are those of both ways to change the configuration.
+type changeFlags struct {
+	controlFlags
+	File string `arg:"" predictor:"file" help:"The body to send (JSON)."`
+	Base int64  `help:"The version it builds on; without it the one in force is asked for. 0: none yet." default:"-1"`
+	JSON bool   `name:"json" help:"Print the outcome for programs."`
+}
+
+type (
+	proposeCmd struct{ changeFlags }
+	updateCmd  struct{ changeFlags }
+)
+
+// sent is what became of a change.
+type sent struct {
+	Version  int64     `json:"ver"`            // the file's
+	Base     int64     `json:"base"`           // the version it was sent on top of
+	Status   int       `json:"status"`         // 200: acknowledged; 0: no clear answer
+	From     string    `json:"from,omitempty"` // who answered
+	Already  bool      `json:"already,omitempty"`
+	Why      string    `json:"err,omitempty"`
+	Findings []finding `json:"findings"`
+}
+
+// Run sends a whole configuration.
+func (c *proposeCmd) Run(a *app) error { return c.send(a, sonde.Replace) }
+
+// Run sends a change of named items.
+func (c *updateCmd) Run(a *app) error { return c.send(a, sonde.Update) }
+
+func (c *changeFlags) send(a *app, call sonde.Call) error {
+	body, err := readFile(c.File)
+	if err != nil {
+		return err
+	}
+	// The control plane would take a whole configuration for an update of nothing: unknown fields are let pass.
+	if kind := kindOf(c.File, body); call == sonde.Update && kind != kindUpdate {
+		return errors.Errorf("%s: has neither upsert nor remove alone: `station propose` sends whole configurations", c.File)
+	} else if call == sonde.Replace && kind == kindUpdate {
+		return errors.Errorf("%s: is a change of named items: `station update` sends those", c.File)
+	}
+	client, err := c.client(a)
+	if err != nil {
+		return err
+	}
+	s := sent{Version: versionIn(body), Base: c.Base, Findings: []finding{}}
+	if s.Base < 0 {
+		now, answer, err := current(a, client)
+		if err != nil {
+			return err
+		}
+		if s.Base = now.Version(); call == sonde.Replace && now != nil {
+			if next, _ := almanac.Decode(body); next != nil && next.Equal(now) {
+				s.Status, s.From, s.Already = 200, answer.From, true
+				return c.tell(a, &s, nil)
+			}
+		}
+	}
+	answer, err := client.Change(a.ctx, call, s.Base, body)
+	s.From = answer.From
+	var no *heliograph.Refused
+	switch {
+	case err == nil:
+		s.Status = 200
+	case errors.As(err, &no):
+		s.Status, s.From, s.Why, s.Findings = no.Status, no.From, no.Why, found(no.Findings, body)
+	default:
+		s.Why = err.Error()
+	}
+	return c.tell(a, &s, err)
+}
+
+// tell says what became of a change; err is the client's.
+func (c *changeFlags) tell(a *app, s *sent, err error) error {
+	if c.JSON {
+		if err2 := writeJSON(a.out, s); err2 != nil {
+			return err2
+		}
+		if err == nil {
+			return nil
+		}
+		return codeOnly(codeOf(err))
+	}
+	switch {
+	case err == nil && s.Already:
+		fmt.Fprintf(a.out, "version %d is in force already, as in %s\n", s.Version, c.File)
+		return nil
+	case err == nil:
+		fmt.Fprintf(a.out, "acknowledged by %s: version %d on top of %d\n", s.From, s.Version, s.Base)
+		return nil
+	case s.Status == 0:
+		return coded{errors.Errorf("%v\nThe change may be in force or not. Send it again with --base %d.", err, s.Base), exitUnclear}
+	}
+	writeFindings(a.out, c.File, s.Findings)
+	return coded{err, codeOf(err)}
+}
+
+// versionIn is the version of a body, 0 where it can't be read.
+func versionIn(body []byte) int64 {
+	var top map[string]json.RawMessage
+	var ver float64
+	if json.Unmarshal(body, &top) != nil || json.Unmarshal(top["ver"], &ver) != nil {
+		return 0
+	}
+	return int64(ver)
+}
--- /dev/null
+++ b/cmd/station/route.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"fmt"
+	"net/url"
+	"strings"
+
+	"github.com/go-faster/errors"
+
+	"molepaddle/internal/system/almanac"
+)
+
+type routeCmd struct {
+	controlFlags
+	Host string `arg:"" help:"The Host header; its port and case don't count."`
+	Path string `arg:"" help:"The path, as in the request line."`
+	File string `predictor:"file" help:"A whole configuration (JSON). Without it the one in force is asked for." placeholder:"CONF"`
+}
+
+// Run tells which route a request takes.
+func (c *routeCmd) Run(a *app) error {
+	path, _, _ := strings.Cut(c.Path, "?")
+	if u, err := url.ParseRequestURI(path); err != nil || !strings.HasPrefix(path, "/") || u.Path == "" {
+		return coded{errors.Errorf("%q is no path: it begins with a slash", c.Path), exitUsage}
+	}
+	d, err := c.document(a)
+	if err != nil {
+		return err
+	}
+	r, ok := almanac.NewIndex(d).Lookup(c.Host, path)
+	if !ok {
+		return errors.Errorf("version %d has no route for %s%s: the answer is 404", d.Version(), lines(c.Host), lines(path))
+	}
+	fmt.Fprintf(a.out, "route %s of version %d: %s on %s, %s\n", word(r.Name), d.Version(), word(r.Prefix), word(r.Hostname), manner(r.RouteSpec))
+	fmt.Fprintf(a.out, "held for %v at most, sent to %s at most\n", r.Deadline(), many(r.Tries, "backend"))
+	total := 0.0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	for _, s := range r.Shares {
+		fmt.Fprintf(a.out, "%s to service %s\n", percent(s.Weight/total), word(s.Service.Name))
+	}
+	return nil
+}
+
+func (c *routeCmd) document(a *app) (*almanac.Document, error) {
+	if c.File == "" {
+		client, err := c.client(a)
+		if err != nil {
+			return nil, err
+		}
+		d, _, err := current(a, client)
+		return d, err
+	}
+	body, err := readFile(c.File)
+	if err != nil {
+		return nil, err
+	}
+	d, in := almanac.Decode(body)
+	if len(in) > 0 {
+		writeFindings(a.out, c.File, found(in, body))
+		return nil, codeOnly(exitNo)
+	}
+	return d, nil
+}
+
+// manner is a route's kind, and what that means for a request that fails.
+func manner(r *almanac.RouteSpec) string {
+	if r.Idempotent() {
+		return r.Kind + " (may run more than once)"
+	}
+	return r.Kind + " (runs once at most)"
+}
--- /dev/null
+++ b/cmd/station/show.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"molepaddle/internal/system/almanac"
+)
+
+type showCmd struct {
+	controlFlags
+	JSON bool `name:"json" help:"Print the configuration as the control plane gives it."`
+}
+
+// errNone is that there is no configuration yet.
+var errNone = errors.New("no configuration yet")
+
+// Run shows the configuration in force.
+func (c *showCmd) Run(a *app) error {
+	client, err := c.client(a)
+	if err != nil {
+		return err
+	}
+	d, answer, err := current(a, client)
+	if err != nil {
+		return err
+	}
+	if d == nil {
+		return errors.Wrap(errNone, answer.From)
+	}
+	if c.JSON {
+		_, err := a.out.Write(append(answer.Body, '\n'))
+		return err
+	}
+	fmt.Fprintf(a.out, "%s, from %s\n", aboutDocument(d), answer.From)
+	return writeConfig(a.out, d.Config())
+}
+
+// writeConfig writes a configuration as tables.
+func writeConfig(w io.Writer, c almanac.Config) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	if len(c.Routes) > 0 {
+		fmt.Fprintln(t, "\nroute\thost\tprefix\tkind\tto\tdeadline\ttarget\tprio\ttries\tbesides")
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		var besides []string
+		if r.Pin {
+			besides = append(besides, "pin")
+		}
+		if r.Resumable {
+			besides = append(besides, "resumable")
+		}
+		if r.GapAimMs > 0 {
+			besides = append(besides, "pauses "+r.GapAim().String())
+		}
+		if besides == nil {
+			besides = []string{"-"}
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%v\t%s\t%d\t%d\t%s\n", word(r.Name), word(r.Hostname), word(r.Prefix), r.Kind,
+			strings.Join(shares(r), " "), r.Deadline(), span(r.Target()), r.Priority, r.Tries, strings.Join(besides, ", "))
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	if len(c.Services) > 0 {
+		fmt.Fprintln(t, "\nservice\tprobe\tconnections\trequests\ttokens\tmodels")
+	}
+	for i := range c.Services {
+		s := &c.Services[i]
+		requests, tokens, models := "-", "-", "-"
+		if r := s.Runtime; r != nil {
+			requests, tokens = count(int64(r.Capacity)), count(r.KVTokens)
+			var names []string
+			for _, m := range r.Models {
+				names = append(names, word(m.Name))
+			}
+			models = strings.Join(names, " ")
+		}
+		probe := "-"
+		if s.Probe != "" {
+			probe = word(s.Probe)
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\n", word(s.Name), probe, count(int64(s.MaxConn)), requests, tokens, models)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	if l := c.Limits; l != nil {
+		fmt.Fprintf(w, "\nclients: head %s bytes within %s, body %s bytes, idle %s\n",
+			count(l.HeaderBytes), span(l.HeaderTimeout()), count(l.BodyBytes), span(l.IdleTimeout()))
+	}
+	return nil
+}
+
+// shares are a route's services, with their parts where there are several. The weights of a valid route add up to more
+// than 0.
+func shares(r *almanac.RouteSpec) []string {
+	if len(r.Split) == 0 {
+		return []string{word(r.ServiceName)}
+	}
+	total := 0.0
+	for _, s := range r.Split {
+		total += s.Weight
+	}
+	var out []string
+	for _, s := range r.Split {
+		out = append(out, word(s.ServiceName)+":"+percent(s.Weight/total))
+	}
+	return out
+}
+
+func percent(part float64) string { return strconv.FormatFloat(100*part, 'g', 4, 64) + "%" }
+
+// span and count are a dash where nothing was given.
+func span(d time.Duration) string {
+	if d == 0 {
+		return "-"
+	}
+	return d.String()
+}
+
+func count(n int64) string {
+	if n == 0 {
+		return "-"
+	}
+	return strconv.FormatInt(n, 10)
+}
--- /dev/null
+++ b/cmd/station/traffic_test.go
@@ -0,0 +1,397 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"molepaddle/internal/system/screen"
+)
+
+// TestCalm serves requests of all kinds on a quiet day.
+func TestCalm(t *testing.T) {
+	f := newFleet(t, plan{})
+	for i, cl := range f.clients {
+		for range 4 {
+			f.served(cl.Do(f.ctx, lookup()), f.edge[i].settings.Node)
+			f.served(cl.Do(f.ctx, report()), f.edge[i].settings.Node)
+			f.served(cl.Do(f.ctx, hazard()), f.edge[i].settings.Node)
+		}
+		// A prompt takes a prefill backend 160 ms, a decode backend twice that, of an aim of 200.
+		for range 3 {
+			f.served(cl.Do(f.ctx, bulletin(40_000, 3)), f.edge[i].settings.Node)
+		}
+	}
+	// Each prompt was read at one place, all of it, and its tokens were made once.
+	apart, asked := 0, map[string]screen.Result{}
+	for _, cl := range f.clients {
+		for _, r := range cl.Results() {
+			if r.Kind == screen.Stream {
+				asked[r.Attempt] = r
+			}
+		}
+	}
+	runs := map[string]int{}
+	for _, e := range f.decode {
+		for _, en := range e.Log.Entries() {
+			r, ok := asked[en.Attempt]
+			if !ok || en.Kind != screen.KindRequest {
+				continue
+			}
+			runs[en.Attempt]++
+			if en.KVFrom != "" {
+				apart++
+				f.Check(en.HandleOwner, qt.Equals, en.Attempt)
+				f.Check(en.ReadTokens, qt.Equals, 0)
+				f.Check(en.MovedTokens, qt.Equals, r.Tokens[0])
+			} else {
+				f.Check(en.ReadTokens+en.KeptTokens, qt.Equals, r.Tokens[0])
+			}
+		}
+	}
+	for attempt, r := range asked {
+		f.Check(runs[attempt], qt.Equals, 1, qt.Commentf("%s: %v", r.Path, f.ways(attempt)))
+	}
+	f.Check(apart > 0, qt.IsTrue, qt.Commentf("no prompt was read apart"))
+	t.Logf("%d of %d prompts were read apart", apart, len(asked))
+	f.until(patient, "no handle is left", func() bool {
+		return !slices.ContainsFunc(f.prefill, func(e *screen.Engine) bool { return e.Handles() > 0 })
+	})
+	f.judge()
+}
+
+// TestBackendTroubles meets backends that die before, in and after the head of an answer, that send bytes which are no
+// answer, or more than one.
+func TestBackendTroubles(t *testing.T) {
+	f := newFleet(t, plan{decode: 3, plain: 3, bounds: map[string]any{"retry_extra": 400}})
+	set := func(es []*screen.Engine, fault screen.Faults) {
+		for _, e := range es {
+			e.SetFaults(fault)
+		}
+	}
+	n := 0
+	do := func(r screen.Request) screen.Result {
+		n++
+		return f.clients[n%len(f.clients)].Do(f.ctx, r)
+	}
+	for _, tc := range []struct {
+		name  string
+		fault screen.Faults
+	}{
+		{"no connection", screen.Faults{Refuse: true}}, // first: those that are open go on
+		{"before the head", screen.Faults{LoseAnswer: true}},
+		{"in the head", screen.Faults{Garble: true}},
+		{"after the head", screen.Faults{CutAfter: 2}},
+		{"failure", screen.Faults{Fail: 500}},
+	} {
+		// Where none is well, what may run once ends in something that promises nothing, or in a refusal that holds.
+		set(f.plain, tc.fault)
+		set(f.decode, tc.fault)
+		for range 4 {
+			r := do(report())
+			f.Check(r.Status/100 == 5, qt.IsTrue, qt.Commentf("%s: status %d %v", tc.name, r.Status, r.Err))
+			r = do(hazard())
+			switch {
+			case tc.fault.CutAfter > 0:
+				f.Check(r.Status, qt.Equals, http.StatusOK)
+				f.Check(r.Complete, qt.IsFalse, qt.Commentf("%s: %d events", tc.name, len(r.Events)))
+				f.Check(r.Events, qt.HasLen, tc.fault.CutAfter)
+			default:
+				f.Check(r.Status/100 == 5, qt.IsTrue, qt.Commentf("%s: status %d %v", tc.name, r.Status, r.Err))
+			}
+		}
+		if tc.fault.CutAfter > 0 {
+			// Three backends make 2, 2 and 1 of its 5 events.
+			r := do(bulletin(2000, 5))
+			f.served(r, tc.name)
+			seals := map[string]bool{}
+			for _, ev := range r.Events {
+				seals[ev.Seal] = true
+			}
+			f.Check(seals, qt.HasLen, 3)
+		}
+		// Where one of three backends is well, what may run more than once is served.
+		set(f.plain[2:], screen.Faults{})
+		set(f.decode[2:], screen.Faults{})
+		for range 6 {
+			f.served(do(lookup()), tc.name)
+			f.served(do(bulletin(2000, 5)), tc.name)
+		}
+		set(f.engines(), screen.Faults{})
+	}
+
+	// Silent backends: what may run again goes on to the one that is well; what may not is waited for, to its deadline.
+	silent := func(es []*screen.Engine, rs ...screen.Request) (out []screen.Result) {
+		set(es, screen.Faults{Silent: true})
+		var open []<-chan screen.Result
+		for i, r := range rs {
+			open = append(open, f.goDo(i%len(f.clients), r))
+		}
+		for _, ch := range open {
+			out = append(out, <-ch)
+		}
+		set(f.engines(), screen.Faults{})
+		return out
+	}
+	for _, r := range silent(slices.Concat(f.decode[:2], f.plain[:2]), lookup(), lookup(), bulletin(2000, 3), bulletin(2000, 3)) {
+		f.served(r, "silent")
+	}
+	once := []screen.Request{report(), hazard()}
+	for i := range once {
+		once[i].Deadline = 800 * time.Millisecond
+	}
+	for _, r := range silent(slices.Concat(f.decode, f.plain), once...) {
+		f.Check(r.Status == 0 || r.Status == http.StatusGatewayTimeout, qt.IsTrue, qt.Commentf("%s: status %d", r.Path, r.Status))
+		f.Check(r.EndedAt.Sub(r.SentAt) > r.Deadline*3/4, qt.IsTrue, qt.Commentf("%s: ended after %v", r.Path, r.EndedAt.Sub(r.SentAt)))
+	}
+
+	// A reader that fails costs a prompt its place there, not its answer.
+	for _, fault := range []screen.Faults{{LoseAnswer: true}, {Garble: true}, {Fail: 500}, {Refuse: true}} {
+		set(f.prefill, fault)
+		f.served(do(bulletin(40_000, 3)), "prefill")
+	}
+	set(f.prefill, screen.Faults{})
+
+	// An answer too many belongs to no request that comes after it on the same connection.
+	set(f.engines(), screen.Faults{Extra: true})
+	for range 10 {
+		for _, r := range []screen.Request{lookup(), report(), hazard(), bulletin(2000, 3)} {
+			res := do(r)
+			if r.Idempotent() {
+				f.served(res, "answers twice")
+			} else if !res.OK() {
+				f.Check(res.Status/100 == 5, qt.IsTrue, qt.Commentf("answers twice: status %d %v", res.Status, res.Err))
+			}
+		}
+	}
+	set(f.engines(), screen.Faults{})
+
+	// Another backend at the address of one that is still listed, of the same service or of another, does not run what is
+	// meant for that; upon its word what may run once goes elsewhere.
+	f.decode[0].Restart(f)
+	gone := f.plain[0]
+	gone.Crash()
+	f.others = append(f.others, screen.StartEngine(f, screen.EngineSettings{Service: "other", Address: gone.Address()}))
+	for range 8 {
+		for _, r := range []screen.Request{lookup(), report(), hazard(), bulletin(2000, 3)} {
+			f.served(do(r), "another at its address")
+		}
+	}
+	f.Check(began(f.others), qt.Equals, 0)
+	f.platform.Remove(gone)
+	f.plain, f.others = f.plain[1:], append(f.others, gone)
+
+	// Full backends, by others' requests: what is refused is told when to come back, and never runs.
+	full := slices.Concat(f.decode, f.plain)
+	var held []<-chan screen.Result
+	var releases []func()
+	others := len(f.clients)
+	for _, e := range full {
+		f.clients = append(f.clients, &screen.Client{Edge: e.Address()})
+		releases = append(releases, e.Hold())
+		r := lookup()
+		if e.Settings().Phase != screen.PhaseNone {
+			r = bulletin(100, 1)
+		}
+		for range e.Settings().Capacity {
+			held = append(held, f.goDo(len(f.clients)-1, r))
+		}
+		f.until(patient, "a backend is full", func() bool { n, _ := e.Load(); return n == e.Settings().Capacity })
+	}
+	for i := range others {
+		for _, r := range []screen.Request{report(), hazard(), lookup(), bulletin(2000, 2)} {
+			res := f.clients[i].Do(f.ctx, r)
+			f.Check(res.Status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("%s: %v", r.Path, res.Err))
+			f.Check(res.RetryAfter > 0, qt.IsTrue)
+			f.Check(res.EndedAt.Sub(res.SentAt) < time.Second, qt.IsTrue, qt.Commentf("refused after %v", res.EndedAt.Sub(res.SentAt)))
+		}
+	}
+	for _, release := range releases {
+		release()
+	}
+	for _, ch := range held {
+		f.served(<-ch, "held")
+	}
+	f.judge()
+}
+
+// TestVaneEnds sends SIGTERM to a proxy with requests under way.
+func TestVaneEnds(t *testing.T) {
+	f := newFleet(t, plan{bounds: map[string]any{"grace_s": 3}})
+	m, cl := f.edge[0], f.clients[0]
+	f.served(cl.Do(f.ctx, lookup()), "before") // its connection stays
+	var releases []func()
+	for _, e := range slices.Concat(f.decode, f.plain) {
+		releases = append(releases, e.Hold())
+	}
+	was := began(f.engines())
+	var open []<-chan screen.Result
+	for _, r := range []screen.Request{hazard(), hazard(), report(), bulletin(1000, 3), lookup()} {
+		open = append(open, f.goDo(0, r))
+	}
+	f.until(patient, "all have begun", func() bool { return began(f.engines()) >= was+len(open) })
+
+	vane := m.programs["vane"]
+	f.ends(vane)
+	vane.Signal(syscall.SIGTERM)
+	term := time.Now()
+	status := func() int {
+		c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+		resp, err := c.Get("http://" + m.boot.Readyz + screen.PathReady)
+		if err != nil {
+			return 0
+		}
+		resp.Body.Close()
+		return resp.StatusCode
+	}
+	f.until(patient, "not ready", func() bool {
+		got := status()
+		f.Assert(got, qt.Not(qt.Equals), 0, qt.Commentf("no answer before 503"))
+		return got == http.StatusServiceUnavailable
+	})
+	f.Check(time.Since(term) < time.Second, qt.IsTrue, qt.Commentf("not ready %v after SIGTERM", time.Since(term)))
+	for _, release := range releases {
+		release()
+	}
+	for _, ch := range open {
+		f.served(<-ch, "under way at SIGTERM")
+	}
+	// Clients come as long as they are let in. What was read whole is answered.
+	var after atomic.Int64
+	var late sync.WaitGroup
+	for range 3 {
+		cl := &screen.Client{Edge: m.boot.Edge, Keep: true}
+		f.clients = append(f.clients, cl)
+		late.Go(func() {
+			for r := cl.Do(f.ctx, lookup()); r.OK(); r = cl.Do(f.ctx, lookup()) {
+				after.Add(1)
+			}
+		})
+	}
+	code, err := vane.Wait(f.within(patient))
+	took := time.Since(term)
+	f.Assert(err, qt.IsNil)
+	f.Check(code, qt.Equals, 0)
+	f.Check(took < f.bound("grace_s", time.Second), qt.IsTrue, qt.Commentf("ended after %v", took))
+	late.Wait()
+	t.Logf("%d served after SIGTERM; ended after %v", after.Load(), took)
+	for _, cl := range f.clients[len(f.edge):] {
+		for _, r := range cl.Results() {
+			switch {
+			case r.Status != 0:
+				f.served(r, "while it ends")
+				f.Check(r.Closing, qt.IsTrue, qt.Commentf("the connection stays open"))
+			case !strings.Contains(r.Err.Error(), "dial"):
+				f.Check(f.ways(r.Attempt), qt.HasLen, 0, qt.Commentf("%v", r.Err))
+				took := r.EndedAt.Sub(r.SentAt)
+				f.Check(took <= f.bound("loss_slack_ms", time.Millisecond), qt.IsTrue, qt.Commentf("%v after %v", r.Err, took))
+			}
+		}
+	}
+	f.Check(after.Load() > 0, qt.IsTrue, qt.Commentf("nobody was let in after SIGTERM"))
+	f.served(f.clients[1].Do(f.ctx, lookup()), "the other one")
+	f.judge()
+}
+
+// TestVaneEndsAsClientsCome has clients come for as long as a proxy that got SIGTERM lets them in, each with a stream
+// that takes half a second: what it begins it finishes, within its grace.
+func TestVaneEndsAsClientsCome(t *testing.T) {
+	f := newFleet(t, plan{bounds: map[string]any{"grace_s": 3}})
+	vane := f.edge[0].programs["vane"]
+	f.ends(vane)
+	vane.Signal(syscall.SIGTERM)
+	term := time.Now()
+	var come sync.WaitGroup
+	for range 3 {
+		cl := &screen.Client{Edge: f.edge[0].boot.Edge, Keep: true}
+		f.clients = append(f.clients, cl)
+		come.Go(func() {
+			for ok := true; ok; {
+				r := hazard()
+				r.Tokens[1] = 250 // of 2 ms each
+				ok = cl.Do(f.ctx, r).OK()
+			}
+		})
+	}
+	code, err := vane.Wait(f.within(patient))
+	took := time.Since(term)
+	f.Assert(err, qt.IsNil)
+	f.Check(code, qt.Equals, 0)
+	f.Check(took < f.bound("grace_s", time.Second), qt.IsTrue, qt.Commentf("ended after %v", took))
+	come.Wait()
+	for _, cl := range f.clients[len(f.edge):] {
+		for _, r := range cl.Results() {
+			if r.Status != 0 || len(f.ways(r.Attempt)) > 0 {
+				f.served(r, fmt.Sprintf("begun %v after SIGTERM", r.SentAt.Sub(term)))
+			}
+		}
+	}
+	f.judge()
+}
+
+// TestDrain has backends of both services drained: nothing comes to them later than drain_ms after the list shows it.
+func TestDrain(t *testing.T) {
+	f := newFleet(t, plan{bounds: map[string]any{"drain_ms": 2000}})
+	load := f.traffic([]int{0, 1})
+	load.goesOn(16, 0, 1)
+	leaving := []*screen.Engine{f.decode[0], f.plain[0]}
+	f.platform.Drain(leaving...)
+	listed := time.Now().Add(f.delay)
+	bound := listed.Add(f.bound("drain_ms", time.Millisecond))
+	for i := range f.edge {
+		f.until(patient, "requests after the bound", func() bool { return load.since(i, bound) >= 16 })
+	}
+	load.stop()
+	for _, e := range leaving {
+		last := time.Duration(0)
+		for _, en := range e.Log.Entries() {
+			if en.Kind != screen.KindRequest && en.Kind != screen.KindPrefill || en.Status == http.StatusMisdirectedRequest {
+				continue
+			}
+			last = max(last, en.At.Sub(listed))
+			f.Check(en.At.After(bound), qt.IsFalse, qt.Commentf("%s came %v after the list showed it", en.Path, en.At.Sub(listed)))
+		}
+		t.Logf("the last request came %v after the list showed that %s drains", last, e.Settings().Service)
+	}
+	f.judge()
+}
+
+// TestTelemeterKilled takes the proxy its link: it serves on, and gets what it missed when the link is back.
+func TestTelemeterKilled(t *testing.T) {
+	f := newFleet(t, plan{})
+	apply := f.bound("apply_ms", time.Millisecond)
+	rep := f.add(2)
+	for i := range f.edge {
+		f.inForce(i, 2, rep.At.Add(apply))
+	}
+	load := f.traffic([]int{0, 1}, onAdded(2)) // no proxy goes back to an older version
+	m := f.edge[0]
+	m.kill("telemeter")
+	rep = f.add(3)
+	f.inForce(1, 3, rep.At.Add(apply))
+	load.goesOn(20, 0, 1)
+	f.Check(f.clients[0].Do(f.ctx, onAdded(3)).Status, qt.Equals, http.StatusNotFound)
+
+	m.start("telemeter")
+	back := time.Now()
+	f.inForce(0, 3, back.Add(f.bound("contact_ms", time.Millisecond)+apply))
+	t.Logf("brought up to date %v after its telemeter's return", time.Since(back))
+	rep = f.add(6)
+	for i := range f.edge {
+		f.inForce(i, 6, rep.At.Add(apply))
+	}
+	// The list goes on as well.
+	fresh := f.startPlain()
+	f.platform.Add(fresh)
+	f.until(patient, "a new backend is sent to", func() bool { return began([]*screen.Engine{fresh}) > 0 })
+	load.stop()
+	f.judge()
+}
--- /dev/null
+++ b/cmd/station/version.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"runtime/debug"
+
+	"github.com/alecthomas/kong"
+)
+
+type versionCmd struct{}
+
+// Run tells the build.
+func (versionCmd) Run(a *app) error {
+	writeVersion(a.out, a.build)
+	return nil
+}
+
+type versionFlag bool
+
+// BeforeReset tells the build and ends.
+func (versionFlag) BeforeReset(k *kong.Kong, a *app) error {
+	writeVersion(a.out, a.build)
+	k.Exit(exitDone)
+	return nil
+}
+
+// writeVersion tells what the build says of itself: module version, revision, Go and platform.
+func writeVersion(w io.Writer, build func() (*debug.BuildInfo, bool)) {
+	info, ok := build()
+	if !ok {
+		fmt.Fprintln(w, "station, of a build that says nothing of itself")
+		return
+	}
+	set := map[string]string{}
+	for _, s := range info.Settings {
+		set[s.Key] = s.Value
+	}
+	fmt.Fprintf(w, "station %s\n", info.Main.Version)
+	if at := set["vcs.revision"]; at != "" {
+		changes := ""
+		if set["vcs.modified"] == "true" {
+			changes = ", with changes"
+		}
+		fmt.Fprintf(w, "revision %s of %s%s\n", at, set["vcs.time"], changes)
+	}
+	fmt.Fprintf(w, "%s %s/%s\n", info.GoVersion, set["GOOS"], set["GOARCH"])
+}
--- a/internal/system/almanac/almanac.go
+++ b/internal/system/almanac/almanac.go
@@ -33,6 +33,8 @@
 	Services []Service `json:"svcs"`
 	// Limits bound what a client may send and how long it may take. Nil: the operator set none.
 	Limits *Limits `json:"caps,omitempty"`
+	// Tenants are in the operator's order; additions by update come last.
+	Tenants []Tenant `json:"tenants,omitempty"`
 }
 
 // RouteSpec is a route as the operator wrote it. Times are in milliseconds, fractions allowed.
@@ -63,6 +65,22 @@
 	Resumable bool `json:"resumable"`
 	// GapAimMs is the longest pause between events that keeps a stream in time; 0: not given.
 	GapAimMs float64 `json:"gap_aim_ms"`
+	// Tenant names the tenant whose requests these are, one of Tenants; empty: no tenant.
+	Tenant string `json:"tenant,omitempty"`
+	// Regions are those in which the data of the route's requests may rest: one or more, all of them the tenant's where
+	// there is one. Nil: the tenant's, or anywhere without one.
+	Regions []string `json:"regions,omitempty"`
+}
+
+// Enclosed tells whether the route's data may rest in some regions only.
+func (r *RouteSpec) Enclosed() bool { return r.Tenant != "" || r.Regions != nil }
+
+// Tenant is who has a contract that names the regions which may hold its data.
+type Tenant struct {
+	// Name is unique among tenants and not empty.
+	Name string `json:"name"`
+	// Regions are one or more, each once.
+	Regions []string `json:"regions"`
 }
 
 // ShareSpec is one part of a split route.
@@ -166,6 +184,7 @@
 	routes   []*routeItem
 	services []*serviceItem
 	limits   *Limits
+	tenants  []*tenantItem   // nil when none were ever sent
 	caps     json.RawMessage // as sent; nil when it was not
 	extra    []member        // top-level fields this program doesn't know, in order
 }
@@ -182,6 +201,12 @@
 	raw json.RawMessage
 }
 
+// tenantItem is a tenant with the operator's own JSON of it.
+type tenantItem struct {
+	Tenant
+	raw json.RawMessage
+}
+
 // member is one field of an object, name and value in the sender's JSON.
 type member struct {
 	key   string
@@ -225,6 +250,32 @@
 	return out
 }
 
+// Tenants lists the tenants in order. They must not be changed.
+func (d *Document) Tenants() []*Tenant {
+	if d == nil {
+		return nil
+	}
+	out := make([]*Tenant, len(d.tenants))
+	for i, t := range d.tenants {
+		out[i] = &t.Tenant
+	}
+	return out
+}
+
+// Enclosed lists the routes whose data may rest in some regions only, in order, in time linear in the number of routes.
+// They must not be changed.
+func (d *Document) Enclosed() (out []*RouteSpec) {
+	if d == nil {
+		return nil
+	}
+	for _, r := range d.routes {
+		if r.Enclosed() {
+			out = append(out, &r.RouteSpec)
+		}
+	}
+	return out
+}
+
 // Config is a copy of the typed fields, for logs, tools and tests. It costs time and memory for every route.
 func (d *Document) Config() Config {
 	c := Config{Routes: []RouteSpec{}, Services: []Service{}}
@@ -239,5 +290,8 @@
 	for _, s := range d.services {
 		c.Services = append(c.Services, s.Service)
 	}
+	for _, t := range d.tenants {
+		c.Tenants = append(c.Tenants, t.Tenant)
+	}
 	return c
 }
--- a/internal/system/almanac/decode.go
+++ b/internal/system/almanac/decode.go
@@ -16,18 +16,73 @@
 // not known, two routes with the same host (without regard to case) and prefix, negative weights or weights that add up
 // to 0, a deadline_ms of 0 or less or missing, a prefix that doesn't begin and end with a slash, an unknown kind. Unknown
 // fields are kept. An optional field that is null counts as not given. The Document keeps slices of body, which must not
-// be changed afterwards.
-func Decode(body []byte) (*Document, Findings) { return Replace(nil, body) }
+// be changed afterwards. Refused too are a route that names a tenant not listed, regions that are no list of one or more
+// names, and regions of a route that its tenant doesn't have; checks add what the caller knows.
+func Decode(body []byte, checks ...Check) (*Document, Findings) { return Replace(nil, body, checks...) }
+
+// Check is something that the caller knows and a configuration has to agree with.
+type Check struct{ regions map[string]bool }
+
+// KnownRegions has region names refused that aren't among a deployment's: zones gives the region of each zone. With no
+// zone nothing is known, and any name is taken.
+func KnownRegions(zones map[string]string) Check {
+	c := Check{regions: make(map[string]bool, len(zones))}
+	for _, region := range zones {
+		if region != "" {
+			c.regions[region] = true
+		}
+	}
+	return c
+}
+
+// inRegions notes names that the caller's checks don't know; places are told only for findings.
+func inRegions(checks []Check, regions []string, found *Findings, place func() string) {
+	for _, c := range checks {
+		for i, name := range regions {
+			if len(c.regions) > 0 && name != "" && !c.regions[name] {
+				found.add(place()+"."+indexed("regions", i), "the deployment has no region %q", name)
+			}
+		}
+	}
+}
+
+// checkTerms notes when a route, whose place is given, names a tenant that isn't listed or a region that isn't its tenant's.
+func checkTerms(r *routeItem, tenants map[string]*tenantItem, found *Findings, place func() string) {
+	if r.Tenant == "" {
+		return
+	}
+	t := tenants[r.Tenant]
+	if t == nil {
+		found.add(place()+".tenant", "the tenant %q is not listed", r.Tenant)
+		return
+	}
+	for i, name := range r.Regions {
+		if name != "" && !slices.Contains(t.Regions, name) {
+			found.add(place()+"."+indexed("regions", i), "%q is not among the regions of the tenant %q", name, r.Tenant)
+		}
+	}
+}
+
+func byName(tenants []*tenantItem) map[string]*tenantItem {
+	if len(tenants) == 0 {
+		return nil
+	}
+	out := make(map[string]*tenantItem, len(tenants))
+	for _, t := range tenants {
+		out[t.Name] = t
+	}
+	return out
+}
 
 // Replace is Decode for a configuration sent on top of current (nil: none yet); its version must be above current's.
-func Replace(current *Document, body []byte) (*Document, Findings) {
+func Replace(current *Document, body []byte, checks ...Check) (*Document, Findings) {
 	var found Findings
 	top := open(body, &found)
 	if top == nil {
 		return nil, found
 	}
 	d := &Document{}
-	var ver, routing, svcs json.RawMessage
+	var ver, routing, svcs, tenants json.RawMessage
 	eachField(body, func(k []byte, v json.RawMessage) {
 		switch string(k) {
 		case "ver":
@@ -36,6 +91,8 @@
 			routing = v
 		case "svcs":
 			svcs = v
+		case "tenants":
+			tenants = v
 		case "caps":
 			d.caps = v
 		default:
@@ -53,6 +110,9 @@
 	} else {
 		d.services = top.services("svcs", svcs)
 	}
+	if !absent(tenants) {
+		d.tenants = top.tenants("tenants", tenants)
+	}
 	if caps := top.within("caps"); !absent(d.caps) && caps.is(d.caps) {
 		d.limits = caps.limits(d.caps)
 	}
@@ -61,9 +121,17 @@
 	for _, s := range d.services {
 		known[s.Name] = true
 	}
+	listed := byName(d.tenants)
+	for i, t := range d.tenants {
+		inRegions(checks, t.Regions, &found, func() string { return indexed("tenants", i) })
+	}
 	taken := make(map[address]int, len(d.routes))
 	for i, r := range d.routes {
 		checkServices(r, known, &found, func() string { return indexed("routing", i) })
+		if r.Enclosed() {
+			inRegions(checks, r.Regions, &found, func() string { return indexed("routing", i) })
+			checkTerms(r, listed, &found, func() string { return indexed("routing", i) })
+		}
 		checkAddress(r, i, taken, "routing", &found)
 	}
 	if len(found) > 0 {
@@ -74,13 +142,14 @@
 
 // Update applies the body of cfg/update to current (nil: none yet), which is not changed:
 //
-//	{"ver":9,"upsert":{"routing":[items],"svcs":[items],"caps":{}},"remove":{"routing":[names],"svcs":[names]}}
+//	{"ver":9,"upsert":{"routing":[items],"svcs":[items],"tenants":[items],"caps":{}},
+//	 "remove":{"routing":[names],"svcs":[names],"tenants":[names]}}
 //
 // Items replace those of the same name in their place or are added at the end; removing a name that isn't there is
 // not an error; of a name both removed and upserted the new item stays, in the old one's place. The result is valid as a
 // whole by Decode's rules, its version above current's. The cost is linear in the size of the body and in the number of
 // routes, with little work for a route that isn't touched. The new Document shares current's items and keeps none of body.
-func Update(current *Document, body []byte) (*Document, Findings) {
+func Update(current *Document, body []byte, checks ...Check) (*Document, Findings) {
 	var found Findings
 	top := open(body, &found)
 	if top == nil {
@@ -89,12 +158,14 @@
 	if current == nil {
 		current = &Document{}
 	}
-	d := &Document{limits: current.limits, caps: current.caps, extra: current.extra}
+	d := &Document{limits: current.limits, caps: current.caps, extra: current.extra, tenants: current.tenants}
 	var (
 		ver             json.RawMessage
 		routes          []*routeItem
 		services        []*serviceItem
+		tenants         []*tenantItem
 		goneR, goneS    map[string]bool
+		goneT           map[string]bool
 		upsert, removed = top.within("upsert"), top.within("remove")
 	)
 	eachField(body, func(k []byte, v json.RawMessage) {
@@ -111,6 +182,8 @@
 					routes = upsert.routes("routing", v)
 				case "svcs":
 					services = upsert.services("svcs", v)
+				case "tenants":
+					tenants = upsert.tenants("tenants", v)
 				case "caps":
 					if caps := upsert.within("caps"); !absent(v) && caps.is(v) {
 						d.caps, d.limits = bytes.Clone(v), caps.limits(v)
@@ -127,14 +200,13 @@
 					goneR = removed.list("routing", v)
 				case "svcs":
 					goneS = removed.list("svcs", v)
+				case "tenants":
+					goneT = removed.list("tenants", v)
 				}
 			})
 		}
 	})
 	d.version = top.version(ver, current)
-	if len(found) > 0 {
-		return nil, found
-	}
 	for _, r := range routes {
 		r.raw = bytes.Clone(r.raw)
 	}
@@ -143,7 +215,12 @@
 	}
 	d.routes = merge(current.routes, routes, goneR, func(r *routeItem) string { return r.Name })
 	d.services = merge(current.services, services, goneS, func(s *serviceItem) string { return s.Name })
+	for _, t := range tenants {
+		t.raw = bytes.Clone(t.raw)
+	}
+	d.tenants = merge(current.tenants, tenants, goneT, func(t *tenantItem) string { return t.Name })
 	d.checkChanged(routes, len(goneS) > 0, &found)
+	d.checkTerms(routes, tenants, len(goneT) > 0, checks, &found)
 	if len(found) > 0 {
 		return nil, found
 	}
@@ -216,6 +293,33 @@
 	}
 }
 
+// checkTerms checks the terms of a merged document of which the routes and tenants given are new, and all others come from
+// a valid document; thinned tells that tenants may be missing now.
+func (d *Document) checkTerms(routes []*routeItem, tenants []*tenantItem, thinned bool, checks []Check, found *Findings) {
+	for i, t := range tenants {
+		inRegions(checks, t.Regions, found, func() string { return indexed("upsert.tenants", i) })
+	}
+	listed := byName(d.tenants)
+	for i, r := range routes {
+		if r.Enclosed() {
+			inRegions(checks, r.Regions, found, func() string { return indexed("upsert.routing", i) })
+			checkTerms(r, listed, found, func() string { return indexed("upsert.routing", i) })
+		}
+	}
+	if len(tenants) == 0 && !thinned {
+		return
+	}
+	isNew := make(map[*routeItem]bool, len(routes))
+	for _, r := range routes {
+		isNew[r] = true
+	}
+	for _, r := range d.routes {
+		if r.Tenant != "" && !isNew[r] {
+			checkTerms(r, listed, found, func() string { return "route " + strconv.Quote(r.Name) })
+		}
+	}
+}
+
 // address is what no two routes share: host in lower case, and prefix.
 type address struct{ host, prefix string }
 
@@ -305,6 +409,21 @@
 	return out
 }
 
+// tenants reads a list of tenants with names that differ; never nil.
+func (o *object) tenants(key string, raw json.RawMessage) []*tenantItem {
+	out := []*tenantItem{}
+	if absent(raw) || !o.isList(key, raw) {
+		return out
+	}
+	names := make(map[string]int)
+	eachItem(raw, func(i int, v json.RawMessage) {
+		t := o.item(key, i).tenant(v)
+		o.unique(names, t.Name, key, i)
+		out = append(out, t)
+	})
+	return out
+}
+
 // unique notes when an earlier item of the list has the name.
 func (o *object) unique(names map[string]int, name, key string, i int) {
 	if name == "" {
@@ -333,8 +452,8 @@
 	return out
 }
 
-// Show is the whole configuration as JSON, for cfg/show and snapshots: each item and caps as the operator sent them, then
-// the top-level fields this program doesn't know. The nil Document shows version 0 with empty lists.
+// Show is the whole configuration as JSON, for cfg/show and snapshots: each item, caps and tenants as the operator sent
+// them, then the top-level fields this program doesn't know. The nil Document shows version 0 with empty lists.
 func (d *Document) Show() []byte {
 	if d == nil {
 		d = &Document{}
@@ -346,6 +465,9 @@
 	for _, s := range d.services {
 		size += len(s.raw) + 1
 	}
+	for _, t := range d.tenants {
+		size += len(t.raw) + 16
+	}
 	for _, m := range d.extra {
 		size += len(m.key) + len(m.value) + 8
 	}
@@ -369,6 +491,16 @@
 	if d.caps != nil {
 		b = append(append(b, `,"caps":`...), d.caps...)
 	}
+	if d.tenants != nil {
+		b = append(b, `,"tenants":[`...)
+		for i, t := range d.tenants {
+			if i > 0 {
+				b = append(b, ',')
+			}
+			b = append(b, t.raw...)
+		}
+		b = append(b, ']')
+	}
 	for _, m := range d.extra {
 		key, _ := json.Marshal(m.key) // strings always marshal
 		b = append(append(append(append(b, ','), key...), ':'), m.value...)
@@ -391,6 +523,8 @@
 		slices.EqualFunc(d.routes, other.routes, func(a, b *routeItem) bool { return a == b || bytes.Equal(a.raw, b.raw) }) &&
 		slices.EqualFunc(d.services, other.services,
 			func(a, b *serviceItem) bool { return a == b || bytes.Equal(a.raw, b.raw) }) &&
+		slices.EqualFunc(d.tenants, other.tenants, func(a, b *tenantItem) bool { return a == b || bytes.Equal(a.raw, b.raw) }) &&
+		(d.tenants == nil) == (other.tenants == nil) &&
 		(d.caps == nil) == (other.caps == nil) && bytes.Equal(d.caps, other.caps) &&
 		slices.EqualFunc(d.extra, other.extra,
 			func(a, b member) bool { return a.key == b.key && bytes.Equal(a.value, b.value) })
--- a/internal/system/almanac/fields.go
+++ b/internal/system/almanac/fields.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -214,6 +215,10 @@
 			o.flag("resumable", v, &r.Resumable)
 		case "gap_aim_ms":
 			o.measure("gap_aim_ms", v, &r.GapAimMs)
+		case "tenant":
+			o.tenantName(v, &r.Tenant)
+		case "regions":
+			r.Regions = o.regions(v)
 		}
 	})
 	r.Tries = max(r.Tries, 1)
@@ -233,6 +238,78 @@
 	return r
 }
 
+// tenantName reads whose requests a route's are. What is there must say it: null or an empty name may be a slip, and would
+// mean anywhere.
+func (o *object) tenantName(raw json.RawMessage, into *string) {
+	if absent(raw) {
+		o.found.add(o.at("tenant"), "must be a string (leave it out where there is no tenant)")
+		return
+	}
+	was := len(*o.found)
+	if o.text("tenant", raw, into); len(*o.found) == was {
+		o.check("tenant", *into, ruleGiven)
+	}
+}
+
+// regions reads the regions that may hold data: never nil, so that a slip doesn't mean anywhere.
+func (o *object) regions(raw json.RawMessage) []string {
+	out := []string{}
+	if absent(raw) {
+		o.found.add(o.at("regions"), "must be a list (leave it out where anywhere will do)")
+		return out
+	}
+	if !o.isList("regions", raw) {
+		return out
+	}
+	items := 0
+	eachItem(raw, func(i int, v json.RawMessage) {
+		items++
+		var name string
+		key := indexed("regions", i)
+		if absent(v) {
+			o.found.add(o.at(key), "must be a string")
+			return
+		}
+		was := len(*o.found)
+		if o.text(key, v, &name); len(*o.found) > was {
+			return
+		}
+		if name == "" {
+			o.found.add(o.at(key), "must not be empty")
+		} else if slices.Contains(out, name) {
+			o.found.add(o.at(key), "%q is there already", name)
+		}
+		out = append(out, name)
+	})
+	if items == 0 {
+		o.found.add(o.at("regions"), "must name a region")
+	}
+	return out
+}
+
+// tenant reads one tenant.
+func (o *object) tenant(raw json.RawMessage) *tenantItem {
+	t := &tenantItem{raw: raw}
+	if !o.is(raw) {
+		return t
+	}
+	given := false
+	eachField(raw, func(k []byte, v json.RawMessage) {
+		switch string(k) {
+		case "name":
+			o.text("name", v, &t.Name)
+		case "regions":
+			given = true
+			t.Regions = o.regions(v)
+		}
+	})
+	o.check("name", t.Name, ruleGiven)
+	if !given {
+		o.found.add(o.at("regions"), "must be given")
+	}
+	return t
+}
+
 // shares reads the weights of a route.
 func (o *object) shares(r *routeItem, raw json.RawMessage) {
 	total, clean := 0.0, true
--- a/internal/system/observatory/observatory.go
+++ b/internal/system/observatory/observatory.go
@@ -120,6 +120,7 @@
 		pulls.Close()
 	})
 	defer stop()
+	o.log.Info("started")
 	o.drive(ctx)
 	end, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
--- a/internal/system/observatory/operator.go
+++ b/internal/system/observatory/operator.go
@@ -129,7 +129,7 @@
 				checked <- verdict{status: http.StatusPreconditionFailed, why: "version " + strconv.FormatInt(current, 10) + " is in place"}
 				return o.machine.Read(now, token)
 			}
-			if _, found := call.change(rec.doc); found.Err() != nil {
+			if _, found := call.change(rec.doc, almanac.KnownRegions(o.set.Zones)); found.Err() != nil {
 				checked <- verdict{status: http.StatusBadRequest, why: "the configuration is invalid", found: found}
 				return o.machine.Read(now, token)
 			}
--- a/internal/system/observatory/record.go
+++ b/internal/system/observatory/record.go
@@ -41,11 +41,11 @@
 }
 
 // change works out what a call makes of a document.
-func (c *Call) change(doc *almanac.Document) (*almanac.Document, almanac.Findings) {
+func (c *Call) change(doc *almanac.Document, checks ...almanac.Check) (*almanac.Document, almanac.Findings) {
 	if c.Replace {
-		return almanac.Replace(doc, c.Body)
+		return almanac.Replace(doc, c.Body, checks...)
 	}
-	return almanac.Update(doc, c.Body)
+	return almanac.Update(doc, c.Body, checks...)
 }
 
 // Apply takes a change that the primary has checked: it can't fail, and is left out everywhere if it does.
--- a/internal/system/synop/link.go
+++ b/internal/system/synop/link.go
@@ -57,6 +57,9 @@
 	return min(heartbeat, apply/5), max(apply/4, 200*time.Millisecond)
 }
 
+// leastDial is what a dial has at the least: round trips between regions are some tens of ms.
+const leastDial = 100 * time.Millisecond
+
 // Follower is who pulls.
 type Follower struct {
 	Name    string
@@ -70,7 +73,7 @@
 
 // Follow pulls from an address until the connection breaks, ctx ends or Goes says so.
 func Follow(ctx context.Context, addr string, f *Follower) error {
-	c, err := Dial(addr, f.Silence)
+	c, err := Dial(addr, max(f.Silence/3, leastDial))
 	if err != nil {
 		return err
 	}
--- a/internal/system/telemeter/telemeter.go
+++ b/internal/system/telemeter/telemeter.go
@@ -58,6 +58,7 @@
 	stop := context.AfterFunc(ctx, func() { ln.Close() })
 	defer stop()
 	go synop.Serve(ctx, ln, t.set.Nodename, t.store, 3*t.set.Heartbeat+time.Second, t.store.Fresh)
+	t.log.Info("started")
 	var began time.Time
 	wait, silence := synop.Pace(t.set.Bounds.Apply, t.set.Heartbeat)
 	for i := rand.IntN(max(len(t.known), 1)); ctx.Err() == nil; i++ {
--- a/internal/system/vane/vane.go
+++ b/internal/system/vane/vane.go
@@ -19,6 +19,7 @@
 	"molepaddle/internal/protocol/sockets"
 	"molepaddle/internal/protocol/transport"
 	"molepaddle/internal/system/almanac"
+	"molepaddle/internal/system/enclosure"
 	"molepaddle/internal/system/siting"
 	"molepaddle/internal/system/synop"
 )
@@ -28,13 +29,15 @@
 	ctx        context.Context
 	set        siting.Settings
 	log        *zap.Logger
-	pool       *transport.Transport
+	pool       interface{ Close() } // the way to a backend is its plot's alone
+	ground     *enclosure.Ground
 	ready      atomic.Bool // a configuration and a list are there
 	world      atomic.Pointer[world]
 	life       *lifecycle.Machine
 	working    atomic.Int64
 	background sync.WaitGroup
 	statuses   *xsync.Map[int, *xsync.Counter]
+	enclosed   *enclosed
 
 	// What follows belongs to the feed's goroutine.
 	have     map[string]synop.Version
@@ -51,6 +54,8 @@
 	limits   *almanac.Limits
 	services map[string]*service
 	version  int64
+	routes   map[string]*routeTerms     // of enclosed routes, by name
+	tenants  map[string]enclosure.Terms // by name
 }
 
 // assumedProxies stands for how many proxies there are until that is known.
@@ -67,10 +72,11 @@
 	}
 	room := max(files-reserved, 64)
 	v := &Vane{ctx: ctx, set: set, log: log, life: lifecycle.New(), have: map[string]synop.Version{}, services: map[string]*service{}, proxies: assumedProxies,
-		statuses: xsync.NewMap[int, *xsync.Counter]()}
+		statuses: xsync.NewMap[int, *xsync.Counter](), enclosed: newEnclosed()}
 	dialer := &net.Dialer{KeepAlive: -1, Control: sockets.UserTimeout(set.Bounds.Contact)}
-	v.pool = transport.New(transport.Options{Dial: dialer.DialContext, Timeout: connectWithin, Idle: 10 * time.Second, Most: room / 2,
+	pool := transport.New(transport.Options{Dial: dialer.DialContext, Timeout: connectWithin, Idle: 10 * time.Second, Most: room / 2,
 		Settle: time.Millisecond, Resting: 4})
+	v.pool, v.ground = pool, enclosure.NewGround(pool, set.Zones)
 	return v
 }
 
@@ -103,6 +109,7 @@
 	go func() { _ = readiness.Serve(ready) }()
 	server := &http.Server{Handler: v, ReadHeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second, MaxHeaderBytes: 32 << 10,
 		ErrorLog: zap.NewStdLog(v.log)}
+	v.log.Info("started")
 	v.life.Open()
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(edge) }()
@@ -124,15 +131,11 @@
 	v.life.End()
 	began := time.Now()
 	grace := v.set.Bounds.Grace
-	// The platform asks every second and turns away after two misses.
-	away := min(3*time.Second, grace/2)
-	tick := time.NewTicker(20 * time.Millisecond)
-	defer tick.Stop()
-	for range tick.C {
-		if since := time.Since(began); since >= away && v.working.Load() == 0 || since >= grace-500*time.Millisecond {
-			break
-		}
-	}
+	// The platform asks every second and turns away after two misses; what comes until then is served. After that nothing
+	// is begun any more, so that what is held has the rest of the grace.
+	away := time.NewTimer(min(3*time.Second, grace/2))
+	defer away.Stop()
+	<-away.C
 	end, cancel := context.WithDeadline(context.Background(), began.Add(grace-300*time.Millisecond))
 	defer cancel()
 	if server.Shutdown(end) != nil {
@@ -157,6 +160,7 @@
 			return true
 		})
 		v.log.Info("counters", fields...)
+		v.enclosed.report(v.log)
 	}
 }
 
