--- a/internal/system/almanac/decode.go
+++ b/internal/system/almanac/decode.go
@@ -172,6 +172,8 @@
 		switch string(k) {
 		case "ver":
 			ver = v
+		case "routing", "svcs":
+			found.add(string(k), "belongs under upsert in an update")
 		case "upsert":
 			if absent(v) || !upsert.is(v) {
 				return
--- a/internal/system/barograph/types.go
+++ b/internal/system/barograph/types.go
@@ -225,6 +225,18 @@
 	Primary
 )
 
+func (r Role) String() string {
+	switch r {
+	case Witness:
+		return "witness"
+	case Backup:
+		return "backup"
+	case Primary:
+		return "primary"
+	}
+	return "outside"
+}
+
 // Status tells how things stand.
 type Status struct {
 	ID          ID
--- /dev/null
+++ b/internal/system/heliograph/heliograph_test.go
@@ -0,0 +1,202 @@
+package heliograph_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-faster/errors"
+
+	"molepaddle/internal/system/almanac"
+	"molepaddle/internal/system/heliograph"
+	"molepaddle/internal/system/sonde"
+)
+
+// agent is a stand-in for an agent that serves the operator; it gives its host:port.
+func agent(c *qt.C, h http.HandlerFunc) string {
+	server := httptest.NewServer(h)
+	c.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// sendOn answers 307 to the address that to holds at that time.
+func sendOn(to *string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Location", "http://"+*to+r.URL.Path)
+		w.WriteHeader(http.StatusTemporaryRedirect)
+	}
+}
+
+func TestChangeFollowsTwice(t *testing.T) {
+	c := qt.New(t)
+	var got *http.Request
+	var body []byte
+	last := agent(c, func(w http.ResponseWriter, r *http.Request) {
+		got = r
+		body, _ = io.ReadAll(r.Body)
+	})
+	second := agent(c, sendOn(&last))
+	first := agent(c, sendOn(&second))
+	client := heliograph.Client{Control: []string{first}}
+	answer, err := client.Change(context.Background(), sonde.Update, 7, []byte(`{"ver":9}`))
+	c.Assert(err, qt.IsNil)
+	c.Assert(answer.From, qt.Equals, last)
+	c.Assert(got.Method+" "+got.URL.Path, qt.Equals, "POST /molepaddle/cfg/update")
+	c.Assert(got.Header.Get(sonde.BaseVersion), qt.Equals, "7")
+	c.Assert(got.Header.Get("Content-Type"), qt.Equals, "application/json")
+	c.Assert(string(body), qt.Equals, `{"ver":9}`)
+}
+
+func TestThirdRedirectIsNotFollowed(t *testing.T) {
+	c := qt.New(t)
+	var calls atomic.Int64
+	var self string
+	self = agent(c, func(w http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+		sendOn(&self)(w, r)
+	})
+	other := agent(c, func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, "{}") })
+	client := heliograph.Client{Control: []string{self, other}}
+	answer, err := client.Show(context.Background())
+	c.Assert(err, qt.IsNil)
+	c.Assert(answer.From, qt.Equals, other)
+	c.Assert(calls.Load(), qt.Equals, int64(3))
+}
+
+func TestRedirectsThatLeadNowhere(t *testing.T) {
+	c := qt.New(t)
+	for _, location := range []string{"", "ftp://10.0.0.1/x", "https://10.0.0.1/x", "::"} {
+		bad := agent(c, func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Location", location)
+			w.WriteHeader(http.StatusTemporaryRedirect)
+		})
+		client := heliograph.Client{Control: []string{bad}, Within: 20 * time.Millisecond}
+		_, err := client.Show(context.Background())
+		var unclear *heliograph.Unclear
+		c.Assert(errors.As(err, &unclear), qt.IsTrue)
+		c.Check(err, qt.ErrorMatches, "no clear answer: "+bad+": (a 307 without a Location that can be followed|failed to parse Location.*)")
+	}
+}
+
+func TestRefusalsEndAtOnce(t *testing.T) {
+	c := qt.New(t)
+	for _, status := range []int{400, 409, 412, 413, 422} {
+		var calls atomic.Int64
+		at := agent(c, func(w http.ResponseWriter, r *http.Request) {
+			calls.Add(1)
+			w.WriteHeader(status)
+			fmt.Fprint(w, `{"err":"the configuration is invalid","findings":[{"place":"routing[0].svc","text":"a"},{"place":"","text":"b"}]}`)
+		})
+		client := heliograph.Client{Control: []string{at}}
+		_, err := client.Change(context.Background(), sonde.Replace, 5, nil)
+		var no *heliograph.Refused
+		c.Assert(errors.As(err, &no), qt.IsTrue)
+		c.Check(no, qt.DeepEquals, &heliograph.Refused{Status: status, From: at, Why: "the configuration is invalid",
+			Findings: almanac.Findings{{Place: "routing[0].svc", Text: "a"}, {Text: "b"}}})
+		c.Check(calls.Load(), qt.Equals, int64(1))
+	}
+}
+
+func TestOtherRejectionsEndAtTheThird(t *testing.T) {
+	c := qt.New(t)
+	var calls atomic.Int64
+	at := agent(c, func(w http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+		http.Error(w, "gone\nfishing", http.StatusNotFound)
+	})
+	client := heliograph.Client{Control: []string{at}}
+	_, err := client.Show(context.Background())
+	c.Assert(err, qt.ErrorMatches, "refused by "+at+` \(404\): gone`)
+	c.Assert(calls.Load(), qt.Equals, int64(3))
+}
+
+func TestFailuresMoveOn(t *testing.T) {
+	c := qt.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	dead := ln.Addr().String()
+	c.Assert(ln.Close(), qt.IsNil)
+	for _, status := range []int{503, 408, 429, 302, 204} {
+		var calls atomic.Int64
+		bad := agent(c, func(w http.ResponseWriter, r *http.Request) {
+			calls.Add(1)
+			w.WriteHeader(status)
+		})
+		good := agent(c, func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, "shown") })
+		client := heliograph.Client{Control: []string{bad, dead, good}}
+		answer, err := client.Show(context.Background())
+		c.Assert(err, qt.IsNil)
+		c.Check(answer, qt.DeepEquals, heliograph.Answer{From: good, Body: []byte("shown")})
+		c.Check(calls.Load(), qt.Equals, int64(1))
+	}
+}
+
+func TestSilence(t *testing.T) {
+	c := qt.New(t)
+	quiet := agent(c, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done() // until the caller has left
+	})
+	half := agent(c, func(w http.ResponseWriter, r *http.Request) { // half an answer, then nothing
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Content-Length", "100")
+		fmt.Fprint(w, "half")
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	})
+	good := agent(c, func(w http.ResponseWriter, r *http.Request) {})
+	client := heliograph.Client{Control: []string{quiet, half, good}, Silence: 30 * time.Millisecond}
+	answer, err := client.Change(context.Background(), sonde.Replace, 0, []byte("{}"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(answer.From, qt.Equals, good)
+
+	client = heliograph.Client{Control: []string{quiet}, Silence: 10 * time.Millisecond, Within: 50 * time.Millisecond}
+	_, err = client.Change(context.Background(), sonde.Replace, 0, []byte("{}"))
+	var unclear *heliograph.Unclear
+	c.Assert(errors.As(err, &unclear), qt.IsTrue)
+	c.Assert(err, qt.ErrorMatches, "no clear answer: "+quiet+": silent for 10ms")
+}
+
+func TestUnclear(t *testing.T) {
+	c := qt.New(t)
+	at := agent(c, func(w http.ResponseWriter, r *http.Request) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		fmt.Fprint(w, `{"err":"no primary is known"}`)
+	})
+	client := heliograph.Client{Control: []string{at}, Within: 50 * time.Millisecond}
+	_, err := client.Show(context.Background())
+	var no *heliograph.Refused
+	c.Assert(errors.As(err, &no), qt.IsFalse, qt.Commentf("a 503 is no clear no"))
+	c.Assert(err, qt.ErrorMatches, "no clear answer: "+at+": status 503: no primary is known")
+
+	_, err = (&heliograph.Client{}).Show(context.Background())
+	c.Assert(err, qt.ErrorMatches, "no clear answer: no control address is known")
+
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err = client.Show(ctx)
+	c.Assert(errors.Is(err, context.Canceled), qt.IsTrue)
+}
+
+func TestAnswersAreBounded(t *testing.T) {
+	c := qt.New(t)
+	at := agent(c, func(w http.ResponseWriter, r *http.Request) {
+		piece := strings.Repeat(" ", 1<<20)
+		for range heliograph.MaxAnswer>>20 + 1 {
+			if _, err := io.WriteString(w, piece); err != nil {
+				return
+			}
+		}
+	})
+	client := heliograph.Client{Control: []string{at}, Within: 3 * time.Second}
+	_, err := client.Show(context.Background())
+	c.Assert(err, qt.ErrorMatches, "no clear answer: .*: an answer over 67108864 bytes")
+}
--- /dev/null
+++ b/internal/system/logbook/logbook_test.go
@@ -0,0 +1,83 @@
+package logbook_test
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"molepaddle/internal/system/almanac"
+	"molepaddle/internal/system/logbook"
+)
+
+const route = `{"name":"r%d","hostname":"h","pfx":"/%d/","kind":"readonly","deadline_ms":%s,"svc":"a"%s}`
+
+func doc(c *qt.C, text string) *almanac.Document {
+	d, found := almanac.Decode([]byte(text))
+	c.Assert(found, qt.HasLen, 0)
+	return d
+}
+
+func body(ver int, routes, services, more string) string {
+	return fmt.Sprintf(`{"ver":%d,"routing":[%s],"svcs":[%s]%s}`, ver, routes, services, more)
+}
+
+func lines(all []logbook.Change) []string {
+	out := []string{}
+	for _, c := range all {
+		out = append(out, fmt.Sprintf("%s %s %s: %s -> %s", c.Of, c.Name, c.Field, c.Old, c.New))
+	}
+	return out
+}
+
+func TestDiff(t *testing.T) {
+	c := qt.New(t)
+	r := func(n int, deadline, more string) string { return fmt.Sprintf(route, n, n, deadline, more) }
+	base := body(1, r(1, "100", "")+","+r(2, "100", ""), `{"name":"a"},{"name":"b"}`, "")
+	for _, one := range []struct {
+		name, to string
+		want     []string
+	}{
+		{"the version alone", body(2, r(1, "100", "")+","+r(2, "100", ""), `{"name":"a"},{"name":"b"}`, ""), []string{}},
+		{"numbers by value, null as not given", body(2, r(1, "1e2", `,"prio":null`)+","+r(2, "100.0", ""), `{"name":"a"},{"name":"b"}`, ""), []string{}},
+		{"a field", body(2, r(1, "100", "")+","+r(2, "250", `,"new_field":{"x":1}`), `{"name":"a"},{"name":"b"}`, ""),
+			[]string{"route r2 deadline_ms: 100 -> 250", `route r2 new_field:  -> {"x":1}`}},
+		{"gone and come", body(2, r(3, "100", "")+","+r(1, "100", ""), `{"name":"a"}`, ""), []string{
+			`route r2 : {"name":"r2","hostname":"h","pfx":"/2/","kind":"readonly","deadline_ms":100,"svc":"a"} -> `,
+			`route r3 :  -> {"name":"r3","hostname":"h","pfx":"/3/","kind":"readonly","deadline_ms":100,"svc":"a"}`,
+			`service b : {"name":"b"} -> `,
+		}},
+		{"order", body(2, r(2, "100", "")+","+r(1, "100", ""), `{"name":"a"},{"name":"b"}`, ""),
+			[]string{`configuration  routing order: ["r1","r2"] -> ["r2","r1"]`}},
+		{"the rest", body(2, r(1, "100", "")+","+r(2, "100", ""), `{"name":"a","runtime":{"capacity":4}},{"name":"b"}`, `,"caps":{"body_max_bytes":5},"zeal":[1]`),
+			[]string{`service a runtime:  -> {"capacity":4}`, `caps  :  -> {"body_max_bytes":5}`, `configuration  zeal:  -> [1]`}},
+	} {
+		c.Check(lines(logbook.Diff(doc(c, base), doc(c, one.to))), qt.DeepEquals, one.want, qt.Commentf(one.name))
+	}
+}
+
+func TestDiffInside(t *testing.T) {
+	c := qt.New(t)
+	with := func(shares, caps string) *almanac.Document {
+		return doc(c, body(1, fmt.Sprintf(route, 1, 1, "5", `,"shares":`+shares), `{"name":"a"},{"name":"b"}`, `,"caps":`+caps))
+	}
+	a := with(`[{"svc":"a","wt":90},{"svc":"b","wt":10}]`, `{"body_max_bytes":9007199254740993,"x":"\u0041"}`)
+	b := with(`[{"svc":"a","wt":80},{"svc":"b","wt":20}]`, `{"body_max_bytes":9007199254740992,"x":"A"}`)
+	c.Check(lines(logbook.Diff(a, b)), qt.DeepEquals, []string{
+		"route r1 shares[0].wt: 90 -> 80", "route r1 shares[1].wt: 10 -> 20",
+		"caps  body_max_bytes: 9007199254740993 -> 9007199254740992",
+	})
+	one := with(`[{"svc":"a","wt":90}]`, `{}`)
+	c.Check(lines(logbook.Diff(a, one))[0], qt.Equals, `route r1 shares: [{"svc":"a","wt":90},{"svc":"b","wt":10}] -> [{"svc":"a","wt":90}]`)
+}
+
+func TestDiffOfNothing(t *testing.T) {
+	c := qt.New(t)
+	c.Check(logbook.Diff(nil, nil), qt.HasLen, 0)
+	d := doc(c, body(1, "", `{"name":"a"}`, ""))
+	first := logbook.Diff(nil, d)
+	c.Assert(first, qt.HasLen, 1)
+	c.Check(first[0].Added(), qt.IsTrue)
+	c.Check(first[0].Removed(), qt.IsFalse)
+	c.Check(logbook.Diff(d, nil)[0].Removed(), qt.IsTrue)
+}
--- a/internal/system/observatory/observatory.go
+++ b/internal/system/observatory/observatory.go
@@ -92,6 +92,9 @@
 
 // Run serves until ctx ends.
 func (o *Observatory) Run(ctx context.Context) error {
+	if o.set.Bind.Control == "" {
+		return errors.New("bind: ctl must be given")
+	}
 	core, err := net.Listen("tcp", synop.CoreAddr(o.set.IP, o.set.Ports))
 	if err != nil {
 		return errors.Wrap(err, "listen for the core")
@@ -180,7 +183,7 @@
 		next := make(chan struct{})
 		close(*o.changed.Swap(&next))
 		if was.Epoch != st.Epoch || was.Role != st.Role || was.Ready != st.Ready {
-			o.log.Info("view", zap.Uint64("epoch", st.Epoch), zap.Uint8("role", uint8(st.Role)), zap.Bool("ready", st.Ready), zap.String("primary", st.PrimaryAddr),
+			o.log.Info("view", zap.Uint64("epoch", st.Epoch), zap.Stringer("role", st.Role), zap.Bool("ready", st.Ready), zap.String("primary", st.PrimaryAddr),
 				zap.Int("members", len(st.View.Members)), zap.Int("backups", len(st.View.Backups)))
 		}
 	}
--- a/internal/system/vane/vane.go
+++ b/internal/system/vane/vane.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -93,6 +94,9 @@
 
 // Run serves until ctx ends, then finishes what it holds within the platform's grace.
 func (v *Vane) Run(ctx context.Context) error {
+	if v.set.Bind.Edge == "" || v.set.Bind.Ready == "" {
+		return errors.New("bind: edge and readyz must be given")
+	}
 	edge, err := net.Listen("tcp", v.set.Bind.Edge)
 	if err != nil {
 		return errors.Wrap(err, "listen for clients")
@@ -168,5 +172,5 @@
 	if status == 0 {
 		return "cut"
 	}
-	return http.StatusText(status)
+	return strconv.Itoa(status)
 }
