Telemeters learn the core's members and read their seeds anew

Change: the primary publishes the members; seeds are read again when none that is known answers. A test plays both.

--- a/cmd/station/programs.go
+++ b/cmd/station/programs.go
@@ -31,7 +31,15 @@
 
 func (telemeterCmd) Run(a *app) error {
 	return a.program(func(ctx context.Context, set siting.Settings, log *zap.Logger) error {
-		return telemeter.New(set, log).Run(ctx)
+		t := telemeter.New(set, log)
+		t.Seeds = func() []string {
+			now, err := siting.Load(a.settings)
+			if err != nil {
+				return set.Seeds
+			}
+			return now.Seeds
+		}
+		return t.Run(ctx)
 	})
 }
 
--- a/internal/system/observatory/pulls.go
+++ b/internal/system/observatory/pulls.go
@@ -85,6 +85,7 @@
 	duty := newPhases(o)
 	var plain, last *synop.List // as the platform tells, and as published
 	var lastCrowd *synop.Crowd
+	var lastCore *synop.Core
 	epoch, count := uint64(0), uint64(0)
 	var since, polled, reported time.Time
 	every := pollEvery
@@ -94,7 +95,7 @@
 			continue
 		}
 		if st.Epoch != epoch {
-			epoch, count, plain, last, lastCrowd, since = st.Epoch, 0, nil, nil, nil, time.Now()
+			epoch, count, plain, last, lastCrowd, lastCore, since = st.Epoch, 0, nil, nil, nil, nil, time.Now()
 			duty.reset()
 		}
 		now := time.Now()
@@ -125,6 +126,18 @@
 				last = &list
 			}
 		}
+		core := synop.Core{}
+		for _, m := range st.View.Members {
+			if host, _, err := net.SplitHostPort(m.Addr); err == nil {
+				core.Pulls = append(core.Pulls, synop.PullAddr(host, o.set.Ports))
+			}
+		}
+		if lastCore == nil || !reflect.DeepEqual(*lastCore, core) {
+			count++
+			b, _ := core.MarshalMsg(nil)
+			o.store.Set(synop.SourceCore, synop.Version{Epoch: epoch, Count: count}, b)
+			lastCore = &core
+		}
 		crowd := synop.Crowd{Zones: map[string]int{}}
 		for _, m := range o.store.Members(time.Now(), 3*o.set.Heartbeat+time.Second) {
 			crowd.Proxies++
--- a/internal/system/synop/messages.go
+++ b/internal/system/synop/messages.go
@@ -82,9 +82,15 @@
 	Zones   map[string]int `msg:"z"`
 }
 
+// Core is where observatories answer pulls: the members of the view.
+type Core struct {
+	Pulls []string `msg:"p"`
+}
+
 // The sources.
 const (
 	SourceConfig = "config"
 	SourceList   = "list"
 	SourceCrowd  = "crowd"
+	SourceCore   = "core"
 )
--- a/internal/system/synop/messages_gen.go
+++ b/internal/system/synop/messages_gen.go
@@ -542,6 +542,148 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *Core) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "p":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Pulls")
+				return
+			}
+			if cap(z.Pulls) >= int(zb0002) {
+				z.Pulls = (z.Pulls)[:zb0002]
+			} else {
+				z.Pulls = make([]string, zb0002)
+			}
+			for za0001 := range z.Pulls {
+				z.Pulls[za0001], err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Pulls", za0001)
+					return
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Core) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 1
+	// write "p"
+	err = en.Append(0x81, 0xa1, 0x70)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Pulls)))
+	if err != nil {
+		err = msgp.WrapError(err, "Pulls")
+		return
+	}
+	for za0001 := range z.Pulls {
+		err = en.WriteString(z.Pulls[za0001])
+		if err != nil {
+			err = msgp.WrapError(err, "Pulls", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Core) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "p"
+	o = append(o, 0x81, 0xa1, 0x70)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Pulls)))
+	for za0001 := range z.Pulls {
+		o = msgp.AppendString(o, z.Pulls[za0001])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Core) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "p":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Pulls")
+				return
+			}
+			if cap(z.Pulls) >= int(zb0002) {
+				z.Pulls = (z.Pulls)[:zb0002]
+			} else {
+				z.Pulls = make([]string, zb0002)
+			}
+			for za0001 := range z.Pulls {
+				z.Pulls[za0001], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Pulls", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Core) Msgsize() (s int) {
+	s = 1 + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Pulls {
+		s += msgp.StringPrefixSize + len(z.Pulls[za0001])
+	}
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Crowd) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
--- a/internal/system/telemeter/telemeter.go
+++ b/internal/system/telemeter/telemeter.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -19,6 +20,9 @@
 
 // Telemeter is one machine's link to the control plane.
 type Telemeter struct {
+	// Seeds reads the seeds anew, control addresses as the settings name them; nil: they don't change.
+	Seeds func() []string
+
 	set   siting.Settings
 	log   *zap.Logger
 	store *synop.Store // what the proxy is fed from
@@ -26,7 +30,8 @@
 	// What follows belongs to the goroutine of Run that follows an observatory.
 	have  map[string]synop.Version // as the observatories count
 	list  synop.Version            // as this process counts: it may have to poll itself
-	known []string                 // pull addresses, seeds first
+	seeds []string                 // pull addresses by the settings
+	known []string                 // and all that are known: seeds, then the members of the core as last told
 	// For when no observatory is to be had.
 	platform *sonde.PlatformClient
 	pollNext time.Time
@@ -38,17 +43,39 @@
 func New(set siting.Settings, log *zap.Logger) *Telemeter {
 	t := &Telemeter{set: set, log: log, store: synop.NewStore(), have: map[string]synop.Version{},
 		list: synop.Version{Epoch: uint64(time.Now().UnixNano())}}
-	for _, s := range set.Seeds {
-		if host, _, err := net.SplitHostPort(s); err == nil {
-			t.known = append(t.known, synop.PullAddr(host, set.Ports))
-		}
-	}
+	t.seed(set.Seeds)
 	if set.Provider.Address != "" {
 		t.platform = sonde.NewPlatformClient(set.Provider.Address, time.Second)
 	}
 	return t
 }
 
+// seed takes the seeds of the settings, which may have changed since the start.
+func (t *Telemeter) seed(seeds []string) {
+	t.seeds = nil
+	for _, s := range seeds {
+		if host, _, err := net.SplitHostPort(s); err == nil {
+			t.seeds = append(t.seeds, synop.PullAddr(host, t.set.Ports))
+		}
+	}
+	t.learn(nil)
+}
+
+// learn takes the members of the core: those known before are kept, as far as there is room, since news may be old.
+func (t *Telemeter) learn(core []string) {
+	all := slices.Concat(t.seeds, core, t.known)
+	known := all[:0:0]
+	for _, addr := range all {
+		if len(known) < maxKnown && !slices.Contains(known, addr) {
+			known = append(known, addr)
+		}
+	}
+	t.known = known
+}
+
+// maxKnown bounds the observatories that are known.
+const maxKnown = 64
+
 // Run feeds the proxy until ctx ends.
 func (t *Telemeter) Run(ctx context.Context) error {
 	ln, err := net.Listen("tcp", synop.TelemeterAddr(t.set.Ports))
@@ -78,6 +105,9 @@
 		if ctx.Err() == nil {
 			t.log.Debug("observatory left", zap.String("addr", addr), zap.Error(err))
 		}
+		if t.Seeds != nil && i%len(t.known) == len(t.known)-1 {
+			t.seed(t.Seeds()) // none was of use: the file may name others by now
+		}
 		t.pollAlone(ctx)
 		pause := time.NewTimer(50*time.Millisecond + rand.N(50*time.Millisecond))
 		select {
@@ -103,9 +133,15 @@
 	pass.Pieces = nil
 	for _, p := range n.Pieces {
 		t.have[p.Source] = p.At
-		if p.Source == synop.SourceList || p.Source == synop.SourceCrowd {
+		if p.Source != synop.SourceConfig {
 			t.list.Count++
 			t.store.Set(p.Source, t.list, p.Whole)
+			if p.Source == synop.SourceCore {
+				var core synop.Core
+				if _, err := core.UnmarshalMsg(p.Whole); err == nil {
+					t.learn(core.Pulls)
+				}
+			}
 			if p.Source == synop.SourceCrowd {
 				var crowd synop.Crowd
 				if _, err := crowd.UnmarshalMsg(p.Whole); err == nil {
--- a/internal/system/telemeter/telemeter_test.go
+++ b/internal/system/telemeter/telemeter_test.go
@@ -67,3 +67,56 @@
 	c.Assert(took < 3*set.Bounds.Apply, qt.IsTrue, qt.Commentf("%v with three of four stale", took))
 	t.Logf("left the stale ones after %v", took)
 }
+
+// All seeds may be replaced one after the other while a telemeter lives: it learns the core's members, and reads the
+// seeds anew when none that it knows answers.
+func TestReplacedCoreIsFound(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ips := []string{"127.0.5.1", "127.0.5.2", "127.0.5.3", "127.0.0.1"}
+	ports := screen.ChoosePorts(t, 4, ips...)
+	set := siting.Settings{Nodename: "edge-1", Zone: "z", Ports: [2]int{ports.First, ports.First + 3}, Heartbeat: 400 * time.Millisecond}
+	set.Bounds.Apply = time.Second
+	set.Bounds.Drain = time.Minute
+	set.Seeds = []string{net.JoinHostPort(ips[0], "1")}
+	serve := func(ip string, version uint64, core ...string) (stop func()) {
+		ln, err := net.Listen("tcp", synop.PullAddr(ip, set.Ports))
+		c.Assert(err, qt.IsNil)
+		s := synop.NewStore()
+		s.Set(synop.SourceConfig, synop.Version{Count: version}, []byte("x"))
+		if len(core) > 0 {
+			b, err := (&synop.Core{Pulls: core}).MarshalMsg(nil)
+			c.Assert(err, qt.IsNil)
+			s.Set(synop.SourceCore, synop.Version{Count: version}, b)
+		}
+		term, end := context.WithCancel(ctx)
+		go synop.Serve(term, ln, ip, s, 10*time.Second, func() (time.Time, string) { s.Heard("p", time.Now()); return s.Fresh() })
+		return func() { end(); ln.Close() }
+	}
+	first := serve(ips[0], 1, synop.PullAddr(ips[1], set.Ports))
+	tm := New(set, zap.NewNop())
+	tm.Seeds = func() []string { return []string{net.JoinHostPort(ips[2], "1")} }
+	go func() { _ = tm.Run(ctx) }()
+	wait := func(n uint64) {
+		over := time.After(10 * time.Second)
+		for {
+			changed := tm.store.Changed()
+			if at, _ := tm.store.At(synop.SourceConfig); at.Count >= n {
+				return
+			}
+			select {
+			case <-changed:
+			case <-over:
+				c.Fatalf("version %d never came", n)
+			}
+		}
+	}
+	wait(1)
+	second := serve(ips[1], 2)
+	first()
+	wait(2) // by the members that were told
+	defer serve(ips[2], 3)()
+	second()
+	wait(3) // by the settings as they are now
+}
