--- /dev/null
+++ b/internal/system/mast/bench_test.go
@@ -0,0 +1,330 @@
+package mast
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math"
+	"net"
+	"runtime"
+	"strconv"
+	"testing"
+	"time"
+
+	"molepaddle/internal/system/almanac"
+	"molepaddle/internal/system/isobar"
+	"molepaddle/internal/system/sonde"
+	"molepaddle/internal/system/synop"
+	"molepaddle/policy"
+)
+
+// The figures of docs/CAPACITY.md: go test -run '^$' -bench . ./internal/system/mast
+
+var (
+	listSizes     = []int{50, 300, 1000, 3000, 10_000}
+	routeSizes    = []int{10, 100, 1000, 10_000}
+	decisionSizes = []int{9, 48, 300, 3000, 10_000}
+	leaseSizes    = []int{30, 100, 300, 1000, 2500}
+)
+
+func sizes(b *testing.B, all []int, f func(b *testing.B, n int)) {
+	for _, n := range all {
+		b.Run(fmt.Sprintf("n=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			f(b, n)
+		})
+	}
+}
+
+func encoded(b *testing.B, l synop.List) []byte {
+	out, err := l.MarshalMsg(nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return out
+}
+
+func BenchmarkListEncode(b *testing.B) {
+	sizes(b, listSizes, func(b *testing.B, n int) {
+		l := Backends(n)
+		for b.Loop() {
+			encoded(b, l)
+		}
+		b.ReportMetric(float64(len(encoded(b, l))), "B/list")
+	})
+}
+
+func BenchmarkListDecode(b *testing.B) {
+	sizes(b, listSizes, func(b *testing.B, n int) {
+		in := encoded(b, Backends(n))
+		for b.Loop() {
+			var l synop.List
+			if _, err := l.UnmarshalMsg(in); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
+
+// BenchmarkPoll is one poll of the platform's whole list by pages of 50, both sides' work together.
+func BenchmarkPoll(b *testing.B) {
+	sizes(b, listSizes, func(b *testing.B, n int) {
+		p, err := ServePlatform(Backends(n), 50)
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer p.Close()
+		client := sonde.NewPlatformClient(p.Address(), time.Second)
+		for b.Loop() {
+			l, _, err := client.List(context.Background())
+			if err != nil || len(l.Backends) != n {
+				b.Fatal(len(l.Backends), err)
+			}
+		}
+		b.ReportMetric(float64(p.Calls())/float64(b.N), "calls/op")
+	})
+}
+
+// BenchmarkPullWhole is one pull answered with the whole list over loopback, both sides' work together.
+func BenchmarkPullWhole(b *testing.B) {
+	sizes(b, listSizes, func(b *testing.B, n int) {
+		s := synop.NewStore()
+		s.Set(synop.SourceList, synop.Version{Epoch: 1, Count: 1}, encoded(b, Backends(n)))
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer ln.Close()
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go synop.Serve(ctx, ln, "o", s, time.Minute, s.Fresh)
+		left := b.N
+		b.ResetTimer()
+		err = synop.Follow(ctx, ln.Addr().String(), &synop.Follower{Name: "t", Wait: time.Second, Silence: time.Second, Members: func() []synop.Member { return nil },
+			Have: func() map[string]synop.Version { return nil },
+			Take: func(*synop.News) []string { left--; return nil },
+			Goes: func() bool { return left > 0 }})
+		if err != nil {
+			b.Fatal(err)
+		}
+	})
+}
+
+// BenchmarkLeases is what one pull of a relay costs that stands for n proxies: gathered and encoded there, decoded and
+// noted at the primary.
+func BenchmarkLeases(b *testing.B) {
+	sizes(b, leaseSizes, func(b *testing.B, n int) {
+		relay, primary := synop.NewStore(), synop.NewStore()
+		now := time.Now()
+		for i := range n {
+			relay.Renew([]synop.Member{{Name: fmt.Sprintf("edge-zone-%d-%d", i%zones, i), Zone: Zone(i)}}, now)
+		}
+		size := 0
+		for b.Loop() {
+			p := synop.Pull{From: "core-1", WaitMs: 1200, Members: relay.Members(now, time.Minute)}
+			out, err := p.MarshalMsg(nil)
+			if err != nil {
+				b.Fatal(err)
+			}
+			size = len(out)
+			var got synop.Pull
+			if _, err := got.UnmarshalMsg(out); err != nil {
+				b.Fatal(err)
+			}
+			primary.Renew(got.Members, now)
+		}
+		b.ReportMetric(float64(size), "B/pull")
+	})
+}
+
+func documentOf(b *testing.B, n int) ([]byte, *almanac.Document) {
+	in, err := json.Marshal(newDocument(1, n))
+	if err != nil {
+		b.Fatal(err)
+	}
+	d, found := almanac.Decode(in)
+	if err := found.Err(); err != nil {
+		b.Fatal(err)
+	}
+	return in, d
+}
+
+func BenchmarkConfigDecode(b *testing.B) {
+	sizes(b, routeSizes, func(b *testing.B, n int) {
+		in, _ := documentOf(b, n)
+		for b.Loop() {
+			if _, found := almanac.Decode(in); found.Err() != nil {
+				b.Fatal(found)
+			}
+		}
+		b.ReportMetric(float64(len(in)), "B/config")
+	})
+}
+
+func BenchmarkConfigUpdate(b *testing.B) {
+	sizes(b, routeSizes, func(b *testing.B, n int) {
+		_, d := documentOf(b, n)
+		c := change{Version: 2}
+		c.Upsert.Routes = []routeItem{route(0, 3)}
+		in, err := json.Marshal(c)
+		if err != nil {
+			b.Fatal(err)
+		}
+		for b.Loop() {
+			if _, found := almanac.Update(d, in); found.Err() != nil {
+				b.Fatal(found)
+			}
+		}
+		b.ReportMetric(float64(len(in)), "B/change")
+	})
+}
+
+func BenchmarkConfigShow(b *testing.B) {
+	sizes(b, routeSizes, func(b *testing.B, n int) {
+		_, d := documentOf(b, n)
+		for b.Loop() {
+			d.Show()
+		}
+	})
+}
+
+func BenchmarkRouteIndex(b *testing.B) {
+	sizes(b, routeSizes, func(b *testing.B, n int) {
+		_, d := documentOf(b, n)
+		for b.Loop() {
+			almanac.NewIndex(d)
+		}
+	})
+}
+
+func BenchmarkRouteLookup(b *testing.B) {
+	sizes(b, routeSizes, func(b *testing.B, n int) {
+		_, d := documentOf(b, n)
+		x := almanac.NewIndex(d)
+		hosts, paths := make([]string, n), make([]string, n)
+		for i := range n {
+			r := route(i, 0)
+			hosts[i], paths[i] = r.Host, r.Prefix+"chat"
+		}
+		i := 0
+		for b.Loop() {
+			if _, ok := x.Lookup(hosts[i%n], paths[i%n]); !ok {
+				b.Fatal(hosts[i%n], paths[i%n])
+			}
+			i += 7
+		}
+	})
+}
+
+func ranker(n int) (*policy.Ranker, []policy.Listed) {
+	r := policy.NewRanker(policy.RankerSettings{})
+	var l []policy.Listed
+	for _, e := range Backends(n).Backends {
+		l = append(l, policy.Listed{ID: e.ID, Usable: true})
+	}
+	r.List(0, l)
+	return r, l
+}
+
+func engines(n int) (*isobar.Engines, []isobar.Backend) {
+	e := isobar.New(isobar.Engine{Capacity: 64, KVTokens: 600_000, KVBytes: 163_840, LinkMbps: 8_800_000})
+	var l []isobar.Backend
+	for _, s := range Backends(n).Backends {
+		l = append(l, isobar.Backend{ID: s.ID, Zone: s.Zone, Prefill: s.Phase == sonde.PhasePrefill})
+	}
+	e.List(l)
+	return e, l
+}
+
+// BenchmarkRank is one ordering of all backends by tier, cap and key.
+func BenchmarkRank(b *testing.B) {
+	sizes(b, decisionSizes, func(b *testing.B, n int) {
+		r, _ := ranker(n)
+		var out []string
+		i := uint64(0)
+		for b.Loop() {
+			i++
+			out = r.Rank(1, i*0x9e3779b97f4a7c15, nil, 8, nil, out[:0])
+		}
+	})
+}
+
+// BenchmarkRankByLoad is one ordering with isobar's estimates as costs.
+func BenchmarkRankByLoad(b *testing.B) {
+	sizes(b, decisionSizes, func(b *testing.B, n int) {
+		r, l := ranker(n)
+		e, _ := engines(n)
+		for i := range l {
+			e.Told(1, l[i].ID, i%64, i%3)
+		}
+		var out []string
+		i := uint64(0)
+		for b.Loop() {
+			i++
+			out = r.Rank(1, i*0x9e3779b97f4a7c15, nil, math.Inf(1), func(id string) float64 { return e.AheadMs(1, id) }, out[:0])
+		}
+	})
+}
+
+func prompt(i int) isobar.Prompt {
+	p, ok := isobar.ParsePrompt("m", "1460,80", "aaaaaaaa:800,"+strconv.Itoa(i%1900)+":410,own"+strconv.Itoa(i)+":250")
+	if !ok {
+		panic("prompt")
+	}
+	return p
+}
+
+// BenchmarkSent is a prompt noted as sent and read at one backend, among n.
+func BenchmarkSent(b *testing.B) {
+	sizes(b, decisionSizes, func(b *testing.B, n int) {
+		e, l := engines(n)
+		i := 0
+		for b.Loop() {
+			p := prompt(i)
+			id := l[i%n].ID
+			tokens := e.Sent(id, &p)
+			e.Read(id, tokens, 5)
+			e.Ended(id)
+			i++
+		}
+	})
+}
+
+// BenchmarkTakeList is a whole list taken by ranker and isobar, that already have it.
+func BenchmarkTakeList(b *testing.B) {
+	sizes(b, listSizes, func(b *testing.B, n int) {
+		r, l := ranker(n)
+		e, le := engines(n)
+		for b.Loop() {
+			r.List(1, l)
+			e.List(le)
+		}
+	})
+}
+
+// BenchmarkBeliefs is the memory that what a proxy believes to be kept takes, after n prompts of three parts spread over
+// 300 backends.
+func BenchmarkBeliefs(b *testing.B) {
+	for _, n := range []int{1000, 10_000, 100_000, 300_000} {
+		b.Run(fmt.Sprintf("prompts=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				var before, after runtime.MemStats
+				e, l := engines(300)
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				for i := range n {
+					p := prompt(i)
+					id := l[i%len(l)].ID
+					e.Sent(id, &p)
+					e.Read(id, 0, 0)
+					e.Ended(id)
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "B/beliefs")
+				b.ReportMetric((float64(after.HeapAlloc)-float64(before.HeapAlloc))/float64(n), "B/prompt")
+				runtime.KeepAlive(e)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/system/mast/doc.go
@@ -0,0 +1,14 @@
+// Package mast measures how the fleet's own programs grow: named after the mast at which a station hangs its
+// instruments. It starts real observatories, a real telemeter and a real vane as processes on loopback, and beside them
+// hollow agents, many in one process, that pull as telemeters do but hold nothing, and a hollow platform that lists
+// backends which nobody runs. What it finds is written as text; docs/CAPACITY.md draws on it.
+//
+// A run is bounded: every wait has an end, at most MaxAgents agents, MaxBackends backends and MaxRoutes routes.
+package mast
+
+// Bounds of a run: each takes descriptors or memory of this machine.
+const (
+	MaxAgents   = 10_000
+	MaxBackends = 20_000
+	MaxRoutes   = 20_000
+)
--- /dev/null
+++ b/internal/system/mast/mast_test.go
@@ -0,0 +1,140 @@
+package mast
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"molepaddle/internal/system/almanac"
+	"molepaddle/internal/system/barograph"
+	"molepaddle/internal/system/sonde"
+	"molepaddle/internal/system/synop"
+)
+
+func TestDocumentsAreValid(t *testing.T) {
+	c := qt.New(t)
+	b, err := json.Marshal(newDocument(1, 200))
+	c.Assert(err, qt.IsNil)
+	d, found := almanac.Decode(b)
+	c.Assert(found.Err(), qt.IsNil)
+	c.Assert(d.NumRoutes(), qt.Equals, 200)
+	var up change
+	up.Version = 2
+	up.Upsert.Routes = []routeItem{route(3, 5)}
+	b, err = json.Marshal(up)
+	c.Assert(err, qt.IsNil)
+	d, found = almanac.Update(d, b)
+	c.Assert(found.Err(), qt.IsNil)
+	c.Assert(d.NumRoutes(), qt.Equals, 200)
+	c.Assert(d.Version(), qt.Equals, int64(2))
+}
+
+func TestPlatformGivesTheListByPages(t *testing.T) {
+	c := qt.New(t)
+	want := Backends(120)
+	p, err := ServePlatform(Backends(120), 50)
+	c.Assert(err, qt.IsNil)
+	defer p.Close()
+	client := sonde.NewPlatformClient(p.Address(), time.Second)
+	got, calls, err := client.List(context.Background())
+	c.Assert(err, qt.IsNil)
+	c.Assert(calls, qt.Equals, 3)
+	sonde.Sort(&got)
+	c.Assert(got, qt.DeepEquals, want)
+	p.Toggle(7)
+	want.Backends[7].Draining = true
+	got, _, err = client.List(context.Background())
+	c.Assert(err, qt.IsNil)
+	sonde.Sort(&got)
+	c.Assert(got, qt.DeepEquals, want)
+}
+
+// TestCrewTells has a crew come to versions at a real source, lose it, and come back.
+func TestCrewTells(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer ln.Close()
+	s := synop.NewStore()
+	s.Heard("primary", time.Now())
+	s.Set(synop.SourceConfig, synop.Version{Count: 1}, []byte("one"))
+	go synop.Serve(ctx, ln, "o", s, time.Second, func() (time.Time, string) {
+		s.Heard("primary", time.Now())
+		return s.Fresh()
+	})
+	in, commands := io.Pipe()
+	events, out := io.Pipe()
+	ended := make(chan error, 1)
+	crew := Crew{Count: 5, Addresses: []string{ln.Addr().String()}, Beat: 50 * time.Millisecond, Apply: 2 * time.Second}
+	go func() { ended <- crew.Run(ctx, in, out) }()
+	read := json.NewDecoder(events)
+	next := func() (e Event) {
+		c.Assert(read.Decode(&e), qt.IsNil)
+		c.Assert(e.At, qt.HasLen, 5)
+		e.At = nil
+		return e
+	}
+	c.Assert(next(), qt.DeepEquals, Event{What: synop.SourceConfig, Count: 1})
+	s.Append(synop.SourceConfig, synop.Version{Count: 1}, synop.Version{Count: 2}, synop.Change{At: synop.Version{Count: 2}, Body: []byte("two")})
+	c.Assert(next(), qt.DeepEquals, Event{What: synop.SourceConfig, Count: 2})
+	s.Set(synop.SourceList, synop.Version{Epoch: 3, Count: 4}, []byte("list"))
+	c.Assert(next(), qt.DeepEquals, Event{What: synop.SourceList, Epoch: 3, Count: 4})
+	_, err = io.WriteString(commands, "mark\n")
+	c.Assert(err, qt.IsNil)
+	c.Assert(next(), qt.DeepEquals, Event{What: eventBack})
+	c.Assert(s.Members(time.Now(), time.Minute), qt.HasLen, 5)
+	c.Assert(commands.Close(), qt.IsNil)
+	c.Assert(<-ended, qt.IsNil)
+}
+
+func TestUsage(t *testing.T) {
+	c := qt.New(t)
+	before, err := ReadUsage(os.Getpid())
+	c.Assert(err, qt.IsNil)
+	c.Assert(before.CPU > 0 && before.Resident > 0 && before.Peak >= before.Resident, qt.IsTrue)
+	r, w, err := os.Pipe()
+	c.Assert(err, qt.IsNil)
+	defer r.Close()
+	defer w.Close()
+	_, err = w.Write(make([]byte, 4096))
+	c.Assert(err, qt.IsNil)
+	after, err := ReadUsage(os.Getpid())
+	c.Assert(err, qt.IsNil)
+	c.Assert(after.Written-before.Written >= 4096, qt.IsTrue)
+	_, err = ReadUsage(-1)
+	c.Assert(err, qt.IsNotNil)
+}
+
+func TestTrialsAreBounded(t *testing.T) {
+	good := Trial{Agents: 10, Crews: 2, Backends: 10, Routes: 10, Page: 50, Rate: 42, Beat: time.Second, Apply: 2 * time.Second, Rest: time.Second, Within: time.Second}
+	qt.Assert(t, good.check(), qt.IsNil)
+	for name, spoil := range map[string]func(t *Trial){
+		"agents": func(t *Trial) { t.Agents = MaxAgents + 1 }, "crews": func(t *Trial) { t.Crews = 11 }, "backends": func(t *Trial) { t.Backends = 0 },
+		"routes": func(t *Trial) { t.Routes = MaxRoutes + 1 }, "page": func(t *Trial) { t.Page = 0 }, "within": func(t *Trial) { t.Within = 0 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			bad := good
+			spoil(&bad)
+			qt.Assert(t, bad.check(), qt.IsNotNil)
+		})
+	}
+}
+
+// TestRolesAreLearned keeps to the line that observatories log at a change of their view.
+func TestRolesAreLearned(t *testing.T) {
+	c := qt.New(t)
+	p := &process{}
+	watchRole(p, []byte("no JSON\n"))
+	watchRole(p, []byte(`{"level":"info","msg":"view","epoch":3,"role":"primary","ready":true}`+"\n"))
+	c.Assert(p.role, qt.Equals, barograph.Primary.String())
+	watchRole(p, []byte(`{"level":"info","msg":"configuration settled","role":"witness"}`+"\n"))
+	c.Assert(p.role, qt.Equals, barograph.Primary.String())
+}
--- /dev/null
+++ b/internal/system/mast/operator.go
@@ -0,0 +1,108 @@
+package mast
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"molepaddle/internal/system/sonde"
+)
+
+// operator calls the control plane as the operator does: at one observatory after the other until one takes it.
+type operator struct {
+	addresses []string // control addresses
+	client    http.Client
+	version   int64
+	changes   uint64 // acknowledged so far
+}
+
+// again is the pause between two tries, callWithin bounds one (PROTOCOL: a second of silence).
+const (
+	again      = 20 * time.Millisecond
+	callWithin = time.Second
+)
+
+func newOperator(addresses []string) *operator {
+	return &operator{addresses: addresses, client: http.Client{Timeout: callWithin, Transport: &http.Transport{DisableKeepAlives: true}}}
+}
+
+// pause waits; false: ctx has ended.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// call sends one call until an observatory answers 200. Other answers than 5xx end it.
+func (o *operator) call(ctx context.Context, c *sonde.Call, body []byte) error {
+	last := errors.New("no observatory")
+	for i := 0; ctx.Err() == nil; i++ {
+		req, err := http.NewRequestWithContext(ctx, c.Method, "http://"+o.addresses[i%len(o.addresses)]+c.Path, bytes.NewReader(body))
+		if err != nil {
+			return err
+		}
+		req.Header.Set(sonde.BaseVersion, strconv.FormatInt(o.version, 10))
+		resp, err := o.client.Do(req)
+		if err != nil {
+			last = err
+		} else {
+			answer, _ := io.ReadAll(io.LimitReader(resp.Body, 1<<10))
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+			last = errors.Errorf("status %d: %s", resp.StatusCode, answer)
+			if resp.StatusCode < 500 && resp.StatusCode != http.StatusTemporaryRedirect && resp.StatusCode != http.StatusNotFound {
+				return last
+			}
+		}
+		if i%len(o.addresses) == len(o.addresses)-1 && !pause(ctx, again) {
+			break
+		}
+	}
+	return errors.Wrap(last, c.Name)
+}
+
+// replace sends the first configuration.
+func (o *operator) replace(ctx context.Context, routes int) error {
+	b, err := json.Marshal(newDocument(o.version+1, routes))
+	if err != nil {
+		return err
+	}
+	if err := o.call(ctx, &sonde.Replace, b); err != nil {
+		return err
+	}
+	o.version++
+	o.changes++
+	return nil
+}
+
+// update changes one route.
+func (o *operator) update(ctx context.Context) error {
+	c := change{Version: o.version + 1}
+	c.Upsert.Routes = []routeItem{route(0, int(o.version%8))}
+	b, err := json.Marshal(c)
+	if err != nil {
+		return err
+	}
+	if err := o.call(ctx, &sonde.Update, b); err != nil {
+		return err
+	}
+	o.version++
+	o.changes++
+	return nil
+}
+
+// show waits until an observatory shows the configuration: a primary is there, and its view stands.
+func (o *operator) show(ctx context.Context) error { return o.call(ctx, &sonde.Show, nil) }
--- /dev/null
+++ b/internal/system/mast/proxy.go
@@ -0,0 +1,278 @@
+package mast
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"molepaddle/internal/system/sonde"
+	"molepaddle/internal/system/synop"
+)
+
+// ProxyTrial is one run of a real vane between hollow clients and hollow backends: what one request, one event and the
+// length of the list cost it.
+type ProxyTrial struct {
+	Backends int
+	Routes   int
+	Rates    []float64 // requests a second, one after the other; at most MaxRate
+	Events   int       // of each answer
+	Every    time.Duration
+	For      time.Duration // how long each rate lasts
+	Within   time.Duration // bound of the start
+	Station  string        // binary of the fleet's programs
+	Out      io.Writer
+}
+
+// MaxRate bounds the requests a second of a ProxyTrial.
+const MaxRate = 5000
+
+// bodyBytes is the length of a hollow request's body, promptTokens that of its prompt.
+const (
+	bodyBytes    = 4096
+	promptTokens = 1460
+	tenants      = 1900 // the operators' target; the tenants' requests share the first parts of their prompts
+)
+
+// Run plays the trial.
+func (t *ProxyTrial) Run(ctx context.Context) error {
+	if t.Backends < 1 || t.Backends > MaxBackends || t.Routes < 1 || t.Routes > MaxRoutes || t.Events < 1 || t.For <= 0 || t.Within <= 0 {
+		return errors.New("backends, routes, events, for or within out of bounds")
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	dir, err := os.MkdirTemp("", "station-scale-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	engines, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	defer engines.Close()
+	go t.serveEngines(engines)
+	first, err := choosePorts(8, "127.0.0.1")
+	if err != nil {
+		return err
+	}
+	at := func(offset int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(first+offset)) }
+	m := machine{name: "edge-real-vane", zone: Zone(0), ip: "127.0.0.1", ports: [2]int{first, first + 3}, seeds: []string{at(4)}, edge: at(5), ready: at(6),
+		beat: 1200 * time.Millisecond, apply: 2 * time.Second, rate: 42}
+	feed, err := net.Listen("tcp", synop.TelemeterAddr(m.ports))
+	if err != nil {
+		return err
+	}
+	defer feed.Close()
+	if err := t.feed(ctx, feed, m.beat, engines.Addr().String()); err != nil {
+		return err
+	}
+	path, err := m.write(dir)
+	if err != nil {
+		return err
+	}
+	vane, _, err := start("vane", t.Station, []string{"vane"}, []string{"MOLEPADDLE_CONFIG=" + path, "GOMAXPROCS=1"}, func(*process, []byte) {})
+	if err != nil {
+		return err
+	}
+	defer vane.kill()
+	fmt.Fprintf(t.Out, "proxy: backends %d, routes %d, events %d, one each %v, body %d B, prompt %d tokens\n", t.Backends, t.Routes, t.Events, t.Every, bodyBytes, promptTokens)
+	if err := awaitReady(ctx, m.ready, t.Within); err != nil {
+		return err
+	}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4096}, Timeout: 30 * time.Second}
+	for _, rate := range t.Rates {
+		if rate > MaxRate {
+			return errors.Errorf("rate: at most %d", MaxRate)
+		}
+		if err := t.load(ctx, client, m.edge, vane, rate); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// feed stands in for the telemeter.
+func (t *ProxyTrial) feed(ctx context.Context, ln net.Listener, beat time.Duration, engines string) error {
+	list := Backends(t.Backends)
+	for i := range list.Backends {
+		list.Backends[i].Address = engines
+	}
+	b, err := list.MarshalMsg(nil)
+	if err != nil {
+		return err
+	}
+	doc, err := json.Marshal(newDocument(1, t.Routes))
+	if err != nil {
+		return err
+	}
+	s := synop.NewStore()
+	s.Set(synop.SourceList, synop.Version{Epoch: 1, Count: 1}, b)
+	s.Set(synop.SourceConfig, synop.Version{Count: 1}, doc)
+	go synop.Serve(ctx, ln, "feed", s, 3*beat+time.Second, s.Fresh)
+	return nil
+}
+
+func awaitReady(ctx context.Context, addr string, within time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for {
+		req, err := http.NewRequestWithContext(ctx, sonde.Ready.Method, "http://"+addr+sonde.Ready.Path, nil)
+		if err != nil {
+			return err
+		}
+		if resp, err := client.Do(req); err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		if !pause(ctx, 20*time.Millisecond) {
+			return errors.New("the vane is not ready in time")
+		}
+	}
+}
+
+// load sends requests at one rate and writes what the vane used for them.
+func (t *ProxyTrial) load(ctx context.Context, client *http.Client, edge string, vane *process, rate float64) error {
+	before, err := ReadUsage(vane.pid())
+	if err != nil {
+		return err
+	}
+	var all sync.WaitGroup
+	var served, failed atomic.Int64
+	var mu sync.Mutex
+	var firsts []time.Duration
+	began := time.Now()
+	n := int(rate * t.For.Seconds())
+	for i := range n {
+		if !pause(ctx, time.Until(began.Add(time.Duration(float64(i)/rate*float64(time.Second))))) {
+			return ctx.Err()
+		}
+		all.Go(func() {
+			first, err := t.ask(ctx, client, edge, i)
+			if err != nil {
+				failed.Add(1)
+				return
+			}
+			served.Add(1)
+			mu.Lock()
+			firsts = append(firsts, first)
+			mu.Unlock()
+		})
+	}
+	if n == 0 && !pause(ctx, t.For) {
+		return ctx.Err()
+	}
+	all.Wait()
+	after, err := ReadUsage(vane.pid())
+	if err != nil {
+		return err
+	}
+	cpu, seconds := after.CPU-before.CPU, after.At.Sub(before.At).Seconds()
+	fmt.Fprintf(t.Out, "proxy: rate %6.0f/s: served %d, failed %d; vane: cpu %.2f %% of a core, %.4f ms a request; in %.0f B, out %.0f B a request; resident %.1f MB, peak %.1f MB",
+		rate, served.Load(), failed.Load(), 100*cpu.Seconds()/seconds, ms(cpu)/float64(max(n, 1)), float64(after.Read-before.Read)/float64(max(n, 1)),
+		float64(after.Written-before.Written)/float64(max(n, 1)), float64(after.Resident)/1e6, float64(after.Peak)/1e6)
+	if len(firsts) > 0 {
+		(&Trial{Out: t.Out}).quantiles("; first event", firsts)
+	} else {
+		fmt.Fprintln(t.Out)
+	}
+	return nil
+}
+
+// ask sends one request and reads its whole answer; it tells when the first bytes of it came.
+func (t *ProxyTrial) ask(ctx context.Context, client *http.Client, edge string, i int) (first time.Duration, err error) {
+	r := route(rand.IntN(t.Routes), 0)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+edge+r.Prefix+"chat", bytes.NewReader(make([]byte, bodyBytes)))
+	if err != nil {
+		return 0, err
+	}
+	tenant := rand.IntN(tenants)
+	req.Host = r.Host
+	req.Header.Set(sonde.AttemptID, fmt.Sprintf("%08x%08x", i, rand.Uint32()))
+	req.Header.Set(sonde.Model, "m")
+	req.Header.Set(sonde.TokenCount, fmt.Sprintf("%d,%d", promptTokens, t.Events))
+	req.Header.Set(sonde.Prefix, fmt.Sprintf("aaaaaaaa:800,%08x:410,%08x:250", tenant, rand.Uint32()))
+	began := time.Now()
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	body := bufio.NewReader(resp.Body)
+	if _, err := body.Peek(1); err != nil {
+		return 0, err
+	}
+	first = time.Since(began)
+	b, err := io.ReadAll(body)
+	if err != nil {
+		return 0, err
+	}
+	if resp.StatusCode != http.StatusOK || bytes.Count(b, []byte("\n\n")) != t.Events {
+		return 0, errors.Errorf("status %d, %d B", resp.StatusCode, len(b))
+	}
+	return first, nil
+}
+
+// serveEngines answers as all hollow backends do: prompts are read at once, tokens come one event each Every.
+func (t *ProxyTrial) serveEngines(ln net.Listener) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer c.Close()
+			r := bufio.NewReader(c)
+			for {
+				req, err := http.ReadRequest(r)
+				if err != nil {
+					return
+				}
+				if _, err := io.Copy(io.Discard, req.Body); err != nil {
+					return
+				}
+				if t.answer(c, req) != nil {
+					return
+				}
+			}
+		}()
+	}
+}
+
+func (t *ProxyTrial) answer(c net.Conn, req *http.Request) error {
+	id := req.Header.Get(sonde.AttemptID)
+	if req.Header.Get(sonde.Stage) == sonde.PhasePrefill || strings.HasPrefix(req.URL.Path, sonde.Free.Path) {
+		body := fmt.Sprintf(`{"kv_ref":"h%s","ntok":%d,"ver":1}`, id, promptTokens)
+		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: 3,0,64\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", sonde.AttemptID, id, sonde.Load, len(body), body)
+		return err
+	}
+	if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\n%s: 3,0,64\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+		sonde.AttemptID, id, sonde.Seal, sonde.Load); err != nil {
+		return err
+	}
+	for i := range t.Events {
+		event := fmt.Sprintf("id: %d\ndata: 3e1b.07.5a2.600.0.c9f2a4d1 1\n\n", i+1)
+		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
+			return err
+		}
+		time.Sleep(t.Every)
+	}
+	_, err := io.WriteString(c, "0\r\n\r\n")
+	return err
+}
--- a/internal/system/observatory/pulls.go
+++ b/internal/system/observatory/pulls.go
@@ -88,7 +88,7 @@
 	var lastCore *synop.Core
 	epoch, count := uint64(0), uint64(0)
 	var since, polled, reported time.Time
-	every := pollEvery
+	every, dirty := pollEvery, false
 	for ; ctx.Err() == nil; sleep(ctx, pollStep) {
 		st := o.status.Load()
 		if st.Role != barograph.Primary || !st.Ready || o.set.Provider.Address == "" {
@@ -106,7 +106,9 @@
 				o.log.Debug("platform's list", zap.Error(err))
 			} else {
 				sonde.Sort(&list)
-				plain = &list
+				if plain == nil || !reflect.DeepEqual(*plain, list) {
+					plain, dirty = &list, true
+				}
 				// At most half of what the platform takes a second.
 				every = max(pollEvery, time.Duration(2*float64(calls)/max(o.set.Provider.Rate, 0.1)*float64(time.Second)))
 			}
@@ -114,9 +116,12 @@
 		// Holders of the duty don't take turns within a lease.
 		if plain != nil && now.Sub(since) > o.set.Bounds.Lease+orderWithin*2 && now.Sub(reported) >= reportEvery {
 			reported = now
-			duty.round(ctx, time.Since(o.start), plain, epoch)
+			if duty.round(ctx, time.Since(o.start), plain, epoch) {
+				dirty = true
+			}
 		}
-		if plain != nil {
+		if plain != nil && dirty {
+			dirty = false
 			list := synop.List{Backends: slices.Clone(plain.Backends)}
 			duty.mark(&list)
 			if last == nil || !reflect.DeepEqual(*last, list) {
--- a/internal/system/synop/link.go
+++ b/internal/system/synop/link.go
@@ -60,6 +60,21 @@
 // leastDial is what a dial has at the least: round trips between regions are some tens of ms.
 const leastDial = 100 * time.Millisecond
 
+// coming is a connection whose answer has time for as long as it comes: a whole list over a thin link takes longer than
+// a silence.
+type coming struct {
+	net.Conn
+	silence time.Duration
+}
+
+func (c *coming) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		_ = c.Conn.SetReadDeadline(time.Now().Add(c.silence))
+	}
+	return n, err
+}
+
 // Follower is who pulls.
 type Follower struct {
 	Name    string
@@ -80,7 +95,7 @@
 	defer c.Close()
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	defer stop()
-	r := bufio.NewReader(c)
+	r := bufio.NewReader(&coming{c, f.Silence})
 	var lacking []string
 	for f.Goes == nil || f.Goes() {
 		p := Pull{From: f.Name, WaitMs: f.Wait.Milliseconds(), Have: f.Have(), Members: f.Members()}
--- a/internal/system/synop/synop_test.go
+++ b/internal/system/synop/synop_test.go
@@ -113,3 +113,45 @@
 	c.Assert(ReadFrame(bufio.NewReader(&b), &p), qt.IsNil)
 	c.Assert(p.From, qt.Equals, "a")
 }
+
+// A whole answer that takes longer than a silence, but comes, is waited for.
+func TestSlowAnswersAreWaitedFor(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer ln.Close()
+	const silence = 200 * time.Millisecond
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		var p Pull
+		if ReadFrame(bufio.NewReader(conn), &p) != nil {
+			return
+		}
+		var b bytes.Buffer
+		_ = WriteFrame(&b, &News{Pieces: []Piece{{Source: "list", At: v(1), Whole: make([]byte, 64<<10)}}})
+		tick := time.NewTicker(silence / 4)
+		defer tick.Stop()
+		for b.Len() > 0 { // for three silences in all
+			<-tick.C
+			if _, err := conn.Write(b.Next(64 << 10 / 12)); err != nil {
+				return
+			}
+		}
+		<-ctx.Done()
+	}()
+	took := make(chan *News, 1)
+	go func() {
+		_ = Follow(ctx, ln.Addr().String(), &Follower{Name: "f", Wait: 0, Silence: silence, Members: func() []Member { return nil },
+			Have: func() map[string]Version { return nil }, Take: func(n *News) []string { took <- n; return nil }})
+		close(took)
+	}()
+	n, ok := <-took
+	c.Assert(ok, qt.IsTrue, qt.Commentf("given up while it came"))
+	c.Assert(n.Pieces[0].Whole, qt.HasLen, 64<<10)
+}
