--- a/internal/system/vane/service.go
+++ b/internal/system/vane/service.go
@@ -33,7 +33,6 @@
 	engines  *isobar.Engines // nil: no model backends
 	order    []string        // scratch
 	apart    map[string]bool // scratch
-	reads    bool            // a prefill backend is listed
 	spent    allowance
 	capacity int
 }
@@ -103,10 +102,6 @@
 }
 
 func (s *service) relist() {
-	s.reads = false
-	for _, b := range s.byID {
-		s.reads = s.reads || b.Phase == sonde.PhasePrefill && !b.Draining
-	}
 	if s.engines == nil {
 		return
 	}
@@ -222,13 +217,12 @@
 	patience := readAim * float64(aim.Milliseconds())
 	decode := func(id string) bool { return s.byID[id].Phase == sonde.PhaseDecode }
 	prefill := func(id string) bool { return s.byID[id].Phase == sonde.PhasePrefill }
-	// Some backends are kept for long answers where prompts are read at the others; where prefill backends read, all are.
+	// Some backends are kept for long answers; the others have places for what is staged, also when a burst of long ones
+	// fills those: spread over all, they left handles without takers on large fleets.
+	s.order = s.ranker.Rank(now, apartKey, decode, math.Inf(1), nil, s.order[:0])
 	clear(s.apart)
-	if !s.reads {
-		s.order = s.ranker.Rank(now, apartKey, decode, math.Inf(1), nil, s.order[:0])
-		for i := range e.Apart(now, s.order) {
-			s.apart[s.order[i]] = true
-		}
+	for i := range e.Apart(now, s.order) {
+		s.apart[s.order[i]] = true
 	}
 	long := e.Long(kind, p)
 	fresh := func(id string) bool { return !tried[id] && decode(id) && (!bound || s.allowed(id, terms)) }
@@ -236,7 +230,7 @@
 		// Where few prompts are read, and batches have places.
 		s.order = s.ranker.Rank(now, key, fresh, math.Inf(1), func(id string) float64 {
 			c := roughly(e.Busy(id)) * patience / 4
-			if !s.reads && !s.apart[id] {
+			if !s.apart[id] {
 				c += patience
 			}
 			if e.Full(now, id) {
@@ -331,7 +325,7 @@
 		if s.byID[id].Zone != from.Zone {
 			c += 0.5
 		}
-		if !s.reads && !s.apart[id] {
+		if !s.apart[id] {
 			c += 0.25
 		}
 		if e.Full(now, id) {
