--- a/internal/system/vane/service.go
+++ b/internal/system/vane/service.go
@@ -12,6 +12,7 @@
 	"molepaddle/internal/system/isobar"
 	"molepaddle/internal/system/sonde"
 	"molepaddle/internal/system/synop"
+	"molepaddle/internal/system/windrose"
 	"molepaddle/policy"
 )
 
@@ -29,7 +30,7 @@
 
 	mu       sync.Mutex
 	byID     map[string]*backend
-	ranker   *policy.Ranker
+	ranker   *windrose.Ranker
 	engines  *isobar.Engines // nil: no model backends
 	order    []string        // scratch
 	apart    map[string]bool // scratch
@@ -43,7 +44,7 @@
 
 func newService(name string, ground *enclosure.Ground, lapse time.Duration) *service {
 	return &service{name: name, ground: ground, start: time.Now(), byID: map[string]*backend{}, apart: map[string]bool{},
-		ranker: policy.NewRanker(policy.RankerSettings{LapseMs: float64(lapse.Milliseconds()), RefetchMs: float64(lapse.Milliseconds())})}
+		ranker: windrose.NewRanker(windrose.RankerSettings{LapseMs: float64(lapse.Milliseconds()), RefetchMs: float64(lapse.Milliseconds())})}
 }
 
 func (s *service) now() float64 { return float64(time.Since(s.start).Microseconds()) / 1000 }
@@ -70,7 +71,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	listed := make(map[string]bool, len(all))
-	ranked := make([]policy.Listed, 0, len(all))
+	ranked := make([]windrose.Listed, 0, len(all))
 	for _, b := range all {
 		if listed[b.ID] {
 			continue
@@ -87,7 +88,7 @@
 			old.plot.Relist(b.Zone)
 			s.byID[b.ID] = &backend{Backend: b, plot: old.plot}
 		}
-		ranked = append(ranked, policy.Listed{ID: b.ID, Usable: !b.Draining})
+		ranked = append(ranked, windrose.Listed{ID: b.ID, Usable: !b.Draining})
 	}
 	for id, b := range s.byID {
 		if !listed[id] {
--- a/policy/ranker.go
+++ b/internal/system/windrose/windrose.go
@@ -1,4 +1,7 @@
-package policy
+// Package windrose orders a service's backends for a request, by the design: named after the diagram that orders the
+// bearings of the wind. The states, their tiers, the cap and the hash are policy's; here is what one proxy keeps of each
+// backend. It does no I/O and reads no clock.
+package windrose
 
 import (
 	"cmp"
@@ -9,6 +12,7 @@
 
 	"molepaddle/internal/decide/arith"
 	"molepaddle/internal/decide/order"
+	"molepaddle/policy"
 )
 
 // handoverLimit is how many hand-overs in a row must fail to demote their source. Some handles lapse, and
@@ -44,7 +48,7 @@
 
 // backend is what a Ranker knows of one.
 type backend struct {
-	Standing
+	policy.Standing
 	id             string
 	hash           uint64
 	listed, usable bool
@@ -68,7 +72,7 @@
 	for _, l := range list {
 		b := r.byID[l.ID]
 		if b == nil {
-			b = &backend{Standing: NewStanding(now), id: l.ID, hash: arith.Mix(xxhash.Sum64String(l.ID))}
+			b = &backend{Standing: policy.NewStanding(now), id: l.ID, hash: arith.Mix(xxhash.Sum64String(l.ID))}
 			r.byID[l.ID] = b
 			r.all = append(r.all, b)
 		}
@@ -94,16 +98,16 @@
 // ConnectFailed and Reset demote it, and against one held to be Connected they force a refresh: all that
 // are Unhealthy await validation at once, and Refetch calls for the list. Other endings tell nothing of
 // the backend. A 503 of one that could not fetch a prompt's memory is Full here, and told to Handover.
-func (r *Ranker) Ended(now float64, id string, how Status) {
+func (r *Ranker) Ended(now float64, id string, how policy.Status) {
 	b := r.byID[id]
 	if b == nil {
 		return
 	}
 	b.out = max(b.out-1, 0)
 	switch how {
-	case OK:
+	case policy.OK:
 		b.Served(now)
-	case Error, Timeout, ConnectFailed, Reset:
+	case policy.Error, policy.Timeout, policy.ConnectFailed, policy.Reset:
 		r.fail(now, b)
 	}
 }
@@ -123,7 +127,7 @@
 
 // fail demotes a backend, and refreshes all if it was Connected.
 func (r *Ranker) fail(now float64, b *backend) {
-	forced := b.state == Connected
+	forced := b.State() == policy.Connected
 	if b.Demote(now); forced {
 		r.refresh(now, 0)
 	}
@@ -132,7 +136,7 @@
 // refresh has all that are Unhealthy await validation, if one has been so for hold ms.
 func (r *Ranker) refresh(now, hold float64) {
 	due := slices.ContainsFunc(r.all, func(b *backend) bool {
-		return b.state == Unhealthy && now-b.since >= hold
+		return b.State() == policy.Unhealthy && now-b.Since() >= hold
 	})
 	r.stale = r.stale || due
 	for _, b := range r.all {
@@ -155,7 +159,7 @@
 // after Rank, Ended, Handover and Probed, and tells the end of each to Probed.
 func (r *Ranker) Probes(out []string) []string {
 	for _, b := range r.all {
-		if b.due && b.usable && b.state == UnhealthyPending && !b.probing && r.probing < r.set.ProbeCap {
+		if b.due && b.usable && b.State() == policy.UnhealthyPending && !b.probing && r.probing < r.set.ProbeCap {
 			b.due, b.probing = false, true
 			r.probing++
 			out = append(out, b.id)
@@ -195,7 +199,7 @@
 		if !b.usable || among != nil && !among(b.id) {
 			continue
 		}
-		p := order.Place{Index: i, Tier: b.Tier(now, r.set.LapseMs), Score: Rendezvous(key, b.hash, 1)}
+		p := order.Place{Index: i, Tier: b.Tier(now, r.set.LapseMs), Score: policy.Rendezvous(key, b.hash, 1)}
 		if cost != nil {
 			p.Cost = arith.Finite(cost(b.id))
 		}
@@ -205,7 +209,7 @@
 	}
 	for i := range r.order {
 		p := &r.order[i]
-		p.Over = float64(r.all[p.Index].out) >= Cap(c, inflight, 1/float64(sizes[p.Tier]))
+		p.Over = float64(r.all[p.Index].out) >= policy.Cap(c, inflight, 1/float64(sizes[p.Tier]))
 	}
 	order.Sort(r.order, r.set.CostTolerance)
 	for _, p := range r.order {
--- a/policy/standing.go
+++ b/policy/standing.go
@@ -22,6 +22,10 @@
 // NewStanding is that of a backend that has just been listed: Unknown.
 func NewStanding(now float64) Standing { return Standing{Unknown, now} }
 
+// State is the present state, Since when it was entered.
+func (s *Standing) State() State   { return s.state }
+func (s *Standing) Since() float64 { return s.since }
+
 // Demote takes a failed attempt or validation. A backend that is Unhealthy keeps its entry time.
 func (s *Standing) Demote(now float64) bool { return s.state != Unhealthy && s.enter(now, Unhealthy) }
 
