One judge of whether a request bears another send; what nobody called is gone

Cause: found on reading the change once more: mayAgain and its twin asked the same in two wordings, a time-out was told in three ways, and Way.Fresh, service.sent had no caller (a test used the second to set up; it counts at the ranker now). Behaviour is as before; no assertion changed. Tests of transport, vane and station pass.

--- a/internal/protocol/transport/lend.go
+++ b/internal/protocol/transport/lend.go
@@ -6,8 +6,6 @@
 	"math"
 	"net"
 	"time"
-
-	"molepaddle/internal/core"
 )
 
 // Way is the connections to one process at one address, lent to callers that speak HTTP on them themselves,
@@ -44,26 +42,6 @@
 	return &Lent{Conn: c, R: r, c: c, Reused: reused}, nil
 }
 
-// Fresh opens a new connection whatever stands idle.
-func (w *Way) Fresh(ctx context.Context, purpose string) (*Lent, error) {
-	p := w.e.pool
-	p.mu.Lock()
-	if p.open >= p.opt.Most {
-		p.mu.Unlock()
-		return nil, core.ErrNoSocket
-	}
-	p.open++
-	p.mu.Unlock()
-	c, err := w.e.ready(ctx, purpose, nil)
-	if err != nil {
-		return nil, err
-	}
-	c.left = math.MaxInt
-	r := readers.Get().(*bufio.Reader)
-	r.Reset(c)
-	return &Lent{Conn: c, R: r, c: c}, nil
-}
-
 // Return gives a connection back for the next, whose last answer was read whole; one that holds unread bytes
 // is closed.
 func (l *Lent) Return() {
--- a/internal/system/vane/allowance.go
+++ b/internal/system/vane/allowance.go
@@ -41,10 +41,15 @@
 // asked counts a request of a client.
 func (a *allowance) asked() { a.saved = min(a.saved+a.ratio, a.most) }
 
+// left tells whether there is a further send.
+func (a *allowance) left() bool {
+	a.fill()
+	return a.saved >= 1
+}
+
 // take takes one further send, if there is one left.
 func (a *allowance) take() bool {
-	a.fill()
-	if a.saved < 1 {
+	if !a.left() {
 		return false
 	}
 	a.saved--
--- a/internal/system/vane/enclosed_choice_test.go
+++ b/internal/system/vane/enclosed_choice_test.go
@@ -66,7 +66,7 @@
 			case 1, 2, 3:
 				if len(list) > 0 {
 					id := list[next(len(list))].ID
-					s.sent(id)
+					s.ranker.Sent(id)
 					s.ended(id, []policy.Status{policy.OK, policy.Error, policy.Timeout, policy.Reset, policy.ConnectFailed, policy.Full}[next(6)])
 					s.told(id, fmt.Sprintf("%d,%d,8", next(9), next(3)))
 				}
--- a/internal/system/vane/exchange.go
+++ b/internal/system/vane/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -168,8 +167,7 @@
 		req := &http.Request{Method: m.method}
 		resp, err := http.ReadResponse(lent.R, req)
 		if err != nil {
-			var ne net.Error
-			if errors.As(err, &ne) && ne.Timeout() && ctx.Err() == nil {
+			if isTimeout(err) && ctx.Err() == nil {
 				err = errSilent
 			}
 			return fail(true, errors.Wrap(err, "answer"))
--- a/internal/system/vane/serve.go
+++ b/internal/system/vane/serve.go
@@ -217,12 +217,22 @@
 	return policy.Reset
 }
 
-// mayAgain tells whether the request may be sent to another backend now.
-func (t *try) mayAgain() bool {
-	if t.ran && !t.route.Idempotent() || t.sends >= max(t.route.Tries, 1) || time.Until(t.deadline) < 5*time.Millisecond {
+// couldAgain tells whether the request itself bears another send: by its kind, its tries and its time.
+func (t *try) couldAgain() bool {
+	return (!t.ran || t.route.Idempotent()) && t.sends < max(t.route.Tries, 1) && time.Until(t.deadline) >= 5*time.Millisecond
+}
+
+// mayAgain tells whether the request may be sent to another backend now, and takes that from the allowance.
+func (t *try) mayAgain() bool { return t.couldAgain() && t.allowed() }
+
+// wouldAgain is mayAgain without taking from the allowance.
+func (t *try) wouldAgain() bool {
+	if !t.couldAgain() {
 		return false
 	}
-	return t.allowed()
+	t.svc.mu.Lock()
+	defer t.svc.mu.Unlock()
+	return t.svc.spent.left()
 }
 
 // allowed takes one send beyond a request's first from what this proxy may make of them.
@@ -324,7 +334,7 @@
 	case resp.StatusCode >= 500:
 		t.ran = true
 		t.svc.ended(id, policy.Error)
-		if t.mayAgainPeek() {
+		if t.wouldAgain() {
 			return false, errors.Errorf("status %d", resp.StatusCode)
 		}
 	default:
@@ -334,17 +344,6 @@
 	return true, nil
 }
 
-// mayAgainPeek is mayAgain without taking from the allowance.
-func (t *try) mayAgainPeek() bool {
-	if !t.route.Idempotent() || t.sends >= max(t.route.Tries, 1) || time.Until(t.deadline) < 5*time.Millisecond {
-		return false
-	}
-	t.svc.mu.Lock()
-	defer t.svc.mu.Unlock()
-	t.svc.spent.fill()
-	return t.svc.spent.saved >= 1
-}
-
 func retryAfter(resp *http.Response) time.Duration {
 	s, err := strconv.ParseFloat(resp.Header.Get(sonde.RetryAfter), 64)
 	if err != nil || s < 0 || s > 60 {
--- a/internal/system/vane/service.go
+++ b/internal/system/vane/service.go
@@ -113,13 +113,7 @@
 	s.engines.List(all)
 }
 
-// sent and ended count an attempt.
-func (s *service) sent(id string) {
-	s.mu.Lock()
-	s.ranker.Sent(id)
-	s.mu.Unlock()
-}
-
+// ended counts the end of an attempt, as its choice counted its beginning.
 func (s *service) ended(id string, how policy.Status) {
 	s.mu.Lock()
 	s.ranker.Ended(s.now(), id, how)
--- a/internal/system/vane/stream.go
+++ b/internal/system/vane/stream.go
@@ -83,7 +83,7 @@
 		}
 		t.ran = true
 		status = policy.Error
-		if resp.StatusCode < 300 || t.mayAgainPeek() {
+		if resp.StatusCode < 300 || t.wouldAgain() {
 			return false, errors.Errorf("status %d", resp.StatusCode)
 		}
 		t.answer(resp, body)
@@ -203,7 +203,7 @@
 			if ctx.Err() != nil {
 				return ctx.Err()
 			}
-			if errors.Is(err, contextDeadline) || isTimeout(err) {
+			if isTimeout(err) {
 				return errSilent
 			}
 			return errors.Wrap(err, "stream")
@@ -211,8 +211,7 @@
 	}
 }
 
-var contextDeadline = context.DeadlineExceeded
-
+// isTimeout tells whether a deadline, a connection's or a context's, ended an operation.
 func isTimeout(err error) bool {
 	var t interface{ Timeout() bool }
 	return errors.As(err, &t) && t.Timeout()
