--- a/internal/system/isobar/engines.go
+++ b/internal/system/isobar/engines.go
@@ -31,11 +31,7 @@
 	running int     // requests under way there that this proxy sent
 	outward late    // how much longer than usual moves from it took
 	inward  late    // and moves to it
-	// As the backend last told of itself with an answer.
-	told        float64 // ms
-	toldActive  int
-	toldWait    int
-	toldRunning int // running then
+	load
 }
 
 // PrefillFaster is how much faster a prefill backend reads a prompt than a decode backend (PROTOCOL).
@@ -48,8 +44,6 @@
 	directSlower = PrefillFaster
 	// apartSlower is how much longer a move takes between zones (PROTOCOL).
 	apartSlower = 2
-	// toldFor is how long what a backend told of its load counts, ms.
-	toldFor = 400
 	// readingPart is the part of the requests at a decode backend, away from those with long answers, that still read.
 	readingPart = 0.4
 	// firstMakingMs is how long the tokens of a request are taken to be made until that was seen.
@@ -139,15 +133,6 @@
 	return ahead * e.per(g)
 }
 
-// Busy is how full a backend's batch is, by its own word and by what this proxy sent since: 0 to 1 and above.
-func (e *Engines) Busy(id string) float64 {
-	g := e.byID[id]
-	if g == nil || e.set.Capacity <= 0 {
-		return 0
-	}
-	return float64(max(g.toldActive+g.toldWait+max(g.running-g.toldRunning, 0), g.running)) / float64(e.set.Capacity)
-}
-
 // kind is what requests of a kind, such as a route's, usually are.
 type kind struct {
 	prompt float64 // tokens
@@ -330,16 +315,3 @@
 		}
 	}
 }
-
-// Told takes what a backend said of its load.
-func (e *Engines) Told(now float64, id string, active, waiting int) {
-	if g := e.byID[id]; g != nil {
-		g.told, g.toldActive, g.toldWait, g.toldRunning = now, active, waiting, g.running
-	}
-}
-
-// Full tells whether the backend is known to have no place now.
-func (e *Engines) Full(now float64, id string) bool {
-	g := e.byID[id]
-	return g != nil && e.set.Capacity > 0 && (g.running >= e.set.Capacity || now-g.told < toldFor && g.toldWait > 0 && g.toldActive >= e.set.Capacity)
-}
--- /dev/null
+++ b/internal/system/isobar/load.go
@@ -0,0 +1,90 @@
+package isobar
+
+import "slices"
+
+// load is what is known of how busy a backend is: as it last told with an answer, or as the holder of the duty of orders
+// heard from it, whichever is newer; and which requests of this proxy still wait there for the head of their answer.
+type load struct {
+	told        float64 // ms
+	toldActive  int
+	toldWait    int
+	toldRunning int       // running then
+	waiting     []float64 // since when, the oldest first
+}
+
+const (
+	// toldFor is how long what a backend told of its load counts for how much it has to read, ms.
+	toldFor = 400
+	// gaugedFor is how long it counts for how many places are taken, ms: answers that are made for seconds hold them.
+	gaugedFor = 3000
+	// gaugeLag is how old a gauged load is when it comes, ms: reports lag, rounds of them take a while.
+	gaugeLag = 300
+	// maxWaiting bounds the waiting requests that are told apart at one backend.
+	maxWaiting = 256
+)
+
+// Told takes what a backend said of its load.
+func (e *Engines) Told(now float64, id string, active, waiting int) {
+	if g := e.byID[id]; g != nil {
+		g.told, g.toldActive, g.toldWait, g.toldRunning = now, active, waiting, g.running
+	}
+}
+
+// Gauged takes how many requests were at a backend by its report; it counts unless the backend told of itself since.
+func (e *Engines) Gauged(now float64, id string, active int) {
+	if g := e.byID[id]; g != nil && g.told < now-gaugeLag {
+		room := max(e.set.Capacity, 1)
+		g.told, g.toldActive, g.toldWait, g.toldRunning = now-gaugeLag, min(active, room), max(active-room, 0), g.running
+	}
+}
+
+// taken is how many of a backend's places are taken, by its own word and by what this proxy sent since.
+func (g *engine) taken() int {
+	return max(g.toldActive+g.toldWait+max(g.running-g.toldRunning, 0), g.running)
+}
+
+// Busy is how full a backend's batch is: 0 to 1 and above.
+func (e *Engines) Busy(id string) float64 {
+	g := e.byID[id]
+	if g == nil || e.set.Capacity <= 0 {
+		return 0
+	}
+	return float64(g.taken()) / float64(e.set.Capacity)
+}
+
+// Full tells whether the backend is believed to have no place now.
+func (e *Engines) Full(now float64, id string) bool {
+	g := e.byID[id]
+	if g == nil || e.set.Capacity <= 0 {
+		return false
+	}
+	if g.prefill {
+		return g.running >= e.set.Capacity || now-g.told < toldFor && g.toldWait > 0 && g.toldActive >= e.set.Capacity
+	}
+	return g.running >= e.set.Capacity || now-g.told < gaugedFor && g.taken() >= e.set.Capacity
+}
+
+// Awaits notes that the head of an answer is waited for, and gives what Heard is to be told.
+func (e *Engines) Awaits(now float64, id string) (since float64) {
+	if g := e.byID[id]; g != nil && len(g.waiting) < maxWaiting {
+		g.waiting = append(g.waiting, now)
+	}
+	return now
+}
+
+// Heard notes that a head came, or is waited for no more.
+func (e *Engines) Heard(id string, since float64) {
+	if g := e.byID[id]; g != nil {
+		if i := slices.Index(g.waiting, since); i >= 0 {
+			g.waiting = slices.Delete(g.waiting, i, i+1)
+		}
+	}
+}
+
+// SilentMs is for how long the oldest request that waits there has.
+func (e *Engines) SilentMs(now float64, id string) float64 {
+	if g := e.byID[id]; g != nil && len(g.waiting) > 0 {
+		return now - g.waiting[0]
+	}
+	return 0
+}
--- a/internal/system/observatory/phases.go
+++ b/internal/system/observatory/phases.go
@@ -1,6 +1,7 @@
 package observatory
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"net"
@@ -25,6 +26,7 @@
 	mu       sync.Mutex
 	machines map[string]*isobar.Phases // by service
 	changing map[string]bool           // ids to which nobody should send
+	active   map[string]int            // by id of those that make tokens, as of the last round
 }
 
 const (
@@ -37,7 +39,8 @@
 func newPhases(o *Observatory) *phases {
 	client := &http.Client{Timeout: orderWithin, Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: orderWithin, KeepAlive: -1}).DialContext,
 		MaxIdleConnsPerHost: 1, IdleConnTimeout: 4 * reportEvery, DisableCompression: true}}
-	return &phases{o: o, client: sonde.NewBackendClient(client), machines: map[string]*isobar.Phases{}, changing: map[string]bool{}}
+	return &phases{o: o, client: sonde.NewBackendClient(client), machines: map[string]*isobar.Phases{}, changing: map[string]bool{},
+		active: map[string]int{}}
 }
 
 // reset forgets what an earlier term of the duty began.
@@ -46,6 +49,22 @@
 	defer p.mu.Unlock()
 	clear(p.machines)
 	clear(p.changing)
+	clear(p.active)
+}
+
+// gauges is how many requests were at the backends that make tokens when they were last asked: the fullest of them.
+func (p *phases) gauges() synop.Gauges {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := synop.Gauges{Active: maps.Clone(p.active)}
+	if len(g.Active) <= synop.MaxGauges {
+		return g
+	}
+	ids := slices.SortedFunc(maps.Keys(g.Active), func(a, b string) int { return cmp.Or(g.Active[b]-g.Active[a], cmp.Compare(a, b)) })
+	for _, id := range ids[synop.MaxGauges:] {
+		delete(g.Active, id)
+	}
+	return g
 }
 
 // mark has a list say which backends are about to change, so that proxies send nothing there.
@@ -67,6 +86,9 @@
 		return false
 	}
 	before := p.changingNow()
+	p.mu.Lock()
+	clear(p.active)
+	p.mu.Unlock()
 	for _, svc := range settled.doc.Services() {
 		if svc.Runtime == nil || svc.Runtime.Capacity <= 0 {
 			continue
@@ -84,6 +106,11 @@
 			m = isobar.NewPhases()
 			p.machines[svc.Name] = m
 		}
+		for _, s := range states {
+			if s.Usable && !s.Prefill {
+				p.active[s.ID] = s.Active
+			}
+		}
 		moves := m.Step(float64(now.Milliseconds()), svc.Runtime.Capacity, states)
 		for _, b := range all {
 			delete(p.changing, b.ID)
--- a/internal/system/observatory/pulls.go
+++ b/internal/system/observatory/pulls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"reflect"
 	"slices"
@@ -86,6 +87,7 @@
 	var plain, last *synop.List // as the platform tells, and as published
 	var lastCrowd *synop.Crowd
 	var lastCore *synop.Core
+	var lastGauges synop.Gauges
 	epoch, count := uint64(0), uint64(0)
 	var since, polled, reported time.Time
 	every, dirty := pollEvery, false
@@ -119,6 +121,12 @@
 			if duty.round(ctx, time.Since(o.start), plain, epoch) {
 				dirty = true
 			}
+			if g := duty.gauges(); !maps.Equal(g.Active, lastGauges.Active) {
+				count++
+				b, _ := g.MarshalMsg(nil)
+				o.store.Set(synop.SourceGauges, synop.Version{Epoch: epoch, Count: count}, b)
+				lastGauges = g
+			}
 		}
 		if plain != nil && dirty {
 			dirty = false
--- a/internal/system/synop/link.go
+++ b/internal/system/synop/link.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"math/rand/v2"
 	"net"
 	"time"
 )
@@ -57,6 +58,27 @@
 	return min(heartbeat, apply/5), max(apply/4, 200*time.Millisecond)
 }
 
+// Pause is the wait before a source is asked again: it grows twofold from Least to Most, a part of it by chance so that
+// those that lost a source together don't come back together, and is Least again after a link that lasted.
+type Pause struct {
+	Least, Most time.Duration
+	next        time.Duration
+}
+
+// Wait waits until it is time to ask again, or ctx ends; lasted is how long the last link stood.
+func (p *Pause) Wait(ctx context.Context, lasted time.Duration) {
+	if p.next == 0 || lasted > 10*p.Most {
+		p.next = p.Least
+	}
+	t := time.NewTimer(p.next/2 + rand.N(p.next/2+1))
+	defer t.Stop()
+	p.next = min(2*p.next, p.Most)
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
 // leastDial is what a dial has at the least: round trips between regions are some tens of ms.
 const leastDial = 100 * time.Millisecond
 
--- a/internal/system/synop/messages.go
+++ b/internal/system/synop/messages.go
@@ -87,10 +87,20 @@
 	Pulls []string `msg:"p"`
 }
 
+// Gauges is how many requests were at each backend that makes tokens, as the holder of the duty of orders heard from them:
+// the fullest ones where there are more than MaxGauges. Who isn't named has no more than the least of them.
+type Gauges struct {
+	Active map[string]int `msg:"a"` // by id
+}
+
+// MaxGauges bounds the backends that Gauges name: some 8 kB.
+const MaxGauges = 512
+
 // The sources.
 const (
 	SourceConfig = "config"
 	SourceList   = "list"
 	SourceCrowd  = "crowd"
 	SourceCore   = "core"
+	SourceGauges = "gauges"
 )
--- a/internal/system/synop/messages_gen.go
+++ b/internal/system/synop/messages_gen.go
@@ -878,6 +878,175 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *Gauges) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			var zb0002 uint32
+			zb0002, err = dc.ReadMapHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Active")
+				return
+			}
+			if z.Active == nil {
+				z.Active = make(map[string]int, zb0002)
+			} else if len(z.Active) > 0 {
+				clear(z.Active)
+			}
+			for zb0002 > 0 {
+				zb0002--
+				var za0001 string
+				za0001, err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Active")
+					return
+				}
+				var za0002 int
+				za0002, err = dc.ReadInt()
+				if err != nil {
+					err = msgp.WrapError(err, "Active", za0001)
+					return
+				}
+				z.Active[za0001] = za0002
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Gauges) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 1
+	// write "a"
+	err = en.Append(0x81, 0xa1, 0x61)
+	if err != nil {
+		return
+	}
+	err = en.WriteMapHeader(uint32(len(z.Active)))
+	if err != nil {
+		err = msgp.WrapError(err, "Active")
+		return
+	}
+	for za0001, za0002 := range z.Active {
+		err = en.WriteString(za0001)
+		if err != nil {
+			err = msgp.WrapError(err, "Active")
+			return
+		}
+		err = en.WriteInt(za0002)
+		if err != nil {
+			err = msgp.WrapError(err, "Active", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Gauges) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "a"
+	o = append(o, 0x81, 0xa1, 0x61)
+	o = msgp.AppendMapHeader(o, uint32(len(z.Active)))
+	for za0001, za0002 := range z.Active {
+		o = msgp.AppendString(o, za0001)
+		o = msgp.AppendInt(o, za0002)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Gauges) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Active")
+				return
+			}
+			if z.Active == nil {
+				z.Active = make(map[string]int, zb0002)
+			} else if len(z.Active) > 0 {
+				clear(z.Active)
+			}
+			for zb0002 > 0 {
+				var za0002 int
+				zb0002--
+				var za0001 string
+				za0001, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Active")
+					return
+				}
+				za0002, bts, err = msgp.ReadIntBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Active", za0001)
+					return
+				}
+				z.Active[za0001] = za0002
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Gauges) Msgsize() (s int) {
+	s = 1 + 2 + msgp.MapHeaderSize
+	if z.Active != nil {
+		for za0001, za0002 := range z.Active {
+			_ = za0002
+			s += msgp.StringPrefixSize + len(za0001) + msgp.IntSize
+		}
+	}
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *List) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
--- a/internal/system/telemeter/telemeter.go
+++ b/internal/system/telemeter/telemeter.go
@@ -87,6 +87,7 @@
 	go synop.Serve(ctx, ln, t.set.Nodename, t.store, 3*t.set.Heartbeat+time.Second, t.store.Fresh)
 	t.log.Info("started")
 	var began time.Time
+	pause := synop.Pause{Least: 10 * time.Millisecond, Most: 100 * time.Millisecond}
 	wait, silence := synop.Pace(t.set.Bounds.Apply, t.set.Heartbeat)
 	for i := rand.IntN(max(len(t.known), 1)); ctx.Err() == nil; i++ {
 		if len(t.known) == 0 {
@@ -109,12 +110,7 @@
 			t.seed(t.Seeds()) // none was of use: the file may name others by now
 		}
 		t.pollAlone(ctx)
-		pause := time.NewTimer(50*time.Millisecond + rand.N(50*time.Millisecond))
-		select {
-		case <-ctx.Done():
-		case <-pause.C:
-		}
-		pause.Stop()
+		pause.Wait(ctx, time.Since(began))
 	}
 	return nil
 }
--- a/internal/system/vane/feed.go
+++ b/internal/system/vane/feed.go
@@ -14,7 +14,9 @@
 
 // feed pulls from the telemeter for as long as the process lives.
 func (v *Vane) feed(ctx context.Context) {
+	pause := synop.Pause{Least: 5 * time.Millisecond, Most: 100 * time.Millisecond}
 	for ctx.Err() == nil {
+		began := time.Now()
 		err := synop.Follow(ctx, synop.TelemeterAddr(v.set.Ports), &synop.Follower{Name: v.set.Nodename, Wait: v.set.Heartbeat, Silence: time.Second,
 			Members: func() []synop.Member { return []synop.Member{{Name: v.set.Nodename, Zone: v.set.Zone}} },
 			Have:    func() map[string]synop.Version { return maps.Clone(v.have) },
@@ -23,10 +25,7 @@
 			return
 		}
 		v.log.Debug("telemeter lost", zap.Error(err))
-		select {
-		case <-ctx.Done():
-		case <-time.After(100 * time.Millisecond):
-		}
+		pause.Wait(ctx, time.Since(began))
 	}
 }
 
@@ -41,7 +40,7 @@
 			continue
 		}
 		v.have[p.Source] = p.At
-		news = true
+		news = news || p.Source != synop.SourceGauges
 	}
 	if news {
 		v.turn()
@@ -88,6 +87,14 @@
 			return err
 		}
 		v.proxies = max(crowd.Proxies, 1)
+	case synop.SourceGauges:
+		var gauges synop.Gauges
+		if _, err := gauges.UnmarshalMsg(p.Whole); err != nil {
+			return err
+		}
+		for _, s := range v.services {
+			s.gauged(gauges.Active)
+		}
 	}
 	return nil
 }
@@ -123,5 +130,7 @@
 	}
 	v.world.Store(w)
 	v.enclosed.withdraw(w)
-	v.ready.Store(v.listed)
+	if v.listed && !v.ready.Swap(true) {
+		close(v.served)
+	}
 }
--- a/internal/system/vane/serve.go
+++ b/internal/system/vane/serve.go
@@ -30,6 +30,8 @@
 	soonAgain = 50 * time.Millisecond
 	// silentAims is how many times its aim an idempotent request waits for a first byte before it goes elsewhere.
 	silentAims = 3
+	// startWait is for how long a request waits for the first configuration and list of a process that has just started.
+	startWait = 300 * time.Millisecond
 	// margin is what is kept of the time for the way back to the client.
 	margin = 10 * time.Millisecond
 )
@@ -59,6 +61,9 @@
 	if v.life.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
+	if !v.ready.Load() {
+		v.awaitWorld(r.Context())
+	}
 	world := v.world.Load()
 	if id := r.Header.Get(sonde.AttemptID); id != "" {
 		w.Header()[sonde.AttemptID] = []string{id}
@@ -136,6 +141,18 @@
 	t.plain(ctx)
 }
 
+// awaitWorld waits for what requests are served by: a process that has just started has it in a moment, and whoever came
+// that early is not given up.
+func (v *Vane) awaitWorld(ctx context.Context) {
+	t := time.NewTimer(startWait)
+	defer t.Stop()
+	select {
+	case <-v.served:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 var errTooLarge = errors.New("body too large")
 
 func readBody(r *http.Request, most int64) ([]byte, error) {
--- a/internal/system/vane/service.go
+++ b/internal/system/vane/service.go
@@ -1,7 +1,9 @@
 package vane
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -136,6 +138,39 @@
 	s.mu.Unlock()
 }
 
+// awaits notes that the head of an answer is waited for at a backend; the function given ends that.
+func (s *service) awaits(id string) (heard func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	since := s.engines.Awaits(s.now(), id)
+	return func() {
+		s.mu.Lock()
+		s.engines.Heard(id, since)
+		s.mu.Unlock()
+	}
+}
+
+// gauged notes how many requests were at the backends that make tokens, as the control plane heard from them.
+func (s *service) gauged(active map[string]int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.engines == nil {
+		return
+	}
+	least := 0
+	if len(active) >= synop.MaxGauges {
+		least = slices.Min(slices.Collect(maps.Values(active)))
+	}
+	now := s.now()
+	for id, b := range s.byID {
+		if n, ok := active[id]; ok {
+			s.engines.Gauged(now, id, n)
+		} else if least > 0 && b.Phase == sonde.PhaseDecode {
+			s.engines.Gauged(now, id, least)
+		}
+	}
+}
+
 // allowed tells whether a listed backend may hold data under the terms. The lock is held. Callers ask only for requests that
 // have terms: the others are to pay nothing.
 func (s *service) allowed(id string, terms enclosure.Terms) bool {
@@ -193,6 +228,9 @@
 	homePatience = 1
 	// shortRead is the part of that which a prompt's reading may take at a decode backend.
 	shortRead = 0.25
+	// reserve is the part of the places, at backends that are not kept for long answers, which those leave free while others
+	// have one.
+	reserve = 0.5
 	// engineCap is c of the design's bounded-load hash at engines: a batch holds many, and a prompt read away from its
 	// home costs more than a longer batch.
 	engineCap = 8
@@ -224,11 +262,15 @@
 	if long {
 		// Where few prompts are read, and batches have places.
 		s.order = s.ranker.Rank(now, key, fresh, math.Inf(1), func(id string) float64 {
-			c := roughly(e.Busy(id)) * patience / 4
+			busy := e.Busy(id)
+			c := level(busy) * patience / 4
 			if !s.apart[id] {
 				c += patience
+				if busy >= 1-reserve {
+					c += 5 * patience // what is staged finds a place there
+				}
 			}
-			if e.Full(now, id) {
+			if e.Full(now, id) || e.SilentMs(now, id) > patience {
 				c += 10 * patience
 			}
 			return c
@@ -316,14 +358,14 @@
 	s.order = s.ranker.Rank(now, key, func(id string) bool {
 		return !tried[id] && s.byID[id].Phase == sonde.PhaseDecode && (!bound || s.allowed(id, terms))
 	}, math.Inf(1), func(id string) float64 {
-		c := roughly(e.Busy(id)) + e.InwardMs(now, id)/patience
+		c := level(e.Busy(id))/4 + e.InwardMs(now, id)/patience
 		if s.byID[id].Zone != from.Zone {
 			c += 0.5
 		}
-		if !s.apart[id] {
+		if s.apart[id] {
 			c += 0.25
 		}
-		if e.Full(now, id) {
+		if e.Full(now, id) || e.SilentMs(now, id) > patience {
 			c += 10
 		}
 		return c
@@ -334,6 +376,16 @@
 	return s.byID[s.order[0]]
 }
 
-// roughly rounds how full a batch is: what proxies know of it is old, and all that know the same would go to the one that
-// seems the least full, where the key's hash spreads them among those that are much alike.
-func roughly(full float64) float64 { return math.Floor(full*8) / 8 }
+// level tells backends apart by how full their batches are, coarsely: what proxies know of that is old, and all that know the
+// same would go to the one that seems the least full, where the key's hash spreads them among those that are much alike.
+func level(full float64) float64 {
+	switch {
+	case full < 0.5:
+		return 0
+	case full < 0.75:
+		return 1
+	case full < 0.9:
+		return 2
+	}
+	return 3
+}
--- a/internal/system/vane/stream.go
+++ b/internal/system/vane/stream.go
@@ -51,7 +51,9 @@
 		t.svc.mu.Unlock()
 	}()
 	x := extra{left: time.Until(t.deadline), priority: t.priority(h != nil), handle: h}
+	heard := t.svc.awaits(b.ID)
 	e, wrote, err := t.begin(ctx, pl.permit, &t.m, &x, time.Now().Add(connectWithin), t.headBy())
+	heard()
 	sent = wrote
 	if wrote {
 		t.sends++
--- a/internal/system/vane/vane.go
+++ b/internal/system/vane/vane.go
@@ -32,7 +32,8 @@
 	log        *zap.Logger
 	pool       interface{ Close() } // the way to a backend is its plot's alone
 	ground     *enclosure.Ground
-	ready      atomic.Bool // a configuration and a list are there
+	ready      atomic.Bool   // a configuration and a list are there
+	served     chan struct{} // closed when they first are
 	world      atomic.Pointer[world]
 	life       *lifecycle.Machine
 	working    atomic.Int64
@@ -72,7 +73,7 @@
 		files = 1024
 	}
 	room := max(files-reserved, 64)
-	v := &Vane{ctx: ctx, set: set, log: log, life: lifecycle.New(), have: map[string]synop.Version{}, services: map[string]*service{}, proxies: assumedProxies,
+	v := &Vane{ctx: ctx, set: set, log: log, life: lifecycle.New(), served: make(chan struct{}), have: map[string]synop.Version{}, services: map[string]*service{}, proxies: assumedProxies,
 		statuses: xsync.NewMap[int, *xsync.Counter](), enclosed: newEnclosed()}
 	dialer := &net.Dialer{KeepAlive: -1, Control: sockets.UserTimeout(set.Bounds.Contact)}
 	pool := transport.New(transport.Options{Dial: dialer.DialContext, Timeout: connectWithin, Idle: 10 * time.Second, Most: room / 2,
