A prompt's home is believed to keep what the prompt shares, whoever sent it there

Cause: a proxy among many sees few of the prompts that share a part, so it took a home's prompts for unread, thought it far behind and read them anew elsewhere: shared parts read again are the largest price on every site. Change: what is sent to a key's home counts with its own part only (windrose.Home, isobar.Sent).

--- a/internal/system/isobar/engines.go
+++ b/internal/system/isobar/engines.go
@@ -209,13 +209,16 @@
 	return ms
 }
 
-// Sent notes a prompt sent to be read there, and gives what Read is to be told.
-func (e *Engines) Sent(id string, p *Prompt) (tokens int) {
+// Sent notes a prompt sent to be read there, and gives what Read is to be told. At its home what it shares is believed
+// kept: other proxies send there what shares it, of which this one knows nothing.
+func (e *Engines) Sent(id string, p *Prompt, home bool) (tokens int) {
 	g := e.byID[id]
 	if g == nil {
 		return 0
 	}
-	tokens = e.Unkept(id, p)
+	if tokens = e.Unkept(id, p); home {
+		tokens = min(tokens, p.Own())
+	}
 	e.usual += (float64(tokens) - e.usual) * learnPart
 	g.reading += float64(tokens)
 	g.running++
--- a/internal/system/isobar/isobar_test.go
+++ b/internal/system/isobar/isobar_test.go
@@ -58,24 +58,40 @@
 	c := qt.New(t)
 	e := engines(t, 1, 0)
 	a, b := prompt(700, "s:400,a:300"), prompt(600, "s:400,b:200")
-	c.Assert(e.Sent("p0", a), qt.Equals, 700)
+	c.Assert(e.Sent("p0", a, false), qt.Equals, 700)
 	c.Assert(e.Unkept("p0", b), qt.Equals, 200, qt.Commentf("the shared part is there"))
 	c.Assert(e.Unkept("p0", prompt(500, "x:100,s:400")), qt.Equals, 500, qt.Commentf("not without what stands before it"))
-	e.Sent("p0", b)                          // 900 kept
-	e.Sent("p0", prompt(600, "s:400,c:200")) // a's own part is the one unused the longest
+	e.Sent("p0", b, false)                          // 900 kept
+	e.Sent("p0", prompt(600, "s:400,c:200"), false) // a's own part is the one unused the longest
 	c.Assert(e.Unkept("p0", a), qt.Equals, 300)
 	c.Assert(e.Unkept("p0", b), qt.Equals, 0)
 	e.Forget("p0", b)
 	c.Assert(e.Unkept("p0", b), qt.Equals, 600, qt.Commentf("what may not have been read is not counted on"))
 }
 
+// Each of many proxies sees few of the prompts that share a part; it took a home for far behind that keeps the part from others.
+func TestHomesKeepWhatOthersSent(t *testing.T) {
+	c := qt.New(t)
+	e := engines(t, 2, 0)
+	p := prompt(900, "s:400,a:200,b:300")
+	c.Assert(p.Own(), qt.Equals, 300)
+	c.Assert(e.Sent("p0", p, true), qt.Equals, 300)
+	c.Assert(e.Sent("p1", p, false), qt.Equals, 900)
+	c.Assert(e.AheadMs(0, "p0") < e.AheadMs(0, "p1"), qt.IsTrue)
+	c.Assert(e.Sent("p1", p, true), qt.Equals, 0, qt.Commentf("what is known to be kept stays so"))
+	alone := prompt(500, "z:500")
+	c.Assert(e.Sent("p0", alone, true), qt.Equals, 500, qt.Commentf("it shares nothing"))
+	odd := prompt(100, "s:400,a:200")
+	c.Assert(odd.Own(), qt.Equals, 0)
+}
+
 // A prompt that waited must not make all others look slow: that sent prompts away from their homes.
 func TestSpeedIsLearnedFromWhatWasAlone(t *testing.T) {
 	c := qt.New(t)
 	e := engines(t, 1, 0)
 	before := e.perTok
 	p, q := prompt(900, "a:900"), prompt(900, "b:900")
-	n, m := e.Sent("p0", p), e.Sent("p0", q)
+	n, m := e.Sent("p0", p, false), e.Sent("p0", q, false)
 	e.Read("p0", n, 5000)
 	c.Assert(e.perTok, qt.Equals, before, qt.Commentf("another was under way"))
 	e.Ended("p0")
@@ -85,7 +101,7 @@
 	e.Ended("p0")
 	e.Told(2, "p0", 1, 0)
 	for i := range 200 {
-		n := e.Sent("p0", prompt(900, fmt.Sprint("c", i, ":900")))
+		n := e.Sent("p0", prompt(900, fmt.Sprint("c", i, ":900")), false)
 		e.Read("p0", n, 9)
 		e.Ended("p0")
 	}
--- a/internal/system/isobar/prompt.go
+++ b/internal/system/isobar/prompt.go
@@ -62,3 +62,15 @@
 	}
 	return p.Parts[len(p.Parts)-2].Chain
 }
+
+// Own is how many tokens of the prompt no other has: those of its last part, or all where it shares nothing.
+func (p *Prompt) Own() int {
+	if len(p.Parts) < 2 {
+		return p.In
+	}
+	shared := 0
+	for _, part := range p.Parts[:len(p.Parts)-1] {
+		shared += part.Tokens
+	}
+	return max(p.In-shared, 0)
+}
--- a/internal/system/mast/bench_test.go
+++ b/internal/system/mast/bench_test.go
@@ -282,7 +282,7 @@
 		for b.Loop() {
 			p := prompt(i)
 			id := l[i%n].ID
-			tokens := e.Sent(id, &p)
+			tokens := e.Sent(id, &p, false)
 			e.Read(id, tokens, 5)
 			e.Ended(id)
 			i++
@@ -315,7 +315,7 @@
 				for i := range n {
 					p := prompt(i)
 					id := l[i%len(l)].ID
-					e.Sent(id, &p)
+					e.Sent(id, &p, false)
 					e.Read(id, 0, 0)
 					e.Ended(id)
 				}
--- a/internal/system/vane/serve.go
+++ b/internal/system/vane/serve.go
@@ -410,9 +410,9 @@
 const maxHandleAnswer = 64 << 10
 
 // prefill has a backend read the prompt and keep its memory for the taker; reached: the call may have come there.
-func (t *try) prefill(ctx context.Context, b *backend, at enclosure.Permit, p *isobar.Prompt, by time.Time) (h *handle, reached bool, err error) {
+func (t *try) prefill(ctx context.Context, b *backend, at enclosure.Permit, p *isobar.Prompt, home bool, by time.Time) (h *handle, reached bool, err error) {
 	t.svc.mu.Lock()
-	tokens := t.svc.engines.Sent(b.ID, p)
+	tokens := t.svc.engines.Sent(b.ID, p, home)
 	t.svc.ranker.Sent(b.ID)
 	t.svc.mu.Unlock()
 	start := time.Now()
@@ -503,7 +503,7 @@
 		if pl.from != nil && h == nil {
 			var err error
 			reached := false
-			if h, reached, err = t.prefill(ctx, pl.from, pl.first, p, t.readBy()); err != nil {
+			if h, reached, err = t.prefill(ctx, pl.from, pl.first, p, pl.home, t.readBy()); err != nil {
 				t.unsent(pl, p)
 				if ctx.Err() != nil {
 					if time.Until(t.deadline) <= 0 {
--- a/internal/system/vane/service.go
+++ b/internal/system/vane/service.go
@@ -204,6 +204,7 @@
 	first  enclosure.Permit // for from
 	tokens int              // that at is to read, as the engines count them
 	readMs float64
+	home   bool // the prompt is read at its home
 }
 
 // permits fills in the permits under the terms; false: there is none. The lock is held.
@@ -317,6 +318,7 @@
 			return pl, false
 		}
 		pl.at = s.byID[s.order[0]]
+		pl.home = pl.at.ID == s.ranker.Home(key, prefill)
 		pl.readMs = e.AheadMs(now, pl.at.ID) + e.ReadMs(pl.at.ID, p)
 		if !decode(pl.at.ID) {
 			pl.from = pl.at
@@ -330,7 +332,7 @@
 	}
 	at := pl.at.ID
 	if pl.from == nil {
-		pl.tokens = e.Sent(at, p)
+		pl.tokens = e.Sent(at, p, pl.home)
 	} else {
 		e.Began(at)
 	}
--- a/internal/system/windrose/windrose.go
+++ b/internal/system/windrose/windrose.go
@@ -185,6 +185,19 @@
 	return 0
 }
 
+// Home is the usable backend, of those that among accepts, that a key's hash puts first; "": there is none.
+func (r *Ranker) Home(key uint64, among func(id string) bool) string {
+	home, best := "", math.Inf(1)
+	for _, b := range r.all {
+		if b.usable && among(b.id) {
+			if score := policy.Rendezvous(key, b.hash, 1); score < best {
+				home, best = b.id, score
+			}
+		}
+	}
+	return home
+}
+
 // Rank appends to out the usable backends that among accepts (nil: all), in the order in which a request
 // of this key (random if it has none) is to try them: by tier; in a tier, where cost is given, by cost (0
 // or more, lower first, in any one unit; those within CostTolerance of a lowest are equal); then those
--- a/internal/system/windrose/windrose_test.go
+++ b/internal/system/windrose/windrose_test.go
@@ -386,3 +386,17 @@
 		t.Fatal("all are at their caps")
 	}
 }
+
+func TestHomeIsTheHashsFirst(t *testing.T) {
+	c := qt.New(t)
+	r := NewRanker(RankerSettings{})
+	all := func(string) bool { return true }
+	c.Assert(r.Home(1, all), qt.Equals, "")
+	r.List(0, []Listed{{ID: "a", Usable: true}, {ID: "b", Usable: true}, {ID: "c", Usable: true}, {ID: "leaving"}})
+	for key := range uint64(200) {
+		home := r.Home(key, all)
+		c.Assert(home, qt.Equals, r.Rank(0, key, nil, math.Inf(1), nil, nil)[0], qt.Commentf("key %d", key))
+		second := r.Home(key, func(id string) bool { return id != home })
+		c.Assert(second, qt.Equals, r.Rank(0, key, nil, math.Inf(1), nil, nil)[1], qt.Commentf("key %d", key))
+	}
+}
