Prompts that can't be read in time are refused at once; under load homes are kept

Change: what a prompt would read again elsewhere counts as its cost, the more the more wait; waits are reckoned and the reckoning held against what came; a prompt with a long wait expected is not given up halfway; one that can't be read in its time left is answered 503 with when to come back.

--- a/internal/system/isobar/engines.go
+++ b/internal/system/isobar/engines.go
@@ -20,6 +20,7 @@
 	apart     int
 	moveLeast float64 // ms
 	apartAt   float64
+	longer    float64 // than reckoned do waiting prompts take, as a factor
 }
 
 type engine struct {
@@ -56,13 +57,15 @@
 	lateHalf, latePart = 2000, 0.3
 	// moveLeastRise is how fast the least time to a first token after a move is believed to rise, a move.
 	moveLeastRise = 0.002
+	// mostLonger bounds how wrong a reckoning is believed to be; leastTurned is what is taken for one, ms.
+	mostLonger, leastTurned = 4, 20
 	// maxKinds bounds the kinds of requests that are told apart.
 	maxKinds = 4096
 )
 
 // New makes a reckoning for backends of which nothing is known yet.
 func New(set Engine) *Engines {
-	return &Engines{set: set, byID: map[string]*engine{}, perTok: firstPerTok, kinds: map[string]kind{}}
+	return &Engines{set: set, byID: map[string]*engine{}, perTok: firstPerTok, longer: 1, kinds: map[string]kind{}}
 }
 
 // Turn takes another version of what the configuration tells.
@@ -81,7 +84,7 @@
 		listed[b.ID] = true
 		g := e.byID[b.ID]
 		if g == nil {
-			g = &engine{id: b.ID, kept: newKept(max(e.set.KVTokens, 1))}
+			g = &engine{id: b.ID, kept: newKept(max(e.set.KVTokens, 1)), load: load{told: math.Inf(-1)}}
 			e.byID[b.ID] = g
 		}
 		g.zone, g.prefill = b.Zone, b.Prefill
@@ -102,9 +105,28 @@
 	return p.In - g.kept.front(p)
 }
 
-// ReadMs is how long reading the prompt would take there once it is its turn, if a backend keeps no more than is believed.
-func (e *Engines) ReadMs(id string, p *Prompt) float64 {
-	return float64(e.Unkept(id, p)) * e.per(e.byID[id])
+// ReadMs is how long reading the prompt would take there once it is its turn, if a backend keeps no more than is believed;
+// at its home that is all that it shares.
+func (e *Engines) ReadMs(id string, p *Prompt, home bool) float64 {
+	tokens := e.Unkept(id, p)
+	if home {
+		tokens = min(tokens, p.Own())
+	}
+	return float64(tokens) * e.per(e.byID[id])
+}
+
+// ExpectMs is how long it will take until the prompt is read there, as such expectations have turned out of late.
+func (e *Engines) ExpectMs(now float64, id string, p *Prompt, home bool) float64 {
+	return (e.AheadMs(now, id) + e.ReadMs(id, p, home)) * e.longer
+}
+
+// Turned takes how long a prompt that was read took, and how long that was expected to be, ms: both above 0.
+func (e *Engines) Turned(expected, took float64) {
+	if expected < leastTurned {
+		return // what is short tells of the way, not of the queue
+	}
+	longer := min(max(took/expected*e.longer, 1/mostLonger), mostLonger)
+	e.longer += (longer - e.longer) * learnPart
 }
 
 func (e *Engines) per(g *engine) float64 {
--- a/internal/system/isobar/isobar_test.go
+++ b/internal/system/isobar/isobar_test.go
@@ -85,6 +85,31 @@
 	c.Assert(odd.Own(), qt.Equals, 0)
 }
 
+// Under twice the load that could be read, prompts that waited were given up at half of their time and read again elsewhere:
+// what waits has to be reckoned, and the reckoning to be held against what came.
+func TestExpectationsFollowWhatCame(t *testing.T) {
+	c := qt.New(t)
+	e := engines(t, 1, 0)
+	p := prompt(900, "s:600,a:300")
+	one := e.ExpectMs(0, "p0", p, true)
+	c.Assert(one, qt.Equals, 300*e.perTok)
+	c.Assert(e.ExpectMs(0, "p0", p, false), qt.Equals, 900*e.perTok)
+	for range 10 {
+		e.Sent("p0", prompt(900, "t:900"), false)
+	}
+	c.Assert(e.ExpectMs(0, "p0", p, true) > one, qt.IsTrue)
+	e.Turned(1, 1000)
+	c.Assert(e.longer, qt.Equals, 1.0, qt.Commentf("a short wait tells nothing of the queue"))
+	for range 500 {
+		e.Turned(100*e.longer, 250)
+	}
+	c.Assert(e.longer > 2.4 && e.longer < 2.6, qt.IsTrue, qt.Commentf("%v", e.longer))
+	for range 500 {
+		e.Turned(100*e.longer, 1e9)
+	}
+	c.Assert(e.longer <= mostLonger, qt.IsTrue)
+}
+
 // A prompt that waited must not make all others look slow: that sent prompts away from their homes.
 func TestSpeedIsLearnedFromWhatWasAlone(t *testing.T) {
 	c := qt.New(t)
--- /dev/null
+++ b/internal/system/vane/place.go
@@ -0,0 +1,238 @@
+package vane
+
+import (
+	"math"
+	"time"
+
+	"molepaddle/internal/system/enclosure"
+	"molepaddle/internal/system/isobar"
+	"molepaddle/internal/system/sonde"
+)
+
+// place is where a generation goes: from is where its prompt is read first; nil: at the decode backend itself.
+type place struct {
+	from   *backend
+	at     *backend
+	permit enclosure.Permit // for at
+	first  enclosure.Permit // for from
+	tokens int              // that at is to read, as the engines count them
+	readMs float64
+	home   bool // the prompt is read at its home
+}
+
+// permits fills in the permits under the terms; false: there is none. The lock is held.
+func (pl *place) permits(terms enclosure.Terms) bool {
+	var err error
+	if pl.permit, err = pl.at.plot.Permit(terms); err != nil {
+		return false
+	}
+	if pl.from != nil {
+		pl.first, err = pl.from.plot.Permit(terms)
+	}
+	return err == nil
+}
+
+const (
+	// readAim is the part of a request's aim within which a prompt should be read: what lies ahead at its home may take
+	// that long before another backend, which keeps none of it, is asked; and a move, which has a price, is made only
+	// where reading at a decode backend takes longer.
+	readAim = 0.4
+	// homePatience is how many times as long as that a prompt waits at its home: elsewhere all of it is read again, which
+	// under load makes more of what it flees from.
+	homePatience = 1
+	// shortRead is the part of that which a prompt's reading may take at a decode backend.
+	shortRead = 0.25
+	// reserve is the part of the places, at backends that are not kept for long answers, which those leave free while others
+	// have one.
+	reserve = 0.5
+	// engineCap is c of the design's bounded-load hash at engines: a batch holds many, and a prompt read away from its
+	// home costs more than a longer batch.
+	engineCap = 8
+	// apartKey orders the backends for those that make tokens for long, the same at all proxies.
+	apartKey = 0x6d6f6c6570616464
+)
+
+// placeFor chooses where a prompt is read and its tokens are made, under the terms.
+func (s *service) placeFor(kind string, p *isobar.Prompt, aim time.Duration, tried map[string]bool, split bool, terms enclosure.Terms) (pl place, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now, e := s.now(), s.engines
+	s.keepApart(now)
+	w := want{now: now, key: p.Key(), p: p, patience: patience(aim), tried: tried, terms: terms, bound: terms.Bound()}
+	if w.key == 0 && len(p.Parts) > 0 {
+		w.key = p.Parts[0].Chain
+	}
+	if e.Long(kind, p) {
+		pl.at = s.maker(&w)
+	} else {
+		s.reader(&w, split, &pl)
+	}
+	if pl.at == nil || !pl.permits(terms) {
+		return pl, false
+	}
+	at := pl.at.ID
+	if pl.from == nil {
+		pl.tokens = e.Sent(at, p, pl.home)
+	} else {
+		e.Began(at)
+	}
+	s.ranker.Sent(at)
+	return pl, true
+}
+
+// want is a request for a place.
+type want struct {
+	now      float64
+	key      uint64
+	p        *isobar.Prompt
+	patience float64 // ms
+	tried    map[string]bool
+	terms    enclosure.Terms
+	bound    bool // the terms bind
+}
+
+// patience is the part of an aim that a prompt's reading may take, ms.
+func patience(aim time.Duration) float64 { return max(readAim*float64(aim.Milliseconds()), 1) }
+
+// open tells whether a backend of a phase may be chosen. The lock is held.
+func (s *service) open(w *want, id, phase string) bool {
+	return s.byID[id].Phase == phase && !w.tried[id] && (!w.bound || s.allowed(id, w.terms))
+}
+
+// keepApart settles which backends are kept for long answers; the others have places for what is staged, also when a burst of
+// long ones fills those: spread over all, they left handles without takers on large fleets. The lock is held.
+func (s *service) keepApart(now float64) {
+	s.order = s.ranker.Rank(now, apartKey, func(id string) bool { return s.byID[id].Phase == sonde.PhaseDecode }, math.Inf(1), nil, s.order[:0])
+	clear(s.apart)
+	for i := range s.engines.Apart(now, s.order) {
+		s.apart[s.order[i]] = true
+	}
+}
+
+// maker is where a long answer is made whole: where few prompts are read, and batches have places; nil: nowhere. The lock
+// is held.
+func (s *service) maker(w *want) *backend {
+	e := s.engines
+	s.order = s.ranker.Rank(w.now, w.key, func(id string) bool { return s.open(w, id, sonde.PhaseDecode) }, math.Inf(1), func(id string) float64 {
+		busy := e.Busy(id)
+		c := level(busy) * w.patience / 4
+		if !s.apart[id] {
+			c += w.patience
+			if busy >= 1-reserve {
+				c += 5 * w.patience // what is staged finds a place there
+			}
+		}
+		if e.Full(w.now, id) || e.SilentMs(w.now, id) > w.patience {
+			c += 10 * w.patience
+		}
+		return c
+	}, s.order[:0])
+	if len(s.order) == 0 {
+		return nil
+	}
+	return s.byID[s.order[0]]
+}
+
+// reader chooses where a prompt is read: at the key's home, which keeps what the prompt shares, unless too much waits there: a
+// prefill backend, whose reading slows no tokens down; only where those are much behind, or none is there, one that decodes.
+// It fills in who makes the tokens as well. The lock is held.
+func (s *service) reader(w *want, split bool, pl *place) {
+	e, now, p := s.engines, w.now, w.p
+	reads := func(id string) bool { return s.open(w, id, sonde.PhasePrefill) }
+	home := s.ranker.Home(now, w.key, reads)
+	least := math.Inf(1) // where all are behind, nothing is won elsewhere
+	for id := range s.byID {
+		if reads(id) {
+			least = min(least, e.AheadMs(now, id)+e.OutwardMs(now, id))
+		}
+	}
+	if math.IsInf(least, 1) {
+		least = 0
+	}
+	// What is read again elsewhere holds up all that wait: the more, the more of them there are.
+	again := 1 + least/w.patience
+	s.order = s.ranker.Rank(now, w.key, func(id string) bool { return split && reads(id) || s.open(w, id, sonde.PhaseDecode) }, engineCap, func(id string) float64 {
+		c := e.AheadMs(now, id) + e.OutwardMs(now, id) - least
+		if id != home && home != "" {
+			c += max(e.ReadMs(id, p, false)-e.ReadMs(home, p, true), 0) * again
+		}
+		if c < homePatience*w.patience {
+			c = 0
+		}
+		if s.byID[id].Phase == sonde.PhaseDecode {
+			// Reading there slows the tokens of all that run, and so fills the batches: only what is short, or where
+			// nobody else reads.
+			if c = max(c, 0) + 10*w.patience; e.ReadMs(id, p, false) > shortRead*w.patience {
+				c += 1000 * w.patience
+			}
+			if s.apart[id] {
+				c += 10 * w.patience
+			}
+		}
+		if e.Full(now, id) {
+			c += 30 * w.patience
+		}
+		return c
+	}, s.order[:0])
+	if len(s.order) == 0 {
+		return
+	}
+	pl.at = s.byID[s.order[0]]
+	pl.home = pl.at.ID == home
+	pl.readMs = e.ExpectMs(now, pl.at.ID, p, pl.home)
+	if pl.at.Phase != sonde.PhaseDecode {
+		pl.from = pl.at
+		pl.at = s.taker(w, pl.from)
+	}
+}
+
+// takerFor chooses another decode backend for memory that lies at from, under the terms.
+func (s *service) takerFor(from *backend, p *isobar.Prompt, aim time.Duration, tried map[string]bool, terms enclosure.Terms) (pl place, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	pl.from = from
+	w := want{now: s.now(), key: p.Key(), p: p, patience: patience(aim), tried: tried, terms: terms, bound: terms.Bound()}
+	if pl.at = s.taker(&w, from); pl.at == nil || !pl.permits(terms) {
+		return pl, false
+	}
+	s.engines.Began(pl.at.ID)
+	s.ranker.Sent(pl.at.ID)
+	return pl, true
+}
+
+// taker is the decode backend that makes the tokens of a prompt read elsewhere: one whose batch is the least full, in the
+// same zone if that is no matter, and to which moves have not been slow of late; nil: none is left. The lock is held.
+func (s *service) taker(w *want, from *backend) *backend {
+	e := s.engines
+	s.order = s.ranker.Rank(w.now, w.key, func(id string) bool { return s.open(w, id, sonde.PhaseDecode) }, math.Inf(1), func(id string) float64 {
+		c := level(e.Busy(id))/4 + e.InwardMs(w.now, id)/w.patience
+		if s.byID[id].Zone != from.Zone {
+			c += 0.5
+		}
+		if s.apart[id] {
+			c += 0.25
+		}
+		if e.Full(w.now, id) || e.SilentMs(w.now, id) > w.patience {
+			c += 10
+		}
+		return c
+	}, s.order[:0])
+	if len(s.order) == 0 {
+		return nil
+	}
+	return s.byID[s.order[0]]
+}
+
+// level tells backends apart by how full their batches are, coarsely: what proxies know of that is old, and all that know the
+// same would go to the one that seems the least full, where the key's hash spreads them among those that are much alike.
+func level(full float64) float64 {
+	switch {
+	case full < 0.5:
+		return 0
+	case full < 0.75:
+		return 1
+	case full < 0.9:
+		return 2
+	}
+	return 3
+}
--- /dev/null
+++ b/internal/system/vane/place_test.go
@@ -0,0 +1,115 @@
+package vane
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"molepaddle/internal/system/enclosure"
+	"molepaddle/internal/system/isobar"
+	"molepaddle/internal/system/sonde"
+	"molepaddle/internal/system/synop"
+	"molepaddle/policy"
+)
+
+// engineService is a service of so many backends that read, p0 and on, and that make tokens, d0 and on.
+func engineService(capacity, prefill, decode int) *service {
+	s := newService("llm", testGround(testZones), time.Second)
+	s.configure(runtimeOf(capacity))
+	var list []synop.Backend
+	for i := range prefill + decode {
+		b := synop.Backend{ID: fmt.Sprintf("p%d", i), Address: fmt.Sprintf("10.0.0.%d:80", i+1), Zone: "e1", Phase: sonde.PhasePrefill}
+		if i >= prefill {
+			b.ID, b.Phase = fmt.Sprintf("d%d", i-prefill), sonde.PhaseDecode
+		}
+		list = append(list, b)
+	}
+	s.list(list)
+	return s
+}
+
+func sharing(key, own uint64) *isobar.Prompt {
+	return &isobar.Prompt{In: 9000, Out: 2, Parts: []isobar.Part{{Chain: key, Tokens: 6000}, {Chain: own, Tokens: 3000}}}
+}
+
+// What can't be read in the time left is not begun: in a burst of twice what could be read, prompts that were begun all the
+// same held up the others, and nearly all were late.
+func TestTooLateIsSaidAtOnce(t *testing.T) {
+	c := qt.New(t)
+	s := engineService(64, 2, 2)
+	late, n := false, 0
+	for ; n < 4000 && !late; n++ {
+		pl, ok := s.placeFor("k", sharing(uint64(n%5), uint64(1000+n)), 150*time.Millisecond, map[string]bool{}, true, enclosure.Terms{})
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(pl.from, qt.IsNotNil)
+		one := try{svc: s, deadline: time.Now().Add(2 * time.Second)}
+		late = one.tooLate(&pl)
+		if !late {
+			s.engines.Sent(pl.from.ID, sharing(uint64(n%5), uint64(1000+n)), pl.home)
+		}
+	}
+	c.Assert(late, qt.IsTrue)
+	c.Assert(n > 100, qt.IsTrue, qt.Commentf("after %d", n))
+	one := try{svc: s, deadline: time.Now().Add(time.Minute)}
+	pl, _ := s.placeFor("k", sharing(1, 1), 150*time.Millisecond, map[string]bool{}, true, enclosure.Terms{})
+	c.Assert(one.tooLate(&pl), qt.IsFalse, qt.Commentf("who has time waits"))
+	// What is expected to wait long is not given up halfway; what isn't is, in case the backend is silent.
+	c.Assert(time.Until(one.readBy(10)) < 31*time.Second, qt.IsTrue)
+	c.Assert(time.Until(one.readBy(20_000)) > 39*time.Second, qt.IsTrue)
+	c.Assert(time.Until(one.readBy(1e6)) < 61*time.Second, qt.IsTrue)
+}
+
+// Where all are behind, leaving a home makes more of what it flees from.
+func TestHomesAreKeptUnderLoad(t *testing.T) {
+	c := qt.New(t)
+	s := engineService(64, 4, 2)
+	home := s.ranker.Home(0, 7, func(id string) bool { return s.byID[id].Phase == sonde.PhasePrefill })
+	chosen := func() string {
+		pl, ok := s.placeFor("k", sharing(7, 8), 150*time.Millisecond, map[string]bool{}, true, enclosure.Terms{})
+		c.Assert(ok, qt.IsTrue)
+		s.ended(pl.at.ID, policy.OK)
+		s.engines.Ended(pl.at.ID)
+		return pl.from.ID
+	}
+	load := func(id string, prompts int) {
+		for i := range prompts {
+			s.engines.Sent(id, &isobar.Prompt{In: 5000, Parts: []isobar.Part{{Chain: uint64(100 + i), Tokens: 5000}}}, false)
+		}
+	}
+	c.Assert(chosen(), qt.Equals, home)
+	for _, id := range []string{"p0", "p1", "p2", "p3"} {
+		load(id, 30)
+	}
+	load(home, 5)
+	c.Assert(chosen(), qt.Equals, home, qt.Commentf("all are behind"))
+	load(home, 60)
+	c.Assert(chosen(), qt.Not(qt.Equals), home, qt.Commentf("it alone is far behind"))
+}
+
+// Long answers go where places are, by what the control plane heard; those kept for staged prompts come last.
+func TestLongAnswersGoWherePlacesAre(t *testing.T) {
+	c := qt.New(t)
+	s := engineService(8, 1, 4)
+	talk := &isobar.Prompt{In: 100, Out: 80, Parts: []isobar.Part{{Chain: 1, Tokens: 50}, {Chain: 2, Tokens: 50}}}
+	for range 50 {
+		s.engines.Made("talk", talk, 4000)
+	}
+	full := map[string]int{"d0": 8, "d1": 9, "d2": 8, "d3": 2}
+	s.gauged(full)
+	for range 5 {
+		pl, ok := s.placeFor("talk", talk, 120*time.Millisecond, map[string]bool{}, true, enclosure.Terms{})
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(pl.from, qt.IsNil)
+		c.Assert(pl.at.ID, qt.Equals, "d3")
+	}
+	// A request that waits long for the head of its answer keeps others away from a backend that was thought to be free.
+	s.start = s.start.Add(-time.Second) // a second later
+	s.gauged(map[string]int{"d0": 0, "d1": 0, "d2": 8, "d3": 8})
+	heard := s.awaits("d0")
+	s.start = s.start.Add(-time.Second)
+	pl, _ := s.placeFor("talk", talk, 120*time.Millisecond, map[string]bool{}, true, enclosure.Terms{})
+	c.Assert(pl.at.ID, qt.Equals, "d1")
+	heard()
+}
--- a/internal/system/vane/serve.go
+++ b/internal/system/vane/serve.go
@@ -32,6 +32,8 @@
 	silentAims = 3
 	// startWait is for how long a request waits for the first configuration and list of a process that has just started.
 	startWait = 300 * time.Millisecond
+	// lateReads is how many times as long as expected a prompt may take to be read.
+	lateReads = 2
 	// margin is what is kept of the time for the way back to the client.
 	margin = 10 * time.Millisecond
 )
@@ -309,9 +311,17 @@
 	return t.deadline
 }
 
-// readBy is until when a prompt that is read elsewhere is waited for: half of what is left, since one given up is read again
-// from its beginning.
-func (t *try) readBy() time.Time { return time.Now().Add(time.Until(t.deadline) / 2) }
+// readBy is until when a prompt that is read elsewhere is waited for: half of what is left, in case the backend is silent;
+// longer where a long wait is expected, since one given up is read again from its beginning.
+func (t *try) readBy(expected float64) time.Time {
+	left := time.Until(t.deadline)
+	return time.Now().Add(min(max(left/2, time.Duration(expected*lateReads)*time.Millisecond), left))
+}
+
+// tooLate tells whether the prompt can't be read in the time left: what is begun all the same holds up the others for nothing.
+func (t *try) tooLate(pl *place) bool {
+	return pl.from != nil && pl.readMs > float64(time.Until(t.deadline).Milliseconds())
+}
 
 // plainAt sends to one backend; done: the client has its answer.
 func (t *try) plainAt(ctx context.Context, at enclosure.Permit) (done bool, err error) {
@@ -500,10 +510,17 @@
 			t.giveUp(ctx, "no backend")
 			return
 		}
+		if h == nil && t.tooLate(&pl) {
+			t.unsent(pl, p)
+			t.refused = max(t.refused, time.Duration(pl.readMs)*time.Millisecond-time.Until(t.deadline))
+			t.giveUp(ctx, "all that read prompts have too much to read")
+			return
+		}
 		if pl.from != nil && h == nil {
 			var err error
+			began := time.Now()
 			reached := false
-			if h, reached, err = t.prefill(ctx, pl.from, pl.first, p, pl.home, t.readBy()); err != nil {
+			if h, reached, err = t.prefill(ctx, pl.from, pl.first, p, pl.home, t.readBy(pl.readMs)); err != nil {
 				t.unsent(pl, p)
 				if ctx.Err() != nil {
 					if time.Until(t.deadline) <= 0 {
@@ -523,6 +540,7 @@
 				}
 				continue
 			}
+			t.svc.turned(pl.readMs, time.Since(began))
 		}
 		t.tried[pl.at.ID] = true
 		sends := t.sends
--- a/internal/system/vane/service.go
+++ b/internal/system/vane/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -150,6 +149,13 @@
 	}
 }
 
+// turned notes how long a prompt took to be read where it was expected to take so many ms.
+func (s *service) turned(expected float64, took time.Duration) {
+	s.mu.Lock()
+	s.engines.Turned(expected, float64(took.Microseconds())/1000)
+	s.mu.Unlock()
+}
+
 // gauged notes how many requests were at the backends that make tokens, as the control plane heard from them.
 func (s *service) gauged(active map[string]int) {
 	s.mu.Lock()
@@ -195,199 +201,3 @@
 	s.ranker.Sent(at.ID())
 	return at, true
 }
-
-// place is where a generation goes: from is where its prompt is read first; nil: at the decode backend itself.
-type place struct {
-	from   *backend
-	at     *backend
-	permit enclosure.Permit // for at
-	first  enclosure.Permit // for from
-	tokens int              // that at is to read, as the engines count them
-	readMs float64
-	home   bool // the prompt is read at its home
-}
-
-// permits fills in the permits under the terms; false: there is none. The lock is held.
-func (pl *place) permits(terms enclosure.Terms) bool {
-	var err error
-	if pl.permit, err = pl.at.plot.Permit(terms); err != nil {
-		return false
-	}
-	if pl.from != nil {
-		pl.first, err = pl.from.plot.Permit(terms)
-	}
-	return err == nil
-}
-
-const (
-	// readAim is the part of a request's aim within which a prompt should be read: what lies ahead at its home may take
-	// that long before another backend, which keeps none of it, is asked; and a move, which has a price, is made only
-	// where reading at a decode backend takes longer.
-	readAim = 0.4
-	// homePatience is how many times as long as that a prompt waits at its home: elsewhere all of it is read again, which
-	// under load makes more of what it flees from.
-	homePatience = 1
-	// shortRead is the part of that which a prompt's reading may take at a decode backend.
-	shortRead = 0.25
-	// reserve is the part of the places, at backends that are not kept for long answers, which those leave free while others
-	// have one.
-	reserve = 0.5
-	// engineCap is c of the design's bounded-load hash at engines: a batch holds many, and a prompt read away from its
-	// home costs more than a longer batch.
-	engineCap = 8
-	// apartKey orders the backends for those that make tokens for long, the same at all proxies.
-	apartKey = 0x6d6f6c6570616464
-)
-
-// placeFor chooses where a prompt is read and its tokens are made, under the terms.
-func (s *service) placeFor(kind string, p *isobar.Prompt, aim time.Duration, tried map[string]bool, split bool, terms enclosure.Terms) (pl place, ok bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now, e, bound := s.now(), s.engines, terms.Bound()
-	key := p.Key()
-	if key == 0 && len(p.Parts) > 0 {
-		key = p.Parts[0].Chain
-	}
-	patience := readAim * float64(aim.Milliseconds())
-	decode := func(id string) bool { return s.byID[id].Phase == sonde.PhaseDecode }
-	prefill := func(id string) bool { return s.byID[id].Phase == sonde.PhasePrefill }
-	// Some backends are kept for long answers; the others have places for what is staged, also when a burst of long ones
-	// fills those: spread over all, they left handles without takers on large fleets.
-	s.order = s.ranker.Rank(now, apartKey, decode, math.Inf(1), nil, s.order[:0])
-	clear(s.apart)
-	for i := range e.Apart(now, s.order) {
-		s.apart[s.order[i]] = true
-	}
-	long := e.Long(kind, p)
-	fresh := func(id string) bool { return !tried[id] && decode(id) && (!bound || s.allowed(id, terms)) }
-	if long {
-		// Where few prompts are read, and batches have places.
-		s.order = s.ranker.Rank(now, key, fresh, math.Inf(1), func(id string) float64 {
-			busy := e.Busy(id)
-			c := level(busy) * patience / 4
-			if !s.apart[id] {
-				c += patience
-				if busy >= 1-reserve {
-					c += 5 * patience // what is staged finds a place there
-				}
-			}
-			if e.Full(now, id) || e.SilentMs(now, id) > patience {
-				c += 10 * patience
-			}
-			return c
-		}, s.order[:0])
-		if len(s.order) == 0 {
-			return pl, false
-		}
-		pl.at = s.byID[s.order[0]]
-	} else {
-		// The key's home, which keeps what the prompt shares, unless too much waits there: a prefill backend, whose
-		// reading slows no tokens down; only where those are much behind, or none is there, one that decodes.
-		least := math.Inf(1) // where all are behind, nothing is won elsewhere
-		for id := range s.byID {
-			if prefill(id) && !tried[id] && (!bound || s.allowed(id, terms)) {
-				least = min(least, e.AheadMs(now, id)+e.OutwardMs(now, id))
-			}
-		}
-		if math.IsInf(least, 1) {
-			least = 0
-		}
-		s.order = s.ranker.Rank(now, key, func(id string) bool {
-			return !tried[id] && (split && prefill(id) || decode(id)) && (!bound || s.allowed(id, terms))
-		}, engineCap, func(id string) float64 {
-			c := e.AheadMs(now, id) + e.OutwardMs(now, id) - least
-			if c < homePatience*patience {
-				c = 0
-			}
-			if !prefill(id) {
-				// Reading there slows the tokens of all that run, and so fills the batches: only what is short, or
-				// where nobody else reads.
-				if c = max(c, 0) + 10*patience; e.ReadMs(id, p) > shortRead*patience {
-					c += 1000 * patience
-				}
-				if s.apart[id] {
-					c += 10 * patience
-				}
-			}
-			if e.Full(now, id) {
-				c += 30 * patience
-			}
-			return c
-		}, s.order[:0])
-		if len(s.order) == 0 {
-			return pl, false
-		}
-		pl.at = s.byID[s.order[0]]
-		pl.home = pl.at.ID == s.ranker.Home(key, prefill)
-		pl.readMs = e.AheadMs(now, pl.at.ID) + e.ReadMs(pl.at.ID, p)
-		if !decode(pl.at.ID) {
-			pl.from = pl.at
-			if pl.at = s.taker(now, key, pl.from, p, patience, tried, terms); pl.at == nil {
-				return pl, false
-			}
-		}
-	}
-	if !pl.permits(terms) {
-		return pl, false
-	}
-	at := pl.at.ID
-	if pl.from == nil {
-		pl.tokens = e.Sent(at, p, pl.home)
-	} else {
-		e.Began(at)
-	}
-	s.ranker.Sent(at)
-	return pl, true
-}
-
-// takerFor chooses another decode backend for memory that lies at from, under the terms.
-func (s *service) takerFor(from *backend, p *isobar.Prompt, aim time.Duration, tried map[string]bool, terms enclosure.Terms) (pl place, ok bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	pl.from = from
-	if pl.at = s.taker(s.now(), p.Key(), from, p, readAim*float64(aim.Milliseconds()), tried, terms); pl.at == nil || !pl.permits(terms) {
-		return pl, false
-	}
-	s.engines.Began(pl.at.ID)
-	s.ranker.Sent(pl.at.ID)
-	return pl, true
-}
-
-// taker is the decode backend that makes the tokens of a prompt read elsewhere: one whose batch is the least full, in the
-// same zone if that is no matter, and to which moves have not been slow of late; nil: none is left. The lock is held.
-func (s *service) taker(now float64, key uint64, from *backend, p *isobar.Prompt, patience float64, tried map[string]bool, terms enclosure.Terms) *backend {
-	e, bound := s.engines, terms.Bound()
-	s.order = s.ranker.Rank(now, key, func(id string) bool {
-		return !tried[id] && s.byID[id].Phase == sonde.PhaseDecode && (!bound || s.allowed(id, terms))
-	}, math.Inf(1), func(id string) float64 {
-		c := level(e.Busy(id))/4 + e.InwardMs(now, id)/patience
-		if s.byID[id].Zone != from.Zone {
-			c += 0.5
-		}
-		if s.apart[id] {
-			c += 0.25
-		}
-		if e.Full(now, id) || e.SilentMs(now, id) > patience {
-			c += 10
-		}
-		return c
-	}, s.order[:0])
-	if len(s.order) == 0 {
-		return nil
-	}
-	return s.byID[s.order[0]]
-}
-
-// level tells backends apart by how full their batches are, coarsely: what proxies know of that is old, and all that know the
-// same would go to the one that seems the least full, where the key's hash spreads them among those that are much alike.
-func level(full float64) float64 {
-	switch {
-	case full < 0.5:
-		return 0
-	case full < 0.75:
-		return 1
-	case full < 0.9:
-		return 2
-	}
-	return 3
-}
--- a/internal/system/windrose/windrose.go
+++ b/internal/system/windrose/windrose.go
@@ -185,14 +185,17 @@
 	return 0
 }
 
-// Home is the usable backend, of those that among accepts, that a key's hash puts first; "": there is none.
-func (r *Ranker) Home(key uint64, among func(id string) bool) string {
-	home, best := "", math.Inf(1)
+// Home is the usable backend, of those that among accepts, that a key's hash puts first in the best tier that has any; "":
+// there is none.
+func (r *Ranker) Home(now float64, key uint64, among func(id string) bool) string {
+	home, best, tier := "", math.Inf(1), 3
 	for _, b := range r.all {
-		if b.usable && among(b.id) {
-			if score := policy.Rendezvous(key, b.hash, 1); score < best {
-				home, best = b.id, score
-			}
+		if !b.usable || !among(b.id) {
+			continue
+		}
+		score, t := policy.Rendezvous(key, b.hash, 1), b.Tier(now, r.set.LapseMs)
+		if t < tier || t == tier && score < best {
+			home, best, tier = b.id, score, t
 		}
 	}
 	return home
--- a/internal/system/windrose/windrose_test.go
+++ b/internal/system/windrose/windrose_test.go
@@ -391,12 +391,17 @@
 	c := qt.New(t)
 	r := NewRanker(RankerSettings{})
 	all := func(string) bool { return true }
-	c.Assert(r.Home(1, all), qt.Equals, "")
+	c.Assert(r.Home(0, 1, all), qt.Equals, "")
 	r.List(0, []Listed{{ID: "a", Usable: true}, {ID: "b", Usable: true}, {ID: "c", Usable: true}, {ID: "leaving"}})
 	for key := range uint64(200) {
-		home := r.Home(key, all)
+		home := r.Home(0, key, all)
 		c.Assert(home, qt.Equals, r.Rank(0, key, nil, math.Inf(1), nil, nil)[0], qt.Commentf("key %d", key))
-		second := r.Home(key, func(id string) bool { return id != home })
+		second := r.Home(0, key, func(id string) bool { return id != home })
 		c.Assert(second, qt.Equals, r.Rank(0, key, nil, math.Inf(1), nil, nil)[1], qt.Commentf("key %d", key))
 	}
+	r.Sent("a")
+	r.Ended(0, "a", policy.Reset)
+	for key := range uint64(50) {
+		c.Assert(r.Home(1, key, all), qt.Not(qt.Equals), "a", qt.Commentf("others find the key elsewhere"))
+	}
 }
