Places shared out by what is free; who turns requests away is left; old orders learnt

Change: takers and makers by weighted hash of free places in classes (full, silent, slow moves, other zone, kept apart); a backend that sheds counts as full for 2 s or until it takes one; a new holder of the duty asks for reports at once and announces what is changing, and gives orders a lease later as before.

--- a/internal/system/isobar/engines.go
+++ b/internal/system/isobar/engines.go
@@ -51,7 +51,7 @@
 	firstMakingMs = 20
 	// Backends for long answers are more above fillMost of their places, and fewer where one less would be filled to
 	// fillLeast; not sooner than so many ms after the last change.
-	fillLeast, fillMost   = 0.5, 0.75
+	fillLeast, fillMost   = 0.4, 0.65
 	moreAfter, fewerAfter = 500, 8000
 	// What is known of slow moves halves in so many ms, and each move has that part in it.
 	lateHalf, latePart = 2000, 0.3
--- a/internal/system/isobar/load.go
+++ b/internal/system/isobar/load.go
@@ -1,6 +1,9 @@
 package isobar
 
-import "slices"
+import (
+	"math"
+	"slices"
+)
 
 // load is what is known of how busy a backend is: as it last told with an answer, or as the holder of the duty of orders
 // heard from it, whichever is newer; and which requests of this proxy still wait there for the head of their answer.
@@ -10,6 +13,7 @@
 	toldWait    int
 	toldRunning int       // running then
 	waiting     []float64 // since when, the oldest first
+	shed        float64   // when it last turned a request away; 0: it took one since
 }
 
 const (
@@ -19,6 +23,9 @@
 	gaugedFor = 3000
 	// gaugeLag is how old a gauged load is when it comes, ms: reports lag, rounds of them take a while.
 	gaugeLag = 300
+	// shedFor is how long a backend that turned a request away is taken for full, ms: one whose phase changes does so until its
+	// last answer has ended.
+	shedFor = 2000
 	// maxWaiting bounds the waiting requests that are told apart at one backend.
 	maxWaiting = 256
 )
@@ -58,6 +65,9 @@
 	if g == nil || e.set.Capacity <= 0 {
 		return false
 	}
+	if g.shed > 0 && now-g.shed < shedFor {
+		return true
+	}
 	if g.prefill {
 		return g.running >= e.set.Capacity || now-g.told < toldFor && g.toldWait > 0 && g.toldActive >= e.set.Capacity
 	}
@@ -88,3 +98,17 @@
 	}
 	return 0
 }
+
+// Shed notes that a backend turned a request away, Took that it took one.
+func (e *Engines) Shed(now float64, id string) {
+	if g := e.byID[id]; g != nil {
+		g.shed = max(now, math.SmallestNonzeroFloat64)
+	}
+}
+
+// Took notes that a backend took a request.
+func (e *Engines) Took(id string) {
+	if g := e.byID[id]; g != nil {
+		g.shed = 0
+	}
+}
--- a/internal/system/isobar/load_test.go
+++ b/internal/system/isobar/load_test.go
@@ -50,3 +50,18 @@
 	c.Assert(len(e.byID["d1"].waiting), qt.Equals, maxWaiting)
 	e.Heard("gone", e.Awaits(1000, "gone"))
 }
+
+// A backend whose phase changed turned staged prompts away for seconds, and each proxy went on sending there.
+func TestWhoTurnsRequestsAwayIsFull(t *testing.T) {
+	c := qt.New(t)
+	e := engines(t, 1, 2)
+	e.Shed(0, "d0")
+	c.Assert(e.Full(1, "d0"), qt.IsTrue)
+	c.Assert(e.Full(1, "d1"), qt.IsFalse)
+	c.Assert(e.Full(shedFor+1, "d0"), qt.IsFalse)
+	e.Shed(5000, "d0")
+	e.Took("d0")
+	c.Assert(e.Full(5001, "d0"), qt.IsFalse)
+	e.Shed(1, "gone")
+	e.Took("gone")
+}
--- a/internal/system/isobar/prompt.go
+++ b/internal/system/isobar/prompt.go
@@ -74,3 +74,11 @@
 	}
 	return max(p.In-shared, 0)
 }
+
+// Last is the prompt's own key, all of its parts together; 0: it has none.
+func (p *Prompt) Last() uint64 {
+	if len(p.Parts) == 0 {
+		return 0
+	}
+	return p.Parts[len(p.Parts)-1].Chain
+}
--- a/internal/system/observatory/phases.go
+++ b/internal/system/observatory/phases.go
@@ -78,9 +78,9 @@
 	}
 }
 
-// round asks the engines of all services for their reports and gives the orders that follow. It reports whether what
-// is to be announced has changed.
-func (p *phases) round(ctx context.Context, now time.Duration, list *synop.List, epoch uint64) bool {
+// round asks the engines of all services for their reports and, where it may, gives the orders that follow. It reports whether
+// what is to be announced has changed.
+func (p *phases) round(ctx context.Context, now time.Duration, list *synop.List, epoch uint64, orders bool) bool {
 	settled := p.o.settled.Load()
 	if settled == nil || settled.doc == nil {
 		return false
@@ -111,13 +111,21 @@
 				p.active[s.ID] = s.Active
 			}
 		}
-		moves := m.Step(float64(now.Milliseconds()), svc.Runtime.Capacity, states)
+		var moves []isobar.Move
+		if orders {
+			moves = m.Step(float64(now.Milliseconds()), svc.Runtime.Capacity, states)
+		}
 		for _, b := range all {
 			delete(p.changing, b.ID)
 		}
 		for _, id := range m.Moving() {
 			p.changing[id] = true
 		}
+		for _, s := range states {
+			if s.Changing {
+				p.changing[s.ID] = true // by an order of an earlier holder, too
+			}
+		}
 		p.mu.Unlock()
 		for _, mv := range moves {
 			i := slices.IndexFunc(all, func(b synop.Backend) bool { return b.ID == mv.ID })
--- a/internal/system/observatory/pulls.go
+++ b/internal/system/observatory/pulls.go
@@ -97,7 +97,7 @@
 			continue
 		}
 		if st.Epoch != epoch {
-			epoch, count, plain, last, lastCrowd, lastCore, since = st.Epoch, 0, nil, nil, nil, nil, time.Now()
+			epoch, count, plain, last, lastCrowd, lastCore, since, reported = st.Epoch, 0, nil, nil, nil, nil, time.Now(), time.Time{}
 			duty.reset()
 		}
 		now := time.Now()
@@ -115,10 +115,10 @@
 				every = max(pollEvery, time.Duration(2*float64(calls)/max(o.set.Provider.Rate, 0.1)*float64(time.Second)))
 			}
 		}
-		// Holders of the duty don't take turns within a lease.
-		if plain != nil && now.Sub(since) > o.set.Bounds.Lease+orderWithin*2 && now.Sub(reported) >= reportEvery {
+		// Holders of the duty don't take turns within a lease; what an earlier one began is learnt at once.
+		if plain != nil && now.Sub(reported) >= reportEvery {
 			reported = now
-			if duty.round(ctx, time.Since(o.start), plain, epoch) {
+			if duty.round(ctx, time.Since(o.start), plain, epoch, now.Sub(since) > o.set.Bounds.Lease+orderWithin*2) {
 				dirty = true
 			}
 			if g := duty.gauges(); !maps.Equal(g.Active, lastGauges.Active) {
--- a/internal/system/vane/place.go
+++ b/internal/system/vane/place.go
@@ -45,6 +45,12 @@
 	// reserve is the part of the places, at backends that are not kept for long answers, which those leave free while others
 	// have one.
 	reserve = 0.5
+	// fillLong is how full the backends for long answers are filled while others have places.
+	fillLong = 0.9
+	// leastFree bounds the weight of a backend by its free places from below; classApart is above all scores.
+	leastFree, classApart = 0.05, 1e9
+	// slowMove is how much longer than usual moves take where others are better, in parts of a prompt's patience.
+	slowMove = 0.5
 	// engineCap is c of the design's bounded-load hash at engines: a batch holds many, and a prompt read away from its
 	// home costs more than a longer batch.
 	engineCap = 8
@@ -109,23 +115,26 @@
 	}
 }
 
-// maker is where a long answer is made whole: where few prompts are read, and batches have places; nil: nowhere. The lock
-// is held.
+// maker is where a long answer is made whole: where few prompts are read, by the share of free places; nil: nowhere. What is
+// known of places is a second old, and all proxies know the same: strictly the emptiest would get what comes to all of them.
+// The lock is held.
 func (s *service) maker(w *want) *backend {
 	e := s.engines
-	s.order = s.ranker.Rank(w.now, w.key, func(id string) bool { return s.open(w, id, sonde.PhaseDecode) }, math.Inf(1), func(id string) float64 {
+	key := w.p.Last() // what it shares is short: requests are spread, not kept together
+	s.order = s.ranker.Rank(w.now, key, func(id string) bool { return s.open(w, id, sonde.PhaseDecode) }, math.Inf(1), func(id string) float64 {
 		busy := e.Busy(id)
-		c := level(busy) * w.patience / 4
-		if !s.apart[id] {
-			c += w.patience
-			if busy >= 1-reserve {
-				c += 5 * w.patience // what is staged finds a place there
-			}
-		}
-		if e.Full(w.now, id) || e.SilentMs(w.now, id) > w.patience {
-			c += 10 * w.patience
+		class := 0.0
+		switch {
+		case e.Full(w.now, id) || e.SilentMs(w.now, id) > w.patience:
+			class = 3
+		case s.apart[id] && busy >= fillLong:
+			class = 2
+		case !s.apart[id] && busy >= 1-reserve:
+			class = 2 // what is staged finds a place there
+		case !s.apart[id]:
+			class = 1
 		}
-		return c
+		return class*classApart + s.ranker.Score(key, id, free(busy))
 	}, s.order[:0])
 	if len(s.order) == 0 {
 		return nil
@@ -133,6 +142,12 @@
 	return s.byID[s.order[0]]
 }
 
+// free is the weight that a backend has by its free places.
+func free(busy float64) float64 {
+	f := max(1-busy, leastFree)
+	return f * f
+}
+
 // reader chooses where a prompt is read: at the key's home, which keeps what the prompt shares, unless too much waits there: a
 // prefill backend, whose reading slows no tokens down; only where those are much behind, or none is there, one that decodes.
 // It fills in who makes the tokens as well. The lock is held.
@@ -204,35 +219,27 @@
 // same zone if that is no matter, and to which moves have not been slow of late; nil: none is left. The lock is held.
 func (s *service) taker(w *want, from *backend) *backend {
 	e := s.engines
-	s.order = s.ranker.Rank(w.now, w.key, func(id string) bool { return s.open(w, id, sonde.PhaseDecode) }, math.Inf(1), func(id string) float64 {
-		c := level(e.Busy(id))/4 + e.InwardMs(w.now, id)/w.patience
-		if s.byID[id].Zone != from.Zone {
-			c += 0.5
-		}
+	key := w.p.Last()
+	s.order = s.ranker.Rank(w.now, key, func(id string) bool { return s.open(w, id, sonde.PhaseDecode) }, math.Inf(1), func(id string) float64 {
+		busy, late := e.Busy(id), e.InwardMs(w.now, id)/w.patience
+		class := 0.0
 		if s.apart[id] {
-			c += 0.25
+			class++ // they keep their places for long answers
 		}
-		if e.Full(w.now, id) || e.SilentMs(w.now, id) > w.patience {
-			c += 10
+		if s.byID[id].Zone != from.Zone {
+			class += 2 // a move takes longer there, and costs more
 		}
-		return c
+		switch {
+		case e.Full(w.now, id) || e.SilentMs(w.now, id) > w.patience:
+			class += 8
+		case busy >= fillLong || late > slowMove:
+			class += 4
+		}
+		weight := free(busy) / ((1 + late) * (1 + late))
+		return class*classApart + s.ranker.Score(key, id, weight)
 	}, s.order[:0])
 	if len(s.order) == 0 {
 		return nil
 	}
 	return s.byID[s.order[0]]
 }
-
-// level tells backends apart by how full their batches are, coarsely: what proxies know of that is old, and all that know the
-// same would go to the one that seems the least full, where the key's hash spreads them among those that are much alike.
-func level(full float64) float64 {
-	switch {
-	case full < 0.5:
-		return 0
-	case full < 0.75:
-		return 1
-	case full < 0.9:
-		return 2
-	}
-	return 3
-}
--- a/internal/system/vane/service.go
+++ b/internal/system/vane/service.go
@@ -149,6 +149,17 @@
 	}
 }
 
+// shed notes whether a backend turned a request away.
+func (s *service) shed(id string, away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if away {
+		s.engines.Shed(s.now(), id)
+	} else {
+		s.engines.Took(id)
+	}
+}
+
 // turned notes how long a prompt took to be read where it was expected to take so many ms.
 func (s *service) turned(expected float64, took time.Duration) {
 	s.mu.Lock()
--- a/internal/system/vane/stream.go
+++ b/internal/system/vane/stream.go
@@ -76,6 +76,7 @@
 		case notRun(resp):
 			status = policy.Full
 			t.refused = max(t.refused, retryAfter(resp))
+			t.svc.shed(b.ID, true)
 			if h != nil {
 				t.svc.mu.Lock()
 				t.svc.ranker.Handover(t.svc.now(), h.from.ID, false)
@@ -96,6 +97,7 @@
 		t.svc.ranker.Handover(t.svc.now(), h.from.ID, true)
 		t.svc.mu.Unlock()
 	}
+	t.svc.shed(b.ID, false)
 	r := &relay{t: t}
 	err = r.pass(ctx, e, func() {
 		kept, began = true, time.Now()
--- a/internal/system/windrose/windrose.go
+++ b/internal/system/windrose/windrose.go
@@ -201,6 +201,15 @@
 	return home
 }
 
+// Score is a backend's place in a key's hash, lower first, the nearer to 0 the more weight (above 0) it has; an unknown id's
+// is +Inf.
+func (r *Ranker) Score(key uint64, id string, weight float64) float64 {
+	if b := r.byID[id]; b != nil {
+		return policy.Rendezvous(key, b.hash, weight)
+	}
+	return math.Inf(1)
+}
+
 // Rank appends to out the usable backends that among accepts (nil: all), in the order in which a request
 // of this key (random if it has none) is to try them: by tier; in a tier, where cost is given, by cost (0
 // or more, lower first, in any one unit; those within CostTolerance of a lowest are equal); then those
