barograph: bounded search over all orders of steps, three and four members

Need: storms draw orders of steps, none went through all of them. Change: a breadth-first search with the real machine, its disk and every message that was sent, deduplicated by a hash of the whole state.

--- /dev/null
+++ b/internal/system/barograph/cells_test.go
@@ -0,0 +1,178 @@
+package barograph
+
+import (
+	"encoding/binary"
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+	"strings"
+	"time"
+)
+
+// cell is one machine with its disk, as the search knows it. It never changes once it is known.
+type cell struct {
+	i     int // which machine
+	m     *Machine
+	app   *logApp
+	disk  State
+	gen   int // identities drawn
+	life  int // processes ended
+	wiped []ID
+
+	// What the rules look at.
+	status  Status
+	view    string
+	durable []string // the record on the disk
+}
+
+// grow makes a copy that may take a step.
+func (c *cell) grow(err *error) *cell {
+	n := &cell{i: c.i, disk: c.disk, gen: c.gen, life: c.life, wiped: c.wiped}
+	n.disk.Changes = slices.Clip(c.disk.Changes)
+	n.app = &logApp{log: slices.Clone(c.app.log), err: err}
+	n.m = cloneMachine(c.m, n.app)
+	n.draw()
+	return n
+}
+
+// draw sets the source of random numbers: it gives each identity its own and is otherwise the same in all states.
+func (c *cell) draw() {
+	n := uint64(c.i+1)<<32 | uint64(c.gen)
+	c.m.opt.Rand = func() uint64 { return n }
+}
+
+// done notes what a step led to.
+func (c *cell) done(before ID) {
+	if c.m.id.ID != before {
+		c.gen++
+	}
+	c.status = c.m.Status()
+	c.view = fmt.Sprint(c.status.View)
+	c.durable = nil
+	if s := c.disk.Snapshot; s != nil && len(s.Body) > 0 {
+		c.durable = strings.Split(string(s.Body), "\n")
+	}
+	for _, ch := range c.disk.Changes {
+		c.durable = append(c.durable, string(ch.Body))
+	}
+}
+
+// cloneMachine copies all that inputs change. What they replace whole (views, messages' values) is shared.
+func cloneMachine(m *Machine, app *logApp) *Machine {
+	c := *m
+	c.app = app
+	c.heard, c.slow, c.seeds = maps.Clone(m.heard), maps.Clone(m.slow), maps.Clone(m.seeds)
+	c.changes, c.writes, c.reads = slices.Clone(m.changes), slices.Clone(m.writes), slices.Clone(m.reads)
+	c.joiners = map[string]*joiner{}
+	for a, j := range m.joiners {
+		k := *j
+		c.joiners[a] = &k
+	}
+	if m.peers != nil {
+		c.peers = map[ID]*peer{}
+		for id, p := range m.peers {
+			k := *p
+			c.peers[id] = &k
+		}
+	}
+	if m.cand != nil {
+		k := *m.cand
+		k.staged, k.accepted = maps.Clone(k.staged), maps.Clone(k.accepted)
+		k.promises = map[ID]*promise{}
+		for id, p := range m.cand.promises {
+			o := *p
+			k.promises[id] = &o
+		}
+		c.cand = &k
+	}
+	return &c
+}
+
+// canon writes values so that equal ones are written equally: maps sorted, pointers followed, times relative to now.
+type canon struct {
+	b   []byte
+	now time.Duration
+}
+
+const longAgo = 20 * time.Second // beyond all bounds of the search's settings
+
+// key names a cell: two with one key do the same at every input.
+func (c *cell) key() string {
+	w := canon{now: c.m.now}
+	w.num(uint64(c.i))
+	w.num(uint64(c.gen))
+	w.num(uint64(c.life))
+	m := reflect.ValueOf(c.m).Elem()
+	for i := range m.NumField() {
+		switch m.Type().Field(i).Name {
+		case "opt", "app", "out", "write":
+		default:
+			w.value(m.Field(i))
+		}
+	}
+	w.value(reflect.ValueOf(c.app.log))
+	w.value(reflect.ValueOf(&c.disk).Elem())
+	w.value(reflect.ValueOf(c.wiped))
+	return string(w.b)
+}
+
+func (w *canon) num(n uint64) { w.b = binary.AppendUvarint(w.b, n) }
+
+func (w *canon) value(v reflect.Value) {
+	switch v.Kind() {
+	case reflect.Pointer:
+		if v.IsNil() {
+			w.num(0)
+			return
+		}
+		w.num(1)
+		w.value(v.Elem())
+	case reflect.Struct:
+		for i := range v.NumField() {
+			w.value(v.Field(i))
+		}
+	case reflect.Slice:
+		w.num(uint64(v.Len()))
+		for i := range v.Len() {
+			w.value(v.Index(i))
+		}
+	case reflect.Map:
+		var keys []string
+		by := map[string]reflect.Value{}
+		for _, k := range v.MapKeys() {
+			keys = append(keys, k.String())
+			by[k.String()] = v.MapIndex(k)
+		}
+		slices.Sort(keys)
+		w.num(uint64(len(keys)))
+		for _, k := range keys {
+			w.num(uint64(len(k)))
+			w.b = append(w.b, k...)
+			w.value(by[k])
+		}
+	case reflect.String:
+		w.num(uint64(v.Len()))
+		w.b = append(w.b, v.String()...)
+	case reflect.Bool:
+		if v.Bool() {
+			w.num(1)
+		} else {
+			w.num(0)
+		}
+	case reflect.Uint64, reflect.Uint8:
+		w.num(v.Uint())
+	case reflect.Int:
+		w.num(uint64(v.Int()))
+	case reflect.Int64: // a time
+		d := time.Duration(v.Int())
+		if d < 0 {
+			w.num(0)
+			return
+		}
+		d = max(d-w.now, -longAgo)
+		w.num(uint64(d + longAgo + 1))
+	default:
+		panic("kind " + v.Kind().String())
+	}
+}
