Operators' answers over storms are linearizable; verdicts wait for what they are about

Cause: an order that is answered from the record (taken already, another base, invalid) was answered once the view was confirmed, though the record's end, by which it was judged, may not be committed yet and may be lost with the primary. In the observatory one order at a time holds the door for 12 s, so it took a write that hung that long. Ruled out: a fault of the machine: Read promises what was answered before, and keeps that.

--- a/internal/system/barograph/machine_test.go
+++ b/internal/system/barograph/machine_test.go
@@ -115,16 +115,7 @@
 func storm(seed uint64, n, seeds int, sv Survive, trace bool) error {
 	s := newSim(seed, n, seeds, sv)
 	s.trace = trace
-	s.small = seed%2 == 0
-	s.loss, s.dup = 0.03*float64(seed%3), 0.02*float64(seed%2)
-	if s.hard = seed%4 == 3; s.hard {
-		s.delay, s.loss = 150*ms, 0.15
-	}
-	for _, b := range s.boxes {
-		s.after(s.upTo(300*ms), func() { s.start(b) })
-	}
-	const end = 40 * time.Second
-	var clients, faults func()
+	var clients func()
 	clients = func() {
 		if s.rng.IntN(2) == 0 {
 			s.write()
@@ -133,6 +124,25 @@
 		}
 		s.after(s.upTo(150*ms), clients)
 	}
+	s.storm(seed, clients)
+	return s.err
+}
+
+// stormEnd is when the faults end and calm begins.
+const stormEnd = 40 * time.Second
+
+// storm plays a day of faults with these clients, and then calm.
+func (s *sim) storm(seed uint64, clients func()) {
+	s.small = seed%2 == 0
+	s.loss, s.dup = 0.03*float64(seed%3), 0.02*float64(seed%2)
+	if s.hard = seed%4 == 3; s.hard {
+		s.delay, s.loss = 150*ms, 0.15
+	}
+	for _, b := range s.boxes {
+		s.after(s.upTo(300*ms), func() { s.start(b) })
+	}
+	const end = stormEnd
+	var faults func()
 	faults = func() {
 		if s.now < end {
 			s.fault()
@@ -180,7 +190,6 @@
 			}
 		}
 	}
-	return s.err
 }
 
 // TestStorm plays many seeds of faults: nothing acknowledged is lost, nobody but one primary commits in an epoch, records
--- a/internal/system/barograph/sim_test.go
+++ b/internal/system/barograph/sim_test.go
@@ -131,6 +131,7 @@
 	leaders   map[uint64]string
 	floors    map[uint64]uint64 // reads under way
 	bodies    map[uint64]string // writes under way
+	calls     map[uint64]func(carry, Answer)
 	token     uint64
 	confirms  int
 	views     map[uint64]View
@@ -143,7 +144,7 @@
 		rng: rand.New(rand.NewPCG(seed, 1)), survive: s, zones: 3, delay: 10 * ms,
 		cuts: map[[2]string]time.Duration{}, acked: map[string]uint64{}, leaders: map[uint64]string{},
 		floors: map[uint64]uint64{}, bodies: map[uint64]string{}, bootUntil: 5 * time.Second,
-		views: map[uint64]View{}, wiped: s.Nodes, // none before all was well once
+		views: map[uint64]View{}, calls: map[uint64]func(carry, Answer){}, wiped: s.Nodes, // none before all was well once
 	}
 	for i := range n {
 		r.add(fmt.Sprintf("10.0.%d.1:7000", i), fmt.Sprint("z", i%r.zones))
@@ -236,14 +237,16 @@
 	s.tick(b, b.life)
 }
 
-// kill ends the process. What is on its way to the disk may get there or not, what follows doesn't.
+// kill ends the process, or its machine's power. Of what is on its way to the disk some may get there, in order.
 func (s *sim) kill(b *box) {
 	if b.m == nil {
 		return
 	}
 	s.note("kill %s", b.addr)
 	if len(b.carries) > 0 && s.rng.IntN(2) == 0 {
-		save(&b.disk, b.carries[0].out.Write)
+		for _, c := range b.carries[:1+s.rng.IntN(len(b.carries))] {
+			save(&b.disk, c.out.Write)
+		}
 	}
 	b.m, b.carries, b.diskFree = nil, nil, s.now
 	b.life++
@@ -355,6 +358,10 @@
 	}
 	delete(s.floors, a.Token)
 	delete(s.bodies, a.Token)
+	if told := s.calls[a.Token]; told != nil {
+		delete(s.calls, a.Token)
+		told(c, a)
+	}
 }
 
 func (s *sim) send(from string, e Envelope) {
--- a/internal/system/observatory/operator.go
+++ b/internal/system/observatory/operator.go
@@ -99,13 +99,8 @@
 		return
 	}
 	call := &Call{Replace: replace, Base: base, Body: body}
-	type verdict struct {
-		status int
-		why    string
-		found  almanac.Findings
-	}
 	// What is checked and what is proposed belong together: both happen in the driver's goroutine.
-	checked := make(chan verdict, 1)
+	checked := make(chan *verdict, 1)
 	done := make(chan struct{})
 	var ans barograph.Answer
 	go func() {
@@ -117,20 +112,8 @@
 			if o.machine.Status().Role != barograph.Primary {
 				return o.machine.Propose(now, token, nil) // says who may be
 			}
-			rec := o.record
-			digest, current := call.digest(), versionOf(rec.doc)
-			for _, t := range rec.taken {
-				if t.Digest == digest {
-					checked <- verdict{status: http.StatusOK}
-					return o.machine.Read(now, token)
-				}
-			}
-			if base != current {
-				checked <- verdict{status: http.StatusPreconditionFailed, why: "version " + strconv.FormatInt(current, 10) + " is in place"}
-				return o.machine.Read(now, token)
-			}
-			if _, found := call.change(rec.doc, almanac.KnownRegions(o.set.Zones)); found.Err() != nil {
-				checked <- verdict{status: http.StatusBadRequest, why: "the configuration is invalid", found: found}
+			if v := o.record.judge(call, almanac.KnownRegions(o.set.Zones)); v != nil {
+				checked <- v
 				return o.machine.Read(now, token)
 			}
 			b, _ := call.MarshalMsg(nil)
@@ -145,8 +128,7 @@
 	}
 	select {
 	case v := <-checked:
-		// The verdict is about the newest configuration only if the view still stands.
-		if err != nil || ans.Result != barograph.Confirmed {
+		if err != nil || !v.holds(ans) {
 			o.later(w, "not settled")
 			return
 		}
--- a/internal/system/observatory/record.go
+++ b/internal/system/observatory/record.go
@@ -1,9 +1,13 @@
 package observatory
 
 import (
+	"net/http"
+	"strconv"
+
 	"github.com/go-faster/errors"
 
 	"molepaddle/internal/system/almanac"
+	"molepaddle/internal/system/barograph"
 )
 
 // record is the durable state: the operator's configuration, and which calls brought it there. It is barograph's App.
@@ -48,6 +52,41 @@
 	return almanac.Update(doc, c.Body, checks...)
 }
 
+// verdict is the answer to a call that isn't proposed, as the record stood at seq.
+type verdict struct {
+	status int
+	why    string
+	found  almanac.Findings
+	seq    uint64
+}
+
+// judge answers a call that was taken already, builds on another version or is invalid; nil: it is to be proposed.
+func (r *record) judge(c *Call, checks ...almanac.Check) *verdict {
+	v := &verdict{seq: r.seq}
+	digest, current := c.digest(), versionOf(r.doc)
+	for _, t := range r.taken {
+		if t.Digest == digest {
+			v.status = http.StatusOK
+			return v
+		}
+	}
+	if c.Base != current {
+		v.status, v.why = http.StatusPreconditionFailed, "version "+strconv.FormatInt(current, 10)+" is in place"
+		return v
+	}
+	if _, found := c.change(r.doc, checks...); found.Err() != nil {
+		v.status, v.why, v.found = http.StatusBadRequest, "the configuration is invalid", found
+		return v
+	}
+	return nil
+}
+
+// holds reports whether a verdict may be told after this answer to a Read that came with it: the view still stands, and
+// what the verdict is about is committed, as the end of a record may yet be lost.
+func (v *verdict) holds(a barograph.Answer) bool {
+	return a.Result == barograph.Confirmed && a.Seq >= v.seq
+}
+
 // Apply takes a change that the primary has checked: it can't fail, and is left out everywhere if it does.
 func (r *record) Apply(seq uint64, body []byte) {
 	r.seq = seq
