archive: folders, what a killed process left and a broken file's name are synced

Cause, seen with strace of a first start and read from the code: (1) the store's folder was made and never synced in the one above, so a loss of power could take all of it; (2) a process killed between a write and its sync leaves a commit that only the system's memory has: the next process read it, and barograph acts upon what is read without writing it again (an acknowledgement, a promise), so a loss of power then could take back what was acknowledged; (3) a broken file's logs were removed in the same folder sync as its renaming: with the removal on disk alone the file might be read whole as it was earlier, with promises forgotten. Change: makeFolder, settle before the file is read, two syncs around the renaming, in folder.go.

--- a/internal/system/archive/archive.go
+++ b/internal/system/archive/archive.go
@@ -6,6 +6,12 @@
 // aside as control.db.broken (one at most, an older one is replaced) and State.Lost is set, also at later openings,
 // until something was saved.
 //
+// # Loss of power
+//
+// What Save and Open have returned survives it. SQLite syncs the folder after it has made its files; folders made here are
+// synced in theirs. A process that was killed may leave writes that only the system's memory has: Open syncs the
+// files before it reads them, as what is read is acted upon without being written again.
+//
 // # Size
 //
 // The file holds one snapshot and the changes since, which barograph bounds; while a snapshot is replaced, the old
@@ -73,9 +79,12 @@
 // Open opens or creates the store in dir and loads what it holds. A file that can't be read whole is set aside and the State
 // comes back empty with Lost set; Broken then tells why. Open fails when the folder can't be used at all.
 func Open(dir string) (*Archive, barograph.State, error) {
-	if err := os.MkdirAll(dir, 0o755); err != nil {
+	if err := makeFolder(dir); err != nil {
 		return nil, barograph.State{}, errors.Wrap(err, "archive: make folder")
 	}
+	if err := settle(dir); err != nil {
+		return nil, barograph.State{}, errors.Wrap(err, "archive")
+	}
 	path := filepath.Join(dir, fileName)
 	a, st, err := open(path)
 	var broken *BrokenError
@@ -106,25 +115,6 @@
 	return a.broken
 }
 
-// setAside renames the file, in the place of an older broken one, and removes its logs.
-func setAside(dir string) error {
-	path := filepath.Join(dir, fileName)
-	if err := os.Rename(path, filepath.Join(dir, brokenName)); err != nil {
-		return errors.Wrap(err, "rename")
-	}
-	for _, tail := range []string{"-wal", "-shm", "-journal"} {
-		if err := os.Remove(path + tail); err != nil && !os.IsNotExist(err) {
-			return errors.Wrap(err, "remove")
-		}
-	}
-	d, err := os.Open(dir)
-	if err != nil {
-		return errors.Wrap(err, "open folder")
-	}
-	defer func() { _ = d.Close() }()
-	return wrap(d.Sync(), "sync folder")
-}
-
 func open(path string) (_ *Archive, st barograph.State, rerr error) {
 	db, err := sql.Open("sqlite3", (&url.URL{Scheme: "file", Opaque: (&url.URL{Path: path}).EscapedPath()}).String())
 	if err != nil {
