Engines record the end of a run as its place is given back: the one leaked rest explained

Cause: an engine stamped Ended after the answer had gone out. Whoever had the whole answer could look, or have terms change, before that: the run was taken for one that went on, up to now. With terms that change at once (TestLeaks) a stall of 200 ms between the answer and the stamp gives exactly one leaked rest, the last run. The auditor also took a handle whose prefill had not ended for one of the year 1, and let it pass: it is judged as there still. Change: Ended is taken once, with the place, before the end of the answer goes out. Ruled out for that: a send outside (every send registers before it looks at its terms).

--- a/internal/system/screen/engine_handle.go
+++ b/internal/system/screen/engine_handle.go
@@ -51,7 +51,7 @@
 	}
 	l.e.Log.add(en)
 	defer l.e.Log.edit(func() {})
-	defer l.e.Log.edit(func() { en.Ended = s.Now() })
+	defer l.over(en)
 	if a.f.Silent {
 		a.keep = false
 		<-ctx.Done()
@@ -64,6 +64,16 @@
 	run(ctx, a, en)
 }
 
+// over records when the work on a request ended: as its place is given back, which is before the end of its answer goes
+// out. How long it takes to write that is no time in which the request is here.
+func (l *life) over(en *Entry) {
+	l.e.Log.edit(func() {
+		if en.Ended.IsZero() {
+			en.Ended = l.e.s.Now()
+		}
+	})
+}
+
 // parseParts reads X-Molepaddle-Prompt-Prefix; parts that can't be read are left out.
 func parseParts(s string) (parts []Part) {
 	for f := range strings.SplitSeq(s, ",") {
--- a/internal/system/screen/engine_run.go
+++ b/internal/system/screen/engine_run.go
@@ -187,11 +187,13 @@
 	l.began(en, "")
 	if l.read(ctx, a, en, ls, l.e.s.TokenRead) != nil {
 		l.leave(ls)
+		l.over(en)
 		l.stop(ctx, a, en, false)
 		return
 	}
 	if a.f.Fail != 0 {
 		l.leave(ls)
+		l.over(en)
 		l.answer(a, en, a.f.Fail, nil)
 		return
 	}
@@ -199,8 +201,9 @@
 	l.mu.Lock()
 	l.hand(h)
 	l.mu.Unlock()
-	l.leave(nil)
 	l.e.Log.edit(func() { en.Handle = h.id })
+	l.leave(nil)
+	l.over(en)
 	if a.f.LoseAnswer || a.f.Garble {
 		l.broke(a, en)
 		if a.f.Garble {
@@ -227,7 +230,7 @@
 	if !ok {
 		return
 	}
-	a.done = sync.OnceFunc(func() { l.leave(ls) })
+	a.done = sync.OnceFunc(func() { l.leave(ls); l.over(en) })
 	defer a.done()
 	if en.KVFrom != "" {
 		h, err := l.fetch(ctx, en.KVFrom, en.Model, ver, a.f.KVSlow)
--- a/internal/system/screen/engine_test.go
+++ b/internal/system/screen/engine_test.go
@@ -376,6 +376,27 @@
 	}
 }
 
+// TestEndedWithTheAnswer: who has read a whole answer finds that its work has ended, before the answer came.
+func TestEndedWithTheAnswer(t *testing.T) {
+	c := qt.New(t)
+	for _, s := range []EngineSettings{{}, {Phase: PhaseDecode}, {Phase: PhasePrefill}} {
+		e := StartEngine(t, s)
+		cl := &Client{Edge: e.Address(), Keep: true}
+		r := prompt("a")
+		if s.Phase == PhasePrefill {
+			r = with(r, HeaderStage, "prefill")
+		}
+		for range 100 {
+			res := cl.Do(c.Context(), r)
+			en := last(e)
+			c.Assert(res.Status, qt.Equals, 200)
+			c.Assert(en.Ended.IsZero(), qt.IsFalse)
+			c.Assert(en.Ended.Before(en.Began) || en.Ended.After(res.EndedAt), qt.IsFalse)
+		}
+		cl.Close()
+	}
+}
+
 func TestKeepsConnections(t *testing.T) {
 	c := qt.New(t)
 	e := StartEngine(t, EngineSettings{MaxConn: 1, KeepAlive: 60})
--- a/internal/system/screen/judge_rest.go
+++ b/internal/system/screen/judge_rest.go
@@ -78,8 +78,10 @@
 			out = append(out, rest)
 			if en.Kind == KindPrefill && en.Handle != "" {
 				rest.Kind = RestHandle
-				rest.Until = en.Ended.Add(e.s.KVRef)
-				if at, ok := gone[en.Handle]; ok && at.Before(rest.Until) {
+				if !rest.Until.IsZero() {
+					rest.Until = en.Ended.Add(e.s.KVRef)
+				}
+				if at, ok := gone[en.Handle]; ok && (rest.Until.IsZero() || at.Before(rest.Until)) {
 					rest.Until = at
 				}
 				out = append(out, rest)
--- a/internal/system/screen/log.go
+++ b/internal/system/screen/log.go
@@ -32,7 +32,7 @@
 	Seq     uint64 // order among all Engines of this process
 	At      time.Time
 	Began   time.Time // when work began; zero while it has not
-	Ended   time.Time // when the answer was out or given up; zero while it is not
+	Ended   time.Time // when its place was given back, before the end of its answer goes out; zero while it is at work
 	Kind    EntryKind
 	Engine  string // id
 	Address string
