A cut that falls between two reads holds: withdrawn regions, and clients that left

Cause: when a send ends (its region is withdrawn, its client leaves) a deadline in the past wakes who reads. The relay set a new deadline before each read; where the end came between two reads, that undid it, and the vane waited on for the next event, at the most to the request's deadline. Test: the region is withdrawn from within the write of an event, and the backend stalls (Faults.StallAfter, with a test of its own).

--- a/internal/system/screen/engine_run.go
+++ b/internal/system/screen/engine_run.go
@@ -351,6 +351,11 @@
 			l.broke(a, en)
 			return
 		}
+		if n := a.f.StallAfter; n > 0 && id-last >= n && id < total {
+			<-ctx.Done()
+			l.stop(ctx, a, en, true)
+			return
+		}
 	}
 	if b == nil {
 		open()
--- a/internal/system/screen/engine_test.go
+++ b/internal/system/screen/engine_test.go
@@ -365,6 +365,29 @@
 	c.Assert(e.Phase(), qt.Equals, PhasePrefill)
 }
 
+// TestStallAfter: a stream that stalls keeps its place until its caller leaves.
+func TestStallAfter(t *testing.T) {
+	c := qt.New(t)
+	e := StartEngine(t, EngineSettings{Phase: PhaseDecode})
+	e.SetFaults(Faults{StallAfter: 2})
+	ctx, cancel := context.WithTimeout(c.Context(), 10*time.Second)
+	defer cancel()
+	leave, left := context.WithCancel(ctx)
+	res := make(chan Result, 1)
+	go func() { res <- (&Client{Edge: e.Address()}).Do(leave, prompt("a")) }()
+	_, err := e.Log.Wait(ctx, func(es []Entry) bool { return len(es) == 1 && es[0].LastEvent == 2 })
+	c.Assert(err, qt.IsNil)
+	running, _ := e.Load()
+	c.Assert(running, qt.Equals, 1)
+	left()
+	r := <-res
+	c.Assert(len(r.Events) <= 2 && !r.Complete, qt.IsTrue)
+	_, err = e.Log.Wait(ctx, func(es []Entry) bool { return !es[0].Ended.IsZero() })
+	c.Assert(err, qt.IsNil)
+	running, _ = e.Load()
+	c.Assert(running, qt.Equals, 0)
+}
+
 // TestSlotIsFreeWithTheAnswer: who has read a whole answer finds the slot free.
 func TestSlotIsFreeWithTheAnswer(t *testing.T) {
 	c := qt.New(t)
--- a/internal/system/screen/settings.go
+++ b/internal/system/screen/settings.go
@@ -60,6 +60,7 @@
 type Faults struct {
 	Fail       int           // run each request and answer it with this status (500 and up); 0 for none
 	CutAfter   int           // cut the answer after this many events, or bytes of a plain body; 0 for none
+	StallAfter int           // send nothing more after this many events and keep the connection; 0 for none
 	Garble     bool          // send bytes that are no answer
 	Extra      bool          // send another whole answer, with another attempt's id, after each answer
 	LoseAnswer bool          // run the request and close without an answer
--- a/internal/system/vane/enclosed_rig_test.go
+++ b/internal/system/vane/enclosed_rig_test.go
@@ -42,12 +42,14 @@
 	version int
 	history []screen.Term // of the tenant "held"
 	begun   chan struct{} // one for each stream whose first event has gone to its client
+	at      func()        // called as a stream begins, before the vane reads on; nil: nothing
 }
 
 // watched tells when a stream has begun.
 type watched struct {
 	http.ResponseWriter
 	begun chan<- struct{}
+	at    func()
 	seen  bool
 }
 
@@ -58,6 +60,9 @@
 	if !w.seen && strings.HasPrefix(w.Header().Get("Content-Type"), "text/event-stream") {
 		w.seen = true
 		w.begun <- struct{}{}
+		if w.at != nil {
+			w.at()
+		}
 	}
 	return n, err
 }
@@ -88,7 +93,7 @@
 	r.v.life.Open()
 	r.begun = make(chan struct{}, 10_000)
 	r.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
-		r.v.ServeHTTP(&watched{ResponseWriter: w, begun: r.begun}, q)
+		r.v.ServeHTTP(&watched{ResponseWriter: w, begun: r.begun, at: r.at}, q)
 	}))
 	r.client = &screen.Client{Edge: r.server.Listener.Addr().String()}
 	for _, s := range engines {
--- a/internal/system/vane/enclosed_test.go
+++ b/internal/system/vane/enclosed_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"maps"
 	"net"
+	"runtime"
+	"sync"
 	"testing"
 	"time"
 
@@ -152,6 +154,23 @@
 	t.Logf("%d kept parts linger", len(lingering))
 }
 
+// TestEnclosedWithdrawnBetweenReads withdraws a region as the vane passes an event on, where the next does not come: the
+// stream is cut all the same, long before its deadline, and taken up inside.
+func TestEnclosedWithdrawnBetweenReads(t *testing.T) {
+	r := newRig(t, everywhere(nil)...)
+	r.configure("east")
+	trouble(r.in("east"), screen.Faults{StallAfter: 1})
+	r.at = sync.OnceFunc(func() {
+		r.configure("mid")
+		for range 1000 {
+			runtime.Gosched() // the cut is made beside this: let it come before the next read
+		}
+	})
+	got := r.burst(1, [2]int{400, 5}, "held")
+	r.Check(got[0].OK(), qt.IsTrue, qt.Commentf("%d %v", got[0].Status, got[0].Err))
+	r.clean()
+}
+
 // cutOff tells whether an answer can't be taken for a whole one: broken off, or, before its first event, refused without a promise.
 func cutOff(res screen.Result) bool { return res.Status == 502 || res.Status == 200 && !res.Complete }
 
--- a/internal/system/vane/exchange.go
+++ b/internal/system/vane/exchange.go
@@ -101,6 +101,7 @@
 
 // exchange is one send to one backend, and its answer.
 type exchange struct {
+	ctx  context.Context // the send's: when it ends, whoever reads is woken
 	lent *transport.Lent
 	resp *http.Response
 	stop func() bool
@@ -119,6 +120,18 @@
 // maxStale bounds the surplus answers that are read past on a connection.
 const maxStale = 4
 
+// over is a deadline that has passed: it wakes who reads or writes.
+var over = time.Unix(1, 0)
+
+// readUntil bounds the reads that follow. A send that has ended stays so: its end may have come between two reads, and a new
+// bound would undo what is to wake the next.
+func (e *exchange) readUntil(by time.Time) {
+	_ = e.lent.SetReadDeadline(by)
+	if e.ctx.Err() != nil {
+		_ = e.lent.SetReadDeadline(over)
+	}
+}
+
 // begin sends the message and reads the head of its answer. wrote tells whether a byte may have gone out: else
 // the backend has not run it. When ctx ends the connection is closed under whoever reads from it. The terms of the request
 // are checked here again, for the backend and for where a handle lies, and watched until the exchange ends.
@@ -141,8 +154,8 @@
 		}
 		return nil, false, errors.Wrap(errors.Join(errConnect, err), "connect")
 	}
-	e = &exchange{lent: lent, sent: time.Now(), at: at, held: held}
-	e.stop = context.AfterFunc(ctx, func() { _ = lent.Conn.SetDeadline(time.Unix(1, 0)) })
+	e = &exchange{ctx: ctx, lent: lent, sent: time.Now(), at: at, held: held}
+	e.stop = context.AfterFunc(ctx, func() { _ = lent.Conn.SetDeadline(over) })
 	fail := func(wrote bool, err error) (*exchange, bool, error) {
 		e.stop()
 		lent.Drop(true)
--- a/internal/system/vane/serve.go
+++ b/internal/system/vane/serve.go
@@ -315,7 +315,7 @@
 		t.svc.ended(id, policy.Error)
 		return false, errNotOurs
 	}
-	_ = e.lent.SetDeadline(t.deadline)
+	e.readUntil(t.deadline)
 	resp := e.resp
 	t.svc.told(id, resp.Header.Get(sonde.Load))
 	body, err := e.body(maxAnswer)
--- a/internal/system/vane/stream.go
+++ b/internal/system/vane/stream.go
@@ -64,7 +64,7 @@
 	resp := e.resp
 	t.svc.told(b.ID, resp.Header.Get(sonde.Load))
 	if resp.StatusCode >= 300 || resp.Header.Get("Content-Encoding") != "" || resp.Header.Get(sonde.Seal) == "" {
-		_ = e.lent.SetDeadline(time.Now().Add(time.Second))
+		e.readUntil(time.Now().Add(time.Second))
 		body, err := e.body(maxAnswer)
 		switch {
 		case err != nil:
@@ -150,7 +150,7 @@
 		if !some && !r.begun {
 			by = t.headBy()
 		}
-		_ = e.lent.SetReadDeadline(by)
+		e.readUntil(by)
 		n, err := resp.Body.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
 		if cut := t.stays(e); cut != nil && err != io.EOF && ctx.Err() == nil {
@@ -251,7 +251,7 @@
 			if notRun(resp) {
 				status = policy.Full
 			}
-			_ = e.lent.SetDeadline(time.Now().Add(time.Second))
+			e.readUntil(time.Now().Add(time.Second))
 			_, _ = e.body(maxAnswer)
 		} else if err = r.pass(ctx, e, func() { kept = true }); err == nil {
 			done = true
