Engines start one move at a time, with the handle and the link taken together

Cause: an engine looked whether its link was free, took the handle and took the link afterwards: of two moves begun at once both found it free, so that a move that had to wait for more than two seconds was started. Change: both under one lock of their own.

--- a/internal/system/screen/engine.go
+++ b/internal/system/screen/engine.go
@@ -49,7 +49,9 @@
 	orders   orders
 	swapping bool
 	models   []Model
-	linkFree time.Time // when the link is free for another move
+
+	link     sync.Mutex // taken before mu, also that of others
+	linkFree time.Time  // when the link is free for another move
 }
 
 func draw(bytes int) string {
--- a/internal/system/screen/handles.go
+++ b/internal/system/screen/handles.go
@@ -125,28 +125,11 @@
 	}
 	s := &l.e.s
 	now := s.Now()
-	l.mu.Lock()
-	start := now
-	if l.linkFree.After(now) {
-		start = l.linkFree
-	}
-	if start.Sub(now) > maxMoveWait {
-		l.mu.Unlock()
-		return nil, errors.Errorf("the link is taken for %v", start.Sub(now))
-	}
-	l.mu.Unlock()
-	h, err := source.take(id, model, ver)
+	h, arrives, err := l.startMove(now, source, id, model, ver, slow)
 	if err != nil {
 		return nil, err
 	}
-	took := moveTime(s, &peer.s, h.tokens, slow)
-	l.mu.Lock()
-	if l.linkFree.After(start) {
-		start = l.linkFree
-	}
-	l.linkFree = start.Add(took)
-	l.mu.Unlock()
-	if err := wait(ctx, start.Add(took).Sub(now)); err != nil {
+	if err := wait(ctx, arrives.Sub(now)); err != nil {
 		return nil, err
 	}
 	if source.ctx.Err() != nil {
@@ -154,3 +137,22 @@
 	}
 	return h, nil
 }
+
+// startMove takes a handle and the link for as long as its move needs; moves are started one after the other, so that each
+// sees the link as those before it have left it.
+func (l *life) startMove(now time.Time, source *life, id, model string, ver int, slow float64) (h *handle, arrives time.Time, err error) {
+	l.link.Lock()
+	defer l.link.Unlock()
+	start := now
+	if l.linkFree.After(now) {
+		start = l.linkFree
+	}
+	if start.Sub(now) > maxMoveWait {
+		return nil, now, errors.Errorf("the link is taken for %v", start.Sub(now))
+	}
+	if h, err = source.take(id, model, ver); err != nil {
+		return nil, now, err
+	}
+	l.linkFree = start.Add(moveTime(&l.e.s, &source.e.s, h.tokens, slow))
+	return h, l.linkFree, nil
+}
