--- a/cmd/station/control_test.go
+++ b/cmd/station/control_test.go
@@ -15,6 +15,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -61,6 +62,9 @@
 		w.Header().Set("Content-Type", "application/json")
 		_, _ = w.Write(s.doc.Show())
 		return
+	case sonde.Resided.Method + " " + sonde.Resided.Path:
+		s.residency(w, r)
+		return
 	case sonde.Replace.Method + " " + sonde.Replace.Path:
 	case sonde.Update.Method + " " + sonde.Update.Path:
 		change = almanac.Update
@@ -81,6 +85,27 @@
 	s.doc = next
 }
 
+// residency tells of two tenants, as an observatory does.
+func (s *control) residency(w http.ResponseWriter, r *http.Request) {
+	at := time.Date(2026, time.December, 1, 8, 0, 0, 0, time.UTC)
+	tenant, route := r.URL.Query().Get(sonde.QueryTenant), r.URL.Query().Get(sonde.QueryRoute)
+	answer := sonde.Residency{Seq: 41}
+	for _, one := range []sonde.Rested{
+		{Route: "r-old", Region: "kanto", First: at, Last: at.Add(1500 * time.Millisecond), Plain: 3},
+		{Tenant: "kochi-labs", Region: "kerala-central", First: at.Add(250 * time.Millisecond), Last: at.Add(30 * time.Hour), Plain: 12, Prefills: 871, Decodes: 902, Resumes: 4},
+		{Tenant: "kochi-labs", Region: "kerala-north", First: at.Add(time.Minute), Last: at.Add(24 * time.Hour), Prefills: 40, Decodes: 51},
+	} {
+		if (tenant == "" || one.Tenant == tenant) && (route == "" || one.Route == route) {
+			answer.Rested = append(answer.Rested, one)
+		}
+	}
+	if len(answer.Rested) == 0 && tenant != "new-labs" {
+		no(w, http.StatusNotFound, "nothing is known of such a name: it is not listed and nothing of it rested anywhere", nil)
+		return
+	}
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
 // no answers as an observatory refuses.
 func no(w http.ResponseWriter, status int, why string, in almanac.Findings) {
 	w.WriteHeader(status)
--- a/cmd/station/fleet_test.go
+++ b/cmd/station/fleet_test.go
@@ -59,6 +59,7 @@
 	prefill int            // backends of each kind; 1, 2 and 2 when 0
 	decode  int
 	plain   int
+	flags   map[string][]string // by role, beside its name
 }
 
 // machine is one machine of the fleet, with the programs that run there.
@@ -83,6 +84,7 @@
 
 	core, edge []*machine
 	operator   *screen.Operator
+	flags      map[string][]string
 
 	mu       sync.Mutex
 	programs []*screen.Program
@@ -94,7 +96,7 @@
 // newFleet starts a fleet, gives it its first configuration and waits until both proxies are ready.
 func newFleet(t *testing.T, p plan) *fleet {
 	c := qt.New(t)
-	f := &fleet{C: c, running: map[*screen.Program]string{}, delay: 50 * time.Millisecond, settings: map[string]any{
+	f := &fleet{C: c, flags: p.flags, running: map[*screen.Program]string{}, delay: 50 * time.Millisecond, settings: map[string]any{
 		"retry_ratio": 0.2, "retry_window_s": 10, "retry_extra": 54, "drain_ms": 3000, "apply_ms": 2000, "grace_s": 8,
 		"skew_ms": 5000, "sync_s": 4, "loss_slack_ms": 200, "contact_ms": 3000,
 	}}
@@ -227,7 +229,7 @@
 	m.settings.Bootstrap = false // only at the very first start
 	self, err := os.Executable()
 	f.Assert(err, qt.IsNil)
-	p := screen.Exec(f, boot, self, role)
+	p := screen.Exec(f, boot, self, append([]string{role}, f.flags[role]...)...)
 	if m.programs == nil {
 		m.programs = map[string]*screen.Program{}
 	}
--- a/cmd/station/page_test.go
+++ b/cmd/station/page_test.go
@@ -81,7 +81,7 @@
 	if *rewrite {
 		c.Assert(os.WriteFile("../"+pageFile, []byte(strings.Join(out, "\n")), 0o644), qt.IsNil)
 	}
-	for _, name := range []string{"check", "show", "diff", "propose", "update", "route", "version"} {
+	for _, name := range []string{"check", "show", "diff", "propose", "update", "route", "residency", "version"} {
 		c.Check(played[name], qt.IsTrue, qt.Commentf("no transcript of station %s", name))
 	}
 }
--- a/cmd/station/programs.go
+++ b/cmd/station/programs.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
@@ -20,7 +21,9 @@
 type (
 	vaneCmd        struct{}
 	telemeterCmd   struct{}
-	observatoryCmd struct{}
+	observatoryCmd struct {
+		Readings time.Duration `help:"Least time between two writes of where tenants' data rested." default:"30s"`
+	}
 )
 
 func (vaneCmd) Run(a *app) error {
@@ -43,12 +46,16 @@
 	})
 }
 
-func (observatoryCmd) Run(a *app) error {
+func (c observatoryCmd) Run(a *app) error {
+	if c.Readings <= 0 {
+		return coded{errors.New("--readings: must be above 0"), exitUsage}
+	}
 	return a.program(func(ctx context.Context, set siting.Settings, log *zap.Logger) error {
 		o, err := observatory.New(set, log, rand.Uint64)
 		if err != nil {
 			return err
 		}
+		o.Readings = c.Readings
 		return o.Run(ctx)
 	})
 }
--- /dev/null
+++ b/cmd/station/residency.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"text/tabwriter"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"molepaddle/internal/system/sonde"
+)
+
+type residencyCmd struct {
+	controlFlags
+	Tenant string `arg:"" optional:"" help:"Whose data; without it: everybody's."`
+	Route  string `help:"A route that has regions without a tenant, in place of TENANT." placeholder:"NAME"`
+	JSON   bool   `name:"json" help:"Print what the control plane says."`
+}
+
+// Run tells where data rested.
+func (c *residencyCmd) Run(a *app) error {
+	if c.Tenant != "" && c.Route != "" {
+		return coded{errors.New("give TENANT or --route, not both"), exitUsage}
+	}
+	client, err := c.client(a)
+	if err != nil {
+		return err
+	}
+	answer, err := client.Residency(a.ctx, c.Tenant, c.Route)
+	if err != nil {
+		return coded{err, codeOf(err)}
+	}
+	var report sonde.Residency
+	if err := json.Unmarshal(answer.Body, &report); err != nil {
+		return coded{errors.Wrapf(err, "what %s says is no report", answer.From), exitUnclear}
+	}
+	if c.JSON {
+		return writeJSON(a.out, report)
+	}
+	fmt.Fprintf(a.out, "%s, as of change %d of the record, from %s\n", many(len(report.Rested), "row"), report.Seq, answer.From)
+	if len(report.Rested) == 0 {
+		return nil
+	}
+	t := tabwriter.NewWriter(a.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "\nof\tregion\tfirst\tlast\tplain\tprefills\tdecodes\tresumes")
+	for _, r := range report.Rested {
+		of := "others"
+		switch {
+		case r.Tenant != "":
+			of = "tenant " + word(r.Tenant)
+		case r.Route != "":
+			of = "route " + word(r.Route)
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\n", of, word(r.Region), moment(r.First), moment(r.Last), r.Plain, r.Prefills, r.Decodes, r.Resumes)
+	}
+	return t.Flush()
+}
+
+// moment is a time to the millisecond, of UTC.
+func moment(t time.Time) string { return t.UTC().Format("2006-01-02T15:04:05.000Z") }
--- /dev/null
+++ b/cmd/station/residency_test.go
@@ -0,0 +1,182 @@
+package main
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"molepaddle/internal/system/screen"
+	"molepaddle/internal/system/sonde"
+)
+
+// residency asks one core machine where the data of a tenant rested, by the command.
+func (f *fleet) residency(ctl, tenant string) (code int, report sonde.Residency, said string) {
+	f.Helper()
+	code, out, errOut := station(f, "residency", tenant, "--json", "--control", ctl, "--within", "3s")
+	if code == exitDone {
+		f.Assert(json.Unmarshal([]byte(out), &report), qt.IsNil, qt.Commentf("%s", out))
+	}
+	return code, report, errOut
+}
+
+// rested waits until each running core machine tells that the tenant's data rested in one region, by so many plain requests.
+func (f *fleet) rested(tenant string, plain int64) (r sonde.Rested) {
+	f.Helper()
+	for _, m := range f.core {
+		var last any
+		f.until(patient, "the report tells of all requests", func() bool {
+			code, report, said := f.residency(m.boot.Ctl, tenant)
+			last = []any{code, report, said}
+			if code != exitDone || len(report.Rested) != 1 {
+				return false
+			}
+			r = report.Rested[0]
+			f.Assert(r.Plain <= plain, qt.IsTrue, qt.Commentf("counted twice: %+v, asked for %d", r, plain))
+			return r.Plain == plain
+		})
+		f.Assert(r.Tenant, qt.Equals, tenant, qt.Commentf("%v", last))
+		f.Assert(r.Region, qt.Equals, "kanto")
+		f.Assert(r.Last.Before(r.First), qt.IsFalse)
+	}
+	return r
+}
+
+// TestResidencyOutlives kills a proxy, its telemeter, the primary and at last the whole core, one after the other, with
+// requests of a tenant in between: the report tells the earliest time all along, and counts each request once.
+func TestResidencyOutlives(t *testing.T) {
+	f := newFleet(t, plan{flags: map[string][]string{"observatory": {"--readings", "200ms"}}})
+	rep, err := f.operator.Update(f.within(patient), f.version, object{"ver": f.version + 1, "upsert": object{
+		"tenants": list{object{"name": "labs", "regions": list{"kanto"}}, object{"name": "idle", "regions": list{"kanto"}}},
+		"routing": list{object{"name": "held", "hostname": "held.example", "pfx": "/", "kind": "readonly", "deadline_ms": 4000, "svc": lookups, "tenant": "labs"}}}})
+	f.Assert(err, qt.IsNil)
+	f.Assert(rep.Status, qt.Equals, http.StatusOK, qt.Commentf("%s", rep.Body))
+	f.version++
+	asked := int64(0)
+	ask := func(edge, n int) {
+		f.Helper()
+		for range n {
+			r := lookup()
+			r.Host, r.Path = "held.example", "/x"
+			var res screen.Result
+			f.until(patient, "the tenant's route is in force, and the client's connection is to the proxy that lives", func() bool {
+				res = f.clients[edge].Do(f.ctx, r)
+				return res.Status != http.StatusNotFound && res.Status != 0
+			})
+			f.served(res, "held")
+			asked++
+		}
+	}
+	code, _, said := f.residency(f.core[0].boot.Ctl, "nobody")
+	f.Assert(code, qt.Equals, exitNo, qt.Commentf("%s", said))
+	f.Assert(said, qt.Contains, "nothing is known of such a name")
+	code, report, _ := f.residency(f.core[0].boot.Ctl, "idle")
+	f.Assert(code, qt.Equals, exitDone)
+	f.Assert(report.Rested, qt.HasLen, 0)
+
+	ask(0, 5)
+	ask(1, 3)
+	first := f.rested("labs", asked)
+	since := func(what string) {
+		f.Helper()
+		r := f.rested("labs", asked)
+		f.Assert(r.First, qt.Equals, first.First, qt.Commentf("after %s", what))
+		f.Assert(r.Last.After(first.Last), qt.IsTrue, qt.Commentf("after %s", what))
+		t.Logf("after %s: %+v", what, r)
+	}
+
+	edge := f.edge[0]
+	edge.kill("vane")
+	edge.start("vane")
+	f.ready(edge)
+	ask(0, 4)
+	since("a proxy's kill")
+
+	edge.kill("telemeter")
+	ask(0, 2)
+	edge.start("telemeter")
+	ask(0, 2)
+	since("a telemeter's kill")
+
+	primary := f.primary()
+	ask(0, 1)
+	ask(1, 1)
+	primary.kill("observatory") // some of it may be on its way
+	ask(0, 3)
+	primary.start("observatory")
+	since("the primary's kill")
+
+	ask(1, 2)
+	var all sync.WaitGroup
+	for _, m := range f.core {
+		all.Go(func() { m.kill("observatory") })
+	}
+	all.Wait()
+	ask(0, 2)
+	ask(1, 2)
+	for _, m := range f.core {
+		m.start("observatory")
+	}
+	since("a kill of the whole core")
+
+	// An orderly end hands on the last that was served.
+	ask(0, 3)
+	f.ends(edge.programs["vane"])
+	edge.programs["vane"].Signal(15)
+	_, err = edge.programs["vane"].Wait(f.within(patient))
+	f.Assert(err, qt.IsNil)
+	since("a proxy's orderly end")
+	// The configuration is what it was, and still changes.
+	rep = f.add(f.version + 1)
+	f.Assert(rep.Status, qt.Equals, http.StatusOK)
+	f.holds(f.version)
+	f.judge()
+}
+
+// TestNoTermsNoReadings has no tenant: nothing of a report is ever written, and the record takes the operator's changes alone.
+func TestNoTermsNoReadings(t *testing.T) {
+	f := newFleet(t, plan{flags: map[string][]string{"observatory": {"--readings", "1ms"}}})
+	load := f.traffic([]int{0, 1})
+	load.goesOn(40, 0, 1)
+	load.stop()
+	for _, m := range f.core {
+		code, out, errOut := station(f, "residency", "--json", "--control", m.boot.Ctl)
+		f.Assert(code, qt.Equals, exitDone, qt.Commentf("%s", errOut))
+		var report sonde.Residency
+		f.Assert(json.Unmarshal([]byte(out), &report), qt.IsNil)
+		f.Assert(report.Rested, qt.HasLen, 0)
+		f.Assert(report.Seq, qt.Equals, f.version, qt.Commentf("one change for each version"))
+		f.Assert(strings.Contains(m.programs["observatory"].Output(), "reading"), qt.IsFalse)
+	}
+	f.judge()
+}
+
+// TestResidencyCodes plays the command against a control plane that answers by rote.
+func TestResidencyCodes(t *testing.T) {
+	c := qt.New(t)
+	s := newControl(c)
+	for _, one := range []struct {
+		args string
+		code int
+		says string
+	}{
+		{"residency kochi-labs", exitDone, "tenant kochi-labs"},
+		{"residency --route r-old", exitDone, "route r-old"},
+		{"residency new-labs", exitDone, "0 rows"},
+		{"residency nobody", exitNo, "nothing is known"},
+		{"residency kochi-labs --route r-old", exitUsage, "not both"},
+		{"residency kochi-labs --control 1", exitUsage, "no IP:port"},
+		{"residency kochi-labs --within 200ms --control " + deadAddr(c), exitUnclear, "no clear answer"},
+	} {
+		args := strings.Fields(one.args)
+		if !strings.Contains(one.args, "--control") {
+			args = append(args, "--control", s.addr)
+		}
+		code, out, errOut := station(t, args...)
+		c.Check(code, qt.Equals, one.code, qt.Commentf("%s: %s%s", one.args, out, errOut))
+		c.Check(out+errOut, qt.Contains, one.says)
+	}
+}
--- a/internal/system/heliograph/heliograph.go
+++ b/internal/system/heliograph/heliograph.go
@@ -87,6 +87,23 @@
 // Show asks for the newest configuration. Errors: *Refused, with status 404 while there is none; *Unclear.
 func (c *Client) Show(ctx context.Context) (Answer, error) { return c.call(ctx, sonde.Show, nil, nil) }
 
+// Residency asks where data rested, by what is on the disks of the control plane: of one tenant, of one route that has
+// regions without a tenant, or of all where both are empty. The body is a sonde.Residency. Errors: *Refused, with status 404
+// for a name of which nothing is known; *Unclear.
+func (c *Client) Residency(ctx context.Context, tenant, route string) (Answer, error) {
+	call, query := sonde.Resided, url.Values{}
+	if tenant != "" {
+		query.Set(sonde.QueryTenant, tenant)
+	}
+	if route != "" {
+		query.Set(sonde.QueryRoute, route)
+	}
+	if len(query) > 0 {
+		call.Path += "?" + query.Encode()
+	}
+	return c.call(ctx, call, nil, nil)
+}
+
 // Change sends a configuration (sonde.Replace) or a change of named items (sonde.Update) on top of the version base; 0
 // where there is none yet. Errors: *Refused and *Unclear.
 func (c *Client) Change(ctx context.Context, call sonde.Call, base int64, body []byte) (Answer, error) {
--- a/internal/system/observatory/messages.go
+++ b/internal/system/observatory/messages.go
@@ -1,12 +1,17 @@
 package observatory
 
+import "molepaddle/internal/system/raingauge"
+
 //go:generate msgp -tests=false
 
-// Call is one change of the configuration as the operator sent it; the record's changes.
+// Call is a change of the record: one of the configuration as the operator sent it, or a reading of where tenants' data
+// rested, which leaves the configuration as it is.
 type Call struct {
 	Replace bool   `msg:"r"`
 	Base    int64  `msg:"b"`
 	Body    []byte `msg:"d"`
+	// Reading is left out where the change is one of the configuration.
+	Reading *raingauge.Reading `msg:"g,omitempty"`
 }
 
 // Stored is the record's snapshot.
@@ -14,4 +19,8 @@
 	Document []byte   `msg:"d"`
 	Versions []int64  `msg:"v"`
 	Digests  []uint64 `msg:"x"`
+	// Rested is the raingauge's snapshot; left out where it is empty.
+	Rested []byte `msg:"g,omitempty"`
+	// DocumentSeq is the change that led to Document; left out where that is the newest of all.
+	DocumentSeq uint64 `msg:"q,omitempty"`
 }
--- a/internal/system/observatory/messages_gen.go
+++ b/internal/system/observatory/messages_gen.go
@@ -3,6 +3,8 @@
 package observatory
 
 import (
+	"molepaddle/internal/system/raingauge"
+
 	"github.com/tinylib/msgp/msgp"
 )
 
@@ -42,6 +44,24 @@
 				err = msgp.WrapError(err, "Body")
 				return
 			}
+		case "g":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "Reading")
+					return
+				}
+				z.Reading = nil
+			} else {
+				if z.Reading == nil {
+					z.Reading = new(raingauge.Reading)
+				}
+				err = z.Reading.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Reading")
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -55,36 +75,71 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Call) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
-	// write "r"
-	err = en.Append(0x83, 0xa1, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Replace)
-	if err != nil {
-		err = msgp.WrapError(err, "Replace")
-		return
-	}
-	// write "b"
-	err = en.Append(0xa1, 0x62)
-	if err != nil {
-		return
+	// check for omitted fields
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
+	_ = zb0001Mask
+	if z.Reading == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8
 	}
-	err = en.WriteInt64(z.Base)
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
-		err = msgp.WrapError(err, "Base")
 		return
 	}
-	// write "d"
-	err = en.Append(0xa1, 0x64)
-	if err != nil {
-		return
-	}
-	err = en.WriteBytes(z.Body)
-	if err != nil {
-		err = msgp.WrapError(err, "Body")
-		return
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "r"
+		err = en.Append(0xa1, 0x72)
+		if err != nil {
+			return
+		}
+		err = en.WriteBool(z.Replace)
+		if err != nil {
+			err = msgp.WrapError(err, "Replace")
+			return
+		}
+		// write "b"
+		err = en.Append(0xa1, 0x62)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt64(z.Base)
+		if err != nil {
+			err = msgp.WrapError(err, "Base")
+			return
+		}
+		// write "d"
+		err = en.Append(0xa1, 0x64)
+		if err != nil {
+			return
+		}
+		err = en.WriteBytes(z.Body)
+		if err != nil {
+			err = msgp.WrapError(err, "Body")
+			return
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// write "g"
+			err = en.Append(0xa1, 0x67)
+			if err != nil {
+				return
+			}
+			if z.Reading == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = z.Reading.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Reading")
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -92,16 +147,42 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Call) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "r"
-	o = append(o, 0x83, 0xa1, 0x72)
-	o = msgp.AppendBool(o, z.Replace)
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	o = msgp.AppendInt64(o, z.Base)
-	// string "d"
-	o = append(o, 0xa1, 0x64)
-	o = msgp.AppendBytes(o, z.Body)
+	// check for omitted fields
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
+	_ = zb0001Mask
+	if z.Reading == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "r"
+		o = append(o, 0xa1, 0x72)
+		o = msgp.AppendBool(o, z.Replace)
+		// string "b"
+		o = append(o, 0xa1, 0x62)
+		o = msgp.AppendInt64(o, z.Base)
+		// string "d"
+		o = append(o, 0xa1, 0x64)
+		o = msgp.AppendBytes(o, z.Body)
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "g"
+			o = append(o, 0xa1, 0x67)
+			if z.Reading == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.Reading.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Reading")
+					return
+				}
+			}
+		}
+	}
 	return
 }
 
@@ -141,6 +222,23 @@
 				err = msgp.WrapError(err, "Body")
 				return
 			}
+		case "g":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Reading = nil
+			} else {
+				if z.Reading == nil {
+					z.Reading = new(raingauge.Reading)
+				}
+				bts, err = z.Reading.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Reading")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -155,7 +253,12 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Call) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.BytesPrefixSize + len(z.Body)
+	s = 1 + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.BytesPrefixSize + len(z.Body) + 2
+	if z.Reading == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Reading.Msgsize()
+	}
 	return
 }
 
@@ -221,6 +324,18 @@
 					return
 				}
 			}
+		case "g":
+			z.Rested, err = dc.ReadBytes(z.Rested)
+			if err != nil {
+				err = msgp.WrapError(err, "Rested")
+				return
+			}
+		case "q":
+			z.DocumentSeq, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "DocumentSeq")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -234,50 +349,94 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Stored) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
-	// write "d"
-	err = en.Append(0x83, 0xa1, 0x64)
-	if err != nil {
-		return
+	// check for omitted fields
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
+	_ = zb0001Mask
+	if z.Rested == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8
 	}
-	err = en.WriteBytes(z.Document)
-	if err != nil {
-		err = msgp.WrapError(err, "Document")
-		return
+	if z.DocumentSeq == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x10
 	}
-	// write "v"
-	err = en.Append(0xa1, 0x76)
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
 		return
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Versions)))
-	if err != nil {
-		err = msgp.WrapError(err, "Versions")
-		return
-	}
-	for za0001 := range z.Versions {
-		err = en.WriteInt64(z.Versions[za0001])
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "d"
+		err = en.Append(0xa1, 0x64)
 		if err != nil {
-			err = msgp.WrapError(err, "Versions", za0001)
 			return
 		}
-	}
-	// write "x"
-	err = en.Append(0xa1, 0x78)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Digests)))
-	if err != nil {
-		err = msgp.WrapError(err, "Digests")
-		return
-	}
-	for za0002 := range z.Digests {
-		err = en.WriteUint64(z.Digests[za0002])
+		err = en.WriteBytes(z.Document)
+		if err != nil {
+			err = msgp.WrapError(err, "Document")
+			return
+		}
+		// write "v"
+		err = en.Append(0xa1, 0x76)
+		if err != nil {
+			return
+		}
+		err = en.WriteArrayHeader(uint32(len(z.Versions)))
+		if err != nil {
+			err = msgp.WrapError(err, "Versions")
+			return
+		}
+		for za0001 := range z.Versions {
+			err = en.WriteInt64(z.Versions[za0001])
+			if err != nil {
+				err = msgp.WrapError(err, "Versions", za0001)
+				return
+			}
+		}
+		// write "x"
+		err = en.Append(0xa1, 0x78)
+		if err != nil {
+			return
+		}
+		err = en.WriteArrayHeader(uint32(len(z.Digests)))
 		if err != nil {
-			err = msgp.WrapError(err, "Digests", za0002)
+			err = msgp.WrapError(err, "Digests")
 			return
 		}
+		for za0002 := range z.Digests {
+			err = en.WriteUint64(z.Digests[za0002])
+			if err != nil {
+				err = msgp.WrapError(err, "Digests", za0002)
+				return
+			}
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// write "g"
+			err = en.Append(0xa1, 0x67)
+			if err != nil {
+				return
+			}
+			err = en.WriteBytes(z.Rested)
+			if err != nil {
+				err = msgp.WrapError(err, "Rested")
+				return
+			}
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// write "q"
+			err = en.Append(0xa1, 0x71)
+			if err != nil {
+				return
+			}
+			err = en.WriteUint64(z.DocumentSeq)
+			if err != nil {
+				err = msgp.WrapError(err, "DocumentSeq")
+				return
+			}
+		}
 	}
 	return
 }
@@ -285,21 +444,48 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Stored) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "d"
-	o = append(o, 0x83, 0xa1, 0x64)
-	o = msgp.AppendBytes(o, z.Document)
-	// string "v"
-	o = append(o, 0xa1, 0x76)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Versions)))
-	for za0001 := range z.Versions {
-		o = msgp.AppendInt64(o, z.Versions[za0001])
+	// check for omitted fields
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
+	_ = zb0001Mask
+	if z.Rested == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8
 	}
-	// string "x"
-	o = append(o, 0xa1, 0x78)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Digests)))
-	for za0002 := range z.Digests {
-		o = msgp.AppendUint64(o, z.Digests[za0002])
+	if z.DocumentSeq == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "d"
+		o = append(o, 0xa1, 0x64)
+		o = msgp.AppendBytes(o, z.Document)
+		// string "v"
+		o = append(o, 0xa1, 0x76)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Versions)))
+		for za0001 := range z.Versions {
+			o = msgp.AppendInt64(o, z.Versions[za0001])
+		}
+		// string "x"
+		o = append(o, 0xa1, 0x78)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Digests)))
+		for za0002 := range z.Digests {
+			o = msgp.AppendUint64(o, z.Digests[za0002])
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "g"
+			o = append(o, 0xa1, 0x67)
+			o = msgp.AppendBytes(o, z.Rested)
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "q"
+			o = append(o, 0xa1, 0x71)
+			o = msgp.AppendUint64(o, z.DocumentSeq)
+		}
 	}
 	return
 }
@@ -366,6 +552,18 @@
 					return
 				}
 			}
+		case "g":
+			z.Rested, bts, err = msgp.ReadBytesBytes(bts, z.Rested)
+			if err != nil {
+				err = msgp.WrapError(err, "Rested")
+				return
+			}
+		case "q":
+			z.DocumentSeq, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "DocumentSeq")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -380,6 +578,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Stored) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BytesPrefixSize + len(z.Document) + 2 + msgp.ArrayHeaderSize + (len(z.Versions) * (msgp.Int64Size)) + 2 + msgp.ArrayHeaderSize + (len(z.Digests) * (msgp.Uint64Size))
+	s = 1 + 2 + msgp.BytesPrefixSize + len(z.Document) + 2 + msgp.ArrayHeaderSize + (len(z.Versions) * (msgp.Int64Size)) + 2 + msgp.ArrayHeaderSize + (len(z.Digests) * (msgp.Uint64Size)) + 2 + msgp.BytesPrefixSize + len(z.Rested) + 2 + msgp.Uint64Size
 	return
 }
--- a/internal/system/observatory/observatory.go
+++ b/internal/system/observatory/observatory.go
@@ -21,6 +21,9 @@
 
 // Observatory is one core machine's program.
 type Observatory struct {
+	// Readings is the least time between two readings of where tenants' data rested; New sets DefaultReadings.
+	Readings time.Duration
+
 	set     siting.Settings
 	log     *zap.Logger
 	start   time.Time
@@ -59,7 +62,7 @@
 	if state.Lost {
 		log.Warn("the disk's content can't be trusted and counts as lost")
 	}
-	o := &Observatory{set: set, log: log, start: time.Now(), store: synop.NewStore(), archive: a, record: &record{},
+	o := &Observatory{Readings: DefaultReadings, set: set, log: log, start: time.Now(), store: synop.NewStore(), archive: a, record: &record{},
 		inputs: make(chan func(time.Duration) barograph.Output, 1024), waiting: map[uint64]chan<- barograph.Answer{}, writing: make(chan struct{}, 1)}
 	var seeds []string
 	for _, s := range set.Seeds {
@@ -118,6 +121,7 @@
 	go o.servePulls(ctx, pulls)
 	go o.relay(ctx)
 	go o.poll(ctx)
+	go o.read(ctx)
 	stop := context.AfterFunc(ctx, func() {
 		core.Close()
 		pulls.Close()
@@ -200,23 +204,32 @@
 	if was != nil && was.seq >= last.seq {
 		return
 	}
+	defer o.settled.Store(last)
+	var docs []*applied // that brought a configuration
+	from := uint64(0)
+	if was != nil {
+		from = was.docSeq
+	}
 	for i := range done {
-		d := &done[i]
-		if was != nil && d.seq <= was.seq || d.doc == nil {
-			continue
+		if d := &done[i]; d.doc != nil && d.docSeq > from {
+			docs, from = append(docs, d), d.docSeq
 		}
-		at := synop.Version{Count: d.seq}
-		if was != nil && d.call != nil && o.store.Append(synop.SourceConfig, synop.Version{Count: was.seq}, at, synop.Change{At: at, Replace: d.call.Replace, Body: d.call.Body}) {
+	}
+	if len(docs) == 0 {
+		return // a reading, say
+	}
+	for i, d := range docs {
+		at := synop.Version{Count: d.docSeq}
+		if was != nil && d.call != nil && o.store.Append(synop.SourceConfig, synop.Version{Count: was.docSeq}, at, synop.Change{At: at, Replace: d.call.Replace, Body: d.call.Body}) {
 			was = d
 			continue
 		}
 		was = d
-		if i == len(done)-1 {
+		if i == len(docs)-1 {
 			o.store.Set(synop.SourceConfig, at, d.doc.Show())
 		}
 	}
-	o.settled.Store(last)
-	o.log.Info("configuration settled", zap.Uint64("seq", last.seq), zap.Int64("version", versionOf(last.doc)))
+	o.log.Info("configuration settled", zap.Uint64("seq", last.docSeq), zap.Int64("version", versionOf(last.doc)))
 }
 
 func versionOf(d *almanac.Document) int64 {
--- a/internal/system/observatory/operator.go
+++ b/internal/system/observatory/operator.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 
@@ -28,6 +29,7 @@
 	mux.HandleFunc(sonde.Replace.Method+" "+sonde.Replace.Path, func(w http.ResponseWriter, r *http.Request) { o.change(w, r, true) })
 	mux.HandleFunc(sonde.Update.Method+" "+sonde.Update.Path, func(w http.ResponseWriter, r *http.Request) { o.change(w, r, false) })
 	mux.HandleFunc(sonde.Show.Method+" "+sonde.Show.Path, o.show)
+	mux.HandleFunc(sonde.Resided.Method+" "+sonde.Resided.Path, o.residency)
 	return mux
 }
 
@@ -43,7 +45,8 @@
 		o.later(w, "no primary is known")
 		return true
 	}
-	w.Header().Set("Location", "http://"+net.JoinHostPort(host, port)+r.URL.Path)
+	to := url.URL{Scheme: "http", Host: net.JoinHostPort(host, port), Path: r.URL.Path, RawQuery: r.URL.RawQuery}
+	w.Header().Set("Location", to.String())
 	w.WriteHeader(http.StatusTemporaryRedirect)
 	return true
 }
@@ -171,16 +174,12 @@
 	if o.elsewhere(w, r) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), answerWithin)
-	defer cancel()
-	ans, err := o.ask(ctx, func(now time.Duration, token uint64) barograph.Output { return o.machine.Read(now, token) })
-	if err != nil || ans.Result != barograph.Confirmed {
-		o.later(w, "the view is not confirmed")
+	d, seq, ok := o.confirmed(w, r)
+	if !ok {
 		return
 	}
-	d := o.settled.Load()
-	if d == nil || d.doc == nil || d.seq < ans.Seq {
-		if ans.Seq > 0 {
+	if d == nil || d.doc == nil {
+		if seq > 0 {
 			o.later(w, "not settled")
 			return
 		}
@@ -190,3 +189,21 @@
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write(d.doc.Show())
 }
+
+// confirmed gives the newest state once the view is known to stand, and the change that it is at least as new as; nil:
+// there is no change yet. false: the caller was answered.
+func (o *Observatory) confirmed(w http.ResponseWriter, r *http.Request) (d *applied, seq uint64, ok bool) {
+	ctx, cancel := context.WithTimeout(r.Context(), answerWithin)
+	defer cancel()
+	ans, err := o.ask(ctx, func(now time.Duration, token uint64) barograph.Output { return o.machine.Read(now, token) })
+	if err != nil || ans.Result != barograph.Confirmed {
+		o.later(w, "the view is not confirmed")
+		return nil, 0, false
+	}
+	d = o.settled.Load()
+	if ans.Seq > 0 && (d == nil || d.seq < ans.Seq) {
+		o.later(w, "not settled")
+		return nil, 0, false
+	}
+	return d, ans.Seq, true
+}
--- a/internal/system/observatory/pulls.go
+++ b/internal/system/observatory/pulls.go
@@ -57,6 +57,7 @@
 			Members: func() []synop.Member { return o.store.Members(time.Now(), 3*o.set.Heartbeat) },
 			Have:    o.store.Have,
 			Take:    func(n *synop.News) []string { return o.store.Take(n, time.Now()) },
+			Rested:  func(time.Time) *synop.Outbox { return o.store.Rested },
 		})
 		cancel()
 		sleep(ctx, 50*time.Millisecond)
--- a/internal/system/observatory/record.go
+++ b/internal/system/observatory/record.go
@@ -4,23 +4,29 @@
 	"github.com/go-faster/errors"
 
 	"molepaddle/internal/system/almanac"
+	"molepaddle/internal/system/raingauge"
 )
 
-// record is the durable state: the operator's configuration, and which calls brought it there. It is barograph's App.
-// Documents are never changed in place, so the one of each change is kept until that is committed.
+// record is the durable state: the operator's configuration, which calls brought it there, and where tenants' data rested.
+// It is barograph's App. Documents and gauges are never changed in place, so those of each change are kept until that is
+// committed.
 type record struct {
 	seq    uint64
 	doc    *almanac.Document
+	docSeq uint64      // the change that led to doc
 	taken  []takenCall // the newest last
-	recent []applied   // not yet known to be committed, and the last committed one
+	rested *raingauge.Gauge
+	recent []applied // not yet known to be committed, and the last committed one
 }
 
 // applied is the state after one change.
 type applied struct {
-	seq   uint64
-	doc   *almanac.Document
-	call  *Call
-	taken []takenCall
+	seq    uint64
+	doc    *almanac.Document
+	docSeq uint64
+	call   *Call // nil: not known, or none of the configuration
+	taken  []takenCall
+	rested *raingauge.Gauge
 }
 
 type takenCall struct {
@@ -52,7 +58,14 @@
 func (r *record) Apply(seq uint64, body []byte) {
 	r.seq = seq
 	c := new(Call)
-	if _, err := c.UnmarshalMsg(body); err == nil {
+	_, err := c.UnmarshalMsg(body)
+	if err == nil && c.Reading != nil {
+		r.rested = r.rested.Take(c.Reading)
+		c = nil
+	} else {
+		r.docSeq = seq
+	}
+	if err == nil && c != nil {
 		if doc, found := c.change(r.doc); found.Err() == nil {
 			r.doc = doc
 			if len(r.taken) >= keptCalls {
@@ -61,7 +74,7 @@
 			r.taken = append(r.taken[:len(r.taken):len(r.taken)], takenCall{doc.Version(), c.digest()})
 		}
 	}
-	r.recent = append(r.recent, applied{seq, r.doc, c, r.taken})
+	r.recent = append(r.recent, applied{seq, r.doc, r.docSeq, c, r.taken, r.rested})
 	if len(r.recent) > 4096 {
 		r.recent = r.recent[1:]
 	}
@@ -69,7 +82,10 @@
 
 // Snapshot is all that was applied.
 func (r *record) Snapshot() []byte {
-	s := Stored{}
+	s := Stored{Rested: r.rested.Snapshot()}
+	if r.docSeq != r.seq {
+		s.DocumentSeq = r.docSeq
+	}
 	if r.doc != nil {
 		s.Document = r.doc.Show()
 	}
@@ -83,7 +99,7 @@
 
 // Restore replaces everything.
 func (r *record) Restore(seq uint64, body []byte) error {
-	r.seq, r.doc, r.taken, r.recent = seq, nil, nil, nil
+	r.seq, r.doc, r.docSeq, r.taken, r.rested, r.recent = seq, nil, seq, nil, nil, nil
 	if len(body) == 0 {
 		return nil
 	}
@@ -101,10 +117,18 @@
 	if len(s.Versions) != len(s.Digests) {
 		return errors.New("record: as many versions as digests are due")
 	}
+	if s.DocumentSeq > 0 {
+		r.docSeq = s.DocumentSeq
+	}
+	rested, err := raingauge.Restore(s.Rested)
+	if err != nil {
+		return errors.Wrap(err, "record")
+	}
+	r.rested = rested
 	for i := range s.Versions {
 		r.taken = append(r.taken, takenCall{s.Versions[i], s.Digests[i]})
 	}
-	r.recent = []applied{{seq, r.doc, nil, r.taken}}
+	r.recent = []applied{{seq, r.doc, r.docSeq, nil, r.taken, r.rested}}
 	return nil
 }
 
--- /dev/null
+++ b/internal/system/observatory/rested.go
@@ -0,0 +1,163 @@
+package observatory
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"molepaddle/internal/system/barograph"
+	"molepaddle/internal/system/raingauge"
+	"molepaddle/internal/system/sonde"
+)
+
+const (
+	// DefaultReadings is the least time between two readings: each costs a write on the disks of the primary and its backups.
+	DefaultReadings = 30 * time.Second
+	// soonest is that time where a pair of tenant and region is new, there was no room for all, or the last one failed.
+	soonest = 2 * time.Second
+	// lookEvery is how often what waits for a reading is looked at for something new.
+	lookEvery = time.Second
+)
+
+// read has the record take what telemeters handed on, while this is the primary. It sleeps for good where nothing comes,
+// and calls of the operator don't wait for it.
+func (o *Observatory) read(ctx context.Context) {
+	var last time.Time
+	hurry := false
+	for ctx.Err() == nil {
+		open, arrived := o.store.Rested.Open()
+		st, changed := o.watch()
+		if len(open) == 0 {
+			select {
+			case <-arrived:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		if st.Role != barograph.Primary || !st.Ready {
+			select {
+			case <-changed:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		every := o.Readings
+		if hurry || o.news(open) {
+			every = min(every, soonest)
+		}
+		if wait := every - time.Since(last); wait > 0 {
+			sleep(ctx, min(wait, lookEvery))
+			continue
+		}
+		last = time.Now()
+		hurry = o.takeReading(ctx, open)
+	}
+}
+
+// news tells whether batches have something of a pair that the record knows nothing of.
+func (o *Observatory) news(open []raingauge.Batch) bool {
+	settled := o.settled.Load()
+	if settled == nil {
+		return true
+	}
+	for i := range open {
+		if open[i].N <= settled.rested.Kept(open[i].Process) {
+			continue
+		}
+		for j := range open[i].Entries {
+			if !settled.rested.Has(open[i].Entries[j].Pair) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// takeReading has the record take some batches, and lets those go that are on all disks that they have to be on. It reports
+// whether there is more to be done soon.
+func (o *Observatory) takeReading(ctx context.Context, open []raingauge.Batch) (soon bool) {
+	within, cancel := context.WithTimeout(ctx, answerWithin)
+	defer cancel()
+	var base *raingauge.Gauge
+	if settled := o.settled.Load(); settled != nil {
+		base = settled.rested
+	}
+	r, more := base.Compose(open)
+	body, _ := (&Call{Reading: &r}).MarshalMsg(nil) // it has no way to fail
+	// What was composed and what is proposed belong together: in the driver's goroutine nothing comes between.
+	ans, err := o.ask(within, func(now time.Duration, token uint64) barograph.Output {
+		if r.Empty() || o.record.rested != base {
+			return o.machine.Read(now, token)
+		}
+		return o.machine.Propose(now, token, body)
+	})
+	if err != nil || ans.Result != barograph.Committed && ans.Result != barograph.Confirmed {
+		o.log.Debug("reading not settled", zap.Error(err))
+		return true
+	}
+	settled := o.settled.Load()
+	if settled == nil {
+		return true
+	}
+	var kept []raingauge.Kept
+	for i := range open {
+		if b := &open[i]; b.N <= settled.rested.Kept(b.Process) {
+			kept = append(kept, raingauge.Kept{Process: b.Process, N: b.N})
+		}
+	}
+	o.store.Rested.Keep(kept...)
+	return more || len(kept) < len(open)
+}
+
+// residency answers where data rested: of one tenant, of one route that has regions without a tenant, or of all.
+func (o *Observatory) residency(w http.ResponseWriter, r *http.Request) {
+	if o.elsewhere(w, r) {
+		return
+	}
+	d, seq, ok := o.confirmed(w, r)
+	if !ok {
+		return
+	}
+	tenant, route := r.URL.Query().Get(sonde.QueryTenant), r.URL.Query().Get(sonde.QueryRoute)
+	match := func(p raingauge.Pair) bool {
+		return (tenant == "" || p.Tenant == tenant) && (route == "" || p.Tenant == "" && p.Route == route)
+	}
+	answer := sonde.Residency{Seq: seq, Rested: []sonde.Rested{}}
+	if d != nil {
+		for _, e := range d.rested.Report(match) {
+			answer.Rested = append(answer.Rested, sonde.Rested{Tenant: e.Pair.Tenant, Route: e.Pair.Route, Region: e.Pair.Region,
+				First: time.UnixMilli(e.First).UTC(), Last: time.UnixMilli(e.Last).UTC(),
+				Plain: e.Counts.Plain, Prefills: e.Counts.Prefills, Decodes: e.Counts.Decodes, Resumes: e.Counts.Resumes})
+		}
+	}
+	if len(answer.Rested) == 0 && !o.listed(d, tenant, route) {
+		o.fail(w, http.StatusNotFound, "nothing is known of such a name: it is not listed and nothing of it rested anywhere", nil)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+// listed tells whether the configuration has the tenant or the route that is asked for; true where none is.
+func (o *Observatory) listed(d *applied, tenant, route string) bool {
+	if tenant == "" && route == "" {
+		return true
+	}
+	if d == nil || d.doc == nil {
+		return false
+	}
+	for _, t := range d.doc.Tenants() {
+		if t.Name == tenant {
+			return true
+		}
+	}
+	for _, r := range d.doc.Enclosed() {
+		if r.Tenant == "" && r.Name == route {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/system/sonde/table.go
+++ b/internal/system/sonde/table.go
@@ -32,6 +32,7 @@
 	Replace = Call{Name: "replace", Method: http.MethodPost, Path: "/molepaddle/cfg/replace", To: Control}
 	Update  = Call{Name: "update", Method: http.MethodPost, Path: "/molepaddle/cfg/update", To: Control}
 	Show    = Call{Name: "show", Method: http.MethodGet, Path: "/molepaddle/cfg/show", To: Control}
+	Resided = Call{Name: "residency", Method: http.MethodGet, Path: "/molepaddle/residency", To: Control}
 	Order   = Call{Name: "order", Method: http.MethodPost, Path: "/molepaddle/order", To: Backend, Fenced: true}
 	Report  = Call{Name: "report", Method: http.MethodGet, Path: "/molepaddle/report", To: Backend, Probe: true}
 	Free    = Call{Name: "free", Method: http.MethodDelete, Path: "/molepaddle/kv-handle/", To: Backend}
@@ -39,7 +40,7 @@
 )
 
 // Table is all of them.
-var Table = []Call{Ready, Replace, Update, Show, Order, Report, Free, Listing}
+var Table = []Call{Ready, Replace, Update, Show, Resided, Order, Report, Free, Listing}
 
 // Header fields of requests and answers, in canonical form.
 const (
--- a/internal/system/synop/link.go
+++ b/internal/system/synop/link.go
@@ -5,6 +5,8 @@
 	"context"
 	"net"
 	"time"
+
+	"molepaddle/internal/system/raingauge"
 )
 
 // Serve answers pulls from the store on a listener until ctx ends. Connections that ask for nothing for the time
@@ -28,6 +30,7 @@
 			stop := context.AfterFunc(ctx, func() { c.Close() })
 			defer stop()
 			r := bufio.NewReaderSize(c, 1024)
+			var rested raingauge.Receiver
 			for {
 				_ = c.SetDeadline(time.Now().Add(idle))
 				var p Pull
@@ -35,6 +38,9 @@
 					return
 				}
 				s.Renew(p.Members, time.Now())
+				if p.Rested != nil {
+					s.Rested.take(&rested, p.Rested)
+				}
 				p.WaitMs = min(max(p.WaitMs, 0), 30_000)
 				fresh()
 				n := s.Answer(ctx, name, &p)
@@ -42,6 +48,7 @@
 				if at, primary := s.Fresh(); !at.IsZero() {
 					n.FreshMs, n.Primary = time.Since(at).Milliseconds(), primary
 				}
+				n.Kept = s.Rested.tell(&rested)
 				_ = c.SetDeadline(time.Now().Add(idle))
 				if WriteFrame(c, n) != nil {
 					return
@@ -84,6 +91,7 @@
 	Have    func() map[string]Version
 	Take    func(n *News) (lacking []string) // sources that are to be sent whole
 	Goes    func() bool                      // false: no further pull; nil: as long as the connection lasts
+	Rested  func(now time.Time) *Outbox      // what is to be handed on with the next pull; nil: nothing ever
 }
 
 // Follow pulls from an address until the connection breaks, ctx ends or Goes says so.
@@ -97,11 +105,18 @@
 	defer stop()
 	r := bufio.NewReader(&coming{c, f.Silence})
 	var lacking []string
+	var rested raingauge.Sender
 	for f.Goes == nil || f.Goes() {
 		p := Pull{From: f.Name, WaitMs: f.Wait.Milliseconds(), Have: f.Have(), Members: f.Members()}
 		for _, source := range lacking {
 			delete(p.Have, source)
 		}
+		var out *Outbox
+		if f.Rested != nil {
+			now := time.Now()
+			out = f.Rested(now)
+			p.Rested = out.next(&rested, now)
+		}
 		_ = c.SetDeadline(time.Now().Add(f.Wait + f.Silence))
 		if err := WriteFrame(c, &p); err != nil {
 			return err
@@ -110,6 +125,9 @@
 		if err := ReadFrame(r, &n); err != nil {
 			return err
 		}
+		if out != nil && n.Kept != nil {
+			out.Keep(n.Kept...)
+		}
 		lacking = f.Take(&n)
 	}
 	return nil
--- a/internal/system/synop/messages.go
+++ b/internal/system/synop/messages.go
@@ -3,6 +3,8 @@
 // lacks, by a vector of versions, one a source; an unanswered pull waits at the source until something is new.
 package synop
 
+import "molepaddle/internal/system/raingauge"
+
 //go:generate msgp -tests=false
 
 // Version is how far a source has come: its epoch, and a count within it. Higher epochs come later.
@@ -29,6 +31,8 @@
 	WaitMs  int64              `msg:"w"` // how long an answer may wait for news
 	Have    map[string]Version `msg:"h"`
 	Members []Member           `msg:"m"`
+	// Rested is where tenants' data rested, on its way to the record; left out where there is none.
+	Rested []raingauge.Batch `msg:"g,omitempty"`
 }
 
 // Change is one acknowledged change of the configuration, as the operator sent it.
@@ -53,6 +57,8 @@
 	Primary string  `msg:"p"` // internal address of the primary, where known
 	FreshMs int64   `msg:"a"` // how long ago the primary was heard by this chain of sources
 	Pieces  []Piece `msg:"x"`
+	// Kept says what of Rested is in the record for good; left out where nothing is new of that.
+	Kept []raingauge.Kept `msg:"k,omitempty"`
 }
 
 // Backend is one entry of the platform's list, in the words that the proxies use.
--- a/internal/system/synop/messages_gen.go
+++ b/internal/system/synop/messages_gen.go
@@ -3,6 +3,8 @@
 package synop
 
 import (
+	"molepaddle/internal/system/raingauge"
+
 	"github.com/tinylib/msgp/msgp"
 )
 
@@ -1232,6 +1234,25 @@
 					return
 				}
 			}
+		case "k":
+			var zb0003 uint32
+			zb0003, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Kept")
+				return
+			}
+			if cap(z.Kept) >= int(zb0003) {
+				z.Kept = (z.Kept)[:zb0003]
+			} else {
+				z.Kept = make([]raingauge.Kept, zb0003)
+			}
+			for za0002 := range z.Kept {
+				err = z.Kept[za0002].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Kept", za0002)
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -1245,53 +1266,88 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *News) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
-	// write "f"
-	err = en.Append(0x84, 0xa1, 0x66)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.From)
-	if err != nil {
-		err = msgp.WrapError(err, "From")
-		return
-	}
-	// write "p"
-	err = en.Append(0xa1, 0x70)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Primary)
-	if err != nil {
-		err = msgp.WrapError(err, "Primary")
-		return
-	}
-	// write "a"
-	err = en.Append(0xa1, 0x61)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.FreshMs)
-	if err != nil {
-		err = msgp.WrapError(err, "FreshMs")
-		return
-	}
-	// write "x"
-	err = en.Append(0xa1, 0x78)
-	if err != nil {
-		return
+	// check for omitted fields
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
+	_ = zb0001Mask
+	if z.Kept == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Pieces)))
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
-		err = msgp.WrapError(err, "Pieces")
 		return
 	}
-	for za0001 := range z.Pieces {
-		err = z.Pieces[za0001].EncodeMsg(en)
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "f"
+		err = en.Append(0xa1, 0x66)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.From)
+		if err != nil {
+			err = msgp.WrapError(err, "From")
+			return
+		}
+		// write "p"
+		err = en.Append(0xa1, 0x70)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Primary)
+		if err != nil {
+			err = msgp.WrapError(err, "Primary")
+			return
+		}
+		// write "a"
+		err = en.Append(0xa1, 0x61)
 		if err != nil {
-			err = msgp.WrapError(err, "Pieces", za0001)
 			return
 		}
+		err = en.WriteInt64(z.FreshMs)
+		if err != nil {
+			err = msgp.WrapError(err, "FreshMs")
+			return
+		}
+		// write "x"
+		err = en.Append(0xa1, 0x78)
+		if err != nil {
+			return
+		}
+		err = en.WriteArrayHeader(uint32(len(z.Pieces)))
+		if err != nil {
+			err = msgp.WrapError(err, "Pieces")
+			return
+		}
+		for za0001 := range z.Pieces {
+			err = z.Pieces[za0001].EncodeMsg(en)
+			if err != nil {
+				err = msgp.WrapError(err, "Pieces", za0001)
+				return
+			}
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// write "k"
+			err = en.Append(0xa1, 0x6b)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Kept)))
+			if err != nil {
+				err = msgp.WrapError(err, "Kept")
+				return
+			}
+			for za0002 := range z.Kept {
+				err = z.Kept[za0002].EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Kept", za0002)
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -1299,24 +1355,49 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *News) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "f"
-	o = append(o, 0x84, 0xa1, 0x66)
-	o = msgp.AppendString(o, z.From)
-	// string "p"
-	o = append(o, 0xa1, 0x70)
-	o = msgp.AppendString(o, z.Primary)
-	// string "a"
-	o = append(o, 0xa1, 0x61)
-	o = msgp.AppendInt64(o, z.FreshMs)
-	// string "x"
-	o = append(o, 0xa1, 0x78)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Pieces)))
-	for za0001 := range z.Pieces {
-		o, err = z.Pieces[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Pieces", za0001)
-			return
+	// check for omitted fields
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
+	_ = zb0001Mask
+	if z.Kept == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "f"
+		o = append(o, 0xa1, 0x66)
+		o = msgp.AppendString(o, z.From)
+		// string "p"
+		o = append(o, 0xa1, 0x70)
+		o = msgp.AppendString(o, z.Primary)
+		// string "a"
+		o = append(o, 0xa1, 0x61)
+		o = msgp.AppendInt64(o, z.FreshMs)
+		// string "x"
+		o = append(o, 0xa1, 0x78)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Pieces)))
+		for za0001 := range z.Pieces {
+			o, err = z.Pieces[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Pieces", za0001)
+				return
+			}
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "k"
+			o = append(o, 0xa1, 0x6b)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Kept)))
+			for za0002 := range z.Kept {
+				o, err = z.Kept[za0002].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Kept", za0002)
+					return
+				}
+			}
 		}
 	}
 	return
@@ -1377,6 +1458,25 @@
 					return
 				}
 			}
+		case "k":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Kept")
+				return
+			}
+			if cap(z.Kept) >= int(zb0003) {
+				z.Kept = (z.Kept)[:zb0003]
+			} else {
+				z.Kept = make([]raingauge.Kept, zb0003)
+			}
+			for za0002 := range z.Kept {
+				bts, err = z.Kept[za0002].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Kept", za0002)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1395,6 +1495,10 @@
 	for za0001 := range z.Pieces {
 		s += z.Pieces[za0001].Msgsize()
 	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Kept {
+		s += z.Kept[za0002].Msgsize()
+	}
 	return
 }
 
@@ -1945,6 +2049,25 @@
 					}
 				}
 			}
+		case "g":
+			var zb0006 uint32
+			zb0006, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Rested")
+				return
+			}
+			if cap(z.Rested) >= int(zb0006) {
+				z.Rested = (z.Rested)[:zb0006]
+			} else {
+				z.Rested = make([]raingauge.Batch, zb0006)
+			}
+			for za0004 := range z.Rested {
+				err = z.Rested[za0004].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Rested", za0004)
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -1958,106 +2081,141 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Pull) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
-	// write "f"
-	err = en.Append(0x84, 0xa1, 0x66)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.From)
-	if err != nil {
-		err = msgp.WrapError(err, "From")
-		return
-	}
-	// write "w"
-	err = en.Append(0xa1, 0x77)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.WaitMs)
-	if err != nil {
-		err = msgp.WrapError(err, "WaitMs")
-		return
+	// check for omitted fields
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
+	_ = zb0001Mask
+	if z.Rested == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
 	}
-	// write "h"
-	err = en.Append(0xa1, 0x68)
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
 		return
 	}
-	err = en.WriteMapHeader(uint32(len(z.Have)))
-	if err != nil {
-		err = msgp.WrapError(err, "Have")
-		return
-	}
-	for za0001, za0002 := range z.Have {
-		err = en.WriteString(za0001)
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "f"
+		err = en.Append(0xa1, 0x66)
 		if err != nil {
-			err = msgp.WrapError(err, "Have")
 			return
 		}
-		// map header, size 2
-		// write "e"
-		err = en.Append(0x82, 0xa1, 0x65)
+		err = en.WriteString(z.From)
 		if err != nil {
+			err = msgp.WrapError(err, "From")
 			return
 		}
-		err = en.WriteUint64(za0002.Epoch)
+		// write "w"
+		err = en.Append(0xa1, 0x77)
 		if err != nil {
-			err = msgp.WrapError(err, "Have", za0001, "Epoch")
 			return
 		}
-		// write "n"
-		err = en.Append(0xa1, 0x6e)
+		err = en.WriteInt64(z.WaitMs)
 		if err != nil {
+			err = msgp.WrapError(err, "WaitMs")
 			return
 		}
-		err = en.WriteUint64(za0002.Count)
+		// write "h"
+		err = en.Append(0xa1, 0x68)
 		if err != nil {
-			err = msgp.WrapError(err, "Have", za0001, "Count")
 			return
 		}
-	}
-	// write "m"
-	err = en.Append(0xa1, 0x6d)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Members)))
-	if err != nil {
-		err = msgp.WrapError(err, "Members")
-		return
-	}
-	for za0003 := range z.Members {
-		// map header, size 3
-		// write "n"
-		err = en.Append(0x83, 0xa1, 0x6e)
+		err = en.WriteMapHeader(uint32(len(z.Have)))
 		if err != nil {
+			err = msgp.WrapError(err, "Have")
 			return
 		}
-		err = en.WriteString(z.Members[za0003].Name)
-		if err != nil {
-			err = msgp.WrapError(err, "Members", za0003, "Name")
-			return
+		for za0001, za0002 := range z.Have {
+			err = en.WriteString(za0001)
+			if err != nil {
+				err = msgp.WrapError(err, "Have")
+				return
+			}
+			// map header, size 2
+			// write "e"
+			err = en.Append(0x82, 0xa1, 0x65)
+			if err != nil {
+				return
+			}
+			err = en.WriteUint64(za0002.Epoch)
+			if err != nil {
+				err = msgp.WrapError(err, "Have", za0001, "Epoch")
+				return
+			}
+			// write "n"
+			err = en.Append(0xa1, 0x6e)
+			if err != nil {
+				return
+			}
+			err = en.WriteUint64(za0002.Count)
+			if err != nil {
+				err = msgp.WrapError(err, "Have", za0001, "Count")
+				return
+			}
 		}
-		// write "z"
-		err = en.Append(0xa1, 0x7a)
+		// write "m"
+		err = en.Append(0xa1, 0x6d)
 		if err != nil {
 			return
 		}
-		err = en.WriteString(z.Members[za0003].Zone)
+		err = en.WriteArrayHeader(uint32(len(z.Members)))
 		if err != nil {
-			err = msgp.WrapError(err, "Members", za0003, "Zone")
+			err = msgp.WrapError(err, "Members")
 			return
 		}
-		// write "a"
-		err = en.Append(0xa1, 0x61)
-		if err != nil {
-			return
+		for za0003 := range z.Members {
+			// map header, size 3
+			// write "n"
+			err = en.Append(0x83, 0xa1, 0x6e)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(z.Members[za0003].Name)
+			if err != nil {
+				err = msgp.WrapError(err, "Members", za0003, "Name")
+				return
+			}
+			// write "z"
+			err = en.Append(0xa1, 0x7a)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(z.Members[za0003].Zone)
+			if err != nil {
+				err = msgp.WrapError(err, "Members", za0003, "Zone")
+				return
+			}
+			// write "a"
+			err = en.Append(0xa1, 0x61)
+			if err != nil {
+				return
+			}
+			err = en.WriteInt64(z.Members[za0003].AgeM)
+			if err != nil {
+				err = msgp.WrapError(err, "Members", za0003, "AgeM")
+				return
+			}
 		}
-		err = en.WriteInt64(z.Members[za0003].AgeM)
-		if err != nil {
-			err = msgp.WrapError(err, "Members", za0003, "AgeM")
-			return
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// write "g"
+			err = en.Append(0xa1, 0x67)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Rested)))
+			if err != nil {
+				err = msgp.WrapError(err, "Rested")
+				return
+			}
+			for za0004 := range z.Rested {
+				err = z.Rested[za0004].EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Rested", za0004)
+					return
+				}
+			}
 		}
 	}
 	return
@@ -2066,40 +2224,65 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Pull) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "f"
-	o = append(o, 0x84, 0xa1, 0x66)
-	o = msgp.AppendString(o, z.From)
-	// string "w"
-	o = append(o, 0xa1, 0x77)
-	o = msgp.AppendInt64(o, z.WaitMs)
-	// string "h"
-	o = append(o, 0xa1, 0x68)
-	o = msgp.AppendMapHeader(o, uint32(len(z.Have)))
-	for za0001, za0002 := range z.Have {
-		o = msgp.AppendString(o, za0001)
-		// map header, size 2
-		// string "e"
-		o = append(o, 0x82, 0xa1, 0x65)
-		o = msgp.AppendUint64(o, za0002.Epoch)
-		// string "n"
-		o = append(o, 0xa1, 0x6e)
-		o = msgp.AppendUint64(o, za0002.Count)
-	}
-	// string "m"
-	o = append(o, 0xa1, 0x6d)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
-	for za0003 := range z.Members {
-		// map header, size 3
-		// string "n"
-		o = append(o, 0x83, 0xa1, 0x6e)
-		o = msgp.AppendString(o, z.Members[za0003].Name)
-		// string "z"
-		o = append(o, 0xa1, 0x7a)
-		o = msgp.AppendString(o, z.Members[za0003].Zone)
-		// string "a"
-		o = append(o, 0xa1, 0x61)
-		o = msgp.AppendInt64(o, z.Members[za0003].AgeM)
+	// check for omitted fields
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
+	_ = zb0001Mask
+	if z.Rested == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "f"
+		o = append(o, 0xa1, 0x66)
+		o = msgp.AppendString(o, z.From)
+		// string "w"
+		o = append(o, 0xa1, 0x77)
+		o = msgp.AppendInt64(o, z.WaitMs)
+		// string "h"
+		o = append(o, 0xa1, 0x68)
+		o = msgp.AppendMapHeader(o, uint32(len(z.Have)))
+		for za0001, za0002 := range z.Have {
+			o = msgp.AppendString(o, za0001)
+			// map header, size 2
+			// string "e"
+			o = append(o, 0x82, 0xa1, 0x65)
+			o = msgp.AppendUint64(o, za0002.Epoch)
+			// string "n"
+			o = append(o, 0xa1, 0x6e)
+			o = msgp.AppendUint64(o, za0002.Count)
+		}
+		// string "m"
+		o = append(o, 0xa1, 0x6d)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
+		for za0003 := range z.Members {
+			// map header, size 3
+			// string "n"
+			o = append(o, 0x83, 0xa1, 0x6e)
+			o = msgp.AppendString(o, z.Members[za0003].Name)
+			// string "z"
+			o = append(o, 0xa1, 0x7a)
+			o = msgp.AppendString(o, z.Members[za0003].Zone)
+			// string "a"
+			o = append(o, 0xa1, 0x61)
+			o = msgp.AppendInt64(o, z.Members[za0003].AgeM)
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "g"
+			o = append(o, 0xa1, 0x67)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Rested)))
+			for za0004 := range z.Rested {
+				o, err = z.Rested[za0004].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Rested", za0004)
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -2245,6 +2428,25 @@
 					}
 				}
 			}
+		case "g":
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Rested")
+				return
+			}
+			if cap(z.Rested) >= int(zb0006) {
+				z.Rested = (z.Rested)[:zb0006]
+			} else {
+				z.Rested = make([]raingauge.Batch, zb0006)
+			}
+			for za0004 := range z.Rested {
+				bts, err = z.Rested[za0004].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Rested", za0004)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2270,6 +2472,10 @@
 	for za0003 := range z.Members {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Members[za0003].Name) + 2 + msgp.StringPrefixSize + len(z.Members[za0003].Zone) + 2 + msgp.Int64Size
 	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0004 := range z.Rested {
+		s += z.Rested[za0004].Msgsize()
+	}
 	return
 }
 
--- /dev/null
+++ b/internal/system/synop/outbox.go
@@ -0,0 +1,72 @@
+package synop
+
+import (
+	"sync"
+	"time"
+
+	"molepaddle/internal/system/raingauge"
+)
+
+// Outbox is a raingauge.Relay for use by many goroutines: what it holds goes along with pulls until it is kept. Nothing wakes
+// for it where it stays empty.
+type Outbox struct {
+	mu      sync.Mutex
+	relay   raingauge.Relay
+	arrived chan struct{} // closed and made anew as something arrives
+}
+
+// NewOutbox makes an empty one.
+func NewOutbox() *Outbox { return &Outbox{arrived: make(chan struct{})} }
+
+// Put takes a batch; see raingauge.Relay.
+func (o *Outbox) Put(b raingauge.Batch) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	defer o.signal()
+	return o.relay.Put(b)
+}
+
+// Keep forgets what is in the record for good.
+func (o *Outbox) Keep(all ...raingauge.Kept) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.relay.Keep(all...)
+}
+
+// Open gives what is held, and what is closed when more arrives.
+func (o *Outbox) Open() ([]raingauge.Batch, <-chan struct{}) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.relay.Open(), o.arrived
+}
+
+// OpenOf tells how many batches are held of a process.
+func (o *Outbox) OpenOf(p raingauge.Process) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.relay.OpenOf(p)
+}
+
+func (o *Outbox) signal() {
+	close(o.arrived)
+	o.arrived = make(chan struct{})
+}
+
+func (o *Outbox) take(v *raingauge.Receiver, batches []raingauge.Batch) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	v.Take(&o.relay, batches)
+	o.signal()
+}
+
+func (o *Outbox) tell(v *raingauge.Receiver) []raingauge.Kept {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return v.Tell(&o.relay)
+}
+
+func (o *Outbox) next(s *raingauge.Sender, now time.Time) []raingauge.Batch {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return s.Next(&o.relay, now)
+}
--- a/internal/system/synop/store.go
+++ b/internal/system/synop/store.go
@@ -9,6 +9,8 @@
 // Store is what one process holds of the sources, for itself and for those that pull from it. It never goes
 // back to an older version, whoever offers it.
 type Store struct {
+	Rested *Outbox // where tenants' data rested, by those that pull, on its way to the record
+
 	mu      sync.Mutex
 	pieces  map[string]*held
 	changed chan struct{} // closed and made anew with each change
@@ -39,7 +41,7 @@
 
 // NewStore makes an empty store.
 func NewStore() *Store {
-	return &Store{pieces: map[string]*held{}, changed: make(chan struct{}), members: map[string]lease{}}
+	return &Store{Rested: NewOutbox(), pieces: map[string]*held{}, changed: make(chan struct{}), members: map[string]lease{}}
 }
 
 // Set puts the whole of a source there. It reports whether it was news.
--- a/internal/system/telemeter/telemeter.go
+++ b/internal/system/telemeter/telemeter.go
@@ -97,6 +97,7 @@
 		err := synop.Follow(ctx, addr, &synop.Follower{Name: t.set.Nodename, Wait: wait, Silence: silence,
 			Members: func() []synop.Member { return t.store.Members(time.Now(), 3*t.set.Heartbeat) },
 			Have:    t.vector, Take: func(n *synop.News) []string { return t.take(n) },
+			Rested: func(time.Time) *synop.Outbox { return t.store.Rested },
 			Goes: func() bool {
 				// One that has not heard of the primary for long is left for another.
 				heard, _ := t.store.Fresh()
--- a/internal/system/vane/enclosed.go
+++ b/internal/system/vane/enclosed.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"go.uber.org/zap"
 
 	"molepaddle/internal/protocol/transport"
 	"molepaddle/internal/system/almanac"
@@ -204,38 +203,15 @@
 	}
 }
 
-// use is what a send is for.
-type use int
-
-const (
-	usePlain use = iota
-	usePrefill
-	useDecode
-	useResume
-	uses
-)
-
 // enclosed is what a proxy knows of enclosed requests: the sends under way, and the ledger of where data was.
 type enclosed struct {
 	mu     sync.Mutex
 	sends  map[*held]struct{}
-	ledger map[[2]string]*rested // by subject and region
+	ledger ledger
 }
 
-// rested is an entry of the ledger: when a subject's data was at backends of a region, by what this proxy sent there. A
-// part kept there or a handle not freed may rest for longer; docs/design/regions.md says how long.
-type rested struct {
-	first, last time.Time
-	counts      [uses]int64 // that ran or may have run
-	changes     int64
-	told        int64 // changes when the entry was last reported
-}
-
-// maxLedger bounds the entries of the ledger. What comes beyond it is counted under no name.
-const maxLedger = 1 << 16
-
 func newEnclosed() *enclosed {
-	return &enclosed{sends: map[*held]struct{}{}, ledger: map[[2]string]*rested{}}
+	return &enclosed{sends: map[*held]struct{}{}, ledger: newLedger()}
 }
 
 func (e *enclosed) add(h *held) {
@@ -262,54 +238,6 @@
 	}
 }
 
-// note takes down that data was sent to a region, and was there until now.
-func (e *enclosed) note(h *held, now time.Time, ran bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	key := [2]string{h.subject.name(), h.rests[0].Region()}
-	r := e.ledger[key]
-	if r == nil {
-		if len(e.ledger) >= maxLedger {
-			key[0] = ""
-		}
-		if r = e.ledger[key]; r == nil {
-			r = &rested{first: h.since}
-			e.ledger[key] = r
-		}
-	}
-	if h.since.Before(r.first) {
-		r.first = h.since
-	}
-	r.last = now
-	r.changes++
-	if ran {
-		r.counts[h.use]++
-	}
-}
-
-// report writes the ledger's entries that have changed, one line each.
-func (e *enclosed) report(log *zap.Logger) {
-	type line struct {
-		key [2]string
-		r   rested
-	}
-	var lines []line
-	e.mu.Lock()
-	for key, r := range e.ledger {
-		if r.told != r.changes {
-			r.told = r.changes
-			lines = append(lines, line{key, *r})
-		}
-	}
-	e.mu.Unlock()
-	slices.SortFunc(lines, func(a, b line) int { return slices.Compare(a.key[:], b.key[:]) })
-	for _, l := range lines {
-		log.Info("rested", zap.String("of", l.key[0]), zap.String("region", l.key[1]), zap.Time("first", l.r.first), zap.Time("last", l.r.last),
-			zap.Int64("plain", l.r.counts[usePlain]), zap.Int64("prefills", l.r.counts[usePrefill]), zap.Int64("decodes", l.r.counts[useDecode]),
-			zap.Int64("resumes", l.r.counts[useResume]))
-	}
-}
-
 // insideText tells what there is of a service inside the terms, for an answer that refuses.
 func (s *service) insideText(of subject, terms enclosure.Terms) string {
 	s.mu.Lock()
--- a/internal/system/vane/enclosed_test.go
+++ b/internal/system/vane/enclosed_test.go
@@ -31,9 +31,9 @@
 	defer e.mu.Unlock()
 	r.Assert(e.sends, qt.HasLen, 0)
 	var prefills, decodes, plains int64
-	for key, rest := range e.ledger {
-		r.Check(key[0], qt.Equals, `tenant "held"`)
-		r.Check(key[1] == "east" || key[1] == "mid", qt.IsTrue, qt.Commentf("%v", key))
+	for key, rest := range e.ledger.entries {
+		r.Check(pairName(key), qt.Equals, `tenant "held"`)
+		r.Check(key.Region == "east" || key.Region == "mid", qt.IsTrue, qt.Commentf("%v", key))
 		r.Check(rest.first.IsZero() || rest.last.Before(rest.first), qt.IsFalse)
 		prefills += rest.counts[usePrefill]
 		decodes += rest.counts[useDecode]
--- a/internal/system/vane/feed.go
+++ b/internal/system/vane/feed.go
@@ -18,7 +18,8 @@
 		err := synop.Follow(ctx, synop.TelemeterAddr(v.set.Ports), &synop.Follower{Name: v.set.Nodename, Wait: v.set.Heartbeat, Silence: time.Second,
 			Members: func() []synop.Member { return []synop.Member{{Name: v.set.Nodename, Zone: v.set.Zone}} },
 			Have:    func() map[string]synop.Version { return maps.Clone(v.have) },
-			Take:    func(n *synop.News) []string { v.take(n); return nil }})
+			Take:    func(n *synop.News) []string { v.take(n); return nil },
+			Rested:  func(now time.Time) *synop.Outbox { v.enclosed.hand(now, v.rested, false); return v.rested }})
 		if ctx.Err() != nil {
 			return
 		}
--- /dev/null
+++ b/internal/system/vane/ledger_test.go
@@ -0,0 +1,130 @@
+package vane
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"molepaddle/internal/system/enclosure"
+	"molepaddle/internal/system/raingauge"
+	"molepaddle/internal/system/synop"
+)
+
+// noter notes sends by hand, for tests of the ledger.
+type noter struct{ *enclosed }
+
+func (n noter) send(tenant string, at enclosure.Permit, u use, since, until time.Time) {
+	h := &held{of: n.enclosed, subject: subject{route: "r", tenant: tenant}, rests: []enclosure.Permit{at}, use: u, since: since}
+	n.note(h, until, true)
+}
+
+// newNoter gives a ledger, and permits for a backend in the east and one in the west.
+func newNoter(c *qt.C) (n noter, east, west enclosure.Permit) {
+	v := New(c.Context(), testSettings(testZones), zap.NewNop())
+	c.Cleanup(v.pool.Close)
+	east, err := v.ground.Plot("b1", "127.0.0.1:1", "e1").Permit(enclosure.Within("east"))
+	c.Assert(err, qt.IsNil)
+	west, err = v.ground.Plot("b2", "127.0.0.1:1", "w1").Permit(enclosure.Within("west"))
+	c.Assert(err, qt.IsNil)
+	return noter{v.enclosed}, east, west
+}
+
+// Batches hold what changed, each count once, however often the ledger is asked; nothing is done where nothing changed.
+func TestLedgerHandsOnWhatChanged(t *testing.T) {
+	c := qt.New(t)
+	e, east, west := newNoter(c)
+	at := func(s int) time.Time { return time.Unix(1_000_000+int64(s), 0) }
+	out := synop.NewOutbox()
+	open := func() []raingauge.Batch { all, _ := out.Open(); return all }
+
+	e.hand(at(0), out, false)
+	c.Assert(open(), qt.HasLen, 0)
+	e.send("labs", east, usePlain, at(1), at(2))
+	e.send("labs", east, useDecode, at(1), at(3))
+	e.hand(at(3), out, false)
+	labs := raingauge.Pair{Tenant: "labs", Region: "east"}
+	first := raingauge.Batch{Process: e.ledger.process, N: 1, Entries: []raingauge.Entry{{Pair: labs, First: at(1).UnixMilli(), Last: at(3).UnixMilli(),
+		Counts: raingauge.Counts{Plain: 1, Decodes: 1}}}}
+	c.Assert(open(), qt.DeepEquals, []raingauge.Batch{first})
+
+	// More of the same waits for some seconds, a region not told yet for one.
+	e.send("labs", east, usePrefill, at(3), at(4))
+	e.hand(at(4), out, false)
+	c.Assert(open(), qt.HasLen, 1)
+	e.send("", west, useResume, at(3), at(4))
+	e.hand(at(3).Add(firstSight-1), out, false)
+	c.Assert(open(), qt.HasLen, 1)
+	e.hand(at(4), out, false)
+	c.Assert(open(), qt.HasLen, 2)
+	c.Assert(open()[1].Entries, qt.HasLen, 2)
+	for _, one := range open()[1].Entries {
+		switch one.Pair {
+		case labs:
+			c.Check(one.Counts, qt.Equals, raingauge.Counts{Prefills: 1})
+			c.Check(one.First, qt.Equals, at(1).UnixMilli())
+			c.Check(one.Last, qt.Equals, at(4).UnixMilli())
+		case raingauge.Pair{Route: "r", Region: "west"}:
+			c.Check(one.Counts, qt.Equals, raingauge.Counts{Resumes: 1})
+		default:
+			c.Errorf("%v", one.Pair)
+		}
+	}
+	e.hand(at(100), out, false)
+	c.Assert(open(), qt.HasLen, 2, qt.Commentf("nothing changed"))
+	// The process ends: all that is left goes at once.
+	e.send("labs", east, usePlain, at(101), at(102))
+	e.hand(at(102), out, false)
+	c.Assert(open(), qt.HasLen, 3)
+	e.send("labs", east, usePlain, at(102), at(103))
+	e.hand(at(103), out, false)
+	c.Assert(open(), qt.HasLen, 3)
+	e.hand(at(103), out, true)
+	c.Assert(open(), qt.HasLen, 4)
+}
+
+// While nothing is kept, what changes waits in the ledger, and comes whole once there is room; many pairs go in several
+// batches.
+func TestLedgerWaitsForRoom(t *testing.T) {
+	c := qt.New(t)
+	e, east, _ := newNoter(c)
+	now := time.Unix(1_000_000, 0)
+	out := synop.NewOutbox()
+	const tenants, rounds = raingauge.MaxBatch + 44, 40
+	sums := map[raingauge.Pair]int64{}
+	last := uint64(0)
+	drain := func() {
+		open, _ := out.Open()
+		for _, b := range open {
+			c.Assert(b.N, qt.Equals, last+1)
+			c.Assert(len(b.Entries) <= raingauge.MaxBatch, qt.IsTrue)
+			for _, one := range b.Entries {
+				sums[one.Pair] += one.Counts.Plain
+			}
+			last = b.N
+		}
+		out.Keep(raingauge.Kept{Process: e.ledger.process, N: last})
+	}
+	for range rounds {
+		for i := range tenants {
+			e.send(fmt.Sprint("t", i), east, usePlain, now, now)
+		}
+		now = now.Add(batchEvery)
+		e.hand(now, out, false)
+		open, _ := out.Open()
+		c.Assert(len(open) <= raingauge.MaxOpen, qt.IsTrue)
+	}
+	c.Assert(out.OpenOf(e.ledger.process), qt.Equals, raingauge.MaxOpen)
+	for range 4 {
+		drain()
+		now = now.Add(batchEvery)
+		e.hand(now, out, false)
+	}
+	drain()
+	c.Assert(sums, qt.HasLen, tenants)
+	for p, n := range sums {
+		c.Check(n, qt.Equals, int64(rounds), qt.Commentf("%v", p))
+	}
+}
--- a/internal/system/vane/vane.go
+++ b/internal/system/vane/vane.go
@@ -39,6 +39,7 @@
 	background sync.WaitGroup
 	statuses   *xsync.Map[int, *xsync.Counter]
 	enclosed   *enclosed
+	rested     *synop.Outbox // batches of the ledger, until they are kept
 
 	// What follows belongs to the feed's goroutine.
 	have     map[string]synop.Version
@@ -73,7 +74,7 @@
 	}
 	room := max(files-reserved, 64)
 	v := &Vane{ctx: ctx, set: set, log: log, life: lifecycle.New(), have: map[string]synop.Version{}, services: map[string]*service{}, proxies: assumedProxies,
-		statuses: xsync.NewMap[int, *xsync.Counter](), enclosed: newEnclosed()}
+		statuses: xsync.NewMap[int, *xsync.Counter](), enclosed: newEnclosed(), rested: synop.NewOutbox()}
 	dialer := &net.Dialer{KeepAlive: -1, Control: sockets.UserTimeout(set.Bounds.Contact)}
 	pool := transport.New(transport.Options{Dial: dialer.DialContext, Timeout: connectWithin, Idle: 10 * time.Second, Most: room / 2,
 		Settle: time.Millisecond, Resting: 4})
@@ -125,6 +126,7 @@
 	case <-ctx.Done():
 	}
 	v.leave(server)
+	v.handOver()
 	_ = readiness.Close()
 	return nil
 }
