--- /dev/null
+++ b/internal/system/observatory/rested_test.go
@@ -0,0 +1,175 @@
+package observatory
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"molepaddle/internal/system/barograph"
+	"molepaddle/internal/system/raingauge"
+	"molepaddle/internal/system/siting"
+	"molepaddle/internal/system/sonde"
+)
+
+// testPatience bounds what is waited for that has to come.
+const testPatience = 20 * time.Second
+
+// solo is an observatory that is all of the core, without its network.
+func solo(c *qt.C) *Observatory {
+	n := uint64(0)
+	o, err := New(siting.Settings{Nodename: "core-1", IP: "127.0.0.1", Zone: "z", Region: "east", Zones: map[string]string{"z": "east"}, Ports: [2]int{7, 10},
+		Seeds: []string{"127.0.0.1:9"}, Bootstrap: true, DataDir: c.TempDir(), Bind: siting.Bind{Control: "127.0.0.1:9"}, Bounds: siting.Bounds{Sync: time.Second}},
+		zap.NewNop(), func() uint64 { n++; return n })
+	c.Assert(err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		o.drive(ctx)
+	}()
+	c.Cleanup(func() {
+		cancel()
+		<-ended
+		c.Check(o.archive.Close(), qt.IsNil)
+	})
+	over := time.After(testPatience)
+	for {
+		st, changed := o.watch()
+		if st.Role == barograph.Primary && st.Ready {
+			return o
+		}
+		select {
+		case <-changed:
+		case <-over:
+			c.Fatal("no primary")
+		}
+	}
+}
+
+// call makes a call of the operator.
+func call(o *Observatory, method, target string, body []byte) (int, http.Header, sonde.Residency) {
+	w := httptest.NewRecorder()
+	r := httptest.NewRequestWithContext(context.Background(), method, target, bytes.NewReader(body))
+	r.Header.Set(sonde.BaseVersion, "0")
+	o.handler().ServeHTTP(w, r)
+	var report sonde.Residency
+	_ = json.Unmarshal(w.Body.Bytes(), &report)
+	return w.Code, w.Header(), report
+}
+
+func batchOf(p raingauge.Process, n uint64, pair raingauge.Pair) raingauge.Batch {
+	return raingauge.Batch{Process: p, N: n, Entries: []raingauge.Entry{{Pair: pair, First: 1000, Last: 1500 + int64(n), Counts: raingauge.Counts{Decodes: 2}}}}
+}
+
+var (
+	labs = raingauge.Pair{Tenant: "labs", Region: "east"}
+	road = raingauge.Pair{Route: "r/1", Region: "east"}
+)
+
+// What arrives is read, told and let go; a reading leaves no trace in what the operator changes.
+func TestReadingsAreTakenAndTold(t *testing.T) {
+	c := qt.New(t)
+	o := solo(c)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		o.read(ctx)
+	}()
+	defer func() { cancel(); <-ended }()
+	o.Readings = testPatience // before anything arrives
+
+	status, _, report := call(o, http.MethodGet, "/molepaddle/residency", nil)
+	c.Assert(status, qt.Equals, http.StatusOK)
+	c.Assert(report, qt.DeepEquals, sonde.Residency{Rested: []sonde.Rested{}})
+	for _, target := range []string{"/molepaddle/residency?tenant=labs", "/molepaddle/residency?route=r%2F1"} {
+		status, _, _ = call(o, http.MethodGet, target, nil)
+		c.Assert(status, qt.Equals, http.StatusNotFound)
+	}
+	o.store.Rested.Put(batchOf(1, 1, labs))
+	o.store.Rested.Put(batchOf(2, 1, road))
+	over := time.After(testPatience)
+	for {
+		status, _, report = call(o, http.MethodGet, "/molepaddle/residency", nil)
+		if c.Check(status, qt.Equals, http.StatusOK); len(report.Rested) == 2 {
+			break
+		}
+		select {
+		case <-over:
+			c.Fatal("no reading")
+		default:
+		}
+	}
+	at := func(ms int64) time.Time { return time.UnixMilli(ms).UTC() }
+	c.Assert(report.Rested, qt.DeepEquals, []sonde.Rested{
+		{Route: "r/1", Region: "east", First: at(1000), Last: at(1501), Decodes: 2},
+		{Tenant: "labs", Region: "east", First: at(1000), Last: at(1501), Decodes: 2}})
+	for target, want := range map[string]int{"tenant=labs": 1, "route=r%2F1": 0, "tenant=r%2F1": -1, "tenant=": 2} {
+		status, _, one := call(o, http.MethodGet, "/molepaddle/residency?"+target, nil)
+		if want < 0 {
+			c.Check(status, qt.Equals, http.StatusNotFound)
+			continue
+		}
+		c.Check(status, qt.Equals, http.StatusOK)
+		if want < 2 {
+			c.Check(one.Rested, qt.DeepEquals, []sonde.Rested{report.Rested[want]}, qt.Commentf("%s", target))
+		}
+	}
+	seq := report.Seq
+	// The first configuration follows on no other, whatever was read.
+	status, _, _ = call(o, http.MethodPost, sonde.Replace.Path, []byte(`{"ver":3,"routing":[{"name":"r","hostname":"h","pfx":"/","kind":"readonly","deadline_ms":1000,"svc":"s","tenant":"new"}],`+
+		`"tenants":[{"name":"new","regions":["east"]}],"svcs":[{"name":"s","probe":"/healthz"}]}`))
+	c.Assert(status, qt.Equals, http.StatusOK)
+	version, ok := o.store.At("config")
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(version.Count, qt.Equals, seq+1)
+	status, _, report = call(o, http.MethodGet, "/molepaddle/residency?tenant=new", nil)
+	c.Assert(status, qt.Equals, http.StatusOK)
+	c.Assert(report.Rested, qt.HasLen, 0)
+}
+
+// A batch is let go only where a committed state of the record has it.
+func TestReadingsThatAreNotConfirmed(t *testing.T) {
+	c := qt.New(t)
+	o := solo(c)
+	first := batchOf(1, 1, labs)
+	o.store.Rested.Put(first)
+	c.Assert(o.news([]raingauge.Batch{first}), qt.IsTrue)
+	c.Assert(o.takeReading(c.Context(), []raingauge.Batch{first}), qt.IsFalse)
+	c.Assert(o.store.Rested.OpenOf(1), qt.Equals, 0)
+	c.Assert(o.news([]raingauge.Batch{first, batchOf(1, 2, labs)}), qt.IsFalse)
+	c.Assert(o.news([]raingauge.Batch{first, batchOf(1, 2, road)}), qt.IsTrue)
+
+	// The record is ahead of what is known to be committed: nothing is proposed on top of that, and nothing let go.
+	good := o.settled.Load()
+	o.settled.Store(&applied{})
+	second := batchOf(1, 2, labs)
+	o.store.Rested.Put(second)
+	c.Assert(o.takeReading(c.Context(), []raingauge.Batch{second}), qt.IsTrue)
+	c.Assert(o.store.Rested.OpenOf(1), qt.Equals, 1)
+	o.settled.Store(good)
+	c.Assert(o.takeReading(c.Context(), []raingauge.Batch{second}), qt.IsFalse)
+	c.Assert(o.store.Rested.OpenOf(1), qt.Equals, 0)
+	c.Assert(o.settled.Load().rested.Report(nil)[0].Counts.Decodes, qt.Equals, int64(4))
+}
+
+// Whoever isn't the primary sends callers on, with what they ask for.
+func TestResidencyIsPassedOn(t *testing.T) {
+	c := qt.New(t)
+	o := solo(c)
+	o.status.Store(&barograph.Status{Role: barograph.Backup, Ready: true, PrimaryAddr: "127.0.0.2:7"})
+	status, header, _ := call(o, http.MethodGet, "/molepaddle/residency?tenant=a%2Fb+c", nil)
+	c.Assert(status, qt.Equals, http.StatusTemporaryRedirect)
+	c.Assert(header.Get("Location"), qt.Equals, "http://127.0.0.2:9/molepaddle/residency?tenant=a%2Fb+c")
+	o.status.Store(&barograph.Status{Role: barograph.Backup})
+	status, header, _ = call(o, http.MethodGet, "/molepaddle/residency", nil)
+	c.Assert(status, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(header.Get(sonde.RetryAfter), qt.Not(qt.Equals), "")
+}
--- a/internal/system/synop/synop_test.go
+++ b/internal/system/synop/synop_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"molepaddle/internal/system/raingauge"
 )
 
 func v(n uint64) Version { return Version{Count: n} }
@@ -155,3 +157,71 @@
 	c.Assert(ok, qt.IsTrue, qt.Commentf("given up while it came"))
 	c.Assert(n.Pieces[0].Whole, qt.HasLen, 64<<10)
 }
+
+// Without anything that rested, messages have the bytes that they had before there was such a thing.
+func TestMessagesWithoutRested(t *testing.T) {
+	c := qt.New(t)
+	b, err := (&Pull{From: "a", WaitMs: 5}).MarshalMsg(nil)
+	c.Assert(err, qt.IsNil)
+	c.Assert(b, qt.DeepEquals, []byte("\x84\xa1f\xa1a\xa1w\x05\xa1h\x80\xa1m\x90"))
+	b, err = (&News{From: "a", Primary: "p", FreshMs: 1}).MarshalMsg(nil)
+	c.Assert(err, qt.IsNil)
+	c.Assert(b, qt.DeepEquals, []byte("\x84\xa1f\xa1a\xa1p\xa1p\xa1a\x01\xa1x\x90"))
+}
+
+// What rested goes up along a chain of stores with the pulls, and is let go on all of it once it is kept at the end.
+func TestRestedGoesUpAndIsLetGo(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	serve := func() (addr string, s *Store) {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		c.Assert(err, qt.IsNil)
+		c.Cleanup(func() { ln.Close() })
+		s = NewStore()
+		go Serve(ctx, ln, "s", s, 10*time.Second, s.Fresh)
+		return ln.Addr().String(), s
+	}
+	middleAddr, middle := serve()
+	topAddr, top := serve()
+	follow := func(addr string, out *Outbox, of func() bool) {
+		_ = Follow(ctx, addr, &Follower{Name: "f", Wait: 10 * time.Millisecond, Silence: 5 * time.Second,
+			Members: func() []Member { return nil }, Have: func() map[string]Version { return nil },
+			Take: func(*News) []string { return nil }, Rested: func(time.Time) *Outbox { return out }, Goes: of})
+	}
+	box := NewOutbox()
+	empty := func(o *Outbox) bool { all, _ := o.Open(); return len(all) == 0 }
+	c.Assert(box.Put(raingauge.Batch{Process: 7, N: 1, Entries: []raingauge.Entry{{Pair: raingauge.Pair{Tenant: "t", Region: "r"}, First: 1, Last: 2}}}), qt.IsTrue)
+	relays, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(relays)
+		follow(topAddr, middle.Rested, func() bool { return ctx.Err() == nil })
+	}()
+	go func() {
+		defer close(done)
+		follow(middleAddr, box, func() bool { return !empty(box) })
+	}()
+	wait := func(ch <-chan struct{}, what string) {
+		c.Helper()
+		select {
+		case <-ch:
+		case <-time.After(20 * time.Second):
+			c.Fatal(what)
+		}
+	}
+	for {
+		all, arrived := top.Rested.Open()
+		if len(all) > 0 {
+			c.Assert(all, qt.HasLen, 1)
+			c.Assert(all[0].Entries[0].Pair.Tenant, qt.Equals, "t")
+			break
+		}
+		wait(arrived, "nothing comes to the top")
+	}
+	c.Assert(empty(box), qt.IsFalse, qt.Commentf("let go before it was kept"))
+	top.Rested.Keep(raingauge.Kept{Process: 7, N: 1})
+	wait(done, "what is kept is not let go")
+	c.Assert(empty(middle.Rested) && empty(top.Rested), qt.IsTrue)
+	cancel()
+	wait(relays, "the relay does not end")
+}
