A machine that ends in order hands on the last of what rested

Cause: a telemeter ends at once on SIGTERM, a vane serves on for some seconds; what it served then was in no report. Change: a vane's last pull says that it ends; a telemeter that was ever handed anything waits for that and for a pull of its own, within the grace. Without terms of tenants nothing waits.

--- a/cmd/station/residency_test.go
+++ b/cmd/station/residency_test.go
@@ -5,7 +5,9 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -122,13 +124,29 @@
 	}
 	since("a kill of the whole core")
 
-	// An orderly end hands on the last that was served.
-	ask(0, 3)
-	f.ends(edge.programs["vane"])
-	edge.programs["vane"].Signal(15)
-	_, err = edge.programs["vane"].Wait(f.within(patient))
-	f.Assert(err, qt.IsNil)
+	// Orderly ends hand on the last that was served.
+	end := func(roles ...string) {
+		for _, role := range roles {
+			f.ends(edge.programs[role])
+			edge.programs[role].Signal(syscall.SIGTERM)
+		}
+		ask(0, 2) // whoever comes before the platform sends nobody any more is served
+		began := time.Now()
+		for _, role := range roles {
+			code, err := edge.programs[role].Wait(f.within(patient))
+			f.Assert(err, qt.IsNil)
+			f.Assert(code, qt.Equals, 0, qt.Commentf("%s", role))
+			t.Logf("%s ended after %v", role, time.Since(began))
+		}
+	}
+	ask(0, 1)
+	end("vane")
 	since("a proxy's orderly end")
+	edge.start("vane")
+	f.ready(edge)
+	ask(0, 1)
+	end("vane", "telemeter")
+	since("a machine's orderly end")
 	// The configuration is what it was, and still changes.
 	rep = f.add(f.version + 1)
 	f.Assert(rep.Status, qt.Equals, http.StatusOK)
--- a/internal/system/raingauge/relay.go
+++ b/internal/system/raingauge/relay.go
@@ -173,6 +173,9 @@
 	}
 }
 
+// Idle tells whether there is nothing that Tell could have to tell.
+func (v *Receiver) Idle() bool { return len(v.seen) == 0 }
+
 // Tell gives what the sender doesn't know to be kept.
 func (v *Receiver) Tell(r *Relay) (out []Kept) {
 	for p, at := range v.seen {
--- a/internal/system/synop/link.go
+++ b/internal/system/synop/link.go
@@ -41,6 +41,11 @@
 				if p.Rested != nil {
 					s.Rested.take(&rested, p.Rested)
 				}
+				if p.Ends {
+					s.Rested.end()
+				} else {
+					s.Rested.lives()
+				}
 				p.WaitMs = min(max(p.WaitMs, 0), 30_000)
 				fresh()
 				n := s.Answer(ctx, name, &p)
@@ -48,7 +53,9 @@
 				if at, primary := s.Fresh(); !at.IsZero() {
 					n.FreshMs, n.Primary = time.Since(at).Milliseconds(), primary
 				}
-				n.Kept = s.Rested.tell(&rested)
+				if !rested.Idle() {
+					n.Kept = s.Rested.tell(&rested)
+				}
 				_ = c.SetDeadline(time.Now().Add(idle))
 				if WriteFrame(c, n) != nil {
 					return
@@ -92,6 +99,7 @@
 	Take    func(n *News) (lacking []string) // sources that are to be sent whole
 	Goes    func() bool                      // false: no further pull; nil: as long as the connection lasts
 	Rested  func(now time.Time) *Outbox      // what is to be handed on with the next pull; nil: nothing ever
+	Ends    bool                             // one pull, the last word of a process that ends
 }
 
 // Follow pulls from an address until the connection breaks, ctx ends or Goes says so.
@@ -106,8 +114,8 @@
 	r := bufio.NewReader(&coming{c, f.Silence})
 	var lacking []string
 	var rested raingauge.Sender
-	for f.Goes == nil || f.Goes() {
-		p := Pull{From: f.Name, WaitMs: f.Wait.Milliseconds(), Have: f.Have(), Members: f.Members()}
+	for asked := false; !(f.Ends && asked) && (f.Goes == nil || f.Goes()); asked = true {
+		p := Pull{From: f.Name, WaitMs: f.Wait.Milliseconds(), Have: f.Have(), Members: f.Members(), Ends: f.Ends}
 		for _, source := range lacking {
 			delete(p.Have, source)
 		}
--- a/internal/system/synop/messages.go
+++ b/internal/system/synop/messages.go
@@ -33,6 +33,8 @@
 	Members []Member           `msg:"m"`
 	// Rested is where tenants' data rested, on its way to the record; left out where there is none.
 	Rested []raingauge.Batch `msg:"g,omitempty"`
+	// Ends says that the sender's process ends, and this is its last word; left out where it isn't.
+	Ends bool `msg:"z,omitempty"`
 }
 
 // Change is one acknowledged change of the configuration, as the operator sent it.
--- a/internal/system/synop/messages_gen.go
+++ b/internal/system/synop/messages_gen.go
@@ -2068,6 +2068,12 @@
 					return
 				}
 			}
+		case "z":
+			z.Ends, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Ends")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -2082,13 +2088,17 @@
 // EncodeMsg implements msgp.Encodable
 func (z *Pull) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(5)
-	var zb0001Mask uint8 /* 5 bits */
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
 	_ = zb0001Mask
 	if z.Rested == nil {
 		zb0001Len--
 		zb0001Mask |= 0x10
 	}
+	if z.Ends == false {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
 	// variable map header, size zb0001Len
 	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
@@ -2217,6 +2227,18 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// write "z"
+			err = en.Append(0xa1, 0x7a)
+			if err != nil {
+				return
+			}
+			err = en.WriteBool(z.Ends)
+			if err != nil {
+				err = msgp.WrapError(err, "Ends")
+				return
+			}
+		}
 	}
 	return
 }
@@ -2225,13 +2247,17 @@
 func (z *Pull) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(5)
-	var zb0001Mask uint8 /* 5 bits */
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
 	_ = zb0001Mask
 	if z.Rested == nil {
 		zb0001Len--
 		zb0001Mask |= 0x10
 	}
+	if z.Ends == false {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -2283,6 +2309,11 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "z"
+			o = append(o, 0xa1, 0x7a)
+			o = msgp.AppendBool(o, z.Ends)
+		}
 	}
 	return
 }
@@ -2447,6 +2478,12 @@
 					return
 				}
 			}
+		case "z":
+			z.Ends, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Ends")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2476,6 +2513,7 @@
 	for za0004 := range z.Rested {
 		s += z.Rested[za0004].Msgsize()
 	}
+	s += 2 + msgp.BoolSize
 	return
 }
 
--- a/internal/system/synop/outbox.go
+++ b/internal/system/synop/outbox.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"molepaddle/internal/system/raingauge"
@@ -13,10 +14,47 @@
 	mu      sync.Mutex
 	relay   raingauge.Relay
 	arrived chan struct{} // closed and made anew as something arrives
+	used    bool          // something arrived
+	over    atomic.Bool
+	ended   chan struct{}
 }
 
 // NewOutbox makes an empty one.
-func NewOutbox() *Outbox { return &Outbox{arrived: make(chan struct{})} }
+func NewOutbox() *Outbox { return &Outbox{arrived: make(chan struct{}), ended: make(chan struct{})} }
+
+// Used tells whether anything ever arrived.
+func (o *Outbox) Used() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.used
+}
+
+// Ended is closed once a process said its last word and none has asked for anything since.
+func (o *Outbox) Ended() <-chan struct{} {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.ended
+}
+
+func (o *Outbox) end() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.over.Swap(true) {
+		close(o.ended)
+	}
+}
+
+// lives notes that a process asks.
+func (o *Outbox) lives() {
+	if !o.over.Load() {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.over.Swap(false) {
+		o.ended = make(chan struct{})
+	}
+}
 
 // Put takes a batch; see raingauge.Relay.
 func (o *Outbox) Put(b raingauge.Batch) bool {
@@ -48,6 +86,7 @@
 }
 
 func (o *Outbox) signal() {
+	o.used = true
 	close(o.arrived)
 	o.arrived = make(chan struct{})
 }
--- a/internal/system/synop/synop_test.go
+++ b/internal/system/synop/synop_test.go
@@ -222,6 +222,21 @@
 	top.Rested.Keep(raingauge.Kept{Process: 7, N: 1})
 	wait(done, "what is kept is not let go")
 	c.Assert(empty(middle.Rested) && empty(top.Rested), qt.IsTrue)
+
+	// A last word is one pull, whose sender may be gone after it; what comes from another process lives on.
+	c.Assert(box.Put(raingauge.Batch{Process: 7, N: 2}), qt.IsTrue)
+	pulls := 0
+	_ = Follow(ctx, middleAddr, &Follower{Name: "f", Silence: 5 * time.Second, Members: func() []Member { return nil }, Have: func() map[string]Version { return nil },
+		Take: func(*News) []string { pulls++; return nil }, Rested: func(time.Time) *Outbox { return box }, Ends: true})
+	c.Assert(pulls, qt.Equals, 1)
+	wait(middle.Rested.Ended(), "the last word is not heard")
+	asked := false
+	follow(middleAddr, box, func() bool { first := !asked; asked = true; return first })
+	select {
+	case <-middle.Rested.Ended():
+		c.Fatal("a process that lives counts as ended")
+	default:
+	}
 	cancel()
 	wait(relays, "the relay does not end")
 }
--- a/internal/system/telemeter/telemeter.go
+++ b/internal/system/telemeter/telemeter.go
@@ -76,8 +76,16 @@
 // maxKnown bounds the observatories that are known.
 const maxKnown = 64
 
-// Run feeds the proxy until ctx ends.
-func (t *Telemeter) Run(ctx context.Context) error {
+// Run feeds the proxy until the context ends. Where the proxy told of tenants' regions, it goes on until the proxy's last word
+// of that is handed on, within the platform's grace.
+func (t *Telemeter) Run(until context.Context) error {
+	ctx, end := context.WithCancel(context.WithoutCancel(until))
+	defer end()
+	wait, silence := synop.Pace(t.set.Bounds.Apply, t.set.Heartbeat)
+	defer context.AfterFunc(until, func() {
+		t.linger(ctx, wait)
+		end()
+	})()
 	ln, err := net.Listen("tcp", synop.TelemeterAddr(t.set.Ports))
 	if err != nil {
 		return errors.Wrap(err, "listen for the proxy")
@@ -87,7 +95,6 @@
 	go synop.Serve(ctx, ln, t.set.Nodename, t.store, 3*t.set.Heartbeat+time.Second, t.store.Fresh)
 	t.log.Info("started")
 	var began time.Time
-	wait, silence := synop.Pace(t.set.Bounds.Apply, t.set.Heartbeat)
 	for i := rand.IntN(max(len(t.known), 1)); ctx.Err() == nil; i++ {
 		if len(t.known) == 0 {
 			return errors.New("peers: none to ask")
@@ -120,6 +127,33 @@
 	return nil
 }
 
+// linger waits for the last word of a proxy that ends along with this process, and for the pull that takes it along.
+func (t *Telemeter) linger(ctx context.Context, wait time.Duration) {
+	if !t.store.Rested.Used() {
+		return
+	}
+	end, cancel := context.WithTimeout(ctx, t.set.Bounds.Grace-graceLeft)
+	defer cancel()
+	select {
+	case <-t.store.Rested.Ended():
+	case <-end.Done():
+		return
+	}
+	pull := time.NewTimer(wait + pullWithin)
+	defer pull.Stop()
+	select {
+	case <-pull.C: // the pull under way has ended by then, and the next one has begun
+	case <-end.Done():
+	}
+}
+
+const (
+	// graceLeft is how long before the end of the grace this process ends at the latest.
+	graceLeft = 300 * time.Millisecond
+	// pullWithin is what a pull may take beyond its wait.
+	pullWithin = 200 * time.Millisecond
+)
+
 func (t *Telemeter) vector() map[string]synop.Version {
 	have := make(map[string]synop.Version, len(t.have))
 	for source, at := range t.have {
--- a/internal/system/vane/ledger.go
+++ b/internal/system/vane/ledger.go
@@ -151,7 +151,8 @@
 		for i := range d {
 			d[i] -= r.given[i]
 		}
-		b.Entries = append(b.Entries, raingauge.Entry{Pair: key, First: r.first.UnixMilli(), Last: r.last.UnixMilli(),
+		first, last := r.first.UnixMilli(), r.last.UnixMilli() // the clock may have been set back in between
+		b.Entries = append(b.Entries, raingauge.Entry{Pair: key, First: first, Last: max(first, last),
 			Counts: raingauge.Counts{Plain: d[usePlain], Prefills: d[usePrefill], Decodes: d[useDecode], Resumes: d[useResume]}})
 		taken = append(taken, r)
 	}
@@ -168,18 +169,17 @@
 // handOver gives the telemeter what is left in the ledger as the process ends, within a time that its end has to spare.
 func (v *Vane) handOver() {
 	v.enclosed.hand(time.Now(), v.rested, true)
-	if open, _ := v.rested.Open(); len(open) == 0 {
+	if !v.rested.Used() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), handOverWithin)
 	defer cancel()
-	asked := false
 	_ = synop.Follow(ctx, synop.TelemeterAddr(v.set.Ports), &synop.Follower{Name: v.set.Nodename, Silence: handOverWithin,
 		Members: func() []synop.Member { return nil },
 		Have:    func() map[string]synop.Version { return nil },
 		Take:    func(*synop.News) []string { return nil },
 		Rested:  func(time.Time) *synop.Outbox { return v.rested },
-		Goes:    func() bool { first := !asked; asked = true; return first }})
+		Ends:    true})
 }
 
 // handOverWithin bounds the last word to the telemeter.
