--- a/internal/system/synop/link.go
+++ b/internal/system/synop/link.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"net"
 	"time"
+
+	"molepaddle/internal/system/raingauge"
 )
 
 // Serve answers pulls from the store on a listener until ctx ends. Connections that ask for nothing for the time
@@ -29,6 +31,7 @@
 			stop := context.AfterFunc(ctx, func() { c.Close() })
 			defer stop()
 			r := bufio.NewReaderSize(c, 1024)
+			var rested raingauge.Receiver
 			for {
 				_ = c.SetDeadline(time.Now().Add(idle))
 				var p Pull
@@ -36,6 +39,14 @@
 					return
 				}
 				s.Renew(p.Members, time.Now())
+				if p.Rested != nil {
+					s.Rested.take(&rested, p.Rested)
+				}
+				if p.Ends {
+					s.Rested.end()
+				} else {
+					s.Rested.lives()
+				}
 				p.WaitMs = min(max(p.WaitMs, 0), 30_000)
 				fresh()
 				n := s.Answer(ctx, name, &p)
@@ -43,6 +54,9 @@
 				if at, primary := s.Fresh(); !at.IsZero() {
 					n.FreshMs, n.Primary = time.Since(at).Milliseconds(), primary
 				}
+				if !rested.Idle() {
+					n.Kept = s.Rested.tell(&rested)
+				}
 				_ = c.SetDeadline(time.Now().Add(idle))
 				if WriteFrame(c, n) != nil {
 					return
@@ -106,6 +120,8 @@
 	Have    func() map[string]Version
 	Take    func(n *News) (lacking []string) // sources that are to be sent whole
 	Goes    func() bool                      // false: no further pull; nil: as long as the connection lasts
+	Rested  func(now time.Time) *Outbox      // what is to be handed on with the next pull; nil: nothing ever
+	Ends    bool                             // one pull, the last word of a process that ends
 }
 
 // Follow pulls from an address until the connection breaks, ctx ends or Goes says so.
@@ -119,11 +135,18 @@
 	defer stop()
 	r := bufio.NewReader(&coming{c, f.Silence})
 	var lacking []string
-	for f.Goes == nil || f.Goes() {
-		p := Pull{From: f.Name, WaitMs: f.Wait.Milliseconds(), Have: f.Have(), Members: f.Members()}
+	var rested raingauge.Sender
+	for asked := false; !(f.Ends && asked) && (f.Goes == nil || f.Goes()); asked = true {
+		p := Pull{From: f.Name, WaitMs: f.Wait.Milliseconds(), Have: f.Have(), Members: f.Members(), Ends: f.Ends}
 		for _, source := range lacking {
 			delete(p.Have, source)
 		}
+		var out *Outbox
+		if f.Rested != nil {
+			now := time.Now()
+			out = f.Rested(now)
+			p.Rested = out.next(&rested, now)
+		}
 		_ = c.SetDeadline(time.Now().Add(f.Wait + f.Silence))
 		if err := WriteFrame(c, &p); err != nil {
 			return err
@@ -132,6 +155,9 @@
 		if err := ReadFrame(r, &n); err != nil {
 			return err
 		}
+		if out != nil && n.Kept != nil {
+			out.Keep(n.Kept...)
+		}
 		lacking = f.Take(&n)
 	}
 	return nil
