station status and watch: each agent's version, by the lease it renews anyway

Cause: a configuration's way to the agents could only be followed in their logs, and who leads the core only guessed. Change: with its lease a vane tells the version in force there, for how long, and its list; telemeters pass that on, and translate the list's number, which they count themselves. The primary answers GET /molepaddle/status on bind.ctl after its backups confirmed the view; others send there by 307, or tell what they know themselves (?local). No message more, no other timing. Ruled out: the telemeters' own vector of versions, as the primary hears it only of those that follow it directly and it says nothing of the vane; a management door per process, which stays open.

--- a/cmd/station/control_test.go
+++ b/cmd/station/control_test.go
@@ -28,7 +28,9 @@
 
 	mu    sync.Mutex
 	doc   *almanac.Document
-	calls []string // method, path and base version of each call
+	was   *almanac.Document // in force before
+	calls []string          // method, path and base version of each call
+	looks int               // at the status since the last change
 }
 
 // newControl starts one, ended with the test.
@@ -61,6 +63,11 @@
 		w.Header().Set("Content-Type", "application/json")
 		_, _ = w.Write(s.doc.Show())
 		return
+	case sonde.Status.Method + " " + sonde.Status.Path:
+		s.looks++
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(s.stands(r.URL.Query().Has(sonde.QueryLocal)))
+		return
 	case sonde.Replace.Method + " " + sonde.Replace.Path:
 	case sonde.Update.Method + " " + sonde.Update.Path:
 		change = almanac.Update
@@ -78,7 +85,7 @@
 		no(w, http.StatusBadRequest, "the configuration is invalid", found)
 		return
 	}
-	s.doc = next
+	s.was, s.doc, s.looks = s.doc, next, 0
 }
 
 // no answers as an observatory refuses.
--- a/cmd/station/main.go
+++ b/cmd/station/main.go
@@ -22,6 +22,7 @@
 	exitNo      = 1 // findings, a refusal, no route; a program failed
 	exitUsage   = 2 // the command line makes no sense, or a file can't be read
 	exitStale   = 3 // another version is current than the one built on
+	exitLate    = 3 // the time was over before every agent had the version
 	exitUnclear = 4 // the control plane gave no clear answer
 )
 
@@ -36,6 +37,8 @@
 
 	Check      checkCmd                     `cmd:"" group:"For operators" help:"Check settings files and configurations."`
 	Show       showCmd                      `cmd:"" group:"For operators" help:"Show the configuration in force."`
+	Status     statusCmd                    `cmd:"" group:"For operators" help:"Show how the fleet stands: the core, its duties, each agent's version, the backends."`
+	Watch      watchCmd                     `cmd:"" group:"For operators" help:"Wait until every agent has a version."`
 	Diff       diffCmd                      `cmd:"" group:"For operators" help:"Tell what a file would change, and whether it would be taken."`
 	Propose    proposeCmd                   `cmd:"" group:"For operators" help:"Send a whole configuration."`
 	Update     updateCmd                    `cmd:"" group:"For operators" help:"Send a change of named items."`
--- a/cmd/station/page_test.go
+++ b/cmd/station/page_test.go
@@ -26,6 +26,9 @@
 // Addresses as the page has them: the control plane's, and one where nobody listens.
 const pageControl, pageDead = "10.1.0.16:8166", "10.2.0.32:8166"
 
+// And the other core machines that the status tells of.
+var pageCore = []string{pageControl, "10.1.1.16:8166", "10.1.2.16:8166"}
+
 // The page's transcripts are blocks that begin with "    $ station". They are played in the page's order against one
 // control plane that has no configuration at first; files are those of testdata.
 func TestPageTranscripts(t *testing.T) {
@@ -81,7 +84,7 @@
 	if *rewrite {
 		c.Assert(os.WriteFile("../"+pageFile, []byte(strings.Join(out, "\n")), 0o644), qt.IsNil)
 	}
-	for _, name := range []string{"check", "show", "diff", "propose", "update", "route", "version"} {
+	for _, name := range []string{"check", "show", "diff", "propose", "update", "route", "status", "watch", "version"} {
 		c.Check(played[name], qt.IsTrue, qt.Commentf("no transcript of station %s", name))
 	}
 }
--- /dev/null
+++ b/cmd/station/status.go
@@ -0,0 +1,158 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"molepaddle/internal/system/status"
+)
+
+type statusCmd struct {
+	controlFlags
+	Local bool `help:"What the machine asked knows itself, without passing on to the primary."`
+	JSON  bool `name:"json" help:"Print the status for programs."`
+}
+
+// Run shows how the fleet stands.
+func (c *statusCmd) Run(a *app) error {
+	client, err := c.client(a)
+	if err != nil {
+		return err
+	}
+	f, answer, err := client.Status(a.ctx, c.Local)
+	if err != nil {
+		if codeOf(err) == exitUnclear && !c.Local {
+			err = errors.Errorf("%v\nNo primary answers. --local shows what one machine knows: give its address with --control.", err)
+			return coded{err, exitUnclear}
+		}
+		return coded{err, codeOf(err)}
+	}
+	if c.JSON {
+		return writeJSON(a.out, f)
+	}
+	return writeStatus(a.out, f, answer.From)
+}
+
+// writeStatus writes a status as tables.
+func writeStatus(w io.Writer, f *status.Fleet, from string) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	v := &f.View
+	fmt.Fprintf(w, "view %d, from %s at %s\n", v.Epoch, word(f.From), from)
+	if !f.Confirmed {
+		fmt.Fprintln(w, "not confirmed by the core: this is what that machine knows itself")
+	}
+	fmt.Fprintln(t, "\ncore\tzone\trole")
+	for _, m := range v.Members {
+		fmt.Fprintf(t, "%s\t%s\t%s\n", m.Address, word(m.Zone), m.Role)
+	}
+	fmt.Fprintln(t, "\nduty\tholder\tfence\tstate")
+	for _, d := range f.Duties {
+		state := "at work"
+		switch {
+		case d.Holder == "":
+			state = "nobody does it"
+		case d.WaitMs > 0:
+			state = "keeps still for another " + millis(d.WaitMs)
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\n", d.Name, dash(d.Holder), count(int64(d.Fence)), state)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	if c := f.Configuration; c.Version == 0 {
+		fmt.Fprintln(w, "\nno configuration yet")
+	} else {
+		fmt.Fprintf(w, "\nconfiguration: version %d, change %d of the record, settled %s ago\n", c.Version, c.Seq, millis(c.AgeMs))
+	}
+	if f.List.Count > 0 {
+		fmt.Fprintf(w, "list of backends: %s%s\n", listed(f.List.Number), polledAgo(f.List.AgeMs))
+	}
+	writeAgents(t, f)
+	if len(f.Services) > 0 {
+		fmt.Fprintln(t, "\nservice\tbackends\tdraining\tphases")
+	}
+	for _, s := range f.Services {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%s\n", word(s.Name), s.Backends, s.Draining, phases(s.Phases))
+	}
+	return t.Flush()
+}
+
+func writeAgents(t io.Writer, f *status.Fleet) {
+	if len(f.Agents) > 0 {
+		fmt.Fprintln(t, "\nagent\tzone\tversion\tfor\tlist\trenewed\tbehind")
+	}
+	for i := range f.Agents {
+		a := &f.Agents[i]
+		since := "-"
+		if a.Version > 0 {
+			since = millis(a.SinceMs)
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s ago\t%s\n", word(a.Name), word(a.Zone), count(a.Version), since, listed(a.List), millis(a.LeaseMs), behind(f, a))
+	}
+	switch {
+	case len(f.Agents) == 0:
+		fmt.Fprintln(t, "\nno agent holds a lease")
+	case f.Learning && f.Confirmed:
+		fmt.Fprintln(t, "the primary is new: there may be agents that it has not heard yet")
+	}
+}
+
+// behind is what an agent lacks.
+func behind(f *status.Fleet, a *status.Agent) string {
+	var all []string
+	if a.Version < f.Configuration.Version {
+		all = append(all, "configuration")
+	}
+	if a.List != f.List.Number {
+		all = append(all, "list")
+	}
+	return dash(strings.Join(all, ", "))
+}
+
+func listed(n status.Number) string {
+	if n.Count == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%d.%d", n.Epoch, n.Count)
+}
+
+func polledAgo(ms int64) string {
+	if ms < 0 {
+		return ""
+	}
+	return ", asked for " + millis(ms) + " ago"
+}
+
+func phases(in map[string]int) string {
+	var all []string
+	for name, n := range in {
+		all = append(all, fmt.Sprintf("%s %d", word(name), n))
+	}
+	slices.Sort(all)
+	return dash(strings.Join(all, ", "))
+}
+
+func dash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
+
+// millis is a duration as one reads it: whole seconds from a minute on, tenths from a second on.
+func millis(ms int64) string {
+	d := time.Duration(ms) * time.Millisecond
+	switch {
+	case d >= time.Minute:
+		d = d.Round(time.Second)
+	case d >= time.Second:
+		d = d.Round(100 * time.Millisecond)
+	}
+	return d.String()
+}
--- /dev/null
+++ b/cmd/station/status_test.go
@@ -0,0 +1,214 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"molepaddle/internal/system/status"
+)
+
+// stands is what `station status --json` tells, asked at one core machine.
+func (f *fleet) stands(at *machine, flags ...string) *status.Fleet {
+	f.Helper()
+	code, out, errOut := station(f, append([]string{"status", "--json", "--control", at.boot.Ctl}, flags...)...)
+	f.Assert(code, qt.Equals, exitDone, qt.Commentf("%s", errOut))
+	var s status.Fleet
+	f.Assert(json.Unmarshal([]byte(out), &s), qt.IsNil)
+	return &s
+}
+
+// watch runs `station watch`, asked at all core machines.
+func (f *fleet) watch(code int, args ...string) string {
+	f.Helper()
+	args = append([]string{"watch"}, args...)
+	for _, addr := range f.operator.Ctl {
+		args = append(args, "--control", addr)
+	}
+	got, out, errOut := station(f, args...)
+	f.Assert(got, qt.Equals, code, qt.Commentf("%v: %s%s", args, out, errOut))
+	return out + errOut
+}
+
+func names(agents []status.Agent) (all []string) {
+	for _, a := range agents {
+		all = append(all, a.Name)
+	}
+	return all
+}
+
+// TestStatus follows a configuration to every proxy, past one that hangs and past the loss of the primary.
+func TestStatus(t *testing.T) {
+	f := newFleet(t, plan{prefill: 2, decode: 2})
+	primary := f.primary()
+	f.watch(exitDone, "1")
+
+	// Any observatory is asked, the primary tells.
+	for _, m := range f.core {
+		s := f.stands(m)
+		f.Check(s.From, qt.Equals, primary.settings.Node)
+		f.Check(s.Confirmed, qt.IsTrue)
+		f.Check(s.Learning, qt.IsFalse)
+		f.Check(s.View.Primary, qt.Equals, primary.boot.Ctl)
+		roles := map[string]int{}
+		for i, member := range s.View.Members {
+			f.Check(member.Address, qt.Equals, f.core[i].boot.Ctl)
+			f.Check(member.Zone, qt.Equals, f.core[i].settings.Zone)
+			roles[member.Role]++
+		}
+		f.Check(roles, qt.DeepEquals, map[string]int{"primary": 1, "backup": 1, "witness": 1})
+		for _, d := range s.Duties {
+			f.Check(d.Holder, qt.Equals, primary.boot.Ctl)
+			f.Check(d.Fence, qt.Equals, s.View.Epoch)
+		}
+		f.Check(s.Configuration.Version, qt.Equals, int64(1))
+		f.Check(s.Configuration.Seq, qt.Equals, uint64(1))
+		f.Check(names(s.Agents), qt.DeepEquals, []string{"edge-1", "edge-2"})
+		for i, a := range s.Agents {
+			f.Check(a.Zone, qt.Equals, f.edge[i].settings.Zone)
+			f.Check(a.Version, qt.Equals, int64(1))
+			f.Check(a.SinceMs > 0 && a.SinceMs < time.Minute.Milliseconds(), qt.IsTrue, qt.Commentf("%d", a.SinceMs))
+		}
+		f.Assert(s.Services, qt.HasLen, 2)
+		f.Check(s.Services[0].Name, qt.Equals, model)
+		f.Check(s.Services[0].Backends, qt.Equals, 4)
+		sum := 0
+		for _, n := range s.Services[0].Phases {
+			sum += n
+		}
+		f.Check(sum, qt.Equals, 4)
+		f.Check(s.Services[1], qt.DeepEquals, status.Service{Name: lookups, Backends: 2, Phases: map[string]int{}})
+	}
+	// The list's number comes back from the proxies by way of their telemeters.
+	f.until(patient, "both proxies have the newest list", func() bool {
+		s := f.stands(primary)
+		return !slices.ContainsFunc(s.Agents, func(a status.Agent) bool { return a.List != s.List.Number })
+	})
+	f.platform.Drain(f.plain[0])
+	f.until(patient, "a draining backend is counted", func() bool { return f.stands(primary).Services[1].Draining == 1 })
+	before := f.stands(primary).List.Number
+	f.until(patient, "both proxies have the list that tells of it", func() bool {
+		return !slices.ContainsFunc(f.stands(primary).Agents, func(a status.Agent) bool { return a.List.Count < before.Count })
+	})
+
+	// One that is not the primary tells what it knows when asked for that.
+	other := f.core[slices.IndexFunc(f.core, func(m *machine) bool { return m != primary })]
+	s := f.stands(other, "--local")
+	f.Check(s.From, qt.Equals, other.settings.Node)
+	f.Check(s.Confirmed, qt.IsFalse)
+	f.Check(s.View.Primary, qt.Equals, primary.boot.Ctl)
+
+	// A proxy that hangs lacks the next version, for as long as it has a lease.
+	hung := f.edge[1].programs["vane"]
+	hung.Signal(syscall.SIGSTOP)
+	f.add(2)
+	out := f.watch(exitLate, "2", "--limit", "1s")
+	f.Check(out, qt.Contains, "version 2: in force at 1 of 2 agents; not at edge-2 (1)")
+	s = f.stands(primary)
+	f.Check(names(s.Lacking(2)), qt.DeepEquals, []string{"edge-2"})
+	hung.Signal(syscall.SIGCONT)
+	f.Check(f.watch(exitDone), qt.Contains, "version 2: in force at 2 of 2 agents")
+
+	// With the primary gone, the next one tells, and waits until it knows all agents.
+	primary.kill("observatory")
+	out = f.watch(exitDone, "2")
+	t.Logf("after the loss of the primary:\n%s", out)
+	f.Check(out, qt.Contains, "the primary is new and may not have heard all")
+	s = f.stands(f.primary())
+	f.Check(s.View.Primary, qt.Not(qt.Equals), primary.boot.Ctl)
+	f.Check(names(s.Agents), qt.DeepEquals, []string{"edge-1", "edge-2"})
+	f.Check(s.Duties[1], qt.DeepEquals, status.Duty{Name: status.DutyPhases, Holder: s.View.Primary, Fence: s.View.Epoch})
+	f.Check(fmt.Sprint(s.Agents[0].Version, s.Agents[1].Version), qt.Equals, "2 2")
+	f.judge()
+}
+
+// TestStatusWithoutPrimary asks where most of the core is gone.
+func TestStatusWithoutPrimary(t *testing.T) {
+	f := newFleet(t, plan{})
+	primary := f.primary()
+	var left *machine
+	for _, m := range f.core {
+		if m == primary || left != nil {
+			m.kill("observatory")
+		} else {
+			left = m
+		}
+	}
+	code, _, errOut := station(t, "status", "--control", left.boot.Ctl, "--within", "3s")
+	f.Assert(code, qt.Equals, exitUnclear, qt.Commentf("%s", errOut))
+	f.Check(errOut, qt.Contains, "--local shows what one machine knows")
+	code, out, _ := station(t, "status", "--local", "--control", left.boot.Ctl)
+	f.Assert(code, qt.Equals, exitDone)
+	f.Check(out, qt.Contains, "not confirmed by the core")
+	f.Check(out, qt.Contains, "version 1")
+	f.judge()
+}
+
+// lateFor is for how many looks one agent of the stand-in lacks a change.
+const lateFor = 3
+
+// stands is the status that the stand-in for the control plane gives: of three agents one is late with each change.
+func (s *control) stands(local bool) *status.Fleet {
+	f := &status.Fleet{From: "core-koto-hall-1", Confirmed: !local, View: status.View{Epoch: 4, Primary: pageControl, Ready: true},
+		Configuration: status.Configuration{Version: s.doc.Version(), Seq: 3, AgeMs: 310}, List: status.List{Number: status.Number{Epoch: 4, Count: 12}, AgeMs: 140}}
+	zones := []string{"koto-hall", "shinagawa-hall", "kawasaki-hall"}
+	roles := []string{"primary", "backup", "witness"}
+	for i, addr := range pageCore {
+		f.View.Members = append(f.View.Members, status.Member{Address: addr, Zone: zones[i], Region: "kanto", Role: roles[i]})
+	}
+	for _, name := range []string{status.DutyPoll, status.DutyPhases} {
+		f.Duties = append(f.Duties, status.Duty{Name: name, Holder: pageControl, Fence: 4})
+	}
+	if s.doc == nil {
+		f.Configuration = status.Configuration{}
+		return f
+	}
+	for i, zone := range zones {
+		a := status.Agent{Name: fmt.Sprintf("edge-%s-1", zone), Zone: zone, LeaseMs: int64(40 + 210*i), Version: s.doc.Version(), SinceMs: int64(290 - 30*i), List: f.List.Number}
+		if i == 2 && s.looks <= lateFor {
+			a.Version, a.SinceMs = s.was.Version(), 3_600_000
+		}
+		f.Agents = append(f.Agents, a)
+	}
+	f.Services = []status.Service{{Name: "obs-lookup", Backends: 4, Draining: 1}, {Name: "sora-llm", Backends: 9, Phases: map[string]int{"prefill": 4, "decode": 4, "changing": 1}}}
+	return f
+}
+
+func TestStatusCodes(t *testing.T) {
+	c := qt.New(t)
+	s := newControl(c)
+	code, out, errOut := station(t, "watch", "--control", s.addr)
+	c.Check(code, qt.Equals, exitNo, qt.Commentf("%s%s", out, errOut))
+	c.Check(errOut, qt.Contains, "no configuration yet")
+	code, out, _ = station(t, "status", "--control", s.addr)
+	c.Check(code, qt.Equals, exitDone)
+	c.Check(out, qt.Contains, "no configuration yet")
+	c.Check(out, qt.Contains, "no agent holds a lease")
+	// A version that nobody has is waited for.
+	code, _, errOut = station(t, "watch", "5", "--limit", "300ms", "--control", s.addr)
+	c.Check(code, qt.Equals, exitLate)
+	c.Check(errOut, qt.Contains, "not within 300ms: version 5: in force at 0 of 0 agents")
+	code, _, _ = station(t, "propose", data("fleet.json"), "--control", s.addr)
+	c.Assert(code, qt.Equals, exitDone)
+	code, out, errOut = station(t, "watch", "--json", "--control", s.addr)
+	c.Check(code, qt.Equals, exitDone, qt.Commentf("%s", errOut))
+	f, err := status.Decode([]byte(out))
+	c.Assert(err, qt.IsNil)
+	c.Check(f.Everywhere(5), qt.IsTrue)
+	nobody := deadAddr(c)
+	code, _, errOut = station(t, "status", "--control", nobody, "--within", "150ms")
+	c.Check(code, qt.Equals, exitUnclear)
+	c.Check(errOut, qt.Contains, "no clear answer: "+nobody)
+	code, _, errOut = station(t, "watch", "--control", nobody, "--within", "100ms", "--limit", "300ms")
+	c.Check(code, qt.Equals, exitUnclear, qt.Commentf("%s", errOut))
+	for _, args := range [][]string{{"status"}, {"watch"}, {"watch", "-1", "--control", s.addr}, {"watch", "x", "--control", s.addr},
+		{"watch", "--limit", "0s", "--control", s.addr}} {
+		code, _, errOut := station(t, args...)
+		c.Check(code, qt.Equals, exitUsage, qt.Commentf("%v: %s", args, errOut))
+	}
+}
--- /dev/null
+++ b/cmd/station/watch.go
@@ -0,0 +1,110 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"molepaddle/internal/system/heliograph"
+	"molepaddle/internal/system/status"
+)
+
+type watchCmd struct {
+	controlFlags
+	Version int64         `arg:"" optional:"" help:"The version to wait for; without it, the one in force."`
+	Limit   time.Duration `help:"The longest wait." default:"30s"`
+	JSON    bool          `name:"json" help:"Print the last status for programs, and nothing else."`
+}
+
+// watchEvery is the time between two looks.
+const watchEvery = 250 * time.Millisecond
+
+// Run waits until every agent with a lease has a version.
+func (c *watchCmd) Run(a *app) error {
+	client, err := c.client(a)
+	if err != nil {
+		return err
+	}
+	if c.Version < 0 || c.Limit <= 0 {
+		return coded{errors.New("VERSION must not be below 0, --limit must be above 0"), exitUsage}
+	}
+	say := func(line string) { fmt.Fprintln(a.out, lines(line)) }
+	if c.JSON {
+		say = func(string) {}
+	}
+	f, err := watch(a.ctx, client, c.Version, c.Limit, say)
+	if f != nil && c.JSON {
+		if err := writeJSON(a.out, f); err != nil {
+			return err
+		}
+	}
+	return err
+}
+
+// watch looks at the fleet until every agent with a lease has the version (0: the one in force at the first look), and
+// says each change. The last status comes back also with an error.
+func watch(ctx context.Context, client *heliograph.Client, version int64, limit time.Duration, say func(line string)) (*status.Fleet, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	said := ""
+	var last *status.Fleet
+	for {
+		f, _, err := client.Status(ctx, false)
+		switch {
+		case err != nil && ctx.Err() == nil && codeOf(err) != exitUnclear:
+			return last, coded{err, codeOf(err)}
+		case err != nil:
+			// No primary for the moment, or the time is over: which of them shows below.
+		default:
+			last = f
+			if version == 0 {
+				version = f.Configuration.Version
+			}
+			if version == 0 {
+				return f, errNone
+			}
+			if line := progress(f, version); line != said {
+				said = line
+				say(line)
+			}
+			if f.Everywhere(version) {
+				return f, nil
+			}
+		}
+		next := time.NewTimer(watchEvery)
+		select {
+		case <-next.C:
+		case <-ctx.Done():
+			next.Stop()
+			if last == nil {
+				return nil, coded{errors.Wrapf(err, "not within %v", limit), exitUnclear}
+			}
+			return last, coded{errors.Errorf("not within %v: %s", limit, progress(last, version)), exitLate}
+		}
+	}
+}
+
+// progress is how far a version has come.
+func progress(f *status.Fleet, version int64) string {
+	lacking := f.Lacking(version)
+	line := fmt.Sprintf("version %d: in force at %d of %s", version, len(f.Agents)-len(lacking), many(len(f.Agents), "agent"))
+	const most = 5
+	var names []string
+	for i, a := range lacking {
+		if i == most {
+			names = append(names, fmt.Sprintf("%d more", len(lacking)-most))
+			break
+		}
+		names = append(names, fmt.Sprintf("%s (%s)", word(a.Name), count(a.Version)))
+	}
+	if names != nil {
+		line += "; not at " + strings.Join(names, ", ")
+	}
+	if f.Learning {
+		line += "; the primary is new and may not have heard all"
+	}
+	return line
+}
--- /dev/null
+++ b/internal/system/heliograph/status.go
@@ -0,0 +1,28 @@
+package heliograph
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+
+	"molepaddle/internal/system/sonde"
+	"molepaddle/internal/system/status"
+)
+
+// Status asks how the fleet stands: the primary, or with local whichever of Control answers first, for what that one
+// knows itself. Errors: *Refused by one that knows no such call, *Unclear while there is no primary.
+func (c *Client) Status(ctx context.Context, local bool) (*status.Fleet, Answer, error) {
+	call := sonde.Status
+	if local {
+		call.Path += "?" + sonde.QueryLocal
+	}
+	answer, err := c.call(ctx, call, nil, nil)
+	if err != nil {
+		return nil, answer, err
+	}
+	f, err := status.Decode(answer.Body)
+	if err != nil {
+		return nil, answer, &Unclear{errors.Wrap(err, answer.From)}
+	}
+	return f, answer, nil
+}
--- a/internal/system/observatory/observatory.go
+++ b/internal/system/observatory/observatory.go
@@ -33,6 +33,7 @@
 	status  atomic.Pointer[barograph.Status]
 	changed atomic.Pointer[chan struct{}] // closed when the status next changes
 	settled atomic.Pointer[applied]       // newest committed state
+	polls   atomic.Pointer[polls]         // what the poller did last, as primary
 
 	// What follows belongs to the driver's goroutine.
 	waiting map[uint64]chan<- barograph.Answer
@@ -215,6 +216,7 @@
 			o.store.Set(synop.SourceConfig, at, d.doc.Show())
 		}
 	}
+	last.at = time.Now()
 	o.settled.Store(last)
 	o.log.Info("configuration settled", zap.Uint64("seq", last.seq), zap.Int64("version", versionOf(last.doc)))
 }
--- a/internal/system/observatory/operator.go
+++ b/internal/system/observatory/operator.go
@@ -28,6 +28,7 @@
 	mux.HandleFunc(sonde.Replace.Method+" "+sonde.Replace.Path, func(w http.ResponseWriter, r *http.Request) { o.change(w, r, true) })
 	mux.HandleFunc(sonde.Update.Method+" "+sonde.Update.Path, func(w http.ResponseWriter, r *http.Request) { o.change(w, r, false) })
 	mux.HandleFunc(sonde.Show.Method+" "+sonde.Show.Path, o.show)
+	mux.HandleFunc(sonde.Status.Method+" "+sonde.Status.Path, o.tell)
 	return mux
 }
 
--- a/internal/system/observatory/pulls.go
+++ b/internal/system/observatory/pulls.go
@@ -89,6 +89,7 @@
 	epoch, count := uint64(0), uint64(0)
 	var since, polled, reported time.Time
 	every, dirty := pollEvery, false
+	var answered time.Time
 	for ; ctx.Err() == nil; sleep(ctx, pollStep) {
 		st := o.status.Load()
 		if st.Role != barograph.Primary || !st.Ready || o.set.Provider.Address == "" {
@@ -96,6 +97,7 @@
 		}
 		if st.Epoch != epoch {
 			epoch, count, plain, last, lastCrowd, lastCore, since = st.Epoch, 0, nil, nil, nil, nil, time.Now()
+			answered = time.Time{}
 			duty.reset()
 		}
 		now := time.Now()
@@ -105,6 +107,7 @@
 			if err != nil {
 				o.log.Debug("platform's list", zap.Error(err))
 			} else {
+				answered = time.Now()
 				sonde.Sort(&list)
 				if plain == nil || !reflect.DeepEqual(*plain, list) {
 					plain, dirty = &list, true
@@ -114,7 +117,7 @@
 			}
 		}
 		// Holders of the duty don't take turns within a lease.
-		if plain != nil && now.Sub(since) > o.set.Bounds.Lease+orderWithin*2 && now.Sub(reported) >= reportEvery {
+		if plain != nil && now.Sub(since) > o.phasesWait() && now.Sub(reported) >= reportEvery {
 			reported = now
 			if duty.round(ctx, time.Since(o.start), plain, epoch) {
 				dirty = true
@@ -131,6 +134,9 @@
 				last = &list
 			}
 		}
+		if p := o.polls.Load(); p == nil || p.epoch != epoch || p.at != answered || p.list != last {
+			o.polls.Store(&polls{epoch: epoch, since: since, at: answered, list: last})
+		}
 		core := synop.Core{}
 		for _, m := range st.View.Members {
 			if host, _, err := net.SplitHostPort(m.Addr); err == nil {
@@ -144,7 +150,7 @@
 			lastCore = &core
 		}
 		crowd := synop.Crowd{Zones: map[string]int{}}
-		for _, m := range o.store.Members(time.Now(), 3*o.set.Heartbeat+time.Second) {
+		for _, m := range o.store.Members(time.Now(), o.leaseFor()) {
 			crowd.Proxies++
 			crowd.Zones[m.Zone]++
 		}
--- /dev/null
+++ b/internal/system/observatory/status.go
@@ -0,0 +1,157 @@
+package observatory
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"molepaddle/internal/system/barograph"
+	"molepaddle/internal/system/sonde"
+	"molepaddle/internal/system/status"
+	"molepaddle/internal/system/synop"
+)
+
+// confirmWithin bounds how long a status waits for the view to be confirmed: callers turn elsewhere after a second.
+const confirmWithin = 700 * time.Millisecond
+
+// polls is what the poller of a term last did. It is replaced whole, its list is never changed.
+type polls struct {
+	epoch uint64
+	since time.Time // when the term began
+	at    time.Time // of the last answer; zero: none in this term
+	list  *synop.List
+}
+
+// leaseFor is how long a member counts without a renewal.
+func (o *Observatory) leaseFor() time.Duration { return 3*o.set.Heartbeat + time.Second }
+
+// phasesWait is how long a new holder of the phases' duty keeps still: holders don't take turns within a lease.
+func (o *Observatory) phasesWait() time.Duration { return o.set.Bounds.Lease + 2*orderWithin }
+
+// tell answers a call for the status; a caller is passed on to the primary unless it asks for this machine's own word.
+func (o *Observatory) tell(w http.ResponseWriter, r *http.Request) {
+	local := r.URL.Query().Has(sonde.QueryLocal)
+	if !local && o.elsewhere(w, r) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), confirmWithin)
+	defer cancel()
+	st := o.status.Load()
+	confirmed := false
+	if st.Role == barograph.Primary {
+		ans, err := o.ask(ctx, func(now time.Duration, token uint64) barograph.Output { return o.machine.Read(now, token) })
+		st = o.status.Load()
+		confirmed = err == nil && ans.Result == barograph.Confirmed && st.Role == barograph.Primary
+	}
+	if !confirmed && !local {
+		o.later(w, "the view is not confirmed")
+		return
+	}
+	f := o.stands(st, time.Now())
+	f.Confirmed = confirmed
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(f)
+}
+
+// controlOf is where a core machine takes the operator's calls, from where it hears the core.
+func (o *Observatory) controlOf(core string) string {
+	host, _, err := net.SplitHostPort(core)
+	_, port, err2 := net.SplitHostPort(o.set.Bind.Control)
+	if err != nil || err2 != nil {
+		return ""
+	}
+	return net.JoinHostPort(host, port)
+}
+
+// stands gathers how the fleet stands, as far as this machine knows.
+func (o *Observatory) stands(st *barograph.Status, now time.Time) *status.Fleet {
+	f := &status.Fleet{From: o.set.Nodename, View: status.View{Epoch: st.Epoch, Primary: o.controlOf(st.PrimaryAddr), Ready: st.Ready, Members: []status.Member{}},
+		List: status.List{AgeMs: -1}, Agents: []status.Agent{}, Services: []status.Service{}}
+	for _, m := range st.View.Members {
+		role := barograph.Witness
+		switch {
+		case m.ID == st.View.Primary:
+			role = barograph.Primary
+		case slices.Contains(st.View.Backups, m.ID):
+			role = barograph.Backup
+		}
+		f.View.Members = append(f.View.Members, status.Member{Address: o.controlOf(m.Addr), Zone: m.Zone, Region: m.Region, Role: role.String()})
+	}
+	settled := o.settled.Load()
+	if settled != nil {
+		f.Configuration = status.Configuration{Version: versionOf(settled.doc), Seq: settled.seq, AgeMs: now.Sub(settled.at).Milliseconds()}
+	}
+	for _, m := range o.store.Members(now, o.leaseFor()) {
+		f.Agents = append(f.Agents, status.Agent{Name: m.Name, Zone: m.Zone, LeaseMs: m.AgeM, Version: m.Config, SinceMs: m.AgeM + m.SinceM,
+			List: status.Number{Epoch: m.List.Epoch, Count: m.List.Count}})
+	}
+	if at, ok := o.store.At(synop.SourceList); ok {
+		f.List.Number = status.Number{Epoch: at.Epoch, Count: at.Count}
+	}
+	f.Duties = o.duties(st, now)
+	f.Learning = true
+	if p := o.polls.Load(); p != nil && st.Role == barograph.Primary && p.epoch == st.Epoch {
+		f.Learning = now.Sub(p.since) < o.leaseFor()
+		if !p.at.IsZero() {
+			f.List.AgeMs = now.Sub(p.at).Milliseconds()
+		}
+		f.Services = servicesOf(p.list, settled)
+	}
+	f.Sort()
+	return f
+}
+
+// duties tells who does what for all: nobody while the view has no primary that is ready.
+func (o *Observatory) duties(st *barograph.Status, now time.Time) []status.Duty {
+	poll, phases := status.Duty{Name: status.DutyPoll}, status.Duty{Name: status.DutyPhases}
+	if st.Ready && o.set.Provider.Address != "" {
+		poll.Holder, poll.Fence = o.controlOf(st.PrimaryAddr), st.Epoch
+		phases.Holder, phases.Fence = poll.Holder, st.Epoch
+		if st.Role == barograph.Primary {
+			phases.WaitMs = o.phasesWait().Milliseconds()
+			if p := o.polls.Load(); p != nil && p.epoch == st.Epoch {
+				phases.WaitMs = max(o.phasesWait()-now.Sub(p.since), 0).Milliseconds()
+			}
+		}
+	}
+	return []status.Duty{poll, phases}
+}
+
+// servicesOf counts the backends of each service that the configuration or the list names.
+func servicesOf(list *synop.List, settled *applied) []status.Service {
+	all := map[string]*status.Service{}
+	of := func(name string) *status.Service {
+		s := all[name]
+		if s == nil {
+			s = &status.Service{Name: name, Phases: map[string]int{}}
+			all[name] = s
+		}
+		return s
+	}
+	if settled != nil && settled.doc != nil {
+		for _, svc := range settled.doc.Services() {
+			of(svc.Name)
+		}
+	}
+	if list != nil {
+		for i := range list.Backends {
+			b := &list.Backends[i]
+			s := of(b.Service)
+			s.Backends++
+			if b.Draining {
+				s.Draining++
+			}
+			if b.Phase != "" {
+				s.Phases[b.Phase]++
+			}
+		}
+	}
+	out := make([]status.Service, 0, len(all))
+	for _, s := range all {
+		out = append(out, *s)
+	}
+	return out
+}
--- a/internal/system/sonde/table.go
+++ b/internal/system/sonde/table.go
@@ -39,7 +39,7 @@
 )
 
 // Table is all of them.
-var Table = []Call{Ready, Replace, Update, Show, Order, Report, Free, Listing}
+var Table = []Call{Ready, Replace, Update, Show, Status, Order, Report, Free, Listing}
 
 // Header fields of requests and answers, in canonical form.
 const (
--- a/internal/system/synop/messages.go
+++ b/internal/system/synop/messages.go
@@ -16,11 +16,14 @@
 	return v.Epoch < w.Epoch || v.Epoch == w.Epoch && v.Count < w.Count
 }
 
-// Member is a process that renews its lease: which machine, and how many milliseconds ago it last did.
+// Member is a process that renews its lease: which machine, how many milliseconds ago it last did, and what it had then.
 type Member struct {
-	Name string `msg:"n"`
-	Zone string `msg:"z"`
-	AgeM int64  `msg:"a"` // milliseconds since its last renewal, as whoever sends this knows
+	Name   string  `msg:"n"`
+	Zone   string  `msg:"z"`
+	AgeM   int64   `msg:"a"` // milliseconds since its last renewal, as whoever sends this knows
+	Config int64   `msg:"c"` // the operator's version of the configuration in force there; 0: none
+	SinceM int64   `msg:"s"` // milliseconds since that came into force, before the renewal
+	List   Version `msg:"l"` // of the list of backends there, as its sender counts; zero: none, or one polled elsewhere
 }
 
 // Pull asks for what the sender lacks and renews the leases of those it stands for.
--- a/internal/system/synop/messages_gen.go
+++ b/internal/system/synop/messages_gen.go
@@ -1060,6 +1060,53 @@
 				err = msgp.WrapError(err, "AgeM")
 				return
 			}
+		case "c":
+			z.Config, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "Config")
+				return
+			}
+		case "s":
+			z.SinceM, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "SinceM")
+				return
+			}
+		case "l":
+			var zb0002 uint32
+			zb0002, err = dc.ReadMapHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "List")
+				return
+			}
+			for zb0002 > 0 {
+				zb0002--
+				field, err = dc.ReadMapKeyPtr()
+				if err != nil {
+					err = msgp.WrapError(err, "List")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "e":
+					z.List.Epoch, err = dc.ReadUint64()
+					if err != nil {
+						err = msgp.WrapError(err, "List", "Epoch")
+						return
+					}
+				case "n":
+					z.List.Count, err = dc.ReadUint64()
+					if err != nil {
+						err = msgp.WrapError(err, "List", "Count")
+						return
+					}
+				default:
+					err = dc.Skip()
+					if err != nil {
+						err = msgp.WrapError(err, "List")
+						return
+					}
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -1072,10 +1119,10 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z Member) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
+func (z *Member) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 6
 	// write "n"
-	err = en.Append(0x83, 0xa1, 0x6e)
+	err = en.Append(0x86, 0xa1, 0x6e)
 	if err != nil {
 		return
 	}
@@ -1104,15 +1151,61 @@
 		err = msgp.WrapError(err, "AgeM")
 		return
 	}
+	// write "c"
+	err = en.Append(0xa1, 0x63)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.Config)
+	if err != nil {
+		err = msgp.WrapError(err, "Config")
+		return
+	}
+	// write "s"
+	err = en.Append(0xa1, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.SinceM)
+	if err != nil {
+		err = msgp.WrapError(err, "SinceM")
+		return
+	}
+	// write "l"
+	err = en.Append(0xa1, 0x6c)
+	if err != nil {
+		return
+	}
+	// map header, size 2
+	// write "e"
+	err = en.Append(0x82, 0xa1, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.List.Epoch)
+	if err != nil {
+		err = msgp.WrapError(err, "List", "Epoch")
+		return
+	}
+	// write "n"
+	err = en.Append(0xa1, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.List.Count)
+	if err != nil {
+		err = msgp.WrapError(err, "List", "Count")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z Member) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Member) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 6
 	// string "n"
-	o = append(o, 0x83, 0xa1, 0x6e)
+	o = append(o, 0x86, 0xa1, 0x6e)
 	o = msgp.AppendString(o, z.Name)
 	// string "z"
 	o = append(o, 0xa1, 0x7a)
@@ -1120,6 +1213,21 @@
 	// string "a"
 	o = append(o, 0xa1, 0x61)
 	o = msgp.AppendInt64(o, z.AgeM)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendInt64(o, z.Config)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendInt64(o, z.SinceM)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	// map header, size 2
+	// string "e"
+	o = append(o, 0x82, 0xa1, 0x65)
+	o = msgp.AppendUint64(o, z.List.Epoch)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendUint64(o, z.List.Count)
 	return
 }
 
@@ -1159,6 +1267,53 @@
 				err = msgp.WrapError(err, "AgeM")
 				return
 			}
+		case "c":
+			z.Config, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Config")
+				return
+			}
+		case "s":
+			z.SinceM, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "SinceM")
+				return
+			}
+		case "l":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "List")
+				return
+			}
+			for zb0002 > 0 {
+				zb0002--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "List")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "e":
+					z.List.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "List", "Epoch")
+						return
+					}
+				case "n":
+					z.List.Count, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "List", "Count")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "List")
+						return
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1172,8 +1327,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Member) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.StringPrefixSize + len(z.Zone) + 2 + msgp.Int64Size
+func (z *Member) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.StringPrefixSize + len(z.Zone) + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
 	return
 }
 
@@ -1904,46 +2059,11 @@
 				z.Members = make([]Member, zb0004)
 			}
 			for za0003 := range z.Members {
-				var zb0005 uint32
-				zb0005, err = dc.ReadMapHeader()
+				err = z.Members[za0003].DecodeMsg(dc)
 				if err != nil {
 					err = msgp.WrapError(err, "Members", za0003)
 					return
 				}
-				for zb0005 > 0 {
-					zb0005--
-					field, err = dc.ReadMapKeyPtr()
-					if err != nil {
-						err = msgp.WrapError(err, "Members", za0003)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "n":
-						z.Members[za0003].Name, err = dc.ReadString()
-						if err != nil {
-							err = msgp.WrapError(err, "Members", za0003, "Name")
-							return
-						}
-					case "z":
-						z.Members[za0003].Zone, err = dc.ReadString()
-						if err != nil {
-							err = msgp.WrapError(err, "Members", za0003, "Zone")
-							return
-						}
-					case "a":
-						z.Members[za0003].AgeM, err = dc.ReadInt64()
-						if err != nil {
-							err = msgp.WrapError(err, "Members", za0003, "AgeM")
-							return
-						}
-					default:
-						err = dc.Skip()
-						if err != nil {
-							err = msgp.WrapError(err, "Members", za0003)
-							return
-						}
-					}
-				}
 			}
 		default:
 			err = dc.Skip()
@@ -2028,35 +2148,9 @@
 		return
 	}
 	for za0003 := range z.Members {
-		// map header, size 3
-		// write "n"
-		err = en.Append(0x83, 0xa1, 0x6e)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.Members[za0003].Name)
-		if err != nil {
-			err = msgp.WrapError(err, "Members", za0003, "Name")
-			return
-		}
-		// write "z"
-		err = en.Append(0xa1, 0x7a)
+		err = z.Members[za0003].EncodeMsg(en)
 		if err != nil {
-			return
-		}
-		err = en.WriteString(z.Members[za0003].Zone)
-		if err != nil {
-			err = msgp.WrapError(err, "Members", za0003, "Zone")
-			return
-		}
-		// write "a"
-		err = en.Append(0xa1, 0x61)
-		if err != nil {
-			return
-		}
-		err = en.WriteInt64(z.Members[za0003].AgeM)
-		if err != nil {
-			err = msgp.WrapError(err, "Members", za0003, "AgeM")
+			err = msgp.WrapError(err, "Members", za0003)
 			return
 		}
 	}
@@ -2090,16 +2184,11 @@
 	o = append(o, 0xa1, 0x6d)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
 	for za0003 := range z.Members {
-		// map header, size 3
-		// string "n"
-		o = append(o, 0x83, 0xa1, 0x6e)
-		o = msgp.AppendString(o, z.Members[za0003].Name)
-		// string "z"
-		o = append(o, 0xa1, 0x7a)
-		o = msgp.AppendString(o, z.Members[za0003].Zone)
-		// string "a"
-		o = append(o, 0xa1, 0x61)
-		o = msgp.AppendInt64(o, z.Members[za0003].AgeM)
+		o, err = z.Members[za0003].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Members", za0003)
+			return
+		}
 	}
 	return
 }
@@ -2204,46 +2293,11 @@
 				z.Members = make([]Member, zb0004)
 			}
 			for za0003 := range z.Members {
-				var zb0005 uint32
-				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
+				bts, err = z.Members[za0003].UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Members", za0003)
 					return
 				}
-				for zb0005 > 0 {
-					zb0005--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Members", za0003)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "n":
-						z.Members[za0003].Name, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Members", za0003, "Name")
-							return
-						}
-					case "z":
-						z.Members[za0003].Zone, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Members", za0003, "Zone")
-							return
-						}
-					case "a":
-						z.Members[za0003].AgeM, bts, err = msgp.ReadInt64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Members", za0003, "AgeM")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Members", za0003)
-							return
-						}
-					}
-				}
 			}
 		default:
 			bts, err = msgp.Skip(bts)
@@ -2268,7 +2322,7 @@
 	}
 	s += 2 + msgp.ArrayHeaderSize
 	for za0003 := range z.Members {
-		s += 1 + 2 + msgp.StringPrefixSize + len(z.Members[za0003].Name) + 2 + msgp.StringPrefixSize + len(z.Members[za0003].Zone) + 2 + msgp.Int64Size
+		s += z.Members[za0003].Msgsize()
 	}
 	return
 }
--- a/internal/system/synop/store.go
+++ b/internal/system/synop/store.go
@@ -27,8 +27,8 @@
 }
 
 type lease struct {
-	zone string
-	at   time.Time
+	Member // as at the renewal
+	at     time.Time
 }
 
 // keptChanges bounds the changes that a source keeps after its whole, in bytes; keptCount their number.
@@ -111,7 +111,7 @@
 	for _, m := range members {
 		at := now.Add(-time.Duration(m.AgeM) * time.Millisecond)
 		if l, ok := s.members[m.Name]; (!ok && len(s.members) < maxMembers) || at.After(l.at) {
-			s.members[m.Name] = lease{zone: m.Zone, at: at}
+			s.members[m.Name] = lease{Member: m, at: at}
 		}
 	}
 }
@@ -126,7 +126,8 @@
 	var all []Member
 	for name, l := range s.members {
 		if old := now.Sub(l.at); old < age {
-			all = append(all, Member{Name: name, Zone: l.zone, AgeM: old.Milliseconds()})
+			l.AgeM = old.Milliseconds()
+			all = append(all, l.Member)
 		} else {
 			delete(s.members, name)
 		}
--- a/internal/system/synop/synop_test.go
+++ b/internal/system/synop/synop_test.go
@@ -77,6 +77,19 @@
 	c.Assert(s.Members(now.Add(2*time.Second), time.Second), qt.HasLen, 0)
 }
 
+// What a member had at its renewal is passed on with it, and an older renewal by another way takes nothing back.
+func TestLeasesTellVersions(t *testing.T) {
+	c := qt.New(t)
+	s, relay := NewStore(), NewStore()
+	now := time.Now()
+	had := Member{Name: "a", Zone: "z", Config: 7, SinceM: 40, List: Version{Epoch: 2, Count: 5}}
+	relay.Renew([]Member{had}, now)
+	s.Renew(relay.Members(now.Add(300*time.Millisecond), time.Second), now.Add(300*time.Millisecond))
+	s.Renew([]Member{{Name: "a", Zone: "z", AgeM: 600, Config: 6}}, now.Add(300*time.Millisecond))
+	had.AgeM = 500
+	c.Assert(s.Members(now.Add(500*time.Millisecond), time.Second), qt.DeepEquals, []Member{had})
+}
+
 func TestPullWaitsForNewsOverLoopback(t *testing.T) {
 	c := qt.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
--- /dev/null
+++ b/internal/system/telemeter/lists.go
@@ -0,0 +1,33 @@
+package telemeter
+
+import "molepaddle/internal/system/synop"
+
+// listNumbers tells what the observatories call the newest lists that the proxy was fed: it hears of them by this
+// process's own count. Lists that were polled here have no such number.
+type listNumbers struct {
+	newest [keptLists]struct{ here, there synop.Version }
+	next   int
+}
+
+// keptLists bounds how many lists a proxy may be behind and still be told apart from one that has none.
+const keptLists = 16
+
+// note remembers one list.
+func (l *listNumbers) note(here, there synop.Version) {
+	l.newest[l.next].here, l.newest[l.next].there = here, there
+	l.next = (l.next + 1) % keptLists
+}
+
+// theirs has the members tell of their lists as the observatories do: the zero Version stands for what these don't know.
+func (l *listNumbers) theirs(members []synop.Member) []synop.Member {
+	for i := range members {
+		had := members[i].List
+		members[i].List = synop.Version{}
+		for _, n := range l.newest {
+			if n.here == had && had != (synop.Version{}) {
+				members[i].List = n.there
+			}
+		}
+	}
+	return members
+}
--- a/internal/system/telemeter/telemeter.go
+++ b/internal/system/telemeter/telemeter.go
@@ -30,6 +30,7 @@
 	// What follows belongs to the goroutine of Run that follows an observatory.
 	have  map[string]synop.Version // as the observatories count
 	list  synop.Version            // as this process counts: it may have to poll itself
+	lists listNumbers              // and what the observatories call those lists
 	seeds []string                 // pull addresses by the settings
 	known []string                 // and all that are known: seeds, then the members of the core as last told
 	// For when no observatory is to be had.
@@ -95,7 +96,7 @@
 		addr := t.known[i%len(t.known)]
 		began = time.Now()
 		err := synop.Follow(ctx, addr, &synop.Follower{Name: t.set.Nodename, Wait: wait, Silence: silence,
-			Members: func() []synop.Member { return t.store.Members(time.Now(), 3*t.set.Heartbeat) },
+			Members: func() []synop.Member { return t.lists.theirs(t.store.Members(time.Now(), 3*t.set.Heartbeat)) },
 			Have:    t.vector, Take: func(n *synop.News) []string { return t.take(n) },
 			Goes: func() bool {
 				// One that has not heard of the primary for long is left for another.
@@ -136,6 +137,9 @@
 		if p.Source != synop.SourceConfig {
 			t.list.Count++
 			t.store.Set(p.Source, t.list, p.Whole)
+			if p.Source == synop.SourceList {
+				t.lists.note(t.list, p.At)
+			}
 			if p.Source == synop.SourceCore {
 				var core synop.Core
 				if _, err := core.UnmarshalMsg(p.Whole); err == nil {
--- a/internal/system/vane/feed.go
+++ b/internal/system/vane/feed.go
@@ -16,7 +16,7 @@
 func (v *Vane) feed(ctx context.Context) {
 	for ctx.Err() == nil {
 		err := synop.Follow(ctx, synop.TelemeterAddr(v.set.Ports), &synop.Follower{Name: v.set.Nodename, Wait: v.set.Heartbeat, Silence: time.Second,
-			Members: func() []synop.Member { return []synop.Member{{Name: v.set.Nodename, Zone: v.set.Zone}} },
+			Members: func() []synop.Member { return []synop.Member{v.member(time.Now())} },
 			Have:    func() map[string]synop.Version { return maps.Clone(v.have) },
 			Take:    func(n *synop.News) []string { v.take(n); return nil }})
 		if ctx.Err() != nil {
@@ -30,6 +30,15 @@
 	}
 }
 
+// member is this proxy as its lease tells of it.
+func (v *Vane) member(now time.Time) synop.Member {
+	m := synop.Member{Name: v.set.Nodename, Zone: v.set.Zone, List: v.have[synop.SourceList]}
+	if v.doc != nil {
+		m.Config, m.SinceM = v.doc.Version(), now.Sub(v.docAt).Milliseconds()
+	}
+	return m
+}
+
 // take takes news; what can't be used is asked for anew, whole.
 func (v *Vane) take(n *synop.News) {
 	news := false
@@ -73,7 +82,7 @@
 			doc = d
 		}
 		if doc.Version() > v.doc.Version() { // never back to an older one, whoever offers it
-			v.doc = doc
+			v.doc, v.docAt = doc, time.Now()
 			v.log.Info("configuration in force", zap.Int64("version", doc.Version()), zap.Int("routes", doc.NumRoutes()))
 		}
 	case synop.SourceList:
--- a/internal/system/vane/vane.go
+++ b/internal/system/vane/vane.go
@@ -44,6 +44,7 @@
 	have     map[string]synop.Version
 	services map[string]*service
 	doc      *almanac.Document
+	docAt    time.Time // when that came into force
 	list     synop.List
 	listed   bool
 	proxies  int
