--- a/cmd/station/fleet_test.go
+++ b/cmd/station/fleet_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -150,7 +149,7 @@
 			// one gets ports of its own, and finds the observatories there by way of relays.
 			s.Ports = screen.ChoosePorts(c, 4, all...)
 			for _, core := range coreIPs {
-				passOn(c, net.JoinHostPort(core, strconv.Itoa(s.Ports.First+1)), net.JoinHostPort(core, strconv.Itoa(ports.First+1)))
+				screen.PassOn(c, net.JoinHostPort(core, strconv.Itoa(s.Ports.First+1)), net.JoinHostPort(core, strconv.Itoa(ports.First+1)))
 			}
 		}
 		f.edge = append(f.edge, &machine{f: f, settings: s, roles: []string{"telemeter", "vane"}})
@@ -179,35 +178,6 @@
 	return e
 }
 
-// passOn carries connections from one address to another until the test ends, as if what listens at to listened at from.
-func passOn(c *qt.C, from, to string) {
-	ln, err := net.Listen("tcp", from)
-	c.Assert(err, qt.IsNil)
-	c.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			a, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer a.Close()
-				b, err := net.DialTimeout("tcp", to, time.Second)
-				if err != nil {
-					return
-				}
-				defer b.Close()
-				go func() {
-					defer a.Close()
-					defer b.Close()
-					io.Copy(b, a)
-				}()
-				io.Copy(a, b)
-			}()
-		}
-	}()
-}
-
 func (f *fleet) engines() []*screen.Engine {
 	return slices.Concat(f.prefill, f.decode, f.plain, f.others)
 }
--- a/internal/system/screen/boot.go
+++ b/internal/system/screen/boot.go
@@ -10,7 +10,6 @@
 	"slices"
 	"strconv"
 	"sync"
-	"testing"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
@@ -35,7 +34,7 @@
 //
 // Machines of one test share the machine's ports when they all are 127.0.0.1: give each its own Ports, or each its own
 // address of 127.0.0.0/8, which Linux holds without setting it up.
-func ChoosePorts(tb testing.TB, n int, ips ...string) Ports {
+func ChoosePorts(tb TB, n int, ips ...string) Ports {
 	tb.Helper()
 	if len(ips) == 0 {
 		ips = []string{"127.0.0.1"}
@@ -106,7 +105,7 @@
 }
 
 // Boot writes boot.toml for one process into a folder of the test.
-func Boot(tb testing.TB, s BootSettings) BootFile {
+func Boot(tb TB, s BootSettings) BootFile {
 	tb.Helper()
 	def := func(to *string, value string) {
 		if *to == "" {
--- a/internal/system/screen/engine.go
+++ b/internal/system/screen/engine.go
@@ -8,7 +8,6 @@
 	"slices"
 	"sync"
 	"sync/atomic"
-	"testing"
 	"time"
 )
 
@@ -59,7 +58,7 @@
 }
 
 // StartEngine starts an Engine, which ends with the test.
-func StartEngine(tb testing.TB, s EngineSettings) *Engine {
+func StartEngine(tb TB, s EngineSettings) *Engine {
 	tb.Helper()
 	if s.Service == "" {
 		s.Service = "svc"
@@ -269,7 +268,7 @@
 
 // Restart ends the incarnation and starts a new one with a new id at the same address, also after a Crash; memory,
 // handles, seqno and fences are forgotten, the Log and the faults stay.
-func (e *Engine) Restart(tb testing.TB) {
+func (e *Engine) Restart(tb TB) {
 	tb.Helper()
 	e.end()
 	e.mu.Lock()
--- a/internal/system/screen/platform.go
+++ b/internal/system/screen/platform.go
@@ -9,7 +9,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"testing"
 	"time"
 )
 
@@ -60,7 +59,7 @@
 }
 
 // StartPlatform starts a Platform, which ends with the test, with engines listed as up.
-func StartPlatform(tb testing.TB, s PlatformSettings, engines ...*Engine) *Platform {
+func StartPlatform(tb TB, s PlatformSettings, engines ...*Engine) *Platform {
 	tb.Helper()
 	if s.Page == 0 {
 		s.Page = 50
--- a/internal/system/screen/program.go
+++ b/internal/system/screen/program.go
@@ -9,7 +9,6 @@
 	"os/exec"
 	"sync"
 	"syscall"
-	"testing"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -43,7 +42,7 @@
 
 // Exec starts binary with args, with MOLEPADDLE_CONFIG and only the caller's PATH, HOME and LANG. It is killed with the
 // test; if the test failed, its output goes to the test's log.
-func Exec(tb testing.TB, boot BootFile, binary string, args ...string) *Program {
+func Exec(tb TB, boot BootFile, binary string, args ...string) *Program {
 	tb.Helper()
 	p := &Program{cmd: exec.Command(binary, args...), out: &output{}, done: make(chan struct{})}
 	p.cmd.Env = []string{"MOLEPADDLE_CONFIG=" + boot.Path}
