status: when a configuration was settled is kept beside the record, which stays as it was

Need: status tells since when a version is in force; the record's own form is not to grow for it. Change: kept beside it.

--- a/internal/system/observatory/observatory.go
+++ b/internal/system/observatory/observatory.go
@@ -34,6 +34,7 @@
 	status  atomic.Pointer[barograph.Status]
 	changed atomic.Pointer[chan struct{}] // closed when the status next changes
 	settled atomic.Pointer[applied]       // newest committed state
+	newest  atomic.Pointer[settledDoc]    // which configuration that has, and since when
 	polls   atomic.Pointer[polls]         // what the poller did last, as primary
 	heard   *xsync.Map[string, time.Time] // when another core machine was last heard, by its address among the core
 
@@ -220,7 +221,7 @@
 			o.store.Set(synop.SourceConfig, at, d.doc.Show())
 		}
 	}
-	last.at = time.Now()
+	o.noteSettled(last, time.Now())
 	o.settled.Store(last)
 	o.log.Info("configuration settled", zap.Uint64("seq", last.seq), zap.Int64("version", versionOf(last.doc)))
 }
--- a/internal/system/observatory/record.go
+++ b/internal/system/observatory/record.go
@@ -1,8 +1,6 @@
 package observatory
 
 import (
-	"time"
-
 	"github.com/go-faster/errors"
 
 	"molepaddle/internal/system/almanac"
@@ -23,7 +21,6 @@
 	doc   *almanac.Document
 	call  *Call
 	taken []takenCall
-	at    time.Time // when it was found committed here; set in the newest settled one only
 }
 
 type takenCall struct {
@@ -64,7 +61,7 @@
 			r.taken = append(r.taken[:len(r.taken):len(r.taken)], takenCall{doc.Version(), c.digest()})
 		}
 	}
-	r.recent = append(r.recent, applied{seq: seq, doc: r.doc, call: c, taken: r.taken})
+	r.recent = append(r.recent, applied{seq, r.doc, c, r.taken})
 	if len(r.recent) > 4096 {
 		r.recent = r.recent[1:]
 	}
@@ -107,7 +104,7 @@
 	for i := range s.Versions {
 		r.taken = append(r.taken, takenCall{s.Versions[i], s.Digests[i]})
 	}
-	r.recent = []applied{{seq: seq, doc: r.doc, taken: r.taken}}
+	r.recent = []applied{{seq, r.doc, nil, r.taken}}
 	return nil
 }
 
--- a/internal/system/observatory/status.go
+++ b/internal/system/observatory/status.go
@@ -25,6 +25,20 @@
 	list  *synop.List
 }
 
+// settledDoc tells when the newest configuration was found committed here, by which change.
+type settledDoc struct {
+	version int64
+	seq     uint64
+	at      time.Time
+}
+
+// noteSettled notes committed state: its time counts where it brings another configuration.
+func (o *Observatory) noteSettled(a *applied, now time.Time) {
+	if was := o.newest.Load(); was == nil || was.version != versionOf(a.doc) {
+		o.newest.Store(&settledDoc{version: versionOf(a.doc), seq: a.seq, at: now})
+	}
+}
+
 // maxHeard bounds the core machines of which the last word is remembered: members change, and there are 64 at the most.
 const maxHeard = 256
 
@@ -95,8 +109,8 @@
 		f.View.Members = append(f.View.Members, told)
 	}
 	settled := o.settled.Load()
-	if settled != nil {
-		f.Configuration = status.Configuration{Version: versionOf(settled.doc), Seq: settled.seq, AgeMs: now.Sub(settled.at).Milliseconds()}
+	if c := o.newest.Load(); c != nil {
+		f.Configuration = status.Configuration{Version: c.version, Seq: c.seq, AgeMs: max(now.Sub(c.at), 0).Milliseconds()}
 	}
 	for _, m := range o.store.Members(now, o.leaseFor()) {
 		f.Agents = append(f.Agents, status.Agent{Name: m.Name, Zone: m.Zone, LeaseMs: m.AgeM, Version: m.Config, SinceMs: m.AgeM + m.SinceM,
@@ -110,7 +124,7 @@
 	if p := o.polls.Load(); p != nil && st.Role == barograph.Primary && p.epoch == st.Epoch {
 		f.Learning = now.Sub(p.since) < o.leaseFor()
 		if !p.at.IsZero() {
-			f.List.AgeMs = now.Sub(p.at).Milliseconds()
+			f.List.AgeMs = max(now.Sub(p.at), 0).Milliseconds()
 		}
 		f.Services = servicesOf(p.list, settled)
 	}
--- a/internal/system/status/status.go
+++ b/internal/system/status/status.go
@@ -60,7 +60,7 @@
 // Configuration is the newest acknowledged one.
 type Configuration struct {
 	Version int64  `json:"ver"` // the operator's; 0: none yet
-	Seq     uint64 `json:"seq"` // the record's changes up to it
+	Seq     uint64 `json:"seq"` // the change of the record that brought it, as this machine settled it
 	AgeMs   int64  `json:"age_ms"`
 }
 
