--- a/cmd/station/control_test.go
+++ b/cmd/station/control_test.go
@@ -29,7 +29,9 @@
 
 	mu    sync.Mutex
 	doc   *almanac.Document
-	calls []string // method, path and base version of each call
+	was   *almanac.Document // in force before
+	calls []string          // method, path and base version of each call
+	looks int               // at the status since the last change
 }
 
 // newControl starts one, ended with the test.
@@ -65,6 +67,11 @@
 	case sonde.Resided.Method + " " + sonde.Resided.Path:
 		s.residency(w, r)
 		return
+	case sonde.Status.Method + " " + sonde.Status.Path:
+		s.looks++
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(s.stands(r.URL.Query().Has(sonde.QueryLocal)))
+		return
 	case sonde.Replace.Method + " " + sonde.Replace.Path:
 	case sonde.Update.Method + " " + sonde.Update.Path:
 		change = almanac.Update
@@ -82,7 +89,7 @@
 		no(w, http.StatusBadRequest, "the configuration is invalid", found)
 		return
 	}
-	s.doc = next
+	s.was, s.doc, s.looks = s.doc, next, 0
 }
 
 // residency tells of two tenants, as an observatory does.
--- a/internal/system/observatory/operator.go
+++ b/internal/system/observatory/operator.go
@@ -30,6 +30,7 @@
 	mux.HandleFunc(sonde.Update.Method+" "+sonde.Update.Path, func(w http.ResponseWriter, r *http.Request) { o.change(w, r, false) })
 	mux.HandleFunc(sonde.Show.Method+" "+sonde.Show.Path, o.show)
 	mux.HandleFunc(sonde.Resided.Method+" "+sonde.Resided.Path, o.residency)
+	mux.HandleFunc(sonde.Status.Method+" "+sonde.Status.Path, o.tell)
 	return mux
 }
 
--- a/internal/system/observatory/pulls.go
+++ b/internal/system/observatory/pulls.go
@@ -92,6 +92,7 @@
 	epoch, count := uint64(0), uint64(0)
 	var since, polled, reported time.Time
 	every, dirty := pollEvery, false
+	var answered time.Time
 	for ; ctx.Err() == nil; sleep(ctx, pollStep) {
 		st := o.status.Load()
 		if st.Role != barograph.Primary || !st.Ready || o.set.Provider.Address == "" {
@@ -99,6 +100,7 @@
 		}
 		if st.Epoch != epoch {
 			epoch, count, plain, last, lastCrowd, lastCore, since, reported = st.Epoch, 0, nil, nil, nil, nil, time.Now(), time.Time{}
+			answered = time.Time{}
 			duty.reset()
 		}
 		now := time.Now()
@@ -108,6 +110,7 @@
 			if err != nil {
 				o.log.Debug("platform's list", zap.Error(err))
 			} else {
+				answered = time.Now()
 				sonde.Sort(&list)
 				if plain == nil || !reflect.DeepEqual(*plain, list) {
 					plain, dirty = &list, true
@@ -119,7 +122,7 @@
 		// Holders of the duty don't take turns within a lease; what an earlier one began is learnt at once.
 		if plain != nil && now.Sub(reported) >= reportEvery {
 			reported = now
-			if duty.round(ctx, time.Since(o.start), plain, epoch, now.Sub(since) > o.set.Bounds.Lease+orderWithin*2) {
+			if duty.round(ctx, time.Since(o.start), plain, epoch, now.Sub(since) > o.phasesWait()) {
 				dirty = true
 			}
 			if g := duty.gauges(); !maps.Equal(g.Active, lastGauges.Active) {
@@ -140,6 +143,9 @@
 				last = &list
 			}
 		}
+		if p := o.polls.Load(); p == nil || p.epoch != epoch || p.at != answered || p.list != last {
+			o.polls.Store(&polls{epoch: epoch, since: since, at: answered, list: last})
+		}
 		core := synop.Core{}
 		for _, m := range st.View.Members {
 			if host, _, err := net.SplitHostPort(m.Addr); err == nil {
@@ -153,7 +159,7 @@
 			lastCore = &core
 		}
 		crowd := synop.Crowd{Zones: map[string]int{}}
-		for _, m := range o.store.Members(time.Now(), 3*o.set.Heartbeat+time.Second) {
+		for _, m := range o.store.Members(time.Now(), o.leaseFor()) {
 			crowd.Proxies++
 			crowd.Zones[m.Zone]++
 		}
--- a/internal/system/sonde/table.go
+++ b/internal/system/sonde/table.go
@@ -40,7 +40,7 @@
 )
 
 // Table is all of them.
-var Table = []Call{Ready, Replace, Update, Show, Resided, Order, Report, Free, Listing}
+var Table = []Call{Ready, Replace, Update, Show, Status, Resided, Order, Report, Free, Listing}
 
 // Header fields of requests and answers, in canonical form.
 const (
