Generations leave serve.go for generate.go, by concern; planted leaks follow the sources

Cause: serve.go held plain requests, generations, hand-overs and the front's checks. Change: moved as they were.

--- /dev/null
+++ b/internal/system/vane/generate.go
@@ -0,0 +1,198 @@
+package vane
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"molepaddle/internal/system/enclosure"
+	"molepaddle/internal/system/isobar"
+	"molepaddle/internal/system/sonde"
+	"molepaddle/policy"
+)
+
+// handle is where a prompt's memory lies.
+type handle struct {
+	ref    string
+	from   *backend
+	at     enclosure.Permit // for from
+	tokens int
+}
+
+// maxHandleAnswer bounds the answer that names a handle.
+const maxHandleAnswer = 64 << 10
+
+// prefill has a backend read the prompt and keep its memory for the taker; reached: the call may have come there.
+func (t *try) prefill(ctx context.Context, b *backend, at enclosure.Permit, p *isobar.Prompt, home bool, by time.Time) (h *handle, reached bool, err error) {
+	t.svc.mu.Lock()
+	tokens := t.svc.engines.Sent(b.ID, p, home)
+	t.svc.ranker.Sent(b.ID)
+	t.svc.mu.Unlock()
+	start := time.Now()
+	took := 0.0
+	status := policy.OK
+	defer func() {
+		t.svc.mu.Lock()
+		t.svc.engines.Read(b.ID, tokens, took)
+		t.svc.engines.Ended(b.ID)
+		if took == 0 {
+			t.svc.engines.Forget(b.ID, p)
+		}
+		t.svc.ranker.Ended(t.svc.now(), b.ID, status)
+		t.svc.mu.Unlock()
+	}()
+	x := extra{left: time.Until(t.deadline), stage: sonde.PhasePrefill, priority: t.priority(false)}
+	e, wrote, err := t.begin(ctx, at, &t.m, &x, time.Now().Add(connectWithin), by)
+	if err != nil {
+		status = judge(wrote, err)
+		return nil, wrote, err
+	}
+	resp := e.resp
+	t.svc.told(b.ID, resp.Header.Get(sonde.Load))
+	body, err := e.body(maxHandleAnswer)
+	var ans struct {
+		Ref    string `json:"kv_ref"`
+		Tokens int    `json:"ntok"`
+	}
+	switch {
+	case err != nil:
+		status = judge(true, err)
+		return nil, true, err
+	case notRun(resp):
+		status = policy.Full
+		return nil, true, errors.Errorf("prefill: status %d", resp.StatusCode)
+	case resp.StatusCode != http.StatusOK || json.Unmarshal(body, &ans) != nil || !plain(ans.Ref):
+		status = policy.Error
+		return nil, true, errors.Errorf("prefill: status %d", resp.StatusCode)
+	}
+	took = float64(time.Since(start).Microseconds()) / 1000
+	return &handle{ref: ans.Ref, from: b, at: at, tokens: ans.Tokens}, true, nil
+}
+
+// free gives memory back that nobody will take.
+func (t *try) free(h *handle) {
+	v := t.v
+	v.background.Go(func() {
+		ctx, cancel := context.WithTimeout(v.ctx, time.Second)
+		defer cancel()
+		m := message{id: t.m.id, method: sonde.Free.Method, target: sonde.Free.Path + h.ref, host: h.from.Address}
+		x := extra{left: time.Second, priority: -1}
+		e, _, err := t.begin(ctx, h.from.plot.Release(), &m, &x, time.Now().Add(connectWithin), time.Now().Add(time.Second))
+		if err == nil {
+			_, _ = e.body(maxHandleAnswer)
+		}
+	})
+}
+
+// generate serves a request whose tokens come as a stream.
+func (t *try) generate(ctx context.Context, p *isobar.Prompt) {
+	split, reads := true, 0
+	var h *handle // memory of the prompt that waits for its taker
+	defer func() {
+		if h != nil {
+			t.free(h)
+		}
+	}()
+	for {
+		var pl place
+		ok := false
+		terms := t.terms()
+		if h != nil && h.at.Check(terms) != nil {
+			// Its region was withdrawn while it waited: the prompt is read anew, inside.
+			t.free(h)
+			h = nil
+			reads++
+			split = reads < 2 && t.allowed()
+		}
+		if h != nil {
+			pl, ok = t.svc.takerFor(h.from, p, t.route.Target(), t.tried, terms)
+		} else {
+			pl, ok = t.svc.placeFor(t.route.Name, p, t.route.Target(), t.tried, split, terms)
+		}
+		if !ok {
+			t.giveUp(ctx, "no backend")
+			return
+		}
+		if h == nil && t.tooLate(&pl) {
+			t.unsent(pl, p)
+			t.refused = max(t.refused, time.Duration(pl.readMs)*time.Millisecond-time.Until(t.deadline))
+			t.giveUp(ctx, "all that read prompts have too much to read")
+			return
+		}
+		if pl.from != nil && h == nil {
+			var err error
+			began := time.Now()
+			reached := false
+			if h, reached, err = t.prefill(ctx, pl.from, pl.first, p, pl.home, t.readBy(pl.readMs)); err != nil {
+				t.unsent(pl, p)
+				if ctx.Err() != nil {
+					if time.Until(t.deadline) <= 0 {
+						t.giveUp(ctx, errText(err))
+					}
+					return
+				}
+				// Another backend reads it; a call that came to nothing is one beyond the first, and counts as such.
+				t.tried[pl.from.ID] = true
+				if reached {
+					reads++
+				}
+				split = reads < 2
+				if reached && !t.allowed() || len(t.tried) > maxWays {
+					t.giveUp(ctx, errText(err))
+					return
+				}
+				continue
+			}
+			t.svc.turned(pl.readMs, time.Since(began))
+		}
+		t.tried[pl.at.ID] = true
+		sends := t.sends
+		done, err := t.stream(ctx, pl, p, h)
+		if done {
+			h = nil // taken
+			return
+		}
+		if ctx.Err() != nil && time.Until(t.deadline) > 0 {
+			return
+		}
+		if t.sends == sends && len(t.tried) < maxWays && time.Until(t.deadline) > connectWithin {
+			continue // none has seen it: there was no way to that backend
+		}
+		if h != nil {
+			// What was sent with it has spoilt it, whether or not that came to anything.
+			t.tried[h.from.ID] = true
+			t.free(h)
+			h = nil
+			reads++
+			split = reads < 2 && t.allowed()
+		}
+		if !t.mayAgain() {
+			t.giveUp(ctx, errText(err))
+			return
+		}
+	}
+}
+
+// unsent takes back a place that was not used.
+func (t *try) unsent(pl place, p *isobar.Prompt) {
+	t.svc.mu.Lock()
+	t.svc.engines.Read(pl.at.ID, pl.tokens, 0)
+	t.svc.engines.Ended(pl.at.ID)
+	t.svc.ranker.Ended(t.svc.now(), pl.at.ID, policy.Moot)
+	t.svc.mu.Unlock()
+}
+
+// readBy is until when a prompt that is read elsewhere is waited for: half of what is left, in case the backend is silent;
+// longer where a long wait is expected, since one given up is read again from its beginning.
+func (t *try) readBy(expected float64) time.Time {
+	left := time.Until(t.deadline)
+	return time.Now().Add(min(max(left/2, time.Duration(expected*lateReads)*time.Millisecond), left))
+}
+
+// tooLate tells whether the prompt can't be read in the time left: what is begun all the same holds up the others for nothing.
+func (t *try) tooLate(pl *place) bool {
+	return pl.from != nil && pl.readMs > float64(time.Until(t.deadline).Milliseconds())
+}
--- a/internal/system/vane/leaks_test.go
+++ b/internal/system/vane/leaks_test.go
@@ -32,8 +32,8 @@
 var noGate = []string{"if !p.Allowed(t) {\n\t\treturn Permit{}, ErrOutside\n\t}\n", ""}
 
 // takers has who takes memory chosen without terms.
-var takers = []string{"*backend {\n\te := s.engines\n\ts.order = s.ranker.Rank(w.now, w.key, func(id string) bool { return s.open(w, id, sonde.PhaseDecode) }, math.Inf(1), func(id string) float64 {\n\t\tc := level",
-	"*backend {\n\te := s.engines\n\ts.order = s.ranker.Rank(w.now, w.key, func(id string) bool { return !w.tried[id] && s.byID[id].Phase == sonde.PhaseDecode }, math.Inf(1), func(id string) float64 {\n\t\tc := level"}
+var takers = []string{"from *backend) *backend {\n\te := s.engines\n\tkey := w.p.Last()\n\ts.order = s.ranker.Rank(w.now, key, func(id string) bool { return s.open(w, id, sonde.PhaseDecode) }",
+	"from *backend) *backend {\n\te := s.engines\n\tkey := w.p.Last()\n\ts.order = s.ranker.Rank(w.now, key, func(id string) bool { return !w.tried[id] && s.byID[id].Phase == sonde.PhaseDecode }"}
 
 const (
 	fileEnclosure = "../enclosure/enclosure.go"
@@ -42,17 +42,18 @@
 	fileServe     = "serve.go"
 	fileService   = "service.go"
 	filePlace     = "place.go"
+	fileGenerate  = "generate.go"
 	fileStream    = "stream.go"
 	fileFeed      = "feed.go"
 )
 
 var leaks = []leak{
 	// Types that can't be confused.
-	{"a send without a permit", "compiler", map[string][]string{fileServe: {"t.begin(ctx, at, &t.m, &x, time.Now().Add(connectWithin), by)", "t.begin(ctx, b, &t.m, &x, time.Now().Add(connectWithin), by)"}}},
+	{"a send without a permit", "compiler", map[string][]string{fileGenerate: {"t.begin(ctx, at, &t.m, &x, time.Now().Add(connectWithin), by)", "t.begin(ctx, b, &t.m, &x, time.Now().Add(connectWithin), by)"}}},
 	{"a permit made by hand", "compiler", map[string][]string{filePlace: {"pl.permit, err = pl.at.plot.Permit(terms)", "pl.permit, err = (enclosure.Permit{plot: pl.at.plot}), error(nil)"}}},
 	{"a connection past the permit", "compiler", map[string][]string{fileEnclosed: {"return at.Lend(ctx, t.terms(), m.id)", "return t.svc.byID[at.ID()].plot.way.Lend(ctx, m.id)"}}},
 	{"a connection from the pool", "compiler", map[string][]string{fileEnclosed: {"return at.Lend(ctx, t.terms(), m.id)", "return t.v.pool.Way(at.Address()).Lend(ctx, m.id)"}}},
-	{"a handle without a permit", "compiler", map[string][]string{fileServe: {"from: b, at: at, tokens", "from: b, at: b, tokens"}}},
+	{"a handle without a permit", "compiler", map[string][]string{fileGenerate: {"from: b, at: at, tokens", "from: b, at: b, tokens"}}},
 	// The choice alone: the send would refuse, so that requests are lost.
 	{"plain requests are chosen anywhere", choice, map[string][]string{fileService: {"return !tried[id] && (!bound || s.allowed(id, terms)) }, capFactor", "return !tried[id] || bound && tried[id] && false }, capFactor"}}},
 	{"prompts are placed anywhere", choice, map[string][]string{filePlace: {"return split && reads(id) || s.open(w, id, sonde.PhaseDecode)", "return !w.tried[id] && (split && s.byID[id].Phase == sonde.PhasePrefill || s.byID[id].Phase == sonde.PhaseDecode)"}}},
@@ -75,7 +76,7 @@
 	{"streams are resumed anywhere", whole + "Resumes$", map[string][]string{fileEnclosure: noCheck, fileStream: {"t.tried, false, t.terms())", "t.tried, false, enclosure.Terms{})", `"molepaddle/internal/system/isobar"`, "\"molepaddle/internal/system/enclosure\"\n\t\"molepaddle/internal/system/isobar\""}}},
 	{"takers stand anywhere", whole + "Takers$", map[string][]string{fileEnclosure: append(append([]string{}, noCheck...), noGate...), filePlace: takers}},
 	{"the send looks at other terms", whole + "Withdrawn", map[string][]string{fileEnclosed: {"return at.Lend(ctx, t.terms(), m.id)", "return at.Lend(ctx, enclosure.Terms{}, m.id)", "if err := p.Check(terms); err != nil {", "_ = terms\n\t\tif err := p.Check(t.subject.came); err != nil {"},
-		fileServe: {"t.svc.placeFor(t.route.Name, p, t.route.Target(), t.tried, split, terms)", "t.svc.placeFor(t.route.Name, p, t.route.Target(), t.tried, split, t.subject.came)"}, fileStream: {"t.tried, false, t.terms())", "t.tried, false, t.subject.came)"}}},
+		fileGenerate: {"t.svc.placeFor(t.route.Name, p, t.route.Target(), t.tried, split, terms)", "t.svc.placeFor(t.route.Name, p, t.route.Target(), t.tried, split, t.subject.came)"}, fileStream: {"t.tried, false, t.terms())", "t.tried, false, t.subject.came)"}}},
 	// And what the drawn days find, most of them by what is lost where it need not be.
 	{"plain requests are chosen anywhere, on drawn days", days, map[string][]string{fileService: {"return !tried[id] && (!bound || s.allowed(id, terms)) }, capFactor", "return !tried[id] || bound && tried[id] && false }, capFactor"}}},
 	{"sends under way are not cut, on drawn days", days, map[string][]string{fileFeed: {"v.enclosed.withdraw(w)", ""}}},
