--- /dev/null
+++ b/internal/system/vane/drawn_rig_test.go
@@ -0,0 +1,413 @@
+package vane
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"molepaddle/internal/protocol/transport"
+	"molepaddle/internal/system/enclosure"
+	"molepaddle/internal/system/sonde"
+	"molepaddle/internal/system/synop"
+)
+
+// The deployment of the drawn days: six regions with 21 zones, a plain and a model backend in each zone.
+const (
+	drawnRegions = 6
+	drawnZones   = 21
+)
+
+func drawnRegion(zone int) string { return fmt.Sprintf("r%d", zone%drawnRegions) }
+
+func drawnZoneName(zone int) string { return fmt.Sprintf("z%02d", zone) }
+
+// mishap is what a node does to whoever calls it.
+type mishap int
+
+const (
+	fine    mishap = iota
+	down           // takes no connection
+	resets         // reads a request and breaks off
+	fails          // answers 500
+	full           // has not run it
+	garbles        // answers without a seal
+	cuts           // breaks off within its answer
+	mishaps
+)
+
+// node is a backend of the drawn days, in memory.
+type node struct {
+	id, service, phase string
+	zone               int // as the platform lists it
+	address            string
+	draining, listed   bool
+	trouble            mishap
+}
+
+func (n *node) region() string { return drawnRegion(n.zone) }
+
+// drawn is one day: a proxy before nodes in memory, and all that happened. Its lock guards everything, since nodes answer in
+// goroutines of their own; a change may come while the proxy waits for one of them.
+type drawn struct {
+	tb   testing.TB
+	seed uint64
+	v    *Vane
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	nodes   []*node
+	at      map[string]*node // who listens at an address
+	tenants map[string][]int // regions of each
+	narrow  map[string][]int // regions of a tenant's stream, where it has some of its own
+	version int
+	count   uint64
+	changes int  // of terms, list and troubles
+	midway  bool // changes may come while a request is under way
+	runs    map[string]int
+	dials   int
+	handles map[string]handleAt
+	found   []string
+	counts  map[string]int
+}
+
+type handleAt struct {
+	n     *node
+	route string
+}
+
+// drawnTenants are those with terms; routes are named by a letter for what they are and the tenant.
+var drawnTenants = []string{"a", "b", "c"}
+
+func newDrawn(tb testing.TB, seed uint64) *drawn {
+	zones := map[string]string{}
+	for z := range drawnZones {
+		zones[drawnZoneName(z)] = drawnRegion(z)
+	}
+	d := &drawn{tb: tb, seed: seed, rng: rand.New(rand.NewPCG(seed, 0)), at: map[string]*node{}, tenants: map[string][]int{}, narrow: map[string][]int{},
+		runs: map[string]int{}, handles: map[string]handleAt{}, counts: map[string]int{}}
+	d.v = New(context.Background(), testSettings(zones), zap.NewNop())
+	d.v.pool.Close()
+	pool := transport.New(transport.Options{Dial: d.dial, Timeout: connectWithin, Idle: 10 * time.Second, Most: 1000, Settle: 0, Resting: 4})
+	d.v.pool, d.v.ground = pool, enclosure.NewGround(pool, zones)
+	for z := range drawnZones {
+		phase := sonde.PhaseDecode
+		if (z+z/drawnRegions)%3 == 0 {
+			phase = sonde.PhasePrefill
+		}
+		for _, n := range []*node{{service: "obs"}, {service: "llm", phase: phase}} {
+			n.id, n.zone, n.address, n.listed = fmt.Sprintf("%s-%s", n.service, drawnZoneName(z)), z, fmt.Sprintf("10.%d.0.%d:80", len(n.phase), z+1), d.rng.IntN(8) > 0
+			d.nodes = append(d.nodes, n)
+			d.at[n.address] = n
+		}
+	}
+	for _, t := range drawnTenants {
+		d.tenants[t] = d.someRegions()
+	}
+	d.relist()
+	d.configure()
+	return d
+}
+
+func (d *drawn) find(format string, args ...any) {
+	d.found = append(d.found, fmt.Sprintf(format, args...))
+}
+
+// someRegions draws one to three regions.
+func (d *drawn) someRegions() []int { return d.rng.Perm(drawnRegions)[:1+d.rng.IntN(3)] }
+
+func names(regions []int) []string {
+	out := []string{}
+	for _, r := range regions {
+		out = append(out, drawnRegion(r))
+	}
+	return out
+}
+
+// terms are the regions that a route's requests may rest in now; false: anywhere.
+func (d *drawn) terms(route string) ([]int, bool) {
+	tenant := route[1:]
+	regions, ok := d.tenants[tenant]
+	if own := d.narrow[tenant]; ok && route[0] == 's' && own != nil {
+		return own, true
+	}
+	return regions, ok
+}
+
+func (d *drawn) allowed(n *node, route string) bool {
+	regions, bound := d.terms(route)
+	return !bound || slices.Contains(regions, n.zone%drawnRegions)
+}
+
+// configure gives the proxy the terms as they are.
+func (d *drawn) configure() {
+	d.version++
+	var routes, tenants []string
+	for _, t := range append(slices.Clone(drawnTenants), "free") {
+		regions, bound := d.tenants[t]
+		of := ""
+		if bound {
+			b, _ := json.Marshal(names(regions))
+			tenants = append(tenants, fmt.Sprintf(`{"name":%q,"regions":%s}`, t, b))
+			of = fmt.Sprintf(`,"tenant":%q`, t)
+		}
+		for _, r := range []struct{ letter, kind, svc, more string }{{"r", "readonly", "obs", ""}, {"p", "mutating", "obs", ""},
+			{"s", "stream", "llm", `,"resumable":true`}, {"o", "stream", "llm", ""}} {
+			if own := d.narrow[t]; r.letter == "s" && own != nil {
+				b, _ := json.Marshal(names(own))
+				r.more += `,"regions":` + string(b)
+			}
+			routes = append(routes, fmt.Sprintf(`{"name":%[1]q,"hostname":"h","pfx":"/%[1]s/","kind":%[2]q,"deadline_ms":%[3]d,"target_ms":150,"svc":%[4]q,"tries":3%[5]s%[6]s}`,
+				r.letter+t, r.kind, testDeadline.Milliseconds(), r.svc, of, r.more))
+		}
+	}
+	doc := fmt.Sprintf(`{"ver":%d,"routing":[%s],"tenants":[%s],"svcs":[{"name":"obs","probe":"/healthz"},{"name":"llm","probe":"/healthz",`+
+		`"runtime":{"capacity":8,"kv_ntok":1000000,"kv_tok_bytes":163840,"bw_mbps":8000000,"kv_ref_s":5}}]}`, d.version, strings.Join(routes, ","), strings.Join(tenants, ","))
+	d.v.take(&synop.News{Pieces: []synop.Piece{{Source: synop.SourceConfig, At: synop.Version{Epoch: 1, Count: uint64(d.version)}, Whole: []byte(doc)}}})
+	if got := d.v.world.Load(); got == nil || got.version != int64(d.version) {
+		d.find("the proxy didn't take version %d: %s", d.version, doc)
+	}
+}
+
+// relist gives the proxy the platform's list as it is.
+func (d *drawn) relist() {
+	var list synop.List
+	for _, n := range d.nodes {
+		if n.listed {
+			list.Backends = append(list.Backends, synop.Backend{ID: n.id, Service: n.service, Address: n.address, Zone: drawnZoneName(n.zone), Version: "v1", Capacity: 8,
+				Phase: n.phase, Draining: n.draining})
+		}
+	}
+	whole, _ := list.MarshalMsg(nil)
+	d.count++
+	d.v.take(&synop.News{Pieces: []synop.Piece{{Source: synop.SourceList, At: synop.Version{Epoch: 1, Count: d.count}, Whole: whole}}})
+}
+
+// change has one thing happen.
+func (d *drawn) change() {
+	d.changes++
+	n := d.nodes[d.rng.IntN(len(d.nodes))]
+	switch d.rng.IntN(11) {
+	case 0, 1:
+		n.trouble = mishap(d.rng.IntN(int(mishaps)))
+	case 2: // a whole region, in one way
+		region, how := d.rng.IntN(drawnRegions), []mishap{down, down, resets, fails, full}[d.rng.IntN(5)]
+		for _, one := range d.nodes {
+			if one.zone%drawnRegions == region {
+				one.trouble = how
+			}
+		}
+	case 3: // and all of it, or everything, is back
+		region := d.rng.IntN(drawnRegions + 1)
+		for _, one := range d.nodes {
+			if region == drawnRegions || one.zone%drawnRegions == region {
+				one.trouble = fine
+			}
+		}
+	case 4, 5, 6:
+		t := drawnTenants[d.rng.IntN(len(drawnTenants))]
+		if d.rng.IntN(3) > 0 {
+			d.tenants[t] = d.someRegions()
+			d.narrow[t] = nil
+		} else if d.narrow[t] = nil; d.rng.IntN(2) == 0 {
+			d.narrow[t] = d.tenants[t][:1]
+		}
+		d.configure()
+	case 7:
+		n.listed, n.draining = d.rng.IntN(4) > 0, d.rng.IntN(8) == 0
+		d.relist()
+	case 8: // the zone was wrong
+		n.zone = d.rng.IntN(drawnZones)
+		d.relist()
+	case 9: // others have the address by now, and the list lags
+		o := d.nodes[d.rng.IntN(len(d.nodes))]
+		d.at[n.address], d.at[o.address] = d.at[o.address], d.at[n.address]
+		if d.rng.IntN(2) == 0 {
+			for addr, who := range d.at {
+				who.address = addr
+			}
+			d.relist()
+		}
+	case 10: // a whole region leaves the list, or is there again
+		region, listed := d.rng.IntN(drawnRegions), d.rng.IntN(2) == 0
+		for _, one := range d.nodes {
+			if one.zone%drawnRegions == region {
+				one.listed = listed
+			}
+		}
+		d.relist()
+	}
+}
+
+// meanwhile has something happen while a request is under way, now and then. It is called where the proxy waits for what is
+// to come: a change that comes between its last look at the terms and the node's first is one that comes under the send.
+func (d *drawn) meanwhile() bool {
+	if d.midway && d.rng.IntN(6) == 0 {
+		d.change()
+		return true
+	}
+	return false
+}
+
+var errDown = errors.New("nobody listens there")
+
+// asked marks the context of a client's request: what is freed in the background goes on beside a request, and nothing is to
+// change at a time that a send can't know of.
+type asked struct{}
+
+func (d *drawn) dial(ctx context.Context, _, addr string) (net.Conn, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := d.at[addr]
+	d.dials++
+	if n == nil || n.trouble == down {
+		return nil, errDown
+	}
+	if ctx.Value(asked{}) != nil {
+		d.meanwhile()
+	}
+	near, far := net.Pipe()
+	go d.serve(far, addr)
+	return near, nil
+}
+
+// serve answers on one connection until a request is answered that ends it.
+func (d *drawn) serve(c net.Conn, addr string) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		head, events, rest, over := d.answer(addr, req)
+		if _, err := io.WriteString(c, head); err != nil || rest == "" {
+			return
+		}
+		for i, e := range events {
+			if i > 0 {
+				e = d.event(addr, req, e, &over)
+			}
+			if _, err := io.WriteString(c, e); err != nil {
+				return
+			}
+		}
+		if rest == "cut" {
+			return
+		}
+	}
+}
+
+// event is a later event of a stream: something may happen before it, and data made outside by then is marked. over: something
+// has happened, and the proxy may be elsewhere with the request.
+func (d *drawn) event(addr string, req *http.Request, e string, over *bool) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	*over = *over || d.meanwhile()
+	if n := d.at[addr]; n.id == req.Header.Get(sonde.Target) && !d.allowed(n, routeOf(req)) {
+		return strings.Replace(e, "inside ", "outside", 1)
+	}
+	return e
+}
+
+func routeOf(r *http.Request) string {
+	name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	return name
+}
+
+// answer is what a node says: a head, the events after it, and how it goes on: "" ends at once, "cut" after the events; over is
+// as for event.
+func (d *drawn) answer(addr string, r *http.Request) (head string, events []string, rest string, over bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n, id, route := d.at[addr], r.Header.Get(sonde.AttemptID), routeOf(r)
+	say := func(status int, body string, more ...string) string {
+		return fmt.Sprintf("HTTP/1.1 %d x\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, sonde.AttemptID, id, strings.Join(append(more, ""), "\r\n"), len(body), body)
+	}
+	if n.trouble == down {
+		return "", nil, "", over
+	}
+	if n.id != r.Header.Get(sonde.Target) {
+		return say(http.StatusMisdirectedRequest, ""), nil, "on", over
+	}
+	if r.Method == sonde.Free.Method {
+		delete(d.handles, n.id+strings.TrimPrefix(r.URL.Path, sonde.Free.Path))
+		return say(http.StatusOK, ""), nil, "on", over
+	}
+	stage, from := r.Header.Get(sonde.Stage), r.Header.Get(sonde.KvFrom)
+	switch {
+	case n.service == "llm" && (stage != "") != (n.phase == sonde.PhasePrefill):
+		return say(http.StatusMisdirectedRequest, ""), nil, "on", over
+	case n.trouble == full:
+		return say(http.StatusServiceUnavailable, "", sonde.NotRun+": 1", sonde.RetryAfter+": 0.05"), nil, "on", over
+	}
+	// It runs: its data rests here.
+	if !d.allowed(n, route) {
+		d.find("%s of %s runs at %s in %s", id, route, n.id, n.region())
+	}
+	if from != "" {
+		at, ref, _ := strings.Cut(from, "/")
+		h, ok := d.handles[d.at[at].id+ref]
+		switch {
+		case !ok:
+			return say(http.StatusServiceUnavailable, "", sonde.NotRun+": 1"), nil, "on", over
+		case h.route != route:
+			d.find("%s of %s takes what %s left", id, route, h.route)
+		case !d.allowed(h.n, route):
+			d.find("%s of %s takes what lies at %s in %s", id, route, h.n.id, h.n.region())
+		}
+		delete(d.handles, d.at[at].id+ref)
+	}
+	if stage == "" {
+		d.runs[id]++
+	}
+	over = d.meanwhile()
+	seal := sonde.Seal + ": s"
+	switch n.trouble {
+	case resets:
+		return "", nil, "", over
+	case fails:
+		return say(http.StatusInternalServerError, "failed"), nil, "on", over
+	case garbles:
+		seal = "X: y"
+	}
+	body := "answer to " + id
+	switch {
+	case stage != "":
+		ref := strconv.Itoa(len(d.handles)+d.changes) + "-" + id
+		d.handles[n.id+ref] = handleAt{n, route}
+		return say(http.StatusOK, fmt.Sprintf(`{"kv_ref":%q,"ntok":10}`, ref), seal), nil, "on", over
+	case n.service == "llm":
+		last, _ := strconv.Atoi(r.Header.Get(sonde.LastEventID))
+		for i := last + 1; i <= drawnEvents; i++ {
+			e := fmt.Sprintf("id: %d\ndata: inside  %s\n\n", i, body)
+			events = append(events, fmt.Sprintf("%x\r\n%s\r\n", len(e), e))
+		}
+		head = fmt.Sprintf("HTTP/1.1 200 x\r\n%s: %s\r\n%s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", sonde.AttemptID, id, seal)
+		if n.trouble == cuts {
+			return head, events[:len(events)/2], "cut", over
+		}
+		return head, append(events, "0\r\n\r\n"), "on", over
+	case n.trouble == cuts:
+		whole := say(http.StatusOK, body, seal)
+		return whole[:len(whole)-3], nil, "", over
+	}
+	return say(http.StatusOK, body, seal), nil, "on", over
+}
+
+// drawnEvents is how many events a stream has.
+const drawnEvents = 4
--- a/internal/system/vane/leaks_test.go
+++ b/internal/system/vane/leaks_test.go
@@ -22,6 +22,7 @@
 const (
 	choice = "^TestPlacementInside$"
 	whole  = "^TestEnclosed"
+	days   = "^TestDrawnDays$"
 )
 
 // noCheck takes the check at the send away, so that only the choice is left.
@@ -70,6 +71,16 @@
 	{"takers stand anywhere", whole + "Takers$", map[string][]string{fileEnclosure: append(append([]string{}, noCheck...), noGate...), fileService: {"s.byID[id].Phase == sonde.PhaseDecode && (!bound || s.allowed(id, terms))", "s.byID[id].Phase == sonde.PhaseDecode && (bound || true)"}}},
 	{"the send looks at other terms", whole + "Withdrawn", map[string][]string{fileEnclosed: {"return at.Lend(ctx, t.terms(), m.id)", "return at.Lend(ctx, enclosure.Terms{}, m.id)", "if err := p.Check(terms); err != nil {", "_ = terms\n\t\tif err := p.Check(t.subject.came); err != nil {"},
 		fileServe: {"t.svc.placeFor(t.route.Name, p, t.route.Target(), t.tried, split, terms)", "t.svc.placeFor(t.route.Name, p, t.route.Target(), t.tried, split, t.subject.came)"}, fileStream: {"t.tried, false, t.terms())", "t.tried, false, t.subject.came)"}}},
+	// And what the drawn days find, most of them by what is lost where it need not be.
+	{"plain requests are chosen anywhere, on drawn days", days, map[string][]string{fileService: {"return !tried[id] && (!bound || s.allowed(id, terms)) }, capFactor", "return !tried[id] || bound && tried[id] && false }, capFactor"}}},
+	{"sends under way are not cut, on drawn days", days, map[string][]string{fileFeed: {"v.enclosed.withdraw(w)", ""}}},
+	{"nothing is checked, on drawn days", days, map[string][]string{fileEnclosure: append(append([]string{}, noCheck...), noGate...), fileService: {"return s.byID[id].plot.Allowed(terms)", "return true"}}},
+	{"retries go anywhere, on drawn days", days, map[string][]string{fileEnclosure: noCheck, fileServe: {"t.svc.pick(key, t.tried, t.terms())", "t.svc.pick(key, t.tried, map[bool]enclosure.Terms{true: t.terms()}[len(t.tried) == 0])"}}},
+	{"streams are resumed anywhere, on drawn days", days, map[string][]string{fileEnclosure: noCheck, fileStream: {"t.tried, false, t.terms())", "t.tried, false, enclosure.Terms{})", `"molepaddle/internal/system/isobar"`, "\"molepaddle/internal/system/enclosure\"\n\t\"molepaddle/internal/system/isobar\""}}},
+	{"a corrected zone is not taken over, on drawn days", days, map[string][]string{fileService: {"old.plot.Relist(b.Zone)", ""}}},
+	{"an address is taken for the backend that had it", days, map[string][]string{fileExchange: {"line(sonde.Target, x.target)", "_ = x.target"}}},
+	{"what may have run is refused", days, map[string][]string{fileServe: {"case t.ran:\n\t\tt.v.refuse(t.w, http.StatusBadGateway, 0, why)", "case t.ran:\n\t\tt.v.refuse(t.w, http.StatusServiceUnavailable, soonAgain, why)"}}},
+	{"what may have run is sent again", days, map[string][]string{fileServe: {"(!t.ran || t.route.Idempotent()) && t.sends", "t.sends"}}},
 }
 
 // TestPlantedLeaks plants each leak in turn, by the compiler's overlay: nothing in the tree is changed.
