--- a/internal/system/synop/messages.go
+++ b/internal/system/synop/messages.go
@@ -104,8 +104,8 @@
 	Active map[string]int `msg:"a"` // by id
 }
 
-// MaxGauges bounds the backends that Gauges name: some 8 kB.
-const MaxGauges = 512
+// MaxGauges bounds the backends that Gauges name: some 4 kB.
+const MaxGauges = 256
 
 // The sources.
 const (
--- a/internal/system/vane/feed.go
+++ b/internal/system/vane/feed.go
@@ -129,7 +129,7 @@
 		s.configure(c)
 		s.list(parts[c.Name])
 		s.mu.Lock()
-		s.spent.bound(v.set.Bounds.RetryRatio, v.set.Bounds.RetryExtra, v.set.Bounds.RetryWindow, v.proxies)
+		s.spent.bound(time.Now(), v.set.Bounds.RetryRatio, v.set.Bounds.RetryExtra, v.set.Bounds.RetryWindow, v.proxies)
 		s.mu.Unlock()
 		w.services[c.Name] = s
 	}
--- a/internal/system/vane/generate.go
+++ b/internal/system/vane/generate.go
@@ -45,7 +45,7 @@
 		t.svc.mu.Unlock()
 	}()
 	x := extra{left: time.Until(t.deadline), stage: sonde.PhasePrefill, priority: t.priority(false)}
-	e, wrote, err := t.begin(ctx, at, &t.m, &x, time.Now().Add(connectWithin), by)
+	e, wrote, err := t.begin(ctx, at, &t.m, &x, t.connectBy(), by)
 	if err != nil {
 		status = judge(wrote, err)
 		return nil, wrote, err
@@ -161,15 +161,18 @@
 		if t.sends == sends && len(t.tried) < maxWays && time.Until(t.deadline) > connectWithin {
 			continue // none has seen it: there was no way to that backend
 		}
+		paid := false
 		if h != nil {
-			// What was sent with it has spoilt it, whether or not that came to anything.
+			// What was sent with it has spoilt it, whether or not that came to anything. Reading the prompt again takes one
+			// more send than reading it where its tokens are made.
 			t.tried[h.from.ID] = true
 			t.free(h)
 			h = nil
 			reads++
-			split = reads < 2 && t.allowed()
+			split = reads < 2 && t.couldAgain() && t.afford(2)
+			paid = split
 		}
-		if !t.mayAgain() {
+		if !paid && !t.mayAgain() {
 			t.giveUp(ctx, errText(err))
 			return
 		}
--- /dev/null
+++ b/internal/system/vane/generate_test.go
@@ -0,0 +1,28 @@
+package vane
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"molepaddle/internal/system/screen"
+)
+
+// TestStagedPromptsAreTriedAgain: with eighty proxies each may save little more than one further send. A staged prompt whose taker
+// failed asked for two, one to read it again and one to send it again, and was never served.
+func TestStagedPromptsAreTriedAgain(t *testing.T) {
+	for _, fault := range []screen.Faults{{Fail: 500}, {LoseAnswer: true}, {Garble: true}, {Refuse: true}} {
+		engine := func(phase screen.Phase) screen.EngineSettings {
+			return screen.EngineSettings{Service: "llm", Zone: "e1", Phase: phase, Capacity: 8}
+		}
+		r := newRig(t, engine(screen.PhasePrefill), engine(screen.PhaseDecode), engine(screen.PhaseDecode))
+		r.v.set.Bounds.RetryExtra, r.v.proxies = 202, 81
+		r.configure()
+		trouble(r.engines[1:2], fault)
+		for own := range 20 {
+			got := r.client.Do(r.Context(), ask("free", own%3, own, [2]int{6000, 2}))
+			r.Check(got.OK(), qt.IsTrue, qt.Commentf("%+v: %d %v", fault, got.Status, got.Err))
+		}
+		r.Check(r.v.services["llm"].spent.saved >= 0, qt.IsTrue)
+	}
+}
--- a/internal/system/vane/leaks_test.go
+++ b/internal/system/vane/leaks_test.go
@@ -49,7 +49,7 @@
 
 var leaks = []leak{
 	// Types that can't be confused.
-	{"a send without a permit", "compiler", map[string][]string{fileGenerate: {"t.begin(ctx, at, &t.m, &x, time.Now().Add(connectWithin), by)", "t.begin(ctx, b, &t.m, &x, time.Now().Add(connectWithin), by)"}}},
+	{"a send without a permit", "compiler", map[string][]string{fileGenerate: {"t.begin(ctx, at, &t.m, &x, t.connectBy(), by)", "t.begin(ctx, b, &t.m, &x, t.connectBy(), by)"}}},
 	{"a permit made by hand", "compiler", map[string][]string{filePlace: {"pl.permit, err = pl.at.plot.Permit(terms)", "pl.permit, err = (enclosure.Permit{plot: pl.at.plot}), error(nil)"}}},
 	{"a connection past the permit", "compiler", map[string][]string{fileEnclosed: {"return at.Lend(ctx, t.terms(), m.id)", "return t.svc.byID[at.ID()].plot.way.Lend(ctx, m.id)"}}},
 	{"a connection from the pool", "compiler", map[string][]string{fileEnclosed: {"return at.Lend(ctx, t.terms(), m.id)", "return t.v.pool.Way(at.Address()).Lend(ctx, m.id)"}}},
--- a/internal/system/vane/serve.go
+++ b/internal/system/vane/serve.go
@@ -21,8 +21,8 @@
 const (
 	// maxAnswer bounds an answer that is held whole, in bytes.
 	maxAnswer = 8 << 20
-	// connectWithin bounds a connect: round trips are some milliseconds anywhere.
-	connectWithin = 200 * time.Millisecond
+	// connectWithin bounds a connect, connectLeast from below: round trips are some milliseconds anywhere.
+	connectWithin, connectLeast = 200 * time.Millisecond, 50 * time.Millisecond
 	// maxWays bounds the backends to which a way is looked for.
 	maxWays = 4
 	// soonAgain is when a client whose request was not run is told to come back.
@@ -130,7 +130,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), t.deadline)
 	defer cancel()
 	t.svc.mu.Lock()
-	t.svc.spent.asked()
+	t.svc.spent.ask(came)
 	model := t.svc.engines != nil
 	t.svc.mu.Unlock()
 	if model {
@@ -250,14 +250,17 @@
 	}
 	t.svc.mu.Lock()
 	defer t.svc.mu.Unlock()
-	return t.svc.spent.left()
+	return t.svc.spent.left(time.Now(), 1)
 }
 
 // allowed takes one send beyond a request's first from what this proxy may make of them.
-func (t *try) allowed() bool {
+func (t *try) allowed() bool { return t.afford(1) }
+
+// afford takes n sends beyond a request's first, or none.
+func (t *try) afford(n float64) bool {
 	t.svc.mu.Lock()
 	defer t.svc.mu.Unlock()
-	return t.svc.spent.take()
+	return t.svc.spent.take(time.Now(), n)
 }
 
 // notRun reads from an answer's head that the backend did not run the request.
@@ -300,6 +303,16 @@
 	return "backend: " + err.Error()
 }
 
+// connectBy is until when a connection has to stand: half of the aim, since one that takes longer is of no use, and from a
+// backend without power nothing ever comes.
+func (t *try) connectBy() time.Time {
+	within := connectWithin
+	if aim := t.route.Target(); aim > 0 {
+		within = min(max(aim/2, connectLeast), connectWithin)
+	}
+	return time.Now().Add(within)
+}
+
 // headBy is until when an attempt waits for the head of its answer.
 func (t *try) headBy() time.Time {
 	if aim := t.route.Target(); t.route.Idempotent() && aim > 0 && t.sends+1 < t.route.Tries {
@@ -314,7 +327,7 @@
 func (t *try) plainAt(ctx context.Context, at enclosure.Permit) (done bool, err error) {
 	id := at.ID()
 	x := extra{left: time.Until(t.deadline), priority: -1}
-	e, wrote, err := t.begin(ctx, at, &t.m, &x, time.Now().Add(connectWithin), t.headBy())
+	e, wrote, err := t.begin(ctx, at, &t.m, &x, t.connectBy(), t.headBy())
 	if wrote {
 		t.sends++
 	}
--- a/internal/system/vane/stream.go
+++ b/internal/system/vane/stream.go
@@ -52,7 +52,7 @@
 	}()
 	x := extra{left: time.Until(t.deadline), priority: t.priority(h != nil), handle: h}
 	heard := t.svc.awaits(b.ID)
-	e, wrote, err := t.begin(ctx, pl.permit, &t.m, &x, time.Now().Add(connectWithin), t.headBy())
+	e, wrote, err := t.begin(ctx, pl.permit, &t.m, &x, t.connectBy(), t.headBy())
 	heard()
 	sent = wrote
 	if wrote {
@@ -243,7 +243,7 @@
 		t.tried[pl.at.ID] = true
 		status, kept := policy.OK, false
 		x := extra{left: time.Until(t.deadline), priority: t.priority(false), lastID: r.lastID}
-		e, wrote, err := t.begin(ctx, pl.permit, &t.m, &x, time.Now().Add(connectWithin), t.headBy())
+		e, wrote, err := t.begin(ctx, pl.permit, &t.m, &x, t.connectBy(), t.headBy())
 		if wrote {
 			t.sends++
 		}
