Silent backends are told to all by who asks for reports; silence outlives who waited

Cause: a client leaves a silent stream after two seconds, which tells a proxy nothing of the backend, so each proxy sent long answers to a dark one again and again until the platform's list left it out; each learnt by itself. Change: the primary names listed backends whose report did not come (unless a third of them: then it may be cut off itself); a proxy leaves them out unless it heard of them itself since; a request given up after a second without a head marks its backend for 2.5 s.

--- a/cmd/station/traffic_test.go
+++ b/cmd/station/traffic_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"fmt"
 	"net/http"
 	"slices"
@@ -428,3 +429,36 @@
 	load.stop()
 	f.judge()
 }
+
+// TestSilentBackendIsKnown has a backend that makes tokens fall silent: what may run once and comes there is lost to it, by each proxy
+// for itself, until the control plane has asked it for its report and told them all.
+func TestSilentBackendIsKnown(t *testing.T) {
+	f := newFleet(t, plan{decode: 3})
+	f.decode[0].SetFaults(screen.Faults{Silent: true})
+	began := time.Now()
+	// Clients leave before their deadline, which tells a proxy nothing of the backend.
+	r := hazard()
+	r.Deadline = patient
+	row := 0
+	f.until(patient, "nothing is sent to the silent one", func() bool {
+		for i := range f.clients {
+			ctx, leave := context.WithTimeout(f.ctx, 600*time.Millisecond)
+			if row++; !f.clients[i].Do(ctx, r).OK() {
+				row = 0
+			}
+			leave()
+		}
+		return row >= 24
+	})
+	f.Logf("known everywhere after %v", time.Since(began))
+	f.decode[0].SetFaults(screen.Faults{})
+	n := len(f.decode[0].Log.Entries())
+	f.until(patient, "it is sent to again", func() bool {
+		for i := range f.clients {
+			f.served(f.clients[i].Do(f.ctx, hazard()), "after")
+		}
+		es := f.decode[0].Log.Entries()[n:]
+		return slices.ContainsFunc(es, func(e screen.Entry) bool { return e.Kind == screen.KindRequest })
+	})
+	f.judge()
+}
--- a/internal/system/isobar/load.go
+++ b/internal/system/isobar/load.go
@@ -13,6 +13,8 @@
 	toldWait    int
 	toldRunning int       // running then
 	waiting     []float64 // since when, the oldest first
+	heard       float64   // when this proxy last heard of it itself
+	mute        float64   // when it was last found silent; 0: it was heard since
 	shed        float64   // when it last turned a request away; 0: it took one since
 }
 
@@ -26,6 +28,9 @@
 	// shedFor is how long a backend that turned a request away is taken for full, ms: one whose phase changes does so until its
 	// last answer has ended.
 	shedFor = 2000
+	// muteAfter is half of the time after which clients give a silent stream up at the soonest (PROTOCOL), ms; muteFor is how
+	// long a backend is taken for silent; muteLag is how much newer this proxy's word has to be than the control plane's.
+	muteAfter, muteFor, muteLag = 1000, 2500, 700
 	// maxWaiting bounds the waiting requests that are told apart at one backend.
 	maxWaiting = 256
 )
@@ -33,6 +38,7 @@
 // Told takes what a backend said of its load.
 func (e *Engines) Told(now float64, id string, active, waiting int) {
 	if g := e.byID[id]; g != nil {
+		g.heard, g.mute = now, 0
 		g.told, g.toldActive, g.toldWait, g.toldRunning = now, active, waiting, g.running
 	}
 }
@@ -82,21 +88,41 @@
 	return now
 }
 
-// Heard notes that a head came, or is waited for no more.
-func (e *Engines) Heard(id string, since float64) {
-	if g := e.byID[id]; g != nil {
-		if i := slices.Index(g.waiting, since); i >= 0 {
-			g.waiting = slices.Delete(g.waiting, i, i+1)
-		}
+// Heard notes that a head came, or is waited for no more: a backend of which nothing came for muteAfter is taken for silent.
+func (e *Engines) Heard(now float64, id string, since float64, came bool) {
+	g := e.byID[id]
+	if g == nil {
+		return
+	}
+	if i := slices.Index(g.waiting, since); i >= 0 {
+		g.waiting = slices.Delete(g.waiting, i, i+1)
+	}
+	switch {
+	case came:
+		g.heard, g.mute = now, 0
+	case now-since > muteAfter && g.heard < since:
+		g.mute = now
 	}
 }
 
-// SilentMs is for how long the oldest request that waits there has.
-func (e *Engines) SilentMs(now float64, id string) float64 {
-	if g := e.byID[id]; g != nil && len(g.waiting) > 0 {
-		return now - g.waiting[0]
+// Muted notes that the control plane did not hear a backend; this proxy's own word counts where it is newer.
+func (e *Engines) Muted(now float64, id string) {
+	if g := e.byID[id]; g != nil && g.heard < now-muteLag {
+		g.mute = now
 	}
-	return 0
+}
+
+// Mute tells whether a backend was found silent of late.
+func (e *Engines) Mute(now float64, id string) bool {
+	g := e.byID[id]
+	return g != nil && g.mute > 0 && now-g.mute < muteFor
+}
+
+// Silent tells whether a backend was found silent of late, or a request has waited there for so many ms for the head of its
+// answer.
+func (e *Engines) Silent(now float64, id string, patience float64) bool {
+	g := e.byID[id]
+	return e.Mute(now, id) || g != nil && len(g.waiting) > 0 && now-g.waiting[0] > patience
 }
 
 // Shed notes that a backend turned a request away, Took that it took one.
--- a/internal/system/isobar/load_test.go
+++ b/internal/system/isobar/load_test.go
@@ -35,20 +35,48 @@
 func TestSilentBackendsAreSeenWhileTheyAreWaitedFor(t *testing.T) {
 	c := qt.New(t)
 	e := engines(t, 0, 2)
-	c.Assert(e.SilentMs(500, "d0"), qt.Equals, 0.0)
+	c.Assert(e.Silent(500, "d0", 0), qt.IsFalse)
 	first := e.Awaits(500, "d0")
 	second := e.Awaits(700, "d0")
-	c.Assert(e.SilentMs(900, "d0"), qt.Equals, 400.0)
-	e.Heard("d0", first)
-	c.Assert(e.SilentMs(900, "d0"), qt.Equals, 200.0)
-	e.Heard("d0", second)
-	e.Heard("d0", second)
-	c.Assert(e.SilentMs(900, "d0"), qt.Equals, 0.0)
+	c.Assert(e.Silent(900, "d0", 399), qt.IsTrue)
+	c.Assert(e.Silent(900, "d0", 400), qt.IsFalse)
+	e.Heard(900, "d0", first, true)
+	c.Assert(e.Silent(900, "d0", 200), qt.IsFalse)
+	e.Heard(900, "d0", second, true)
+	e.Heard(900, "d0", second, true)
+	c.Assert(e.Silent(9000, "d0", 0), qt.IsFalse)
 	for range 2 * maxWaiting {
 		e.Awaits(1000, "d1")
 	}
 	c.Assert(len(e.byID["d1"].waiting), qt.Equals, maxWaiting)
-	e.Heard("gone", e.Awaits(1000, "gone"))
+	e.Heard(1000, "gone", e.Awaits(1000, "gone"), false)
+}
+
+// A client leaves a silent stream after two seconds; the next request went to the same backend, and waited as long.
+func TestSilenceOutlivesWhoWaited(t *testing.T) {
+	c := qt.New(t)
+	e := engines(t, 0, 2)
+	since := e.Awaits(1000, "d0")
+	e.Heard(1000+muteAfter, "d0", since, false)
+	c.Assert(e.Mute(2001, "d0"), qt.IsFalse, qt.Commentf("clients leave for reasons of their own"))
+	since = e.Awaits(2000, "d0")
+	e.Heard(4000, "d0", since, false)
+	c.Assert(e.Mute(4001, "d0"), qt.IsTrue)
+	c.Assert(e.Mute(4000+muteFor, "d0"), qt.IsFalse, qt.Commentf("it is tried again"))
+	e.Told(4100, "d0", 1, 0)
+	c.Assert(e.Mute(4101, "d0"), qt.IsFalse, qt.Commentf("it was heard"))
+	// Another request was answered meanwhile: it is slow, not silent.
+	since = e.Awaits(5000, "d0")
+	e.Heard(6000, "d0", e.Awaits(5500, "d0"), true)
+	e.Heard(7500, "d0", since, false)
+	c.Assert(e.Mute(7501, "d0"), qt.IsFalse)
+	// What the control plane did not hear counts unless this proxy did.
+	e.Muted(8000, "d0")
+	c.Assert(e.Mute(8001, "d0"), qt.IsTrue)
+	e.Told(9000, "d0", 1, 0)
+	e.Muted(9000+muteLag/2, "d0")
+	c.Assert(e.Mute(9401, "d0"), qt.IsFalse)
+	e.Muted(9000, "gone")
 }
 
 // A backend whose phase changed turned staged prompts away for seconds, and each proxy went on sending there.
--- a/internal/system/observatory/phases.go
+++ b/internal/system/observatory/phases.go
@@ -27,11 +27,14 @@
 	machines map[string]*isobar.Phases // by service
 	changing map[string]bool           // ids to which nobody should send
 	active   map[string]int            // by id of those that make tokens, as of the last round
+	silent   []string                  // whose report did not come then
 }
 
 const (
 	// reportEvery is the time between two rounds of reports; they are priced as probes.
 	reportEvery = 1500 * time.Millisecond
+	// mostSilent is one in how many backends may be silent for that to be believed.
+	mostSilent = 3
 	// orderWithin bounds a call to a backend.
 	orderWithin = 300 * time.Millisecond
 )
@@ -50,13 +53,14 @@
 	clear(p.machines)
 	clear(p.changing)
 	clear(p.active)
+	p.silent = nil
 }
 
 // gauges is how many requests were at the backends that make tokens when they were last asked: the fullest of them.
 func (p *phases) gauges() synop.Gauges {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	g := synop.Gauges{Active: maps.Clone(p.active)}
+	g := synop.Gauges{Active: maps.Clone(p.active), Silent: p.silent}
 	if len(g.Active) <= synop.MaxGauges {
 		return g
 	}
@@ -88,6 +92,7 @@
 	before := p.changingNow()
 	p.mu.Lock()
 	clear(p.active)
+	p.silent = nil
 	p.mu.Unlock()
 	for _, svc := range settled.doc.Services() {
 		if svc.Runtime == nil || svc.Runtime.Capacity <= 0 {
@@ -106,11 +111,18 @@
 			m = isobar.NewPhases()
 			p.machines[svc.Name] = m
 		}
-		for _, s := range states {
+		var silent []string
+		for i, s := range states {
 			if s.Usable && !s.Prefill {
 				p.active[s.ID] = s.Active
+			} else if !s.Usable && !all[i].Draining {
+				silent = append(silent, s.ID)
 			}
 		}
+		// Where many are silent this machine may be the one that is cut off.
+		if len(silent)*mostSilent <= len(all) {
+			p.silent = append(p.silent, silent...)
+		}
 		var moves []isobar.Move
 		if orders {
 			moves = m.Step(float64(now.Milliseconds()), svc.Runtime.Capacity, states)
--- a/internal/system/observatory/pulls.go
+++ b/internal/system/observatory/pulls.go
@@ -125,7 +125,7 @@
 			if duty.round(ctx, time.Since(o.start), plain, epoch, now.Sub(since) > o.phasesWait()) {
 				dirty = true
 			}
-			if g := duty.gauges(); !maps.Equal(g.Active, lastGauges.Active) {
+			if g := duty.gauges(); !maps.Equal(g.Active, lastGauges.Active) || len(g.Silent) > 0 || len(lastGauges.Silent) > 0 {
 				count++
 				b, _ := g.MarshalMsg(nil)
 				o.store.Set(synop.SourceGauges, synop.Version{Epoch: epoch, Count: count}, b)
--- a/internal/system/synop/messages.go
+++ b/internal/system/synop/messages.go
@@ -102,6 +102,7 @@
 // the fullest ones where there are more than MaxGauges. Who isn't named has no more than the least of them.
 type Gauges struct {
 	Active map[string]int `msg:"a"` // by id
+	Silent []string       `msg:"s"` // ids of those, also that read prompts, whose report did not come
 }
 
 // MaxGauges bounds the backends that Gauges name: some 4 kB.
--- a/internal/system/synop/messages_gen.go
+++ b/internal/system/synop/messages_gen.go
@@ -926,6 +926,25 @@
 				}
 				z.Active[za0001] = za0002
 			}
+		case "s":
+			var zb0003 uint32
+			zb0003, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Silent")
+				return
+			}
+			if cap(z.Silent) >= int(zb0003) {
+				z.Silent = (z.Silent)[:zb0003]
+			} else {
+				z.Silent = make([]string, zb0003)
+			}
+			for za0003 := range z.Silent {
+				z.Silent[za0003], err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Silent", za0003)
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -939,9 +958,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Gauges) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 1
+	// map header, size 2
 	// write "a"
-	err = en.Append(0x81, 0xa1, 0x61)
+	err = en.Append(0x82, 0xa1, 0x61)
 	if err != nil {
 		return
 	}
@@ -962,20 +981,43 @@
 			return
 		}
 	}
+	// write "s"
+	err = en.Append(0xa1, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Silent)))
+	if err != nil {
+		err = msgp.WrapError(err, "Silent")
+		return
+	}
+	for za0003 := range z.Silent {
+		err = en.WriteString(z.Silent[za0003])
+		if err != nil {
+			err = msgp.WrapError(err, "Silent", za0003)
+			return
+		}
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Gauges) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
+	// map header, size 2
 	// string "a"
-	o = append(o, 0x81, 0xa1, 0x61)
+	o = append(o, 0x82, 0xa1, 0x61)
 	o = msgp.AppendMapHeader(o, uint32(len(z.Active)))
 	for za0001, za0002 := range z.Active {
 		o = msgp.AppendString(o, za0001)
 		o = msgp.AppendInt(o, za0002)
 	}
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Silent)))
+	for za0003 := range z.Silent {
+		o = msgp.AppendString(o, z.Silent[za0003])
+	}
 	return
 }
 
@@ -1025,6 +1067,25 @@
 				}
 				z.Active[za0001] = za0002
 			}
+		case "s":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Silent")
+				return
+			}
+			if cap(z.Silent) >= int(zb0003) {
+				z.Silent = (z.Silent)[:zb0003]
+			} else {
+				z.Silent = make([]string, zb0003)
+			}
+			for za0003 := range z.Silent {
+				z.Silent[za0003], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Silent", za0003)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1046,6 +1107,10 @@
 			s += msgp.StringPrefixSize + len(za0001) + msgp.IntSize
 		}
 	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0003 := range z.Silent {
+		s += msgp.StringPrefixSize + len(z.Silent[za0003])
+	}
 	return
 }
 
--- a/internal/system/vane/feed.go
+++ b/internal/system/vane/feed.go
@@ -103,7 +103,7 @@
 			return err
 		}
 		for _, s := range v.services {
-			s.gauged(gauges.Active)
+			s.gauged(gauges.Active, gauges.Silent)
 		}
 	}
 	return nil
--- a/internal/system/vane/place.go
+++ b/internal/system/vane/place.go
@@ -125,7 +125,7 @@
 		busy := e.Busy(id)
 		class := 0.0
 		switch {
-		case e.Full(w.now, id) || e.SilentMs(w.now, id) > w.patience:
+		case e.Full(w.now, id) || e.Silent(w.now, id, w.patience):
 			class = 3
 		case s.apart[id] && busy >= fillLong:
 			class = 2
@@ -184,7 +184,7 @@
 				c += 10 * w.patience
 			}
 		}
-		if e.Full(now, id) {
+		if e.Full(now, id) || e.Mute(now, id) {
 			c += 30 * w.patience
 		}
 		return c
@@ -230,7 +230,7 @@
 			class += 2 // a move takes longer there, and costs more
 		}
 		switch {
-		case e.Full(w.now, id) || e.SilentMs(w.now, id) > w.patience:
+		case e.Full(w.now, id) || e.Silent(w.now, id, w.patience):
 			class += 8
 		case busy >= fillLong || late > slowMove:
 			class += 4
--- a/internal/system/vane/place_test.go
+++ b/internal/system/vane/place_test.go
@@ -97,7 +97,7 @@
 		s.engines.Made("talk", talk, 4000)
 	}
 	full := map[string]int{"d0": 8, "d1": 9, "d2": 8, "d3": 2}
-	s.gauged(full)
+	s.gauged(full, nil)
 	for range 5 {
 		pl, ok := s.placeFor("talk", talk, 120*time.Millisecond, map[string]bool{}, true, enclosure.Terms{})
 		c.Assert(ok, qt.IsTrue)
@@ -106,10 +106,13 @@
 	}
 	// A request that waits long for the head of its answer keeps others away from a backend that was thought to be free.
 	s.start = s.start.Add(-time.Second) // a second later
-	s.gauged(map[string]int{"d0": 0, "d1": 0, "d2": 8, "d3": 8})
+	s.gauged(map[string]int{"d0": 0, "d1": 0, "d2": 8, "d3": 8}, nil)
 	heard := s.awaits("d0")
 	s.start = s.start.Add(-time.Second)
 	pl, _ := s.placeFor("talk", talk, 120*time.Millisecond, map[string]bool{}, true, enclosure.Terms{})
 	c.Assert(pl.at.ID, qt.Equals, "d1")
-	heard()
+	heard(true)
+	s.gauged(map[string]int{"d0": 0, "d1": 0, "d2": 8, "d3": 8}, []string{"d1"})
+	pl, _ = s.placeFor("talk", talk, 120*time.Millisecond, map[string]bool{}, true, enclosure.Terms{})
+	c.Assert(pl.at.ID, qt.Equals, "d0", qt.Commentf("the control plane did not hear the other"))
 }
--- a/internal/system/vane/service.go
+++ b/internal/system/vane/service.go
@@ -137,14 +137,14 @@
 	s.mu.Unlock()
 }
 
-// awaits notes that the head of an answer is waited for at a backend; the function given ends that.
-func (s *service) awaits(id string) (heard func()) {
+// awaits notes that the head of an answer is waited for at a backend; the function given ends that, and tells whether one came.
+func (s *service) awaits(id string) (heard func(came bool)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	since := s.engines.Awaits(s.now(), id)
-	return func() {
+	return func(came bool) {
 		s.mu.Lock()
-		s.engines.Heard(id, since)
+		s.engines.Heard(s.now(), id, since, came)
 		s.mu.Unlock()
 	}
 }
@@ -167,8 +167,9 @@
 	s.mu.Unlock()
 }
 
-// gauged notes how many requests were at the backends that make tokens, as the control plane heard from them.
-func (s *service) gauged(active map[string]int) {
+// gauged notes how many requests were at the backends that make tokens, as the control plane heard from them, and which of all
+// it did not hear.
+func (s *service) gauged(active map[string]int, silent []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.engines == nil {
@@ -186,6 +187,9 @@
 			s.engines.Gauged(now, id, least)
 		}
 	}
+	for _, id := range silent {
+		s.engines.Muted(now, id)
+	}
 }
 
 // allowed tells whether a listed backend may hold data under the terms. The lock is held. Callers ask only for requests that
--- a/internal/system/vane/stream.go
+++ b/internal/system/vane/stream.go
@@ -53,7 +53,7 @@
 	x := extra{left: time.Until(t.deadline), priority: t.priority(h != nil), handle: h}
 	heard := t.svc.awaits(b.ID)
 	e, wrote, err := t.begin(ctx, pl.permit, &t.m, &x, t.connectBy(), t.headBy())
-	heard()
+	heard(err == nil)
 	sent = wrote
 	if wrote {
 		t.sends++
