One reckoning of what a backend has to read of a prompt, one taking of a ranking's first

Cause: found on reading the change once more: Sent and ReadMs each worked out what a home keeps, and three choices each took the first of their ranking in the same words. Change: toRead and first; behaviour as before.

--- a/internal/system/isobar/engines.go
+++ b/internal/system/isobar/engines.go
@@ -108,11 +108,17 @@
 // ReadMs is how long reading the prompt would take there once it is its turn, if a backend keeps no more than is believed;
 // at its home that is all that it shares.
 func (e *Engines) ReadMs(id string, p *Prompt, home bool) float64 {
+	return float64(e.toRead(id, p, home)) * e.per(e.byID[id])
+}
+
+// toRead is how many tokens of the prompt the backend is believed to have to read. At its home what it shares is believed kept:
+// other proxies send there what shares it, of which this one knows nothing.
+func (e *Engines) toRead(id string, p *Prompt, home bool) int {
 	tokens := e.Unkept(id, p)
 	if home {
 		tokens = min(tokens, p.Own())
 	}
-	return float64(tokens) * e.per(e.byID[id])
+	return tokens
 }
 
 // ExpectMs is how long it will take until the prompt is read there, as such expectations have turned out of late.
@@ -231,16 +237,13 @@
 	return ms
 }
 
-// Sent notes a prompt sent to be read there, and gives what Read is to be told. At its home what it shares is believed
-// kept: other proxies send there what shares it, of which this one knows nothing.
+// Sent notes a prompt sent to be read there, at its home or not, and gives what Read is to be told.
 func (e *Engines) Sent(id string, p *Prompt, home bool) (tokens int) {
 	g := e.byID[id]
 	if g == nil {
 		return 0
 	}
-	if tokens = e.Unkept(id, p); home {
-		tokens = min(tokens, p.Own())
-	}
+	tokens = e.toRead(id, p, home)
 	e.usual += (float64(tokens) - e.usual) * learnPart
 	g.reading += float64(tokens)
 	g.running++
--- a/internal/system/vane/place.go
+++ b/internal/system/vane/place.go
@@ -136,6 +136,11 @@
 		}
 		return class*classApart + s.ranker.Score(key, id, free(busy))
 	}, s.order[:0])
+	return s.first()
+}
+
+// first is the backend that the ranking just made puts first; nil: it has none. The lock is held.
+func (s *service) first() *backend {
 	if len(s.order) == 0 {
 		return nil
 	}
@@ -189,10 +194,9 @@
 		}
 		return c
 	}, s.order[:0])
-	if len(s.order) == 0 {
+	if pl.at = s.first(); pl.at == nil {
 		return
 	}
-	pl.at = s.byID[s.order[0]]
 	pl.home = pl.at.ID == home
 	pl.readMs = e.ExpectMs(now, pl.at.ID, p, pl.home)
 	if pl.at.Phase != sonde.PhaseDecode {
@@ -238,8 +242,5 @@
 		weight := free(busy) / ((1 + late) * (1 + late))
 		return class*classApart + s.ranker.Score(key, id, weight)
 	}, s.order[:0])
-	if len(s.order) == 0 {
-		return nil
-	}
-	return s.byID[s.order[0]]
+	return s.first()
 }
