internal/system becomes internal/fleet

Ruled out: a change of behaviour: files move, identifiers and comments follow, formats on the wire and on disk stay as they were.

--- a/cmd/station-scale/main.go
+++ b/cmd/station-scale/main.go
@@ -13,7 +13,7 @@
 
 	"github.com/alecthomas/kong"
 
-	"molepaddle/internal/system/mast"
+	"molepaddle/internal/fleet/mast"
 )
 
 type cli struct {
--- a/cmd/station/check.go
+++ b/cmd/station/check.go
@@ -9,8 +9,8 @@
 
 	"github.com/go-faster/errors"
 
-	"molepaddle/internal/system/almanac"
-	"molepaddle/internal/system/siting"
+	"molepaddle/internal/fleet/almanac"
+	"molepaddle/internal/fleet/siting"
 )
 
 type checkCmd struct {
--- a/cmd/station/control.go
+++ b/cmd/station/control.go
@@ -8,9 +8,9 @@
 
 	"github.com/go-faster/errors"
 
-	"molepaddle/internal/system/almanac"
-	"molepaddle/internal/system/heliograph"
-	"molepaddle/internal/system/siting"
+	"molepaddle/internal/fleet/almanac"
+	"molepaddle/internal/fleet/heliograph"
+	"molepaddle/internal/fleet/siting"
 )
 
 // controlFlags say where the control plane is.
--- a/cmd/station/control_test.go
+++ b/cmd/station/control_test.go
@@ -19,8 +19,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"molepaddle/internal/system/almanac"
-	"molepaddle/internal/system/sonde"
+	"molepaddle/internal/fleet/almanac"
+	"molepaddle/internal/fleet/sonde"
 )
 
 // control stands in for the control plane: one agent that takes configurations as PROTOCOL.md says.
--- a/cmd/station/core_test.go
+++ b/cmd/station/core_test.go
@@ -11,7 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"molepaddle/internal/system/screen"
+	"molepaddle/internal/fleet/screen"
 )
 
 // TestPrimaryKilledAmidChanges kills the primary while changes come one after the other: all that were acknowledged are
--- a/cmd/station/demo.go
+++ b/cmd/station/demo.go
@@ -13,9 +13,9 @@
 
 	"github.com/go-faster/errors"
 
-	"molepaddle/internal/system/screen"
-	"molepaddle/internal/system/sonde"
-	"molepaddle/internal/system/status"
+	"molepaddle/internal/fleet/screen"
+	"molepaddle/internal/fleet/sonde"
+	"molepaddle/internal/fleet/status"
 )
 
 type demoCmd struct {
--- a/cmd/station/demofleet.go
+++ b/cmd/station/demofleet.go
@@ -12,8 +12,8 @@
 
 	"github.com/go-faster/errors"
 
-	"molepaddle/internal/system/heliograph"
-	"molepaddle/internal/system/screen"
+	"molepaddle/internal/fleet/heliograph"
+	"molepaddle/internal/fleet/screen"
 )
 
 // Names of the demo's configuration.
--- a/cmd/station/diff.go
+++ b/cmd/station/diff.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"io"
 
-	"molepaddle/internal/system/almanac"
-	"molepaddle/internal/system/logbook"
+	"molepaddle/internal/fleet/almanac"
+	"molepaddle/internal/fleet/logbook"
 )
 
 type diffCmd struct {
--- a/cmd/station/fleet_test.go
+++ b/cmd/station/fleet_test.go
@@ -19,8 +19,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"molepaddle/internal/system/screen"
-	"molepaddle/internal/system/siting"
+	"molepaddle/internal/fleet/screen"
+	"molepaddle/internal/fleet/siting"
 )
 
 // TestMain is the station itself where it is started with a settings file: the programs under test are this binary, so
--- a/cmd/station/page_test.go
+++ b/cmd/station/page_test.go
@@ -110,7 +110,7 @@
 	keys = map[string]string{}
 	var files []string
 	for _, p := range []string{"vane", "telemeter", "observatory"} {
-		found, err := filepath.Glob("../../internal/system/" + p + "/*.go")
+		found, err := filepath.Glob("../../internal/fleet/" + p + "/*.go")
 		c.Assert(err, qt.IsNil)
 		c.Assert(found, qt.Not(qt.HasLen), 0)
 		files = append(files, found...)
--- a/cmd/station/programs.go
+++ b/cmd/station/programs.go
@@ -12,10 +12,10 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
-	"molepaddle/internal/system/observatory"
-	"molepaddle/internal/system/siting"
-	"molepaddle/internal/system/telemeter"
-	"molepaddle/internal/system/vane"
+	"molepaddle/internal/fleet/observatory"
+	"molepaddle/internal/fleet/siting"
+	"molepaddle/internal/fleet/telemeter"
+	"molepaddle/internal/fleet/vane"
 )
 
 type (
--- a/cmd/station/propose.go
+++ b/cmd/station/propose.go
@@ -6,9 +6,9 @@
 
 	"github.com/go-faster/errors"
 
-	"molepaddle/internal/system/almanac"
-	"molepaddle/internal/system/heliograph"
-	"molepaddle/internal/system/sonde"
+	"molepaddle/internal/fleet/almanac"
+	"molepaddle/internal/fleet/heliograph"
+	"molepaddle/internal/fleet/sonde"
 )
 
 // changeFlags are those of both ways to change the configuration.
--- a/cmd/station/residency.go
+++ b/cmd/station/residency.go
@@ -8,7 +8,7 @@
 
 	"github.com/go-faster/errors"
 
-	"molepaddle/internal/system/sonde"
+	"molepaddle/internal/fleet/sonde"
 )
 
 type residencyCmd struct {
--- a/cmd/station/residency_test.go
+++ b/cmd/station/residency_test.go
@@ -11,8 +11,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"molepaddle/internal/system/screen"
-	"molepaddle/internal/system/sonde"
+	"molepaddle/internal/fleet/screen"
+	"molepaddle/internal/fleet/sonde"
 )
 
 // residency asks one core machine where the data of a tenant rested, by the command.
--- a/cmd/station/show.go
+++ b/cmd/station/show.go
@@ -10,7 +10,7 @@
 
 	"github.com/go-faster/errors"
 
-	"molepaddle/internal/system/almanac"
+	"molepaddle/internal/fleet/almanac"
 )
 
 type showCmd struct {
--- a/cmd/station/status.go
+++ b/cmd/station/status.go
@@ -10,7 +10,7 @@
 
 	"github.com/go-faster/errors"
 
-	"molepaddle/internal/system/status"
+	"molepaddle/internal/fleet/status"
 )
 
 type statusCmd struct {
--- a/cmd/station/status_test.go
+++ b/cmd/station/status_test.go
@@ -10,7 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"molepaddle/internal/system/status"
+	"molepaddle/internal/fleet/status"
 )
 
 // stands is what `station status --json` tells, asked at one core machine.
--- a/cmd/station/text.go
+++ b/cmd/station/text.go
@@ -11,7 +11,7 @@
 
 	"github.com/go-faster/errors"
 
-	"molepaddle/internal/system/almanac"
+	"molepaddle/internal/fleet/almanac"
 )
 
 // maxFile bounds a file that is read, in bytes; the observatory takes bodies of 16 MiB.
--- a/cmd/station/traffic_test.go
+++ b/cmd/station/traffic_test.go
@@ -15,7 +15,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"molepaddle/internal/system/screen"
+	"molepaddle/internal/fleet/screen"
 )
 
 // TestCalm serves requests of all kinds on a quiet day.
--- a/cmd/station/watch.go
+++ b/cmd/station/watch.go
@@ -9,8 +9,8 @@
 
 	"github.com/go-faster/errors"
 
-	"molepaddle/internal/system/heliograph"
-	"molepaddle/internal/system/status"
+	"molepaddle/internal/fleet/heliograph"
+	"molepaddle/internal/fleet/status"
 )
 
 type watchCmd struct {
--- a/internal/system/almanac/almanac_test.go
+++ b/internal/fleet/almanac/almanac_test.go
@@ -10,7 +10,7 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
-	"molepaddle/internal/system/almanac"
+	"molepaddle/internal/fleet/almanac"
 )
 
 // The bodies of PROTOCOL.md.
--- a/internal/system/almanac/index_test.go
+++ b/internal/fleet/almanac/index_test.go
@@ -9,7 +9,7 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
-	"molepaddle/internal/system/almanac"
+	"molepaddle/internal/fleet/almanac"
 )
 
 func TestLookup(t *testing.T) {
--- a/internal/system/almanac/tenants_test.go
+++ b/internal/fleet/almanac/tenants_test.go
@@ -8,7 +8,7 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
-	"molepaddle/internal/system/almanac"
+	"molepaddle/internal/fleet/almanac"
 )
 
 // tenanted is a configuration with a service "a", the routes and the tenants given.
--- a/internal/system/archive/archive.go
+++ b/internal/fleet/archive/archive.go
@@ -33,7 +33,7 @@
 	"github.com/mattn/go-sqlite3"
 	"github.com/tinylib/msgp/msgp"
 
-	"molepaddle/internal/system/barograph"
+	"molepaddle/internal/fleet/barograph"
 )
 
 const (
--- a/internal/system/archive/archive_test.go
+++ b/internal/fleet/archive/archive_test.go
@@ -9,7 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"molepaddle/internal/system/barograph"
+	"molepaddle/internal/fleet/barograph"
 )
 
 // fill saves a first start, a snapshot at 2 and two changes, and returns what must be loaded.
--- a/internal/system/archive/power_test.go
+++ b/internal/fleet/archive/power_test.go
@@ -11,7 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"molepaddle/internal/system/barograph"
+	"molepaddle/internal/fleet/barograph"
 )
 
 const sector = 512 // a disk writes such pieces whole, in any order, until it is told to sync
--- a/internal/system/enclosure/enclosure_test.go
+++ b/internal/fleet/enclosure/enclosure_test.go
@@ -9,8 +9,8 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/go-faster/errors"
 
+	"molepaddle/internal/fleet/enclosure"
 	"molepaddle/internal/protocol/transport"
-	"molepaddle/internal/system/enclosure"
 )
 
 // dials counts connections that were asked for; none is made.
--- a/internal/system/heliograph/heliograph.go
+++ b/internal/fleet/heliograph/heliograph.go
@@ -18,8 +18,8 @@
 
 	"github.com/go-faster/errors"
 
-	"molepaddle/internal/system/almanac"
-	"molepaddle/internal/system/sonde"
+	"molepaddle/internal/fleet/almanac"
+	"molepaddle/internal/fleet/sonde"
 )
 
 // Figures of a call. The first three are PROTOCOL.md's.
--- a/internal/system/heliograph/heliograph_test.go
+++ b/internal/fleet/heliograph/heliograph_test.go
@@ -15,9 +15,9 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/go-faster/errors"
 
-	"molepaddle/internal/system/almanac"
-	"molepaddle/internal/system/heliograph"
-	"molepaddle/internal/system/sonde"
+	"molepaddle/internal/fleet/almanac"
+	"molepaddle/internal/fleet/heliograph"
+	"molepaddle/internal/fleet/sonde"
 )
 
 // agent is a stand-in for an agent that serves the operator; it gives its host:port.
--- a/internal/system/heliograph/status.go
+++ b/internal/fleet/heliograph/status.go
@@ -5,8 +5,8 @@
 
 	"github.com/go-faster/errors"
 
-	"molepaddle/internal/system/sonde"
-	"molepaddle/internal/system/status"
+	"molepaddle/internal/fleet/sonde"
+	"molepaddle/internal/fleet/status"
 )
 
 // Status asks how the fleet stands: the primary, or with local whichever of Control answers first, for what that one
--- a/internal/system/logbook/logbook.go
+++ b/internal/fleet/logbook/logbook.go
@@ -9,7 +9,7 @@
 	"slices"
 	"strconv"
 
-	"molepaddle/internal/system/almanac"
+	"molepaddle/internal/fleet/almanac"
 )
 
 // What a Change is of.
--- a/internal/system/logbook/logbook_test.go
+++ b/internal/fleet/logbook/logbook_test.go
@@ -6,8 +6,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"molepaddle/internal/system/almanac"
-	"molepaddle/internal/system/logbook"
+	"molepaddle/internal/fleet/almanac"
+	"molepaddle/internal/fleet/logbook"
 )
 
 const route = `{"name":"r%d","hostname":"h","pfx":"/%d/","kind":"readonly","deadline_ms":%s,"svc":"a"%s}`
--- a/internal/system/mast/agents.go
+++ b/internal/fleet/mast/agents.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"molepaddle/internal/system/synop"
+	"molepaddle/internal/fleet/synop"
 )
 
 // Crew is the hollow agents of one process: each pulls as a telemeter with a vane beside it does, at one of the
--- a/internal/system/mast/bench_test.go
+++ b/internal/fleet/mast/bench_test.go
@@ -11,14 +11,14 @@
 	"testing"
 	"time"
 
-	"molepaddle/internal/system/almanac"
-	"molepaddle/internal/system/isobar"
-	"molepaddle/internal/system/sonde"
-	"molepaddle/internal/system/synop"
-	"molepaddle/internal/system/windrose"
+	"molepaddle/internal/fleet/almanac"
+	"molepaddle/internal/fleet/isobar"
+	"molepaddle/internal/fleet/sonde"
+	"molepaddle/internal/fleet/synop"
+	"molepaddle/internal/fleet/windrose"
 )
 
-// The figures of docs/CAPACITY.md: go test -run '^$' -bench . ./internal/system/mast
+// The figures of docs/CAPACITY.md: go test -run '^$' -bench . ./internal/fleet/mast
 
 var (
 	listSizes     = []int{50, 300, 1000, 3000, 10_000}
--- a/internal/system/mast/fleet.go
+++ b/internal/fleet/mast/fleet.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"strconv"
 
-	"molepaddle/internal/system/synop"
+	"molepaddle/internal/fleet/synop"
 )
 
 // zones is the number of zones that hollow machines are spread over: 21, as the operators' target has.
--- a/internal/system/mast/mast_test.go
+++ b/internal/fleet/mast/mast_test.go
@@ -11,10 +11,10 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"molepaddle/internal/system/almanac"
-	"molepaddle/internal/system/barograph"
-	"molepaddle/internal/system/sonde"
-	"molepaddle/internal/system/synop"
+	"molepaddle/internal/fleet/almanac"
+	"molepaddle/internal/fleet/barograph"
+	"molepaddle/internal/fleet/sonde"
+	"molepaddle/internal/fleet/synop"
 )
 
 func TestDocumentsAreValid(t *testing.T) {
--- a/internal/system/mast/operator.go
+++ b/internal/fleet/mast/operator.go
@@ -11,7 +11,7 @@
 
 	"github.com/go-faster/errors"
 
-	"molepaddle/internal/system/sonde"
+	"molepaddle/internal/fleet/sonde"
 )
 
 // operator calls the control plane as the operator does: at one observatory after the other until one takes it.
--- a/internal/system/mast/platform.go
+++ b/internal/fleet/mast/platform.go
@@ -9,7 +9,7 @@
 	"sync/atomic"
 	"time"
 
-	"molepaddle/internal/system/synop"
+	"molepaddle/internal/fleet/synop"
 )
 
 // Platform is the hollow platform: it gives a list by pages, without a bound on its rate.
--- a/internal/system/mast/proxy.go
+++ b/internal/fleet/mast/proxy.go
@@ -19,8 +19,8 @@
 
 	"github.com/go-faster/errors"
 
-	"molepaddle/internal/system/sonde"
-	"molepaddle/internal/system/synop"
+	"molepaddle/internal/fleet/sonde"
+	"molepaddle/internal/fleet/synop"
 )
 
 // ProxyTrial is one run of a real vane between hollow clients and hollow backends: what one request, one event and the
--- a/internal/system/mast/trial.go
+++ b/internal/fleet/mast/trial.go
@@ -16,8 +16,8 @@
 
 	"github.com/go-faster/errors"
 
-	"molepaddle/internal/system/barograph"
-	"molepaddle/internal/system/synop"
+	"molepaddle/internal/fleet/barograph"
+	"molepaddle/internal/fleet/synop"
 )
 
 // Trial is one run at one size.
--- a/internal/system/observatory/messages.go
+++ b/internal/fleet/observatory/messages.go
@@ -1,6 +1,6 @@
 package observatory
 
-import "molepaddle/internal/system/raingauge"
+import "molepaddle/internal/fleet/raingauge"
 
 //go:generate msgp -tests=false
 
--- a/internal/system/observatory/messages_gen.go
+++ b/internal/fleet/observatory/messages_gen.go
@@ -3,7 +3,7 @@
 package observatory
 
 import (
-	"molepaddle/internal/system/raingauge"
+	"molepaddle/internal/fleet/raingauge"
 
 	"github.com/tinylib/msgp/msgp"
 )
--- a/internal/system/observatory/observatory.go
+++ b/internal/fleet/observatory/observatory.go
@@ -13,11 +13,11 @@
 	"github.com/puzpuzpuz/xsync/v4"
 	"go.uber.org/zap"
 
-	"molepaddle/internal/system/almanac"
-	"molepaddle/internal/system/archive"
-	"molepaddle/internal/system/barograph"
-	"molepaddle/internal/system/siting"
-	"molepaddle/internal/system/synop"
+	"molepaddle/internal/fleet/almanac"
+	"molepaddle/internal/fleet/archive"
+	"molepaddle/internal/fleet/barograph"
+	"molepaddle/internal/fleet/siting"
+	"molepaddle/internal/fleet/synop"
 )
 
 // Observatory is one core machine's program.
--- a/internal/system/observatory/operator.go
+++ b/internal/fleet/observatory/operator.go
@@ -12,9 +12,9 @@
 
 	"go.uber.org/zap"
 
-	"molepaddle/internal/system/almanac"
-	"molepaddle/internal/system/barograph"
-	"molepaddle/internal/system/sonde"
+	"molepaddle/internal/fleet/almanac"
+	"molepaddle/internal/fleet/barograph"
+	"molepaddle/internal/fleet/sonde"
 )
 
 const (
--- a/internal/system/observatory/peers.go
+++ b/internal/fleet/observatory/peers.go
@@ -9,8 +9,8 @@
 
 	"go.uber.org/zap"
 
-	"molepaddle/internal/system/barograph"
-	"molepaddle/internal/system/synop"
+	"molepaddle/internal/fleet/barograph"
+	"molepaddle/internal/fleet/synop"
 )
 
 // peers is the way to the other core machines: one connection each way, messages that can't be sent are lost.
--- a/internal/system/observatory/phases.go
+++ b/internal/fleet/observatory/phases.go
@@ -12,10 +12,10 @@
 
 	"go.uber.org/zap"
 
-	"molepaddle/internal/system/barograph"
-	"molepaddle/internal/system/isobar"
-	"molepaddle/internal/system/sonde"
-	"molepaddle/internal/system/synop"
+	"molepaddle/internal/fleet/barograph"
+	"molepaddle/internal/fleet/isobar"
+	"molepaddle/internal/fleet/sonde"
+	"molepaddle/internal/fleet/synop"
 )
 
 // phases holds the duty of giving orders to backends: it comes with the primary's view, whose epoch is the fence.
--- a/internal/system/observatory/pulls.go
+++ b/internal/fleet/observatory/pulls.go
@@ -10,9 +10,9 @@
 
 	"go.uber.org/zap"
 
-	"molepaddle/internal/system/barograph"
-	"molepaddle/internal/system/sonde"
-	"molepaddle/internal/system/synop"
+	"molepaddle/internal/fleet/barograph"
+	"molepaddle/internal/fleet/sonde"
+	"molepaddle/internal/fleet/synop"
 )
 
 // servePulls answers telemeters and, at the primary, the other observatories.
--- a/internal/system/observatory/record.go
+++ b/internal/fleet/observatory/record.go
@@ -6,9 +6,9 @@
 
 	"github.com/go-faster/errors"
 
-	"molepaddle/internal/system/almanac"
-	"molepaddle/internal/system/barograph"
-	"molepaddle/internal/system/raingauge"
+	"molepaddle/internal/fleet/almanac"
+	"molepaddle/internal/fleet/barograph"
+	"molepaddle/internal/fleet/raingauge"
 )
 
 // record is the durable state: the operator's configuration, which calls brought it there, and where tenants' data rested.
--- a/internal/system/observatory/record_test.go
+++ b/internal/fleet/observatory/record_test.go
@@ -6,7 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"molepaddle/internal/system/raingauge"
+	"molepaddle/internal/fleet/raingauge"
 )
 
 // configuration is a call that has a version in force.
--- a/internal/system/observatory/rested.go
+++ b/internal/fleet/observatory/rested.go
@@ -8,9 +8,9 @@
 
 	"go.uber.org/zap"
 
-	"molepaddle/internal/system/barograph"
-	"molepaddle/internal/system/raingauge"
-	"molepaddle/internal/system/sonde"
+	"molepaddle/internal/fleet/barograph"
+	"molepaddle/internal/fleet/raingauge"
+	"molepaddle/internal/fleet/sonde"
 )
 
 const (
--- a/internal/system/observatory/rested_test.go
+++ b/internal/fleet/observatory/rested_test.go
@@ -12,10 +12,10 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
 
-	"molepaddle/internal/system/barograph"
-	"molepaddle/internal/system/raingauge"
-	"molepaddle/internal/system/siting"
-	"molepaddle/internal/system/sonde"
+	"molepaddle/internal/fleet/barograph"
+	"molepaddle/internal/fleet/raingauge"
+	"molepaddle/internal/fleet/siting"
+	"molepaddle/internal/fleet/sonde"
 )
 
 // testPatience bounds what is waited for that has to come.
--- a/internal/system/observatory/status.go
+++ b/internal/fleet/observatory/status.go
@@ -8,10 +8,10 @@
 	"slices"
 	"time"
 
-	"molepaddle/internal/system/barograph"
-	"molepaddle/internal/system/sonde"
-	"molepaddle/internal/system/status"
-	"molepaddle/internal/system/synop"
+	"molepaddle/internal/fleet/barograph"
+	"molepaddle/internal/fleet/sonde"
+	"molepaddle/internal/fleet/status"
+	"molepaddle/internal/fleet/synop"
 )
 
 // confirmWithin bounds how long a status waits for the view to be confirmed: callers turn elsewhere after a second.
--- a/internal/system/observatory/verdict_test.go
+++ b/internal/fleet/observatory/verdict_test.go
@@ -6,7 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"molepaddle/internal/system/barograph"
+	"molepaddle/internal/fleet/barograph"
 )
 
 func orderOf(base int64, ver, host string) *Call {
--- a/internal/system/siting/check_test.go
+++ b/internal/fleet/siting/check_test.go
@@ -5,7 +5,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"molepaddle/internal/system/siting"
+	"molepaddle/internal/fleet/siting"
 )
 
 func TestCheckOfTheExample(t *testing.T) {
--- a/internal/system/siting/siting_test.go
+++ b/internal/fleet/siting/siting_test.go
@@ -10,7 +10,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/go-faster/errors"
 
-	"molepaddle/internal/system/siting"
+	"molepaddle/internal/fleet/siting"
 )
 
 // example is the one of DEPLOY.md.
--- a/internal/system/sonde/platform.go
+++ b/internal/fleet/sonde/platform.go
@@ -13,7 +13,7 @@
 
 	"github.com/go-faster/errors"
 
-	"molepaddle/internal/system/synop"
+	"molepaddle/internal/fleet/synop"
 )
 
 // ErrBusy is that the platform takes no more calls for now.
--- a/internal/system/synop/link.go
+++ b/internal/fleet/synop/link.go
@@ -7,7 +7,7 @@
 	"net"
 	"time"
 
-	"molepaddle/internal/system/raingauge"
+	"molepaddle/internal/fleet/raingauge"
 )
 
 // Serve answers pulls from the store on a listener until ctx ends. Connections that ask for nothing for the time
--- a/internal/system/synop/messages.go
+++ b/internal/fleet/synop/messages.go
@@ -3,7 +3,7 @@
 // lacks, by a vector of versions, one a source; an unanswered pull waits at the source until something is new.
 package synop
 
-import "molepaddle/internal/system/raingauge"
+import "molepaddle/internal/fleet/raingauge"
 
 //go:generate msgp -tests=false
 
--- a/internal/system/synop/outbox.go
+++ b/internal/fleet/synop/outbox.go
@@ -5,7 +5,7 @@
 	"sync/atomic"
 	"time"
 
-	"molepaddle/internal/system/raingauge"
+	"molepaddle/internal/fleet/raingauge"
 )
 
 // Outbox is a raingauge.Relay for use by many goroutines: what it holds goes along with pulls until it is kept. Nothing wakes
--- a/internal/system/synop/synop_test.go
+++ b/internal/fleet/synop/synop_test.go
@@ -10,7 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"molepaddle/internal/system/raingauge"
+	"molepaddle/internal/fleet/raingauge"
 )
 
 func v(n uint64) Version { return Version{Count: n} }
--- a/internal/system/telemeter/lists.go
+++ b/internal/fleet/telemeter/lists.go
@@ -1,6 +1,6 @@
 package telemeter
 
-import "molepaddle/internal/system/synop"
+import "molepaddle/internal/fleet/synop"
 
 // listNumbers tells what the observatories call the newest lists that the proxy was fed: it hears of them by this
 // process's own count. Lists that were polled here have no such number.
--- a/internal/system/telemeter/lists_test.go
+++ b/internal/fleet/telemeter/lists_test.go
@@ -5,7 +5,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"molepaddle/internal/system/synop"
+	"molepaddle/internal/fleet/synop"
 )
 
 func TestListsAreToldByTheObservatoriesNumbers(t *testing.T) {
--- a/internal/system/telemeter/telemeter.go
+++ b/internal/fleet/telemeter/telemeter.go
@@ -13,9 +13,9 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
-	"molepaddle/internal/system/siting"
-	"molepaddle/internal/system/sonde"
-	"molepaddle/internal/system/synop"
+	"molepaddle/internal/fleet/siting"
+	"molepaddle/internal/fleet/sonde"
+	"molepaddle/internal/fleet/synop"
 )
 
 // Telemeter is one machine's link to the control plane.
--- a/internal/system/telemeter/telemeter_test.go
+++ b/internal/fleet/telemeter/telemeter_test.go
@@ -9,9 +9,9 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
 
-	"molepaddle/internal/system/screen"
-	"molepaddle/internal/system/siting"
-	"molepaddle/internal/system/synop"
+	"molepaddle/internal/fleet/screen"
+	"molepaddle/internal/fleet/siting"
+	"molepaddle/internal/fleet/synop"
 )
 
 // An observatory that is cut off from its primary still answers pulls; whoever follows it must leave it in time for a
--- a/internal/system/vane/drawn_rig_test.go
+++ b/internal/fleet/vane/drawn_rig_test.go
@@ -19,10 +19,10 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"molepaddle/internal/fleet/enclosure"
+	"molepaddle/internal/fleet/sonde"
+	"molepaddle/internal/fleet/synop"
 	"molepaddle/internal/protocol/transport"
-	"molepaddle/internal/system/enclosure"
-	"molepaddle/internal/system/sonde"
-	"molepaddle/internal/system/synop"
 )
 
 // The deployment of the drawn days: six regions with 21 zones, a plain and a model backend in each zone.
--- a/internal/system/vane/drawn_test.go
+++ b/internal/fleet/vane/drawn_test.go
@@ -13,7 +13,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"molepaddle/internal/system/sonde"
+	"molepaddle/internal/fleet/sonde"
 )
 
 var (
--- a/internal/system/vane/enclosed.go
+++ b/internal/fleet/vane/enclosed.go
@@ -9,10 +9,10 @@
 
 	"github.com/go-faster/errors"
 
+	"molepaddle/internal/fleet/almanac"
+	"molepaddle/internal/fleet/enclosure"
+	"molepaddle/internal/fleet/sonde"
 	"molepaddle/internal/protocol/transport"
-	"molepaddle/internal/system/almanac"
-	"molepaddle/internal/system/enclosure"
-	"molepaddle/internal/system/sonde"
 )
 
 // errWithdrawn ends a send whose backend's region was withdrawn from the request's terms while it was under way. It counts
--- a/internal/system/vane/enclosed_choice_test.go
+++ b/internal/fleet/vane/enclosed_choice_test.go
@@ -10,12 +10,12 @@
 	"github.com/go-faster/errors"
 	"pgregory.net/rapid"
 
+	"molepaddle/internal/fleet/almanac"
+	"molepaddle/internal/fleet/enclosure"
+	"molepaddle/internal/fleet/isobar"
+	"molepaddle/internal/fleet/sonde"
+	"molepaddle/internal/fleet/synop"
 	"molepaddle/internal/protocol/transport"
-	"molepaddle/internal/system/almanac"
-	"molepaddle/internal/system/enclosure"
-	"molepaddle/internal/system/isobar"
-	"molepaddle/internal/system/sonde"
-	"molepaddle/internal/system/synop"
 	"molepaddle/policy"
 )
 
--- a/internal/system/vane/enclosed_rig_test.go
+++ b/internal/fleet/vane/enclosed_rig_test.go
@@ -14,9 +14,9 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
 
-	"molepaddle/internal/system/screen"
-	"molepaddle/internal/system/siting"
-	"molepaddle/internal/system/synop"
+	"molepaddle/internal/fleet/screen"
+	"molepaddle/internal/fleet/siting"
+	"molepaddle/internal/fleet/synop"
 )
 
 // The deployment of these tests: three regions, two zones each; what is asked for comes from east.
--- a/internal/system/vane/enclosed_test.go
+++ b/internal/fleet/vane/enclosed_test.go
@@ -13,9 +13,9 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
 
-	"molepaddle/internal/system/enclosure"
-	"molepaddle/internal/system/screen"
-	"molepaddle/internal/system/synop"
+	"molepaddle/internal/fleet/enclosure"
+	"molepaddle/internal/fleet/screen"
+	"molepaddle/internal/fleet/synop"
 )
 
 var allHeld = []string{"held", "once", "read", "post"}
--- a/internal/system/vane/exchange.go
+++ b/internal/fleet/vane/exchange.go
@@ -10,9 +10,9 @@
 
 	"github.com/go-faster/errors"
 
+	"molepaddle/internal/fleet/enclosure"
+	"molepaddle/internal/fleet/sonde"
 	"molepaddle/internal/protocol/transport"
-	"molepaddle/internal/system/enclosure"
-	"molepaddle/internal/system/sonde"
 )
 
 // message is a client's request as every backend gets it.
--- a/internal/system/vane/feed.go
+++ b/internal/fleet/vane/feed.go
@@ -8,8 +8,8 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
-	"molepaddle/internal/system/almanac"
-	"molepaddle/internal/system/synop"
+	"molepaddle/internal/fleet/almanac"
+	"molepaddle/internal/fleet/synop"
 )
 
 // feed pulls from the telemeter for as long as the process lives.
--- a/internal/system/vane/generate.go
+++ b/internal/fleet/vane/generate.go
@@ -8,9 +8,9 @@
 
 	"github.com/go-faster/errors"
 
-	"molepaddle/internal/system/enclosure"
-	"molepaddle/internal/system/isobar"
-	"molepaddle/internal/system/sonde"
+	"molepaddle/internal/fleet/enclosure"
+	"molepaddle/internal/fleet/isobar"
+	"molepaddle/internal/fleet/sonde"
 	"molepaddle/policy"
 )
 
--- a/internal/system/vane/generate_test.go
+++ b/internal/fleet/vane/generate_test.go
@@ -5,7 +5,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"molepaddle/internal/system/screen"
+	"molepaddle/internal/fleet/screen"
 )
 
 // TestStagedPromptsAreTriedAgain: with eighty proxies each may save little more than one further send. A staged prompt whose taker
--- a/internal/system/vane/ledger.go
+++ b/internal/fleet/vane/ledger.go
@@ -8,8 +8,8 @@
 
 	"go.uber.org/zap"
 
-	"molepaddle/internal/system/raingauge"
-	"molepaddle/internal/system/synop"
+	"molepaddle/internal/fleet/raingauge"
+	"molepaddle/internal/fleet/synop"
 )
 
 // use is what a send is for.
--- a/internal/system/vane/ledger_test.go
+++ b/internal/fleet/vane/ledger_test.go
@@ -8,9 +8,9 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
 
-	"molepaddle/internal/system/enclosure"
-	"molepaddle/internal/system/raingauge"
-	"molepaddle/internal/system/synop"
+	"molepaddle/internal/fleet/enclosure"
+	"molepaddle/internal/fleet/raingauge"
+	"molepaddle/internal/fleet/synop"
 )
 
 // noter notes sends by hand, for tests of the ledger.
--- a/internal/system/vane/place.go
+++ b/internal/fleet/vane/place.go
@@ -4,9 +4,9 @@
 	"math"
 	"time"
 
-	"molepaddle/internal/system/enclosure"
-	"molepaddle/internal/system/isobar"
-	"molepaddle/internal/system/sonde"
+	"molepaddle/internal/fleet/enclosure"
+	"molepaddle/internal/fleet/isobar"
+	"molepaddle/internal/fleet/sonde"
 )
 
 // place is where a generation goes: from is where its prompt is read first; nil: at the decode backend itself.
--- a/internal/system/vane/place_test.go
+++ b/internal/fleet/vane/place_test.go
@@ -7,10 +7,10 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"molepaddle/internal/system/enclosure"
-	"molepaddle/internal/system/isobar"
-	"molepaddle/internal/system/sonde"
-	"molepaddle/internal/system/synop"
+	"molepaddle/internal/fleet/enclosure"
+	"molepaddle/internal/fleet/isobar"
+	"molepaddle/internal/fleet/sonde"
+	"molepaddle/internal/fleet/synop"
 	"molepaddle/policy"
 )
 
--- a/internal/system/vane/serve.go
+++ b/internal/fleet/vane/serve.go
@@ -11,10 +11,10 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
-	"molepaddle/internal/system/almanac"
-	"molepaddle/internal/system/enclosure"
-	"molepaddle/internal/system/isobar"
-	"molepaddle/internal/system/sonde"
+	"molepaddle/internal/fleet/almanac"
+	"molepaddle/internal/fleet/enclosure"
+	"molepaddle/internal/fleet/isobar"
+	"molepaddle/internal/fleet/sonde"
 	"molepaddle/policy"
 )
 
--- a/internal/system/vane/service.go
+++ b/internal/fleet/vane/service.go
@@ -8,12 +8,12 @@
 	"sync"
 	"time"
 
-	"molepaddle/internal/system/almanac"
-	"molepaddle/internal/system/enclosure"
-	"molepaddle/internal/system/isobar"
-	"molepaddle/internal/system/sonde"
-	"molepaddle/internal/system/synop"
-	"molepaddle/internal/system/windrose"
+	"molepaddle/internal/fleet/almanac"
+	"molepaddle/internal/fleet/enclosure"
+	"molepaddle/internal/fleet/isobar"
+	"molepaddle/internal/fleet/sonde"
+	"molepaddle/internal/fleet/synop"
+	"molepaddle/internal/fleet/windrose"
 	"molepaddle/policy"
 )
 
--- a/internal/system/vane/stream.go
+++ b/internal/fleet/vane/stream.go
@@ -10,8 +10,8 @@
 
 	"github.com/go-faster/errors"
 
-	"molepaddle/internal/system/isobar"
-	"molepaddle/internal/system/sonde"
+	"molepaddle/internal/fleet/isobar"
+	"molepaddle/internal/fleet/sonde"
 	"molepaddle/policy"
 )
 
--- a/internal/system/vane/vane.go
+++ b/internal/fleet/vane/vane.go
@@ -17,12 +17,12 @@
 	"go.uber.org/zap"
 
 	"molepaddle/internal/decide/lifecycle"
+	"molepaddle/internal/fleet/almanac"
+	"molepaddle/internal/fleet/enclosure"
+	"molepaddle/internal/fleet/siting"
+	"molepaddle/internal/fleet/synop"
 	"molepaddle/internal/protocol/sockets"
 	"molepaddle/internal/protocol/transport"
-	"molepaddle/internal/system/almanac"
-	"molepaddle/internal/system/enclosure"
-	"molepaddle/internal/system/siting"
-	"molepaddle/internal/system/synop"
 )
 
 // Vane is one proxy.
