Package barograph becomes replication

Ruled out: a change of behaviour: files move, identifiers and comments follow, formats on the wire and on disk stay as they were.

--- a/internal/fleet/archive/archive.go
+++ b/internal/fleet/archive/archive.go
@@ -1,4 +1,4 @@
-// Package archive keeps a core machine's part of the control state (barograph.State) on its disk, in one SQLite file.
+// Package archive keeps a core machine's part of the control state (replication.State) on its disk, in one SQLite file.
 //
 // A save is one transaction, synced when Save returns (WAL, synchronous=FULL). The file is locked for this process, so that
 // there is no shared memory file. Each row carries a checksum; the changes also chain from the snapshot to the noted
@@ -14,7 +14,7 @@
 //
 // # Size
 //
-// The file holds one snapshot and the changes since, which barograph bounds; while a snapshot is replaced, the old
+// The file holds one snapshot and the changes since, which replication bounds; while a snapshot is replaced, the old
 // and the new one and the log (WAL) of the new one are there, about four times a snapshot in all. The log goes back into the
 // file every 256 pages of 4,096 bytes and is cut to 1 MiB.
 package archive
@@ -33,7 +33,7 @@
 	"github.com/mattn/go-sqlite3"
 	"github.com/tinylib/msgp/msgp"
 
-	"molepaddle/internal/fleet/barograph"
+	"molepaddle/internal/fleet/replication"
 )
 
 const (
@@ -78,28 +78,28 @@
 
 // Open opens or creates the store in dir and loads what it holds. A file that can't be read whole is set aside and the State
 // comes back empty with Lost set; Broken then tells why. Open fails when the folder can't be used at all.
-func Open(dir string) (*Archive, barograph.State, error) {
+func Open(dir string) (*Archive, replication.State, error) {
 	if err := makeFolder(dir); err != nil {
-		return nil, barograph.State{}, errors.Wrap(err, "archive: make folder")
+		return nil, replication.State{}, errors.Wrap(err, "archive: make folder")
 	}
 	if err := settle(dir); err != nil {
-		return nil, barograph.State{}, errors.Wrap(err, "archive")
+		return nil, replication.State{}, errors.Wrap(err, "archive")
 	}
 	path := filepath.Join(dir, fileName)
 	a, st, err := open(path)
 	var broken *BrokenError
 	if errors.As(err, &broken) {
 		if err := setAside(dir); err != nil {
-			return nil, barograph.State{}, errors.Wrapf(err, "archive: set aside after: %v", broken)
+			return nil, replication.State{}, errors.Wrapf(err, "archive: set aside after: %v", broken)
 		}
 		a, st, err = open(path)
 	}
 	if err != nil {
-		return nil, barograph.State{}, errors.Wrap(err, "archive")
+		return nil, replication.State{}, errors.Wrap(err, "archive")
 	}
 	a.broken = broken
 	if st.Identity.ID == "" {
-		st = barograph.State{}
+		st = replication.State{}
 		if _, err := os.Stat(filepath.Join(dir, brokenName)); err == nil {
 			st.Lost = true
 		}
@@ -115,7 +115,7 @@
 	return a.broken
 }
 
-func open(path string) (_ *Archive, st barograph.State, rerr error) {
+func open(path string) (_ *Archive, st replication.State, rerr error) {
 	db, err := sql.Open("sqlite3", (&url.URL{Scheme: "file", Opaque: (&url.URL{Path: path}).EscapedPath()}).String())
 	if err != nil {
 		return nil, st, errors.Wrap(err, "open")
@@ -222,7 +222,7 @@
 
 // Save writes w in one transaction and returns when it is synced. After an error nothing of w counts as written, and
 // the same w may be saved again; saving it twice equals once. A full or failing disk shows as an error.
-func (a *Archive) Save(w *barograph.Write) error {
+func (a *Archive) Save(w *replication.Write) error {
 	if w.Empty() {
 		return nil
 	}
@@ -243,7 +243,7 @@
 				name, body, partSum(name, body))
 			return wrap(err, name)
 		}
-		var head *barograph.Snapshot // without body
+		var head *replication.Snapshot // without body
 		if w.Identity != nil {
 			if err := put(partIdentity, w.Identity); err != nil {
 				return err
@@ -271,7 +271,7 @@
 			if err := put(partSnapshot, s); err != nil {
 				return err
 			}
-			head = &barograph.Snapshot{Seq: s.Seq, Digest: s.Digest}
+			head = &replication.Snapshot{Seq: s.Seq, Digest: s.Digest}
 		}
 		for _, c := range w.Changes {
 			body := c.Body
@@ -283,7 +283,7 @@
 			if err != nil {
 				return errors.Wrapf(err, "change %d", c.Seq)
 			}
-			head = &barograph.Snapshot{Seq: c.Seq, Digest: c.Digest}
+			head = &replication.Snapshot{Seq: c.Seq, Digest: c.Digest}
 		}
 		if head != nil {
 			return put(partHead, head)
@@ -294,9 +294,9 @@
 }
 
 // load reads and checks everything.
-func (a *Archive) load(ctx context.Context, path string) (st barograph.State, _ error) {
-	var head barograph.Snapshot
-	var snapshot barograph.Snapshot
+func (a *Archive) load(ctx context.Context, path string) (st replication.State, _ error) {
+	var head replication.Snapshot
+	var snapshot replication.Snapshot
 	parts := map[string]msgp.Unmarshaler{
 		partIdentity: &st.Identity, partView: &st.View, partVote: &st.Vote, partStanding: &st.Standing,
 		partSnapshot: &snapshot, partHead: &head,
@@ -337,9 +337,9 @@
 		return nil
 	})
 	if err != nil {
-		return barograph.State{}, err
+		return replication.State{}, err
 	}
-	at := barograph.Snapshot{}
+	at := replication.Snapshot{}
 	if found[partSnapshot] {
 		st.Snapshot = &snapshot
 		at.Seq, at.Digest = snapshot.Seq, snapshot.Digest
@@ -350,14 +350,14 @@
 		if err := rows.Scan(&seq, &digest, &body, &sum); err != nil {
 			return &BrokenError{File: path, Row: "change", Err: err}
 		}
-		c := barograph.Change{Seq: uint64(seq), Digest: uint64(digest), Body: body}
+		c := replication.Change{Seq: uint64(seq), Digest: uint64(digest), Body: body}
 		broken := func(text string) error {
 			return &BrokenError{File: path, Row: fmt.Sprintf("change %d", seq), Err: errors.New(text)}
 		}
 		if sum != changeSum(c.Seq, c.Digest, body) {
 			return broken("checksum differs")
 		}
-		if c.Seq != at.Seq+1 || c.Digest != barograph.Chain(at.Digest, c.Seq, body) {
+		if c.Seq != at.Seq+1 || c.Digest != replication.Chain(at.Digest, c.Seq, body) {
 			return broken(fmt.Sprintf("doesn't follow %d", at.Seq))
 		}
 		at.Seq, at.Digest = c.Seq, c.Digest
@@ -365,17 +365,17 @@
 		return nil
 	})
 	if err != nil {
-		return barograph.State{}, err
+		return replication.State{}, err
 	}
 	if at.Seq != head.Seq || at.Digest != head.Digest {
-		return barograph.State{}, &BrokenError{
+		return replication.State{}, &BrokenError{
 			File: path, Err: errors.Errorf("the record ends at %d instead of %d", at.Seq, head.Seq),
 		}
 	}
 	if len(found) > 0 {
 		for _, name := range []string{partIdentity, partView, partVote, partStanding} {
 			if !found[name] {
-				return barograph.State{}, &BrokenError{File: path, Row: "part " + name, Err: errors.New("missing")}
+				return replication.State{}, &BrokenError{File: path, Row: "part " + name, Err: errors.New("missing")}
 			}
 		}
 	}
--- a/internal/fleet/archive/archive_test.go
+++ b/internal/fleet/archive/archive_test.go
@@ -9,39 +9,39 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"molepaddle/internal/fleet/barograph"
+	"molepaddle/internal/fleet/replication"
 )
 
 // fill saves a first start, a snapshot at 2 and two changes, and returns what must be loaded.
-func fill(c *qt.C, a *Archive) barograph.State {
-	st := barograph.State{
-		Identity: barograph.Identity{ID: "a1", Addr: "10.0.0.1:7000", Joined: true},
-		View: barograph.View{
-			Epoch: 3, Members: []barograph.Member{{ID: "a1", Addr: "10.0.0.1:7000", Zone: "z", Region: "r"}},
+func fill(c *qt.C, a *Archive) replication.State {
+	st := replication.State{
+		Identity: replication.Identity{ID: "a1", Addr: "10.0.0.1:7000", Joined: true},
+		View: replication.View{
+			Epoch: 3, Members: []replication.Member{{ID: "a1", Addr: "10.0.0.1:7000", Zone: "z", Region: "r"}},
 			Primary: "a1",
 		},
-		Vote:     barograph.Vote{Promised: barograph.Ballot{N: 4, ID: "a1"}},
-		Standing: barograph.Standing{RecordEpoch: 3, StepEpoch: 3, Committed: 2},
+		Vote:     replication.Vote{Promised: replication.Ballot{N: 4, ID: "a1"}},
+		Standing: replication.Standing{RecordEpoch: 3, StepEpoch: 3, Committed: 2},
 	}
-	c.Assert(a.Save(&barograph.Write{
+	c.Assert(a.Save(&replication.Write{
 		Reset: true, Identity: &st.Identity, View: &st.View, Vote: &st.Vote, Standing: &st.Standing,
 	}), qt.IsNil)
-	var all []barograph.Change
+	var all []replication.Change
 	var digest uint64
 	for seq := uint64(1); seq <= 4; seq++ {
 		body := bytes.Repeat([]byte{byte(seq)}, 100)
-		digest = barograph.Chain(digest, seq, body)
-		all = append(all, barograph.Change{Seq: seq, Digest: digest, Body: body})
+		digest = replication.Chain(digest, seq, body)
+		all = append(all, replication.Change{Seq: seq, Digest: digest, Body: body})
 	}
-	st.Snapshot = &barograph.Snapshot{Seq: 2, Digest: all[1].Digest, Body: []byte("two")}
+	st.Snapshot = &replication.Snapshot{Seq: 2, Digest: all[1].Digest, Body: []byte("two")}
 	st.Changes = all[2:]
-	c.Assert(a.Save(&barograph.Write{Changes: all[:2]}), qt.IsNil)
-	c.Assert(a.Save(&barograph.Write{Snapshot: st.Snapshot, Changes: all[2:3]}), qt.IsNil)
-	c.Assert(a.Save(&barograph.Write{Changes: all[3:]}), qt.IsNil)
+	c.Assert(a.Save(&replication.Write{Changes: all[:2]}), qt.IsNil)
+	c.Assert(a.Save(&replication.Write{Snapshot: st.Snapshot, Changes: all[2:3]}), qt.IsNil)
+	c.Assert(a.Save(&replication.Write{Changes: all[3:]}), qt.IsNil)
 	return st
 }
 
-func open2(c *qt.C, dir string) (*Archive, barograph.State) {
+func open2(c *qt.C, dir string) (*Archive, replication.State) {
 	a, st, err := Open(dir)
 	c.Assert(err, qt.IsNil)
 	return a, st
@@ -51,7 +51,7 @@
 	c := qt.New(t)
 	dir := filepath.Join(c.TempDir(), "data # 1%")
 	a, st := open2(c, dir)
-	c.Assert(st, qt.DeepEquals, barograph.State{})
+	c.Assert(st, qt.DeepEquals, replication.State{})
 	want := fill(c, a)
 	c.Assert(a.Close(), qt.IsNil)
 	a, st = open2(c, dir)
@@ -59,24 +59,24 @@
 	c.Assert(st, qt.DeepEquals, want)
 
 	// The same write again equals once; a reset drops all.
-	again := &barograph.Write{Changes: want.Changes[1:], Standing: &barograph.Standing{RecordEpoch: 9}}
+	again := &replication.Write{Changes: want.Changes[1:], Standing: &replication.Standing{RecordEpoch: 9}}
 	c.Assert(a.Save(again), qt.IsNil)
 	c.Assert(a.Save(again), qt.IsNil)
-	again = &barograph.Write{Snapshot: want.Snapshot, Changes: want.Changes}
+	again = &replication.Write{Snapshot: want.Snapshot, Changes: want.Changes}
 	c.Assert(a.Save(again), qt.IsNil)
 	c.Assert(a.Save(again), qt.IsNil)
 	c.Assert(a.Save(nil), qt.IsNil)
 	c.Assert(a.Close(), qt.IsNil)
-	want.Standing = barograph.Standing{RecordEpoch: 9}
+	want.Standing = replication.Standing{RecordEpoch: 9}
 	a, st = open2(c, dir)
 	c.Assert(st, qt.DeepEquals, want)
-	id := barograph.Identity{ID: "a2", Addr: "10.0.0.1:7000"}
-	c.Assert(a.Save(&barograph.Write{
-		Reset: true, Identity: &id, View: &want.View, Vote: &barograph.Vote{}, Standing: &barograph.Standing{},
+	id := replication.Identity{ID: "a2", Addr: "10.0.0.1:7000"}
+	c.Assert(a.Save(&replication.Write{
+		Reset: true, Identity: &id, View: &want.View, Vote: &replication.Vote{}, Standing: &replication.Standing{},
 	}), qt.IsNil)
 	c.Assert(a.Close(), qt.IsNil)
 	a, st = open2(c, dir)
-	c.Assert(st, qt.DeepEquals, barograph.State{Identity: id, View: want.View})
+	c.Assert(st, qt.DeepEquals, replication.State{Identity: id, View: want.View})
 	c.Assert(a.Close(), qt.IsNil)
 }
 
@@ -121,11 +121,11 @@
 		c.Assert(err, qt.IsNil)
 		c.Assert(a.Close(), qt.IsNil)
 		a, st := open2(c, dir)
-		c.Assert(st, qt.DeepEquals, barograph.State{Lost: true}, qt.Commentf(query))
+		c.Assert(st, qt.DeepEquals, replication.State{Lost: true}, qt.Commentf(query))
 		c.Assert(a.Broken(), qt.ErrorMatches, report)
 		c.Assert(a.Close(), qt.IsNil)
 		a, st = open2(c, dir)
-		c.Assert(st, qt.DeepEquals, barograph.State{Lost: true})
+		c.Assert(st, qt.DeepEquals, replication.State{Lost: true})
 		c.Assert(a.Broken(), qt.IsNil)
 		want := fill(c, a)
 		c.Assert(a.Close(), qt.IsNil)
@@ -156,7 +156,7 @@
 		c.Assert(err, qt.IsNil)
 		c.Assert(os.WriteFile(path, tear(body), 0o644), qt.IsNil)
 		a, st := open2(c, dir)
-		c.Assert(st, qt.DeepEquals, barograph.State{Lost: true}, qt.Commentf("tear %d", i))
+		c.Assert(st, qt.DeepEquals, replication.State{Lost: true}, qt.Commentf("tear %d", i))
 		c.Assert(a.Broken(), qt.ErrorMatches, "(?s).*control.db: .*")
 		c.Assert(a.Close(), qt.IsNil)
 		files, err := filepath.Glob(filepath.Join(dir, "*"+".broken*"))
@@ -173,9 +173,9 @@
 	want := fill(c, a)
 	_, err := a.conn.ExecContext(context.Background(), "PRAGMA max_page_count=20")
 	c.Assert(err, qt.IsNil)
-	w := &barograph.Write{
-		Standing: &barograph.Standing{RecordEpoch: 8},
-		Snapshot: &barograph.Snapshot{Seq: 9, Digest: 9, Body: bytes.Repeat([]byte{1}, 300_000)},
+	w := &replication.Write{
+		Standing: &replication.Standing{RecordEpoch: 8},
+		Snapshot: &replication.Snapshot{Seq: 9, Digest: 9, Body: bytes.Repeat([]byte{1}, 300_000)},
 	}
 	c.Assert(a.Save(w), qt.ErrorMatches, "archive: save: .*full.*")
 	c.Assert(a.Save(w), qt.ErrorMatches, "archive: save: .*full.*")
@@ -201,8 +201,8 @@
 	fill(c, a)
 	const size = 2 << 20
 	for i := range 20 {
-		c.Assert(a.Save(&barograph.Write{
-			Snapshot: &barograph.Snapshot{Seq: uint64(i), Body: bytes.Repeat([]byte{byte(i)}, size)},
+		c.Assert(a.Save(&replication.Write{
+			Snapshot: &replication.Snapshot{Seq: uint64(i), Body: bytes.Repeat([]byte{byte(i)}, size)},
 		}), qt.IsNil)
 	}
 	total := int64(0)
@@ -229,31 +229,31 @@
 	c.Assert(err, qt.ErrorMatches, ".*newer.*")
 }
 
-// TestMachine: a barograph.Machine goes on from what was saved of it.
+// TestMachine: a replication.Machine goes on from what was saved of it.
 func TestMachine(t *testing.T) {
 	c := qt.New(t)
 	dir := c.TempDir()
 	a, st := open2(c, dir)
 	n := uint64(0)
-	opt := barograph.Options{
-		Self: barograph.Member{Addr: "10.0.0.1:7000"}, Seeds: []string{"10.0.0.1:7000"}, Bootstrap: true,
+	opt := replication.Options{
+		Self: replication.Member{Addr: "10.0.0.1:7000"}, Seeds: []string{"10.0.0.1:7000"}, Bootstrap: true,
 		BeatEvery: 1, SuspectAfter: 5, StaggerEach: 1, WriteWithin: 9, ForgetAfter: 50,
 		Rand: func() uint64 { n++; return n },
 	}
 	app := &text{}
-	m, err := barograph.New(opt, st, app)
+	m, err := replication.New(opt, st, app)
 	c.Assert(err, qt.IsNil)
 	c.Assert(a.Save(m.Tick(0).Write), qt.IsNil)
 	c.Assert(a.Save(m.Tick(m.Next()).Write), qt.IsNil)
 	c.Assert(m.Status().Ready, qt.IsTrue)
 	out := m.Propose(1, 77, []byte("x"))
 	c.Assert(a.Save(out.Write), qt.IsNil)
-	c.Assert(out.Answer, qt.DeepEquals, []barograph.Answer{{Token: 77, Result: barograph.Committed, Seq: 1}})
+	c.Assert(out.Answer, qt.DeepEquals, []replication.Answer{{Token: 77, Result: replication.Committed, Seq: 1}})
 	c.Assert(a.Close(), qt.IsNil)
 	a, st = open2(c, dir)
 	app = &text{}
 	opt.Bootstrap = false
-	m, err = barograph.New(opt, st, app)
+	m, err = replication.New(opt, st, app)
 	c.Assert(err, qt.IsNil)
 	c.Assert(app.all, qt.Equals, "x")
 	c.Assert(a.Save(m.Tick(0).Write), qt.IsNil)
--- a/internal/fleet/archive/power_test.go
+++ b/internal/fleet/archive/power_test.go
@@ -11,7 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"molepaddle/internal/fleet/barograph"
+	"molepaddle/internal/fleet/replication"
 )
 
 const sector = 512 // a disk writes such pieces whole, in any order, until it is told to sync
@@ -32,7 +32,7 @@
 }
 
 // openFiles opens a store that has these files and gives its state.
-func openFiles(c *qt.C, f files) barograph.State {
+func openFiles(c *qt.C, f files) replication.State {
 	dir := c.TempDir()
 	for name, b := range f {
 		c.Assert(os.WriteFile(filepath.Join(dir, name), b, 0o644), qt.IsNil)
@@ -80,14 +80,14 @@
 	seq, digest := last.Changes[1].Seq, last.Changes[1].Digest
 	moved, anew, taken := 0, 0, 0
 	for i := range 24 {
-		w := &barograph.Write{Vote: &barograph.Vote{Promised: barograph.Ballot{N: uint64(i + 10), ID: "a1"}}}
+		w := &replication.Write{Vote: &replication.Vote{Promised: replication.Ballot{N: uint64(i + 10), ID: "a1"}}}
 		if i%6 == 5 {
-			w.Snapshot = &barograph.Snapshot{Seq: seq, Digest: digest, Body: bytes.Repeat([]byte{byte(i)}, 20_000)}
+			w.Snapshot = &replication.Snapshot{Seq: seq, Digest: digest, Body: bytes.Repeat([]byte{byte(i)}, 20_000)}
 		} else {
 			seq++
 			body := bytes.Repeat([]byte{byte(i)}, 2_000)
-			digest = barograph.Chain(digest, seq, body)
-			w.Changes = []barograph.Change{{Seq: seq, Digest: digest, Body: body}}
+			digest = replication.Chain(digest, seq, body)
+			w.Changes = []replication.Change{{Seq: seq, Digest: digest, Body: body}}
 		}
 		c.Assert(a.Save(w), qt.IsNil)
 		after := readFiles(c, dir)
@@ -133,7 +133,7 @@
 		cases = append(cases, files{fileName: made[fileName], fileName + "-wal": wal[:n]})
 	}
 	for i, f := range cases {
-		c.Assert(openFiles(c, f), qt.DeepEquals, barograph.State{}, qt.Commentf("case %d", i))
+		c.Assert(openFiles(c, f), qt.DeepEquals, replication.State{}, qt.Commentf("case %d", i))
 	}
 	c.Assert(a.Close(), qt.IsNil)
 }
--- a/internal/fleet/mast/mast_test.go
+++ b/internal/fleet/mast/mast_test.go
@@ -12,7 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"molepaddle/internal/fleet/almanac"
-	"molepaddle/internal/fleet/barograph"
+	"molepaddle/internal/fleet/replication"
 	"molepaddle/internal/fleet/sonde"
 	"molepaddle/internal/fleet/synop"
 )
@@ -134,7 +134,7 @@
 	p := &process{}
 	watchRole(p, []byte("no JSON\n"))
 	watchRole(p, []byte(`{"level":"info","msg":"view","epoch":3,"role":"primary","ready":true}`+"\n"))
-	c.Assert(p.role, qt.Equals, barograph.Primary.String())
+	c.Assert(p.role, qt.Equals, replication.Primary.String())
 	watchRole(p, []byte(`{"level":"info","msg":"configuration settled","role":"witness"}`+"\n"))
-	c.Assert(p.role, qt.Equals, barograph.Primary.String())
+	c.Assert(p.role, qt.Equals, replication.Primary.String())
 }
--- a/internal/fleet/mast/process.go
+++ b/internal/fleet/mast/process.go
@@ -21,7 +21,7 @@
 	done chan struct{}
 
 	mu   sync.Mutex
-	role string // an observatory's, as its log last named it (barograph.Role)
+	role string // an observatory's, as its log last named it (replication.Role)
 }
 
 // start starts a program. It gets no variables of the caller but those named. lines takes what it writes to standard
--- a/internal/fleet/mast/trial.go
+++ b/internal/fleet/mast/trial.go
@@ -16,7 +16,7 @@
 
 	"github.com/go-faster/errors"
 
-	"molepaddle/internal/fleet/barograph"
+	"molepaddle/internal/fleet/replication"
 	"molepaddle/internal/fleet/synop"
 )
 
@@ -498,7 +498,7 @@
 	i := slices.IndexFunc(t.observers, func(p *process) bool {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		return p.role == barograph.Primary.String()
+		return p.role == replication.Primary.String()
 	})
 	if i < 0 {
 		return errors.New("no observatory says that it is the primary")
--- a/internal/fleet/observatory/observatory.go
+++ b/internal/fleet/observatory/observatory.go
@@ -1,5 +1,5 @@
 // Package observatory is the control plane's program: the core machines that keep the record, poll the platform's
-// list for all, and answer pulls and the operator. What is decided stands in barograph; this is its driver.
+// list for all, and answer pulls and the operator. What is decided stands in replication; this is its driver.
 package observatory
 
 import (
@@ -15,7 +15,7 @@
 
 	"molepaddle/internal/fleet/almanac"
 	"molepaddle/internal/fleet/archive"
-	"molepaddle/internal/fleet/barograph"
+	"molepaddle/internal/fleet/replication"
 	"molepaddle/internal/fleet/siting"
 	"molepaddle/internal/fleet/synop"
 )
@@ -30,11 +30,11 @@
 	start   time.Time
 	store   *synop.Store
 	archive *archive.Archive
-	machine *barograph.Machine
+	machine *replication.Machine
 	record  *record
 	peers   *peers
-	inputs  chan func(now time.Duration) barograph.Output
-	status  atomic.Pointer[barograph.Status]
+	inputs  chan func(now time.Duration) replication.Output
+	status  atomic.Pointer[replication.Status]
 	changed atomic.Pointer[chan struct{}] // closed when the status next changes
 	settled atomic.Pointer[applied]       // newest committed state
 	newest  atomic.Pointer[settledDoc]    // which configuration that has, and since when
@@ -42,7 +42,7 @@
 	heard   *xsync.Map[string, time.Time] // when another core machine was last heard, by its address among the core
 
 	// What follows belongs to the driver's goroutine.
-	waiting map[uint64]chan<- barograph.Answer
+	waiting map[uint64]chan<- replication.Answer
 	token   uint64
 	writing chan struct{} // one change at a time; holds one value
 }
@@ -68,16 +68,16 @@
 	}
 	o := &Observatory{Readings: DefaultReadings, set: set, log: log, start: time.Now(), store: synop.NewStore(), archive: a, record: &record{},
 		heard:  xsync.NewMap[string, time.Time](),
-		inputs: make(chan func(time.Duration) barograph.Output, 1024), waiting: map[uint64]chan<- barograph.Answer{}, writing: make(chan struct{}, 1)}
+		inputs: make(chan func(time.Duration) replication.Output, 1024), waiting: map[uint64]chan<- replication.Answer{}, writing: make(chan struct{}, 1)}
 	var seeds []string
 	for _, s := range set.Seeds {
 		if host, _, err := net.SplitHostPort(s); err == nil {
 			seeds = append(seeds, synop.CoreAddr(host, set.Ports))
 		}
 	}
-	self := barograph.Member{Addr: synop.CoreAddr(set.IP, set.Ports), Zone: set.Zone, Region: set.Region}
-	o.machine, err = barograph.New(barograph.Options{Self: self,
-		Survive: barograph.Survive{Nodes: set.Survive.Nodes, Zones: set.Survive.Zones, Regions: set.Survive.Regions},
+	self := replication.Member{Addr: synop.CoreAddr(set.IP, set.Ports), Zone: set.Zone, Region: set.Region}
+	o.machine, err = replication.New(replication.Options{Self: self,
+		Survive: replication.Survive{Nodes: set.Survive.Nodes, Zones: set.Survive.Zones, Regions: set.Survive.Regions},
 		Seeds:   seeds, Bootstrap: set.Bootstrap,
 		BeatEvery: beatEvery, SuspectAfter: suspectAfter, StaggerEach: staggerEach, WriteWithin: writeWithin,
 		ForgetAfter: set.Bounds.Sync, Rand: random}, state, o.record)
@@ -93,7 +93,7 @@
 }
 
 // watch gives the status, and what is closed when it next changes.
-func (o *Observatory) watch() (*barograph.Status, <-chan struct{}) {
+func (o *Observatory) watch() (*replication.Status, <-chan struct{}) {
 	changed := o.changed.Load()
 	return o.status.Load(), *changed
 }
@@ -117,10 +117,10 @@
 	}
 	server := &http.Server{Handler: o.handler(), ReadHeaderTimeout: 3 * time.Second, IdleTimeout: 10 * time.Second, ErrorLog: zap.NewStdLog(o.log)}
 	go func() { _ = server.Serve(control) }()
-	go o.peers.serve(ctx, core, func(from string, m *barograph.Message) {
+	go o.peers.serve(ctx, core, func(from string, m *replication.Message) {
 		o.hears(from, time.Now())
 		select {
-		case o.inputs <- func(now time.Duration) barograph.Output { return o.machine.Receive(now, from, m) }:
+		case o.inputs <- func(now time.Duration) replication.Output { return o.machine.Receive(now, from, m) }:
 		default: // messages may be lost
 		}
 	})
@@ -149,7 +149,7 @@
 	next := time.NewTimer(0)
 	defer next.Stop()
 	for {
-		var out barograph.Output
+		var out replication.Output
 		select {
 		case <-ctx.Done():
 			return
@@ -163,7 +163,7 @@
 	}
 }
 
-func (o *Observatory) carryOut(ctx context.Context, out *barograph.Output) {
+func (o *Observatory) carryOut(ctx context.Context, out *replication.Output) {
 	for pause := 50 * time.Millisecond; !out.Write.Empty(); {
 		err := o.archive.Save(out.Write)
 		if err == nil {
@@ -247,15 +247,15 @@
 }
 
 // ask hands the machine an input with a token and waits for its answer.
-func (o *Observatory) ask(ctx context.Context, do func(now time.Duration, token uint64) barograph.Output) (barograph.Answer, error) {
-	c := make(chan barograph.Answer, 1)
-	in := func(now time.Duration) barograph.Output {
+func (o *Observatory) ask(ctx context.Context, do func(now time.Duration, token uint64) replication.Output) (replication.Answer, error) {
+	c := make(chan replication.Answer, 1)
+	in := func(now time.Duration) replication.Output {
 		o.token++
 		token := o.token
 		o.waiting[token] = c
 		context.AfterFunc(ctx, func() {
 			select {
-			case o.inputs <- func(now time.Duration) barograph.Output { delete(o.waiting, token); return o.machine.Tick(now) }:
+			case o.inputs <- func(now time.Duration) replication.Output { delete(o.waiting, token); return o.machine.Tick(now) }:
 			default:
 			}
 		})
@@ -264,12 +264,12 @@
 	select {
 	case o.inputs <- in:
 	case <-ctx.Done():
-		return barograph.Answer{}, ctx.Err()
+		return replication.Answer{}, ctx.Err()
 	}
 	select {
 	case a := <-c:
 		return a, nil
 	case <-ctx.Done():
-		return barograph.Answer{}, ctx.Err()
+		return replication.Answer{}, ctx.Err()
 	}
 }
--- a/internal/fleet/observatory/operator.go
+++ b/internal/fleet/observatory/operator.go
@@ -13,7 +13,7 @@
 	"go.uber.org/zap"
 
 	"molepaddle/internal/fleet/almanac"
-	"molepaddle/internal/fleet/barograph"
+	"molepaddle/internal/fleet/replication"
 	"molepaddle/internal/fleet/sonde"
 )
 
@@ -37,7 +37,7 @@
 // elsewhere sends a caller to the primary, where that is another machine; false: this is the primary.
 func (o *Observatory) elsewhere(w http.ResponseWriter, r *http.Request) bool {
 	st := o.status.Load()
-	if st.Role == barograph.Primary {
+	if st.Role == replication.Primary {
 		return false
 	}
 	host, _, err := net.SplitHostPort(st.PrimaryAddr)
@@ -106,14 +106,14 @@
 	// What is checked and what is proposed belong together: both happen in the driver's goroutine.
 	checked := make(chan *verdict, 1)
 	done := make(chan struct{})
-	var ans barograph.Answer
+	var ans replication.Answer
 	go func() {
 		defer func() { <-o.writing; close(done) }()
 		// The change goes on when its caller has left: the next one waits for its end.
 		wait, cancel := context.WithTimeout(context.Background(), 4*answerWithin)
 		defer cancel()
-		ans, err = o.ask(wait, func(now time.Duration, token uint64) barograph.Output {
-			if o.machine.Status().Role != barograph.Primary {
+		ans, err = o.ask(wait, func(now time.Duration, token uint64) replication.Output {
+			if o.machine.Status().Role != replication.Primary {
 				return o.machine.Propose(now, token, nil) // says who may be
 			}
 			if v := o.record.judge(call, almanac.KnownRegions(o.set.Zones)); v != nil {
@@ -146,7 +146,7 @@
 	default:
 	}
 	switch {
-	case err == nil && ans.Result == barograph.Committed:
+	case err == nil && ans.Result == replication.Committed:
 		w.WriteHeader(http.StatusOK)
 	default:
 		o.later(w, "not settled")
@@ -178,8 +178,8 @@
 func (o *Observatory) confirmed(w http.ResponseWriter, r *http.Request) (d *applied, seq uint64, ok bool) {
 	ctx, cancel := context.WithTimeout(r.Context(), answerWithin)
 	defer cancel()
-	ans, err := o.ask(ctx, func(now time.Duration, token uint64) barograph.Output { return o.machine.Read(now, token) })
-	if err != nil || ans.Result != barograph.Confirmed {
+	ans, err := o.ask(ctx, func(now time.Duration, token uint64) replication.Output { return o.machine.Read(now, token) })
+	if err != nil || ans.Result != replication.Confirmed {
 		o.later(w, "the view is not confirmed")
 		return nil, 0, false
 	}
--- a/internal/fleet/observatory/peers.go
+++ b/internal/fleet/observatory/peers.go
@@ -9,7 +9,7 @@
 
 	"go.uber.org/zap"
 
-	"molepaddle/internal/fleet/barograph"
+	"molepaddle/internal/fleet/replication"
 	"molepaddle/internal/fleet/synop"
 )
 
@@ -18,7 +18,7 @@
 	self string
 	log  *zap.Logger
 	mu   sync.Mutex
-	out  map[string]chan barograph.Message
+	out  map[string]chan replication.Message
 }
 
 const (
@@ -31,15 +31,15 @@
 )
 
 func newPeers(self string, log *zap.Logger) *peers {
-	return &peers{self: self, log: log, out: map[string]chan barograph.Message{}}
+	return &peers{self: self, log: log, out: map[string]chan replication.Message{}}
 }
 
-func (p *peers) send(to string, m barograph.Message) {
+func (p *peers) send(to string, m replication.Message) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	q := p.out[to]
 	if q == nil {
-		q = make(chan barograph.Message, peerQueue)
+		q = make(chan replication.Message, peerQueue)
 		p.out[to] = q
 		go p.write(to, q)
 	}
@@ -50,7 +50,7 @@
 }
 
 // write sends what is queued for one peer, and ends when nothing has been for a while.
-func (p *peers) write(to string, q chan barograph.Message) {
+func (p *peers) write(to string, q chan replication.Message) {
 	var c net.Conn
 	idle := time.NewTimer(peerIdle)
 	defer idle.Stop()
@@ -91,7 +91,7 @@
 }
 
 // serve hears the other core machines.
-func (p *peers) serve(ctx context.Context, ln net.Listener, tell func(from string, m *barograph.Message)) {
+func (p *peers) serve(ctx context.Context, ln net.Listener, tell func(from string, m *replication.Message)) {
 	for {
 		c, err := ln.Accept()
 		if err != nil {
@@ -108,7 +108,7 @@
 			r := bufio.NewReader(c)
 			for {
 				_ = c.SetReadDeadline(time.Now().Add(3 * peerIdle))
-				m := new(barograph.Message)
+				m := new(replication.Message)
 				if err := synop.ReadFrame(r, m); err != nil {
 					return
 				}
--- a/internal/fleet/observatory/phases.go
+++ b/internal/fleet/observatory/phases.go
@@ -12,8 +12,8 @@
 
 	"go.uber.org/zap"
 
-	"molepaddle/internal/fleet/barograph"
 	"molepaddle/internal/fleet/isobar"
+	"molepaddle/internal/fleet/replication"
 	"molepaddle/internal/fleet/sonde"
 	"molepaddle/internal/fleet/synop"
 )
@@ -163,9 +163,9 @@
 // order sends one order, if the view that gives the duty still stands; false: it was not sent, or nothing was heard of it.
 func (p *phases) order(ctx context.Context, b *synop.Backend, prefill bool, epoch uint64) (heard bool) {
 	sure, cancel := context.WithTimeout(ctx, orderWithin)
-	ans, err := p.o.ask(sure, func(now time.Duration, token uint64) barograph.Output { return p.o.machine.Read(now, token) })
+	ans, err := p.o.ask(sure, func(now time.Duration, token uint64) replication.Output { return p.o.machine.Read(now, token) })
 	cancel()
-	if err != nil || ans.Result != barograph.Confirmed || p.o.status.Load().Epoch != epoch {
+	if err != nil || ans.Result != replication.Confirmed || p.o.status.Load().Epoch != epoch {
 		return false
 	}
 	phase := sonde.PhaseDecode
--- a/internal/fleet/observatory/pulls.go
+++ b/internal/fleet/observatory/pulls.go
@@ -10,7 +10,7 @@
 
 	"go.uber.org/zap"
 
-	"molepaddle/internal/fleet/barograph"
+	"molepaddle/internal/fleet/replication"
 	"molepaddle/internal/fleet/sonde"
 	"molepaddle/internal/fleet/synop"
 )
@@ -19,7 +19,7 @@
 func (o *Observatory) servePulls(ctx context.Context, ln net.Listener) {
 	synop.Serve(ctx, ln, o.set.Nodename, o.store, 3*o.set.Heartbeat+time.Second, func() (time.Time, string) {
 		st := o.status.Load()
-		if st.Role == barograph.Primary && st.Ready {
+		if st.Role == replication.Primary && st.Ready {
 			o.store.Heard(st.PrimaryAddr, time.Now())
 		}
 		return o.store.Fresh()
@@ -32,7 +32,7 @@
 	for ctx.Err() == nil {
 		st, changed := o.watch()
 		host, _, err := net.SplitHostPort(st.PrimaryAddr)
-		if st.Role == barograph.Primary || err != nil {
+		if st.Role == replication.Primary || err != nil {
 			select {
 			case <-changed:
 			case <-ctx.Done():
@@ -44,7 +44,7 @@
 		go func() {
 			for {
 				now, changed := o.watch()
-				if now.Role == barograph.Primary || now.PrimaryAddr != st.PrimaryAddr {
+				if now.Role == replication.Primary || now.PrimaryAddr != st.PrimaryAddr {
 					cancel()
 				}
 				select {
@@ -95,7 +95,7 @@
 	var answered time.Time
 	for ; ctx.Err() == nil; sleep(ctx, pollStep) {
 		st := o.status.Load()
-		if st.Role != barograph.Primary || !st.Ready || o.set.Provider.Address == "" {
+		if st.Role != replication.Primary || !st.Ready || o.set.Provider.Address == "" {
 			continue
 		}
 		if st.Epoch != epoch {
--- a/internal/fleet/observatory/record.go
+++ b/internal/fleet/observatory/record.go
@@ -7,12 +7,12 @@
 	"github.com/go-faster/errors"
 
 	"molepaddle/internal/fleet/almanac"
-	"molepaddle/internal/fleet/barograph"
 	"molepaddle/internal/fleet/raingauge"
+	"molepaddle/internal/fleet/replication"
 )
 
 // record is the durable state: the operator's configuration, which calls brought it there, and where tenants' data rested.
-// It is barograph's App. Documents and gauges are never changed in place, so those of each change are kept until that is
+// It is replication's App. Documents and gauges are never changed in place, so those of each change are kept until that is
 // committed.
 type record struct {
 	seq    uint64
@@ -89,8 +89,8 @@
 
 // holds reports whether a verdict may be told after this answer to a Read that came with it: the view still stands, and
 // what the verdict is about is committed, as the end of a record may yet be lost.
-func (v *verdict) holds(a barograph.Answer) bool {
-	return a.Result == barograph.Confirmed && a.Seq >= v.seq
+func (v *verdict) holds(a replication.Answer) bool {
+	return a.Result == replication.Confirmed && a.Seq >= v.seq
 }
 
 // Apply takes a change that the primary has checked: it can't fail, and is left out everywhere if it does.
--- a/internal/fleet/observatory/rested.go
+++ b/internal/fleet/observatory/rested.go
@@ -8,8 +8,8 @@
 
 	"go.uber.org/zap"
 
-	"molepaddle/internal/fleet/barograph"
 	"molepaddle/internal/fleet/raingauge"
+	"molepaddle/internal/fleet/replication"
 	"molepaddle/internal/fleet/sonde"
 )
 
@@ -37,7 +37,7 @@
 			}
 			continue
 		}
-		if st.Role != barograph.Primary || !st.Ready {
+		if st.Role != replication.Primary || !st.Ready {
 			select {
 			case <-changed:
 			case <-ctx.Done():
@@ -88,13 +88,13 @@
 	r, more := base.Compose(open)
 	body, _ := (&Call{Reading: &r}).MarshalMsg(nil) // it has no way to fail
 	// What was composed and what is proposed belong together: in the driver's goroutine nothing comes between.
-	ans, err := o.ask(within, func(now time.Duration, token uint64) barograph.Output {
+	ans, err := o.ask(within, func(now time.Duration, token uint64) replication.Output {
 		if r.Empty() || o.record.rested != base {
 			return o.machine.Read(now, token)
 		}
 		return o.machine.Propose(now, token, body)
 	})
-	if err != nil || ans.Result != barograph.Committed && ans.Result != barograph.Confirmed {
+	if err != nil || ans.Result != replication.Committed && ans.Result != replication.Confirmed {
 		o.log.Debug("reading not settled", zap.Error(err))
 		return true
 	}
--- a/internal/fleet/observatory/rested_test.go
+++ b/internal/fleet/observatory/rested_test.go
@@ -12,8 +12,8 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
 
-	"molepaddle/internal/fleet/barograph"
 	"molepaddle/internal/fleet/raingauge"
+	"molepaddle/internal/fleet/replication"
 	"molepaddle/internal/fleet/siting"
 	"molepaddle/internal/fleet/sonde"
 )
@@ -42,7 +42,7 @@
 	over := time.After(testPatience)
 	for {
 		st, changed := o.watch()
-		if st.Role == barograph.Primary && st.Ready {
+		if st.Role == replication.Primary && st.Ready {
 			return o
 		}
 		select {
@@ -164,11 +164,11 @@
 func TestResidencyIsPassedOn(t *testing.T) {
 	c := qt.New(t)
 	o := solo(c)
-	o.status.Store(&barograph.Status{Role: barograph.Backup, Ready: true, PrimaryAddr: "127.0.0.2:7"})
+	o.status.Store(&replication.Status{Role: replication.Backup, Ready: true, PrimaryAddr: "127.0.0.2:7"})
 	status, header, _ := call(o, http.MethodGet, "/molepaddle/residency?tenant=a%2Fb+c", nil)
 	c.Assert(status, qt.Equals, http.StatusTemporaryRedirect)
 	c.Assert(header.Get("Location"), qt.Equals, "http://127.0.0.2:9/molepaddle/residency?tenant=a%2Fb+c")
-	o.status.Store(&barograph.Status{Role: barograph.Backup})
+	o.status.Store(&replication.Status{Role: replication.Backup})
 	status, header, _ = call(o, http.MethodGet, "/molepaddle/residency", nil)
 	c.Assert(status, qt.Equals, http.StatusServiceUnavailable)
 	c.Assert(header.Get(sonde.RetryAfter), qt.Not(qt.Equals), "")
--- a/internal/fleet/observatory/status.go
+++ b/internal/fleet/observatory/status.go
@@ -8,7 +8,7 @@
 	"slices"
 	"time"
 
-	"molepaddle/internal/fleet/barograph"
+	"molepaddle/internal/fleet/replication"
 	"molepaddle/internal/fleet/sonde"
 	"molepaddle/internal/fleet/status"
 	"molepaddle/internal/fleet/synop"
@@ -65,10 +65,10 @@
 	defer cancel()
 	st := o.status.Load()
 	confirmed := false
-	if st.Role == barograph.Primary {
-		ans, err := o.ask(ctx, func(now time.Duration, token uint64) barograph.Output { return o.machine.Read(now, token) })
+	if st.Role == replication.Primary {
+		ans, err := o.ask(ctx, func(now time.Duration, token uint64) replication.Output { return o.machine.Read(now, token) })
 		st = o.status.Load()
-		confirmed = err == nil && ans.Result == barograph.Confirmed && st.Role == barograph.Primary
+		confirmed = err == nil && ans.Result == replication.Confirmed && st.Role == replication.Primary
 	}
 	if !confirmed && !local {
 		o.later(w, "the view is not confirmed")
@@ -91,16 +91,16 @@
 }
 
 // stands gathers how the fleet stands, as far as this machine knows.
-func (o *Observatory) stands(st *barograph.Status, now time.Time) *status.Fleet {
+func (o *Observatory) stands(st *replication.Status, now time.Time) *status.Fleet {
 	f := &status.Fleet{From: o.set.Nodename, View: status.View{Epoch: st.Epoch, Primary: o.controlOf(st.PrimaryAddr), Ready: st.Ready, Members: []status.Member{}},
 		List: status.List{AgeMs: -1}, Agents: []status.Agent{}, Services: []status.Service{}}
 	for _, m := range st.View.Members {
-		role := barograph.Witness
+		role := replication.Witness
 		switch {
 		case m.ID == st.View.Primary:
-			role = barograph.Primary
+			role = replication.Primary
 		case slices.Contains(st.View.Backups, m.ID):
-			role = barograph.Backup
+			role = replication.Backup
 		}
 		told := status.Member{Address: o.controlOf(m.Addr), Zone: m.Zone, Region: m.Region, Role: role.String(), Self: m.ID == st.ID, HeardMs: -1}
 		if at, ok := o.heard.Load(m.Addr); ok && !told.Self {
@@ -121,7 +121,7 @@
 	}
 	f.Duties = o.duties(st, now)
 	f.Learning = true
-	if p := o.polls.Load(); p != nil && st.Role == barograph.Primary && p.epoch == st.Epoch {
+	if p := o.polls.Load(); p != nil && st.Role == replication.Primary && p.epoch == st.Epoch {
 		f.Learning = now.Sub(p.since) < o.leaseFor()
 		if !p.at.IsZero() {
 			f.List.AgeMs = max(now.Sub(p.at), 0).Milliseconds()
@@ -133,12 +133,12 @@
 }
 
 // duties tells who does what for all: nobody while the view has no primary that is ready.
-func (o *Observatory) duties(st *barograph.Status, now time.Time) []status.Duty {
+func (o *Observatory) duties(st *replication.Status, now time.Time) []status.Duty {
 	poll, phases := status.Duty{Name: status.DutyPoll}, status.Duty{Name: status.DutyPhases}
 	if st.Ready && o.set.Provider.Address != "" {
 		poll.Holder, poll.Fence = o.controlOf(st.PrimaryAddr), st.Epoch
 		phases.Holder, phases.Fence = poll.Holder, st.Epoch
-		if st.Role == barograph.Primary {
+		if st.Role == replication.Primary {
 			phases.WaitMs = o.phasesWait().Milliseconds()
 			if p := o.polls.Load(); p != nil && p.epoch == st.Epoch {
 				phases.WaitMs = max(o.phasesWait()-now.Sub(p.since), 0).Milliseconds()
--- a/internal/fleet/observatory/verdict_test.go
+++ b/internal/fleet/observatory/verdict_test.go
@@ -6,7 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"molepaddle/internal/fleet/barograph"
+	"molepaddle/internal/fleet/replication"
 )
 
 func orderOf(base int64, ver, host string) *Call {
@@ -49,8 +49,8 @@
 	for _, one := range []*Call{orderOf(0, "5", "a"), orderOf(0, "5", "b"), orderOf(5, "4", "a")} {
 		v := r.judge(one)
 		c.Assert(v, qt.IsNotNil)
-		c.Assert(v.holds(barograph.Answer{Result: barograph.Confirmed, Seq: 0}), qt.IsFalse)
-		c.Assert(v.holds(barograph.Answer{Result: barograph.Confirmed, Seq: 1}), qt.IsTrue)
-		c.Assert(v.holds(barograph.Answer{Result: barograph.LostPrimacy, Seq: 1}), qt.IsFalse)
+		c.Assert(v.holds(replication.Answer{Result: replication.Confirmed, Seq: 0}), qt.IsFalse)
+		c.Assert(v.holds(replication.Answer{Result: replication.Confirmed, Seq: 1}), qt.IsTrue)
+		c.Assert(v.holds(replication.Answer{Result: replication.LostPrimacy, Seq: 1}), qt.IsFalse)
 	}
 }
--- a/internal/fleet/barograph/doc.go
+++ b/internal/fleet/replication/doc.go
@@ -1,4 +1,4 @@
-// Package barograph replicates the control state of the core: a primary writes to its backups before it answers, and
+// Package replication replicates the control state of the core: a primary writes to its backups before it answers, and
 // witnesses, which keep only epochs, decide by ballots who leads. It is a state machine: inputs carry the time and
 // return what to write, send and answer. It does no I/O and reads no clock.
 //
@@ -28,4 +28,4 @@
 //
 // At most 64 members, 64 joiners, 4096 waiting writes and 4096 waiting reads; changes are kept up to SnapshotBytes and
 // one more.
-package barograph
+package replication
--- a/internal/fleet/barograph/machine.go
+++ b/internal/fleet/replication/machine.go
@@ -1,4 +1,4 @@
-package barograph
+package replication
 
 import (
 	"encoding/binary"
@@ -122,17 +122,17 @@
 	}
 	for _, d := range []time.Duration{opt.BeatEvery, opt.SuspectAfter, opt.StaggerEach, opt.WriteWithin, opt.ForgetAfter} {
 		if d <= 0 {
-			return nil, errors.New("barograph: a duration is not above 0")
+			return nil, errors.New("replication: a duration is not above 0")
 		}
 	}
 	if opt.Rand == nil || opt.Self.Addr == "" {
-		return nil, errors.New("barograph: no own address or no source of random numbers")
+		return nil, errors.New("replication: no own address or no source of random numbers")
 	}
 	if s := opt.Survive; min(s.Nodes, s.Zones, s.Regions) < 0 || s.Copies() > maxMembers {
-		return nil, errors.Errorf("barograph: survive out of bounds: %+v", s)
+		return nil, errors.Errorf("replication: survive out of bounds: %+v", s)
 	}
 	if from.Identity.ID != "" && from.Identity.Addr != opt.Self.Addr {
-		return nil, errors.Errorf("barograph: the disk belongs to %s, not to %s", from.Identity.Addr, opt.Self.Addr)
+		return nil, errors.Errorf("replication: the disk belongs to %s, not to %s", from.Identity.Addr, opt.Self.Addr)
 	}
 	m := &Machine{
 		opt: opt, app: app, id: from.Identity, view: from.View, vote: from.Vote, stand: from.Standing, lost: from.Lost,
@@ -145,14 +145,14 @@
 	}
 	if s := from.Snapshot; s != nil {
 		if err := app.Restore(s.Seq, s.Body); err != nil {
-			return nil, errors.Wrapf(err, "barograph: restore snapshot %d", s.Seq)
+			return nil, errors.Wrapf(err, "replication: restore snapshot %d", s.Seq)
 		}
 		m.base = Snapshot{Seq: s.Seq, Digest: s.Digest}
 	}
 	m.seq, m.digest = m.base.Seq, m.base.Digest
 	for _, c := range from.Changes {
 		if c.Seq != m.seq+1 || c.Digest != Chain(m.digest, c.Seq, c.Body) {
-			return nil, errors.Errorf("barograph: change %d doesn't follow %d", c.Seq, m.seq)
+			return nil, errors.Errorf("replication: change %d doesn't follow %d", c.Seq, m.seq)
 		}
 		m.take(c)
 	}
--- a/internal/fleet/barograph/planted_test.go
+++ b/internal/fleet/replication/planted_test.go
@@ -1,4 +1,4 @@
-package barograph
+package replication
 
 import (
 	"encoding/json"
@@ -13,7 +13,7 @@
 	qt "github.com/frankban/quicktest"
 )
 
-var planted = flag.String("barograph.planted", "", "plant each fault in turn and look which of these find it, which takes minutes: search,hand,storms,histories")
+var planted = flag.String("replication.planted", "", "plant each fault in turn and look which of these find it, which takes minutes: search,hand,storms,histories")
 
 // fault is planted in a copy of the sources: each old text, which is there once, replaced.
 type fault struct {
@@ -91,14 +91,14 @@
 	c.Assert(os.WriteFile(laid, []byte(src), 0o600), qt.IsNil)
 	list, err := json.Marshal(map[string]map[string]string{"Replace": {filepath.Join(here, f.file): laid}})
 	c.Assert(err, qt.IsNil)
-	overlay, bin := filepath.Join(dir, "overlay.json"), filepath.Join(dir, "barograph.test")
+	overlay, bin := filepath.Join(dir, "overlay.json"), filepath.Join(dir, "replication.test")
 	c.Assert(os.WriteFile(overlay, list, 0o600), qt.IsNil)
 	out, err := exec.CommandContext(c.Context(), "go", "test", "-vet=off", "-p=2", "-c", "-overlay", overlay, "-o", bin, ".").CombinedOutput()
 	c.Assert(err, qt.IsNil, qt.Commentf("%s: %s", f.name, out))
 	return bin
 }
 
-// TestPlantedFaults: the faults still fit the sources; with -barograph.planted each is planted, and the search must find it
+// TestPlantedFaults: the faults still fit the sources; with -replication.planted each is planted, and the search must find it
 // unless it says why not.
 func TestPlantedFaults(t *testing.T) {
 	for _, f := range faults {
--- a/internal/fleet/barograph/search_test.go
+++ b/internal/fleet/replication/search_test.go
@@ -1,4 +1,4 @@
-package barograph
+package replication
 
 import (
 	"fmt"
--- a/internal/fleet/barograph/searchcases_test.go
+++ b/internal/fleet/replication/searchcases_test.go
@@ -1,4 +1,4 @@
-package barograph
+package replication
 
 import (
 	"flag"
@@ -9,8 +9,8 @@
 )
 
 var (
-	deep        = flag.Bool("barograph.deep", false, "search with larger budgets and twenty times the states, which takes minutes")
-	searchLimit = flag.Int("barograph.states", 350_000, "states for each search; twenty times as many with barograph.deep")
+	deep        = flag.Bool("replication.deep", false, "search with larger budgets and twenty times the states, which takes minutes")
+	searchLimit = flag.Int("replication.states", 350_000, "states for each search; twenty times as many with replication.deep")
 )
 
 // shape is a setting of the search.
--- a/internal/fleet/barograph/types.go
+++ b/internal/fleet/replication/types.go
@@ -1,4 +1,4 @@
-package barograph
+package replication
 
 import (
 	"time"
@@ -185,7 +185,7 @@
 	Changed   bool   // role, view or readiness changed: see Status
 }
 
-// App is the record's content, opaque to barograph. Calls come from within the Machine's inputs. Apply comes before a
+// App is the record's content, opaque to replication. Calls come from within the Machine's inputs. Apply comes before a
 // change is committed; Output.Committed tells later how far that is true. Restore replaces everything, also changes
 // that were applied and never became committed.
 type App interface {
