Package archive becomes statestore

Ruled out: a change of behaviour: files move, identifiers and comments follow, formats on the wire and on disk stay as they were.

--- a/internal/fleet/observatory/observatory.go
+++ b/internal/fleet/observatory/observatory.go
@@ -14,9 +14,9 @@
 	"go.uber.org/zap"
 
 	"molepaddle/internal/fleet/almanac"
-	"molepaddle/internal/fleet/archive"
 	"molepaddle/internal/fleet/replication"
 	"molepaddle/internal/fleet/siting"
+	"molepaddle/internal/fleet/statestore"
 	"molepaddle/internal/fleet/synop"
 )
 
@@ -29,7 +29,7 @@
 	log     *zap.Logger
 	start   time.Time
 	store   *synop.Store
-	archive *archive.Archive
+	archive *statestore.Store
 	machine *replication.Machine
 	record  *record
 	peers   *peers
@@ -59,9 +59,9 @@
 	if set.DataDir == "" {
 		return nil, errors.New("datadir: a core machine needs a disk")
 	}
-	a, state, err := archive.Open(set.DataDir)
+	a, state, err := statestore.Open(set.DataDir)
 	if err != nil {
-		return nil, errors.Wrap(err, "open archive")
+		return nil, errors.Wrap(err, "open state store")
 	}
 	if state.Lost {
 		log.Warn("the disk's content can't be trusted and counts as lost")
@@ -139,7 +139,7 @@
 	defer cancel()
 	_ = server.Shutdown(end)
 	if err := o.archive.Close(); err != nil {
-		return errors.Wrap(err, "close archive")
+		return errors.Wrap(err, "close state store")
 	}
 	return nil
 }
--- a/internal/fleet/archive/folder.go
+++ b/internal/fleet/statestore/folder.go
@@ -1,4 +1,4 @@
-package archive
+package statestore
 
 import (
 	"os"
--- a/internal/fleet/archive/archive.go
+++ b/internal/fleet/statestore/statestore.go
@@ -1,4 +1,4 @@
-// Package archive keeps a core machine's part of the control state (replication.State) on its disk, in one SQLite file.
+// Package statestore keeps a core machine's part of the control state (replication.State) on its disk, in one SQLite file.
 //
 // A save is one transaction, synced when Save returns (WAL, synchronous=FULL). The file is locked for this process, so that
 // there is no shared memory file. Each row carries a checksum; the changes also chain from the snapshot to the noted
@@ -17,7 +17,7 @@
 // The file holds one snapshot and the changes since, which replication bounds; while a snapshot is replaced, the old
 // and the new one and the log (WAL) of the new one are there, about four times a snapshot in all. The log goes back into the
 // file every 256 pages of 4,096 bytes and is cut to 1 MiB.
-package archive
+package statestore
 
 import (
 	"context"
@@ -69,8 +69,8 @@
 // Unwrap returns the cause.
 func (e *BrokenError) Unwrap() error { return e.Err }
 
-// Archive is an open store. It is not safe for concurrent use.
-type Archive struct {
+// Store is an open store. It is not safe for concurrent use.
+type Store struct {
 	db     *sql.DB
 	conn   *sql.Conn
 	broken *BrokenError
@@ -78,9 +78,9 @@
 
 // Open opens or creates the store in dir and loads what it holds. A file that can't be read whole is set aside and the State
 // comes back empty with Lost set; Broken then tells why. Open fails when the folder can't be used at all.
-func Open(dir string) (*Archive, replication.State, error) {
+func Open(dir string) (*Store, replication.State, error) {
 	if err := makeFolder(dir); err != nil {
-		return nil, replication.State{}, errors.Wrap(err, "archive: make folder")
+		return nil, replication.State{}, errors.Wrap(err, "statestore: make folder")
 	}
 	if err := settle(dir); err != nil {
 		return nil, replication.State{}, errors.Wrap(err, "archive")
@@ -90,7 +90,7 @@
 	var broken *BrokenError
 	if errors.As(err, &broken) {
 		if err := setAside(dir); err != nil {
-			return nil, replication.State{}, errors.Wrapf(err, "archive: set aside after: %v", broken)
+			return nil, replication.State{}, errors.Wrapf(err, "statestore: set aside after: %v", broken)
 		}
 		a, st, err = open(path)
 	}
@@ -108,20 +108,20 @@
 }
 
 // Broken tells what was wrong with the file that Open set aside (a *BrokenError), nil when nothing was.
-func (a *Archive) Broken() error {
+func (a *Store) Broken() error {
 	if a.broken == nil {
 		return nil
 	}
 	return a.broken
 }
 
-func open(path string) (_ *Archive, st replication.State, rerr error) {
+func open(path string) (_ *Store, st replication.State, rerr error) {
 	db, err := sql.Open("sqlite3", (&url.URL{Scheme: "file", Opaque: (&url.URL{Path: path}).EscapedPath()}).String())
 	if err != nil {
 		return nil, st, errors.Wrap(err, "open")
 	}
 	db.SetMaxOpenConns(1)
-	a := &Archive{db: db}
+	a := &Store{db: db}
 	defer func() {
 		if rerr != nil {
 			_ = a.Close()
@@ -185,7 +185,7 @@
 }
 
 // transact runs f between BEGIN and COMMIT.
-func (a *Archive) transact(f func(context.Context) error) error {
+func (a *Store) transact(f func(context.Context) error) error {
 	ctx := context.Background()
 	if _, err := a.conn.ExecContext(ctx, "BEGIN IMMEDIATE"); err != nil {
 		return errors.Wrap(err, "begin")
@@ -222,7 +222,7 @@
 
 // Save writes w in one transaction and returns when it is synced. After an error nothing of w counts as written, and
 // the same w may be saved again; saving it twice equals once. A full or failing disk shows as an error.
-func (a *Archive) Save(w *replication.Write) error {
+func (a *Store) Save(w *replication.Write) error {
 	if w.Empty() {
 		return nil
 	}
@@ -290,11 +290,11 @@
 		}
 		return nil
 	})
-	return wrap(err, "archive: save")
+	return wrap(err, "statestore: save")
 }
 
 // load reads and checks everything.
-func (a *Archive) load(ctx context.Context, path string) (st replication.State, _ error) {
+func (a *Store) load(ctx context.Context, path string) (st replication.State, _ error) {
 	var head replication.Snapshot
 	var snapshot replication.Snapshot
 	parts := map[string]msgp.Unmarshaler{
@@ -393,7 +393,7 @@
 }
 
 // Close closes the file.
-func (a *Archive) Close() error {
+func (a *Store) Close() error {
 	var err error
 	if a.conn != nil {
 		err = a.conn.Close()
@@ -401,7 +401,7 @@
 	if e := a.db.Close(); err == nil {
 		err = e
 	}
-	return wrap(err, "archive: close")
+	return wrap(err, "statestore: close")
 }
 
 // wrap is errors.Wrap for an error that may be nil, which errors.Wrap would make one of.
--- a/internal/fleet/archive/archive_test.go
+++ b/internal/fleet/statestore/statestore_test.go
@@ -1,4 +1,4 @@
-package archive
+package statestore
 
 import (
 	"bytes"
@@ -13,7 +13,7 @@
 )
 
 // fill saves a first start, a snapshot at 2 and two changes, and returns what must be loaded.
-func fill(c *qt.C, a *Archive) replication.State {
+func fill(c *qt.C, a *Store) replication.State {
 	st := replication.State{
 		Identity: replication.Identity{ID: "a1", Addr: "10.0.0.1:7000", Joined: true},
 		View: replication.View{
@@ -41,7 +41,7 @@
 	return st
 }
 
-func open2(c *qt.C, dir string) (*Archive, replication.State) {
+func open2(c *qt.C, dir string) (*Store, replication.State) {
 	a, st, err := Open(dir)
 	c.Assert(err, qt.IsNil)
 	return a, st
@@ -177,8 +177,8 @@
 		Standing: &replication.Standing{RecordEpoch: 8},
 		Snapshot: &replication.Snapshot{Seq: 9, Digest: 9, Body: bytes.Repeat([]byte{1}, 300_000)},
 	}
-	c.Assert(a.Save(w), qt.ErrorMatches, "archive: save: .*full.*")
-	c.Assert(a.Save(w), qt.ErrorMatches, "archive: save: .*full.*")
+	c.Assert(a.Save(w), qt.ErrorMatches, "statestore: save: .*full.*")
+	c.Assert(a.Save(w), qt.ErrorMatches, "statestore: save: .*full.*")
 	_, err = a.conn.ExecContext(context.Background(), "PRAGMA max_page_count=100000")
 	c.Assert(err, qt.IsNil)
 	st, err := a.load(context.Background(), fileName)
