--- a/internal/fleet/synop/store.go
+++ b/internal/fleet/distribution/cache.go
@@ -1,4 +1,4 @@
-package synop
+package distribution
 
 import (
 	"context"
@@ -6,21 +6,21 @@
 	"time"
 )
 
-// Store is what one process holds of the sources, for itself and for those that pull from it. It never goes
+// Cache is what one process holds of the sources, for itself and for those that pull from it. It never goes
 // back to an older version, whoever offers it.
-type Store struct {
+type Cache struct {
 	Rested *Outbox // where tenants' data rested, by those that pull, on its way to the record
 
 	mu      sync.Mutex
-	pieces  map[string]*held
+	pieces  map[string]*entry
 	changed chan struct{} // closed and made anew with each change
 	primary string
 	heardAt time.Time // when the chain of sources last heard the primary
 	members map[string]lease
 }
 
-// held is a source as it is passed on: a whole at one version, and the changes that lead from there to at.
-type held struct {
+// entry is a source as it is passed on: a whole at one version, and the changes that lead from there to at.
+type entry struct {
 	at      Version
 	base    Version
 	whole   []byte
@@ -39,19 +39,19 @@
 	keptCount   = 64
 )
 
-// NewStore makes an empty store.
-func NewStore() *Store {
-	return &Store{Rested: NewOutbox(), pieces: map[string]*held{}, changed: make(chan struct{}), members: map[string]lease{}}
+// NewCache makes an empty store.
+func NewCache() *Cache {
+	return &Cache{Rested: NewOutbox(), pieces: map[string]*entry{}, changed: make(chan struct{}), members: map[string]lease{}}
 }
 
 // Set puts the whole of a source there. It reports whether it was news.
-func (s *Store) Set(source string, at Version, whole []byte) bool {
+func (s *Cache) Set(source string, at Version, whole []byte) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.set(source, &held{at: at, base: at, whole: whole})
+	return s.set(source, &entry{at: at, base: at, whole: whole})
 }
 
-func (s *Store) set(source string, n *held) bool {
+func (s *Cache) set(source string, n *entry) bool {
 	if h := s.pieces[source]; h != nil && !h.at.Before(n.at) {
 		return false
 	}
@@ -60,25 +60,25 @@
 	return true
 }
 
-// Append puts a change there that leads to the version given from the one held. It reports false where the source
+// Append puts a change there that leads to the version given from the one entry. It reports false where the source
 // has no whole, is not at the version before, or holds enough changes: then Set is due.
-func (s *Store) Append(source string, from, at Version, c Change) bool {
+func (s *Cache) Append(source string, from, at Version, c Change) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h := s.pieces[source]
 	if h == nil || h.at != from || h.bytes+len(c.Body) > keptChanges || len(h.changes) >= keptCount {
 		return false
 	}
-	return s.set(source, &held{at: at, base: h.base, whole: h.whole, changes: append(h.changes[:len(h.changes):len(h.changes)], c), bytes: h.bytes + len(c.Body)})
+	return s.set(source, &entry{at: at, base: h.base, whole: h.whole, changes: append(h.changes[:len(h.changes):len(h.changes)], c), bytes: h.bytes + len(c.Body)})
 }
 
-func (s *Store) signal() {
+func (s *Cache) signal() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
 // At is the version of a source; false: nothing is there.
-func (s *Store) At(source string) (Version, bool) {
+func (s *Cache) At(source string) (Version, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h := s.pieces[source]
@@ -89,14 +89,14 @@
 }
 
 // Changed is closed at the next change.
-func (s *Store) Changed() <-chan struct{} {
+func (s *Cache) Changed() <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.changed
 }
 
-// Have is the vector of versions held.
-func (s *Store) Have() map[string]Version {
+// Have is the vector of versions entry.
+func (s *Cache) Have() map[string]Version {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	have := make(map[string]Version, len(s.pieces))
@@ -107,7 +107,7 @@
 }
 
 // Renew notes leases that a pull renews.
-func (s *Store) Renew(members []Member, now time.Time) {
+func (s *Cache) Renew(members []Member, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, m := range members {
@@ -122,7 +122,7 @@
 const maxMembers = 20_000
 
 // Members are those whose lease is younger than the age given; others are forgotten.
-func (s *Store) Members(now time.Time, age time.Duration) []Member {
+func (s *Cache) Members(now time.Time, age time.Duration) []Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var all []Member
@@ -138,7 +138,7 @@
 }
 
 // Heard notes when the primary was last heard of, and where it is.
-func (s *Store) Heard(primary string, at time.Time) {
+func (s *Cache) Heard(primary string, at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if at.After(s.heardAt) {
@@ -147,21 +147,21 @@
 }
 
 // Fresh tells when the primary was last heard of, and where it is.
-func (s *Store) Fresh() (time.Time, string) {
+func (s *Cache) Fresh() (time.Time, string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.heardAt, s.primary
 }
 
 // news gathers what p lacks; nil: nothing.
-func (s *Store) news(have map[string]Version) []Piece {
-	var pieces []Piece
+func (s *Cache) news(have map[string]Version) []Resource {
+	var pieces []Resource
 	for source, h := range s.pieces {
 		had, ok := have[source]
 		if ok && !had.Before(h.at) {
 			continue
 		}
-		piece := Piece{Source: source, At: h.at, Since: h.base, Changes: h.changes, Whole: h.whole}
+		piece := Resource{Source: source, At: h.at, Since: h.base, Changes: h.changes, Whole: h.whole}
 		if ok && had == h.base {
 			piece.Whole = nil
 		}
@@ -176,7 +176,7 @@
 }
 
 // Answer answers a pull: at once where something is new, else when something is or its time is up.
-func (s *Store) Answer(ctx context.Context, from string, p *Pull) *News {
+func (s *Cache) Answer(ctx context.Context, from string, p *Request) *Response {
 	wait := time.NewTimer(time.Duration(p.WaitMs) * time.Millisecond)
 	defer wait.Stop()
 	for over := false; ; {
@@ -185,7 +185,7 @@
 		heard, primary := s.heardAt, s.primary
 		s.mu.Unlock()
 		if len(pieces) > 0 || over || ctx.Err() != nil {
-			n := &News{From: from, Primary: primary, FreshMs: -1, Pieces: pieces}
+			n := &Response{From: from, Primary: primary, FreshMs: -1, Resources: pieces}
 			if !heard.IsZero() {
 				n.FreshMs = time.Since(heard).Milliseconds()
 			}
@@ -200,13 +200,13 @@
 	}
 }
 
-// Take takes news to pass on. Sources whose changes don't follow on what is held are named: whoever pulls then asks for
+// Take takes news to pass on. Sources whose changes don't follow on what is entry are named: whoever pulls then asks for
 // them as if it had nothing.
-func (s *Store) Take(n *News, now time.Time) (lacking []string) {
+func (s *Cache) Take(n *Response, now time.Time) (lacking []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for i := range n.Pieces {
-		p := &n.Pieces[i]
+	for i := range n.Resources {
+		p := &n.Resources[i]
 		bytes := 0
 		for _, c := range p.Changes {
 			bytes += len(c.Body)
@@ -214,11 +214,11 @@
 		h := s.pieces[p.Source]
 		switch {
 		case p.Whole != nil:
-			s.set(p.Source, &held{at: p.At, base: p.Since, whole: p.Whole, changes: p.Changes, bytes: bytes})
+			s.set(p.Source, &entry{at: p.At, base: p.Since, whole: p.Whole, changes: p.Changes, bytes: bytes})
 		case h == nil || h.at != p.Since || h.bytes+bytes > 4*keptChanges:
 			lacking = append(lacking, p.Source)
 		default:
-			s.set(p.Source, &held{at: p.At, base: h.base, whole: h.whole, changes: append(h.changes[:len(h.changes):len(h.changes)], p.Changes...), bytes: h.bytes + bytes})
+			s.set(p.Source, &entry{at: p.At, base: h.base, whole: h.whole, changes: append(h.changes[:len(h.changes):len(h.changes)], p.Changes...), bytes: h.bytes + bytes})
 		}
 	}
 	if heard := now.Add(-time.Duration(n.FreshMs) * time.Millisecond); n.FreshMs >= 0 && heard.After(s.heardAt) {
--- a/internal/fleet/synop/synop_test.go
+++ b/internal/fleet/distribution/distribution_test.go
@@ -1,4 +1,4 @@
-package synop
+package distribution
 
 import (
 	"bufio"
@@ -17,7 +17,7 @@
 
 func TestStoreNeverGoesBack(t *testing.T) {
 	c := qt.New(t)
-	s := NewStore()
+	s := NewCache()
 	c.Assert(s.Set("config", v(2), []byte("b")), qt.IsTrue)
 	c.Assert(s.Set("config", v(1), []byte("a")), qt.IsFalse)
 	c.Assert(s.Set("config", v(2), []byte("c")), qt.IsFalse)
@@ -30,14 +30,14 @@
 // Who is a few changes behind gets these; who has nothing, or is too far behind, the whole with what follows on it.
 func TestPullsBringWhatIsLacking(t *testing.T) {
 	c := qt.New(t)
-	s := NewStore()
+	s := NewCache()
 	c.Assert(s.Append("config", v(0), v(1), Change{At: v(1)}), qt.IsFalse, qt.Commentf("no whole to follow on"))
 	s.Set("config", v(1), []byte("whole"))
 	c.Assert(s.Append("config", v(1), v(2), Change{At: v(2), Body: []byte("x")}), qt.IsTrue)
 	c.Assert(s.Append("config", v(1), v(3), Change{At: v(3)}), qt.IsFalse, qt.Commentf("a gap"))
 	c.Assert(s.Append("config", v(2), v(3), Change{At: v(3), Body: []byte("y")}), qt.IsTrue)
-	ask := func(have map[string]Version) []Piece {
-		return s.Answer(context.Background(), "n", &Pull{Have: have}).Pieces
+	ask := func(have map[string]Version) []Resource {
+		return s.Answer(context.Background(), "n", &Request{Have: have}).Resources
 	}
 	p := ask(nil)
 	c.Assert(p, qt.HasLen, 1)
@@ -49,18 +49,18 @@
 	c.Assert(p[0].Since, qt.Equals, v(2))
 	c.Assert(ask(map[string]Version{"config": v(3)}), qt.HasLen, 0)
 	// A relay passes on the same, and says what it can't follow.
-	r := NewStore()
-	c.Assert(r.Take(&News{FreshMs: -1, Pieces: ask(map[string]Version{"config": v(2)})}, time.Now()), qt.DeepEquals, []string{"config"})
-	c.Assert(r.Take(&News{FreshMs: -1, Pieces: ask(nil)}, time.Now()), qt.HasLen, 0)
+	r := NewCache()
+	c.Assert(r.Take(&Response{FreshMs: -1, Resources: ask(map[string]Version{"config": v(2)})}, time.Now()), qt.DeepEquals, []string{"config"})
+	c.Assert(r.Take(&Response{FreshMs: -1, Resources: ask(nil)}, time.Now()), qt.HasLen, 0)
 	c.Assert(r.Have(), qt.DeepEquals, s.Have())
 	s.Append("config", v(3), v(4), Change{At: v(4), Body: []byte("z")})
-	c.Assert(r.Take(&News{FreshMs: -1, Pieces: s.Answer(context.Background(), "n", &Pull{Have: r.Have()}).Pieces}, time.Now()), qt.HasLen, 0)
+	c.Assert(r.Take(&Response{FreshMs: -1, Resources: s.Answer(context.Background(), "n", &Request{Have: r.Have()}).Resources}, time.Now()), qt.HasLen, 0)
 	c.Assert(r.Have(), qt.DeepEquals, s.Have())
 }
 
 func TestChangesAreBounded(t *testing.T) {
 	c := qt.New(t)
-	s := NewStore()
+	s := NewCache()
 	s.Set("config", v(0), []byte("whole"))
 	n := uint64(0)
 	for s.Append("config", v(n), v(n+1), Change{At: v(n + 1), Body: make([]byte, 1000)}) {
@@ -71,7 +71,7 @@
 
 func TestLeasesEnd(t *testing.T) {
 	c := qt.New(t)
-	s := NewStore()
+	s := NewCache()
 	now := time.Now()
 	s.Renew([]Member{{Name: "a", Zone: "z", AgeM: 0}, {Name: "b", Zone: "z", AgeM: 900}}, now)
 	c.Assert(s.Members(now, time.Second), qt.HasLen, 2)
@@ -82,7 +82,7 @@
 // What a member had at its renewal is passed on with it, and an older renewal by another way takes nothing back.
 func TestLeasesTellVersions(t *testing.T) {
 	c := qt.New(t)
-	s, relay := NewStore(), NewStore()
+	s, relay := NewCache(), NewCache()
 	now := time.Now()
 	had := Member{Name: "a", Zone: "z", Config: 7, SinceM: 40, List: Version{Epoch: 2, Count: 5}}
 	relay.Renew([]Member{had}, now)
@@ -99,13 +99,13 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	defer ln.Close()
-	src, dst := NewStore(), NewStore()
+	src, dst := NewCache(), NewCache()
 	go Serve(ctx, ln, "src", src, 10*time.Second, src.Fresh)
-	took := make(chan *News, 16)
+	took := make(chan *Response, 16)
 	go func() {
 		_ = Follow(ctx, ln.Addr().String(), &Follower{Name: "dst", Wait: 5 * time.Second, Silence: 5 * time.Second,
 			Members: func() []Member { return []Member{{Name: "dst", Zone: "z"}} }, Have: dst.Have,
-			Take: func(n *News) []string { l := dst.Take(n, time.Now()); took <- n; return l }})
+			Take: func(n *Response) []string { l := dst.Take(n, time.Now()); took <- n; return l }})
 	}()
 	for n := uint64(1); n < 4; n++ {
 		src.Set("config", v(n), []byte("x"))
@@ -118,13 +118,13 @@
 
 func TestFramesAreBounded(t *testing.T) {
 	c := qt.New(t)
-	var p Pull
+	var p Request
 	err := ReadFrame(bufio.NewReader(bytes.NewReader([]byte{0xff, 0xff, 0xff, 0xff, 1})), &p)
 	c.Assert(err, qt.ErrorMatches, ".*over the bound.*")
 	err = ReadFrame(bufio.NewReader(bytes.NewReader([]byte{0, 0, 1, 0, 1, 2, 3})), &p)
 	c.Assert(err, qt.ErrorMatches, ".*cut short.*")
 	var b bytes.Buffer
-	c.Assert(WriteFrame(&b, &Pull{From: "a", Have: map[string]Version{"config": v(3)}}), qt.IsNil)
+	c.Assert(WriteFrame(&b, &Request{From: "a", Have: map[string]Version{"config": v(3)}}), qt.IsNil)
 	c.Assert(ReadFrame(bufio.NewReader(&b), &p), qt.IsNil)
 	c.Assert(p.From, qt.Equals, "a")
 }
@@ -144,12 +144,12 @@
 			return
 		}
 		defer conn.Close()
-		var p Pull
+		var p Request
 		if ReadFrame(bufio.NewReader(conn), &p) != nil {
 			return
 		}
 		var b bytes.Buffer
-		_ = WriteFrame(&b, &News{Pieces: []Piece{{Source: "list", At: v(1), Whole: make([]byte, 64<<10)}}})
+		_ = WriteFrame(&b, &Response{Resources: []Resource{{Source: "list", At: v(1), Whole: make([]byte, 64<<10)}}})
 		tick := time.NewTicker(silence / 4)
 		defer tick.Stop()
 		for b.Len() > 0 { // for three silences in all
@@ -160,24 +160,24 @@
 		}
 		<-ctx.Done()
 	}()
-	took := make(chan *News, 1)
+	took := make(chan *Response, 1)
 	go func() {
 		_ = Follow(ctx, ln.Addr().String(), &Follower{Name: "f", Wait: 0, Silence: silence, Members: func() []Member { return nil },
-			Have: func() map[string]Version { return nil }, Take: func(n *News) []string { took <- n; return nil }})
+			Have: func() map[string]Version { return nil }, Take: func(n *Response) []string { took <- n; return nil }})
 		close(took)
 	}()
 	n, ok := <-took
 	c.Assert(ok, qt.IsTrue, qt.Commentf("given up while it came"))
-	c.Assert(n.Pieces[0].Whole, qt.HasLen, 64<<10)
+	c.Assert(n.Resources[0].Whole, qt.HasLen, 64<<10)
 }
 
 // Without anything that rested, messages have the bytes that they had before there was such a thing.
 func TestMessagesWithoutRested(t *testing.T) {
 	c := qt.New(t)
-	b, err := (&Pull{From: "a", WaitMs: 5}).MarshalMsg(nil)
+	b, err := (&Request{From: "a", WaitMs: 5}).MarshalMsg(nil)
 	c.Assert(err, qt.IsNil)
 	c.Assert(b, qt.DeepEquals, []byte("\x84\xa1f\xa1a\xa1w\x05\xa1h\x80\xa1m\x90"))
-	b, err = (&News{From: "a", Primary: "p", FreshMs: 1}).MarshalMsg(nil)
+	b, err = (&Response{From: "a", Primary: "p", FreshMs: 1}).MarshalMsg(nil)
 	c.Assert(err, qt.IsNil)
 	c.Assert(b, qt.DeepEquals, []byte("\x84\xa1f\xa1a\xa1p\xa1p\xa1a\x01\xa1x\x90"))
 }
@@ -187,11 +187,11 @@
 	c := qt.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	serve := func() (addr string, s *Store) {
+	serve := func() (addr string, s *Cache) {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		c.Assert(err, qt.IsNil)
 		c.Cleanup(func() { ln.Close() })
-		s = NewStore()
+		s = NewCache()
 		go Serve(ctx, ln, "s", s, 10*time.Second, s.Fresh)
 		return ln.Addr().String(), s
 	}
@@ -200,7 +200,7 @@
 	follow := func(addr string, out *Outbox, of func() bool) {
 		_ = Follow(ctx, addr, &Follower{Name: "f", Wait: 10 * time.Millisecond, Silence: 5 * time.Second,
 			Members: func() []Member { return nil }, Have: func() map[string]Version { return nil },
-			Take: func(*News) []string { return nil }, Rested: func(time.Time) *Outbox { return out }, Goes: of})
+			Take: func(*Response) []string { return nil }, Rested: func(time.Time) *Outbox { return out }, Goes: of})
 	}
 	box := NewOutbox()
 	empty := func(o *Outbox) bool { all, _ := o.Open(); return len(all) == 0 }
@@ -240,7 +240,7 @@
 	c.Assert(box.Put(raingauge.Batch{Process: 7, N: 2}), qt.IsTrue)
 	pulls := 0
 	_ = Follow(ctx, middleAddr, &Follower{Name: "f", Silence: 5 * time.Second, Members: func() []Member { return nil }, Have: func() map[string]Version { return nil },
-		Take: func(*News) []string { pulls++; return nil }, Rested: func(time.Time) *Outbox { return box }, Ends: true})
+		Take: func(*Response) []string { pulls++; return nil }, Rested: func(time.Time) *Outbox { return box }, Ends: true})
 	c.Assert(pulls, qt.Equals, 1)
 	wait(middle.Rested.Ended(), "the last word is not heard")
 	asked := false
--- a/internal/fleet/synop/link.go
+++ b/internal/fleet/distribution/link.go
@@ -1,4 +1,4 @@
-package synop
+package distribution
 
 import (
 	"bufio"
@@ -12,7 +12,7 @@
 
 // Serve answers pulls from the store on a listener until ctx ends. Connections that ask for nothing for the time
 // given are closed; fresh tells when the primary was last heard of, before each answer.
-func Serve(ctx context.Context, ln net.Listener, name string, s *Store, idle time.Duration, fresh func() (time.Time, string)) {
+func Serve(ctx context.Context, ln net.Listener, name string, s *Cache, idle time.Duration, fresh func() (time.Time, string)) {
 	for {
 		c, err := ln.Accept()
 		if err != nil {
@@ -34,7 +34,7 @@
 			var rested raingauge.Receiver
 			for {
 				_ = c.SetDeadline(time.Now().Add(idle))
-				var p Pull
+				var p Request
 				if ReadFrame(r, &p) != nil {
 					return
 				}
@@ -118,10 +118,10 @@
 	Silence time.Duration // how much longer than that an answer may take
 	Members func() []Member
 	Have    func() map[string]Version
-	Take    func(n *News) (lacking []string) // sources that are to be sent whole
-	Goes    func() bool                      // false: no further pull; nil: as long as the connection lasts
-	Rested  func(now time.Time) *Outbox      // what is to be handed on with the next pull; nil: nothing ever
-	Ends    bool                             // one pull, the last word of a process that ends
+	Take    func(n *Response) (lacking []string) // sources that are to be sent whole
+	Goes    func() bool                          // false: no further pull; nil: as long as the connection lasts
+	Rested  func(now time.Time) *Outbox          // what is to be handed on with the next pull; nil: nothing ever
+	Ends    bool                                 // one pull, the last word of a process that ends
 }
 
 // Follow pulls from an address until the connection breaks, ctx ends or Goes says so.
@@ -137,7 +137,7 @@
 	var lacking []string
 	var rested raingauge.Sender
 	for asked := false; !(f.Ends && asked) && (f.Goes == nil || f.Goes()); asked = true {
-		p := Pull{From: f.Name, WaitMs: f.Wait.Milliseconds(), Have: f.Have(), Members: f.Members(), Ends: f.Ends}
+		p := Request{From: f.Name, WaitMs: f.Wait.Milliseconds(), Have: f.Have(), Members: f.Members(), Ends: f.Ends}
 		for _, source := range lacking {
 			delete(p.Have, source)
 		}
@@ -151,7 +151,7 @@
 		if err := WriteFrame(c, &p); err != nil {
 			return err
 		}
-		var n News
+		var n Response
 		if err := ReadFrame(r, &n); err != nil {
 			return err
 		}
--- a/internal/fleet/synop/messages.go
+++ b/internal/fleet/distribution/messages.go
@@ -1,7 +1,6 @@
-// Package synop is what the system's own processes say to each other about the fleet: named after the code in
-// which weather stations report. Messages are msgp, in frames of four bytes of length. A reader pulls what it
+// Package distribution is what the fleet's own processes say to each other. Messages are msgp, in frames of four bytes of length. A reader pulls what it
 // lacks, by a vector of versions, one a source; an unanswered pull waits at the source until something is new.
-package synop
+package distribution
 
 import "molepaddle/internal/fleet/raingauge"
 
@@ -28,8 +27,8 @@
 	List   Version `msg:"l"` // of the list of backends there, as its sender counts; zero: none, or one polled elsewhere
 }
 
-// Pull asks for what the sender lacks and renews the leases of those it stands for.
-type Pull struct {
+// Request asks for what the sender lacks and renews the leases of those it stands for.
+type Request struct {
 	From    string             `msg:"f"`
 	WaitMs  int64              `msg:"w"` // how long an answer may wait for news
 	Have    map[string]Version `msg:"h"`
@@ -47,8 +46,8 @@
 	Body    []byte  `msg:"b"`
 }
 
-// Piece is the news of one source: its whole at a version, unless that was had, and the changes from there.
-type Piece struct {
+// Resource is the news of one source: its whole at a version, unless that was had, and the changes from there.
+type Resource struct {
 	Source  string   `msg:"s"`
 	At      Version  `msg:"v"`
 	Whole   []byte   `msg:"w"` // at Since; nil: Since was had
@@ -56,12 +55,12 @@
 	Changes []Change `msg:"c"`
 }
 
-// News answers a Pull.
-type News struct {
-	From    string  `msg:"f"`
-	Primary string  `msg:"p"` // internal address of the primary, where known
-	FreshMs int64   `msg:"a"` // how long ago the primary was heard by this chain of sources
-	Pieces  []Piece `msg:"x"`
+// Response answers a Request.
+type Response struct {
+	From      string     `msg:"f"`
+	Primary   string     `msg:"p"` // internal address of the primary, where known
+	FreshMs   int64      `msg:"a"` // how long ago the primary was heard by this chain of sources
+	Resources []Resource `msg:"x"`
 	// Kept says what of Rested is in the record for good; left out where nothing is new of that.
 	Kept []raingauge.Kept `msg:"k,omitempty"`
 }
--- a/internal/fleet/synop/outbox.go
+++ b/internal/fleet/distribution/outbox.go
@@ -1,4 +1,4 @@
-package synop
+package distribution
 
 import (
 	"sync"
@@ -71,14 +71,14 @@
 	o.relay.Keep(all...)
 }
 
-// Open gives what is held, and what is closed when more arrives.
+// Open gives what is entry, and what is closed when more arrives.
 func (o *Outbox) Open() ([]raingauge.Batch, <-chan struct{}) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.relay.Open(), o.arrived
 }
 
-// OpenOf tells how many batches are held of a process.
+// OpenOf tells how many batches are entry of a process.
 func (o *Outbox) OpenOf(p raingauge.Process) int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/fleet/synop/ports.go
+++ b/internal/fleet/distribution/ports.go
@@ -1,4 +1,4 @@
-package synop
+package distribution
 
 import (
 	"net"
--- a/internal/fleet/mast/agents.go
+++ b/internal/fleet/mast/agents.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"molepaddle/internal/fleet/synop"
+	"molepaddle/internal/fleet/distribution"
 )
 
 // Crew is the hollow agents of one process: each pulls as a telemeter with a vane beside it does, at one of the
@@ -32,14 +32,14 @@
 
 // Event tells that all agents of a crew have come to a version, or were back after a mark.
 type Event struct {
-	What  string  // synop.SourceConfig, synop.SourceList or "back"
+	What  string  // distribution.SourceConfig, distribution.SourceList or "back"
 	Epoch uint64  // of the version
 	Count uint64  // of the version
 	At    []int64 // when each agent had it, ns since 1970, in the order of arrival; of "back", in the order of agents
 }
 
 type arrivals struct {
-	at   synop.Version
+	at   distribution.Version
 	when []int64
 }
 
@@ -72,23 +72,23 @@
 // follow is one agent, with the telemeter's own way of choosing and leaving observatories.
 func (c *Crew) follow(ctx context.Context, i int) {
 	name, zone := fmt.Sprintf("edge-zone-%d-%d", (c.First+i)%zones, c.First+i), Zone(c.First+i)
-	have := map[string]synop.Version{}
-	wait, silence := synop.Pace(c.Apply, c.Beat)
+	have := map[string]distribution.Version{}
+	wait, silence := distribution.Pace(c.Apply, c.Beat)
 	var heard time.Time
 	began := time.Now()
 	for at := rand.IntN(len(c.Addresses)); ctx.Err() == nil; at++ {
-		_ = synop.Follow(ctx, c.Addresses[at%len(c.Addresses)], &synop.Follower{Name: name, Wait: wait, Silence: silence,
-			Members: func() []synop.Member {
-				return []synop.Member{{Name: name, Zone: zone, Config: int64(have[synop.SourceConfig].Count), List: have[synop.SourceList]}}
+		_ = distribution.Follow(ctx, c.Addresses[at%len(c.Addresses)], &distribution.Follower{Name: name, Wait: wait, Silence: silence,
+			Members: func() []distribution.Member {
+				return []distribution.Member{{Name: name, Zone: zone, Config: int64(have[distribution.SourceConfig].Count), List: have[distribution.SourceList]}}
 			},
-			Have: func() map[string]synop.Version {
-				clone := make(map[string]synop.Version, len(have))
+			Have: func() map[string]distribution.Version {
+				clone := make(map[string]distribution.Version, len(have))
 				for source, v := range have {
 					clone[source] = v
 				}
 				return clone
 			},
-			Take: func(n *synop.News) (lacking []string) {
+			Take: func(n *distribution.Response) (lacking []string) {
 				now := time.Now()
 				if n.FreshMs >= 0 {
 					if h := now.Add(-time.Duration(n.FreshMs) * time.Millisecond); h.After(heard) {
@@ -96,7 +96,7 @@
 					}
 				}
 				c.noteBack(i, heard, now)
-				for _, p := range n.Pieces {
+				for _, p := range n.Resources {
 					was := have[p.Source]
 					if p.Whole == nil && was != p.Since {
 						lacking = append(lacking, p.Source)
@@ -121,14 +121,14 @@
 }
 
 // note counts that one more agent came from a version to another: of the configuration each one between counts.
-func (c *Crew) note(source string, was, at synop.Version, now time.Time) {
-	if source == synop.SourceCrowd {
+func (c *Crew) note(source string, was, at distribution.Version, now time.Time) {
+	if source == distribution.SourceCrowd {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	from := at.Count
-	if source == synop.SourceConfig && was.Epoch == at.Epoch {
+	if source == distribution.SourceConfig && was.Epoch == at.Epoch {
 		from = was.Count + 1
 	}
 	for n := max(from, at.Count-min(at.Count, keptVersions)); n <= at.Count; n++ {
@@ -138,7 +138,7 @@
 			if len(c.seen) >= keptVersions {
 				clear(c.seen)
 			}
-			a = &arrivals{at: synop.Version{Epoch: at.Epoch, Count: n}}
+			a = &arrivals{at: distribution.Version{Epoch: at.Epoch, Count: n}}
 			c.seen[key] = a
 		}
 		if a.when = append(a.when, now.UnixNano()); len(a.when) == c.Count {
--- a/internal/fleet/mast/bench_test.go
+++ b/internal/fleet/mast/bench_test.go
@@ -12,9 +12,9 @@
 	"time"
 
 	"molepaddle/internal/fleet/almanac"
+	"molepaddle/internal/fleet/distribution"
 	"molepaddle/internal/fleet/isobar"
 	"molepaddle/internal/fleet/sonde"
-	"molepaddle/internal/fleet/synop"
 	"molepaddle/internal/fleet/windrose"
 )
 
@@ -36,7 +36,7 @@
 	}
 }
 
-func encoded(b *testing.B, l synop.List) []byte {
+func encoded(b *testing.B, l distribution.List) []byte {
 	out, err := l.MarshalMsg(nil)
 	if err != nil {
 		b.Fatal(err)
@@ -58,7 +58,7 @@
 	sizes(b, listSizes, func(b *testing.B, n int) {
 		in := encoded(b, Backends(n))
 		for b.Loop() {
-			var l synop.List
+			var l distribution.List
 			if _, err := l.UnmarshalMsg(in); err != nil {
 				b.Fatal(err)
 			}
@@ -88,8 +88,8 @@
 // BenchmarkPullWhole is one pull answered with the whole list over loopback, both sides' work together.
 func BenchmarkPullWhole(b *testing.B) {
 	sizes(b, listSizes, func(b *testing.B, n int) {
-		s := synop.NewStore()
-		s.Set(synop.SourceList, synop.Version{Epoch: 1, Count: 1}, encoded(b, Backends(n)))
+		s := distribution.NewCache()
+		s.Set(distribution.SourceList, distribution.Version{Epoch: 1, Count: 1}, encoded(b, Backends(n)))
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			b.Fatal(err)
@@ -97,12 +97,12 @@
 		defer ln.Close()
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		go synop.Serve(ctx, ln, "o", s, time.Minute, s.Fresh)
+		go distribution.Serve(ctx, ln, "o", s, time.Minute, s.Fresh)
 		left := b.N
 		b.ResetTimer()
-		err = synop.Follow(ctx, ln.Addr().String(), &synop.Follower{Name: "t", Wait: time.Second, Silence: time.Second, Members: func() []synop.Member { return nil },
-			Have: func() map[string]synop.Version { return nil },
-			Take: func(*synop.News) []string { left--; return nil },
+		err = distribution.Follow(ctx, ln.Addr().String(), &distribution.Follower{Name: "t", Wait: time.Second, Silence: time.Second, Members: func() []distribution.Member { return nil },
+			Have: func() map[string]distribution.Version { return nil },
+			Take: func(*distribution.Response) []string { left--; return nil },
 			Goes: func() bool { return left > 0 }})
 		if err != nil {
 			b.Fatal(err)
@@ -114,20 +114,20 @@
 // noted at the primary.
 func BenchmarkLeases(b *testing.B) {
 	sizes(b, leaseSizes, func(b *testing.B, n int) {
-		relay, primary := synop.NewStore(), synop.NewStore()
+		relay, primary := distribution.NewCache(), distribution.NewCache()
 		now := time.Now()
 		for i := range n {
-			relay.Renew([]synop.Member{{Name: fmt.Sprintf("edge-zone-%d-%d", i%zones, i), Zone: Zone(i)}}, now)
+			relay.Renew([]distribution.Member{{Name: fmt.Sprintf("edge-zone-%d-%d", i%zones, i), Zone: Zone(i)}}, now)
 		}
 		size := 0
 		for b.Loop() {
-			p := synop.Pull{From: "core-1", WaitMs: 1200, Members: relay.Members(now, time.Minute)}
+			p := distribution.Request{From: "core-1", WaitMs: 1200, Members: relay.Members(now, time.Minute)}
 			out, err := p.MarshalMsg(nil)
 			if err != nil {
 				b.Fatal(err)
 			}
 			size = len(out)
-			var got synop.Pull
+			var got distribution.Request
 			if _, err := got.UnmarshalMsg(out); err != nil {
 				b.Fatal(err)
 			}
--- a/internal/fleet/mast/fleet.go
+++ b/internal/fleet/mast/fleet.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"strconv"
 
-	"molepaddle/internal/fleet/synop"
+	"molepaddle/internal/fleet/distribution"
 )
 
 // zones is the number of zones that hollow machines are spread over: 21, as the operators' target has.
@@ -18,14 +18,14 @@
 
 // Backends makes a list of n hollow backends of one service, sorted by id. Their addresses are on loopback, where
 // nobody listens.
-func Backends(n int) synop.List {
-	l := synop.List{Backends: make([]synop.Backend, n)}
+func Backends(n int) distribution.List {
+	l := distribution.List{Backends: make([]distribution.Backend, n)}
 	for i := range l.Backends {
 		phase := "decode"
 		if float64(i*37%100) < prefillShare*100 { // spread evenly, as 37 and 100 have no common factor
 			phase = "prefill"
 		}
-		l.Backends[i] = synop.Backend{ID: fmt.Sprintf("i-%08x", i), Service: "llm", Address: fmt.Sprintf("127.%d.%d.%d:8080", 100+i>>16, i>>8&255, i&255),
+		l.Backends[i] = distribution.Backend{ID: fmt.Sprintf("i-%08x", i), Service: "llm", Address: fmt.Sprintf("127.%d.%d.%d:8080", 100+i>>16, i>>8&255, i&255),
 			Zone: Zone(i), Version: "v1", Capacity: 64, Phase: phase, Weights: 1}
 	}
 	return l
--- a/internal/fleet/mast/mast_test.go
+++ b/internal/fleet/mast/mast_test.go
@@ -12,9 +12,9 @@
 	qt "github.com/frankban/quicktest"
 
 	"molepaddle/internal/fleet/almanac"
+	"molepaddle/internal/fleet/distribution"
 	"molepaddle/internal/fleet/replication"
 	"molepaddle/internal/fleet/sonde"
-	"molepaddle/internal/fleet/synop"
 )
 
 func TestDocumentsAreValid(t *testing.T) {
@@ -63,10 +63,10 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	defer ln.Close()
-	s := synop.NewStore()
+	s := distribution.NewCache()
 	s.Heard("primary", time.Now())
-	s.Set(synop.SourceConfig, synop.Version{Count: 1}, []byte("one"))
-	go synop.Serve(ctx, ln, "o", s, time.Second, func() (time.Time, string) {
+	s.Set(distribution.SourceConfig, distribution.Version{Count: 1}, []byte("one"))
+	go distribution.Serve(ctx, ln, "o", s, time.Second, func() (time.Time, string) {
 		s.Heard("primary", time.Now())
 		return s.Fresh()
 	})
@@ -82,11 +82,11 @@
 		e.At = nil
 		return e
 	}
-	c.Assert(next(), qt.DeepEquals, Event{What: synop.SourceConfig, Count: 1})
-	s.Append(synop.SourceConfig, synop.Version{Count: 1}, synop.Version{Count: 2}, synop.Change{At: synop.Version{Count: 2}, Body: []byte("two")})
-	c.Assert(next(), qt.DeepEquals, Event{What: synop.SourceConfig, Count: 2})
-	s.Set(synop.SourceList, synop.Version{Epoch: 3, Count: 4}, []byte("list"))
-	c.Assert(next(), qt.DeepEquals, Event{What: synop.SourceList, Epoch: 3, Count: 4})
+	c.Assert(next(), qt.DeepEquals, Event{What: distribution.SourceConfig, Count: 1})
+	s.Append(distribution.SourceConfig, distribution.Version{Count: 1}, distribution.Version{Count: 2}, distribution.Change{At: distribution.Version{Count: 2}, Body: []byte("two")})
+	c.Assert(next(), qt.DeepEquals, Event{What: distribution.SourceConfig, Count: 2})
+	s.Set(distribution.SourceList, distribution.Version{Epoch: 3, Count: 4}, []byte("list"))
+	c.Assert(next(), qt.DeepEquals, Event{What: distribution.SourceList, Epoch: 3, Count: 4})
 	_, err = io.WriteString(commands, "mark\n")
 	c.Assert(err, qt.IsNil)
 	c.Assert(next(), qt.DeepEquals, Event{What: eventBack})
--- a/internal/fleet/mast/platform.go
+++ b/internal/fleet/mast/platform.go
@@ -9,7 +9,7 @@
 	"sync/atomic"
 	"time"
 
-	"molepaddle/internal/fleet/synop"
+	"molepaddle/internal/fleet/distribution"
 )
 
 // Platform is the hollow platform: it gives a list by pages, without a bound on its rate.
@@ -19,11 +19,11 @@
 	calls atomic.Int64
 
 	mu   sync.Mutex
-	list synop.List
+	list distribution.List
 }
 
 // ServePlatform starts a platform on a port of its own on loopback; Close ends it.
-func ServePlatform(list synop.List, page int) (*Platform, error) {
+func ServePlatform(list distribution.List, page int) (*Platform, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
--- a/internal/fleet/mast/proxy.go
+++ b/internal/fleet/mast/proxy.go
@@ -19,8 +19,8 @@
 
 	"github.com/go-faster/errors"
 
+	"molepaddle/internal/fleet/distribution"
 	"molepaddle/internal/fleet/sonde"
-	"molepaddle/internal/fleet/synop"
 )
 
 // ProxyTrial is one run of a real vane between hollow clients and hollow backends: what one request, one event and the
@@ -72,7 +72,7 @@
 	at := func(offset int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(first+offset)) }
 	m := machine{name: "edge-real-vane", zone: Zone(0), ip: "127.0.0.1", ports: [2]int{first, first + 3}, seeds: []string{at(4)}, edge: at(5), ready: at(6),
 		beat: 1200 * time.Millisecond, apply: 2 * time.Second, rate: 42}
-	feed, err := net.Listen("tcp", synop.TelemeterAddr(m.ports))
+	feed, err := net.Listen("tcp", distribution.TelemeterAddr(m.ports))
 	if err != nil {
 		return err
 	}
@@ -119,10 +119,10 @@
 	if err != nil {
 		return err
 	}
-	s := synop.NewStore()
-	s.Set(synop.SourceList, synop.Version{Epoch: 1, Count: 1}, b)
-	s.Set(synop.SourceConfig, synop.Version{Count: 1}, doc)
-	go synop.Serve(ctx, ln, "feed", s, 3*beat+time.Second, s.Fresh)
+	s := distribution.NewCache()
+	s.Set(distribution.SourceList, distribution.Version{Epoch: 1, Count: 1}, b)
+	s.Set(distribution.SourceConfig, distribution.Version{Count: 1}, doc)
+	go distribution.Serve(ctx, ln, "feed", s, 3*beat+time.Second, s.Fresh)
 	return nil
 }
 
--- a/internal/fleet/mast/trial.go
+++ b/internal/fleet/mast/trial.go
@@ -16,8 +16,8 @@
 
 	"github.com/go-faster/errors"
 
+	"molepaddle/internal/fleet/distribution"
 	"molepaddle/internal/fleet/replication"
-	"molepaddle/internal/fleet/synop"
 )
 
 // Trial is one run at one size.
@@ -171,7 +171,7 @@
 	for i, ip := range ips[1:] {
 		base.seeds = append(base.seeds, at(ip, 4))
 		controls = append(controls, at(ip, 4))
-		pulls = append(pulls, synop.PullAddr(ip, base.ports))
+		pulls = append(pulls, distribution.PullAddr(ip, base.ports))
 		m := base
 		m.name, m.zone, m.ip, m.control, m.bootstrap, m.dataDir = fmt.Sprint("core-", i), Zone(i), ip, at(ip, 4), true, filepath.Join(dir, fmt.Sprint("core-", i))
 		if err := os.Mkdir(m.dataDir, 0o700); err != nil {
@@ -236,7 +236,7 @@
 		}
 		t.crews, t.commands = append(t.crews, p), append(t.commands, in)
 	}
-	config, err := t.await(ctx, func(e *Event) bool { return e.What == synop.SourceConfig && e.Count >= t.op.changes })
+	config, err := t.await(ctx, func(e *Event) bool { return e.What == distribution.SourceConfig && e.Count >= t.op.changes })
 	if err != nil {
 		return errors.Wrap(err, "configuration to all")
 	}
@@ -408,7 +408,7 @@
 			}
 			ack := time.Now()
 			acks = append(acks, ack.Sub(began))
-			at, err := t.await(ctx, func(e *Event) bool { return e.What == synop.SourceConfig && e.Count >= t.op.changes })
+			at, err := t.await(ctx, func(e *Event) bool { return e.What == distribution.SourceConfig && e.Count >= t.op.changes })
 			if err != nil {
 				return err
 			}
@@ -435,7 +435,7 @@
 			}
 			began := time.Now()
 			t.platform.Toggle(i)
-			at, err := t.await(ctx, func(e *Event) bool { return e.What == synop.SourceList && e.At[0] > began.UnixNano() })
+			at, err := t.await(ctx, func(e *Event) bool { return e.What == distribution.SourceList && e.At[0] > began.UnixNano() })
 			if err != nil {
 				return err
 			}
@@ -482,7 +482,7 @@
 			switch {
 			case e.What == eventBack && !backs[e.crew]:
 				backs[e.crew], back = true, append(back, e.At...)
-			case e.What == synop.SourceConfig && e.Count >= t.op.changes && !configs[e.crew]:
+			case e.What == distribution.SourceConfig && e.Count >= t.op.changes && !configs[e.crew]:
 				configs[e.crew], config = true, append(config, e.At...)
 			}
 		case <-bound.Done():
--- a/internal/fleet/observatory/observatory.go
+++ b/internal/fleet/observatory/observatory.go
@@ -14,10 +14,10 @@
 	"go.uber.org/zap"
 
 	"molepaddle/internal/fleet/almanac"
+	"molepaddle/internal/fleet/distribution"
 	"molepaddle/internal/fleet/replication"
 	"molepaddle/internal/fleet/siting"
 	"molepaddle/internal/fleet/statestore"
-	"molepaddle/internal/fleet/synop"
 )
 
 // Observatory is one core machine's program.
@@ -28,7 +28,7 @@
 	set     siting.Settings
 	log     *zap.Logger
 	start   time.Time
-	store   *synop.Store
+	store   *distribution.Cache
 	archive *statestore.Store
 	machine *replication.Machine
 	record  *record
@@ -66,16 +66,16 @@
 	if state.Lost {
 		log.Warn("the disk's content can't be trusted and counts as lost")
 	}
-	o := &Observatory{Readings: DefaultReadings, set: set, log: log, start: time.Now(), store: synop.NewStore(), archive: a, record: &record{},
+	o := &Observatory{Readings: DefaultReadings, set: set, log: log, start: time.Now(), store: distribution.NewCache(), archive: a, record: &record{},
 		heard:  xsync.NewMap[string, time.Time](),
 		inputs: make(chan func(time.Duration) replication.Output, 1024), waiting: map[uint64]chan<- replication.Answer{}, writing: make(chan struct{}, 1)}
 	var seeds []string
 	for _, s := range set.Seeds {
 		if host, _, err := net.SplitHostPort(s); err == nil {
-			seeds = append(seeds, synop.CoreAddr(host, set.Ports))
+			seeds = append(seeds, distribution.CoreAddr(host, set.Ports))
 		}
 	}
-	self := replication.Member{Addr: synop.CoreAddr(set.IP, set.Ports), Zone: set.Zone, Region: set.Region}
+	self := replication.Member{Addr: distribution.CoreAddr(set.IP, set.Ports), Zone: set.Zone, Region: set.Region}
 	o.machine, err = replication.New(replication.Options{Self: self,
 		Survive: replication.Survive{Nodes: set.Survive.Nodes, Zones: set.Survive.Zones, Regions: set.Survive.Regions},
 		Seeds:   seeds, Bootstrap: set.Bootstrap,
@@ -103,11 +103,11 @@
 	if o.set.Bind.Control == "" {
 		return errors.New("bind: ctl must be given")
 	}
-	core, err := net.Listen("tcp", synop.CoreAddr(o.set.IP, o.set.Ports))
+	core, err := net.Listen("tcp", distribution.CoreAddr(o.set.IP, o.set.Ports))
 	if err != nil {
 		return errors.Wrap(err, "listen for the core")
 	}
-	pulls, err := net.Listen("tcp", synop.PullAddr(o.set.IP, o.set.Ports))
+	pulls, err := net.Listen("tcp", distribution.PullAddr(o.set.IP, o.set.Ports))
 	if err != nil {
 		return errors.Wrap(err, "listen for pulls")
 	}
@@ -225,14 +225,14 @@
 		return // a reading, say
 	}
 	for i, d := range docs {
-		at := synop.Version{Count: d.docSeq}
-		if was != nil && d.call != nil && o.store.Append(synop.SourceConfig, synop.Version{Count: was.docSeq}, at, synop.Change{At: at, Replace: d.call.Replace, Body: d.call.Body}) {
+		at := distribution.Version{Count: d.docSeq}
+		if was != nil && d.call != nil && o.store.Append(distribution.SourceConfig, distribution.Version{Count: was.docSeq}, at, distribution.Change{At: at, Replace: d.call.Replace, Body: d.call.Body}) {
 			was = d
 			continue
 		}
 		was = d
 		if i == len(docs)-1 {
-			o.store.Set(synop.SourceConfig, at, d.doc.Show())
+			o.store.Set(distribution.SourceConfig, at, d.doc.Show())
 		}
 	}
 	o.noteSettled(last, time.Now())
--- a/internal/fleet/observatory/peers.go
+++ b/internal/fleet/observatory/peers.go
@@ -9,8 +9,8 @@
 
 	"go.uber.org/zap"
 
+	"molepaddle/internal/fleet/distribution"
 	"molepaddle/internal/fleet/replication"
-	"molepaddle/internal/fleet/synop"
 )
 
 // peers is the way to the other core machines: one connection each way, messages that can't be sent are lost.
@@ -59,7 +59,7 @@
 		case m := <-q:
 			if c == nil {
 				var err error
-				if c, err = synop.Dial(to, peerWithin); err != nil {
+				if c, err = distribution.Dial(to, peerWithin); err != nil {
 					c = nil
 					for len(q) > 0 { // what waited meanwhile is old
 						<-q
@@ -68,7 +68,7 @@
 				}
 			}
 			_ = c.SetWriteDeadline(time.Now().Add(peerWithin))
-			if err := synop.WriteFrame(c, &m); err != nil {
+			if err := distribution.WriteFrame(c, &m); err != nil {
 				c.Close()
 				c = nil
 			}
@@ -109,7 +109,7 @@
 			for {
 				_ = c.SetReadDeadline(time.Now().Add(3 * peerIdle))
 				m := new(replication.Message)
-				if err := synop.ReadFrame(r, m); err != nil {
+				if err := distribution.ReadFrame(r, m); err != nil {
 					return
 				}
 				tell(m.From.Addr, m)
--- a/internal/fleet/observatory/phases.go
+++ b/internal/fleet/observatory/phases.go
@@ -12,10 +12,10 @@
 
 	"go.uber.org/zap"
 
+	"molepaddle/internal/fleet/distribution"
 	"molepaddle/internal/fleet/isobar"
 	"molepaddle/internal/fleet/replication"
 	"molepaddle/internal/fleet/sonde"
-	"molepaddle/internal/fleet/synop"
 )
 
 // phases holds the duty of giving orders to backends: it comes with the primary's view, whose epoch is the fence.
@@ -57,34 +57,34 @@
 }
 
 // gauges is how many requests were at the backends that make tokens when they were last asked: the fullest of them.
-func (p *phases) gauges() synop.Gauges {
+func (p *phases) gauges() distribution.Gauges {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	g := synop.Gauges{Active: maps.Clone(p.active), Silent: p.silent}
-	if len(g.Active) <= synop.MaxGauges {
+	g := distribution.Gauges{Active: maps.Clone(p.active), Silent: p.silent}
+	if len(g.Active) <= distribution.MaxGauges {
 		return g
 	}
 	ids := slices.SortedFunc(maps.Keys(g.Active), func(a, b string) int { return cmp.Or(g.Active[b]-g.Active[a], cmp.Compare(a, b)) })
-	for _, id := range ids[synop.MaxGauges:] {
+	for _, id := range ids[distribution.MaxGauges:] {
 		delete(g.Active, id)
 	}
 	return g
 }
 
 // mark has a list say which backends are about to change, so that proxies send nothing there.
-func (p *phases) mark(list *synop.List) {
+func (p *phases) mark(list *distribution.List) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for i := range list.Backends {
 		if p.changing[list.Backends[i].ID] {
-			list.Backends[i].Phase = synop.PhaseChanging
+			list.Backends[i].Phase = distribution.PhaseChanging
 		}
 	}
 }
 
 // round asks the engines of all services for their reports and, where it may, gives the orders that follow. It reports whether
 // what is to be announced has changed.
-func (p *phases) round(ctx context.Context, now time.Duration, list *synop.List, epoch uint64, orders bool) bool {
+func (p *phases) round(ctx context.Context, now time.Duration, list *distribution.List, epoch uint64, orders bool) bool {
 	settled := p.o.settled.Load()
 	if settled == nil || settled.doc == nil {
 		return false
@@ -98,7 +98,7 @@
 		if svc.Runtime == nil || svc.Runtime.Capacity <= 0 {
 			continue
 		}
-		var all []synop.Backend
+		var all []distribution.Backend
 		for _, b := range list.Backends {
 			if b.Service == svc.Name {
 				all = append(all, b)
@@ -140,7 +140,7 @@
 		}
 		p.mu.Unlock()
 		for _, mv := range moves {
-			i := slices.IndexFunc(all, func(b synop.Backend) bool { return b.ID == mv.ID })
+			i := slices.IndexFunc(all, func(b distribution.Backend) bool { return b.ID == mv.ID })
 			if !mv.Due || i < 0 {
 				continue
 			}
@@ -161,7 +161,7 @@
 }
 
 // order sends one order, if the view that gives the duty still stands; false: it was not sent, or nothing was heard of it.
-func (p *phases) order(ctx context.Context, b *synop.Backend, prefill bool, epoch uint64) (heard bool) {
+func (p *phases) order(ctx context.Context, b *distribution.Backend, prefill bool, epoch uint64) (heard bool) {
 	sure, cancel := context.WithTimeout(ctx, orderWithin)
 	ans, err := p.o.ask(sure, func(now time.Duration, token uint64) replication.Output { return p.o.machine.Read(now, token) })
 	cancel()
@@ -178,7 +178,7 @@
 }
 
 // reports asks all backends at once for their reports.
-func (p *phases) reports(ctx context.Context, all []synop.Backend) []isobar.EngineState {
+func (p *phases) reports(ctx context.Context, all []distribution.Backend) []isobar.EngineState {
 	states := make([]isobar.EngineState, len(all))
 	var wait sync.WaitGroup
 	room := make(chan struct{}, 16)
--- a/internal/fleet/observatory/pulls.go
+++ b/internal/fleet/observatory/pulls.go
@@ -10,14 +10,14 @@
 
 	"go.uber.org/zap"
 
+	"molepaddle/internal/fleet/distribution"
 	"molepaddle/internal/fleet/replication"
 	"molepaddle/internal/fleet/sonde"
-	"molepaddle/internal/fleet/synop"
 )
 
 // servePulls answers telemeters and, at the primary, the other observatories.
 func (o *Observatory) servePulls(ctx context.Context, ln net.Listener) {
-	synop.Serve(ctx, ln, o.set.Nodename, o.store, 3*o.set.Heartbeat+time.Second, func() (time.Time, string) {
+	distribution.Serve(ctx, ln, o.set.Nodename, o.store, 3*o.set.Heartbeat+time.Second, func() (time.Time, string) {
 		st := o.status.Load()
 		if st.Role == replication.Primary && st.Ready {
 			o.store.Heard(st.PrimaryAddr, time.Now())
@@ -28,7 +28,7 @@
 
 // relay keeps an observatory that isn't the primary up to date by the primary's pulls, as telemeters are.
 func (o *Observatory) relay(ctx context.Context) {
-	wait, silence := synop.Pace(o.set.Bounds.Apply, o.set.Heartbeat)
+	wait, silence := distribution.Pace(o.set.Bounds.Apply, o.set.Heartbeat)
 	for ctx.Err() == nil {
 		st, changed := o.watch()
 		host, _, err := net.SplitHostPort(st.PrimaryAddr)
@@ -54,11 +54,11 @@
 				}
 			}
 		}()
-		_ = synop.Follow(term, synop.PullAddr(host, o.set.Ports), &synop.Follower{Name: o.set.Nodename, Wait: wait, Silence: silence,
-			Members: func() []synop.Member { return o.store.Members(time.Now(), 3*o.set.Heartbeat) },
+		_ = distribution.Follow(term, distribution.PullAddr(host, o.set.Ports), &distribution.Follower{Name: o.set.Nodename, Wait: wait, Silence: silence,
+			Members: func() []distribution.Member { return o.store.Members(time.Now(), 3*o.set.Heartbeat) },
 			Have:    o.store.Have,
-			Take:    func(n *synop.News) []string { return o.store.Take(n, time.Now()) },
-			Rested:  func(time.Time) *synop.Outbox { return o.store.Rested },
+			Take:    func(n *distribution.Response) []string { return o.store.Take(n, time.Now()) },
+			Rested:  func(time.Time) *distribution.Outbox { return o.store.Rested },
 		})
 		cancel()
 		sleep(ctx, 50*time.Millisecond)
@@ -85,10 +85,10 @@
 func (o *Observatory) poll(ctx context.Context) {
 	client := sonde.NewPlatformClient(o.set.Provider.Address, time.Second)
 	duty := newPhases(o)
-	var plain, last *synop.List // as the platform tells, and as published
-	var lastCrowd *synop.Crowd
-	var lastCore *synop.Core
-	var lastGauges synop.Gauges
+	var plain, last *distribution.List // as the platform tells, and as published
+	var lastCrowd *distribution.Crowd
+	var lastCore *distribution.Core
+	var lastGauges distribution.Gauges
 	epoch, count := uint64(0), uint64(0)
 	var since, polled, reported time.Time
 	every, dirty := pollEvery, false
@@ -128,37 +128,37 @@
 			if g := duty.gauges(); !maps.Equal(g.Active, lastGauges.Active) || len(g.Silent) > 0 || len(lastGauges.Silent) > 0 {
 				count++
 				b, _ := g.MarshalMsg(nil)
-				o.store.Set(synop.SourceGauges, synop.Version{Epoch: epoch, Count: count}, b)
+				o.store.Set(distribution.SourceGauges, distribution.Version{Epoch: epoch, Count: count}, b)
 				lastGauges = g
 			}
 		}
 		if plain != nil && dirty {
 			dirty = false
-			list := synop.List{Backends: slices.Clone(plain.Backends)}
+			list := distribution.List{Backends: slices.Clone(plain.Backends)}
 			duty.mark(&list)
 			if last == nil || !reflect.DeepEqual(*last, list) {
 				count++
 				b, _ := list.MarshalMsg(nil)
-				o.store.Set(synop.SourceList, synop.Version{Epoch: epoch, Count: count}, b)
+				o.store.Set(distribution.SourceList, distribution.Version{Epoch: epoch, Count: count}, b)
 				last = &list
 			}
 		}
 		if p := o.polls.Load(); p == nil || p.epoch != epoch || p.at != answered || p.list != last {
 			o.polls.Store(&polls{epoch: epoch, since: since, at: answered, list: last})
 		}
-		core := synop.Core{}
+		core := distribution.Core{}
 		for _, m := range st.View.Members {
 			if host, _, err := net.SplitHostPort(m.Addr); err == nil {
-				core.Pulls = append(core.Pulls, synop.PullAddr(host, o.set.Ports))
+				core.Pulls = append(core.Pulls, distribution.PullAddr(host, o.set.Ports))
 			}
 		}
 		if lastCore == nil || !reflect.DeepEqual(*lastCore, core) {
 			count++
 			b, _ := core.MarshalMsg(nil)
-			o.store.Set(synop.SourceCore, synop.Version{Epoch: epoch, Count: count}, b)
+			o.store.Set(distribution.SourceCore, distribution.Version{Epoch: epoch, Count: count}, b)
 			lastCore = &core
 		}
-		crowd := synop.Crowd{Zones: map[string]int{}}
+		crowd := distribution.Crowd{Zones: map[string]int{}}
 		for _, m := range o.store.Members(time.Now(), o.leaseFor()) {
 			crowd.Proxies++
 			crowd.Zones[m.Zone]++
@@ -166,7 +166,7 @@
 		if crowd.Proxies > 0 && (lastCrowd == nil || !reflect.DeepEqual(*lastCrowd, crowd)) {
 			count++
 			b, _ := crowd.MarshalMsg(nil)
-			o.store.Set(synop.SourceCrowd, synop.Version{Epoch: epoch, Count: count}, b)
+			o.store.Set(distribution.SourceCrowd, distribution.Version{Epoch: epoch, Count: count}, b)
 			lastCrowd = &crowd
 		}
 	}
--- a/internal/fleet/observatory/status.go
+++ b/internal/fleet/observatory/status.go
@@ -8,10 +8,10 @@
 	"slices"
 	"time"
 
+	"molepaddle/internal/fleet/distribution"
 	"molepaddle/internal/fleet/replication"
 	"molepaddle/internal/fleet/sonde"
 	"molepaddle/internal/fleet/status"
-	"molepaddle/internal/fleet/synop"
 )
 
 // confirmWithin bounds how long a status waits for the view to be confirmed: callers turn elsewhere after a second.
@@ -22,7 +22,7 @@
 	epoch uint64
 	since time.Time // when the term began
 	at    time.Time // of the last answer; zero: none in this term
-	list  *synop.List
+	list  *distribution.List
 }
 
 // settledDoc tells when the newest configuration was found committed here, by which change.
@@ -116,7 +116,7 @@
 		f.Agents = append(f.Agents, status.Agent{Name: m.Name, Zone: m.Zone, LeaseMs: m.AgeM, Version: m.Config, SinceMs: m.AgeM + m.SinceM,
 			List: status.Number{Epoch: m.List.Epoch, Count: m.List.Count}})
 	}
-	if at, ok := o.store.At(synop.SourceList); ok {
+	if at, ok := o.store.At(distribution.SourceList); ok {
 		f.List.Number = status.Number{Epoch: at.Epoch, Count: at.Count}
 	}
 	f.Duties = o.duties(st, now)
@@ -149,7 +149,7 @@
 }
 
 // servicesOf counts the backends of each service that the configuration or the list names.
-func servicesOf(list *synop.List, settled *applied) []status.Service {
+func servicesOf(list *distribution.List, settled *applied) []status.Service {
 	all := map[string]*status.Service{}
 	of := func(name string) *status.Service {
 		s := all[name]
--- a/internal/fleet/raingauge/relay_test.go
+++ b/internal/fleet/raingauge/relay_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 )
 
-// link is a connection from a relay to another, as synop drives it.
+// link is a connection from a relay to another, as distribution drives it.
 type link struct {
 	sender   Sender
 	receiver Receiver
--- a/internal/fleet/siting/check.go
+++ b/internal/fleet/siting/check.go
@@ -2,7 +2,7 @@
 
 import "slices"
 
-// ownPorts is how many ports of port_range the system's own programs use (synop's ports).
+// ownPorts is how many ports of port_range the system's own programs use (distribution's ports).
 const ownPorts = 3
 
 // Check finds what a settings file that can be used still lacks for what the process serves; name is the file's. A
--- a/internal/fleet/sonde/platform.go
+++ b/internal/fleet/sonde/platform.go
@@ -13,7 +13,7 @@
 
 	"github.com/go-faster/errors"
 
-	"molepaddle/internal/fleet/synop"
+	"molepaddle/internal/fleet/distribution"
 )
 
 // ErrBusy is that the platform takes no more calls for now.
@@ -38,8 +38,8 @@
 }
 
 // Sort puts a list in the order of ids, so that equal lists have equal bytes.
-func Sort(list *synop.List) {
-	slices.SortFunc(list.Backends, func(a, b synop.Backend) int { return strings.Compare(a.ID, b.ID) })
+func Sort(list *distribution.List) {
+	slices.SortFunc(list.Backends, func(a, b distribution.Backend) int { return strings.Compare(a.ID, b.ID) })
 }
 
 type listed struct {
@@ -59,7 +59,7 @@
 
 // List asks for the whole list, page by page, and says how many calls that took. Errors: ErrBusy, those of the
 // network, and a list that can't be read.
-func (p *PlatformClient) List(ctx context.Context) (list synop.List, calls int, err error) {
+func (p *PlatformClient) List(ctx context.Context) (list distribution.List, calls int, err error) {
 	marker := ""
 	for calls < maxPages {
 		u := url.URL{Scheme: "http", Host: p.addr, Path: Listing.Path}
@@ -95,7 +95,7 @@
 			return list, calls, errors.Wrap(err, "platform")
 		}
 		for _, b := range page.Backends {
-			e := synop.Backend{ID: b.ID, Service: b.Service, Address: b.Address, Zone: b.Zone, Version: b.Version, Capacity: b.Capacity,
+			e := distribution.Backend{ID: b.ID, Service: b.Service, Address: b.Address, Zone: b.Zone, Version: b.Version, Capacity: b.Capacity,
 				Draining: b.State == "draining", Phase: b.Phase}
 			if len(b.Models) > 0 {
 				e.Weights = b.Models[0].Version
--- a/internal/fleet/telemeter/lists.go
+++ b/internal/fleet/telemeter/lists.go
@@ -1,11 +1,11 @@
 package telemeter
 
-import "molepaddle/internal/fleet/synop"
+import "molepaddle/internal/fleet/distribution"
 
 // listNumbers tells what the observatories call the newest lists that the proxy was fed: it hears of them by this
 // process's own count. Lists that were polled here have no such number.
 type listNumbers struct {
-	newest [keptLists]struct{ here, there synop.Version }
+	newest [keptLists]struct{ here, there distribution.Version }
 	next   int
 }
 
@@ -13,18 +13,18 @@
 const keptLists = 16
 
 // note remembers one list.
-func (l *listNumbers) note(here, there synop.Version) {
+func (l *listNumbers) note(here, there distribution.Version) {
 	l.newest[l.next].here, l.newest[l.next].there = here, there
 	l.next = (l.next + 1) % keptLists
 }
 
 // theirs has the members tell of their lists as the observatories do: the zero Version stands for what these don't know.
-func (l *listNumbers) theirs(members []synop.Member) []synop.Member {
+func (l *listNumbers) theirs(members []distribution.Member) []distribution.Member {
 	for i := range members {
 		had := members[i].List
-		members[i].List = synop.Version{}
+		members[i].List = distribution.Version{}
 		for _, n := range l.newest {
-			if n.here == had && had != (synop.Version{}) {
+			if n.here == had && had != (distribution.Version{}) {
 				members[i].List = n.there
 			}
 		}
--- a/internal/fleet/telemeter/lists_test.go
+++ b/internal/fleet/telemeter/lists_test.go
@@ -5,28 +5,28 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"molepaddle/internal/fleet/synop"
+	"molepaddle/internal/fleet/distribution"
 )
 
 func TestListsAreToldByTheObservatoriesNumbers(t *testing.T) {
 	c := qt.New(t)
 	var l listNumbers
-	at := func(n uint64) synop.Version { return synop.Version{Epoch: 9, Count: n} }
-	there := func(n uint64) synop.Version { return synop.Version{Epoch: 2, Count: n} }
-	told := func(had synop.Version) synop.Version {
-		return l.theirs([]synop.Member{{Name: "a", Config: 3, List: had}})[0].List
+	at := func(n uint64) distribution.Version { return distribution.Version{Epoch: 9, Count: n} }
+	there := func(n uint64) distribution.Version { return distribution.Version{Epoch: 2, Count: n} }
+	told := func(had distribution.Version) distribution.Version {
+		return l.theirs([]distribution.Member{{Name: "a", Config: 3, List: had}})[0].List
 	}
-	c.Assert(told(synop.Version{}), qt.Equals, synop.Version{}, qt.Commentf("none yet"))
+	c.Assert(told(distribution.Version{}), qt.Equals, distribution.Version{}, qt.Commentf("none yet"))
 	l.note(at(1), there(10))
 	l.note(at(4), there(11)) // what is counted here counts other sources as well
 	c.Assert(told(at(1)), qt.Equals, there(10))
 	c.Assert(told(at(4)), qt.Equals, there(11))
-	c.Assert(told(at(5)), qt.Equals, synop.Version{}, qt.Commentf("polled here"))
-	c.Assert(told(synop.Version{}), qt.Equals, synop.Version{}, qt.Commentf("none yet"))
+	c.Assert(told(at(5)), qt.Equals, distribution.Version{}, qt.Commentf("polled here"))
+	c.Assert(told(distribution.Version{}), qt.Equals, distribution.Version{}, qt.Commentf("none yet"))
 	for n := uint64(6); n < 6+keptLists; n++ {
 		l.note(at(n), there(n))
 	}
-	c.Assert(told(at(4)), qt.Equals, synop.Version{}, qt.Commentf("too far behind"))
+	c.Assert(told(at(4)), qt.Equals, distribution.Version{}, qt.Commentf("too far behind"))
 	c.Assert(told(at(6)), qt.Equals, there(6))
-	c.Assert(l.theirs([]synop.Member{{Name: "a", Config: 3}})[0].Config, qt.Equals, int64(3))
+	c.Assert(l.theirs([]distribution.Member{{Name: "a", Config: 3}})[0].Config, qt.Equals, int64(3))
 }
--- a/internal/fleet/telemeter/telemeter.go
+++ b/internal/fleet/telemeter/telemeter.go
@@ -13,9 +13,9 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"molepaddle/internal/fleet/distribution"
 	"molepaddle/internal/fleet/siting"
 	"molepaddle/internal/fleet/sonde"
-	"molepaddle/internal/fleet/synop"
 )
 
 // Telemeter is one machine's link to the control plane.
@@ -25,14 +25,14 @@
 
 	set   siting.Settings
 	log   *zap.Logger
-	store *synop.Store // what the proxy is fed from
+	store *distribution.Cache // what the proxy is fed from
 
 	// What follows belongs to the goroutine of Run that follows an observatory.
-	have  map[string]synop.Version // as the observatories count
-	list  synop.Version            // as this process counts: it may have to poll itself
-	lists listNumbers              // and what the observatories call those lists
-	seeds []string                 // pull addresses by the settings
-	known []string                 // and all that are known: seeds, then the members of the core as last told
+	have  map[string]distribution.Version // as the observatories count
+	list  distribution.Version            // as this process counts: it may have to poll itself
+	lists listNumbers                     // and what the observatories call those lists
+	seeds []string                        // pull addresses by the settings
+	known []string                        // and all that are known: seeds, then the members of the core as last told
 	// For when no observatory is to be had.
 	platform *sonde.PlatformClient
 	pollNext time.Time
@@ -42,8 +42,8 @@
 
 // New makes a telemeter.
 func New(set siting.Settings, log *zap.Logger) *Telemeter {
-	t := &Telemeter{set: set, log: log, store: synop.NewStore(), have: map[string]synop.Version{},
-		list: synop.Version{Epoch: uint64(time.Now().UnixNano())}}
+	t := &Telemeter{set: set, log: log, store: distribution.NewCache(), have: map[string]distribution.Version{},
+		list: distribution.Version{Epoch: uint64(time.Now().UnixNano())}}
 	t.seed(set.Seeds)
 	if set.Provider.Address != "" {
 		t.platform = sonde.NewPlatformClient(set.Provider.Address, time.Second)
@@ -56,7 +56,7 @@
 	t.seeds = nil
 	for _, s := range seeds {
 		if host, _, err := net.SplitHostPort(s); err == nil {
-			t.seeds = append(t.seeds, synop.PullAddr(host, t.set.Ports))
+			t.seeds = append(t.seeds, distribution.PullAddr(host, t.set.Ports))
 		}
 	}
 	t.learn(nil)
@@ -82,31 +82,31 @@
 func (t *Telemeter) Run(until context.Context) error {
 	ctx, end := context.WithCancel(context.WithoutCancel(until))
 	defer end()
-	wait, silence := synop.Pace(t.set.Bounds.Apply, t.set.Heartbeat)
+	wait, silence := distribution.Pace(t.set.Bounds.Apply, t.set.Heartbeat)
 	defer context.AfterFunc(until, func() {
 		t.linger(ctx, wait)
 		end()
 	})()
-	ln, err := net.Listen("tcp", synop.TelemeterAddr(t.set.Ports))
+	ln, err := net.Listen("tcp", distribution.TelemeterAddr(t.set.Ports))
 	if err != nil {
 		return errors.Wrap(err, "listen for the proxy")
 	}
 	stop := context.AfterFunc(ctx, func() { ln.Close() })
 	defer stop()
-	go synop.Serve(ctx, ln, t.set.Nodename, t.store, 3*t.set.Heartbeat+time.Second, t.store.Fresh)
+	go distribution.Serve(ctx, ln, t.set.Nodename, t.store, 3*t.set.Heartbeat+time.Second, t.store.Fresh)
 	t.log.Info("started")
 	var began time.Time
-	pause := synop.Pause{Least: 10 * time.Millisecond, Most: 100 * time.Millisecond}
+	pause := distribution.Pause{Least: 10 * time.Millisecond, Most: 100 * time.Millisecond}
 	for i := rand.IntN(max(len(t.known), 1)); ctx.Err() == nil; i++ {
 		if len(t.known) == 0 {
 			return errors.New("peers: none to ask")
 		}
 		addr := t.known[i%len(t.known)]
 		began = time.Now()
-		err := synop.Follow(ctx, addr, &synop.Follower{Name: t.set.Nodename, Wait: wait, Silence: silence,
-			Members: func() []synop.Member { return t.lists.theirs(t.store.Members(time.Now(), 3*t.set.Heartbeat)) },
-			Have:    t.vector, Take: func(n *synop.News) []string { return t.take(n) },
-			Rested: func(time.Time) *synop.Outbox { return t.store.Rested },
+		err := distribution.Follow(ctx, addr, &distribution.Follower{Name: t.set.Nodename, Wait: wait, Silence: silence,
+			Members: func() []distribution.Member { return t.lists.theirs(t.store.Members(time.Now(), 3*t.set.Heartbeat)) },
+			Have:    t.vector, Take: func(n *distribution.Response) []string { return t.take(n) },
+			Rested: func(time.Time) *distribution.Outbox { return t.store.Rested },
 			Goes: func() bool {
 				// One that has not heard of the primary for long is left for another.
 				heard, _ := t.store.Fresh()
@@ -151,8 +151,8 @@
 	pullWithin = 200 * time.Millisecond
 )
 
-func (t *Telemeter) vector() map[string]synop.Version {
-	have := make(map[string]synop.Version, len(t.have))
+func (t *Telemeter) vector() map[string]distribution.Version {
+	have := make(map[string]distribution.Version, len(t.have))
 	for source, at := range t.have {
 		have[source] = at
 	}
@@ -160,32 +160,32 @@
 }
 
 // take passes news on. The list is counted anew here, since this process may have to ask for it itself.
-func (t *Telemeter) take(n *synop.News) (lacking []string) {
+func (t *Telemeter) take(n *distribution.Response) (lacking []string) {
 	pass := *n
-	pass.Pieces = nil
-	for _, p := range n.Pieces {
+	pass.Resources = nil
+	for _, p := range n.Resources {
 		t.have[p.Source] = p.At
-		if p.Source != synop.SourceConfig {
+		if p.Source != distribution.SourceConfig {
 			t.list.Count++
 			t.store.Set(p.Source, t.list, p.Whole)
-			if p.Source == synop.SourceList {
+			if p.Source == distribution.SourceList {
 				t.lists.note(t.list, p.At)
 			}
-			if p.Source == synop.SourceCore {
-				var core synop.Core
+			if p.Source == distribution.SourceCore {
+				var core distribution.Core
 				if _, err := core.UnmarshalMsg(p.Whole); err == nil {
 					t.learn(core.Pulls)
 				}
 			}
-			if p.Source == synop.SourceCrowd {
-				var crowd synop.Crowd
+			if p.Source == distribution.SourceCrowd {
+				var crowd distribution.Crowd
 				if _, err := crowd.UnmarshalMsg(p.Whole); err == nil {
 					t.proxies = crowd.Proxies
 				}
 			}
 			continue
 		}
-		pass.Pieces = append(pass.Pieces, p)
+		pass.Resources = append(pass.Resources, p)
 	}
 	lacking = t.store.Take(&pass, time.Now())
 	for _, source := range lacking {
@@ -215,9 +215,9 @@
 	}
 	t.log.Info("the control plane is silent: the platform's list is asked for here", zap.Int("backends", len(list.Backends)))
 	t.polled = b
-	delete(t.have, synop.SourceList) // what comes from there again is news
+	delete(t.have, distribution.SourceList) // what comes from there again is news
 	t.list.Count++
-	t.store.Set(synop.SourceList, t.list, b)
+	t.store.Set(distribution.SourceList, t.list, b)
 }
 
 // assumedProxies stands for how many others may ask as well, until that is known.
--- a/internal/fleet/telemeter/telemeter_test.go
+++ b/internal/fleet/telemeter/telemeter_test.go
@@ -9,9 +9,9 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
 
+	"molepaddle/internal/fleet/distribution"
 	"molepaddle/internal/fleet/screen"
 	"molepaddle/internal/fleet/siting"
-	"molepaddle/internal/fleet/synop"
 )
 
 // An observatory that is cut off from its primary still answers pulls; whoever follows it must leave it in time for a
@@ -25,17 +25,17 @@
 	set := siting.Settings{Nodename: "edge-1", Zone: "z", Ports: [2]int{ports.First, ports.First + 3}, Heartbeat: 1200 * time.Millisecond}
 	set.Bounds.Apply = 2 * time.Second
 	set.Bounds.Drain = time.Minute
-	stores := map[string]*synop.Store{}
+	stores := map[string]*distribution.Cache{}
 	for _, ip := range ips[:4] {
-		ln, err := net.Listen("tcp", synop.PullAddr(ip, set.Ports))
+		ln, err := net.Listen("tcp", distribution.PullAddr(ip, set.Ports))
 		c.Assert(err, qt.IsNil)
 		defer ln.Close()
-		s := synop.NewStore()
+		s := distribution.NewCache()
 		stores[ip] = s
-		s.Set(synop.SourceConfig, synop.Version{Count: 1}, []byte("old"))
+		s.Set(distribution.SourceConfig, distribution.Version{Count: 1}, []byte("old"))
 		stale := ip != ips[3]
 		s.Heard("primary", time.Now())
-		go synop.Serve(ctx, ln, ip, s, 10*time.Second, func() (time.Time, string) {
+		go distribution.Serve(ctx, ln, ip, s, 10*time.Second, func() (time.Time, string) {
 			if !stale {
 				s.Heard("primary", time.Now())
 			}
@@ -50,7 +50,7 @@
 		over := time.After(within)
 		for {
 			changed := tm.store.Changed()
-			if at, _ := tm.store.At(synop.SourceConfig); at.Count >= n {
+			if at, _ := tm.store.At(distribution.SourceConfig); at.Count >= n {
 				return time.Since(began)
 			}
 			select {
@@ -62,7 +62,7 @@
 	}
 	wait(1, 5*time.Second)
 	// Only the one that hears its primary gets the change, after all have been fresh for a moment.
-	stores[ips[3]].Set(synop.SourceConfig, synop.Version{Count: 2}, []byte("new"))
+	stores[ips[3]].Set(distribution.SourceConfig, distribution.Version{Count: 2}, []byte("new"))
 	took := wait(2, 10*time.Second)
 	c.Assert(took < 3*set.Bounds.Apply, qt.IsTrue, qt.Commentf("%v with three of four stale", took))
 	t.Logf("left the stale ones after %v", took)
@@ -81,20 +81,20 @@
 	set.Bounds.Drain = time.Minute
 	set.Seeds = []string{net.JoinHostPort(ips[0], "1")}
 	serve := func(ip string, version uint64, core ...string) (stop func()) {
-		ln, err := net.Listen("tcp", synop.PullAddr(ip, set.Ports))
+		ln, err := net.Listen("tcp", distribution.PullAddr(ip, set.Ports))
 		c.Assert(err, qt.IsNil)
-		s := synop.NewStore()
-		s.Set(synop.SourceConfig, synop.Version{Count: version}, []byte("x"))
+		s := distribution.NewCache()
+		s.Set(distribution.SourceConfig, distribution.Version{Count: version}, []byte("x"))
 		if len(core) > 0 {
-			b, err := (&synop.Core{Pulls: core}).MarshalMsg(nil)
+			b, err := (&distribution.Core{Pulls: core}).MarshalMsg(nil)
 			c.Assert(err, qt.IsNil)
-			s.Set(synop.SourceCore, synop.Version{Count: version}, b)
+			s.Set(distribution.SourceCore, distribution.Version{Count: version}, b)
 		}
 		term, end := context.WithCancel(ctx)
-		go synop.Serve(term, ln, ip, s, 10*time.Second, func() (time.Time, string) { s.Heard("p", time.Now()); return s.Fresh() })
+		go distribution.Serve(term, ln, ip, s, 10*time.Second, func() (time.Time, string) { s.Heard("p", time.Now()); return s.Fresh() })
 		return func() { end(); ln.Close() }
 	}
-	first := serve(ips[0], 1, synop.PullAddr(ips[1], set.Ports))
+	first := serve(ips[0], 1, distribution.PullAddr(ips[1], set.Ports))
 	tm := New(set, zap.NewNop())
 	tm.Seeds = func() []string { return []string{net.JoinHostPort(ips[2], "1")} }
 	go func() { _ = tm.Run(ctx) }()
@@ -102,7 +102,7 @@
 		over := time.After(10 * time.Second)
 		for {
 			changed := tm.store.Changed()
-			if at, _ := tm.store.At(synop.SourceConfig); at.Count >= n {
+			if at, _ := tm.store.At(distribution.SourceConfig); at.Count >= n {
 				return
 			}
 			select {
--- a/internal/fleet/vane/drawn_rig_test.go
+++ b/internal/fleet/vane/drawn_rig_test.go
@@ -19,9 +19,9 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"molepaddle/internal/fleet/distribution"
 	"molepaddle/internal/fleet/enclosure"
 	"molepaddle/internal/fleet/sonde"
-	"molepaddle/internal/fleet/synop"
 	"molepaddle/internal/protocol/transport"
 )
 
@@ -176,7 +176,7 @@
 	}
 	doc := fmt.Sprintf(`{"ver":%d,"routing":[%s],"tenants":[%s],"svcs":[{"name":"obs","probe":"/healthz"},{"name":"llm","probe":"/healthz",`+
 		`"runtime":{"capacity":8,"kv_ntok":1000000,"kv_tok_bytes":163840,"bw_mbps":8000000,"kv_ref_s":5}}]}`, d.version, strings.Join(routes, ","), strings.Join(tenants, ","))
-	d.v.take(&synop.News{Pieces: []synop.Piece{{Source: synop.SourceConfig, At: synop.Version{Epoch: 1, Count: uint64(d.version)}, Whole: []byte(doc)}}})
+	d.v.take(&distribution.Response{Resources: []distribution.Resource{{Source: distribution.SourceConfig, At: distribution.Version{Epoch: 1, Count: uint64(d.version)}, Whole: []byte(doc)}}})
 	if got := d.v.world.Load(); got == nil || got.version != int64(d.version) {
 		d.find("the proxy didn't take version %d: %s", d.version, doc)
 	}
@@ -184,16 +184,16 @@
 
 // relist gives the proxy the platform's list as it is.
 func (d *drawn) relist() {
-	var list synop.List
+	var list distribution.List
 	for _, n := range d.nodes {
 		if n.listed {
-			list.Backends = append(list.Backends, synop.Backend{ID: n.id, Service: n.service, Address: n.address, Zone: drawnZoneName(n.zone), Version: "v1", Capacity: 8,
+			list.Backends = append(list.Backends, distribution.Backend{ID: n.id, Service: n.service, Address: n.address, Zone: drawnZoneName(n.zone), Version: "v1", Capacity: 8,
 				Phase: n.phase, Draining: n.draining})
 		}
 	}
 	whole, _ := list.MarshalMsg(nil)
 	d.count++
-	d.v.take(&synop.News{Pieces: []synop.Piece{{Source: synop.SourceList, At: synop.Version{Epoch: 1, Count: d.count}, Whole: whole}}})
+	d.v.take(&distribution.Response{Resources: []distribution.Resource{{Source: distribution.SourceList, At: distribution.Version{Epoch: 1, Count: d.count}, Whole: whole}}})
 }
 
 // change has one thing happen.
--- a/internal/fleet/vane/enclosed_choice_test.go
+++ b/internal/fleet/vane/enclosed_choice_test.go
@@ -11,10 +11,10 @@
 	"pgregory.net/rapid"
 
 	"molepaddle/internal/fleet/almanac"
+	"molepaddle/internal/fleet/distribution"
 	"molepaddle/internal/fleet/enclosure"
 	"molepaddle/internal/fleet/isobar"
 	"molepaddle/internal/fleet/sonde"
-	"molepaddle/internal/fleet/synop"
 	"molepaddle/internal/protocol/transport"
 	"molepaddle/policy"
 )
@@ -41,11 +41,11 @@
 		ground := testGround(testZones)
 		s := newService("llm", ground, time.Second)
 		s.configure(runtimeOf(rapid.IntRange(1, 8).Draw(r, "capacity")))
-		draw := func() (all []synop.Backend) {
+		draw := func() (all []distribution.Backend) {
 			for i := range rapid.IntRange(0, 12).Draw(r, "backends") {
-				all = append(all, synop.Backend{ID: fmt.Sprintf("b%d", i), Address: fmt.Sprintf("10.0.0.%d:80", rapid.IntRange(1, 14).Draw(r, "address")),
+				all = append(all, distribution.Backend{ID: fmt.Sprintf("b%d", i), Address: fmt.Sprintf("10.0.0.%d:80", rapid.IntRange(1, 14).Draw(r, "address")),
 					Zone:     rapid.SampledFrom(zoneNames).Draw(r, "zone"),
-					Phase:    rapid.SampledFrom([]string{sonde.PhasePrefill, sonde.PhaseDecode, sonde.PhaseDecode, synop.PhaseChanging}).Draw(r, "phase"),
+					Phase:    rapid.SampledFrom([]string{sonde.PhasePrefill, sonde.PhaseDecode, sonde.PhaseDecode, distribution.PhaseChanging}).Draw(r, "phase"),
 					Draining: rapid.IntRange(0, 4).Draw(r, "draining") == 0})
 			}
 			return all
@@ -82,7 +82,7 @@
 				terms = enclosure.Terms{}
 			}
 			tried := map[string]bool{}
-			permitted := func(b synop.Backend) bool {
+			permitted := func(b distribution.Backend) bool {
 				region := testZones[b.Zone] // independent of what the package makes of it
 				if !terms.Bound() {
 					return true
@@ -94,7 +94,7 @@
 				}
 				return false
 			}
-			byID := map[string]synop.Backend{}
+			byID := map[string]distribution.Backend{}
 			anywhere, decodes := false, false
 			for _, b := range list {
 				if next(6) == 0 {
@@ -156,13 +156,13 @@
 		b.Run(one.name, func(b *testing.B) {
 			s := newService("llm", testGround(testZones), time.Second)
 			s.configure(runtimeOf(64))
-			var list []synop.Backend
+			var list []distribution.Backend
 			for i := range 9 {
 				phase := sonde.PhaseDecode
 				if i%3 == 0 {
 					phase = sonde.PhasePrefill
 				}
-				list = append(list, synop.Backend{ID: fmt.Sprintf("b%d", i), Address: fmt.Sprintf("10.0.0.%d:80", i), Zone: []string{"e1", "m1", "w1"}[i/3], Phase: phase})
+				list = append(list, distribution.Backend{ID: fmt.Sprintf("b%d", i), Address: fmt.Sprintf("10.0.0.%d:80", i), Zone: []string{"e1", "m1", "w1"}[i/3], Phase: phase})
 			}
 			s.list(list)
 			prompt := &isobar.Prompt{In: 6300, Out: 2, Parts: []isobar.Part{{Chain: 1, Tokens: 6000}, {Chain: 2, Tokens: 300}}}
--- a/internal/fleet/vane/enclosed_rig_test.go
+++ b/internal/fleet/vane/enclosed_rig_test.go
@@ -14,9 +14,9 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
 
+	"molepaddle/internal/fleet/distribution"
 	"molepaddle/internal/fleet/screen"
 	"molepaddle/internal/fleet/siting"
-	"molepaddle/internal/fleet/synop"
 )
 
 // The deployment of these tests: three regions, two zones each; what is asked for comes from east.
@@ -36,7 +36,7 @@
 	v       *Vane
 	server  *httptest.Server
 	engines []*screen.Engine
-	listed  []synop.Backend
+	listed  []distribution.Backend
 	client  *screen.Client
 	count   uint64 // versions of the list
 	version int
@@ -110,26 +110,26 @@
 }
 
 // entry is an engine as the platform lists it.
-func entry(e *screen.Engine) synop.Backend {
+func entry(e *screen.Engine) distribution.Backend {
 	s := e.Settings()
-	return synop.Backend{ID: e.ID(), Service: s.Service, Address: e.Address(), Zone: s.Zone, Version: "v1", Capacity: s.Capacity, Phase: string(s.Phase)}
+	return distribution.Backend{ID: e.ID(), Service: s.Service, Address: e.Address(), Zone: s.Zone, Version: "v1", Capacity: s.Capacity, Phase: string(s.Phase)}
 }
 
 // list has the proxy told of these engines.
 func (r *rig) list(engines ...*screen.Engine) {
-	var all []synop.Backend
+	var all []distribution.Backend
 	for _, e := range engines {
 		all = append(all, entry(e))
 	}
 	r.relist(all)
 }
 
-func (r *rig) relist(all []synop.Backend) {
+func (r *rig) relist(all []distribution.Backend) {
 	r.listed = all
-	whole, err := (&synop.List{Backends: all}).MarshalMsg(nil)
+	whole, err := (&distribution.List{Backends: all}).MarshalMsg(nil)
 	r.Assert(err, qt.IsNil)
 	r.count++
-	r.v.take(&synop.News{Pieces: []synop.Piece{{Source: synop.SourceList, At: synop.Version{Epoch: 1, Count: r.count}, Whole: whole}}})
+	r.v.take(&distribution.Response{Resources: []distribution.Resource{{Source: distribution.SourceList, At: distribution.Version{Epoch: 1, Count: r.count}, Whole: whole}}})
 }
 
 // document is the configuration of these tests; terms: the item of tenants, empty for none at all.
@@ -154,7 +154,7 @@
 // configure gives the proxy a configuration in which the tenant may be held in the regions given; none: there is no tenant.
 func (r *rig) configure(regions ...string) {
 	doc := r.document(regions...)
-	r.v.take(&synop.News{Pieces: []synop.Piece{{Source: synop.SourceConfig, At: synop.Version{Epoch: 1, Count: uint64(r.version)}, Whole: doc}}})
+	r.v.take(&distribution.Response{Resources: []distribution.Resource{{Source: distribution.SourceConfig, At: distribution.Version{Epoch: 1, Count: uint64(r.version)}, Whole: doc}}})
 	r.Assert(r.v.world.Load().version, qt.Equals, int64(r.version))
 	r.history = append(r.history, screen.Term{From: time.Now(), Regions: regions})
 }
--- a/internal/fleet/vane/enclosed_test.go
+++ b/internal/fleet/vane/enclosed_test.go
@@ -13,9 +13,9 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
 
+	"molepaddle/internal/fleet/distribution"
 	"molepaddle/internal/fleet/enclosure"
 	"molepaddle/internal/fleet/screen"
-	"molepaddle/internal/fleet/synop"
 )
 
 var allHeld = []string{"held", "once", "read", "post"}
@@ -293,7 +293,7 @@
 	done := make(chan []screen.Result)
 	go func() { done <- r.burst(2, [2]int{400, 100}, "once") }()
 	r.awaitBegun(2)
-	list := append([]synop.Backend{}, r.listed...)
+	list := append([]distribution.Backend{}, r.listed...)
 	for i := range list {
 		if list[i].Zone == "e1" {
 			list[i].Zone = "w1" // where it was all along
@@ -344,23 +344,23 @@
 	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
 	defer cancel()
 	defer ln.Close()
-	store := synop.NewStore()
-	go synop.Serve(ctx, ln, "telemeter", store, time.Minute, store.Fresh)
+	store := distribution.NewCache()
+	go distribution.Serve(ctx, ln, "telemeter", store, time.Minute, store.Fresh)
 	port := ln.Addr().(*net.TCPAddr).Port
 	set := testSettings(testZones)
 	set.Ports = [2]int{port - 2, port}
 	set.Heartbeat = 50 * time.Millisecond
 	v := New(ctx, set, zap.NewNop())
 	defer v.pool.Close()
-	list, err := (&synop.List{Backends: r.listed}).MarshalMsg(nil)
+	list, err := (&distribution.List{Backends: r.listed}).MarshalMsg(nil)
 	r.Assert(err, qt.IsNil)
-	store.Set(synop.SourceList, synop.Version{Epoch: 1, Count: 1}, list)
-	store.Set(synop.SourceConfig, synop.Version{Epoch: 1, Count: 1}, r.document("east"))
+	store.Set(distribution.SourceList, distribution.Version{Epoch: 1, Count: 1}, list)
+	store.Set(distribution.SourceConfig, distribution.Version{Epoch: 1, Count: 1}, r.document("east"))
 	fed, taken := make(chan error, 1), make(chan struct{}, 8)
 	go func() {
-		fed <- synop.Follow(ctx, synop.TelemeterAddr(set.Ports), &synop.Follower{Name: "edge-1", Wait: time.Second, Silence: testPatience,
-			Members: func() []synop.Member { return nil }, Have: func() map[string]synop.Version { return maps.Clone(v.have) },
-			Take: func(n *synop.News) []string {
+		fed <- distribution.Follow(ctx, distribution.TelemeterAddr(set.Ports), &distribution.Follower{Name: "edge-1", Wait: time.Second, Silence: testPatience,
+			Members: func() []distribution.Member { return nil }, Have: func() map[string]distribution.Version { return maps.Clone(v.have) },
+			Take: func(n *distribution.Response) []string {
 				v.take(n)
 				select {
 				case taken <- struct{}{}:
@@ -385,8 +385,8 @@
 	}
 	awaits(enclosure.Within("east"))
 	body := fmt.Sprintf(`{"ver":%d,"upsert":{"tenants":[{"name":"held","regions":["mid"]}]}}`, r.version+1)
-	r.Assert(store.Append(synop.SourceConfig, synop.Version{Epoch: 1, Count: 1}, synop.Version{Epoch: 1, Count: 2},
-		synop.Change{At: synop.Version{Epoch: 1, Count: 2}, Body: []byte(body)}), qt.IsTrue)
+	r.Assert(store.Append(distribution.SourceConfig, distribution.Version{Epoch: 1, Count: 1}, distribution.Version{Epoch: 1, Count: 2},
+		distribution.Change{At: distribution.Version{Epoch: 1, Count: 2}, Body: []byte(body)}), qt.IsTrue)
 	awaits(enclosure.Within("mid"))
 	cancel()
 	<-fed
--- a/internal/fleet/vane/feed.go
+++ b/internal/fleet/vane/feed.go
@@ -9,19 +9,19 @@
 	"go.uber.org/zap"
 
 	"molepaddle/internal/fleet/almanac"
-	"molepaddle/internal/fleet/synop"
+	"molepaddle/internal/fleet/distribution"
 )
 
 // feed pulls from the telemeter for as long as the process lives.
 func (v *Vane) feed(ctx context.Context) {
-	pause := synop.Pause{Least: 5 * time.Millisecond, Most: 100 * time.Millisecond}
+	pause := distribution.Pause{Least: 5 * time.Millisecond, Most: 100 * time.Millisecond}
 	for ctx.Err() == nil {
 		began := time.Now()
-		err := synop.Follow(ctx, synop.TelemeterAddr(v.set.Ports), &synop.Follower{Name: v.set.Nodename, Wait: v.set.Heartbeat, Silence: time.Second,
-			Members: func() []synop.Member { return []synop.Member{v.member(time.Now())} },
-			Have:    func() map[string]synop.Version { return maps.Clone(v.have) },
-			Take:    func(n *synop.News) []string { v.take(n); return nil },
-			Rested:  func(now time.Time) *synop.Outbox { v.enclosed.hand(now, v.rested, false); return v.rested }})
+		err := distribution.Follow(ctx, distribution.TelemeterAddr(v.set.Ports), &distribution.Follower{Name: v.set.Nodename, Wait: v.set.Heartbeat, Silence: time.Second,
+			Members: func() []distribution.Member { return []distribution.Member{v.member(time.Now())} },
+			Have:    func() map[string]distribution.Version { return maps.Clone(v.have) },
+			Take:    func(n *distribution.Response) []string { v.take(n); return nil },
+			Rested:  func(now time.Time) *distribution.Outbox { v.enclosed.hand(now, v.rested, false); return v.rested }})
 		if ctx.Err() != nil {
 			return
 		}
@@ -31,8 +31,8 @@
 }
 
 // member is this proxy as its lease tells of it.
-func (v *Vane) member(now time.Time) synop.Member {
-	m := synop.Member{Name: v.set.Nodename, Zone: v.set.Zone, List: v.have[synop.SourceList]}
+func (v *Vane) member(now time.Time) distribution.Member {
+	m := distribution.Member{Name: v.set.Nodename, Zone: v.set.Zone, List: v.have[distribution.SourceList]}
 	if v.doc != nil {
 		m.Config, m.SinceM = v.doc.Version(), now.Sub(v.docAt).Milliseconds()
 	}
@@ -40,26 +40,26 @@
 }
 
 // take takes news; what can't be used is asked for anew, whole.
-func (v *Vane) take(n *synop.News) {
+func (v *Vane) take(n *distribution.Response) {
 	news := false
-	for i := range n.Pieces {
-		p := &n.Pieces[i]
+	for i := range n.Resources {
+		p := &n.Resources[i]
 		if err := v.takePiece(p); err != nil {
 			v.log.Warn("news not understood", zap.String("source", p.Source), zap.Error(err))
 			delete(v.have, p.Source)
 			continue
 		}
 		v.have[p.Source] = p.At
-		news = news || p.Source != synop.SourceGauges
+		news = news || p.Source != distribution.SourceGauges
 	}
 	if news {
 		v.turn()
 	}
 }
 
-func (v *Vane) takePiece(p *synop.Piece) error {
+func (v *Vane) takePiece(p *distribution.Resource) error {
 	switch p.Source {
-	case synop.SourceConfig:
+	case distribution.SourceConfig:
 		doc := v.doc
 		if p.Whole != nil {
 			d, found := almanac.Decode(p.Whole)
@@ -85,20 +85,20 @@
 			v.doc, v.docAt = doc, time.Now()
 			v.log.Info("configuration in force", zap.Int64("version", doc.Version()), zap.Int("routes", doc.NumRoutes()))
 		}
-	case synop.SourceList:
-		var list synop.List
+	case distribution.SourceList:
+		var list distribution.List
 		if _, err := list.UnmarshalMsg(p.Whole); err != nil {
 			return err
 		}
 		v.list, v.listed = list, true
-	case synop.SourceCrowd:
-		var crowd synop.Crowd
+	case distribution.SourceCrowd:
+		var crowd distribution.Crowd
 		if _, err := crowd.UnmarshalMsg(p.Whole); err != nil {
 			return err
 		}
 		v.proxies = max(crowd.Proxies, 1)
-	case synop.SourceGauges:
-		var gauges synop.Gauges
+	case distribution.SourceGauges:
+		var gauges distribution.Gauges
 		if _, err := gauges.UnmarshalMsg(p.Whole); err != nil {
 			return err
 		}
@@ -116,7 +116,7 @@
 	}
 	w := &world{index: almanac.NewIndex(v.doc), limits: v.doc.Limits(), services: map[string]*service{}, version: v.doc.Version()}
 	w.enclose(v.doc)
-	parts := map[string][]synop.Backend{}
+	parts := map[string][]distribution.Backend{}
 	for _, b := range v.list.Backends {
 		parts[b.Service] = append(parts[b.Service], b)
 	}
--- a/internal/fleet/vane/ledger.go
+++ b/internal/fleet/vane/ledger.go
@@ -8,8 +8,8 @@
 
 	"go.uber.org/zap"
 
+	"molepaddle/internal/fleet/distribution"
 	"molepaddle/internal/fleet/raingauge"
-	"molepaddle/internal/fleet/synop"
 )
 
 // use is what a send is for.
@@ -125,7 +125,7 @@
 
 // hand puts what changed in the ledger into batches, where that is due or the process ends. Nothing is done while nothing
 // changed; while the control plane keeps nothing, what changes waits in the ledger.
-func (e *enclosed) hand(now time.Time, out *synop.Outbox, ending bool) {
+func (e *enclosed) hand(now time.Time, out *distribution.Outbox, ending bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	l := &e.ledger
@@ -174,11 +174,11 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), handOverWithin)
 	defer cancel()
-	_ = synop.Follow(ctx, synop.TelemeterAddr(v.set.Ports), &synop.Follower{Name: v.set.Nodename, Silence: handOverWithin,
-		Members: func() []synop.Member { return nil },
-		Have:    func() map[string]synop.Version { return nil },
-		Take:    func(*synop.News) []string { return nil },
-		Rested:  func(time.Time) *synop.Outbox { return v.rested },
+	_ = distribution.Follow(ctx, distribution.TelemeterAddr(v.set.Ports), &distribution.Follower{Name: v.set.Nodename, Silence: handOverWithin,
+		Members: func() []distribution.Member { return nil },
+		Have:    func() map[string]distribution.Version { return nil },
+		Take:    func(*distribution.Response) []string { return nil },
+		Rested:  func(time.Time) *distribution.Outbox { return v.rested },
 		Ends:    true})
 }
 
--- a/internal/fleet/vane/ledger_test.go
+++ b/internal/fleet/vane/ledger_test.go
@@ -8,9 +8,9 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
 
+	"molepaddle/internal/fleet/distribution"
 	"molepaddle/internal/fleet/enclosure"
 	"molepaddle/internal/fleet/raingauge"
-	"molepaddle/internal/fleet/synop"
 )
 
 // noter notes sends by hand, for tests of the ledger.
@@ -37,7 +37,7 @@
 	c := qt.New(t)
 	e, east, west := newNoter(c)
 	at := func(s int) time.Time { return time.Unix(1_000_000+int64(s), 0) }
-	out := synop.NewOutbox()
+	out := distribution.NewOutbox()
 	open := func() []raingauge.Batch { all, _ := out.Open(); return all }
 
 	e.hand(at(0), out, false)
@@ -91,7 +91,7 @@
 	c := qt.New(t)
 	e, east, _ := newNoter(c)
 	now := time.Unix(1_000_000, 0)
-	out := synop.NewOutbox()
+	out := distribution.NewOutbox()
 	const tenants, rounds = raingauge.MaxBatch + 44, 40
 	sums := map[raingauge.Pair]int64{}
 	last := uint64(0)
--- a/internal/fleet/vane/place_test.go
+++ b/internal/fleet/vane/place_test.go
@@ -7,10 +7,10 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"molepaddle/internal/fleet/distribution"
 	"molepaddle/internal/fleet/enclosure"
 	"molepaddle/internal/fleet/isobar"
 	"molepaddle/internal/fleet/sonde"
-	"molepaddle/internal/fleet/synop"
 	"molepaddle/policy"
 )
 
@@ -18,9 +18,9 @@
 func engineService(capacity, prefill, decode int) *service {
 	s := newService("llm", testGround(testZones), time.Second)
 	s.configure(runtimeOf(capacity))
-	var list []synop.Backend
+	var list []distribution.Backend
 	for i := range prefill + decode {
-		b := synop.Backend{ID: fmt.Sprintf("p%d", i), Address: fmt.Sprintf("10.0.0.%d:80", i+1), Zone: "e1", Phase: sonde.PhasePrefill}
+		b := distribution.Backend{ID: fmt.Sprintf("p%d", i), Address: fmt.Sprintf("10.0.0.%d:80", i+1), Zone: "e1", Phase: sonde.PhasePrefill}
 		if i >= prefill {
 			b.ID, b.Phase = fmt.Sprintf("d%d", i-prefill), sonde.PhaseDecode
 		}
--- a/internal/fleet/vane/service.go
+++ b/internal/fleet/vane/service.go
@@ -9,17 +9,17 @@
 	"time"
 
 	"molepaddle/internal/fleet/almanac"
+	"molepaddle/internal/fleet/distribution"
 	"molepaddle/internal/fleet/enclosure"
 	"molepaddle/internal/fleet/isobar"
 	"molepaddle/internal/fleet/sonde"
-	"molepaddle/internal/fleet/synop"
 	"molepaddle/internal/fleet/windrose"
 	"molepaddle/policy"
 )
 
 // backend is a listed backend with its plot, which holds the connections to it.
 type backend struct {
-	synop.Backend
+	distribution.Backend
 	plot *enclosure.Plot
 }
 
@@ -68,7 +68,7 @@
 }
 
 // list takes the service's part of the platform's list.
-func (s *service) list(all []synop.Backend) {
+func (s *service) list(all []distribution.Backend) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	listed := make(map[string]bool, len(all))
@@ -176,7 +176,7 @@
 		return
 	}
 	least := 0
-	if len(active) >= synop.MaxGauges {
+	if len(active) >= distribution.MaxGauges {
 		least = slices.Min(slices.Collect(maps.Values(active)))
 	}
 	now := s.now()
--- a/internal/fleet/vane/vane.go
+++ b/internal/fleet/vane/vane.go
@@ -18,9 +18,9 @@
 
 	"molepaddle/internal/decide/lifecycle"
 	"molepaddle/internal/fleet/almanac"
+	"molepaddle/internal/fleet/distribution"
 	"molepaddle/internal/fleet/enclosure"
 	"molepaddle/internal/fleet/siting"
-	"molepaddle/internal/fleet/synop"
 	"molepaddle/internal/protocol/sockets"
 	"molepaddle/internal/protocol/transport"
 )
@@ -40,14 +40,14 @@
 	background sync.WaitGroup
 	statuses   *xsync.Map[int, *xsync.Counter]
 	enclosed   *enclosed
-	rested     *synop.Outbox // batches of the ledger, until they are kept
+	rested     *distribution.Outbox // batches of the ledger, until they are kept
 
 	// What follows belongs to the feed's goroutine.
-	have     map[string]synop.Version
+	have     map[string]distribution.Version
 	services map[string]*service
 	doc      *almanac.Document
 	docAt    time.Time // when that came into force
-	list     synop.List
+	list     distribution.List
 	listed   bool
 	proxies  int
 }
@@ -75,8 +75,8 @@
 		files = 1024
 	}
 	room := max(files-reserved, 64)
-	v := &Vane{ctx: ctx, set: set, log: log, life: lifecycle.New(), served: make(chan struct{}), have: map[string]synop.Version{}, services: map[string]*service{}, proxies: assumedProxies,
-		statuses: xsync.NewMap[int, *xsync.Counter](), enclosed: newEnclosed(), rested: synop.NewOutbox()}
+	v := &Vane{ctx: ctx, set: set, log: log, life: lifecycle.New(), served: make(chan struct{}), have: map[string]distribution.Version{}, services: map[string]*service{}, proxies: assumedProxies,
+		statuses: xsync.NewMap[int, *xsync.Counter](), enclosed: newEnclosed(), rested: distribution.NewOutbox()}
 	dialer := &net.Dialer{KeepAlive: -1, Control: sockets.UserTimeout(set.Bounds.Contact)}
 	pool := transport.New(transport.Options{Dial: dialer.DialContext, Timeout: connectWithin, Idle: 10 * time.Second, Most: room / 2,
 		Settle: time.Millisecond, Resting: 4})
