Package observatory becomes controlplane, its role control-plane

Ruled out: a change of behaviour: files move, identifiers and comments follow, formats on the wire and on disk stay as they were.

--- a/cmd/station-scale/main.go
+++ b/cmd/station-scale/main.go
@@ -17,7 +17,7 @@
 )
 
 type cli struct {
-	Run    runCmd    `cmd:"" help:"Play real observatories, a real telemeter and vane, hollow agents and a hollow platform; write what they use."`
+	Run    runCmd    `cmd:"" help:"Play real control servers, a real telemeter and vane, hollow agents and a hollow platform; write what they use."`
 	Proxy  proxyCmd  `cmd:"" help:"Play a real vane between hollow clients and hollow backends; write what a request and an event cost it."`
 	Agents agentsCmd `cmd:"" hidden:"" help:"Hollow agents of one process; run starts it."`
 }
@@ -74,7 +74,7 @@
 type agentsCmd struct {
 	First int           `help:"Number of the first."`
 	Count int           `help:"How many."`
-	At    []string      `help:"Where observatories answer pulls."`
+	At    []string      `help:"Where control servers answer pulls."`
 	Beat  time.Duration `help:"heartbeat_ms of the settings."`
 	Apply time.Duration `help:"apply_ms of the settings."`
 }
--- a/cmd/station/control_test.go
+++ b/cmd/station/control_test.go
@@ -92,7 +92,7 @@
 	s.was, s.doc, s.looks = s.doc, next, 0
 }
 
-// residency tells of two tenants, as an observatory does.
+// residency tells of two tenants, as a control server does.
 func (s *control) residency(w http.ResponseWriter, r *http.Request) {
 	at := time.Date(2026, time.December, 1, 8, 0, 0, 0, time.UTC)
 	tenant, route := r.URL.Query().Get(sonde.QueryTenant), r.URL.Query().Get(sonde.QueryRoute)
@@ -113,7 +113,7 @@
 	_ = json.NewEncoder(w).Encode(answer)
 }
 
-// no answers as an observatory refuses.
+// no answers as a control server refuses.
 func no(w http.ResponseWriter, status int, why string, in almanac.Findings) {
 	w.WriteHeader(status)
 	list := []map[string]string{}
@@ -340,7 +340,7 @@
 		c.Check(out, qt.Equals, "")
 		c.Check(errOut, qt.Matches, "(?s)station: .+\n")
 	}
-	for _, program := range []string{"vane", "telemeter", "observatory"} {
+	for _, program := range []string{"vane", "telemeter", "control-plane"} {
 		code, _, errOut := station(t, program)
 		c.Check(code, qt.Equals, exitNo)
 		c.Check(errOut, qt.Equals, "station: no settings file: MOLEPADDLE_CONFIG or --settings gives its path\n")
--- a/cmd/station/core_test.go
+++ b/cmd/station/core_test.go
@@ -46,7 +46,7 @@
 	case <-ctx.Done():
 		t.Fatal("no changes are acknowledged")
 	}
-	primary.kill("observatory")
+	primary.kill("control-plane")
 	var acked []uint64
 	at := time.Now()
 	for o := range outcomes {
@@ -77,7 +77,7 @@
 	load := f.traffic([]int{0, 1}, onAdded(2)) // no proxy goes back to an older version
 	var all sync.WaitGroup
 	for _, m := range f.core {
-		all.Go(func() { m.kill("observatory") })
+		all.Go(func() { m.kill("control-plane") })
 	}
 	all.Wait()
 	load.goesOn(40, 0, 1)
@@ -88,7 +88,7 @@
 	f.until(patient, "a new backend is sent to", func() bool { return began([]*screen.Engine{fresh}) > 0 })
 	t.Logf("a new backend was sent to %v after it was added", time.Since(alone))
 	for _, m := range f.core {
-		m.start("observatory")
+		m.start("control-plane")
 	}
 	back := time.Now()
 	f.holds(2)
@@ -110,9 +110,9 @@
 	f.add(2)
 	load := f.traffic([]int{0, 1})
 	lost := f.primary()
-	lost.kill("observatory")
+	lost.kill("control-plane")
 	lost.settings.DataDir = "" // a new one, empty
-	lost.start("observatory")
+	lost.start("control-plane")
 	back := time.Now()
 	f.holds(2)
 	// A machine that is no member knows no primary to send a caller to.
@@ -126,7 +126,7 @@
 		t.Logf("%s leads after %s", now.settings.Node, from.settings.Node)
 		from = now
 	}
-	from.kill("observatory")
+	from.kill("control-plane")
 	killed := time.Now()
 	f.holds(2, 3)
 	rep := f.add(4)
--- a/cmd/station/demofleet.go
+++ b/cmd/station/demofleet.go
@@ -113,7 +113,7 @@
 	for i, ip := range coreIPs {
 		set := usual
 		set.Tier, set.Node, set.IP, set.Zone, set.Bootstrap, set.Voting = "core", fmt.Sprintf("core-%d", i+1), ip, zones[i], true, true
-		f.core = append(f.core, f.machine(set, "observatory"))
+		f.core = append(f.core, f.machine(set, "control-plane"))
 	}
 	for i, ip := range edgeIPs {
 		set := usual
--- a/cmd/station/fleet_test.go
+++ b/cmd/station/fleet_test.go
@@ -143,14 +143,14 @@
 	for i, ip := range coreIPs {
 		s := settings
 		s.Tier, s.Node, s.IP, s.Zone, s.Bootstrap, s.Voting = "core", fmt.Sprintf("core-%d", i+1), ip, zones[i], true, true
-		f.core = append(f.core, &machine{f: f, settings: s, roles: []string{"observatory"}})
+		f.core = append(f.core, &machine{f: f, settings: s, roles: []string{"control-plane"}})
 	}
 	for i, ip := range edgeIPs {
 		s := settings
 		s.Tier, s.Node, s.IP, s.Zone = "edge", fmt.Sprintf("edge-%d", i+1), ip, zones[i]
 		if i > 0 {
 			// Telemeters feed their proxies at a port of 127.0.0.1, which machines don't share and these here do. This
-			// one gets ports of its own, and finds the observatories there by way of relays.
+			// one gets ports of its own, and finds the control servers there by way of relays.
 			s.Ports = screen.ChoosePorts(c, 4, all...)
 			for _, core := range coreIPs {
 				screen.PassOn(c, net.JoinHostPort(core, strconv.Itoa(s.Ports.First+1)), net.JoinHostPort(core, strconv.Itoa(ports.First+1)))
--- a/cmd/station/main.go
+++ b/cmd/station/main.go
@@ -1,5 +1,5 @@
 // Command station is the programs of the router fleet: the proxy (vane), the agent beside it (telemeter) and the
-// control plane (observatory). The platform names their settings file in MOLEPADDLE_CONFIG. The other commands are the
+// control plane (control server). The platform names their settings file in MOLEPADDLE_CONFIG. The other commands are the
 // operator's: they check files, and show and change the configuration.
 package main
 
@@ -31,9 +31,9 @@
 	LogLevel    string      `help:"Least level of log lines: debug, info, warn or error." default:"info" enum:"debug,info,warn,error"`
 	ShowVersion versionFlag `name:"version" help:"Tell the build and end."`
 
-	Vane        vaneCmd        `cmd:"" group:"Programs" help:"Run the proxy that takes clients' requests."`
-	Telemeter   telemeterCmd   `cmd:"" group:"Programs" help:"Run the agent that links a proxy to the control plane."`
-	Observatory observatoryCmd `cmd:"" group:"Programs" help:"Run a machine of the control plane."`
+	Vane         vaneCmd         `cmd:"" group:"Programs" help:"Run the proxy that takes clients' requests."`
+	Telemeter    telemeterCmd    `cmd:"" group:"Programs" help:"Run the agent that links a proxy to the control plane."`
+	ControlPlane controlPlaneCmd `cmd:"" group:"Programs" help:"Run a machine of the control plane."`
 
 	Check      checkCmd                     `cmd:"" group:"For operators" help:"Check settings files and configurations."`
 	Show       showCmd                      `cmd:"" group:"For operators" help:"Show the configuration in force."`
--- a/cmd/station/programs.go
+++ b/cmd/station/programs.go
@@ -12,16 +12,16 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
-	"molepaddle/internal/fleet/observatory"
+	"molepaddle/internal/fleet/controlplane"
 	"molepaddle/internal/fleet/siting"
 	"molepaddle/internal/fleet/telemeter"
 	"molepaddle/internal/fleet/vane"
 )
 
 type (
-	vaneCmd        struct{}
-	telemeterCmd   struct{}
-	observatoryCmd struct {
+	vaneCmd         struct{}
+	telemeterCmd    struct{}
+	controlPlaneCmd struct {
 		Readings time.Duration `help:"Least time between two writes of where tenants' data rested." default:"30s"`
 	}
 )
@@ -46,12 +46,12 @@
 	})
 }
 
-func (c observatoryCmd) Run(a *app) error {
+func (c controlPlaneCmd) Run(a *app) error {
 	if c.Readings <= 0 {
 		return coded{errors.New("--readings: must be above 0"), exitUsage}
 	}
 	return a.program(func(ctx context.Context, set siting.Settings, log *zap.Logger) error {
-		o, err := observatory.New(set, log, rand.Uint64)
+		o, err := controlplane.New(set, log, rand.Uint64)
 		if err != nil {
 			return err
 		}
--- a/cmd/station/residency_test.go
+++ b/cmd/station/residency_test.go
@@ -50,7 +50,7 @@
 // TestResidencyOutlives kills a proxy, its telemeter, the primary and at last the whole core, one after the other, with
 // requests of a tenant in between: the report tells the earliest time all along, and counts each request once.
 func TestResidencyOutlives(t *testing.T) {
-	f := newFleet(t, plan{flags: map[string][]string{"observatory": {"--readings", "200ms"}}})
+	f := newFleet(t, plan{flags: map[string][]string{"control-plane": {"--readings", "200ms"}}})
 	rep, err := f.operator.Update(f.within(patient), f.version, object{"ver": f.version + 1, "upsert": object{
 		"tenants": list{object{"name": "labs", "regions": list{"kanto"}}, object{"name": "idle", "regions": list{"kanto"}}},
 		"routing": list{object{"name": "held", "hostname": "held.example", "pfx": "/", "kind": "readonly", "deadline_ms": 4000, "svc": lookups, "tenant": "labs"}}}})
@@ -106,21 +106,21 @@
 	primary := f.primary()
 	ask(0, 1)
 	ask(1, 1)
-	primary.kill("observatory") // some of it may be on its way
+	primary.kill("control-plane") // some of it may be on its way
 	ask(0, 3)
-	primary.start("observatory")
+	primary.start("control-plane")
 	since("the primary's kill")
 
 	ask(1, 2)
 	var all sync.WaitGroup
 	for _, m := range f.core {
-		all.Go(func() { m.kill("observatory") })
+		all.Go(func() { m.kill("control-plane") })
 	}
 	all.Wait()
 	ask(0, 2)
 	ask(1, 2)
 	for _, m := range f.core {
-		m.start("observatory")
+		m.start("control-plane")
 	}
 	since("a kill of the whole core")
 
@@ -156,7 +156,7 @@
 
 // TestNoTermsNoReadings has no tenant: nothing of a report is ever written, and the record takes the operator's changes alone.
 func TestNoTermsNoReadings(t *testing.T) {
-	f := newFleet(t, plan{flags: map[string][]string{"observatory": {"--readings", "1ms"}}})
+	f := newFleet(t, plan{flags: map[string][]string{"control-plane": {"--readings", "1ms"}}})
 	load := f.traffic([]int{0, 1})
 	load.goesOn(40, 0, 1)
 	load.stop()
@@ -167,7 +167,7 @@
 		f.Assert(json.Unmarshal([]byte(out), &report), qt.IsNil)
 		f.Assert(report.Rested, qt.HasLen, 0)
 		f.Assert(report.Seq, qt.Equals, f.version, qt.Commentf("one change for each version"))
-		f.Assert(strings.Contains(m.programs["observatory"].Output(), "reading"), qt.IsFalse)
+		f.Assert(strings.Contains(m.programs["control-plane"].Output(), "reading"), qt.IsFalse)
 	}
 	f.judge()
 }
--- a/cmd/station/status_test.go
+++ b/cmd/station/status_test.go
@@ -48,7 +48,7 @@
 	primary := f.primary()
 	f.watch(exitDone, "1")
 
-	// Any observatory is asked, the primary tells.
+	// Any control server is asked, the primary tells.
 	for _, m := range f.core {
 		s := f.stands(m)
 		f.Check(s.From, qt.Equals, primary.settings.Node)
@@ -126,7 +126,7 @@
 	f.ready(f.edge[1])
 
 	// With the primary gone, the next one tells, and waits until it knows all agents.
-	primary.kill("observatory")
+	primary.kill("control-plane")
 	out = f.watch(exitDone, "3")
 	t.Logf("after the loss of the primary:\n%s", out)
 	f.Check(out, qt.Contains, "the primary is new and may not have heard all")
@@ -147,7 +147,7 @@
 	var left *machine
 	for _, m := range f.core {
 		if m == primary || left != nil {
-			m.kill("observatory")
+			m.kill("control-plane")
 		} else {
 			left = m
 		}
--- a/cmd/station/text.go
+++ b/cmd/station/text.go
@@ -14,7 +14,7 @@
 	"molepaddle/internal/fleet/almanac"
 )
 
-// maxFile bounds a file that is read, in bytes; the observatory takes bodies of 16 MiB.
+// maxFile bounds a file that is read, in bytes; the control server takes bodies of 16 MiB.
 const maxFile = 64 << 20
 
 // readFile reads a file of the operator's; an error ends with exitUsage.
--- a/internal/fleet/observatory/observatory.go
+++ b/internal/fleet/controlplane/controlplane.go
@@ -1,6 +1,6 @@
-// Package observatory is the control plane's program: the core machines that keep the record, poll the platform's
+// Package controlplane is the control plane's program: the core machines that keep the record, poll the platform's
 // list for all, and answer pulls and the operator. What is decided stands in replication; this is its driver.
-package observatory
+package controlplane
 
 import (
 	"context"
@@ -20,8 +20,8 @@
 	"molepaddle/internal/fleet/statestore"
 )
 
-// Observatory is one core machine's program.
-type Observatory struct {
+// Server is one core machine's program.
+type Server struct {
 	// Readings is the least time between two readings of where tenants' data rested; New sets DefaultReadings.
 	Readings time.Duration
 
@@ -55,7 +55,7 @@
 )
 
 // New opens the disk and makes the program. A disk whose content can't be trusted counts as lost.
-func New(set siting.Settings, log *zap.Logger, random func() uint64) (*Observatory, error) {
+func New(set siting.Settings, log *zap.Logger, random func() uint64) (*Server, error) {
 	if set.DataDir == "" {
 		return nil, errors.New("datadir: a core machine needs a disk")
 	}
@@ -66,7 +66,7 @@
 	if state.Lost {
 		log.Warn("the disk's content can't be trusted and counts as lost")
 	}
-	o := &Observatory{Readings: DefaultReadings, set: set, log: log, start: time.Now(), store: distribution.NewCache(), archive: a, record: &record{},
+	o := &Server{Readings: DefaultReadings, set: set, log: log, start: time.Now(), store: distribution.NewCache(), archive: a, record: &record{},
 		heard:  xsync.NewMap[string, time.Time](),
 		inputs: make(chan func(time.Duration) replication.Output, 1024), waiting: map[uint64]chan<- replication.Answer{}, writing: make(chan struct{}, 1)}
 	var seeds []string
@@ -93,13 +93,13 @@
 }
 
 // watch gives the status, and what is closed when it next changes.
-func (o *Observatory) watch() (*replication.Status, <-chan struct{}) {
+func (o *Server) watch() (*replication.Status, <-chan struct{}) {
 	changed := o.changed.Load()
 	return o.status.Load(), *changed
 }
 
 // Run serves until ctx ends.
-func (o *Observatory) Run(ctx context.Context) error {
+func (o *Server) Run(ctx context.Context) error {
 	if o.set.Bind.Control == "" {
 		return errors.New("bind: ctl must be given")
 	}
@@ -145,7 +145,7 @@
 }
 
 // drive handles inputs one by one: what is to be on disk is there before anything is sent or answered.
-func (o *Observatory) drive(ctx context.Context) {
+func (o *Server) drive(ctx context.Context) {
 	next := time.NewTimer(0)
 	defer next.Stop()
 	for {
@@ -163,7 +163,7 @@
 	}
 }
 
-func (o *Observatory) carryOut(ctx context.Context, out *replication.Output) {
+func (o *Server) carryOut(ctx context.Context, out *replication.Output) {
 	for pause := 50 * time.Millisecond; !out.Write.Empty(); {
 		err := o.archive.Save(out.Write)
 		if err == nil {
@@ -200,7 +200,7 @@
 }
 
 // settle makes committed state known: to readers, and at the primary to those that pull.
-func (o *Observatory) settle(committed uint64) {
+func (o *Server) settle(committed uint64) {
 	done := o.record.settle(committed)
 	if len(done) == 0 {
 		return
@@ -247,7 +247,7 @@
 }
 
 // ask hands the machine an input with a token and waits for its answer.
-func (o *Observatory) ask(ctx context.Context, do func(now time.Duration, token uint64) replication.Output) (replication.Answer, error) {
+func (o *Server) ask(ctx context.Context, do func(now time.Duration, token uint64) replication.Output) (replication.Answer, error) {
 	c := make(chan replication.Answer, 1)
 	in := func(now time.Duration) replication.Output {
 		o.token++
--- a/internal/fleet/observatory/operator.go
+++ b/internal/fleet/controlplane/operator.go
@@ -1,4 +1,4 @@
-package observatory
+package controlplane
 
 import (
 	"context"
@@ -24,7 +24,7 @@
 	answerWithin = 3 * time.Second
 )
 
-func (o *Observatory) handler() http.Handler {
+func (o *Server) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc(sonde.Replace.Method+" "+sonde.Replace.Path, func(w http.ResponseWriter, r *http.Request) { o.change(w, r, true) })
 	mux.HandleFunc(sonde.Update.Method+" "+sonde.Update.Path, func(w http.ResponseWriter, r *http.Request) { o.change(w, r, false) })
@@ -35,7 +35,7 @@
 }
 
 // elsewhere sends a caller to the primary, where that is another machine; false: this is the primary.
-func (o *Observatory) elsewhere(w http.ResponseWriter, r *http.Request) bool {
+func (o *Server) elsewhere(w http.ResponseWriter, r *http.Request) bool {
 	st := o.status.Load()
 	if st.Role == replication.Primary {
 		return false
@@ -53,12 +53,12 @@
 }
 
 // later tells a caller to ask again, here or elsewhere.
-func (o *Observatory) later(w http.ResponseWriter, why string) {
+func (o *Server) later(w http.ResponseWriter, why string) {
 	w.Header().Set(sonde.RetryAfter, "0.2")
 	o.fail(w, http.StatusServiceUnavailable, why, nil)
 }
 
-func (o *Observatory) fail(w http.ResponseWriter, status int, why string, found almanac.Findings) {
+func (o *Server) fail(w http.ResponseWriter, status int, why string, found almanac.Findings) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	type finding struct {
@@ -75,7 +75,7 @@
 	_ = json.NewEncoder(w).Encode(body)
 }
 
-func (o *Observatory) change(w http.ResponseWriter, r *http.Request, replace bool) {
+func (o *Server) change(w http.ResponseWriter, r *http.Request, replace bool) {
 	base, err := strconv.ParseInt(r.Header.Get(sonde.BaseVersion), 10, 64)
 	if err != nil || base < 0 {
 		_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxConfig))
@@ -153,7 +153,7 @@
 	}
 }
 
-func (o *Observatory) show(w http.ResponseWriter, r *http.Request) {
+func (o *Server) show(w http.ResponseWriter, r *http.Request) {
 	if o.elsewhere(w, r) {
 		return
 	}
@@ -175,7 +175,7 @@
 
 // confirmed gives the newest state once the view is known to stand, and the change that it is at least as new as; nil:
 // there is no change yet. false: the caller was answered.
-func (o *Observatory) confirmed(w http.ResponseWriter, r *http.Request) (d *applied, seq uint64, ok bool) {
+func (o *Server) confirmed(w http.ResponseWriter, r *http.Request) (d *applied, seq uint64, ok bool) {
 	ctx, cancel := context.WithTimeout(r.Context(), answerWithin)
 	defer cancel()
 	ans, err := o.ask(ctx, func(now time.Duration, token uint64) replication.Output { return o.machine.Read(now, token) })
--- a/internal/fleet/observatory/phases.go
+++ b/internal/fleet/controlplane/phases.go
@@ -1,4 +1,4 @@
-package observatory
+package controlplane
 
 import (
 	"cmp"
@@ -20,7 +20,7 @@
 
 // phases holds the duty of giving orders to backends: it comes with the primary's view, whose epoch is the fence.
 type phases struct {
-	o      *Observatory
+	o      *Server
 	client *sonde.BackendClient
 
 	mu       sync.Mutex
@@ -39,7 +39,7 @@
 	orderWithin = 300 * time.Millisecond
 )
 
-func newPhases(o *Observatory) *phases {
+func newPhases(o *Server) *phases {
 	client := &http.Client{Timeout: orderWithin, Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: orderWithin, KeepAlive: -1}).DialContext,
 		MaxIdleConnsPerHost: 1, IdleConnTimeout: 4 * reportEvery, DisableCompression: true}}
 	return &phases{o: o, client: sonde.NewBackendClient(client), machines: map[string]*isobar.Phases{}, changing: map[string]bool{},
--- a/internal/fleet/observatory/pulls.go
+++ b/internal/fleet/controlplane/pulls.go
@@ -1,4 +1,4 @@
-package observatory
+package controlplane
 
 import (
 	"context"
@@ -15,8 +15,8 @@
 	"molepaddle/internal/fleet/sonde"
 )
 
-// servePulls answers telemeters and, at the primary, the other observatories.
-func (o *Observatory) servePulls(ctx context.Context, ln net.Listener) {
+// servePulls answers telemeters and, at the primary, the other control servers.
+func (o *Server) servePulls(ctx context.Context, ln net.Listener) {
 	distribution.Serve(ctx, ln, o.set.Nodename, o.store, 3*o.set.Heartbeat+time.Second, func() (time.Time, string) {
 		st := o.status.Load()
 		if st.Role == replication.Primary && st.Ready {
@@ -26,8 +26,8 @@
 	})
 }
 
-// relay keeps an observatory that isn't the primary up to date by the primary's pulls, as telemeters are.
-func (o *Observatory) relay(ctx context.Context) {
+// relay keeps a control server that isn't the primary up to date by the primary's pulls, as telemeters are.
+func (o *Server) relay(ctx context.Context) {
 	wait, silence := distribution.Pace(o.set.Bounds.Apply, o.set.Heartbeat)
 	for ctx.Err() == nil {
 		st, changed := o.watch()
@@ -82,7 +82,7 @@
 
 // poll asks for the platform's list for all, while this is the primary, and publishes what changes; the orders to backends
 // follow from it.
-func (o *Observatory) poll(ctx context.Context) {
+func (o *Server) poll(ctx context.Context) {
 	client := sonde.NewPlatformClient(o.set.Provider.Address, time.Second)
 	duty := newPhases(o)
 	var plain, last *distribution.List // as the platform tells, and as published
--- a/internal/fleet/observatory/rested.go
+++ b/internal/fleet/controlplane/rested.go
@@ -1,4 +1,4 @@
-package observatory
+package controlplane
 
 import (
 	"context"
@@ -24,7 +24,7 @@
 
 // read has the record take what telemeters handed on, while this is the primary. It sleeps for good where nothing comes,
 // and calls of the operator don't wait for it.
-func (o *Observatory) read(ctx context.Context) {
+func (o *Server) read(ctx context.Context) {
 	var last time.Time
 	hurry := false
 	for ctx.Err() == nil {
@@ -58,7 +58,7 @@
 }
 
 // news tells whether batches have something of a pair that the record knows nothing of.
-func (o *Observatory) news(open []raingauge.Batch) bool {
+func (o *Server) news(open []raingauge.Batch) bool {
 	settled := o.settled.Load()
 	if settled == nil {
 		return true
@@ -78,7 +78,7 @@
 
 // takeReading has the record take some batches, and lets those go that are on all disks that they have to be on. It reports
 // whether there is more to be done soon.
-func (o *Observatory) takeReading(ctx context.Context, open []raingauge.Batch) (soon bool) {
+func (o *Server) takeReading(ctx context.Context, open []raingauge.Batch) (soon bool) {
 	within, cancel := context.WithTimeout(ctx, answerWithin)
 	defer cancel()
 	var base *raingauge.Gauge
@@ -113,7 +113,7 @@
 }
 
 // residency answers where data rested: of one tenant, of one route that has regions without a tenant, or of all.
-func (o *Observatory) residency(w http.ResponseWriter, r *http.Request) {
+func (o *Server) residency(w http.ResponseWriter, r *http.Request) {
 	if o.elsewhere(w, r) {
 		return
 	}
@@ -142,7 +142,7 @@
 }
 
 // listed tells whether the configuration has the tenant or the route that is asked for; true where none is.
-func (o *Observatory) listed(d *applied, tenant, route string) bool {
+func (o *Server) listed(d *applied, tenant, route string) bool {
 	if tenant == "" && route == "" {
 		return true
 	}
--- a/internal/fleet/observatory/rested_test.go
+++ b/internal/fleet/controlplane/rested_test.go
@@ -1,4 +1,4 @@
-package observatory
+package controlplane
 
 import (
 	"bytes"
@@ -21,8 +21,8 @@
 // testPatience bounds what is waited for that has to come.
 const testPatience = 20 * time.Second
 
-// solo is an observatory that is all of the core, without its network.
-func solo(c *qt.C) *Observatory {
+// solo is a control server that is all of the core, without its network.
+func solo(c *qt.C) *Server {
 	n := uint64(0)
 	o, err := New(siting.Settings{Nodename: "core-1", IP: "127.0.0.1", Zone: "z", Region: "east", Zones: map[string]string{"z": "east"}, Ports: [2]int{7, 10},
 		Seeds: []string{"127.0.0.1:9"}, Bootstrap: true, DataDir: c.TempDir(), Bind: siting.Bind{Control: "127.0.0.1:9"}, Bounds: siting.Bounds{Sync: time.Second}},
@@ -54,7 +54,7 @@
 }
 
 // call makes a call of the operator.
-func call(o *Observatory, method, target string, body []byte) (int, http.Header, sonde.Residency) {
+func call(o *Server, method, target string, body []byte) (int, http.Header, sonde.Residency) {
 	w := httptest.NewRecorder()
 	r := httptest.NewRequestWithContext(context.Background(), method, target, bytes.NewReader(body))
 	r.Header.Set(sonde.BaseVersion, "0")
--- a/internal/fleet/observatory/status.go
+++ b/internal/fleet/controlplane/status.go
@@ -1,4 +1,4 @@
-package observatory
+package controlplane
 
 import (
 	"context"
@@ -33,7 +33,7 @@
 }
 
 // noteSettled notes committed state: its time counts where it brings another configuration.
-func (o *Observatory) noteSettled(a *applied, now time.Time) {
+func (o *Server) noteSettled(a *applied, now time.Time) {
 	if was := o.newest.Load(); was == nil || was.version != versionOf(a.doc) {
 		o.newest.Store(&settledDoc{version: versionOf(a.doc), seq: a.docSeq, at: now})
 	}
@@ -43,20 +43,20 @@
 const maxHeard = 256
 
 // hears notes that a core machine was heard.
-func (o *Observatory) hears(from string, at time.Time) {
+func (o *Server) hears(from string, at time.Time) {
 	if _, known := o.heard.Load(from); known || o.heard.Size() < maxHeard {
 		o.heard.Store(from, at)
 	}
 }
 
 // leaseFor is how long a member counts without a renewal.
-func (o *Observatory) leaseFor() time.Duration { return 3*o.set.Heartbeat + time.Second }
+func (o *Server) leaseFor() time.Duration { return 3*o.set.Heartbeat + time.Second }
 
 // phasesWait is how long a new holder of the phases' duty keeps still: holders don't take turns within a lease.
-func (o *Observatory) phasesWait() time.Duration { return o.set.Bounds.Lease + 2*orderWithin }
+func (o *Server) phasesWait() time.Duration { return o.set.Bounds.Lease + 2*orderWithin }
 
 // tell answers a call for the status; a caller is passed on to the primary unless it asks for this machine's own word.
-func (o *Observatory) tell(w http.ResponseWriter, r *http.Request) {
+func (o *Server) tell(w http.ResponseWriter, r *http.Request) {
 	local := r.URL.Query().Has(sonde.QueryLocal)
 	if !local && o.elsewhere(w, r) {
 		return
@@ -81,7 +81,7 @@
 }
 
 // controlOf is where a core machine takes the operator's calls, from where it hears the core.
-func (o *Observatory) controlOf(core string) string {
+func (o *Server) controlOf(core string) string {
 	host, _, err := net.SplitHostPort(core)
 	_, port, err2 := net.SplitHostPort(o.set.Bind.Control)
 	if err != nil || err2 != nil {
@@ -91,7 +91,7 @@
 }
 
 // stands gathers how the fleet stands, as far as this machine knows.
-func (o *Observatory) stands(st *replication.Status, now time.Time) *status.Fleet {
+func (o *Server) stands(st *replication.Status, now time.Time) *status.Fleet {
 	f := &status.Fleet{From: o.set.Nodename, View: status.View{Epoch: st.Epoch, Primary: o.controlOf(st.PrimaryAddr), Ready: st.Ready, Members: []status.Member{}},
 		List: status.List{AgeMs: -1}, Agents: []status.Agent{}, Services: []status.Service{}}
 	for _, m := range st.View.Members {
@@ -133,7 +133,7 @@
 }
 
 // duties tells who does what for all: nobody while the view has no primary that is ready.
-func (o *Observatory) duties(st *replication.Status, now time.Time) []status.Duty {
+func (o *Server) duties(st *replication.Status, now time.Time) []status.Duty {
 	poll, phases := status.Duty{Name: status.DutyPoll}, status.Duty{Name: status.DutyPhases}
 	if st.Ready && o.set.Provider.Address != "" {
 		poll.Holder, poll.Fence = o.controlOf(st.PrimaryAddr), st.Epoch
--- a/internal/fleet/observatory/verdict_test.go
+++ b/internal/fleet/controlplane/verdict_test.go
@@ -1,4 +1,4 @@
-package observatory
+package controlplane
 
 import (
 	"net/http"
--- a/internal/fleet/distribution/messages.go
+++ b/internal/fleet/distribution/messages.go
@@ -92,7 +92,7 @@
 	Zones   map[string]int `msg:"z"`
 }
 
-// Core is where observatories answer pulls: the members of the view.
+// Core is where control servers answer pulls: the members of the view.
 type Core struct {
 	Pulls []string `msg:"p"`
 }
--- a/internal/fleet/distribution/ports.go
+++ b/internal/fleet/distribution/ports.go
@@ -8,7 +8,7 @@
 // Own programs use the ports of the settings' range from the first on.
 const (
 	portCore      = 0 // core machines among themselves
-	portPulls     = 1 // telemeters at an observatory
+	portPulls     = 1 // telemeters at a control server
 	portTelemeter = 2 // the proxy at its telemeter, on loopback
 )
 
@@ -19,7 +19,7 @@
 // CoreAddr is where a core machine hears the others of the core.
 func CoreAddr(host string, ports [2]int) string { return at(host, ports, portCore) }
 
-// PullAddr is where an observatory answers pulls.
+// PullAddr is where a control server answers pulls.
 func PullAddr(host string, ports [2]int) string { return at(host, ports, portPulls) }
 
 // TelemeterAddr is where the telemeter of a machine feeds its proxy.
--- a/internal/fleet/heliograph/heliograph.go
+++ b/internal/fleet/heliograph/heliograph.go
@@ -32,7 +32,7 @@
 	DefaultSilence = time.Second
 	// DefaultWithin bounds a whole call with all its tries.
 	DefaultWithin = 10 * time.Second
-	// MaxAnswer is the most that is read of an answer, in bytes; the observatory takes configurations of 16 MiB.
+	// MaxAnswer is the most that is read of an answer, in bytes; the control server takes configurations of 16 MiB.
 	MaxAnswer = 64 << 20
 	// firstPause is the pause after the first try; it doubles up to maxPause.
 	firstPause, maxPause = 100 * time.Millisecond, time.Second
@@ -165,7 +165,7 @@
 	}
 }
 
-// refusal reads an answer that is no 200. The body is read as the observatory writes it; of another one the first line
+// refusal reads an answer that is no 200. The body is read as the control server writes it; of another one the first line
 // is kept.
 func refusal(status int, answer Answer) *Refused {
 	r := &Refused{Status: status, From: answer.From}
--- a/internal/fleet/mast/mast_test.go
+++ b/internal/fleet/mast/mast_test.go
@@ -128,7 +128,7 @@
 	}
 }
 
-// TestRolesAreLearned keeps to the line that observatories log at a change of their view.
+// TestRolesAreLearned keeps to the line that control servers log at a change of their view.
 func TestRolesAreLearned(t *testing.T) {
 	c := qt.New(t)
 	p := &process{}
--- a/internal/fleet/mast/operator.go
+++ b/internal/fleet/mast/operator.go
@@ -14,7 +14,7 @@
 	"molepaddle/internal/fleet/sonde"
 )
 
-// operator calls the control plane as the operator does: at one observatory after the other until one takes it.
+// operator calls the control plane as the operator does: at one control server after the other until one takes it.
 type operator struct {
 	addresses []string // control addresses
 	client    http.Client
@@ -44,9 +44,9 @@
 	}
 }
 
-// call sends one call until an observatory answers 200. Other answers than 5xx end it.
+// call sends one call until a control server answers 200. Other answers than 5xx end it.
 func (o *operator) call(ctx context.Context, c *sonde.Call, body []byte) error {
-	last := errors.New("no observatory")
+	last := errors.New("no control server")
 	for i := 0; ctx.Err() == nil; i++ {
 		req, err := http.NewRequestWithContext(ctx, c.Method, "http://"+o.addresses[i%len(o.addresses)]+c.Path, bytes.NewReader(body))
 		if err != nil {
@@ -104,5 +104,5 @@
 	return nil
 }
 
-// show waits until an observatory shows the configuration: a primary is there, and its view stands.
+// show waits until a control server shows the configuration: a primary is there, and its view stands.
 func (o *operator) show(ctx context.Context) error { return o.call(ctx, &sonde.Show, nil) }
--- a/internal/fleet/mast/process.go
+++ b/internal/fleet/mast/process.go
@@ -21,7 +21,7 @@
 	done chan struct{}
 
 	mu   sync.Mutex
-	role string // an observatory's, as its log last named it (replication.Role)
+	role string // a control server's, as its log last named it (replication.Role)
 }
 
 // start starts a program. It gets no variables of the caller but those named. lines takes what it writes to standard
@@ -68,7 +68,7 @@
 	<-p.done
 }
 
-// watchRole learns an observatory's role from the line it logs at each change.
+// watchRole learns a control server's role from the line it logs at each change.
 func watchRole(p *process, line []byte) {
 	var l struct {
 		Msg  string `json:"msg"`
--- a/internal/fleet/mast/trial.go
+++ b/internal/fleet/mast/trial.go
@@ -57,7 +57,7 @@
 	Event
 }
 
-// cores is how many observatories a run has.
+// cores is how many control servers a run has.
 const cores = 3
 
 func (t *Trial) check() error {
@@ -91,7 +91,7 @@
 	watched, stop := context.WithCancel(ctx)
 	defer stop()
 	go t.watch(watched)
-	t.say("agents %d, backends %d, routes %d, page %d, rate %g/s, beat %v, apply %v, observatories %d, agents' processes %d", t.Agents, t.Backends, t.Routes, t.Page, t.Rate, t.Beat, t.Apply,
+	t.say("agents %d, backends %d, routes %d, page %d, rate %g/s, beat %v, apply %v, control servers %d, agents' processes %d", t.Agents, t.Backends, t.Routes, t.Page, t.Rate, t.Beat, t.Apply,
 		cores, t.Crews)
 	if err := t.setUp(ctx, dir); err != nil {
 		return errors.Wrap(err, "set up")
@@ -250,7 +250,7 @@
 }
 
 func (t *Trial) observe(i int) error {
-	p, _, err := start(t.machines[i].name, t.Station, []string{"observatory"}, t.env(t.settings[i]), watchRole)
+	p, _, err := start(t.machines[i].name, t.Station, []string{"control-plane"}, t.env(t.settings[i]), watchRole)
 	t.observers[i] = p
 	return err
 }
@@ -501,7 +501,7 @@
 		return p.role == replication.Primary.String()
 	})
 	if i < 0 {
-		return errors.New("no observatory says that it is the primary")
+		return errors.New("no control server says that it is the primary")
 	}
 	began := time.Now()
 	t.observers[i].kill()
--- a/internal/fleet/raingauge/relay_test.go
+++ b/internal/fleet/raingauge/relay_test.go
@@ -15,7 +15,7 @@
 	receiver Receiver
 }
 
-// day is a fleet whose processes die and whose connections break: two proxies with their telemeters, three observatories.
+// day is a fleet whose processes die and whose connections break: two proxies with their telemeters, three control servers.
 type day struct {
 	*rapid.T
 	now     time.Time
@@ -23,12 +23,12 @@
 	proxy   [2]Process
 	boxes   [2]*Relay // of the proxies
 	agents  [2]*Relay // telemeters
-	core    [3]*Relay // observatories
+	core    [3]*Relay // control servers
 	primary int
-	follows [2]int // which observatory each telemeter asks
+	follows [2]int // which control server each telemeter asks
 	down    [2]link
 	up      [2]link
-	across  [3]link // observatories to the primary
+	across  [3]link // control servers to the primary
 	gauge   *Gauge  // on the disks of all that it has to be on
 	last    Process
 }
--- a/internal/fleet/replication/histories_test.go
+++ b/internal/fleet/replication/histories_test.go
@@ -93,7 +93,7 @@
 	DescribeOperation: func(in, out any) string { return fmt.Sprint(in, " ", out) },
 }
 
-// judge does at a box what the observatory does with an order: one that was taken is acknowledged again, one on another base is
+// judge does at a box what the control server does with an order: one that was taken is acknowledged again, one on another base is
 // refused, both only when the record it was judged by is committed; else it is proposed.
 func (o *operators) judge(b *box, what order, tell func(verdict)) {
 	o.token++
--- a/internal/fleet/status/status.go
+++ b/internal/fleet/status/status.go
@@ -1,4 +1,4 @@
-// Package status is how a fleet stands, as an observatory tells the operator: the JSON that goes over the wire, and what
+// Package status is how a fleet stands, as a control server tells the operator: the JSON that goes over the wire, and what
 // is read off it. It has neither I/O nor clock: ages are counted by whoever tells.
 package status
 
@@ -94,7 +94,7 @@
 	Phases   map[string]int `json:"phases"` // backends in each phase; those without one are left out
 }
 
-// Decode reads what an observatory told.
+// Decode reads what a control server told.
 func Decode(body []byte) (*Fleet, error) {
 	var f Fleet
 	if err := json.Unmarshal(body, &f); err != nil {
--- a/internal/fleet/telemeter/lists.go
+++ b/internal/fleet/telemeter/lists.go
@@ -2,7 +2,7 @@
 
 import "molepaddle/internal/fleet/distribution"
 
-// listNumbers tells what the observatories call the newest lists that the proxy was fed: it hears of them by this
+// listNumbers tells what the control servers call the newest lists that the proxy was fed: it hears of them by this
 // process's own count. Lists that were polled here have no such number.
 type listNumbers struct {
 	newest [keptLists]struct{ here, there distribution.Version }
@@ -18,7 +18,7 @@
 	l.next = (l.next + 1) % keptLists
 }
 
-// theirs has the members tell of their lists as the observatories do: the zero Version stands for what these don't know.
+// theirs has the members tell of their lists as the control servers do: the zero Version stands for what these don't know.
 func (l *listNumbers) theirs(members []distribution.Member) []distribution.Member {
 	for i := range members {
 		had := members[i].List
--- a/internal/fleet/telemeter/telemeter.go
+++ b/internal/fleet/telemeter/telemeter.go
@@ -27,13 +27,13 @@
 	log   *zap.Logger
 	store *distribution.Cache // what the proxy is fed from
 
-	// What follows belongs to the goroutine of Run that follows an observatory.
-	have  map[string]distribution.Version // as the observatories count
+	// What follows belongs to the goroutine of Run that follows a control server.
+	have  map[string]distribution.Version // as the control servers count
 	list  distribution.Version            // as this process counts: it may have to poll itself
-	lists listNumbers                     // and what the observatories call those lists
+	lists listNumbers                     // and what the control servers call those lists
 	seeds []string                        // pull addresses by the settings
 	known []string                        // and all that are known: seeds, then the members of the core as last told
-	// For when no observatory is to be had.
+	// For when no control server is to be had.
 	platform *sonde.PlatformClient
 	pollNext time.Time
 	polled   []byte
@@ -74,7 +74,7 @@
 	t.known = known
 }
 
-// maxKnown bounds the observatories that are known.
+// maxKnown bounds the control servers that are known.
 const maxKnown = 64
 
 // Run feeds the proxy until the context ends. Where the proxy told of tenants' regions, it goes on until the proxy's last word
@@ -113,7 +113,7 @@
 				return time.Since(heard) < wait+silence/2 || time.Since(began) < wait
 			}})
 		if ctx.Err() == nil {
-			t.log.Debug("observatory left", zap.String("addr", addr), zap.Error(err))
+			t.log.Debug("control server left", zap.String("addr", addr), zap.Error(err))
 		}
 		if t.Seeds != nil && i%len(t.known) == len(t.known)-1 {
 			t.seed(t.Seeds()) // none was of use: the file may name others by now
--- a/internal/fleet/telemeter/telemeter_test.go
+++ b/internal/fleet/telemeter/telemeter_test.go
@@ -14,7 +14,7 @@
 	"molepaddle/internal/fleet/siting"
 )
 
-// An observatory that is cut off from its primary still answers pulls; whoever follows it must leave it in time for a
+// A control server that is cut off from its primary still answers pulls; whoever follows it must leave it in time for a
 // change to be in force within the bound. This was missed by milliseconds on two days.
 func TestStaleObservatoryIsLeft(t *testing.T) {
 	c := qt.New(t)
