Package telemeter becomes nodeagent, its role node-agent

Ruled out: a change of behaviour: files move, identifiers and comments follow, formats on the wire and on disk stay as they were.

--- a/cmd/station/core_test.go
+++ b/cmd/station/core_test.go
@@ -81,7 +81,7 @@
 	}
 	all.Wait()
 	load.goesOn(40, 0, 1)
-	// Telemeters ask for the list themselves, once nobody else does.
+	// Node agents ask for the list themselves, once nobody else does.
 	fresh := f.startPlain()
 	f.platform.Add(fresh)
 	alone := time.Now()
--- a/cmd/station/demofleet.go
+++ b/cmd/station/demofleet.go
@@ -125,7 +125,7 @@
 				screen.PassOn(f, net.JoinHostPort(core, strconv.Itoa(set.Ports.First+1)), net.JoinHostPort(core, strconv.Itoa(ports.First+1)))
 			}
 		}
-		f.edge = append(f.edge, f.machine(set, "vane", "telemeter"))
+		f.edge = append(f.edge, f.machine(set, "vane", "node-agent"))
 		f.clients = append(f.clients, &screen.Client{Edge: net.JoinHostPort(ip, strconv.Itoa(set.Ports.Edge)), Keep: true})
 	}
 	return f
@@ -140,11 +140,11 @@
 	m := demoMachine{name: set.Node}
 	for _, role := range roles {
 		s := set
-		if s.Role = role; role == "telemeter" {
+		if s.Role = role; role == "node-agent" {
 			s.Roles = []string{}
 		}
 		boot := screen.Boot(f, s)
-		if m.programs = append(m.programs, screen.Exec(f, boot, self, role)); role != "telemeter" {
+		if m.programs = append(m.programs, screen.Exec(f, boot, self, role)); role != "node-agent" {
 			m.control, m.ready = boot.Ctl, boot.Readyz
 		}
 	}
--- a/cmd/station/fleet_test.go
+++ b/cmd/station/fleet_test.go
@@ -149,14 +149,14 @@
 		s := settings
 		s.Tier, s.Node, s.IP, s.Zone = "edge", fmt.Sprintf("edge-%d", i+1), ip, zones[i]
 		if i > 0 {
-			// Telemeters feed their proxies at a port of 127.0.0.1, which machines don't share and these here do. This
+			// Node agents feed their proxies at a port of 127.0.0.1, which machines don't share and these here do. This
 			// one gets ports of its own, and finds the control servers there by way of relays.
 			s.Ports = screen.ChoosePorts(c, 4, all...)
 			for _, core := range coreIPs {
 				screen.PassOn(c, net.JoinHostPort(core, strconv.Itoa(s.Ports.First+1)), net.JoinHostPort(core, strconv.Itoa(ports.First+1)))
 			}
 		}
-		f.edge = append(f.edge, &machine{f: f, settings: s, roles: []string{"telemeter", "vane"}})
+		f.edge = append(f.edge, &machine{f: f, settings: s, roles: []string{"node-agent", "vane"}})
 	}
 	for _, m := range append(slices.Clone(f.core), f.edge...) {
 		for _, role := range m.roles {
@@ -196,12 +196,12 @@
 // start runs one of the machine's roles with the settings of this moment.
 func (m *machine) start(role string) {
 	f, s := m.f, m.settings
-	if role == "telemeter" {
+	if role == "node-agent" {
 		s.Roles = []string{}
 	}
 	s.Role = role
 	boot := screen.Boot(f, s)
-	if role != "telemeter" {
+	if role != "node-agent" {
 		m.boot = boot
 		m.settings.DataDir = boot.DataDir
 	}
--- a/cmd/station/main.go
+++ b/cmd/station/main.go
@@ -1,4 +1,4 @@
-// Command station is the programs of the router fleet: the proxy (vane), the agent beside it (telemeter) and the
+// Command station is the programs of the router fleet: the proxy (vane), the agent beside it (node agent) and the
 // control plane (control server). The platform names their settings file in MOLEPADDLE_CONFIG. The other commands are the
 // operator's: they check files, and show and change the configuration.
 package main
@@ -32,7 +32,7 @@
 	ShowVersion versionFlag `name:"version" help:"Tell the build and end."`
 
 	Vane         vaneCmd         `cmd:"" group:"Programs" help:"Run the proxy that takes clients' requests."`
-	Telemeter    telemeterCmd    `cmd:"" group:"Programs" help:"Run the agent that links a proxy to the control plane."`
+	NodeAgent    nodeAgentCmd    `cmd:"" group:"Programs" help:"Run the agent that links a proxy to the control plane."`
 	ControlPlane controlPlaneCmd `cmd:"" group:"Programs" help:"Run a machine of the control plane."`
 
 	Check      checkCmd                     `cmd:"" group:"For operators" help:"Check settings files and configurations."`
--- a/cmd/station/programs.go
+++ b/cmd/station/programs.go
@@ -13,14 +13,14 @@
 	"go.uber.org/zap/zapcore"
 
 	"molepaddle/internal/fleet/controlplane"
+	"molepaddle/internal/fleet/nodeagent"
 	"molepaddle/internal/fleet/siting"
-	"molepaddle/internal/fleet/telemeter"
 	"molepaddle/internal/fleet/vane"
 )
 
 type (
 	vaneCmd         struct{}
-	telemeterCmd    struct{}
+	nodeAgentCmd    struct{}
 	controlPlaneCmd struct {
 		Readings time.Duration `help:"Least time between two writes of where tenants' data rested." default:"30s"`
 	}
@@ -32,9 +32,9 @@
 	})
 }
 
-func (telemeterCmd) Run(a *app) error {
+func (nodeAgentCmd) Run(a *app) error {
 	return a.program(func(ctx context.Context, set siting.Settings, log *zap.Logger) error {
-		t := telemeter.New(set, log)
+		t := nodeagent.New(set, log)
 		t.Seeds = func() []string {
 			now, err := siting.Load(a.settings)
 			if err != nil {
--- a/cmd/station/residency_test.go
+++ b/cmd/station/residency_test.go
@@ -47,7 +47,7 @@
 	return r
 }
 
-// TestResidencyOutlives kills a proxy, its telemeter, the primary and at last the whole core, one after the other, with
+// TestResidencyOutlives kills a proxy, its node agent, the primary and at last the whole core, one after the other, with
 // requests of a tenant in between: the report tells the earliest time all along, and counts each request once.
 func TestResidencyOutlives(t *testing.T) {
 	f := newFleet(t, plan{flags: map[string][]string{"control-plane": {"--readings", "200ms"}}})
@@ -97,11 +97,11 @@
 	ask(0, 4)
 	since("a proxy's kill")
 
-	edge.kill("telemeter")
+	edge.kill("node-agent")
 	ask(0, 2)
-	edge.start("telemeter")
+	edge.start("node-agent")
 	ask(0, 2)
-	since("a telemeter's kill")
+	since("a node agent's kill")
 
 	primary := f.primary()
 	ask(0, 1)
@@ -145,7 +145,7 @@
 	edge.start("vane")
 	f.ready(edge)
 	ask(0, 1)
-	end("vane", "telemeter")
+	end("vane", "node-agent")
 	since("a machine's orderly end")
 	// The configuration is what it was, and still changes.
 	rep = f.add(f.version + 1)
--- a/cmd/station/status_test.go
+++ b/cmd/station/status_test.go
@@ -86,7 +86,7 @@
 		f.Check(sum, qt.Equals, 4)
 		f.Check(s.Services[1], qt.DeepEquals, status.Service{Name: lookups, Backends: 2, Phases: map[string]int{}})
 	}
-	// The list's number comes back from the proxies by way of their telemeters.
+	// The list's number comes back from the proxies by way of their node agents.
 	f.until(patient, "both proxies have the newest list", func() bool {
 		s := f.stands(primary)
 		return !slices.ContainsFunc(s.Agents, func(a status.Agent) bool { return a.List != s.List.Number })
--- a/cmd/station/traffic_test.go
+++ b/cmd/station/traffic_test.go
@@ -408,16 +408,16 @@
 	}
 	load := f.traffic([]int{0, 1}, onAdded(2)) // no proxy goes back to an older version
 	m := f.edge[0]
-	m.kill("telemeter")
+	m.kill("node-agent")
 	rep = f.add(3)
 	f.inForce(1, 3, rep.At.Add(apply))
 	load.goesOn(20, 0, 1)
 	f.Check(f.clients[0].Do(f.ctx, onAdded(3)).Status, qt.Equals, http.StatusNotFound)
 
-	m.start("telemeter")
+	m.start("node-agent")
 	back := time.Now()
 	f.inForce(0, 3, back.Add(f.bound("contact_ms", time.Millisecond)+apply))
-	t.Logf("brought up to date %v after its telemeter's return", time.Since(back))
+	t.Logf("brought up to date %v after its node agent's return", time.Since(back))
 	rep = f.add(6)
 	for i := range f.edge {
 		f.inForce(i, 6, rep.At.Add(apply))
--- a/internal/fleet/controlplane/pulls.go
+++ b/internal/fleet/controlplane/pulls.go
@@ -15,7 +15,7 @@
 	"molepaddle/internal/fleet/sonde"
 )
 
-// servePulls answers telemeters and, at the primary, the other control servers.
+// servePulls answers node agents and, at the primary, the other control servers.
 func (o *Server) servePulls(ctx context.Context, ln net.Listener) {
 	distribution.Serve(ctx, ln, o.set.Nodename, o.store, 3*o.set.Heartbeat+time.Second, func() (time.Time, string) {
 		st := o.status.Load()
@@ -26,7 +26,7 @@
 	})
 }
 
-// relay keeps a control server that isn't the primary up to date by the primary's pulls, as telemeters are.
+// relay keeps a control server that isn't the primary up to date by the primary's pulls, as node agents are.
 func (o *Server) relay(ctx context.Context) {
 	wait, silence := distribution.Pace(o.set.Bounds.Apply, o.set.Heartbeat)
 	for ctx.Err() == nil {
--- a/internal/fleet/controlplane/rested.go
+++ b/internal/fleet/controlplane/rested.go
@@ -22,7 +22,7 @@
 	lookEvery = time.Second
 )
 
-// read has the record take what telemeters handed on, while this is the primary. It sleeps for good where nothing comes,
+// read has the record take what node agents handed on, while this is the primary. It sleeps for good where nothing comes,
 // and calls of the operator don't wait for it.
 func (o *Server) read(ctx context.Context) {
 	var last time.Time
--- a/internal/fleet/distribution/ports.go
+++ b/internal/fleet/distribution/ports.go
@@ -8,8 +8,8 @@
 // Own programs use the ports of the settings' range from the first on.
 const (
 	portCore      = 0 // core machines among themselves
-	portPulls     = 1 // telemeters at a control server
-	portTelemeter = 2 // the proxy at its telemeter, on loopback
+	portPulls     = 1 // node agents at a control server
+	portNodeAgent = 2 // the proxy at its node agent, on loopback
 )
 
 func at(host string, ports [2]int, offset int) string {
@@ -22,5 +22,5 @@
 // PullAddr is where a control server answers pulls.
 func PullAddr(host string, ports [2]int) string { return at(host, ports, portPulls) }
 
-// TelemeterAddr is where the telemeter of a machine feeds its proxy.
-func TelemeterAddr(ports [2]int) string { return at("127.0.0.1", ports, portTelemeter) }
+// NodeAgentAddr is where the node agent of a machine feeds its proxy.
+func NodeAgentAddr(ports [2]int) string { return at("127.0.0.1", ports, portNodeAgent) }
--- a/internal/fleet/mast/agents.go
+++ b/internal/fleet/mast/agents.go
@@ -14,7 +14,7 @@
 	"molepaddle/internal/fleet/distribution"
 )
 
-// Crew is the hollow agents of one process: each pulls as a telemeter with a vane beside it does, at one of the
+// Crew is the hollow agents of one process: each pulls as a node agent with a vane beside it does, at one of the
 // control servers, and keeps only how far it has come. What it reports stands in Event.
 type Crew struct {
 	First, Count int
@@ -69,7 +69,7 @@
 	return lines.Err()
 }
 
-// follow is one agent, with the telemeter's own way of choosing and leaving control servers.
+// follow is one agent, with the node agent's own way of choosing and leaving control servers.
 func (c *Crew) follow(ctx context.Context, i int) {
 	name, zone := fmt.Sprintf("edge-zone-%d-%d", (c.First+i)%zones, c.First+i), Zone(c.First+i)
 	have := map[string]distribution.Version{}
--- a/internal/fleet/mast/proxy.go
+++ b/internal/fleet/mast/proxy.go
@@ -72,7 +72,7 @@
 	at := func(offset int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(first+offset)) }
 	m := machine{name: "edge-real-vane", zone: Zone(0), ip: "127.0.0.1", ports: [2]int{first, first + 3}, seeds: []string{at(4)}, edge: at(5), ready: at(6),
 		beat: 1200 * time.Millisecond, apply: 2 * time.Second, rate: 42}
-	feed, err := net.Listen("tcp", distribution.TelemeterAddr(m.ports))
+	feed, err := net.Listen("tcp", distribution.NodeAgentAddr(m.ports))
 	if err != nil {
 		return err
 	}
@@ -105,7 +105,7 @@
 	return nil
 }
 
-// feed stands in for the telemeter.
+// feed stands in for the node agent.
 func (t *ProxyTrial) feed(ctx context.Context, ln net.Listener, beat time.Duration, engines string) error {
 	list := Backends(t.Backends)
 	for i := range list.Backends {
--- a/internal/fleet/telemeter/lists.go
+++ b/internal/fleet/nodeagent/lists.go
@@ -1,4 +1,4 @@
-package telemeter
+package nodeagent
 
 import "molepaddle/internal/fleet/distribution"
 
--- a/internal/fleet/telemeter/telemeter.go
+++ b/internal/fleet/nodeagent/nodeagent.go
@@ -1,6 +1,6 @@
-// Package telemeter is the node agent beside a proxy: it holds the link to the control plane and feeds the proxy over
+// Package nodeagent is the node agent beside a proxy: it holds the link to the control plane and feeds the proxy over
 // loopback. Named after the instrument that sends readings to a station and takes its word back.
-package telemeter
+package nodeagent
 
 import (
 	"bytes"
@@ -18,8 +18,8 @@
 	"molepaddle/internal/fleet/sonde"
 )
 
-// Telemeter is one machine's link to the control plane.
-type Telemeter struct {
+// Agent is one machine's link to the control plane.
+type Agent struct {
 	// Seeds reads the seeds anew, control addresses as the settings name them; nil: they don't change.
 	Seeds func() []string
 
@@ -40,9 +40,9 @@
 	proxies  int
 }
 
-// New makes a telemeter.
-func New(set siting.Settings, log *zap.Logger) *Telemeter {
-	t := &Telemeter{set: set, log: log, store: distribution.NewCache(), have: map[string]distribution.Version{},
+// New makes a node agent.
+func New(set siting.Settings, log *zap.Logger) *Agent {
+	t := &Agent{set: set, log: log, store: distribution.NewCache(), have: map[string]distribution.Version{},
 		list: distribution.Version{Epoch: uint64(time.Now().UnixNano())}}
 	t.seed(set.Seeds)
 	if set.Provider.Address != "" {
@@ -52,7 +52,7 @@
 }
 
 // seed takes the seeds of the settings, which may have changed since the start.
-func (t *Telemeter) seed(seeds []string) {
+func (t *Agent) seed(seeds []string) {
 	t.seeds = nil
 	for _, s := range seeds {
 		if host, _, err := net.SplitHostPort(s); err == nil {
@@ -63,7 +63,7 @@
 }
 
 // learn takes the members of the core: those known before are kept, as far as there is room, since news may be old.
-func (t *Telemeter) learn(core []string) {
+func (t *Agent) learn(core []string) {
 	all := slices.Concat(t.seeds, core, t.known)
 	known := all[:0:0]
 	for _, addr := range all {
@@ -79,7 +79,7 @@
 
 // Run feeds the proxy until the context ends. Where the proxy told of tenants' regions, it goes on until the proxy's last word
 // of that is handed on, within the platform's grace.
-func (t *Telemeter) Run(until context.Context) error {
+func (t *Agent) Run(until context.Context) error {
 	ctx, end := context.WithCancel(context.WithoutCancel(until))
 	defer end()
 	wait, silence := distribution.Pace(t.set.Bounds.Apply, t.set.Heartbeat)
@@ -87,7 +87,7 @@
 		t.linger(ctx, wait)
 		end()
 	})()
-	ln, err := net.Listen("tcp", distribution.TelemeterAddr(t.set.Ports))
+	ln, err := net.Listen("tcp", distribution.NodeAgentAddr(t.set.Ports))
 	if err != nil {
 		return errors.Wrap(err, "listen for the proxy")
 	}
@@ -125,7 +125,7 @@
 }
 
 // linger waits for the last word of a proxy that ends along with this process, and for the pull that takes it along.
-func (t *Telemeter) linger(ctx context.Context, wait time.Duration) {
+func (t *Agent) linger(ctx context.Context, wait time.Duration) {
 	if !t.store.Rested.Used() {
 		return
 	}
@@ -151,7 +151,7 @@
 	pullWithin = 200 * time.Millisecond
 )
 
-func (t *Telemeter) vector() map[string]distribution.Version {
+func (t *Agent) vector() map[string]distribution.Version {
 	have := make(map[string]distribution.Version, len(t.have))
 	for source, at := range t.have {
 		have[source] = at
@@ -160,7 +160,7 @@
 }
 
 // take passes news on. The list is counted anew here, since this process may have to ask for it itself.
-func (t *Telemeter) take(n *distribution.Response) (lacking []string) {
+func (t *Agent) take(n *distribution.Response) (lacking []string) {
 	pass := *n
 	pass.Resources = nil
 	for _, p := range n.Resources {
@@ -196,7 +196,7 @@
 
 // pollAlone asks the platform itself where the control plane has not been heard for half as long as a draining backend
 // may still be sent to; all others may do the same, so each takes its part of half of the platform's rate.
-func (t *Telemeter) pollAlone(ctx context.Context) {
+func (t *Agent) pollAlone(ctx context.Context) {
 	heard, _ := t.store.Fresh()
 	if t.platform == nil || time.Since(heard) < t.set.Bounds.Drain/2 || time.Now().Before(t.pollNext) {
 		return
--- a/internal/fleet/telemeter/telemeter_test.go
+++ b/internal/fleet/nodeagent/nodeagent_test.go
@@ -1,4 +1,4 @@
-package telemeter
+package nodeagent
 
 import (
 	"context"
@@ -68,7 +68,7 @@
 	t.Logf("left the stale ones after %v", took)
 }
 
-// All seeds may be replaced one after the other while a telemeter lives: it learns the core's members, and reads the
+// All seeds may be replaced one after the other while a node agent lives: it learns the core's members, and reads the
 // seeds anew when none that it knows answers.
 func TestReplacedCoreIsFound(t *testing.T) {
 	c := qt.New(t)
--- a/internal/fleet/raingauge/relay.go
+++ b/internal/fleet/raingauge/relay.go
@@ -19,7 +19,7 @@
 	againAfter = time.Minute
 )
 
-// Relay holds batches until they are kept: at the proxy that made them, at its telemeter and at the control servers. The zero
+// Relay holds batches until they are kept: at the proxy that made them, at its node agent and at the control servers. The zero
 // value is empty. It is not safe for concurrent use.
 type Relay struct {
 	open    map[Process][]Batch // without gaps, the oldest first
--- a/internal/fleet/raingauge/relay_test.go
+++ b/internal/fleet/raingauge/relay_test.go
@@ -15,17 +15,17 @@
 	receiver Receiver
 }
 
-// day is a fleet whose processes die and whose connections break: two proxies with their telemeters, three control servers.
+// day is a fleet whose processes die and whose connections break: two proxies with their node agents, three control servers.
 type day struct {
 	*rapid.T
 	now     time.Time
 	made    map[Process][]Batch
 	proxy   [2]Process
 	boxes   [2]*Relay // of the proxies
-	agents  [2]*Relay // telemeters
+	agents  [2]*Relay // node agents
 	core    [3]*Relay // control servers
 	primary int
-	follows [2]int // which control server each telemeter asks
+	follows [2]int // which control server each node agent asks
 	down    [2]link
 	up      [2]link
 	across  [3]link // control servers to the primary
--- a/internal/fleet/status/status.go
+++ b/internal/fleet/status/status.go
@@ -76,14 +76,14 @@
 	AgeMs int64 `json:"age_ms"` // of the last poll that was answered; -1: none
 }
 
-// Agent is one that holds a lease: a proxy, by way of its telemeter.
+// Agent is one that holds a lease: a proxy, by way of its node agent.
 type Agent struct {
 	Name    string `json:"name"`
 	Zone    string `json:"zone"`
 	LeaseMs int64  `json:"lease_ms"` // age of the last renewal
 	Version int64  `json:"ver"`      // of the configuration in force there; 0: none
 	SinceMs int64  `json:"since_ms"` // for how long it has been
-	List    Number `json:"list"`     // zero: none, or one that its telemeter polled itself
+	List    Number `json:"list"`     // zero: none, or one that its node agent polled itself
 }
 
 // Service is a service's backends, as in the list given out.
--- a/internal/fleet/vane/enclosed_test.go
+++ b/internal/fleet/vane/enclosed_test.go
@@ -336,7 +336,7 @@
 	r.clean()
 }
 
-// TestEnclosedThroughTelemeter has terms reach a proxy as in service: pulled from the telemeter beside it.
+// TestEnclosedThroughTelemeter has terms reach a proxy as in service: pulled from the node agent beside it.
 func TestEnclosedThroughTelemeter(t *testing.T) {
 	r := newRig(t, everywhere(nil)...)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -345,7 +345,7 @@
 	defer cancel()
 	defer ln.Close()
 	store := distribution.NewCache()
-	go distribution.Serve(ctx, ln, "telemeter", store, time.Minute, store.Fresh)
+	go distribution.Serve(ctx, ln, "node-agent", store, time.Minute, store.Fresh)
 	port := ln.Addr().(*net.TCPAddr).Port
 	set := testSettings(testZones)
 	set.Ports = [2]int{port - 2, port}
@@ -358,7 +358,7 @@
 	store.Set(distribution.SourceConfig, distribution.Version{Epoch: 1, Count: 1}, r.document("east"))
 	fed, taken := make(chan error, 1), make(chan struct{}, 8)
 	go func() {
-		fed <- distribution.Follow(ctx, distribution.TelemeterAddr(set.Ports), &distribution.Follower{Name: "edge-1", Wait: time.Second, Silence: testPatience,
+		fed <- distribution.Follow(ctx, distribution.NodeAgentAddr(set.Ports), &distribution.Follower{Name: "edge-1", Wait: time.Second, Silence: testPatience,
 			Members: func() []distribution.Member { return nil }, Have: func() map[string]distribution.Version { return maps.Clone(v.have) },
 			Take: func(n *distribution.Response) []string {
 				v.take(n)
@@ -377,7 +377,7 @@
 					return
 				}
 			case err := <-fed:
-				t.Fatal("the telemeter was lost: ", err)
+				t.Fatal("the node agent was lost: ", err)
 			case <-ctx.Done():
 				t.Fatal("the terms don't come")
 			}
--- a/internal/fleet/vane/feed.go
+++ b/internal/fleet/vane/feed.go
@@ -12,12 +12,12 @@
 	"molepaddle/internal/fleet/distribution"
 )
 
-// feed pulls from the telemeter for as long as the process lives.
+// feed pulls from the node agent for as long as the process lives.
 func (v *Vane) feed(ctx context.Context) {
 	pause := distribution.Pause{Least: 5 * time.Millisecond, Most: 100 * time.Millisecond}
 	for ctx.Err() == nil {
 		began := time.Now()
-		err := distribution.Follow(ctx, distribution.TelemeterAddr(v.set.Ports), &distribution.Follower{Name: v.set.Nodename, Wait: v.set.Heartbeat, Silence: time.Second,
+		err := distribution.Follow(ctx, distribution.NodeAgentAddr(v.set.Ports), &distribution.Follower{Name: v.set.Nodename, Wait: v.set.Heartbeat, Silence: time.Second,
 			Members: func() []distribution.Member { return []distribution.Member{v.member(time.Now())} },
 			Have:    func() map[string]distribution.Version { return maps.Clone(v.have) },
 			Take:    func(n *distribution.Response) []string { v.take(n); return nil },
@@ -25,7 +25,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		v.log.Debug("telemeter lost", zap.Error(err))
+		v.log.Debug("node agent lost", zap.Error(err))
 		pause.Wait(ctx, time.Since(began))
 	}
 }
--- a/internal/fleet/vane/ledger.go
+++ b/internal/fleet/vane/ledger.go
@@ -166,7 +166,7 @@
 	l.changed, l.fresh = more, more
 }
 
-// handOver gives the telemeter what is left in the ledger as the process ends, within a time that its end has to spare.
+// handOver gives the node agent what is left in the ledger as the process ends, within a time that its end has to spare.
 func (v *Vane) handOver() {
 	v.enclosed.hand(time.Now(), v.rested, true)
 	if !v.rested.Used() {
@@ -174,7 +174,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), handOverWithin)
 	defer cancel()
-	_ = distribution.Follow(ctx, distribution.TelemeterAddr(v.set.Ports), &distribution.Follower{Name: v.set.Nodename, Silence: handOverWithin,
+	_ = distribution.Follow(ctx, distribution.NodeAgentAddr(v.set.Ports), &distribution.Follower{Name: v.set.Nodename, Silence: handOverWithin,
 		Members: func() []distribution.Member { return nil },
 		Have:    func() map[string]distribution.Version { return nil },
 		Take:    func(*distribution.Response) []string { return nil },
@@ -182,5 +182,5 @@
 		Ends:    true})
 }
 
-// handOverWithin bounds the last word to the telemeter.
+// handOverWithin bounds the last word to the node agent.
 const handOverWithin = 200 * time.Millisecond
--- a/internal/fleet/vane/vane.go
+++ b/internal/fleet/vane/vane.go
@@ -1,6 +1,6 @@
 // Package vane is the fleet's proxy, the data plane: named after the vane that turns to where the wind goes. It takes
 // clients' requests, finds their route, and has `policy` and `isobar` choose the backend. What it knows of the fleet
-// comes from the telemeter beside it, over loopback; it serves on with what it has when nothing comes.
+// comes from the node agent beside it, over loopback; it serves on with what it has when nothing comes.
 package vane
 
 import (
