Package vane becomes proxy, its role proxy

Ruled out: a change of behaviour: files move, identifiers and comments follow, formats on the wire and on disk stay as they were.

--- a/cmd/station-scale/main.go
+++ b/cmd/station-scale/main.go
@@ -17,8 +17,8 @@
 )
 
 type cli struct {
-	Run    runCmd    `cmd:"" help:"Play real control servers, a real node agent and vane, hollow agents and a hollow platform; write what they use."`
-	Proxy  proxyCmd  `cmd:"" help:"Play a real vane between hollow clients and hollow backends; write what a request and an event cost it."`
+	Run    runCmd    `cmd:"" help:"Play real control servers, a real node agent and proxy, hollow agents and a hollow platform; write what they use."`
+	Proxy  proxyCmd  `cmd:"" help:"Play a real proxy between hollow clients and hollow backends; write what a request and an event cost it."`
 	Agents agentsCmd `cmd:"" hidden:"" help:"Hollow agents of one process; run starts it."`
 }
 
--- a/cmd/station/control_test.go
+++ b/cmd/station/control_test.go
@@ -340,7 +340,7 @@
 		c.Check(out, qt.Equals, "")
 		c.Check(errOut, qt.Matches, "(?s)station: .+\n")
 	}
-	for _, program := range []string{"vane", "node-agent", "control-plane"} {
+	for _, program := range []string{"proxy", "node-agent", "control-plane"} {
 		code, _, errOut := station(t, program)
 		c.Check(code, qt.Equals, exitNo)
 		c.Check(errOut, qt.Equals, "station: no settings file: MOLEPADDLE_CONFIG or --settings gives its path\n")
--- a/cmd/station/demofleet.go
+++ b/cmd/station/demofleet.go
@@ -125,7 +125,7 @@
 				screen.PassOn(f, net.JoinHostPort(core, strconv.Itoa(set.Ports.First+1)), net.JoinHostPort(core, strconv.Itoa(ports.First+1)))
 			}
 		}
-		f.edge = append(f.edge, f.machine(set, "vane", "node-agent"))
+		f.edge = append(f.edge, f.machine(set, "proxy", "node-agent"))
 		f.clients = append(f.clients, &screen.Client{Edge: net.JoinHostPort(ip, strconv.Itoa(set.Ports.Edge)), Keep: true})
 	}
 	return f
--- a/cmd/station/fleet_test.go
+++ b/cmd/station/fleet_test.go
@@ -156,7 +156,7 @@
 				screen.PassOn(c, net.JoinHostPort(core, strconv.Itoa(s.Ports.First+1)), net.JoinHostPort(core, strconv.Itoa(ports.First+1)))
 			}
 		}
-		f.edge = append(f.edge, &machine{f: f, settings: s, roles: []string{"node-agent", "vane"}})
+		f.edge = append(f.edge, &machine{f: f, settings: s, roles: []string{"node-agent", "proxy"}})
 	}
 	for _, m := range append(slices.Clone(f.core), f.edge...) {
 		for _, role := range m.roles {
--- a/cmd/station/main.go
+++ b/cmd/station/main.go
@@ -1,4 +1,4 @@
-// Command station is the programs of the router fleet: the proxy (vane), the agent beside it (node agent) and the
+// Command station is the programs of the router fleet: the proxy (proxy), the agent beside it (node agent) and the
 // control plane (control server). The platform names their settings file in MOLEPADDLE_CONFIG. The other commands are the
 // operator's: they check files, and show and change the configuration.
 package main
@@ -31,7 +31,7 @@
 	LogLevel    string      `help:"Least level of log lines: debug, info, warn or error." default:"info" enum:"debug,info,warn,error"`
 	ShowVersion versionFlag `name:"version" help:"Tell the build and end."`
 
-	Vane         vaneCmd         `cmd:"" group:"Programs" help:"Run the proxy that takes clients' requests."`
+	Proxy        proxyCmd        `cmd:"" group:"Programs" help:"Run the proxy that takes clients' requests."`
 	NodeAgent    nodeAgentCmd    `cmd:"" group:"Programs" help:"Run the agent that links a proxy to the control plane."`
 	ControlPlane controlPlaneCmd `cmd:"" group:"Programs" help:"Run a machine of the control plane."`
 
--- a/cmd/station/page_test.go
+++ b/cmd/station/page_test.go
@@ -109,7 +109,7 @@
 func logCalls(c *qt.C) (calls []logCall, keys map[string]string) {
 	keys = map[string]string{}
 	var files []string
-	for _, p := range []string{"vane", "node-agent", "control-plane"} {
+	for _, p := range []string{"proxy", "node-agent", "control-plane"} {
 		found, err := filepath.Glob("../../internal/fleet/" + p + "/*.go")
 		c.Assert(err, qt.IsNil)
 		c.Assert(found, qt.Not(qt.HasLen), 0)
--- a/cmd/station/programs.go
+++ b/cmd/station/programs.go
@@ -14,21 +14,21 @@
 
 	"molepaddle/internal/fleet/controlplane"
 	"molepaddle/internal/fleet/nodeagent"
+	"molepaddle/internal/fleet/proxy"
 	"molepaddle/internal/fleet/siting"
-	"molepaddle/internal/fleet/vane"
 )
 
 type (
-	vaneCmd         struct{}
+	proxyCmd        struct{}
 	nodeAgentCmd    struct{}
 	controlPlaneCmd struct {
 		Readings time.Duration `help:"Least time between two writes of where tenants' data rested." default:"30s"`
 	}
 )
 
-func (vaneCmd) Run(a *app) error {
+func (proxyCmd) Run(a *app) error {
 	return a.program(func(ctx context.Context, set siting.Settings, log *zap.Logger) error {
-		return vane.New(ctx, set, log).Run(ctx)
+		return proxy.New(ctx, set, log).Run(ctx)
 	})
 }
 
--- a/cmd/station/residency_test.go
+++ b/cmd/station/residency_test.go
@@ -91,8 +91,8 @@
 	}
 
 	edge := f.edge[0]
-	edge.kill("vane")
-	edge.start("vane")
+	edge.kill("proxy")
+	edge.start("proxy")
 	f.ready(edge)
 	ask(0, 4)
 	since("a proxy's kill")
@@ -140,12 +140,12 @@
 		}
 	}
 	ask(0, 1)
-	end("vane")
+	end("proxy")
 	since("a proxy's orderly end")
-	edge.start("vane")
+	edge.start("proxy")
 	f.ready(edge)
 	ask(0, 1)
-	end("vane", "node-agent")
+	end("proxy", "node-agent")
 	since("a machine's orderly end")
 	// The configuration is what it was, and still changes.
 	rep = f.add(f.version + 1)
--- a/cmd/station/status_test.go
+++ b/cmd/station/status_test.go
@@ -106,7 +106,7 @@
 	f.Check(s.View.Primary, qt.Equals, primary.boot.Ctl)
 
 	// A proxy that hangs lacks the next version, for as long as it has a lease.
-	hung := f.edge[1].programs["vane"]
+	hung := f.edge[1].programs["proxy"]
 	hung.Signal(syscall.SIGSTOP)
 	f.add(2)
 	f.until(patient, "only the proxy that hangs lacks the version", func() bool {
@@ -117,12 +117,12 @@
 	hung.Signal(syscall.SIGCONT)
 	f.Check(f.watch(exitDone), qt.Contains, "version 2: in force at 2 of 2 agents")
 
-	f.edge[1].kill("vane")
+	f.edge[1].kill("proxy")
 	f.add(3)
 	out = f.watch(exitDone, "3")
 	f.Check(out, qt.Contains, "no lease any more: edge-2 (2)")
 	f.Check(names(f.stands(primary).Agents), qt.DeepEquals, []string{"edge-1"})
-	f.edge[1].start("vane")
+	f.edge[1].start("proxy")
 	f.ready(f.edge[1])
 
 	// With the primary gone, the next one tells, and waits until it knows all agents.
--- a/cmd/station/traffic_test.go
+++ b/cmd/station/traffic_test.go
@@ -273,9 +273,9 @@
 	}
 	f.until(patient, "all have begun", func() bool { return began(f.engines()) >= was+len(open) })
 
-	vane := m.programs["vane"]
-	f.ends(vane)
-	vane.Signal(syscall.SIGTERM)
+	proxy := m.programs["proxy"]
+	f.ends(proxy)
+	proxy.Signal(syscall.SIGTERM)
 	term := time.Now()
 	status := func() int {
 		c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
@@ -310,7 +310,7 @@
 			}
 		})
 	}
-	code, err := vane.Wait(f.within(patient))
+	code, err := proxy.Wait(f.within(patient))
 	took := time.Since(term)
 	f.Assert(err, qt.IsNil)
 	f.Check(code, qt.Equals, 0)
@@ -339,9 +339,9 @@
 // that takes half a second: what it begins it finishes, within its grace.
 func TestVaneEndsAsClientsCome(t *testing.T) {
 	f := newFleet(t, plan{bounds: map[string]any{"grace_s": 3}})
-	vane := f.edge[0].programs["vane"]
-	f.ends(vane)
-	vane.Signal(syscall.SIGTERM)
+	proxy := f.edge[0].programs["proxy"]
+	f.ends(proxy)
+	proxy.Signal(syscall.SIGTERM)
 	term := time.Now()
 	var come sync.WaitGroup
 	for range 3 {
@@ -355,7 +355,7 @@
 			}
 		})
 	}
-	code, err := vane.Wait(f.within(patient))
+	code, err := proxy.Wait(f.within(patient))
 	took := time.Since(term)
 	f.Assert(err, qt.IsNil)
 	f.Check(code, qt.Equals, 0)
--- a/internal/fleet/mast/agents.go
+++ b/internal/fleet/mast/agents.go
@@ -14,7 +14,7 @@
 	"molepaddle/internal/fleet/distribution"
 )
 
-// Crew is the hollow agents of one process: each pulls as a node agent with a vane beside it does, at one of the
+// Crew is the hollow agents of one process: each pulls as a node agent with a proxy beside it does, at one of the
 // control servers, and keeps only how far it has come. What it reports stands in Event.
 type Crew struct {
 	First, Count int
--- a/internal/fleet/mast/proxy.go
+++ b/internal/fleet/mast/proxy.go
@@ -23,7 +23,7 @@
 	"molepaddle/internal/fleet/sonde"
 )
 
-// ProxyTrial is one run of a real vane between hollow clients and hollow backends: what one request, one event and the
+// ProxyTrial is one run of a real proxy between hollow clients and hollow backends: what one request, one event and the
 // length of the list cost it.
 type ProxyTrial struct {
 	Backends int
@@ -70,7 +70,7 @@
 		return err
 	}
 	at := func(offset int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(first+offset)) }
-	m := machine{name: "edge-real-vane", zone: Zone(0), ip: "127.0.0.1", ports: [2]int{first, first + 3}, seeds: []string{at(4)}, edge: at(5), ready: at(6),
+	m := machine{name: "edge-real-proxy", zone: Zone(0), ip: "127.0.0.1", ports: [2]int{first, first + 3}, seeds: []string{at(4)}, edge: at(5), ready: at(6),
 		beat: 1200 * time.Millisecond, apply: 2 * time.Second, rate: 42}
 	feed, err := net.Listen("tcp", distribution.NodeAgentAddr(m.ports))
 	if err != nil {
@@ -84,11 +84,11 @@
 	if err != nil {
 		return err
 	}
-	vane, _, err := start("vane", t.Station, []string{"vane"}, []string{"MOLEPADDLE_CONFIG=" + path, "GOMAXPROCS=1"}, func(*process, []byte) {})
+	proxy, _, err := start("proxy", t.Station, []string{"proxy"}, []string{"MOLEPADDLE_CONFIG=" + path, "GOMAXPROCS=1"}, func(*process, []byte) {})
 	if err != nil {
 		return err
 	}
-	defer vane.kill()
+	defer proxy.kill()
 	fmt.Fprintf(t.Out, "proxy: backends %d, routes %d, events %d, one each %v, body %d B, prompt %d tokens\n", t.Backends, t.Routes, t.Events, t.Every, bodyBytes, promptTokens)
 	if err := awaitReady(ctx, m.ready, t.Within); err != nil {
 		return err
@@ -98,7 +98,7 @@
 		if rate > MaxRate {
 			return errors.Errorf("rate: at most %d", MaxRate)
 		}
-		if err := t.load(ctx, client, m.edge, vane, rate); err != nil {
+		if err := t.load(ctx, client, m.edge, proxy, rate); err != nil {
 			return err
 		}
 	}
@@ -142,14 +142,14 @@
 			}
 		}
 		if !pause(ctx, 20*time.Millisecond) {
-			return errors.New("the vane is not ready in time")
+			return errors.New("the proxy is not ready in time")
 		}
 	}
 }
 
-// load sends requests at one rate and writes what the vane used for them.
-func (t *ProxyTrial) load(ctx context.Context, client *http.Client, edge string, vane *process, rate float64) error {
-	before, err := ReadUsage(vane.pid())
+// load sends requests at one rate and writes what the proxy used for them.
+func (t *ProxyTrial) load(ctx context.Context, client *http.Client, edge string, proxy *process, rate float64) error {
+	before, err := ReadUsage(proxy.pid())
 	if err != nil {
 		return err
 	}
@@ -179,12 +179,12 @@
 		return ctx.Err()
 	}
 	all.Wait()
-	after, err := ReadUsage(vane.pid())
+	after, err := ReadUsage(proxy.pid())
 	if err != nil {
 		return err
 	}
 	cpu, seconds := after.CPU-before.CPU, after.At.Sub(before.At).Seconds()
-	fmt.Fprintf(t.Out, "proxy: rate %6.0f/s: served %d, failed %d; vane: cpu %.2f %% of a core, %.4f ms a request; in %.0f B, out %.0f B a request; resident %.1f MB, peak %.1f MB",
+	fmt.Fprintf(t.Out, "proxy: rate %6.0f/s: served %d, failed %d; proxy: cpu %.2f %% of a core, %.4f ms a request; in %.0f B, out %.0f B a request; resident %.1f MB, peak %.1f MB",
 		rate, served.Load(), failed.Load(), 100*cpu.Seconds()/seconds, ms(cpu)/float64(max(n, 1)), float64(after.Read-before.Read)/float64(max(n, 1)),
 		float64(after.Written-before.Written)/float64(max(n, 1)), float64(after.Resident)/1e6, float64(after.Peak)/1e6)
 	if len(firsts) > 0 {
--- a/internal/fleet/mast/trial.go
+++ b/internal/fleet/mast/trial.go
@@ -22,7 +22,7 @@
 
 // Trial is one run at one size.
 type Trial struct {
-	Agents    int           // hollow ones; a real node agent and vane come besides
+	Agents    int           // hollow ones; a real node agent and proxy come besides
 	Crews     int           // processes that the hollow agents share
 	Backends  int           // on the platform's list
 	Routes    int           // in the configuration
@@ -45,7 +45,7 @@
 	settings  []string
 	crews     []*process
 	commands  []io.WriteCloser
-	probes    []*process // the real node agent and vane
+	probes    []*process // the real node agent and proxy
 	events    chan tagged
 	platform  *Platform
 	op        *operator
@@ -207,7 +207,7 @@
 		}
 	}
 	began = time.Now()
-	for _, role := range []string{"node-agent", "vane"} {
+	for _, role := range []string{"node-agent", "proxy"} {
 		m := base
 		m.name, m.zone, m.ip, m.edge, m.ready = "edge-real-"+role, Zone(0), "127.0.0.1", at("127.0.0.1", 5), at("127.0.0.1", 6)
 		path, err := m.write(dir)
--- a/internal/fleet/vane/drawn_rig_test.go
+++ b/internal/fleet/proxy/drawn_rig_test.go
@@ -1,4 +1,4 @@
-package vane
+package proxy
 
 import (
 	"bufio"
@@ -65,7 +65,7 @@
 type drawn struct {
 	tb   testing.TB
 	seed uint64
-	v    *Vane
+	v    *Proxy
 
 	mu      sync.Mutex
 	rng     *rand.Rand
--- a/internal/fleet/vane/enclosed_rig_test.go
+++ b/internal/fleet/proxy/enclosed_rig_test.go
@@ -1,4 +1,4 @@
-package vane
+package proxy
 
 import (
 	"context"
@@ -33,7 +33,7 @@
 // rig is one proxy before engines, fed by the test.
 type rig struct {
 	*qt.C
-	v       *Vane
+	v       *Proxy
 	server  *httptest.Server
 	engines []*screen.Engine
 	listed  []distribution.Backend
@@ -42,7 +42,7 @@
 	version int
 	history []screen.Term // of the tenant "held"
 	begun   chan struct{} // one for each stream whose first event has gone to its client
-	at      func()        // called as a stream begins, before the vane reads on; nil: nothing
+	at      func()        // called as a stream begins, before the proxy reads on; nil: nothing
 }
 
 // watched tells when a stream has begun.
--- a/internal/fleet/vane/enclosed_test.go
+++ b/internal/fleet/proxy/enclosed_test.go
@@ -1,4 +1,4 @@
-package vane
+package proxy
 
 import (
 	"context"
@@ -154,7 +154,7 @@
 	t.Logf("%d kept parts linger", len(lingering))
 }
 
-// TestEnclosedWithdrawnBetweenReads withdraws a region as the vane passes an event on, where the next does not come: the
+// TestEnclosedWithdrawnBetweenReads withdraws a region as the proxy passes an event on, where the next does not come: the
 // stream is cut all the same, long before its deadline, and taken up inside.
 func TestEnclosedWithdrawnBetweenReads(t *testing.T) {
 	r := newRig(t, everywhere(nil)...)
--- a/internal/fleet/vane/feed.go
+++ b/internal/fleet/proxy/feed.go
@@ -1,4 +1,4 @@
-package vane
+package proxy
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 )
 
 // feed pulls from the node agent for as long as the process lives.
-func (v *Vane) feed(ctx context.Context) {
+func (v *Proxy) feed(ctx context.Context) {
 	pause := distribution.Pause{Least: 5 * time.Millisecond, Most: 100 * time.Millisecond}
 	for ctx.Err() == nil {
 		began := time.Now()
@@ -31,7 +31,7 @@
 }
 
 // member is this proxy as its lease tells of it.
-func (v *Vane) member(now time.Time) distribution.Member {
+func (v *Proxy) member(now time.Time) distribution.Member {
 	m := distribution.Member{Name: v.set.Nodename, Zone: v.set.Zone, List: v.have[distribution.SourceList]}
 	if v.doc != nil {
 		m.Config, m.SinceM = v.doc.Version(), now.Sub(v.docAt).Milliseconds()
@@ -40,7 +40,7 @@
 }
 
 // take takes news; what can't be used is asked for anew, whole.
-func (v *Vane) take(n *distribution.Response) {
+func (v *Proxy) take(n *distribution.Response) {
 	news := false
 	for i := range n.Resources {
 		p := &n.Resources[i]
@@ -57,7 +57,7 @@
 	}
 }
 
-func (v *Vane) takePiece(p *distribution.Resource) error {
+func (v *Proxy) takePiece(p *distribution.Resource) error {
 	switch p.Source {
 	case distribution.SourceConfig:
 		doc := v.doc
@@ -110,7 +110,7 @@
 }
 
 // turn has requests served by what is known now.
-func (v *Vane) turn() {
+func (v *Proxy) turn() {
 	if v.doc == nil {
 		return
 	}
--- a/internal/fleet/vane/ledger.go
+++ b/internal/fleet/proxy/ledger.go
@@ -1,4 +1,4 @@
-package vane
+package proxy
 
 import (
 	"context"
@@ -167,7 +167,7 @@
 }
 
 // handOver gives the node agent what is left in the ledger as the process ends, within a time that its end has to spare.
-func (v *Vane) handOver() {
+func (v *Proxy) handOver() {
 	v.enclosed.hand(time.Now(), v.rested, true)
 	if !v.rested.Used() {
 		return
--- a/internal/fleet/vane/vane.go
+++ b/internal/fleet/proxy/proxy.go
@@ -1,7 +1,7 @@
-// Package vane is the fleet's proxy, the data plane: named after the vane that turns to where the wind goes. It takes
+// Package proxy is the fleet's proxy, the data plane: named after the proxy that turns to where the wind goes. It takes
 // clients' requests, finds their route, and has `policy` and `isobar` choose the backend. What it knows of the fleet
 // comes from the node agent beside it, over loopback; it serves on with what it has when nothing comes.
-package vane
+package proxy
 
 import (
 	"context"
@@ -25,8 +25,8 @@
 	"molepaddle/internal/protocol/transport"
 )
 
-// Vane is one proxy.
-type Vane struct {
+// Proxy is one proxy.
+type Proxy struct {
 	ctx        context.Context
 	set        siting.Settings
 	log        *zap.Logger
@@ -69,13 +69,13 @@
 const reserved = 260
 
 // New makes a proxy that knows nothing yet.
-func New(ctx context.Context, set siting.Settings, log *zap.Logger) *Vane {
+func New(ctx context.Context, set siting.Settings, log *zap.Logger) *Proxy {
 	files := set.Limits.Files
 	if files <= 0 {
 		files = 1024
 	}
 	room := max(files-reserved, 64)
-	v := &Vane{ctx: ctx, set: set, log: log, life: lifecycle.New(), served: make(chan struct{}), have: map[string]distribution.Version{}, services: map[string]*service{}, proxies: assumedProxies,
+	v := &Proxy{ctx: ctx, set: set, log: log, life: lifecycle.New(), served: make(chan struct{}), have: map[string]distribution.Version{}, services: map[string]*service{}, proxies: assumedProxies,
 		statuses: xsync.NewMap[int, *xsync.Counter](), enclosed: newEnclosed(), rested: distribution.NewOutbox()}
 	dialer := &net.Dialer{KeepAlive: -1, Control: sockets.UserTimeout(set.Bounds.Contact)}
 	pool := transport.New(transport.Options{Dial: dialer.DialContext, Timeout: connectWithin, Idle: 10 * time.Second, Most: room / 2,
@@ -85,18 +85,18 @@
 }
 
 // count counts a final answer by its status; 0: broken off.
-func (v *Vane) count(status int) {
+func (v *Proxy) count(status int) {
 	c, _ := v.statuses.LoadOrCompute(status, func() (*xsync.Counter, bool) { return xsync.NewCounter(), false })
 	c.Inc()
 }
 
 // Ready tells whether requests can be served: a configuration and a list are there.
-func (v *Vane) Ready() bool {
+func (v *Proxy) Ready() bool {
 	return v.ready.Load() && !v.life.Leaving()
 }
 
 // Run serves until ctx ends, then finishes what it holds within the platform's grace.
-func (v *Vane) Run(ctx context.Context) error {
+func (v *Proxy) Run(ctx context.Context) error {
 	if v.set.Bind.Edge == "" || v.set.Bind.Ready == "" {
 		return errors.New("bind: edge and readyz must be given")
 	}
@@ -135,7 +135,7 @@
 
 // leave ends in order: not ready any more, so that the platform sends nobody; answers close their connections; what
 // is held is finished; idle connections are closed last.
-func (v *Vane) leave(server *http.Server) {
+func (v *Proxy) leave(server *http.Server) {
 	v.life.End()
 	began := time.Now()
 	grace := v.set.Bounds.Grace
@@ -153,7 +153,7 @@
 }
 
 // report writes counters now and then.
-func (v *Vane) report(ctx context.Context) {
+func (v *Proxy) report(ctx context.Context) {
 	tick := time.NewTicker(10 * time.Second)
 	defer tick.Stop()
 	for {
--- a/internal/fleet/vane/serve.go
+++ b/internal/fleet/proxy/serve.go
@@ -1,4 +1,4 @@
-package vane
+package proxy
 
 import (
 	"context"
@@ -39,7 +39,7 @@
 
 // try is one request of a client under way.
 type try struct {
-	v        *Vane
+	v        *Proxy
 	w        http.ResponseWriter
 	m        message
 	route    *almanac.Route
@@ -55,7 +55,7 @@
 	refused  time.Duration // advice, once nothing ran
 }
 
-func (v *Vane) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (v *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	came := time.Now()
 	v.working.Add(1)
 	defer v.working.Add(-1)
@@ -144,7 +144,7 @@
 
 // awaitWorld waits for what requests are served by: a process that has just started has it in a moment, and whoever came
 // that early is not given up.
-func (v *Vane) awaitWorld(ctx context.Context) {
+func (v *Proxy) awaitWorld(ctx context.Context) {
 	t := time.NewTimer(startWait)
 	defer t.Stop()
 	select {
@@ -196,7 +196,7 @@
 }
 
 // refuse gives an answer of this proxy's own.
-func (v *Vane) refuse(w http.ResponseWriter, status int, again time.Duration, text string) {
+func (v *Proxy) refuse(w http.ResponseWriter, status int, again time.Duration, text string) {
 	if again > 0 {
 		w.Header().Set(sonde.RetryAfter, strconv.FormatFloat(again.Seconds(), 'f', 3, 64))
 	}
--- a/internal/fleet/vane/service.go
+++ b/internal/fleet/proxy/service.go
@@ -1,4 +1,4 @@
-package vane
+package proxy
 
 import (
 	"maps"
--- a/internal/fleet/screen/boot_test.go
+++ b/internal/fleet/screen/boot_test.go
@@ -70,11 +70,11 @@
 func TestBootWritesTheExample(t *testing.T) {
 	c := qt.New(t)
 	edge := Boot(t, BootSettings{
-		Role: "vane", Provider: "127.0.0.1:9", Bounds: map[string]any{"apply_ms": 100}, Extra: "new_field = 3",
+		Role: "proxy", Provider: "127.0.0.1:9", Bounds: map[string]any{"apply_ms": 100}, Extra: "new_field = 3",
 	})
 	doc, err := readBoot(edge.Path)
 	c.Assert(err, qt.IsNil)
-	c.Assert(doc.Role, qt.Equals, "vane")
+	c.Assert(doc.Role, qt.Equals, "proxy")
 	c.Assert(doc.NewField, qt.Equals, 3)
 	c.Assert(doc.Bind.Edge, qt.Equals, edge.Edge)
 	c.Assert(doc.Bind.Readyz, qt.Equals, edge.Readyz)
