Package siting becomes settings

Ruled out: a change of behaviour: files move, identifiers and comments follow, formats on the wire and on disk stay as they were.

--- a/cmd/station/check.go
+++ b/cmd/station/check.go
@@ -10,7 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"molepaddle/internal/fleet/routingconfig"
-	"molepaddle/internal/fleet/siting"
+	"molepaddle/internal/fleet/settings"
 )
 
 type checkCmd struct {
@@ -97,8 +97,8 @@
 			one.About = aboutDocument(d)
 		}
 	case kindSettings:
-		s, err := siting.Parse(name, body)
-		var in siting.Findings
+		s, err := settings.Parse(name, body)
+		var in settings.Findings
 		if err == nil {
 			one.About = aboutSettings(s)
 			in = s.Check(name)
@@ -129,7 +129,7 @@
 	return fmt.Sprintf("version %d: %s, %s", d.Version(), many(d.NumRoutes(), "route"), many(len(d.Services()), "service"))
 }
 
-func aboutSettings(s siting.Settings) string {
+func aboutSettings(s settings.Settings) string {
 	about := "of " + word(s.Nodename) + " at " + s.IP
 	if s.Zone != "" {
 		about += " in " + word(s.Zone)
--- a/cmd/station/control.go
+++ b/cmd/station/control.go
@@ -10,7 +10,7 @@
 
 	"molepaddle/internal/fleet/heliograph"
 	"molepaddle/internal/fleet/routingconfig"
-	"molepaddle/internal/fleet/siting"
+	"molepaddle/internal/fleet/settings"
 )
 
 // controlFlags say where the control plane is.
@@ -26,7 +26,7 @@
 		if a.settings == "" {
 			return nil, coded{errors.New("no control address: give --control ADDR, or a settings file that names peers"), exitUsage}
 		}
-		set, err := siting.Load(a.settings)
+		set, err := settings.Load(a.settings)
 		if err != nil {
 			return nil, coded{errors.Wrap(err, "settings"), exitUsage}
 		}
--- a/cmd/station/fleet_test.go
+++ b/cmd/station/fleet_test.go
@@ -20,13 +20,13 @@
 	qt "github.com/frankban/quicktest"
 
 	"molepaddle/internal/fleet/screen"
-	"molepaddle/internal/fleet/siting"
+	"molepaddle/internal/fleet/settings"
 )
 
 // TestMain is the station itself where it is started with a settings file: the programs under test are this binary, so
 // that they run with the race detector where the tests do.
 func TestMain(m *testing.M) {
-	if _, ok := os.LookupEnv(siting.EnvFile); ok {
+	if _, ok := os.LookupEnv(settings.EnvFile); ok {
 		// The race detector would hold each end up for a second.
 		if _, ok := os.LookupEnv("GORACE"); !ok {
 			self, err := os.Executable()
--- a/cmd/station/programs.go
+++ b/cmd/station/programs.go
@@ -15,7 +15,7 @@
 	"molepaddle/internal/fleet/controlplane"
 	"molepaddle/internal/fleet/nodeagent"
 	"molepaddle/internal/fleet/proxy"
-	"molepaddle/internal/fleet/siting"
+	"molepaddle/internal/fleet/settings"
 )
 
 type (
@@ -27,16 +27,16 @@
 )
 
 func (proxyCmd) Run(a *app) error {
-	return a.program(func(ctx context.Context, set siting.Settings, log *zap.Logger) error {
+	return a.program(func(ctx context.Context, set settings.Settings, log *zap.Logger) error {
 		return proxy.New(ctx, set, log).Run(ctx)
 	})
 }
 
 func (nodeAgentCmd) Run(a *app) error {
-	return a.program(func(ctx context.Context, set siting.Settings, log *zap.Logger) error {
+	return a.program(func(ctx context.Context, set settings.Settings, log *zap.Logger) error {
 		t := nodeagent.New(set, log)
 		t.Seeds = func() []string {
-			now, err := siting.Load(a.settings)
+			now, err := settings.Load(a.settings)
 			if err != nil {
 				return set.Seeds
 			}
@@ -50,7 +50,7 @@
 	if c.Readings <= 0 {
 		return coded{errors.New("--readings: must be above 0"), exitUsage}
 	}
-	return a.program(func(ctx context.Context, set siting.Settings, log *zap.Logger) error {
+	return a.program(func(ctx context.Context, set settings.Settings, log *zap.Logger) error {
 		o, err := controlplane.New(set, log, rand.Uint64)
 		if err != nil {
 			return err
@@ -61,11 +61,11 @@
 }
 
 // program runs one of the fleet's programs until SIGTERM or SIGINT.
-func (a *app) program(do func(ctx context.Context, set siting.Settings, log *zap.Logger) error) error {
+func (a *app) program(do func(ctx context.Context, set settings.Settings, log *zap.Logger) error) error {
 	if a.settings == "" {
-		return errors.Errorf("no settings file: %s or --settings gives its path", siting.EnvFile)
+		return errors.Errorf("no settings file: %s or --settings gives its path", settings.EnvFile)
 	}
-	set, err := siting.Load(a.settings)
+	set, err := settings.Load(a.settings)
 	if err != nil {
 		return errors.Wrap(err, "settings")
 	}
--- a/internal/fleet/controlplane/controlplane.go
+++ b/internal/fleet/controlplane/controlplane.go
@@ -16,7 +16,7 @@
 	"molepaddle/internal/fleet/distribution"
 	"molepaddle/internal/fleet/replication"
 	"molepaddle/internal/fleet/routingconfig"
-	"molepaddle/internal/fleet/siting"
+	"molepaddle/internal/fleet/settings"
 	"molepaddle/internal/fleet/statestore"
 )
 
@@ -25,7 +25,7 @@
 	// Readings is the least time between two readings of where tenants' data rested; New sets DefaultReadings.
 	Readings time.Duration
 
-	set     siting.Settings
+	set     settings.Settings
 	log     *zap.Logger
 	start   time.Time
 	store   *distribution.Cache
@@ -55,7 +55,7 @@
 )
 
 // New opens the disk and makes the program. A disk whose content can't be trusted counts as lost.
-func New(set siting.Settings, log *zap.Logger, random func() uint64) (*Server, error) {
+func New(set settings.Settings, log *zap.Logger, random func() uint64) (*Server, error) {
 	if set.DataDir == "" {
 		return nil, errors.New("datadir: a core machine needs a disk")
 	}
--- a/internal/fleet/controlplane/rested_test.go
+++ b/internal/fleet/controlplane/rested_test.go
@@ -14,7 +14,7 @@
 
 	"molepaddle/internal/fleet/raingauge"
 	"molepaddle/internal/fleet/replication"
-	"molepaddle/internal/fleet/siting"
+	"molepaddle/internal/fleet/settings"
 	"molepaddle/internal/fleet/sonde"
 )
 
@@ -24,8 +24,8 @@
 // solo is a control server that is all of the core, without its network.
 func solo(c *qt.C) *Server {
 	n := uint64(0)
-	o, err := New(siting.Settings{Nodename: "core-1", IP: "127.0.0.1", Zone: "z", Region: "east", Zones: map[string]string{"z": "east"}, Ports: [2]int{7, 10},
-		Seeds: []string{"127.0.0.1:9"}, Bootstrap: true, DataDir: c.TempDir(), Bind: siting.Bind{Control: "127.0.0.1:9"}, Bounds: siting.Bounds{Sync: time.Second}},
+	o, err := New(settings.Settings{Nodename: "core-1", IP: "127.0.0.1", Zone: "z", Region: "east", Zones: map[string]string{"z": "east"}, Ports: [2]int{7, 10},
+		Seeds: []string{"127.0.0.1:9"}, Bootstrap: true, DataDir: c.TempDir(), Bind: settings.Bind{Control: "127.0.0.1:9"}, Bounds: settings.Bounds{Sync: time.Second}},
 		zap.NewNop(), func() uint64 { n++; return n })
 	c.Assert(err, qt.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/fleet/enclosure/enclosure.go
+++ b/internal/fleet/enclosure/enclosure.go
@@ -85,7 +85,7 @@
 	zones map[string]string
 }
 
-// NewGround takes the region of each zone (siting Settings.Zones; copied) and the connections. A zone that is not there,
+// NewGround takes the region of each zone (settings Settings.Zones; copied) and the connections. A zone that is not there,
 // or whose region is empty, is of no known region.
 func NewGround(pool *transport.Transport, zones map[string]string) *Ground {
 	g := &Ground{pool: pool, zones: make(map[string]string, len(zones))}
--- a/internal/fleet/nodeagent/nodeagent.go
+++ b/internal/fleet/nodeagent/nodeagent.go
@@ -14,7 +14,7 @@
 	"go.uber.org/zap"
 
 	"molepaddle/internal/fleet/distribution"
-	"molepaddle/internal/fleet/siting"
+	"molepaddle/internal/fleet/settings"
 	"molepaddle/internal/fleet/sonde"
 )
 
@@ -23,7 +23,7 @@
 	// Seeds reads the seeds anew, control addresses as the settings name them; nil: they don't change.
 	Seeds func() []string
 
-	set   siting.Settings
+	set   settings.Settings
 	log   *zap.Logger
 	store *distribution.Cache // what the proxy is fed from
 
@@ -41,7 +41,7 @@
 }
 
 // New makes a node agent.
-func New(set siting.Settings, log *zap.Logger) *Agent {
+func New(set settings.Settings, log *zap.Logger) *Agent {
 	t := &Agent{set: set, log: log, store: distribution.NewCache(), have: map[string]distribution.Version{},
 		list: distribution.Version{Epoch: uint64(time.Now().UnixNano())}}
 	t.seed(set.Seeds)
--- a/internal/fleet/nodeagent/nodeagent_test.go
+++ b/internal/fleet/nodeagent/nodeagent_test.go
@@ -11,7 +11,7 @@
 
 	"molepaddle/internal/fleet/distribution"
 	"molepaddle/internal/fleet/screen"
-	"molepaddle/internal/fleet/siting"
+	"molepaddle/internal/fleet/settings"
 )
 
 // A control server that is cut off from its primary still answers pulls; whoever follows it must leave it in time for a
@@ -22,7 +22,7 @@
 	defer cancel()
 	ips := []string{"127.0.4.1", "127.0.4.2", "127.0.4.3", "127.0.4.4", "127.0.0.1"}
 	ports := screen.ChoosePorts(t, 4, ips...)
-	set := siting.Settings{Nodename: "edge-1", Zone: "z", Ports: [2]int{ports.First, ports.First + 3}, Heartbeat: 1200 * time.Millisecond}
+	set := settings.Settings{Nodename: "edge-1", Zone: "z", Ports: [2]int{ports.First, ports.First + 3}, Heartbeat: 1200 * time.Millisecond}
 	set.Bounds.Apply = 2 * time.Second
 	set.Bounds.Drain = time.Minute
 	stores := map[string]*distribution.Cache{}
@@ -76,7 +76,7 @@
 	defer cancel()
 	ips := []string{"127.0.5.1", "127.0.5.2", "127.0.5.3", "127.0.0.1"}
 	ports := screen.ChoosePorts(t, 4, ips...)
-	set := siting.Settings{Nodename: "edge-1", Zone: "z", Ports: [2]int{ports.First, ports.First + 3}, Heartbeat: 400 * time.Millisecond}
+	set := settings.Settings{Nodename: "edge-1", Zone: "z", Ports: [2]int{ports.First, ports.First + 3}, Heartbeat: 400 * time.Millisecond}
 	set.Bounds.Apply = time.Second
 	set.Bounds.Drain = time.Minute
 	set.Seeds = []string{net.JoinHostPort(ips[0], "1")}
--- a/internal/fleet/proxy/enclosed_rig_test.go
+++ b/internal/fleet/proxy/enclosed_rig_test.go
@@ -16,7 +16,7 @@
 
 	"molepaddle/internal/fleet/distribution"
 	"molepaddle/internal/fleet/screen"
-	"molepaddle/internal/fleet/siting"
+	"molepaddle/internal/fleet/settings"
 )
 
 // The deployment of these tests: three regions, two zones each; what is asked for comes from east.
@@ -81,9 +81,9 @@
 	}
 }
 
-func testSettings(zones map[string]string) siting.Settings {
-	return siting.Settings{Nodename: "edge-1", Zone: "e1", Region: "east", Zones: zones, Heartbeat: time.Second, Limits: siting.Limits{Files: 4100},
-		Bounds: siting.Bounds{Contact: 3 * time.Second, RetryRatio: 0.2, RetryExtra: 4000, RetryWindow: 10 * time.Second, Grace: 8 * time.Second}}
+func testSettings(zones map[string]string) settings.Settings {
+	return settings.Settings{Nodename: "edge-1", Zone: "e1", Region: "east", Zones: zones, Heartbeat: time.Second, Limits: settings.Limits{Files: 4100},
+		Bounds: settings.Bounds{Contact: 3 * time.Second, RetryRatio: 0.2, RetryExtra: 4000, RetryWindow: 10 * time.Second, Grace: 8 * time.Second}}
 }
 
 func newRig(tb testing.TB, engines ...screen.EngineSettings) *rig {
--- a/internal/fleet/proxy/proxy.go
+++ b/internal/fleet/proxy/proxy.go
@@ -20,7 +20,7 @@
 	"molepaddle/internal/fleet/distribution"
 	"molepaddle/internal/fleet/enclosure"
 	"molepaddle/internal/fleet/routingconfig"
-	"molepaddle/internal/fleet/siting"
+	"molepaddle/internal/fleet/settings"
 	"molepaddle/internal/protocol/sockets"
 	"molepaddle/internal/protocol/transport"
 )
@@ -28,7 +28,7 @@
 // Proxy is one proxy.
 type Proxy struct {
 	ctx        context.Context
-	set        siting.Settings
+	set        settings.Settings
 	log        *zap.Logger
 	pool       interface{ Close() } // the way to a backend is its plot's alone
 	ground     *enclosure.Ground
@@ -69,7 +69,7 @@
 const reserved = 260
 
 // New makes a proxy that knows nothing yet.
-func New(ctx context.Context, set siting.Settings, log *zap.Logger) *Proxy {
+func New(ctx context.Context, set settings.Settings, log *zap.Logger) *Proxy {
 	files := set.Limits.Files
 	if files <= 0 {
 		files = 1024
--- a/internal/fleet/siting/check_test.go
+++ b/internal/fleet/settings/check_test.go
@@ -1,23 +1,23 @@
-package siting_test
+package settings_test
 
 import (
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
-	"molepaddle/internal/fleet/siting"
+	"molepaddle/internal/fleet/settings"
 )
 
 func TestCheckOfTheExample(t *testing.T) {
 	c := qt.New(t)
-	s, err := siting.Parse("boot.toml", []byte(example))
+	s, err := settings.Parse("boot.toml", []byte(example))
 	c.Assert(err, qt.IsNil)
 	c.Assert(s.Check("boot.toml"), qt.HasLen, 0)
 }
 
 func TestCheckFindsWhatLacks(t *testing.T) {
 	c := qt.New(t)
-	s, err := siting.Parse("boot.toml", []byte(`
+	s, err := settings.Parse("boot.toml", []byte(`
 nodename = "n"
 ip = "10.1.0.1"
 roles = ["edge", "ctl"]
--- a/internal/fleet/siting/read.go
+++ b/internal/fleet/settings/read.go
@@ -1,4 +1,4 @@
-package siting
+package settings
 
 import (
 	"fmt"
--- a/internal/fleet/siting/siting.go
+++ b/internal/fleet/settings/settings.go
@@ -1,7 +1,7 @@
-// Package siting reads and checks the settings file of a process (DEPLOY.md, "Settings of a process"): TOML, its path in
+// Package settings reads and checks the settings file of a process (DEPLOY.md, "Settings of a process"): TOML, its path in
 // the variable MOLEPADDLE_CONFIG. Fields it doesn't know are ignored. All findings are collected with their place (file
 // and key) and reported together.
-package siting
+package settings
 
 import "time"
 
--- a/internal/fleet/siting/siting_test.go
+++ b/internal/fleet/settings/settings_test.go
@@ -1,4 +1,4 @@
-package siting_test
+package settings_test
 
 import (
 	"os"
@@ -10,7 +10,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/go-faster/errors"
 
-	"molepaddle/internal/fleet/siting"
+	"molepaddle/internal/fleet/settings"
 )
 
 // example is the one of DEPLOY.md.
@@ -76,8 +76,8 @@
 delay_ms = 800
 `
 
-func exampleSettings() siting.Settings {
-	return siting.Settings{
+func exampleSettings() settings.Settings {
+	return settings.Settings{
 		Nodename:  "edge-koto-hall-1",
 		Role:      "my-edge",
 		Tier:      "edge",
@@ -93,23 +93,23 @@
 		Heartbeat: 1200 * time.Millisecond,
 		Clauses:   []string{"base", "drain", "config", "cost", "retry", "recover", "split", "stream", "engine"},
 		Zones:     map[string]string{"koto-hall": "kanto", "shinagawa-hall": "kanto", "kawasaki-hall": "kanto"},
-		Bind:      siting.Bind{Edge: "10.1.0.13:8161", Ready: "10.1.0.13:8167"},
-		Limits:    siting.Limits{CPUFraction: 0.4, CPUs: 1, MemoryMB: 284, Files: 4100, LinkMbps: 1000},
-		Survive:   siting.Survive{Nodes: 1},
-		Bounds: siting.Bounds{
+		Bind:      settings.Bind{Edge: "10.1.0.13:8161", Ready: "10.1.0.13:8167"},
+		Limits:    settings.Limits{CPUFraction: 0.4, CPUs: 1, MemoryMB: 284, Files: 4100, LinkMbps: 1000},
+		Survive:   settings.Survive{Nodes: 1},
+		Bounds: settings.Bounds{
 			PeerLag: 3 * time.Second, AddrReuse: 2 * time.Second, Contact: 3 * time.Second, Ack: 4 * time.Second,
 			Sync: 4 * time.Second, Drain: 3 * time.Second, Grace: 8 * time.Second, LossSlack: 200 * time.Millisecond,
 			Apply: 2 * time.Second, Downgrade: 250 * time.Millisecond, Skew: 5 * time.Second, RetryRatio: 0.2,
 			RetryWindow: 10 * time.Second, RetryExtra: 54, Heal: 12 * time.Second, Transit: 120 * time.Millisecond,
 			Fencing: true, Lease: 3 * time.Second, Unfreeze: 300 * time.Millisecond,
 		},
-		Provider: siting.Provider{Address: "10.200.0.79:8169", Rate: 42, Jobs: []string{}, Delay: 800 * time.Millisecond},
+		Provider: settings.Provider{Address: "10.200.0.79:8169", Rate: 42, Jobs: []string{}, Delay: 800 * time.Millisecond},
 	}
 }
 
 func TestExample(t *testing.T) {
 	c := qt.New(t)
-	got, err := siting.Parse("boot.toml", []byte(example))
+	got, err := settings.Parse("boot.toml", []byte(example))
 	c.Assert(err, qt.IsNil)
 	c.Assert(got, qt.DeepEquals, exampleSettings())
 }
@@ -129,21 +129,21 @@
 	want.Bounds.RetryExtra = 54.5
 	want.Bounds.PeerLag = 300 * time.Millisecond
 	want.Limits.MemoryMB = 284.25
-	got, err := siting.Parse("boot.toml", []byte(text))
+	got, err := settings.Parse("boot.toml", []byte(text))
 	c.Assert(err, qt.IsNil)
 	c.Assert(got, qt.DeepEquals, want)
 }
 
 func TestDefaults(t *testing.T) {
 	c := qt.New(t)
-	got, err := siting.Parse("boot.toml", []byte("nodename = 'n'\nip = '127.0.0.1'\nport_range = [1,1]\ndatadir = '/d'\n[bind]\nctl = '127.0.0.1:0'"))
+	got, err := settings.Parse("boot.toml", []byte("nodename = 'n'\nip = '127.0.0.1'\nport_range = [1,1]\ndatadir = '/d'\n[bind]\nctl = '127.0.0.1:0'"))
 	c.Assert(err, qt.IsNil)
 	want := exampleSettings().Bounds
 	want.Fencing = false
-	c.Assert(got, qt.DeepEquals, siting.Settings{
+	c.Assert(got, qt.DeepEquals, settings.Settings{
 		Nodename: "n", IP: "127.0.0.1", Ports: [2]int{1, 1}, DataDir: "/d", Heartbeat: time.Second,
-		Zones: map[string]string{}, Bounds: want, Bind: siting.Bind{Control: "127.0.0.1:0"},
-		Provider: siting.Provider{Rate: 1, Delay: time.Second},
+		Zones: map[string]string{}, Bounds: want, Bind: settings.Bind{Control: "127.0.0.1:0"},
+		Provider: settings.Provider{Rate: 1, Delay: time.Second},
 	})
 }
 
@@ -166,8 +166,8 @@
 		"rate_s = 42.0", "rate_s = nan",
 		"address = \"10.200.0.79:8169\"", "address = \"10.200.0.79:0\"",
 	).Replace(example)
-	_, err := siting.Parse("boot.toml", []byte(text))
-	var found siting.Findings
+	_, err := settings.Parse("boot.toml", []byte(text))
+	var found settings.Findings
 	c.Assert(errors.As(err, &found), qt.IsTrue)
 	c.Assert(strings.Split(err.Error(), "\n"), qt.DeepEquals, []string{
 		"boot.toml: nodename: must be given and not be empty",
@@ -193,21 +193,21 @@
 	for _, text := range []string{"", "port_range = 5", "port_range = []", "port_range = [1]", "port_range = [1,2,3]",
 		"port_range = [0,5]", "port_range = [5,65536]", "port_range = ['5',6]", "port_range = [5.5,6]"} {
 		t.Run(text, func(t *testing.T) {
-			_, err := siting.Parse("f", []byte("nodename = 'n'\nip = '127.0.0.1'\n"+text))
+			_, err := settings.Parse("f", []byte("nodename = 'n'\nip = '127.0.0.1'\n"+text))
 			qt.Assert(t, err, qt.ErrorMatches, `f: port_range(\[0\])?: .*`)
 		})
 	}
 }
 
 func TestTables(t *testing.T) {
-	_, err := siting.Parse("f", []byte("nodename = 'n'\nip = '127.0.0.1'\nport_range = [1,2]\nbnds = 3\nbind = 'x'"))
+	_, err := settings.Parse("f", []byte("nodename = 'n'\nip = '127.0.0.1'\nport_range = [1,2]\nbnds = 3\nbind = 'x'"))
 	qt.Assert(t, err, qt.ErrorMatches, "f: bind: must be a table\nf: bnds: must be a table")
 }
 
 func TestNotTOML(t *testing.T) {
-	_, err := siting.Parse("boot.toml", []byte("a = 1\nb = [\n"))
+	_, err := settings.Parse("boot.toml", []byte("a = 1\nb = [\n"))
 	qt.Assert(t, err, qt.ErrorMatches, `boot.toml: line \d+, column \d+: .*`)
-	_, err = siting.Parse("boot.toml", []byte("a = 1\na = 2\n"))
+	_, err = settings.Parse("boot.toml", []byte("a = 1\na = 2\n"))
 	qt.Assert(t, err, qt.ErrorMatches, `boot.toml: .*`)
 }
 
@@ -215,14 +215,14 @@
 	c := qt.New(t)
 	path := filepath.Join(c.TempDir(), "boot.toml")
 	c.Assert(os.WriteFile(path, []byte(example), 0o600), qt.IsNil)
-	c.Setenv(siting.EnvFile, path)
-	got, err := siting.FromEnv()
+	c.Setenv(settings.EnvFile, path)
+	got, err := settings.FromEnv()
 	c.Assert(err, qt.IsNil)
 	c.Assert(got, qt.DeepEquals, exampleSettings())
 
-	_, err = siting.Load(path + "x")
+	_, err = settings.Load(path + "x")
 	c.Assert(errors.Is(err, os.ErrNotExist), qt.IsTrue)
-	c.Setenv(siting.EnvFile, "")
-	_, err = siting.FromEnv()
+	c.Setenv(settings.EnvFile, "")
+	_, err = settings.FromEnv()
 	c.Assert(err, qt.ErrorMatches, "MOLEPADDLE_CONFIG is not set.*")
 }
