--- a/cmd/station/control_test.go
+++ b/cmd/station/control_test.go
@@ -19,8 +19,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"molepaddle/internal/fleet/externalapi"
 	"molepaddle/internal/fleet/routingconfig"
-	"molepaddle/internal/fleet/sonde"
 )
 
 // control stands in for the control plane: one agent that takes configurations as PROTOCOL.md says.
@@ -53,10 +53,10 @@
 	body, _ := io.ReadAll(r.Body)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.calls = append(s.calls, strings.TrimSpace(r.Method+" "+r.URL.Path+" "+r.Header.Get(sonde.BaseVersion)))
+	s.calls = append(s.calls, strings.TrimSpace(r.Method+" "+r.URL.Path+" "+r.Header.Get(externalapi.BaseVersion)))
 	change := routingconfig.Replace
 	switch r.Method + " " + r.URL.Path {
-	case sonde.Show.Method + " " + sonde.Show.Path:
+	case externalapi.Show.Method + " " + externalapi.Show.Path:
 		if s.doc == nil {
 			no(w, http.StatusNotFound, "no configuration yet", nil)
 			return
@@ -64,22 +64,22 @@
 		w.Header().Set("Content-Type", "application/json")
 		_, _ = w.Write(s.doc.Show())
 		return
-	case sonde.Resided.Method + " " + sonde.Resided.Path:
+	case externalapi.Resided.Method + " " + externalapi.Resided.Path:
 		s.residency(w, r)
 		return
-	case sonde.Status.Method + " " + sonde.Status.Path:
+	case externalapi.Status.Method + " " + externalapi.Status.Path:
 		s.looks++
 		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(s.stands(r.URL.Query().Has(sonde.QueryLocal)))
+		_ = json.NewEncoder(w).Encode(s.stands(r.URL.Query().Has(externalapi.QueryLocal)))
 		return
-	case sonde.Replace.Method + " " + sonde.Replace.Path:
-	case sonde.Update.Method + " " + sonde.Update.Path:
+	case externalapi.Replace.Method + " " + externalapi.Replace.Path:
+	case externalapi.Update.Method + " " + externalapi.Update.Path:
 		change = routingconfig.Update
 	default:
 		no(w, http.StatusNotFound, "no such call", nil)
 		return
 	}
-	base, err := strconv.ParseInt(r.Header.Get(sonde.BaseVersion), 10, 64)
+	base, err := strconv.ParseInt(r.Header.Get(externalapi.BaseVersion), 10, 64)
 	if err != nil || base != s.doc.Version() {
 		no(w, http.StatusPreconditionFailed, "version "+strconv.FormatInt(s.doc.Version(), 10)+" is in place", nil)
 		return
@@ -95,9 +95,9 @@
 // residency tells of two tenants, as a control server does.
 func (s *control) residency(w http.ResponseWriter, r *http.Request) {
 	at := time.Date(2026, time.December, 1, 8, 0, 0, 0, time.UTC)
-	tenant, route := r.URL.Query().Get(sonde.QueryTenant), r.URL.Query().Get(sonde.QueryRoute)
-	answer := sonde.Residency{Seq: 41}
-	for _, one := range []sonde.Rested{
+	tenant, route := r.URL.Query().Get(externalapi.QueryTenant), r.URL.Query().Get(externalapi.QueryRoute)
+	answer := externalapi.Residency{Seq: 41}
+	for _, one := range []externalapi.Rested{
 		{Route: "r-old", Region: "kanto", First: at, Last: at.Add(1500 * time.Millisecond), Plain: 3},
 		{Tenant: "kochi-labs", Region: "kerala-central", First: at.Add(250 * time.Millisecond), Last: at.Add(30 * time.Hour), Plain: 12, Prefills: 871, Decodes: 902, Resumes: 4},
 		{Tenant: "kochi-labs", Region: "kerala-north", First: at.Add(time.Minute), Last: at.Add(24 * time.Hour), Prefills: 40, Decodes: 51},
--- a/cmd/station/demo.go
+++ b/cmd/station/demo.go
@@ -13,8 +13,8 @@
 
 	"github.com/go-faster/errors"
 
+	"molepaddle/internal/fleet/externalapi"
 	"molepaddle/internal/fleet/screen"
-	"molepaddle/internal/fleet/sonde"
 	"molepaddle/internal/fleet/status"
 )
 
@@ -91,7 +91,7 @@
 func (d *demo) start(ctx context.Context, s *stage) {
 	d.demoFleet = startDemo(ctx, s)
 	d.say("\n1  The start")
-	d.change(sonde.Replace, []byte(demoConfig))
+	d.change(externalapi.Replace, []byte(demoConfig))
 	for i := range d.edge {
 		if err := screen.AwaitReady(ctx, d.edge[i].ready); err != nil {
 			d.Fatalf("%s: %v", d.edge[i].name, err)
@@ -101,7 +101,7 @@
 }
 
 // change sends a configuration or a change of one on top of the newest.
-func (d *demo) change(call sonde.Call, body []byte) {
+func (d *demo) change(call externalapi.Call, body []byte) {
 	began := time.Now()
 	answer, err := d.control.Change(d.ctx, call, d.version, body)
 	if err != nil {
@@ -159,7 +159,7 @@
 	d.say("\n3  A change of the configuration reaches every proxy")
 	next := d.version + 1
 	d.say("   GET /news-%d/ before: %s", next, d.news(next))
-	d.change(sonde.Update, demoChange(next))
+	d.change(externalapi.Update, demoChange(next))
 	d.everywhere()
 	d.say("   GET /news-%d/ after: %s", next, d.news(next))
 }
@@ -222,7 +222,7 @@
 	d.say("   %s, which led view %d, is killed", d.nameOf(d.leader), was.View.Epoch)
 	now := d.primary()
 	d.say("   %s leads view %d %v later; the configuration there is version %d", d.nameOf(d.leader), now.View.Epoch, since(killed), now.Configuration.Version)
-	d.change(sonde.Update, demoChange(d.version+1))
+	d.change(externalapi.Update, demoChange(d.version+1))
 	d.everywhere()
 	stop()
 	all.Wait()
--- a/cmd/station/propose.go
+++ b/cmd/station/propose.go
@@ -6,9 +6,9 @@
 
 	"github.com/go-faster/errors"
 
+	"molepaddle/internal/fleet/externalapi"
 	"molepaddle/internal/fleet/heliograph"
 	"molepaddle/internal/fleet/routingconfig"
-	"molepaddle/internal/fleet/sonde"
 )
 
 // changeFlags are those of both ways to change the configuration.
@@ -36,20 +36,20 @@
 }
 
 // Run sends a whole configuration.
-func (c *proposeCmd) Run(a *app) error { return c.send(a, sonde.Replace) }
+func (c *proposeCmd) Run(a *app) error { return c.send(a, externalapi.Replace) }
 
 // Run sends a change of named items.
-func (c *updateCmd) Run(a *app) error { return c.send(a, sonde.Update) }
+func (c *updateCmd) Run(a *app) error { return c.send(a, externalapi.Update) }
 
-func (c *changeFlags) send(a *app, call sonde.Call) error {
+func (c *changeFlags) send(a *app, call externalapi.Call) error {
 	body, err := readFile(c.File)
 	if err != nil {
 		return err
 	}
 	// The control plane would take a whole configuration for an update of nothing: unknown fields are let pass.
-	if kind := kindOf(c.File, body); call == sonde.Update && kind != kindUpdate {
+	if kind := kindOf(c.File, body); call == externalapi.Update && kind != kindUpdate {
 		return errors.Errorf("%s: has neither upsert nor remove alone: `station propose` sends whole configurations", c.File)
-	} else if call == sonde.Replace && kind == kindUpdate {
+	} else if call == externalapi.Replace && kind == kindUpdate {
 		return errors.Errorf("%s: is a change of named items: `station update` sends those", c.File)
 	}
 	client, err := c.client(a)
@@ -62,7 +62,7 @@
 		if err != nil {
 			return err
 		}
-		if s.Base = now.Version(); call == sonde.Replace && now != nil {
+		if s.Base = now.Version(); call == externalapi.Replace && now != nil {
 			if next, _ := routingconfig.Decode(body); next != nil && next.Equal(now) {
 				s.Status, s.From, s.Already = 200, answer.From, true
 				return c.tell(a, &s, nil)
--- a/cmd/station/residency.go
+++ b/cmd/station/residency.go
@@ -8,7 +8,7 @@
 
 	"github.com/go-faster/errors"
 
-	"molepaddle/internal/fleet/sonde"
+	"molepaddle/internal/fleet/externalapi"
 )
 
 type residencyCmd struct {
@@ -31,7 +31,7 @@
 	if err != nil {
 		return coded{err, codeOf(err)}
 	}
-	var report sonde.Residency
+	var report externalapi.Residency
 	if err := json.Unmarshal(answer.Body, &report); err != nil {
 		return coded{errors.Wrapf(err, "what %s says is no report", answer.From), exitUnclear}
 	}
--- a/cmd/station/residency_test.go
+++ b/cmd/station/residency_test.go
@@ -11,12 +11,12 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"molepaddle/internal/fleet/externalapi"
 	"molepaddle/internal/fleet/screen"
-	"molepaddle/internal/fleet/sonde"
 )
 
 // residency asks one core machine where the data of a tenant rested, by the command.
-func (f *fleet) residency(ctl, tenant string) (code int, report sonde.Residency, said string) {
+func (f *fleet) residency(ctl, tenant string) (code int, report externalapi.Residency, said string) {
 	f.Helper()
 	code, out, errOut := station(f, "residency", tenant, "--json", "--control", ctl, "--within", "3s")
 	if code == exitDone {
@@ -26,7 +26,7 @@
 }
 
 // rested waits until each running core machine tells that the tenant's data rested in one region, by so many plain requests.
-func (f *fleet) rested(tenant string, plain int64) (r sonde.Rested) {
+func (f *fleet) rested(tenant string, plain int64) (r externalapi.Rested) {
 	f.Helper()
 	for _, m := range f.core {
 		var last any
@@ -163,7 +163,7 @@
 	for _, m := range f.core {
 		code, out, errOut := station(f, "residency", "--json", "--control", m.boot.Ctl)
 		f.Assert(code, qt.Equals, exitDone, qt.Commentf("%s", errOut))
-		var report sonde.Residency
+		var report externalapi.Residency
 		f.Assert(json.Unmarshal([]byte(out), &report), qt.IsNil)
 		f.Assert(report.Rested, qt.HasLen, 0)
 		f.Assert(report.Seq, qt.Equals, f.version, qt.Commentf("one change for each version"))
--- a/internal/fleet/controlplane/operator.go
+++ b/internal/fleet/controlplane/operator.go
@@ -12,9 +12,9 @@
 
 	"go.uber.org/zap"
 
+	"molepaddle/internal/fleet/externalapi"
 	"molepaddle/internal/fleet/replication"
 	"molepaddle/internal/fleet/routingconfig"
-	"molepaddle/internal/fleet/sonde"
 )
 
 const (
@@ -26,11 +26,11 @@
 
 func (o *Server) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc(sonde.Replace.Method+" "+sonde.Replace.Path, func(w http.ResponseWriter, r *http.Request) { o.change(w, r, true) })
-	mux.HandleFunc(sonde.Update.Method+" "+sonde.Update.Path, func(w http.ResponseWriter, r *http.Request) { o.change(w, r, false) })
-	mux.HandleFunc(sonde.Show.Method+" "+sonde.Show.Path, o.show)
-	mux.HandleFunc(sonde.Resided.Method+" "+sonde.Resided.Path, o.residency)
-	mux.HandleFunc(sonde.Status.Method+" "+sonde.Status.Path, o.tell)
+	mux.HandleFunc(externalapi.Replace.Method+" "+externalapi.Replace.Path, func(w http.ResponseWriter, r *http.Request) { o.change(w, r, true) })
+	mux.HandleFunc(externalapi.Update.Method+" "+externalapi.Update.Path, func(w http.ResponseWriter, r *http.Request) { o.change(w, r, false) })
+	mux.HandleFunc(externalapi.Show.Method+" "+externalapi.Show.Path, o.show)
+	mux.HandleFunc(externalapi.Resided.Method+" "+externalapi.Resided.Path, o.residency)
+	mux.HandleFunc(externalapi.Status.Method+" "+externalapi.Status.Path, o.tell)
 	return mux
 }
 
@@ -54,7 +54,7 @@
 
 // later tells a caller to ask again, here or elsewhere.
 func (o *Server) later(w http.ResponseWriter, why string) {
-	w.Header().Set(sonde.RetryAfter, "0.2")
+	w.Header().Set(externalapi.RetryAfter, "0.2")
 	o.fail(w, http.StatusServiceUnavailable, why, nil)
 }
 
@@ -76,10 +76,10 @@
 }
 
 func (o *Server) change(w http.ResponseWriter, r *http.Request, replace bool) {
-	base, err := strconv.ParseInt(r.Header.Get(sonde.BaseVersion), 10, 64)
+	base, err := strconv.ParseInt(r.Header.Get(externalapi.BaseVersion), 10, 64)
 	if err != nil || base < 0 {
 		_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxConfig))
-		o.fail(w, http.StatusBadRequest, sonde.BaseVersion+": no whole number", nil)
+		o.fail(w, http.StatusBadRequest, externalapi.BaseVersion+": no whole number", nil)
 		return
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxConfig))
--- a/internal/fleet/controlplane/phases.go
+++ b/internal/fleet/controlplane/phases.go
@@ -13,15 +13,15 @@
 	"go.uber.org/zap"
 
 	"molepaddle/internal/fleet/distribution"
+	"molepaddle/internal/fleet/externalapi"
 	"molepaddle/internal/fleet/isobar"
 	"molepaddle/internal/fleet/replication"
-	"molepaddle/internal/fleet/sonde"
 )
 
 // phases holds the duty of giving orders to backends: it comes with the primary's view, whose epoch is the fence.
 type phases struct {
 	o      *Server
-	client *sonde.BackendClient
+	client *externalapi.BackendClient
 
 	mu       sync.Mutex
 	machines map[string]*isobar.Phases // by service
@@ -42,7 +42,7 @@
 func newPhases(o *Server) *phases {
 	client := &http.Client{Timeout: orderWithin, Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: orderWithin, KeepAlive: -1}).DialContext,
 		MaxIdleConnsPerHost: 1, IdleConnTimeout: 4 * reportEvery, DisableCompression: true}}
-	return &phases{o: o, client: sonde.NewBackendClient(client), machines: map[string]*isobar.Phases{}, changing: map[string]bool{},
+	return &phases{o: o, client: externalapi.NewBackendClient(client), machines: map[string]*isobar.Phases{}, changing: map[string]bool{},
 		active: map[string]int{}}
 }
 
@@ -168,9 +168,9 @@
 	if err != nil || ans.Result != replication.Confirmed || p.o.status.Load().Epoch != epoch {
 		return false
 	}
-	phase := sonde.PhaseDecode
+	phase := externalapi.PhaseDecode
 	if prefill {
-		phase = sonde.PhasePrefill
+		phase = externalapi.PhasePrefill
 	}
 	status, err := p.client.Order(ctx, b.Address, phase, p.o.set.Nodename, epoch)
 	p.o.log.Info("order", zap.String("backend", b.ID), zap.String("phase", phase), zap.Int("status", status), zap.Uint64("fence", epoch), zap.Error(err))
@@ -183,7 +183,7 @@
 	var wait sync.WaitGroup
 	room := make(chan struct{}, 16)
 	for i, b := range all {
-		states[i] = isobar.EngineState{ID: b.ID, Prefill: b.Phase == sonde.PhasePrefill}
+		states[i] = isobar.EngineState{ID: b.ID, Prefill: b.Phase == externalapi.PhasePrefill}
 		if b.Draining {
 			continue
 		}
@@ -194,7 +194,7 @@
 			if err != nil {
 				return
 			}
-			states[i].Usable, states[i].Prefill, states[i].Active, states[i].Changing = true, r.Phase == sonde.PhasePrefill, r.Active+r.Queued, r.Changing
+			states[i].Usable, states[i].Prefill, states[i].Active, states[i].Changing = true, r.Phase == externalapi.PhasePrefill, r.Active+r.Queued, r.Changing
 		})
 	}
 	wait.Wait()
--- a/internal/fleet/controlplane/pulls.go
+++ b/internal/fleet/controlplane/pulls.go
@@ -11,8 +11,8 @@
 	"go.uber.org/zap"
 
 	"molepaddle/internal/fleet/distribution"
+	"molepaddle/internal/fleet/externalapi"
 	"molepaddle/internal/fleet/replication"
-	"molepaddle/internal/fleet/sonde"
 )
 
 // servePulls answers node agents and, at the primary, the other control servers.
@@ -83,7 +83,7 @@
 // poll asks for the platform's list for all, while this is the primary, and publishes what changes; the orders to backends
 // follow from it.
 func (o *Server) poll(ctx context.Context) {
-	client := sonde.NewPlatformClient(o.set.Provider.Address, time.Second)
+	client := externalapi.NewPlatformClient(o.set.Provider.Address, time.Second)
 	duty := newPhases(o)
 	var plain, last *distribution.List // as the platform tells, and as published
 	var lastCrowd *distribution.Crowd
@@ -111,7 +111,7 @@
 				o.log.Debug("platform's list", zap.Error(err))
 			} else {
 				answered = time.Now()
-				sonde.Sort(&list)
+				externalapi.Sort(&list)
 				if plain == nil || !reflect.DeepEqual(*plain, list) {
 					plain, dirty = &list, true
 				}
--- a/internal/fleet/controlplane/rested.go
+++ b/internal/fleet/controlplane/rested.go
@@ -8,9 +8,9 @@
 
 	"go.uber.org/zap"
 
+	"molepaddle/internal/fleet/externalapi"
 	"molepaddle/internal/fleet/raingauge"
 	"molepaddle/internal/fleet/replication"
-	"molepaddle/internal/fleet/sonde"
 )
 
 const (
@@ -121,14 +121,14 @@
 	if !ok {
 		return
 	}
-	tenant, route := r.URL.Query().Get(sonde.QueryTenant), r.URL.Query().Get(sonde.QueryRoute)
+	tenant, route := r.URL.Query().Get(externalapi.QueryTenant), r.URL.Query().Get(externalapi.QueryRoute)
 	match := func(p raingauge.Pair) bool {
 		return (tenant == "" || p.Tenant == tenant) && (route == "" || p.Tenant == "" && p.Route == route)
 	}
-	answer := sonde.Residency{Seq: seq, Rested: []sonde.Rested{}}
+	answer := externalapi.Residency{Seq: seq, Rested: []externalapi.Rested{}}
 	if d != nil {
 		for _, e := range d.rested.Report(match) {
-			answer.Rested = append(answer.Rested, sonde.Rested{Tenant: e.Pair.Tenant, Route: e.Pair.Route, Region: e.Pair.Region,
+			answer.Rested = append(answer.Rested, externalapi.Rested{Tenant: e.Pair.Tenant, Route: e.Pair.Route, Region: e.Pair.Region,
 				First: time.UnixMilli(e.First).UTC(), Last: time.UnixMilli(e.Last).UTC(),
 				Plain: e.Counts.Plain, Prefills: e.Counts.Prefills, Decodes: e.Counts.Decodes, Resumes: e.Counts.Resumes})
 		}
--- a/internal/fleet/controlplane/rested_test.go
+++ b/internal/fleet/controlplane/rested_test.go
@@ -12,10 +12,10 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
 
+	"molepaddle/internal/fleet/externalapi"
 	"molepaddle/internal/fleet/raingauge"
 	"molepaddle/internal/fleet/replication"
 	"molepaddle/internal/fleet/settings"
-	"molepaddle/internal/fleet/sonde"
 )
 
 // testPatience bounds what is waited for that has to come.
@@ -54,12 +54,12 @@
 }
 
 // call makes a call of the operator.
-func call(o *Server, method, target string, body []byte) (int, http.Header, sonde.Residency) {
+func call(o *Server, method, target string, body []byte) (int, http.Header, externalapi.Residency) {
 	w := httptest.NewRecorder()
 	r := httptest.NewRequestWithContext(context.Background(), method, target, bytes.NewReader(body))
-	r.Header.Set(sonde.BaseVersion, "0")
+	r.Header.Set(externalapi.BaseVersion, "0")
 	o.handler().ServeHTTP(w, r)
-	var report sonde.Residency
+	var report externalapi.Residency
 	_ = json.Unmarshal(w.Body.Bytes(), &report)
 	return w.Code, w.Header(), report
 }
@@ -88,7 +88,7 @@
 
 	status, _, report := call(o, http.MethodGet, "/molepaddle/residency", nil)
 	c.Assert(status, qt.Equals, http.StatusOK)
-	c.Assert(report, qt.DeepEquals, sonde.Residency{Rested: []sonde.Rested{}})
+	c.Assert(report, qt.DeepEquals, externalapi.Residency{Rested: []externalapi.Rested{}})
 	for _, target := range []string{"/molepaddle/residency?tenant=labs", "/molepaddle/residency?route=r%2F1"} {
 		status, _, _ = call(o, http.MethodGet, target, nil)
 		c.Assert(status, qt.Equals, http.StatusNotFound)
@@ -108,7 +108,7 @@
 		}
 	}
 	at := func(ms int64) time.Time { return time.UnixMilli(ms).UTC() }
-	c.Assert(report.Rested, qt.DeepEquals, []sonde.Rested{
+	c.Assert(report.Rested, qt.DeepEquals, []externalapi.Rested{
 		{Route: "r/1", Region: "east", First: at(1000), Last: at(1501), Decodes: 2},
 		{Tenant: "labs", Region: "east", First: at(1000), Last: at(1501), Decodes: 2}})
 	for target, want := range map[string]int{"tenant=labs": 1, "route=r%2F1": 0, "tenant=r%2F1": -1, "tenant=": 2} {
@@ -119,12 +119,12 @@
 		}
 		c.Check(status, qt.Equals, http.StatusOK)
 		if want < 2 {
-			c.Check(one.Rested, qt.DeepEquals, []sonde.Rested{report.Rested[want]}, qt.Commentf("%s", target))
+			c.Check(one.Rested, qt.DeepEquals, []externalapi.Rested{report.Rested[want]}, qt.Commentf("%s", target))
 		}
 	}
 	seq := report.Seq
 	// The first configuration follows on no other, whatever was read.
-	status, _, _ = call(o, http.MethodPost, sonde.Replace.Path, []byte(`{"ver":3,"routing":[{"name":"r","hostname":"h","pfx":"/","kind":"readonly","deadline_ms":1000,"svc":"s","tenant":"new"}],`+
+	status, _, _ = call(o, http.MethodPost, externalapi.Replace.Path, []byte(`{"ver":3,"routing":[{"name":"r","hostname":"h","pfx":"/","kind":"readonly","deadline_ms":1000,"svc":"s","tenant":"new"}],`+
 		`"tenants":[{"name":"new","regions":["east"]}],"svcs":[{"name":"s","probe":"/healthz"}]}`))
 	c.Assert(status, qt.Equals, http.StatusOK)
 	version, ok := o.store.At("config")
@@ -171,5 +171,5 @@
 	o.status.Store(&replication.Status{Role: replication.Backup})
 	status, header, _ = call(o, http.MethodGet, "/molepaddle/residency", nil)
 	c.Assert(status, qt.Equals, http.StatusServiceUnavailable)
-	c.Assert(header.Get(sonde.RetryAfter), qt.Not(qt.Equals), "")
+	c.Assert(header.Get(externalapi.RetryAfter), qt.Not(qt.Equals), "")
 }
--- a/internal/fleet/controlplane/status.go
+++ b/internal/fleet/controlplane/status.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"molepaddle/internal/fleet/distribution"
+	"molepaddle/internal/fleet/externalapi"
 	"molepaddle/internal/fleet/replication"
-	"molepaddle/internal/fleet/sonde"
 	"molepaddle/internal/fleet/status"
 )
 
@@ -57,7 +57,7 @@
 
 // tell answers a call for the status; a caller is passed on to the primary unless it asks for this machine's own word.
 func (o *Server) tell(w http.ResponseWriter, r *http.Request) {
-	local := r.URL.Query().Has(sonde.QueryLocal)
+	local := r.URL.Query().Has(externalapi.QueryLocal)
 	if !local && o.elsewhere(w, r) {
 		return
 	}
--- a/internal/fleet/sonde/backend.go
+++ b/internal/fleet/externalapi/backend.go
@@ -1,4 +1,4 @@
-package sonde
+package externalapi
 
 import (
 	"bytes"
--- a/internal/fleet/sonde/table.go
+++ b/internal/fleet/externalapi/table.go
@@ -1,7 +1,7 @@
-// Package sonde declares every call between the system and what is outside of it, in one table: backends, the
+// Package externalapi declares every call between the system and what is outside of it, in one table: backends, the
 // platform and the operator; and the header fields that go with them. Named after the instrument sent up to ask.
 // Source: the operators' page PROTOCOL.
-package sonde
+package externalapi
 
 import "net/http"
 
--- a/internal/fleet/heliograph/heliograph.go
+++ b/internal/fleet/heliograph/heliograph.go
@@ -1,6 +1,6 @@
 // Package heliograph is the operator's client of the control plane: it shows the configuration in force and sends
 // changes. Named after the instrument that signals to a station by the sun. How a caller moves from agent to agent
-// follows PROTOCOL.md, "The operator's API"; the calls are those of sonde's table.
+// follows PROTOCOL.md, "The operator's API"; the calls are those of externalapi's table.
 package heliograph
 
 import (
@@ -18,8 +18,8 @@
 
 	"github.com/go-faster/errors"
 
+	"molepaddle/internal/fleet/externalapi"
 	"molepaddle/internal/fleet/routingconfig"
-	"molepaddle/internal/fleet/sonde"
 )
 
 // Figures of a call. The first three are PROTOCOL.md's.
@@ -85,18 +85,20 @@
 func (u *Unclear) Unwrap() error { return u.Last }
 
 // Show asks for the newest configuration. Errors: *Refused, with status 404 while there is none; *Unclear.
-func (c *Client) Show(ctx context.Context) (Answer, error) { return c.call(ctx, sonde.Show, nil, nil) }
+func (c *Client) Show(ctx context.Context) (Answer, error) {
+	return c.call(ctx, externalapi.Show, nil, nil)
+}
 
 // Residency asks where data rested, by what is on the disks of the control plane: of one tenant, of one route that has
-// regions without a tenant, or of all where both are empty. The body is a sonde.Residency. Errors: *Refused, with status 404
+// regions without a tenant, or of all where both are empty. The body is a externalapi.Residency. Errors: *Refused, with status 404
 // for a name of which nothing is known; *Unclear.
 func (c *Client) Residency(ctx context.Context, tenant, route string) (Answer, error) {
-	call, query := sonde.Resided, url.Values{}
+	call, query := externalapi.Resided, url.Values{}
 	if tenant != "" {
-		query.Set(sonde.QueryTenant, tenant)
+		query.Set(externalapi.QueryTenant, tenant)
 	}
 	if route != "" {
-		query.Set(sonde.QueryRoute, route)
+		query.Set(externalapi.QueryRoute, route)
 	}
 	if len(query) > 0 {
 		call.Path += "?" + query.Encode()
@@ -104,17 +106,17 @@
 	return c.call(ctx, call, nil, nil)
 }
 
-// Change sends a configuration (sonde.Replace) or a change of named items (sonde.Update) on top of the version base; 0
+// Change sends a configuration (externalapi.Replace) or a change of named items (externalapi.Update) on top of the version base; 0
 // where there is none yet. Errors: *Refused and *Unclear.
-func (c *Client) Change(ctx context.Context, call sonde.Call, base int64, body []byte) (Answer, error) {
+func (c *Client) Change(ctx context.Context, call externalapi.Call, base int64, body []byte) (Answer, error) {
 	return c.call(ctx, call, body, http.Header{
-		"Content-Type":    {"application/json"},
-		sonde.BaseVersion: {strconv.FormatInt(base, 10)},
+		"Content-Type":          {"application/json"},
+		externalapi.BaseVersion: {strconv.FormatInt(base, 10)},
 	})
 }
 
 // call goes from agent to agent, with growing pauses, until an answer is clear or the time is over.
-func (c *Client) call(ctx context.Context, call sonde.Call, body []byte, h http.Header) (Answer, error) {
+func (c *Client) call(ctx context.Context, call externalapi.Call, body []byte, h http.Header) (Answer, error) {
 	if len(c.Control) == 0 {
 		return Answer{}, &Unclear{errors.New("no control address is known")}
 	}
@@ -193,7 +195,7 @@
 
 // try asks one agent and where that sends on to. An error is one of the network or of an answer that makes no sense.
 func (c *Client) try(
-	ctx context.Context, client *http.Client, call sonde.Call, addr string, body []byte, h http.Header,
+	ctx context.Context, client *http.Client, call externalapi.Call, addr string, body []byte, h http.Header,
 ) (status int, answer Answer, err error) {
 	silence := c.Silence
 	if silence <= 0 {
--- a/internal/fleet/heliograph/heliograph_test.go
+++ b/internal/fleet/heliograph/heliograph_test.go
@@ -15,9 +15,9 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/go-faster/errors"
 
+	"molepaddle/internal/fleet/externalapi"
 	"molepaddle/internal/fleet/heliograph"
 	"molepaddle/internal/fleet/routingconfig"
-	"molepaddle/internal/fleet/sonde"
 )
 
 // agent is a stand-in for an agent that serves the operator; it gives its host:port.
@@ -46,11 +46,11 @@
 	second := agent(c, sendOn(&last))
 	first := agent(c, sendOn(&second))
 	client := heliograph.Client{Control: []string{first}}
-	answer, err := client.Change(context.Background(), sonde.Update, 7, []byte(`{"ver":9}`))
+	answer, err := client.Change(context.Background(), externalapi.Update, 7, []byte(`{"ver":9}`))
 	c.Assert(err, qt.IsNil)
 	c.Assert(answer.From, qt.Equals, last)
 	c.Assert(got.Method+" "+got.URL.Path, qt.Equals, "POST /molepaddle/cfg/update")
-	c.Assert(got.Header.Get(sonde.BaseVersion), qt.Equals, "7")
+	c.Assert(got.Header.Get(externalapi.BaseVersion), qt.Equals, "7")
 	c.Assert(got.Header.Get("Content-Type"), qt.Equals, "application/json")
 	c.Assert(string(body), qt.Equals, `{"ver":9}`)
 }
@@ -96,7 +96,7 @@
 			fmt.Fprint(w, `{"err":"the configuration is invalid","findings":[{"place":"routing[0].svc","text":"a"},{"place":"","text":"b"}]}`)
 		})
 		client := heliograph.Client{Control: []string{at}}
-		_, err := client.Change(context.Background(), sonde.Replace, 5, nil)
+		_, err := client.Change(context.Background(), externalapi.Replace, 5, nil)
 		var no *heliograph.Refused
 		c.Assert(errors.As(err, &no), qt.IsTrue)
 		c.Check(no, qt.DeepEquals, &heliograph.Refused{Status: status, From: at, Why: "the configuration is invalid",
@@ -154,12 +154,12 @@
 	})
 	good := agent(c, func(w http.ResponseWriter, r *http.Request) {})
 	client := heliograph.Client{Control: []string{quiet, half, good}, Silence: 30 * time.Millisecond}
-	answer, err := client.Change(context.Background(), sonde.Replace, 0, []byte("{}"))
+	answer, err := client.Change(context.Background(), externalapi.Replace, 0, []byte("{}"))
 	c.Assert(err, qt.IsNil)
 	c.Assert(answer.From, qt.Equals, good)
 
 	client = heliograph.Client{Control: []string{quiet}, Silence: 10 * time.Millisecond, Within: 50 * time.Millisecond}
-	_, err = client.Change(context.Background(), sonde.Replace, 0, []byte("{}"))
+	_, err = client.Change(context.Background(), externalapi.Replace, 0, []byte("{}"))
 	var unclear *heliograph.Unclear
 	c.Assert(errors.As(err, &unclear), qt.IsTrue)
 	c.Assert(err, qt.ErrorMatches, "no clear answer: "+quiet+": silent for 10ms")
--- a/internal/fleet/heliograph/status.go
+++ b/internal/fleet/heliograph/status.go
@@ -5,16 +5,16 @@
 
 	"github.com/go-faster/errors"
 
-	"molepaddle/internal/fleet/sonde"
+	"molepaddle/internal/fleet/externalapi"
 	"molepaddle/internal/fleet/status"
 )
 
 // Status asks how the fleet stands: the primary, or with local whichever of Control answers first, for what that one
 // knows itself. Errors: *Refused by one that knows no such call, *Unclear while there is no primary.
 func (c *Client) Status(ctx context.Context, local bool) (*status.Fleet, Answer, error) {
-	call := sonde.Status
+	call := externalapi.Status
 	if local {
-		call.Path += "?" + sonde.QueryLocal
+		call.Path += "?" + externalapi.QueryLocal
 	}
 	answer, err := c.call(ctx, call, nil, nil)
 	if err != nil {
--- a/internal/fleet/mast/bench_test.go
+++ b/internal/fleet/mast/bench_test.go
@@ -12,9 +12,9 @@
 	"time"
 
 	"molepaddle/internal/fleet/distribution"
+	"molepaddle/internal/fleet/externalapi"
 	"molepaddle/internal/fleet/isobar"
 	"molepaddle/internal/fleet/routingconfig"
-	"molepaddle/internal/fleet/sonde"
 	"molepaddle/internal/fleet/windrose"
 )
 
@@ -74,7 +74,7 @@
 			b.Fatal(err)
 		}
 		defer p.Close()
-		client := sonde.NewPlatformClient(p.Address(), time.Second)
+		client := externalapi.NewPlatformClient(p.Address(), time.Second)
 		for b.Loop() {
 			l, _, err := client.List(context.Background())
 			if err != nil || len(l.Backends) != n {
@@ -230,7 +230,7 @@
 	e := isobar.New(isobar.Engine{Capacity: 64, KVTokens: 600_000, KVBytes: 163_840, LinkMbps: 8_800_000})
 	var l []isobar.Backend
 	for _, s := range Backends(n).Backends {
-		l = append(l, isobar.Backend{ID: s.ID, Zone: s.Zone, Prefill: s.Phase == sonde.PhasePrefill})
+		l = append(l, isobar.Backend{ID: s.ID, Zone: s.Zone, Prefill: s.Phase == externalapi.PhasePrefill})
 	}
 	e.List(l)
 	return e, l
--- a/internal/fleet/mast/mast_test.go
+++ b/internal/fleet/mast/mast_test.go
@@ -12,9 +12,9 @@
 	qt "github.com/frankban/quicktest"
 
 	"molepaddle/internal/fleet/distribution"
+	"molepaddle/internal/fleet/externalapi"
 	"molepaddle/internal/fleet/replication"
 	"molepaddle/internal/fleet/routingconfig"
-	"molepaddle/internal/fleet/sonde"
 )
 
 func TestDocumentsAreValid(t *testing.T) {
@@ -41,17 +41,17 @@
 	p, err := ServePlatform(Backends(120), 50)
 	c.Assert(err, qt.IsNil)
 	defer p.Close()
-	client := sonde.NewPlatformClient(p.Address(), time.Second)
+	client := externalapi.NewPlatformClient(p.Address(), time.Second)
 	got, calls, err := client.List(context.Background())
 	c.Assert(err, qt.IsNil)
 	c.Assert(calls, qt.Equals, 3)
-	sonde.Sort(&got)
+	externalapi.Sort(&got)
 	c.Assert(got, qt.DeepEquals, want)
 	p.Toggle(7)
 	want.Backends[7].Draining = true
 	got, _, err = client.List(context.Background())
 	c.Assert(err, qt.IsNil)
-	sonde.Sort(&got)
+	externalapi.Sort(&got)
 	c.Assert(got, qt.DeepEquals, want)
 }
 
--- a/internal/fleet/mast/operator.go
+++ b/internal/fleet/mast/operator.go
@@ -11,7 +11,7 @@
 
 	"github.com/go-faster/errors"
 
-	"molepaddle/internal/fleet/sonde"
+	"molepaddle/internal/fleet/externalapi"
 )
 
 // operator calls the control plane as the operator does: at one control server after the other until one takes it.
@@ -45,14 +45,14 @@
 }
 
 // call sends one call until a control server answers 200. Other answers than 5xx end it.
-func (o *operator) call(ctx context.Context, c *sonde.Call, body []byte) error {
+func (o *operator) call(ctx context.Context, c *externalapi.Call, body []byte) error {
 	last := errors.New("no control server")
 	for i := 0; ctx.Err() == nil; i++ {
 		req, err := http.NewRequestWithContext(ctx, c.Method, "http://"+o.addresses[i%len(o.addresses)]+c.Path, bytes.NewReader(body))
 		if err != nil {
 			return err
 		}
-		req.Header.Set(sonde.BaseVersion, strconv.FormatInt(o.version, 10))
+		req.Header.Set(externalapi.BaseVersion, strconv.FormatInt(o.version, 10))
 		resp, err := o.client.Do(req)
 		if err != nil {
 			last = err
@@ -80,7 +80,7 @@
 	if err != nil {
 		return err
 	}
-	if err := o.call(ctx, &sonde.Replace, b); err != nil {
+	if err := o.call(ctx, &externalapi.Replace, b); err != nil {
 		return err
 	}
 	o.version++
@@ -96,7 +96,7 @@
 	if err != nil {
 		return err
 	}
-	if err := o.call(ctx, &sonde.Update, b); err != nil {
+	if err := o.call(ctx, &externalapi.Update, b); err != nil {
 		return err
 	}
 	o.version++
@@ -105,4 +105,4 @@
 }
 
 // show waits until a control server shows the configuration: a primary is there, and its view stands.
-func (o *operator) show(ctx context.Context) error { return o.call(ctx, &sonde.Show, nil) }
+func (o *operator) show(ctx context.Context) error { return o.call(ctx, &externalapi.Show, nil) }
--- a/internal/fleet/nodeagent/nodeagent.go
+++ b/internal/fleet/nodeagent/nodeagent.go
@@ -14,8 +14,8 @@
 	"go.uber.org/zap"
 
 	"molepaddle/internal/fleet/distribution"
+	"molepaddle/internal/fleet/externalapi"
 	"molepaddle/internal/fleet/settings"
-	"molepaddle/internal/fleet/sonde"
 )
 
 // Agent is one machine's link to the control plane.
@@ -34,7 +34,7 @@
 	seeds []string                        // pull addresses by the settings
 	known []string                        // and all that are known: seeds, then the members of the core as last told
 	// For when no control server is to be had.
-	platform *sonde.PlatformClient
+	platform *externalapi.PlatformClient
 	pollNext time.Time
 	polled   []byte
 	proxies  int
@@ -46,7 +46,7 @@
 		list: distribution.Version{Epoch: uint64(time.Now().UnixNano())}}
 	t.seed(set.Seeds)
 	if set.Provider.Address != "" {
-		t.platform = sonde.NewPlatformClient(set.Provider.Address, time.Second)
+		t.platform = externalapi.NewPlatformClient(set.Provider.Address, time.Second)
 	}
 	return t
 }
@@ -208,7 +208,7 @@
 		t.log.Debug("platform's list", zap.Error(err))
 		return
 	}
-	sonde.Sort(&list)
+	externalapi.Sort(&list)
 	b, err := list.MarshalMsg(nil)
 	if err != nil || bytes.Equal(b, t.polled) {
 		return
--- a/internal/fleet/proxy/drawn_test.go
+++ b/internal/fleet/proxy/drawn_test.go
@@ -13,7 +13,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"molepaddle/internal/fleet/sonde"
+	"molepaddle/internal/fleet/externalapi"
 )
 
 var (
@@ -66,18 +66,18 @@
 	r := httptest.NewRequest(http.MethodPost, "http://h/"+route+"/x", strings.NewReader("data"))
 	r = r.WithContext(context.WithValue(r.Context(), asked{}, true))
 	r.RequestURI = "/" + route + "/x"
-	r.Header.Set(sonde.AttemptID, id)
+	r.Header.Set(externalapi.AttemptID, id)
 	if stream {
 		in := 50 + d.rng.IntN(4000)
-		r.Header.Set(sonde.Model, "m")
-		r.Header.Set(sonde.TokenCount, fmt.Sprintf("%d,%d", in, 1+d.rng.IntN(40)))
-		r.Header.Set(sonde.Prefix, fmt.Sprintf("fa%02x:%d,%08x:20", d.rng.IntN(3), in-20, d.rng.Uint32()))
+		r.Header.Set(externalapi.Model, "m")
+		r.Header.Set(externalapi.TokenCount, fmt.Sprintf("%d,%d", in, 1+d.rng.IntN(40)))
+		r.Header.Set(externalapi.Prefix, fmt.Sprintf("fa%02x:%d,%08x:20", d.rng.IntN(3), in-20, d.rng.Uint32()))
 	}
 	d.midway = d.rng.IntN(2) == 0
 	usable, calm := false, true // by the list, and all of those without trouble
 	for _, n := range d.nodes {
 		if n.service == map[bool]string{true: "llm", false: "obs"}[stream] && n.listed && !n.draining && d.allowed(n, route) {
-			usable = usable || n.phase != sonde.PhasePrefill
+			usable = usable || n.phase != externalapi.PhasePrefill
 			calm = calm && n.trouble == fine && d.at[n.address] == n
 		}
 	}
@@ -130,7 +130,7 @@
 		if d.runs[id] > 0 {
 			bad("it has run")
 		}
-		if w.Header().Get(sonde.RetryAfter) == "" {
+		if w.Header().Get(externalapi.RetryAfter) == "" {
 			bad("no time to come back")
 		}
 	case w.Code != http.StatusBadGateway && w.Code != http.StatusInternalServerError:
--- a/internal/fleet/proxy/enclosed.go
+++ b/internal/fleet/proxy/enclosed.go
@@ -10,8 +10,8 @@
 	"github.com/go-faster/errors"
 
 	"molepaddle/internal/fleet/enclosure"
+	"molepaddle/internal/fleet/externalapi"
 	"molepaddle/internal/fleet/routingconfig"
-	"molepaddle/internal/fleet/sonde"
 	"molepaddle/internal/protocol/transport"
 )
 
@@ -126,7 +126,7 @@
 	if !at.Releases() {
 		return at.Lend(ctx, t.terms(), m.id)
 	}
-	if len(m.body) > 0 || len(m.header) > 0 || m.method != sonde.Free.Method {
+	if len(m.body) > 0 || len(m.header) > 0 || m.method != externalapi.Free.Method {
 		return nil, enclosure.ErrOutside
 	}
 	return at.LendRelease(ctx, m.id)
--- a/internal/fleet/proxy/enclosed_choice_test.go
+++ b/internal/fleet/proxy/enclosed_choice_test.go
@@ -12,9 +12,9 @@
 
 	"molepaddle/internal/fleet/distribution"
 	"molepaddle/internal/fleet/enclosure"
+	"molepaddle/internal/fleet/externalapi"
 	"molepaddle/internal/fleet/isobar"
 	"molepaddle/internal/fleet/routingconfig"
-	"molepaddle/internal/fleet/sonde"
 	"molepaddle/internal/protocol/transport"
 	"molepaddle/policy"
 )
@@ -45,7 +45,7 @@
 			for i := range rapid.IntRange(0, 12).Draw(r, "backends") {
 				all = append(all, distribution.Backend{ID: fmt.Sprintf("b%d", i), Address: fmt.Sprintf("10.0.0.%d:80", rapid.IntRange(1, 14).Draw(r, "address")),
 					Zone:     rapid.SampledFrom(zoneNames).Draw(r, "zone"),
-					Phase:    rapid.SampledFrom([]string{sonde.PhasePrefill, sonde.PhaseDecode, sonde.PhaseDecode, distribution.PhaseChanging}).Draw(r, "phase"),
+					Phase:    rapid.SampledFrom([]string{externalapi.PhasePrefill, externalapi.PhaseDecode, externalapi.PhaseDecode, distribution.PhaseChanging}).Draw(r, "phase"),
 					Draining: rapid.IntRange(0, 4).Draw(r, "draining") == 0})
 			}
 			return all
@@ -103,7 +103,7 @@
 				byID[b.ID] = b
 				usable := !b.Draining && !tried[b.ID] && permitted(b)
 				anywhere = anywhere || usable
-				decodes = decodes || usable && b.Phase == sonde.PhaseDecode
+				decodes = decodes || usable && b.Phase == externalapi.PhaseDecode
 			}
 			prompt := &isobar.Prompt{In: 1 + next(8000), Out: 4, Parts: []isobar.Part{{Chain: uint64(next(4) + 1), Tokens: 100}, {Chain: seed, Tokens: 10}}}
 			check := func(what string, p enclosure.Permit) {
@@ -158,9 +158,9 @@
 			s.configure(runtimeOf(64))
 			var list []distribution.Backend
 			for i := range 9 {
-				phase := sonde.PhaseDecode
+				phase := externalapi.PhaseDecode
 				if i%3 == 0 {
-					phase = sonde.PhasePrefill
+					phase = externalapi.PhasePrefill
 				}
 				list = append(list, distribution.Backend{ID: fmt.Sprintf("b%d", i), Address: fmt.Sprintf("10.0.0.%d:80", i), Zone: []string{"e1", "m1", "w1"}[i/3], Phase: phase})
 			}
--- a/internal/fleet/proxy/exchange.go
+++ b/internal/fleet/proxy/exchange.go
@@ -11,7 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"molepaddle/internal/fleet/enclosure"
-	"molepaddle/internal/fleet/sonde"
+	"molepaddle/internal/fleet/externalapi"
 	"molepaddle/internal/protocol/transport"
 )
 
@@ -67,9 +67,9 @@
 	}
 	for key, values := range m.header {
 		switch key {
-		case sonde.DeadlineMs, sonde.Target, sonde.Stage, sonde.KvFrom, sonde.Priority, "Host":
+		case externalapi.DeadlineMs, externalapi.Target, externalapi.Stage, externalapi.KvFrom, externalapi.Priority, "Host":
 			continue
-		case sonde.LastEventID:
+		case externalapi.LastEventID:
 			if x.lastID != "" {
 				continue
 			}
@@ -78,19 +78,19 @@
 			line(key, v)
 		}
 	}
-	line(sonde.DeadlineMs, strconv.FormatInt(max(x.left.Milliseconds(), 1), 10))
-	line(sonde.Target, x.target)
+	line(externalapi.DeadlineMs, strconv.FormatInt(max(x.left.Milliseconds(), 1), 10))
+	line(externalapi.Target, x.target)
 	if x.stage != "" {
-		line(sonde.Stage, x.stage)
+		line(externalapi.Stage, x.stage)
 	}
 	if x.handle != nil {
-		line(sonde.KvFrom, x.handle.at.Address()+"/"+x.handle.ref)
+		line(externalapi.KvFrom, x.handle.at.Address()+"/"+x.handle.ref)
 	}
 	if x.lastID != "" {
-		line(sonde.LastEventID, x.lastID)
+		line(externalapi.LastEventID, x.lastID)
 	}
 	if x.priority >= 0 {
-		line(sonde.Priority, strconv.Itoa(min(x.priority, 9)))
+		line(externalapi.Priority, strconv.Itoa(min(x.priority, 9)))
 	}
 	if len(m.body) > 0 || m.method != http.MethodGet && m.method != http.MethodHead {
 		line("Content-Length", strconv.Itoa(len(m.body)))
@@ -188,7 +188,7 @@
 		if resp.StatusCode < 200 {
 			continue
 		}
-		if id := resp.Header.Get(sonde.AttemptID); id != "" && id != m.id {
+		if id := resp.Header.Get(externalapi.AttemptID); id != "" && id != m.id {
 			// A surplus answer to an earlier request of this connection.
 			if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, 1<<20)); err != nil {
 				return fail(true, errNotOurs)
--- a/internal/fleet/proxy/generate.go
+++ b/internal/fleet/proxy/generate.go
@@ -9,8 +9,8 @@
 	"github.com/go-faster/errors"
 
 	"molepaddle/internal/fleet/enclosure"
+	"molepaddle/internal/fleet/externalapi"
 	"molepaddle/internal/fleet/isobar"
-	"molepaddle/internal/fleet/sonde"
 	"molepaddle/policy"
 )
 
@@ -44,14 +44,14 @@
 		t.svc.ranker.Ended(t.svc.now(), b.ID, status)
 		t.svc.mu.Unlock()
 	}()
-	x := extra{left: time.Until(t.deadline), stage: sonde.PhasePrefill, priority: t.priority(false)}
+	x := extra{left: time.Until(t.deadline), stage: externalapi.PhasePrefill, priority: t.priority(false)}
 	e, wrote, err := t.begin(ctx, at, &t.m, &x, t.connectBy(), by)
 	if err != nil {
 		status = judge(wrote, err)
 		return nil, wrote, err
 	}
 	resp := e.resp
-	t.svc.told(b.ID, resp.Header.Get(sonde.Load))
+	t.svc.told(b.ID, resp.Header.Get(externalapi.Load))
 	body, err := e.body(maxHandleAnswer)
 	var ans struct {
 		Ref    string `json:"kv_ref"`
@@ -78,7 +78,7 @@
 	v.background.Go(func() {
 		ctx, cancel := context.WithTimeout(v.ctx, time.Second)
 		defer cancel()
-		m := message{id: t.m.id, method: sonde.Free.Method, target: sonde.Free.Path + h.ref, host: h.from.Address}
+		m := message{id: t.m.id, method: externalapi.Free.Method, target: externalapi.Free.Path + h.ref, host: h.from.Address}
 		x := extra{left: time.Second, priority: -1}
 		e, _, err := t.begin(ctx, h.from.plot.Release(), &m, &x, time.Now().Add(connectWithin), time.Now().Add(time.Second))
 		if err == nil {
--- a/internal/fleet/proxy/leaks_test.go
+++ b/internal/fleet/proxy/leaks_test.go
@@ -32,8 +32,8 @@
 var noGate = []string{"if !p.Allowed(t) {\n\t\treturn Permit{}, ErrOutside\n\t}\n", ""}
 
 // takers has who takes memory chosen without terms.
-var takers = []string{"from *backend) *backend {\n\te := s.engines\n\tkey := w.p.Last()\n\ts.order = s.ranker.Rank(w.now, key, func(id string) bool { return s.open(w, id, sonde.PhaseDecode) }",
-	"from *backend) *backend {\n\te := s.engines\n\tkey := w.p.Last()\n\ts.order = s.ranker.Rank(w.now, key, func(id string) bool { return !w.tried[id] && s.byID[id].Phase == sonde.PhaseDecode }"}
+var takers = []string{"from *backend) *backend {\n\te := s.engines\n\tkey := w.p.Last()\n\ts.order = s.ranker.Rank(w.now, key, func(id string) bool { return s.open(w, id, externalapi.PhaseDecode) }",
+	"from *backend) *backend {\n\te := s.engines\n\tkey := w.p.Last()\n\ts.order = s.ranker.Rank(w.now, key, func(id string) bool { return !w.tried[id] && s.byID[id].Phase == externalapi.PhaseDecode }"}
 
 const (
 	fileEnclosure = "../enclosure/enclosure.go"
@@ -56,7 +56,7 @@
 	{"a handle without a permit", "compiler", map[string][]string{fileGenerate: {"from: b, at: at, tokens", "from: b, at: b, tokens"}}},
 	// The choice alone: the send would refuse, so that requests are lost.
 	{"plain requests are chosen anywhere", choice, map[string][]string{fileService: {"return !tried[id] && (!bound || s.allowed(id, terms)) }, capFactor", "return !tried[id] || bound && tried[id] && false }, capFactor"}}},
-	{"prompts are placed anywhere", choice, map[string][]string{filePlace: {"return split && reads(id) || s.open(w, id, sonde.PhaseDecode)", "return !w.tried[id] && (split && s.byID[id].Phase == sonde.PhasePrefill || s.byID[id].Phase == sonde.PhaseDecode)"}}},
+	{"prompts are placed anywhere", choice, map[string][]string{filePlace: {"return split && reads(id) || s.open(w, id, externalapi.PhaseDecode)", "return !w.tried[id] && (split && s.byID[id].Phase == externalapi.PhasePrefill || s.byID[id].Phase == externalapi.PhaseDecode)"}}},
 	{"memory is taken anywhere", choice, map[string][]string{filePlace: takers}},
 	// The terms.
 	{"an unknown region is allowed", choice, map[string][]string{fileEnclosure: {`return region != "" && slices.Contains(t.regions, region)`, `return region == "" || slices.Contains(t.regions, region)`}}},
@@ -84,7 +84,7 @@
 	{"retries go anywhere, on drawn days", days, map[string][]string{fileEnclosure: noCheck, fileServe: {"t.svc.pick(key, t.tried, t.terms())", "t.svc.pick(key, t.tried, map[bool]enclosure.Terms{true: t.terms()}[len(t.tried) == 0])"}}},
 	{"streams are resumed anywhere, on drawn days", days, map[string][]string{fileEnclosure: noCheck, fileStream: {"t.tried, false, t.terms())", "t.tried, false, enclosure.Terms{})", `"molepaddle/internal/fleet/isobar"`, "\"molepaddle/internal/fleet/enclosure\"\n\t\"molepaddle/internal/fleet/isobar\""}}},
 	{"a corrected zone is not taken over, on drawn days", days, map[string][]string{fileService: {"old.plot.Relist(b.Zone)", ""}}},
-	{"an address is taken for the backend that had it", days, map[string][]string{fileExchange: {"line(sonde.Target, x.target)", "_ = x.target"}}},
+	{"an address is taken for the backend that had it", days, map[string][]string{fileExchange: {"line(externalapi.Target, x.target)", "_ = x.target"}}},
 	{"what may have run is refused", days, map[string][]string{fileServe: {"case t.ran:\n\t\tt.v.refuse(t.w, http.StatusBadGateway, 0, why)", "case t.ran:\n\t\tt.v.refuse(t.w, http.StatusServiceUnavailable, soonAgain, why)"}}},
 	{"what may have run is sent again", days, map[string][]string{fileServe: {"(!t.ran || t.route.Idempotent()) && t.sends", "t.sends"}}},
 }
--- a/internal/fleet/proxy/place.go
+++ b/internal/fleet/proxy/place.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"molepaddle/internal/fleet/enclosure"
+	"molepaddle/internal/fleet/externalapi"
 	"molepaddle/internal/fleet/isobar"
-	"molepaddle/internal/fleet/sonde"
 )
 
 // place is where a generation goes: from is where its prompt is read first; nil: at the decode backend itself.
@@ -108,7 +108,7 @@
 // keepApart settles which backends are kept for long answers; the others have places for what is staged, also when a burst of
 // long ones fills those: spread over all, they left handles without takers on large fleets. The lock is held.
 func (s *service) keepApart(now float64) {
-	s.order = s.ranker.Rank(now, apartKey, func(id string) bool { return s.byID[id].Phase == sonde.PhaseDecode }, math.Inf(1), nil, s.order[:0])
+	s.order = s.ranker.Rank(now, apartKey, func(id string) bool { return s.byID[id].Phase == externalapi.PhaseDecode }, math.Inf(1), nil, s.order[:0])
 	clear(s.apart)
 	for i := range s.engines.Apart(now, s.order) {
 		s.apart[s.order[i]] = true
@@ -121,7 +121,7 @@
 func (s *service) maker(w *want) *backend {
 	e := s.engines
 	key := w.p.Last() // what it shares is short: requests are spread, not kept together
-	s.order = s.ranker.Rank(w.now, key, func(id string) bool { return s.open(w, id, sonde.PhaseDecode) }, math.Inf(1), func(id string) float64 {
+	s.order = s.ranker.Rank(w.now, key, func(id string) bool { return s.open(w, id, externalapi.PhaseDecode) }, math.Inf(1), func(id string) float64 {
 		busy := e.Busy(id)
 		class := 0.0
 		switch {
@@ -158,7 +158,7 @@
 // It fills in who makes the tokens as well. The lock is held.
 func (s *service) reader(w *want, split bool, pl *place) {
 	e, now, p := s.engines, w.now, w.p
-	reads := func(id string) bool { return s.open(w, id, sonde.PhasePrefill) }
+	reads := func(id string) bool { return s.open(w, id, externalapi.PhasePrefill) }
 	home := s.ranker.Home(now, w.key, reads)
 	least := math.Inf(1) // where all are behind, nothing is won elsewhere
 	for id := range s.byID {
@@ -171,7 +171,7 @@
 	}
 	// What is read again elsewhere holds up all that wait: the more, the more of them there are.
 	again := 1 + least/w.patience
-	s.order = s.ranker.Rank(now, w.key, func(id string) bool { return split && reads(id) || s.open(w, id, sonde.PhaseDecode) }, engineCap, func(id string) float64 {
+	s.order = s.ranker.Rank(now, w.key, func(id string) bool { return split && reads(id) || s.open(w, id, externalapi.PhaseDecode) }, engineCap, func(id string) float64 {
 		c := e.AheadMs(now, id) + e.OutwardMs(now, id) - least
 		if id != home && home != "" {
 			c += max(e.ReadMs(id, p, false)-e.ReadMs(home, p, true), 0) * again
@@ -179,7 +179,7 @@
 		if c < homePatience*w.patience {
 			c = 0
 		}
-		if s.byID[id].Phase == sonde.PhaseDecode {
+		if s.byID[id].Phase == externalapi.PhaseDecode {
 			// Reading there slows the tokens of all that run, and so fills the batches: only what is short, or where
 			// nobody else reads.
 			if c = max(c, 0) + 10*w.patience; e.ReadMs(id, p, false) > shortRead*w.patience {
@@ -199,7 +199,7 @@
 	}
 	pl.home = pl.at.ID == home
 	pl.readMs = e.ExpectMs(now, pl.at.ID, p, pl.home)
-	if pl.at.Phase != sonde.PhaseDecode {
+	if pl.at.Phase != externalapi.PhaseDecode {
 		pl.from = pl.at
 		pl.at = s.taker(w, pl.from)
 	}
@@ -224,7 +224,7 @@
 func (s *service) taker(w *want, from *backend) *backend {
 	e := s.engines
 	key := w.p.Last()
-	s.order = s.ranker.Rank(w.now, key, func(id string) bool { return s.open(w, id, sonde.PhaseDecode) }, math.Inf(1), func(id string) float64 {
+	s.order = s.ranker.Rank(w.now, key, func(id string) bool { return s.open(w, id, externalapi.PhaseDecode) }, math.Inf(1), func(id string) float64 {
 		busy, late := e.Busy(id), e.InwardMs(w.now, id)/w.patience
 		class := 0.0
 		if s.apart[id] {
--- a/internal/fleet/proxy/place_test.go
+++ b/internal/fleet/proxy/place_test.go
@@ -9,8 +9,8 @@
 
 	"molepaddle/internal/fleet/distribution"
 	"molepaddle/internal/fleet/enclosure"
+	"molepaddle/internal/fleet/externalapi"
 	"molepaddle/internal/fleet/isobar"
-	"molepaddle/internal/fleet/sonde"
 	"molepaddle/policy"
 )
 
@@ -20,9 +20,9 @@
 	s.configure(runtimeOf(capacity))
 	var list []distribution.Backend
 	for i := range prefill + decode {
-		b := distribution.Backend{ID: fmt.Sprintf("p%d", i), Address: fmt.Sprintf("10.0.0.%d:80", i+1), Zone: "e1", Phase: sonde.PhasePrefill}
+		b := distribution.Backend{ID: fmt.Sprintf("p%d", i), Address: fmt.Sprintf("10.0.0.%d:80", i+1), Zone: "e1", Phase: externalapi.PhasePrefill}
 		if i >= prefill {
-			b.ID, b.Phase = fmt.Sprintf("d%d", i-prefill), sonde.PhaseDecode
+			b.ID, b.Phase = fmt.Sprintf("d%d", i-prefill), externalapi.PhaseDecode
 		}
 		list = append(list, b)
 	}
@@ -65,7 +65,7 @@
 func TestHomesAreKeptUnderLoad(t *testing.T) {
 	c := qt.New(t)
 	s := engineService(64, 4, 2)
-	home := s.ranker.Home(0, 7, func(id string) bool { return s.byID[id].Phase == sonde.PhasePrefill })
+	home := s.ranker.Home(0, 7, func(id string) bool { return s.byID[id].Phase == externalapi.PhasePrefill })
 	chosen := func() string {
 		pl, ok := s.placeFor("k", sharing(7, 8), 150*time.Millisecond, map[string]bool{}, true, enclosure.Terms{})
 		c.Assert(ok, qt.IsTrue)
--- a/internal/fleet/proxy/serve.go
+++ b/internal/fleet/proxy/serve.go
@@ -12,9 +12,9 @@
 	"github.com/go-faster/errors"
 
 	"molepaddle/internal/fleet/enclosure"
+	"molepaddle/internal/fleet/externalapi"
 	"molepaddle/internal/fleet/isobar"
 	"molepaddle/internal/fleet/routingconfig"
-	"molepaddle/internal/fleet/sonde"
 	"molepaddle/policy"
 )
 
@@ -66,8 +66,8 @@
 		v.awaitWorld(r.Context())
 	}
 	world := v.world.Load()
-	if id := r.Header.Get(sonde.AttemptID); id != "" {
-		w.Header()[sonde.AttemptID] = []string{id}
+	if id := r.Header.Get(externalapi.AttemptID); id != "" {
+		w.Header()[externalapi.AttemptID] = []string{id}
 	}
 	if world == nil || world.index == nil {
 		v.refuse(w, http.StatusServiceUnavailable, 200*time.Millisecond, "no configuration yet")
@@ -83,16 +83,16 @@
 		v.refuse(w, http.StatusNotFound, 0, "no route")
 		return
 	}
-	id := r.Header.Get(sonde.AttemptID)
+	id := r.Header.Get(externalapi.AttemptID)
 	if !plain(id) {
-		v.refuse(w, http.StatusBadRequest, 0, sonde.AttemptID+": missing or no plain word")
+		v.refuse(w, http.StatusBadRequest, 0, externalapi.AttemptID+": missing or no plain word")
 		return
 	}
 	wait := route.Deadline()
-	if text := r.Header.Get(sonde.DeadlineMs); text != "" {
+	if text := r.Header.Get(externalapi.DeadlineMs); text != "" {
 		ms, err := strconv.ParseFloat(text, 64)
 		if err != nil || ms <= 0 {
-			v.refuse(w, http.StatusBadRequest, 0, sonde.DeadlineMs+": no number above 0")
+			v.refuse(w, http.StatusBadRequest, 0, externalapi.DeadlineMs+": no number above 0")
 			return
 		}
 		if told := time.Duration(ms * float64(time.Millisecond)); told < wait || wait <= 0 {
@@ -134,7 +134,7 @@
 	model := t.svc.engines != nil
 	t.svc.mu.Unlock()
 	if model {
-		if p, ok := isobar.ParsePrompt(r.Header.Get(sonde.Model), r.Header.Get(sonde.TokenCount), r.Header.Get(sonde.Prefix)); ok {
+		if p, ok := isobar.ParsePrompt(r.Header.Get(externalapi.Model), r.Header.Get(externalapi.TokenCount), r.Header.Get(externalapi.Prefix)); ok {
 			t.generate(ctx, &p)
 			return
 		}
@@ -198,7 +198,7 @@
 // refuse gives an answer of this proxy's own.
 func (v *Proxy) refuse(w http.ResponseWriter, status int, again time.Duration, text string) {
 	if again > 0 {
-		w.Header().Set(sonde.RetryAfter, strconv.FormatFloat(again.Seconds(), 'f', 3, 64))
+		w.Header().Set(externalapi.RetryAfter, strconv.FormatFloat(again.Seconds(), 'f', 3, 64))
 	}
 	v.count(status)
 	http.Error(w, text, status)
@@ -265,7 +265,7 @@
 
 // notRun reads from an answer's head that the backend did not run the request.
 func notRun(resp *http.Response) bool {
-	return resp.StatusCode == http.StatusMisdirectedRequest || resp.Header.Get(sonde.NotRun) != ""
+	return resp.StatusCode == http.StatusMisdirectedRequest || resp.Header.Get(externalapi.NotRun) != ""
 }
 
 // plain serves a request whose answer comes whole.
@@ -336,7 +336,7 @@
 		t.svc.ended(id, judge(wrote, err))
 		return false, err
 	}
-	if e.resp.Header.Get("Content-Encoding") != "" || e.resp.StatusCode < 300 && e.resp.Header.Get(sonde.Seal) == "" {
+	if e.resp.Header.Get("Content-Encoding") != "" || e.resp.StatusCode < 300 && e.resp.Header.Get(externalapi.Seal) == "" {
 		e.end(false)
 		t.ran = true
 		t.svc.ended(id, policy.Error)
@@ -344,7 +344,7 @@
 	}
 	e.readUntil(t.deadline)
 	resp := e.resp
-	t.svc.told(id, resp.Header.Get(sonde.Load))
+	t.svc.told(id, resp.Header.Get(externalapi.Load))
 	body, err := e.body(maxAnswer)
 	switch {
 	case err != nil:
@@ -372,7 +372,7 @@
 }
 
 func retryAfter(resp *http.Response) time.Duration {
-	s, err := strconv.ParseFloat(resp.Header.Get(sonde.RetryAfter), 64)
+	s, err := strconv.ParseFloat(resp.Header.Get(externalapi.RetryAfter), 64)
 	if err != nil || s < 0 || s > 60 {
 		return 0
 	}
--- a/internal/fleet/proxy/service.go
+++ b/internal/fleet/proxy/service.go
@@ -10,9 +10,9 @@
 
 	"molepaddle/internal/fleet/distribution"
 	"molepaddle/internal/fleet/enclosure"
+	"molepaddle/internal/fleet/externalapi"
 	"molepaddle/internal/fleet/isobar"
 	"molepaddle/internal/fleet/routingconfig"
-	"molepaddle/internal/fleet/sonde"
 	"molepaddle/internal/fleet/windrose"
 	"molepaddle/policy"
 )
@@ -109,7 +109,7 @@
 	}
 	all := make([]isobar.Backend, 0, len(s.byID))
 	for id, b := range s.byID {
-		all = append(all, isobar.Backend{ID: id, Zone: b.Zone, Prefill: b.Phase == sonde.PhasePrefill})
+		all = append(all, isobar.Backend{ID: id, Zone: b.Zone, Prefill: b.Phase == externalapi.PhasePrefill})
 	}
 	s.engines.List(all)
 }
@@ -183,7 +183,7 @@
 	for id, b := range s.byID {
 		if n, ok := active[id]; ok {
 			s.engines.Gauged(now, id, n)
-		} else if least > 0 && b.Phase == sonde.PhaseDecode {
+		} else if least > 0 && b.Phase == externalapi.PhaseDecode {
 			s.engines.Gauged(now, id, least)
 		}
 	}
--- a/internal/fleet/proxy/stream.go
+++ b/internal/fleet/proxy/stream.go
@@ -10,8 +10,8 @@
 
 	"github.com/go-faster/errors"
 
+	"molepaddle/internal/fleet/externalapi"
 	"molepaddle/internal/fleet/isobar"
-	"molepaddle/internal/fleet/sonde"
 	"molepaddle/policy"
 )
 
@@ -64,8 +64,8 @@
 		return false, err
 	}
 	resp := e.resp
-	t.svc.told(b.ID, resp.Header.Get(sonde.Load))
-	if resp.StatusCode >= 300 || resp.Header.Get("Content-Encoding") != "" || resp.Header.Get(sonde.Seal) == "" {
+	t.svc.told(b.ID, resp.Header.Get(externalapi.Load))
+	if resp.StatusCode >= 300 || resp.Header.Get("Content-Encoding") != "" || resp.Header.Get(externalapi.Seal) == "" {
 		e.readUntil(time.Now().Add(time.Second))
 		body, err := e.body(maxAnswer)
 		switch {
@@ -250,7 +250,7 @@
 		done := false
 		if err != nil {
 			status = judge(wrote, err)
-		} else if resp := e.resp; resp.StatusCode != http.StatusOK || resp.Header.Get(sonde.Seal) == "" || resp.Header.Get("Content-Encoding") != "" {
+		} else if resp := e.resp; resp.StatusCode != http.StatusOK || resp.Header.Get(externalapi.Seal) == "" || resp.Header.Get("Content-Encoding") != "" {
 			status = policy.Error
 			if notRun(resp) {
 				status = policy.Full
