Package isobar becomes scheduler

Ruled out: a change of behaviour: files move, identifiers and comments follow, formats on the wire and on disk stay as they were. Before and after: the same tests; go build and go vet pass.

--- a/internal/fleet/controlplane/phases.go
+++ b/internal/fleet/controlplane/phases.go
@@ -14,8 +14,8 @@
 
 	"molepaddle/internal/fleet/distribution"
 	"molepaddle/internal/fleet/externalapi"
-	"molepaddle/internal/fleet/isobar"
 	"molepaddle/internal/fleet/replication"
+	"molepaddle/internal/fleet/scheduler"
 )
 
 // phases holds the duty of giving orders to backends: it comes with the primary's view, whose epoch is the fence.
@@ -24,10 +24,10 @@
 	client *externalapi.BackendClient
 
 	mu       sync.Mutex
-	machines map[string]*isobar.Phases // by service
-	changing map[string]bool           // ids to which nobody should send
-	active   map[string]int            // by id of those that make tokens, as of the last round
-	silent   []string                  // whose report did not come then
+	machines map[string]*scheduler.Phases // by service
+	changing map[string]bool              // ids to which nobody should send
+	active   map[string]int               // by id of those that make tokens, as of the last round
+	silent   []string                     // whose report did not come then
 }
 
 const (
@@ -42,7 +42,7 @@
 func newPhases(o *Server) *phases {
 	client := &http.Client{Timeout: orderWithin, Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: orderWithin, KeepAlive: -1}).DialContext,
 		MaxIdleConnsPerHost: 1, IdleConnTimeout: 4 * reportEvery, DisableCompression: true}}
-	return &phases{o: o, client: externalapi.NewBackendClient(client), machines: map[string]*isobar.Phases{}, changing: map[string]bool{},
+	return &phases{o: o, client: externalapi.NewBackendClient(client), machines: map[string]*scheduler.Phases{}, changing: map[string]bool{},
 		active: map[string]int{}}
 }
 
@@ -108,7 +108,7 @@
 		p.mu.Lock()
 		m := p.machines[svc.Name]
 		if m == nil {
-			m = isobar.NewPhases()
+			m = scheduler.NewPhases()
 			p.machines[svc.Name] = m
 		}
 		var silent []string
@@ -123,7 +123,7 @@
 		if len(silent)*mostSilent <= len(all) {
 			p.silent = append(p.silent, silent...)
 		}
-		var moves []isobar.Move
+		var moves []scheduler.Move
 		if orders {
 			moves = m.Step(float64(now.Milliseconds()), svc.Runtime.Capacity, states)
 		}
@@ -178,12 +178,12 @@
 }
 
 // reports asks all backends at once for their reports.
-func (p *phases) reports(ctx context.Context, all []distribution.Backend) []isobar.EngineState {
-	states := make([]isobar.EngineState, len(all))
+func (p *phases) reports(ctx context.Context, all []distribution.Backend) []scheduler.EngineState {
+	states := make([]scheduler.EngineState, len(all))
 	var wait sync.WaitGroup
 	room := make(chan struct{}, 16)
 	for i, b := range all {
-		states[i] = isobar.EngineState{ID: b.ID, Prefill: b.Phase == externalapi.PhasePrefill}
+		states[i] = scheduler.EngineState{ID: b.ID, Prefill: b.Phase == externalapi.PhasePrefill}
 		if b.Draining {
 			continue
 		}
--- a/internal/fleet/mast/bench_test.go
+++ b/internal/fleet/mast/bench_test.go
@@ -13,8 +13,8 @@
 
 	"molepaddle/internal/fleet/distribution"
 	"molepaddle/internal/fleet/externalapi"
-	"molepaddle/internal/fleet/isobar"
 	"molepaddle/internal/fleet/routingconfig"
+	"molepaddle/internal/fleet/scheduler"
 	"molepaddle/internal/fleet/windrose"
 )
 
@@ -226,11 +226,11 @@
 	return r, l
 }
 
-func engines(n int) (*isobar.Engines, []isobar.Backend) {
-	e := isobar.New(isobar.Engine{Capacity: 64, KVTokens: 600_000, KVBytes: 163_840, LinkMbps: 8_800_000})
-	var l []isobar.Backend
+func engines(n int) (*scheduler.Engines, []scheduler.Backend) {
+	e := scheduler.New(scheduler.Engine{Capacity: 64, KVTokens: 600_000, KVBytes: 163_840, LinkMbps: 8_800_000})
+	var l []scheduler.Backend
 	for _, s := range Backends(n).Backends {
-		l = append(l, isobar.Backend{ID: s.ID, Zone: s.Zone, Prefill: s.Phase == externalapi.PhasePrefill})
+		l = append(l, scheduler.Backend{ID: s.ID, Zone: s.Zone, Prefill: s.Phase == externalapi.PhasePrefill})
 	}
 	e.List(l)
 	return e, l
@@ -249,7 +249,7 @@
 	})
 }
 
-// BenchmarkRankByLoad is one ordering with isobar's estimates as costs.
+// BenchmarkRankByLoad is one ordering with scheduler's estimates as costs.
 func BenchmarkRankByLoad(b *testing.B) {
 	sizes(b, decisionSizes, func(b *testing.B, n int) {
 		r, l := ranker(n)
@@ -266,8 +266,8 @@
 	})
 }
 
-func prompt(i int) isobar.Prompt {
-	p, ok := isobar.ParsePrompt("m", "1460,80", "aaaaaaaa:800,"+strconv.Itoa(i%1900)+":410,own"+strconv.Itoa(i)+":250")
+func prompt(i int) scheduler.Prompt {
+	p, ok := scheduler.ParsePrompt("m", "1460,80", "aaaaaaaa:800,"+strconv.Itoa(i%1900)+":410,own"+strconv.Itoa(i)+":250")
 	if !ok {
 		panic("prompt")
 	}
@@ -290,7 +290,7 @@
 	})
 }
 
-// BenchmarkTakeList is a whole list taken by ranker and isobar, that already have it.
+// BenchmarkTakeList is a whole list taken by ranker and scheduler, that already have it.
 func BenchmarkTakeList(b *testing.B) {
 	sizes(b, listSizes, func(b *testing.B, n int) {
 		r, l := ranker(n)
--- a/internal/fleet/proxy/enclosed_choice_test.go
+++ b/internal/fleet/proxy/enclosed_choice_test.go
@@ -13,8 +13,8 @@
 	"molepaddle/internal/fleet/distribution"
 	"molepaddle/internal/fleet/enclosure"
 	"molepaddle/internal/fleet/externalapi"
-	"molepaddle/internal/fleet/isobar"
 	"molepaddle/internal/fleet/routingconfig"
+	"molepaddle/internal/fleet/scheduler"
 	"molepaddle/internal/protocol/transport"
 	"molepaddle/policy"
 )
@@ -105,7 +105,7 @@
 				anywhere = anywhere || usable
 				decodes = decodes || usable && b.Phase == externalapi.PhaseDecode
 			}
-			prompt := &isobar.Prompt{In: 1 + next(8000), Out: 4, Parts: []isobar.Part{{Chain: uint64(next(4) + 1), Tokens: 100}, {Chain: seed, Tokens: 10}}}
+			prompt := &scheduler.Prompt{In: 1 + next(8000), Out: 4, Parts: []scheduler.Part{{Chain: uint64(next(4) + 1), Tokens: 100}, {Chain: seed, Tokens: 10}}}
 			check := func(what string, p enclosure.Permit) {
 				if !permitted(byID[p.ID()]) || p.Check(terms) != nil {
 					r.Fatalf("%s in %q under %v", what, byID[p.ID()].Zone, terms)
@@ -165,7 +165,7 @@
 				list = append(list, distribution.Backend{ID: fmt.Sprintf("b%d", i), Address: fmt.Sprintf("10.0.0.%d:80", i), Zone: []string{"e1", "m1", "w1"}[i/3], Phase: phase})
 			}
 			s.list(list)
-			prompt := &isobar.Prompt{In: 6300, Out: 2, Parts: []isobar.Part{{Chain: 1, Tokens: 6000}, {Chain: 2, Tokens: 300}}}
+			prompt := &scheduler.Prompt{In: 6300, Out: 2, Parts: []scheduler.Part{{Chain: 1, Tokens: 6000}, {Chain: 2, Tokens: 300}}}
 			tried := map[string]bool{}
 			b.ReportAllocs()
 			for b.Loop() {
--- a/internal/fleet/proxy/generate.go
+++ b/internal/fleet/proxy/generate.go
@@ -10,7 +10,7 @@
 
 	"molepaddle/internal/fleet/enclosure"
 	"molepaddle/internal/fleet/externalapi"
-	"molepaddle/internal/fleet/isobar"
+	"molepaddle/internal/fleet/scheduler"
 	"molepaddle/policy"
 )
 
@@ -26,7 +26,7 @@
 const maxHandleAnswer = 64 << 10
 
 // prefill has a backend read the prompt and keep its memory for the taker; reached: the call may have come there.
-func (t *try) prefill(ctx context.Context, b *backend, at enclosure.Permit, p *isobar.Prompt, home bool, by time.Time) (h *handle, reached bool, err error) {
+func (t *try) prefill(ctx context.Context, b *backend, at enclosure.Permit, p *scheduler.Prompt, home bool, by time.Time) (h *handle, reached bool, err error) {
 	t.svc.mu.Lock()
 	tokens := t.svc.engines.Sent(b.ID, p, home)
 	t.svc.ranker.Sent(b.ID)
@@ -88,7 +88,7 @@
 }
 
 // generate serves a request whose tokens come as a stream.
-func (t *try) generate(ctx context.Context, p *isobar.Prompt) {
+func (t *try) generate(ctx context.Context, p *scheduler.Prompt) {
 	split, reads := true, 0
 	var h *handle // memory of the prompt that waits for its taker
 	defer func() {
@@ -180,7 +180,7 @@
 }
 
 // unsent takes back a place that was not used.
-func (t *try) unsent(pl place, p *isobar.Prompt) {
+func (t *try) unsent(pl place, p *scheduler.Prompt) {
 	t.svc.mu.Lock()
 	t.svc.engines.Read(pl.at.ID, pl.tokens, 0)
 	t.svc.engines.Ended(pl.at.ID)
--- a/internal/fleet/proxy/place.go
+++ b/internal/fleet/proxy/place.go
@@ -6,7 +6,7 @@
 
 	"molepaddle/internal/fleet/enclosure"
 	"molepaddle/internal/fleet/externalapi"
-	"molepaddle/internal/fleet/isobar"
+	"molepaddle/internal/fleet/scheduler"
 )
 
 // place is where a generation goes: from is where its prompt is read first; nil: at the decode backend itself.
@@ -59,7 +59,7 @@
 )
 
 // placeFor chooses where a prompt is read and its tokens are made, under the terms.
-func (s *service) placeFor(kind string, p *isobar.Prompt, aim time.Duration, tried map[string]bool, split bool, terms enclosure.Terms) (pl place, ok bool) {
+func (s *service) placeFor(kind string, p *scheduler.Prompt, aim time.Duration, tried map[string]bool, split bool, terms enclosure.Terms) (pl place, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now, e := s.now(), s.engines
@@ -90,7 +90,7 @@
 type want struct {
 	now      float64
 	key      uint64
-	p        *isobar.Prompt
+	p        *scheduler.Prompt
 	patience float64 // ms
 	tried    map[string]bool
 	terms    enclosure.Terms
@@ -206,7 +206,7 @@
 }
 
 // takerFor chooses another decode backend for memory that lies at from, under the terms.
-func (s *service) takerFor(from *backend, p *isobar.Prompt, aim time.Duration, tried map[string]bool, terms enclosure.Terms) (pl place, ok bool) {
+func (s *service) takerFor(from *backend, p *scheduler.Prompt, aim time.Duration, tried map[string]bool, terms enclosure.Terms) (pl place, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	pl.from = from
--- a/internal/fleet/proxy/place_test.go
+++ b/internal/fleet/proxy/place_test.go
@@ -10,7 +10,7 @@
 	"molepaddle/internal/fleet/distribution"
 	"molepaddle/internal/fleet/enclosure"
 	"molepaddle/internal/fleet/externalapi"
-	"molepaddle/internal/fleet/isobar"
+	"molepaddle/internal/fleet/scheduler"
 	"molepaddle/policy"
 )
 
@@ -30,8 +30,8 @@
 	return s
 }
 
-func sharing(key, own uint64) *isobar.Prompt {
-	return &isobar.Prompt{In: 9000, Out: 2, Parts: []isobar.Part{{Chain: key, Tokens: 6000}, {Chain: own, Tokens: 3000}}}
+func sharing(key, own uint64) *scheduler.Prompt {
+	return &scheduler.Prompt{In: 9000, Out: 2, Parts: []scheduler.Part{{Chain: key, Tokens: 6000}, {Chain: own, Tokens: 3000}}}
 }
 
 // What can't be read in the time left is not begun: in a burst of twice what could be read, prompts that were begun all the
@@ -75,7 +75,7 @@
 	}
 	load := func(id string, prompts int) {
 		for i := range prompts {
-			s.engines.Sent(id, &isobar.Prompt{In: 5000, Parts: []isobar.Part{{Chain: uint64(100 + i), Tokens: 5000}}}, false)
+			s.engines.Sent(id, &scheduler.Prompt{In: 5000, Parts: []scheduler.Part{{Chain: uint64(100 + i), Tokens: 5000}}}, false)
 		}
 	}
 	c.Assert(chosen(), qt.Equals, home)
@@ -92,7 +92,7 @@
 func TestLongAnswersGoWherePlacesAre(t *testing.T) {
 	c := qt.New(t)
 	s := engineService(8, 1, 4)
-	talk := &isobar.Prompt{In: 100, Out: 80, Parts: []isobar.Part{{Chain: 1, Tokens: 50}, {Chain: 2, Tokens: 50}}}
+	talk := &scheduler.Prompt{In: 100, Out: 80, Parts: []scheduler.Part{{Chain: 1, Tokens: 50}, {Chain: 2, Tokens: 50}}}
 	for range 50 {
 		s.engines.Made("talk", talk, 4000)
 	}
--- a/internal/fleet/proxy/serve.go
+++ b/internal/fleet/proxy/serve.go
@@ -13,8 +13,8 @@
 
 	"molepaddle/internal/fleet/enclosure"
 	"molepaddle/internal/fleet/externalapi"
-	"molepaddle/internal/fleet/isobar"
 	"molepaddle/internal/fleet/routingconfig"
+	"molepaddle/internal/fleet/scheduler"
 	"molepaddle/policy"
 )
 
@@ -134,7 +134,7 @@
 	model := t.svc.engines != nil
 	t.svc.mu.Unlock()
 	if model {
-		if p, ok := isobar.ParsePrompt(r.Header.Get(externalapi.Model), r.Header.Get(externalapi.TokenCount), r.Header.Get(externalapi.Prefix)); ok {
+		if p, ok := scheduler.ParsePrompt(r.Header.Get(externalapi.Model), r.Header.Get(externalapi.TokenCount), r.Header.Get(externalapi.Prefix)); ok {
 			t.generate(ctx, &p)
 			return
 		}
--- a/internal/fleet/proxy/service.go
+++ b/internal/fleet/proxy/service.go
@@ -11,8 +11,8 @@
 	"molepaddle/internal/fleet/distribution"
 	"molepaddle/internal/fleet/enclosure"
 	"molepaddle/internal/fleet/externalapi"
-	"molepaddle/internal/fleet/isobar"
 	"molepaddle/internal/fleet/routingconfig"
+	"molepaddle/internal/fleet/scheduler"
 	"molepaddle/internal/fleet/windrose"
 	"molepaddle/policy"
 )
@@ -32,9 +32,9 @@
 	mu       sync.Mutex
 	byID     map[string]*backend
 	ranker   *windrose.Ranker
-	engines  *isobar.Engines // nil: no model backends
-	order    []string        // scratch
-	apart    map[string]bool // scratch
+	engines  *scheduler.Engines // nil: no model backends
+	order    []string           // scratch
+	apart    map[string]bool    // scratch
 	spent    allowance
 	capacity int
 }
@@ -58,9 +58,9 @@
 		s.engines = nil
 		return
 	}
-	set := isobar.Engine{Capacity: c.Runtime.Capacity, KVTokens: int(c.Runtime.KVTokens), KVBytes: c.Runtime.KVTokenBytes, LinkMbps: c.Runtime.LinkMbps}
+	set := scheduler.Engine{Capacity: c.Runtime.Capacity, KVTokens: int(c.Runtime.KVTokens), KVBytes: c.Runtime.KVTokenBytes, LinkMbps: c.Runtime.LinkMbps}
 	if s.engines == nil {
-		s.engines = isobar.New(set)
+		s.engines = scheduler.New(set)
 		s.relist()
 	} else {
 		s.engines.Turn(set)
@@ -107,9 +107,9 @@
 	if s.engines == nil {
 		return
 	}
-	all := make([]isobar.Backend, 0, len(s.byID))
+	all := make([]scheduler.Backend, 0, len(s.byID))
 	for id, b := range s.byID {
-		all = append(all, isobar.Backend{ID: id, Zone: b.Zone, Prefill: b.Phase == externalapi.PhasePrefill})
+		all = append(all, scheduler.Backend{ID: id, Zone: b.Zone, Prefill: b.Phase == externalapi.PhasePrefill})
 	}
 	s.engines.List(all)
 }
--- a/internal/fleet/proxy/stream.go
+++ b/internal/fleet/proxy/stream.go
@@ -11,7 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"molepaddle/internal/fleet/externalapi"
-	"molepaddle/internal/fleet/isobar"
+	"molepaddle/internal/fleet/scheduler"
 	"molepaddle/policy"
 )
 
@@ -29,7 +29,7 @@
 
 // stream sends a generation to the decode backend of its place and passes its events on; done: the client has its
 // answer, whole or cut off.
-func (t *try) stream(ctx context.Context, pl place, p *isobar.Prompt, h *handle) (done bool, err error) {
+func (t *try) stream(ctx context.Context, pl place, p *scheduler.Prompt, h *handle) (done bool, err error) {
 	b := pl.at
 	start := time.Now()
 	status, read, kept := policy.OK, 0.0, false
@@ -231,7 +231,7 @@
 }
 
 // resume takes a stream up at another backend after its last event, inside the same answer; false: it could not.
-func (t *try) resume(ctx context.Context, r *relay, p *isobar.Prompt) bool {
+func (t *try) resume(ctx context.Context, r *relay, p *scheduler.Prompt) bool {
 	for ctx.Err() == nil && r.lastID != "" {
 		if !t.mayAgain() {
 			return false
--- a/internal/fleet/isobar/load_test.go
+++ b/internal/fleet/scheduler/load_test.go
@@ -1,4 +1,4 @@
-package isobar
+package scheduler
 
 import (
 	"testing"
