Package windrose becomes ranking

Ruled out: a change of behaviour: files move, identifiers and comments follow, formats on the wire and on disk stay as they were.

--- a/internal/fleet/mast/bench_test.go
+++ b/internal/fleet/mast/bench_test.go
@@ -13,9 +13,9 @@
 
 	"molepaddle/internal/fleet/distribution"
 	"molepaddle/internal/fleet/externalapi"
+	"molepaddle/internal/fleet/ranking"
 	"molepaddle/internal/fleet/routingconfig"
 	"molepaddle/internal/fleet/scheduler"
-	"molepaddle/internal/fleet/windrose"
 )
 
 // The figures of docs/CAPACITY.md: go test -run '^$' -bench . ./internal/fleet/mast
@@ -216,11 +216,11 @@
 	})
 }
 
-func ranker(n int) (*windrose.Ranker, []windrose.Listed) {
-	r := windrose.NewRanker(windrose.RankerSettings{})
-	var l []windrose.Listed
+func ranker(n int) (*ranking.Ranker, []ranking.Listed) {
+	r := ranking.NewRanker(ranking.RankerSettings{})
+	var l []ranking.Listed
 	for _, e := range Backends(n).Backends {
-		l = append(l, windrose.Listed{ID: e.ID, Usable: true})
+		l = append(l, ranking.Listed{ID: e.ID, Usable: true})
 	}
 	r.List(0, l)
 	return r, l
--- a/internal/fleet/proxy/service.go
+++ b/internal/fleet/proxy/service.go
@@ -11,9 +11,9 @@
 	"molepaddle/internal/fleet/distribution"
 	"molepaddle/internal/fleet/enclosure"
 	"molepaddle/internal/fleet/externalapi"
+	"molepaddle/internal/fleet/ranking"
 	"molepaddle/internal/fleet/routingconfig"
 	"molepaddle/internal/fleet/scheduler"
-	"molepaddle/internal/fleet/windrose"
 	"molepaddle/policy"
 )
 
@@ -31,7 +31,7 @@
 
 	mu       sync.Mutex
 	byID     map[string]*backend
-	ranker   *windrose.Ranker
+	ranker   *ranking.Ranker
 	engines  *scheduler.Engines // nil: no model backends
 	order    []string           // scratch
 	apart    map[string]bool    // scratch
@@ -45,7 +45,7 @@
 
 func newService(name string, ground *enclosure.Ground, lapse time.Duration) *service {
 	return &service{name: name, ground: ground, start: time.Now(), byID: map[string]*backend{}, apart: map[string]bool{},
-		ranker: windrose.NewRanker(windrose.RankerSettings{LapseMs: float64(lapse.Milliseconds()), RefetchMs: float64(lapse.Milliseconds())})}
+		ranker: ranking.NewRanker(ranking.RankerSettings{LapseMs: float64(lapse.Milliseconds()), RefetchMs: float64(lapse.Milliseconds())})}
 }
 
 func (s *service) now() float64 { return float64(time.Since(s.start).Microseconds()) / 1000 }
@@ -72,7 +72,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	listed := make(map[string]bool, len(all))
-	ranked := make([]windrose.Listed, 0, len(all))
+	ranked := make([]ranking.Listed, 0, len(all))
 	for _, b := range all {
 		if listed[b.ID] {
 			continue
@@ -89,7 +89,7 @@
 			old.plot.Relist(b.Zone)
 			s.byID[b.ID] = &backend{Backend: b, plot: old.plot}
 		}
-		ranked = append(ranked, windrose.Listed{ID: b.ID, Usable: !b.Draining})
+		ranked = append(ranked, ranking.Listed{ID: b.ID, Usable: !b.Draining})
 	}
 	for id, b := range s.byID {
 		if !listed[id] {
--- a/internal/fleet/windrose/windrose_test.go
+++ b/internal/fleet/ranking/ranking_test.go
@@ -1,4 +1,4 @@
-package windrose
+package ranking
 
 import (
 	"fmt"
