Package raingauge becomes residencyreport

Ruled out: a change of behaviour: files move, identifiers and comments follow, formats on the wire and on disk stay as they were. Before and after: the same tests; go build and go vet pass.

--- a/internal/fleet/controlplane/messages.go
+++ b/internal/fleet/controlplane/messages.go
@@ -1,6 +1,6 @@
 package controlplane
 
-import "molepaddle/internal/fleet/raingauge"
+import "molepaddle/internal/fleet/residencyreport"
 
 //go:generate msgp -tests=false
 
@@ -11,7 +11,7 @@
 	Base    int64  `msg:"b"`
 	Body    []byte `msg:"d"`
 	// Reading is left out where the change is one of the configuration.
-	Reading *raingauge.Reading `msg:"g,omitempty"`
+	Reading *residencyreport.Reading `msg:"g,omitempty"`
 }
 
 // Stored is the record's snapshot.
@@ -19,7 +19,7 @@
 	Document []byte   `msg:"d"`
 	Versions []int64  `msg:"v"`
 	Digests  []uint64 `msg:"x"`
-	// Rested is the raingauge's snapshot; left out where it is empty.
+	// Rested is the residencyreport's snapshot; left out where it is empty.
 	Rested []byte `msg:"g,omitempty"`
 	// DocumentSeq is the change that led to Document; left out where that is the newest of all.
 	DocumentSeq uint64 `msg:"q,omitempty"`
--- a/internal/fleet/controlplane/messages_gen.go
+++ b/internal/fleet/controlplane/messages_gen.go
@@ -3,7 +3,7 @@
 package controlplane
 
 import (
-	"molepaddle/internal/fleet/raingauge"
+	"molepaddle/internal/fleet/residencyreport"
 
 	"github.com/tinylib/msgp/msgp"
 )
@@ -54,7 +54,7 @@
 				z.Reading = nil
 			} else {
 				if z.Reading == nil {
-					z.Reading = new(raingauge.Reading)
+					z.Reading = new(residencyreport.Reading)
 				}
 				err = z.Reading.DecodeMsg(dc)
 				if err != nil {
@@ -231,7 +231,7 @@
 				z.Reading = nil
 			} else {
 				if z.Reading == nil {
-					z.Reading = new(raingauge.Reading)
+					z.Reading = new(residencyreport.Reading)
 				}
 				bts, err = z.Reading.UnmarshalMsg(bts)
 				if err != nil {
--- a/internal/fleet/controlplane/record.go
+++ b/internal/fleet/controlplane/record.go
@@ -6,8 +6,8 @@
 
 	"github.com/go-faster/errors"
 
-	"molepaddle/internal/fleet/raingauge"
 	"molepaddle/internal/fleet/replication"
+	"molepaddle/internal/fleet/residencyreport"
 	"molepaddle/internal/fleet/routingconfig"
 )
 
@@ -19,7 +19,7 @@
 	doc    *routingconfig.Document
 	docSeq uint64      // the change that led to doc
 	taken  []takenCall // the newest last
-	rested *raingauge.Gauge
+	rested *residencyreport.Gauge
 	recent []applied // not yet known to be committed, and the last committed one
 }
 
@@ -30,7 +30,7 @@
 	docSeq uint64
 	call   *Call // nil: not known, or none of the configuration
 	taken  []takenCall
-	rested *raingauge.Gauge
+	rested *residencyreport.Gauge
 }
 
 type takenCall struct {
@@ -159,7 +159,7 @@
 	if s.DocumentSeq > 0 {
 		r.docSeq = s.DocumentSeq
 	}
-	rested, err := raingauge.Restore(s.Rested)
+	rested, err := residencyreport.Restore(s.Rested)
 	if err != nil {
 		return errors.Wrap(err, "record")
 	}
--- a/internal/fleet/controlplane/record_test.go
+++ b/internal/fleet/controlplane/record_test.go
@@ -6,7 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"molepaddle/internal/fleet/raingauge"
+	"molepaddle/internal/fleet/residencyreport"
 )
 
 // configuration is a call that has a version in force.
@@ -17,9 +17,9 @@
 }
 
 // reading is one that a process's batch amounts to.
-func reading(p raingauge.Process, n uint64, plain int64) []byte {
-	b, _ := (&Call{Reading: &raingauge.Reading{Upto: []raingauge.Kept{{Process: p, N: n}},
-		Entries: []raingauge.Entry{{Pair: raingauge.Pair{Tenant: "labs", Region: "east"}, First: 5, Last: 9, Counts: raingauge.Counts{Plain: plain}}}}}).MarshalMsg(nil)
+func reading(p residencyreport.Process, n uint64, plain int64) []byte {
+	b, _ := (&Call{Reading: &residencyreport.Reading{Upto: []residencyreport.Kept{{Process: p, N: n}},
+		Entries: []residencyreport.Entry{{Pair: residencyreport.Pair{Tenant: "labs", Region: "east"}, First: 5, Last: 9, Counts: residencyreport.Counts{Plain: plain}}}}}).MarshalMsg(nil)
 	return b
 }
 
--- a/internal/fleet/controlplane/rested.go
+++ b/internal/fleet/controlplane/rested.go
@@ -9,8 +9,8 @@
 	"go.uber.org/zap"
 
 	"molepaddle/internal/fleet/externalapi"
-	"molepaddle/internal/fleet/raingauge"
 	"molepaddle/internal/fleet/replication"
+	"molepaddle/internal/fleet/residencyreport"
 )
 
 const (
@@ -58,7 +58,7 @@
 }
 
 // news tells whether batches have something of a pair that the record knows nothing of.
-func (o *Server) news(open []raingauge.Batch) bool {
+func (o *Server) news(open []residencyreport.Batch) bool {
 	settled := o.settled.Load()
 	if settled == nil {
 		return true
@@ -78,10 +78,10 @@
 
 // takeReading has the record take some batches, and lets those go that are on all disks that they have to be on. It reports
 // whether there is more to be done soon.
-func (o *Server) takeReading(ctx context.Context, open []raingauge.Batch) (soon bool) {
+func (o *Server) takeReading(ctx context.Context, open []residencyreport.Batch) (soon bool) {
 	within, cancel := context.WithTimeout(ctx, answerWithin)
 	defer cancel()
-	var base *raingauge.Gauge
+	var base *residencyreport.Gauge
 	if settled := o.settled.Load(); settled != nil {
 		base = settled.rested
 	}
@@ -102,10 +102,10 @@
 	if settled == nil {
 		return true
 	}
-	var kept []raingauge.Kept
+	var kept []residencyreport.Kept
 	for i := range open {
 		if b := &open[i]; b.N <= settled.rested.Kept(b.Process) {
-			kept = append(kept, raingauge.Kept{Process: b.Process, N: b.N})
+			kept = append(kept, residencyreport.Kept{Process: b.Process, N: b.N})
 		}
 	}
 	o.store.Rested.Keep(kept...)
@@ -122,7 +122,7 @@
 		return
 	}
 	tenant, route := r.URL.Query().Get(externalapi.QueryTenant), r.URL.Query().Get(externalapi.QueryRoute)
-	match := func(p raingauge.Pair) bool {
+	match := func(p residencyreport.Pair) bool {
 		return (tenant == "" || p.Tenant == tenant) && (route == "" || p.Tenant == "" && p.Route == route)
 	}
 	answer := externalapi.Residency{Seq: seq, Rested: []externalapi.Rested{}}
--- a/internal/fleet/controlplane/rested_test.go
+++ b/internal/fleet/controlplane/rested_test.go
@@ -13,8 +13,8 @@
 	"go.uber.org/zap"
 
 	"molepaddle/internal/fleet/externalapi"
-	"molepaddle/internal/fleet/raingauge"
 	"molepaddle/internal/fleet/replication"
+	"molepaddle/internal/fleet/residencyreport"
 	"molepaddle/internal/fleet/settings"
 )
 
@@ -64,13 +64,13 @@
 	return w.Code, w.Header(), report
 }
 
-func batchOf(p raingauge.Process, n uint64, pair raingauge.Pair) raingauge.Batch {
-	return raingauge.Batch{Process: p, N: n, Entries: []raingauge.Entry{{Pair: pair, First: 1000, Last: 1500 + int64(n), Counts: raingauge.Counts{Decodes: 2}}}}
+func batchOf(p residencyreport.Process, n uint64, pair residencyreport.Pair) residencyreport.Batch {
+	return residencyreport.Batch{Process: p, N: n, Entries: []residencyreport.Entry{{Pair: pair, First: 1000, Last: 1500 + int64(n), Counts: residencyreport.Counts{Decodes: 2}}}}
 }
 
 var (
-	labs = raingauge.Pair{Tenant: "labs", Region: "east"}
-	road = raingauge.Pair{Route: "r/1", Region: "east"}
+	labs = residencyreport.Pair{Tenant: "labs", Region: "east"}
+	road = residencyreport.Pair{Route: "r/1", Region: "east"}
 )
 
 // What arrives is read, told and let go; a reading leaves no trace in what the operator changes.
@@ -141,21 +141,21 @@
 	o := solo(c)
 	first := batchOf(1, 1, labs)
 	o.store.Rested.Put(first)
-	c.Assert(o.news([]raingauge.Batch{first}), qt.IsTrue)
-	c.Assert(o.takeReading(c.Context(), []raingauge.Batch{first}), qt.IsFalse)
+	c.Assert(o.news([]residencyreport.Batch{first}), qt.IsTrue)
+	c.Assert(o.takeReading(c.Context(), []residencyreport.Batch{first}), qt.IsFalse)
 	c.Assert(o.store.Rested.OpenOf(1), qt.Equals, 0)
-	c.Assert(o.news([]raingauge.Batch{first, batchOf(1, 2, labs)}), qt.IsFalse)
-	c.Assert(o.news([]raingauge.Batch{first, batchOf(1, 2, road)}), qt.IsTrue)
+	c.Assert(o.news([]residencyreport.Batch{first, batchOf(1, 2, labs)}), qt.IsFalse)
+	c.Assert(o.news([]residencyreport.Batch{first, batchOf(1, 2, road)}), qt.IsTrue)
 
 	// The record is ahead of what is known to be committed: nothing is proposed on top of that, and nothing let go.
 	good := o.settled.Load()
 	o.settled.Store(&applied{})
 	second := batchOf(1, 2, labs)
 	o.store.Rested.Put(second)
-	c.Assert(o.takeReading(c.Context(), []raingauge.Batch{second}), qt.IsTrue)
+	c.Assert(o.takeReading(c.Context(), []residencyreport.Batch{second}), qt.IsTrue)
 	c.Assert(o.store.Rested.OpenOf(1), qt.Equals, 1)
 	o.settled.Store(good)
-	c.Assert(o.takeReading(c.Context(), []raingauge.Batch{second}), qt.IsFalse)
+	c.Assert(o.takeReading(c.Context(), []residencyreport.Batch{second}), qt.IsFalse)
 	c.Assert(o.store.Rested.OpenOf(1), qt.Equals, 0)
 	c.Assert(o.settled.Load().rested.Report(nil)[0].Counts.Decodes, qt.Equals, int64(4))
 }
--- a/internal/fleet/distribution/distribution_test.go
+++ b/internal/fleet/distribution/distribution_test.go
@@ -10,7 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"molepaddle/internal/fleet/raingauge"
+	"molepaddle/internal/fleet/residencyreport"
 )
 
 func v(n uint64) Version { return Version{Count: n} }
@@ -204,7 +204,7 @@
 	}
 	box := NewOutbox()
 	empty := func(o *Outbox) bool { all, _ := o.Open(); return len(all) == 0 }
-	c.Assert(box.Put(raingauge.Batch{Process: 7, N: 1, Entries: []raingauge.Entry{{Pair: raingauge.Pair{Tenant: "t", Region: "r"}, First: 1, Last: 2}}}), qt.IsTrue)
+	c.Assert(box.Put(residencyreport.Batch{Process: 7, N: 1, Entries: []residencyreport.Entry{{Pair: residencyreport.Pair{Tenant: "t", Region: "r"}, First: 1, Last: 2}}}), qt.IsTrue)
 	relays, done := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(relays)
@@ -232,12 +232,12 @@
 		wait(arrived, "nothing comes to the top")
 	}
 	c.Assert(empty(box), qt.IsFalse, qt.Commentf("let go before it was kept"))
-	top.Rested.Keep(raingauge.Kept{Process: 7, N: 1})
+	top.Rested.Keep(residencyreport.Kept{Process: 7, N: 1})
 	wait(done, "what is kept is not let go")
 	c.Assert(empty(middle.Rested) && empty(top.Rested), qt.IsTrue)
 
 	// A last word is one pull, whose sender may be gone after it; what comes from another process lives on.
-	c.Assert(box.Put(raingauge.Batch{Process: 7, N: 2}), qt.IsTrue)
+	c.Assert(box.Put(residencyreport.Batch{Process: 7, N: 2}), qt.IsTrue)
 	pulls := 0
 	_ = Follow(ctx, middleAddr, &Follower{Name: "f", Silence: 5 * time.Second, Members: func() []Member { return nil }, Have: func() map[string]Version { return nil },
 		Take: func(*Response) []string { pulls++; return nil }, Rested: func(time.Time) *Outbox { return box }, Ends: true})
--- a/internal/fleet/distribution/link.go
+++ b/internal/fleet/distribution/link.go
@@ -7,7 +7,7 @@
 	"net"
 	"time"
 
-	"molepaddle/internal/fleet/raingauge"
+	"molepaddle/internal/fleet/residencyreport"
 )
 
 // Serve answers pulls from the store on a listener until ctx ends. Connections that ask for nothing for the time
@@ -31,7 +31,7 @@
 			stop := context.AfterFunc(ctx, func() { c.Close() })
 			defer stop()
 			r := bufio.NewReaderSize(c, 1024)
-			var rested raingauge.Receiver
+			var rested residencyreport.Receiver
 			for {
 				_ = c.SetDeadline(time.Now().Add(idle))
 				var p Request
@@ -135,7 +135,7 @@
 	defer stop()
 	r := bufio.NewReader(&coming{c, f.Silence})
 	var lacking []string
-	var rested raingauge.Sender
+	var rested residencyreport.Sender
 	for asked := false; !(f.Ends && asked) && (f.Goes == nil || f.Goes()); asked = true {
 		p := Request{From: f.Name, WaitMs: f.Wait.Milliseconds(), Have: f.Have(), Members: f.Members(), Ends: f.Ends}
 		for _, source := range lacking {
--- a/internal/fleet/distribution/messages.go
+++ b/internal/fleet/distribution/messages.go
@@ -2,7 +2,7 @@
 // lacks, by a vector of versions, one a source; an unanswered pull waits at the source until something is new.
 package distribution
 
-import "molepaddle/internal/fleet/raingauge"
+import "molepaddle/internal/fleet/residencyreport"
 
 //go:generate msgp -tests=false
 
@@ -34,7 +34,7 @@
 	Have    map[string]Version `msg:"h"`
 	Members []Member           `msg:"m"`
 	// Rested is where tenants' data rested, on its way to the record; left out where there is none.
-	Rested []raingauge.Batch `msg:"g,omitempty"`
+	Rested []residencyreport.Batch `msg:"g,omitempty"`
 	// Ends says that the sender's process ends, and this is its last word; left out where it isn't.
 	Ends bool `msg:"z,omitempty"`
 }
@@ -62,7 +62,7 @@
 	FreshMs   int64      `msg:"a"` // how long ago the primary was heard by this chain of sources
 	Resources []Resource `msg:"x"`
 	// Kept says what of Rested is in the record for good; left out where nothing is new of that.
-	Kept []raingauge.Kept `msg:"k,omitempty"`
+	Kept []residencyreport.Kept `msg:"k,omitempty"`
 }
 
 // Backend is one entry of the platform's list, in the words that the proxies use.
--- a/internal/fleet/distribution/messages_gen.go
+++ b/internal/fleet/distribution/messages_gen.go
@@ -3,7 +3,7 @@
 package distribution
 
 import (
-	"molepaddle/internal/fleet/raingauge"
+	"molepaddle/internal/fleet/residencyreport"
 
 	"github.com/tinylib/msgp/msgp"
 )
@@ -1633,7 +1633,7 @@
 			if cap(z.Kept) >= int(zb0003) {
 				z.Kept = (z.Kept)[:zb0003]
 			} else {
-				z.Kept = make([]raingauge.Kept, zb0003)
+				z.Kept = make([]residencyreport.Kept, zb0003)
 			}
 			for za0002 := range z.Kept {
 				err = z.Kept[za0002].DecodeMsg(dc)
@@ -1857,7 +1857,7 @@
 			if cap(z.Kept) >= int(zb0003) {
 				z.Kept = (z.Kept)[:zb0003]
 			} else {
-				z.Kept = make([]raingauge.Kept, zb0003)
+				z.Kept = make([]residencyreport.Kept, zb0003)
 			}
 			for za0002 := range z.Kept {
 				bts, err = z.Kept[za0002].UnmarshalMsg(bts)
@@ -2413,7 +2413,7 @@
 			if cap(z.Rested) >= int(zb0005) {
 				z.Rested = (z.Rested)[:zb0005]
 			} else {
-				z.Rested = make([]raingauge.Batch, zb0005)
+				z.Rested = make([]residencyreport.Batch, zb0005)
 			}
 			for za0004 := range z.Rested {
 				err = z.Rested[za0004].DecodeMsg(dc)
@@ -2757,7 +2757,7 @@
 			if cap(z.Rested) >= int(zb0005) {
 				z.Rested = (z.Rested)[:zb0005]
 			} else {
-				z.Rested = make([]raingauge.Batch, zb0005)
+				z.Rested = make([]residencyreport.Batch, zb0005)
 			}
 			for za0004 := range z.Rested {
 				bts, err = z.Rested[za0004].UnmarshalMsg(bts)
--- a/internal/fleet/distribution/outbox.go
+++ b/internal/fleet/distribution/outbox.go
@@ -5,14 +5,14 @@
 	"sync/atomic"
 	"time"
 
-	"molepaddle/internal/fleet/raingauge"
+	"molepaddle/internal/fleet/residencyreport"
 )
 
-// Outbox is a raingauge.Relay for use by many goroutines: what it holds goes along with pulls until it is kept. Nothing wakes
+// Outbox is a residencyreport.Relay for use by many goroutines: what it holds goes along with pulls until it is kept. Nothing wakes
 // for it where it stays empty.
 type Outbox struct {
 	mu      sync.Mutex
-	relay   raingauge.Relay
+	relay   residencyreport.Relay
 	arrived chan struct{} // closed and made anew as something arrives
 	used    bool          // something arrived
 	over    atomic.Bool
@@ -56,8 +56,8 @@
 	}
 }
 
-// Put takes a batch; see raingauge.Relay.
-func (o *Outbox) Put(b raingauge.Batch) bool {
+// Put takes a batch; see residencyreport.Relay.
+func (o *Outbox) Put(b residencyreport.Batch) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	defer o.signal()
@@ -65,21 +65,21 @@
 }
 
 // Keep forgets what is in the record for good.
-func (o *Outbox) Keep(all ...raingauge.Kept) {
+func (o *Outbox) Keep(all ...residencyreport.Kept) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.relay.Keep(all...)
 }
 
 // Open gives what is entry, and what is closed when more arrives.
-func (o *Outbox) Open() ([]raingauge.Batch, <-chan struct{}) {
+func (o *Outbox) Open() ([]residencyreport.Batch, <-chan struct{}) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.relay.Open(), o.arrived
 }
 
 // OpenOf tells how many batches are entry of a process.
-func (o *Outbox) OpenOf(p raingauge.Process) int {
+func (o *Outbox) OpenOf(p residencyreport.Process) int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.relay.OpenOf(p)
@@ -91,20 +91,20 @@
 	o.arrived = make(chan struct{})
 }
 
-func (o *Outbox) take(v *raingauge.Receiver, batches []raingauge.Batch) {
+func (o *Outbox) take(v *residencyreport.Receiver, batches []residencyreport.Batch) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	v.Take(&o.relay, batches)
 	o.signal()
 }
 
-func (o *Outbox) tell(v *raingauge.Receiver) []raingauge.Kept {
+func (o *Outbox) tell(v *residencyreport.Receiver) []residencyreport.Kept {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return v.Tell(&o.relay)
 }
 
-func (o *Outbox) next(s *raingauge.Sender, now time.Time) []raingauge.Batch {
+func (o *Outbox) next(s *residencyreport.Sender, now time.Time) []residencyreport.Batch {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return s.Next(&o.relay, now)
--- a/internal/fleet/proxy/ledger.go
+++ b/internal/fleet/proxy/ledger.go
@@ -9,7 +9,7 @@
 	"go.uber.org/zap"
 
 	"molepaddle/internal/fleet/distribution"
-	"molepaddle/internal/fleet/raingauge"
+	"molepaddle/internal/fleet/residencyreport"
 )
 
 // use is what a send is for.
@@ -36,11 +36,11 @@
 
 // ledger is where data was, by subject and region, and what of that is on its way to the record.
 type ledger struct {
-	process raingauge.Process
+	process residencyreport.Process
 	batches uint64
 	next    time.Time // no batch before, but for a first sight
 	soon    time.Time // no batch before at all
-	entries map[raingauge.Pair]*rested
+	entries map[residencyreport.Pair]*rested
 	fresh   bool // an entry is in no batch yet
 	changed bool // since the last batch
 }
@@ -53,19 +53,19 @@
 )
 
 func newLedger() ledger {
-	return ledger{process: raingauge.Process(max(rand.Uint64(), 1)), entries: map[raingauge.Pair]*rested{}}
+	return ledger{process: residencyreport.Process(max(rand.Uint64(), 1)), entries: map[residencyreport.Pair]*rested{}}
 }
 
 // pair is where the ledger has a subject's data in a region.
-func (s *subject) pair(region string) raingauge.Pair {
+func (s *subject) pair(region string) residencyreport.Pair {
 	if s.tenant != "" {
-		return raingauge.Pair{Tenant: s.tenant, Region: region}
+		return residencyreport.Pair{Tenant: s.tenant, Region: region}
 	}
-	return raingauge.Pair{Route: s.route, Region: region}
+	return residencyreport.Pair{Route: s.route, Region: region}
 }
 
 // pairName names whose data a pair tells of; empty: that of many.
-func pairName(p raingauge.Pair) string {
+func pairName(p residencyreport.Pair) string {
 	if p.Tenant == "" && p.Route == "" {
 		return ""
 	}
@@ -82,7 +82,7 @@
 	r := l.entries[key]
 	if r == nil {
 		if len(l.entries) >= maxLedger {
-			key = raingauge.Pair{Region: key.Region}
+			key = residencyreport.Pair{Region: key.Region}
 		}
 		if r = l.entries[key]; r == nil {
 			r = &rested{first: h.since}
@@ -132,18 +132,18 @@
 	if !l.changed || !ending && (now.Before(l.soon) || now.Before(l.next) && !l.fresh) {
 		return
 	}
-	if out.OpenOf(l.process) >= raingauge.MaxOpen {
+	if out.OpenOf(l.process) >= residencyreport.MaxOpen {
 		return
 	}
 	l.next, l.soon = now.Add(batchEvery), now.Add(firstSight)
-	b := raingauge.Batch{Process: l.process, N: l.batches + 1}
+	b := residencyreport.Batch{Process: l.process, N: l.batches + 1}
 	var taken []*rested
 	more := false
 	for key, r := range l.entries {
 		if r.handed == r.changes {
 			continue
 		}
-		if len(b.Entries) == raingauge.MaxBatch {
+		if len(b.Entries) == residencyreport.MaxBatch {
 			more = true
 			break
 		}
@@ -152,8 +152,8 @@
 			d[i] -= r.given[i]
 		}
 		first, last := r.first.UnixMilli(), r.last.UnixMilli() // the clock may have been set back in between
-		b.Entries = append(b.Entries, raingauge.Entry{Pair: key, First: first, Last: max(first, last),
-			Counts: raingauge.Counts{Plain: d[usePlain], Prefills: d[usePrefill], Decodes: d[useDecode], Resumes: d[useResume]}})
+		b.Entries = append(b.Entries, residencyreport.Entry{Pair: key, First: first, Last: max(first, last),
+			Counts: residencyreport.Counts{Plain: d[usePlain], Prefills: d[usePrefill], Decodes: d[useDecode], Resumes: d[useResume]}})
 		taken = append(taken, r)
 	}
 	if !out.Put(b) {
--- a/internal/fleet/proxy/ledger_test.go
+++ b/internal/fleet/proxy/ledger_test.go
@@ -10,7 +10,7 @@
 
 	"molepaddle/internal/fleet/distribution"
 	"molepaddle/internal/fleet/enclosure"
-	"molepaddle/internal/fleet/raingauge"
+	"molepaddle/internal/fleet/residencyreport"
 )
 
 // noter notes sends by hand, for tests of the ledger.
@@ -38,17 +38,17 @@
 	e, east, west := newNoter(c)
 	at := func(s int) time.Time { return time.Unix(1_000_000+int64(s), 0) }
 	out := distribution.NewOutbox()
-	open := func() []raingauge.Batch { all, _ := out.Open(); return all }
+	open := func() []residencyreport.Batch { all, _ := out.Open(); return all }
 
 	e.hand(at(0), out, false)
 	c.Assert(open(), qt.HasLen, 0)
 	e.send("labs", east, usePlain, at(1), at(2))
 	e.send("labs", east, useDecode, at(1), at(3))
 	e.hand(at(3), out, false)
-	labs := raingauge.Pair{Tenant: "labs", Region: "east"}
-	first := raingauge.Batch{Process: e.ledger.process, N: 1, Entries: []raingauge.Entry{{Pair: labs, First: at(1).UnixMilli(), Last: at(3).UnixMilli(),
-		Counts: raingauge.Counts{Plain: 1, Decodes: 1}}}}
-	c.Assert(open(), qt.DeepEquals, []raingauge.Batch{first})
+	labs := residencyreport.Pair{Tenant: "labs", Region: "east"}
+	first := residencyreport.Batch{Process: e.ledger.process, N: 1, Entries: []residencyreport.Entry{{Pair: labs, First: at(1).UnixMilli(), Last: at(3).UnixMilli(),
+		Counts: residencyreport.Counts{Plain: 1, Decodes: 1}}}}
+	c.Assert(open(), qt.DeepEquals, []residencyreport.Batch{first})
 
 	// More of the same waits for some seconds, a region not told yet for one.
 	e.send("labs", east, usePrefill, at(3), at(4))
@@ -63,11 +63,11 @@
 	for _, one := range open()[1].Entries {
 		switch one.Pair {
 		case labs:
-			c.Check(one.Counts, qt.Equals, raingauge.Counts{Prefills: 1})
+			c.Check(one.Counts, qt.Equals, residencyreport.Counts{Prefills: 1})
 			c.Check(one.First, qt.Equals, at(1).UnixMilli())
 			c.Check(one.Last, qt.Equals, at(4).UnixMilli())
-		case raingauge.Pair{Route: "r", Region: "west"}:
-			c.Check(one.Counts, qt.Equals, raingauge.Counts{Resumes: 1})
+		case residencyreport.Pair{Route: "r", Region: "west"}:
+			c.Check(one.Counts, qt.Equals, residencyreport.Counts{Resumes: 1})
 		default:
 			c.Errorf("%v", one.Pair)
 		}
@@ -92,20 +92,20 @@
 	e, east, _ := newNoter(c)
 	now := time.Unix(1_000_000, 0)
 	out := distribution.NewOutbox()
-	const tenants, rounds = raingauge.MaxBatch + 44, 40
-	sums := map[raingauge.Pair]int64{}
+	const tenants, rounds = residencyreport.MaxBatch + 44, 40
+	sums := map[residencyreport.Pair]int64{}
 	last := uint64(0)
 	drain := func() {
 		open, _ := out.Open()
 		for _, b := range open {
 			c.Assert(b.N, qt.Equals, last+1)
-			c.Assert(len(b.Entries) <= raingauge.MaxBatch, qt.IsTrue)
+			c.Assert(len(b.Entries) <= residencyreport.MaxBatch, qt.IsTrue)
 			for _, one := range b.Entries {
 				sums[one.Pair] += one.Counts.Plain
 			}
 			last = b.N
 		}
-		out.Keep(raingauge.Kept{Process: e.ledger.process, N: last})
+		out.Keep(residencyreport.Kept{Process: e.ledger.process, N: last})
 	}
 	for range rounds {
 		for i := range tenants {
@@ -114,9 +114,9 @@
 		now = now.Add(batchEvery)
 		e.hand(now, out, false)
 		open, _ := out.Open()
-		c.Assert(len(open) <= raingauge.MaxOpen, qt.IsTrue)
+		c.Assert(len(open) <= residencyreport.MaxOpen, qt.IsTrue)
 	}
-	c.Assert(out.OpenOf(e.ledger.process), qt.Equals, raingauge.MaxOpen)
+	c.Assert(out.OpenOf(e.ledger.process), qt.Equals, residencyreport.MaxOpen)
 	for range 4 {
 		drain()
 		now = now.Add(batchEvery)
--- a/internal/fleet/raingauge/gauge.go
+++ b/internal/fleet/residencyreport/gauge.go
@@ -1,4 +1,4 @@
-package raingauge
+package residencyreport
 
 import (
 	"cmp"
