Package enclosure becomes residency

Ruled out: a change of behaviour: files move, identifiers and comments follow, formats on the wire and on disk stay as they were.

--- a/internal/fleet/proxy/drawn_rig_test.go
+++ b/internal/fleet/proxy/drawn_rig_test.go
@@ -20,8 +20,8 @@
 	"go.uber.org/zap"
 
 	"molepaddle/internal/fleet/distribution"
-	"molepaddle/internal/fleet/enclosure"
 	"molepaddle/internal/fleet/externalapi"
+	"molepaddle/internal/fleet/residency"
 	"molepaddle/internal/protocol/transport"
 )
 
@@ -102,7 +102,7 @@
 	d.v = New(context.Background(), testSettings(zones), zap.NewNop())
 	d.v.pool.Close()
 	pool := transport.New(transport.Options{Dial: d.dial, Timeout: connectWithin, Idle: 10 * time.Second, Most: 1000, Settle: 0, Resting: 4})
-	d.v.pool, d.v.ground = pool, enclosure.NewGround(pool, zones)
+	d.v.pool, d.v.ground = pool, residency.NewGround(pool, zones)
 	for z := range drawnZones {
 		phase := externalapi.PhaseDecode
 		if (z+z/drawnRegions)%3 == 0 {
--- a/internal/fleet/proxy/enclosed.go
+++ b/internal/fleet/proxy/enclosed.go
@@ -9,8 +9,8 @@
 
 	"github.com/go-faster/errors"
 
-	"molepaddle/internal/fleet/enclosure"
 	"molepaddle/internal/fleet/externalapi"
+	"molepaddle/internal/fleet/residency"
 	"molepaddle/internal/fleet/routingconfig"
 	"molepaddle/internal/protocol/transport"
 )
@@ -23,7 +23,7 @@
 type subject struct {
 	route  string
 	tenant string
-	came   enclosure.Terms // the terms it came under
+	came   residency.Terms // the terms it came under
 }
 
 // name is what the ledger and answers call the subject.
@@ -37,7 +37,7 @@
 // routeTerms is an enclosed route.
 type routeTerms struct {
 	tenant string
-	terms  enclosure.Terms
+	terms  residency.Terms
 }
 
 // enclose works out the terms of a configuration. A tenant that is not listed allows nothing.
@@ -46,9 +46,9 @@
 	if len(all) == 0 {
 		return
 	}
-	w.routes, w.tenants = make(map[string]*routeTerms, len(all)), map[string]enclosure.Terms{}
+	w.routes, w.tenants = make(map[string]*routeTerms, len(all)), map[string]residency.Terms{}
 	for _, t := range d.Tenants() {
-		w.tenants[t.Name] = enclosure.Within(t.Regions...)
+		w.tenants[t.Name] = residency.Within(t.Regions...)
 	}
 	for _, r := range all {
 		one := &routeTerms{tenant: r.Tenant}
@@ -56,11 +56,11 @@
 			if base, ok := w.tenants[r.Tenant]; ok {
 				one.terms = base
 			} else {
-				one.terms = enclosure.Within()
+				one.terms = residency.Within()
 			}
 		}
 		if r.Regions != nil {
-			one.terms = one.terms.Meet(enclosure.Within(r.Regions...))
+			one.terms = one.terms.Meet(residency.Within(r.Regions...))
 		}
 		w.routes[r.Name] = one
 	}
@@ -68,7 +68,7 @@
 
 // termsOf gives the terms of a request by this configuration: those of its route while that is the same tenant's; else its
 // tenant's as far as it came under them; where the configuration no longer tells, those it came under.
-func (w *world) termsOf(s *subject) enclosure.Terms {
+func (w *world) termsOf(s *subject) residency.Terms {
 	now := w.routes[s.route]
 	switch {
 	case now != nil && now.tenant == s.tenant:
@@ -93,13 +93,13 @@
 	if now := w.routes[t.route.Name]; now != nil {
 		t.bounds = now.terms
 	} else {
-		t.bounds = enclosure.Within() // an enclosed route without terms can't be: nothing is allowed
+		t.bounds = residency.Within() // an enclosed route without terms can't be: nothing is allowed
 	}
 	t.subject.came = t.bounds
 }
 
 // terms gives the request's terms by the newest configuration there is.
-func (t *try) terms() enclosure.Terms {
+func (t *try) terms() residency.Terms {
 	if w := t.v.world.Load(); w != t.world {
 		t.world = w
 		t.bounds = w.termsOf(&t.subject)
@@ -122,23 +122,23 @@
 }
 
 // lend lends a connection for a send. What only releases may carry nothing of the request: neither body nor header.
-func (t *try) lend(ctx context.Context, at enclosure.Permit, m *message) (*transport.Lent, error) {
+func (t *try) lend(ctx context.Context, at residency.Permit, m *message) (*transport.Lent, error) {
 	if !at.Releases() {
 		return at.Lend(ctx, t.terms(), m.id)
 	}
 	if len(m.body) > 0 || len(m.header) > 0 || m.method != externalapi.Free.Method {
-		return nil, enclosure.ErrOutside
+		return nil, residency.ErrOutside
 	}
 	return at.LendRelease(ctx, m.id)
 }
 
 // hold has a send of an enclosed request watched: it is known before its terms are looked at, so that a configuration that
 // comes now is seen here or sees it. held is nil where the request is not enclosed or nothing of it is sent.
-func (t *try) hold(ctx context.Context, at enclosure.Permit, x *extra) (context.Context, *held, error) {
+func (t *try) hold(ctx context.Context, at residency.Permit, x *extra) (context.Context, *held, error) {
 	if at.Releases() || !t.terms().Bound() {
 		return ctx, nil, nil
 	}
-	h := &held{of: t.v.enclosed, subject: t.subject, rests: []enclosure.Permit{at}, use: usePlain}
+	h := &held{of: t.v.enclosed, subject: t.subject, rests: []residency.Permit{at}, use: usePlain}
 	switch {
 	case x.stage != "":
 		h.use = usePrefill
@@ -167,7 +167,7 @@
 type held struct {
 	of      *enclosed
 	subject subject
-	rests   []enclosure.Permit // where its data is: the backend first, then where the handle that it takes lies
+	rests   []residency.Permit // where its data is: the backend first, then where the handle that it takes lies
 	use     use
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
@@ -232,14 +232,14 @@
 	defer e.mu.Unlock()
 	for h := range e.sends {
 		terms := w.termsOf(&h.subject)
-		if slices.ContainsFunc(h.rests, func(p enclosure.Permit) bool { return p.Check(terms) != nil }) {
+		if slices.ContainsFunc(h.rests, func(p residency.Permit) bool { return p.Check(terms) != nil }) {
 			h.cancel(errWithdrawn)
 		}
 	}
 }
 
 // insideText tells what there is of a service inside the terms, for an answer that refuses.
-func (s *service) insideText(of subject, terms enclosure.Terms) string {
+func (s *service) insideText(of subject, terms residency.Terms) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	inside, unknown := 0, 0
--- a/internal/fleet/proxy/enclosed_choice_test.go
+++ b/internal/fleet/proxy/enclosed_choice_test.go
@@ -11,8 +11,8 @@
 	"pgregory.net/rapid"
 
 	"molepaddle/internal/fleet/distribution"
-	"molepaddle/internal/fleet/enclosure"
 	"molepaddle/internal/fleet/externalapi"
+	"molepaddle/internal/fleet/residency"
 	"molepaddle/internal/fleet/routingconfig"
 	"molepaddle/internal/fleet/scheduler"
 	"molepaddle/internal/protocol/transport"
@@ -23,9 +23,9 @@
 // cases and more, with the hundred of a usual one 50,000.
 const casesEach = 530
 
-func testGround(zones map[string]string) *enclosure.Ground {
+func testGround(zones map[string]string) *residency.Ground {
 	dial := func(context.Context, string, string) (net.Conn, error) { return nil, errors.New("no network here") }
-	return enclosure.NewGround(transport.New(transport.Options{Dial: dial, Timeout: time.Second, Idle: time.Second, Most: 1, Settle: time.Millisecond, Resting: 1}), zones)
+	return residency.NewGround(transport.New(transport.Options{Dial: dial, Timeout: time.Second, Idle: time.Second, Most: 1, Settle: time.Millisecond, Resting: 1}), zones)
 }
 
 func runtimeOf(capacity int) *routingconfig.Service {
@@ -77,9 +77,9 @@
 					names = append(names, region)
 				}
 			}
-			terms := enclosure.Within(names...)
+			terms := residency.Within(names...)
 			if next(8) == 0 {
-				terms = enclosure.Terms{}
+				terms = residency.Terms{}
 			}
 			tried := map[string]bool{}
 			permitted := func(b distribution.Backend) bool {
@@ -106,7 +106,7 @@
 				decodes = decodes || usable && b.Phase == externalapi.PhaseDecode
 			}
 			prompt := &scheduler.Prompt{In: 1 + next(8000), Out: 4, Parts: []scheduler.Part{{Chain: uint64(next(4) + 1), Tokens: 100}, {Chain: seed, Tokens: 10}}}
-			check := func(what string, p enclosure.Permit) {
+			check := func(what string, p residency.Permit) {
 				if !permitted(byID[p.ID()]) || p.Check(terms) != nil {
 					r.Fatalf("%s in %q under %v", what, byID[p.ID()].Zone, terms)
 				}
@@ -151,8 +151,8 @@
 func BenchmarkPlacement(b *testing.B) {
 	for _, one := range []struct {
 		name  string
-		terms enclosure.Terms
-	}{{"free", enclosure.Terms{}}, {"one region", enclosure.Within("east")}, {"all regions", enclosure.Within("east", "mid", "west")}} {
+		terms residency.Terms
+	}{{"free", residency.Terms{}}, {"one region", residency.Within("east")}, {"all regions", residency.Within("east", "mid", "west")}} {
 		b.Run(one.name, func(b *testing.B) {
 			s := newService("llm", testGround(testZones), time.Second)
 			s.configure(runtimeOf(64))
--- a/internal/fleet/proxy/enclosed_test.go
+++ b/internal/fleet/proxy/enclosed_test.go
@@ -14,7 +14,7 @@
 	"go.uber.org/zap"
 
 	"molepaddle/internal/fleet/distribution"
-	"molepaddle/internal/fleet/enclosure"
+	"molepaddle/internal/fleet/residency"
 	"molepaddle/internal/fleet/screen"
 )
 
@@ -369,7 +369,7 @@
 				return nil
 			}})
 	}()
-	awaits := func(terms enclosure.Terms) {
+	awaits := func(terms residency.Terms) {
 		for {
 			select {
 			case <-taken:
@@ -383,11 +383,11 @@
 			}
 		}
 	}
-	awaits(enclosure.Within("east"))
+	awaits(residency.Within("east"))
 	body := fmt.Sprintf(`{"ver":%d,"upsert":{"tenants":[{"name":"held","regions":["mid"]}]}}`, r.version+1)
 	r.Assert(store.Append(distribution.SourceConfig, distribution.Version{Epoch: 1, Count: 1}, distribution.Version{Epoch: 1, Count: 2},
 		distribution.Change{At: distribution.Version{Epoch: 1, Count: 2}, Body: []byte(body)}), qt.IsTrue)
-	awaits(enclosure.Within("mid"))
+	awaits(residency.Within("mid"))
 	cancel()
 	<-fed
 }
@@ -395,8 +395,8 @@
 // TestTermsOf looks at the terms of requests under way by newer configurations.
 func TestTermsOf(t *testing.T) {
 	c := qt.New(t)
-	in := enclosure.Within
-	old := &world{routes: map[string]*routeTerms{"r": {"t", in("east", "mid")}}, tenants: map[string]enclosure.Terms{"t": in("east", "mid")}}
+	in := residency.Within
+	old := &world{routes: map[string]*routeTerms{"r": {"t", in("east", "mid")}}, tenants: map[string]residency.Terms{"t": in("east", "mid")}}
 	bound := &subject{route: "r", tenant: "t", came: in("east", "mid")}
 	narrow := &subject{route: "n", tenant: "t", came: in("east")}
 	alone := &subject{route: "a", came: in("east")}
@@ -407,7 +407,7 @@
 	c.Check(old.termsOf(free).Equal(in("east", "mid")), qt.IsTrue) // the route got terms
 	c.Check((&world{}).termsOf(free).Bound(), qt.IsFalse)
 	c.Check((&world{}).termsOf(bound).Equal(in("east", "mid")), qt.IsTrue) // nobody tells any more: those it came under
-	moved := &world{routes: map[string]*routeTerms{"r": {"u", in("west")}}, tenants: map[string]enclosure.Terms{"t": in("mid"), "u": in("west")}}
+	moved := &world{routes: map[string]*routeTerms{"r": {"u", in("west")}}, tenants: map[string]residency.Terms{"t": in("mid"), "u": in("west")}}
 	c.Check(moved.termsOf(bound).Equal(in("mid")), qt.IsTrue) // the route is another tenant's, the data is not
 	c.Check(moved.termsOf(narrow).Equal(in()), qt.IsTrue)
 }
--- a/internal/fleet/proxy/exchange.go
+++ b/internal/fleet/proxy/exchange.go
@@ -10,8 +10,8 @@
 
 	"github.com/go-faster/errors"
 
-	"molepaddle/internal/fleet/enclosure"
 	"molepaddle/internal/fleet/externalapi"
+	"molepaddle/internal/fleet/residency"
 	"molepaddle/internal/protocol/transport"
 )
 
@@ -106,7 +106,7 @@
 	resp *http.Response
 	stop func() bool
 	sent time.Time
-	at   enclosure.Permit
+	at   residency.Permit
 	held *held // what the send is known by where its request is enclosed; nil: it is not
 }
 
@@ -135,7 +135,7 @@
 // begin sends the message and reads the head of its answer. wrote tells whether a byte may have gone out: else
 // the backend has not run it. When ctx ends the connection is closed under whoever reads from it. The terms of the request
 // are checked here again, for the backend and for where a handle lies, and watched until the exchange ends.
-func (t *try) begin(ctx context.Context, at enclosure.Permit, m *message, x *extra, connectBy, headBy time.Time) (e *exchange, wrote bool, err error) {
+func (t *try) begin(ctx context.Context, at residency.Permit, m *message, x *extra, connectBy, headBy time.Time) (e *exchange, wrote bool, err error) {
 	x.target = at.ID()
 	ctx, held, err := t.hold(ctx, at, x)
 	if err != nil {
@@ -149,7 +149,7 @@
 		if ctx.Err() != nil {
 			return nil, false, ctx.Err()
 		}
-		if errors.Is(err, enclosure.ErrOutside) {
+		if errors.Is(err, residency.ErrOutside) {
 			return nil, false, err
 		}
 		return nil, false, errors.Wrap(errors.Join(errConnect, err), "connect")
--- a/internal/fleet/proxy/generate.go
+++ b/internal/fleet/proxy/generate.go
@@ -8,8 +8,8 @@
 
 	"github.com/go-faster/errors"
 
-	"molepaddle/internal/fleet/enclosure"
 	"molepaddle/internal/fleet/externalapi"
+	"molepaddle/internal/fleet/residency"
 	"molepaddle/internal/fleet/scheduler"
 	"molepaddle/policy"
 )
@@ -18,7 +18,7 @@
 type handle struct {
 	ref    string
 	from   *backend
-	at     enclosure.Permit // for from
+	at     residency.Permit // for from
 	tokens int
 }
 
@@ -26,7 +26,7 @@
 const maxHandleAnswer = 64 << 10
 
 // prefill has a backend read the prompt and keep its memory for the taker; reached: the call may have come there.
-func (t *try) prefill(ctx context.Context, b *backend, at enclosure.Permit, p *scheduler.Prompt, home bool, by time.Time) (h *handle, reached bool, err error) {
+func (t *try) prefill(ctx context.Context, b *backend, at residency.Permit, p *scheduler.Prompt, home bool, by time.Time) (h *handle, reached bool, err error) {
 	t.svc.mu.Lock()
 	tokens := t.svc.engines.Sent(b.ID, p, home)
 	t.svc.ranker.Sent(b.ID)
--- a/internal/fleet/proxy/leaks_test.go
+++ b/internal/fleet/proxy/leaks_test.go
@@ -50,7 +50,7 @@
 var leaks = []leak{
 	// Types that can't be confused.
 	{"a send without a permit", "compiler", map[string][]string{fileGenerate: {"t.begin(ctx, at, &t.m, &x, t.connectBy(), by)", "t.begin(ctx, b, &t.m, &x, t.connectBy(), by)"}}},
-	{"a permit made by hand", "compiler", map[string][]string{filePlace: {"pl.permit, err = pl.at.plot.Permit(terms)", "pl.permit, err = (enclosure.Permit{plot: pl.at.plot}), error(nil)"}}},
+	{"a permit made by hand", "compiler", map[string][]string{filePlace: {"pl.permit, err = pl.at.plot.Permit(terms)", "pl.permit, err = (residency.Permit{plot: pl.at.plot}), error(nil)"}}},
 	{"a connection past the permit", "compiler", map[string][]string{fileEnclosed: {"return at.Lend(ctx, t.terms(), m.id)", "return t.svc.byID[at.ID()].plot.way.Lend(ctx, m.id)"}}},
 	{"a connection from the pool", "compiler", map[string][]string{fileEnclosed: {"return at.Lend(ctx, t.terms(), m.id)", "return t.v.pool.Way(at.Address()).Lend(ctx, m.id)"}}},
 	{"a handle without a permit", "compiler", map[string][]string{fileGenerate: {"from: b, at: at, tokens", "from: b, at: b, tokens"}}},
@@ -72,17 +72,17 @@
 	{"no check at all", whole + "Calm", map[string][]string{fileEnclosure: append(append([]string{}, noCheck...), noGate...), fileService: {"return s.byID[id].plot.Allowed(terms)", "return true"}}},
 	{"spills over when nothing is left inside", whole + "Crowd$", map[string][]string{fileEnclosure: append(append([]string{}, noCheck...), noGate...), fileService: {
 		"if len(s.order) == 0 {\n\t\treturn at, false\n\t}\n\tat, err", "if len(s.order) == 0 {\n\t\ts.order = s.ranker.Rank(s.now(), key, func(id string) bool { return !tried[id] }, capFactor, nil, s.order[:0])\n\t}\n\tif len(s.order) == 0 {\n\t\treturn at, false\n\t}\n\tat, err"}}},
-	{"retries go anywhere", whole + "Storm$/^[a-z_]+$", map[string][]string{fileEnclosure: noCheck, fileServe: {"t.svc.pick(key, t.tried, t.terms())", "t.svc.pick(key, t.tried, map[bool]enclosure.Terms{true: t.terms()}[len(t.tried) == 0])"}}},
-	{"streams are resumed anywhere", whole + "Resumes$", map[string][]string{fileEnclosure: noCheck, fileStream: {"t.tried, false, t.terms())", "t.tried, false, enclosure.Terms{})", `"molepaddle/internal/fleet/scheduler"`, "\"molepaddle/internal/fleet/enclosure\"\n\t\"molepaddle/internal/fleet/scheduler\""}}},
+	{"retries go anywhere", whole + "Storm$/^[a-z_]+$", map[string][]string{fileEnclosure: noCheck, fileServe: {"t.svc.pick(key, t.tried, t.terms())", "t.svc.pick(key, t.tried, map[bool]residency.Terms{true: t.terms()}[len(t.tried) == 0])"}}},
+	{"streams are resumed anywhere", whole + "Resumes$", map[string][]string{fileEnclosure: noCheck, fileStream: {"t.tried, false, t.terms())", "t.tried, false, residency.Terms{})", `"molepaddle/internal/fleet/scheduler"`, "\"molepaddle/internal/fleet/residency\"\n\t\"molepaddle/internal/fleet/scheduler\""}}},
 	{"takers stand anywhere", whole + "Takers$", map[string][]string{fileEnclosure: append(append([]string{}, noCheck...), noGate...), filePlace: takers}},
-	{"the send looks at other terms", whole + "Withdrawn", map[string][]string{fileEnclosed: {"return at.Lend(ctx, t.terms(), m.id)", "return at.Lend(ctx, enclosure.Terms{}, m.id)", "if err := p.Check(terms); err != nil {", "_ = terms\n\t\tif err := p.Check(t.subject.came); err != nil {"},
+	{"the send looks at other terms", whole + "Withdrawn", map[string][]string{fileEnclosed: {"return at.Lend(ctx, t.terms(), m.id)", "return at.Lend(ctx, residency.Terms{}, m.id)", "if err := p.Check(terms); err != nil {", "_ = terms\n\t\tif err := p.Check(t.subject.came); err != nil {"},
 		fileGenerate: {"t.svc.placeFor(t.route.Name, p, t.route.Target(), t.tried, split, terms)", "t.svc.placeFor(t.route.Name, p, t.route.Target(), t.tried, split, t.subject.came)"}, fileStream: {"t.tried, false, t.terms())", "t.tried, false, t.subject.came)"}}},
 	// And what the drawn days find, most of them by what is lost where it need not be.
 	{"plain requests are chosen anywhere, on drawn days", days, map[string][]string{fileService: {"return !tried[id] && (!bound || s.allowed(id, terms)) }, capFactor", "return !tried[id] || bound && tried[id] && false }, capFactor"}}},
 	{"sends under way are not cut, on drawn days", days, map[string][]string{fileFeed: {"v.enclosed.withdraw(w)", ""}}},
 	{"nothing is checked, on drawn days", days, map[string][]string{fileEnclosure: append(append([]string{}, noCheck...), noGate...), fileService: {"return s.byID[id].plot.Allowed(terms)", "return true"}}},
-	{"retries go anywhere, on drawn days", days, map[string][]string{fileEnclosure: noCheck, fileServe: {"t.svc.pick(key, t.tried, t.terms())", "t.svc.pick(key, t.tried, map[bool]enclosure.Terms{true: t.terms()}[len(t.tried) == 0])"}}},
-	{"streams are resumed anywhere, on drawn days", days, map[string][]string{fileEnclosure: noCheck, fileStream: {"t.tried, false, t.terms())", "t.tried, false, enclosure.Terms{})", `"molepaddle/internal/fleet/scheduler"`, "\"molepaddle/internal/fleet/enclosure\"\n\t\"molepaddle/internal/fleet/scheduler\""}}},
+	{"retries go anywhere, on drawn days", days, map[string][]string{fileEnclosure: noCheck, fileServe: {"t.svc.pick(key, t.tried, t.terms())", "t.svc.pick(key, t.tried, map[bool]residency.Terms{true: t.terms()}[len(t.tried) == 0])"}}},
+	{"streams are resumed anywhere, on drawn days", days, map[string][]string{fileEnclosure: noCheck, fileStream: {"t.tried, false, t.terms())", "t.tried, false, residency.Terms{})", `"molepaddle/internal/fleet/scheduler"`, "\"molepaddle/internal/fleet/residency\"\n\t\"molepaddle/internal/fleet/scheduler\""}}},
 	{"a corrected zone is not taken over, on drawn days", days, map[string][]string{fileService: {"old.plot.Relist(b.Zone)", ""}}},
 	{"an address is taken for the backend that had it", days, map[string][]string{fileExchange: {"line(externalapi.Target, x.target)", "_ = x.target"}}},
 	{"what may have run is refused", days, map[string][]string{fileServe: {"case t.ran:\n\t\tt.v.refuse(t.w, http.StatusBadGateway, 0, why)", "case t.ran:\n\t\tt.v.refuse(t.w, http.StatusServiceUnavailable, soonAgain, why)"}}},
--- a/internal/fleet/proxy/ledger_test.go
+++ b/internal/fleet/proxy/ledger_test.go
@@ -9,25 +9,25 @@
 	"go.uber.org/zap"
 
 	"molepaddle/internal/fleet/distribution"
-	"molepaddle/internal/fleet/enclosure"
+	"molepaddle/internal/fleet/residency"
 	"molepaddle/internal/fleet/residencyreport"
 )
 
 // noter notes sends by hand, for tests of the ledger.
 type noter struct{ *enclosed }
 
-func (n noter) send(tenant string, at enclosure.Permit, u use, since, until time.Time) {
-	h := &held{of: n.enclosed, subject: subject{route: "r", tenant: tenant}, rests: []enclosure.Permit{at}, use: u, since: since}
+func (n noter) send(tenant string, at residency.Permit, u use, since, until time.Time) {
+	h := &held{of: n.enclosed, subject: subject{route: "r", tenant: tenant}, rests: []residency.Permit{at}, use: u, since: since}
 	n.note(h, until, true)
 }
 
 // newNoter gives a ledger, and permits for a backend in the east and one in the west.
-func newNoter(c *qt.C) (n noter, east, west enclosure.Permit) {
+func newNoter(c *qt.C) (n noter, east, west residency.Permit) {
 	v := New(c.Context(), testSettings(testZones), zap.NewNop())
 	c.Cleanup(v.pool.Close)
-	east, err := v.ground.Plot("b1", "127.0.0.1:1", "e1").Permit(enclosure.Within("east"))
+	east, err := v.ground.Plot("b1", "127.0.0.1:1", "e1").Permit(residency.Within("east"))
 	c.Assert(err, qt.IsNil)
-	west, err = v.ground.Plot("b2", "127.0.0.1:1", "w1").Permit(enclosure.Within("west"))
+	west, err = v.ground.Plot("b2", "127.0.0.1:1", "w1").Permit(residency.Within("west"))
 	c.Assert(err, qt.IsNil)
 	return noter{v.enclosed}, east, west
 }
--- a/internal/fleet/proxy/place.go
+++ b/internal/fleet/proxy/place.go
@@ -4,8 +4,8 @@
 	"math"
 	"time"
 
-	"molepaddle/internal/fleet/enclosure"
 	"molepaddle/internal/fleet/externalapi"
+	"molepaddle/internal/fleet/residency"
 	"molepaddle/internal/fleet/scheduler"
 )
 
@@ -13,15 +13,15 @@
 type place struct {
 	from   *backend
 	at     *backend
-	permit enclosure.Permit // for at
-	first  enclosure.Permit // for from
+	permit residency.Permit // for at
+	first  residency.Permit // for from
 	tokens int              // that at is to read, as the engines count them
 	readMs float64
 	home   bool // the prompt is read at its home
 }
 
 // permits fills in the permits under the terms; false: there is none. The lock is held.
-func (pl *place) permits(terms enclosure.Terms) bool {
+func (pl *place) permits(terms residency.Terms) bool {
 	var err error
 	if pl.permit, err = pl.at.plot.Permit(terms); err != nil {
 		return false
@@ -59,7 +59,7 @@
 )
 
 // placeFor chooses where a prompt is read and its tokens are made, under the terms.
-func (s *service) placeFor(kind string, p *scheduler.Prompt, aim time.Duration, tried map[string]bool, split bool, terms enclosure.Terms) (pl place, ok bool) {
+func (s *service) placeFor(kind string, p *scheduler.Prompt, aim time.Duration, tried map[string]bool, split bool, terms residency.Terms) (pl place, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now, e := s.now(), s.engines
@@ -93,7 +93,7 @@
 	p        *scheduler.Prompt
 	patience float64 // ms
 	tried    map[string]bool
-	terms    enclosure.Terms
+	terms    residency.Terms
 	bound    bool // the terms bind
 }
 
@@ -206,7 +206,7 @@
 }
 
 // takerFor chooses another decode backend for memory that lies at from, under the terms.
-func (s *service) takerFor(from *backend, p *scheduler.Prompt, aim time.Duration, tried map[string]bool, terms enclosure.Terms) (pl place, ok bool) {
+func (s *service) takerFor(from *backend, p *scheduler.Prompt, aim time.Duration, tried map[string]bool, terms residency.Terms) (pl place, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	pl.from = from
--- a/internal/fleet/proxy/proxy.go
+++ b/internal/fleet/proxy/proxy.go
@@ -18,7 +18,7 @@
 
 	"molepaddle/internal/decide/lifecycle"
 	"molepaddle/internal/fleet/distribution"
-	"molepaddle/internal/fleet/enclosure"
+	"molepaddle/internal/fleet/residency"
 	"molepaddle/internal/fleet/routingconfig"
 	"molepaddle/internal/fleet/settings"
 	"molepaddle/internal/protocol/sockets"
@@ -31,7 +31,7 @@
 	set        settings.Settings
 	log        *zap.Logger
 	pool       interface{ Close() } // the way to a backend is its plot's alone
-	ground     *enclosure.Ground
+	ground     *residency.Ground
 	ready      atomic.Bool   // a configuration and a list are there
 	served     chan struct{} // closed when they first are
 	world      atomic.Pointer[world]
@@ -59,7 +59,7 @@
 	services map[string]*service
 	version  int64
 	routes   map[string]*routeTerms     // of enclosed routes, by name
-	tenants  map[string]enclosure.Terms // by name
+	tenants  map[string]residency.Terms // by name
 }
 
 // assumedProxies stands for how many proxies there are until that is known.
@@ -80,7 +80,7 @@
 	dialer := &net.Dialer{KeepAlive: -1, Control: sockets.UserTimeout(set.Bounds.Contact)}
 	pool := transport.New(transport.Options{Dial: dialer.DialContext, Timeout: connectWithin, Idle: 10 * time.Second, Most: room / 2,
 		Settle: time.Millisecond, Resting: 4})
-	v.pool, v.ground = pool, enclosure.NewGround(pool, set.Zones)
+	v.pool, v.ground = pool, residency.NewGround(pool, set.Zones)
 	return v
 }
 
--- a/internal/fleet/proxy/serve.go
+++ b/internal/fleet/proxy/serve.go
@@ -11,8 +11,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
-	"molepaddle/internal/fleet/enclosure"
 	"molepaddle/internal/fleet/externalapi"
+	"molepaddle/internal/fleet/residency"
 	"molepaddle/internal/fleet/routingconfig"
 	"molepaddle/internal/fleet/scheduler"
 	"molepaddle/policy"
@@ -46,7 +46,7 @@
 	svc      *service
 	world    *world  // whose terms these are
 	subject  subject // whose data it carries
-	bounds   enclosure.Terms
+	bounds   residency.Terms
 	came     time.Time
 	deadline time.Time
 	ran      bool // it may have run at a backend
@@ -225,7 +225,7 @@
 	switch {
 	case err == nil:
 		return policy.OK
-	case errors.Is(err, context.Canceled) || errors.Is(err, enclosure.ErrOutside):
+	case errors.Is(err, context.Canceled) || errors.Is(err, residency.ErrOutside):
 		return policy.Cancelled
 	case errors.Is(err, errSilent) || errors.Is(err, context.DeadlineExceeded):
 		return policy.Timeout
@@ -324,7 +324,7 @@
 }
 
 // plainAt sends to one backend; done: the client has its answer.
-func (t *try) plainAt(ctx context.Context, at enclosure.Permit) (done bool, err error) {
+func (t *try) plainAt(ctx context.Context, at residency.Permit) (done bool, err error) {
 	id := at.ID()
 	x := extra{left: time.Until(t.deadline), priority: -1}
 	e, wrote, err := t.begin(ctx, at, &t.m, &x, t.connectBy(), t.headBy())
--- a/internal/fleet/proxy/service.go
+++ b/internal/fleet/proxy/service.go
@@ -9,9 +9,9 @@
 	"time"
 
 	"molepaddle/internal/fleet/distribution"
-	"molepaddle/internal/fleet/enclosure"
 	"molepaddle/internal/fleet/externalapi"
 	"molepaddle/internal/fleet/ranking"
+	"molepaddle/internal/fleet/residency"
 	"molepaddle/internal/fleet/routingconfig"
 	"molepaddle/internal/fleet/scheduler"
 	"molepaddle/policy"
@@ -20,13 +20,13 @@
 // backend is a listed backend with its plot, which holds the connections to it.
 type backend struct {
 	distribution.Backend
-	plot *enclosure.Plot
+	plot *residency.Plot
 }
 
 // service is one service's backends as this proxy sees them. Its lock guards all below it.
 type service struct {
 	name   string
-	ground *enclosure.Ground
+	ground *residency.Ground
 	start  time.Time
 
 	mu       sync.Mutex
@@ -43,7 +43,7 @@
 // before a key goes on to the next. A proxy has few requests out, so that c near 1 would scatter keys.
 const capFactor = 3
 
-func newService(name string, ground *enclosure.Ground, lapse time.Duration) *service {
+func newService(name string, ground *residency.Ground, lapse time.Duration) *service {
 	return &service{name: name, ground: ground, start: time.Now(), byID: map[string]*backend{}, apart: map[string]bool{},
 		ranker: ranking.NewRanker(ranking.RankerSettings{LapseMs: float64(lapse.Milliseconds()), RefetchMs: float64(lapse.Milliseconds())})}
 }
@@ -194,12 +194,12 @@
 
 // allowed tells whether a listed backend may hold data under the terms. The lock is held. Callers ask only for requests that
 // have terms: the others are to pay nothing.
-func (s *service) allowed(id string, terms enclosure.Terms) bool {
+func (s *service) allowed(id string, terms residency.Terms) bool {
 	return s.byID[id].plot.Allowed(terms)
 }
 
 // pick chooses a backend for a plain request under the terms, none of those tried before; false: there is none.
-func (s *service) pick(key uint64, tried map[string]bool, terms enclosure.Terms) (at enclosure.Permit, ok bool) {
+func (s *service) pick(key uint64, tried map[string]bool, terms residency.Terms) (at residency.Permit, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	bound := terms.Bound()
--- a/internal/fleet/enclosure/enclosure_test.go
+++ b/internal/fleet/residency/residency_test.go
@@ -1,4 +1,4 @@
-package enclosure_test
+package residency_test
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/go-faster/errors"
 
-	"molepaddle/internal/fleet/enclosure"
+	"molepaddle/internal/fleet/residency"
 	"molepaddle/internal/protocol/transport"
 )
 
@@ -18,16 +18,16 @@
 
 var errDial = errors.New("no network here")
 
-func (d *dials) ground() *enclosure.Ground {
-	return enclosure.NewGround(transport.New(transport.Options{Timeout: time.Second, Idle: time.Second, Most: 1, Settle: time.Millisecond, Resting: 1,
+func (d *dials) ground() *residency.Ground {
+	return residency.NewGround(transport.New(transport.Options{Timeout: time.Second, Idle: time.Second, Most: 1, Settle: time.Millisecond, Resting: 1,
 		Dial: func(context.Context, string, string) (net.Conn, error) { d.n++; return nil, errDial }}),
 		map[string]string{"e1": "east", "w1": "west", "blank": ""})
 }
 
 func TestTerms(t *testing.T) {
 	c := qt.New(t)
-	var free enclosure.Terms
-	in := enclosure.Within
+	var free residency.Terms
+	in := residency.Within
 	c.Check(free.Bound() || in().Allows("east") || in().Allows(""), qt.IsFalse)
 	c.Check(free.Allows("") && free.Allows("east") && in("west", "east").Allows("east"), qt.IsTrue)
 	c.Check(in("east").Allows(""), qt.IsFalse)
@@ -49,7 +49,7 @@
 	d := &dials{}
 	g := d.ground()
 	east, west, lost, blank := g.Plot("e", "10.0.0.1:80", "e1"), g.Plot("w", "10.0.0.2:80", "w1"), g.Plot("l", "10.0.0.3:80", "x"), g.Plot("b", "10.0.0.4:80", "blank")
-	in := enclosure.Within("east")
+	in := residency.Within("east")
 	ctx := context.Background()
 
 	p, err := east.Permit(in)
@@ -59,29 +59,29 @@
 	c.Check(errors.Is(err, errDial), qt.IsTrue)
 	c.Check(d.n, qt.Equals, 1)
 
-	for _, plot := range []*enclosure.Plot{west, lost, blank} {
+	for _, plot := range []*residency.Plot{west, lost, blank} {
 		_, err := plot.Permit(in)
-		c.Check(err, qt.ErrorIs, enclosure.ErrOutside)
-		free, err := plot.Permit(enclosure.Terms{})
+		c.Check(err, qt.ErrorIs, residency.ErrOutside)
+		free, err := plot.Permit(residency.Terms{})
 		c.Assert(err, qt.IsNil)
 		_, err = free.Lend(ctx, in, "x") // given under other terms than those of the send
-		c.Check(err, qt.ErrorIs, enclosure.ErrOutside)
+		c.Check(err, qt.ErrorIs, residency.ErrOutside)
 	}
-	_, err = p.Lend(ctx, enclosure.Within("west"), "x") // withdrawn between choice and send
-	c.Check(err, qt.ErrorIs, enclosure.ErrOutside)
-	_, err = (enclosure.Permit{}).Lend(ctx, enclosure.Terms{}, "x")
-	c.Check(err, qt.ErrorIs, enclosure.ErrOutside)
-	c.Check((enclosure.Permit{}).ID()+(enclosure.Permit{}).Address()+(enclosure.Permit{}).Region(), qt.Equals, "")
+	_, err = p.Lend(ctx, residency.Within("west"), "x") // withdrawn between choice and send
+	c.Check(err, qt.ErrorIs, residency.ErrOutside)
+	_, err = (residency.Permit{}).Lend(ctx, residency.Terms{}, "x")
+	c.Check(err, qt.ErrorIs, residency.ErrOutside)
+	c.Check((residency.Permit{}).ID()+(residency.Permit{}).Address()+(residency.Permit{}).Region(), qt.Equals, "")
 	_, err = p.LendRelease(ctx, "x")
-	c.Check(err, qt.ErrorIs, enclosure.ErrOutside)
-	_, err = west.Release().Lend(ctx, enclosure.Terms{}, "x")
-	c.Check(err, qt.ErrorIs, enclosure.ErrOutside)
+	c.Check(err, qt.ErrorIs, residency.ErrOutside)
+	_, err = west.Release().Lend(ctx, residency.Terms{}, "x")
+	c.Check(err, qt.ErrorIs, residency.ErrOutside)
 	c.Check(d.n, qt.Equals, 1) // nothing was dialled
 	_, err = west.Release().LendRelease(ctx, "x")
 	c.Check(errors.Is(err, errDial), qt.IsTrue)
 
 	east.Relist("w1") // misreported before: permits that are out are judged by the new region
 	_, err = p.Lend(ctx, in, "x")
-	c.Check(err, qt.ErrorIs, enclosure.ErrOutside)
+	c.Check(err, qt.ErrorIs, residency.ErrOutside)
 	c.Check(p.Region(), qt.Equals, "west")
 }
