Package heliograph becomes operatorclient

Ruled out: a change of behaviour: files move, identifiers and comments follow, formats on the wire and on disk stay as they were.

--- a/cmd/station/control.go
+++ b/cmd/station/control.go
@@ -8,7 +8,7 @@
 
 	"github.com/go-faster/errors"
 
-	"molepaddle/internal/fleet/heliograph"
+	"molepaddle/internal/fleet/operatorclient"
 	"molepaddle/internal/fleet/routingconfig"
 	"molepaddle/internal/fleet/settings"
 )
@@ -20,7 +20,7 @@
 }
 
 // client makes the client of the control plane.
-func (f *controlFlags) client(a *app) (*heliograph.Client, error) {
+func (f *controlFlags) client(a *app) (*operatorclient.Client, error) {
 	addresses := f.Control
 	if len(addresses) == 0 {
 		if a.settings == "" {
@@ -47,15 +47,15 @@
 	if f.Within <= 0 {
 		return nil, coded{errors.New("--within: must be above 0"), exitUsage}
 	}
-	return &heliograph.Client{Control: addresses, Within: f.Within}, nil
+	return &operatorclient.Client{Control: addresses, Within: f.Within}, nil
 }
 
 // current asks for the configuration in force; nil while there is none.
-func current(a *app, c *heliograph.Client) (d *routingconfig.Document, answer heliograph.Answer, err error) {
+func current(a *app, c *operatorclient.Client) (d *routingconfig.Document, answer operatorclient.Answer, err error) {
 	answer, err = c.Show(a.ctx)
-	var no *heliograph.Refused
+	var no *operatorclient.Refused
 	if errors.As(err, &no) && no.Status == http.StatusNotFound {
-		return nil, heliograph.Answer{From: no.From}, nil
+		return nil, operatorclient.Answer{From: no.From}, nil
 	}
 	if err != nil {
 		return nil, answer, coded{err, codeOf(err)}
@@ -69,7 +69,7 @@
 
 // codeOf is the exit code of a client's error.
 func codeOf(err error) int {
-	var no *heliograph.Refused
+	var no *operatorclient.Refused
 	switch {
 	case !errors.As(err, &no):
 		return exitUnclear
--- a/cmd/station/demofleet.go
+++ b/cmd/station/demofleet.go
@@ -12,7 +12,7 @@
 
 	"github.com/go-faster/errors"
 
-	"molepaddle/internal/fleet/heliograph"
+	"molepaddle/internal/fleet/operatorclient"
 	"molepaddle/internal/fleet/screen"
 )
 
@@ -79,7 +79,7 @@
 	core    []demoMachine
 	edge    []demoMachine
 	clients []*screen.Client
-	control *heliograph.Client
+	control *operatorclient.Client
 }
 
 type demoMachine struct {
@@ -89,7 +89,7 @@
 
 // startDemo starts all programs and stand-ins.
 func startDemo(ctx context.Context, s *stage) *demoFleet {
-	f := &demoFleet{stage: s, ctx: ctx, control: &heliograph.Client{}}
+	f := &demoFleet{stage: s, ctx: ctx, control: &operatorclient.Client{}}
 	zones := []string{"koto-hall", "shinagawa-hall", "kawasaki-hall"}
 	for i, zone := range zones[:2] {
 		engine := screen.EngineSettings{ID: fmt.Sprintf("prefill-%d", i+1), Service: demoModel, Zone: zone, Region: "kanto", Phase: screen.PhasePrefill,
--- a/cmd/station/propose.go
+++ b/cmd/station/propose.go
@@ -7,7 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"molepaddle/internal/fleet/externalapi"
-	"molepaddle/internal/fleet/heliograph"
+	"molepaddle/internal/fleet/operatorclient"
 	"molepaddle/internal/fleet/routingconfig"
 )
 
@@ -71,7 +71,7 @@
 	}
 	answer, err := client.Change(a.ctx, call, s.Base, body)
 	s.From = answer.From
-	var no *heliograph.Refused
+	var no *operatorclient.Refused
 	switch {
 	case err == nil:
 		s.Status = 200
--- a/cmd/station/watch.go
+++ b/cmd/station/watch.go
@@ -9,7 +9,7 @@
 
 	"github.com/go-faster/errors"
 
-	"molepaddle/internal/fleet/heliograph"
+	"molepaddle/internal/fleet/operatorclient"
 	"molepaddle/internal/fleet/status"
 )
 
@@ -51,7 +51,7 @@
 
 // watch looks at the fleet until every agent with a lease has the version (0: the one in force at the first look), and
 // says each change. The last status comes back also with an error.
-func watch(ctx context.Context, client *heliograph.Client, version int64, limit time.Duration, say func(line string)) (*status.Fleet, error) {
+func watch(ctx context.Context, client *operatorclient.Client, version int64, limit time.Duration, say func(line string)) (*status.Fleet, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	said := ""
--- a/internal/fleet/heliograph/heliograph_test.go
+++ b/internal/fleet/operatorclient/operatorclient_test.go
@@ -1,4 +1,4 @@
-package heliograph_test
+package operatorclient_test
 
 import (
 	"context"
@@ -16,7 +16,7 @@
 	"github.com/go-faster/errors"
 
 	"molepaddle/internal/fleet/externalapi"
-	"molepaddle/internal/fleet/heliograph"
+	"molepaddle/internal/fleet/operatorclient"
 	"molepaddle/internal/fleet/routingconfig"
 )
 
@@ -45,7 +45,7 @@
 	})
 	second := agent(c, sendOn(&last))
 	first := agent(c, sendOn(&second))
-	client := heliograph.Client{Control: []string{first}}
+	client := operatorclient.Client{Control: []string{first}}
 	answer, err := client.Change(context.Background(), externalapi.Update, 7, []byte(`{"ver":9}`))
 	c.Assert(err, qt.IsNil)
 	c.Assert(answer.From, qt.Equals, last)
@@ -64,7 +64,7 @@
 		sendOn(&self)(w, r)
 	})
 	other := agent(c, func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, "{}") })
-	client := heliograph.Client{Control: []string{self, other}}
+	client := operatorclient.Client{Control: []string{self, other}}
 	answer, err := client.Show(context.Background())
 	c.Assert(err, qt.IsNil)
 	c.Assert(answer.From, qt.Equals, other)
@@ -78,9 +78,9 @@
 			w.Header().Set("Location", location)
 			w.WriteHeader(http.StatusTemporaryRedirect)
 		})
-		client := heliograph.Client{Control: []string{bad}, Within: 300 * time.Millisecond}
+		client := operatorclient.Client{Control: []string{bad}, Within: 300 * time.Millisecond}
 		_, err := client.Show(context.Background())
-		var unclear *heliograph.Unclear
+		var unclear *operatorclient.Unclear
 		c.Assert(errors.As(err, &unclear), qt.IsTrue)
 		c.Check(err, qt.ErrorMatches, "no clear answer: "+bad+": (a 307 without a Location that can be followed|failed to parse Location.*)")
 	}
@@ -95,11 +95,11 @@
 			w.WriteHeader(status)
 			fmt.Fprint(w, `{"err":"the configuration is invalid","findings":[{"place":"routing[0].svc","text":"a"},{"place":"","text":"b"}]}`)
 		})
-		client := heliograph.Client{Control: []string{at}}
+		client := operatorclient.Client{Control: []string{at}}
 		_, err := client.Change(context.Background(), externalapi.Replace, 5, nil)
-		var no *heliograph.Refused
+		var no *operatorclient.Refused
 		c.Assert(errors.As(err, &no), qt.IsTrue)
-		c.Check(no, qt.DeepEquals, &heliograph.Refused{Status: status, From: at, Why: "the configuration is invalid",
+		c.Check(no, qt.DeepEquals, &operatorclient.Refused{Status: status, From: at, Why: "the configuration is invalid",
 			Findings: routingconfig.Findings{{Place: "routing[0].svc", Text: "a"}, {Text: "b"}}})
 		c.Check(calls.Load(), qt.Equals, int64(1))
 	}
@@ -112,7 +112,7 @@
 		calls.Add(1)
 		http.Error(w, "gone\nfishing", http.StatusNotFound)
 	})
-	client := heliograph.Client{Control: []string{at}}
+	client := operatorclient.Client{Control: []string{at}}
 	_, err := client.Show(context.Background())
 	c.Assert(err, qt.ErrorMatches, "refused by "+at+` \(404\): gone`)
 	c.Assert(calls.Load(), qt.Equals, int64(3))
@@ -131,10 +131,10 @@
 			w.WriteHeader(status)
 		})
 		good := agent(c, func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, "shown") })
-		client := heliograph.Client{Control: []string{bad, dead, good}}
+		client := operatorclient.Client{Control: []string{bad, dead, good}}
 		answer, err := client.Show(context.Background())
 		c.Assert(err, qt.IsNil)
-		c.Check(answer, qt.DeepEquals, heliograph.Answer{From: good, Body: []byte("shown")})
+		c.Check(answer, qt.DeepEquals, operatorclient.Answer{From: good, Body: []byte("shown")})
 		c.Check(calls.Load(), qt.Equals, int64(1))
 	}
 }
@@ -153,14 +153,14 @@
 		<-r.Context().Done()
 	})
 	good := agent(c, func(w http.ResponseWriter, r *http.Request) {})
-	client := heliograph.Client{Control: []string{quiet, half, good}, Silence: 30 * time.Millisecond}
+	client := operatorclient.Client{Control: []string{quiet, half, good}, Silence: 30 * time.Millisecond}
 	answer, err := client.Change(context.Background(), externalapi.Replace, 0, []byte("{}"))
 	c.Assert(err, qt.IsNil)
 	c.Assert(answer.From, qt.Equals, good)
 
-	client = heliograph.Client{Control: []string{quiet}, Silence: 10 * time.Millisecond, Within: 50 * time.Millisecond}
+	client = operatorclient.Client{Control: []string{quiet}, Silence: 10 * time.Millisecond, Within: 50 * time.Millisecond}
 	_, err = client.Change(context.Background(), externalapi.Replace, 0, []byte("{}"))
-	var unclear *heliograph.Unclear
+	var unclear *operatorclient.Unclear
 	c.Assert(errors.As(err, &unclear), qt.IsTrue)
 	c.Assert(err, qt.ErrorMatches, "no clear answer: "+quiet+": silent for 10ms")
 }
@@ -171,13 +171,13 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		fmt.Fprint(w, `{"err":"no primary is known"}`)
 	})
-	client := heliograph.Client{Control: []string{at}, Within: 50 * time.Millisecond}
+	client := operatorclient.Client{Control: []string{at}, Within: 50 * time.Millisecond}
 	_, err := client.Show(context.Background())
-	var no *heliograph.Refused
+	var no *operatorclient.Refused
 	c.Assert(errors.As(err, &no), qt.IsFalse, qt.Commentf("a 503 is no clear no"))
 	c.Assert(err, qt.ErrorMatches, "no clear answer: "+at+": status 503: no primary is known")
 
-	_, err = (&heliograph.Client{}).Show(context.Background())
+	_, err = (&operatorclient.Client{}).Show(context.Background())
 	c.Assert(err, qt.ErrorMatches, "no clear answer: no control address is known")
 
 	ctx, cancel := context.WithCancel(context.Background())
@@ -190,13 +190,13 @@
 	c := qt.New(t)
 	at := agent(c, func(w http.ResponseWriter, r *http.Request) {
 		piece := strings.Repeat(" ", 1<<20)
-		for range heliograph.MaxAnswer>>20 + 1 {
+		for range operatorclient.MaxAnswer>>20 + 1 {
 			if _, err := io.WriteString(w, piece); err != nil {
 				return
 			}
 		}
 	})
-	client := heliograph.Client{Control: []string{at}, Silence: time.Minute, Within: 15 * time.Second} // what it is about is bytes
+	client := operatorclient.Client{Control: []string{at}, Silence: time.Minute, Within: 15 * time.Second} // what it is about is bytes
 	_, err := client.Show(context.Background())
 	c.Assert(err, qt.ErrorMatches, "no clear answer: .*: an answer over 67108864 bytes")
 }
--- a/internal/fleet/heliograph/status.go
+++ b/internal/fleet/operatorclient/status.go
@@ -1,4 +1,4 @@
-package heliograph
+package operatorclient
 
 import (
 	"context"
