Package logbook becomes configdiff

Ruled out: a change of behaviour: files move, identifiers and comments follow, formats on the wire and on disk stay as they were.

--- a/cmd/station/diff.go
+++ b/cmd/station/diff.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"io"
 
-	"molepaddle/internal/fleet/logbook"
+	"molepaddle/internal/fleet/configdiff"
 	"molepaddle/internal/fleet/routingconfig"
 )
 
@@ -17,10 +17,10 @@
 
 // outcome is what a file would do.
 type outcome struct {
-	From     int64            `json:"from"` // the version in force; 0 for none
-	To       int64            `json:"to"`   // the file's; 0 where it can't be read
-	Changes  []logbook.Change `json:"changes"`
-	Findings []finding        `json:"findings"` // why it would be refused
+	From     int64               `json:"from"` // the version in force; 0 for none
+	To       int64               `json:"to"`   // the file's; 0 where it can't be read
+	Changes  []configdiff.Change `json:"changes"`
+	Findings []finding           `json:"findings"` // why it would be refused
 }
 
 // Run tells what a file would change.
@@ -37,7 +37,7 @@
 	if err != nil {
 		return err
 	}
-	o := outcome{From: now.Version(), Changes: []logbook.Change{}, Findings: []finding{}}
+	o := outcome{From: now.Version(), Changes: []configdiff.Change{}, Findings: []finding{}}
 	var next *routingconfig.Document
 	var in routingconfig.Findings
 	if kindOf(c.File, body) == kindUpdate {
@@ -48,7 +48,7 @@
 	o.Findings = found(in, body)
 	if next != nil {
 		o.To = next.Version()
-		o.Changes = append(o.Changes, logbook.Diff(now, next)...)
+		o.Changes = append(o.Changes, configdiff.Diff(now, next)...)
 	}
 	if c.JSON {
 		err = writeJSON(a.out, o)
@@ -71,7 +71,7 @@
 			what += " " + word(c.Name)
 		}
 		switch {
-		case c.Field != "" || c.Of == logbook.Caps:
+		case c.Field != "" || c.Of == configdiff.Caps:
 			if c.Field != "" {
 				what += ": " + c.Field
 			}
--- a/internal/fleet/logbook/logbook_test.go
+++ b/internal/fleet/configdiff/configdiff_test.go
@@ -1,4 +1,4 @@
-package logbook_test
+package configdiff_test
 
 import (
 	"fmt"
@@ -6,7 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"molepaddle/internal/fleet/logbook"
+	"molepaddle/internal/fleet/configdiff"
 	"molepaddle/internal/fleet/routingconfig"
 )
 
@@ -22,7 +22,7 @@
 	return fmt.Sprintf(`{"ver":%d,"routing":[%s],"svcs":[%s]%s}`, ver, routes, services, more)
 }
 
-func lines(all []logbook.Change) []string {
+func lines(all []configdiff.Change) []string {
 	out := []string{}
 	for _, c := range all {
 		out = append(out, fmt.Sprintf("%s %s %s: %s -> %s", c.Of, c.Name, c.Field, c.Old, c.New))
@@ -52,7 +52,7 @@
 		{"the rest", body(2, r(1, "100", "")+","+r(2, "100", ""), `{"name":"a","runtime":{"capacity":4}},{"name":"b"}`, `,"caps":{"body_max_bytes":5},"zeal":[1]`),
 			[]string{`service a runtime:  -> {"capacity":4}`, `caps  :  -> {"body_max_bytes":5}`, `configuration  zeal:  -> [1]`}},
 	} {
-		c.Check(lines(logbook.Diff(doc(c, base), doc(c, one.to))), qt.DeepEquals, one.want, qt.Commentf(one.name))
+		c.Check(lines(configdiff.Diff(doc(c, base), doc(c, one.to))), qt.DeepEquals, one.want, qt.Commentf(one.name))
 	}
 }
 
@@ -63,21 +63,21 @@
 	}
 	a := with(`[{"svc":"a","wt":90},{"svc":"b","wt":10}]`, `{"body_max_bytes":9007199254740993,"x":"\u0041"}`)
 	b := with(`[{"svc":"a","wt":80},{"svc":"b","wt":20}]`, `{"body_max_bytes":9007199254740992,"x":"A"}`)
-	c.Check(lines(logbook.Diff(a, b)), qt.DeepEquals, []string{
+	c.Check(lines(configdiff.Diff(a, b)), qt.DeepEquals, []string{
 		"route r1 shares[0].wt: 90 -> 80", "route r1 shares[1].wt: 10 -> 20",
 		"caps  body_max_bytes: 9007199254740993 -> 9007199254740992",
 	})
 	one := with(`[{"svc":"a","wt":90}]`, `{}`)
-	c.Check(lines(logbook.Diff(a, one))[0], qt.Equals, `route r1 shares: [{"svc":"a","wt":90},{"svc":"b","wt":10}] -> [{"svc":"a","wt":90}]`)
+	c.Check(lines(configdiff.Diff(a, one))[0], qt.Equals, `route r1 shares: [{"svc":"a","wt":90},{"svc":"b","wt":10}] -> [{"svc":"a","wt":90}]`)
 }
 
 func TestDiffOfNothing(t *testing.T) {
 	c := qt.New(t)
-	c.Check(logbook.Diff(nil, nil), qt.HasLen, 0)
+	c.Check(configdiff.Diff(nil, nil), qt.HasLen, 0)
 	d := doc(c, body(1, "", `{"name":"a"}`, ""))
-	first := logbook.Diff(nil, d)
+	first := configdiff.Diff(nil, d)
 	c.Assert(first, qt.HasLen, 1)
 	c.Check(first[0].Added(), qt.IsTrue)
 	c.Check(first[0].Removed(), qt.IsFalse)
-	c.Check(logbook.Diff(d, nil)[0].Removed(), qt.IsTrue)
+	c.Check(configdiff.Diff(d, nil)[0].Removed(), qt.IsTrue)
 }
