Package mast becomes scaletest

Ruled out: a change of behaviour: files move, identifiers and comments follow, formats on the wire and on disk stay as they were. Before and after: the same tests; go build and go vet pass.

--- a/cmd/station-scale/main.go
+++ b/cmd/station-scale/main.go
@@ -13,7 +13,7 @@
 
 	"github.com/alecthomas/kong"
 
-	"molepaddle/internal/fleet/mast"
+	"molepaddle/internal/fleet/scaletest"
 )
 
 type cli struct {
@@ -46,7 +46,7 @@
 	if err != nil {
 		return err
 	}
-	t := mast.Trial{Agents: c.Agents, Crews: c.Crews, Backends: c.Backends, Routes: c.Routes, Page: c.Page, Rate: c.Rate, Beat: c.Beat, Apply: c.Apply, Rest: c.Rest, Changes: c.Changes,
+	t := scaletest.Trial{Agents: c.Agents, Crews: c.Crews, Backends: c.Backends, Routes: c.Routes, Page: c.Page, Rate: c.Rate, Beat: c.Beat, Apply: c.Apply, Rest: c.Rest, Changes: c.Changes,
 		Gap: c.Gap, Lists: c.Lists, Losses: c.Losses, Within: c.Within, Station: c.Station, Self: self, Out: os.Stdout,
 		CrewArgs: func(first, count int, addresses []string) []string {
 			return []string{"agents", "--first", strconv.Itoa(first), "--count", strconv.Itoa(count), "--at", strings.Join(addresses, ","), "--beat", c.Beat.String(), "--apply", c.Apply.String()}
@@ -67,7 +67,7 @@
 
 // Run plays one trial.
 func (c *proxyCmd) Run(ctx context.Context) error {
-	t := mast.ProxyTrial{Backends: c.Backends, Routes: c.Routes, Rates: c.Rates, Events: c.Events, Every: c.Every, For: c.For, Within: c.Within, Station: c.Station, Out: os.Stdout}
+	t := scaletest.ProxyTrial{Backends: c.Backends, Routes: c.Routes, Rates: c.Rates, Events: c.Events, Every: c.Every, For: c.For, Within: c.Within, Station: c.Station, Out: os.Stdout}
 	return t.Run(ctx)
 }
 
@@ -81,7 +81,7 @@
 
 // Run pulls until standard input ends.
 func (c *agentsCmd) Run(ctx context.Context) error {
-	crew := mast.Crew{First: c.First, Count: c.Count, Addresses: c.At, Beat: c.Beat, Apply: c.Apply}
+	crew := scaletest.Crew{First: c.First, Count: c.Count, Addresses: c.At, Beat: c.Beat, Apply: c.Apply}
 	return crew.Run(ctx, os.Stdin, os.Stdout)
 }
 
--- a/internal/fleet/mast/bench_test.go
+++ b/internal/fleet/scaletest/bench_test.go
@@ -1,4 +1,4 @@
-package mast
+package scaletest
 
 import (
 	"context"
@@ -18,7 +18,7 @@
 	"molepaddle/internal/fleet/scheduler"
 )
 
-// The figures of docs/CAPACITY.md: go test -run '^$' -bench . ./internal/fleet/mast
+// The figures of docs/CAPACITY.md: go test -run '^$' -bench . ./internal/fleet/scaletest
 
 var (
 	listSizes     = []int{50, 300, 1000, 3000, 10_000}
--- a/internal/fleet/mast/platform.go
+++ b/internal/fleet/scaletest/platform.go
@@ -1,4 +1,4 @@
-package mast
+package scaletest
 
 import (
 	"encoding/json"
