--- a/cmd/station/core_test.go
+++ b/cmd/station/core_test.go
@@ -11,7 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"molepaddle/internal/fleet/screen"
+	"molepaddle/internal/fleet/simulation"
 )
 
 // TestPrimaryKilledAmidChanges kills the primary while changes come one after the other: all that were acknowledged are
@@ -22,7 +22,7 @@
 	load := f.traffic([]int{0, 1})
 	const first, amid, last = 2, 8, 20
 	type outcome struct {
-		rep screen.Reply
+		rep simulation.Reply
 		err error
 	}
 	ctx := f.within(patient)
@@ -85,7 +85,7 @@
 	fresh := f.startPlain()
 	f.platform.Add(fresh)
 	alone := time.Now()
-	f.until(patient, "a new backend is sent to", func() bool { return began([]*screen.Engine{fresh}) > 0 })
+	f.until(patient, "a new backend is sent to", func() bool { return began([]*simulation.Engine{fresh}) > 0 })
 	t.Logf("a new backend was sent to %v after it was added", time.Since(alone))
 	for _, m := range f.core {
 		m.start("control-plane")
@@ -116,7 +116,7 @@
 	back := time.Now()
 	f.holds(2)
 	// A machine that is no member knows no primary to send a caller to.
-	version, _, from := f.shown(&screen.Operator{Ctl: []string{lost.boot.Ctl}})
+	version, _, from := f.shown(&simulation.Operator{Ctl: []string{lost.boot.Ctl}})
 	f.Assert(version, qt.Equals, uint64(2))
 	t.Logf("taken in %v after the return", time.Since(back))
 	f.add(3)
@@ -146,25 +146,25 @@
 	var lost []uint64
 	for base := uint64(1); base < 10; base += 3 {
 		versions := [2]uint64{base + 1, base + 3}
-		var reps [2]screen.Reply
+		var reps [2]simulation.Reply
 		var errs [2]error
 		var both sync.WaitGroup
 		for i, v := range versions {
 			both.Go(func() {
-				o := &screen.Operator{Ctl: append(slices.Clone(ctls[i:]), ctls[:i]...)}
+				o := &simulation.Operator{Ctl: append(slices.Clone(ctls[i:]), ctls[:i]...)}
 				reps[i], errs[i] = o.Update(f.within(patient), base, addRoute(v))
 			})
 		}
 		both.Wait()
 		f.Assert(errs, qt.Equals, [2]error{})
-		winner := slices.IndexFunc(reps[:], func(r screen.Reply) bool { return r.Status == http.StatusOK })
+		winner := slices.IndexFunc(reps[:], func(r simulation.Reply) bool { return r.Status == http.StatusOK })
 		f.Assert(winner >= 0, qt.IsTrue, qt.Commentf("%d %s and %d %s", reps[0].Status, reps[0].Body, reps[1].Status, reps[1].Body))
 		f.Assert(reps[1-winner].Status, qt.Equals, http.StatusPreconditionFailed, qt.Commentf("%s", reps[1-winner].Body))
 		lost = append(lost, versions[1-winner])
 		f.version = versions[winner]
 		f.holds(f.version)
 		for _, ctl := range ctls {
-			o := &screen.Operator{Ctl: []string{ctl}}
+			o := &simulation.Operator{Ctl: []string{ctl}}
 			rep, err := o.Update(f.within(patient), base, addRoute(versions[winner]))
 			f.Assert(err, qt.IsNil)
 			f.Assert(rep.Status, qt.Equals, http.StatusOK)
--- a/cmd/station/demo.go
+++ b/cmd/station/demo.go
@@ -14,7 +14,7 @@
 	"github.com/go-faster/errors"
 
 	"molepaddle/internal/fleet/externalapi"
-	"molepaddle/internal/fleet/screen"
+	"molepaddle/internal/fleet/simulation"
 	"molepaddle/internal/fleet/status"
 )
 
@@ -93,7 +93,7 @@
 	d.say("\n1  The start")
 	d.change(externalapi.Replace, []byte(demoConfig))
 	for i := range d.edge {
-		if err := screen.AwaitReady(ctx, d.edge[i].ready); err != nil {
+		if err := simulation.AwaitReady(ctx, d.edge[i].ready); err != nil {
 			d.Fatalf("%s: %v", d.edge[i].name, err)
 		}
 	}
@@ -114,28 +114,28 @@
 // prompts sends two prompts that begin alike.
 func (d *demo) prompts() {
 	d.say("\n2  A prompt is read at one backend, its answer made at another")
-	shared := screen.Part{ID: "5a", Tokens: 15_000}
-	d.prompt(0, shared, screen.Part{ID: "01", Tokens: 5_000})
+	shared := simulation.Part{ID: "5a", Tokens: 15_000}
+	d.prompt(0, shared, simulation.Part{ID: "01", Tokens: 5_000})
 	d.say("   Another one that begins alike, at the other proxy:")
-	d.prompt(1, shared, screen.Part{ID: "02", Tokens: 5_000})
+	d.prompt(1, shared, simulation.Part{ID: "02", Tokens: 5_000})
 }
 
-func (d *demo) prompt(edge int, parts ...screen.Part) {
+func (d *demo) prompt(edge int, parts ...simulation.Part) {
 	const out = 12
 	tokens := 0
 	for _, p := range parts {
 		tokens += p.Tokens
 	}
 	d.say("   POST /chat/ at %s: a prompt of %d tokens, %d to come", d.edge[edge].name, tokens, out)
-	r := d.clients[edge].Do(d.ctx, screen.Request{Kind: screen.Stream, Resumable: true, Host: demoHost, Path: "/chat/1", Body: []byte("tell me"),
+	r := d.clients[edge].Do(d.ctx, simulation.Request{Kind: simulation.Stream, Resumable: true, Host: demoHost, Path: "/chat/1", Body: []byte("tell me"),
 		Deadline: 8 * time.Second, Model: "m", Tokens: [2]int{tokens, out}, Parts: parts})
 	if !r.OK() || len(r.Events) != out {
 		d.Fatalf("POST /chat/: status %d, %d of %d tokens, %v: %s", r.Status, len(r.Events), out, r.Err, r.AnswerBody)
 	}
-	if e, ok := d.at(r.Attempt, screen.KindPrefill); ok {
+	if e, ok := d.at(r.Attempt, simulation.KindPrefill); ok {
 		d.say("   read at %s: %d tokens in %v, %d were kept from before", e.Engine, e.ReadTokens, rounded(e.Ended.Sub(e.Began)), e.KeptTokens)
 	}
-	if e, ok := d.at(r.Attempt, screen.KindRequest); ok {
+	if e, ok := d.at(r.Attempt, simulation.KindRequest); ok {
 		d.say("   made at %s: %d tokens, on the memory of %d taken over", e.Engine, len(r.Events), e.MovedTokens)
 	}
 	d.say("   the first token came after %v, the last after %v", rounded(r.Events[0].At.Sub(r.SentAt)), rounded(r.EndedAt.Sub(r.SentAt)))
@@ -151,8 +151,8 @@
 	return strings.Join(all, ", ")
 }
 
-func newsRequest(version int64) screen.Request {
-	return screen.Request{Kind: screen.ReadOnly, Method: http.MethodGet, Host: demoHost, Path: fmt.Sprintf("/news-%d/today", version), Deadline: 4 * time.Second}
+func newsRequest(version int64) simulation.Request {
+	return simulation.Request{Kind: simulation.ReadOnly, Method: http.MethodGet, Host: demoHost, Path: fmt.Sprintf("/news-%d/today", version), Deadline: 4 * time.Second}
 }
 
 func (d *demo) rollout() {
--- a/cmd/station/demofleet.go
+++ b/cmd/station/demofleet.go
@@ -13,7 +13,7 @@
 	"github.com/go-faster/errors"
 
 	"molepaddle/internal/fleet/operatorclient"
-	"molepaddle/internal/fleet/screen"
+	"molepaddle/internal/fleet/simulation"
 )
 
 // Names of the demo's configuration.
@@ -75,16 +75,16 @@
 type demoFleet struct {
 	*stage
 	ctx     context.Context
-	engines []*screen.Engine
+	engines []*simulation.Engine
 	core    []demoMachine
 	edge    []demoMachine
-	clients []*screen.Client
+	clients []*simulation.Client
 	control *operatorclient.Client
 }
 
 type demoMachine struct {
 	name, control, ready string
-	programs             []*screen.Program
+	programs             []*simulation.Program
 }
 
 // startDemo starts all programs and stand-ins.
@@ -92,24 +92,24 @@
 	f := &demoFleet{stage: s, ctx: ctx, control: &operatorclient.Client{}}
 	zones := []string{"koto-hall", "shinagawa-hall", "kawasaki-hall"}
 	for i, zone := range zones[:2] {
-		engine := screen.EngineSettings{ID: fmt.Sprintf("prefill-%d", i+1), Service: demoModel, Zone: zone, Region: "kanto", Phase: screen.PhasePrefill,
+		engine := simulation.EngineSettings{ID: fmt.Sprintf("prefill-%d", i+1), Service: demoModel, Zone: zone, Region: "kanto", Phase: simulation.PhasePrefill,
 			Capacity: 16, Step: 5 * time.Millisecond, TokenRead: 20 * time.Microsecond, Fencing: true}
-		f.engines = append(f.engines, screen.StartEngine(f, engine))
-		engine.ID, engine.Phase = fmt.Sprintf("decode-%d", i+1), screen.PhaseDecode
-		f.engines = append(f.engines, screen.StartEngine(f, engine))
-		f.engines = append(f.engines, screen.StartEngine(f, screen.EngineSettings{ID: fmt.Sprintf("news-%d", i+1), Service: demoPlain, Zone: zone,
+		f.engines = append(f.engines, simulation.StartEngine(f, engine))
+		engine.ID, engine.Phase = fmt.Sprintf("decode-%d", i+1), simulation.PhaseDecode
+		f.engines = append(f.engines, simulation.StartEngine(f, engine))
+		f.engines = append(f.engines, simulation.StartEngine(f, simulation.EngineSettings{ID: fmt.Sprintf("news-%d", i+1), Service: demoPlain, Zone: zone,
 			Region: "kanto", Capacity: 8, Step: 2 * time.Millisecond}))
 	}
 	const rate, delay = 42, 50 * time.Millisecond
-	platform := screen.StartPlatform(f, screen.PlatformSettings{Rate: rate, Delay: delay}, f.engines...)
+	platform := simulation.StartPlatform(f, simulation.PlatformSettings{Rate: rate, Delay: delay}, f.engines...)
 	coreIPs, edgeIPs := []string{"127.0.11.1", "127.0.11.2", "127.0.11.3"}, []string{"127.0.12.1", "127.0.12.2"}
 	all := slices.Concat([]string{"127.0.0.1"}, coreIPs, edgeIPs)
 	const own = 4 // ports that the programs of a machine have among themselves
-	ports := screen.ChoosePorts(f, own, all...)
+	ports := simulation.ChoosePorts(f, own, all...)
 	for _, ip := range coreIPs {
 		f.control.Control = append(f.control.Control, net.JoinHostPort(ip, strconv.Itoa(ports.Ctl)))
 	}
-	usual := screen.BootSettings{Ports: ports, Peers: f.control.Control, Provider: platform.Address(), Rate: rate, Delay: delay, Nodes: 1}
+	usual := simulation.BootSettings{Ports: ports, Peers: f.control.Control, Provider: platform.Address(), Rate: rate, Delay: delay, Nodes: 1}
 	for i, ip := range coreIPs {
 		set := usual
 		set.Tier, set.Node, set.IP, set.Zone, set.Bootstrap, set.Voting = "core", fmt.Sprintf("core-%d", i+1), ip, zones[i], true, true
@@ -120,19 +120,19 @@
 		set.Tier, set.Node, set.IP, set.Zone = "edge", fmt.Sprintf("edge-%d", i+1), ip, zones[i]
 		if i > 0 {
 			// An agent feeds its proxy at a port of 127.0.0.1, which real machines don't share: this one has ports of its own.
-			set.Ports = screen.ChoosePorts(f, own, all...)
+			set.Ports = simulation.ChoosePorts(f, own, all...)
 			for _, core := range coreIPs {
-				screen.PassOn(f, net.JoinHostPort(core, strconv.Itoa(set.Ports.First+1)), net.JoinHostPort(core, strconv.Itoa(ports.First+1)))
+				simulation.PassOn(f, net.JoinHostPort(core, strconv.Itoa(set.Ports.First+1)), net.JoinHostPort(core, strconv.Itoa(ports.First+1)))
 			}
 		}
 		f.edge = append(f.edge, f.machine(set, "proxy", "node-agent"))
-		f.clients = append(f.clients, &screen.Client{Edge: net.JoinHostPort(ip, strconv.Itoa(set.Ports.Edge)), Keep: true})
+		f.clients = append(f.clients, &simulation.Client{Edge: net.JoinHostPort(ip, strconv.Itoa(set.Ports.Edge)), Keep: true})
 	}
 	return f
 }
 
 // machine starts the programs of one machine.
-func (f *demoFleet) machine(set screen.BootSettings, roles ...string) demoMachine {
+func (f *demoFleet) machine(set simulation.BootSettings, roles ...string) demoMachine {
 	self, err := os.Executable()
 	if err != nil {
 		f.Fatalf("%v", err)
@@ -143,8 +143,8 @@
 		if s.Role = role; role == "node-agent" {
 			s.Roles = []string{}
 		}
-		boot := screen.Boot(f, s)
-		if m.programs = append(m.programs, screen.Exec(f, boot, self, role)); role != "node-agent" {
+		boot := simulation.Boot(f, s)
+		if m.programs = append(m.programs, simulation.Exec(f, boot, self, role)); role != "node-agent" {
 			m.control, m.ready = boot.Ctl, boot.Readyz
 		}
 	}
@@ -162,7 +162,7 @@
 }
 
 // at gives what the backends of a phase did for a request; ok false: none of them had it.
-func (f *demoFleet) at(attempt string, kind screen.EntryKind) (e screen.Entry, ok bool) {
+func (f *demoFleet) at(attempt string, kind simulation.EntryKind) (e simulation.Entry, ok bool) {
 	for _, engine := range f.engines {
 		for _, e := range engine.Log.Entries() {
 			if e.Attempt == attempt && e.Kind == kind && e.Ran {
--- a/cmd/station/fleet_test.go
+++ b/cmd/station/fleet_test.go
@@ -19,8 +19,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"molepaddle/internal/fleet/screen"
 	"molepaddle/internal/fleet/settings"
+	"molepaddle/internal/fleet/simulation"
 )
 
 // TestMain is the station itself where it is started with a settings file: the programs under test are this binary, so
@@ -66,38 +66,38 @@
 // machine is one machine of the fleet, with the programs that run there.
 type machine struct {
 	f        *fleet
-	settings screen.BootSettings
-	boot     screen.BootFile
+	settings simulation.BootSettings
+	boot     simulation.BootFile
 	roles    []string
-	programs map[string]*screen.Program
+	programs map[string]*simulation.Program
 }
 
 // fleet is a whole system on loopback: 3 core machines, 2 edge machines, the backends, the platform and the operator.
 type fleet struct {
 	*qt.C
 	ctx      context.Context
-	bounds   screen.Bounds
+	bounds   simulation.Bounds
 	settings map[string]any // bnds
 
-	prefill, decode, plain, others []*screen.Engine
-	platform                       *screen.Platform
+	prefill, decode, plain, others []*simulation.Engine
+	platform                       *simulation.Platform
 	delay                          time.Duration // of the platform's list
 
 	core, edge []*machine
-	operator   *screen.Operator
+	operator   *simulation.Operator
 	flags      map[string][]string
 
 	mu       sync.Mutex
-	programs []*screen.Program
-	running  map[*screen.Program]string
-	clients  []*screen.Client
+	programs []*simulation.Program
+	running  map[*simulation.Program]string
+	clients  []*simulation.Client
 	version  uint64 // of the newest configuration that was acknowledged
 }
 
 // newFleet starts a fleet, gives it its first configuration and waits until both proxies are ready and all of the core is in.
 func newFleet(t *testing.T, p plan) *fleet {
 	c := qt.New(t)
-	f := &fleet{C: c, flags: p.flags, running: map[*screen.Program]string{}, delay: 50 * time.Millisecond, settings: map[string]any{
+	f := &fleet{C: c, flags: p.flags, running: map[*simulation.Program]string{}, delay: 50 * time.Millisecond, settings: map[string]any{
 		"retry_ratio": 0.2, "retry_window_s": 10, "retry_extra": 54, "drain_ms": 3000, "apply_ms": 2000, "grace_s": 8,
 		"skew_ms": 5000, "sync_s": 4, "loss_slack_ms": 200, "contact_ms": 3000,
 	}}
@@ -107,38 +107,38 @@
 	for k, v := range p.bounds {
 		f.settings[k] = v
 	}
-	f.bounds = screen.Bounds{
+	f.bounds = simulation.Bounds{
 		RetryRatio: f.settings["retry_ratio"].(float64), RetryWindow: time.Duration(f.settings["retry_window_s"].(int)) * time.Second,
 		RetryExtra: float64(f.settings["retry_extra"].(int)),
 	}
 	zones := []string{"koto-hall", "shinagawa-hall", "kawasaki-hall"}
-	start := func(n, usual int, s screen.EngineSettings) (es []*screen.Engine) {
+	start := func(n, usual int, s simulation.EngineSettings) (es []*simulation.Engine) {
 		if n == 0 {
 			n = usual
 		}
 		for i := range n {
 			s.Zone, s.Region = zones[i%len(zones)], "kanto"
-			es = append(es, screen.StartEngine(c, s))
+			es = append(es, simulation.StartEngine(c, s))
 		}
 		return es
 	}
 	// A token takes 4 us to be read at a prefill backend: 250 are read in a ms.
-	engine := screen.EngineSettings{Service: model, Phase: screen.PhasePrefill, Capacity: 16, Step: 2 * time.Millisecond,
+	engine := simulation.EngineSettings{Service: model, Phase: simulation.PhasePrefill, Capacity: 16, Step: 2 * time.Millisecond,
 		TokenRead: 4 * time.Microsecond, Fencing: true, NoReport: p.noReport}
 	f.prefill = start(p.prefill, 1, engine)
-	engine.Phase = screen.PhaseDecode
+	engine.Phase = simulation.PhaseDecode
 	f.decode = start(p.decode, 2, engine)
 	f.plain = start(p.plain, 2, plainEngine)
-	f.platform = screen.StartPlatform(c, screen.PlatformSettings{Rate: 42, Delay: f.delay}, f.engines()...)
+	f.platform = simulation.StartPlatform(c, simulation.PlatformSettings{Rate: 42, Delay: f.delay}, f.engines()...)
 
 	coreIPs, edgeIPs := []string{"127.0.1.1", "127.0.1.2", "127.0.1.3"}, []string{"127.0.2.1", "127.0.2.2"}
 	all := append(append([]string{"127.0.0.1"}, coreIPs...), edgeIPs...)
-	ports := screen.ChoosePorts(c, 4, all...)
-	f.operator = &screen.Operator{}
+	ports := simulation.ChoosePorts(c, 4, all...)
+	f.operator = &simulation.Operator{}
 	for _, ip := range coreIPs {
 		f.operator.Ctl = append(f.operator.Ctl, net.JoinHostPort(ip, strconv.Itoa(ports.Ctl)))
 	}
-	settings := screen.BootSettings{Ports: ports, Peers: f.operator.Ctl, Provider: f.platform.Address(), Rate: 42, Delay: f.delay,
+	settings := simulation.BootSettings{Ports: ports, Peers: f.operator.Ctl, Provider: f.platform.Address(), Rate: 42, Delay: f.delay,
 		Nodes: 1, Bounds: f.settings}
 	for i, ip := range coreIPs {
 		s := settings
@@ -151,9 +151,9 @@
 		if i > 0 {
 			// Node agents feed their proxies at a port of 127.0.0.1, which machines don't share and these here do. This
 			// one gets ports of its own, and finds the control servers there by way of relays.
-			s.Ports = screen.ChoosePorts(c, 4, all...)
+			s.Ports = simulation.ChoosePorts(c, 4, all...)
 			for _, core := range coreIPs {
-				screen.PassOn(c, net.JoinHostPort(core, strconv.Itoa(s.Ports.First+1)), net.JoinHostPort(core, strconv.Itoa(ports.First+1)))
+				simulation.PassOn(c, net.JoinHostPort(core, strconv.Itoa(s.Ports.First+1)), net.JoinHostPort(core, strconv.Itoa(ports.First+1)))
 			}
 		}
 		f.edge = append(f.edge, &machine{f: f, settings: s, roles: []string{"node-agent", "proxy"}})
@@ -167,29 +167,29 @@
 	rep := f.put(f.ctx, f.configuration(1))
 	for _, m := range f.edge {
 		f.ready(m)
-		f.clients = append(f.clients, &screen.Client{Edge: m.boot.Edge, Keep: true})
+		f.clients = append(f.clients, &simulation.Client{Edge: m.boot.Edge, Keep: true})
 	}
 	c.Logf("first configuration taken after %v, at the try %d; proxies ready after %v", rep.At.Sub(began), rep.Tries, time.Since(began))
 	// The core serves as soon as two of its machines are there. What it promises to survive counts from when all are in: one
 	// that is no member knows no primary to send a caller to.
 	for _, m := range f.core {
-		version, _, _ := f.shown(&screen.Operator{Ctl: []string{m.boot.Ctl}})
+		version, _, _ := f.shown(&simulation.Operator{Ctl: []string{m.boot.Ctl}})
 		c.Assert(version, qt.Equals, f.version, qt.Commentf("%s", m.settings.Node))
 	}
 	c.Logf("all of the core is in after %v", time.Since(began))
 	return f
 }
 
-var plainEngine = screen.EngineSettings{Service: lookups, Capacity: 4, Step: 5 * time.Millisecond, Zone: "koto-hall", Region: "kanto"}
+var plainEngine = simulation.EngineSettings{Service: lookups, Capacity: 4, Step: 5 * time.Millisecond, Zone: "koto-hall", Region: "kanto"}
 
 // startPlain starts one more backend of the plain service, which is not listed yet.
-func (f *fleet) startPlain() *screen.Engine {
-	e := screen.StartEngine(f, plainEngine)
+func (f *fleet) startPlain() *simulation.Engine {
+	e := simulation.StartEngine(f, plainEngine)
 	f.plain = append(f.plain, e)
 	return e
 }
 
-func (f *fleet) engines() []*screen.Engine {
+func (f *fleet) engines() []*simulation.Engine {
 	return slices.Concat(f.prefill, f.decode, f.plain, f.others)
 }
 
@@ -200,7 +200,7 @@
 		s.Roles = []string{}
 	}
 	s.Role = role
-	boot := screen.Boot(f, s)
+	boot := simulation.Boot(f, s)
 	if role != "node-agent" {
 		m.boot = boot
 		m.settings.DataDir = boot.DataDir
@@ -208,9 +208,9 @@
 	m.settings.Bootstrap = false // only at the very first start
 	self, err := os.Executable()
 	f.Assert(err, qt.IsNil)
-	p := screen.Exec(f, boot, self, append([]string{role}, f.flags[role]...)...)
+	p := simulation.Exec(f, boot, self, append([]string{role}, f.flags[role]...)...)
 	if m.programs == nil {
-		m.programs = map[string]*screen.Program{}
+		m.programs = map[string]*simulation.Program{}
 	}
 	m.programs[role] = p
 	f.mu.Lock()
@@ -227,7 +227,7 @@
 }
 
 // ends says that a program ends because the test wants it to.
-func (f *fleet) ends(p *screen.Program) {
+func (f *fleet) ends(p *simulation.Program) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.running, p)
@@ -241,7 +241,7 @@
 
 func (f *fleet) ready(m *machine) {
 	f.Helper()
-	f.Assert(screen.AwaitReady(f.within(patient), m.boot.Readyz), qt.IsNil, qt.Commentf("%s", m.settings.Node))
+	f.Assert(simulation.AwaitReady(f.within(patient), m.boot.Readyz), qt.IsNil, qt.Commentf("%s", m.settings.Node))
 }
 
 // until waits until ok holds, for as long as given.
@@ -301,7 +301,7 @@
 }
 
 // put has a whole configuration acknowledged on top of the newest.
-func (f *fleet) put(ctx context.Context, doc object) screen.Reply {
+func (f *fleet) put(ctx context.Context, doc object) simulation.Reply {
 	f.Helper()
 	rep, err := f.operator.Replace(ctx, f.version, doc)
 	f.Assert(err, qt.IsNil)
@@ -319,7 +319,7 @@
 }
 
 // add has such a change acknowledged on top of the newest.
-func (f *fleet) add(version uint64) screen.Reply {
+func (f *fleet) add(version uint64) simulation.Reply {
 	f.Helper()
 	rep, err := f.operator.Update(f.within(patient), f.version, addRoute(version))
 	f.Assert(err, qt.IsNil)
@@ -329,7 +329,7 @@
 }
 
 // shown is what the operator reads back: the version and the names of the routes; from tells which core machine said it.
-func (f *fleet) shown(o *screen.Operator) (version uint64, routes []string, from *machine) {
+func (f *fleet) shown(o *simulation.Operator) (version uint64, routes []string, from *machine) {
 	f.Helper()
 	rep, err := o.Show(f.within(patient))
 	f.Assert(err, qt.IsNil)
@@ -375,35 +375,35 @@
 var number atomic.Int64
 
 // lookup, report, bulletin and hazard are requests of the configuration's routes.
-func lookup() screen.Request {
-	return screen.Request{Kind: screen.ReadOnly, Method: http.MethodPost, Host: host, Path: "/lookup/2f?at=1", Body: []byte("station"),
+func lookup() simulation.Request {
+	return simulation.Request{Kind: simulation.ReadOnly, Method: http.MethodPost, Host: host, Path: "/lookup/2f?at=1", Body: []byte("station"),
 		Deadline: 4 * time.Second, Services: []string{lookups}}
 }
 
 // onAdded is a request of the route that addRoute brings.
-func onAdded(version uint64) screen.Request {
+func onAdded(version uint64) simulation.Request {
 	r := lookup()
 	r.Path = "/" + added(version) + "/x"
 	return r
 }
 
-func report() screen.Request {
+func report() simulation.Request {
 	r := lookup()
-	r.Kind, r.Path, r.Chunked = screen.Mutating, "/report/2f", true
+	r.Kind, r.Path, r.Chunked = simulation.Mutating, "/report/2f", true
 	return r
 }
 
 // bulletin has a long prompt, three quarters of which are shared, and a short answer; it may be resumed.
-func bulletin(tokens, out int) screen.Request {
+func bulletin(tokens, out int) simulation.Request {
 	shared := tokens * 3 / 4
-	return screen.Request{Kind: screen.Stream, Resumable: true, Host: host, Path: "/bulletin/2f", Body: []byte("archive"),
+	return simulation.Request{Kind: simulation.Stream, Resumable: true, Host: host, Path: "/bulletin/2f", Body: []byte("archive"),
 		Deadline: 8 * time.Second, Model: "m", Tokens: [2]int{tokens, out}, Services: []string{model},
-		Parts: []screen.Part{{ID: fmt.Sprintf("%x", 0xa000+number.Add(1)%3), Tokens: shared},
+		Parts: []simulation.Part{{ID: fmt.Sprintf("%x", 0xa000+number.Add(1)%3), Tokens: shared},
 			{ID: fmt.Sprintf("%x", 0xb00000+number.Add(1)), Tokens: tokens - shared}}}
 }
 
 // hazard has a short prompt and a long answer; it may run once.
-func hazard() screen.Request {
+func hazard() simulation.Request {
 	r := bulletin(220, 24)
 	r.Path, r.Resumable = "/hazard/2f", false
 	return r
@@ -416,17 +416,17 @@
 	end  context.CancelFunc
 	all  sync.WaitGroup
 	mu   sync.Mutex
-	seen [][]screen.Result // by edge machine
+	seen [][]simulation.Result // by edge machine
 }
 
-func (f *fleet) traffic(edges []int, also ...screen.Request) *traffic {
+func (f *fleet) traffic(edges []int, also ...simulation.Request) *traffic {
 	ctx, cancel := context.WithCancel(f.ctx)
 	f.Cleanup(cancel)
-	t := &traffic{f: f, end: cancel, seen: make([][]screen.Result, len(f.clients))}
+	t := &traffic{f: f, end: cancel, seen: make([][]simulation.Result, len(f.clients))}
 	for _, i := range edges {
 		t.all.Go(func() {
 			for n := 0; ctx.Err() == nil; n++ {
-				kinds := append([]screen.Request{lookup(), hazard(), report(), bulletin(2000, 2)}, also...)
+				kinds := append([]simulation.Request{lookup(), hazard(), report(), bulletin(2000, 2)}, also...)
 				r := kinds[n%len(kinds)]
 				res := f.clients[i].Do(f.ctx, r)
 				t.mu.Lock()
@@ -472,13 +472,13 @@
 }
 
 // served asks that a request got a whole success, a stream to its last event.
-func (f *fleet) served(r screen.Result, where string) {
+func (f *fleet) served(r simulation.Result, where string) {
 	f.Helper()
 	if !r.OK() {
 		f.Errorf("%s: %s %s: status %d, %v, %q, %v after %v", where, r.Path, r.Attempt, r.Status, r.Err,
 			r.AnswerBody[:min(len(r.AnswerBody), 100)], f.ways(r.Attempt), r.EndedAt.Sub(r.SentAt))
 	}
-	if r.Kind == screen.Stream && r.OK() {
+	if r.Kind == simulation.Stream && r.OK() {
 		f.Check(r.Events, qt.HasLen, r.Tokens[1])
 	}
 }
@@ -496,17 +496,17 @@
 }
 
 // goDo sends a request in the background.
-func (f *fleet) goDo(edge int, r screen.Request) <-chan screen.Result {
-	ch := make(chan screen.Result, 1)
+func (f *fleet) goDo(edge int, r simulation.Request) <-chan simulation.Result {
+	ch := make(chan simulation.Result, 1)
 	go func() { ch <- f.clients[edge].Do(f.ctx, r) }()
 	return ch
 }
 
 // began counts the runs that began at some backends.
-func began(es []*screen.Engine) (n int) {
+func began(es []*simulation.Engine) (n int) {
 	for _, e := range es {
 		for _, en := range e.Log.Entries() {
-			if en.Kind == screen.KindRequest && en.Ran {
+			if en.Kind == simulation.KindRequest && en.Ran {
 				n++
 			}
 		}
@@ -515,10 +515,10 @@
 }
 
 // orders are those that came to backends.
-func (f *fleet) orders() (out []screen.Entry) {
+func (f *fleet) orders() (out []simulation.Entry) {
 	for _, e := range f.engines() {
 		for _, en := range e.Log.Entries() {
-			if en.Kind == screen.KindOrder {
+			if en.Kind == simulation.KindOrder {
 				out = append(out, en)
 			}
 		}
@@ -532,7 +532,7 @@
 	for _, c := range f.clients {
 		c.Close()
 	}
-	j := screen.Judge{Bounds: f.bounds, Engines: f.engines(), Clients: f.clients}
+	j := simulation.Judge{Bounds: f.bounds, Engines: f.engines(), Clients: f.clients}
 	for _, finding := range j.Findings() {
 		f.Errorf("%+v", finding)
 	}
--- a/cmd/station/residency_test.go
+++ b/cmd/station/residency_test.go
@@ -12,7 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"molepaddle/internal/fleet/externalapi"
-	"molepaddle/internal/fleet/screen"
+	"molepaddle/internal/fleet/simulation"
 )
 
 // residency asks one core machine where the data of a tenant rested, by the command.
@@ -63,7 +63,7 @@
 		for range n {
 			r := lookup()
 			r.Host, r.Path = "held.example", "/x"
-			var res screen.Result
+			var res simulation.Result
 			f.until(patient, "the tenant's route is in force, and the client's connection is to the proxy that lives", func() bool {
 				res = f.clients[edge].Do(f.ctx, r)
 				return res.Status != http.StatusNotFound && res.Status != 0
--- a/cmd/station/traffic_test.go
+++ b/cmd/station/traffic_test.go
@@ -15,7 +15,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"molepaddle/internal/fleet/screen"
+	"molepaddle/internal/fleet/simulation"
 )
 
 // TestCalm serves requests of all kinds on a quiet day.
@@ -33,10 +33,10 @@
 		}
 	}
 	// Each prompt was read at one place, all of it, and its tokens were made once.
-	apart, asked := 0, map[string]screen.Result{}
+	apart, asked := 0, map[string]simulation.Result{}
 	for _, cl := range f.clients {
 		for _, r := range cl.Results() {
-			if r.Kind == screen.Stream {
+			if r.Kind == simulation.Stream {
 				asked[r.Attempt] = r
 			}
 		}
@@ -45,7 +45,7 @@
 	for _, e := range f.decode {
 		for _, en := range e.Log.Entries() {
 			r, ok := asked[en.Attempt]
-			if !ok || en.Kind != screen.KindRequest {
+			if !ok || en.Kind != simulation.KindRequest {
 				continue
 			}
 			runs[en.Attempt]++
@@ -65,7 +65,7 @@
 	f.Check(apart > 0, qt.IsTrue, qt.Commentf("no prompt was read apart"))
 	t.Logf("%d of %d prompts were read apart", apart, len(asked))
 	f.until(patient, "no handle is left", func() bool {
-		return !slices.ContainsFunc(f.prefill, func(e *screen.Engine) bool { return e.Handles() > 0 })
+		return !slices.ContainsFunc(f.prefill, func(e *simulation.Engine) bool { return e.Handles() > 0 })
 	})
 	f.judge()
 }
@@ -75,25 +75,25 @@
 // read prompts: their reports don't come, so that no order does.
 func TestBackendTroubles(t *testing.T) {
 	f := newFleet(t, plan{decode: 3, plain: 3, noReport: true, bounds: map[string]any{"retry_extra": 400}})
-	set := func(es []*screen.Engine, fault screen.Faults) {
+	set := func(es []*simulation.Engine, fault simulation.Faults) {
 		for _, e := range es {
 			e.SetFaults(fault)
 		}
 	}
 	n := 0
-	do := func(r screen.Request) screen.Result {
+	do := func(r simulation.Request) simulation.Result {
 		n++
 		return f.clients[n%len(f.clients)].Do(f.ctx, r)
 	}
 	for _, tc := range []struct {
 		name  string
-		fault screen.Faults
+		fault simulation.Faults
 	}{
-		{"no connection", screen.Faults{Refuse: true}}, // first: those that are open go on
-		{"before the head", screen.Faults{LoseAnswer: true}},
-		{"in the head", screen.Faults{Garble: true}},
-		{"after the head", screen.Faults{CutAfter: 2}},
-		{"failure", screen.Faults{Fail: 500}},
+		{"no connection", simulation.Faults{Refuse: true}}, // first: those that are open go on
+		{"before the head", simulation.Faults{LoseAnswer: true}},
+		{"in the head", simulation.Faults{Garble: true}},
+		{"after the head", simulation.Faults{CutAfter: 2}},
+		{"failure", simulation.Faults{Fail: 500}},
 	} {
 		// Where none is well, what may run once ends in something that promises nothing, or in a refusal that holds.
 		set(f.plain, tc.fault)
@@ -122,32 +122,32 @@
 			f.Check(seals, qt.HasLen, 3)
 		}
 		// Where one of three backends is well, what may run more than once is served.
-		set(f.plain[2:], screen.Faults{})
-		set(f.decode[2:], screen.Faults{})
+		set(f.plain[2:], simulation.Faults{})
+		set(f.decode[2:], simulation.Faults{})
 		for range 6 {
 			f.served(do(lookup()), tc.name)
 			f.served(do(bulletin(2000, 5)), tc.name)
 		}
-		set(f.engines(), screen.Faults{})
+		set(f.engines(), simulation.Faults{})
 	}
 
 	// Silent backends: what may run again goes on to the one that is well; what may not is waited for, to its deadline.
-	silent := func(es []*screen.Engine, rs ...screen.Request) (out []screen.Result) {
-		set(es, screen.Faults{Silent: true})
-		var open []<-chan screen.Result
+	silent := func(es []*simulation.Engine, rs ...simulation.Request) (out []simulation.Result) {
+		set(es, simulation.Faults{Silent: true})
+		var open []<-chan simulation.Result
 		for i, r := range rs {
 			open = append(open, f.goDo(i%len(f.clients), r))
 		}
 		for _, ch := range open {
 			out = append(out, <-ch)
 		}
-		set(f.engines(), screen.Faults{})
+		set(f.engines(), simulation.Faults{})
 		return out
 	}
 	for _, r := range silent(slices.Concat(f.decode[:2], f.plain[:2]), lookup(), lookup(), bulletin(2000, 3), bulletin(2000, 3)) {
 		f.served(r, "silent")
 	}
-	once := []screen.Request{report(), hazard()}
+	once := []simulation.Request{report(), hazard()}
 	for i := range once {
 		once[i].Deadline = 800 * time.Millisecond
 	}
@@ -157,16 +157,16 @@
 	}
 
 	// A reader that fails costs a prompt its place there, not its answer.
-	for _, fault := range []screen.Faults{{LoseAnswer: true}, {Garble: true}, {Fail: 500}, {Refuse: true}} {
+	for _, fault := range []simulation.Faults{{LoseAnswer: true}, {Garble: true}, {Fail: 500}, {Refuse: true}} {
 		set(f.prefill, fault)
 		f.served(do(bulletin(40_000, 3)), "prefill")
 	}
-	set(f.prefill, screen.Faults{})
+	set(f.prefill, simulation.Faults{})
 
 	// An answer too many belongs to no request that comes after it on the same connection.
-	set(f.engines(), screen.Faults{Extra: true})
+	set(f.engines(), simulation.Faults{Extra: true})
 	for range 10 {
-		for _, r := range []screen.Request{lookup(), report(), hazard(), bulletin(2000, 3)} {
+		for _, r := range []simulation.Request{lookup(), report(), hazard(), bulletin(2000, 3)} {
 			res := do(r)
 			if r.Idempotent() {
 				f.served(res, "answers twice")
@@ -175,16 +175,16 @@
 			}
 		}
 	}
-	set(f.engines(), screen.Faults{})
+	set(f.engines(), simulation.Faults{})
 
 	// Another backend at the address of one that is still listed, of the same service or of another, does not run what is
 	// meant for that; upon its word what may run once goes elsewhere.
 	f.decode[0].Restart(f)
 	gone := f.plain[0]
 	gone.Crash()
-	f.others = append(f.others, screen.StartEngine(f, screen.EngineSettings{Service: "other", Address: gone.Address()}))
+	f.others = append(f.others, simulation.StartEngine(f, simulation.EngineSettings{Service: "other", Address: gone.Address()}))
 	for range 8 {
-		for _, r := range []screen.Request{lookup(), report(), hazard(), bulletin(2000, 3)} {
+		for _, r := range []simulation.Request{lookup(), report(), hazard(), bulletin(2000, 3)} {
 			f.served(do(r), "another at its address")
 		}
 	}
@@ -194,14 +194,14 @@
 
 	// Full backends, by others' requests: what is refused is told when to come back, and never runs.
 	full := slices.Concat(f.decode, f.plain)
-	var held []<-chan screen.Result
+	var held []<-chan simulation.Result
 	var releases []func()
 	others := len(f.clients)
 	for _, e := range full {
-		f.clients = append(f.clients, &screen.Client{Edge: e.Address()})
+		f.clients = append(f.clients, &simulation.Client{Edge: e.Address()})
 		releases = append(releases, e.Hold())
 		r := lookup()
-		if e.Settings().Phase != screen.PhaseNone {
+		if e.Settings().Phase != simulation.PhaseNone {
 			r = bulletin(100, 1)
 		}
 		r.Deadline = patient // it holds its place for as long as this takes
@@ -211,7 +211,7 @@
 		f.until(patient, "a backend is full", func() bool { n, _ := e.Load(); return n == e.Settings().Capacity })
 	}
 	for i := range others {
-		for _, r := range []screen.Request{report(), hazard(), lookup(), bulletin(2000, 2)} {
+		for _, r := range []simulation.Request{report(), hazard(), lookup(), bulletin(2000, 2)} {
 			res := f.clients[i].Do(f.ctx, r)
 			f.Check(res.Status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("%s: %v", r.Path, res.Err))
 			f.Check(res.RetryAfter > 0, qt.IsTrue)
@@ -235,7 +235,7 @@
 	load := f.traffic([]int{0, 1})
 	reads := func() (n int) {
 		for _, e := range f.decode {
-			if e.Phase() == screen.PhasePrefill {
+			if e.Phase() == simulation.PhasePrefill {
 				n++
 			}
 		}
@@ -248,9 +248,9 @@
 	// More may follow where reports are late, as a backend that doesn't report counts as lost. No fence is ever too low.
 	orders := f.orders()
 	f.Assert(len(orders) > 0, qt.IsTrue)
-	slices.SortFunc(orders, func(a, b screen.Entry) int { return cmp.Compare(a.Seq, b.Seq) })
+	slices.SortFunc(orders, func(a, b simulation.Entry) int { return cmp.Compare(a.Seq, b.Seq) })
 	f.Check(orders[0].Status, qt.Equals, http.StatusAccepted)
-	f.Check(orders[0].Phase, qt.Equals, screen.PhaseDecode)
+	f.Check(orders[0].Phase, qt.Equals, simulation.PhaseDecode)
 	for _, o := range orders {
 		f.Check(o.Status, qt.Not(qt.Equals), http.StatusPreconditionFailed, qt.Commentf("fence %d", o.Gen))
 	}
@@ -267,8 +267,8 @@
 		releases = append(releases, e.Hold())
 	}
 	was := began(f.engines())
-	var open []<-chan screen.Result
-	for _, r := range []screen.Request{hazard(), hazard(), report(), bulletin(1000, 3), lookup()} {
+	var open []<-chan simulation.Result
+	for _, r := range []simulation.Request{hazard(), hazard(), report(), bulletin(1000, 3), lookup()} {
 		open = append(open, f.goDo(0, r))
 	}
 	f.until(patient, "all have begun", func() bool { return began(f.engines()) >= was+len(open) })
@@ -279,7 +279,7 @@
 	term := time.Now()
 	status := func() int {
 		c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-		resp, err := c.Get("http://" + m.boot.Readyz + screen.PathReady)
+		resp, err := c.Get("http://" + m.boot.Readyz + simulation.PathReady)
 		if err != nil {
 			return 0
 		}
@@ -302,7 +302,7 @@
 	var after atomic.Int64
 	var late sync.WaitGroup
 	for range 3 {
-		cl := &screen.Client{Edge: m.boot.Edge, Keep: true}
+		cl := &simulation.Client{Edge: m.boot.Edge, Keep: true}
 		f.clients = append(f.clients, cl)
 		late.Go(func() {
 			for r := cl.Do(f.ctx, lookup()); r.OK(); r = cl.Do(f.ctx, lookup()) {
@@ -345,7 +345,7 @@
 	term := time.Now()
 	var come sync.WaitGroup
 	for range 3 {
-		cl := &screen.Client{Edge: f.edge[0].boot.Edge, Keep: true}
+		cl := &simulation.Client{Edge: f.edge[0].boot.Edge, Keep: true}
 		f.clients = append(f.clients, cl)
 		come.Go(func() {
 			for ok := true; ok; {
@@ -376,7 +376,7 @@
 	f := newFleet(t, plan{bounds: map[string]any{"drain_ms": 2000}})
 	load := f.traffic([]int{0, 1})
 	load.goesOn(16, 0, 1)
-	leaving := []*screen.Engine{f.decode[0], f.plain[0]}
+	leaving := []*simulation.Engine{f.decode[0], f.plain[0]}
 	f.platform.Drain(leaving...)
 	listed := time.Now().Add(f.delay)
 	bound := listed.Add(f.bound("drain_ms", time.Millisecond))
@@ -387,7 +387,7 @@
 	for _, e := range leaving {
 		last := time.Duration(0)
 		for _, en := range e.Log.Entries() {
-			if en.Kind != screen.KindRequest && en.Kind != screen.KindPrefill || en.Status == http.StatusMisdirectedRequest {
+			if en.Kind != simulation.KindRequest && en.Kind != simulation.KindPrefill || en.Status == http.StatusMisdirectedRequest {
 				continue
 			}
 			last = max(last, en.At.Sub(listed))
@@ -425,7 +425,7 @@
 	// The list goes on as well.
 	fresh := f.startPlain()
 	f.platform.Add(fresh)
-	f.until(patient, "a new backend is sent to", func() bool { return began([]*screen.Engine{fresh}) > 0 })
+	f.until(patient, "a new backend is sent to", func() bool { return began([]*simulation.Engine{fresh}) > 0 })
 	load.stop()
 	f.judge()
 }
@@ -436,16 +436,16 @@
 	f := newFleet(t, plan{decode: 3})
 	// Those that make long answers are the same for all proxies while there are few.
 	f.served(f.clients[0].Do(f.ctx, hazard()), "before")
-	asked := func(e *screen.Engine) (n int) {
+	asked := func(e *simulation.Engine) (n int) {
 		for _, en := range e.Log.Entries() {
-			if en.Kind == screen.KindRequest {
+			if en.Kind == simulation.KindRequest {
 				n++
 			}
 		}
 		return n
 	}
-	silent := f.decode[slices.IndexFunc(f.decode, func(e *screen.Engine) bool { return asked(e) > 0 })]
-	silent.SetFaults(screen.Faults{Silent: true})
+	silent := f.decode[slices.IndexFunc(f.decode, func(e *simulation.Engine) bool { return asked(e) > 0 })]
+	silent.SetFaults(simulation.Faults{Silent: true})
 	began := time.Now()
 	// Clients leave before their deadline, which tells a proxy nothing of the backend.
 	r := hazard()
@@ -462,7 +462,7 @@
 		return row >= 24
 	})
 	f.Logf("known everywhere after %v", time.Since(began))
-	silent.SetFaults(screen.Faults{})
+	silent.SetFaults(simulation.Faults{})
 	n := asked(silent)
 	f.until(patient, "it is sent to again", func() bool {
 		for i := range f.clients {
--- a/internal/fleet/nodeagent/nodeagent_test.go
+++ b/internal/fleet/nodeagent/nodeagent_test.go
@@ -10,8 +10,8 @@
 	"go.uber.org/zap"
 
 	"molepaddle/internal/fleet/distribution"
-	"molepaddle/internal/fleet/screen"
 	"molepaddle/internal/fleet/settings"
+	"molepaddle/internal/fleet/simulation"
 )
 
 // A control server that is cut off from its primary still answers pulls; whoever follows it must leave it in time for a
@@ -21,7 +21,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	ips := []string{"127.0.4.1", "127.0.4.2", "127.0.4.3", "127.0.4.4", "127.0.0.1"}
-	ports := screen.ChoosePorts(t, 4, ips...)
+	ports := simulation.ChoosePorts(t, 4, ips...)
 	set := settings.Settings{Nodename: "edge-1", Zone: "z", Ports: [2]int{ports.First, ports.First + 3}, Heartbeat: 1200 * time.Millisecond}
 	set.Bounds.Apply = 2 * time.Second
 	set.Bounds.Drain = time.Minute
@@ -75,7 +75,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	ips := []string{"127.0.5.1", "127.0.5.2", "127.0.5.3", "127.0.0.1"}
-	ports := screen.ChoosePorts(t, 4, ips...)
+	ports := simulation.ChoosePorts(t, 4, ips...)
 	set := settings.Settings{Nodename: "edge-1", Zone: "z", Ports: [2]int{ports.First, ports.First + 3}, Heartbeat: 400 * time.Millisecond}
 	set.Bounds.Apply = time.Second
 	set.Bounds.Drain = time.Minute
--- a/internal/fleet/proxy/enclosed_rig_test.go
+++ b/internal/fleet/proxy/enclosed_rig_test.go
@@ -15,8 +15,8 @@
 	"go.uber.org/zap"
 
 	"molepaddle/internal/fleet/distribution"
-	"molepaddle/internal/fleet/screen"
 	"molepaddle/internal/fleet/settings"
+	"molepaddle/internal/fleet/simulation"
 )
 
 // The deployment of these tests: three regions, two zones each; what is asked for comes from east.
@@ -35,14 +35,14 @@
 	*qt.C
 	v       *Proxy
 	server  *httptest.Server
-	engines []*screen.Engine
+	engines []*simulation.Engine
 	listed  []distribution.Backend
-	client  *screen.Client
+	client  *simulation.Client
 	count   uint64 // versions of the list
 	version int
-	history []screen.Term // of the tenant "held"
-	begun   chan struct{} // one for each stream whose first event has gone to its client
-	at      func()        // called as a stream begins, before the proxy reads on; nil: nothing
+	history []simulation.Term // of the tenant "held"
+	begun   chan struct{}     // one for each stream whose first event has gone to its client
+	at      func()            // called as a stream begins, before the proxy reads on; nil: nothing
 }
 
 // watched tells when a stream has begun.
@@ -86,7 +86,7 @@
 		Bounds: settings.Bounds{Contact: 3 * time.Second, RetryRatio: 0.2, RetryExtra: 4000, RetryWindow: 10 * time.Second, Grace: 8 * time.Second}}
 }
 
-func newRig(tb testing.TB, engines ...screen.EngineSettings) *rig {
+func newRig(tb testing.TB, engines ...simulation.EngineSettings) *rig {
 	tb.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &rig{C: qt.New(tb), v: New(ctx, testSettings(testZones), zap.NewNop())}
@@ -95,9 +95,9 @@
 	r.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		r.v.ServeHTTP(&watched{ResponseWriter: w, begun: r.begun, at: r.at}, q)
 	}))
-	r.client = &screen.Client{Edge: r.server.Listener.Addr().String()}
+	r.client = &simulation.Client{Edge: r.server.Listener.Addr().String()}
 	for _, s := range engines {
-		r.engines = append(r.engines, screen.StartEngine(tb, s))
+		r.engines = append(r.engines, simulation.StartEngine(tb, s))
 	}
 	tb.Cleanup(func() {
 		cancel()
@@ -110,13 +110,13 @@
 }
 
 // entry is an engine as the platform lists it.
-func entry(e *screen.Engine) distribution.Backend {
+func entry(e *simulation.Engine) distribution.Backend {
 	s := e.Settings()
 	return distribution.Backend{ID: e.ID(), Service: s.Service, Address: e.Address(), Zone: s.Zone, Version: "v1", Capacity: s.Capacity, Phase: string(s.Phase)}
 }
 
 // list has the proxy told of these engines.
-func (r *rig) list(engines ...*screen.Engine) {
+func (r *rig) list(engines ...*simulation.Engine) {
 	var all []distribution.Backend
 	for _, e := range engines {
 		all = append(all, entry(e))
@@ -156,31 +156,31 @@
 	doc := r.document(regions...)
 	r.v.take(&distribution.Response{Resources: []distribution.Resource{{Source: distribution.SourceConfig, At: distribution.Version{Epoch: 1, Count: uint64(r.version)}, Whole: doc}}})
 	r.Assert(r.v.world.Load().version, qt.Equals, int64(r.version))
-	r.history = append(r.history, screen.Term{From: time.Now(), Regions: regions})
+	r.history = append(r.history, simulation.Term{From: time.Now(), Regions: regions})
 }
 
 // ask makes a request for a route; prompts of the same family share a part.
-func ask(route string, family, own int, tokens [2]int) screen.Request {
-	q := screen.Request{Host: "h", Path: "/" + route + "/x", Body: []byte("data of " + route), Kind: screen.ReadOnly, Deadline: testDeadline}
+func ask(route string, family, own int, tokens [2]int) simulation.Request {
+	q := simulation.Request{Host: "h", Path: "/" + route + "/x", Body: []byte("data of " + route), Kind: simulation.ReadOnly, Deadline: testDeadline}
 	switch route {
 	case "held", "free":
-		q.Kind, q.Resumable = screen.Stream, true
+		q.Kind, q.Resumable = simulation.Stream, true
 	case "once", "freeonce":
-		q.Kind = screen.Stream
+		q.Kind = simulation.Stream
 	case "post":
-		q.Kind = screen.Mutating
+		q.Kind = simulation.Mutating
 	}
-	if q.Kind == screen.Stream {
+	if q.Kind == simulation.Stream {
 		q.Model, q.Tokens = "m", tokens
-		q.Parts = []screen.Part{{ID: fmt.Sprintf("fa%04x", family), Tokens: tokens[0] - 16}, {ID: fmt.Sprintf("%08x", own), Tokens: 16}}
+		q.Parts = []simulation.Part{{ID: fmt.Sprintf("fa%04x", family), Tokens: tokens[0] - 16}, {ID: fmt.Sprintf("%08x", own), Tokens: 16}}
 	}
 	return q
 }
 
 // burst sends n requests of each route at once, and gives their results when all have ended.
-func (r *rig) burst(n int, tokens [2]int, routes ...string) []screen.Result {
+func (r *rig) burst(n int, tokens [2]int, routes ...string) []simulation.Result {
 	var wg sync.WaitGroup
-	out := make([]screen.Result, n*len(routes))
+	out := make([]simulation.Result, n*len(routes))
 	for k, route := range routes {
 		for i := range n {
 			wg.Go(func() { out[k*n+i] = r.client.Do(r.Context(), ask(route, i%5, k*n+i, tokens)) })
@@ -193,7 +193,7 @@
 func (r *rig) Context() context.Context { return context.Background() }
 
 // terms are those of a request over the whole history.
-func (r *rig) terms(of screen.Result) []screen.Term {
+func (r *rig) terms(of simulation.Result) []simulation.Term {
 	if strings.HasPrefix(of.Path, "/free") {
 		return nil
 	}
@@ -202,11 +202,11 @@
 
 // clean ends the proxy and judges all that happened: nothing outside, every request answered once and in its time. It gives the kept parts that
 // lingered.
-func (r *rig) clean() []screen.Rest {
+func (r *rig) clean() []simulation.Rest {
 	r.Helper()
 	r.server.Close() // waits for the requests, and what follows for the handles that they left to be freed
 	r.v.background.Wait()
-	j := &screen.Judge{Engines: r.engines, Clients: []*screen.Client{r.client}}
+	j := &simulation.Judge{Engines: r.engines, Clients: []*simulation.Client{r.client}}
 	leaked, lingering := j.Leaks(r.terms, testSlack)
 	for _, one := range leaked {
 		last := r.history[len(r.history)-1].From
@@ -224,7 +224,7 @@
 }
 
 // answers counts results by status; 0: broken off.
-func answers(all []screen.Result) map[int]int {
+func answers(all []simulation.Result) map[int]int {
 	out := map[int]int{}
 	for _, res := range all {
 		if res.Status == 200 && !res.OK() {
@@ -237,11 +237,11 @@
 }
 
 // everywhere is a prefill, a decode and a plain backend in each region.
-func everywhere(change func(s *screen.EngineSettings)) (all []screen.EngineSettings) {
+func everywhere(change func(s *simulation.EngineSettings)) (all []simulation.EngineSettings) {
 	for _, zone := range []string{"e1", "m1", "w1"} {
-		for _, phase := range []screen.Phase{screen.PhasePrefill, screen.PhaseDecode, screen.PhaseNone} {
-			s := screen.EngineSettings{Service: "llm", Zone: zone, Region: testZones[zone], Phase: phase, Capacity: 8, Queue: 4, KVRef: time.Minute}
-			if phase == screen.PhaseNone {
+		for _, phase := range []simulation.Phase{simulation.PhasePrefill, simulation.PhaseDecode, simulation.PhaseNone} {
+			s := simulation.EngineSettings{Service: "llm", Zone: zone, Region: testZones[zone], Phase: phase, Capacity: 8, Queue: 4, KVRef: time.Minute}
+			if phase == simulation.PhaseNone {
 				s.Service = "obs"
 			}
 			if change != nil {
@@ -254,7 +254,7 @@
 }
 
 // in gives the engines of a region.
-func (r *rig) in(region string) (out []*screen.Engine) {
+func (r *rig) in(region string) (out []*simulation.Engine) {
 	for _, e := range r.engines {
 		if e.Settings().Region == region {
 			out = append(out, e)
--- a/internal/fleet/proxy/enclosed_test.go
+++ b/internal/fleet/proxy/enclosed_test.go
@@ -15,7 +15,7 @@
 
 	"molepaddle/internal/fleet/distribution"
 	"molepaddle/internal/fleet/residency"
-	"molepaddle/internal/fleet/screen"
+	"molepaddle/internal/fleet/simulation"
 )
 
 var allHeld = []string{"held", "once", "read", "post"}
@@ -50,14 +50,14 @@
 	storms := map[string]func(r *rig){
 		"near region dies":   func(r *rig) { crash(r.in("east")) },
 		"all inside die":     func(r *rig) { crash(r.in("east")); crash(r.in("mid")) },
-		"near garbles":       func(r *rig) { trouble(r.in("east"), screen.Faults{Garble: true}) },
-		"near loses answers": func(r *rig) { trouble(r.in("east"), screen.Faults{LoseAnswer: true}) },
-		"near cuts streams":  func(r *rig) { trouble(r.in("east"), screen.Faults{CutAfter: 2}) },
-		"near fails":         func(r *rig) { trouble(r.in("east"), screen.Faults{Fail: 500}) },
-		"near refuses":       func(r *rig) { trouble(r.in("east"), screen.Faults{Refuse: true}) },
+		"near garbles":       func(r *rig) { trouble(r.in("east"), simulation.Faults{Garble: true}) },
+		"near loses answers": func(r *rig) { trouble(r.in("east"), simulation.Faults{LoseAnswer: true}) },
+		"near cuts streams":  func(r *rig) { trouble(r.in("east"), simulation.Faults{CutAfter: 2}) },
+		"near fails":         func(r *rig) { trouble(r.in("east"), simulation.Faults{Fail: 500}) },
+		"near refuses":       func(r *rig) { trouble(r.in("east"), simulation.Faults{Refuse: true}) },
 		"inside refuse": func(r *rig) {
-			trouble(r.in("east"), screen.Faults{Refuse: true})
-			trouble(r.in("mid"), screen.Faults{Refuse: true})
+			trouble(r.in("east"), simulation.Faults{Refuse: true})
+			trouble(r.in("mid"), simulation.Faults{Refuse: true})
 		},
 		"handles lapse": func(r *rig) {
 			for _, e := range r.engines {
@@ -70,7 +70,7 @@
 			r := newRig(t, everywhere(nil)...)
 			r.configure("east", "mid")
 			first := r.burst(4, [2]int{400, 4}, allHeld...)
-			done := make(chan []screen.Result)
+			done := make(chan []simulation.Result)
 			go func() { done <- r.burst(12, [2]int{400, 12}, append(allHeld, "free")...) }()
 			storm(r)
 			got := append(first, <-done...)
@@ -81,7 +81,7 @@
 		t.Run(name+", no terms", func(t *testing.T) {
 			r := newRig(t, everywhere(nil)...)
 			r.configure()
-			done := make(chan []screen.Result)
+			done := make(chan []simulation.Result)
 			go func() { done <- r.burst(12, [2]int{400, 12}, allHeld...) }()
 			storm(r)
 			<-done
@@ -93,13 +93,13 @@
 }
 
 // crash ends engines at once.
-func crash(all []*screen.Engine) {
+func crash(all []*simulation.Engine) {
 	for _, e := range all {
 		e.Crash()
 	}
 }
 
-func trouble(all []*screen.Engine, f screen.Faults) {
+func trouble(all []*simulation.Engine, f simulation.Faults) {
 	for _, e := range all {
 		e.SetFaults(f)
 	}
@@ -108,7 +108,7 @@
 // TestEnclosedCrowd sends several times what fits inside: what does not fit is refused at once, and none goes outside although
 // the other region stands idle.
 func TestEnclosedCrowd(t *testing.T) {
-	small := func(s *screen.EngineSettings) {
+	small := func(s *simulation.EngineSettings) {
 		s.Capacity, s.Queue = 2, 1
 		s.Step = 20 * time.Millisecond
 	}
@@ -129,9 +129,9 @@
 
 // TestEnclosedWithdrawn withdraws a region while streams run there and handles wait there.
 func TestEnclosedWithdrawn(t *testing.T) {
-	r := newRig(t, everywhere(func(s *screen.EngineSettings) { s.Step = 10 * time.Millisecond })...)
+	r := newRig(t, everywhere(func(s *simulation.EngineSettings) { s.Step = 10 * time.Millisecond })...)
 	r.configure("east")
-	done := make(chan []screen.Result)
+	done := make(chan []simulation.Result)
 	go func() { done <- r.burst(3, [2]int{400, 100}, "held", "once") }()
 	r.awaitBegun(6)
 	r.configure("mid")
@@ -159,7 +159,7 @@
 func TestEnclosedWithdrawnBetweenReads(t *testing.T) {
 	r := newRig(t, everywhere(nil)...)
 	r.configure("east")
-	trouble(r.in("east"), screen.Faults{StallAfter: 1})
+	trouble(r.in("east"), simulation.Faults{StallAfter: 1})
 	r.at = sync.OnceFunc(func() {
 		r.configure("mid")
 		for range 1000 {
@@ -172,14 +172,16 @@
 }
 
 // cutOff tells whether an answer can't be taken for a whole one: broken off, or, before its first event, refused without a promise.
-func cutOff(res screen.Result) bool { return res.Status == 502 || res.Status == 200 && !res.Complete }
+func cutOff(res simulation.Result) bool {
+	return res.Status == 502 || res.Status == 200 && !res.Complete
+}
 
 // TestEnclosedTermsAppear puts a route under terms while its streams run elsewhere: they are cut at their next event.
 func TestEnclosedTermsAppear(t *testing.T) {
-	r := newRig(t, everywhere(func(s *screen.EngineSettings) { s.Step = 10 * time.Millisecond })...)
+	r := newRig(t, everywhere(func(s *simulation.EngineSettings) { s.Step = 10 * time.Millisecond })...)
 	r.list(r.in("west")...)
 	r.configure()
-	done := make(chan []screen.Result)
+	done := make(chan []simulation.Result)
 	go func() { done <- r.burst(3, [2]int{400, 100}, "held") }()
 	r.awaitBegun(3)
 	r.list(r.engines...)
@@ -192,15 +194,15 @@
 
 // TestEnclosedHandleWithdrawn withdraws the region where memory waits for a taker that is full: the memory is freed.
 func TestEnclosedHandleWithdrawn(t *testing.T) {
-	at := func(zone string, phase screen.Phase) screen.EngineSettings {
-		return screen.EngineSettings{Service: "llm", Zone: zone, Region: testZones[zone], Phase: phase, Capacity: 1, Queue: 4, KVRef: time.Minute}
+	at := func(zone string, phase simulation.Phase) simulation.EngineSettings {
+		return simulation.EngineSettings{Service: "llm", Zone: zone, Region: testZones[zone], Phase: phase, Capacity: 1, Queue: 4, KVRef: time.Minute}
 	}
-	r := newRig(t, at("e1", screen.PhasePrefill), at("m1", screen.PhaseDecode))
+	r := newRig(t, at("e1", simulation.PhasePrefill), at("m1", simulation.PhaseDecode))
 	reader, taker := r.engines[0], r.engines[1]
 	r.configure("east", "mid")
 	release := taker.Hold()
 	defer release()
-	done := make(chan []screen.Result, 2)
+	done := make(chan []simulation.Result, 2)
 	ctx, cancel := context.WithTimeout(context.Background(), 2*testDeadline)
 	defer cancel()
 	// Another's holds the only place; the tenant's waits behind it, its memory still where it was read. Neither is to be
@@ -210,7 +212,7 @@
 		running, waiting int
 	}{{"freeonce", 1, 0}, {"once", 1, 1}} {
 		go func() { done <- r.burst(1, [2]int{4000, 4}, one.route) }()
-		_, err := taker.Log.Wait(ctx, func([]screen.Entry) bool {
+		_, err := taker.Log.Wait(ctx, func([]simulation.Entry) bool {
 			running, waiting := taker.Load()
 			return running == one.running && waiting == one.waiting
 		})
@@ -218,7 +220,7 @@
 	}
 	r.Assert(reader.Handles(), qt.Equals, 1)
 	r.configure("mid")
-	_, err := reader.Log.Wait(ctx, func([]screen.Entry) bool { return reader.Handles() == 0 })
+	_, err := reader.Log.Wait(ctx, func([]simulation.Entry) bool { return reader.Handles() == 0 })
 	r.Assert(err, qt.IsNil)
 	release()
 	<-done
@@ -228,10 +230,10 @@
 
 // TestEnclosedTakers has memory taken from where it was read to another region of the tenant, with an idle taker outside.
 func TestEnclosedTakers(t *testing.T) {
-	at := func(zone string, phase screen.Phase) screen.EngineSettings {
-		return screen.EngineSettings{Service: "llm", Zone: zone, Region: testZones[zone], Phase: phase, Capacity: 8, Queue: 4, KVRef: time.Minute}
+	at := func(zone string, phase simulation.Phase) simulation.EngineSettings {
+		return simulation.EngineSettings{Service: "llm", Zone: zone, Region: testZones[zone], Phase: phase, Capacity: 8, Queue: 4, KVRef: time.Minute}
 	}
-	r := newRig(t, at("e1", screen.PhasePrefill), at("m1", screen.PhaseDecode), at("w1", screen.PhaseDecode), at("w2", screen.PhaseDecode))
+	r := newRig(t, at("e1", simulation.PhasePrefill), at("m1", simulation.PhaseDecode), at("w1", simulation.PhaseDecode), at("w2", simulation.PhaseDecode))
 	r.configure("east", "mid")
 	for range 4 {
 		r.burst(4, [2]int{4000, 4}, "held", "once")
@@ -247,11 +249,11 @@
 // TestEnclosedResumes has every stream cut off half way: they are taken up at the other backend of the tenant's regions, although
 // more stand idle outside.
 func TestEnclosedResumes(t *testing.T) {
-	at := func(zone string) screen.EngineSettings {
-		return screen.EngineSettings{Service: "llm", Zone: zone, Region: testZones[zone], Phase: screen.PhaseDecode, Capacity: 64}
+	at := func(zone string) simulation.EngineSettings {
+		return simulation.EngineSettings{Service: "llm", Zone: zone, Region: testZones[zone], Phase: simulation.PhaseDecode, Capacity: 64}
 	}
 	r := newRig(t, at("e1"), at("m1"), at("w1"), at("w2"), at("w2"))
-	trouble(r.engines[:2], screen.Faults{CutAfter: 2})
+	trouble(r.engines[:2], simulation.Faults{CutAfter: 2})
 	r.configure("east", "mid")
 	for i := range 24 {
 		q := ask("held", i, i, [2]int{400, 4})
@@ -271,7 +273,7 @@
 
 // TestEnclosedUnknownZone fails closed where the region of a backend is not known.
 func TestEnclosedUnknownZone(t *testing.T) {
-	r := newRig(t, everywhere(func(s *screen.EngineSettings) { s.Zone = "x-" + s.Zone })...)
+	r := newRig(t, everywhere(func(s *simulation.EngineSettings) { s.Zone = "x-" + s.Zone })...)
 	r.configure("east", "mid", "west")
 	for _, res := range r.burst(3, [2]int{400, 4}, allHeld...) {
 		r.Check(res.Status, qt.Equals, 503)
@@ -288,9 +290,9 @@
 
 // TestEnclosedRelisted has the platform correct the region of a backend while a stream runs there.
 func TestEnclosedRelisted(t *testing.T) {
-	r := newRig(t, everywhere(func(s *screen.EngineSettings) { s.Step = 10 * time.Millisecond })...)
+	r := newRig(t, everywhere(func(s *simulation.EngineSettings) { s.Step = 10 * time.Millisecond })...)
 	r.configure("east")
-	done := make(chan []screen.Result)
+	done := make(chan []simulation.Result)
 	go func() { done <- r.burst(2, [2]int{400, 100}, "once") }()
 	r.awaitBegun(2)
 	list := append([]distribution.Backend{}, r.listed...)
@@ -311,15 +313,15 @@
 // TestEnclosedAddressReused sends to an address that belongs to a backend of another region by now, of which the list does
 // not tell yet: bytes reach it, nothing rests there.
 func TestEnclosedAddressReused(t *testing.T) {
-	at := func(zone string, phase screen.Phase, address string) screen.EngineSettings {
-		return screen.EngineSettings{Service: "llm", Zone: zone, Region: testZones[zone], Phase: phase, Address: address}
+	at := func(zone string, phase simulation.Phase, address string) simulation.EngineSettings {
+		return simulation.EngineSettings{Service: "llm", Zone: zone, Region: testZones[zone], Phase: phase, Address: address}
 	}
-	r := newRig(t, at("e1", screen.PhasePrefill, ""), at("e1", screen.PhaseDecode, ""))
+	r := newRig(t, at("e1", simulation.PhasePrefill, ""), at("e1", simulation.PhaseDecode, ""))
 	r.configure("east")
 	for _, e := range r.engines[:2] {
 		e.Crash()
 		s := at("w1", e.Settings().Phase, e.Address())
-		r.engines = append(r.engines, screen.StartEngine(t, s))
+		r.engines = append(r.engines, simulation.StartEngine(t, s))
 	}
 	got := r.burst(6, [2]int{400, 4}, "held", "once")
 	r.Check(answers(got), qt.DeepEquals, map[int]int{503: 12})
--- a/internal/fleet/proxy/generate_test.go
+++ b/internal/fleet/proxy/generate_test.go
@@ -5,17 +5,17 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"molepaddle/internal/fleet/screen"
+	"molepaddle/internal/fleet/simulation"
 )
 
 // TestStagedPromptsAreTriedAgain: with eighty proxies each may save little more than one further send. A staged prompt whose taker
 // failed asked for two, one to read it again and one to send it again, and was never served.
 func TestStagedPromptsAreTriedAgain(t *testing.T) {
-	for _, fault := range []screen.Faults{{Fail: 500}, {LoseAnswer: true}, {Garble: true}, {Refuse: true}} {
-		engine := func(phase screen.Phase) screen.EngineSettings {
-			return screen.EngineSettings{Service: "llm", Zone: "e1", Phase: phase, Capacity: 8}
+	for _, fault := range []simulation.Faults{{Fail: 500}, {LoseAnswer: true}, {Garble: true}, {Refuse: true}} {
+		engine := func(phase simulation.Phase) simulation.EngineSettings {
+			return simulation.EngineSettings{Service: "llm", Zone: "e1", Phase: phase, Capacity: 8}
 		}
-		r := newRig(t, engine(screen.PhasePrefill), engine(screen.PhaseDecode), engine(screen.PhaseDecode))
+		r := newRig(t, engine(simulation.PhasePrefill), engine(simulation.PhaseDecode), engine(simulation.PhaseDecode))
 		r.v.set.Bounds.RetryExtra, r.v.proxies = 202, 81
 		r.configure()
 		trouble(r.engines[1:2], fault)
--- a/internal/fleet/proxy/leaks_test.go
+++ b/internal/fleet/proxy/leaks_test.go
@@ -12,7 +12,7 @@
 )
 
 // leak is a fault planted in a copy of the sources: each old text once, replaced. The compiler or the tests of enclosed requests,
-// most of them by the auditor (screen.Judge's Leaks), have to find it.
+// most of them by the auditor (simulation.Judge's Leaks), have to find it.
 type leak struct {
 	name    string
 	by      string              // what finds it: "compiler", or the tests that are run
--- a/internal/fleet/screen/boot.go
+++ b/internal/fleet/simulation/boot.go
@@ -1,4 +1,4 @@
-package screen
+package simulation
 
 import (
 	"fmt"
@@ -50,7 +50,7 @@
 		chosen.ranges = append(chosen.ranges, [2]int{from, from + n + 3})
 		return Ports{Edge: from, Readyz: from + 1, Ctl: from + 2, First: from + 3, Last: from + 2 + n}
 	}
-	tb.Fatalf("screen: no %d free ports in a row on %v", n+3, ips)
+	tb.Fatalf("simulation: no %d free ports in a row on %v", n+3, ips)
 	return Ports{}
 }
 
@@ -146,7 +146,7 @@
 	if s.DataDir == "" && s.Tier == "core" {
 		s.DataDir = filepath.Join(dir, "data")
 		if err := os.Mkdir(s.DataDir, 0o700); err != nil {
-			tb.Fatalf("screen: boot: %v", err)
+			tb.Fatalf("simulation: boot: %v", err)
 		}
 	}
 	at := func(port int) string { return net.JoinHostPort(s.IP, strconv.Itoa(port)) }
@@ -186,13 +186,13 @@
 	}
 	text, err := toml.Marshal(doc)
 	if err != nil {
-		tb.Fatalf("screen: boot: %v", err)
+		tb.Fatalf("simulation: boot: %v", err)
 	}
 	if s.Extra != "" {
 		text = append([]byte(s.Extra+"\n"), text...)
 	}
 	if err := os.WriteFile(out.Path, text, 0o600); err != nil {
-		tb.Fatalf("screen: boot: %v", err)
+		tb.Fatalf("simulation: boot: %v", err)
 	}
 	return out
 }
--- a/internal/fleet/screen/engine.go
+++ b/internal/fleet/simulation/engine.go
@@ -1,4 +1,4 @@
-package screen
+package simulation
 
 import (
 	"context"
@@ -108,7 +108,7 @@
 	err := e.listen()
 	e.mu.Unlock()
 	if err != nil {
-		tb.Fatalf("screen: engine: %v", err)
+		tb.Fatalf("simulation: engine: %v", err)
 	}
 	registry.Store(e.s.Address, e)
 	tb.Cleanup(func() {
@@ -278,7 +278,7 @@
 	if e.listener == nil {
 		if err := e.listen(); err != nil {
 			e.mu.Unlock()
-			tb.Fatalf("screen: engine: %v", err)
+			tb.Fatalf("simulation: engine: %v", err)
 		}
 	}
 	e.mu.Unlock()
--- a/internal/fleet/screen/judge_rest.go
+++ b/internal/fleet/simulation/judge_rest.go
@@ -1,4 +1,4 @@
-package screen
+package simulation
 
 import (
 	"cmp"
--- a/internal/fleet/screen/memory.go
+++ b/internal/fleet/simulation/memory.go
@@ -1,4 +1,4 @@
-package screen
+package simulation
 
 // partKey names a kept part: parts are kept for the same model at the same version of its weights.
 type partKey struct {
--- a/internal/fleet/screen/platform.go
+++ b/internal/fleet/simulation/platform.go
@@ -1,4 +1,4 @@
-package screen
+package simulation
 
 import (
 	"encoding/json"
@@ -69,7 +69,7 @@
 	}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		tb.Fatalf("screen: platform: %v", err)
+		tb.Fatalf("simulation: platform: %v", err)
 	}
 	p := &Platform{s: s, listener: ln}
 	// What is there at the start was always there: the lag begins with the first change.
--- a/internal/fleet/screen/program.go
+++ b/internal/fleet/simulation/program.go
@@ -1,4 +1,4 @@
-package screen
+package simulation
 
 import (
 	"bytes"
@@ -53,7 +53,7 @@
 	}
 	p.cmd.Stdout, p.cmd.Stderr = p.out, p.out
 	if err := p.cmd.Start(); err != nil {
-		tb.Fatalf("screen: exec: %v", err)
+		tb.Fatalf("simulation: exec: %v", err)
 	}
 	go func() {
 		p.cmd.Wait()
--- a/internal/fleet/screen/relay.go
+++ b/internal/fleet/simulation/relay.go
@@ -1,4 +1,4 @@
-package screen
+package simulation
 
 import (
 	"io"
@@ -12,7 +12,7 @@
 	tb.Helper()
 	ln, err := net.Listen("tcp", from)
 	if err != nil {
-		tb.Fatalf("screen: pass on: %v", err)
+		tb.Fatalf("simulation: pass on: %v", err)
 	}
 	tb.Cleanup(func() { ln.Close() })
 	go func() {
--- a/internal/fleet/screen/tb.go
+++ b/internal/fleet/simulation/tb.go
@@ -1,4 +1,4 @@
-package screen
+package simulation
 
 // TB is what the stand-ins need of whoever starts them: testing.TB has it, and `station demo` brings its own.
 type TB interface {
