The fleet's command is molepaddle-fleet: roles proxy, node-agent, control-plane

Ruled out: an alias of the old command. Before and after: no behaviour changed; the planted faults name the files where they stand now. TestCompletion wanted "pro" to complete to "propose" alone; there is a command "proxy" now, so it wants exactly these two.

--- a/cmd/station/check.go
+++ b/cmd/molepaddle-fleet/check.go
@@ -89,7 +89,7 @@
 	}
 	switch one.Kind = kindOf(name, body); one.Kind {
 	case kindUpdate:
-		one.Findings = append(one.Findings, finding{"", "is no whole configuration: `station diff` tells what it would change"})
+		one.Findings = append(one.Findings, finding{"", "is no whole configuration: `molepaddle-fleet diff` tells what it would change"})
 	case kindConfiguration:
 		d, in := routingconfig.Decode(body)
 		one.Findings = found(in, body)
--- a/cmd/station/control_test.go
+++ b/cmd/molepaddle-fleet/control_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -130,8 +131,8 @@
 		{Key: "vcs.time", Value: "2026-12-02T04:06:00Z"}, {Key: "vcs.modified", Value: "true"}}}, true
 }
 
-// station runs a command line, with no settings file but those that it names.
-func station(tb testing.TB, args ...string) (code int, out, errOut string) {
+// fleetctl runs a command line, with no settings file but those that it names.
+func fleetctl(tb testing.TB, args ...string) (code int, out, errOut string) {
 	tb.Setenv("MOLEPADDLE_CONFIG", "")
 	var o, e bytes.Buffer
 	code = run(context.Background(), args, &o, &e, build)
@@ -167,14 +168,14 @@
 		for _, f := range one.files {
 			args = append(args, data(f))
 		}
-		code, _, _ := station(t, args...)
+		code, _, _ := fleetctl(t, args...)
 		c.Check(code, qt.Equals, one.code, qt.Commentf("%v", one.files))
 	}
 }
 
 func TestCheckTellsAll(t *testing.T) {
 	c := qt.New(t)
-	code, out, errOut := station(t, "check", "--json", data("wrong.toml"), data("bad.json"), data("absent.toml"))
+	code, out, errOut := fleetctl(t, "check", "--json", data("wrong.toml"), data("bad.json"), data("absent.toml"))
 	c.Assert(code, qt.Equals, exitUsage)
 	c.Assert(errOut, qt.Equals, "")
 	var all []checked
@@ -198,7 +199,7 @@
 	c := qt.New(t)
 	name := filepath.Join(t.TempDir(), "x.json")
 	c.Assert(os.WriteFile(name, []byte("{\"ver\":1,\"routing\":[],\"svcs\":[],\"caps\":{\"a\\u001b[2Jb\":1,\"a\\u001b[2Jb\":2}}"), 0o600), qt.IsNil)
-	code, out, _ := station(t, "check", name)
+	code, out, _ := fleetctl(t, "check", name)
 	c.Assert(code, qt.Equals, exitNo)
 	c.Assert(out, qt.Contains, "given twice")
 	c.Assert(strings.ContainsRune(out, 0x1b), qt.IsFalse)
@@ -209,21 +210,21 @@
 	s := newControl(c)
 	// While there is none, the third no is the answer.
 	show := "GET /molepaddle/cfg/show"
-	code, out, _ := station(t, "propose", data("fleet.json"), "--control", s.addr)
+	code, out, _ := fleetctl(t, "propose", data("fleet.json"), "--control", s.addr)
 	c.Assert(code, qt.Equals, exitDone)
 	c.Assert(out, qt.Contains, "version 5 on top of 0")
 	c.Assert(s.seen(), qt.DeepEquals, []string{show, show, show, "POST /molepaddle/cfg/replace 0"})
-	code, out, _ = station(t, "propose", data("next.json"), "--control", s.addr)
+	code, out, _ = fleetctl(t, "propose", data("next.json"), "--control", s.addr)
 	c.Assert(code, qt.Equals, exitDone)
 	c.Assert(out, qt.Contains, "version 7 on top of 5")
 	c.Assert(s.seen()[4:], qt.DeepEquals, []string{show, "POST /molepaddle/cfg/replace 5"})
 	// What is in force already is not sent.
-	code, out, _ = station(t, "propose", data("next.json"), "--control", s.addr)
+	code, out, _ = fleetctl(t, "propose", data("next.json"), "--control", s.addr)
 	c.Assert(code, qt.Equals, exitDone)
 	c.Assert(out, qt.Contains, "in force already")
 	c.Assert(s.seen(), qt.HasLen, 7)
 	// With a base nothing is asked.
-	code, _, errOut := station(t, "propose", data("back.json"), "--control", s.addr, "--base", "5")
+	code, _, errOut := fleetctl(t, "propose", data("back.json"), "--control", s.addr, "--base", "5")
 	c.Assert(code, qt.Equals, exitStale)
 	c.Assert(errOut, qt.Contains, "(412): version 7 is in place")
 	c.Assert(s.seen()[7:], qt.DeepEquals, []string{"POST /molepaddle/cfg/replace 5"})
@@ -232,13 +233,13 @@
 func TestProposeTellsFindings(t *testing.T) {
 	c := qt.New(t)
 	s := newControl(c)
-	code, out, errOut := station(t, "propose", data("bad.json"), "--control", s.addr)
+	code, out, errOut := fleetctl(t, "propose", data("bad.json"), "--control", s.addr)
 	c.Assert(code, qt.Equals, exitNo)
 	c.Assert(out, qt.Contains, data("bad.json")+": routing[1].deadline_ms: must be above 0\n")
 	c.Assert(out, qt.Contains, `routing[1].shares[1].svc: the service "obs-lookpu" is not known`)
 	c.Assert(errOut, qt.Contains, "refused by "+s.addr+" (400): the configuration is invalid")
 
-	code, out, errOut = station(t, "propose", "--json", data("bad.json"), "--control", s.addr)
+	code, out, errOut = fleetctl(t, "propose", "--json", data("bad.json"), "--control", s.addr)
 	c.Assert(code, qt.Equals, exitNo)
 	c.Assert(errOut, qt.Equals, "")
 	var got sent
@@ -251,24 +252,24 @@
 func TestChangesAreNotMixedUp(t *testing.T) {
 	c := qt.New(t)
 	s := newControl(c)
-	code, _, errOut := station(t, "update", data("fleet.json"), "--control", s.addr)
+	code, _, errOut := fleetctl(t, "update", data("fleet.json"), "--control", s.addr)
 	c.Assert(code, qt.Equals, exitNo)
-	c.Assert(errOut, qt.Contains, "station propose")
-	code, _, errOut = station(t, "propose", data("reading.json"), "--control", s.addr)
+	c.Assert(errOut, qt.Contains, "molepaddle-fleet propose")
+	code, _, errOut = fleetctl(t, "propose", data("reading.json"), "--control", s.addr)
 	c.Assert(code, qt.Equals, exitNo)
-	c.Assert(errOut, qt.Contains, "station update")
+	c.Assert(errOut, qt.Contains, "molepaddle-fleet update")
 	c.Assert(s.seen(), qt.HasLen, 0)
 }
 
 func TestUpdate(t *testing.T) {
 	c := qt.New(t)
 	s := newControl(c)
-	code, _, _ := station(t, "propose", data("next.json"), "--control", s.addr)
+	code, _, _ := fleetctl(t, "propose", data("next.json"), "--control", s.addr)
 	c.Assert(code, qt.Equals, exitDone)
-	code, out, errOut := station(t, "update", data("reading.json"), "--control", s.addr)
+	code, out, errOut := fleetctl(t, "update", data("reading.json"), "--control", s.addr)
 	c.Assert(code, qt.Equals, exitDone, qt.Commentf("%s", errOut))
 	c.Assert(out, qt.Contains, "version 9 on top of 7")
-	code, out, _ = station(t, "show", "--json", "--control", s.addr)
+	code, out, _ = fleetctl(t, "show", "--json", "--control", s.addr)
 	c.Assert(code, qt.Equals, exitDone)
 	d, found := routingconfig.Decode([]byte(out))
 	c.Assert(found, qt.HasLen, 0)
@@ -282,7 +283,7 @@
 		{"show"}, {"diff", data("fleet.json")}, {"propose", data("fleet.json")}, {"propose", "--base", "0", data("fleet.json")},
 		{"update", "--base", "7", data("reading.json")}, {"route", "a", "/b"},
 	} {
-		code, _, errOut := station(t, append(args, "--control", nobody, "--within", "150ms")...)
+		code, _, errOut := fleetctl(t, append(args, "--control", nobody, "--within", "150ms")...)
 		c.Check(code, qt.Equals, exitUnclear, qt.Commentf("%v", args))
 		c.Check(errOut, qt.Contains, "no clear answer: "+nobody, qt.Commentf("%v", args))
 		if len(args) > 2 && args[1] == "--base" {
@@ -294,9 +295,9 @@
 func TestDiffTellsWhatWouldBeRefused(t *testing.T) {
 	c := qt.New(t)
 	s := newControl(c)
-	code, _, _ := station(t, "propose", data("next.json"), "--control", s.addr, "--base", "0")
+	code, _, _ := fleetctl(t, "propose", data("next.json"), "--control", s.addr, "--base", "0")
 	c.Assert(code, qt.Equals, exitDone)
-	code, out, _ := station(t, "diff", "--json", data("fleet.json"), "--control", s.addr)
+	code, out, _ := fleetctl(t, "diff", "--json", data("fleet.json"), "--control", s.addr)
 	c.Assert(code, qt.Equals, exitNo)
 	var o outcome
 	c.Assert(json.Unmarshal([]byte(out), &o), qt.IsNil)
@@ -305,11 +306,11 @@
 	c.Check(o.Findings, qt.DeepEquals, []finding{{"ver", "5 is not above the current version, 7"}})
 	c.Check(len(o.Changes) > 0, qt.IsTrue)
 	// What is in force is no change, and would not be refused.
-	code, out, _ = station(t, "diff", data("next.json"), "--control", s.addr)
+	code, out, _ = fleetctl(t, "diff", data("next.json"), "--control", s.addr)
 	c.Assert(code, qt.Equals, exitDone)
 	c.Assert(out, qt.Equals, "version 7 -> 7: 0 changes\n")
 	// An update is laid over what is in force.
-	code, out, _ = station(t, "diff", data("reading.json"), "--control", s.addr)
+	code, out, _ = fleetctl(t, "diff", data("reading.json"), "--control", s.addr)
 	c.Assert(code, qt.Equals, exitDone)
 	c.Assert(out, qt.Contains, "+ route r-reading")
 	c.Assert(s.seen()[1:], qt.DeepEquals, []string{"GET /molepaddle/cfg/show", "GET /molepaddle/cfg/show", "GET /molepaddle/cfg/show"})
@@ -320,9 +321,9 @@
 	s := newControl(c)
 	name := filepath.Join(t.TempDir(), "boot.toml")
 	c.Assert(os.WriteFile(name, []byte("nodename = \"n\"\nip = \"127.0.0.1\"\nport_range = [1, 9]\npeers = [\""+s.addr+"\"]\n"), 0o600), qt.IsNil)
-	code, _, errOut := station(t, "propose", data("fleet.json"), "--settings", name)
+	code, _, errOut := fleetctl(t, "propose", data("fleet.json"), "--settings", name)
 	c.Assert(code, qt.Equals, exitDone, qt.Commentf("%s", errOut))
-	code, out, _ := station(t, "show", "--settings", name)
+	code, out, _ := fleetctl(t, "show", "--settings", name)
 	c.Assert(code, qt.Equals, exitDone)
 	c.Assert(out, qt.Contains, "version 5: 3 routes, 2 services, from "+s.addr)
 }
@@ -335,16 +336,16 @@
 		{"propose", data("absent.json"), "--control", "127.0.0.1:1"}, {"diff", data("absent.json"), "--control", "127.0.0.1:1"},
 		{"route", "a", "b", "--file", data("fleet.json")}, {"route", "a", "/b", "--file", data("absent.json")},
 	} {
-		code, out, errOut := station(t, args...)
+		code, out, errOut := fleetctl(t, args...)
 		c.Check(code, qt.Equals, exitUsage, qt.Commentf("%v: %s", args, errOut))
 		c.Check(out, qt.Equals, "")
-		c.Check(errOut, qt.Matches, "(?s)station: .+\n")
+		c.Check(errOut, qt.Matches, "(?s)molepaddle-fleet: .+\n")
 	}
 	for _, program := range []string{"proxy", "node-agent", "control-plane"} {
-		code, _, errOut := station(t, program)
+		code, _, errOut := fleetctl(t, program)
 		c.Check(code, qt.Equals, exitNo)
-		c.Check(errOut, qt.Equals, "station: no settings file: MOLEPADDLE_CONFIG or --settings gives its path\n")
-		code, _, errOut = station(t, program, "--settings", data("wrong.toml"))
+		c.Check(errOut, qt.Equals, "molepaddle-fleet: no settings file: MOLEPADDLE_CONFIG or --settings gives its path\n")
+		code, _, errOut = fleetctl(t, program, "--settings", data("wrong.toml"))
 		c.Check(code, qt.Equals, exitNo)
 		c.Check(strings.Count(errOut, "\n"), qt.Equals, 3, qt.Commentf("all findings: %s", errOut))
 	}
@@ -352,40 +353,40 @@
 
 func TestRoute(t *testing.T) {
 	c := qt.New(t)
-	code, out, _ := station(t, "route", "Forecast.Example:8161", "/hazard/7?q=1", "--file", data("next.json"))
+	code, out, _ := fleetctl(t, "route", "Forecast.Example:8161", "/hazard/7?q=1", "--file", data("next.json"))
 	c.Assert(code, qt.Equals, exitDone)
 	c.Assert(out, qt.Contains, "route r-hazard of version 7")
 	c.Assert(out, qt.Contains, "100% to service sora-llm")
-	code, _, errOut := station(t, "route", "forecast.example", "/old/1", "--file", data("next.json"))
+	code, _, errOut := fleetctl(t, "route", "forecast.example", "/old/1", "--file", data("next.json"))
 	c.Assert(code, qt.Equals, exitNo)
 	c.Assert(errOut, qt.Contains, "no route for forecast.example/old/1: the answer is 404")
-	code, out, _ = station(t, "route", "forecast.example", "/old/1", "--file", data("bad.json"))
+	code, out, _ = fleetctl(t, "route", "forecast.example", "/old/1", "--file", data("bad.json"))
 	c.Assert(code, qt.Equals, exitNo)
 	c.Assert(out, qt.Contains, "routing[1].deadline_ms")
 	s := newControl(c)
-	_, _, _ = station(t, "propose", data("fleet.json"), "--control", s.addr)
-	code, out, _ = station(t, "route", "forecast.example", "/old/1", "--control", s.addr)
+	_, _, _ = fleetctl(t, "propose", data("fleet.json"), "--control", s.addr)
+	code, out, _ = fleetctl(t, "route", "forecast.example", "/old/1", "--control", s.addr)
 	c.Assert(code, qt.Equals, exitDone)
 	c.Assert(out, qt.Contains, "route r-old of version 5")
 }
 
 func TestVersion(t *testing.T) {
 	c := qt.New(t)
-	code, out, _ := station(t, "--version")
+	code, out, _ := fleetctl(t, "--version")
 	c.Assert(code, qt.Equals, exitDone)
-	code2, out2, _ := station(t, "version")
+	code2, out2, _ := fleetctl(t, "version")
 	c.Assert(code2, qt.Equals, exitDone)
 	c.Assert(out, qt.Equals, out2)
 	var b, e bytes.Buffer
 	c.Assert(run(context.Background(), []string{"version"}, &b, &e, func() (*debug.BuildInfo, bool) { return nil, false }), qt.Equals, exitDone)
-	c.Assert(b.String(), qt.Equals, "station, of a build that says nothing of itself\n")
+	c.Assert(b.String(), qt.Equals, "molepaddle-fleet, of a build that says nothing of itself\n")
 	c.Assert(run(context.Background(), []string{"version"}, &b, &e, debug.ReadBuildInfo), qt.Equals, exitDone)
 }
 
 func TestCompletion(t *testing.T) {
 	c := qt.New(t)
-	t.Setenv("COMP_LINE", "station pro")
-	code, out, _ := station(t)
+	t.Setenv("COMP_LINE", "molepaddle-fleet pro")
+	code, out, _ := fleetctl(t)
 	c.Assert(code, qt.Equals, exitDone)
-	c.Assert(strings.TrimSpace(out), qt.Equals, "propose")
+	c.Assert(slices.Sorted(slices.Values(strings.Fields(out))), qt.DeepEquals, []string{"propose", "proxy"})
 }
--- a/cmd/station/demo.go
+++ b/cmd/molepaddle-fleet/demo.go
@@ -62,7 +62,7 @@
 	d.stands(a)
 	d.say("\nPlayed in %v.", since(d.began))
 	if c.Keep {
-		d.say("The fleet runs on until Ctrl-C. In another terminal:\n   station status --control %s\n   station show --control %s",
+		d.say("The fleet runs on until Ctrl-C. In another terminal:\n   molepaddle-fleet status --control %s\n   molepaddle-fleet show --control %s",
 			d.leader, d.leader)
 		<-ctx.Done()
 	}
@@ -164,9 +164,9 @@
 	d.say("   GET /news-%d/ after: %s", next, d.news(next))
 }
 
-// everywhere waits until the newest version is in force at every proxy, as `station watch` does.
+// everywhere waits until the newest version is in force at every proxy, as `molepaddle-fleet watch` does.
 func (d *demo) everywhere() {
-	d.say("   station watch %d:", d.version)
+	d.say("   molepaddle-fleet watch %d:", d.version)
 	if _, err := watch(d.ctx, d.control, d.version, demoWithin, func(line string) { d.say("     %s", line) }); err != nil {
 		d.Fatalf("watch: %v", err)
 	}
@@ -232,10 +232,10 @@
 	}
 }
 
-// stands shows what `station status` tells.
+// stands shows what `molepaddle-fleet status` tells.
 func (d *demo) stands(a *app) {
 	f := d.primary()
-	d.say("\n5  station status --control %s\n", d.leader)
+	d.say("\n5  molepaddle-fleet status --control %s\n", d.leader)
 	if err := writeStatus(a.out, f, d.leader); err != nil {
 		d.Fatalf("%v", errors.Wrap(err, "status"))
 	}
--- a/cmd/station/demo_test.go
+++ b/cmd/molepaddle-fleet/demo_test.go
@@ -69,8 +69,8 @@
 	text, err := os.ReadFile(pageFile)
 	c.Assert(err, qt.IsNil)
 	in := strings.Split(string(text), "\n")
-	begin := slices.Index(in, indent+"$ station demo")
-	c.Assert(begin >= 0, qt.IsTrue, qt.Commentf("no transcript of station demo"))
+	begin := slices.Index(in, indent+"$ molepaddle-fleet demo")
+	c.Assert(begin >= 0, qt.IsTrue, qt.Commentf("no transcript of molepaddle-fleet demo"))
 	end := blockEnd(in, begin)
 	if *rewrite {
 		var block []string
--- a/cmd/station/demofleet.go
+++ b/cmd/molepaddle-fleet/demofleet.go
@@ -53,7 +53,7 @@
 
 // TempDir makes a folder that is gone after the end.
 func (s *stage) TempDir() string {
-	dir, err := os.MkdirTemp("", "station-demo-")
+	dir, err := os.MkdirTemp("", "molepaddle-demo-")
 	if err != nil {
 		s.Fatalf("%v", err)
 	}
--- a/cmd/station/fleet_test.go
+++ b/cmd/molepaddle-fleet/fleet_test.go
@@ -23,7 +23,7 @@
 	"molepaddle/internal/fleet/simulation"
 )
 
-// TestMain is the station itself where it is started with a settings file: the programs under test are this binary, so
+// TestMain is the program itself where it is started with a settings file: the programs under test are this binary, so
 // that they run with the race detector where the tests do.
 func TestMain(m *testing.M) {
 	if _, ok := os.LookupEnv(settings.EnvFile); ok {
@@ -376,7 +376,7 @@
 
 // lookup, report, bulletin and hazard are requests of the configuration's routes.
 func lookup() simulation.Request {
-	return simulation.Request{Kind: simulation.ReadOnly, Method: http.MethodPost, Host: host, Path: "/lookup/2f?at=1", Body: []byte("station"),
+	return simulation.Request{Kind: simulation.ReadOnly, Method: http.MethodPost, Host: host, Path: "/lookup/2f?at=1", Body: []byte("molepaddle-fleet"),
 		Deadline: 4 * time.Second, Services: []string{lookups}}
 }
 
--- a/cmd/station/main.go
+++ b/cmd/molepaddle-fleet/main.go
@@ -1,4 +1,4 @@
-// Command station is the programs of the router fleet: the proxy (proxy), the agent beside it (node agent) and the
+// Command molepaddle-fleet is the programs of the router fleet: the proxy (proxy), the agent beside it (node agent) and the
 // control plane (control server). The platform names their settings file in MOLEPADDLE_CONFIG. The other commands are the
 // operator's: they check files, and show and change the configuration.
 package main
@@ -16,7 +16,7 @@
 	"github.com/willabides/kongplete"
 )
 
-// Exit codes. docs/operators/station.md tells them.
+// Exit codes. docs/operators/fleet-commands.md tells them.
 const (
 	exitDone    = 0
 	exitNo      = 1 // findings, a refusal, no route; a program failed
@@ -86,7 +86,7 @@
 	}()
 	var c cli
 	a := &app{ctx: ctx, out: out, build: build}
-	k, err := kong.New(&c, kong.Name("station"), kong.Description("Programs of the molepaddle router fleet, and commands for its operators."),
+	k, err := kong.New(&c, kong.Name("molepaddle-fleet"), kong.Description("Programs of the molepaddle router fleet, and commands for its operators."),
 		kong.Writers(out, errOut), kong.Exit(func(code int) { panic(ended(code)) }), kong.Bind(a))
 	if err != nil {
 		panic(err) // the declarations above
@@ -96,7 +96,7 @@
 	}
 	parsed, err := k.Parse(args)
 	if err != nil {
-		fmt.Fprintf(errOut, "station: %v; --help tells the usage\n", err)
+		fmt.Fprintf(errOut, "molepaddle-fleet: %v; --help tells the usage\n", err)
 		return exitUsage
 	}
 	a.settings, a.logLevel = c.Settings, c.LogLevel
@@ -111,6 +111,6 @@
 			return code
 		}
 	}
-	fmt.Fprintf(errOut, "station: %s\n", lines(err.Error()))
+	fmt.Fprintf(errOut, "molepaddle-fleet: %s\n", lines(err.Error()))
 	return code
 }
--- a/cmd/station/page_test.go
+++ b/cmd/molepaddle-fleet/page_test.go
@@ -19,9 +19,9 @@
 	qt "github.com/frankban/quicktest"
 )
 
-var rewrite = flag.Bool("rewrite", false, "write the output of the commands into docs/operators/station.md")
+var rewrite = flag.Bool("rewrite", false, "write the output of the commands into docs/operators/fleet-commands.md")
 
-const pageFile = "../../docs/operators/station.md"
+const pageFile = "../../docs/operators/fleet-commands.md"
 
 // Addresses as the page has them: the control plane's, and one where nobody listens.
 const pageControl, pageDead = "10.1.0.16:8166", "10.2.0.32:8166"
@@ -43,7 +43,7 @@
 	return end
 }
 
-// The page's transcripts are blocks that begin with "    $ station". They are played in the page's order against one
+// The page's transcripts are blocks that begin with "    $ molepaddle-fleet". They are played in the page's order against one
 // control plane that has no configuration at first; files are those of testdata.
 func TestPageTranscripts(t *testing.T) {
 	c := qt.New(t)
@@ -59,7 +59,7 @@
 	played := map[string]bool{}
 	in := strings.Split(string(text), "\n")
 	for i := 0; i < len(in); {
-		line, ok := strings.CutPrefix(in[i], indent+"$ station ")
+		line, ok := strings.CutPrefix(in[i], indent+"$ molepaddle-fleet ")
 		if !ok {
 			out = append(out, in[i])
 			i++
@@ -79,7 +79,7 @@
 		if echo {
 			fmt.Fprintln(&b, code)
 		} else {
-			c.Check(code, qt.Equals, exitDone, qt.Commentf("station %s", command))
+			c.Check(code, qt.Equals, exitDone, qt.Commentf("molepaddle-fleet %s", command))
 		}
 		got := []string{in[i]}
 		for l := range strings.Lines(back.Replace(b.String())) {
@@ -98,7 +98,7 @@
 		c.Assert(os.WriteFile("../"+pageFile, []byte(strings.Join(out, "\n")), 0o644), qt.IsNil)
 	}
 	for _, name := range []string{"check", "show", "diff", "propose", "update", "route", "status", "watch", "residency", "demo", "version"} {
-		c.Check(played[name], qt.IsTrue, qt.Commentf("no transcript of station %s", name))
+		c.Check(played[name], qt.IsTrue, qt.Commentf("no transcript of molepaddle-fleet %s", name))
 	}
 }
 
@@ -109,7 +109,7 @@
 func logCalls(c *qt.C) (calls []logCall, keys map[string]string) {
 	keys = map[string]string{}
 	var files []string
-	for _, p := range []string{"proxy", "node-agent", "control-plane"} {
+	for _, p := range []string{"proxy", "nodeagent", "controlplane"} {
 		found, err := filepath.Glob("../../internal/fleet/" + p + "/*.go")
 		c.Assert(err, qt.IsNil)
 		c.Assert(found, qt.Not(qt.HasLen), 0)
--- a/cmd/station/propose.go
+++ b/cmd/molepaddle-fleet/propose.go
@@ -48,9 +48,9 @@
 	}
 	// The control plane would take a whole configuration for an update of nothing: unknown fields are let pass.
 	if kind := kindOf(c.File, body); call == externalapi.Update && kind != kindUpdate {
-		return errors.Errorf("%s: has neither upsert nor remove alone: `station propose` sends whole configurations", c.File)
+		return errors.Errorf("%s: has neither upsert nor remove alone: `molepaddle-fleet propose` sends whole configurations", c.File)
 	} else if call == externalapi.Replace && kind == kindUpdate {
-		return errors.Errorf("%s: is a change of named items: `station update` sends those", c.File)
+		return errors.Errorf("%s: is a change of named items: `molepaddle-fleet update` sends those", c.File)
 	}
 	client, err := c.client(a)
 	if err != nil {
--- a/cmd/station/residency_test.go
+++ b/cmd/molepaddle-fleet/residency_test.go
@@ -18,7 +18,7 @@
 // residency asks one core machine where the data of a tenant rested, by the command.
 func (f *fleet) residency(ctl, tenant string) (code int, report externalapi.Residency, said string) {
 	f.Helper()
-	code, out, errOut := station(f, "residency", tenant, "--json", "--control", ctl, "--within", "3s")
+	code, out, errOut := fleetctl(f, "residency", tenant, "--json", "--control", ctl, "--within", "3s")
 	if code == exitDone {
 		f.Assert(json.Unmarshal([]byte(out), &report), qt.IsNil, qt.Commentf("%s", out))
 	}
@@ -161,7 +161,7 @@
 	load.goesOn(40, 0, 1)
 	load.stop()
 	for _, m := range f.core {
-		code, out, errOut := station(f, "residency", "--json", "--control", m.boot.Ctl)
+		code, out, errOut := fleetctl(f, "residency", "--json", "--control", m.boot.Ctl)
 		f.Assert(code, qt.Equals, exitDone, qt.Commentf("%s", errOut))
 		var report externalapi.Residency
 		f.Assert(json.Unmarshal([]byte(out), &report), qt.IsNil)
@@ -193,7 +193,7 @@
 		if !strings.Contains(one.args, "--control") {
 			args = append(args, "--control", s.addr)
 		}
-		code, out, errOut := station(t, args...)
+		code, out, errOut := fleetctl(t, args...)
 		c.Check(code, qt.Equals, one.code, qt.Commentf("%s: %s%s", one.args, out, errOut))
 		c.Check(out+errOut, qt.Contains, one.says)
 	}
--- a/cmd/station/status_test.go
+++ b/cmd/molepaddle-fleet/status_test.go
@@ -13,24 +13,24 @@
 	"molepaddle/internal/fleet/status"
 )
 
-// stands is what `station status --json` tells, asked at one core machine.
+// stands is what `molepaddle-fleet status --json` tells, asked at one core machine.
 func (f *fleet) stands(at *machine, flags ...string) *status.Fleet {
 	f.Helper()
-	code, out, errOut := station(f, append([]string{"status", "--json", "--control", at.boot.Ctl}, flags...)...)
+	code, out, errOut := fleetctl(f, append([]string{"status", "--json", "--control", at.boot.Ctl}, flags...)...)
 	f.Assert(code, qt.Equals, exitDone, qt.Commentf("%s", errOut))
 	var s status.Fleet
 	f.Assert(json.Unmarshal([]byte(out), &s), qt.IsNil)
 	return &s
 }
 
-// watch runs `station watch`, asked at all core machines.
+// watch runs `molepaddle-fleet watch`, asked at all core machines.
 func (f *fleet) watch(code int, args ...string) string {
 	f.Helper()
 	args = append([]string{"watch"}, args...)
 	for _, addr := range f.operator.Ctl {
 		args = append(args, "--control", addr)
 	}
-	got, out, errOut := station(f, args...)
+	got, out, errOut := fleetctl(f, args...)
 	f.Assert(got, qt.Equals, code, qt.Commentf("%v: %s%s", args, out, errOut))
 	return out + errOut
 }
@@ -152,10 +152,10 @@
 			left = m
 		}
 	}
-	code, _, errOut := station(t, "status", "--control", left.boot.Ctl, "--within", "3s")
+	code, _, errOut := fleetctl(t, "status", "--control", left.boot.Ctl, "--within", "3s")
 	f.Assert(code, qt.Equals, exitUnclear, qt.Commentf("%s", errOut))
 	f.Check(errOut, qt.Contains, "--local shows what one machine knows")
-	code, out, _ := station(t, "status", "--local", "--control", left.boot.Ctl)
+	code, out, _ := fleetctl(t, "status", "--local", "--control", left.boot.Ctl)
 	f.Assert(code, qt.Equals, exitDone)
 	f.Check(out, qt.Contains, "not confirmed by the core")
 	f.Check(out, qt.Contains, "version 1")
@@ -196,33 +196,33 @@
 func TestStatusCodes(t *testing.T) {
 	c := qt.New(t)
 	s := newControl(c)
-	code, out, errOut := station(t, "watch", "--control", s.addr)
+	code, out, errOut := fleetctl(t, "watch", "--control", s.addr)
 	c.Check(code, qt.Equals, exitNo, qt.Commentf("%s%s", out, errOut))
 	c.Check(errOut, qt.Contains, "no configuration yet")
-	code, out, _ = station(t, "status", "--control", s.addr)
+	code, out, _ = fleetctl(t, "status", "--control", s.addr)
 	c.Check(code, qt.Equals, exitDone)
 	c.Check(out, qt.Contains, "no configuration yet")
 	c.Check(out, qt.Contains, "no agent holds a lease")
 	// A version that nobody has is waited for.
-	code, _, errOut = station(t, "watch", "5", "--limit", "300ms", "--control", s.addr)
+	code, _, errOut = fleetctl(t, "watch", "5", "--limit", "300ms", "--control", s.addr)
 	c.Check(code, qt.Equals, exitLate)
 	c.Check(errOut, qt.Contains, "not within 300ms: version 5: in force at 0 of 0 agents")
-	code, _, _ = station(t, "propose", data("fleet.json"), "--control", s.addr)
+	code, _, _ = fleetctl(t, "propose", data("fleet.json"), "--control", s.addr)
 	c.Assert(code, qt.Equals, exitDone)
-	code, out, errOut = station(t, "watch", "--json", "--control", s.addr)
+	code, out, errOut = fleetctl(t, "watch", "--json", "--control", s.addr)
 	c.Check(code, qt.Equals, exitDone, qt.Commentf("%s", errOut))
 	f, err := status.Decode([]byte(out))
 	c.Assert(err, qt.IsNil)
 	c.Check(f.Everywhere(5), qt.IsTrue)
 	nobody := deadAddr(c)
-	code, _, errOut = station(t, "status", "--control", nobody, "--within", "150ms")
+	code, _, errOut = fleetctl(t, "status", "--control", nobody, "--within", "150ms")
 	c.Check(code, qt.Equals, exitUnclear)
 	c.Check(errOut, qt.Contains, "no clear answer: "+nobody)
-	code, _, errOut = station(t, "watch", "--control", nobody, "--within", "100ms", "--limit", "300ms")
+	code, _, errOut = fleetctl(t, "watch", "--control", nobody, "--within", "100ms", "--limit", "300ms")
 	c.Check(code, qt.Equals, exitUnclear, qt.Commentf("%s", errOut))
 	for _, args := range [][]string{{"status"}, {"watch"}, {"watch", "-1", "--control", s.addr}, {"watch", "x", "--control", s.addr},
 		{"watch", "--limit", "0s", "--control", s.addr}} {
-		code, _, errOut := station(t, args...)
+		code, _, errOut := fleetctl(t, args...)
 		c.Check(code, qt.Equals, exitUsage, qt.Commentf("%v: %s", args, errOut))
 	}
 }
--- a/cmd/station/version.go
+++ b/cmd/molepaddle-fleet/version.go
@@ -29,14 +29,14 @@
 func writeVersion(w io.Writer, build func() (*debug.BuildInfo, bool)) {
 	info, ok := build()
 	if !ok {
-		fmt.Fprintln(w, "station, of a build that says nothing of itself")
+		fmt.Fprintln(w, "molepaddle-fleet, of a build that says nothing of itself")
 		return
 	}
 	set := map[string]string{}
 	for _, s := range info.Settings {
 		set[s.Key] = s.Value
 	}
-	fmt.Fprintf(w, "station %s\n", info.Main.Version)
+	fmt.Fprintf(w, "molepaddle-fleet %s\n", info.Main.Version)
 	if at := set["vcs.revision"]; at != "" {
 		changes := ""
 		if set["vcs.modified"] == "true" {
--- a/cmd/station-scale/main.go
+++ b/cmd/molepaddle-scale/main.go
@@ -1,4 +1,4 @@
-// Command station-scale measures how the router fleet's programs grow with the fleet: see docs/CAPACITY.md.
+// Command molepaddle-scale measures how the router fleet's programs grow with the fleet: see docs/CAPACITY.md.
 package main
 
 import (
@@ -23,7 +23,7 @@
 }
 
 type runCmd struct {
-	Station  string        `help:"Binary of the fleet's programs." default:"target/station" type:"existingfile" placeholder:"FILE"`
+	Program  string        `help:"Binary of the fleet's programs." default:"target/molepaddle-fleet" type:"existingfile" placeholder:"FILE"`
 	Agents   int           `help:"Hollow agents." default:"300"`
 	Crews    int           `help:"Processes that they share." default:"2"`
 	Backends int           `help:"Backends on the platform's list." default:"300"`
@@ -47,7 +47,7 @@
 		return err
 	}
 	t := scaletest.Trial{Agents: c.Agents, Crews: c.Crews, Backends: c.Backends, Routes: c.Routes, Page: c.Page, Rate: c.Rate, Beat: c.Beat, Apply: c.Apply, Rest: c.Rest, Changes: c.Changes,
-		Gap: c.Gap, Lists: c.Lists, Losses: c.Losses, Within: c.Within, Station: c.Station, Self: self, Out: os.Stdout,
+		Gap: c.Gap, Lists: c.Lists, Losses: c.Losses, Within: c.Within, Program: c.Program, Self: self, Out: os.Stdout,
 		CrewArgs: func(first, count int, addresses []string) []string {
 			return []string{"agents", "--first", strconv.Itoa(first), "--count", strconv.Itoa(count), "--at", strings.Join(addresses, ","), "--beat", c.Beat.String(), "--apply", c.Apply.String()}
 		}}
@@ -55,7 +55,7 @@
 }
 
 type proxyCmd struct {
-	Station  string        `help:"Binary of the fleet's programs." default:"target/station" type:"existingfile" placeholder:"FILE"`
+	Program  string        `help:"Binary of the fleet's programs." default:"target/molepaddle-fleet" type:"existingfile" placeholder:"FILE"`
 	Backends int           `help:"Backends on the list." default:"300"`
 	Routes   int           `help:"Routes in the configuration." default:"100"`
 	Rates    []float64     `help:"Requests a second, one rate after the other; 0: none." default:"0,25,50,100"`
@@ -67,7 +67,7 @@
 
 // Run plays one trial.
 func (c *proxyCmd) Run(ctx context.Context) error {
-	t := scaletest.ProxyTrial{Backends: c.Backends, Routes: c.Routes, Rates: c.Rates, Events: c.Events, Every: c.Every, For: c.For, Within: c.Within, Station: c.Station, Out: os.Stdout}
+	t := scaletest.ProxyTrial{Backends: c.Backends, Routes: c.Routes, Rates: c.Rates, Events: c.Events, Every: c.Every, For: c.For, Within: c.Within, Program: c.Program, Out: os.Stdout}
 	return t.Run(ctx)
 }
 
@@ -87,12 +87,12 @@
 
 func main() {
 	var c cli
-	k := kong.Parse(&c, kong.Name("station-scale"), kong.Description("Measures how the router fleet's programs grow."), kong.UsageOnError())
+	k := kong.Parse(&c, kong.Name("molepaddle-scale"), kong.Description("Measures how the router fleet's programs grow."), kong.UsageOnError())
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	k.BindTo(ctx, (*context.Context)(nil))
 	if err := k.Run(); err != nil {
-		fmt.Fprintln(os.Stderr, "station-scale:", err)
+		fmt.Fprintln(os.Stderr, "molepaddle-scale:", err)
 		os.Exit(1)
 	}
 }
--- a/internal/fleet/configdiff/configdiff.go
+++ b/internal/fleet/configdiff/configdiff.go
@@ -1,5 +1,5 @@
 // Package configdiff tells what changes from one configuration to the next: routes and services by name, and their fields.
-// Named after the book in which a station's keeper writes what changed. It does no I/O.
+// It does no I/O.
 package configdiff
 
 import (
--- a/internal/fleet/externalapi/table.go
+++ b/internal/fleet/externalapi/table.go
@@ -1,5 +1,5 @@
 // Package externalapi declares every call between the system and what is outside of it, in one table: backends, the
-// platform and the operator; and the header fields that go with them. Named after the instrument sent up to ask.
+// platform and the operator; and the header fields that go with them.
 // Source: the operators' page PROTOCOL.
 package externalapi
 
--- a/internal/fleet/nodeagent/nodeagent.go
+++ b/internal/fleet/nodeagent/nodeagent.go
@@ -1,5 +1,5 @@
 // Package nodeagent is the node agent beside a proxy: it holds the link to the control plane and feeds the proxy over
-// loopback. Named after the instrument that sends readings to a station and takes its word back.
+// loopback.
 package nodeagent
 
 import (
--- a/internal/fleet/operatorclient/operatorclient.go
+++ b/internal/fleet/operatorclient/operatorclient.go
@@ -1,5 +1,5 @@
 // Package operatorclient is the operator's client of the control plane: it shows the configuration in force and sends
-// changes. Named after the instrument that signals to a station by the sun. How a caller moves from agent to agent
+// changes. How a caller moves from agent to agent
 // follows PROTOCOL.md, "The operator's API"; the calls are those of externalapi's table.
 package operatorclient
 
--- a/internal/fleet/proxy/leaks_test.go
+++ b/internal/fleet/proxy/leaks_test.go
@@ -36,7 +36,7 @@
 	"from *backend) *backend {\n\te := s.engines\n\tkey := w.p.Last()\n\ts.order = s.ranker.Rank(w.now, key, func(id string) bool { return !w.tried[id] && s.byID[id].Phase == externalapi.PhaseDecode }"}
 
 const (
-	fileEnclosure = "../enclosure/enclosure.go"
+	fileEnclosure = "../residency/residency.go"
 	fileEnclosed  = "enclosed.go"
 	fileExchange  = "exchange.go"
 	fileServe     = "serve.go"
--- a/internal/fleet/proxy/proxy.go
+++ b/internal/fleet/proxy/proxy.go
@@ -1,4 +1,4 @@
-// Package proxy is the fleet's proxy, the data plane: named after the proxy that turns to where the wind goes. It takes
+// Package proxy is the fleet's proxy, the data plane. It takes
 // clients' requests, finds their route, and has `policy` and `scheduler` choose the backend. What it knows of the fleet
 // comes from the node agent beside it, over loopback; it serves on with what it has when nothing comes.
 package proxy
--- a/internal/fleet/ranking/ranking.go
+++ b/internal/fleet/ranking/ranking.go
@@ -1,5 +1,4 @@
-// Package ranking orders a service's backends for a request, by the design: named after the diagram that orders the
-// bearings of the wind. The states, their tiers, the cap and the hash are policy's; here is what one proxy keeps of each
+// Package ranking orders a service's backends for a request, by the design. The states, their tiers, the cap and the hash are policy's; here is what one proxy keeps of each
 // backend. It does no I/O and reads no clock.
 package ranking
 
--- a/internal/fleet/residency/residency.go
+++ b/internal/fleet/residency/residency.go
@@ -1,5 +1,4 @@
-// Package residency keeps a tenant's data inside the regions its contract names (data residency): named after the fenced
-// plot in which a station's instruments stand. A Plot is a backend with the way to it and the region it stands in; a
+// Package residency keeps a tenant's data inside the regions its contract names (data residency). A Plot is a backend with the way to it and the region it stands in; a
 // Permit says that the Plot may hold the data of one request. The way does not leave the package: whoever sends needs a
 // Permit, which only a Plot can make, and the Permit is checked again when a connection is lent for the send. What is not
 // known is refused. docs/design/regions.md has the whole picture.
--- a/internal/fleet/residencyreport/messages.go
+++ b/internal/fleet/residencyreport/messages.go
@@ -1,5 +1,5 @@
-// Package residencyreport keeps where tenants' data rested, from when to when, past the end of the processes that saw it: named
-// after the gauge that adds up what fell between two readings. Proxies hand on what changed in their ledgers in numbered
+// Package residencyreport keeps where tenants' data rested, from when to when, past the end of the processes that saw it.
+// Proxies hand on what changed in their ledgers in numbered
 // batches; each is passed on until the control plane says that it is kept; the primary merges them into one reading, which
 // the record takes as a change. All of it is without I/O and without a clock; docs/design/regions.md has the whole picture.
 package residencyreport
--- a/internal/fleet/residencyreport/planted_test.go
+++ b/internal/fleet/residencyreport/planted_test.go
@@ -44,9 +44,9 @@
 	{"what was lost on the way is not sent again", ".", ways, "relay.go", "if s.sent == nil || now.Sub(s.since) >= againAfter {", "if s.sent == nil {"},
 	{"a batch counts from the start each time", "../proxy", "^TestLedger", "../proxy/ledger.go", "d[i] -= r.given[i]", "d[i] -= 0 * r.given[i]"},
 	{"what found no room is not told any more", "../proxy", "^TestLedger", "../proxy/ledger.go", "l.changed, l.fresh = more, more", "l.changed, l.fresh = more && false, false"},
-	{"the report is not in the record's snapshot", "../control server", "^TestRecord", "../control server/record.go", "s := Stored{Rested: r.rested.Snapshot()}", "s := Stored{}"},
-	{"a reading counts as a configuration", "../control server", "^TestRecord", "../control server/record.go", "s.DocumentSeq = r.docSeq", ""},
-	{"what was not confirmed is let go", "../control server", "^TestReadings", "../control server/rested.go", "b.N <= settled.rested.Kept(b.Process) {\n\t\t\tkept", "b.N > 0 {\n\t\t\tkept"},
+	{"the report is not in the record's snapshot", "../controlplane", "^TestRecord", "../controlplane/record.go", "s := Stored{Rested: r.rested.Snapshot()}", "s := Stored{}"},
+	{"a reading counts as a configuration", "../controlplane", "^TestRecord", "../controlplane/record.go", "s.DocumentSeq = r.docSeq", ""},
+	{"what was not confirmed is let go", "../controlplane", "^TestReadings", "../controlplane/rested.go", "b.N <= settled.rested.Kept(b.Process) {\n\t\t\tkept", "b.N > 0 {\n\t\t\tkept"},
 }
 
 // TestPlantedFaults plants each fault in turn, by the compiler's overlay: nothing in the tree is changed.
--- a/internal/fleet/scaletest/doc.go
+++ b/internal/fleet/scaletest/doc.go
@@ -1,5 +1,4 @@
-// Package scaletest measures how the fleet's own programs grow: named after the mast at which a station hangs its
-// instruments. It starts real control servers, a real node agent and a real proxy as processes on loopback, and beside them
+// Package scaletest measures how the fleet's own programs grow. It starts real control servers, a real node agent and a real proxy as processes on loopback, and beside them
 // hollow agents, many in one process, that pull as node agents do but hold nothing, and a hollow platform that lists
 // backends which nobody runs. What it finds is written as text; docs/CAPACITY.md draws on it.
 //
--- a/internal/fleet/scaletest/proxy.go
+++ b/internal/fleet/scaletest/proxy.go
@@ -33,7 +33,7 @@
 	Every    time.Duration
 	For      time.Duration // how long each rate lasts
 	Within   time.Duration // bound of the start
-	Station  string        // binary of the fleet's programs
+	Program  string        // binary of the fleet's programs
 	Out      io.Writer
 }
 
@@ -54,7 +54,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	dir, err := os.MkdirTemp("", "station-scale-")
+	dir, err := os.MkdirTemp("", "molepaddle-scale-")
 	if err != nil {
 		return err
 	}
@@ -84,7 +84,7 @@
 	if err != nil {
 		return err
 	}
-	proxy, _, err := start("proxy", t.Station, []string{"proxy"}, []string{"MOLEPADDLE_CONFIG=" + path, "GOMAXPROCS=1"}, func(*process, []byte) {})
+	proxy, _, err := start("proxy", t.Program, []string{"proxy"}, []string{"MOLEPADDLE_CONFIG=" + path, "GOMAXPROCS=1"}, func(*process, []byte) {})
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/scaletest/trial.go
+++ b/internal/fleet/scaletest/trial.go
@@ -36,7 +36,7 @@
 	Lists     int           // changes of the list
 	Losses    bool          // the primary is killed, then the whole core
 	Within    time.Duration // bound of each wait
-	Station   string        // binary of the fleet's programs
+	Program   string        // binary of the fleet's programs
 	Self      string        // binary that runs Crew.Run when told "agents"
 	CrewArgs  func(first, count int, addresses []string) []string
 	Out       io.Writer
@@ -81,7 +81,7 @@
 	if err := t.check(); err != nil {
 		return err
 	}
-	dir, err := os.MkdirTemp("", "station-scale-")
+	dir, err := os.MkdirTemp("", "molepaddle-scale-")
 	if err != nil {
 		return err
 	}
@@ -214,7 +214,7 @@
 		if err != nil {
 			return err
 		}
-		p, _, err := start(role, t.Station, []string{role}, t.env(path), func(*process, []byte) {})
+		p, _, err := start(role, t.Program, []string{role}, t.env(path), func(*process, []byte) {})
 		if err != nil {
 			return err
 		}
@@ -250,7 +250,7 @@
 }
 
 func (t *Trial) observe(i int) error {
-	p, _, err := start(t.machines[i].name, t.Station, []string{"control-plane"}, t.env(t.settings[i]), watchRole)
+	p, _, err := start(t.machines[i].name, t.Program, []string{"control-plane"}, t.env(t.settings[i]), watchRole)
 	t.observers[i] = p
 	return err
 }
--- a/internal/fleet/scheduler/prompt.go
+++ b/internal/fleet/scheduler/prompt.go
@@ -1,5 +1,4 @@
-// Package scheduler reckons where prompts are read and tokens are made: named after the lines of equal pressure on a
-// weather chart. It is a state machine without I/O or clock: what is listed, sent, heard and ended goes in, estimates
+// Package scheduler reckons where prompts are read and tokens are made. It is a state machine without I/O or clock: what is listed, sent, heard and ended goes in, estimates
 // come out, in milliseconds and in tokens. Figures come from the operator's configuration and from what was measured.
 package scheduler
 
--- a/internal/fleet/simulation/boot.go
+++ b/internal/fleet/simulation/boot.go
@@ -72,7 +72,7 @@
 // says otherwise.
 type BootSettings struct {
 	Node      string
-	Role      string   // "station" when empty
+	Role      string   // "molepaddle-fleet" when empty
 	Tier      string   // "edge" or "core"; "edge" when empty
 	Roles     []string // what it serves; ["edge"] or ["ctl"], by Tier, when nil; none when empty
 	IP        string   // 127.0.0.1 when empty
@@ -113,7 +113,7 @@
 		}
 	}
 	def(&s.Tier, "edge")
-	def(&s.Role, "station")
+	def(&s.Role, "molepaddle-fleet")
 	def(&s.IP, "127.0.0.1")
 	def(&s.Zone, "koto-hall")
 	def(&s.Region, "kanto")
--- a/internal/fleet/simulation/doc.go
+++ b/internal/fleet/simulation/doc.go
@@ -1,6 +1,6 @@
 // Package simulation holds the stand-ins for whole-program tests over loopback: Engine (a backend), Platform (the list of
 // backends), Operator and Client, a Judge over what they saw, and Boot, which writes settings files and starts
-// programs. Tests use it, and `station demo`. The statements it follows are those of PROTOCOL.md, RULES.md and DEPLOY.md.
+// programs. Tests use it, and `molepaddle-fleet demo`. The statements it follows are those of PROTOCOL.md, RULES.md and DEPLOY.md.
 //
 // Nothing here sleeps to let something happen: tests wait for signals (Log.Wait, Engine.Hold, AwaitReady). Times that
 // a stand-in takes itself (steps, moves, lag) are zero unless set.
--- a/internal/fleet/simulation/tb.go
+++ b/internal/fleet/simulation/tb.go
@@ -1,6 +1,6 @@
 package simulation
 
-// TB is what the stand-ins need of whoever starts them: testing.TB has it, and `station demo` brings its own.
+// TB is what the stand-ins need of whoever starts them: testing.TB has it, and `molepaddle-fleet demo` brings its own.
 type TB interface {
 	Helper()
 	// Cleanup has f called at the end; the last one given is called first.
