--- a/internal/fleet/controlplane/messages.go
+++ b/internal/fleet/controlplane/messages.go
@@ -16,9 +16,12 @@
 
 // Stored is the record's snapshot.
 type Stored struct {
-	Document []byte   `msg:"d"`
+	Document []byte `msg:"d"`
+	// Versions and Digests are those of the newest accepted changes, oldest first.
 	Versions []int64  `msg:"v"`
 	Digests  []uint64 `msg:"x"`
+	// OldestBase is the version that the first of them was built on; older builds leave it out.
+	OldestBase *int64 `msg:"o,omitempty"`
 	// Rested is the residencyreport's snapshot; left out where it is empty.
 	Rested []byte `msg:"g,omitempty"`
 	// DocumentSeq is the change that led to Document; left out where that is the newest of all.
--- a/internal/fleet/controlplane/messages_gen.go
+++ b/internal/fleet/controlplane/messages_gen.go
@@ -324,6 +324,24 @@
 					return
 				}
 			}
+		case "o":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "OldestBase")
+					return
+				}
+				z.OldestBase = nil
+			} else {
+				if z.OldestBase == nil {
+					z.OldestBase = new(int64)
+				}
+				*z.OldestBase, err = dc.ReadInt64()
+				if err != nil {
+					err = msgp.WrapError(err, "OldestBase")
+					return
+				}
+			}
 		case "g":
 			z.Rested, err = dc.ReadBytes(z.Rested)
 			if err != nil {
@@ -350,17 +368,21 @@
 // EncodeMsg implements msgp.Encodable
 func (z *Stored) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(5)
-	var zb0001Mask uint8 /* 5 bits */
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
 	_ = zb0001Mask
-	if z.Rested == nil {
+	if z.OldestBase == nil {
 		zb0001Len--
 		zb0001Mask |= 0x8
 	}
-	if z.DocumentSeq == 0 {
+	if z.Rested == nil {
 		zb0001Len--
 		zb0001Mask |= 0x10
 	}
+	if z.DocumentSeq == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
 	// variable map header, size zb0001Len
 	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
@@ -414,6 +436,25 @@
 			}
 		}
 		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// write "o"
+			err = en.Append(0xa1, 0x6f)
+			if err != nil {
+				return
+			}
+			if z.OldestBase == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = en.WriteInt64(*z.OldestBase)
+				if err != nil {
+					err = msgp.WrapError(err, "OldestBase")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
 			// write "g"
 			err = en.Append(0xa1, 0x67)
 			if err != nil {
@@ -425,7 +466,7 @@
 				return
 			}
 		}
-		if (zb0001Mask & 0x10) == 0 { // if not omitted
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
 			// write "q"
 			err = en.Append(0xa1, 0x71)
 			if err != nil {
@@ -445,17 +486,21 @@
 func (z *Stored) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(5)
-	var zb0001Mask uint8 /* 5 bits */
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
 	_ = zb0001Mask
-	if z.Rested == nil {
+	if z.OldestBase == nil {
 		zb0001Len--
 		zb0001Mask |= 0x8
 	}
-	if z.DocumentSeq == 0 {
+	if z.Rested == nil {
 		zb0001Len--
 		zb0001Mask |= 0x10
 	}
+	if z.DocumentSeq == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -477,11 +522,20 @@
 			o = msgp.AppendUint64(o, z.Digests[za0002])
 		}
 		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "o"
+			o = append(o, 0xa1, 0x6f)
+			if z.OldestBase == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o = msgp.AppendInt64(o, *z.OldestBase)
+			}
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
 			// string "g"
 			o = append(o, 0xa1, 0x67)
 			o = msgp.AppendBytes(o, z.Rested)
 		}
-		if (zb0001Mask & 0x10) == 0 { // if not omitted
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
 			// string "q"
 			o = append(o, 0xa1, 0x71)
 			o = msgp.AppendUint64(o, z.DocumentSeq)
@@ -552,6 +606,23 @@
 					return
 				}
 			}
+		case "o":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.OldestBase = nil
+			} else {
+				if z.OldestBase == nil {
+					z.OldestBase = new(int64)
+				}
+				*z.OldestBase, bts, err = msgp.ReadInt64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "OldestBase")
+					return
+				}
+			}
 		case "g":
 			z.Rested, bts, err = msgp.ReadBytesBytes(bts, z.Rested)
 			if err != nil {
@@ -578,6 +649,12 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Stored) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BytesPrefixSize + len(z.Document) + 2 + msgp.ArrayHeaderSize + (len(z.Versions) * (msgp.Int64Size)) + 2 + msgp.ArrayHeaderSize + (len(z.Digests) * (msgp.Uint64Size)) + 2 + msgp.BytesPrefixSize + len(z.Rested) + 2 + msgp.Uint64Size
+	s = 1 + 2 + msgp.BytesPrefixSize + len(z.Document) + 2 + msgp.ArrayHeaderSize + (len(z.Versions) * (msgp.Int64Size)) + 2 + msgp.ArrayHeaderSize + (len(z.Digests) * (msgp.Uint64Size)) + 2
+	if z.OldestBase == nil {
+		s += msgp.NilSize
+	} else {
+		s += msgp.Int64Size
+	}
+	s += 2 + msgp.BytesPrefixSize + len(z.Rested) + 2 + msgp.Uint64Size
 	return
 }
--- a/internal/fleet/controlplane/operator.go
+++ b/internal/fleet/controlplane/operator.go
@@ -88,7 +88,8 @@
 			o.fail(w, http.StatusRequestEntityTooLarge, tooLong.Error(), nil)
 			return
 		}
-		o.fail(w, http.StatusBadRequest, "the body is not whole", nil)
+		// What came in part may have been accepted when it came whole: that is no reason to refuse it.
+		o.later(w, "the body is not whole")
 		return
 	}
 	if o.elsewhere(w, r) {
@@ -136,9 +137,13 @@
 			o.later(w, "not settled")
 			return
 		}
-		if v.status == http.StatusOK {
+		switch v.status {
+		case http.StatusOK:
 			w.WriteHeader(http.StatusOK)
 			return
+		case http.StatusServiceUnavailable:
+			o.later(w, v.why)
+			return
 		}
 		o.log.Info("change refused", zap.Int("status", v.status), zap.String("why", v.why), zap.Stringer("findings", v.found))
 		o.fail(w, v.status, v.why, v.found)
--- a/internal/fleet/controlplane/record_test.go
+++ b/internal/fleet/controlplane/record_test.go
@@ -46,7 +46,7 @@
 	for _, one := range []*record{r, back} {
 		c.Check(one.docSeq, qt.Equals, uint64(3))
 		c.Check(one.doc.Version(), qt.Equals, int64(7))
-		c.Check(one.taken, qt.HasLen, 2)
+		c.Check(one.accepted.versions, qt.DeepEquals, []int64{3, 7})
 		all := one.rested.Report(nil)
 		c.Assert(all, qt.HasLen, 1)
 		c.Check(all[0].Counts.Plain, qt.Equals, int64(7))
--- /dev/null
+++ b/internal/fleet/controlplane/verdict.go
@@ -0,0 +1,47 @@
+package controlplane
+
+import (
+	"fmt"
+	"net/http"
+
+	"molepaddle/internal/fleet/replication"
+	"molepaddle/internal/fleet/routingconfig"
+)
+
+// verdict is the answer to a call that isn't proposed, as the record stood at seq.
+type verdict struct {
+	status int // 503: no clear answer can be given
+	why    string
+	found  routingconfig.Findings
+	seq    uint64
+}
+
+// judge answers a call that was accepted already, can't be accepted any more, or whose fate isn't known; nil: it is to be
+// proposed. A call is refused only if it was not accepted and never can be, as a copy of it may still be on its way:
+// versions rise, so that a base that was built on or passed over is never current again.
+func (r *record) judge(c *Call, checks ...routingconfig.Check) *verdict {
+	current := r.doc.Version()
+	switch r.accepted.lookup(c) {
+	case sameChange:
+		return &verdict{seq: r.seq, status: http.StatusOK}
+	case otherChange:
+		return &verdict{seq: r.seq, status: http.StatusPreconditionFailed, why: fmt.Sprintf("version %d is in place", current)}
+	case forgotten:
+		return &verdict{seq: r.seq, status: http.StatusServiceUnavailable,
+			why: fmt.Sprintf("version %d is in place; what was accepted on version %d is not remembered any more", current, c.Base)}
+	}
+	if c.Base > current {
+		return &verdict{seq: r.seq, status: http.StatusServiceUnavailable,
+			why: fmt.Sprintf("version %d is in place; version %d is not known yet", current, c.Base)}
+	}
+	if _, found := c.change(r.doc, checks...); found.Err() != nil {
+		return &verdict{seq: r.seq, status: http.StatusBadRequest, why: "the configuration is invalid", found: found}
+	}
+	return nil
+}
+
+// holds reports whether a verdict may be told after this answer to a Read that came with it: the view still stands, and
+// what the verdict is about is committed, as the end of a record may yet be lost.
+func (v *verdict) holds(a replication.Answer) bool {
+	return a.Result == replication.Confirmed && a.Seq >= v.seq
+}
