A change's submission and outcome are two functions beside the verdict

operator.go decided inside its handler what is proposed, what is read for and what the caller is told, so that no test without a server could reach it. Now record.submit and outcome (verdict.go) do, which need no I/O; the handler is shorter.

--- a/internal/fleet/controlplane/operator.go
+++ b/internal/fleet/controlplane/operator.go
@@ -104,57 +104,43 @@
 		return
 	}
 	call := &Call{Replace: replace, Base: base, Body: body}
-	// What is checked and what is proposed belong together: both happen in the driver's goroutine.
-	checked := make(chan *verdict, 1)
-	done := make(chan struct{})
-	var ans replication.Answer
+	// What is judged and what is proposed belong together: both happen in the driver's goroutine.
+	judged := make(chan *verdict, 1)
+	done := make(chan *verdict, 1)
 	go func() {
-		defer func() { <-o.writing; close(done) }()
+		defer func() { <-o.writing }()
 		// The change goes on when its caller has left: the next one waits for its end.
 		wait, cancel := context.WithTimeout(context.Background(), 4*answerWithin)
 		defer cancel()
-		ans, err = o.ask(wait, func(now time.Duration, token uint64) replication.Output {
-			if o.machine.Status().Role != replication.Primary {
-				return o.machine.Propose(now, token, nil) // says who may be
-			}
-			if v := o.record.judge(call, routingconfig.KnownRegions(o.set.Zones)); v != nil {
-				checked <- v
-				return o.machine.Read(now, token)
-			}
-			b, _ := call.MarshalMsg(nil)
-			return o.machine.Propose(now, token, b)
+		ans, err := o.ask(wait, func(now time.Duration, token uint64) replication.Output {
+			v, out := o.record.submit(o.machine, now, token, call, routingconfig.KnownRegions(o.set.Zones))
+			judged <- v
+			return out
 		})
+		if err != nil {
+			done <- outcome(nil, replication.Answer{})
+			return
+		}
+		done <- outcome(<-judged, ans)
 	}()
 	select {
-	case <-done:
+	case v := <-done:
+		o.answer(w, v)
 	case <-ctx.Done():
 		o.later(w, "not settled yet")
-		return
-	}
-	select {
-	case v := <-checked:
-		if err != nil || !v.holds(ans) {
-			o.later(w, "not settled")
-			return
-		}
-		switch v.status {
-		case http.StatusOK:
-			w.WriteHeader(http.StatusOK)
-			return
-		case http.StatusServiceUnavailable:
-			o.later(w, v.why)
-			return
-		}
-		o.log.Info("change refused", zap.Int("status", v.status), zap.String("why", v.why), zap.Stringer("findings", v.found))
-		o.fail(w, v.status, v.why, v.found)
-		return
-	default:
 	}
-	switch {
-	case err == nil && ans.Result == replication.Committed:
+}
+
+// answer tells the caller of a change what became of it.
+func (o *Server) answer(w http.ResponseWriter, v *verdict) {
+	switch v.status {
+	case http.StatusOK:
 		w.WriteHeader(http.StatusOK)
+	case http.StatusServiceUnavailable:
+		o.later(w, v.why)
 	default:
-		o.later(w, "not settled")
+		o.log.Info("change refused", zap.Int("status", v.status), zap.String("why", v.why), zap.Stringer("findings", v.found))
+		o.fail(w, v.status, v.why, v.found)
 	}
 }
 
--- a/internal/fleet/controlplane/verdict.go
+++ b/internal/fleet/controlplane/verdict.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"time"
 
 	"molepaddle/internal/fleet/replication"
 	"molepaddle/internal/fleet/routingconfig"
@@ -45,3 +46,27 @@
 func (v *verdict) holds(a replication.Answer) bool {
 	return a.Result == replication.Confirmed && a.Seq >= v.seq
 }
+
+// submit hands a call to the machine whose record this is, by one input: the call is proposed, or a Read is asked for that
+// has to confirm the verdict which is given.
+func (r *record) submit(m *replication.Machine, now time.Duration, token uint64, c *Call, checks ...routingconfig.Check) (*verdict, replication.Output) {
+	if m.Status().Role != replication.Primary {
+		return nil, m.Propose(now, token, nil) // refused: NotPrimary
+	}
+	if v := r.judge(c, checks...); v != nil {
+		return v, m.Read(now, token)
+	}
+	body, _ := c.MarshalMsg(nil) // it has no way to fail
+	return nil, m.Propose(now, token, body)
+}
+
+// outcome is what the caller is told of a call that was submitted, once the machine has answered.
+func outcome(v *verdict, a replication.Answer) *verdict {
+	switch {
+	case v != nil && v.holds(a):
+		return v
+	case v == nil && a.Result == replication.Committed:
+		return &verdict{status: http.StatusOK, seq: a.Seq}
+	}
+	return &verdict{status: http.StatusServiceUnavailable, why: "not settled"}
+}
