Operators' histories over the real record and the real replication machines

A core in virtual time (kills, lost disks one at a time, freezes of 4 s, cuts in each direction, losses of power of all, lost messages); two to five operators send changes, at times two on top of each other, look, and send calls of long ago again. Answers are lost and copies come up to 6 s late, also after the answer. porcupine judges that one machine could have answered so, and each answer is held against the record at the end.

Benchmarks tell what the memory takes.

--- /dev/null
+++ b/internal/fleet/controlplane/cluster_test.go
@@ -0,0 +1,321 @@
+package controlplane
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"molepaddle/internal/fleet/replication"
+)
+
+// member is one machine of a simulated core: the real replication machine over the real record, and a disk in memory.
+type member struct {
+	addr, zone string
+	disk       replication.State
+	machine    *replication.Machine // nil: not running
+	record     *record
+	settled    *applied // newest committed state
+	life       int
+	started    time.Duration
+	busy       time.Duration       // until: a write is under way, or the process is frozen
+	writing    *replication.Output // not yet on the disk
+	ticks      int                 // numbers the planned ticks: the newest counts
+	waiting    map[uint64]func(replication.Answer)
+	token      uint64
+}
+
+// event is something that happens at a time.
+type event struct {
+	at    time.Duration
+	order int
+	run   func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+// cluster is a core in virtual time.
+type cluster struct {
+	rng     *rand.Rand
+	now     time.Duration
+	queue   eventQueue
+	events  int
+	members []*member
+	seeds   []string
+	survive int
+	loss    float64                     // share of messages that are lost
+	cuts    map[[2]string]time.Duration // until, by direction
+	err     error
+}
+
+// bootstrapUntil is when the first start of the whole system is over.
+const bootstrapUntil = 2 * time.Second
+
+func newCluster(seed uint64, size, survive int) *cluster {
+	c := &cluster{rng: rand.New(rand.NewPCG(seed, 2)), survive: survive, cuts: map[[2]string]time.Duration{}}
+	for i := range size {
+		m := &member{addr: fmt.Sprintf("10.0.%d.1:7000", i), zone: fmt.Sprint("z", i%3)}
+		c.members = append(c.members, m)
+		c.seeds = append(c.seeds, m.addr)
+	}
+	c.seeds = c.seeds[:min(3, size)]
+	return c
+}
+
+func (c *cluster) after(d time.Duration, run func()) {
+	c.events++
+	heap.Push(&c.queue, event{at: c.now + max(d, 0), order: c.events, run: run})
+}
+
+func (c *cluster) upTo(d time.Duration) time.Duration {
+	return time.Duration(c.rng.Int64N(int64(d) + 1))
+}
+
+// runUntil plays events up to a time, or until stop says so.
+func (c *cluster) runUntil(end time.Duration, stop func() bool) (stopped bool) {
+	for c.err == nil && len(c.queue) > 0 && c.queue[0].at <= end {
+		e := heap.Pop(&c.queue).(event)
+		c.now = e.at
+		e.run()
+		if stop != nil && stop() {
+			return true
+		}
+	}
+	c.now = max(c.now, end)
+	return false
+}
+
+func (c *cluster) start(m *member) {
+	if m.machine != nil {
+		return
+	}
+	m.disk.Changes = slices.Clip(m.disk.Changes)
+	m.record = &record{}
+	machine, err := replication.New(replication.Options{
+		Self: replication.Member{Addr: m.addr, Zone: m.zone, Region: "r"}, Survive: replication.Survive{Nodes: c.survive},
+		Seeds: c.seeds, Bootstrap: c.now < bootstrapUntil,
+		BeatEvery: 100 * time.Millisecond, SuspectAfter: 500 * time.Millisecond, StaggerEach: 150 * time.Millisecond,
+		WriteWithin: 600 * time.Millisecond, ForgetAfter: 3 * time.Second, SnapshotBytes: 2000, Rand: c.rng.Uint64,
+	}, m.disk, m.record)
+	if err != nil {
+		c.err = err
+		return
+	}
+	m.machine, m.started, m.busy, m.settled = machine, c.now, c.now, nil
+	m.waiting = map[uint64]func(replication.Answer){}
+	c.tick(m)
+}
+
+// kill ends a process. A write under way gets to the disk or not.
+func (c *cluster) kill(m *member) {
+	if m.machine == nil {
+		return
+	}
+	if m.writing != nil && c.rng.IntN(2) == 0 {
+		save(&m.disk, m.writing.Write)
+	}
+	m.machine, m.writing = nil, nil
+	m.life++
+}
+
+// restart kills a process and starts it again a little later.
+func (c *cluster) restart(m *member) {
+	c.kill(m)
+	c.after(c.upTo(time.Second), func() { c.start(m) })
+}
+
+// input has a member take an input when it is free, if the process lives so long.
+func (c *cluster) input(m *member, do func(now time.Duration) replication.Output) {
+	if m.machine == nil {
+		return
+	}
+	life := m.life
+	if m.busy > c.now {
+		c.after(m.busy-c.now, func() {
+			if m.life == life {
+				c.input(m, do)
+			}
+		})
+		return
+	}
+	out := do(c.now - m.started)
+	if out.Write.Empty() {
+		c.carryOut(m, &out)
+		return
+	}
+	m.writing = &out
+	m.busy = c.now + time.Millisecond + c.upTo(4*time.Millisecond)
+	c.after(m.busy-c.now, func() {
+		if m.life == life {
+			m.writing = nil
+			save(&m.disk, out.Write)
+			c.carryOut(m, &out)
+		}
+	})
+}
+
+// carryOut does what the server's driver does once an output's write is on the disk.
+func (c *cluster) carryOut(m *member, out *replication.Output) {
+	if done := m.record.settle(out.Committed); len(done) > 0 {
+		if last := &done[len(done)-1]; m.settled == nil || last.seq > m.settled.seq {
+			m.settled = last
+		}
+	}
+	for i := range out.Send {
+		c.send(m.addr, &out.Send[i])
+	}
+	for _, a := range out.Answer {
+		if told := m.waiting[a.Token]; told != nil {
+			delete(m.waiting, a.Token)
+			told(a)
+		}
+	}
+	m.ticks++
+	number, life := m.ticks, m.life
+	c.after(max(m.started+m.machine.Next()-c.now, time.Millisecond), func() {
+		if m.life == life && m.ticks == number {
+			c.tick(m)
+		}
+	})
+}
+
+func (c *cluster) tick(m *member) {
+	c.input(m, func(now time.Duration) replication.Output { return m.machine.Tick(now) })
+}
+
+// ask hands a member an input with a token, and gives its answer to told unless the process ends before.
+func (c *cluster) ask(m *member, do func(now time.Duration, token uint64) replication.Output, told func(replication.Answer)) {
+	c.input(m, func(now time.Duration) replication.Output {
+		m.token++
+		m.waiting[m.token] = told
+		return do(now, m.token)
+	})
+}
+
+func (c *cluster) send(from string, e *replication.Envelope) {
+	body, err := e.Msg.MarshalMsg(nil)
+	if err != nil {
+		c.err = err
+		return
+	}
+	i := slices.IndexFunc(c.members, func(m *member) bool { return m.addr == e.To })
+	if i < 0 || c.rng.Float64() < c.loss {
+		return
+	}
+	delay := 500*time.Microsecond + c.upTo(10*time.Millisecond)
+	if c.loss > 0 && c.rng.IntN(50) == 0 {
+		delay += c.upTo(3 * time.Second)
+	}
+	direction := [2]string{from, e.To}
+	c.after(delay, func() {
+		if c.cuts[direction] > c.now {
+			return
+		}
+		var msg replication.Message
+		if _, err := msg.UnmarshalMsg(body); err != nil {
+			c.err = err
+			return
+		}
+		m := c.members[i]
+		c.input(m, func(now time.Duration) replication.Output { return m.machine.Receive(now, from, &msg) })
+	})
+}
+
+// whole reports whether all members are in one view whose primary serves: another disk may be lost.
+func (c *cluster) whole() bool {
+	for _, p := range c.members {
+		if p.machine == nil {
+			return false
+		}
+		st := p.machine.Status()
+		if st.Role != replication.Primary || !st.Ready || len(st.View.Backups) < c.survive {
+			continue
+		}
+		return !slices.ContainsFunc(c.members, func(m *member) bool {
+			if m.machine == nil {
+				return true
+			}
+			own := m.machine.Status()
+			return own.Epoch != st.Epoch || !own.Ready || !slices.ContainsFunc(st.View.Members, func(o replication.Member) bool { return o.ID == own.ID })
+		})
+	}
+	return false
+}
+
+// fault brings one trouble about.
+func (c *cluster) fault() {
+	m := c.members[c.rng.IntN(len(c.members))]
+	switch c.rng.IntN(6) {
+	case 0, 1:
+		c.restart(m)
+	case 2:
+		if c.survive > 0 && c.whole() {
+			c.kill(m)
+			m.disk = replication.State{}
+			c.after(c.upTo(time.Second), func() { c.start(m) })
+		}
+	case 3:
+		if m.machine != nil {
+			m.busy = max(m.busy, c.now+c.upTo(4*time.Second))
+		}
+	case 4:
+		for _, o := range c.members {
+			if c.rng.IntN(2) == 0 {
+				c.cuts[[2]string{m.addr, o.addr}] = c.now + c.upTo(3*time.Second)
+			}
+			if c.rng.IntN(2) == 0 {
+				c.cuts[[2]string{o.addr, m.addr}] = c.now + c.upTo(3*time.Second)
+			}
+		}
+	case 5:
+		for _, o := range c.members {
+			c.restart(o)
+		}
+	}
+}
+
+// calm ends all troubles, and starts what is down.
+func (c *cluster) calm() {
+	c.loss = 0
+	clear(c.cuts)
+	for _, m := range c.members {
+		c.start(m)
+	}
+}
+
+// save carries a write out on a disk in memory.
+func save(d *replication.State, w *replication.Write) {
+	if w.Reset {
+		*d = replication.State{}
+	}
+	if w.Identity != nil {
+		d.Identity = *w.Identity
+	}
+	if w.View != nil {
+		d.View = *w.View
+	}
+	if w.Vote != nil {
+		d.Vote = *w.Vote
+	}
+	if w.Standing != nil {
+		d.Standing = *w.Standing
+	}
+	if w.Snapshot != nil {
+		d.Snapshot, d.Changes = w.Snapshot, nil
+	}
+	d.Changes = append(d.Changes, w.Changes...)
+}
--- /dev/null
+++ b/internal/fleet/controlplane/histories_test.go
@@ -0,0 +1,340 @@
+package controlplane
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	qt "github.com/frankban/quicktest"
+
+	"molepaddle/internal/fleet/replication"
+)
+
+var historySeeds = flag.Uint64("controlplane.seeds", 60, "operators' histories to be played of each core")
+
+// Operators send changes to a simulated core, amid faults, and send each again until it has a clear answer; copies come late, also
+// after that answer, and calls of long ago come again. Their answers are judged together: one machine that did one thing after
+// the other could have given them.
+
+// troubleEnd is when the faults of a history end.
+const troubleEnd = 25 * time.Second
+
+// key names a call by its content: equal calls of two operators are the same change.
+func (c *Call) key() string { return fmt.Sprintf("%v %d %s", c.Replace, c.Base, c.Body) }
+
+// request is an operator's call in a history: a change, or a look at the newest configuration.
+type request struct {
+	call    *Call // nil: a look
+	version int64 // that the call would bring
+}
+
+// reply is what it was told; status 0: no clear answer.
+type reply struct {
+	status  int
+	version int64 // shown
+}
+
+// acceptedLine is what a single machine has accepted: the newest change on top of those before. Equal lines are the same value.
+type acceptedLine struct {
+	version int64
+	key     string
+	before  *acceptedLine
+	next    map[string]*acceptedLine
+}
+
+// with is the line with a change more.
+func (l *acceptedLine) with(r request) *acceptedLine {
+	key := r.call.key()
+	if l.next[key] == nil {
+		if l.next == nil {
+			l.next = map[string]*acceptedLine{}
+		}
+		l.next[key] = &acceptedLine{version: r.version, key: key, before: l}
+	}
+	return l.next[key]
+}
+
+// has reports whether a call is in the line.
+func (l *acceptedLine) has(call *Call) bool {
+	key := call.key()
+	for ; l != nil; l = l.before {
+		if l.key == key {
+			return true
+		}
+	}
+	return false
+}
+
+// singleMachine is one machine that answers as the operator's protocol says.
+func singleMachine() porcupine.Model {
+	return porcupine.Model{
+		Init: func() any { return &acceptedLine{} },
+		Step: func(state, in, out any) (bool, any) {
+			line, asked, told := state.(*acceptedLine), in.(request), out.(reply)
+			if asked.call == nil {
+				return told.status == 0 || told.version == line.version, line
+			}
+			known := line.has(asked.call)
+			acceptable := !known && asked.call.Base == line.version && asked.version > line.version
+			switch {
+			case told.status == http.StatusOK && acceptable, told.status == 0 && acceptable:
+				return true, line.with(asked)
+			case told.status == http.StatusOK:
+				return known, line
+			case told.status == 0:
+				return true, line
+			}
+			return !known && !acceptable, line
+		},
+		DescribeOperation: func(in, out any) string { return fmt.Sprint(in, " ", out) },
+	}
+}
+
+// history is a core with its operators and all that they asked and were told.
+type history struct {
+	*cluster
+	ops       []porcupine.Operation
+	asked     []request   // changes that had a clear answer, or will
+	lossy     float64     // share of answers that are lost
+	statuses  map[int]int // clear answers, by status
+	again     int         // acknowledged calls of long ago
+	ending    bool        // no new requests
+	operators int
+}
+
+// target is the member that an operator turns to: mostly one that leads.
+func (h *history) target() *member {
+	var leaders []*member
+	for _, m := range h.members {
+		if m.machine != nil && m.machine.Status().Role == replication.Primary {
+			leaders = append(leaders, m)
+		}
+	}
+	if len(leaders) > 0 && h.rng.IntN(5) > 0 {
+		return leaders[h.rng.IntN(len(leaders))]
+	}
+	return h.members[h.rng.IntN(len(h.members))]
+}
+
+// submit has a member answer a change as the server does.
+func (h *history) submit(m *member, call *Call, told func(reply)) {
+	var judged *verdict
+	h.ask(m, func(now time.Duration, token uint64) (out replication.Output) {
+		judged, out = m.record.submit(m.machine, now, token, call)
+		return out
+	}, func(a replication.Answer) { told(reply{status: outcome(judged, a).status}) })
+}
+
+// show has a member answer with the newest configuration as the server does.
+func (h *history) show(m *member, told func(reply)) {
+	h.ask(m, func(now time.Duration, token uint64) replication.Output { return m.machine.Read(now, token) }, func(a replication.Answer) {
+		if a.Result != replication.Confirmed || a.Seq > 0 && (m.settled == nil || m.settled.seq < a.Seq) {
+			return
+		}
+		shown := reply{status: http.StatusOK}
+		if m.settled != nil {
+			shown.version = m.settled.doc.Version()
+		}
+		told(shown)
+	})
+}
+
+// operate sends a request until it has a clear answer.
+func (h *history) operate(client int, r request, then func(reply)) {
+	at := len(h.ops)
+	h.ops = append(h.ops, porcupine.Operation{ClientId: client, Input: r, Call: int64(h.now), Output: reply{}, Return: math.MaxInt64})
+	ended := false
+	end := func(told reply) {
+		if ended {
+			return
+		}
+		ended = true
+		h.ops[at].Output, h.ops[at].Return = told, int64(h.now)
+		h.statuses[told.status]++
+		then(told)
+	}
+	deliver := func() {
+		answered := func(told reply) {
+			if told.status == http.StatusServiceUnavailable || h.rng.Float64() < h.lossy {
+				return
+			}
+			h.after(h.upTo(5*time.Millisecond), func() { end(told) })
+		}
+		if r.call == nil {
+			h.show(h.target(), answered)
+			return
+		}
+		h.submit(h.target(), r.call, answered)
+	}
+	var try func()
+	try = func() {
+		if ended {
+			return
+		}
+		h.after(h.upTo(5*time.Millisecond), deliver)
+		if h.rng.IntN(8) == 0 { // a copy that comes late, perhaps after the answer
+			h.after(h.upTo(6*time.Second), deliver)
+		}
+		h.after(100*time.Millisecond+h.upTo(time.Second), try)
+	}
+	try()
+}
+
+// change draws a call on the version that an operator knows. Numbers and contents are few, so that calls of different operators collide.
+func (h *history) change(known int64) request {
+	version := known + 1 + int64(h.rng.IntN(2))
+	if h.rng.IntN(12) == 0 {
+		version = known // invalid
+	}
+	if h.rng.IntN(2) == 0 {
+		return request{nextVersion(known, version), version}
+	}
+	return request{orderOf(known, fmt.Sprint(version), string(rune('a'+h.rng.IntN(4)))), version}
+}
+
+// operator asks one thing after the other: new changes, at times two on top of each other at once, old ones again, and looks.
+func (h *history) operator(client int) {
+	var known int64
+	var next func()
+	again := func() { h.after(h.upTo(100*time.Millisecond), next) }
+	next = func() {
+		if h.ending {
+			return
+		}
+		switch draw := h.rng.IntN(10); {
+		case draw == 0:
+			h.operate(client, request{}, func(told reply) {
+				known = told.version
+				again()
+			})
+		case draw <= 2 && len(h.asked) > 0: // a call of long ago
+			h.operate(client, h.asked[h.rng.IntN(len(h.asked))], func(told reply) {
+				if told.status == http.StatusOK {
+					h.again++
+				}
+				again()
+			})
+		default:
+			r := h.change(known)
+			h.asked = append(h.asked, r)
+			if draw == 3 && r.version > known { // one more on top, at once
+				h.operators++
+				ahead := h.change(r.version)
+				h.asked = append(h.asked, ahead)
+				h.operate(h.operators, ahead, func(reply) {})
+			}
+			h.operate(client, r, func(told reply) {
+				if told.status == http.StatusOK {
+					known = r.version
+					again()
+					return
+				}
+				h.operate(client, request{}, func(told reply) {
+					known = told.version
+					again()
+				})
+			})
+		}
+	}
+	next()
+}
+
+// play runs a history and judges it.
+func (h *history) play(seed uint64) error {
+	h.loss = 0.03 * float64(seed%3)
+	h.lossy = 0.15 * float64(seed%4)
+	for _, m := range h.members {
+		h.after(h.upTo(300*time.Millisecond), func() { h.start(m) })
+	}
+	h.operators = 2 + int(seed%4)
+	for client := range h.operators {
+		h.after(300*time.Millisecond, func() { h.operator(client) })
+	}
+	var faults func()
+	faults = func() {
+		if h.now < troubleEnd {
+			h.fault()
+			h.after(100*time.Millisecond+h.upTo(3*time.Second), faults)
+		}
+	}
+	h.after(2*time.Second, faults)
+	h.runUntil(troubleEnd, nil)
+	h.ending, h.lossy = true, 0
+	h.calm()
+	h.runUntil(troubleEnd+15*time.Second, nil)
+	if h.err != nil {
+		return h.err
+	}
+	var last int64
+	h.operate(h.operators+1, request{}, func(told reply) { last = told.version })
+	h.runUntil(h.now+5*time.Second, nil)
+	for _, op := range h.ops {
+		r, told := op.Input.(request), op.Output.(reply)
+		if told.status == 0 && (r.call == nil || r.call.Base <= last) {
+			return fmt.Errorf("%v has no clear answer long after calm", r)
+		}
+	}
+	return h.check()
+}
+
+// check judges the answers: together by porcupine, and each refusal by the record at the end.
+func (h *history) check() error {
+	i := slices.IndexFunc(h.members, func(m *member) bool {
+		st := m.machine.Status()
+		return st.Role == replication.Primary && st.Ready
+	})
+	if i < 0 {
+		return fmt.Errorf("nobody leads long after calm")
+	}
+	for _, op := range h.ops {
+		r, told := op.Input.(request), op.Output.(reply)
+		if r.call == nil || told.status == 0 {
+			continue
+		}
+		accepted := h.members[i].record.accepted.lookup(r.call) == sameChange
+		if accepted != (told.status == http.StatusOK) {
+			return fmt.Errorf("%v was told %d, accepted in the end: %v", r.call.key(), told.status, accepted)
+		}
+	}
+	switch porcupine.CheckOperationsTimeout(singleMachine(), h.ops, 20*time.Second) {
+	case porcupine.Illegal:
+		return fmt.Errorf("no order of %d requests explains their answers", len(h.ops))
+	case porcupine.Unknown:
+		return fmt.Errorf("%d requests weren't judged in time", len(h.ops))
+	}
+	return nil
+}
+
+// TestHistories: what operators are told is linearizable and lasting, over kills, lost disks, freezes, cuts and losses of power, with lost
+// answers, late copies and calls of long ago.
+func TestHistories(t *testing.T) {
+	for _, size := range []struct{ members, survive int }{{1, 0}, {3, 1}, {5, 2}} {
+		t.Run(fmt.Sprintf("%d-%d", size.members, size.survive), func(t *testing.T) {
+			t.Parallel()
+			statuses, again, longest := map[int]int{}, 0, 0
+			for seed := uint64(1); seed <= *historySeeds; seed++ {
+				h := &history{cluster: newCluster(seed, size.members, size.survive), statuses: map[int]int{}}
+				if err := h.play(seed); err != nil {
+					t.Fatalf("seed %d: %v", seed, err)
+				}
+				for status, n := range h.statuses {
+					statuses[status] += n
+				}
+				again += h.again
+				for _, m := range h.members {
+					longest = max(longest, len(m.record.accepted.versions))
+				}
+			}
+			t.Logf("clear answers by status: %v; %d calls of long ago acknowledged again; up to %d changes accepted", statuses, again, longest)
+			for _, status := range []int{http.StatusOK, http.StatusPreconditionFailed, http.StatusBadRequest} {
+				qt.Check(t, statuses[status] > 0, qt.IsTrue, qt.Commentf("status %d", status))
+			}
+			qt.Check(t, again > 0, qt.IsTrue)
+		})
+	}
+}
--- /dev/null
+++ b/internal/fleet/controlplane/idempotency_bench_test.go
@@ -0,0 +1,76 @@
+package controlplane
+
+import (
+	"fmt"
+	"testing"
+)
+
+// remembering is a record that accepted so many changes.
+func remembering(tb testing.TB, changes int) *record {
+	r := &record{}
+	apply(tb, r, orderOf(0, "1", "a"))
+	acceptMore(tb, r, changes-1)
+	return r
+}
+
+var rememberedCounts = []int{64, 1000, 4096, maxRemembered}
+
+// BenchmarkJudge judges the oldest remembered change, which comes again.
+func BenchmarkJudge(b *testing.B) {
+	for _, n := range rememberedCounts {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			r := remembering(b, n)
+			call := orderOf(0, "1", "a")
+			b.ReportAllocs()
+			for b.Loop() {
+				r.judge(call)
+			}
+		})
+	}
+}
+
+// BenchmarkApply applies a change that raises the version alone.
+func BenchmarkApply(b *testing.B) {
+	for _, n := range rememberedCounts {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			r := remembering(b, n)
+			b.ReportAllocs()
+			for b.Loop() {
+				acceptMore(b, r, 1)
+			}
+		})
+	}
+}
+
+// BenchmarkRemember remembers a change more, as a part of Apply.
+func BenchmarkRemember(b *testing.B) {
+	var a acceptedChanges
+	b.ReportAllocs()
+	for version := int64(1); b.Loop(); version++ {
+		a.add(version, uint64(version))
+	}
+}
+
+// BenchmarkSnapshot makes and reads a snapshot, and tells the bytes that the remembered changes take there and in memory.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, n := range rememberedCounts {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			r := remembering(b, n)
+			whole := len(r.Snapshot())
+			s := storedBy(b, r)
+			s.Versions, s.Digests, s.OldestBase = nil, nil, nil
+			rest, err := s.MarshalMsg(nil)
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				if err := r.Restore(r.seq, r.Snapshot()); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(whole-len(rest)), "snapshot-bytes")
+			b.ReportMetric(float64(8*(cap(r.accepted.versions)+cap(r.accepted.digests))), "memory-bytes")
+		})
+	}
+}
--- /dev/null
+++ b/internal/fleet/controlplane/idempotency_model_test.go
@@ -0,0 +1,231 @@
+package controlplane
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// line is the model of a record: the calls that it accepted, oldest first.
+type line struct {
+	calls     []*Call
+	versions  []int64
+	committed int // so many can't be lost any more
+	firstKept int // older ones may be forgotten, as an older build led
+	firstBase int // what this one and later ones were built on is known, too
+}
+
+func (l *line) current() int64 {
+	if len(l.versions) == 0 {
+		return 0
+	}
+	return l.versions[len(l.versions)-1]
+}
+
+// at is the place of a call in the line, or -1.
+func (l *line) at(call *Call) int {
+	return slices.IndexFunc(l.calls, func(c *Call) bool { return c == call || c.key() == call.key() })
+}
+
+// truncate takes away all but the first calls.
+func (l *line) truncate(keep int) {
+	l.calls = l.calls[:keep:keep]
+	l.versions = l.versions[:keep:keep]
+}
+
+// maxBulk bounds the changes of a run that are made many at a time.
+const maxBulk = 12_000
+
+// lineTest holds a record against its model.
+type lineTest struct {
+	record    *record
+	model     line
+	sent      []*Call        // all calls ever sent: each may come again
+	refused   map[*Call]bool // those whose refusal may have been told
+	snapshots map[int][]byte // by length of the line
+	bulk      int
+}
+
+// accept has the record and the model accept a call.
+func (lt *lineTest) accept(t *rapid.T, call *Call) {
+	b, err := call.MarshalMsg(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	lt.record.Apply(lt.record.seq+1, b)
+	lt.record.settle(0)
+	lt.model.calls = append(lt.model.calls, call)
+	lt.model.versions = append(lt.model.versions, lt.record.doc.Version())
+}
+
+// judge has the record judge a call, and judges the verdict.
+func (lt *lineTest) judge(t *rapid.T, call *Call) {
+	v := lt.record.judge(call)
+	at := lt.model.at(call)
+	switch {
+	case v == nil:
+		lt.judgeProposal(t, call, at)
+	case v.status == http.StatusOK:
+		if at < 0 {
+			t.Fatalf("acknowledged though it was not accepted: on %d %s", call.Base, call.Body)
+		}
+	case v.status == http.StatusServiceUnavailable:
+		lt.judgeUnclear(t, call, at)
+	default:
+		if at >= 0 {
+			t.Fatalf("refused with %d though it was accepted at %d of %d", v.status, at, len(lt.model.calls))
+		}
+		if v.seq != uint64(len(lt.model.calls)) {
+			t.Fatalf("judged by %d of %d changes", v.seq, len(lt.model.calls))
+		}
+		if lt.model.committed == len(lt.model.calls) {
+			lt.refused[call] = true
+		}
+	}
+}
+
+func (lt *lineTest) judgeProposal(t *rapid.T, call *Call, at int) {
+	if at >= 0 || call.Base != lt.model.current() {
+		t.Fatalf("proposed on %d at version %d, accepted at %d", call.Base, lt.model.current(), at)
+	}
+	if lt.refused[call] {
+		t.Fatalf("accepted after it was refused: on %d", call.Base)
+	}
+	lt.accept(t, call)
+	if lt.record.doc.Version() == call.Base {
+		t.Fatalf("proposed though it is invalid: on %d %s", call.Base, call.Body)
+	}
+}
+
+func (lt *lineTest) judgeUnclear(t *rapid.T, call *Call, at int) {
+	forgotten := len(lt.model.calls) - maxRemembered
+	if at >= 0 && at >= max(forgotten, lt.model.firstKept) {
+		t.Fatalf("no clear answer though %d of %d is remembered", at, len(lt.model.calls))
+	}
+	first := max(forgotten, lt.model.firstBase)
+	if at < 0 && call.Base <= lt.model.current() && (first <= 0 || call.Base >= lt.model.versions[first-1]) {
+		t.Fatalf("no clear answer on %d, though all from there on is remembered", call.Base)
+	}
+}
+
+// newCall sends a call on the current version or one near by, valid or not.
+func (lt *lineTest) newCall(t *rapid.T) {
+	base := lt.model.current()
+	if rapid.IntRange(0, 3).Draw(t, "guess") == 0 {
+		base = rapid.Int64Range(max(0, base-9), base+4).Draw(t, "base")
+	}
+	version := base + rapid.Int64Range(0, 3).Draw(t, "step")
+	host := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "host")
+	call := orderOf(base, fmt.Sprint(version), host)
+	lt.sent = append(lt.sent, call)
+	if rapid.Bool().Draw(t, "arrives") {
+		lt.judge(t, call)
+	}
+}
+
+// copyComes delivers a call that was sent at some time.
+func (lt *lineTest) copyComes(t *rapid.T) {
+	if len(lt.sent) > 0 {
+		lt.judge(t, rapid.SampledFrom(lt.sent).Draw(t, "copy"))
+	}
+}
+
+// rival sends a call that differs from another in its operation or base, or in nothing.
+func (lt *lineTest) rival(t *rapid.T) {
+	if len(lt.sent) == 0 {
+		return
+	}
+	call := *rapid.SampledFrom(lt.sent).Draw(t, "call")
+	call.Replace = rapid.Bool().Draw(t, "replace")
+	call.Base += rapid.Int64Range(0, 1).Draw(t, "base")
+	lt.sent = append(lt.sent, &call)
+}
+
+func (lt *lineTest) manyChanges(t *rapid.T) {
+	n := rapid.SampledFrom([]int{1, 70, 1000, 5000}).Draw(t, "changes")
+	if lt.bulk += n; lt.bulk > maxBulk || lt.record.doc == nil {
+		return
+	}
+	for range n {
+		lt.accept(t, nextVersion(lt.model.current(), lt.model.current()+1))
+	}
+}
+
+func (lt *lineTest) allCommitted(*rapid.T) {
+	lt.model.committed = len(lt.model.calls)
+	lt.record.settle(lt.record.seq)
+}
+
+func (lt *lineTest) snapshot(*rapid.T) { lt.snapshots[len(lt.model.calls)] = lt.record.Snapshot() }
+
+func (lt *lineTest) snapshotRead(t *rapid.T) {
+	s := storedBy(t, lt.record)
+	lt.record = fromStored(t, lt.record.seq, &s)
+}
+
+// takeover restores a snapshot that lacks what isn't committed.
+func (lt *lineTest) takeover(t *rapid.T) {
+	keep := rapid.IntRange(lt.model.committed, len(lt.model.calls)).Draw(t, "keep")
+	s, ok := lt.snapshots[keep]
+	if !ok {
+		return
+	}
+	if err := lt.record.Restore(uint64(keep), s); err != nil {
+		t.Fatal(err)
+	}
+	lt.model.truncate(keep)
+	for n := range lt.snapshots {
+		if n > keep {
+			delete(lt.snapshots, n)
+		}
+	}
+}
+
+// olderBuild has the record go through the snapshot of a build that remembers fewer changes, or none, and no base.
+func (lt *lineTest) olderBuild(t *rapid.T) {
+	if lt.record.doc == nil {
+		return
+	}
+	older := storedBy(t, lt.record)
+	kept := min(len(older.Versions), rapid.SampledFrom([]int{0, 1, 3, 64}).Draw(t, "remembered by it"))
+	older.OldestBase = nil
+	older.Versions = older.Versions[len(older.Versions)-kept:]
+	older.Digests = older.Digests[len(older.Digests)-kept:]
+	lt.record = fromStored(t, lt.record.seq, &older)
+	length := len(lt.model.calls)
+	lt.model.firstKept = max(lt.model.firstKept, length-kept)
+	lt.model.firstBase = max(lt.model.firstBase, min(length-kept+1, length))
+	lt.model.committed = length
+	clear(lt.snapshots)
+}
+
+// check holds the record's place against the model's.
+func (lt *lineTest) check(t *rapid.T) {
+	if lt.record.doc.Version() != lt.model.current() || lt.record.seq != uint64(len(lt.model.calls)) {
+		t.Fatalf("version %d at %d, expected %d at %d", lt.record.doc.Version(), lt.record.seq, lt.model.current(), len(lt.model.calls))
+	}
+}
+
+// TestSentAgainAtAnyTime: over changes by some operators, copies that come at any time, snapshots, takeovers that lose what isn't
+// committed, older builds, and up to thousands of changes between, a call is acknowledged only if it was accepted, refused only if it
+// never is, and left without a clear answer only if it is older than all that is remembered or ahead of the record.
+func TestSentAgainAtAnyTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		lt := &lineTest{record: &record{}, refused: map[*Call]bool{}, snapshots: map[int][]byte{0: nil}}
+		t.Repeat(map[string]func(*rapid.T){
+			"a new call":                       lt.newCall,
+			"a copy comes":                     lt.copyComes,
+			"a rival of a call":                lt.rival,
+			"many changes":                     lt.manyChanges,
+			"all is committed":                 lt.allCommitted,
+			"a snapshot":                       lt.snapshot,
+			"a snapshot is read":               lt.snapshotRead,
+			"another takes over with less":     lt.takeover,
+			"an older build leads for a while": lt.olderBuild,
+			"":                                 lt.check,
+		})
+	})
+}
--- a/internal/fleet/controlplane/idempotency_test.go
+++ b/internal/fleet/controlplane/idempotency_test.go
@@ -60,20 +60,25 @@
 }
 
 // storedBy is the decoded snapshot of a record.
-func storedBy(tb testing.TB, r *record) (s Stored) {
+func storedBy(tb rapid.TB, r *record) (s Stored) {
 	tb.Helper()
-	_, err := s.UnmarshalMsg(r.Snapshot())
-	qt.Assert(tb, err, qt.IsNil)
+	if _, err := s.UnmarshalMsg(r.Snapshot()); err != nil {
+		tb.Fatal(err)
+	}
 	return s
 }
 
 // fromStored is a record read from a snapshot.
-func fromStored(tb testing.TB, seq uint64, s *Stored) *record {
+func fromStored(tb rapid.TB, seq uint64, s *Stored) *record {
 	tb.Helper()
 	b, err := s.MarshalMsg(nil)
-	qt.Assert(tb, err, qt.IsNil)
+	if err != nil {
+		tb.Fatal(err)
+	}
 	r := &record{}
-	qt.Assert(tb, r.Restore(seq, b), qt.IsNil)
+	if err := r.Restore(seq, b); err != nil {
+		tb.Fatal(err)
+	}
 	return r
 }
 
@@ -276,157 +281,3 @@
 	qt.Check(t, judged(r, lost), qt.Equals, http.StatusPreconditionFailed)
 	qt.Check(t, judged(r, after), qt.Equals, http.StatusPreconditionFailed)
 }
-
-// line is the model of a record: the calls that it accepted, oldest first.
-type line struct {
-	calls     []*Call
-	versions  []int64
-	committed int // so many can't be lost any more
-}
-
-func (l *line) current() int64 {
-	if len(l.versions) == 0 {
-		return 0
-	}
-	return l.versions[len(l.versions)-1]
-}
-
-// at is the place of a call in the line, or -1.
-func (l *line) at(call *Call) int {
-	return slices.IndexFunc(l.calls, func(c *Call) bool {
-		return c == call || c.Replace == call.Replace && c.Base == call.Base && string(c.Body) == string(call.Body)
-	})
-}
-
-// TestSentAgainAtAnyTime: over changes by some operators, copies that come at any time, snapshots, takeovers that lose what isn't
-// committed and up to thousands of changes between, a call is acknowledged only if it was accepted, refused only if it never is, and
-// left without a clear answer only if it is older than all that is remembered or ahead of the record.
-func TestSentAgainAtAnyTime(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		r, model := &record{}, &line{}
-		var sent []*Call // all calls ever sent: each may come again
-		refused := map[*Call]bool{}
-		bulk := 0
-		snapshots := map[int][]byte{0: nil} // by length of the line
-		push := func(call *Call) {
-			b, err := call.MarshalMsg(nil)
-			if err != nil {
-				t.Fatal(err)
-			}
-			r.Apply(r.seq+1, b)
-			r.settle(0)
-			model.calls, model.versions = append(model.calls, call), append(model.versions, r.doc.Version())
-		}
-		judge := func(call *Call) {
-			v := r.judge(call)
-			at := model.at(call)
-			remembered := len(model.calls) - maxRemembered
-			switch {
-			case v == nil:
-				if at >= 0 || call.Base != model.current() {
-					t.Fatalf("proposed on %d at version %d, accepted at %d", call.Base, model.current(), at)
-				}
-				if refused[call] {
-					t.Fatalf("accepted after it was refused: on %d", call.Base)
-				}
-				push(call)
-				if r.doc.Version() == call.Base {
-					t.Fatalf("proposed though it is invalid: on %d %s", call.Base, call.Body)
-				}
-			case v.status == http.StatusOK:
-				if at < 0 {
-					t.Fatalf("acknowledged though it was not accepted: on %d %s", call.Base, call.Body)
-				}
-			case v.status == http.StatusServiceUnavailable:
-				if at >= 0 && at >= remembered {
-					t.Fatalf("no clear answer though %d of %d is remembered", at, len(model.calls))
-				}
-				if at < 0 && call.Base <= model.current() && (remembered <= 0 || call.Base >= model.versions[remembered-1]) {
-					t.Fatalf("no clear answer on %d, though all from there on is remembered", call.Base)
-				}
-			default:
-				if at >= 0 {
-					t.Fatalf("refused with %d though it was accepted at %d of %d", v.status, at, len(model.calls))
-				}
-				if v.seq != uint64(len(model.calls)) {
-					t.Fatalf("judged by %d of %d changes", v.seq, len(model.calls))
-				}
-				if model.committed == len(model.calls) { // it may be told
-					refused[call] = true
-				}
-			}
-		}
-		t.Repeat(map[string]func(*rapid.T){
-			"a new call": func(t *rapid.T) {
-				base := model.current()
-				if rapid.IntRange(0, 3).Draw(t, "guess") == 0 {
-					base = rapid.Int64Range(max(0, base-9), base+4).Draw(t, "base")
-				}
-				version := base + rapid.Int64Range(0, 3).Draw(t, "step")
-				host := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "host")
-				call := orderOf(base, fmt.Sprint(version), host)
-				sent = append(sent, call)
-				if rapid.Bool().Draw(t, "arrives") {
-					judge(call)
-				}
-			},
-			"a copy comes": func(t *rapid.T) {
-				if len(sent) > 0 {
-					judge(rapid.SampledFrom(sent).Draw(t, "copy"))
-				}
-			},
-			"a rival of a call": func(t *rapid.T) {
-				if len(sent) > 0 {
-					call := *rapid.SampledFrom(sent).Draw(t, "call")
-					call.Replace = rapid.Bool().Draw(t, "replace")
-					call.Base += rapid.Int64Range(0, 1).Draw(t, "base")
-					sent = append(sent, &call)
-				}
-			},
-			"many changes": func(t *rapid.T) {
-				n := rapid.SampledFrom([]int{1, 70, 1000, 5000}).Draw(t, "changes")
-				if bulk += n; bulk > 12_000 || r.doc == nil {
-					return
-				}
-				for range n {
-					push(nextVersion(model.current(), model.current()+1))
-				}
-			},
-			"all is committed": func(t *rapid.T) {
-				model.committed = len(model.calls)
-				r.settle(r.seq)
-			},
-			"a snapshot": func(t *rapid.T) {
-				snapshots[len(model.calls)] = r.Snapshot()
-			},
-			"a snapshot is read": func(t *rapid.T) {
-				next := &record{}
-				if err := next.Restore(r.seq, r.Snapshot()); err != nil {
-					t.Fatal(err)
-				}
-				r = next
-			},
-			"another takes over with less": func(t *rapid.T) {
-				keep := rapid.IntRange(model.committed, len(model.calls)).Draw(t, "keep")
-				s, ok := snapshots[keep]
-				if !ok {
-					return
-				}
-				if err := r.Restore(uint64(keep), s); err != nil {
-					t.Fatal(err)
-				}
-				model.calls, model.versions = model.calls[:keep:keep], model.versions[:keep:keep]
-				for n := range snapshots {
-					if n > keep {
-						delete(snapshots, n)
-					}
-				}
-			},
-			"": func(t *rapid.T) {
-				if r.doc.Version() != model.current() || r.seq != uint64(len(model.calls)) {
-					t.Fatalf("version %d at %d, expected %d at %d", r.doc.Version(), r.seq, model.current(), len(model.calls))
-				}
-			},
-		})
-	})
-}
--- a/internal/fleet/controlplane/planted_test.go
+++ b/internal/fleet/controlplane/planted_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"flag"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -20,7 +21,8 @@
 }
 
 // finders are the tests that have to find each fault.
-const finders = "^Test(Verdicts|SentAgain|Remembered|OlderBuilds|Damaged|LostTail|VerdictWaits|Histories)"
+var finders = flag.String("controlplane.finders", "^Test(Verdicts|SentAgain|Remembered|OlderBuilds|Damaged|LostTail|VerdictWaits|Histories)",
+	"the tests that have to find each planted fault")
 
 var faults = []fault{
 	{"few changes are remembered", "idempotency.go", "maxRemembered = rememberedBytes / rememberedChangeBytes", "maxRemembered = 64"},
@@ -40,6 +42,10 @@
 	{"a base that is not reached is refused", "verdict.go", "return &verdict{seq: r.seq, status: http.StatusServiceUnavailable,\n\t\t\twhy: fmt.Sprintf(\"version %d is in place; version", "return &verdict{seq: r.seq, status: http.StatusPreconditionFailed,\n\t\t\twhy: fmt.Sprintf(\"version %d is in place; version"},
 	{"validity goes before what was accepted", "verdict.go", "\tswitch r.accepted.lookup(c) {\n", "\tif _, found := c.change(r.doc, checks...); found.Err() != nil {\n\t\treturn &verdict{seq: r.seq, status: http.StatusBadRequest, found: found}\n\t}\n\tswitch r.accepted.lookup(c) {\n"},
 	{"a verdict is told before what it is about is committed", "verdict.go", " && a.Seq >= v.seq", ""},
+	{"a change that was lost in a takeover is acknowledged", "verdict.go", "a.Result == replication.Committed", "(a.Result == replication.Committed || a.Result == replication.LostPrimacy)"},
+	{"a verdict is told before it was confirmed", "verdict.go", "case v != nil && v.holds(a):", "case v != nil:"},
+	{"what was accepted is proposed again", "verdict.go", "\tcase sameChange:\n\t\treturn &verdict{seq: r.seq, status: http.StatusOK}\n", "\tcase sameChange:\n"},
+	{"only the newest changes are acknowledged again", "verdict.go", "\tcase sameChange:\n\t\treturn &verdict{seq: r.seq, status: http.StatusOK}\n", "\tcase sameChange:\n\t\tif r.accepted.versions[len(r.accepted.versions)-1] > c.Base+2 {\n\t\t\treturn &verdict{seq: r.seq, status: http.StatusPreconditionFailed}\n\t\t}\n\t\treturn &verdict{seq: r.seq, status: http.StatusOK}\n"},
 	{"a verdict is told by one that leads no more", "verdict.go", "a.Result == replication.Confirmed && ", ""},
 }
 
@@ -48,7 +54,7 @@
 	for _, f := range faults {
 		t.Run(strings.ReplaceAll(f.name, " ", "_"), func(t *testing.T) {
 			bin := f.build(t)
-			out, err := exec.CommandContext(t.Context(), bin, "-test.run", finders, "-test.timeout", "2m",
+			out, err := exec.CommandContext(t.Context(), bin, "-test.run", *finders, "-test.timeout", "2m", "-test.failfast",
 				"-rapid.nofailfile", "-rapid.shrinktime=0s").CombinedOutput()
 			qt.Assert(t, err, qt.IsNotNil, qt.Commentf("not found"))
 			for line := range strings.Lines(string(out)) {
