--- a/internal/fleet/controlplane/idempotency_model_test.go
+++ b/internal/fleet/controlplane/idempotency_model_test.go
@@ -144,6 +144,19 @@
 	lt.sent = append(lt.sent, &call)
 }
 
+// baseReached has a change accepted that brings the version which a call builds on that came too early.
+func (lt *lineTest) baseReached(t *rapid.T) {
+	early := slices.DeleteFunc(slices.Clone(lt.sent), func(c *Call) bool { return c.Base <= lt.model.current() })
+	if len(early) == 0 || lt.record.doc == nil {
+		return
+	}
+	call := rapid.SampledFrom(early).Draw(t, "early")
+	lt.allCommitted(t)
+	lt.judge(t, call)
+	lt.accept(t, nextVersion(lt.model.current(), call.Base))
+	lt.judge(t, call)
+}
+
 func (lt *lineTest) manyChanges(t *rapid.T) {
 	n := rapid.SampledFrom([]int{1, 70, 1000, 5000}).Draw(t, "changes")
 	if lt.bulk += n; lt.bulk > maxBulk || lt.record.doc == nil {
@@ -219,6 +232,7 @@
 			"a new call":                       lt.newCall,
 			"a copy comes":                     lt.copyComes,
 			"a rival of a call":                lt.rival,
+			"the base of a call is reached":    lt.baseReached,
 			"many changes":                     lt.manyChanges,
 			"all is committed":                 lt.allCommitted,
 			"a snapshot":                       lt.snapshot,
