Whole programs: two operators under one number, answers lost, across a kill and a freeze

45 rounds: each of two operators sends its own change under the next number, gives its first call up after 0.3 to 1.7 ms, and asks again; the primary is killed in round 10, the one then leading is frozen from round 30 to 32. One is confirmed and one refused each time, and both get the same answer at each machine at the end.

--- a/cmd/molepaddle-fleet/retries_test.go
+++ b/cmd/molepaddle-fleet/retries_test.go
@@ -1,8 +1,12 @@
 package main
 
 import (
+	"fmt"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -114,3 +118,90 @@
 	f.holds(2, latest.base+1)
 	f.judge()
 }
+
+func rivalName(operator int, version uint64) string {
+	return fmt.Sprintf("rival-%d-%d", operator, version)
+}
+
+// rivalRoute is a change that brings a route of one of two operators under a number that both use.
+func rivalRoute(operator int, version uint64) object {
+	name := rivalName(operator, version)
+	return object{"ver": version, "upsert": object{"routing": list{route(name, "/"+name+"/", "readonly", lookups, 4000, 200, 3, false)}}}
+}
+
+// sendRivals has two operators send different changes under one number on top of the newest, at once, and more happen meanwhile. Their
+// first calls are given up soon, so that the answers are lost at some step. One of them must be confirmed, the other refused.
+func (f *fleet) sendRivals(round int, meanwhile func()) (winner int, unanswered int64) {
+	f.Helper()
+	base := f.version
+	var replies [2]simulation.Reply
+	var errs [2]error
+	var lost atomic.Int64
+	var both sync.WaitGroup
+	for i := range replies {
+		ctl := append(slices.Clone(f.operator.Ctl[i:]), f.operator.Ctl[:i]...)
+		silence := time.Duration(300+200*((round+3*i)%8)) * time.Microsecond
+		both.Go(func() {
+			change := rivalRoute(i, base+1)
+			hasty := &simulation.Operator{Ctl: ctl, Silence: silence, Tries: 1}
+			replies[i], errs[i] = hasty.Update(f.within(patient), base, change)
+			if errs[i] == nil {
+				return
+			}
+			lost.Add(1)
+			patiently := &simulation.Operator{Ctl: ctl}
+			replies[i], errs[i] = patiently.Update(f.within(patient), base, change)
+		})
+	}
+	meanwhile()
+	both.Wait()
+	f.Assert(errs, qt.Equals, [2]error{}, qt.Commentf("round %d", round))
+	statuses := [2]int{replies[0].Status, replies[1].Status}
+	winner = slices.Index(statuses[:], http.StatusOK)
+	f.Assert(winner >= 0, qt.IsTrue, qt.Commentf("round %d: %v", round, statuses))
+	f.Assert(statuses[1-winner], qt.Equals, http.StatusPreconditionFailed, qt.Commentf("round %d", round))
+	f.version = base + 1
+	return winner, lost.Load()
+}
+
+// TestOperatorsRaceAcrossTakeovers has two operators send different changes under one number, over and over, while the primary is killed,
+// later another one frozen, and while answers that take a millisecond are not waited for. One of the two is confirmed each time, the
+// other is refused, and both are told the same when they send their changes again at any machine.
+func TestOperatorsRaceAcrossTakeovers(t *testing.T) {
+	f := newFleet(t, plan{bounds: map[string]any{"sync_s": 1}})
+	const rounds, killAt, freezeAt, thawAt = 45, 10, 30, 32
+	first, unanswered := f.version, int64(0)
+	var changes []sentBefore
+	var routesDue []string
+	var back time.Time
+	var frozen *simulation.Program
+	for round := range rounds {
+		base := f.version
+		winner, lost := f.sendRivals(round, func() {
+			switch round {
+			case killAt:
+				primary := f.primary()
+				primary.kill("control-plane")
+				primary.start("control-plane")
+				back = time.Now()
+			case freezeAt:
+				f.until(patient, "sync_s over", func() bool { return time.Since(back) > f.bound("sync_s", time.Second) })
+				frozen = f.primary().programs["control-plane"]
+				frozen.Signal(syscall.SIGSTOP)
+			case thawAt:
+				frozen.Signal(syscall.SIGCONT)
+			}
+		})
+		unanswered += lost
+		changes = append(changes, sentBefore{false, base, rivalRoute(winner, base+1), http.StatusOK},
+			sentBefore{false, base, rivalRoute(1-winner, base+1), http.StatusPreconditionFailed})
+		routesDue = append(routesDue, rivalName(winner, base+1))
+	}
+	t.Logf("%d of %d changes had no answer to their first call", unanswered, 2*rounds)
+	f.answeredAnywhere("at the end", changes)
+	version, routes, _ := f.shown(f.operator)
+	f.Assert(version, qt.Equals, first+rounds)
+	f.Assert(routes[len(routes)-rounds:], qt.DeepEquals, routesDue)
+	f.Assert(slices.ContainsFunc(routes[:len(routes)-rounds], func(name string) bool { return strings.HasPrefix(name, "rival") }), qt.IsFalse)
+	f.judge()
+}
