Members leave in order, and a quorum never rests on a machine that just joined

Cause: (1) a machine that was gone for good stayed a member while its successor joined as one more: of 3 members 4, of which 3 are needed and 3 live. If the successor lost its disk (it counts as lost all the while, so no more is lost than may be) its identity was gone with it and no majority was left for good. (2) A process that was told to end simply ended: the next primary waited a suspicion time-out, its backup was the only copy until then, and with its successor already a member the old machine still counted in the majority, so that the next loss stopped the core. (3) At five members and survive 2 two successors joined before the dead were silent long enough to be dropped.

Change: a joiner replaces a silent member where it would raise the majority, and is one more only where that majority is there without it; otherwise it waits. Leave is a new input: a primary hands over to a backup in step (KindHandover), a backup is replaced by a machine that takes the record first, an idle member goes out at once where the majority falls with it; the primary's heartbeat releases who leaves. A left-out holder drops its record, so one that leaves becomes a witness first.

--- a/internal/fleet/replication/adopt.go
+++ b/internal/fleet/replication/adopt.go
@@ -44,6 +44,7 @@
 			delete(m.slow, id)
 		}
 	}
+	m.forgetLeavers()
 	m.led = v.Primary == m.id.ID && m.holder()
 	m.peers = nil
 	if !m.led {
--- a/internal/fleet/replication/ballot.go
+++ b/internal/fleet/replication/ballot.go
@@ -107,7 +107,7 @@
 		}
 		sortMembers(members)
 	} else {
-		members, _ = m.nextMembers()
+		members = m.nextMembers().members
 	}
 	for _, o := range members {
 		if o.ID == m.id.ID {
@@ -117,7 +117,7 @@
 		if m.view.Epoch == 0 {
 			key = seedID(o.Addr)
 		}
-		cand := candidate{Member: o, slow: m.slowLately(o.ID)}
+		cand := candidate{Member: o, slow: m.slowLately(o.ID), leaving: m.leavers[o.ID]}
 		if p := c.promises[key]; p != nil {
 			if p.bad || m.now-p.at >= 2*m.opt.SuspectAfter {
 				continue
@@ -128,7 +128,7 @@
 		} // else a joiner that answered lately
 		from = append(from, cand)
 	}
-	best := choose(m.opt.Survive, m.self(), members, from)
+	best := choose(m.wanted(), m.self(), members, from)
 	full := best.full && (m.view.Epoch > 0 || len(members) == len(m.view.Members))
 	if !best.enough {
 		if m.now-c.since >= m.opt.WriteWithin {
--- a/internal/fleet/replication/hello.go
+++ b/internal/fleet/replication/hello.go
@@ -7,7 +7,7 @@
 
 // hello asks for the view, and to be taken in where this machine is no member.
 func (m *Machine) hello() Message {
-	return Message{Kind: KindHello, Join: m.voter() == ""}
+	return Message{Kind: KindHello, Join: m.voter() == "" && !m.leave.begun}
 }
 
 // sayHello asks around when there is a reason: no member yet, or no word of a primary.
@@ -57,7 +57,7 @@
 		if j == nil && len(m.joiners) >= maxJoiners {
 			return
 		}
-		j = &joiner{Member: msg.From}
+		j = &joiner{Member: msg.From, since: m.now}
 		m.joiners[msg.From.Addr] = j
 	}
 	j.heard = m.now
--- /dev/null
+++ b/internal/fleet/replication/leave.go
@@ -0,0 +1,114 @@
+package replication
+
+import "time"
+
+// A process that was told to end leaves in order: a primary hands its role to a backup that is in step, a backup is
+// replaced by another machine that takes the record first, and the primary drops a member that leaves at once where
+// the set bears as much without it. Nothing here is needed for safety: a machine that leaves is one that may soon be lost.
+
+// leave is what a machine that was told to end keeps in mind.
+type leave struct {
+	begun       bool
+	releasedFor uint64 // the epoch in which the primary said that it needs this machine no more
+}
+
+// Leave tells the machine that its process is about to end. It serves on meanwhile; Status.Released tells when its end
+// costs the others nothing. Whether it comes back is not known, so it gives up its role and not its membership: the
+// primary drops it where the majority that is needed falls with it.
+func (m *Machine) Leave(now time.Duration) Output {
+	before := m.Status()
+	m.begin(now)
+	m.leave.begun = true
+	if m.leading() {
+		m.handOver()
+	} else if p, ok := m.view.member(m.view.Primary); ok {
+		m.ack(p.Addr, 0)
+	}
+	return m.end(before)
+}
+
+// released reports whether a machine that leaves has no role left that others would miss.
+func (m *Machine) released() bool {
+	switch {
+	case !m.leave.begun:
+		return false
+	case !m.view.has(m.id.ID) || len(m.view.Members) == 1:
+		return true
+	case m.view.rank(m.id.ID) >= 0:
+		return false
+	}
+	return m.leave.releasedFor == m.view.Epoch
+}
+
+// noteLeaver keeps which members of the view are about to end.
+func (m *Machine) noteLeaver(msg *Message) {
+	if m.leavers[msg.From.ID] == msg.Leaving || !m.view.has(msg.From.ID) {
+		return
+	}
+	leavers := map[ID]bool{}
+	for id := range m.leavers {
+		leavers[id] = true
+	}
+	if msg.Leaving {
+		leavers[msg.From.ID] = true
+	} else {
+		delete(leavers, msg.From.ID)
+	}
+	m.leavers = leavers
+}
+
+// forgetLeavers drops what is known of machines that are no members any more.
+func (m *Machine) forgetLeavers() {
+	leavers := map[ID]bool{}
+	for id := range m.leavers {
+		if m.view.has(id) {
+			leavers[id] = true
+		}
+	}
+	m.leavers = leavers
+}
+
+// handOver asks a backup in step to take over, once nothing waits for an acknowledgement or a heartbeat later.
+func (m *Machine) handOver() {
+	if !m.leave.begun || !m.ready() || m.cand != nil {
+		return
+	}
+	for _, id := range m.view.Backups {
+		p := m.peers[id]
+		if p.seq != m.seq || !m.alive(id) || m.leavers[id] {
+			continue
+		}
+		to, _ := m.view.member(id)
+		m.send(to.Addr, Message{Kind: KindHandover, Seq: m.seq, Digest: m.digest, Committed: m.committed})
+		return
+	}
+}
+
+// onHandover takes over from a primary that leaves.
+func (m *Machine) onHandover(msg *Message) {
+	if !m.fromPrimary(msg) || !m.inStep() || m.leave.begun || msg.Seq != m.seq || msg.Digest != m.digest {
+		return
+	}
+	m.learnCommitted(msg)
+	m.retryAt = m.now
+	m.campaign()
+}
+
+// hasSuccessor reports whether a backup may take over from this primary and stay.
+func (m *Machine) hasSuccessor() bool {
+	for _, id := range m.view.Backups {
+		if m.alive(id) && !m.leavers[id] {
+			return true
+		}
+	}
+	return false
+}
+
+// wanted is what the next view must survive: a primary that leaves needs a backup to hand over to.
+func (m *Machine) wanted() Survive {
+	s := m.opt.Survive
+	if m.leave.begun {
+		s.Nodes = max(s.Nodes, 1)
+	}
+	return s
+}
--- a/internal/fleet/replication/machine.go
+++ b/internal/fleet/replication/machine.go
@@ -46,6 +46,8 @@
 	slow    map[ID]time.Duration // left out at
 	seeds   map[string]bool      // founders heard
 	joiners map[string]*joiner   // by address
+	leavers map[ID]bool          // members about to end; replaced, never changed in place
+	leave   leave
 
 	// As primary.
 	led     bool // became primary of the view in this life
@@ -165,13 +167,17 @@
 				p.behind = now
 			}
 		}
+		for _, j := range m.joiners {
+			j.since = now
+		}
 	}
 }
 
 // end closes an input.
 func (m *Machine) end(before Status) Output {
 	after := m.Status()
-	if before.ID != after.ID || before.Role != after.Role || before.Epoch != after.Epoch || before.Ready != after.Ready {
+	if before.ID != after.ID || before.Role != after.Role || before.Epoch != after.Epoch || before.Ready != after.Ready ||
+		before.Released != after.Released {
 		m.out.Changed = true
 	}
 	if !m.write.Empty() {
@@ -208,6 +214,7 @@
 		return
 	}
 	msg.From, msg.Epoch, msg.Founder = m.self(), m.view.Epoch, m.id.Founder && m.view.Epoch == 0
+	msg.Leaving = m.leave.begun
 	switch msg.Kind {
 	case KindView, KindBeat, KindPrepare, KindAccept, KindStage, KindSnapshot:
 		if m.view.Epoch > 0 {
@@ -258,6 +265,7 @@
 	if _, ok := m.heard[msg.From.ID]; ok || m.view.has(msg.From.ID) {
 		m.heard[msg.From.ID] = m.now
 	}
+	m.noteLeaver(msg)
 	switch msg.Kind {
 	case KindView:
 		if m.view.Epoch == 0 && m.voterOf(msg) != "" {
@@ -286,6 +294,8 @@
 		m.onAccepted(msg)
 	case KindRefuse:
 		m.onRefuse(msg)
+	case KindHandover:
+		m.onHandover(msg)
 	}
 }
 
@@ -301,6 +311,7 @@
 	if m.leading() && m.now >= m.beatAt {
 		m.beat()
 		m.resend()
+		m.handOver()
 		m.reform()
 	}
 	m.tickFounder()
--- /dev/null
+++ b/internal/fleet/replication/membership_test.go
@@ -0,0 +1,353 @@
+package replication
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// The times of the control plane's program, and the bounds that its settings give.
+const (
+	progBeat    = 150 * ms
+	progSuspect = 700 * ms
+	progStagger = 250 * ms
+	progWrite   = 600 * ms
+	boundSync   = 4 * time.Second // a machine counts as lost for so long after its return
+	boundAck    = 4 * time.Second // a change is acknowledged within this when things are calm
+	leaveWithin = 2 * time.Second // a process that was told to end waits no longer than this for its release
+)
+
+// programTimes are the settings of the control plane's program.
+func programTimes(o *Options) {
+	o.BeatEvery, o.SuspectAfter, o.StaggerEach = progBeat, progSuspect, progStagger
+	o.WriteWithin, o.ForgetAfter = progWrite, boundSync
+}
+
+// coreCase is a core for the scripted schedules.
+type coreCase struct{ machines, survive int }
+
+func (c coreCase) String() string { return fmt.Sprintf("%d-survive-%d", c.machines, c.survive) }
+
+var coreCases = []coreCase{{3, 1}, {4, 1}, {5, 1}, {5, 2}, {8, 1}, {8, 2}, {9, 1}, {9, 2}}
+
+// schedule is a core in virtual time whose troubles come by script.
+type schedule struct {
+	*sim
+	spares int
+}
+
+// newSchedule starts a core with the program's times and one acknowledged change, every machine of it long established.
+func newSchedule(c *qt.C, seed uint64, of coreCase) *schedule {
+	s := newSim(seed, of.machines, 3, Survive{Nodes: of.survive})
+	s.tune, s.delay = programTimes, 5*ms
+	for _, b := range s.boxes {
+		s.after(s.upTo(300*ms), func() { s.start(b) })
+	}
+	c.Assert(s.runUntil(s.now+10*time.Second, s.settled), qt.IsTrue, qt.Commentf("no start: %v", s.err))
+	s.runUntil(max(s.now, s.bootUntil)+boundSync, nil)
+	sc := &schedule{sim: s}
+	sc.acknowledges(c)
+	return sc
+}
+
+// pass lets time go by.
+func (s *schedule) pass(d time.Duration) { s.runUntil(s.now+d, nil) }
+
+// wipe ends a machine at once and drops its disk.
+func (s *schedule) wipe(b *box) {
+	s.kill(b)
+	b.disk = State{}
+}
+
+// remove ends a machine at once, for good.
+func (s *schedule) remove(b *box) {
+	s.wipe(b)
+	b.gone = true
+}
+
+// spare starts an empty machine at a new address.
+func (s *schedule) spare() *box {
+	s.spares++
+	b := s.add(fmt.Sprintf("10.1.%d.1:7000", s.spares), "z0")
+	s.start(b)
+	return b
+}
+
+// powerCycle ends all machines at once and starts each again within a second.
+func (s *schedule) powerCycle() {
+	for _, b := range s.boxes {
+		if b.m != nil {
+			s.kill(b)
+			s.after(s.upTo(time.Second), func() { s.start(b) })
+		}
+	}
+}
+
+// byRole lists the machines that run, the primary first, then backups, then witnesses, by the newest view.
+func (s *schedule) byRole() []*box {
+	l := s.live()
+	slices.SortStableFunc(l, func(a, b *box) int { return int(b.m.Status().Role) - int(a.m.Status().Role) })
+	return l
+}
+
+// acknowledges asserts that a new change is acknowledged within the bound and that all older ones are there.
+func (s *schedule) acknowledges(c *qt.C, about ...any) {
+	c.Helper()
+	acked, until := s.ackedMax, s.now+boundAck
+	for s.now < until && s.ackedMax == acked && s.err == nil {
+		if p := s.leader(); p != nil {
+			s.writeTo(p)
+		}
+		s.runUntil(min(s.now+100*ms, until), func() bool { return s.ackedMax > acked })
+	}
+	c.Assert(s.err, qt.IsNil, qt.Commentf("%v", about))
+	if s.ackedMax == acked {
+		for _, b := range s.live() {
+			st := b.m.Status()
+			c.Logf("%s %s epoch %d, %d members, backups %d, ready %v", b.addr, st.Role, st.Epoch, len(st.View.Members), len(st.View.Backups), st.Ready)
+		}
+		c.Fatalf("no change is acknowledged: %v", about)
+	}
+	p := s.leader()
+	for body, seq := range s.acked {
+		c.Assert(p.app.log[seq-1], qt.Equals, body, qt.Commentf("%v", about))
+	}
+}
+
+// eachCase plays a script for each core and several seeds; -seeds plays more in proportion.
+func eachCase(t *testing.T, seeds uint64, play func(c *qt.C, s *schedule, of coreCase, seed uint64)) {
+	for _, of := range coreCases {
+		t.Run(of.String(), func(t *testing.T) {
+			t.Parallel()
+			for seed := range seeds * uint64(*nSeeds) / 60 {
+				play(qt.New(t), newSchedule(qt.New(t), seed, of), of, seed)
+			}
+		})
+	}
+}
+
+// TestSuccessorLosesItsDisk: a machine is gone for good, and its successor loses its disk right after its first start, again and
+// again: as it counts as lost all the while, no more than may be lost ever is.
+func TestSuccessorLosesItsDisk(t *testing.T) {
+	eachCase(t, 12, func(c *qt.C, s *schedule, of coreCase, seed uint64) {
+		l := s.byRole()
+		victim := l[int(seed)%len(l)]
+		s.remove(victim)
+		s.pass(time.Duration(seed%4) * 400 * ms)
+		n := s.spare()
+		for range 3 {
+			s.pass(100*ms + s.upTo(1500*ms))
+			s.wipe(n)
+			s.pass(300 * ms)
+			s.start(n)
+		}
+		s.acknowledges(c, of, "seed", seed)
+	})
+}
+
+// TestSecondLossAfterReplacement: a machine is gone for good, its successor has had the time to catch up, and the next one is lost
+// at that moment.
+func TestSecondLossAfterReplacement(t *testing.T) {
+	eachCase(t, 12, func(c *qt.C, s *schedule, of coreCase, seed uint64) {
+		for range 3 {
+			l := s.byRole()
+			for i := range of.survive {
+				s.remove(l[(int(seed)+i)%len(l)])
+			}
+			s.pass(s.upTo(2 * time.Second))
+			for range of.survive {
+				s.spare()
+			}
+			s.pass(boundSync)
+		}
+		s.acknowledges(c, of, "seed", seed)
+		s.wipe(s.byRole()[0])
+		s.powerCycle()
+		s.pass(time.Second)
+		s.acknowledges(c, of, "seed", seed)
+	})
+}
+
+// leave tells a machine that its process is to end, and ends it when it is released or its time is over. It returns how
+// long that took.
+func (s *schedule) leave(b *box) time.Duration {
+	began, life := s.now, b.life
+	s.input(b, b.m.Leave(s.clock(b)))
+	s.runUntil(began+leaveWithin, func() bool {
+		return b.m != nil && b.life == life && b.m.Status().Released && len(b.carries) == 0
+	})
+	s.kill(b)
+	return s.now - began
+}
+
+// copies counts the machines but one whose disk holds the whole record for the newest view as one of its holders. Who was
+// brought the record and hasn't heard yet that its view is decided counts.
+func (s *schedule) copies(but *box) int {
+	var newest View
+	for _, b := range s.boxes {
+		if v := b.disk.View; v.Epoch > newest.Epoch {
+			newest = v
+		}
+	}
+	n := 0
+	for _, b := range s.boxes {
+		d := &b.disk
+		if b != but && !b.gone && newest.rank(d.Identity.ID) >= 0 && d.Standing.RecordEpoch+1 >= newest.Epoch && diskSeq(d) >= s.ackedMax {
+			n++
+		}
+	}
+	return n
+}
+
+// diskSeq is the newest change on a disk.
+func diskSeq(d *State) uint64 {
+	if n := len(d.Changes); n > 0 {
+		return d.Changes[n-1].Seq
+	}
+	if d.Snapshot != nil {
+		return d.Snapshot.Seq
+	}
+	return 0
+}
+
+// TestLeaverHoldsNoOnlyCopy: when a machine that was told to end is released, whatever its role, as many other disks hold the
+// record as must.
+func TestLeaverHoldsNoOnlyCopy(t *testing.T) {
+	eachCase(t, 12, func(c *qt.C, s *schedule, of coreCase, seed uint64) {
+		l := s.byRole()
+		b := l[int(seed)%len(l)]
+		role := b.m.Status().Role
+		took := s.leave(b)
+		c.Assert(took < leaveWithin, qt.IsTrue, qt.Commentf("%v seed %d: the %s is not released", of, seed, role))
+		c.Assert(s.copies(b) >= of.survive+1, qt.IsTrue, qt.Commentf("%v seed %d: %s, %d copies", of, seed, role, s.copies(b)))
+		b.gone = true
+		s.acknowledges(c, of, "seed", seed)
+	})
+}
+
+// TestLastTwoLeave: the primary and its only backup leave at the same moment; the machines that stay take over.
+func TestLastTwoLeave(t *testing.T) {
+	for seed := range uint64(20) {
+		c := qt.New(t)
+		s := newSchedule(c, seed, coreCase{4, 1})
+		l := s.byRole()
+		s.input(l[1], l[1].m.Leave(s.clock(l[1])))
+		s.leave(l[0])
+		s.runUntil(s.now+leaveWithin, func() bool { return l[1].m.Status().Released })
+		c.Assert(l[1].m.Status().Released, qt.IsTrue, qt.Commentf("seed %d", seed))
+		c.Assert(s.copies(l[0]) >= 2, qt.IsTrue, qt.Commentf("seed %d", seed))
+		s.kill(l[1])
+		s.start(l[0])
+		s.start(l[1])
+		s.acknowledges(c, "seed", seed)
+	}
+}
+
+// TestLeaveAlone: a machine that is the whole core, or hears nobody, isn't kept waiting for a release that nobody can give.
+func TestLeaveAlone(t *testing.T) {
+	c := qt.New(t)
+	s := newSchedule(c, 1, coreCase{1, 0})
+	c.Assert(s.leave(s.boxes[0]), qt.Equals, time.Duration(0))
+	s.start(s.boxes[0])
+	s.acknowledges(c)
+}
+
+// TestPlannedReplacement: the successor comes first, then the old machine is told to end and never comes back. Once the
+// successor had its time to catch up, as many others as may be lost go at once, at any moment after the end.
+func TestPlannedReplacement(t *testing.T) {
+	eachCase(t, 16, func(c *qt.C, s *schedule, of coreCase, seed uint64) {
+		for range 2 {
+			began := s.now
+			s.spare()
+			s.pass([]time.Duration{500 * ms, 2 * time.Second, boundSync, 2 * boundSync}[seed%4])
+			l := s.byRole()
+			old := l[int(seed/4)%len(l)]
+			s.leave(old)
+			old.gone = true
+			s.runUntil(max(s.now, began+boundSync)+time.Duration(seed%3)*50*ms, nil)
+		}
+		l := s.byRole()
+		for i := range of.survive {
+			s.wipe(l[(int(seed/8)+i)%len(l)])
+		}
+		s.acknowledges(c, of, "seed", seed)
+	})
+}
+
+// TestAllReplacedInTurn: every machine that began the day is replaced, the oldest disks first, each as soon as the last successor
+// had its time; then all lose power and as many as may be their disks.
+func TestAllReplacedInTurn(t *testing.T) {
+	eachCase(t, 4, func(c *qt.C, s *schedule, of coreCase, seed uint64) {
+		for _, old := range slices.Clone(s.boxes) {
+			planned := s.rng.IntN(2) == 0
+			if planned {
+				s.spare()
+				s.pass(s.upTo(2 * time.Second))
+				s.leave(old)
+				old.gone = true
+			} else {
+				s.remove(old)
+				s.pass(s.upTo(time.Second))
+				s.spare()
+			}
+			s.pass(boundSync)
+			if s.rng.IntN(3) == 0 {
+				s.powerCycle()
+				s.pass(time.Second + boundSync)
+			}
+			if s.rng.IntN(3) == 0 {
+				s.acknowledges(c, of, "seed", seed)
+			}
+		}
+		l := s.byRole()
+		for i := range of.survive {
+			s.wipe(l[i])
+			s.after(s.upTo(time.Second), func() { s.start(l[i]) })
+		}
+		s.powerCycle()
+		s.pass(time.Second)
+		s.acknowledges(c, of, "seed", seed)
+	})
+}
+
+// TestWipedInTurn: the disks go one after the other, each as soon as the last had its time, all others without power at the
+// same moment at times.
+func TestWipedInTurn(t *testing.T) {
+	eachCase(t, 4, func(c *qt.C, s *schedule, of coreCase, seed uint64) {
+		for i := range 2 * of.machines {
+			b := s.boxes[i%of.machines]
+			s.wipe(b)
+			if s.rng.IntN(3) == 0 {
+				s.powerCycle()
+			}
+			s.after(s.upTo(time.Second), func() { s.start(b) })
+			s.pass(time.Second + boundSync)
+			if i%3 == 0 {
+				s.acknowledges(c, of, "seed", seed)
+			}
+		}
+		s.acknowledges(c, of, "seed", seed)
+	})
+}
+
+// TestRolled: the machines are told to end one after the other, a second apart, and come back with their disks; with the
+// last that may be lost gone for good.
+func TestRolled(t *testing.T) {
+	eachCase(t, 6, func(c *qt.C, s *schedule, of coreCase, seed uint64) {
+		for i, b := range slices.Clone(s.boxes) {
+			until := s.now + time.Second
+			s.leave(b)
+			if i >= of.machines-of.survive {
+				b.gone = true
+			} else {
+				s.after(300*ms+s.upTo(700*ms), func() { s.start(b) })
+			}
+			s.runUntil(max(s.now, until), nil)
+		}
+		s.pass(time.Second)
+		s.acknowledges(c, of, "seed", seed)
+	})
+}
--- a/internal/fleet/replication/primary.go
+++ b/internal/fleet/replication/primary.go
@@ -79,6 +79,9 @@
 		done++
 	}
 	m.writes = slices.Delete(m.writes, 0, done)
+	if done > 0 {
+		m.handOver()
+	}
 	asked := false
 	m.reads = slices.DeleteFunc(m.reads, func(w waiting) bool {
 		if len(m.peers) == 0 || w.at != 0 && w.at <= round {
@@ -115,8 +118,11 @@
 func (m *Machine) beat() {
 	m.beatAt = m.now + m.opt.BeatEvery
 	m.nextRound()
+	pending := len(m.leavers) > 0 && (!m.ready() || m.relievesLeavers())
 	for _, o := range m.view.Members {
-		m.send(o.Addr, m.beatMessage())
+		msg := m.beatMessage()
+		msg.Release = m.leavers[o.ID] && !pending && m.view.rank(o.ID) < 0
+		m.send(o.Addr, msg)
 	}
 }
 
@@ -237,6 +243,9 @@
 		return
 	}
 	m.lastBeat = m.now
+	if msg.Release {
+		m.leave.releasedFor = m.view.Epoch
+	}
 	if m.holder() && !m.stopped() && msg.Seq == m.seq && msg.Digest == m.digest {
 		m.stepped()
 	}
--- a/internal/fleet/replication/reform.go
+++ b/internal/fleet/replication/reform.go
@@ -1,5 +1,7 @@
 package replication
 
+import "slices"
+
 // alive reports whether a member answered lately.
 func (m *Machine) alive(id ID) bool {
 	at, ok := m.heard[id]
@@ -30,7 +32,7 @@
 		if o.ID == m.id.ID || m.view.has(o.ID) && !m.alive(o.ID) || except(o.ID) {
 			continue
 		}
-		cs = append(cs, candidate{Member: o, holder: m.view.rank(o.ID) >= 0, slow: m.slowLately(o.ID)})
+		cs = append(cs, candidate{Member: o, holder: m.view.rank(o.ID) >= 0, slow: m.slowLately(o.ID), leaving: m.leavers[o.ID]})
 	}
 	return cs
 }
@@ -50,8 +52,7 @@
 		dead = dead || !m.alive(id)
 		stopped = stopped || p.stopped
 	}
-	members, changed := m.nextMembers()
-	c := choose(m.opt.Survive, m.self(), members, m.aliveAmong(members, func(id ID) bool { return bad[id] }))
+	plan, c := m.nextPlan(func(id ID) bool { return bad[id] })
 	switch {
 	case !m.majorityAlive():
 		// Without answers nobody can be replaced. A backup that hears this machine, but isn't heard by it, may do better.
@@ -65,17 +66,44 @@
 			}
 			m.campaign()
 		}
-	case m.ready() && m.now-m.viewSince >= m.opt.SuspectAfter && c.enough:
-		holders := []Member{m.self()}
-		for _, b := range m.view.Backups {
-			o, _ := m.view.member(b)
-			holders = append(holders, o)
-		}
-		z, r := spread(holders)
-		z, r = min(z, max(m.opt.Survive.Zones, 0)+1), min(r, max(m.opt.Survive.Regions, 0)+1)
-		better := c.full && (c.regions > r || c.regions == r && c.zones > z)
-		if changed || len(c.backups) > len(m.view.Backups) || better {
-			m.campaign()
-		}
+	case !m.ready() || !c.enough:
+	case plan.urgent || m.relieves(c):
+		m.campaign()
+	case m.now-m.viewSince >= m.opt.SuspectAfter && (plan.changed || m.betters(c)):
+		m.campaign()
+	}
+}
+
+// nextPlan is what the next view should be: its members, and backups that aren't excepted.
+func (m *Machine) nextPlan(except func(ID) bool) (memberPlan, choice) {
+	plan := m.nextMembers()
+	return plan, choose(m.wanted(), m.self(), plan.members, m.aliveAmong(plan.members, except))
+}
+
+// relievesLeavers reports whether a next view would take a role or the membership from a machine that leaves.
+func (m *Machine) relievesLeavers() bool {
+	plan, c := m.nextPlan(func(ID) bool { return false })
+	return c.enough && (plan.urgent || m.relieves(c))
+}
+
+// relieves reports whether a choice takes the role from a backup that leaves, or gives a primary that leaves somebody to
+// hand over to.
+func (m *Machine) relieves(c choice) bool {
+	leaves := func(id ID) bool { return m.leavers[id] }
+	if slices.ContainsFunc(c.backups, leaves) {
+		return false
+	}
+	return slices.ContainsFunc(m.view.Backups, leaves) || m.leave.begun && len(c.backups) > 0 && !m.hasSuccessor()
+}
+
+// betters reports whether a choice has more backups than the view, or ones that are spread better.
+func (m *Machine) betters(c choice) bool {
+	holders := []Member{m.self()}
+	for _, b := range m.view.Backups {
+		o, _ := m.view.member(b)
+		holders = append(holders, o)
 	}
+	z, r := spread(holders)
+	z, r = min(z, max(m.opt.Survive.Zones, 0)+1), min(r, max(m.opt.Survive.Regions, 0)+1)
+	return len(c.backups) > len(m.view.Backups) || c.full && (c.regions > r || c.regions == r && c.zones > z)
 }
--- a/internal/fleet/replication/sim_test.go
+++ b/internal/fleet/replication/sim_test.go
@@ -135,8 +135,9 @@
 	token     uint64
 	confirms  int
 	views     map[uint64]View
-	wiped     int  // since all was well
-	hard      bool // delays near the time-outs, so that proposals cross
+	wiped     int            // since all was well
+	hard      bool           // delays near the time-outs, so that proposals cross
+	tune      func(*Options) // changes the settings of each process, nil: nothing
 }
 
 func newSim(seed uint64, n, seeds int, s Survive) *sim {
@@ -219,6 +220,9 @@
 	if s.small {
 		o.SnapshotBytes = 20
 	}
+	if s.tune != nil {
+		s.tune(&o)
+	}
 	return o
 }
 
--- a/internal/fleet/replication/status.go
+++ b/internal/fleet/replication/status.go
@@ -16,6 +16,7 @@
 	default:
 		s.Role = Witness
 	}
+	s.Released = m.released()
 	if s.Role == Backup || s.Role == Witness {
 		s.Ready = m.started && m.now-m.lastBeat < m.opt.SuspectAfter
 	}
--- a/internal/fleet/replication/types.go
+++ b/internal/fleet/replication/types.go
@@ -61,6 +61,7 @@
 	KindAccept                   // proposer to the members of Epoch: accept Value for Epoch+1
 	KindAccepted                 // answer
 	KindRefuse                   // answer: Ballot was promised to another
+	KindHandover                 // primary that leaves to a backup in step: take over
 )
 
 // Message is all traffic between machines of the core. From is the sender; From.ID is its identity. Epoch is the
@@ -83,6 +84,8 @@
 	Stopped   bool     `msg:"x,omitempty"` // the sender answers nothing of Epoch any more
 	Step      bool     `msg:"p,omitempty"` // the sender's record is a prefix of its primary's
 	Holder    bool     `msg:"h,omitempty"` // the sender holds the record of Epoch
+	Leaving   bool     `msg:"z,omitempty"` // the sender's process is about to end
+	Release   bool     `msg:"q,omitempty"` // heartbeat: the receiver, which is about to end, has no role left
 	Changes   []Change `msg:"l,omitempty"`
 	Body      []byte   `msg:"y,omitempty"`
 }
@@ -249,4 +252,6 @@
 	// Ready: as primary, all backups are in step, writes and reads are answered. Else: the view is known, this machine is
 	// its member and heard its primary within SuspectAfter.
 	Ready bool
+	// Released: after Leave, no other machine would miss this one; its process may end.
+	Released bool
 }
--- a/internal/fleet/replication/types_gen.go
+++ b/internal/fleet/replication/types_gen.go
@@ -979,6 +979,18 @@
 				err = msgp.WrapError(err, "Holder")
 				return
 			}
+		case "z":
+			z.Leaving, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Leaving")
+				return
+			}
+		case "q":
+			z.Release, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Release")
+				return
+			}
 		case "l":
 			var zb0007 uint32
 			zb0007, err = dc.ReadArrayHeader()
@@ -1053,8 +1065,8 @@
 // EncodeMsg implements msgp.Encodable
 func (z *Message) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(18)
-	var zb0001Mask uint32 /* 18 bits */
+	zb0001Len := uint32(20)
+	var zb0001Mask uint32 /* 20 bits */
 	_ = zb0001Mask
 	if z.Join == false {
 		zb0001Len--
@@ -1100,14 +1112,22 @@
 		zb0001Len--
 		zb0001Mask |= 0x8000
 	}
-	if z.Changes == nil {
+	if z.Leaving == false {
 		zb0001Len--
 		zb0001Mask |= 0x10000
 	}
-	if z.Body == nil {
+	if z.Release == false {
 		zb0001Len--
 		zb0001Mask |= 0x20000
 	}
+	if z.Changes == nil {
+		zb0001Len--
+		zb0001Mask |= 0x40000
+	}
+	if z.Body == nil {
+		zb0001Len--
+		zb0001Mask |= 0x80000
+	}
 	// variable map header, size zb0001Len
 	err = en.WriteMapHeader(zb0001Len)
 	if err != nil {
@@ -1345,6 +1365,30 @@
 			}
 		}
 		if (zb0001Mask & 0x10000) == 0 { // if not omitted
+			// write "z"
+			err = en.Append(0xa1, 0x7a)
+			if err != nil {
+				return
+			}
+			err = en.WriteBool(z.Leaving)
+			if err != nil {
+				err = msgp.WrapError(err, "Leaving")
+				return
+			}
+		}
+		if (zb0001Mask & 0x20000) == 0 { // if not omitted
+			// write "q"
+			err = en.Append(0xa1, 0x71)
+			if err != nil {
+				return
+			}
+			err = en.WriteBool(z.Release)
+			if err != nil {
+				err = msgp.WrapError(err, "Release")
+				return
+			}
+		}
+		if (zb0001Mask & 0x40000) == 0 { // if not omitted
 			// write "l"
 			err = en.Append(0xa1, 0x6c)
 			if err != nil {
@@ -1389,7 +1433,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x20000) == 0 { // if not omitted
+		if (zb0001Mask & 0x80000) == 0 { // if not omitted
 			// write "y"
 			err = en.Append(0xa1, 0x79)
 			if err != nil {
@@ -1409,8 +1453,8 @@
 func (z *Message) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(18)
-	var zb0001Mask uint32 /* 18 bits */
+	zb0001Len := uint32(20)
+	var zb0001Mask uint32 /* 20 bits */
 	_ = zb0001Mask
 	if z.Join == false {
 		zb0001Len--
@@ -1456,14 +1500,22 @@
 		zb0001Len--
 		zb0001Mask |= 0x8000
 	}
-	if z.Changes == nil {
+	if z.Leaving == false {
 		zb0001Len--
 		zb0001Mask |= 0x10000
 	}
-	if z.Body == nil {
+	if z.Release == false {
 		zb0001Len--
 		zb0001Mask |= 0x20000
 	}
+	if z.Changes == nil {
+		zb0001Len--
+		zb0001Mask |= 0x40000
+	}
+	if z.Body == nil {
+		zb0001Len--
+		zb0001Mask |= 0x80000
+	}
 	// variable map header, size zb0001Len
 	o = msgp.AppendMapHeader(o, zb0001Len)
 
@@ -1572,6 +1624,16 @@
 			o = msgp.AppendBool(o, z.Holder)
 		}
 		if (zb0001Mask & 0x10000) == 0 { // if not omitted
+			// string "z"
+			o = append(o, 0xa1, 0x7a)
+			o = msgp.AppendBool(o, z.Leaving)
+		}
+		if (zb0001Mask & 0x20000) == 0 { // if not omitted
+			// string "q"
+			o = append(o, 0xa1, 0x71)
+			o = msgp.AppendBool(o, z.Release)
+		}
+		if (zb0001Mask & 0x40000) == 0 { // if not omitted
 			// string "l"
 			o = append(o, 0xa1, 0x6c)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Changes)))
@@ -1588,7 +1650,7 @@
 				o = msgp.AppendBytes(o, z.Changes[za0001].Body)
 			}
 		}
-		if (zb0001Mask & 0x20000) == 0 { // if not omitted
+		if (zb0001Mask & 0x80000) == 0 { // if not omitted
 			// string "y"
 			o = append(o, 0xa1, 0x79)
 			o = msgp.AppendBytes(o, z.Body)
@@ -1803,6 +1865,18 @@
 				err = msgp.WrapError(err, "Holder")
 				return
 			}
+		case "z":
+			z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Leaving")
+				return
+			}
+		case "q":
+			z.Release, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Release")
+				return
+			}
 		case "l":
 			var zb0007 uint32
 			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -1889,7 +1963,7 @@
 	} else {
 		s += z.Value.Msgsize()
 	}
-	s += 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	s += 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Changes {
 		s += 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Changes[za0001].Body)
 	}
--- a/internal/fleet/replication/view.go
+++ b/internal/fleet/replication/view.go
@@ -90,8 +90,9 @@
 // candidate is a machine that may become a backup.
 type candidate struct {
 	Member
-	holder bool // holds the record already
-	slow   bool // was left out lately
+	holder  bool // holds the record already
+	slow    bool // was left out lately
+	leaving bool // is about to end: taken only where nobody else is there
 }
 
 // spread counts the zones and regions of some machines.
@@ -111,8 +112,15 @@
 	zones, regions int  // of the holders, up to what is wanted
 }
 
+// staying are the members but for the candidates that are about to end.
+func staying(members []Member, from []candidate) []Member {
+	return slices.DeleteFunc(slices.Clone(members), func(o Member) bool {
+		return slices.ContainsFunc(from, func(c candidate) bool { return c.leaving && c.ID == o.ID })
+	})
+}
+
 // choose picks the backups beside self among the candidates, for a view with these members. Each step takes who
-// brings a new region or zone where one is still wanted, then who isn't slow, then who holds the record, then
+// stays, then who brings a new region or zone where one is still wanted, then who isn't slow, then who holds the record, then
 // the lowest address.
 func choose(s Survive, self Member, members []Member, from []candidate) choice {
 	need := min(s.Copies(), len(members)) - 1
@@ -128,6 +136,9 @@
 		for i, cand := range rest {
 			z2, r2 := spread(append(holders[:len(holders):len(holders)], cand.Member))
 			score := 0
+			if !cand.leaving {
+				score += 16
+			}
 			if r2 > r && r < wantR {
 				score += 8
 			}
@@ -144,7 +155,7 @@
 				best, bestScore = i, score
 			}
 		}
-		if rest[best].slow {
+		if rest[best].slow || rest[best].leaving {
 			c.full = false
 		}
 		holders = append(holders, rest[best].Member)
@@ -154,7 +165,7 @@
 	c.enough = len(c.backups) == need
 	z, r := spread(holders)
 	c.zones, c.regions = min(z, wantZ), min(r, wantR)
-	allZ, allR := spread(members)
+	allZ, allR := spread(staying(members, from))
 	c.full = c.full && c.enough && c.zones >= min(wantZ, allZ, need+1) && c.regions >= min(wantR, allR, need+1)
 	return c
 }
