Planted faults of replication are laid wherever their text stands; flags of its own

A planted fault named the file that holds its text, so that each file that is split broke the table. Each fault names the kinds of tests that must find it, or why none does. The flags are -replication.seed, .seeds and .case.

--- a/internal/fleet/replication/machine_test.go
+++ b/internal/fleet/replication/machine_test.go
@@ -11,9 +11,9 @@
 )
 
 var (
-	oneSeed = flag.Uint64("seed", 0, "play this seed only, with a trace")
-	oneCase = flag.String("case", "", "with -seed: the case")
-	nSeeds  = flag.Int("seeds", 60, "seeds for each case of the storm")
+	oneSeed = flag.Uint64("replication.seed", 0, "play this seed only, with a trace")
+	oneCase = flag.String("replication.case", "", "with -replication.seed: the case")
+	nSeeds  = flag.Int("replication.seeds", 60, "seeds for each case of the storm")
 )
 
 func (s *sim) fault() {
@@ -212,7 +212,7 @@
 			}
 			for seed := uint64(1); seed <= uint64(*nSeeds); seed++ {
 				if err := storm(seed, c.n, c.seeds, sv, false); err != nil {
-					t.Fatalf("seed %d (-seed %d -case %s): %v", seed, seed, name, err)
+					t.Fatalf("seed %d (-replication.seed %d -replication.case %s): %v", seed, seed, name, err)
 				}
 			}
 		})
--- /dev/null
+++ b/internal/fleet/replication/plantedfaults_test.go
@@ -0,0 +1,54 @@
+package replication
+
+// plantedFaults are deliberate errors in the protocol. TestPlantedFaults checks that each still fits the sources and, with
+// -replication.planted, that the kinds of tests named by it find it.
+var plantedFaults = []plantedFault{
+	{"a backup acknowledges what isn't on its disk", []string{"\t\t\tm.keep(rest[:taken]...)\n", ""}, "search", ""},
+	{"the primary's own disk isn't waited for", []string{"\tm.keep(c)\n", ""}, "search", ""},
+	{"a promise is kept in memory only", []string{
+		"\t\tm.vote.Promised = msg.Ballot\n\t\tm.putVote()\n", "\t\tm.vote.Promised = msg.Ballot\n"}, "search", ""},
+	{"an acceptance is kept in memory only", []string{
+		"Accepted: msg.Ballot, Value: msg.Value}\n\t\tm.putVote()\n", "Accepted: msg.Ballot, Value: msg.Value}\n"}, "search", ""},
+	{"a machine without its disk votes as who it was", []string{
+		`ID(fmt.Sprintf("%016x%016x", m.opt.Rand(), m.opt.Rand()))`, `ID(fmt.Sprint("of ", m.opt.Self.Addr))`}, "search", ""},
+	{"a snapshot on the disk is one change short", []string{
+		"Digest: m.digest, Body: body}",
+		"Digest: m.digest, Body: func() []byte { n := len(body); for n > 0 && body[n-1] != 10 { n-- }; return body[:max(0, n-1)] }()}"}, "search", ""},
+	{"half of the members decide", []string{"return len(v.Members)/2 + 1", "return (len(v.Members) + 1) / 2"}, "search", ""},
+	{"a view is decided by fewer than promised", []string{
+		"len(c.accepted) >= m.view.majority()", "len(c.accepted) >= m.view.majority()-1"}, "search", ""},
+	{"who proposes goes on answering", []string{
+		"\t\tm.stand.StoppedEpoch = m.view.Epoch + 1\n", ""}, "search", ""},
+	{"who proposed answers again after a restart", []string{
+		"\t\tm.stand.StoppedEpoch = m.view.Epoch + 1\n\t\tm.putStanding()\n", "\t\tm.stand.StoppedEpoch = m.view.Epoch + 1\n"},
+		"", "needs two proposals and a restart, which the deep search has"},
+	{"a stopped backup still acknowledges", []string{"m.holder() && !m.stopped() && m.stand.StepEpoch", "m.holder() && m.stand.StepEpoch",
+		"\tif !m.stopped() {\n\t\trest", "\t{\n\t\trest", "\tif msg.Stopped {\n\t\tm.stoppedPeer(p)\n\t\treturn\n\t}\n", ""}, "search", ""},
+	{"a write is acknowledged before the backups have it", []string{
+		"seq, round = min(seq, p.seq), min(round, p.round)", "round = min(round, p.round)"}, "search", ""},
+	{"a read is not confirmed", []string{"len(m.peers) == 0 || w.at != 0 && w.at <= round", "true"}, "search", ""},
+	{"a read is confirmed by an earlier answer", []string{
+		"waiting{token: token})\n\t\tm.advance()", "waiting{token: token, at: m.round})\n\t\tm.advance()"}, "search", ""},
+	{"what others accepted is not proposed", []string{"if newest != nil {", "if newest != nil && m.now < 0 {"}, "search", ""},
+	{"the oldest acceptance wins", []string{"newest.accepted.less(p.accepted)", "p.accepted.less(newest.accepted)"},
+		"", "needs three proposals"},
+	{"a lower ballot is promised too", []string{
+		"msg.Ballot.ID != msg.From.ID {\n\t\treturn\n\t}\n\tif msg.Ballot.less(m.vote.Promised) {", "msg.Ballot.ID != msg.From.ID {\n\t\treturn\n\t}\n\tif msg.Ballot.less(Ballot{}) {"}, "search", ""},
+	{"a lower ballot is accepted too", []string{
+		"!msg.Value.valid() {\n\t\treturn\n\t}\n\tif msg.Ballot.less(m.vote.Promised) {", "!msg.Value.valid() {\n\t\treturn\n\t}\n\tif msg.Ballot.less(Ballot{}) {"}, "search", ""},
+	{"a coming backup isn't brought the record first", []string{
+		"if c.staged[b] || p != nil && p.holder {", "if c.staged[b] || p != nil {"}, "search", ""},
+	{"any backup counts as a holder", []string{"m.view.rank(m.id.ID) >= 0 && m.stand.RecordEpoch == m.view.Epoch", "m.view.rank(m.id.ID) >= 0"},
+		"", "by itself it changes nothing: who is named a backup was brought the record"},
+	{"an older snapshot is taken late", []string{"(m.stand.StepEpoch != m.view.Epoch || msg.Seq > m.seq)", "(m.now >= 0)"}, "search", ""},
+	{"a longer record counts as a prefix", []string{"!m.stopped() && msg.Seq == m.seq && msg.Digest == m.digest", "!m.stopped()"}, "search", ""},
+	{"a change follows any record", []string{
+		"ok := msg.Changes, msg.Seq == m.seq && msg.Digest == m.digest", "ok := msg.Changes, msg.Seq <= m.seq"},
+		"", "each change's own digest is looked at as well"},
+	{"words of an older view count", []string{"if msg.Epoch < m.view.Epoch {", "if msg.Epoch+1 < m.view.Epoch {"}, "search", ""},
+	{"who was left out keeps its identity", []string{"if m.id.Joined && !v.has(m.id.ID) {", "if m.id.Joined && !v.has(m.id.ID) && m.now < 0 {"},
+		"", "it has no vote in a view that doesn't name it"},
+	{"a decided view isn't kept on the disk", []string{"\t\tm.putView()\n\t\tm.putVote()\n\t}\n\theard", "\t\tm.putVote()\n\t}\n\theard"}, "search", ""},
+	{"a view of the same epoch replaces the one that is known", []string{"if v.Epoch <= m.view.Epoch || !v.valid()", "if v.Epoch < m.view.Epoch || !v.valid()"},
+		"search", ""},
+}
