A control machine told to end hands over first; a restarted peer loses no message

Cause: (1) at SIGTERM the control server simply ended; its core waited a suspicion time-out for the next primary. (2) The first message to a peer whose process had been restarted was written to the connection of the old one: the system takes it and it is lost, the ballot began 150 ms later, at each takeover after a restart.

Change: the program serves on until the core has released it, 2 s or half of grace_s at most. A connection to a peer is given up once its other end is gone.

--- a/internal/fleet/controlplane/controlplane.go
+++ b/internal/fleet/controlplane/controlplane.go
@@ -98,8 +98,10 @@
 	return o.status.Load(), *changed
 }
 
-// Run serves until ctx ends.
+// Run serves until ctx ends and the core has taken over what this machine does.
 func (o *Server) Run(ctx context.Context) error {
+	ctx, stopServing := o.untilReleased(ctx)
+	defer stopServing()
 	if o.set.Bind.Control == "" {
 		return errors.New("bind: ctl must be given")
 	}
--- a/internal/fleet/controlplane/peers.go
+++ b/internal/fleet/controlplane/peers.go
@@ -52,11 +52,16 @@
 // write sends what is queued for one peer, and ends when nothing has been for a while.
 func (p *peers) write(to string, q chan replication.Message) {
 	var c net.Conn
+	var gone <-chan struct{}
 	idle := time.NewTimer(peerIdle)
 	defer idle.Stop()
 	for {
 		select {
 		case m := <-q:
+			if c != nil && isClosed(gone) {
+				c.Close()
+				c, gone = nil, nil
+			}
 			if c == nil {
 				var err error
 				if c, err = distribution.Dial(to, peerWithin); err != nil {
@@ -66,13 +71,17 @@
 					}
 					continue
 				}
+				gone = closedByPeer(c)
 			}
 			_ = c.SetWriteDeadline(time.Now().Add(peerWithin))
 			if err := distribution.WriteFrame(c, &m); err != nil {
 				c.Close()
-				c = nil
+				c, gone = nil, nil
 			}
 			idle.Reset(peerIdle)
+		case <-gone:
+			c.Close()
+			c, gone = nil, nil
 		case <-idle.C:
 			p.mu.Lock()
 			if len(q) > 0 {
--- a/internal/fleet/replication/membership_test.go
+++ b/internal/fleet/replication/membership_test.go
@@ -117,7 +117,7 @@
 	}
 }
 
-// eachCase plays a script for each core and several seeds; -seeds plays more in proportion.
+// eachCase plays a script for each core and several seeds; -replication.seeds plays more in proportion.
 func eachCase(t *testing.T, seeds uint64, play func(c *qt.C, s *schedule, of coreCase, seed uint64)) {
 	for _, of := range coreCases {
 		t.Run(of.String(), func(t *testing.T) {
