Members are planned for zones and regions too, and every step of a change is enumerated

Cause: a table of quorums, enumerated over the planning functions, for cores of 1, 3, 4, 5, 8 and 9 machines that survive machines, zones or regions: a machine that joins as one more may give its zone a share whose loss leaves no majority, though the set without it bears that (3 machines in 3 zones, 5 in 3, 4 and 5, 9 in 5). And a core of one machine could not be replaced: the old one stayed a member after its end.

Change: a joiner waits where the larger set would bear less, several come together where that bears more, those first whose zone has the fewest; a member isn't dropped where the rest would bear less.

--- a/internal/fleet/replication/membership.go
+++ b/internal/fleet/replication/membership.go
@@ -52,46 +52,96 @@
 	if !m.led {
 		return plan
 	}
-	for _, j := range m.joining() {
-		m.admit(&plan, j)
-	}
+	waiting := plan.renew(m.joining())
+	waiting = m.swapAbsent(&plan, waiting)
+	m.grow(&plan, waiting)
 	m.dropAbsent(&plan)
 	sortMembers(plan.members)
 	return plan
 }
 
-// admit takes a joiner into the plan: in the place of its address's older identity, in the place of a member that is
-// silent, or as one more where the majority that this makes is there without it. Otherwise the joiner waits: a set
-// whose majority rests on a machine that has only just come is lost with that machine's disk.
-func (m *Machine) admit(plan *memberPlan, j Member) {
-	if i := slices.IndexFunc(plan.members, func(o Member) bool { return o.Addr == j.Addr }); i >= 0 {
+// renew puts joiners in the places of their addresses' older identities and returns the others.
+func (plan *memberPlan) renew(joiners []Member) []Member {
+	return slices.DeleteFunc(joiners, func(j Member) bool {
+		i := slices.IndexFunc(plan.members, func(o Member) bool { return o.Addr == j.Addr })
+		if i < 0 {
+			return false
+		}
 		plan.members[i], plan.changed = j, true
-		return
+		return true
+	})
+}
+
+// swapAbsent puts joiners in the places of members that leave or are silent, and returns the others. A joiner that came as
+// one more beside a lost member would raise the majority and be needed for it: the set would be lost with its disk.
+func (m *Machine) swapAbsent(plan *memberPlan, joiners []Member) []Member {
+	if len(plan.members) < m.leastMembers() {
+		return joiners
 	}
-	size := len(plan.members)
-	raises := (size+1)/2 > size/2
-	if raises && size >= m.leastMembers() {
-		if absent := m.absent(plan.members, m.opt.SuspectAfter); len(absent) > 0 {
-			plan.members = slices.DeleteFunc(plan.members, func(o Member) bool { return o.ID == absent[0].ID })
-		} else if m.now-m.joiners[j.Addr].since < m.opt.SuspectAfter || m.present(plan.members) < (size+1)/2+1 {
+	return slices.DeleteFunc(joiners, func(j Member) bool {
+		for _, o := range m.absent(plan.members, m.opt.SuspectAfter) {
+			swapped := append(without(plan.members, o), j)
+			if m.bearsLess(plan.members, swapped) {
+				continue
+			}
+			plan.members, plan.changed = swapped, true
+			plan.urgent = plan.urgent || m.leavesAsWitness(o.ID)
+			return true
+		}
+		return false
+	})
+}
+
+// grow takes in as many joiners as may come, those first whose zone has the fewest members. The others wait.
+func (m *Machine) grow(plan *memberPlan, joiners []Member) {
+	joiners = byNeed(plan.members, joiners)
+	for n := len(joiners); n > 0; n-- {
+		if m.mayGrow(plan.members, joiners[:n]) {
+			plan.members, plan.changed = append(plan.members, joiners[:n]...), true
 			return
 		}
 	}
-	if len(plan.members) < maxMembers {
-		plan.members, plan.changed = append(plan.members, j), true
+}
+
+// mayGrow reports whether joiners may come as so many more members: without them a majority of the larger set must be
+// there, and it must bear what the smaller one does.
+func (m *Machine) mayGrow(members, joiners []Member) bool {
+	grown := append(slices.Clone(members), joiners...)
+	switch {
+	case len(grown) > maxMembers:
+		return false
+	case len(members) < m.leastMembers():
+		return true
+	case m.bearsLess(members, grown):
+		return false
+	case majorityOf(len(grown)) == majorityOf(len(members)):
+		return true
 	}
+	recent := func(j Member) bool { return m.now-m.joiners[j.Addr].since < m.opt.SuspectAfter }
+	return !slices.ContainsFunc(joiners, recent) && m.present(members) >= majorityOf(len(grown))
+}
+
+// bearsLess reports whether a change of the members takes from them that they bear what is to be survived.
+func (m *Machine) bearsLess(before, after []Member) bool {
+	return m.opt.Survive.borneBy(before) && !m.opt.Survive.borneBy(after)
 }
 
 // dropAbsent takes out of the plan those that leave or were silent for ForgetAfter, where that lowers the majority.
 func (m *Machine) dropAbsent(plan *memberPlan) {
-	absent := m.absent(plan.members, m.opt.ForgetAfter)
-	absent = absent[:max(0, min(len(absent), len(plan.members)-m.leastMembers()))]
-	if (len(plan.members)-len(absent))/2 == len(plan.members)/2 {
+	m.drop(plan, m.absent(plan.members, m.opt.ForgetAfter), m.leastMembers())
+	leaving := slices.DeleteFunc(slices.Clone(plan.members), func(o Member) bool { return !m.leavesAsWitness(o.ID) })
+	m.drop(plan, leaving, 2*m.opt.Survive.Copies()-1)
+}
+
+// drop takes the first of these members out of the plan, down to so many, where that lowers the majority.
+func (m *Machine) drop(plan *memberPlan, absent []Member, least int) {
+	absent = absent[:max(0, min(len(absent), len(plan.members)-least))]
+	rest := without(plan.members, absent...)
+	if majorityOf(len(rest)) == majorityOf(len(plan.members)) || m.bearsLess(plan.members, rest) {
 		return
 	}
-	plan.members = slices.DeleteFunc(plan.members, func(o Member) bool { return slices.Contains(absent, o) })
-	plan.changed = true
-	plan.urgent = slices.ContainsFunc(absent, func(o Member) bool { return m.leavesAsWitness(o.ID) })
+	plan.members, plan.changed = rest, true
+	plan.urgent = plan.urgent || slices.ContainsFunc(absent, func(o Member) bool { return m.leavesAsWitness(o.ID) })
 }
 
 // absent lists members of the view among these that are about to end or were silent for so long: the former first,
@@ -133,3 +183,30 @@
 	}
 	return n
 }
+
+// without are the members but for some.
+func without(members []Member, some ...Member) []Member {
+	return slices.DeleteFunc(slices.Clone(members), func(o Member) bool { return slices.Contains(some, o) })
+}
+
+// byNeed orders joiners so that each in turn stands in the zone with the fewest members.
+func byNeed(members, joiners []Member) []Member {
+	inZone := map[[2]string]int{}
+	for _, o := range members {
+		inZone[o.zone()]++
+	}
+	rest := slices.Clone(joiners)
+	var ordered []Member
+	for len(rest) > 0 {
+		i := 0
+		for k := range rest {
+			if inZone[rest[k].zone()] < inZone[rest[i].zone()] {
+				i = k
+			}
+		}
+		inZone[rest[i].zone()]++
+		ordered = append(ordered, rest[i])
+		rest = slices.Delete(rest, i, i+1)
+	}
+	return ordered
+}
--- a/internal/fleet/replication/membership_test.go
+++ b/internal/fleet/replication/membership_test.go
@@ -255,6 +255,21 @@
 	s.acknowledges(c)
 }
 
+// TestOnlyMachineReplaced: the one machine of a core is told to end once its successor is in; the record goes over with the role.
+func TestOnlyMachineReplaced(t *testing.T) {
+	for seed := range uint64(20) {
+		c := qt.New(t)
+		s := newSchedule(c, seed, coreCase{1, 0})
+		old := s.boxes[0]
+		s.spare()
+		s.pass(2 * time.Second)
+		c.Assert(s.leave(old) < leaveWithin, qt.IsTrue, qt.Commentf("seed %d", seed))
+		old.gone = true
+		s.acknowledges(c, "seed", seed)
+		c.Assert(s.leader().app.log, qt.HasLen, 2)
+	}
+}
+
 // TestPlannedReplacement: the successor comes first, then the old machine is told to end and never comes back. Once the
 // successor had its time to catch up, as many others as may be lost go at once, at any moment after the end.
 func TestPlannedReplacement(t *testing.T) {
--- a/internal/fleet/replication/plantedfaults_test.go
+++ b/internal/fleet/replication/plantedfaults_test.go
@@ -14,7 +14,7 @@
 	{"a snapshot on the disk is one change short", []string{
 		"Digest: m.digest, Body: body}",
 		"Digest: m.digest, Body: func() []byte { n := len(body); for n > 0 && body[n-1] != 10 { n-- }; return body[:max(0, n-1)] }()}"}, "search", ""},
-	{"half of the members decide", []string{"return len(v.Members)/2 + 1", "return (len(v.Members) + 1) / 2"}, "search", ""},
+	{"half of the members decide", []string{"return members/2 + 1", "return (members + 1) / 2"}, "search", ""},
 	{"a view is decided by fewer than promised", []string{
 		"len(c.accepted) >= m.view.majority()", "len(c.accepted) >= m.view.majority()-1"}, "search", ""},
 	{"who proposes goes on answering", []string{
--- /dev/null
+++ b/internal/fleet/replication/quorumtable_test.go
@@ -0,0 +1,357 @@
+package replication
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var rewriteTable = flag.Bool("replication.rewrite", false, "write the table of quorums into the design page")
+
+const (
+	tablePage  = "../../../docs/design/worst-days-3-membership.md"
+	tableBegin = "<!-- table of quorums: written by TestQuorumTable, -replication.rewrite -->\n"
+	tableEnd   = "<!-- end of the table of quorums -->\n"
+)
+
+// layout is a core of the table: so many machines, spread over so many places in turn, of which as many may be lost as
+// survive says.
+type layout struct {
+	machines, places int
+	survive          Survive
+}
+
+func (l layout) String() string {
+	what, count := "machine", l.survive.Nodes
+	if l.survive.Zones > 0 {
+		what, count = "zone", l.survive.Zones
+	}
+	if l.survive.Regions > 0 {
+		what, count = "region", l.survive.Regions
+	}
+	if count != 1 {
+		what += "s"
+	}
+	text := fmt.Sprintf("%d, %d %s", l.machines, count, what)
+	if l.survive.Nodes == 0 {
+		text += fmt.Sprintf(" of %d", l.places)
+	}
+	return text
+}
+
+// layouts are all cores of the table.
+func layouts() []layout {
+	all := []layout{{1, 1, Survive{}}}
+	for _, n := range []int{1, 3, 4, 5, 8, 9} {
+		for s := 1; s <= 2; s++ {
+			all = append(all, layout{n, n, Survive{Nodes: s}})
+			for _, places := range []int{3, 4, 5} {
+				if places <= n && places >= 2*s+1 {
+					all = append(all, layout{n, places, Survive{Zones: s}}, layout{n, places, Survive{Regions: s}})
+				}
+			}
+		}
+	}
+	return all
+}
+
+// member is the i-th machine of a layout in its generation: successors stand where their predecessor stood.
+func (l layout) member(i, generation int) Member {
+	m := Member{ID: ID(fmt.Sprintf("m%d-%d", i, generation)), Addr: fmt.Sprintf("10.0.%d.%d:7000", i, generation)}
+	m.Zone, m.Region = "z", "r"
+	switch {
+	case l.survive.Zones > 0:
+		m.Zone = fmt.Sprint("z", i%l.places)
+	case l.survive.Regions > 0:
+		m.Region = fmt.Sprint("r", i%l.places)
+	}
+	return m
+}
+
+// losses are all sets of machines that may be lost at once, by address: those lost already count, each in its place.
+func (l layout) losses(of []Member, lost ...Member) []map[string]bool {
+	unit := func(m Member) string {
+		switch {
+		case l.survive.Zones > 0:
+			return m.Zone
+		case l.survive.Regions > 0:
+			return m.Region
+		}
+		return m.Addr
+	}
+	var units, already []string
+	for _, m := range of {
+		units = append(units, unit(m))
+	}
+	for _, m := range lost {
+		already = append(already, unit(m))
+	}
+	slices.Sort(units)
+	units = slices.Compact(units)
+	slices.Sort(already)
+	already = slices.Compact(already)
+	units = slices.DeleteFunc(units, func(u string) bool { return slices.Contains(already, u) })
+	may := max(l.survive.Nodes, l.survive.Zones, l.survive.Regions) - len(already)
+	var sets []map[string]bool
+	for bits := range 1 << len(units) {
+		in := slices.Clone(already)
+		for i, u := range units {
+			if bits&(1<<i) != 0 {
+				in = append(in, u)
+			}
+		}
+		if len(in)-len(already) > max(may, 0) {
+			continue
+		}
+		set := map[string]bool{}
+		for _, m := range append(slices.Clone(of), lost...) {
+			set[m.Addr] = slices.Contains(in, unit(m))
+		}
+		sets = append(sets, set)
+	}
+	return sets
+}
+
+// planner is the primary of a view with what it knows of the others.
+func (l layout) planner(v View) *Machine {
+	m := &Machine{
+		opt: Options{Survive: l.survive, SuspectAfter: progSuspect, ForgetAfter: boundSync, BeatEvery: progBeat}, view: v, led: true,
+		now: 10 * boundSync, heard: map[ID]time.Duration{}, slow: map[ID]time.Duration{}, joiners: map[string]*joiner{}, leavers: map[ID]bool{},
+	}
+	self, _ := v.member(v.Primary)
+	m.id = Identity{ID: self.ID, Addr: self.Addr}
+	m.opt.Self = self
+	for _, o := range v.Members {
+		m.heard[o.ID] = m.now
+	}
+	return m
+}
+
+// joins has a machine ask to be taken in, for longer than a suspicion takes.
+func (m *Machine) joins(o Member) {
+	m.joiners[o.Addr] = &joiner{Member: o, since: m.now - progSuspect, heard: m.now, confirmed: true}
+}
+
+// next is the view that the planner would have decided; the view as it is when there is nothing to change.
+func (m *Machine) next() View {
+	plan, c := m.nextPlan(func(ID) bool { return false })
+	if !c.enough {
+		return m.view
+	}
+	return View{Epoch: m.view.Epoch + 1, Members: plan.members, Primary: m.id.ID, Backups: c.backups}
+}
+
+// takeovers are all views of the next epoch that a backup may have decided after the primary's loss.
+func (l layout) takeovers(v View, dead ID) []View {
+	var all []View
+	for _, id := range v.Backups {
+		w := v
+		w.Primary = id
+		m := l.planner(w)
+		m.heard[dead] = 0
+		m.led = false // members stay
+		if next := m.next(); next.Epoch > v.Epoch {
+			all = append(all, next)
+		}
+	}
+	return all
+}
+
+// stage is a moment of a change of members; its rows hold the worst over all machines that the change may hit.
+type stage struct {
+	name                 string
+	members              [2]int // least, most
+	quorum, copies       int    // most, least
+	spareVotes, lastCopy int    // left of the quorum and of the copies after the worst loss
+	seen                 bool
+}
+
+func (s *stage) note(v *View, votes, copies, spare, last int) {
+	n := len(v.Members)
+	if !s.seen {
+		s.seen, s.members = true, [2]int{n, n}
+		s.quorum, s.copies, s.spareVotes, s.lastCopy = v.majority(), copies, spare, last
+		return
+	}
+	s.members = [2]int{min(s.members[0], n), max(s.members[1], n)}
+	s.quorum, s.copies = max(s.quorum, v.majority()), min(s.copies, copies)
+	s.spareVotes, s.lastCopy = min(s.spareVotes, spare), min(s.lastCopy, last)
+}
+
+func (s *stage) holds() bool { return s.spareVotes >= 0 && s.lastCopy >= 1 }
+
+// judge looks at a view under each of the losses; gone are those that are lost for good and no part of any loss.
+func (s *stage) judge(c *qt.C, v View, losses []map[string]bool, gone ...Member) {
+	c.Assert(v.valid(), qt.IsTrue, qt.Commentf("%s: %+v", s.name, v))
+	isGone := func(m Member) bool { return slices.Contains(gone, m) }
+	for _, lost := range losses {
+		votes, copies, last := 0, 0, 0
+		for _, m := range v.Members {
+			holder := v.rank(m.ID) >= 0
+			if holder && !isGone(m) {
+				copies++
+			}
+			if isGone(m) || lost[m.Addr] {
+				continue
+			}
+			votes++
+			if holder {
+				last++
+			}
+		}
+		s.note(&v, votes, copies, votes-v.majority(), last)
+	}
+}
+
+// stages plays a replacement of each machine in turn, unplanned and planned, and judges each view on the way.
+func (l layout) stages(c *qt.C) []*stage {
+	whole, lostOne := &stage{name: "whole"}, &stage{name: "one machine lost"}
+	joined, synced := &stage{name: "its successor is in"}, &stage{name: "the successor has caught up"}
+	second, ended := &stage{name: "planned: one more is in"}, &stage{name: "planned: the old one has ended"}
+	first := View{Epoch: 1}
+	for i := range l.machines {
+		first.Members = append(first.Members, l.member(i, 1))
+	}
+	sortMembers(first.Members)
+	first.Primary = first.Members[0].ID
+	m := l.planner(first)
+	first.Backups = m.next().Backups
+	whole.judge(c, first, l.losses(first.Members))
+	if !l.bearable() {
+		return []*stage{whole}
+	}
+	for i := range l.machines {
+		l.planned(c, first, l.member(i, 1), l.member(i, 2), second, ended)
+	}
+	if l.survive.Copies() == 1 {
+		return []*stage{whole, second, ended}
+	}
+	for i := range l.machines {
+		l.unplanned(c, first, l.member(i, 1), l.member(i, 2), lostOne, joined, synced)
+	}
+	return []*stage{whole, lostOne, joined, synced, second, ended}
+}
+
+// unplanned: old is lost for good; successor comes, and has had its time.
+func (l layout) unplanned(c *qt.C, first View, old, successor Member, lostOne, joined, synced *stage) {
+	lostOne.judge(c, first, l.losses(first.Members, old))
+	views := []View{first}
+	if first.Primary == old.ID {
+		views = l.takeovers(first, old.ID)
+	}
+	for _, v := range views {
+		m := l.planner(v)
+		m.heard[old.ID] = m.now - progSuspect
+		repaired := m.next() // the backups anew
+		lostOne.judge(c, repaired, l.losses(repaired.Members, old))
+		m = l.planner(repaired)
+		m.heard[old.ID] = m.now - progSuspect
+		m.joins(successor)
+		v = m.next()
+		joined.judge(c, v, l.losses(v.Members, old, successor))
+		m = l.planner(v)
+		m.heard[old.ID] = m.now - boundSync
+		v = m.next()
+		synced.judge(c, v, l.losses(slices.DeleteFunc(slices.Clone(v.Members), func(o Member) bool { return o == old })), old)
+	}
+}
+
+// planned: the successor comes first and has its time, then old is told to end and leaves in order.
+func (l layout) planned(c *qt.C, first View, old, successor Member, second, ended *stage) {
+	m := l.planner(first)
+	m.joins(successor)
+	v := m.next()
+	second.judge(c, v, l.losses(v.Members))
+	views := []View{v}
+	if v.Primary == old.ID {
+		m = l.planner(v) // without a backup it takes one first
+		m.leave.begun = true
+		v = m.next()
+		views = nil
+		for _, id := range v.Backups { // each may be handed the role
+			w := v
+			w.Primary = id
+			m = l.planner(w)
+			m.leavers[old.ID] = true
+			m.led = false // members stay
+			views = append(views, m.next())
+		}
+	}
+	for _, v := range views {
+		for range 3 { // out of its role, out of the members
+			m = l.planner(v)
+			m.leavers[old.ID] = true
+			if !slices.ContainsFunc(v.Members, func(o Member) bool { return o == successor }) {
+				m.joins(successor)
+			}
+			v = m.next()
+		}
+		ended.judge(c, v, l.losses(slices.DeleteFunc(slices.Clone(v.Members), func(o Member) bool { return o == old })), old)
+	}
+}
+
+// bearable reports whether any core of this layout could bear the loss: a majority of all its machines is left.
+func (l layout) bearable() bool {
+	var members []Member
+	for i := range l.machines {
+		members = append(members, l.member(i, 1))
+	}
+	for _, lost := range l.losses(members) {
+		left := 0
+		for _, m := range members {
+			if !lost[m.Addr] {
+				left++
+			}
+		}
+		if left < l.machines/2+1 {
+			return false
+		}
+	}
+	return true
+}
+
+// TestQuorumTable enumerates cores, changes of their members and losses: wherever the whole core bears what is to be survived, it
+// does so at each moment of a change: a majority of the members is left, and a copy of the record. The table
+// in the design page is what was found.
+func TestQuorumTable(t *testing.T) {
+	c := qt.New(t)
+	var table strings.Builder
+	table.WriteString("| core, to be survived | moment | members | quorum | copies | votes to spare after the worst loss | copies left | holds |\n|---|---|---|---|---|---|---|---|\n")
+	for _, l := range layouts() {
+		for _, s := range l.stages(c) {
+			if l.bearable() {
+				c.Check(s.holds(), qt.IsTrue, qt.Commentf("%s: %s: %+v", l, s.name, *s))
+			}
+			members := fmt.Sprint(s.members[0])
+			if s.members[1] != s.members[0] {
+				members += fmt.Sprint(" to ", s.members[1])
+			}
+			verdict := "yes"
+			switch {
+			case s.holds():
+			case s.spareVotes < 0:
+				verdict = "no: fewer than a majority is left"
+			default:
+				verdict = "no: no copy is left"
+			}
+			fmt.Fprintf(&table, "| %s | %s | %s | %d | %d | %d | %d | %s |\n", l, s.name, members, s.quorum, s.copies, s.spareVotes, s.lastCopy, verdict)
+		}
+	}
+	page, err := os.ReadFile(tablePage)
+	c.Assert(err, qt.IsNil)
+	before, rest, ok := strings.Cut(string(page), tableBegin)
+	c.Assert(ok, qt.IsTrue)
+	found, after, ok := strings.Cut(rest, tableEnd)
+	c.Assert(ok, qt.IsTrue)
+	if *rewriteTable {
+		c.Assert(os.WriteFile(tablePage, []byte(before+tableBegin+table.String()+tableEnd+after), 0o600), qt.IsNil)
+		return
+	}
+	c.Check(found, qt.Equals, table.String(), qt.Commentf("run with -replication.rewrite"))
+}
