httpfront: a drain that has ended closes no connection, and TestReady can't hang

Cause: TestReady's last step is answered only on a connection from before HandOver. The client's pool held that connection, and the front's tend loop could close it: it looked whether clients are sent away, and closed what is idle a moment later, when Rejoin had come in between and the connection had become idle after it. The client then opened a new one, which nobody accepts after HandOver, and had no bound. Change: the look is repeated under the lock of the places, under which connections become idle. The test holds its connection by hand, with a deadline. New: TestIdleConnectionsStayAfterADrain, which finds the check taken out again.

--- a/internal/protocol/httpfront/bodies_test.go
+++ b/internal/protocol/httpfront/bodies_test.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -14,6 +13,7 @@
 
 	"molepaddle/internal/core"
 	"molepaddle/internal/protocol/window"
+	"molepaddle/internal/rig/testkit"
 )
 
 // whole reads all that a request brings, as a transport does.
@@ -87,7 +87,7 @@
 		"HEAD":                   {head("HEAD /look/u HTTP/1.1"), "", true},
 	} {
 		c.text = strings.Replace(c.text, "Request-Id: id", "Request-Id: "+strings.ReplaceAll(name, " ", "-"), 1)
-		conn, err := net.Dial("tcp", addr)
+		conn, err := testkit.Dial("tcp", addr)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -115,7 +115,7 @@
 		conn.Close()
 	}
 	// A client that expects a word is given it before its body.
-	conn, err := net.Dial("tcp", addr)
+	conn, err := testkit.Dial("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -149,7 +149,7 @@
 		"endless":           {"Transfer-Encoding: chunked", fmt.Sprintf("%x\r\n%s\r\n", len(long), long), true, " 413 "},
 		"too long":          {fmt.Sprint("Content-Length: ", window.Most+1), long, false, " 413 "},
 	} {
-		conn, err := net.Dial("tcp", strings.TrimPrefix(base, "http://"))
+		conn, err := testkit.Dial("tcp", strings.TrimPrefix(base, "http://"))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -181,7 +181,7 @@
 		_, _, base, _, _ := start(t, 20, func(context.Context, *core.Request) core.Answer {
 			return core.Answer{Outcome: core.Served, Body: []byte("begin"), Rest: rest, Length: c.length}
 		})
-		conn, err := net.Dial("tcp", strings.TrimPrefix(base, "http://"))
+		conn, err := testkit.Dial("tcp", strings.TrimPrefix(base, "http://"))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/protocol/httpfront/front.go
+++ b/internal/protocol/httpfront/front.go
@@ -138,7 +138,7 @@
 	// From now on each answer ends its connection; the server's own way to that closes idle
 	// connections without a look at what is just being read from them.
 	for until := time.Now().Add(intake.AcceptFor); a.life.Accepts() && time.Now().Before(until); time.Sleep(intake.LeaveEvery) {
-		a.places.closeIdle()
+		a.places.closeIdleWhile(a.life.Leaving)
 	}
 	for _, ln := range listeners {
 		ln.Close()
@@ -177,7 +177,7 @@
 				return
 			}
 		}
-		a.places.closeIdle()
+		a.places.closeIdleWhile(a.life.Leaving)
 		a.places.closeSilent(time.Now().Add(-quietFor))
 		next := time.NewTimer(sendEvery)
 		select {
--- a/internal/protocol/httpfront/front_test.go
+++ b/internal/protocol/httpfront/front_test.go
@@ -192,7 +192,7 @@
 	})
 	answers := make(chan *http.Response, 2)
 	ask := func() {
-		resp, err := http.DefaultTransport.RoundTrip(testkit.Call(base, "look"))
+		resp, err := testkit.Client.Do(testkit.Call(base, "look"))
 		if err != nil {
 			t.Error(err)
 		}
@@ -218,7 +218,7 @@
 // dial opens a client's connection by hand.
 func dial(t *testing.T, base string) net.Conn {
 	t.Helper()
-	c, err := net.Dial("tcp", strings.TrimPrefix(base, "http://"))
+	c, err := testkit.Dial("tcp", strings.TrimPrefix(base, "http://"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -500,7 +500,7 @@
 	a, _ := newFront(10, served)
 	a.server.ReadHeaderTimeout = time.Hour
 	_, base, _ := serve(t, a)
-	silent, err := net.Dial("tcp", base)
+	silent, err := testkit.Dial("tcp", base)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -515,12 +515,37 @@
 	}
 }
 
-// /ready is yes only where a server can be sent to and clients are not sent away.
+// askReady asks for /ready on a connection opened by hand, and reports whether the connection is kept.
+func askReady(t *testing.T, c net.Conn) (status int, kept bool) {
+	t.Helper()
+	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+	if _, err := io.WriteString(c, "GET /ready HTTP/1.1\r\nHost: b\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		t.Fatalf("no whole answer: %v", err)
+	}
+	return resp.StatusCode, !resp.Close
+}
+
+// /ready is yes only where a server can be sent to and clients are not sent away. Once another process accepts, only
+// a connection from before is answered: the test holds one, opened after the last step that closes connections.
 func TestReady(t *testing.T) {
 	a, f, base, _, _ := start(t, 10, served)
+	var held net.Conn
 	ask := func() int {
-		req, _ := http.NewRequest(http.MethodGet, base+"/ready", nil)
-		status, _, _ := testkit.Do(t, req)
+		if held == nil {
+			held = dial(t, base)
+		}
+		status, kept := askReady(t, held)
+		if !kept {
+			held = nil
+		}
 		return status
 	}
 	for i, c := range []struct {
@@ -530,7 +555,7 @@
 		{func() {}, 200},
 		{func() { f.down.Store(true) }, 503},
 		{func() { f.down.Store(false) }, 200},
-		{func() { _ = a.life.Evacuate() }, 503},
+		{func() { _ = a.life.Evacuate(); held = nil }, 503}, // what is idle is closed
 		{func() { _ = a.life.Rejoin() }, 200},
 		{func() { _ = a.life.HandOver() }, 200}, // another process is
 	} {
@@ -540,6 +565,34 @@
 	}
 }
 
+// A pass over the idle connections that began while clients were sent away closes none once that has ended.
+func TestIdleConnectionsStayAfterADrain(t *testing.T) {
+	a, _, base, _, _ := start(t, 10, served)
+	held := dial(t, base)
+	if status, kept := askReady(t, held); status != http.StatusOK || !kept {
+		t.Fatalf("answered %d, kept %v", status, kept)
+	}
+	rests := func() bool {
+		a.places.mu.Lock()
+		defer a.places.mu.Unlock()
+		for c := range a.places.conns {
+			return c.stage == idle
+		}
+		return false
+	}
+	eventually(t, "idle", rests)
+	a.places.closeIdleWhile(func() bool { return false })
+	if status, _ := askReady(t, held); status != http.StatusOK {
+		t.Fatalf("answered %d", status)
+	}
+	eventually(t, "idle again", rests)
+	a.places.closeIdleWhile(func() bool { return true })
+	_ = held.SetReadDeadline(time.Now().Add(20 * time.Second))
+	if _, err := held.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Fatalf("an idle connection is left open while clients are sent away: %v", err)
+	}
+}
+
 // Once another process accepts, this one leaves what comes in the queue, and takes it up when it is
 // alone again.
 func TestAcceptsOnlyWhatIsItsOwn(t *testing.T) {
@@ -551,7 +604,7 @@
 	}
 	// Whatever it was about to accept when it was told it may still take.
 	eventually(t, "one is left in the queue", func() bool {
-		c, err := net.Dial("tcp", addr)
+		c, err := testkit.Dial("tcp", addr)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/protocol/httpfront/places.go
+++ b/internal/protocol/httpfront/places.go
@@ -341,10 +341,14 @@
 	}
 }
 
-// closeIdle closes the connections that are between two requests.
-func (p *places) closeIdle() {
+// closeIdleWhile closes the connections that are between two requests, if leaving still holds once the places are
+// locked: a connection that becomes idle after leaving ended is never closed by a pass that began before.
+func (p *places) closeIdleWhile(leaving func() bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !leaving() {
+		return
+	}
 	for c := range p.conns {
 		if c.stage == idle && sockets.Pending(c.Conn) == 0 {
 			c.end()
--- a/internal/protocol/httpfront/places_test.go
+++ b/internal/protocol/httpfront/places_test.go
@@ -33,11 +33,12 @@
 func TestClosedAsItsRequestComes(t *testing.T) {
 	nothing := func() {}
 	leave := func(p *places) { p.closeWaiting(time.Now()) }
+	closeIdle := func(p *places) { p.closeIdleWhile(func() bool { return true }) }
 	for name, c := range map[string]struct {
 		closer func(p *places)
 		stages []http.ConnState
 	}{
-		"between two requests":            {(*places).closeIdle, []http.ConnState{http.StateActive, http.StateIdle}},
+		"between two requests":            {closeIdle, []http.ConnState{http.StateActive, http.StateIdle}},
 		"leaving, between requests":       {leave, []http.ConnState{http.StateActive, http.StateIdle}},
 		"leaving, before the first":       {leave, nil},
 		"for a new one, between requests": {func(p *places) { p.take(&clientConn{Conn: &hooked{}, places: p}, time.Now().Add(time.Hour)) }, []http.ConnState{http.StateActive, http.StateIdle}},
