Tests: each client has a bound, and fails in place of waiting

testkit.Client and testkit.Dial give up after a minute; http.DefaultClient, DefaultTransport and net.Dial without a deadline are gone from the tests of internal/protocol, internal/process and cmd/molepaddle, but for those with a context or a deadline of their own and benchmarks.

--- a/cmd/molepaddle/fastcgi_test.go
+++ b/cmd/molepaddle/fastcgi_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -18,7 +17,7 @@
 
 func webServer(t *testing.T, socket string) *shared {
 	t.Helper()
-	c, err := net.Dial("unix", socket)
+	c, err := testkit.Dial("unix", socket)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -92,7 +91,7 @@
 	p.config = strings.Replace(p.config, `"name":"order"`, `"name":"bulletin"`, 1)
 	next()
 	_ = old.Process.Signal(syscall.SIGTERM)
-	eventually(t, "its end begins", out, func() bool { c, err := net.Dial("unix", socket); return err == nil && c.Close() == nil })
+	eventually(t, "its end begins", out, func() bool { c, err := testkit.Dial("unix", socket); return err == nil && c.Close() == nil })
 	c.begin(5, "send")
 	c.whole(5)
 	c.served(t, 5)
--- a/cmd/molepaddle/large_test.go
+++ b/cmd/molepaddle/large_test.go
@@ -16,6 +16,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"molepaddle/internal/rig/testkit"
 )
 
 var largeFlag = flag.Bool("large", false, "play large messages at full size: 180 answers and 180 bodies of 32 MB, as many as 1,024 descriptors hold")
@@ -66,7 +68,7 @@
 	awaitReady(t, listen, out)
 	var ids atomic.Int64
 	ask := func(method, path, more string) (net.Conn, error) {
-		c, err := net.Dial("tcp", listen)
+		c, err := testkit.Dial("tcp", listen)
 		if err == nil {
 			_ = c.SetDeadline(time.Now().Add(2 * time.Minute))
 			_, err = fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: b\r\nRequest-Id: l%d\r\nRequest-Timeout: 9000m\r\n%s\r\n", method, path, ids.Add(1), more)
--- a/cmd/molepaddle/main_test.go
+++ b/cmd/molepaddle/main_test.go
@@ -14,6 +14,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"molepaddle/internal/rig/testkit"
 )
 
 // TestMain makes the test binary the program itself when it is started as a child.
@@ -124,7 +126,7 @@
 func awaitReady(t *testing.T, listen string, out *output) {
 	t.Helper()
 	eventually(t, "ready", out, func() bool {
-		resp, err := http.Get("http://" + listen + "/ready")
+		resp, err := testkit.Client.Get("http://" + listen + "/ready")
 		if err != nil {
 			return false
 		}
@@ -145,7 +147,7 @@
 	req, _ := http.NewRequest(http.MethodPost, "http://"+listen+"/order/u1", strings.NewReader("x"))
 	req.Header.Set("Request-Id", "1")
 	req.Header.Set("Request-Timeout", "30000m")
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := testkit.Client.Do(req)
 	if err != nil {
 		t.Fatalf("%v; it said %s", err, out)
 	}
--- a/cmd/molepaddle/replace_test.go
+++ b/cmd/molepaddle/replace_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"molepaddle/internal/process/handover"
+	"molepaddle/internal/rig/testkit"
 	"molepaddle/internal/rig/testkit/crowd"
 )
 
@@ -57,7 +58,7 @@
 // call calls the newest process's door; 0: it is not there.
 func (p *inService) call(method, path string) int {
 	req, _ := http.NewRequest(method, "http://"+p.addr+path, nil)
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := testkit.Client.Do(req)
 	if err != nil {
 		return 0
 	}
--- a/cmd/molepaddle/standin_test.go
+++ b/cmd/molepaddle/standin_test.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strings"
 	"testing"
+
+	"molepaddle/internal/rig/testkit"
 )
 
 // The stand-ins of a trial serve, say what comes and drain when told.
@@ -18,7 +20,7 @@
 	get := func(url string) string {
 		req, _ := http.NewRequest(http.MethodGet, url, nil)
 		req.Header.Set("Request-Id", "trial-1")
-		resp, err := http.DefaultClient.Do(req)
+		resp, err := testkit.Client.Do(req)
 		if err != nil {
 			return ""
 		}
--- a/cmd/molepaddle/work_test.go
+++ b/cmd/molepaddle/work_test.go
@@ -21,6 +21,7 @@
 	"molepaddle/internal/process/agent"
 	"molepaddle/internal/process/seat"
 	"molepaddle/internal/rig/standin"
+	"molepaddle/internal/rig/testkit"
 )
 
 // newWorkers prepares n agents on machines h0, h1, ..., of which the first with folders may sit in a council of
@@ -147,7 +148,7 @@
 
 // ready is what an agent answers clients that ask whether it is; 0: nothing.
 func (f *fleet) ready(i int) int {
-	resp, err := http.Get("http://" + f.all[i].listen + "/ready")
+	resp, err := testkit.Client.Get("http://" + f.all[i].listen + "/ready")
 	if err != nil {
 		return 0
 	}
@@ -162,7 +163,7 @@
 		req, _ := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/order/u%d", f.all[i].listen, k), strings.NewReader("x"))
 		req.Header.Set("Request-Id", fmt.Sprint("w", tokens.Add(1)))
 		req.Header.Set("Request-Timeout", "30000m")
-		resp, err := http.DefaultClient.Do(req)
+		resp, err := testkit.Client.Do(req)
 		if err != nil {
 			f.t.Fatal(err)
 		}
--- a/internal/process/agent/agent_test.go
+++ b/internal/process/agent/agent_test.go
@@ -226,7 +226,7 @@
 	})
 	_, base, _, _ := start(t, testkit.Config(nowhere, addr))
 	ctx, cancel := context.WithCancel(context.Background())
-	go http.DefaultTransport.RoundTrip(testkit.Call(base, "order").WithContext(ctx))
+	go testkit.Client.Do(testkit.Call(base, "order").WithContext(ctx))
 	<-got
 	cancel()
 	<-ended
@@ -244,7 +244,7 @@
 		io.Copy(io.Discard, r)
 		close(ended)
 	})))
-	resp, err := http.DefaultTransport.RoundTrip(testkit.Call(base, "look"))
+	resp, err := testkit.Client.Do(testkit.Call(base, "look"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -319,7 +319,7 @@
 	}})
 	answered := make(chan int, 1)
 	go func() {
-		resp, err := http.DefaultTransport.RoundTrip(testkit.Call(base, "order"))
+		resp, err := testkit.Client.Do(testkit.Call(base, "order"))
 		if err != nil {
 			t.Error(err)
 			close(answered)
@@ -388,7 +388,7 @@
 	go func() { ended <- a.Serve(ctx, all...) }()
 	for _, ln := range all {
 		client := &http.Transport{DisableKeepAlives: true, DialContext: func(context.Context, string, string) (net.Conn, error) {
-			return net.Dial(ln.Addr().Network(), ln.Addr().String())
+			return testkit.Dial(ln.Addr().Network(), ln.Addr().String())
 		}}
 		resp, err := client.RoundTrip(testkit.Call("http://agent", "order"))
 		if err != nil || resp.StatusCode != 200 {
@@ -402,7 +402,7 @@
 		t.Fatal(err)
 	}
 	for _, ln := range all {
-		if c, err := net.Dial(ln.Addr().Network(), ln.Addr().String()); err == nil {
+		if c, err := testkit.Dial(ln.Addr().Network(), ln.Addr().String()); err == nil {
 			c.Close()
 			t.Errorf("%s still listens", ln.Addr())
 		}
--- a/internal/process/agent/pairs_test.go
+++ b/internal/process/agent/pairs_test.go
@@ -65,7 +65,7 @@
 
 // fastCall asks over FastCGI on a connection of its own and gives the answer as HTTP has it.
 func fastCall(addr, class, id string, body []byte) (status int, text string, err error) {
-	c, err := net.Dial("tcp", addr)
+	c, err := testkit.Dial("tcp", addr)
 	if err != nil {
 		return 0, "", err
 	}
@@ -232,7 +232,7 @@
 			t.Fatal(err)
 		}
 		serveOn(t, a)
-		c, err := net.Dial("unix", ln.Addr().String())
+		c, err := testkit.Dial("unix", ln.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/process/agent/service_test.go
+++ b/internal/process/agent/service_test.go
@@ -212,7 +212,7 @@
 		base, _, _ := serveOn(t, a)
 		done := make(chan int, 1)
 		go func() {
-			resp, err := http.DefaultTransport.RoundTrip(testkit.Call(base, "send"))
+			resp, err := testkit.Client.Do(testkit.Call(base, "send"))
 			if err != nil {
 				t.Error(err)
 			}
--- a/internal/process/handover/handover_test.go
+++ b/internal/process/handover/handover_test.go
@@ -16,6 +16,7 @@
 
 	"molepaddle/internal/core"
 	"molepaddle/internal/decide/cluster"
+	"molepaddle/internal/rig/testkit"
 )
 
 // first is a first process that notes what it is told.
@@ -89,7 +90,7 @@
 	if mine == nil || s.Listener("tcp", ln.Addr().String()) != nil {
 		t.Fatal("the socket is to be had once")
 	}
-	go net.Dial("tcp", mine.Addr().String())
+	go testkit.Dial("tcp", mine.Addr().String())
 	if c, err := mine.Accept(); err != nil {
 		t.Error(err)
 	} else {
@@ -125,7 +126,7 @@
 func TestOddSuccessors(t *testing.T) {
 	f, path, _ := offer(t)
 	for _, say := range []string{"", "x", "\xff\xff\xff\xff", "\x00\x00\x00\x02{}", "\x00\x00\x00\x05hello"} {
-		c, err := net.Dial("unix", path)
+		c, err := testkit.Dial("unix", path)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/process/management/management_test.go
+++ b/internal/process/management/management_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"molepaddle/internal/decide/lifecycle"
+	"molepaddle/internal/rig/testkit"
 )
 
 // door opens one, and returns its machine and address.
@@ -37,7 +38,7 @@
 // call sends a text as it is, and reads the answer.
 func call(t *testing.T, addr, text string) (*http.Response, string) {
 	t.Helper()
-	c, err := net.Dial("tcp", addr)
+	c, err := testkit.Dial("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -96,7 +97,7 @@
 func TestSilentCallers(t *testing.T) {
 	_, addr := door(t)
 	for i := range 5 * Connections {
-		c, err := net.Dial("tcp", addr)
+		c, err := testkit.Dial("tcp", addr)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/protocol/fcgifront/front_test.go
+++ b/internal/protocol/fcgifront/front_test.go
@@ -82,7 +82,7 @@
 
 func dial(t *testing.T, addr string) *client {
 	t.Helper()
-	c, err := net.Dial("tcp", addr)
+	c, err := testkit.Dial("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/protocol/gateway/peers_test.go
+++ b/internal/protocol/gateway/peers_test.go
@@ -22,6 +22,7 @@
 	"molepaddle/internal/process/keys"
 	"molepaddle/internal/protocol/gateway"
 	"molepaddle/internal/protocol/linkwire"
+	"molepaddle/internal/rig/testkit"
 	"molepaddle/internal/rig/testkit/sites"
 )
 
@@ -43,7 +44,7 @@
 // lie dials a far end and greets it so.
 func lie(t *testing.T, addr string, h *linkwire.Hello) *liar {
 	t.Helper()
-	c, err := net.Dial("tcp", addr)
+	c, err := testkit.Dial("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -326,7 +327,7 @@
 	} {
 		store, err := keys.Load(f)
 		must(err)
-		c, err := net.Dial("tcp", ln.Addr().String())
+		c, err := testkit.Dial("tcp", ln.Addr().String())
 		must(err)
 		secure := tls.Client(c, store.Client("gw-b"))
 		buf, _ := linkwire.Append(nil, hello("gw-a"))
--- a/internal/protocol/peers/peers_test.go
+++ b/internal/protocol/peers/peers_test.go
@@ -12,6 +12,7 @@
 	"molepaddle/internal/decide/members"
 	"molepaddle/internal/protocol/link"
 	"molepaddle/internal/protocol/linkwire"
+	"molepaddle/internal/rig/testkit"
 )
 
 const beat = 20 * time.Millisecond
@@ -57,7 +58,7 @@
 	b, _ := end(t, "b", Seed{"a", at})
 	eventually(t, "two see each other", func() bool { return sees(a) == 2 && sees(b) == 2 })
 	greet := func(name string) *link.Conn {
-		conn, err := net.Dial("tcp", at)
+		conn, err := testkit.Dial("tcp", at)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/rig/testkit/sites/sites.go
+++ b/internal/rig/testkit/sites/sites.go
@@ -148,7 +148,7 @@
 		}
 	})
 	Eventually(t, "the agent is ready", func() bool {
-		resp, err := http.Get(s.Base + "/ready")
+		resp, err := testkit.Client.Get(s.Base + "/ready")
 		if err != nil {
 			return false
 		}
--- a/internal/rig/testkit/testkit.go
+++ b/internal/rig/testkit/testkit.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 )
 
 // lastID makes every request's id a new one.
@@ -70,10 +71,34 @@
 	return req
 }
 
+// answerWithin bounds every test's wait for an answer: no request here has more time than a minute.
+const answerWithin = time.Minute
+
+// Client asks as a test does: it follows no redirect, and gives up an answer that doesn't come whole in time, so that
+// a test fails in place of waiting for as long as the test command does.
+var Client = &http.Client{
+	Timeout:       answerWithin,
+	CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+}
+
+// Dial opens a connection by hand, on which nothing blocks for longer than an answer may take unless the test sets
+// another deadline.
+func Dial(network, address string) (net.Conn, error) {
+	c, err := net.DialTimeout(network, address, answerWithin)
+	if err != nil {
+		return nil, err
+	}
+	if err := c.SetDeadline(time.Now().Add(answerWithin)); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
 // Do sends a request, and gives status, body and head of its answer.
 func Do(t *testing.T, req *http.Request) (int, string, http.Header) {
 	t.Helper()
-	resp, err := http.DefaultTransport.RoundTrip(req)
+	resp, err := Client.Do(req)
 	if err != nil {
 		t.Fatalf("no answer: %v", err)
 	}
