--- a/cmd/molepaddle/sites_test.go
+++ b/cmd/molepaddle/sites_test.go
@@ -109,7 +109,9 @@
 		between.Move(ways...)
 		moves("after a stall")
 	}
-	_ = ended(farCmd, syscall.SIGKILL)
+	if err := ended(farCmd, syscall.SIGKILL); err == nil {
+		t.Errorf("the far gateway ended by itself before it was killed; it said %s", farOut)
+	}
 	farCmd, farOut = far()
 	moves("to a far gateway that was killed and came back")
 	_ = ended(nearCmd, syscall.SIGKILL)
--- a/internal/fleet/proxy/service.go
+++ b/internal/fleet/proxy/service.go
@@ -29,14 +29,13 @@
 	ground *residency.Ground
 	start  time.Time
 
-	mu       sync.Mutex
-	byID     map[string]*backend
-	ranker   *ranking.Ranker
-	engines  *scheduler.Engines // nil: no model backends
-	order    []string           // scratch
-	apart    map[string]bool    // scratch
-	spent    allowance
-	capacity int
+	mu      sync.Mutex
+	byID    map[string]*backend
+	ranker  *ranking.Ranker
+	engines *scheduler.Engines // nil: no model backends
+	order   []string           // scratch
+	apart   map[string]bool    // scratch
+	spent   allowance
 }
 
 // capFactor is c of the design's bounded-load hash, at least 1: how far above its share a backend may be loaded
--- a/internal/fleet/simulation/judge_rest_test.go
+++ b/internal/fleet/simulation/judge_rest_test.go
@@ -37,6 +37,7 @@
 	}
 	leaked, lingering = j.Leaks(later, time.Minute)
 	c.Assert(leaked, qt.HasLen, 0)
+	c.Assert(lingering, qt.HasLen, 0)
 	leaked, lingering = j.Leaks(later, 0)
 	c.Assert(leaked, qt.HasLen, 0, qt.Commentf("%v", leaked))
 	c.Assert(len(lingering) > 0, qt.IsTrue)
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -113,10 +113,6 @@
 	latest    settings.Settings // in force, as they were given
 }
 
-func view(t *settings.Table) httpfront.View {
-	return httpfront.View{Settings: &t.Settings, Classes: t.Classes, Tenants: t.Tenants}
-}
-
 // Life is what the agent's process is.
 func (a *Agent) Life() *lifecycle.Machine { return a.life }
 
--- a/internal/protocol/roster/roster_test.go
+++ b/internal/protocol/roster/roster_test.go
@@ -116,7 +116,8 @@
 
 // An address follows from the name alone.
 func TestAddresses(t *testing.T) {
-	if AddrOf("s-1") != AddrOf("s-1") || AddrOf("s-1") == AddrOf("s-2") {
+	first, again, other := AddrOf("s-1"), AddrOf("s-1"), AddrOf("s-2")
+	if first != again || first == other {
 		t.Fatal("an address must follow from the name alone")
 	}
 }
--- a/internal/rig/lab/choose/choose.go
+++ b/internal/rig/lab/choose/choose.go
@@ -127,7 +127,6 @@
 	able     []*Target // scratch
 	out      []policy.Action
 	now      float64
-	ousted   int
 }
 
 const followToken = 1
--- a/internal/rig/lab/live/live.go
+++ b/internal/rig/lab/live/live.go
@@ -98,7 +98,6 @@
 // try is one sending of a request.
 type try struct {
 	measure.Try
-	id     string
 	agent  int
 	number int
 	out    []*out
--- a/internal/rig/world/net.go
+++ b/internal/rig/world/net.go
@@ -74,7 +74,6 @@
 	result chan error // room for one
 	given  bool       // given up by the agent
 	known  bool       // the world has seen it
-	seen   bool       // and that it was given up
 }
 
 func newNetwork(w *World) *network {
