A program no longer ends by itself for a log nobody reads, a full disk or garbage

Causes found by reading what can end a process: (1) standard error closed by its reader: the next log line raised SIGPIPE, which ends a Go program at descriptors 1 and 2; (2) a control server that starts on a disk that is full or refuses writes returned the error of opening its store; (3) no limit was set for Go's memory, so garbage could grow to twice the live heap, past caps.ram_mb, where the process is killed. Change: SIGPIPE is ignored; a control server tries its store again (50 ms, doubled up to 1 s) where statestore.Transient says that the error passes, and ends as before where it doesn't (a newer schema, a folder it may not enter); debug.SetMemoryLimit is 0.7 of caps.ram_mb. TestPageHasTheLog reads the command's own log lines too. Ruled out: write errors after the start (carryOut tries again), panics (the only ones in internal/fleet end one answer), shared memory of SQLite (exclusive locking has none), running out of descriptors in net/http's loops (they go on).

--- a/cmd/molepaddle-fleet/page_test.go
+++ b/cmd/molepaddle-fleet/page_test.go
@@ -115,6 +115,9 @@
 		c.Assert(found, qt.Not(qt.HasLen), 0)
 		files = append(files, found...)
 	}
+	own, err := filepath.Glob("*.go")
+	c.Assert(err, qt.IsNil)
+	files = append(files, own...)
 	levels := []string{"Debug", "Info", "Warn", "Error", "DPanic", "Panic", "Fatal"}
 	for _, name := range files {
 		if strings.HasSuffix(name, "_test.go") {
--- /dev/null
+++ b/cmd/molepaddle-fleet/process_test.go
@@ -0,0 +1,173 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"math"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime/debug"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-faster/errors"
+
+	"molepaddle/internal/fleet/settings"
+	"molepaddle/internal/fleet/simulation"
+)
+
+// TestMemoryLimit gives the garbage collector a part of the process's memory limit, and none where none is known.
+func TestMemoryLimit(t *testing.T) {
+	c := qt.New(t)
+	before := debug.SetMemoryLimit(-1)
+	c.Cleanup(func() { debug.SetMemoryLimit(before) })
+	debug.SetMemoryLimit(math.MaxInt64)
+	protect(settings.Limits{})
+	c.Assert(debug.SetMemoryLimit(-1), qt.Equals, int64(math.MaxInt64))
+	const memoryMB = 72
+	protect(settings.Limits{MemoryMB: memoryMB})
+	limit := debug.SetMemoryLimit(-1)
+	c.Assert(limit > memoryMB<<19 && limit < memoryMB<<20, qt.IsTrue, qt.Commentf("%d bytes of %d MB", limit, memoryMB))
+}
+
+// TestRetry starts again after errors that pass, with pauses that grow to a bound.
+func TestRetry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		passing, lasting := errors.New("the disk is full"), errors.New("the schema is newer")
+		passes := func(err error) bool { return errors.Is(err, passing) }
+		ignore := func(error) {}
+		tries, began := 0, time.Now()
+		err := retry(t.Context(), passes, ignore, func() error {
+			if tries++; tries <= 8 {
+				return passing
+			}
+			return nil
+		})
+		c.Assert(err, qt.IsNil)
+		c.Assert(tries, qt.Equals, 9)
+		c.Assert(time.Since(began), qt.Equals, (50+100+200+400+800+1000+1000+1000)*time.Millisecond)
+		tries = 0
+		err = retry(t.Context(), passes, ignore, func() error { tries++; return lasting })
+		c.Assert(err, qt.ErrorIs, lasting)
+		c.Assert(tries, qt.Equals, 1)
+		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+		defer cancel()
+		began = time.Now()
+		err = retry(ctx, passes, ignore, func() error { return passing })
+		c.Assert(err, qt.ErrorIs, passing)
+		c.Assert(time.Since(began), qt.Equals, 300*time.Millisecond)
+	})
+}
+
+// loggedProgram is one of the fleet's programs, whose log the test reads.
+type loggedProgram struct {
+	*qt.C
+	cmd    *exec.Cmd
+	reader *os.File
+	lines  *bufio.Reader
+}
+
+// startLogged starts a program; it is killed after patient at the latest, so that no read of its log waits for ever.
+func startLogged(c *qt.C, boot simulation.BootFile, args ...string) *loggedProgram {
+	self, err := os.Executable()
+	c.Assert(err, qt.IsNil)
+	reader, writer, err := os.Pipe()
+	c.Assert(err, qt.IsNil)
+	ctx, cancel := context.WithTimeout(context.Background(), patient)
+	cmd := exec.CommandContext(ctx, self, args...)
+	cmd.Env = []string{settings.EnvFile + "=" + boot.Path, "PATH=" + os.Getenv("PATH")}
+	cmd.Stdout, cmd.Stderr = writer, writer
+	c.Assert(cmd.Start(), qt.IsNil)
+	writer.Close()
+	c.Cleanup(func() {
+		cancel()
+		_ = cmd.Wait()
+		reader.Close()
+	})
+	return &loggedProgram{C: c, cmd: cmd, reader: reader, lines: bufio.NewReader(reader)}
+}
+
+// awaitLine reads the log up to a line that holds text.
+func (p *loggedProgram) awaitLine(text string) {
+	p.Helper()
+	var log strings.Builder
+	for {
+		line, err := p.lines.ReadString('\n')
+		log.WriteString(line)
+		p.Assert(err, qt.IsNil, qt.Commentf("no line with %q; the log: %s", text, &log))
+		if strings.Contains(line, text) {
+			return
+		}
+	}
+}
+
+// endsWell sends SIGTERM, which must end the program without an error.
+func (p *loggedProgram) endsWell() {
+	p.Helper()
+	p.Assert(p.cmd.Process.Signal(syscall.SIGTERM), qt.IsNil)
+	p.Assert(p.cmd.Wait(), qt.IsNil)
+}
+
+// TestLogReaderGone closes the pipe that a program logs to: it goes on at its work, and ends only when told.
+func TestLogReaderGone(t *testing.T) {
+	c := qt.New(t)
+	const coreIP = "127.0.1.61"
+	ports := simulation.ChoosePorts(c, 4, "127.0.0.1", coreIP)
+	// The agent's peer, which closes each connection: the agent logs that, and comes again.
+	peer, err := net.Listen("tcp", net.JoinHostPort(coreIP, strconv.Itoa(ports.First+1)))
+	c.Assert(err, qt.IsNil)
+	defer peer.Close()
+	boot := simulation.Boot(c, simulation.BootSettings{Role: "node-agent", Roles: []string{}, Ports: ports,
+		Peers: []string{net.JoinHostPort(coreIP, strconv.Itoa(ports.Ctl))}})
+	p := startLogged(c, boot, "--log-level=debug", "node-agent")
+	p.awaitLine("started")
+	c.Assert(p.reader.Close(), qt.IsNil)
+	const calls = 5 // each but the last has been followed by a write to the log
+	for i := range calls {
+		c.Assert(peer.(*net.TCPListener).SetDeadline(time.Now().Add(patient)), qt.IsNil)
+		conn, err := peer.Accept()
+		c.Assert(err, qt.IsNil, qt.Commentf("call %d", i))
+		conn.Close()
+	}
+	p.endsWell()
+}
+
+// TestControlPlaneWaitsForItsDisk starts a control server on a disk that gives it no file: it doesn't end, and serves once
+// the disk does.
+func TestControlPlaneWaitsForItsDisk(t *testing.T) {
+	c := qt.New(t)
+	const ip = "127.0.1.62"
+	dir := t.TempDir()
+	inTheWay := filepath.Join(dir, "control.db")
+	c.Assert(os.Mkdir(inTheWay, 0o700), qt.IsNil)
+	ports := simulation.ChoosePorts(c, 4, ip)
+	boot := simulation.Boot(c, simulation.BootSettings{Tier: "core", Role: "control-plane", IP: ip, Ports: ports, DataDir: dir, Voting: true,
+		Bootstrap: true, Peers: []string{net.JoinHostPort(ip, strconv.Itoa(ports.Ctl))}})
+	p := startLogged(c, boot, "control-plane")
+	p.awaitLine("can't be opened; tried again")
+	p.awaitLine("can't be opened; tried again")
+	c.Assert(os.Remove(inTheWay), qt.IsNil)
+	p.awaitLine("started")
+	p.endsWell()
+}
+
+// TestControlPlaneEndsWhileItWaitsForItsDisk tells a control server to end while its disk gives it no file.
+func TestControlPlaneEndsWhileItWaitsForItsDisk(t *testing.T) {
+	c := qt.New(t)
+	const ip = "127.0.1.63"
+	dir := t.TempDir()
+	c.Assert(os.Mkdir(filepath.Join(dir, "control.db"), 0o700), qt.IsNil)
+	boot := simulation.Boot(c, simulation.BootSettings{Tier: "core", Role: "control-plane", IP: ip, Ports: simulation.ChoosePorts(c, 4, ip), DataDir: dir,
+		Voting: true, Bootstrap: true, Peers: []string{net.JoinHostPort(ip, "9")}})
+	p := startLogged(c, boot, "control-plane")
+	p.awaitLine("can't be opened; tried again")
+	p.endsWell()
+}
--- a/cmd/molepaddle-fleet/programs.go
+++ b/cmd/molepaddle-fleet/programs.go
@@ -16,6 +16,7 @@
 	"molepaddle/internal/fleet/nodeagent"
 	"molepaddle/internal/fleet/proxy"
 	"molepaddle/internal/fleet/settings"
+	"molepaddle/internal/fleet/statestore"
 )
 
 type (
@@ -51,12 +52,21 @@
 		return coded{errors.New("--readings: must be above 0"), exitUsage}
 	}
 	return a.program(func(ctx context.Context, set settings.Settings, log *zap.Logger) error {
-		o, err := controlplane.New(set, log, rand.Uint64)
-		if err != nil {
+		var server *controlplane.Server
+		// A disk that is full or refuses writes may take them again: until then this machine is as good as down.
+		refused := func(err error) { log.Warn("the state store can't be opened; tried again", zap.Error(err)) }
+		err := retry(ctx, statestore.Transient, refused, func() (err error) {
+			server, err = controlplane.New(set, log, rand.Uint64)
+			return err
+		})
+		switch {
+		case ctx.Err() != nil:
+			return nil // told to end before it could begin
+		case err != nil:
 			return err
 		}
-		o.Readings = c.Readings
-		return o.Run(ctx)
+		server.Readings = c.Readings
+		return server.Run(ctx)
 	})
 }
 
@@ -69,6 +79,7 @@
 	if err != nil {
 		return errors.Wrap(err, "settings")
 	}
+	protect(set.Limits)
 	level, err := zapcore.ParseLevel(a.logLevel)
 	if err != nil {
 		return errors.Wrap(err, "log level")
