Programs wait for an address in use at their start, and accept on after any error

A proxy or node agent whose address is still in use at its start (the process before it is ending) tries for 5 s in place of ending; an error of accept that net/http takes for final (ENOBUFS, ENOMEM) ended the proxy and left its readiness door deaf. Listening (sockets.Listen) now tries again on EADDRINUSE and for want of descriptors or memory, and its Accept fails only once it is closed.

--- a/internal/fleet/nodeagent/nodeagent.go
+++ b/internal/fleet/nodeagent/nodeagent.go
@@ -16,6 +16,7 @@
 	"molepaddle/internal/fleet/distribution"
 	"molepaddle/internal/fleet/externalapi"
 	"molepaddle/internal/fleet/settings"
+	"molepaddle/internal/protocol/sockets"
 )
 
 // Agent is one machine's link to the control plane.
@@ -87,7 +88,7 @@
 		t.linger(ctx, wait)
 		end()
 	})()
-	ln, err := net.Listen("tcp", distribution.NodeAgentAddr(t.set.Ports))
+	ln, err := sockets.Listen(ctx, distribution.NodeAgentAddr(t.set.Ports), sockets.ListenWithin)
 	if err != nil {
 		return errors.Wrap(err, "listen for the proxy")
 	}
--- a/internal/fleet/proxy/proxy.go
+++ b/internal/fleet/proxy/proxy.go
@@ -100,11 +100,11 @@
 	if v.set.Bind.Edge == "" || v.set.Bind.Ready == "" {
 		return errors.New("bind: edge and readyz must be given")
 	}
-	edge, err := net.Listen("tcp", v.set.Bind.Edge)
+	edge, err := sockets.Listen(ctx, v.set.Bind.Edge, sockets.ListenWithin)
 	if err != nil {
 		return errors.Wrap(err, "listen for clients")
 	}
-	ready, err := net.Listen("tcp", v.set.Bind.Ready)
+	ready, err := sockets.Listen(ctx, v.set.Bind.Ready, sockets.ListenWithin)
 	if err != nil {
 		return errors.Wrap(err, "listen for readiness")
 	}
