The replication search: five machines, joiners, cuts, freezes, retries, liveness

The search of the replication state machine had three and four machines with survive 1, knew a freeze only as late messages, and didn't ask whether a state that is safe ever gets on. A cut needs no step for what it loses, as a message may never come anyway; it needs one for what a machine does that hears some and not others for as long as its time-outs are.

--- a/internal/fleet/replication/cells_test.go
+++ b/internal/fleet/replication/cells_test.go
@@ -19,6 +19,8 @@
 	gen   int // identities drawn
 	life  int // processes ended
 	wiped []ID
+	// frozen is how far the clock of a machine that was frozen jumps at its next input, 0: it was not.
+	frozen time.Duration
 
 	// What the rules look at.
 	status  Status
@@ -29,7 +31,7 @@
 
 // grow makes a copy that may take a step.
 func (c *cell) grow(err *error) *cell {
-	n := &cell{i: c.i, disk: c.disk, gen: c.gen, life: c.life, wiped: c.wiped}
+	n := &cell{i: c.i, disk: c.disk, gen: c.gen, life: c.life, wiped: c.wiped, frozen: c.frozen}
 	n.disk.Changes = slices.Clip(c.disk.Changes)
 	n.app = &logApp{log: slices.Clone(c.app.log), err: err}
 	n.m = cloneMachine(c.m, n.app)
@@ -43,6 +45,13 @@
 	c.m.opt.Rand = func() uint64 { return n }
 }
 
+// clock is the time of the next input: a machine that was frozen finds that time has passed.
+func (c *cell) clock() time.Duration {
+	now := c.m.now + c.frozen
+	c.frozen = 0
+	return now
+}
+
 // done notes what a step led to.
 func (c *cell) done(before ID) {
 	if c.m.id.ID != before {
@@ -118,6 +127,7 @@
 	w.value(reflect.ValueOf(c.app.log))
 	w.value(reflect.ValueOf(&c.disk).Elem())
 	w.value(reflect.ValueOf(c.wiped))
+	w.num(uint64(c.frozen))
 	return string(w.b)
 }
 
--- a/internal/fleet/replication/search_test.go
+++ b/internal/fleet/replication/search_test.go
@@ -20,11 +20,20 @@
 	crashes       uint8 // restarts with the disk
 	wipes         uint8 // restarts with an empty disk
 	starts        uint8 // machines that haven't started yet, in their order
+	retries       uint8 // a change that was asked for before is asked for again, at any primary
+	freezes       uint8 // a machine finds at its next input that it was frozen
+	passes        uint8 // time passes for all machines, with one fault of the network or none
 }
 
+// maxCells is the size of the largest core that is searched.
+const maxCells = 5
+
+// cellSet is the cell of each machine.
+type cellSet [maxCells]uint32
+
 // world is one state.
 type world struct {
-	cells [4]uint32
+	cells cellSet
 	ghost uint32
 	left  budget
 	net   []uint32 // messages in flight, sorted
@@ -38,12 +47,10 @@
 
 // effect is what a step led to.
 type effect struct {
-	cell      uint32
-	sent      []uint32
-	committed uint64
-	log       []string
-	answers   []Answer
-	breach    string
+	cell   uint32
+	sent   []uint32
+	breach string
+	sighting
 }
 
 type stepKind uint8
@@ -57,9 +64,13 @@
 	stepCrash
 	stepWipe
 	stepStart
+	stepRetry
+	stepFreeze
+	stepPass
 )
 
-var stepNames = [...]string{"gets", "is to write", "is to read", "beats", "waits", "crashes and restarts", "loses its disk and restarts", "starts"}
+var stepNames = [...]string{"gets", "is to write", "is to read", "beats", "waits", "crashes and restarts", "loses its disk and restarts", "starts",
+	"is asked again for", "was frozen", "time passes for all,"}
 
 // step is one thing that happens to a machine; arg is a message or a token.
 type step struct {
@@ -75,11 +86,14 @@
 
 // explorer is one search.
 type explorer struct {
-	n       int
-	survive Survive
-	small   bool // snapshots at every change
-	limit   int  // states
-	addrs   []string
+	n        int
+	founders int // the first so many machines are there from the start, the others join
+	timing   timing
+	survive  Survive
+	judged   bool // changes are judged by the record, as the control plane does it
+	small    bool // snapshots at every change
+	limit    int  // states
+	addrs    []string
 
 	err      error
 	cells    []*cell
@@ -92,12 +106,29 @@
 	gets     [][]*effect        // of deliveries, by cell and message
 	todo     []uint32
 	views    map[string]View // by their words
+	kinds    []faultKind     // of faults while time passes
+	passes   map[passOf]*passing
+	calms    map[cellSet]time.Duration // how long the next acknowledgement takes when calm, by what it begins from
+
+	// check is a further rule that every state must hold, nil when there is none.
+	check func(*world) string
 }
 
+// timing is the part of Options that says how long things take.
+type timing struct{ beat, suspect, stagger, write, forget time.Duration }
+
+var (
+	// quickTiming has round figures.
+	quickTiming = timing{100 * ms, 500 * ms, 150 * ms, 600 * ms, 3 * time.Second}
+	// servedTiming is the control plane's, with the default of sync_s.
+	servedTiming = timing{150 * ms, 700 * ms, 250 * ms, 600 * ms, 4 * time.Second}
+)
+
 func newExplorer(n int, sv Survive, small bool, limit int) *explorer {
 	x := &explorer{
-		n: n, survive: sv, small: small, limit: limit, cellIDs: map[string]uint32{}, msgIDs: map[string]uint32{},
+		n: n, founders: n, timing: quickTiming, survive: sv, small: small, limit: limit, cellIDs: map[string]uint32{}, msgIDs: map[string]uint32{},
 		ghostIDs: map[string]uint32{}, effects: map[stepOf]*effect{}, ghosts: []ghost{{}}, views: map[string]View{},
+		passes: map[passOf]*passing{}, calms: map[cellSet]time.Duration{},
 	}
 	for i := range n {
 		x.addrs = append(x.addrs, fmt.Sprintf("10.0.%d.1:7000", i))
@@ -108,10 +139,11 @@
 func (x *explorer) options(i int, bootstrap bool) Options {
 	o := Options{
 		Self: Member{Addr: x.addrs[i], Zone: fmt.Sprint("z", i), Region: "r"}, Survive: x.survive, Bootstrap: bootstrap,
-		BeatEvery: 100 * ms, SuspectAfter: 500 * ms, StaggerEach: 150 * ms, WriteWithin: 600 * ms, ForgetAfter: 3 * time.Second,
+		BeatEvery: x.timing.beat, SuspectAfter: x.timing.suspect, StaggerEach: x.timing.stagger,
+		WriteWithin: x.timing.write, ForgetAfter: x.timing.forget,
 		Rand: func() uint64 { return 0 },
 	}
-	o.Seeds = x.addrs
+	o.Seeds = x.addrs[:x.founders]
 	if x.small {
 		o.SnapshotBytes = 1
 	}
@@ -209,10 +241,9 @@
 	out, ok := x.input(c, s)
 	var e *effect
 	if ok {
-		e = &effect{committed: out.Committed, answers: out.Answer}
 		save(&c.disk, out.Write)
 		c.done(before)
-		e.log = slices.Clone(c.app.log)
+		e = &effect{sighting: sightingOf(c, out)}
 		e.cell = x.internCell(c)
 		for _, env := range out.Send {
 			if e.breach == "" {
@@ -247,22 +278,30 @@
 	switch s.kind {
 	case stepDeliver:
 		p := &x.parcels[s.arg]
-		return m.Receive(m.now, x.addrs[p.from], &p.msg), true
+		return m.Receive(c.clock(), x.addrs[p.from], &p.msg), true
 	case stepWrite:
 		if !m.led {
 			return Output{}, false
 		}
-		return m.Propose(m.now, uint64(s.arg), fmt.Appendf(nil, "w%d", s.arg)), true
+		return m.Propose(c.clock(), uint64(s.arg), fmt.Appendf(nil, "w%d", s.arg)), true
 	case stepRead:
 		if !m.led {
 			return Output{}, false
 		}
-		return m.Read(m.now, uint64(s.arg)), true
+		return m.Read(c.clock(), uint64(s.arg)), true
+	case stepRetry:
+		return x.retry(c, s.arg)
+	case stepFreeze:
+		if c.frozen > 0 || !m.started {
+			return Output{}, false
+		}
+		c.frozen = freezeTime
+		return Output{}, true
 	case stepBeat:
 		if !m.leading() {
 			return Output{}, false
 		}
-		return m.Tick(max(m.Next(), m.now+1)), true
+		return m.Tick(max(m.Next(), m.now+1, c.clock())), true
 	case stepWait: // what is sent meanwhile is lost, but for the last
 		mark := func() string {
 			ph := -1
@@ -273,7 +312,7 @@
 		}
 		first := mark()
 		for range 60 {
-			out := m.Tick(max(m.Next(), m.now+1))
+			out := m.Tick(max(m.Next(), m.now+1, c.clock()))
 			if mark() != first {
 				return out, true
 			}
@@ -288,6 +327,7 @@
 		if s.kind != stepStart {
 			c.life++
 		}
+		c.frozen = 0
 		return x.boot(c, s.kind == stepStart), true
 	}
 	return Output{}, false
--- a/internal/fleet/replication/searchcases_test.go
+++ b/internal/fleet/replication/searchcases_test.go
@@ -10,80 +10,150 @@
 
 var (
 	deep        = flag.Bool("replication.deep", false, "search with larger budgets and twenty times the states, which takes minutes")
+	trial       = flag.String("replication.trial", "", "search this shape only: 3,survive=1,joiners=1,calm,writes=1 ...")
 	searchLimit = flag.Int("replication.states", 350_000, "states for each search; twenty times as many with replication.deep")
 )
 
 // shape is a setting of the search.
 type shape struct {
-	name   string
-	n      int
-	first  bool // from machines that haven't started yet; else from a settled core
-	small  bool // a snapshot at every change
-	budget budget
-	want   reach
+	name    string
+	members int         // at the beginning
+	joiners int         // machines that are no members yet; the budget starts them
+	survive int         // machines that may be lost at once; 1 if 0
+	first   bool        // from machines that haven't started yet; else from a settled core
+	small   bool        // a snapshot at every change
+	judged  bool        // changes are judged by the record first, as the control plane does it
+	served  bool        // with the control plane's timing
+	calm    bool        // from every state the next acknowledgement comes in time when calm
+	faults  []faultKind // while time passes
+	budget  budget
+	want    reach
 }
 
 // reach is what some state must show, or the search saw nothing.
 type reach struct {
-	led    uint64 // the newest epoch in which a primary was ready
-	acked  uint64 // the newest epoch in which a change was acknowledged
-	joined bool   // a machine that lost its disk held the record under its new identity
+	led     uint64 // the newest epoch in which a primary was ready
+	acked   uint64 // the newest epoch in which a change was acknowledged
+	joined  bool   // a machine that lost its disk held the record under its new identity
+	refused bool   // a change was refused
+	fewest  int    // members of a view
+	most    int    // members of a view
+	wipes   int    // disks that were lost one after the other
 }
 
+// shapes are the searches that CI runs.
 func shapes() []shape {
-	list := []shape{
-		{"a write, a takeover and a restart", 3, false, false, budget{writes: 1, waits: 1, crashes: 1}, reach{3, 3, false}},
-		{"two writes and a takeover", 3, false, false, budget{writes: 2, waits: 1}, reach{2, 2, false}},
-		{"three writes and snapshots", 3, false, true, budget{writes: 3, beats: 1}, reach{1, 1, false}},
-		{"two proposals cross", 3, false, false, budget{writes: 1, waits: 2}, reach{3, 3, false}},
-		{"a write, a read and a takeover", 3, false, false, budget{writes: 1, reads: 1, beats: 1, waits: 1}, reach{2, 2, false}},
-		{"a disk is lost", 3, false, false, budget{writes: 1, waits: 1, wipes: 1}, reach{2, 2, true}},
-		{"a lost disk is replaced", 3, false, false, budget{beats: 1, waits: 1, wipes: 1}, reach{2, 1, true}},
-		{"four, a write and a takeover", 4, false, false, budget{writes: 1, waits: 1}, reach{2, 2, false}},
-		{"four, two proposals cross", 4, false, false, budget{waits: 2}, reach{3, 1, false}},
-		{"the first start", 3, true, false, budget{writes: 1, waits: 1, starts: 3}, reach{2, 2, false}},
+	return []shape{
+		{name: "a write, a takeover and a restart", members: 3, budget: budget{writes: 1, waits: 1, crashes: 1}, want: reach{led: 3, acked: 3}},
+		{name: "two writes and a takeover", members: 3, budget: budget{writes: 2, waits: 1}, want: reach{led: 2, acked: 2}},
+		{name: "three writes and snapshots", members: 3, small: true, budget: budget{writes: 3, beats: 1}, want: reach{led: 1, acked: 1}},
+		{name: "two proposals cross", members: 3, budget: budget{writes: 1, waits: 2}, want: reach{led: 3, acked: 3}},
+		{name: "a write, a read and a takeover", members: 3, budget: budget{writes: 1, reads: 1, beats: 1, waits: 1}, want: reach{led: 2, acked: 2}},
+		{name: "a disk is lost", members: 3, budget: budget{writes: 1, waits: 1, wipes: 1}, want: reach{led: 2, acked: 2, joined: true, wipes: 1}},
+		{name: "a lost disk is replaced", members: 3, budget: budget{beats: 1, waits: 1, wipes: 1}, want: reach{led: 2, acked: 1, joined: true, wipes: 1}},
+		{name: "four, a write and a takeover", members: 4, budget: budget{writes: 1, waits: 1}, want: reach{led: 2, acked: 2}},
+		{name: "four, two proposals cross", members: 4, budget: budget{waits: 2}, want: reach{led: 3, acked: 1}},
+		{name: "the first start", members: 3, first: true, budget: budget{writes: 1, waits: 1, starts: 3}, want: reach{led: 2, acked: 2, fewest: 2}},
+		// With liveness, for the control plane's timing.
+		{name: "a restart and a takeover", members: 3, served: true, calm: true, budget: budget{writes: 1, waits: 1, crashes: 1}, want: reach{led: 3, acked: 2}},
+		{name: "a freeze, a read and a takeover", members: 3, served: true, calm: true, budget: budget{writes: 1, reads: 1, waits: 1, freezes: 1}, want: reach{led: 2, acked: 2}},
+		{name: "links are cut in one direction", members: 3, served: true, calm: true, faults: []faultKind{faultCut}, budget: budget{passes: 2}, want: reach{led: 2, acked: 1}},
+		{name: "a link is cut, a write and a read", members: 3, served: true, calm: true, faults: []faultKind{faultCut}, budget: budget{writes: 1, reads: 1, passes: 1}, want: reach{led: 2, acked: 2}},
+		{name: "a machine is cut off or frozen", members: 3, served: true, calm: true, faults: []faultKind{faultIsolated, faultFrozen}, budget: budget{writes: 1, reads: 1, passes: 1}, want: reach{led: 2, acked: 2}},
+		{name: "a disk is lost after another was replaced", members: 3, served: true, calm: true, faults: []faultKind{faultNone}, budget: budget{wipes: 2, passes: 2}, want: reach{led: 3, acked: 1, joined: true, wipes: 2}},
+		{name: "a machine joins", members: 3, joiners: 1, served: true, calm: true, faults: []faultKind{faultNone}, budget: budget{writes: 1, starts: 1, passes: 1}, want: reach{led: 2, acked: 2, most: 4}},
+		{name: "two machines join", members: 3, joiners: 2, served: true, faults: []faultKind{faultNone}, budget: budget{starts: 2, passes: 1}, want: reach{led: 2, acked: 1, most: 5}},
+		{name: "a silent member is left out", members: 4, served: true, calm: true, faults: []faultKind{faultIsolated}, budget: budget{writes: 1, passes: 1}, want: reach{led: 2, acked: 2, fewest: 3}},
+		{name: "five, a takeover", members: 5, survive: 2, served: true, calm: true, budget: budget{waits: 1}, want: reach{led: 2, acked: 1}},
+		{name: "five, a machine is cut off or frozen", members: 5, survive: 2, served: true, calm: true, faults: []faultKind{faultIsolated, faultFrozen}, budget: budget{passes: 1}, want: reach{led: 2, acked: 1}},
+		{name: "changes are asked for again", members: 3, judged: true, budget: budget{writes: 2, retries: 1, waits: 1}, want: reach{led: 2, acked: 2, refused: true}},
 	}
-	if *deep {
-		list = []shape{
-			{"two writes, a takeover and a restart", 3, false, false, budget{writes: 2, waits: 1, crashes: 1}, reach{3, 3, false}},
-			{"snapshots, two writes, a takeover and a restart", 3, false, true, budget{writes: 2, waits: 1, crashes: 1}, reach{3, 3, false}},
-			{"two takeovers and a read", 3, false, false, budget{reads: 1, waits: 2, beats: 1}, reach{3, 1, false}},
-			{"two proposals cross, a restart", 3, false, false, budget{writes: 1, waits: 2, crashes: 1}, reach{3, 2, false}},
-			{"a disk is lost", 3, false, false, budget{writes: 1, beats: 1, waits: 1, wipes: 1}, reach{2, 2, true}},
-			{"four, a write, a takeover and a restart", 4, false, false, budget{writes: 1, waits: 1, crashes: 1}, reach{3, 3, false}},
-			{"four, two proposals cross, a write", 4, false, false, budget{writes: 1, waits: 2}, reach{3, 2, false}},
-			{"the first start, a restart", 3, true, false, budget{waits: 1, crashes: 1, starts: 3}, reach{2, 0, false}},
-		}
+}
+
+// deepShapes have larger budgets and take long.
+func deepShapes() []shape {
+	return []shape{
+		{name: "two writes, a takeover and a restart", members: 3, budget: budget{writes: 2, waits: 1, crashes: 1}, want: reach{led: 3, acked: 3}},
+		{name: "snapshots, two writes, a takeover and a restart", members: 3, small: true, budget: budget{writes: 2, waits: 1, crashes: 1}, want: reach{led: 3, acked: 3}},
+		{name: "two takeovers and a read", members: 3, budget: budget{reads: 1, waits: 2, beats: 1}, want: reach{led: 3, acked: 1}},
+		{name: "two proposals cross, a restart", members: 3, budget: budget{writes: 1, waits: 2, crashes: 1}, want: reach{led: 3, acked: 2}},
+		{name: "a disk is lost", members: 3, budget: budget{writes: 1, beats: 1, waits: 1, wipes: 1}, want: reach{led: 2, acked: 2, joined: true, wipes: 1}},
+		{name: "four, a write, a takeover and a restart", members: 4, budget: budget{writes: 1, waits: 1, crashes: 1}, want: reach{led: 3, acked: 3}},
+		{name: "four, two proposals cross, a write", members: 4, budget: budget{writes: 1, waits: 2}, want: reach{led: 3, acked: 2}},
+		{name: "the first start, a restart", members: 3, first: true, budget: budget{waits: 1, crashes: 1, starts: 3}, want: reach{led: 2, fewest: 2}},
+		{name: "two proposals cross, then calm", members: 3, served: true, calm: true, budget: budget{writes: 1, waits: 2}, want: reach{led: 3, acked: 3}},
+		{name: "machines are cut off and frozen", members: 3, served: true, calm: true, faults: []faultKind{faultNone, faultIsolated, faultFrozen}, budget: budget{passes: 2}, want: reach{led: 3, acked: 1}},
+		{name: "disks are lost one after the other", members: 3, served: true, calm: true, faults: []faultKind{faultNone}, budget: budget{wipes: 2, passes: 3}, want: reach{led: 4, acked: 1, joined: true, wipes: 2}},
+		{name: "a machine joins, a takeover", members: 3, joiners: 1, served: true, calm: true, faults: []faultKind{faultNone}, budget: budget{waits: 1, starts: 1, passes: 1}, want: reach{led: 3, acked: 1, most: 4}},
+		{name: "silent members are left out", members: 4, served: true, calm: true, faults: []faultKind{faultIsolated}, budget: budget{passes: 2}, want: reach{led: 3, acked: 1, fewest: 3}},
+		{name: "five, a write and a takeover", members: 5, survive: 2, served: true, calm: true, budget: budget{writes: 1, waits: 1}, want: reach{led: 2, acked: 2}},
+		{name: "five, a disk is lost", members: 5, survive: 2, served: true, calm: true, faults: []faultKind{faultNone}, budget: budget{wipes: 1, passes: 1}, want: reach{led: 2, acked: 1, joined: true, wipes: 1}},
+		{name: "five, two disks are lost", members: 5, survive: 2, served: true, faults: []faultKind{faultNone}, budget: budget{wipes: 2, passes: 1}, want: reach{led: 2, acked: 1, joined: true, wipes: 2}},
+		{name: "changes are asked for again over a freeze and a restart", members: 3, judged: true, budget: budget{writes: 1, retries: 2, waits: 1, freezes: 1, crashes: 1}, want: reach{led: 3, acked: 3}},
 	}
-	return list
 }
 
-func search(t *testing.T, sh shape) {
-	limit := *searchLimit
-	if *deep {
-		limit *= 20
+// explorer makes the search of a shape and its first state.
+func (sh *shape) explorer(limit int) (*explorer, world, error) {
+	x := newExplorer(sh.members+sh.joiners, Survive{Nodes: max(sh.survive, 1)}, sh.small, limit)
+	x.founders, x.judged, x.kinds = sh.members, sh.judged, sh.faults
+	if sh.served {
+		x.timing = servedTiming
+	}
+	if sh.calm {
+		x.check = x.checkLiveness
 	}
-	x := newExplorer(sh.n, Survive{Nodes: 1}, sh.small, limit)
 	var w world
+	var err error
 	if sh.first {
-		w = x.emptyWorld(sh.n)
+		w = x.emptyWorld(sh.members)
 	} else {
-		var err error
 		w, err = x.calmWorld()
-		qt.Assert(t, err, qt.IsNil)
 	}
 	w.left = sh.budget
+	return x, w, err
+}
+
+func search(t *testing.T, sh shape) {
+	limit := *searchLimit
+	if *deep {
+		limit *= 20
+	}
+	x, w, err := sh.explorer(limit)
+	qt.Assert(t, err, qt.IsNil)
 	res := x.run(w)
 	t.Logf("%s: %v", sh.name, &res)
 	if res.breach != "" {
 		t.Fatalf("%s:\n  %s", res.breach, strings.Join(res.trace, "\n  "))
 	}
-	qt.Check(t, reach{min(res.led, sh.want.led), min(res.acked, sh.want.acked), res.joined}, qt.Equals, sh.want)
+	if *trial != "" {
+		return
+	}
+	qt.Check(t, res.whole || *deep, qt.IsTrue, qt.Commentf("%d states are too few", limit))
+	want := sh.want
+	if want.fewest == 0 {
+		want.fewest = sh.members
+	}
+	if want.most == 0 {
+		want.most = sh.members
+	}
+	got := reach{
+		led: min(res.led, want.led), acked: min(res.acked, want.acked), joined: res.joined, refused: res.refused,
+		fewest: res.fewest, most: res.most, wipes: res.wipes,
+	}
+	qt.Check(t, got, qt.Equals, want)
 }
 
 // TestSearch holds the rules in every state that small cores can come to within the budgets.
 func TestSearch(t *testing.T) {
-	for _, sh := range shapes() {
+	list := shapes()
+	if *deep {
+		list = deepShapes()
+	}
+	if *trial != "" {
+		list = []shape{trialShape(t, *trial)}
+	}
+	for _, sh := range list {
 		t.Run(sh.name, func(t *testing.T) {
 			t.Parallel()
 			search(t, sh)
--- a/internal/fleet/replication/searchrules_test.go
+++ b/internal/fleet/replication/searchrules_test.go
@@ -14,7 +14,11 @@
 	reads     []floor  // under way
 	writes    uint64   // begun
 	asked     uint64   // reads begun
-	wipes     int
+	allWipes  int
+	wipes     int      // since the core was last whole
+	bases     []uint64 // how many changes were acknowledged when each was first asked for
+	retries   []retry  // under way
+	refused   []uint64 // changes that were refused
 }
 
 type ack struct{ seq, epoch uint64 }
@@ -39,6 +43,9 @@
 
 // apply is the state after a step; false: the step does nothing.
 func (x *explorer) apply(w *world, s step) (world, string, bool) {
+	if s.kind == stepPass {
+		return x.applyPass(w, s)
+	}
 	e := x.play(w.cells[s.i], s)
 	if e == nil {
 		return world{}, "", false
@@ -62,6 +69,10 @@
 	switch s.kind {
 	case stepWrite:
 		g.writes++
+		g.bases = append(slices.Clip(g.bases), g.top())
+		seen = true
+	case stepRetry:
+		g.ask(x.cells[w.cells[s.i]], s.arg)
 		seen = true
 	case stepRead:
 		g.asked++
@@ -69,21 +80,29 @@
 		seen = true
 	case stepWipe:
 		g.wipes++
+		g.allWipes++
 		seen = true
 	}
-	if b := g.learn(x.cells[e.cell], e, &seen); breach == "" {
+	if b := g.learn(&e.sighting, &seen); breach == "" {
 		breach = b
 	}
+	if g.wipes > 0 && x.whole(&n, &g) {
+		g.wipes = 0
+		seen = true
+	}
 	if seen {
 		n.ghost = x.internGhost(g)
 	}
 	if breach == "" && (seen || x.cells[e.cell] != x.cells[w.cells[s.i]]) {
 		breach = x.rules(&n)
 	}
+	if breach == "" && x.check != nil {
+		breach = x.check(&n)
+	}
 	if n.cells == w.cells && n.ghost == w.ghost && fresh == 0 && breach == "" {
 		return world{}, "", false
 	}
-	if b := x.close(&n, int(s.i), e.sent); breach == "" {
+	if b := x.close(&n, func(i int) bool { return i == int(s.i) }, e.sent); breach == "" {
 		breach = b
 	}
 	return n, breach, true
@@ -91,16 +110,16 @@
 
 // close adds what deliveries that leave their machine as it is send, as such a step takes no other away, and drops the
 // messages that can't do anything any more: those of an epoch that their receiver has left, and those of a ballot below the
-// one it has promised. Only what goes to machine i, and what is new, can have more to say than before.
-func (x *explorer) close(w *world, i int, sent []uint32) (breach string) {
+// one it has promised. Only what goes to machines that changed, and what is new, can have more to say than before.
+func (x *explorer) close(w *world, changed func(int) bool, sent []uint32) (breach string) {
 	todo := x.todo[:0]
 	for _, m := range w.net {
-		if x.parcels[m].to == i {
+		if changed(x.parcels[m].to) {
 			todo = append(todo, m)
 		}
 	}
 	for _, m := range sent {
-		if x.parcels[m].to != i {
+		if !changed(x.parcels[m].to) {
 			todo = append(todo, m)
 		}
 	}
@@ -164,9 +183,27 @@
 	return seq
 }
 
+// sighting is what an input of a machine showed.
+type sighting struct {
+	machine, life int
+	epoch         uint64
+	view          string
+	committed     uint64
+	log           []string
+	answers       []Answer
+}
+
+// sightingOf is what an input led to, with its machine as it is then.
+func sightingOf(c *cell, out Output) sighting {
+	return sighting{
+		machine: c.i, life: c.life, epoch: c.status.Epoch, view: c.view,
+		committed: out.Committed, log: slices.Clone(c.app.log), answers: out.Answer,
+	}
+}
+
 // learn takes in what a step showed.
-func (g *ghost) learn(c *cell, e *effect, seen *bool) string {
-	epoch := c.status.Epoch
+func (g *ghost) learn(e *sighting, seen *bool) string {
+	epoch := e.epoch
 	if epoch == 0 { // who has not joined knows the seeds or nobody
 		return ""
 	}
@@ -177,9 +214,9 @@
 	switch v := g.views[epoch]; {
 	case v == "":
 		g.views = slices.Clone(g.views)
-		g.views[epoch] = c.view
+		g.views[epoch] = e.view
 		*seen = true
-	case v != c.view:
+	case v != e.view:
 		return fmt.Sprintf("two views of epoch %d are decided", epoch)
 	}
 	for i := range e.committed {
@@ -189,6 +226,8 @@
 		case i >= uint64(len(g.committed)):
 			g.committed = append(slices.Clip(g.committed), e.log[i])
 			*seen = true
+		case slices.Index(e.log, e.log[i]) < int(i):
+			return fmt.Sprintf("%s is committed twice", e.log[i])
 		case g.committed[i] != e.log[i]:
 			return fmt.Sprintf("a fork: change %d is %s and %s", i+1, g.committed[i], e.log[i])
 		}
@@ -197,7 +236,7 @@
 		*seen = true
 		switch a.Result {
 		case Committed:
-			who := c.i*100 + c.life
+			who := e.machine*100 + e.life
 			i := slices.IndexFunc(g.leaders, func(l leader) bool { return l.epoch == epoch })
 			if i < 0 {
 				g.leaders = append(slices.Clip(g.leaders), leader{epoch, who})
@@ -214,13 +253,39 @@
 					return fmt.Sprintf("a read shows %d, older than the acknowledged %d", a.Seq, f.seq)
 				}
 			}
+			if b := g.verdict(a, epoch); b != "" {
+				return b
+			}
 			if a.Seq > uint64(len(e.log)) {
 				return "a read shows more than there is"
 			}
 		}
 		g.reads = slices.DeleteFunc(slices.Clone(g.reads), func(f floor) bool { return f.token == a.Token })
+		g.retries = slices.DeleteFunc(slices.Clone(g.retries), func(r retry) bool { return r.token == a.Token })
 	}
-	return ""
+	return g.refusals()
+}
+
+// whole reports whether as many machines may be lost as at the beginning: a primary of the newest view is ready, all backups
+// that must be are there with their disks, and a majority of the members stays when as many are lost as may be.
+func (x *explorer) whole(w *world, g *ghost) bool {
+	newest := uint64(len(g.views)) - 1
+	v := x.views[g.views[newest]]
+	if len(v.Backups) < x.survive.Copies()-1 {
+		return false
+	}
+	ready, holding, members := false, 0, 0
+	for i := range x.n {
+		c := x.cells[w.cells[i]]
+		ready = ready || c.status.Role == Primary && c.status.Epoch == newest && c.status.Ready
+		if c.holds == newest {
+			holding++
+		}
+		if v.has(c.disk.Identity.ID) {
+			members++
+		}
+	}
+	return ready && holding == len(v.Backups)+1 && members-x.survive.Nodes >= v.majority()
 }
 
 // rules are those on whole states.
--- a/internal/fleet/replication/searchrun_test.go
+++ b/internal/fleet/replication/searchrun_test.go
@@ -28,12 +28,28 @@
 				*n++
 			}
 		}
-		spend(&l.writes, stepWrite, g.writes+1)
+		if x.judged {
+			spend(&l.writes, stepRetry, orderArg(g.writes+1, g.top(), g.asked))
+		} else {
+			spend(&l.writes, stepWrite, g.writes+1)
+		}
 		spend(&l.reads, stepRead, 100+g.asked)
 		spend(&l.beats, stepBeat, 0)
 		spend(&l.waits, stepWait, 0)
 		spend(&l.crashes, stepCrash, 0)
-		spend(&l.wipes, stepWipe, 0)
+		if g.wipes < x.survive.Nodes {
+			spend(&l.wipes, stepWipe, 0)
+		}
+		spend(&l.freezes, stepFreeze, 0)
+		for asked := range g.bases {
+			spend(&l.retries, stepRetry, orderArg(uint64(asked)+1, g.bases[asked], g.asked))
+		}
+	}
+	if l := w.left; l.passes > 0 {
+		l.passes--
+		for _, f := range x.faults(&w.left) {
+			yield(step{stepPass, f.i, f.arg()}, l)
+		}
 	}
 	if l := w.left; l.starts > 0 {
 		i := uint8(x.n) - l.starts
@@ -49,7 +65,7 @@
 	}
 	l := &w.left
 	buf = binary.LittleEndian.AppendUint32(buf, w.ghost)
-	buf = append(buf, l.writes, l.reads, l.beats, l.waits, l.crashes, l.wipes, l.starts)
+	buf = append(buf, l.writes, l.reads, l.beats, l.waits, l.crashes, l.wipes, l.starts, l.retries, l.freezes, l.passes)
 	for _, m := range w.net {
 		buf = binary.LittleEndian.AppendUint32(buf, m)
 	}
@@ -59,11 +75,16 @@
 // found is what a search came to.
 type found struct {
 	states, steps, cells, msgs int
-	depth                      int    // all states up to so many steps were seen
-	whole                      bool   // there are no more within the budgets
-	led                        uint64 // newest epoch in which some primary was ready
-	acked                      uint64 // newest epoch in which a change was acknowledged
-	joined                     bool   // a machine with a new identity held the record
+	depth                      int           // all states up to so many steps were seen
+	whole                      bool          // there are no more within the budgets
+	led                        uint64        // newest epoch in which some primary was ready
+	acked                      uint64        // newest epoch in which a change was acknowledged
+	joined                     bool          // a machine with a new identity held the record
+	refused                    bool          // a change was refused
+	fewest, most               int           // members of a view
+	wipes                      int           // disks that were lost one after the other
+	calms                      int           // sets of cells from which calm was played
+	slowest                    time.Duration // the longest that an acknowledgement took when calm
 	took                       time.Duration
 	breach                     string
 	trace                      []string
@@ -74,8 +95,9 @@
 	if f.whole {
 		all = fmt.Sprintf("all there are, %d steps deep", f.depth)
 	}
-	return fmt.Sprintf("%d states (%s), %d steps, %d cells, %d messages, led up to epoch %d, acknowledged up to %d, %v",
-		f.states, all, f.steps, f.cells, f.msgs, f.led, f.acked, f.took.Round(time.Millisecond))
+	return fmt.Sprintf("%d states (%s), %d steps, %d cells, %d messages, led up to epoch %d, acknowledged up to %d, "+
+		"%d to %d members, %d disks lost, acknowledged within %v when calm (%d tried), %v",
+		f.states, all, f.steps, f.cells, f.msgs, f.led, f.acked, f.fewest, f.most, f.wipes, f.slowest, f.calms, f.took.Round(time.Millisecond))
 }
 
 // run searches from first on.
@@ -99,7 +121,21 @@
 			}
 			res.joined = res.joined || len(c.wiped) > 0 && c.holds > 0
 		}
+		for _, v := range x.views {
+			if v.Epoch == 0 {
+				continue
+			}
+			if res.fewest == 0 || len(v.Members) < res.fewest {
+				res.fewest = len(v.Members)
+			}
+			res.most = max(res.most, len(v.Members))
+		}
+		for _, took := range x.calms {
+			res.slowest, res.calms = max(res.slowest, took), res.calms+1
+		}
 		for _, g := range x.ghosts {
+			res.refused = res.refused || len(g.refused) > 0
+			res.wipes = max(res.wipes, g.allWipes)
 			for _, a := range g.acked {
 				res.acked = max(res.acked, a.epoch)
 			}
@@ -155,8 +191,10 @@
 	switch s.kind {
 	case stepDeliver:
 		t += " " + x.parcels[s.arg].text
-	case stepWrite, stepRead:
+	case stepWrite, stepRead, stepRetry:
 		t += fmt.Sprint(" ", s.arg)
+	case stepPass:
+		t = fmt.Sprintf("%s %v", stepNames[s.kind], faultOf(s))
 	}
 	return strings.TrimSpace(t)
 }
@@ -176,12 +214,12 @@
 		queue = append(queue, e.sent...)
 		g := x.ghosts[w.ghost]
 		seen := false
-		if b := g.learn(x.cells[e.cell], e, &seen); b != "" && x.err == nil {
+		if b := g.learn(&e.sighting, &seen); b != "" && x.err == nil {
 			x.err = fmt.Errorf("before the search: %s", b)
 		}
 		w.ghost = x.internGhost(g)
 	}
-	for i := range x.n {
+	for i := range x.founders {
 		take(step{kind: stepStart, i: uint8(i)})
 	}
 	for range 2000 {
@@ -196,9 +234,9 @@
 			take(step{stepDeliver, uint8(to), m})
 		}
 		ready, lead := 0, -1
-		for i := range x.n {
+		for i := range x.founders {
 			st := x.cells[w.cells[i]].status
-			if st.Ready && len(st.View.Members) == x.n && len(st.View.Backups) == x.survive.Copies()-1 {
+			if st.Ready && len(st.View.Members) == x.founders && len(st.View.Backups) == x.survive.Copies()-1 {
 				ready++
 				if st.Role == Primary {
 					lead = i
@@ -206,27 +244,28 @@
 			}
 		}
 		g := &x.ghosts[w.ghost]
-		if ready == x.n && lead >= 0 {
+		if ready == x.founders && lead >= 0 {
 			if !wrote {
 				wrote = true
 				g2 := *g
 				g2.writes++
+				g2.bases = []uint64{0}
 				w.ghost = x.internGhost(g2)
 				take(step{stepWrite, uint8(lead), 1})
 				continue
 			}
 			known := 0
-			for i := range x.n {
+			for i := range x.founders {
 				if st := x.cells[w.cells[i]].status; st.Role == Witness || st.Committed == 1 {
 					known++
 				}
 			}
-			if len(g.acked) == 1 && known == x.n {
+			if len(g.acked) == 1 && known == x.founders {
 				return w, x.err
 			}
 		}
 		i := 0
-		for j := range x.n {
+		for j := range x.founders {
 			if x.cells[w.cells[j]].m.Next() < x.cells[w.cells[i]].m.Next() {
 				i = j
 			}
--- /dev/null
+++ b/internal/fleet/replication/trial_test.go
@@ -0,0 +1,40 @@
+package replication
+
+import (
+	"strconv"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// trialShape reads a shape from words: "members=3,joiners=1,survive=1,calm,served,cut,writes=1".
+func trialShape(t *testing.T, words string) shape {
+	c := qt.New(t)
+	sh := shape{name: words}
+	for word := range strings.SplitSeq(words, ",") {
+		name, figure, _ := strings.Cut(word, "=")
+		n, _ := strconv.Atoi(figure)
+		b := &sh.budget
+		counts := map[string]*uint8{
+			"writes": &b.writes, "reads": &b.reads, "beats": &b.beats, "waits": &b.waits, "crashes": &b.crashes, "wipes": &b.wipes,
+			"starts": &b.starts, "retries": &b.retries, "freezes": &b.freezes, "passes": &b.passes,
+		}
+		sizes := map[string]*int{"members": &sh.members, "joiners": &sh.joiners, "survive": &sh.survive}
+		flags := map[string]*bool{"first": &sh.first, "small": &sh.small, "judged": &sh.judged, "served": &sh.served, "calm": &sh.calm}
+		kinds := map[string]faultKind{"well": faultNone, "cut": faultCut, "isolated": faultIsolated, "frozen": faultFrozen}
+		switch {
+		case counts[name] != nil:
+			*counts[name] = uint8(n)
+		case sizes[name] != nil:
+			*sizes[name] = n
+		case flags[name] != nil:
+			*flags[name] = true
+		default:
+			kind, ok := kinds[name]
+			c.Assert(ok, qt.IsTrue, qt.Commentf("%s", word))
+			sh.faults = append(sh.faults, kind)
+		}
+	}
+	return sh
+}
