Replication: sixteen more planted faults, seven tests by hand, more searches

Sixteen faults are new, of contact with a quorum and of changes of membership; tests by hand for a thawed machine, the majority that decides a change of members, members that may not be left out and a joiner that must answer first. Two searches more: a read with two backups and a takeover, a takeover while a member is left out.

--- a/internal/fleet/replication/plantedfaults_test.go
+++ b/internal/fleet/replication/plantedfaults_test.go
@@ -51,4 +51,38 @@
 	{"a decided view isn't kept on the disk", []string{"\t\tm.putView()\n\t\tm.putVote()\n\t}\n\theard", "\t\tm.putVote()\n\t}\n\theard"}, "search", ""},
 	{"a view of the same epoch replaces the one that is known", []string{"if v.Epoch <= m.view.Epoch || !v.valid()", "if v.Epoch < m.view.Epoch || !v.valid()"},
 		"search", ""},
+
+	// Contact with a quorum.
+	{"a read is confirmed by the answers to the round before", []string{
+		"w.at != 0 && w.at <= round", "w.at != 0 && w.at <= round+1"}, "search", ""},
+	{"a read is confirmed by one of two backups", []string{
+		"\tdone := 0\n", "\tfor _, p := range m.peers {\n\t\tround = max(round, p.round)\n\t}\n\tdone := 0\n"}, "search", ""},
+	{"a write is acknowledged by one of two backups", []string{
+		"\tm.committed = max(m.committed, seq)\n", "\tfor _, p := range m.peers {\n\t\tseq = max(seq, p.seq)\n\t}\n\tm.committed = max(m.committed, seq)\n"}, "search", ""},
+	{"a thawed primary takes old answers for new ones", []string{
+		"\t\tfor _, p := range m.peers {\n\t\t\tif p.behind >= 0 {\n", "\t\tfor _, p := range m.peers {\n\t\t\tp.round = m.round\n\t\t\tif p.behind >= 0 {\n"}, "search", ""},
+	{"reads are served while a majority was heard lately by the own clock", []string{
+		"len(m.peers) == 0 || w.at != 0 && w.at <= round", "m.majorityAlive()"}, "search", ""},
+	{"a new primary takes its backups to be in step", []string{
+		"&peer{behind: m.now}", "&peer{behind: m.now, step: true, seq: m.seq}"}, "search", ""},
+	{"a deposed primary acknowledges what waited", []string{
+		"m.answer(w.token, LostPrimacy, w.at)", "m.answer(w.token, Committed, w.at)"}, "search", ""},
+	{"a primary that proposes goes on answering", []string{
+		"return m.led && !m.stopped()", "return m.led"}, "search", ""},
+	{"a thawed machine takes the others' silence for their loss", []string{"\tif frozen {", "\tif frozen && m.now < 0 {"}, "hand", ""},
+
+	// Changes of membership.
+	{"a joiner counts as a holder before its disk has the record", []string{
+		"if c.staged[b] || p != nil && p.holder {", "if c.staged[b] || p == nil || p.holder {"}, "search", ""},
+	{"the new members decide instead of the old", []string{
+		"len(c.accepted) >= m.view.majority()", "len(c.accepted) >= c.value.majority()"}, "hand", ""},
+	{"members are left out below what may be lost", []string{
+		"least := max(3, 2*m.opt.Survive.Copies()-1)", "least := 1"}, "hand", ""},
+	{"the older identity of an address stays a member", []string{
+		"\t\tnext = slices.DeleteFunc(next, func(o Member) bool { return o.Addr == j.Addr })\n", ""}, "search", ""},
+	{"a joiner that never answered is taken in", []string{"if j.confirmed && !m.view.has(j.ID) {", "if !m.view.has(j.ID) {"}, "hand", ""},
+	{"a joiner's disk doesn't say that it holds the record", []string{
+		"\t\t\tm.stand.RecordEpoch = m.view.Epoch\n\t\t\tm.putStanding()\n", "\t\t\tm.stand.RecordEpoch = m.view.Epoch\n"}, "search", ""},
+	{"who takes over leaves out whom it hasn't heard", []string{
+		"\tif !m.led {\n\t\treturn next, false\n\t}\n", ""}, "search", ""},
 }
--- a/internal/fleet/replication/safety_test.go
+++ b/internal/fleet/replication/safety_test.go
@@ -248,3 +248,154 @@
 	h.Assert(results, qt.DeepEquals, []Result{LostPrimacy, LostPrimacy})
 	h.Assert(h.primary.m.Status().Role, qt.Not(qt.Equals), Primary)
 }
+
+// TestNewestAcceptanceIsProposed: of the views that a majority has accepted under two ballots, the one under the higher ballot is
+// proposed, whichever of them the proposer accepted itself.
+func TestNewestAcceptanceIsProposed(t *testing.T) {
+	for _, own := range []uint64{50, 70} {
+		h := newHand(t)
+		id := h.primary.disk.Identity.ID
+		view := func(backup *box) *View {
+			v := h.view
+			v.Epoch++
+			v.Backups = []ID{backup.disk.Identity.ID}
+			return &v
+		}
+		byOwn, byOther := view(h.backup), view(h.witness)
+		sent := h.give(h.backup, h.primary, Message{Kind: KindAccept, Ballot: Ballot{N: own, ID: id}, Value: byOwn})
+		h.Assert(sent[len(sent)-1].Kind, qt.Equals, KindAccepted)
+		ballot := h.suspect(h.backup)[0].Ballot
+		sent = h.give(h.backup, h.witness, Message{
+			Kind: KindPromise, Ballot: ballot, Accepted: Ballot{N: 60, ID: id}, Value: byOther,
+		})
+		h.Assert(sent[0].Kind, qt.Equals, KindAccept)
+		want := byOther
+		if own > 60 {
+			want = byOwn
+		}
+		h.Assert(sent[0].Value, qt.DeepEquals, want)
+	}
+}
+
+// TestAppendToAnotherRecord: a backup whose record isn't a prefix of the primary's takes nothing of what follows another
+// record, and doesn't say that it is in step.
+func TestAppendToAnotherRecord(t *testing.T) {
+	h := newHand(t)
+	digest := h.primary.m.digest
+	other := Change{Seq: 3, Body: []byte("other")}
+	other.Digest = Chain(digest, 3, other.Body)
+	h.backup.disk.Changes = append(h.backup.disk.Changes, other)
+	h.backup.disk.Standing.StepEpoch = 0
+	h.restart(h.backup)
+	third := Change{Seq: 3, Body: []byte("third")}
+	third.Digest = Chain(digest, 3, third.Body)
+	sent := h.give(h.backup, h.primary, Message{Kind: KindAppend, Seq: 2, Digest: digest, Changes: []Change{third}})
+	ack := sent[len(sent)-1]
+	h.Assert(ack.Kind, qt.Equals, KindBeatAck)
+	h.Assert(ack.Step, qt.IsFalse)
+	h.Assert(h.backup.app.log, qt.DeepEquals, []string{"w1", "w2", "other"})
+}
+
+// TestLeftOutDrawsNewIdentity: a machine that learns of a view without it begins anew, in memory and on its disk.
+func TestLeftOutDrawsNewIdentity(t *testing.T) {
+	h := newHand(t)
+	before := h.backup.disk.Identity.ID
+	next := h.view
+	next.Epoch++
+	next.Backups = []ID{h.witness.disk.Identity.ID}
+	next.Members = nil
+	for _, o := range h.view.Members {
+		if o.ID != before {
+			next.Members = append(next.Members, o)
+		}
+	}
+	h.view = next
+	h.give(h.backup, h.primary, Message{Kind: KindView})
+	h.Assert(h.backup.disk.Identity.ID, qt.Not(qt.Equals), before)
+	h.Assert(h.backup.disk.Identity.Joined, qt.IsFalse)
+	h.Assert(h.backup.disk.Standing, qt.Equals, Standing{})
+	h.Assert(h.backup.disk.Vote.Promised, qt.Equals, Ballot{})
+	h.Assert(h.backup.disk.Changes, qt.HasLen, 0)
+	h.Assert(h.backup.app.log, qt.HasLen, 0)
+	h.Assert(h.backup.m.Status().Role, qt.Equals, Outside)
+}
+
+// TestThawedMachineWaits: a machine that was frozen doesn't take the others' silence meanwhile for their loss, neither a backup
+// its primary's nor a primary its backup's.
+func TestThawedMachineWaits(t *testing.T) {
+	for _, role := range []Role{Backup, Primary} {
+		h := newHand(t)
+		b := h.backup
+		if role == Primary {
+			b = h.primary
+		}
+		out := b.m.Tick(h.s.clock(b) + 3*time.Second)
+		h.done(b, out)
+		h.Assert(b.m.Status().Role, qt.Equals, role)
+		h.Assert(b.m.cand, qt.IsNil)
+		h.Assert(b.m.stopped(), qt.IsFalse)
+	}
+}
+
+// TestOldMembersDecide: a view that leaves members out is decided by a majority of the members before, not of those after.
+func TestOldMembersDecide(t *testing.T) {
+	h := &hand{C: qt.New(t), s: newSim(11, 5, 5, Survive{Nodes: 1})}
+	s := h.s
+	calm(t, s, []int{0, 1, 2, 3, 4}, 0)
+	h.primary = s.well()
+	h.view = h.primary.m.Status().View
+	var silent, voters []*box
+	for _, b := range s.boxes {
+		switch {
+		case b == h.primary:
+		case b.m.Status().Role == Witness && len(silent) < 2:
+			silent = append(silent, b)
+		default:
+			voters = append(voters, b)
+		}
+	}
+	for _, b := range silent {
+		s.kill(b)
+	}
+	proposes := func() bool { return h.primary.m.cand != nil && h.primary.m.cand.phase == accepting }
+	h.Assert(s.runUntil(s.now+10*time.Second, proposes), qt.IsTrue)
+	h.Assert(h.primary.m.cand.value.Members, qt.HasLen, 3)
+	accepted := Message{Kind: KindAccepted, Ballot: h.primary.m.cand.ballot}
+	h.give(h.primary, voters[0], accepted)
+	h.Assert(h.primary.m.Status().Epoch, qt.Equals, h.view.Epoch)
+	h.give(h.primary, voters[1], accepted)
+	h.Assert(h.primary.m.Status().Epoch, qt.Equals, h.view.Epoch+1)
+	h.Assert(s.err, qt.IsNil)
+}
+
+// TestSilentMembersStay: members are left out only as long as a majority stays when as many as may be lost are lost after that.
+func TestSilentMembersStay(t *testing.T) {
+	c := qt.New(t)
+	s := newSim(11, 5, 5, Survive{Nodes: 2})
+	calm(t, s, []int{0, 1, 2, 3, 4}, 0)
+	p := s.well()
+	killed := 0
+	for _, b := range s.boxes {
+		if b.m.Status().Role == Witness && killed < 2 {
+			s.kill(b)
+			killed++
+		}
+	}
+	c.Assert(killed, qt.Equals, 2)
+	s.runUntil(s.now+10*time.Second, nil)
+	c.Assert(p.m.Status().View.Members, qt.HasLen, 5)
+	c.Assert(s.err, qt.IsNil)
+}
+
+// TestJoinerIsAskedFirst: who asks to be taken in is taken in only when its identity has answered a beat, as its request may be
+// old and the machine have another identity by now.
+func TestJoinerIsAskedFirst(t *testing.T) {
+	h := newHand(t)
+	joiner := Message{Kind: KindHello, From: Member{ID: "joiner", Addr: "10.0.9.1:7000"}, Join: true}
+	asked := h.done(h.primary, h.primary.m.Receive(h.s.clock(h.primary), "", &joiner))
+	h.Assert(asked[len(asked)-1].Kind, qt.Equals, KindBeat)
+	h.Assert(h.primary.m.joining(), qt.HasLen, 0)
+	answer := Message{Kind: KindBeatAck, From: joiner.From, Epoch: h.view.Epoch, Round: asked[len(asked)-1].Round}
+	h.done(h.primary, h.primary.m.Receive(h.s.clock(h.primary), "", &answer))
+	h.Assert(h.primary.m.joining(), qt.DeepEquals, []Member{joiner.From})
+}
--- a/internal/fleet/replication/searchcases_test.go
+++ b/internal/fleet/replication/searchcases_test.go
@@ -17,15 +17,16 @@
 // shape is a setting of the search.
 type shape struct {
 	name    string
-	members int         // at the beginning
-	joiners int         // machines that are no members yet; the budget starts them
-	survive int         // machines that may be lost at once; 1 if 0
-	first   bool        // from machines that haven't started yet; else from a settled core
-	small   bool        // a snapshot at every change
-	judged  bool        // changes are judged by the record first, as the control plane does it
-	served  bool        // with the control plane's timing
-	calm    bool        // from every state the next acknowledgement comes in time when calm
-	faults  []faultKind // while time passes
+	members int            // at the beginning
+	joiners int            // machines that are no members yet; the budget starts them
+	survive int            // machines that may be lost at once; 1 if 0
+	first   bool           // from machines that haven't started yet; else from a settled core
+	small   bool           // a snapshot at every change
+	judged  bool           // changes are judged by the record first, as the control plane does it
+	served  bool           // with the control plane's timing
+	calm    bool           // from every state the next acknowledgement comes in time when calm
+	faults  []faultKind    // while time passes
+	before  []networkFault // time passes with each of these before the search begins
 	budget  budget
 	want    reach
 }
@@ -66,6 +67,8 @@
 		{name: "a silent member is left out", members: 4, served: true, calm: true, faults: []faultKind{faultIsolated}, budget: budget{writes: 1, passes: 1}, want: reach{led: 2, acked: 2, fewest: 3}},
 		{name: "five, a takeover", members: 5, survive: 2, served: true, calm: true, budget: budget{waits: 1}, want: reach{led: 2, acked: 1}},
 		{name: "five, a machine is cut off or frozen", members: 5, survive: 2, served: true, calm: true, faults: []faultKind{faultIsolated, faultFrozen}, budget: budget{passes: 1}, want: reach{led: 2, acked: 1}},
+		{name: "five, a read and a takeover", members: 5, survive: 2, budget: budget{reads: 1, waits: 1}, want: reach{led: 2, acked: 1}},
+		{name: "four, a takeover while a member is left out", members: 4, before: []networkFault{{faultIsolated, 3, 0}}, budget: budget{waits: 1}, want: reach{led: 3, acked: 1, fewest: 3}},
 		{name: "changes are asked for again", members: 3, judged: true, budget: budget{writes: 2, retries: 1, waits: 1}, want: reach{led: 2, acked: 2, refused: true}},
 	}
 }
@@ -110,6 +113,9 @@
 	} else {
 		w, err = x.calmWorld()
 	}
+	for _, f := range sh.before {
+		w, _, _ = x.applyPass(&w, step{stepPass, f.i, f.arg()})
+	}
 	w.left = sh.budget
 	return x, w, err
 }
--- a/internal/fleet/replication/searchtime_test.go
+++ b/internal/fleet/replication/searchtime_test.go
@@ -20,6 +20,7 @@
 	faultCut                // what i sends to j is lost
 	faultIsolated           // all that i sends, and what is sent to i, is lost
 	faultFrozen             // i does nothing, and finds out at its next input
+	faultSplit              // i and j are cut off from all others, not from each other
 )
 
 // networkFault is a faultKind with its machines.
@@ -42,10 +43,15 @@
 		return fmt.Sprintf("%d is cut off", f.i)
 	case faultFrozen:
 		return fmt.Sprintf("%d is frozen", f.i)
+	case faultSplit:
+		return fmt.Sprintf("%d and %d are cut off together", f.i, f.j)
 	}
 	return "all is well"
 }
 
+// among reports whether a machine is one of the fault's two.
+func (f networkFault) among(i int) bool { return i == int(f.i) || i == int(f.j) }
+
 // loses reports whether a message doesn't come.
 func (f networkFault) loses(from, to int) bool {
 	switch f.kind {
@@ -55,6 +61,8 @@
 		return from == int(f.i) || to == int(f.i)
 	case faultFrozen:
 		return to == int(f.i)
+	case faultSplit:
+		return f.among(from) != f.among(to)
 	}
 	return false
 }
@@ -70,10 +78,10 @@
 			for i := range started {
 				list = append(list, networkFault{kind, i, 0})
 			}
-		case faultCut:
+		case faultCut, faultSplit:
 			for i := range started {
 				for j := range started {
-					if i != j {
+					if i < j || i != j && kind == faultCut {
 						list = append(list, networkFault{kind, i, j})
 					}
 				}
--- a/internal/fleet/replication/trial_test.go
+++ b/internal/fleet/replication/trial_test.go
@@ -22,8 +22,13 @@
 		}
 		sizes := map[string]*int{"members": &sh.members, "joiners": &sh.joiners, "survive": &sh.survive}
 		flags := map[string]*bool{"first": &sh.first, "small": &sh.small, "judged": &sh.judged, "served": &sh.served, "calm": &sh.calm}
-		kinds := map[string]faultKind{"well": faultNone, "cut": faultCut, "isolated": faultIsolated, "frozen": faultFrozen}
+		kinds := map[string]faultKind{"well": faultNone, "cut": faultCut, "isolated": faultIsolated, "frozen": faultFrozen, "split": faultSplit}
 		switch {
+		case name == "before": // kind:i:j
+			f := strings.Split(figure, ":")
+			i, _ := strconv.Atoi(f[1])
+			j, _ := strconv.Atoi(f[2])
+			sh.before = append(sh.before, networkFault{kinds[f[0]], uint8(i), uint8(j)})
 		case counts[name] != nil:
 			*counts[name] = uint8(n)
 		case sizes[name] != nil:
