--- a/internal/fleet/replication/ballot.go
+++ b/internal/fleet/replication/ballot.go
@@ -2,6 +2,35 @@
 
 import "time"
 
+type phase uint8
+
+const (
+	preparing phase = iota
+	staging
+	accepting
+)
+
+type promise struct {
+	member   Member
+	accepted Ballot
+	value    *View
+	holder   bool
+	at       time.Duration
+	bad      bool // didn't take the stage
+}
+
+// candidacy is this machine's proposal for the next epoch.
+type candidacy struct {
+	ballot   Ballot
+	phase    phase
+	since    time.Duration // the phase
+	resendAt time.Duration
+	promises map[ID]*promise // by identity in the view
+	value    *View
+	staged   map[ID]bool
+	accepted map[ID]bool
+}
+
 // campaign begins a candidacy: this holder stops answering in its view and asks for promises.
 func (m *Machine) campaign() {
 	if m.cand != nil || m.now < m.retryAt || !m.holder() {
@@ -78,7 +107,7 @@
 		}
 		sortMembers(members)
 	} else {
-		members, _ = m.nextMembers()
+		members = m.nextMembers().members
 	}
 	for _, o := range members {
 		if o.ID == m.id.ID {
@@ -88,7 +117,7 @@
 		if m.view.Epoch == 0 {
 			key = seedID(o.Addr)
 		}
-		cand := candidate{Member: o, slow: m.slowLately(o.ID)}
+		cand := candidate{Member: o, slow: m.slowLately(o.ID), leaving: m.leavers[o.ID]}
 		if p := c.promises[key]; p != nil {
 			if p.bad || m.now-p.at >= 2*m.opt.SuspectAfter {
 				continue
@@ -99,7 +128,7 @@
 		} // else a joiner that answered lately
 		from = append(from, cand)
 	}
-	best := choose(m.opt.Survive, m.self(), members, from)
+	best := choose(m.wanted(), m.self(), members, from)
 	full := best.full && (m.view.Epoch > 0 || len(members) == len(m.view.Members))
 	if !best.enough {
 		if m.now-c.since >= m.opt.WriteWithin {
