--- a/internal/fleet/replication/doc.go
+++ b/internal/fleet/replication/doc.go
@@ -20,10 +20,16 @@
 // # Members
 //
 // A machine with an empty disk draws an identity and asks to be taken in. The primary does so by a new view, in which the
-// older identity of that address goes out. Members silent for ForgetAfter go out when that lowers the majority that
+// older identity of that address goes out. A joiner takes the place of a member that is silent, or comes as one more where
+// the majority is there without it. Members silent for ForgetAfter go out when that lowers the majority that
 // is needed and enough members are left for the losses to be borne (3, and 2s+1 for s machines); otherwise they stay, as
 // they may come back with their vote.
 //
+// # Leaving
+//
+// A process that is told to end calls Leave: as primary it hands over to a backup in step, as backup it is replaced, as
+// witness it goes out where the majority falls with it. Status.Released tells when the others need it no more.
+//
 // # Bounds
 //
 // At most 64 members, 64 joiners, 4096 waiting writes and 4096 waiting reads; changes are kept up to SnapshotBytes and
--- a/internal/fleet/replication/membership_test.go
+++ b/internal/fleet/replication/membership_test.go
@@ -411,3 +411,38 @@
 		s.acknowledges(c, of, "seed", seed)
 	})
 }
+
+// TestAllToldToEnd: every machine is told to end at the same moment and ends within its time; all come back with their disks.
+func TestAllToldToEnd(t *testing.T) {
+	eachCase(t, 6, func(c *qt.C, s *schedule, of coreCase, seed uint64) {
+		for _, b := range s.boxes {
+			s.input(b, b.m.Leave(s.clock(b)))
+		}
+		until := s.now + leaveWithin
+		for _, b := range s.boxes {
+			s.runUntil(until, func() bool { return b.m.Status().Released && len(b.carries) == 0 })
+			s.kill(b)
+		}
+		for _, b := range s.boxes {
+			s.after(s.upTo(time.Second), func() { s.start(b) })
+		}
+		s.pass(time.Second)
+		s.acknowledges(c, of, "seed", seed)
+	})
+}
+
+// TestLeaveWithLostBackup: a backup is lost at the moment when the primary is told to end; others take its place, and then the
+// primary's.
+func TestLeaveWithLostBackup(t *testing.T) {
+	eachCase(t, 6, func(c *qt.C, s *schedule, of coreCase, seed uint64) {
+		l := s.byRole()
+		s.wipe(l[1])
+		took := s.leave(l[0])
+		if of.machines > 3 { // of three, no machine is left that could take the record
+			c.Assert(took < leaveWithin, qt.IsTrue, qt.Commentf("%v seed %d", of, seed))
+		}
+		s.start(l[0])
+		s.start(l[1])
+		s.acknowledges(c, of, "seed", seed)
+	})
+}
--- a/internal/fleet/replication/takeover_test.go
+++ b/internal/fleet/replication/takeover_test.go
@@ -90,3 +90,32 @@
 		}
 	}
 }
+
+// TestRepairTimes measures how long after its start a successor is a member of a core that is whole again: one that bears the next
+// loss. It must be whole within the time for which the successor counts as lost.
+func TestRepairTimes(t *testing.T) {
+	for _, of := range []coreCase{{3, 1}, {4, 1}, {8, 2}} {
+		t.Run(of.String(), func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			var repairs []time.Duration
+			for seed := range uint64(*nSeeds) {
+				s := newSchedule(c, seed, of)
+				l := s.byRole()
+				s.remove(l[int(seed)%len(l)])
+				s.pass(s.upTo(2 * time.Second))
+				successor, began := s.spare(), s.now
+				s.runUntil(began+boundSync, func() bool {
+					p := s.well()
+					return p != nil && p.m.view.has(successor.disk.Identity.ID)
+				})
+				repairs = append(repairs, s.now-began)
+				c.Assert(s.err, qt.IsNil, qt.Commentf("seed %d", seed))
+			}
+			slices.Sort(repairs)
+			n := len(repairs)
+			c.Logf("%d repairs: median %v, 99 in 100 %v, longest %v", n, repairs[n/2].Round(ms), repairs[n*99/100].Round(ms), repairs[n-1].Round(ms))
+			c.Check(repairs[n-1] < boundSync, qt.IsTrue, qt.Commentf("longest %v", repairs[n-1]))
+		})
+	}
+}
