A record goes to a backup in acknowledged chunks, or as the changes it lacks

Cause: a whole record was one message, written within 500 ms, and a receiver that hadn't it within 600 ms was left out. With 10,000 routes (3.5 MB) over 10 Mbit/s it never got through: in virtual time (catchup_test.go) not even the operator's first configuration was acknowledged within 20 s.

Ruled out: a longer deadline alone, as beats wait behind the message and the receiver suspects its primary after 700 ms.

Change: records go in chunks of 64 KiB, two under way, with the offset acknowledged; a hash of the whole is checked at its end, a broken transfer goes on where it was, also from another sender of the same record. Who makes progress isn't late. Messages hold changes of one chunk at most; a larger change goes as the record. Promises tell where a record stands, so that a coming backup whose record is part of the proposer's is brought the changes that it lacks. Who was staged once in a candidacy isn't staged again.

Tests: TestStagedBeforeProposed asked for KindStage with a promise that tells of an empty record; it now checks both ways, whole and by changes. The texts of two planted faults follow the code, which moved to follow().

--- a/internal/fleet/replication/adopt.go
+++ b/internal/fleet/replication/adopt.go
@@ -39,6 +39,9 @@
 		}
 	}
 	m.heard = heard
+	clear(m.transfers)
+	clear(m.positions)
+	m.image = nil
 	for id := range m.slow {
 		if !v.has(id) {
 			delete(m.slow, id)
--- a/internal/fleet/replication/ballot.go
+++ b/internal/fleet/replication/ballot.go
@@ -86,7 +86,6 @@
 		return
 	}
 	if v := m.newView(); v != nil {
-		c.staged = map[ID]bool{}
 		m.enter(staging, v)
 	}
 }
@@ -147,8 +146,7 @@
 // stage puts the record on the disks of the coming backups that don't hold it.
 func (m *Machine) stage(again bool) {
 	c := m.cand
-	open := false
-	late := m.now-c.since >= m.opt.WriteWithin
+	open, late := false, false
 	for _, b := range c.value.Backups {
 		key := b
 		o, _ := c.value.member(b)
@@ -160,7 +158,9 @@
 			continue
 		}
 		open = true
-		if late {
+		if m.stalled(b, c.since, m.opt.WriteWithin) {
+			late = true
+			m.dropTransfer(b)
 			m.slow[b] = m.now
 			if p != nil {
 				p.bad = true
@@ -176,13 +176,12 @@
 		c.phase, c.value, c.since = preparing, nil, m.now
 		m.propose(true)
 	case again:
-		c.resendAt = m.now + max(m.opt.BeatEvery, m.opt.WriteWithin/2)
-		msg := Message{Kind: KindStage, Seq: m.seq, Digest: m.digest, Committed: m.committed, Body: m.app.Snapshot()}
+		c.resendAt = m.now + m.opt.BeatEvery
 		for _, b := range c.value.Backups {
 			p := c.promises[b]
 			if !c.staged[b] && (p == nil || !p.holder) {
 				o, _ := c.value.member(b)
-				m.send(o.Addr, msg)
+				m.stageRecord(o)
 			}
 		}
 	}
@@ -195,7 +194,8 @@
 	if !m.holder() {
 		same := m.stand.RecordEpoch == m.view.Epoch && msg.Seq == m.seq && msg.Digest == m.digest
 		if !same {
-			if !m.replace(msg.Seq, msg.Digest, msg.Body) {
+			body, whole := m.assemble(msg)
+			if !whole || !m.replace(msg.Seq, msg.Digest, body) {
 				return
 			}
 			m.stand.RecordEpoch = m.view.Epoch
@@ -208,6 +208,7 @@
 func (m *Machine) onStaged(msg *Message) {
 	if c := m.cand; c != nil && c.phase == staging {
 		c.staged[msg.From.ID] = true
+		m.dropTransfer(msg.From.ID)
 		m.propose(false)
 	}
 }
@@ -274,6 +275,7 @@
 	}
 	m.send(msg.From.Addr, Message{
 		Kind: KindPromise, Ballot: msg.Ballot, Accepted: m.vote.Accepted, Value: m.vote.Value, Holder: m.holder(),
+		Seq: m.seq, Digest: m.digest,
 	})
 }
 
@@ -282,6 +284,7 @@
 	if c == nil || id == "" || c.ballot != msg.Ballot || c.phase != preparing {
 		return
 	}
+	m.notePosition(msg)
 	bad := false
 	if p := c.promises[id]; p != nil {
 		bad = p.bad
--- /dev/null
+++ b/internal/fleet/replication/catchup_test.go
@@ -0,0 +1,356 @@
+package replication
+
+import (
+	"bytes"
+	"container/heap"
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// sizedApp is a record of a given size. It knows its changes by their chained digest alone.
+type sizedApp struct {
+	size        int
+	seq, digest uint64
+	snapshots   int // how often the whole was encoded
+}
+
+func (a *sizedApp) Apply(seq uint64, body []byte) {
+	a.digest = Chain(a.digest, seq, body)
+	a.seq = seq
+}
+
+func (a *sizedApp) Snapshot() []byte {
+	a.snapshots++
+	b := bytes.Repeat([]byte{'r'}, a.size)
+	b = binary.BigEndian.AppendUint64(b, a.seq)
+	return binary.BigEndian.AppendUint64(b, a.digest)
+}
+
+func (a *sizedApp) Restore(seq uint64, body []byte) error {
+	a.seq, a.digest = 0, 0
+	if len(body) == 0 {
+		return nil
+	}
+	if len(body) != a.size+16 {
+		return fmt.Errorf("a record of %d bytes", len(body))
+	}
+	a.seq, a.digest = binary.BigEndian.Uint64(body[a.size:]), binary.BigEndian.Uint64(body[a.size+8:])
+	if a.seq != seq {
+		return fmt.Errorf("the record of %d at %d", a.seq, seq)
+	}
+	return nil
+}
+
+// thinCore is a core in virtual time whose machines send over thin links, in order and one message after the other, as the
+// control servers do: a message whose write takes over writeBound breaks the connection, and what waits is bounded.
+type thinCore struct {
+	c           *qt.C
+	now         time.Duration
+	queue       events
+	count       int
+	nodes       []*thinNode
+	survive     Survive
+	bytesPerSec float64
+	latency     time.Duration
+	sync        time.Duration
+	size        int
+	logBytes    int
+	random      *rand.Rand
+
+	token    uint64
+	pending  map[uint64]bool
+	acked    uint64 // newest change that was acknowledged
+	ackedAt  time.Duration
+	longest  time.Duration // between acknowledgements
+	bootOver bool
+}
+
+type thinNode struct {
+	core     *thinCore
+	addr     string
+	disk     State
+	app      *sizedApp
+	m        *Machine
+	started  time.Duration
+	life     int
+	busy     time.Duration // until: the disk is written to
+	uplink   time.Duration // until: messages are on their way into the link
+	waiting  map[string]int
+	sent     int // bytes
+	tickAt   time.Duration
+	syncTime time.Duration // of this node's disk; 0: the core's
+}
+
+const (
+	thinWriteBound = 500 * time.Millisecond
+	thinQueueBound = 64
+)
+
+func newThinCore(c *qt.C, n int, survive Survive, size int) *thinCore {
+	core := &thinCore{
+		c: c, survive: survive, size: size, bytesPerSec: 10e6 / 8, latency: 15 * time.Millisecond, sync: 3 * time.Millisecond,
+		random: rand.New(rand.NewPCG(uint64(n), uint64(size))), pending: map[uint64]bool{},
+	}
+	for i := range n {
+		core.nodes = append(core.nodes, &thinNode{core: core, addr: fmt.Sprintf("10.0.%d.1:7000", i), waiting: map[string]int{}})
+	}
+	return core
+}
+
+func (t *thinCore) after(d time.Duration, run func()) {
+	t.count++
+	heap.Push(&t.queue, event{at: t.now + d, n: t.count, run: run})
+}
+
+// until plays events until something holds; it reports false where that takes longer than within.
+func (t *thinCore) until(within time.Duration, holds func() bool) bool {
+	for end := t.now + within; len(t.queue) > 0 && t.queue[0].at <= end; {
+		if holds() {
+			return true
+		}
+		e := heap.Pop(&t.queue).(event)
+		t.now = e.at
+		e.run()
+	}
+	return holds()
+}
+
+func (n *thinNode) start() {
+	t := n.core
+	n.life++
+	n.app = &sizedApp{size: t.size}
+	n.started, n.busy, n.tickAt = t.now, t.now, -1
+	var seeds []string
+	for _, o := range t.nodes {
+		seeds = append(seeds, o.addr)
+	}
+	m, err := New(Options{
+		Self: Member{Addr: n.addr, Zone: n.addr, Region: "r"}, Survive: t.survive, Seeds: seeds, Bootstrap: !t.bootOver,
+		BeatEvery: 150 * ms, SuspectAfter: 700 * ms, StaggerEach: 250 * ms, WriteWithin: 600 * ms, ForgetAfter: 4 * time.Second,
+		SnapshotBytes: t.logBytes, Rand: t.random.Uint64,
+	}, n.disk, n.app)
+	t.c.Assert(err, qt.IsNil)
+	n.m = m
+	n.input(func(now time.Duration) Output { return m.Tick(now) })
+}
+
+func (n *thinNode) stop() {
+	n.m = nil
+	n.life++
+	clear(n.core.pending) // its clients ask elsewhere
+}
+
+// input hands the machine an input once its disk is free.
+func (n *thinNode) input(in func(now time.Duration) Output) {
+	t, life := n.core, n.life
+	t.after(max(n.busy-t.now, 0), func() {
+		if n.life != life || n.m == nil {
+			return
+		}
+		if n.busy > t.now {
+			n.input(in)
+			return
+		}
+		out := in(t.now - n.started)
+		if !out.Write.Empty() {
+			n.busy = t.now + max(n.syncTime, t.sync)
+		}
+		t.after(max(n.busy-t.now, 0), func() {
+			if n.life == life {
+				n.carryOut(&out)
+			}
+		})
+		n.planTick(life)
+	})
+}
+
+func (n *thinNode) planTick(life int) {
+	t := n.core
+	at := max(n.m.Next()+n.started, t.now+ms)
+	if n.tickAt > t.now && n.tickAt <= at {
+		return
+	}
+	n.tickAt = at
+	t.after(at-t.now, func() {
+		if n.life == life && n.tickAt == at {
+			n.tickAt = -1
+			n.input(func(now time.Duration) Output { return n.m.Tick(now) })
+		}
+	})
+}
+
+func (n *thinNode) carryOut(out *Output) {
+	t := n.core
+	save(&n.disk, out.Write)
+	for _, e := range out.Send {
+		n.send(e)
+	}
+	for _, a := range out.Answer {
+		delete(t.pending, a.Token)
+		if a.Result == Committed {
+			t.longest = max(t.longest, t.now-t.ackedAt)
+			t.acked, t.ackedAt = max(t.acked, a.Seq), t.now
+		}
+	}
+}
+
+func (n *thinNode) send(e Envelope) {
+	t := n.core
+	body, err := e.Msg.MarshalMsg(nil)
+	t.c.Assert(err, qt.IsNil)
+	takes := time.Duration(float64(len(body)) / t.bytesPerSec * float64(time.Second))
+	if n.waiting[e.To] >= thinQueueBound {
+		return
+	}
+	broken := takes > thinWriteBound
+	if broken {
+		takes = thinWriteBound
+	}
+	n.uplink = max(n.uplink, t.now) + takes
+	n.sent += len(body)
+	n.waiting[e.To]++
+	t.after(n.uplink-t.now, func() {
+		n.waiting[e.To]--
+		if broken {
+			return
+		}
+		for _, o := range t.nodes {
+			if o.addr == e.To {
+				t.after(t.latency, func() {
+					if o.m != nil {
+						o.input(func(now time.Duration) Output { return o.m.Receive(now, n.addr, &e.Msg) })
+					}
+				})
+			}
+		}
+	})
+}
+
+func (t *thinCore) primary() *thinNode {
+	var newest *thinNode
+	for _, n := range t.nodes {
+		if n.m != nil && n.m.ready() && (newest == nil || newest.m.view.Epoch < n.m.view.Epoch) {
+			newest = n
+		}
+	}
+	return newest
+}
+
+// change proposes one change of so many bytes where a primary is ready.
+func (t *thinCore) change(bytes int) {
+	p := t.primary()
+	if p == nil {
+		return
+	}
+	t.token++
+	body := make([]byte, bytes)
+	binary.BigEndian.PutUint64(body, t.token)
+	token := t.token
+	t.pending[token] = true
+	p.input(func(now time.Duration) Output { return p.m.Propose(now, token, body) })
+}
+
+// keepChanging proposes a change every so often from now on, one at a time as the operators' door does.
+func (t *thinCore) keepChanging(every time.Duration, bytes int) {
+	if len(t.pending) == 0 {
+		t.change(bytes)
+	}
+	t.after(every, func() { t.keepChanging(every, bytes) })
+}
+
+func (t *thinCore) settled() bool {
+	p := t.primary()
+	if p == nil {
+		return false
+	}
+	for _, n := range t.nodes {
+		if n.m != nil && (n.m.view.Epoch != p.m.view.Epoch || !p.m.view.has(n.m.id.ID)) {
+			return false
+		}
+	}
+	return true
+}
+
+// told is how all stand.
+func (t *thinCore) told() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "acknowledged %d, last at %v of %v", t.acked, t.ackedAt, t.now)
+	for _, n := range t.nodes {
+		if n.m == nil {
+			fmt.Fprintf(&b, "\n%s is down", n.addr)
+			continue
+		}
+		s := n.m.Status()
+		fmt.Fprintf(&b, "\n%s %v epoch %d ready %v seq %d stopped %v: %+v", n.addr, s.Role, s.Epoch, s.Ready, s.Seq, n.m.stopped(), n.m.cand)
+	}
+	return b.String()
+}
+
+// byRole is the first backup, witness a member that keeps no record.
+func (t *thinCore) byRole(role Role) *thinNode {
+	for _, n := range t.nodes {
+		if n.m != nil && n.m.Status().Role == role {
+			return n
+		}
+	}
+	return nil
+}
+
+func startThinCore(c *qt.C, n int, survive Survive, size int) *thinCore {
+	t := newThinCore(c, n, survive, size)
+	for _, o := range t.nodes {
+		o.start()
+	}
+	c.Assert(t.until(10*time.Second, t.settled), qt.IsTrue, qt.Commentf("no start"))
+	t.bootOver, t.ackedAt = true, t.now
+	t.change(size) // the operator's first configuration, whole
+	c.Assert(t.until(20*time.Second, func() bool { return t.acked == 1 }), qt.IsTrue, qt.Commentf("the first configuration isn't acknowledged"))
+	t.keepChanging(40*ms, 400)
+	c.Assert(t.until(5*time.Second, func() bool { return t.acked >= 40 }), qt.IsTrue, qt.Commentf("%s", t.told()))
+	return t
+}
+
+// recordBytes is the size of a record with 10,000 routes.
+const recordBytes = 3_500_000
+
+// TestSlowLinkTakesRecord: with 10,000 routes over links of 10 Mbit/s, while changes come every 40 ms, the loss of a backup
+// and of its disk is overcome: a machine that never had the record is brought it, changes are acknowledged again, and the
+// one that lost its disk holds the record or votes once more.
+func TestSlowLinkTakesRecord(t *testing.T) {
+	for _, size := range []int{200_000, recordBytes} {
+		for _, members := range []struct {
+			n       int
+			survive Survive
+		}{{3, Survive{Nodes: 1}}, {5, Survive{Nodes: 2}}} {
+			t.Run(fmt.Sprintf("%d members, %d bytes", members.n, size), func(t *testing.T) {
+				c := qt.New(t)
+				core := startThinCore(c, members.n, members.survive, size)
+				lost := core.byRole(Backup)
+				lost.stop()
+				core.longest = 0
+				acked, began := core.acked, core.now
+				c.Assert(core.until(30*time.Second, func() bool { return core.acked > acked+20 }), qt.IsTrue,
+					qt.Commentf("nothing was acknowledged after a backup was lost: %s", core.told()))
+				t.Logf("a backup lost: no acknowledgement for %v", core.longest)
+				lost.disk = State{}
+				lost.start()
+				began, core.longest = core.now, 0
+				c.Assert(core.until(30*time.Second, core.settled), qt.IsTrue, qt.Commentf("who lost its disk isn't a member again"))
+				t.Logf("its disk lost: a member after %v, no acknowledgement for %v", core.now-began, core.longest)
+				// Then the primary goes too: who took its place holds all that was acknowledged.
+				acked = core.acked
+				core.primary().stop()
+				core.longest = 0
+				c.Assert(core.until(30*time.Second, func() bool { return core.acked > acked+20 }), qt.IsTrue, qt.Commentf("nothing was acknowledged after the primary was lost: %s", core.told()))
+				c.Assert(core.primary().app.seq >= core.acked, qt.IsTrue)
+				t.Logf("the primary lost as well: no acknowledgement for %v", core.longest)
+			})
+		}
+	}
+}
--- a/internal/fleet/replication/cells_test.go
+++ b/internal/fleet/replication/cells_test.go
@@ -73,6 +73,17 @@
 		k := *j
 		c.joiners[a] = &k
 	}
+	c.positions = maps.Clone(m.positions)
+	c.transfers = map[ID]*transfer{}
+	for id, t := range m.transfers {
+		k := *t
+		c.transfers[id] = &k
+	}
+	if m.incoming != nil {
+		k := *m.incoming
+		k.body = slices.Clip(k.body)
+		c.incoming = &k
+	}
 	if m.peers != nil {
 		c.peers = map[ID]*peer{}
 		for id, p := range m.peers {
--- a/internal/fleet/replication/machine.go
+++ b/internal/fleet/replication/machine.go
@@ -57,6 +57,11 @@
 	reads   []waiting
 
 	cand *candidacy
+
+	transfers map[ID]*transfer // records on their way to others
+	image     *image           // what the transfers share
+	incoming  *assembly        // the record on its way to this machine
+	positions map[ID]position  // where others' records stood when last heard
 }
 
 // peer is a backup as its primary knows it.
@@ -82,6 +87,9 @@
 	if opt.SnapshotBytes <= 0 {
 		opt.SnapshotBytes = 1 << 20
 	}
+	if opt.ChunkBytes <= 0 {
+		opt.ChunkBytes = defaultChunkBytes
+	}
 	for _, d := range []time.Duration{opt.BeatEvery, opt.SuspectAfter, opt.StaggerEach, opt.WriteWithin, opt.ForgetAfter} {
 		if d <= 0 {
 			return nil, errors.New("replication: a duration is not above 0")
@@ -100,6 +108,7 @@
 		opt: opt, app: app, id: from.Identity, view: from.View, vote: from.Vote, stand: from.Standing, lost: from.Lost,
 		heard: map[ID]time.Duration{}, slow: map[ID]time.Duration{}, seeds: map[string]bool{},
 		joiners: map[string]*joiner{}, committed: from.Standing.Committed,
+		transfers: map[ID]*transfer{}, positions: map[ID]position{},
 	}
 	if m.id.ID == "" {
 		m.view, m.vote, m.stand, m.committed = View{}, Vote{}, Standing{}, 0
@@ -209,7 +218,7 @@
 	}
 	msg.From, msg.Epoch, msg.Founder = m.self(), m.view.Epoch, m.id.Founder && m.view.Epoch == 0
 	switch msg.Kind {
-	case KindView, KindBeat, KindPrepare, KindAccept, KindStage, KindSnapshot:
+	case KindView, KindBeat, KindPrepare, KindAccept, KindStage, KindStageChanges, KindSnapshot:
 		if m.view.Epoch > 0 {
 			v := m.view
 			msg.View = &v
@@ -274,6 +283,10 @@
 		m.onSnapshot(msg)
 	case KindStage:
 		m.onStage(msg)
+	case KindStageChanges:
+		m.onStageChanges(msg)
+	case KindReceived:
+		m.onReceived(msg)
 	case KindStaged:
 		m.onStaged(msg)
 	case KindPrepare:
@@ -304,6 +317,7 @@
 		m.reform()
 	}
 	m.tickFounder()
+	m.forgetAssembly()
 	if m.cand == nil && m.holder() && m.view.Epoch > 0 && !m.led {
 		overdue := m.now >= m.lastBeat+m.opt.SuspectAfter+time.Duration(m.rank()-1)*m.opt.StaggerEach
 		if m.rank() == 0 || m.stopped() || overdue {
--- a/internal/fleet/replication/plantedfaults_test.go
+++ b/internal/fleet/replication/plantedfaults_test.go
@@ -3,7 +3,7 @@
 // plantedFaults are deliberate errors in the protocol. TestPlantedFaults checks that each still fits the sources and, with
 // -replication.planted, that the kinds of tests named by it find it.
 var plantedFaults = []plantedFault{
-	{"a backup acknowledges what isn't on its disk", []string{"\t\t\tm.keep(rest[:taken]...)\n", ""}, "search", ""},
+	{"a backup acknowledges what isn't on its disk", []string{"\tm.keep(rest[:taken]...)\n", ""}, "search", ""},
 	{"the primary's own disk isn't waited for", []string{"\tm.keep(c)\n", ""}, "search", ""},
 	{"a promise is kept in memory only", []string{
 		"\t\tm.vote.Promised = msg.Ballot\n\t\tm.putVote()\n", "\t\tm.vote.Promised = msg.Ballot\n"}, "search", ""},
@@ -23,7 +23,7 @@
 		"\t\tm.stand.StoppedEpoch = m.view.Epoch + 1\n\t\tm.putStanding()\n", "\t\tm.stand.StoppedEpoch = m.view.Epoch + 1\n"},
 		"", "needs two proposals and a restart, which the deep search has"},
 	{"a stopped backup still acknowledges", []string{"m.holder() && !m.stopped() && m.stand.StepEpoch", "m.holder() && m.stand.StepEpoch",
-		"\tif !m.stopped() {\n\t\trest", "\t{\n\t\trest", "\tif msg.Stopped {\n\t\tm.stoppedPeer(p)\n\t\treturn\n\t}\n", ""}, "search", ""},
+		"\tif !m.stopped() {\n\t\tif m.follow", "\t{\n\t\tif m.follow", "\tif msg.Stopped {\n\t\tm.stoppedPeer(p)\n\t\treturn\n\t}\n", ""}, "search", ""},
 	{"a write is acknowledged before the backups have it", []string{
 		"seq, round = min(seq, p.seq), min(round, p.round)", "round = min(round, p.round)"}, "search", ""},
 	{"a read is not confirmed", []string{"len(m.peers) == 0 || w.at != 0 && w.at <= round", "true"}, "search", ""},
--- a/internal/fleet/replication/primary.go
+++ b/internal/fleet/replication/primary.go
@@ -39,6 +39,10 @@
 		}
 		if p.step && p.seq+uint64(len(m.writes)) >= c.Seq {
 			to, _ := m.view.member(b)
+			if len(body) > m.opt.ChunkBytes {
+				m.sendRecord(KindSnapshot, to)
+				continue
+			}
 			p.sent = m.now
 			m.send(to.Addr, prev)
 		}
@@ -133,8 +137,13 @@
 
 // bring sends a backup that stands at (seq, digest) what it lacks: changes where they are still known, else a snapshot.
 func (m *Machine) bring(p *peer, id ID, seq, digest uint64, known bool) {
+	var changes []Change
+	if known {
+		changes = m.changesAfter(seq)
+		known = len(changes) > 0 || seq == m.seq
+	}
 	wait := m.opt.BeatEvery
-	if !known {
+	if !known && m.transfers[id] == nil {
 		wait = max(wait, m.opt.WriteWithin/2)
 	}
 	if p.sentAny && m.now-p.sent < wait {
@@ -145,13 +154,11 @@
 	if known {
 		m.send(to.Addr, Message{
 			Kind: KindAppend, Seq: seq, Digest: digest, Committed: m.committed,
-			Changes: slices.Clone(m.changes[seq-m.base.Seq:]),
+			Changes: changes,
 		})
 		return
 	}
-	m.send(to.Addr, Message{
-		Kind: KindSnapshot, Seq: m.seq, Digest: m.digest, Committed: m.committed, Body: m.app.Snapshot(),
-	})
+	m.sendRecord(KindSnapshot, to)
 }
 
 func (m *Machine) onBeatAck(msg *Message) {
@@ -160,6 +167,7 @@
 	}
 	if j := m.joiners[msg.From.Addr]; j != nil && j.ID == msg.From.ID {
 		j.confirmed, j.heard = true, m.now
+		m.notePosition(msg)
 	}
 	p := m.peers[msg.From.ID]
 	if p == nil || !m.leading() {
@@ -176,6 +184,7 @@
 		}
 		p.step = true
 		p.seq = max(p.seq, msg.Seq)
+		m.endTransfer(msg.From.ID, p.seq)
 		p.round = max(p.round, msg.Round)
 		if p.seq == m.seq {
 			p.behind = -1
@@ -250,22 +259,8 @@
 	}
 	m.lastBeat = m.now
 	if !m.stopped() {
-		rest, ok := msg.Changes, msg.Seq == m.seq && msg.Digest == m.digest
-		for !ok && len(rest) > 0 {
-			ok = rest[0].Seq == m.seq && rest[0].Digest == m.digest
-			rest = rest[1:]
-		}
-		if ok {
+		if m.follow(msg) {
 			m.stepped()
-			taken := 0
-			for _, c := range rest {
-				if c.Seq != m.seq+1 || c.Digest != Chain(m.digest, c.Seq, c.Body) {
-					break
-				}
-				m.take(c)
-				taken++
-			}
-			m.keep(rest[:taken]...)
 		}
 		m.learnCommitted(msg)
 	}
@@ -278,9 +273,15 @@
 	}
 	m.lastBeat = m.now
 	// Once in step, what was acknowledged in this epoch never goes back: an older snapshot may come late.
-	if !m.stopped() && (m.stand.StepEpoch != m.view.Epoch || msg.Seq > m.seq) && m.replace(msg.Seq, msg.Digest, msg.Body) {
-		m.stepped()
-		m.learnCommitted(msg)
+	if !m.stopped() && (m.stand.StepEpoch != m.view.Epoch || msg.Seq > m.seq) {
+		body, whole := m.assemble(msg)
+		if !whole {
+			return
+		}
+		if m.replace(msg.Seq, msg.Digest, body) {
+			m.stepped()
+			m.learnCommitted(msg)
+		}
 	}
 	m.ack(msg.From.Addr, 0)
 }
--- a/internal/fleet/replication/record.go
+++ b/internal/fleet/replication/record.go
@@ -27,7 +27,7 @@
 
 // keep writes changes that were taken, as a snapshot when they are many.
 func (m *Machine) keep(cs ...Change) {
-	if m.bytes > m.opt.SnapshotBytes {
+	if m.bytes > m.logBound() {
 		m.putSnapshot(m.app.Snapshot())
 		return
 	}
@@ -65,3 +65,26 @@
 	}
 	return 0, false
 }
+
+// follow takes the changes of a message that come after our record. It reports false when our record isn't among those that
+// the message tells of.
+func (m *Machine) follow(msg *Message) bool {
+	rest, ok := msg.Changes, msg.Seq == m.seq && msg.Digest == m.digest
+	for !ok && len(rest) > 0 {
+		ok = rest[0].Seq == m.seq && rest[0].Digest == m.digest
+		rest = rest[1:]
+	}
+	if !ok {
+		return false
+	}
+	taken := 0
+	for _, c := range rest {
+		if c.Seq != m.seq+1 || c.Digest != Chain(m.digest, c.Seq, c.Body) {
+			break
+		}
+		m.take(c)
+		taken++
+	}
+	m.keep(rest[:taken]...)
+	return true
+}
--- a/internal/fleet/replication/safety_test.go
+++ b/internal/fleet/replication/safety_test.go
@@ -126,16 +126,27 @@
 	h.Assert(*sent[0].Value, qt.DeepEquals, value)
 }
 
-// TestStagedBeforeProposed: the coming backup has the record on its disk before its view is proposed.
+// TestStagedBeforeProposed: the coming backup has the record on its disk before its view is proposed, whether it is brought
+// all of it, as its own record isn't a part of the proposer's, or the changes that it lacks.
 func TestStagedBeforeProposed(t *testing.T) {
 	h := newHand(t)
+	stagedBeforeProposed(h, Message{Kind: KindPromise, Seq: 1, Digest: 99}, KindStage)
+	h.Assert(string(h.witness.disk.Snapshot.Body), qt.Equals, "w1\nw2")
+	h = newHand(t)
+	stagedBeforeProposed(h, Message{Kind: KindPromise}, KindStageChanges)
+	h.Assert(h.witness.disk.Snapshot, qt.IsNil)
+	h.Assert(h.witness.disk.Changes, qt.DeepEquals, h.backup.disk.Changes)
+}
+
+func stagedBeforeProposed(h *hand, promise Message, by Kind) {
+	h.Helper()
 	ballot := h.suspect(h.backup)[0].Ballot
-	sent := h.give(h.backup, h.witness, Message{Kind: KindPromise, Ballot: ballot})
+	promise.Ballot = ballot
+	sent := h.give(h.backup, h.witness, promise)
 	h.Assert(sent, qt.HasLen, 1)
-	h.Assert(sent[0].Kind, qt.Equals, KindStage)
+	h.Assert(sent[0].Kind, qt.Equals, by)
 	staged := h.give(h.witness, h.backup, sent[0])
 	h.Assert(staged[0].Kind, qt.Equals, KindStaged)
-	h.Assert(string(h.witness.disk.Snapshot.Body), qt.Equals, "w1\nw2")
 	h.Assert(h.witness.disk.Standing.RecordEpoch, qt.Equals, h.view.Epoch)
 	sent = h.give(h.backup, h.witness, staged[0])
 	h.Assert(sent[0].Kind, qt.Equals, KindAccept)
--- a/internal/fleet/replication/search_test.go
+++ b/internal/fleet/replication/search_test.go
@@ -75,11 +75,12 @@
 
 // explorer is one search.
 type explorer struct {
-	n       int
-	survive Survive
-	small   bool // snapshots at every change
-	limit   int  // states
-	addrs   []string
+	n          int
+	survive    Survive
+	small      bool // snapshots at every change
+	chunkBytes int
+	limit      int // states
+	addrs      []string
 
 	err      error
 	cells    []*cell
@@ -111,7 +112,7 @@
 		BeatEvery: 100 * ms, SuspectAfter: 500 * ms, StaggerEach: 150 * ms, WriteWithin: 600 * ms, ForgetAfter: 3 * time.Second,
 		Rand: func() uint64 { return 0 },
 	}
-	o.Seeds = x.addrs
+	o.Seeds, o.ChunkBytes = x.addrs, x.chunkBytes
 	if x.small {
 		o.SnapshotBytes = 1
 	}
@@ -176,6 +177,7 @@
 	KindHello: "hello", KindView: "view", KindBeat: "beat", KindBeatAck: "ack", KindAppend: "append",
 	KindSnapshot: "snapshot", KindStage: "stage", KindStaged: "staged", KindPrepare: "prepare", KindPromise: "promise",
 	KindAccept: "accept", KindAccepted: "accepted", KindRefuse: "refuse",
+	KindReceived: "received", KindStageChanges: "stage changes",
 }
 
 func (x *explorer) internGhost(g ghost) uint32 {
--- a/internal/fleet/replication/searchcases_test.go
+++ b/internal/fleet/replication/searchcases_test.go
@@ -10,7 +10,7 @@
 
 var (
 	deep        = flag.Bool("replication.deep", false, "search with larger budgets and twenty times the states, which takes minutes")
-	searchLimit = flag.Int("replication.states", 350_000, "states for each search; twenty times as many with replication.deep")
+	searchLimit = flag.Int("replication.states", 500_000, "states for each search; twenty times as many with replication.deep")
 )
 
 // shape is a setting of the search.
@@ -58,12 +58,16 @@
 	return list
 }
 
-func search(t *testing.T, sh shape) {
+func search(t *testing.T, sh shape) { searchWith(t, sh, 0) }
+
+// searchWith searches with chunks of a record of this size; 0: the default.
+func searchWith(t *testing.T, sh shape, chunkBytes int) {
 	limit := *searchLimit
 	if *deep {
 		limit *= 20
 	}
 	x := newExplorer(sh.n, Survive{Nodes: 1}, sh.small, limit)
+	x.chunkBytes = chunkBytes
 	var w world
 	if sh.first {
 		w = x.emptyWorld(sh.n)
--- a/internal/fleet/replication/sim_test.go
+++ b/internal/fleet/replication/sim_test.go
@@ -217,7 +217,7 @@
 		o.SuspectAfter, o.StaggerEach = 200*ms, 20*ms
 	}
 	if s.small {
-		o.SnapshotBytes = 20
+		o.SnapshotBytes, o.ChunkBytes = 20, 64
 	}
 	return o
 }
--- /dev/null
+++ b/internal/fleet/replication/stage.go
@@ -0,0 +1,64 @@
+package replication
+
+import "time"
+
+// position is where a machine's record stands, and when changes that were staged last moved it.
+type position struct {
+	seq, digest uint64
+	movedAt     time.Duration
+}
+
+// notePosition keeps where the sender's record stands, and reports whether that is news. It is a hint: what it leads to is
+// checked by the receiver.
+func (m *Machine) notePosition(msg *Message) bool {
+	was, ok := m.positions[msg.From.ID]
+	if ok && was.seq == msg.Seq && was.digest == msg.Digest {
+		return false
+	}
+	m.positions[msg.From.ID] = position{seq: msg.Seq, digest: msg.Digest}
+	return true
+}
+
+// stageRecord brings a coming backup the record: the changes that it lacks where its record is a part of ours that we still
+// know, else all of it.
+func (m *Machine) stageRecord(to Member) {
+	at, ok := m.positions[to.ID]
+	if digest, known := m.digestAt(at.seq); ok && known && digest == at.digest {
+		changes := m.changesAfter(at.seq)
+		if len(changes) > 0 || at.seq == m.seq {
+			m.send(to.Addr, Message{
+				Kind: KindStageChanges, Seq: at.seq, Digest: at.digest, Changes: changes, Committed: m.committed, Total: m.seq,
+			})
+			return
+		}
+	}
+	m.sendRecord(KindStage, to)
+}
+
+// onStageChanges takes changes of a proposer's record. Only with all of them does this machine hold the record.
+func (m *Machine) onStageChanges(msg *Message) {
+	if m.view.Epoch == 0 || m.view.rank(msg.From.ID) < 0 {
+		return
+	}
+	if !m.holder() && m.stand.RecordEpoch != m.view.Epoch {
+		if !m.follow(msg) || m.seq < msg.Total {
+			m.send(msg.From.Addr, Message{Kind: KindReceived, Seq: m.seq, Digest: m.digest})
+			return
+		}
+		m.stand.RecordEpoch = m.view.Epoch
+		m.putStanding()
+	}
+	m.send(msg.From.Addr, Message{Kind: KindStaged, Seq: m.seq, Digest: m.digest})
+}
+
+// onStagePosition goes on with staging from where a coming backup stands.
+func (m *Machine) onStagePosition(msg *Message) {
+	c := m.cand
+	if c == nil || c.phase != staging {
+		return
+	}
+	if to, ok := c.value.member(msg.From.ID); ok && c.value.rank(to.ID) > 0 && !c.staged[to.ID] && m.notePosition(msg) {
+		m.positions[to.ID] = position{msg.Seq, msg.Digest, m.now}
+		m.stageRecord(to)
+	}
+}
--- /dev/null
+++ b/internal/fleet/replication/transfer.go
@@ -0,0 +1,231 @@
+package replication
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// A whole record goes from one machine to another in chunks, so that a slow link delays beats by two chunks at most and a
+// record that takes seconds gets through. The receiver acknowledges how much it has; the sender has at most
+// chunkWindow chunks under way and goes on from what was acknowledged. Changes that come meanwhile follow as changes.
+
+const (
+	// defaultChunkBytes bounds a chunk of a record and the changes in one message.
+	defaultChunkBytes = 64 << 10
+	// chunkWindow is how many chunks may be under way to one receiver.
+	chunkWindow = 2
+	// transferLogFactor is how many times longer the log may be while a record is on its way.
+	transferLogFactor = 4
+	// maxRecordBytes bounds a record that is received.
+	maxRecordBytes = 32 << 20
+)
+
+// image is the whole record as it was at seq.
+type image struct {
+	seq, digest uint64
+	sum         uint64 // hash of body
+	body        []byte
+}
+
+// transfer is an image on its way to one receiver.
+type transfer struct {
+	kind    Kind // KindSnapshot or KindStage
+	image   *image
+	had     int           // bytes that the receiver acknowledged
+	next    int           // the first byte that wasn't sent since had was last set back
+	sentAt  time.Duration // the last chunk
+	movedAt time.Duration // when had last grew
+}
+
+// assembly is an image of which some chunks have come.
+type assembly struct {
+	seq, digest, sum uint64
+	total            int
+	body             []byte
+	ahead            []byte // a chunk that overtook the one before it
+	aheadOffset      int
+	at               time.Duration // the last chunk that was of use
+}
+
+// of reports whether a chunk belongs to a.
+func (a *assembly) of(msg *Message) bool {
+	return a.seq == msg.Seq && a.digest == msg.Digest && a.sum == msg.Sum && uint64(a.total) == msg.Total
+}
+
+// take adds a chunk and reports whether it was of use.
+func (a *assembly) take(offset int, chunk []byte) bool {
+	if offset > len(a.body) {
+		a.ahead, a.aheadOffset = chunk, offset
+		return false
+	}
+	if offset < len(a.body) {
+		return false
+	}
+	a.body = append(a.body, chunk...)
+	if a.ahead != nil && a.aheadOffset == len(a.body) {
+		a.body = append(a.body, a.ahead...)
+	}
+	a.ahead = nil
+	return true
+}
+
+// sendRecord sends the whole record, or goes on with a transfer of it whose receiver was silent for too long.
+func (m *Machine) sendRecord(kind Kind, to Member) {
+	t := m.transfers[to.ID]
+	if t == nil || t.kind != kind || !m.reachedFrom(t.image) {
+		m.dropTransfer(to.ID)
+		img := m.currentImage()
+		t = &transfer{kind: kind, image: img, movedAt: m.now}
+		if len(img.body) > m.opt.ChunkBytes {
+			m.transfers[to.ID], m.image = t, img
+		}
+	} else if m.now-max(t.sentAt, t.movedAt) < m.opt.WriteWithin/2 {
+		return
+	}
+	t.next = t.had
+	m.sendChunks(to.Addr, t)
+}
+
+// reachedFrom reports whether the changes that lead from an image to the record are still kept.
+func (m *Machine) reachedFrom(img *image) bool {
+	digest, ok := m.digestAt(img.seq)
+	return ok && digest == img.digest
+}
+
+// currentImage is the image that transfers share while the changes since are kept, else a new one.
+func (m *Machine) currentImage() *image {
+	if m.image != nil && m.reachedFrom(m.image) {
+		return m.image
+	}
+	body := m.app.Snapshot()
+	return &image{seq: m.seq, digest: m.digest, sum: xxhash.Sum64(body), body: body}
+}
+
+// sendChunks sends what the window allows.
+func (m *Machine) sendChunks(to string, t *transfer) {
+	img := t.image
+	for {
+		end := min(t.next+m.opt.ChunkBytes, len(img.body))
+		m.send(to, Message{
+			Kind: t.kind, Seq: img.seq, Digest: img.digest, Committed: min(m.committed, img.seq),
+			Sum: img.sum, Total: uint64(len(img.body)), Offset: uint64(t.next), Body: img.body[t.next:end],
+		})
+		t.next, t.sentAt = end, m.now
+		if end == len(img.body) || end-t.had >= chunkWindow*m.opt.ChunkBytes {
+			return
+		}
+	}
+}
+
+// onReceived goes on with a transfer.
+func (m *Machine) onReceived(msg *Message) {
+	if msg.Sum == 0 {
+		m.onStagePosition(msg)
+		return
+	}
+	t := m.transfers[msg.From.ID]
+	if t == nil || t.image.sum != msg.Sum || t.image.seq != msg.Seq || msg.Offset >= uint64(len(t.image.body)) {
+		return
+	}
+	had := int(msg.Offset)
+	switch {
+	case had > t.had:
+		t.had, t.movedAt = had, m.now
+		t.next = max(t.next, had)
+		if p := m.peers[msg.From.ID]; p != nil && p.behind >= 0 {
+			p.behind = m.now
+		}
+	case had < t.had && m.now-t.movedAt >= m.opt.BeatEvery: // the receiver has begun anew
+		t.had, t.next = had, had
+	default:
+		return
+	}
+	if t.next < len(t.image.body) && t.next-t.had < chunkWindow*m.opt.ChunkBytes {
+		m.sendChunks(msg.From.Addr, t)
+	}
+}
+
+// endTransfer notes that a receiver's record has come to seq.
+func (m *Machine) endTransfer(id ID, seq uint64) {
+	if t := m.transfers[id]; t != nil && seq >= t.image.seq {
+		m.dropTransfer(id)
+	}
+}
+
+func (m *Machine) dropTransfer(id ID) {
+	delete(m.transfers, id)
+	if len(m.transfers) == 0 {
+		m.image = nil
+	}
+}
+
+// logBound is how many bytes of changes may be kept before a snapshot replaces them. While a record is on its way the
+// changes since are still needed.
+func (m *Machine) logBound() int {
+	if len(m.transfers) > 0 {
+		return transferLogFactor * m.opt.SnapshotBytes
+	}
+	return m.opt.SnapshotBytes
+}
+
+// stalled reports whether nothing has moved towards this receiver for the time given.
+func (m *Machine) stalled(id ID, since, within time.Duration) bool {
+	if t := m.transfers[id]; t != nil {
+		since = max(since, t.movedAt)
+	}
+	if at, ok := m.positions[id]; ok {
+		since = max(since, at.movedAt)
+	}
+	return m.now-since >= within
+}
+
+// assemble takes a chunk and acknowledges it. It gives the record's body once that is whole.
+func (m *Machine) assemble(msg *Message) (body []byte, whole bool) {
+	if msg.Offset == 0 && uint64(len(msg.Body)) >= msg.Total {
+		return msg.Body, msg.Sum == 0 || msg.Sum == xxhash.Sum64(msg.Body)
+	}
+	if msg.Total > maxRecordBytes || msg.Offset+uint64(len(msg.Body)) > msg.Total {
+		return nil, false
+	}
+	a := m.incoming
+	if a == nil || !a.of(msg) {
+		if a != nil && m.now-a.at < 2*m.opt.BeatEvery {
+			return nil, false // one at a time: memory is bounded, and two senders can't keep each other from the end
+		}
+		a = &assembly{seq: msg.Seq, digest: msg.Digest, sum: msg.Sum, total: int(msg.Total)}
+		m.incoming = a
+	}
+	if a.take(int(msg.Offset), msg.Body) {
+		a.at = m.now
+	}
+	if len(a.body) == a.total {
+		m.incoming = nil
+		if xxhash.Sum64(a.body) == a.sum {
+			return a.body, true
+		}
+		a = &assembly{}
+	}
+	m.send(msg.From.Addr, Message{
+		Kind: KindReceived, Seq: msg.Seq, Digest: msg.Digest, Sum: msg.Sum, Offset: uint64(len(a.body)),
+	})
+	return nil, false
+}
+
+// forgetAssembly drops a record whose sender has gone silent.
+func (m *Machine) forgetAssembly() {
+	if a := m.incoming; a != nil && m.now-a.at >= m.opt.ForgetAfter {
+		m.incoming = nil
+	}
+}
+
+// changesAfter gives the changes after seq that fit into one message; none when the first one doesn't.
+func (m *Machine) changesAfter(seq uint64) []Change {
+	rest := m.changes[seq-m.base.Seq:]
+	n, bytes := 0, 0
+	for n < len(rest) && bytes+len(rest[n].Body) <= m.opt.ChunkBytes {
+		bytes += len(rest[n].Body)
+		n++
+	}
+	return rest[:n:n]
+}
--- a/internal/fleet/replication/types.go
+++ b/internal/fleet/replication/types.go
@@ -48,24 +48,26 @@
 
 // The kinds of messages.
 const (
-	KindHello    Kind = iota + 1 // asks for the decided view; with Join, asks to become a member
-	KindView                     // tells the decided view
-	KindBeat                     // primary to all: I lead; Round is to be confirmed
-	KindBeatAck                  // to the primary: where the sender's record stands
-	KindAppend                   // primary to a backup: changes after (Seq, Digest)
-	KindSnapshot                 // primary to a backup: the whole record at (Seq, Digest)
-	KindStage                    // proposer to a coming backup: the whole record, before its view is proposed
-	KindStaged                   // answer to KindStage: on disk
-	KindPrepare                  // proposer to the members of Epoch: promise Ballot for Epoch+1
-	KindPromise                  // answer, with what was accepted
-	KindAccept                   // proposer to the members of Epoch: accept Value for Epoch+1
-	KindAccepted                 // answer
-	KindRefuse                   // answer: Ballot was promised to another
+	KindHello        Kind = iota + 1 // asks for the decided view; with Join, asks to become a member
+	KindView                         // tells the decided view
+	KindBeat                         // primary to all: I lead; Round is to be confirmed
+	KindBeatAck                      // to the primary: where the sender's record stands
+	KindAppend                       // primary to a backup: changes after (Seq, Digest)
+	KindSnapshot                     // primary to a backup: a chunk of the whole record at (Seq, Digest)
+	KindStage                        // proposer to a coming backup: a chunk of the whole record, before its view is proposed
+	KindStaged                       // answer to KindStage and KindStageChanges: the whole record is on disk
+	KindPrepare                      // proposer to the members of Epoch: promise Ballot for Epoch+1
+	KindPromise                      // answer, with what was accepted
+	KindAccept                       // proposer to the members of Epoch: accept Value for Epoch+1
+	KindAccepted                     // answer
+	KindRefuse                       // answer: Ballot was promised to another
+	KindReceived                     // answer to a chunk of a record: what the sender has of it; to KindStageChanges: where its record stands
+	KindStageChanges                 // proposer to a coming backup: changes after (Seq, Digest); at Total they make the record whole
 )
 
 // Message is all traffic between machines of the core. From is the sender; From.ID is its identity. Epoch is the
-// sender's decided view. Which of the other fields count depends on Kind. A Message holds a whole snapshot at most,
-// so its size is that of the record and 64 members.
+// sender's decided view. Which of the other fields count depends on Kind. A Message holds one chunk of a record, or
+// changes of the size of one, and the members of two views.
 type Message struct {
 	Kind      Kind     `msg:"k"`
 	From      Member   `msg:"f"`
@@ -85,6 +87,9 @@
 	Holder    bool     `msg:"h,omitempty"` // the sender holds the record of Epoch
 	Changes   []Change `msg:"l,omitempty"`
 	Body      []byte   `msg:"y,omitempty"`
+	Offset    uint64   `msg:"g,omitempty"` // of Body in the whole record; in KindReceived, how much of it is there
+	Total     uint64   `msg:"t,omitempty"` // bytes of the whole record; in KindStageChanges, the Seq that makes it whole
+	Sum       uint64   `msg:"u,omitempty"` // hash of the whole record, which also names a transfer
 }
 
 // Identity says who a disk belongs to.
@@ -211,6 +216,7 @@
 	ForgetAfter  time.Duration // a member silent for so long goes out when the others are better off without it
 
 	SnapshotBytes int           // a snapshot replaces the changes on disk when their bodies exceed this; 0: 1 MiB
+	ChunkBytes    int           // bounds the chunks of a record and the changes in one message; 0: 64 KiB
 	Rand          func() uint64 // identities and back-off; must differ between machines and starts
 }
 
--- a/internal/fleet/replication/types_gen.go
+++ b/internal/fleet/replication/types_gen.go
@@ -1039,6 +1039,24 @@
 				err = msgp.WrapError(err, "Body")
 				return
 			}
+		case "g":
+			z.Offset, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Offset")
+				return
+			}
+		case "t":
+			z.Total, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Total")
+				return
+			}
+		case "u":
+			z.Sum, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Sum")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -1053,8 +1071,8 @@
 // EncodeMsg implements msgp.Encodable
 func (z *Message) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(18)
-	var zb0001Mask uint32 /* 18 bits */
+	zb0001Len := uint32(21)
+	var zb0001Mask uint32 /* 21 bits */
 	_ = zb0001Mask
 	if z.Join == false {
 		zb0001Len--
@@ -1108,6 +1126,18 @@
 		zb0001Len--
 		zb0001Mask |= 0x20000
 	}
+	if z.Offset == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x40000
+	}
+	if z.Total == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x80000
+	}
+	if z.Sum == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x100000
+	}
 	// variable map header, size zb0001Len
 	err = en.WriteMapHeader(zb0001Len)
 	if err != nil {
@@ -1401,6 +1431,42 @@
 				return
 			}
 		}
+		if (zb0001Mask & 0x40000) == 0 { // if not omitted
+			// write "g"
+			err = en.Append(0xa1, 0x67)
+			if err != nil {
+				return
+			}
+			err = en.WriteUint64(z.Offset)
+			if err != nil {
+				err = msgp.WrapError(err, "Offset")
+				return
+			}
+		}
+		if (zb0001Mask & 0x80000) == 0 { // if not omitted
+			// write "t"
+			err = en.Append(0xa1, 0x74)
+			if err != nil {
+				return
+			}
+			err = en.WriteUint64(z.Total)
+			if err != nil {
+				err = msgp.WrapError(err, "Total")
+				return
+			}
+		}
+		if (zb0001Mask & 0x100000) == 0 { // if not omitted
+			// write "u"
+			err = en.Append(0xa1, 0x75)
+			if err != nil {
+				return
+			}
+			err = en.WriteUint64(z.Sum)
+			if err != nil {
+				err = msgp.WrapError(err, "Sum")
+				return
+			}
+		}
 	}
 	return
 }
@@ -1409,8 +1475,8 @@
 func (z *Message) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(18)
-	var zb0001Mask uint32 /* 18 bits */
+	zb0001Len := uint32(21)
+	var zb0001Mask uint32 /* 21 bits */
 	_ = zb0001Mask
 	if z.Join == false {
 		zb0001Len--
@@ -1464,6 +1530,18 @@
 		zb0001Len--
 		zb0001Mask |= 0x20000
 	}
+	if z.Offset == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x40000
+	}
+	if z.Total == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x80000
+	}
+	if z.Sum == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x100000
+	}
 	// variable map header, size zb0001Len
 	o = msgp.AppendMapHeader(o, zb0001Len)
 
@@ -1593,6 +1671,21 @@
 			o = append(o, 0xa1, 0x79)
 			o = msgp.AppendBytes(o, z.Body)
 		}
+		if (zb0001Mask & 0x40000) == 0 { // if not omitted
+			// string "g"
+			o = append(o, 0xa1, 0x67)
+			o = msgp.AppendUint64(o, z.Offset)
+		}
+		if (zb0001Mask & 0x80000) == 0 { // if not omitted
+			// string "t"
+			o = append(o, 0xa1, 0x74)
+			o = msgp.AppendUint64(o, z.Total)
+		}
+		if (zb0001Mask & 0x100000) == 0 { // if not omitted
+			// string "u"
+			o = append(o, 0xa1, 0x75)
+			o = msgp.AppendUint64(o, z.Sum)
+		}
 	}
 	return
 }
@@ -1863,6 +1956,24 @@
 				err = msgp.WrapError(err, "Body")
 				return
 			}
+		case "g":
+			z.Offset, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Offset")
+				return
+			}
+		case "t":
+			z.Total, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Total")
+				return
+			}
+		case "u":
+			z.Sum, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Sum")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1893,7 +2004,7 @@
 	for za0001 := range z.Changes {
 		s += 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Changes[za0001].Body)
 	}
-	s += 2 + msgp.BytesPrefixSize + len(z.Body)
+	s += 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
 	return
 }
 
