--- a/internal/fleet/replication/types.go
+++ b/internal/fleet/replication/types.go
@@ -61,6 +61,7 @@
 	KindAccept                       // proposer to the members of Epoch: accept Value for Epoch+1
 	KindAccepted                     // answer
 	KindRefuse                       // answer: Ballot was promised to another
+	KindHandover                     // primary that leaves to a backup in step: take over
 	KindReceived                     // answer to a chunk of a record: what the sender has of it; to KindStageChanges: where its record stands
 	KindStageChanges                 // proposer to a coming backup: changes after (Seq, Digest); at Total they make the record whole
 )
@@ -85,6 +86,8 @@
 	Stopped   bool     `msg:"x,omitempty"` // the sender answers nothing of Epoch any more
 	Step      bool     `msg:"p,omitempty"` // the sender's record is a prefix of its primary's
 	Holder    bool     `msg:"h,omitempty"` // the sender holds the record of Epoch
+	Leaving   bool     `msg:"z,omitempty"` // the sender's process is about to end
+	Release   bool     `msg:"q,omitempty"` // heartbeat: the receiver, which is about to end, has no role left
 	Changes   []Change `msg:"l,omitempty"`
 	Body      []byte   `msg:"y,omitempty"`
 	Offset    uint64   `msg:"g,omitempty"` // of Body in the whole record; in KindReceived, how much of it is there
@@ -255,4 +258,6 @@
 	// Ready: as primary, all backups are in step, writes and reads are answered. Else: the view is known, this machine is
 	// its member and heard its primary within SuspectAfter.
 	Ready bool
+	// Released: after Leave, no other machine would miss this one; its process may end.
+	Released bool
 }
--- a/internal/fleet/replication/types_gen.go
+++ b/internal/fleet/replication/types_gen.go
@@ -979,6 +979,18 @@
 				err = msgp.WrapError(err, "Holder")
 				return
 			}
+		case "z":
+			z.Leaving, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Leaving")
+				return
+			}
+		case "q":
+			z.Release, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Release")
+				return
+			}
 		case "l":
 			var zb0007 uint32
 			zb0007, err = dc.ReadArrayHeader()
@@ -1071,8 +1083,8 @@
 // EncodeMsg implements msgp.Encodable
 func (z *Message) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(21)
-	var zb0001Mask uint32 /* 21 bits */
+	zb0001Len := uint32(23)
+	var zb0001Mask uint32 /* 23 bits */
 	_ = zb0001Mask
 	if z.Join == false {
 		zb0001Len--
@@ -1118,26 +1130,34 @@
 		zb0001Len--
 		zb0001Mask |= 0x8000
 	}
-	if z.Changes == nil {
+	if z.Leaving == false {
 		zb0001Len--
 		zb0001Mask |= 0x10000
 	}
-	if z.Body == nil {
+	if z.Release == false {
 		zb0001Len--
 		zb0001Mask |= 0x20000
 	}
-	if z.Offset == 0 {
+	if z.Changes == nil {
 		zb0001Len--
 		zb0001Mask |= 0x40000
 	}
-	if z.Total == 0 {
+	if z.Body == nil {
 		zb0001Len--
 		zb0001Mask |= 0x80000
 	}
-	if z.Sum == 0 {
+	if z.Offset == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x100000
 	}
+	if z.Total == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x200000
+	}
+	if z.Sum == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x400000
+	}
 	// variable map header, size zb0001Len
 	err = en.WriteMapHeader(zb0001Len)
 	if err != nil {
@@ -1375,6 +1395,30 @@
 			}
 		}
 		if (zb0001Mask & 0x10000) == 0 { // if not omitted
+			// write "z"
+			err = en.Append(0xa1, 0x7a)
+			if err != nil {
+				return
+			}
+			err = en.WriteBool(z.Leaving)
+			if err != nil {
+				err = msgp.WrapError(err, "Leaving")
+				return
+			}
+		}
+		if (zb0001Mask & 0x20000) == 0 { // if not omitted
+			// write "q"
+			err = en.Append(0xa1, 0x71)
+			if err != nil {
+				return
+			}
+			err = en.WriteBool(z.Release)
+			if err != nil {
+				err = msgp.WrapError(err, "Release")
+				return
+			}
+		}
+		if (zb0001Mask & 0x40000) == 0 { // if not omitted
 			// write "l"
 			err = en.Append(0xa1, 0x6c)
 			if err != nil {
@@ -1419,7 +1463,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x20000) == 0 { // if not omitted
+		if (zb0001Mask & 0x80000) == 0 { // if not omitted
 			// write "y"
 			err = en.Append(0xa1, 0x79)
 			if err != nil {
@@ -1431,7 +1475,7 @@
 				return
 			}
 		}
-		if (zb0001Mask & 0x40000) == 0 { // if not omitted
+		if (zb0001Mask & 0x100000) == 0 { // if not omitted
 			// write "g"
 			err = en.Append(0xa1, 0x67)
 			if err != nil {
@@ -1443,7 +1487,7 @@
 				return
 			}
 		}
-		if (zb0001Mask & 0x80000) == 0 { // if not omitted
+		if (zb0001Mask & 0x200000) == 0 { // if not omitted
 			// write "t"
 			err = en.Append(0xa1, 0x74)
 			if err != nil {
@@ -1455,7 +1499,7 @@
 				return
 			}
 		}
-		if (zb0001Mask & 0x100000) == 0 { // if not omitted
+		if (zb0001Mask & 0x400000) == 0 { // if not omitted
 			// write "u"
 			err = en.Append(0xa1, 0x75)
 			if err != nil {
@@ -1475,8 +1519,8 @@
 func (z *Message) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(21)
-	var zb0001Mask uint32 /* 21 bits */
+	zb0001Len := uint32(23)
+	var zb0001Mask uint32 /* 23 bits */
 	_ = zb0001Mask
 	if z.Join == false {
 		zb0001Len--
@@ -1522,26 +1566,34 @@
 		zb0001Len--
 		zb0001Mask |= 0x8000
 	}
-	if z.Changes == nil {
+	if z.Leaving == false {
 		zb0001Len--
 		zb0001Mask |= 0x10000
 	}
-	if z.Body == nil {
+	if z.Release == false {
 		zb0001Len--
 		zb0001Mask |= 0x20000
 	}
-	if z.Offset == 0 {
+	if z.Changes == nil {
 		zb0001Len--
 		zb0001Mask |= 0x40000
 	}
-	if z.Total == 0 {
+	if z.Body == nil {
 		zb0001Len--
 		zb0001Mask |= 0x80000
 	}
-	if z.Sum == 0 {
+	if z.Offset == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x100000
 	}
+	if z.Total == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x200000
+	}
+	if z.Sum == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x400000
+	}
 	// variable map header, size zb0001Len
 	o = msgp.AppendMapHeader(o, zb0001Len)
 
@@ -1650,6 +1702,16 @@
 			o = msgp.AppendBool(o, z.Holder)
 		}
 		if (zb0001Mask & 0x10000) == 0 { // if not omitted
+			// string "z"
+			o = append(o, 0xa1, 0x7a)
+			o = msgp.AppendBool(o, z.Leaving)
+		}
+		if (zb0001Mask & 0x20000) == 0 { // if not omitted
+			// string "q"
+			o = append(o, 0xa1, 0x71)
+			o = msgp.AppendBool(o, z.Release)
+		}
+		if (zb0001Mask & 0x40000) == 0 { // if not omitted
 			// string "l"
 			o = append(o, 0xa1, 0x6c)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Changes)))
@@ -1666,22 +1728,22 @@
 				o = msgp.AppendBytes(o, z.Changes[za0001].Body)
 			}
 		}
-		if (zb0001Mask & 0x20000) == 0 { // if not omitted
+		if (zb0001Mask & 0x80000) == 0 { // if not omitted
 			// string "y"
 			o = append(o, 0xa1, 0x79)
 			o = msgp.AppendBytes(o, z.Body)
 		}
-		if (zb0001Mask & 0x40000) == 0 { // if not omitted
+		if (zb0001Mask & 0x100000) == 0 { // if not omitted
 			// string "g"
 			o = append(o, 0xa1, 0x67)
 			o = msgp.AppendUint64(o, z.Offset)
 		}
-		if (zb0001Mask & 0x80000) == 0 { // if not omitted
+		if (zb0001Mask & 0x200000) == 0 { // if not omitted
 			// string "t"
 			o = append(o, 0xa1, 0x74)
 			o = msgp.AppendUint64(o, z.Total)
 		}
-		if (zb0001Mask & 0x100000) == 0 { // if not omitted
+		if (zb0001Mask & 0x400000) == 0 { // if not omitted
 			// string "u"
 			o = append(o, 0xa1, 0x75)
 			o = msgp.AppendUint64(o, z.Sum)
@@ -1896,6 +1958,18 @@
 				err = msgp.WrapError(err, "Holder")
 				return
 			}
+		case "z":
+			z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Leaving")
+				return
+			}
+		case "q":
+			z.Release, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Release")
+				return
+			}
 		case "l":
 			var zb0007 uint32
 			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -2000,7 +2074,7 @@
 	} else {
 		s += z.Value.Msgsize()
 	}
-	s += 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	s += 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Changes {
 		s += 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Changes[za0001].Body)
 	}
