Who pulls over a thin link comes up with changes: they are kept beyond a new whole

Cause: (1) a source put a whole in the place of its changes every 64 of them, so that who was behind by more was sent the whole; where that takes longer than 64 changes, it was sent wholes without end. (2) A source's answer had one deadline, however long it was. (3) The control server published a change as following on the last one published although states between might have been dropped.

Ruled out: the reader's deadline follows what comes already.

Change: a source keeps 1,024 changes or 1 MiB over its wholes and sends them alone unless a whole costs less; the answer's deadline follows the bytes that go out; a change is published as following only if it does, else the whole is.

Tests: TestBehindOverThinLink. TestChangesAreBounded waited for Append to refuse; it now checks the bounds after each change, for changes of 100 B to 2 MiB, and what is sent to readers of all distances.

--- a/internal/fleet/controlplane/controlplane.go
+++ b/internal/fleet/controlplane/controlplane.go
@@ -225,20 +225,26 @@
 		return // a reading, say
 	}
 	for i, d := range docs {
-		at := distribution.Version{Count: d.docSeq}
-		if was != nil && d.call != nil && o.store.Append(distribution.SourceConfig, distribution.Version{Count: was.docSeq}, at, distribution.Change{At: at, Replace: d.call.Replace, Body: d.call.Body}) {
-			was = d
-			continue
+		if !o.publishChange(was, d) && i == len(docs)-1 {
+			o.store.Set(distribution.SourceConfig, distribution.Version{Count: d.docSeq}, d.doc.Show())
 		}
 		was = d
-		if i == len(docs)-1 {
-			o.store.Set(distribution.SourceConfig, at, d.doc.Show())
-		}
 	}
 	o.noteSettled(last, time.Now())
 	o.log.Info("configuration settled", zap.Uint64("seq", last.docSeq), zap.Int64("version", versionOf(last.doc)))
 }
 
+// publishChange passes a committed change on to those that pull. It reports false where the change isn't known or doesn't
+// follow on what was published before: then the whole is due.
+func (o *Server) publishChange(was, d *applied) bool {
+	if was == nil || d.call == nil || d.before != was.docSeq {
+		return false
+	}
+	at := distribution.Version{Count: d.docSeq}
+	change := distribution.Change{At: at, Replace: d.call.Replace, Body: d.call.Body}
+	return o.store.Append(distribution.SourceConfig, distribution.Version{Count: was.docSeq}, at, change, d.doc.Show)
+}
+
 func versionOf(d *routingconfig.Document) int64 {
 	if d == nil {
 		return 0
--- a/internal/fleet/controlplane/record.go
+++ b/internal/fleet/controlplane/record.go
@@ -28,7 +28,8 @@
 	seq    uint64
 	doc    *routingconfig.Document
 	docSeq uint64
-	call   *Call // nil: not known, or none of the configuration
+	before uint64 // docSeq before this change
+	call   *Call  // nil: not known, or none of the configuration
 	rested *residencyreport.Gauge
 }
 
@@ -42,6 +43,7 @@
 
 // Apply takes a change that the primary has checked: it can't fail, and is left out everywhere if it does.
 func (r *record) Apply(seq uint64, body []byte) {
+	before := r.docSeq
 	r.seq = seq
 	c := new(Call)
 	_, err := c.UnmarshalMsg(body)
@@ -57,7 +59,7 @@
 			r.accepted.add(doc.Version(), c.digest())
 		}
 	}
-	r.recent = append(r.recent, applied{seq, r.doc, r.docSeq, c, r.rested})
+	r.recent = append(r.recent, applied{seq, r.doc, r.docSeq, before, c, r.rested})
 	if len(r.recent) > maxRecent {
 		r.recent = r.recent[1:]
 	}
@@ -84,7 +86,7 @@
 		if err := next.read(body); err != nil {
 			return errors.Wrap(err, "record")
 		}
-		next.recent = []applied{{next.seq, next.doc, next.docSeq, nil, next.rested}}
+		next.recent = []applied{{seq: next.seq, doc: next.doc, docSeq: next.docSeq, rested: next.rested}}
 	}
 	*r = next
 	return nil
--- a/internal/fleet/distribution/cache.go
+++ b/internal/fleet/distribution/cache.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 )
@@ -19,13 +20,17 @@
 	members map[string]lease
 }
 
-// entry is a source as it is passed on: a whole at one version, and the changes that lead from there to at.
+// entry is a source as it is passed on: a whole at one version, the changes that lead from there to the newest version, and
+// those before it, for readers that are behind. It never changes once it is in the cache.
 type entry struct {
 	at      Version
-	base    Version
+	base    Version // of whole
 	whole   []byte
+	first   Version  // what the oldest change follows on
 	changes []Change // the oldest first, without gaps
-	bytes   int
+	since   int      // the first of them that comes after whole
+	bytes   int      // of all changes
+	after   int      // of those after whole
 }
 
 type lease struct {
@@ -33,12 +38,77 @@
 	at     time.Time
 }
 
-// keptChanges bounds the changes that a source keeps after its whole, in bytes; keptCount their number.
 const (
+	// keptChanges bounds the changes that a source keeps after its whole, in bytes; keptCount their number.
 	keptChanges = 256 << 10
 	keptCount   = 64
+	// maxHistory bounds all changes that are kept, in bytes; maxHistoryCount their number. A reader that is no further behind
+	// needs no whole: over 10 Mbit/s a whole of 10,000 routes takes seconds, in which dozens of changes may come.
+	maxHistory      = 1 << 20
+	maxHistoryCount = 1024
+	// maxAfterWhole bounds the changes after a whole at one who passes on what others say, in bytes: then a newer whole is
+	// asked for.
+	maxAfterWhole = 4 * keptChanges
 )
 
+// follow gives the entry with further changes, the last of which leads to at.
+func (e *entry) follow(at Version, changes ...Change) *entry {
+	next := *e
+	next.at = at
+	next.changes = append(e.changes[:len(e.changes):len(e.changes)], changes...)
+	for i := range changes {
+		next.bytes += len(changes[i].Body)
+		next.after += len(changes[i].Body)
+	}
+	next.trim()
+	return &next
+}
+
+// rebase puts a whole at the newest version in the place of the older one.
+func (e *entry) rebase(whole []byte) {
+	e.base, e.whole, e.since, e.after = e.at, whole, len(e.changes), 0
+	e.trim()
+}
+
+// trim forgets the oldest changes before the whole where there are too many.
+func (e *entry) trim() {
+	drop := 0
+	for drop < e.since && (e.bytes > maxHistory || len(e.changes)-drop > maxHistoryCount) {
+		e.bytes -= len(e.changes[drop].Body)
+		e.first = e.changes[drop].At
+		drop++
+	}
+	if drop > 0 {
+		e.changes = slices.Clone(e.changes[drop:])
+		e.since -= drop
+	}
+}
+
+// news is what a reader lacks that has the version given; ok false: it has none. It gets changes alone where they are kept,
+// unless a whole costs less.
+func (e *entry) news(source string, had Version, ok bool) Resource {
+	whole := Resource{Source: source, At: e.at, Since: e.base, Whole: e.whole, Changes: e.changes[e.since:]}
+	if !ok {
+		return whole
+	}
+	from := -1
+	bytes := 0
+	for i := len(e.changes) - 1; i >= 0 && from < 0; i-- {
+		if e.changes[i].At == had {
+			from = i + 1
+			break
+		}
+		bytes += len(e.changes[i].Body)
+	}
+	if from < 0 && had == e.first {
+		from = 0
+	}
+	if from < 0 || from < e.since && bytes > len(e.whole)+e.after {
+		return whole
+	}
+	return Resource{Source: source, At: e.at, Since: had, Changes: e.changes[from:]}
+}
+
 // NewCache makes an empty store.
 func NewCache() *Cache {
 	return &Cache{Rested: NewOutbox(), pieces: map[string]*entry{}, changed: make(chan struct{}), members: map[string]lease{}}
@@ -48,7 +118,7 @@
 func (s *Cache) Set(source string, at Version, whole []byte) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.set(source, &entry{at: at, base: at, whole: whole})
+	return s.set(source, &entry{at: at, base: at, first: at, whole: whole})
 }
 
 func (s *Cache) set(source string, n *entry) bool {
@@ -60,16 +130,20 @@
 	return true
 }
 
-// Append puts a change there that leads to the version given from the one entry. It reports false where the source
-// has no whole, is not at the version before, or holds enough changes: then Set is due.
-func (s *Cache) Append(source string, from, at Version, c Change) bool {
+// Append puts a change there that leads to the version given from the one before. It reports false where the source isn't at
+// that: then Set is due. The whole is asked for where enough changes are kept since the last one.
+func (s *Cache) Append(source string, from, at Version, c Change, whole func() []byte) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	h := s.pieces[source]
-	if h == nil || h.at != from || h.bytes+len(c.Body) > keptChanges || len(h.changes) >= keptCount {
+	e := s.pieces[source]
+	if e == nil || e.at != from {
 		return false
 	}
-	return s.set(source, &entry{at: at, base: h.base, whole: h.whole, changes: append(h.changes[:len(h.changes):len(h.changes)], c), bytes: h.bytes + len(c.Body)})
+	next := e.follow(at, c)
+	if next.after > keptChanges || len(next.changes)-next.since > keptCount {
+		next.rebase(whole())
+	}
+	return s.set(source, next)
 }
 
 func (s *Cache) signal() {
@@ -161,16 +235,7 @@
 		if ok && !had.Before(h.at) {
 			continue
 		}
-		piece := Resource{Source: source, At: h.at, Since: h.base, Changes: h.changes, Whole: h.whole}
-		if ok && had == h.base {
-			piece.Whole = nil
-		}
-		for i := range h.changes {
-			if ok && had == h.changes[i].At {
-				piece.Since, piece.Changes, piece.Whole = had, h.changes[i+1:], nil
-			}
-		}
-		pieces = append(pieces, piece)
+		pieces = append(pieces, h.news(source, had, ok))
 	}
 	return pieces
 }
@@ -200,25 +265,33 @@
 	}
 }
 
+// takeOne takes the news of one source; false: it doesn't follow on what is there.
+func (s *Cache) takeOne(p *Resource) bool {
+	if p.Whole != nil {
+		e := &entry{at: p.Since, base: p.Since, whole: p.Whole, first: p.Since}
+		s.set(p.Source, e.follow(p.At, p.Changes...))
+		return true
+	}
+	e := s.pieces[p.Source]
+	if e == nil || e.at != p.Since {
+		return false
+	}
+	next := e.follow(p.At, p.Changes...)
+	if next.after > maxAfterWhole {
+		return false
+	}
+	s.set(p.Source, next)
+	return true
+}
+
 // Take takes news to pass on. Sources whose changes don't follow on what is entry are named: whoever pulls then asks for
 // them as if it had nothing.
 func (s *Cache) Take(n *Response, now time.Time) (lacking []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for i := range n.Resources {
-		p := &n.Resources[i]
-		bytes := 0
-		for _, c := range p.Changes {
-			bytes += len(c.Body)
-		}
-		h := s.pieces[p.Source]
-		switch {
-		case p.Whole != nil:
-			s.set(p.Source, &entry{at: p.At, base: p.Since, whole: p.Whole, changes: p.Changes, bytes: bytes})
-		case h == nil || h.at != p.Since || h.bytes+bytes > 4*keptChanges:
+		if p := &n.Resources[i]; !s.takeOne(p) {
 			lacking = append(lacking, p.Source)
-		default:
-			s.set(p.Source, &entry{at: p.At, base: h.base, whole: h.whole, changes: append(h.changes[:len(h.changes):len(h.changes)], p.Changes...), bytes: h.bytes + bytes})
 		}
 	}
 	if heard := now.Add(-time.Duration(n.FreshMs) * time.Millisecond); n.FreshMs >= 0 && heard.After(s.heardAt) {
--- a/internal/fleet/distribution/distribution_test.go
+++ b/internal/fleet/distribution/distribution_test.go
@@ -31,11 +31,11 @@
 func TestPullsBringWhatIsLacking(t *testing.T) {
 	c := qt.New(t)
 	s := NewCache()
-	c.Assert(s.Append("config", v(0), v(1), Change{At: v(1)}), qt.IsFalse, qt.Commentf("no whole to follow on"))
+	c.Assert(s.Append("config", v(0), v(1), Change{At: v(1)}, nil), qt.IsFalse, qt.Commentf("no whole to follow on"))
 	s.Set("config", v(1), []byte("whole"))
-	c.Assert(s.Append("config", v(1), v(2), Change{At: v(2), Body: []byte("x")}), qt.IsTrue)
-	c.Assert(s.Append("config", v(1), v(3), Change{At: v(3)}), qt.IsFalse, qt.Commentf("a gap"))
-	c.Assert(s.Append("config", v(2), v(3), Change{At: v(3), Body: []byte("y")}), qt.IsTrue)
+	c.Assert(s.Append("config", v(1), v(2), Change{At: v(2), Body: []byte("x")}, nil), qt.IsTrue)
+	c.Assert(s.Append("config", v(1), v(3), Change{At: v(3)}, nil), qt.IsFalse, qt.Commentf("a gap"))
+	c.Assert(s.Append("config", v(2), v(3), Change{At: v(3), Body: []byte("y")}, nil), qt.IsTrue)
 	ask := func(have map[string]Version) []Resource {
 		return s.Answer(context.Background(), "n", &Request{Have: have}).Resources
 	}
@@ -53,20 +53,51 @@
 	c.Assert(r.Take(&Response{FreshMs: -1, Resources: ask(map[string]Version{"config": v(2)})}, time.Now()), qt.DeepEquals, []string{"config"})
 	c.Assert(r.Take(&Response{FreshMs: -1, Resources: ask(nil)}, time.Now()), qt.HasLen, 0)
 	c.Assert(r.Have(), qt.DeepEquals, s.Have())
-	s.Append("config", v(3), v(4), Change{At: v(4), Body: []byte("z")})
+	s.Append("config", v(3), v(4), Change{At: v(4), Body: []byte("z")}, nil)
 	c.Assert(r.Take(&Response{FreshMs: -1, Resources: s.Answer(context.Background(), "n", &Request{Have: r.Have()}).Resources}, time.Now()), qt.HasLen, 0)
 	c.Assert(r.Have(), qt.DeepEquals, s.Have())
 }
 
+// Changes after the whole are bounded by a new whole, those before it by what is kept of them. Who is no further behind than
+// that gets changes alone, also over a new whole; who is gets the whole.
 func TestChangesAreBounded(t *testing.T) {
 	c := qt.New(t)
-	s := NewCache()
-	s.Set("config", v(0), []byte("whole"))
-	n := uint64(0)
-	for s.Append("config", v(n), v(n+1), Change{At: v(n + 1), Body: make([]byte, 1000)}) {
-		n++
+	for _, size := range []int{100, 1000, keptChanges / 2, 2 * keptChanges, 2 * maxHistory} {
+		s := NewCache()
+		const whole = 1 << 20
+		s.Set("config", v(0), make([]byte, whole))
+		wholes := 0
+		for n := uint64(0); n < 3*maxHistoryCount; n++ {
+			body := make([]byte, size)
+			c.Assert(s.Append("config", v(n), v(n+1), Change{At: v(n + 1), Body: body}, func() []byte { wholes++; return make([]byte, whole) }), qt.IsTrue)
+			e := s.pieces["config"]
+			c.Assert(len(e.changes)-e.since <= keptCount && e.after <= keptChanges, qt.IsTrue)
+			c.Assert(len(e.changes) <= maxHistoryCount+keptCount && e.bytes <= maxHistory+keptChanges, qt.IsTrue)
+			if n%97 != 0 {
+				continue
+			}
+			bytes := 0
+			for i := range e.changes {
+				bytes += len(e.changes[i].Body)
+			}
+			c.Assert(e.bytes, qt.Equals, bytes)
+			for behind := uint64(1); behind <= min(n+1, 2*maxHistoryCount); behind += 1 + behind/3 {
+				p := s.Answer(context.Background(), "s", &Request{Have: map[string]Version{"config": v(n + 1 - behind)}}).Resources[0]
+				near := behind <= uint64(len(e.changes))
+				c.Assert(p.Whole == nil, qt.Equals, near, qt.Commentf("changes of %d bytes, %d behind at %d", size, behind, n+1))
+				if near {
+					c.Assert(p.Changes, qt.HasLen, int(behind))
+				}
+				last := p.Since
+				for _, change := range p.Changes {
+					c.Assert(change.At.Count, qt.Equals, last.Count+1)
+					last = change.At
+				}
+				c.Assert(last, qt.Equals, v(n+1))
+			}
+		}
+		c.Check(wholes >= 3*maxHistoryCount/(keptCount+1), qt.IsTrue)
 	}
-	c.Assert(n, qt.Equals, uint64(keptCount))
 }
 
 func TestLeasesEnd(t *testing.T) {
--- a/internal/fleet/distribution/frame.go
+++ b/internal/fleet/distribution/frame.go
@@ -30,6 +30,28 @@
 	return err
 }
 
+// steadyPiece is how much of a message has to get into the link within one silence.
+const steadyPiece = 32 << 10
+
+// steadyWriter writes to a connection that has time for as long as its reader takes what comes: a whole configuration over a
+// thin link takes longer than a silence.
+type steadyWriter struct {
+	conn    net.Conn
+	silence time.Duration
+}
+
+func (w *steadyWriter) Write(p []byte) (written int, err error) {
+	for written < len(p) && err == nil {
+		if err = w.conn.SetWriteDeadline(time.Now().Add(w.silence)); err != nil {
+			break
+		}
+		var n int
+		n, err = w.conn.Write(p[written:min(written+steadyPiece, len(p))])
+		written += n
+	}
+	return written, err
+}
+
 // ReadFrame reads one message into m. A frame over MaxFrame is an error before anything is kept; memory grows
 // with what has come, not with what a length claims.
 func ReadFrame(r *bufio.Reader, m msgp.Unmarshaler) error {
--- a/internal/fleet/distribution/link.go
+++ b/internal/fleet/distribution/link.go
@@ -58,7 +58,7 @@
 					n.Kept = s.Rested.tell(&rested)
 				}
 				_ = c.SetDeadline(time.Now().Add(idle))
-				if WriteFrame(c, n) != nil {
+				if WriteFrame(&steadyWriter{c, idle}, n) != nil {
 					return
 				}
 			}
--- /dev/null
+++ b/internal/fleet/distribution/slow_test.go
@@ -0,0 +1,118 @@
+package distribution
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// smallBuffers makes connections hold little, as on a thin link, so that a write waits for its reader.
+type smallBuffers struct{ net.Listener }
+
+func (l smallBuffers) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		err = conn.(*net.TCPConn).SetWriteBuffer(16 << 10)
+	}
+	return conn, err
+}
+
+// thinLink passes connections to a server on, in its answers so many bytes a second. It returns its own address.
+func thinLink(c *qt.C, server string, bytesPerSec int) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { ln.Close() })
+	const step = 10 * time.Millisecond
+	go func() {
+		for {
+			client, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			conn, err := net.Dial("tcp", server)
+			if err != nil {
+				client.Close()
+				continue
+			}
+			_ = conn.(*net.TCPConn).SetReadBuffer(16 << 10)
+			copyBytes := func(to, from net.Conn, each int, tick <-chan time.Time) {
+				defer to.Close()
+				defer from.Close()
+				buf := make([]byte, each)
+				for {
+					n, err := from.Read(buf)
+					if err != nil {
+						return
+					}
+					if _, err := to.Write(buf[:n]); err != nil {
+						return
+					}
+					if tick != nil {
+						<-tick
+					}
+				}
+			}
+			ticker := time.NewTicker(step)
+			go copyBytes(conn, client, 4096, nil)
+			go func() {
+				defer ticker.Stop()
+				copyBytes(client, conn, int(float64(bytesPerSec)*step.Seconds()), ticker.C)
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// TestBehindOverThinLink: a reader over a thin link, for which the whole takes several times longer than a silence and longer
+// than it takes the source to put another whole in its place, comes up with the source while that goes on changing.
+func TestBehindOverThinLink(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer ln.Close()
+	const (
+		whole   = 600 << 10
+		rate    = 400 << 10 // bytes a second
+		silence = 300 * time.Millisecond
+		every   = 5 * time.Millisecond // some 300 changes while the whole is on its way
+	)
+	source, reader := NewCache(), NewCache()
+	go Serve(ctx, smallBuffers{ln}, "source", source, silence, source.Fresh)
+	source.Set("config", v(1), make([]byte, whole))
+	go func() {
+		tick := time.NewTicker(every)
+		defer tick.Stop()
+		for n := uint64(1); ctx.Err() == nil; n++ {
+			source.Append("config", v(n), v(n+1), Change{At: v(n + 1), Body: make([]byte, 100)}, func() []byte { return make([]byte, whole) })
+			<-tick.C
+		}
+	}()
+	addr := thinLink(c, ln.Addr().String(), rate)
+	wholes, began := 0, time.Now()
+	follow, done := context.WithCancel(ctx)
+	for follow.Err() == nil {
+		_ = Follow(follow, addr, &Follower{Name: "reader", Wait: 100 * time.Millisecond, Silence: silence, Members: func() []Member { return nil },
+			Have: reader.Have, Take: func(n *Response) []string {
+				for i := range n.Resources {
+					if n.Resources[i].Whole != nil {
+						wholes++
+					}
+				}
+				lacking := reader.Take(n, time.Now())
+				had, _ := reader.At("config")
+				if now, _ := source.At("config"); had.Count > 0 && now.Count-had.Count < 40 {
+					done()
+				}
+				return lacking
+			}})
+	}
+	done()
+	c.Assert(ctx.Err(), qt.IsNil, qt.Commentf("never came up with the source"))
+	t.Logf("up with the source after %v, of it %v for one whole; %d wholes", time.Since(began), time.Duration(whole)*time.Second/rate, wholes)
+	c.Check(wholes, qt.Equals, 1)
+}
--- a/internal/fleet/proxy/enclosed_test.go
+++ b/internal/fleet/proxy/enclosed_test.go
@@ -388,7 +388,7 @@
 	awaits(residency.Within("east"))
 	body := fmt.Sprintf(`{"ver":%d,"upsert":{"tenants":[{"name":"held","regions":["mid"]}]}}`, r.version+1)
 	r.Assert(store.Append(distribution.SourceConfig, distribution.Version{Epoch: 1, Count: 1}, distribution.Version{Epoch: 1, Count: 2},
-		distribution.Change{At: distribution.Version{Epoch: 1, Count: 2}, Body: []byte(body)}), qt.IsTrue)
+		distribution.Change{At: distribution.Version{Epoch: 1, Count: 2}, Body: []byte(body)}, nil), qt.IsTrue)
 	awaits(residency.Within("mid"))
 	cancel()
 	<-fed
