A disk that was put back as it was earlier neither leads nor keeps others waiting

Cause: a disk that was put back within its epoch has forgotten changes that its machine acknowledged. As a candidate it proposed itself with that record; as a backup its primary counted on what it had said before and never sent it again, so that a core of two machines acknowledged nothing more.

Ruled out: to have each restarted holder wait for its primary, as then a core whose processes are all killed could not come back.

Change: promises tell up to where changes were committed, as heard from primaries, also by witnesses; a candidate that lacks some of them proposes nothing. A primary whose round is answered with less than the backup had said before the round began sends from there again.

--- a/internal/fleet/replication/ballot.go
+++ b/internal/fleet/replication/ballot.go
@@ -16,7 +16,8 @@
 	value    *View
 	holder   bool
 	at       time.Duration
-	bad      bool // didn't take the stage
+	bad      bool   // didn't take the stage
+	settled  uint64 // all changes up to this one were committed, as it was told
 }
 
 // candidacy is this machine's proposal for the next epoch.
@@ -75,6 +76,9 @@
 	if len(c.promises) < m.view.majority() {
 		return
 	}
+	if m.restored() {
+		return
+	}
 	var newest *promise
 	for _, p := range c.promises {
 		if p.value != nil && (newest == nil || newest.accepted.less(p.accepted)) {
@@ -275,7 +279,7 @@
 	}
 	m.send(msg.From.Addr, Message{
 		Kind: KindPromise, Ballot: msg.Ballot, Accepted: m.vote.Accepted, Value: m.vote.Value, Holder: m.holder(),
-		Seq: m.seq, Digest: m.digest,
+		Seq: m.seq, Digest: m.digest, Committed: max(m.committed, m.toldCommitted),
 	})
 }
 
@@ -290,7 +294,7 @@
 		bad = p.bad
 	}
 	c.promises[id] = &promise{
-		member: msg.From, accepted: msg.Accepted, value: msg.Value, holder: msg.Holder, at: m.now, bad: bad,
+		member: msg.From, accepted: msg.Accepted, value: msg.Value, holder: msg.Holder, at: m.now, bad: bad, settled: msg.Committed,
 	}
 	m.propose(false)
 }
--- a/internal/fleet/replication/catchup_test.go
+++ b/internal/fleet/replication/catchup_test.go
@@ -303,7 +303,13 @@
 }
 
 func startThinCore(c *qt.C, n int, survive Survive, size int) *thinCore {
+	return startThinCoreWith(c, n, survive, size, 0)
+}
+
+// startThinCoreWith starts a core whose log is bounded to so many bytes; 0: the default.
+func startThinCoreWith(c *qt.C, n int, survive Survive, size, logBytes int) *thinCore {
 	t := newThinCore(c, n, survive, size)
+	t.logBytes = logBytes
 	for _, o := range t.nodes {
 		o.start()
 	}
--- a/internal/fleet/replication/machine.go
+++ b/internal/fleet/replication/machine.go
@@ -26,8 +26,9 @@
 	changes []Change // after base
 	bytes   int      // bodies of changes
 
-	seq, digest uint64
-	committed   uint64
+	seq, digest   uint64
+	committed     uint64
+	toldCommitted uint64 // by primaries, whatever of it this machine has
 
 	started   bool
 	now       time.Duration
@@ -68,13 +69,14 @@
 
 // peer is a backup as its primary knows it.
 type peer struct {
-	step    bool
-	stopped bool
-	seq     uint64
-	round   uint64
-	sent    time.Duration // last record sent
-	sentAny bool
-	behind  time.Duration // since when nothing moved while something is owed; <0: nothing is owed
+	step     bool
+	stopped  bool
+	seq      uint64
+	round    uint64
+	roundSeq uint64        // seq when the primary's round began
+	sent     time.Duration // last record sent
+	sentAny  bool
+	behind   time.Duration // since when nothing moved while something is owed; <0: nothing is owed
 }
 
 // waiting is a write with its seq, or a read with its round (0: none yet).
--- a/internal/fleet/replication/primary.go
+++ b/internal/fleet/replication/primary.go
@@ -112,6 +112,9 @@
 			m.reads[i].at = m.round
 		}
 	}
+	for _, p := range m.peers {
+		p.roundSeq = p.seq
+	}
 }
 
 func (m *Machine) beatMessage() Message {
@@ -189,6 +192,9 @@
 			p.behind = m.now
 		}
 		p.step = true
+		if p.wentBack(m.round, msg) {
+			p.seq, p.behind = msg.Seq, m.now
+		}
 		p.seq = max(p.seq, msg.Seq)
 		m.endTransfer(msg.From.ID, p.seq)
 		p.round = max(p.round, msg.Round)
@@ -252,6 +258,7 @@
 		return
 	}
 	m.lastBeat = m.now
+	m.toldCommitted = max(m.toldCommitted, msg.Committed)
 	if msg.Release {
 		m.leave.releasedFor = m.view.Epoch
 	}
