--- a/internal/fleet/controlplane/controlplane.go
+++ b/internal/fleet/controlplane/controlplane.go
@@ -59,12 +59,13 @@
 	if set.DataDir == "" {
 		return nil, errors.New("datadir: a core machine needs a disk")
 	}
-	a, state, err := statestore.Open(set.DataDir)
+	self := replication.Member{Addr: distribution.CoreAddr(set.IP, set.Ports), Zone: set.Zone, Region: set.Region}
+	a, state, err := statestore.OpenFor(set.DataDir, self.Addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "open state store")
 	}
 	if state.Lost {
-		log.Warn("the disk's content can't be trusted and counts as lost")
+		log.Warn("the disk's content can't be trusted and counts as lost", zap.Error(a.Broken()))
 	}
 	o := &Server{Readings: DefaultReadings, set: set, log: log, start: time.Now(), store: distribution.NewCache(), archive: a, record: &record{},
 		heard:  xsync.NewMap[string, time.Time](),
@@ -75,7 +76,6 @@
 			seeds = append(seeds, distribution.CoreAddr(host, set.Ports))
 		}
 	}
-	self := replication.Member{Addr: distribution.CoreAddr(set.IP, set.Ports), Zone: set.Zone, Region: set.Region}
 	o.machine, err = replication.New(replication.Options{Self: self,
 		Survive: replication.Survive{Nodes: set.Survive.Nodes, Zones: set.Survive.Zones, Regions: set.Survive.Regions},
 		Seeds:   seeds, Bootstrap: set.Bootstrap,
--- a/internal/fleet/statestore/statestore.go
+++ b/internal/fleet/statestore/statestore.go
@@ -83,7 +83,7 @@
 		return nil, replication.State{}, errors.Wrap(err, "statestore: make folder")
 	}
 	if err := settle(dir); err != nil {
-		return nil, replication.State{}, errors.Wrap(err, "archive")
+		return nil, replication.State{}, errors.Wrap(err, "statestore")
 	}
 	path := filepath.Join(dir, fileName)
 	a, st, err := open(path)
@@ -95,7 +95,7 @@
 		a, st, err = open(path)
 	}
 	if err != nil {
-		return nil, replication.State{}, errors.Wrap(err, "archive")
+		return nil, replication.State{}, errors.Wrap(err, "statestore")
 	}
 	a.broken = broken
 	if st.Identity.ID == "" {
@@ -107,6 +107,29 @@
 	return a, st, nil
 }
 
+// OpenFor opens the store of the machine at an address. What another address left is set aside as a broken file is: its identity
+// is a member at that address and answers nothing here, so that this machine begins as one that lost its disk, and nothing
+// of the old content is destroyed.
+func OpenFor(dir, addr string) (*Store, replication.State, error) {
+	a, st, err := Open(dir)
+	if err != nil || st.Identity.ID == "" || st.Identity.Addr == addr {
+		return a, st, err
+	}
+	foreign := &BrokenError{
+		File: filepath.Join(dir, fileName), Err: errors.Errorf("the state belongs to %s, not to %s", st.Identity.Addr, addr),
+	}
+	if err := a.Close(); err != nil {
+		return nil, replication.State{}, err
+	}
+	if err := setAside(dir); err != nil {
+		return nil, replication.State{}, errors.Wrapf(err, "statestore: set aside after: %v", foreign)
+	}
+	if a, st, err = Open(dir); err == nil {
+		a.broken = foreign
+	}
+	return a, st, err
+}
+
 // Broken tells what was wrong with the file that Open set aside (a *BrokenError), nil when nothing was.
 func (a *Store) Broken() error {
 	if a.broken == nil {
