--- a/internal/fleet/replication/adopt.go
+++ b/internal/fleet/replication/adopt.go
@@ -39,9 +39,9 @@
 		}
 	}
 	m.heard = heard
-	clear(m.transfers)
+	m.dropTransfers()
 	clear(m.positions)
-	m.image = nil
+	m.learnAt = m.now
 	for id := range m.slow {
 		if !v.has(id) {
 			delete(m.slow, id)
--- a/internal/fleet/replication/ballot.go
+++ b/internal/fleet/replication/ballot.go
@@ -17,7 +17,7 @@
 	holder   bool
 	at       time.Duration
 	bad      bool   // didn't take the stage
-	settled  uint64 // all changes up to this one were committed, as it was told
+	seq      uint64 // where its record stands
 }
 
 // candidacy is this machine's proposal for the next epoch.
@@ -40,6 +40,7 @@
 	if !m.stopped() {
 		m.stand.StoppedEpoch = m.view.Epoch + 1
 		m.putStanding()
+		m.dropTransfers() // what is staged holds all that was acknowledged until now
 	}
 	b := Ballot{N: max(m.vote.Promised.N, m.highest) + 1, ID: m.id.ID}
 	m.vote.Promised = b
@@ -76,9 +77,10 @@
 	if len(c.promises) < m.view.majority() {
 		return
 	}
-	if m.restored() {
+	if !m.hasCommitted() {
 		return
 	}
+	m.doubtRestored()
 	var newest *promise
 	for _, p := range c.promises {
 		if p.value != nil && (newest == nil || newest.accepted.less(p.accepted)) {
@@ -195,7 +197,7 @@
 	if m.view.Epoch == 0 || m.view.rank(msg.From.ID) < 0 {
 		return
 	}
-	if !m.holder() {
+	if !m.holder() || m.lacks(msg) {
 		same := m.stand.RecordEpoch == m.view.Epoch && msg.Seq == m.seq && msg.Digest == m.digest
 		if !same {
 			body, whole := m.assemble(msg)
@@ -279,7 +281,7 @@
 	}
 	m.send(msg.From.Addr, Message{
 		Kind: KindPromise, Ballot: msg.Ballot, Accepted: m.vote.Accepted, Value: m.vote.Value, Holder: m.holder(),
-		Seq: m.seq, Digest: m.digest, Committed: max(m.committed, m.toldCommitted),
+		Seq: m.seq, Digest: m.digest, Committed: m.knownCommitted(),
 	})
 }
 
@@ -294,8 +296,9 @@
 		bad = p.bad
 	}
 	c.promises[id] = &promise{
-		member: msg.From, accepted: msg.Accepted, value: msg.Value, holder: msg.Holder, at: m.now, bad: bad, settled: msg.Committed,
+		member: msg.From, accepted: msg.Accepted, value: msg.Value, holder: msg.Holder, at: m.now, bad: bad, seq: msg.Seq,
 	}
+	m.toldCommitted = max(m.toldCommitted, msg.Committed)
 	m.propose(false)
 }
 
--- a/internal/fleet/replication/catchup_test.go
+++ b/internal/fleet/replication/catchup_test.go
@@ -187,7 +187,11 @@
 
 func (n *thinNode) carryOut(out *Output) {
 	t := n.core
+	held := n.disk.Standing.RecordEpoch
 	save(&n.disk, out.Write)
+	if now := n.disk.Standing.RecordEpoch; now > max(held, 1) {
+		t.c.Assert(n.durableSeq() >= t.acked, qt.IsTrue, qt.Commentf("%s holds the record for epoch %d up to %d, %d was acknowledged", n.addr, now, n.durableSeq(), t.acked))
+	}
 	for _, e := range out.Send {
 		n.send(e)
 	}
@@ -200,6 +204,17 @@
 	}
 }
 
+// durableSeq is the newest change on the disk.
+func (n *thinNode) durableSeq() uint64 {
+	if cs := n.disk.Changes; len(cs) > 0 {
+		return cs[len(cs)-1].Seq
+	}
+	if s := n.disk.Snapshot; s != nil {
+		return s.Seq
+	}
+	return 0
+}
+
 func (n *thinNode) send(e Envelope) {
 	t := n.core
 	body, err := e.Msg.MarshalMsg(nil)
@@ -328,6 +343,12 @@
 	return t
 }
 
+// What the operator is promised: an acknowledgement within ackWithin, and a machine counts as lost for syncWithin after its return.
+const (
+	ackWithin  = 4 * time.Second
+	syncWithin = 4 * time.Second
+)
+
 // recordBytes is the size of a record with 10,000 routes.
 const recordBytes = 3_500_000
 
@@ -350,30 +371,53 @@
 				c.Assert(core.until(30*time.Second, func() bool { return core.acked > acked+20 }), qt.IsTrue,
 					qt.Commentf("nothing was acknowledged after a backup was lost: %s", core.told()))
 				t.Logf("a backup lost: no acknowledgement for %v", core.longest)
+				c.Check(core.longest < ackWithin, qt.IsTrue)
 				lost.disk = State{}
 				lost.start()
 				began, core.longest = core.now, 0
 				c.Assert(core.until(30*time.Second, core.settled), qt.IsTrue, qt.Commentf("who lost its disk isn't a member again"))
 				t.Logf("its disk lost: a member after %v, no acknowledgement for %v", core.now-began, core.longest)
-				// Then the primary goes too: who took its place holds all that was acknowledged.
+				c.Check(core.longest < ackWithin, qt.IsTrue)
+				// It counts as lost for some seconds more. Then the primary goes: who takes its place holds all that was acknowledged.
+				core.until(syncWithin, func() bool { return false })
 				acked = core.acked
 				core.primary().stop()
 				core.longest = 0
 				c.Assert(core.until(30*time.Second, func() bool { return core.acked > acked+20 }), qt.IsTrue, qt.Commentf("nothing was acknowledged after the primary was lost: %s", core.told()))
 				c.Assert(core.primary().app.seq >= core.acked, qt.IsTrue)
 				t.Logf("the primary lost as well: no acknowledgement for %v", core.longest)
+				c.Check(core.longest < ackWithin, qt.IsTrue)
 			})
 		}
 	}
 }
 
+// TestStagedRecordIsNew: while the record is on its way to a learner the backup is lost. What the learner, or another, then holds is
+// the record up to the last acknowledgement, not the one that was on its way.
+func TestStagedRecordIsNew(t *testing.T) {
+	c := qt.New(t)
+	core := startThinCore(c, 3, Survive{Nodes: 1}, recordBytes)
+	learner := core.byRole(Witness)
+	learner.stop()
+	learner.disk = State{}
+	learner.start()
+	primary := core.primary()
+	began := func() bool { return len(primary.m.transfers) > 0 }
+	c.Assert(core.until(5*time.Second, began), qt.IsTrue, qt.Commentf("no record is on its way to the learner: %s", core.told()))
+	acked := core.acked
+	c.Assert(core.until(5*time.Second, func() bool { return core.acked >= acked+10 }), qt.IsTrue)
+	c.Assert(began(), qt.IsTrue)
+	acked = core.acked
+	core.byRole(Backup).stop()
+	c.Assert(core.until(20*time.Second, func() bool { return core.acked >= acked+10 }), qt.IsTrue, qt.Commentf("%s", core.told()))
+}
+
 // stall has a disk take no write for some time, as one that is full or hangs: its machine neither hears nor says anything then.
 func (n *thinNode) stall(for_ time.Duration) { n.busy = max(n.busy, n.core.now) + for_ }
 
 // TestStalledDisk: a machine whose disk takes no write for seconds is replaced, whatever its role, and doesn't hold the others up for
 // longer than ackWithin; when its disk works again it takes part.
 func TestStalledDisk(t *testing.T) {
-	const ackWithin = 4 * time.Second
 	for _, role := range []Role{Primary, Backup, Witness} {
 		for _, stall := range []time.Duration{300 * ms, 2 * time.Second, 20 * time.Second} {
 			t.Run(fmt.Sprintf("%v for %v", role, stall), func(t *testing.T) {
--- a/internal/fleet/replication/machine.go
+++ b/internal/fleet/replication/machine.go
@@ -65,6 +65,7 @@
 	image     *image           // what the transfers share
 	incoming  *assembly        // the record on its way to this machine
 	positions map[ID]position  // where others' records stood when last heard
+	learnAt   time.Duration    // not before this changes for learners
 }
 
 // peer is a backup as its primary knows it.
@@ -326,6 +327,7 @@
 	if m.leading() && m.now >= m.beatAt {
 		m.beat()
 		m.resend()
+		m.bringLearners()
 		m.handOver()
 		m.reform()
 	}
--- a/internal/fleet/replication/primary.go
+++ b/internal/fleet/replication/primary.go
@@ -177,6 +177,8 @@
 	if j := m.joiners[msg.From.Addr]; j != nil && j.ID == msg.From.ID {
 		j.confirmed, j.heard = true, m.now
 		m.notePosition(msg)
+	} else if m.view.has(msg.From.ID) {
+		m.notePosition(msg)
 	}
 	p := m.peers[msg.From.ID]
 	if p == nil || !m.leading() {
@@ -270,7 +272,11 @@
 }
 
 func (m *Machine) onAppend(msg *Message) {
-	if !m.fromPrimary(msg) || !m.holder() {
+	if !m.fromPrimary(msg) {
+		return
+	}
+	if !m.holder() {
+		m.onLearnerAppend(msg)
 		return
 	}
 	m.lastBeat = m.now
@@ -284,7 +290,11 @@
 }
 
 func (m *Machine) onSnapshot(msg *Message) {
-	if !m.fromPrimary(msg) || !m.holder() {
+	if !m.fromPrimary(msg) {
+		return
+	}
+	if !m.holder() {
+		m.onLearnerSnapshot(msg)
 		return
 	}
 	m.lastBeat = m.now
--- a/internal/fleet/replication/reform.go
+++ b/internal/fleet/replication/reform.go
@@ -69,7 +69,8 @@
 	case !m.ready() || !c.enough:
 	case plan.urgent || m.relieves(c):
 		m.campaign()
-	case m.now-m.viewSince >= m.opt.SuspectAfter && (plan.changed || m.betters(c)):
+	case m.now-m.viewSince < m.opt.SuspectAfter || m.awaitsLearner(c):
+	case plan.changed || m.betters(c):
 		m.campaign()
 	}
 }
--- a/internal/fleet/replication/restored.go
+++ b/internal/fleet/replication/restored.go
@@ -9,13 +9,21 @@
 	return msg.Round != 0 && msg.Round == round && msg.Seq < p.roundSeq
 }
 
-// restored reports whether this candidate lacks changes that were committed, as one of those who promised was told by a primary.
-// It then proposes nothing: who has them may come back.
-func (m *Machine) restored() bool {
-	for _, p := range m.cand.promises {
-		if p.settled > m.seq {
-			return true
+// knownCommitted is up to where changes were committed, as far as this machine has heard, whatever of them it has.
+func (m *Machine) knownCommitted() uint64 { return max(m.committed, m.toldCommitted) }
+
+// hasCommitted reports whether this candidate has all that was committed, as far as those who promised have heard. A candidate
+// that hasn't proposes nothing: who has it may come back.
+func (m *Machine) hasCommitted() bool { return m.seq >= m.knownCommitted() }
+
+// doubtRestored has holders that lack what was committed brought the record like any other machine.
+func (m *Machine) doubtRestored() {
+	for id, p := range m.cand.promises {
+		if id != m.voter() && p.seq < m.knownCommitted() {
+			p.holder = false
 		}
 	}
-	return false
 }
+
+// lacks reports whether this machine's record is shorter than what the sender knows to be committed.
+func (m *Machine) lacks(msg *Message) bool { return m.seq < msg.Committed }
--- a/internal/fleet/replication/stage.go
+++ b/internal/fleet/replication/stage.go
@@ -22,12 +22,11 @@
 // stageRecord brings a coming backup the record: the changes that it lacks where its record is a part of ours that we still
 // know, else all of it.
 func (m *Machine) stageRecord(to Member) {
-	at, ok := m.positions[to.ID]
-	if digest, known := m.digestAt(at.seq); ok && known && digest == at.digest {
+	if at, ok := m.positions[to.ID]; ok && m.knows(at) {
 		changes := m.changesAfter(at.seq)
 		if len(changes) > 0 || at.seq == m.seq {
 			m.send(to.Addr, Message{
-				Kind: KindStageChanges, Seq: at.seq, Digest: at.digest, Changes: changes, Committed: m.committed, Total: m.seq,
+				Kind: KindStageChanges, Seq: at.seq, Digest: at.digest, Changes: changes, Committed: m.knownCommitted(), Total: m.seq,
 			})
 			return
 		}
@@ -40,7 +39,7 @@
 	if m.view.Epoch == 0 || m.view.rank(msg.From.ID) < 0 {
 		return
 	}
-	if !m.holder() && m.stand.RecordEpoch != m.view.Epoch {
+	if !m.holder() && m.stand.RecordEpoch != m.view.Epoch || m.lacks(msg) {
 		if !m.follow(msg) || m.seq < msg.Total {
 			m.send(msg.From.Addr, Message{Kind: KindReceived, Seq: m.seq, Digest: m.digest})
 			return
--- a/internal/fleet/replication/transfer.go
+++ b/internal/fleet/replication/transfer.go
@@ -110,7 +110,7 @@
 	for {
 		end := min(t.next+m.opt.ChunkBytes, len(img.body))
 		m.send(to, Message{
-			Kind: t.kind, Seq: img.seq, Digest: img.digest, Committed: min(m.committed, img.seq),
+			Kind: t.kind, Seq: img.seq, Digest: img.digest, Committed: min(m.knownCommitted(), img.seq),
 			Sum: img.sum, Total: uint64(len(img.body)), Offset: uint64(t.next), Body: img.body[t.next:end],
 		})
 		t.next, t.sentAt = end, m.now
@@ -155,6 +155,11 @@
 	}
 }
 
+func (m *Machine) dropTransfers() {
+	clear(m.transfers)
+	m.image = nil
+}
+
 func (m *Machine) dropTransfer(id ID) {
 	delete(m.transfers, id)
 	if len(m.transfers) == 0 {
