--- a/internal/fleet/controlplane/catchup_test.go
+++ b/internal/fleet/controlplane/catchup_test.go
@@ -8,9 +8,13 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
 
+	"molepaddle/internal/fleet/distribution"
 	"molepaddle/internal/fleet/replication"
+	"molepaddle/internal/fleet/routingconfig"
 	"molepaddle/internal/fleet/statestore"
+	"molepaddle/internal/plantedfault"
 )
 
 // manyRoutes is a configuration with so many routes.
@@ -104,3 +108,54 @@
 	c.Assert(machine.Status().Seq, qt.Equals, uint64(1+changes))
 	c.Assert(store.Close(), qt.IsNil)
 }
+
+// TestChangesPublishedFollow: whatever many changes become known to be committed at once, those that pull come to the newest
+// configuration; none is sent a change that doesn't follow on what it has.
+func TestChangesPublishedFollow(t *testing.T) {
+	for _, batch := range []int{1, 2, maxRecent, maxRecent + 1, 5 * maxRecent} {
+		c := qt.New(t)
+		o := &Server{log: zap.NewNop(), store: distribution.NewCache(), record: &record{}}
+		reader := distribution.NewCache()
+		seq := uint64(1)
+		o.record.Apply(seq, encoded(&Call{Replace: true, Body: manyRoutes(1, 3)}))
+		o.settle(seq)
+		for version := int64(2); version < 400; {
+			for range batch {
+				seq++
+				o.record.Apply(seq, encoded(&Call{Base: version - 1, Body: oneRoute(version)}))
+				version++
+			}
+			o.settle(seq)
+			answer := o.store.Answer(c.Context(), "o", &distribution.Request{Have: reader.Have()})
+			c.Assert(answer.Resources, qt.HasLen, 1)
+			c.Assert(configurationOf(c, answer.Resources[0], reader), qt.Equals, string(o.record.doc.Show()))
+			c.Assert(reader.Take(answer, time.Now()), qt.HasLen, 0)
+		}
+	}
+}
+
+// configurationOf is what a proxy makes of the news, with what it has.
+func configurationOf(c *qt.C, news distribution.Resource, had *distribution.Cache) string {
+	if news.Whole == nil {
+		all := had.Answer(c.Context(), "had", &distribution.Request{}).Resources[0]
+		c.Assert(news.Since, qt.Equals, all.At)
+		news.Whole, news.Changes = all.Whole, append(all.Changes[:len(all.Changes):len(all.Changes)], news.Changes...)
+	}
+	doc, found := routingconfig.Decode(news.Whole)
+	c.Assert(found.Err(), qt.IsNil)
+	for _, change := range news.Changes {
+		doc, found = (&Call{Replace: change.Replace, Body: change.Body}).change(doc)
+		c.Assert(found.Err(), qt.IsNil)
+	}
+	return string(doc.Show())
+}
+
+// TestPlantedCatchUpFaults lays errors into what a machine does after many changes.
+func TestPlantedCatchUpFaults(t *testing.T) {
+	plantedfault.Find(t, []plantedfault.Fault{
+		{Name: "the state after each change is kept", Tests: "^TestRestartAfterManyChanges$", Texts: []string{
+			"const maxRecent = 64", "const maxRecent = 4096"}},
+		{Name: "a change is published as following on another one", Tests: "^TestChangesPublishedFollow$", Texts: []string{
+			" || d.before != was.docSeq", ""}},
+	})
+}
--- a/internal/fleet/distribution/distribution_test.go
+++ b/internal/fleet/distribution/distribution_test.go
@@ -284,3 +284,36 @@
 	cancel()
 	wait(relays, "the relay does not end")
 }
+
+// TestRelayAsksForWhole: one who passes on what it pulls asks for the whole where changes don't follow, or are too many for a whole that
+// is old, and has the same as its source then.
+func TestRelayAsksForWhole(t *testing.T) {
+	c := qt.New(t)
+	source, relay := NewCache(), NewCache()
+	whole := []byte("whole")
+	source.Set("config", v(0), whole)
+	pull := func(have map[string]Version) []string {
+		return relay.Take(source.Answer(context.Background(), "s", &Request{Have: have}), time.Now())
+	}
+	c.Assert(pull(nil), qt.HasLen, 0)
+	wholes := 0
+	for n := uint64(0); n < 200; n++ {
+		body := make([]byte, 40_000)
+		c.Assert(source.Append("config", v(n), v(n+1), Change{At: v(n + 1), Body: body}, func() []byte { return make([]byte, 1<<20) }), qt.IsTrue)
+		if lacking := pull(relay.Have()); lacking != nil {
+			wholes++
+			c.Assert(lacking, qt.DeepEquals, []string{"config"})
+			c.Assert(pull(nil), qt.HasLen, 0)
+		}
+		c.Assert(relay.Have(), qt.DeepEquals, source.Have())
+		c.Assert(relay.pieces["config"].after <= maxAfterWhole, qt.IsTrue)
+	}
+	c.Check(wholes >= 200*40_000/maxAfterWhole-1 && wholes <= 200*40_000/keptChanges, qt.IsTrue, qt.Commentf("%d", wholes))
+	gap := &Response{FreshMs: -1, Resources: []Resource{{Source: "config", Since: v(300), At: v(301), Changes: []Change{{At: v(301)}}}}}
+	c.Assert(relay.Take(gap, time.Now()), qt.DeepEquals, []string{"config"})
+	c.Assert(relay.Have(), qt.DeepEquals, source.Have())
+	// An older whole than what is had takes nothing back.
+	old := &Response{FreshMs: -1, Resources: []Resource{{Source: "config", Since: v(7), At: v(9), Whole: whole, Changes: []Change{{At: v(8)}, {At: v(9)}}}}}
+	c.Assert(relay.Take(old, time.Now()), qt.HasLen, 0)
+	c.Assert(relay.Have(), qt.DeepEquals, source.Have())
+}
