Schedules of faults over whole control-plane processes, judged from outside

Cause: the core's faults were played in one process, or one at a time over whole programs; nothing cut real processes from each other, and what operators were told amid such cuts was not judged.

Change: TestSchedules draws schedules from seeds (cuts whole, one way, of a pair, in halves; slow links; SIGKILL, SIGSTOP, SIGTERM rolls, wiped disks, replacements, all killed at once, restarts inside a cut; node agents cut, killed, frozen) and plays them over cores of 3 (survive 1) and 5 (survive 2), with 1 or 2 edge machines and 2 to 4 operators. A disk is lost only where the deployment's figures allow. porcupine judges what operators were told; each shown configuration must go on from those shown before; changes come again at once and after 100 others; proxies are judged for going back and for being late in calm; after the last fault a change must be acknowledged within 2 x ack_ms, and all of the core hold one view and version. TestPlantedInPrograms holds planted faults, which are laid by -schedules.planted.

--- a/cmd/molepaddle-fleet/fleet_test.go
+++ b/cmd/molepaddle-fleet/fleet_test.go
@@ -36,6 +36,10 @@
 			fmt.Fprintln(os.Stderr, "start anew:", err)
 			os.Exit(1)
 		}
+		if err := throughRelay(os.Getenv(settings.EnvFile)); err != nil {
+			fmt.Fprintln(os.Stderr, "lead through the relay:", err)
+			os.Exit(1)
+		}
 		main()
 		os.Exit(0)
 	}
--- /dev/null
+++ b/cmd/molepaddle-fleet/schedule_client_test.go
@@ -0,0 +1,282 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"molepaddle/internal/fleet/simulation"
+)
+
+// order is a change of the configuration. Its tag is its own; its number and its base may be others' as well.
+type order struct {
+	base, version int
+	tag           string
+}
+
+// mark is the name of the route that a change brings; its path is /mark/.
+func (o order) mark() string { return fmt.Sprintf("mark-%d-%s", o.version, o.tag) }
+
+// parseMark reads a route's name; false: it is none that a change brought.
+func parseMark(name string) (version int, tag string, ok bool) {
+	parts := strings.SplitN(name, "-", 3)
+	if len(parts) != 3 || parts[0] != "mark" {
+		return 0, "", false
+	}
+	version, err := strconv.Atoi(parts[1])
+	return version, parts[2], err == nil
+}
+
+func markRoute(name string) object {
+	return route(name, "/"+name+"/", "readonly", lookups, 4000, 200, 3, false)
+}
+
+// verdict is how a call of an operator ended.
+type verdict uint8
+
+const (
+	unclear verdict = iota // no clear answer: a change may have been taken
+	taken                  // 200 to a change
+	refused                // 412, or another answer that ends the call
+	shown                  // 200 with a configuration
+)
+
+// scheduleOperator sends changes and reads the configuration back, one call at a time.
+type scheduleOperator struct {
+	id    int
+	run   *scheduleRun
+	rng   *rand.Rand
+	http  *http.Client
+	known []order // the configuration as this operator knows it: all changes up to the newest
+	mine  []order // own changes that were acknowledged
+	dead  []order // own changes that were refused
+	count int
+}
+
+const (
+	// operatorSilence is how long a caller waits for an answer before it turns elsewhere.
+	operatorSilence = time.Second
+	// farAgain is after how many further changes a call that comes again counts as late.
+	farAgain = 100
+	// againWithin bounds the tries of a call that comes again: it may be left without a clear answer.
+	againWithin = 4 * time.Second
+)
+
+func newScheduleOperator(run *scheduleRun, id int) *scheduleOperator {
+	return &scheduleOperator{id: id, run: run, rng: rand.New(rand.NewPCG(run.s.seed, uint64(id))), known: []order{firstOrder},
+		http: &http.Client{
+			Transport:     &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: operatorSilence}).DialContext},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+			Timeout:       operatorSilence,
+		}}
+}
+
+// work calls until stop is closed; the call under way then goes on until it has a clear answer or ctx ends.
+func (o *scheduleOperator) work(ctx context.Context, stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-ctx.Done():
+			return
+		default:
+		}
+		switch draw := o.rng.IntN(10); {
+		case draw < 6:
+			o.change(ctx)
+		case draw < 8 && len(o.mine)+len(o.dead) > 0:
+			o.again(ctx)
+		default:
+			o.show(ctx)
+		}
+		if !o.run.s.busy {
+			o.pause(ctx, time.Duration(o.rng.IntN(60))*time.Millisecond)
+		}
+	}
+}
+
+func (o *scheduleOperator) pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// answer is what one call got in the end.
+type answer struct {
+	status int
+	body   []byte
+	from   string    // control address that answered
+	sent   time.Time // when the try that was answered was sent
+	at     time.Time
+}
+
+// call sends one call to one machine after the other until it has a clear answer; false: ctx ended before.
+func (o *scheduleOperator) call(ctx context.Context, method, path string, base int, body []byte) (answer, bool) {
+	pause := 10 * time.Millisecond
+	for ctx.Err() == nil {
+		ctls := o.run.controls()
+		a, err := o.try(ctx, method, "http://"+ctls[o.rng.IntN(len(ctls))]+path, base, body)
+		lost := o.rng.Float64() < o.run.s.lossy
+		if err == nil && !lost && isClear(method, a.status) {
+			return a, true
+		}
+		o.pause(ctx, pause)
+		pause = min(2*pause, 200*time.Millisecond)
+	}
+	return answer{}, false
+}
+
+// isClear tells whether an answer ends a call. A 404 to a read does: an operator who knows of a configuration is told that
+// there is none.
+func isClear(method string, status int) bool {
+	switch status {
+	case http.StatusOK, http.StatusBadRequest, http.StatusConflict, http.StatusPreconditionFailed, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
+		return true
+	case http.StatusNotFound:
+		return method == http.MethodGet
+	}
+	return false
+}
+
+// try makes one call and follows 307 twice.
+func (o *scheduleOperator) try(ctx context.Context, method, to string, base int, body []byte) (answer, error) {
+	sent := time.Now()
+	for hop := 0; ; hop++ {
+		req, err := http.NewRequestWithContext(ctx, method, to, bytes.NewReader(body))
+		if err != nil {
+			return answer{}, err
+		}
+		if method == http.MethodPost {
+			req.Header.Set(simulation.HeaderBaseVersion, strconv.Itoa(base))
+		}
+		resp, err := o.http.Do(req)
+		if err != nil {
+			return answer{}, err
+		}
+		got, err := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if err != nil {
+			return answer{}, err
+		}
+		if resp.StatusCode == http.StatusTemporaryRedirect && hop < 2 {
+			to = resp.Header.Get("Location")
+			continue
+		}
+		from, err := url.Parse(to)
+		if err != nil {
+			return answer{}, err
+		}
+		return answer{resp.StatusCode, got, from.Host, sent, time.Now()}, nil
+	}
+}
+
+// document is the whole configuration after some changes.
+func document(changes []order) object {
+	doc := (&fleet{}).configuration(uint64(changes[len(changes)-1].version))
+	routes := doc["routing"].(list)
+	for _, c := range changes {
+		routes = append(routes, markRoute(c.mark()))
+	}
+	doc["routing"] = routes
+	return doc
+}
+
+// body is the call that brings a change on top of those known.
+func (o *scheduleOperator) body(next order, whole bool) (path string, body []byte) {
+	path = simulation.PathUpdate
+	doc := object{"ver": next.version, "upsert": object{"routing": list{markRoute(next.mark())}}}
+	if whole {
+		path, doc = simulation.PathReplace, document(append(o.known[:len(o.known):len(o.known)], next))
+	}
+	body, err := json.Marshal(doc)
+	if err != nil {
+		panic(err) // of strings and numbers
+	}
+	return path, body
+}
+
+// change sends a new one on top of the configuration that this operator knows.
+func (o *scheduleOperator) change(ctx context.Context) {
+	o.count++
+	base := o.known[len(o.known)-1].version
+	next := order{base, base + 1 + o.rng.IntN(2), fmt.Sprintf("%d.%d", o.id, o.count)}
+	path, body := o.body(next, o.rng.IntN(5) == 0)
+	o.run.history.ordered(next, path, body)
+	began := o.run.sinceBegin()
+	a, ok := o.call(ctx, http.MethodPost, path, base, body)
+	op := porcupine.Operation{ClientId: o.id, Input: operatorInput{order: next}, Call: began, Output: operatorOutput{}, Return: math.MaxInt64}
+	if !ok {
+		o.run.history.add(op)
+		return
+	}
+	op.Return = o.run.sinceBegin()
+	if a.status == http.StatusOK {
+		op.Output = operatorOutput{verdict: taken}
+		o.run.history.add(op)
+		o.run.history.acknowledged(next, a)
+		o.known = append(o.known[:len(o.known):len(o.known)], next)
+		o.mine = append(o.mine, next)
+		return
+	}
+	op.Output = operatorOutput{verdict: refused}
+	o.run.history.add(op)
+	o.run.history.refuses(next)
+	o.dead = append(o.dead, next)
+	o.show(ctx)
+}
+
+// again sends an earlier change again, as it was.
+func (o *scheduleOperator) again(ctx context.Context) {
+	all, was := o.mine, taken
+	if len(all) == 0 || len(o.dead) > 0 && o.rng.IntN(4) == 0 {
+		all, was = o.dead, refused
+	}
+	one := all[o.rng.IntN(len(all))]
+	if o.rng.IntN(2) == 0 {
+		one = all[0] // the oldest
+	}
+	path, body := o.run.history.callOf(one)
+	since := o.run.history.takenSince(one)
+	bounded, cancel := context.WithTimeout(ctx, againWithin)
+	defer cancel()
+	a, ok := o.call(bounded, http.MethodPost, path, one.base, body)
+	if !ok {
+		o.run.history.unanswered()
+		return
+	}
+	o.run.history.repeated(one, was, a.status, since)
+}
+
+// show reads the newest configuration.
+func (o *scheduleOperator) show(ctx context.Context) {
+	began := o.run.sinceBegin()
+	a, ok := o.call(ctx, http.MethodGet, simulation.PathShow, 0, nil)
+	if !ok {
+		return // one without an answer says nothing
+	}
+	out := operatorOutput{verdict: shown}
+	if a.status == http.StatusOK {
+		changes, err := o.run.history.read(a.body)
+		if err != nil {
+			o.run.breach("%s showed a configuration that nobody made: %v", a.from, err)
+			return
+		}
+		o.known, out.shown = changes, changes[len(changes)-1]
+	}
+	o.run.history.add(porcupine.Operation{ClientId: o.id, Input: operatorInput{show: true}, Call: began, Output: out, Return: o.run.sinceBegin()})
+}
--- /dev/null
+++ b/cmd/molepaddle-fleet/schedule_fault_test.go
@@ -0,0 +1,397 @@
+package main
+
+import (
+	"context"
+	"net"
+	"slices"
+	"strconv"
+	"syscall"
+	"time"
+
+	"molepaddle/internal/fleet/simulation"
+)
+
+// trouble notes that there is trouble, with the core machines that count as lost meanwhile and for sync_s after; what it
+// gives ends it.
+func (run *scheduleRun) trouble(lost ...*coreNode) (end func()) {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	span := &troubleSpan{from: time.Now(), to: time.Now().Add(time.Hour)}
+	run.spans[len(run.spans)] = span
+	for _, n := range lost {
+		n.troubles++
+	}
+	return func() {
+		run.mu.Lock()
+		defer run.mu.Unlock()
+		span.to = time.Now()
+		for _, n := range lost {
+			n.troubles--
+			n.lostTill = span.to.Add(run.syncFor())
+		}
+	}
+}
+
+// calmSince tells whether there was no trouble from one time to another.
+func (run *scheduleRun) calmSince(from, to time.Time) bool {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	for _, s := range run.spans {
+		if s.to.After(from) && s.from.Before(to) {
+			return false
+		}
+	}
+	return true
+}
+
+// lostBeside counts the core machines that count as lost, one aside.
+func (run *scheduleRun) lostBeside(one *coreNode) (n int) {
+	for _, c := range run.cores {
+		if c != one && (c.troubles > 0 || time.Now().Before(c.lostTill)) {
+			n++
+		}
+	}
+	return n
+}
+
+// node is a step's target.
+func (run *scheduleRun) node(target int) *coreNode {
+	primary := run.history.primary()
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	if target == primaryTarget {
+		for _, n := range run.cores {
+			if n.ctl == primary {
+				return n
+			}
+		}
+		target = 0
+	}
+	return run.cores[target%len(run.cores)]
+}
+
+// seize takes a core machine's process for a step; false: another step has it, or, where a disk is to be lost, as many
+// machines as may be are lost already.
+func (run *scheduleRun) seize(n *coreNode, disk bool) bool {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	if n.busy || disk && run.lostBeside(n) >= run.s.survive {
+		return false
+	}
+	if disk {
+		// It counts from now on: two steps may ask at once.
+		n.lostTill = time.Now().Add(run.syncFor())
+	}
+	n.busy = true
+	return true
+}
+
+func (run *scheduleRun) release(n *coreNode) {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	n.busy = false
+}
+
+// hits notes a fault of the primary.
+func (run *scheduleRun) hits(kind faultKind, n *coreNode) {
+	if n.ctl != run.history.primary() {
+		return
+	}
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	run.primary = append(run.primary, primaryFault{kind, time.Now()})
+}
+
+func (run *scheduleRun) count(kind faultKind) {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	run.report.faults[kind]++
+}
+
+func (run *scheduleRun) skip() {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	run.report.skipped++
+}
+
+// play carries a step out, to its end.
+func (run *scheduleRun) play(s step) {
+	done := false
+	switch s.kind {
+	case cutWhole, cutInbound, cutOutbound, cutPair, slowLinks:
+		done = run.playLinks(s)
+	case cutHalves:
+		done = run.playHalves(s, func() { run.rest(s.lasts) })
+	case restartHalf:
+		done = run.playHalves(s, func() { run.killAll(s.lasts / 2); run.rest(s.lasts / 2) })
+	case killProcess, wipeDisk, freeze:
+		done = run.playProcess(s)
+	case replaceNode:
+		done = run.replace(s)
+	case rollCore:
+		done = run.roll()
+	case killCore:
+		done = run.killAll(s.lasts)
+	case cutAgent:
+		done = run.playAgentCut(s)
+	case killAgent, freezeAgent:
+		done = run.playAgent(s)
+	}
+	if done {
+		run.count(s.kind)
+	} else {
+		run.skip()
+	}
+}
+
+// others are all IPs but one, those of agents as well if asked for.
+func (run *scheduleRun) others(ip string, agents bool) []string {
+	all := slices.Clone(run.ips)
+	if agents {
+		all = append(all, run.edgeIPs...)
+	}
+	return slices.DeleteFunc(all, func(other string) bool { return other == ip })
+}
+
+// linksBetween are the links from some machines to others.
+func linksBetween(from, to []string) (links []simulation.Link) {
+	for _, a := range from {
+		for _, b := range to {
+			links = append(links, simulation.Link{From: a, To: b})
+		}
+	}
+	return links
+}
+
+// playLinks troubles the links of one machine.
+func (run *scheduleRun) playLinks(s step) bool {
+	n := run.node(s.target)
+	self, others := []string{n.settings.IP}, run.others(n.settings.IP, s.agents)
+	in, out := linksBetween(others, self), linksBetween(self, others)
+	links := append(in, out...)
+	switch s.kind {
+	case cutInbound:
+		links = in
+	case cutOutbound:
+		links = out
+	case cutPair:
+		other := run.node(s.other)
+		if other == n {
+			return false
+		}
+		peer := []string{other.settings.IP}
+		links = append(linksBetween(self, peer), linksBetween(peer, self)...)
+	}
+	end := run.trouble(n)
+	defer end()
+	run.hits(s.kind, n)
+	if s.kind == slowLinks {
+		const slow = 150 * time.Millisecond
+		run.network.Delay(slow, links...)
+		run.rest(s.lasts)
+		run.network.Delay(0, links...)
+		return true
+	}
+	run.network.Cut(links...)
+	run.rest(s.lasts)
+	run.network.Heal(links...)
+	return true
+}
+
+// playHalves cuts the core in two, with the agents and the machines to come on one side or the other, while do runs.
+func (run *scheduleRun) playHalves(s step, do func()) bool {
+	var halves [2][]string
+	for i, ip := range append(slices.Clone(run.ips), run.edgeIPs...) {
+		side := (i + s.other) % 2
+		halves[side] = append(halves[side], ip)
+	}
+	run.mu.Lock()
+	var lost []*coreNode
+	for _, n := range run.cores {
+		if slices.Contains(halves[0], n.settings.IP) {
+			lost = append(lost, n)
+		}
+	}
+	run.mu.Unlock()
+	end := run.trouble(lost...)
+	defer end()
+	links := append(linksBetween(halves[0], halves[1]), linksBetween(halves[1], halves[0])...)
+	run.network.Cut(links...)
+	do()
+	run.network.Heal(links...)
+	return true
+}
+
+// playProcess kills or freezes one machine's process, which may find an empty disk when it starts again.
+func (run *scheduleRun) playProcess(s step) bool {
+	n := run.node(s.target)
+	if !run.seize(n, s.kind == wipeDisk) {
+		return false
+	}
+	defer run.release(n)
+	end := run.trouble(n)
+	defer end()
+	run.hits(s.kind, n)
+	if s.kind == freeze {
+		n.program.Signal(syscall.SIGSTOP)
+		run.rest(s.lasts)
+		n.program.Signal(syscall.SIGCONT)
+		return true
+	}
+	n.program.Kill()
+	run.rest(s.lasts)
+	if s.kind == wipeDisk {
+		n.settings.DataDir = "" // a new one, empty
+	}
+	run.restart(n)
+	return true
+}
+
+// restart starts a core machine's process and waits until it listens.
+func (run *scheduleRun) restart(n *coreNode) {
+	run.startCore(n)
+	ctx, cancel := context.WithTimeout(run.ctx, patient)
+	defer cancel()
+	if err := simulation.AwaitListening(ctx, n.ctl); err != nil && run.ctx.Err() == nil {
+		run.breach("%s doesn't start: %v", n.ctl, err)
+	}
+}
+
+// replace has a machine go for good and another one come at a new address with an empty disk.
+func (run *scheduleRun) replace(s step) bool {
+	n := run.node(s.target)
+	run.mu.Lock()
+	left := run.spare < len(run.ips)
+	run.mu.Unlock()
+	if !left || !run.seize(n, true) {
+		return false
+	}
+	defer run.release(n)
+	end := run.trouble(n)
+	defer end()
+	run.hits(s.kind, n)
+	n.program.Kill()
+	run.rest(s.lasts)
+	run.mu.Lock()
+	if run.spare >= len(run.ips) { // another step took the last one meanwhile
+		run.mu.Unlock()
+		n.settings.DataDir = ""
+		run.restart(n)
+		return true
+	}
+	ip := run.ips[run.spare]
+	run.spare++
+	n.settings.IP, n.settings.DataDir, n.settings.Node = ip, "", "core-at-"+ip
+	n.settings.Peers = nil
+	for _, other := range run.cores {
+		if other != n && len(n.settings.Peers) < 3 {
+			n.settings.Peers = append(n.settings.Peers, other.ctl)
+		}
+	}
+	n.ctl = net.JoinHostPort(ip, strconv.Itoa(n.settings.Ports.Ctl))
+	run.mu.Unlock()
+	run.restart(n)
+	return true
+}
+
+// roll restarts all of the core by SIGTERM, one machine after the other.
+func (run *scheduleRun) roll() bool {
+	run.mu.Lock()
+	all := slices.Clone(run.cores)
+	run.mu.Unlock()
+	for _, n := range all {
+		if !run.seize(n, false) {
+			continue
+		}
+		run.rollOne(n)
+		run.release(n)
+	}
+	return true
+}
+
+func (run *scheduleRun) rollOne(n *coreNode) {
+	end := run.trouble(n)
+	defer end()
+	run.hits(rollCore, n)
+	const grace = 8 * time.Second
+	ctx, cancel := context.WithTimeout(run.ctx, grace)
+	defer cancel()
+	n.program.Signal(syscall.SIGTERM)
+	if code, err := n.program.Wait(ctx); err == nil && code != 0 {
+		run.breach("%s ended with code %d after SIGTERM", n.ctl, code)
+	}
+	n.program.Kill()
+	run.restart(n)
+}
+
+// killAll kills all processes of the core that no other step has, and starts them again a while later.
+func (run *scheduleRun) killAll(pause time.Duration) bool {
+	run.mu.Lock()
+	all := slices.Clone(run.cores)
+	run.mu.Unlock()
+	all = slices.DeleteFunc(all, func(n *coreNode) bool { return !run.seize(n, false) })
+	end := run.trouble(all...)
+	defer end()
+	for _, n := range all {
+		n.program.Kill()
+	}
+	run.rest(pause)
+	for _, n := range all {
+		run.startCore(n)
+	}
+	for _, n := range all {
+		ctx, cancel := context.WithTimeout(run.ctx, patient)
+		if err := simulation.AwaitListening(ctx, n.ctl); err != nil && run.ctx.Err() == nil {
+			run.breach("%s doesn't start: %v", n.ctl, err)
+		}
+		cancel()
+		run.release(n)
+	}
+	return true
+}
+
+// playAgentCut cuts an edge machine from all of the core but one machine.
+func (run *scheduleRun) playAgentCut(s step) bool {
+	ip := run.edgeIPs[s.other%len(run.edgeIPs)]
+	kept := run.node(s.target)
+	others := run.others(kept.settings.IP, false)
+	links := linksBetween(others, []string{ip})
+	if s.agents {
+		links = append(links, linksBetween([]string{ip}, others)...)
+	}
+	end := run.trouble()
+	defer end()
+	run.network.Cut(links...)
+	run.rest(s.lasts)
+	run.network.Heal(links...)
+	return true
+}
+
+// playAgent kills or freezes a node agent.
+func (run *scheduleRun) playAgent(s step) bool {
+	e := run.edges[s.other%len(run.edges)]
+	run.mu.Lock()
+	was := e.busy
+	e.busy = true
+	run.mu.Unlock()
+	if was {
+		return false
+	}
+	end := run.trouble()
+	defer func() {
+		end()
+		run.mu.Lock()
+		defer run.mu.Unlock()
+		e.busy = false
+	}()
+	if s.kind == freezeAgent {
+		e.agent.Signal(syscall.SIGSTOP)
+		run.rest(s.lasts)
+		e.agent.Signal(syscall.SIGCONT)
+		return true
+	}
+	e.agent.Kill()
+	run.rest(s.lasts)
+	run.startAgent(e)
+	return true
+}
--- /dev/null
+++ b/cmd/molepaddle-fleet/schedule_planted_test.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var (
+	schedulePlanted      = flag.Bool("schedules.planted", false, "plant each fault in the programs in turn and play the schedules, which takes minutes")
+	schedulePlantedCount = flag.Int("schedules.planted-count", 24, "how many schedules are played with each fault")
+)
+
+// plantedFault is one bug laid into a copy of a package's sources: each old text, which stands there once, replaced.
+type plantedFault struct {
+	name   string
+	pkg    string   // below internal/fleet
+	texts  []string // old, new, old, new ...
+	missed string   // why the schedules don't find it; "" when they do
+}
+
+var plantedFaults = []plantedFault{
+	{"a configuration is shown without a confirmed read", "controlplane", []string{
+		"ans, err := o.ask(ctx, func(now time.Duration, token uint64) replication.Output { return o.machine.Read(now, token) })\n\tif err != nil || ans.Result != replication.Confirmed {\n\t\to.later(w, \"the view is not confirmed\")",
+		"ans, err := replication.Answer{Result: replication.Confirmed}, ctx.Err()\n\tif err != nil || ans.Result != replication.Confirmed {\n\t\to.later(w, \"the view is not confirmed\")"}, ""},
+	{"the second of two changes on one base is taken", "controlplane", []string{
+		"return sameChange\n\t}\n\treturn otherChange", "return sameChange\n\t}\n\treturn notBuiltOn"}, ""},
+	{"a restart forgets which changes were accepted, and refuses them", "controlplane", []string{
+		"a = acceptedChanges{oldestBase: unknownBase, versions: s.Versions, digests: s.Digests}", "a, s = acceptedChanges{oldestBase: version}, &Stored{OldestBase: &version}",
+		"case forgotten:\n\t\treturn &verdict{seq: r.seq, status: http.StatusServiceUnavailable", "case forgotten:\n\t\treturn &verdict{seq: r.seq, status: http.StatusPreconditionFailed"}, ""},
+	{"a change is acknowledged whatever became of it", "controlplane", []string{
+		"case v == nil && a.Result == replication.Committed:", "case v == nil:"}, ""},
+	{"what is sent and answered isn't on the disk first", "controlplane", []string{
+		"err := o.archive.Save(out.Write)", "err := error(nil)\n\t\tgo func() { _ = o.archive.Save(out.Write) }()"}, ""},
+	{"a source that is behind sends its configuration, which is taken", "distribution", []string{
+		"if h := s.pieces[source]; h != nil && !h.at.Before(n.at) {", "if h := s.pieces[source]; h != nil && h.at == n.at {",
+		"if ok && !had.Before(h.at) {", "if ok && had == h.at {"}, ""},
+	{"news is passed on without what it follows", "distribution", []string{
+		"case h == nil || h.at != p.Since || h.bytes", "case h == nil || h.bytes"}, ""},
+	{"a machine without its disk votes as who it was", "replication", []string{
+		`ID(fmt.Sprintf("%016x%016x", m.opt.Rand(), m.opt.Rand()))`, `ID(fmt.Sprint("of ", m.opt.Self.Addr))`}, ""},
+}
+
+// plant lays a fault into the programs by the compiler's overlay and gives the tests' binary; "" where only the fault's
+// place is looked up. Nothing in the tree is changed.
+func (f *plantedFault) plant(c *qt.C, dir string, build bool) string {
+	here, err := filepath.Abs(filepath.Join("..", "..", "internal", "fleet", f.pkg))
+	c.Assert(err, qt.IsNil)
+	files, err := filepath.Glob(filepath.Join(here, "*.go"))
+	c.Assert(err, qt.IsNil)
+	overlay := struct{ Replace map[string]string }{map[string]string{}}
+	placed := 0
+	for _, file := range files {
+		if strings.HasSuffix(file, "_test.go") {
+			continue
+		}
+		b, err := os.ReadFile(file)
+		c.Assert(err, qt.IsNil)
+		src := string(b)
+		for i := 0; i < len(f.texts); i += 2 {
+			if n := strings.Count(src, f.texts[i]); n > 0 {
+				c.Assert(n, qt.Equals, 1, qt.Commentf("%s stands more than once: %q", f.name, f.texts[i]))
+				src = strings.Replace(src, f.texts[i], f.texts[i+1], 1)
+				placed++
+			}
+		}
+		if src == string(b) {
+			continue
+		}
+		laid := filepath.Join(dir, filepath.Base(file))
+		c.Assert(os.WriteFile(laid, []byte(src), 0o600), qt.IsNil)
+		overlay.Replace[file] = laid
+	}
+	c.Assert(placed, qt.Equals, len(f.texts)/2, qt.Commentf("to be planted anew: %s", f.name))
+	if !build {
+		return ""
+	}
+	b, err := json.Marshal(overlay)
+	c.Assert(err, qt.IsNil)
+	list, bin := filepath.Join(dir, "overlay.json"), filepath.Join(dir, "planted.test")
+	c.Assert(os.WriteFile(list, b, 0o600), qt.IsNil)
+	out, err := exec.CommandContext(c.Context(), "go", "test", "-vet=off", "-p=2", "-c", "-overlay", list, "-o", bin, ".").CombinedOutput()
+	c.Assert(err, qt.IsNil, qt.Commentf("%s: %s", f.name, out))
+	return bin
+}
+
+// TestPlantedInPrograms: the faults still fit the sources; with -schedules.planted each is planted, and the schedules must
+// find it unless it says why not.
+func TestPlantedInPrograms(t *testing.T) {
+	for _, f := range plantedFaults {
+		t.Run(strings.ReplaceAll(f.name, " ", "_"), func(t *testing.T) {
+			c := qt.New(t)
+			bin := f.plant(c, t.TempDir(), *schedulePlanted)
+			if !*schedulePlanted {
+				return
+			}
+			out, err := exec.CommandContext(t.Context(), bin, "-test.run", "^TestSchedules$", "-test.timeout", "10m", "-test.v",
+				fmt.Sprint("-schedules=", *schedulePlantedCount), fmt.Sprint("-schedules.first=", *scheduleFirst)).CombinedOutput()
+			found, seeds := "", 0
+			for line := range strings.Lines(string(out)) {
+				if strings.Contains(line, "breach: ") && found == "" {
+					found = strings.TrimSpace(line)
+				}
+				if strings.Contains(line, "--- FAIL: TestSchedules/seeds/") {
+					seeds++
+				}
+			}
+			t.Logf("%d of %d schedules broke a rule; the first: %s", seeds, *schedulePlantedCount, found)
+			c.Check(err != nil && found != "", qt.Equals, f.missed == "", qt.Commentf("%s", f.missed))
+		})
+	}
+}
--- /dev/null
+++ b/cmd/molepaddle-fleet/schedule_test.go
@@ -0,0 +1,237 @@
+package main
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Schedules are seeded sequences of faults over whole processes: a core of three or five machines, node agents and
+// proxies on loopback, with a relay between them, while operators change and read the configuration. A schedule is a
+// function of its seed; what the processes make of it is not, as they run on the clock.
+
+var (
+	scheduleCount  = flag.Int("schedules", 12, "how many schedules of faults over whole processes are played")
+	scheduleFirst  = flag.Uint64("schedules.first", 1, "the first schedule's seed")
+	scheduleAtOnce = flag.Int("schedules.at-once", 3, "how many schedules are played at once")
+	scheduleLong   = flag.Bool("schedules.long", false, "schedules of half a minute, with cuts and freezes of up to 20 s")
+)
+
+// faultKind is what a step of a schedule does.
+type faultKind string
+
+const (
+	cutWhole    faultKind = "cut whole"      // a machine from all others, in both directions
+	cutInbound  faultKind = "cut inbound"    // nothing reaches a machine, which still sends
+	cutOutbound faultKind = "cut outbound"   // nothing leaves a machine, which still hears
+	cutPair     faultKind = "cut pair"       // two machines from each other
+	cutHalves   faultKind = "cut halves"     // the core into two parts, each with some of the agents and spares
+	slowLinks   faultKind = "slow links"     // what a machine sends and hears comes late
+	killProcess faultKind = "kill"           // SIGKILL and a restart
+	freeze      faultKind = "freeze"         // SIGSTOP, later SIGCONT
+	wipeDisk    faultKind = "wipe"           // SIGKILL and a restart with an empty disk
+	replaceNode faultKind = "replace"        // a machine is gone for good, another comes at a new address
+	rollCore    faultKind = "roll"           // SIGTERM and a restart, one machine after the other
+	killCore    faultKind = "kill all"       // all processes of the core at once
+	cutAgent    faultKind = "cut agent"      // an edge machine from all core machines but one
+	killAgent   faultKind = "kill agent"     // SIGKILL of a node agent and a restart
+	freezeAgent faultKind = "freeze agent"   // SIGSTOP of a node agent, later SIGCONT
+	restartHalf faultKind = "restart inside" // the core is cut in two, and both halves restart while it is
+)
+
+// drawnKinds are the kinds as often as they are drawn.
+var drawnKinds = []faultKind{
+	cutWhole, cutWhole, cutWhole, cutInbound, cutInbound, cutOutbound, cutOutbound, cutPair, cutHalves, cutHalves, slowLinks,
+	killProcess, killProcess, killProcess, freeze, freeze, freeze, wipeDisk, wipeDisk, wipeDisk, replaceNode, replaceNode,
+	rollCore, killCore, cutAgent, killAgent, freezeAgent, restartHalf,
+}
+
+// primaryTarget as a step's target is whichever machine acknowledged last.
+const primaryTarget = -1
+
+// step is one fault.
+type step struct {
+	at     time.Duration // after the schedule's begin
+	kind   faultKind
+	target int           // a core machine, an edge machine or primaryTarget
+	other  int           // the second one of a pair, or how many are cut off
+	lasts  time.Duration // until it is taken back, or the process starts again
+	agents bool          // the agents are cut off as well
+}
+
+// String tells what a step does.
+func (s step) String() string {
+	target := fmt.Sprint(s.target)
+	if s.target == primaryTarget {
+		target = "primary"
+	}
+	return fmt.Sprintf("%v %s of %s (%d, agents %v) for %v", s.at.Round(time.Millisecond), s.kind, target, s.other, s.agents, s.lasts.Round(time.Millisecond))
+}
+
+// schedule is all that is drawn before a run.
+type schedule struct {
+	seed      uint64
+	machines  int // of the core
+	survive   int
+	edges     int
+	operators int
+	lossy     float64 // share of answers that operators don't get
+	busy      bool    // operators send as fast as they are answered
+	window    time.Duration
+	steps     []step
+}
+
+const (
+	shortWindow = 3500 * time.Millisecond
+	longWindow  = 26 * time.Second
+	longFault   = 20 * time.Second
+)
+
+// drawSchedule draws the schedule of a seed.
+func drawSchedule(seed uint64, long bool) schedule {
+	rng := rand.New(rand.NewPCG(seed, 0x5c4ed))
+	s := schedule{seed: seed, machines: 3, survive: 1, edges: 1 + rng.IntN(2), operators: 2 + rng.IntN(3), window: shortWindow, lossy: 0.05, busy: rng.IntN(2) == 0}
+	if seed%3 == 0 {
+		s.machines, s.survive = 5, 2
+	}
+	faults := 3 + rng.IntN(4)
+	if long {
+		s.window = longWindow
+		faults = 8 + rng.IntN(10)
+	}
+	for range faults {
+		s.steps = append(s.steps, drawStep(rng, &s))
+	}
+	if long {
+		one := step{at: between(rng, 0, 2*time.Second), kind: []faultKind{cutWhole, cutInbound, cutOutbound, freeze}[rng.IntN(4)], target: primaryTarget, lasts: longFault, agents: rng.IntN(2) == 0}
+		s.steps = append(s.steps, one)
+	}
+	slices.SortStableFunc(s.steps, func(a, b step) int { return int(a.at - b.at) })
+	return s
+}
+
+func drawStep(rng *rand.Rand, s *schedule) step {
+	kind := drawnKinds[rng.IntN(len(drawnKinds))]
+	one := step{at: between(rng, 0, s.window*3/4), kind: kind, target: rng.IntN(s.machines), other: rng.IntN(s.machines), agents: rng.IntN(2) == 0}
+	if rng.IntN(2) == 0 {
+		one.target = primaryTarget
+	}
+	switch kind {
+	case killProcess, wipeDisk, replaceNode, killCore, killAgent:
+		one.lasts = between(rng, 0, 600*time.Millisecond)
+	default:
+		one.lasts = between(rng, 200*time.Millisecond, 1200*time.Millisecond)
+		if rng.IntN(2) == 0 { // long enough for another primary to have acknowledged something meanwhile
+			one.lasts = between(rng, time.Second, 3*time.Second)
+		}
+	}
+	return one
+}
+
+func between(rng *rand.Rand, least, most time.Duration) time.Duration {
+	return least + time.Duration(rng.Int64N(int64(most-least)))
+}
+
+// TestSchedules plays the schedules: what operators are told is linearizable, an acknowledged change stays and is never
+// refused, every proxy has it in time and doesn't go back, and after the last fault changes are acknowledged again and
+// all of the core has the newest.
+func TestSchedules(t *testing.T) {
+	var total totals
+	place := make(chan int, max(*scheduleAtOnce, 1))
+	for i := range cap(place) {
+		place <- i
+	}
+	t.Run("seeds", func(t *testing.T) {
+		for i := range max(*scheduleCount, 0) {
+			seed := *scheduleFirst + uint64(i)
+			t.Run(fmt.Sprint(seed), func(t *testing.T) {
+				t.Parallel()
+				slot := <-place
+				defer func() { place <- slot }()
+				total.add(playSchedule(t, drawSchedule(seed, *scheduleLong), slot))
+			})
+		}
+	})
+	t.Log(total.String())
+}
+
+// totals adds up what runs tell.
+type totals struct {
+	mu                                       sync.Mutex
+	runs, breaches                           int
+	taken, refused, shown, again, late, skip int
+	unanswered                               int
+	probes, judged                           int
+	faults                                   map[faultKind]int
+	takeover                                 map[faultKind][]time.Duration
+	alone                                    map[faultKind][]time.Duration
+	settle, converge                         []time.Duration
+	kinds                                    map[string]int // schedules by the kinds of their breaches
+}
+
+func (t *totals) add(r *scheduleReport) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.faults == nil {
+		t.faults, t.takeover, t.alone = map[faultKind]int{}, map[faultKind][]time.Duration{}, map[faultKind][]time.Duration{}
+		t.kinds = map[string]int{}
+	}
+	t.runs++
+	if len(r.breaches) > 0 {
+		t.breaches++
+	}
+	t.taken += r.taken
+	t.refused += r.refused
+	t.shown += r.shown
+	t.again += r.again
+	t.late += r.late
+	t.unanswered += r.unanswered
+	t.skip += r.skipped
+	t.probes += r.probes
+	t.judged += r.judged
+	for kind, n := range r.faults {
+		t.faults[kind] += n
+	}
+	for _, one := range r.takeovers {
+		t.takeover[one.kind] = append(t.takeover[one.kind], one.took)
+		if one.alone {
+			t.alone[one.kind] = append(t.alone[one.kind], one.took)
+		}
+	}
+	for kind := range r.kinds {
+		t.kinds[kind]++
+	}
+	t.settle = append(t.settle, r.settled)
+	t.converge = append(t.converge, r.converged)
+}
+
+func (t *totals) String() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	text := fmt.Sprintf("%d schedules, %d with a breach; %d changes taken, %d refused, %d shown, %d sent again (%d of them after 100 further changes or more; %d without a clear answer); %d steps left out; %d probes, %d of them in calm; faults %v",
+		t.runs, t.breaches, t.taken, t.refused, t.shown, t.again, t.late, t.unanswered, t.skip, t.probes, t.judged, t.faults)
+	for _, kind := range []faultKind{killProcess, freeze, cutWhole, cutInbound, cutOutbound, wipeDisk, replaceNode, rollCore} {
+		text += fmt.Sprintf("\nnext acknowledgement after %s of the primary: %s; with no other fault near: %s", kind, spread(t.takeover[kind]), spread(t.alone[kind]))
+	}
+	for _, kind := range slices.Sorted(maps.Keys(t.kinds)) {
+		text += fmt.Sprintf("\n%d schedules with: %s", t.kinds[kind], kind)
+	}
+	return text + fmt.Sprintf("\nnext acknowledgement after the last fault: %s\nall of the core at the newest after the last change: %s", spread(t.settle), spread(t.converge))
+}
+
+// spread tells the median, the 99th percentile and the most of durations.
+func spread(all []time.Duration) string {
+	if len(all) == 0 {
+		return "none"
+	}
+	sorted := slices.Sorted(slices.Values(all))
+	at := func(part float64) time.Duration {
+		return sorted[min(int(part*float64(len(sorted))), len(sorted)-1)].Round(time.Millisecond)
+	}
+	return fmt.Sprintf("median %v, p99 %v, most %v (of %d)", at(0.5), at(0.99), at(1), len(sorted))
+}
