Replication: a process told to end is a step of the search; planted faults fit

With the split sources and members that leave in order three of the newly planted faults no longer fitted; they are laid anew.

Searched: a process is told to end at any moment, alone, with a takeover, with time that passes.

A search of a planted fault ends at the first state that breaks a rule.

--- a/internal/fleet/replication/planted_test.go
+++ b/internal/fleet/replication/planted_test.go
@@ -1,6 +1,8 @@
 package replication
 
 import (
+	"bufio"
+	"context"
 	"encoding/json"
 	"flag"
 	"fmt"
@@ -98,20 +100,30 @@
 	return binary
 }
 
-// finds reports whether some test of this kind fails, and what it says.
+// finds reports whether some test of this kind fails, and what it says. A search is ended at the first state that breaks a rule.
 func (k *testKind) finds(c *qt.C, binary string) (found bool, reason string) {
-	run := exec.CommandContext(c.Context(), binary, "-test.run", k.run, "-test.skip", k.skip, "-test.timeout", "5m", "-test.failfast")
-	out, err := run.CombinedOutput()
-	if err == nil {
-		return false, "not found"
-	}
-	for line := range strings.Lines(string(out)) {
-		told := strings.Contains(line, "_test.go:") && !strings.Contains(line, "states (")
-		if told || strings.HasPrefix(line, "panic:") {
-			return true, strings.TrimSpace(line)
+	ctx, cancel := context.WithCancel(c.Context())
+	defer cancel()
+	run := exec.CommandContext(ctx, binary, "-test.v", "-test.run", k.run, "-test.skip", k.skip, "-test.timeout", "5m")
+	out, err := run.StdoutPipe()
+	c.Assert(err, qt.IsNil)
+	run.Stderr = run.Stdout
+	c.Assert(run.Start(), qt.IsNil)
+	lines := bufio.NewScanner(out)
+	for lines.Scan() {
+		line := strings.TrimSpace(lines.Text())
+		switch {
+		case strings.Contains(line, ruleBroken):
+			cancel()
+			fallthrough
+		case reason == "" && (strings.HasPrefix(line, "panic:") || strings.HasPrefix(line, "--- FAIL")):
+			reason = line
 		}
 	}
-	return true, err.Error()
+	if run.Wait() == nil {
+		return false, "not found"
+	}
+	return true, reason
 }
 
 // TestPlantedFaults checks that the planted faults fit the sources. With -replication.planted each is laid, and the kinds of
--- a/internal/fleet/replication/plantedfaults_test.go
+++ b/internal/fleet/replication/plantedfaults_test.go
@@ -77,12 +77,12 @@
 	{"the new members decide instead of the old", []string{
 		"len(c.accepted) >= m.view.majority()", "len(c.accepted) >= c.value.majority()"}, "hand", ""},
 	{"members are left out below what may be lost", []string{
-		"least := max(3, 2*m.opt.Survive.Copies()-1)", "least := 1"}, "hand", ""},
+		"max(3, 2*m.opt.Survive.Copies()-1)", "1"}, "hand", ""},
 	{"the older identity of an address stays a member", []string{
-		"\t\tnext = slices.DeleteFunc(next, func(o Member) bool { return o.Addr == j.Addr })\n", ""}, "search", ""},
+		"plan.members[i], plan.changed = j, true", "plan.members, plan.changed = append(plan.members, j), true"}, "search", ""},
 	{"a joiner that never answered is taken in", []string{"if j.confirmed && !m.view.has(j.ID) {", "if !m.view.has(j.ID) {"}, "hand", ""},
 	{"a joiner's disk doesn't say that it holds the record", []string{
 		"\t\t\tm.stand.RecordEpoch = m.view.Epoch\n\t\t\tm.putStanding()\n", "\t\t\tm.stand.RecordEpoch = m.view.Epoch\n"}, "search", ""},
 	{"who takes over leaves out whom it hasn't heard", []string{
-		"\tif !m.led {\n\t\treturn next, false\n\t}\n", ""}, "search", ""},
+		"\tif !m.led {\n\t\treturn plan\n\t}\n", ""}, "search", ""},
 }
--- a/internal/fleet/replication/search_test.go
+++ b/internal/fleet/replication/search_test.go
@@ -23,6 +23,7 @@
 	retries       uint8 // a change that was asked for before is asked for again, at any primary
 	freezes       uint8 // a machine finds at its next input that it was frozen
 	passes        uint8 // time passes for all machines, with one fault of the network or none
+	leaves        uint8 // a process is told that it is about to end
 }
 
 // maxCells is the size of the largest core that is searched.
@@ -67,10 +68,11 @@
 	stepRetry
 	stepFreeze
 	stepPass
+	stepLeave
 )
 
 var stepNames = [...]string{"gets", "is to write", "is to read", "beats", "waits", "crashes and restarts", "loses its disk and restarts", "starts",
-	"is asked again for", "was frozen", "time passes for all,"}
+	"is asked again for", "was frozen", "time passes for all,", "is told to end"}
 
 // step is one thing that happens to a machine; arg is a message or a token.
 type step struct {
@@ -207,7 +209,7 @@
 var kindNames = map[Kind]string{
 	KindHello: "hello", KindView: "view", KindBeat: "beat", KindBeatAck: "ack", KindAppend: "append",
 	KindSnapshot: "snapshot", KindStage: "stage", KindStaged: "staged", KindPrepare: "prepare", KindPromise: "promise",
-	KindAccept: "accept", KindAccepted: "accepted", KindRefuse: "refuse",
+	KindAccept: "accept", KindAccepted: "accepted", KindRefuse: "refuse", KindHandover: "handover",
 }
 
 func (x *explorer) internGhost(g ghost) uint32 {
@@ -297,6 +299,11 @@
 		}
 		c.frozen = freezeTime
 		return Output{}, true
+	case stepLeave:
+		if m.leave.begun || !m.started {
+			return Output{}, false
+		}
+		return m.Leave(c.clock()), true
 	case stepBeat:
 		if !m.leading() {
 			return Output{}, false
--- a/internal/fleet/replication/searchcases_test.go
+++ b/internal/fleet/replication/searchcases_test.go
@@ -14,6 +14,9 @@
 	searchLimit = flag.Int("replication.states", 350_000, "states for each search; twenty times as many with replication.deep")
 )
 
+// ruleBroken begins what a search says of a state that breaks a rule.
+const ruleBroken = "rule broken: "
+
 // shape is a setting of the search.
 type shape struct {
 	name    string
@@ -34,13 +37,14 @@
 
 // reach is what some state must show, or the search saw nothing.
 type reach struct {
-	led     uint64 // the newest epoch in which a primary was ready
-	acked   uint64 // the newest epoch in which a change was acknowledged
-	joined  bool   // a machine that lost its disk held the record under its new identity
-	refused bool   // a change was refused
-	fewest  int    // members of a view
-	most    int    // members of a view
-	wipes   int    // disks that were lost one after the other
+	led      uint64 // the newest epoch in which a primary was ready
+	acked    uint64 // the newest epoch in which a change was acknowledged
+	joined   bool   // a machine that lost its disk held the record under its new identity
+	refused  bool   // a change was refused
+	released bool   // a process that was told to end may end
+	fewest   int    // members of a view
+	most     int    // members of a view
+	wipes    int    // disks that were lost one after the other
 }
 
 // shapes are the searches that CI runs.
@@ -67,6 +71,8 @@
 		{name: "a machine joins", members: 3, joiners: 1, served: true, lossy: true, faults: []faultKind{faultNone}, budget: budget{writes: 1, starts: 1, passes: 1}, want: reach{led: 2, acked: 2, most: 4}},
 		{name: "two machines join", members: 3, joiners: 2, served: true, faults: []faultKind{faultNone}, budget: budget{starts: 2, passes: 1}, want: reach{led: 2, acked: 1, most: 5}},
 		{name: "a silent member is left out", members: 4, served: true, lossy: true, faults: []faultKind{faultIsolated}, budget: budget{writes: 1, passes: 1}, want: reach{led: 2, acked: 2, fewest: 3}},
+		{name: "a machine leaves", members: 3, served: true, lossy: true, faults: []faultKind{faultNone}, budget: budget{writes: 1, leaves: 1, passes: 1}, want: reach{led: 3, acked: 2, released: true}},
+		{name: "a machine leaves, a takeover", members: 3, budget: budget{waits: 1, leaves: 1}, want: reach{led: 3, acked: 1, released: true}},
 		{name: "five, a takeover", members: 5, survive: 2, served: true, calm: true, budget: budget{waits: 1}, want: reach{led: 2, acked: 1}},
 		{name: "five, a machine is cut off or frozen", members: 5, survive: 2, served: true, calm: true, faults: []faultKind{faultIsolated, faultFrozen}, budget: budget{passes: 1}, want: reach{led: 2, acked: 1}},
 		{name: "five, a read and a takeover", members: 5, survive: 2, budget: budget{reads: 1, waits: 1}, want: reach{led: 2, acked: 1}},
@@ -93,6 +99,9 @@
 		{name: "silent members are left out", members: 4, served: true, calm: true, faults: []faultKind{faultIsolated}, budget: budget{passes: 2}, want: reach{led: 3, acked: 1, fewest: 3}},
 		{name: "five, a write and a takeover", members: 5, survive: 2, served: true, calm: true, budget: budget{writes: 1, waits: 1}, want: reach{led: 2, acked: 2}},
 		{name: "five, a takeover, then two are lost", members: 5, survive: 2, served: true, lossy: true, budget: budget{waits: 1}, want: reach{led: 2, acked: 1}},
+		{name: "two machines leave", members: 3, served: true, lossy: true, faults: []faultKind{faultNone}, budget: budget{leaves: 2, passes: 1}, want: reach{led: 3, acked: 1, released: true}},
+		{name: "four, a machine leaves", members: 4, served: true, lossy: true, faults: []faultKind{faultNone}, budget: budget{writes: 1, leaves: 1, passes: 1}, want: reach{led: 3, acked: 2, fewest: 3, released: true}},
+		{name: "five, a machine leaves", members: 5, survive: 2, served: true, faults: []faultKind{faultNone}, budget: budget{leaves: 1, passes: 1}, want: reach{led: 2, acked: 1, released: true}},
 		{name: "five, a disk is lost", members: 5, survive: 2, served: true, calm: true, faults: []faultKind{faultNone}, budget: budget{wipes: 1, passes: 1}, want: reach{led: 2, acked: 1, joined: true, wipes: 1}},
 		{name: "five, two disks are lost", members: 5, survive: 2, served: true, faults: []faultKind{faultNone}, budget: budget{wipes: 2, passes: 1}, want: reach{led: 2, acked: 1, joined: true, wipes: 2}},
 		{name: "changes are asked for again over a freeze and a restart", members: 3, judged: true, budget: budget{writes: 1, retries: 2, waits: 1, freezes: 1, crashes: 1}, want: reach{led: 3, acked: 3}},
@@ -136,7 +145,7 @@
 	res := x.run(w)
 	t.Logf("%s: %v", sh.name, &res)
 	if res.breach != "" {
-		t.Fatalf("%s:\n  %s", res.breach, strings.Join(res.trace, "\n  "))
+		t.Fatalf("%s%s:\n  %s", ruleBroken, res.breach, strings.Join(res.trace, "\n  "))
 	}
 	if *trial != "" {
 		return
@@ -150,7 +159,7 @@
 		want.most = sh.members
 	}
 	got := reach{
-		led: min(res.led, want.led), acked: min(res.acked, want.acked), joined: res.joined, refused: res.refused,
+		led: min(res.led, want.led), acked: min(res.acked, want.acked), joined: res.joined, refused: res.refused, released: res.released,
 		fewest: res.fewest, most: res.most, wipes: res.wipes,
 	}
 	qt.Check(t, got, qt.Equals, want)
--- a/internal/fleet/replication/searchrules_test.go
+++ b/internal/fleet/replication/searchrules_test.go
@@ -295,6 +295,25 @@
 	return ready && holding == len(v.Backups)+1 && members-x.survive.Nodes >= v.majority()
 }
 
+// missed tells when a machine that may end is one of the last so many that hold a change.
+func (x *explorer) missed(w *world, has func(log []string) bool, copies int) string {
+	for i := range x.n {
+		if !x.cells[w.cells[i]].status.Released {
+			continue
+		}
+		others := 0
+		for j := range x.n {
+			if j != i && has(x.cells[w.cells[j]].durable) {
+				others++
+			}
+		}
+		if others < copies {
+			return fmt.Sprintf("%d may end while %d others hold what was acknowledged", i, others)
+		}
+	}
+	return ""
+}
+
 // rules are those on whole states.
 func (x *explorer) rules(w *world) string {
 	g := &x.ghosts[w.ghost]
@@ -314,6 +333,9 @@
 				return fmt.Sprintf("%d leads epoch %d without %s, acknowledged in %d", i, c.status.Epoch, body, a.epoch)
 			}
 		}
+		if b := x.missed(w, has, x.survive.Copies()-g.wipes); b != "" {
+			return b
+		}
 		if disks < x.survive.Copies()-g.wipes {
 			return fmt.Sprintf("%s was acknowledged and is on %d disks after %d were lost", body, disks, g.wipes)
 		}
--- a/internal/fleet/replication/searchrun_test.go
+++ b/internal/fleet/replication/searchrun_test.go
@@ -41,6 +41,7 @@
 			spend(&l.wipes, stepWipe, 0)
 		}
 		spend(&l.freezes, stepFreeze, 0)
+		spend(&l.leaves, stepLeave, 0)
 		for asked := range g.bases {
 			spend(&l.retries, stepRetry, orderArg(uint64(asked)+1, g.bases[asked], g.asked))
 		}
@@ -65,7 +66,7 @@
 	}
 	l := &w.left
 	buf = binary.LittleEndian.AppendUint32(buf, w.ghost)
-	buf = append(buf, l.writes, l.reads, l.beats, l.waits, l.crashes, l.wipes, l.starts, l.retries, l.freezes, l.passes)
+	buf = append(buf, l.writes, l.reads, l.beats, l.waits, l.crashes, l.wipes, l.starts, l.retries, l.freezes, l.passes, l.leaves)
 	for _, m := range w.net {
 		buf = binary.LittleEndian.AppendUint32(buf, m)
 	}
@@ -81,6 +82,7 @@
 	acked                      uint64        // newest epoch in which a change was acknowledged
 	joined                     bool          // a machine with a new identity held the record
 	refused                    bool          // a change was refused
+	released                   bool          // a process that was told to end may end
 	fewest, most               int           // members of a view
 	wipes                      int           // disks that were lost one after the other
 	calms                      int           // sets of cells from which calm was played
@@ -116,6 +118,7 @@
 	defer func() {
 		res.states, res.cells, res.msgs, res.took = len(origins), len(x.cells), len(x.parcels), time.Since(began)
 		for _, c := range x.cells {
+			res.released = res.released || c.status.Released
 			if c.status.Role == Primary && c.status.Ready {
 				res.led = max(res.led, c.status.Epoch)
 			}
--- a/internal/fleet/replication/trial_test.go
+++ b/internal/fleet/replication/trial_test.go
@@ -18,7 +18,7 @@
 		b := &sh.budget
 		counts := map[string]*uint8{
 			"writes": &b.writes, "reads": &b.reads, "beats": &b.beats, "waits": &b.waits, "crashes": &b.crashes, "wipes": &b.wipes,
-			"starts": &b.starts, "retries": &b.retries, "freezes": &b.freezes, "passes": &b.passes,
+			"starts": &b.starts, "retries": &b.retries, "freezes": &b.freezes, "passes": &b.passes, "leaves": &b.leaves,
 		}
 		sizes := map[string]*int{"members": &sh.members, "joiners": &sh.joiners, "survive": &sh.survive}
 		flags := map[string]*bool{"first": &sh.first, "small": &sh.small, "judged": &sh.judged, "served": &sh.served, "calm": &sh.calm, "lossy": &sh.lossy}
