--- a/internal/fleet/replication/search_test.go
+++ b/internal/fleet/replication/search_test.go
@@ -11,6 +11,10 @@
 // good: it may come at any time, many times or never, so that loss, doubling and overtaking are all in. What is to be
 // on disk is there before anything is sent, so a crash with writes pending equals one before their inputs. A step of
 // a machine depends on its cell and the message alone and is worked out once.
+//
+// The files: cells_test.go a machine with its disk, search_test.go the steps of one machine, searchtime_test.go time that
+// passes for all, searchretry_test.go changes that are asked for again, searchrules_test.go the rules, searchrun_test.go the
+// search itself, liveness_test.go what must happen when calm, searchcases_test.go the cores and budgets.
 
 // budget is what may still happen.
 type budget struct {
@@ -40,7 +44,7 @@
 	net   []uint32 // messages in flight, sorted
 }
 
-type parcel struct {
+type packet struct {
 	from, to int
 	msg      Message
 	text     string
@@ -48,9 +52,9 @@
 
 // effect is what a step led to.
 type effect struct {
-	cell   uint32
-	sent   []uint32
-	breach string
+	cell      uint32
+	sent      []uint32
+	violation string
 	sighting
 }
 
@@ -100,7 +104,7 @@
 	err      error
 	cells    []*cell
 	cellIDs  map[string]uint32
-	parcels  []parcel
+	packets  []packet
 	msgIDs   map[string]uint32
 	ghosts   []ghost
 	ghostIDs map[string]uint32
@@ -192,15 +196,15 @@
 	k := string(append([]byte{byte(from), byte(to)}, body...))
 	id, ok := x.msgIDs[k]
 	if !ok {
-		p := parcel{from: from, to: to}
+		p := packet{from: from, to: to}
 		if _, err := p.msg.UnmarshalMsg(body); err != nil {
 			x.err = err
 		}
 		m := &p.msg
 		p.text = fmt.Sprintf("%s of %d: epoch %d ballot %d/%.8s seq %d round %d step %v stopped %v",
 			kindNames[m.Kind], from, m.Epoch, m.Ballot.N, m.Ballot.ID, m.Seq, m.Round, m.Step, m.Stopped)
-		id = uint32(len(x.parcels))
-		x.parcels = append(x.parcels, p)
+		id = uint32(len(x.packets))
+		x.packets = append(x.packets, p)
 		x.msgIDs[k] = id
 	}
 	return id, true
@@ -248,15 +252,15 @@
 		e = &effect{sighting: sightingOf(c, out)}
 		e.cell = x.internCell(c)
 		for _, env := range out.Send {
-			if e.breach == "" {
-				e.breach = voteBreach(c, &env.Msg)
+			if e.violation == "" {
+				e.violation = voteViolation(c, &env.Msg)
 			}
 			if m, ok := x.internMsg(c.i, env); ok && !slices.Contains(e.sent, m) {
 				e.sent = append(e.sent, m)
 			}
 		}
-		if x.err != nil && e.breach == "" {
-			e.breach = x.err.Error()
+		if x.err != nil && e.violation == "" {
+			e.violation = x.err.Error()
 		}
 	}
 	if again, ok := x.cellIDs[old.key()]; !ok || again != was {
@@ -279,7 +283,7 @@
 	m := c.m
 	switch s.kind {
 	case stepDeliver:
-		p := &x.parcels[s.arg]
+		p := &x.packets[s.arg]
 		return m.Receive(c.clock(), x.addrs[p.from], &p.msg), true
 	case stepWrite:
 		if !m.led {
--- a/internal/fleet/replication/searchcases_test.go
+++ b/internal/fleet/replication/searchcases_test.go
@@ -144,8 +144,8 @@
 	qt.Assert(t, err, qt.IsNil)
 	res := x.run(w)
 	t.Logf("%s: %v", sh.name, &res)
-	if res.breach != "" {
-		t.Fatalf("%s%s:\n  %s", ruleBroken, res.breach, strings.Join(res.trace, "\n  "))
+	if res.violation != "" {
+		t.Fatalf("%s%s:\n  %s", ruleBroken, res.violation, strings.Join(res.trace, "\n  "))
 	}
 	if *trial != "" {
 		return
--- a/internal/fleet/replication/searchrules_test.go
+++ b/internal/fleet/replication/searchrules_test.go
@@ -5,7 +5,7 @@
 	"slices"
 )
 
-// ghost is what clients and witnesses of all have seen.
+// ghost holds the search's ghost variables: what clients, and somebody who watches all machines, have seen.
 type ghost struct {
 	committed []string
 	acked     []ack
@@ -14,7 +14,7 @@
 	reads     []floor  // under way
 	writes    uint64   // begun
 	asked     uint64   // reads begun
-	allWipes  int
+	allWipes  int      // disks lost since the beginning
 	wipes     int      // since the core was last whole
 	bases     []uint64 // how many changes were acknowledged when each was first asked for
 	retries   []retry  // under way
@@ -30,8 +30,8 @@
 
 type floor struct{ token, seq uint64 }
 
-// voteBreach tells when a machine that lost its disk votes as who it was.
-func voteBreach(c *cell, m *Message) string {
+// voteViolation tells when a machine that lost its disk votes as who it was.
+func voteViolation(c *cell, m *Message) string {
 	switch m.Kind {
 	case KindPrepare, KindPromise, KindAccept, KindAccepted:
 		if slices.Contains(c.wiped, m.From.ID) || m.Founder && len(c.wiped) > 0 {
@@ -63,7 +63,7 @@
 		slices.Sort(n.net)
 		n.net = slices.Compact(n.net)
 	}
-	breach := e.breach
+	violation := e.violation
 	g := x.ghosts[w.ghost]
 	seen := false
 	switch s.kind {
@@ -83,50 +83,50 @@
 		g.allWipes++
 		seen = true
 	}
-	if b := g.learn(&e.sighting, &seen); breach == "" {
-		breach = b
+	if b := g.learn(&e.sighting, &seen); violation == "" {
+		violation = b
 	}
 	changed := func(i int) bool { return i == int(s.i) }
 	moved := x.cells[e.cell] != x.cells[w.cells[s.i]]
-	breach = x.conclude(&n, &g, seen, moved, breach)
-	if n.cells == w.cells && n.ghost == w.ghost && fresh == 0 && breach == "" {
+	violation = x.conclude(&n, &g, seen, moved, violation)
+	if n.cells == w.cells && n.ghost == w.ghost && fresh == 0 && violation == "" {
 		return world{}, "", false
 	}
-	if b := x.close(&n, changed, e.sent); breach == "" {
-		breach = b
+	if b := x.close(&n, changed, e.sent); violation == "" {
+		violation = b
 	}
-	return n, breach, true
+	return n, violation, true
 }
 
 // conclude notes what was seen on the way to a state, and holds the rules in it when something changed.
-func (x *explorer) conclude(w *world, g *ghost, seen, moved bool, breach string) string {
+func (x *explorer) conclude(w *world, g *ghost, seen, moved bool, violation string) string {
 	if g.wipes > 0 && x.whole(w, g) {
 		g.wipes, seen = 0, true
 	}
 	if seen {
 		w.ghost = x.internGhost(*g)
 	}
-	if breach == "" && (seen || moved) {
-		breach = x.rules(w)
+	if violation == "" && (seen || moved) {
+		violation = x.rules(w)
 	}
-	if breach == "" && moved && x.check != nil {
-		breach = x.check(w)
+	if violation == "" && moved && x.check != nil {
+		violation = x.check(w)
 	}
-	return breach
+	return violation
 }
 
 // close adds what deliveries that leave their machine as it is send, as such a step takes no other away, and drops the
 // messages that can't do anything any more: those of an epoch that their receiver has left, and those of a ballot below the
 // one it has promised. Only what goes to machines that changed, and what is new, can have more to say than before.
-func (x *explorer) close(w *world, changed func(int) bool, sent []uint32) (breach string) {
+func (x *explorer) close(w *world, changed func(int) bool, sent []uint32) (violation string) {
 	todo := x.todo[:0]
 	for _, m := range w.net {
-		if changed(x.parcels[m].to) {
+		if changed(x.packets[m].to) {
 			todo = append(todo, m)
 		}
 	}
 	for _, m := range sent {
-		if !changed(x.parcels[m].to) {
+		if !changed(x.packets[m].to) {
 			todo = append(todo, m)
 		}
 	}
@@ -134,10 +134,10 @@
 	for len(todo) > 0 {
 		m := todo[len(todo)-1]
 		todo = todo[:len(todo)-1]
-		p := &x.parcels[m]
+		p := &x.packets[m]
 		e := x.play(w.cells[p.to], step{stepDeliver, uint8(p.to), m})
-		if e.breach != "" {
-			breach = e.breach
+		if e.violation != "" {
+			violation = e.violation
 		}
 		past = past || x.inert(w, m)
 		if e.cell != w.cells[p.to] || len(e.answers) > 0 {
@@ -145,7 +145,7 @@
 		}
 		for _, f := range e.sent {
 			at, ok := slices.BinarySearch(w.net, f)
-			if ok || x.inert(w, f) && len(x.play(w.cells[x.parcels[f].to], step{stepDeliver, uint8(x.parcels[f].to), f}).sent) == 0 {
+			if ok || x.inert(w, f) && len(x.play(w.cells[x.packets[f].to], step{stepDeliver, uint8(x.packets[f].to), f}).sent) == 0 {
 				continue
 			}
 			if !own {
@@ -162,13 +162,13 @@
 		}
 		w.net = slices.DeleteFunc(w.net, func(m uint32) bool { return x.inert(w, m) })
 	}
-	return breach
+	return violation
 }
 
 // inert tells whether a message is past: its epoch or ballot is, and it does nothing to its receiver as that stands. What it
 // was answered with is in flight already.
 func (x *explorer) inert(w *world, m uint32) bool {
-	p := &x.parcels[m]
+	p := &x.packets[m]
 	id := w.cells[p.to]
 	c := x.cells[id].m
 	if w.left.wipes > 0 || p.msg.Kind == KindHello || p.msg.Epoch > c.view.Epoch {
--- a/internal/fleet/replication/searchrun_test.go
+++ b/internal/fleet/replication/searchrun_test.go
@@ -13,7 +13,7 @@
 // steps lists what may happen next.
 func (x *explorer) steps(w *world, yield func(step, budget)) {
 	for _, m := range w.net {
-		yield(step{stepDeliver, uint8(x.parcels[m].to), m}, w.left)
+		yield(step{stepDeliver, uint8(x.packets[m].to), m}, w.left)
 	}
 	g := &x.ghosts[w.ghost]
 	for i := range uint8(x.n) {
@@ -88,7 +88,7 @@
 	calms                      int           // sets of cells from which calm was played
 	slowest                    time.Duration // the longest that an acknowledgement took when calm
 	took                       time.Duration
-	breach                     string
+	violation                  string
 	trace                      []string
 }
 
@@ -116,7 +116,7 @@
 	front, next := []world{first}, []world(nil)
 	at := uint32(0)
 	defer func() {
-		res.states, res.cells, res.msgs, res.took = len(origins), len(x.cells), len(x.parcels), time.Since(began)
+		res.states, res.cells, res.msgs, res.took = len(origins), len(x.cells), len(x.packets), time.Since(began)
 		for _, c := range x.cells {
 			res.released = res.released || c.status.Released
 			if c.status.Role == Primary && c.status.Ready {
@@ -149,17 +149,17 @@
 			w := front[i]
 			front[i] = world{}
 			x.steps(&w, func(s step, left budget) {
-				if res.breach != "" {
+				if res.violation != "" {
 					return
 				}
-				n, breach, ok := x.apply(&w, s)
+				n, violation, ok := x.apply(&w, s)
 				if !ok {
 					return
 				}
 				res.steps++
 				n.left = left
-				if breach != "" {
-					res.breach = breach
+				if violation != "" {
+					res.violation = violation
 					res.trace = []string{x.word(s)}
 					for o := at; o != 0; o = origins[o].parent {
 						res.trace = append(res.trace, x.word(origins[o].by))
@@ -175,7 +175,7 @@
 					}
 				}
 			})
-			if res.breach != "" || len(origins) >= x.limit {
+			if res.violation != "" || len(origins) >= x.limit {
 				return res
 			}
 			at++
@@ -193,7 +193,7 @@
 	t := fmt.Sprintf("%d %s", s.i, stepNames[s.kind])
 	switch s.kind {
 	case stepDeliver:
-		t += " " + x.parcels[s.arg].text
+		t += " " + x.packets[s.arg].text
 	case stepWrite, stepRead, stepRetry:
 		t += fmt.Sprint(" ", s.arg)
 	case stepPass:
@@ -229,7 +229,7 @@
 		for len(queue) > 0 {
 			m := queue[0]
 			queue = queue[1:]
-			to := x.parcels[m].to
+			to := x.packets[m].to
 			c := x.cells[w.cells[to]].grow(&x.err) // clocks go together here
 			c.m.now = max(c.m.now, now)
 			c.done(c.m.id.ID)
--- a/internal/fleet/replication/searchtime_test.go
+++ b/internal/fleet/replication/searchtime_test.go
@@ -189,7 +189,7 @@
 	cells     cellSet
 	sent      []uint32 // by the last input
 	sightings []sighting
-	breach    string
+	violation string
 }
 
 // passTime bounds how long time passes: what is forgotten is forgotten after it.
@@ -230,8 +230,8 @@
 	r.seen = func(i int, out Output) {
 		c := r.cells[i]
 		for _, e := range out.Send {
-			if b := voteBreach(c, &e.Msg); p.breach == "" {
-				p.breach = b
+			if v := voteViolation(c, &e.Msg); p.violation == "" {
+				p.violation = v
 			}
 		}
 		if len(out.Answer) > 0 || out.Committed > 0 || markOf(c.m) != marks[i] {
@@ -251,10 +251,10 @@
 	}
 	for !ended && r.next(passTime) {
 	}
-	if x.err != nil && p.breach == "" {
-		p.breach = x.err.Error()
+	if x.err != nil && p.violation == "" {
+		p.violation = x.err.Error()
 	}
-	if !ended && p.breach == "" {
+	if !ended && p.violation == "" {
 		p = nil
 	} else {
 		p.cells = r.close(cells)
@@ -290,16 +290,16 @@
 	n.net = append(slices.Clone(w.net), p.sent...)
 	slices.Sort(n.net)
 	n.net = slices.Compact(n.net)
-	breach := p.breach
+	violation := p.violation
 	g, seen := x.ghosts[w.ghost], false
 	for i := range p.sightings {
-		if b := g.learn(&p.sightings[i], &seen); breach == "" {
-			breach = b
+		if b := g.learn(&p.sightings[i], &seen); violation == "" {
+			violation = b
 		}
 	}
-	breach = x.conclude(&n, &g, seen, true, breach)
-	if b := x.close(&n, func(int) bool { return true }, p.sent); breach == "" {
-		breach = b
+	violation = x.conclude(&n, &g, seen, true, violation)
+	if b := x.close(&n, func(int) bool { return true }, p.sent); violation == "" {
+		violation = b
 	}
-	return n, breach, true
+	return n, violation, true
 }
