--- a/internal/fleet/controlplane/controlplane.go
+++ b/internal/fleet/controlplane/controlplane.go
@@ -59,12 +59,13 @@
 	if set.DataDir == "" {
 		return nil, errors.New("datadir: a core machine needs a disk")
 	}
-	a, state, err := statestore.Open(set.DataDir)
+	self := replication.Member{Addr: distribution.CoreAddr(set.IP, set.Ports), Zone: set.Zone, Region: set.Region}
+	a, state, err := statestore.OpenFor(set.DataDir, self.Addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "open state store")
 	}
 	if state.Lost {
-		log.Warn("the disk's content can't be trusted and counts as lost")
+		log.Warn("the disk's content can't be trusted and counts as lost", zap.Error(a.Broken()))
 	}
 	o := &Server{Readings: DefaultReadings, set: set, log: log, start: time.Now(), store: distribution.NewCache(), archive: a, record: &record{},
 		heard:  xsync.NewMap[string, time.Time](),
@@ -75,7 +76,6 @@
 			seeds = append(seeds, distribution.CoreAddr(host, set.Ports))
 		}
 	}
-	self := replication.Member{Addr: distribution.CoreAddr(set.IP, set.Ports), Zone: set.Zone, Region: set.Region}
 	o.machine, err = replication.New(replication.Options{Self: self,
 		Survive: replication.Survive{Nodes: set.Survive.Nodes, Zones: set.Survive.Zones, Regions: set.Survive.Regions},
 		Seeds:   seeds, Bootstrap: set.Bootstrap,
@@ -98,8 +98,10 @@
 	return o.status.Load(), *changed
 }
 
-// Run serves until ctx ends.
+// Run serves until ctx ends and the core has taken over what this machine does.
 func (o *Server) Run(ctx context.Context) error {
+	ctx, stopServing := o.untilReleased(ctx)
+	defer stopServing()
 	if o.set.Bind.Control == "" {
 		return errors.New("bind: ctl must be given")
 	}
@@ -225,20 +227,26 @@
 		return // a reading, say
 	}
 	for i, d := range docs {
-		at := distribution.Version{Count: d.docSeq}
-		if was != nil && d.call != nil && o.store.Append(distribution.SourceConfig, distribution.Version{Count: was.docSeq}, at, distribution.Change{At: at, Replace: d.call.Replace, Body: d.call.Body}) {
-			was = d
-			continue
+		if !o.publishChange(was, d) && i == len(docs)-1 {
+			o.store.Set(distribution.SourceConfig, distribution.Version{Count: d.docSeq}, d.doc.Show())
 		}
 		was = d
-		if i == len(docs)-1 {
-			o.store.Set(distribution.SourceConfig, at, d.doc.Show())
-		}
 	}
 	o.noteSettled(last, time.Now())
 	o.log.Info("configuration settled", zap.Uint64("seq", last.docSeq), zap.Int64("version", versionOf(last.doc)))
 }
 
+// publishChange passes a committed change on to those that pull. It reports false where the change isn't known or doesn't
+// follow on what was published before: then the whole is due.
+func (o *Server) publishChange(was, d *applied) bool {
+	if was == nil || d.call == nil || d.before != was.docSeq {
+		return false
+	}
+	at := distribution.Version{Count: d.docSeq}
+	change := distribution.Change{At: at, Replace: d.call.Replace, Body: d.call.Body}
+	return o.store.Append(distribution.SourceConfig, distribution.Version{Count: was.docSeq}, at, change, d.doc.Show)
+}
+
 func versionOf(d *routingconfig.Document) int64 {
 	if d == nil {
 		return 0
--- a/internal/fleet/replication/ballot.go
+++ b/internal/fleet/replication/ballot.go
@@ -16,7 +16,8 @@
 	value    *View
 	holder   bool
 	at       time.Duration
-	bad      bool // didn't take the stage
+	bad      bool   // didn't take the stage
+	seq      uint64 // where its record stands
 }
 
 // candidacy is this machine's proposal for the next epoch.
@@ -39,6 +40,7 @@
 	if !m.stopped() {
 		m.stand.StoppedEpoch = m.view.Epoch + 1
 		m.putStanding()
+		m.dropTransfers() // what is staged holds all that was acknowledged until now
 	}
 	b := Ballot{N: max(m.vote.Promised.N, m.highest) + 1, ID: m.id.ID}
 	m.vote.Promised = b
@@ -75,6 +77,10 @@
 	if len(c.promises) < m.view.majority() {
 		return
 	}
+	if !m.hasCommitted() {
+		return
+	}
+	m.doubtRestored()
 	var newest *promise
 	for _, p := range c.promises {
 		if p.value != nil && (newest == nil || newest.accepted.less(p.accepted)) {
@@ -86,7 +92,6 @@
 		return
 	}
 	if v := m.newView(); v != nil {
-		c.staged = map[ID]bool{}
 		m.enter(staging, v)
 	}
 }
@@ -147,8 +152,7 @@
 // stage puts the record on the disks of the coming backups that don't hold it.
 func (m *Machine) stage(again bool) {
 	c := m.cand
-	open := false
-	late := m.now-c.since >= m.opt.WriteWithin
+	open, late := false, false
 	for _, b := range c.value.Backups {
 		key := b
 		o, _ := c.value.member(b)
@@ -160,7 +164,9 @@
 			continue
 		}
 		open = true
-		if late {
+		if m.stalled(b, c.since, m.opt.WriteWithin) {
+			late = true
+			m.dropTransfer(b)
 			m.slow[b] = m.now
 			if p != nil {
 				p.bad = true
@@ -176,13 +182,12 @@
 		c.phase, c.value, c.since = preparing, nil, m.now
 		m.propose(true)
 	case again:
-		c.resendAt = m.now + max(m.opt.BeatEvery, m.opt.WriteWithin/2)
-		msg := Message{Kind: KindStage, Seq: m.seq, Digest: m.digest, Committed: m.committed, Body: m.app.Snapshot()}
+		c.resendAt = m.now + m.opt.BeatEvery
 		for _, b := range c.value.Backups {
 			p := c.promises[b]
 			if !c.staged[b] && (p == nil || !p.holder) {
 				o, _ := c.value.member(b)
-				m.send(o.Addr, msg)
+				m.stageRecord(o)
 			}
 		}
 	}
@@ -192,10 +197,11 @@
 	if m.view.Epoch == 0 || m.view.rank(msg.From.ID) < 0 {
 		return
 	}
-	if !m.holder() {
+	if !m.holder() || m.lacks(msg) {
 		same := m.stand.RecordEpoch == m.view.Epoch && msg.Seq == m.seq && msg.Digest == m.digest
 		if !same {
-			if !m.replace(msg.Seq, msg.Digest, msg.Body) {
+			body, whole := m.assemble(msg)
+			if !whole || !m.replace(msg.Seq, msg.Digest, body) {
 				return
 			}
 			m.stand.RecordEpoch = m.view.Epoch
@@ -208,6 +214,7 @@
 func (m *Machine) onStaged(msg *Message) {
 	if c := m.cand; c != nil && c.phase == staging {
 		c.staged[msg.From.ID] = true
+		m.dropTransfer(msg.From.ID)
 		m.propose(false)
 	}
 }
@@ -274,6 +281,7 @@
 	}
 	m.send(msg.From.Addr, Message{
 		Kind: KindPromise, Ballot: msg.Ballot, Accepted: m.vote.Accepted, Value: m.vote.Value, Holder: m.holder(),
+		Seq: m.seq, Digest: m.digest, Committed: m.knownCommitted(),
 	})
 }
 
@@ -282,13 +290,15 @@
 	if c == nil || id == "" || c.ballot != msg.Ballot || c.phase != preparing {
 		return
 	}
+	m.notePosition(msg)
 	bad := false
 	if p := c.promises[id]; p != nil {
 		bad = p.bad
 	}
 	c.promises[id] = &promise{
-		member: msg.From, accepted: msg.Accepted, value: msg.Value, holder: msg.Holder, at: m.now, bad: bad,
+		member: msg.From, accepted: msg.Accepted, value: msg.Value, holder: msg.Holder, at: m.now, bad: bad, seq: msg.Seq,
 	}
+	m.toldCommitted = max(m.toldCommitted, msg.Committed)
 	m.propose(false)
 }
 
--- a/internal/fleet/replication/search_test.go
+++ b/internal/fleet/replication/search_test.go
@@ -11,6 +11,10 @@
 // good: it may come at any time, many times or never, so that loss, doubling and overtaking are all in. What is to be
 // on disk is there before anything is sent, so a crash with writes pending equals one before their inputs. A step of
 // a machine depends on its cell and the message alone and is worked out once.
+//
+// The files: cells_test.go a machine with its disk, search_test.go the steps of one machine, searchtime_test.go time that
+// passes for all, searchretry_test.go changes that are asked for again, searchrules_test.go the rules, searchrun_test.go the
+// search itself, liveness_test.go what must happen when calm, searchcases_test.go the cores and budgets.
 
 // budget is what may still happen.
 type budget struct {
@@ -23,6 +27,7 @@
 	retries       uint8 // a change that was asked for before is asked for again, at any primary
 	freezes       uint8 // a machine finds at its next input that it was frozen
 	passes        uint8 // time passes for all machines, with one fault of the network or none
+	leaves        uint8 // a process is told that it is about to end
 }
 
 // maxCells is the size of the largest core that is searched.
@@ -39,7 +44,7 @@
 	net   []uint32 // messages in flight, sorted
 }
 
-type parcel struct {
+type packet struct {
 	from, to int
 	msg      Message
 	text     string
@@ -47,9 +52,9 @@
 
 // effect is what a step led to.
 type effect struct {
-	cell   uint32
-	sent   []uint32
-	breach string
+	cell      uint32
+	sent      []uint32
+	violation string
 	sighting
 }
 
@@ -67,10 +72,11 @@
 	stepRetry
 	stepFreeze
 	stepPass
+	stepLeave
 )
 
 var stepNames = [...]string{"gets", "is to write", "is to read", "beats", "waits", "crashes and restarts", "loses its disk and restarts", "starts",
-	"is asked again for", "was frozen", "time passes for all,"}
+	"is asked again for", "was frozen", "time passes for all,", "is told to end"}
 
 // step is one thing that happens to a machine; arg is a message or a token.
 type step struct {
@@ -86,19 +92,20 @@
 
 // explorer is one search.
 type explorer struct {
-	n        int
-	founders int // the first so many machines are there from the start, the others join
-	timing   timing
-	survive  Survive
-	judged   bool // changes are judged by the record, as the control plane does it
-	small    bool // snapshots at every change
-	limit    int  // states
-	addrs    []string
+	n          int
+	founders   int // the first so many machines are there from the start, the others join
+	timing     timing
+	survive    Survive
+	judged     bool // changes are judged by the record, as the control plane does it
+	small      bool // snapshots at every change
+	chunkBytes int  // of a record; 0: the usual size
+	limit      int  // states
+	addrs      []string
 
 	err      error
 	cells    []*cell
 	cellIDs  map[string]uint32
-	parcels  []parcel
+	packets  []packet
 	msgIDs   map[string]uint32
 	ghosts   []ghost
 	ghostIDs map[string]uint32
@@ -143,7 +150,7 @@
 		WriteWithin: x.timing.write, ForgetAfter: x.timing.forget,
 		Rand: func() uint64 { return 0 },
 	}
-	o.Seeds = x.addrs[:x.founders]
+	o.Seeds, o.ChunkBytes = x.addrs[:x.founders], x.chunkBytes
 	if x.small {
 		o.SnapshotBytes = 1
 	}
@@ -190,15 +197,15 @@
 	k := string(append([]byte{byte(from), byte(to)}, body...))
 	id, ok := x.msgIDs[k]
 	if !ok {
-		p := parcel{from: from, to: to}
+		p := packet{from: from, to: to}
 		if _, err := p.msg.UnmarshalMsg(body); err != nil {
 			x.err = err
 		}
 		m := &p.msg
 		p.text = fmt.Sprintf("%s of %d: epoch %d ballot %d/%.8s seq %d round %d step %v stopped %v",
 			kindNames[m.Kind], from, m.Epoch, m.Ballot.N, m.Ballot.ID, m.Seq, m.Round, m.Step, m.Stopped)
-		id = uint32(len(x.parcels))
-		x.parcels = append(x.parcels, p)
+		id = uint32(len(x.packets))
+		x.packets = append(x.packets, p)
 		x.msgIDs[k] = id
 	}
 	return id, true
@@ -207,7 +214,8 @@
 var kindNames = map[Kind]string{
 	KindHello: "hello", KindView: "view", KindBeat: "beat", KindBeatAck: "ack", KindAppend: "append",
 	KindSnapshot: "snapshot", KindStage: "stage", KindStaged: "staged", KindPrepare: "prepare", KindPromise: "promise",
-	KindAccept: "accept", KindAccepted: "accepted", KindRefuse: "refuse",
+	KindAccept: "accept", KindAccepted: "accepted", KindRefuse: "refuse", KindHandover: "handover",
+	KindReceived: "received", KindStageChanges: "stage changes",
 }
 
 func (x *explorer) internGhost(g ghost) uint32 {
@@ -246,15 +254,15 @@
 		e = &effect{sighting: sightingOf(c, out)}
 		e.cell = x.internCell(c)
 		for _, env := range out.Send {
-			if e.breach == "" {
-				e.breach = voteBreach(c, &env.Msg)
+			if e.violation == "" {
+				e.violation = voteViolation(c, &env.Msg)
 			}
 			if m, ok := x.internMsg(c.i, env); ok && !slices.Contains(e.sent, m) {
 				e.sent = append(e.sent, m)
 			}
 		}
-		if x.err != nil && e.breach == "" {
-			e.breach = x.err.Error()
+		if x.err != nil && e.violation == "" {
+			e.violation = x.err.Error()
 		}
 	}
 	if again, ok := x.cellIDs[old.key()]; !ok || again != was {
@@ -277,7 +285,7 @@
 	m := c.m
 	switch s.kind {
 	case stepDeliver:
-		p := &x.parcels[s.arg]
+		p := &x.packets[s.arg]
 		return m.Receive(c.clock(), x.addrs[p.from], &p.msg), true
 	case stepWrite:
 		if !m.led {
@@ -297,6 +305,11 @@
 		}
 		c.frozen = freezeTime
 		return Output{}, true
+	case stepLeave:
+		if m.leave.begun || !m.started {
+			return Output{}, false
+		}
+		return m.Leave(c.clock()), true
 	case stepBeat:
 		if !m.leading() {
 			return Output{}, false
--- a/internal/fleet/replication/searchrun_test.go
+++ b/internal/fleet/replication/searchrun_test.go
@@ -13,7 +13,7 @@
 // steps lists what may happen next.
 func (x *explorer) steps(w *world, yield func(step, budget)) {
 	for _, m := range w.net {
-		yield(step{stepDeliver, uint8(x.parcels[m].to), m}, w.left)
+		yield(step{stepDeliver, uint8(x.packets[m].to), m}, w.left)
 	}
 	g := &x.ghosts[w.ghost]
 	for i := range uint8(x.n) {
@@ -41,6 +41,7 @@
 			spend(&l.wipes, stepWipe, 0)
 		}
 		spend(&l.freezes, stepFreeze, 0)
+		spend(&l.leaves, stepLeave, 0)
 		for asked := range g.bases {
 			spend(&l.retries, stepRetry, orderArg(uint64(asked)+1, g.bases[asked], g.asked))
 		}
@@ -65,7 +66,7 @@
 	}
 	l := &w.left
 	buf = binary.LittleEndian.AppendUint32(buf, w.ghost)
-	buf = append(buf, l.writes, l.reads, l.beats, l.waits, l.crashes, l.wipes, l.starts, l.retries, l.freezes, l.passes)
+	buf = append(buf, l.writes, l.reads, l.beats, l.waits, l.crashes, l.wipes, l.starts, l.retries, l.freezes, l.passes, l.leaves)
 	for _, m := range w.net {
 		buf = binary.LittleEndian.AppendUint32(buf, m)
 	}
@@ -81,12 +82,13 @@
 	acked                      uint64        // newest epoch in which a change was acknowledged
 	joined                     bool          // a machine with a new identity held the record
 	refused                    bool          // a change was refused
+	released                   bool          // a process that was told to end may end
 	fewest, most               int           // members of a view
 	wipes                      int           // disks that were lost one after the other
 	calms                      int           // sets of cells from which calm was played
 	slowest                    time.Duration // the longest that an acknowledgement took when calm
 	took                       time.Duration
-	breach                     string
+	violation                  string
 	trace                      []string
 }
 
@@ -114,8 +116,9 @@
 	front, next := []world{first}, []world(nil)
 	at := uint32(0)
 	defer func() {
-		res.states, res.cells, res.msgs, res.took = len(origins), len(x.cells), len(x.parcels), time.Since(began)
+		res.states, res.cells, res.msgs, res.took = len(origins), len(x.cells), len(x.packets), time.Since(began)
 		for _, c := range x.cells {
+			res.released = res.released || c.status.Released
 			if c.status.Role == Primary && c.status.Ready {
 				res.led = max(res.led, c.status.Epoch)
 			}
@@ -146,17 +149,17 @@
 			w := front[i]
 			front[i] = world{}
 			x.steps(&w, func(s step, left budget) {
-				if res.breach != "" {
+				if res.violation != "" {
 					return
 				}
-				n, breach, ok := x.apply(&w, s)
+				n, violation, ok := x.apply(&w, s)
 				if !ok {
 					return
 				}
 				res.steps++
 				n.left = left
-				if breach != "" {
-					res.breach = breach
+				if violation != "" {
+					res.violation = violation
 					res.trace = []string{x.word(s)}
 					for o := at; o != 0; o = origins[o].parent {
 						res.trace = append(res.trace, x.word(origins[o].by))
@@ -172,7 +175,7 @@
 					}
 				}
 			})
-			if res.breach != "" || len(origins) >= x.limit {
+			if res.violation != "" || len(origins) >= x.limit {
 				return res
 			}
 			at++
@@ -190,7 +193,7 @@
 	t := fmt.Sprintf("%d %s", s.i, stepNames[s.kind])
 	switch s.kind {
 	case stepDeliver:
-		t += " " + x.parcels[s.arg].text
+		t += " " + x.packets[s.arg].text
 	case stepWrite, stepRead, stepRetry:
 		t += fmt.Sprint(" ", s.arg)
 	case stepPass:
@@ -226,7 +229,7 @@
 		for len(queue) > 0 {
 			m := queue[0]
 			queue = queue[1:]
-			to := x.parcels[m].to
+			to := x.packets[m].to
 			c := x.cells[w.cells[to]].grow(&x.err) // clocks go together here
 			c.m.now = max(c.m.now, now)
 			c.done(c.m.id.ID)
