Proxy: an answer is its request's or nobody's; a request begun counts as sent

Backends may begin on the head alone. Now any byte written counts. - The whole request was written before the answer was looked for: an early answer was lost. A long request now goes out beside the reading; a connection on which a part of one is due is closed. - 408, 429 of a backend's own (without X-Molepaddle-Not-Run) reached the client as a promise, 503 as 502 with the backend's seal. Both are now a 502 of the proxy's own. A 2xx that says it has not run proves nothing. - Answers with several ids, without an id on a used connection, and what followed 1 MiB of a surplus answer were believed. - Heads of answers had no bound. 101 was read past. - A request of the same id could follow on the connection that carried it last, where a surplus answer passes for its own. - A client that had left, or closed its half, got an empty 200. - The time handed to a backend was reckoned before the connect; a DELETE of a handle was given a second whatever the client had. - A client that stopped within its body was held past its route's deadline: 408 now.

Ruled out: X-Molepaddle-Attempt-Id of the proxy's own (the protocol fixes it); never to read past a surplus answer (it costs requests that may be served; past a HEAD's, whose end can't be found, it is not done).

Tests: tables of what breaks, at which byte, for eleven kinds of request, on fresh and used connections, on a clock of their own; 15 planted faults, each found by one of them. The planting of faults is a function now, its checks are the same.

--- a/internal/fleet/proxy/exchange.go
+++ b/internal/fleet/proxy/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -42,8 +43,8 @@
 
 // extra is what one send adds to a message.
 type extra struct {
-	target   string // id of the backend, the permit's
-	left     time.Duration
+	target   string    // id of the backend, the permit's
+	until    time.Time // when the work is of no use any more
 	stage    string
 	handle   *handle // that is to be taken; nil: none
 	lastID   string
@@ -78,7 +79,7 @@
 			line(key, v)
 		}
 	}
-	line(externalapi.DeadlineMs, strconv.FormatInt(max(x.left.Milliseconds(), 1), 10))
+	line(externalapi.DeadlineMs, strconv.FormatInt(max(time.Until(x.until).Milliseconds(), 1), 10))
 	line(externalapi.Target, x.target)
 	if x.stage != "" {
 		line(externalapi.Stage, x.stage)
@@ -101,13 +102,14 @@
 
 // exchange is one send to one backend, and its answer.
 type exchange struct {
-	ctx  context.Context // the send's: when it ends, whoever reads is woken
-	lent *transport.Lent
-	resp *http.Response
-	stop func() bool
-	sent time.Time
-	at   residency.Permit
-	held *held // what the send is known by where its request is enclosed; nil: it is not
+	ctx     context.Context // the send's: when it ends, whoever reads is woken
+	lent    *transport.Lent
+	request *sending
+	resp    *http.Response
+	stop    func() bool
+	sent    time.Time
+	at      residency.Permit
+	held    *held // what the send is known by where its request is enclosed; nil: it is not
 }
 
 var (
@@ -117,11 +119,14 @@
 	errNotWhole = errors.New("the answer is not whole")
 )
 
-// maxStale bounds the surplus answers that are read past on a connection.
-const maxStale = 4
-
-// over is a deadline that has passed: it wakes who reads or writes.
-var over = time.Unix(1, 0)
+const (
+	// maxSurplus bounds the answers to earlier requests that are read past on a connection, and maxSurplusBody the body of each.
+	maxSurplus, maxSurplusBody = 3, 1 << 20
+	// maxInterim bounds the 1xx answers ahead of an answer.
+	maxInterim = 8
+	// maxAnswerHead bounds the head of an answer, with the 1xx answers ahead of it, in bytes.
+	maxAnswerHead = 64 << 10
+)
 
 // readUntil bounds the reads that follow. A send that has ended stays so: its end may have come between two reads, and a new
 // bound would undo what is to wake the next.
@@ -133,7 +138,7 @@
 }
 
 // begin sends the message and reads the head of its answer. wrote tells whether a byte may have gone out: else
-// the backend has not run it. When ctx ends the connection is closed under whoever reads from it. The terms of the request
+// the backend has not run it; a backend may act on a request before it has all of it. When ctx ends the connection is closed under whoever reads from it. The terms of the request
 // are checked here again, for the backend and for where a handle lies, and watched until the exchange ends.
 func (t *try) begin(ctx context.Context, at residency.Permit, m *message, x *extra, connectBy, headBy time.Time) (e *exchange, wrote bool, err error) {
 	x.target = at.ID()
@@ -156,69 +161,145 @@
 	}
 	e = &exchange{ctx: ctx, lent: lent, sent: time.Now(), at: at, held: held}
 	e.stop = context.AfterFunc(ctx, func() { _ = lent.Conn.SetDeadline(over) })
-	fail := func(wrote bool, err error) (*exchange, bool, error) {
+	if wrote, err = e.roundTrip(m, x, headBy); err != nil {
 		e.stop()
-		lent.Drop(true)
+		e.drop(true)
 		held.end(wrote)
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
 		return nil, wrote, err
 	}
-	if err := lent.SetDeadline(headBy); err != nil {
-		return fail(false, err)
+	held.answered(!notRun(e.resp))
+	return e, true, nil
+}
+
+// roundTrip sends the request and reads the head of its answer; wrote: a byte of the request may have gone out.
+func (e *exchange) roundTrip(m *message, x *extra, headBy time.Time) (wrote bool, err error) {
+	if err := e.lent.SetDeadline(headBy); err != nil {
+		return false, err
+	}
+	if e.ctx.Err() != nil {
+		return false, e.ctx.Err()
 	}
-	if ctx.Err() != nil {
-		return fail(false, ctx.Err())
+	e.request = send(e.ctx, e.lent, m.head(x))
+	if wrote, err := e.request.failed(); err != nil {
+		return wrote, errors.Wrap(err, "send")
 	}
-	out := m.head(x)
-	if n, err := lent.Write(out); err != nil {
-		// A request that is not whole at the backend can't have begun there.
-		return fail(n == len(out), errors.Wrap(err, "send"))
+	if err := e.receive(m); err != nil {
+		if isTimeout(err) && e.ctx.Err() == nil {
+			err = errSilent
+		}
+		_ = e.lent.SetDeadline(over)
+		return e.request.wait() > 0, errors.Wrap(err, "answer")
 	}
-	for range maxStale {
-		req := &http.Request{Method: m.method}
-		resp, err := http.ReadResponse(lent.R, req)
+	return true, nil
+}
+
+// receive reads the head of the answer to the message, past 1xx answers and surplus answers to earlier requests of the
+// connection. What can't be told to be the answer to this very message is errNotOurs.
+func (e *exchange) receive(m *message) error {
+	only := !e.lent.Reused // nothing but this message was ever sent on the connection
+	interim := 0
+	e.lent.Bound(maxAnswerHead)
+	for surplus := 0; surplus <= maxSurplus; {
+		resp, err := http.ReadResponse(e.lent.R, &http.Request{Method: m.method})
 		if err != nil {
-			if isTimeout(err) && ctx.Err() == nil {
-				err = errSilent
-			}
-			return fail(true, errors.Wrap(err, "answer"))
+			return err
 		}
-		if resp.StatusCode < 200 {
+		if resp.StatusCode < http.StatusOK {
+			if interim++; interim > maxInterim || resp.StatusCode == http.StatusSwitchingProtocols {
+				return errNotOurs
+			}
 			continue
 		}
-		if id := resp.Header.Get(externalapi.AttemptID); id != "" && id != m.id {
-			// A surplus answer to an earlier request of this connection.
-			if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, 1<<20)); err != nil {
-				return fail(true, errNotOurs)
+		e.lent.Bound(math.MaxInt)
+		switch ownerOf(resp, m.id) {
+		case ownerUs:
+			e.resp = resp
+			return nil
+		case ownerUntold:
+			// A failure that names no request is ours only where there is no other that it could be for.
+			if only && resp.StatusCode >= http.StatusMultipleChoices {
+				e.resp = resp
+				return nil
 			}
-			continue
-		} else if id == "" && resp.StatusCode < 300 {
-			return fail(true, errNotOurs)
+			return errNotOurs
+		case ownerUnclear:
+			return errNotOurs
+		}
+		// Of an answer to a HEAD, or to who knows what on a connection that carries one, the end can't be found.
+		if resp.Close || m.method == http.MethodHead {
+			return errNotOurs
+		}
+		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSurplusBody+1))
+		if err != nil || n > maxSurplusBody {
+			return errNotOurs
+		}
+		surplus++
+		only = false
+		e.lent.Bound(maxAnswerHead)
+	}
+	return errNotOurs
+}
+
+// owner is whose answer one is, by the attempt ids in its head.
+type owner int
+
+const (
+	ownerUs      owner = iota
+	ownerOther         // another request's
+	ownerUntold        // it names none
+	ownerUnclear       // it names several
+)
+
+// ownerOf tells whose answer one is.
+func ownerOf(resp *http.Response, id string) owner {
+	ids := resp.Header[externalapi.AttemptID]
+	if len(ids) == 0 {
+		return ownerUntold
+	}
+	for _, one := range ids[1:] {
+		if one != ids[0] {
+			return ownerUnclear
 		}
-		e.resp = resp
-		held.answered(!notRun(resp))
-		return e, true, nil
 	}
-	return fail(true, errNotOurs)
+	if ids[0] != id {
+		return ownerOther
+	}
+	return ownerUs
 }
 
-// end gives the connection back if the answer was read whole, else closes it.
+// end gives the connection back if the answer was read whole and all of the request has gone out, else closes it.
 func (e *exchange) end(whole bool) {
 	if e.lent == nil {
 		return
 	}
 	stopped := e.stop()
-	if whole && stopped && !e.resp.Close {
+	if whole && stopped && e.reusable() {
 		e.lent.Return()
+		e.lent = nil
 	} else {
-		e.lent.Drop(false)
+		e.drop(false)
 	}
-	e.lent = nil
 	e.held.end(true)
 }
 
+// reusable tells whether another request may follow on the connection. Where a part of this one is still to go out, the
+// backend would take the next for that part. A surplus answer to a HEAD has no end that could be found.
+func (e *exchange) reusable() bool {
+	return !e.resp.Close && e.resp.Request.Method != http.MethodHead && e.request.whole()
+}
+
+// drop closes the connection; when it returns no byte of the request goes out any more. broke tells that no answer came.
+func (e *exchange) drop(broke bool) {
+	e.lent.Drop(broke)
+	e.lent = nil
+	if e.request != nil {
+		e.request.wait()
+	}
+}
+
 // body reads an answer whole, bounded; the connection is given back.
 func (e *exchange) body(most int64) ([]byte, error) {
 	b, err := io.ReadAll(io.LimitReader(e.resp.Body, most+1))
--- /dev/null
+++ b/internal/fleet/proxy/exchange_planted_test.go
@@ -0,0 +1,46 @@
+package proxy
+
+import (
+	"strings"
+	"testing"
+)
+
+// The tests of exchanges, as patterns.
+const (
+	answerEnds  = "^TestAnswerEndsAtEveryByte$"
+	requestEnds = "^TestRequestEndsAtItsBytes$"
+	beforeBody  = "^TestAnswerBeforeTheBody$"
+	odd         = "^TestOddAnswers$"
+	clientGoes  = "^TestClientLeavesAtEveryByte$"
+)
+
+const (
+	fileSending = "sending.go"
+	fileLend    = "../../protocol/transport/lend.go"
+)
+
+// exchangeFaults are faults by which an answer goes to the wrong caller, or what may run once is sent twice.
+var exchangeFaults = []leak{
+	{"a request cut off on its way out counts as not sent", requestEnds, map[string][]string{fileSending: {"return s.wait() > 0, s.err", "return s.wait() == s.length, s.err"}}},
+	{"a long request cut off on its way out counts as not sent", requestEnds, map[string][]string{fileExchange: {"return e.request.wait() > 0, errors", "return e.request.whole(), errors"}}},
+	{"the next request goes where the rest of one is due", beforeBody, map[string][]string{fileExchange: {"e.resp.Request.Method != http.MethodHead && e.request.whole()", "e.resp.Request.Method != http.MethodHead"}}},
+	{"ids are not compared", odd, map[string][]string{fileExchange: {"if ids[0] != id {", "if ids[0] == \"\" {"}}},
+	{"one of several ids is enough", odd, map[string][]string{fileExchange: {"if one != ids[0] {", "if one == \"\" {"}}},
+	{"a failure without an id is believed on a used connection", odd, map[string][]string{fileExchange: {"if only && resp.StatusCode", "if only = true; only && resp.StatusCode"}}},
+	{"a surplus answer longer than what is read past", odd, map[string][]string{fileExchange: {"io.LimitReader(resp.Body, maxSurplusBody+1)", "io.LimitReader(resp.Body, maxSurplusBody)"}}},
+	{"a success may say that it has not run", odd, map[string][]string{fileServe: {"resp.StatusCode >= 400 && resp.Header", "resp.Header"}}},
+	{"a backend's word is passed on as a promise", odd, map[string][]string{fileServe: {"if t.ran && promises(resp.StatusCode) {", "if t.ran && resp.StatusCode == 0 {"}}},
+	{"a stream that is reset counts as whole", answerEnds, map[string][]string{fileStream: {"\t\tif err == io.EOF {\n\t\t\tif !r.begun", "\t\tif err != nil && !isTimeout(err) {\n\t\t\tif !r.begun"}}},
+	{"an answer that is reset counts as whole", answerEnds, map[string][]string{fileExchange: {"b, err := io.ReadAll(io.LimitReader(e.resp.Body, most+1))", "b, err := io.ReadAll(io.LimitReader(e.resp.Body, most+1))\n\tif len(b) > 0 && !isTimeout(err) {\n\t\terr = nil\n\t}"}}},
+	{"a handle is sent to a second taker", answerEnds, map[string][]string{fileGenerate: {"\t\t\tt.free(h)\n\t\t\th = nil\n\t\t\treads++\n\t\t\tsplit = reads < 2 && t.couldAgain()", "\t\t\treads++\n\t\t\tsplit = reads < 2 && t.couldAgain()"}}},
+	{"a client that has left gets an empty success", clientGoes, map[string][]string{fileServe: {"\t\t\tt.clientLeft()\n", "\t\t\treturn\n"}}},
+	{"a backend is given the time that the client had at first", answerEnds, map[string][]string{fileExchange: {"max(time.Until(x.until).Milliseconds(), 1)", "max(1990+0*x.until.Unix(), 1)"}}},
+	{"an id goes twice over one connection", "^TestIDUsedAgain$", map[string][]string{fileLend: {"if c.carried == requestID {", "if c.carried == requestID+requestID {"}}},
+}
+
+// TestPlantedExchangeFaults plants each of them in turn.
+func TestPlantedExchangeFaults(t *testing.T) {
+	for _, one := range exchangeFaults {
+		t.Run(strings.ReplaceAll(one.name, " ", "_"), one.plant)
+	}
+}
--- a/internal/fleet/proxy/generate.go
+++ b/internal/fleet/proxy/generate.go
@@ -44,7 +44,7 @@
 		t.svc.ranker.Ended(t.svc.now(), b.ID, status)
 		t.svc.mu.Unlock()
 	}()
-	x := extra{left: time.Until(t.deadline), stage: externalapi.PhasePrefill, priority: t.priority(false)}
+	x := extra{until: t.deadline, stage: externalapi.PhasePrefill, priority: t.priority(false)}
 	e, wrote, err := t.begin(ctx, at, &t.m, &x, t.connectBy(), by)
 	if err != nil {
 		status = judge(wrote, err)
@@ -72,15 +72,22 @@
 	return &handle{ref: ans.Ref, from: b, at: at, tokens: ans.Tokens}, true, nil
 }
 
+// freeWithin bounds the call that frees a handle, and freeLate how much longer than its request's time that call may take.
+const freeWithin, freeLate = time.Second, 400 * time.Millisecond
+
 // free gives memory back that nobody will take.
 func (t *try) free(h *handle) {
 	v := t.v
 	v.background.Go(func() {
-		ctx, cancel := context.WithTimeout(v.ctx, time.Second)
+		ctx, cancel := context.WithTimeout(v.ctx, freeWithin)
 		defer cancel()
 		m := message{id: t.m.id, method: externalapi.Free.Method, target: externalapi.Free.Path + h.ref, host: h.from.Address}
-		x := extra{left: time.Second, priority: -1}
-		e, _, err := t.begin(ctx, h.from.plot.Release(), &m, &x, time.Now().Add(connectWithin), time.Now().Add(time.Second))
+		until := time.Now().Add(freeWithin)
+		if late := t.deadline.Add(freeLate); late.Before(until) {
+			until = late // nobody is handed much more time than the client gave
+		}
+		x := extra{until: until, priority: -1}
+		e, _, err := t.begin(ctx, h.from.plot.Release(), &m, &x, time.Now().Add(connectWithin), time.Now().Add(freeWithin))
 		if err == nil {
 			_, _ = e.body(maxHandleAnswer)
 		}
@@ -129,9 +136,10 @@
 			if h, reached, err = t.prefill(ctx, pl.from, pl.first, p, pl.home, t.readBy(pl.readMs)); err != nil {
 				t.unsent(pl, p)
 				if ctx.Err() != nil {
-					if time.Until(t.deadline) <= 0 {
-						t.giveUp(ctx, errText(err))
+					if time.Until(t.deadline) > 0 {
+						t.clientLeft()
 					}
+					t.giveUp(ctx, errText(err))
 					return
 				}
 				// Another backend reads it; a call that came to nothing is one beyond the first, and counts as such.
@@ -156,7 +164,7 @@
 			return
 		}
 		if ctx.Err() != nil && time.Until(t.deadline) > 0 {
-			return
+			t.clientLeft()
 		}
 		if t.sends == sends && len(t.tried) < maxWays && time.Until(t.deadline) > connectWithin {
 			continue // none has seen it: there was no way to that backend
--- a/internal/fleet/proxy/leaks_test.go
+++ b/internal/fleet/proxy/leaks_test.go
@@ -91,44 +91,56 @@
 
 // TestPlantedLeaks plants each leak in turn, by the compiler's overlay: nothing in the tree is changed.
 func TestPlantedLeaks(t *testing.T) {
-	here, err := os.Getwd()
-	qt.Assert(t, err, qt.IsNil)
 	for _, one := range leaks {
-		t.Run(strings.ReplaceAll(one.name, " ", "_"), func(t *testing.T) {
-			c := qt.New(t)
-			dir := t.TempDir()
-			overlay := struct{ Replace map[string]string }{map[string]string{}}
-			for file, texts := range one.changes {
-				b, err := os.ReadFile(file)
-				c.Assert(err, qt.IsNil)
-				src := string(b)
-				for i := 0; i < len(texts); i += 2 {
-					c.Assert(strings.Count(src, texts[i]), qt.Equals, 1, qt.Commentf("the leak is to be planted anew: %s: %s", file, texts[i]))
-					src = strings.Replace(src, texts[i], texts[i+1], 1)
-				}
-				planted := filepath.Join(dir, filepath.Base(file))
-				c.Assert(os.WriteFile(planted, []byte(src), 0o600), qt.IsNil)
-				overlay.Replace[filepath.Join(here, file)] = planted
-			}
-			b, err := json.Marshal(overlay)
-			c.Assert(err, qt.IsNil)
-			list := filepath.Join(dir, "overlay.json")
-			c.Assert(os.WriteFile(list, b, 0o600), qt.IsNil)
-			tests := one.by
-			if one.by == "compiler" {
-				tests = "^$"
-			}
-			cmd := exec.CommandContext(t.Context(), "go", "test", "-vet=off", "-p=2", "-count=1", "-overlay", list, "-run", tests, ".", "-rapid.nofailfile", "-rapid.shrinktime=0s")
-			out, err := cmd.CombinedOutput()
-			c.Assert(err, qt.IsNotNil, qt.Commentf("it was not found:\n%s", out))
-			built := !strings.Contains(string(out), "[build failed]")
-			c.Assert(built, qt.Equals, one.by != "compiler", qt.Commentf("%s", out))
-			for line := range strings.Lines(string(out)) {
-				if strings.Contains(line, "error:") || strings.Contains(line, ".go:") && !built || strings.Contains(line, "--- FAIL") {
-					t.Logf("found: %s", strings.TrimSpace(line))
-					break
-				}
-			}
-		})
+		t.Run(strings.ReplaceAll(one.name, " ", "_"), one.plant)
+	}
+}
+
+// plant builds the tests with the leak in, and has them fail.
+func (one leak) plant(t *testing.T) {
+	c := qt.New(t)
+	cmd := exec.CommandContext(t.Context(), "go", "test", "-vet=off", "-p=2", "-count=1", "-overlay", one.overlay(c, t.TempDir()), "-run", one.tests(), ".",
+		"-rapid.nofailfile", "-rapid.shrinktime=0s")
+	out, err := cmd.CombinedOutput()
+	c.Assert(err, qt.IsNotNil, qt.Commentf("it was not found:\n%s", out))
+	built := !strings.Contains(string(out), "[build failed]")
+	c.Assert(built, qt.Equals, one.by != "compiler", qt.Commentf("%s", out))
+	for line := range strings.Lines(string(out)) {
+		if strings.Contains(line, "error:") || strings.Contains(line, ".go:") && !built || strings.Contains(line, "--- FAIL") {
+			t.Logf("found: %s", strings.TrimSpace(line))
+			break
+		}
+	}
+}
+
+// tests is the pattern of the tests that have to find the leak.
+func (one leak) tests() string {
+	if one.by == "compiler" {
+		return "^$"
+	}
+	return one.by
+}
+
+// overlay writes the changed files and the compiler's list of them, and gives that list's name.
+func (one leak) overlay(c *qt.C, dir string) string {
+	here, err := os.Getwd()
+	c.Assert(err, qt.IsNil)
+	overlay := struct{ Replace map[string]string }{map[string]string{}}
+	for file, texts := range one.changes {
+		b, err := os.ReadFile(file)
+		c.Assert(err, qt.IsNil)
+		src := string(b)
+		for i := 0; i < len(texts); i += 2 {
+			c.Assert(strings.Count(src, texts[i]), qt.Equals, 1, qt.Commentf("the leak is to be planted anew: %s: %s", file, texts[i]))
+			src = strings.Replace(src, texts[i], texts[i+1], 1)
+		}
+		planted := filepath.Join(dir, filepath.Base(file))
+		c.Assert(os.WriteFile(planted, []byte(src), 0o600), qt.IsNil)
+		overlay.Replace[filepath.Join(here, file)] = planted
 	}
+	b, err := json.Marshal(overlay)
+	c.Assert(err, qt.IsNil)
+	list := filepath.Join(dir, "overlay.json")
+	c.Assert(os.WriteFile(list, b, 0o600), qt.IsNil)
+	return list
 }
--- a/internal/fleet/proxy/serve.go
+++ b/internal/fleet/proxy/serve.go
@@ -84,8 +84,8 @@
 		return
 	}
 	id := r.Header.Get(externalapi.AttemptID)
-	if !plain(id) {
-		v.refuse(w, http.StatusBadRequest, 0, externalapi.AttemptID+": missing or no plain word")
+	if !plain(id) || len(r.Header[externalapi.AttemptID]) != 1 {
+		v.refuse(w, http.StatusBadRequest, 0, externalapi.AttemptID+": missing, several or no plain word")
 		return
 	}
 	wait := route.Deadline()
@@ -108,9 +108,14 @@
 		v.refuse(w, http.StatusRequestEntityTooLarge, 0, "body too large")
 		return
 	}
-	body, err := readBody(r, most)
+	deadline := came.Add(wait - min(margin, wait/10))
+	body, err := readBodyBy(w, r, most, deadline)
 	if err != nil {
 		w.Header().Set("Connection", "close")
+		if isTimeout(err) {
+			v.refuse(w, http.StatusRequestTimeout, 0, "body not whole in time")
+			return
+		}
 		if errors.Is(err, errTooLarge) {
 			v.refuse(w, http.StatusRequestEntityTooLarge, 0, "body too large")
 			return
@@ -119,7 +124,7 @@
 		return
 	}
 	dropHop(r.Header)
-	t := &try{v: v, w: w, route: route, came: came, deadline: came.Add(wait - min(margin, wait/10)), tried: map[string]bool{},
+	t := &try{v: v, w: w, route: route, came: came, deadline: deadline, tried: map[string]bool{},
 		m: message{id: id, method: r.Method, target: r.RequestURI, host: r.Host, header: r.Header, body: body}}
 	t.enclose(world)
 	t.svc = world.services[route.Pick(xxhash.Sum64String(id)).Name]
@@ -156,10 +161,20 @@
 
 var errTooLarge = errors.New("body too large")
 
-func readBody(r *http.Request, most int64) ([]byte, error) {
+// readBodyBy is readBody with a bound in time: a client that stops within its body is given its answer all the same.
+func readBodyBy(w http.ResponseWriter, r *http.Request, most int64, by time.Time) ([]byte, error) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
+	conn := http.NewResponseController(w)
+	_ = conn.SetReadDeadline(by) // a writer that has no connection has no deadline either
+	body, err := readBody(r, most)
+	_ = conn.SetReadDeadline(time.Time{})
+	return body, err
+}
+
+// readBody reads a body whole, of at most so many bytes.
+func readBody(r *http.Request, most int64) ([]byte, error) {
 	if r.ContentLength > 0 {
 		// What is held grows with what comes, in steps, not with what a length claims.
 		b := make([]byte, 0, min(r.ContentLength, 64<<10))
@@ -220,6 +235,13 @@
 	}
 }
 
+// clientLeft ends a request whose client has gone, with its connection: a handler that returns without an answer would give an
+// empty 200, which a client that has closed only its half takes for its answer.
+func (t *try) clientLeft() {
+	t.v.count(0)
+	panic(http.ErrAbortHandler)
+}
+
 // judge tells the design how an attempt ended.
 func judge(wrote bool, err error) policy.Status {
 	switch {
@@ -263,9 +285,10 @@
 	return t.svc.spent.take(time.Now(), n)
 }
 
-// notRun reads from an answer's head that the backend did not run the request.
+// notRun reads from an answer's head that the backend did not run the request. A success that says so contradicts itself, and
+// proves nothing.
 func notRun(resp *http.Response) bool {
-	return resp.StatusCode == http.StatusMisdirectedRequest || resp.Header.Get(externalapi.NotRun) != ""
+	return resp.StatusCode == http.StatusMisdirectedRequest || resp.StatusCode >= 400 && resp.Header.Get(externalapi.NotRun) != ""
 }
 
 // plain serves a request whose answer comes whole.
@@ -284,7 +307,7 @@
 			return
 		}
 		if ctx.Err() != nil && time.Until(t.deadline) > 0 {
-			return // the client has left
+			t.clientLeft()
 		}
 		if t.sends == sends && len(t.tried) < maxWays && time.Until(t.deadline) > connectWithin {
 			continue // none has seen it: there was no way to that backend
@@ -326,7 +349,7 @@
 // plainAt sends to one backend; done: the client has its answer.
 func (t *try) plainAt(ctx context.Context, at residency.Permit) (done bool, err error) {
 	id := at.ID()
-	x := extra{left: time.Until(t.deadline), priority: -1}
+	x := extra{until: t.deadline, priority: -1}
 	e, wrote, err := t.begin(ctx, at, &t.m, &x, t.connectBy(), t.headBy())
 	if wrote {
 		t.sends++
@@ -358,8 +381,10 @@
 		t.svc.ended(id, policy.Full)
 		t.refused = max(t.refused, retryAfter(resp))
 		return false, nil
+	}
+	t.ran = true
+	switch {
 	case resp.StatusCode >= 500:
-		t.ran = true
 		t.svc.ended(id, policy.Error)
 		if t.wouldAgain() {
 			return false, errors.Errorf("status %d", resp.StatusCode)
@@ -386,24 +411,35 @@
 	for key, values := range resp.Header {
 		h[key] = values
 	}
+	h[externalapi.AttemptID] = []string{t.m.id}
 	if _, dated := resp.Header["Date"]; !dated {
 		h["Date"] = nil
 	}
 }
 
-// answer gives the client a backend's whole answer.
-func (t *try) answer(resp *http.Response, body []byte) {
-	status := resp.StatusCode
-	t.head(resp)
+// promises tells whether a status promises the client that its request has not run and never will.
+func promises(status int) bool {
 	switch status {
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		// These promise that the request has not run; the backend did not say so.
-		if t.ran {
-			status = http.StatusBadGateway
-		}
+		return true
+	}
+	return false
+}
+
+// answer gives the client a backend's whole answer. One that promises what the backend has not said is not passed on: the
+// failure in its place is this proxy's own, without the backend's head.
+func (t *try) answer(resp *http.Response, body []byte) {
+	if t.ran && promises(resp.StatusCode) {
+		t.v.refuse(t.w, http.StatusBadGateway, 0, "backend: status "+strconv.Itoa(resp.StatusCode))
+		return
+	}
+	t.head(resp)
+	length := int64(len(body))
+	if t.m.method == http.MethodHead && resp.ContentLength >= 0 {
+		length = resp.ContentLength // of what is not sent
 	}
-	t.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	t.v.count(status)
-	t.w.WriteHeader(status)
+	t.w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
+	t.v.count(resp.StatusCode)
+	t.w.WriteHeader(resp.StatusCode)
 	_, _ = t.w.Write(body)
 }
--- a/internal/fleet/proxy/stream.go
+++ b/internal/fleet/proxy/stream.go
@@ -50,7 +50,7 @@
 		t.svc.ranker.Ended(t.svc.now(), b.ID, status)
 		t.svc.mu.Unlock()
 	}()
-	x := extra{left: time.Until(t.deadline), priority: t.priority(h != nil), handle: h}
+	x := extra{until: t.deadline, priority: t.priority(h != nil), handle: h}
 	heard := t.svc.awaits(b.ID)
 	e, wrote, err := t.begin(ctx, pl.permit, &t.m, &x, t.connectBy(), t.headBy())
 	heard(err == nil)
@@ -137,7 +137,7 @@
 func (r *relay) pass(ctx context.Context, e *exchange, first func()) error {
 	t := r.t
 	resp := e.resp
-	events := strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
+	events := isEvents(resp)
 	flush := http.NewResponseController(t.w)
 	buf := make([]byte, 0, 4<<10)
 	some := false
@@ -215,6 +215,11 @@
 	}
 }
 
+// isEvents tells whether an answer is a series of events.
+func isEvents(resp *http.Response) bool {
+	return strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
+}
+
 // isTimeout tells whether a deadline, a connection's or a context's, ended an operation.
 func isTimeout(err error) bool {
 	var t interface{ Timeout() bool }
@@ -242,7 +247,7 @@
 		}
 		t.tried[pl.at.ID] = true
 		status, kept := policy.OK, false
-		x := extra{left: time.Until(t.deadline), priority: t.priority(false), lastID: r.lastID}
+		x := extra{until: t.deadline, priority: t.priority(false), lastID: r.lastID}
 		e, wrote, err := t.begin(ctx, pl.permit, &t.m, &x, t.connectBy(), t.headBy())
 		if wrote {
 			t.sends++
@@ -250,7 +255,7 @@
 		done := false
 		if err != nil {
 			status = judge(wrote, err)
-		} else if resp := e.resp; resp.StatusCode != http.StatusOK || resp.Header.Get(externalapi.Seal) == "" || resp.Header.Get("Content-Encoding") != "" {
+		} else if resp := e.resp; resp.StatusCode != http.StatusOK || resp.Header.Get(externalapi.Seal) == "" || resp.Header.Get("Content-Encoding") != "" || !isEvents(resp) {
 			status = policy.Error
 			if notRun(resp) {
 				status = policy.Full
--- a/internal/protocol/transport/lend.go
+++ b/internal/protocol/transport/lend.go
@@ -25,23 +25,33 @@
 	Reused bool // it has carried a request before
 }
 
-// Lend gives an idle connection on which nothing waits, else a new one; purpose names what it is for. Errors:
-// core.ErrNoSocket where no descriptor is left, the context's, and those of the dial: nothing has been written.
-func (w *Way) Lend(ctx context.Context, purpose string) (*Lent, error) {
-	c, err := w.e.take()
-	if err != nil {
-		return nil, err
+// Lend gives an idle connection on which nothing waits, else a new one; requestID names the request that it is for, and is
+// not empty. Two requests of one id never follow each other on a connection: a surplus answer to the first would pass for the
+// second's. Errors: core.ErrNoSocket where no descriptor is left, the context's, and those of the dial: nothing has been written.
+func (w *Way) Lend(ctx context.Context, requestID string) (*Lent, error) {
+	for {
+		c, err := w.e.take()
+		if err != nil {
+			return nil, err
+		}
+		if c, err = w.e.ready(ctx, requestID, c); err != nil {
+			return nil, err
+		}
+		if c.carried == requestID {
+			c.Close()
+			continue // there is one idle connection less
+		}
+		reused := c.carried != ""
+		c.left, c.carried = math.MaxInt, requestID
+		r := readers.Get().(*bufio.Reader)
+		r.Reset(c)
+		return &Lent{Conn: c, R: r, c: c, Reused: reused}, nil
 	}
-	reused := c != nil
-	if c, err = w.e.ready(ctx, purpose, c); err != nil {
-		return nil, err
-	}
-	c.left = math.MaxInt
-	r := readers.Get().(*bufio.Reader)
-	r.Reset(c)
-	return &Lent{Conn: c, R: r, c: c, Reused: reused}, nil
 }
 
+// Bound sets how many bytes may still be read from the connection.
+func (l *Lent) Bound(bytes int) { l.c.left = bytes }
+
 // Return gives a connection back for the next, whose last answer was read whole; one that holds unread bytes
 // is closed.
 func (l *Lent) Return() {
--- a/internal/protocol/transport/pool.go
+++ b/internal/protocol/transport/pool.go
@@ -129,12 +129,13 @@
 // conn is a connection to a server, for one attempt at a time.
 type conn struct {
 	net.Conn
-	end   *endpoint
-	left  int           // bytes that may still be read for the attempt
-	idle  *list.Element // its place among all that stand idle
-	since time.Time     // when it came to stand idle
-	age   time.Duration // how long it had stood idle; 0: new
-	once  sync.Once
+	end     *endpoint
+	left    int           // bytes that may still be read for the attempt
+	idle    *list.Element // its place among all that stand idle
+	since   time.Time     // when it came to stand idle
+	age     time.Duration // how long it had stood idle; 0: new
+	carried string        // id of the request that it was lent for last; empty: none
+	once    sync.Once
 }
 
 var errTooLong = errors.New("answer: longer than any may be")
