Proxy: clients that leave, stop within a body or send several requests, over loopback

Cause: a request refused without its body (404, 413, no configuration) was answered only after the library had read up to 256 KiB of that body, so a client that stopped within it got no answer at all; and after the 408 for such a body the connection stood until the client closed it. The read deadline now stands from the head on, and stays where the body did not come whole.

Tests: clients that close, or close their half, before and within answers and streams; that stop within bodies; requests sent in a row with what looks like requests in refused bodies; requests that can be read in two ways.

--- /dev/null
+++ b/internal/fleet/proxy/exchange_client_test.go
@@ -0,0 +1,228 @@
+package proxy
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"molepaddle/internal/fleet/externalapi"
+)
+
+// goneWithin is in what time a backend's connection has to end once its client has gone.
+const goneWithin = 500 * time.Millisecond
+
+// clientRig is a proxy that clients reach over loopback, before a scripted backend.
+type clientRig struct {
+	*qt.C
+	*exchangeRig
+	server  *httptest.Server
+	arrived chan string // ids of the requests that have come to the backend
+}
+
+func newClientRig(t *testing.T, kind requestKind) *clientRig {
+	r := &clientRig{C: qt.New(t), exchangeRig: newExchangeRig(kind, breakage{}), arrived: make(chan string, 100)}
+	r.struck = &scriptedConn{} // nothing is in trouble but what a script says
+	r.came, r.deadline = time.Now(), exchangeDeadline
+	r.server = httptest.NewServer(r.v)
+	t.Cleanup(func() {
+		r.server.Close()
+		r.v.background.Wait()
+		r.v.pool.Close()
+		r.Check(r.found, qt.HasLen, 0)
+	})
+	return r
+}
+
+// silent has the backend say this much and then nothing.
+func (r *clientRig) silent(after func(a *wellAnswer) []byte) {
+	r.script = func(a *wellAnswer) reply {
+		r.arrived <- a.id
+		return reply{taken: -1, bytes: after(a)}
+	}
+}
+
+// connect opens a client's connection, whose use is bounded.
+func (r *clientRig) connect() (*net.TCPConn, *bufio.Reader) {
+	c, err := net.Dial("tcp", r.server.Listener.Addr().String())
+	r.Assert(err, qt.IsNil)
+	r.Assert(c.SetDeadline(time.Now().Add(testPatience)), qt.IsNil)
+	r.Cleanup(func() { c.Close() })
+	return c.(*net.TCPConn), bufio.NewReader(c)
+}
+
+// send writes a request with a body.
+func (r *clientRig) send(c net.Conn, path, id, body string) {
+	_, err := io.WriteString(c, requestText(path, id, body))
+	r.Assert(err, qt.IsNil)
+}
+
+func requestText(path, id, body string) string {
+	more := ""
+	if strings.HasPrefix(path, "/free/") {
+		more = externalapi.Model + ": m\r\n" + externalapi.TokenCount + ": 100,2\r\n" + externalapi.Prefix + ": fa01:80,01:20\r\n"
+	}
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: 2000\r\n%sContent-Length: %d\r\n\r\n%s",
+		path, externalapi.AttemptID, id, externalapi.DeadlineMs, more, len(body), body)
+}
+
+// await waits for a signal that has to come, and tells how long it took.
+func await[T any](r *clientRig, what string, signal <-chan T) time.Duration {
+	r.Helper()
+	began := time.Now()
+	select {
+	case <-signal:
+	case <-time.After(testPatience):
+		r.Fatalf("%s does not come", what)
+	}
+	return time.Since(began)
+}
+
+// conn is the backend's connection that was opened last.
+func (r *clientRig) conn() *scriptedConn {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, b := range r.backends {
+		if len(b.conns) > 0 {
+			return b.conns[len(b.conns)-1]
+		}
+	}
+	return nil
+}
+
+// answer reads an answer whole.
+func (r *clientRig) answer(in *bufio.Reader) (*http.Response, string) {
+	r.Helper()
+	resp, err := http.ReadResponse(in, &http.Request{Method: http.MethodPost})
+	r.Assert(err, qt.IsNil)
+	body, err := io.ReadAll(resp.Body)
+	r.Assert(err, qt.IsNil)
+	return resp, string(body)
+}
+
+// TestClientLeaves has clients close their connection, or their half of it, before and within an answer: the backend's connection
+// ends at once, and who has closed only its half gets no answer in place of its own.
+func TestClientLeaves(t *testing.T) {
+	nothing := func(*wellAnswer) []byte { return nil }
+	half := func(a *wellAnswer) []byte { return a.framed()[:len(a.framed())/2] }
+	for _, tc := range []struct {
+		name  string
+		kind  requestKind
+		after func(*wellAnswer) []byte
+		half  bool
+	}{
+		{"before an answer", requestKind{route: "freeread"}, nothing, false},
+		{"before an answer, its half", requestKind{route: "freeread"}, nothing, true},
+		{"within an answer, its half", requestKind{route: "freeread"}, half, true},
+		{"before a stream", requestKind{route: "free"}, nothing, false},
+		{"before a stream, its half", requestKind{route: "free"}, nothing, true},
+		{"within a stream", requestKind{route: "free"}, half, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newClientRig(t, tc.kind)
+			r.silent(tc.after)
+			c, in := r.connect()
+			r.send(c, "/"+tc.kind.route+"/x", "one", "data")
+			await(r, "the request", r.arrived)
+			if tc.half {
+				r.Assert(c.CloseWrite(), qt.IsNil)
+			} else {
+				r.Assert(c.Close(), qt.IsNil)
+			}
+			r.Check(await(r, "the end of the backend's connection", r.conn().gone) < goneWithin, qt.IsTrue)
+			if tc.half {
+				got, err := io.ReadAll(in)
+				r.Check(err, qt.IsNil)
+				r.Check(string(got), qt.Equals, "")
+			}
+			r.Check(r.arrived, qt.HasLen, 0, qt.Commentf("it was sent again"))
+		})
+	}
+}
+
+// TestClientStopsWithinItsBody: the request has its final answer within half a second of its deadline, a refusal that needs no body
+// at once, and nothing of it reaches a backend.
+func TestClientStopsWithinItsBody(t *testing.T) {
+	const deadline = 200 * time.Millisecond
+	for path, status := range map[string]int{"/post/x": http.StatusRequestTimeout, "/nowhere/x": http.StatusNotFound} {
+		for _, framing := range []string{"Content-Length: 100\r\n\r\nsome", "Transfer-Encoding: chunked\r\n\r\n4\r\nsome\r\n5"} {
+			r := newClientRig(t, requestKind{route: "post"})
+			r.silent(func(a *wellAnswer) []byte { return a.framed() })
+			c, in := r.connect()
+			began := time.Now()
+			_, err := fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h\r\n%s: one\r\n%s: %d\r\n%s", path, externalapi.AttemptID, externalapi.DeadlineMs, deadline.Milliseconds(), framing)
+			r.Assert(err, qt.IsNil)
+			resp, _ := r.answer(in)
+			took := time.Since(began)
+			r.Check(took < max(deadline, unreadWithin)+goneWithin, qt.IsTrue, qt.Commentf("after %v", took))
+			r.Check(resp.StatusCode, qt.Equals, status)
+			r.Check(resp.Header.Get(externalapi.AttemptID), qt.Equals, "one")
+			_, err = in.ReadByte()
+			r.Check(err, qt.Equals, io.EOF)
+			r.Check(r.arrived, qt.HasLen, 0)
+		}
+	}
+}
+
+// TestRequestsInARow sends requests without waiting for answers, among them some that are refused with their bodies unread, which
+// hold what looks like a request: each answer is the next request's, and nothing within a body is taken for one.
+func TestRequestsInARow(t *testing.T) {
+	r := newClientRig(t, requestKind{route: "freeread"})
+	r.script = func(a *wellAnswer) reply {
+		r.arrived <- a.id
+		return reply{taken: -1, bytes: a.framed()}
+	}
+	c, in := r.connect()
+	forged := requestText("/freeread/x", "forged", "data")
+	_, err := io.WriteString(c, requestText("/freeread/x", "one", "data")+requestText("/nowhere/x", "two", forged)+
+		requestText("/freeread/x", "three", forged)+requestText("/freeread/x", "two words", forged)+
+		strings.Replace(requestText("/freeread/x", "twice", forged), "Content-Length", externalapi.AttemptID+": again\r\nContent-Length", 1)+
+		requestText("/freeread/x", "four", ""))
+	r.Assert(err, qt.IsNil)
+	for _, want := range []struct {
+		id     string
+		status int
+	}{{"one", 200}, {"two", 404}, {"three", 200}, {"two words", 400}, {"twice", 400}, {"four", 200}} {
+		resp, body := r.answer(in)
+		r.Check(resp.StatusCode, qt.Equals, want.status)
+		r.Check(resp.Header.Get(externalapi.AttemptID), qt.Equals, want.id)
+		if want.status == http.StatusOK {
+			r.Check(body, qt.Equals, "answer to "+want.id)
+		}
+	}
+	for _, id := range []string{"one", "three", "four"} {
+		r.Check(<-r.arrived, qt.Equals, id)
+	}
+	r.Check(r.arrived, qt.HasLen, 0)
+}
+
+// TestRequestsThatAreUnclear: what can be read in two ways is refused, and nothing after it is taken for a request.
+func TestRequestsThatAreUnclear(t *testing.T) {
+	forged := requestText("/freeread/x", "forged", "data")
+	for name, head := range map[string]string{
+		"two lengths":              "Content-Length: 4\r\nContent-Length: 5\r\n",
+		"a length that is none":    "Content-Length: +4\r\n",
+		"an unknown encoding":      "Transfer-Encoding: gzip, chunked\r\n",
+		"a chunk that is none":     "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+		"a line that is no header": " Content-Length: 4\r\nfolded\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newClientRig(t, requestKind{route: "freeread"})
+			r.silent(func(a *wellAnswer) []byte { return a.framed() })
+			c, in := r.connect()
+			_, err := io.WriteString(c, "POST /freeread/x HTTP/1.1\r\nHost: h\r\n"+externalapi.AttemptID+": one\r\n"+head+"\r\ndata")
+			r.Assert(err, qt.IsNil)
+			resp, _ := r.answer(in)
+			r.Check(resp.StatusCode/100 == 4 || resp.StatusCode == http.StatusNotImplemented, qt.IsTrue, qt.Commentf("%d", resp.StatusCode))
+			_, _ = io.WriteString(c, forged) // it may be closed by now
+			r.Check(r.arrived, qt.HasLen, 0)
+		})
+	}
+}
--- a/internal/fleet/proxy/exchange_conn_test.go
+++ b/internal/fleet/proxy/exchange_conn_test.go
@@ -25,6 +25,7 @@
 	owed     bool // a part of a request is still to come
 	closed   bool
 	closedAt time.Time
+	gone     chan struct{} // closed as the proxy closes the connection
 	readBy   time.Time
 	writeBy  time.Time
 
@@ -32,7 +33,7 @@
 }
 
 func newScriptedConn(b *scriptedBackend) *scriptedConn {
-	c := &scriptedConn{backend: b}
+	c := &scriptedConn{backend: b, gone: make(chan struct{})}
 	c.changed = sync.NewCond(&c.mu)
 	return c
 }
@@ -107,6 +108,7 @@
 	defer c.mu.Unlock()
 	if !c.closed {
 		c.closed, c.closedAt = true, time.Now()
+		close(c.gone)
 		c.wakeAt(time.Time{}, &c.readTimer)
 		c.wakeAt(time.Time{}, &c.writeTimer)
 	}
--- a/internal/fleet/proxy/exchange_planted_test.go
+++ b/internal/fleet/proxy/exchange_planted_test.go
@@ -11,7 +11,6 @@
 	requestEnds = "^TestRequestEndsAtItsBytes$"
 	beforeBody  = "^TestAnswerBeforeTheBody$"
 	odd         = "^TestOddAnswers$"
-	clientGoes  = "^TestClientLeavesAtEveryByte$"
 )
 
 const (
@@ -33,8 +32,9 @@
 	{"a stream that is reset counts as whole", answerEnds, map[string][]string{fileStream: {"\t\tif err == io.EOF {\n\t\t\tif !r.begun", "\t\tif err != nil && !isTimeout(err) {\n\t\t\tif !r.begun"}}},
 	{"an answer that is reset counts as whole", answerEnds, map[string][]string{fileExchange: {"b, err := io.ReadAll(io.LimitReader(e.resp.Body, most+1))", "b, err := io.ReadAll(io.LimitReader(e.resp.Body, most+1))\n\tif len(b) > 0 && !isTimeout(err) {\n\t\terr = nil\n\t}"}}},
 	{"a handle is sent to a second taker", answerEnds, map[string][]string{fileGenerate: {"\t\t\tt.free(h)\n\t\t\th = nil\n\t\t\treads++\n\t\t\tsplit = reads < 2 && t.couldAgain()", "\t\t\treads++\n\t\t\tsplit = reads < 2 && t.couldAgain()"}}},
-	{"a client that has left gets an empty success", clientGoes, map[string][]string{fileServe: {"\t\t\tt.clientLeft()\n", "\t\t\treturn\n"}}},
+	{"a client that has left gets an empty success", "^TestClientLeaves$", map[string][]string{fileServe: {"\t\t\tt.clientLeft()\n", "\t\t\treturn\n"}}},
 	{"a backend is given the time that the client had at first", answerEnds, map[string][]string{fileExchange: {"max(time.Until(x.until).Milliseconds(), 1)", "max(1990+0*x.until.Unix(), 1)"}}},
+	{"a client that stops within its body is waited for", "^TestClientStopsWithinItsBody$", map[string][]string{fileServe: {"_ = conn.SetReadDeadline(by) //", "_ = conn.SetReadDeadline(by.Add(2 * time.Second)) //"}}},
 	{"an id goes twice over one connection", "^TestIDUsedAgain$", map[string][]string{fileLend: {"if c.carried == requestID {", "if c.carried == requestID+requestID {"}}},
 }
 
--- a/internal/fleet/proxy/serve.go
+++ b/internal/fleet/proxy/serve.go
@@ -33,6 +33,9 @@
 	startWait = 300 * time.Millisecond
 	// lateReads is how many times as long as expected a prompt may take to be read.
 	lateReads = 2
+	// unreadWithin bounds the wait for the body of a request that is refused without it: the library reads that body before it
+	// sends the answer.
+	unreadWithin = 500 * time.Millisecond
 	// margin is what is kept of the time for the way back to the client.
 	margin = 10 * time.Millisecond
 )
@@ -62,6 +65,9 @@
 	if v.life.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
+	if r.ContentLength != 0 {
+		_ = http.NewResponseController(w).SetReadDeadline(came.Add(unreadWithin))
+	}
 	if !v.ready.Load() {
 		v.awaitWorld(r.Context())
 	}
@@ -169,7 +175,9 @@
 	conn := http.NewResponseController(w)
 	_ = conn.SetReadDeadline(by) // a writer that has no connection has no deadline either
 	body, err := readBody(r, most)
-	_ = conn.SetReadDeadline(time.Time{})
+	if err == nil {
+		_ = conn.SetReadDeadline(time.Time{})
+	} // else the library waits no longer for the rest of the body than until then
 	return body, err
 }
 
