Orders to backends: a connection each, for one backend by its id, after so many orders

Cause, by reading: orders and reports shared a connection, so that a surplus answer to a report could pass for an order's; a 307 would have had net/http send an order on; an order named no backend, so that whoever had its address by then, or the backend after a restart, took it; and one whose answer was lost could still arrive after a later, opposite order of the same fence. It names its backend now (421 for others) and the orders taken by the last report (`expect`; 409 after another, tried again from the next report), and what the network holds back for longer than the call is dropped by TCP_USER_TIMEOUT. A cut-off answer is none.

Ruled out: that net/http repeats an order by itself. It repeats GET, HEAD, OPTIONS, TRACE, what has an Idempotency-Key, and what it wrote no byte of, on used connections only (transport.go, shouldRetryRequest). Reports may be repeated.

Tests: answers cut off at each byte, surplus answers, redirects.

--- a/internal/fleet/controlplane/phases.go
+++ b/internal/fleet/controlplane/phases.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"maps"
-	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -40,9 +39,7 @@
 )
 
 func newPhases(o *Server) *phases {
-	client := &http.Client{Timeout: orderWithin, Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: orderWithin, KeepAlive: -1}).DialContext,
-		MaxIdleConnsPerHost: 1, IdleConnTimeout: 4 * reportEvery, DisableCompression: true}}
-	return &phases{o: o, client: externalapi.NewBackendClient(client), machines: map[string]*scheduler.Phases{}, changing: map[string]bool{},
+	return &phases{o: o, client: externalapi.NewBackendClient(orderWithin), machines: map[string]*scheduler.Phases{}, changing: map[string]bool{},
 		active: map[string]int{}}
 }
 
@@ -144,7 +141,7 @@
 			if !mv.Due || i < 0 {
 				continue
 			}
-			if !p.order(ctx, &all[i], mv.Prefill, epoch) {
+			if !p.order(ctx, &all[i], mv.Prefill, states[i].Orders, epoch) {
 				p.mu.Lock()
 				m.Again(mv.ID)
 				p.mu.Unlock()
@@ -160,8 +157,9 @@
 	return maps.Clone(p.changing)
 }
 
-// order sends one order, if the view that gives the duty still stands; false: it was not sent, or nothing was heard of it.
-func (p *phases) order(ctx context.Context, b *distribution.Backend, prefill bool, epoch uint64) (heard bool) {
+// order sends one order, if the view that gives the duty still stands, to a backend that has taken so many; false: it was not
+// sent, nothing was heard of it, or the backend has taken another since its report or has one under way.
+func (p *phases) order(ctx context.Context, b *distribution.Backend, prefill bool, taken, epoch uint64) (heard bool) {
 	sure, cancel := context.WithTimeout(ctx, orderWithin)
 	ans, err := p.o.ask(sure, func(now time.Duration, token uint64) replication.Output { return p.o.machine.Read(now, token) })
 	cancel()
@@ -172,9 +170,9 @@
 	if prefill {
 		phase = externalapi.PhasePrefill
 	}
-	status, err := p.client.Order(ctx, b.Address, phase, p.o.set.Nodename, epoch)
+	status, err := p.client.Order(ctx, b.Address, externalapi.PhaseOrder{Backend: b.ID, Phase: phase, Owner: p.o.set.Nodename, Fence: epoch, Expect: taken})
 	p.o.log.Info("order", zap.String("backend", b.ID), zap.String("phase", phase), zap.Int("status", status), zap.Uint64("fence", epoch), zap.Error(err))
-	return err == nil
+	return err == nil && status != http.StatusConflict
 }
 
 // reports asks all backends at once for their reports.
@@ -190,11 +188,12 @@
 		room <- struct{}{}
 		wait.Go(func() {
 			defer func() { <-room }()
-			r, err := p.client.Report(ctx, b.Address)
+			r, err := p.client.Report(ctx, b.Address, b.ID)
 			if err != nil {
 				return
 			}
 			states[i].Usable, states[i].Prefill, states[i].Active, states[i].Changing = true, r.Phase == externalapi.PhasePrefill, r.Active+r.Queued, r.Changing
+			states[i].Orders = r.Orders
 		})
 	}
 	wait.Wait()
--- a/internal/fleet/externalapi/backend.go
+++ b/internal/fleet/externalapi/backend.go
@@ -5,16 +5,42 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
+	"time"
 
 	"github.com/go-faster/errors"
+
+	"molepaddle/internal/protocol/sockets"
 )
 
 // BackendClient makes the calls to backends that are no requests of clients.
-type BackendClient struct{ client *http.Client }
+//
+// net/http repeats a request by itself, on another connection, where a connection that had been used before ends without a byte
+// of an answer: those of the methods GET, HEAD, OPTIONS and TRACE, those with an Idempotency-Key, and any of which no byte was
+// written. A report may be repeated. An order has a connection of its own, so that it is written once and no answer but its own
+// can come in the place of its answer. Redirects, which would have an order sent once more, are not followed.
+type BackendClient struct {
+	reports *http.Client
+	orders  *http.Client
+}
+
+// reportConnIdle is for how long a connection for reports is kept without use.
+const reportConnIdle = 6 * time.Second
 
-// NewBackendClient makes one that uses the client given, whose time-out bounds each call.
-func NewBackendClient(c *http.Client) *BackendClient { return &BackendClient{client: c} }
+// NewBackendClient makes a client each of whose calls is given up after the time given. What of an order has not reached its
+// backend by then is not sent any more, whatever comes of the network.
+func NewBackendClient(within time.Duration) *BackendClient {
+	client := func(t *http.Transport) *http.Client {
+		t.DialContext = (&net.Dialer{Timeout: within, KeepAlive: -1, Control: sockets.UserTimeout(within)}).DialContext
+		t.DisableCompression = true
+		return &http.Client{Timeout: within, Transport: t, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	}
+	return &BackendClient{
+		reports: client(&http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: reportConnIdle}),
+		orders:  client(&http.Transport{DisableKeepAlives: true}),
+	}
+}
 
 // State is a backend's report, some hundred ms old.
 type State struct {
@@ -31,14 +57,15 @@
 // maxReport bounds a report, in bytes.
 const maxReport = 1 << 20
 
-// Report asks a backend how it stands.
-func (b *BackendClient) Report(ctx context.Context, addr string) (State, error) {
+// Report asks the backend of an id how it stands; another at its address does not answer for it.
+func (b *BackendClient) Report(ctx context.Context, addr, id string) (State, error) {
 	var s State
 	req, err := http.NewRequestWithContext(ctx, Report.Method, "http://"+addr+Report.Path, nil)
 	if err != nil {
 		return s, errors.Wrap(err, "report")
 	}
-	resp, err := b.client.Do(req)
+	req.Header.Set(Target, id)
+	resp, err := b.reports.Do(req)
 	if err != nil {
 		return s, errors.Wrap(err, "report")
 	}
@@ -56,15 +83,25 @@
 	return s, nil
 }
 
-// Order tells a backend its phase, in the name of the duty's holder, with its fence. The status is the backend's answer:
-// 202 it does, 200 it is so, 409 another is under way, 412 a higher fence was seen. An error: it may have been taken.
-func (b *BackendClient) Order(ctx context.Context, addr, phase, owner string, fence uint64) (status int, err error) {
+// PhaseOrder has a backend change its phase.
+type PhaseOrder struct {
+	Backend string // its id: another at its address, and itself after a restart, does not take the order
+	Phase   string
+	Owner   string // the duty's holder
+	Fence   uint64 // the holder's
+	Expect  uint64 // orders that the backend has taken, by its last report: one that comes late, after another, is not taken
+}
+
+// Order gives an order. The status is the backend's answer: 202 it does, 200 it is so, 409 another is under way or was taken
+// since the report, 412 a higher fence was seen, 421 it is another. An error: it may have been taken.
+func (b *BackendClient) Order(ctx context.Context, addr string, o PhaseOrder) (status int, err error) {
 	body, err := json.Marshal(struct {
-		Op    string `json:"opcode"`
-		Phase string `json:"phase"`
-		Owner string `json:"owner"`
-		Fence uint64 `json:"gen"`
-	}{"phase", phase, owner, fence})
+		Op     string `json:"opcode"`
+		Phase  string `json:"phase"`
+		Owner  string `json:"owner"`
+		Fence  uint64 `json:"gen"`
+		Expect uint64 `json:"expect"`
+	}{"phase", o.Phase, o.Owner, o.Fence, o.Expect})
 	if err != nil {
 		return 0, errors.Wrap(err, "order")
 	}
@@ -72,12 +109,16 @@
 	if err != nil {
 		return 0, errors.Wrap(err, "order")
 	}
+	req.GetBody = nil // nothing that could be sent again
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := b.client.Do(req)
+	req.Header.Set(Target, o.Backend)
+	resp, err := b.orders.Do(req)
 	if err != nil {
 		return 0, errors.Wrap(err, "order")
 	}
 	defer resp.Body.Close()
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxReport))
+	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxReport)); err != nil {
+		return 0, errors.Wrap(err, "order")
+	}
 	return resp.StatusCode, nil
 }
--- /dev/null
+++ b/internal/fleet/externalapi/backend_test.go
@@ -0,0 +1,203 @@
+package externalapi_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"molepaddle/internal/fleet/externalapi"
+	"molepaddle/internal/rig/testkit"
+)
+
+// within bounds a call; shortly one that is to end in silence, of which every silentStep-th byte is tried.
+const (
+	within     = 20 * time.Second
+	shortly    = 200 * time.Millisecond
+	silentStep = 9
+)
+
+const goodReport = "HTTP/1.1 200 OK\r\nContent-Length: 34\r\n\r\n{\"phase\":\"decode\",\"seqno\":3      }"
+
+var order = externalapi.PhaseOrder{Backend: "i-1", Phase: externalapi.PhasePrefill, Owner: "node-7", Fence: 41, Expect: 3}
+
+// call is a request that has come to a backend, by the connection that brought it.
+type call struct {
+	conn   int
+	method string
+	path   string
+	target string
+	body   string
+}
+
+// backend is a stand-in that notes what comes, and what is said to each method.
+type backend struct {
+	mu    sync.Mutex
+	conns int
+	calls []call
+}
+
+// serve answers on each connection until an answer ends it; says gives the bytes, and whether the connection goes on.
+func (b *backend) serve(t *testing.T, says func(c call) (answer string, goesOn bool)) string {
+	return testkit.Raw(t, func(c net.Conn, r *bufio.Reader) {
+		b.mu.Lock()
+		b.conns++
+		number := b.conns
+		b.mu.Unlock()
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			body, err := io.ReadAll(req.Body)
+			if err != nil {
+				return
+			}
+			one := call{number, req.Method, req.URL.Path, req.Header.Get(externalapi.Target), string(body)}
+			b.mu.Lock()
+			b.calls = append(b.calls, one)
+			b.mu.Unlock()
+			answer, goesOn := says(one)
+			if _, err := io.WriteString(c, answer); err != nil || !goesOn {
+				return
+			}
+		}
+	})
+}
+
+// of gives the calls of a method.
+func (b *backend) of(method string) (all []call) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, c := range b.calls {
+		if c.method == method {
+			all = append(all, c)
+		}
+	}
+	return all
+}
+
+// TestOrderIsSentOnce cuts the answer to an order off after each of its bytes, in silence or closed, at a backend to which a
+// connection stands: the order comes there once, and what is not whole is no answer.
+func TestOrderIsSentOnce(t *testing.T) {
+	const answer = "HTTP/1.1 202 Accepted\r\nContent-Length: 2\r\n\r\n{}"
+	for k := range len(answer) + 1 {
+		for _, silent := range []bool{false, true} {
+			if silent && k%silentStep != 0 && k < len(answer) {
+				continue
+			}
+			t.Run(fmt.Sprintf("%d bytes, silent %v", k, silent), func(t *testing.T) {
+				c := qt.New(t)
+				b := &backend{}
+				addr := b.serve(t, func(one call) (string, bool) {
+					if one.method == http.MethodGet {
+						return goodReport, true
+					}
+					return answer[:k], silent
+				})
+				bound := within
+				if silent && k < len(answer) {
+					bound = shortly
+				}
+				client := externalapi.NewBackendClient(bound)
+				_, err := client.Report(t.Context(), addr, "i-1")
+				c.Assert(err, qt.IsNil)
+				status, err := client.Order(t.Context(), addr, order)
+				c.Check(err == nil, qt.Equals, k == len(answer), qt.Commentf("%v", err))
+				if err == nil {
+					c.Check(status, qt.Equals, http.StatusAccepted)
+				}
+				orders := b.of(http.MethodPost)
+				c.Assert(orders, qt.HasLen, 1)
+				c.Check(orders[0].conn, qt.Not(qt.Equals), b.of(http.MethodGet)[0].conn)
+			})
+		}
+	}
+}
+
+// TestOrderSays what an order carries: for whom it is, and after how many others.
+func TestOrderSays(t *testing.T) {
+	c := qt.New(t)
+	b := &backend{}
+	addr := b.serve(t, func(call) (string, bool) { return "HTTP/1.1 421 x\r\nContent-Length: 0\r\n\r\n", true })
+	client := externalapi.NewBackendClient(within)
+	status, err := client.Order(t.Context(), addr, order)
+	c.Assert(err, qt.IsNil)
+	c.Check(status, qt.Equals, http.StatusMisdirectedRequest)
+	_, err = client.Report(t.Context(), addr, "i-1")
+	c.Check(err, qt.ErrorMatches, "report: status 421")
+	var said map[string]any
+	c.Assert(json.Unmarshal([]byte(b.calls[0].body), &said), qt.IsNil)
+	c.Check(said, qt.DeepEquals, map[string]any{"opcode": "phase", "phase": "prefill", "owner": "node-7", "gen": 41.0, "expect": 3.0})
+	c.Check(b.calls[0].path, qt.Equals, "/molepaddle/order")
+	for _, one := range b.calls {
+		c.Check(one.target, qt.Equals, "i-1")
+	}
+}
+
+// TestOrderTakesNoOthersAnswer has a surplus answer to a report wait where an order's would come on the same connection.
+func TestOrderTakesNoOthersAnswer(t *testing.T) {
+	c := qt.New(t)
+	b := &backend{}
+	addr := b.serve(t, func(one call) (string, bool) {
+		if one.method == http.MethodGet {
+			return goodReport + goodReport, true
+		}
+		return "HTTP/1.1 409 x\r\nContent-Length: 0\r\n\r\n", true
+	})
+	client := externalapi.NewBackendClient(within)
+	for range 20 {
+		_, err := client.Report(t.Context(), addr, "i-1")
+		c.Assert(err, qt.IsNil)
+		status, err := client.Order(t.Context(), addr, order)
+		c.Assert(err, qt.IsNil)
+		c.Assert(status, qt.Equals, http.StatusConflict)
+	}
+	c.Check(b.of(http.MethodPost), qt.HasLen, 20)
+}
+
+// TestCallsAreNotSentOn has a backend and the platform send callers on: they don't go.
+func TestCallsAreNotSentOn(t *testing.T) {
+	c := qt.New(t)
+	elsewhere, b := &backend{}, &backend{}
+	to := elsewhere.serve(t, func(call) (string, bool) { return goodReport, true })
+	for _, status := range []int{301, 302, 303, 307, 308} {
+		addr := b.serve(t, func(one call) (string, bool) {
+			return fmt.Sprintf("HTTP/1.1 %d x\r\nLocation: http://%s%s\r\nContent-Length: 0\r\n\r\n", status, to, one.path), true
+		})
+		client := externalapi.NewBackendClient(within)
+		got, err := client.Order(t.Context(), addr, order)
+		c.Check(err, qt.IsNil)
+		c.Check(got, qt.Equals, status)
+		_, err = client.Report(t.Context(), addr, "i-1")
+		c.Check(err, qt.IsNotNil)
+		_, _, err = externalapi.NewPlatformClient(addr, within).List(context.Background())
+		c.Check(err, qt.ErrorMatches, fmt.Sprintf("platform: status %d", status))
+	}
+	c.Check(elsewhere.calls, qt.HasLen, 0)
+}
+
+// TestReportIsWhole: a report that is cut off, too long or none is an error.
+func TestReportIsWhole(t *testing.T) {
+	c := qt.New(t)
+	body := goodReport[strings.Index(goodReport, "\r\n\r\n")+4:]
+	for name, answer := range map[string]string{
+		"cut off": goodReport[:len(goodReport)-1], "no report": "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]", "not found": "HTTP/1.1 404 x\r\nContent-Length: 0\r\n\r\n",
+		"lengths that differ": "HTTP/1.1 200 OK\r\nContent-Length: 34\r\nContent-Length: 3\r\n\r\n" + body,
+		"too long":            "HTTP/1.1 200 OK\r\n\r\n{\"phase\":\"" + strings.Repeat("x", 2<<20) + "\"}",
+	} {
+		b := &backend{}
+		addr := b.serve(t, func(call) (string, bool) { return answer, false })
+		_, err := externalapi.NewBackendClient(within).Report(t.Context(), addr, "i-1")
+		c.Check(err, qt.IsNotNil, qt.Commentf("%s", name))
+	}
+}
--- a/internal/fleet/externalapi/platform.go
+++ b/internal/fleet/externalapi/platform.go
@@ -33,8 +33,10 @@
 
 // NewPlatformClient makes a client of the platform at host and port; a call is given up after the time given.
 func NewPlatformClient(addr string, within time.Duration) *PlatformClient {
-	return &PlatformClient{addr: addr, client: &http.Client{Timeout: within, Transport: &http.Transport{
-		DialContext: (&net.Dialer{Timeout: within, KeepAlive: -1}).DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: 3 * time.Second, DisableCompression: true}}}
+	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: within, KeepAlive: -1}).DialContext, MaxIdleConnsPerHost: 1,
+		IdleConnTimeout: 3 * time.Second, DisableCompression: true}
+	return &PlatformClient{addr: addr, client: &http.Client{Timeout: within, Transport: transport,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}}
 }
 
 // Sort puts a list in the order of ids, so that equal lists have equal bytes.
