Proxy: a client that reads nothing holds no backend past its time; pulls cut off

Cause: a stream's write to a client that reads nothing blocked for good, with the backend's connection open: the end of the request's time woke only who read from the backend. Writes to the client now end half a second after it.

Tests: such a client; pulls and their responses cut off at each byte, and many connections at once (nothing was wrong there).

--- a/internal/fleet/proxy/exchange_client_test.go
+++ b/internal/fleet/proxy/exchange_client_test.go
@@ -171,6 +171,21 @@
 	}
 }
 
+// TestClientReadsNothing has a client leave its stream unread: once its time is over the backend's connection ends.
+func TestClientReadsNothing(t *testing.T) {
+	r := newClientRig(t, requestKind{route: "free"})
+	more := strings.Repeat("data: "+strings.Repeat("more ", 10<<10)+"\n\n", 1<<10) // than any buffers on the way hold
+	r.silent(func(a *wellAnswer) []byte {
+		a.body = more
+		return a.framed()
+	})
+	c, _ := r.connect()
+	_, err := io.WriteString(c, strings.Replace(requestText("/free/x", "one", "data"), "Ms: 2000", "Ms: 1000", 1))
+	r.Assert(err, qt.IsNil)
+	await(r, "the request", r.arrived)
+	r.Check(await(r, "the end of the backend's connection", r.conn().gone) < time.Second+unreadWithin+goneWithin, qt.IsTrue)
+}
+
 // TestRequestsInARow sends requests without waiting for answers, among them some that are refused with their bodies unread, which
 // hold what looks like a request: each answer is the next request's, and nothing within a body is taken for one.
 func TestRequestsInARow(t *testing.T) {
--- a/internal/fleet/proxy/exchange_planted_test.go
+++ b/internal/fleet/proxy/exchange_planted_test.go
@@ -17,6 +17,8 @@
 	fileSending = "sending.go"
 	fileLend    = "../../protocol/transport/lend.go"
 	fileBackend = "../externalapi/backend.go"
+	fileFrame   = "../distribution/frame.go"
+	fileLink    = "../distribution/link.go"
 	fileClient  = "../operatorclient/operatorclient.go"
 )
 
@@ -37,11 +39,14 @@
 	{"a client that has left gets an empty success", "^TestClientLeaves$", map[string][]string{fileServe: {"\t\t\tt.clientLeft()\n", "\t\t\treturn\n"}}},
 	{"a backend is given the time that the client had at first", answerEnds, map[string][]string{fileExchange: {"max(time.Until(x.until).Milliseconds(), 1)", "max(1990+0*x.until.Unix(), 1)"}}},
 	{"a client that stops within its body is waited for", "^TestClientStopsWithinItsBody$", map[string][]string{fileServe: {"_ = conn.SetReadDeadline(by) //", "_ = conn.SetReadDeadline(by.Add(2 * time.Second)) //"}}},
+	{"a client that reads nothing is waited for", "^TestClientReadsNothing$", map[string][]string{fileServe: {"SetWriteDeadline(t.deadline.Add(unreadWithin))", "SetWriteDeadline(t.deadline.Add(3 * unreadWithin))"}}},
 	{"an id goes twice over one connection", "^TestIDUsedAgain$", map[string][]string{fileLend: {"if c.carried == requestID {", "if c.carried == requestID+requestID {"}}},
 	{"orders share the connections of reports", "^TestOrderTakesNoOthersAnswer$|^TestOrderIsSentOnce$", map[string][]string{fileBackend: {"b.orders.Do(req)", "b.reports.Do(req)"}}},
 	{"orders are sent on", "^TestCallsAreNotSentOn$", map[string][]string{fileBackend: {"\treq.GetBody = nil // nothing that could be sent again\n", "", "return http.ErrUseLastResponse", "return nil"}}},
 	{"an order is for whoever has the address", "^TestOrderSays$", map[string][]string{fileBackend: {"req.Header.Set(Target, o.Backend)", "_ = o.Backend"}}},
 	{"an order that is cut off has been answered", "^TestOrderIsSentOnce$", map[string][]string{fileBackend: {"io.LimitReader(resp.Body, maxReport)); err != nil {", "io.LimitReader(resp.Body, maxReport)); err == nil && false {"}}},
+	{"a frame that is cut off is taken", "^TestResponsesCutOff$", map[string][]string{fileFrame: {"io.ReadFull(r, b[at:]); err != nil {", "io.ReadFull(r, b[at:]); err != nil && len(b) == 0 {"}}},
+	{"a link goes on after a frame that is cut off", "^TestResponsesCutOff$", map[string][]string{fileLink: {"\t\tvar n Response\n\t\tif err := ReadFrame(r, &n); err != nil {\n\t\t\treturn err\n", "\t\tvar n Response\n\t\tif err := ReadFrame(r, &n); err != nil {\n\t\t\tcontinue\n"}}},
 	{"a change that is cut off has been acknowledged", "^TestAnswersCutOff$", map[string][]string{fileClient: {"if errors.Is(err, io.EOF) {", "if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {"}}},
 	{"tries share a connection", "^TestSurplusAnswersCountForNothing$", map[string][]string{fileClient: {"DisableKeepAlives: true, ", ""}}},
 }
--- a/internal/fleet/proxy/leaks_test.go
+++ b/internal/fleet/proxy/leaks_test.go
@@ -127,7 +127,7 @@
 func (one leak) in() string {
 	for file := range one.changes {
 		switch dir := filepath.Dir(file); dir {
-		case "../externalapi", "../operatorclient":
+		case "../externalapi", "../operatorclient", "../distribution":
 			return dir
 		}
 	}
--- a/internal/fleet/proxy/serve.go
+++ b/internal/fleet/proxy/serve.go
@@ -33,8 +33,8 @@
 	startWait = 300 * time.Millisecond
 	// lateReads is how many times as long as expected a prompt may take to be read.
 	lateReads = 2
-	// unreadWithin bounds the wait for the body of a request that is refused without it: the library reads that body before it
-	// sends the answer.
+	// unreadWithin bounds the wait for the body of a request that is refused without it, as the library reads that body before it
+	// sends the answer, and for a client to read its answer after its time.
 	unreadWithin = 500 * time.Millisecond
 	// margin is what is kept of the time for the way back to the client.
 	margin = 10 * time.Millisecond
@@ -140,6 +140,10 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), t.deadline)
 	defer cancel()
+	// A client that takes nothing is not waited for with a backend at work behind it.
+	conn := http.NewResponseController(w)
+	_ = conn.SetWriteDeadline(t.deadline.Add(unreadWithin))
+	defer func() { _ = conn.SetWriteDeadline(time.Time{}) }()
 	t.svc.mu.Lock()
 	t.svc.spent.ask(came)
 	model := t.svc.engines != nil
