Proxy: a stream that its client no longer takes is not taken up elsewhere; HEAD's length

Cause, by reading: a failed write to the client ended a stream as a failing backend would, and a resumable one went on to the next backend where the request's context had not ended yet. net/http ends it on most failed writes, so this was a matter of what is relied on. The answer to a HEAD said length 0.

--- a/internal/fleet/proxy/exchange_planted_test.go
+++ b/internal/fleet/proxy/exchange_planted_test.go
@@ -40,6 +40,7 @@
 	{"a backend is given the time that the client had at first", answerEnds, map[string][]string{fileExchange: {"max(time.Until(x.until).Milliseconds(), 1)", "max(1990+0*x.until.Unix(), 1)"}}},
 	{"a client that stops within its body is waited for", "^TestClientStopsWithinItsBody$", map[string][]string{fileServe: {"_ = conn.SetReadDeadline(by) //", "_ = conn.SetReadDeadline(by.Add(2 * time.Second)) //"}}},
 	{"a client that reads nothing is waited for", "^TestClientReadsNothing$", map[string][]string{fileServe: {"SetWriteDeadline(t.deadline.Add(unreadWithin))", "SetWriteDeadline(t.deadline.Add(3 * unreadWithin))"}}},
+	{"a stream is taken up for a client that has left", "^TestUntakenStreamIsNotTakenUp$", map[string][]string{fileStream: {"ctx.Err() == nil && !errors.Is(err, errClientLeft) && t.route", "ctx.Err() == nil && t.route"}}},
 	{"an id goes twice over one connection", "^TestIDUsedAgain$", map[string][]string{fileLend: {"if c.carried == requestID {", "if c.carried == requestID+requestID {"}}},
 	{"orders share the connections of reports", "^TestOrderTakesNoOthersAnswer$|^TestOrderIsSentOnce$", map[string][]string{fileBackend: {"b.orders.Do(req)", "b.reports.Do(req)"}}},
 	{"orders are sent on", "^TestCallsAreNotSentOn$", map[string][]string{fileBackend: {"\treq.GetBody = nil // nothing that could be sent again\n", "", "return http.ErrUseLastResponse", "return nil"}}},
--- a/internal/fleet/proxy/exchange_rig_test.go
+++ b/internal/fleet/proxy/exchange_rig_test.go
@@ -342,12 +342,9 @@
 	took   time.Duration
 }
 
-// ask makes one request of the rig's kind.
-func (r *exchangeRig) ask(id string) outcome {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	method := r.method(id)
-	body := ""
+// newRequest makes a request of the rig's kind.
+func (r *exchangeRig) newRequest(ctx context.Context, id string) *http.Request {
+	body, method := "", r.method(id)
 	if method == http.MethodPost {
 		body = "data"
 	}
@@ -363,6 +360,14 @@
 		req.Header.Set(externalapi.TokenCount, "6000,2")
 		req.Header.Set(externalapi.Prefix, "fa01:5980,"+strconv.Itoa(len(id))+":20")
 	}
+	return req
+}
+
+// ask makes one request of the rig's kind.
+func (r *exchangeRig) ask(id string) outcome {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	req := r.newRequest(ctx, id)
 	r.mu.Lock()
 	r.asking, r.cancel, r.came, r.deadline = id, cancel, time.Now(), exchangeDeadline
 	r.mu.Unlock()
--- a/internal/fleet/proxy/exchange_test.go
+++ b/internal/fleet/proxy/exchange_test.go
@@ -6,10 +6,12 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -347,3 +349,56 @@
 		c.Check(r.backends[0].conns, qt.HasLen, 3)
 	})
 }
+
+// failingWriter is a client's connection that takes so many writes and no more.
+type failingWriter struct {
+	*once
+	takes int
+}
+
+func (w *failingWriter) Write(b []byte) (int, error) {
+	if w.takes--; w.takes < 0 {
+		return 0, errReset
+	}
+	return w.once.Write(b)
+}
+
+// TestUntakenStreamIsNotTakenUp has a client's connection fail under a stream, at the first backend and once it has been taken up at
+// a second: nobody is asked for the rest.
+func TestUntakenStreamIsNotTakenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		for _, tc := range []struct{ takes, reached int }{{0, 1}, {1, 2}} {
+			r := newExchangeRig(requestKind{name: "resumable stream", route: "free"}, breakage{"cut within", func(_ *exchangeRig, _ *scriptedConn, _ []byte, a *wellAnswer) reply {
+				b := a.framed()
+				return reply{taken: -1, bytes: b[:len(b)-20], end: errReset}
+			}})
+			w := &failingWriter{&once{ResponseRecorder: httptest.NewRecorder()}, tc.takes}
+			r.came, r.deadline = time.Now(), exchangeDeadline
+			broken := r.serve(w, r.newRequest(t.Context(), victimID))
+			c.Check(broken, qt.IsTrue)
+			c.Check(r.reaches, qt.HasLen, tc.reached)
+			c.Check(r.found, qt.HasLen, 0)
+			r.v.pool.Close()
+		}
+	})
+}
+
+// TestHeadKeepsItsLength: the answer to a HEAD tells the length that the backend told, and none where that told none.
+func TestHeadKeepsItsLength(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		for length, says := range map[string]func(a *wellAnswer) []byte{
+			"16": (*wellAnswer).framed,
+			"":   func(a *wellAnswer) []byte { return []byte(a.head + "\r\n") },
+		} {
+			r := newExchangeRig(requestKind{name: "HEAD", route: "freeread", method: http.MethodHead}, breakage{})
+			r.struck = &scriptedConn{} // nothing is in trouble
+			r.script = func(a *wellAnswer) reply { return reply{taken: -1, bytes: says(a)} }
+			o := r.ask(victimID)
+			c.Check(o.status, qt.Equals, http.StatusOK)
+			c.Check(o.header.Get("Content-Length"), qt.Equals, length)
+			r.v.pool.Close()
+		}
+	})
+}
--- a/internal/fleet/proxy/serve.go
+++ b/internal/fleet/proxy/serve.go
@@ -447,10 +447,12 @@
 	}
 	t.head(resp)
 	length := int64(len(body))
-	if t.m.method == http.MethodHead && resp.ContentLength >= 0 {
-		length = resp.ContentLength // of what is not sent
+	if t.m.method == http.MethodHead {
+		length = resp.ContentLength // of what is not sent; -1: it was not told
+	}
+	if length >= 0 {
+		t.w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	}
-	t.w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	t.v.count(resp.StatusCode)
 	t.w.WriteHeader(resp.StatusCode)
 	_, _ = t.w.Write(body)
--- a/internal/fleet/proxy/stream.go
+++ b/internal/fleet/proxy/stream.go
@@ -115,7 +115,7 @@
 	t.ran = true
 	status = judge(true, err)
 	if r.begun {
-		if ctx.Err() == nil && t.route.Resumable {
+		if ctx.Err() == nil && !errors.Is(err, errClientLeft) && t.route.Resumable {
 			if t.resume(ctx, r, p) {
 				return true, nil
 			}
@@ -126,6 +126,10 @@
 	return false, err
 }
 
+// errClientLeft ends a stream that its client no longer takes: nobody waits for the rest of it. It counts as cancelled, which tells
+// nothing of the backend.
+var errClientLeft = errors.Wrap(context.Canceled, "the client has left")
+
 // relay passes a stream on, whole events only, so that it can be taken up elsewhere after the last one.
 type relay struct {
 	t      *try
@@ -183,7 +187,7 @@
 			}
 			if _, werr := t.w.Write(buf[:whole]); werr != nil {
 				e.end(false)
-				return context.Canceled
+				return errClientLeft
 			}
 			if err == nil {
 				_ = flush.Flush()
@@ -267,6 +271,7 @@
 		} else {
 			status = judge(true, err)
 		}
+		left := errors.Is(err, errClientLeft)
 		t.svc.mu.Lock()
 		t.svc.engines.Read(pl.at.ID, pl.tokens, 0)
 		t.svc.engines.Ended(pl.at.ID)
@@ -279,6 +284,9 @@
 			t.v.count(http.StatusOK)
 			return true
 		}
+		if left {
+			return false
+		}
 	}
 	return false
 }
