--- /dev/null
+++ b/internal/fleet/proxy/exchange_planted_test.go
@@ -0,0 +1,60 @@
+package proxy
+
+import (
+	"strings"
+	"testing"
+)
+
+// The tests of exchanges, as patterns.
+const (
+	answerEnds  = "^TestAnswerEndsAtEveryByte$"
+	requestEnds = "^TestRequestEndsAtItsBytes$"
+	beforeBody  = "^TestAnswerBeforeTheBody$"
+	odd         = "^TestOddAnswers$"
+)
+
+const (
+	fileSending = "sending.go"
+	fileLend    = "../../protocol/transport/lend.go"
+	fileBackend = "../externalapi/backend.go"
+	fileFrame   = "../distribution/frame.go"
+	fileLink    = "../distribution/link.go"
+	fileClient  = "../operatorclient/operatorclient.go"
+)
+
+// exchangeFaults are faults by which an answer goes to the wrong caller, or what may run once is sent twice.
+var exchangeFaults = []leak{
+	{"a request cut off on its way out counts as not sent", requestEnds, map[string][]string{fileSending: {"return s.wait() > 0, s.err", "return s.wait() == s.length, s.err"}}},
+	{"a long request cut off on its way out counts as not sent", requestEnds, map[string][]string{fileExchange: {"return e.request.wait() > 0, errors", "return e.request.whole(), errors"}}},
+	{"the next request goes where the rest of one is due", beforeBody, map[string][]string{fileExchange: {"e.resp.Request.Method != http.MethodHead && e.request.whole()", "e.resp.Request.Method != http.MethodHead"}}},
+	{"ids are not compared", odd, map[string][]string{fileExchange: {"if ids[0] != id {", "if ids[0] == \"\" {"}}},
+	{"one of several ids is enough", odd, map[string][]string{fileExchange: {"if one != ids[0] {", "if one == \"\" {"}}},
+	{"a failure without an id is believed on a used connection", odd, map[string][]string{fileExchange: {"if only && resp.StatusCode", "if only = true; only && resp.StatusCode"}}},
+	{"a surplus answer longer than what is read past", odd, map[string][]string{fileExchange: {"io.LimitReader(resp.Body, maxSurplusBody+1)", "io.LimitReader(resp.Body, maxSurplusBody)"}}},
+	{"a success may say that it has not run", odd, map[string][]string{fileServe: {"resp.StatusCode >= 400 && resp.Header", "resp.Header"}}},
+	{"a backend's word is passed on as a promise", odd, map[string][]string{fileServe: {"if t.ran && promises(resp.StatusCode) {", "if t.ran && resp.StatusCode == 0 {"}}},
+	{"a stream that is reset counts as whole", answerEnds, map[string][]string{fileStream: {"\t\tif err == io.EOF {\n\t\t\tif !r.begun", "\t\tif err != nil && !isTimeout(err) {\n\t\t\tif !r.begun"}}},
+	{"an answer that is reset counts as whole", answerEnds, map[string][]string{fileExchange: {"b, err := io.ReadAll(io.LimitReader(e.resp.Body, most+1))", "b, err := io.ReadAll(io.LimitReader(e.resp.Body, most+1))\n\tif len(b) > 0 && !isTimeout(err) {\n\t\terr = nil\n\t}"}}},
+	{"a handle is sent to a second taker", answerEnds, map[string][]string{fileGenerate: {"\t\t\tt.free(h)\n\t\t\th = nil\n\t\t\treads++\n\t\t\tsplit = reads < 2 && t.couldAgain()", "\t\t\treads++\n\t\t\tsplit = reads < 2 && t.couldAgain()"}}},
+	{"a client that has left gets an empty success", "^TestClientLeaves$", map[string][]string{fileServe: {"\t\t\tt.clientLeft()\n", "\t\t\treturn\n"}}},
+	{"a backend is given the time that the client had at first", answerEnds, map[string][]string{fileExchange: {"max(time.Until(x.until).Milliseconds(), 1)", "max(1990+0*x.until.Unix(), 1)"}}},
+	{"a client that stops within its body is waited for", "^TestClientStopsWithinItsBody$", map[string][]string{fileServe: {"_ = conn.SetReadDeadline(by) //", "_ = conn.SetReadDeadline(by.Add(2 * time.Second)) //"}}},
+	{"a client that reads nothing is waited for", "^TestClientReadsNothing$", map[string][]string{fileServe: {"SetWriteDeadline(t.deadline.Add(unreadWithin))", "SetWriteDeadline(t.deadline.Add(3 * unreadWithin))"}}},
+	{"a stream is taken up for a client that has left", "^TestUntakenStreamIsNotTakenUp$", map[string][]string{fileStream: {"ctx.Err() == nil && !errors.Is(err, errClientLeft) && t.route", "ctx.Err() == nil && t.route"}}},
+	{"an id goes twice over one connection", "^TestIDUsedAgain$", map[string][]string{fileLend: {"if c.carried == requestID {", "if c.carried == requestID+requestID {"}}},
+	{"orders share the connections of reports", "^TestOrderTakesNoOthersAnswer$|^TestOrderIsSentOnce$", map[string][]string{fileBackend: {"b.orders.Do(req)", "b.reports.Do(req)"}}},
+	{"orders are sent on", "^TestCallsAreNotSentOn$", map[string][]string{fileBackend: {"\treq.GetBody = nil // nothing that could be sent again\n", "", "return http.ErrUseLastResponse", "return nil"}}},
+	{"an order is for whoever has the address", "^TestOrderSays$", map[string][]string{fileBackend: {"req.Header.Set(Target, o.Backend)", "_ = o.Backend"}}},
+	{"an order that is cut off has been answered", "^TestOrderIsSentOnce$", map[string][]string{fileBackend: {"io.LimitReader(resp.Body, maxReport)); err != nil {", "io.LimitReader(resp.Body, maxReport)); err == nil && false {"}}},
+	{"a frame that is cut off is taken", "^TestResponsesCutOff$", map[string][]string{fileFrame: {"io.ReadFull(r, b[at:]); err != nil {", "io.ReadFull(r, b[at:]); err != nil && len(b) == 0 {"}}},
+	{"a link goes on after a frame that is cut off", "^TestResponsesCutOff$", map[string][]string{fileLink: {"\t\tvar n Response\n\t\tif err := ReadFrame(r, &n); err != nil {\n\t\t\treturn err\n", "\t\tvar n Response\n\t\tif err := ReadFrame(r, &n); err != nil {\n\t\t\tcontinue\n"}}},
+	{"a change that is cut off has been acknowledged", "^TestAnswersCutOff$", map[string][]string{fileClient: {"if errors.Is(err, io.EOF) {", "if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {"}}},
+	{"tries share a connection", "^TestSurplusAnswersCountForNothing$", map[string][]string{fileClient: {"DisableKeepAlives: true, ", ""}}},
+}
+
+// TestPlantedExchangeFaults plants each of them in turn.
+func TestPlantedExchangeFaults(t *testing.T) {
+	for _, one := range exchangeFaults {
+		t.Run(strings.ReplaceAll(one.name, " ", "_"), one.plant)
+	}
+}
