--- a/internal/rig/testkit/sites/sites.go
+++ b/internal/rig/testkit/sites/sites.go
@@ -223,4 +223,5 @@
 	return a
 }
 
-var client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}}
+// client gives up after a minute, which no request here has.
+var client = &http.Client{Timeout: time.Minute, Transport: &http.Transport{MaxIdleConnsPerHost: 512}}
