proxy: clients' time-outs are those of the caps in force; tests of six clauses

Cause: the caps' hdr_timeout_ms and idle_timeout_ms were read and never used: a head had 3 s and a connection between requests 15 s. With longer ones a connection that a client may still take up (four fifths of the time-out) was closed under it. http.Server's own time-outs can't change once it serves; the connections move the deadlines that it sets to the times in force. Without caps the times are the old ones. New tests: TestRestsByTheCaps, TestHeadsByTheCaps (simulated time), TestBackendsGetTheClientsRequest, TestClientGone, TestNoConfigurationIsNoVerdict, TestEarlyAnswerLeavesTheBodyWhole.

--- /dev/null
+++ b/internal/fleet/proxy/clients_test.go
@@ -0,0 +1,157 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"molepaddle/internal/fleet/routingconfig"
+	"molepaddle/internal/fleet/settings"
+)
+
+// memoryListener gives connections in memory until it is closed.
+type memoryListener struct {
+	conns chan net.Conn
+	over  chan struct{}
+}
+
+func (l *memoryListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.over:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *memoryListener) Close() error {
+	select {
+	case <-l.over:
+	default:
+		close(l.over)
+	}
+	return nil
+}
+
+func (l *memoryListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// cappedEdge is the edge of a proxy with the given caps (JSON; "" for no configuration), in a bubble with its own time.
+type cappedEdge struct {
+	*qt.C
+	proxy    *Proxy
+	listener *memoryListener
+}
+
+func startCappedEdge(c *qt.C, caps string) *cappedEdge {
+	v := New(context.Background(), settings.Settings{}, zap.NewNop())
+	v.ready.Store(true)
+	e := &cappedEdge{C: c, proxy: v, listener: &memoryListener{conns: make(chan net.Conn), over: make(chan struct{})}}
+	e.configure(caps)
+	server := v.clientServer()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Serve(clientListener{e.listener, v.patience})
+	}()
+	c.Cleanup(func() {
+		_ = server.Close()
+		<-done
+	})
+	return e
+}
+
+func (e *cappedEdge) configure(caps string) {
+	if caps == "" {
+		return
+	}
+	doc, found := routingconfig.Decode([]byte(`{"ver":1,"routing":[],"svcs":[],"caps":` + caps + `}`))
+	e.Assert(found.Err(), qt.IsNil)
+	e.proxy.world.Store(&world{index: routingconfig.NewIndex(doc), limits: doc.Limits(), version: doc.Version()})
+}
+
+// dial opens a connection of a client.
+func (e *cappedEdge) dial() (net.Conn, *bufio.Reader) {
+	client, server := net.Pipe()
+	e.listener.conns <- server
+	e.Cleanup(func() { client.Close() })
+	return client, bufio.NewReader(client)
+}
+
+// ask sends a request whose head has a pause in it, and tells whether it was answered on this connection.
+func (e *cappedEdge) ask(c net.Conn, r *bufio.Reader, within time.Duration) bool {
+	if _, err := io.WriteString(c, "GET /none HTTP/1.1\r\nHost: b\r\n"); err != nil {
+		return false
+	}
+	time.Sleep(within)
+	if _, err := io.WriteString(c, "X-Molepaddle-Attempt-Id: a1\r\n\r\n"); err != nil {
+		return false
+	}
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		return false
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err == nil && (resp.StatusCode == http.StatusNotFound || resp.StatusCode == http.StatusServiceUnavailable)
+}
+
+// TestRestsByTheCaps: a connection that rested for four fifths of the idle time-out is taken up, one that rested for longer
+// than all of it is closed; that holds of caps that come into force later, too.
+func TestRestsByTheCaps(t *testing.T) {
+	for _, one := range []struct {
+		caps string
+		rest time.Duration
+	}{
+		{"", restWithin},
+		{"{}", restWithin},
+		{`{"idle_timeout_ms":60000}`, time.Minute},
+		{`{"idle_timeout_ms":2000}`, 2 * time.Second},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			e := startCappedEdge(qt.New(t), one.caps)
+			c, r := e.dial()
+			for i := range 3 {
+				e.Assert(e.ask(c, r, 0), qt.IsTrue, qt.Commentf("caps %s, request %d", one.caps, i))
+				time.Sleep(one.rest * 4 / 5)
+			}
+			e.Assert(e.ask(c, r, 0), qt.IsTrue, qt.Commentf("caps %s", one.caps))
+			time.Sleep(one.rest + time.Second)
+			e.Assert(e.ask(c, r, 0), qt.IsFalse, qt.Commentf("caps %s", one.caps))
+			e.configure(`{"idle_timeout_ms":90000}`)
+			c, r = e.dial()
+			e.Assert(e.ask(c, r, 0), qt.IsTrue)
+			time.Sleep(89 * time.Second)
+			e.Assert(e.ask(c, r, 0), qt.IsTrue)
+		})
+	}
+}
+
+// TestHeadsByTheCaps: a head may take as long as the caps say, of a first request and of a further one, and no longer.
+func TestHeadsByTheCaps(t *testing.T) {
+	for _, one := range []struct {
+		caps string
+		head time.Duration
+	}{
+		{"", headWithin},
+		{`{"hdr_timeout_ms":10000}`, 10 * time.Second},
+		{`{"hdr_timeout_ms":500,"idle_timeout_ms":2000}`, 500 * time.Millisecond},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			e := startCappedEdge(qt.New(t), one.caps)
+			c, r := e.dial()
+			e.Assert(e.ask(c, r, one.head*9/10), qt.IsTrue, qt.Commentf("caps %s", one.caps))
+			time.Sleep(time.Second)
+			e.Assert(e.ask(c, r, one.head*9/10), qt.IsTrue, qt.Commentf("caps %s", one.caps))
+			e.Assert(e.ask(c, r, one.head+time.Second), qt.IsFalse, qt.Commentf("caps %s", one.caps))
+			c, r = e.dial()
+			e.Assert(e.ask(c, r, one.head+time.Second), qt.IsFalse, qt.Commentf("caps %s", one.caps))
+		})
+	}
+}
--- a/internal/fleet/proxy/proxy.go
+++ b/internal/fleet/proxy/proxy.go
@@ -114,12 +114,11 @@
 		}
 	}), ReadHeaderTimeout: 2 * time.Second}
 	go func() { _ = readiness.Serve(ready) }()
-	server := &http.Server{Handler: v, ReadHeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second, MaxHeaderBytes: 32 << 10,
-		ErrorLog: zap.NewStdLog(v.log)}
+	server := v.clientServer()
 	v.log.Info("started")
 	v.life.Open()
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(edge) }()
+	go func() { failed <- server.Serve(clientListener{edge, v.patience}) }()
 	go v.feed(ctx)
 	go v.report(ctx)
 	select {
--- /dev/null
+++ b/internal/fleet/proxy/rules_test.go
@@ -0,0 +1,197 @@
+package proxy
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"molepaddle/internal/fleet/distribution"
+	"molepaddle/internal/fleet/externalapi"
+	"molepaddle/internal/fleet/simulation"
+	"molepaddle/internal/rig/testkit"
+)
+
+// TestBackendsGetTheClientsRequest words requests for backends: what describes the prompt is the client's; what is the
+// proxy's to set never comes from the client; each send tells the time left, and no more.
+func TestBackendsGetTheClientsRequest(t *testing.T) {
+	c := qt.New(t)
+	client := http.Header{}
+	for key, value := range map[string]string{
+		externalapi.Model: "m", externalapi.TokenCount: "120 8", externalapi.Prefix: "fa01:100", "X-Own": "kept",
+		externalapi.Stage: "prefill", externalapi.KvFrom: "10.0.0.9:80/stolen", externalapi.Priority: "0", externalapi.Target: "b9",
+		externalapi.DeadlineMs: "999999", externalapi.LastEventID: "3",
+		"Connection": "X-Hop", "X-Hop": "1", "Transfer-Encoding": "chunked", "Keep-Alive": "x", "Upgrade": "h2c",
+	} {
+		client.Set(key, value)
+	}
+	dropHop(client)
+	m := message{id: "a1", method: http.MethodPost, target: "/chat/?q=1", host: "h", header: client, body: []byte("the body")}
+	read := func(x extra) *http.Request {
+		req, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(m.head(&x))))
+		c.Assert(err, qt.IsNil)
+		body := make([]byte, len(m.body))
+		_, err = req.Body.Read(body)
+		c.Assert(err == nil || err.Error() == "EOF", qt.IsTrue)
+		c.Assert(string(body), qt.Equals, "the body")
+		c.Assert(req.RequestURI, qt.Equals, "/chat/?q=1")
+		for _, key := range []string{"Connection", "X-Hop", "Keep-Alive", "Upgrade"} {
+			c.Check(req.Header.Values(key), qt.HasLen, 0, qt.Commentf("%s", key))
+		}
+		for key, want := range map[string]string{externalapi.Model: "m", externalapi.TokenCount: "120 8", externalapi.Prefix: "fa01:100", "X-Own": "kept"} {
+			c.Check(req.Header.Values(key), qt.DeepEquals, []string{want}, qt.Commentf("%s", key))
+		}
+		return req
+	}
+	plainSend := read(extra{target: "b1", left: 1500 * time.Millisecond, priority: -1})
+	c.Check(plainSend.Header.Values(externalapi.Target), qt.DeepEquals, []string{"b1"})
+	c.Check(plainSend.Header.Values(externalapi.DeadlineMs), qt.DeepEquals, []string{"1500"})
+	c.Check(plainSend.Header.Values(externalapi.LastEventID), qt.DeepEquals, []string{"3"})
+	for _, key := range []string{externalapi.Stage, externalapi.KvFrom, externalapi.Priority} {
+		c.Check(plainSend.Header.Values(key), qt.HasLen, 0, qt.Commentf("%s is the proxy's to set", key))
+	}
+	resumed := read(extra{target: "b2", left: -time.Second, priority: 12, stage: "prefill", lastID: "7"})
+	c.Check(resumed.Header.Values(externalapi.DeadlineMs), qt.DeepEquals, []string{"1"})
+	c.Check(resumed.Header.Values(externalapi.LastEventID), qt.DeepEquals, []string{"7"})
+	c.Check(resumed.Header.Values(externalapi.Priority), qt.DeepEquals, []string{"9"})
+	c.Check(resumed.Header.Values(externalapi.Stage), qt.DeepEquals, []string{"prefill"})
+	c.Check(strings.Contains(string(m.head(&extra{target: "b1"})), "stolen"), qt.IsFalse)
+}
+
+// TestClientGone has clients leave streams and a plain request under way: the backends' work ends within half a second, and
+// nothing of these requests reaches a backend later.
+func TestClientGone(t *testing.T) {
+	const bound = 500 * time.Millisecond
+	r := newRig(t, everywhere(func(s *simulation.EngineSettings) { s.Step = 50 * time.Millisecond })...)
+	r.configure()
+	for _, e := range r.engines {
+		if e.Settings().Service == "obs" {
+			e.SetFaults(simulation.Faults{SlowBy: time.Minute}) // only its client's leaving ends the request
+		}
+	}
+	const streams = 6
+	ctx, leave := context.WithCancel(context.Background())
+	results := make(chan simulation.Result, streams+1)
+	for i := range streams {
+		go func() { results <- r.client.Do(ctx, ask("free", i, i, [2]int{200, 1000})) }()
+	}
+	go func() { results <- r.client.Do(ctx, ask("freeread", 0, 0, [2]int{})) }()
+	r.awaitBegun(streams)
+	wait, cancel := context.WithTimeout(context.Background(), testPatience)
+	defer cancel()
+	working := func() (all []simulation.Entry) {
+		for _, e := range r.engines {
+			for _, en := range e.Log.Entries() {
+				if en.Kind == simulation.KindRequest && en.Ended.IsZero() {
+					all = append(all, en)
+				}
+			}
+		}
+		return all
+	}
+	eventuallyTrue(r, wait, "all are at work", func() bool { return len(working()) == streams+1 })
+	under := working()
+	left := time.Now()
+	leave()
+	for range streams + 1 {
+		<-results
+	}
+	eventuallyTrue(r, wait, "the backends' work ends", func() bool { return len(working()) == 0 })
+	ids := map[string]bool{}
+	for _, en := range under {
+		ids[en.Attempt] = true
+	}
+	for _, e := range r.engines {
+		for _, en := range e.Log.Entries() {
+			if !ids[en.Attempt] {
+				continue
+			}
+			r.Check(en.At.After(left.Add(bound)), qt.IsFalse, qt.Commentf("%s reached %s after its client had left", en.Attempt, e.ID()))
+			r.Check(en.Ended.After(left.Add(bound)), qt.IsFalse, qt.Commentf("%s was at work %v after its client had left", en.Attempt, en.Ended.Sub(left)))
+		}
+	}
+}
+
+// TestNoConfigurationIsNoVerdict: a proxy that knows no configuration answers 503 to everything, and never that there is no
+// such route.
+func TestNoConfigurationIsNoVerdict(t *testing.T) {
+	r := newRig(t, everywhere(nil)...)
+	for _, route := range []string{"freeread", "post", "unheard"} {
+		got := r.client.Do(context.Background(), ask(route, 0, 0, [2]int{}))
+		r.Check(got.Status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("%s: %v", route, got.Err))
+		r.Check(got.RetryAfter > 0, qt.IsTrue)
+	}
+	r.configure()
+	got := r.client.Do(context.Background(), ask("unheard", 0, 0, [2]int{}))
+	r.Check(got.Status, qt.Equals, http.StatusNotFound)
+	got = r.client.Do(context.Background(), ask("freeread", 0, 0, [2]int{}))
+	r.Check(got.Status, qt.Equals, http.StatusOK)
+}
+
+// TestEarlyAnswerLeavesTheBodyWhole: a backend that answers before it has read a long body, and reads on later, gets all of
+// that body and then the next request, whether that comes on this connection or another.
+func TestEarlyAnswerLeavesTheBodyWhole(t *testing.T) {
+	const bodySize, requests = 3 << 20, 4
+	r := newRig(t)
+	seen := make(chan string, requests) // what was wrong with each request as it came
+	addr := testkit.Raw(t, func(conn net.Conn, in *bufio.Reader) {
+		_ = conn.SetDeadline(time.Now().Add(testPatience))
+		for {
+			req, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			id := req.Header.Get(externalapi.AttemptID)
+			answer := "HTTP/1.1 200 OK\r\n" + externalapi.AttemptID + ": " + id + "\r\n" + externalapi.Seal + ": s-" + id + "\r\nContent-Length: 2\r\n\r\nok"
+			if _, err := io.WriteString(conn, answer); err != nil {
+				return
+			}
+			got, err := io.ReadAll(req.Body)
+			switch {
+			case err != nil:
+				seen <- fmt.Sprintf("%s: %v", id, err)
+			case !bytes.Equal(got, bytes.Repeat([]byte(id+"."), bodySize/(len(id)+1))):
+				seen <- fmt.Sprintf("%s: other bytes than its client's, %d of them", id, len(got))
+			default:
+				seen <- ""
+			}
+		}
+	})
+	r.relist([]distribution.Backend{{ID: "early", Service: "obs", Address: addr, Zone: "e1", Capacity: 8}})
+	r.configure()
+	for i := range requests {
+		id := fmt.Sprintf("early-%d", i)
+		q := ask("post", 0, 0, [2]int{})
+		q.Attempt, q.Body = id, bytes.Repeat([]byte(id+"."), bodySize/(len(id)+1))
+		got := r.client.Do(context.Background(), q)
+		r.Check(got.Status, qt.Equals, http.StatusOK, qt.Commentf("%s: %v", id, got.Err))
+		select {
+		case wrong := <-seen:
+			r.Check(wrong, qt.Equals, "")
+		case <-time.After(testPatience):
+			t.Fatal("the backend gets no whole request")
+		}
+	}
+}
+
+// eventuallyTrue asks again and again until done holds or ctx ends.
+func eventuallyTrue(r *rig, ctx context.Context, what string, done func() bool) {
+	r.Helper()
+	tick := time.NewTicker(2 * time.Millisecond)
+	defer tick.Stop()
+	for !done() {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			r.Fatalf("never: %s", what)
+		}
+	}
+}
