--- a/cmd/molepaddle-fleet/process_test.go
+++ b/cmd/molepaddle-fleet/process_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -171,3 +172,38 @@
 	p.awaitLine("can't be opened; tried again")
 	p.endsWell()
 }
+
+// TestHangUpChangesNothing sends SIGHUP to every program of a fleet with requests under way: all of them are served, and the
+// programs run on.
+func TestHangUpChangesNothing(t *testing.T) {
+	f := newFleet(t, plan{})
+	var releases []func()
+	for _, e := range slices.Concat(f.decode, f.plain) {
+		releases = append(releases, e.Hold())
+	}
+	was := began(f.engines())
+	var open []<-chan simulation.Result
+	for i := range f.edge {
+		for _, r := range []simulation.Request{hazard(), report(), bulletin(1000, 3), lookup()} {
+			open = append(open, f.goDo(i, r))
+		}
+	}
+	f.until(patient, "all have begun", func() bool { return began(f.engines()) >= was+len(open) })
+	for _, m := range append(slices.Clone(f.core), f.edge...) {
+		for _, p := range m.programs {
+			p.Signal(syscall.SIGHUP)
+		}
+	}
+	for _, release := range releases {
+		release()
+	}
+	for _, ch := range open {
+		f.served(<-ch, "under way at SIGHUP")
+	}
+	f.add(2)
+	for i := range f.edge {
+		f.inForce(i, 2, time.Now().Add(patient))
+		f.served(f.clients[i].Do(f.ctx, lookup()), "after SIGHUP")
+	}
+	f.judge()
+}
