--- a/internal/fleet/replication/primary.go
+++ b/internal/fleet/replication/primary.go
@@ -1,7 +1,6 @@
 package replication
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -80,6 +79,9 @@
 		done++
 	}
 	m.writes = slices.Delete(m.writes, 0, done)
+	if done > 0 {
+		m.handOver()
+	}
 	asked := false
 	m.reads = slices.DeleteFunc(m.reads, func(w waiting) bool {
 		if len(m.peers) == 0 || w.at != 0 && w.at <= round {
@@ -116,8 +118,11 @@
 func (m *Machine) beat() {
 	m.beatAt = m.now + m.opt.BeatEvery
 	m.nextRound()
+	pending := len(m.leavers) > 0 && (!m.ready() || m.relievesLeavers())
 	for _, o := range m.view.Members {
-		m.send(o.Addr, m.beatMessage())
+		msg := m.beatMessage()
+		msg.Release = m.leavers[o.ID] && !pending && m.view.rank(o.ID) < 0
+		m.send(o.Addr, msg)
 	}
 }
 
@@ -238,6 +243,9 @@
 		return
 	}
 	m.lastBeat = m.now
+	if msg.Release {
+		m.leave.releasedFor = m.view.Epoch
+	}
 	if m.holder() && !m.stopped() && msg.Seq == m.seq && msg.Digest == m.digest {
 		m.stepped()
 	}
@@ -285,126 +293,3 @@
 	}
 	m.ack(msg.From.Addr, 0)
 }
-
-func (m *Machine) majorityAlive() bool {
-	n := 0
-	for _, o := range m.view.Members {
-		if m.alive(o.ID) {
-			n++
-		}
-	}
-	return n >= m.view.majority()
-}
-
-// slowLately reports whether a member was left out not long ago.
-func (m *Machine) slowLately(id ID) bool {
-	at, ok := m.slow[id]
-	return ok && m.now-at < m.opt.ForgetAfter
-}
-
-// joining lists the machines to be taken in.
-func (m *Machine) joining() []Member {
-	var js []Member
-	for a, j := range m.joiners {
-		if m.now-j.heard >= m.opt.SuspectAfter {
-			if m.now-j.heard >= m.opt.ForgetAfter {
-				delete(m.joiners, a)
-			}
-			continue
-		}
-		if j.confirmed && !m.view.has(j.ID) {
-			js = append(js, j.Member)
-		}
-	}
-	sortMembers(js)
-	return js
-}
-
-// nextMembers are the members that the next view should have: with the machines that joined, without the older
-// identities of their addresses, and without those silent for longest where that lowers the majority.
-func (m *Machine) nextMembers() (next []Member, changed bool) {
-	next = slices.Clone(m.view.Members)
-	if !m.led {
-		return next, false
-	}
-	for _, j := range m.joining() {
-		next = slices.DeleteFunc(next, func(o Member) bool { return o.Addr == j.Addr })
-		if len(next) < maxMembers {
-			next, changed = append(next, j), true
-		}
-	}
-	// Never below what the loss of all that may be lost leaves a majority of: who comes back may be needed.
-	least := max(3, 2*m.opt.Survive.Copies()-1)
-	var silent []Member
-	for _, o := range next {
-		at, ok := m.heard[o.ID]
-		if o.ID != m.id.ID && m.view.has(o.ID) && (!ok || m.now-at >= m.opt.ForgetAfter) {
-			silent = append(silent, o)
-		}
-	}
-	slices.SortStableFunc(silent, func(a, b Member) int { return cmp.Compare(m.heard[a.ID], m.heard[b.ID]) })
-	silent = silent[:max(0, min(len(silent), len(next)-least))]
-	if (len(next)-len(silent))/2 < len(next)/2 {
-		next, changed = slices.DeleteFunc(next, func(o Member) bool { return slices.Contains(silent, o) }), true
-	}
-	sortMembers(next)
-	return next, changed
-}
-
-// aliveAmong are the machines among members that may become backups now.
-func (m *Machine) aliveAmong(members []Member, except func(ID) bool) []candidate {
-	var cs []candidate
-	for _, o := range members {
-		// A joiner among them answered within SuspectAfter.
-		if o.ID == m.id.ID || m.view.has(o.ID) && !m.alive(o.ID) || except(o.ID) {
-			continue
-		}
-		cs = append(cs, candidate{Member: o, holder: m.view.rank(o.ID) >= 0, slow: m.slowLately(o.ID)})
-	}
-	return cs
-}
-
-// reform proposes a next view, led by this machine again, when a backup is lost or the view can be better.
-func (m *Machine) reform() {
-	if !m.leading() || m.cand != nil || m.now < m.retryAt {
-		return
-	}
-	bad := map[ID]bool{}
-	dead, stopped := false, false
-	for id, p := range m.peers {
-		late := p.behind >= 0 && m.now-p.behind >= m.opt.WriteWithin
-		if !m.alive(id) || late {
-			bad[id] = true
-		}
-		dead = dead || !m.alive(id)
-		stopped = stopped || p.stopped
-	}
-	members, changed := m.nextMembers()
-	c := choose(m.opt.Survive, m.self(), members, m.aliveAmong(members, func(id ID) bool { return bad[id] }))
-	switch {
-	case !m.majorityAlive():
-		// Without answers nobody can be replaced. A backup that hears this machine, but isn't heard by it, may do better.
-		if dead {
-			m.campaign()
-		}
-	case len(bad) > 0 || stopped:
-		if c.enough {
-			for id := range bad {
-				m.slow[id] = m.now
-			}
-			m.campaign()
-		}
-	case m.ready() && m.now-m.viewSince >= m.opt.SuspectAfter && c.enough:
-		holders := []Member{m.self()}
-		for _, b := range m.view.Backups {
-			o, _ := m.view.member(b)
-			holders = append(holders, o)
-		}
-		z, r := spread(holders)
-		z, r = min(z, max(m.opt.Survive.Zones, 0)+1), min(r, max(m.opt.Survive.Regions, 0)+1)
-		better := c.full && (c.regions > r || c.regions == r && c.zones > z)
-		if changed || len(c.backups) > len(m.view.Backups) || better {
-			m.campaign()
-		}
-	}
-}
