--- a/internal/fleet/replication/safety_test.go
+++ b/internal/fleet/replication/safety_test.go
@@ -140,7 +140,7 @@
 	sent = h.give(h.backup, h.witness, staged[0])
 	h.Assert(sent[0].Kind, qt.Equals, KindAccept)
 	h.Assert(sent[0].Value.Backups, qt.DeepEquals, []ID{h.witness.disk.Identity.ID})
-	sent = h.give(h.backup, h.witness, Message{Kind: KindAccepted, Ballot: ballot})
+	h.give(h.backup, h.witness, Message{Kind: KindAccepted, Ballot: ballot})
 	h.Assert(h.backup.disk.View.Epoch, qt.Equals, h.view.Epoch+1)
 	h.Assert(h.backup.m.Status().Role, qt.Equals, Primary)
 	h.Assert(h.backup.m.Status().Ready, qt.IsFalse) // not before the backup is in step
