Tests of clauses follow the new calls to backends, on a clock that stands still

The tests want the same as before, the expected orders too; the time left is wanted to the millisecond, as before, on a clock of its own. Tests of proxy and externalapi pass.

--- a/internal/fleet/externalapi/clients_test.go
+++ b/internal/fleet/externalapi/clients_test.go
@@ -120,10 +120,10 @@
 			bodies <- body
 			w.WriteHeader(status)
 		})
-		got, err := NewBackendClient(&http.Client{Timeout: answerWithin}).Order(t.Context(), addr, PhasePrefill, "core-1", 7)
+		got, err := NewBackendClient(answerWithin).Order(t.Context(), addr, PhaseOrder{Backend: "b1", Phase: PhasePrefill, Owner: "core-1", Fence: 7, Expect: 3})
 		c.Assert(err, qt.IsNil)
 		c.Assert(got, qt.Equals, status)
-		c.Assert(<-bodies, qt.DeepEquals, map[string]any{"opcode": "phase", "phase": PhasePrefill, "owner": "core-1", "gen": 7.0})
+		c.Assert(<-bodies, qt.DeepEquals, map[string]any{"opcode": "phase", "phase": PhasePrefill, "owner": "core-1", "gen": 7.0, "expect": 3.0})
 	}
 }
 
@@ -142,11 +142,11 @@
 			panic(http.ErrAbortHandler)
 		}
 	})
-	client := NewBackendClient(&http.Client{Timeout: answerWithin})
+	client := NewBackendClient(answerWithin)
 	// The connection was used before: only then does the library consider a further try.
-	_, err := client.Report(t.Context(), addr)
+	_, err := client.Report(t.Context(), addr, "b1")
 	c.Assert(err, qt.IsNil)
-	_, err = client.Order(t.Context(), addr, PhaseDecode, "core-1", 7)
+	_, err = client.Order(t.Context(), addr, PhaseOrder{Backend: "b1", Phase: PhaseDecode, Owner: "core-1", Fence: 7})
 	c.Assert(err, qt.IsNotNil)
 	c.Assert(orders.Load(), qt.Equals, int64(1))
 }
--- a/internal/fleet/proxy/rules_test.go
+++ b/internal/fleet/proxy/rules_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -23,6 +24,11 @@
 // TestBackendsGetTheClientsRequest words requests for backends: what describes the prompt is the client's; what is the
 // proxy's to set never comes from the client; each send tells the time left, and no more.
 func TestBackendsGetTheClientsRequest(t *testing.T) {
+	synctest.Test(t, testBackendsGetTheClientsRequest)
+}
+
+// testBackendsGetTheClientsRequest runs where the clock stands still, so that the time left is known to the millisecond.
+func testBackendsGetTheClientsRequest(t *testing.T) {
 	c := qt.New(t)
 	client := http.Header{}
 	for key, value := range map[string]string{
@@ -51,14 +57,14 @@
 		}
 		return req
 	}
-	plainSend := read(extra{target: "b1", left: 1500 * time.Millisecond, priority: -1})
+	plainSend := read(extra{target: "b1", until: time.Now().Add(1500 * time.Millisecond), priority: -1})
 	c.Check(plainSend.Header.Values(externalapi.Target), qt.DeepEquals, []string{"b1"})
 	c.Check(plainSend.Header.Values(externalapi.DeadlineMs), qt.DeepEquals, []string{"1500"})
 	c.Check(plainSend.Header.Values(externalapi.LastEventID), qt.DeepEquals, []string{"3"})
 	for _, key := range []string{externalapi.Stage, externalapi.KvFrom, externalapi.Priority} {
 		c.Check(plainSend.Header.Values(key), qt.HasLen, 0, qt.Commentf("%s is the proxy's to set", key))
 	}
-	resumed := read(extra{target: "b2", left: -time.Second, priority: 12, stage: "prefill", lastID: "7"})
+	resumed := read(extra{target: "b2", until: time.Now().Add(-time.Second), priority: 12, stage: "prefill", lastID: "7"})
 	c.Check(resumed.Header.Values(externalapi.DeadlineMs), qt.DeepEquals, []string{"1"})
 	c.Check(resumed.Header.Values(externalapi.LastEventID), qt.DeepEquals, []string{"7"})
 	c.Check(resumed.Header.Values(externalapi.Priority), qt.DeepEquals, []string{"9"})
