--- /dev/null
+++ b/internal/fleet/controlplane/cluster_test.go
@@ -0,0 +1,229 @@
+package controlplane
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"molepaddle/internal/fleet/externalapi"
+	"molepaddle/internal/fleet/replication"
+	"molepaddle/internal/fleet/settings"
+	"molepaddle/internal/fleet/simulation"
+)
+
+// cluster is a core of whole control servers over loopback, with a network between them that can be cut.
+type cluster struct {
+	*qt.C
+	network *simulation.Network
+	ips     []string
+	ports   [2]int
+	servers map[string]*running // by IP
+	changed func(*settings.Settings)
+}
+
+// running is one control server.
+type running struct {
+	*Server
+	set  settings.Settings
+	end  context.CancelFunc
+	done chan struct{}
+}
+
+// newCluster starts a core at 127.0.net.1 and on, and waits until it has a primary.
+func newCluster(t *testing.T, net, members, survive int, change func(*settings.Settings)) *cluster {
+	c := &cluster{C: qt.New(t), network: simulation.NewNetwork(t), servers: map[string]*running{}, changed: change}
+	for i := range members {
+		c.ips = append(c.ips, fmt.Sprintf("127.0.%d.%d", net, i+1))
+	}
+	span := simulation.ChoosePorts(t, 5, c.ips...)
+	c.ports = [2]int{span.First, span.First + 4}
+	for _, ip := range c.ips {
+		set := settings.Settings{Nodename: ip, IP: ip, Zone: "z", Region: "east", Zones: map[string]string{"z": "east"}, Ports: c.ports, Heartbeat: 1200 * time.Millisecond,
+			Bootstrap: true, DataDir: c.TempDir(), Survive: settings.Survive{Nodes: survive}}
+		set.Bind.Control = c.control(ip)
+		set.Bounds.Sync, set.Bounds.Apply, set.Bounds.Lease = 4*time.Second, 2*time.Second, 3*time.Second
+		for _, seed := range c.ips[:min(3, members)] {
+			set.Seeds = append(set.Seeds, c.control(seed))
+		}
+		if change != nil {
+			change(&set)
+		}
+		c.start(set)
+	}
+	c.primary(c.ips...)
+	return c
+}
+
+// control is where a machine takes the operator's calls.
+func (c *cluster) control(ip string) string {
+	return net.JoinHostPort(ip, fmt.Sprint(c.ports[0]+4))
+}
+
+// start starts a control server, which is stopped with the test.
+func (c *cluster) start(set settings.Settings) {
+	server, err := New(set, zap.NewNop(), rand.Uint64)
+	c.Assert(err, qt.IsNil)
+	server.Dial = c.network.Dialer(set.IP)
+	ctx, end := context.WithCancel(context.Background())
+	one := &running{Server: server, set: set, end: end, done: make(chan struct{})}
+	c.servers[set.IP] = one
+	_, begun := server.watch()
+	go func() {
+		defer close(one.done)
+		_ = server.Run(ctx)
+	}()
+	c.Cleanup(one.stop)
+	select {
+	case <-begun:
+	case <-time.After(testPatience):
+		c.Fatalf("%s does not start", set.IP)
+	}
+}
+
+// stop ends a control server; it may be called again.
+func (r *running) stop() {
+	r.end()
+	<-r.done
+}
+
+// lookAgain is how often a condition is looked at that time alone may bring about.
+const lookAgain = 50 * time.Millisecond
+
+// within waits until a condition holds, which is looked at after each change of one of the servers' status, after each
+// renewal of their contact, and every lookAgain.
+func (c *cluster) within(what string, holds func() bool, ips ...string) {
+	c.Helper()
+	over := time.After(testPatience)
+	for {
+		var events []<-chan struct{}
+		for _, ip := range ips {
+			st, changed := c.servers[ip].watch()
+			events = append(events, changed, c.servers[ip].contact.in(st.Epoch).renewed)
+		}
+		if holds() {
+			return
+		}
+		stop := make(chan struct{})
+		one := make(chan struct{}, len(events))
+		for _, e := range events {
+			go func() {
+				select {
+				case <-e:
+					one <- struct{}{}
+				case <-stop:
+				}
+			}()
+		}
+		select {
+		case <-one:
+			close(stop)
+		case <-time.After(lookAgain):
+			close(stop)
+		case <-over:
+			close(stop)
+			c.Fatalf("never: %s", what)
+		}
+	}
+}
+
+// primary waits until one of some machines leads and has confirmed it, and gives its address.
+func (c *cluster) primary(among ...string) string {
+	c.Helper()
+	found := ""
+	c.within("a primary", func() bool {
+		for _, ip := range among {
+			if s := c.servers[ip]; s.leads(s.status.Load()) {
+				found = ip
+				return true
+			}
+		}
+		return false
+	}, among...)
+	return found
+}
+
+// backup is one of the primary's backups.
+func (c *cluster) backup(primary string) string {
+	view := c.servers[primary].status.Load().View
+	for _, m := range view.Members {
+		if slices.Contains(view.Backups, m.ID) {
+			host, _, _ := net.SplitHostPort(m.Addr)
+			return host
+		}
+	}
+	return ""
+}
+
+// others are all machines but some.
+func (c *cluster) others(than ...string) []string {
+	return slices.DeleteFunc(slices.Clone(c.ips), func(ip string) bool { return slices.Contains(than, ip) })
+}
+
+// reply is the answer to a call.
+type reply struct {
+	status   int
+	location string
+	retry    string
+	body     string
+	took     time.Duration
+}
+
+// call makes a call to one machine and follows nothing.
+func (c *cluster) call(ip, method, path string, base string, body []byte) reply {
+	c.Helper()
+	w := httptest.NewRecorder()
+	r := httptest.NewRequestWithContext(c.Context(), method, path, bytes.NewReader(body))
+	if base != "" {
+		r.Header.Set(externalapi.BaseVersion, base)
+	}
+	began := time.Now()
+	c.servers[ip].handler().ServeHTTP(w, r)
+	return reply{w.Code, w.Header().Get("Location"), w.Header().Get(externalapi.RetryAfter), w.Body.String(), time.Since(began)}
+}
+
+// operator calls some machines as the operator does.
+func (c *cluster) operator(ips ...string) *simulation.Operator {
+	o := &simulation.Operator{}
+	for _, ip := range ips {
+		o.Ctl = append(o.Ctl, c.control(ip))
+	}
+	return o
+}
+
+// replaced has a configuration acknowledged by some machines.
+func (c *cluster) replaced(base, version uint64, ips ...string) simulation.Reply {
+	c.Helper()
+	ctx, cancel := context.WithTimeout(c.Context(), testPatience)
+	defer cancel()
+	rep, err := c.operator(ips...).Replace(ctx, base, documentOf(version))
+	c.Assert(err, qt.IsNil)
+	c.Assert(rep.Status, qt.Equals, http.StatusOK, qt.Commentf("%s", rep.Body))
+	return rep
+}
+
+// documentOf is a whole configuration.
+func documentOf(version uint64) []byte {
+	return fmt.Appendf(nil, `{"ver":%d,"routing":[{"name":"r","hostname":"h","pfx":"/","kind":"readonly","deadline_ms":1000,"svc":"s"}],"svcs":[{"name":"s","probe":"/healthz"}],"caps":{}}`, version)
+}
+
+// pauseDriver has a server's driver sleep, as in a freeze of its process, until the function given back is called.
+func (r *running) pauseDriver() (resume func()) {
+	asleep, awake := make(chan struct{}), make(chan struct{})
+	r.inputs <- func(now time.Duration) replication.Output {
+		close(asleep)
+		<-awake
+		return r.machine.Tick(now)
+	}
+	<-asleep
+	return func() { close(awake) }
+}
--- a/internal/fleet/controlplane/controlplane.go
+++ b/internal/fleet/controlplane/controlplane.go
@@ -15,7 +15,6 @@
 
 	"molepaddle/internal/fleet/distribution"
 	"molepaddle/internal/fleet/replication"
-	"molepaddle/internal/fleet/routingconfig"
 	"molepaddle/internal/fleet/settings"
 	"molepaddle/internal/fleet/statestore"
 )
@@ -24,6 +23,8 @@
 type Server struct {
 	// Readings is the least time between two readings of where tenants' data rested; New sets DefaultReadings.
 	Readings time.Duration
+	// Dial connects to other core machines; New sets distribution.Dial. Tests put a network of their own between.
+	Dial distribution.DialFunc
 
 	set     settings.Settings
 	log     *zap.Logger
@@ -40,6 +41,7 @@
 	newest  atomic.Pointer[settledDoc]    // which configuration that has, and since when
 	polls   atomic.Pointer[polls]         // what the poller did last, as primary
 	heard   *xsync.Map[string, time.Time] // when another core machine was last heard, by its address among the core
+	contact *contact                      // with the primary, or as primary with the backups
 
 	// What follows belongs to the driver's goroutine.
 	waiting map[uint64]chan<- replication.Answer
@@ -66,8 +68,8 @@
 	if state.Lost {
 		log.Warn("the disk's content can't be trusted and counts as lost")
 	}
-	o := &Server{Readings: DefaultReadings, set: set, log: log, start: time.Now(), store: distribution.NewCache(), archive: a, record: &record{},
-		heard:  xsync.NewMap[string, time.Time](),
+	o := &Server{Readings: DefaultReadings, Dial: distribution.Dial, set: set, log: log, start: time.Now(), store: distribution.NewCache(), archive: a, record: &record{},
+		heard: xsync.NewMap[string, time.Time](), contact: newContact(time.Now()),
 		inputs: make(chan func(time.Duration) replication.Output, 1024), waiting: map[uint64]chan<- replication.Answer{}, writing: make(chan struct{}, 1)}
 	var seeds []string
 	for _, s := range set.Seeds {
@@ -84,9 +86,10 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "record")
 	}
-	o.peers = newPeers(self.Addr, log)
+	o.peers = newPeers(self.Addr, log, func(addr string, within time.Duration) (net.Conn, error) { return o.Dial(addr, within) })
 	st := o.machine.Status()
 	o.status.Store(&st)
+	o.publishCore(&st)
 	changed := make(chan struct{})
 	o.changed.Store(&changed)
 	return o, nil
@@ -117,13 +120,7 @@
 	}
 	server := &http.Server{Handler: o.handler(), ReadHeaderTimeout: 3 * time.Second, IdleTimeout: 10 * time.Second, ErrorLog: zap.NewStdLog(o.log)}
 	go func() { _ = server.Serve(control) }()
-	go o.peers.serve(ctx, core, func(from string, m *replication.Message) {
-		o.hears(from, time.Now())
-		select {
-		case o.inputs <- func(now time.Duration) replication.Output { return o.machine.Receive(now, from, m) }:
-		default: // messages may be lost
-		}
-	})
+	go o.peers.serve(ctx, core, o.receive, o.connectionEnded)
 	go o.servePulls(ctx, pulls)
 	go o.relay(ctx)
 	go o.poll(ctx)
@@ -143,133 +140,3 @@
 	}
 	return nil
 }
-
-// drive handles inputs one by one: what is to be on disk is there before anything is sent or answered.
-func (o *Server) drive(ctx context.Context) {
-	next := time.NewTimer(0)
-	defer next.Stop()
-	for {
-		var out replication.Output
-		select {
-		case <-ctx.Done():
-			return
-		case in := <-o.inputs:
-			out = in(time.Since(o.start))
-		case <-next.C:
-			out = o.machine.Tick(time.Since(o.start))
-		}
-		o.carryOut(ctx, &out)
-		next.Reset(max(o.machine.Next()-time.Since(o.start), 0))
-	}
-}
-
-func (o *Server) carryOut(ctx context.Context, out *replication.Output) {
-	for pause := 50 * time.Millisecond; !out.Write.Empty(); {
-		err := o.archive.Save(out.Write)
-		if err == nil {
-			break
-		}
-		o.log.Error("the disk takes no write; tried again", zap.Error(err))
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(pause):
-		}
-		pause = min(2*pause, time.Second)
-	}
-	for _, e := range out.Send {
-		o.peers.send(e.To, e.Msg)
-	}
-	o.settle(out.Committed)
-	for _, a := range out.Answer {
-		if c := o.waiting[a.Token]; c != nil {
-			delete(o.waiting, a.Token)
-			c <- a
-		}
-	}
-	if out.Changed {
-		st := o.machine.Status()
-		was := o.status.Swap(&st)
-		next := make(chan struct{})
-		close(*o.changed.Swap(&next))
-		if was.Epoch != st.Epoch || was.Role != st.Role || was.Ready != st.Ready {
-			o.log.Info("view", zap.Uint64("epoch", st.Epoch), zap.Stringer("role", st.Role), zap.Bool("ready", st.Ready), zap.String("primary", st.PrimaryAddr),
-				zap.Int("members", len(st.View.Members)), zap.Int("backups", len(st.View.Backups)))
-		}
-	}
-}
-
-// settle makes committed state known: to readers, and at the primary to those that pull.
-func (o *Server) settle(committed uint64) {
-	done := o.record.settle(committed)
-	if len(done) == 0 {
-		return
-	}
-	last := &done[len(done)-1]
-	was := o.settled.Load()
-	if was != nil && was.seq >= last.seq {
-		return
-	}
-	defer o.settled.Store(last)
-	var docs []*applied // that brought a configuration
-	from := uint64(0)
-	if was != nil {
-		from = was.docSeq
-	}
-	for i := range done {
-		if d := &done[i]; d.doc != nil && d.docSeq > from {
-			docs, from = append(docs, d), d.docSeq
-		}
-	}
-	if len(docs) == 0 {
-		return // a reading, say
-	}
-	for i, d := range docs {
-		at := distribution.Version{Count: d.docSeq}
-		if was != nil && d.call != nil && o.store.Append(distribution.SourceConfig, distribution.Version{Count: was.docSeq}, at, distribution.Change{At: at, Replace: d.call.Replace, Body: d.call.Body}) {
-			was = d
-			continue
-		}
-		was = d
-		if i == len(docs)-1 {
-			o.store.Set(distribution.SourceConfig, at, d.doc.Show())
-		}
-	}
-	o.noteSettled(last, time.Now())
-	o.log.Info("configuration settled", zap.Uint64("seq", last.docSeq), zap.Int64("version", versionOf(last.doc)))
-}
-
-func versionOf(d *routingconfig.Document) int64 {
-	if d == nil {
-		return 0
-	}
-	return d.Version()
-}
-
-// ask hands the machine an input with a token and waits for its answer.
-func (o *Server) ask(ctx context.Context, do func(now time.Duration, token uint64) replication.Output) (replication.Answer, error) {
-	c := make(chan replication.Answer, 1)
-	in := func(now time.Duration) replication.Output {
-		o.token++
-		token := o.token
-		o.waiting[token] = c
-		context.AfterFunc(ctx, func() {
-			select {
-			case o.inputs <- func(now time.Duration) replication.Output { delete(o.waiting, token); return o.machine.Tick(now) }:
-			default:
-			}
-		})
-		return do(now, token)
-	}
-	select {
-	case o.inputs <- in:
-	case <-ctx.Done():
-		return replication.Answer{}, ctx.Err()
-	}
-	select {
-	case a := <-c:
-		return a, nil
-	case <-ctx.Done():
-		return replication.Answer{}, ctx.Err()
-	}
-}
--- a/internal/fleet/controlplane/operator.go
+++ b/internal/fleet/controlplane/operator.go
@@ -1,29 +1,17 @@
 package controlplane
 
 import (
-	"context"
 	"encoding/json"
-	"io"
-	"net"
 	"net/http"
-	"net/url"
-	"strconv"
 	"time"
 
-	"go.uber.org/zap"
-
 	"molepaddle/internal/fleet/externalapi"
 	"molepaddle/internal/fleet/replication"
 	"molepaddle/internal/fleet/routingconfig"
 )
 
-const (
-	// maxConfig bounds a configuration, in bytes.
-	maxConfig = 16 << 20
-	// answerWithin is how long a call of the operator waits for the record; callers turn elsewhere after a second.
-	answerWithin = 3 * time.Second
-)
-
+// handler serves the operator's calls. What a call says of the state is said by the primary alone, after its backups have
+// confirmed its view in a round that began after the call came.
 func (o *Server) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc(externalapi.Replace.Method+" "+externalapi.Replace.Path, func(w http.ResponseWriter, r *http.Request) { o.change(w, r, true) })
@@ -34,24 +22,6 @@
 	return mux
 }
 
-// elsewhere sends a caller to the primary, where that is another machine; false: this is the primary.
-func (o *Server) elsewhere(w http.ResponseWriter, r *http.Request) bool {
-	st := o.status.Load()
-	if st.Role == replication.Primary {
-		return false
-	}
-	host, _, err := net.SplitHostPort(st.PrimaryAddr)
-	_, port, err2 := net.SplitHostPort(o.set.Bind.Control)
-	if err != nil || err2 != nil || !st.Ready {
-		o.later(w, "no primary is known")
-		return true
-	}
-	to := url.URL{Scheme: "http", Host: net.JoinHostPort(host, port), Path: r.URL.Path, RawQuery: r.URL.RawQuery}
-	w.Header().Set("Location", to.String())
-	w.WriteHeader(http.StatusTemporaryRedirect)
-	return true
-}
-
 // later tells a caller to ask again, here or elsewhere.
 func (o *Server) later(w http.ResponseWriter, why string) {
 	w.Header().Set(externalapi.RetryAfter, "0.2")
@@ -75,88 +45,8 @@
 	_ = json.NewEncoder(w).Encode(body)
 }
 
-func (o *Server) change(w http.ResponseWriter, r *http.Request, replace bool) {
-	base, err := strconv.ParseInt(r.Header.Get(externalapi.BaseVersion), 10, 64)
-	if err != nil || base < 0 {
-		_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxConfig))
-		o.fail(w, http.StatusBadRequest, externalapi.BaseVersion+": no whole number", nil)
-		return
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxConfig))
-	if err != nil {
-		if tooLong, ok := err.(*http.MaxBytesError); ok {
-			o.fail(w, http.StatusRequestEntityTooLarge, tooLong.Error(), nil)
-			return
-		}
-		o.fail(w, http.StatusBadRequest, "the body is not whole", nil)
-		return
-	}
-	if o.elsewhere(w, r) {
-		return
-	}
-	ctx, cancel := context.WithTimeout(r.Context(), answerWithin)
-	defer cancel()
-	select {
-	case o.writing <- struct{}{}:
-	case <-ctx.Done():
-		o.later(w, "another change is under way")
-		return
-	}
-	call := &Call{Replace: replace, Base: base, Body: body}
-	// What is checked and what is proposed belong together: both happen in the driver's goroutine.
-	checked := make(chan *verdict, 1)
-	done := make(chan struct{})
-	var ans replication.Answer
-	go func() {
-		defer func() { <-o.writing; close(done) }()
-		// The change goes on when its caller has left: the next one waits for its end.
-		wait, cancel := context.WithTimeout(context.Background(), 4*answerWithin)
-		defer cancel()
-		ans, err = o.ask(wait, func(now time.Duration, token uint64) replication.Output {
-			if o.machine.Status().Role != replication.Primary {
-				return o.machine.Propose(now, token, nil) // says who may be
-			}
-			if v := o.record.judge(call, routingconfig.KnownRegions(o.set.Zones)); v != nil {
-				checked <- v
-				return o.machine.Read(now, token)
-			}
-			b, _ := call.MarshalMsg(nil)
-			return o.machine.Propose(now, token, b)
-		})
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
-		o.later(w, "not settled yet")
-		return
-	}
-	select {
-	case v := <-checked:
-		if err != nil || !v.holds(ans) {
-			o.later(w, "not settled")
-			return
-		}
-		if v.status == http.StatusOK {
-			w.WriteHeader(http.StatusOK)
-			return
-		}
-		o.log.Info("change refused", zap.Int("status", v.status), zap.String("why", v.why), zap.Stringer("findings", v.found))
-		o.fail(w, v.status, v.why, v.found)
-		return
-	default:
-	}
-	switch {
-	case err == nil && ans.Result == replication.Committed:
-		w.WriteHeader(http.StatusOK)
-	default:
-		o.later(w, "not settled")
-	}
-}
-
+// show answers with the newest acknowledged configuration.
 func (o *Server) show(w http.ResponseWriter, r *http.Request) {
-	if o.elsewhere(w, r) {
-		return
-	}
 	d, seq, ok := o.confirmed(w, r)
 	if !ok {
 		return
@@ -176,8 +66,11 @@
 // confirmed gives the newest state once the view is known to stand, and the change that it is at least as new as; nil:
 // there is no change yet. false: the caller was answered.
 func (o *Server) confirmed(w http.ResponseWriter, r *http.Request) (d *applied, seq uint64, ok bool) {
-	ctx, cancel := context.WithTimeout(r.Context(), answerWithin)
+	ctx, cancel := o.whileInTouch(r.Context(), answerWithin)
 	defer cancel()
+	if !o.admit(ctx, w, r) {
+		return nil, 0, false
+	}
 	ans, err := o.ask(ctx, func(now time.Duration, token uint64) replication.Output { return o.machine.Read(now, token) })
 	if err != nil || ans.Result != replication.Confirmed {
 		o.later(w, "the view is not confirmed")
--- a/internal/fleet/controlplane/peers.go
+++ b/internal/fleet/controlplane/peers.go
@@ -3,7 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"io"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -17,6 +20,7 @@
 type peers struct {
 	self string
 	log  *zap.Logger
+	dial distribution.DialFunc
 	mu   sync.Mutex
 	out  map[string]chan replication.Message
 }
@@ -30,8 +34,8 @@
 	peerIdle = 10 * time.Second
 )
 
-func newPeers(self string, log *zap.Logger) *peers {
-	return &peers{self: self, log: log, out: map[string]chan replication.Message{}}
+func newPeers(self string, log *zap.Logger, dial distribution.DialFunc) *peers {
+	return &peers{self: self, log: log, dial: dial, out: map[string]chan replication.Message{}}
 }
 
 func (p *peers) send(to string, m replication.Message) {
@@ -57,20 +61,12 @@
 	for {
 		select {
 		case m := <-q:
-			if c == nil {
-				var err error
-				if c, err = distribution.Dial(to, peerWithin); err != nil {
-					c = nil
-					for len(q) > 0 { // what waited meanwhile is old
-						<-q
-					}
-					continue
+			var err error
+			if c, err = p.deliver(c, to, &m); err != nil {
+				for len(q) > 0 { // what waited meanwhile is old
+					<-q
 				}
-			}
-			_ = c.SetWriteDeadline(time.Now().Add(peerWithin))
-			if err := distribution.WriteFrame(c, &m); err != nil {
-				c.Close()
-				c = nil
+				continue
 			}
 			idle.Reset(peerIdle)
 		case <-idle.C:
@@ -90,8 +86,40 @@
 	}
 }
 
-// serve hears the other core machines.
-func (p *peers) serve(ctx context.Context, ln net.Listener, tell func(from string, m *replication.Message)) {
+// deliver sends one message on a connection, or on a new one where there is none or it has ended: the peer's process may have been
+// replaced by another, which is not to miss what is said first. One that is silent isn't tried twice.
+func (p *peers) deliver(c net.Conn, to string, m *replication.Message) (net.Conn, error) {
+	for {
+		made := c == nil
+		if made {
+			var err error
+			if c, err = p.dial(to, peerWithin); err != nil {
+				return nil, err
+			}
+			go closeAtEnd(c)
+		}
+		_ = c.SetWriteDeadline(time.Now().Add(peerWithin))
+		err := distribution.WriteFrame(c, m)
+		if err == nil {
+			return c, nil
+		}
+		c.Close()
+		c = nil
+		if made || errors.Is(err, os.ErrDeadlineExceeded) {
+			return nil, err
+		}
+	}
+}
+
+// closeAtEnd closes a connection once the peer has ended it. Nothing is ever read from it: without this a first message to a
+// process that is gone would be taken by the kernel and lost.
+func closeAtEnd(c net.Conn) {
+	_, _ = io.Copy(io.Discard, c)
+	c.Close()
+}
+
+// serve hears the other core machines, and tells of whose connection has ended.
+func (p *peers) serve(ctx context.Context, ln net.Listener, tell func(from string, m *replication.Message), ended func(from string)) {
 	for {
 		c, err := ln.Accept()
 		if err != nil {
@@ -106,13 +134,16 @@
 			stop := context.AfterFunc(ctx, func() { c.Close() })
 			defer stop()
 			r := bufio.NewReader(c)
+			from := ""
+			defer func() { ended(from) }()
 			for {
 				_ = c.SetReadDeadline(time.Now().Add(3 * peerIdle))
 				m := new(replication.Message)
 				if err := distribution.ReadFrame(r, m); err != nil {
 					return
 				}
-				tell(m.From.Addr, m)
+				from = m.From.Addr
+				tell(from, m)
 			}
 		}()
 	}
--- /dev/null
+++ b/internal/fleet/controlplane/peers_test.go
@@ -0,0 +1,69 @@
+package controlplane
+
+import (
+	"bufio"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"molepaddle/internal/fleet/distribution"
+	"molepaddle/internal/fleet/replication"
+)
+
+// TestMessageToAReplacedProcess: the first message to a process that came in another's place at the same address arrives: a takeover
+// that waits for one reply isn't held up by the end of the process that it would have gone to.
+func TestMessageToAReplacedProcess(t *testing.T) {
+	c := qt.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	addr := ln.Addr().String()
+	ended := make(chan struct{}, 10)
+	p := newPeers("self", zap.NewNop(), func(addr string, within time.Duration) (net.Conn, error) {
+		conn, err := distribution.Dial(addr, within)
+		return endNoted{conn, ended}, err
+	})
+	receive := func(ln net.Listener) (conn net.Conn, r *bufio.Reader) {
+		conn, err := ln.Accept()
+		c.Assert(err, qt.IsNil)
+		_ = conn.SetDeadline(time.Now().Add(testPatience))
+		return conn, bufio.NewReader(conn)
+	}
+	round := func(r *bufio.Reader) uint64 {
+		var m replication.Message
+		c.Assert(distribution.ReadFrame(r, &m), qt.IsNil)
+		return m.Round
+	}
+	p.send(addr, replication.Message{Round: 1})
+	conn, r := receive(ln)
+	c.Assert(round(r), qt.Equals, uint64(1))
+	// The process ends, and the next one listens.
+	ln.Close()
+	conn.Close()
+	next, err := net.Listen("tcp", addr)
+	c.Assert(err, qt.IsNil)
+	defer next.Close()
+	select {
+	case <-ended: // the end was noticed without a message
+	case <-time.After(testPatience):
+		c.Fatal("the end of a connection is not noticed")
+	}
+	p.send(addr, replication.Message{Round: 2})
+	_ = next.(*net.TCPListener).SetDeadline(time.Now().Add(testPatience))
+	conn, r = receive(next)
+	defer conn.Close()
+	c.Assert(round(r), qt.Equals, uint64(2), qt.Commentf("the first message is not lost"))
+}
+
+// endNoted tells when a connection is closed.
+type endNoted struct {
+	net.Conn
+	ended chan<- struct{}
+}
+
+func (e endNoted) Close() error {
+	defer func() { e.ended <- struct{}{} }()
+	return e.Conn.Close()
+}
--- a/internal/fleet/controlplane/phases.go
+++ b/internal/fleet/controlplane/phases.go
@@ -37,15 +37,31 @@
 	mostSilent = 3
 	// orderWithin bounds a call to a backend.
 	orderWithin = 300 * time.Millisecond
+	// giveWithin bounds the confirmation before an order and the order together.
+	giveWithin = 2 * orderWithin
+	// onTheWay is more than an order takes from its sender to the backend.
+	onTheWay = orderWithin
 )
 
 func newPhases(o *Server) *phases {
-	client := &http.Client{Timeout: orderWithin, Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: orderWithin, KeepAlive: -1}).DialContext,
-		MaxIdleConnsPerHost: 1, IdleConnTimeout: 4 * reportEvery, DisableCompression: true}}
+	client := &http.Client{Timeout: orderWithin, Transport: &http.Transport{DialContext: dialBackend, MaxIdleConnsPerHost: 1, IdleConnTimeout: 4 * reportEvery, DisableCompression: true}}
 	return &phases{o: o, client: externalapi.NewBackendClient(client), machines: map[string]*scheduler.Phases{}, changing: map[string]bool{},
 		active: map[string]int{}}
 }
 
+// dialBackend connects to a backend. Closing resets the connection: an order that was given up while a cut held it up must not
+// arrive once the cut has healed, after another holder's orders.
+func dialBackend(ctx context.Context, network, addr string) (net.Conn, error) {
+	conn, err := (&net.Dialer{Timeout: orderWithin, KeepAlive: -1}).DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // it fails only on a connection that is broken
+	}
+	return conn, nil
+}
+
 // reset forgets what an earlier term of the duty began.
 func (p *phases) reset() {
 	p.mu.Lock()
@@ -161,11 +177,20 @@
 }
 
 // order sends one order, if the view that gives the duty still stands; false: it was not sent, or nothing was heard of it.
+//
+// It is sent within giveWithin of when the confirmation of the view was asked for, and given up at that time. The next holder of
+// the duty, which was chosen after that, gives no order before phasesWait: a lease lies between the two. After a freeze in
+// between the time is over, and nothing is sent.
 func (p *phases) order(ctx context.Context, b *distribution.Backend, prefill bool, epoch uint64) (heard bool) {
-	sure, cancel := context.WithTimeout(ctx, orderWithin)
-	ans, err := p.o.ask(sure, func(now time.Duration, token uint64) replication.Output { return p.o.machine.Read(now, token) })
-	cancel()
-	if err != nil || ans.Result != replication.Confirmed || p.o.status.Load().Epoch != epoch {
+	by := time.Now().Add(giveWithin)
+	ctx, cancel := context.WithDeadline(ctx, by)
+	defer cancel()
+	return p.confirm(ctx, epoch) && p.give(ctx, by, b, prefill, epoch)
+}
+
+// give sends an order, unless it is too late for that; see order.
+func (p *phases) give(ctx context.Context, by time.Time, b *distribution.Backend, prefill bool, epoch uint64) (heard bool) {
+	if !time.Now().Before(by) {
 		return false
 	}
 	phase := externalapi.PhaseDecode
@@ -177,6 +202,13 @@
 	return err == nil
 }
 
+// confirm reports whether all backups confirm that the view of an epoch stands, with this machine as its primary.
+func (p *phases) confirm(ctx context.Context, epoch uint64) bool {
+	ans, err := p.o.ask(ctx, func(now time.Duration, token uint64) replication.Output { return p.o.machine.Read(now, token) })
+	st := p.o.status.Load()
+	return err == nil && ans.Result == replication.Confirmed && st.Epoch == epoch && st.Role == replication.Primary
+}
+
 // reports asks all backends at once for their reports.
 func (p *phases) reports(ctx context.Context, all []distribution.Backend) []scheduler.EngineState {
 	states := make([]scheduler.EngineState, len(all))
--- /dev/null
+++ b/internal/fleet/controlplane/phases_test.go
@@ -0,0 +1,155 @@
+package controlplane
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"molepaddle/internal/fleet/distribution"
+	"molepaddle/internal/fleet/externalapi"
+	"molepaddle/internal/fleet/settings"
+)
+
+// ordered is a backend that counts the orders that reach it.
+func ordered(c *qt.C) (*distribution.Backend, *atomic.Int64) {
+	var orders atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == externalapi.Order.Path {
+			orders.Add(1)
+		}
+		w.WriteHeader(http.StatusAccepted)
+	}))
+	c.Cleanup(server.Close)
+	return &distribution.Backend{ID: "b", Address: server.Listener.Addr().String()}, &orders
+}
+
+// TestOrdersNeedContact: the holder of the duty gives an order only after all backups have confirmed the epoch that is its fence.
+func TestOrdersNeedContact(t *testing.T) {
+	c := newCluster(t, 47, 3, 1, nil)
+	holder := c.primary(c.ips...)
+	backend, orders := ordered(c.C)
+	p := newPhases(c.servers[holder].Server)
+	epoch := c.servers[holder].status.Load().Epoch
+	c.Assert(p.order(c.Context(), backend, true, epoch), qt.IsTrue)
+	c.Assert(orders.Load(), qt.Equals, int64(1))
+	c.Assert(p.order(c.Context(), backend, true, epoch-1), qt.IsFalse, qt.Commentf("the fence of an earlier epoch"))
+	for _, other := range c.others(holder) {
+		c.Assert(newPhases(c.servers[other].Server).order(c.Context(), backend, true, epoch), qt.IsFalse, qt.Commentf("%s isn't the primary", other))
+	}
+	c.network.Part([]string{holder}, c.others(holder))
+	began := time.Now()
+	c.Assert(p.order(c.Context(), backend, true, epoch), qt.IsFalse, qt.Commentf("nobody confirms the epoch"))
+	c.Assert(time.Since(began) < giveWithin+atOnce, qt.IsTrue)
+	next := c.primary(c.others(holder)...)
+	later := c.servers[next].status.Load().Epoch
+	c.Assert(later > epoch, qt.IsTrue)
+	c.Assert(newPhases(c.servers[next].Server).order(c.Context(), backend, true, later), qt.IsTrue)
+	c.network.Heal()
+	c.within("the holder is another one", func() bool { return c.servers[holder].status.Load().Epoch >= later }, holder)
+	c.Assert(p.order(c.Context(), backend, true, epoch), qt.IsFalse)
+	c.Assert(orders.Load(), qt.Equals, int64(2))
+}
+
+// TestOrderIsTooLateAfterAFreeze: an order whose time is over, as it is after a freeze behind the confirmation, is not sent.
+func TestOrderIsTooLateAfterAFreeze(t *testing.T) {
+	c := qt.New(t)
+	backend, orders := ordered(c)
+	p := newPhases(solo(c))
+	c.Assert(p.give(c.Context(), time.Now(), backend, true, 1), qt.IsFalse)
+	c.Assert(orders.Load(), qt.Equals, int64(0))
+	c.Assert(p.give(c.Context(), time.Now().Add(time.Minute), backend, true, 1), qt.IsTrue)
+	c.Assert(orders.Load(), qt.Equals, int64(1))
+}
+
+// TestOrderGivenUpIsReset: an order without an answer is taken back by a reset, so that what a cut held up doesn't come later.
+func TestOrderGivenUpIsReset(t *testing.T) {
+	c := qt.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer ln.Close()
+	ended := make(chan error, 1)
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			ended <- err
+			return
+		}
+		defer conn.Close()
+		_ = conn.SetDeadline(time.Now().Add(testPatience))
+		_, err = io.Copy(io.Discard, conn)
+		ended <- err
+	}()
+	p := newPhases(solo(c))
+	ctx, cancel := context.WithTimeout(c.Context(), atOnce)
+	defer cancel()
+	c.Assert(p.give(ctx, time.Now().Add(atOnce), &distribution.Backend{ID: "b", Address: ln.Addr().String()}, true, 1), qt.IsFalse)
+	c.Assert(<-ended, qt.ErrorIs, syscall.ECONNRESET)
+}
+
+// TestHoldersKeepALeaseApart: the last order of a holder is given up before a lease begins after which the next may give one.
+func TestHoldersKeepALeaseApart(t *testing.T) {
+	for _, lease := range []time.Duration{0, time.Second, 3 * time.Second} {
+		o := &Server{set: settings.Settings{Bounds: settings.Bounds{Lease: lease}}}
+		qt.Check(t, o.phasesWait()-giveWithin > lease, qt.IsTrue)
+	}
+}
+
+// TestCutOffPrimaryDoesNotPoll: the platform is asked by the primary alone, and by none that is cut off.
+func TestCutOffPrimaryDoesNotPoll(t *testing.T) {
+	var mu sync.Mutex
+	polls := map[string]int{}
+	asked := make(chan struct{}, 1000)
+	c := newCluster(t, 48, 3, 1, func(set *settings.Settings) {
+		platform := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			mu.Lock()
+			polls[set.IP]++
+			mu.Unlock()
+			w.Header().Set("Content-Type", "application/json")
+			_, _ = io.WriteString(w, `{"backends":[],"next_marker":null}`)
+			select {
+			case asked <- struct{}{}:
+			default:
+			}
+		}))
+		t.Cleanup(platform.Close)
+		set.Provider.Address, set.Provider.Rate = platform.Listener.Addr().String(), 42
+	})
+	count := func(ip string) int {
+		mu.Lock()
+		defer mu.Unlock()
+		return polls[ip]
+	}
+	reaches := func(ip string, n int) {
+		c.Helper()
+		over := time.After(testPatience)
+		for count(ip) < n {
+			select {
+			case <-asked:
+			case <-over:
+				c.Fatalf("%s polls %d times", ip, count(ip))
+			}
+		}
+	}
+	old := c.primary(c.ips...)
+	reaches(old, 2)
+	c.network.Part([]string{old}, c.others(old))
+	next := c.primary(c.others(old)...)
+	c.within("the cut is known", func() bool { return !c.servers[old].leads(c.servers[old].status.Load()) }, old)
+	reaches(next, 1)
+	before := count(old)
+	reaches(next, 4)
+	c.Assert(count(old)-before <= 1, qt.IsTrue, qt.Commentf("%d polls of one that is cut off; one may have been under way", count(old)-before))
+	c.Assert(count(c.others(old, next)[0]), qt.Equals, 0)
+	st := c.servers[old].status.Load()
+	at, _ := c.servers[next].store.At(distribution.SourceList)
+	c.Assert(at.Epoch > st.Epoch, qt.IsTrue, qt.Commentf("receivers prefer the later epoch"))
+}
--- /dev/null
+++ b/internal/fleet/controlplane/planted_test.go
@@ -0,0 +1,121 @@
+package controlplane
+
+import (
+	"encoding/json"
+	"flag"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var planted = flag.Bool("controlplane.planted", false, "plant each fault in turn and run the tests that have to find it, which takes minutes")
+
+// fault is a deliberate bug, planted in a copy of the sources: each old text, which is there once, replaced.
+type fault struct {
+	name, file string
+	texts      []string // old, new, old, new ...
+	in, by     string   // the package and the tests that find it
+}
+
+const (
+	fileAdmission = "admission.go"
+	fileChange    = "change.go"
+	fileOperator  = "operator.go"
+	filePeers     = "peers.go"
+	filePhases    = "phases.go"
+	filePulls     = "pulls.go"
+	fileServer    = "controlplane.go"
+	fileLink      = "../distribution/link.go"
+	fileCache     = "../distribution/cache.go"
+	fileAgent     = "../nodeagent/nodeagent.go"
+	fileSource    = "../nodeagent/source.go"
+	fileContact   = "../replication/contact.go"
+
+	inThis         = "."
+	inDistribution = "../distribution"
+	inAgent        = "../nodeagent"
+	inReplication  = "../replication"
+)
+
+var faults = []fault{
+	{"a refusal is told without contact", fileChange, []string{"case end.err != nil:", "case end.err != nil && v == nil:", "v == nil || !v.holds(end.answer)", "v == nil",
+		"			judged <- v\n			return o.machine.Read(now, token)", "			judged <- v\n			cancel()\n			return o.machine.Tick(now)"}, inThis, "^TestCutOffPrimary$"},
+	{"a configuration is shown without contact", fileOperator, []string{"if err != nil || ans.Result != replication.Confirmed {", "if false {",
+		"	ans, err := o.ask(ctx, func(now time.Duration, token uint64) replication.Output { return o.machine.Read(now, token) })\n", "	var ans replication.Answer\n"}, inThis, "^TestCutOffPrimary$"},
+	{"a primary that was cut off takes up calls", fileAdmission, []string{"st.Ready && now.Sub(c.at) < leadWithin", "st.Ready"}, inThis, "^TestRedirectsLeadOn$"},
+	{"calls are parked for as long as a change may take", fileAdmission, []string{"	answerWithin = 850 * time.Millisecond", "	answerWithin = 3 * time.Second",
+		"cutOffAfter = 2 * time.Second", "cutOffAfter = 4 * time.Second"}, inThis, "^TestCutOffPrimary$"},
+	{"callers are sent to whom the disk names", fileAdmission, []string{"st.Ready && c.at.After(came):", "st.Ready:"}, inThis, "^TestRe(startedOnWrongSide|directsLeadOn)$"},
+	{"callers are sent to a primary that may be gone", fileAdmission, []string{"st.Ready && c.at.After(came):", "st.Ready && now.Sub(c.at) < leadWithin:"}, inThis, "^TestRedirectsLeadOn$"},
+	{"a message to a process that was replaced is lost", filePeers, []string{"		if made || errors.Is(err, os.ErrDeadlineExceeded) {", "		if true || errors.Is(err, os.ErrDeadlineExceeded) {"}, inThis, "^TestMessageToAReplacedProcess$"},
+	{"a connection that its peer has ended is written to", filePeers, []string{"			go closeAtEnd(c)\n", ""}, inThis, "^TestMessageToAReplacedProcess$"},
+	{"a primary claims to be fresh without contact", filePulls, []string{"o.store.Heard(st.PrimaryAddr, contact.at)", "o.store.Heard(st.PrimaryAddr, time.Now())"}, inAgent, "^TestChangeReachesAgentInTime$/^the_primary"},
+	{"an answer to an older round confirms a newer one", fileContact, []string{"	if c.open == 0 {\n		c.open, c.opened = round, now\n	}", "	c.open, c.opened = round, now", "c.open != 0 && c.open <= round", "c.open != 0 && round > 0"}, inReplication, "^TestContactInStorms$"},
+	{"a stopped primary claims contact", fileContact, []string{"if !m.ready() {", "if !m.led {"}, inReplication, "^TestContactInStorms$"},
+	{"a cut-off primary polls on", filePulls, []string{`o.set.Provider.Address == "" || !o.leads(st)`, `o.set.Provider.Address == "" || st.Role != replication.Primary`}, inThis, "^TestCutOffPrimaryDoesNotPoll$"},
+	{"the members are told by the primary alone", fileServer, []string{"	o.publishCore(&st)\n", ""}, inThis, "^TestRestartedOnWrongSide$"},
+	{"an order is given without contact", filePhases, []string{"return p.confirm(ctx, epoch) && p.give(ctx, by, b, prefill, epoch)", "return p.give(ctx, by, b, prefill, epoch)"}, inThis, "^TestOrdersNeedContact$"},
+	{"an order goes out under the fence of an earlier epoch", filePhases, []string{"ans.Result == replication.Confirmed && st.Epoch == epoch", "ans.Result == replication.Confirmed"}, inThis, "^TestOrdersNeedContact$"},
+	{"an order goes out after a freeze", filePhases, []string{"	if !time.Now().Before(by) {\n		return false\n	}\n", ""}, inThis, "^TestOrderIsTooLateAfterAFreeze$"},
+	{"an order that was given up may come later", filePhases, []string{"_ = tcp.SetLinger(0)", "_ = tcp.SetLinger(-1)"}, inThis, "^TestOrderGivenUpIsReset$"},
+	{"an old answer counts as new when it is read", fileLink, []string{"		n.age(sent)\n", ""}, inDistribution, "^TestAgeCountsTheWay$"},
+	{"the wait for news counts as age", fileCache, []string{"HeldMs: held.Milliseconds()", "HeldMs: 0 * held.Milliseconds()"}, inDistribution, "^TestAgeCountsTheWay$"},
+	{"a control server that is cut off is kept", fileSource, []string{"	if age < s.limit {\n		s.stale = 0", "	if age < 20*s.limit {\n		s.stale = 0"}, inAgent, "^Test(CutOffSourceIsLeftInTime|ChangeReachesAgentInTime)$"},
+	{"each control server is followed for a wait", fileSource, []string{"	case s.stale < known:\n		return 0\n", ""}, inAgent, "^TestCutOffSourceIsLeftInTime$"},
+	{"a core without a primary is pressed", fileSource, []string{"	case s.stale < known:", "	case s.stale >= 0:"}, inAgent, "^TestCoreWithoutPrimaryIsNotPressed$"},
+	{"the list of a control server that is cut off replaces a newer one", fileAgent, []string{"if p == nil || t.withheld.older(heard) {", "if p == nil {"}, inAgent, "^TestListPolledHereStands$"},
+	{"a list that was polled before isn't passed on again", fileAgent, []string{"t.withheld, t.polled = withheld{}, nil", "t.withheld = withheld{}"}, inAgent, "^TestListPolledHereStands$"},
+}
+
+// plant builds the tests of a package with a fault in it, by the compiler's overlay: nothing in the tree is changed. Without build it
+// only looks whether the texts still fit.
+func (f *fault) plant(c *qt.C, dir string, build bool) (binary string) {
+	file, err := filepath.Abs(f.file)
+	c.Assert(err, qt.IsNil)
+	b, err := os.ReadFile(file)
+	c.Assert(err, qt.IsNil)
+	src := string(b)
+	for pair := range slices.Chunk(f.texts, 2) {
+		c.Assert(strings.Count(src, pair[0]), qt.Equals, 1, qt.Commentf("to be planted anew: %s: %q", f.name, pair[0]))
+		src = strings.Replace(src, pair[0], pair[1], 1)
+	}
+	if !build {
+		return ""
+	}
+	changed, overlay, binary := filepath.Join(dir, filepath.Base(file)), filepath.Join(dir, "overlay.json"), filepath.Join(dir, "planted.test")
+	c.Assert(os.WriteFile(changed, []byte(src), 0o600), qt.IsNil)
+	list, err := json.Marshal(map[string]map[string]string{"Replace": {file: changed}})
+	c.Assert(err, qt.IsNil)
+	c.Assert(os.WriteFile(overlay, list, 0o600), qt.IsNil)
+	out, err := exec.CommandContext(c.Context(), "go", "test", "-vet=off", "-p=2", "-c", "-overlay", overlay, "-o", binary, f.in).CombinedOutput()
+	c.Assert(err, qt.IsNil, qt.Commentf("%s: %s", f.name, out))
+	return binary
+}
+
+// TestPlantedFaults: the faults still fit the sources; with -controlplane.planted each is planted, and the tests named have to find it.
+func TestPlantedFaults(t *testing.T) {
+	for _, f := range faults {
+		t.Run(strings.ReplaceAll(f.name, " ", "_"), func(t *testing.T) {
+			c := qt.New(t)
+			binary := f.plant(c, t.TempDir(), *planted)
+			if !*planted {
+				return
+			}
+			cmd := exec.CommandContext(t.Context(), binary, "-test.run", f.by, "-test.timeout", "2m")
+			cmd.Dir = f.in
+			out, err := cmd.CombinedOutput()
+			c.Assert(err, qt.IsNotNil, qt.Commentf("it was not found:\n%s", out))
+			for line := range strings.Lines(string(out)) {
+				if strings.Contains(line, "_test.go:") || strings.HasPrefix(line, "panic:") {
+					t.Logf("found: %s", strings.TrimSpace(line))
+					break
+				}
+			}
+		})
+	}
+}
--- a/internal/fleet/controlplane/pulls.go
+++ b/internal/fleet/controlplane/pulls.go
@@ -15,24 +15,41 @@
 	"molepaddle/internal/fleet/replication"
 )
 
-// servePulls answers node agents and, at the primary, the other control servers.
+// servePulls answers node agents and, at the primary, the other control servers. An answer is as new as this machine's contact
+// with its backups; elsewhere, as the word that came from the primary.
 func (o *Server) servePulls(ctx context.Context, ln net.Listener) {
 	distribution.Serve(ctx, ln, o.set.Nodename, o.store, 3*o.set.Heartbeat+time.Second, func() (time.Time, string) {
 		st := o.status.Load()
-		if st.Role == replication.Primary && st.Ready {
-			o.store.Heard(st.PrimaryAddr, time.Now())
+		if contact := o.contact.in(st.Epoch); st.Role == replication.Primary && !contact.at.IsZero() {
+			o.store.Heard(st.PrimaryAddr, contact.at)
 		}
 		return o.store.Fresh()
 	})
 }
 
+// publishCore tells those that pull where the members of a view answer pulls. Every machine knows a decided view by itself, so that
+// this needs no primary: agents that reach only machines that are cut off learn of the others.
+func (o *Server) publishCore(st *replication.Status) {
+	core := distribution.Core{}
+	for _, m := range st.View.Members {
+		if host, _, err := net.SplitHostPort(m.Addr); err == nil && st.Epoch > 0 {
+			core.Pulls = append(core.Pulls, distribution.PullAddr(host, o.set.Ports))
+		}
+	}
+	if len(core.Pulls) == 0 {
+		return
+	}
+	b, _ := core.MarshalMsg(nil) // it has no way to fail
+	o.store.Set(distribution.SourceCore, distribution.Version{Epoch: st.Epoch}, b)
+}
+
 // relay keeps a control server that isn't the primary up to date by the primary's pulls, as node agents are.
 func (o *Server) relay(ctx context.Context) {
 	wait, silence := distribution.Pace(o.set.Bounds.Apply, o.set.Heartbeat)
 	for ctx.Err() == nil {
 		st, changed := o.watch()
 		host, _, err := net.SplitHostPort(st.PrimaryAddr)
-		if st.Role == replication.Primary || err != nil {
+		if st.Role == replication.Primary || err != nil || host == o.set.IP {
 			select {
 			case <-changed:
 			case <-ctx.Done():
@@ -59,6 +76,7 @@
 			Have:    o.store.Have,
 			Take:    func(n *distribution.Response) []string { return o.store.Take(n, time.Now()) },
 			Rested:  func(time.Time) *distribution.Outbox { return o.store.Rested },
+			Dial:    o.Dial,
 		})
 		cancel()
 		sleep(ctx, 50*time.Millisecond)
@@ -87,7 +105,6 @@
 	duty := newPhases(o)
 	var plain, last *distribution.List // as the platform tells, and as published
 	var lastCrowd *distribution.Crowd
-	var lastCore *distribution.Core
 	var lastGauges distribution.Gauges
 	epoch, count := uint64(0), uint64(0)
 	var since, polled, reported time.Time
@@ -95,11 +112,11 @@
 	var answered time.Time
 	for ; ctx.Err() == nil; sleep(ctx, pollStep) {
 		st := o.status.Load()
-		if st.Role != replication.Primary || !st.Ready || o.set.Provider.Address == "" {
+		if o.set.Provider.Address == "" || !o.leads(st) {
 			continue
 		}
 		if st.Epoch != epoch {
-			epoch, count, plain, last, lastCrowd, lastCore, since, reported = st.Epoch, 0, nil, nil, nil, nil, time.Now(), time.Time{}
+			epoch, count, plain, last, lastCrowd, since, reported = st.Epoch, 0, nil, nil, nil, time.Now(), time.Time{}
 			answered = time.Time{}
 			duty.reset()
 		}
@@ -146,18 +163,6 @@
 		if p := o.polls.Load(); p == nil || p.epoch != epoch || p.at != answered || p.list != last {
 			o.polls.Store(&polls{epoch: epoch, since: since, at: answered, list: last})
 		}
-		core := distribution.Core{}
-		for _, m := range st.View.Members {
-			if host, _, err := net.SplitHostPort(m.Addr); err == nil {
-				core.Pulls = append(core.Pulls, distribution.PullAddr(host, o.set.Ports))
-			}
-		}
-		if lastCore == nil || !reflect.DeepEqual(*lastCore, core) {
-			count++
-			b, _ := core.MarshalMsg(nil)
-			o.store.Set(distribution.SourceCore, distribution.Version{Epoch: epoch, Count: count}, b)
-			lastCore = &core
-		}
 		crowd := distribution.Crowd{Zones: map[string]int{}}
 		for _, m := range o.store.Members(time.Now(), o.leaseFor()) {
 			crowd.Proxies++
--- a/internal/fleet/controlplane/rested.go
+++ b/internal/fleet/controlplane/rested.go
@@ -20,6 +20,8 @@
 	soonest = 2 * time.Second
 	// lookEvery is how often what waits for a reading is looked at for something new.
 	lookEvery = time.Second
+	// readingWithin bounds how long a reading may take to settle.
+	readingWithin = 3 * time.Second
 )
 
 // read has the record take what node agents handed on, while this is the primary. It sleeps for good where nothing comes,
@@ -79,7 +81,7 @@
 // takeReading has the record take some batches, and lets those go that are on all disks that they have to be on. It reports
 // whether there is more to be done soon.
 func (o *Server) takeReading(ctx context.Context, open []residencyreport.Batch) (soon bool) {
-	within, cancel := context.WithTimeout(ctx, answerWithin)
+	within, cancel := context.WithTimeout(ctx, readingWithin)
 	defer cancel()
 	var base *residencyreport.Gauge
 	if settled := o.settled.Load(); settled != nil {
@@ -114,9 +116,6 @@
 
 // residency answers where data rested: of one tenant, of one route that has regions without a tenant, or of all.
 func (o *Server) residency(w http.ResponseWriter, r *http.Request) {
-	if o.elsewhere(w, r) {
-		return
-	}
 	d, seq, ok := o.confirmed(w, r)
 	if !ok {
 		return
--- a/internal/fleet/controlplane/rested_test.go
+++ b/internal/fleet/controlplane/rested_test.go
@@ -160,15 +160,19 @@
 	c.Assert(o.settled.Load().rested.Report(nil)[0].Counts.Decodes, qt.Equals, int64(4))
 }
 
-// Whoever isn't the primary sends callers on, with what they ask for.
+// Whoever isn't the primary sends callers on, with what they ask for, once it has heard the primary of its view.
 func TestResidencyIsPassedOn(t *testing.T) {
 	c := qt.New(t)
 	o := solo(c)
-	o.status.Store(&replication.Status{Role: replication.Backup, Ready: true, PrimaryAddr: "127.0.0.2:7"})
+	const epoch = 9
+	o.status.Store(&replication.Status{Role: replication.Backup, Ready: true, Epoch: epoch, PrimaryAddr: "127.0.0.2:7"})
+	status, _, _ := call(o, http.MethodGet, "/molepaddle/residency?tenant=a%2Fb+c", nil)
+	c.Assert(status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("its primary has not been heard"))
+	o.contact.renew(epoch, time.Now().Add(time.Minute)) // since the call came
 	status, header, _ := call(o, http.MethodGet, "/molepaddle/residency?tenant=a%2Fb+c", nil)
 	c.Assert(status, qt.Equals, http.StatusTemporaryRedirect)
 	c.Assert(header.Get("Location"), qt.Equals, "http://127.0.0.2:9/molepaddle/residency?tenant=a%2Fb+c")
-	o.status.Store(&replication.Status{Role: replication.Backup})
+	o.status.Store(&replication.Status{Role: replication.Backup, Epoch: epoch + 1})
 	status, header, _ = call(o, http.MethodGet, "/molepaddle/residency", nil)
 	c.Assert(status, qt.Equals, http.StatusServiceUnavailable)
 	c.Assert(header.Get(externalapi.RetryAfter), qt.Not(qt.Equals), "")
--- a/internal/fleet/controlplane/status.go
+++ b/internal/fleet/controlplane/status.go
@@ -1,7 +1,6 @@
 package controlplane
 
 import (
-	"context"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -52,17 +51,18 @@
 // leaseFor is how long a member counts without a renewal.
 func (o *Server) leaseFor() time.Duration { return 3*o.set.Heartbeat + time.Second }
 
-// phasesWait is how long a new holder of the phases' duty keeps still: holders don't take turns within a lease.
-func (o *Server) phasesWait() time.Duration { return o.set.Bounds.Lease + 2*orderWithin }
+// phasesWait is how long a new holder of the phases' duty keeps still: holders don't take turns within a lease, and the last
+// order of an earlier one may be sent giveWithin after that one's view was last confirmed.
+func (o *Server) phasesWait() time.Duration { return o.set.Bounds.Lease + giveWithin + onTheWay }
 
 // tell answers a call for the status; a caller is passed on to the primary unless it asks for this machine's own word.
 func (o *Server) tell(w http.ResponseWriter, r *http.Request) {
 	local := r.URL.Query().Has(externalapi.QueryLocal)
-	if !local && o.elsewhere(w, r) {
+	ctx, cancel := o.whileInTouch(r.Context(), confirmWithin)
+	defer cancel()
+	if !local && !o.admit(ctx, w, r) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), confirmWithin)
-	defer cancel()
 	st := o.status.Load()
 	confirmed := false
 	if st.Role == replication.Primary {
--- a/internal/fleet/distribution/cache.go
+++ b/internal/fleet/distribution/cache.go
@@ -177,17 +177,26 @@
 
 // Answer answers a pull: at once where something is new, else when something is or its time is up.
 func (s *Cache) Answer(ctx context.Context, from string, p *Request) *Response {
+	return s.answer(ctx, from, p, func() {})
+}
+
+// answer calls refresh each time before it looks for news: what the answer claims to be as new as is known before its content
+// is gathered.
+func (s *Cache) answer(ctx context.Context, from string, p *Request, refresh func()) *Response {
 	wait := time.NewTimer(time.Duration(p.WaitMs) * time.Millisecond)
 	defer wait.Stop()
+	asked := time.Now()
 	for over := false; ; {
+		held := time.Since(asked) // before the age: what comes between them counts twice, and never not at all
+		refresh()
 		s.mu.Lock()
 		pieces, changed := s.news(p.Have), s.changed
 		heard, primary := s.heardAt, s.primary
 		s.mu.Unlock()
 		if len(pieces) > 0 || over || ctx.Err() != nil {
-			n := &Response{From: from, Primary: primary, FreshMs: -1, Resources: pieces}
+			n := &Response{From: from, Primary: primary, FreshMs: -1, Resources: pieces, HeldMs: held.Milliseconds()}
 			if !heard.IsZero() {
-				n.FreshMs = time.Since(heard).Milliseconds()
+				n.FreshMs = ageMs(heard)
 			}
 			return n
 		}
@@ -200,6 +209,11 @@
 	}
 }
 
+// ageMs is how old a moment is in milliseconds, rounded up: an age that is told on never shrinks.
+func ageMs(since time.Time) int64 {
+	return (time.Since(since) + time.Millisecond - 1).Milliseconds()
+}
+
 // Take takes news to pass on. Sources whose changes don't follow on what is entry are named: whoever pulls then asks for
 // them as if it had nothing.
 func (s *Cache) Take(n *Response, now time.Time) (lacking []string) {
--- a/internal/fleet/distribution/distribution_test.go
+++ b/internal/fleet/distribution/distribution_test.go
@@ -253,3 +253,49 @@
 	cancel()
 	wait(relays, "the relay does not end")
 }
+
+// heldReads is a connection of which what has arrived is read some time later, as by a process that slept.
+type heldReads struct {
+	net.Conn
+	later time.Duration
+}
+
+func (c heldReads) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	time.Sleep(c.later)
+	return n, err
+}
+
+// TestAgeCountsTheWay: what an answer claims to be as new as is not made newer by the time that it took to come, nor by a freeze of
+// whoever reads it; the time for which it waited for news at its sender is no age.
+func TestAgeCountsTheWay(t *testing.T) {
+	c := qt.New(t)
+	const wait, later, silence = time.Second, 300 * time.Millisecond, 10 * time.Second
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	ctx, cancel := context.WithCancel(c.Context())
+	defer cancel()
+	defer ln.Close()
+	s := NewCache()
+	go Serve(ctx, ln, "source", s, time.Minute, func() (time.Time, string) {
+		s.Heard("primary", time.Now())
+		return s.Fresh()
+	})
+	for _, held := range []time.Duration{0, later} {
+		pulls := 0
+		err = Follow(ctx, ln.Addr().String(), &Follower{Name: "t", Wait: wait, Silence: silence, Members: func() []Member { return nil }, Have: s.Have,
+			Dial: func(addr string, within time.Duration) (net.Conn, error) {
+				conn, err := Dial(addr, within)
+				return heldReads{conn, held}, err
+			},
+			Goes: func() bool { return pulls < 1 },
+			Take: func(n *Response) []string {
+				pulls++
+				c.Check(n.FreshMs >= held.Milliseconds(), qt.IsTrue, qt.Commentf("%d", n.FreshMs))
+				c.Check(n.FreshMs < (held+wait).Milliseconds()-1, qt.IsTrue, qt.Commentf("the wait counts as age: %d", n.FreshMs))
+				return nil
+			}})
+		c.Assert(err, qt.IsNil)
+		c.Assert(pulls, qt.Equals, 1)
+	}
+}
--- a/internal/fleet/distribution/frame.go
+++ b/internal/fleet/distribution/frame.go
@@ -56,6 +56,9 @@
 	return nil
 }
 
+// DialFunc opens a connection to an own process, within a bound by which one whose machine is silent breaks, too.
+type DialFunc func(addr string, within time.Duration) (net.Conn, error)
+
 // Dial connects to an own process; one whose machine is silent for the bound given breaks.
 func Dial(addr string, within time.Duration) (net.Conn, error) {
 	return (&net.Dialer{Timeout: within, KeepAlive: -1, Control: sockets.UserTimeout(within)}).Dial("tcp", addr)
--- a/internal/fleet/distribution/link.go
+++ b/internal/fleet/distribution/link.go
@@ -11,7 +11,7 @@
 )
 
 // Serve answers pulls from the store on a listener until ctx ends. Connections that ask for nothing for the time
-// given are closed; fresh tells when the primary was last heard of, before each answer.
+// given are closed; fresh has the store hear of the primary, before the content of an answer is gathered.
 func Serve(ctx context.Context, ln net.Listener, name string, s *Cache, idle time.Duration, fresh func() (time.Time, string)) {
 	for {
 		c, err := ln.Accept()
@@ -48,12 +48,7 @@
 					s.Rested.lives()
 				}
 				p.WaitMs = min(max(p.WaitMs, 0), 30_000)
-				fresh()
-				n := s.Answer(ctx, name, &p)
-				fresh()
-				if at, primary := s.Fresh(); !at.IsZero() {
-					n.FreshMs, n.Primary = time.Since(at).Milliseconds(), primary
-				}
+				n := s.answer(ctx, name, &p, func() { fresh() })
 				if !rested.Idle() {
 					n.Kept = s.Rested.tell(&rested)
 				}
@@ -114,19 +109,37 @@
 // Follower is who pulls.
 type Follower struct {
 	Name    string
-	Wait    time.Duration // for which a pull may wait for news
-	Silence time.Duration // how much longer than that an answer may take
+	Wait    time.Duration        // for which a pull may wait for news, at the most
+	Waits   func() time.Duration // how long the next pull may; nil: Wait
+	Silence time.Duration        // how much longer than that an answer may take
 	Members func() []Member
 	Have    func() map[string]Version
 	Take    func(n *Response) (lacking []string) // sources that are to be sent whole
 	Goes    func() bool                          // false: no further pull; nil: as long as the connection lasts
 	Rested  func(now time.Time) *Outbox          // what is to be handed on with the next pull; nil: nothing ever
 	Ends    bool                                 // one pull, the last word of a process that ends
+	Dial    DialFunc                             // nil: Dial
+}
+
+// dial connects to the source.
+func (f *Follower) dial(addr string) (net.Conn, error) {
+	if f.Dial == nil {
+		return Dial(addr, max(f.Silence/3, leastDial))
+	}
+	return f.Dial(addr, max(f.Silence/3, leastDial))
+}
+
+// wait is how long the next pull may wait for news.
+func (f *Follower) wait() time.Duration {
+	if f.Waits == nil {
+		return f.Wait
+	}
+	return f.Waits()
 }
 
 // Follow pulls from an address until the connection breaks, ctx ends or Goes says so.
 func Follow(ctx context.Context, addr string, f *Follower) error {
-	c, err := Dial(addr, max(f.Silence/3, leastDial))
+	c, err := f.dial(addr)
 	if err != nil {
 		return err
 	}
@@ -137,7 +150,8 @@
 	var lacking []string
 	var rested residencyreport.Sender
 	for asked := false; !(f.Ends && asked) && (f.Goes == nil || f.Goes()); asked = true {
-		p := Request{From: f.Name, WaitMs: f.Wait.Milliseconds(), Have: f.Have(), Members: f.Members(), Ends: f.Ends}
+		wait, sent := f.wait(), time.Now()
+		p := Request{From: f.Name, WaitMs: wait.Milliseconds(), Have: f.Have(), Members: f.Members(), Ends: f.Ends}
 		for _, source := range lacking {
 			delete(p.Have, source)
 		}
@@ -147,7 +161,7 @@
 			out = f.Rested(now)
 			p.Rested = out.next(&rested, now)
 		}
-		_ = c.SetDeadline(time.Now().Add(f.Wait + f.Silence))
+		_ = c.SetDeadline(sent.Add(wait + f.Silence))
 		if err := WriteFrame(c, &p); err != nil {
 			return err
 		}
@@ -155,6 +169,7 @@
 		if err := ReadFrame(r, &n); err != nil {
 			return err
 		}
+		n.age(sent)
 		if out != nil && n.Kept != nil {
 			out.Keep(n.Kept...)
 		}
@@ -162,3 +177,11 @@
 	}
 	return nil
 }
+
+// age adds what an answer was on its way to what it tells of its age. The request's way counts too, and so does a freeze of
+// either side: who reads an old answer late doesn't take it for a new one.
+func (n *Response) age(sent time.Time) {
+	if n.FreshMs >= 0 {
+		n.FreshMs += max(ageMs(sent)-n.HeldMs, 0)
+	}
+}
--- a/internal/fleet/distribution/messages.go
+++ b/internal/fleet/distribution/messages.go
@@ -59,10 +59,13 @@
 type Response struct {
 	From      string     `msg:"f"`
 	Primary   string     `msg:"p"` // internal address of the primary, where known
-	FreshMs   int64      `msg:"a"` // how long ago the primary was heard by this chain of sources
+	FreshMs   int64      `msg:"a"` // how long ago the primary was heard by this chain of sources; below 0: never
 	Resources []Resource `msg:"x"`
 	// Kept says what of Rested is in the record for good; left out where nothing is new of that.
 	Kept []residencyreport.Kept `msg:"k,omitempty"`
+	// HeldMs is how long the answer waited at its sender for news: the rest of the time since the request was on the way, and
+	// counts as age. Left out where it is none.
+	HeldMs int64 `msg:"h,omitempty"`
 }
 
 // Backend is one entry of the platform's list, in the words that the proxies use.
--- a/internal/fleet/distribution/messages_gen.go
+++ b/internal/fleet/distribution/messages_gen.go
@@ -1569,7 +1569,7 @@
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *Response) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *Request) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1592,56 +1592,113 @@
 				err = msgp.WrapError(err, "From")
 				return
 			}
-		case "p":
-			z.Primary, err = dc.ReadString()
+		case "w":
+			z.WaitMs, err = dc.ReadInt64()
 			if err != nil {
-				err = msgp.WrapError(err, "Primary")
+				err = msgp.WrapError(err, "WaitMs")
 				return
 			}
-		case "a":
-			z.FreshMs, err = dc.ReadInt64()
+		case "h":
+			var zb0002 uint32
+			zb0002, err = dc.ReadMapHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "FreshMs")
+				err = msgp.WrapError(err, "Have")
 				return
 			}
-		case "x":
-			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
+			if z.Have == nil {
+				z.Have = make(map[string]Version, zb0002)
+			} else if len(z.Have) > 0 {
+				clear(z.Have)
+			}
+			for zb0002 > 0 {
+				zb0002--
+				var za0001 string
+				za0001, err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Have")
+					return
+				}
+				var za0002 Version
+				var zb0003 uint32
+				zb0003, err = dc.ReadMapHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Have", za0001)
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, err = dc.ReadMapKeyPtr()
+					if err != nil {
+						err = msgp.WrapError(err, "Have", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "e":
+						za0002.Epoch, err = dc.ReadUint64()
+						if err != nil {
+							err = msgp.WrapError(err, "Have", za0001, "Epoch")
+							return
+						}
+					case "n":
+						za0002.Count, err = dc.ReadUint64()
+						if err != nil {
+							err = msgp.WrapError(err, "Have", za0001, "Count")
+							return
+						}
+					default:
+						err = dc.Skip()
+						if err != nil {
+							err = msgp.WrapError(err, "Have", za0001)
+							return
+						}
+					}
+				}
+				z.Have[za0001] = za0002
+			}
+		case "m":
+			var zb0004 uint32
+			zb0004, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Resources")
+				err = msgp.WrapError(err, "Members")
 				return
 			}
-			if cap(z.Resources) >= int(zb0002) {
-				z.Resources = (z.Resources)[:zb0002]
+			if cap(z.Members) >= int(zb0004) {
+				z.Members = (z.Members)[:zb0004]
 			} else {
-				z.Resources = make([]Resource, zb0002)
+				z.Members = make([]Member, zb0004)
 			}
-			for za0001 := range z.Resources {
-				err = z.Resources[za0001].DecodeMsg(dc)
+			for za0003 := range z.Members {
+				err = z.Members[za0003].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Resources", za0001)
+					err = msgp.WrapError(err, "Members", za0003)
 					return
 				}
 			}
-		case "k":
-			var zb0003 uint32
-			zb0003, err = dc.ReadArrayHeader()
+		case "g":
+			var zb0005 uint32
+			zb0005, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Kept")
+				err = msgp.WrapError(err, "Rested")
 				return
 			}
-			if cap(z.Kept) >= int(zb0003) {
-				z.Kept = (z.Kept)[:zb0003]
+			if cap(z.Rested) >= int(zb0005) {
+				z.Rested = (z.Rested)[:zb0005]
 			} else {
-				z.Kept = make([]residencyreport.Kept, zb0003)
+				z.Rested = make([]residencyreport.Batch, zb0005)
 			}
-			for za0002 := range z.Kept {
-				err = z.Kept[za0002].DecodeMsg(dc)
+			for za0004 := range z.Rested {
+				err = z.Rested[za0004].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Kept", za0002)
+					err = msgp.WrapError(err, "Rested", za0004)
 					return
 				}
 			}
+		case "z":
+			z.Ends, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Ends")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -1654,15 +1711,19 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *Response) EncodeMsg(en *msgp.Writer) (err error) {
+func (z *Request) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(5)
-	var zb0001Mask uint8 /* 5 bits */
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
 	_ = zb0001Mask
-	if z.Kept == nil {
+	if z.Rested == nil {
 		zb0001Len--
 		zb0001Mask |= 0x10
 	}
+	if z.Ends == false {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
 	// variable map header, size zb0001Len
 	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
@@ -1681,77 +1742,121 @@
 			err = msgp.WrapError(err, "From")
 			return
 		}
-		// write "p"
-		err = en.Append(0xa1, 0x70)
+		// write "w"
+		err = en.Append(0xa1, 0x77)
 		if err != nil {
 			return
 		}
-		err = en.WriteString(z.Primary)
+		err = en.WriteInt64(z.WaitMs)
 		if err != nil {
-			err = msgp.WrapError(err, "Primary")
+			err = msgp.WrapError(err, "WaitMs")
 			return
 		}
-		// write "a"
-		err = en.Append(0xa1, 0x61)
+		// write "h"
+		err = en.Append(0xa1, 0x68)
 		if err != nil {
 			return
 		}
-		err = en.WriteInt64(z.FreshMs)
+		err = en.WriteMapHeader(uint32(len(z.Have)))
 		if err != nil {
-			err = msgp.WrapError(err, "FreshMs")
+			err = msgp.WrapError(err, "Have")
 			return
 		}
-		// write "x"
-		err = en.Append(0xa1, 0x78)
+		for za0001, za0002 := range z.Have {
+			err = en.WriteString(za0001)
+			if err != nil {
+				err = msgp.WrapError(err, "Have")
+				return
+			}
+			// map header, size 2
+			// write "e"
+			err = en.Append(0x82, 0xa1, 0x65)
+			if err != nil {
+				return
+			}
+			err = en.WriteUint64(za0002.Epoch)
+			if err != nil {
+				err = msgp.WrapError(err, "Have", za0001, "Epoch")
+				return
+			}
+			// write "n"
+			err = en.Append(0xa1, 0x6e)
+			if err != nil {
+				return
+			}
+			err = en.WriteUint64(za0002.Count)
+			if err != nil {
+				err = msgp.WrapError(err, "Have", za0001, "Count")
+				return
+			}
+		}
+		// write "m"
+		err = en.Append(0xa1, 0x6d)
 		if err != nil {
 			return
 		}
-		err = en.WriteArrayHeader(uint32(len(z.Resources)))
+		err = en.WriteArrayHeader(uint32(len(z.Members)))
 		if err != nil {
-			err = msgp.WrapError(err, "Resources")
+			err = msgp.WrapError(err, "Members")
 			return
 		}
-		for za0001 := range z.Resources {
-			err = z.Resources[za0001].EncodeMsg(en)
+		for za0003 := range z.Members {
+			err = z.Members[za0003].EncodeMsg(en)
 			if err != nil {
-				err = msgp.WrapError(err, "Resources", za0001)
+				err = msgp.WrapError(err, "Members", za0003)
 				return
 			}
 		}
 		if (zb0001Mask & 0x10) == 0 { // if not omitted
-			// write "k"
-			err = en.Append(0xa1, 0x6b)
+			// write "g"
+			err = en.Append(0xa1, 0x67)
 			if err != nil {
 				return
 			}
-			err = en.WriteArrayHeader(uint32(len(z.Kept)))
+			err = en.WriteArrayHeader(uint32(len(z.Rested)))
 			if err != nil {
-				err = msgp.WrapError(err, "Kept")
+				err = msgp.WrapError(err, "Rested")
 				return
 			}
-			for za0002 := range z.Kept {
-				err = z.Kept[za0002].EncodeMsg(en)
+			for za0004 := range z.Rested {
+				err = z.Rested[za0004].EncodeMsg(en)
 				if err != nil {
-					err = msgp.WrapError(err, "Kept", za0002)
+					err = msgp.WrapError(err, "Rested", za0004)
 					return
 				}
 			}
 		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// write "z"
+			err = en.Append(0xa1, 0x7a)
+			if err != nil {
+				return
+			}
+			err = en.WriteBool(z.Ends)
+			if err != nil {
+				err = msgp.WrapError(err, "Ends")
+				return
+			}
+		}
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Response) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Request) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(5)
-	var zb0001Mask uint8 /* 5 bits */
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
 	_ = zb0001Mask
-	if z.Kept == nil {
+	if z.Rested == nil {
 		zb0001Len--
 		zb0001Mask |= 0x10
 	}
+	if z.Ends == false {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -1760,40 +1865,55 @@
 		// string "f"
 		o = append(o, 0xa1, 0x66)
 		o = msgp.AppendString(o, z.From)
-		// string "p"
-		o = append(o, 0xa1, 0x70)
-		o = msgp.AppendString(o, z.Primary)
-		// string "a"
-		o = append(o, 0xa1, 0x61)
-		o = msgp.AppendInt64(o, z.FreshMs)
-		// string "x"
-		o = append(o, 0xa1, 0x78)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.Resources)))
-		for za0001 := range z.Resources {
-			o, err = z.Resources[za0001].MarshalMsg(o)
+		// string "w"
+		o = append(o, 0xa1, 0x77)
+		o = msgp.AppendInt64(o, z.WaitMs)
+		// string "h"
+		o = append(o, 0xa1, 0x68)
+		o = msgp.AppendMapHeader(o, uint32(len(z.Have)))
+		for za0001, za0002 := range z.Have {
+			o = msgp.AppendString(o, za0001)
+			// map header, size 2
+			// string "e"
+			o = append(o, 0x82, 0xa1, 0x65)
+			o = msgp.AppendUint64(o, za0002.Epoch)
+			// string "n"
+			o = append(o, 0xa1, 0x6e)
+			o = msgp.AppendUint64(o, za0002.Count)
+		}
+		// string "m"
+		o = append(o, 0xa1, 0x6d)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
+		for za0003 := range z.Members {
+			o, err = z.Members[za0003].MarshalMsg(o)
 			if err != nil {
-				err = msgp.WrapError(err, "Resources", za0001)
+				err = msgp.WrapError(err, "Members", za0003)
 				return
 			}
 		}
 		if (zb0001Mask & 0x10) == 0 { // if not omitted
-			// string "k"
-			o = append(o, 0xa1, 0x6b)
-			o = msgp.AppendArrayHeader(o, uint32(len(z.Kept)))
-			for za0002 := range z.Kept {
-				o, err = z.Kept[za0002].MarshalMsg(o)
+			// string "g"
+			o = append(o, 0xa1, 0x67)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Rested)))
+			for za0004 := range z.Rested {
+				o, err = z.Rested[za0004].MarshalMsg(o)
 				if err != nil {
-					err = msgp.WrapError(err, "Kept", za0002)
+					err = msgp.WrapError(err, "Rested", za0004)
 					return
 				}
 			}
 		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "z"
+			o = append(o, 0xa1, 0x7a)
+			o = msgp.AppendBool(o, z.Ends)
+		}
 	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Response) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Request) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1816,56 +1936,113 @@
 				err = msgp.WrapError(err, "From")
 				return
 			}
-		case "p":
-			z.Primary, bts, err = msgp.ReadStringBytes(bts)
+		case "w":
+			z.WaitMs, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Primary")
+				err = msgp.WrapError(err, "WaitMs")
 				return
 			}
-		case "a":
-			z.FreshMs, bts, err = msgp.ReadInt64Bytes(bts)
+		case "h":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "FreshMs")
+				err = msgp.WrapError(err, "Have")
 				return
 			}
-		case "x":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if z.Have == nil {
+				z.Have = make(map[string]Version, zb0002)
+			} else if len(z.Have) > 0 {
+				clear(z.Have)
+			}
+			for zb0002 > 0 {
+				var za0002 Version
+				zb0002--
+				var za0001 string
+				za0001, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Have")
+					return
+				}
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Have", za0001)
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Have", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "e":
+						za0002.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Have", za0001, "Epoch")
+							return
+						}
+					case "n":
+						za0002.Count, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Have", za0001, "Count")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Have", za0001)
+							return
+						}
+					}
+				}
+				z.Have[za0001] = za0002
+			}
+		case "m":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Resources")
+				err = msgp.WrapError(err, "Members")
 				return
 			}
-			if cap(z.Resources) >= int(zb0002) {
-				z.Resources = (z.Resources)[:zb0002]
+			if cap(z.Members) >= int(zb0004) {
+				z.Members = (z.Members)[:zb0004]
 			} else {
-				z.Resources = make([]Resource, zb0002)
+				z.Members = make([]Member, zb0004)
 			}
-			for za0001 := range z.Resources {
-				bts, err = z.Resources[za0001].UnmarshalMsg(bts)
+			for za0003 := range z.Members {
+				bts, err = z.Members[za0003].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Resources", za0001)
+					err = msgp.WrapError(err, "Members", za0003)
 					return
 				}
 			}
-		case "k":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "g":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Kept")
+				err = msgp.WrapError(err, "Rested")
 				return
 			}
-			if cap(z.Kept) >= int(zb0003) {
-				z.Kept = (z.Kept)[:zb0003]
+			if cap(z.Rested) >= int(zb0005) {
+				z.Rested = (z.Rested)[:zb0005]
 			} else {
-				z.Kept = make([]residencyreport.Kept, zb0003)
+				z.Rested = make([]residencyreport.Batch, zb0005)
 			}
-			for za0002 := range z.Kept {
-				bts, err = z.Kept[za0002].UnmarshalMsg(bts)
+			for za0004 := range z.Rested {
+				bts, err = z.Rested[za0004].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Kept", za0002)
+					err = msgp.WrapError(err, "Rested", za0004)
 					return
 				}
 			}
+		case "z":
+			z.Ends, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Ends")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1879,15 +2056,23 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Response) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.StringPrefixSize + len(z.Primary) + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Resources {
-		s += z.Resources[za0001].Msgsize()
+func (z *Request) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.Int64Size + 2 + msgp.MapHeaderSize
+	if z.Have != nil {
+		for za0001, za0002 := range z.Have {
+			_ = za0002
+			s += msgp.StringPrefixSize + len(za0001) + 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
+		}
 	}
 	s += 2 + msgp.ArrayHeaderSize
-	for za0002 := range z.Kept {
-		s += z.Kept[za0002].Msgsize()
+	for za0003 := range z.Members {
+		s += z.Members[za0003].Msgsize()
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0004 := range z.Rested {
+		s += z.Rested[za0004].Msgsize()
 	}
+	s += 2 + msgp.BoolSize
 	return
 }
 
@@ -2298,7 +2483,7 @@
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *Request) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *Response) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -2321,111 +2506,60 @@
 				err = msgp.WrapError(err, "From")
 				return
 			}
-		case "w":
-			z.WaitMs, err = dc.ReadInt64()
+		case "p":
+			z.Primary, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "WaitMs")
+				err = msgp.WrapError(err, "Primary")
 				return
 			}
-		case "h":
-			var zb0002 uint32
-			zb0002, err = dc.ReadMapHeader()
+		case "a":
+			z.FreshMs, err = dc.ReadInt64()
 			if err != nil {
-				err = msgp.WrapError(err, "Have")
+				err = msgp.WrapError(err, "FreshMs")
 				return
 			}
-			if z.Have == nil {
-				z.Have = make(map[string]Version, zb0002)
-			} else if len(z.Have) > 0 {
-				clear(z.Have)
-			}
-			for zb0002 > 0 {
-				zb0002--
-				var za0001 string
-				za0001, err = dc.ReadString()
-				if err != nil {
-					err = msgp.WrapError(err, "Have")
-					return
-				}
-				var za0002 Version
-				var zb0003 uint32
-				zb0003, err = dc.ReadMapHeader()
-				if err != nil {
-					err = msgp.WrapError(err, "Have", za0001)
-					return
-				}
-				for zb0003 > 0 {
-					zb0003--
-					field, err = dc.ReadMapKeyPtr()
-					if err != nil {
-						err = msgp.WrapError(err, "Have", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "e":
-						za0002.Epoch, err = dc.ReadUint64()
-						if err != nil {
-							err = msgp.WrapError(err, "Have", za0001, "Epoch")
-							return
-						}
-					case "n":
-						za0002.Count, err = dc.ReadUint64()
-						if err != nil {
-							err = msgp.WrapError(err, "Have", za0001, "Count")
-							return
-						}
-					default:
-						err = dc.Skip()
-						if err != nil {
-							err = msgp.WrapError(err, "Have", za0001)
-							return
-						}
-					}
-				}
-				z.Have[za0001] = za0002
-			}
-		case "m":
-			var zb0004 uint32
-			zb0004, err = dc.ReadArrayHeader()
+		case "x":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Members")
+				err = msgp.WrapError(err, "Resources")
 				return
 			}
-			if cap(z.Members) >= int(zb0004) {
-				z.Members = (z.Members)[:zb0004]
+			if cap(z.Resources) >= int(zb0002) {
+				z.Resources = (z.Resources)[:zb0002]
 			} else {
-				z.Members = make([]Member, zb0004)
+				z.Resources = make([]Resource, zb0002)
 			}
-			for za0003 := range z.Members {
-				err = z.Members[za0003].DecodeMsg(dc)
+			for za0001 := range z.Resources {
+				err = z.Resources[za0001].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Members", za0003)
+					err = msgp.WrapError(err, "Resources", za0001)
 					return
 				}
 			}
-		case "g":
-			var zb0005 uint32
-			zb0005, err = dc.ReadArrayHeader()
+		case "k":
+			var zb0003 uint32
+			zb0003, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Rested")
+				err = msgp.WrapError(err, "Kept")
 				return
 			}
-			if cap(z.Rested) >= int(zb0005) {
-				z.Rested = (z.Rested)[:zb0005]
+			if cap(z.Kept) >= int(zb0003) {
+				z.Kept = (z.Kept)[:zb0003]
 			} else {
-				z.Rested = make([]residencyreport.Batch, zb0005)
+				z.Kept = make([]residencyreport.Kept, zb0003)
 			}
-			for za0004 := range z.Rested {
-				err = z.Rested[za0004].DecodeMsg(dc)
+			for za0002 := range z.Kept {
+				err = z.Kept[za0002].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Rested", za0004)
+					err = msgp.WrapError(err, "Kept", za0002)
 					return
 				}
 			}
-		case "z":
-			z.Ends, err = dc.ReadBool()
+		case "h":
+			z.HeldMs, err = dc.ReadInt64()
 			if err != nil {
-				err = msgp.WrapError(err, "Ends")
+				err = msgp.WrapError(err, "HeldMs")
 				return
 			}
 		default:
@@ -2440,16 +2574,16 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *Request) EncodeMsg(en *msgp.Writer) (err error) {
+func (z *Response) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
 	zb0001Len := uint32(6)
 	var zb0001Mask uint8 /* 6 bits */
 	_ = zb0001Mask
-	if z.Rested == nil {
+	if z.Kept == nil {
 		zb0001Len--
 		zb0001Mask |= 0x10
 	}
-	if z.Ends == false {
+	if z.HeldMs == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x20
 	}
@@ -2471,99 +2605,71 @@
 			err = msgp.WrapError(err, "From")
 			return
 		}
-		// write "w"
-		err = en.Append(0xa1, 0x77)
+		// write "p"
+		err = en.Append(0xa1, 0x70)
 		if err != nil {
 			return
 		}
-		err = en.WriteInt64(z.WaitMs)
+		err = en.WriteString(z.Primary)
 		if err != nil {
-			err = msgp.WrapError(err, "WaitMs")
+			err = msgp.WrapError(err, "Primary")
 			return
 		}
-		// write "h"
-		err = en.Append(0xa1, 0x68)
+		// write "a"
+		err = en.Append(0xa1, 0x61)
 		if err != nil {
 			return
 		}
-		err = en.WriteMapHeader(uint32(len(z.Have)))
+		err = en.WriteInt64(z.FreshMs)
 		if err != nil {
-			err = msgp.WrapError(err, "Have")
+			err = msgp.WrapError(err, "FreshMs")
 			return
 		}
-		for za0001, za0002 := range z.Have {
-			err = en.WriteString(za0001)
-			if err != nil {
-				err = msgp.WrapError(err, "Have")
-				return
-			}
-			// map header, size 2
-			// write "e"
-			err = en.Append(0x82, 0xa1, 0x65)
-			if err != nil {
-				return
-			}
-			err = en.WriteUint64(za0002.Epoch)
-			if err != nil {
-				err = msgp.WrapError(err, "Have", za0001, "Epoch")
-				return
-			}
-			// write "n"
-			err = en.Append(0xa1, 0x6e)
-			if err != nil {
-				return
-			}
-			err = en.WriteUint64(za0002.Count)
-			if err != nil {
-				err = msgp.WrapError(err, "Have", za0001, "Count")
-				return
-			}
-		}
-		// write "m"
-		err = en.Append(0xa1, 0x6d)
+		// write "x"
+		err = en.Append(0xa1, 0x78)
 		if err != nil {
 			return
 		}
-		err = en.WriteArrayHeader(uint32(len(z.Members)))
+		err = en.WriteArrayHeader(uint32(len(z.Resources)))
 		if err != nil {
-			err = msgp.WrapError(err, "Members")
+			err = msgp.WrapError(err, "Resources")
 			return
 		}
-		for za0003 := range z.Members {
-			err = z.Members[za0003].EncodeMsg(en)
+		for za0001 := range z.Resources {
+			err = z.Resources[za0001].EncodeMsg(en)
 			if err != nil {
-				err = msgp.WrapError(err, "Members", za0003)
+				err = msgp.WrapError(err, "Resources", za0001)
 				return
 			}
 		}
 		if (zb0001Mask & 0x10) == 0 { // if not omitted
-			// write "g"
-			err = en.Append(0xa1, 0x67)
+			// write "k"
+			err = en.Append(0xa1, 0x6b)
 			if err != nil {
 				return
 			}
-			err = en.WriteArrayHeader(uint32(len(z.Rested)))
+			err = en.WriteArrayHeader(uint32(len(z.Kept)))
 			if err != nil {
-				err = msgp.WrapError(err, "Rested")
+				err = msgp.WrapError(err, "Kept")
 				return
 			}
-			for za0004 := range z.Rested {
-				err = z.Rested[za0004].EncodeMsg(en)
+			for za0002 := range z.Kept {
+				err = z.Kept[za0002].EncodeMsg(en)
 				if err != nil {
-					err = msgp.WrapError(err, "Rested", za0004)
+					err = msgp.WrapError(err, "Kept", za0002)
 					return
 				}
 			}
 		}
 		if (zb0001Mask & 0x20) == 0 { // if not omitted
-			// write "z"
-			err = en.Append(0xa1, 0x7a)
+			// write "h"
+			err = en.Append(0xa1, 0x68)
 			if err != nil {
 				return
 			}
-			err = en.WriteBool(z.Ends)
+			err = en.WriteInt64(z.HeldMs)
 			if err != nil {
-				err = msgp.WrapError(err, "Ends")
+				err = msgp.WrapError(err, "HeldMs")
 				return
 			}
 		}
@@ -2572,17 +2678,17 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Request) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Response) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
 	zb0001Len := uint32(6)
 	var zb0001Mask uint8 /* 6 bits */
 	_ = zb0001Mask
-	if z.Rested == nil {
+	if z.Kept == nil {
 		zb0001Len--
 		zb0001Mask |= 0x10
 	}
-	if z.Ends == false {
+	if z.HeldMs == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x20
 	}
@@ -2594,55 +2700,45 @@
 		// string "f"
 		o = append(o, 0xa1, 0x66)
 		o = msgp.AppendString(o, z.From)
-		// string "w"
-		o = append(o, 0xa1, 0x77)
-		o = msgp.AppendInt64(o, z.WaitMs)
-		// string "h"
-		o = append(o, 0xa1, 0x68)
-		o = msgp.AppendMapHeader(o, uint32(len(z.Have)))
-		for za0001, za0002 := range z.Have {
-			o = msgp.AppendString(o, za0001)
-			// map header, size 2
-			// string "e"
-			o = append(o, 0x82, 0xa1, 0x65)
-			o = msgp.AppendUint64(o, za0002.Epoch)
-			// string "n"
-			o = append(o, 0xa1, 0x6e)
-			o = msgp.AppendUint64(o, za0002.Count)
-		}
-		// string "m"
-		o = append(o, 0xa1, 0x6d)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
-		for za0003 := range z.Members {
-			o, err = z.Members[za0003].MarshalMsg(o)
+		// string "p"
+		o = append(o, 0xa1, 0x70)
+		o = msgp.AppendString(o, z.Primary)
+		// string "a"
+		o = append(o, 0xa1, 0x61)
+		o = msgp.AppendInt64(o, z.FreshMs)
+		// string "x"
+		o = append(o, 0xa1, 0x78)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Resources)))
+		for za0001 := range z.Resources {
+			o, err = z.Resources[za0001].MarshalMsg(o)
 			if err != nil {
-				err = msgp.WrapError(err, "Members", za0003)
+				err = msgp.WrapError(err, "Resources", za0001)
 				return
 			}
 		}
 		if (zb0001Mask & 0x10) == 0 { // if not omitted
-			// string "g"
-			o = append(o, 0xa1, 0x67)
-			o = msgp.AppendArrayHeader(o, uint32(len(z.Rested)))
-			for za0004 := range z.Rested {
-				o, err = z.Rested[za0004].MarshalMsg(o)
+			// string "k"
+			o = append(o, 0xa1, 0x6b)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Kept)))
+			for za0002 := range z.Kept {
+				o, err = z.Kept[za0002].MarshalMsg(o)
 				if err != nil {
-					err = msgp.WrapError(err, "Rested", za0004)
+					err = msgp.WrapError(err, "Kept", za0002)
 					return
 				}
 			}
 		}
 		if (zb0001Mask & 0x20) == 0 { // if not omitted
-			// string "z"
-			o = append(o, 0xa1, 0x7a)
-			o = msgp.AppendBool(o, z.Ends)
+			// string "h"
+			o = append(o, 0xa1, 0x68)
+			o = msgp.AppendInt64(o, z.HeldMs)
 		}
 	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Request) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Response) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -2665,111 +2761,60 @@
 				err = msgp.WrapError(err, "From")
 				return
 			}
-		case "w":
-			z.WaitMs, bts, err = msgp.ReadInt64Bytes(bts)
+		case "p":
+			z.Primary, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "WaitMs")
+				err = msgp.WrapError(err, "Primary")
 				return
 			}
-		case "h":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+		case "a":
+			z.FreshMs, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Have")
+				err = msgp.WrapError(err, "FreshMs")
 				return
 			}
-			if z.Have == nil {
-				z.Have = make(map[string]Version, zb0002)
-			} else if len(z.Have) > 0 {
-				clear(z.Have)
-			}
-			for zb0002 > 0 {
-				var za0002 Version
-				zb0002--
-				var za0001 string
-				za0001, bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Have")
-					return
-				}
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Have", za0001)
-					return
-				}
-				for zb0003 > 0 {
-					zb0003--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Have", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "e":
-						za0002.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Have", za0001, "Epoch")
-							return
-						}
-					case "n":
-						za0002.Count, bts, err = msgp.ReadUint64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Have", za0001, "Count")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Have", za0001)
-							return
-						}
-					}
-				}
-				z.Have[za0001] = za0002
-			}
-		case "m":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "x":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Members")
+				err = msgp.WrapError(err, "Resources")
 				return
 			}
-			if cap(z.Members) >= int(zb0004) {
-				z.Members = (z.Members)[:zb0004]
+			if cap(z.Resources) >= int(zb0002) {
+				z.Resources = (z.Resources)[:zb0002]
 			} else {
-				z.Members = make([]Member, zb0004)
+				z.Resources = make([]Resource, zb0002)
 			}
-			for za0003 := range z.Members {
-				bts, err = z.Members[za0003].UnmarshalMsg(bts)
+			for za0001 := range z.Resources {
+				bts, err = z.Resources[za0001].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Members", za0003)
+					err = msgp.WrapError(err, "Resources", za0001)
 					return
 				}
 			}
-		case "g":
-			var zb0005 uint32
-			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "k":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Rested")
+				err = msgp.WrapError(err, "Kept")
 				return
 			}
-			if cap(z.Rested) >= int(zb0005) {
-				z.Rested = (z.Rested)[:zb0005]
+			if cap(z.Kept) >= int(zb0003) {
+				z.Kept = (z.Kept)[:zb0003]
 			} else {
-				z.Rested = make([]residencyreport.Batch, zb0005)
+				z.Kept = make([]residencyreport.Kept, zb0003)
 			}
-			for za0004 := range z.Rested {
-				bts, err = z.Rested[za0004].UnmarshalMsg(bts)
+			for za0002 := range z.Kept {
+				bts, err = z.Kept[za0002].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Rested", za0004)
+					err = msgp.WrapError(err, "Kept", za0002)
 					return
 				}
 			}
-		case "z":
-			z.Ends, bts, err = msgp.ReadBoolBytes(bts)
+		case "h":
+			z.HeldMs, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Ends")
+				err = msgp.WrapError(err, "HeldMs")
 				return
 			}
 		default:
@@ -2785,23 +2830,16 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Request) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.Int64Size + 2 + msgp.MapHeaderSize
-	if z.Have != nil {
-		for za0001, za0002 := range z.Have {
-			_ = za0002
-			s += msgp.StringPrefixSize + len(za0001) + 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
-		}
-	}
-	s += 2 + msgp.ArrayHeaderSize
-	for za0003 := range z.Members {
-		s += z.Members[za0003].Msgsize()
+func (z *Response) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.StringPrefixSize + len(z.Primary) + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Resources {
+		s += z.Resources[za0001].Msgsize()
 	}
 	s += 2 + msgp.ArrayHeaderSize
-	for za0004 := range z.Rested {
-		s += z.Rested[za0004].Msgsize()
+	for za0002 := range z.Kept {
+		s += z.Kept[za0002].Msgsize()
 	}
-	s += 2 + msgp.BoolSize
+	s += 2 + msgp.Int64Size
 	return
 }
 
--- /dev/null
+++ b/internal/fleet/nodeagent/cutoff_test.go
@@ -0,0 +1,243 @@
+package nodeagent
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"molepaddle/internal/fleet/controlplane"
+	"molepaddle/internal/fleet/distribution"
+	"molepaddle/internal/fleet/externalapi"
+	"molepaddle/internal/fleet/settings"
+	"molepaddle/internal/fleet/simulation"
+	"molepaddle/internal/fleet/status"
+)
+
+// testPatience bounds what is waited for that has to come.
+const testPatience = 20 * time.Second
+
+// core is some control servers over loopback, with a network between all machines that can be cut.
+type core struct {
+	*qt.C
+	network *simulation.Network
+	ips     []string // of the control servers
+	ports   [2]int
+	apply   time.Duration
+}
+
+// agentIP is that of the node agent's machine: its pulls go by the network, too.
+const agentIP = "127.0.0.1"
+
+// newCore starts control servers at 127.0.net.1 and on.
+func newCore(t *testing.T, net, members, survive int, apply time.Duration) *core {
+	c := &core{C: qt.New(t), network: simulation.NewNetwork(t), apply: apply}
+	for i := range members {
+		c.ips = append(c.ips, fmt.Sprintf("127.0.%d.%d", net, i+1))
+	}
+	span := simulation.ChoosePorts(t, 5, append(slices.Clone(c.ips), agentIP)...)
+	c.ports = [2]int{span.First, span.First + 4}
+	for _, ip := range c.ips {
+		set := c.settings(ip, c.ips[:min(3, members)]...)
+		set.Bootstrap, set.DataDir, set.Survive.Nodes = true, c.TempDir(), survive
+		set.Bind.Control = c.control(ip)
+		server, err := controlplane.New(set, zap.NewNop(), rand.Uint64)
+		c.Assert(err, qt.IsNil)
+		server.Dial = c.network.Dialer(ip)
+		c.run(server.Run)
+	}
+	c.awaitMembers(members)
+	return c
+}
+
+// awaitMembers waits until all control servers know of a view with so many members.
+func (c *core) awaitMembers(members int) {
+	c.Helper()
+	over := time.After(testPatience)
+	again := time.NewTicker(20 * time.Millisecond)
+	defer again.Stop()
+	for _, ip := range c.ips {
+		for {
+			fleet, err := c.status(ip)
+			if err == nil && len(fleet.View.Members) == members && fleet.View.Ready {
+				break
+			}
+			select {
+			case <-again.C:
+			case <-over:
+				c.Fatalf("%s: %+v %v", ip, fleet, err)
+			}
+		}
+	}
+}
+
+// run has a program run until the end of the test.
+func (c *core) run(program func(context.Context) error) {
+	ctx, end := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = program(ctx)
+	}()
+	c.Cleanup(func() {
+		end()
+		<-done
+	})
+}
+
+func (c *core) settings(ip string, seeds ...string) settings.Settings {
+	set := settings.Settings{Nodename: ip, IP: ip, Zone: "z", Region: "east", Zones: map[string]string{"z": "east"}, Ports: c.ports, Heartbeat: 1200 * time.Millisecond}
+	set.Bounds.Apply, set.Bounds.Sync, set.Bounds.Drain, set.Bounds.Lease = c.apply, 4*time.Second, time.Minute, 3*time.Second
+	for _, seed := range seeds {
+		set.Seeds = append(set.Seeds, c.control(seed))
+	}
+	return set
+}
+
+func (c *core) control(ip string) string { return net.JoinHostPort(ip, fmt.Sprint(c.ports[0]+4)) }
+
+func (c *core) others(than ...string) []string {
+	return slices.DeleteFunc(slices.Clone(c.ips), func(ip string) bool { return slices.Contains(than, ip) })
+}
+
+// replaced has a configuration acknowledged by some machines, and tells when.
+func (c *core) replaced(base, version uint64, ips ...string) time.Time {
+	c.Helper()
+	ctx, cancel := context.WithTimeout(c.Context(), testPatience)
+	defer cancel()
+	operator := &simulation.Operator{}
+	for _, ip := range ips {
+		operator.Ctl = append(operator.Ctl, c.control(ip))
+	}
+	rep, err := operator.Replace(ctx, base, fmt.Appendf(nil,
+		`{"ver":%d,"routing":[{"name":"r","hostname":"h","pfx":"/","kind":"readonly","deadline_ms":1000,"svc":"s"}],"svcs":[{"name":"s","probe":"/healthz"}],"caps":{}}`, version))
+	c.Assert(err, qt.IsNil)
+	c.Assert(rep.Status, qt.Equals, http.StatusOK, qt.Commentf("%s", rep.Body))
+	return rep.At
+}
+
+// status is a control server's own word of how the fleet stands.
+func (c *core) status(ip string) (*status.Fleet, error) {
+	client := http.Client{Timeout: testPatience, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Get("http://" + c.control(ip) + externalapi.Status.Path + "?" + externalapi.QueryLocal)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, err
+	}
+	return status.Decode(body)
+}
+
+// primary is the IP of the primary.
+func (c *core) primary() string {
+	c.Helper()
+	fleet, err := c.status(c.ips[0])
+	c.Assert(err, qt.IsNil)
+	host, _, err := net.SplitHostPort(fleet.View.Primary)
+	c.Assert(err, qt.IsNil)
+	return host
+}
+
+// agent starts a node agent that knows the control servers given; it stays with the first that is fresh.
+func (c *core) agent(seeds ...string) *Agent {
+	a := New(c.settings(agentIP, seeds...), zap.NewNop())
+	a.Dial = c.network.Dialer(agentIP)
+	c.run(a.Run)
+	return a
+}
+
+// has waits until an agent has a change of the configuration, and tells when.
+func (c *core) has(a *Agent, change uint64) time.Time {
+	c.Helper()
+	over := time.After(testPatience)
+	for {
+		changed := a.store.Changed()
+		if at, _ := a.store.At(distribution.SourceConfig); at.Count >= change {
+			return time.Now()
+		}
+		select {
+		case <-changed:
+		case <-over:
+			c.Fatalf("change %d does not reach the agent", change)
+		}
+	}
+}
+
+// TestChangeReachesAgentInTime: the control server that a node agent follows is cut off from the core, but not from the agent: a
+// change that is acknowledged afterwards is with the agent within apply_ms.
+func TestChangeReachesAgentInTime(t *testing.T) {
+	backup := func(c *core) string { return c.others(c.primary())[0] }
+	type situation struct {
+		name             string
+		members, survive int
+		follows          func(c *core) string
+		cut              func(c *core, followed string) (side []string) // that goes on
+	}
+	whole := func(c *core, followed string) []string {
+		c.network.Part([]string{followed}, c.others(followed))
+		return c.others(followed)
+	}
+	for i, one := range []situation{
+		{"a machine that isn't the primary, whole", 3, 1, backup, whole},
+		{"a machine that isn't the primary, not heard", 3, 1, backup, func(c *core, followed string) []string {
+			for _, ip := range c.others(followed) {
+				c.network.Cut(followed, ip)
+			}
+			return c.others(followed)
+		}},
+		{"a machine that isn't the primary, hears nothing", 3, 1, backup, func(c *core, followed string) []string {
+			for _, ip := range c.others(followed) {
+				c.network.Cut(ip, followed)
+			}
+			return c.others(followed)
+		}},
+		{"the primary", 3, 1, (*core).primary, whole},
+		{"two of five", 5, 2, backup, func(c *core, followed string) []string {
+			lost := append([]string{followed}, c.others(followed, c.primary())[0])
+			c.network.Part(lost, c.others(lost...))
+			return c.others(lost...)
+		}},
+	} {
+		for j, apply := range []time.Duration{2 * time.Second, 2500 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%s %v", one.name, apply), func(t *testing.T) {
+				c := newCore(t, 50+2*i+j, one.members, one.survive, apply)
+				c.replaced(0, 5, c.ips...)
+				followed := one.follows(c)
+				a := c.agent(followed)
+				c.has(a, 1)
+				cut := time.Now()
+				side := one.cut(c, followed)
+				acked := c.replaced(5, 7, side...)
+				there := c.has(a, 2)
+				t.Logf("acknowledged %v after the cut, with the agent %v after that", acked.Sub(cut), there.Sub(acked))
+				c.Assert(there.Sub(acked) < apply, qt.IsTrue, qt.Commentf("%v", there.Sub(acked)))
+			})
+		}
+	}
+}
+
+// TestAgentStartsOnTheWrongSide: an agent that starts during a cut, with seeds that name only a machine that is cut off, learns of
+// the others by that, and gets what was acknowledged there.
+func TestAgentStartsOnTheWrongSide(t *testing.T) {
+	c := newCore(t, 62, 3, 1, 2*time.Second)
+	c.replaced(0, 5, c.ips...)
+	lone := c.others(c.primary())[0]
+	c.network.Part([]string{lone}, c.others(lone))
+	c.replaced(5, 7, c.others(lone)...)
+	began := time.Now()
+	a := c.agent(lone)
+	took := c.has(a, 2).Sub(began)
+	t.Logf("the newest configuration %v after the start", took)
+	c.Assert(took < c.apply, qt.IsTrue, qt.Commentf("%v", took))
+}
--- a/internal/fleet/nodeagent/nodeagent.go
+++ b/internal/fleet/nodeagent/nodeagent.go
@@ -22,6 +22,8 @@
 type Agent struct {
 	// Seeds reads the seeds anew, control addresses as the settings name them; nil: they don't change.
 	Seeds func() []string
+	// Dial connects to control servers; New sets distribution.Dial. Tests put a network of their own between.
+	Dial distribution.DialFunc
 
 	set   settings.Settings
 	log   *zap.Logger
@@ -36,13 +38,14 @@
 	// For when no control server is to be had.
 	platform *externalapi.PlatformClient
 	pollNext time.Time
-	polled   []byte
+	polled   []byte // the list that was polled here and is passed on; nil: none, or a control server's is
+	withheld withheld
 	proxies  int
 }
 
 // New makes a node agent.
 func New(set settings.Settings, log *zap.Logger) *Agent {
-	t := &Agent{set: set, log: log, store: distribution.NewCache(), have: map[string]distribution.Version{},
+	t := &Agent{Dial: distribution.Dial, set: set, log: log, store: distribution.NewCache(), have: map[string]distribution.Version{},
 		list: distribution.Version{Epoch: uint64(time.Now().UnixNano())}}
 	t.seed(set.Seeds)
 	if set.Provider.Address != "" {
@@ -95,23 +98,16 @@
 	defer stop()
 	go distribution.Serve(ctx, ln, t.set.Nodename, t.store, 3*t.set.Heartbeat+time.Second, t.store.Fresh)
 	t.log.Info("started")
-	var began time.Time
+	choice := sourceChoice{wait: wait, limit: freshFor(wait, silence)}
 	pause := distribution.Pause{Least: 10 * time.Millisecond, Most: 100 * time.Millisecond}
 	for i := rand.IntN(max(len(t.known), 1)); ctx.Err() == nil; i++ {
 		if len(t.known) == 0 {
 			return errors.New("peers: none to ask")
 		}
 		addr := t.known[i%len(t.known)]
-		began = time.Now()
-		err := distribution.Follow(ctx, addr, &distribution.Follower{Name: t.set.Nodename, Wait: wait, Silence: silence,
-			Members: func() []distribution.Member { return t.lists.theirs(t.store.Members(time.Now(), 3*t.set.Heartbeat)) },
-			Have:    t.vector, Take: func(n *distribution.Response) []string { return t.take(n) },
-			Rested: func(time.Time) *distribution.Outbox { return t.store.Rested },
-			Goes: func() bool {
-				// One that has not heard of the primary for long is left for another.
-				heard, _ := t.store.Fresh()
-				return time.Since(heard) < wait+silence/2 || time.Since(began) < wait
-			}})
+		choice.begin(time.Now())
+		err := distribution.Follow(ctx, addr, t.follower(&choice, silence))
+		choice.end()
 		if ctx.Err() == nil {
 			t.log.Debug("control server left", zap.String("addr", addr), zap.Error(err))
 		}
@@ -119,11 +115,29 @@
 			t.seed(t.Seeds()) // none was of use: the file may name others by now
 		}
 		t.pollAlone(ctx)
-		pause.Wait(ctx, time.Since(began))
+		pause.Wait(ctx, time.Since(choice.began))
 	}
 	return nil
 }
 
+// follower pulls from one control server for as long as that is in touch with the primary.
+func (t *Agent) follower(choice *sourceChoice, silence time.Duration) *distribution.Follower {
+	return &distribution.Follower{Name: t.set.Nodename, Wait: choice.wait, Silence: silence, Dial: t.Dial,
+		Members: func() []distribution.Member { return t.lists.theirs(t.store.Members(time.Now(), 3*t.set.Heartbeat)) },
+		Have:    t.vector,
+		Take:    t.take,
+		Rested:  func(time.Time) *distribution.Outbox { return t.store.Rested },
+		Goes:    func() bool { return choice.stays(time.Now(), t.age(), len(t.known)) },
+		Waits:   func() time.Duration { return choice.pullWait(t.age(), len(t.known)) },
+	}
+}
+
+// age is how long ago the primary was last heard of, by whichever control server.
+func (t *Agent) age() time.Duration {
+	heard, _ := t.store.Fresh()
+	return time.Since(heard)
+}
+
 // linger waits for the last word of a proxy that ends along with this process, and for the pull that takes it along.
 func (t *Agent) linger(ctx context.Context, wait time.Duration) {
 	if !t.store.Rested.Used() {
@@ -165,35 +179,62 @@
 	pass.Resources = nil
 	for _, p := range n.Resources {
 		t.have[p.Source] = p.At
-		if p.Source != distribution.SourceConfig {
-			t.list.Count++
-			t.store.Set(p.Source, t.list, p.Whole)
-			if p.Source == distribution.SourceList {
-				t.lists.note(t.list, p.At)
-			}
-			if p.Source == distribution.SourceCore {
-				var core distribution.Core
-				if _, err := core.UnmarshalMsg(p.Whole); err == nil {
-					t.learn(core.Pulls)
-				}
-			}
-			if p.Source == distribution.SourceCrowd {
-				var crowd distribution.Crowd
-				if _, err := crowd.UnmarshalMsg(p.Whole); err == nil {
-					t.proxies = crowd.Proxies
-				}
-			}
-			continue
+		if p.Source == distribution.SourceConfig {
+			pass.Resources = append(pass.Resources, p)
 		}
-		pass.Resources = append(pass.Resources, p)
 	}
 	lacking = t.store.Take(&pass, time.Now())
+	for i := range n.Resources {
+		if p := &n.Resources[i]; p.Source != distribution.SourceConfig {
+			t.takeSoft(p)
+		}
+	}
+	t.passWithheld()
 	for _, source := range lacking {
 		delete(t.have, source)
 	}
 	return lacking
 }
 
+// takeSoft takes the news of a source that is no durable state.
+func (t *Agent) takeSoft(p *distribution.Resource) {
+	switch p.Source {
+	case distribution.SourceList:
+		t.withheld.resource = p
+		return
+	case distribution.SourceCore:
+		var core distribution.Core
+		if _, err := core.UnmarshalMsg(p.Whole); err == nil {
+			t.learn(core.Pulls)
+		}
+	case distribution.SourceCrowd:
+		var crowd distribution.Crowd
+		if _, err := crowd.UnmarshalMsg(p.Whole); err == nil {
+			t.proxies = crowd.Proxies
+		}
+	}
+	t.pass(p)
+}
+
+// pass hands a source's whole on under this process's own count.
+func (t *Agent) pass(p *distribution.Resource) {
+	t.list.Count++
+	t.store.Set(p.Source, t.list, p.Whole)
+}
+
+// passWithheld hands on the list that came from a control server, unless one that was polled here is newer than what the primary
+// is known to have said.
+func (t *Agent) passWithheld() {
+	heard, _ := t.store.Fresh()
+	p := t.withheld.resource
+	if p == nil || t.withheld.older(heard) {
+		return
+	}
+	t.withheld, t.polled = withheld{}, nil
+	t.pass(p)
+	t.lists.note(t.list, p.At)
+}
+
 // pollAlone asks the platform itself where the control plane has not been heard for half as long as a draining backend
 // may still be sent to; all others may do the same, so each takes its part of half of the platform's rate.
 func (t *Agent) pollAlone(ctx context.Context) {
@@ -201,6 +242,7 @@
 	if t.platform == nil || time.Since(heard) < t.set.Bounds.Drain/2 || time.Now().Before(t.pollNext) {
 		return
 	}
+	asked := time.Now()
 	list, calls, err := t.platform.List(ctx)
 	every := time.Duration(2 * float64(max(t.proxies, assumedProxies)*max(calls, 1)) / max(t.set.Provider.Rate, 0.1) * float64(time.Second))
 	t.pollNext = time.Now().Add(max(every, time.Second))
@@ -210,7 +252,11 @@
 	}
 	externalapi.Sort(&list)
 	b, err := list.MarshalMsg(nil)
-	if err != nil || bytes.Equal(b, t.polled) {
+	if err != nil {
+		return
+	}
+	t.withheld.polledAt = asked
+	if bytes.Equal(b, t.polled) {
 		return
 	}
 	t.log.Info("the control plane is silent: the platform's list is asked for here", zap.Int("backends", len(list.Backends)))
--- /dev/null
+++ b/internal/fleet/nodeagent/withheld_test.go
@@ -0,0 +1,69 @@
+package nodeagent
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"molepaddle/internal/fleet/distribution"
+	"molepaddle/internal/fleet/settings"
+)
+
+// TestListPolledHereStands: while an agent asks the platform itself, the list of a control server that is cut off doesn't take the
+// place of what it polled; once a control server is in touch with the primary, its list does.
+func TestListPolledHereStands(t *testing.T) {
+	c := qt.New(t)
+	platform := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = io.WriteString(w, `{"backends":[{"id":"polled","svc":"s","address":"127.0.0.1:9","az":"z","ver":"v1","capacity":4,"state":"up","warm_left_ms":0}],"next_marker":null}`)
+	}))
+	c.Cleanup(platform.Close)
+	set := settings.Settings{Nodename: "edge-1", Zone: "z", Provider: settings.Provider{Address: platform.Listener.Addr().String(), Rate: 42}}
+	a := New(set, zap.NewNop())
+	told, err := (&distribution.List{Backends: []distribution.Backend{{ID: "told", Service: "s"}}}).MarshalMsg(nil)
+	c.Assert(err, qt.IsNil)
+	here := func() string {
+		r := a.store.Answer(c.Context(), "n", &distribution.Request{})
+		for _, p := range r.Resources {
+			if p.Source == distribution.SourceList {
+				var list distribution.List
+				_, err := list.UnmarshalMsg(p.Whole)
+				c.Assert(err, qt.IsNil)
+				c.Assert(list.Backends, qt.HasLen, 1)
+				return list.Backends[0].ID
+			}
+		}
+		return ""
+	}
+	response := func(age time.Duration, resources ...distribution.Resource) *distribution.Response {
+		return &distribution.Response{FreshMs: age.Milliseconds(), Primary: "p", Resources: resources}
+	}
+	list := distribution.Resource{Source: distribution.SourceList, At: distribution.Version{Epoch: 5, Count: 1}, Since: distribution.Version{Epoch: 5, Count: 1}, Whole: told}
+	a.take(response(time.Hour, list))
+	c.Assert(here(), qt.Equals, "told", qt.Commentf("a list is better than none"))
+	poll := func() {
+		a.pollNext = time.Time{}
+		a.pollAlone(c.Context())
+	}
+	poll()
+	c.Assert(here(), qt.Equals, "polled")
+	for range 2 {
+		_, had := a.vector()[distribution.SourceList]
+		c.Assert(had, qt.IsFalse, qt.Commentf("what the control plane has is news"))
+		a.take(response(time.Hour, list))
+		_, had = a.vector()[distribution.SourceList]
+		c.Assert(had, qt.IsTrue, qt.Commentf("it isn't asked for again and again"))
+		c.Assert(here(), qt.Equals, "polled", qt.Commentf("the control server has not heard the primary since the poll"))
+		poll()
+		c.Assert(here(), qt.Equals, "polled")
+		a.take(response(0))
+		c.Assert(here(), qt.Equals, "told", qt.Commentf("the control server is in touch: its list is the newer one"))
+		poll()
+		c.Assert(here(), qt.Equals, "polled", qt.Commentf("a list that was polled before takes its place again"))
+	}
+}
--- a/internal/fleet/replication/machine.go
+++ b/internal/fleet/replication/machine.go
@@ -56,6 +56,7 @@
 	beatAt  time.Duration
 	round   uint64
 	peers   map[ID]*peer
+	contact contact
 	writes  []waiting
 	reads   []waiting
 
@@ -463,7 +464,7 @@
 		}
 	}
 	m.leadSeq, m.round, m.beatAt = m.seq, 0, m.now
-	m.peers = map[ID]*peer{}
+	m.peers, m.contact = map[ID]*peer{}, contact{}
 	for _, b := range v.Backups {
 		m.peers[b] = &peer{behind: m.now}
 	}
--- a/internal/fleet/replication/primary.go
+++ b/internal/fleet/replication/primary.go
@@ -73,6 +73,7 @@
 	for _, p := range m.peers {
 		seq, round = min(seq, p.seq), min(round, p.round)
 	}
+	m.contact.confirm(round)
 	m.committed = max(m.committed, seq)
 	done := 0
 	for done < len(m.writes) && m.writes[done].at <= m.committed {
@@ -101,6 +102,7 @@
 // nextRound begins a round of confirmations for all reads that came before it.
 func (m *Machine) nextRound() {
 	m.round++
+	m.contact.begin(m.round, m.now)
 	for i := range m.reads {
 		if m.reads[i].at == 0 {
 			m.reads[i].at = m.round
