--- a/internal/fleet/controlplane/cluster_test.go
+++ b/internal/fleet/controlplane/cluster_test.go
@@ -152,18 +152,6 @@
 	return found
 }
 
-// backup is one of the primary's backups.
-func (c *cluster) backup(primary string) string {
-	view := c.servers[primary].status.Load().View
-	for _, m := range view.Members {
-		if slices.Contains(view.Backups, m.ID) {
-			host, _, _ := net.SplitHostPort(m.Addr)
-			return host
-		}
-	}
-	return ""
-}
-
 // others are all machines but some.
 func (c *cluster) others(than ...string) []string {
 	return slices.DeleteFunc(slices.Clone(c.ips), func(ip string) bool { return slices.Contains(than, ip) })
--- a/internal/fleet/nodeagent/cutoff_test.go
+++ b/internal/fleet/nodeagent/cutoff_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -37,9 +38,10 @@
 // agentIP is that of the node agent's machine: its pulls go by the network, too.
 const agentIP = "127.0.0.1"
 
-// newCore starts control servers at 127.0.net.1 and on.
-func newCore(t *testing.T, net, members, survive int, apply time.Duration) *core {
+// newCore starts control servers at 127.0.net.1 and on; what they and the agent send takes the delay given.
+func newCore(t *testing.T, net, members, survive int, apply, delay time.Duration) *core {
 	c := &core{C: qt.New(t), network: simulation.NewNetwork(t), apply: apply}
+	c.network.Delay = delay
 	for i := range members {
 		c.ips = append(c.ips, fmt.Sprintf("127.0.%d.%d", net, i+1))
 	}
@@ -211,7 +213,7 @@
 	} {
 		for j, apply := range []time.Duration{2 * time.Second, 2500 * time.Millisecond} {
 			t.Run(fmt.Sprintf("%s %v", one.name, apply), func(t *testing.T) {
-				c := newCore(t, 50+2*i+j, one.members, one.survive, apply)
+				c := newCore(t, 50+2*i+j, one.members, one.survive, apply, 0)
 				c.replaced(0, 5, c.ips...)
 				followed := one.follows(c)
 				a := c.agent(followed)
@@ -230,7 +232,7 @@
 // TestAgentStartsOnTheWrongSide: an agent that starts during a cut, with seeds that name only a machine that is cut off, learns of
 // the others by that, and gets what was acknowledged there.
 func TestAgentStartsOnTheWrongSide(t *testing.T) {
-	c := newCore(t, 62, 3, 1, 2*time.Second)
+	c := newCore(t, 62, 3, 1, 2*time.Second, 0)
 	c.replaced(0, 5, c.ips...)
 	lone := c.others(c.primary())[0]
 	c.network.Part([]string{lone}, c.others(lone))
@@ -241,3 +243,39 @@
 	t.Logf("the newest configuration %v after the start", took)
 	c.Assert(took < c.apply, qt.IsTrue, qt.Commentf("%v", took))
 }
+
+// TestAgentStaysInCalmTimes: with round trips as they are between regions, a control server that is in touch with the primary is not
+// left, neither the primary nor one that follows it.
+func TestAgentStaysInCalmTimes(t *testing.T) {
+	for i, follows := range []func(c *core) string{(*core).primary, func(c *core) string { return c.others(c.primary())[0] }} {
+		const trip = 60 * time.Millisecond
+		c := newCore(t, 64+i, 3, 1, 2*time.Second, trip/2)
+		c.replaced(0, 5, c.ips...)
+		a := New(c.settings(agentIP, follows(c)), zap.NewNop())
+		var dials atomic.Int64
+		dial := c.network.Dialer(agentIP)
+		a.Dial = func(addr string, within time.Duration) (net.Conn, error) {
+			dials.Add(1)
+			return dial(addr, within)
+		}
+		began := time.Now()
+		c.run(a.Run)
+		const calm = 4 * time.Second
+		over := time.After(testPatience)
+		again := time.NewTicker(20 * time.Millisecond)
+		defer again.Stop()
+		worst := time.Duration(0)
+		for heard, _ := a.store.Fresh(); heard.Before(began.Add(calm)); heard, _ = a.store.Fresh() {
+			if !heard.IsZero() {
+				worst = max(worst, time.Since(heard))
+			}
+			select {
+			case <-again.C:
+			case <-over:
+				c.Fatalf("the primary was last heard of %v after the start", heard.Sub(began))
+			}
+		}
+		t.Logf("%d connections in %v, the word of the primary %v old at the most", dials.Load(), calm, worst)
+		c.Assert(dials.Load() <= 2, qt.IsTrue, qt.Commentf("%d connections", dials.Load()))
+	}
+}
--- a/internal/fleet/simulation/network.go
+++ b/internal/fleet/simulation/network.go
@@ -10,6 +10,8 @@
 // Network is a network of machines, known by their IP addresses, that can be cut: whole or one way. Connections that were
 // opened through it hold what is cut off until the cut heals, their deadline is reached or they are closed.
 type Network struct {
+	Delay time.Duration // of whatever is sent, one way; not to be changed once there are connections
+
 	mu      sync.Mutex
 	cut     map[way]bool
 	changed chan struct{}      // closed and made anew with each cut and healing
@@ -164,6 +166,7 @@
 	if err := c.n.await(c.deadline(&c.read), c.closed, c.back); err != nil {
 		return 0, err
 	}
+	c.travel()
 	if len(c.arrived) == 0 {
 		return 0, c.failed
 	}
@@ -177,9 +180,23 @@
 	if err := c.n.await(c.deadline(&c.write), c.closed, c.out); err != nil {
 		return 0, err
 	}
+	c.travel()
 	return c.Conn.Write(p)
 }
 
+// travel waits for as long as the way takes.
+func (c *heldConn) travel() {
+	if c.n.Delay <= 0 {
+		return
+	}
+	timer := time.NewTimer(c.n.Delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-c.closed:
+	}
+}
+
 func (c *heldConn) deadline(which *time.Time) time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
