--- a/internal/fleet/replication/machine.go
+++ b/internal/fleet/replication/machine.go
@@ -56,6 +56,7 @@
 	beatAt  time.Duration
 	round   uint64
 	peers   map[ID]*peer
+	contact contact
 	writes  []waiting
 	reads   []waiting
 
