--- a/internal/fleet/replication/catchupfaults_test.go
+++ b/internal/fleet/replication/catchupfaults_test.go
@@ -31,7 +31,7 @@
 		{Name: "a cut of the log leaves none of it", Tests: "^TestLogIsKeptForRecord$", Texts: []string{
 			"first, bytes := len(m.changes), 0", "first, bytes := len(m.changes), m.opt.SnapshotBytes"}},
 		{Name: "who has the record but for a few changes isn't preferred", Tests: "^TestNearLearnerIsPreferred$", Texts: []string{
-			"} else if cand.near {", "} else if cand.near && false {"}},
+			"{c.near, weightNear},", "{false, weightNear},"}},
 		{Name: "a disk that was put back leads", Tests: "^TestDiskPutBackNeverLeads$", Texts: []string{
 			"return m.seq >= m.knownCommitted()", "return true"}},
 		{Name: "a holder whose disk was put back isn't staged anew", Tests: "^TestDiskPutBackNeverLeads$", Texts: []string{
