--- a/internal/fleet/replication/catchup_test.go
+++ b/internal/fleet/replication/catchup_test.go
@@ -351,11 +351,8 @@
 	c.Assert(t.until(5*time.Second, func() bool { return t.acked >= 40 }), qt.IsTrue, qt.Commentf("%s", t.told()))
 }
 
-// What the operator is promised: an acknowledgement within slowAckWithin, and a machine counts as lost for syncWithin after its return.
-const (
-	slowAckWithin = 4 * time.Second
-	syncWithin    = 4 * time.Second
-)
+// syncWithin is how long a machine counts as lost after its return.
+const syncWithin = 4 * time.Second
 
 // recordBytes is the size of a record with 10,000 routes.
 const recordBytes = 3_500_000
@@ -379,13 +376,13 @@
 				c.Assert(core.until(30*time.Second, func() bool { return core.acked > acked+20 }), qt.IsTrue,
 					qt.Commentf("nothing was acknowledged after a backup was lost: %s", core.told()))
 				t.Logf("a backup lost: no acknowledgement for %v", core.longest)
-				c.Check(core.longest < slowAckWithin, qt.IsTrue)
+				c.Check(core.longest < ackWithin, qt.IsTrue)
 				lost.disk = State{}
 				lost.start()
 				began, core.longest = core.now, 0
 				c.Assert(core.until(30*time.Second, core.settled), qt.IsTrue, qt.Commentf("who lost its disk isn't a member again"))
 				t.Logf("its disk lost: a member after %v, no acknowledgement for %v", core.now-began, core.longest)
-				c.Check(core.longest < slowAckWithin, qt.IsTrue)
+				c.Check(core.longest < ackWithin, qt.IsTrue)
 				// It counts as lost for some seconds more. Then the primary goes: who takes its place holds all that was acknowledged.
 				core.until(syncWithin, func() bool { return false })
 				acked = core.acked
@@ -394,7 +391,7 @@
 				c.Assert(core.until(30*time.Second, func() bool { return core.acked > acked+20 }), qt.IsTrue, qt.Commentf("nothing was acknowledged after the primary was lost: %s", core.told()))
 				c.Assert(core.primary().app.seq >= core.acked, qt.IsTrue)
 				t.Logf("the primary lost as well: no acknowledgement for %v", core.longest)
-				c.Check(core.longest < slowAckWithin, qt.IsTrue)
+				c.Check(core.longest < ackWithin, qt.IsTrue)
 			})
 		}
 	}
@@ -412,7 +409,7 @@
 func (n *thinNode) stall(for_ time.Duration) { n.busy = max(n.busy, n.core.now) + for_ }
 
 // TestStalledDisk: a machine whose disk takes no write for seconds is replaced, whatever its role, and doesn't hold the others up for
-// longer than slowAckWithin; when its disk works again it takes part.
+// longer than ackWithin; when its disk works again it takes part.
 func TestStalledDisk(t *testing.T) {
 	for _, role := range []Role{Primary, Backup, Witness} {
 		for _, stall := range []time.Duration{300 * ms, 2 * time.Second, 20 * time.Second} {
@@ -423,10 +420,10 @@
 				stalled.stall(stall)
 				core.longest, core.ackedAt = 0, core.now
 				acked := core.acked
-				c.Assert(core.until(slowAckWithin, func() bool { return core.acked > acked+5 }), qt.IsTrue, qt.Commentf("%s", core.told()))
+				c.Assert(core.until(ackWithin, func() bool { return core.acked > acked+5 }), qt.IsTrue, qt.Commentf("%s", core.told()))
 				core.until(stall, func() bool { return false })
 				t.Logf("no acknowledgement for %v", core.longest)
-				c.Check(core.longest < slowAckWithin, qt.IsTrue)
+				c.Check(core.longest < ackWithin, qt.IsTrue)
 				acked = core.acked
 				c.Assert(core.until(10*time.Second, func() bool {
 					return core.settled() && core.acked > acked+20 && stalled.m.Status().Ready
