A relay between whole processes, whose links are cut and delayed in each direction

Cause: whole programs on loopback dialed each other directly, so that no test could cut a machine off, whole or one way. What was ruled out: a relay per address (a process listens at the address that it announces), rewriting addresses in messages (what is tested would no longer be what runs), privileges, namespaces and packet filters.

Change: distribution.Dial goes through the variable DialThrough, which is the same dial as before unless it is replaced before the first one. simulation.Network is the relay, DialRelay the dial through it: it tells the relay who dials whom, so that each ordered pair of machines is a link. A cut direction holds bytes up and delivers them after the cut, unless the machine that dialed gives up as TCP_USER_TIMEOUT would.

--- a/internal/fleet/distribution/frame.go
+++ b/internal/fleet/distribution/frame.go
@@ -79,6 +79,12 @@
 }
 
 // Dial connects to an own process; one whose machine is silent for the bound given breaks.
-func Dial(addr string, within time.Duration) (net.Conn, error) {
+func Dial(addr string, within time.Duration) (net.Conn, error) { return DialThrough(addr, within) }
+
+// DialThrough makes the connections of Dial. It may be replaced before the first of them, by one that leads through a
+// relay between processes.
+var DialThrough = dialTCP
+
+func dialTCP(addr string, within time.Duration) (net.Conn, error) {
 	return (&net.Dialer{Timeout: within, KeepAlive: -1, Control: sockets.UserTimeout(within)}).Dial("tcp", addr)
 }
--- /dev/null
+++ b/internal/fleet/simulation/network_test.go
@@ -0,0 +1,189 @@
+package simulation
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// The two machines of the tests. The target listens at its own address.
+const (
+	dialingIP = "127.0.9.1"
+	targetIP  = "127.0.9.2"
+)
+
+var (
+	outbound = Link{From: dialingIP, To: targetIP}
+	inbound  = Link{From: targetIP, To: dialingIP}
+)
+
+const (
+	// networkPatient bounds what must happen; networkSoon what must not.
+	networkPatient = 10 * time.Second
+	networkSoon    = 50 * time.Millisecond
+)
+
+// startEcho listens at the target and gives each connection's other end.
+func startEcho(c *qt.C) (address string, accepted <-chan net.Conn) {
+	ln, err := net.Listen("tcp", net.JoinHostPort(targetIP, "0"))
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { ln.Close() })
+	ends := make(chan net.Conn, 8)
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			ends <- conn
+		}
+	}()
+	return ln.Addr().String(), ends
+}
+
+func pair(c *qt.C, n *Network, address string, accepted <-chan net.Conn, within time.Duration) (dialer, target net.Conn) {
+	dialer, err := DialRelay(n.Address(), dialingIP, address, within)
+	c.Assert(err, qt.IsNil)
+	target = <-accepted
+	c.Cleanup(func() { dialer.Close(); target.Close() })
+	return dialer, target
+}
+
+func says(c *qt.C, from net.Conn, text string) {
+	_, err := from.Write([]byte(text))
+	c.Assert(err, qt.IsNil)
+}
+
+func hears(c *qt.C, at net.Conn, text string) {
+	c.Assert(at.SetReadDeadline(time.Now().Add(networkPatient)), qt.IsNil)
+	got := make([]byte, len(text))
+	_, err := io.ReadFull(at, got)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(got), qt.Equals, text)
+}
+
+func hearsNothing(c *qt.C, at net.Conn) {
+	c.Assert(at.SetReadDeadline(time.Now().Add(networkSoon)), qt.IsNil)
+	_, err := at.Read(make([]byte, 1))
+	timeout, ok := err.(net.Error)
+	c.Assert(ok && timeout.Timeout(), qt.IsTrue, qt.Commentf("%v", err))
+}
+
+// TestNetworkCarries: both directions of an open link carry what is sent, an alias leads elsewhere.
+func TestNetworkCarries(t *testing.T) {
+	c := qt.New(t)
+	n := StartNetwork(c)
+	address, accepted := startEcho(c)
+	n.Alias("127.0.9.2:1", address)
+	dialer, target := pair(c, n, "127.0.9.2:1", accepted, networkPatient)
+	says(c, dialer, "request")
+	hears(c, target, "request")
+	says(c, target, "answer")
+	hears(c, dialer, "answer")
+	target.Close()
+	_, err := dialer.Read(make([]byte, 1))
+	c.Assert(err, qt.Equals, io.EOF)
+}
+
+// TestNetworkCutsOneWay: a cut direction carries nothing until it is healed, the other one goes on.
+func TestNetworkCutsOneWay(t *testing.T) {
+	c := qt.New(t)
+	n := StartNetwork(c)
+	address, accepted := startEcho(c)
+	dialer, target := pair(c, n, address, accepted, networkPatient)
+	n.Cut(outbound)
+	says(c, dialer, "held up")
+	hearsNothing(c, target)
+	says(c, target, "answer")
+	hears(c, dialer, "answer")
+	n.Cut(outbound)
+	n.Heal(outbound)
+	hearsNothing(c, target) // it was cut twice
+	n.Heal(outbound)
+	hears(c, target, "held up")
+	n.Cut(inbound)
+	says(c, target, "late")
+	hearsNothing(c, dialer)
+	says(c, dialer, "request")
+	hears(c, target, "request")
+	n.Heal(inbound)
+	hears(c, dialer, "late")
+}
+
+// TestNetworkDialsNeedBothWays: a dial over a link that is cut in one direction ends with its bound, and one that is healed
+// meanwhile comes through.
+func TestNetworkDialsNeedBothWays(t *testing.T) {
+	c := qt.New(t)
+	n := StartNetwork(c)
+	address, accepted := startEcho(c)
+	for _, l := range []Link{outbound, inbound} {
+		n.Cut(l)
+		_, err := DialRelay(n.Address(), dialingIP, address, networkSoon)
+		c.Assert(err, qt.IsNotNil)
+		n.Heal(l)
+	}
+	n.Cut(inbound)
+	type dialed struct {
+		conn net.Conn
+		err  error
+	}
+	result := make(chan dialed, 1)
+	go func() {
+		conn, err := DialRelay(n.Address(), dialingIP, address, networkPatient)
+		result <- dialed{conn, err}
+	}()
+	n.Heal(inbound)
+	got := <-result
+	c.Assert(got.err, qt.IsNil)
+	got.conn.Close()
+	(<-accepted).Close()
+	dead := net.JoinHostPort(targetIP, "1")
+	_, err := DialRelay(n.Address(), dialingIP, dead, networkPatient)
+	c.Assert(err, qt.IsNotNil)
+}
+
+// TestNetworkGivesUp: who dialed loses the connection once its bytes were not acknowledged for as long as its dial was
+// given, whichever direction is cut; what a cut held up is lost with it.
+func TestNetworkGivesUp(t *testing.T) {
+	for _, l := range []Link{outbound, inbound} {
+		t.Run(l.From, func(t *testing.T) {
+			c := qt.New(t)
+			n := StartNetwork(c)
+			address, accepted := startEcho(c)
+			dialer, target := pair(c, n, address, accepted, networkSoon)
+			n.Cut(l)
+			says(c, dialer, "request")
+			c.Assert(dialer.SetReadDeadline(time.Now().Add(networkPatient)), qt.IsNil)
+			_, err := dialer.Read(make([]byte, 1))
+			c.Assert(err, qt.IsNotNil)
+			timeout, ok := err.(net.Error)
+			c.Assert(ok && timeout.Timeout(), qt.IsFalse)
+			n.Heal(l)
+			c.Assert(target.SetReadDeadline(time.Now().Add(networkPatient)), qt.IsNil)
+			got, err := io.ReadAll(target)
+			c.Assert(err, qt.IsNil)
+			if l == outbound {
+				c.Assert(string(got), qt.Equals, "")
+			} else {
+				c.Assert(string(got), qt.Equals, "request")
+			}
+		})
+	}
+}
+
+// TestNetworkDelays: what passes a slow link comes late.
+func TestNetworkDelays(t *testing.T) {
+	c := qt.New(t)
+	n := StartNetwork(c)
+	address, accepted := startEcho(c)
+	dialer, target := pair(c, n, address, accepted, networkPatient)
+	const late = 60 * time.Millisecond
+	n.Delay(late, outbound)
+	began := time.Now()
+	says(c, dialer, "request")
+	hears(c, target, "request")
+	c.Assert(time.Since(began) >= late, qt.IsTrue)
+}
