--- a/cmd/molepaddle-fleet/schedule_planted_test.go
+++ b/cmd/molepaddle-fleet/schedule_planted_test.go
@@ -43,7 +43,7 @@
 		"if h := s.pieces[source]; h != nil && !h.at.Before(n.at) {", "if h := s.pieces[source]; h != nil && h.at == n.at {",
 		"if ok && !had.Before(h.at) {", "if ok && had == h.at {"}, ""},
 	{"news is passed on without what it follows", "distribution", []string{
-		"case h == nil || h.at != p.Since || h.bytes", "case h == nil || h.bytes"}, ""},
+		"if e == nil || e.at != p.Since {", "if e == nil {"}, ""},
 	{"a machine without its disk votes as who it was", "replication", []string{
 		`ID(fmt.Sprintf("%016x%016x", m.opt.Rand(), m.opt.Rand()))`, `ID(fmt.Sprint("of ", m.opt.Self.Addr))`}, ""},
 }
