--- a/internal/fleet/proxy/serve.go
+++ b/internal/fleet/proxy/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -169,91 +168,6 @@
 	}
 }
 
-var errTooLarge = errors.New("body too large")
-
-// readBodyBy is readBody with a bound in time: a client that stops within its body is given its answer all the same.
-func readBodyBy(w http.ResponseWriter, r *http.Request, most int64, by time.Time) ([]byte, error) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	conn := http.NewResponseController(w)
-	_ = conn.SetReadDeadline(by) // a writer that has no connection has no deadline either
-	body, err := readBody(r, most)
-	if err == nil {
-		_ = conn.SetReadDeadline(time.Time{})
-	} // else the library waits no longer for the rest of the body than until then
-	return body, err
-}
-
-// readBody reads a body whole, of at most so many bytes.
-func readBody(r *http.Request, most int64) ([]byte, error) {
-	if r.ContentLength > 0 {
-		// What is held grows with what comes, in steps, not with what a length claims.
-		b := make([]byte, 0, min(r.ContentLength, 64<<10))
-		for int64(len(b)) < r.ContentLength {
-			if len(b) == cap(b) {
-				b = append(b, make([]byte, min(r.ContentLength-int64(len(b)), int64(len(b))))...)[:len(b)]
-			}
-			n, err := r.Body.Read(b[len(b):min(int64(cap(b)), r.ContentLength)])
-			b = b[:len(b)+n]
-			if err != nil && int64(len(b)) < r.ContentLength {
-				return nil, err
-			}
-		}
-		return b, nil
-	}
-	b, err := io.ReadAll(io.LimitReader(r.Body, most+1))
-	if err == nil && int64(len(b)) > most {
-		err = errTooLarge
-	}
-	return b, err
-}
-
-// plain tells whether an id can be sent on as it is.
-func plain(id string) bool {
-	if id == "" || len(id) > 256 {
-		return false
-	}
-	for _, c := range []byte(id) {
-		if c <= ' ' || c > '~' {
-			return false
-		}
-	}
-	return true
-}
-
-// refuse gives an answer of this proxy's own.
-func (v *Proxy) refuse(w http.ResponseWriter, status int, again time.Duration, text string) {
-	if again > 0 {
-		w.Header().Set(externalapi.RetryAfter, strconv.FormatFloat(again.Seconds(), 'f', 3, 64))
-	}
-	v.count(status)
-	http.Error(w, text, status)
-}
-
-// giveUp ends a request that no backend has answered: with a promise where it has not run and never will.
-func (t *try) giveUp(ctx context.Context, why string) {
-	if terms := t.terms(); terms.Bound() {
-		why = t.svc.insideText(t.subject, terms) + ": " + why
-	}
-	switch {
-	case t.ran && time.Until(t.deadline) <= 0:
-		t.v.refuse(t.w, http.StatusGatewayTimeout, 0, why)
-	case t.ran:
-		t.v.refuse(t.w, http.StatusBadGateway, 0, why)
-	default:
-		again := max(t.refused, soonAgain)
-		t.v.refuse(t.w, http.StatusServiceUnavailable, again, why)
-	}
-}
-
-// clientLeft ends a request whose client has gone, with its connection: a handler that returns without an answer would give an
-// empty 200, which a client that has closed only its half takes for its answer.
-func (t *try) clientLeft() {
-	t.v.count(0)
-	panic(http.ErrAbortHandler)
-}
-
 // judge tells the design how an attempt ended.
 func judge(wrote bool, err error) policy.Status {
 	switch {
@@ -297,12 +211,6 @@
 	return t.svc.spent.take(time.Now(), n)
 }
 
-// notRun reads from an answer's head that the backend did not run the request. A success that says so contradicts itself, and
-// proves nothing.
-func notRun(resp *http.Response) bool {
-	return resp.StatusCode == http.StatusMisdirectedRequest || resp.StatusCode >= 400 && resp.Header.Get(externalapi.NotRun) != ""
-}
-
 // plain serves a request whose answer comes whole.
 func (t *try) plain(ctx context.Context) {
 	key := xxhash.Sum64String(t.m.id)
@@ -408,52 +316,15 @@
 	return true, nil
 }
 
-func retryAfter(resp *http.Response) time.Duration {
-	s, err := strconv.ParseFloat(resp.Header.Get(externalapi.RetryAfter), 64)
-	if err != nil || s < 0 || s > 60 {
-		return 0
-	}
-	return time.Duration(s * float64(time.Second))
-}
-
-// head copies the head of a backend's answer.
-func (t *try) head(resp *http.Response) {
-	dropHop(resp.Header)
-	h := t.w.Header()
-	for key, values := range resp.Header {
-		h[key] = values
-	}
-	h[externalapi.AttemptID] = []string{t.m.id}
-	if _, dated := resp.Header["Date"]; !dated {
-		h["Date"] = nil
-	}
-}
-
-// promises tells whether a status promises the client that its request has not run and never will.
-func promises(status int) bool {
-	switch status {
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		return true
-	}
-	return false
-}
-
-// answer gives the client a backend's whole answer. One that promises what the backend has not said is not passed on: the
-// failure in its place is this proxy's own, without the backend's head.
-func (t *try) answer(resp *http.Response, body []byte) {
-	if t.ran && promises(resp.StatusCode) {
-		t.v.refuse(t.w, http.StatusBadGateway, 0, "backend: status "+strconv.Itoa(resp.StatusCode))
-		return
-	}
-	t.head(resp)
-	length := int64(len(body))
-	if t.m.method == http.MethodHead {
-		length = resp.ContentLength // of what is not sent; -1: it was not told
+// plain tells whether an id can be sent on as it is.
+func plain(id string) bool {
+	if id == "" || len(id) > 256 {
+		return false
 	}
-	if length >= 0 {
-		t.w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
+	for _, c := range []byte(id) {
+		if c <= ' ' || c > '~' {
+			return false
+		}
 	}
-	t.v.count(resp.StatusCode)
-	t.w.WriteHeader(resp.StatusCode)
-	_, _ = t.w.Write(body)
+	return true
 }
