Orders: one that is given up is reset, and the state it expects stays with the reports

An order that a cut held up could still leave the kernel for a moment after it was given up: closing resets its connection now. The scheduler's state of a backend is as it was; how many orders each has taken is kept beside the reports, so that order's callers are untouched.

--- a/internal/fleet/controlplane/phases.go
+++ b/internal/fleet/controlplane/phases.go
@@ -27,6 +27,7 @@
 	changing map[string]bool              // ids to which nobody should send
 	active   map[string]int               // by id of those that make tokens, as of the last round
 	silent   []string                     // whose report did not come then
+	taken    map[string]uint64            // by id: orders taken, by the last report
 }
 
 const (
@@ -36,11 +37,13 @@
 	mostSilent = 3
 	// orderWithin bounds a call to a backend.
 	orderWithin = 300 * time.Millisecond
+	// mostTaken bounds the backends whose orders are remembered.
+	mostTaken = 1 << 16
 )
 
 func newPhases(o *Server) *phases {
 	return &phases{o: o, client: externalapi.NewBackendClient(orderWithin), machines: map[string]*scheduler.Phases{}, changing: map[string]bool{},
-		active: map[string]int{}}
+		active: map[string]int{}, taken: map[string]uint64{}}
 }
 
 // reset forgets what an earlier term of the duty began.
@@ -141,7 +144,7 @@
 			if !mv.Due || i < 0 {
 				continue
 			}
-			if !p.order(ctx, &all[i], mv.Prefill, states[i].Orders, epoch) {
+			if !p.order(ctx, &all[i], mv.Prefill, epoch) {
 				p.mu.Lock()
 				m.Again(mv.ID)
 				p.mu.Unlock()
@@ -157,9 +160,9 @@
 	return maps.Clone(p.changing)
 }
 
-// order sends one order, if the view that gives the duty still stands, to a backend that has taken so many; false: it was not
-// sent, nothing was heard of it, or the backend has taken another since its report or has one under way.
-func (p *phases) order(ctx context.Context, b *distribution.Backend, prefill bool, taken, epoch uint64) (heard bool) {
+// order sends one order, if the view that gives the duty still stands; false: it was not sent, nothing was heard of it, or the
+// backend has taken another since its report or has one under way.
+func (p *phases) order(ctx context.Context, b *distribution.Backend, prefill bool, epoch uint64) (heard bool) {
 	sure, cancel := context.WithTimeout(ctx, orderWithin)
 	ans, err := p.o.ask(sure, func(now time.Duration, token uint64) replication.Output { return p.o.machine.Read(now, token) })
 	cancel()
@@ -170,11 +173,27 @@
 	if prefill {
 		phase = externalapi.PhasePrefill
 	}
-	status, err := p.client.Order(ctx, b.Address, externalapi.PhaseOrder{Backend: b.ID, Phase: phase, Owner: p.o.set.Nodename, Fence: epoch, Expect: taken})
+	status, err := p.client.Order(ctx, b.Address, externalapi.PhaseOrder{Backend: b.ID, Phase: phase, Owner: p.o.set.Nodename, Fence: epoch, Expect: p.takenBy(b.ID)})
 	p.o.log.Info("order", zap.String("backend", b.ID), zap.String("phase", phase), zap.Int("status", status), zap.Uint64("fence", epoch), zap.Error(err))
 	return err == nil && status != http.StatusConflict
 }
 
+// takenBy is how many orders a backend has taken, by its last report.
+func (p *phases) takenBy(id string) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.taken[id]
+}
+
+func (p *phases) noteTaken(id string, orders uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.taken) >= mostTaken {
+		clear(p.taken) // of backends that are gone, most of them; the others' reports come again
+	}
+	p.taken[id] = orders
+}
+
 // reports asks all backends at once for their reports.
 func (p *phases) reports(ctx context.Context, all []distribution.Backend) []scheduler.EngineState {
 	states := make([]scheduler.EngineState, len(all))
@@ -193,7 +212,7 @@
 				return
 			}
 			states[i].Usable, states[i].Prefill, states[i].Active, states[i].Changing = true, r.Phase == externalapi.PhasePrefill, r.Active+r.Queued, r.Changing
-			states[i].Orders = r.Orders
+			p.noteTaken(b.ID, r.Orders)
 		})
 	}
 	wait.Wait()
--- a/internal/fleet/externalapi/backend.go
+++ b/internal/fleet/externalapi/backend.go
@@ -29,16 +29,30 @@
 const reportConnIdle = 6 * time.Second
 
 // NewBackendClient makes a client each of whose calls is given up after the time given. What of an order has not reached its
-// backend by then is not sent any more, whatever comes of the network.
+// backend when it is given up is not sent any more: one that a cut held up must not arrive once the cut has healed.
 func NewBackendClient(within time.Duration) *BackendClient {
+	dialer := &net.Dialer{Timeout: within, KeepAlive: -1, Control: sockets.UserTimeout(within)}
 	client := func(t *http.Transport) *http.Client {
-		t.DialContext = (&net.Dialer{Timeout: within, KeepAlive: -1, Control: sockets.UserTimeout(within)}).DialContext
 		t.DisableCompression = true
 		return &http.Client{Timeout: within, Transport: t, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 	}
 	return &BackendClient{
-		reports: client(&http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: reportConnIdle}),
-		orders:  client(&http.Transport{DisableKeepAlives: true}),
+		reports: client(&http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: reportConnIdle}),
+		orders:  client(&http.Transport{DialContext: dialResetting(dialer), DisableKeepAlives: true}),
+	}
+}
+
+// dialResetting has closing a connection reset it, so that what waits to be sent is dropped.
+func dialResetting(dialer *net.Dialer) func(ctx context.Context, network, addr string) (net.Conn, error) {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // it fails only on a connection that is broken
+		}
+		return conn, nil
 	}
 }
 
--- a/internal/fleet/externalapi/backend_test.go
+++ b/internal/fleet/externalapi/backend_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -201,3 +202,20 @@
 		c.Check(err, qt.IsNotNil, qt.Commentf("%s", name))
 	}
 }
+
+// TestOrderGivenUpIsReset: what of an order waits to be sent when it is given up is dropped with the connection.
+func TestOrderGivenUpIsReset(t *testing.T) {
+	c := qt.New(t)
+	ended := make(chan error, 1)
+	addr := testkit.Raw(t, func(conn net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err != nil {
+			ended <- err
+			return
+		}
+		_, err := io.Copy(io.Discard, r)
+		ended <- err
+	})
+	_, err := externalapi.NewBackendClient(shortly).Order(t.Context(), addr, order)
+	c.Assert(err, qt.IsNotNil)
+	c.Check(<-ended, qt.ErrorIs, syscall.ECONNRESET)
+}
--- a/internal/fleet/proxy/exchange_planted_test.go
+++ b/internal/fleet/proxy/exchange_planted_test.go
@@ -44,6 +44,7 @@
 	{"an id goes twice over one connection", "^TestIDUsedAgain$", map[string][]string{fileLend: {"if c.carried == requestID {", "if c.carried == requestID+requestID {"}}},
 	{"orders share the connections of reports", "^TestOrderTakesNoOthersAnswer$|^TestOrderIsSentOnce$", map[string][]string{fileBackend: {"b.orders.Do(req)", "b.reports.Do(req)"}}},
 	{"orders are sent on", "^TestCallsAreNotSentOn$", map[string][]string{fileBackend: {"\treq.GetBody = nil // nothing that could be sent again\n", "", "return http.ErrUseLastResponse", "return nil"}}},
+	{"an order that was given up may still arrive", "^TestOrderGivenUpIsReset$", map[string][]string{fileBackend: {"tcp.SetLinger(0)", "tcp.SetLinger(-1)"}}},
 	{"an order is for whoever has the address", "^TestOrderSays$", map[string][]string{fileBackend: {"req.Header.Set(Target, o.Backend)", "_ = o.Backend"}}},
 	{"an order that is cut off has been answered", "^TestOrderIsSentOnce$", map[string][]string{fileBackend: {"io.LimitReader(resp.Body, maxReport)); err != nil {", "io.LimitReader(resp.Body, maxReport)); err == nil && false {"}}},
 	{"a frame that is cut off is taken", "^TestResponsesCutOff$", map[string][]string{fileFrame: {"io.ReadFull(r, b[at:]); err != nil {", "io.ReadFull(r, b[at:]); err != nil && len(b) == 0 {"}}},
--- a/internal/fleet/scheduler/phases.go
+++ b/internal/fleet/scheduler/phases.go
@@ -29,10 +29,9 @@
 type EngineState struct {
 	ID       string
 	Prefill  bool
-	Active   int    // requests that run or wait
-	Changing bool   // an order is under way
-	Usable   bool   // listed, not draining, and its report came
-	Orders   uint64 // orders that it has taken
+	Active   int  // requests that run or wait
+	Changing bool // an order is under way
+	Usable   bool // listed, not draining, and its report came
 }
 
 // Move has a backend change its phase.
