--- a/internal/fleet/proxy/proxy.go
+++ b/internal/fleet/proxy/proxy.go
@@ -100,11 +100,11 @@
 	if v.set.Bind.Edge == "" || v.set.Bind.Ready == "" {
 		return errors.New("bind: edge and readyz must be given")
 	}
-	edge, err := net.Listen("tcp", v.set.Bind.Edge)
+	edge, err := sockets.Listen(ctx, v.set.Bind.Edge, sockets.ListenWithin)
 	if err != nil {
 		return errors.Wrap(err, "listen for clients")
 	}
-	ready, err := net.Listen("tcp", v.set.Bind.Ready)
+	ready, err := sockets.Listen(ctx, v.set.Bind.Ready, sockets.ListenWithin)
 	if err != nil {
 		return errors.Wrap(err, "listen for readiness")
 	}
@@ -114,12 +114,11 @@
 		}
 	}), ReadHeaderTimeout: 2 * time.Second}
 	go func() { _ = readiness.Serve(ready) }()
-	server := &http.Server{Handler: v, ReadHeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second, MaxHeaderBytes: 32 << 10,
-		ErrorLog: zap.NewStdLog(v.log)}
+	server := v.clientServer()
 	v.log.Info("started")
 	v.life.Open()
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(edge) }()
+	go func() { failed <- server.Serve(clientListener{edge, v.patience}) }()
 	go v.feed(ctx)
 	go v.report(ctx)
 	select {
--- a/internal/fleet/replication/plantedfaults_test.go
+++ b/internal/fleet/replication/plantedfaults_test.go
@@ -3,7 +3,7 @@
 // plantedFaults are deliberate errors in the protocol. TestPlantedFaults checks that each still fits the sources and, with
 // -replication.planted, that the kinds of tests named by it find it.
 var plantedFaults = []plantedFault{
-	{"a backup acknowledges what isn't on its disk", []string{"\t\t\tm.keep(rest[:taken]...)\n", ""}, "search", ""},
+	{"a backup acknowledges what isn't on its disk", []string{"\tm.keep(rest[:taken]...)\n", ""}, "search", ""},
 	{"the primary's own disk isn't waited for", []string{"\tm.keep(c)\n", ""}, "search", ""},
 	{"a promise is kept in memory only", []string{
 		"\t\tm.vote.Promised = msg.Ballot\n\t\tm.putVote()\n", "\t\tm.vote.Promised = msg.Ballot\n"}, "search", ""},
@@ -14,7 +14,7 @@
 	{"a snapshot on the disk is one change short", []string{
 		"Digest: m.digest, Body: body}",
 		"Digest: m.digest, Body: func() []byte { n := len(body); for n > 0 && body[n-1] != 10 { n-- }; return body[:max(0, n-1)] }()}"}, "search", ""},
-	{"half of the members decide", []string{"return len(v.Members)/2 + 1", "return (len(v.Members) + 1) / 2"}, "search", ""},
+	{"half of the members decide", []string{"return members/2 + 1", "return (members + 1) / 2"}, "search", ""},
 	{"a view is decided by fewer than promised", []string{
 		"len(c.accepted) >= m.view.majority()", "len(c.accepted) >= m.view.majority()-1"}, "search", ""},
 	{"who proposes goes on answering", []string{
@@ -23,7 +23,7 @@
 		"\t\tm.stand.StoppedEpoch = m.view.Epoch + 1\n\t\tm.putStanding()\n", "\t\tm.stand.StoppedEpoch = m.view.Epoch + 1\n"},
 		"", "needs two proposals and a restart, which the deep search has"},
 	{"a stopped backup still acknowledges", []string{"m.holder() && !m.stopped() && m.stand.StepEpoch", "m.holder() && m.stand.StepEpoch",
-		"\tif !m.stopped() {\n\t\trest", "\t{\n\t\trest", "\tif msg.Stopped {\n\t\tm.stoppedPeer(p)\n\t\treturn\n\t}\n", ""}, "search", ""},
+		"\tif !m.stopped() {\n\t\tif m.follow", "\t{\n\t\tif m.follow", "\tif msg.Stopped {\n\t\tm.stoppedPeer(p)\n\t\treturn\n\t}\n", ""}, "search", ""},
 	{"a write is acknowledged before the backups have it", []string{
 		"seq, round = min(seq, p.seq), min(round, p.round)", "round = min(round, p.round)"}, "search", ""},
 	{"a read is not confirmed", []string{"len(m.peers) == 0 || w.at != 0 && w.at <= round", "true"}, "search", ""},
@@ -51,4 +51,38 @@
 	{"a decided view isn't kept on the disk", []string{"\t\tm.putView()\n\t\tm.putVote()\n\t}\n\theard", "\t\tm.putVote()\n\t}\n\theard"}, "search", ""},
 	{"a view of the same epoch replaces the one that is known", []string{"if v.Epoch <= m.view.Epoch || !v.valid()", "if v.Epoch < m.view.Epoch || !v.valid()"},
 		"search", ""},
+
+	// Contact with a quorum.
+	{"a read is confirmed by the answers to the round before", []string{
+		"w.at != 0 && w.at <= round", "w.at != 0 && w.at <= round+1"}, "search", ""},
+	{"a read is confirmed by one of two backups", []string{
+		"\tdone := 0\n", "\tfor _, p := range m.peers {\n\t\tround = max(round, p.round)\n\t}\n\tdone := 0\n"}, "search", ""},
+	{"a write is acknowledged by one of two backups", []string{
+		"\tm.committed = max(m.committed, seq)\n", "\tfor _, p := range m.peers {\n\t\tseq = max(seq, p.seq)\n\t}\n\tm.committed = max(m.committed, seq)\n"}, "search", ""},
+	{"a thawed primary takes old answers for new ones", []string{
+		"\t\tfor _, p := range m.peers {\n\t\t\tif p.behind >= 0 {\n", "\t\tfor _, p := range m.peers {\n\t\t\tp.round = m.round\n\t\t\tif p.behind >= 0 {\n"}, "search", ""},
+	{"reads are served while a majority was heard lately by the own clock", []string{
+		"len(m.peers) == 0 || w.at != 0 && w.at <= round", "m.majorityAlive()"}, "search", ""},
+	{"a new primary takes its backups to be in step", []string{
+		"&peer{behind: m.now}", "&peer{behind: m.now, step: true, seq: m.seq}"}, "search", ""},
+	{"a deposed primary acknowledges what waited", []string{
+		"m.answer(w.token, LostPrimacy, w.at)", "m.answer(w.token, Committed, w.at)"}, "search", ""},
+	{"a primary that proposes goes on answering", []string{
+		"return m.led && !m.stopped()", "return m.led"}, "search", ""},
+	{"a thawed machine takes the others' silence for their loss", []string{"\tif frozen {", "\tif frozen && m.now < 0 {"}, "hand", ""},
+
+	// Changes of membership.
+	{"a joiner counts as a holder before its disk has the record", []string{
+		"if c.staged[b] || p != nil && p.holder {", "if c.staged[b] || p == nil || p.holder {"}, "search", ""},
+	{"the new members decide instead of the old", []string{
+		"len(c.accepted) >= m.view.majority()", "len(c.accepted) >= c.value.majority()"}, "hand", ""},
+	{"members are left out below what may be lost", []string{
+		"max(3, 2*m.opt.Survive.Copies()-1)", "1"}, "hand", ""},
+	{"the older identity of an address stays a member", []string{
+		"plan.members[i], plan.changed = j, true", "plan.members, plan.changed = append(plan.members, j), true"}, "search", ""},
+	{"a joiner that never answered is taken in", []string{"if j.confirmed && !m.view.has(j.ID) {", "if !m.view.has(j.ID) {"}, "hand", ""},
+	{"a joiner's disk doesn't say that it holds the record", []string{
+		"\t\t\tm.stand.RecordEpoch = m.view.Epoch\n\t\t\tm.putStanding()\n", "\t\t\tm.stand.RecordEpoch = m.view.Epoch\n"}, "search", ""},
+	{"who takes over leaves out whom it hasn't heard", []string{
+		"\tif !m.led {\n\t\treturn plan\n\t}\n", ""}, "search", ""},
 }
--- a/internal/fleet/replication/searchrules_test.go
+++ b/internal/fleet/replication/searchrules_test.go
@@ -5,7 +5,7 @@
 	"slices"
 )
 
-// ghost is what clients and witnesses of all have seen.
+// ghost holds the search's ghost variables: what clients, and somebody who watches all machines, have seen.
 type ghost struct {
 	committed []string
 	acked     []ack
@@ -14,7 +14,11 @@
 	reads     []floor  // under way
 	writes    uint64   // begun
 	asked     uint64   // reads begun
-	wipes     int
+	allWipes  int      // disks lost since the beginning
+	wipes     int      // since the core was last whole
+	bases     []uint64 // how many changes were acknowledged when each was first asked for
+	retries   []retry  // under way
+	refused   []uint64 // changes that were refused
 }
 
 type ack struct{ seq, epoch uint64 }
@@ -26,8 +30,8 @@
 
 type floor struct{ token, seq uint64 }
 
-// voteBreach tells when a machine that lost its disk votes as who it was.
-func voteBreach(c *cell, m *Message) string {
+// voteViolation tells when a machine that lost its disk votes as who it was.
+func voteViolation(c *cell, m *Message) string {
 	switch m.Kind {
 	case KindPrepare, KindPromise, KindAccept, KindAccepted:
 		if slices.Contains(c.wiped, m.From.ID) || m.Founder && len(c.wiped) > 0 {
@@ -39,6 +43,9 @@
 
 // apply is the state after a step; false: the step does nothing.
 func (x *explorer) apply(w *world, s step) (world, string, bool) {
+	if s.kind == stepPass {
+		return x.applyPass(w, s)
+	}
 	e := x.play(w.cells[s.i], s)
 	if e == nil {
 		return world{}, "", false
@@ -56,12 +63,16 @@
 		slices.Sort(n.net)
 		n.net = slices.Compact(n.net)
 	}
-	breach := e.breach
+	violation := e.violation
 	g := x.ghosts[w.ghost]
 	seen := false
 	switch s.kind {
 	case stepWrite:
 		g.writes++
+		g.bases = append(slices.Clip(g.bases), g.top())
+		seen = true
+	case stepRetry:
+		g.ask(x.cells[w.cells[s.i]], s.arg)
 		seen = true
 	case stepRead:
 		g.asked++
@@ -69,38 +80,53 @@
 		seen = true
 	case stepWipe:
 		g.wipes++
+		g.allWipes++
 		seen = true
 	}
-	if b := g.learn(x.cells[e.cell], e, &seen); breach == "" {
-		breach = b
+	if b := g.learn(&e.sighting, &seen); violation == "" {
+		violation = b
 	}
-	if seen {
-		n.ghost = x.internGhost(g)
+	changed := func(i int) bool { return i == int(s.i) }
+	moved := x.cells[e.cell] != x.cells[w.cells[s.i]]
+	violation = x.conclude(&n, &g, seen, moved, violation)
+	if n.cells == w.cells && n.ghost == w.ghost && fresh == 0 && violation == "" {
+		return world{}, "", false
 	}
-	if breach == "" && (seen || x.cells[e.cell] != x.cells[w.cells[s.i]]) {
-		breach = x.rules(&n)
+	if b := x.close(&n, changed, e.sent); violation == "" {
+		violation = b
 	}
-	if n.cells == w.cells && n.ghost == w.ghost && fresh == 0 && breach == "" {
-		return world{}, "", false
+	return n, violation, true
+}
+
+// conclude notes what was seen on the way to a state, and holds the rules in it when something changed.
+func (x *explorer) conclude(w *world, g *ghost, seen, moved bool, violation string) string {
+	if g.wipes > 0 && x.whole(w, g) {
+		g.wipes, seen = 0, true
+	}
+	if seen {
+		w.ghost = x.internGhost(*g)
 	}
-	if b := x.close(&n, int(s.i), e.sent); breach == "" {
-		breach = b
+	if violation == "" && (seen || moved) {
+		violation = x.rules(w)
 	}
-	return n, breach, true
+	if violation == "" && moved && x.check != nil {
+		violation = x.check(w)
+	}
+	return violation
 }
 
 // close adds what deliveries that leave their machine as it is send, as such a step takes no other away, and drops the
 // messages that can't do anything any more: those of an epoch that their receiver has left, and those of a ballot below the
-// one it has promised. Only what goes to machine i, and what is new, can have more to say than before.
-func (x *explorer) close(w *world, i int, sent []uint32) (breach string) {
+// one it has promised. Only what goes to machines that changed, and what is new, can have more to say than before.
+func (x *explorer) close(w *world, changed func(int) bool, sent []uint32) (violation string) {
 	todo := x.todo[:0]
 	for _, m := range w.net {
-		if x.parcels[m].to == i {
+		if changed(x.packets[m].to) {
 			todo = append(todo, m)
 		}
 	}
 	for _, m := range sent {
-		if x.parcels[m].to != i {
+		if !changed(x.packets[m].to) {
 			todo = append(todo, m)
 		}
 	}
@@ -108,10 +134,10 @@
 	for len(todo) > 0 {
 		m := todo[len(todo)-1]
 		todo = todo[:len(todo)-1]
-		p := &x.parcels[m]
+		p := &x.packets[m]
 		e := x.play(w.cells[p.to], step{stepDeliver, uint8(p.to), m})
-		if e.breach != "" {
-			breach = e.breach
+		if e.violation != "" {
+			violation = e.violation
 		}
 		past = past || x.inert(w, m)
 		if e.cell != w.cells[p.to] || len(e.answers) > 0 {
@@ -119,7 +145,7 @@
 		}
 		for _, f := range e.sent {
 			at, ok := slices.BinarySearch(w.net, f)
-			if ok || x.inert(w, f) && len(x.play(w.cells[x.parcels[f].to], step{stepDeliver, uint8(x.parcels[f].to), f}).sent) == 0 {
+			if ok || x.inert(w, f) && len(x.play(w.cells[x.packets[f].to], step{stepDeliver, uint8(x.packets[f].to), f}).sent) == 0 {
 				continue
 			}
 			if !own {
@@ -136,13 +162,13 @@
 		}
 		w.net = slices.DeleteFunc(w.net, func(m uint32) bool { return x.inert(w, m) })
 	}
-	return breach
+	return violation
 }
 
 // inert tells whether a message is past: its epoch or ballot is, and it does nothing to its receiver as that stands. What it
 // was answered with is in flight already.
 func (x *explorer) inert(w *world, m uint32) bool {
-	p := &x.parcels[m]
+	p := &x.packets[m]
 	id := w.cells[p.to]
 	c := x.cells[id].m
 	if w.left.wipes > 0 || p.msg.Kind == KindHello || p.msg.Epoch > c.view.Epoch {
@@ -164,9 +190,27 @@
 	return seq
 }
 
+// sighting is what an input of a machine showed.
+type sighting struct {
+	machine, life int
+	epoch         uint64
+	view          string
+	committed     uint64
+	log           []string
+	answers       []Answer
+}
+
+// sightingOf is what an input led to, with its machine as it is then.
+func sightingOf(c *cell, out Output) sighting {
+	return sighting{
+		machine: c.i, life: c.life, epoch: c.status.Epoch, view: c.view,
+		committed: out.Committed, log: slices.Clone(c.app.log), answers: out.Answer,
+	}
+}
+
 // learn takes in what a step showed.
-func (g *ghost) learn(c *cell, e *effect, seen *bool) string {
-	epoch := c.status.Epoch
+func (g *ghost) learn(e *sighting, seen *bool) string {
+	epoch := e.epoch
 	if epoch == 0 { // who has not joined knows the seeds or nobody
 		return ""
 	}
@@ -177,9 +221,9 @@
 	switch v := g.views[epoch]; {
 	case v == "":
 		g.views = slices.Clone(g.views)
-		g.views[epoch] = c.view
+		g.views[epoch] = e.view
 		*seen = true
-	case v != c.view:
+	case v != e.view:
 		return fmt.Sprintf("two views of epoch %d are decided", epoch)
 	}
 	for i := range e.committed {
@@ -189,6 +233,8 @@
 		case i >= uint64(len(g.committed)):
 			g.committed = append(slices.Clip(g.committed), e.log[i])
 			*seen = true
+		case slices.Index(e.log, e.log[i]) < int(i):
+			return fmt.Sprintf("%s is committed twice", e.log[i])
 		case g.committed[i] != e.log[i]:
 			return fmt.Sprintf("a fork: change %d is %s and %s", i+1, g.committed[i], e.log[i])
 		}
@@ -197,7 +243,7 @@
 		*seen = true
 		switch a.Result {
 		case Committed:
-			who := c.i*100 + c.life
+			who := e.machine*100 + e.life
 			i := slices.IndexFunc(g.leaders, func(l leader) bool { return l.epoch == epoch })
 			if i < 0 {
 				g.leaders = append(slices.Clip(g.leaders), leader{epoch, who})
@@ -214,11 +260,56 @@
 					return fmt.Sprintf("a read shows %d, older than the acknowledged %d", a.Seq, f.seq)
 				}
 			}
+			if b := g.verdict(a, epoch); b != "" {
+				return b
+			}
 			if a.Seq > uint64(len(e.log)) {
 				return "a read shows more than there is"
 			}
 		}
 		g.reads = slices.DeleteFunc(slices.Clone(g.reads), func(f floor) bool { return f.token == a.Token })
+		g.retries = slices.DeleteFunc(slices.Clone(g.retries), func(r retry) bool { return r.token == a.Token })
+	}
+	return g.refusals()
+}
+
+// whole reports whether as many machines may be lost as at the beginning: a primary of the newest view is ready, all backups
+// that must be are there with their disks, and a majority of the members stays when as many are lost as may be.
+func (x *explorer) whole(w *world, g *ghost) bool {
+	newest := uint64(len(g.views)) - 1
+	v := x.views[g.views[newest]]
+	if len(v.Backups) < x.survive.Copies()-1 {
+		return false
+	}
+	ready, holding, members := false, 0, 0
+	for i := range x.n {
+		c := x.cells[w.cells[i]]
+		ready = ready || c.status.Role == Primary && c.status.Epoch == newest && c.status.Ready
+		if c.holds == newest {
+			holding++
+		}
+		if v.has(c.disk.Identity.ID) {
+			members++
+		}
+	}
+	return ready && holding == len(v.Backups)+1 && members-x.survive.Nodes >= v.majority()
+}
+
+// missed tells when a machine that may end is one of the last so many that hold a change.
+func (x *explorer) missed(w *world, has func(log []string) bool, copies int) string {
+	for i := range x.n {
+		if !x.cells[w.cells[i]].status.Released {
+			continue
+		}
+		others := 0
+		for j := range x.n {
+			if j != i && has(x.cells[w.cells[j]].durable) {
+				others++
+			}
+		}
+		if others < copies {
+			return fmt.Sprintf("%d may end while %d others hold what was acknowledged", i, others)
+		}
 	}
 	return ""
 }
@@ -242,6 +333,9 @@
 				return fmt.Sprintf("%d leads epoch %d without %s, acknowledged in %d", i, c.status.Epoch, body, a.epoch)
 			}
 		}
+		if b := x.missed(w, has, x.survive.Copies()-g.wipes); b != "" {
+			return b
+		}
 		if disks < x.survive.Copies()-g.wipes {
 			return fmt.Sprintf("%s was acknowledged and is on %d disks after %d were lost", body, disks, g.wipes)
 		}
--- a/internal/fleet/scaletest/scaletest_test.go
+++ b/internal/fleet/scaletest/scaletest_test.go
@@ -83,7 +83,7 @@
 		return e
 	}
 	c.Assert(next(), qt.DeepEquals, Event{What: distribution.SourceConfig, Count: 1})
-	s.Append(distribution.SourceConfig, distribution.Version{Count: 1}, distribution.Version{Count: 2}, distribution.Change{At: distribution.Version{Count: 2}, Body: []byte("two")})
+	s.Append(distribution.SourceConfig, distribution.Version{Count: 1}, distribution.Version{Count: 2}, distribution.Change{At: distribution.Version{Count: 2}, Body: []byte("two")}, func() []byte { return []byte("whole") })
 	c.Assert(next(), qt.DeepEquals, Event{What: distribution.SourceConfig, Count: 2})
 	s.Set(distribution.SourceList, distribution.Version{Epoch: 3, Count: 4}, []byte("list"))
 	c.Assert(next(), qt.DeepEquals, Event{What: distribution.SourceList, Epoch: 3, Count: 4})
--- a/internal/rig/testkit/sites/sites.go
+++ b/internal/rig/testkit/sites/sites.go
@@ -148,7 +148,7 @@
 		}
 	})
 	Eventually(t, "the agent is ready", func() bool {
-		resp, err := http.Get(s.Base + "/ready")
+		resp, err := testkit.Client.Get(s.Base + "/ready")
 		if err != nil {
 			return false
 		}
@@ -223,4 +223,5 @@
 	return a
 }
 
-var client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}}
+// client gives up after a minute, which no request here has.
+var client = &http.Client{Timeout: time.Minute, Transport: &http.Transport{MaxIdleConnsPerHost: 512}}
