--- a/cmd/molepaddle-fleet/schedule_run_test.go
+++ b/cmd/molepaddle-fleet/schedule_run_test.go
@@ -112,7 +112,7 @@
 	s       schedule
 	ctx     context.Context
 	begin   time.Time
-	network *simulation.Network
+	network *simulation.RelayNetwork
 	history *operatorHistory
 	report  *scheduleReport
 	ips     []string // of all core machines, those to come as well
@@ -162,7 +162,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), s.window+90*time.Second)
 	t.Cleanup(cancel)
-	run := &scheduleRun{T: t, s: s, ctx: ctx, begin: time.Now(), network: simulation.StartNetwork(t), report: &scheduleReport{faults: map[faultKind]int{}, kinds: map[string]int{}}}
+	run := &scheduleRun{T: t, s: s, ctx: ctx, begin: time.Now(), network: simulation.StartRelayNetwork(t), report: &scheduleReport{faults: map[faultKind]int{}, kinds: map[string]int{}}}
 	run.history = newOperatorHistory(run)
 	run.start(slot)
 	calls, giveUp := context.WithCancel(ctx)
--- a/internal/fleet/simulation/network.go
+++ b/internal/fleet/simulation/relaynetwork.go
@@ -15,13 +15,13 @@
 	"molepaddle/internal/protocol/sockets"
 )
 
-// Network is the links between machines of one test, each with its own address of 127.0.0.0/8: a relay through which
+// RelayNetwork is the links between machines of one test, each with its own address of 127.0.0.0/8: a relay through which
 // processes dial each other with DialRelay, so that links can be cut and delayed in each direction apart.
 //
 // A direction that is cut carries nothing: what was sent waits and comes after the cut, unless the machine that dialed
 // gives the connection up before. It does so as TCP_USER_TIMEOUT would: once bytes of its own were not acknowledged for
 // as long as its dial was given, which either direction's cut brings about. A dial needs both directions.
-type Network struct {
+type RelayNetwork struct {
 	listener net.Listener
 
 	mu      sync.Mutex
@@ -40,14 +40,14 @@
 // relayOpen is the byte that tells a dialing process that its connection stands.
 const relayOpen = '+'
 
-// StartNetwork starts a Network without cuts, which ends with the test.
-func StartNetwork(tb TB) *Network {
+// StartRelayNetwork starts one without cuts, which ends with the test.
+func StartRelayNetwork(tb TB) *RelayNetwork {
 	tb.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		tb.Fatalf("simulation: network: %v", err)
 	}
-	n := &Network{listener: ln, cuts: map[Link]int{}, delays: map[Link]time.Duration{}, aliases: map[string]string{}, changed: make(chan struct{})}
+	n := &RelayNetwork{listener: ln, cuts: map[Link]int{}, delays: map[Link]time.Duration{}, aliases: map[string]string{}, changed: make(chan struct{})}
 	ctx, cancel := context.WithCancel(context.Background())
 	tb.Cleanup(func() {
 		cancel()
@@ -58,22 +58,22 @@
 }
 
 // Address is where the relay listens, for DialRelay.
-func (n *Network) Address() string { return n.listener.Addr().String() }
+func (n *RelayNetwork) Address() string { return n.listener.Addr().String() }
 
 // Alias has connections to one address led to another.
-func (n *Network) Alias(from, to string) {
+func (n *RelayNetwork) Alias(from, to string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.aliases[from] = to
 }
 
 // Cut cuts links; one that was cut twice needs two calls of Heal.
-func (n *Network) Cut(links ...Link) { n.count(1, links) }
+func (n *RelayNetwork) Cut(links ...Link) { n.count(1, links) }
 
 // Heal takes back one cut of each link.
-func (n *Network) Heal(links ...Link) { n.count(-1, links) }
+func (n *RelayNetwork) Heal(links ...Link) { n.count(-1, links) }
 
-func (n *Network) count(by int, links []Link) {
+func (n *RelayNetwork) count(by int, links []Link) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, l := range links {
@@ -83,7 +83,7 @@
 }
 
 // Delay has what passes a link come later; 0 takes it back.
-func (n *Network) Delay(d time.Duration, links ...Link) {
+func (n *RelayNetwork) Delay(d time.Duration, links ...Link) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, l := range links {
@@ -92,19 +92,19 @@
 	n.signal()
 }
 
-func (n *Network) signal() {
+func (n *RelayNetwork) signal() {
 	close(n.changed)
 	n.changed = make(chan struct{})
 }
 
 // open tells whether a link carries anything, how late, and what is closed when that changes.
-func (n *Network) open(l Link) (open bool, delay time.Duration, changed <-chan struct{}) {
+func (n *RelayNetwork) open(l Link) (open bool, delay time.Duration, changed <-chan struct{}) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.cuts[l] <= 0, n.delays[l], n.changed
 }
 
-func (n *Network) aliasOf(addr string) string {
+func (n *RelayNetwork) aliasOf(addr string) string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if to, ok := n.aliases[addr]; ok {
@@ -114,7 +114,7 @@
 }
 
 // await waits until a link carries; false: ctx ended first.
-func (n *Network) await(ctx context.Context, l Link) bool {
+func (n *RelayNetwork) await(ctx context.Context, l Link) bool {
 	for {
 		open, _, changed := n.open(l)
 		if open {
@@ -128,7 +128,7 @@
 	}
 }
 
-func (n *Network) serve(ctx context.Context) {
+func (n *RelayNetwork) serve(ctx context.Context) {
 	for {
 		c, err := n.listener.Accept()
 		if err != nil {
@@ -140,7 +140,7 @@
 
 // carried is one connection through the relay.
 type carried struct {
-	n      *Network
+	n      *RelayNetwork
 	ctx    context.Context
 	dialer net.Conn
 	target net.Conn
@@ -152,7 +152,7 @@
 func (c *carried) back() Link { return Link{From: c.out.To, To: c.out.From} }
 
 // carry answers one dial and passes on what both ends send until one closes.
-func (n *Network) carry(ctx context.Context, dialer net.Conn) {
+func (n *RelayNetwork) carry(ctx context.Context, dialer net.Conn) {
 	defer dialer.Close()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -262,7 +262,7 @@
 	}()
 }
 
-// DialRelay connects to an address by way of a Network's relay, as the machine with the IP given.
+// DialRelay connects to an address by way of a RelayNetwork's relay, as the machine with the IP given.
 func DialRelay(relay, ip, address string, within time.Duration) (net.Conn, error) {
 	c, err := (&net.Dialer{Timeout: within, KeepAlive: -1, Control: sockets.UserTimeout(within)}).Dial("tcp", relay)
 	if err != nil {
--- a/internal/fleet/simulation/network_test.go
+++ b/internal/fleet/simulation/relaynetwork_test.go
@@ -44,7 +44,7 @@
 	return ln.Addr().String(), ends
 }
 
-func pair(c *qt.C, n *Network, address string, accepted <-chan net.Conn, within time.Duration) (dialer, target net.Conn) {
+func pair(c *qt.C, n *RelayNetwork, address string, accepted <-chan net.Conn, within time.Duration) (dialer, target net.Conn) {
 	dialer, err := DialRelay(n.Address(), dialingIP, address, within)
 	c.Assert(err, qt.IsNil)
 	target = <-accepted
@@ -72,10 +72,10 @@
 	c.Assert(ok && timeout.Timeout(), qt.IsTrue, qt.Commentf("%v", err))
 }
 
-// TestNetworkCarries: both directions of an open link carry what is sent, an alias leads elsewhere.
-func TestNetworkCarries(t *testing.T) {
+// TestRelayNetworkCarries: both directions of an open link carry what is sent, an alias leads elsewhere.
+func TestRelayNetworkCarries(t *testing.T) {
 	c := qt.New(t)
-	n := StartNetwork(c)
+	n := StartRelayNetwork(c)
 	address, accepted := startEcho(c)
 	n.Alias("127.0.9.2:1", address)
 	dialer, target := pair(c, n, "127.0.9.2:1", accepted, networkPatient)
@@ -88,10 +88,10 @@
 	c.Assert(err, qt.Equals, io.EOF)
 }
 
-// TestNetworkCutsOneWay: a cut direction carries nothing until it is healed, the other one goes on.
-func TestNetworkCutsOneWay(t *testing.T) {
+// TestRelayNetworkCutsOneWay: a cut direction carries nothing until it is healed, the other one goes on.
+func TestRelayNetworkCutsOneWay(t *testing.T) {
 	c := qt.New(t)
-	n := StartNetwork(c)
+	n := StartRelayNetwork(c)
 	address, accepted := startEcho(c)
 	dialer, target := pair(c, n, address, accepted, networkPatient)
 	n.Cut(outbound)
@@ -113,11 +113,11 @@
 	hears(c, dialer, "late")
 }
 
-// TestNetworkDialsNeedBothWays: a dial over a link that is cut in one direction ends with its bound, and one that is healed
+// TestRelayNetworkDialsNeedBothWays: a dial over a link that is cut in one direction ends with its bound, and one that is healed
 // meanwhile comes through.
-func TestNetworkDialsNeedBothWays(t *testing.T) {
+func TestRelayNetworkDialsNeedBothWays(t *testing.T) {
 	c := qt.New(t)
-	n := StartNetwork(c)
+	n := StartRelayNetwork(c)
 	address, accepted := startEcho(c)
 	for _, l := range []Link{outbound, inbound} {
 		n.Cut(l)
@@ -145,13 +145,13 @@
 	c.Assert(err, qt.IsNotNil)
 }
 
-// TestNetworkGivesUp: who dialed loses the connection once its bytes were not acknowledged for as long as its dial was
+// TestRelayNetworkGivesUp: who dialed loses the connection once its bytes were not acknowledged for as long as its dial was
 // given, whichever direction is cut; what a cut held up is lost with it.
-func TestNetworkGivesUp(t *testing.T) {
+func TestRelayNetworkGivesUp(t *testing.T) {
 	for _, l := range []Link{outbound, inbound} {
 		t.Run(l.From, func(t *testing.T) {
 			c := qt.New(t)
-			n := StartNetwork(c)
+			n := StartRelayNetwork(c)
 			address, accepted := startEcho(c)
 			dialer, target := pair(c, n, address, accepted, networkSoon)
 			n.Cut(l)
@@ -174,10 +174,10 @@
 	}
 }
 
-// TestNetworkDelays: what passes a slow link comes late.
-func TestNetworkDelays(t *testing.T) {
+// TestRelayNetworkDelays: what passes a slow link comes late.
+func TestRelayNetworkDelays(t *testing.T) {
 	c := qt.New(t)
-	n := StartNetwork(c)
+	n := StartRelayNetwork(c)
 	address, accepted := startEcho(c)
 	dialer, target := pair(c, n, address, accepted, networkPatient)
 	const late = 60 * time.Millisecond
