--- a/internal/fleet/replication/search_test.go
+++ b/internal/fleet/replication/search_test.go
@@ -116,6 +116,11 @@
 	passes   map[passOf]*passing
 	calms    map[passOf]time.Duration // how long the next acknowledgement takes, with a fault that lasts
 
+	// late has liveness tried with all that is in flight coming, too.
+	late        bool
+	lateCalms   int
+	slowestLate time.Duration
+
 	// check is a further rule that every state must hold, nil when there is none.
 	check func(*world) string
 }
--- a/internal/fleet/replication/searchrun_test.go
+++ b/internal/fleet/replication/searchrun_test.go
@@ -136,6 +136,8 @@
 		for _, took := range x.calms {
 			res.slowest, res.calms = max(res.slowest, took), res.calms+1
 		}
+		res.calms += x.lateCalms
+		res.slowest = max(res.slowest, x.slowestLate)
 		for _, g := range x.ghosts {
 			res.refused = res.refused || len(g.refused) > 0
 			res.wipes = max(res.wipes, g.allWipes)
