--- a/internal/fleet/proxy/stream.go
+++ b/internal/fleet/proxy/stream.go
@@ -50,7 +50,7 @@
 		t.svc.ranker.Ended(t.svc.now(), b.ID, status)
 		t.svc.mu.Unlock()
 	}()
-	x := extra{left: time.Until(t.deadline), priority: t.priority(h != nil), handle: h}
+	x := extra{until: t.deadline, priority: t.priority(h != nil), handle: h}
 	heard := t.svc.awaits(b.ID)
 	e, wrote, err := t.begin(ctx, pl.permit, &t.m, &x, t.connectBy(), t.headBy())
 	heard(err == nil)
@@ -115,7 +115,7 @@
 	t.ran = true
 	status = judge(true, err)
 	if r.begun {
-		if ctx.Err() == nil && t.route.Resumable {
+		if ctx.Err() == nil && !errors.Is(err, errClientLeft) && t.route.Resumable {
 			if t.resume(ctx, r, p) {
 				return true, nil
 			}
@@ -126,6 +126,10 @@
 	return false, err
 }
 
+// errClientLeft ends a stream that its client no longer takes: nobody waits for the rest of it. It counts as cancelled, which tells
+// nothing of the backend.
+var errClientLeft = errors.Wrap(context.Canceled, "the client has left")
+
 // relay passes a stream on, whole events only, so that it can be taken up elsewhere after the last one.
 type relay struct {
 	t      *try
@@ -137,7 +141,7 @@
 func (r *relay) pass(ctx context.Context, e *exchange, first func()) error {
 	t := r.t
 	resp := e.resp
-	events := strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
+	events := isEvents(resp)
 	flush := http.NewResponseController(t.w)
 	buf := make([]byte, 0, 4<<10)
 	some := false
@@ -183,7 +187,7 @@
 			}
 			if _, werr := t.w.Write(buf[:whole]); werr != nil {
 				e.end(false)
-				return context.Canceled
+				return errClientLeft
 			}
 			if err == nil {
 				_ = flush.Flush()
@@ -215,6 +219,11 @@
 	}
 }
 
+// isEvents tells whether an answer is a series of events.
+func isEvents(resp *http.Response) bool {
+	return strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
+}
+
 // isTimeout tells whether a deadline, a connection's or a context's, ended an operation.
 func isTimeout(err error) bool {
 	var t interface{ Timeout() bool }
@@ -242,7 +251,7 @@
 		}
 		t.tried[pl.at.ID] = true
 		status, kept := policy.OK, false
-		x := extra{left: time.Until(t.deadline), priority: t.priority(false), lastID: r.lastID}
+		x := extra{until: t.deadline, priority: t.priority(false), lastID: r.lastID}
 		e, wrote, err := t.begin(ctx, pl.permit, &t.m, &x, t.connectBy(), t.headBy())
 		if wrote {
 			t.sends++
@@ -250,7 +259,7 @@
 		done := false
 		if err != nil {
 			status = judge(wrote, err)
-		} else if resp := e.resp; resp.StatusCode != http.StatusOK || resp.Header.Get(externalapi.Seal) == "" || resp.Header.Get("Content-Encoding") != "" {
+		} else if resp := e.resp; resp.StatusCode != http.StatusOK || resp.Header.Get(externalapi.Seal) == "" || resp.Header.Get("Content-Encoding") != "" || !isEvents(resp) {
 			status = policy.Error
 			if notRun(resp) {
 				status = policy.Full
@@ -262,6 +271,7 @@
 		} else {
 			status = judge(true, err)
 		}
+		left := errors.Is(err, errClientLeft)
 		t.svc.mu.Lock()
 		t.svc.engines.Read(pl.at.ID, pl.tokens, 0)
 		t.svc.engines.Ended(pl.at.ID)
@@ -274,6 +284,9 @@
 			t.v.count(http.StatusOK)
 			return true
 		}
+		if left {
+			return false
+		}
 	}
 	return false
 }
--- a/internal/fleet/replication/adopt.go
+++ b/internal/fleet/replication/adopt.go
@@ -39,6 +39,9 @@
 		}
 	}
 	m.heard = heard
+	m.dropTransfers()
+	clear(m.positions)
+	m.learnAt = m.now
 	for id := range m.slow {
 		if !v.has(id) {
 			delete(m.slow, id)
