--- a/internal/fleet/externalapi/backend.go
+++ b/internal/fleet/externalapi/backend.go
@@ -32,7 +32,7 @@
 // backend by then is not sent any more, whatever comes of the network.
 func NewBackendClient(within time.Duration) *BackendClient {
 	client := func(t *http.Transport) *http.Client {
-		t.DialContext = (&net.Dialer{Timeout: within, KeepAlive: -1, Control: sockets.UserTimeout(within)}).DialContext
+		t.DialContext = dialReset(within)
 		t.DisableCompression = true
 		return &http.Client{Timeout: within, Transport: t, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 	}
@@ -42,6 +42,22 @@
 	}
 }
 
+// dialReset connects to a backend. Closing resets the connection: an order that was given up while a cut held it up must not
+// arrive once the cut has healed, after another holder's orders.
+func dialReset(within time.Duration) func(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := &net.Dialer{Timeout: within, KeepAlive: -1, Control: sockets.UserTimeout(within)}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // it fails only on a connection that is broken
+		}
+		return conn, nil
+	}
+}
+
 // State is a backend's report, some hundred ms old.
 type State struct {
 	Phase    string `json:"phase"`
