--- a/cmd/molepaddle-fleet/schedule_planted_test.go
+++ b/cmd/molepaddle-fleet/schedule_planted_test.go
@@ -47,7 +47,7 @@
 		"if ok && !had.Before(h.at) {", "if ok && had == h.at {",
 		"if doc.Version() > v.doc.Version() {", "if doc.Version() != v.doc.Version() {"}, ""},
 	{"a node agent stays with a source that has lost the primary", "nodeagent", []string{
-		"return time.Since(heard) < wait+silence/2 || time.Since(began) < wait", "return !heard.IsZero() || time.Since(began) < wait"}, ""},
+		"\tif age < s.limit {", "\tif age < time.Hour {"}, ""},
 	{"a machine without its disk votes as who it was", "replication", []string{
 		`ID(fmt.Sprintf("%016x%016x", m.opt.Rand(), m.opt.Rand()))`, `ID(fmt.Sprint("of ", m.opt.Self.Addr))`},
 		"it needs a vote before and after the loss in one epoch, which replication's search brings about"},
