Two tests of readings raced with the driver's ticks; now they say what they mean

TestReadings took the Seq of an answer, a bound from below, for the newest change. Ruled out: a fault of the product: a reading is let go only by what is committed. Change: the record itself is ahead of what is committed, set in the driver's goroutine; Seq is asked for once more. Both checks are as they were.

--- a/internal/fleet/controlplane/rested_test.go
+++ b/internal/fleet/controlplane/rested_test.go
@@ -122,6 +122,8 @@
 			c.Check(one.Rested, qt.DeepEquals, []externalapi.Rested{report.Rested[want]}, qt.Commentf("%s", target))
 		}
 	}
+	// Seq is a bound from below: a reading that was settled while it was asked for counts in the next answer's.
+	_, _, report = call(o, http.MethodGet, "/molepaddle/residency", nil)
 	seq := report.Seq
 	// The first configuration follows on no other, whatever was read.
 	status, _, _ = call(o, http.MethodPost, externalapi.Replace.Path, []byte(`{"ver":3,"routing":[{"name":"r","hostname":"h","pfx":"/","kind":"readonly","deadline_ms":1000,"svc":"s","tenant":"new"}],`+
@@ -148,18 +150,29 @@
 	c.Assert(o.news([]residencyreport.Batch{first, batchOf(1, 2, road)}), qt.IsTrue)
 
 	// The record is ahead of what is known to be committed: nothing is proposed on top of that, and nothing let go.
-	good := o.settled.Load()
-	o.settled.Store(&applied{})
+	var committed *residencyreport.Gauge
+	onDriver(o, func() { committed, o.record.rested = o.record.rested, nil })
 	second := batchOf(1, 2, labs)
 	o.store.Rested.Put(second)
 	c.Assert(o.takeReading(c.Context(), []residencyreport.Batch{second}), qt.IsTrue)
 	c.Assert(o.store.Rested.OpenOf(1), qt.Equals, 1)
-	o.settled.Store(good)
+	onDriver(o, func() { o.record.rested = committed })
 	c.Assert(o.takeReading(c.Context(), []residencyreport.Batch{second}), qt.IsFalse)
 	c.Assert(o.store.Rested.OpenOf(1), qt.Equals, 0)
 	c.Assert(o.settled.Load().rested.Report(nil)[0].Counts.Decodes, qt.Equals, int64(4))
 }
 
+// onDriver does something in the driver's goroutine, which the record belongs to.
+func onDriver(o *Server, do func()) {
+	done := make(chan struct{})
+	o.inputs <- func(now time.Duration) replication.Output {
+		do()
+		close(done)
+		return o.machine.Tick(now)
+	}
+	<-done
+}
+
 // Whoever isn't the primary sends callers on, with what they ask for, once it has heard the primary of its view.
 func TestResidencyIsPassedOn(t *testing.T) {
 	c := qt.New(t)
