--- a/cmd/molepaddle-days/main.go
+++ b/cmd/molepaddle-days/main.go
@@ -14,7 +14,7 @@
 type cli struct {
 	Site    string   `arg:"" help:"Site file of the deployment." type:"existingfile"`
 	Seed    uint64   `help:"What the day is drawn from." required:""`
-	Theme   string   `help:"Kinds of trouble." enum:"all,control,data" default:"all"`
+	Theme   string   `help:"Kinds of trouble." enum:"all,control,data,planned" default:"all"`
 	Length  float64  `help:"Seconds of traffic; 0: the deployment's own." default:"0"`
 	Fewest  int      `help:"Entries, at the least." default:"5"`
 	Most    int      `help:"Entries, at the most." default:"14"`
--- a/internal/rig/drawndays/drawndays.go
+++ b/internal/rig/drawndays/drawndays.go
@@ -39,6 +39,7 @@
 	ThemeAll     Theme = "all"     // every kind of trouble
 	ThemeControl Theme = "control" // the control plane's troubles only, under changes for the whole day
 	ThemeData    Theme = "data"    // the backends' and proxies' troubles only
+	ThemePlanned Theme = "planned" // planned work only, without a fault at any time, under changes on half of the days
 )
 
 // Options of Draw.
@@ -67,10 +68,10 @@
 	for range d.between(o.Fewest, o.Most) {
 		day.Entries = append(day.Entries, d.entry(templates[source.IntN(len(templates))]))
 	}
-	if o.Theme != ThemeData {
+	if d.hasChanges() {
 		day.Entries = append(day.Entries, d.changes()...)
 	}
-	if source.IntN(100) < closingShare {
+	if o.Theme != ThemePlanned && source.IntN(100) < closingShare {
 		day.Closing = d.closing()
 	}
 	day.Entries = leaveOut(day.Entries, o.Without)
@@ -94,6 +95,17 @@
 	random *rand.Rand
 }
 
+// hasChanges tells whether the configuration changes all over the day.
+func (d *drawer) hasChanges() bool {
+	switch d.Theme {
+	case ThemeData:
+		return false
+	case ThemePlanned:
+		return d.random.IntN(2) == 0
+	}
+	return true
+}
+
 func (d *drawer) between(low, high int) int { return low + d.random.IntN(max(high-low, 0)+1) }
 
 func (d *drawer) amount(low, high float64) float64 {
--- a/internal/rig/drawndays/drawndays_test.go
+++ b/internal/rig/drawndays/drawndays_test.go
@@ -32,7 +32,7 @@
 func TestDrawnDaysAreWellFormed(t *testing.T) {
 	c := qt.New(t)
 	rapid.Check(t, func(r *rapid.T) {
-		theme := rapid.SampledFrom([]drawndays.Theme{drawndays.ThemeAll, drawndays.ThemeControl, drawndays.ThemeData}).Draw(r, "theme")
+		theme := rapid.SampledFrom([]drawndays.Theme{drawndays.ThemeAll, drawndays.ThemeControl, drawndays.ThemeData, drawndays.ThemePlanned}).Draw(r, "theme")
 		o := options(rapid.Uint64().Draw(r, "seed"), theme)
 		text := drawndays.Draw(o).String()
 		var file dayFile
@@ -93,3 +93,22 @@
 	_, err = drawndays.ReadSite(filepath.Join(t.TempDir(), "none"))
 	c.Assert(err, qt.ErrorMatches, "site file: .*")
 }
+
+func TestPlannedDaysHoldNoFault(t *testing.T) {
+	c := qt.New(t)
+	withChanges := 0
+	const days = 40
+	for seed := range uint64(days) {
+		day := drawndays.Draw(options(seed, drawndays.ThemePlanned))
+		c.Assert(day.Closing, qt.Equals, "")
+		changes := false
+		for _, entry := range day.Entries {
+			c.Assert(entry.Plan, qt.IsTrue, qt.Commentf("%v", entry))
+			changes = changes || strings.HasPrefix(entry.Kind, "config_storm")
+		}
+		if changes {
+			withChanges++
+		}
+	}
+	c.Assert(withChanges > 0 && withChanges < days, qt.IsTrue, qt.Commentf("%d of %d days with changes", withChanges, days))
+}
--- a/internal/rig/drawndays/kinds.go
+++ b/internal/rig/drawndays/kinds.go
@@ -106,12 +106,22 @@
 func templatesOf(theme Theme, kinds []string) []template {
 	var some []template
 	for _, t := range templates {
-		if theme != ThemeAll && t.control != (theme == ThemeControl) {
-			continue
-		}
-		if len(kinds) == 0 || slices.Contains(kinds, t.kind) {
+		if t.belongsTo(theme) && (len(kinds) == 0 || slices.Contains(kinds, t.kind)) {
 			some = append(some, t)
 		}
 	}
 	return some
 }
+
+// belongsTo tells whether days of a theme may hold the kind.
+func (t template) belongsTo(theme Theme) bool {
+	switch theme {
+	case ThemeControl:
+		return t.control
+	case ThemeData:
+		return !t.control
+	case ThemePlanned:
+		return t.plan
+	}
+	return true
+}
