--- a/cmd/molepaddle-fleet/leave_test.go
+++ b/cmd/molepaddle-fleet/leave_test.go
@@ -12,6 +12,63 @@
 	"molepaddle/internal/fleet/simulation"
 )
 
+// notReady waits until a machine's readiness check fails.
+func (f *fleet) notReady(m *machine) {
+	f.Helper()
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	f.until(patient, "not ready", func() bool {
+		resp, err := client.Get("http://" + m.boot.Readyz + simulation.PathReady)
+		f.Assert(err, qt.IsNil, qt.Commentf("no answer before 503"))
+		f.Assert(resp.Body.Close(), qt.IsNil)
+		return resp.StatusCode == http.StatusServiceUnavailable
+	})
+}
+
+// TestLeavingProxyRefusesWhatItCannotFinish: a proxy that was told to end still gets clients for some seconds. A stream that may
+// take longer than it has left is refused at once, before any backend saw it, so that its client goes elsewhere in time; what
+// ends soon is served.
+func TestLeavingProxyRefusesWhatItCannotFinish(t *testing.T) {
+	f := newFleet(t, plan{})
+	m := f.edge[0]
+	proxy := m.programs["proxy"]
+	f.ends(proxy)
+	proxy.Signal(syscall.SIGTERM)
+	f.notReady(m)
+
+	client := &simulation.Client{Edge: m.boot.Edge}
+	f.clients = append(f.clients, client)
+	for _, short := range []simulation.Request{lookup(), report(), bulletin(2000, 2)} {
+		f.served(client.Do(f.ctx, short), "while it leaves")
+	}
+	var releases []func()
+	for _, e := range f.decode {
+		releases = append(releases, e.Hold())
+	}
+	long := hazard()
+	long.Deadline, long.Tokens = patient, [2]int{220, 300}
+	refused := client.Do(f.ctx, long)
+	for _, release := range releases {
+		release()
+	}
+	f.Check(refused.Status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("complete %v, %v after %v", refused.Complete, refused.Err, refused.EndedAt.Sub(refused.SentAt)))
+	f.Check(refused.RetryAfter > 0, qt.IsTrue)
+	f.Check(refused.Closing, qt.IsTrue)
+	f.Check(refused.EndedAt.Sub(refused.SentAt) < time.Second, qt.IsTrue, qt.Commentf("refused after %v", refused.EndedAt.Sub(refused.SentAt)))
+	f.Check(f.ways(refused.Attempt), qt.HasLen, 0)
+	elsewhere := long
+	elsewhere.Attempt = ""
+	f.served(f.clients[1].Do(f.ctx, elsewhere), "at a proxy that stays")
+
+	code, err := proxy.Wait(f.within(patient))
+	f.Assert(err, qt.IsNil)
+	f.Check(code, qt.Equals, 0)
+	for _, line := range []string{`"msg":"leaving"`, `"msg":"left"`} {
+		f.Check(strings.Contains(proxy.Output(), line), qt.IsTrue, qt.Commentf("%s is not in the log", line))
+	}
+	f.Check(strings.Contains(proxy.Output(), "answers cut"), qt.IsFalse, qt.Commentf("%s", proxy.Output()))
+	f.judge()
+}
+
 // TestCoreEndsInTurn tells each core machine to end, the primary of the moment first, while changes come one after the
 // other. Each is released by the others before its grace is over, and comes back; every change is acknowledged.
 func TestCoreEndsInTurn(t *testing.T) {
--- a/cmd/molepaddle-fleet/traffic_test.go
+++ b/cmd/molepaddle-fleet/traffic_test.go
@@ -257,8 +257,8 @@
 	f.judge()
 }
 
-// TestVaneEnds sends SIGTERM to a proxy with requests under way.
-func TestVaneEnds(t *testing.T) {
+// TestProxyEnds sends SIGTERM to a proxy with requests under way.
+func TestProxyEnds(t *testing.T) {
 	f := newFleet(t, plan{bounds: map[string]any{"grace_s": 3}})
 	m, cl := f.edge[0], f.clients[0]
 	f.served(cl.Do(f.ctx, lookup()), "before") // its connection stays
@@ -277,20 +277,7 @@
 	f.ends(proxy)
 	proxy.Signal(syscall.SIGTERM)
 	term := time.Now()
-	status := func() int {
-		c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-		resp, err := c.Get("http://" + m.boot.Readyz + simulation.PathReady)
-		if err != nil {
-			return 0
-		}
-		resp.Body.Close()
-		return resp.StatusCode
-	}
-	f.until(patient, "not ready", func() bool {
-		got := status()
-		f.Assert(got, qt.Not(qt.Equals), 0, qt.Commentf("no answer before 503"))
-		return got == http.StatusServiceUnavailable
-	})
+	f.notReady(m)
 	f.Check(time.Since(term) < time.Second, qt.IsTrue, qt.Commentf("not ready %v after SIGTERM", time.Since(term)))
 	for _, release := range releases {
 		release()
@@ -335,9 +322,9 @@
 	f.judge()
 }
 
-// TestVaneEndsAsClientsCome has clients come for as long as a proxy that got SIGTERM lets them in, each with a stream
+// TestProxyEndsAsClientsCome has clients come for as long as a proxy that got SIGTERM lets them in, each with a stream
 // that takes half a second: what it begins it finishes, within its grace.
-func TestVaneEndsAsClientsCome(t *testing.T) {
+func TestProxyEndsAsClientsCome(t *testing.T) {
 	f := newFleet(t, plan{bounds: map[string]any{"grace_s": 3}})
 	proxy := f.edge[0].programs["proxy"]
 	f.ends(proxy)
--- a/internal/fleet/proxy/proxy.go
+++ b/internal/fleet/proxy/proxy.go
@@ -37,6 +37,7 @@
 	world      atomic.Pointer[world]
 	life       *lifecycle.Machine
 	working    atomic.Int64
+	departure  departure
 	background sync.WaitGroup
 	statuses   *xsync.Map[int, *xsync.Counter]
 	enclosed   *enclosed
@@ -132,25 +133,6 @@
 	return nil
 }
 
-// leave ends in order: not ready any more, so that the platform sends nobody; answers close their connections; what
-// is held is finished; idle connections are closed last.
-func (v *Proxy) leave(server *http.Server) {
-	v.life.End()
-	began := time.Now()
-	grace := v.set.Bounds.Grace
-	// The platform asks every second and turns away after two misses; what comes until then is served. After that nothing
-	// is begun any more, so that what is held has the rest of the grace.
-	away := time.NewTimer(min(3*time.Second, grace/2))
-	defer away.Stop()
-	<-away.C
-	end, cancel := context.WithDeadline(context.Background(), began.Add(grace-300*time.Millisecond))
-	defer cancel()
-	if server.Shutdown(end) != nil {
-		_ = server.Close()
-	}
-	v.pool.Close()
-}
-
 // report writes counters now and then.
 func (v *Proxy) report(ctx context.Context) {
 	tick := time.NewTicker(10 * time.Second)
@@ -161,16 +143,21 @@
 			return
 		case <-tick.C:
 		}
-		fields := []zap.Field{zap.Int64("open", v.working.Load())}
-		v.statuses.Range(func(status int, c *xsync.Counter) bool {
-			fields = append(fields, zap.Int64("answers_"+statusName(status), c.Value()))
-			return true
-		})
-		v.log.Info("counters", fields...)
+		v.log.Info("counters", v.counters()...)
 		v.enclosed.report(v.log)
 	}
 }
 
+// counters are what the log tells of the requests: how many are under way, and the answers by their status.
+func (v *Proxy) counters() []zap.Field {
+	fields := []zap.Field{zap.Int64("open", v.working.Load())}
+	v.statuses.Range(func(status int, c *xsync.Counter) bool {
+		fields = append(fields, zap.Int64("answers_"+statusName(status), c.Value()))
+		return true
+	})
+	return fields
+}
+
 func statusName(status int) string {
 	if status == 0 {
 		return "cut"
--- a/internal/fleet/proxy/serve.go
+++ b/internal/fleet/proxy/serve.go
@@ -63,6 +63,7 @@
 	defer v.working.Add(-1)
 	if v.life.Leaving() {
 		w.Header().Set("Connection", "close")
+		defer v.departure.came()()
 	}
 	if r.ContentLength != 0 {
 		_ = http.NewResponseController(w).SetReadDeadline(came.Add(unreadWithin))
