A leaving proxy refuses at once what it may not live to finish

Class: work is taken whose end lies beyond the end of who takes it.

Change: while it leaves, a proxy reckons how long an answer may take (aim, tokens to come, the slowest pace of late or the route's longest pause) and refuses with 503 and Retry-After what may end after it does and has a deadline beyond. Few proxies in a zone: the client is told to come back once the platform has turned away, else at once. The services' pace is learned from their streams.

Also of the class 'a change under a request': a change that takes the models from a service left requests under way with a nil reckoning of engines; it is kept now.

--- a/internal/fleet/proxy/feed.go
+++ b/internal/fleet/proxy/feed.go
@@ -114,7 +114,7 @@
 	if v.doc == nil {
 		return
 	}
-	w := &world{index: routingconfig.NewIndex(v.doc), limits: v.doc.Limits(), services: map[string]*service{}, version: v.doc.Version()}
+	w := &world{index: routingconfig.NewIndex(v.doc), limits: v.doc.Limits(), services: map[string]*service{}, version: v.doc.Version(), proxies: v.proxies}
 	w.enclose(v.doc)
 	parts := map[string][]distribution.Backend{}
 	for _, b := range v.list.Backends {
--- a/internal/fleet/proxy/proxy.go
+++ b/internal/fleet/proxy/proxy.go
@@ -59,6 +59,7 @@
 	limits   *routingconfig.Limits
 	services map[string]*service
 	version  int64
+	proxies  int                        // of the fleet, as the control plane counts them
 	routes   map[string]*routeTerms     // of enclosed routes, by name
 	tenants  map[string]residency.Terms // by name
 }
--- a/internal/fleet/proxy/serve.go
+++ b/internal/fleet/proxy/serve.go
@@ -146,15 +146,21 @@
 	defer func() { _ = conn.SetWriteDeadline(time.Time{}) }()
 	t.svc.mu.Lock()
 	t.svc.spent.ask(came)
-	model := t.svc.engines != nil
+	model := t.svc.model
 	t.svc.mu.Unlock()
+	var prompt *scheduler.Prompt
 	if model {
 		if p, ok := scheduler.ParsePrompt(r.Header.Get(externalapi.Model), r.Header.Get(externalapi.TokenCount), r.Header.Get(externalapi.Prefix)); ok {
-			t.generate(ctx, &p)
-			return
+			prompt = &p
 		}
 	}
-	t.plain(ctx)
+	switch {
+	case t.refusedLeaving(prompt):
+	case prompt != nil:
+		t.generate(ctx, prompt)
+	default:
+		t.plain(ctx)
+	}
 }
 
 // awaitWorld waits for what requests are served by: a process that has just started has it in a moment, and whoever came
--- a/internal/fleet/proxy/service.go
+++ b/internal/fleet/proxy/service.go
@@ -32,7 +32,9 @@
 	mu      sync.Mutex
 	byID    map[string]*backend
 	ranker  *ranking.Ranker
-	engines *scheduler.Engines // nil: no model backends
+	model   bool               // its backends run models
+	engines *scheduler.Engines // nil until it first runs models; kept afterwards, for requests that are under way
+	pace    scheduler.Pace     // of its streams
 	order   []string           // scratch
 	apart   map[string]bool    // scratch
 	spent   allowance
@@ -53,8 +55,8 @@
 func (s *service) configure(c *routingconfig.Service) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c.Runtime == nil {
-		s.engines = nil
+	s.model = c.Runtime != nil
+	if !s.model {
 		return
 	}
 	set := scheduler.Engine{Capacity: c.Runtime.Capacity, KVTokens: int(c.Runtime.KVTokens), KVBytes: c.Runtime.KVTokenBytes, LinkMbps: c.Runtime.LinkMbps}
@@ -148,6 +150,20 @@
 	}
 }
 
+// paced notes how long a stretch of a stream took.
+func (s *service) paced(took time.Duration, events int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pace.Came(s.now(), float64(took.Microseconds())/1000, events)
+}
+
+// slowestPace is the longest that an event of a stream took of late, on the mean of a stretch; 0: none came.
+func (s *service) slowestPace() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Duration(s.pace.Slowest(s.now()) * float64(time.Millisecond))
+}
+
 // shed notes whether a backend turned a request away.
 func (s *service) shed(id string, away bool) {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/fleet/proxy/service_test.go
@@ -0,0 +1,24 @@
+package proxy
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"molepaddle/internal/fleet/routingconfig"
+)
+
+// TestServiceThatRunsModelsNoMore: a change may take the models from a service while requests of it are under way; what they
+// report at their end has its place still.
+func TestServiceThatRunsModelsNoMore(t *testing.T) {
+	c := qt.New(t)
+	s := newService("s", nil, time.Second)
+	s.configure(&routingconfig.Service{Name: "s", Runtime: &routingconfig.Runtime{Capacity: 8}})
+	c.Assert(s.model, qt.IsTrue)
+	s.configure(&routingconfig.Service{Name: "s"})
+	c.Assert(s.model, qt.IsFalse)
+	s.turned(100, time.Second)
+	s.shed("gone", true)
+	s.shed("gone", false)
+}
--- a/internal/fleet/proxy/stream.go
+++ b/internal/fleet/proxy/stream.go
@@ -135,6 +135,24 @@
 	t      *try
 	begun  bool // the client has the head
 	lastID string
+	events int       // since the stretch of the stream began whose pace is taken
+	since  time.Time // when that was
+}
+
+// paceStretch is how many events a stretch has whose pace is taken.
+const paceStretch = 16
+
+// came counts events that came now.
+func (r *relay) came(events int) {
+	now := time.Now()
+	if r.since.IsZero() {
+		r.since = now // from the first events on: what is before them is the wait for a place
+		return
+	}
+	if r.events += events; r.events >= paceStretch {
+		r.t.svc.paced(now.Sub(r.since), r.events)
+		r.events, r.since = 0, now
+	}
 }
 
 // pass passes events on until the stream's end; first is called at the first event. An error: the stream broke off.
@@ -230,13 +248,16 @@
 	return errors.As(err, &t) && t.Timeout()
 }
 
-// note keeps the id of the last event.
+// note keeps the id of the last event, and counts the events.
 func (r *relay) note(events []byte) {
+	count := 0
 	for line := range bytes.Lines(events) {
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			r.lastID = string(bytes.TrimSpace(id))
+			count++
 		}
 	}
+	r.came(count)
 }
 
 // resume takes a stream up at another backend after its last event, inside the same answer; false: it could not.
