Council: who votes and is well keeps the seat until the next one votes

Where the leader asked just then, a learner seemed gone, and it let the voter whose seat the learner was to take go first: two sat, and 'three sit throughout' failed. The leader now remembers for two elections who was active, and an active voter stays until all that are wanted vote.

--- a/internal/decide/council/council.go
+++ b/internal/decide/council/council.go
@@ -106,8 +106,9 @@
 	quiet   int // ticks since then, or since it stood
 	patient int // ticks until it stands
 	ready   *raft.Ready
-	cut     Save // of a snapshot that was made here, for the next Ready
-	joined  bool // members have changed since the last snapshot: who comes in can't be sent an older one
+	cut     Save           // of a snapshot that was made here, for the next Ready
+	active  map[uint64]int // as it leads: the tick at which each other member was last known to be active
+	joined  bool           // members have changed since the last snapshot: who comes in can't be sent an older one
 	target  []uint64
 	council uint64
 	holds   *promises.Register
@@ -202,6 +203,7 @@
 func (m *Machine) Tick() {
 	m.ticks++
 	if m.leads() {
+		m.noteActive() // before raft, at its own pace, forgets it
 		m.node.Tick()
 		m.quiet, m.heard = 0, m.ticks
 		if m.compose(); !m.leads() { // it has led nobody for as long as that
@@ -209,6 +211,7 @@
 		}
 		return
 	}
+	m.active = nil
 	// Raft's own clock draws from no seed: it only counts here, and standing is this machine's.
 	m.node.TickQuiesced()
 	if m.quiet++; m.quiet >= m.patient {
@@ -281,6 +284,25 @@
 // Want names the members that the council should have. The leader goes there one safe step at a time.
 func (m *Machine) Want(ids []uint64) { m.target = slices.Clone(ids) }
 
+// noteActive notes which members raft has heard of.
+func (m *Machine) noteActive() {
+	if m.active == nil {
+		m.active = map[uint64]int{}
+	}
+	for id, p := range m.node.Status().Progress {
+		if p.RecentActive {
+			m.active[id] = m.ticks
+		}
+	}
+}
+
+// isActive tells whether a member was heard of lately. Raft's own word is of no use for that by itself: once in Election ticks it
+// forgets everybody, so that for a moment all would seem gone.
+func (m *Machine) isActive(id uint64) bool {
+	at, known := m.active[id]
+	return id == m.opt.ID || known && m.ticks-at <= 2*m.opt.Election
+}
+
 // compose is the next step towards the members that are wanted: take one in to learn, let it vote once
 // it has caught up, let one go that is not wanted. Never two at once, and nobody goes before enough
 // others vote.
@@ -295,28 +317,25 @@
 		_ = m.node.ProposeConfChange(&pb.ConfChangeV2{Changes: []*pb.ConfChangeSingle{{Type: t.Enum(), NodeId: proto.Uint64(id)}}})
 	}
 	status := m.node.Status()
+	complete := true // all that are wanted vote
 	for _, id := range m.target {
 		switch p, known := status.Progress[id]; {
 		case !known:
 			change(pb.ConfChangeAddLearnerNode, id)
 			return
-		case p.IsLearner && p.RecentActive && p.Match > 0 && p.Match+uint64(m.opt.Keep)/2 >= status.GetCommit():
+		case !p.IsLearner:
+		case m.isActive(id) && p.Match > 0 && p.Match+uint64(m.opt.Keep)/2 >= status.GetCommit():
 			change(pb.ConfChangeAddNode, id)
 			return
-		case p.IsLearner && p.RecentActive:
+		case m.isActive(id):
 			return // it catches up, and nobody goes before it votes
+		default:
+			complete = false
 		}
 	}
 	for _, id := range append(slices.Clone(m.conf.GetLearners()), m.conf.GetVoters()...) {
 		if !slices.Contains(m.target, id) && id != m.opt.ID {
-			// The rest has to be able to go on without it.
-			active := 0
-			for _, o := range m.conf.GetVoters() {
-				if o != id && (o == m.opt.ID || status.Progress[o].RecentActive) {
-					active++
-				}
-			}
-			if left := len(m.conf.GetVoters()) - 1; active >= left/2+1 || slices.Contains(m.conf.GetLearners(), id) {
+			if m.mayGo(id, complete) {
 				change(pb.ConfChangeRemoveNode, id)
 			}
 			return
@@ -332,6 +351,25 @@
 	}
 }
 
+// mayGo tells whether a member that is not wanted may go: who only learns may at any time; one that votes and is active stays
+// until all that are wanted vote; and the rest has to be able to go on without it.
+func (m *Machine) mayGo(id uint64, complete bool) bool {
+	if slices.Contains(m.conf.GetLearners(), id) {
+		return true
+	}
+	if !complete && m.isActive(id) {
+		return false
+	}
+	active := 0
+	for _, other := range m.conf.GetVoters() {
+		if other != id && m.isActive(other) {
+			active++
+		}
+	}
+	left := len(m.conf.GetVoters()) - 1
+	return active >= left/2+1
+}
+
 // Resign has another member lead, where this one does and one has caught up; it goes on as a member.
 func (m *Machine) Resign() {
 	if !m.leads() {
--- a/internal/decide/council/council_test.go
+++ b/internal/decide/council/council_test.go
@@ -303,6 +303,50 @@
 	r.until("three vote", 2000, r.whole)
 }
 
+// Who votes and is well stays until the one that is to take the seat votes, also where that one isn't there yet, and whenever
+// raft forgets for a moment who was active.
+func TestSeatIsKeptUntilTaken(t *testing.T) {
+	for seed := range uint64(30) {
+		r := newRig(t, 4, seed)
+		r.all[3] = nil
+		want := func(ids ...uint64) {
+			for _, m := range r.all {
+				if m != nil {
+					m.Want(ids)
+				}
+			}
+		}
+		voters := func() []uint64 {
+			if l := r.leader(); l >= 0 {
+				return r.all[l].Status().Voters
+			}
+			return nil
+		}
+		want(1, 2, 3)
+		r.until("three vote", 2000, func() bool { return len(voters()) == 3 })
+		leaves := r.disks[(r.leader()+1)%3].id
+		next := slices.DeleteFunc([]uint64{1, 2, 3, 4}, func(id uint64) bool { return id == leaves })
+		want(next...)
+		kept := func() {
+			if v := voters(); v != nil && len(v) < 3 {
+				t.Fatalf("seed %d: only %v vote", seed, v)
+			}
+		}
+		for range 100 + seed {
+			r.step()
+			kept()
+		}
+		r.start(3)
+		r.loss = 0.2
+		r.until("the seat has gone over", 3000, func() bool {
+			kept()
+			v := slices.Clone(voters())
+			slices.Sort(v)
+			return slices.Equal(v, next)
+		})
+	}
+}
+
 // The smaller part grants nothing, and says how old what it shows is.
 func TestSmallerPart(t *testing.T) {
 	r := newRig(t, 5, 2)
