--- a/cmd/molepaddle-days/main.go
+++ b/cmd/molepaddle-days/main.go
@@ -19,6 +19,7 @@
 	Fewest  int      `help:"Entries, at the least." default:"5"`
 	Most    int      `help:"Entries, at the most." default:"14"`
 	Kinds   []string `help:"Kinds that the deployment knows; none: all."`
+	Roll    bool     `help:"Also have the proxies end and start again in turn."`
 	Without []int    `help:"Entries to leave out, by their index."`
 }
 
@@ -30,6 +31,7 @@
 	options := site.Options()
 	options.Seed, options.Theme, options.Without, options.Kinds = c.Seed, drawndays.Theme(c.Theme), c.Without, c.Kinds
 	options.Fewest, options.Most = c.Fewest, c.Most
+	options.Roll = c.Roll
 	if c.Length > 0 {
 		options.Length = c.Length
 	}
--- a/internal/rig/drawndays/drawndays.go
+++ b/internal/rig/drawndays/drawndays.go
@@ -54,6 +54,7 @@
 	Most    int      // and at the most
 	Without []int    // entries left out, by their index in the whole day
 	Kinds   []string // the kinds that the deployment knows; none: all
+	Roll    bool     // the proxies are told to end and started again in turn, besides
 }
 
 // closingShare is how many of a hundred days end with a closing fault.
@@ -71,6 +72,9 @@
 	if d.hasChanges() {
 		day.Entries = append(day.Entries, d.changes()...)
 	}
+	if o.Roll {
+		day.Entries = append(day.Entries, d.roll())
+	}
 	if o.Theme != ThemePlanned && source.IntN(100) < closingShare {
 		day.Closing = d.closing()
 	}
@@ -170,6 +174,15 @@
 	return []Entry{storm, last}
 }
 
+// roll draws a time and a pace at which the proxies are told to end, and started again, in turn.
+func (d *drawer) roll() Entry {
+	fields := []Field{{"share", number(d.amount(0.3, 1))}, {"x", fmt.Sprint(d.between(1, 2))}, {"gap_s", number(d.amount(0.7, 3))}}
+	if d.random.IntN(2) == 0 {
+		fields = append(fields, Field{"how", quoted("busy")})
+	}
+	return Entry{Kind: "roll_term", Plan: true, At: d.amount(firstAt, d.Length/2), Fields: fields}
+}
+
 // closing draws the fault at the end of the day.
 func (d *drawer) closing() string {
 	kind := d.oneOf([]string{"power_off_all", "wipe_after_ack", "kill_all"})
--- a/internal/rig/drawndays/drawndays_test.go
+++ b/internal/rig/drawndays/drawndays_test.go
@@ -112,3 +112,17 @@
 	}
 	c.Assert(withChanges > 0 && withChanges < days, qt.IsTrue, qt.Commentf("%d of %d days with changes", withChanges, days))
 }
+
+func TestRollComesBesides(t *testing.T) {
+	c := qt.New(t)
+	for seed := range uint64(40) {
+		o := options(seed, drawndays.ThemePlanned)
+		without := drawndays.Draw(o)
+		o.Roll = true
+		with := drawndays.Draw(o)
+		last := len(with.Entries) - 1
+		c.Assert(with.Entries[:last], qt.DeepEquals, without.Entries)
+		c.Assert(with.Entries[last].Kind, qt.Equals, "roll_term")
+		c.Assert(with.Seed, qt.Equals, without.Seed)
+	}
+}
