--- a/internal/fleet/proxy/exchange_client_test.go
+++ b/internal/fleet/proxy/exchange_client_test.go
@@ -174,12 +174,15 @@
 // TestClientReadsNothing has a client leave its stream unread: once its time is over the backend's connection ends.
 func TestClientReadsNothing(t *testing.T) {
 	r := newClientRig(t, requestKind{route: "free"})
-	more := strings.Repeat("data: "+strings.Repeat("more ", 10<<10)+"\n\n", 1<<10) // than any buffers on the way hold
+	// More than the buffers on the way hold, the client's being small; and little enough to be framed long before the proxy would
+	// take the backend for silent and go elsewhere.
+	more := strings.Repeat("data: "+strings.Repeat("more ", 10<<10)+"\n\n", 1<<8)
 	r.silent(func(a *wellAnswer) []byte {
 		a.body = more
 		return a.framed()
 	})
 	c, _ := r.connect()
+	r.Assert(c.SetReadBuffer(4<<10), qt.IsNil)
 	_, err := io.WriteString(c, strings.Replace(requestText("/free/x", "one", "data"), "Ms: 2000", "Ms: 1000", 1))
 	r.Assert(err, qt.IsNil)
 	await(r, "the request", r.arrived)
