A proxy that stays doesn't reckon how long answers may take

Found by reading the change once more: each request took the service's lock for a figure that counts only while the proxy leaves. No change of behaviour; the tests of leaving proxies pass.

--- a/internal/fleet/proxy/departure.go
+++ b/internal/fleet/proxy/departure.go
@@ -91,6 +91,9 @@
 // refusedLeaving refuses a request whose answer this proxy may not live to finish. No backend has seen it, and its client has
 // time to come to a proxy that stays.
 func (t *try) refusedLeaving(p *scheduler.Prompt) bool {
+	if t.v.departure.end.Load() == nil {
+		return false
+	}
 	now := time.Now()
 	if !t.v.departure.outlasts(now, t.deadline, t.longest(now, p)) {
 		return false
