Long prompts are read apart however long their answers are

Now a prompt is read in place only where that itself is short. Ruled out on a scratch copy by logs of the choice: tiers, full or silent readers, the readers' backlog: none led to a read in place.

--- a/internal/fleet/proxy/place.go
+++ b/internal/fleet/proxy/place.go
@@ -68,7 +68,7 @@
 	if w.key == 0 && len(p.Parts) > 0 {
 		w.key = p.Parts[0].Chain
 	}
-	if e.Long(kind, p) {
+	if e.Long(kind, p) && e.InPlaceMs(p) <= shortRead*w.patience {
 		pl.at = s.maker(&w)
 	} else {
 		s.reader(&w, split, &pl)
--- a/internal/fleet/proxy/place_test.go
+++ b/internal/fleet/proxy/place_test.go
@@ -116,3 +116,19 @@
 	pl, _ = s.placeFor("talk", talk, 120*time.Millisecond, map[string]bool{}, true, residency.Terms{})
 	c.Assert(pl.at.ID, qt.Equals, "d0", qt.Commentf("the control plane did not hear the other"))
 }
+
+// Whether a prompt is read apart follows from how long reading it in place would hold up others, however long its answer is: as answers
+// grew from two tokens to four, a whole kind of long prompts went over to being read between the tokens of others.
+func TestLongPromptsAreReadApartHoweverLongTheirAnswers(t *testing.T) {
+	c := qt.New(t)
+	s := engineService(12, 4, 12)
+	verdict := sharing(1, 2)
+	for _, makingMs := range []float64{30, 150, 400, 4000} {
+		for range 100 {
+			s.engines.Made("verdict", verdict, makingMs)
+		}
+		pl, ok := s.placeFor("verdict", verdict, 200*time.Millisecond, map[string]bool{}, true, residency.Terms{})
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(pl.from, qt.IsNotNil, qt.Commentf("answers that are made for %v ms", makingMs))
+	}
+}
--- a/internal/fleet/scheduler/engines.go
+++ b/internal/fleet/scheduler/engines.go
@@ -175,6 +175,11 @@
 	return k
 }
 
+// InPlaceMs is how long a decode backend takes to read all of the prompt, between the tokens of others and at their expense.
+func (e *Engines) InPlaceMs(p *Prompt) float64 {
+	return float64(p.In) * e.perTok * directSlower
+}
+
 // Long tells whether making the tokens of requests of a kind takes an engine longer than reading their prompts does:
 // those and the ones with long prompts slow each other, and are kept apart.
 func (e *Engines) Long(name string, p *Prompt) bool {
