--- /dev/null
+++ b/internal/fleet/controlplane/outliers.go
@@ -0,0 +1,87 @@
+package controlplane
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"molepaddle/internal/fleet/distribution"
+	"molepaddle/internal/fleet/outlier"
+)
+
+const (
+	// judgeEvery is the time between two judgements of the backends.
+	judgeEvery = 100 * time.Millisecond
+	// ejectAgain is how often ejections in force are sent again, so that they don't lapse.
+	ejectAgain = time.Second
+)
+
+// outliers judges backends by what all proxies tell of them, while this machine is the primary.
+type outliers struct {
+	o        *Server
+	epoch    uint64
+	count    uint64
+	detector *outlier.Detector
+	ejected  []distribution.Ejection
+	sent     time.Time
+}
+
+// detectOutliers runs until ctx ends.
+func (o *Server) detectOutliers(ctx context.Context) {
+	d := &outliers{o: o}
+	for ; ctx.Err() == nil; sleep(ctx, judgeEvery) {
+		if st := o.status.Load(); o.leads(st) {
+			d.step(st.Epoch, time.Now())
+		}
+	}
+}
+
+// step judges as the primary of an epoch, and publishes what is ejected.
+func (d *outliers) step(epoch uint64, now time.Time) {
+	if d.detector == nil || d.epoch != epoch {
+		d.epoch, d.count, d.detector, d.ejected = epoch, 0, outlier.NewDetector(), nil
+	}
+	polls := d.o.polls.Load()
+	if polls == nil || polls.epoch != epoch || polls.list == nil {
+		return
+	}
+	ms := float64(now.Sub(d.o.start).Milliseconds())
+	reports := d.o.store.Outcomes.Take()
+	for i := range reports {
+		d.detector.Observe(ms, &reports[i])
+	}
+	if len(reports) == 0 && len(d.ejected) == 0 {
+		return
+	}
+	ejected := d.detector.Step(ms, d.peers(polls.list))
+	changed := !slices.Equal(ejected, d.ejected)
+	if changed {
+		d.o.log.Info("backends that do far worse than their peers", zap.Any("ejected", ejected))
+	}
+	if changed || len(ejected) > 0 && now.Sub(d.sent) >= ejectAgain {
+		d.publish(ejected, now)
+	}
+}
+
+// peers are the listed backends, in groups that serve the same requests.
+func (d *outliers) peers(list *distribution.List) []outlier.Peer {
+	queued := d.o.queued.Load()
+	peers := make([]outlier.Peer, 0, len(list.Backends))
+	for _, b := range list.Backends {
+		if b.Draining || b.Phase == distribution.PhaseChanging {
+			continue
+		}
+		peers = append(peers, outlier.Peer{ID: b.ID, Group: b.Service + " " + b.Phase, Queued: queued != nil && (*queued)[b.ID]})
+	}
+	return peers
+}
+
+func (d *outliers) publish(ejected []distribution.Ejection, now time.Time) {
+	d.count++
+	d.ejected, d.sent = ejected, now
+	all := distribution.Ejections{Ejected: ejected}
+	b, _ := all.MarshalMsg(nil) // it has no way to fail
+	d.o.store.Set(distribution.SourceEjections, distribution.Version{Epoch: d.epoch, Count: d.count}, b)
+}
--- /dev/null
+++ b/internal/fleet/controlplane/outliers_test.go
@@ -0,0 +1,78 @@
+package controlplane
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"molepaddle/internal/fleet/distribution"
+	"molepaddle/internal/fleet/externalapi"
+)
+
+// TestOutliersArePublished: what proxies tell of a backend that fails leads to its ejection, which is sent again every second while it
+// stands, and to an end of it once trials succeed; nothing is sent while there is nothing to say.
+func TestOutliersArePublished(t *testing.T) {
+	c := qt.New(t)
+	o := &Server{store: distribution.NewCache(), start: time.Now(), log: zap.NewNop()}
+	list := &distribution.List{}
+	for i := range 6 {
+		list.Backends = append(list.Backends, distribution.Backend{ID: fmt.Sprint("b", i), Service: "s", Phase: externalapi.PhaseDecode})
+	}
+	list.Backends = append(list.Backends, distribution.Backend{ID: "leaves", Service: "s", Phase: externalapi.PhaseDecode, Draining: true})
+	const epoch = 3
+	o.polls.Store(&polls{epoch: epoch, list: list})
+	d := &outliers{o: o}
+	now := time.Now()
+	tell := func(failed int) {
+		for p := range 8 {
+			all := make([]distribution.Outcome, 0, len(list.Backends))
+			for i, b := range list.Backends {
+				one := distribution.Outcome{Backend: b.ID, Attempts: 4}
+				if i == 2 || b.Draining {
+					one.Failed = failed
+				}
+				all = append(all, one)
+			}
+			o.store.Outcomes.Put(distribution.OutcomeReport{Proxy: fmt.Sprint("p", p), Zone: "z", Outcomes: all})
+		}
+	}
+	published := func() (distribution.Version, []distribution.Ejection) {
+		for _, r := range o.store.Answer(c.Context(), "n", &distribution.Request{}).Resources {
+			var all distribution.Ejections
+			_, err := all.UnmarshalMsg(r.Whole)
+			c.Assert(err, qt.IsNil)
+			return r.At, all.Ejected
+		}
+		return distribution.Version{}, nil
+	}
+	step := func(after time.Duration) {
+		now = now.Add(after)
+		d.step(epoch, now)
+	}
+	tell(0)
+	step(0)
+	at, _ := published()
+	c.Assert(at, qt.Equals, distribution.Version{})
+	tell(4)
+	step(judgeEvery)
+	at, ejected := published()
+	c.Assert(at, qt.Equals, distribution.Version{Epoch: epoch, Count: 1})
+	c.Assert(ejected, qt.DeepEquals, []distribution.Ejection{{Backend: "b2"}})
+	step(judgeEvery)
+	again, _ := published()
+	c.Assert(again, qt.Equals, at)
+	step(ejectAgain)
+	again, _ = published()
+	c.Assert(at.Before(again), qt.IsTrue)
+	tell(0)
+	step(2 * ejectAgain)
+	_, ejected = published()
+	c.Assert(ejected, qt.HasLen, 0)
+	last, _ := published()
+	step(2 * ejectAgain)
+	again, _ = published()
+	c.Assert(again, qt.Equals, last)
+}
--- a/internal/fleet/controlplane/pulls.go
+++ b/internal/fleet/controlplane/pulls.go
@@ -66,11 +66,12 @@
 			}
 		}()
 		_ = distribution.Follow(term, distribution.PullAddr(host, o.set.Ports), &distribution.Follower{Name: o.set.Nodename, Wait: wait, Silence: silence,
-			Members: func() []distribution.Member { return o.store.Members(time.Now(), 3*o.set.Heartbeat) },
-			Have:    o.store.Have,
-			Take:    func(n *distribution.Response) []string { return o.store.Take(n, time.Now()) },
-			Rested:  func(time.Time) *distribution.Outbox { return o.store.Rested },
-			Dial:    o.Dial,
+			Members:  func() []distribution.Member { return o.store.Members(time.Now(), 3*o.set.Heartbeat) },
+			Have:     o.store.Have,
+			Take:     func(n *distribution.Response) []string { return o.store.Take(n, time.Now()) },
+			Rested:   func(time.Time) *distribution.Outbox { return o.store.Rested },
+			Outcomes: o.store.Outcomes,
+			Dial:     o.Dial,
 		})
 		cancel()
 		sleep(ctx, 50*time.Millisecond)
--- a/internal/fleet/distribution/cache.go
+++ b/internal/fleet/distribution/cache.go
@@ -10,7 +10,8 @@
 // Cache is what one process holds of the sources, for itself and for those that pull from it. It never goes
 // back to an older version, whoever offers it.
 type Cache struct {
-	Rested *Outbox // where tenants' data rested, by those that pull, on its way to the record
+	Rested   *Outbox     // where tenants' data rested, by those that pull, on its way to the record
+	Outcomes *OutcomeBox // how attempts at backends ended, on their way to the primary
 
 	mu      sync.Mutex
 	pieces  map[string]*entry
@@ -111,7 +112,7 @@
 
 // NewCache makes an empty store.
 func NewCache() *Cache {
-	return &Cache{Rested: NewOutbox(), pieces: map[string]*entry{}, changed: make(chan struct{}), members: map[string]lease{}}
+	return &Cache{Rested: NewOutbox(), Outcomes: NewOutcomeBox(), pieces: map[string]*entry{}, changed: make(chan struct{}), members: map[string]lease{}}
 }
 
 // Set puts the whole of a source there. It reports whether it was news.
--- a/internal/fleet/distribution/link.go
+++ b/internal/fleet/distribution/link.go
@@ -39,6 +39,14 @@
 					return
 				}
 				s.Renew(p.Members, time.Now())
+				s.Outcomes.Put(p.Outcomes...)
+				if p.Push {
+					_ = c.SetDeadline(time.Now().Add(idle))
+					if WriteFrame(c, &Response{From: name, FreshMs: -1}) != nil {
+						return
+					}
+					continue
+				}
 				if p.Rested != nil {
 					s.Rested.take(&rested, p.Rested)
 				}
@@ -119,6 +127,8 @@
 	Rested  func(now time.Time) *Outbox          // what is to be handed on with the next pull; nil: nothing ever
 	Ends    bool                                 // one pull, the last word of a process that ends
 	Dial    DialFunc                             // nil: Dial
+	// Outcomes are pushed to the source as they come, over a connection of their own; nil: none ever.
+	Outcomes *OutcomeBox
 }
 
 // dial connects to the source.
@@ -146,6 +156,11 @@
 	defer c.Close()
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	defer stop()
+	if f.Outcomes != nil && !f.Ends {
+		pushing, end := context.WithCancel(ctx)
+		defer end()
+		go f.push(pushing, addr)
+	}
 	r := bufio.NewReader(&coming{c, f.Silence})
 	var lacking []string
 	var rested residencyreport.Sender
--- a/internal/fleet/distribution/messages.go
+++ b/internal/fleet/distribution/messages.go
@@ -37,6 +37,40 @@
 	Rested []residencyreport.Batch `msg:"g,omitempty"`
 	// Ends says that the sender's process ends, and this is its last word; left out where it isn't.
 	Ends bool `msg:"z,omitempty"`
+	// Outcomes is how attempts at backends ended; left out where there are none.
+	Outcomes []OutcomeReport `msg:"o,omitempty"`
+	// Push says that the request only brings something: it is answered at once, without resources.
+	Push bool `msg:"u,omitempty"`
+}
+
+// Outcome is how one proxy's attempts at one backend ended since its last report.
+type Outcome struct {
+	Backend  string `msg:"b"`
+	Attempts int    `msg:"a"` // that ended or are overdue
+	Failed   int    `msg:"f"` // of them: errors, time-outs, resets, failed connects
+	Slow     int    `msg:"s"` // of them: answered, far slower than usual
+	Overdue  int    `msg:"v"` // of them: not answered in far longer than usual
+	Late     int    `msg:"l"` // attempts told of as overdue that were answered since
+}
+
+// OutcomeReport is what one proxy tells of backends.
+type OutcomeReport struct {
+	Proxy    string    `msg:"p"`
+	Zone     string    `msg:"z"`
+	Outcomes []Outcome `msg:"o"`
+}
+
+// Ejection says that a backend serves so much worse than its peers that nothing is sent there but trials.
+type Ejection struct {
+	Backend   string `msg:"b"`
+	Zone      string `msg:"z"` // for the proxies of which zone; "": of all
+	Probation bool   `msg:"p"` // trials have succeeded: more of them are due
+	Slow      bool   `msg:"s"` // it serves, only slowly
+}
+
+// Ejections are all that are in force. They are sent again every second, and lapse where that doesn't come.
+type Ejections struct {
+	Ejected []Ejection `msg:"e"`
 }
 
 // Change is one acknowledged change of the configuration, as the operator sent it.
@@ -112,9 +146,10 @@
 
 // The sources.
 const (
-	SourceConfig = "config"
-	SourceList   = "list"
-	SourceCrowd  = "crowd"
-	SourceCore   = "core"
-	SourceGauges = "gauges"
+	SourceConfig    = "config"
+	SourceList      = "list"
+	SourceCrowd     = "crowd"
+	SourceCore      = "core"
+	SourceGauges    = "gauges"
+	SourceEjections = "ejections"
 )
--- a/internal/fleet/distribution/messages_gen.go
+++ b/internal/fleet/distribution/messages_gen.go
@@ -881,7 +881,7 @@
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *Gauges) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *Ejection) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -898,53 +898,30 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "a":
-			var zb0002 uint32
-			zb0002, err = dc.ReadMapHeader()
+		case "b":
+			z.Backend, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "Active")
+				err = msgp.WrapError(err, "Backend")
 				return
 			}
-			if z.Active == nil {
-				z.Active = make(map[string]int, zb0002)
-			} else if len(z.Active) > 0 {
-				clear(z.Active)
+		case "z":
+			z.Zone, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Zone")
+				return
 			}
-			for zb0002 > 0 {
-				zb0002--
-				var za0001 string
-				za0001, err = dc.ReadString()
-				if err != nil {
-					err = msgp.WrapError(err, "Active")
-					return
-				}
-				var za0002 int
-				za0002, err = dc.ReadInt()
-				if err != nil {
-					err = msgp.WrapError(err, "Active", za0001)
-					return
-				}
-				z.Active[za0001] = za0002
+		case "p":
+			z.Probation, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Probation")
+				return
 			}
 		case "s":
-			var zb0003 uint32
-			zb0003, err = dc.ReadArrayHeader()
+			z.Slow, err = dc.ReadBool()
 			if err != nil {
-				err = msgp.WrapError(err, "Silent")
+				err = msgp.WrapError(err, "Slow")
 				return
 			}
-			if cap(z.Silent) >= int(zb0003) {
-				z.Silent = (z.Silent)[:zb0003]
-			} else {
-				z.Silent = make([]string, zb0003)
-			}
-			for za0003 := range z.Silent {
-				z.Silent[za0003], err = dc.ReadString()
-				if err != nil {
-					err = msgp.WrapError(err, "Silent", za0003)
-					return
-				}
-			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -957,72 +934,72 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *Gauges) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
-	// write "a"
-	err = en.Append(0x82, 0xa1, 0x61)
+func (z *Ejection) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 4
+	// write "b"
+	err = en.Append(0x84, 0xa1, 0x62)
 	if err != nil {
 		return
 	}
-	err = en.WriteMapHeader(uint32(len(z.Active)))
+	err = en.WriteString(z.Backend)
 	if err != nil {
-		err = msgp.WrapError(err, "Active")
+		err = msgp.WrapError(err, "Backend")
 		return
 	}
-	for za0001, za0002 := range z.Active {
-		err = en.WriteString(za0001)
-		if err != nil {
-			err = msgp.WrapError(err, "Active")
-			return
-		}
-		err = en.WriteInt(za0002)
-		if err != nil {
-			err = msgp.WrapError(err, "Active", za0001)
-			return
-		}
+	// write "z"
+	err = en.Append(0xa1, 0x7a)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Zone)
+	if err != nil {
+		err = msgp.WrapError(err, "Zone")
+		return
+	}
+	// write "p"
+	err = en.Append(0xa1, 0x70)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Probation)
+	if err != nil {
+		err = msgp.WrapError(err, "Probation")
+		return
 	}
 	// write "s"
 	err = en.Append(0xa1, 0x73)
 	if err != nil {
 		return
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Silent)))
+	err = en.WriteBool(z.Slow)
 	if err != nil {
-		err = msgp.WrapError(err, "Silent")
+		err = msgp.WrapError(err, "Slow")
 		return
 	}
-	for za0003 := range z.Silent {
-		err = en.WriteString(z.Silent[za0003])
-		if err != nil {
-			err = msgp.WrapError(err, "Silent", za0003)
-			return
-		}
-	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Gauges) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Ejection) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "a"
-	o = append(o, 0x82, 0xa1, 0x61)
-	o = msgp.AppendMapHeader(o, uint32(len(z.Active)))
-	for za0001, za0002 := range z.Active {
-		o = msgp.AppendString(o, za0001)
-		o = msgp.AppendInt(o, za0002)
-	}
+	// map header, size 4
+	// string "b"
+	o = append(o, 0x84, 0xa1, 0x62)
+	o = msgp.AppendString(o, z.Backend)
+	// string "z"
+	o = append(o, 0xa1, 0x7a)
+	o = msgp.AppendString(o, z.Zone)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendBool(o, z.Probation)
 	// string "s"
 	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Silent)))
-	for za0003 := range z.Silent {
-		o = msgp.AppendString(o, z.Silent[za0003])
-	}
+	o = msgp.AppendBool(o, z.Slow)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Gauges) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Ejection) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1039,53 +1016,30 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "a":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+		case "b":
+			z.Backend, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Active")
+				err = msgp.WrapError(err, "Backend")
 				return
 			}
-			if z.Active == nil {
-				z.Active = make(map[string]int, zb0002)
-			} else if len(z.Active) > 0 {
-				clear(z.Active)
+		case "z":
+			z.Zone, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Zone")
+				return
 			}
-			for zb0002 > 0 {
-				var za0002 int
-				zb0002--
-				var za0001 string
-				za0001, bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Active")
-					return
-				}
-				za0002, bts, err = msgp.ReadIntBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Active", za0001)
-					return
-				}
-				z.Active[za0001] = za0002
+		case "p":
+			z.Probation, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Probation")
+				return
 			}
 		case "s":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			z.Slow, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Silent")
+				err = msgp.WrapError(err, "Slow")
 				return
 			}
-			if cap(z.Silent) >= int(zb0003) {
-				z.Silent = (z.Silent)[:zb0003]
-			} else {
-				z.Silent = make([]string, zb0003)
-			}
-			for za0003 := range z.Silent {
-				z.Silent[za0003], bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Silent", za0003)
-					return
-				}
-			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1099,23 +1053,13 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Gauges) Msgsize() (s int) {
-	s = 1 + 2 + msgp.MapHeaderSize
-	if z.Active != nil {
-		for za0001, za0002 := range z.Active {
-			_ = za0002
-			s += msgp.StringPrefixSize + len(za0001) + msgp.IntSize
-		}
-	}
-	s += 2 + msgp.ArrayHeaderSize
-	for za0003 := range z.Silent {
-		s += msgp.StringPrefixSize + len(z.Silent[za0003])
-	}
+func (z *Ejection) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Backend) + 2 + msgp.StringPrefixSize + len(z.Zone) + 2 + msgp.BoolSize + 2 + msgp.BoolSize
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *List) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *Ejections) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1132,22 +1076,22 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "b":
+		case "e":
 			var zb0002 uint32
 			zb0002, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Backends")
+				err = msgp.WrapError(err, "Ejected")
 				return
 			}
-			if cap(z.Backends) >= int(zb0002) {
-				z.Backends = (z.Backends)[:zb0002]
+			if cap(z.Ejected) >= int(zb0002) {
+				z.Ejected = (z.Ejected)[:zb0002]
 			} else {
-				z.Backends = make([]Backend, zb0002)
+				z.Ejected = make([]Ejection, zb0002)
 			}
-			for za0001 := range z.Backends {
-				err = z.Backends[za0001].DecodeMsg(dc)
+			for za0001 := range z.Ejected {
+				err = z.Ejected[za0001].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Backends", za0001)
+					err = msgp.WrapError(err, "Ejected", za0001)
 					return
 				}
 			}
@@ -1163,22 +1107,22 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *List) EncodeMsg(en *msgp.Writer) (err error) {
+func (z *Ejections) EncodeMsg(en *msgp.Writer) (err error) {
 	// map header, size 1
-	// write "b"
-	err = en.Append(0x81, 0xa1, 0x62)
+	// write "e"
+	err = en.Append(0x81, 0xa1, 0x65)
 	if err != nil {
 		return
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Backends)))
+	err = en.WriteArrayHeader(uint32(len(z.Ejected)))
 	if err != nil {
-		err = msgp.WrapError(err, "Backends")
+		err = msgp.WrapError(err, "Ejected")
 		return
 	}
-	for za0001 := range z.Backends {
-		err = z.Backends[za0001].EncodeMsg(en)
+	for za0001 := range z.Ejected {
+		err = z.Ejected[za0001].EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "Backends", za0001)
+			err = msgp.WrapError(err, "Ejected", za0001)
 			return
 		}
 	}
@@ -1186,16 +1130,16 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *List) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Ejections) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// map header, size 1
-	// string "b"
-	o = append(o, 0x81, 0xa1, 0x62)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Backends)))
-	for za0001 := range z.Backends {
-		o, err = z.Backends[za0001].MarshalMsg(o)
+	// string "e"
+	o = append(o, 0x81, 0xa1, 0x65)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Ejected)))
+	for za0001 := range z.Ejected {
+		o, err = z.Ejected[za0001].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Backends", za0001)
+			err = msgp.WrapError(err, "Ejected", za0001)
 			return
 		}
 	}
@@ -1203,7 +1147,7 @@
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *List) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Ejections) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1220,22 +1164,22 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "b":
+		case "e":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Backends")
+				err = msgp.WrapError(err, "Ejected")
 				return
 			}
-			if cap(z.Backends) >= int(zb0002) {
-				z.Backends = (z.Backends)[:zb0002]
+			if cap(z.Ejected) >= int(zb0002) {
+				z.Ejected = (z.Ejected)[:zb0002]
 			} else {
-				z.Backends = make([]Backend, zb0002)
+				z.Ejected = make([]Ejection, zb0002)
 			}
-			for za0001 := range z.Backends {
-				bts, err = z.Backends[za0001].UnmarshalMsg(bts)
+			for za0001 := range z.Ejected {
+				bts, err = z.Ejected[za0001].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Backends", za0001)
+					err = msgp.WrapError(err, "Ejected", za0001)
 					return
 				}
 			}
@@ -1252,16 +1196,16 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *List) Msgsize() (s int) {
+func (z *Ejections) Msgsize() (s int) {
 	s = 1 + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Backends {
-		s += z.Backends[za0001].Msgsize()
+	for za0001 := range z.Ejected {
+		s += z.Ejected[za0001].Msgsize()
 	}
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *Member) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *Gauges) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1278,70 +1222,952 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "n":
-			z.Name, err = dc.ReadString()
+		case "a":
+			var zb0002 uint32
+			zb0002, err = dc.ReadMapHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Name")
+				err = msgp.WrapError(err, "Active")
 				return
 			}
-		case "z":
-			z.Zone, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Zone")
-				return
+			if z.Active == nil {
+				z.Active = make(map[string]int, zb0002)
+			} else if len(z.Active) > 0 {
+				clear(z.Active)
 			}
-		case "a":
-			z.AgeM, err = dc.ReadInt64()
+			for zb0002 > 0 {
+				zb0002--
+				var za0001 string
+				za0001, err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Active")
+					return
+				}
+				var za0002 int
+				za0002, err = dc.ReadInt()
+				if err != nil {
+					err = msgp.WrapError(err, "Active", za0001)
+					return
+				}
+				z.Active[za0001] = za0002
+			}
+		case "s":
+			var zb0003 uint32
+			zb0003, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "AgeM")
+				err = msgp.WrapError(err, "Silent")
 				return
 			}
-		case "c":
-			z.Config, err = dc.ReadInt64()
+			if cap(z.Silent) >= int(zb0003) {
+				z.Silent = (z.Silent)[:zb0003]
+			} else {
+				z.Silent = make([]string, zb0003)
+			}
+			for za0003 := range z.Silent {
+				z.Silent[za0003], err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Silent", za0003)
+					return
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Gauges) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "a"
+	err = en.Append(0x82, 0xa1, 0x61)
+	if err != nil {
+		return
+	}
+	err = en.WriteMapHeader(uint32(len(z.Active)))
+	if err != nil {
+		err = msgp.WrapError(err, "Active")
+		return
+	}
+	for za0001, za0002 := range z.Active {
+		err = en.WriteString(za0001)
+		if err != nil {
+			err = msgp.WrapError(err, "Active")
+			return
+		}
+		err = en.WriteInt(za0002)
+		if err != nil {
+			err = msgp.WrapError(err, "Active", za0001)
+			return
+		}
+	}
+	// write "s"
+	err = en.Append(0xa1, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Silent)))
+	if err != nil {
+		err = msgp.WrapError(err, "Silent")
+		return
+	}
+	for za0003 := range z.Silent {
+		err = en.WriteString(z.Silent[za0003])
+		if err != nil {
+			err = msgp.WrapError(err, "Silent", za0003)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Gauges) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "a"
+	o = append(o, 0x82, 0xa1, 0x61)
+	o = msgp.AppendMapHeader(o, uint32(len(z.Active)))
+	for za0001, za0002 := range z.Active {
+		o = msgp.AppendString(o, za0001)
+		o = msgp.AppendInt(o, za0002)
+	}
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Silent)))
+	for za0003 := range z.Silent {
+		o = msgp.AppendString(o, z.Silent[za0003])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Gauges) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Active")
+				return
+			}
+			if z.Active == nil {
+				z.Active = make(map[string]int, zb0002)
+			} else if len(z.Active) > 0 {
+				clear(z.Active)
+			}
+			for zb0002 > 0 {
+				var za0002 int
+				zb0002--
+				var za0001 string
+				za0001, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Active")
+					return
+				}
+				za0002, bts, err = msgp.ReadIntBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Active", za0001)
+					return
+				}
+				z.Active[za0001] = za0002
+			}
+		case "s":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Silent")
+				return
+			}
+			if cap(z.Silent) >= int(zb0003) {
+				z.Silent = (z.Silent)[:zb0003]
+			} else {
+				z.Silent = make([]string, zb0003)
+			}
+			for za0003 := range z.Silent {
+				z.Silent[za0003], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Silent", za0003)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Gauges) Msgsize() (s int) {
+	s = 1 + 2 + msgp.MapHeaderSize
+	if z.Active != nil {
+		for za0001, za0002 := range z.Active {
+			_ = za0002
+			s += msgp.StringPrefixSize + len(za0001) + msgp.IntSize
+		}
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0003 := range z.Silent {
+		s += msgp.StringPrefixSize + len(z.Silent[za0003])
+	}
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *List) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "b":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Backends")
+				return
+			}
+			if cap(z.Backends) >= int(zb0002) {
+				z.Backends = (z.Backends)[:zb0002]
+			} else {
+				z.Backends = make([]Backend, zb0002)
+			}
+			for za0001 := range z.Backends {
+				err = z.Backends[za0001].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Backends", za0001)
+					return
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *List) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 1
+	// write "b"
+	err = en.Append(0x81, 0xa1, 0x62)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Backends)))
+	if err != nil {
+		err = msgp.WrapError(err, "Backends")
+		return
+	}
+	for za0001 := range z.Backends {
+		err = z.Backends[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Backends", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *List) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "b"
+	o = append(o, 0x81, 0xa1, 0x62)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Backends)))
+	for za0001 := range z.Backends {
+		o, err = z.Backends[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Backends", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *List) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "b":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Backends")
+				return
+			}
+			if cap(z.Backends) >= int(zb0002) {
+				z.Backends = (z.Backends)[:zb0002]
+			} else {
+				z.Backends = make([]Backend, zb0002)
+			}
+			for za0001 := range z.Backends {
+				bts, err = z.Backends[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Backends", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *List) Msgsize() (s int) {
+	s = 1 + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Backends {
+		s += z.Backends[za0001].Msgsize()
+	}
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *Member) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "n":
+			z.Name, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Name")
+				return
+			}
+		case "z":
+			z.Zone, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Zone")
+				return
+			}
+		case "a":
+			z.AgeM, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "AgeM")
+				return
+			}
+		case "c":
+			z.Config, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "Config")
+				return
+			}
+		case "s":
+			z.SinceM, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "SinceM")
+				return
+			}
+		case "l":
+			var zb0002 uint32
+			zb0002, err = dc.ReadMapHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "List")
+				return
+			}
+			for zb0002 > 0 {
+				zb0002--
+				field, err = dc.ReadMapKeyPtr()
+				if err != nil {
+					err = msgp.WrapError(err, "List")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "e":
+					z.List.Epoch, err = dc.ReadUint64()
+					if err != nil {
+						err = msgp.WrapError(err, "List", "Epoch")
+						return
+					}
+				case "n":
+					z.List.Count, err = dc.ReadUint64()
+					if err != nil {
+						err = msgp.WrapError(err, "List", "Count")
+						return
+					}
+				default:
+					err = dc.Skip()
+					if err != nil {
+						err = msgp.WrapError(err, "List")
+						return
+					}
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Member) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 6
+	// write "n"
+	err = en.Append(0x86, 0xa1, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Name)
+	if err != nil {
+		err = msgp.WrapError(err, "Name")
+		return
+	}
+	// write "z"
+	err = en.Append(0xa1, 0x7a)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Zone)
+	if err != nil {
+		err = msgp.WrapError(err, "Zone")
+		return
+	}
+	// write "a"
+	err = en.Append(0xa1, 0x61)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.AgeM)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeM")
+		return
+	}
+	// write "c"
+	err = en.Append(0xa1, 0x63)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.Config)
+	if err != nil {
+		err = msgp.WrapError(err, "Config")
+		return
+	}
+	// write "s"
+	err = en.Append(0xa1, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.SinceM)
+	if err != nil {
+		err = msgp.WrapError(err, "SinceM")
+		return
+	}
+	// write "l"
+	err = en.Append(0xa1, 0x6c)
+	if err != nil {
+		return
+	}
+	// map header, size 2
+	// write "e"
+	err = en.Append(0x82, 0xa1, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.List.Epoch)
+	if err != nil {
+		err = msgp.WrapError(err, "List", "Epoch")
+		return
+	}
+	// write "n"
+	err = en.Append(0xa1, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.List.Count)
+	if err != nil {
+		err = msgp.WrapError(err, "List", "Count")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Member) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 6
+	// string "n"
+	o = append(o, 0x86, 0xa1, 0x6e)
+	o = msgp.AppendString(o, z.Name)
+	// string "z"
+	o = append(o, 0xa1, 0x7a)
+	o = msgp.AppendString(o, z.Zone)
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o = msgp.AppendInt64(o, z.AgeM)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendInt64(o, z.Config)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendInt64(o, z.SinceM)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	// map header, size 2
+	// string "e"
+	o = append(o, 0x82, 0xa1, 0x65)
+	o = msgp.AppendUint64(o, z.List.Epoch)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendUint64(o, z.List.Count)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Member) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "n":
+			z.Name, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Name")
+				return
+			}
+		case "z":
+			z.Zone, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Zone")
+				return
+			}
+		case "a":
+			z.AgeM, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AgeM")
+				return
+			}
+		case "c":
+			z.Config, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Config")
+				return
+			}
+		case "s":
+			z.SinceM, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "SinceM")
+				return
+			}
+		case "l":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "List")
+				return
+			}
+			for zb0002 > 0 {
+				zb0002--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "List")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "e":
+					z.List.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "List", "Epoch")
+						return
+					}
+				case "n":
+					z.List.Count, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "List", "Count")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "List")
+						return
+					}
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Member) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.StringPrefixSize + len(z.Zone) + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *Outcome) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "b":
+			z.Backend, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Backend")
+				return
+			}
+		case "a":
+			z.Attempts, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Attempts")
+				return
+			}
+		case "f":
+			z.Failed, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Failed")
+				return
+			}
+		case "s":
+			z.Slow, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Slow")
+				return
+			}
+		case "v":
+			z.Overdue, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Overdue")
+				return
+			}
+		case "l":
+			z.Late, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Late")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Outcome) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 6
+	// write "b"
+	err = en.Append(0x86, 0xa1, 0x62)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Backend)
+	if err != nil {
+		err = msgp.WrapError(err, "Backend")
+		return
+	}
+	// write "a"
+	err = en.Append(0xa1, 0x61)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Attempts)
+	if err != nil {
+		err = msgp.WrapError(err, "Attempts")
+		return
+	}
+	// write "f"
+	err = en.Append(0xa1, 0x66)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Failed)
+	if err != nil {
+		err = msgp.WrapError(err, "Failed")
+		return
+	}
+	// write "s"
+	err = en.Append(0xa1, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Slow)
+	if err != nil {
+		err = msgp.WrapError(err, "Slow")
+		return
+	}
+	// write "v"
+	err = en.Append(0xa1, 0x76)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Overdue)
+	if err != nil {
+		err = msgp.WrapError(err, "Overdue")
+		return
+	}
+	// write "l"
+	err = en.Append(0xa1, 0x6c)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Late)
+	if err != nil {
+		err = msgp.WrapError(err, "Late")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Outcome) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 6
+	// string "b"
+	o = append(o, 0x86, 0xa1, 0x62)
+	o = msgp.AppendString(o, z.Backend)
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o = msgp.AppendInt(o, z.Attempts)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendInt(o, z.Failed)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendInt(o, z.Slow)
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendInt(o, z.Overdue)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendInt(o, z.Late)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Outcome) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "b":
+			z.Backend, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Backend")
+				return
+			}
+		case "a":
+			z.Attempts, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Attempts")
+				return
+			}
+		case "f":
+			z.Failed, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Failed")
+				return
+			}
+		case "s":
+			z.Slow, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Slow")
+				return
+			}
+		case "v":
+			z.Overdue, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Overdue")
+				return
+			}
+		case "l":
+			z.Late, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Late")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Outcome) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Backend) + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *OutcomeReport) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "p":
+			z.Proxy, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "Config")
+				err = msgp.WrapError(err, "Proxy")
 				return
 			}
-		case "s":
-			z.SinceM, err = dc.ReadInt64()
+		case "z":
+			z.Zone, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "SinceM")
+				err = msgp.WrapError(err, "Zone")
 				return
 			}
-		case "l":
+		case "o":
 			var zb0002 uint32
-			zb0002, err = dc.ReadMapHeader()
+			zb0002, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "List")
+				err = msgp.WrapError(err, "Outcomes")
 				return
 			}
-			for zb0002 > 0 {
-				zb0002--
-				field, err = dc.ReadMapKeyPtr()
+			if cap(z.Outcomes) >= int(zb0002) {
+				z.Outcomes = (z.Outcomes)[:zb0002]
+			} else {
+				z.Outcomes = make([]Outcome, zb0002)
+			}
+			for za0001 := range z.Outcomes {
+				err = z.Outcomes[za0001].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "List")
+					err = msgp.WrapError(err, "Outcomes", za0001)
 					return
 				}
-				switch msgp.UnsafeString(field) {
-				case "e":
-					z.List.Epoch, err = dc.ReadUint64()
-					if err != nil {
-						err = msgp.WrapError(err, "List", "Epoch")
-						return
-					}
-				case "n":
-					z.List.Count, err = dc.ReadUint64()
-					if err != nil {
-						err = msgp.WrapError(err, "List", "Count")
-						return
-					}
-				default:
-					err = dc.Skip()
-					if err != nil {
-						err = msgp.WrapError(err, "List")
-						return
-					}
-				}
 			}
 		default:
 			err = dc.Skip()
@@ -1355,16 +2181,16 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *Member) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 6
-	// write "n"
-	err = en.Append(0x86, 0xa1, 0x6e)
+func (z *OutcomeReport) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 3
+	// write "p"
+	err = en.Append(0x83, 0xa1, 0x70)
 	if err != nil {
 		return
 	}
-	err = en.WriteString(z.Name)
+	err = en.WriteString(z.Proxy)
 	if err != nil {
-		err = msgp.WrapError(err, "Name")
+		err = msgp.WrapError(err, "Proxy")
 		return
 	}
 	// write "z"
@@ -1377,98 +2203,51 @@
 		err = msgp.WrapError(err, "Zone")
 		return
 	}
-	// write "a"
-	err = en.Append(0xa1, 0x61)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.AgeM)
-	if err != nil {
-		err = msgp.WrapError(err, "AgeM")
-		return
-	}
-	// write "c"
-	err = en.Append(0xa1, 0x63)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.Config)
-	if err != nil {
-		err = msgp.WrapError(err, "Config")
-		return
-	}
-	// write "s"
-	err = en.Append(0xa1, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.SinceM)
-	if err != nil {
-		err = msgp.WrapError(err, "SinceM")
-		return
-	}
-	// write "l"
-	err = en.Append(0xa1, 0x6c)
-	if err != nil {
-		return
-	}
-	// map header, size 2
-	// write "e"
-	err = en.Append(0x82, 0xa1, 0x65)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.List.Epoch)
+	// write "o"
+	err = en.Append(0xa1, 0x6f)
 	if err != nil {
-		err = msgp.WrapError(err, "List", "Epoch")
 		return
 	}
-	// write "n"
-	err = en.Append(0xa1, 0x6e)
+	err = en.WriteArrayHeader(uint32(len(z.Outcomes)))
 	if err != nil {
+		err = msgp.WrapError(err, "Outcomes")
 		return
 	}
-	err = en.WriteUint64(z.List.Count)
-	if err != nil {
-		err = msgp.WrapError(err, "List", "Count")
-		return
+	for za0001 := range z.Outcomes {
+		err = z.Outcomes[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Outcomes", za0001)
+			return
+		}
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Member) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *OutcomeReport) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
-	// string "n"
-	o = append(o, 0x86, 0xa1, 0x6e)
-	o = msgp.AppendString(o, z.Name)
+	// map header, size 3
+	// string "p"
+	o = append(o, 0x83, 0xa1, 0x70)
+	o = msgp.AppendString(o, z.Proxy)
 	// string "z"
 	o = append(o, 0xa1, 0x7a)
 	o = msgp.AppendString(o, z.Zone)
-	// string "a"
-	o = append(o, 0xa1, 0x61)
-	o = msgp.AppendInt64(o, z.AgeM)
-	// string "c"
-	o = append(o, 0xa1, 0x63)
-	o = msgp.AppendInt64(o, z.Config)
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendInt64(o, z.SinceM)
-	// string "l"
-	o = append(o, 0xa1, 0x6c)
-	// map header, size 2
-	// string "e"
-	o = append(o, 0x82, 0xa1, 0x65)
-	o = msgp.AppendUint64(o, z.List.Epoch)
-	// string "n"
-	o = append(o, 0xa1, 0x6e)
-	o = msgp.AppendUint64(o, z.List.Count)
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Outcomes)))
+	for za0001 := range z.Outcomes {
+		o, err = z.Outcomes[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Outcomes", za0001)
+			return
+		}
+	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Member) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *OutcomeReport) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1485,10 +2264,10 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "n":
-			z.Name, bts, err = msgp.ReadStringBytes(bts)
+		case "p":
+			z.Proxy, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Name")
+				err = msgp.WrapError(err, "Proxy")
 				return
 			}
 		case "z":
@@ -1497,58 +2276,24 @@
 				err = msgp.WrapError(err, "Zone")
 				return
 			}
-		case "a":
-			z.AgeM, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "AgeM")
-				return
-			}
-		case "c":
-			z.Config, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Config")
-				return
-			}
-		case "s":
-			z.SinceM, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "SinceM")
-				return
-			}
-		case "l":
+		case "o":
 			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "List")
+				err = msgp.WrapError(err, "Outcomes")
 				return
 			}
-			for zb0002 > 0 {
-				zb0002--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
+			if cap(z.Outcomes) >= int(zb0002) {
+				z.Outcomes = (z.Outcomes)[:zb0002]
+			} else {
+				z.Outcomes = make([]Outcome, zb0002)
+			}
+			for za0001 := range z.Outcomes {
+				bts, err = z.Outcomes[za0001].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "List")
+					err = msgp.WrapError(err, "Outcomes", za0001)
 					return
 				}
-				switch msgp.UnsafeString(field) {
-				case "e":
-					z.List.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "List", "Epoch")
-						return
-					}
-				case "n":
-					z.List.Count, bts, err = msgp.ReadUint64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "List", "Count")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "List")
-						return
-					}
-				}
 			}
 		default:
 			bts, err = msgp.Skip(bts)
@@ -1563,8 +2308,11 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Member) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.StringPrefixSize + len(z.Zone) + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
+func (z *OutcomeReport) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Proxy) + 2 + msgp.StringPrefixSize + len(z.Zone) + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Outcomes {
+		s += z.Outcomes[za0001].Msgsize()
+	}
 	return
 }
 
@@ -1699,6 +2447,31 @@
 				err = msgp.WrapError(err, "Ends")
 				return
 			}
+		case "o":
+			var zb0006 uint32
+			zb0006, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Outcomes")
+				return
+			}
+			if cap(z.Outcomes) >= int(zb0006) {
+				z.Outcomes = (z.Outcomes)[:zb0006]
+			} else {
+				z.Outcomes = make([]OutcomeReport, zb0006)
+			}
+			for za0005 := range z.Outcomes {
+				err = z.Outcomes[za0005].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Outcomes", za0005)
+					return
+				}
+			}
+		case "u":
+			z.Push, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Push")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -1713,8 +2486,8 @@
 // EncodeMsg implements msgp.Encodable
 func (z *Request) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(6)
-	var zb0001Mask uint8 /* 6 bits */
+	zb0001Len := uint32(8)
+	var zb0001Mask uint8 /* 8 bits */
 	_ = zb0001Mask
 	if z.Rested == nil {
 		zb0001Len--
@@ -1724,6 +2497,14 @@
 		zb0001Len--
 		zb0001Mask |= 0x20
 	}
+	if z.Outcomes == nil {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
+	if z.Push == false {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
 	// variable map header, size zb0001Len
 	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
@@ -1838,6 +2619,37 @@
 				return
 			}
 		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// write "o"
+			err = en.Append(0xa1, 0x6f)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Outcomes)))
+			if err != nil {
+				err = msgp.WrapError(err, "Outcomes")
+				return
+			}
+			for za0005 := range z.Outcomes {
+				err = z.Outcomes[za0005].EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Outcomes", za0005)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// write "u"
+			err = en.Append(0xa1, 0x75)
+			if err != nil {
+				return
+			}
+			err = en.WriteBool(z.Push)
+			if err != nil {
+				err = msgp.WrapError(err, "Push")
+				return
+			}
+		}
 	}
 	return
 }
@@ -1846,8 +2658,8 @@
 func (z *Request) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(6)
-	var zb0001Mask uint8 /* 6 bits */
+	zb0001Len := uint32(8)
+	var zb0001Mask uint8 /* 8 bits */
 	_ = zb0001Mask
 	if z.Rested == nil {
 		zb0001Len--
@@ -1857,6 +2669,14 @@
 		zb0001Len--
 		zb0001Mask |= 0x20
 	}
+	if z.Outcomes == nil {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
+	if z.Push == false {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -1908,6 +2728,23 @@
 			o = append(o, 0xa1, 0x7a)
 			o = msgp.AppendBool(o, z.Ends)
 		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "o"
+			o = append(o, 0xa1, 0x6f)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Outcomes)))
+			for za0005 := range z.Outcomes {
+				o, err = z.Outcomes[za0005].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Outcomes", za0005)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "u"
+			o = append(o, 0xa1, 0x75)
+			o = msgp.AppendBool(o, z.Push)
+		}
 	}
 	return
 }
@@ -2043,6 +2880,31 @@
 				err = msgp.WrapError(err, "Ends")
 				return
 			}
+		case "o":
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Outcomes")
+				return
+			}
+			if cap(z.Outcomes) >= int(zb0006) {
+				z.Outcomes = (z.Outcomes)[:zb0006]
+			} else {
+				z.Outcomes = make([]OutcomeReport, zb0006)
+			}
+			for za0005 := range z.Outcomes {
+				bts, err = z.Outcomes[za0005].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Outcomes", za0005)
+					return
+				}
+			}
+		case "u":
+			z.Push, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Push")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2072,6 +2934,10 @@
 	for za0004 := range z.Rested {
 		s += z.Rested[za0004].Msgsize()
 	}
+	s += 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	for za0005 := range z.Outcomes {
+		s += z.Outcomes[za0005].Msgsize()
+	}
 	s += 2 + msgp.BoolSize
 	return
 }
--- a/internal/fleet/nodeagent/nodeagent.go
+++ b/internal/fleet/nodeagent/nodeagent.go
@@ -124,12 +124,13 @@
 // follower pulls from one control server for as long as that is in touch with the primary.
 func (a *Agent) follower(choice *sourceChoice, silence time.Duration) *distribution.Follower {
 	return &distribution.Follower{Name: a.set.Nodename, Wait: choice.wait, Silence: silence, Dial: a.Dial,
-		Members: func() []distribution.Member { return a.lists.theirs(a.store.Members(time.Now(), 3*a.set.Heartbeat)) },
-		Have:    a.vector,
-		Take:    a.take,
-		Rested:  func(time.Time) *distribution.Outbox { return a.store.Rested },
-		Goes:    func() bool { return choice.stays(time.Now(), a.age(), len(a.known)) },
-		Waits:   func() time.Duration { return choice.pullWait(a.age(), len(a.known)) },
+		Members:  func() []distribution.Member { return a.lists.theirs(a.store.Members(time.Now(), 3*a.set.Heartbeat)) },
+		Have:     a.vector,
+		Take:     a.take,
+		Rested:   func(time.Time) *distribution.Outbox { return a.store.Rested },
+		Outcomes: a.store.Outcomes,
+		Goes:     func() bool { return choice.stays(time.Now(), a.age(), len(a.known)) },
+		Waits:    func() time.Duration { return choice.pullWait(a.age(), len(a.known)) },
 	}
 }
 
--- /dev/null
+++ b/internal/fleet/outlier/detector_test.go
@@ -0,0 +1,220 @@
+package outlier
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"molepaddle/internal/fleet/distribution"
+)
+
+// group is so many backends that serve the same.
+func group(n int) []Peer {
+	peers := make([]Peer, n)
+	for i := range peers {
+		peers[i] = Peer{ID: backendName(i), Group: "g"}
+	}
+	return peers
+}
+
+// tell has a proxy of a zone tell the outcomes of one backend.
+func tell(d *Detector, now float64, proxy int, zone string, o distribution.Outcome) {
+	d.Observe(now, &distribution.OutcomeReport{Proxy: fmt.Sprintf("p%d", proxy), Zone: zone, Outcomes: []distribution.Outcome{o}})
+}
+
+// served has many proxies of two zones tell that all backends served them.
+func served(d *Detector, now float64, backends int) {
+	for b := range backends {
+		for p := range 8 {
+			tell(d, now, p, zoneName(p%2), distribution.Outcome{Backend: backendName(b), Attempts: 2})
+		}
+	}
+}
+
+func TestFailingBackendIsEjected(t *testing.T) {
+	c := qt.New(t)
+	d := NewDetector()
+	served(d, 0, 6)
+	c.Assert(d.Step(0, group(6)), qt.HasLen, 0)
+	for p := range 2 {
+		tell(d, 100, p, zoneName(p%2), distribution.Outcome{Backend: "b01", Attempts: 5, Failed: 5})
+	}
+	c.Assert(d.Step(100, group(6)), qt.HasLen, 0, qt.Commentf("two proxies may lie or be ill themselves"))
+	tell(d, 100, 2, zoneName(0), distribution.Outcome{Backend: "b01", Attempts: 5, Failed: 5})
+	c.Assert(d.Step(100, group(6)), qt.DeepEquals, []distribution.Ejection{{Backend: "b01"}})
+	c.Assert(d.Step(200, group(1)), qt.HasLen, 0, qt.Commentf("what is no longer listed is forgotten"))
+}
+
+// TestBoundedShare: never more than a part of a group is ejected.
+func TestBoundedShare(t *testing.T) {
+	c := qt.New(t)
+	d := NewDetector()
+	served(d, 0, 9)
+	for b := range 4 {
+		for p := range 8 {
+			tell(d, 100, p, zoneName(p%2), distribution.Outcome{Backend: backendName(b), Attempts: 20, Failed: 20})
+		}
+	}
+	c.Assert(d.Step(100, group(9)), qt.HasLen, 9/mostEjected)
+}
+
+// TestLoadIsNoIllness: where all do badly alike, none is ejected.
+func TestLoadIsNoIllness(t *testing.T) {
+	c := qt.New(t)
+	d := NewDetector()
+	for b := range 9 {
+		for p := range 8 {
+			tell(d, 100, p, zoneName(p%2), distribution.Outcome{Backend: backendName(b), Attempts: 4, Failed: 2})
+		}
+	}
+	c.Assert(d.Step(100, group(9)), qt.HasLen, 0)
+}
+
+// TestEjectionIsWidened: a backend that failed one zone's proxies is ejected for all once another's have complaints.
+func TestEjectionIsWidened(t *testing.T) {
+	c := qt.New(t)
+	d := NewDetector()
+	served(d, 0, 6)
+	for p := range 8 {
+		if p%2 == 0 {
+			tell(d, 100, p, zoneName(0), distribution.Outcome{Backend: "b01", Attempts: 9, Failed: 9})
+		}
+	}
+	c.Assert(d.Step(100, group(6)), qt.DeepEquals, []distribution.Ejection{{Backend: "b01", Zone: zoneName(0)}})
+	tell(d, 2000, 1, zoneName(1), distribution.Outcome{Backend: "b01", Attempts: 3, Failed: 3})
+	c.Assert(d.Step(2000, group(6)), qt.DeepEquals, []distribution.Ejection{{Backend: "b01"}})
+}
+
+// ejectOne gives a Detector that has ejected b01 of six at 100 ms, as all of its attempts failed.
+func ejectOne(c *qt.C) *Detector {
+	d := NewDetector()
+	served(d, 0, 6)
+	for p := range 8 {
+		tell(d, 100, p, zoneName(p%2), distribution.Outcome{Backend: "b01", Attempts: 9, Failed: 9})
+	}
+	c.Assert(d.Step(100, group(6)), qt.HasLen, 1)
+	return d
+}
+
+// TestLateReportsDontRestore: good ends from before an ejection are told up to a second later.
+func TestLateReportsDontRestore(t *testing.T) {
+	c := qt.New(t)
+	d := ejectOne(c)
+	served(d, 600, 6)
+	c.Assert(d.Step(600, group(6)), qt.HasLen, 1)
+}
+
+// TestTrialsRestore: enough trials in a row restore a backend; the more so if it was restored of late, and never by the word of one.
+func TestTrialsRestore(t *testing.T) {
+	c := qt.New(t)
+	d := ejectOne(c)
+	good := distribution.Outcome{Backend: "b01", Attempts: 1}
+	trial := func(now float64, proxy int, o distribution.Outcome) int {
+		tell(d, now, proxy, zoneName(0), o)
+		return len(d.Step(now, group(6)))
+	}
+	c.Assert(trial(3000, 1, distribution.Outcome{Backend: "b01", Attempts: 50}), qt.Equals, 1, qt.Commentf("one proxy's word"))
+	c.Assert(trial(3100, 2, distribution.Outcome{Backend: "b01", Attempts: 1, Failed: 1}), qt.Equals, 1)
+	for i := range restoreAfter - 1 {
+		c.Assert(trial(3200+float64(i)*100, i, good), qt.Equals, 1)
+	}
+	c.Assert(trial(4000, 5, good), qt.Equals, 0)
+	served(d, 4100, 6)
+	for p := range 8 {
+		tell(d, 4200, p, zoneName(p%2), distribution.Outcome{Backend: "b01", Attempts: 9, Failed: 9})
+	}
+	c.Assert(d.Step(4200, group(6)), qt.HasLen, 1)
+	for i := range 2*restoreAfter - 1 {
+		c.Assert(trial(7000+float64(i)*100, i, good), qt.Equals, 1, qt.Commentf("after a strike"))
+	}
+	c.Assert(trial(8000, 9, good), qt.Equals, 0)
+}
+
+// TestPressedBackendStays: one that is late because requests queue there, and serves as many as others do, is pressed.
+func TestPressedBackendStays(t *testing.T) {
+	for _, queued := range []bool{true, false} {
+		c := qt.New(t)
+		d := NewDetector()
+		ejected := 0
+		for now := 0.0; now < 5000; now += 100 {
+			for b := range 6 {
+				for p := range 8 {
+					o := distribution.Outcome{Backend: backendName(b), Attempts: 1}
+					if b == 1 {
+						o.Slow = 1
+					}
+					tell(d, now, p, zoneName(p%2), o)
+				}
+			}
+			peers := group(6)
+			peers[1].Queued = queued
+			ejected = max(ejected, len(d.Step(now, peers)))
+			if now < slowFor {
+				c.Assert(ejected, qt.Equals, 0, qt.Commentf("at %v", now))
+			}
+		}
+		c.Assert(ejected > 0, qt.Equals, !queued, qt.Commentf("queued: %v", queued))
+	}
+}
+
+// TestLatenessUnderLoad: while many backends are late, one that is later is no outlier for it, unless it answers nothing at all.
+func TestLatenessUnderLoad(t *testing.T) {
+	c := qt.New(t)
+	for _, silent := range []bool{false, true} {
+		d := NewDetector()
+		for now := 0.0; now < 6000; now += 100 {
+			for b := range 9 {
+				for p := range 8 {
+					o := distribution.Outcome{Backend: backendName(b), Attempts: 10}
+					switch {
+					case b == 1 && silent && now > 1000:
+						o.Overdue = 10
+					case b == 1:
+						o.Slow = 8
+					case b%2 == 0:
+						o.Slow = 2
+					}
+					tell(d, now, p, zoneName(p%2), o)
+				}
+			}
+			ejected := d.Step(now, group(9))
+			if !silent {
+				c.Assert(ejected, qt.HasLen, 0, qt.Commentf("at %v", now))
+			}
+			if silent && now > 5000 {
+				c.Assert(ejected, qt.HasLen, 1)
+			}
+		}
+	}
+}
+
+// TestSilentIsNotSlow: a backend that answers nothing is no slow one, whose answers come late.
+func TestSilentIsNotSlow(t *testing.T) {
+	c := qt.New(t)
+	for _, late := range []int{0, 9} {
+		d := NewDetector()
+		served(d, 0, 6)
+		for p := range 8 {
+			tell(d, 100, p, zoneName(p%2), distribution.Outcome{Backend: "b01", Attempts: 9, Overdue: 9, Late: late})
+		}
+		var ejected []distribution.Ejection
+		for now := 100.0; now < 3000 && len(ejected) == 0; now += 100 {
+			ejected = d.Step(now, group(6))
+		}
+		c.Assert(ejected, qt.DeepEquals, []distribution.Ejection{{Backend: "b01", Slow: late > 0}})
+	}
+}
+
+// TestSenselessCounts: counts that can't be are not taken.
+func TestSenselessCounts(t *testing.T) {
+	c := qt.New(t)
+	d := NewDetector()
+	for p := range 8 {
+		for _, o := range []distribution.Outcome{{Attempts: 1, Failed: 9}, {Attempts: -1}, {Attempts: 3, Failed: -3, Slow: 3}, {Attempts: 1, Late: -1}} {
+			o.Backend = "b00"
+			tell(d, 0, p, "z", o)
+		}
+	}
+	c.Assert(d.subjects, qt.HasLen, 0)
+}
--- a/internal/fleet/proxy/departure_test.go
+++ b/internal/fleet/proxy/departure_test.go
@@ -59,7 +59,7 @@
 		}
 		svc := newService("s", nil, time.Second)
 		if tc.pace > 0 {
-			svc.paced(paceStretch*tc.pace, paceStretch)
+			svc.paced("e0", paceStretch*tc.pace, paceStretch)
 		}
 		try := &try{v: v, svc: svc, route: &routingconfig.Route{RouteSpec: &tc.route}, deadline: now.Add(tc.route.Deadline())}
 		c.Check(v.departure.outlasts(now, try.deadline, try.longest(now, tc.prompt)), qt.Equals, tc.want, qt.Commentf("%s", tc.name))
--- a/internal/fleet/proxy/enclosed_choice_test.go
+++ b/internal/fleet/proxy/enclosed_choice_test.go
@@ -111,7 +111,7 @@
 					r.Fatalf("%s in %q under %v", what, byID[p.ID()].Zone, terms)
 				}
 			}
-			at, ok := s.pick(seed, tried, terms)
+			at, ok := s.pick(seed, next(2) == 0, tried, terms)
 			if ok != anywhere {
 				r.Fatalf("pick found one: %v, there is one: %v, under %v", ok, anywhere, terms)
 			}
@@ -119,7 +119,7 @@
 				check("pick", at)
 				s.ended(at.ID(), policy.OK)
 			}
-			pl, ok := s.placeFor("k", prompt, time.Duration(next(300))*time.Millisecond, tried, next(2) == 0, terms)
+			pl, ok := s.placeFor("k", next(2) == 0, prompt, time.Duration(next(300))*time.Millisecond, tried, next(2) == 0, terms)
 			if ok != decodes {
 				r.Fatalf("placeFor found one: %v, there is one: %v, under %v", ok, decodes, terms)
 			}
@@ -133,7 +133,7 @@
 			if pl.from != nil {
 				check("prefill", pl.first)
 				tried[pl.at.ID] = true
-				if again, ok := s.takerFor(pl.from, prompt, time.Millisecond, tried, terms); ok {
+				if again, ok := s.takerFor(pl.from, next(2) == 0, prompt, time.Millisecond, tried, terms); ok {
 					check("taker", again.permit)
 					s.ended(again.at.ID, policy.OK)
 				}
@@ -169,7 +169,7 @@
 			tried := map[string]bool{}
 			b.ReportAllocs()
 			for b.Loop() {
-				pl, ok := s.placeFor("k", prompt, 150*time.Millisecond, tried, true, one.terms)
+				pl, ok := s.placeFor("k", false, prompt, 150*time.Millisecond, tried, true, one.terms)
 				if !ok {
 					b.Fatal("no place")
 				}
--- a/internal/fleet/proxy/feed.go
+++ b/internal/fleet/proxy/feed.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"molepaddle/internal/fleet/distribution"
+	"molepaddle/internal/fleet/outlier"
 	"molepaddle/internal/fleet/routingconfig"
 )
 
@@ -18,10 +19,11 @@
 	for ctx.Err() == nil {
 		began := time.Now()
 		err := distribution.Follow(ctx, distribution.NodeAgentAddr(v.set.Ports), &distribution.Follower{Name: v.set.Nodename, Wait: v.set.Heartbeat, Silence: time.Second,
-			Members: func() []distribution.Member { return []distribution.Member{v.member(time.Now())} },
-			Have:    func() map[string]distribution.Version { return maps.Clone(v.have) },
-			Take:    func(n *distribution.Response) []string { v.take(n); return nil },
-			Rested:  func(now time.Time) *distribution.Outbox { v.enclosed.hand(now, v.rested, false); return v.rested }})
+			Members:  func() []distribution.Member { return []distribution.Member{v.member(time.Now())} },
+			Have:     func() map[string]distribution.Version { return maps.Clone(v.have) },
+			Take:     func(n *distribution.Response) []string { v.take(n); return nil },
+			Outcomes: v.outcomes,
+			Rested:   func(now time.Time) *distribution.Outbox { v.enclosed.hand(now, v.rested, false); return v.rested }})
 		if ctx.Err() != nil {
 			return
 		}
@@ -50,7 +52,7 @@
 			continue
 		}
 		v.have[p.Source] = p.At
-		news = news || p.Source != distribution.SourceGauges
+		news = news || p.Source != distribution.SourceGauges && p.Source != distribution.SourceEjections
 	}
 	if news {
 		v.turn()
@@ -96,7 +98,7 @@
 		if _, err := crowd.UnmarshalMsg(p.Whole); err != nil {
 			return err
 		}
-		v.proxies = max(crowd.Proxies, 1)
+		v.proxies, v.neighbours = max(crowd.Proxies, 1), max(crowd.Zones[v.set.Zone], 1)
 	case distribution.SourceGauges:
 		var gauges distribution.Gauges
 		if _, err := gauges.UnmarshalMsg(p.Whole); err != nil {
@@ -105,6 +107,14 @@
 		for _, s := range v.services {
 			s.gauged(gauges.Active, gauges.Silent)
 		}
+	case distribution.SourceEjections:
+		var all distribution.Ejections
+		if _, err := all.UnmarshalMsg(p.Whole); err != nil {
+			return err
+		}
+		for _, s := range v.services {
+			s.eject(all.Ejected, v.set.Zone, outlier.Crowd{All: v.proxies, Zone: v.neighbours})
+		}
 	}
 	return nil
 }
--- a/internal/fleet/proxy/generate.go
+++ b/internal/fleet/proxy/generate.go
@@ -26,15 +26,17 @@
 const maxHandleAnswer = 64 << 10
 
 // prefill has a backend read the prompt and keep its memory for the taker; reached: the call may have come there.
-func (t *try) prefill(ctx context.Context, b *backend, at residency.Permit, p *scheduler.Prompt, home bool, by time.Time) (h *handle, reached bool, err error) {
+func (t *try) prefill(ctx context.Context, b *backend, at residency.Permit, p *scheduler.Prompt, home bool, expectedMs float64, by time.Time) (h *handle, reached bool, err error) {
 	t.svc.mu.Lock()
 	tokens := t.svc.engines.Sent(b.ID, p, home)
 	t.svc.ranker.Sent(b.ID)
 	t.svc.mu.Unlock()
-	start := time.Now()
 	took := 0.0
 	status := policy.OK
+	bound := t.slowBound(expectedMs)
+	attempt := t.svc.attempt(b.ID, bound)
 	defer func() {
+		attempt.end(status, speedOf(took, expectedMs, bound))
 		t.svc.mu.Lock()
 		t.svc.engines.Read(b.ID, tokens, took)
 		t.svc.engines.Ended(b.ID)
@@ -68,7 +70,7 @@
 		status = policy.Error
 		return nil, true, errors.Errorf("prefill: status %d", resp.StatusCode)
 	}
-	took = float64(time.Since(start).Microseconds()) / 1000
+	took = attempt.answered()
 	return &handle{ref: ans.Ref, from: b, at: at, tokens: ans.Tokens}, true, nil
 }
 
@@ -115,9 +117,9 @@
 			split = reads < 2 && t.allowed()
 		}
 		if h != nil {
-			pl, ok = t.svc.takerFor(h.from, p, t.route.Target(), t.tried, terms)
+			pl, ok = t.svc.takerFor(h.from, t.repeatable(), p, t.route.Target(), t.tried, terms)
 		} else {
-			pl, ok = t.svc.placeFor(t.route.Name, p, t.route.Target(), t.tried, split, terms)
+			pl, ok = t.svc.placeFor(t.route.Name, t.repeatable(), p, t.route.Target(), t.tried, split, terms)
 		}
 		if !ok {
 			t.giveUp(ctx, "no backend")
@@ -133,7 +135,7 @@
 			var err error
 			began := time.Now()
 			reached := false
-			if h, reached, err = t.prefill(ctx, pl.from, pl.first, p, pl.home, t.readBy(pl.readMs)); err != nil {
+			if h, reached, err = t.prefill(ctx, pl.from, pl.first, p, pl.home, pl.readMs, t.readBy(pl.readMs)); err != nil {
 				t.unsent(pl, p)
 				if ctx.Err() != nil {
 					if time.Until(t.deadline) > 0 {
--- a/internal/fleet/proxy/leaks_test.go
+++ b/internal/fleet/proxy/leaks_test.go
@@ -32,8 +32,8 @@
 var noGate = []string{"if !p.Allowed(t) {\n\t\treturn Permit{}, ErrOutside\n\t}\n", ""}
 
 // takers has who takes memory chosen without terms.
-var takers = []string{"from *backend) *backend {\n\te := s.engines\n\tkey := w.p.Last()\n\ts.order = s.ranker.Rank(w.now, key, func(id string) bool { return s.open(w, id, externalapi.PhaseDecode) }",
-	"from *backend) *backend {\n\te := s.engines\n\tkey := w.p.Last()\n\ts.order = s.ranker.Rank(w.now, key, func(id string) bool { return !w.tried[id] && s.byID[id].Phase == externalapi.PhaseDecode }"}
+var takers = []string{"from *backend) *backend {\n\te := s.engines\n\tif at := s.onTrial(w, externalapi.PhaseDecode, outlier.Risk{Repeatable: w.repeatable}); at != nil {\n\t\treturn at\n\t}\n\tkey := w.p.Last()\n\ts.order = s.ranker.Rank(w.now, key, func(id string) bool { return s.open(w, id, externalapi.PhaseDecode) }",
+	"from *backend) *backend {\n\te := s.engines\n\tif at := s.onTrial(w, externalapi.PhaseDecode, outlier.Risk{Repeatable: w.repeatable}); at != nil {\n\t\treturn at\n\t}\n\tkey := w.p.Last()\n\ts.order = s.ranker.Rank(w.now, key, func(id string) bool { return !w.tried[id] && s.byID[id].Phase == externalapi.PhaseDecode }"}
 
 const (
 	fileEnclosure = "../residency/residency.go"
@@ -57,7 +57,7 @@
 	{"a connection from the pool", "compiler", map[string][]string{fileEnclosed: {"return at.Lend(ctx, t.terms(), m.id)", "return t.v.pool.Way(at.Address()).Lend(ctx, m.id)"}}},
 	{"a handle without a permit", "compiler", map[string][]string{fileGenerate: {"from: b, at: at, tokens", "from: b, at: b, tokens"}}},
 	// The choice alone: the send would refuse, so that requests are lost.
-	{"plain requests are chosen anywhere", choice, map[string][]string{fileService: {"return !tried[id] && (!bound || s.allowed(id, terms)) }, capFactor", "return !tried[id] || bound && tried[id] && false }, capFactor"}}},
+	{"plain requests are chosen anywhere", choice, map[string][]string{fileService: {"return !tried[id] && (!bound || s.allowed(id, terms)) }", "return !tried[id] || bound && tried[id] && false }"}}},
 	{"prompts are placed anywhere", choice, map[string][]string{filePlace: {"return split && reads(id) || s.open(w, id, externalapi.PhaseDecode)", "return !w.tried[id] && (split && s.byID[id].Phase == externalapi.PhasePrefill || s.byID[id].Phase == externalapi.PhaseDecode)"}}},
 	{"memory is taken anywhere", choice, map[string][]string{filePlace: takers}},
 	// The terms.
@@ -73,17 +73,17 @@
 	// Both checks gone: what then rests outside, the auditor sees.
 	{"no check at all", whole + "Calm", map[string][]string{fileEnclosure: append(append([]string{}, noCheck...), noGate...), fileService: {"return s.byID[id].plot.Allowed(terms)", "return true"}}},
 	{"spills over when nothing is left inside", whole + "Crowd$", map[string][]string{fileEnclosure: append(append([]string{}, noCheck...), noGate...), fileService: {
-		"if len(s.order) == 0 {\n\t\treturn at, false\n\t}\n\tat, err", "if len(s.order) == 0 {\n\t\ts.order = s.ranker.Rank(s.now(), key, func(id string) bool { return !tried[id] }, capFactor, nil, s.order[:0])\n\t}\n\tif len(s.order) == 0 {\n\t\treturn at, false\n\t}\n\tat, err"}}},
-	{"retries go anywhere", whole + "Storm$/^[a-z_]+$", map[string][]string{fileEnclosure: noCheck, fileServe: {"t.svc.pick(key, t.tried, t.terms())", "t.svc.pick(key, t.tried, map[bool]residency.Terms{true: t.terms()}[len(t.tried) == 0])"}}},
+		"if len(s.order) == 0 {\n\t\t\treturn at, false\n\t\t}\n\t\tid = s.order[0]", "if len(s.order) == 0 {\n\t\t\ts.order = s.ranker.Rank(s.now(), key, func(id string) bool { return !tried[id] }, capFactor, nil, s.order[:0])\n\t\t}\n\t\tif len(s.order) == 0 {\n\t\t\treturn at, false\n\t\t}\n\t\tid = s.order[0]"}}},
+	{"retries go anywhere", whole + "Storm$/^[a-z_]+$", map[string][]string{fileEnclosure: noCheck, fileServe: {"t.svc.pick(key, t.repeatable(), t.tried, t.terms())", "t.svc.pick(key, t.repeatable(), t.tried, map[bool]residency.Terms{true: t.terms()}[len(t.tried) == 0])"}}},
 	{"streams are resumed anywhere", whole + "Resumes$", map[string][]string{fileEnclosure: noCheck, fileStream: {"t.tried, false, t.terms())", "t.tried, false, residency.Terms{})", `"molepaddle/internal/fleet/scheduler"`, "\"molepaddle/internal/fleet/residency\"\n\t\"molepaddle/internal/fleet/scheduler\""}}},
 	{"takers stand anywhere", whole + "Takers$", map[string][]string{fileEnclosure: append(append([]string{}, noCheck...), noGate...), filePlace: takers}},
 	{"the send looks at other terms", whole + "Withdrawn", map[string][]string{fileEnclosed: {"return at.Lend(ctx, t.terms(), m.id)", "return at.Lend(ctx, residency.Terms{}, m.id)", "if err := p.Check(terms); err != nil {", "_ = terms\n\t\tif err := p.Check(t.subject.came); err != nil {"},
-		fileGenerate: {"t.svc.placeFor(t.route.Name, p, t.route.Target(), t.tried, split, terms)", "t.svc.placeFor(t.route.Name, p, t.route.Target(), t.tried, split, t.subject.came)"}, fileStream: {"t.tried, false, t.terms())", "t.tried, false, t.subject.came)"}}},
+		fileGenerate: {"t.svc.placeFor(t.route.Name, t.repeatable(), p, t.route.Target(), t.tried, split, terms)", "t.svc.placeFor(t.route.Name, t.repeatable(), p, t.route.Target(), t.tried, split, t.subject.came)"}, fileStream: {"t.tried, false, t.terms())", "t.tried, false, t.subject.came)"}}},
 	// And what the drawn days find, most of them by what is lost where it need not be.
-	{"plain requests are chosen anywhere, on drawn days", days, map[string][]string{fileService: {"return !tried[id] && (!bound || s.allowed(id, terms)) }, capFactor", "return !tried[id] || bound && tried[id] && false }, capFactor"}}},
+	{"plain requests are chosen anywhere, on drawn days", days, map[string][]string{fileService: {"return !tried[id] && (!bound || s.allowed(id, terms)) }", "return !tried[id] || bound && tried[id] && false }"}}},
 	{"sends under way are not cut, on drawn days", days, map[string][]string{fileFeed: {"v.enclosed.withdraw(w)", ""}}},
 	{"nothing is checked, on drawn days", days, map[string][]string{fileEnclosure: append(append([]string{}, noCheck...), noGate...), fileService: {"return s.byID[id].plot.Allowed(terms)", "return true"}}},
-	{"retries go anywhere, on drawn days", days, map[string][]string{fileEnclosure: noCheck, fileServe: {"t.svc.pick(key, t.tried, t.terms())", "t.svc.pick(key, t.tried, map[bool]residency.Terms{true: t.terms()}[len(t.tried) == 0])"}}},
+	{"retries go anywhere, on drawn days", days, map[string][]string{fileEnclosure: noCheck, fileServe: {"t.svc.pick(key, t.repeatable(), t.tried, t.terms())", "t.svc.pick(key, t.repeatable(), t.tried, map[bool]residency.Terms{true: t.terms()}[len(t.tried) == 0])"}}},
 	{"streams are resumed anywhere, on drawn days", days, map[string][]string{fileEnclosure: noCheck, fileStream: {"t.tried, false, t.terms())", "t.tried, false, residency.Terms{})", `"molepaddle/internal/fleet/scheduler"`, "\"molepaddle/internal/fleet/residency\"\n\t\"molepaddle/internal/fleet/scheduler\""}}},
 	{"a corrected zone is not taken over, on drawn days", days, map[string][]string{fileService: {"old.plot.Relist(b.Zone)", ""}}},
 	{"an address is taken for the backend that had it", days, map[string][]string{fileExchange: {"line(externalapi.Target, x.target)", "_ = x.target"}}},
--- a/internal/fleet/proxy/place.go
+++ b/internal/fleet/proxy/place.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"molepaddle/internal/fleet/externalapi"
+	"molepaddle/internal/fleet/outlier"
 	"molepaddle/internal/fleet/residency"
 	"molepaddle/internal/fleet/scheduler"
 )
@@ -59,12 +60,12 @@
 )
 
 // placeFor chooses where a prompt is read and its tokens are made, under the terms.
-func (s *service) placeFor(kind string, p *scheduler.Prompt, aim time.Duration, tried map[string]bool, split bool, terms residency.Terms) (pl place, ok bool) {
+func (s *service) placeFor(kind string, repeatable bool, p *scheduler.Prompt, aim time.Duration, tried map[string]bool, split bool, terms residency.Terms) (pl place, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now, e := s.now(), s.engines
 	s.keepApart(now)
-	w := want{now: now, key: p.Key(), p: p, patience: patience(aim), tried: tried, terms: terms, bound: terms.Bound()}
+	w := want{now: now, key: p.Key(), p: p, patience: patience(aim), tried: tried, terms: terms, bound: terms.Bound(), repeatable: repeatable}
 	if w.key == 0 && len(p.Parts) > 0 {
 		w.key = p.Parts[0].Chain
 	}
@@ -95,6 +96,8 @@
 	tried    map[string]bool
 	terms    residency.Terms
 	bound    bool // the terms bind
+	// repeatable: another backend can serve it if its next send fails, so that it may go to one that is on trial.
+	repeatable bool
 }
 
 // patience is the part of an aim that a prompt's reading may take, ms.
@@ -120,6 +123,9 @@
 // The lock is held.
 func (s *service) maker(w *want) *backend {
 	e := s.engines
+	if at := s.onTrial(w, externalapi.PhaseDecode, outlier.Risk{Repeatable: w.repeatable, Long: true}); at != nil {
+		return at
+	}
 	key := w.p.Last() // what it shares is short: requests are spread, not kept together
 	s.order = s.ranker.Rank(w.now, key, func(id string) bool { return s.open(w, id, externalapi.PhaseDecode) }, math.Inf(1), func(id string) float64 {
 		busy := e.Busy(id)
@@ -194,7 +200,14 @@
 		}
 		return c
 	}, s.order[:0])
-	if pl.at = s.first(); pl.at == nil {
+	pl.at = s.first()
+	if split {
+		// What one backend failed to read another may read still.
+		if at := s.onTrial(w, externalapi.PhasePrefill, outlier.Risk{Repeatable: true}); at != nil {
+			pl.at = at
+		}
+	}
+	if pl.at == nil {
 		return
 	}
 	pl.home = pl.at.ID == home
@@ -206,11 +219,11 @@
 }
 
 // takerFor chooses another decode backend for memory that lies at from, under the terms.
-func (s *service) takerFor(from *backend, p *scheduler.Prompt, aim time.Duration, tried map[string]bool, terms residency.Terms) (pl place, ok bool) {
+func (s *service) takerFor(from *backend, repeatable bool, p *scheduler.Prompt, aim time.Duration, tried map[string]bool, terms residency.Terms) (pl place, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	pl.from = from
-	w := want{now: s.now(), key: p.Key(), p: p, patience: patience(aim), tried: tried, terms: terms, bound: terms.Bound()}
+	w := want{now: s.now(), key: p.Key(), p: p, patience: patience(aim), tried: tried, terms: terms, bound: terms.Bound(), repeatable: repeatable}
 	if pl.at = s.taker(&w, from); pl.at == nil || !pl.permits(terms) {
 		return pl, false
 	}
@@ -223,6 +236,9 @@
 // same zone if that is no matter, and to which moves have not been slow of late; nil: none is left. The lock is held.
 func (s *service) taker(w *want, from *backend) *backend {
 	e := s.engines
+	if at := s.onTrial(w, externalapi.PhaseDecode, outlier.Risk{Repeatable: w.repeatable}); at != nil {
+		return at
+	}
 	key := w.p.Last()
 	s.order = s.ranker.Rank(w.now, key, func(id string) bool { return s.open(w, id, externalapi.PhaseDecode) }, math.Inf(1), func(id string) float64 {
 		busy, late := e.Busy(id), e.InwardMs(w.now, id)/w.patience
--- a/internal/fleet/proxy/place_test.go
+++ b/internal/fleet/proxy/place_test.go
@@ -41,7 +41,7 @@
 	s := engineService(64, 2, 2)
 	late, n := false, 0
 	for ; n < 4000 && !late; n++ {
-		pl, ok := s.placeFor("k", sharing(uint64(n%5), uint64(1000+n)), 150*time.Millisecond, map[string]bool{}, true, residency.Terms{})
+		pl, ok := s.placeFor("k", false, sharing(uint64(n%5), uint64(1000+n)), 150*time.Millisecond, map[string]bool{}, true, residency.Terms{})
 		c.Assert(ok, qt.IsTrue)
 		c.Assert(pl.from, qt.IsNotNil)
 		one := try{svc: s, deadline: time.Now().Add(2 * time.Second)}
@@ -53,7 +53,7 @@
 	c.Assert(late, qt.IsTrue)
 	c.Assert(n > 100, qt.IsTrue, qt.Commentf("after %d", n))
 	one := try{svc: s, deadline: time.Now().Add(time.Minute)}
-	pl, _ := s.placeFor("k", sharing(1, 1), 150*time.Millisecond, map[string]bool{}, true, residency.Terms{})
+	pl, _ := s.placeFor("k", false, sharing(1, 1), 150*time.Millisecond, map[string]bool{}, true, residency.Terms{})
 	c.Assert(one.tooLate(&pl), qt.IsFalse, qt.Commentf("who has time waits"))
 	// What is expected to wait long is not given up halfway; what isn't is, in case the backend is silent.
 	c.Assert(time.Until(one.readBy(10)) < 31*time.Second, qt.IsTrue)
@@ -67,7 +67,7 @@
 	s := engineService(64, 4, 2)
 	home := s.ranker.Home(0, 7, func(id string) bool { return s.byID[id].Phase == externalapi.PhasePrefill })
 	chosen := func() string {
-		pl, ok := s.placeFor("k", sharing(7, 8), 150*time.Millisecond, map[string]bool{}, true, residency.Terms{})
+		pl, ok := s.placeFor("k", false, sharing(7, 8), 150*time.Millisecond, map[string]bool{}, true, residency.Terms{})
 		c.Assert(ok, qt.IsTrue)
 		s.ended(pl.at.ID, policy.OK)
 		s.engines.Ended(pl.at.ID)
@@ -99,7 +99,7 @@
 	full := map[string]int{"d0": 8, "d1": 9, "d2": 8, "d3": 2}
 	s.gauged(full, nil)
 	for range 5 {
-		pl, ok := s.placeFor("talk", talk, 120*time.Millisecond, map[string]bool{}, true, residency.Terms{})
+		pl, ok := s.placeFor("talk", false, talk, 120*time.Millisecond, map[string]bool{}, true, residency.Terms{})
 		c.Assert(ok, qt.IsTrue)
 		c.Assert(pl.from, qt.IsNil)
 		c.Assert(pl.at.ID, qt.Equals, "d3")
@@ -109,11 +109,11 @@
 	s.gauged(map[string]int{"d0": 0, "d1": 0, "d2": 8, "d3": 8}, nil)
 	heard := s.awaits("d0")
 	s.start = s.start.Add(-time.Second)
-	pl, _ := s.placeFor("talk", talk, 120*time.Millisecond, map[string]bool{}, true, residency.Terms{})
+	pl, _ := s.placeFor("talk", false, talk, 120*time.Millisecond, map[string]bool{}, true, residency.Terms{})
 	c.Assert(pl.at.ID, qt.Equals, "d1")
 	heard(true)
 	s.gauged(map[string]int{"d0": 0, "d1": 0, "d2": 8, "d3": 8}, []string{"d1"})
-	pl, _ = s.placeFor("talk", talk, 120*time.Millisecond, map[string]bool{}, true, residency.Terms{})
+	pl, _ = s.placeFor("talk", false, talk, 120*time.Millisecond, map[string]bool{}, true, residency.Terms{})
 	c.Assert(pl.at.ID, qt.Equals, "d0", qt.Commentf("the control plane did not hear the other"))
 }
 
@@ -127,7 +127,7 @@
 		for range 100 {
 			s.engines.Made("verdict", verdict, makingMs)
 		}
-		pl, ok := s.placeFor("verdict", verdict, 200*time.Millisecond, map[string]bool{}, true, residency.Terms{})
+		pl, ok := s.placeFor("verdict", false, verdict, 200*time.Millisecond, map[string]bool{}, true, residency.Terms{})
 		c.Assert(ok, qt.IsTrue)
 		c.Assert(pl.from, qt.IsNotNil, qt.Commentf("answers that are made for %v ms", makingMs))
 	}
--- a/internal/fleet/proxy/proxy.go
+++ b/internal/fleet/proxy/proxy.go
@@ -42,6 +42,7 @@
 	statuses   *xsync.Map[int, *xsync.Counter]
 	enclosed   *enclosed
 	rested     *distribution.Outbox // batches of the ledger, until they are kept
+	outcomes   *distribution.OutcomeBox
 
 	// What follows belongs to the feed's goroutine.
 	have     map[string]distribution.Version
@@ -51,6 +52,8 @@
 	list     distribution.List
 	listed   bool
 	proxies  int
+	// neighbours is how many of the proxies are in this one's zone.
+	neighbours int
 }
 
 // world is what requests are served by, replaced whole.
@@ -77,8 +80,8 @@
 		files = 1024
 	}
 	room := max(files-reserved, 64)
-	v := &Proxy{ctx: ctx, set: set, log: log, life: lifecycle.New(), served: make(chan struct{}), have: map[string]distribution.Version{}, services: map[string]*service{}, proxies: assumedProxies,
-		statuses: xsync.NewMap[int, *xsync.Counter](), enclosed: newEnclosed(), rested: distribution.NewOutbox()}
+	v := &Proxy{ctx: ctx, set: set, log: log, life: lifecycle.New(), served: make(chan struct{}), have: map[string]distribution.Version{}, services: map[string]*service{}, proxies: assumedProxies, neighbours: assumedProxies,
+		statuses: xsync.NewMap[int, *xsync.Counter](), enclosed: newEnclosed(), rested: distribution.NewOutbox(), outcomes: distribution.NewOutcomeBox()}
 	dialer := &net.Dialer{KeepAlive: -1, Control: sockets.UserTimeout(set.Bounds.Contact)}
 	pool := transport.New(transport.Options{Dial: dialer.DialContext, Timeout: connectWithin, Idle: 10 * time.Second, Most: room / 2,
 		Settle: time.Millisecond, Resting: 4})
@@ -123,6 +126,7 @@
 	go func() { failed <- server.Serve(clientListener{edge, v.patience}) }()
 	go v.feed(ctx)
 	go v.report(ctx)
+	go v.tellOutcomes(ctx)
 	select {
 	case err := <-failed:
 		return errors.Wrap(err, "serve")
--- a/internal/fleet/proxy/serve.go
+++ b/internal/fleet/proxy/serve.go
@@ -198,6 +198,11 @@
 // mayAgain tells whether the request may be sent to another backend now, and takes that from the allowance.
 func (t *try) mayAgain() bool { return t.couldAgain() && t.allowed() }
 
+// repeatable tells whether the request can be served by another backend if its next send fails.
+func (t *try) repeatable() bool {
+	return t.route.Idempotent() && t.sends+1 < t.route.Tries && time.Until(t.deadline) > t.route.Target()
+}
+
 // wouldAgain is mayAgain without taking from the allowance.
 func (t *try) wouldAgain() bool {
 	if !t.couldAgain() {
@@ -222,7 +227,7 @@
 func (t *try) plain(ctx context.Context) {
 	key := xxhash.Sum64String(t.m.id)
 	for {
-		at, ok := t.svc.pick(key, t.tried, t.terms())
+		at, ok := t.svc.pick(key, t.repeatable(), t.tried, t.terms())
 		if !ok {
 			t.giveUp(ctx, "no backend")
 			return
@@ -276,6 +281,17 @@
 // plainAt sends to one backend; done: the client has its answer.
 func (t *try) plainAt(ctx context.Context, at residency.Permit) (done bool, err error) {
 	id := at.ID()
+	status := policy.OK
+	usual, bound := t.svc.wholeBound(t)
+	attempt := t.svc.attempt(id, bound)
+	defer func() {
+		took := attempt.answered()
+		if status == policy.OK {
+			t.svc.tookWhole(t, took)
+		}
+		attempt.end(status, speedOf(took, usual, bound))
+		t.svc.ended(id, status)
+	}()
 	x := extra{until: t.deadline, priority: -1}
 	e, wrote, err := t.begin(ctx, at, &t.m, &x, t.connectBy(), t.headBy())
 	if wrote {
@@ -283,13 +299,13 @@
 	}
 	if err != nil {
 		t.ran = t.ran || wrote
-		t.svc.ended(id, judge(wrote, err))
+		status = judge(wrote, err)
 		return false, err
 	}
 	if e.resp.Header.Get("Content-Encoding") != "" || e.resp.StatusCode < 300 && e.resp.Header.Get(externalapi.Seal) == "" {
 		e.end(false)
 		t.ran = true
-		t.svc.ended(id, policy.Error)
+		status = policy.Error
 		return false, errNotOurs
 	}
 	e.readUntil(t.deadline)
@@ -302,22 +318,19 @@
 		if errors.Is(ctx.Err(), context.Canceled) {
 			err = ctx.Err() // the client has left: the backend is not to blame
 		}
-		t.svc.ended(id, judge(true, err))
+		status = judge(true, err)
 		return false, err
 	case notRun(resp):
-		t.svc.ended(id, policy.Full)
+		status = policy.Full
 		t.refused = max(t.refused, retryAfter(resp))
 		return false, nil
 	}
 	t.ran = true
-	switch {
-	case resp.StatusCode >= 500:
-		t.svc.ended(id, policy.Error)
+	if resp.StatusCode >= 500 {
+		status = policy.Error
 		if t.wouldAgain() {
 			return false, errors.Errorf("status %d", resp.StatusCode)
 		}
-	default:
-		t.svc.ended(id, policy.OK)
 	}
 	t.answer(resp, body)
 	return true, nil
--- a/internal/fleet/proxy/service.go
+++ b/internal/fleet/proxy/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"strings"
@@ -10,6 +11,7 @@
 
 	"molepaddle/internal/fleet/distribution"
 	"molepaddle/internal/fleet/externalapi"
+	"molepaddle/internal/fleet/outlier"
 	"molepaddle/internal/fleet/ranking"
 	"molepaddle/internal/fleet/residency"
 	"molepaddle/internal/fleet/routingconfig"
@@ -38,14 +40,25 @@
 	order   []string           // scratch
 	apart   map[string]bool    // scratch
 	spent   allowance
+
+	recorder *outlier.Recorder
+	trials   *outlier.Trials
+	// What is usual, of late.
+	usualGap   usual            // between two events of a stream
+	usualFirst usual            // from the sending of a request whose prompt was read elsewhere to its first event
+	usualWhole map[string]usual // for an answer that comes whole, by route
 }
 
+// maxUsual bounds the routes that are told apart.
+const maxUsual = 4096
+
 // capFactor is c of the design's bounded-load hash, at least 1: how far above its share a backend may be loaded
 // before a key goes on to the next. A proxy has few requests out, so that c near 1 would scatter keys.
 const capFactor = 3
 
 func newService(name string, ground *residency.Ground, lapse time.Duration) *service {
 	return &service{name: name, ground: ground, start: time.Now(), byID: map[string]*backend{}, apart: map[string]bool{},
+		recorder: outlier.NewRecorder(), trials: outlier.NewTrials(rand.ExpFloat64), usualWhole: map[string]usual{},
 		ranker: ranking.NewRanker(ranking.RankerSettings{LapseMs: float64(lapse.Milliseconds()), RefetchMs: float64(lapse.Milliseconds())})}
 }
 
@@ -150,11 +163,17 @@
 	}
 }
 
-// paced notes how long a stretch of a stream took.
-func (s *service) paced(took time.Duration, events int) {
+// paced notes how long a stretch of a stream from a backend took.
+func (s *service) paced(id string, took time.Duration, events int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pace.Came(s.now(), float64(took.Microseconds())/1000, events)
+	ms := float64(took.Microseconds()) / 1000
+	s.pace.Came(s.now(), ms, events)
+	how := outlier.Good
+	if s.usualGap.ms > 0 && ms/float64(events) > s.slowGap() {
+		how = outlier.Slow
+	}
+	s.recorder.Note(id, how)
 }
 
 // slowestPace is the longest that an event of a stream took of late, on the mean of a stretch; 0: none came.
@@ -213,18 +232,22 @@
 	return s.byID[id].plot.Allowed(terms)
 }
 
-// pick chooses a backend for a plain request under the terms, none of those tried before; false: there is none.
-func (s *service) pick(key uint64, tried map[string]bool, terms residency.Terms) (at residency.Permit, ok bool) {
+// pick chooses a backend for a plain request under the terms, none of those tried before; false: there is none. What is repeatable may
+// go to a backend that is on trial.
+func (s *service) pick(key uint64, repeatable bool, tried map[string]bool, terms residency.Terms) (at residency.Permit, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	bound := terms.Bound()
-	s.order = s.ranker.Rank(s.now(), key, func(id string) bool { return !tried[id] && (!bound || s.allowed(id, terms)) }, capFactor, func(id string) float64 {
-		return float64(s.ranker.Outstanding(id))
-	}, s.order[:0])
-	if len(s.order) == 0 {
-		return at, false
+	open := func(id string) bool { return !tried[id] && (!bound || s.allowed(id, terms)) }
+	id := s.trials.Due(s.now(), outlier.Risk{Repeatable: repeatable}, func(id string) bool { return s.triable(id) && open(id) })
+	if id == "" {
+		s.order = s.ranker.Rank(s.now(), key, open, capFactor, func(id string) float64 { return float64(s.ranker.Outstanding(id)) }, s.order[:0])
+		if len(s.order) == 0 {
+			return at, false
+		}
+		id = s.order[0]
 	}
-	at, err := s.byID[s.order[0]].plot.Permit(terms)
+	at, err := s.byID[id].plot.Permit(terms)
 	if err != nil {
 		return at, false
 	}
--- a/internal/fleet/proxy/stream.go
+++ b/internal/fleet/proxy/stream.go
@@ -35,7 +35,11 @@
 	status, read, kept := policy.OK, 0.0, false
 	var began time.Time // when the first event came
 	sent := false
+	r := &relay{t: t, at: b.ID}
+	bound := t.svc.firstBound(t, h != nil, pl.readMs)
+	attempt := t.svc.attempt(b.ID, bound)
 	defer func() {
+		attempt.end(status, t.svc.streamed(t, h != nil, bound, began.Sub(start), r))
 		t.svc.mu.Lock()
 		t.svc.engines.Read(b.ID, pl.tokens, read)
 		t.svc.engines.Ended(b.ID)
@@ -98,9 +102,9 @@
 		t.svc.mu.Unlock()
 	}
 	t.svc.shed(b.ID, false)
-	r := &relay{t: t}
 	err = r.pass(ctx, e, func() {
 		kept, began = true, time.Now()
+		attempt.answered()
 		if pl.tokens > 0 {
 			read = float64(time.Since(start).Microseconds()) / 1000
 		}
@@ -133,10 +137,22 @@
 // relay passes a stream on, whole events only, so that it can be taken up elsewhere after the last one.
 type relay struct {
 	t      *try
-	begun  bool // the client has the head
+	at     string // id of the backend that it comes from
+	begun  bool   // the client has the head
 	lastID string
 	events int       // since the stretch of the stream began whose pace is taken
 	since  time.Time // when that was
+	total  int       // events
+	began  time.Time // when the first of them came
+	latest time.Time // and the last
+}
+
+// gapMs is the mean time between two events, ms; 0: there were fewer than two reads of them.
+func (r *relay) gapMs() float64 {
+	if r.total < 2 {
+		return 0
+	}
+	return float64(r.latest.Sub(r.began).Microseconds()) / 1000 / float64(r.total-1)
 }
 
 // paceStretch is how many events a stretch has whose pace is taken.
@@ -145,12 +161,17 @@
 // came counts events that came now.
 func (r *relay) came(events int) {
 	now := time.Now()
+	if r.total == 0 {
+		r.began = now
+	}
+	r.total += events
+	r.latest = now
 	if r.since.IsZero() {
 		r.since = now // from the first events on: what is before them is the wait for a place
 		return
 	}
-	if r.events += events; r.events >= paceStretch {
-		r.t.svc.paced(now.Sub(r.since), r.events)
+	if r.events += events; r.events > 0 && r.t.svc.stretchOver(now.Sub(r.since), r.events) {
+		r.t.svc.paced(r.at, now.Sub(r.since), r.events)
 		r.events, r.since = 0, now
 	}
 }
@@ -266,11 +287,12 @@
 		if !t.mayAgain() {
 			return false
 		}
-		pl, ok := t.svc.placeFor(t.route.Name, p, t.route.Target(), t.tried, false, t.terms())
+		pl, ok := t.svc.placeFor(t.route.Name, false, p, t.route.Target(), t.tried, false, t.terms())
 		if !ok {
 			return false
 		}
 		t.tried[pl.at.ID] = true
+		r.at, r.since = pl.at.ID, time.Time{}
 		status, kept := policy.OK, false
 		x := extra{until: t.deadline, priority: t.priority(false), lastID: r.lastID}
 		e, wrote, err := t.begin(ctx, pl.permit, &t.m, &x, t.connectBy(), t.headBy())
--- /dev/null
+++ b/internal/fleet/proxy/trials.go
@@ -0,0 +1,32 @@
+package proxy
+
+import (
+	"molepaddle/internal/fleet/distribution"
+	"molepaddle/internal/fleet/outlier"
+)
+
+// eject takes the fleet's word on the backends of the service, as it concerns proxies of a zone.
+func (s *service) eject(ejections []distribution.Ejection, zone string, crowd outlier.Crowd) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	ejected, restored := s.trials.Take(now, ejections, zone, crowd, func(id string) bool { return s.byID[id] != nil })
+	for _, id := range ejected {
+		s.ranker.Eject(now, id, outlier.Until(now))
+	}
+	for _, id := range restored {
+		s.ranker.Restore(now, id)
+	}
+}
+
+// onTrial is the ejected backend of a phase that the request is to try; nil: none. The lock is held.
+func (s *service) onTrial(w *want, phase string, risk outlier.Risk) *backend {
+	id := s.trials.Due(w.now, risk, func(id string) bool { return s.triable(id) && s.open(w, id, phase) })
+	return s.byID[id]
+}
+
+// triable tells whether a backend that is ejected may be sent to at all. The lock is held.
+func (s *service) triable(id string) bool {
+	b := s.byID[id]
+	return b != nil && !b.Draining
+}
--- /dev/null
+++ b/internal/fleet/proxy/trials_test.go
@@ -0,0 +1,139 @@
+package proxy
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"molepaddle/internal/fleet/distribution"
+	"molepaddle/internal/fleet/externalapi"
+	"molepaddle/internal/fleet/outlier"
+	"molepaddle/internal/fleet/residency"
+	"molepaddle/internal/fleet/scheduler"
+	"molepaddle/policy"
+)
+
+// ejections are of the backends named, for all proxies.
+func ejections(ids ...string) (all []distribution.Ejection) {
+	for _, id := range ids {
+		all = append(all, distribution.Ejection{Backend: id})
+	}
+	return all
+}
+
+// sentTo counts where prompts are read and tokens are made of so many requests.
+func sentTo(c *qt.C, s *service, requests int, repeatable bool) map[string]int {
+	count := map[string]int{}
+	for i := range requests {
+		pl, ok := s.placeFor("k", repeatable, sharing(uint64(1+i%97), uint64(1000+i)), 200*time.Millisecond, map[string]bool{}, true, residency.Terms{})
+		c.Assert(ok, qt.IsTrue)
+		count[pl.at.ID]++
+		if pl.from != nil {
+			count[pl.from.ID]++
+		}
+		s.ended(pl.at.ID, policy.Moot)
+		s.engines.Ended(pl.at.ID)
+	}
+	return count
+}
+
+// TestEjectedBackendsGetTrialsOnly: neither prompts nor tokens go where the fleet's word is against it, but for trials.
+func TestEjectedBackendsGetTrialsOnly(t *testing.T) {
+	c := qt.New(t)
+	s := engineService(12, 4, 12)
+	s.eject(ejections("p1", "d2", "d3"), "e1", outlier.Crowd{All: 60, Zone: 20})
+	count := sentTo(c, s, 300, false)
+	c.Assert(count["p1"]+count["d2"]+count["d3"] <= 3, qt.IsTrue, qt.Commentf("%v", count))
+	// Alone in its fleet a proxy makes all the trials.
+	s.start = s.start.Add(-20 * time.Second)
+	s.eject(nil, "e1", outlier.Crowd{})
+	s.eject(ejections("p1", "d2"), "e1", outlier.Crowd{All: 1, Zone: 1})
+	tried := 0
+	for range 40 {
+		s.start = s.start.Add(-500 * time.Millisecond)
+		s.eject(ejections("p1", "d2"), "e1", outlier.Crowd{All: 1, Zone: 1})
+		count := sentTo(c, s, 1, true)
+		tried += count["p1"] + count["d2"]
+	}
+	c.Assert(tried >= 5 && tried <= 70, qt.IsTrue, qt.Commentf("%d", tried))
+	s.eject(nil, "e1", outlier.Crowd{})
+	c.Assert(sentTo(c, s, 500, false)["p1"] > 0, qt.IsTrue)
+}
+
+// TestNothingIsTriedThatLeaves: a backend that drains gets no trial.
+func TestNothingIsTriedThatLeaves(t *testing.T) {
+	c := qt.New(t)
+	s := engineService(12, 1, 2)
+	list := make([]distribution.Backend, 0, 3)
+	for _, b := range s.byID {
+		one := b.Backend
+		one.Draining = one.ID == "d0"
+		list = append(list, one)
+	}
+	s.eject(ejections("d0"), "e1", outlier.Crowd{All: 1, Zone: 1})
+	s.list(list)
+	for range 40 {
+		s.start = s.start.Add(-500 * time.Millisecond)
+		s.eject(ejections("d0"), "e1", outlier.Crowd{All: 1, Zone: 1})
+		c.Assert(sentTo(c, s, 1, true)["d0"], qt.Equals, 0)
+		at, ok := s.pick(1, true, map[string]bool{}, residency.Terms{})
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(at.ID(), qt.Not(qt.Equals), "d0")
+		s.ended(at.ID(), policy.Moot)
+	}
+}
+
+// TestSlowStreamsAreTold: of streams that come several times as slowly as usual the fleet is told; of others as good.
+func TestSlowStreamsAreTold(t *testing.T) {
+	c := qt.New(t)
+	s := engineService(12, 1, 2)
+	for range 50 {
+		s.paced("d0", paceStretch*50*time.Millisecond, paceStretch)
+		s.usualGap.learn(50)
+	}
+	s.recorder.Take()
+	s.paced("d0", paceStretch*60*time.Millisecond, paceStretch)
+	s.paced("d1", paceStretch*400*time.Millisecond, paceStretch)
+	c.Assert(s.stretchOver(time.Second, 3), qt.IsFalse)
+	c.Assert(s.stretchOver(4*time.Second, 3), qt.IsTrue, qt.Commentf("what is that slow needs no whole stretch"))
+	told := map[string]distribution.Outcome{}
+	for _, o := range s.outcomes(true) {
+		told[o.Backend] = o
+	}
+	c.Assert(told, qt.DeepEquals, map[string]distribution.Outcome{"d0": {Backend: "d0", Attempts: 1}, "d1": {Backend: "d1", Attempts: 1, Slow: 1}})
+}
+
+// TestOverdueAttemptsAreTold: the fleet hears of an attempt that waits far longer than usual before it ends.
+func TestOverdueAttemptsAreTold(t *testing.T) {
+	c := qt.New(t)
+	s := engineService(12, 1, 2)
+	waits := s.attempt("d0", 100)
+	c.Assert(s.outcomes(false), qt.IsNil)
+	s.start = s.start.Add(-200 * time.Millisecond)
+	c.Assert(s.outcomes(false), qt.DeepEquals, []distribution.Outcome{{Backend: "d0", Attempts: 1, Overdue: 1}})
+	waits.answered()
+	waits.end(policy.OK, speedSlow)
+	c.Assert(s.outcomes(true), qt.DeepEquals, []distribution.Outcome{{Backend: "d0", Late: 1}})
+	s.attempt("d1", 100).end(policy.Cancelled, speedUsual)
+	c.Assert(s.outcomes(true), qt.IsNil, qt.Commentf("a client that left tells nothing of a backend"))
+}
+
+// TestTrialsOfLongAnswers: long answers don't try what is only slow.
+func TestTrialsOfLongAnswers(t *testing.T) {
+	c := qt.New(t)
+	s := engineService(12, 1, 4)
+	talk := &scheduler.Prompt{In: 100, Out: 80, Parts: []scheduler.Part{{Chain: 1, Tokens: 50}, {Chain: 2, Tokens: 50}}}
+	for range 50 {
+		s.engines.Made("talk", talk, 4000)
+	}
+	slow := []distribution.Ejection{{Backend: "d1", Slow: true}}
+	for range 60 {
+		s.start = s.start.Add(-500 * time.Millisecond)
+		s.eject(slow, "e1", outlier.Crowd{All: 1, Zone: 1})
+		pl, ok := s.placeFor("talk", true, talk, 120*time.Millisecond, map[string]bool{}, true, residency.Terms{})
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(pl.at.Phase, qt.Equals, externalapi.PhaseDecode)
+		c.Assert(pl.at.ID, qt.Not(qt.Equals), "d1")
+	}
+}
--- a/internal/fleet/ranking/ranking.go
+++ b/internal/fleet/ranking/ranking.go
@@ -51,10 +51,22 @@
 	id             string
 	hash           uint64
 	listed, usable bool
-	due, probing   bool // due: it has not been probed since it entered UnhealthyPending
-	out, unhanded  int  // attempts in flight; hand-overs of its memory that failed since one succeeded
+	due, probing   bool    // due: it has not been probed since it entered UnhealthyPending
+	out, unhanded  int     // attempts in flight; hand-overs of its memory that failed since one succeeded
+	ejectedUntil   float64 // the fleet's word is against it until then; 0: it isn't
 }
 
+// tier is the rank of the backend. While the fleet's word is against it, what this proxy sees itself doesn't lift it.
+func (b *backend) tier(now, lapse float64) int {
+	if now < b.ejectedUntil {
+		return worstTier
+	}
+	return b.Tier(now, lapse)
+}
+
+// worstTier is the one of backends that are Unhealthy.
+const worstTier = 2
+
 // NewRanker returns a Ranker of an empty list.
 func NewRanker(set RankerSettings) *Ranker {
 	set.LapseMs, set.RefetchMs = cmp.Or(set.LapseMs, 60000), cmp.Or(set.RefetchMs, 60000)
@@ -176,6 +188,23 @@
 	}
 }
 
+// Eject takes that the proxies of the fleet together found a backend to do far worse than its peers: it is Unhealthy until the time
+// given, unless Restore comes before.
+func (r *Ranker) Eject(now float64, id string, until float64) {
+	if b := r.byID[id]; b != nil {
+		b.Demote(now)
+		b.ejectedUntil = until
+	}
+}
+
+// Restore takes that the fleet's word is no longer against a backend: trials have been served there.
+func (r *Ranker) Restore(now float64, id string) {
+	if b := r.byID[id]; b != nil && b.ejectedUntil > 0 {
+		b.ejectedUntil = 0
+		b.Served(now)
+	}
+}
+
 // Outstanding is the number of attempts in flight at a backend.
 func (r *Ranker) Outstanding(id string) int {
 	if b := r.byID[id]; b != nil {
@@ -187,12 +216,12 @@
 // Home is the usable backend, of those that among accepts, that a key's hash puts first in the best tier that has any; "":
 // there is none.
 func (r *Ranker) Home(now float64, key uint64, among func(id string) bool) string {
-	home, best, tier := "", math.Inf(1), 3
+	home, best, tier := "", math.Inf(1), worstTier+1
 	for _, b := range r.all {
 		if !b.usable || !among(b.id) {
 			continue
 		}
-		score, t := policy.Rendezvous(key, b.hash, 1), b.Tier(now, r.set.LapseMs)
+		score, t := policy.Rendezvous(key, b.hash, 1), b.tier(now, r.set.LapseMs)
 		if t < tier || t == tier && score < best {
 			home, best, tier = b.id, score, t
 		}
@@ -223,7 +252,7 @@
 		if !b.usable || among != nil && !among(b.id) {
 			continue
 		}
-		p := order.Place{Index: i, Tier: b.Tier(now, r.set.LapseMs), Score: policy.Rendezvous(key, b.hash, 1)}
+		p := order.Place{Index: i, Tier: b.tier(now, r.set.LapseMs), Score: policy.Rendezvous(key, b.hash, 1)}
 		if cost != nil {
 			p.Cost = arith.Finite(cost(b.id))
 		}
--- a/internal/fleet/ranking/ranking_test.go
+++ b/internal/fleet/ranking/ranking_test.go
@@ -405,3 +405,31 @@
 		c.Assert(r.Home(1, key, all), qt.Not(qt.Equals), "a", qt.Commentf("others find the key elsewhere"))
 	}
 }
+
+// TestRankerEjects: while the fleet's word is against a backend, what this proxy sees of it doesn't lift it; it lapses by itself.
+func TestRankerEjects(t *testing.T) {
+	c := qt.New(t)
+	for _, restored := range []bool{true, false} {
+		r := ranked(RankerSettings{LapseMs: 1000, RefetchMs: 1000}, 3)
+		r.Eject(0, "b1", 5000)
+		for now := 0.0; now < 5000; now += 500 {
+			r.Sent("b1")
+			r.Ended(now, "b1", policy.OK)
+			c.Assert(r.Rank(now, 7, nil, 1, nil, nil)[2], qt.Equals, "b1")
+			c.Assert(r.Home(now, 7, func(id string) bool { return id != "b0" }), qt.Equals, "b2")
+		}
+		c.Assert(r.Rank(4000, 7, func(id string) bool { return id == "b1" }, 1, nil, nil), qt.DeepEquals, []string{"b1"}, qt.Commentf("an empty tier passes down"))
+		if restored {
+			r.Restore(4500, "b1")
+			c.Assert(r.Home(4500, 7, func(id string) bool { return id == "b1" }), qt.Equals, "b1")
+		}
+		r.Eject(5000, "b2", 5000)
+		first := map[string]bool{}
+		for key := range uint64(200) {
+			first[r.Home(6100, key, func(string) bool { return true })] = true
+		}
+		c.Assert(first["b1"], qt.IsTrue)
+		r.Eject(0, "unknown", 1)
+		r.Restore(0, "unknown")
+	}
+}
