Lateness is weak evidence: a backend that answers as many as its peers is pressed

Now what was long waited for tells of an illness only if the backend answers less than 0.4 of what its peers do; slow answers only if most that came in parts were slow, as some make way for more urgent streams; and then one in six of a group at the most is ejected. The check by reports (busy, for how long) is gone: it was worth nothing beside the rate of answers.

--- a/internal/fleet/controlplane/controlplane.go
+++ b/internal/fleet/controlplane/controlplane.go
@@ -37,13 +37,12 @@
 	peers   *peers
 	inputs  chan func(now time.Duration) replication.Output
 	status  atomic.Pointer[replication.Status]
-	changed atomic.Pointer[chan struct{}]   // closed when the status next changes
-	settled atomic.Pointer[applied]         // newest committed state
-	newest  atomic.Pointer[settledDoc]      // which configuration that has, and since when
-	polls   atomic.Pointer[polls]           // what the poller did last, as primary
-	queued  atomic.Pointer[map[string]bool] // backends with requests that wait for a place, by the last round of reports
-	heard   *xsync.Map[string, time.Time]   // when another core machine was last heard, by its address among the core
-	contact *contact                        // with the primary, or as primary with the backups
+	changed atomic.Pointer[chan struct{}] // closed when the status next changes
+	settled atomic.Pointer[applied]       // newest committed state
+	newest  atomic.Pointer[settledDoc]    // which configuration that has, and since when
+	polls   atomic.Pointer[polls]         // what the poller did last, as primary
+	heard   *xsync.Map[string, time.Time] // when another core machine was last heard, by its address among the core
+	contact *contact                      // with the primary, or as primary with the backups
 
 	// What follows belongs to the driver's goroutine.
 	waiting map[uint64]chan<- replication.Answer
--- a/internal/fleet/controlplane/outliers.go
+++ b/internal/fleet/controlplane/outliers.go
@@ -55,7 +55,7 @@
 	if len(reports) == 0 && len(d.ejected) == 0 {
 		return
 	}
-	ejected := d.detector.Step(ms, d.peers(polls.list))
+	ejected := d.detector.Step(ms, peersOf(polls.list))
 	changed := !slices.Equal(ejected, d.ejected)
 	if changed {
 		d.o.log.Info("backends that do far worse than their peers", zap.Any("ejected", ejected))
@@ -65,15 +65,14 @@
 	}
 }
 
-// peers are the listed backends, in groups that serve the same requests.
-func (d *outliers) peers(list *distribution.List) []outlier.Peer {
-	queued := d.o.queued.Load()
+// peersOf are the listed backends, in groups that serve the same requests.
+func peersOf(list *distribution.List) []outlier.Peer {
 	peers := make([]outlier.Peer, 0, len(list.Backends))
 	for _, b := range list.Backends {
 		if b.Draining || b.Phase == distribution.PhaseChanging {
 			continue
 		}
-		peers = append(peers, outlier.Peer{ID: b.ID, Group: b.Service + " " + b.Phase, Queued: queued != nil && (*queued)[b.ID]})
+		peers = append(peers, outlier.Peer{ID: b.ID, Group: b.Service + " " + b.Phase})
 	}
 	return peers
 }
--- a/internal/fleet/controlplane/phases.go
+++ b/internal/fleet/controlplane/phases.go
@@ -92,8 +92,6 @@
 	}
 	before := p.changingNow()
 	p.forgetReports()
-	queued := map[string]bool{}
-	defer p.o.queued.Store(&queued)
 	for _, svc := range settled.doc.Services() {
 		if svc.Runtime == nil || svc.Runtime.Capacity <= 0 {
 			continue
@@ -106,11 +104,6 @@
 		}
 		states := p.reports(ctx, all)
 		machine := p.noteReports(svc.Name, all, states)
-		for _, s := range states {
-			if s.Queues(svc.Runtime.Capacity) {
-				queued[s.ID] = true
-			}
-		}
 		var moves []scheduler.Move
 		if orders {
 			moves = p.decide(machine, now, svc.Runtime.Capacity, states)
--- a/internal/fleet/distribution/messages.go
+++ b/internal/fleet/distribution/messages.go
@@ -48,9 +48,10 @@
 	Backend  string `msg:"b"`
 	Attempts int    `msg:"a"` // that ended or are overdue
 	Failed   int    `msg:"f"` // of them: errors, time-outs, resets, failed connects
-	Slow     int    `msg:"s"` // of them: answered, far slower than usual
-	Overdue  int    `msg:"v"` // of them: not answered in far longer than usual
-	Late     int    `msg:"l"` // attempts told of as overdue that were answered since
+	Slow     int    `msg:"s"` // of them: far slower than usual once their answers had begun
+	Paced    int    `msg:"k"` // of them: answers that came in parts, which shows how fast
+	Overdue  int    `msg:"v"` // of them: not answered within far longer than usual
+	Late     int    `msg:"l"` // attempts told of as overdue, now or before, that have been answered
 }
 
 // OutcomeReport is what one proxy tells of backends.
--- a/internal/fleet/distribution/messages_gen.go
+++ b/internal/fleet/distribution/messages_gen.go
@@ -1934,6 +1934,12 @@
 				err = msgp.WrapError(err, "Slow")
 				return
 			}
+		case "k":
+			z.Paced, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Paced")
+				return
+			}
 		case "v":
 			z.Overdue, err = dc.ReadInt()
 			if err != nil {
@@ -1959,9 +1965,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Outcome) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 6
+	// map header, size 7
 	// write "b"
-	err = en.Append(0x86, 0xa1, 0x62)
+	err = en.Append(0x87, 0xa1, 0x62)
 	if err != nil {
 		return
 	}
@@ -2000,6 +2006,16 @@
 		err = msgp.WrapError(err, "Slow")
 		return
 	}
+	// write "k"
+	err = en.Append(0xa1, 0x6b)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Paced)
+	if err != nil {
+		err = msgp.WrapError(err, "Paced")
+		return
+	}
 	// write "v"
 	err = en.Append(0xa1, 0x76)
 	if err != nil {
@@ -2026,9 +2042,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Outcome) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
 	// string "b"
-	o = append(o, 0x86, 0xa1, 0x62)
+	o = append(o, 0x87, 0xa1, 0x62)
 	o = msgp.AppendString(o, z.Backend)
 	// string "a"
 	o = append(o, 0xa1, 0x61)
@@ -2039,6 +2055,9 @@
 	// string "s"
 	o = append(o, 0xa1, 0x73)
 	o = msgp.AppendInt(o, z.Slow)
+	// string "k"
+	o = append(o, 0xa1, 0x6b)
+	o = msgp.AppendInt(o, z.Paced)
 	// string "v"
 	o = append(o, 0xa1, 0x76)
 	o = msgp.AppendInt(o, z.Overdue)
@@ -2090,6 +2109,12 @@
 				err = msgp.WrapError(err, "Slow")
 				return
 			}
+		case "k":
+			z.Paced, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Paced")
+				return
+			}
 		case "v":
 			z.Overdue, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -2116,7 +2141,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Outcome) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Backend) + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Backend) + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize
 	return
 }
 
--- a/internal/fleet/outlier/detector.go
+++ b/internal/fleet/outlier/detector.go
@@ -10,9 +10,8 @@
 
 // Peer is a listed backend as the Detector compares it with others of its group.
 type Peer struct {
-	ID     string
-	Group  string // what serves the same requests: its service and phase
-	Queued bool   // requests wait there for a place, by its own report
+	ID    string
+	Group string // what serves the same requests: its service and phase
 }
 
 const (
@@ -23,12 +22,14 @@
 	// leastShare is the part of the attempts, on the mean over proxies, that must have ended badly, and timesPeers how many times
 	// the median of its peers' that must be. Where all do badly alike it is load.
 	leastShare, timesPeers = 0.18, 3
-	// loadRate is the part of the median rate of its peers' answers above which a backend that is late may be pressed rather than ill:
-	// it is ejected only once it was late for slowFor, ms, without a queue.
-	loadRate, slowFor = 0.4, 1200
+	// loadRate is the part of the median rate of its peers' answers above which a backend that is late is pressed rather than ill.
+	loadRate = 0.4
 	// calmShare is the part of bad ends that three in four of a group's backends stay below while it is not pressed. While it is,
 	// lateness tells nothing of a backend, unless its rate of answers is below silentRate of the median.
 	calmShare, silentRate = 0.05, 0.1
+	// leastSlow is the part of the answers that came slowly at a backend that is ill for certain: some come so where streams make way
+	// for more urgent ones.
+	leastSlow = 0.6
 	// leastLate is what leastShare is for lateness alone.
 	leastLate = 0.25
 	// mostEjected is one in how many of a group are ejected at the most, and mostLate where the next one is only late.
@@ -49,8 +50,9 @@
 	zone     string
 	attempts float64
 	failed   float64
-	slow     float64 // answered, far slower than usual
-	overdue  float64 // not answered in far longer than usual
+	slow     float64 // far slower than usual once its answer had begun
+	paced    float64 // came in parts, which shows how fast
+	overdue  float64 // not answered within far longer than usual
 	late     float64 // overdue, and answered in the end
 	answers  float64 // of all kinds, fading faster
 	at       float64
@@ -62,6 +64,7 @@
 	t.attempts *= part
 	t.failed *= part
 	t.slow *= part
+	t.paced *= part
 	t.overdue *= part
 	t.late *= part
 	t.answers *= math.Exp2(-(now - t.at) / answersHalf)
@@ -76,6 +79,14 @@
 	return min(t.bad()/t.attempts, 1)
 }
 
+// failedShare is the part of the attempts that failed.
+func (t *tally) failedShare() float64 {
+	if t.attempts <= 0 {
+		return 0
+	}
+	return min(t.failed/t.attempts, 1)
+}
+
 // bad is how many attempts ended badly or are overdue.
 func (t *tally) bad() float64 { return t.failed + t.slow + t.overdue }
 
@@ -89,16 +100,15 @@
 
 // subject is what is known of one backend.
 type subject struct {
-	byProxy   map[string]*tally
-	badAt     float64 // when a bad end was last counted
-	suspectAt float64 // since when it does far worse than its peers; 0: it doesn't
-	ejected   bool
-	since     float64 // of the ejection
-	slow      bool    // it served, only slowly
-	zone      string  // for whose proxies; "": for all
-	good      int     // trials since the last bad one
-	strikes   int
-	struckAt  float64
+	byProxy  map[string]*tally
+	badAt    float64 // when a bad end was last counted
+	ejected  bool
+	since    float64 // of the ejection
+	slow     bool    // it served, only slowly
+	zone     string  // for whose proxies; "": for all
+	good     int     // trials since the last bad one
+	strikes  int
+	struckAt float64
 }
 
 // Detector decides which backends are ejected. Times are in ms on a clock that doesn't go back.
@@ -117,7 +127,7 @@
 }
 
 func (d *Detector) observe(now float64, report *distribution.OutcomeReport, o *distribution.Outcome) {
-	if o.Attempts < 0 || o.Failed < 0 || o.Slow < 0 || o.Overdue < 0 || o.Late < 0 || o.Failed+o.Slow+o.Overdue > o.Attempts {
+	if o.Attempts < 0 || o.Failed < 0 || o.Slow < 0 || o.Overdue < 0 || o.Late < 0 || o.Slow > o.Paced || o.Failed+o.Paced+o.Overdue > o.Attempts {
 		return
 	}
 	s := d.subjects[o.Backend]
@@ -138,6 +148,7 @@
 	t.attempts += float64(o.Attempts)
 	t.failed += float64(o.Failed)
 	t.slow += float64(o.Slow)
+	t.paced += float64(o.Paced)
 	t.overdue += float64(o.Overdue)
 	t.late += float64(o.Late)
 	t.answers += float64(o.Attempts - o.Failed - o.Overdue + o.Late)
@@ -155,6 +166,8 @@
 	share      float64 // of the attempts that ended badly, on the mean over proxies
 	failing    float64 // and of those that failed or got no answer
 	failed     float64 // and of those that failed
+	paced      float64 // proxies that know how fast its answers come
+	slow       float64 // the part of these answers that came slowly, on the mean over those
 	answers    float64 // their rate, fading
 }
 
@@ -170,8 +183,11 @@
 		j.proxies += weight
 		j.share += weight * t.share()
 		j.failing += weight * t.failing()
-		if t.attempts > 0 {
-			j.failed += weight * min(t.failed/t.attempts, 1)
+		j.failed += weight * t.failedShare()
+		if t.paced > 0 {
+			paced := min(t.paced, 1)
+			j.paced += paced
+			j.slow += paced * min(t.slow/t.paced, 1)
 		}
 		j.answers += t.answers
 		if t.bad() >= complaintLeast {
@@ -183,6 +199,9 @@
 		j.failing /= j.proxies
 		j.failed /= j.proxies
 	}
+	if j.paced > 0 {
+		j.slow /= j.paced
+	}
 	return j
 }
 
@@ -275,14 +294,7 @@
 			continue
 		}
 		zone, of, ok := s.suspect(now, peers.share)
-		if !ok {
-			s.suspectAt = 0
-			continue
-		}
-		if s.suspectAt == 0 {
-			s.suspectAt = now
-		}
-		if of.failed < leastShare/2 && (of.share < leastLate || peers.mayPress(&of, p.Queued, now-s.suspectAt)) {
+		if !ok || !of.certain() && (of.share < leastLate || peers.mayPress(&of)) {
 			continue
 		}
 		candidates = append(candidates, candidate{subject: s, zone: zone, judged: of})
@@ -290,7 +302,7 @@
 	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(b.share, a.share) })
 	for _, c := range candidates {
 		most := len(group) / mostEjected
-		if c.failed < leastShare/2 {
+		if !c.certain() {
 			most = len(group) / mostLate
 		}
 		if ejected < most {
@@ -307,15 +319,15 @@
 	answers float64 // the median of their rates of answers
 }
 
-// mayPress tells whether a backend that is late may be pressed rather than ill, where it has been late for so long.
-func (g *peers) mayPress(of *judged, queued bool, lateFor float64) bool {
+// mayPress tells whether a backend that is late may be pressed rather than ill.
+func (g *peers) mayPress(of *judged) bool {
 	switch {
 	case of.answers <= silentRate*g.answers:
 		return false
 	case g.high > calmShare:
 		return true
 	}
-	return of.answers > loadRate*g.answers && (queued || lateFor < slowFor)
+	return of.answers > loadRate*g.answers
 }
 
 // peers sums up the backends of a group that are in use.
@@ -372,6 +384,11 @@
 	return j.complaints >= leastComplaints && j.share >= max(leastShare, timesPeers*shares)
 }
 
+// certain tells whether no load explains what the proxies saw: attempts failed, or nearly all answers came slowly.
+func (j *judged) certain() bool {
+	return j.failed >= leastShare/2 || j.paced >= 1 && j.slow >= leastSlow
+}
+
 // onlySlow tells whether the backend answers, too late.
 func (j *judged) onlySlow() bool { return j.failing < j.share/2 }
 
@@ -403,7 +420,7 @@
 
 // restore ends an ejection. What was counted before tells nothing of the backend as it is now.
 func (s *subject) restore(now float64) {
-	s.ejected, s.zone, s.good, s.badAt, s.suspectAt = false, "", 0, math.Inf(-1), 0
+	s.ejected, s.zone, s.good, s.badAt = false, "", 0, math.Inf(-1)
 	s.strikes, s.struckAt = min(s.strikes+1, mostStrikes), now
 	clear(s.byProxy)
 }
--- a/internal/fleet/outlier/recorder.go
+++ b/internal/fleet/outlier/recorder.go
@@ -14,7 +14,11 @@
 	Untold Result = iota
 	// Good is a served answer in the time that is usual.
 	Good
-	// Slow is a served answer that took several times as long as usual.
+	// Paced is a served answer that came in parts, as fast as usual.
+	Paced
+	// Late is a served answer for which far longer than usual was waited, be it for a place there or for the answer itself.
+	Late
+	// Slow is a served answer that came several times as slowly as usual once it had begun.
 	Slow
 	// Failed is an error answer, a reset or a failed connect.
 	Failed
@@ -111,14 +115,20 @@
 	}
 	o.Attempts++
 	switch how {
+	case Late:
+		o.Overdue++
+		o.Late++
+	case Paced:
+		o.Paced++
 	case Slow:
+		o.Paced++
 		o.Slow++
 	case Failed:
 		o.Failed++
 	case Unanswered:
 		o.Overdue++
 	}
-	r.adverse = r.adverse || how != Good
+	r.adverse = r.adverse || how != Good && how != Paced
 }
 
 // of gives the counts of a backend; nil: there is no room for them.
--- a/internal/fleet/proxy/generate.go
+++ b/internal/fleet/proxy/generate.go
@@ -36,7 +36,7 @@
 	bound := t.slowBound(expectedMs)
 	attempt := t.svc.attempt(b.ID, bound)
 	defer func() {
-		attempt.end(status, speedOf(took, expectedMs, bound))
+		attempt.end(status, speedOf(took, expectedMs, bound), false)
 		t.svc.mu.Lock()
 		t.svc.engines.Read(b.ID, tokens, took)
 		t.svc.engines.Ended(b.ID)
--- a/internal/fleet/proxy/outcomes.go
+++ b/internal/fleet/proxy/outcomes.go
@@ -72,22 +72,23 @@
 const (
 	speedUsual speed = iota
 	speedUnclear
-	speedSlow
+	speedLate // it was long waited for
+	speedSlow // it came slowly
 )
 
-// speedOf is the speed of an answer that took so long, ms, where it usually takes so long and counts as slow beyond a bound.
+// speedOf is the speed of an answer that took so long, ms, where it usually takes so long and counts as late beyond a bound.
 func speedOf(took, usual, bound float64) speed {
 	switch {
 	case took > bound:
-		return speedSlow
+		return speedLate
 	case took > clearTimes*usual+leastSlowGap:
 		return speedUnclear
 	}
 	return speedUsual
 }
 
-// end counts the attempt. Only what was as fast as is usual clears a backend that is on trial.
-func (a *attempt) end(how policy.Status, fast speed) {
+// end counts the attempt; paced tells whether its answer came in parts, which shows how fast. Only what was as fast as is usual clears a backend that is on trial.
+func (a *attempt) end(how policy.Status, fast speed, paced bool) {
 	a.svc.mu.Lock()
 	defer a.svc.mu.Unlock()
 	result := outlier.Untold
@@ -96,6 +97,10 @@
 		switch {
 		case fast == speedSlow:
 			result = outlier.Slow
+		case fast == speedLate:
+			result = outlier.Late
+		case paced:
+			result = outlier.Paced
 		case fast == speedUsual || !a.svc.trials.Ejected(a.began, a.id):
 			result = outlier.Good
 		}
@@ -118,15 +123,15 @@
 }
 
 // streamed notes how a stream came, and tells whether its backend was far slower than is usual.
-func (s *service) streamed(t *try, staged bool, bound float64, first time.Duration, r *relay) speed {
+func (s *service) streamed(t *try, staged bool, bound float64, first time.Duration, r *relay) (fast speed, paced bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if r.total == 0 {
-		return speedUnclear
+		return speedUnclear, false
 	}
 	firstMs := float64(first.Microseconds()) / 1000
 	gap := r.gapMs()
-	slow := firstMs > bound || s.usualGap.ms > 0 && gap > s.slowGap()
+	slow := s.usualGap.ms > 0 && gap > s.slowGap()
 	// A stream without a gap tells little where others have some.
 	clear := gap > 0 && gap < clearTimes*s.usualGap.ms || s.usualGap.ms == 0 && firstMs < clearTimes*s.usualFirst.ms
 	if staged {
@@ -137,11 +142,13 @@
 	}
 	switch {
 	case slow:
-		return speedSlow
+		return speedSlow, true
+	case firstMs > bound:
+		return speedLate, false
 	case clear:
-		return speedUsual
+		return speedUsual, gap > 0
 	}
-	return speedUnclear
+	return speedUnclear, false
 }
 
 // slowGap is the mean gap of a stretch of a stream beyond which it counts as slow, ms. The lock is held.
--- a/internal/fleet/proxy/serve.go
+++ b/internal/fleet/proxy/serve.go
@@ -289,7 +289,7 @@
 		if status == policy.OK {
 			t.svc.tookWhole(t, took)
 		}
-		attempt.end(status, speedOf(took, usual, bound))
+		attempt.end(status, speedOf(took, usual, bound), false)
 		t.svc.ended(id, status)
 	}()
 	x := extra{until: t.deadline, priority: -1}
--- a/internal/fleet/proxy/service.go
+++ b/internal/fleet/proxy/service.go
@@ -169,7 +169,7 @@
 	defer s.mu.Unlock()
 	ms := float64(took.Microseconds()) / 1000
 	s.pace.Came(s.now(), ms, events)
-	how := outlier.Good
+	how := outlier.Paced
 	if s.usualGap.ms > 0 && ms/float64(events) > s.slowGap() {
 		how = outlier.Slow
 	}
--- a/internal/fleet/proxy/stream.go
+++ b/internal/fleet/proxy/stream.go
@@ -39,7 +39,8 @@
 	bound := t.svc.firstBound(t, h != nil, pl.readMs)
 	attempt := t.svc.attempt(b.ID, bound)
 	defer func() {
-		attempt.end(status, t.svc.streamed(t, h != nil, bound, began.Sub(start), r))
+		fast, paced := t.svc.streamed(t, h != nil, bound, began.Sub(start), r)
+		attempt.end(status, fast, paced)
 		t.svc.mu.Lock()
 		t.svc.engines.Read(b.ID, pl.tokens, read)
 		t.svc.engines.Ended(b.ID)
--- a/internal/fleet/scheduler/phases.go
+++ b/internal/fleet/scheduler/phases.go
@@ -35,14 +35,6 @@
 	Orders   uint64 // orders that it has taken
 }
 
-// queuedReads is how many prompts are under way at a backend that reads when some of them wait.
-const queuedReads = 3
-
-// Queues tells whether requests wait there for a place of so many, or for their prompts to be read.
-func (s *EngineState) Queues(capacity int) bool {
-	return s.Prefill && s.Active >= queuedReads || s.Active > capacity
-}
-
 // Move has a backend change its phase.
 type Move struct {
 	ID      string
