--- a/internal/plantedfault/plantedfault.go
+++ b/internal/plantedfault/plantedfault.go
@@ -14,11 +14,13 @@
 	"github.com/go-faster/errors"
 )
 
-// Fault is a deliberate error in the package whose test runs.
+// Fault is a deliberate error.
 type Fault struct {
 	Name  string
 	Texts []string // old, new, old, new ...: each old text is there exactly once in the package's sources
 	Tests string   // which tests must find it, as for go test -run
+	Dir   string   // of the package with the sources and the tests; empty: the one whose test runs
+	Args  []string // to go test besides
 }
 
 // Find lays each fault in turn and has the tests that it names fail.
@@ -29,7 +31,9 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			cmd := exec.CommandContext(t.Context(), "go", "test", "-vet=off", "-p=2", "-count=1", "-timeout=3m", "-overlay", overlay, "-run", f.Tests, ".")
+			args := []string{"test", "-vet=off", "-p=2", "-count=1", "-timeout=3m", "-overlay", overlay, "-run", f.Tests, "."}
+			cmd := exec.CommandContext(t.Context(), "go", append(args, f.Args...)...)
+			cmd.Dir = f.Dir
 			out, err := cmd.CombinedOutput()
 			switch {
 			case strings.Contains(string(out), "[build failed]"):
@@ -56,7 +60,7 @@
 
 // lay writes the changed sources and the overlay that names them into dir.
 func (f *Fault) lay(dir string) (overlay string, err error) {
-	texts, err := sources()
+	texts, err := sources(f.Dir)
 	if err != nil {
 		return "", err
 	}
@@ -82,13 +86,13 @@
 	return overlay, os.WriteFile(overlay, list, 0o600)
 }
 
-// sources are the files of the package in the working directory that are neither tests nor generated, by absolute path.
-func sources() (map[string]string, error) {
-	here, err := os.Getwd()
+// sources are the files of the package in a folder that are neither tests nor generated, by absolute path.
+func sources(dir string) (map[string]string, error) {
+	at, err := filepath.Abs(dir)
 	if err != nil {
 		return nil, errors.Wrap(err, "working directory")
 	}
-	files, err := filepath.Glob(filepath.Join(here, "*.go"))
+	files, err := filepath.Glob(filepath.Join(at, "*.go"))
 	if err != nil {
 		return nil, errors.Wrap(err, "list")
 	}
