--- a/cmd/molepaddle-fleet/leave_test.go
+++ b/cmd/molepaddle-fleet/leave_test.go
@@ -71,6 +71,120 @@
 	f.checkRules()
 }
 
+// holdStream starts a stream at an edge machine that lasts until release is called.
+func (f *fleet) holdStream(edge int) (answer <-chan simulation.Result, release func()) {
+	var releases []func()
+	for _, e := range f.decode {
+		releases = append(releases, e.Hold())
+	}
+	was := startedRuns(f.engines())
+	answer = f.doAsync(edge, hazard())
+	f.eventually(testTimeout, "the stream has begun", func() bool { return startedRuns(f.engines()) > was })
+	return answer, func() {
+		for _, release := range releases {
+			release()
+		}
+	}
+}
+
+// terminate sends SIGTERM to all programs of a machine, as the platform does.
+func (m *machine) terminate() {
+	for _, p := range m.programs {
+		m.f.expectExit(p)
+		p.Signal(syscall.SIGTERM)
+	}
+}
+
+// TestDrainingProxyFollowsConfiguration ends a machine whose proxy has a stream to finish: a route that is added
+// meanwhile is served there, as the node agent stays for as long as its proxy does, and both end once the stream has.
+func TestDrainingProxyFollowsConfiguration(t *testing.T) {
+	f := newFleet(t, fleetOptions{})
+	m := f.edge[0]
+	stream, release := f.holdStream(0)
+	m.terminate()
+	f.awaitNotReady(m)
+	const added = 2
+	f.Assert(f.applyAddRoute(added).Status, qt.Equals, http.StatusOK)
+	client := &simulation.Client{Edge: m.boot.Edge}
+	f.clients = append(f.clients, client)
+	by := time.Now().Add(f.bound("apply_ms", time.Millisecond))
+	served := func() bool { return client.Do(f.ctx, addedRouteRequest(added)).OK() }
+	f.eventually(testTimeout, "the added route is in force", served)
+	f.Check(time.Now().Before(by), qt.IsTrue)
+	release()
+	f.checkServed(<-stream, "under way at SIGTERM")
+	for role, p := range m.programs {
+		code, err := p.Wait(f.withTimeout(testTimeout))
+		f.Assert(err, qt.IsNil, qt.Commentf("%s", role))
+		f.Check(code, qt.Equals, 0, qt.Commentf("%s", role))
+	}
+	f.checkRules()
+}
+
+// TestNodeAgentEndsAlone ends a node agent whose proxy goes on: it doesn't wait for it.
+func TestNodeAgentEndsAlone(t *testing.T) {
+	f := newFleet(t, fleetOptions{})
+	agent := f.edge[0].programs["node-agent"]
+	f.expectExit(agent)
+	agent.Signal(syscall.SIGTERM)
+	term := time.Now()
+	code, err := agent.Wait(f.withTimeout(testTimeout))
+	f.Assert(err, qt.IsNil)
+	f.Check(code, qt.Equals, 0)
+	f.Check(time.Since(term) < 3*time.Second, qt.IsTrue, qt.Commentf("ended after %v", time.Since(term)))
+	f.checkServed(f.clients[0].Do(f.ctx, lookup()), "without a node agent")
+	f.checkRules()
+}
+
+// TestAllProxiesEndAtOnce ends all edge machines while each has a stream to finish: until their ends they serve what
+// they can finish, and what they can't is told to come back when they are back, rather than at another of them.
+func TestAllProxiesEndAtOnce(t *testing.T) {
+	f := newFleet(t, fleetOptions{})
+	var streams []<-chan simulation.Result
+	var releases []func()
+	for i := range f.edge {
+		stream, release := f.holdStream(i)
+		streams = append(streams, stream)
+		releases = append(releases, release)
+	}
+	term := time.Now()
+	for _, m := range f.edge {
+		m.terminate()
+	}
+	grace := f.bound("grace_s", time.Second)
+	long := hazard()
+	long.Deadline, long.Tokens = testTimeout, [2]int{220, 300}
+	for i, m := range f.edge {
+		f.awaitNotReady(m)
+		client := &simulation.Client{Edge: m.boot.Edge}
+		f.clients = append(f.clients, client)
+		told := func() bool {
+			refused := client.Do(f.ctx, long)
+			f.Assert(refused.Status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("%d: %v", i, refused.Err))
+			return time.Now().Add(refused.RetryAfter).After(term.Add(grace - time.Second))
+		}
+		f.eventually(2*time.Second, "a client is told when they are back", told)
+	}
+	// Longer than any of them would accept clients if others served: nobody else is there.
+	f.eventually(testTimeout, "3.5 s are over", func() bool { return time.Since(term) > 3500*time.Millisecond })
+	for _, client := range f.clients[len(f.edge):] {
+		f.checkServed(client.Do(f.ctx, lookup()), "while all drain")
+	}
+	for _, release := range releases {
+		release()
+	}
+	for _, stream := range streams {
+		f.checkServed(<-stream, "under way at SIGTERM")
+	}
+	for _, m := range f.edge {
+		code, err := m.programs["proxy"].Wait(f.withTimeout(testTimeout))
+		f.Assert(err, qt.IsNil)
+		f.Check(code, qt.Equals, 0)
+		f.Check(time.Since(term) < grace, qt.IsTrue, qt.Commentf("ended after %v", time.Since(term)))
+	}
+	f.checkRules()
+}
+
 // TestCoreShutsDownInTurn shuts down each core machine, the primary of the moment first, while changes come one
 // after the other. Each is released by the others before its grace is over, and comes back; every change is
 // acknowledged.
--- a/cmd/molepaddle-fleet/programs.go
+++ b/cmd/molepaddle-fleet/programs.go
@@ -30,7 +30,7 @@
 // Run runs the proxy until SIGTERM or SIGINT.
 func (proxyCmd) Run(ctx context.Context, a *app) error {
 	return a.runProgram(ctx, func(ctx context.Context, set settings.Settings, log *zap.Logger) error {
-		return proxy.New(ctx, set, log).Run(ctx)
+		return proxy.New(context.WithoutCancel(ctx), set, log).Run(ctx)
 	})
 }
 
--- a/internal/fleet/controlplane/distribution.go
+++ b/internal/fleet/controlplane/distribution.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"time"
 
 	"molepaddle/internal/fleet/distribution"
@@ -54,9 +55,11 @@
 			continue
 		}
 		term, cancel := context.WithCancel(ctx)
-		go s.cancelWithPrimary(term, cancel, st.PrimaryAddr)
+		var watching sync.WaitGroup
+		watching.Go(func() { s.cancelWithPrimary(term, cancel, st.PrimaryAddr) })
 		_ = distribution.Watch(term, distribution.PullAddr(host, s.settings.Ports), s.watcher())
 		cancel()
+		watching.Wait()
 		sleep(ctx, followRetry)
 	}
 }
@@ -84,11 +87,19 @@
 		Name:        s.settings.NodeName,
 		MaxWait:     maxWait,
 		ReadTimeout: readTimeout,
-		Members:     func() []distribution.Member { return s.cache.Members(time.Now(), 3*s.settings.Heartbeat) },
+		Members:     s.pullingMembers,
+		PushMembers: s.pullingMembers,
 		Versions:    s.cache.Versions,
 		Apply:       func(n *distribution.Response) []string { return s.cache.Apply(n, time.Now()) },
 		Residency:   func(time.Time) *distribution.ResidencyOutbox { return s.cache.Residency },
 		Outcomes:    s.cache.Outcomes,
 		Dial:        s.Dial,
+
+		MembersChanged: s.cache.DrainingChanged(),
 	}
 }
+
+// pullingMembers returns the members behind this control server whose leases stand.
+func (s *Server) pullingMembers() []distribution.Member {
+	return s.cache.Members(time.Now(), 3*s.settings.Heartbeat)
+}
--- a/internal/fleet/controlplane/poller.go
+++ b/internal/fleet/controlplane/poller.go
@@ -170,12 +170,18 @@
 	}
 }
 
-// publishMembershipSize publishes how many proxies hold a lease, where that has changed.
+// publishMembershipSize publishes how many proxies hold a lease, and how many of them drain, where that has changed.
 func (p *poller) publishMembershipSize() {
 	size := distribution.MembershipSize{Zones: map[string]int{}}
 	for _, m := range p.server.cache.Members(time.Now(), p.server.memberLease()) {
 		size.Proxies++
 		size.Zones[m.Zone]++
+		if m.Draining {
+			if size.Draining == nil {
+				size.Draining = map[string]int{}
+			}
+			size.Draining[m.Zone]++
+		}
 	}
 	if size.Proxies > 0 && (p.term.membershipSize == nil || !reflect.DeepEqual(*p.term.membershipSize, size)) {
 		p.publish(distribution.MembershipSizeType, &size)
--- a/internal/fleet/controlplane/server.go
+++ b/internal/fleet/controlplane/server.go
@@ -15,6 +15,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -168,11 +169,26 @@
 	control net.Listener // the operator's calls
 }
 
-// listen opens the sockets. It waits sockets.ListenWithin for an address that is still taken.
+// close closes the sockets that are open.
+func (l *listeners) close() {
+	for _, ln := range []net.Listener{l.core, l.pulls, l.control} {
+		if ln != nil {
+			_ = ln.Close() // at worst it was closed before
+		}
+	}
+}
+
+// listen opens the sockets: all of them, or none and an error. It waits sockets.ListenWithin for an address that is
+// still taken.
 func (s *Server) listen(ctx context.Context) (l listeners, err error) {
 	if s.settings.Bind.Control == "" {
 		return l, errors.New("bind: ctl must be given")
 	}
+	defer func() {
+		if err != nil {
+			l.close()
+		}
+	}()
 	l.core, err = sockets.Listen(ctx, distribution.CoreAddr(s.settings.IP, s.settings.Ports), sockets.ListenWithin)
 	if err != nil {
 		return l, errors.Wrap(err, "listen for the core")
@@ -189,7 +205,8 @@
 }
 
 // Run serves until ctx ends and the core has taken over what this machine does, at most handOverTimeout later. It
-// returns an error when a socket can't be opened or the state store can't be closed.
+// returns when what it began has ended, shutdownTimeout later at the most, with an error when a socket can't be opened
+// or the state store can't be closed.
 func (s *Server) Run(ctx context.Context) error {
 	ctx, stopServing := s.serveUntilReleased(ctx)
 	defer stopServing()
@@ -203,18 +220,18 @@
 		IdleTimeout:       idleTimeout,
 		ErrorLog:          zap.NewStdLog(s.log),
 	}
-	go func() { _ = server.Serve(l.control) }()
-	go s.transport.serve(ctx, l.core, s.receive, s.peerDisconnected)
-	go s.servePulls(ctx, l.pulls)
-	go s.followPrimary(ctx)
-	go s.poll(ctx)
-	go s.detectOutliers(ctx)
-	go s.recordResidency(ctx)
+	var tasks sync.WaitGroup
+	tasks.Go(func() { _ = server.Serve(l.control) })
+	tasks.Go(func() { s.transport.serve(ctx, l.core, s.receive, s.peerDisconnected) })
+	tasks.Go(func() { s.servePulls(ctx, l.pulls) })
+	tasks.Go(func() { s.followPrimary(ctx) })
+	tasks.Go(func() { s.poll(ctx) })
+	tasks.Go(func() { s.detectOutliers(ctx) })
+	tasks.Go(func() { s.recordResidency(ctx) })
 	closeListeners := func() {
 		l.core.Close()
 		l.pulls.Close()
 	}
-	defer closeListeners()
 	stop := context.AfterFunc(ctx, closeListeners)
 	defer stop()
 	s.log.Info("started")
@@ -222,8 +239,26 @@
 	end, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	_ = server.Shutdown(end)
+	if !waitTasks(end, &tasks) {
+		s.log.Warn("ended before all that was under way")
+	}
 	if err := s.storage.Close(); err != nil {
 		return errors.Wrap(err, "close state store")
 	}
 	return nil
 }
+
+// waitTasks waits until all tasks have ended, and reports whether they have before ctx did.
+func waitTasks(ctx context.Context, tasks *sync.WaitGroup) bool {
+	ended := make(chan struct{})
+	go func() {
+		tasks.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/fleet/controlplane/transport.go
+++ b/internal/fleet/controlplane/transport.go
@@ -140,10 +140,13 @@
 }
 
 // serve accepts connections of the other core machines until ctx ends, hands their messages to receive, and calls ended
-// with the address of a machine whose connection has ended ("": it had sent nothing).
+// with the address of a machine whose connection has ended ("": it had sent nothing). It returns when all of that is
+// done.
 func (t *transport) serve(
 	ctx context.Context, ln net.Listener, receive func(from string, m *replication.Message), ended func(from string),
 ) {
+	var conns sync.WaitGroup
+	defer conns.Wait()
 	for {
 		c, err := ln.Accept()
 		if err != nil {
@@ -153,7 +156,7 @@
 			time.Sleep(acceptRetry)
 			continue
 		}
-		go readMessages(ctx, c, receive, ended)
+		conns.Go(func() { readMessages(ctx, c, receive, ended) })
 	}
 }
 
--- a/internal/fleet/distribution/cache.go
+++ b/internal/fleet/distribution/cache.go
@@ -20,6 +20,9 @@
 	changed chan struct{} // closed and replaced whenever an entry changes
 	leases  leaseTable
 
+	// drainingChanged holds a value once a member has begun or ceased to drain, until it is pushed on.
+	drainingChanged chan struct{}
+
 	primary   string
 	contactAt time.Time // when the chain of servers last had contact with the primary
 }
@@ -32,6 +35,8 @@
 		entries:   map[string]*entry{},
 		changed:   make(chan struct{}),
 		leases:    leaseTable{},
+
+		drainingChanged: make(chan struct{}, 1),
 	}
 }
 
@@ -105,9 +110,19 @@
 func (c *Cache) Renew(members []Member, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.leases.renew(members, now)
+	if !c.leases.renew(members, now) {
+		return
+	}
+	select {
+	case c.drainingChanged <- struct{}{}:
+	default:
+	}
 }
 
+// DrainingChanged returns a channel that gives a value once a member has begun or ceased to drain; for one receiver at
+// a time.
+func (c *Cache) DrainingChanged() <-chan struct{} { return c.drainingChanged }
+
 // Members returns those whose lease is younger than maxAge, in no order, and drops the others.
 func (c *Cache) Members(now time.Time, maxAge time.Duration) []Member {
 	c.mu.Lock()
--- a/internal/fleet/distribution/leases.go
+++ b/internal/fleet/distribution/leases.go
@@ -14,14 +14,21 @@
 // leaseTable holds the leases by the member's name.
 type leaseTable map[string]lease
 
-// renew records the renewals that a request carries. An older renewal that comes by another way changes nothing.
-func (t leaseTable) renew(members []Member, now time.Time) {
+// renew records the renewals that a request carries. An older renewal that comes by another way changes nothing. It
+// reports whether a member has begun or ceased to drain.
+func (t leaseTable) renew(members []Member, now time.Time) (drainingChanged bool) {
 	for _, m := range members {
 		renewedAt := now.Add(-time.Duration(m.AgeMs) * time.Millisecond)
-		if l, ok := t[m.Name]; (!ok && len(t) < maxLeases) || renewedAt.After(l.renewedAt) {
-			t[m.Name] = lease{Member: m, renewedAt: renewedAt}
+		l, ok := t[m.Name]
+		if ok && !renewedAt.After(l.renewedAt) || !ok && len(t) >= maxLeases {
+			continue
+		}
+		t[m.Name] = lease{Member: m, renewedAt: renewedAt}
+		if m.Draining != l.Draining {
+			drainingChanged = true
 		}
 	}
+	return drainingChanged
 }
 
 // current returns the members whose lease is younger than maxAge, with their ages as of now, and drops the others.
--- a/internal/fleet/distribution/messages.go
+++ b/internal/fleet/distribution/messages.go
@@ -46,6 +46,8 @@
 	// BackendListVersion is that of the backend list in force there; zero: none, or one that its node agent polled
 	// itself.
 	BackendListVersion Version `msg:"l"`
+	// Draining says that the process is shutting down: it takes clients no more. Left out while it serves.
+	Draining bool `msg:"d,omitempty"`
 }
 
 // Request asks for what the sender lacks, and renews the leases of the members behind it.
@@ -64,7 +66,8 @@
 	Final bool `msg:"z,omitempty"`
 	// Outcomes are how attempts at backends ended; left out where there are none.
 	Outcomes []OutcomeReport `msg:"o,omitempty"`
-	// Push is set on a request that only delivers something: it is answered at once, without resources.
+	// Push is set on a request that only delivers something, outcomes or renewals of leases: it is answered at once,
+	// without resources.
 	Push bool `msg:"u,omitempty"`
 }
 
@@ -188,6 +191,8 @@
 	Proxies int `msg:"n"`
 	// Zones is their number by zone.
 	Zones map[string]int `msg:"z"`
+	// Draining is how many of them are shutting down, by zone; left out where none is.
+	Draining map[string]int `msg:"d,omitempty"`
 }
 
 // ControlServers are the members of the current view as those who pull from them need them.
--- a/internal/fleet/distribution/messages_gen.go
+++ b/internal/fleet/distribution/messages_gen.go
@@ -311,6 +311,152 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *BackendList) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "b":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Backends")
+				return
+			}
+			if cap(z.Backends) >= int(zb0002) {
+				z.Backends = (z.Backends)[:zb0002]
+			} else {
+				z.Backends = make([]Backend, zb0002)
+			}
+			for za0001 := range z.Backends {
+				err = z.Backends[za0001].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Backends", za0001)
+					return
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *BackendList) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 1
+	// write "b"
+	err = en.Append(0x81, 0xa1, 0x62)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Backends)))
+	if err != nil {
+		err = msgp.WrapError(err, "Backends")
+		return
+	}
+	for za0001 := range z.Backends {
+		err = z.Backends[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Backends", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *BackendList) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "b"
+	o = append(o, 0x81, 0xa1, 0x62)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Backends)))
+	for za0001 := range z.Backends {
+		o, err = z.Backends[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Backends", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *BackendList) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "b":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Backends")
+				return
+			}
+			if cap(z.Backends) >= int(zb0002) {
+				z.Backends = (z.Backends)[:zb0002]
+			} else {
+				z.Backends = make([]Backend, zb0002)
+			}
+			for za0001 := range z.Backends {
+				bts, err = z.Backends[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Backends", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *BackendList) Msgsize() (s int) {
+	s = 1 + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Backends {
+		s += z.Backends[za0001].Msgsize()
+	}
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Change) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -333,33 +479,33 @@
 			var zb0002 uint32
 			zb0002, err = dc.ReadMapHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "At")
+				err = msgp.WrapError(err, "Version")
 				return
 			}
 			for zb0002 > 0 {
 				zb0002--
 				field, err = dc.ReadMapKeyPtr()
 				if err != nil {
-					err = msgp.WrapError(err, "At")
+					err = msgp.WrapError(err, "Version")
 					return
 				}
 				switch msgp.UnsafeString(field) {
 				case "e":
 					z.Version.Epoch, err = dc.ReadUint64()
 					if err != nil {
-						err = msgp.WrapError(err, "At", "Epoch")
+						err = msgp.WrapError(err, "Version", "Epoch")
 						return
 					}
 				case "n":
 					z.Version.Count, err = dc.ReadUint64()
 					if err != nil {
-						err = msgp.WrapError(err, "At", "Count")
+						err = msgp.WrapError(err, "Version", "Count")
 						return
 					}
 				default:
 					err = dc.Skip()
 					if err != nil {
-						err = msgp.WrapError(err, "At")
+						err = msgp.WrapError(err, "Version")
 						return
 					}
 				}
@@ -403,7 +549,7 @@
 	}
 	err = en.WriteUint64(z.Version.Epoch)
 	if err != nil {
-		err = msgp.WrapError(err, "At", "Epoch")
+		err = msgp.WrapError(err, "Version", "Epoch")
 		return
 	}
 	// write "n"
@@ -413,7 +559,7 @@
 	}
 	err = en.WriteUint64(z.Version.Count)
 	if err != nil {
-		err = msgp.WrapError(err, "At", "Count")
+		err = msgp.WrapError(err, "Version", "Count")
 		return
 	}
 	// write "r"
@@ -483,33 +629,33 @@
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "At")
+				err = msgp.WrapError(err, "Version")
 				return
 			}
 			for zb0002 > 0 {
 				zb0002--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "At")
+					err = msgp.WrapError(err, "Version")
 					return
 				}
 				switch msgp.UnsafeString(field) {
 				case "e":
 					z.Version.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "At", "Epoch")
+						err = msgp.WrapError(err, "Version", "Epoch")
 						return
 					}
 				case "n":
 					z.Version.Count, bts, err = msgp.ReadUint64Bytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "At", "Count")
+						err = msgp.WrapError(err, "Version", "Count")
 						return
 					}
 				default:
 					bts, err = msgp.Skip(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "At")
+						err = msgp.WrapError(err, "Version")
 						return
 					}
 				}
@@ -566,7 +712,7 @@
 			var zb0002 uint32
 			zb0002, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Pulls")
+				err = msgp.WrapError(err, "PullAddrs")
 				return
 			}
 			if cap(z.PullAddrs) >= int(zb0002) {
@@ -577,7 +723,7 @@
 			for za0001 := range z.PullAddrs {
 				z.PullAddrs[za0001], err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "Pulls", za0001)
+					err = msgp.WrapError(err, "PullAddrs", za0001)
 					return
 				}
 			}
@@ -602,13 +748,13 @@
 	}
 	err = en.WriteArrayHeader(uint32(len(z.PullAddrs)))
 	if err != nil {
-		err = msgp.WrapError(err, "Pulls")
+		err = msgp.WrapError(err, "PullAddrs")
 		return
 	}
 	for za0001 := range z.PullAddrs {
 		err = en.WriteString(z.PullAddrs[za0001])
 		if err != nil {
-			err = msgp.WrapError(err, "Pulls", za0001)
+			err = msgp.WrapError(err, "PullAddrs", za0001)
 			return
 		}
 	}
@@ -650,7 +796,7 @@
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Pulls")
+				err = msgp.WrapError(err, "PullAddrs")
 				return
 			}
 			if cap(z.PullAddrs) >= int(zb0002) {
@@ -661,7 +807,7 @@
 			for za0001 := range z.PullAddrs {
 				z.PullAddrs[za0001], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Pulls", za0001)
+					err = msgp.WrapError(err, "PullAddrs", za0001)
 					return
 				}
 			}
@@ -687,7 +833,7 @@
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *MembershipSize) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *Ejection) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -704,39 +850,29 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "n":
-			z.Proxies, err = dc.ReadInt()
+		case "b":
+			z.Backend, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "Proxies")
+				err = msgp.WrapError(err, "Backend")
 				return
 			}
 		case "z":
-			var zb0002 uint32
-			zb0002, err = dc.ReadMapHeader()
+			z.Zone, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "Zones")
+				err = msgp.WrapError(err, "Zone")
 				return
 			}
-			if z.Zones == nil {
-				z.Zones = make(map[string]int, zb0002)
-			} else if len(z.Zones) > 0 {
-				clear(z.Zones)
+		case "p":
+			z.Probation, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Probation")
+				return
 			}
-			for zb0002 > 0 {
-				zb0002--
-				var za0001 string
-				za0001, err = dc.ReadString()
-				if err != nil {
-					err = msgp.WrapError(err, "Zones")
-					return
-				}
-				var za0002 int
-				za0002, err = dc.ReadInt()
-				if err != nil {
-					err = msgp.WrapError(err, "Zones", za0001)
-					return
-				}
-				z.Zones[za0001] = za0002
+		case "s":
+			z.Slow, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Slow")
+				return
 			}
 		default:
 			err = dc.Skip()
@@ -750,16 +886,16 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *MembershipSize) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
-	// write "n"
-	err = en.Append(0x82, 0xa1, 0x6e)
+func (z *Ejection) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 4
+	// write "b"
+	err = en.Append(0x84, 0xa1, 0x62)
 	if err != nil {
 		return
 	}
-	err = en.WriteInt(z.Proxies)
+	err = en.WriteString(z.Backend)
 	if err != nil {
-		err = msgp.WrapError(err, "Proxies")
+		err = msgp.WrapError(err, "Backend")
 		return
 	}
 	// write "z"
@@ -767,45 +903,55 @@
 	if err != nil {
 		return
 	}
-	err = en.WriteMapHeader(uint32(len(z.Zones)))
+	err = en.WriteString(z.Zone)
 	if err != nil {
-		err = msgp.WrapError(err, "Zones")
+		err = msgp.WrapError(err, "Zone")
 		return
 	}
-	for za0001, za0002 := range z.Zones {
-		err = en.WriteString(za0001)
-		if err != nil {
-			err = msgp.WrapError(err, "Zones")
-			return
-		}
-		err = en.WriteInt(za0002)
-		if err != nil {
-			err = msgp.WrapError(err, "Zones", za0001)
-			return
-		}
+	// write "p"
+	err = en.Append(0xa1, 0x70)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Probation)
+	if err != nil {
+		err = msgp.WrapError(err, "Probation")
+		return
+	}
+	// write "s"
+	err = en.Append(0xa1, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Slow)
+	if err != nil {
+		err = msgp.WrapError(err, "Slow")
+		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *MembershipSize) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Ejection) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "n"
-	o = append(o, 0x82, 0xa1, 0x6e)
-	o = msgp.AppendInt(o, z.Proxies)
+	// map header, size 4
+	// string "b"
+	o = append(o, 0x84, 0xa1, 0x62)
+	o = msgp.AppendString(o, z.Backend)
 	// string "z"
 	o = append(o, 0xa1, 0x7a)
-	o = msgp.AppendMapHeader(o, uint32(len(z.Zones)))
-	for za0001, za0002 := range z.Zones {
-		o = msgp.AppendString(o, za0001)
-		o = msgp.AppendInt(o, za0002)
-	}
+	o = msgp.AppendString(o, z.Zone)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendBool(o, z.Probation)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendBool(o, z.Slow)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *MembershipSize) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Ejection) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -822,204 +968,10 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "n":
-			z.Proxies, bts, err = msgp.ReadIntBytes(bts)
+		case "b":
+			z.Backend, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Proxies")
-				return
-			}
-		case "z":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Zones")
-				return
-			}
-			if z.Zones == nil {
-				z.Zones = make(map[string]int, zb0002)
-			} else if len(z.Zones) > 0 {
-				clear(z.Zones)
-			}
-			for zb0002 > 0 {
-				var za0002 int
-				zb0002--
-				var za0001 string
-				za0001, bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Zones")
-					return
-				}
-				za0002, bts, err = msgp.ReadIntBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Zones", za0001)
-					return
-				}
-				z.Zones[za0001] = za0002
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *MembershipSize) Msgsize() (s int) {
-	s = 1 + 2 + msgp.IntSize + 2 + msgp.MapHeaderSize
-	if z.Zones != nil {
-		for za0001, za0002 := range z.Zones {
-			_ = za0002
-			s += msgp.StringPrefixSize + len(za0001) + msgp.IntSize
-		}
-	}
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *Ejection) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "b":
-			z.Backend, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Backend")
-				return
-			}
-		case "z":
-			z.Zone, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Zone")
-				return
-			}
-		case "p":
-			z.Probation, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Probation")
-				return
-			}
-		case "s":
-			z.Slow, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Slow")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Ejection) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
-	// write "b"
-	err = en.Append(0x84, 0xa1, 0x62)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Backend)
-	if err != nil {
-		err = msgp.WrapError(err, "Backend")
-		return
-	}
-	// write "z"
-	err = en.Append(0xa1, 0x7a)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Zone)
-	if err != nil {
-		err = msgp.WrapError(err, "Zone")
-		return
-	}
-	// write "p"
-	err = en.Append(0xa1, 0x70)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Probation)
-	if err != nil {
-		err = msgp.WrapError(err, "Probation")
-		return
-	}
-	// write "s"
-	err = en.Append(0xa1, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Slow)
-	if err != nil {
-		err = msgp.WrapError(err, "Slow")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *Ejection) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "b"
-	o = append(o, 0x84, 0xa1, 0x62)
-	o = msgp.AppendString(o, z.Backend)
-	// string "z"
-	o = append(o, 0xa1, 0x7a)
-	o = msgp.AppendString(o, z.Zone)
-	// string "p"
-	o = append(o, 0xa1, 0x70)
-	o = msgp.AppendBool(o, z.Probation)
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendBool(o, z.Slow)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Ejection) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "b":
-			z.Backend, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Backend")
+				err = msgp.WrapError(err, "Backend")
 				return
 			}
 		case "z":
@@ -1254,7 +1206,7 @@
 			var zb0003 uint32
 			zb0003, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Silent")
+				err = msgp.WrapError(err, "Unresponsive")
 				return
 			}
 			if cap(z.Unresponsive) >= int(zb0003) {
@@ -1265,7 +1217,7 @@
 			for za0003 := range z.Unresponsive {
 				z.Unresponsive[za0003], err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "Silent", za0003)
+					err = msgp.WrapError(err, "Unresponsive", za0003)
 					return
 				}
 			}
@@ -1312,13 +1264,13 @@
 	}
 	err = en.WriteArrayHeader(uint32(len(z.Unresponsive)))
 	if err != nil {
-		err = msgp.WrapError(err, "Silent")
+		err = msgp.WrapError(err, "Unresponsive")
 		return
 	}
 	for za0003 := range z.Unresponsive {
 		err = en.WriteString(z.Unresponsive[za0003])
 		if err != nil {
-			err = msgp.WrapError(err, "Silent", za0003)
+			err = msgp.WrapError(err, "Unresponsive", za0003)
 			return
 		}
 	}
@@ -1395,7 +1347,7 @@
 			var zb0003 uint32
 			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Silent")
+				err = msgp.WrapError(err, "Unresponsive")
 				return
 			}
 			if cap(z.Unresponsive) >= int(zb0003) {
@@ -1406,7 +1358,7 @@
 			for za0003 := range z.Unresponsive {
 				z.Unresponsive[za0003], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Silent", za0003)
+					err = msgp.WrapError(err, "Unresponsive", za0003)
 					return
 				}
 			}
@@ -1439,7 +1391,7 @@
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *BackendList) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *Member) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1456,24 +1408,76 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "b":
-			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
+		case "n":
+			z.Name, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "Backends")
+				err = msgp.WrapError(err, "Name")
 				return
 			}
-			if cap(z.Backends) >= int(zb0002) {
-				z.Backends = (z.Backends)[:zb0002]
-			} else {
-				z.Backends = make([]Backend, zb0002)
+		case "z":
+			z.Zone, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Zone")
+				return
 			}
-			for za0001 := range z.Backends {
-				err = z.Backends[za0001].DecodeMsg(dc)
+		case "a":
+			z.AgeMs, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "AgeMs")
+				return
+			}
+		case "c":
+			z.ConfigVersion, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "ConfigVersion")
+				return
+			}
+		case "s":
+			z.ConfigAgeMs, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "ConfigAgeMs")
+				return
+			}
+		case "l":
+			var zb0002 uint32
+			zb0002, err = dc.ReadMapHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "BackendListVersion")
+				return
+			}
+			for zb0002 > 0 {
+				zb0002--
+				field, err = dc.ReadMapKeyPtr()
 				if err != nil {
-					err = msgp.WrapError(err, "Backends", za0001)
+					err = msgp.WrapError(err, "BackendListVersion")
 					return
 				}
+				switch msgp.UnsafeString(field) {
+				case "e":
+					z.BackendListVersion.Epoch, err = dc.ReadUint64()
+					if err != nil {
+						err = msgp.WrapError(err, "BackendListVersion", "Epoch")
+						return
+					}
+				case "n":
+					z.BackendListVersion.Count, err = dc.ReadUint64()
+					if err != nil {
+						err = msgp.WrapError(err, "BackendListVersion", "Count")
+						return
+					}
+				default:
+					err = dc.Skip()
+					if err != nil {
+						err = msgp.WrapError(err, "BackendListVersion")
+						return
+					}
+				}
+			}
+		case "d":
+			z.Draining, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Draining")
+				return
 			}
 		default:
 			err = dc.Skip()
@@ -1487,47 +1491,166 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *BackendList) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 1
-	// write "b"
-	err = en.Append(0x81, 0xa1, 0x62)
-	if err != nil {
-		return
+func (z *Member) EncodeMsg(en *msgp.Writer) (err error) {
+	// check for omitted fields
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
+	_ = zb0001Mask
+	if z.Draining == false {
+		zb0001Len--
+		zb0001Mask |= 0x40
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Backends)))
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
-		err = msgp.WrapError(err, "Backends")
 		return
 	}
-	for za0001 := range z.Backends {
-		err = z.Backends[za0001].EncodeMsg(en)
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "n"
+		err = en.Append(0xa1, 0x6e)
 		if err != nil {
-			err = msgp.WrapError(err, "Backends", za0001)
 			return
 		}
+		err = en.WriteString(z.Name)
+		if err != nil {
+			err = msgp.WrapError(err, "Name")
+			return
+		}
+		// write "z"
+		err = en.Append(0xa1, 0x7a)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Zone)
+		if err != nil {
+			err = msgp.WrapError(err, "Zone")
+			return
+		}
+		// write "a"
+		err = en.Append(0xa1, 0x61)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt64(z.AgeMs)
+		if err != nil {
+			err = msgp.WrapError(err, "AgeMs")
+			return
+		}
+		// write "c"
+		err = en.Append(0xa1, 0x63)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt64(z.ConfigVersion)
+		if err != nil {
+			err = msgp.WrapError(err, "ConfigVersion")
+			return
+		}
+		// write "s"
+		err = en.Append(0xa1, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt64(z.ConfigAgeMs)
+		if err != nil {
+			err = msgp.WrapError(err, "ConfigAgeMs")
+			return
+		}
+		// write "l"
+		err = en.Append(0xa1, 0x6c)
+		if err != nil {
+			return
+		}
+		// map header, size 2
+		// write "e"
+		err = en.Append(0x82, 0xa1, 0x65)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.BackendListVersion.Epoch)
+		if err != nil {
+			err = msgp.WrapError(err, "BackendListVersion", "Epoch")
+			return
+		}
+		// write "n"
+		err = en.Append(0xa1, 0x6e)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.BackendListVersion.Count)
+		if err != nil {
+			err = msgp.WrapError(err, "BackendListVersion", "Count")
+			return
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// write "d"
+			err = en.Append(0xa1, 0x64)
+			if err != nil {
+				return
+			}
+			err = en.WriteBool(z.Draining)
+			if err != nil {
+				err = msgp.WrapError(err, "Draining")
+				return
+			}
+		}
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *BackendList) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Member) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
-	// string "b"
-	o = append(o, 0x81, 0xa1, 0x62)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Backends)))
-	for za0001 := range z.Backends {
-		o, err = z.Backends[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Backends", za0001)
-			return
+	// check for omitted fields
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
+	_ = zb0001Mask
+	if z.Draining == false {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "n"
+		o = append(o, 0xa1, 0x6e)
+		o = msgp.AppendString(o, z.Name)
+		// string "z"
+		o = append(o, 0xa1, 0x7a)
+		o = msgp.AppendString(o, z.Zone)
+		// string "a"
+		o = append(o, 0xa1, 0x61)
+		o = msgp.AppendInt64(o, z.AgeMs)
+		// string "c"
+		o = append(o, 0xa1, 0x63)
+		o = msgp.AppendInt64(o, z.ConfigVersion)
+		// string "s"
+		o = append(o, 0xa1, 0x73)
+		o = msgp.AppendInt64(o, z.ConfigAgeMs)
+		// string "l"
+		o = append(o, 0xa1, 0x6c)
+		// map header, size 2
+		// string "e"
+		o = append(o, 0x82, 0xa1, 0x65)
+		o = msgp.AppendUint64(o, z.BackendListVersion.Epoch)
+		// string "n"
+		o = append(o, 0xa1, 0x6e)
+		o = msgp.AppendUint64(o, z.BackendListVersion.Count)
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "d"
+			o = append(o, 0xa1, 0x64)
+			o = msgp.AppendBool(o, z.Draining)
 		}
 	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *BackendList) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Member) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1544,24 +1667,76 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "b":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "n":
+			z.Name, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Backends")
+				err = msgp.WrapError(err, "Name")
 				return
 			}
-			if cap(z.Backends) >= int(zb0002) {
-				z.Backends = (z.Backends)[:zb0002]
-			} else {
-				z.Backends = make([]Backend, zb0002)
+		case "z":
+			z.Zone, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Zone")
+				return
 			}
-			for za0001 := range z.Backends {
-				bts, err = z.Backends[za0001].UnmarshalMsg(bts)
+		case "a":
+			z.AgeMs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AgeMs")
+				return
+			}
+		case "c":
+			z.ConfigVersion, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ConfigVersion")
+				return
+			}
+		case "s":
+			z.ConfigAgeMs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ConfigAgeMs")
+				return
+			}
+		case "l":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "BackendListVersion")
+				return
+			}
+			for zb0002 > 0 {
+				zb0002--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Backends", za0001)
+					err = msgp.WrapError(err, "BackendListVersion")
 					return
 				}
+				switch msgp.UnsafeString(field) {
+				case "e":
+					z.BackendListVersion.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "BackendListVersion", "Epoch")
+						return
+					}
+				case "n":
+					z.BackendListVersion.Count, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "BackendListVersion", "Count")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "BackendListVersion")
+						return
+					}
+				}
+			}
+		case "d":
+			z.Draining, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Draining")
+				return
 			}
 		default:
 			bts, err = msgp.Skip(bts)
@@ -1576,16 +1751,13 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *BackendList) Msgsize() (s int) {
-	s = 1 + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Backends {
-		s += z.Backends[za0001].Msgsize()
-	}
+func (z *Member) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.StringPrefixSize + len(z.Zone) + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.BoolSize
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *Member) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *MembershipSize) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1603,69 +1775,66 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "n":
-			z.Name, err = dc.ReadString()
+			z.Proxies, err = dc.ReadInt()
 			if err != nil {
-				err = msgp.WrapError(err, "Name")
+				err = msgp.WrapError(err, "Proxies")
 				return
 			}
 		case "z":
-			z.Zone, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Zone")
-				return
-			}
-		case "a":
-			z.AgeMs, err = dc.ReadInt64()
+			var zb0002 uint32
+			zb0002, err = dc.ReadMapHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "AgeM")
+				err = msgp.WrapError(err, "Zones")
 				return
 			}
-		case "c":
-			z.ConfigVersion, err = dc.ReadInt64()
-			if err != nil {
-				err = msgp.WrapError(err, "Config")
-				return
+			if z.Zones == nil {
+				z.Zones = make(map[string]int, zb0002)
+			} else if len(z.Zones) > 0 {
+				clear(z.Zones)
 			}
-		case "s":
-			z.ConfigAgeMs, err = dc.ReadInt64()
-			if err != nil {
-				err = msgp.WrapError(err, "SinceM")
-				return
+			for zb0002 > 0 {
+				zb0002--
+				var za0001 string
+				za0001, err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Zones")
+					return
+				}
+				var za0002 int
+				za0002, err = dc.ReadInt()
+				if err != nil {
+					err = msgp.WrapError(err, "Zones", za0001)
+					return
+				}
+				z.Zones[za0001] = za0002
 			}
-		case "l":
-			var zb0002 uint32
-			zb0002, err = dc.ReadMapHeader()
+		case "d":
+			var zb0003 uint32
+			zb0003, err = dc.ReadMapHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "List")
+				err = msgp.WrapError(err, "Draining")
 				return
 			}
-			for zb0002 > 0 {
-				zb0002--
-				field, err = dc.ReadMapKeyPtr()
+			if z.Draining == nil {
+				z.Draining = make(map[string]int, zb0003)
+			} else if len(z.Draining) > 0 {
+				clear(z.Draining)
+			}
+			for zb0003 > 0 {
+				zb0003--
+				var za0003 string
+				za0003, err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "List")
+					err = msgp.WrapError(err, "Draining")
 					return
 				}
-				switch msgp.UnsafeString(field) {
-				case "e":
-					z.BackendListVersion.Epoch, err = dc.ReadUint64()
-					if err != nil {
-						err = msgp.WrapError(err, "List", "Epoch")
-						return
-					}
-				case "n":
-					z.BackendListVersion.Count, err = dc.ReadUint64()
-					if err != nil {
-						err = msgp.WrapError(err, "List", "Count")
-						return
-					}
-				default:
-					err = dc.Skip()
-					if err != nil {
-						err = msgp.WrapError(err, "List")
-						return
-					}
+				var za0004 int
+				za0004, err = dc.ReadInt()
+				if err != nil {
+					err = msgp.WrapError(err, "Draining", za0003)
+					return
 				}
+				z.Draining[za0003] = za0004
 			}
 		default:
 			err = dc.Skip()
@@ -1679,120 +1848,124 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *Member) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 6
-	// write "n"
-	err = en.Append(0x86, 0xa1, 0x6e)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Name)
-	if err != nil {
-		err = msgp.WrapError(err, "Name")
-		return
-	}
-	// write "z"
-	err = en.Append(0xa1, 0x7a)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Zone)
-	if err != nil {
-		err = msgp.WrapError(err, "Zone")
-		return
-	}
-	// write "a"
-	err = en.Append(0xa1, 0x61)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.AgeMs)
-	if err != nil {
-		err = msgp.WrapError(err, "AgeM")
-		return
-	}
-	// write "c"
-	err = en.Append(0xa1, 0x63)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.ConfigVersion)
-	if err != nil {
-		err = msgp.WrapError(err, "Config")
-		return
-	}
-	// write "s"
-	err = en.Append(0xa1, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.ConfigAgeMs)
-	if err != nil {
-		err = msgp.WrapError(err, "SinceM")
-		return
-	}
-	// write "l"
-	err = en.Append(0xa1, 0x6c)
-	if err != nil {
-		return
-	}
-	// map header, size 2
-	// write "e"
-	err = en.Append(0x82, 0xa1, 0x65)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.BackendListVersion.Epoch)
-	if err != nil {
-		err = msgp.WrapError(err, "List", "Epoch")
-		return
+func (z *MembershipSize) EncodeMsg(en *msgp.Writer) (err error) {
+	// check for omitted fields
+	zb0001Len := uint32(3)
+	var zb0001Mask uint8 /* 3 bits */
+	_ = zb0001Mask
+	if z.Draining == nil {
+		zb0001Len--
+		zb0001Mask |= 0x4
 	}
-	// write "n"
-	err = en.Append(0xa1, 0x6e)
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
 		return
 	}
-	err = en.WriteUint64(z.BackendListVersion.Count)
-	if err != nil {
-		err = msgp.WrapError(err, "List", "Count")
-		return
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "n"
+		err = en.Append(0xa1, 0x6e)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Proxies)
+		if err != nil {
+			err = msgp.WrapError(err, "Proxies")
+			return
+		}
+		// write "z"
+		err = en.Append(0xa1, 0x7a)
+		if err != nil {
+			return
+		}
+		err = en.WriteMapHeader(uint32(len(z.Zones)))
+		if err != nil {
+			err = msgp.WrapError(err, "Zones")
+			return
+		}
+		for za0001, za0002 := range z.Zones {
+			err = en.WriteString(za0001)
+			if err != nil {
+				err = msgp.WrapError(err, "Zones")
+				return
+			}
+			err = en.WriteInt(za0002)
+			if err != nil {
+				err = msgp.WrapError(err, "Zones", za0001)
+				return
+			}
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// write "d"
+			err = en.Append(0xa1, 0x64)
+			if err != nil {
+				return
+			}
+			err = en.WriteMapHeader(uint32(len(z.Draining)))
+			if err != nil {
+				err = msgp.WrapError(err, "Draining")
+				return
+			}
+			for za0003, za0004 := range z.Draining {
+				err = en.WriteString(za0003)
+				if err != nil {
+					err = msgp.WrapError(err, "Draining")
+					return
+				}
+				err = en.WriteInt(za0004)
+				if err != nil {
+					err = msgp.WrapError(err, "Draining", za0003)
+					return
+				}
+			}
+		}
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Member) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *MembershipSize) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
-	// string "n"
-	o = append(o, 0x86, 0xa1, 0x6e)
-	o = msgp.AppendString(o, z.Name)
-	// string "z"
-	o = append(o, 0xa1, 0x7a)
-	o = msgp.AppendString(o, z.Zone)
-	// string "a"
-	o = append(o, 0xa1, 0x61)
-	o = msgp.AppendInt64(o, z.AgeMs)
-	// string "c"
-	o = append(o, 0xa1, 0x63)
-	o = msgp.AppendInt64(o, z.ConfigVersion)
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendInt64(o, z.ConfigAgeMs)
-	// string "l"
-	o = append(o, 0xa1, 0x6c)
-	// map header, size 2
-	// string "e"
-	o = append(o, 0x82, 0xa1, 0x65)
-	o = msgp.AppendUint64(o, z.BackendListVersion.Epoch)
-	// string "n"
-	o = append(o, 0xa1, 0x6e)
-	o = msgp.AppendUint64(o, z.BackendListVersion.Count)
+	// check for omitted fields
+	zb0001Len := uint32(3)
+	var zb0001Mask uint8 /* 3 bits */
+	_ = zb0001Mask
+	if z.Draining == nil {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "n"
+		o = append(o, 0xa1, 0x6e)
+		o = msgp.AppendInt(o, z.Proxies)
+		// string "z"
+		o = append(o, 0xa1, 0x7a)
+		o = msgp.AppendMapHeader(o, uint32(len(z.Zones)))
+		for za0001, za0002 := range z.Zones {
+			o = msgp.AppendString(o, za0001)
+			o = msgp.AppendInt(o, za0002)
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "d"
+			o = append(o, 0xa1, 0x64)
+			o = msgp.AppendMapHeader(o, uint32(len(z.Draining)))
+			for za0003, za0004 := range z.Draining {
+				o = msgp.AppendString(o, za0003)
+				o = msgp.AppendInt(o, za0004)
+			}
+		}
+	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Member) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *MembershipSize) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1810,69 +1983,66 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "n":
-			z.Name, bts, err = msgp.ReadStringBytes(bts)
+			z.Proxies, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Name")
+				err = msgp.WrapError(err, "Proxies")
 				return
 			}
 		case "z":
-			z.Zone, bts, err = msgp.ReadStringBytes(bts)
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Zone")
+				err = msgp.WrapError(err, "Zones")
 				return
 			}
-		case "a":
-			z.AgeMs, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "AgeM")
-				return
+			if z.Zones == nil {
+				z.Zones = make(map[string]int, zb0002)
+			} else if len(z.Zones) > 0 {
+				clear(z.Zones)
 			}
-		case "c":
-			z.ConfigVersion, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Config")
-				return
+			for zb0002 > 0 {
+				var za0002 int
+				zb0002--
+				var za0001 string
+				za0001, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Zones")
+					return
+				}
+				za0002, bts, err = msgp.ReadIntBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Zones", za0001)
+					return
+				}
+				z.Zones[za0001] = za0002
 			}
-		case "s":
-			z.ConfigAgeMs, bts, err = msgp.ReadInt64Bytes(bts)
+		case "d":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "SinceM")
+				err = msgp.WrapError(err, "Draining")
 				return
 			}
-		case "l":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "List")
-				return
+			if z.Draining == nil {
+				z.Draining = make(map[string]int, zb0003)
+			} else if len(z.Draining) > 0 {
+				clear(z.Draining)
 			}
-			for zb0002 > 0 {
-				zb0002--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
+			for zb0003 > 0 {
+				var za0004 int
+				zb0003--
+				var za0003 string
+				za0003, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "List")
+					err = msgp.WrapError(err, "Draining")
 					return
 				}
-				switch msgp.UnsafeString(field) {
-				case "e":
-					z.BackendListVersion.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "List", "Epoch")
-						return
-					}
-				case "n":
-					z.BackendListVersion.Count, bts, err = msgp.ReadUint64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "List", "Count")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "List")
-						return
-					}
+				za0004, bts, err = msgp.ReadIntBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Draining", za0003)
+					return
 				}
+				z.Draining[za0003] = za0004
 			}
 		default:
 			bts, err = msgp.Skip(bts)
@@ -1887,8 +2057,21 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Member) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.StringPrefixSize + len(z.Zone) + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
+func (z *MembershipSize) Msgsize() (s int) {
+	s = 1 + 2 + msgp.IntSize + 2 + msgp.MapHeaderSize
+	if z.Zones != nil {
+		for za0001, za0002 := range z.Zones {
+			_ = za0002
+			s += msgp.StringPrefixSize + len(za0001) + msgp.IntSize
+		}
+	}
+	s += 2 + msgp.MapHeaderSize
+	if z.Draining != nil {
+		for za0003, za0004 := range z.Draining {
+			_ = za0004
+			s += msgp.StringPrefixSize + len(za0003) + msgp.IntSize
+		}
+	}
 	return
 }
 
@@ -1937,7 +2120,7 @@
 		case "k":
 			z.Streamed, err = dc.ReadInt()
 			if err != nil {
-				err = msgp.WrapError(err, "Paced")
+				err = msgp.WrapError(err, "Streamed")
 				return
 			}
 		case "v":
@@ -2013,7 +2196,7 @@
 	}
 	err = en.WriteInt(z.Streamed)
 	if err != nil {
-		err = msgp.WrapError(err, "Paced")
+		err = msgp.WrapError(err, "Streamed")
 		return
 	}
 	// write "v"
@@ -2112,7 +2295,7 @@
 		case "k":
 			z.Streamed, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Paced")
+				err = msgp.WrapError(err, "Streamed")
 				return
 			}
 		case "v":
@@ -2375,7 +2558,7 @@
 			var zb0002 uint32
 			zb0002, err = dc.ReadMapHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Have")
+				err = msgp.WrapError(err, "Versions")
 				return
 			}
 			if z.Versions == nil {
@@ -2388,40 +2571,40 @@
 				var za0001 string
 				za0001, err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "Have")
+					err = msgp.WrapError(err, "Versions")
 					return
 				}
 				var za0002 Version
 				var zb0003 uint32
 				zb0003, err = dc.ReadMapHeader()
 				if err != nil {
-					err = msgp.WrapError(err, "Have", za0001)
+					err = msgp.WrapError(err, "Versions", za0001)
 					return
 				}
 				for zb0003 > 0 {
 					zb0003--
 					field, err = dc.ReadMapKeyPtr()
 					if err != nil {
-						err = msgp.WrapError(err, "Have", za0001)
+						err = msgp.WrapError(err, "Versions", za0001)
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "e":
 						za0002.Epoch, err = dc.ReadUint64()
 						if err != nil {
-							err = msgp.WrapError(err, "Have", za0001, "Epoch")
+							err = msgp.WrapError(err, "Versions", za0001, "Epoch")
 							return
 						}
 					case "n":
 						za0002.Count, err = dc.ReadUint64()
 						if err != nil {
-							err = msgp.WrapError(err, "Have", za0001, "Count")
+							err = msgp.WrapError(err, "Versions", za0001, "Count")
 							return
 						}
 					default:
 						err = dc.Skip()
 						if err != nil {
-							err = msgp.WrapError(err, "Have", za0001)
+							err = msgp.WrapError(err, "Versions", za0001)
 							return
 						}
 					}
@@ -2451,7 +2634,7 @@
 			var zb0005 uint32
 			zb0005, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Rested")
+				err = msgp.WrapError(err, "Residency")
 				return
 			}
 			if cap(z.Residency) >= int(zb0005) {
@@ -2462,14 +2645,14 @@
 			for za0004 := range z.Residency {
 				err = z.Residency[za0004].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Rested", za0004)
+					err = msgp.WrapError(err, "Residency", za0004)
 					return
 				}
 			}
 		case "z":
 			z.Final, err = dc.ReadBool()
 			if err != nil {
-				err = msgp.WrapError(err, "Ends")
+				err = msgp.WrapError(err, "Final")
 				return
 			}
 		case "o":
@@ -2565,13 +2748,13 @@
 		}
 		err = en.WriteMapHeader(uint32(len(z.Versions)))
 		if err != nil {
-			err = msgp.WrapError(err, "Have")
+			err = msgp.WrapError(err, "Versions")
 			return
 		}
 		for za0001, za0002 := range z.Versions {
 			err = en.WriteString(za0001)
 			if err != nil {
-				err = msgp.WrapError(err, "Have")
+				err = msgp.WrapError(err, "Versions")
 				return
 			}
 			// map header, size 2
@@ -2582,7 +2765,7 @@
 			}
 			err = en.WriteUint64(za0002.Epoch)
 			if err != nil {
-				err = msgp.WrapError(err, "Have", za0001, "Epoch")
+				err = msgp.WrapError(err, "Versions", za0001, "Epoch")
 				return
 			}
 			// write "n"
@@ -2592,7 +2775,7 @@
 			}
 			err = en.WriteUint64(za0002.Count)
 			if err != nil {
-				err = msgp.WrapError(err, "Have", za0001, "Count")
+				err = msgp.WrapError(err, "Versions", za0001, "Count")
 				return
 			}
 		}
@@ -2621,13 +2804,13 @@
 			}
 			err = en.WriteArrayHeader(uint32(len(z.Residency)))
 			if err != nil {
-				err = msgp.WrapError(err, "Rested")
+				err = msgp.WrapError(err, "Residency")
 				return
 			}
 			for za0004 := range z.Residency {
 				err = z.Residency[za0004].EncodeMsg(en)
 				if err != nil {
-					err = msgp.WrapError(err, "Rested", za0004)
+					err = msgp.WrapError(err, "Residency", za0004)
 					return
 				}
 			}
@@ -2640,7 +2823,7 @@
 			}
 			err = en.WriteBool(z.Final)
 			if err != nil {
-				err = msgp.WrapError(err, "Ends")
+				err = msgp.WrapError(err, "Final")
 				return
 			}
 		}
@@ -2743,7 +2926,7 @@
 			for za0004 := range z.Residency {
 				o, err = z.Residency[za0004].MarshalMsg(o)
 				if err != nil {
-					err = msgp.WrapError(err, "Rested", za0004)
+					err = msgp.WrapError(err, "Residency", za0004)
 					return
 				}
 			}
@@ -2808,7 +2991,7 @@
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Have")
+				err = msgp.WrapError(err, "Versions")
 				return
 			}
 			if z.Versions == nil {
@@ -2822,39 +3005,39 @@
 				var za0001 string
 				za0001, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Have")
+					err = msgp.WrapError(err, "Versions")
 					return
 				}
 				var zb0003 uint32
 				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Have", za0001)
+					err = msgp.WrapError(err, "Versions", za0001)
 					return
 				}
 				for zb0003 > 0 {
 					zb0003--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Have", za0001)
+						err = msgp.WrapError(err, "Versions", za0001)
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "e":
 						za0002.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Have", za0001, "Epoch")
+							err = msgp.WrapError(err, "Versions", za0001, "Epoch")
 							return
 						}
 					case "n":
 						za0002.Count, bts, err = msgp.ReadUint64Bytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Have", za0001, "Count")
+							err = msgp.WrapError(err, "Versions", za0001, "Count")
 							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Have", za0001)
+							err = msgp.WrapError(err, "Versions", za0001)
 							return
 						}
 					}
@@ -2884,7 +3067,7 @@
 			var zb0005 uint32
 			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Rested")
+				err = msgp.WrapError(err, "Residency")
 				return
 			}
 			if cap(z.Residency) >= int(zb0005) {
@@ -2895,14 +3078,14 @@
 			for za0004 := range z.Residency {
 				bts, err = z.Residency[za0004].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Rested", za0004)
+					err = msgp.WrapError(err, "Residency", za0004)
 					return
 				}
 			}
 		case "z":
 			z.Final, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Ends")
+				err = msgp.WrapError(err, "Final")
 				return
 			}
 		case "o":
@@ -2988,40 +3171,40 @@
 		case "s":
 			z.Type, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "Source")
+				err = msgp.WrapError(err, "Type")
 				return
 			}
 		case "v":
 			var zb0002 uint32
 			zb0002, err = dc.ReadMapHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "At")
+				err = msgp.WrapError(err, "Version")
 				return
 			}
 			for zb0002 > 0 {
 				zb0002--
 				field, err = dc.ReadMapKeyPtr()
 				if err != nil {
-					err = msgp.WrapError(err, "At")
+					err = msgp.WrapError(err, "Version")
 					return
 				}
 				switch msgp.UnsafeString(field) {
 				case "e":
 					z.Version.Epoch, err = dc.ReadUint64()
 					if err != nil {
-						err = msgp.WrapError(err, "At", "Epoch")
+						err = msgp.WrapError(err, "Version", "Epoch")
 						return
 					}
 				case "n":
 					z.Version.Count, err = dc.ReadUint64()
 					if err != nil {
-						err = msgp.WrapError(err, "At", "Count")
+						err = msgp.WrapError(err, "Version", "Count")
 						return
 					}
 				default:
 					err = dc.Skip()
 					if err != nil {
-						err = msgp.WrapError(err, "At")
+						err = msgp.WrapError(err, "Version")
 						return
 					}
 				}
@@ -3029,40 +3212,40 @@
 		case "w":
 			z.Snapshot, err = dc.ReadBytes(z.Snapshot)
 			if err != nil {
-				err = msgp.WrapError(err, "Whole")
+				err = msgp.WrapError(err, "Snapshot")
 				return
 			}
 		case "o":
 			var zb0003 uint32
 			zb0003, err = dc.ReadMapHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Since")
+				err = msgp.WrapError(err, "BaseVersion")
 				return
 			}
 			for zb0003 > 0 {
 				zb0003--
 				field, err = dc.ReadMapKeyPtr()
 				if err != nil {
-					err = msgp.WrapError(err, "Since")
+					err = msgp.WrapError(err, "BaseVersion")
 					return
 				}
 				switch msgp.UnsafeString(field) {
 				case "e":
 					z.BaseVersion.Epoch, err = dc.ReadUint64()
 					if err != nil {
-						err = msgp.WrapError(err, "Since", "Epoch")
+						err = msgp.WrapError(err, "BaseVersion", "Epoch")
 						return
 					}
 				case "n":
 					z.BaseVersion.Count, err = dc.ReadUint64()
 					if err != nil {
-						err = msgp.WrapError(err, "Since", "Count")
+						err = msgp.WrapError(err, "BaseVersion", "Count")
 						return
 					}
 				default:
 					err = dc.Skip()
 					if err != nil {
-						err = msgp.WrapError(err, "Since")
+						err = msgp.WrapError(err, "BaseVersion")
 						return
 					}
 				}
@@ -3107,7 +3290,7 @@
 	}
 	err = en.WriteString(z.Type)
 	if err != nil {
-		err = msgp.WrapError(err, "Source")
+		err = msgp.WrapError(err, "Type")
 		return
 	}
 	// write "v"
@@ -3123,7 +3306,7 @@
 	}
 	err = en.WriteUint64(z.Version.Epoch)
 	if err != nil {
-		err = msgp.WrapError(err, "At", "Epoch")
+		err = msgp.WrapError(err, "Version", "Epoch")
 		return
 	}
 	// write "n"
@@ -3133,7 +3316,7 @@
 	}
 	err = en.WriteUint64(z.Version.Count)
 	if err != nil {
-		err = msgp.WrapError(err, "At", "Count")
+		err = msgp.WrapError(err, "Version", "Count")
 		return
 	}
 	// write "w"
@@ -3143,7 +3326,7 @@
 	}
 	err = en.WriteBytes(z.Snapshot)
 	if err != nil {
-		err = msgp.WrapError(err, "Whole")
+		err = msgp.WrapError(err, "Snapshot")
 		return
 	}
 	// write "o"
@@ -3159,7 +3342,7 @@
 	}
 	err = en.WriteUint64(z.BaseVersion.Epoch)
 	if err != nil {
-		err = msgp.WrapError(err, "Since", "Epoch")
+		err = msgp.WrapError(err, "BaseVersion", "Epoch")
 		return
 	}
 	// write "n"
@@ -3169,7 +3352,7 @@
 	}
 	err = en.WriteUint64(z.BaseVersion.Count)
 	if err != nil {
-		err = msgp.WrapError(err, "Since", "Count")
+		err = msgp.WrapError(err, "BaseVersion", "Count")
 		return
 	}
 	// write "c"
@@ -3254,40 +3437,40 @@
 		case "s":
 			z.Type, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Source")
+				err = msgp.WrapError(err, "Type")
 				return
 			}
 		case "v":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "At")
+				err = msgp.WrapError(err, "Version")
 				return
 			}
 			for zb0002 > 0 {
 				zb0002--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "At")
+					err = msgp.WrapError(err, "Version")
 					return
 				}
 				switch msgp.UnsafeString(field) {
 				case "e":
 					z.Version.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "At", "Epoch")
+						err = msgp.WrapError(err, "Version", "Epoch")
 						return
 					}
 				case "n":
 					z.Version.Count, bts, err = msgp.ReadUint64Bytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "At", "Count")
+						err = msgp.WrapError(err, "Version", "Count")
 						return
 					}
 				default:
 					bts, err = msgp.Skip(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "At")
+						err = msgp.WrapError(err, "Version")
 						return
 					}
 				}
@@ -3295,40 +3478,40 @@
 		case "w":
 			z.Snapshot, bts, err = msgp.ReadBytesBytes(bts, z.Snapshot)
 			if err != nil {
-				err = msgp.WrapError(err, "Whole")
+				err = msgp.WrapError(err, "Snapshot")
 				return
 			}
 		case "o":
 			var zb0003 uint32
 			zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Since")
+				err = msgp.WrapError(err, "BaseVersion")
 				return
 			}
 			for zb0003 > 0 {
 				zb0003--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Since")
+					err = msgp.WrapError(err, "BaseVersion")
 					return
 				}
 				switch msgp.UnsafeString(field) {
 				case "e":
 					z.BaseVersion.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Since", "Epoch")
+						err = msgp.WrapError(err, "BaseVersion", "Epoch")
 						return
 					}
 				case "n":
 					z.BaseVersion.Count, bts, err = msgp.ReadUint64Bytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Since", "Count")
+						err = msgp.WrapError(err, "BaseVersion", "Count")
 						return
 					}
 				default:
 					bts, err = msgp.Skip(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Since")
+						err = msgp.WrapError(err, "BaseVersion")
 						return
 					}
 				}
@@ -3406,7 +3589,7 @@
 		case "a":
 			z.LastContactMs, err = dc.ReadInt64()
 			if err != nil {
-				err = msgp.WrapError(err, "FreshMs")
+				err = msgp.WrapError(err, "LastContactMs")
 				return
 			}
 		case "x":
@@ -3432,7 +3615,7 @@
 			var zb0003 uint32
 			zb0003, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Kept")
+				err = msgp.WrapError(err, "ResidencyAcks")
 				return
 			}
 			if cap(z.ResidencyAcks) >= int(zb0003) {
@@ -3443,14 +3626,14 @@
 			for za0002 := range z.ResidencyAcks {
 				err = z.ResidencyAcks[za0002].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Kept", za0002)
+					err = msgp.WrapError(err, "ResidencyAcks", za0002)
 					return
 				}
 			}
 		case "h":
 			z.WaitedMs, err = dc.ReadInt64()
 			if err != nil {
-				err = msgp.WrapError(err, "HeldMs")
+				err = msgp.WrapError(err, "WaitedMs")
 				return
 			}
 		default:
@@ -3513,7 +3696,7 @@
 		}
 		err = en.WriteInt64(z.LastContactMs)
 		if err != nil {
-			err = msgp.WrapError(err, "FreshMs")
+			err = msgp.WrapError(err, "LastContactMs")
 			return
 		}
 		// write "x"
@@ -3541,13 +3724,13 @@
 			}
 			err = en.WriteArrayHeader(uint32(len(z.ResidencyAcks)))
 			if err != nil {
-				err = msgp.WrapError(err, "Kept")
+				err = msgp.WrapError(err, "ResidencyAcks")
 				return
 			}
 			for za0002 := range z.ResidencyAcks {
 				err = z.ResidencyAcks[za0002].EncodeMsg(en)
 				if err != nil {
-					err = msgp.WrapError(err, "Kept", za0002)
+					err = msgp.WrapError(err, "ResidencyAcks", za0002)
 					return
 				}
 			}
@@ -3560,7 +3743,7 @@
 			}
 			err = en.WriteInt64(z.WaitedMs)
 			if err != nil {
-				err = msgp.WrapError(err, "HeldMs")
+				err = msgp.WrapError(err, "WaitedMs")
 				return
 			}
 		}
@@ -3614,7 +3797,7 @@
 			for za0002 := range z.ResidencyAcks {
 				o, err = z.ResidencyAcks[za0002].MarshalMsg(o)
 				if err != nil {
-					err = msgp.WrapError(err, "Kept", za0002)
+					err = msgp.WrapError(err, "ResidencyAcks", za0002)
 					return
 				}
 			}
@@ -3661,7 +3844,7 @@
 		case "a":
 			z.LastContactMs, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "FreshMs")
+				err = msgp.WrapError(err, "LastContactMs")
 				return
 			}
 		case "x":
@@ -3687,7 +3870,7 @@
 			var zb0003 uint32
 			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Kept")
+				err = msgp.WrapError(err, "ResidencyAcks")
 				return
 			}
 			if cap(z.ResidencyAcks) >= int(zb0003) {
@@ -3698,14 +3881,14 @@
 			for za0002 := range z.ResidencyAcks {
 				bts, err = z.ResidencyAcks[za0002].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Kept", za0002)
+					err = msgp.WrapError(err, "ResidencyAcks", za0002)
 					return
 				}
 			}
 		case "h":
 			z.WaitedMs, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "HeldMs")
+				err = msgp.WrapError(err, "WaitedMs")
 				return
 			}
 		default:
--- a/internal/fleet/distribution/outcomepush.go
+++ b/internal/fleet/distribution/outcomepush.go
@@ -11,7 +11,8 @@
 // minPushInterval is the least time between two pushes of outcomes, which bounds what a busy proxy sends.
 const minPushInterval = 100 * time.Millisecond
 
-// pushOutcomes pushes reports to a server until ctx ends, over one connection at a time.
+// pushOutcomes pushes reports, and renewals of leases that can't wait for the next pull, to a server until ctx ends,
+// over one connection at a time.
 func (w *Watcher) pushOutcomes(ctx context.Context, addr string) {
 	backoff := Backoff{Min: minPushInterval, Max: 10 * minPushInterval}
 	for ctx.Err() == nil {
@@ -21,18 +22,21 @@
 	}
 }
 
-// pushOverConn pushes reports over one connection, which is opened for the first of them, until it breaks or ctx ends.
+// pushOverConn pushes over one connection, which is opened for the first push, until it breaks or ctx ends.
 func (w *Watcher) pushOverConn(ctx context.Context, addr string) error {
 	var conn net.Conn
 	var r *bufio.Reader
 	for {
+		var members []Member
 		select {
 		case <-w.Outcomes.Arrived():
+		case <-w.MembersChanged:
+			members = w.PushMembers()
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 		reports := w.Outcomes.Take()
-		if len(reports) == 0 {
+		if len(reports) == 0 && len(members) == 0 {
 			continue
 		}
 		if conn == nil {
@@ -45,7 +49,7 @@
 			defer stop()
 			r = bufio.NewReaderSize(conn, 512)
 		}
-		if err := w.push(conn, r, reports); err != nil {
+		if err := w.push(conn, r, members, reports); err != nil {
 			return err
 		}
 		sleep(ctx, minPushInterval)
@@ -55,12 +59,13 @@
 	}
 }
 
-// push sends reports and waits until the server has taken them.
-func (w *Watcher) push(conn net.Conn, r *bufio.Reader, reports []OutcomeReport) error {
+// push sends renewals and reports and waits until the server has taken them.
+func (w *Watcher) push(conn net.Conn, r *bufio.Reader, members []Member, reports []OutcomeReport) error {
 	_ = conn.SetDeadline(time.Now().Add(w.ReadTimeout)) // an error shows at the write
 	request := Request{
 		From:     w.Name,
 		Versions: newestVersions(),
+		Members:  members,
 		Outcomes: reports,
 		Push:     true,
 	}
--- a/internal/fleet/distribution/server.go
+++ b/internal/fleet/distribution/server.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"sync"
 	"time"
 
 	"molepaddle/internal/fleet/residencyreport"
@@ -25,7 +26,7 @@
 }
 
 // Serve answers requests from the cache until ctx ends and the listener is closed, which the caller does. It runs
-// each connection in a goroutine that ends with ctx, and doesn't wait for these. A connection without a request for
+// each connection in a goroutine that ends with ctx, and returns when all have ended. A connection without a request for
 // idleTimeout is closed. refresh has the cache record the last contact with the primary; it is called before each
 // look at the content of a response, and what it returns isn't used.
 func Serve(
@@ -38,10 +39,12 @@
 		idleTimeout: idleTimeout,
 		refresh:     refresh,
 	}
+	var conns sync.WaitGroup
+	defer conns.Wait()
 	for {
 		conn, err := ln.Accept()
 		if err == nil {
-			go s.serveConn(ctx, conn)
+			conns.Go(func() { s.serveConn(ctx, conn) })
 			continue
 		}
 		if ctx.Err() != nil {
--- a/internal/fleet/distribution/watcher.go
+++ b/internal/fleet/distribution/watcher.go
@@ -49,6 +49,11 @@
 	Dial DialFunc
 	// Outcomes are pushed to the server as they come, over a connection of their own; nil: there never are any.
 	Outcomes *OutcomeQueue
+	// MembersChanged gives a value when the leases of PushMembers are to be renewed at once, by such a push; nil: it
+	// never does.
+	MembersChanged <-chan struct{}
+	// PushMembers returns those whose leases such a push renews. It is called from a goroutine of its own.
+	PushMembers func() []Member
 }
 
 // dial connects to the server.
@@ -88,8 +93,17 @@
 	defer stop()
 	if w.Outcomes != nil && !w.Final {
 		pushing, end := context.WithCancel(ctx)
-		defer end()
-		go w.pushOutcomes(pushing, addr)
+		pushed := make(chan struct{})
+		go func() {
+			defer close(pushed)
+			w.pushOutcomes(pushing, addr)
+		}()
+		defer func() {
+			end()
+			if ctx.Err() != nil {
+				<-pushed // the process ends; otherwise the next server must not wait for a dial
+			}
+		}()
 	}
 	s := &watchSession{
 		watcher: w,
--- a/internal/fleet/distribution/wire_test.go
+++ b/internal/fleet/distribution/wire_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"encoding/json"
+	"os"
+	"path/filepath"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -66,3 +68,25 @@
 	c.Assert(err, qt.IsNil)
 	goldenbytes.Check(t, "wire/ejections.log.json", append(b, '\n'))
 }
+
+// TestWireBytesWithoutDraining holds the messages of releases before a member could say that it drains. They are read,
+// and as long as nobody drains the same bytes are written.
+func TestWireBytesWithoutDraining(t *testing.T) {
+	for name, m := range map[string]goldenbytes.Message{
+		"crowd":   new(MembershipSize),
+		"member":  new(Member),
+		"request": new(Request),
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			old, err := os.ReadFile(filepath.Join("testdata", "wire", name+".without-draining.msgp"))
+			c.Assert(err, qt.IsNil)
+			rest, err := m.UnmarshalMsg(old)
+			c.Assert(err, qt.IsNil)
+			c.Assert(rest, qt.HasLen, 0)
+			written, err := m.MarshalMsg(nil)
+			c.Assert(err, qt.IsNil)
+			c.Assert(written, qt.DeepEquals, old)
+		})
+	}
+}
--- a/internal/fleet/nodeagent/nodeagent.go
+++ b/internal/fleet/nodeagent/nodeagent.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -90,16 +91,16 @@
 	return a
 }
 
-// Run serves the proxy and follows a control server until parent ends; it then returns nil. Where the proxy has sent
-// residency reports it goes on after that until the last of them is handed on, at most until shortly before the end
-// of the platform's grace (Bounds.Grace). Errors: the port on loopback can't be listened at, or no seed is an
-// address.
+// Run serves the proxy and follows a control server until parent ends; it then returns nil, when all that it began has
+// ended. While the proxy drains it goes on after that, and until the last of its residency reports is handed on, at
+// most until shortly before the end of the platform's grace (Bounds.Grace). Errors: the port on loopback can't be
+// listened at, or no seed is an address.
 func (a *Agent) Run(parent context.Context) error {
 	ctx, end := context.WithCancel(context.WithoutCancel(parent))
 	defer end()
 	longPoll, readTimeout := distribution.PullTimeouts(a.settings.Bounds.Apply, a.settings.Heartbeat)
 	defer context.AfterFunc(parent, func() {
-		a.awaitFinalReport(ctx, longPoll)
+		a.awaitShutdown(ctx, longPoll)
 		end()
 	})()
 	ln, err := sockets.Listen(ctx, distribution.NodeAgentAddr(a.settings.Ports), sockets.ListenWithin)
@@ -109,7 +110,12 @@
 	stop := context.AfterFunc(ctx, func() { ln.Close() })
 	defer stop()
 	idleTimeout := a.leaseTerm() + time.Second
-	go distribution.Serve(ctx, ln, a.settings.NodeName, a.cache, idleTimeout, a.cache.LastContact)
+	var serving sync.WaitGroup
+	serving.Go(func() {
+		distribution.Serve(ctx, ln, a.settings.NodeName, a.cache, idleTimeout, a.cache.LastContact)
+	})
+	defer serving.Wait()
+	defer end()
 	a.log.Info("started")
 	return a.followServers(ctx, longPoll, readTimeout)
 }
@@ -146,13 +152,14 @@
 		MaxWait:     selection.longPoll,
 		ReadTimeout: readTimeout,
 		Dial:        a.Dial,
-		Members: func() []distribution.Member {
-			return a.listVersions.translate(a.cache.Members(time.Now(), a.leaseTerm()))
-		},
-		Versions:  a.versionVector,
-		Apply:     a.applyResponse,
-		Residency: func(time.Time) *distribution.ResidencyOutbox { return a.cache.Residency },
-		Outcomes:  a.cache.Outcomes,
+		Members:     a.members,
+		PushMembers: a.members,
+		// A proxy that begins to drain is told of at once: its peers have to know who still serves.
+		MembersChanged: a.cache.DrainingChanged(),
+		Versions:       a.versionVector,
+		Apply:          a.applyResponse,
+		Residency:      func(time.Time) *distribution.ResidencyOutbox { return a.cache.Residency },
+		Outcomes:       a.cache.Outcomes,
 		Continue: func() bool {
 			return selection.keepFollowing(time.Now(), a.contactAge(), len(a.serverAddrs))
 		},
@@ -162,6 +169,11 @@
 	}
 }
 
+// members returns the proxy behind this process, if its lease stands. It may be called from any goroutine.
+func (a *Agent) members() []distribution.Member {
+	return a.listVersions.translate(a.cache.Members(time.Now(), a.leaseTerm()))
+}
+
 // leaseTerm is how long a proxy counts as alive after its last pull.
 func (a *Agent) leaseTerm() time.Duration { return leaseHeartbeats * a.settings.Heartbeat }
 
--- a/internal/fleet/proxy/clientconn.go
+++ b/internal/fleet/proxy/clientconn.go
@@ -53,6 +53,7 @@
 type clientListener struct {
 	net.Listener
 	timeouts clientTimeouts
+	accepted func(now time.Time) // told of each connection
 }
 
 // Accept waits for the next connection.
@@ -61,6 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
+	l.accepted(time.Now())
 	return &clientConn{Conn: c, timeouts: l.timeouts}, nil
 }
 
--- a/internal/fleet/proxy/clientconn_test.go
+++ b/internal/fleet/proxy/clientconn_test.go
@@ -60,7 +60,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = server.Serve(clientListener{e.listener, v.clientTimeouts})
+		_ = server.Serve(clientListener{e.listener, v.clientTimeouts, v.shutdown.connected})
 	}()
 	c.Cleanup(func() {
 		_ = server.Close()
--- a/internal/fleet/proxy/configwatch.go
+++ b/internal/fleet/proxy/configwatch.go
@@ -61,13 +61,15 @@
 		Name:        p.settings.NodeName,
 		MaxWait:     p.settings.Heartbeat,
 		ReadTimeout: watchReadTimeout,
-		Members:     func() []distribution.Member { return []distribution.Member{p.member(time.Now())} },
+		Members:     func() []distribution.Member { return []distribution.Member{p.renewLease(time.Now())} },
 		Versions:    func() map[string]distribution.Version { return maps.Clone(p.versions) },
 		Apply: func(response *distribution.Response) []string {
 			p.apply(response)
 			return nil // what was rejected has no version any more, which asks for it again
 		},
-		Outcomes: p.outcomes,
+		Outcomes:       p.outcomes,
+		MembersChanged: p.drainingAnnounced,
+		PushMembers:    p.lastLease,
 		Residency: func(now time.Time) *distribution.ResidencyOutbox {
 			p.residency.report(now, p.residencyReports, false)
 			return p.residencyReports
@@ -75,20 +77,41 @@
 	}
 }
 
-// member describes this proxy for the renewal of its lease.
-func (p *Proxy) member(now time.Time) distribution.Member {
+// renewLease describes this proxy for the renewal of its lease.
+func (p *Proxy) renewLease(now time.Time) distribution.Member {
 	m := distribution.Member{
 		Name:               p.settings.NodeName,
 		Zone:               p.settings.Zone,
 		BackendListVersion: p.versions[distribution.BackendListType],
+		Draining:           p.lifecycle.Leaving(),
 	}
 	if p.doc != nil {
 		m.ConfigVersion = p.doc.Version()
 		m.ConfigAgeMs = now.Sub(p.docSince).Milliseconds()
 	}
+	p.lease.Store(&m)
 	return m
 }
 
+// lastLease describes this proxy as in its last pull, but for whether it drains. It may be called from any goroutine.
+func (p *Proxy) lastLease() []distribution.Member {
+	last := p.lease.Load()
+	if last == nil {
+		return nil // it has no lease yet
+	}
+	m := *last
+	m.Draining = p.lifecycle.Leaving()
+	return []distribution.Member{m}
+}
+
+// announceDraining has the fleet told at once that this proxy drains.
+func (p *Proxy) announceDraining() {
+	select {
+	case p.drainingAnnounced <- struct{}{}:
+	default:
+	}
+}
+
 // apply applies the resources of a response. One that can't be used is logged, and asked for again as a complete one
 // with the next pull.
 func (p *Proxy) apply(response *distribution.Response) {
@@ -182,6 +205,7 @@
 	}
 	p.proxies = max(size.Proxies, 1)
 	p.zoneProxies = max(size.Zones[p.settings.Zone], 1)
+	p.shutdown.setPeers(peersOf(&size, p.settings.Zone))
 	return nil
 }
 
--- a/internal/fleet/proxy/proxy.go
+++ b/internal/fleet/proxy/proxy.go
@@ -75,6 +75,10 @@
 	becameReady chan struct{} // closed when ready is first set
 	shutdown    gracefulShutdown
 
+	// Membership.
+	lease             atomic.Pointer[distribution.Member] // as last renewed; nil before
+	drainingAnnounced chan struct{}                       // holds a value until the push that says so
+
 	// Reports.
 	answersByStatus  *xsync.Map[int, *xsync.Counter] // final answers; 0: broken off
 	residency        *residencyTracker
@@ -84,8 +88,8 @@
 	configState
 }
 
-// New returns a proxy that has no configuration yet. It opens no socket; Run does. The context is that of the process:
-// calls that release KV handles end with it.
+// New returns a proxy that has no configuration yet. It opens no socket; Run does. The context is that of the process,
+// not of its service: what goes on while the proxy drains ends with it, calls that release KV handles among it.
 func New(ctx context.Context, set settings.Settings, log *zap.Logger) *Proxy {
 	files := set.Limits.Files
 	if files <= 0 {
@@ -105,13 +109,16 @@
 		Resting: maxSettlingConns,
 	})
 	return &Proxy{
-		ctx:              ctx,
-		settings:         set,
-		log:              log,
-		pool:             pool,
-		gate:             residency.NewGate(pool, set.Zones),
-		lifecycle:        lifecycle.New(),
-		becameReady:      make(chan struct{}),
+		ctx:         ctx,
+		settings:    set,
+		log:         log,
+		pool:        pool,
+		gate:        residency.NewGate(pool, set.Zones),
+		lifecycle:   lifecycle.New(),
+		becameReady: make(chan struct{}),
+
+		drainingAnnounced: make(chan struct{}, 1),
+
 		answersByStatus:  xsync.NewMap[int, *xsync.Counter](),
 		residency:        newResidencyTracker(),
 		residencyReports: distribution.NewResidencyOutbox(),
@@ -131,41 +138,72 @@
 	return p.ready.Load() && !p.lifecycle.Leaving()
 }
 
-// Run serves clients and readiness checks until ctx ends, then drains within the platform's grace period. It returns an
-// error if the settings name no address, if it can't listen, or if the listener of clients fails.
+// Run serves clients and readiness checks until ctx ends, then drains within the platform's grace period. It follows
+// the node agent to its end, so that a region that is withdrawn meanwhile reaches the streams under way, and returns
+// once all that it began has ended. It returns an error if the settings name no address, if it can't listen, or if the
+// listener of clients fails.
 func (p *Proxy) Run(ctx context.Context) error {
-	if p.settings.Bind.Edge == "" || p.settings.Bind.Ready == "" {
-		return errors.New("bind: edge and readyz must be given")
-	}
-	edge, err := sockets.Listen(ctx, p.settings.Bind.Edge, sockets.ListenWithin)
+	listeners, err := p.listen(ctx)
 	if err != nil {
-		return errors.Wrap(err, "listen for clients")
-	}
-	ready, err := sockets.Listen(ctx, p.settings.Bind.Ready, sockets.ListenWithin)
-	if err != nil {
-		return errors.Wrap(err, "listen for readiness")
+		return err
 	}
 	readiness := p.readinessServer()
-	go func() { _ = readiness.Serve(ready) }()
 	server := p.clientServer()
+	running, stop := context.WithCancel(p.ctx)
+	var tasks sync.WaitGroup
+	tasks.Go(func() { _ = readiness.Serve(listeners.ready) })
+	tasks.Go(func() { p.followNodeAgent(running) })
+	tasks.Go(func() { p.logCounters(running) })
+	tasks.Go(func() { p.reportOutcomes(running) })
+	defer tasks.Wait()
+	defer stop()
+	defer func() { _ = readiness.Close() }()
 	p.log.Info("started")
 	p.lifecycle.Open()
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(clientListener{edge, p.clientTimeouts}) }()
-	go p.followNodeAgent(ctx)
-	go p.logCounters(ctx)
-	go p.reportOutcomes(ctx)
+	clients := clientListener{
+		Listener: listeners.edge,
+		timeouts: p.clientTimeouts,
+		accepted: p.shutdown.connected,
+	}
+	tasks.Go(func() { failed <- server.Serve(clients) })
 	select {
 	case err := <-failed:
 		return errors.Wrap(err, "serve")
 	case <-ctx.Done():
 	}
 	p.drainAndClose(server)
-	p.flushResidencyReports()
-	_ = readiness.Close()
+	stop() // the last residency reports have a watch of their own
+	p.background.Wait()
+	p.flushReports()
+	p.pool.Close()
 	return nil
 }
 
+// listeners are a proxy's sockets.
+type listeners struct {
+	edge  net.Listener // clients'
+	ready net.Listener // of readiness checks
+}
+
+// listen opens the proxy's sockets: all of them, or none and an error.
+func (p *Proxy) listen(ctx context.Context) (listeners, error) {
+	bind := p.settings.Bind
+	if bind.Edge == "" || bind.Ready == "" {
+		return listeners{}, errors.New("bind: edge and readyz must be given")
+	}
+	edge, err := sockets.Listen(ctx, bind.Edge, sockets.ListenWithin)
+	if err != nil {
+		return listeners{}, errors.Wrap(err, "listen for clients")
+	}
+	ready, err := sockets.Listen(ctx, bind.Ready, sockets.ListenWithin)
+	if err != nil {
+		_ = edge.Close() // nothing was accepted
+		return listeners{}, errors.Wrap(err, "listen for readiness")
+	}
+	return listeners{edge: edge, ready: ready}, nil
+}
+
 // readinessServer answers the platform's readiness checks: 200 if the proxy is ready, else 503. It serves on while the
 // proxy drains, so that the platform sees it as not ready rather than as dead.
 func (p *Proxy) readinessServer() *http.Server {
--- a/internal/fleet/proxy/residencylog.go
+++ b/internal/fleet/proxy/residencylog.go
@@ -239,13 +239,10 @@
 	return batch, reported, false
 }
 
-// flushResidencyReports reports what is left in the log to the node agent, as the process ends. It blocks for
+// flushReports tells the node agent that the process ends, with what is left in the residency log. It blocks for
 // flushTimeout at the most; what the node agent doesn't take by then is lost.
-func (p *Proxy) flushResidencyReports() {
+func (p *Proxy) flushReports() {
 	p.residency.report(time.Now(), p.residencyReports, true)
-	if !p.residencyReports.Used() {
-		return
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
 	defer cancel()
 	_ = distribution.Watch(ctx, distribution.NodeAgentAddr(p.settings.Ports), &distribution.Watcher{
--- a/internal/fleet/proxy/reverseproxy.go
+++ b/internal/fleet/proxy/reverseproxy.go
@@ -60,10 +60,10 @@
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrivedAt := time.Now()
 	p.inFlight.Add(1)
-	defer p.inFlight.Add(-1)
+	defer p.requestEnded()
 	if p.lifecycle.Leaving() {
 		w.Header().Set("Connection", "close")
-		defer p.shutdown.track()()
+		defer p.shutdown.track(arrivedAt)()
 	}
 	cr, err := p.admit(w, r, arrivedAt)
 	if err != nil {
@@ -79,6 +79,12 @@
 	cr.serve(ctx)
 }
 
+// requestEnded counts a request that is over.
+func (p *Proxy) requestEnded() {
+	p.inFlight.Add(-1)
+	p.shutdown.requestEnded()
+}
+
 // admit checks a request against the routing snapshot, reads its body, and finds its route and service. Its errors are
 // rejections.
 func (p *Proxy) admit(w http.ResponseWriter, r *http.Request, arrivedAt time.Time) (*clientRequest, error) {
--- a/internal/fleet/proxy/shutdown.go
+++ b/internal/fleet/proxy/shutdown.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -13,9 +15,6 @@
 )
 
 const (
-	// acceptWindow is for how long a draining proxy still accepts connections: the platform checks every second
-	// whether it is ready, and sends clients elsewhere after two misses.
-	acceptWindow = 3 * time.Second
 	// forceCloseMargin is how long before the end of the grace period what is still open is closed: the process has to
 	// end before it is killed.
 	forceCloseMargin = 300 * time.Millisecond
@@ -23,9 +22,6 @@
 	firstByteTargets = 4
 	// paceFactor is how many times as slowly as in recent streams the events of a stream may come.
 	paceFactor = 2
-	// notReadyLag is how long after a proxy's answer that it isn't ready the platform still sends it clients, at the
-	// most: two misses, a second apart, and some time for the way.
-	notReadyLag = 2200 * time.Millisecond
 	// retryElsewhereAfter is the least Retry-After of a draining proxy: a client that retries then meets another one.
 	retryElsewhereAfter = 10 * time.Millisecond
 	// manyProxiesPerZone is how many proxies a zone has to have for a client that retries at once to meet another one
@@ -33,22 +29,60 @@
 	manyProxiesPerZone = 5
 )
 
-// gracefulShutdown is the state of a proxy's shutdown: until when its answers may take, and the requests that arrived
-// since it began. Its zero value is that of a proxy that serves on. It may be used from any goroutine.
+// gracefulShutdown is a proxy's shutdown: when its listener and its connections are closed, and the requests that
+// arrived since it began. Its zero value is that of a proxy that serves on. It may be used from any goroutine.
 type gracefulShutdown struct {
-	began    time.Time                 // written before closeAt is stored, read after it was seen
+	mu    sync.Mutex
+	state drainState // guarded by mu
+
 	closeAt  atomic.Pointer[time.Time] // when open connections are closed; nil: the proxy serves on
 	accepted atomic.Int64              // requests that arrived since it began
 	inFlight atomic.Int64              // those of them that are under way
-	rejected atomic.Int64              // those of them that were rejected as they might outlast the proxy
+	late     atomic.Int64              // those of these that came after the acceptWindow
+	rejected atomic.Int64              // those that were rejected as they might outlast the proxy
+
+	changed chan struct{} // signalled, without waiting, when the state is to be stepped
 }
 
-// begin begins the shutdown: what is open is closed at the time given.
-func (gs *gracefulShutdown) begin(now, closeAt time.Time) {
-	gs.began = now
+// begin begins the shutdown: what is open is closed at the time given. first is as newDrainState has it.
+func (gs *gracefulShutdown) begin(now, closeAt time.Time, first bool) {
+	gs.mu.Lock()
+	defer gs.mu.Unlock()
+	gs.state = newDrainState(now, closeAt, first, gs.state.peers)
+	gs.changed = make(chan struct{}, 1)
 	gs.closeAt.Store(&closeAt)
 }
 
+// began reports whether the shutdown has begun.
+func (gs *gracefulShutdown) began() bool { return gs.closeAt.Load() != nil }
+
+// setPeers records which proxies serve.
+func (gs *gracefulShutdown) setPeers(now peers) {
+	gs.mu.Lock()
+	defer gs.mu.Unlock()
+	gs.state.peers = now
+	if gs.began() {
+		gs.signal() // who serves decides when this proxy may close
+	}
+}
+
+// connected tells of a new connection.
+func (gs *gracefulShutdown) connected(now time.Time) {
+	if !gs.began() {
+		return
+	}
+	gs.mu.Lock()
+	defer gs.mu.Unlock()
+	gs.state.connected(now)
+}
+
+// step steps the state, where so many requests are under way in all.
+func (gs *gracefulShutdown) step(now time.Time, open int64) (phase drainPhase, next time.Time) {
+	gs.mu.Lock()
+	defer gs.mu.Unlock()
+	return gs.state.step(now, open-gs.late.Load())
+}
+
 // outlasts reports whether an answer that may take so long, and has to be complete by the deadline, may come after the
 // proxy has closed its connections.
 func (gs *gracefulShutdown) outlasts(now, deadline time.Time, longest time.Duration) bool {
@@ -60,19 +94,43 @@
 }
 
 // track counts a request that arrives during the shutdown. The caller calls ended when it is over.
-func (gs *gracefulShutdown) track() (ended func()) {
+func (gs *gracefulShutdown) track(now time.Time) (ended func()) {
+	gs.mu.Lock()
+	late := gs.began() && !gs.state.inWindow(now)
+	gs.mu.Unlock()
 	gs.accepted.Add(1)
 	gs.inFlight.Add(1)
-	return func() { gs.inFlight.Add(-1) }
+	if late {
+		gs.late.Add(1)
+	}
+	return func() {
+		gs.inFlight.Add(-1)
+		if late {
+			gs.late.Add(-1)
+		}
+	}
 }
 
-// retryAfter is when a rejected client is to retry: at once in a zone of many proxies, else when the platform sends
-// clients to the other ones only.
-func (gs *gracefulShutdown) retryAfter(now time.Time, proxiesInZone int) time.Duration {
-	if proxiesInZone >= manyProxiesPerZone {
-		return retryElsewhereAfter
+// requestEnded has the state stepped, as a request that it may wait for is over.
+func (gs *gracefulShutdown) requestEnded() {
+	if gs.began() {
+		gs.signal()
+	}
+}
+
+// signal has the state stepped.
+func (gs *gracefulShutdown) signal() {
+	select {
+	case gs.changed <- struct{}{}:
+	default:
 	}
-	return max(notReadyLag-now.Sub(gs.began), retryElsewhereAfter)
+}
+
+// retryAfter is when a rejected client is to retry.
+func (gs *gracefulShutdown) retryAfter(now time.Time, proxiesInZone int) time.Duration {
+	gs.mu.Lock()
+	defer gs.mu.Unlock()
+	return gs.state.retryAfter(now, proxiesInZone)
 }
 
 // longestAnswer is how long an answer may take, at most the time left to the deadline: firstByteTargets latency
@@ -112,7 +170,7 @@
 // has seen the request, and its client has time to retry at a proxy that stays.
 func (cr *clientRequest) rejectIfLeaving(prompt *scheduler.Prompt) bool {
 	shutdown := &cr.proxy.shutdown
-	if shutdown.closeAt.Load() == nil {
+	if !shutdown.began() {
 		return false
 	}
 	now := time.Now()
@@ -130,19 +188,19 @@
 }
 
 // drainAndClose shuts the proxy down and blocks until that is done, for the platform's grace period at the most. From
-// its call on, the proxy isn't ready, and answers close their connections. For acceptWindow, or half the grace period
-// if that is less, new requests are still served, as the platform still sends some; then the listener and idle
-// connections are closed, and the requests under way have the rest of the grace period.
+// its call on, the proxy isn't ready, and answers close their connections. New requests are still served while clients
+// have nowhere else to go (drainState); then the listener and idle connections are closed, and the requests under way
+// have the rest of the grace period.
 func (p *Proxy) drainAndClose(server *http.Server) {
 	began := time.Now()
 	grace := p.settings.Bounds.Grace
 	closeAt := began.Add(grace - forceCloseMargin)
-	p.shutdown.begin(began, closeAt)
+	p.shutdown.begin(began, closeAt, rand.Float64() < firstShare)
 	p.lifecycle.End()
+	p.announceDraining()
 	p.log.Info("draining", zap.Int64("open", p.inFlight.Load()), zap.Duration("grace", grace))
-	accepting := time.NewTimer(min(acceptWindow, grace/2))
-	defer accepting.Stop()
-	<-accepting.C
+	p.awaitListenerClose()
+	accepting := time.Since(began)
 	closing, cancel := context.WithDeadline(context.Background(), closeAt)
 	defer cancel()
 	if server.Shutdown(closing) != nil {
@@ -155,6 +213,23 @@
 	p.log.Info("shut down", append(p.counters(),
 		zap.Int64("accepted_draining", p.shutdown.accepted.Load()),
 		zap.Int64("rejected_draining", p.shutdown.rejected.Load()),
+		zap.Duration("accepting", accepting),
 		zap.Duration("took", time.Since(began)))...)
-	p.pool.Close()
+}
+
+// awaitListenerClose blocks until the listener is to be closed.
+func (p *Proxy) awaitListenerClose() {
+	for {
+		now := time.Now()
+		phase, next := p.shutdown.step(now, p.inFlight.Load())
+		if phase != drainAccepting {
+			return
+		}
+		timer := time.NewTimer(next.Sub(now))
+		select {
+		case <-timer.C:
+		case <-p.shutdown.changed:
+		}
+		timer.Stop()
+	}
 }
--- a/internal/fleet/proxy/shutdown_test.go
+++ b/internal/fleet/proxy/shutdown_test.go
@@ -70,7 +70,7 @@
 	prompt *scheduler.Prompt) bool {
 	p := new(Proxy)
 	if stays > 0 {
-		p.shutdown.begin(now, now.Add(stays))
+		p.shutdown.begin(now, now.Add(stays), false)
 	}
 	svc := newService("s", nil, time.Second)
 	if pace > 0 {
@@ -90,7 +90,7 @@
 func TestRetryAfterDuringShutdown(t *testing.T) {
 	c := qt.New(t)
 	began := time.Unix(1000, 0)
-	shutdown := &gracefulShutdown{began: began}
+	shutdown := newDrainState(began, began.Add(8*time.Second), false, peers{})
 	for _, tc := range []struct {
 		after   time.Duration
 		proxies int
