--- a/cmd/molepaddle-fleet/control.go
+++ b/cmd/molepaddle-fleet/control.go
@@ -75,7 +75,10 @@
 // exitCodeOf is the exit code of a client's error.
 func exitCodeOf(err error) int {
 	var rejected *operatorclient.RejectedError
+	var unclear *operatorclient.IndeterminateError
 	switch {
+	case errors.As(err, &unclear) && !unclear.Sent:
+		return exitFailure
 	case !errors.As(err, &rejected):
 		return exitIndeterminate
 	case rejected.Status == http.StatusPreconditionFailed:
--- a/cmd/molepaddle-fleet/main.go
+++ b/cmd/molepaddle-fleet/main.go
@@ -23,7 +23,7 @@
 // Exit codes, as docs/operators/fleet-commands.md documents them.
 const (
 	exitOK              = 0
-	exitFailure         = 1 // findings, a rejection, no route; a program failed
+	exitFailure         = 1 // findings, a rejection, no route, nobody to send to; a program failed
 	exitUsage           = 2 // the command line makes no sense, or a file can't be read
 	exitVersionConflict = 3 // another version is current than the one built on
 	exitTimeout         = 3 // the time was over before every agent had the version
--- a/cmd/molepaddle-fleet/propose.go
+++ b/cmd/molepaddle-fleet/propose.go
@@ -69,7 +69,7 @@
 	if s.Base < 0 {
 		now, response, err := fetchCurrent(ctx, client)
 		if err != nil {
-			return err
+			return exitError{errors.Wrap(err, "the version in force is not known, the change was not sent"), exitFailure}
 		}
 		if s.Base = now.Version(); call == externalapi.CallReplace && now != nil {
 			if next, _ := routingconfig.Decode(body); next != nil && next.Equal(now) {
@@ -115,7 +115,7 @@
 	case err == nil:
 		fmt.Fprintf(a.out, "acknowledged by %s: version %d on top of %d\n", s.From, s.Version, s.Base)
 		return nil
-	case s.Status == 0:
+	case s.Status == 0 && exitCodeOf(err) == exitIndeterminate:
 		return exitError{errors.Errorf("%v\nThe change may be in force or not. Send it again with --base %d.", err,
 			s.Base), exitIndeterminate}
 	}
--- a/cmd/molepaddle-fleet/status.go
+++ b/cmd/molepaddle-fleet/status.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-faster/errors"
 
+	"molepaddle/internal/fleet/operatorclient"
 	"molepaddle/internal/fleet/status"
 )
 
@@ -28,12 +29,13 @@
 	}
 	fleet, response, err := client.Status(ctx, c.Local)
 	if err != nil {
-		if exitCodeOf(err) == exitIndeterminate && !c.Local {
+		code := exitCodeOf(err)
+		var unclear *operatorclient.IndeterminateError
+		if errors.As(err, &unclear) && !c.Local {
 			err = errors.Errorf("%v\nNo primary answers. "+
 				"--local shows what one machine knows: give its address with --control.", err)
-			return exitError{err, exitIndeterminate}
 		}
-		return exitError{err, exitCodeOf(err)}
+		return exitError{err, code}
 	}
 	if c.JSON {
 		return writeJSON(a.out, fleet)
@@ -82,6 +84,8 @@
 		switch {
 		case d.Holder == "":
 			state = "nobody does it"
+		case d.Fenced:
+			state = "fenced: a backend has seen a higher token"
 		case d.StandbyMs > 0:
 			state = "keeps still for another " + formatMillis(d.StandbyMs)
 		}
@@ -136,7 +140,7 @@
 	}
 }
 
-// lagging is what an agent lacks.
+// lagging is what an agent lacks, and that it drains.
 func lagging(f *status.Fleet, a *status.Agent) string {
 	var all []string
 	if a.ConfigVersion < f.Configuration.Version {
@@ -145,6 +149,9 @@
 	if a.BackendListVersion != f.BackendList.ListVersion {
 		all = append(all, "list")
 	}
+	if a.Draining {
+		all = append(all, "draining")
+	}
 	return orDash(strings.Join(all, ", "))
 }
 
--- a/internal/fleet/controlplane/change.go
+++ b/internal/fleet/controlplane/change.go
@@ -53,6 +53,18 @@
 	}
 }
 
+// logUnanswered logs a change that gets 503, and returns its error: the operator sends it again, but who reads the log
+// has to see why it took long.
+func (s *Server) logUnanswered(r *http.Request, err error) error {
+	var refused *callError
+	if errors.As(err, &refused) && refused.status == http.StatusServiceUnavailable {
+		s.log.Info("change got no clear answer",
+			zap.String("reason", refused.reason),
+			zap.String("base", r.Header.Get(externalapi.HeaderBaseVersion)))
+	}
+	return err
+}
+
 // readCommand reads a change. What is wrong with a call as such is an error whatever the state: a header that is no
 // number, a body that is too long or was cut short.
 func readCommand(w http.ResponseWriter, r *http.Request, replace bool) (*Command, error) {
--- a/internal/fleet/controlplane/handler.go
+++ b/internal/fleet/controlplane/handler.go
@@ -17,10 +17,10 @@
 		mux.HandleFunc(call.Method+" "+call.Path, handle(h))
 	}
 	register(externalapi.CallReplace, func(w http.ResponseWriter, r *http.Request) error {
-		return s.change(w, r, true)
+		return s.logUnanswered(r, s.change(w, r, true))
 	})
 	register(externalapi.CallUpdate, func(w http.ResponseWriter, r *http.Request) error {
-		return s.change(w, r, false)
+		return s.logUnanswered(r, s.change(w, r, false))
 	})
 	register(externalapi.CallShow, s.showConfig)
 	register(externalapi.CallResidency, s.showResidency)
--- a/internal/fleet/controlplane/phasecontroller.go
+++ b/internal/fleet/controlplane/phasecontroller.go
@@ -35,6 +35,10 @@
 	changing     map[string]bool                    // ids to which nobody should send
 	active       map[string]int                     // requests by id of decode backends, as of the last round
 	unresponsive []string                           // ids whose report did not come then
+
+	// fencedEpoch is the newest epoch whose orders a backend rejected since it had seen a higher one; 0: none. No
+	// order is given in its name, or that of an earlier one, again.
+	fencedEpoch uint64
 }
 
 // newPhaseController returns one that has given no orders yet.
--- a/internal/fleet/controlplane/phaseorder.go
+++ b/internal/fleet/controlplane/phaseorder.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"net/http"
 	"slices"
 	"time"
 
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
 	"molepaddle/internal/fleet/distribution"
@@ -29,6 +29,27 @@
 	return s.settings.Bounds.Lease + confirmAndOrderTimeout + orderTransitBound
 }
 
+// fence ends the role of the primary of an epoch: a backend has seen a higher fencing token. The role comes back with a
+// newer view only.
+func (p *phaseController) fence(epoch uint64, backend string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.fencedEpoch >= epoch {
+		return
+	}
+	p.fencedEpoch = epoch
+	p.server.log.Warn("phase orders fenced, given up until there is a newer view",
+		zap.String("backend", backend),
+		zap.Uint64("fence", epoch))
+}
+
+// fenced reports whether the role of the primary of an epoch has ended.
+func (p *phaseController) fenced(epoch uint64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return epoch <= p.fencedEpoch
+}
+
 // sendOrders gives the orders of the transitions that are due; one that was not acknowledged is given again later.
 func (p *phaseController) sendOrders(
 	ctx context.Context,
@@ -43,6 +64,9 @@
 		if !t.Due || i < 0 {
 			continue
 		}
+		if p.fenced(epoch) {
+			return
+		}
 		if !p.confirmAndOrder(ctx, &backends[i], t.Prefill, reports[i].Orders, epoch) {
 			p.mu.Lock()
 			planner.RetryOrder(t.ID)
@@ -52,8 +76,8 @@
 }
 
 // confirmAndOrder gives one order, if the view that gives the role still stands, to a backend that has taken so many
-// orders. It returns false when the order was not sent, its answer didn't come, or the backend has taken another
-// since its report or has one under way.
+// orders. It returns false when the order was not sent, its answer didn't come, or the backend doesn't hold to it: it
+// has taken another since its report, has one under way, is another backend, or has failed.
 //
 // Safety: it is sent within confirmAndOrderTimeout of when the confirmation of the view was asked for, and given up
 // at that time. The next owner of the role, which was chosen after that, gives no order before phaseTakeoverWait: a
@@ -65,7 +89,13 @@
 	by := time.Now().Add(confirmAndOrderTimeout)
 	ctx, cancel := context.WithDeadline(ctx, by)
 	defer cancel()
-	return p.confirmEpoch(ctx, epoch) && p.sendOrder(ctx, by, b, prefill, taken, epoch)
+	if !p.confirmEpoch(ctx, epoch) {
+		p.server.log.Info("phase order withheld: the view is not confirmed",
+			zap.String("backend", b.ID),
+			zap.Uint64("fence", epoch))
+		return false
+	}
+	return p.sendOrder(ctx, by, b, prefill, taken, epoch)
 }
 
 // sendOrder sends an order, unless it is too late for that; see confirmAndOrder.
@@ -92,7 +122,10 @@
 		zap.Int("status", status),
 		zap.Uint64("fence", epoch),
 		zap.Error(err))
-	return err == nil && status != http.StatusConflict
+	if errors.Is(err, externalapi.ErrFenced) {
+		p.fence(epoch, b.ID)
+	}
+	return err == nil && externalapi.OrderTaken(status)
 }
 
 // confirmEpoch reports whether all backups confirm that the view of an epoch stands, with this machine as its primary.
--- a/internal/fleet/controlplane/poller.go
+++ b/internal/fleet/controlplane/poller.go
@@ -62,6 +62,8 @@
 	since time.Time // when the term began
 	at    time.Time // of the last answer; zero: none in this term
 	list  *distribution.BackendList
+
+	fenced bool // a backend has seen a higher fencing token: no orders are given in this term
 }
 
 // poll runs a poller until ctx ends.
@@ -127,7 +129,7 @@
 	r := round{
 		now:      time.Since(p.server.start),
 		epoch:    p.term.epoch,
-		mayOrder: now.Sub(p.term.since) > p.server.phaseTakeoverWait(),
+		mayOrder: now.Sub(p.term.since) > p.server.phaseTakeoverWait() && !p.phases.fenced(p.term.epoch),
 	}
 	if p.phases.run(ctx, r, p.term.platformList) {
 		p.term.dirty = true
@@ -165,8 +167,15 @@
 func (p *poller) recordPoll() {
 	t := &p.term
 	was := p.server.lastPoll.Load()
-	if was == nil || was.epoch != t.epoch || was.at != t.lastAnswer || was.list != t.list {
-		p.server.lastPoll.Store(&pollStatus{epoch: t.epoch, since: t.since, at: t.lastAnswer, list: t.list})
+	fenced := p.phases.fenced(t.epoch)
+	if was == nil || was.epoch != t.epoch || was.at != t.lastAnswer || was.list != t.list || was.fenced != fenced {
+		p.server.lastPoll.Store(&pollStatus{
+			epoch:  t.epoch,
+			since:  t.since,
+			at:     t.lastAnswer,
+			list:   t.list,
+			fenced: fenced,
+		})
 	}
 }
 
--- a/internal/fleet/controlplane/status.go
+++ b/internal/fleet/controlplane/status.go
@@ -138,6 +138,7 @@
 			ConfigVersion:      m.ConfigVersion,
 			ConfigAgeMs:        m.AgeMs + m.ConfigAgeMs,
 			BackendListVersion: listVersion(m.BackendListVersion),
+			Draining:           m.Draining,
 		})
 	}
 	return agents
@@ -155,6 +156,7 @@
 			phases.StandbyMs = s.phaseTakeoverWait().Milliseconds()
 			if p := s.lastPoll.Load(); p != nil && p.epoch == st.Epoch {
 				phases.StandbyMs = max(s.phaseTakeoverWait()-now.Sub(p.since), 0).Milliseconds()
+				phases.Fenced = p.fenced
 			}
 		}
 	}
--- a/internal/fleet/externalapi/backend.go
+++ b/internal/fleet/externalapi/backend.go
@@ -55,6 +55,9 @@
 	}
 }
 
+// ErrFenced is that a backend has seen a higher fencing token (412): there is a later holder of the role.
+var ErrFenced = errors.New("a higher fencing token was seen")
+
 // ignoreRedirect has a 3xx come back as the answer.
 func ignoreRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
@@ -142,8 +145,8 @@
 }
 
 // Order gives an order to the backend at addr, host:port. It returns the backend's status: 202 the phase changes, 200
-// it was that already, 409 another order is under way or was taken since the report, 412 a higher fencing token was
-// seen, 421 this is another backend. After an error the order may have been taken; it is not sent again.
+// it was that already, 409 another order is under way or was taken since the report, 421 this is another backend.
+// Errors: ErrFenced, with 412; after any other the order may have been taken. It is not sent again.
 func (b *BackendClient) Order(ctx context.Context, addr string, o PhaseOrder) (status int, err error) {
 	body, err := json.Marshal(phaseOrderBody{
 		Op:             "phase",
@@ -170,5 +173,11 @@
 	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxReportBytes)); err != nil {
 		return 0, errors.Wrap(err, "order")
 	}
+	if resp.StatusCode == http.StatusPreconditionFailed {
+		return resp.StatusCode, ErrFenced
+	}
 	return resp.StatusCode, nil
 }
+
+// OrderTaken reports whether a backend that answered an order with this status holds to it.
+func OrderTaken(status int) bool { return status == http.StatusAccepted || status == http.StatusOK }
--- a/internal/fleet/operatorclient/errors.go
+++ b/internal/fleet/operatorclient/errors.go
@@ -40,10 +40,18 @@
 type IndeterminateError struct {
 	// LastErr is the error of the last attempt; never nil.
 	LastErr error
+	// Sent says that an attempt was written to a control server, so that a change may be in force. Without it nothing
+	// has changed.
+	Sent bool
 }
 
 // Error says so, with the last attempt's error.
-func (e *IndeterminateError) Error() string { return "no clear answer: " + e.LastErr.Error() }
+func (e *IndeterminateError) Error() string {
+	if !e.Sent {
+		return "nothing was sent: " + e.LastErr.Error()
+	}
+	return "no clear answer: " + e.LastErr.Error()
+}
 
 // Unwrap returns the last attempt's error.
 func (e *IndeterminateError) Unwrap() error { return e.LastErr }
--- a/internal/fleet/operatorclient/operatorclient.go
+++ b/internal/fleet/operatorclient/operatorclient.go
@@ -10,8 +10,10 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -90,12 +92,14 @@
 // do makes attempts at one endpoint after the other, with backoff, until an answer is definite or the time is over.
 func (c *Client) do(ctx context.Context, call externalapi.Call, body []byte, header http.Header) (Response, error) {
 	if len(c.Endpoints) == 0 {
-		return Response{}, &IndeterminateError{errors.New("no control address is known")}
+		return Response{}, &IndeterminateError{LastErr: errors.New("no control address is known")}
 	}
 	ctx, cancel := context.WithTimeout(ctx, orDefault(c.CallTimeout, DefaultCallTimeout))
 	defer cancel()
 	client := newHTTPClient()
 	defer client.CloseIdleConnections()
+	var sent atomic.Bool // the transport writes in a goroutine of its own
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { sent.Store(true) }})
 	var lastErr error
 	rejections := 0
 	backoff := initialBackoff
@@ -119,7 +123,7 @@
 			}
 		}
 		if !sleep(ctx, backoff) {
-			return Response{}, &IndeterminateError{lastErr}
+			return Response{}, &IndeterminateError{LastErr: lastErr, Sent: sent.Load()}
 		}
 		backoff = min(2*backoff, maxBackoff)
 	}
--- a/internal/fleet/operatorclient/status.go
+++ b/internal/fleet/operatorclient/status.go
@@ -23,7 +23,7 @@
 	}
 	fleet, err := status.Decode(response.Body)
 	if err != nil {
-		return nil, response, &IndeterminateError{errors.Wrap(err, response.Endpoint)}
+		return nil, response, &IndeterminateError{LastErr: errors.Wrap(err, response.Endpoint), Sent: true}
 	}
 	return fleet, response, nil
 }
--- a/internal/fleet/outlier/detector.go
+++ b/internal/fleet/outlier/detector.go
@@ -19,9 +19,11 @@
 	maxStrikes = 2
 	// strikeLifetimeMs is how long after it was restored a backend's strikes count, ms.
 	strikeLifetimeMs = 30_000
-	// maxTrialsPerReport bounds the successes that one report counts for: no single proxy's report restores a
-	// backend.
+	// maxTrialsPerReport bounds the successes that one report counts for.
 	maxTrialsPerReport = 2
+	// maxTrialShare is the part of the required trials that the reports of one proxy count for, where there are
+	// others: no single proxy restores a backend, whose trouble may be on the way to the others.
+	maxTrialShare = 0.75
 	// reportDelayMs is how long after an ejection reported successes may be from before it, ms.
 	reportDelayMs = 1500
 	// suspicionMs is how long after its last bad end a backend may be ejected, ms.
@@ -42,7 +44,14 @@
 
 // Detector decides which backends are ejected. It is not safe for concurrent use.
 type Detector struct {
-	backends map[string]*backendStats // by id
+	backends  map[string]*backendStats // by id
+	reporters map[string]reporter      // proxies that reported of late, by name
+}
+
+// reporter is a proxy that reports.
+type reporter struct {
+	zone string
+	at   float64 // of its last report, ms
 }
 
 // backendStats is what is known of one backend.
@@ -52,10 +61,10 @@
 
 	// The present ejection.
 	ejected    bool
-	ejectedAt  float64 // ms
-	zone       string  // for whose proxies; "": for all
-	slow       bool    // it answers, but too late
-	goodTrials int     // since the last bad one
+	ejectedAt  float64        // ms
+	zone       string         // for whose proxies; "": for all
+	slow       bool           // it answers, but too late
+	goodTrials map[string]int // by proxy, since the last bad one
 
 	// Earlier ejections.
 	strikes    int
@@ -63,10 +72,18 @@
 }
 
 // NewDetector returns a Detector that has seen no report.
-func NewDetector() *Detector { return &Detector{backends: map[string]*backendStats{}} }
+func NewDetector() *Detector {
+	return &Detector{
+		backends:  map[string]*backendStats{},
+		reporters: map[string]reporter{},
+	}
+}
 
 // Observe takes a report of one proxy. Counts that can't be are ignored.
 func (d *Detector) Observe(now float64, report *distribution.OutcomeReport) {
+	if _, known := d.reporters[report.Proxy]; known || len(d.reporters) < maxProxies {
+		d.reporters[report.Proxy] = reporter{zone: report.Zone, at: now}
+	}
 	for i := range report.Outcomes {
 		d.observe(now, report, &report.Outcomes[i])
 	}
@@ -94,12 +111,12 @@
 	p.add(o)
 	if o.Failed+o.Slow+o.Overdue > 0 {
 		b.lastBadAt = now
-		b.goodTrials = 0
+		b.goodTrials = nil
 		return
 	}
 	afterEjection := now-b.ejectedAt > reportDelayMs
 	if b.ejected && afterEjection && (b.zone == "" || b.zone == report.Zone) {
-		b.goodTrials += min(o.Attempts, maxTrialsPerReport)
+		b.addGoodTrials(report.Proxy, min(o.Attempts, maxTrialsPerReport))
 	}
 }
 
@@ -120,7 +137,7 @@
 			ejections = append(ejections, distribution.Ejection{
 				Backend:   id,
 				Zone:      b.zone,
-				Probation: b.goodTrials > 0,
+				Probation: len(b.goodTrials) > 0,
 				Slow:      b.slow,
 			})
 		}
@@ -135,6 +152,11 @@
 	for _, peer := range peers {
 		listed[peer.ID] = true
 	}
+	for proxy, r := range d.reporters {
+		if now-r.at > proxyTimeoutMs {
+			delete(d.reporters, proxy)
+		}
+	}
 	for id, b := range d.backends {
 		if !listed[id] {
 			delete(d.backends, id)
@@ -171,7 +193,7 @@
 		if b == nil || !b.ejected {
 			continue
 		}
-		if b.goodTrials >= b.requiredTrials() {
+		if b.earnedTrials(d.reportersIn(b.zone)) >= b.requiredTrials() {
 			b.restore(now)
 			continue
 		}
@@ -238,6 +260,42 @@
 // requiredTrials returns how many good trials in a row restore the backend.
 func (b *backendStats) requiredTrials() int { return trialsToRestore << min(b.strikes, maxStrikes) }
 
+// addGoodTrials counts trials of one proxy that succeeded.
+func (b *backendStats) addGoodTrials(proxy string, n int) {
+	if n == 0 {
+		return
+	}
+	if b.goodTrials == nil {
+		b.goodTrials = map[string]int{}
+	}
+	b.goodTrials[proxy] += n
+}
+
+// earnedTrials returns how many good trials count, where so many proxies report: those of one proxy up to
+// maxTrialShare of what is required, unless it is the only one.
+func (b *backendStats) earnedTrials(reporters int) int {
+	most := b.requiredTrials()
+	if reporters > 1 {
+		most = int(maxTrialShare * float64(most))
+	}
+	earned := 0
+	for _, n := range b.goodTrials {
+		earned += min(n, most)
+	}
+	return earned
+}
+
+// reportersIn returns how many proxies of a zone reported of late; "": of all zones.
+func (d *Detector) reportersIn(zone string) int {
+	n := 0
+	for _, r := range d.reporters {
+		if zone == "" || r.zone == zone {
+			n++
+		}
+	}
+	return n
+}
+
 func (b *backendStats) eject(now float64, zone string, slow bool) {
 	if now-b.restoredAt > strikeLifetimeMs {
 		b.strikes = 0
@@ -246,14 +304,14 @@
 	b.ejectedAt = now
 	b.zone = zone
 	b.slow = slow
-	b.goodTrials = 0
+	b.goodTrials = nil
 }
 
 // restore ends an ejection. What was counted before says nothing of the backend as it is now.
 func (b *backendStats) restore(now float64) {
 	b.ejected = false
 	b.zone = ""
-	b.goodTrials = 0
+	b.goodTrials = nil
 	b.lastBadAt = math.Inf(-1)
 	b.strikes = min(b.strikes+1, maxStrikes)
 	b.restoredAt = now
--- a/internal/fleet/outlier/detector_test.go
+++ b/internal/fleet/outlier/detector_test.go
@@ -137,6 +137,30 @@
 	c.Assert(trial(8000, 9, good), qt.Equals, 0)
 }
 
+// TestOneProxyDoesNotRestore: however many reports of good trials one proxy sends, another has to have one as well,
+// unless no other proxy reports any more.
+func TestOneProxyDoesNotRestore(t *testing.T) {
+	c := qt.New(t)
+	d := ejectOne(c)
+	good := distribution.Outcome{Backend: "b01", Attempts: 50}
+	now := 3000.0
+	for range 6 {
+		now += 100
+		report(d, now, 1, zoneName(0), good)
+		c.Assert(d.Step(now, group(6)), qt.HasLen, 1, qt.Commentf("reports of one proxy alone"))
+	}
+	report(d, now, 2, zoneName(0), distribution.Outcome{Backend: "b01", Attempts: 1})
+	c.Assert(d.Step(now, group(6)), qt.HasLen, 0)
+
+	d = ejectOne(c)
+	now = 3000.0
+	for ; len(d.Step(now, group(6))) > 0; now += 500 {
+		c.Assert(now < 4*proxyTimeoutMs, qt.IsTrue, qt.Commentf("the only proxy that is left restores it"))
+		report(d, now, 1, zoneName(0), distribution.Outcome{Backend: "b01", Attempts: 1})
+	}
+	c.Assert(now > proxyTimeoutMs, qt.IsTrue, qt.Commentf("the others may still report"))
+}
+
 // TestOverloadedBackendStays: one that is late, and answers as many as others do, is overloaded; one that answers few
 // is faulty.
 func TestOverloadedBackendStays(t *testing.T) {
--- a/internal/fleet/proxy/streaming.go
+++ b/internal/fleet/proxy/streaming.go
@@ -12,8 +12,7 @@
 )
 
 const (
-	// maxEventBytes bounds one event of a stream, in bytes: a buffer of that size or more does not grow. The last
-	// growth may make it up to three times as large.
+	// maxEventBytes bounds one event of a stream, in bytes: the buffer doesn't grow beyond it.
 	maxEventBytes = 1 << 20
 	// eventBufferBytes is the buffer of a stream at first, in bytes.
 	eventBufferBytes = 4 << 10
@@ -184,7 +183,9 @@
 	if cap(er.buf) >= maxEventBytes {
 		return errors.Errorf("an event over %d bytes", maxEventBytes)
 	}
-	er.buf = append(er.buf, make([]byte, cap(er.buf))...)[:len(er.buf)]
+	grown := make([]byte, len(er.buf), min(2*cap(er.buf), maxEventBytes))
+	copy(grown, er.buf)
+	er.buf = grown
 	return nil
 }
 
--- a/internal/fleet/scheduler/estimator.go
+++ b/internal/fleet/scheduler/estimator.go
@@ -61,9 +61,20 @@
 	}
 }
 
-// UpdateSpec replaces the specification of the engines. Backends that are listed already keep the size of their
-// prefix cache.
-func (e *Estimator) UpdateSpec(spec EngineSpec) { e.spec = spec }
+// UpdateSpec replaces the specification of the engines, and resizes what is known of the prefix caches of listed ones.
+func (e *Estimator) UpdateSpec(spec EngineSpec) {
+	resized := spec.KVCacheTokens != e.spec.KVCacheTokens
+	e.spec = spec
+	if !resized {
+		return
+	}
+	for _, b := range e.byID {
+		b.cache.resize(e.cacheTokens())
+	}
+}
+
+// cacheTokens is the size of a backend's prefix cache, in tokens.
+func (e *Estimator) cacheTokens() int { return max(e.spec.KVCacheTokens, 1) }
 
 // Backend is one backend on the endpoint list.
 type Backend struct {
@@ -82,7 +93,7 @@
 		if b == nil {
 			b = &backendState{
 				id:    listing.ID,
-				cache: newPrefixCache(max(e.spec.KVCacheTokens, 1)),
+				cache: newPrefixCache(e.cacheTokens()),
 				load:  load{reportedAt: math.Inf(-1)},
 			}
 			e.byID[listing.ID] = b
--- a/internal/fleet/scheduler/prefill_test.go
+++ b/internal/fleet/scheduler/prefill_test.go
@@ -36,6 +36,26 @@
 	c.Assert(e.UncachedTokens("p0", b), qt.Equals, 600, qt.Commentf("what may not have been prefilled doesn't count"))
 }
 
+// TestPrefixCacheIsResized: a configuration that gives the engines less memory, or more, applies to listed ones.
+func TestPrefixCacheIsResized(t *testing.T) {
+	c := qt.New(t)
+	e := newTestEstimator(t, 1, 0)
+	spec := e.spec
+	older, newer := prompt(400, "a:400"), prompt(500, "b:500")
+	e.PrefillStarted("p0", older, false)
+	e.PrefillStarted("p0", newer, false)
+	spec.KVCacheTokens = 600
+	e.UpdateSpec(spec)
+	c.Assert(e.UncachedTokens("p0", older), qt.Equals, 400, qt.Commentf("the least recently used no longer fits"))
+	c.Assert(e.UncachedTokens("p0", newer), qt.Equals, 0)
+	spec.KVCacheTokens = 2000
+	e.UpdateSpec(spec)
+	third := prompt(1400, "c:1400")
+	e.PrefillStarted("p0", third, false)
+	c.Assert(e.UncachedTokens("p0", newer), qt.Equals, 0, qt.Commentf("both fit now"))
+	c.Assert(e.UncachedTokens("p0", third), qt.Equals, 0)
+}
+
 // Each of many proxies sees few of the prompts that share a prefix; it took the preferred backend, which has the
 // prefix cached from others' prompts, for far behind.
 func TestPreferredBackendCachesSharedPrefix(t *testing.T) {
--- a/internal/fleet/scheduler/prefix_cache.go
+++ b/internal/fleet/scheduler/prefix_cache.go
@@ -35,6 +35,17 @@
 		c.byHash[segment.PrefixHash] = c.lru.PushBack(cachedSegment{segment.PrefixHash, segment.Tokens})
 		c.tokens += segment.Tokens
 	}
+	c.evict()
+}
+
+// resize sets the capacity, and evicts what no longer fits.
+func (c *prefixCache) resize(capacityTokens int) {
+	c.capacityTokens = capacityTokens
+	c.evict()
+}
+
+// evict removes the least recently used segments until the others fit.
+func (c *prefixCache) evict() {
 	for c.tokens > c.capacityTokens && c.lru.Len() > 0 {
 		c.remove(c.lru.Front())
 	}
--- a/internal/fleet/status/status.go
+++ b/internal/fleet/status/status.go
@@ -78,6 +78,8 @@
 	FencingToken uint64 `json:"fence"`
 	// StandbyMs is for how long the holder won't act yet, so that holders don't alternate within a lease; 0: it acts.
 	StandbyMs int64 `json:"wait_ms"`
+	// Fenced says that the holder gave the role up, as a higher fencing token was seen; left out otherwise.
+	Fenced bool `json:"fenced,omitempty"`
 }
 
 // Configuration is the newest committed one.
@@ -115,6 +117,8 @@
 	ConfigAgeMs int64 `json:"since_ms"`
 	// BackendListVersion is that of the list in force there; zero: none, or one that its node agent polled itself.
 	BackendListVersion ListVersion `json:"list"`
+	// Draining says that the proxy is shutting down; left out otherwise.
+	Draining bool `json:"draining,omitempty"`
 }
 
 // Service counts a service's backends in the list as last distributed.
--- a/internal/fleet/status/wire_test.go
+++ b/internal/fleet/status/wire_test.go
@@ -1,6 +1,10 @@
 package status
 
 import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -18,3 +22,16 @@
 	c := qt.New(t)
 	c.Check([]string{SingletonPoll, SingletonPhases}, qt.DeepEquals, []string{"poll", "phases"})
 }
+
+// TestWireBytesWithoutDraining holds the status of releases before it told who drains and which role is fenced. It is
+// read, and written alike as long as nobody and none is.
+func TestWireBytesWithoutDraining(t *testing.T) {
+	c := qt.New(t)
+	old, err := os.ReadFile(filepath.Join("testdata", "wire", "fleet.without-draining.json"))
+	c.Assert(err, qt.IsNil)
+	fleet, err := Decode(old)
+	c.Assert(err, qt.IsNil)
+	written, err := json.Marshal(fleet)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(written), qt.Equals, strings.TrimSpace(string(old)))
+}
