--- a/cmd/molepaddle-fleet/fleet_test.go
+++ b/cmd/molepaddle-fleet/fleet_test.go
@@ -102,6 +102,8 @@
 	running  map[*simulation.Program]string
 	clients  []*simulation.Client
 	version  uint64 // of the newest configuration that was acknowledged
+
+	shutdowns []simulation.Shutdown // of proxies, for the judge
 }
 
 // fleetZones are the zones of a test's fleet; all are of one region.
@@ -643,13 +645,26 @@
 	return out
 }
 
+// lease is lease_ms of the settings: 3 s unless a test says otherwise.
+func (f *fleet) lease() time.Duration {
+	if ms, ok := f.settings["lease_ms"].(int); ok {
+		return time.Duration(ms) * time.Millisecond
+	}
+	return 3 * time.Second
+}
+
 // checkRules asks that no rule was broken, no program ended by itself and none had a race or a panic.
 func (f *fleet) checkRules() {
 	f.Helper()
 	for _, c := range f.clients {
 		c.Close()
 	}
-	j := simulation.Judge{Bounds: f.bounds, Engines: f.engines(), Clients: f.clients}
+	bounds := f.bounds
+	bounds.Grace = f.bound("grace_s", time.Second)
+	bounds.LossSlack = f.bound("loss_slack_ms", time.Millisecond)
+	bounds.Apply = f.bound("apply_ms", time.Millisecond)
+	bounds.Lease = f.lease()
+	j := simulation.Judge{Bounds: bounds, Engines: f.engines(), Clients: f.clients, Shutdowns: f.shutdowns}
 	for _, finding := range j.Findings() {
 		f.Errorf("%+v", finding)
 	}
--- a/cmd/molepaddle-fleet/leave_test.go
+++ b/cmd/molepaddle-fleet/leave_test.go
@@ -89,6 +89,7 @@
 
 // terminate sends SIGTERM to all programs of a machine, as the platform does.
 func (m *machine) terminate() {
+	m.f.shutdowns = append(m.f.shutdowns, simulation.Shutdown{Edge: m.boot.Edge, At: time.Now()})
 	for _, p := range m.programs {
 		m.f.expectExit(p)
 		p.Signal(syscall.SIGTERM)
--- a/internal/fleet/simulation/client.go
+++ b/internal/fleet/simulation/client.go
@@ -68,6 +68,7 @@
 	}
 	res.Err = c.exchange(ctx, res)
 	res.EndedAt = time.Now()
+	res.Left = res.Err != nil && errors.Is(ctx.Err(), context.Canceled)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.results = append(c.results, res)
@@ -173,6 +174,7 @@
 	defer cancel()
 	k, reused, err := c.acquireConn(ctx)
 	if err != nil {
+		res.Unread = true
 		return err
 	}
 	res.Reused = reused
--- a/internal/fleet/simulation/finding.go
+++ b/internal/fleet/simulation/finding.go
@@ -14,6 +14,12 @@
 	ROUTE   Rule = "ROUTE"
 	ORDER   Rule = "ORDER"
 	BUDGET  Rule = "BUDGET"
+	ONE     Rule = "ONE"
+	DUTY    Rule = "Duty"
+	LOST    Rule = "LOST"
+	GONE    Rule = "GONE"
+	DRAIN   Rule = "DRAIN"
+	CONFIG  Rule = "CONFIG"
 )
 
 // Finding is one breach of a rule.
@@ -31,6 +37,12 @@
 	RetryRatio  float64       // further arrivals allowed for each request
 	RetryWindow time.Duration // BUDGET is not judged when 0
 	RetryExtra  float64       // further arrivals allowed in each window beside these
+
+	Lease     time.Duration // turns of holders of a role are not judged when 0
+	Grace     time.Duration // from SIGTERM to SIGKILL
+	LossSlack time.Duration // for which a request may wait that no backend has
+	Drain     time.Duration // from the list's showing that a backend drains
+	Apply     time.Duration // from the acknowledgement of a configuration
 }
 
 // Execution is where one attempt ran or was prefilled.
--- a/internal/fleet/simulation/judge.go
+++ b/internal/fleet/simulation/judge.go
@@ -14,12 +14,20 @@
 	Engines []*Engine
 	Clients []*Client
 	Results []Result // beside those of Clients
+
+	// What the test did and saw besides; a rule is judged for these.
+	Shutdowns  []Shutdown     // of proxies
+	Departures []Departure    // of backends
+	Changes    []ConfigChange // of the configuration
+	Reads      []ConfigRead
+	Orders     []Entry // beside those that reached Engines
 }
 
 // observations are the records that one judgement is made of, and its findings.
 type observations struct {
 	bounds  Bounds
 	entries []Entry // arrivals of requests and prompts, in the order of Seq
+	orders  []Entry // orders to change the phase
 	results []Result
 
 	// These point into entries and results. runBySeal has the runs with a seal, by it.
@@ -43,6 +51,9 @@
 			if en.Kind == KindRequest || en.Kind == KindPrefill {
 				o.entries = append(o.entries, en)
 			}
+			if en.Kind == KindOrder {
+				o.orders = append(o.orders, en)
+			}
 		}
 	}
 	slices.SortFunc(o.entries, func(a, b Entry) int { return cmp.Compare(a.Seq, b.Seq) })
@@ -76,6 +87,12 @@
 		o.checkArrival(&o.entries[i])
 	}
 	o.checkBudget()
+	o.checkDeadlines()
+	o.checkGone()
+	o.checkOrders(slices.Concat(o.orders, j.Orders))
+	o.checkShutdowns(j.Shutdowns)
+	o.checkDepartures(j.Departures)
+	o.checkReads(j.Changes, j.Reads)
 	slices.SortStableFunc(o.findings, func(a, b Finding) int {
 		return cmp.Or(cmp.Compare(a.Rule, b.Rule), a.At.Compare(b.At))
 	})
--- a/internal/fleet/simulation/request.go
+++ b/internal/fleet/simulation/request.go
@@ -73,6 +73,8 @@
 	RetryAfter time.Duration
 	Closing    bool  // the answer says that the connection closes after it
 	Reused     bool  // its connection had carried a request before
+	Left       bool  // the client gave it up before its deadline
+	Unread     bool  // no connection was made, so that the request was not sent
 	Err        error // what ended it; nil when Complete
 }
 
