--- a/internal/fleet/externalapi/calls.go
+++ b/internal/fleet/externalapi/calls.go
@@ -74,6 +74,8 @@
 	HeaderPromptPrefix = "X-Molepaddle-Prompt-Prefix"
 	// HeaderPriority is the request's priority for a backend, 0 to 9.
 	HeaderPriority = "Priority"
+	// HeaderExpectVersion has a backend whose weights are of another version reject the request (421).
+	HeaderExpectVersion = "Expect-Version"
 	// HeaderTargetBackend is the id of the backend that a request is for; any other answers 421.
 	HeaderTargetBackend = "X-Molepaddle-Target-Backend"
 	// HeaderStage is PhasePrefill for a request that a backend only prefills.
--- a/internal/fleet/externalapi/clients_test.go
+++ b/internal/fleet/externalapi/clients_test.go
@@ -139,7 +139,11 @@
 			FencingToken:   7,
 			ExpectedOrders: 3,
 		})
-		c.Assert(err, qt.IsNil)
+		if status == http.StatusPreconditionFailed {
+			c.Assert(err, qt.Equals, ErrFenced)
+		} else {
+			c.Assert(err, qt.IsNil)
+		}
 		c.Assert(got, qt.Equals, status)
 		c.Assert(<-bodies, qt.DeepEquals,
 			map[string]any{"opcode": "phase", "phase": PhasePrefill, "owner": "core-1", "gen": 7.0, "expect": 3.0})
--- a/internal/fleet/proxy/outboundrequest.go
+++ b/internal/fleet/proxy/outboundrequest.go
@@ -88,7 +88,7 @@
 	for key, values := range o.header {
 		switch key {
 		case externalapi.HeaderDeadlineMs, externalapi.HeaderTargetBackend, externalapi.HeaderStage,
-			externalapi.HeaderKVFrom, externalapi.HeaderPriority, "Host":
+			externalapi.HeaderKVFrom, externalapi.HeaderPriority, externalapi.HeaderExpectVersion, "Host":
 			continue
 		case externalapi.HeaderLastEventID:
 			if opts.lastID != "" {
@@ -112,6 +112,10 @@
 	}
 	if o.handle != nil {
 		b = appendField(b, externalapi.HeaderKVFrom, o.handle.permit.Address()+"/"+o.handle.ref)
+		if o.handle.weights > 0 {
+			// Tokens of other weights don't follow on this KV cache: such a backend is to reject the request.
+			b = appendField(b, externalapi.HeaderExpectVersion, strconv.FormatInt(o.handle.weights, 10))
+		}
 	}
 	if o.lastID != "" {
 		b = appendField(b, externalapi.HeaderLastEventID, o.lastID)
--- a/internal/fleet/proxy/prefill.go
+++ b/internal/fleet/proxy/prefill.go
@@ -32,6 +32,8 @@
 	from   *backend
 	permit residency.Permit // for from
 	tokens int
+	// weights is the version of the weights that made it; 0: not told.
+	weights int64
 }
 
 // prefillAttempt is a call that has a backend prefill a prompt, with what it is to be counted as.
@@ -99,8 +101,9 @@
 		return nil, err
 	}
 	var answer struct {
-		Ref    string `json:"kv_ref"`
-		Tokens int    `json:"ntok"`
+		Ref     string `json:"kv_ref"`
+		Tokens  int    `json:"ntok"`
+		Weights int64  `json:"ver"`
 	}
 	switch {
 	case saysNotRun(resp):
@@ -115,6 +118,8 @@
 		from:   a.backend,
 		permit: a.permit,
 		tokens: answer.Tokens,
+
+		weights: answer.Weights,
 	}, nil
 }
 
--- a/internal/fleet/proxy/rules_test.go
+++ b/internal/fleet/proxy/rules_test.go
@@ -38,6 +38,7 @@
 		externalapi.HeaderStage:         "prefill",
 		externalapi.HeaderKVFrom:        "10.0.0.9:80/stolen",
 		externalapi.HeaderPriority:      "0",
+		externalapi.HeaderExpectVersion: "9",
 		externalapi.HeaderTargetBackend: "b9",
 		externalapi.HeaderDeadlineMs:    "999999",
 		externalapi.HeaderLastEventID:   "3",
@@ -90,7 +91,12 @@
 	c.Check(plainSend.Header.Values(externalapi.HeaderTargetBackend), qt.DeepEquals, []string{"b1"})
 	c.Check(plainSend.Header.Values(externalapi.HeaderDeadlineMs), qt.DeepEquals, []string{"1500"})
 	c.Check(plainSend.Header.Values(externalapi.HeaderLastEventID), qt.DeepEquals, []string{"3"})
-	for _, key := range []string{externalapi.HeaderStage, externalapi.HeaderKVFrom, externalapi.HeaderPriority} {
+	for _, key := range []string{
+		externalapi.HeaderStage,
+		externalapi.HeaderKVFrom,
+		externalapi.HeaderPriority,
+		externalapi.HeaderExpectVersion,
+	} {
 		c.Check(plainSend.Header.Values(key), qt.HasLen, 0, qt.Commentf("%s is the proxy's to set", key))
 	}
 	resumed := read(attemptOptions{
@@ -105,6 +111,11 @@
 	c.Check(resumed.Header.Values(externalapi.HeaderPriority), qt.DeepEquals, []string{"9"})
 	c.Check(resumed.Header.Values(externalapi.HeaderStage), qt.DeepEquals, []string{"prefill"})
 	c.Check(strings.Contains(string(out.encode(&attemptOptions{target: "b1"})), "stolen"), qt.IsFalse)
+	for weights, want := range map[int64][]string{0: nil, 4: {"4"}} {
+		staged := read(attemptOptions{target: "b3", handle: &kvHandle{ref: "h", weights: weights}})
+		c.Check(staged.Header.Values(externalapi.HeaderExpectVersion), qt.DeepEquals, want,
+			qt.Commentf("the weights that made the KV cache"))
+	}
 }
 
 // TestClientGone has clients leave streams and a plain request under way: the backends' work ends within half a
--- a/internal/fleet/proxy/selectionpolicies.go
+++ b/internal/fleet/proxy/selectionpolicies.go
@@ -127,7 +127,8 @@
 	cost := func(id string) float64 {
 		utilization := s.engines.Utilization(id)
 		score := s.ranker.HashScore(key, id, freeWeight(utilization))
-		return s.longDecodeClass(req, id, utilization)*classWeight + score
+		class := s.longDecodeClass(req, id, utilization) + s.weightsClass(req.now, id)
+		return class*classWeight + score
 	}
 	s.ranked = s.ranker.Rank(req.now, key, decoders, math.Inf(1), cost, s.ranked[:0])
 	return s.topRanked()
@@ -226,7 +227,7 @@
 	if e.Full(req.now, id) || e.MarkedUnresponsive(req.now, id) {
 		cost += unavailablePenalty * target
 	}
-	return cost
+	return cost + s.weightsPenalty(req.now, id)*target
 }
 
 // chooseDecoder chooses the decode backend that makes the tokens of a prompt whose KV cache is held at from: one with
@@ -260,6 +261,9 @@
 	if s.byID[id].Zone != from.Zone {
 		class += otherZoneClass
 	}
+	if s.byID[id].Weights != from.Weights {
+		class += otherWeightsClass
+	}
 	switch {
 	case s.engines.Full(req.now, id) || s.engines.Unresponsive(req.now, id, req.prefillTargetMs):
 		class += unavailableDecoderClass
--- a/internal/fleet/proxy/service.go
+++ b/internal/fleet/proxy/service.go
@@ -28,6 +28,7 @@
 	// Services whose backends run models.
 	runsModels bool                 // by the configuration in force
 	engines    *scheduler.Estimator // nil until it first runs models; kept afterwards, for requests under way
+	weights    listedWeights        // that the backends have
 	dedicated  map[string]bool      // decode backends kept for long answers, as reserveDedicated last chose
 	pace       scheduler.StreamPace // of recent streams
 
@@ -36,6 +37,8 @@
 	trials   *outlier.Trials
 	recent   recentMeans
 
+	weightsBoundMs float64 // Bounds.Version; 0: none
+
 	ranked []string // scratch of the last ranking, so that none allocates
 }
 
@@ -94,9 +97,11 @@
 	s.syncEngines()
 }
 
-// configureRetries sets the retry budget to this proxy's part of the fleet's, by the number of proxies.
+// configureRetries sets the retry budget to this proxy's part of the fleet's, by the number of proxies, and the other
+// bounds that the service needs.
 func (s *service) configureRetries(bounds *settings.Bounds, proxies int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.weightsBoundMs = milliseconds(bounds.Version)
 	s.retryBudget.configure(time.Now(), bounds.RetryRatio, bounds.RetryExtra, bounds.RetryWindow, proxies)
 }
--- a/internal/fleet/proxy/upstreams.go
+++ b/internal/fleet/proxy/upstreams.go
@@ -21,12 +21,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	listed := make(map[string]bool, len(list))
+	newestWeights := int64(0)
 	endpoints := make([]ranking.Endpoint, 0, len(list))
 	for _, b := range list {
 		if listed[b.ID] {
 			continue
 		}
 		listed[b.ID] = true
+		if !b.Draining {
+			newestWeights = max(newestWeights, b.Weights)
+		}
 		s.byID[b.ID] = s.updateBackend(b)
 		endpoints = append(endpoints, ranking.Endpoint{ID: b.ID, Usable: !b.Draining})
 	}
@@ -38,6 +42,7 @@
 			b.endpoint.CloseIdle()
 		}
 	}
+	s.weights.observe(s.now(), newestWeights)
 	s.ranker.SetEndpoints(s.now(), endpoints)
 	s.syncEngines()
 }
--- a/internal/fleet/settings/read.go
+++ b/internal/fleet/settings/read.go
@@ -89,6 +89,7 @@
 		Fencing:     t.boolAt("fencing"),
 		Lease:       t.durationAt("lease_ms", time.Millisecond, 3*time.Second, ruleNotNegative),
 		Unfreeze:    t.durationAt("unfreeze_ms", time.Millisecond, 300*time.Millisecond, ruleNotNegative),
+		Version:     t.durationAt("version_ms", time.Millisecond, 0, ruleNotNegative),
 	}
 }
 
--- a/internal/fleet/settings/wire_test.go
+++ b/internal/fleet/settings/wire_test.go
@@ -37,6 +37,7 @@
 			Downgrade: 310 * time.Millisecond, Skew: 3011 * time.Millisecond, RetryRatio: 0.312,
 			RetryWindow: 313 * time.Second, RetryExtra: 314, Heal: 315 * time.Second, Transit: 316 * time.Millisecond,
 			Again: 317 * time.Second, Fencing: true, Lease: 3018 * time.Millisecond, Unfreeze: 319 * time.Millisecond,
+			Version: 320 * time.Millisecond,
 		},
 		Provider: settings.Provider{
 			Address: "10.200.0.79:8169", Rate: 42.5, Jobs: []string{"a", "b"}, Delay: 821 * time.Millisecond,
--- a/internal/process/store/store_test.go
+++ b/internal/process/store/store_test.go
@@ -63,12 +63,72 @@
 	t.Helper()
 	s, err := Open(dir)
 	if err != nil {
-		t.Fatal(err)
+		t.Fatalf("%v\n%s", err, lockHolders(filepath.Join(dir, file)))
 	}
 	t.Cleanup(func() { s.Close() })
 	return s
 }
 
+// lockHolders tells who may hold the lock of a file: the system's table of locks where it names the file's inode, and
+// the processes that have the file open or mapped.
+func lockHolders(path string) string {
+	var info syscall.Stat_t
+	if err := syscall.Stat(path, &info); err != nil {
+		return err.Error()
+	}
+	var said strings.Builder
+	table, err := os.ReadFile("/proc/locks")
+	fmt.Fprintf(&said, "inode %d, %s has %d bytes (%v)\n", info.Ino, "/proc/locks", len(table), err)
+	for line := range strings.Lines(string(table)) {
+		if strings.Contains(line, fmt.Sprintf(":%d ", info.Ino)) {
+			said.WriteString(line)
+		}
+	}
+	opened, _ := filepath.Glob("/proc/[0-9]*/fd/*")
+	for _, fd := range opened {
+		if target, err := os.Readlink(fd); err == nil && strings.HasPrefix(target, path) {
+			fmt.Fprintf(&said, "%s: %s\n%s", fd, target, processOf(fd))
+		}
+	}
+	maps, _ := filepath.Glob("/proc/[0-9]*/maps")
+	for _, name := range maps {
+		if text, err := os.ReadFile(name); err == nil && strings.Contains(string(text), path) {
+			fmt.Fprintf(&said, "%s maps it\n%s", name, processOf(name))
+		}
+	}
+	return said.String()
+}
+
+// processOf is the name, state and parent of the process that a file below /proc/PID belongs to.
+func processOf(name string) string {
+	pid := strings.Split(name, "/")[2]
+	text, err := os.ReadFile(filepath.Join("/proc", pid, "status"))
+	if err != nil {
+		return err.Error() + "\n"
+	}
+	var said strings.Builder
+	for line := range strings.Lines(string(text)) {
+		for _, key := range []string{"Name:", "State:", "Pid:", "PPid:", "Threads:"} {
+			if strings.HasPrefix(line, key) {
+				said.WriteString("  " + line)
+			}
+		}
+	}
+	return said.String()
+}
+
+// TestLockHolders finds this process where it holds the lock itself.
+func TestLockHolders(t *testing.T) {
+	dir := t.TempDir()
+	open(t, dir)
+	said := lockHolders(filepath.Join(dir, file))
+	for _, want := range []string{"FLOCK", fmt.Sprint("/proc/", os.Getpid(), "/fd/"), " maps it"} {
+		if !strings.Contains(said, want) {
+			t.Errorf("%q is not in\n%s", want, said)
+		}
+	}
+}
+
 func load(t *testing.T, s *Store) council.Saved {
 	t.Helper()
 	saved, err := s.Load()
