--- a/internal/fleet/controlplane/poller.go
+++ b/internal/fleet/controlplane/poller.go
@@ -24,6 +24,9 @@
 	// callsPerPollShare is how many times the calls of a poll its interval has to allow: polls take half of what the
 	// platform takes a second, the other half is left to node agents that poll by themselves.
 	callsPerPollShare = 2
+	// aheadNotice is for how long a node agent has to be ahead of a primary for that to be told: a new primary may not
+	// have applied its newest change yet.
+	aheadNotice = 5 * time.Second
 	// minPlatformRate bounds that interval where the settings give no rate, in calls a second.
 	minPlatformRate = 0.1
 )
@@ -48,6 +51,7 @@
 	lastReports time.Time // when backends were last asked for their reports
 
 	platformList *distribution.BackendList // as the platform gave it
+	ahead        map[string]bool           // node agents that were told to be ahead of the record
 	dirty        bool                      // platformList or the changing backends have changed since list was made
 
 	// As published last.
@@ -99,6 +103,21 @@
 	p.publishList()
 	p.recordPoll()
 	p.publishMembershipSize()
+	p.reportClientsAhead(now)
+}
+
+// reportClientsAhead logs which node agents have a newer configuration than the record, each once a term.
+func (p *poller) reportClientsAhead(now time.Time) {
+	for _, client := range p.server.cache.ClientsAhead(aheadNotice, now) {
+		if p.term.ahead[client] {
+			continue
+		}
+		if p.term.ahead == nil {
+			p.term.ahead = map[string]bool{}
+		}
+		p.term.ahead[client] = true
+		p.server.log.Warn("node agent is ahead of the record, restart it", zap.String("agent", client))
+	}
 }
 
 // pollPlatform asks the platform for its list.
--- a/internal/fleet/distribution/cache.go
+++ b/internal/fleet/distribution/cache.go
@@ -20,6 +20,8 @@
 	changed chan struct{} // closed and replaced whenever an entry changes
 	leases  leaseTable
 
+	ahead aheadClients // of the configuration here
+
 	// drainingChanged holds a value once a member has begun or ceased to drain, until it is pushed on.
 	drainingChanged chan struct{}
 
@@ -35,6 +37,7 @@
 		entries:   map[string]*entry{},
 		changed:   make(chan struct{}),
 		leases:    leaseTable{},
+		ahead:     aheadClients{},
 
 		drainingChanged: make(chan struct{}, 1),
 	}
@@ -171,6 +174,7 @@
 		waited := time.Since(start)
 		refresh()
 		c.mu.Lock()
+		c.observeClient(request, time.Now())
 		resources := c.resourcesSince(request.Versions)
 		changed := c.changed
 		contactAt, primary := c.contactAt, c.primary
--- a/internal/fleet/proxy/selectionpolicies.go
+++ b/internal/fleet/proxy/selectionpolicies.go
@@ -127,7 +127,7 @@
 	cost := func(id string) float64 {
 		utilization := s.engines.Utilization(id)
 		score := s.ranker.HashScore(key, id, freeWeight(utilization))
-		class := s.longDecodeClass(req, id, utilization) + s.weightsClass(req.now, id)
+		class := s.longDecodeClass(req, id, utilization) + weightsClasses[s.weightsAge(req.now, id)]
 		return class*classWeight + score
 	}
 	s.ranked = s.ranker.Rank(req.now, key, decoders, math.Inf(1), cost, s.ranked[:0])
@@ -227,7 +227,7 @@
 	if e.Full(req.now, id) || e.MarkedUnresponsive(req.now, id) {
 		cost += unavailablePenalty * target
 	}
-	return cost + s.weightsPenalty(req.now, id)*target
+	return cost + weightsPenalties[s.weightsAge(req.now, id)]*target
 }
 
 // chooseDecoder chooses the decode backend that makes the tokens of a prompt whose KV cache is held at from: one with
--- a/internal/fleet/proxy/weights.go
+++ b/internal/fleet/proxy/weights.go
@@ -38,24 +38,36 @@
 // hasOlderWeights reports whether a backend has older weights than others of its service. The lock is held.
 func (s *service) hasOlderWeights(id string) bool { return s.byID[id].Weights < s.weights.newest }
 
-// weightsPenalty is the penalty for reading a prompt at a backend, in prefill targets. The lock is held.
-func (s *service) weightsPenalty(now float64, id string) float64 {
+// weightsAge says how a backend's weights compare with the newest that are listed.
+type weightsAge uint8
+
+const (
+	newestWeights   weightsAge = iota
+	olderWeights               // an answer by them is worth less
+	outdatedWeights            // it is worth nothing any more
+)
+
+// weightsAge returns that of a backend. The lock is held.
+func (s *service) weightsAge(now float64, id string) weightsAge {
 	switch {
 	case !s.hasOlderWeights(id):
-		return 0
+		return newestWeights
 	case s.weights.outdated(now, s.weightsBoundMs):
-		return outdatedWeightsPenalty
+		return outdatedWeights
 	}
-	return olderWeightsPenalty
+	return olderWeights
 }
 
-// weightsClass is what is added to the class of a decode backend for a long answer. The lock is held.
-func (s *service) weightsClass(now float64, id string) float64 {
-	switch {
-	case !s.hasOlderWeights(id):
-		return 0
-	case s.weights.outdated(now, s.weightsBoundMs):
-		return outdatedWeightsClass
-	}
-	return olderWeightsClass
+// weightsPenalties are those for reading a prompt at a backend, in prefill targets.
+var weightsPenalties = [...]float64{
+	newestWeights:   0,
+	olderWeights:    olderWeightsPenalty,
+	outdatedWeights: outdatedWeightsPenalty,
+}
+
+// weightsClasses are added to the class of a decode backend for a long answer.
+var weightsClasses = [...]float64{
+	newestWeights:   0,
+	olderWeights:    olderWeightsClass,
+	outdatedWeights: outdatedWeightsClass,
 }
--- a/internal/fleet/proxy/weights_test.go
+++ b/internal/fleet/proxy/weights_test.go
@@ -74,15 +74,16 @@
 		}
 	}
 	c.Assert(older > 0, qt.IsTrue, qt.Commentf("a late answer is worth less, too"))
-	c.Check(s.weightsClass(s.now(), "d1"), qt.Equals, float64(olderWeightsClass))
+	c.Check(s.weightsAge(s.now(), "d1"), qt.Equals, olderWeights)
 	s.weights.since = 1
 	s.weightsBoundMs = 1e-6
 	c.Assert(s.weights.outdated(2, s.weightsBoundMs), qt.IsTrue)
-	c.Check(s.weightsPenalty(2, "p1"), qt.Equals, float64(outdatedWeightsPenalty))
-	c.Check(s.weightsClass(2, "d1"), qt.Equals, float64(outdatedWeightsClass))
-	c.Check(s.weightsPenalty(2, "p0"), qt.Equals, 0.0)
+	c.Check(s.weightsAge(2, "p1"), qt.Equals, outdatedWeights)
+	c.Check(s.weightsAge(2, "p0"), qt.Equals, newestWeights)
 	s.weightsBoundMs = 0
-	c.Check(s.weightsPenalty(2, "p1"), qt.Equals, float64(olderWeightsPenalty), qt.Commentf("without a bound"))
+	c.Check(s.weightsAge(2, "p1"), qt.Equals, olderWeights, qt.Commentf("without a bound"))
+	c.Check(weightsPenalties[outdatedWeights] > unavailablePenalty, qt.IsTrue)
+	c.Check(weightsClasses[outdatedWeights] > unavailableClass, qt.IsTrue)
 }
 
 // TestWeightsAtFirst: what is listed at first isn't newer than anything.
