--- a/cmd/molepaddle-fleet/propose.go
+++ b/cmd/molepaddle-fleet/propose.go
@@ -69,7 +69,8 @@
 	if s.Base < 0 {
 		now, response, err := fetchCurrent(ctx, client)
 		if err != nil {
-			return exitError{errors.Wrap(err, "the version in force is not known, the change was not sent"), exitFailure}
+			return exitError{errors.Wrap(err, "the version in force is not known, the change was not sent"),
+				exitFailure}
 		}
 		if s.Base = now.Version(); call == externalapi.CallReplace && now != nil {
 			if next, _ := routingconfig.Decode(body); next != nil && next.Equal(now) {
--- a/cmd/molepaddle-plots/main.go
+++ b/cmd/molepaddle-plots/main.go
@@ -17,7 +17,8 @@
 
 func main() {
 	bench, night := "", ""
-	cmd := &cobra.Command{Use: "molepaddle-plots FILE...", Short: "Make a page with plots of kept rows, or of a night of work, on standard output",
+	cmd := &cobra.Command{Use: "molepaddle-plots FILE...",
+		Short:        "Make a page with plots of kept rows, or of a night of work, on standard output",
 		SilenceUsage: true, SilenceErrors: true,
 		RunE: func(_ *cobra.Command, args []string) error {
 			if night != "" {
--- a/cmd/molepaddle/fleet.go
+++ b/cmd/molepaddle/fleet.go
@@ -23,7 +23,8 @@
 	fleet := &cobra.Command{Use: "fleet", Short: "Say what a running agent believes of its fleet", Args: taking(noArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error { return cmd.Help() }}
 	fleet.PersistentFlags().BoolVar(&asJSON, "json", false, "as JSON")
-	fleet.PersistentFlags().StringVar(&door, "door", "", "the operators' door of the agent; else the one that EDGE_CONFIG or EDGE_MANAGEMENT names")
+	fleet.PersistentFlags().StringVar(&door, "door", "",
+		"the operators' door of the agent; else the one that EDGE_CONFIG or EDGE_MANAGEMENT names")
 	show := &cobra.Command{Use: "show", Short: "Who is there, who suspects whom, settled or not", Args: taking(noArgs),
 		RunE: untilSignal(func(ctx context.Context, _ []string) error {
 			at, err := doorOf(door)
@@ -55,7 +56,8 @@
 		return "", err
 	}
 	if conf.Management == "" {
-		return "", errors.New("fleet: the agent has no door for operators: neither management nor EDGE_MANAGEMENT is set")
+		return "", errors.New(
+			"fleet: the agent has no door for operators: neither management nor EDGE_MANAGEMENT is set")
 	}
 	return conf.Management, nil
 }
--- a/cmd/molepaddle/loss.go
+++ b/cmd/molepaddle/loss.go
@@ -30,7 +30,8 @@
 				bad += n
 			}
 			if n, _ := tally.Total(); n == 0 {
-				return errors.New("lab: loss: no request is accounted for in these logs; [log] account = true has agents write them")
+				return errors.New(
+					"lab: loss: no request is accounted for in these logs; [log] account = true has agents write them")
 			}
 			tally.Print(out)
 			if bad > 0 {
--- a/cmd/molepaddle/main.go
+++ b/cmd/molepaddle/main.go
@@ -146,7 +146,7 @@
 			RunE: untilSignal(func(ctx context.Context, _ []string) error { return demo.Run(ctx, out) })},
 		&cobra.Command{Use: "standin ROSTER SERVER...", Short: "A roster and order servers on loopback, for trials", Args: taking(cobra.MinimumNArgs(2)),
 			Long: "Each is named by its address on loopback. Lines on standard input change the list:\n'drain ADDRESS', 'ready ADDRESS'.",
-			RunE: untilSignal(func(ctx context.Context, args []string) error { return standIn(ctx, args, os.Stdin, out) })},
+			RunE: untilSignal(func(ctx context.Context, args []string) error { return playServers(ctx, args, os.Stdin, out) })},
 		&cobra.Command{Use: "version", Short: "Tell the version and what it was built from", Args: taking(noArgs),
 			RunE: func(*cobra.Command, []string) error { fmt.Fprintln(out, version()); return nil }})
 	return root
--- a/cmd/molepaddle/standin.go
+++ b/cmd/molepaddle/standin.go
@@ -12,10 +12,10 @@
 	"molepaddle/internal/rig/standin"
 )
 
-// standIn plays a roster and order servers on loopback for a trial set-up, until the context
+// playServers plays a roster and order servers on loopback for a trial set-up, until the context
 // ends. Each server is named by its address, works 5 ms on a request, and says what comes.
 // Lines of in change the list: 'drain ADDRESS', 'ready ADDRESS'.
-func standIn(ctx context.Context, args []string, in io.Reader, out io.Writer) error {
+func playServers(ctx context.Context, args []string, in io.Reader, out io.Writer) error {
 	if len(args) < 2 {
 		return usageError{errors.New("standin: the address of the roster, then those of the servers")}
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -323,7 +323,7 @@
 	guard := time.NewTimer(time.Until(r.Deadline) - guardMargin)
 	defer guard.Stop()
 	if r.Message.Rest != nil {
-		r.whole = make(chan time.Time, 1) // all comes once
+		r.complete = make(chan time.Time, 1) // all comes once
 	}
 	c.asked.Add(1)
 	c.post(input{kind: inRequest, req: r})
@@ -332,7 +332,7 @@
 		select {
 		case ans := <-answers:
 			return ans
-		case deadline := <-r.whole:
+		case deadline := <-r.complete:
 			guard.Reset(time.Until(deadline) - guardMargin)
 			continue
 		case <-ctx.Done():
@@ -569,7 +569,7 @@
 	r.Deadline = a.deadline
 	a.timer.Reset(time.Until(r.Deadline))
 	select {
-	case r.whole <- r.Deadline:
+	case r.complete <- r.Deadline:
 	default: // nobody waits any more
 	}
 	c.tell(&policy.Event{Kind: policy.EvBodyComplete, Request: r.id, Attempt: a.index, LeftMs: float64(r.Left) / float64(time.Millisecond)})
--- a/internal/core/probe.go
+++ b/internal/core/probe.go
@@ -21,7 +21,8 @@
 func (c *Core) probe(addr cluster.Addr) {
 	b := c.byAddr[addr]
 	if b == nil || !b.usable {
-		c.todo = append(c.todo, input{kind: inProbed, att: &Attempt{backend: &backend{addr: addr}}, res: Result{Status: policy.Moot}})
+		c.todo = append(c.todo, input{kind: inProbed, att: &Attempt{backend: &backend{addr: addr}},
+			res: Result{Status: policy.Moot}})
 		return
 	}
 	r := &Request{Message: Message{Method: "GET", Target: probeTarget, Host: "backend.local"}}
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -53,7 +53,7 @@
 	// What stands below belongs to the core's goroutine.
 	reply    func(Answer)   // called once, and does not block
 	held     bool           // its answer has to be whole
-	whole    chan time.Time // Do's guard: when the time is up, now that all has come
+	complete chan time.Time // Do's guard: when the time is up, now that all has come
 	id       policy.RequestID
 	answered bool
 	dropped  bool // reply is owed a Gone when nothing is out any more
@@ -99,10 +99,11 @@
 
 // Answer is the final answer to a request: there is one for each.
 type Answer struct {
-	Outcome     Outcome
-	Body        []byte
-	Rest        *window.Pipe // of a served one, what comes after Body; whoever takes the answer leaves it at the end
-	Length      int64        // of a served one, where there is a Rest or the method is HEAD: of the whole; -1: not known
+	Outcome Outcome
+	Body    []byte
+	Rest    *window.Pipe // of a served one, what comes after Body; whoever takes the answer leaves it at the end
+	// Of a served one, where there is a Rest or the method is HEAD: of the whole; -1: not known.
+	Length      int64
 	ContentType string
 	RetryAfter  time.Duration // 0: no advice
 	Ran         bool          // an attempt may have run
--- a/internal/decide/crossing/crossing.go
+++ b/internal/decide/crossing/crossing.go
@@ -33,6 +33,7 @@
 	Unsure     // the far end knows nothing of it and can't bar it
 )
 
+// String is the name of a message, as logs and tests have it.
 func (m Msg) String() string {
 	return [...]string{"none", "offer", "fence", "cancel", "ended", "never", "begun", "unsure"}[m]
 }
--- a/internal/decide/lifecycle/lifecycle.go
+++ b/internal/decide/lifecycle/lifecycle.go
@@ -24,6 +24,7 @@
 	Ending                   // told to end; what is held is answered
 )
 
+// String is the name of a state, as operators read it.
 func (s State) String() string {
 	return [...]string{"starting", "ready", "evacuating", "handing over", "ending"}[s]
 }
--- a/internal/decide/members/records.go
+++ b/internal/decide/members/records.go
@@ -123,7 +123,8 @@
 
 // sound tells whether a record can be one of anybody's.
 func (r *Record) sound() bool {
-	ok := r.ID.Name != "" && r.ID.Incarnation != 0 && r.Version != 0 && r.Version <= maxVersion && r.Kind < kinds && len(r.Words) <= MaxWords
+	ok := r.ID.Name != "" && r.ID.Incarnation != 0 && r.Version != 0 && r.Version <= maxVersion && r.Kind < kinds &&
+		len(r.Words) <= MaxWords
 	for _, w := range r.Words {
 		ok = ok && w.Version <= maxVersion
 	}
--- a/internal/decide/routes/routes.go
+++ b/internal/decide/routes/routes.go
@@ -70,7 +70,8 @@
 	}
 	slices.SortStableFunc(t.routes, func(a, b Route) int {
 		return cmp.Or(cmp.Compare(len(b.Path), len(a.Path)), cmp.Compare(bit(b.Class != ""), bit(a.Class != "")),
-			cmp.Compare(bit(b.KeyFrom+b.KeyTo != ""), bit(a.KeyFrom+a.KeyTo != "")), cmp.Compare(bit(b.Share > 0), bit(a.Share > 0)))
+			cmp.Compare(bit(b.KeyFrom+b.KeyTo != ""), bit(a.KeyFrom+a.KeyTo != "")), cmp.Compare(bit(b.Share > 0),
+				bit(a.Share > 0)))
 	})
 	return t, nil
 }
--- a/internal/decide/seats/seats.go
+++ b/internal/decide/seats/seats.go
@@ -54,7 +54,10 @@
 			}
 		case o.Out:
 			g = 2
-		case slices.ContainsFunc(next, func(b uint64) bool { return b > id && known[b] != nil && known[b].Machine == o.Machine }):
+		case slices.ContainsFunc(next, func(b uint64) bool {
+			return b > id && known[b] != nil &&
+				known[b].Machine == o.Machine
+		}):
 			g = 1
 		}
 		if g > grade {
@@ -103,7 +106,8 @@
 		return cmp.Or(cmp.Compare(taken[known[a].Zone], taken[known[b].Zone]), cmp.Compare(arith.Mix(a), arith.Mix(b)))
 	}
 	for id, o := range known {
-		if !o.Well || o.Out || slices.Contains(sits, id) || slices.ContainsFunc(sits, func(s uint64) bool { return known[s] != nil && known[s].Machine == o.Machine }) {
+		if !o.Well || o.Out || slices.Contains(sits, id) || slices.ContainsFunc(sits,
+			func(s uint64) bool { return known[s] != nil && known[s].Machine == o.Machine }) {
 			continue
 		}
 		if best == 0 || order(id, best) < 0 {
--- a/internal/decide/settings/table.go
+++ b/internal/decide/settings/table.go
@@ -56,7 +56,10 @@
 			n.Classes[c.Name] = old
 			continue
 		}
-		at := slices.IndexFunc(n.retiredAt, func(since time.Time) bool { return !since.IsZero() && now.Sub(since) >= keptFor })
+		at := slices.IndexFunc(n.retiredAt, func(since time.Time) bool {
+			return !since.IsZero() &&
+				now.Sub(since) >= keptFor
+		})
 		if at < 0 {
 			if at = len(n.Settings.Classes); at >= MostClasses {
 				return nil, fmt.Errorf("settings: classes: more than %d in all versions of late", MostClasses)
--- a/internal/decide/work/facts.go
+++ b/internal/decide/work/facts.go
@@ -17,11 +17,11 @@
 
 // Server is what is known of one server: by the list, and by what the agents see of it.
 type Server struct {
-	Machine  string
-	Capacity float64
-	Ready    bool    // the list says so; one that it calls draining or gone gives nothing
-	Silent   bool    // the agents hear nothing of it
-	Warmth   float64 // from 0 up to 1; 1: warm
+	Machine      string
+	Capacity     float64
+	Ready        bool    // the list says so; one that it calls draining or gone gives nothing
+	Unresponsive bool    // the agents hear nothing of it
+	Warmth       float64 // from 0 up to 1; 1: warm
 }
 
 // Sight is what the member of the council that leads sees when it words facts.
@@ -61,7 +61,7 @@
 		}
 		servers++
 		all += v.Capacity
-		if v.Ready && !v.Silent {
+		if v.Ready && !v.Unresponsive {
 			good += v.Capacity
 			warm += v.Capacity * min(max(v.Warmth, 0), 1)
 		}
@@ -72,7 +72,8 @@
 	if servers > 0 && good == 0 {
 		m.Health = Down
 	} else if good > 0 && warm < good {
-		m.Health, m.Warmth = Cold, math.Floor(10*warm/good)/10 // in tenths, so that the log is not written with each moment
+		// In tenths, so that the log is not written with each moment.
+		m.Health, m.Warmth = Cold, math.Floor(10*warm/good)/10
 	}
 	known, running := false, false
 	for _, b := range s.View.Members {
--- a/internal/fleet/distribution/server.go
+++ b/internal/fleet/distribution/server.go
@@ -26,8 +26,8 @@
 }
 
 // Serve answers requests from the cache until ctx ends and the listener is closed, which the caller does. It runs
-// each connection in a goroutine that ends with ctx, and returns when all have ended. A connection without a request for
-// idleTimeout is closed. refresh has the cache record the last contact with the primary; it is called before each
+// each connection in a goroutine that ends with ctx, and returns when all have ended. A connection without a request
+// for idleTimeout is closed. refresh has the cache record the last contact with the primary; it is called before each
 // look at the content of a response, and what it returns isn't used.
 func Serve(
 	ctx context.Context, ln net.Listener, name string, cache *Cache, idleTimeout time.Duration,
--- a/internal/fleet/scaletest/doc.go
+++ b/internal/fleet/scaletest/doc.go
@@ -1,5 +1,6 @@
-// Package scaletest measures how the fleet's own programs grow. It starts real control servers, a real node agent and a real proxy as processes on loopback, and beside them
-// hollow agents, many in one process, that pull as node agents do but hold nothing, and a hollow platform that lists
+// Package scaletest measures how the fleet's own programs grow. It starts real control servers, a real node agent and a
+// real proxy as processes on loopback, and beside them hollow agents, many in one process, that pull as node agents do
+// but hold nothing, and a hollow platform that lists
 // backends which nobody runs. What it finds is written as text; docs/CAPACITY.md draws on it.
 //
 // A run is bounded: every wait has an end, at most MaxAgents agents, MaxBackends backends and MaxRoutes routes.
--- a/internal/fleet/scaletest/platform.go
+++ b/internal/fleet/scaletest/platform.go
@@ -51,6 +51,7 @@
 	b.Draining = !b.Draining
 }
 
+// ServeHTTP answers a call for the list, page by page.
 func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p.calls.Add(1)
 	from, _ := strconv.Atoi(r.URL.Query().Get("marker"))
@@ -79,7 +80,8 @@
 	from = min(max(from, 0), len(all))
 	to := min(from+p.Page, len(all))
 	for _, b := range all[from:to] {
-		e := entry{Service: b.Service, Address: b.Address, Zone: b.Zone, Version: b.Version, Capacity: b.Capacity, State: "up", Phase: b.Phase, ID: b.ID}
+		e := entry{Service: b.Service, Address: b.Address, Zone: b.Zone, Version: b.Version, Capacity: b.Capacity,
+			State: "up", Phase: b.Phase, ID: b.ID}
 		if b.Draining {
 			e.State = "draining"
 		}
--- a/internal/fleet/settings/settings.go
+++ b/internal/fleet/settings/settings.go
@@ -149,8 +149,8 @@
 	// Unfreeze is for how long after a frozen process goes on its orders aren't judged; default 300 ms.
 	// (bnds.unfreeze_ms)
 	Unfreeze time.Duration
-	// Version is the time after which answers by older weights than others have are worth nothing; default 0 ms: there is
-	// no such time. (bnds.version_ms)
+	// Version is the time after which answers by older weights than others have are worth nothing; default 0 ms: there
+	// is no such time. (bnds.version_ms)
 	Version time.Duration
 }
 
--- a/internal/fleet/simulation/finding.go
+++ b/internal/fleet/simulation/finding.go
@@ -15,7 +15,7 @@
 	ORDER   Rule = "ORDER"
 	BUDGET  Rule = "BUDGET"
 	ONE     Rule = "ONE"
-	DUTY    Rule = "Duty"
+	FENCED  Rule = "Duty" // with a fencing token that was rejected
 	LOST    Rule = "LOST"
 	GONE    Rule = "GONE"
 	DRAIN   Rule = "DRAIN"
--- a/internal/fleet/simulation/judge_orders.go
+++ b/internal/fleet/simulation/judge_orders.go
@@ -83,7 +83,7 @@
 		if f != nil && en.Gen <= f.token && en.At.Sub(f.at) > o.bounds.Lease {
 			f.after++
 			if f.after == maxOrdersAfterFencing+1 {
-				o.reportAtEngine(DUTY, en, "%s still gives orders with the token %d, which was rejected %v before",
+				o.reportAtEngine(FENCED, en, "%s still gives orders with the token %d, which was rejected %v before",
 					en.Owner, en.Gen, en.At.Sub(f.at))
 			}
 		}
--- a/internal/fleet/simulation/judge_orders_test.go
+++ b/internal/fleet/simulation/judge_orders_test.go
@@ -52,7 +52,7 @@
 		{"turns within a lease", []Entry{orderAt(0, "a", 4, taken), orderAt(2999, "b", 5, taken)}, []Rule{ONE}},
 		{"turns a lease apart", []Entry{orderAt(0, "a", 4, taken), orderAt(3000, "b", 5, taken)}, []Rule{}},
 		{"one holder within a lease", []Entry{orderAt(0, "a", 4, taken), orderAt(1, "a", 4, taken)}, []Rule{}},
-		{"four orders after the lease of a rejection", fencedThen(7100, 7200, 7300, 7400), []Rule{DUTY}},
+		{"four orders after the lease of a rejection", fencedThen(7100, 7200, 7300, 7400), []Rule{FENCED}},
 		{"three orders after the lease of a rejection", fencedThen(7100, 7200, 7300), []Rule{}},
 		{"four orders within the lease of a rejection", fencedThen(5000, 5500, 6000, 6999), []Rule{}},
 		{"a higher token after a rejection", append(fencedThen(),
--- a/internal/fleet/simulation/judge_planned.go
+++ b/internal/fleet/simulation/judge_planned.go
@@ -89,7 +89,8 @@
 		for i := range o.entries {
 			en := &o.entries[i]
 			if en.Engine == d.Engine && en.At.After(bound) && en.Status != http.StatusMisdirectedRequest {
-				o.reportAtEngine(DRAIN, en, "it came %v after the list showed that the backend drains", en.At.Sub(d.ListedAt))
+				o.reportAtEngine(DRAIN, en, "it came %v after the list showed that the backend drains",
+					en.At.Sub(d.ListedAt))
 			}
 		}
 	}
@@ -112,7 +113,8 @@
 		}
 		late++
 		if late == maxLateArrivals+1 {
-			o.reportAtEngine(GONE, en, "its client had left %v before, as those of %d others", en.At.Sub(r.EndedAt), late-1)
+			o.reportAtEngine(GONE, en, "its client had left %v before, as those of %d others", en.At.Sub(r.EndedAt),
+				late-1)
 		}
 	}
 }
--- a/internal/process/agent/fastcgi_bench_test.go
+++ b/internal/process/agent/fastcgi_bench_test.go
@@ -163,7 +163,7 @@
 }
 
 func (w *web) get(id uint16, size int) error {
-	out := testkit.FastWhole(id, map[string]string{"REQUEST_METHOD": "GET", "REQUEST_URI": "/look/u1", "HTTP_HOST": "b", "SERVER_PROTOCOL": "HTTP/1.1"}, "")
+	out := testkit.FastComplete(id, map[string]string{"REQUEST_METHOD": "GET", "REQUEST_URI": "/look/u1", "HTTP_HOST": "b", "SERVER_PROTOCOL": "HTTP/1.1"}, "")
 	w.mu.Lock()
 	_, err := w.Write(out)
 	w.mu.Unlock()
--- a/internal/process/agent/pairs_test.go
+++ b/internal/process/agent/pairs_test.go
@@ -71,7 +71,7 @@
 	}
 	defer c.Close()
 	web, method := testkit.NewWeb(c), map[bool]string{true: "GET", false: "POST"}[class == "look"]
-	web.Write(testkit.FastWhole(1, map[string]string{"REQUEST_METHOD": method, "REQUEST_URI": "/" + class + "/u1", "HTTP_HOST": "b", "HTTP_REQUEST_ID": id,
+	web.Write(testkit.FastComplete(1, map[string]string{"REQUEST_METHOD": method, "REQUEST_URI": "/" + class + "/u1", "HTTP_HOST": "b", "HTTP_REQUEST_ID": id,
 		"CONTENT_LENGTH": strconv.Itoa(len(body)), "HTTP_IDEMPOTENCY_KEY": "k" + id}, string(body)))
 	_, stdout, end, err := web.Next()
 	if err != nil || end != (fcgi.End{}) {
@@ -237,7 +237,7 @@
 			t.Fatal(err)
 		}
 		defer c.Close()
-		out := testkit.FastWhole(1, map[string]string{"REQUEST_METHOD": "POST", "REQUEST_URI": "/order/u1", "SERVER_NAME": "b"}, "")
+		out := testkit.FastComplete(1, map[string]string{"REQUEST_METHOD": "POST", "REQUEST_URI": "/order/u1", "SERVER_NAME": "b"}, "")
 		c.Write(out)
 		<-got
 		c.Write(fcgi.Append(nil, fcgi.AbortRequest, 1, nil))
--- a/internal/process/agent/status.go
+++ b/internal/process/agent/status.go
@@ -100,7 +100,8 @@
 				if l.Draining {
 					flags += ", draining"
 				}
-				fmt.Fprintf(out, "     link: round trip %v, heard %v ago, its echo is %v old%s\n", l.RoundTrip.Round(10*time.Microsecond),
+				fmt.Fprintf(out, "     link: round trip %v, heard %v ago, its echo is %v old%s\n",
+					l.RoundTrip.Round(10*time.Microsecond),
 					l.Heard.Round(time.Millisecond), l.Echoed.Round(time.Millisecond), flags)
 			}
 			for _, c := range p.Classes {
--- a/internal/process/agent/work.go
+++ b/internal/process/agent/work.go
@@ -157,7 +157,7 @@
 		if machine == "" {
 			continue
 		}
-		one := work.Server{Machine: machine, Capacity: v.Weight, Ready: v.Health == cluster.Ready, Silent: slices.Contains(known.Silent, v.Server) || heard.Silent(v.Server), Warmth: 1}
+		one := work.Server{Machine: machine, Capacity: v.Weight, Ready: v.Health == cluster.Ready, Unresponsive: slices.Contains(known.Silent, v.Server) || heard.Silent(v.Server), Warmth: 1}
 		if !(one.Capacity > 0 && one.Capacity < 1e9) {
 			one.Capacity = 1
 		}
--- a/internal/process/handover/handover.go
+++ b/internal/process/handover/handover.go
@@ -33,8 +33,8 @@
 	// mostBytes bounds a message, mostSockets the sockets passed.
 	mostBytes, mostSockets = 16 << 20, 32
 	// findWithin is how long a second process waits for the first one's state, takeWithin how long
-	// the first waits for the second to take over, and newsEvery how often it then tells news.
-	findWithin, takeWithin, newsEvery = 2 * time.Second, 30 * time.Second, 20 * time.Millisecond
+	// the first waits for the second to take over, and updateInterval how often it then tells what is new.
+	findWithin, takeWithin, updateInterval = 2 * time.Second, 30 * time.Second, 20 * time.Millisecond
 )
 
 // ErrNobody is that no process is there to take over from.
@@ -255,7 +255,7 @@
 		defer close(gone)
 		_, _ = io.Copy(io.Discard, io.LimitReader(c, mostBytes)) // it says nothing more
 	}()
-	tick := time.NewTicker(newsEvery)
+	tick := time.NewTicker(updateInterval)
 	defer tick.Stop()
 	for {
 		select {
--- a/internal/process/logging/logging.go
+++ b/internal/process/logging/logging.go
@@ -3,8 +3,8 @@
 // goroutines.
 //
 // The keys are agent (its name, in each record), listen and backends (at the start), err, from and
-// to (of what changes), days (that a certificate lasts), record (of an account), zones (that come last), and of a fault of the program itself
-// input, panic and stack. A key that is new belongs into this list and into
+// to (of what changes), days (that a certificate lasts), record (of an account), zones (that come
+// last), and of a fault of the program itself input, panic and stack. A key that is new belongs into this list and into
 // docs/operators/commands.md.
 package logging
 
--- a/internal/process/operator/peers.go
+++ b/internal/process/operator/peers.go
@@ -57,7 +57,8 @@
 
 // plainWord tells whether a text can be shown in a table.
 func plainWord(text string) error {
-	if text == "" || len(text) > maxWord || strings.ContainsFunc(text, func(r rune) bool { return r <= ' ' || r == 0x7f }) {
+	if text == "" || len(text) > maxWord || strings.ContainsFunc(text,
+		func(r rune) bool { return r <= ' ' || r == 0x7f }) {
 		return fmt.Errorf("missing, over %d bytes, or no plain word", maxWord)
 	}
 	return nil
@@ -128,7 +129,8 @@
 	if !p.On() {
 		return nil
 	}
-	line := fmt.Sprintf("a view of the fleet as %s (machine %s, zone %s), peers at %s, %d seeds", p.Name, p.Machine, p.Zone, p.Listen, len(p.Seeds))
+	line := fmt.Sprintf("a view of the fleet as %s (machine %s, zone %s), peers at %s, %d seeds", p.Name, p.Machine,
+		p.Zone, p.Listen, len(p.Seeds))
 	if p.Plain {
 		line += ", without TLS"
 	}
--- a/internal/process/operator/promises.go
+++ b/internal/process/operator/promises.go
@@ -16,7 +16,7 @@
 	Without   string   `toml:"without"`    // as many copies: refuse, or fewer
 	Remember  Duration `toml:"remember"`   // longer than any order may be open
 	AnswersMB int      `toml:"answers_mb"` // held for others
-	Journal   string   `toml:"journal"`    // where what is held for others is kept: memory, or disk (in the folder of work)
+	Journal   string   `toml:"journal"`    // where what others began is kept: memory, or disk (in the folder of work)
 }
 
 func defaultPromises() Promises {
@@ -52,5 +52,7 @@
 	if !p.On {
 		return nil
 	}
-	return []string{fmt.Sprintf("holds for other agents what they have begun (%s); as a far gateway it has %d copies, else it does with \"%s\"", p.Journal, p.Copies, p.Without)}
+	const text = "holds for other agents what they have begun (%s); " +
+		"as a far gateway it has %d copies, else it does with \"%s\""
+	return []string{fmt.Sprintf(text, p.Journal, p.Copies, p.Without)}
 }
--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -114,7 +114,8 @@
 	if text == nil {
 		return nil, nil
 	}
-	if len(text) < 4 || binary.BigEndian.Uint32(text) != crc32.Update(crc32.Checksum(key, checksum), checksum, text[4:]) {
+	if len(text) < 4 || binary.BigEndian.Uint32(text) != crc32.Update(crc32.Checksum(key, checksum), checksum,
+		text[4:]) {
 		return nil, fmt.Errorf("%w: %q", ErrDamaged, key)
 	}
 	return append([]byte(nil), text[4:]...), nil
--- a/internal/protocol/fcgi/fcgi.go
+++ b/internal/protocol/fcgi/fcgi.go
@@ -92,7 +92,8 @@
 	if raw[0] != Version {
 		return Header{}, ErrVersion
 	}
-	return Header{Type: Type(raw[1]), ID: binary.BigEndian.Uint16(raw[2:]), Length: int(binary.BigEndian.Uint16(raw[4:])), Padding: int(raw[6])}, nil
+	return Header{Type: Type(raw[1]), ID: binary.BigEndian.Uint16(raw[2:]),
+		Length: int(binary.BigEndian.Uint16(raw[4:])), Padding: int(raw[6])}, nil
 }
 
 // AppendHeader appends a header; Length and Padding are within their bounds.
--- a/internal/protocol/fcgifront/flow.go
+++ b/internal/protocol/fcgifront/flow.go
@@ -14,7 +14,7 @@
 	budget *window.Budget
 
 	mu     sync.Mutex
-	pieces [][]byte
+	chunks [][]byte
 	bytes  int
 	ended  bool
 	why    error         // of an end before it was whole
@@ -47,7 +47,7 @@
 	if f.gone || f.ended {
 		f.budget.Give(int64(len(piece)))
 	} else {
-		f.pieces, f.bytes = append(f.pieces, append([]byte(nil), piece...)), f.bytes+len(piece)
+		f.chunks, f.bytes = append(f.chunks, append([]byte(nil), piece...)), f.bytes+len(piece)
 	}
 	f.mu.Unlock()
 	f.wake()
@@ -83,7 +83,7 @@
 // drop gives back all that is held. The flow is locked.
 func (f *flow) drop() {
 	f.budget.Give(int64(f.bytes))
-	f.pieces, f.bytes = nil, 0
+	f.chunks, f.bytes = nil, 0
 	close(f.less)
 	f.less = make(chan struct{})
 }
@@ -93,7 +93,7 @@
 func (f *flow) pump(ctx context.Context) {
 	for {
 		f.mu.Lock()
-		if f.gone || f.ended && (f.why != nil || len(f.pieces) == 0) {
+		if f.gone || f.ended && (f.why != nil || len(f.chunks) == 0) {
 			why := f.why
 			if f.bytes > 0 {
 				f.drop()
@@ -103,8 +103,8 @@
 			return
 		}
 		var piece []byte
-		if len(f.pieces) > 0 {
-			piece = f.pieces[0]
+		if len(f.chunks) > 0 {
+			piece = f.chunks[0]
 		}
 		f.mu.Unlock()
 		if piece == nil {
@@ -117,7 +117,7 @@
 		}
 		f.mu.Lock()
 		if !f.gone {
-			f.pieces, f.bytes = f.pieces[1:], f.bytes-len(piece)
+			f.chunks, f.bytes = f.chunks[1:], f.bytes-len(piece)
 			f.budget.Give(int64(len(piece)))
 			close(f.less)
 			f.less = make(chan struct{})
--- a/internal/protocol/fcgifront/front_test.go
+++ b/internal/protocol/fcgifront/front_test.go
@@ -92,7 +92,7 @@
 
 type vars = map[string]string
 
-var begun, whole = testkit.FastBegun, testkit.FastWhole
+var begun, whole = testkit.FastBegun, testkit.FastComplete
 
 // order is what a plain web server sends of a POST, and more.
 func order(length int, more vars) vars {
--- a/internal/protocol/sockets/listen.go
+++ b/internal/protocol/sockets/listen.go
@@ -47,7 +47,8 @@
 
 // mayPass tells whether an error of listening may be gone at the next try.
 func mayPass(err error) bool {
-	for _, number := range []syscall.Errno{syscall.EADDRINUSE, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
+	for _, number := range []syscall.Errno{syscall.EADDRINUSE, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS,
+		syscall.ENOMEM} {
 		if errors.Is(err, number) {
 			return true
 		}
--- a/internal/rig/lab/live/agents.go
+++ b/internal/rig/lab/live/agents.go
@@ -73,7 +73,8 @@
 }
 
 func newClient(s *scenario.Scenario) *http.Client {
-	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: s.Limits.Sockets / 3, MaxConnsPerHost: s.Limits.Sockets,
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: s.Limits.Sockets / 3,
+		MaxConnsPerHost: s.Limits.Sockets,
 		IdleConnTimeout: 5 * time.Second, DisableCompression: true}}
 }
 
--- a/internal/rig/lab/model/estate.go
+++ b/internal/rig/lab/model/estate.go
@@ -136,7 +136,10 @@
 	for _, e := range a.list {
 		entries = append(entries, e)
 	}
-	slices.SortFunc(entries, func(x, y cluster.Entry) int { return cmp.Compare(w.byAddr[x.Server].num, w.byAddr[y.Server].num) })
+	slices.SortFunc(entries, func(x,
+		y cluster.Entry) int {
+		return cmp.Compare(w.byAddr[x.Server].num, w.byAddr[y.Server].num)
+	})
 	least, wake := a.part.Plan(now, entries)
 	w.tell(a, &policy.Event{Kind: policy.EvList, List: cluster.ListFull, Entries: entries, Least: least})
 	a.planGen++
@@ -166,7 +169,8 @@
 func (h host) Servers() []timeline.Server {
 	all := make([]timeline.Server, len(h.servers))
 	for i, v := range h.servers {
-		all[i] = timeline.Server{Name: v.name, Kind: h.s.Servers[v.kind].Kind, Zone: h.s.Zones[v.zone], Up: v.up, Gone: v.removed,
+		all[i] = timeline.Server{Name: v.name, Kind: h.s.Servers[v.kind].Kind, Zone: h.s.Zones[v.zone], Up: v.up,
+			Gone: v.removed,
 			Busy: v.st.Holds() > 0 || v.coming > 0}
 	}
 	return all
--- a/internal/rig/lab/trial/variant.go
+++ b/internal/rig/lab/trial/variant.go
@@ -54,7 +54,8 @@
 		switch name {
 		case "chooser":
 			if !slices.Contains(choose.Names, value) {
-				return v, fmt.Errorf("variant %q: %q is no chooser; there are %s", text, value, strings.Join(choose.Names, ", "))
+				return v, fmt.Errorf("variant %q: %q is no chooser; there are %s", text, value,
+					strings.Join(choose.Names, ", "))
 			}
 			v.Chooser = value
 		case "operator":
@@ -147,7 +148,8 @@
 	if err != nil {
 		return nil, err
 	}
-	j.row = Row{V: Version, Scenario: of.Name, Hash: hash, Variant: v.Name, Chooser: j.s.Agent.Chooser, Set: v.Set, Mode: mode, Build: build,
+	j.row = Row{V: Version, Scenario: of.Name, Hash: hash, Variant: v.Name, Chooser: j.s.Agent.Chooser, Set: v.Set,
+		Mode: mode, Build: build,
 		Machine: machine(), Seed: seed, Load: j.s.Load(), Servers: j.s.Count(), Agents: j.s.Agents()}
 	return j, nil
 }
--- a/internal/rig/testkit/fast.go
+++ b/internal/rig/testkit/fast.go
@@ -51,7 +51,7 @@
 	return fcgi.AppendEnd(fcgi.Append(out, fcgi.Stdout, 1, nil), 1, end)
 }
 
-// FastBegun are the records of a request whose body goes on, FastWhole those of one that is whole.
+// FastBegun are the records of a request whose body goes on, FastComplete those of one that is whole.
 func FastBegun(id uint16, params map[string]string, body string) []byte {
 	var pairs []byte
 	for name, value := range params {
@@ -62,8 +62,8 @@
 	return fcgi.AppendStream(out, fcgi.Stdin, id, []byte(body))
 }
 
-// FastWhole is FastBegun with the end of the body.
-func FastWhole(id uint16, params map[string]string, body string) []byte {
+// FastComplete is FastBegun with the end of the body.
+func FastComplete(id uint16, params map[string]string, body string) []byte {
 	return fcgi.Append(FastBegun(id, params, body), fcgi.Stdin, id, nil)
 }
 
--- a/internal/rig/wan/mesh.go
+++ b/internal/rig/wan/mesh.go
@@ -34,7 +34,8 @@
 		hosts = append(hosts, host)
 		var row []*Net
 		for j := range targets {
-			row = append(row, &Net{target: targets[j], rng: rand.New(rand.NewPCG(seed, uint64(i)<<32|uint64(j))), conns: map[*pair]bool{},
+			row = append(row, &Net{target: targets[j], rng: rand.New(rand.NewPCG(seed, uint64(i)<<32|uint64(j))),
+				conns:  map[*pair]bool{},
 				closed: make(chan struct{}), cutAt: [2]int64{-1, -1}})
 		}
 		m.nets = append(m.nets, row)
--- a/internal/rig/world/fast.go
+++ b/internal/rig/world/fast.go
@@ -47,7 +47,8 @@
 
 func fastHead(params []byte) []byte {
 	v := testkit.FastParams(params)
-	return fmt.Appendf(nil, "%s %s HTTP/1.1\r\nRequest-Id: %s\r\n", v["REQUEST_METHOD"], v["REQUEST_URI"], v["HTTP_REQUEST_ID"])
+	return fmt.Appendf(nil, "%s %s HTTP/1.1\r\nRequest-Id: %s\r\n", v["REQUEST_METHOD"], v["REQUEST_URI"],
+		v["HTTP_REQUEST_ID"])
 }
 
 // fastAnswer is an answer's text as records, with its end if it has come to one. What is no answer stays as
@@ -66,8 +67,8 @@
 	return out
 }
 
-// fastPieces are the pieces of an answer as records, as many; what comes behind a whole one, with the last.
-func fastPieces(pieces [][]byte, ends bool) [][]byte {
+// fastRecords are the pieces of an answer as records, as many; what comes behind a whole one, with the last.
+func fastRecords(pieces [][]byte, ends bool) [][]byte {
 	text := string(bytes.Join(pieces, nil))
 	more := ""
 	if i := strings.LastIndex(text, "HTTP/1.1 200"); i > 0 && !strings.HasPrefix(text, "HTTP/1.1 100") {
--- a/internal/rig/world/server.go
+++ b/internal/rig/world/server.go
@@ -396,7 +396,7 @@
 		l.job = nil
 	}
 	if s.w.day.Fast {
-		pieces = fastPieces(pieces, end != "")
+		pieces = fastRecords(pieces, end != "")
 	}
 	for i, piece := range pieces {
 		t := l.ahead(time.Duration(i) * apart)
--- a/internal/rig/world/sites.go
+++ b/internal/rig/world/sites.go
@@ -40,7 +40,8 @@
 	}
 	kinds := []string{"link-stall-there", "link-stall-back", "link-stall-both", "link-cut", "link-lag", "kill", "term"}
 	for range 1 + rng.IntN(4) {
-		d.Ops = append(d.Ops, Op{ID: len(d.Ops) + 1, At: time.Duration(rng.Float64() * float64(length)), Kind: kinds[rng.IntN(len(kinds))],
+		d.Ops = append(d.Ops, Op{ID: len(d.Ops) + 1, At: time.Duration(rng.Float64() * float64(length)),
+			Kind:  kinds[rng.IntN(len(kinds))],
 			Agent: rng.IntN(d.Agents), For: time.Duration(between(20, 900)) * ms})
 	}
 	if promised {
