--- a/cmd/molepaddle-fleet/fleet_test.go
+++ b/cmd/molepaddle-fleet/fleet_test.go
@@ -103,7 +103,8 @@
 	clients  []*simulation.Client
 	version  uint64 // of the newest configuration that was acknowledged
 
-	shutdowns []simulation.Shutdown // of proxies, for the judge
+	shutdowns  []simulation.Shutdown  // of proxies, for the judge
+	departures []simulation.Departure // of backends
 }
 
 // fleetZones are the zones of a test's fleet; all are of one region.
@@ -663,8 +664,15 @@
 	bounds.Grace = f.bound("grace_s", time.Second)
 	bounds.LossSlack = f.bound("loss_slack_ms", time.Millisecond)
 	bounds.Apply = f.bound("apply_ms", time.Millisecond)
+	bounds.Drain = f.bound("drain_ms", time.Millisecond)
 	bounds.Lease = f.lease()
-	j := simulation.Judge{Bounds: bounds, Engines: f.engines(), Clients: f.clients, Shutdowns: f.shutdowns}
+	j := simulation.Judge{
+		Bounds:     bounds,
+		Engines:    f.engines(),
+		Clients:    f.clients,
+		Shutdowns:  f.shutdowns,
+		Departures: f.departures,
+	}
 	for _, finding := range j.Findings() {
 		f.Errorf("%+v", finding)
 	}
