--- a/internal/fleet/controlplane/plantedfault_test.go
+++ b/internal/fleet/controlplane/plantedfault_test.go
@@ -145,10 +145,20 @@
 		Name:  "an order is given without contact",
 		Tests: "^TestOrdersNeedContact$",
 		Texts: []string{
-			"return p.confirmEpoch(ctx, epoch) && p.sendOrder(ctx, by, b, prefill, taken, epoch)",
-			"return p.sendOrder(ctx, by, b, prefill, taken, epoch)",
+			"if !p.confirmEpoch(ctx, epoch) {",
+			"if false {",
 		},
 	},
+	{
+		Name:  "a fenced owner goes on",
+		Tests: "^TestFencedOwnerGivesNoMoreOrders$",
+		Texts: []string{"\tp.fencedEpoch = epoch\n", ""},
+	},
+	{
+		Name:  "an answer of any status counts as an acknowledgement",
+		Tests: "^TestOrderIsTakenOrNot$",
+		Texts: []string{"return err == nil && externalapi.OrderTaken(status)", "return err == nil"},
+	},
 	{
 		Name:  "an order goes out under the fence of an earlier epoch",
 		Tests: "^TestOrdersNeedContact$",
