An update of accounts, or of any named list, is in the configuration it made

CONFIG on the shared deployments: cfg/update passed over each key of upsert and remove that it didn't know, so a change of accounts was acknowledged under its version and was not in it, and an account list with a shared key was accepted.

Two accounts with one key are refused, without the key in the finding. Lists that this program doesn't know are changed by name like the known ones, since the same loss would come with the next kind of item. A configuration's JSON gets fields that are left out where they aren't given; the golden file of before is kept and written as it was.

TestUpdateOfUnknownLists, TestUpdateAccounts and TestInvalidAccounts fail on the code before (six of seven lists, the accounts, the shared key).

--- /dev/null
+++ b/internal/fleet/routingconfig/accounts.go
@@ -0,0 +1,163 @@
+package routingconfig
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+)
+
+const (
+	// keyHashBytesShown is how many bytes of a key's hash are shown in place of the key.
+	keyHashBytesShown = 4
+	// usualKeyBytes is the length of a key up to which its hash is computed without an allocation.
+	usualKeyBytes = 128
+)
+
+// KeyHash is the SHA-256 hash of an API key. Keys are compared and looked up by it, so that neither the time of a
+// lookup nor what is shown of a configuration tells anything about a key.
+type KeyHash [sha256.Size]byte
+
+// HashKey returns the hash of an API key.
+func HashKey(key string) KeyHash {
+	var buffer [usualKeyBytes]byte
+	return sha256.Sum256(append(buffer[:0], key...))
+}
+
+// String returns the beginning of the hash, by which people can tell keys apart: "sha256:1f3a90c2".
+func (h KeyHash) String() string { return "sha256:" + hex.EncodeToString(h[:keyHashBytesShown]) }
+
+// Account is a tenant whose requests are told by their API keys.
+type Account struct {
+	// Name is unique among accounts and not empty. It can stand in a header field.
+	Name string `json:"name"`
+	// Priority is the rank of the account's requests, in place of their routes'; 0 is the highest. Nil: the routes'.
+	Priority *int `json:"prio,omitempty"`
+	// Rate is the quota over all proxies together, in requests a second. 0: no limit.
+	Rate float64 `json:"rate_s"`
+	// Burst is how many requests in one quota window are within the quota beyond Rate.
+	Burst float64 `json:"burst"`
+}
+
+// Limited returns whether the account has a quota.
+func (a *Account) Limited() bool { return a.Rate > 0 }
+
+// accountItem is an account with the operator's own JSON of it, which alone has the keys.
+type accountItem struct {
+	Account
+	keyHashes []KeyHash // no two accounts share one; may be empty
+	raw       json.RawMessage
+}
+
+func (a *accountItem) itemName() string         { return a.Name }
+func (a *accountItem) rawJSON() json.RawMessage { return a.raw }
+func (a *accountItem) detach()                  { a.raw = bytes.Clone(a.raw) }
+
+// accounts reads a list of accounts; never nil, since an empty list still demands keys.
+func (o *object) accounts(key string, raw json.RawMessage) []*accountItem {
+	if accounts := readItems(o, key, raw, (*object).account); accounts != nil {
+		return accounts
+	}
+	return []*accountItem{}
+}
+
+// account reads one account.
+func (o *object) account(raw json.RawMessage) *accountItem {
+	a := &accountItem{raw: raw}
+	if !o.requireObject(raw) {
+		return a
+	}
+	eachField(raw, func(k []byte, v json.RawMessage) {
+		switch string(k) {
+		case "name":
+			o.stringValue("name", v, &a.Name)
+		case "apikeys":
+			a.keyHashes = o.readKeyHashes(v)
+		case "prio":
+			if !absent(v) {
+				a.Priority = new(int)
+				o.nonNegativeInt("prio", v, a.Priority)
+			}
+		case "rate_s":
+			o.nonNegativeNumber("rate_s", v, &a.Rate)
+		case "burst":
+			o.nonNegativeNumber("burst", v, &a.Burst)
+		}
+	})
+	o.check("name", a.Name, ruleRequired, ruleHeaderValue)
+	return a
+}
+
+// readKeyHashes reads a list of API keys. Neither the keys nor parts of them stand in findings.
+func (o *object) readKeyHashes(raw json.RawMessage) []KeyHash {
+	if absent(raw) || !o.requireList("apikeys", raw) {
+		return nil
+	}
+	var hashes []KeyHash
+	eachItem(raw, func(i int, v json.RawMessage) {
+		if v[0] != '"' || len(v) == len(`""`) {
+			o.found.add(o.fieldPath(indexed("apikeys", i)), "must be a string that is not empty")
+			return
+		}
+		hashes = append(hashes, HashKey(string(unquote(v))))
+	})
+	return hashes
+}
+
+// checkAccountKeys adds findings for keys that two accounts share.
+func (d *Document) checkAccountKeys(found *Findings) {
+	owners := make(map[KeyHash]int, len(d.accounts))
+	for i, a := range d.accounts {
+		for j, hash := range a.keyHashes {
+			first, taken := owners[hash]
+			if taken && first != i {
+				found.add(indexed("accounts", i)+"."+indexed("apikeys", j), "is a key of the account %q too",
+					d.accounts[first].Name)
+				continue
+			}
+			owners[hash] = i
+		}
+	}
+}
+
+// Accounts returns the accounts in order; nil where requests need no keys. They must not be changed.
+func (d *Document) Accounts() []*Account {
+	if d == nil || d.accounts == nil {
+		return nil
+	}
+	out := make([]*Account, len(d.accounts))
+	for i, a := range d.accounts {
+		out[i] = &a.Account
+	}
+	return out
+}
+
+// indexAccounts fills in the accounts by key and by name.
+func (x *Index) indexAccounts(d *Document) {
+	if d.accounts == nil {
+		return
+	}
+	x.accountsByKey = make(map[KeyHash]*Account, len(d.accounts))
+	x.accountsByName = make(map[string]*Account, len(d.accounts))
+	for _, a := range d.accounts {
+		x.accountsByName[a.Name] = &a.Account
+		for _, hash := range a.keyHashes {
+			x.accountsByKey[hash] = &a.Account
+		}
+	}
+}
+
+// KeysRequired returns whether the configuration has accounts, so that requests of routes that aren't public need a key.
+func (x *Index) KeysRequired() bool { return x.accountsByKey != nil }
+
+// AccountOfKey returns the account that a key is of.
+func (x *Index) AccountOfKey(key string) (*Account, bool) {
+	a, ok := x.accountsByKey[HashKey(key)]
+	return a, ok
+}
+
+// Account returns an account by its name.
+func (x *Index) Account(name string) (*Account, bool) {
+	a, ok := x.accountsByName[name]
+	return a, ok
+}
--- /dev/null
+++ b/internal/fleet/routingconfig/accounts_test.go
@@ -0,0 +1,157 @@
+package routingconfig_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"molepaddle/internal/fleet/routingconfig"
+)
+
+// account returns the JSON of an account with the keys given.
+func account(name string, keys ...string) string {
+	return fmt.Sprintf(`{"name":%q,"apikeys":["%s"]}`, name, strings.Join(keys, `","`))
+}
+
+// withAccounts returns the JSON of a configuration of one route with the accounts given.
+func withAccounts(version int, accounts ...string) string {
+	const format = `{"ver":%d,"routing":[%s],"svcs":[%s],"accounts":[%s]}`
+	return fmt.Sprintf(format, version, route("r", `,"svc":"a"`), service("a"), strings.Join(accounts, ","))
+}
+
+func TestAccountOfKey(t *testing.T) {
+	c := qt.New(t)
+	d := decode(t, withAccounts(3, account("one", "key-a", "key-b"), account("two", "key-c"), `{"name":"none"}`))
+	x := routingconfig.NewIndex(d)
+	c.Assert(x.KeysRequired(), qt.IsTrue)
+	for key, name := range map[string]string{"key-a": "one", "key-b": "one", "key-c": "two"} {
+		a, ok := x.AccountOfKey(key)
+		c.Assert(ok, qt.IsTrue, qt.Commentf("%s", key))
+		c.Assert(a.Name, qt.Equals, name)
+	}
+	for _, key := range []string{"", "key-", "key-A", "key-ab", "one", strings.Repeat("k", 1<<16)} {
+		_, ok := x.AccountOfKey(key)
+		c.Assert(ok, qt.IsFalse, qt.Commentf("%.10s", key))
+	}
+	named, ok := x.Account("none")
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(named.Limited(), qt.IsFalse)
+}
+
+// TestEmptyAccountsRequireKeys: a list without accounts isn't the same as no list: nobody has a key.
+func TestEmptyAccountsRequireKeys(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(routingconfig.NewIndex(decode(t, withAccounts(3))).KeysRequired(), qt.IsTrue)
+	without := decode(t, configuration("", service("a")))
+	c.Assert(routingconfig.NewIndex(without).KeysRequired(), qt.IsFalse)
+	c.Assert(without.Accounts(), qt.IsNil)
+}
+
+func TestInvalidAccounts(t *testing.T) {
+	for name, tc := range map[string]struct {
+		accounts string
+		want     string
+	}{
+		"a shared key":  {account("one", "k1") + "," + account("two", "k2", "k1"), `is a key of the account "one" too`},
+		"no name":       {`{"apikeys":["k1"]}`, "must be given"},
+		"name twice":    {account("one", "k1") + "," + account("one", "k2"), "is the name of"},
+		"a key twice":   {`{"name":"one","apikeys":["k1"],"apikeys":["k2"]}`, "apikeys"},
+		"an empty key":  {account("one", ""), "must be a string that is not empty"},
+		"a number":      {`{"name":"one","apikeys":[7]}`, "must be a string that is not empty"},
+		"no list":       {`{"name":"one","apikeys":"k1"}`, "must be a list"},
+		"name of bytes": {`{"name":"one\r\nX: y","apikeys":[]}`, "printable ASCII"},
+		"rate below 0":  {`{"name":"one","rate_s":-1}`, "must not be negative"},
+		"burst below 0": {`{"name":"one","burst":-1}`, "must not be negative"},
+		"prio below 0":  {`{"name":"one","prio":-1}`, "must not be negative"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			_, found := routingconfig.Decode([]byte(withAccounts(3, tc.accounts)))
+			c.Assert(found, qt.Not(qt.HasLen), 0)
+			c.Assert(found.String(), qt.Contains, tc.want)
+			c.Assert(found.String(), qt.Not(qt.Contains), "k1", qt.Commentf("a key must not be shown"))
+		})
+	}
+}
+
+// TestKeyTwiceInOneAccount: the same key twice in the list of one account is no shared key.
+func TestKeyTwiceInOneAccount(t *testing.T) {
+	x := routingconfig.NewIndex(decode(t, withAccounts(3, account("one", "k1", "k1"))))
+	a, ok := x.AccountOfKey("k1")
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, a.Name, qt.Equals, "one")
+}
+
+func TestUpdateAccounts(t *testing.T) {
+	c := qt.New(t)
+	d := decode(t, withAccounts(3, account("one", "k1"), account("two", "k2"), account("three", "k3")))
+	next := update(t, d, `{"ver":4,"upsert":{"accounts":[`+account("two", "k4")+`,`+account("four", "k1b")+
+		`]},"remove":{"accounts":["three","unknown"]}}`)
+	c.Assert(string(next.Show()), qt.Equals,
+		withAccounts(4, account("one", "k1"), account("two", "k4"), account("four", "k1b")))
+	c.Assert(string(d.Show()), qt.Equals,
+		withAccounts(3, account("one", "k1"), account("two", "k2"), account("three", "k3")))
+	x := routingconfig.NewIndex(next)
+	for key, known := range map[string]bool{"k1": true, "k2": false, "k3": false, "k4": true, "k1b": true} {
+		_, ok := x.AccountOfKey(key)
+		c.Assert(ok, qt.Equals, known, qt.Commentf("%s", key))
+	}
+	// A key may move from one account to another in one change, and not be shared by the change of one of them.
+	moved := update(t, next, `{"ver":5,"upsert":{"accounts":[`+account("one", "k4")+`,`+account("two", "k1")+`]}}`)
+	a, _ := routingconfig.NewIndex(moved).AccountOfKey("k1")
+	c.Assert(a.Name, qt.Equals, "two")
+	_, found := routingconfig.Update(moved, []byte(`{"ver":6,"upsert":{"accounts":[`+account("one", "k1")+`]}}`))
+	c.Assert(found.String(), qt.Contains, "is a key of the account")
+}
+
+// TestUpdateOfUnknownLists: CONFIG, a change of a list that the program didn't know was acknowledged and lost.
+func TestUpdateOfUnknownLists(t *testing.T) {
+	c := qt.New(t)
+	config := func(version int, rest string) string {
+		return fmt.Sprintf(`{"ver":%d,"routing":[],"svcs":[]%s}`, version, rest)
+	}
+	for name, tc := range map[string]struct{ before, change, after string }{
+		"items by name": {
+			`,"zz":[{"name":"a","v":1},{"name":"b"},{"name":"c"}]`,
+			`"upsert":{"zz":[{"name":"b","v":2},{"name":"d"}]},"remove":{"zz":["a","x"]}`,
+			`,"zz":[{"name":"b","v":2},{"name":"c"},{"name":"d"}]`,
+		},
+		"a new list":         {``, `"upsert":{"zz":[{"name":"d"}]}`, `,"zz":[{"name":"d"}]`},
+		"an object":          {`,"zz":{"a":1}`, `"upsert":{"zz":{"b":2}}`, `,"zz":{"b":2}`},
+		"items without name": {`,"zz":[1,2]`, `"upsert":{"zz":[3]}`, `,"zz":[3]`},
+		"removed and added":  {`,"zz":[{"name":"a"}]`, `"upsert":{"zz":[{"name":"a","v":1}]},"remove":{"zz":["a"]}`, `,"zz":[{"name":"a","v":1}]`},
+		"nothing to remove":  {`,"zz":{"a":1}`, `"remove":{"zz":["a"]}`, `,"zz":{"a":1}`},
+		"left alone":         {`,"zz":[{"name":"a"}],"yy":3`, `"upsert":{"xx":1}`, `,"zz":[{"name":"a"}],"yy":3,"xx":1`},
+	} {
+		c.Run(name, func(c *qt.C) {
+			d := decode(c, config(3, tc.before))
+			c.Assert(string(update(c, d, `{"ver":4,`+tc.change+`}`).Show()), qt.Equals, config(4, tc.after))
+			c.Assert(string(d.Show()), qt.Equals, config(3, tc.before))
+		})
+	}
+}
+
+// TestHashKeyAllocatesNothing: a proxy hashes a key for each request.
+func TestHashKeyAllocatesNothing(t *testing.T) {
+	x := routingconfig.NewIndex(decode(t, withAccounts(3, account("one", "timaj3nr26tta828m82t"))))
+	key := "timaj3nr26tta828m82t"
+	allocations := testing.AllocsPerRun(100, func() { x.AccountOfKey(key) })
+	qt.Assert(t, allocations, qt.Equals, 0.0)
+}
+
+func BenchmarkAccountOfKey(b *testing.B) {
+	accounts := make([]string, 10_000)
+	for i := range accounts {
+		accounts[i] = account(fmt.Sprint("account-", i), fmt.Sprintf("%020d", i))
+	}
+	x := routingconfig.NewIndex(decode(b, withAccounts(3, accounts...)))
+	key := fmt.Sprintf("%020d", 5_000)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, ok := x.AccountOfKey(key); !ok {
+			b.Fatal("not known")
+		}
+	}
+}
--- a/internal/fleet/routingconfig/checks.go
+++ b/internal/fleet/routingconfig/checks.go
@@ -27,6 +27,7 @@
 	for i, t := range d.tenants {
 		checkKnownRegions(checks, t.Regions, found, func() string { return indexed("tenants", i) })
 	}
+	d.checkAccountKeys(found)
 	matches := make(map[routeMatch]int, len(d.routes))
 	for i, r := range d.routes {
 		path := func() string { return indexed("routing", i) }
--- a/internal/fleet/routingconfig/config.go
+++ b/internal/fleet/routingconfig/config.go
@@ -28,6 +28,8 @@
 	Limits *Limits `json:"caps,omitempty"`
 	// Tenants are in the operator's order; additions by update come last.
 	Tenants []Tenant `json:"tenants,omitempty"`
+	// Accounts are in the operator's order; additions by update come last. Their keys are not in it.
+	Accounts []Account `json:"accounts,omitempty"`
 }
 
 // RouteSpec is a route as the operator wrote it. Times are in milliseconds, fractions allowed.
@@ -63,6 +65,8 @@
 	EventGapTargetMs float64 `json:"gap_aim_ms"`
 	// Tenant names the tenant whose requests these are, one of Tenants; empty: no tenant.
 	Tenant string `json:"tenant,omitempty"`
+	// Public routes take requests without a key where the configuration has accounts.
+	Public bool `json:"public,omitempty"`
 	// Regions are those in which the data of the route's requests may be stored: one or more, all of them the tenant's
 	// where there is one. Nil: the tenant's, or anywhere without one.
 	Regions []string `json:"regions,omitempty"`
--- a/internal/fleet/routingconfig/decode.go
+++ b/internal/fleet/routingconfig/decode.go
@@ -6,7 +6,7 @@
 
 // Decode reads a complete configuration: the body of cfg/replace, or what Show returned. It is valid only without
 // findings; the Document is nil otherwise. The body must be exactly one JSON object with "ver" (an integer above 0),
-// "routing" and "svcs" (lists, which may be empty); "caps" and "tenants" may be missing. An optional field that is null
+// "routing" and "svcs" (lists, which may be empty); "caps", "tenants" and "accounts" may be missing. An optional field that is null
 // counts as absent. Unknown fields are retained. The Document shares memory with body, which must not be changed
 // afterwards. The checks add what the caller knows.
 //
@@ -14,7 +14,7 @@
 // names given twice, a route that names a service not known, two routes with the same host (without regard to case)
 // and prefix, negative weights or weights that add up to 0, a deadline_ms of 0 or less or missing, a prefix that
 // doesn't begin and end with a slash, an unknown kind, a route that names a tenant not listed, regions that aren't a
-// list of one or more names, and regions of a route that its tenant doesn't have.
+// list of one or more names, regions of a route that its tenant doesn't have, and a key that two accounts share.
 func Decode(body []byte, checks ...Check) (*Document, Findings) { return Replace(nil, body, checks...) }
 
 // Replace is Decode for a configuration sent on top of current (nil: none yet); its version must be above current's.
@@ -47,7 +47,7 @@
 // document reads a complete configuration, each item on its own.
 func (o *object) document(body []byte, current *Document) *Document {
 	d := &Document{}
-	var ver, routing, svcs, tenants json.RawMessage
+	var ver, routing, svcs, tenants, accounts json.RawMessage
 	eachField(body, func(k []byte, v json.RawMessage) {
 		switch string(k) {
 		case "ver":
@@ -58,6 +58,8 @@
 			svcs = v
 		case "tenants":
 			tenants = v
+		case "accounts":
+			accounts = v
 		case "caps":
 			d.caps = v
 		default:
@@ -78,6 +80,9 @@
 	if !absent(tenants) {
 		d.tenants = o.tenants("tenants", tenants)
 	}
+	if !absent(accounts) {
+		d.accounts = o.accounts("accounts", accounts)
+	}
 	if caps := o.child("caps"); !absent(d.caps) && caps.requireObject(d.caps) {
 		d.limits = caps.limits(d.caps)
 	}
--- a/internal/fleet/routingconfig/document.go
+++ b/internal/fleet/routingconfig/document.go
@@ -13,11 +13,12 @@
 	services []*serviceItem
 	limits   *Limits
 	tenants  []*tenantItem   // nil when none were ever sent
+	accounts []*accountItem  // nil when none were ever sent
 	caps     json.RawMessage // as sent; nil when it was not
 	extra    []member        // top-level fields this program doesn't know, in order
 }
 
-// namedItem is a routeItem, a serviceItem or a tenantItem: what the operator names and sends as one item.
+// namedItem is a routeItem, a serviceItem, a tenantItem or an accountItem: what the operator names and sends as one item.
 type namedItem interface {
 	comparable
 	itemName() string
@@ -142,5 +143,8 @@
 	for _, t := range d.tenants {
 		c.Tenants = append(c.Tenants, t.Tenant)
 	}
+	for _, a := range d.accounts {
+		c.Accounts = append(c.Accounts, a.Account)
+	}
 	return c
 }
--- a/internal/fleet/routingconfig/index.go
+++ b/internal/fleet/routingconfig/index.go
@@ -9,6 +9,10 @@
 type Index struct {
 	hosts    map[string]*node // by host in lower case; a host's node is that of the prefix "/"
 	services map[string]*Service
+
+	// Nil where requests need no keys.
+	accountsByKey  map[KeyHash]*Account
+	accountsByName map[string]*Account
 }
 
 // node is one prefix of a host; its children are by the segment that follows.
@@ -47,6 +51,7 @@
 	for _, s := range d.services {
 		x.services[s.Name] = &s.Service
 	}
+	x.indexAccounts(d)
 	routes := make([]Route, len(d.routes))
 	for i, r := range d.routes {
 		routes[i] = Route{RouteSpec: &r.RouteSpec}
--- a/internal/fleet/routingconfig/items.go
+++ b/internal/fleet/routingconfig/items.go
@@ -54,6 +54,8 @@
 			shares = v
 		case "tries":
 			o.nonNegativeInt("tries", v, &r.MaxAttempts)
+		case "public":
+			o.boolValue("public", v, &r.Public)
 		case "pin":
 			o.boolValue("pin", v, &r.PrefixAffinity)
 		case "resumable":
--- a/internal/fleet/routingconfig/object.go
+++ b/internal/fleet/routingconfig/object.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"math"
 	"strconv"
+	"strings"
 
 	validation "github.com/go-ozzo/ozzo-validation/v4"
 )
@@ -23,7 +24,8 @@
 	ruleCount       = validation.Min(int64(0)).Error("must not be negative")
 	ruleKind        = validation.In(KindReadonly, KindMutating, KindStream).
 			Error("must be " + KindReadonly + ", " + KindMutating + " or " + KindStream)
-	rulePrefix = validation.NewStringRule(func(s string) bool { return s[0] == '/' && s[len(s)-1] == '/' },
+	ruleHeaderValue = validation.NewStringRule(isHeaderValue, "must be printable ASCII without spaces at its ends")
+	rulePrefix      = validation.NewStringRule(func(s string) bool { return s[0] == '/' && s[len(s)-1] == '/' },
 		"must begin and end with a slash")
 )
 
@@ -227,3 +229,13 @@
 	}
 	names[name] = i
 }
+
+// isHeaderValue returns whether a text arrives as it is when it is sent as the value of a header field.
+func isHeaderValue(s string) bool {
+	for _, c := range []byte(s) {
+		if c < ' ' || c > '~' {
+			return false
+		}
+	}
+	return s == strings.TrimSpace(s)
+}
--- a/internal/fleet/routingconfig/show.go
+++ b/internal/fleet/routingconfig/show.go
@@ -9,9 +9,9 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Show returns the complete configuration as JSON, for cfg/show and snapshots: each item, caps and tenants as the
-// operator sent them, then the top-level fields that this program doesn't know. The nil Document shows version 0 with
-// empty lists.
+// Show returns the complete configuration as JSON, for cfg/show and snapshots: each item, caps, tenants and accounts as
+// the operator sent them, then the top-level fields that this program doesn't know. The nil Document shows version 0
+// with empty lists.
 func (d *Document) Show() []byte {
 	if d == nil {
 		d = &Document{}
@@ -30,6 +30,10 @@
 		b = append(b, `,"tenants":`...)
 		b = appendItems(b, d.tenants)
 	}
+	if d.accounts != nil {
+		b = append(b, `,"accounts":`...)
+		b = appendItems(b, d.accounts)
+	}
 	for _, m := range d.extra {
 		key, _ := json.Marshal(m.key) // strings always marshal
 		b = append(b, ',')
@@ -44,7 +48,7 @@
 func (d *Document) shownBytes() int {
 	const (
 		frameBytes  = 64 // the keys and brackets of the document
-		tenantBytes = 16 // beyond a tenant's JSON; one of them pays for the key
+		tenantBytes = 16 // beyond the JSON of a tenant or an account; one of them pays for the key
 		memberBytes = 8  // quotes, colon and comma of a member, and some escapes
 	)
 	size := frameBytes + len(d.caps)
@@ -57,6 +61,9 @@
 	for _, t := range d.tenants {
 		size += len(t.raw) + tenantBytes
 	}
+	for _, a := range d.accounts {
+		size += len(a.raw) + tenantBytes
+	}
 	for _, m := range d.extra {
 		size += len(m.key) + len(m.value) + memberBytes
 	}
@@ -91,6 +98,8 @@
 		equalItems(d.services, other.services) &&
 		equalItems(d.tenants, other.tenants) &&
 		(d.tenants == nil) == (other.tenants == nil) &&
+		equalItems(d.accounts, other.accounts) &&
+		(d.accounts == nil) == (other.accounts == nil) &&
 		(d.caps == nil) == (other.caps == nil) &&
 		bytes.Equal(d.caps, other.caps) &&
 		slices.EqualFunc(d.extra, other.extra, member.equal)
--- a/internal/fleet/routingconfig/update.go
+++ b/internal/fleet/routingconfig/update.go
@@ -8,14 +8,15 @@
 
 // Update applies the body of cfg/update to current (nil: none yet), which is not changed:
 //
-//	{"ver":9,"upsert":{"routing":[items],"svcs":[items],"tenants":[items],"caps":{}},
-//	 "remove":{"routing":[names],"svcs":[names],"tenants":[names]}}
+//	{"ver":9,"upsert":{"routing":[items],"svcs":[items],"tenants":[items],"accounts":[items],"caps":{}},
+//	 "remove":{"routing":[names],"svcs":[names],"tenants":[names],"accounts":[names]}}
 //
 // Items replace those of the same name where these stand, or are added at the end. Removing a name that isn't there
-// is not an error; of a name that is both removed and upserted the new item stays, where the old one stood. The
-// result must be valid by Decode's rules, and its version above current's; the Document is nil otherwise. The cost is
-// linear in the size of the body and in the number of routes, with little work for a route that isn't touched. The
-// new Document shares current's items, and no memory with body.
+// is not an error; of a name that is both removed and upserted the new item stays, where the old one stood. Lists that
+// this program doesn't know are changed by name in the same way. The result must be valid by Decode's rules, and its
+// version above current's; the Document is nil otherwise. The cost is linear in the size of the body and in the number
+// of routes, with little work for a route that isn't touched. The new Document shares current's items, and no memory
+// with body.
 func Update(current *Document, body []byte, checks ...Check) (*Document, Findings) {
 	var found Findings
 	top := parseObject(body, &found)
@@ -31,15 +32,19 @@
 		routes:   merge(current.routes, u.routes, u.removedRoutes),
 		services: merge(current.services, u.services, u.removedServices),
 		tenants:  merge(current.tenants, u.tenants, u.removedTenants),
+		accounts: merge(current.accounts, u.accounts, u.removedAccounts),
 		limits:   current.limits,
 		caps:     current.caps,
-		extra:    current.extra,
+		extra:    u.unknown.apply(current.extra),
 	}
 	if u.limits != nil {
 		d.limits = u.limits
 		d.caps = bytes.Clone(u.caps)
 	}
 	d.checkChangedRoutes(u.routes, len(u.removedServices) > 0, &found)
+	if len(u.accounts) > 0 {
+		d.checkAccountKeys(&found)
+	}
 	d.checkChangedTenants(u.routes, u.tenants, len(u.removedTenants) > 0, checks, &found)
 	if len(found) > 0 {
 		return nil, found
@@ -54,12 +59,16 @@
 	routes   []*routeItem
 	services []*serviceItem
 	tenants  []*tenantItem
+	accounts []*accountItem
 	limits   *Limits // nil where they are left alone
 	caps     json.RawMessage
 
 	removedRoutes   map[string]bool
 	removedServices map[string]bool
 	removedTenants  map[string]bool
+	removedAccounts map[string]bool
+
+	unknown unknownLists
 }
 
 // update reads the body of cfg/update, each item on its own.
@@ -70,7 +79,7 @@
 		switch string(k) {
 		case "ver":
 			u.version = v
-		case "routing", "svcs":
+		case "routing", "svcs", "tenants", "accounts", "caps":
 			o.found.add(string(k), "belongs under upsert in an update")
 		case "upsert":
 			if !absent(v) && upsert.requireObject(v) {
@@ -95,16 +104,21 @@
 			u.services = o.services("svcs", v)
 		case "tenants":
 			u.tenants = o.tenants("tenants", v)
+		case "accounts":
+			u.accounts = o.accounts("accounts", v)
 		case "caps":
 			if caps := o.child("caps"); !absent(v) && caps.requireObject(v) {
 				u.caps = v
 				u.limits = caps.limits(v)
 			}
+		default:
+			u.unknown.upserts = append(u.unknown.upserts, member{key: string(k), value: v})
 		}
 	})
 	detach(u.routes)
 	detach(u.services)
 	detach(u.tenants)
+	detach(u.accounts)
 }
 
 // removals reads the names that an update removes.
@@ -117,6 +131,10 @@
 			u.removedServices = o.nameSet("svcs", v)
 		case "tenants":
 			u.removedTenants = o.nameSet("tenants", v)
+		case "accounts":
+			u.removedAccounts = o.nameSet("accounts", v)
+		default:
+			u.unknown.remove(string(k), o.nameSet(string(k), v))
 		}
 	})
 }
--- a/internal/fleet/routingconfig/wire_test.go
+++ b/internal/fleet/routingconfig/wire_test.go
@@ -1,6 +1,8 @@
 package routingconfig_test
 
 import (
+	"bytes"
+	"encoding/json"
 	"os"
 	"reflect"
 	"testing"
@@ -16,6 +18,19 @@
 	goldenbytes.JSON(t, "configuration", new(routingconfig.Config))
 }
 
+// TestWireBytesWithoutAccounts holds the configuration of releases before it had accounts and public routes. It is
+// read, and written as it was.
+func TestWireBytesWithoutAccounts(t *testing.T) {
+	c := qt.New(t)
+	old, err := os.ReadFile("testdata/wire/configuration.without-accounts.json")
+	c.Assert(err, qt.IsNil)
+	var config routingconfig.Config
+	c.Assert(json.Unmarshal(old, &config), qt.IsNil)
+	var written bytes.Buffer
+	c.Assert(json.NewEncoder(&written).Encode(config), qt.IsNil)
+	c.Assert(written.String(), qt.Equals, string(old))
+}
+
 // TestStoredBytes reads a configuration that has every key, as it lies in the record: each field is read by its key,
 // and the configuration is shown with the bytes that were sent.
 func TestStoredBytes(t *testing.T) {
@@ -60,14 +75,16 @@
 		Tenants: []routingconfig.Tenant{{Name: "tenant-1", Regions: []string{"region-1", "region-2"}}},
 	}
 	c.Check(d.Config(), qt.DeepEquals, want)
+	accounts := storedAccounts(c)
 	for _, one := range []any{
 		want, want.Routes[0], want.Routes[0].Split[0], want.Services[0], *want.Services[0].Runtime,
 		want.Services[0].Runtime.Models[0], *want.Limits, want.Tenants[0],
 	} {
 		v := reflect.ValueOf(one)
 		for i := range v.NumField() {
-			c.Check(v.Field(i).IsZero(), qt.IsFalse,
-				qt.Commentf("testdata/stored/configuration.json doesn't give %v.%s", v.Type(), v.Type().Field(i).Name))
+			name := v.Type().Field(i).Name
+			given := !v.Field(i).IsZero() || accounts[v.Type()].IsValid() && !accounts[v.Type()].Field(i).IsZero()
+			c.Check(given, qt.IsTrue, qt.Commentf("no file of testdata/stored gives %v.%s", v.Type(), name))
 		}
 	}
 
@@ -76,6 +93,27 @@
 	goldenbytes.Check(t, "stored/updated.json", update(t, d, string(change)).Show())
 }
 
+// storedAccounts reads a configuration that has what came with accounts, as it lies in the record. It returns a value of
+// each type that has a field for that.
+func storedAccounts(c *qt.C) map[reflect.Type]reflect.Value {
+	body, err := os.ReadFile("testdata/stored/accounts.json")
+	c.Assert(err, qt.IsNil)
+	d := decode(c, string(body))
+	c.Check(string(d.Show()), qt.Equals, string(body))
+	config := d.Config()
+	urgent := 1
+	c.Check(config.Accounts, qt.DeepEquals, []routingconfig.Account{
+		{Name: "account-1", Priority: &urgent, Rate: 84.5, Burst: 20.25},
+		{Name: "account-2"},
+	})
+	c.Check(config.Routes[0].Public, qt.IsTrue)
+	values := map[reflect.Type]reflect.Value{}
+	for _, one := range []any{config, config.Routes[0]} {
+		values[reflect.TypeOf(one)] = reflect.ValueOf(one)
+	}
+	return values
+}
+
 // TestStoredDigest holds the digests by which changes that are sent again are recognised.
 func TestStoredDigest(t *testing.T) {
 	c := qt.New(t)
