--- a/internal/fleet/controlplane/plantedfault_test.go
+++ b/internal/fleet/controlplane/plantedfault_test.go
@@ -190,7 +190,7 @@
 		Tests: "^TestLastContactIncludesTransitTime$",
 		Dir:   distributionDir,
 		Texts: []string{
-			"\tresponse.addTransitTime(sent)\n",
+			"\tresponse.addTransitTime(w.receivedAt.Sub(sent))\n",
 			"",
 		},
 	},
--- a/internal/fleet/distribution/addresses.go
+++ b/internal/fleet/distribution/addresses.go
@@ -10,6 +10,7 @@
 	portCore      = 0 // core machines among themselves
 	portPull      = 1 // node agents at a control server
 	portNodeAgent = 2 // the proxy at its node agent, on loopback
+	portQuota     = 3 // proxies at the control server that hands out tenants' quotas
 )
 
 func hostPort(host string, ports [2]int, offset int) string {
@@ -23,6 +24,9 @@
 // PullAddr returns the address at which a control server answers pulls; ports are as for CoreAddr.
 func PullAddr(host string, ports [2]int) string { return hostPort(host, ports, portPull) }
 
+// QuotaAddr returns the address at which a control server hands out tenants' quotas; ports are as for CoreAddr.
+func QuotaAddr(host string, ports [2]int) string { return hostPort(host, ports, portQuota) }
+
 // NodeAgentAddr returns the address at which the node agent of this machine serves its proxy; ports are as for
 // CoreAddr.
 func NodeAgentAddr(ports [2]int) string { return hostPort("127.0.0.1", ports, portNodeAgent) }
--- a/internal/fleet/distribution/cache.go
+++ b/internal/fleet/distribution/cache.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 )
@@ -223,9 +224,10 @@
 	return resources
 }
 
-// Apply takes over what a response holds, to pass it on. It returns the resource types whose changes don't follow on
-// what the cache has: the next request must ask for a snapshot of them.
-func (c *Cache) Apply(response *Response, now time.Time) (lacking []string) {
+// Apply takes over what a response holds that was received at a time, to pass it on. It returns the resource types
+// whose changes don't follow on what the cache has: the next request must ask for a snapshot of them. Where the
+// configuration is one of them the contact isn't recorded: it would say that the old configuration here is the newest.
+func (c *Cache) Apply(response *Response, receivedAt time.Time) (lacking []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for i := range response.Resources {
@@ -234,8 +236,8 @@
 			lacking = append(lacking, resource.Type)
 		}
 	}
-	if response.LastContactMs >= 0 {
-		c.recordContact(response.Primary, now.Add(-time.Duration(response.LastContactMs)*time.Millisecond))
+	if response.LastContactMs >= 0 && !slices.Contains(lacking, ConfigType) {
+		c.recordContact(response.Primary, receivedAt.Add(-time.Duration(response.LastContactMs)*time.Millisecond))
 	}
 	return lacking
 }
@@ -261,6 +263,7 @@
 }
 
 // ageMs returns how old a moment is in milliseconds, rounded up: an age must not shrink as it is passed on.
-func ageMs(since time.Time) int64 {
-	return (time.Since(since) + time.Millisecond - 1).Milliseconds()
-}
+func ageMs(since time.Time) int64 { return roundUpMs(time.Since(since)) }
+
+// roundUpMs returns a duration in whole milliseconds, rounded up.
+func roundUpMs(d time.Duration) int64 { return (d + time.Millisecond - 1).Milliseconds() }
--- a/internal/fleet/distribution/watcher.go
+++ b/internal/fleet/distribution/watcher.go
@@ -54,8 +54,14 @@
 	MembersChanged <-chan struct{}
 	// PushMembers returns those whose leases such a push renews. It is called from a goroutine of its own.
 	PushMembers func() []Member
+
+	receivedAt time.Time // of the newest response
 }
 
+// ReceivedAt returns when the response was received that Apply is called with, to be called by Apply. The ages in the
+// response are as of then: a process that is frozen before it reads the clock itself would take them for younger.
+func (w *Watcher) ReceivedAt() time.Time { return w.receivedAt }
+
 // dial connects to the server.
 func (w *Watcher) dial(addr string) (net.Conn, error) {
 	dial := w.Dial
@@ -151,7 +157,8 @@
 	if err := ReadFrame(s.r, &response); err != nil {
 		return err
 	}
-	response.addTransitTime(sent)
+	w.receivedAt = time.Now()
+	response.addTransitTime(w.receivedAt.Sub(sent))
 	if outbox != nil && response.ResidencyAcks != nil {
 		outbox.Acknowledge(response.ResidencyAcks...)
 	}
@@ -170,11 +177,11 @@
 	return outbox
 }
 
-// addTransitTime adds to the age of the last contact the time since the request was sent, but for the wait at the
+// addTransitTime adds to the age of the last contact the time from the request to its response, but for the wait at the
 // server. That counts the request's way and a freeze of either side too: a process that reads an old response late
 // must not take it for a new one.
-func (r *Response) addTransitTime(sent time.Time) {
+func (r *Response) addTransitTime(took time.Duration) {
 	if r.LastContactMs >= 0 {
-		r.LastContactMs += max(ageMs(sent)-r.WaitedMs, 0)
+		r.LastContactMs += max(roundUpMs(took)-r.WaitedMs, 0)
 	}
 }
--- a/internal/fleet/nodeagent/nodeagent.go
+++ b/internal/fleet/nodeagent/nodeagent.go
@@ -147,7 +147,7 @@
 
 // newWatcher is the watch of one control server: it goes on for as long as the selection keeps to that server.
 func (a *Agent) newWatcher(selection *serverSelection, readTimeout time.Duration) *distribution.Watcher {
-	return &distribution.Watcher{
+	w := &distribution.Watcher{
 		Name:        a.settings.NodeName,
 		MaxWait:     selection.longPoll,
 		ReadTimeout: readTimeout,
@@ -157,7 +157,6 @@
 		// A proxy that begins to drain is told of at once: its peers have to know who still serves.
 		MembersChanged: a.cache.DrainingChanged(),
 		Versions:       a.versionVector,
-		Apply:          a.applyResponse,
 		Residency:      func(time.Time) *distribution.ResidencyOutbox { return a.cache.Residency },
 		Outcomes:       a.cache.Outcomes,
 		Continue: func() bool {
@@ -167,6 +166,8 @@
 			return selection.pullTimeout(a.contactAge(), len(a.serverAddrs))
 		},
 	}
+	w.Apply = func(r *distribution.Response) []string { return a.applyResponse(r, w.ReceivedAt()) }
+	return w
 }
 
 // members returns the proxy behind this process, if its lease stands. It may be called from any goroutine.
--- a/internal/fleet/nodeagent/polling_test.go
+++ b/internal/fleet/nodeagent/polling_test.go
@@ -39,7 +39,7 @@
 		BaseVersion: distribution.Version{Epoch: 5, Count: 1},
 		Snapshot:    snapshot,
 	}
-	a.applyResponse(response(time.Hour, list))
+	a.applyResponse(response(time.Hour, list), time.Now())
 	c.Assert(cachedID(), qt.Equals, "pulled", qt.Commentf("a list is better than none"))
 	poll := func() {
 		a.nextPoll = time.Time{}
@@ -50,13 +50,13 @@
 	for range 2 {
 		_, had := a.versionVector()[distribution.BackendListType]
 		c.Assert(had, qt.IsFalse, qt.Commentf("what the control plane has is new again"))
-		a.applyResponse(response(time.Hour, list))
+		a.applyResponse(response(time.Hour, list), time.Now())
 		_, had = a.versionVector()[distribution.BackendListType]
 		c.Assert(had, qt.IsTrue, qt.Commentf("it isn't asked for again and again"))
 		c.Assert(cachedID(), qt.Equals, "polled", qt.Commentf("no contact with the primary since the poll"))
 		poll()
 		c.Assert(cachedID(), qt.Equals, "polled")
-		a.applyResponse(response(0))
+		a.applyResponse(response(0), time.Now())
 		c.Assert(cachedID(), qt.Equals, "pulled", qt.Commentf("the control server is in touch: its list is the newer one"))
 		poll()
 		c.Assert(cachedID(), qt.Equals, "polled", qt.Commentf("a list that was polled before replaces it again"))
--- a/internal/fleet/nodeagent/resources.go
+++ b/internal/fleet/nodeagent/resources.go
@@ -12,10 +12,12 @@
 	return maps.Clone(a.upstreamVersions)
 }
 
-// applyResponse puts a control server's response into the cache. It returns the resource types whose changes don't
-// fit what the cache holds: the watch asks for their snapshots. The configuration, which is durable state, keeps the
-// version that the control servers gave it; all other resources get a local version.
-func (a *Agent) applyResponse(response *distribution.Response) (incomplete []string) {
+// applyResponse puts a control server's response into the cache that was received at a time. It returns the resource
+// types whose changes don't fit what the cache holds: the watch asks for their snapshots. The configuration, which is
+// durable state, keeps the version that the control servers gave it; all other resources get a local version.
+func (a *Agent) applyResponse(
+	response *distribution.Response, receivedAt time.Time,
+) (incomplete []string) {
 	durable := *response
 	durable.Resources = nil
 	for _, resource := range response.Resources {
@@ -24,7 +26,7 @@
 			durable.Resources = append(durable.Resources, resource)
 		}
 	}
-	incomplete = a.cache.Apply(&durable, time.Now())
+	incomplete = a.cache.Apply(&durable, receivedAt)
 	for i := range response.Resources {
 		if resource := &response.Resources[i]; resource.Type != distribution.ConfigType {
 			a.applyVolatile(resource)
