API keys are checked at the proxy, and tenants' quotas kept over all proxies together

Now each request's key is looked up, taken off, and replaced by its tenant's name; an unknown one gets 401. Where strict_revoke is set a key counts only while the configuration was the newest acknowledged one less than revoke_ms before the request came: one check, at receipt, by the steady clock.

Quotas are slots, each good for one request in a window: proxies hold them under leases, the primary hands them out over connections of its own port, and the record has the ceilings by which a new primary knows what its predecessors can't have handed out (package quota).

--- a/internal/fleet/controlplane/admission.go
+++ b/internal/fleet/controlplane/admission.go
@@ -70,6 +70,12 @@
 	return decideAdmission(st, s.contact.forEpoch(st.Epoch), now, now) == admitHere
 }
 
+// leadsEpoch reports whether this machine is the primary of an epoch and in contact with its backups.
+func (s *Server) leadsEpoch(epoch uint64) bool {
+	st := s.status.Load()
+	return st.Epoch == epoch && s.isLeader(st)
+}
+
 // admit waits until it is clear who answers a call, until ctx ends or this machine is found to be partitioned. It
 // returns nil where this machine goes on, else what the caller is answered.
 func (s *Server) admit(ctx context.Context, r *http.Request) error {
--- a/internal/fleet/controlplane/catchup_test.go
+++ b/internal/fleet/controlplane/catchup_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"molepaddle/internal/fleet/distribution"
+	"molepaddle/internal/fleet/quota"
 	"molepaddle/internal/fleet/replication"
 	"molepaddle/internal/fleet/routingconfig"
 	"molepaddle/internal/fleet/statestore"
@@ -127,7 +128,12 @@
 func TestChangesPublishedFollow(t *testing.T) {
 	for _, batch := range []int{1, 2, maxRecent, maxRecent + 1, 5 * maxRecent} {
 		c := qt.New(t)
-		server := &Server{log: zap.NewNop(), cache: distribution.NewCache(), state: &controlState{}}
+		server := &Server{
+			log:   zap.NewNop(),
+			cache: distribution.NewCache(),
+			state: &controlState{},
+			quota: quota.NewServer(quota.Rule{}, 0, nil),
+		}
 		reader := distribution.NewCache()
 		seq := uint64(1)
 		server.state.Apply(seq, encoded(&Command{Replace: true, Body: manyRoutes(1, 3)}))
--- a/internal/fleet/controlplane/controlstate.go
+++ b/internal/fleet/controlplane/controlstate.go
@@ -3,20 +3,23 @@
 import (
 	"github.com/go-faster/errors"
 
+	"molepaddle/internal/fleet/quota"
 	"molepaddle/internal/fleet/residencyreport"
 	"molepaddle/internal/fleet/routingconfig"
 )
 
-// controlState is the replicated state: the operator's configuration, which commands brought it there, and the
-// residency record. It is replication's state machine and belongs to the driver's goroutine. Documents and totals are
-// never changed in place, so those of each change can be kept until that is committed, and read by others then.
+// controlState is the replicated state: the operator's configuration, which commands brought it there, the residency
+// record, and the ceilings of tenants' quotas. It is replication's state machine and belongs to the driver's goroutine.
+// Documents, totals and ceilings are never changed in place, so those of each change can be kept until that is
+// committed, and read by others then.
 type controlState struct {
 	seq       uint64 // newest applied change
 	doc       *routingconfig.Document
 	docSeq    uint64 // the change that led to doc
 	accepted  acceptedChanges
 	residency *residencyreport.Totals
-	recent    []appliedState // not yet known to be committed, and the last committed one
+	quota     *quota.Ceilings // nil: none was ever committed
+	recent    []appliedState  // not yet known to be committed, and the last committed one
 }
 
 // maxRecent bounds the states that are kept until they are known to be committed. With 10,000 routes each holds some
@@ -32,6 +35,7 @@
 	prevDocSeq uint64   // docSeq before this change
 	command    *Command // nil: not known, or none of the configuration
 	residency  *residencyreport.Totals
+	quota      *quota.Ceilings
 }
 
 // Apply applies a change that the primary has checked: it can't fail, and is left out everywhere if it does.
@@ -41,7 +45,7 @@
 	c := new(Command)
 	_, err := c.UnmarshalMsg(body)
 	if err == nil && c.Residency != nil {
-		cs.residency = cs.residency.Apply(c.Residency)
+		cs.applyWrite(c)
 		c = nil
 	} else {
 		cs.docSeq = seq
@@ -59,12 +63,22 @@
 		prevDocSeq: prevDocSeq,
 		command:    c,
 		residency:  cs.residency,
+		quota:      cs.quota,
 	})
 	if len(cs.recent) > maxRecent {
 		cs.recent = cs.recent[1:]
 	}
 }
 
+// applyWrite applies a command that leaves the configuration as it is.
+func (cs *controlState) applyWrite(c *Command) {
+	if c.Quota != nil {
+		cs.quota = c.Quota
+		return
+	}
+	cs.residency = cs.residency.Apply(c.Residency)
+}
+
 // takeCommitted forgets what lies before the committed change, and returns that and the ones since the last time.
 func (cs *controlState) takeCommitted(committed uint64) []appliedState {
 	n := 0
@@ -81,7 +95,7 @@
 
 // Snapshot returns all that was applied, as Restore takes it.
 func (cs *controlState) Snapshot() []byte {
-	s := StoredState{Residency: cs.residency.Snapshot()}
+	s := StoredState{Residency: cs.residency.Snapshot(), Quota: cs.quota}
 	if cs.docSeq != cs.seq {
 		s.DocumentSeq = cs.docSeq
 	}
@@ -105,6 +119,7 @@
 			doc:       next.doc,
 			docSeq:    next.docSeq,
 			residency: next.residency,
+			quota:     next.quota,
 		}}
 	}
 	*cs = next
@@ -130,6 +145,7 @@
 	if cs.residency, err = residencyreport.Restore(s.Residency); err != nil {
 		return errors.Wrap(err, "residency")
 	}
+	cs.quota = s.Quota
 	cs.accepted, err = restoreAccepted(&s, cs.doc.Version())
 	return err
 }
--- a/internal/fleet/controlplane/distribution.go
+++ b/internal/fleet/controlplane/distribution.go
@@ -83,20 +83,21 @@
 // watcher takes what the primary publishes into the cache of this machine.
 func (s *Server) watcher() *distribution.Watcher {
 	maxWait, readTimeout := distribution.PullTimeouts(s.settings.Bounds.Apply, s.settings.Heartbeat)
-	return &distribution.Watcher{
+	w := &distribution.Watcher{
 		Name:        s.settings.NodeName,
 		MaxWait:     maxWait,
 		ReadTimeout: readTimeout,
 		Members:     s.pullingMembers,
 		PushMembers: s.pullingMembers,
 		Versions:    s.cache.Versions,
-		Apply:       func(n *distribution.Response) []string { return s.cache.Apply(n, time.Now()) },
 		Residency:   func(time.Time) *distribution.ResidencyOutbox { return s.cache.Residency },
 		Outcomes:    s.cache.Outcomes,
 		Dial:        s.Dial,
 
 		MembersChanged: s.cache.DrainingChanged(),
 	}
+	w.Apply = func(r *distribution.Response) []string { return s.cache.Apply(r, w.ReceivedAt()) }
+	return w
 }
 
 // pullingMembers returns the members behind this control server whose leases stand.
--- a/internal/fleet/controlplane/driver.go
+++ b/internal/fleet/controlplane/driver.go
@@ -30,18 +30,23 @@
 		case <-next.C:
 			out = s.replica.Tick(time.Since(s.start))
 		}
+		if !s.processOutput(ctx, &out) {
+			continue
+		}
+		// Only now is all published that was acknowledged before that contact, by whatever primary: who pulls takes the
+		// age of the contact for that of the configuration (TestContactFollowsPublication).
 		if began, ok := s.replica.LastBackupContact(); ok {
 			s.contact.renew(s.replica.Status().Epoch, s.start.Add(began))
 		}
-		s.processOutput(ctx, &out)
 		next.Reset(max(s.replica.NextTick()-time.Since(s.start), 0))
 	}
 }
 
-// processOutput saves, sends, publishes and answers what the replica hands out, in this order.
-func (s *Server) processOutput(ctx context.Context, out *replication.Output) {
+// processOutput saves, sends, publishes and answers what the replica hands out, in this order. It returns false, and
+// has done nothing, where ctx ended before all was saved.
+func (s *Server) processOutput(ctx context.Context, out *replication.Output) bool {
 	if !s.save(ctx, out.Write) {
-		return
+		return false
 	}
 	for _, e := range out.Send {
 		s.transport.send(e.To, e.Msg)
@@ -56,6 +61,7 @@
 	if out.StatusChanged {
 		s.publishStatus()
 	}
+	return true
 }
 
 // save blocks until a write is on the disk, or until ctx ends: then it returns false. While the disk refuses writes
@@ -87,6 +93,9 @@
 		s.contact.enterEpoch(st.Epoch, time.Now())
 		s.publishCoreMembers(&st)
 	}
+	if st.Role == replication.Primary && st.Ready && (was.Epoch != st.Epoch || !was.Ready) {
+		s.quota.Lead(st.Epoch, s.state.quota)
+	}
 	if was.Epoch == st.Epoch && was.Role == st.Role && was.Ready == st.Ready {
 		return
 	}
--- a/internal/fleet/controlplane/messages_gen.go
+++ b/internal/fleet/controlplane/messages_gen.go
@@ -3,6 +3,7 @@
 package controlplane
 
 import (
+	"molepaddle/internal/fleet/quota"
 	"molepaddle/internal/fleet/residencyreport"
 
 	"github.com/tinylib/msgp/msgp"
@@ -48,7 +49,7 @@
 			if dc.IsNil() {
 				err = dc.ReadNil()
 				if err != nil {
-					err = msgp.WrapError(err, "Reading")
+					err = msgp.WrapError(err, "Residency")
 					return
 				}
 				z.Residency = nil
@@ -58,7 +59,25 @@
 				}
 				err = z.Residency.DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Reading")
+					err = msgp.WrapError(err, "Residency")
+					return
+				}
+			}
+		case "k":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "Quota")
+					return
+				}
+				z.Quota = nil
+			} else {
+				if z.Quota == nil {
+					z.Quota = new(quota.Ceilings)
+				}
+				err = z.Quota.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Quota")
 					return
 				}
 			}
@@ -76,13 +95,17 @@
 // EncodeMsg implements msgp.Encodable
 func (z *Command) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(4)
-	var zb0001Mask uint8 /* 4 bits */
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
 	_ = zb0001Mask
 	if z.Residency == nil {
 		zb0001Len--
 		zb0001Mask |= 0x8
 	}
+	if z.Quota == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
 	// variable map header, size zb0001Len
 	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
@@ -135,7 +158,26 @@
 			} else {
 				err = z.Residency.EncodeMsg(en)
 				if err != nil {
-					err = msgp.WrapError(err, "Reading")
+					err = msgp.WrapError(err, "Residency")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// write "k"
+			err = en.Append(0xa1, 0x6b)
+			if err != nil {
+				return
+			}
+			if z.Quota == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = z.Quota.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Quota")
 					return
 				}
 			}
@@ -148,13 +190,17 @@
 func (z *Command) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(4)
-	var zb0001Mask uint8 /* 4 bits */
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
 	_ = zb0001Mask
 	if z.Residency == nil {
 		zb0001Len--
 		zb0001Mask |= 0x8
 	}
+	if z.Quota == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -177,7 +223,20 @@
 			} else {
 				o, err = z.Residency.MarshalMsg(o)
 				if err != nil {
-					err = msgp.WrapError(err, "Reading")
+					err = msgp.WrapError(err, "Residency")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "k"
+			o = append(o, 0xa1, 0x6b)
+			if z.Quota == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.Quota.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Quota")
 					return
 				}
 			}
@@ -235,7 +294,24 @@
 				}
 				bts, err = z.Residency.UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Reading")
+					err = msgp.WrapError(err, "Residency")
+					return
+				}
+			}
+		case "k":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Quota = nil
+			} else {
+				if z.Quota == nil {
+					z.Quota = new(quota.Ceilings)
+				}
+				bts, err = z.Quota.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Quota")
 					return
 				}
 			}
@@ -259,6 +335,12 @@
 	} else {
 		s += z.Residency.Msgsize()
 	}
+	s += 2
+	if z.Quota == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Quota.Msgsize()
+	}
 	return
 }
 
@@ -345,7 +427,7 @@
 		case "g":
 			z.Residency, err = dc.ReadBytes(z.Residency)
 			if err != nil {
-				err = msgp.WrapError(err, "Rested")
+				err = msgp.WrapError(err, "Residency")
 				return
 			}
 		case "q":
@@ -354,6 +436,24 @@
 				err = msgp.WrapError(err, "DocumentSeq")
 				return
 			}
+		case "k":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "Quota")
+					return
+				}
+				z.Quota = nil
+			} else {
+				if z.Quota == nil {
+					z.Quota = new(quota.Ceilings)
+				}
+				err = z.Quota.DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Quota")
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -368,8 +468,8 @@
 // EncodeMsg implements msgp.Encodable
 func (z *StoredState) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(6)
-	var zb0001Mask uint8 /* 6 bits */
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
 	_ = zb0001Mask
 	if z.OldestBase == nil {
 		zb0001Len--
@@ -383,6 +483,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x20
 	}
+	if z.Quota == nil {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
 	// variable map header, size zb0001Len
 	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
@@ -462,7 +566,7 @@
 			}
 			err = en.WriteBytes(z.Residency)
 			if err != nil {
-				err = msgp.WrapError(err, "Rested")
+				err = msgp.WrapError(err, "Residency")
 				return
 			}
 		}
@@ -478,6 +582,25 @@
 				return
 			}
 		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// write "k"
+			err = en.Append(0xa1, 0x6b)
+			if err != nil {
+				return
+			}
+			if z.Quota == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = z.Quota.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Quota")
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -486,8 +609,8 @@
 func (z *StoredState) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(6)
-	var zb0001Mask uint8 /* 6 bits */
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
 	_ = zb0001Mask
 	if z.OldestBase == nil {
 		zb0001Len--
@@ -501,6 +624,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x20
 	}
+	if z.Quota == nil {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -540,6 +667,19 @@
 			o = append(o, 0xa1, 0x71)
 			o = msgp.AppendUint64(o, z.DocumentSeq)
 		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "k"
+			o = append(o, 0xa1, 0x6b)
+			if z.Quota == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.Quota.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Quota")
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -626,7 +766,7 @@
 		case "g":
 			z.Residency, bts, err = msgp.ReadBytesBytes(bts, z.Residency)
 			if err != nil {
-				err = msgp.WrapError(err, "Rested")
+				err = msgp.WrapError(err, "Residency")
 				return
 			}
 		case "q":
@@ -635,6 +775,23 @@
 				err = msgp.WrapError(err, "DocumentSeq")
 				return
 			}
+		case "k":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Quota = nil
+			} else {
+				if z.Quota == nil {
+					z.Quota = new(quota.Ceilings)
+				}
+				bts, err = z.Quota.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Quota")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -655,6 +812,11 @@
 	} else {
 		s += msgp.Int64Size
 	}
-	s += 2 + msgp.BytesPrefixSize + len(z.Residency) + 2 + msgp.Uint64Size
+	s += 2 + msgp.BytesPrefixSize + len(z.Residency) + 2 + msgp.Uint64Size + 2
+	if z.Quota == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Quota.Msgsize()
+	}
 	return
 }
--- a/internal/fleet/controlplane/publish.go
+++ b/internal/fleet/controlplane/publish.go
@@ -21,12 +21,14 @@
 	if was != nil && was.seq >= last.seq {
 		return
 	}
+	s.quota.SetCeilings(last.quota)
 	// Readers see the state after those that pull may: a caller who reads a version here finds it there.
 	defer s.committed.Store(last)
 	configs := newConfigs(was, done)
 	if len(configs) == 0 {
 		return // residency writes, say
 	}
+	s.quota.SetLimits(s.quotaRule.LimitsOf(last.doc.Accounts())) // before a proxy can know of them
 	s.publishConfigs(was, configs)
 	s.recordConfigCommit(last, time.Now())
 	s.log.Info("configuration committed", zap.Uint64("seq", last.docSeq), zap.Int64("version", versionOf(last.doc)))
--- a/internal/fleet/controlplane/server.go
+++ b/internal/fleet/controlplane/server.go
@@ -24,6 +24,7 @@
 	"go.uber.org/zap"
 
 	"molepaddle/internal/fleet/distribution"
+	"molepaddle/internal/fleet/quota"
 	"molepaddle/internal/fleet/replication"
 	"molepaddle/internal/fleet/settings"
 	"molepaddle/internal/fleet/statestore"
@@ -84,6 +85,8 @@
 	lastContact *xsync.Map[string, time.Time] // with each other core machine, by its address among the core
 	lastPoll    atomic.Pointer[pollStatus]    // what the poller did last, as primary
 	changeSlot  chan struct{}                 // one change at a time; holds one value
+	quota       *quota.Server                 // hands out tenants' quotas, as primary
+	quotaRule   quota.Rule
 }
 
 // New opens the state store in set.DataDir, which blocks until the disk has synced it, and makes the program. A state
@@ -120,6 +123,8 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "record")
 	}
+	s.quotaRule = quota.NewRule(&set.Bounds)
+	s.quota = quota.NewServer(s.quotaRule, leaderContactTimeout, s.leadsEpoch)
 	dial := func(addr string, timeout time.Duration) (net.Conn, error) { return s.Dial(addr, timeout) }
 	s.transport = newTransport(dial)
 	st := s.replica.Status()
@@ -167,11 +172,12 @@
 	core    net.Listener // messages of the other core machines
 	pulls   net.Listener // pulls of node agents and other control servers
 	control net.Listener // the operator's calls
+	quota   net.Listener // reports of proxies on tenants' quotas
 }
 
 // close closes the sockets that are open.
 func (l *listeners) close() {
-	for _, ln := range []net.Listener{l.core, l.pulls, l.control} {
+	for _, ln := range []net.Listener{l.core, l.pulls, l.control, l.quota} {
 		if ln != nil {
 			_ = ln.Close() // at worst it was closed before
 		}
@@ -197,6 +203,10 @@
 	if err != nil {
 		return l, errors.Wrap(err, "listen for pulls")
 	}
+	l.quota, err = sockets.Listen(ctx, distribution.QuotaAddr(s.settings.IP, s.settings.Ports), sockets.ListenWithin)
+	if err != nil {
+		return l, errors.Wrap(err, "listen for quotas")
+	}
 	l.control, err = sockets.Listen(ctx, s.settings.Bind.Control, sockets.ListenWithin)
 	if err != nil {
 		return l, errors.Wrap(err, "listen for the operator")
@@ -224,13 +234,16 @@
 	tasks.Go(func() { _ = server.Serve(l.control) })
 	tasks.Go(func() { s.transport.serve(ctx, l.core, s.receive, s.peerDisconnected) })
 	tasks.Go(func() { s.servePulls(ctx, l.pulls) })
+	tasks.Go(func() { s.quota.Serve(ctx, l.quota) })
 	tasks.Go(func() { s.followPrimary(ctx) })
 	tasks.Go(func() { s.poll(ctx) })
 	tasks.Go(func() { s.detectOutliers(ctx) })
 	tasks.Go(func() { s.recordResidency(ctx) })
+	tasks.Go(func() { s.commitQuotaCeilings(ctx) })
 	closeListeners := func() {
 		l.core.Close()
 		l.pulls.Close()
+		l.quota.Close()
 	}
 	stop := context.AfterFunc(ctx, closeListeners)
 	defer stop()
--- a/internal/fleet/controlplane/wire_test.go
+++ b/internal/fleet/controlplane/wire_test.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -20,6 +22,24 @@
 	})
 }
 
+// TestStoredBytesWithoutQuota holds the changes and snapshots of builds before the record had the ceilings of quotas. They
+// are read, and written as they were.
+func TestStoredBytesWithoutQuota(t *testing.T) {
+	for name, m := range map[string]goldenbytes.Message{"call": new(Command), "stored": new(StoredState)} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			old, err := os.ReadFile(filepath.Join("testdata", "wire", name+".without-quota.msgp"))
+			c.Assert(err, qt.IsNil)
+			rest, err := m.UnmarshalMsg(old)
+			c.Assert(err, qt.IsNil)
+			c.Assert(rest, qt.HasLen, 0)
+			written, err := m.MarshalMsg(nil)
+			c.Assert(err, qt.IsNil)
+			c.Assert(written, qt.DeepEquals, old)
+		})
+	}
+}
+
 // TestStoredDigests holds the digests by which a change that is sent again is recognised, also by another build than
 // the one that accepted it.
 func TestStoredDigests(t *testing.T) {
--- a/internal/fleet/externalapi/calls.go
+++ b/internal/fleet/externalapi/calls.go
@@ -72,6 +72,10 @@
 	// HeaderPromptPrefix is the prompt's segments from the first on, each with its id and number of tokens:
 	// "5c1e07a2:800,91bd3f06:410".
 	HeaderPromptPrefix = "X-Molepaddle-Prompt-Prefix"
+	// HeaderTenant names the account whose key the client sent; the system alone sets it.
+	HeaderTenant = "X-Molepaddle-Tenant"
+	// HeaderAuthorization carries a client's API key. Backends don't get it.
+	HeaderAuthorization = "Authorization"
 	// HeaderPriority is the request's priority for a backend, 0 to 9.
 	HeaderPriority = "Priority"
 	// HeaderExpectVersion has a backend whose weights are of another version reject the request (421).
--- a/internal/fleet/proxy/configwatch.go
+++ b/internal/fleet/proxy/configwatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"net"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -10,6 +11,7 @@
 
 	"molepaddle/internal/fleet/distribution"
 	"molepaddle/internal/fleet/outlier"
+	"molepaddle/internal/fleet/quota"
 	"molepaddle/internal/fleet/routingconfig"
 )
 
@@ -18,6 +20,8 @@
 	// machine, and a proxy without it gets no new endpoint list: the wait is short.
 	minWatchBackoff = 5 * time.Millisecond
 	maxWatchBackoff = 100 * time.Millisecond
+	// confirmationsPerRevoke is how often in Bounds.Revoke the node agent is asked how old its configuration is.
+	confirmationsPerRevoke = 10
 	// watchReadTimeout is how much longer than the wait that a pull asks for its response may take.
 	watchReadTimeout = time.Second
 )
@@ -33,10 +37,15 @@
 	doc      *routingconfig.Document // the configuration in force; nil: none has come
 	docSince time.Time               // when it came into force
 
+	index      *routingconfig.Index    // of indexedDoc
+	indexedDoc *routingconfig.Document // nil: none yet
+
 	services     map[string]*service // by name; they outlive snapshots
 	list         distribution.BackendList
 	listReceived bool
 
+	quotaRule quota.Rule
+
 	proxies     int // of the fleet
 	zoneProxies int // of those, in this proxy's zone
 }
@@ -57,16 +66,12 @@
 
 // nodeAgentWatcher says what each pull from the node agent carries and what is done with its response.
 func (p *Proxy) nodeAgentWatcher() *distribution.Watcher {
-	return &distribution.Watcher{
-		Name:        p.settings.NodeName,
-		MaxWait:     p.settings.Heartbeat,
-		ReadTimeout: watchReadTimeout,
-		Members:     func() []distribution.Member { return []distribution.Member{p.renewLease(time.Now())} },
-		Versions:    func() map[string]distribution.Version { return maps.Clone(p.versions) },
-		Apply: func(response *distribution.Response) []string {
-			p.apply(response)
-			return nil // what was rejected has no version any more, which asks for it again
-		},
+	w := &distribution.Watcher{
+		Name:           p.settings.NodeName,
+		MaxWait:        p.watchWait(),
+		ReadTimeout:    watchReadTimeout,
+		Members:        func() []distribution.Member { return []distribution.Member{p.renewLease(time.Now())} },
+		Versions:       func() map[string]distribution.Version { return maps.Clone(p.versions) },
 		Outcomes:       p.outcomes,
 		MembersChanged: p.drainingAnnounced,
 		PushMembers:    p.lastLease,
@@ -75,6 +80,20 @@
 			return p.residencyReports
 		},
 	}
+	w.Apply = func(response *distribution.Response) []string {
+		p.apply(response, w.ReceivedAt())
+		return nil // what was rejected has no version any more, which asks for it again
+	}
+	return w
+}
+
+// watchWait is how long a pull may wait for an update. What it tells of the configuration's age is as old as the pull
+// when the next one is answered, which is a part of the time in which keys may be used.
+func (p *Proxy) watchWait() time.Duration {
+	if !p.settings.Bounds.StrictRevoke {
+		return p.settings.Heartbeat
+	}
+	return min(p.settings.Heartbeat, p.settings.Bounds.Revoke/confirmationsPerRevoke)
 }
 
 // renewLease describes this proxy for the renewal of its lease.
@@ -112,15 +131,16 @@
 	}
 }
 
-// apply applies the resources of a response. One that can't be used is logged, and asked for again as a complete one
-// with the next pull.
-func (p *Proxy) apply(response *distribution.Response) {
-	routingChanged := false
+// apply applies the resources of a response that was received at a time. One that can't be used is logged, and asked
+// for again as a complete one with the next pull.
+func (p *Proxy) apply(response *distribution.Response, receivedAt time.Time) {
+	routingChanged, configApplied := false, true
 	for i := range response.Resources {
 		resource := &response.Resources[i]
 		if err := p.applyResource(resource); err != nil {
 			p.log.Warn("resource rejected", zap.String("source", resource.Type), zap.Error(err))
 			delete(p.versions, resource.Type)
+			configApplied = configApplied && resource.Type != distribution.ConfigType
 			continue
 		}
 		p.versions[resource.Type] = resource.Version
@@ -133,6 +153,12 @@
 	if routingChanged {
 		p.rebuildSnapshot()
 	}
+	if host, _, err := net.SplitHostPort(response.Primary); err == nil {
+		p.primaryHost.Store(&host)
+	}
+	if configApplied && p.doc != nil && response.LastContactMs >= 0 {
+		p.confirmConfig(receivedAt.Add(-time.Duration(response.LastContactMs) * time.Millisecond))
+	}
 }
 
 // applyResource applies one resource. A type that this build doesn't know is passed over, so that a newer control plane
@@ -181,6 +207,7 @@
 	if doc.Version() > p.doc.Version() {
 		p.doc = doc
 		p.docSince = time.Now()
+		p.quota.SetLimits(p.quotaRule.LimitsOf(doc.Accounts()))
 		p.log.Info("configuration in force", zap.Int64("version", doc.Version()), zap.Int("routes", doc.NumRoutes()))
 	}
 	return nil
--- a/internal/fleet/proxy/decode.go
+++ b/internal/fleet/proxy/decode.go
@@ -40,7 +40,7 @@
 	if staged {
 		return 0
 	}
-	return min(cr.route.Priority+1, maxPriority)
+	return min(cr.rank()+1, maxPriority)
 }
 
 // streamFrom sends a generation to the decode backend of its placement and relays the stream; nil: the client has its
--- a/internal/fleet/proxy/exchange_rig_test.go
+++ b/internal/fleet/proxy/exchange_rig_test.go
@@ -179,7 +179,7 @@
 		Type:     kind,
 		Version:  distribution.Version{Epoch: 1, Count: version},
 		Snapshot: snapshot,
-	}}})
+	}}}, time.Now())
 }
 
 // exchangeDocument is the configuration of these tests.
--- a/internal/fleet/proxy/proxy.go
+++ b/internal/fleet/proxy/proxy.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -25,6 +26,7 @@
 
 	"molepaddle/internal/decide/lifecycle"
 	"molepaddle/internal/fleet/distribution"
+	"molepaddle/internal/fleet/quota"
 	"molepaddle/internal/fleet/residency"
 	"molepaddle/internal/fleet/settings"
 	"molepaddle/internal/protocol/sockets"
@@ -75,6 +77,12 @@
 	becameReady chan struct{} // closed when ready is first set
 	shutdown    gracefulShutdown
 
+	// Accounts.
+	confirmed   atomic.Pointer[configConfirmation] // nil: never
+	primaryHost atomic.Pointer[string]             // of the control plane; nil: not known
+	quota       *quota.Client
+	rejections  [rejectionReasons]atomic.Int64
+
 	// Membership.
 	lease             atomic.Pointer[distribution.Member] // as last renewed; nil before
 	drainingAnnounced chan struct{}                       // holds a value until the push that says so
@@ -108,7 +116,8 @@
 		Settle:  backendReuseDelay,
 		Resting: maxSettlingConns,
 	})
-	return &Proxy{
+	quotaRule := quota.NewRule(&set.Bounds)
+	p := &Proxy{
 		ctx:         ctx,
 		settings:    set,
 		log:         log,
@@ -128,8 +137,13 @@
 			services:    map[string]*service{},
 			proxies:     assumedProxies,
 			zoneProxies: assumedProxies,
+			quotaRule:   quotaRule,
 		},
 	}
+	// An incarnation is never 0; nobody guesses it, since nobody gains by it.
+	holder := quota.NewHolder(quotaRule, set.NodeName, rand.Uint64()|1)
+	p.quota = quota.NewClient(holder, p.quotaAddr, distribution.Dial)
+	return p
 }
 
 // Ready reports whether requests can be served: a configuration and an endpoint list have come, and the proxy isn't
@@ -153,6 +167,7 @@
 	var tasks sync.WaitGroup
 	tasks.Go(func() { _ = readiness.Serve(listeners.ready) })
 	tasks.Go(func() { p.followNodeAgent(running) })
+	tasks.Go(func() { p.quota.Run(running) })
 	tasks.Go(func() { p.logCounters(running) })
 	tasks.Go(func() { p.reportOutcomes(running) })
 	defer tasks.Wait()
@@ -247,6 +262,11 @@
 		fields = append(fields, zap.Int64("answers_"+statusName(status), c.Value()))
 		return true
 	})
+	for reason := range rejectionReasons {
+		if n := p.rejections[reason].Load(); n > 0 {
+			fields = append(fields, zap.Int64("rejected_"+reason.String(), n))
+		}
+	}
 	return fields
 }
 
--- a/internal/fleet/proxy/residencycheck_test.go
+++ b/internal/fleet/proxy/residencycheck_test.go
@@ -385,7 +385,7 @@
 		Members:     func() []distribution.Member { return nil },
 		Versions:    func() map[string]distribution.Version { return maps.Clone(p.versions) },
 		Apply: func(response *distribution.Response) []string {
-			p.apply(response)
+			p.apply(response, time.Now())
 			select {
 			case applied <- struct{}{}:
 			case <-ctx.Done(): // nobody listens any more; pulls are answered at once until the connection is closed
--- a/internal/fleet/proxy/reverseproxy.go
+++ b/internal/fleet/proxy/reverseproxy.go
@@ -43,6 +43,7 @@
 	svc      *service
 
 	residencyCheck // where its data may be held
+	clientAccount  // whose request it is
 
 	arrivedAt time.Time
 	deadline  time.Time // by when the answer has to be complete
@@ -76,6 +77,7 @@
 	conn := http.NewResponseController(w)
 	_ = conn.SetWriteDeadline(cr.deadline.Add(unreadBodyTimeout))
 	defer func() { _ = conn.SetWriteDeadline(time.Time{}) }()
+	defer cr.releaseUnused()
 	cr.serve(ctx)
 }
 
@@ -94,14 +96,36 @@
 	if !p.ready.Load() {
 		p.awaitSnapshot(r.Context())
 	}
+	confirmedAt := p.confirmedAt() // before the snapshot: see authenticate
 	snapshot := p.snapshot.Load()
 	if id := r.Header.Get(externalapi.HeaderAttemptID); id != "" {
 		w.Header()[externalapi.HeaderAttemptID] = []string{id}
 	}
+	cr, err := p.admitHead(r, snapshot, arrivedAt, confirmedAt)
+	if err != nil {
+		return nil, err
+	}
+	cr.w = w
+	if err := cr.admitBody(r, snapshot); err != nil {
+		cr.slot.Release()
+		return nil, err
+	}
+	return cr, nil
+}
+
+// admitHead checks the head of a request: its route, its key and quota, its id and its deadline. Its errors are
+// rejections.
+func (p *Proxy) admitHead(
+	r *http.Request, snapshot *routingSnapshot, arrivedAt, confirmedAt time.Time,
+) (*clientRequest, error) {
 	route, err := snapshot.findRoute(r)
 	if err != nil {
 		return nil, err
 	}
+	account, err := p.authenticate(r, snapshot, route, arrivedAt, confirmedAt)
+	if err != nil {
+		return nil, err
+	}
 	id, err := attemptID(r.Header)
 	if err != nil {
 		return nil, err
@@ -110,38 +134,44 @@
 	if err != nil {
 		return nil, err
 	}
-	deadline := arrivedAt.Add(wait - min(returnMargin, wait/10))
-	body, err := readClientBody(w, r, snapshot.bodyLimit(), deadline)
+	slot, err := p.takeQuota(r.Context(), account)
 	if err != nil {
 		return nil, err
 	}
-	dropHopByHop(r.Header)
-	cr := &clientRequest{
-		proxy:     p,
-		w:         w,
-		route:     route,
-		arrivedAt: arrivedAt,
-		deadline:  deadline,
-		tried:     map[string]bool{},
-		outbound: outboundRequest{
-			id:     id,
-			method: r.Method,
-			target: r.RequestURI,
-			host:   r.Host,
-			header: r.Header,
-			body:   body,
-		},
+	return &clientRequest{
+		proxy:         p,
+		route:         route,
+		clientAccount: clientAccount{account: account, slot: slot},
+		arrivedAt:     arrivedAt,
+		deadline:      arrivedAt.Add(wait - min(returnMargin, wait/10)),
+		tried:         map[string]bool{},
+		outbound:      outboundRequest{id: id},
+	}, nil
+}
+
+// admitBody reads the body of a request and finds its service. Its errors are rejections.
+func (cr *clientRequest) admitBody(r *http.Request, snapshot *routingSnapshot) error {
+	body, err := readClientBody(cr.w, r, snapshot.bodyLimit(), cr.deadline)
+	if err != nil {
+		return err
 	}
+	dropHopByHop(r.Header)
+	nameTenant(r.Header, cr.account) // after what a client's Connection field names was dropped
+	cr.outbound.method = r.Method
+	cr.outbound.target = r.RequestURI
+	cr.outbound.host = r.Host
+	cr.outbound.header = r.Header
+	cr.outbound.body = body
 	cr.bindResidency(snapshot)
-	cr.svc = snapshot.services[route.Pick(xxhash.Sum64String(id)).Name]
+	cr.svc = snapshot.services[cr.route.Pick(xxhash.Sum64String(cr.outbound.id)).Name]
 	if cr.svc == nil {
-		return nil, &rejection{
+		return &rejection{
 			status:     http.StatusServiceUnavailable,
 			retryAfter: minRetryAfter,
 			reason:     "no backend known",
 		}
 	}
-	return cr, nil
+	return nil
 }
 
 // serve sends an admitted request to backends until one answers, and answers the client.
--- a/internal/fleet/proxy/routingsnapshot.go
+++ b/internal/fleet/proxy/routingsnapshot.go
@@ -26,7 +26,7 @@
 		return
 	}
 	snapshot := &routingSnapshot{
-		index:    routingconfig.NewIndex(p.doc),
+		index:    p.indexOf(p.doc),
 		limits:   p.doc.Limits(),
 		services: map[string]*service{},
 		version:  p.doc.Version(),
@@ -41,6 +41,15 @@
 	}
 }
 
+// indexOf returns the route table of the configuration in force, which is made anew only with another configuration.
+func (p *Proxy) indexOf(doc *routingconfig.Document) *routingconfig.Index {
+	if p.indexedDoc != doc {
+		p.index = routingconfig.NewIndex(doc)
+		p.indexedDoc = doc
+	}
+	return p.index
+}
+
 // updateServices brings the services to the configuration and the endpoint list received, adds them to current and
 // forgets those that are no longer configured. Requests that hold a forgotten one finish with it.
 func (p *Proxy) updateServices(current map[string]*service) {
--- a/internal/fleet/routingconfig/accounts.go
+++ b/internal/fleet/routingconfig/accounts.go
@@ -147,7 +147,8 @@
 	}
 }
 
-// KeysRequired returns whether the configuration has accounts, so that requests of routes that aren't public need a key.
+// KeysRequired returns whether the configuration has accounts, so that requests of routes that aren't public need a
+// key.
 func (x *Index) KeysRequired() bool { return x.accountsByKey != nil }
 
 // AccountOfKey returns the account that a key is of.
--- a/internal/fleet/routingconfig/decode.go
+++ b/internal/fleet/routingconfig/decode.go
@@ -6,15 +6,16 @@
 
 // Decode reads a complete configuration: the body of cfg/replace, or what Show returned. It is valid only without
 // findings; the Document is nil otherwise. The body must be exactly one JSON object with "ver" (an integer above 0),
-// "routing" and "svcs" (lists, which may be empty); "caps", "tenants" and "accounts" may be missing. An optional field that is null
-// counts as absent. Unknown fields are retained. The Document shares memory with body, which must not be changed
+// "routing" and "svcs" (lists, which may be empty); "caps", "tenants" and "accounts" may be missing. An optional
+// field that is null counts as absent. Unknown fields are retained. The Document shares memory with body, which must not be changed
 // afterwards. The checks add what the caller knows.
 //
 // Refused are: text that isn't JSON or UTF-8, bytes after the value, a key given twice in any object, wrong types,
 // names given twice, a route that names a service not known, two routes with the same host (without regard to case)
 // and prefix, negative weights or weights that add up to 0, a deadline_ms of 0 or less or missing, a prefix that
 // doesn't begin and end with a slash, an unknown kind, a route that names a tenant not listed, regions that aren't a
-// list of one or more names, regions of a route that its tenant doesn't have, and a key that two accounts share.
+// list of one or more names, regions of a route that its tenant doesn't have, and a key that two accounts
+// share.
 func Decode(body []byte, checks ...Check) (*Document, Findings) { return Replace(nil, body, checks...) }
 
 // Replace is Decode for a configuration sent on top of current (nil: none yet); its version must be above current's.
--- a/internal/fleet/routingconfig/document.go
+++ b/internal/fleet/routingconfig/document.go
@@ -18,7 +18,8 @@
 	extra    []member        // top-level fields this program doesn't know, in order
 }
 
-// namedItem is a routeItem, a serviceItem, a tenantItem or an accountItem: what the operator names and sends as one item.
+// namedItem is a routeItem, a serviceItem, a tenantItem, an accountItem or an unknownItem: what the operator names and
+// sends as one item.
 type namedItem interface {
 	comparable
 	itemName() string
--- a/internal/fleet/settings/read.go
+++ b/internal/fleet/settings/read.go
@@ -90,6 +90,12 @@
 		Lease:       t.durationAt("lease_ms", time.Millisecond, 3*time.Second, ruleNotNegative),
 		Unfreeze:    t.durationAt("unfreeze_ms", time.Millisecond, 300*time.Millisecond, ruleNotNegative),
 		Version:     t.durationAt("version_ms", time.Millisecond, 0, ruleNotNegative),
+
+		StrictRevoke: t.boolAt("strict_revoke"),
+		Revoke:       t.durationAt("revoke_ms", time.Millisecond, 5*time.Second, rulePositive...),
+		QuotaWindow:  t.durationAt("quota_win_s", time.Second, 5*time.Second, rulePositive...),
+		QuotaExcess:  t.numberAt("quota_excess", 0.1, ruleNotNegative),
+		QuotaExtra:   t.numberAt("quota_extra", 20, ruleNotNegative),
 	}
 }
 
--- a/internal/fleet/settings/settings.go
+++ b/internal/fleet/settings/settings.go
@@ -152,6 +152,19 @@
 	// Version is the time after which answers by older weights than others have are worth nothing; default 0 ms: there
 	// is no such time. (bnds.version_ms)
 	Version time.Duration
+	// StrictRevoke is whether Revoke binds; default false. (bnds.strict_revoke)
+	StrictRevoke bool
+	// Revoke is the time after the acknowledgement of a configuration from which on no request runs with a key that it
+	// took away, at any machine, in touch or not; default 5000 ms, above 0. (bnds.revoke_ms)
+	Revoke time.Duration
+	// QuotaWindow is the window over which a tenant's requests count; default 5 s, above 0. (bnds.quota_win_s)
+	QuotaWindow time.Duration
+	// QuotaExcess is how far a tenant's requests in a window may be above its quota, as a fraction of it; default 0.1.
+	// (bnds.quota_excess)
+	QuotaExcess float64
+	// QuotaExtra is the number of a tenant's requests in a window that are allowed besides; default 20.
+	// (bnds.quota_extra)
+	QuotaExtra float64
 }
 
 // Provider is the platform's list of backends.
--- a/internal/fleet/settings/settings_test.go
+++ b/internal/fleet/settings/settings_test.go
@@ -116,6 +116,11 @@
 			Fencing:     true,
 			Lease:       3 * time.Second,
 			Unfreeze:    300 * time.Millisecond,
+
+			Revoke:      5 * time.Second,
+			QuotaWindow: 5 * time.Second,
+			QuotaExcess: 0.1,
+			QuotaExtra:  20,
 		},
 		Provider: settings.Provider{
 			Address: "10.200.0.79:8169",
--- a/internal/fleet/settings/wire_test.go
+++ b/internal/fleet/settings/wire_test.go
@@ -37,7 +37,8 @@
 			Downgrade: 310 * time.Millisecond, Skew: 3011 * time.Millisecond, RetryRatio: 0.312,
 			RetryWindow: 313 * time.Second, RetryExtra: 314, Heal: 315 * time.Second, Transit: 316 * time.Millisecond,
 			Again: 317 * time.Second, Fencing: true, Lease: 3018 * time.Millisecond, Unfreeze: 319 * time.Millisecond,
-			Version: 320 * time.Millisecond,
+			Version: 320 * time.Millisecond, StrictRevoke: true, Revoke: 3022 * time.Millisecond,
+			QuotaWindow: 323 * time.Second, QuotaExcess: 0.324, QuotaExtra: 325,
 		},
 		Provider: settings.Provider{
 			Address: "10.200.0.79:8169", Rate: 42.5, Jobs: []string{"a", "b"}, Delay: 821 * time.Millisecond,
