A new primary knows from the record which proxies may hold quotas, and raised ceilings

The ceilings in the record now name the proxies too; nobody else is granted slots. Once all of them have reported, and a window has passed since the youngest of them started, all holdings are known: at once where no proxy was restarted. Slots go back every 250 ms where a holder has more than it may keep, and a raised ceiling stays raised for 10 s, so that the record isn't written at each wave.

--- a/internal/fleet/quota/allocator.go
+++ b/internal/fleet/quota/allocator.go
@@ -15,9 +15,12 @@
 	// spareDivisor: all holders of a tenant together may keep one in so many of the slots that are not held.
 	spareDivisor = 2
 	// raiseDivisor: a tenant's ceiling is raised once less than one in so many of the slots below it is left.
-	raiseDivisor = 5
+	raiseDivisor = 10
 	// lowerDivisor: it is lowered again once one in so many of them or less is held.
 	lowerDivisor = 2
+	// raisedFor is how long a ceiling stays raised at the least after that was last needed: each change is a write of
+	// the record.
+	raisedFor = 10 * time.Second
 )
 
 // errReport is the error of a report that no holder sends.
@@ -34,12 +37,16 @@
 	committed *Ceilings
 	// proposed are the ceilings that may be committed next: a tenant that they don't raise is held to Slots.Normal.
 	proposed *Ceilings
-	// raised are the tenants whose ceilings this allocator needs to be raised.
-	raised map[string]bool
+	// raised are the tenants whose ceilings this allocator needs to be raised, and when that was last so.
+	raised map[string]time.Duration
 
 	// provenAt is when all slots are known: who has not reported by then can't use a slot, and has used none within a
 	// window.
 	provenAt time.Duration
+	// unaccounted are the holders that the inherited ceilings name and that have not reported, and accountedAt is when
+	// the slots of those that have are all known.
+	unaccounted map[string]bool
+	accountedAt time.Duration
 
 	holders map[string]*holderRecord // by name
 	tenants map[string]*tenantRecord
@@ -66,6 +73,7 @@
 
 // retiredSlots are slots that are free again at a time.
 type retiredSlots struct {
+	holder string
 	freeAt time.Duration
 	held   map[string]int
 }
@@ -73,17 +81,39 @@
 // NewAllocator returns an allocator that knows no holdings, but the ceilings that are committed. overlap is for how
 // long after now an earlier allocator may still answer.
 func NewAllocator(rule Rule, limits Limits, ceilings *Ceilings, now, overlap time.Duration) *Allocator {
-	return &Allocator{
+	a := &Allocator{
 		rule:      rule,
 		limits:    limits,
 		inherited: ceilings,
 		committed: ceilings,
 		proposed:  ceilings,
-		raised:    map[string]bool{},
+		raised:    map[string]time.Duration{},
 		provenAt:  now + overlap + rule.Lease + rule.Window,
 		holders:   map[string]*holderRecord{},
 		tenants:   map[string]*tenantRecord{},
 	}
+	if ceilings != nil && ceilings.Complete {
+		a.unaccounted = make(map[string]bool, len(ceilings.Holders))
+		for _, name := range ceilings.Holders {
+			a.unaccounted[name] = true
+		}
+	}
+	return a
+}
+
+// account notes that a holder of the inherited ceilings has reported. An earlier process of its name may have used
+// slots that it doesn't know until it started. Once all have reported, and the last such use is a window ago, all
+// slots are known.
+func (a *Allocator) account(report *Report, now time.Duration) {
+	if !a.unaccounted[report.Holder] {
+		return
+	}
+	delete(a.unaccounted, report.Holder)
+	uptime := time.Duration(report.UptimeMs) * time.Millisecond
+	a.accountedAt = max(a.accountedAt, now+a.rule.Window-uptime)
+	if len(a.unaccounted) == 0 {
+		a.provenAt = min(a.provenAt, max(a.accountedAt, now))
+	}
 }
 
 // SetLimits puts the limits of a configuration in force. They must not be changed afterwards.
@@ -94,25 +124,54 @@
 
 // WantedCeilings returns the ceilings that this allocator needs. Before all holdings are known they raise all tenants;
 // after that, those of which most slots are held. What is returned must be committed, if at all, before anything that a
-// later call returns. A tenant that isn't raised any more is held to Slots.Normal from now on.
+// later call returns. A tenant that isn't raised any more is held to Slots.Normal from now on, and a proxy that isn't
+// named gets no slots.
 func (a *Allocator) WantedCeilings(now time.Duration) *Ceilings {
-	a.proposed = &Ceilings{All: true}
+	a.expire(now)
 	if now < a.provenAt {
+		a.proposed = &Ceilings{All: true}
+		if a.inherited != nil && a.inherited.Complete {
+			a.proposed.name(a.knownHolders())
+		}
 		return a.proposed
 	}
 	for tenant, t := range a.tenants {
-		slots, limited := a.limits[tenant]
-		switch {
-		case !limited || t.held <= slots.Normal/lowerDivisor:
-			delete(a.raised, tenant)
-		case t.held > slots.Normal-slots.Normal/raiseDivisor:
-			a.raised[tenant] = true
-		}
+		a.review(tenant, t, now)
 	}
 	a.proposed = newCeilings(a.raised)
+	a.proposed.name(a.knownHolders())
 	return a.proposed
 }
 
+// review decides whether a tenant's ceiling is to be raised, or is raised no longer.
+func (a *Allocator) review(tenant string, t *tenantRecord, now time.Duration) {
+	slots, limited := a.limits[tenant]
+	neededAt, raised := a.raised[tenant]
+	switch {
+	case limited && t.held > slots.Normal-slots.Normal/raiseDivisor:
+		a.raised[tenant] = now
+	case !limited, raised && t.held <= slots.Normal/lowerDivisor && now-neededAt > raisedFor:
+		delete(a.raised, tenant)
+	case raised && t.held > slots.Normal/lowerDivisor:
+		a.raised[tenant] = now
+	}
+}
+
+// knownHolders returns the names of all proxies that may hold slots, or have used one within a window.
+func (a *Allocator) knownHolders() map[string]bool {
+	names := make(map[string]bool, len(a.holders))
+	for name := range a.holders {
+		names[name] = true
+	}
+	for _, r := range a.retired {
+		names[r.holder] = true
+	}
+	for name := range a.unaccounted {
+		names[name] = true
+	}
+	return names
+}
+
 // mayUse returns how many of a tenant's slots may be handed out in all.
 func (a *Allocator) mayUse(tenant string, slots Slots) int {
 	if a.committed.Raised(tenant) && a.proposed.Raised(tenant) {
@@ -132,6 +191,7 @@
 	if err != nil || holder == nil {
 		return nil, err
 	}
+	a.account(report, now)
 	holder.reportedAt = now
 	holder.sequence = report.Sequence
 	if report.Full {
@@ -145,7 +205,7 @@
 			continue
 		}
 		a.record(holder, h.Tenant, h.Held)
-		grants = append(grants, a.grant(holder, &h, slots, now))
+		grants = append(grants, a.grant(report.Holder, holder, &h, slots, now))
 	}
 	return grants, nil
 }
@@ -229,9 +289,12 @@
 }
 
 // grant hands a holder the slots that it needs, and some in advance where there are many.
-func (a *Allocator) grant(holder *holderRecord, h *Holding, slots Slots, now time.Duration) Grant {
+func (a *Allocator) grant(name string, holder *holderRecord, h *Holding, slots Slots, now time.Duration) Grant {
 	t := a.tenant(h.Tenant)
 	available := a.available(h.Tenant, t, slots, now)
+	if !a.committed.mayHold(name) || !a.proposed.mayHold(name) {
+		available = 0
+	}
 	granted := min(h.Wanted, available)
 	spare := (available - granted) / (spareDivisor * max(t.holders, 1))
 	if h.Wanted > 0 && granted == h.Wanted {
@@ -300,7 +363,7 @@
 	for tenant := range holder.held {
 		a.tenant(tenant).holders--
 	}
-	a.retired = append(a.retired, retiredSlots{freeAt: freeAt, held: holder.held})
+	a.retired = append(a.retired, retiredSlots{holder: name, freeAt: freeAt, held: holder.held})
 }
 
 // free takes slots as given back.
--- a/internal/fleet/quota/ceilings.go
+++ b/internal/fleet/quota/ceilings.go
@@ -1,6 +1,10 @@
 package quota
 
-import "slices"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 //go:generate msgp -tests=false
 
@@ -16,6 +20,10 @@
 	All bool `msg:"a,omitempty"`
 	// Tenants are those raised, sorted.
 	Tenants []string `msg:"t,omitempty"`
+	// Complete says that Holders are all proxies that may hold slots, or have used one within a window.
+	Complete bool `msg:"c,omitempty"`
+	// Holders are names of proxies, sorted.
+	Holders []string `msg:"h,omitempty"`
 }
 
 // Raised returns whether a tenant is raised.
@@ -30,7 +38,16 @@
 	return found
 }
 
-// Equal returns whether both raise the same tenants.
+// mayHold returns whether a proxy may hold slots as far as these ceilings go.
+func (c *Ceilings) mayHold(name string) bool {
+	if c == nil || !c.Complete {
+		return true
+	}
+	_, found := slices.BinarySearch(c.Holders, name)
+	return found
+}
+
+// Equal returns whether both say the same.
 func (c *Ceilings) Equal(other *Ceilings) bool {
 	if c == nil {
 		c = &Ceilings{}
@@ -38,11 +55,14 @@
 	if other == nil {
 		other = &Ceilings{}
 	}
-	return c.All == other.All && slices.Equal(c.Tenants, other.Tenants)
+	return c.All == other.All &&
+		c.Complete == other.Complete &&
+		slices.Equal(c.Tenants, other.Tenants) &&
+		slices.Equal(c.Holders, other.Holders)
 }
 
 // newCeilings returns the ceilings that raise the tenants given.
-func newCeilings(tenants map[string]bool) *Ceilings {
+func newCeilings(tenants map[string]time.Duration) *Ceilings {
 	if len(tenants) > maxNamed {
 		return &Ceilings{All: true}
 	}
@@ -53,3 +73,9 @@
 	slices.Sort(c.Tenants)
 	return c
 }
+
+// name makes the ceilings complete: the proxies given are all that may hold slots.
+func (c *Ceilings) name(holders map[string]bool) {
+	c.Complete = true
+	c.Holders = slices.Sorted(maps.Keys(holders))
+}
--- a/internal/fleet/quota/ceilings_gen.go
+++ b/internal/fleet/quota/ceilings_gen.go
@@ -49,6 +49,31 @@
 					return
 				}
 			}
+		case "c":
+			z.Complete, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Complete")
+				return
+			}
+		case "h":
+			var zb0003 uint32
+			zb0003, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Holders")
+				return
+			}
+			if cap(z.Holders) >= int(zb0003) {
+				z.Holders = (z.Holders)[:zb0003]
+			} else {
+				z.Holders = make([]string, zb0003)
+			}
+			for za0002 := range z.Holders {
+				z.Holders[za0002], err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Holders", za0002)
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -63,8 +88,8 @@
 // EncodeMsg implements msgp.Encodable
 func (z *Ceilings) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(2)
-	var zb0001Mask uint8 /* 2 bits */
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
 	_ = zb0001Mask
 	if z.All == false {
 		zb0001Len--
@@ -74,6 +99,14 @@
 		zb0001Len--
 		zb0001Mask |= 0x2
 	}
+	if z.Complete == false {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	if z.Holders == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
 	// variable map header, size zb0001Len
 	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
@@ -113,6 +146,37 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// write "c"
+			err = en.Append(0xa1, 0x63)
+			if err != nil {
+				return
+			}
+			err = en.WriteBool(z.Complete)
+			if err != nil {
+				err = msgp.WrapError(err, "Complete")
+				return
+			}
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// write "h"
+			err = en.Append(0xa1, 0x68)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Holders)))
+			if err != nil {
+				err = msgp.WrapError(err, "Holders")
+				return
+			}
+			for za0002 := range z.Holders {
+				err = en.WriteString(z.Holders[za0002])
+				if err != nil {
+					err = msgp.WrapError(err, "Holders", za0002)
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -121,8 +185,8 @@
 func (z *Ceilings) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(2)
-	var zb0001Mask uint8 /* 2 bits */
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
 	_ = zb0001Mask
 	if z.All == false {
 		zb0001Len--
@@ -132,6 +196,14 @@
 		zb0001Len--
 		zb0001Mask |= 0x2
 	}
+	if z.Complete == false {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	if z.Holders == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -150,6 +222,19 @@
 				o = msgp.AppendString(o, z.Tenants[za0001])
 			}
 		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "c"
+			o = append(o, 0xa1, 0x63)
+			o = msgp.AppendBool(o, z.Complete)
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "h"
+			o = append(o, 0xa1, 0x68)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Holders)))
+			for za0002 := range z.Holders {
+				o = msgp.AppendString(o, z.Holders[za0002])
+			}
+		}
 	}
 	return
 }
@@ -197,6 +282,31 @@
 					return
 				}
 			}
+		case "c":
+			z.Complete, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Complete")
+				return
+			}
+		case "h":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Holders")
+				return
+			}
+			if cap(z.Holders) >= int(zb0003) {
+				z.Holders = (z.Holders)[:zb0003]
+			} else {
+				z.Holders = make([]string, zb0003)
+			}
+			for za0002 := range z.Holders {
+				z.Holders[za0002], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Holders", za0002)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -215,5 +325,9 @@
 	for za0001 := range z.Tenants {
 		s += msgp.StringPrefixSize + len(z.Tenants[za0001])
 	}
+	s += 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Holders {
+		s += msgp.StringPrefixSize + len(z.Holders[za0002])
+	}
 	return
 }
--- a/internal/fleet/quota/client.go
+++ b/internal/fleet/quota/client.go
@@ -15,6 +15,8 @@
 const (
 	// reportsPerLease is how often a holder renews its lease in the time of one.
 	reportsPerLease = 4
+	// giveBackInterval is how often it is looked for slots to be given back before that.
+	giveBackInterval = 250 * time.Millisecond
 	// answerTimeout bounds the dial and each answer; a later answer isn't used.
 	answerTimeout = 500 * time.Millisecond
 	// maxWait bounds how long a request waits for a slot.
@@ -41,6 +43,7 @@
 	mu       sync.Mutex // guards what follows
 	holder   *Holder
 	built    uint64        // reports so far
+	fullAt   time.Duration // when the last full one was built
 	answered uint64        // the newest of them that an allocator has answered
 	progress chan struct{} // closed and replaced with each answer
 
@@ -185,19 +188,13 @@
 	if !c.beginReports(greeting.Epoch) {
 		return errors.Errorf("%s is no allocator", addr)
 	}
-	heartbeat := time.NewTicker(c.holder.rule.Lease / reportsPerLease)
-	defer heartbeat.Stop()
 	for full := true; ; {
 		if err := c.report(conn, r, full); err != nil {
 			return err
 		}
-		select {
-		case <-c.wake:
-			full = false
-		case <-heartbeat.C:
-			full = true
-		case <-ctx.Done():
-			return ctx.Err()
+		var err error
+		if full, err = c.awaitDue(ctx); err != nil {
+			return err
 		}
 		if c.allocator() != addr {
 			return errors.Errorf("%s is no longer the primary", addr)
@@ -205,6 +202,32 @@
 	}
 }
 
+// awaitDue waits until a report is due: for a request that waits, or a full one. It returns an error once ctx ends.
+func (c *Client) awaitDue(ctx context.Context) (full bool, err error) {
+	tick := time.NewTicker(giveBackInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-c.wake:
+			return false, nil
+		case <-tick.C:
+			if c.fullReportDue() {
+				return true, nil
+			}
+		case <-ctx.Done():
+			return false, ctx.Err()
+		}
+	}
+}
+
+// fullReportDue returns whether slots are to be given back or the lease is to be renewed.
+func (c *Client) fullReportDue() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	return now-c.fullAt >= c.holder.rule.Lease/reportsPerLease || c.holder.HasSurplus(now)
+}
+
 // beginReports notes the allocator's epoch.
 func (c *Client) beginReports(epoch uint64) bool {
 	c.mu.Lock()
@@ -235,6 +258,9 @@
 	defer c.mu.Unlock()
 	builtAt = c.now()
 	c.built++
+	if full {
+		c.fullAt = builtAt
+	}
 	return builtAt, c.holder.NextReport(builtAt, full), c.built
 }
 
--- a/internal/fleet/quota/holder.go
+++ b/internal/fleet/quota/holder.go
@@ -37,7 +37,9 @@
 	usableUntil time.Duration
 
 	epoch    uint64 // of the allocator that is reported to; it never falls
-	sequence uint64
+	sequence uint64 // of the last report
+
+	firstReportAt time.Duration
 }
 
 // holding is what a Holder has of one tenant's slots. The number of slots is free + len(used).
@@ -152,6 +154,9 @@
 // NextReport returns a report of the tenants that need slots or, if it is to be a full one, of all that is held. A full
 // report gives back the free slots that are not to be kept.
 func (h *Holder) NextReport(now time.Duration, full bool) *Report {
+	if h.sequence == 0 {
+		h.firstReportAt = now
+	}
 	h.sequence++
 	report := &Report{
 		Holder:      h.name,
@@ -159,6 +164,7 @@
 		Sequence:    h.sequence,
 		Epoch:       h.epoch,
 		Full:        full,
+		UptimeMs:    (now - h.firstReportAt).Milliseconds(),
 	}
 	for tenant, held := range h.holdings {
 		held.expire(now, h.rule.Window)
@@ -179,6 +185,17 @@
 	return report
 }
 
+// HasSurplus returns whether a full report would give slots back.
+func (h *Holder) HasSurplus(now time.Duration) bool {
+	for _, held := range h.holdings {
+		held.expire(now, h.rule.Window)
+		if held.free > held.keep(now, h.rule.Window) {
+			return true
+		}
+	}
+	return false
+}
+
 // Apply takes what an allocator has answered to a report that was sent at a time.
 func (h *Holder) Apply(answer *Answer, sentAt, now time.Duration) {
 	h.leased = true
@@ -227,12 +244,14 @@
 	s.surplus += n - now
 }
 
-// giveBack gives back free slots beyond those that may be kept, and all of a tenant that has not been seen for a
-// window.
-func (s *holding) giveBack(now, window time.Duration) {
-	keep := min(s.spare, 1+len(s.used)/2)
+// giveBack gives back the free slots that are not to be kept.
+func (s *holding) giveBack(now, window time.Duration) { s.free = min(s.free, s.keep(now, window)) }
+
+// keep is how many free slots are kept: as many as the allocator allows where the tenant is being served, and none of
+// a tenant that has not been seen for a window.
+func (s *holding) keep(now, window time.Duration) int {
 	if len(s.used) == 0 && now-s.lastUse > window {
-		keep = 0
+		return 0
 	}
-	s.free = min(s.free, keep)
+	return min(s.spare, 1+len(s.used)/2)
 }
--- a/internal/fleet/quota/limits.go
+++ b/internal/fleet/quota/limits.go
@@ -11,10 +11,10 @@
 const (
 	// marginShare is the share of the rule's tolerance that is made use of, without a unit. The rest is for requests
 	// that reach two backends.
-	marginShare = 0.6
+	marginShare = 0.8
 	// normalShare is the share of a tenant's slots that are handed out while its ceiling isn't raised. The rest is what
 	// an allocator can hand out at once that knows no holdings.
-	normalShare = 0.6
+	normalShare = 0.65
 )
 
 // Rule is by what a tenant's slots are counted.
--- a/internal/fleet/quota/messages.go
+++ b/internal/fleet/quota/messages.go
@@ -23,6 +23,9 @@
 	Epoch uint64 `msg:"e"`
 	// Full is set where Holdings are all that the holder has; otherwise those that aren't among them are unchanged.
 	Full bool `msg:"f,omitempty"`
+	// UptimeMs is for how long the process has run, or less, in milliseconds: no earlier one of its name has used a
+	// slot since.
+	UptimeMs int64 `msg:"u,omitempty"`
 	// Holdings has no tenant twice.
 	Holdings []Holding `msg:"s"`
 }
--- a/internal/fleet/quota/messages_gen.go
+++ b/internal/fleet/quota/messages_gen.go
@@ -692,6 +692,12 @@
 				err = msgp.WrapError(err, "Full")
 				return
 			}
+		case "u":
+			z.UptimeMs, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "UptimeMs")
+				return
+			}
 		case "s":
 			var zb0002 uint32
 			zb0002, err = dc.ReadArrayHeader()
@@ -760,13 +766,17 @@
 // EncodeMsg implements msgp.Encodable
 func (z *Report) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(6)
-	var zb0001Mask uint8 /* 6 bits */
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
 	_ = zb0001Mask
 	if z.Full == false {
 		zb0001Len--
 		zb0001Mask |= 0x10
 	}
+	if z.UptimeMs == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
 	// variable map header, size zb0001Len
 	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
@@ -827,6 +837,18 @@
 				return
 			}
 		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// write "u"
+			err = en.Append(0xa1, 0x75)
+			if err != nil {
+				return
+			}
+			err = en.WriteInt64(z.UptimeMs)
+			if err != nil {
+				err = msgp.WrapError(err, "UptimeMs")
+				return
+			}
+		}
 		// write "s"
 		err = en.Append(0xa1, 0x73)
 		if err != nil {
@@ -896,13 +918,17 @@
 func (z *Report) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(6)
-	var zb0001Mask uint8 /* 6 bits */
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
 	_ = zb0001Mask
 	if z.Full == false {
 		zb0001Len--
 		zb0001Mask |= 0x10
 	}
+	if z.UptimeMs == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -925,6 +951,11 @@
 			o = append(o, 0xa1, 0x66)
 			o = msgp.AppendBool(o, z.Full)
 		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "u"
+			o = append(o, 0xa1, 0x75)
+			o = msgp.AppendInt64(o, z.UptimeMs)
+		}
 		// string "s"
 		o = append(o, 0xa1, 0x73)
 		o = msgp.AppendArrayHeader(o, uint32(len(z.Holdings)))
@@ -1007,6 +1038,12 @@
 				err = msgp.WrapError(err, "Full")
 				return
 			}
+		case "u":
+			z.UptimeMs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "UptimeMs")
+				return
+			}
 		case "s":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -1075,7 +1112,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Report) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Holder) + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Holder) + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Holdings {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Holdings[za0001].Tenant) + 2 + msgp.IntSize + 2 + msgp.IntSize
 	}
--- a/internal/fleet/routingconfig/decode.go
+++ b/internal/fleet/routingconfig/decode.go
@@ -6,9 +6,9 @@
 
 // Decode reads a complete configuration: the body of cfg/replace, or what Show returned. It is valid only without
 // findings; the Document is nil otherwise. The body must be exactly one JSON object with "ver" (an integer above 0),
-// "routing" and "svcs" (lists, which may be empty); "caps", "tenants" and "accounts" may be missing. An optional
-// field that is null counts as absent. Unknown fields are retained. The Document shares memory with body, which must not be changed
-// afterwards. The checks add what the caller knows.
+// "routing" and "svcs" (lists, which may be empty); "caps", "tenants" and "accounts" may be missing. An optional field
+// that is null counts as absent. Unknown fields are retained. The Document shares memory with body, which must not be
+// changed afterwards. The checks add what the caller knows.
 //
 // Refused are: text that isn't JSON or UTF-8, bytes after the value, a key given twice in any object, wrong types,
 // names given twice, a route that names a service not known, two routes with the same host (without regard to case)
