--- a/internal/fleet/proxy/accounts.go
+++ b/internal/fleet/proxy/accounts.go
@@ -24,6 +24,9 @@
 	unconfirmedRetryAfter = 200 * time.Millisecond
 	// quotaRetryAfter is the Retry-After of a request beyond its tenant's quota.
 	quotaRetryAfter = 250 * time.Millisecond
+	// noAllocatorRetryAfter is the Retry-After of a request when no control server hands out quotas: about as long as a
+	// takeover lasts.
+	noAllocatorRetryAfter = 600 * time.Millisecond
 )
 
 // configConfirmation says as of when the configuration in force here was the newest that was acknowledged.
@@ -144,7 +147,7 @@
 	p.countRejection(unknownQuota)
 	return slot, &rejection{
 		status:     http.StatusServiceUnavailable,
-		retryAfter: unconfirmedRetryAfter,
+		retryAfter: noAllocatorRetryAfter,
 		reason:     err.Error(),
 	}
 }
--- a/internal/fleet/quota/client.go
+++ b/internal/fleet/quota/client.go
@@ -19,8 +19,8 @@
 	giveBackInterval = 250 * time.Millisecond
 	// answerTimeout bounds the dial and each answer; a later answer isn't used.
 	answerTimeout = 500 * time.Millisecond
-	// maxWait bounds how long a request waits for a slot.
-	maxWait = 30 * time.Millisecond
+	// maxWait bounds how long a request waits for a slot: it is to be rejected early, if it has to be.
+	maxWait = 20 * time.Millisecond
 	// minRedial and maxRedial bound the pause before the allocator is dialled again.
 	minRedial = 10 * time.Millisecond
 	maxRedial = 200 * time.Millisecond
@@ -80,7 +80,7 @@
 }
 
 // Acquire takes a slot of a tenant's quota for a request. Where none is free here it blocks until the allocator has
-// answered, for maxWait at the most. The error is ErrOverQuota or ErrNoAllocator, or that of ctx.
+// answered, for maxWait at the most. The error is ErrOverQuota, ErrNoAllocator where none has answered, or that of ctx.
 func (c *Client) Acquire(ctx context.Context, tenant string) (Slot, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -135,7 +135,7 @@
 			return err
 		}
 		if timedOut {
-			return nil
+			return ErrNoAllocator
 		}
 	}
 	return nil
