The judge finds UNASKED by the key and the tenant that come to backends

Judge.Tenants has the tenants that each key had, several where it went from one to another. With it, a run or a prefill with an Authorization field is found, and one that names several tenants, one that didn't have the key, or none where the key had one. Findings show no key.

--- a/internal/fleet/simulation/judge.go
+++ b/internal/fleet/simulation/judge.go
@@ -15,6 +15,10 @@
 	Clients []*Client
 	Results []Result // beside those of Clients
 
+	// Tenants are the names of those that had an API key in any configuration that may have been in force, by key: ""
+	// among them means that the key was no tenant's for a time. Nil: no key was required, and tenants aren't judged.
+	Tenants map[string][]string
+
 	// What the test did and saw besides; a rule is judged for these.
 	Shutdowns  []Shutdown     // of proxies
 	Departures []Departure    // of backends
@@ -26,8 +30,9 @@
 // observations are the records that one judgement is made of, and its findings.
 type observations struct {
 	bounds  Bounds
-	entries []Entry // arrivals of requests and prompts, in the order of Seq
-	orders  []Entry // orders to change the phase
+	tenants map[string][]string // Judge.Tenants
+	entries []Entry             // arrivals of requests and prompts, in the order of Seq
+	orders  []Entry             // orders to change the phase
 	results []Result
 
 	// These point into entries and results. runBySeal has the runs with a seal, by it.
@@ -42,6 +47,7 @@
 func (j *Judge) observe() *observations {
 	o := &observations{
 		bounds:           j.Bounds,
+		tenants:          j.Tenants,
 		runBySeal:        map[string]*Entry{},
 		entriesByAttempt: map[string][]*Entry{},
 		resultByAttempt:  map[string]*Result{},
@@ -242,6 +248,7 @@
 	case r.BodyHash != en.BodyHash:
 		o.reportAtEngine(UNASKED, en, "a body of %d bytes was sent with %d other ones", len(en.Body), len(r.Body))
 	}
+	o.checkTenant(r, en)
 	if en.HandleOwner != "" && en.HandleOwner != en.Attempt {
 		o.reportAtEngine(MIXED, en, "it goes on from the handle of %s", en.HandleOwner)
 	}
