--- a/cmd/molepaddle-fleet/fleet_test.go
+++ b/cmd/molepaddle-fleet/fleet_test.go
@@ -105,6 +105,7 @@
 
 	shutdowns  []simulation.Shutdown  // of proxies, for the judge
 	departures []simulation.Departure // of backends
+	tenants    map[string][]string    // by key, for the judge; nil: no keys are required
 }
 
 // fleetZones are the zones of a test's fleet; all are of one region.
@@ -672,6 +673,7 @@
 		Clients:    f.clients,
 		Shutdowns:  f.shutdowns,
 		Departures: f.departures,
+		Tenants:    f.tenants,
 	}
 	for _, finding := range j.Findings() {
 		f.Errorf("%+v", finding)
