--- a/internal/rig/drawndays/kinds.go
+++ b/internal/rig/drawndays/kinds.go
@@ -100,6 +100,12 @@
 		text("how", "", "cut_short", "unknown_service", "same_place", "no_weight", "no_timeout", "old_version", "same_version")}},
 	{kind: "big_config", plan: true, control: true, parameters: []parameter{counted("count", 50, 500)}},
 	{kind: "ack_lost", control: true, parameters: []parameter{amount("x", 0.3, 1), amount("for_s", 2, 15)}},
+
+	{kind: "hot_tenant", parameters: []parameter{amount("x", 3, 14), counted("count", 1, 6), amount("for_s", 2, 9)}},
+	{kind: "lossy", parameters: []parameter{amount("x", 0.01, 0.05), amount("for_s", 2, 9), text("zone", placeZone)}},
+	{kind: "revoke", plan: true, control: true, parameters: []parameter{counted("count", 1, 5), amount("gap_s", 0.3, 2), text("how", "", "last")}},
+	{kind: "bad_config", plan: true, control: true, parameters: []parameter{counted("count", 1, 3), amount("gap_s", 0.3, 1.5), text("how", "shared_key")}},
+	{kind: "config_change", plan: true, control: true, parameters: []parameter{text("how", "quota down", "topup")}},
 }
 
 // templatesOf are the templates of a theme, of the kinds that a deployment knows (none: all).
