--- a/internal/fleet/proxy/accounts.go
+++ b/internal/fleet/proxy/accounts.go
@@ -22,6 +22,11 @@
 	revokeMargin = 50 * time.Millisecond
 	// unconfirmedRetryAfter is the Retry-After of a request whose key can't be checked now.
 	unconfirmedRetryAfter = 200 * time.Millisecond
+	// quotaWaitShare: a request waits for one in so many of its route's latency target until it is known whether its
+	// tenant's quota has room, so that it is rejected early if it has to be.
+	quotaWaitShare = 5
+	// defaultQuotaWait is that time on routes without a latency target.
+	defaultQuotaWait = 40 * time.Millisecond
 	// quotaRetryAfter is the Retry-After of a request beyond its tenant's quota.
 	quotaRetryAfter = 250 * time.Millisecond
 	// noAllocatorRetryAfter is the Retry-After of a request when no control server hands out quotas: about as long as a
@@ -128,11 +133,17 @@
 }
 
 // takeQuota takes a request from its account's quota. Its errors are rejections.
-func (p *Proxy) takeQuota(ctx context.Context, account *routingconfig.Account) (quota.Slot, error) {
+func (p *Proxy) takeQuota(
+	ctx context.Context, account *routingconfig.Account, route *routingconfig.Route,
+) (quota.Slot, error) {
 	if account == nil || !account.Limited() {
 		return quota.Slot{}, nil
 	}
-	slot, err := p.quota.Acquire(ctx, account.Name)
+	wait := route.LatencyTarget() / quotaWaitShare
+	if wait <= 0 {
+		wait = defaultQuotaWait
+	}
+	slot, err := p.quota.Acquire(ctx, account.Name, wait)
 	switch {
 	case err == nil:
 		return slot, nil
--- a/internal/fleet/proxy/reverseproxy.go
+++ b/internal/fleet/proxy/reverseproxy.go
@@ -134,7 +134,7 @@
 	if err != nil {
 		return nil, err
 	}
-	slot, err := p.takeQuota(r.Context(), account)
+	slot, err := p.takeQuota(r.Context(), account, route)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/fleet/quota/client.go
+++ b/internal/fleet/quota/client.go
@@ -19,8 +19,6 @@
 	giveBackInterval = 250 * time.Millisecond
 	// answerTimeout bounds the dial and each answer; a later answer isn't used.
 	answerTimeout = 500 * time.Millisecond
-	// maxWait bounds how long a request waits for a slot: it is to be rejected early, if it has to be.
-	maxWait = 20 * time.Millisecond
 	// minRedial and maxRedial bound the pause before the allocator is dialled again.
 	minRedial = 10 * time.Millisecond
 	maxRedial = 200 * time.Millisecond
@@ -80,8 +78,8 @@
 }
 
 // Acquire takes a slot of a tenant's quota for a request. Where none is free here it blocks until the allocator has
-// answered, for maxWait at the most. The error is ErrOverQuota, ErrNoAllocator where none has answered, or that of ctx.
-func (c *Client) Acquire(ctx context.Context, tenant string) (Slot, error) {
+// answered, for wait at the most. The error is ErrOverQuota, ErrNoAllocator where none has answered, or that of ctx.
+func (c *Client) Acquire(ctx context.Context, tenant string, wait time.Duration) (Slot, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.holder.Limited(tenant) {
@@ -89,7 +87,7 @@
 	}
 	slot, verdict := c.take(tenant)
 	if verdict == NeedsSlots || verdict == LeaseLapsed {
-		if err := c.awaitAnswer(ctx, tenant); err != nil {
+		if err := c.awaitAnswer(ctx, tenant, wait); err != nil {
 			return Slot{}, err
 		}
 		slot, verdict = c.take(tenant)
@@ -109,16 +107,16 @@
 	return Slot{client: c, tenant: tenant, takenAt: now}, c.holder.Acquire(tenant, now)
 }
 
-// awaitAnswer waits for the answer to a report that asks for a slot, or until maxWait is over. The lock is held, but
-// not while it waits.
-func (c *Client) awaitAnswer(ctx context.Context, tenant string) error {
+// awaitAnswer waits for the answer to a report that asks for a slot, for wait at the most. The lock is held, but not
+// while it waits.
+func (c *Client) awaitAnswer(ctx context.Context, tenant string, wait time.Duration) error {
 	c.holder.AddWaiting(tenant, 1)
 	defer c.holder.AddWaiting(tenant, -1)
 	select {
 	case c.wake <- struct{}{}:
 	default:
 	}
-	timeout := time.NewTimer(maxWait)
+	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	for asked := c.built + 1; c.answered < asked; {
 		progress := c.progress
