quota: a late report of a process that has ended doesn't displace its successor

A proxy is killed while its last report is under way, whose packets are lost for a while; the process started in its place reports on a new connection and gets slots. Then the old report comes. The allocator took it for that of a newer process: it retired the living one's slots, to be free a window later, although that one may use them for a lease still, and took its next report, which was not a full one, for all that it holds. Cut off from then on it used slots that others were given: one more than there are.

The server now numbers connections as it accepts them. Of two processes of a name the one on the older connection has ended, and its reports are refused; so is a first report that is not a full one.

--- a/internal/fleet/quota/allocator.go
+++ b/internal/fleet/quota/allocator.go
@@ -23,8 +23,14 @@
 	raisedFor = 10 * time.Second
 )
 
-// errReport is the error of a report that no holder sends.
-var errReport = errors.New("quota report: not valid")
+var (
+	// errReport is the error of a report that no holder sends.
+	errReport = errors.New("quota report: not valid")
+	// errNotFull is the error of a first report that doesn't tell all that is held.
+	errNotFull = errors.New("quota report: the first one of a process is not full")
+	// errEnded is the error of a report of a process whose successor has reported.
+	errEnded = errors.New("quota report: of a process that has ended")
+)
 
 // Allocator hands out the slots of all tenants, as one of the epochs of the control plane's primary. Times are on the
 // steady clock of its process. It has no lock of its own.
@@ -59,6 +65,7 @@
 type holderRecord struct {
 	incarnation uint64
 	sequence    uint64
+	conn        uint64 // the newest connection that it has reported on
 	reportedAt  time.Duration
 	held        map[string]int // slots by tenant, each above 0
 }
@@ -185,14 +192,14 @@
 	return slots.Normal
 }
 
-// Handle takes a report and returns the slots that its holder gets. It returns an error for a report that no holder
-// sends, and nothing for one that has come late.
-func (a *Allocator) Handle(report *Report, now time.Duration) ([]Grant, error) {
+// Handle takes a report and returns the slots that its holder gets. conn numbers the connection that it came on, a
+// later one higher. It returns an error for a report that must not be answered, and nothing for one that has come late.
+func (a *Allocator) Handle(report *Report, conn uint64, now time.Duration) ([]Grant, error) {
 	if err := report.validate(); err != nil {
 		return nil, err
 	}
 	a.expire(now)
-	holder, err := a.holderOf(report, now)
+	holder, err := a.holderOf(report, conn, now)
 	if err != nil || holder == nil {
 		return nil, err
 	}
@@ -229,21 +236,27 @@
 }
 
 // holderOf returns the record of a report's holder; nil: the report came late. Where its process is another than
-// before, the slots of the former one are free after a window: it has ended.
-func (a *Allocator) holderOf(report *Report, now time.Duration) (*holderRecord, error) {
+// before, the slots of the former one are free after a window: it has ended. Of two processes the one whose connection
+// is the older has ended, as the other was started, and has connected, after that: what it sent may still come.
+func (a *Allocator) holderOf(report *Report, conn uint64, now time.Duration) (*holderRecord, error) {
 	holder := a.holders[report.Holder]
 	switch {
 	case holder != nil && holder.incarnation == report.Incarnation:
 		if report.Sequence <= holder.sequence {
 			return nil, nil
 		}
+		holder.conn = max(holder.conn, conn)
 		return holder, nil
+	case holder != nil && conn <= holder.conn:
+		return nil, errEnded
+	case !report.Full:
+		return nil, errNotFull
 	case holder != nil:
 		a.retire(report.Holder, now+a.rule.Window)
 	case len(a.holders) >= maxHolders:
 		return nil, errors.New("too many holders")
 	}
-	holder = &holderRecord{incarnation: report.Incarnation, held: map[string]int{}}
+	holder = &holderRecord{incarnation: report.Incarnation, conn: conn, held: map[string]int{}}
 	a.holders[report.Holder] = holder
 	return holder, nil
 }
--- a/internal/fleet/quota/server.go
+++ b/internal/fleet/quota/server.go
@@ -27,6 +27,7 @@
 	limits    Limits
 	ceilings  *Ceilings  // committed
 	allocator *Allocator // of that epoch; leads says whether it still is
+	conns     uint64     // accepted so far
 }
 
 // NewServer returns a server that is no allocator yet. leads says whether this server is still the primary of an epoch;
@@ -95,7 +96,8 @@
 	for {
 		conn, err := ln.Accept()
 		if err == nil {
-			conns.Go(func() { s.serveConn(ctx, conn) })
+			number := s.nextConn()
+			conns.Go(func() { s.serveConn(ctx, conn, number) })
 			continue
 		}
 		if ctx.Err() != nil {
@@ -108,9 +110,17 @@
 	}
 }
 
+// nextConn numbers connections in the order in which they are accepted.
+func (s *Server) nextConn() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns++
+	return s.conns
+}
+
 // serveConn answers the reports of one holder until the connection breaks, the holder is silent for a lease, or this
 // server is no allocator any more.
-func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
+func (s *Server) serveConn(ctx context.Context, conn net.Conn, number uint64) {
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	r := bufio.NewReaderSize(conn, 1024)
@@ -125,7 +135,7 @@
 			return
 		}
 		var err error
-		if answer, err = s.handle(&report); err != nil {
+		if answer, err = s.handle(&report, number); err != nil {
 			return
 		}
 	}
@@ -141,15 +151,15 @@
 	return s.epoch
 }
 
-// handle answers one report.
-func (s *Server) handle(report *Report) (*Answer, error) {
+// handle answers one report that came on a connection.
+func (s *Server) handle(report *Report, conn uint64) (*Answer, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	answer := &Answer{Sequence: report.Sequence}
 	if s.epoch == 0 || report.Epoch != s.epoch || !s.leads(s.epoch) {
 		return answer, nil
 	}
-	grants, err := s.allocator.Handle(report, time.Since(s.start))
+	grants, err := s.allocator.Handle(report, conn, time.Since(s.start))
 	if err != nil {
 		return nil, err
 	}
