quota: slots held when a lease lapses are given up

A proxy with all slots of a tenant uses them until its lease ends and isn't heard. A little less than a lease and a window after its last report it builds the next one; its slots are in use, so it tells that it holds them. The allocator takes it a little later, having handed the slots to another proxy, and answers that a part is surplus; what isn't, the first proxy uses again: 15 requests in a window of a tenant with 10 slots. The same report may come to a new allocator just after it takes all holdings as known.

A report that is built once the lease has lapsed now gives all slots up: free ones at once, used ones as they become free. What is granted meanwhile can be used beside those.

--- a/internal/fleet/quota/holder.go
+++ b/internal/fleet/quota/holder.go
@@ -47,8 +47,7 @@
 	free int
 	// used are when the slots were used that are not free yet, the earliest first.
 	used []time.Duration
-	// surplus is how many of the slots are given up as soon as they are free, since the tenant has fewer slots now.
-	// Where it is above 0 no slot is free.
+	// surplus is how many of the used slots are given up as soon as they are free.
 	surplus int
 
 	waiting int // requests that wait for a slot
@@ -153,7 +152,11 @@
 
 // NextReport returns a report of the tenants that need slots or, if it is to be a full one, of all that is held. A full
 // report gives back the free slots that are not to be kept.
+//
+// Once the lease has lapsed all slots are given up: an allocator that doesn't know of them hands them out, a window
+// after the lease, to others, and when this report reaches it is not known.
 func (h *Holder) NextReport(now time.Duration, full bool) *Report {
+	lapsed := h.leased && now >= h.usableUntil
 	if h.sequence == 0 {
 		h.firstReportAt = now
 	}
@@ -168,6 +171,9 @@
 	}
 	for tenant, held := range h.holdings {
 		held.expire(now, h.rule.Window)
+		if lapsed {
+			held.giveUp(held.total())
+		}
 		if full {
 			held.giveBack(now, h.rule.Window)
 		}
@@ -205,7 +211,7 @@
 			continue // what is granted is given back with the next full report
 		}
 		held := h.holding(grant.Tenant)
-		held.addFree(grant.Slots)
+		held.free += grant.Slots
 		held.spare = grant.Spare
 		held.giveUp(grant.Surplus - held.surplus)
 		if held.waiting > grant.Slots {
