quota: only what a report has asked for makes its answer a denial

A holder doesn't ask for a tenant's slots again for 100 ms after an answer with fewer slots than requests wait. It counted the requests that had come to wait after the report was built, of which the allocator knew nothing: a burst of four requests at a proxy made the proxy refuse the tenant although the allocator had slots for all. Now the requests that the report told of count. TestWaitersAfterTheReport fails without the change.

--- a/internal/fleet/quota/holder.go
+++ b/internal/fleet/quota/holder.go
@@ -51,6 +51,7 @@
 	surplus int
 
 	waiting int // requests that wait for a slot
+	asked   int // of them, those that the newest report has told of
 	spare   int // free slots that may be kept
 	lastUse time.Duration
 	// deniedUntil is until when the allocator isn't asked.
@@ -184,6 +185,7 @@
 				Wanted: held.waiting,
 			})
 		}
+		held.asked = held.waiting
 		if held.total() == 0 && held.waiting == 0 {
 			delete(h.holdings, tenant)
 		}
@@ -214,7 +216,7 @@
 		held.free += grant.Slots
 		held.spare = grant.Spare
 		held.giveUp(grant.Surplus - held.surplus)
-		if held.waiting > grant.Slots {
+		if held.asked > grant.Slots {
 			held.deniedUntil = now + denialPause
 		}
 	}
--- a/internal/fleet/quota/holder_test.go
+++ b/internal/fleet/quota/holder_test.go
@@ -66,3 +66,23 @@
 	h.Apply(&Answer{}, 9*time.Second, 10*time.Second)
 	c.Assert(acquireAll(h, 10*time.Second+1), qt.Equals, 2)
 }
+
+// TestWaitersAfterTheReport checks that requests that came to wait after a report was built don't make the answer to it
+// a denial.
+func TestWaitersAfterTheReport(t *testing.T) {
+	c := qt.New(t)
+	h := NewHolder(testRule, "p", 1)
+	h.SetLimits(tenSlots(), 0)
+	h.Apply(&Answer{}, 0, 0)
+	h.AddWaiting("t", 1)
+	h.NextReport(1, false)
+	h.AddWaiting("t", 3)
+	h.Apply(&Answer{Grants: []Grant{{Tenant: "t", Slots: 1}}}, 1, 2)
+	c.Assert(h.Acquire("t", 2), qt.Equals, Admitted)
+	c.Assert(h.Acquire("t", 2), qt.Equals, NeedsSlots)
+	h.NextReport(3, false)
+	h.Apply(&Answer{Grants: []Grant{{Tenant: "t", Slots: 1}}}, 3, 4)
+	c.Assert(h.Acquire("t", 4), qt.Equals, Admitted)
+	c.Assert(h.Acquire("t", 4), qt.Equals, OverQuota) // 4 were asked for
+	c.Assert(h.Acquire("t", 4+denialPause), qt.Equals, NeedsSlots)
+}
