quota: slots are kept for half a window after a lapsed lease

Giving slots up as soon as the lease has lapsed refused more than is needed after an outage between one lease and one and a half. An allocator that hasn't heard of the slots frees them a window after the lease at the soonest, so that a report that is built in the first half of that window comes in time: answers are used for 500 ms only, and two allocators overlap for less than half a window. Slots are now given up from then on.

--- a/internal/fleet/quota/holder.go
+++ b/internal/fleet/quota/holder.go
@@ -154,10 +154,12 @@
 // NextReport returns a report of the tenants that need slots or, if it is to be a full one, of all that is held. A full
 // report gives back the free slots that are not to be kept.
 //
-// Once the lease has lapsed all slots are given up: an allocator that doesn't know of them hands them out, a window
-// after the lease, to others, and when this report reaches it is not known.
+// Half a window after the lease has lapsed all slots are given up. An allocator that doesn't hear of them hands them out
+// to others a window after the lease, and when this report reaches which allocator is not known; but it is answered
+// within answerTimeout, and an earlier allocator ends within its overlap of a later one's begin, which are less than the
+// other half.
 func (h *Holder) NextReport(now time.Duration, full bool) *Report {
-	lapsed := h.leased && now >= h.usableUntil
+	lapsed := h.leased && now >= h.usableUntil+h.rule.Window/2
 	if h.sequence == 0 {
 		h.firstReportAt = now
 	}
