--- a/internal/fleet/quota/allocator.go
+++ b/internal/fleet/quota/allocator.go
@@ -132,9 +132,11 @@
 // WantedCeilings returns the ceilings that this allocator needs. Before all holdings are known they raise all tenants;
 // after that, those of which most slots are held. What is returned must be committed, if at all, before anything that a
 // later call returns. A tenant that isn't raised any more is held to Slots.Normal from now on, and a proxy that isn't
-// named gets no slots. What was returned is returned again until SetCeilings tells that it is committed: a lowering whose
-// outcome isn't known may still be committed after slots were handed out under the ceilings before it, which the next
-// allocator would not know of.
+// named gets no slots.
+//
+// What was returned is returned again until SetCeilings tells that it is committed: a lowering whose outcome isn't
+// known may still be committed after slots were handed out under the ceilings before it, which the next allocator would
+// not know of.
 func (a *Allocator) WantedCeilings(now time.Duration) *Ceilings {
 	a.expire(now)
 	if !a.proposed.Equal(a.committed) {
@@ -160,7 +162,7 @@
 	slots, limited := a.limits[tenant]
 	neededAt, raised := a.raised[tenant]
 	switch {
-	case limited && t.held > slots.Normal-slots.Normal/raiseDivisor:
+	case limited && t.held >= slots.Normal-slots.Normal/raiseDivisor:
 		a.raised[tenant] = now
 	case !limited, raised && t.held <= slots.Normal/lowerDivisor && now-neededAt > raisedFor:
 		delete(a.raised, tenant)
--- a/internal/fleet/quota/holder.go
+++ b/internal/fleet/quota/holder.go
@@ -5,8 +5,13 @@
 	"time"
 )
 
-// denialPause is for how long a tenant isn't asked for again after the allocator had no slots for it.
-const denialPause = 100 * time.Millisecond
+const (
+	// denialPause is for how long a tenant isn't asked for again after the allocator had no slots for it.
+	denialPause = 100 * time.Millisecond
+	// reportTransit is within which time a report that is answered at all reaches an allocator that may still answer:
+	// more than answerTimeout, and than an earlier allocator goes on beside a later one.
+	reportTransit = 2500 * time.Millisecond
+)
 
 // Verdict says what becomes of a request that needs a slot.
 type Verdict int
@@ -154,12 +159,10 @@
 // NextReport returns a report of the tenants that need slots or, if it is to be a full one, of all that is held. A full
 // report gives back the free slots that are not to be kept.
 //
-// Half a window after the lease has lapsed all slots are given up. An allocator that doesn't hear of them hands them out
-// to others a window after the lease, and when this report reaches which allocator is not known; but it is answered
-// within answerTimeout, and an earlier allocator ends within its overlap of a later one's begin, which are less than the
-// other half.
+// Some time after the lease has lapsed all slots are given up. An allocator that doesn't hear of them hands them out to
+// others a window after the lease, and when this report reaches which allocator is not known, but for reportTransit.
 func (h *Holder) NextReport(now time.Duration, full bool) *Report {
-	lapsed := h.leased && now >= h.usableUntil+h.rule.Window/2
+	lapsed := h.leased && now >= h.usableUntil+max(h.rule.Window-reportTransit, 0)
 	if h.sequence == 0 {
 		h.firstReportAt = now
 	}
