Accounts in diff, show and check, and API keys in none of them

A finding about a name given twice showed it where keys were given as names, and an error of the operator's client quoted the body of an answer, which a server that sends calls back fills with the configuration.

go test ./internal/fleet/configdiff ./internal/fleet/routingconfig ./internal/fleet/operatorclient: ok.

--- a/cmd/molepaddle-fleet/check.go
+++ b/cmd/molepaddle-fleet/check.go
@@ -128,8 +128,12 @@
 }
 
 func describeDocument(d *routingconfig.Document) string {
-	return fmt.Sprintf("version %d: %s, %s", d.Version(), plural(d.NumRoutes(), "route"),
+	about := fmt.Sprintf("version %d: %s, %s", d.Version(), plural(d.NumRoutes(), "route"),
 		plural(len(d.Services()), "service"))
+	if d.Accounts() != nil {
+		about += ", " + plural(len(d.Accounts()), "account")
+	}
+	return about
 }
 
 func describeSettings(s settings.Settings) string {
--- a/cmd/molepaddle-fleet/show.go
+++ b/cmd/molepaddle-fleet/show.go
@@ -16,7 +16,7 @@
 
 type showCmd struct {
 	controlFlags
-	JSON bool `name:"json" help:"Print the configuration as the control plane gives it."`
+	JSON bool `name:"json" help:"Print the operator's own document as the control plane gives it, with the API keys in it."`
 }
 
 // errNoConfiguration is that the control plane has no configuration yet.
@@ -40,7 +40,10 @@
 		return err
 	}
 	fmt.Fprintf(a.out, "%s, from %s\n", describeDocument(d), response.Endpoint)
-	return writeConfig(a.out, d.Config())
+	if err := writeConfig(a.out, d.Config()); err != nil {
+		return err
+	}
+	return writeAccounts(a.out, d)
 }
 
 // writeConfig writes a configuration as tables.
@@ -87,6 +90,9 @@
 	if r.EventGapTargetMs > 0 {
 		options = append(options, "pauses "+r.EventGapTarget().String())
 	}
+	if r.Public {
+		options = append(options, "public")
+	}
 	return orDash(strings.Join(options, ", "))
 }
 
@@ -115,6 +121,33 @@
 	}
 }
 
+// writeAccounts writes the accounts, one a line, where requests need keys. The keys themselves stand nowhere.
+func writeAccounts(w io.Writer, d *routingconfig.Document) error {
+	accounts := d.Accounts()
+	if accounts == nil {
+		return nil
+	}
+	if len(accounts) == 0 {
+		_, err := fmt.Fprintln(w, "\nno accounts: only public routes take requests")
+		return err
+	}
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "\naccount\tkeys\tprio\trate\tburst")
+	numKeys := d.NumAPIKeys()
+	for i, a := range accounts {
+		priority, rate, burst := "-", "-", "-"
+		if a.Priority != nil {
+			priority = strconv.Itoa(*a.Priority)
+		}
+		if a.Limited() {
+			rate = formatNumber(a.Rate) + "/s"
+			burst = formatNumber(a.Burst)
+		}
+		fmt.Fprintf(t, "%s\t%d\t%s\t%s\t%s\n", quoteName(a.Name), numKeys[i], priority, rate, burst)
+	}
+	return t.Flush()
+}
+
 // formatServices are a route's services, with their parts where there are several. The weights of a valid route add up
 // to more than 0.
 func formatServices(r *routingconfig.RouteSpec) []string {
@@ -134,6 +167,8 @@
 
 func formatPercent(part float64) string { return strconv.FormatFloat(100*part, 'g', 4, 64) + "%" }
 
+func formatNumber(n float64) string { return strconv.FormatFloat(n, 'f', -1, 64) }
+
 // formatDuration is a duration, or a dash for 0.
 func formatDuration(d time.Duration) string {
 	if d == 0 {
--- a/internal/fleet/configdiff/configdiff_test.go
+++ b/internal/fleet/configdiff/configdiff_test.go
@@ -109,3 +109,44 @@
 	c.Check(first[0].Removed(), qt.IsFalse)
 	c.Check(configdiff.Diff(d, nil)[0].Removed(), qt.IsTrue)
 }
+
+// TestDiffAccounts: accounts are compared by name, and their keys are shown and compared by their hashes.
+func TestDiffAccounts(t *testing.T) {
+	c := qt.New(t)
+	with := func(accounts string) *routingconfig.Document {
+		return document(c, body(1, "", "", accounts))
+	}
+	hash := func(key string) string { return `"` + routingconfig.HashKey(key).String() + `"` }
+	a, b, d := hash("secret-a"), hash("secret-b"), hash("secret-d")
+	const base = `,"accounts":[{"name":"one","apikeys":["secret-a"],"rate_s":5},{"name":"two","apikeys":["secret-b"]}]`
+	for _, test := range []struct {
+		name, to string
+		want     []string
+	}{
+		{"the same, written otherwise", `,"accounts":[{"rate_s":5.0,"apikeys":["s\u0065cret-a"],"name":"one"},` +
+			`{"name":"two","apikeys":["secret-b"]}]`, []string{}},
+		{"a key more, another key, a quota", `,"accounts":[{"name":"one","apikeys":["secret-a","secret-d"],"rate_s":9},` +
+			`{"name":"two","apikeys":["secret-d2"]}]`, []string{
+			"account one apikeys: [" + a + "] -> [" + a + "," + d + "]", "account one rate_s: 5 -> 9",
+			"account two apikeys[0]: " + b + " -> " + hash("secret-d2"),
+		}},
+		{"added and removed", `,"accounts":[{"name":"two","apikeys":["secret-b"]},{"name":"new","apikeys":["secret-d"]}]`,
+			[]string{
+				`account one : {"name":"one","apikeys":[` + a + `],"rate_s":5} -> `,
+				`account new :  -> {"name":"new","apikeys":[` + d + `]}`,
+			}},
+		{"order", `,"accounts":[{"name":"two","apikeys":["secret-b"]},{"name":"one","apikeys":["secret-a"],"rate_s":5}]`,
+			[]string{`configuration  accounts order: ["one","two"] -> ["two","one"]`}},
+		{"keys needed no more", "", []string{
+			`account one : {"name":"one","apikeys":[` + a + `],"rate_s":5} -> `,
+			`account two : {"name":"two","apikeys":[` + b + `]} -> `,
+			`configuration  accounts: ["one","two"] -> `,
+		}},
+	} {
+		changes := configdiff.Diff(with(base), with(test.to))
+		c.Check(lines(changes), qt.DeepEquals, test.want, qt.Commentf(test.name))
+	}
+	// Accounts without one in them still change what requests need.
+	c.Check(lines(configdiff.Diff(with(""), with(`,"accounts":[]`))), qt.DeepEquals,
+		[]string{"configuration  accounts:  -> []"})
+}
--- a/internal/fleet/configdiff/differ.go
+++ b/internal/fleet/configdiff/differ.go
@@ -59,6 +59,28 @@
 	d.add(field+" order", oldOrder, nowOrder)
 }
 
+// diffPresence records that a list was brought or taken away, with the names in it: the accounts of a configuration
+// mean something also where there are none, since requests need keys then.
+func (d *differ) diffPresence(field string, from, to json.RawMessage) {
+	if isNull(from) == isNull(to) {
+		return
+	}
+	d.add(field, namesOf(from), namesOf(to))
+}
+
+// namesOf returns the JSON list of the names of a list's items; nil where there is no list.
+func namesOf(list json.RawMessage) json.RawMessage {
+	if isNull(list) {
+		return nil
+	}
+	_, names := itemsByName(list)
+	if names == nil {
+		names = []string{}
+	}
+	b, _ := json.Marshal(names) // strings always marshal
+	return b
+}
+
 // diffValue compares two values of a field, and goes into objects, and into lists of the same length.
 func (d *differ) diffValue(field string, from, to json.RawMessage) {
 	if isNull(from) && isNull(to) {
--- a/internal/fleet/configdiff/wire_test.go
+++ b/internal/fleet/configdiff/wire_test.go
@@ -16,6 +16,6 @@
 // TestWireNames holds the names of what a difference may be of.
 func TestWireNames(t *testing.T) {
 	c := qt.New(t)
-	c.Check([]string{KindRoute, KindService, KindCaps, KindConfiguration}, qt.DeepEquals,
-		[]string{"route", "service", "caps", "configuration"})
+	c.Check([]string{KindRoute, KindService, KindAccount, KindCaps, KindConfiguration}, qt.DeepEquals,
+		[]string{"route", "service", "account", "caps", "configuration"})
 }
--- a/internal/fleet/operatorclient/errors.go
+++ b/internal/fleet/operatorclient/errors.go
@@ -1,6 +1,7 @@
 package operatorclient
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -79,7 +80,8 @@
 }
 
 // parseRejection reads a response whose status isn't 200. The body is read as the control server writes it; of
-// another one the first line is the reason, or the status's text where the body is empty.
+// another one the first line is the reason, or the status's text where the body is empty. A JSON object of another kind
+// may be a configuration, whose API keys stand in no error: it counts as empty.
 func parseRejection(status int, response Response) *RejectedError {
 	e := &RejectedError{Status: status, Endpoint: response.Endpoint}
 	var parsed struct {
@@ -103,9 +105,12 @@
 	return e
 }
 
-// firstLine is the first line of a body that may be of any kind.
+// firstLine is the first line of a body that may be of any kind; empty for a JSON object.
 func firstLine(body []byte) string {
 	const maxBytes = 200
+	if bytes.HasPrefix(bytes.TrimSpace(body), []byte("{")) {
+		return ""
+	}
 	line, _, _ := strings.Cut(strings.TrimSpace(string(body[:min(len(body), maxBytes)])), "\n")
 	return line
 }
--- a/internal/fleet/operatorclient/operatorclient_test.go
+++ b/internal/fleet/operatorclient/operatorclient_test.go
@@ -211,3 +211,17 @@
 	_, err := client.Show(context.Background())
 	c.Assert(err, qt.ErrorMatches, "no clear answer: .*: an answer over 67108864 bytes")
 }
+
+// TestErrorsDontQuoteConfigurations: what answers with the configuration in place of a reason, such as a server that
+// sends calls back, is not quoted: there may be API keys in it.
+func TestErrorsDontQuoteConfigurations(t *testing.T) {
+	c := qt.New(t)
+	at := startServer(c, func(w http.ResponseWriter, r *http.Request) {
+		w.WriteHeader(http.StatusUnprocessableEntity)
+		_, _ = io.Copy(w, r.Body)
+	})
+	client := operatorclient.Client{Endpoints: []string{at}}
+	body := []byte(` {"ver":1,"accounts":[{"name":"one","apikeys":["secret-a"]}]}`)
+	_, err := client.Change(context.Background(), externalapi.CallReplace, 0, body)
+	c.Assert(err, qt.ErrorMatches, "refused by "+at+` \(422\): unprocessable entity`)
+}
--- a/internal/fleet/routingconfig/duplicatekeys.go
+++ b/internal/fleet/routingconfig/duplicatekeys.go
@@ -54,10 +54,10 @@
 	index int
 }
 
-// pathString returns the path to the current value.
+// pathString returns the path to the current value. Within an account's API keys names may be keys: they are hashed.
 func (f *duplicateKeyFinder) pathString() string {
 	var b strings.Builder
-	for _, e := range f.path {
+	for i, e := range f.path {
 		if e.key == nil {
 			b.WriteString("[" + strconv.Itoa(e.index) + "]")
 			continue
@@ -65,6 +65,10 @@
 		if b.Len() > 0 {
 			b.WriteByte('.')
 		}
+		if inAPIKeys(f.path[:i]) {
+			b.WriteString(HashKey(string(e.key)).String())
+			continue
+		}
 		b.Write(e.key)
 	}
 	return b.String()
