--- a/cmd/molepaddle-fleet/page_test.go
+++ b/cmd/molepaddle-fleet/page_test.go
@@ -19,9 +19,13 @@
 	qt "github.com/frankban/quicktest"
 )
 
-var rewrite = flag.Bool("rewrite", false, "write the output of the commands into docs/operators/fleet-commands.md")
+var rewrite = flag.Bool("rewrite", false, "write the output of the commands into the pages that show it")
 
-const pageFile = "../../docs/operators/fleet-commands.md"
+// pageFile tells the commands and the log, accountsPage how keys and quotas are changed.
+const (
+	pageFile     = "../../docs/operators/fleet-commands.md"
+	accountsPage = "../../docs/operators/accounts.md"
+)
 
 // Addresses as the page has them: the control plane's, and one where nobody listens.
 const pageControl, pageDead = "10.1.0.16:8166", "10.2.0.32:8166"
@@ -44,14 +48,28 @@
 	return end
 }
 
-// The page's transcripts are blocks that begin with "    $ molepaddle-fleet". They are played in the page's order
-// against one control plane that has no configuration at first; files are those of testdata.
+// TestPageTranscripts plays the transcripts of the pages and compares what is printed.
 func TestPageTranscripts(t *testing.T) {
 	c := qt.New(t)
-	text, err := os.ReadFile(pageFile)
-	c.Assert(err, qt.IsNil)
 	t.Setenv("MOLEPADDLE_CONFIG", "")
 	t.Chdir("testdata")
+	played := playTranscripts(c, "../"+pageFile)
+	for _, name := range []string{"check", "show", "diff", "propose", "update", "route", "status", "watch",
+		"residency", "demo", "version"} {
+		c.Check(played[name], qt.IsTrue, qt.Commentf("no transcript of molepaddle-fleet %s", name))
+	}
+	played = playTranscripts(c, "../"+accountsPage)
+	for _, name := range []string{"show", "diff", "update", "watch"} {
+		c.Check(played[name], qt.IsTrue, qt.Commentf("%s: no transcript of molepaddle-fleet %s", accountsPage, name))
+	}
+}
+
+// playTranscripts plays the transcripts of a page, blocks that begin with "    $ molepaddle-fleet", in their order
+// against one control plane that has no configuration at first; files are those of testdata, where it must be called.
+// It returns the commands that were played.
+func playTranscripts(c *qt.C, page string) map[string]bool {
+	text, err := os.ReadFile(page)
+	c.Assert(err, qt.IsNil)
 	s := newFakeControlPlane(c)
 	there := strings.NewReplacer(pageControl, s.addr, pageDead, deadAddr(c))
 	dead := there.Replace(pageDead)
@@ -96,12 +114,9 @@
 		i = end
 	}
 	if *rewrite {
-		c.Assert(os.WriteFile("../"+pageFile, []byte(strings.Join(out, "\n")), 0o644), qt.IsNil)
-	}
-	for _, name := range []string{"check", "show", "diff", "propose", "update", "route", "status", "watch",
-		"residency", "demo", "version"} {
-		c.Check(played[name], qt.IsTrue, qt.Commentf("no transcript of molepaddle-fleet %s", name))
+		c.Assert(os.WriteFile(page, []byte(strings.Join(out, "\n")), 0o644), qt.IsNil)
 	}
+	return played
 }
 
 // logCall is a call in the source that writes a line.
--- a/internal/codestyle/pages_test.go
+++ b/internal/codestyle/pages_test.go
@@ -12,7 +12,9 @@
 )
 
 // namingPages are the pages that name code, as `package.Name` or `package.Type.Member`.
-var namingPages = []string{"docs/ARCHITECTURE.md", "docs/GLOSSARY.md", "docs/operators/fleet-commands.md"}
+var namingPages = []string{
+	"docs/ARCHITECTURE.md", "docs/GLOSSARY.md", "docs/operators/fleet-commands.md", "docs/operators/accounts.md",
+}
 
 // notCode has what else is written with a dot: tables of the settings file before it, kinds of files behind it.
 var notCode = map[string]bool{
