--- a/internal/fleet/settings/check.go
+++ b/internal/fleet/settings/check.go
@@ -3,7 +3,7 @@
 import "slices"
 
 // minPorts is how many ports of port_range the system's own programs use (distribution's ports).
-const minPorts = 3
+const minPorts = 4
 
 // Check returns what settings that Parse accepted still lack for what the process serves, nil where nothing is
 // missing; name is the file's, for the findings. A program starts all the same, but some of its work can't be done:
@@ -18,7 +18,7 @@
 	edge := slices.Contains(s.Roles, "edge")
 	control := slices.Contains(s.Roles, "ctl")
 	require(s.Ports[1]-s.Ports[0]+1 >= minPorts, "port_range",
-		"must hold 3 ports or more: the programs use that many among themselves")
+		"must hold 4 ports or more: the programs use that many among themselves")
 	require(!edge || s.Bind.Edge != "", "bind.edge", "must be given where roles has edge")
 	require(!edge || s.Bind.Ready != "", "bind.readyz", "must be given where roles has edge")
 	require(!control || s.Bind.Control != "", "bind.ctl", "must be given where roles has ctl")
--- a/internal/fleet/settings/check_test.go
+++ b/internal/fleet/settings/check_test.go
@@ -1,6 +1,7 @@
 package settings_test
 
 import (
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -37,3 +38,13 @@
 		"port_range", "bind.edge", "bind.readyz", "bind.ctl", "datadir", "peers", "provider.address", "rgn",
 	})
 }
+
+// TestCheckCountsThePortsInUse: the programs use four ports of the range, the fourth for tenants' quotas. One port less
+// is found, and four are enough.
+func TestCheckCountsThePortsInUse(t *testing.T) {
+	for ports, want := range map[string]int{"[7720,7722]": 1, "[7720,7723]": 0} {
+		s, err := settings.Parse("boot.toml", []byte(strings.Replace(example, "[7720,7735]", ports, 1)))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, s.Check("boot.toml"), qt.HasLen, want, qt.Commentf("%s", ports))
+	}
+}
