--- a/cmd/molepaddle-days/main.go
+++ b/cmd/molepaddle-days/main.go
@@ -1,5 +1,6 @@
-// Command molepaddle-days writes drawn days of trouble for the operators' bench, for the developers: the day's file goes
-// to standard output. The same seed gives the same day; --without leaves entries out, to cut down a day that broke a rule.
+// Command molepaddle-days writes drawn days of trouble for the operators' bench, for the developers: the day's file
+// goes to standard output. The same seed gives the same day; --without leaves entries out, to cut down a day that broke
+// a rule.
 package main
 
 import (
@@ -25,7 +26,10 @@
 
 func main() {
 	var c cli
-	k := kong.Parse(&c, kong.Name("molepaddle-days"), kong.Description("Draws days of trouble for the operators' bench."), kong.UsageOnError())
+	k := kong.Parse(&c,
+		kong.Name("molepaddle-days"),
+		kong.Description("Draws days of trouble for the operators' bench."),
+		kong.UsageOnError())
 	site, err := drawndays.ReadSite(c.Site)
 	k.FatalIfErrorf(err)
 	options := site.Options()
--- a/internal/decide/promises/copies.go
+++ b/internal/decide/promises/copies.go
@@ -8,7 +8,11 @@
 )
 
 func (k Key) compare(o Key) int {
-	return cmp.Or(strings.Compare(k.Near, o.Near), cmp.Compare(k.Incarnation, o.Incarnation), cmp.Compare(k.Number, o.Number))
+	return cmp.Or(
+		strings.Compare(k.Near, o.Near),
+		cmp.Compare(k.Incarnation, o.Incarnation),
+		cmp.Compare(k.Number, o.Number),
+	)
 }
 
 // Verdict is what a copy says of a crossing.
@@ -68,8 +72,8 @@
 	return &Copies{remember: remember, of: map[Holder]*copied{}, most: bytes}
 }
 
-// Hear takes a holder's message as the process me and words the reply; ok: there is one. Where a disk is kept, the reply
-// goes out once Row and Record of the message are on it.
+// Hear takes a holder's message as the process me and words the reply; ok: there is one. Where a disk is kept, the
+// reply goes out once Row and Record of the message are on it.
 func (c *Copies) Hear(now time.Duration, me, from Peer, m *Msg) (reply Msg, ok bool) {
 	h := c.of[m.Holder]
 	reply = Msg{Kind: Nack, Holder: m.Holder, Epoch: m.Epoch, Seq: m.Seq}
@@ -96,7 +100,8 @@
 		}
 		reply.Kind = Joined
 	case Batch:
-		if h == nil || h.sealed || h.read || h.epoch != m.Epoch || h.from != from || len(h.begun)+len(m.Keys) > 2*MaxKeys {
+		if h == nil || h.sealed || h.read || h.epoch != m.Epoch || h.from != from ||
+			len(h.begun)+len(m.Keys) > 2*MaxKeys {
 			return reply, true
 		}
 		for _, k := range m.Keys {
@@ -243,7 +248,8 @@
 	return all
 }
 
-// Expire forgets what counts no more, and tells of whom nothing is held now; runs tells whether a process is known to run.
+// Expire forgets what counts no more, and tells of whom nothing is held now; runs tells whether a process is known to
+// run.
 func (c *Copies) Expire(now time.Duration, runs func(Peer) bool) (dropped []Holder) {
 	for h, d := range c.of {
 		for k, at := range d.begun {
--- a/internal/decide/promises/promises.go
+++ b/internal/decide/promises/promises.go
@@ -92,7 +92,8 @@
 		return nil
 	}
 	switch {
-	case h == nil && e.Epoch != 1, h != nil && !h.Sealed && e.Epoch != h.Epoch+1 && !(e.Epoch == h.Epoch && slices.Equal(e.Copies, h.Copies)):
+	case h == nil && e.Epoch != 1,
+		h != nil && !h.Sealed && e.Epoch != h.Epoch+1 && !(e.Epoch == h.Epoch && slices.Equal(e.Copies, h.Copies)):
 		return ErrEpoch
 	case h != nil && h.Sealed:
 		return ErrSealed
@@ -179,7 +180,8 @@
 			if !c.Well || machines[c.Machine] {
 				continue
 			}
-			if best == nil || zones[best.Zone] && !zones[c.Zone] || zones[best.Zone] == zones[c.Zone] && rank(c) < rank(best) {
+			if best == nil || zones[best.Zone] && !zones[c.Zone] ||
+				zones[best.Zone] == zones[c.Zone] && rank(c) < rank(best) {
 				best = c
 			}
 		}
@@ -237,9 +239,12 @@
 	switch {
 	case m.Kind >= kinds || m.Holder.Name == "" || len(m.Holder.Name) > maxWord || m.Holder.Incarnation == 0:
 		return errors.New("promises: no such message, or nobody's")
-	case len(m.Keys) > MaxKeys || m.Kind != Join && len(m.Keys) > maxBatch || m.Kind == Join && len(m.Ages) != len(m.Keys):
+	case len(m.Keys) > MaxKeys,
+		m.Kind != Join && len(m.Keys) > maxBatch,
+		m.Kind == Join && len(m.Ages) != len(m.Keys):
 		return errors.New("promises: too many keys, or without their ages")
-	case m.Kind == Answered && (len(m.Keys) != 1 || m.Reply == nil || len(m.Reply.Body) > MaxReply || len(m.Reply.ContentType) > maxWord):
+	case m.Kind == Answered && (len(m.Keys) != 1 || m.Reply == nil || len(m.Reply.Body) > MaxReply ||
+		len(m.Reply.ContentType) > maxWord):
 		return errors.New("promises: an answer to nothing, or too long a one")
 	}
 	for _, k := range m.Keys {
--- a/internal/process/keys/keys.go
+++ b/internal/process/keys/keys.go
@@ -86,7 +86,12 @@
 // Client is how a peer of the name is dialled. Its certificate must hold that name.
 func (s *Store) Client(peer string) *tls.Config {
 	h := s.now.Load()
-	return &tls.Config{MinVersion: tls.VersionTLS13, ServerName: peer, RootCAs: h.pool, Certificates: []tls.Certificate{h.cert}}
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		ServerName:   peer,
+		RootCAs:      h.pool,
+		Certificates: []tls.Certificate{h.cert},
+	}
 }
 
 // Server is how links are taken: from whoever has a certificate of the authorities. Which of
@@ -121,9 +126,13 @@
 		if err != nil {
 			return err
 		}
-		if err := write(dir, n, &x509.Certificate{Subject: pkix.Name{CommonName: n}, DNSNames: []string{n},
-			KeyUsage: x509.KeyUsageDigitalSignature, ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}},
-			ca, caKey, key, last); err != nil {
+		template := &x509.Certificate{
+			Subject:     pkix.Name{CommonName: n},
+			DNSNames:    []string{n},
+			KeyUsage:    x509.KeyUsageDigitalSignature,
+			ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+		}
+		if err := write(dir, n, template, ca, caKey, key, last); err != nil {
 			return err
 		}
 	}
@@ -138,8 +147,12 @@
 		if err != nil {
 			return nil, nil, err
 		}
-		t := &x509.Certificate{Subject: pkix.Name{CommonName: "molepaddle trial"}, IsCA: true, BasicConstraintsValid: true,
-			KeyUsage: x509.KeyUsageCertSign | x509.KeyUsageDigitalSignature}
+		t := &x509.Certificate{
+			Subject:               pkix.Name{CommonName: "molepaddle trial"},
+			IsCA:                  true,
+			BasicConstraintsValid: true,
+			KeyUsage:              x509.KeyUsageCertSign | x509.KeyUsageDigitalSignature,
+		}
 		if err := write(dir, "ca", t, t, key, key, 10*last); err != nil {
 			return nil, nil, err
 		}
@@ -170,7 +183,11 @@
 	if err != nil {
 		return err
 	}
-	for file, block := range map[string]*pem.Block{name + ".pem": {Type: "CERTIFICATE", Bytes: cert}, name + ".key": {Type: "PRIVATE KEY", Bytes: secret}} {
+	blocks := map[string]*pem.Block{
+		name + ".pem": {Type: "CERTIFICATE", Bytes: cert},
+		name + ".key": {Type: "PRIVATE KEY", Bytes: secret},
+	}
+	for file, block := range blocks {
 		// Whoever reads a file while it is replaced finds the old one or the new.
 		path := filepath.Join(dir, file)
 		if err := os.WriteFile(path+".new", pem.EncodeToMemory(block), 0o600); err != nil {
--- a/internal/protocol/fcgifront/params.go
+++ b/internal/protocol/fcgifront/params.go
@@ -33,9 +33,23 @@
 	variables
 )
 
-var names = map[string]int{"REQUEST_METHOD": vMethod, "REQUEST_URI": vURI, "SCRIPT_NAME": vScript, "PATH_INFO": vPath, "QUERY_STRING": vQuery,
-	"CONTENT_LENGTH": vLength, "CONTENT_TYPE": vType, "HTTP_HOST": vHost, "SERVER_NAME": vServer, "HTTP_REQUEST_ID": vID,
-	"HTTP_IDEMPOTENCY_KEY": vKey, "HTTP_REQUEST_TIMEOUT": vTimeout, "HTTP_TENANT": vTenant, "HTTP_WORK_HINT": vHint, "HTTP_CLIENT_RETRY": vRetry}
+var names = map[string]int{
+	"REQUEST_METHOD":       vMethod,
+	"REQUEST_URI":          vURI,
+	"SCRIPT_NAME":          vScript,
+	"PATH_INFO":            vPath,
+	"QUERY_STRING":         vQuery,
+	"CONTENT_LENGTH":       vLength,
+	"CONTENT_TYPE":         vType,
+	"HTTP_HOST":            vHost,
+	"SERVER_NAME":          vServer,
+	"HTTP_REQUEST_ID":      vID,
+	"HTTP_IDEMPOTENCY_KEY": vKey,
+	"HTTP_REQUEST_TIMEOUT": vTimeout,
+	"HTTP_TENANT":          vTenant,
+	"HTTP_WORK_HINT":       vHint,
+	"HTTP_CLIENT_RETRY":    vRetry,
+}
 
 // fields reads a request's fields from its params.
 func fields(params []byte) (*intake.Fields, *intake.Problem) {
@@ -61,40 +75,66 @@
 		}
 		seen[i], all[i] = true, string(value)
 	}
-	f := &intake.Fields{Method: all[vMethod], ID: all[vID], IdempotencyKey: all[vKey], ContentType: all[vType], Timeout: all[vTimeout],
-		Tenant: all[vTenant], Hint: all[vHint], Retry: all[vRetry], Host: all[vHost], Length: -1}
+	f := &intake.Fields{
+		Method:         all[vMethod],
+		ID:             all[vID],
+		IdempotencyKey: all[vKey],
+		ContentType:    all[vType],
+		Timeout:        all[vTimeout],
+		Tenant:         all[vTenant],
+		Hint:           all[vHint],
+		Retry:          all[vRetry],
+		Host:           all[vHost],
+		Length:         -1,
+	}
 	if f.Host == "" {
 		f.Host = all[vServer]
 	}
-	if all[vLength] != "" {
-		n, err := strconv.ParseUint(all[vLength], 10, 62)
+	if problem := setLength(f, all[vLength]); problem != nil {
+		return nil, problem
+	}
+	if f.Target = all[vURI]; f.Target != "" {
+		if problem := setPath(f); problem != nil {
+			return nil, problem
+		}
+		return f, nil
+	}
+	f.Path = all[vScript] + all[vPath]
+	f.Target = (&url.URL{Path: f.Path, RawQuery: strings.ReplaceAll(all[vQuery], " ", "%20")}).RequestURI()
+	return f, nil
+}
+
+// setLength reads CONTENT_LENGTH; a GET or HEAD without it has no body.
+func setLength(f *intake.Fields, text string) *intake.Problem {
+	if text != "" {
+		n, err := strconv.ParseUint(text, 10, 62)
 		switch {
 		case err != nil && !errors.Is(err, strconv.ErrRange):
-			return nil, &intake.Problem{Status: http.StatusBadRequest, Text: "CONTENT_LENGTH: no number"}
+			return &intake.Problem{Status: http.StatusBadRequest, Text: "CONTENT_LENGTH: no number"}
 		case err != nil || n > window.Most:
-			return nil, &intake.Problem{Status: http.StatusRequestEntityTooLarge, Text: "body: above 32 MiB"}
+			return &intake.Problem{Status: http.StatusRequestEntityTooLarge, Text: "body: above 32 MiB"}
 		}
 		f.Length = int64(n)
 	} else if f.Method == http.MethodGet || f.Method == http.MethodHead {
 		f.Length = 0
 	}
-	if f.Target = all[vURI]; f.Target != "" {
-		if i := strings.Index(f.Target, "://"); i > 0 && !strings.HasPrefix(f.Target, "/") { // absolute form
-			rest := f.Target[i+3:]
-			f.Target = "/"
-			if slash := strings.IndexAny(rest, "/?"); slash >= 0 {
-				f.Target = "/" + strings.TrimPrefix(rest[slash:], "/")
-			}
-		}
-		path, _, _ := strings.Cut(f.Target, "?")
-		plain, err := url.PathUnescape(path)
-		if err != nil || strings.ContainsRune(f.Target, ' ') {
-			return nil, &intake.Problem{Status: http.StatusBadRequest, Text: "REQUEST_URI: no path"}
+	return nil
+}
+
+// setPath brings the target into the form that begins with a slash, and sets the path that it has.
+func setPath(f *intake.Fields) *intake.Problem {
+	if i := strings.Index(f.Target, "://"); i > 0 && !strings.HasPrefix(f.Target, "/") { // absolute form
+		rest := f.Target[i+3:]
+		f.Target = "/"
+		if slash := strings.IndexAny(rest, "/?"); slash >= 0 {
+			f.Target = "/" + strings.TrimPrefix(rest[slash:], "/")
 		}
-		f.Path = plain
-		return f, nil
 	}
-	f.Path = all[vScript] + all[vPath]
-	f.Target = (&url.URL{Path: f.Path, RawQuery: strings.ReplaceAll(all[vQuery], " ", "%20")}).RequestURI()
-	return f, nil
+	path, _, _ := strings.Cut(f.Target, "?")
+	plain, err := url.PathUnescape(path)
+	if err != nil || strings.ContainsRune(f.Target, ' ') {
+		return &intake.Problem{Status: http.StatusBadRequest, Text: "REQUEST_URI: no path"}
+	}
+	f.Path = plain
+	return nil
 }
--- a/internal/protocol/peers/wire.go
+++ b/internal/protocol/peers/wire.go
@@ -7,13 +7,26 @@
 
 // Frame is a message as a link carries it.
 func Frame(m *members.Message) (*linkwire.News, error) {
-	f := &linkwire.News{Digest: m.Digest, Stamp: m.Stamp, Echo: m.Echo, Sums: m.Sums, Mask: uint64(m.Mask), Want: m.Want}
+	f := &linkwire.News{
+		Digest: m.Digest,
+		Stamp:  m.Stamp,
+		Echo:   m.Echo,
+		Sums:   m.Sums,
+		Mask:   uint64(m.Mask),
+		Want:   m.Want,
+	}
 	for _, h := range m.Heads {
 		f.Heads = append(f.Heads, linkwire.Head{Key: h.Key, Version: h.Version})
 	}
 	for i := range m.Records {
 		r := &m.Records[i]
-		e := linkwire.Entry{Name: r.ID.Name, Incarnation: r.ID.Incarnation, Subject: uint64(r.Kind), Version: r.Version, Body: []byte(r.Raw)}
+		e := linkwire.Entry{
+			Name:        r.ID.Name,
+			Incarnation: r.ID.Incarnation,
+			Subject:     uint64(r.Kind),
+			Version:     r.Version,
+			Body:        []byte(r.Raw),
+		}
 		if r.Raw == "" && r.Kind != members.Orders {
 			var err error
 			if r.Kind == members.Self {
@@ -37,13 +50,25 @@
 
 // Message reads a frame. A record whose body makes no sense is an error.
 func Message(f *linkwire.News) (members.Message, error) {
-	m := members.Message{Digest: f.Digest, Stamp: f.Stamp, Echo: f.Echo, Sums: f.Sums, Mask: uint32(f.Mask), Want: f.Want}
+	m := members.Message{
+		Digest: f.Digest,
+		Stamp:  f.Stamp,
+		Echo:   f.Echo,
+		Sums:   f.Sums,
+		Mask:   uint32(f.Mask),
+		Want:   f.Want,
+	}
 	for _, h := range f.Heads {
 		m.Heads = append(m.Heads, members.Head{Key: h.Key, Version: h.Version})
 	}
 	for i := range f.Records {
 		e := &f.Records[i]
-		r := members.Record{ID: members.ID{Name: e.Name, Incarnation: e.Incarnation}, Kind: members.Kind(e.Subject), Version: e.Version, Raw: string(e.Body)}
+		r := members.Record{
+			ID:      members.ID{Name: e.Name, Incarnation: e.Incarnation},
+			Kind:    members.Kind(e.Subject),
+			Version: e.Version,
+			Raw:     string(e.Body),
+		}
 		switch r.Kind {
 		case members.Self:
 			s, err := linkwire.ReadSelf(e.Body)
--- a/internal/protocol/transport/lend.go
+++ b/internal/protocol/transport/lend.go
@@ -25,9 +25,10 @@
 	Reused bool // it has carried a request before
 }
 
-// Lend gives an idle connection on which nothing waits, else a new one; requestID names the request that it is for, and is
-// not empty. Two requests of one id never follow each other on a connection: a surplus answer to the first would pass for the
-// second's. Errors: core.ErrNoSocket where no descriptor is left, the context's, and those of the dial: nothing has been written.
+// Lend gives an idle connection on which nothing waits, else a new one; requestID names the request that it is for, and
+// is not empty. Two requests of one id never follow each other on a connection: a surplus answer to the first would
+// pass for the second's. Errors: core.ErrNoSocket where no descriptor is left, the context's, and those of the dial:
+// nothing has been written.
 func (w *Way) Lend(ctx context.Context, requestID string) (*Lent, error) {
 	for {
 		c, err := w.e.take()
--- a/internal/rig/drawndays/drawndays.go
+++ b/internal/rig/drawndays/drawndays.go
@@ -64,7 +64,11 @@
 func Draw(o Options) Day {
 	source := rand.New(rand.NewPCG(o.Seed, 0x6d6f6c65))
 	d := &drawer{Options: o, random: source}
-	day := Day{Name: fmt.Sprintf("drawn-%s-%d", o.Theme, o.Seed), Seed: source.Uint64() % 1_000_000_000, Length: o.Length}
+	day := Day{
+		Name:   fmt.Sprintf("drawn-%s-%d", o.Theme, o.Seed),
+		Seed:   source.Uint64() % 1_000_000_000,
+		Length: o.Length,
+	}
 	templates := templatesOf(o.Theme, o.Kinds)
 	for range d.between(o.Fewest, o.Most) {
 		day.Entries = append(day.Entries, d.entry(templates[source.IntN(len(templates))]))
@@ -169,14 +173,28 @@
 	gap := d.amount(0.04, 1.5)
 	length := d.amount(2, d.Length/2)
 	begin := d.amount(firstAt, d.Length-length)
-	storm := Entry{Kind: "config_storm", Plan: true, At: begin, Fields: []Field{{"for_s", number(length)}, {"gap_s", number(gap)}}}
-	last := Entry{Kind: "config_change", Plan: true, At: math.Round(d.Length*9) / 10, Fields: []Field{{"how", quoted("route")}}}
+	storm := Entry{
+		Kind:   "config_storm",
+		Plan:   true,
+		At:     begin,
+		Fields: []Field{{"for_s", number(length)}, {"gap_s", number(gap)}},
+	}
+	last := Entry{
+		Kind:   "config_change",
+		Plan:   true,
+		At:     math.Round(d.Length*9) / 10,
+		Fields: []Field{{"how", quoted("route")}},
+	}
 	return []Entry{storm, last}
 }
 
 // roll draws a time and a pace at which the proxies are told to end, and started again, in turn.
 func (d *drawer) roll() Entry {
-	fields := []Field{{"share", number(d.amount(0.3, 1))}, {"x", fmt.Sprint(d.between(1, 2))}, {"gap_s", number(d.amount(0.7, 3))}}
+	fields := []Field{
+		{"share", number(d.amount(0.3, 1))},
+		{"x", fmt.Sprint(d.between(1, 2))},
+		{"gap_s", number(d.amount(0.7, 3))},
+	}
 	if d.random.IntN(2) == 0 {
 		fields = append(fields, Field{"how", quoted("busy")})
 	}
