--- a/internal/fleet/scaletest/agents.go
+++ b/internal/fleet/scaletest/agents.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"strings"
 	"sync"
@@ -19,7 +20,7 @@
 type Crew struct {
 	First, Count int
 	Addresses    []string      // where control servers answer pulls
-	Beat         time.Duration // heartbeat_ms of the settings
+	Heartbeat    time.Duration // heartbeat_ms of the settings
 	Apply        time.Duration // apply_ms of the settings
 
 	mu     sync.Mutex
@@ -46,8 +47,8 @@
 // keptVersions bounds the versions that a crew still counts arrivals of.
 const keptVersions = 512
 
-// Run pulls until ctx ends or commands do. Commands come as lines: "mark" asks for an event "back" once each agent has heard, by
-// whatever way, of a primary that was alive after now. Events go to out as lines of JSON.
+// Run pulls until ctx ends or commands do. Commands come as lines: "mark" asks for an event "back" once each agent has
+// heard, by whatever way, of a primary that was alive after now. Events go to out as lines of JSON.
 func (c *Crew) Run(ctx context.Context, commands io.Reader, out io.Writer) error {
 	c.out, c.seen = out, map[string]*arrivals{}
 	ctx, cancel := context.WithCancel(ctx)
@@ -73,21 +74,23 @@
 func (c *Crew) follow(ctx context.Context, i int) {
 	name, zone := fmt.Sprintf("edge-zone-%d-%d", (c.First+i)%zones, c.First+i), Zone(c.First+i)
 	have := map[string]distribution.Version{}
-	wait, silence := distribution.PullTimeouts(c.Apply, c.Beat)
+	wait, silence := distribution.PullTimeouts(c.Apply, c.Heartbeat)
 	var heard time.Time
 	began := time.Now()
 	for at := rand.IntN(len(c.Addresses)); ctx.Err() == nil; at++ {
-		_ = distribution.Watch(ctx, c.Addresses[at%len(c.Addresses)], &distribution.Watcher{Name: name, MaxWait: wait, ReadTimeout: silence,
+		_ = distribution.Watch(ctx, c.Addresses[at%len(c.Addresses)], &distribution.Watcher{
+			Name:        name,
+			MaxWait:     wait,
+			ReadTimeout: silence,
 			Members: func() []distribution.Member {
-				return []distribution.Member{{Name: name, Zone: zone, ConfigVersion: int64(have[distribution.ConfigType].Count), BackendListVersion: have[distribution.BackendListType]}}
-			},
-			Versions: func() map[string]distribution.Version {
-				clone := make(map[string]distribution.Version, len(have))
-				for source, v := range have {
-					clone[source] = v
-				}
-				return clone
+				return []distribution.Member{{
+					Name:               name,
+					Zone:               zone,
+					ConfigVersion:      int64(have[distribution.ConfigType].Count),
+					BackendListVersion: have[distribution.BackendListType],
+				}}
 			},
+			Versions: func() map[string]distribution.Version { return maps.Clone(have) },
 			Apply: func(n *distribution.Response) (lacking []string) {
 				now := time.Now()
 				if n.LastContactMs >= 0 {
@@ -96,20 +99,12 @@
 					}
 				}
 				c.noteBack(i, heard, now)
-				for _, p := range n.Resources {
-					was := have[p.Type]
-					if p.Snapshot == nil && was != p.BaseVersion {
-						lacking = append(lacking, p.Type)
-						continue
-					}
-					if was.Before(p.Version) {
-						have[p.Type] = p.Version
-						c.note(p.Type, was, p.Version, now)
-					}
-				}
-				return lacking
+				return c.take(have, n.Resources, now)
+			},
+			Continue: func() bool {
+				return time.Since(heard) < 2*c.Heartbeat || time.Since(began) < 2*c.Heartbeat
 			},
-			Continue: func() bool { return time.Since(heard) < 2*c.Beat || time.Since(began) < 2*c.Beat }})
+		})
 		began = time.Now()
 		pause := time.NewTimer(50*time.Millisecond + rand.N(50*time.Millisecond))
 		select {
@@ -120,6 +115,24 @@
 	}
 }
 
+// take takes resources into the versions that an agent has, and returns the types that it lacks the base of.
+func (c *Crew) take(
+	have map[string]distribution.Version, resources []distribution.Resource, now time.Time,
+) (lacking []string) {
+	for _, p := range resources {
+		was := have[p.Type]
+		if p.Snapshot == nil && was != p.BaseVersion {
+			lacking = append(lacking, p.Type)
+			continue
+		}
+		if was.Before(p.Version) {
+			have[p.Type] = p.Version
+			c.note(p.Type, was, p.Version, now)
+		}
+	}
+	return lacking
+}
+
 // note counts that one more agent came from a version to another: of the configuration each one between counts.
 func (c *Crew) note(source string, was, at distribution.Version, now time.Time) {
 	if source == distribution.MembershipSizeType {
--- a/internal/fleet/scaletest/fleet.go
+++ b/internal/fleet/scaletest/fleet.go
@@ -25,8 +25,16 @@
 		if float64(i*37%100) < prefillShare*100 { // spread evenly, as 37 and 100 have no common factor
 			phase = "prefill"
 		}
-		l.Backends[i] = distribution.Backend{ID: fmt.Sprintf("i-%08x", i), Service: "llm", Address: fmt.Sprintf("127.%d.%d.%d:8080", 100+i>>16, i>>8&255, i&255),
-			Zone: Zone(i), Version: "v1", Capacity: 64, Phase: phase, Weights: 1}
+		l.Backends[i] = distribution.Backend{
+			ID:       fmt.Sprintf("i-%08x", i),
+			Service:  "llm",
+			Address:  fmt.Sprintf("127.%d.%d.%d:8080", 100+i>>16, i>>8&255, i&255),
+			Zone:     Zone(i),
+			Version:  "v1",
+			Capacity: 64,
+			Phase:    phase,
+			Weights:  1,
+		}
 	}
 	return l
 }
@@ -89,14 +97,39 @@
 )
 
 func route(i int, priority int) routeItem {
-	return routeItem{Name: fmt.Sprintf("r-%07d", i), Host: fmt.Sprintf("tenant-%d.example", i%1900), Prefix: fmt.Sprintf("/p%d/", i), Kind: "stream", Deadline: 20_000,
-		Target: 810, Priority: priority, Service: "llm", Tries: 2, Pin: true, Resumable: true, Gap: 69}
+	return routeItem{
+		Name:      fmt.Sprintf("r-%07d", i),
+		Host:      fmt.Sprintf("tenant-%d.example", i%1900),
+		Prefix:    fmt.Sprintf("/p%d/", i),
+		Kind:      "stream",
+		Deadline:  20_000,
+		Target:    810,
+		Priority:  priority,
+		Service:   "llm",
+		Tries:     2,
+		Pin:       true,
+		Resumable: true,
+		Gap:       69,
+	}
 }
 
 // newDocument is a whole configuration with so many routes.
 func newDocument(version int64, routes int) document {
-	d := document{Version: version, Limits: limitsItem{16_384, 4 << 20, 3000, 15_000}, Services: []serviceItem{{Name: "llm", Probe: "/healthz", MaxConn: 360, Protocol: "h1",
-		Runtime: runtimeItem{Capacity: 64, Tokens: 600_000, Bytes: 163_840, Mbps: 8_800_000, Stride: 1, KeptFor: 5, SwapFor: 0.5, Models: []modelItem{{"m"}}}}}}
+	service := serviceItem{Name: "llm", Probe: "/healthz", MaxConn: 360, Protocol: "h1", Runtime: runtimeItem{
+		Capacity: 64,
+		Tokens:   600_000,
+		Bytes:    163_840,
+		Mbps:     8_800_000,
+		Stride:   1,
+		KeptFor:  5,
+		SwapFor:  0.5,
+		Models:   []modelItem{{"m"}},
+	}}
+	d := document{
+		Version:  version,
+		Limits:   limitsItem{16_384, 4 << 20, 3000, 15_000},
+		Services: []serviceItem{service},
+	}
 	for i := range routes {
 		d.Routes = append(d.Routes, route(i, 0))
 	}
--- a/internal/fleet/scaletest/measure.go
+++ b/internal/fleet/scaletest/measure.go
@@ -45,7 +45,8 @@
 func (t *Trial) quantiles(what string, all []time.Duration) {
 	slices.Sort(all)
 	n := len(all)
-	t.say("%s: median %.1f ms, p99 %.1f ms, last %.1f ms (%d times)", what, ms(all[n/2]), ms(all[min(n*99/100, n-1)]), ms(all[n-1]), n)
+	t.say("%s: median %.1f ms, p99 %.1f ms, last %.1f ms (%d times)",
+		what, ms(all[n/2]), ms(all[min(n*99/100, n-1)]), ms(all[n-1]), n)
 }
 
 func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
@@ -81,7 +82,11 @@
 			return sum, err
 		}
 		sum.At = u.At
-		sum.CPU, sum.Read, sum.Written, sum.Resident, sum.Peak = sum.CPU+u.CPU, sum.Read+u.Read, sum.Written+u.Written, sum.Resident+u.Resident, sum.Peak+u.Peak
+		sum.CPU += u.CPU
+		sum.Read += u.Read
+		sum.Written += u.Written
+		sum.Resident += u.Resident
+		sum.Peak += u.Peak
 	}
 	return sum, nil
 }
@@ -112,8 +117,10 @@
 			per *= seconds
 		}
 		cpu := after.CPU - before[i].CPU
-		t.say("%s: %-22s cpu %10.4f ms, in %12.1f B, out %12.1f B a %s; %.3f %% of a core in %.1f s", what, rows[i].name, ms(cpu)/per,
-			float64(after.Read-before[i].Read)/per, float64(after.Written-before[i].Written)/per, unit, 100*cpu.Seconds()/seconds/rows[i].share, seconds)
+		t.say("%s: %-22s cpu %10.4f ms, in %12.1f B, out %12.1f B a %s; %.3f %% of a core in %.1f s",
+			what, rows[i].name, ms(cpu)/per,
+			float64(after.Read-before[i].Read)/per, float64(after.Written-before[i].Written)/per, unit,
+			100*cpu.Seconds()/seconds/rows[i].share, seconds)
 	}
 	return nil
 }
--- a/internal/fleet/scaletest/operator.go
+++ b/internal/fleet/scaletest/operator.go
@@ -29,7 +29,10 @@
 )
 
 func newOperator(addresses []string) *operator {
-	return &operator{addresses: addresses, client: http.Client{Timeout: callWithin, Transport: &http.Transport{DisableKeepAlives: true}}}
+	return &operator{addresses: addresses, client: http.Client{
+		Timeout:   callWithin,
+		Transport: &http.Transport{DisableKeepAlives: true},
+	}}
 }
 
 // pause waits; false: ctx has ended.
@@ -48,7 +51,8 @@
 func (o *operator) call(ctx context.Context, c *externalapi.Call, body []byte) error {
 	last := errors.New("no control server")
 	for i := 0; ctx.Err() == nil; i++ {
-		req, err := http.NewRequestWithContext(ctx, c.Method, "http://"+o.addresses[i%len(o.addresses)]+c.Path, bytes.NewReader(body))
+		url := "http://" + o.addresses[i%len(o.addresses)] + c.Path
+		req, err := http.NewRequestWithContext(ctx, c.Method, url, bytes.NewReader(body))
 		if err != nil {
 			return err
 		}
@@ -63,7 +67,8 @@
 				return nil
 			}
 			last = errors.Errorf("status %d: %s", resp.StatusCode, answer)
-			if resp.StatusCode < 500 && resp.StatusCode != http.StatusTemporaryRedirect && resp.StatusCode != http.StatusNotFound {
+			if resp.StatusCode < 500 && resp.StatusCode != http.StatusTemporaryRedirect &&
+				resp.StatusCode != http.StatusNotFound {
 				return last
 			}
 		}
--- a/internal/fleet/scaletest/phases.go
+++ b/internal/fleet/scaletest/phases.go
@@ -12,11 +12,11 @@
 	"molepaddle/internal/fleet/replication"
 )
 
-// settleFor is how long the agents' leases and the number of agents take to stand still: some beats.
-func (t *Trial) settleFor() time.Duration { return 4 * t.Beat }
+// steadyFor is how long the agents' leases and the number of agents take to stand still: some beats.
+func (t *Trial) steadyFor() time.Duration { return 4 * t.Heartbeat }
 
 func (t *Trial) rest(ctx context.Context) error {
-	if !pause(ctx, t.settleFor()) {
+	if !pause(ctx, t.steadyFor()) {
 		return ctx.Err()
 	}
 	calls := t.platform.Calls()
@@ -44,7 +44,9 @@
 			}
 			ack := time.Now()
 			acks = append(acks, ack.Sub(began))
-			at, err := t.await(ctx, func(e *Event) bool { return e.What == distribution.ConfigType && e.Count >= t.op.changes })
+			at, err := t.await(ctx, func(e *Event) bool {
+				return e.What == distribution.ConfigType && e.Count >= t.op.changes
+			})
 			if err != nil {
 				return err
 			}
@@ -71,7 +73,9 @@
 			}
 			began := time.Now()
 			t.platform.Toggle(i)
-			at, err := t.await(ctx, func(e *Event) bool { return e.What == distribution.BackendListType && e.At[0] > began.UnixNano() })
+			at, err := t.await(ctx, func(e *Event) bool {
+				return e.What == distribution.BackendListType && e.At[0] > began.UnixNano()
+			})
 			if err != nil {
 				return err
 			}
@@ -150,7 +154,7 @@
 	if err := t.observe(i); err != nil {
 		return err
 	}
-	if !pause(ctx, t.settleFor()) {
+	if !pause(ctx, t.steadyFor()) {
 		return ctx.Err()
 	}
 	return nil
@@ -176,7 +180,8 @@
 func (t *Trial) memory(when string) {
 	for _, r := range t.rows() {
 		if u, err := r.usage(); err == nil {
-			t.say("memory %s: %-22s resident %8.2f MB, peak %8.2f MB", when, r.name, float64(u.Resident)/1e6/r.share, float64(u.Peak)/1e6/r.share)
+			t.say("memory %s: %-22s resident %8.2f MB, peak %8.2f MB",
+				when, r.name, float64(u.Resident)/1e6/r.share, float64(u.Peak)/1e6/r.share)
 		}
 	}
 }
--- a/internal/fleet/scaletest/process.go
+++ b/internal/fleet/scaletest/process.go
@@ -26,7 +26,9 @@
 
 // start starts a program. It gets no variables of the caller but those named. lines takes what it writes to standard
 // output and standard error, line by line.
-func start(name, binary string, args, env []string, lines func(p *process, line []byte)) (*process, io.WriteCloser, error) {
+func start(
+	name, binary string, args, env []string, lines func(p *process, line []byte),
+) (*process, io.WriteCloser, error) {
 	p := &process{name: name, cmd: exec.Command(binary, args...), done: make(chan struct{})}
 	p.cmd.Env = append([]string{"PATH=" + os.Getenv("PATH")}, env...)
 	in, err := p.cmd.StdinPipe()
@@ -83,16 +85,16 @@
 
 // machine is the settings of one machine of a run.
 type machine struct {
-	name, zone, ip string
-	ports          [2]int
-	seeds          []string
-	bootstrap      bool
-	dataDir        string
-	edge, ready    string
-	control        string
-	provider       string
-	rate           float64
-	beat, apply    time.Duration
+	name, zone, ip   string
+	ports            [2]int
+	seeds            []string
+	bootstrap        bool
+	dataDir          string
+	edge, ready      string
+	control          string
+	provider         string
+	rate             float64
+	heartbeat, apply time.Duration
 }
 
 // write puts the settings file into a folder and returns its path.
@@ -103,10 +105,21 @@
 			bind[key] = addr
 		}
 	}
-	doc := map[string]any{"nodename": m.name, "ip": m.ip, "az": m.zone, "rgn": "region-0", "port_range": m.ports, "peers": m.seeds, "bootstrap": m.bootstrap,
-		"heartbeat_ms": m.beat.Milliseconds(), "bind": bind, "survive": map[string]int{"nodes": 1}, "bnds": map[string]int64{"apply_ms": m.apply.Milliseconds()},
-		"caps":     map[string]any{"nofile": 20_000},
-		"provider": map[string]any{"address": m.provider, "rate_s": m.rate, "delay_ms": 800}}
+	doc := map[string]any{
+		"nodename":     m.name,
+		"ip":           m.ip,
+		"az":           m.zone,
+		"rgn":          "region-0",
+		"port_range":   m.ports,
+		"peers":        m.seeds,
+		"bootstrap":    m.bootstrap,
+		"heartbeat_ms": m.heartbeat.Milliseconds(),
+		"bind":         bind,
+		"survive":      map[string]int{"nodes": 1},
+		"bnds":         map[string]int64{"apply_ms": m.apply.Milliseconds()},
+		"caps":         map[string]any{"nofile": 20_000},
+		"provider":     map[string]any{"address": m.provider, "rate_s": m.rate, "delay_ms": 800},
+	}
 	if m.dataDir != "" {
 		doc["datadir"] = m.dataDir
 	}
--- a/internal/fleet/scaletest/proxy.go
+++ b/internal/fleet/scaletest/proxy.go
@@ -71,13 +71,13 @@
 	}
 	at := func(offset int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(first+offset)) }
 	m := machine{name: "edge-real-proxy", zone: Zone(0), ip: "127.0.0.1", ports: [2]int{first, first + 3}, seeds: []string{at(4)}, edge: at(5), ready: at(6),
-		beat: 1200 * time.Millisecond, apply: 2 * time.Second, rate: 42}
+		heartbeat: 1200 * time.Millisecond, apply: 2 * time.Second, rate: 42}
 	feed, err := net.Listen("tcp", distribution.NodeAgentAddr(m.ports))
 	if err != nil {
 		return err
 	}
 	defer feed.Close()
-	if err := t.feed(ctx, feed, m.beat, engines.Addr().String()); err != nil {
+	if err := t.feed(ctx, feed, m.heartbeat, engines.Addr().String()); err != nil {
 		return err
 	}
 	path, err := m.write(dir)
--- a/internal/fleet/scaletest/scaletest_test.go
+++ b/internal/fleet/scaletest/scaletest_test.go
@@ -73,7 +73,7 @@
 	in, commands := io.Pipe()
 	events, out := io.Pipe()
 	ended := make(chan error, 1)
-	crew := Crew{Count: 5, Addresses: []string{ln.Addr().String()}, Beat: 50 * time.Millisecond, Apply: 2 * time.Second}
+	crew := Crew{Count: 5, Addresses: []string{ln.Addr().String()}, Heartbeat: 50 * time.Millisecond, Apply: 2 * time.Second}
 	go func() { ended <- crew.Run(ctx, in, out) }()
 	read := json.NewDecoder(events)
 	next := func() (e Event) {
@@ -114,7 +114,7 @@
 }
 
 func TestTrialsAreBounded(t *testing.T) {
-	good := Trial{Agents: 10, Crews: 2, Backends: 10, Routes: 10, Page: 50, Rate: 42, Beat: time.Second, Apply: 2 * time.Second, Rest: time.Second, Within: time.Second}
+	good := Trial{Agents: 10, Crews: 2, Backends: 10, Routes: 10, Page: 50, Rate: 42, Heartbeat: time.Second, Apply: 2 * time.Second, Rest: time.Second, Within: time.Second}
 	qt.Assert(t, good.check(), qt.IsNil)
 	for name, spoil := range map[string]func(t *Trial){
 		"agents": func(t *Trial) { t.Agents = MaxAgents + 1 }, "crews": func(t *Trial) { t.Crews = 11 }, "backends": func(t *Trial) { t.Backends = 0 },
--- a/internal/fleet/scaletest/setup.go
+++ b/internal/fleet/scaletest/setup.go
@@ -84,7 +84,9 @@
 	if err := t.startAgents(l); err != nil {
 		return err
 	}
-	config, err := t.await(ctx, func(e *Event) bool { return e.What == distribution.ConfigType && e.Count >= t.op.changes })
+	config, err := t.await(ctx, func(e *Event) bool {
+		return e.What == distribution.ConfigType && e.Count >= t.op.changes
+	})
 	if err != nil {
 		return errors.Wrap(err, "configuration to all")
 	}
@@ -103,7 +105,13 @@
 		return nil, err
 	}
 	l := &layout{dir: dir, first: first}
-	l.base = machine{ports: [2]int{first, first + 3}, provider: t.platform.Address(), rate: t.Rate, beat: t.Beat, apply: t.Apply}
+	l.base = machine{
+		ports:     [2]int{first, first + 3},
+		provider:  t.platform.Address(),
+		rate:      t.Rate,
+		heartbeat: t.Heartbeat,
+		apply:     t.Apply,
+	}
 	for _, ip := range ips[1:] {
 		l.controls = append(l.controls, l.at(ip, controlPort))
 		l.pulls = append(l.pulls, distribution.PullAddr(ip, l.base.ports))
@@ -181,7 +189,8 @@
 	for i := range t.Crews {
 		from, to := i*t.Agents/t.Crews, (i+1)*t.Agents/t.Crews
 		args := t.CrewArgs(from, to-from, l.pulls)
-		p, in, err := start(fmt.Sprint("agents-", i), t.Self, args, nil, func(_ *process, line []byte) { t.note(i, line) })
+		note := func(_ *process, line []byte) { t.note(i, line) }
+		p, in, err := start(fmt.Sprint("agents-", i), t.Self, args, nil, note)
 		if err != nil {
 			return err
 		}
--- a/internal/fleet/scaletest/trial.go
+++ b/internal/fleet/scaletest/trial.go
@@ -19,7 +19,7 @@
 	Routes    int           // in the configuration
 	Page      int           // entries on one page of the platform's list
 	Rate      float64       // calls a second that the platform is said to take
-	Beat      time.Duration // heartbeat_ms of the settings
+	Heartbeat time.Duration // heartbeat_ms of the settings
 	Apply     time.Duration // apply_ms of the settings
 	Rest      time.Duration // how long use at rest is measured
 	Changes   int           // of the configuration, one a Gap
@@ -61,7 +61,7 @@
 		return errors.Errorf("backends: 1 to %d", MaxBackends)
 	case t.Routes < 1 || t.Routes > MaxRoutes:
 		return errors.Errorf("routes: 1 to %d", MaxRoutes)
-	case t.Page < 1 || t.Rate <= 0 || t.Beat <= 0 || t.Apply <= 0 || t.Rest <= 0 || t.Within <= 0:
+	case t.Page < 1 || t.Rate <= 0 || t.Heartbeat <= 0 || t.Apply <= 0 || t.Rest <= 0 || t.Within <= 0:
 		return errors.New("page, rate, beat, apply, rest, within: above 0")
 	}
 	return nil
@@ -82,8 +82,9 @@
 	watched, stop := context.WithCancel(ctx)
 	defer stop()
 	go t.watch(watched)
-	t.say("agents %d, backends %d, routes %d, page %d, rate %g/s, beat %v, apply %v, control servers %d, agents' processes %d", t.Agents, t.Backends, t.Routes, t.Page, t.Rate, t.Beat, t.Apply,
-		cores, t.Crews)
+	t.say("agents %d, backends %d, routes %d, page %d, rate %g/s, beat %v, apply %v, control servers %d, "+
+		"agents' processes %d",
+		t.Agents, t.Backends, t.Routes, t.Page, t.Rate, t.Heartbeat, t.Apply, cores, t.Crews)
 	if err := t.setUp(ctx, dir); err != nil {
 		return errors.Wrap(err, "set up")
 	}
@@ -91,8 +92,14 @@
 		name string
 		run  func(context.Context) error
 		on   bool
-	}{{"rest", t.rest, true}, {"changes", t.changes, t.Changes > 0}, {"lists", t.lists, t.Lists > 0},
-		{"memory", func(context.Context) error { t.memory("before losses"); return nil }, t.Losses}, {"primary killed", t.losePrimary, t.Losses}, {"core killed", t.loseCore, t.Losses}} {
+	}{
+		{"rest", t.rest, true},
+		{"changes", t.changes, t.Changes > 0},
+		{"lists", t.lists, t.Lists > 0},
+		{"memory", func(context.Context) error { t.memory("before losses"); return nil }, t.Losses},
+		{"primary killed", t.losePrimary, t.Losses},
+		{"core killed", t.loseCore, t.Losses},
+	} {
 		if !part.on {
 			continue
 		}
@@ -100,13 +107,15 @@
 		if err := part.run(ctx); err != nil {
 			return errors.Wrap(err, part.name)
 		}
-		t.say("%s: this machine's other work held the run up for %.0f ms at the most", part.name, ms(time.Duration(t.stall.Load())))
+		t.say("%s: this machine's other work held the run up for %.0f ms at the most",
+			part.name, ms(time.Duration(t.stall.Load())))
 	}
 	t.memory("at the end")
 	return nil
 }
 
-// watch notes how much later than due a timer of this process fires: figures of a run that was held up for long are no good.
+// watch notes how much later than due a timer of this process fires: figures of a run that was held up for long are no
+// good.
 func (t *Trial) watch(ctx context.Context) {
 	const every = 10 * time.Millisecond
 	for {
