Test: contact is told only once what it stands for is published

Need: the driver's order, publish first and renew contact then, is what a proxy's judgement of keys rests on, and had no test.

TestContactFollowsPublication: a backup that has a change, acknowledged, but not the news of its commit takes over, and its disk stalls between the confirmation of its view and the publication. Pulls that it answers meanwhile must not claim that the older configuration is the newest.

--- /dev/null
+++ b/internal/fleet/controlplane/contact_test.go
@@ -0,0 +1,119 @@
+package controlplane
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"molepaddle/internal/fleet/distribution"
+	"molepaddle/internal/fleet/replication"
+	"molepaddle/internal/fleet/routingconfig"
+)
+
+// stallAtTakeover has a server's driver go on input by input, until it learns that this machine is a confirmed primary
+// and that a change which isn't published yet is committed. That output then gets a write that the disk never takes.
+// onAppend is called, before anything is sent, after each input that made the record longer. The channel given back is
+// closed as the output is handed to the driver.
+func (r *running) stallAtTakeover(ctx context.Context, onAppend func()) (stalled <-chan struct{}) {
+	c := make(chan struct{})
+	r.inputs <- func(now time.Duration) replication.Output {
+		out := r.replica.Tick(now)
+		for {
+			_, confirmed := r.replica.LastBackupContact()
+			if confirmed && out.Committed > r.committed.Load().seq {
+				_ = r.storage.Close()
+				out.Write = &replication.Write{Vote: &replication.Vote{}}
+				close(c)
+				return out
+			}
+			r.processOutput(ctx, &out)
+			seq := r.replica.Status().Seq
+			select {
+			case in := <-r.inputs:
+				out = in(time.Since(r.start))
+			case <-time.After(max(r.replica.NextTick()-time.Since(r.start), 0)):
+				out = r.replica.Tick(time.Since(r.start))
+			case <-ctx.Done():
+				return replication.Output{}
+			}
+			if r.replica.Status().Seq > seq {
+				onAppend()
+			}
+		}
+	}
+	return c
+}
+
+// pulledConfig pulls all from a control server as a node agent would that has nothing. It returns the version of the
+// configuration, and as of when that is said to be the newest; zero: never.
+func (c *cluster) pulledConfig(ip string) (version int64, contact time.Time) {
+	c.Helper()
+	conn, err := net.Dial("tcp", distribution.PullAddr(ip, c.ports))
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	sent := time.Now()
+	c.Assert(distribution.WriteFrame(conn, &distribution.Request{From: "edge"}), qt.IsNil)
+	var response distribution.Response
+	c.Assert(distribution.ReadFrame(bufio.NewReader(conn), &response), qt.IsNil)
+	if response.LastContactMs >= 0 {
+		contact = sent.Add(-time.Duration(response.LastContactMs) * time.Millisecond)
+	}
+	for i := range response.Resources {
+		resource := &response.Resources[i]
+		if resource.Type != distribution.ConfigType {
+			continue
+		}
+		doc, findings := routingconfig.Decode(resource.Snapshot)
+		c.Assert(findings.Err(), qt.IsNil)
+		for _, change := range resource.Changes {
+			c.Assert(change.Replace, qt.IsTrue)
+			doc, findings = routingconfig.Replace(doc, change.Body)
+			c.Assert(findings.Err(), qt.IsNil)
+		}
+		version = doc.Version()
+	}
+	return version, contact
+}
+
+// TestContactFollowsPublication: a backup knows a change that was acknowledged but not yet that it was, becomes the
+// primary, and its disk stalls between the confirmation of its view and the publication of that change. What it answers
+// to pulls meanwhile must not say that the older configuration was the newest later than the acknowledgement: a proxy
+// would go on taking the keys that the change took away.
+func TestContactFollowsPublication(t *testing.T) {
+	c := newCluster(t, 46, 3, 1, nil)
+	c.replaceConfig(0, 5, c.ips...)
+	old := c.primary(c.ips...)
+	st := c.servers[old].status.Load()
+	c.Assert(st.View.Backups, qt.HasLen, 1)
+	next := ""
+	for _, m := range st.View.Members {
+		if m.ID == st.View.Backups[0] {
+			host, _, err := net.SplitHostPort(m.Addr)
+			c.Assert(err, qt.IsNil)
+			next = host
+		}
+	}
+	c.eventually("the backup has published the first configuration", func() bool {
+		committed := c.servers[next].committed.Load()
+		return committed != nil && versionOf(committed.doc) == 5
+	}, next)
+	// Nothing of the primary arrives at the backup after the change: neither that it is committed nor what it publishes.
+	stalled := c.servers[next].stallAtTakeover(c.Context(), func() { c.network.Cut(old, next) })
+	c.replaceConfig(5, 7, old)
+	acknowledged := time.Now()
+	select {
+	case <-stalled:
+	case <-time.After(testTimeout):
+		c.Fatal("the backup takes nothing over")
+	}
+	for end := time.Now().Add(300 * time.Millisecond); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		version, contact := c.pulledConfig(next)
+		c.Assert(version, qt.Equals, int64(5), qt.Commentf("the disk doesn't stall"))
+		c.Assert(contact.Before(acknowledged), qt.IsTrue, qt.Commentf(
+			"version 5 is said to be the newest %v after version 7 was acknowledged", contact.Sub(acknowledged)))
+	}
+}
--- a/internal/fleet/controlplane/plantedfault_test.go
+++ b/internal/fleet/controlplane/plantedfault_test.go
@@ -105,6 +105,17 @@
 			"s.cache.RecordContact(st.PrimaryAddr, time.Now())",
 		},
 	},
+	{
+		Name:  "contact is told before what it stands for is published",
+		Tests: "^TestContactFollowsPublication$",
+		Texts: []string{
+			"\t\tif !s.processOutput(ctx, &out) {\n\t\t\tcontinue\n\t\t}\n",
+			"",
+			"\t\t\ts.contact.renew(s.replica.Status().Epoch, s.start.Add(began))\n\t\t}\n",
+			"\t\t\ts.contact.renew(s.replica.Status().Epoch, s.start.Add(began))\n\t\t}\n" +
+				"\t\tif !s.processOutput(ctx, &out) {\n\t\t\tcontinue\n\t\t}\n",
+		},
+	},
 	{
 		Name:  "an answer to an older round confirms a newer one",
 		Tests: "^TestContactInStorms$",
