Tests: no cache passes on a contact that is younger than the truth

Need: three gaps between the primary and a proxy were closed without tests: a change whose base is lacking, the moment from which an age counts, the order of content and contact.

Four planted faults, each found by the test that it names.

--- a/internal/fleet/controlplane/plantedfault_test.go
+++ b/internal/fleet/controlplane/plantedfault_test.go
@@ -205,6 +205,43 @@
 			"",
 		},
 	},
+	{
+		Name:  "a cache that lacks a change's base records the contact",
+		Tests: "^TestLackingBaseRecordsNoContact$",
+		Dir:   distributionDir,
+		Texts: []string{
+			"!slices.Contains(lacking, ConfigType)",
+			"(true || !slices.Contains(lacking, ConfigType))",
+		},
+	},
+	{
+		Name:  "a cache that lacks a change's base records the contact, in a chain",
+		Tests: "^TestNoContactYoungerThanTheTruth$",
+		Dir:   distributionDir,
+		Texts: []string{
+			"!slices.Contains(lacking, ConfigType)",
+			"(true || !slices.Contains(lacking, ConfigType))",
+		},
+	},
+	{
+		Name:  "an age counts from when the response is applied",
+		Tests: "^TestReceivedAtOutlastsAFreeze$",
+		Dir:   distributionDir,
+		Texts: []string{
+			"{ return w.receivedAt }",
+			"{ return time.Now() }",
+		},
+	},
+	{
+		Name:  "the contact is read after the content",
+		Tests: "^TestNoContactYoungerThanTheTruth$",
+		Dir:   distributionDir,
+		Texts: []string{
+			"\t\tcontactAt, primary := c.contactAt, c.primary\n\t\tc.mu.Unlock()\n",
+			"\t\tc.mu.Unlock()\n\t\ttime.Sleep(time.Millisecond)\n\t\trefresh()\n" +
+				"\t\tcontactAt, primary := c.LastContact()\n",
+		},
+	},
 	{
 		Name:  "the wait for news counts as age",
 		Tests: "^TestLastContactIncludesTransitTime$",
