--- /dev/null
+++ b/internal/fleet/proxy/authenticate_planted_test.go
@@ -0,0 +1,93 @@
+package proxy
+
+import (
+	"flag"
+	"testing"
+
+	"molepaddle/internal/plantedfault"
+)
+
+var keyFaultsPlanted = flag.Bool("proxy.keyfaults", false,
+	"plant each fault of TestPlantedKeyFaults in turn and run the tests that have to find it")
+
+// keyFaults are errors by which a request may run with a key that was taken away, or is refused for one that was added.
+var keyFaults = []plantedfault.Fault{
+	{
+		Name:  "the confirmation is read after the snapshot",
+		Tests: "^TestConfirmationIsReadBeforeTheSnapshot$",
+		Texts: []string{
+			"\tconfirmedAt := p.confirmedAt() // before the snapshot: see authenticate\n\tsnapshot := p.snapshot.Load()\n",
+			// With the freeze that may come between any two lines.
+			"\tsnapshot := p.snapshot.Load()\n\ttime.Sleep(50 * time.Microsecond)\n\tconfirmedAt := p.confirmedAt()\n",
+		},
+	},
+	{
+		Name:  "a configuration is confirmed before it is in the snapshot",
+		Tests: "^TestConfirmationIsReadBeforeTheSnapshot$",
+		Texts: []string{
+			"\tif routingChanged {\n\t\tp.rebuildSnapshot()\n\t}\n",
+			"",
+			"p.confirmConfig(receivedAt.Add(-time.Duration(response.LastContactMs) * time.Millisecond))\n\t}\n",
+			"p.confirmConfig(receivedAt.Add(-time.Duration(response.LastContactMs) * time.Millisecond))\n\t}\n" +
+				"\tif routingChanged {\n\t\tp.rebuildSnapshot()\n\t}\n",
+		},
+	},
+	{
+		Name:  "a configuration that was rejected is confirmed",
+		Tests: "^TestConfirmationNeedsTheConfiguration$",
+		Texts: []string{
+			"configApplied = configApplied && resource.Type != distribution.ConfigType",
+			"configApplied = configApplied || resource.Type != distribution.ConfigType",
+		},
+	},
+	{
+		Name:  "an older confirmation replaces a newer one",
+		Tests: "^TestConfirmationNeedsTheConfiguration$",
+		Texts: []string{
+			"last == nil || at.After(last.at)",
+			"last == nil || true",
+		},
+	},
+	{
+		Name:  "keys count without a margin",
+		Tests: "^TestAuthenticate$",
+		Texts: []string{
+			"age > p.settings.Bounds.Revoke-revokeMargin",
+			"age > p.settings.Bounds.Revoke",
+		},
+	},
+	{
+		Name:  "keys count whenever they were confirmed",
+		Tests: "^TestAuthenticate$",
+		Texts: []string{
+			"p.settings.Bounds.StrictRevoke && age >",
+			"p.settings.Bounds.StrictRevoke && false && age >",
+		},
+	},
+	{
+		Name:  "a key that may have been added is refused for good",
+		Tests: "^TestAuthenticate$",
+		Texts: []string{
+			"case age > p.settings.Bounds.Apply:",
+			"case age < 0:",
+		},
+	},
+	{
+		Name:  "a public route needs a confirmation",
+		Tests: "^TestAuthenticate$",
+		Texts: []string{
+			"!snapshot.index.KeysRequired() || route.Public && !hasKey",
+			"!snapshot.index.KeysRequired() || false && !hasKey",
+		},
+	},
+}
+
+// TestPlantedKeyFaults: the faults still fit the sources; with -proxy.keyfaults each is planted, and the tests named
+// have to find it.
+func TestPlantedKeyFaults(t *testing.T) {
+	if !*keyFaultsPlanted {
+		plantedfault.Fit(t, keyFaults)
+		return
+	}
+	plantedfault.Find(t, keyFaults)
+}
