simulation: the judge knows CONFIG's rule of API keys that were taken away or added

Need: no test could see a request run with a key that an acknowledged configuration had taken away.

Judge takes Revocations and Additions, and Bounds.Revoke.

--- a/internal/fleet/simulation/finding.go
+++ b/internal/fleet/simulation/finding.go
@@ -43,6 +43,7 @@
 	LossSlack time.Duration // for which a request may wait that no backend has
 	Drain     time.Duration // from the list's showing that a backend drains
 	Apply     time.Duration // from the acknowledgement of a configuration
+	Revoke    time.Duration // from the acknowledgement of a configuration that takes an API key away
 }
 
 // Execution is where one attempt ran or was prefilled.
--- a/internal/fleet/simulation/judge.go
+++ b/internal/fleet/simulation/judge.go
@@ -25,6 +25,9 @@
 	Changes    []ConfigChange // of the configuration
 	Reads      []ConfigRead
 	Orders     []Entry // beside those that reached Engines
+
+	Revocations []KeyRevocation // of API keys
+	Additions   []KeyAddition
 }
 
 // observations are the records that one judgement is made of, and its findings.
@@ -99,6 +102,8 @@
 	o.checkShutdowns(j.Shutdowns)
 	o.checkDepartures(j.Departures)
 	o.checkReads(j.Changes, j.Reads)
+	o.checkRevocations(j.Revocations)
+	o.checkAdditions(j.Additions)
 	slices.SortStableFunc(o.findings, func(a, b Finding) int {
 		return cmp.Or(cmp.Compare(a.Rule, b.Rule), a.At.Compare(b.At))
 	})
