--- a/internal/fleet/simulation/judge_keys.go
+++ b/internal/fleet/simulation/judge_keys.go
@@ -47,7 +47,8 @@
 			if !revoked.RestoredAt.IsZero() && en.At.After(revoked.RestoredAt) {
 				continue
 			}
-			o.reportAtEngine(CONFIG, en, "it was sent to %s %v after a configuration was acknowledged that took its key away",
+			o.reportAtEngine(CONFIG, en,
+				"it was sent to %s %v after a configuration was acknowledged that took its key away",
 				r.Edge, r.SentAt.Sub(revoked.AckedAt))
 		}
 	}
@@ -59,7 +60,10 @@
 	for _, added := range additions {
 		for i := range o.results {
 			r := &o.results[i]
-			if r.Key() != added.Key || !slices.Contains(added.Edges, r.Edge) || r.SentAt.Sub(added.AckedAt) <= o.bounds.Apply {
+			if r.Key() != added.Key || !slices.Contains(added.Edges, r.Edge) {
+				continue
+			}
+			if r.SentAt.Sub(added.AckedAt) <= o.bounds.Apply {
 				continue
 			}
 			if !added.RevokedAt.IsZero() && r.EndedAt.After(added.RevokedAt) {
@@ -67,7 +71,8 @@
 			}
 			switch r.Status {
 			case http.StatusUnauthorized, http.StatusForbidden, http.StatusNotFound:
-				o.reportAtClient(CONFIG, r, "status %d, sent %v after a configuration was acknowledged that has its key",
+				o.reportAtClient(CONFIG, r,
+					"status %d, sent %v after a configuration was acknowledged that has its key",
 					r.Status, r.SentAt.Sub(added.AckedAt))
 			}
 		}
