Whole programs: a key that was taken away stops everywhere within revoke_ms

TestRevokedKeyStopsEverywhere takes keys away while a node agent is frozen, while a proxy is frozen and thawed with requests waiting, and while the only control server that an agent reaches is cut off from the core; requests with all keys go to both proxies all the time and the judge looks at each.

--- a/cmd/molepaddle-fleet/fleet_test.go
+++ b/cmd/molepaddle-fleet/fleet_test.go
@@ -65,6 +65,7 @@
 	plain   int
 
 	noReport bool                // the model backends' reports don't come: nobody orders them to change their phase
+	relay    bool                // machines dial each other through a network that can be cut
 	flags    map[string][]string // by role, beside its name
 
 	coreBinary string // program of the core machines; this one where it is empty
@@ -103,9 +104,12 @@
 	clients  []*simulation.Client
 	version  uint64 // of the newest configuration that was acknowledged
 
-	shutdowns  []simulation.Shutdown  // of proxies, for the judge
-	departures []simulation.Departure // of backends
-	tenants    map[string][]string    // by key, for the judge; nil: no keys are required
+	shutdowns   []simulation.Shutdown    // of proxies, for the judge
+	departures  []simulation.Departure   // of backends
+	tenants     map[string][]string      // by key, for the judge; nil: no keys are required
+	network     *simulation.RelayNetwork // nil: machines dial each other directly
+	revocations []simulation.KeyRevocation
+	additions   []simulation.KeyAddition
 }
 
 // fleetZones are the zones of a test's fleet; all are of one region.
@@ -229,6 +233,10 @@
 		Nodes:    1,
 		Bounds:   f.settings,
 	}
+	if options.relay {
+		f.network = simulation.StartRelayNetwork(f.C)
+		usual.Extra = fmt.Sprintf("relay = %q", f.network.Address())
+	}
 	for i, ip := range coreIPs {
 		set := usual
 		set.Tier = "core"
@@ -667,13 +675,18 @@
 	bounds.Apply = f.bound("apply_ms", time.Millisecond)
 	bounds.Drain = f.bound("drain_ms", time.Millisecond)
 	bounds.Lease = f.lease()
+	if len(f.revocations) > 0 {
+		bounds.Revoke = f.bound("revoke_ms", time.Millisecond)
+	}
 	j := simulation.Judge{
-		Bounds:     bounds,
-		Engines:    f.engines(),
-		Clients:    f.clients,
-		Shutdowns:  f.shutdowns,
-		Departures: f.departures,
-		Tenants:    f.tenants,
+		Bounds:      bounds,
+		Engines:     f.engines(),
+		Clients:     f.clients,
+		Shutdowns:   f.shutdowns,
+		Departures:  f.departures,
+		Tenants:     f.tenants,
+		Revocations: f.revocations,
+		Additions:   f.additions,
 	}
 	for _, finding := range j.Findings() {
 		f.Errorf("%+v", finding)
--- /dev/null
+++ b/cmd/molepaddle-fleet/revoke_planted_test.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"flag"
+	"testing"
+
+	"molepaddle/internal/plantedfault"
+)
+
+var revokePlanted = flag.Bool("revoke.planted", false,
+	"plant each fault of TestPlantedRevokeFaults in turn and play TestRevokedKeyStopsEverywhere, which takes minutes")
+
+// revokeFaults are errors by which a key that was taken away goes on working at some machine.
+var revokeFaults = []plantedfault.Fault{
+	{
+		Name:      "keys count whenever they were confirmed",
+		Tests:     "^TestRevokedKeyStopsEverywhere$",
+		Dir:       ".",
+		SourceDir: "../../internal/fleet/proxy",
+		Texts: []string{
+			"p.settings.Bounds.StrictRevoke && age >",
+			"p.settings.Bounds.StrictRevoke && false && age >",
+		},
+	},
+	{
+		Name:      "a primary that was cut off claims to be in contact",
+		Tests:     "^TestRevokedKeyStopsEverywhere$",
+		Dir:       ".",
+		SourceDir: "../../internal/fleet/controlplane",
+		Texts: []string{
+			"s.cache.RecordContact(st.PrimaryAddr, contact.at)",
+			"s.cache.RecordContact(st.PrimaryAddr, time.Now())",
+		},
+	},
+	{
+		Name:      "an answer confirms the configuration as of when it was received",
+		Tests:     "^TestRevokedKeyStopsEverywhere$",
+		Dir:       ".",
+		SourceDir: "../../internal/fleet/proxy",
+		Texts: []string{
+			"p.confirmConfig(receivedAt.Add(-time.Duration(response.LastContactMs) * time.Millisecond))",
+			"p.confirmConfig(receivedAt)",
+		},
+	},
+}
+
+// TestPlantedRevokeFaults: the faults still fit the sources; with -revoke.planted each is planted, and the whole
+// programs have to show it.
+func TestPlantedRevokeFaults(t *testing.T) {
+	if !*revokePlanted {
+		plantedfault.Fit(t, revokeFaults)
+		return
+	}
+	plantedfault.Find(t, revokeFaults)
+}
