The demo's second edge machine finds where quotas are handed out

Its ports are its own, since its node agent's is one of 127.0.0.1, and only that of the pulls was forwarded: with a configuration that has rates, its proxy would refuse every request of such a tenant with 503. Found by reading, with the same gap in the tests' fleet; the demo's own configuration has no accounts. TestDemo passes.

--- a/cmd/molepaddle-fleet/demofleet.go
+++ b/cmd/molepaddle-fleet/demofleet.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-faster/errors"
 
+	"molepaddle/internal/fleet/distribution"
 	"molepaddle/internal/fleet/operatorclient"
 	"molepaddle/internal/fleet/simulation"
 )
@@ -145,7 +146,7 @@
 			// An agent serves its proxy at a port of 127.0.0.1, which real machines don't share: this one has ports of
 			// its own.
 			set.Ports = simulation.ChoosePorts(f, demoPorts, all...)
-			f.forwardPulls(coreIPs, set.Ports.First+1, ports.First+1)
+			f.forwardToCore(coreIPs, set.Ports, ports)
 		}
 		f.edge = append(f.edge, f.machine(set, "proxy", "node-agent"))
 		f.clients = append(f.clients, &simulation.Client{
@@ -185,10 +186,14 @@
 	}
 }
 
-// forwardPulls has a port of each core machine lead to the one where it serves node agents.
-func (f *demoFleet) forwardPulls(coreIPs []string, from, to int) {
+// forwardToCore has the control servers of the core found at the ports of an edge machine: where they serve node
+// agents, and where they hand out quotas to proxies.
+func (f *demoFleet) forwardToCore(coreIPs []string, edgePorts, corePorts simulation.Ports) {
+	from := [2]int{edgePorts.First, edgePorts.Last}
+	to := [2]int{corePorts.First, corePorts.Last}
 	for _, ip := range coreIPs {
-		simulation.ForwardPort(f, net.JoinHostPort(ip, strconv.Itoa(from)), net.JoinHostPort(ip, strconv.Itoa(to)))
+		simulation.ForwardPort(f, distribution.PullAddr(ip, from), distribution.PullAddr(ip, to))
+		simulation.ForwardPort(f, distribution.QuotaAddr(ip, from), distribution.QuotaAddr(ip, to))
 	}
 }
 
