The judge knows keys and quotas: ROUTE, UNASKED and QUOTA of tenants

ROUTE where what ran had a key that no configuration of the test held, UNASKED where its backend was told another tenant than the key's, QUOTA where in some window more requests of a tenant are both sent and reach a backend that runs them than (rate x window + burst) x (1 + excess) + extra. Windows slide: those that begin with a request and those that end with an arrival are looked at. A limit is in force from when it was sent until the test says that all proxies know of a later one.

--- a/cmd/molepaddle-fleet/revoke_test.go
+++ b/cmd/molepaddle-fleet/revoke_test.go
@@ -99,7 +99,7 @@
 	defer l.mu.Unlock()
 	var out []simulation.Result
 	for _, r := range l.seen {
-		if r.Edge == l.f.clients[edge].Edge && r.Key() == key && r.SentAt.After(from) && r.SentAt.Before(to) {
+		if r.Edge == l.f.clients[edge].Edge && r.SentKey() == key && r.SentAt.After(from) && r.SentAt.Before(to) {
 			out = append(out, r)
 		}
 	}
--- a/internal/fleet/simulation/client.go
+++ b/internal/fleet/simulation/client.go
@@ -136,6 +136,9 @@
 	if r.LastEvent > 0 {
 		fmt.Fprintf(b, "%s: %d\r\n", HeaderLastEvent, r.LastEvent)
 	}
+	if r.Key != "" {
+		fmt.Fprintf(b, "Authorization: Bearer %s\r\n", r.Key)
+	}
 	if !keep {
 		b.WriteString("Connection: close\r\n")
 	}
--- a/internal/fleet/simulation/finding.go
+++ b/internal/fleet/simulation/finding.go
@@ -20,6 +20,7 @@
 	GONE    Rule = "GONE"
 	DRAIN   Rule = "DRAIN"
 	CONFIG  Rule = "CONFIG"
+	QUOTA   Rule = "QUOTA"
 )
 
 // Finding is one breach of a rule.
@@ -38,12 +39,15 @@
 	RetryWindow time.Duration // BUDGET is not judged when 0
 	RetryExtra  float64       // further arrivals allowed in each window beside these
 
-	Lease     time.Duration // turns of holders of a role are not judged when 0
-	Grace     time.Duration // from SIGTERM to SIGKILL
-	LossSlack time.Duration // for which a request may wait that no backend has
-	Drain     time.Duration // from the list's showing that a backend drains
-	Apply     time.Duration // from the acknowledgement of a configuration
-	Revoke    time.Duration // from the acknowledgement of a configuration that takes an API key away
+	Lease       time.Duration // turns of holders of a role are not judged when 0
+	Grace       time.Duration // from SIGTERM to SIGKILL
+	LossSlack   time.Duration // for which a request may wait that no backend has
+	Drain       time.Duration // from the list's showing that a backend drains
+	Apply       time.Duration // from the acknowledgement of a configuration
+	Revoke      time.Duration // from the acknowledgement of a configuration that takes an API key away
+	QuotaWindow time.Duration // over which a tenant's requests count; QUOTA is not judged when 0
+	QuotaExcess float64       // fraction of a quota by which a window may be above it
+	QuotaExtra  float64       // requests in each window beside that
 }
 
 // Execution is where one attempt ran or was prefilled.
--- a/internal/fleet/simulation/judge.go
+++ b/internal/fleet/simulation/judge.go
@@ -20,14 +20,14 @@
 	Tenants map[string][]string
 
 	// What the test did and saw besides; a rule is judged for these.
-	Shutdowns  []Shutdown     // of proxies
-	Departures []Departure    // of backends
-	Changes    []ConfigChange // of the configuration
-	Reads      []ConfigRead
-	Orders     []Entry // beside those that reached Engines
-
+	Shutdowns   []Shutdown     // of proxies
+	Departures  []Departure    // of backends
+	Changes     []ConfigChange // of the configuration
+	Reads       []ConfigRead
+	Orders      []Entry         // beside those that reached Engines
 	Revocations []KeyRevocation // of API keys
 	Additions   []KeyAddition
+	Accounts    []Account
 }
 
 // observations are the records that one judgement is made of, and its findings.
@@ -104,6 +104,8 @@
 	o.checkReads(j.Changes, j.Reads)
 	o.checkRevocations(j.Revocations)
 	o.checkAdditions(j.Additions)
+	o.checkKeys(j.Accounts)
+	o.checkQuotas(j.Accounts)
 	slices.SortStableFunc(o.findings, func(a, b Finding) int {
 		return cmp.Or(cmp.Compare(a.Rule, b.Rule), a.At.Compare(b.At))
 	})
--- a/internal/fleet/simulation/judge_accounts.go
+++ b/internal/fleet/simulation/judge_accounts.go
@@ -18,7 +18,7 @@
 	if len(fieldValues(en.Header, HeaderAuthorization)) > 0 {
 		o.reportAtEngine(UNASKED, en, "it came with an %s field", HeaderAuthorization)
 	}
-	tenants, known := o.tenants[apiKey(r.Request.Header)]
+	tenants, known := o.tenants[r.SentKey()]
 	named := fieldValues(en.Header, HeaderTenant)
 	switch {
 	case len(named) > 1:
--- a/internal/fleet/simulation/judge_keys.go
+++ b/internal/fleet/simulation/judge_keys.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"slices"
-	"strings"
 	"time"
 )
 
@@ -25,13 +24,12 @@
 	RevokedAt time.Time
 }
 
-// Key returns the API key that the request carries; empty: none.
-func (r Request) Key() string {
-	scheme, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
-	if !strings.EqualFold(scheme, "Bearer") {
-		return ""
+// SentKey returns the API key that the request carries, in Key or among its further headers; empty: none.
+func (r Request) SentKey() string {
+	if r.Key != "" {
+		return r.Key
 	}
-	return strings.TrimSpace(key)
+	return apiKey(r.Header)
 }
 
 // checkRevocations judges CONFIG: no request runs that was sent later than the bound after the acknowledgement of a
@@ -41,7 +39,7 @@
 		for i := range o.entries {
 			en := &o.entries[i]
 			r := o.resultByAttempt[en.Attempt]
-			if !en.Ran || r == nil || r.Key() != revoked.Key || r.SentAt.Sub(revoked.AckedAt) <= o.bounds.Revoke {
+			if !en.Ran || r == nil || r.SentKey() != revoked.Key || r.SentAt.Sub(revoked.AckedAt) <= o.bounds.Revoke {
 				continue
 			}
 			if !revoked.RestoredAt.IsZero() && en.At.After(revoked.RestoredAt) {
@@ -60,7 +58,7 @@
 	for _, added := range additions {
 		for i := range o.results {
 			r := &o.results[i]
-			if r.Key() != added.Key || !slices.Contains(added.Edges, r.Edge) {
+			if r.SentKey() != added.Key || !slices.Contains(added.Edges, r.Edge) {
 				continue
 			}
 			if r.SentAt.Sub(added.AckedAt) <= o.bounds.Apply {
--- a/internal/fleet/simulation/request.go
+++ b/internal/fleet/simulation/request.go
@@ -31,6 +31,8 @@
 	Parts     []Part        // X-Molepaddle-Prompt-Prefix
 	LastEvent int           // Last-Event-Id; no header when 0
 	Header    http.Header   // further headers
+	Key       string        // API key, sent as Authorization: Bearer; no header when empty
+	Public    bool          // the route is public in any configuration that may be in force: it needs no key
 	// Services are those to which any configuration that may be in force routes the request. Nil: not judged. Empty,
 	// not nil: no service may run it.
 	Services []string
