--- a/cmd/molepaddle-fleet/fleet_test.go
+++ b/cmd/molepaddle-fleet/fleet_test.go
@@ -20,6 +20,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"molepaddle/internal/fleet/distribution"
 	"molepaddle/internal/fleet/settings"
 	"molepaddle/internal/fleet/simulation"
 )
@@ -65,9 +66,12 @@
 	plain   int
 
 	noReport bool                // the model backends' reports don't come: nobody orders them to change their phase
-	relay    bool                // machines dial each other through a network that can be cut
 	flags    map[string][]string // by role, beside its name
 
+	accounts []simulation.Account // of the first configuration, which has none where this is nil
+	public   []string             // names of its routes that are public
+	relay    bool                 // machines reach each other through a relay, whose links can be cut
+
 	coreBinary string // program of the core machines; this one where it is empty
 	edgeBinary string // and of the edge machines
 }
@@ -104,10 +108,13 @@
 	clients  []*simulation.Client
 	version  uint64 // of the newest configuration that was acknowledged
 
-	shutdowns   []simulation.Shutdown    // of proxies, for the judge
-	departures  []simulation.Departure   // of backends
-	tenants     map[string][]string      // by key, for the judge; nil: no keys are required
-	network     *simulation.RelayNetwork // nil: machines dial each other directly
+	accounts []simulation.Account     // of all configurations, for the judge
+	public   []string                 // names of routes
+	network  *simulation.RelayNetwork // nil: machines dial each other directly
+
+	shutdowns   []simulation.Shutdown  // of proxies, for the judge
+	departures  []simulation.Departure // of backends
+	tenants     map[string][]string    // by key, for the judge; nil: no keys are required
 	revocations []simulation.KeyRevocation
 	additions   []simulation.KeyAddition
 }
@@ -130,6 +137,7 @@
 	f := &fleet{
 		C:       c,
 		flags:   options.flags,
+		public:  options.public,
 		running: map[*simulation.Program]string{},
 		delay:   50 * time.Millisecond,
 		settings: map[string]any{
@@ -156,6 +164,10 @@
 		RetryWindow: time.Duration(f.settings["retry_window_s"].(int)) * time.Second,
 		RetryExtra:  float64(f.settings["retry_extra"].(int)),
 	}
+	f.accounts = slices.Clone(options.accounts)
+	if options.relay {
+		f.network = simulation.StartRelayNetwork(f)
+	}
 	f.startBackends(options)
 	f.addMachines(options)
 	for _, m := range append(slices.Clone(f.core), f.edge...) {
@@ -233,8 +245,7 @@
 		Nodes:    1,
 		Bounds:   f.settings,
 	}
-	if options.relay {
-		f.network = simulation.StartRelayNetwork(f.C)
+	if f.network != nil {
 		usual.Extra = fmt.Sprintf("relay = %q", f.network.Address())
 	}
 	for i, ip := range coreIPs {
@@ -263,8 +274,7 @@
 			// one gets ports of its own, and finds the control servers there by way of relays.
 			set.Ports = simulation.ChoosePorts(f.C, machinePorts, all...)
 			for _, core := range coreIPs {
-				simulation.ForwardPort(f.C, net.JoinHostPort(core, strconv.Itoa(set.Ports.First+1)),
-					net.JoinHostPort(core, strconv.Itoa(ports.First+1)))
+				f.forwardToCore(core, set.Ports, ports)
 			}
 		}
 		f.edge = append(f.edge, &machine{
@@ -276,6 +286,20 @@
 	}
 }
 
+// forwardToCore has a core machine's control server found at the ports that an edge machine has: where it answers node
+// agents, and where it hands out quotas to proxies.
+func (f *fleet) forwardToCore(core string, edgePorts, corePorts simulation.Ports) {
+	for _, address := range []func(string, [2]int) string{distribution.PullAddr, distribution.QuotaAddr} {
+		from := address(core, [2]int{edgePorts.First, edgePorts.Last})
+		to := address(core, [2]int{corePorts.First, corePorts.Last})
+		if f.network != nil {
+			f.network.Alias(from, to)
+			continue
+		}
+		simulation.ForwardPort(f.C, from, to)
+	}
+}
+
 var plainEngine = simulation.EngineSettings{
 	Service:  lookups,
 	Capacity: 4,
@@ -388,7 +412,7 @@
 
 // configuration is a complete configuration.
 func (f *fleet) configuration(version uint64) object {
-	return object{
+	doc := object{
 		"ver": version,
 		"routing": list{
 			route("r-lookup", "/lookup/", "readonly", lookups, 4000, 200, 3, false),
@@ -406,6 +430,15 @@
 		"caps": object{"hdr_max_bytes": 16_384, "body_max_bytes": 4_194_304, "hdr_timeout_ms": 3000,
 			"idle_timeout_ms": 15_000},
 	}
+	for _, r := range doc["routing"].(list) {
+		if slices.Contains(f.public, r.(object)["name"].(string)) {
+			r.(object)["public"] = true
+		}
+	}
+	if f.accounts != nil {
+		doc["accounts"] = accountItems(f.accounts...)
+	}
+	return doc
 }
 
 // replaceConfig has a complete configuration acknowledged on top of the newest.
@@ -678,7 +711,13 @@
 	if len(f.revocations) > 0 {
 		bounds.Revoke = f.bound("revoke_ms", time.Millisecond)
 	}
+	if window, ok := f.settings["quota_win_s"]; ok {
+		bounds.QuotaWindow = time.Duration(window.(int)) * time.Second
+		bounds.QuotaExcess = f.settings["quota_excess"].(float64)
+		bounds.QuotaExtra = float64(f.settings["quota_extra"].(int))
+	}
 	j := simulation.Judge{
+		Accounts:    f.accounts,
 		Bounds:      bounds,
 		Engines:     f.engines(),
 		Clients:     f.clients,
--- a/cmd/molepaddle-fleet/revoke_test.go
+++ b/cmd/molepaddle-fleet/revoke_test.go
@@ -23,8 +23,8 @@
 // keyedEdges are how many proxies the tests of keys ask.
 const keyedEdges = 2
 
-// withKey is a lookup with an API key.
-func withKey(key string) simulation.Request {
+// getWithKey is a lookup with an API key, without a body.
+func getWithKey(key string) simulation.Request {
 	r := lookup()
 	r.Method, r.Body = http.MethodGet, nil
 	r.Header = http.Header{"Authorization": {"Bearer " + key}}
@@ -71,7 +71,7 @@
 	for _, client := range l.f.clients {
 		for _, key := range keys {
 			l.all.Go(func() {
-				result := client.Do(l.f.ctx, withKey(key))
+				result := client.Do(l.f.ctx, getWithKey(key))
 				l.mu.Lock()
 				defer l.mu.Unlock()
 				l.seen = append(l.seen, result)
@@ -138,7 +138,7 @@
 	f.Helper()
 	var sent time.Time
 	f.eventually(max(time.Until(by), time.Millisecond), fmt.Sprintf("%s served by edge %d", key, edge+1), func() bool {
-		r := f.clients[edge].Do(f.ctx, withKey(key))
+		r := f.clients[edge].Do(f.ctx, getWithKey(key))
 		sent = r.SentAt
 		return r.Status == http.StatusOK
 	})
--- a/cmd/molepaddle-fleet/schedule_run_test.go
+++ b/cmd/molepaddle-fleet/schedule_run_test.go
@@ -273,8 +273,10 @@
 		// ports of its own.
 		s.Ports = simulation.ChoosePorts(run, 4, all...)
 		for _, core := range run.ips {
-			run.network.Alias(distribution.PullAddr(core, [2]int{s.Ports.First, s.Ports.Last}),
-				distribution.PullAddr(core, [2]int{ports.First, ports.Last}))
+			for _, address := range []func(string, [2]int) string{distribution.PullAddr, distribution.QuotaAddr} {
+				run.network.Alias(address(core, [2]int{s.Ports.First, s.Ports.Last}),
+					address(core, [2]int{ports.First, ports.Last}))
+			}
 		}
 		run.edges = append(run.edges, run.startEdge(s))
 	}
