--- a/internal/process/agent/work.go
+++ b/internal/process/agent/work.go
@@ -69,8 +69,17 @@
 // sit makes the seat.
 func (w *workPart) sit(p *peers.Peers, seed uint64, log *slog.Logger) (err error) {
 	w.peers = p
-	w.seat, err = seat.New(seat.Options{Name: p.Name(), Folder: w.set.Folder, Seats: w.set.Seats, ReplaceAfter: time.Duration(w.set.ReplaceAfter),
-		Tick: p.Period() / 5, Seed: seed ^ uint64(time.Now().UnixNano()), Fleet: p, Sight: w.sight, Log: log})
+	w.seat, err = seat.New(seat.Options{
+		Name:         p.Name(),
+		Folder:       w.set.Folder,
+		Seats:        w.set.Seats,
+		ReplaceAfter: time.Duration(w.set.ReplaceAfter),
+		Tick:         p.Period() / 5,
+		Seed:         seed ^ uint64(time.Now().UnixNano()),
+		Fleet:        p,
+		Sight:        w.sight,
+		Log:          log,
+	})
 	return err
 }
 
@@ -157,7 +166,13 @@
 		if machine == "" {
 			continue
 		}
-		one := work.Server{Machine: machine, Capacity: v.Weight, Ready: v.Health == cluster.Ready, Unresponsive: slices.Contains(known.Silent, v.Server) || heard.Silent(v.Server), Warmth: 1}
+		one := work.Server{
+			Machine:      machine,
+			Capacity:     v.Weight,
+			Ready:        v.Health == cluster.Ready,
+			Unresponsive: slices.Contains(known.Silent, v.Server) || heard.Silent(v.Server),
+			Warmth:       1,
+		}
 		if !(one.Capacity > 0 && one.Capacity < 1e9) {
 			one.Capacity = 1
 		}
--- a/internal/protocol/httpfront/bodies.go
+++ b/internal/protocol/httpfront/bodies.go
@@ -59,8 +59,10 @@
 	// The server ignores a length beside a Transfer-Encoding and hides it, so a request could hide in
 	// the body for whoever reads it the other way.
 	c, ok := hr.Context().Value(connKey{}).(*clientConn)
-	if !ok || len(hr.TransferEncoding) != 1 || hr.TransferEncoding[0] != "chunked" || !hr.ProtoAtLeast(1, 1) || !c.chunkedOnly(hr) {
-		return &problem{Status: http.StatusLengthRequired, Text: "Transfer-Encoding: not taken beside a length, or where the head was not seen apart"}
+	if !ok || len(hr.TransferEncoding) != 1 || hr.TransferEncoding[0] != "chunked" || !hr.ProtoAtLeast(1, 1) ||
+		!c.chunkedOnly(hr) {
+		const text = "Transfer-Encoding: not taken beside a length, or where the head was not seen apart"
+		return &problem{Status: http.StatusLengthRequired, Text: text}
 	}
 	return nil
 }
@@ -133,7 +135,9 @@
 	began := time.Now()
 	last := began
 	for {
-		slow := time.AfterFunc(time.Until(pace.Until(began, last, int64(n))), func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
+		slow := time.AfterFunc(time.Until(pace.Until(began, last, int64(n))), func() {
+			_ = control.SetReadDeadline(time.Unix(1, 0))
+		})
 		m, err := hr.Body.Read(part[n:])
 		n += m
 		if !slow.Stop() {
@@ -162,13 +166,13 @@
 
 // upload passes on what comes of a long body, in a goroutine of its own until end.
 type upload struct {
-	control *http.ResponseController
-	rest    *window.Pipe
-	stop    context.CancelFunc
-	done    chan struct{}
-	cut     bool     // end did not wait for the rest
-	whole   bool     // all has come; set before done is closed
-	bad     *problem // or why not
+	control  *http.ResponseController
+	rest     *window.Pipe
+	stop     context.CancelFunc
+	done     chan struct{}
+	cut      bool     // end did not wait for the rest
+	complete bool     // all has come; set before done is closed
+	bad      *problem // or why not
 }
 
 func (a *Front) startUpload(w http.ResponseWriter, hr *http.Request, r *core.Request) *upload {
@@ -179,7 +183,7 @@
 		if u.bad = u.pump(ctx, a.pace(), hr, int64(len(r.Message.Body))); u.bad != nil {
 			why = errors.New(u.bad.Text)
 		}
-		u.whole = u.bad == nil
+		u.complete = u.bad == nil
 		close(u.done) // before the answer to all of it can come
 		u.rest.End(why)
 	}()
@@ -226,7 +230,7 @@
 		<-u.done
 	}
 	u.rest.Leave()
-	if !u.whole && u.bad.Status != http.StatusServiceUnavailable && u.bad.Text != "body: not waited for" {
+	if !u.complete && u.bad.Status != http.StatusServiceUnavailable && u.bad.Text != "body: not waited for" {
 		return u.bad
 	}
 	return nil
--- a/internal/protocol/httpfront/front.go
+++ b/internal/protocol/httpfront/front.go
@@ -236,7 +236,7 @@
 			a.reject(w, hr, bad)
 			return
 		}
-		if !up.whole {
+		if !up.complete {
 			keep = false // what follows on the connection is the rest of the body
 		}
 		if up.cut { // the server may take the end of its reading for the client's
--- a/internal/rig/lab/trial/trial.go
+++ b/internal/rig/lab/trial/trial.go
@@ -37,7 +37,9 @@
 // Play plays scenarios by variants, each with seeds from 'from' on, and returns a row of each play
 // that ended, in that order. What stands in the store is not played again. Where ctx ends it returns
 // what there is, with ctx's error.
-func (l *Lab) Play(ctx context.Context, scenes []*scenario.Scenario, vs []Variant, seeds int, from uint64) ([]*Row, error) {
+func (l *Lab) Play(
+	ctx context.Context, scenes []*scenario.Scenario, vs []Variant, seeds int, from uint64,
+) ([]*Row, error) {
 	if n := len(scenes) * len(vs) * seeds; seeds < 1 || n > maxPlays {
 		return nil, fmt.Errorf("%d plays are wanted; from 1 to %d are played", n, maxPlays)
 	}
@@ -111,12 +113,23 @@
 	var r *measure.Result
 	var err error
 	if l.Live {
-		r, err = live.Play(ctx, j.s, live.Options{Chooser: row.Chooser, Seed: j.seed, Binary: j.v.Binary, Operator: j.v.Operator, Tick: tick})
+		r, err = live.Play(ctx, j.s, live.Options{
+			Chooser:  row.Chooser,
+			Seed:     j.seed,
+			Binary:   j.v.Binary,
+			Operator: j.v.Operator,
+			Tick:     tick,
+		})
 	} else {
-		r, err = model.Play(j.s, model.Options{Chooser: row.Chooser, Seed: j.seed, Fleet: j.fleet, Tick: func(part float64) bool {
-			tick(part)
-			return ctx.Err() == nil
-		}})
+		r, err = model.Play(j.s, model.Options{
+			Chooser: row.Chooser,
+			Seed:    j.seed,
+			Fleet:   j.fleet,
+			Tick: func(part float64) bool {
+				tick(part)
+				return ctx.Err() == nil
+			},
+		})
 	}
 	if errors.Is(err, model.ErrStopped) || err != nil && ctx.Err() != nil {
 		return nil, ctx.Err()
@@ -129,7 +142,8 @@
 		return nil, err
 	}
 	if l.Out != nil {
-		text := fmt.Sprintf("%s %s, seed %d: worth %.4f, p99 %.0f ms, %d breaches, %.1f s", row.Scenario, row.Variant, row.Seed, r.Worth, r.WorstP99(), r.Breaches, row.TookS)
+		text := fmt.Sprintf("%s %s, seed %d: worth %.4f, p99 %.0f ms, %d breaches, %.1f s",
+			row.Scenario, row.Variant, row.Seed, r.Worth, r.WorstP99(), r.Breaches, row.TookS)
 		if r.Void != "" {
 			text += "; it does not count: " + r.Void
 		}
--- a/internal/rig/scenario/settings.go
+++ b/internal/rig/scenario/settings.go
@@ -9,19 +9,48 @@
 // ReportNames are the figures of the load reports, in their order.
 var ReportNames = []string{"qps", "util", "eps"}
 
+// effects are those of the classes, by the words of a scenario.
+var effects = map[string]settings.Effect{
+	"safe":   settings.Free,
+	"keyed":  settings.Guarded,
+	"unsafe": settings.SingleShot,
+}
+
 // Settings are what an agent is told of the deployment; index counts the agents.
 func (s *Scenario) Settings(index, zone int) settings.Settings {
 	var t settings.Settings
 	for _, c := range s.Classes {
-		effect := map[string]settings.Effect{"safe": settings.Free, "keyed": settings.Guarded, "unsafe": settings.SingleShot}[c.Effect]
-		t.Classes = append(t.Classes, settings.Class{Name: c.Name, AimMs: c.Aim.Ms(), GiveUpMs: c.GiveUp.Ms(), Effect: effect,
-			Group: settings.GroupAll, KeyTTLMs: c.KeyWindow.Ms(), Credit: c.Worth, LateShare: c.LateWorth})
+		effect := effects[c.Effect]
+		t.Classes = append(t.Classes, settings.Class{
+			Name:      c.Name,
+			AimMs:     c.Aim.Ms(),
+			GiveUpMs:  c.GiveUp.Ms(),
+			Effect:    effect,
+			Group:     settings.GroupAll,
+			KeyTTLMs:  c.KeyWindow.Ms(),
+			Credit:    c.Worth,
+			LateShare: c.LateWorth,
+		})
 	}
 	l, r := &s.Limits, &s.Rules
-	t.Limits = settings.Limits{Cancelling: l.Cancelling, ConnectTimeoutMs: l.Connect.Ms(), KeepaliveMs: l.KeepIdle.Ms(),
-		MaxAttempts: l.Attempts, MaxRetryAfterMs: l.RetryAfter.Ms(), Probing: l.Probing, RetryAfter: l.RetryAfter > 0}
-	t.Contract = settings.Contract{AnswerSlackMs: 20, AskWithinMs: r.AskWithin.Ms(), ColdFrom: r.ColdFrom, ColdMs: r.Cold.Ms(),
-		DrainGraceMs: r.DrainGrace.Ms(), FallMultiple: r.FallMultiple, TipAfterMs: r.FallAfter.Ms()}
+	t.Limits = settings.Limits{
+		Cancelling:       l.Cancelling,
+		ConnectTimeoutMs: l.Connect.Ms(),
+		KeepaliveMs:      l.KeepIdle.Ms(),
+		MaxAttempts:      l.Attempts,
+		MaxRetryAfterMs:  l.RetryAfter.Ms(),
+		Probing:          l.Probing,
+		RetryAfter:       l.RetryAfter > 0,
+	}
+	t.Contract = settings.Contract{
+		AnswerSlackMs: 20,
+		AskWithinMs:   r.AskWithin.Ms(),
+		ColdFrom:      r.ColdFrom,
+		ColdMs:        r.Cold.Ms(),
+		DrainGraceMs:  r.DrainGrace.Ms(),
+		FallMultiple:  r.FallMultiple,
+		TipAfterMs:    r.FallAfter.Ms(),
+	}
 	t.Prices = settings.Prices{CrossZone: 0.02, Waste: 0.05, LateFail: 0.03}
 	t.Objective = settings.Objective{Whole: 0.55, WorstWindow: 0.15, WorstClass: 0.3}
 	t.Report = settings.Report{How: "off"}
@@ -51,7 +80,9 @@
 
 // Config is the text of what the platform would tell an agent; known is the list as the roster
 // words it.
-func (s *Scenario) Config(name, listen, discovery, seed string, index, zone int, known json.RawMessage) ([]byte, error) {
+func (s *Scenario) Config(
+	name, listen, discovery, seed string, index, zone int, known json.RawMessage,
+) ([]byte, error) {
 	raw, err := json.Marshal(s.Settings(index, zone))
 	if err != nil {
 		return nil, err
