--- a/internal/fleet/quota/allocator_test.go
+++ b/internal/fleet/quota/allocator_test.go
@@ -111,3 +111,185 @@
 	_, err = a.Handle(report, 2, testProven)
 	c.Assert(err, qt.Equals, errNotFull)
 }
+
+// TestAllocator plays reports to an allocator, and what is granted. All are full, each on a connection of its own.
+func TestAllocator(t *testing.T) {
+	type step struct {
+		at            time.Duration
+		holder        string
+		incarnation   uint64
+		held, wanted  int
+		slots, excess int // granted, and surplus
+	}
+	const sec, proven = time.Second, testProven
+	all, none := &Ceilings{All: true}, (*Ceilings)(nil)
+	for _, test := range []struct {
+		name     string
+		ceilings *Ceilings
+		steps    []step
+	}{
+		{"what is wanted and one in advance", all, []step{{proven, "p", 1, 0, 2, 3, 0}}},
+		{"nothing in advance where nothing is wanted", all, []step{{proven, "p", 1, 0, 0, 0, 0}}},
+		{"no more than there are", all, []step{
+			{proven, "p", 1, 0, 7, 8, 0},
+			{proven, "q", 2, 0, 7, 2, 0},
+			{proven, "q", 2, 2, 7, 0, 0},
+		}},
+		{"no more than normal under ceilings that aren't raised", none, []step{{proven, "p", 1, 0, 10, 6, 0}}},
+		{"what is given back goes to others", all, []step{
+			{proven, "p", 1, 0, 10, 10, 0},
+			{proven, "p", 1, 4, 0, 0, 0},
+			{proven, "q", 2, 0, 6, 6, 0},
+		}},
+		{"a silent holder's are free after lease and window", all, []step{
+			{proven, "p", 1, 0, 10, 10, 0},
+			{proven + 9*sec, "q", 2, 0, 5, 0, 0},
+			{proven + 9*sec + 200*time.Millisecond, "q", 2, 0, 5, 0, 0}, // found, and counted from the next search
+			{proven + 9*sec + 400*time.Millisecond, "q", 2, 0, 5, 6, 0},
+		}},
+		{"a new process's predecessor's are free after a window", all, []step{
+			{proven, "p", 1, 0, 10, 10, 0},
+			{proven + sec, "p", 2, 0, 5, 0, 0},
+			{proven + 6*sec, "p", 2, 0, 5, 0, 0},
+			{proven + 6*sec + 100*time.Millisecond, "p", 2, 0, 5, 6, 0},
+		}},
+		{"before all is known, nothing where all may be out", all, []step{
+			{0, "p", 1, 0, 5, 0, 0},
+			{proven - 1, "p", 1, 0, 5, 0, 0},
+			{proven, "p", 1, 0, 5, 6, 0},
+		}},
+		{"before all is known, nothing beyond the ceilings", none, []step{{0, "p", 1, 0, 5, 0, 0}}},
+		{"before all is known, what was given back", all, []step{
+			{0, "p", 1, 4, 0, 0, 0},
+			{sec, "p", 1, 1, 0, 0, 0},
+			{sec, "q", 2, 0, 5, 3, 0},
+		}},
+		{"before all is known, what a silent one had", all, []step{
+			{0, "p", 1, 4, 0, 0, 0},
+			{10 * sec, "q", 2, 0, 5, 0, 0},
+			{10*sec + 100*time.Millisecond, "q", 2, 0, 5, 4, 0},
+		}},
+		{"more are held than there are", all, []step{
+			{proven, "p", 1, 12, 0, 0, 2},
+			{proven, "q", 2, 4, 1, 0, 2},
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			a := NewAllocator(testRule, tenSlots(), test.ceilings, 0, testOverlap)
+			for i, s := range test.steps {
+				number := uint64(i) + 1
+				grants, err := a.Handle(fullReport(s.holder, s.incarnation, number, s.held, s.wanted), number, s.at)
+				qt.Assert(t, err, qt.IsNil)
+				qt.Assert(t, grants, qt.HasLen, 1)
+				qt.Check(t, []int{grants[0].Slots, grants[0].Surplus}, qt.DeepEquals, []int{s.slots, s.excess},
+					qt.Commentf("step %d", i))
+			}
+		})
+	}
+}
+
+// TestAllocatorCeilings checks when slots beyond Slots.Normal are handed out, and by whom.
+func TestAllocatorCeilings(t *testing.T) {
+	c := qt.New(t)
+	a := NewAllocator(testRule, tenSlots(), nil, 0, testOverlap)
+	sequence := uint64(0)
+	want := func(now time.Duration, held, wanted, granted int) {
+		c.Helper()
+		sequence++
+		grants, err := a.Handle(fullReport("p", 1, sequence, held, wanted), 1, now)
+		c.Assert(err, qt.IsNil)
+		c.Assert(grants[0].Slots, qt.Equals, granted)
+	}
+	want(0, 0, 3, 0)
+	c.Assert(a.WantedCeilings(0), qt.DeepEquals, &Ceilings{All: true})
+	want(0, 0, 3, 0) // not committed yet
+	a.SetCeilings(&Ceilings{All: true})
+	want(0, 0, 5, 4) // earlier allocators handed out 6 of 10
+	want(0, 4, 3, 0)
+	want(8*time.Second, 4, 0, 0)
+	c.Assert(a.WantedCeilings(testProven), qt.DeepEquals, &Ceilings{})
+	want(testProven, 4, 6, 2) // lowered from the proposal on
+	a.SetCeilings(&Ceilings{})
+	raised := a.WantedCeilings(testProven)
+	c.Assert(raised, qt.DeepEquals, &Ceilings{Tenants: []string{"t"}})
+	want(testProven, 6, 4, 0)
+	a.SetCeilings(raised)
+	want(testProven, 6, 4, 4)
+	want(testProven, 4, 0, 0)
+	c.Assert(a.WantedCeilings(testProven), qt.DeepEquals, raised) // of 6
+	want(testProven, 3, 0, 0)
+	c.Assert(a.WantedCeilings(testProven), qt.DeepEquals, &Ceilings{})
+
+	// The next allocator reckons with all of the tenants raised when it began, and 6 of others.
+	limits := Limits{"t": {Total: 10, Normal: 6}, "u": {Total: 10, Normal: 6}}
+	next := NewAllocator(testRule, limits, raised, 0, testOverlap)
+	next.WantedCeilings(0)
+	next.SetCeilings(&Ceilings{All: true})
+	grants, err := next.Handle(&Report{Holder: "p", Incarnation: 1, Sequence: 1, Full: true, Holdings: []Holding{
+		{Tenant: "t", Wanted: 9}, {Tenant: "u", Wanted: 9},
+	}}, 1, 0)
+	c.Assert(err, qt.IsNil)
+	c.Assert([]int{grants[0].Slots, grants[1].Slots}, qt.DeepEquals, []int{0, 4})
+}
+
+// TestLateReport checks that a report which is older than one that was taken changes nothing.
+func TestLateReport(t *testing.T) {
+	c := qt.New(t)
+	a := NewAllocator(testRule, tenSlots(), &Ceilings{All: true}, 0, testOverlap)
+	_, err := a.Handle(fullReport("p", 1, 5, 0, 10), 1, testProven)
+	c.Assert(err, qt.IsNil)
+	for _, sequence := range []uint64{4, 5} {
+		grants, err := a.Handle(fullReport("p", 1, sequence, 0, 0), 1, testProven)
+		c.Assert(err, qt.IsNil)
+		c.Assert(grants, qt.IsNil)
+	}
+	grants, err := a.Handle(fullReport("q", 2, 1, 0, 10), 1, testProven)
+	c.Assert(err, qt.IsNil)
+	c.Assert(grants[0].Slots, qt.Equals, 0)
+	for _, bad := range []*Report{
+		fullReport("", 1, 1, 0, 0),
+		fullReport("p", 0, 1, 0, 0),
+		fullReport("p", 1, 9, -1, 0),
+		fullReport("p", 1, 9, 0, -1),
+	} {
+		_, err := a.Handle(bad, 1, testProven)
+		c.Check(err, qt.Equals, errReport)
+	}
+}
+
+// TestFullReportDropsTheRest checks that a full report gives back what it doesn't name, and another one doesn't.
+func TestFullReportDropsTheRest(t *testing.T) {
+	c := qt.New(t)
+	a := NewAllocator(testRule, tenSlots(), &Ceilings{All: true}, 0, testOverlap)
+	_, err := a.Handle(fullReport("p", 1, 1, 0, 10), 1, testProven)
+	c.Assert(err, qt.IsNil)
+	for i, step := range []struct {
+		full    bool
+		granted int
+	}{{false, 0}, {true, 10}} {
+		sequence := uint64(i) + 2
+		_, err := a.Handle(&Report{Holder: "p", Incarnation: 1, Sequence: sequence, Full: step.full}, 1, testProven)
+		c.Assert(err, qt.IsNil)
+		grants, err := a.Handle(fullReport("q", 2, sequence, 0, 10), 2, testProven)
+		c.Assert(err, qt.IsNil)
+		c.Assert(grants[0].Slots, qt.Equals, step.granted)
+	}
+}
+
+// TestLimitsLowered checks that holders give up what is above a lowered limit, and that a tenant without one has none.
+func TestLimitsLowered(t *testing.T) {
+	c := qt.New(t)
+	a := NewAllocator(testRule, tenSlots(), &Ceilings{All: true}, 0, testOverlap)
+	_, err := a.Handle(fullReport("p", 1, 1, 6, 0), 1, testProven)
+	c.Assert(err, qt.IsNil)
+	_, err = a.Handle(fullReport("q", 2, 1, 4, 0), 2, testProven)
+	c.Assert(err, qt.IsNil)
+	a.SetLimits(Limits{"t": {Total: 5, Normal: 3}})
+	grants, err := a.Handle(fullReport("p", 1, 2, 6, 3), 1, testProven)
+	c.Assert(err, qt.IsNil)
+	c.Assert(grants, qt.DeepEquals, []Grant{{Tenant: "t", Surplus: 3}})
+	a.SetLimits(Limits{})
+	grants, err = a.Handle(fullReport("p", 1, 3, 6, 3), 1, testProven)
+	c.Assert(err, qt.IsNil)
+	c.Assert(grants, qt.HasLen, 0)
+}
--- a/internal/fleet/quota/holder_test.go
+++ b/internal/fleet/quota/holder_test.go
@@ -89,3 +89,129 @@
 	c.Assert(h.Acquire("t", 4), qt.Equals, OverQuota) // 4 were asked for
 	c.Assert(h.Acquire("t", 4+denialPause), qt.Equals, NeedsSlots)
 }
+
+// leasedHolder has slots of tenant t under a lease from 0.
+func leasedHolder(slots int) *Holder {
+	h := NewHolder(testRule, "p", 1)
+	h.SetLimits(tenSlots(), 0)
+	h.Apply(&Answer{Grants: []Grant{{Tenant: "t", Slots: slots, Spare: slots}}}, 0, 0)
+	return h
+}
+
+// TestHolder plays what becomes of a holder's slots, step by step.
+func TestHolder(t *testing.T) {
+	const window, lease = 5 * time.Second, 4 * time.Second
+	renew := func(at time.Duration) func(h *Holder) {
+		return func(h *Holder) { h.Apply(&Answer{}, at, at) }
+	}
+	report := func(at time.Duration) func(h *Holder) { return func(h *Holder) { h.NextReport(at, true) } }
+	lower := func(at time.Duration) func(h *Holder) {
+		return func(h *Holder) { h.SetLimits(Limits{"t": {Total: 5, Normal: 3}}, at) }
+	}
+	surplus := func(h *Holder) { h.Apply(&Answer{Grants: []Grant{{Tenant: "t", Surplus: 2}}}, 2, 2) }
+	type step struct {
+		do   func(h *Holder)
+		at   time.Duration
+		want []Verdict // of requests at that time
+	}
+	const yes, none, lapsed = Admitted, NeedsSlots, LeaseLapsed
+	for _, test := range []struct {
+		name  string
+		slots int
+		steps []step
+	}{
+		{"no more than it has", 2, []step{{nil, 1, []Verdict{yes, yes, none, none}}}},
+		{"free strictly after a window", 1, []step{
+			{nil, 1, []Verdict{yes}},
+			{renew(lease), window + 1, []Verdict{none}},
+			{nil, window + 2, []Verdict{yes, none}},
+		}},
+		{"a lease lapses", 1, []step{
+			{nil, lease, []Verdict{lapsed}},
+			{renew(lease), lease, []Verdict{yes}},
+		}},
+		{"a lease counts from the report", 1, []step{
+			{func(h *Holder) { h.Apply(&Answer{}, 100, 200) }, lease + 99, []Verdict{yes}},
+			{nil, lease + 100, []Verdict{lapsed}},
+		}},
+		{"an earlier answer doesn't shorten it", 1, []step{
+			{renew(100), 100, nil},
+			{renew(50), lease + 99, []Verdict{yes}},
+		}},
+		{"a released slot is free", 1, []step{
+			{nil, 1, []Verdict{yes, none}},
+			{func(h *Holder) { h.Release("t", 1) }, 2, []Verdict{yes, none}},
+			{func(h *Holder) { h.Release("t", 1) }, 2, []Verdict{none}}, // it isn't taken
+			{func(h *Holder) { h.Release("other", 2) }, 2, []Verdict{none}},
+		}},
+		{"free slots are given back, used ones aren't", 6, []step{
+			{nil, 1, []Verdict{yes, yes}},
+			{report(2), 2, []Verdict{yes, yes, none}}, // one and half as many as are used may be kept
+			{renew(lease), window + 3, []Verdict{yes, yes, yes, yes, none}},
+		}},
+		{"all are given back after a window", 6, []step{
+			{nil, 1, []Verdict{yes}},
+			{renew(lease), lease, nil},
+			{report(window + 2), window + 2, []Verdict{none}},
+		}},
+		{"a lower limit takes a part of each", 8, []step{
+			{lower(0), 1, []Verdict{yes, yes, yes, yes, none}},
+		}},
+		{"a lower limit takes used ones as they become free", 8, []step{
+			{nil, 1, []Verdict{yes, yes, yes, yes, yes, yes, yes, yes, none}},
+			{lower(2), 2, []Verdict{none}},
+			{renew(lease), window + 2, []Verdict{yes, yes, yes, yes, none}},
+		}},
+		{"a higher limit gives none", 2, []step{
+			{func(h *Holder) { h.SetLimits(Limits{"t": {Total: 50, Normal: 30}}, 0) }, 1, []Verdict{yes, yes, none}},
+		}},
+		{"a limit that is gone takes all", 2, []step{
+			{func(h *Holder) { h.SetLimits(Limits{}, 0); h.SetLimits(tenSlots(), 0) }, 1, []Verdict{none}},
+		}},
+		{"surplus", 4, []step{
+			{nil, 1, []Verdict{yes, yes, yes}},
+			{surplus, 2, []Verdict{none}},
+			{renew(lease), window + 2, []Verdict{yes, yes, none}},
+		}},
+		{"a grant without a limit is disregarded", 0, []step{
+			{func(h *Holder) {
+				h.SetLimits(Limits{}, 0)
+				h.Apply(&Answer{Grants: []Grant{{Tenant: "t", Slots: 2}}}, 0, 0)
+				h.SetLimits(tenSlots(), 0)
+			}, 1, []Verdict{none}},
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := leasedHolder(test.slots)
+			for i, s := range test.steps {
+				if s.do != nil {
+					s.do(h)
+				}
+				for j, want := range s.want {
+					qt.Assert(t, h.Acquire("t", s.at), qt.Equals, want, qt.Commentf("step %d, request %d", i, j))
+				}
+			}
+		})
+	}
+}
+
+// TestBeginReports checks that an allocator of an earlier epoch is not reported to.
+func TestBeginReports(t *testing.T) {
+	c := qt.New(t)
+	h := NewHolder(testRule, "p", 7)
+	for _, step := range []struct {
+		epoch uint64
+		want  bool
+	}{{0, false}, {3, true}, {3, true}, {2, false}, {4, true}, {3, false}} {
+		c.Check(h.BeginReports(step.epoch), qt.Equals, step.want, qt.Commentf("epoch %d", step.epoch))
+	}
+	h.SetLimits(tenSlots(), 0)
+	c.Assert(h.Acquire("t", 0), qt.Equals, LeaseLapsed) // no allocator has answered yet
+	c.Assert(h.NextReport(0, true), qt.DeepEquals, &Report{
+		Holder: "p", Incarnation: 7, Sequence: 1, Epoch: 4, Full: true,
+	})
+	h.AddWaiting("t", 2)
+	c.Assert(h.NextReport(0, false), qt.DeepEquals, &Report{
+		Holder: "p", Incarnation: 7, Sequence: 2, Epoch: 4, Holdings: []Holding{{Tenant: "t", Wanted: 2}},
+	})
+}
--- /dev/null
+++ b/internal/fleet/quota/liveness_test.go
@@ -0,0 +1,76 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// calmModel is a fleet without faults at half of each tenant's quota, some time after its start.
+func calmModel(seed uint64, holders int) *model {
+	limits := Limits{}
+	for tenant, total := range map[string]int{"small": 20, "middle": 100, "large": 1000} {
+		limits[tenant] = Slots{Total: total, Normal: int(normalShare * float64(total))}
+	}
+	m := newModel(seed, holders, limits, false)
+	for tenant, slots := range limits {
+		m.demand[tenant].interval = 2 * modelRule.Window / time.Duration(slots.Total)
+		m.demand[tenant].home = m.rng.Perm(holders)
+	}
+	m.runUntil(40 * time.Second)
+	return m
+}
+
+// refusedIn returns the share of requests that is refused in a time from now.
+func (m *model) refusedIn(d time.Duration) float64 {
+	before := m.stats
+	m.runUntil(m.now + d)
+	return float64(m.stats.refused-before.refused) / float64(m.stats.requests-before.requests)
+}
+
+// TestModelLiveness holds how much of a demand of half the quota is refused, evenly spread over all holders: nothing
+// when it is calm, and not more than is stated after troubles. The limits are somewhat above what was measured.
+func TestModelLiveness(t *testing.T) {
+	takeOver := func(m *model) { m.takeOver(time.Second) }
+	away := func(d time.Duration) func(m *model) {
+		return func(m *model) {
+			for _, h := range m.holders {
+				h.cutUntil = m.now + d
+			}
+			m.after(d, func() { m.takeOver(200 * time.Millisecond) })
+		}
+	}
+	restart := func(m *model) {
+		for _, h := range m.holders {
+			m.kill(h, m.upTo(time.Second))
+		}
+	}
+	for _, test := range []struct {
+		name    string
+		trouble func(m *model)
+		within  time.Duration
+		most    float64
+	}{
+		{"calm", func(*model) {}, 20 * time.Second, 0},
+		{"takeover", takeOver, 15 * time.Second, 0.06},
+		{"all holders restarted", restart, 15 * time.Second, 0.1},
+		{"everything restarted", func(m *model) { restart(m); takeOver(m) }, 15 * time.Second, 0.75},
+		{"no allocator for 2 s", away(2 * time.Second), 15 * time.Second, 0.15},
+		{"no allocator for 4 s", away(4 * time.Second), 15 * time.Second, 0.32},
+		{"no allocator for 6 s", away(6 * time.Second), 15 * time.Second, 0.72},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			for _, holders := range []int{4, 20, 74} {
+				m := calmModel(1, holders)
+				test.trouble(m)
+				refused := m.refusedIn(test.within)
+				t.Logf("%d holders: %.4f refused within %v", holders, refused, test.within)
+				qt.Check(t, refused <= test.most, qt.IsTrue)
+				m.runUntil(m.now + 15*time.Second)
+				qt.Check(t, m.refusedIn(10*time.Second), qt.Equals, 0.0, qt.Commentf("%d holders, later", holders))
+				qt.Assert(t, m.breach, qt.Equals, "")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/fleet/quota/planted_test.go
@@ -0,0 +1,118 @@
+package quota
+
+import (
+	"testing"
+
+	"molepaddle/internal/plantedfault"
+)
+
+const modelSearch = "^TestModelNeverOverQuota$"
+
+var planted = []plantedfault.Fault{
+	{
+		Name:  "a slot is free before its window is over",
+		Texts: []string{"now-s.used[n] > window {", "now-s.used[n] > window/2 {"},
+		Tests: modelSearch,
+	},
+	{
+		Name:  "the window is not closed",
+		Texts: []string{"now-s.used[n] > window {", "now-s.used[n] >= window {"},
+		Tests: "^Test(Holder|BeginReports)$",
+	},
+	{
+		Name:  "the lease is not checked",
+		Texts: []string{"if !h.leased || now >= h.usableUntil {", "if !h.leased {"},
+		Tests: modelSearch,
+	},
+	{
+		Name:  "a lease counts from the answer",
+		Texts: []string{"max(h.usableUntil, sentAt+h.rule.Lease)", "max(h.usableUntil, now+h.rule.Lease)"},
+		Tests: "^Test(Holder|BeginReports)$",
+	},
+	{
+		Name: "used slots are given back",
+		Texts: []string{
+			"\ts.free = min(s.free, keep)\n",
+			"\ts.free = min(s.free, keep)\n\ts.used = s.used[:len(s.used)/2]\n",
+		},
+		Tests: modelSearch,
+	},
+	{
+		Name:  "the sequence is ignored",
+		Texts: []string{"if report.Sequence <= holder.sequence {", "if report.Sequence == 0 {"},
+		Tests: modelSearch,
+	},
+	{
+		Name:  "the epoch is ignored",
+		Texts: []string{"epoch == 0 || epoch < h.epoch", "epoch == 0"},
+		Tests: "^Test(Holder|BeginReports)$",
+	},
+	{
+		Name:  "a new allocator hands out all at once",
+		Texts: []string{"if now >= a.provenAt {\n\t\treturn", "if now >= 0 {\n\t\treturn"},
+		Tests: modelSearch,
+	},
+	{
+		Name:  "what inherited ceilings raise is not out",
+		Texts: []string{"\tif a.inherited.Raised(tenant) {\n\t\tbefore = slots.Total\n\t}\n", ""},
+		Tests: modelSearch,
+	},
+	{
+		Name:  "lowered ceilings are used on",
+		Texts: []string{"a.committed.Raised(tenant) && a.proposed.Raised(tenant)", "a.committed.Raised(tenant)"},
+		Tests: "^TestAllocatorCeilings$",
+	},
+	{
+		Name:  "raised ceilings are used before they are committed",
+		Texts: []string{"a.committed.Raised(tenant) && a.proposed.Raised(tenant)", "a.proposed.Raised(tenant)"},
+		Tests: "^TestAllocatorCeilings$",
+	},
+	{
+		Name:  "a lowering may be overtaken",
+		Texts: []string{"\tif !a.proposed.Equal(a.committed) {\n\t\treturn a.proposed\n\t}\n", ""},
+		Tests: "^TestLoweringThatMayStillBeCommitted$",
+	},
+	{
+		Name:  "slots of an ended process are free at once",
+		Texts: []string{"a.retire(report.Holder, now+a.rule.Window)", "a.retire(report.Holder, now-1)"},
+		Tests: modelSearch,
+	},
+	{
+		Name:  "slots of a silent holder are free with its lease",
+		Texts: []string{"> a.rule.Lease+a.rule.Window {", "> a.rule.Lease {"},
+		Tests: modelSearch,
+	},
+	{
+		Name:  "an ended process displaces its successor",
+		Texts: []string{"case holder != nil && conn <= holder.conn:", "case holder != nil && conn == 0:"},
+		Tests: "^TestLateReportOfAnEndedProcess$",
+	},
+	{
+		Name:  "a first report may be in part",
+		Texts: []string{"case !report.Full:", "case report.Holder == \"\":"},
+		Tests: "^TestFirstReportIsFull$",
+	},
+	{
+		Name:  "slots of a lapsed lease are kept",
+		Texts: []string{"h.leased && now >= h.usableUntil+h.rule.Window/2", "false"},
+		Tests: "^TestSlotsOfALapsedLease$",
+	},
+	{
+		Name:  "later waiters make a denial",
+		Texts: []string{"if held.asked > grant.Slots {", "if held.waiting > grant.Slots {"},
+		Tests: "^TestWaitersAfterTheReport$",
+	},
+	{
+		Name:  "a late answer is used",
+		Texts: []string{"if now-sentAt > answerTimeout {", "if false {"},
+		Tests: "^TestLateAnswerIsNotUsed$",
+	},
+	{
+		Name:  "what a full report doesn't name is kept",
+		Texts: []string{"\t\ta.recordAbsent(holder, report.Holdings)\n", ""},
+		Tests: "^TestFullReportDropsTheRest$",
+	},
+}
+
+// TestPlantedFaults checks that each planted fault is found.
+func TestPlantedFaults(t *testing.T) { plantedfault.Find(t, planted) }
