--- a/internal/fleet/quota/allocator.go
+++ b/internal/fleet/quota/allocator.go
@@ -14,7 +14,7 @@
 	maxHolders = 20_000
 	// spareDivisor: all holders of a tenant together may keep one in so many of the slots that are not held.
 	spareDivisor = 2
-	// raiseDivisor: a tenant's ceiling is raised once less than one in so many of the slots below it is left.
+	// raiseDivisor: a tenant's ceiling is raised once one in so many of the slots below it, or less, is left.
 	raiseDivisor = 10
 	// lowerDivisor: it is lowered again once one in so many of them or less is held.
 	lowerDivisor = 2
--- a/internal/fleet/quota/allocator_test.go
+++ b/internal/fleet/quota/allocator_test.go
@@ -293,3 +293,19 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(grants, qt.HasLen, 0)
 }
+
+// TestSmallQuotas checks that all slots of a tenant are handed out in the end, however few there are.
+func TestSmallQuotas(t *testing.T) {
+	for total := 1; total <= 40; total++ {
+		limits := Limits{"t": {Total: total, Normal: int(normalShare * float64(total))}}
+		a := NewAllocator(testRule, limits, nil, 0, testOverlap)
+		held := 0
+		for i := range 10 {
+			a.SetCeilings(a.WantedCeilings(testProven))
+			grants, err := a.Handle(fullReport("p", 1, uint64(i)+1, held, total-held), 1, testProven)
+			qt.Assert(t, err, qt.IsNil)
+			held += grants[0].Slots
+		}
+		qt.Check(t, held, qt.Equals, total)
+	}
+}
