--- a/internal/fleet/quota/model_test.go
+++ b/internal/fleet/quota/model_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -47,19 +48,22 @@
 
 // model is a fleet of holders and successive allocators in virtual time.
 type model struct {
-	rng     *rand.Rand
-	now     time.Duration
-	queue   modelQueue
-	events  int
-	faults  bool          // links lose and delay, commits fail, processes freeze and die
-	slow    int           // one in so many messages is slow, but mostly not too late
-	pause   time.Duration // at the most, between two faults
-	limits  Limits
-	names   []string // of the tenants
-	demand  map[string]*modelDemand
-	record  *Ceilings // committed
-	terms   []*modelTerm
-	holders []*modelHolder
+	rng    *rand.Rand
+	now    time.Duration
+	queue  modelQueue
+	events int
+	faults bool          // links lose and delay, commits fail, processes freeze and die
+	slow   int           // one in so many messages is slow, but mostly not too late
+	pause  time.Duration // at the most, between two faults
+	kinds  int           // of faults: 8, or 9 with changes of limits
+	limits Limits
+	names  []string // of the tenants
+	demand map[string]*modelDemand
+	record *Ceilings // committed
+	// formerly are totals that were replaced, by tenant, and until when they count.
+	formerly map[string][]formerTotal
+	terms    []*modelTerm
+	holders  []*modelHolder
 	// admitted are when requests that weren't released were admitted, by tenant, in one window.
 	admitted map[string][]time.Duration
 	stats    modelStats
@@ -67,6 +71,15 @@
 	trace    func(format string, args ...any)
 }
 
+// formerTotal is how many slots a tenant had until a moment ago.
+type formerTotal struct {
+	total int
+	until time.Duration
+}
+
+// limitsSettle is when all proxies keep to lowered limits at the latest: they are frozen and cut off for less, together.
+const limitsSettle = 45 * time.Second
+
 // modelStats counts what became of requests.
 type modelStats struct {
 	requests, refused int
@@ -138,6 +151,7 @@
 		limits:   limits,
 		demand:   map[string]*modelDemand{},
 		admitted: map[string][]time.Duration{},
+		formerly: map[string][]formerTotal{},
 		trace:    func(string, ...any) {},
 	}
 	for tenant := range limits {
@@ -499,7 +513,7 @@
 	inWindow = append(inWindow, m.now)
 	m.admitted[tenant] = inWindow
 	m.trace("%s admits %s: %d in the window", h.name, tenant, len(inWindow))
-	total := m.limits[tenant].Total
+	total := m.total(tenant)
 	m.stats.mostShare = max(m.stats.mostShare, float64(len(inWindow))/float64(total))
 	if len(inWindow) > total {
 		m.breach = fmt.Sprintf("%s: %d of %d in the window that ends at %v", tenant, len(inWindow), total, m.now)
@@ -510,6 +524,43 @@
 	return true
 }
 
+// total is how many slots a tenant has, or had a moment ago.
+func (m *model) total(tenant string) int {
+	total := m.limits[tenant].Total
+	for _, former := range m.formerly[tenant] {
+		if m.now < former.until {
+			total = max(total, former.total)
+		}
+	}
+	return total
+}
+
+// changeLimits gives a tenant another quota, which the allocator keeps to at once and proxies when they hear of it.
+func (m *model) changeLimits() {
+	tenant := m.names[m.rng.IntN(len(m.names))]
+	m.formerly[tenant] = append(m.formerly[tenant], formerTotal{m.limits[tenant].Total, m.now + limitsSettle})
+	total := 5 + m.rng.IntN(60)
+	m.limits = maps.Clone(m.limits)
+	m.limits[tenant] = Slots{Total: total, Normal: int(normalShare * float64(total))}
+	m.trace("%s has %d slots from now on", tenant, total)
+	m.terms[len(m.terms)-1].allocator.SetLimits(m.limits)
+	for _, h := range m.holders {
+		m.after(m.upTo(2500*time.Millisecond), func() { m.tellLimits(h, h.incarnation) })
+	}
+}
+
+// tellLimits tells a proxy of the limits once it can be reached, if its process lives so long.
+func (m *model) tellLimits(h *modelHolder, life uint64) {
+	if h.dead || h.incarnation != life {
+		return
+	}
+	if away := max(h.frozenUntil, h.cutUntil); m.now < away {
+		m.after(away-m.now, func() { m.tellLimits(h, life) })
+		return
+	}
+	h.holder.SetLimits(m.limits, m.now-h.origin)
+}
+
 // releaseLater has a request turn out not to have run, if its process lives so long.
 func (m *model) releaseLater(h *modelHolder, tenant string, at, when time.Duration) {
 	life := h.incarnation
@@ -557,7 +608,9 @@
 func (m *model) fault() {
 	h := m.holders[m.rng.IntN(len(m.holders))]
 	term := m.terms[len(m.terms)-1]
-	switch m.rng.IntN(8) {
+	switch m.rng.IntN(m.kinds) {
+	case 8:
+		m.changeLimits()
 	case 0, 1:
 		m.takeOver(m.upTo(3 * time.Second))
 	case 2:
@@ -599,7 +652,7 @@
 		if *modelTrace {
 			m.trace = func(format string, args ...any) { t.Logf("%v "+format, append([]any{m.now}, args...)...) }
 		}
-		m.storm(60 * time.Second)
+		m.storm(time.Duration(60+60*(m.kinds-8)) * time.Second)
 		if m.breach != "" {
 			t.Fatalf("seed %d: %s", seed, m.breach)
 		}
@@ -626,6 +679,7 @@
 	}
 	m := newModel(seed, 2+rng.IntN(4), limits, true)
 	m.slow = []int{3, 30}[rng.IntN(2)]
+	m.kinds = 8 + rng.IntN(2)
 	m.pause = []time.Duration{3 * time.Second, 8 * time.Second, 16 * time.Second}[rng.IntN(3)]
 	for _, tenant := range m.names {
 		m.spread(tenant)
