quota: the liveness search is drawn alike each time, from more seeds

Demand was drawn in the order of a map, so that each run was another one, and the limit was set from a single run (0.277). Tenants now come in order, so that the same seeds give the same figures, and five seeds are played. Over 40 seeds that case gives 0.263 to 0.346; its limit is 0.38, which is higher than before, the other six stay and hold for all 40 seeds.

--- a/internal/fleet/quota/liveness_test.go
+++ b/internal/fleet/quota/liveness_test.go
@@ -1,12 +1,15 @@
 package quota
 
 import (
+	"flag"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 )
 
+var livenessSeeds = flag.Int("quota.liveness", 5, "how many seeds TestModelLiveness plays")
+
 // calmModel is a fleet without faults at half of each tenant's quota, some time after its start.
 func calmModel(seed uint64, holders int) *model {
 	limits := Limits{}
@@ -14,8 +17,8 @@
 		limits[tenant] = Slots{Total: total, Normal: int(normalShare * float64(total))}
 	}
 	m := newModel(seed, holders, limits, false)
-	for tenant, slots := range limits {
-		m.demand[tenant].interval = 2 * modelRule.Window / time.Duration(slots.Total)
+	for _, tenant := range m.names {
+		m.demand[tenant].interval = 2 * modelRule.Window / time.Duration(limits[tenant].Total)
 		m.demand[tenant].home = m.rng.Perm(holders)
 	}
 	m.runUntil(40 * time.Second)
@@ -30,7 +33,7 @@
 }
 
 // TestModelLiveness holds how much of a demand of half the quota is refused, evenly spread over all holders: nothing
-// when it is calm, and not more than is stated after troubles. The limits are somewhat above what was measured.
+// when it is calm, and not more than is stated after troubles. The limits are somewhat above the most of 40 seeds.
 func TestModelLiveness(t *testing.T) {
 	takeOver := func(m *model) { m.takeOver(time.Second) }
 	away := func(d time.Duration) func(m *model) {
@@ -57,19 +60,24 @@
 		{"all holders restarted", restart, 15 * time.Second, 0.1},
 		{"everything restarted", func(m *model) { restart(m); takeOver(m) }, 15 * time.Second, 0.75},
 		{"no allocator for 2 s", away(2 * time.Second), 15 * time.Second, 0.15},
-		{"no allocator for 4 s", away(4 * time.Second), 15 * time.Second, 0.32},
+		{"no allocator for 4 s", away(4 * time.Second), 15 * time.Second, 0.38},
 		{"no allocator for 6 s", away(6 * time.Second), 15 * time.Second, 0.72},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			for _, holders := range []int{4, 20, 74} {
-				m := calmModel(1, holders)
-				test.trouble(m)
-				refused := m.refusedIn(test.within)
-				t.Logf("%d holders: %.4f refused within %v", holders, refused, test.within)
-				qt.Check(t, refused <= test.most, qt.IsTrue)
-				m.runUntil(m.now + 15*time.Second)
-				qt.Check(t, m.refusedIn(10*time.Second), qt.Equals, 0.0, qt.Commentf("%d holders, later", holders))
-				qt.Assert(t, m.breach, qt.Equals, "")
+				least, sum, most := 1.0, 0.0, 0.0
+				for seed := range uint64(*livenessSeeds) {
+					m := calmModel(seed, holders)
+					test.trouble(m)
+					refused := m.refusedIn(test.within)
+					least, sum, most = min(least, refused), sum+refused, max(most, refused)
+					m.runUntil(m.now + 15*time.Second)
+					qt.Check(t, m.refusedIn(10*time.Second), qt.Equals, 0.0, qt.Commentf("%d holders, later", holders))
+					qt.Assert(t, m.breach, qt.Equals, "")
+				}
+				t.Logf("%d holders: refused within %v: %.3f, %.3f to %.3f",
+					holders, test.within, sum/float64(*livenessSeeds), least, most)
+				qt.Check(t, most <= test.most, qt.IsTrue, qt.Commentf("%d holders", holders))
 			}
 		})
 	}
--- a/internal/fleet/quota/model_test.go
+++ b/internal/fleet/quota/model_test.go
@@ -77,7 +77,7 @@
 	until time.Duration
 }
 
-// limitsSettle is when all proxies keep to lowered limits at the latest: they are frozen and cut off for less, together.
+// limitsSettle is when all proxies keep to lowered limits at the latest: they are mostly frozen and cut off for less.
 const limitsSettle = 45 * time.Second
 
 // modelStats counts what became of requests.
