Findings of a review: slots of prefilled prompts, updates that lost accounts

Changes up to a version that a cache has are no longer lacking: a contact was left out for one pull.

--- a/internal/fleet/controlplane/controlstate.go
+++ b/internal/fleet/controlplane/controlstate.go
@@ -51,7 +51,7 @@
 		cs.docSeq = seq
 	}
 	if err == nil && c != nil {
-		if doc, findings := c.applyTo(cs.doc); findings.Err() == nil {
+		if doc, findings := c.applyTo(cs.doc, routingconfig.Stored()); findings.Err() == nil {
 			cs.doc = doc
 			cs.accepted.add(doc.Version(), c.digest())
 		}
@@ -133,7 +133,7 @@
 		return errors.Wrap(err, "decode")
 	}
 	if len(s.Document) > 0 {
-		doc, findings := routingconfig.Decode(s.Document)
+		doc, findings := routingconfig.Decode(s.Document, routingconfig.Stored())
 		if err := findings.Err(); err != nil {
 			return errors.Wrap(err, "configuration")
 		}
--- a/internal/fleet/distribution/cache.go
+++ b/internal/fleet/distribution/cache.go
@@ -251,6 +251,9 @@
 		return true
 	}
 	e := c.entries[resource.Type]
+	if e != nil && !e.version.Before(resource.Version) {
+		return true // it came by another way
+	}
 	if e == nil || e.version != resource.BaseVersion {
 		return false
 	}
--- a/internal/fleet/proxy/accounts.go
+++ b/internal/fleet/proxy/accounts.go
@@ -74,21 +74,24 @@
 ) (*routingconfig.Account, error) {
 	key, hasKey := takeKey(r.Header, snapshot.index.KeysRequired())
 	r.Header.Del(externalapi.HeaderTenant)
-	if !snapshot.index.KeysRequired() || route.Public && !hasKey {
+	if !hasKey && (route.Public || !snapshot.index.KeysRequired()) {
 		return nil, nil
 	}
 	age := arrivedAt.Sub(confirmedAt)
 	if p.settings.Bounds.StrictRevoke && age > p.settings.Bounds.Revoke-revokeMargin {
 		return nil, p.rejectUnconfirmed()
 	}
+	if !snapshot.index.KeysRequired() {
+		return nil, nil
+	}
 	account, known := snapshot.index.AccountOfKey(key)
 	switch {
 	case known:
 		return account, nil
-	case route.Public:
-		return nil, nil
 	case age > p.settings.Bounds.Apply:
 		return nil, p.rejectUnconfirmed() // the key may have been added since
+	case route.Public:
+		return nil, nil
 	}
 	p.countRejection(unknownKey)
 	return nil, &rejection{status: http.StatusUnauthorized, reason: "the API key is not known"}
@@ -106,13 +109,12 @@
 }
 
 // takeKey returns the API key of a request: that of its only Authorization field. Where keys are required it takes the
-// field off the request; otherwise the field is none of the system's business.
+// field off the request; otherwise the field is the backends'.
 func takeKey(header http.Header, required bool) (key string, ok bool) {
-	if !required {
-		return "", false
-	}
 	values := header[externalapi.HeaderAuthorization]
-	delete(header, externalapi.HeaderAuthorization)
+	if required {
+		delete(header, externalapi.HeaderAuthorization)
+	}
 	if len(values) != 1 {
 		return "", len(values) > 0
 	}
@@ -173,7 +175,7 @@
 
 // releaseUnused gives the quota back of a request that no backend has run or will run.
 func (cr *clientRequest) releaseUnused() {
-	if !cr.mayHaveRun && cr.sends == 0 {
+	if !cr.mayHaveRun && !cr.prefilled && cr.sends == 0 {
 		cr.slot.Release()
 	}
 }
--- a/internal/fleet/proxy/configwatch.go
+++ b/internal/fleet/proxy/configwatch.go
@@ -184,7 +184,7 @@
 func (p *Proxy) applyConfig(resource *distribution.Resource) error {
 	doc := p.doc
 	if resource.Snapshot != nil {
-		d, found := routingconfig.Decode(resource.Snapshot)
+		d, found := routingconfig.Decode(resource.Snapshot, routingconfig.Stored())
 		if err := found.Err(); err != nil {
 			return err
 		}
@@ -197,7 +197,7 @@
 		if c.Replace {
 			change = routingconfig.Replace
 		}
-		d, found := change(doc, c.Body)
+		d, found := change(doc, c.Body, routingconfig.Stored())
 		if err := found.Err(); err != nil {
 			return err
 		}
--- a/internal/fleet/proxy/prefill.go
+++ b/internal/fleet/proxy/prefill.go
@@ -79,6 +79,7 @@
 	opts := attemptOptions{deadline: cr.deadline, stage: externalapi.PhasePrefill, priority: cr.priority(false)}
 	e, wrote, err := cr.startExchange(ctx, a.permit, &cr.outbound, &opts, cr.connectDeadline(), deadline)
 	a.reached = wrote
+	cr.prefilled = cr.prefilled || wrote
 	if err != nil {
 		a.status = attemptStatus(wrote, err)
 		return nil, err
--- a/internal/fleet/proxy/reverseproxy.go
+++ b/internal/fleet/proxy/reverseproxy.go
@@ -50,6 +50,7 @@
 
 	// What its attempts have come to.
 	mayHaveRun bool // a backend may have begun to execute it
+	prefilled  bool // a backend may have prefilled its prompt
 	tried      map[string]bool
 	sends      int
 	retryAfter time.Duration // the longest that backends asked for which did not run it
--- a/internal/fleet/quota/allocator.go
+++ b/internal/fleet/quota/allocator.go
@@ -149,6 +149,7 @@
 		}
 		return a.proposed
 	}
+	a.unaccounted = nil // who has not reported by now holds nothing
 	for tenant, t := range a.tenants {
 		a.review(tenant, t, now)
 	}
@@ -316,7 +317,8 @@
 		available = 0
 	}
 	granted := min(h.Wanted, available)
-	spare := (available - granted) / (spareDivisor * max(t.holders, 1))
+	// Spares are from the slots below which a ceiling isn't raised.
+	spare := max(available-granted-slots.Normal/raiseDivisor, 0) / (spareDivisor * max(t.holders, 1))
 	if h.Wanted > 0 && granted == h.Wanted {
 		granted += min(spare, 1+h.Held/4)
 	}
--- a/internal/fleet/quota/allocator_test.go
+++ b/internal/fleet/quota/allocator_test.go
@@ -207,24 +207,32 @@
 	want(0, 0, 5, 4) // earlier allocators handed out 6 of 10
 	want(0, 4, 3, 0)
 	want(8*time.Second, 4, 0, 0)
-	c.Assert(a.WantedCeilings(testProven), qt.DeepEquals, &Ceilings{})
+	named := []string{"p"}
+	lowered := &Ceilings{Complete: true, Holders: named}
+	c.Assert(a.WantedCeilings(testProven), qt.DeepEquals, lowered)
 	want(testProven, 4, 6, 2) // lowered from the proposal on
-	a.SetCeilings(&Ceilings{})
+	a.SetCeilings(lowered)
 	raised := a.WantedCeilings(testProven)
-	c.Assert(raised, qt.DeepEquals, &Ceilings{Tenants: []string{"t"}})
+	c.Assert(raised, qt.DeepEquals, &Ceilings{Tenants: []string{"t"}, Complete: true, Holders: named})
 	want(testProven, 6, 4, 0)
 	a.SetCeilings(raised)
 	want(testProven, 6, 4, 4)
 	want(testProven, 4, 0, 0)
 	c.Assert(a.WantedCeilings(testProven), qt.DeepEquals, raised) // of 6
 	want(testProven, 3, 0, 0)
-	c.Assert(a.WantedCeilings(testProven), qt.DeepEquals, &Ceilings{})
+	for at := time.Duration(0); at <= raisedFor; at += time.Second {
+		want(testProven+at, 3, 0, 0)
+		c.Assert(a.WantedCeilings(testProven+at), qt.DeepEquals, raised)
+	}
+	want(testProven+raisedFor+time.Second, 3, 0, 0)
+	c.Assert(a.WantedCeilings(testProven+raisedFor+time.Second), qt.DeepEquals, lowered)
 
 	// The next allocator reckons with all of the tenants raised when it began, and 6 of others.
 	limits := Limits{"t": {Total: 10, Normal: 6}, "u": {Total: 10, Normal: 6}}
 	next := NewAllocator(testRule, limits, raised, 0, testOverlap)
-	next.WantedCeilings(0)
-	next.SetCeilings(&Ceilings{All: true})
+	all := next.WantedCeilings(0)
+	c.Assert(all, qt.DeepEquals, &Ceilings{All: true, Complete: true, Holders: named})
+	next.SetCeilings(all)
 	grants, err := next.Handle(&Report{Holder: "p", Incarnation: 1, Sequence: 1, Full: true, Holdings: []Holding{
 		{Tenant: "t", Wanted: 9}, {Tenant: "u", Wanted: 9},
 	}}, 1, 0)
@@ -309,3 +317,58 @@
 		qt.Check(t, held, qt.Equals, total)
 	}
 }
+
+// TestAllKnownOnceAllHaveReported checks that a new allocator knows all slots once the holders that the record names have
+// reported, and a window has passed since the youngest of them was started; and that nobody else is granted any.
+func TestAllKnownOnceAllHaveReported(t *testing.T) {
+	const sec = time.Second
+	for _, test := range []struct {
+		name      string
+		uptimesMs []int64 // of p and of q; those that are missing don't report
+		known     time.Duration
+	}{
+		{"both are old", []int64{9000, 60_000}, 0},
+		{"one was restarted 2 s ago", []int64{9000, 2000}, testRule.Window - 2*sec},
+		{"one is gone", []int64{9000}, testProven},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			inherited := &Ceilings{Tenants: []string{"t"}, Complete: true, Holders: []string{"p", "q"}}
+			a := NewAllocator(testRule, tenSlots(), inherited, 0, testOverlap)
+			a.SetCeilings(a.WantedCeilings(0))
+			sequence := uint64(0)
+			ask := func(holder string, uptimeMs int64, now time.Duration, wanted int) int {
+				sequence++
+				report := fullReport(holder, 1, sequence, 0, wanted)
+				report.UptimeMs = uptimeMs
+				grants, err := a.Handle(report, 1, now)
+				c.Assert(err, qt.IsNil)
+				return grants[0].Slots
+			}
+			for i, uptime := range test.uptimesMs {
+				ask([]string{"p", "q"}[i], uptime, 0, 0)
+			}
+			c.Assert(ask("stranger", 60_000, 0, 1), qt.Equals, 0)
+			if test.known > 0 {
+				c.Assert(ask("p", 0, test.known-1, 1), qt.Equals, 0)
+			}
+			c.Assert(ask("p", 0, test.known, 1) > 0, qt.IsTrue)
+			ceilings := a.WantedCeilings(test.known)
+			c.Assert(ceilings.Complete, qt.IsTrue)
+		})
+	}
+}
+
+// TestTheDeadAreNotNamedForGood checks that a proxy that is gone isn't waited for by each allocator in turn.
+func TestTheDeadAreNotNamedForGood(t *testing.T) {
+	c := qt.New(t)
+	ceilings := &Ceilings{Complete: true, Holders: []string{"dead", "p"}}
+	a := NewAllocator(testRule, tenSlots(), ceilings, 0, testOverlap)
+	_, err := a.Handle(fullReport("p", 1, 1, 0, 0), 1, 0)
+	c.Assert(err, qt.IsNil)
+	c.Assert(a.WantedCeilings(testProven-1).Holders, qt.DeepEquals, ceilings.Holders)
+	a.SetCeilings(a.WantedCeilings(testProven - 1))
+	_, err = a.Handle(fullReport("p", 1, 2, 0, 0), 1, testProven)
+	c.Assert(err, qt.IsNil)
+	c.Assert(a.WantedCeilings(testProven).Holders, qt.DeepEquals, []string{"p"})
+}
--- a/internal/fleet/quota/client_test.go
+++ b/internal/fleet/quota/client_test.go
@@ -16,6 +16,9 @@
 	"molepaddle/internal/fleet/distribution"
 )
 
+// testWait is for how long requests of the tests wait for a slot.
+const testWait = 30 * time.Millisecond
+
 // serve has a server answer on loopback until the test ends or stop is called.
 func serve(t *testing.T, s *Server) (addr string, stop func()) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -98,7 +101,7 @@
 	var requests sync.WaitGroup
 	for range 30 {
 		requests.Go(func() {
-			switch taken, err := client.Acquire(t.Context(), "t"); err {
+			switch taken, err := client.Acquire(t.Context(), "t", testWait); err {
 			case nil:
 				admitted.Add(1)
 				slot.Store(&taken)
@@ -115,9 +118,9 @@
 	client.mu.Unlock()
 	c.Assert(built <= 15, qt.IsTrue, qt.Commentf("%d reports for 30 requests", built))
 	slot.Load().Release()
-	_, err := client.Acquire(t.Context(), "t")
+	_, err := client.Acquire(t.Context(), "t", testWait)
 	c.Assert(err, qt.IsNil)
-	_, err = client.Acquire(t.Context(), "unlimited")
+	_, err = client.Acquire(t.Context(), "unlimited", testWait)
 	c.Assert(err, qt.IsNil)
 	Slot{}.Release()
 }
@@ -130,12 +133,12 @@
 	for _, to := range []string{"", "127.0.0.1:1", addr} {
 		client, _ := run(t, 1, tenSlots(), at(to))
 		began := time.Now()
-		_, err := client.Acquire(t.Context(), "t")
+		_, err := client.Acquire(t.Context(), "t", testWait)
 		c.Check(err, qt.Equals, ErrNoAllocator)
-		c.Check(time.Since(began) < 10*maxWait, qt.IsTrue)
+		c.Check(time.Since(began) < 10*testWait, qt.IsTrue)
 		ctx, cancel := context.WithCancel(t.Context())
 		cancel()
-		_, err = client.Acquire(ctx, "t")
+		_, err = client.Acquire(ctx, "t", testWait)
 		c.Check(err, qt.Equals, context.Canceled)
 	}
 }
@@ -150,7 +153,7 @@
 	addr.Store(&first)
 	client, _ := run(t, 1, tenSlots(), func() string { return *addr.Load() })
 	client.awaitLease(t, 1)
-	_, err := client.Acquire(t.Context(), "t")
+	_, err := client.Acquire(t.Context(), "t", testWait)
 	c.Assert(err, qt.IsNil)
 	addr.Store(&second)
 	leadsFirst.Store(false) // its next answer says that it is none
@@ -218,7 +221,7 @@
 	var stops []func()
 	for i := range 5 {
 		client, stop := run(t, uint64(i)+1, tenSlots(), at(addr))
-		_, _ = client.Acquire(t.Context(), "t")
+		_, _ = client.Acquire(t.Context(), "t", testWait)
 		stops = append(stops, stop)
 	}
 	stopServer()
--- a/internal/fleet/quota/model_test.go
+++ b/internal/fleet/quota/model_test.go
@@ -480,7 +480,7 @@
 		m.report(h, h.leader, false)
 	}
 	life := h.incarnation
-	m.after(maxWait, func() {
+	m.after(testWait, func() {
 		if !w.done && h.incarnation == life {
 			m.retry(h, w)
 		}
--- a/internal/fleet/quota/planted_test.go
+++ b/internal/fleet/quota/planted_test.go
@@ -32,8 +32,8 @@
 	{
 		Name: "used slots are given back",
 		Texts: []string{
-			"\ts.free = min(s.free, keep)\n",
-			"\ts.free = min(s.free, keep)\n\ts.used.first += s.used.count() / 2\n",
+			"{ s.free = min(s.free, s.keep(now, window)) }",
+			"{\n\ts.free = min(s.free, s.keep(now, window))\n\ts.used.first += s.used.count() / 2\n}",
 		},
 		Tests: modelSearch,
 	},
@@ -94,7 +94,7 @@
 	},
 	{
 		Name:  "slots of a lapsed lease are kept",
-		Texts: []string{"h.leased && now >= h.usableUntil+h.rule.Window/2", "false"},
+		Texts: []string{"h.leased && now >= h.usableUntil+max(h.rule.Window-reportTransit, 0)", "false"},
 		Tests: "^TestSlotsOfALapsedLease$",
 	},
 	{
--- a/internal/fleet/routingconfig/accounts.go
+++ b/internal/fleet/routingconfig/accounts.go
@@ -142,6 +142,10 @@
 	for _, a := range d.accounts {
 		x.accountsByName[a.Name] = &a.Account
 		for _, hash := range a.keyHashes {
+			if other, taken := x.accountsByKey[hash]; taken && other != &a.Account {
+				x.accountsByKey[hash] = nil // two share it, in what an earlier build accepted: it is nobody's
+				continue
+			}
 			x.accountsByKey[hash] = &a.Account
 		}
 	}
@@ -153,8 +157,8 @@
 
 // AccountOfKey returns the account that a key is of.
 func (x *Index) AccountOfKey(key string) (*Account, bool) {
-	a, ok := x.accountsByKey[HashKey(key)]
-	return a, ok
+	a := x.accountsByKey[HashKey(key)]
+	return a, a != nil
 }
 
 // Account returns an account by its name.
--- a/internal/fleet/routingconfig/accounts_test.go
+++ b/internal/fleet/routingconfig/accounts_test.go
@@ -118,12 +118,17 @@
 			`"upsert":{"zz":[{"name":"b","v":2},{"name":"d"}]},"remove":{"zz":["a","x"]}`,
 			`,"zz":[{"name":"b","v":2},{"name":"c"},{"name":"d"}]`,
 		},
-		"a new list":         {``, `"upsert":{"zz":[{"name":"d"}]}`, `,"zz":[{"name":"d"}]`},
-		"an object":          {`,"zz":{"a":1}`, `"upsert":{"zz":{"b":2}}`, `,"zz":{"b":2}`},
-		"items without name": {`,"zz":[1,2]`, `"upsert":{"zz":[3]}`, `,"zz":[3]`},
-		"removed and added":  {`,"zz":[{"name":"a"}]`, `"upsert":{"zz":[{"name":"a","v":1}]},"remove":{"zz":["a"]}`, `,"zz":[{"name":"a","v":1}]`},
-		"nothing to remove":  {`,"zz":{"a":1}`, `"remove":{"zz":["a"]}`, `,"zz":{"a":1}`},
-		"left alone":         {`,"zz":[{"name":"a"}],"yy":3`, `"upsert":{"xx":1}`, `,"zz":[{"name":"a"}],"yy":3,"xx":1`},
+		"a new list": {``, `"upsert":{"zz":[{"name":"d"}]}`, `,"zz":[{"name":"d"}]`},
+		"an object":  {`,"zz":{"a":1}`, `"upsert":{"zz":{"b":2}}`, `,"zz":{"b":2}`},
+		"null":       {`,"zz":[{"name":"a"}]`, `"upsert":{"zz":null}`, `,"zz":[{"name":"a"}]`},
+		"kept in its place": {
+			`,"zz":[{"name":"a"},{"name":"b"}]`,
+			`"upsert":{"zz":[{"name":"a","v":1}]},"remove":{"zz":["a"]}`,
+			`,"zz":[{"name":"a","v":1},{"name":"b"}]`,
+		},
+		"removed and added": {`,"zz":[{"name":"a"}]`, `"upsert":{"zz":[{"name":"a","v":1}]},"remove":{"zz":["a"]}`, `,"zz":[{"name":"a","v":1}]`},
+		"nothing to remove": {`,"zz":{"a":1}`, `"remove":{"zz":["a"]}`, `,"zz":{"a":1}`},
+		"left alone":        {`,"zz":[{"name":"a"}],"yy":3`, `"upsert":{"xx":1}`, `,"zz":[{"name":"a"}],"yy":3,"xx":1`},
 	} {
 		c.Run(name, func(c *qt.C) {
 			d := decode(c, config(3, tc.before))
@@ -133,6 +138,34 @@
 	}
 }
 
+// TestUnknownListsThatCannotBeChanged: CONFIG, a change that can't be applied isn't acknowledged.
+func TestUnknownListsThatCannotBeChanged(t *testing.T) {
+	for name, tc := range map[string]struct{ before, change string }{
+		"items without name": {`[1,2]`, `"upsert":{"zz":[3]}`},
+		"names twice":        {`[{"name":"a"},{"name":"a"}]`, `"upsert":{"zz":[{"name":"b"}]}`},
+		"removed by name":    {`[{"x":1}]`, `"remove":{"zz":["a"]}`},
+		"an object for it":   {`[{"name":"a"}]`, `"upsert":{"zz":{"a":1}}`},
+		"the version":        {`[]`, `"upsert":{"ver":5}`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			d := decode(c, `{"ver":3,"routing":[],"svcs":[],"zz":`+tc.before+`}`)
+			next, found := routingconfig.Update(d, []byte(`{"ver":4,`+tc.change+`}`))
+			c.Assert(found, qt.Not(qt.HasLen), 0)
+			c.Assert(next, qt.IsNil)
+		})
+	}
+}
+
+// TestRemovedAccountsRequireNoKeys: CONFIG, removing an account where there are none had every request refused with 401.
+func TestRemovedAccountsRequireNoKeys(t *testing.T) {
+	c := qt.New(t)
+	d := decode(c, configuration("", service("a")))
+	next := update(c, d, `{"ver":4,"remove":{"accounts":["x"]}}`)
+	c.Assert(routingconfig.NewIndex(next).KeysRequired(), qt.IsFalse)
+	c.Assert(string(next.Show()), qt.Equals, strings.Replace(string(d.Show()), `"ver":3`, `"ver":4`, 1))
+}
+
 // TestHashKeyAllocatesNothing: a proxy hashes a key for each request.
 func TestHashKeyAllocatesNothing(t *testing.T) {
 	x := routingconfig.NewIndex(decode(t, withAccounts(3, account("one", "timaj3nr26tta828m82t"))))
--- a/internal/fleet/routingconfig/checks.go
+++ b/internal/fleet/routingconfig/checks.go
@@ -6,7 +6,28 @@
 )
 
 // Check is a rule that a configuration must satisfy beside those of Decode, from what the caller knows.
-type Check struct{ regions map[string]bool }
+type Check struct {
+	regions map[string]bool
+	stored  bool
+}
+
+// Stored returns a check for what was acknowledged before and can't be refused any more: what an earlier build accepted
+// is read where this one would refuse it. Accounts that aren't valid have no effect, a key that two of them share is
+// nobody's, and what an update has in the wrong place is passed over, as it was then.
+func Stored() Check { return Check{stored: true} }
+
+// stored returns whether one of the checks is Stored.
+func stored(checks []Check) bool {
+	return slices.ContainsFunc(checks, func(c Check) bool { return c.stored })
+}
+
+// unlessStored returns where findings are added that don't count for what was acknowledged before.
+func unlessStored(checks []Check, found *Findings) *Findings {
+	if stored(checks) {
+		return new(Findings)
+	}
+	return found
+}
 
 // KnownRegions returns a check that refuses names of regions that the deployment doesn't have; zones gives the region
 // of each zone. Without any zone the regions aren't known, and every name is accepted.
@@ -27,7 +48,7 @@
 	for i, t := range d.tenants {
 		checkKnownRegions(checks, t.Regions, found, func() string { return indexed("tenants", i) })
 	}
-	d.checkAccountKeys(found)
+	d.checkAccountKeys(unlessStored(checks, found))
 	matches := make(map[routeMatch]int, len(d.routes))
 	for i, r := range d.routes {
 		path := func() string { return indexed("routing", i) }
--- a/internal/fleet/routingconfig/decode.go
+++ b/internal/fleet/routingconfig/decode.go
@@ -25,7 +25,7 @@
 	if top == nil {
 		return nil, found
 	}
-	d := top.document(body, current)
+	d := top.document(body, current, checks)
 	d.checkItems(checks, &found)
 	if len(found) > 0 {
 		return nil, found
@@ -46,7 +46,7 @@
 }
 
 // document reads a complete configuration, each item on its own.
-func (o *object) document(body []byte, current *Document) *Document {
+func (o *object) document(body []byte, current *Document, checks []Check) *Document {
 	d := &Document{}
 	var ver, routing, svcs, tenants, accounts json.RawMessage
 	eachField(body, func(k []byte, v json.RawMessage) {
@@ -82,7 +82,7 @@
 		d.tenants = o.tenants("tenants", tenants)
 	}
 	if !absent(accounts) {
-		d.accounts = o.accounts("accounts", accounts)
+		d.accounts = o.withFindings(unlessStored(checks, o.found)).accounts("accounts", accounts)
 	}
 	if caps := o.child("caps"); !absent(d.caps) && caps.requireObject(d.caps) {
 		d.limits = caps.limits(d.caps)
--- a/internal/fleet/routingconfig/object.go
+++ b/internal/fleet/routingconfig/object.go
@@ -61,6 +61,13 @@
 	return key
 }
 
+// withFindings returns the object with another place for its findings.
+func (o *object) withFindings(found *Findings) *object {
+	other := *o
+	other.found = found
+	return &other
+}
+
 // child returns the object at a key of this one.
 func (o *object) child(key string) *object { return o.item(key, noIndex) }
 
--- a/internal/fleet/routingconfig/unknownlists.go
+++ b/internal/fleet/routingconfig/unknownlists.go
@@ -32,43 +32,51 @@
 	u.removals[key] = names
 }
 
-// apply returns the top-level fields with the upserts and removals applied; the fields given are not changed.
-func (u *unknownLists) apply(fields []member) []member {
+// apply returns the top-level fields with the upserts and removals applied; the fields given are not changed. It adds a
+// finding for a list that can't be changed by name.
+func (u *unknownLists) apply(fields []member, found *Findings) []member {
 	if len(u.upserts) == 0 && len(u.removals) == 0 {
 		return fields
 	}
 	fields = slices.Clone(fields)
-	for i := range fields {
-		if removed := u.removals[fields[i].key]; len(removed) > 0 {
-			fields[i].value = mergeUnknown(fields[i].value, nil, removed)
+	upserts := make(map[string]json.RawMessage, len(u.upserts))
+	for _, upsert := range u.upserts {
+		upserts[upsert.key] = upsert.value
+		if !slices.ContainsFunc(fields, func(m member) bool { return m.key == upsert.key }) {
+			fields = append(fields, member{key: upsert.key})
 		}
 	}
-	for _, upsert := range u.upserts {
-		i := slices.IndexFunc(fields, func(m member) bool { return m.key == upsert.key })
-		if i < 0 {
-			fields = append(fields, member{key: upsert.key, value: bytes.Clone(upsert.value)})
+	for i := range fields {
+		f := &fields[i]
+		upsert, removed := upserts[f.key], u.removals[f.key]
+		if upsert == nil && len(removed) == 0 {
 			continue
 		}
-		fields[i].value = mergeUnknown(fields[i].value, upsert.value, nil)
+		value, ok := mergeUnknown(f.value, upsert, removed)
+		if !ok {
+			found.add("upsert."+f.key, "is no list of items whose names differ, as it is in the configuration")
+		}
+		f.value = value
 	}
 	return fields
 }
 
 // mergeUnknown returns a field's value after an upsert (nil: there is none) and removals. Two lists of named items are
-// merged by name; any other value is replaced as a whole.
-func mergeUnknown(old, upsert json.RawMessage, removed map[string]bool) json.RawMessage {
-	oldItems, isList := unknownItems(old)
-	if !isList {
+// merged by name; a value that isn't a list is replaced as a whole. ok is false where one of two lists can't be
+// merged.
+func mergeUnknown(old, upsert json.RawMessage, removed map[string]bool) (value json.RawMessage, ok bool) {
+	if absent(old) || old[0] != '[' {
 		if upsert == nil {
-			return old
+			return old, true
 		}
-		return bytes.Clone(upsert)
+		return bytes.Clone(upsert), true
 	}
-	newItems, isList := unknownItems(upsert)
-	if upsert != nil && !isList {
-		return bytes.Clone(upsert)
+	oldItems, oldNamed := unknownItems(old)
+	newItems, newNamed := unknownItems(upsert)
+	if !oldNamed || upsert != nil && !newNamed {
+		return old, false
 	}
-	return appendItems(nil, merge(oldItems, newItems, removed))
+	return appendItems(nil, merge(oldItems, newItems, removed)), true
 }
 
 // unknownItems returns the items of a list of named objects; ok is false where the value isn't one, or names repeat.
--- a/internal/fleet/routingconfig/update.go
+++ b/internal/fleet/routingconfig/update.go
@@ -26,16 +26,16 @@
 	if current == nil {
 		current = &Document{}
 	}
-	u := top.update(body)
+	u := top.update(body, checks)
 	d := &Document{
 		version:  top.version(u.version, current),
 		routes:   merge(current.routes, u.routes, u.removedRoutes),
 		services: merge(current.services, u.services, u.removedServices),
 		tenants:  merge(current.tenants, u.tenants, u.removedTenants),
-		accounts: merge(current.accounts, u.accounts, u.removedAccounts),
+		accounts: mergeAccounts(current.accounts, u),
 		limits:   current.limits,
 		caps:     current.caps,
-		extra:    u.unknown.apply(current.extra),
+		extra:    u.unknown.apply(current.extra, unlessStored(checks, &found)),
 	}
 	if u.limits != nil {
 		d.limits = u.limits
@@ -43,7 +43,7 @@
 	}
 	d.checkChangedRoutes(u.routes, len(u.removedServices) > 0, &found)
 	if len(u.accounts) > 0 {
-		d.checkAccountKeys(&found)
+		d.checkAccountKeys(unlessStored(checks, &found))
 	}
 	d.checkChangedTenants(u.routes, u.tenants, len(u.removedTenants) > 0, checks, &found)
 	if len(found) > 0 {
@@ -54,6 +54,7 @@
 
 // update is the body of cfg/update, read but for its version.
 type update struct {
+	checks  []Check
 	version json.RawMessage
 
 	routes   []*routeItem
@@ -72,14 +73,15 @@
 }
 
 // update reads the body of cfg/update, each item on its own.
-func (o *object) update(body []byte) *update {
-	u := &update{}
+func (o *object) update(body []byte, checks []Check) *update {
+	u := &update{checks: checks}
+	misplaced := unlessStored(checks, o.found)
 	upsert, remove := o.child("upsert"), o.child("remove")
 	eachField(body, func(k []byte, v json.RawMessage) {
 		switch string(k) {
 		case "ver":
 			u.version = v
-		case "routing", "svcs", "tenants", "accounts", "caps":
+		case "routing", "svcs":
 			o.found.add(string(k), "belongs under upsert in an update")
 		case "upsert":
 			if !absent(v) && upsert.requireObject(v) {
@@ -89,6 +91,8 @@
 			if !absent(v) && remove.requireObject(v) {
 				remove.removals(v, u)
 			}
+		case "tenants", "accounts", "caps":
+			misplaced.add(string(k), "belongs under upsert in an update")
 		}
 	})
 	return u
@@ -105,14 +109,18 @@
 		case "tenants":
 			u.tenants = o.tenants("tenants", v)
 		case "accounts":
-			u.accounts = o.accounts("accounts", v)
+			u.accounts = o.withFindings(unlessStored(u.checks, o.found)).accounts("accounts", v)
 		case "caps":
 			if caps := o.child("caps"); !absent(v) && caps.requireObject(v) {
 				u.caps = v
 				u.limits = caps.limits(v)
 			}
+		case "ver":
+			unlessStored(u.checks, o.found).add(o.fieldPath("ver"), "belongs beside upsert")
 		default:
-			u.unknown.upserts = append(u.unknown.upserts, member{key: string(k), value: v})
+			if !absent(v) {
+				u.unknown.upserts = append(u.unknown.upserts, member{key: string(k), value: v})
+			}
 		}
 	})
 	detach(u.routes)
@@ -139,6 +147,15 @@
 	})
 }
 
+// mergeAccounts applies an update's accounts. A configuration without accounts gets them only by an upsert: with them
+// each request needs a key.
+func mergeAccounts(current []*accountItem, u *update) []*accountItem {
+	if current == nil && u.accounts == nil {
+		return nil
+	}
+	return merge(current, u.accounts, u.removedAccounts)
+}
+
 func detach[T namedItem](items []T) {
 	for _, item := range items {
 		item.detach()
