--- a/internal/fleet/proxy/authenticate_planted_test.go
+++ b/internal/fleet/proxy/authenticate_planted_test.go
@@ -76,8 +76,8 @@
 		Name:  "a public route needs a confirmation",
 		Tests: "^TestAuthenticate$",
 		Texts: []string{
-			"!snapshot.index.KeysRequired() || route.Public && !hasKey",
-			"!snapshot.index.KeysRequired() || false && !hasKey",
+			"!hasKey && (route.Public || !snapshot.index.KeysRequired())",
+			"!hasKey && (false || !snapshot.index.KeysRequired())",
 		},
 	},
 }
--- a/internal/fleet/residencyreport/planted_test.go
+++ b/internal/fleet/residencyreport/planted_test.go
@@ -104,7 +104,7 @@
 		Name:  "the totals are not in the record's snapshot",
 		Dir:   "../controlplane",
 		Tests: "^TestState",
-		Texts: []string{"s := StoredState{Residency: cs.residency.Snapshot()}", "s := StoredState{}"},
+		Texts: []string{"s := StoredState{Residency: cs.residency.Snapshot(), ", "s := StoredState{"},
 	},
 	{
 		Name:  "an update counts as a configuration",
