--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -492,7 +492,7 @@
 		c.bal.(Turner).UpdateSettings(c.set, in.table.From)
 		close(in.done)
 	case inKnown:
-		in.known <- Known{Roster: c.rosterAddr, List: cluster.List{Seq: c.seq, Whole: true, Servers: slices.Clone(c.list.Servers)}, Silent: c.silent(), ColdMs: c.set.Contract.ColdMs}
+		in.known <- Known{Roster: c.rosterAddr, List: cluster.List{Seq: c.seq, Complete: true, Servers: slices.Clone(c.list.Servers)}, Silent: c.silent(), ColdMs: c.set.Contract.ColdMs}
 	case inProbed:
 		c.onProbed(in.att, &in.res)
 	case inLoad:
--- a/internal/core/part.go
+++ b/internal/core/part.go
@@ -108,7 +108,7 @@
 		entries[i] = list.Servers[i].Entry
 	}
 	least, wake := p.machine.Plan(now, entries)
-	mine := cluster.List{Seq: list.Seq, Whole: true, Servers: slices.Clone(list.Servers)}
+	mine := cluster.List{Seq: list.Seq, Complete: true, Servers: slices.Clone(list.Servers)}
 	for i := range entries {
 		mine.Servers[i].Entry = entries[i]
 	}
--- a/internal/core/roster.go
+++ b/internal/core/roster.go
@@ -51,7 +51,7 @@
 		}
 	case Changed:
 		switch {
-		case n.List.Whole:
+		case n.List.Complete:
 			c.learn(cluster.ListFull, &n.List)
 		case n.List.Seq > c.seq:
 			c.learn(cluster.ListDelta, &n.List)
--- a/internal/core/transport.go
+++ b/internal/core/transport.go
@@ -181,9 +181,9 @@
 // Cancel ends the attempt's context for the cause given, whatever has gone out.
 func (a *Attempt) Cancel(cause error) { a.cancel(cause) }
 
-// Whole is called when the last byte of a request whose body has a Rest was written: the server
+// BodyComplete is called when the last byte of a request whose body has a Rest was written: the server
 // begins, and the time that the client waits.
-func (a *Attempt) Whole() {
+func (a *Attempt) BodyComplete() {
 	a.started = time.Now()
 	a.deadline = a.started.Add(a.Request.Left)
 	if a.tell != nil {
--- a/internal/decide/arith/arith.go
+++ b/internal/decide/arith/arith.go
@@ -115,12 +115,12 @@
 	return float64(r.count[v]) / float64(r.total)
 }
 
-// Shares are the parts that each of a few kinds has of what came, the older counting
+// FadingWeights are the parts that each of a few kinds has of what came, the older counting
 // less: each new one fades the rest by the factor given.
-type Shares []float64
+type FadingWeights []float64
 
 // Add counts one more of a kind; a number that names none is not counted.
-func (s Shares) Add(kind int, fade float64) {
+func (s FadingWeights) Add(kind int, fade float64) {
 	if kind < 0 || kind >= len(s) {
 		return
 	}
--- a/internal/decide/asking/asking.go
+++ b/internal/decide/asking/asking.go
@@ -35,5 +35,5 @@
 	return wait * (0.5 + 0.5*draw)
 }
 
-// Told takes a list or a change.
-func (a *Asking) Told() { a.failed = 0 }
+// Received takes a list or a change.
+func (a *Asking) Received() { a.failed = 0 }
--- a/internal/decide/cluster/cluster.go
+++ b/internal/decide/cluster/cluster.go
@@ -59,7 +59,7 @@
 
 // List is a list of servers, or a change of one.
 type List struct {
-	Seq     int64 // its version; later ones are higher, but for another roster's
-	Whole   bool
-	Servers []Server
+	Seq      int64 // its version; later ones are higher, but for another roster's
+	Complete bool
+	Servers  []Server
 }
--- a/internal/decide/cold/cold.go
+++ b/internal/decide/cold/cold.go
@@ -87,16 +87,16 @@
 // Unmeasured is a cold server where none was ever seen warm, so that nothing tells a share. Times are
 // in ms.
 type Unmeasured struct {
-	Out      int     // attempts that this agent has there
-	Window   float64 // that quick answers have let grow
-	Draw     float64 // what this agent has drawn, from 0 to 1
-	Rtt      float64 // its mean answer time; 0: it has answered nothing
-	Mean     float64 // what an answer is taken to need
-	Aim      float64
-	Replicas int
-	Listed   float64 // since it came to be listed so
-	Sent     float64 // since this agent's last attempt there
-	New      bool    // there was none
+	Out           int     // attempts that this agent has there
+	Window        float64 // that quick answers have let grow
+	Draw          float64 // what this agent has drawn, from 0 to 1
+	Rtt           float64 // its mean answer time; 0: it has answered nothing
+	Mean          float64 // what an answer is taken to need
+	LatencyTarget float64
+	Replicas      int
+	Listed        float64 // since it came to be listed so
+	Sent          float64 // since this agent's last attempt there
+	New           bool    // there was none
 }
 
 // Room tells whether another attempt may be sent. All agents together keep about two out, times what
@@ -109,7 +109,7 @@
 	}
 	grown := max(u.Window, 1)
 	if gap = max(gap, u.Rtt); u.Rtt == 0 { // the mean is a guess
-		grown, gap = 1, max(gap, u.Aim)
+		grown, gap = 1, max(gap, u.LatencyTarget)
 	}
 	most := 2 * grown / float64(max(u.Replicas, 1))
 	return float64(u.Out) < max(most, 1) && u.Sent >= gap/grown
--- a/internal/decide/doubt/doubt.go
+++ b/internal/decide/doubt/doubt.go
@@ -7,10 +7,10 @@
 
 import "slices"
 
-// Enough is the evidence with which a group is doubted. Answer times are taken for exponential at the least, so that one
-// unanswered for x times the mean has the chance exp(-x), and several the product of theirs: 7 is one in a thousand.
-// Two that are gone at once are not rare where few servers are (lbsim's big-1 lost 0.003 to doubts of two), and no
-// server speaks for more than alone, however long it waits.
+// Enough is the evidence with which a group is doubted. Answer times are taken for exponential at the least, so that
+// one unanswered for x times the mean has the chance exp(-x), and several the product of theirs: 7 is one in a
+// thousand. Two that are gone at once are not rare where few servers are (lbsim's big-1 lost 0.003 to doubts of two),
+// and no server speaks for more than alone, however long it waits.
 const (
 	Enough = 7.0
 	alone  = 4.0
@@ -30,13 +30,13 @@
 }
 
 type group struct {
-	heard float64 // when any of it answered last
-	since float64 // when it came to be doubted
-	out   bool    // it is
-	due   float64 // when the next trial may be
-	last  float64 // and when it is due whatever was sent
-	after int     // of all sends; it is due with that one
-	pace  int     // sends until the one after
+	answeredAt float64 // when any of it answered last
+	since      float64 // when it came to be doubted
+	out        bool    // it is
+	due        float64 // when the next trial may be
+	last       float64 // and when it is due whatever was sent
+	after      int     // of all sends; it is due with that one
+	pace       int     // sends until the one after
 
 	evidence float64 // of the look under way
 	servers  int
@@ -58,7 +58,7 @@
 // when: what was held against its servers from then on was held against the way to them.
 func (g *Groups) Answered(zone int, now float64) (since float64, lifted bool) {
 	x := g.at(zone)
-	x.heard = now
+	x.answeredAt = now
 	if !x.out {
 		return 0, false
 	}
@@ -74,7 +74,7 @@
 // Waits takes a server's attempt that has been out since sent without an answer, for so many times what one takes on
 // the mean. All of them are told, then Judge is asked.
 func (g *Groups) Waits(zone int, sent, times float64) {
-	if x := g.at(zone); sent > x.heard {
+	if x := g.at(zone); sent > x.answeredAt {
 		x.evidence += min(times, alone)
 		x.servers++
 	}
@@ -112,8 +112,8 @@
 	return zones, false
 }
 
-// Of tells whether a group's servers come behind others now. Not where all groups are doubted: then this agent is the one
-// who is cut off, or there is one group only, and nobody is to blame.
+// Of tells whether a group's servers come behind others now. Not where all groups are doubted: then this agent is the
+// one who is cut off, or there is one group only, and nobody is to blame.
 func (g *Groups) Of(zone int) bool {
 	if g.doubted == 0 {
 		return false // as nearly always
--- a/internal/decide/orders/orders.go
+++ b/internal/decide/orders/orders.go
@@ -38,7 +38,12 @@
 func Hash(machine string) uint64 { return xxhash.Sum64String(machine) }
 
 var dec = func() cbor.DecMode {
-	m, err := cbor.DecOptions{MaxArrayElements: MaxMachines + 8, MaxNestedLevels: 4, IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden}.DecMode()
+	m, err := cbor.DecOptions{
+		MaxArrayElements: MaxMachines + 8,
+		MaxNestedLevels:  4,
+		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
+	}.DecMode()
 	if err != nil {
 		panic(err)
 	}
@@ -62,14 +67,15 @@
 	switch {
 	case l.Seat == 0 || l.Seats == 0 || l.Seats > 9:
 		return l, errors.New("orders: without a seat, or with too many")
-	case len(l.Machines) > MaxMachines || !slices.IsSorted(l.Machines) || len(slices.Compact(slices.Clone(l.Machines))) != len(l.Machines):
+	case len(l.Machines) > MaxMachines, !slices.IsSorted(l.Machines),
+		len(slices.Compact(slices.Clone(l.Machines))) != len(l.Machines):
 		return l, errors.New("orders: machines twice, out of order or too many")
 	}
 	return l, nil
 }
 
-// Told is the lists that a view holds, each of somebody who sits where he says.
-func Told(v *members.View) (told []List) {
+// Reported is the lists that a view holds, each of somebody who sits where he says.
+func Reported(v *members.View) (told []List) {
 	for i := range v.Members {
 		m := &v.Members[i]
 		if m.Orders == "" || m.State == members.Dead || m.State == members.Left {
--- a/internal/process/agent/peers.go
+++ b/internal/process/agent/peers.go
@@ -96,7 +96,7 @@
 	}
 	if o.Work.On() {
 		f.work = newWork(a, &o.Work, p)
-		po.Beaten, po.Word = f.work.beat, f.work.hear
+		po.Beaten, po.Word = f.work.heartbeat, f.work.hear
 		if a.promises != nil {
 			po.Word = func(from members.ID, w peers.Word) {
 				if !a.promises.Hear(from, w) {
--- a/internal/process/agent/work.go
+++ b/internal/process/agent/work.go
@@ -94,10 +94,10 @@
 
 func (w *workPart) hear(from members.ID, word peers.Word) { w.seat.Hear(from, word) }
 
-// beat is once a period: what the council has everybody do is done here, and said.
-func (w *workPart) beat() {
+// heartbeat is once a period: what the council has everybody do is done here, and said.
+func (w *workPart) heartbeat() {
 	view, _ := w.peers.View()
-	if w.ours.Hear(orders.Told(&view)) {
+	if w.ours.Hear(orders.Reported(&view)) {
 		w.a.log.Info("work: left alone by the council's word", "machines", w.ours.Machines())
 	}
 	known := w.a.core.Known()
--- a/internal/process/seat/seat.go
+++ b/internal/process/seat/seat.go
@@ -258,7 +258,7 @@
 // look takes the view anew: who sits, who says that it leads, with whom links are wanted.
 func (s *Seat) look() {
 	s.view, _ = s.opt.Fleet.View()
-	s.told, s.byseat, s.names = orders.Told(&s.view), map[uint64][]members.ID{}, map[uint64]string{}
+	s.told, s.byseat, s.names = orders.Reported(&s.view), map[uint64][]members.ID{}, map[uint64]string{}
 	for _, m := range s.view.Members {
 		if m.State == members.Left || m.Info.Left {
 			continue
--- a/internal/protocol/gateway/near.go
+++ b/internal/protocol/gateway/near.go
@@ -177,7 +177,7 @@
 func (s *Site) list() cluster.List {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := cluster.List{Seq: s.seq, Whole: true}
+	l := cluster.List{Seq: s.seq, Complete: true}
 	for i, p := range s.peers {
 		health := cluster.Draining
 		if p.listed {
--- a/internal/protocol/intake/intake.go
+++ b/internal/protocol/intake/intake.go
@@ -35,7 +35,7 @@
 
 // Pace is how slowly a body may come, with an allowance at its start.
 func Pace(allowance time.Duration) window.Pace {
-	return window.Pace{Allowance: allowance, Pause: bodyPause, Rate: bodyRate}
+	return window.Pace{Grace: allowance, Pause: bodyPause, Rate: bodyRate}
 }
 
 // Handler gives a request its one final answer; a core.Core is one.
--- a/internal/protocol/peers/peers.go
+++ b/internal/protocol/peers/peers.go
@@ -130,8 +130,16 @@
 
 // New makes an agent's end; Serve runs it.
 func New(o Options) *Peers {
-	p := &Peers{opt: o, clock: link.NewClock(), start: time.Now(), pace: rate.NewLimiter(rate.Limit(200), 200),
-		links: map[members.ID]*peer{}, conns: map[net.Conn]bool{}, dialing: map[string]bool{}, wishes: map[string][]string{}}
+	p := &Peers{
+		opt:     o,
+		clock:   link.NewClock(),
+		start:   time.Now(),
+		pace:    rate.NewLimiter(rate.Limit(200), 200),
+		links:   map[members.ID]*peer{},
+		conns:   map[net.Conn]bool{},
+		dialing: map[string]bool{},
+		wishes:  map[string][]string{},
+	}
 	p.ctx, p.stop = context.WithCancel(context.Background())
 	for _, s := range o.Seeds {
 		p.opt.Members.Seeds = append(p.opt.Members.Seeds, s.Address)
@@ -164,7 +172,7 @@
 	defer ln.Close()
 	stop := context.AfterFunc(p.ctx, func() { ln.Close() })
 	defer stop()
-	p.wg.Go(p.beat)
+	p.wg.Go(p.heartbeats)
 	defer p.wg.Wait()
 	for {
 		conn, err := ln.Accept()
@@ -201,8 +209,8 @@
 	conn.Close()
 }
 
-// beat lets the view have its periods.
-func (p *Peers) beat() {
+// heartbeats lets the view have its periods.
+func (p *Peers) heartbeats() {
 	tick := time.NewTicker(p.opt.Members.Period)
 	defer tick.Stop()
 	periods := 0
--- a/internal/protocol/roster/roster.go
+++ b/internal/protocol/roster/roster.go
@@ -76,7 +76,7 @@
 		}
 		return -1
 	}
-	out := cluster.List{Seq: l.Seq, Whole: l.Whole, Servers: make([]cluster.Server, len(l.Hosts))}
+	out := cluster.List{Seq: l.Seq, Complete: l.Whole, Servers: make([]cluster.Server, len(l.Hosts))}
 	for i, h := range l.Hosts {
 		health, known := healths[h.Health]
 		switch {
--- a/internal/protocol/transport/attempt.go
+++ b/internal/protocol/transport/attempt.go
@@ -122,7 +122,7 @@
 		switch {
 		case err == nil:
 			x.cut = false
-			a.Whole()
+			a.BodyComplete()
 			if l.wait() && ctx.Err() == nil {
 				_ = c.SetWriteDeadline(time.Time{}) // the next request's
 			}
--- a/internal/protocol/window/pace.go
+++ b/internal/protocol/window/pace.go
@@ -4,15 +4,15 @@
 
 // Pace is how slowly a client may send a body.
 type Pace struct {
-	Allowance time.Duration // at the start, beyond the rate
-	Pause     time.Duration // with nothing coming, at the most
-	Rate      int64         // bytes a second on the mean, at the least; above 0
+	Grace time.Duration // at the start, beyond the rate
+	Pause time.Duration // with nothing coming, at the most
+	Rate  int64         // bytes a second on the mean, at the least; above 0
 }
 
 // Until is when the next byte has to have come of a body that began at began, of which so many bytes
 // have come, the last of them at last.
 func (p Pace) Until(began, last time.Time, came int64) time.Time {
-	mean := began.Add(p.Allowance + time.Duration(float64(came)/float64(p.Rate)*float64(time.Second)))
+	mean := began.Add(p.Grace + time.Duration(float64(came)/float64(p.Rate)*float64(time.Second)))
 	if pause := last.Add(p.Pause); pause.Before(mean) {
 		return pause
 	}
@@ -21,7 +21,7 @@
 
 // Longest is how long a body of so many bytes may take to come.
 func (p Pace) Longest(bytes int64) time.Duration {
-	return p.Allowance + time.Duration(float64(bytes)/float64(p.Rate)*float64(time.Second))
+	return p.Grace + time.Duration(float64(bytes)/float64(p.Rate)*float64(time.Second))
 }
 
 const (
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -78,8 +78,8 @@
 	weights       *weights.Weights
 	requestRate   pace.Pace
 	keys          hotkeys.Keys
-	usage         arith.Shares // tenants' shares of the requests
-	classValue    *worth.Tally // what another request of a class served in time is worth
+	usage         arith.FadingWeights // tenants' shares of the requests
+	classValue    *worth.Tally        // what another request of a class served in time is worth
 	unserved      unserved.Memory
 
 	// Limits on what is sent.
--- a/policy/capacity.go
+++ b/policy/capacity.go
@@ -26,16 +26,16 @@
 		return false
 	case !b.slowStart.Known():
 		v := cold.Unmeasured{
-			Out:      len(s.inFlight),
-			Window:   s.window,
-			Draw:     s.slowStartCredit,
-			Rtt:      s.rtt,
-			Mean:     b.needs.Mean(r.class),
-			Aim:      b.set.Classes[r.class].AimMs,
-			Replicas: b.set.Replicas,
-			Listed:   b.now - s.since,
-			Sent:     b.now - s.sentAt,
-			New:      s.sentAt == 0,
+			Out:           len(s.inFlight),
+			Window:        s.window,
+			Draw:          s.slowStartCredit,
+			Rtt:           s.rtt,
+			Mean:          b.needs.Mean(r.class),
+			LatencyTarget: b.set.Classes[r.class].AimMs,
+			Replicas:      b.set.Replicas,
+			Listed:        b.now - s.since,
+			Sent:          b.now - s.sentAt,
+			New:           s.sentAt == 0,
 		}
 		return v.Room()
 	}
--- a/policy/endpoints.go
+++ b/policy/endpoints.go
@@ -78,7 +78,7 @@
 		}
 		return
 	}
-	b.listPolling.Told()
+	b.listPolling.Received()
 	b.epoch++
 	b.minServers = max(ev.Least, 0)
 	listed := map[cluster.Addr]bool{}
