Review, case 1: a draining proxy takes requests that it can't answer (LOST)

Cause: while an earlier answer lasts, a proxy that got SIGTERM takes requests from kept connections. It judges by four latency targets whether an answer ends in time, not by the deadline or by what answers took.

--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Rule LOST around a SIGTERM; see claim.txt. 1: broken, 0: held, 2: could not run. TROUBLE=0 plays it without the SIGTERM.
+cd "$(dirname "$0")/../.." || exit 2
+test -x target/review/standin && test -x target/molepaddle-fleet || exit 2
+exec target/review/standin drain target/molepaddle-fleet review/1
