--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,8 +18,9 @@
 
 // plays are the cases by the names that the scripts give.
 var plays = map[string]play{
-	"drain":     playDrain,
-	"cutstream": playCutStream,
+	"drain":      playDrain,
+	"cutstream":  playCutStream,
+	"addedroute": playAddedRoute,
 }
 
 func main() {
