--- a/review/standin/backend.go
+++ b/review/standin/backend.go
@@ -10,27 +10,25 @@
 	"os"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 )
 
-// streamBackend is a decode backend in a process of its own, which can crash as a process does. Its streams have no
-// length and end with their connection.
+// streamBackend is a decode backend in a process of its own, so that it can be killed. Its streams have no length and end
+// with their connection. It writes each event in two pieces.
 type streamBackend struct {
-	id        string
-	crashAt   int // the process crashes in the middle of this event of its first stream; 0: never
-	eventGap  time.Duration
-	listening net.Listener
+	id       string
+	pauseAt  int           // event between whose pieces it pauses for a while
+	eventGap time.Duration // between two events, and the length of the pause
 }
 
 // runBackend serves until the process is ended.
-func runBackend(address, id string, crashAt int, gap time.Duration) int {
+func runBackend(address, id string, pauseAt int, gap time.Duration) int {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNoPlay
 	}
-	b := &streamBackend{id: id, crashAt: crashAt, eventGap: gap, listening: ln}
+	b := &streamBackend{id: id, pauseAt: pauseAt, eventGap: gap}
 	fmt.Println(ln.Addr())
 	for {
 		c, err := ln.Accept()
@@ -101,22 +99,27 @@
 	total, _ := strconv.Atoi(strings.TrimSpace(out))
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	seal := "seal-" + b.id + "-" + r.Header.Get("X-Molepaddle-Attempt-Id")
-	fmt.Printf("%d %s runs from event %d of %d\n", time.Now().UnixMilli(), r.Header.Get("X-Molepaddle-Attempt-Id"), last+1,
-		total)
+	attempt := r.Header.Get("X-Molepaddle-Attempt-Id")
+	fmt.Printf("runs %s from event %d of %d\n", attempt, last+1, total)
 	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Molepaddle-Attempt-Id: %s\r\nX-Molepaddle-Backend-Seal: %s\r\n"+
-		"Content-Type: text/event-stream\r\nVersions: 1\r\nConnection: close\r\n\r\n",
-		r.Header.Get("X-Molepaddle-Attempt-Id"), seal)
+		"Content-Type: text/event-stream\r\nVersions: 1\r\nConnection: close\r\n\r\n", attempt, seal)
 	for id := last + 1; id <= total; id++ {
 		time.Sleep(b.eventGap)
 		event := fmt.Sprintf("id: %d\ndata: %s 1\n\n", id, seal)
-		if b.crashAt > 0 && id == b.crashAt {
-			io.WriteString(c, event[:len(event)/2])
+		half := len(event) / 2
+		if _, err := io.WriteString(c, event[:half]); err != nil {
+			return
+		}
+		if id == b.pauseAt {
+			fmt.Printf("%s event %d\n", halfWritten, id)
 			time.Sleep(b.eventGap)
-			fmt.Printf("%d crashes in the middle of event %d of %d\n", time.Now().UnixMilli(), id, total)
-			syscall.Kill(os.Getpid(), syscall.SIGKILL)
 		}
-		if _, err := io.WriteString(c, event); err != nil {
+		if _, err := io.WriteString(c, event[half:]); err != nil {
 			return
 		}
 	}
+	fmt.Printf("completed %s\n", attempt)
 }
+
+// halfWritten begins the line that a backend prints when it pauses in the middle of an event.
+const halfWritten = "wrote half of"
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,8 +25,8 @@
 
 func main() {
 	if len(os.Args) == 5 && os.Args[1] == "backend" {
-		crashAt, _ := strconv.Atoi(os.Args[4])
-		os.Exit(runBackend(os.Args[2], os.Args[3], crashAt, cutStreamGap))
+		pauseAt, _ := strconv.Atoi(os.Args[4])
+		os.Exit(runBackend(os.Args[2], os.Args[3], pauseAt, cutGap))
 	}
 	if len(os.Args) != 4 {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE BINARY FOLDER")
