--- a/review/standin/drain.go
+++ b/review/standin/drain.go
@@ -17,11 +17,11 @@
 	drainLate     = 3 * time.Second         // the newest wording excuses only requests sent before that
 	drainSlots    = 6                       // slots of slip-desk
 	drainQueue    = 24                      // queue of slip-desk
-	drainWork     = 1150 * time.Millisecond // work of a request at slip-desk
+	drainWork     = 1250 * time.Millisecond // work of a request at slip-desk
 	drainDeadline = 2500 * time.Millisecond // deadline_ms of the route, and what the client tells
 
-	atFirstBatch  = 6700 * time.Millisecond // one request for each slot
-	atSecondBatch = 6950 * time.Millisecond // as many, which wait in the backend's queue
+	atFirstBatch  = 6600 * time.Millisecond // one request for each slot
+	atSecondBatch = 6850 * time.Millisecond // as many, which wait in the backend's queue
 
 	// closingTakes bounds how long the proxy takes to close all connections: the backend begins a waiting request when
 	// that of a running one is closed.
