--- a/review/standin/earlycut.go
+++ b/review/standin/earlycut.go
@@ -10,8 +10,8 @@
 	"molepaddle/internal/fleet/simulation"
 )
 
-// The case "earlycut": a change adds a readonly route to a service whose backends need longer than three times the
-// route's target, but far less than its deadline.
+// The case "earlycut": a change adds a readonly route to a service that is there from the start, whose backends need
+// longer than three times the route's target, but far less than its deadline.
 const (
 	cutRequests   = 250 // on each of the two routes; the rule counts from 20
 	cutInterval   = 40 * time.Millisecond
@@ -27,9 +27,10 @@
 const earlyCutFirst = `{"name":"r-reading","hostname":"ariake.example","pfx":"/reading/","kind":"readonly",
 "deadline_ms":2500,"target_ms":150,"prio":2,"svc":"slip-desk","tries":2}`
 
+const archiveService = `{"name":"archive","probe":"/healthz","maxconn":100,"proto":"h1","ssl":false}`
+
 const earlyCutLater = `{"ver":3,"upsert":{"routing":[{"name":"r-archive","hostname":"ariake.example","pfx":"/archive/",
-"kind":"readonly","deadline_ms":2500,"target_ms":150,"prio":2,"svc":"archive","tries":2}],
-"svcs":[{"name":"archive","probe":"/healthz","maxconn":100,"proto":"h1","ssl":false}]}}`
+"kind":"readonly","deadline_ms":2500,"target_ms":150,"prio":2,"svc":"archive","tries":2}]}}`
 
 func playEarlyCut(ctx context.Context, h *harness, rec *record, binary string, trouble bool) (broken int) {
 	var all, archive []*simulation.Engine
@@ -45,7 +46,7 @@
 	platform := simulation.StartPlatform(h, simulation.PlatformSettings{Rate: 42, Delay: 800 * time.Millisecond},
 		append(all, archive...)...)
 	f := startFleet(h, binary, platform.Address(), 3)
-	f.await(ctx, h, config(earlyCutFirst))
+	f.await(ctx, h, config(earlyCutFirst, archiveService))
 	rec.now("three proxies are ready")
 	second := "/reading/2"
 	if trouble {
@@ -54,7 +55,7 @@
 		if err != nil || reply.Status != http.StatusOK {
 			h.Fatalf("change: status %d, %v", reply.Status, err)
 		}
-		rec.now("acknowledged: version 3 adds the service archive and the route /archive/ to it")
+		rec.now("acknowledged: version 3 adds the route /archive/ to the service archive")
 	}
 	time.Sleep(cutCalm)
 
@@ -82,6 +83,8 @@
 		}
 	}
 	wg.Wait()
+	recordRuns(rec, all...)
+	recordRuns(rec, archive...)
 	if trouble {
 		recordAborted(rec, archive)
 	}
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -3,12 +3,14 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
 	"os"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -210,9 +212,33 @@
 	}
 }
 
-// config returns a configuration with the services and caps of the small site and the given routes.
-func config(routes ...string) string {
-	return `{"ver":1,"routing":[` + strings.Join(routes, ",") + `],"svcs":[
+// recordRuns writes a line for each request that reached the backends, in the order of the arrivals.
+func recordRuns(rec *record, backends ...*simulation.Engine) {
+	var all []simulation.Entry
+	for _, b := range backends {
+		for _, e := range b.Log.Entries() {
+			if e.Kind == simulation.KindRequest {
+				all = append(all, e)
+			}
+		}
+	}
+	slices.SortFunc(all, func(a, b simulation.Entry) int { return cmp.Compare(a.Seq, b.Seq) })
+	since := func(t time.Time) string {
+		if t.IsZero() {
+			return "never"
+		}
+		return fmt.Sprintf("at %.3f s", t.Sub(rec.start).Seconds())
+	}
+	for i := range all {
+		e := &all[i]
+		rec.at(e.At, "backend %s: %s arrived; ran %v: began %s, slot released %s; status %d, complete %v, broke off itself %v",
+			e.Engine, e.Attempt, e.Ran, since(e.Began), since(e.Ended), e.Status, e.Complete, e.Broke)
+	}
+}
+
+// config returns a configuration with a route, the services and caps of the small site, and more services.
+func config(route string, more ...string) string {
+	return `{"ver":1,"routing":[` + route + `],"svcs":[` + strings.Join(append(more, ""), ",") + `
 {"name":"sora-llm","probe":"/healthz","maxconn":360,"proto":"h1","ssl":false,"runtime":{"capacity":64,"kv_ntok":600000,
 "kv_tok_bytes":163840,"bw_mbps":8800000.0,"stride":55,"kv_ref_s":4.4,"swap_s":0.5,"model_list":[{"name":"m"}]}},
 {"name":"slip-desk","probe":"/healthz","maxconn":100,"proto":"h1","ssl":false}],
