--- a/review/standin/addedroute.go
+++ b/review/standin/addedroute.go
@@ -74,6 +74,7 @@
 		}
 	}
 	wg.Wait()
+	recordRuns(rec, decode, feed)
 	for _, e := range []*simulation.Engine{decode, feed} {
 		ran, complete := 0, 0
 		for _, entry := range e.Log.Entries() {
