--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -17,6 +17,7 @@
 	"syscall"
 	"time"
 
+	"molepaddle/internal/fleet/distribution"
 	"molepaddle/internal/fleet/simulation"
 )
 
@@ -187,12 +188,32 @@
 
 // startPrograms starts three control servers and one edge machine, and waits until the proxy is ready with config.
 func (f *fleet) startPrograms(ctx context.Context, config string) {
+	f.startMachines(ctx, config, 1, nil)
+}
+
+// edgeMachine is a machine with a proxy and its node agent.
+type edgeMachine struct {
+	name  string
+	edge  string // clients' address
+	ready string
+	set   simulation.BootSettings
+	boot  simulation.BootFile // of the proxy
+	proxy *simulation.Program
+	agent *simulation.Program
+}
+
+// startMachines starts three control servers and n edge machines with the given caps, and waits until their proxies are
+// ready with config.
+func (f *fleet) startMachines(ctx context.Context, config string, n int, caps map[string]any) []*edgeMachine {
 	if _, err := os.Stat(program); err != nil {
 		f.Fatalf("%v", err)
 	}
 	core := []string{"127.0.41.1", "127.0.41.2", "127.0.41.3"}
-	const edge = "127.0.42.1"
-	ports := simulation.ChoosePorts(f, portsEach, append([]string{"127.0.0.1", edge}, core...)...)
+	all := append([]string{"127.0.0.1"}, core...)
+	for i := range n {
+		all = append(all, edgeIP(i))
+	}
+	ports := simulation.ChoosePorts(f, portsEach, all...)
 	zones := []string{"koto-hall", "shinagawa-hall", "kawasaki-hall"}
 	f.operator = &simulation.Operator{}
 	for _, ip := range core {
@@ -213,24 +234,52 @@
 		set.Bootstrap, set.Voting = true, true
 		f.run(set, "control-plane")
 	}
-	set := usual
-	set.Tier, set.IP, set.Zone, set.Node = "edge", edge, zones[0], "edge-1"
-	set.Role, set.Roles = "node-agent", []string{}
-	f.agent, _ = f.run(set, "node-agent")
-	set.Role, set.Roles = "proxy", []string{"edge"}
-	var boot simulation.BootFile
-	f.proxy, boot = f.run(set, "proxy")
-	f.edge, f.ready = boot.Edge, boot.Readyz
+	var machines []*edgeMachine
+	for i := range n {
+		m := &edgeMachine{name: fmt.Sprintf("edge-%d", i+1), set: usual}
+		m.set.Tier, m.set.IP, m.set.Zone, m.set.Node = "edge", edgeIP(i), zones[i], m.name
+		m.set.Caps = caps
+		if i > 0 {
+			// A node agent serves its proxy on a port of 127.0.0.1, which all machines share here.
+			m.set.Ports = simulation.ChoosePorts(f, portsEach, all...)
+			from, to := [2]int{m.set.Ports.First, m.set.Ports.Last}, [2]int{ports.First, ports.Last}
+			for _, ip := range core {
+				simulation.ForwardPort(f, distribution.PullAddr(ip, from), distribution.PullAddr(ip, to))
+				simulation.ForwardPort(f, distribution.QuotaAddr(ip, from), distribution.QuotaAddr(ip, to))
+			}
+		}
+		agent := m.set
+		agent.Role, agent.Roles = "node-agent", []string{}
+		m.agent, _ = f.run(agent, "node-agent")
+		f.startProxy(m)
+		machines = append(machines, m)
+	}
+	first := machines[0]
+	f.edge, f.ready, f.proxy, f.agent = first.edge, first.ready, first.proxy, first.agent
 	reply, err := f.operator.Replace(ctx, 0, []byte(config))
 	if err != nil || reply.Status != http.StatusOK {
 		f.Fatalf("the first configuration: status %d %s, %v", reply.Status, reply.Body, err)
 	}
 	f.note("configuration %d acknowledged", reply.Version)
-	if err := simulation.AwaitReady(ctx, f.ready); err != nil {
-		f.Fatalf("the proxy does not become ready: %v", err)
+	for _, m := range machines {
+		if err := simulation.AwaitReady(ctx, m.ready); err != nil {
+			f.Fatalf("the proxy of %s does not become ready: %v", m.name, err)
+		}
 	}
 	time.Sleep(contact + 2*time.Second) // all machines are in touch
-	f.note("the proxy is ready and all machines have been in touch for contact_ms")
+	f.note("all proxies are ready, and all machines have been in touch for contact_ms")
+	return machines
+}
+
+// edgeIP returns the address of an edge machine.
+func edgeIP(i int) string { return fmt.Sprintf("127.0.42.%d", i+1) }
+
+// startProxy starts the proxy of an edge machine.
+func (f *fleet) startProxy(m *edgeMachine) {
+	set := m.set
+	set.Role, set.Roles = "proxy", []string{"edge"}
+	m.proxy, m.boot = f.run(set, "proxy")
+	m.edge, m.ready = m.boot.Edge, m.boot.Readyz
 }
 
 // run starts a program with the deploy file's command for a role.
