--- a/review/standin-2/case_drain.go
+++ b/review/standin-2/case_drain.go
@@ -11,14 +11,16 @@
 
 func init() { cases["drain-after-prefill"] = drainAfterPrefill }
 
-// drainAfterPrefill sends prompts that take 5.5 s to read. While they are read, one of the two decode backends begins
-// to leave: the platform's list shows it as draining, it serves on for drain_ms and 3 s more, and ends.
+// drainAfterPrefill sends long prompts, which queue at a prefill backend that reads them one after the other as fast as
+// the sheet's engines. Meanwhile one of three backends of the service is replaced: a new one starts, the old one drains,
+// serves on for drain_ms and 3 s more, and ends.
 func drainAfterPrefill(f *fleet) (broken bool) {
 	const (
 		promptTokens = 39_600 // the longest of the sheet's prompts
-		perToken     = 140 * time.Microsecond
+		tokensPerMs  = 307    // of the sheet's engines
+		events       = 60
 		linger       = 3 * time.Second
-		requests     = 8
+		requests     = 60
 	)
 	ctx, cancel := context.WithTimeout(context.Background(), longestRun)
 	defer cancel()
@@ -27,25 +29,29 @@
 		Zone:            "koto-hall",
 		Region:          "kanto",
 		Capacity:        64,
+		Queue:           192,
 		KVTokens:        600_000,
-		Step:            40 * time.Millisecond,
-		PrefillPerToken: perToken,
+		Step:            20 * time.Millisecond,
+		PrefillPerToken: time.Millisecond / tokensPerMs,
 		HandleTTL:       4400 * time.Millisecond,
 		Fencing:         true,
 	}
-	var engines []*simulation.Engine
-	for _, id := range []string{"prefill-1", "decode-1", "decode-2"} {
-		set.ID, set.Phase = id, simulation.PhaseDecode
-		if id == "prefill-1" {
-			set.Phase = simulation.PhasePrefill
-		}
-		engines = append(engines, simulation.StartEngine(f, set))
+	start := func(id string, phase simulation.Phase, capacity int) *simulation.Engine {
+		set.ID, set.Phase, set.Capacity = id, phase, capacity
+		return simulation.StartEngine(f, set)
+	}
+	engines := []*simulation.Engine{
+		start("prefill-1", simulation.PhasePrefill, 1), // one prompt at a time, so that all together are read at the rate above
+		start("decode-1", simulation.PhaseDecode, 64),
+		start("decode-2", simulation.PhaseDecode, 64),
 	}
 	leaving := engines[2]
 	platform := f.startPlatform(nil, engines...)
 	f.startPrograms(ctx, config(`{"name": "r-long", "hostname": "review.example", "pfx": "/long/", "kind": "stream",
    "deadline_ms": 20000, "target_ms": 8000, "prio": 1, "svc": "llm", "tries": 2, "pin": true, "resumable": false,
    "gap_aim_ms": 150}`))
+	successor := start("decode-3", simulation.PhaseDecode, 64)
+	engines = append(engines, successor)
 
 	client := &simulation.Client{Edge: f.edge}
 	results := make([]simulation.Result, requests)
@@ -60,14 +66,17 @@
 				Body:     []byte("{}"),
 				Deadline: 20 * time.Second,
 				Model:    "m",
-				Tokens:   [2]int{promptTokens, 80},
-				Parts:    []simulation.Part{{ID: fmt.Sprintf("%x", 0xabc0+i), Tokens: promptTokens}},
+				Tokens:   [2]int{promptTokens, events},
+				Parts:    []simulation.Part{{ID: fmt.Sprintf("%x", 0xabc00+i*7), Tokens: promptTokens}},
 			})
 		})
 	}
 	f.note("%d requests sent", requests)
 	if f.trouble {
 		time.Sleep(200 * time.Millisecond)
+		platform.Add(successor)
+		f.note("%s is started and listed", successor.ID())
+		time.Sleep(100 * time.Millisecond)
 		platform.Drain(leaving)
 		f.note("%s begins to drain; the list shows it %v later", leaving.ID(), listDelay)
 		ends := listDelay + drain + linger
