--- a/review/standin-2/case_pace.go
+++ b/review/standin-2/case_pace.go
@@ -12,7 +12,7 @@
 
 func init() { cases["stream-after-a-pause"] = streamAfterPause }
 
-// streamAfterPause stops the edge machine with SIGTERM after a time in which no stream of the service `llm` came. A
+// streamAfterPause stops one of three edge machines with SIGTERM after a time in which no stream of the service `llm` came. A
 // stream of another service is under way. Later than 3 s after the SIGTERM, clients send streams of 6 s on connections
 // that they have kept.
 func streamAfterPause(f *fleet) (broken bool) {
@@ -47,7 +47,7 @@
    "deadline_ms": 20000, "target_ms": 120, "prio": 0, "svc": "` + service + `", "tries": 1, "pin": true,
    "resumable": false, "gap_aim_ms": 150}`
 	}
-	f.startPrograms(ctx, config(route("talk", llm)))
+	f.startMachines(ctx, config(route("talk", llm)), 3, nil)
 	reply, err := f.operator.Update(ctx, 1, []byte(`{"ver": 2, "upsert": {"svcs": [{"name": "llm2", "probe": "/healthz",
    "maxconn": 360, "proto": "h1", "ssl": false, "runtime": {"capacity": 64, "kv_ntok": 600000, "kv_tok_bytes": 163840,
    "bw_mbps": 8800000, "stride": 1, "kv_ref_s": 4.4, "swap_s": 0.5, "model_list": [{"name": "m"}]}}],
