--- a/review/standin-2/backend.go
+++ b/review/standin-2/backend.go
@@ -17,15 +17,17 @@
 
 const (
 	// unframedStep is the time of one event, and unframedPause the time between the halves of the event that a stream
-	// of this backend writes in two parts.
+	// without a length writes in two parts.
 	unframedStep  = 20 * time.Millisecond
-	unframedPause = 2 * time.Second
+	unframedPause = 150 * time.Millisecond
+	// unframedEvery is the number of requests of which one gets an answer without a length: under 0.03 of them.
+	unframedEvery = 34
 	// splitEvent is the event that is written in two parts.
 	splitEvent = 10
 )
 
-// serveUnframed is a decode backend of its own process, whose streams have no length and end with their connection. It
-// writes its address and then what it does to standard output.
+// serveUnframed is a decode backend of its own process. One in unframedEvery of its streams has no length and ends with its
+// connection, the others are chunked. It writes its address and then what it does to standard output.
 func serveUnframed(id, zone string) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -78,36 +80,54 @@
 		case r.Header.Get(simulation.HeaderStage) != "":
 			respond(http.StatusMisdirectedRequest, simulation.HeaderNotRun+": 1\r\n", "")
 		default:
-			seal := fmt.Sprintf("%s.%s.%d", id, zone, unframedSeals.Add(1))
-			fmt.Printf("runs %s\n", attempt)
-			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s%s: %s\r\nContent-Type: text/event-stream\r\n%s: 1\r\nConnection: close\r\n\r\n",
-				head, simulation.HeaderSeal, seal, simulation.HeaderVersions)
-			streamUnframed(c, r, attempt, seal)
-			return
+			n := unframedSeals.Add(1)
+			seal := fmt.Sprintf("%s.%s.%d", id, zone, n)
+			unframed := n%unframedEvery == 0
+			framing := "Transfer-Encoding: chunked"
+			if unframed {
+				framing = "Connection: close"
+				fmt.Printf("runs %s without a length, as its request %d\n", attempt, n)
+			}
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s%s: %s\r\nContent-Type: text/event-stream\r\n%s: 1\r\n%s\r\n\r\n",
+				head, simulation.HeaderSeal, seal, simulation.HeaderVersions, framing)
+			if !streamEvents(c, r, attempt, seal, unframed) || unframed {
+				return
+			}
 		}
 	}
 }
 
-// streamUnframed writes the events of a stream; it ends with the connection.
-func streamUnframed(c net.Conn, r *http.Request, attempt, seal string) {
+// streamEvents writes the events of a stream, in chunks unless it is unframed, and reports whether all were written.
+func streamEvents(c net.Conn, r *http.Request, attempt, seal string, unframed bool) bool {
 	_, outText, _ := strings.Cut(r.Header.Get(simulation.HeaderTokens), ",")
 	out, _ := strconv.Atoi(outText)
 	last, _ := strconv.Atoi(r.Header.Get(simulation.HeaderLastEvent))
+	write := func(text string) bool {
+		if !unframed {
+			text = fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
+		}
+		_, err := io.WriteString(c, text)
+		return err == nil
+	}
 	for event := last + 1; event <= out; event++ {
 		time.Sleep(unframedStep)
 		text := fmt.Sprintf("id: %d\ndata: %s 1\n\n", event, seal)
-		if event == splitEvent {
+		if unframed && event == splitEvent {
 			half := len(text) / 2
-			if _, err := io.WriteString(c, text[:half]); err != nil {
-				return
+			if !write(text[:half]) {
+				return false
 			}
 			fmt.Printf("half of event %d of %s\n", event, attempt)
 			time.Sleep(unframedPause)
 			text = text[half:]
 		}
-		if _, err := io.WriteString(c, text); err != nil {
-			return
+		if !write(text) {
+			return false
 		}
 	}
-	fmt.Printf("ends %s\n", attempt)
+	if unframed {
+		return true
+	}
+	_, err := io.WriteString(c, "0\r\n\r\n")
+	return err == nil
 }
--- a/review/standin-2/case_event.go
+++ b/review/standin-2/case_event.go
@@ -16,31 +16,36 @@
 
 func init() { cases["cut-in-event"] = cutInEvent }
 
-// cutInEvent kills a backend whose streams have no length while it is in the middle of an event. The streams may be
-// resumed, and another backend could continue them.
+// cutInEvent kills one of seven backends while it is in the middle of an event of a stream that has no length; one in 34
+// of its answers has none. The streams may be resumed, and other backends could continue them.
 func cutInEvent(f *fleet) (broken bool) {
 	const (
 		events   = 40
-		requests = 6
+		requests = 300
+		between  = 20 * time.Millisecond
 	)
 	ctx, cancel := context.WithTimeout(context.Background(), longestRun)
 	defer cancel()
 	set := simulation.EngineSettings{
-		ID:              "prefill-1",
 		Service:         llm,
 		Zone:            "koto-hall",
 		Region:          "kanto",
-		Phase:           simulation.PhasePrefill,
 		Capacity:        64,
+		Queue:           192,
 		KVTokens:        600_000,
 		Step:            unframedStep,
 		PrefillPerToken: 4 * time.Microsecond,
 		HandleTTL:       4400 * time.Millisecond,
 		Fencing:         true,
 	}
-	prefill := simulation.StartEngine(f, set)
-	set.ID, set.Phase = "decode-2", simulation.PhaseDecode
-	other := simulation.StartEngine(f, set)
+	var engines []*simulation.Engine
+	for _, id := range []string{"prefill-1", "prefill-2", "prefill-3", "prefill-4", "decode-2", "decode-3"} {
+		set.ID, set.Phase = id, simulation.PhasePrefill
+		if strings.HasPrefix(id, "decode") {
+			set.Phase = simulation.PhaseDecode
+		}
+		engines = append(engines, simulation.StartEngine(f, set))
+	}
 	own := f.startBackendProcess("decode-1", "koto-hall")
 	f.startPlatform([]simulation.Backend{{
 		ID:       "decode-1",
@@ -52,32 +57,43 @@
 		State:    simulation.StateUp,
 		Phase:    simulation.PhaseDecode,
 		Models:   []simulation.Model{{Name: "m", Ver: 1, LoRAs: []string{}}},
-	}}, prefill, other)
+	}}, engines...)
 	f.startPrograms(ctx, config(`{"name": "r-talk", "hostname": "review.example", "pfx": "/talk/", "kind": "stream",
    "deadline_ms": 20000, "target_ms": 2000, "prio": 0, "svc": "llm", "tries": 3, "pin": true, "resumable": true,
    "gap_aim_ms": 150}`))
 
 	results := make([]streamResult, requests)
 	var all sync.WaitGroup
+	if f.trouble {
+		all.Go(func() {
+			select {
+			case <-own.inEvent:
+				own.kill()
+				f.note("decode-1 is killed")
+			case <-ctx.Done():
+			}
+		})
+	}
+	f.note("%d streams are sent, one each %v", requests, between)
 	for i := range results {
 		r := &results[i]
 		r.attempt = fmt.Sprintf("talk-%d", i+1)
-		all.Go(func() { r.send(f.edge, fmt.Sprintf("%x:220", 0x7a10+i), events) })
+		all.Go(func() { r.send(f.edge, fmt.Sprintf("%x:220", 0x7a1000+i*13), events) })
+		time.Sleep(between)
 	}
-	if f.trouble {
-		time.Sleep(time.Second) // all streams of that backend are in the middle of an event
-		own.kill()
-		f.note("decode-1 is killed")
+	if len(own.said()) == 0 {
+		f.Fatalf("decode-1 got fewer than %d requests", unframedEvery)
 	}
 	all.Wait()
 	said := own.said()
 	for _, line := range said {
 		f.note("decode-1 said: %s", line)
 	}
-	for _, en := range other.Log.Entries() {
-		if en.Kind == simulation.KindRequest {
-			f.noteAt(en.At, "decode-2: %s arrives, Last-Event-Id %q, status %d", en.Attempt,
-				en.Header.Get(simulation.HeaderLastEvent), en.Status)
+	for _, e := range engines {
+		for _, en := range e.Log.Entries() {
+			if last := en.Header.Get(simulation.HeaderLastEvent); en.Kind == simulation.KindRequest && last != "" {
+				f.noteAt(en.At, "%s: %s is resumed after event %s, status %d", en.Engine, en.Attempt, last, en.Status)
+			}
 		}
 	}
 	for i := range results {
@@ -152,13 +168,21 @@
 	address string
 	kill    func()
 
+	inEvent chan struct{} // closed once a stream is in the middle of an event
+
 	mu    sync.Mutex
 	lines []string
 }
 
 // read collects what the process says until its output ends.
 func (b *backendProcess) read(out *bufio.Scanner) {
+	halves := 0
 	for out.Scan() {
+		if strings.HasPrefix(out.Text(), "half of event ") {
+			if halves++; halves == 1 {
+				close(b.inEvent)
+			}
+		}
 		b.mu.Lock()
 		b.lines = append(b.lines, out.Text())
 		b.mu.Unlock()
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -306,7 +306,7 @@
 	if !lines.Scan() {
 		f.Fatalf("the backend says no address: %v", lines.Err())
 	}
-	b := &backendProcess{address: lines.Text()}
+	b := &backendProcess{address: lines.Text(), inEvent: make(chan struct{})}
 	read := make(chan struct{})
 	go func() {
 		defer close(read)
