--- a/review/standin-2/case_removed.go
+++ b/review/standin-2/case_removed.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,14 +14,14 @@
 func init() { cases["resume-at-removed-service"] = resumeAtRemovedService }
 
 // resumeAtRemovedService moves a route to another service and removes the old one while streams are under way there.
-// Later than apply_ms after that, the old service's backends begin to leave. The first of them ends, and its streams
-// break off.
+// Later than apply_ms after that, two of the old service's five backends are replaced, one each second: a new one starts,
+// the old one drains and ends. The streams of the first break off.
 func resumeAtRemovedService(f *fleet) (broken bool) {
 	const (
-		requests = 8
+		requests = 24
 		events   = 150
-		linger   = 1500 * time.Millisecond // of the first backend, beyond drain_ms
-		longer   = 7 * time.Second         // of the others
+		linger   = 2500 * time.Millisecond // beyond drain_ms
+		between  = time.Second             // gap_s of the release
 	)
 	ctx, cancel := context.WithTimeout(context.Background(), longestRun)
 	defer cancel()
@@ -39,9 +40,12 @@
 		set.Service, set.ID = service, id
 		return simulation.StartEngine(f, set)
 	}
-	old := []*simulation.Engine{start(llm, "old-1"), start(llm, "old-2")}
+	old := []*simulation.Engine{start(llm, "old-1"), start(llm, "old-2"), start(llm, "old-3")}
+	set.Phase = simulation.PhasePrefill
+	readers := []*simulation.Engine{start(llm, "read-1"), start(llm, "read-2")}
+	set.Phase = simulation.PhaseDecode
 	next := []*simulation.Engine{start("llm2", "new-1"), start("llm2", "new-2")}
-	platform := f.startPlatform(nil, append(append([]*simulation.Engine{}, old...), next...)...)
+	platform := f.startPlatform(nil, slices.Concat(old, readers, next)...)
 	route := func(service string) string {
 		return `{"name": "r-talk", "hostname": "review.example", "pfx": "/talk/", "kind": "stream", "deadline_ms": 20000,
    "target_ms": 120, "prio": 0, "svc": "` + service + `", "tries": 3, "pin": true, "resumable": true, "gap_aim_ms": 150}`
@@ -84,21 +88,21 @@
 		time.Sleep(time.Second)
 		change(2, `{"ver": 3, "upsert": {"routing": [`+route("llm2")+`]}, "remove": {"svcs": ["llm"]}}`)
 		time.Sleep(2200 * time.Millisecond) // over apply_ms
-		platform.Drain(old...)
-		f.note("old-1 and old-2 begin to drain; the list shows it %v later", listDelay)
-		end := func(e *simulation.Engine, after time.Duration) {
-			time.AfterFunc(after, func() {
+		slices.SortStableFunc(old, func(a, b *simulation.Engine) int { return serving(b) - serving(a) })
+		for i, e := range old[:2] {
+			if i > 0 {
+				time.Sleep(between)
+			}
+			platform.Add(start(llm, fmt.Sprintf("successor-%d", i+1)))
+			platform.Drain(e)
+			f.note("successor-%d is started, %s begins to drain with %d streams; the list shows it %v later", i+1, e.ID(),
+				serving(e), listDelay)
+			time.AfterFunc(listDelay+drain+linger, func() {
 				f.note("%s ends", e.ID())
 				platform.Remove(e)
 				e.Crash()
 			})
 		}
-		first, other := old[0], old[1]
-		if !serves(first) {
-			first, other = other, first
-		}
-		end(first, listDelay+drain+linger)
-		end(other, listDelay+drain+longer)
 	}
 	all.Wait()
 	for i := range results {
@@ -108,7 +112,7 @@
 			broken = true
 		}
 	}
-	for _, e := range append(append([]*simulation.Engine{}, old...), next...) {
+	for _, e := range slices.Concat(old, next) {
 		shown, drained := f.platform.shownDraining(e.Settings().ID)
 		if drained {
 			f.noteAt(shown, "the control plane was answered with the list that shows %s as draining", e.Settings().ID)
@@ -129,12 +133,13 @@
 	return broken
 }
 
-// serves reports whether a backend has a request under way.
-func serves(e *simulation.Engine) bool {
+// serving returns the number of requests under way at a backend.
+func serving(e *simulation.Engine) int {
+	n := 0
 	for _, en := range e.Log.Entries() {
 		if en.Kind == simulation.KindRequest && en.Ended.IsZero() {
-			return true
+			n++
 		}
 	}
-	return false
+	return n
 }
