--- a/review/standin-2/case_drain.go
+++ b/review/standin-2/case_drain.go
@@ -97,6 +97,9 @@
 	}
 	for _, e := range engines {
 		for _, en := range e.Log.Entries() {
+			if en.Kind == simulation.KindOrder {
+				f.noteAt(en.At, "%s: an order to change its phase arrives, status %d", en.Engine, en.Status)
+			}
 			if en.Kind != simulation.KindRequest && en.Kind != simulation.KindPrefill {
 				continue
 			}
