--- a/review/standin-2/backend.go
+++ b/review/standin-2/backend.go
@@ -20,8 +20,8 @@
 	// without a length writes in two parts.
 	unframedStep  = 20 * time.Millisecond
 	unframedPause = 150 * time.Millisecond
-	// unframedEvery is the number of requests of which one gets an answer without a length: under 0.03 of them.
-	unframedEvery = 34
+	// unframedEvery is the number of requests of which one gets an answer without a length: under 0.02 of them.
+	unframedEvery = 51
 	// splitEvent is the event that is written in two parts.
 	splitEvent = 10
 )
--- a/review/standin-2/case_event.go
+++ b/review/standin-2/case_event.go
@@ -16,7 +16,7 @@
 
 func init() { cases["cut-in-event"] = cutInEvent }
 
-// cutInEvent kills one of seven backends while it is in the middle of an event of a stream that has no length; one in 34
+// cutInEvent kills one of seven backends while it is in the middle of an event of a stream that has no length; one in 51
 // of its answers has none. The streams may be resumed, and other backends could continue them.
 func cutInEvent(f *fleet) (broken bool) {
 	const (
