--- a/review/standin-2/case_removed.go
+++ b/review/standin-2/case_removed.go
@@ -20,7 +20,7 @@
 	const (
 		requests = 24
 		events   = 150
-		linger   = 2500 * time.Millisecond // beyond drain_ms
+		linger   = 1500 * time.Millisecond // beyond drain_ms; linger_ms of the sheet
 		between  = time.Second             // gap_s of the release
 	)
 	ctx, cancel := context.WithTimeout(context.Background(), longestRun)
